Add the design, the base library and the configuration library

Ruled out: one CMake file for all (every area would conflict in it); sources in a folder per library (the layout asks for one flat src folder).

--- /dev/null
+++ b/include/jayhold/Base.h
@@ -0,0 +1,16 @@
+#pragma once
+
+/// Public header of jayhold_base: time, typed errors, JSON reading with paths, hybrid clock and
+/// event log.
+
+#include "ConfigError.h"
+#include "EventLog.h"
+#include "ExitCode.h"
+#include "FileError.h"
+#include "HybridClock.h"
+#include "JsonReader.h"
+#include "JsonText.h"
+#include "LogLine.h"
+#include "Sha256.h"
+#include "Time.h"
+#include "Version.h"
--- /dev/null
+++ b/src/ConfigErrorCode.h
@@ -0,0 +1,25 @@
+#pragma once
+
+/// The kinds of fault that settings and configurations can have.
+
+#include <string_view>
+
+namespace jayhold {
+
+enum class ConfigErrorCode {
+    MalformedJson,
+    MissingKey,
+    UnknownKey,
+    WrongType,
+    WrongUnit,
+    OutOfRange,
+    DuplicateName,
+    UnknownReference,
+    MissingZone,
+    StaleVersion,
+};
+
+/// @return the stable name of a code, as shown to operators.
+auto name(ConfigErrorCode code) -> std::string_view;
+
+}
--- /dev/null
+++ b/src/ConfigurationParser.cpp
@@ -0,0 +1,159 @@
+#include "Configuration.h"
+
+#include "JsonReader.h"
+
+namespace jayhold {
+
+namespace json = boost::json;
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr NumberRange positive { 1, 1e15 };
+constexpr NumberRange weightRange { 0.001, 1'000 };
+constexpr NumberRange fraction { 0, 1 };
+constexpr NumberRange seatRange { 1, 100'000 };
+constexpr NumberRange milliseconds { 1, 86'400'000 };
+
+template <typename Item>
+auto readList(JsonReader& reader, std::string_view key, leaf::result<Item> (*readItem)(JsonReader&)) -> leaf::result<std::vector<Item>>
+{
+    std::vector<Item> items;
+    BOOST_LEAF_AUTO(readers, reader.objects(key));
+    for (auto& itemReader : readers) {
+        BOOST_LEAF_AUTO(item, readItem(itemReader));
+        BOOST_LEAF_CHECK(itemReader.finish());
+        items.push_back(std::move(item));
+    }
+    return items;
+}
+
+template <typename Enum>
+auto readEnum(JsonReader& reader, std::string_view key, std::optional<Enum> (*parse)(std::string_view)) -> leaf::result<Enum>
+{
+    BOOST_LEAF_AUTO(text, reader.string(key));
+    const auto value = parse(text);
+    if (!value)
+        return leaf::new_error(ConfigError { ConfigErrorCode::OutOfRange, reader.pathOf(key), "unknown value " + text });
+    return *value;
+}
+
+auto readDigest(JsonReader& reader) -> leaf::result<std::string>
+{
+    static constexpr std::string_view key = "key_sha256";
+    BOOST_LEAF_AUTO(digest, reader.string(key));
+    if (digest.size() != 64 || digest.find_first_not_of("0123456789abcdef") != std::string::npos) {
+        return leaf::new_error(ConfigError { ConfigErrorCode::OutOfRange, reader.pathOf(key),
+            "expected 64 lower-case hexadecimal digits" });
+    }
+    return digest;
+}
+
+auto readMilliseconds(JsonReader& reader, std::string_view key, std::chrono::milliseconds fallback) -> leaf::result<std::chrono::milliseconds>
+{
+    BOOST_LEAF_AUTO(count, reader.integer(key, milliseconds, fallback.count()));
+    return std::chrono::milliseconds(count);
+}
+
+auto readOperator(JsonReader& reader) -> leaf::result<OperatorKey>
+{
+    OperatorKey key;
+    BOOST_LEAF_ASSIGN(key.name, reader.string("name"));
+    BOOST_LEAF_ASSIGN(key.keySha256, readDigest(reader));
+    return key;
+}
+
+auto readZone(JsonReader& reader) -> leaf::result<AvailabilityZone>
+{
+    AvailabilityZone zone;
+    BOOST_LEAF_ASSIGN(zone.name, reader.string("name"));
+    BOOST_LEAF_ASSIGN(zone.region, reader.string("region"));
+    return zone;
+}
+
+auto readCustomer(JsonReader& reader) -> leaf::result<Customer>
+{
+    Customer customer;
+    BOOST_LEAF_ASSIGN(customer.name, reader.string("name"));
+    BOOST_LEAF_ASSIGN(customer.keySha256, readDigest(reader));
+    BOOST_LEAF_ASSIGN(customer.weight, reader.number("weight", weightRange, customer.weight));
+    BOOST_LEAF_ASSIGN(customer.maxQueued, reader.integer("max_queued", positive, customer.maxQueued));
+    return customer;
+}
+
+auto readPool(JsonReader& reader) -> leaf::result<Pool>
+{
+    Pool pool;
+    BOOST_LEAF_ASSIGN(pool.name, reader.string("name"));
+    if (!reader.has("availability_zone")) {
+        return leaf::new_error(ConfigError { ConfigErrorCode::MissingZone, reader.pathOf("availability_zone"),
+            "the pool names no availability zone" });
+    }
+    BOOST_LEAF_ASSIGN(pool.availabilityZone, reader.string("availability_zone"));
+    BOOST_LEAF_ASSIGN(pool.role, readEnum(reader, "role", parsePoolRole));
+    BOOST_LEAF_ASSIGN(pool.seats, reader.integer("seats", seatRange, pool.seats));
+    if (pool.role == PoolRole::Plain)
+        return pool;
+    BOOST_LEAF_ASSIGN(pool.memoryPieces, reader.integer("memory_pieces", positive, pool.memoryPieces));
+    BOOST_LEAF_ASSIGN(pool.pieceTokens, reader.integer("piece_tokens", positive, pool.pieceTokens));
+    BOOST_LEAF_ASSIGN(pool.linkBytesPerSecond, reader.integer("link_bytes_per_second", positive, pool.linkBytesPerSecond));
+    return pool;
+}
+
+auto readKind(JsonReader& reader) -> leaf::result<RequestKind>
+{
+    RequestKind kind;
+    BOOST_LEAF_ASSIGN(kind.name, reader.string("name"));
+    BOOST_LEAF_ASSIGN(kind.latencyClass, readEnum(reader, "class", parseLatencyClass));
+    BOOST_LEAF_ASSIGN(kind.firstToken, readMilliseconds(reader, "first_token_ms", kind.firstToken));
+    BOOST_LEAF_ASSIGN(kind.tokenGap, readMilliseconds(reader, "token_gap_ms", kind.tokenGap));
+    BOOST_LEAF_ASSIGN(kind.deadline, readMilliseconds(reader, "deadline_ms", kind.deadline));
+    BOOST_LEAF_ASSIGN(kind.repeatable, reader.boolean("repeatable", kind.repeatable));
+    BOOST_LEAF_ASSIGN(kind.methods, reader.strings("methods"));
+    BOOST_LEAF_ASSIGN(kind.pathPrefix, reader.string("path_prefix", ""));
+    return kind;
+}
+
+auto readService(JsonReader& reader) -> leaf::result<Service>
+{
+    Service service;
+    BOOST_LEAF_ASSIGN(service.name, reader.string("name"));
+    BOOST_LEAF_ASSIGN(service.type, readEnum(reader, "type", parseServiceType));
+    if (service.type == ServiceType::Model) {
+        BOOST_LEAF_ASSIGN(service.model, reader.string("model"));
+        BOOST_LEAF_ASSIGN(service.wastedPrefillWeight, reader.number("wasted_prefill_weight", fraction, service.wastedPrefillWeight));
+        BOOST_LEAF_ASSIGN(service.checksFencing, reader.boolean("checks_fencing", service.checksFencing));
+        BOOST_LEAF_ASSIGN(service.maxPromptTokens, reader.integer("max_prompt_tokens", positive, service.maxPromptTokens));
+        BOOST_LEAF_ASSIGN(service.maxOutputTokens, reader.integer("max_output_tokens", positive, service.maxOutputTokens));
+    }
+    BOOST_LEAF_ASSIGN(service.pools, readList<Pool>(reader, "pools", readPool));
+    BOOST_LEAF_ASSIGN(service.kinds, readList<RequestKind>(reader, "kinds", readKind));
+    return service;
+}
+
+}
+
+auto configurationFromJson(const json::value& value) -> leaf::result<Configuration>
+{
+    const auto* object = value.if_object();
+    if (!object)
+        return leaf::new_error(ConfigError { ConfigErrorCode::WrongType, "$", "expected an object" });
+    JsonReader reader(*object, "$");
+    Configuration configuration;
+    BOOST_LEAF_ASSIGN(configuration.version, reader.integer("version", positive));
+    BOOST_LEAF_ASSIGN(configuration.operators, readList<OperatorKey>(reader, "operators", readOperator));
+    BOOST_LEAF_ASSIGN(configuration.availabilityZones, readList<AvailabilityZone>(reader, "availability_zones", readZone));
+    BOOST_LEAF_ASSIGN(configuration.customers, readList<Customer>(reader, "customers", readCustomer));
+    BOOST_LEAF_ASSIGN(configuration.services, readList<Service>(reader, "services", readService));
+    BOOST_LEAF_CHECK(reader.finish());
+    BOOST_LEAF_CHECK(validateConfiguration(configuration));
+    return configuration;
+}
+
+auto parseConfiguration(std::string_view text) -> leaf::result<Configuration>
+{
+    BOOST_LEAF_AUTO(value, parseJsonObject(text));
+    return configurationFromJson(value);
+}
+
+}
--- /dev/null
+++ b/src/LogLine.h
@@ -0,0 +1,33 @@
+#pragma once
+
+/// Formats and writes log lines: one line of key=value pairs for each event, through
+/// easylogging++ to standard error.
+
+#include "HybridTime.h"
+#include "LogField.h"
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace jayhold {
+
+enum class LogLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+/// Sets up the logger of the process.
+/// @param lowest events below this level are not written.
+auto configureLogging(LogLevel lowest) -> void;
+
+/// @return `time=... event=... key=value ...`; values with spaces, quotes or control characters
+/// are quoted and escaped, so that a line is always one event.
+auto formatLogLine(HybridTime time, std::string_view event, std::span<const LogField> fields) -> std::string;
+
+/// Writes one line.
+auto writeLogLine(LogLevel level, std::string_view line) -> void;
+
+}
--- /dev/null
+++ b/src/Service.h
@@ -0,0 +1,33 @@
+#pragma once
+
+/// A service that callers use: its pools and its request kinds.
+
+#include "Pool.h"
+#include "RequestKind.h"
+#include "ServiceType.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace jayhold {
+
+struct Service {
+    std::string name;
+    ServiceType type = ServiceType::Model;
+    /// Model that the engines run; empty for plain services.
+    std::string model;
+    /// From 0 (only goodput counts) to 1 (only wasted prefill counts): how sure of a decode seat a
+    /// prefill must be before it starts.
+    double wastedPrefillWeight = 0.5;
+    /// Whether the engines refuse orders that carry an old fencing number.
+    bool checksFencing = true;
+    std::int64_t maxPromptTokens = 32'768;
+    std::int64_t maxOutputTokens = 4'096;
+    std::vector<Pool> pools;
+    std::vector<RequestKind> kinds;
+
+    auto operator==(const Service&) const -> bool = default;
+};
+
+}
--- /dev/null
+++ b/src/Time.h
@@ -0,0 +1,22 @@
+#pragma once
+
+/// Time types shared by all libraries. The decision code and the state machines never read a
+/// clock: they take a TimePoint from their caller, so that the bench and the tests can run them
+/// in virtual time.
+
+#include <chrono>
+
+namespace jayhold {
+
+using Duration = std::chrono::microseconds;
+
+/// A point on the monotonic clock, in microseconds.
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+/// @return the current monotonic time; only drivers call it.
+inline auto monotonicNow() -> TimePoint
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+}
--- /dev/null
+++ b/src/Version.cpp
@@ -0,0 +1,10 @@
+#include "Version.h"
+
+namespace jayhold {
+
+auto version() -> std::string_view
+{
+    return JAYHOLD_VERSION;
+}
+
+}
--- /dev/null
+++ b/test/CatchMain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
