Add the HTTP library and the interface of the decision code

Cause: daemon, stand-ins, load tool and cluster code all speak HTTP, and daemon and bench share the decision code; both borders must be fixed before the parts are written side by side. Ruled out: one io_context for all threads with strands (a pooled connection would change strands between calls); LEAF results across suspension points (its error objects are thread-local). Result: HTTP tests pass, among them arbitrary bytes, slow and oversized requests, and the notice of a closed connection.

--- /dev/null
+++ b/src/DecisionAction.h
@@ -0,0 +1,24 @@
+#pragma once
+
+/// Everything that the decision code can ask for.
+
+#include "CancelOnReplica.h"
+#include "Refuse.h"
+#include "ReportSignature.h"
+#include "StartDecode.h"
+#include "StartPrefill.h"
+#include "WakeAt.h"
+
+#include <variant>
+
+namespace jayhold {
+
+using DecisionAction = std::variant<
+    StartPrefill,
+    StartDecode,
+    Refuse,
+    CancelOnReplica,
+    ReportSignature,
+    WakeAt>;
+
+}
--- /dev/null
+++ b/src/DecisionEvent.h
@@ -0,0 +1,40 @@
+#pragma once
+
+/// Everything that the decision code can be told.
+
+#include "CacheEvents.h"
+#include "DecodeFailed.h"
+#include "DecodeFinished.h"
+#include "DecodeStarted.h"
+#include "DrainStarted.h"
+#include "PrefillDone.h"
+#include "PrefillFailed.h"
+#include "ReplicaChanged.h"
+#include "ReplicaLoad.h"
+#include "RequestArrived.h"
+#include "RequestCancelled.h"
+#include "SignatureReported.h"
+#include "Tick.h"
+#include "TokensEmitted.h"
+
+#include <variant>
+
+namespace jayhold {
+
+using DecisionEvent = std::variant<
+    RequestArrived,
+    PrefillDone,
+    PrefillFailed,
+    DecodeStarted,
+    TokensEmitted,
+    DecodeFinished,
+    DecodeFailed,
+    RequestCancelled,
+    ReplicaChanged,
+    ReplicaLoad,
+    CacheEvents,
+    SignatureReported,
+    DrainStarted,
+    Tick>;
+
+}
--- /dev/null
+++ b/src/DrainStarted.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/// Event: the instance is shutting down; requests that have not started are refused, the others
+/// finish.
+
+namespace jayhold {
+
+struct DrainStarted {
+};
+
+}
--- /dev/null
+++ b/src/HttpClient.h
@@ -0,0 +1,54 @@
+#pragma once
+
+/// An HTTP/1.1 client with a pool of idle connections. A client belongs to one I/O thread, on
+/// which all its calls run, so it needs no lock.
+
+#include "HttpEndpoint.h"
+#include "HttpError.h"
+#include "HttpRequest.h"
+#include "HttpResponse.h"
+#include "HttpStream.h"
+#include "Time.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+
+namespace jayhold {
+
+struct HttpClientSettings {
+    Duration connectTimeout = std::chrono::milliseconds(500);
+    /// Idle connections kept for one endpoint.
+    std::size_t idlePerEndpoint = 32;
+    /// Largest body that request() accepts, in bytes.
+    std::size_t maximumBody = 16U << 20U;
+};
+
+class HttpClient {
+public:
+    HttpClient(boost::asio::io_context& context, HttpClientSettings settings);
+    ~HttpClient();
+    HttpClient(const HttpClient&) = delete;
+    auto operator=(const HttpClient&) -> HttpClient& = delete;
+
+    /// Sends a request and reads the whole answer. A pooled connection that the other side closed
+    /// before it read the request is replaced once, and only for idempotent calls, so that no other
+    /// call runs twice.
+    /// @param timeout time for sending, waiting and reading together, after connecting.
+    auto request(HttpEndpoint endpoint, HttpRequest request, Duration timeout) -> boost::asio::awaitable<HttpResult<HttpResponse>>;
+
+    /// Sends a request on a new connection and reads the header of the answer; the body is read
+    /// from the stream. Closing the stream closes the connection, which cancels the call.
+    /// @param timeout time until the header has arrived, after connecting.
+    auto open(HttpEndpoint endpoint, HttpRequest request, Duration timeout) -> boost::asio::awaitable<HttpResult<std::shared_ptr<HttpStream>>>;
+
+private:
+    struct Pool;
+
+    boost::asio::io_context& m_context;
+    const HttpClientSettings m_settings;
+    std::unique_ptr<Pool> m_pool;
+};
+
+}
--- /dev/null
+++ b/src/HttpServer.cpp
@@ -0,0 +1,96 @@
+#include "HttpServer.h"
+
+#include "AwaitToken.h"
+#include "HttpServerConnection.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+struct HttpServer::State {
+    State(IoThreads& ioThreads, HttpServerSettings serverSettings, HttpHandler serverHandler)
+        : threads(ioThreads)
+        , shared { serverSettings, std::move(serverHandler) }
+        , acceptor(ioThreads.context(0))
+    {
+    }
+
+    IoThreads& threads;
+    HttpServerShared shared;
+    asio::ip::tcp::acceptor acceptor;
+    asio::ip::tcp::endpoint bound;
+};
+
+namespace {
+
+constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
+
+template <typename State>
+auto acceptLoop(std::shared_ptr<State> state) -> asio::awaitable<void>
+{
+    while (state->acceptor.is_open()) {
+        const auto index = state->threads.nextIndex();
+        auto& context = state->threads.context(index);
+        asio::ip::tcp::socket socket(context);
+        boost::system::error_code code;
+        co_await state->acceptor.async_accept(socket, awaitInto(code));
+        if (code == asio::error::operation_aborted || code == asio::error::bad_descriptor)
+            co_return;
+        if (code) {
+            // The process is out of descriptors or the connection was reset; a pause keeps the
+            // loop from spinning.
+            asio::steady_timer timer(state->threads.context(0), acceptRetryDelay);
+            co_await timer.async_wait(awaitInto(code));
+            continue;
+        }
+        std::shared_ptr<HttpServerShared> shared(state, &state->shared);
+        asio::co_spawn(context, serveConnection(std::move(shared), std::move(socket), state->threads.client(index)), asio::detached);
+    }
+}
+
+}
+
+HttpServer::HttpServer(IoThreads& threads, HttpServerSettings settings, HttpHandler handler)
+    : m_state(std::make_shared<State>(threads, settings, std::move(handler)))
+{
+    const asio::ip::tcp::endpoint wanted(asio::ip::make_address(settings.endpoint.address), settings.endpoint.port);
+    auto& acceptor = m_state->acceptor;
+    acceptor.open(wanted.protocol());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.bind(wanted);
+    acceptor.listen();
+    m_state->bound = acceptor.local_endpoint();
+    asio::co_spawn(threads.context(0), acceptLoop(m_state), asio::detached);
+}
+
+HttpServer::~HttpServer()
+{
+    stopAccepting();
+}
+
+auto HttpServer::endpoint() const -> HttpEndpoint
+{
+    return { m_state->bound.address().to_string(), m_state->bound.port() };
+}
+
+auto HttpServer::stopAccepting() -> void
+{
+    m_state->shared.isDraining = true;
+    asio::post(m_state->threads.context(0), [state = m_state] {
+        boost::system::error_code ignored;
+        state->acceptor.close(ignored);
+    });
+}
+
+auto HttpServer::activeExchanges() const -> std::size_t
+{
+    return m_state->shared.activeExchanges;
+}
+
+}
--- /dev/null
+++ b/src/HttpServerConnection.cpp
@@ -0,0 +1,293 @@
+#include "HttpServerConnection.h"
+
+#include "AwaitToken.h"
+#include "HttpConnection.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/bind_handler.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Socket state that a pending close watch may outlive the exchange with.
+struct ConnectionState {
+    explicit ConnectionState(asio::ip::tcp::socket socket)
+        : stream(std::move(socket))
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    /// Called when the caller closes; empty when no exchange watches.
+    std::function<void()> closeCallback;
+    bool isWatching = false;
+};
+
+auto hasPeerClosed(ConnectionState& connection) -> bool
+{
+    char byte = 0;
+    boost::system::error_code code;
+    auto& socket = connection.stream.socket();
+    socket.non_blocking(true, code);
+    const auto size = socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, code);
+    if (code == asio::error::would_block)
+        return false;
+    return code || size == 0;
+}
+
+auto watchClose(const std::shared_ptr<ConnectionState>& connection) -> void
+{
+    if (connection->isWatching)
+        return;
+    connection->isWatching = true;
+    connection->stream.socket().async_wait(asio::socket_base::wait_read, [connection](boost::system::error_code code) {
+        connection->isWatching = false;
+        if (!connection->closeCallback)
+            return;
+        // Readable without an end of stream is the next pipelined request, which stays unread.
+        if (!code && !hasPeerClosed(*connection))
+            return;
+        std::exchange(connection->closeCallback, nullptr)();
+    });
+}
+
+class ServerExchange final : public HttpExchange {
+public:
+    ServerExchange(HttpServerShared& shared, std::shared_ptr<ConnectionState> connection, HttpClient& client, HttpRequest request, bool keepAlive)
+        : m_shared(shared)
+        , m_connection(std::move(connection))
+        , m_client(client)
+        , m_request(std::move(request))
+        , m_keepAlive(keepAlive)
+    {
+    }
+
+    auto request() const -> const HttpRequest& override { return m_request; }
+    auto hasStarted() const -> bool override { return m_hasStarted; }
+    auto executor() -> asio::any_io_executor override { return m_connection->stream.get_executor(); }
+    auto client() -> HttpClient& override { return m_client; }
+    auto isReusable() const -> bool { return m_keepAlive && m_isComplete && !m_hasFailed; }
+
+    auto respond(HttpResponse response) -> asio::awaitable<bool> override
+    {
+        http::response<http::string_body> message;
+        fillHeader(message, response.status, response.headers);
+        message.body() = std::move(response.body);
+        message.prepare_payload();
+        m_hasStarted = true;
+        boost::system::error_code code;
+        arm();
+        co_await http::async_write(m_connection->stream, message, awaitInto(code));
+        m_isComplete = true;
+        co_return note(code);
+    }
+
+    auto startStream(unsigned status, std::vector<HttpHeader> headers) -> asio::awaitable<bool> override
+    {
+        http::response<http::empty_body> message;
+        fillHeader(message, status, headers);
+        message.chunked(true);
+        http::response_serializer<http::empty_body> serializer(message);
+        m_hasStarted = true;
+        boost::system::error_code code;
+        arm();
+        co_await http::async_write_header(m_connection->stream, serializer, awaitInto(code));
+        co_return note(code);
+    }
+
+    auto write(std::string_view piece) -> asio::awaitable<bool> override
+    {
+        if (m_hasFailed)
+            co_return false;
+        boost::system::error_code code;
+        arm();
+        co_await asio::async_write(m_connection->stream, http::make_chunk(asio::buffer(piece.data(), piece.size())),
+            awaitInto(code));
+        co_return note(code);
+    }
+
+    auto finishStream() -> asio::awaitable<bool> override
+    {
+        if (m_hasFailed)
+            co_return false;
+        boost::system::error_code code;
+        arm();
+        co_await asio::async_write(m_connection->stream, http::make_chunk_last(), awaitInto(code));
+        m_isComplete = true;
+        co_return note(code);
+    }
+
+    auto abort() -> void override
+    {
+        m_hasFailed = true;
+        m_connection->closeCallback = nullptr;
+        m_connection->stream.close();
+    }
+
+    auto onClose(std::function<void()> callback) -> void override
+    {
+        m_connection->closeCallback = std::move(callback);
+        watchClose(m_connection);
+    }
+
+private:
+    template <typename Message>
+    auto fillHeader(Message& message, unsigned status, const std::vector<HttpHeader>& headers) -> void
+    {
+        if (m_shared.isDraining)
+            m_keepAlive = false;
+        message.version(11);
+        message.result(status);
+        for (const auto& header : headers)
+            message.insert(header.name, header.value);
+        message.keep_alive(m_keepAlive);
+    }
+
+    auto arm() -> void { m_connection->stream.expires_after(m_shared.settings.writeTimeout); }
+
+    auto note(const boost::system::error_code& code) -> bool
+    {
+        if (code)
+            m_hasFailed = true;
+        return !m_hasFailed;
+    }
+
+    HttpServerShared& m_shared;
+    std::shared_ptr<ConnectionState> m_connection;
+    HttpClient& m_client;
+    const HttpRequest m_request;
+    bool m_keepAlive;
+    bool m_hasStarted = false;
+    bool m_isComplete = false;
+    bool m_hasFailed = false;
+};
+
+struct RequestFault {
+    unsigned status;
+    std::string_view type;
+    std::string_view message;
+};
+
+auto faultOf(const boost::system::error_code& code) -> std::optional<RequestFault>
+{
+    if (code == beast::error::timeout)
+        return RequestFault { 408, "request_timeout", "the request did not arrive in time" };
+    if (code == http::error::body_limit)
+        return RequestFault { 413, "body_too_large", "the body is larger than allowed" };
+    if (code == http::error::header_limit)
+        return RequestFault { 431, "header_too_large", "the header is larger than allowed" };
+    if (code == http::error::end_of_stream || code == http::error::partial_message)
+        return std::nullopt;
+    if (code.category() == http::make_error_code(http::error::bad_version).category())
+        return RequestFault { 400, "malformed_http", "the request is not valid HTTP" };
+    return std::nullopt;
+}
+
+auto faultResponse(const RequestFault& fault) -> HttpResponse
+{
+    auto body = R"({"error":{"type":")" + std::string(fault.type) + R"(","message":")" + std::string(fault.message) + R"(","ran":"no"}})";
+    return jsonResponse(fault.status, std::move(body));
+}
+
+auto toRequest(http::request<http::string_body>& message) -> HttpRequest
+{
+    return { std::string(message.method_string()), std::string(message.target()), copyHeaders(message), std::move(message.body()), false };
+}
+
+/// Counts an exchange for as long as its handler runs.
+struct ActiveExchange {
+    explicit ActiveExchange(std::atomic<std::size_t>& total)
+        : counter(total)
+    {
+        ++counter;
+    }
+    ~ActiveExchange() { --counter; }
+    ActiveExchange(const ActiveExchange&) = delete;
+    auto operator=(const ActiveExchange&) -> ActiveExchange& = delete;
+
+    std::atomic<std::size_t>& counter;
+};
+
+using RequestParser = http::request_parser<http::string_body>;
+
+/// Waits for a request: up to the idle timeout for its first byte, then up to the read timeout
+/// for the rest.
+auto readRequest(const HttpServerSettings& settings, ConnectionState& connection, RequestParser& parser) -> asio::awaitable<boost::system::error_code>
+{
+    boost::system::error_code code;
+    parser.header_limit(static_cast<std::uint32_t>(settings.maximumHeader));
+    parser.body_limit(settings.maximumBody);
+    if (connection.buffer.size() == 0) {
+        connection.stream.expires_after(settings.idleTimeout);
+        const auto space = connection.buffer.prepare(4'096);
+        const auto size = co_await connection.stream.async_read_some(space, awaitInto(code));
+        if (code)
+            co_return code == beast::error::timeout ? boost::system::error_code(http::error::end_of_stream) : code;
+        connection.buffer.commit(size);
+    }
+    // The stream's own timeout would close the socket, and the 408 answer could not be sent.
+    connection.stream.expires_never();
+    asio::steady_timer timer(connection.stream.get_executor(), settings.readTimeout);
+    auto hasTimedOut = false;
+    timer.async_wait([&](boost::system::error_code timerCode) {
+        if (timerCode)
+            return;
+        hasTimedOut = true;
+        connection.stream.cancel();
+    });
+    co_await http::async_read(connection.stream, connection.buffer, parser, awaitInto(code));
+    // Lets the wait's handler run before its captures go out of scope.
+    timer.cancel();
+    co_await asio::post(connection.stream.get_executor(), asio::use_awaitable);
+    co_return hasTimedOut ? boost::system::error_code(beast::error::timeout) : code;
+}
+
+auto refuse(HttpServerShared& shared, const std::shared_ptr<ConnectionState>& connection, HttpClient& client, const RequestFault& fault) -> asio::awaitable<void>
+{
+    ServerExchange exchange(shared, connection, client, {}, false);
+    co_await exchange.respond(faultResponse(fault));
+}
+
+}
+
+auto serveConnection(std::shared_ptr<HttpServerShared> shared, asio::ip::tcp::socket socket, HttpClient& client) -> asio::awaitable<void>
+{
+    boost::system::error_code code;
+    socket.set_option(asio::ip::tcp::no_delay(true), code);
+    const auto connection = std::make_shared<ConnectionState>(std::move(socket));
+    for (auto reusable = true; reusable;) {
+        RequestParser parser;
+        code = co_await readRequest(shared->settings, *connection, parser);
+        if (code) {
+            if (const auto fault = faultOf(code))
+                co_await refuse(*shared, connection, client, *fault);
+            break;
+        }
+        const auto keepAlive = parser.get().keep_alive();
+        ServerExchange exchange(*shared, connection, client, toRequest(parser.get()), keepAlive);
+        {
+            const ActiveExchange active(shared->activeExchanges);
+            connection->stream.expires_never();
+            co_await shared->handler(exchange);
+        }
+        connection->closeCallback = nullptr;
+        reusable = exchange.isReusable();
+    }
+    connection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, code);
+    connection->stream.close();
+}
+
+}
--- /dev/null
+++ b/src/HttpServerConnection.h
@@ -0,0 +1,27 @@
+#pragma once
+
+/// One connection of an HttpServer: reads requests, hands them to the handler and refuses those
+/// that are malformed, oversized or slow.
+
+#include "HttpServer.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <memory>
+
+namespace jayhold {
+
+/// What the connections of one server share.
+struct HttpServerShared {
+    const HttpServerSettings settings;
+    const HttpHandler handler;
+    std::atomic<std::size_t> activeExchanges { 0 };
+    std::atomic<bool> isDraining { false };
+};
+
+/// Serves a connection until it closes.
+auto serveConnection(std::shared_ptr<HttpServerShared> shared, boost::asio::ip::tcp::socket socket, HttpClient& client) -> boost::asio::awaitable<void>;
+
+}
--- /dev/null
+++ b/src/HttpStream.h
@@ -0,0 +1,42 @@
+#pragma once
+
+/// The answer to a client's call, read piece by piece as it arrives.
+
+#include "HttpError.h"
+#include "HttpHeader.h"
+#include "Time.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace jayhold {
+
+class HttpStream {
+public:
+    struct Connection;
+
+    explicit HttpStream(std::unique_ptr<Connection> connection);
+    ~HttpStream();
+    HttpStream(const HttpStream&) = delete;
+    auto operator=(const HttpStream&) -> HttpStream& = delete;
+
+    auto status() const -> unsigned;
+    auto headers() const -> const std::vector<HttpHeader>&;
+
+    /// Waits for the next piece of the body.
+    /// @param timeout longest wait for the piece.
+    /// @return a view that is valid until the next call; empty at the end of the body.
+    auto readSome(Duration timeout) -> boost::asio::awaitable<HttpResult<std::string_view>>;
+
+    /// Closes the connection; a pending readSome() ends with Cancelled. Must be called on the I/O
+    /// thread of the client.
+    auto close() -> void;
+
+private:
+    std::unique_ptr<Connection> m_connection;
+};
+
+}
--- /dev/null
+++ b/src/Outcome.h
@@ -0,0 +1,14 @@
+#pragma once
+
+/// Whether a refused request ran. The caller relies on it to decide about a repeat.
+
+namespace jayhold {
+
+enum class Outcome {
+    /// The request certainly did not run.
+    NotRun,
+    /// The request may have run, in part or whole.
+    Unknown,
+};
+
+}
--- /dev/null
+++ b/src/ReplicaState.h
@@ -0,0 +1,15 @@
+#pragma once
+
+/// Whether a backend server may get new work.
+
+namespace jayhold {
+
+enum class ReplicaState {
+    Live,
+    /// Finishes what it runs and gets no new work.
+    Leaving,
+    /// Not there any more; what it ran has failed.
+    Gone,
+};
+
+}
--- /dev/null
+++ b/src/ReportSignature.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/// Action: tell the peers of a request that crashes backend servers.
+
+#include <cstdint>
+
+namespace jayhold {
+
+struct ReportSignature {
+    std::uint64_t signature;
+};
+
+}
--- /dev/null
+++ b/src/RequestArrived.h
@@ -0,0 +1,29 @@
+#pragma once
+
+/// Event: a checked request has arrived and waits for a decision.
+
+#include "Identifiers.h"
+#include "Time.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace jayhold {
+
+struct RequestArrived {
+    RequestId request;
+    KindId kind;
+    CustomerId customer;
+    std::uint32_t promptTokens;
+    /// Most tokens that the caller accepts.
+    std::uint32_t maxTokens;
+    /// Time after which an answer is of no use.
+    TimePoint deadline;
+    /// Chained hashes of the prompt's prefix blocks, first block first.
+    std::vector<std::uint64_t> prefixBlocks;
+    /// Digest of what the caller sent, by which a request that crashes backend servers is
+    /// recognised when it is sent again.
+    std::uint64_t signature;
+};
+
+}
--- /dev/null
+++ b/src/RequestCancelled.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/// Event: the caller has gone; nothing may stay held for the request.
+
+#include "Identifiers.h"
+
+namespace jayhold {
+
+struct RequestCancelled {
+    RequestId request;
+};
+
+}
--- /dev/null
+++ b/src/Shard.h
@@ -0,0 +1,37 @@
+#pragma once
+
+/// The decision state of one model service as one entry instance sees it: queues, reservations,
+/// replicas and what has been learned about them. It has no clock, socket, thread or log; the
+/// daemon and the bench feed it the same events. Callers hold the shard's lock.
+
+#include "DecisionAction.h"
+#include "DecisionEvent.h"
+#include "ShardSettings.h"
+#include "Time.h"
+
+#include <memory>
+#include <vector>
+
+namespace jayhold {
+
+struct ShardState;
+
+struct ShardStateDeleter {
+    auto operator()(ShardState* state) const -> void;
+};
+
+struct Shard {
+    std::unique_ptr<ShardState, ShardStateDeleter> state;
+};
+
+/// @return a shard without replicas and requests.
+auto makeShard(ShardSettings settings) -> Shard;
+
+/// Takes one event and appends the actions that follow from it.
+/// @param now never goes back between calls.
+auto decide(Shard& shard, TimePoint now, const DecisionEvent& event, std::vector<DecisionAction>& actions) -> void;
+
+/// Replaces the settings after a change of configuration; requests in the shard keep their targets.
+auto updateSettings(Shard& shard, ShardSettings settings) -> void;
+
+}
--- /dev/null
+++ b/src/ShardSettings.h
@@ -0,0 +1,33 @@
+#pragma once
+
+/// Settings of a shard, taken from the configuration of its service.
+
+#include "Identifiers.h"
+#include "RequestKind.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace jayhold {
+
+struct ShardSettings {
+    /// Seeds the random spread of retry delays and the choice between equal replicas.
+    std::uint64_t seed = 1;
+    /// The zone of the instance; its replicas are preferred.
+    ZoneId localZone {};
+    /// From 0 (only goodput counts) to 1 (only wasted prefill counts).
+    double wastedPrefillWeight = 0.5;
+    std::vector<RequestKind> kinds;
+    /// Weight and queue limit by customer.
+    std::vector<double> customerWeights;
+    std::vector<std::uint32_t> customerQueueLimits;
+    /// KV cache bytes of one prompt token, for the share of a link that a transfer takes.
+    std::uint64_t kvBytesPerToken = 131'072;
+    /// Tokens in one block of the prefix cache.
+    std::uint32_t prefixBlockTokens = 256;
+    /// Entry instances that place on the same replicas, this one included; scales how much of a
+    /// lagging report's free seats this instance may take.
+    std::uint32_t sharingInstances = 1;
+};
+
+}
--- /dev/null
+++ b/src/ShardSummary.h
@@ -0,0 +1,29 @@
+#pragma once
+
+/// What a shard holds at the moment, for status, metrics and tests.
+
+#include "Shard.h"
+
+#include <cstdint>
+
+namespace jayhold {
+
+struct ShardSummary {
+    std::uint64_t queued = 0;
+    std::uint64_t prefilling = 0;
+    std::uint64_t decoding = 0;
+    /// Seats and memory pieces reserved in the ledger, over all replicas.
+    std::uint64_t reservedSeats = 0;
+    std::uint64_t reservedPieces = 0;
+    std::uint64_t liveReplicas = 0;
+    /// Totals since the start.
+    std::uint64_t prefillTokens = 0;
+    std::uint64_t wastedPrefillTokens = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t finished = 0;
+};
+
+auto summarize(const Shard& shard) -> ShardSummary;
+
+}
--- /dev/null
+++ b/test/correctness/HttpTest.cpp
@@ -0,0 +1,120 @@
+#include "../HttpTestServer.h"
+
+#include "AwaitToken.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+
+#include <future>
+
+using namespace jayhold;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+auto echo(HttpExchange& exchange) -> asio::awaitable<void>
+{
+    const auto& request = exchange.request();
+    if (request.target != "/stream") {
+        co_await exchange.respond(jsonResponse(200, request.method + " " + request.body));
+        co_return;
+    }
+    std::vector<HttpHeader> headers { { "Content-Type", "text/event-stream" } };
+    co_await exchange.startStream(200, std::move(headers));
+    for (int index = 0; index < 100; ++index)
+        co_await exchange.write("piece " + std::to_string(index) + "\n");
+    co_await exchange.finishStream();
+}
+
+auto readAll(HttpStream& stream) -> asio::awaitable<std::string>
+{
+    std::string text;
+    while (true) {
+        const auto piece = co_await stream.readSome(2s);
+        if (piece.has_error() || piece->empty())
+            co_return text;
+        text += *piece;
+    }
+}
+
+}
+
+// Guards against a body lost or mixed up between calls on a kept connection.
+TEST_CASE("a request is answered whole and connections are reused")
+{
+    IoThreads threads(2);
+    HttpServer server(threads, {}, echo);
+    auto& client = threads.client(1);
+    for (int index = 0; index < 20; ++index) {
+        HttpRequest request { "POST", "/", {}, "body " + std::to_string(index), index % 2 == 0 };
+        const auto answer = runOn(threads, 1, client.request(server.endpoint(), request, 2s));
+        REQUIRE(answer.has_value());
+        CHECK(answer->body == "POST body " + std::to_string(index));
+    }
+    threads.stop();
+}
+
+// Guards against pieces of a streamed answer lost or reordered.
+TEST_CASE("a streamed answer arrives in order and ends")
+{
+    IoThreads threads(2);
+    HttpServer server(threads, {}, echo);
+    const auto stream = runOn(threads, 1, threads.client(1).open(server.endpoint(), { "GET", "/stream", {}, {} }, 2s));
+    REQUIRE(stream.has_value());
+    CHECK((*stream)->status() == 200);
+    std::string expected;
+    for (int index = 0; index < 100; ++index)
+        expected += "piece " + std::to_string(index) + "\n";
+    CHECK(runOn(threads, 1, readAll(**stream)) == expected);
+    threads.stop();
+}
+
+// Guards against work that goes on for a caller that is gone.
+TEST_CASE("the handler is told when the caller closes the connection")
+{
+    std::promise<void> closed;
+    std::promise<void> entered;
+    IoThreads threads(2);
+    HttpServer server(threads, {}, [&](HttpExchange& exchange) -> asio::awaitable<void> {
+        asio::steady_timer timer(exchange.executor(), 5s);
+        exchange.onClose([&] {
+            closed.set_value();
+            timer.cancel();
+        });
+        co_await exchange.startStream(200, {});
+        entered.set_value();
+        boost::system::error_code ignored;
+        co_await timer.async_wait(awaitInto(ignored));
+    });
+    auto stream = runOn(threads, 1, threads.client(1).open(server.endpoint(), { "GET", "/", {}, {} }, 2s));
+    REQUIRE(stream.has_value());
+    entered.get_future().wait();
+    asio::post(threads.context(1), [held = *stream] { held->close(); });
+    CHECK(closed.get_future().wait_for(2s) == std::future_status::ready);
+    threads.stop();
+}
+
+// Guards against a lost connection being reported as a call that was never sent.
+TEST_CASE("a refused connection is told apart from a lost one")
+{
+    IoThreads threads(1);
+    HttpEndpoint unused;
+    {
+        HttpServer server(threads, {}, echo);
+        unused = server.endpoint();
+    }
+    std::this_thread::sleep_for(50ms);
+    const auto refused = runOn(threads, 0, threads.client(0).request(unused, {}, 1s));
+    REQUIRE(refused.has_error());
+    CHECK(refused.error().kind == HttpErrorKind::NotConnected);
+
+    HttpServer cutting(threads, {}, [](HttpExchange& exchange) -> asio::awaitable<void> {
+        exchange.abort();
+        co_return;
+    });
+    const auto lost = runOn(threads, 0, threads.client(0).request(cutting.endpoint(), { "POST", "/", {}, {} }, 1s));
+    REQUIRE(lost.has_error());
+    CHECK(lost.error().kind == HttpErrorKind::ConnectionLost);
+    threads.stop();
+}
--- /dev/null
+++ b/test/error/HttpServerErrorTest.cpp
@@ -0,0 +1,78 @@
+#include "../HttpTestServer.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace jayhold;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+auto answerOk(HttpExchange& exchange) -> asio::awaitable<void>
+{
+    co_await exchange.respond(jsonResponse(200, "{}"));
+}
+
+/// Sends raw bytes and returns all that comes back until the server closes.
+auto sendRaw(const HttpEndpoint& endpoint, const std::string& bytes, bool closeSending) -> std::string
+{
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({ asio::ip::make_address(endpoint.address), endpoint.port });
+    boost::system::error_code ignored;
+    asio::write(socket, asio::buffer(bytes), ignored);
+    if (closeSending)
+        socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), ignored);
+    return answer;
+}
+
+auto isOk(IoThreads& threads, const HttpServer& server) -> bool
+{
+    const auto answer = runOn(threads, 0, threads.client(0).request(server.endpoint(), {}, 2s));
+    return answer.has_value() && answer->status == 200;
+}
+
+auto strictSettings() -> HttpServerSettings
+{
+    HttpServerSettings settings;
+    settings.maximumBody = 100;
+    settings.maximumHeader = 1'000;
+    settings.readTimeout = 100ms;
+    settings.idleTimeout = 300ms;
+    return settings;
+}
+
+}
+
+// Guards against bad input being taken for a request, or ending the process.
+TEST_CASE("bad requests get a 4xx answer and the server goes on")
+{
+    IoThreads threads(1);
+    HttpServer server(threads, strictSettings(), answerOk);
+    CHECK_THAT(sendRaw(server.endpoint(), "nonsense\r\n\r\n", true), Catch::StartsWith("HTTP/1.1 400"));
+    CHECK_THAT(sendRaw(server.endpoint(), "POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n", false), Catch::StartsWith("HTTP/1.1 413"));
+    CHECK_THAT(sendRaw(server.endpoint(), "GET / HTTP/1.1\r\nX: " + std::string(2'000, 'x') + "\r\n\r\n", false), Catch::StartsWith("HTTP/1.1 431"));
+    CHECK_THAT(sendRaw(server.endpoint(), "POST / HTTP/1.1\r\nContent-Length: 50\r\n\r\nslow", false), Catch::StartsWith("HTTP/1.1 408"));
+    CHECK(sendRaw(server.endpoint(), "", false).empty());
+    CHECK(isOk(threads, server));
+    threads.stop();
+}
+
+// Guards against input that no author thought of ending the process.
+TEST_CASE("arbitrary bytes never stop the server")
+{
+    IoThreads threads(1);
+    HttpServer server(threads, strictSettings(), answerOk);
+    rc::prop("the server answers after any input", [&](const std::string& bytes, bool startsWell) {
+        const auto answer = sendRaw(server.endpoint(), (startsWell ? "GET / HTTP/1.1\r\n" : "") + bytes, true);
+        RC_ASSERT(answer.empty() || answer.starts_with("HTTP/1.1 4") || answer.starts_with("HTTP/1.1 200"));
+        RC_ASSERT(isOk(threads, server));
+    });
+    threads.stop();
+}
