--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -14,7 +14,7 @@
 namespace asio = boost::asio;
 
 struct HttpServer::State {
-    State(IoThreads& ioThreads, HttpServerSettings serverSettings, HttpHandler serverHandler)
+    State(IoThreads& ioThreads, const HttpServerSettings& serverSettings, HttpHandler serverHandler)
         : threads(ioThreads)
         , shared { serverSettings, std::move(serverHandler) }
         , acceptor(ioThreads.context(0))
@@ -56,7 +56,7 @@
 
 }
 
-HttpServer::HttpServer(IoThreads& threads, HttpServerSettings settings, HttpHandler handler)
+HttpServer::HttpServer(IoThreads& threads, const HttpServerSettings& settings, HttpHandler handler)
     : m_state(std::make_shared<State>(threads, settings, std::move(handler)))
 {
     const asio::ip::tcp::endpoint wanted(asio::ip::make_address(settings.endpoint.address), settings.endpoint.port);
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -35,7 +35,7 @@
 public:
     /// Starts listening.
     /// @throws boost::system::system_error where the endpoint can't be bound.
-    HttpServer(IoThreads& threads, HttpServerSettings settings, HttpHandler handler);
+    HttpServer(IoThreads& threads, const HttpServerSettings& settings, HttpHandler handler);
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
     auto operator=(const HttpServer&) -> HttpServer& = delete;
