Add the interface of the cluster library

Cause: the daemon and the cluster code are written side by side and need one fixed border between them. Ruled out: letting the daemon call the platform itself; the calls have one budget and one place that knows the protocol. Result: the headers compile; no behaviour yet.

--- /dev/null
+++ b/src/Member.h
@@ -0,0 +1,25 @@
+#pragma once
+
+/// An entry instance as its peers see it.
+
+#include "HttpEndpoint.h"
+
+#include <cstdint>
+#include <string>
+
+namespace jayhold {
+
+struct Member {
+    std::string id;
+    HttpEndpoint peerEndpoint;
+    std::string availabilityZone;
+    /// Grows with every restart of the instance.
+    std::int64_t incarnation = 0;
+    /// Version of the configuration in force there.
+    std::int64_t configurationVersion = 0;
+    bool isDraining = false;
+
+    auto operator==(const Member&) const -> bool = default;
+};
+
+}
