Add a first complete version of the decision library

This version queues by latency class and flow, reserves a seat and memory on both replicas in a ledger, starts prefill and decode, retries, resumes, cancels and refuses. Output lengths are taken as the caller's maximum and rates are not learned yet.

The request life cycle is an enum with transition functions: Boost.MSM would need a table whose guards repeat the ledger's rules, and costs seconds of compile time per source file.

--- a/cmake/decision.cmake
+++ b/cmake/decision.cmake
@@ -0,0 +1,8 @@
+jayhold_library(jayhold_decision
+  UNITS Admission Dispatch Ledger Placement ReplicaEvents ReplicaHealth ReplicaIndex RequestEvents
+    RequestLife RequestQueue RetryDelay RetryRules Shard TimerQueue
+  LINK jayhold_operator)
+
+jayhold_test(decision_test
+  SOURCES test/correctness/ShardTest.cpp
+  LINK jayhold_decision)
--- /dev/null
+++ b/src/ActiveRequest.h
@@ -0,0 +1,52 @@
+#pragma once
+
+/// A request between its arrival and its final answer.
+
+#include "FlowKey.h"
+#include "Identifiers.h"
+#include "LatencyClass.h"
+#include "RequestArrived.h"
+#include "RequestPhase.h"
+#include "Reservation.h"
+#include "Time.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace jayhold {
+
+struct ActiveRequest {
+    RequestArrived arrival;
+    TimePoint arrivedAt;
+    RequestPhase phase = RequestPhase::Queued;
+    Attempt attempt = 0;
+    FlowKey flow;
+    LatencyClass latencyClass = LatencyClass::Standard;
+    /// Set once it can't meet its first-token target any more.
+    bool late = false;
+
+    std::optional<ReplicaId> prefill;
+    std::optional<ReplicaId> decode;
+    Reservation prefillHold;
+    Reservation decodeHold;
+
+    TimePoint phaseSince;
+    /// Last sign of progress of the present attempt.
+    TimePoint progressAt;
+    TimePoint kvExpiresAt;
+    /// Time of the entry in the timer queue.
+    TimePoint timerAt = TimePoint::max();
+
+    /// Tokens that the caller has.
+    std::uint32_t emitted = 0;
+    /// Whether some earlier decode attempt may have run.
+    bool mayHaveRun = false;
+    /// Attempts that failed and may have run.
+    std::uint32_t failures = 0;
+    /// Attempts that a backend server turned away without running them.
+    std::uint32_t redirects = 0;
+    /// Replica of the last failed attempt; avoided by the next where there is another.
+    std::optional<ReplicaId> avoid;
+};
+
+}
--- /dev/null
+++ b/src/DecisionContext.h
@@ -0,0 +1,21 @@
+#pragma once
+
+/// What every step of one decision works on.
+
+#include "DecisionAction.h"
+#include "ShardState.h"
+
+#include <vector>
+
+namespace jayhold {
+
+struct DecisionContext {
+    ShardState& state;
+    TimePoint now;
+    std::vector<DecisionAction>& actions;
+};
+
+auto findRequest(ShardState& state, RequestId id) -> ActiveRequest*;
+auto findReplica(ShardState& state, ReplicaId id) -> Replica*;
+
+}
--- /dev/null
+++ b/src/FlowKey.h
@@ -0,0 +1,18 @@
+#pragma once
+
+/// Names a queue: the requests of one kind and one customer.
+
+#include "Identifiers.h"
+
+#include <compare>
+
+namespace jayhold {
+
+struct FlowKey {
+    KindId kind {};
+    CustomerId customer {};
+
+    auto operator<=>(const FlowKey&) const = default;
+};
+
+}
--- /dev/null
+++ b/src/Ledger.cpp
@@ -0,0 +1,99 @@
+#include "Ledger.h"
+
+#include "ReplicaIndex.h"
+
+#include <algorithm>
+
+namespace jayhold {
+
+namespace {
+
+constexpr std::uint32_t defaultPieceTokens = 2'000;
+
+auto subtract(Reservation& from, const Reservation& amount) -> void
+{
+    from.seats -= amount.seats;
+    from.pieces -= amount.pieces;
+    from.linkBytes -= amount.linkBytes;
+    from.prefillTokens -= amount.prefillTokens;
+}
+
+auto add(Reservation& to, const Reservation& amount) -> void
+{
+    to.seats += amount.seats;
+    to.pieces += amount.pieces;
+    to.linkBytes += amount.linkBytes;
+    to.prefillTokens += amount.prefillTokens;
+}
+
+auto releasePart(DecisionContext& context, ActiveRequest& request, ReplicaId id, Reservation& hold, Reservation part) -> void
+{
+    subtract(hold, part);
+    auto* replica = findReplica(context.state, id);
+    if (!replica)
+        return;
+    subtract(replica->reserved, part);
+    if (hold.empty())
+        std::erase(replica->owners, request.arrival.request);
+    updateIndex(context, *replica);
+}
+
+}
+
+auto reserve(DecisionContext& context, ActiveRequest& request, Replica& replica, const Reservation& amount) -> void
+{
+    auto& hold = replica.role() == PoolRole::Prefill ? request.prefillHold : request.decodeHold;
+    if (hold.empty())
+        replica.owners.push_back(request.arrival.request);
+    add(hold, amount);
+    add(replica.reserved, amount);
+    updateIndex(context, replica);
+}
+
+auto releasePrefill(DecisionContext& context, ActiveRequest& request) -> void
+{
+    if (request.prefill && !request.prefillHold.empty())
+        releasePart(context, request, *request.prefill, request.prefillHold, request.prefillHold);
+}
+
+auto releasePrefillSeat(DecisionContext& context, ActiveRequest& request) -> void
+{
+    auto part = request.prefillHold;
+    part.pieces = 0;
+    part.linkBytes = 0;
+    if (request.prefill && !part.empty())
+        releasePart(context, request, *request.prefill, request.prefillHold, part);
+}
+
+auto releaseDecode(DecisionContext& context, ActiveRequest& request) -> void
+{
+    if (request.decode && !request.decodeHold.empty())
+        releasePart(context, request, *request.decode, request.decodeHold, request.decodeHold);
+}
+
+auto releaseDecodeLink(DecisionContext& context, ActiveRequest& request) -> void
+{
+    const Reservation part { .linkBytes = request.decodeHold.linkBytes };
+    if (request.decode && !part.empty())
+        releasePart(context, request, *request.decode, request.decodeHold, part);
+}
+
+auto piecesFor(const Replica& replica, std::uint64_t tokens) -> std::uint32_t
+{
+    const auto size = replica.description.pieceTokens ? replica.description.pieceTokens : defaultPieceTokens;
+    return static_cast<std::uint32_t>((tokens + size - 1) / size);
+}
+
+auto freeSeats(const Replica& replica) -> std::uint32_t
+{
+    const auto used = replica.reserved.seats + replica.othersSeats;
+    return replica.description.seats > used ? replica.description.seats - used : 0;
+}
+
+auto hasPieces(const Replica& replica, std::uint32_t pieces) -> bool
+{
+    const auto total = replica.description.memoryPieces;
+    return !total || replica.reserved.pieces + replica.othersPieces + pieces <= total;
+}
+
+}
--- /dev/null
+++ b/src/Placement.h
@@ -0,0 +1,27 @@
+#pragma once
+
+/// Chooses the replicas of a request.
+
+#include "DecisionContext.h"
+
+#include <optional>
+
+namespace jayhold {
+
+struct Placement {
+    Replica* prefill;
+    Replica* decode;
+};
+
+/// @return a prefill replica, and a decode replica with a seat and memory for it; nothing if there
+/// is no such pair now.
+auto choosePlacement(DecisionContext& context, const ActiveRequest& request) -> std::optional<Placement>;
+/// @return a decode replica with a free seat and memory for the request.
+auto chooseDecode(DecisionContext& context, const ActiveRequest& request) -> Replica*;
+
+/// What the request takes on a decode replica.
+auto decodeReservation(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> Reservation;
+/// What the request takes on a prefill replica.
+auto prefillReservation(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> Reservation;
+
+}
--- /dev/null
+++ b/src/PlacementIndex.h
@@ -0,0 +1,26 @@
+#pragma once
+
+/// Replicas that may get new work, by role and zone, least loaded first.
+
+#include "Identifiers.h"
+#include "PoolRole.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace jayhold {
+
+/// Load and replica, so that the order is total.
+using PlacementEntry = std::pair<std::uint64_t, ReplicaId>;
+using ZoneIndex = std::set<PlacementEntry>;
+
+struct PlacementIndex {
+    std::map<ZoneId, ZoneIndex> prefill;
+    std::map<ZoneId, ZoneIndex> decode;
+
+    auto ofRole(PoolRole role) -> std::map<ZoneId, ZoneIndex>& { return role == PoolRole::Prefill ? prefill : decode; }
+};
+
+}
--- /dev/null
+++ b/src/Replica.h
@@ -0,0 +1,41 @@
+#pragma once
+
+/// A backend server as the shard sees it: its capacity, what this shard has reserved on it and
+/// what others are believed to use.
+
+#include "Identifiers.h"
+#include "ReplicaChanged.h"
+#include "Reservation.h"
+#include "Time.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace jayhold {
+
+struct Replica {
+    ReplicaChanged description;
+    /// Sum of the reservations of this shard.
+    Reservation reserved;
+    /// Requests of this shard with a reservation here.
+    std::vector<RequestId> owners;
+
+    /// Use by others, estimated from the last load report.
+    std::uint32_t othersSeats = 0;
+    std::uint32_t othersPieces = 0;
+    std::uint64_t reportSequence = 0;
+
+    /// Turned work away; gets none before this time.
+    TimePoint busyUntil = TimePoint::min();
+    std::uint32_t consecutiveFailures = 0;
+    TimePoint ejectedUntil = TimePoint::min();
+
+    /// Whether it is in the placement index, and under which key.
+    bool indexed = false;
+    std::uint64_t indexKey = 0;
+    TimePoint timerAt = TimePoint::max();
+
+    auto role() const -> PoolRole { return description.role; }
+};
+
+}
--- /dev/null
+++ b/src/ReplicaHealth.cpp
@@ -0,0 +1,52 @@
+#include "ReplicaHealth.h"
+
+#include "ReplicaIndex.h"
+
+#include <algorithm>
+
+namespace jayhold {
+
+namespace {
+
+/// About one report interval of an engine; until then a full engine is likely to be still full.
+constexpr Duration busyPause = std::chrono::milliseconds(50);
+constexpr std::uint32_t failuresBeforeEjection = 3;
+constexpr Duration firstEjection = std::chrono::seconds(1);
+constexpr std::uint32_t longestEjectionDoublings = 5;
+
+}
+
+auto attemptSucceeded(DecisionContext& context, ReplicaId id) -> void
+{
+    if (auto* replica = findReplica(context.state, id))
+        replica->consecutiveFailures = 0;
+}
+
+auto replicaFailed(DecisionContext& context, ReplicaId id, FailureKind failure) -> void
+{
+    auto* replica = findReplica(context.state, id);
+    if (!replica)
+        return;
+    switch (failure) {
+    case FailureKind::Busy:
+        replica->busyUntil = context.now + busyPause;
+        break;
+    case FailureKind::Leaving:
+        replica->description.state = ReplicaState::Leaving;
+        break;
+    case FailureKind::KvExpired:
+        break;
+    case FailureKind::NotConnected:
+    case FailureKind::ConnectionLost:
+    case FailureKind::TimedOut:
+    case FailureKind::ServerError:
+        if (++replica->consecutiveFailures >= failuresBeforeEjection) {
+            const auto doublings = std::min(replica->consecutiveFailures - failuresBeforeEjection, longestEjectionDoublings);
+            replica->ejectedUntil = context.now + firstEjection * (1U << doublings);
+        }
+        break;
+    }
+    updateIndex(context, *replica);
+}
+
+}
--- /dev/null
+++ b/src/RequestEvents.cpp
@@ -0,0 +1,130 @@
+#include "RequestEvents.h"
+
+#include "Admission.h"
+#include "ReplicaHealth.h"
+#include "RequestLife.h"
+
+#include <algorithm>
+
+namespace jayhold {
+
+namespace {
+
+/// @return the request if the event belongs to its present attempt and phase.
+auto present(ShardState& state, RequestId id, Attempt attempt, std::initializer_list<RequestPhase> phases) -> ActiveRequest*
+{
+    auto* request = findRequest(state, id);
+    if (!request || request->attempt != attempt)
+        return nullptr;
+    return std::find(phases.begin(), phases.end(), request->phase) != phases.end() ? request : nullptr;
+}
+
+auto raiseEmitted(DecisionContext& context, ActiveRequest& request, std::uint32_t total) -> void
+{
+    request.emitted = std::max(request.emitted, total);
+    request.progressAt = context.now;
+}
+
+}
+
+auto handle(DecisionContext& context, const RequestArrived& event) -> void
+{
+    auto& state = context.state;
+    if (state.requests.contains(event.request))
+        return;
+    auto& request = state.requests[event.request];
+    request.arrival = event;
+    request.arrivedAt = context.now;
+    request.flow = { event.kind, event.customer };
+    request.latencyClass = kindOf(state, request).latencyClass;
+    const auto refusal = admissionRefusal(context, request);
+    enqueue(context, request);
+    if (refusal)
+        refuse(context, request, *refusal);
+}
+
+auto handle(DecisionContext& context, const PrefillDone& event) -> void
+{
+    auto* request = present(context.state, event.request, event.attempt, { RequestPhase::Prefilling });
+    if (!request)
+        return;
+    attemptSucceeded(context, *request->prefill);
+    prefillDone(context, *request, event.expiresAt, event.cachedTokens);
+}
+
+auto handle(DecisionContext& context, const PrefillFailed& event) -> void
+{
+    auto* request = present(context.state, event.request, event.attempt, { RequestPhase::Prefilling, RequestPhase::Ready });
+    if (!request)
+        return;
+    replicaFailed(context, *request->prefill, event.failure);
+    attemptFailed(context, *request, event.failure);
+}
+
+auto handle(DecisionContext& context, const DecodeStarted& event) -> void
+{
+    auto* request = present(context.state, event.request, event.attempt, { RequestPhase::Starting });
+    if (!request)
+        return;
+    attemptSucceeded(context, *request->decode);
+    decodeStarted(context, *request);
+}
+
+auto handle(DecisionContext& context, const TokensEmitted& event) -> void
+{
+    auto* request = present(context.state, event.request, event.attempt, { RequestPhase::Starting, RequestPhase::Decoding, RequestPhase::Stopping });
+    if (request)
+        raiseEmitted(context, *request, event.total);
+}
+
+auto handle(DecisionContext& context, const DecodeFinished& event) -> void
+{
+    auto* request = present(context.state, event.request, event.attempt, { RequestPhase::Starting, RequestPhase::Decoding, RequestPhase::Stopping });
+    if (!request)
+        return;
+    attemptSucceeded(context, *request->decode);
+    finish(context, *request);
+}
+
+auto handle(DecisionContext& context, const DecodeFailed& event) -> void
+{
+    auto* request = present(context.state, event.request, event.attempt, { RequestPhase::Starting, RequestPhase::Decoding, RequestPhase::Stopping });
+    if (!request)
+        return;
+    raiseEmitted(context, *request, event.emittedTokens);
+    if (request->phase != RequestPhase::Stopping)
+        replicaFailed(context, *request->decode, event.failure);
+    attemptFailed(context, *request, event.failure);
+}
+
+auto handle(DecisionContext& context, const RequestCancelled& event) -> void
+{
+    if (auto* request = findRequest(context.state, event.request))
+        cancel(context, *request);
+}
+
+auto requestTimerDue(DecisionContext& context, RequestId id) -> void
+{
+    auto* request = findRequest(context.state, id);
+    if (!request)
+        return;
+    request->timerAt = TimePoint::max();
+    setTimer(context, *request);
+    if (request->timerAt > context.now)
+        return;
+    if (request->arrival.deadline <= context.now) {
+        refuse(context, *request, RefusalReason::DeadlineExceeded);
+        return;
+    }
+    if (request->phase == RequestPhase::Queued)
+        return;
+    if (request->phase == RequestPhase::Prefilling)
+        replicaFailed(context, *request->prefill, FailureKind::TimedOut);
+    if (request->phase == RequestPhase::Starting || request->phase == RequestPhase::Decoding)
+        replicaFailed(context, *request->decode, FailureKind::TimedOut);
+    cancelAttempt(context, *request);
+    const auto expired = request->phase == RequestPhase::Ready;
+    attemptFailed(context, *request, expired ? FailureKind::KvExpired : FailureKind::TimedOut);
+}
+
+}
--- /dev/null
+++ b/src/RequestEvents.h
@@ -0,0 +1,21 @@
+#pragma once
+
+/// Handlers of the events that concern one request.
+
+#include "DecisionContext.h"
+#include "DecisionEvent.h"
+
+namespace jayhold {
+
+auto handle(DecisionContext& context, const RequestArrived& event) -> void;
+auto handle(DecisionContext& context, const PrefillDone& event) -> void;
+auto handle(DecisionContext& context, const PrefillFailed& event) -> void;
+auto handle(DecisionContext& context, const DecodeStarted& event) -> void;
+auto handle(DecisionContext& context, const TokensEmitted& event) -> void;
+auto handle(DecisionContext& context, const DecodeFinished& event) -> void;
+auto handle(DecisionContext& context, const DecodeFailed& event) -> void;
+auto handle(DecisionContext& context, const RequestCancelled& event) -> void;
+/// The timer of the request is due.
+auto requestTimerDue(DecisionContext& context, RequestId id) -> void;
+
+}
--- /dev/null
+++ b/src/RequestLife.cpp
@@ -0,0 +1,233 @@
+#include "RequestLife.h"
+
+#include "Ledger.h"
+#include "Placement.h"
+#include "RetryDelay.h"
+#include "RetryRules.h"
+
+#include <algorithm>
+
+namespace jayhold {
+
+namespace {
+
+/// An attempt without progress for this long is cancelled; engines report progress in batches.
+constexpr Duration stallTimeout = std::chrono::seconds(10);
+
+auto enter(DecisionContext& context, ActiveRequest& request, RequestPhase phase) -> void
+{
+    request.phase = phase;
+    request.phaseSince = context.now;
+    request.progressAt = context.now;
+    setTimer(context, request);
+}
+
+auto wastePrefill(DecisionContext& context, const ActiveRequest& request) -> void
+{
+    context.state.totals.wastedPrefillTokens += request.arrival.promptTokens;
+}
+
+/// Leaves the present phase and frees all that it holds.
+auto leave(DecisionContext& context, ActiveRequest& request) -> void
+{
+    auto& state = context.state;
+    if (request.phase == RequestPhase::Queued)
+        state.queue.remove(queueEntry(request));
+    if (request.phase == RequestPhase::Ready)
+        state.ready.erase({ request.kvExpiresAt, request.arrival.request });
+    if (request.phase == RequestPhase::Prefilling || request.phase == RequestPhase::Ready || request.phase == RequestPhase::Starting)
+        wastePrefill(context, request);
+    releasePrefill(context, request);
+    releaseDecode(context, request);
+}
+
+auto erase(DecisionContext& context, ActiveRequest& request) -> void
+{
+    const auto id = request.arrival.request;
+    context.state.timers.move(id, request.timerAt, TimePoint::max());
+    context.state.requests.erase(id);
+}
+
+auto mayRunNow(RequestPhase phase) -> bool
+{
+    return phase == RequestPhase::Starting || phase == RequestPhase::Decoding || phase == RequestPhase::Stopping;
+}
+
+/// The decode did not run and the prefill result is still there: only the decode is tried again.
+auto redirectDecode(DecisionContext& context, ActiveRequest& request) -> void
+{
+    releaseDecode(context, request);
+    request.decode.reset();
+    ++request.attempt;
+    context.state.ready.emplace(request.kvExpiresAt, request.arrival.request);
+    enter(context, request, RequestPhase::Ready);
+    startDecode(context, request);
+}
+
+auto resultStillKept(const DecisionContext& context, const ActiveRequest& request, FailureKind failure) -> bool
+{
+    return request.phase == RequestPhase::Starting && provablyNotRun(failure)
+        && failure != FailureKind::KvExpired && context.now < request.kvExpiresAt;
+}
+
+}
+
+auto kindOf(const ShardState& state, const ActiveRequest& request) -> const RequestKind&
+{
+    static const RequestKind unknownKind;
+    const auto index = static_cast<std::size_t>(request.arrival.kind);
+    return index < state.settings.kinds.size() ? state.settings.kinds[index] : unknownKind;
+}
+
+auto queueEntry(const ActiveRequest& request) -> QueueEntry
+{
+    return {
+        .request = request.arrival.request,
+        .order = static_cast<std::uint64_t>(request.arrivedAt.time_since_epoch().count()),
+        .flow = request.flow,
+        .latencyClass = request.latencyClass,
+        .late = request.late,
+    };
+}
+
+auto setTimer(DecisionContext& context, ActiveRequest& request) -> void
+{
+    auto time = request.arrival.deadline;
+    if (request.phase == RequestPhase::Ready)
+        time = std::min(time, request.kvExpiresAt);
+    else if (request.phase == RequestPhase::Stopping)
+        time = std::min(time, request.phaseSince + stopGrace);
+    else if (request.phase != RequestPhase::Queued)
+        time = std::min(time, request.progressAt + stallTimeout);
+    context.state.timers.move(request.arrival.request, request.timerAt, time);
+}
+
+auto enqueue(DecisionContext& context, ActiveRequest& request) -> void
+{
+    auto& state = context.state;
+    const auto& weights = state.settings.customerWeights;
+    const auto customer = static_cast<std::size_t>(request.arrival.customer);
+    request.prefill.reset();
+    request.decode.reset();
+    enter(context, request, RequestPhase::Queued);
+    state.queue.push(queueEntry(request), customer < weights.size() ? weights[customer] : 1.0);
+}
+
+auto startPrefill(DecisionContext& context, ActiveRequest& request, Replica& prefill, Replica& decode) -> void
+{
+    auto& state = context.state;
+    state.queue.remove(queueEntry(request));
+    state.queue.charge(queueEntry(request), request.arrival.promptTokens + request.arrival.maxTokens);
+    ++request.attempt;
+    request.prefill = prefill.description.replica;
+    request.decode = decode.description.replica;
+    reserve(context, request, prefill, prefillReservation(context, request, prefill));
+    reserve(context, request, decode, decodeReservation(context, request, decode));
+    state.totals.prefillTokens += request.arrival.promptTokens;
+    enter(context, request, RequestPhase::Prefilling);
+    context.actions.emplace_back(StartPrefill { request.arrival.request, request.attempt, *request.prefill, *request.decode });
+}
+
+auto prefillDone(DecisionContext& context, ActiveRequest& request, TimePoint expiresAt, std::uint32_t) -> void
+{
+    releasePrefillSeat(context, request);
+    request.kvExpiresAt = expiresAt;
+    context.state.ready.emplace(expiresAt, request.arrival.request);
+    enter(context, request, RequestPhase::Ready);
+    startDecode(context, request);
+}
+
+auto startDecode(DecisionContext& context, ActiveRequest& request) -> bool
+{
+    if (request.decodeHold.empty()) {
+        auto* replica = chooseDecode(context, request);
+        if (!replica)
+            return false;
+        request.decode = replica->description.replica;
+        reserve(context, request, *replica, decodeReservation(context, request, *replica));
+    }
+    context.state.ready.erase({ request.kvExpiresAt, request.arrival.request });
+    enter(context, request, RequestPhase::Starting);
+    context.actions.emplace_back(StartDecode { request.arrival.request, request.attempt, *request.prefill, *request.decode, request.emitted });
+    return true;
+}
+
+auto decodeStarted(DecisionContext& context, ActiveRequest& request) -> void
+{
+    releasePrefill(context, request);
+    releaseDecodeLink(context, request);
+    enter(context, request, RequestPhase::Decoding);
+}
+
+auto stopDecode(DecisionContext& context, ActiveRequest& request) -> void
+{
+    cancelAttempt(context, request);
+    leave(context, request);
+    enter(context, request, RequestPhase::Stopping);
+}
+
+auto attemptFailed(DecisionContext& context, ActiveRequest& request, FailureKind failure) -> void
+{
+    const auto ran = mayRunNow(request.phase) && !provablyNotRun(failure);
+    request.mayHaveRun = request.mayHaveRun || ran;
+    if (provablyNotRun(failure))
+        ++request.redirects;
+    else
+        ++request.failures;
+    request.avoid = request.phase == RequestPhase::Prefilling ? request.prefill : request.decode;
+    if (resultStillKept(context, request, failure) && mayRetry(context, request, failure)) {
+        redirectDecode(context, request);
+        return;
+    }
+    leave(context, request);
+    const auto retry = mayRetry(context, request, failure);
+    enqueue(context, request);
+    if (retry)
+        ++context.state.totals.retries;
+    else
+        refuse(context, request, RefusalReason::RetriesExhausted);
+}
+
+auto finish(DecisionContext& context, ActiveRequest& request) -> void
+{
+    // A finished answer shows that the prefill was of use even if the start was not reported.
+    if (request.phase == RequestPhase::Starting)
+        enter(context, request, RequestPhase::Decoding);
+    leave(context, request);
+    ++context.state.totals.finished;
+    erase(context, request);
+}
+
+auto refuse(DecisionContext& context, ActiveRequest& request, RefusalReason reason) -> void
+{
+    const auto unknown = request.mayHaveRun || mayRunNow(request.phase);
+    cancelAttempt(context, request);
+    leave(context, request);
+    ++context.state.totals.refused;
+    context.actions.emplace_back(Refuse {
+        request.arrival.request,
+        reason,
+        unknown ? Outcome::Unknown : Outcome::NotRun,
+        retryDelay(context, reason),
+    });
+    erase(context, request);
+}
+
+auto cancel(DecisionContext& context, ActiveRequest& request) -> void
+{
+    cancelAttempt(context, request);
+    leave(context, request);
+    erase(context, request);
+}
+
+auto cancelAttempt(DecisionContext& context, const ActiveRequest& request) -> void
+{
+    const auto id = request.arrival.request;
+    const auto prefills = request.phase == RequestPhase::Prefilling || request.phase == RequestPhase::Ready || request.phase == RequestPhase::Starting;
+    if (prefills && request.prefill)
+        context.actions.emplace_back(CancelOnReplica { id, *request.prefill });
+    if (mayRunNow(request.phase) && request.decode)
+        context.actions.emplace_back(CancelOnReplica { id, *request.decode });
+}
+
+}
--- /dev/null
+++ b/src/RequestLife.h
@@ -0,0 +1,37 @@
+#pragma once
+
+/// Steps in the life of a request. Each leaves the ledger, the queue and the timers consistent.
+
+#include "DecisionContext.h"
+#include "FailureKind.h"
+#include "Outcome.h"
+#include "RefusalReason.h"
+
+namespace jayhold {
+
+auto enqueue(DecisionContext& context, ActiveRequest& request) -> void;
+auto startPrefill(DecisionContext& context, ActiveRequest& request, Replica& prefill, Replica& decode) -> void;
+auto prefillDone(DecisionContext& context, ActiveRequest& request, TimePoint expiresAt, std::uint32_t cachedTokens) -> void;
+/// Takes the prefill result to a decode seat if there is one; otherwise the result waits.
+auto startDecode(DecisionContext& context, ActiveRequest& request) -> bool;
+auto decodeStarted(DecisionContext& context, ActiveRequest& request) -> void;
+
+/// The decode engine of a request is gone: frees the seat and waits for the exact token count.
+auto stopDecode(DecisionContext& context, ActiveRequest& request) -> void;
+/// The present attempt failed; decides whether and how to go on.
+auto attemptFailed(DecisionContext& context, ActiveRequest& request, FailureKind failure) -> void;
+
+/// These end the request; the reference is invalid afterwards.
+auto finish(DecisionContext& context, ActiveRequest& request) -> void;
+auto refuse(DecisionContext& context, ActiveRequest& request, RefusalReason reason) -> void;
+auto cancel(DecisionContext& context, ActiveRequest& request) -> void;
+
+/// @return how the queue knows the request.
+auto queueEntry(const ActiveRequest& request) -> QueueEntry;
+auto kindOf(const ShardState& state, const ActiveRequest& request) -> const RequestKind&;
+/// Cancels on the replicas where the present attempt may hold something.
+auto cancelAttempt(DecisionContext& context, const ActiveRequest& request) -> void;
+/// Sets the time at which the request needs attention.
+auto setTimer(DecisionContext& context, ActiveRequest& request) -> void;
+
+}
--- /dev/null
+++ b/src/Reservation.h
@@ -0,0 +1,19 @@
+#pragma once
+
+/// What one request holds on one replica. The request is the owner; its timer is the end.
+
+#include <cstdint>
+
+namespace jayhold {
+
+struct Reservation {
+    std::uint32_t seats = 0;
+    std::uint32_t pieces = 0;
+    std::uint64_t linkBytes = 0;
+    /// Prompt tokens still to be prefilled; only on prefill replicas.
+    std::uint32_t prefillTokens = 0;
+
+    auto empty() const -> bool { return !seats && !pieces && !linkBytes && !prefillTokens; }
+};
+
+}
--- /dev/null
+++ b/src/RetryDelay.h
@@ -0,0 +1,14 @@
+#pragma once
+
+/// When a refused caller may come back.
+
+#include "DecisionContext.h"
+#include "RefusalReason.h"
+
+namespace jayhold {
+
+/// @return a delay spread at random, so that refused callers don't come back together; zero where
+/// a repeat has no chance.
+auto retryDelay(DecisionContext& context, RefusalReason reason) -> Duration;
+
+}
--- /dev/null
+++ b/src/RetryRules.cpp
@@ -0,0 +1,39 @@
+#include "RetryRules.h"
+
+#include "RequestLife.h"
+
+namespace jayhold {
+
+namespace {
+
+constexpr std::uint32_t maximumFailures = 4;
+constexpr std::uint32_t maximumRedirects = 16;
+
+}
+
+auto provablyNotRun(FailureKind failure) -> bool
+{
+    switch (failure) {
+    case FailureKind::Busy:
+    case FailureKind::NotConnected:
+    case FailureKind::KvExpired:
+    case FailureKind::Leaving:
+        return true;
+    case FailureKind::ConnectionLost:
+    case FailureKind::TimedOut:
+    case FailureKind::ServerError:
+        return false;
+    }
+    return false;
+}
+
+auto mayRetry(DecisionContext& context, const ActiveRequest& request, FailureKind failure) -> bool
+{
+    if (request.mayHaveRun && !kindOf(context.state, request).repeatable)
+        return false;
+    if (provablyNotRun(failure))
+        return request.redirects <= maximumRedirects;
+    return request.failures <= maximumFailures;
+}
+
+}
--- /dev/null
+++ b/src/Shard.cpp
@@ -0,0 +1,116 @@
+#include "Shard.h"
+
+#include "DecisionContext.h"
+#include "Dispatch.h"
+#include "ReplicaEvents.h"
+#include "RequestEvents.h"
+#include "RequestLife.h"
+#include "ShardSummary.h"
+
+namespace jayhold {
+
+namespace {
+
+auto handle(DecisionContext&, const SignatureReported&) -> void
+{
+}
+
+auto handle(DecisionContext& context, const DrainStarted&) -> void
+{
+    auto& state = context.state;
+    state.draining = true;
+    std::vector<RequestId> waiting;
+    for (const auto& [id, request] : state.requests) {
+        // A request that was answered in part finishes; only work that never started is refused.
+        if (request.phase == RequestPhase::Queued && request.attempt == 0)
+            waiting.push_back(id);
+    }
+    for (const auto id : waiting)
+        refuse(context, *findRequest(state, id), RefusalReason::Draining);
+}
+
+auto handle(DecisionContext&, const Tick&) -> void
+{
+}
+
+auto runTimers(DecisionContext& context) -> void
+{
+    while (const auto owner = context.state.timers.popDue(context.now)) {
+        if (const auto* request = std::get_if<RequestId>(&*owner))
+            requestTimerDue(context, *request);
+        else
+            replicaTimerDue(context, std::get<ReplicaId>(*owner));
+    }
+}
+
+auto announceWake(DecisionContext& context) -> void
+{
+    auto& state = context.state;
+    const auto next = state.timers.next();
+    // A wake that comes too early does no harm; one is announced only if none comes in time.
+    const auto pending = state.announcedWake > context.now ? state.announcedWake : TimePoint::max();
+    if (next >= pending)
+        return;
+    state.announcedWake = next;
+    context.actions.emplace_back(WakeAt { next });
+}
+
+}
+
+auto ShardStateDeleter::operator()(ShardState* state) const -> void
+{
+    delete state;
+}
+
+auto makeShard(ShardSettings settings) -> Shard
+{
+    Shard shard { std::unique_ptr<ShardState, ShardStateDeleter>(new ShardState) };
+    shard.state->random.seed(static_cast<std::minstd_rand::result_type>(settings.seed));
+    shard.state->settings = std::move(settings);
+    return shard;
+}
+
+auto decide(Shard& shard, TimePoint now, const DecisionEvent& event, std::vector<DecisionAction>& actions) -> void
+{
+    DecisionContext context { *shard.state, now, actions };
+    std::visit([&](const auto& message) { handle(context, message); }, event);
+    runTimers(context);
+    dispatch(context);
+    announceWake(context);
+}
+
+auto updateSettings(Shard& shard, ShardSettings settings) -> void
+{
+    shard.state->settings = std::move(settings);
+}
+
+auto summarize(const Shard& shard) -> ShardSummary
+{
+    const auto& state = *shard.state;
+    auto summary = state.totals;
+    for (const auto& [id, request] : state.requests) {
+        summary.queued += request.phase == RequestPhase::Queued;
+        summary.prefilling += request.phase == RequestPhase::Prefilling || request.phase == RequestPhase::Ready;
+        summary.decoding += request.phase == RequestPhase::Starting || request.phase == RequestPhase::Decoding || request.phase == RequestPhase::Stopping;
+    }
+    for (const auto& [id, replica] : state.replicas) {
+        summary.reservedSeats += replica.reserved.seats;
+        summary.reservedPieces += replica.reserved.pieces;
+    }
+    summary.liveReplicas = state.livePrefills + state.liveDecodes;
+    return summary;
+}
+
+auto findRequest(ShardState& state, RequestId id) -> ActiveRequest*
+{
+    const auto found = state.requests.find(id);
+    return found == state.requests.end() ? nullptr : &found->second;
+}
+
+auto findReplica(ShardState& state, ReplicaId id) -> Replica*
+{
+    const auto found = state.replicas.find(id);
+    return found == state.replicas.end() ? nullptr : &found->second;
+}
+
+}
--- /dev/null
+++ b/src/ShardState.h
@@ -0,0 +1,36 @@
+#pragma once
+
+/// The state behind a Shard. Private to the decision library.
+
+#include "ActiveRequest.h"
+#include "PlacementIndex.h"
+#include "Replica.h"
+#include "RequestQueue.h"
+#include "ShardSettings.h"
+#include "ShardSummary.h"
+#include "TimerQueue.h"
+
+#include <random>
+#include <set>
+#include <unordered_map>
+
+namespace jayhold {
+
+struct ShardState {
+    ShardSettings settings;
+    std::unordered_map<RequestId, ActiveRequest> requests;
+    std::unordered_map<ReplicaId, Replica> replicas;
+    PlacementIndex index;
+    RequestQueue queue;
+    TimerQueue timers;
+    /// Requests whose prefill result waits for a decode seat, first to expire first.
+    std::set<std::pair<TimePoint, RequestId>> ready;
+    std::minstd_rand random;
+    ShardSummary totals;
+    std::uint32_t livePrefills = 0;
+    std::uint32_t liveDecodes = 0;
+    TimePoint announcedWake = TimePoint::max();
+    bool draining = false;
+};
+
+}
