Serve customers by weighted fair queues and bound the wait of batch work

A customer's burst or a run of long diagnoses must not delay a short lookup. Start-time fair queueing per kind and customer was chosen over deficit round robin because a flow that was idle gets no credit and each step is one ordered-set operation. An aged request (an eighth of its deadline waited) gets one start in eight. An ageing that raises the class instead was ruled out: in a lasting overload all batch work would be aged and push out interactive work. The queue limit counts all kinds of a customer.

--- a/cmake/decision.cmake
+++ b/cmake/decision.cmake
@@ -4,5 +4,5 @@
   LINK jayhold_operator)
 
 jayhold_test(decision_test
-  SOURCES test/correctness/ShardTest.cpp
+  SOURCES test/correctness/FairnessTest.cpp test/correctness/ShardTest.cpp
   LINK jayhold_decision)
--- a/src/ActiveRequest.h
+++ b/src/ActiveRequest.h
@@ -2,9 +2,9 @@
 
 /// A request between its arrival and its final answer.
 
-#include "FlowKey.h"
 #include "Identifiers.h"
 #include "LatencyClass.h"
+#include "QueueEntry.h"
 #include "RequestArrived.h"
 #include "RequestPhase.h"
 #include "Reservation.h"
@@ -22,8 +22,7 @@
     Attempt attempt = 0;
     FlowKey flow;
     LatencyClass latencyClass = LatencyClass::Standard;
-    /// Set once it can't meet its first-token target any more.
-    bool late = false;
+    QueueLane lane = QueueLane::Fair;
 
     std::optional<ReplicaId> prefill;
     std::optional<ReplicaId> decode;
--- a/src/Admission.cpp
+++ b/src/Admission.cpp
@@ -8,7 +8,7 @@
 {
     const auto& limits = state.settings.customerQueueLimits;
     const auto customer = static_cast<std::size_t>(request.arrival.customer);
-    return customer < limits.size() && state.queue.flowSize(request.flow) >= limits[customer];
+    return customer < limits.size() && state.queue.customerSize(request.flow.customer) >= limits[customer];
 }
 
 }
--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -3,12 +3,19 @@
 #include "Placement.h"
 #include "RequestLife.h"
 
+#include <algorithm>
+
 namespace jayhold {
 
 namespace {
 
 /// Flows of a class that are tried when the first does not fit.
 constexpr std::size_t triedFlows = 2;
+/// An aged request gets one start in this many, so that its wait is bounded and urgent work still
+/// gets nearly all.
+constexpr std::uint32_t startsPerAgedTurn = 8;
+/// A request is aged after this part of its deadline, which leaves most of it for the service.
+constexpr int agedPartOfDeadline = 8;
 
 auto tryStart(DecisionContext& context, RequestId id) -> bool
 {
@@ -17,20 +24,53 @@
     if (!placement)
         return false;
     startPrefill(context, *request, *placement->prefill, *placement->decode);
+    ++context.state.startsSinceAged;
     return true;
 }
 
+auto tryStart(DecisionContext& context, const std::optional<RequestId>& id) -> bool
+{
+    return id && tryStart(context, *id);
+}
+
+auto agedRequest(const DecisionContext& context) -> std::optional<RequestId>
+{
+    for (const auto latencyClass : { LatencyClass::Batch, LatencyClass::Standard }) {
+        const auto id = context.state.queue.oldest(latencyClass);
+        if (!id)
+            continue;
+        const auto& request = *findRequest(context.state, *id);
+        if (context.now - request.arrivedAt >= (request.arrival.deadline - request.arrivedAt) / agedPartOfDeadline)
+            return id;
+    }
+    return std::nullopt;
+}
+
+auto startFromClass(DecisionContext& context, LatencyClass latencyClass) -> bool
+{
+    std::array<RequestId, triedFlows> heads {};
+    const auto count = context.state.queue.heads(latencyClass, heads);
+    return std::any_of(heads.begin(), heads.begin() + count, [&](RequestId id) { return tryStart(context, id); });
+}
+
 auto startOne(DecisionContext& context) -> bool
 {
-    const auto& queue = context.state.queue;
-    for (const auto latencyClass : { LatencyClass::Interactive, LatencyClass::Standard, LatencyClass::Batch }) {
-        for (const auto id : queue.heads(latencyClass, triedFlows)) {
-            if (tryStart(context, id))
-                return true;
-        }
+    auto& state = context.state;
+    if (tryStart(context, state.queue.oldestResume()))
+        return true;
+    const auto agedTurn = state.startsSinceAged >= startsPerAgedTurn ? agedRequest(context) : std::nullopt;
+    if (agedTurn && tryStart(context, *agedTurn)) {
+        state.startsSinceAged = 0;
+        return true;
     }
-    const auto late = queue.oldestLate();
-    return late && tryStart(context, *late);
+    if (startFromClass(context, LatencyClass::Interactive))
+        return true;
+    // What frees up is left for the aged request that does not fit yet; only interactive work passes it.
+    if (agedTurn)
+        return false;
+    return startFromClass(context, LatencyClass::Standard)
+        || startFromClass(context, LatencyClass::Batch)
+        || tryStart(context, state.queue.oldestLate());
 }
 
 auto startReady(DecisionContext& context) -> void
--- /dev/null
+++ b/src/QueueEntry.h
@@ -0,0 +1,31 @@
+#pragma once
+
+/// What the queue needs to know of a request.
+
+#include "FlowKey.h"
+#include "Identifiers.h"
+#include "LatencyClass.h"
+
+#include <cstdint>
+
+namespace jayhold {
+
+enum class QueueLane {
+    /// Streams that broke off; their callers already read.
+    Resume,
+    /// Fair queues of the latency classes.
+    Fair,
+    /// Requests that missed their first-token target.
+    Late,
+};
+
+struct QueueEntry {
+    RequestId request {};
+    /// Time of arrival; requests of one flow are served in this order.
+    std::uint64_t order = 0;
+    FlowKey flow;
+    LatencyClass latencyClass = LatencyClass::Standard;
+    QueueLane lane = QueueLane::Fair;
+};
+
+}
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -79,6 +79,13 @@
     return index < state.settings.kinds.size() ? state.settings.kinds[index] : unknownKind;
 }
 
+auto customerWeight(const ShardState& state, const ActiveRequest& request) -> double
+{
+    const auto& weights = state.settings.customerWeights;
+    const auto customer = static_cast<std::size_t>(request.arrival.customer);
+    return customer < weights.size() ? weights[customer] : 1.0;
+}
+
 auto queueEntry(const ActiveRequest& request) -> QueueEntry
 {
     return {
@@ -86,7 +93,7 @@
         .order = static_cast<std::uint64_t>(request.arrivedAt.time_since_epoch().count()),
         .flow = request.flow,
         .latencyClass = request.latencyClass,
-        .late = request.late,
+        .lane = request.lane,
     };
 }
 
@@ -104,13 +111,12 @@
 
 auto enqueue(DecisionContext& context, ActiveRequest& request) -> void
 {
-    auto& state = context.state;
-    const auto& weights = state.settings.customerWeights;
-    const auto customer = static_cast<std::size_t>(request.arrival.customer);
     request.prefill.reset();
     request.decode.reset();
+    if (request.emitted)
+        request.lane = QueueLane::Resume;
     enter(context, request, RequestPhase::Queued);
-    state.queue.push(queueEntry(request), customer < weights.size() ? weights[customer] : 1.0);
+    context.state.queue.push(queueEntry(request), customerWeight(context.state, request));
 }
 
 auto startPrefill(DecisionContext& context, ActiveRequest& request, Replica& prefill, Replica& decode) -> void
--- a/src/RequestLife.h
+++ b/src/RequestLife.h
@@ -29,6 +29,7 @@
 /// @return how the queue knows the request.
 auto queueEntry(const ActiveRequest& request) -> QueueEntry;
 auto kindOf(const ShardState& state, const ActiveRequest& request) -> const RequestKind&;
+auto customerWeight(const ShardState& state, const ActiveRequest& request) -> double;
 /// Cancels on the replicas where the present attempt may hold something.
 auto cancelAttempt(DecisionContext& context, const ActiveRequest& request) -> void;
 /// Sets the time at which the request needs attention.
--- a/src/RequestQueue.cpp
+++ b/src/RequestQueue.cpp
@@ -8,46 +8,89 @@
 
 constexpr double minimumWeight = 1e-6;
 
+template <typename Waiting>
+auto first(const Waiting& waiting) -> std::optional<RequestId>
+{
+    if (waiting.empty())
+        return std::nullopt;
+    return waiting.begin()->second;
+}
+
 }
 
 auto RequestQueue::push(const QueueEntry& entry, double weight) -> void
 {
     ++m_size;
-    if (entry.late) {
+    ++m_customers[entry.flow.customer];
+    switch (entry.lane) {
+    case QueueLane::Resume:
+        m_resume.emplace(entry.order, entry.request);
+        break;
+    case QueueLane::Late:
         m_late.emplace(entry.order, entry.request);
-        return;
+        break;
+    case QueueLane::Fair:
+        pushFair(entry, std::max(weight, minimumWeight));
+        break;
+    }
+}
+
+auto RequestQueue::remove(const QueueEntry& entry) -> void
+{
+    const std::pair position { entry.order, entry.request };
+    std::size_t removed = 0;
+    switch (entry.lane) {
+    case QueueLane::Resume:
+        removed = m_resume.erase(position);
+        break;
+    case QueueLane::Late:
+        removed = m_late.erase(position);
+        break;
+    case QueueLane::Fair:
+        removed = removeFair(entry);
+        break;
     }
+    m_size -= removed;
+    const auto customer = m_customers.find(entry.flow.customer);
+    customer->second -= removed;
+    if (!customer->second)
+        m_customers.erase(customer);
+}
+
+auto RequestQueue::pushFair(const QueueEntry& entry, double weight) -> void
+{
     auto& flow = m_flows[entry.flow];
-    auto& owner = classOf(entry);
-    flow.weight = std::max(weight, minimumWeight);
+    auto& owner = classOf(entry.latencyClass);
     if (flow.waiting.empty()) {
+        flow.weight = weight;
         flow.tag = std::max(flow.tag, owner.virtualTime);
         owner.active.emplace(flow.tag, entry.flow);
+        owner.activeWeight += weight;
     }
     flow.waiting.emplace(entry.order, entry.request);
     owner.byAge.emplace(entry.order, entry.request);
 }
 
-auto RequestQueue::remove(const QueueEntry& entry) -> void
+auto RequestQueue::removeFair(const QueueEntry& entry) -> std::size_t
 {
-    if (entry.late) {
-        m_size -= m_late.erase({ entry.order, entry.request });
-        return;
-    }
-    auto& flow = m_flows[entry.flow];
-    auto& owner = classOf(entry);
-    m_size -= flow.waiting.erase({ entry.order, entry.request });
+    auto& flow = m_flows.at(entry.flow);
+    auto& owner = classOf(entry.latencyClass);
+    const auto removed = flow.waiting.erase({ entry.order, entry.request });
     owner.byAge.erase({ entry.order, entry.request });
-    if (flow.waiting.empty())
+    if (removed && flow.waiting.empty()) {
         owner.active.erase({ flow.tag, entry.flow });
+        // Starting again from zero keeps rounding errors from adding up.
+        owner.activeWeight = owner.active.empty() ? 0 : owner.activeWeight - flow.weight;
+    }
+    return removed;
 }
 
 auto RequestQueue::charge(const QueueEntry& entry, double cost) -> void
 {
-    if (entry.late)
+    if (entry.lane != QueueLane::Fair)
         return;
     auto& flow = m_flows[entry.flow];
-    auto& owner = classOf(entry);
+    auto& owner = classOf(entry.latencyClass);
     const auto active = owner.active.erase({ flow.tag, entry.flow }) > 0;
     owner.virtualTime = std::max(owner.virtualTime, flow.tag);
     flow.tag += cost / flow.weight;
@@ -55,30 +98,19 @@
         owner.active.emplace(flow.tag, entry.flow);
 }
 
-auto RequestQueue::heads(LatencyClass latencyClass, std::size_t count) const -> std::vector<RequestId>
+auto RequestQueue::oldest(LatencyClass latencyClass) const -> std::optional<RequestId>
 {
-    std::vector<RequestId> heads;
-    for (const auto& [tag, key] : m_classes.at(static_cast<std::size_t>(latencyClass)).active) {
-        if (heads.size() == count)
-            break;
-        heads.push_back(m_flows.at(key).waiting.begin()->second);
-    }
-    return heads;
+    return first(classOf(latencyClass).byAge);
 }
 
-auto RequestQueue::oldest(LatencyClass latencyClass) const -> std::optional<RequestId>
+auto RequestQueue::oldestLate() const -> std::optional<RequestId>
 {
-    const auto& byAge = m_classes.at(static_cast<std::size_t>(latencyClass)).byAge;
-    if (byAge.empty())
-        return std::nullopt;
-    return byAge.begin()->second;
+    return first(m_late);
 }
 
-auto RequestQueue::oldestLate() const -> std::optional<RequestId>
+auto RequestQueue::oldestResume() const -> std::optional<RequestId>
 {
-    if (m_late.empty())
-        return std::nullopt;
-    return m_late.begin()->second;
+    return first(m_resume);
 }
 
 auto RequestQueue::flowSize(const FlowKey& flow) const -> std::size_t
@@ -87,4 +119,17 @@
     return found == m_flows.end() ? 0 : found->second.waiting.size();
 }
 
+auto RequestQueue::customerSize(CustomerId customer) const -> std::size_t
+{
+    const auto found = m_customers.find(customer);
+    return found == m_customers.end() ? 0 : found->second;
+}
+
+auto RequestQueue::share(const FlowKey& flow, LatencyClass latencyClass, double weight) const -> double
+{
+    const auto own = std::max(weight, minimumWeight);
+    const auto others = classOf(latencyClass).activeWeight - (flowSize(flow) ? own : 0);
+    return own / (own + std::max(others, 0.0));
+}
+
 }
--- a/src/RequestQueue.h
+++ b/src/RequestQueue.h
@@ -2,11 +2,9 @@
 
 /// Requests that wait for a prefill. Latency classes are kept apart; within a class, each flow (kind
 /// and customer) gets service in proportion to its weight (start-time fair queueing), and a flow
-/// serves its requests in order of arrival. Requests that missed their first-token target wait apart.
+/// serves its requests in order of arrival.
 
-#include "FlowKey.h"
-#include "Identifiers.h"
-#include "LatencyClass.h"
+#include "QueueEntry.h"
 
 #include <array>
 #include <cstdint>
@@ -18,32 +16,40 @@
 
 namespace jayhold {
 
-/// What the queue needs to know of a request; the order is that of arrival.
-struct QueueEntry {
-    RequestId request {};
-    std::uint64_t order = 0;
-    FlowKey flow;
-    LatencyClass latencyClass = LatencyClass::Standard;
-    bool late = false;
-};
-
 class RequestQueue {
 public:
     auto push(const QueueEntry& entry, double weight) -> void;
     auto remove(const QueueEntry& entry) -> void;
-    /// Charges the service that the request got to its flow.
+    /// Charges the service that the request gets to its flow.
     auto charge(const QueueEntry& entry, double cost) -> void;
 
-    /// @return the first requests of up to `count` flows of the class, the flow that is due first first.
-    auto heads(LatencyClass latencyClass, std::size_t count) const -> std::vector<RequestId>;
+    /// Fills `heads` with the first request of as many flows of the class as fit, the flow that is
+    /// due first first. @return how many there are.
+    template <std::size_t Count>
+    auto heads(LatencyClass latencyClass, std::array<RequestId, Count>& heads) const -> std::size_t
+    {
+        std::size_t count = 0;
+        for (const auto& [tag, key] : classOf(latencyClass).active) {
+            if (count == Count)
+                break;
+            heads[count++] = m_flows.at(key).waiting.begin()->second;
+        }
+        return count;
+    }
+
     /// @return the request of the class that has waited longest.
     auto oldest(LatencyClass latencyClass) const -> std::optional<RequestId>;
-    /// @return the first of the late requests.
     auto oldestLate() const -> std::optional<RequestId>;
+    auto oldestResume() const -> std::optional<RequestId>;
 
     auto size() const -> std::size_t { return m_size; }
     auto lateSize() const -> std::size_t { return m_late.size(); }
+    auto classSize(LatencyClass latencyClass) const -> std::size_t { return classOf(latencyClass).byAge.size(); }
     auto flowSize(const FlowKey& flow) const -> std::size_t;
+    /// @return requests of the customer in all lanes.
+    auto customerSize(CustomerId customer) const -> std::size_t;
+    /// @return share of its class's service that the flow gets while all waiting flows stay.
+    auto share(const FlowKey& flow, LatencyClass latencyClass, double weight) const -> double;
 
 private:
     using Waiting = std::set<std::pair<std::uint64_t, RequestId>>;
@@ -58,13 +64,19 @@
         std::set<std::pair<double, FlowKey>> active;
         Waiting byAge;
         double virtualTime = 0;
+        double activeWeight = 0;
     };
 
-    auto classOf(const QueueEntry& entry) -> Class& { return m_classes.at(static_cast<std::size_t>(entry.latencyClass)); }
+    auto classOf(LatencyClass latencyClass) const -> const Class& { return m_classes.at(static_cast<std::size_t>(latencyClass)); }
+    auto classOf(LatencyClass latencyClass) -> Class& { return m_classes.at(static_cast<std::size_t>(latencyClass)); }
+    auto pushFair(const QueueEntry& entry, double weight) -> void;
+    auto removeFair(const QueueEntry& entry) -> std::size_t;
 
     std::map<FlowKey, Flow> m_flows;
     std::array<Class, 3> m_classes;
     Waiting m_late;
+    Waiting m_resume;
+    std::map<CustomerId, std::size_t> m_customers;
     std::size_t m_size = 0;
 };
 
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -25,6 +25,8 @@
     TimerQueue timers;
     /// Requests whose prefill result waits for a decode seat, first to expire first.
     std::set<std::pair<TimePoint, RequestId>> ready;
+    /// Starts since an aged request got its turn.
+    std::uint32_t startsSinceAged = 0;
     std::minstd_rand random;
     ShardSummary totals;
     std::uint32_t livePrefills = 0;
