Start prefills only where a decode seat, memory and link will be there

A prefill result is kept for less than a second, so a prefill without a seat behind it is wasted, while a seat reserved from the start of each prefill stays empty for the length of the prefill. A prefill now also starts on a seat that is expected to free up in time: ends of running decodes are forecast from output lengths learned by kind, at a quantile that wastedPrefillWeight moves from 0.5 to 0.9, and the count of ends is lowered by up to one standard deviation at weight 1. Freed seats go to such work before new work. Expected ends are counted over all decode replicas, because a result may go to any of them; a count by replica was ruled out as about one end in two seconds by replica says little. Memory is reserved for the 95% quantile and grows with the answer.

Prefill rate, token gap, transfer rate and the time results are kept are learned from the events as ratios of fading sums. A replica announced again with the same state keeps its reservations; one that leaves gives up the seats that wait for prefills.

--- a/src/ActiveRequest.h
+++ b/src/ActiveRequest.h
@@ -36,6 +36,12 @@
     /// Time of the entry in the timer queue.
     TimePoint timerAt = TimePoint::max();
 
+    /// When its decode is expected to end, and the tokens it had at that forecast.
+    TimePoint expectedEnd = TimePoint::max();
+    std::uint32_t forecastAt = 0;
+    /// Tokens on the prefill replica, its own included, when its prefill started.
+    std::uint32_t prefillBacklog = 0;
+
     /// Tokens that the caller has.
     std::uint32_t emitted = 0;
     /// Whether some earlier decode attempt may have run.
--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -23,7 +23,7 @@
     const auto placement = choosePlacement(context, *request);
     if (!placement)
         return false;
-    startPrefill(context, *request, *placement->prefill, *placement->decode);
+    startPrefill(context, *request, *placement);
     ++context.state.startsSinceAged;
     return true;
 }
@@ -82,11 +82,22 @@
     }
 }
 
+/// A seat that frees up goes to the work that was started for it before new work gets it.
+auto keepPromises(DecisionContext& context) -> void
+{
+    auto& promised = context.state.promised;
+    while (!promised.empty()) {
+        if (!reserveDecode(context, *findRequest(context.state, promised.begin()->second)))
+            return;
+    }
+}
+
 }
 
 auto dispatch(DecisionContext& context) -> void
 {
     startReady(context);
+    keepPromises(context);
     while (context.state.queue.size() && startOne(context)) { }
 }
 
--- /dev/null
+++ b/src/Forecast.cpp
@@ -0,0 +1,120 @@
+#include "Forecast.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jayhold {
+
+namespace {
+
+/// The median serves most requests; with the weight on wasted prefill the guess is safer.
+constexpr double lowestLengthQuantile = 0.5;
+constexpr double lengthQuantileRange = 0.4;
+constexpr double memoryQuantile = 0.95;
+/// Part of the time a result is kept that may be spent on waiting for a seat.
+constexpr double keptPartForSeat = 0.5;
+/// A new forecast is made after this many more tokens, or an eighth of those emitted.
+constexpr std::uint32_t forecastStep = 8;
+
+auto seconds(double value) -> Duration
+{
+    constexpr double longest = 1e6;
+    return Duration(static_cast<Duration::rep>(std::clamp(value, 0.0, longest) * 1e6));
+}
+
+auto toSeconds(Duration duration) -> double
+{
+    return static_cast<double>(duration.count()) / 1e6;
+}
+
+auto lengths(const ShardState& state, const ActiveRequest& request) -> const LengthModel&
+{
+    static const LengthModel unknown;
+    const auto kind = static_cast<std::size_t>(request.arrival.kind);
+    return kind < state.lengths.size() ? state.lengths[kind] : unknown;
+}
+
+}
+
+auto prefillTime(const ShardState& state, std::uint64_t tokens) -> Duration
+{
+    return seconds(static_cast<double>(tokens) / state.rates.prefillTokensPerSecond.value());
+}
+
+auto transferBytes(const ShardState& state, const ActiveRequest& request) -> std::uint64_t
+{
+    return state.settings.kvBytesPerToken * request.arrival.promptTokens;
+}
+
+auto transferTime(const ShardState& state, const ActiveRequest& request) -> Duration
+{
+    return seconds(static_cast<double>(transferBytes(state, request)) / state.rates.transferBytesPerSecond.value());
+}
+
+auto expectedTokens(const ShardState& state, const ActiveRequest& request) -> std::uint32_t
+{
+    const auto quantile = lowestLengthQuantile + lengthQuantileRange * state.settings.wastedPrefillWeight;
+    return lengths(state, request).quantile(quantile, request.emitted, request.arrival.maxTokens);
+}
+
+auto reservedTokens(const ShardState& state, const ActiveRequest& request) -> std::uint64_t
+{
+    return std::uint64_t { request.arrival.promptTokens } + lengths(state, request).quantile(memoryQuantile, request.emitted, request.arrival.maxTokens);
+}
+
+auto updateExpectedEnd(DecisionContext& context, ActiveRequest& request) -> void
+{
+    const auto known = request.expectedEnd != TimePoint::max();
+    if (known && request.emitted < request.forecastAt + std::max(forecastStep, request.forecastAt / 8))
+        return;
+    const auto total = expectedTokens(context.state, request);
+    const auto remaining = total > request.emitted ? total - request.emitted : 1;
+    const auto end = context.now + seconds(remaining / context.state.rates.tokensPerSecond.value());
+    context.state.ends.move(request.arrival.request, request.expectedEnd, end);
+    request.forecastAt = request.emitted;
+}
+
+auto clearExpectedEnd(DecisionContext& context, ActiveRequest& request) -> void
+{
+    context.state.ends.move(request.arrival.request, request.expectedEnd, TimePoint::max());
+    request.forecastAt = 0;
+}
+
+auto seatExpected(const DecisionContext& context, Duration prefill) -> bool
+{
+    const auto& state = context.state;
+    const auto weight = state.settings.wastedPrefillWeight;
+    const auto kept = seconds(state.rates.keptSeconds.value() * keptPartForSeat * (1 - weight));
+    const auto ends = static_cast<double>(state.ends.count(context.now, context.now + prefill + kept));
+    // Ends are about Poisson distributed; the weight sets how many deviations are left out.
+    const auto safe = ends - weight * std::sqrt(ends);
+    return safe >= static_cast<double>(state.promised.size() + state.ready.size() + 1);
+}
+
+auto learnPrefill(DecisionContext& context, const ActiveRequest& request, TimePoint expiresAt) -> void
+{
+    auto& rates = context.state.rates;
+    rates.prefillTokensPerSecond.observe(request.prefillBacklog, toSeconds(context.now - request.phaseSince));
+    rates.keptSeconds.observe(toSeconds(expiresAt - context.now), 1);
+}
+
+auto learnTransfer(DecisionContext& context, const ActiveRequest& request) -> void
+{
+    auto& rates = context.state.rates;
+    rates.transferBytesPerSecond.observe(static_cast<double>(transferBytes(context.state, request)), toSeconds(context.now - request.phaseSince));
+}
+
+auto learnTokens(DecisionContext& context, const ActiveRequest& request, std::uint32_t total) -> void
+{
+    if (request.phase == RequestPhase::Decoding && total > request.emitted)
+        context.state.rates.tokensPerSecond.observe(total - request.emitted, toSeconds(context.now - request.progressAt));
+}
+
+auto learnLength(DecisionContext& context, const ActiveRequest& request, std::uint32_t total) -> void
+{
+    const auto kind = static_cast<std::size_t>(request.arrival.kind);
+    if (kind < context.state.lengths.size())
+        context.state.lengths[kind].observe(total);
+}
+
+}
--- /dev/null
+++ b/src/Forecast.h
@@ -0,0 +1,32 @@
+#pragma once
+
+/// Predictions from what the shard has learned.
+
+#include "DecisionContext.h"
+
+namespace jayhold {
+
+/// @param tokens prompt tokens before and of the request on one prefill replica.
+auto prefillTime(const ShardState& state, std::uint64_t tokens) -> Duration;
+auto transferTime(const ShardState& state, const ActiveRequest& request) -> Duration;
+/// Length of the whole answer, at the quantile that the weight of wasted prefill asks for.
+auto expectedTokens(const ShardState& state, const ActiveRequest& request) -> std::uint32_t;
+/// Tokens to reserve memory for; exceeded by few answers.
+auto reservedTokens(const ShardState& state, const ActiveRequest& request) -> std::uint64_t;
+auto transferBytes(const ShardState& state, const ActiveRequest& request) -> std::uint64_t;
+
+/// Predicts the end of a running decode anew if it has moved on by enough.
+auto updateExpectedEnd(DecisionContext& context, ActiveRequest& request) -> void;
+auto clearExpectedEnd(DecisionContext& context, ActiveRequest& request) -> void;
+
+/// @return whether a seat that is taken now is expected to be free in time for one more request
+/// whose prefill takes the given time.
+auto seatExpected(const DecisionContext& context, Duration prefill) -> bool;
+
+/// Learns from the events of a request.
+auto learnPrefill(DecisionContext& context, const ActiveRequest& request, TimePoint expiresAt) -> void;
+auto learnTransfer(DecisionContext& context, const ActiveRequest& request) -> void;
+auto learnTokens(DecisionContext& context, const ActiveRequest& request, std::uint32_t total) -> void;
+auto learnLength(DecisionContext& context, const ActiveRequest& request, std::uint32_t total) -> void;
+
+}
--- a/src/Ledger.cpp
+++ b/src/Ledger.cpp
@@ -78,6 +78,16 @@
         releasePart(context, request, *request.decode, request.decodeHold, part);
 }
 
+auto growDecode(DecisionContext& context, ActiveRequest& request) -> void
+{
+    auto* replica = findReplica(context.state, *request.decode);
+    if (!replica)
+        return;
+    const auto tokens = std::uint64_t { request.arrival.promptTokens } + request.emitted;
+    if (piecesFor(*replica, tokens) > request.decodeHold.pieces && hasPieces(*replica, 1))
+        reserve(context, request, *replica, { .pieces = 1 });
+}
+
 auto piecesFor(const Replica& replica, std::uint64_t tokens) -> std::uint32_t
 {
     const auto size = replica.description.pieceTokens ? replica.description.pieceTokens : defaultPieceTokens;
--- a/src/Ledger.h
+++ b/src/Ledger.h
@@ -17,6 +17,9 @@
 /// Frees the share of the link after the transfer.
 auto releaseDecodeLink(DecisionContext& context, ActiveRequest& request) -> void;
 
+/// Reserves one more piece for an answer that outgrew its forecast, if one is free.
+auto growDecode(DecisionContext& context, ActiveRequest& request) -> void;
+
 /// @return pieces that the given number of tokens takes on the replica.
 auto piecesFor(const Replica& replica, std::uint64_t tokens) -> std::uint32_t;
 auto freeSeats(const Replica& replica) -> std::uint32_t;
--- /dev/null
+++ b/src/LengthModel.h
@@ -0,0 +1,28 @@
+#pragma once
+
+/// Output lengths of one kind of request, learned online: a histogram with four buckets to the
+/// octave, in which older answers count less.
+
+#include <array>
+#include <cstdint>
+
+namespace jayhold {
+
+class LengthModel {
+public:
+    auto observe(std::uint32_t tokens) -> void;
+    /// @param quantile from 0 to 1.
+    /// @param emitted tokens that the answer has already; shorter answers are left out.
+    /// @param limit most tokens that the caller accepts.
+    /// @return the length that the answer reaches with that probability at most; the limit while
+    /// too few answers are known.
+    auto quantile(double quantile, std::uint32_t emitted, std::uint32_t limit) const -> std::uint32_t;
+
+private:
+    std::array<double, 80> m_weights {};
+    /// Weight of the next answer; it grows so that older answers fade without a pass over the buckets.
+    double m_step = 1;
+    std::uint32_t m_observed = 0;
+};
+
+}
--- a/src/Placement.h
+++ b/src/Placement.h
@@ -11,10 +11,12 @@
 struct Placement {
     Replica* prefill;
     Replica* decode;
+    /// Whether the seat is free now; otherwise it is expected to be free when the result is ready.
+    bool seatFree;
 };
 
-/// @return a prefill replica, and a decode replica with a seat and memory for it; nothing if there
-/// is no such pair now.
+/// @return a prefill replica, and a decode replica where a seat and memory are free or will be when
+/// the result is ready; nothing if there is no such pair now.
 auto choosePlacement(DecisionContext& context, const ActiveRequest& request) -> std::optional<Placement>;
 /// @return a decode replica with a free seat and memory for the request.
 auto chooseDecode(DecisionContext& context, const ActiveRequest& request) -> Replica*;
--- /dev/null
+++ b/src/RatioEstimate.h
@@ -0,0 +1,32 @@
+#pragma once
+
+/// A rate learned from pairs of amount and time: a ratio of fading sums, so that large samples count more.
+
+namespace jayhold {
+
+class RatioEstimate {
+public:
+    /// @param initial used until the first sample.
+    explicit RatioEstimate(double initial)
+        : m_initial(initial)
+    {
+    }
+
+    auto observe(double amount, double time) -> void
+    {
+        if (amount <= 0 || time <= 0)
+            return;
+        m_amount = m_amount * fading + amount;
+        m_time = m_time * fading + time;
+    }
+
+    auto value() const -> double { return m_time > 0 ? m_amount / m_time : m_initial; }
+
+private:
+    static constexpr double fading = 0.99;
+    double m_initial;
+    double m_amount = 0;
+    double m_time = 0;
+};
+
+}
--- a/src/ReplicaEvents.cpp
+++ b/src/ReplicaEvents.cpp
@@ -1,6 +1,7 @@
 #include "ReplicaEvents.h"
 
 #include "Ledger.h"
+#include "ReplicaHealth.h"
 #include "ReplicaIndex.h"
 #include "RequestLife.h"
 
@@ -10,23 +11,6 @@
 
 namespace {
 
-auto countLive(ShardState& state, const ReplicaChanged& description, int change) -> void
-{
-    if (description.state != ReplicaState::Live)
-        return;
-    auto& count = description.role == PoolRole::Prefill ? state.livePrefills : state.liveDecodes;
-    count += change;
-}
-
-auto decodeGone(DecisionContext& context, ActiveRequest& request) -> void
-{
-    if (request.phase == RequestPhase::Starting || request.phase == RequestPhase::Decoding)
-        stopDecode(context, request);
-    else
-        // The prefill goes on; another seat is chosen when its result is ready.
-        releaseDecode(context, request);
-}
-
 auto prefillGone(DecisionContext& context, ActiveRequest& request) -> void
 {
     if (request.phase == RequestPhase::Prefilling || request.phase == RequestPhase::Ready)
@@ -43,7 +27,7 @@
     for (const auto owner : owners) {
         auto* request = findRequest(context.state, owner);
         if (request->decode == id && !request->decodeHold.empty())
-            decodeGone(context, *request);
+            stopDecode(context, *request);
         else
             prefillGone(context, *request);
     }
@@ -52,7 +36,6 @@
 auto removeReplica(DecisionContext& context, Replica& replica) -> void
 {
     const auto id = replica.description.replica;
-    updateIndex(context, replica);
     failOwners(context, id);
     context.state.timers.move(id, replica.timerAt, TimePoint::max());
     context.state.replicas.erase(id);
@@ -62,27 +45,28 @@
 
 auto handle(DecisionContext& context, const ReplicaChanged& event) -> void
 {
-    auto& state = context.state;
-    auto* known = findReplica(state, event.replica);
+    auto* known = findReplica(context.state, event.replica);
+    if (known && known->role() != event.role) {
+        // What it ran in its former role has ended with it.
+        changeState(context, *known, ReplicaState::Gone);
+        removeReplica(context, *known);
+        known = nullptr;
+    }
     if (!known && event.state == ReplicaState::Gone)
         return;
     if (!known) {
-        known = &state.replicas[event.replica];
+        known = &context.state.replicas[event.replica];
         known->description = event;
-        countLive(state, event, 1);
-        updateIndex(context, *known);
-        return;
+        known->description.state = ReplicaState::Gone;
     }
-    // The index is keyed by role and zone; the replica leaves it before they may change.
-    countLive(state, known->description, -1);
-    known->description.state = ReplicaState::Leaving;
-    updateIndex(context, *known);
+    // The index is keyed by zone; the replica leaves it before the zone may change.
+    removeFromIndex(context, *known);
+    const auto before = known->description.state;
     known->description = event;
-    countLive(state, event, 1);
+    known->description.state = before;
+    changeState(context, *known, event.state);
     if (event.state == ReplicaState::Gone)
         removeReplica(context, *known);
-    else
-        updateIndex(context, *known);
 }
 
 auto handle(DecisionContext& context, const ReplicaLoad& event) -> void
--- a/src/ReplicaHealth.cpp
+++ b/src/ReplicaHealth.cpp
@@ -1,5 +1,6 @@
 #include "ReplicaHealth.h"
 
+#include "Ledger.h"
 #include "ReplicaIndex.h"
 
 #include <algorithm>
@@ -16,6 +17,25 @@
 
 }
 
+auto changeState(DecisionContext& context, Replica& replica, ReplicaState state) -> void
+{
+    auto& live = replica.role() == PoolRole::Prefill ? context.state.livePrefills : context.state.liveDecodes;
+    live -= replica.description.state == ReplicaState::Live;
+    live += state == ReplicaState::Live;
+    replica.description.state = state;
+    updateIndex(context, replica);
+    if (state == ReplicaState::Live || replica.role() == PoolRole::Prefill)
+        return;
+    const auto owners = replica.owners;
+    for (const auto owner : owners) {
+        auto& request = *findRequest(context.state, owner);
+        if (request.phase != RequestPhase::Prefilling)
+            continue;
+        releaseDecode(context, request);
+        context.state.promised.emplace(request.phaseSince, owner);
+    }
+}
+
 auto attemptSucceeded(DecisionContext& context, ReplicaId id) -> void
 {
     if (auto* replica = findReplica(context.state, id))
@@ -32,7 +52,7 @@
         replica->busyUntil = context.now + busyPause;
         break;
     case FailureKind::Leaving:
-        replica->description.state = ReplicaState::Leaving;
+        changeState(context, *replica, ReplicaState::Leaving);
         break;
     case FailureKind::KvExpired:
         break;
--- a/src/ReplicaHealth.h
+++ b/src/ReplicaHealth.h
@@ -7,6 +7,9 @@
 
 namespace jayhold {
 
+/// Sets the state of the replica. Seats that wait on it for prefill results are given up when it
+/// leaves; the prefills go on and get other seats.
+auto changeState(DecisionContext& context, Replica& replica, ReplicaState state) -> void;
 auto attemptSucceeded(DecisionContext& context, ReplicaId id) -> void;
 auto replicaFailed(DecisionContext& context, ReplicaId id, FailureKind failure) -> void;
 
--- a/src/ReplicaIndex.cpp
+++ b/src/ReplicaIndex.cpp
@@ -39,6 +39,14 @@
         && freeSeats(replica) > 0;
 }
 
+auto removeFromIndex(DecisionContext& context, Replica& replica) -> void
+{
+    const auto& description = replica.description;
+    if (replica.indexed)
+        context.state.index.ofRole(description.role)[description.zone].erase({ replica.indexKey, description.replica });
+    replica.indexed = false;
+}
+
 auto updateIndex(DecisionContext& context, Replica& replica) -> void
 {
     const auto& description = replica.description;
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -1,6 +1,8 @@
 #include "RequestEvents.h"
 
 #include "Admission.h"
+#include "Forecast.h"
+#include "Ledger.h"
 #include "ReplicaHealth.h"
 #include "RequestLife.h"
 
@@ -21,6 +23,7 @@
 
 auto raiseEmitted(DecisionContext& context, ActiveRequest& request, std::uint32_t total) -> void
 {
+    learnTokens(context, request, total);
     request.emitted = std::max(request.emitted, total);
     request.progressAt = context.now;
 }
@@ -73,8 +76,13 @@
 auto handle(DecisionContext& context, const TokensEmitted& event) -> void
 {
     auto* request = present(context.state, event.request, event.attempt, { RequestPhase::Starting, RequestPhase::Decoding, RequestPhase::Stopping });
-    if (request)
-        raiseEmitted(context, *request, event.total);
+    if (!request)
+        return;
+    raiseEmitted(context, *request, event.total);
+    if (request->phase != RequestPhase::Decoding)
+        return;
+    updateExpectedEnd(context, *request);
+    growDecode(context, *request);
 }
 
 auto handle(DecisionContext& context, const DecodeFinished& event) -> void
@@ -83,6 +91,7 @@
     if (!request)
         return;
     attemptSucceeded(context, *request->decode);
+    learnLength(context, *request, event.totalTokens);
     finish(context, *request);
 }
 
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -1,5 +1,6 @@
 #include "RequestLife.h"
 
+#include "Forecast.h"
 #include "Ledger.h"
 #include "Placement.h"
 #include "RetryDelay.h"
@@ -37,6 +38,8 @@
         state.ready.erase({ request.kvExpiresAt, request.arrival.request });
     if (request.phase == RequestPhase::Prefilling || request.phase == RequestPhase::Ready || request.phase == RequestPhase::Starting)
         wastePrefill(context, request);
+    state.promised.erase({ request.phaseSince, request.arrival.request });
+    clearExpectedEnd(context, request);
     releasePrefill(context, request);
     releaseDecode(context, request);
 }
@@ -119,16 +122,22 @@
     context.state.queue.push(queueEntry(request), customerWeight(context.state, request));
 }
 
-auto startPrefill(DecisionContext& context, ActiveRequest& request, Replica& prefill, Replica& decode) -> void
+auto startPrefill(DecisionContext& context, ActiveRequest& request, const Placement& placement) -> void
 {
     auto& state = context.state;
     state.queue.remove(queueEntry(request));
-    state.queue.charge(queueEntry(request), request.arrival.promptTokens + request.arrival.maxTokens);
+    state.queue.charge(queueEntry(request), request.arrival.promptTokens + expectedTokens(state, request));
     ++request.attempt;
+    auto& prefill = *placement.prefill;
+    auto& decode = *placement.decode;
     request.prefill = prefill.description.replica;
     request.decode = decode.description.replica;
     reserve(context, request, prefill, prefillReservation(context, request, prefill));
-    reserve(context, request, decode, decodeReservation(context, request, decode));
+    if (placement.seatFree)
+        reserve(context, request, decode, decodeReservation(context, request, decode));
+    else
+        state.promised.emplace(context.now, request.arrival.request);
+    request.prefillBacklog = prefill.reserved.prefillTokens;
     state.totals.prefillTokens += request.arrival.promptTokens;
     enter(context, request, RequestPhase::Prefilling);
     context.actions.emplace_back(StartPrefill { request.arrival.request, request.attempt, *request.prefill, *request.decode });
@@ -136,6 +145,8 @@
 
 auto prefillDone(DecisionContext& context, ActiveRequest& request, TimePoint expiresAt, std::uint32_t) -> void
 {
+    learnPrefill(context, request, expiresAt);
+    context.state.promised.erase({ request.phaseSince, request.arrival.request });
     releasePrefillSeat(context, request);
     request.kvExpiresAt = expiresAt;
     context.state.ready.emplace(expiresAt, request.arrival.request);
@@ -143,15 +154,21 @@
     startDecode(context, request);
 }
 
+auto reserveDecode(DecisionContext& context, ActiveRequest& request) -> bool
+{
+    auto* replica = chooseDecode(context, request);
+    if (!replica)
+        return false;
+    request.decode = replica->description.replica;
+    reserve(context, request, *replica, decodeReservation(context, request, *replica));
+    context.state.promised.erase({ request.phaseSince, request.arrival.request });
+    return true;
+}
+
 auto startDecode(DecisionContext& context, ActiveRequest& request) -> bool
 {
-    if (request.decodeHold.empty()) {
-        auto* replica = chooseDecode(context, request);
-        if (!replica)
-            return false;
-        request.decode = replica->description.replica;
-        reserve(context, request, *replica, decodeReservation(context, request, *replica));
-    }
+    if (request.decodeHold.empty() && !reserveDecode(context, request))
+        return false;
     context.state.ready.erase({ request.kvExpiresAt, request.arrival.request });
     enter(context, request, RequestPhase::Starting);
     context.actions.emplace_back(StartDecode { request.arrival.request, request.attempt, *request.prefill, *request.decode, request.emitted });
@@ -160,9 +177,11 @@
 
 auto decodeStarted(DecisionContext& context, ActiveRequest& request) -> void
 {
+    learnTransfer(context, request);
     releasePrefill(context, request);
     releaseDecodeLink(context, request);
     enter(context, request, RequestPhase::Decoding);
+    updateExpectedEnd(context, request);
 }
 
 auto stopDecode(DecisionContext& context, ActiveRequest& request) -> void
--- a/src/RequestLife.h
+++ b/src/RequestLife.h
@@ -5,13 +5,16 @@
 #include "DecisionContext.h"
 #include "FailureKind.h"
 #include "Outcome.h"
+#include "Placement.h"
 #include "RefusalReason.h"
 
 namespace jayhold {
 
 auto enqueue(DecisionContext& context, ActiveRequest& request) -> void;
-auto startPrefill(DecisionContext& context, ActiveRequest& request, Replica& prefill, Replica& decode) -> void;
+auto startPrefill(DecisionContext& context, ActiveRequest& request, const Placement& placement) -> void;
 auto prefillDone(DecisionContext& context, ActiveRequest& request, TimePoint expiresAt, std::uint32_t cachedTokens) -> void;
+/// Reserves a decode seat for a request that has none. @return whether there was one.
+auto reserveDecode(DecisionContext& context, ActiveRequest& request) -> bool;
 /// Takes the prefill result to a decode seat if there is one; otherwise the result waits.
 auto startDecode(DecisionContext& context, ActiveRequest& request) -> bool;
 auto decodeStarted(DecisionContext& context, ActiveRequest& request) -> void;
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -66,7 +66,7 @@
 {
     Shard shard { std::unique_ptr<ShardState, ShardStateDeleter>(new ShardState) };
     shard.state->random.seed(static_cast<std::minstd_rand::result_type>(settings.seed));
-    shard.state->settings = std::move(settings);
+    updateSettings(shard, std::move(settings));
     return shard;
 }
 
@@ -81,6 +81,7 @@
 
 auto updateSettings(Shard& shard, ShardSettings settings) -> void
 {
+    shard.state->lengths.resize(settings.kinds.size());
     shard.state->settings = std::move(settings);
 }
 
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -3,9 +3,12 @@
 /// The state behind a Shard. Private to the decision library.
 
 #include "ActiveRequest.h"
+#include "EndForecast.h"
+#include "LengthModel.h"
 #include "PlacementIndex.h"
 #include "Replica.h"
 #include "RequestQueue.h"
+#include "ServiceRates.h"
 #include "ShardSettings.h"
 #include "ShardSummary.h"
 #include "TimerQueue.h"
@@ -25,6 +28,12 @@
     TimerQueue timers;
     /// Requests whose prefill result waits for a decode seat, first to expire first.
     std::set<std::pair<TimePoint, RequestId>> ready;
+    /// Prefills that started on the expectation that a seat frees up, by the time of their start.
+    std::set<std::pair<TimePoint, RequestId>> promised;
+    EndForecast ends;
+    ServiceRates rates;
+    /// By kind.
+    std::vector<LengthModel> lengths;
     /// Starts since an aged request got its turn.
     std::uint32_t startsSinceAged = 0;
     std::minstd_rand random;
--- a/src/StartDecode.h
+++ b/src/StartDecode.h
@@ -13,7 +13,8 @@
     Attempt attempt;
     ReplicaId prefill;
     ReplicaId decode;
-    /// Tokens that the caller has already and that must not be sent again.
+    /// Tokens that the shard knows the caller to have. A driver that has sent more starts the stream
+    /// here and drops those it has sent already; it never starts after what it has sent.
     std::uint32_t resumeFrom;
 };
 
--- /dev/null
+++ b/test/correctness/SeatForecastTest.cpp
@@ -0,0 +1,86 @@
+#include "ShardHarness.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jayhold;
+using namespace jayhold::test;
+
+namespace {
+
+/// One decode seat, and answers of 100 tokens at 25 ms each behind it.
+auto trained(double wastedPrefillWeight) -> ShardHarness
+{
+    auto settings = testSettings();
+    settings.wastedPrefillWeight = wastedPrefillWeight;
+    ShardHarness harness(settings);
+    harness.replica(1, PoolRole::Prefill, 4);
+    harness.replica(2, PoolRole::Decode, 1);
+    for (std::uint64_t id = 1; id <= 20; ++id) {
+        harness.arrive(id);
+        const auto prefill = *harness.last<StartPrefill>();
+        harness.now += 400ms;
+        harness.prefilled(prefill);
+        const auto decode = *harness.last<StartDecode>();
+        harness.now += 20ms;
+        harness.started(decode);
+        harness.now += 2'500ms;
+        harness.send(TokensEmitted { decode.request, decode.attempt, 100 });
+        harness.send(DecodeFinished { decode.request, decode.attempt, 100 });
+    }
+    return harness;
+}
+
+auto startDecodeOf(ShardHarness& harness, std::uint64_t id) -> StartDecode
+{
+    harness.arrive(id);
+    harness.prefilled(*harness.last<StartPrefill>());
+    const auto decode = *harness.last<StartDecode>();
+    harness.started(decode);
+    return decode;
+}
+
+}
+
+// Guards against prefills whose result expires because no decode seat frees up in time.
+TEST_CASE("no prefill starts while the only seat is expected to stay taken")
+{
+    auto harness = trained(0.2);
+    startDecodeOf(harness, 50);
+    harness.arrive(51, 1);
+    CHECK_FALSE(harness.last<StartPrefill>());
+    harness.advance(1s);
+    CHECK_FALSE(harness.last<StartPrefill>());
+}
+
+// Guards against seats that stay empty for the length of a prefill after each answer.
+TEST_CASE("a prefill starts before the seat is free when its end is near")
+{
+    auto harness = trained(0);
+    const auto running = startDecodeOf(harness, 50);
+    harness.arrive(51, 1);
+    harness.now += 2'200ms;
+    harness.send(TokensEmitted { running.request, running.attempt, 88 });
+    const auto prefill = harness.last<StartPrefill>();
+    REQUIRE(prefill);
+    CHECK(summarize(harness.shard).reservedSeats == 2);
+    harness.prefilled(*prefill);
+    CHECK_FALSE(harness.last<StartDecode>());
+    harness.send(DecodeFinished { running.request, running.attempt, 100 });
+    CHECK(harness.last<StartDecode>());
+}
+
+// Guards against results that expire while they wait for a link that is full.
+TEST_CASE("a prefill waits until the link has a share for its transfer")
+{
+    ShardHarness harness;
+    harness.replica(1, PoolRole::Prefill, 4);
+    harness.send(ReplicaChanged { ReplicaId { 2 }, PoolRole::Decode, ZoneId { 0 }, ReplicaState::Live, 4, 100, 2'000, 1'000'000'000 });
+    harness.arrive(1, 0, 0, 2'000);
+    const auto first = harness.last<StartPrefill>();
+    REQUIRE(first);
+    harness.arrive(2, 0, 0, 2'000);
+    CHECK_FALSE(harness.last<StartPrefill>());
+    harness.prefilled(*first);
+    harness.started(*harness.last<StartDecode>());
+    CHECK(harness.last<StartPrefill>());
+}
