Limit retries to a share of the new requests and eject failing replicas

Retries of attempts that may have loaded an engine, or that cost a prefill, take from a budget of one fifth of the new requests with a burst of 64, about three engines' streams. Work that an engine turned away unrun is free but limited by request. After three consecutive failures a replica gets no work for 1 s, doubling to 32 s; then one request at a time until one succeeds. Failures during an ejection are not counted: the 20 streams of one dead engine would have ejected it for 32 s at once.

--- a/src/Replica.h
+++ b/src/Replica.h
@@ -14,6 +14,9 @@
 
 namespace jayhold {
 
+/// Consecutive failures after which a replica gets no work for a time.
+constexpr std::uint32_t failuresBeforeEjection = 3;
+
 struct Replica {
     ReplicaChanged description;
     /// Sum of the reservations of this shard.
--- a/src/ReplicaHealth.cpp
+++ b/src/ReplicaHealth.cpp
@@ -11,10 +11,20 @@
 
 /// About one report interval of an engine; until then a full engine is likely to be still full.
 constexpr Duration busyPause = std::chrono::milliseconds(50);
-constexpr std::uint32_t failuresBeforeEjection = 3;
 constexpr Duration firstEjection = std::chrono::seconds(1);
 constexpr std::uint32_t longestEjectionDoublings = 5;
 
+auto countFailure(DecisionContext& context, Replica& replica) -> void
+{
+    // All requests of an engine that dies fail at once; that is one reason to eject it, not many.
+    if (replica.ejectedUntil > context.now)
+        return;
+    if (++replica.consecutiveFailures < failuresBeforeEjection)
+        return;
+    const auto doublings = std::min(replica.consecutiveFailures - failuresBeforeEjection, longestEjectionDoublings);
+    replica.ejectedUntil = context.now + firstEjection * (1U << doublings);
+}
+
 }
 
 auto changeState(DecisionContext& context, Replica& replica, ReplicaState state) -> void
@@ -42,8 +52,12 @@
 
 auto attemptSucceeded(DecisionContext& context, ReplicaId id) -> void
 {
-    if (auto* replica = findReplica(context.state, id))
-        replica->consecutiveFailures = 0;
+    auto* replica = findReplica(context.state, id);
+    if (!replica || !replica->consecutiveFailures)
+        return;
+    replica->consecutiveFailures = 0;
+    replica->ejectedUntil = context.now;
+    updateIndex(context, *replica);
 }
 
 auto replicaFailed(DecisionContext& context, ReplicaId id, FailureKind failure) -> void
@@ -64,10 +78,7 @@
     case FailureKind::ConnectionLost:
     case FailureKind::TimedOut:
     case FailureKind::ServerError:
-        if (++replica->consecutiveFailures >= failuresBeforeEjection) {
-            const auto doublings = std::min(replica->consecutiveFailures - failuresBeforeEjection, longestEjectionDoublings);
-            replica->ejectedUntil = context.now + firstEjection * (1U << doublings);
-        }
+        countFailure(context, *replica);
         break;
     }
     updateIndex(context, *replica);
--- a/src/ReplicaIndex.cpp
+++ b/src/ReplicaIndex.cpp
@@ -23,6 +23,12 @@
     return replica.reserved.prefillTokens + others * loadScale;
 }
 
+/// After an ejection the replica gets one request at a time until one succeeds.
+auto probeAllowed(const Replica& replica) -> bool
+{
+    return replica.consecutiveFailures < failuresBeforeEjection || replica.reserved.seats == 0;
+}
+
 auto returnTime(const Replica& replica, TimePoint now) -> TimePoint
 {
     const auto time = std::max(replica.busyUntil, replica.ejectedUntil);
@@ -36,6 +42,7 @@
     return replica.description.state == ReplicaState::Live
         && replica.busyUntil <= now
         && replica.ejectedUntil <= now
+        && probeAllowed(replica)
         && freeSeats(replica) > 0;
 }
 
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -43,6 +43,7 @@
     auto& state = context.state;
     if (state.requests.contains(event.request) || state.answered.contains(event.request))
         return;
+    state.retryBudget.requestArrived();
     auto& request = state.requests[event.request];
     request.arrival = event;
     request.arrivedAt = context.now;
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -234,12 +234,12 @@
     else
         ++request.failures;
     request.avoid = request.phase == RequestPhase::Prefilling ? request.prefill : request.decode;
-    if (resultStillKept(context, request, failure) && mayRetry(context, request, failure)) {
+    const auto retry = mayRetry(context, request, failure);
+    if (retry && resultStillKept(context, request, failure)) {
         redirectDecode(context, request);
         return;
     }
     leave(context, request);
-    const auto retry = mayRetry(context, request, failure);
     enqueue(context, request);
     if (retry)
         ++context.state.totals.retries;
--- a/src/RetryRules.cpp
+++ b/src/RetryRules.cpp
@@ -9,6 +9,12 @@
 constexpr std::uint32_t maximumFailures = 4;
 constexpr std::uint32_t maximumRedirects = 16;
 
+/// Work that was turned away cost the engines nothing. An expired result cost a prefill.
+auto isFree(FailureKind failure) -> bool
+{
+    return provablyNotRun(failure) && failure != FailureKind::KvExpired;
+}
+
 }
 
 auto provablyNotRun(FailureKind failure) -> bool
@@ -31,9 +37,9 @@
 {
     if (request.mayHaveRun && !kindOf(context.state, request).repeatable)
         return false;
-    if (provablyNotRun(failure))
-        return request.redirects <= maximumRedirects;
-    return request.failures <= maximumFailures;
+    if (request.redirects > maximumRedirects || request.failures > maximumFailures)
+        return false;
+    return isFree(failure) || context.state.retryBudget.take();
 }
 
 }
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -9,6 +9,7 @@
 #include "PlacementIndex.h"
 #include "Replica.h"
 #include "RequestQueue.h"
+#include "RetryBudget.h"
 #include "ServiceRates.h"
 #include "ShardSettings.h"
 #include "ShardSummary.h"
@@ -42,6 +43,7 @@
     ServiceRates rates;
     /// By kind.
     std::vector<LengthModel> lengths;
+    RetryBudget retryBudget;
     StartPace pace;
     StartPace latePace;
     /// Starts since an aged request got its turn.
