Correct lagging load reports and free what engines hold for gone requests

A report counts what ran some time ago. What this shard ran at that time, known from the start times of its requests and a ring of uses that ended, is taken out; the rest is what others use. Of the free seats each instance takes its share until the next report, rounded at random so that the instances together take about what is free; the share expires after 2 s without a report. Memory held for a request that is unknown, or that had left the replica before the report, is cancelled there.

--- a/src/ActiveRequest.h
+++ b/src/ActiveRequest.h
@@ -29,6 +29,8 @@
     Reservation prefillHold;
     Reservation decodeHold;
 
+    /// When the present engine was given its work.
+    TimePoint engineSince;
     TimePoint phaseSince;
     /// Last sign of progress of the present attempt.
     TimePoint progressAt;
--- /dev/null
+++ b/src/EngineUse.h
@@ -0,0 +1,39 @@
+#pragma once
+
+/// One use of a replica by a request of this shard that has ended. Needed to tell what a lagging
+/// load report counted.
+
+#include "Time.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace jayhold {
+
+struct EngineUse {
+    TimePoint start;
+    TimePoint end;
+    std::uint32_t pieces = 0;
+
+    auto covers(TimePoint time) const -> bool { return start <= time && time < end; }
+};
+
+/// The last uses that ended; enough for the 20 or so streams of an engine within a report's lag.
+class EngineUses {
+public:
+    auto add(const EngineUse& use) -> void
+    {
+        m_uses.at(m_next) = use;
+        m_next = (m_next + 1) % m_uses.size();
+    }
+
+    auto begin() const { return m_uses.begin(); }
+    auto end() const { return m_uses.end(); }
+
+private:
+    std::array<EngineUse, 16> m_uses {};
+    std::size_t m_next = 0;
+};
+
+}
--- a/src/Ledger.cpp
+++ b/src/Ledger.cpp
@@ -27,6 +27,14 @@
     to.prefillTokens += amount.prefillTokens;
 }
 
+/// Whether the request runs on its replica of that role, not only holds a seat for later.
+auto usesEngine(const ActiveRequest& request, PoolRole role) -> bool
+{
+    if (role == PoolRole::Prefill)
+        return request.phase == RequestPhase::Prefilling;
+    return request.phase == RequestPhase::Starting || request.phase == RequestPhase::Decoding;
+}
+
 auto releasePart(DecisionContext& context, ActiveRequest& request, ReplicaId id, Reservation& hold, Reservation part) -> void
 {
     subtract(hold, part);
@@ -36,6 +44,10 @@
     subtract(replica->reserved, part);
     if (hold.empty())
         std::erase(replica->owners, request.arrival.request);
+    if (part.seats && replica->seatAllowance)
+        *replica->seatAllowance += part.seats;
+    if (part.seats && usesEngine(request, replica->role()))
+        replica->endedUses.add({ request.engineSince, context.now, part.pieces });
     updateIndex(context, *replica);
 }
 
@@ -48,6 +60,8 @@
         replica.owners.push_back(request.arrival.request);
     add(hold, amount);
     add(replica.reserved, amount);
+    if (replica.seatAllowance)
+        *replica.seatAllowance -= std::min(*replica.seatAllowance, amount.seats);
     updateIndex(context, replica);
 }
 
@@ -105,7 +119,8 @@
 auto freeSeats(const Replica& replica) -> std::uint32_t
 {
     const auto used = replica.reserved.seats + replica.othersSeats;
-    return replica.description.seats > used ? replica.description.seats - used : 0;
+    const auto unused = replica.description.seats > used ? replica.description.seats - used : 0;
+    return replica.seatAllowance ? std::min(unused, *replica.seatAllowance) : unused;
 }
 
 auto hasPieces(const Replica& replica, std::uint32_t pieces) -> bool
--- a/src/Replica.h
+++ b/src/Replica.h
@@ -3,6 +3,7 @@
 /// A backend server as the shard sees it: its capacity, what this shard has reserved on it and
 /// what others are believed to use.
 
+#include "EngineUse.h"
 #include "Identifiers.h"
 #include "ReplicaChanged.h"
 #include "Reservation.h"
@@ -28,6 +29,11 @@
     std::uint32_t othersSeats = 0;
     std::uint32_t othersPieces = 0;
     std::uint64_t reportSequence = 0;
+    TimePoint reportAsOf = TimePoint::min();
+    EngineUses endedUses;
+    /// Free seats that this instance may still take before the next report, where it shares the replica.
+    std::optional<std::uint32_t> seatAllowance;
+    TimePoint allowanceUntil;
 
     /// Turned work away; gets none before this time.
     TimePoint busyUntil = TimePoint::min();
--- a/src/ReplicaEvents.cpp
+++ b/src/ReplicaEvents.cpp
@@ -69,23 +69,6 @@
         removeReplica(context, *known);
 }
 
-auto handle(DecisionContext& context, const ReplicaLoad& event) -> void
-{
-    auto& state = context.state;
-    auto* replica = findReplica(state, event.replica);
-    if (!replica || event.sequence <= replica->reportSequence)
-        return;
-    replica->reportSequence = event.sequence;
-    const auto own = replica->reserved.seats;
-    const auto used = event.running + event.waiting;
-    replica->othersSeats = state.settings.sharingInstances > 1 && used > own ? used - own : 0;
-    for (const auto held : event.held) {
-        if (!state.requests.contains(held))
-            context.actions.emplace_back(CancelOnReplica { held, event.replica });
-    }
-    updateIndex(context, *replica);
-}
-
 auto handle(DecisionContext&, const CacheEvents&) -> void
 {
 }
@@ -96,6 +79,12 @@
     if (!replica)
         return;
     replica->timerAt = TimePoint::max();
+    // An engine that is full after all turns work away unrun.
+    if (replica->seatAllowance && replica->allowanceUntil <= context.now) {
+        replica->seatAllowance.reset();
+        replica->othersSeats = 0;
+        replica->othersPieces = 0;
+    }
     updateIndex(context, *replica);
 }
 
--- a/src/ReplicaEvents.h
+++ b/src/ReplicaEvents.h
@@ -5,12 +5,10 @@
 #include "CacheEvents.h"
 #include "DecisionContext.h"
 #include "ReplicaChanged.h"
-#include "ReplicaLoad.h"
 
 namespace jayhold {
 
 auto handle(DecisionContext& context, const ReplicaChanged& event) -> void;
-auto handle(DecisionContext& context, const ReplicaLoad& event) -> void;
 auto handle(DecisionContext& context, const CacheEvents& event) -> void;
 /// The timer of the replica is due.
 auto replicaTimerDue(DecisionContext& context, ReplicaId id) -> void;
--- a/src/ReplicaIndex.cpp
+++ b/src/ReplicaIndex.cpp
@@ -29,10 +29,14 @@
     return replica.consecutiveFailures < failuresBeforeEjection || replica.reserved.seats == 0;
 }
 
-auto returnTime(const Replica& replica, TimePoint now) -> TimePoint
+auto nextTimer(const Replica& replica, TimePoint now) -> TimePoint
 {
-    const auto time = std::max(replica.busyUntil, replica.ejectedUntil);
-    return time > now ? time : TimePoint::max();
+    auto next = TimePoint::max();
+    for (const auto time : { replica.busyUntil, replica.ejectedUntil }) {
+        if (time > now)
+            next = std::min(next, time);
+    }
+    return replica.seatAllowance ? std::min(next, replica.allowanceUntil) : next;
 }
 
 }
@@ -66,7 +70,7 @@
         zone.emplace(key, description.replica);
     replica.indexed = accepts;
     replica.indexKey = key;
-    context.state.timers.move(description.replica, replica.timerAt, returnTime(replica, context.now));
+    context.state.timers.move(description.replica, replica.timerAt, nextTimer(replica, context.now));
 }
 
 }
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -171,6 +171,7 @@
         state.promised.emplace(context.now, request.arrival.request);
     request.prefillBacklog = prefill.reserved.prefillTokens;
     state.totals.prefillTokens += request.arrival.promptTokens;
+    request.engineSince = context.now;
     enter(context, request, RequestPhase::Prefilling);
     context.actions.emplace_back(StartPrefill { request.arrival.request, request.attempt, *request.prefill, *request.decode });
 }
@@ -202,6 +203,7 @@
     if (request.decodeHold.empty() && !reserveDecode(context, request))
         return false;
     context.state.ready.erase({ request.kvExpiresAt, request.arrival.request });
+    request.engineSince = context.now;
     enter(context, request, RequestPhase::Starting);
     context.actions.emplace_back(StartDecode { request.arrival.request, request.attempt, *request.prefill, *request.decode, request.emitted });
     return true;
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -2,6 +2,7 @@
 
 #include "DecisionContext.h"
 #include "Dispatch.h"
+#include "LoadReports.h"
 #include "ReplicaEvents.h"
 #include "RequestEvents.h"
 #include "RequestLife.h"
