Recognise a request that crashes its engines within two crashes

All requests in flight when a connection breaks, or when a replica goes without leaving first, become suspects. A suspect runs again on replicas that hold no other suspect and get no new work until it is four tokens past the point of the crash; if such a replica crashes, its suspect is refused with an unknown outcome and reported, and what else ran there is retried as innocent. Ruled out: counting two crashes per request without isolation, which blames every innocent request that met the culprit twice. Blocked signatures expire after ten minutes, in case of a wrong blame.

--- a/src/ActiveRequest.h
+++ b/src/ActiveRequest.h
@@ -2,6 +2,7 @@
 
 /// A request between its arrival and its final answer.
 
+#include "CrashVerdict.h"
 #include "Identifiers.h"
 #include "LatencyClass.h"
 #include "QueueEntry.h"
@@ -52,6 +53,9 @@
     std::uint32_t failures = 0;
     /// Attempts that a backend server turned away without running them.
     std::uint32_t redirects = 0;
+    CrashVerdict verdict = CrashVerdict::None;
+    /// Tokens that the caller had at the last crash.
+    std::uint32_t emittedAtCrash = 0;
     /// Replica of the last failed attempt; avoided by the next where there is another.
     std::optional<ReplicaId> avoid;
 };
--- a/src/Admission.cpp
+++ b/src/Admission.cpp
@@ -1,5 +1,6 @@
 #include "Admission.h"
 
+#include "CrashWatch.h"
 #include "Deadlines.h"
 #include "Forecast.h"
 #include "Ledger.h"
@@ -38,6 +39,8 @@
     const auto& state = context.state;
     if (state.draining)
         return RefusalReason::Draining;
+    if (isBlocked(context, request.arrival.signature))
+        return RefusalReason::CrashSuspect;
     if (state.prefillCapacities.empty() || state.decodeCapacities.empty())
         return RefusalReason::NoBackend;
     if (request.arrival.deadline <= context.now)
--- /dev/null
+++ b/src/CrashVerdict.h
@@ -0,0 +1,16 @@
+#pragma once
+
+/// What a request has to do with the crash of a replica that ran it.
+
+namespace jayhold {
+
+enum class CrashVerdict {
+    /// It ran into no crash, or into one that another request is to blame for.
+    None,
+    /// It was among the requests in flight at a crash; it is run again in isolation.
+    Suspect,
+    /// It was the one isolated request at its second crash.
+    Culprit,
+};
+
+}
--- /dev/null
+++ b/src/CrashWatch.cpp
@@ -0,0 +1,82 @@
+#include "CrashWatch.h"
+
+#include "ReplicaIndex.h"
+#include "RequestLife.h"
+
+namespace jayhold {
+
+namespace {
+
+/// The failures of all requests of a crashed engine arrive within this time.
+constexpr Duration crashWindow = std::chrono::seconds(1);
+/// Tokens past the point of the crash that clear a suspect; a crash may come a little later than
+/// the last token that got through.
+constexpr std::uint32_t clearingTokens = 4;
+/// Limits the harm if a request is blamed by mistake.
+constexpr Duration blockedFor = std::chrono::minutes(10);
+
+auto blamedOnAnother(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> bool
+{
+    if (replica.probationer)
+        return true;
+    return replica.blamedAt && context.now - *replica.blamedAt <= crashWindow && request.engineSince <= *replica.blamedAt;
+}
+
+auto endProbation(DecisionContext& context, const ActiveRequest& request, const std::optional<ReplicaId>& id) -> void
+{
+    auto* replica = id ? findReplica(context.state, *id) : nullptr;
+    if (!replica || replica->probationer != request.arrival.request)
+        return;
+    replica->probationer.reset();
+    updateIndex(context, *replica);
+}
+
+auto forgetExpired(DecisionContext& context) -> void
+{
+    std::erase_if(context.state.blockedSignatures, [&](const auto& blocked) { return blocked.second <= context.now; });
+}
+
+}
+
+auto noteCrash(DecisionContext& context, ActiveRequest& request, Replica& replica) -> void
+{
+    request.emittedAtCrash = request.emitted;
+    if (replica.probationer == request.arrival.request) {
+        replica.blamedAt = context.now;
+        request.verdict = CrashVerdict::Culprit;
+    } else if (!blamedOnAnother(context, request, replica)) {
+        request.verdict = CrashVerdict::Suspect;
+    }
+}
+
+auto noteProgress(DecisionContext& context, ActiveRequest& request) -> void
+{
+    if (request.verdict != CrashVerdict::Suspect || request.emitted < request.emittedAtCrash + clearingTokens)
+        return;
+    request.verdict = CrashVerdict::None;
+    endProbation(context, request, request.decode);
+}
+
+auto blockSignature(DecisionContext& context, std::uint64_t signature) -> void
+{
+    // Zero stands for a request without a signature.
+    if (!signature)
+        return;
+    forgetExpired(context);
+    context.state.blockedSignatures[signature] = context.now + blockedFor;
+    std::vector<RequestId> same;
+    for (const auto& [id, request] : context.state.requests) {
+        if (request.arrival.signature == signature)
+            same.push_back(id);
+    }
+    for (const auto id : same)
+        refuse(context, *findRequest(context.state, id), RefusalReason::CrashSuspect);
+}
+
+auto isBlocked(const DecisionContext& context, std::uint64_t signature) -> bool
+{
+    const auto blocked = context.state.blockedSignatures.find(signature);
+    return blocked != context.state.blockedSignatures.end() && blocked->second > context.now;
+}
+
+}
--- /dev/null
+++ b/src/CrashWatch.h
@@ -0,0 +1,21 @@
+#pragma once
+
+/// Finds the request that crashes each engine that runs it. All requests in flight at a crash become
+/// suspects. A suspect runs again alone of its kind: its replicas get no other suspect and no new
+/// work until it is past the point of the crash. If such a replica crashes, its suspect is to blame
+/// and what else ran there is not.
+
+#include "DecisionContext.h"
+
+namespace jayhold {
+
+/// The connection to the replica that runs the request broke, or the replica is gone without having
+/// left; sets the request's verdict.
+auto noteCrash(DecisionContext& context, ActiveRequest& request, Replica& replica) -> void;
+/// Ends the probation of a request that has got past the point where it ran into a crash.
+auto noteProgress(DecisionContext& context, ActiveRequest& request) -> void;
+/// Refuses all requests with the signature, now and for some time.
+auto blockSignature(DecisionContext& context, std::uint64_t signature) -> void;
+auto isBlocked(const DecisionContext& context, std::uint64_t signature) -> bool;
+
+}
--- a/src/Ledger.cpp
+++ b/src/Ledger.cpp
@@ -44,6 +44,8 @@
     subtract(replica->reserved, part);
     if (hold.empty())
         std::erase(replica->owners, request.arrival.request);
+    if (part.seats && replica->probationer == request.arrival.request)
+        replica->probationer.reset();
     if (part.seats && replica->seatAllowance)
         *replica->seatAllowance += part.seats;
     if (part.seats && usesEngine(request, replica->role()))
@@ -60,6 +62,8 @@
         replica.owners.push_back(request.arrival.request);
     add(hold, amount);
     add(replica.reserved, amount);
+    if (request.verdict == CrashVerdict::Suspect && amount.seats)
+        replica.probationer = request.arrival.request;
     if (replica.seatAllowance)
         *replica.seatAllowance -= std::min(*replica.seatAllowance, amount.seats);
     updateIndex(context, replica);
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -108,6 +108,9 @@
         return std::nullopt;
     if (auto* decode = chooseDecode(context, request))
         return Placement { prefill, decode, true };
+    // A suspect is not run on the chance of a seat; its replica must be free of other suspects.
+    if (request.verdict == CrashVerdict::Suspect)
+        return std::nullopt;
     const auto tokens = prefill->reserved.prefillTokens + request.arrival.promptTokens;
     if (!seatExpected(context, prefillTime(context.state, tokens)))
         return std::nullopt;
--- a/src/Replica.h
+++ b/src/Replica.h
@@ -40,6 +40,10 @@
     std::uint32_t consecutiveFailures = 0;
     TimePoint ejectedUntil = TimePoint::min();
 
+    /// The suspect that runs here in isolation; the replica gets no new work meanwhile.
+    std::optional<RequestId> probationer;
+    /// When the last crash was blamed on a suspect.
+    std::optional<TimePoint> blamedAt;
     /// Its entry among the capacities of the live replicas.
     std::optional<std::uint64_t> countedCapacity;
     /// Whether it is in the placement index, and under which key.
--- a/src/ReplicaEvents.cpp
+++ b/src/ReplicaEvents.cpp
@@ -1,5 +1,6 @@
 #include "ReplicaEvents.h"
 
+#include "CrashWatch.h"
 #include "Ledger.h"
 #include "ReplicaHealth.h"
 #include "ReplicaIndex.h"
@@ -11,32 +12,43 @@
 
 namespace {
 
-auto prefillGone(DecisionContext& context, ActiveRequest& request) -> void
+auto decodeGone(DecisionContext& context, ActiveRequest& request, Replica& replica, bool crashed) -> void
+{
+    if (crashed)
+        noteCrash(context, request, replica);
+    stopDecode(context, request);
+}
+
+auto prefillGone(DecisionContext& context, ActiveRequest& request, bool crashed) -> void
 {
     if (request.phase == RequestPhase::Prefilling || request.phase == RequestPhase::Ready)
-        attemptFailed(context, request, FailureKind::ConnectionLost);
+        attemptFailed(context, request, crashed ? FailureKind::ConnectionLost : FailureKind::TimedOut);
     else
         // The transfer may be complete; if it is not, the decode engine reports it.
         releasePrefill(context, request);
 }
 
-/// What ran on a replica that is gone has failed.
-auto failOwners(DecisionContext& context, ReplicaId id) -> void
+/// What ran on a replica that is gone has failed. One that went without leaving first has crashed.
+auto failOwners(DecisionContext& context, Replica& replica, bool crashed) -> void
 {
-    const auto owners = findReplica(context.state, id)->owners;
+    const auto id = replica.description.replica;
+    const auto owners = replica.owners;
     for (const auto owner : owners) {
+        // The failure of one owner can end others that have the same signature.
         auto* request = findRequest(context.state, owner);
+        if (!request)
+            continue;
         if (request->decode == id && !request->decodeHold.empty())
-            stopDecode(context, *request);
-        else
-            prefillGone(context, *request);
+            decodeGone(context, *request, replica, crashed);
+        else if (request->prefill == id && !request->prefillHold.empty())
+            prefillGone(context, *request, crashed);
     }
 }
 
-auto removeReplica(DecisionContext& context, Replica& replica) -> void
+auto removeReplica(DecisionContext& context, Replica& replica, bool crashed) -> void
 {
     const auto id = replica.description.replica;
-    failOwners(context, id);
+    failOwners(context, replica, crashed);
     context.state.timers.move(id, replica.timerAt, TimePoint::max());
     context.state.replicas.erase(id);
 }
@@ -49,7 +61,7 @@
     if (known && known->role() != event.role) {
         // What it ran in its former role has ended with it.
         changeState(context, *known, ReplicaState::Gone);
-        removeReplica(context, *known);
+        removeReplica(context, *known, false);
         known = nullptr;
     }
     if (!known && event.state == ReplicaState::Gone)
@@ -66,7 +78,7 @@
     known->description.state = before;
     changeState(context, *known, event.state);
     if (event.state == ReplicaState::Gone)
-        removeReplica(context, *known);
+        removeReplica(context, *known, before == ReplicaState::Live);
 }
 
 auto handle(DecisionContext&, const CacheEvents&) -> void
--- a/src/ReplicaIndex.cpp
+++ b/src/ReplicaIndex.cpp
@@ -46,6 +46,7 @@
     return replica.description.state == ReplicaState::Live
         && replica.busyUntil <= now
         && replica.ejectedUntil <= now
+        && !replica.probationer
         && probeAllowed(replica)
         && freeSeats(replica) > 0;
 }
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -1,6 +1,7 @@
 #include "RequestEvents.h"
 
 #include "Admission.h"
+#include "CrashWatch.h"
 #include "Forecast.h"
 #include "Ledger.h"
 #include "ReplicaHealth.h"
@@ -95,6 +96,7 @@
     raiseEmitted(context, *request, event.total);
     if (request->phase != RequestPhase::Decoding)
         return;
+    noteProgress(context, *request);
     updateExpectedEnd(context, *request);
     growDecode(context, *request);
 }
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -1,5 +1,6 @@
 #include "RequestLife.h"
 
+#include "CrashWatch.h"
 #include "Deadlines.h"
 #include "Forecast.h"
 #include "Ledger.h"
@@ -219,8 +220,31 @@
     updateExpectedEnd(context, request);
 }
 
+namespace {
+
+auto noteLostConnection(DecisionContext& context, ActiveRequest& request) -> void
+{
+    // Of a replica that is gone, the verdict was taken when it went.
+    auto* replica = request.avoid ? findReplica(context.state, *request.avoid) : nullptr;
+    if (replica && request.phase != RequestPhase::Stopping)
+        noteCrash(context, request, *replica);
+}
+
+auto refuseCulprit(DecisionContext& context, ActiveRequest& request) -> void
+{
+    const auto signature = request.arrival.signature;
+    // A prefill that crashes its engine counts as a run, too.
+    request.mayHaveRun = true;
+    context.actions.emplace_back(ReportSignature { signature });
+    refuse(context, request, RefusalReason::CrashSuspect);
+    blockSignature(context, signature);
+}
+
+}
+
 auto stopDecode(DecisionContext& context, ActiveRequest& request) -> void
 {
+    request.mayHaveRun = true;
     cancelAttempt(context, request);
     leave(context, request);
     enter(context, request, RequestPhase::Stopping);
@@ -235,7 +259,13 @@
         ++request.redirects;
     else
         ++request.failures;
-    request.avoid = request.phase == RequestPhase::Prefilling ? request.prefill : request.decode;
+    request.avoid = mayRunNow(request.phase) ? request.decode : request.prefill;
+    if (failure == FailureKind::ConnectionLost)
+        noteLostConnection(context, request);
+    if (request.verdict == CrashVerdict::Culprit) {
+        refuseCulprit(context, request);
+        return;
+    }
     const auto retry = mayRetry(context, request, failure);
     if (retry && resultStillKept(context, request, failure)) {
         redirectDecode(context, request);
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -1,5 +1,6 @@
 #include "Shard.h"
 
+#include "CrashWatch.h"
 #include "DecisionContext.h"
 #include "Dispatch.h"
 #include "LoadReports.h"
@@ -12,8 +13,9 @@
 
 namespace {
 
-auto handle(DecisionContext&, const SignatureReported&) -> void
+auto handle(DecisionContext& context, const SignatureReported& event) -> void
 {
+    blockSignature(context, event.signature);
 }
 
 auto handle(DecisionContext& context, const DrainStarted&) -> void
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -43,6 +43,8 @@
     ServiceRates rates;
     /// By kind.
     std::vector<LengthModel> lengths;
+    /// Signatures of requests that crash engines, and until when they are refused.
+    std::unordered_map<std::uint64_t, TimePoint> blockedSignatures;
     RetryBudget retryBudget;
     StartPace pace;
     StartPace latePace;
--- /dev/null
+++ b/test/correctness/CrashTest.cpp
@@ -0,0 +1,187 @@
+#include "ShardHarness.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace jayhold;
+using namespace jayhold::test;
+
+namespace {
+
+constexpr std::uint32_t firstDecode = 10;
+constexpr std::uint32_t decodeCount = 4;
+
+/// Engines that run a crowd of requests of which some crash the engine that decodes them.
+class CrashingEngines {
+public:
+    CrashingEngines(std::set<RequestId> culprits, bool culpritsFailFirst)
+        : m_culprits(std::move(culprits))
+        , m_culpritsFailFirst(culpritsFailFirst)
+    {
+        for (std::uint32_t id = 1; id <= 4; ++id)
+            harness.replica(id, PoolRole::Prefill, 8);
+        harness.replica(firstDecode, PoolRole::Decode, 20);
+    }
+
+    /// The crowd starts on one engine; the others join after.
+    auto start(std::uint64_t crowd) -> void
+    {
+        for (std::uint64_t id = 1; id <= crowd; ++id) {
+            harness.arrive(id, 1);
+            takeActions();
+        }
+        finishPrefills();
+        for (std::uint32_t id = firstDecode + 1; id < firstDecode + decodeCount; ++id)
+            harness.replica(id, PoolRole::Decode, 20);
+        takeActions();
+    }
+
+    auto step() -> void
+    {
+        harness.advance(50ms);
+        takeActions();
+        finishPrefills();
+        crashEngines();
+        const auto decodes = m_decodes;
+        for (const auto& [id, decode] : decodes)
+            advanceDecode(decode);
+    }
+
+    ShardHarness harness;
+    std::set<RequestId> finished;
+    std::map<RequestId, Refuse> refused;
+    std::set<std::uint64_t> reported;
+    int crashes = 0;
+
+private:
+    auto takeActions() -> void
+    {
+        const auto actions = harness.actions;
+        harness.actions.clear();
+        for (const auto& action : actions) {
+            if (const auto* prefill = std::get_if<StartPrefill>(&action))
+                m_prefills[prefill->request] = *prefill;
+            else if (const auto* decode = std::get_if<StartDecode>(&action))
+                m_decodes[decode->request] = *decode;
+            else if (const auto* refusal = std::get_if<Refuse>(&action))
+                refused.emplace(refusal->request, *refusal);
+            else if (const auto* report = std::get_if<ReportSignature>(&action))
+                reported.insert(report->signature);
+        }
+    }
+
+    auto send(const DecisionEvent& event) -> void
+    {
+        harness.send(event);
+        takeActions();
+    }
+
+    auto finishPrefills() -> void
+    {
+        const auto prefills = std::exchange(m_prefills, {});
+        for (const auto& [id, start] : prefills)
+            send(PrefillDone { id, start.attempt, harness.now + 800ms, 0 });
+    }
+
+    auto crashEngines() -> void
+    {
+        std::set<ReplicaId> crashed;
+        for (const auto& [id, decode] : m_decodes) {
+            if (m_culprits.contains(id))
+                crashed.insert(decode.decode);
+        }
+        for (const auto engine : crashed)
+            crash(engine);
+    }
+
+    auto crash(ReplicaId engine) -> void
+    {
+        ++crashes;
+        std::vector<StartDecode> lost;
+        for (const auto& [id, decode] : m_decodes) {
+            if (decode.decode == engine)
+                lost.push_back(decode);
+        }
+        std::stable_partition(lost.begin(), lost.end(), [&](const StartDecode& decode) {
+            return m_culprits.contains(decode.request) == m_culpritsFailFirst;
+        });
+        for (const auto& decode : lost)
+            m_decodes.erase(decode.request);
+        for (const auto& decode : lost)
+            send(DecodeFailed { decode.request, decode.attempt, FailureKind::ConnectionLost, m_tokens[decode.request] });
+    }
+
+    auto advanceDecode(const StartDecode& decode) -> void
+    {
+        const auto current = m_decodes.find(decode.request);
+        if (current == m_decodes.end() || current->second.attempt != decode.attempt)
+            return;
+        auto& tokens = m_tokens[decode.request];
+        tokens += 3;
+        send(TokensEmitted { decode.request, decode.attempt, tokens });
+        constexpr std::uint32_t length = 60;
+        if (tokens < length)
+            return;
+        m_decodes.erase(decode.request);
+        finished.insert(decode.request);
+        send(DecodeFinished { decode.request, decode.attempt, tokens });
+    }
+
+    std::set<RequestId> m_culprits;
+    bool m_culpritsFailFirst;
+    std::map<RequestId, StartPrefill> m_prefills;
+    std::map<RequestId, StartDecode> m_decodes;
+    std::map<RequestId, std::uint32_t> m_tokens;
+};
+
+auto play(CrashingEngines& engines, std::uint64_t crowd) -> void
+{
+    engines.start(crowd);
+    for (int step = 0; step < 600; ++step)
+        engines.step();
+}
+
+}
+
+// Guards against a request that takes down one engine after another, and against refusing or
+// blaming the requests that happened to run beside it.
+TEST_CASE("a crashing request is recognised within two crashes and the innocent are answered")
+{
+    const auto culpritFailsFirst = GENERATE(true, false);
+    CrashingEngines engines({ RequestId { 7 } }, culpritFailsFirst);
+    play(engines, 20);
+    CHECK(engines.crashes == 2);
+    CHECK(engines.finished.size() == 19);
+    REQUIRE(engines.refused.size() == 1);
+    REQUIRE(engines.refused.contains(RequestId { 7 }));
+    CHECK(engines.refused.at(RequestId { 7 }).reason == RefusalReason::CrashSuspect);
+    CHECK(engines.refused.at(RequestId { 7 }).outcome == Outcome::Unknown);
+    CHECK(engines.reported == std::set<std::uint64_t> { 7 });
+}
+
+// Guards against two crashing requests that hide behind each other.
+TEST_CASE("each of two crashing requests is recognised at its second crash")
+{
+    CrashingEngines engines({ RequestId { 3 }, RequestId { 12 } }, true);
+    play(engines, 20);
+    CHECK(engines.crashes == 3);
+    CHECK(engines.finished.size() == 18);
+    CHECK(engines.reported == std::set<std::uint64_t> { 3, 12 });
+}
+
+// Guards against a caller that sends a crashing request again, here or at a peer.
+TEST_CASE("a request with a reported signature is refused as not run")
+{
+    ShardHarness harness;
+    harness.replica(1, PoolRole::Prefill, 4);
+    harness.replica(2, PoolRole::Decode, 4);
+    harness.send(SignatureReported { 55 });
+    harness.arrive(1, 0, 0, 1'000, 55);
+    REQUIRE(harness.last<Refuse>());
+    CHECK(harness.last<Refuse>()->reason == RefusalReason::CrashSuspect);
+    CHECK(harness.last<Refuse>()->outcome == Outcome::NotRun);
+    CHECK(harness.last<Refuse>()->retryAfter == Duration::zero());
+}
