Place prefills by cached prefix, load and zone

The cache view is kept by block with the epoch of the replica, so a gap in its events drops its part without a pass over the blocks. A decode goes to the zone of its prefill, then to the own zone. The order of equally loaded replicas depends on the seed, so that instances that see the same reports don't all choose the same one.

Also: an answer that may outgrow a replica's memory reserves all of it and no longer waits for more than the replica has.

--- a/cmake/decision.cmake
+++ b/cmake/decision.cmake
@@ -1,10 +1,10 @@
 jayhold_library(jayhold_decision
-  UNITS Admission AnsweredRequests CrashWatch Deadlines Dispatch EndForecast Forecast Ledger LengthModel LoadReports Placement ReplicaEvents ReplicaHealth ReplicaIndex RequestEvents
+  UNITS Admission AnsweredRequests CrashWatch Deadlines Dispatch EndForecast Forecast Ledger LengthModel LoadReports Placement PrefillChoice PrefixCacheView ReplicaEvents ReplicaHealth ReplicaIndex RequestEvents
     RequestLife RequestQueue RetryDelay RetryRules Shard TimerQueue
   LINK jayhold_operator)
 
 jayhold_test(decision_test
-  SOURCES test/correctness/CrashTest.cpp test/correctness/FairnessTest.cpp test/correctness/LoadReportTest.cpp test/correctness/OverloadTest.cpp test/correctness/RetryTest.cpp test/correctness/SeatForecastTest.cpp test/correctness/ShardModel.cpp test/correctness/ShardPropertyTest.cpp
+  SOURCES test/correctness/CrashTest.cpp test/correctness/FairnessTest.cpp test/correctness/LoadReportTest.cpp test/correctness/OverloadTest.cpp test/correctness/PlacementTest.cpp test/correctness/RetryTest.cpp test/correctness/SeatForecastTest.cpp test/correctness/ShardModel.cpp test/correctness/ShardPropertyTest.cpp
     test/correctness/ShardTest.cpp
   LINK jayhold_decision)
 # Some faults showed only after more than a thousand random sequences; they take about 2 s.
--- a/src/Forecast.cpp
+++ b/src/Forecast.cpp
@@ -91,10 +91,13 @@
     return safe >= static_cast<double>(state.promised.size() + state.ready.size() + 1);
 }
 
-auto learnPrefill(DecisionContext& context, const ActiveRequest& request, TimePoint expiresAt) -> void
+auto learnPrefill(DecisionContext& context, const ActiveRequest& request, TimePoint expiresAt, std::uint32_t cachedTokens) -> void
 {
     auto& rates = context.state.rates;
-    rates.prefillTokensPerSecond.observe(request.prefillBacklog, toSeconds(context.now - request.phaseSince));
+    // The backlog was counted with the cached tokens that were expected.
+    const double own = request.prefillHold.prefillTokens;
+    const double computed = request.prefillBacklog - own + request.arrival.promptTokens - std::min(cachedTokens, request.arrival.promptTokens);
+    rates.prefillTokensPerSecond.observe(computed, toSeconds(context.now - request.phaseSince));
     rates.keptSeconds.observe(toSeconds(expiresAt - context.now), 1);
 }
 
--- a/src/Forecast.h
+++ b/src/Forecast.h
@@ -24,7 +24,7 @@
 auto seatExpected(const DecisionContext& context, Duration prefill) -> bool;
 
 /// Learns from the events of a request.
-auto learnPrefill(DecisionContext& context, const ActiveRequest& request, TimePoint expiresAt) -> void;
+auto learnPrefill(DecisionContext& context, const ActiveRequest& request, TimePoint expiresAt, std::uint32_t cachedTokens) -> void;
 auto learnTransfer(DecisionContext& context, const ActiveRequest& request) -> void;
 auto learnTokens(DecisionContext& context, const ActiveRequest& request, std::uint32_t total) -> void;
 auto learnLength(DecisionContext& context, const ActiveRequest& request, std::uint32_t total) -> void;
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -2,7 +2,8 @@
 
 #include "Forecast.h"
 #include "Ledger.h"
-#include "ReplicaIndex.h"
+#include "PrefillChoice.h"
+#include "ZoneSearch.h"
 
 #include <algorithm>
 
@@ -10,9 +11,6 @@
 
 namespace {
 
-/// Replicas examined in each zone before the next zone is tried; bounds the cost of a decision.
-constexpr std::size_t examinedPerZone = 8;
-
 /// A transfer may wait this long for the link; longer, and the result could expire.
 constexpr double longestLinkSeconds = 0.4;
 
@@ -23,66 +21,50 @@
     return rate <= 0 || !replica.reserved.linkBytes || static_cast<double>(replica.reserved.linkBytes + bytes) <= rate * longestLinkSeconds;
 }
 
-auto fits(const Replica& replica, const Reservation& amount) -> bool
-{
-    return hasPieces(replica, amount.pieces) && linkHasShare(replica, amount.linkBytes);
-}
-
-template <typename Fits>
-auto firstInZone(DecisionContext& context, const ZoneIndex& zone, const ActiveRequest& request, Fits fitsThere) -> Replica*
-{
-    Replica* second = nullptr;
-    std::size_t examined = 0;
-    for (const auto& [load, id] : zone) {
-        if (++examined > examinedPerZone)
-            break;
-        auto* replica = findReplica(context.state, id);
-        if (!replica || !fitsThere(*replica))
-            continue;
-        if (request.avoid != id)
-            return replica;
-        second = replica;
-    }
-    return second;
-}
-
-template <typename Fits>
-auto firstOfRole(DecisionContext& context, PoolRole role, const ActiveRequest& request, Fits fitsThere) -> Replica*
-{
-    auto& zones = context.state.index.ofRole(role);
-    const auto local = context.state.settings.localZone;
-    if (const auto zone = zones.find(local); zone != zones.end()) {
-        if (auto* replica = firstInZone(context, zone->second, request, fitsThere))
-            return replica;
-    }
-    for (const auto& [id, zone] : zones) {
-        if (id == local)
-            continue;
-        if (auto* replica = firstInZone(context, zone, request, fitsThere))
-            return replica;
-    }
-    return nullptr;
-}
-
 }
 
 auto decodeReservation(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> Reservation
 {
     const auto& state = context.state;
-    return { .seats = 1, .pieces = piecesFor(replica, reservedTokens(state, request)), .linkBytes = transferBytes(state, request) };
+    auto pieces = piecesFor(replica, reservedTokens(state, request));
+    // An answer that may outgrow the replica still runs where its prompt fits.
+    if (tokenCapacity(replica) > request.arrival.promptTokens && replica.description.memoryPieces)
+        pieces = std::min(pieces, replica.description.memoryPieces);
+    return { .seats = 1, .pieces = pieces, .linkBytes = transferBytes(state, request) };
 }
 
 auto prefillReservation(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> Reservation
 {
     const auto tokens = request.arrival.promptTokens;
-    return { .seats = 1, .pieces = piecesFor(replica, tokens), .linkBytes = transferBytes(context.state, request), .prefillTokens = tokens };
+    const auto cached = expectedCachedTokens(context.state, request, replica.description.replica);
+    return {
+        .seats = 1,
+        .pieces = piecesFor(replica, tokens),
+        .linkBytes = transferBytes(context.state, request),
+        .prefillTokens = tokens - cached,
+    };
 }
 
-auto chooseDecode(DecisionContext& context, const ActiveRequest& request) -> Replica*
+auto prefillFits(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> bool
 {
-    return firstOfRole(context, PoolRole::Decode, request, [&](const Replica& replica) {
-        return fits(replica, decodeReservation(context, request, replica));
-    });
+    return hasPieces(replica, piecesFor(replica, request.arrival.promptTokens)) && linkHasShare(replica, transferBytes(context.state, request));
+}
+
+auto chooseDecode(DecisionContext& context, const ActiveRequest& request, ZoneId prefillZone) -> Replica*
+{
+    const auto fits = [&](const Replica& replica) {
+        const auto amount = decodeReservation(context, request, replica);
+        return hasPieces(replica, amount.pieces) && linkHasShare(replica, amount.linkBytes);
+    };
+    const auto local = context.state.settings.localZone;
+    // The transfer stays within a zone where it can.
+    if (auto* replica = firstInZone(context, PoolRole::Decode, prefillZone, request, fits))
+        return replica;
+    if (auto* replica = firstInZone(context, PoolRole::Decode, local, request, fits))
+        return replica;
+    if (auto* replica = firstElsewhere(context, PoolRole::Decode, { prefillZone, local }, request, fits))
+        return replica;
+    return avoidedIfFits(context, PoolRole::Decode, request, fits);
 }
 
 namespace {
@@ -97,16 +79,23 @@
     return replica && replica->description.state == ReplicaState::Live ? replica : nullptr;
 }
 
+auto hasFreeDecode(const ShardState& state) -> bool
+{
+    return std::any_of(state.index.decode.begin(), state.index.decode.end(), [](const auto& zone) { return !zone.second.empty(); });
+}
+
 }
 
 auto choosePlacement(DecisionContext& context, const ActiveRequest& request) -> std::optional<Placement>
 {
-    auto* prefill = firstOfRole(context, PoolRole::Prefill, request, [&](const Replica& replica) {
-        return fits(replica, prefillReservation(context, request, replica));
-    });
+    // Without a seat or the prospect of one, the more expensive choice of a prefill is left out.
+    const auto seatIsFree = hasFreeDecode(context.state);
+    if (!seatIsFree && !seatExpected(context, prefillTime(context.state, request.arrival.promptTokens)))
+        return std::nullopt;
+    auto* prefill = choosePrefill(context, request);
     if (!prefill)
         return std::nullopt;
-    if (auto* decode = chooseDecode(context, request))
+    if (auto* decode = chooseDecode(context, request, prefill->description.zone))
         return Placement { prefill, decode, true };
     // A suspect is not run on the chance of a seat; its replica must be free of other suspects.
     if (request.verdict == CrashVerdict::Suspect)
--- a/src/Placement.h
+++ b/src/Placement.h
@@ -18,8 +18,11 @@
 /// @return a prefill replica, and a decode replica where a seat and memory are free or will be when
 /// the result is ready; nothing if there is no such pair now.
 auto choosePlacement(DecisionContext& context, const ActiveRequest& request) -> std::optional<Placement>;
+/// @param prefillZone where the prefill result is; a decode there is preferred.
 /// @return a decode replica with a free seat and memory for the request.
-auto chooseDecode(DecisionContext& context, const ActiveRequest& request) -> Replica*;
+auto chooseDecode(DecisionContext& context, const ActiveRequest& request, ZoneId prefillZone) -> Replica*;
+/// @return whether the replica has the memory and a share of its link for the request.
+auto prefillFits(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> bool;
 
 /// What the request takes on a decode replica.
 auto decodeReservation(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> Reservation;
--- /dev/null
+++ b/src/PrefixCacheView.h
@@ -0,0 +1,59 @@
+#pragma once
+
+/// Which prefill replicas have which prefix blocks in their cache, as far as late cache events and
+/// the shard's own prefills tell. Bounded in memory; a replica's part is dropped at once.
+
+#include "CacheEvents.h"
+#include "Identifiers.h"
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <span>
+#include <unordered_map>
+
+namespace jayhold {
+
+/// Replicas that have a block; enough of them to choose from.
+using BlockHolders = std::array<ReplicaId, 4>;
+
+class PrefixCacheView {
+public:
+    /// Takes a batch of events; after a gap in the sequence all that was known of the replica is dropped.
+    auto apply(const CacheEvents& events) -> void;
+    /// Notes that the replica has just computed a prompt with these blocks.
+    auto computed(ReplicaId replica, std::span<const std::uint64_t> blocks) -> void;
+    auto drop(ReplicaId replica) -> void;
+
+    /// @return how many of the chained blocks, from the first on, some replica has.
+    auto depth(std::span<const std::uint64_t> blocks) const -> std::size_t;
+    /// @return the same for one replica.
+    auto depthOn(ReplicaId replica, std::span<const std::uint64_t> blocks) const -> std::size_t;
+    /// Fills `holders` with replicas that have the block. @return how many there are.
+    auto holdersOf(std::uint64_t block, BlockHolders& holders) const -> std::size_t;
+
+private:
+    struct Holder {
+        ReplicaId replica {};
+        /// The epoch of the replica at which it was noted; zero stands for none.
+        std::uint32_t epoch = 0;
+    };
+    using Entry = std::array<Holder, std::tuple_size_v<BlockHolders>>;
+    struct Known {
+        /// Counts how often the view was dropped, so that dropping needs no pass over the blocks.
+        std::uint32_t epoch = 1;
+        std::uint64_t lastSequence = 0;
+        bool sequenced = false;
+    };
+
+    auto isCurrent(const Holder& holder) const -> bool;
+    auto has(ReplicaId replica, std::uint64_t block) const -> bool;
+    auto store(ReplicaId replica, std::uint64_t block) -> void;
+    auto evict(ReplicaId replica, std::uint64_t block) -> void;
+
+    std::unordered_map<std::uint64_t, Entry> m_blocks;
+    std::deque<std::uint64_t> m_order;
+    std::unordered_map<ReplicaId, Known> m_replicas;
+};
+
+}
--- a/src/ReplicaEvents.cpp
+++ b/src/ReplicaEvents.cpp
@@ -50,6 +50,7 @@
     const auto id = replica.description.replica;
     failOwners(context, replica, crashed);
     context.state.timers.move(id, replica.timerAt, TimePoint::max());
+    context.state.cache.drop(id);
     context.state.replicas.erase(id);
 }
 
@@ -81,8 +82,10 @@
         removeReplica(context, *known, before == ReplicaState::Live);
 }
 
-auto handle(DecisionContext&, const CacheEvents&) -> void
+auto handle(DecisionContext& context, const CacheEvents& event) -> void
 {
+    if (findReplica(context.state, event.replica))
+        context.state.cache.apply(event);
 }
 
 auto replicaTimerDue(DecisionContext& context, ReplicaId id) -> void
--- a/src/ReplicaIndex.cpp
+++ b/src/ReplicaIndex.cpp
@@ -10,17 +10,40 @@
 
 /// Load in units fine enough that small differences in free memory still order replicas.
 constexpr std::uint64_t loadScale = 1'024;
+constexpr int tieBits = 16;
+/// Taken for the prompt of another instance's prefill, of which only the number is known.
+constexpr std::uint64_t othersPrefillTokens = 2'000;
+
+auto usedPart(std::uint64_t used, std::uint64_t total) -> std::uint64_t
+{
+    return total ? used * loadScale / total : 0;
+}
 
 auto decodeLoad(const Replica& replica) -> std::uint64_t
 {
-    const std::uint64_t used = replica.reserved.seats + replica.othersSeats;
-    return used * loadScale / std::max(replica.description.seats, 1U);
+    const auto& description = replica.description;
+    const auto seats = usedPart(std::uint64_t { replica.reserved.seats } + replica.othersSeats, description.seats);
+    const auto pieces = usedPart(std::uint64_t { replica.reserved.pieces } + replica.othersPieces, description.memoryPieces);
+    return std::max(seats, pieces);
 }
 
 auto prefillLoad(const Replica& replica) -> std::uint64_t
 {
-    const std::uint64_t others = replica.othersSeats;
-    return replica.reserved.prefillTokens + others * loadScale;
+    return replica.reserved.prefillTokens + std::uint64_t { replica.othersSeats } * othersPrefillTokens;
+}
+
+/// Orders replicas of equal load differently on each instance, so that instances that see the same
+/// reports don't all choose the same replica.
+auto tieBreak(std::uint64_t seed, ReplicaId id) -> std::uint64_t
+{
+    constexpr std::uint64_t multiplier = 0x9E37'79B9'7F4A'7C15;
+    return ((seed + 1) * multiplier ^ (static_cast<std::uint64_t>(id) + 1) * multiplier) * multiplier >> (64 - tieBits);
+}
+
+auto indexKey(const ShardState& state, const Replica& replica) -> std::uint64_t
+{
+    const auto load = replica.role() == PoolRole::Prefill ? prefillLoad(replica) : decodeLoad(replica);
+    return load << tieBits | tieBreak(state.settings.seed, replica.description.replica);
 }
 
 /// After an ejection the replica gets one request at a time until one succeeds.
@@ -64,7 +87,7 @@
     const auto& description = replica.description;
     auto& zone = context.state.index.ofRole(description.role)[description.zone];
     const auto accepts = acceptsWork(replica, context.now);
-    const auto key = description.role == PoolRole::Prefill ? prefillLoad(replica) : decodeLoad(replica);
+    const auto key = indexKey(context.state, replica);
     if (replica.indexed && (!accepts || key != replica.indexKey))
         zone.erase({ replica.indexKey, description.replica });
     if (accepts && (!replica.indexed || key != replica.indexKey))
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -5,6 +5,7 @@
 #include "Forecast.h"
 #include "Ledger.h"
 #include "Placement.h"
+#include "PrefillChoice.h"
 #include "RetryDelay.h"
 #include "RetryRules.h"
 
@@ -171,15 +172,17 @@
     else
         state.promised.emplace(context.now, request.arrival.request);
     request.prefillBacklog = prefill.reserved.prefillTokens;
+    notePrefillZone(context, prefill);
     state.totals.prefillTokens += request.arrival.promptTokens;
     request.engineSince = context.now;
     enter(context, request, RequestPhase::Prefilling);
     context.actions.emplace_back(StartPrefill { request.arrival.request, request.attempt, *request.prefill, *request.decode });
 }
 
-auto prefillDone(DecisionContext& context, ActiveRequest& request, TimePoint expiresAt, std::uint32_t) -> void
+auto prefillDone(DecisionContext& context, ActiveRequest& request, TimePoint expiresAt, std::uint32_t cachedTokens) -> void
 {
-    learnPrefill(context, request, expiresAt);
+    learnPrefill(context, request, expiresAt, cachedTokens);
+    context.state.cache.computed(*request.prefill, request.arrival.prefixBlocks);
     context.state.promised.erase({ request.phaseSince, request.arrival.request });
     releasePrefillSeat(context, request);
     request.kvExpiresAt = expiresAt;
@@ -190,7 +193,8 @@
 
 auto reserveDecode(DecisionContext& context, ActiveRequest& request) -> bool
 {
-    auto* replica = chooseDecode(context, request);
+    const auto* prefill = findReplica(context.state, *request.prefill);
+    auto* replica = chooseDecode(context, request, prefill ? prefill->description.zone : context.state.settings.localZone);
     if (!replica)
         return false;
     request.decode = replica->description.replica;
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -7,6 +7,7 @@
 #include "EndForecast.h"
 #include "LengthModel.h"
 #include "PlacementIndex.h"
+#include "PrefixCacheView.h"
 #include "Replica.h"
 #include "RequestQueue.h"
 #include "RetryBudget.h"
@@ -16,6 +17,7 @@
 #include "StartPace.h"
 #include "TimerQueue.h"
 
+#include <optional>
 #include <random>
 #include <set>
 #include <unordered_map>
@@ -39,6 +41,9 @@
     std::set<std::pair<TimePoint, RequestId>> ready;
     /// Prefills that started on the expectation that a seat frees up, by the time of their start.
     std::set<std::pair<TimePoint, RequestId>> promised;
+    PrefixCacheView cache;
+    /// The other zone that prefills went to last, unless one has gone to the local zone since.
+    std::optional<ZoneId> remotePrefillZone;
     EndForecast ends;
     ServiceRates rates;
     /// By kind.
