--- a/cmake/decision.cmake
+++ b/cmake/decision.cmake
@@ -9,3 +9,6 @@
   LINK jayhold_decision)
 # Some faults showed only after more than a thousand random sequences; they take about 2 s.
 set_tests_properties(decision_test PROPERTIES ENVIRONMENT "RC_PARAMS=${JAYHOLD_RC_PARAMS} max_success=2000")
+
+add_executable(jayhold-decision-cost bench/DecisionCost.cpp)
+target_link_libraries(jayhold-decision-cost PRIVATE jayhold_decision)
--- a/src/Admission.cpp
+++ b/src/Admission.cpp
@@ -15,7 +15,7 @@
 {
     const auto& limits = state.settings.customerQueueLimits;
     const auto customer = static_cast<std::size_t>(request.arrival.customer);
-    return customer < limits.size() && state.queue.customerSize(request.flow.customer) >= limits[customer];
+    return customer < limits.size() && state.queue.customerSize(request.arrival.customer) >= limits[customer];
 }
 
 /// The request does not fit even the replica with the most memory.
--- a/src/CrashVerdict.h
+++ b/src/CrashVerdict.h
@@ -2,9 +2,11 @@
 
 /// What a request has to do with the crash of a replica that ran it.
 
+#include <cstdint>
+
 namespace jayhold {
 
-enum class CrashVerdict {
+enum class CrashVerdict : std::uint8_t {
     /// It ran into no crash, or into one that another request is to blame for.
     None,
     /// It was among the requests in flight at a crash; it is run again in isolation.
--- a/src/CrashWatch.cpp
+++ b/src/CrashWatch.cpp
@@ -19,10 +19,10 @@
 {
     if (replica.probationer)
         return true;
-    return replica.blamedAt && context.now - *replica.blamedAt <= crashWindow && request.engineSince <= *replica.blamedAt;
+    return replica.blamedAt && context.now - *replica.blamedAt <= crashWindow && request.phaseSince <= *replica.blamedAt;
 }
 
-auto endProbation(DecisionContext& context, const ActiveRequest& request, const std::optional<ReplicaId>& id) -> void
+auto endProbation(DecisionContext& context, const ActiveRequest& request, OptionalReplica id) -> void
 {
     auto* replica = id ? findReplica(context.state, *id) : nullptr;
     if (!replica || replica->probationer != request.arrival.request)
--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -41,7 +41,8 @@
 
 auto latestStart(const ShardState& state, const ActiveRequest& request) -> TimePoint
 {
-    const auto left = expectedTokens(state, request) - std::min(request.emitted, expectedTokens(state, request));
+    const auto expected = static_cast<double>(expectedTokens(state, request));
+    const auto left = std::max(expected - request.emitted, 0.0);
     // Half of the expected length, because the answer may be a short one.
     const auto decode = Duration(static_cast<Duration::rep>(left / 2 * 1e6 / state.rates.tokensPerSecond.value()));
     return request.arrival.deadline - timeToFirstToken(state, request) - decode;
@@ -53,8 +54,8 @@
     double ahead = 0;
     for (auto urgent = 0; urgent < static_cast<int>(request.latencyClass); ++urgent)
         ahead += static_cast<double>(queue.classSize(static_cast<LatencyClass>(urgent)));
-    const auto share = queue.share(request.flow, request.latencyClass, customerWeight(context.state, request));
-    const auto inFlow = static_cast<double>(queue.flowSize(request.flow)) / share;
+    const auto share = queue.share(request.flow(), request.latencyClass, customerWeight(context.state, request));
+    const auto inFlow = static_cast<double>(queue.flowSize(request.flow())) / share;
     ahead += std::min(inFlow, static_cast<double>(queue.classSize(request.latencyClass)));
     return Duration(static_cast<Duration::rep>(ahead * static_cast<double>(context.state.pace.interval(context.now).count())));
 }
--- a/src/EndForecast.cpp
+++ b/src/EndForecast.cpp
@@ -2,30 +2,19 @@
 
 namespace jayhold {
 
-namespace {
-
-constexpr Duration step = std::chrono::milliseconds(20);
-
-auto stepOf(TimePoint time) -> std::int64_t
-{
-    return time.time_since_epoch() / step;
-}
-
-}
-
 auto EndForecast::move(RequestId request, TimePoint& current, TimePoint next) -> void
 {
     if (current == next)
         return;
     if (current != TimePoint::max()) {
-        m_ends.erase({ current, request });
-        const auto count = m_counts.find(stepOf(current));
-        if (--count->second == 0)
-            m_counts.erase(count);
+        const auto step = m_steps.find(stepOf(current));
+        if (--step->second.count == 0)
+            m_steps.erase(step);
     }
     if (next != TimePoint::max()) {
-        m_ends.emplace(next, request);
-        ++m_counts[stepOf(next)];
+        auto& step = m_steps[stepOf(next)];
+        ++step.count;
+        step.latest = request;
     }
     current = next;
 }
@@ -33,18 +22,10 @@
 auto EndForecast::count(TimePoint from, TimePoint until) const -> std::uint32_t
 {
     std::uint32_t total = 0;
-    const auto end = m_counts.upper_bound(stepOf(until));
-    for (auto entry = m_counts.lower_bound(stepOf(from)); entry != end; ++entry)
-        total += entry->second;
+    const auto end = m_steps.upper_bound(stepOf(until));
+    for (auto step = m_steps.lower_bound(stepOf(from)); step != end; ++step)
+        total += step->second.count;
     return total;
 }
 
-auto EndForecast::firstAfter(TimePoint time) const -> std::optional<RequestId>
-{
-    const auto found = m_ends.lower_bound({ time, RequestId {} });
-    if (found == m_ends.end())
-        return std::nullopt;
-    return found->second;
-}
-
 }
--- a/src/EndForecast.h
+++ b/src/EndForecast.h
@@ -8,8 +8,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
-#include <utility>
 
 namespace jayhold {
 
@@ -19,13 +17,34 @@
     auto move(RequestId request, TimePoint& current, TimePoint next) -> void;
     /// @return how many are expected to end between the two times.
     auto count(TimePoint from, TimePoint until) const -> std::uint32_t;
-    /// @return the request that is expected to end first after the given time.
-    auto firstAfter(TimePoint time) const -> std::optional<RequestId>;
+
+    /// @param isValid whether a request is still expected to end at that step; ends are not kept by
+    /// request, so a request that moved or ended may come up.
+    /// @return a request that is among the first to end after the given time.
+    template <typename Predicate>
+    auto firstAfter(TimePoint time, Predicate isValid) const -> std::optional<RequestId>
+    {
+        auto step = m_steps.lower_bound(stepOf(time));
+        for (int tried = 0; tried < triedSteps && step != m_steps.end(); ++tried, ++step) {
+            if (isValid(step->second.latest))
+                return step->second.latest;
+        }
+        return std::nullopt;
+    }
 
 private:
-    std::set<std::pair<TimePoint, RequestId>> m_ends;
-    /// Ends in steps of 20 ms, so that counting does not depend on the number of streams.
-    std::map<std::int64_t, std::uint32_t> m_counts;
+    /// Ends within one step of 20 ms, so that neither counting nor memory depends on the number of streams.
+    struct Step {
+        std::uint32_t count = 0;
+        RequestId latest {};
+    };
+
+    static constexpr int triedSteps = 32;
+    static constexpr Duration stepLength = std::chrono::milliseconds(20);
+
+    static auto stepOf(TimePoint time) -> std::int64_t { return time.time_since_epoch() / stepLength; }
+
+    std::map<std::int64_t, Step> m_steps;
 };
 
 }
--- a/src/EngineUse.h
+++ b/src/EngineUse.h
@@ -19,7 +19,8 @@
     auto covers(TimePoint time) const -> bool { return start <= time && time < end; }
 };
 
-/// The last uses that ended; enough for the 20 or so streams of an engine within a report's lag.
+/// The last uses that ended. An engine ends about three streams a second, and reports lag by less
+/// than a second.
 class EngineUses {
 public:
     auto add(const EngineUse& use) -> void
@@ -32,7 +33,7 @@
     auto end() const { return m_uses.end(); }
 
 private:
-    std::array<EngineUse, 16> m_uses {};
+    std::array<EngineUse, 8> m_uses {};
     std::size_t m_next = 0;
 };
 
--- a/src/LatencyClass.h
+++ b/src/LatencyClass.h
@@ -2,12 +2,13 @@
 
 /// How urgent a kind of request is. Queues serve a more urgent class first, subject to ageing.
 
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
 namespace jayhold {
 
-enum class LatencyClass {
+enum class LatencyClass : std::uint8_t {
     Interactive,
     Standard,
     Batch,
--- a/src/Ledger.cpp
+++ b/src/Ledger.cpp
@@ -49,7 +49,7 @@
     if (part.seats && replica->seatAllowance)
         *replica->seatAllowance += part.seats;
     if (part.seats && usesEngine(request, replica->role()))
-        replica->endedUses.add({ request.engineSince, context.now, part.pieces });
+        replica->endedUses.add({ request.phaseSince, context.now, part.pieces });
     updateIndex(context, *replica);
 }
 
--- a/src/LoadReports.cpp
+++ b/src/LoadReports.cpp
@@ -32,7 +32,7 @@
     OwnUse own;
     for (const auto owner : replica.owners) {
         const auto& request = *findRequest(state, owner);
-        if (request.engineSince > asOf)
+        if (request.phaseSince > asOf)
             continue;
         const auto running = runsOn(request, replica.description.replica);
         own.running += running;
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -30,7 +30,7 @@
     // An answer that may outgrow the replica still runs where its prompt fits.
     if (tokenCapacity(replica) > request.arrival.promptTokens && replica.description.memoryPieces)
         pieces = std::min(pieces, replica.description.memoryPieces);
-    return { .seats = 1, .pieces = pieces, .linkBytes = transferBytes(state, request) };
+    return { .linkBytes = transferBytes(state, request), .seats = 1, .pieces = pieces };
 }
 
 auto prefillReservation(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> Reservation
@@ -38,9 +38,9 @@
     const auto tokens = request.arrival.promptTokens;
     const auto cached = expectedCachedTokens(context.state, request, replica.description.replica);
     return {
+        .linkBytes = transferBytes(context.state, request),
         .seats = 1,
         .pieces = piecesFor(replica, tokens),
-        .linkBytes = transferBytes(context.state, request),
         .prefillTokens = tokens - cached,
     };
 }
@@ -69,13 +69,17 @@
 
 namespace {
 
-/// @return the live decode replica where a seat is expected to free up next.
+/// @return the live decode replica where a seat is expected to free up soon.
 auto expectedDecode(DecisionContext& context) -> Replica*
 {
-    const auto ending = context.state.ends.firstAfter(context.now);
-    if (!ending)
-        return nullptr;
-    auto* replica = findReplica(context.state, *findRequest(context.state, *ending)->decode);
+    Replica* replica = nullptr;
+    context.state.ends.firstAfter(context.now, [&](RequestId ending) {
+        const auto* request = findRequest(context.state, ending);
+        if (!request || request->phase != RequestPhase::Decoding)
+            return false;
+        replica = findReplica(context.state, *request->decode);
+        return replica && replica->description.state == ReplicaState::Live;
+    });
     return replica && replica->description.state == ReplicaState::Live ? replica : nullptr;
 }
 
--- a/src/PrefixCacheView.cpp
+++ b/src/PrefixCacheView.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// About 20 MB; with blocks of 256 tokens, prefixes of 50 million tokens.
-constexpr std::size_t largestView = 200'000;
+/// About 6 MB; with blocks of 256 tokens, prefixes of 25 million tokens.
+constexpr std::size_t largestView = 100'000;
 /// Blocks of a prompt that are noted before the engine reports them; bounds the cost of a decision.
 constexpr std::size_t notedBlocks = 32;
 
--- a/src/PrefixCacheView.h
+++ b/src/PrefixCacheView.h
@@ -15,7 +15,7 @@
 namespace jayhold {
 
 /// Replicas that have a block; enough of them to choose from.
-using BlockHolders = std::array<ReplicaId, 4>;
+using BlockHolders = std::array<ReplicaId, 3>;
 
 class PrefixCacheView {
 public:
--- a/src/QueueEntry.h
+++ b/src/QueueEntry.h
@@ -10,7 +10,7 @@
 
 namespace jayhold {
 
-enum class QueueLane {
+enum class QueueLane : std::uint8_t {
     /// Streams that broke off; their callers already read.
     Resume,
     /// Fair queues of the latency classes.
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -48,7 +48,6 @@
     auto& request = state.requests[event.request];
     request.arrival = event;
     request.arrivedAt = context.now;
-    request.flow = { event.kind, event.customer };
     request.latencyClass = kindOf(state, request).latencyClass;
     const auto refusal = admissionRefusal(context, request);
     enqueue(context, request);
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -24,7 +24,8 @@
 auto enter(DecisionContext& context, ActiveRequest& request, RequestPhase phase) -> void
 {
     request.phase = phase;
-    request.phaseSince = context.now;
+    if (phase != RequestPhase::Decoding)
+        request.phaseSince = context.now;
     request.progressAt = context.now;
     setTimer(context, request);
 }
@@ -101,7 +102,7 @@
     return {
         .request = request.arrival.request,
         .order = static_cast<std::uint64_t>(request.arrivedAt.time_since_epoch().count()),
-        .flow = request.flow,
+        .flow = request.flow(),
         .latencyClass = request.latencyClass,
         .lane = request.lane,
     };
@@ -174,7 +175,6 @@
     request.prefillBacklog = prefill.reserved.prefillTokens;
     notePrefillZone(context, prefill);
     state.totals.prefillTokens += request.arrival.promptTokens;
-    request.engineSince = context.now;
     enter(context, request, RequestPhase::Prefilling);
     context.actions.emplace_back(StartPrefill { request.arrival.request, request.attempt, *request.prefill, *request.decode });
 }
@@ -208,7 +208,6 @@
     if (request.decodeHold.empty() && !reserveDecode(context, request))
         return false;
     context.state.ready.erase({ request.kvExpiresAt, request.arrival.request });
-    request.engineSince = context.now;
     enter(context, request, RequestPhase::Starting);
     context.actions.emplace_back(StartDecode { request.arrival.request, request.attempt, *request.prefill, *request.decode, request.emitted });
     return true;
@@ -220,6 +219,8 @@
     learnFirstToken(context, request);
     releasePrefill(context, request);
     releaseDecodeLink(context, request);
+    // Most of the memory of a running request; a retry is placed without it.
+    std::vector<std::uint64_t>().swap(request.arrival.prefixBlocks);
     enter(context, request, RequestPhase::Decoding);
     updateExpectedEnd(context, request);
 }
--- a/src/RequestPhase.h
+++ b/src/RequestPhase.h
@@ -2,9 +2,11 @@
 
 /// Where a request stands between its arrival and its final answer.
 
+#include <cstdint>
+
 namespace jayhold {
 
-enum class RequestPhase {
+enum class RequestPhase : std::uint8_t {
     /// Waits in its queue; nothing is reserved.
     Queued,
     /// A prefill engine works on it.
--- a/src/Reservation.h
+++ b/src/Reservation.h
@@ -7,9 +7,9 @@
 namespace jayhold {
 
 struct Reservation {
+    std::uint64_t linkBytes = 0;
     std::uint32_t seats = 0;
     std::uint32_t pieces = 0;
-    std::uint64_t linkBytes = 0;
     /// Prompt tokens still to be prefilled; only on prefill replicas.
     std::uint32_t prefillTokens = 0;
 
--- a/test/correctness/ShardModel.cpp
+++ b/test/correctness/ShardModel.cpp
@@ -137,7 +137,7 @@
 auto ShardModel::arrive(const ModelStep& step) -> void
 {
     if (step.second % 8 == 0 && !m_requests.empty()) {
-        deliver(std::next(m_requests.begin(), step.third % m_requests.size())->second.arrival);
+        deliver(nth(step.third)->second.arrival);
         return;
     }
     const RequestId id { m_requests.size() + 1 };
@@ -156,6 +156,11 @@
     deliver(request.arrival);
 }
 
+auto ShardModel::nth(std::size_t index) -> Requests::iterator
+{
+    return std::next(m_requests.begin(), static_cast<std::ptrdiff_t>(index % m_requests.size()));
+}
+
 auto ShardModel::prefillEvent(const ModelStep& step) -> void
 {
     if (m_prefills.empty())
@@ -235,7 +240,7 @@
 {
     if (m_requests.empty())
         return;
-    auto& [id, request] = *std::next(m_requests.begin(), (step.second * 256U + step.third) % m_requests.size());
+    auto& [id, request] = *nth(step.second * 256U + step.third);
     request.answered = true;
     deliver(RequestCancelled { id });
 }
@@ -261,7 +266,7 @@
         .held = {},
     };
     if (!m_requests.empty())
-        load.held.push_back(std::next(m_requests.begin(), step.first % m_requests.size())->first);
+        load.held.push_back(nth(step.first)->first);
     deliver(load);
 }
 
--- a/test/correctness/ShardModel.h
+++ b/test/correctness/ShardModel.h
@@ -43,6 +43,9 @@
         Attempt streaming = 0;
     };
 
+    using Requests = std::map<RequestId, KnownRequest>;
+
+    auto nth(std::size_t index) -> Requests::iterator;
     auto deliver(const DecisionEvent& event) -> void;
     auto deliverOf(RequestId id, Attempt attempt, const DecisionEvent& event) -> void;
     auto arrive(const ModelStep& step) -> void;
@@ -64,7 +67,7 @@
     auto unanswered() const -> std::size_t;
 
     ShardHarness m_harness;
-    std::map<RequestId, KnownRequest> m_requests;
+    Requests m_requests;
     std::map<ReplicaId, ReplicaChanged> m_replicas;
     std::vector<StartPrefill> m_prefills;
     std::vector<StartDecode> m_decodes;
