Add the cluster node: configuration, membership and at-most-once records

The daemon needs one object that distributes the configuration and the instance list, knows the live peers and commits at-most-once records.

The tests over real sockets ended with memory corruption at first: a coroutine on one I/O thread that waits for one on another refers to both contexts, and IoThreads destroyed the contexts one after another. Now all pending operations are destroyed before the first context is.

The platform's update body is taken to be the value itself, since the protocol does not name another form.

--- /dev/null
+++ b/src/CallBudget.cpp
@@ -0,0 +1,23 @@
+#include "CallBudget.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jayhold {
+
+auto takeCall(CallBudget& budget, TimePoint now, Duration longestWait) -> Duration
+{
+    if (now > budget.refilledAt) {
+        const auto elapsed = std::chrono::duration<double>(now - budget.refilledAt).count();
+        budget.tokens = std::min(budget.burst, budget.tokens + elapsed * budget.callsPerSecond);
+        budget.refilledAt = now;
+    }
+    const auto missing = 1 - budget.tokens;
+    const auto wait = missing <= 0 ? Duration::zero() : Duration(static_cast<Duration::rep>(std::ceil(missing / budget.callsPerSecond * 1e6)));
+    if (wait > longestWait)
+        return Duration(-1);
+    budget.tokens -= 1;
+    return wait;
+}
+
+}
--- /dev/null
+++ b/src/ClusterCore.cpp
@@ -0,0 +1,68 @@
+#include "ClusterCore.h"
+
+#include "AwaitToken.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Seconds from 1970 to 2025. Incarnations count from there, because every gossip message carries
+/// several of them.
+constexpr std::int64_t incarnationEpoch = 1'735'689'600;
+
+auto firstIncarnation() -> std::int64_t
+{
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    return std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::seconds>(wall).count() - incarnationEpoch);
+}
+
+auto membershipSettings(const ClusterSettings& settings) -> MembershipSettings
+{
+    MembershipSettings result;
+    result.self = { .id = settings.instance, .peerEndpoint = settings.peerEndpoint, .availabilityZone = settings.availabilityZone, .incarnation = firstIncarnation() };
+    result.suspectAfter = settings.suspectAfter;
+    // Four rounds of probes decide about a suspect.
+    result.deadAfter = settings.suspectAfter + settings.gossipInterval * 4;
+    result.seed = settings.seed ^ std::hash<std::string>()(settings.instance);
+    return result;
+}
+
+}
+
+ClusterCore::ClusterCore(IoThreads& ioThreads, ClusterSettings clusterSettings, EventLog& eventLog)
+    : threads(ioThreads)
+    , settings(std::move(clusterSettings))
+    , log(eventLog)
+    , store(settings)
+    , membership(makeMembership(membershipSettings(settings), monotonicNow()))
+{
+}
+
+auto peerRequest(ClusterCore& core, std::string method, std::string target, std::string body) -> HttpRequest
+{
+    HttpRequest request { std::move(method), std::move(target), {}, std::move(body), true };
+    request.headers.push_back({ std::string(peerKeyHeader), core.settings.peerKey });
+    request.headers.push_back({ std::string(hybridTimeHeader), toString(core.log.clock().tick()) });
+    return request;
+}
+
+auto pause(Duration time) -> asio::awaitable<void>
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(awaitInto(ignored));
+}
+
+auto spawnAtHome(const ClusterPointer& core, asio::awaitable<void> task) -> void
+{
+    asio::co_spawn(core->threads.context(0), std::move(task), asio::detached);
+}
+
+}
--- /dev/null
+++ b/src/ClusterGossip.cpp
@@ -0,0 +1,186 @@
+#include "ClusterGossip.h"
+
+#include "ClusterDocuments.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr auto gossipTimeout = std::chrono::seconds(1);
+/// Rumors in one message, which bounds its size.
+constexpr std::size_t signaturesPerMessage = 8;
+constexpr std::size_t leavingPerMessage = 4;
+/// A report that a backend server is leaving holds until the platform's list, which lags, says
+/// the same.
+constexpr auto leavingTime = std::chrono::seconds(60);
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusBadRequest = 400;
+
+auto logMember(ClusterCore& core, std::string_view event, const Member& member) -> void
+{
+    core.log.record(LogLevel::Info, event, { { "peer", member.id }, { "peer_zone", member.availabilityZone }, { "incarnation", member.incarnation } });
+}
+
+auto report(ClusterCore& core, const MembershipAction& action) -> void
+{
+    if (const auto* found = std::get_if<MemberFound>(&action))
+        logMember(core, "member_found", found->member);
+    if (const auto* suspected = std::get_if<MemberSuspected>(&action))
+        logMember(core, "member_suspected", suspected->member);
+    if (const auto* renewed = std::get_if<SelfRenewed>(&action))
+        core.log.record(LogLevel::Warning, "incarnation_raised", { { "incarnation", renewed->incarnation } });
+    if (const auto* lost = std::get_if<MemberLost>(&action)) {
+        logMember(core, "member_lost", lost->member);
+        if (core.callbacks.memberLost)
+            core.callbacks.memberLost(lost->member);
+    }
+}
+
+auto reportAtHome(const ClusterPointer& core, std::vector<MembershipAction> actions) -> void
+{
+    if (actions.empty())
+        return;
+    asio::post(core->threads.context(0), [core, actions = std::move(actions)] {
+        for (const auto& action : actions) {
+            if (!core->isStopped)
+                report(*core, action);
+        }
+    });
+}
+
+/// The core's lock is held.
+auto addVersionsAndRumors(ClusterCore& core, GossipMessage& message) -> void
+{
+    message.listVersion = core.listCopy.version;
+    message.signatures = takeRumors(core.signatures, signaturesPerMessage);
+    message.leaving = takeRumors(core.leaving, leavingPerMessage);
+}
+
+auto takeIn(const ClusterPointer& core, const GossipMessage& message) -> void
+{
+    std::vector<MembershipAction> actions;
+    {
+        const std::lock_guard guard(core->lock);
+        mergeMessage(core->membership, monotonicNow(), message, actions);
+    }
+    reportAtHome(core, std::move(actions));
+    const auto& sender = message.sender.member;
+    notePeerVersions(core, sender.peerEndpoint, sender.configurationVersion, message.listVersion);
+    for (const auto signature : message.signatures)
+        learnSignature(core, signature);
+    for (const auto& backend : message.leaving)
+        learnLeaving(core, backend);
+}
+
+auto parseMessage(const std::string& body) -> std::optional<GossipMessage>
+{
+    boost::system::error_code code;
+    const auto document = json::parse(body, code);
+    return code ? std::nullopt : gossipMessageFromJson(document);
+}
+
+auto gossipRequest(const ClusterCore& core, std::string body) -> HttpRequest
+{
+    // No hybrid time here: six messages a second have a budget of bytes.
+    HttpRequest request { "POST", "/internal/v1/gossip", {}, std::move(body), true };
+    request.headers.push_back({ std::string(peerKeyHeader), core.settings.peerKey });
+    return request;
+}
+
+auto sendGossip(ClusterPointer core, HttpEndpoint peer, std::string body) -> asio::awaitable<void>
+{
+    auto request = gossipRequest(*core, std::move(body));
+    const auto answer = co_await core->threads.client(0).request(std::move(peer), std::move(request), gossipTimeout);
+    if (core->isStopped || answer.has_error() || answer->status != statusOk)
+        co_return;
+    if (const auto reply = parseMessage(answer->body))
+        takeIn(core, *reply);
+}
+
+struct Outgoing {
+    HttpEndpoint peer;
+    std::string body;
+};
+
+auto composeRound(const ClusterPointer& core) -> std::vector<Outgoing>
+{
+    std::vector<Outgoing> round;
+    std::vector<MembershipAction> actions;
+    {
+        const std::lock_guard guard(core->lock);
+        const auto now = monotonicNow();
+        startRound(core->membership, now, actions);
+        for (auto& peer : chooseTargets(core->membership, now)) {
+            auto message = composeMessage(core->membership);
+            addVersionsAndRumors(*core, message);
+            round.push_back({ std::move(peer), json::serialize(toJson(message)) });
+        }
+    }
+    reportAtHome(core, std::move(actions));
+    return round;
+}
+
+}
+
+auto runGossip(ClusterPointer core) -> asio::awaitable<void>
+{
+    while (!core->isStopped) {
+        for (auto& outgoing : composeRound(core))
+            spawnAtHome(core, sendGossip(core, std::move(outgoing.peer), std::move(outgoing.body)));
+        co_await pause(core->settings.gossipInterval);
+    }
+}
+
+auto answerGossip(const ClusterPointer& core, const std::string& body) -> HttpResponse
+{
+    const auto message = parseMessage(body);
+    if (!message)
+        return { statusBadRequest, {}, {} };
+    takeIn(core, *message);
+    const std::lock_guard guard(core->lock);
+    auto reply = composeReply(core->membership, *message);
+    reply.listVersion = core->listCopy.version;
+    return { statusOk, {}, json::serialize(toJson(reply)) };
+}
+
+auto learnSignature(const ClusterPointer& core, std::uint64_t signature) -> void
+{
+    {
+        const std::lock_guard guard(core->lock);
+        if (!learn(core->signatures, signature))
+            return;
+    }
+    asio::post(core->threads.context(0), [core, signature] {
+        if (!core->isStopped && core->callbacks.signature)
+            core->callbacks.signature(signature);
+    });
+}
+
+auto learnLeaving(const ClusterPointer& core, const std::string& backendId) -> void
+{
+    {
+        const std::lock_guard guard(core->lock);
+        const auto now = monotonicNow();
+        const auto known = core->leavingUntil.find(backendId);
+        if (known != core->leavingUntil.end() && now >= known->second) {
+            forget(core->leaving, backendId);
+            core->leavingUntil.erase(known);
+        }
+        if (!learn(core->leaving, backendId))
+            return;
+        core->leavingUntil[backendId] = now + leavingTime;
+    }
+    asio::post(core->threads.context(0), [core] {
+        if (!core->isStopped)
+            publishBackends(*core);
+    });
+}
+
+}
--- /dev/null
+++ b/src/ClusterGossip.h
@@ -0,0 +1,21 @@
+#pragma once
+
+/// Drives the membership state machine: sends a round of gossip in every interval and takes in
+/// messages and replies. Private to the cluster library.
+
+#include "ClusterCore.h"
+
+namespace jayhold {
+
+auto runGossip(ClusterPointer core) -> boost::asio::awaitable<void>;
+
+/// Takes in a peer's message and answers it.
+auto answerGossip(const ClusterPointer& core, const std::string& body) -> HttpResponse;
+
+/// Learns a signature and passes it on; the callback is called if it is new.
+auto learnSignature(const ClusterPointer& core, std::uint64_t signature) -> void;
+
+/// Learns that a backend server is leaving and passes it on.
+auto learnLeaving(const ClusterPointer& core, const std::string& backendId) -> void;
+
+}
--- /dev/null
+++ b/src/GossipMessage.h
@@ -0,0 +1,38 @@
+#pragma once
+
+/// One gossip message, and its compact JSON form.
+
+#include "MemberEntry.h"
+
+#include <boost/json/value.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jayhold {
+
+struct GossipMessage {
+    MemberEntry sender;
+    std::vector<MemberEntry> sample;
+    /// Version of the instance list that the sender has, 0 for none.
+    std::int64_t listVersion = 0;
+    /// In a reply: an incarnation of the receiver that the sender holds to be dead or newer than
+    /// the receiver's own; the receiver continues with a higher one.
+    std::optional<std::int64_t> disownedIncarnation;
+    /// Asks for as many full entries as a reply may hold.
+    bool isJoining = false;
+    std::vector<std::uint64_t> signatures;
+    /// Identifiers of backend servers that said they are leaving.
+    std::vector<std::string> leaving;
+
+    auto operator==(const GossipMessage&) const -> bool = default;
+};
+
+auto toJson(const GossipMessage& message) -> boost::json::value;
+
+/// @return the message, or nothing where the document has another form.
+auto gossipMessageFromJson(const boost::json::value& value) -> std::optional<GossipMessage>;
+
+}
--- a/src/IoThreads.cpp
+++ b/src/IoThreads.cpp
@@ -15,6 +15,10 @@
 IoThreads::~IoThreads()
 {
     stop();
+    // A coroutine that waits for one on another thread refers to both contexts, so all coroutines
+    // are destroyed before the first context is.
+    for (auto& worker : m_workers)
+        worker->context.dropPending();
 }
 
 auto IoThreads::stop() -> void
--- a/src/IoThreads.h
+++ b/src/IoThreads.h
@@ -15,6 +15,15 @@
 
 namespace jayhold {
 
+/// An io_context whose pending operations can be destroyed ahead of the context itself.
+class IoContext : public boost::asio::io_context {
+public:
+    using boost::asio::io_context::io_context;
+
+    /// Destroys pending operations. No thread may run the context any more.
+    auto dropPending() -> void { shutdown(); }
+};
+
 class IoThreads {
 public:
     /// @param count number of threads, at least 1.
@@ -40,7 +49,7 @@
         {
         }
 
-        boost::asio::io_context context { 1 };
+        IoContext context { 1 };
         boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work = boost::asio::make_work_guard(context);
         HttpClient client;
         std::thread thread;
--- /dev/null
+++ b/src/Membership.cpp
@@ -0,0 +1,240 @@
+#include "Membership.h"
+
+#include <algorithm>
+
+namespace jayhold {
+
+namespace {
+
+/// Messages that introduce a peer with its address after it appeared or changed.
+constexpr unsigned introductionsPerChange = 8;
+/// Full entries among the sample of one message.
+constexpr std::size_t introductionsPerMessage = 2;
+/// Entries in the reply to an instance that joins. Only a start costs this much.
+constexpr std::size_t entriesForJoining = 64;
+
+auto isNewer(const MemberEntry& entry, std::int64_t incarnation, std::uint64_t heartbeat) -> bool
+{
+    return entry.member.incarnation != incarnation ? entry.member.incarnation > incarnation : entry.heartbeat > heartbeat;
+}
+
+auto timeAllowed(const Membership& membership, const Member& member, Duration base) -> Duration
+{
+    return isInGroup(membership, member.availabilityZone) ? base : base * membership.settings.remoteFactor;
+}
+
+auto renewSelf(Membership& membership, std::int64_t incarnation, std::vector<MembershipAction>& actions) -> void
+{
+    membership.self.incarnation = incarnation;
+    actions.emplace_back(SelfRenewed { incarnation });
+}
+
+auto mergeSelf(Membership& membership, const MemberEntry& entry, std::vector<MembershipAction>& actions) -> void
+{
+    // An entry from this instance's own past is never newer; one that is comes from an earlier
+    // process whose clock was ahead, and would hide this process from its peers.
+    if (isNewer(entry, membership.self.incarnation, membership.heartbeat))
+        renewSelf(membership, entry.member.incarnation + 1, actions);
+}
+
+auto addPeer(Membership& membership, TimePoint now, const MemberEntry& entry, std::vector<MembershipAction>& actions) -> void
+{
+    const auto found = membership.dead.find(entry.member.id);
+    if (found != membership.dead.end() && entry.member.incarnation <= found->second)
+        return;
+    if (!entry.isFull)
+        return;
+    if (found != membership.dead.end())
+        membership.dead.erase(found);
+    membership.peers[entry.member.id] = { .member = entry.member, .heartbeat = entry.heartbeat, .progressAt = now };
+    actions.emplace_back(MemberFound { entry.member });
+}
+
+auto updatePeer(PeerState& peer, TimePoint now, const MemberEntry& entry) -> void
+{
+    const auto hasRestarted = entry.member.incarnation > peer.member.incarnation;
+    const auto isDraining = entry.member.isDraining || (peer.member.isDraining && !hasRestarted);
+    if (hasRestarted || isDraining != peer.member.isDraining)
+        peer.introductions = 0;
+    if (entry.isFull)
+        peer.member = entry.member;
+    peer.member.incarnation = entry.member.incarnation;
+    peer.member.isDraining = isDraining;
+    peer.heartbeat = entry.heartbeat;
+    peer.progressAt = now;
+    peer.sends = 0;
+    peer.isSuspect = false;
+}
+
+auto mergeEntry(Membership& membership, TimePoint now, const MemberEntry& entry, std::vector<MembershipAction>& actions) -> void
+{
+    if (entry.member.id == membership.self.id) {
+        mergeSelf(membership, entry, actions);
+        return;
+    }
+    const auto found = membership.peers.find(entry.member.id);
+    if (found == membership.peers.end()) {
+        addPeer(membership, now, entry, actions);
+        return;
+    }
+    if (isNewer(entry, found->second.member.incarnation, found->second.heartbeat))
+        updatePeer(found->second, now, entry);
+}
+
+auto entryOf(PeerState& peer, bool mayIntroduce) -> MemberEntry
+{
+    const auto isFull = mayIntroduce && peer.introductions < introductionsPerChange;
+    ++peer.sends;
+    if (isFull)
+        ++peer.introductions;
+    return { peer.member, peer.heartbeat, isFull };
+}
+
+auto selfEntry(const Membership& membership) -> MemberEntry
+{
+    return { membership.self, membership.heartbeat, true };
+}
+
+/// Known peers that are not suspected, those first that were passed on least, in random order
+/// where equal.
+auto samplePeers(Membership& membership) -> std::vector<PeerState*>
+{
+    struct Ranked {
+        unsigned sends;
+        std::uint64_t tie;
+        PeerState* peer;
+    };
+    std::vector<Ranked> ranked;
+    for (auto& [id, peer] : membership.peers) {
+        if (!peer.isSuspect)
+            ranked.push_back({ peer.sends, membership.random.next(), &peer });
+    }
+    const auto count = std::min(membership.settings.sampleSize, ranked.size());
+    std::ranges::partial_sort(ranked, ranked.begin() + static_cast<std::ptrdiff_t>(count), [](const auto& left, const auto& right) {
+        return left.sends != right.sends ? left.sends < right.sends : left.tie < right.tie;
+    });
+    std::vector<PeerState*> chosen;
+    for (std::size_t index = 0; index < count; ++index)
+        chosen.push_back(ranked[index].peer);
+    return chosen;
+}
+
+}
+
+auto makeMembership(MembershipSettings settings, TimePoint now) -> Membership
+{
+    Membership membership { .settings = settings, .self = settings.self, .lastRound = now };
+    membership.random.state = settings.seed;
+    return membership;
+}
+
+auto setContacts(Membership& membership, std::vector<Contact> contacts) -> void
+{
+    std::map<HttpEndpoint, TimePoint> earlier;
+    for (const auto& contact : membership.contacts)
+        earlier[contact.endpoint] = contact.contactedAt;
+    std::erase_if(contacts, [&](const Contact& contact) {
+        return contact.id == membership.self.id || contact.endpoint == membership.self.peerEndpoint;
+    });
+    for (auto& contact : contacts) {
+        if (const auto found = earlier.find(contact.endpoint); found != earlier.end())
+            contact.contactedAt = found->second;
+    }
+    membership.contacts = std::move(contacts);
+}
+
+auto startRound(Membership& membership, TimePoint now, std::vector<MembershipAction>& actions) -> void
+{
+    const auto slept = now - membership.lastRound;
+    membership.lastRound = now;
+    ++membership.heartbeat;
+    if (slept >= membership.settings.suspectAfter) {
+        // Peers may have declared this instance dead, and it can't judge them by the time that it
+        // slept itself.
+        renewSelf(membership, membership.self.incarnation + 1, actions);
+        for (auto& [id, peer] : membership.peers)
+            peer.progressAt = std::min(now, peer.progressAt + slept);
+        return;
+    }
+    for (auto item = membership.peers.begin(); item != membership.peers.end();) {
+        auto& peer = item->second;
+        const auto silent = now - peer.progressAt;
+        if (silent >= timeAllowed(membership, peer.member, membership.settings.deadAfter)) {
+            membership.dead[item->first] = peer.member.incarnation;
+            actions.emplace_back(MemberLost { peer.member });
+            item = membership.peers.erase(item);
+            continue;
+        }
+        if (!peer.isSuspect && silent >= timeAllowed(membership, peer.member, membership.settings.suspectAfter)) {
+            peer.isSuspect = true;
+            actions.emplace_back(MemberSuspected { peer.member });
+        }
+        ++item;
+    }
+}
+
+auto composeMessage(Membership& membership) -> GossipMessage
+{
+    GossipMessage message { .sender = selfEntry(membership) };
+    std::size_t introduced = 0;
+    for (auto* peer : samplePeers(membership)) {
+        message.sample.push_back(entryOf(*peer, introduced < introductionsPerMessage));
+        if (message.sample.back().isFull)
+            ++introduced;
+    }
+    message.isJoining = membership.peers.empty();
+    return message;
+}
+
+auto composeReply(Membership& membership, const GossipMessage& received) -> GossipMessage
+{
+    GossipMessage reply { .sender = selfEntry(membership) };
+    const auto& sender = received.sender.member;
+    const auto tombstone = membership.dead.find(sender.id);
+    const auto peer = membership.peers.find(sender.id);
+    if (tombstone != membership.dead.end())
+        reply.disownedIncarnation = tombstone->second;
+    else if (peer != membership.peers.end() && isNewer({ peer->second.member, peer->second.heartbeat }, sender.incarnation, received.sender.heartbeat))
+        reply.disownedIncarnation = peer->second.member.incarnation;
+    if (!received.isJoining)
+        return reply;
+    for (const auto& [id, known] : membership.peers) {
+        if (reply.sample.size() < entriesForJoining && id != sender.id && !known.isSuspect)
+            reply.sample.push_back({ known.member, known.heartbeat, true });
+    }
+    return reply;
+}
+
+auto mergeMessage(Membership& membership, TimePoint now, const GossipMessage& message, std::vector<MembershipAction>& actions) -> void
+{
+    if (message.disownedIncarnation && *message.disownedIncarnation >= membership.self.incarnation)
+        renewSelf(membership, *message.disownedIncarnation + 1, actions);
+    mergeEntry(membership, now, message.sender, actions);
+    for (const auto& entry : message.sample)
+        mergeEntry(membership, now, entry, actions);
+}
+
+auto setSelf(Membership& membership, std::int64_t configurationVersion, bool isDraining) -> void
+{
+    membership.self.configurationVersion = configurationVersion;
+    membership.self.isDraining = isDraining;
+}
+
+auto liveMembers(const Membership& membership) -> std::vector<Member>
+{
+    std::vector<Member> members { membership.self };
+    for (const auto& [id, peer] : membership.peers) {
+        if (!peer.isSuspect)
+            members.push_back(peer.member);
+    }
+    std::ranges::sort(members, {}, &Member::id);
+    return members;
+}
+
+auto isInGroup(const Membership& membership, std::string_view zone) -> bool
+{
+    const auto known = std::max(membership.peers.size(), membership.contacts.size()) + 1;
+    return known <= membership.settings.largestSingleGroup || zone == membership.self.availabilityZone;
+}
+
+}
--- /dev/null
+++ b/src/RandomSource.h
@@ -0,0 +1,26 @@
+#pragma once
+
+/// A small seeded random source for the state machines (SplitMix64). It takes 8 bytes, where the
+/// standard engines take kilobytes, and gives the same numbers everywhere.
+
+#include <cstdint>
+
+namespace jayhold {
+
+struct RandomSource {
+    std::uint64_t state = 0;
+
+    auto next() -> std::uint64_t
+    {
+        state += 0x9e3779b97f4a7c15ULL;
+        auto value = state;
+        value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+        value = (value ^ (value >> 27U)) * 0x94d049bb133111ebULL;
+        return value ^ (value >> 31U);
+    }
+
+    /// @return a number below the bound, which must not be zero.
+    auto below(std::uint64_t bound) -> std::uint64_t { return next() % bound; }
+};
+
+}
--- /dev/null
+++ b/src/RecordDriver.h
@@ -0,0 +1,53 @@
+#pragma once
+
+/// Runs the state machine of one record partition on one I/O thread, against the platform.
+/// Private to the cluster library.
+
+#include "ClusterCore.h"
+#include "RecordPartition.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+
+namespace jayhold {
+
+class RecordDriver : public std::enable_shared_from_this<RecordDriver> {
+public:
+    /// @param thread index of the I/O thread that the machine runs on.
+    RecordDriver(ClusterPointer core, std::string object, std::size_t thread);
+
+    /// Runs an operation to its reply, at the latest at its deadline.
+    /// @return ReplyBegin or ReplyStored.
+    auto run(RecordOperation operation) -> boost::asio::awaitable<RecordAction>;
+
+private:
+    struct Waiter {
+        explicit Waiter(boost::asio::io_context& context)
+            : timer(context)
+        {
+        }
+
+        boost::asio::steady_timer timer;
+        std::optional<RecordAction> reply;
+    };
+
+    auto runAtHome(RecordOperation operation) -> boost::asio::awaitable<RecordAction>;
+    auto execute(RecordActions actions) -> void;
+    auto reply(std::uint64_t ticket, RecordAction action) -> void;
+    auto load() -> boost::asio::awaitable<void>;
+    auto write(WriteTable action) -> boost::asio::awaitable<void>;
+    auto loaded(const StoredObject& object, RecordActions& actions) -> void;
+    auto conflicted(const StoredObject& object, RecordActions& actions) -> void;
+    auto failed(const StoreError& error, RecordActions& actions) -> void;
+    auto unreadable(std::int64_t revision, RecordActions& actions) -> void;
+
+    const ClusterPointer m_core;
+    const std::string m_object;
+    const std::size_t m_thread;
+    RecordPartition m_partition;
+    std::uint64_t m_lastTicket = 0;
+    std::map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters;
+};
+
+}
--- /dev/null
+++ b/src/RecordPartition.h
@@ -0,0 +1,112 @@
+#pragma once
+
+/// One partition of the at-most-once records, as a pure state machine. Operations that arrive
+/// while a write is in flight are committed together by the next conditional update. Safety rests
+/// on the conditional update alone: any number of instances may run this machine for the same
+/// partition at once, with any clocks.
+
+#include "RecordDecision.h"
+#include "RecordOperation.h"
+#include "RecordTable.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace jayhold {
+
+struct RecordPartitionSettings {
+    /// The platform accepts values up to 1 MB.
+    std::size_t maximumBytes = 1'000'000;
+    /// Room kept for the answer of each started record, so that it can usually be stored.
+    std::size_t answerReserve = 2'048;
+    /// A larger answer is not kept.
+    std::size_t maximumAnswer = 65'536;
+    std::size_t maximumQueued = 4'096;
+    std::int64_t retentionMs = 86'400'000;
+    std::int64_t startedLimitMs = 300'000;
+    /// An answer that can still change is given from a table of at most this age.
+    Duration freshness = std::chrono::seconds(1);
+    Duration inProgressRetry = std::chrono::milliseconds(250);
+    Duration fullRetry = std::chrono::seconds(30);
+};
+
+enum class PartitionPhase {
+    Idle,
+    Loading,
+    Writing,
+};
+
+/// Read the partition's object.
+struct LoadTable {
+};
+
+/// Write the table by conditional update.
+struct WriteTable {
+    std::int64_t expectedRevision;
+    std::shared_ptr<const RecordTable> table;
+};
+
+struct ReplyBegin {
+    std::uint64_t ticket;
+    RecordDecision decision;
+    /// With RecordUnavailable: a record of the attempt may exist and should be withdrawn.
+    bool mayBeCommitted = false;
+};
+
+/// Reply to a finish or an abandon.
+struct ReplyStored {
+    std::uint64_t ticket;
+    bool isStored;
+};
+
+using RecordAction = std::variant<LoadTable, WriteTable, ReplyBegin, ReplyStored>;
+using RecordActions = std::vector<RecordAction>;
+
+/// An operation in a write, with the reply that is true once the write took effect.
+struct RecordInFlight {
+    RecordOperation operation;
+    RecordAction reply;
+};
+
+struct RecordPartition {
+    RecordPartitionSettings settings;
+    /// @return whether the holder of a started record may still be running its call.
+    std::function<bool(std::string_view)> isHolderLive;
+    PartitionPhase phase = PartitionPhase::Idle;
+    /// The last table known to be stored; null where it must be read first.
+    std::shared_ptr<const RecordTable> table;
+    std::int64_t revision = 0;
+    TimePoint verifiedAt {};
+    std::shared_ptr<const RecordTable> proposed;
+    std::deque<RecordOperation> queued;
+    std::vector<RecordInFlight> inFlight;
+};
+
+/// Time as the machine sees it: the monotonic clock for waits, the wall clock for retention.
+struct RecordTime {
+    TimePoint now;
+    std::int64_t wallMs;
+};
+
+auto submit(RecordPartition& partition, RecordTime time, RecordOperation operation, RecordActions& actions) -> void;
+
+/// The table was read.
+auto tableLoaded(RecordPartition& partition, RecordTime time, std::int64_t revision, RecordTable table, RecordActions& actions) -> void;
+
+/// The conditional update took effect.
+auto updateApplied(RecordPartition& partition, RecordTime time, std::int64_t revision, RecordActions& actions) -> void;
+
+/// Another update came first; this is the table now.
+auto updateConflicted(RecordPartition& partition, RecordTime time, std::int64_t revision, RecordTable table, RecordActions& actions) -> void;
+
+/// The read or the update failed.
+/// @param mayHaveTakenEffect whether the update may be stored.
+/// @param retryAfter when the caller should try again.
+auto storeFailed(RecordPartition& partition, RecordTime time, bool mayHaveTakenEffect, Duration retryAfter, RecordActions& actions) -> void;
+
+/// Answers the operations whose deadline has passed.
+auto expireOperations(RecordPartition& partition, RecordTime time, RecordActions& actions) -> void;
+
+}
--- /dev/null
+++ b/src/RecordService.cpp
@@ -0,0 +1,190 @@
+#include "RecordService.h"
+
+#include "MembershipOwners.h"
+#include "RecordMessages.h"
+#include "Rendezvous.h"
+#include "Sha256.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusMisdirected = 421;
+
+/// Records that this instance refused but that may be stored; more are left to answer "unknown".
+constexpr int maximumWithdrawals = 4'096;
+constexpr int withdrawalTries = 12;
+constexpr auto firstWithdrawalPause = std::chrono::milliseconds(500);
+constexpr auto longestWithdrawalPause = std::chrono::seconds(30);
+
+struct OwnerView {
+    std::string id;
+    HttpEndpoint endpoint;
+    bool isSelf;
+};
+
+auto ownerOfPartition(const ClusterCore& core, std::size_t partition) -> OwnerView
+{
+    const std::lock_guard guard(core.lock);
+    auto id = rendezvousOwner(recordObject(partition), ownerCandidates(core.membership));
+    const auto isSelf = id == core.settings.instance;
+    auto endpoint = endpointOf(core.membership, id);
+    return { std::move(id), std::move(endpoint), isSelf };
+}
+
+auto parseReply(const std::string& body) -> std::optional<RecordAction>
+{
+    boost::system::error_code code;
+    const auto document = json::parse(body, code);
+    return code ? std::nullopt : replyFromJson(document);
+}
+
+}
+
+auto recordObject(std::size_t partition) -> std::string
+{
+    constexpr std::size_t twoDigits = 10;
+    return (partition < twoDigits ? "records/0" : "records/") + std::to_string(partition);
+}
+
+/// How a forwarded operation ended.
+struct RecordService::Forwarded {
+    /// Empty where the owner did not answer for it.
+    std::optional<RecordAction> reply;
+    /// Whether the owner may have run the operation although it gave no reply.
+    bool mayHaveRun = false;
+};
+
+RecordService::RecordService(ClusterPointer core)
+    : m_core(std::move(core))
+{
+    const auto count = std::max<std::size_t>(1, m_core->settings.recordPartitions);
+    for (std::size_t index = 0; index < count; ++index)
+        m_partitions.push_back(std::make_shared<RecordDriver>(m_core, recordObject(index), index % m_core->threads.size()));
+}
+
+auto RecordService::partitionOf(std::string_view key) const -> std::size_t
+{
+    return stableHash(key) % m_partitions.size();
+}
+
+auto RecordService::forward(HttpClient& client, const RecordOperation& operation, HttpEndpoint owner) -> asio::awaitable<Forwarded>
+{
+    auto request = peerRequest(*m_core, "POST", "/internal/v1/records/" + std::string(routeOf(operation)), json::serialize(operationToJson(operation)));
+    // The other half of the time is left for running the operation here.
+    const auto timeout = m_core->settings.recordTimeout / 2;
+    const auto answer = co_await client.request(std::move(owner), std::move(request), timeout);
+    if (answer.has_error())
+        co_return Forwarded { std::nullopt, answer.error().kind != HttpErrorKind::NotConnected };
+    if (answer->status != statusOk)
+        co_return Forwarded { std::nullopt, answer->status != statusMisdirected };
+    co_return Forwarded { parseReply(answer->body), true };
+}
+
+auto RecordService::runOperation(HttpClient& client, RecordOperation operation) -> asio::awaitable<RecordAction>
+{
+    const auto partition = partitionOf(operation.key);
+    operation.deadline = monotonicNow() + m_core->settings.recordTimeout;
+    auto owner = ownerOfPartition(*m_core, partition);
+    if (!owner.isSelf && owner.endpoint.port != 0) {
+        auto forwarded = co_await forward(client, operation, std::move(owner.endpoint));
+        if (forwarded.reply)
+            co_return std::move(*forwarded.reply);
+        // Another instance may run the operation as well, because the conditional update lets
+        // only one of them have an effect and the record shows the attempt.
+        operation.mayBeCommitted = forwarded.mayHaveRun;
+    }
+    co_return co_await m_partitions[partition]->run(std::move(operation));
+}
+
+auto RecordService::begin(HttpClient& client, std::string key, std::string requestDigest, std::string attemptId) -> asio::awaitable<RecordDecision>
+{
+    const auto self = shared_from_this();
+    RecordOperation operation { .key = sha256Hex(key), .attemptId = std::move(attemptId) };
+    {
+        const std::lock_guard guard(m_core->lock);
+        operation.request = BeginRecord { std::move(requestDigest), holderName(m_core->membership) };
+    }
+    const auto digest = operation.key;
+    const auto attempt = operation.attemptId;
+    const auto action = co_await runOperation(client, std::move(operation));
+    const auto* reply = std::get_if<ReplyBegin>(&action);
+    if (!reply)
+        co_return RecordUnavailable { std::chrono::seconds(1) };
+    if (std::holds_alternative<RecordUnavailable>(reply->decision) && reply->mayBeCommitted)
+        spawnAtHome(m_core, withdrawLater(digest, attempt));
+    co_return reply->decision;
+}
+
+auto RecordService::finish(HttpClient& client, std::string key, std::string attemptId, StoredAnswer answer) -> asio::awaitable<bool>
+{
+    const auto self = shared_from_this();
+    RecordOperation operation { .key = sha256Hex(key), .attemptId = std::move(attemptId) };
+    operation.request = FinishRecord { std::move(answer) };
+    const auto action = co_await runOperation(client, std::move(operation));
+    const auto* reply = std::get_if<ReplyStored>(&action);
+    co_return reply && reply->isStored;
+}
+
+auto RecordService::abandon(HttpClient& client, std::string key, std::string attemptId) -> asio::awaitable<bool>
+{
+    const auto self = shared_from_this();
+    RecordOperation operation { .key = sha256Hex(key), .attemptId = attemptId };
+    operation.request = AbandonRecord {};
+    const auto digest = operation.key;
+    const auto action = co_await runOperation(client, std::move(operation));
+    const auto* reply = std::get_if<ReplyStored>(&action);
+    const auto isWithdrawn = reply && reply->isStored;
+    if (!isWithdrawn)
+        spawnAtHome(m_core, withdrawLater(digest, attemptId));
+    co_return isWithdrawn;
+}
+
+auto RecordService::withdrawLater(std::string key, std::string attemptId) -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    if (m_withdrawals >= maximumWithdrawals)
+        co_return;
+    ++m_withdrawals;
+    Duration wait = firstWithdrawalPause;
+    for (int tries = 0; tries < withdrawalTries && !m_core->isStopped; ++tries) {
+        co_await pause(wait);
+        wait = std::min<Duration>(wait * 2, longestWithdrawalPause);
+        if (m_core->isStopped)
+            break;
+        RecordOperation operation { .key = key, .attemptId = attemptId };
+        operation.request = AbandonRecord {};
+        const auto action = co_await runOperation(m_core->threads.client(0), std::move(operation));
+        const auto* reply = std::get_if<ReplyStored>(&action);
+        if (reply && reply->isStored)
+            break;
+    }
+    --m_withdrawals;
+}
+
+auto RecordService::answerPeer(std::string route, std::string body) -> asio::awaitable<HttpResponse>
+{
+    const auto self = shared_from_this();
+    boost::system::error_code code;
+    const auto document = json::parse(body, code);
+    auto operation = code ? std::nullopt : operationFromJson(route, document);
+    if (!operation)
+        co_return HttpResponse { statusBadRequest, {}, {} };
+    const auto partition = partitionOf(operation->key);
+    if (!ownerOfPartition(*m_core, partition).isSelf)
+        co_return HttpResponse { statusMisdirected, {}, {} };
+    // The peer waits for half of the time and then runs the operation itself.
+    operation->deadline = monotonicNow() + m_core->settings.recordTimeout / 2;
+    const auto reply = co_await m_partitions[partition]->run(std::move(*operation));
+    co_return jsonResponse(statusOk, json::serialize(replyToJson(reply)));
+}
+
+}
--- /dev/null
+++ b/src/RecordTable.h
@@ -0,0 +1,59 @@
+#pragma once
+
+/// The at-most-once records of one partition as they are stored in the platform.
+
+#include "StoredAnswer.h"
+
+#include <boost/json/value.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace jayhold {
+
+enum class RecordState {
+    /// The attempt may run the call; how it ended is not known.
+    Started,
+    /// The call ran and its answer is kept.
+    Done,
+};
+
+struct RecordEntry {
+    RecordState state = RecordState::Started;
+    std::string requestDigest;
+    std::string attemptId;
+    /// The instance that runs the call, with its incarnation.
+    std::string holder;
+    /// Wall-clock milliseconds of the last change, for retention only.
+    std::int64_t changedAtMs = 0;
+    StoredAnswer answer;
+
+    auto operator==(const RecordEntry&) const -> bool = default;
+};
+
+struct RecordTable {
+    /// By digest of the idempotency key.
+    std::map<std::string, RecordEntry> entries;
+    /// Upper bound of the size as JSON, in bytes.
+    std::size_t bytes = 0;
+};
+
+/// Adds or replaces an entry and keeps the size up to date.
+auto putEntry(RecordTable& table, const std::string& key, RecordEntry entry) -> void;
+auto removeEntry(RecordTable& table, const std::string& key) -> void;
+
+/// @return an upper bound of the entry's size as JSON, in bytes.
+auto entryBytes(std::string_view key, const RecordEntry& entry) -> std::size_t;
+
+auto toJson(const RecordTable& table) -> boost::json::value;
+
+/// @return the table, empty for null; nothing where the document has another form.
+auto recordTableFromJson(const boost::json::value& value) -> std::optional<RecordTable>;
+
+/// A body that is not UTF-8 can't be a JSON string and is written in hexadecimal.
+auto answerToJson(const StoredAnswer& answer) -> boost::json::value;
+auto answerFromJson(const boost::json::value& value) -> std::optional<StoredAnswer>;
+
+}
--- /dev/null
+++ b/test/correctness/ClusterNodeTest.cpp
@@ -0,0 +1,175 @@
+#include "../ClusterFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jayhold;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Three instances that know each other from the platform's instance list.
+struct Cluster {
+    Cluster()
+    {
+        boost::json::array items;
+        for (const std::string id : { "alpine-1", "alpine-2", "alpine-3" }) {
+            instances.push_back(std::make_unique<ClusterInstance>(id, "alpine", platform.endpoint()));
+            items.push_back(listItem(id, instances.back()->server.endpoint(), "alpine", "entry"));
+        }
+        items.push_back(listItem("ledger-1", { "127.0.0.1", 9 }, "alpine", "ledger-alpine"));
+        platform.setInstances(boost::json::object { { "version", 2 }, { "instances", std::move(items) } });
+    }
+
+    ~Cluster()
+    {
+        instances.clear();
+        platformThreads.stop();
+    }
+    Cluster(const Cluster&) = delete;
+    auto operator=(const Cluster&) -> Cluster& = delete;
+
+    auto start() -> bool
+    {
+        for (auto& instance : instances)
+            instance->node->start();
+        return eventually([&] { return everyone([](auto& instance) { return instance.node->members().size() == 3; }); });
+    }
+
+    template <typename Predicate>
+    auto everyone(Predicate predicate) -> bool
+    {
+        return std::ranges::all_of(instances, [&](auto& instance) { return predicate(*instance); });
+    }
+
+    IoThreads platformThreads { 1 };
+    FakePlatform platform { platformThreads };
+    std::vector<std::unique_ptr<ClusterInstance>> instances;
+};
+
+auto isStarted(const RecordDecision& decision) -> bool
+{
+    return std::holds_alternative<RecordStarted>(decision);
+}
+
+auto isUnavailable(const RecordDecision& decision) -> bool
+{
+    return std::holds_alternative<RecordUnavailable>(decision);
+}
+
+}
+
+// Guards against instances that don't find each other or disagree about owners and backends.
+TEST_CASE("instances find each other and agree")
+{
+    Cluster cluster;
+    REQUIRE(cluster.start());
+    REQUIRE(eventually([&] { return cluster.everyone([](auto& instance) { return instance.node->backends().size() == 1; }); }));
+    const auto owner = cluster.instances[0]->node->ownerOf("records/03");
+    CHECK(cluster.everyone([&](auto& instance) { return instance.node->ownerOf("records/03") == owner; }));
+    cluster.instances[0]->node->reportLeaving("ledger-1");
+    CHECK(eventually([&] { return cluster.everyone([](auto& instance) { return instance.node->backends()[0].state == ReplicaState::Leaving; }); }, 2s));
+}
+
+// Guards against an accepted change that does not reach everyone, or an operator who is told that a
+// lost change was accepted.
+TEST_CASE("a configuration reaches everyone and racing operators get the winner's")
+{
+    Cluster cluster;
+    REQUIRE(cluster.start());
+    CHECK(std::holds_alternative<ApplyAccepted>(cluster.instances[0]->apply(smallConfiguration(1), 0)));
+    REQUIRE(eventually([&] { return cluster.everyone([](auto& instance) { return instance.version() == 1; }); }));
+    cluster.platform.loseReplies(1);
+    CHECK(std::holds_alternative<ApplyAccepted>(cluster.instances[1]->apply(smallConfiguration(2, "first"), 1)));
+    const auto outcome = cluster.instances[2]->apply(smallConfiguration(2, "second"), 1);
+    const auto* conflict = std::get_if<ApplyConflict>(&outcome);
+    REQUIRE(conflict);
+    REQUIRE(conflict->winner);
+    CHECK(conflict->winner->operators[0].name == "first");
+    CHECK(eventually([&] { return cluster.everyone([](auto& instance) { return instance.version() == 2; }); }));
+}
+
+// Guards against a call that may run twice, or whose answer is not replayed everywhere.
+TEST_CASE("records are started once and replayed by every instance")
+{
+    Cluster cluster;
+    REQUIRE(cluster.start());
+    auto& first = *cluster.instances[0];
+    auto& second = *cluster.instances[1];
+    REQUIRE(isStarted(first.begin("deposit-1", "a1")));
+    CHECK(std::holds_alternative<RecordInProgress>(second.begin("deposit-1", "a2")));
+    CHECK(std::holds_alternative<RecordMismatch>(second.begin("deposit-1", "a3", "other")));
+    const StoredAnswer answer { 201, "application/json", "{\"id\":7}" };
+    CHECK(first.finish("deposit-1", "a1", answer));
+    for (auto& instance : cluster.instances) {
+        const auto decision = instance->begin("deposit-1", "a4");
+        REQUIRE(std::holds_alternative<RecordDone>(decision));
+        CHECK(std::get<RecordDone>(decision).answer == answer);
+    }
+    cluster.platform.loseReplies(1);
+    CHECK(isStarted(second.begin("deposit-2", "a5")));
+}
+
+// Guards against a call that waits or runs while its record can't be committed.
+TEST_CASE("while the platform is down calls are refused at once and the configuration stays")
+{
+    Cluster cluster;
+    REQUIRE(cluster.start());
+    REQUIRE(std::holds_alternative<ApplyAccepted>(cluster.instances[0]->apply(smallConfiguration(1), 0)));
+    REQUIRE(eventually([&] { return cluster.everyone([](auto& instance) { return instance.version() == 1; }); }));
+    cluster.platform.setDown(true);
+    for (int call = 0; call < 6; ++call) {
+        const auto begun = std::chrono::steady_clock::now();
+        CHECK(isUnavailable(cluster.instances[call % 3]->begin("hold-" + std::to_string(call), "b" + std::to_string(call))));
+        CHECK(std::chrono::steady_clock::now() - begun < 2500ms);
+    }
+    SECTION("a new instance learns everything from its peers")
+    {
+        ClusterInstance late("alpine-4", "alpine", cluster.platform.endpoint(), { cluster.instances[2]->server.endpoint() });
+        late.node->start();
+        CHECK(eventually([&] { return late.version() == 1 && late.node->members().size() == 4 && late.node->backends().size() == 1; }));
+        CHECK(eventually([&] { return cluster.instances[0]->node->members().size() == 4; }));
+    }
+    SECTION("records work again when the platform is back")
+    {
+        cluster.platform.setDown(false);
+        CHECK(eventually([&] { return isStarted(cluster.instances[0]->begin("hold-9", "c1")); }));
+    }
+}
+
+// Guards against records that depend on one instance, and against a death that is not noticed.
+TEST_CASE("another instance takes over from one that is gone")
+{
+    Cluster cluster;
+    REQUIRE(cluster.start());
+    REQUIRE(isStarted(cluster.instances[2]->begin("booking-1", "d1")));
+    cluster.instances.pop_back();
+    for (int call = 0; call < 8; ++call)
+        CHECK(isStarted(cluster.instances[0]->begin("booking-x" + std::to_string(call), "e" + std::to_string(call))));
+    CHECK(eventually([&] { return cluster.everyone([](auto& instance) { return instance.node->members().size() == 2; }); }));
+    CHECK(eventually([&] { return std::holds_alternative<RecordUnknown>(cluster.instances[1]->begin("booking-1", "d2")); }));
+}
+
+// Guards against signatures that arrive late, twice or not at all.
+TEST_CASE("signatures reach every instance once within two seconds")
+{
+    Cluster cluster;
+    std::array<std::atomic<int>, 3> seen {};
+    for (std::size_t index = 0; index < 3; ++index)
+        cluster.instances[index]->node->onSignature([&seen, index](std::uint64_t signature) { seen[index] += signature == ~0ULL ? 1 : 100; });
+    REQUIRE(cluster.start());
+    cluster.instances[1]->node->reportSignature(~0ULL);
+    CHECK(eventually([&] { return seen[0] == 1 && seen[1] == 1 && seen[2] == 1; }, 2s));
+    std::this_thread::sleep_for(500ms);
+    CHECK((seen[0] == 1 && seen[1] == 1 && seen[2] == 1));
+}
+
+// Guards against peer routes that answer a caller without the key.
+TEST_CASE("peer routes need the peer key")
+{
+    Cluster cluster;
+    auto& client = cluster.platformThreads.client(0);
+    HttpRequest request { "GET", "/internal/v1/configuration", {}, {} };
+    const auto answer = runOn(cluster.platformThreads, 0, client.request(cluster.instances[0]->server.endpoint(), request, 1s));
+    REQUIRE(answer.has_value());
+    CHECK(answer->status == 403);
+}
