Add jayholdctl: check, apply, show, diff, status, drain, timeline, hash-key

Cause: operators need one command that applies a configuration conditionally, shows the other's change on a race, and merges the event logs of all instances. Ruled out: taking the key from the command line (visible to other users); applying on top of whatever is in force (would undo a concurrent change).

--- a/cmake/base.cmake
+++ b/cmake/base.cmake
@@ -2,7 +2,7 @@
 target_compile_options(easyloggingpp PRIVATE -w)
 
 jayhold_library(jayhold_base
-  UNITS ConfigError EventLog FileError HybridClock JsonReader JsonText LogLine Sha256 Version
+  UNITS ConfigError EventLog FileError HybridClock JsonReader JsonText LogLine LoggedEventJson Sha256 Timeline Version
   LINK easyloggingpp Boost::json OpenSSL::Crypto)
 
 add_library(catch_main STATIC test/CatchMain.cpp)
--- a/include/jayhold/Base.h
+++ b/include/jayhold/Base.h
@@ -11,6 +11,8 @@
 #include "JsonReader.h"
 #include "JsonText.h"
 #include "LogLine.h"
+#include "LoggedEventJson.h"
 #include "Sha256.h"
 #include "Time.h"
+#include "Timeline.h"
 #include "Version.h"
--- /dev/null
+++ b/src/CtlCommands.cpp
@@ -0,0 +1,63 @@
+#include "CtlCommands.h"
+
+#include "Sha256.h"
+
+#include <iostream>
+
+namespace jayhold {
+
+auto reportFailure(const HttpResult<HttpResponse>& answer, const CtlOutput& output) -> ExitCode
+{
+    if (answer.has_error()) {
+        output.problems << "no entry instance answered: " << name(answer.error().kind) << ": " << answer.error().detail << '\n';
+        return ExitCode::Unreachable;
+    }
+    output.problems << "the entry instance answered " << answer->status << ": " << answer->body << '\n';
+    return ExitCode::Failed;
+}
+
+auto runHashKey(std::istream& input, const CtlOutput& output) -> ExitCode
+{
+    std::string key;
+    if (!std::getline(input, key) || key.empty()) {
+        output.problems << "no key on standard input\n";
+        return ExitCode::Usage;
+    }
+    output.result << sha256Hex(key) << '\n';
+    return ExitCode::Success;
+}
+
+auto runDrain(const CtlOptions& options, AdminClient& client, const CtlOutput& output) -> ExitCode
+{
+    if (options.entries.size() != 1) {
+        output.problems << "drain takes exactly one --entry\n";
+        return ExitCode::Usage;
+    }
+    const auto answer = client.call(options.entries.front(), { "POST", "/admin/v1/drain", {}, {} });
+    if (answer.has_error() || answer->status != 200)
+        return reportFailure(answer, output);
+    output.result << answer->body << '\n';
+    return ExitCode::Success;
+}
+
+auto runCtlCommand(const CtlOptions& options, const CtlOutput& output) -> ExitCode
+{
+    if (options.command == "check")
+        return runCheck(options, output);
+    if (options.command == "hash-key")
+        return runHashKey(std::cin, output);
+    AdminClient client(options.operatorKey);
+    if (options.command == "apply")
+        return runApply(options, client, output);
+    if (options.command == "show")
+        return runShow(options, client, output);
+    if (options.command == "diff")
+        return runDiff(options, client, output);
+    if (options.command == "status")
+        return runStatus(options, client, output);
+    if (options.command == "drain")
+        return runDrain(options, client, output);
+    return runTimeline(options, client, output);
+}
+
+}
--- /dev/null
+++ b/src/CtlConfiguration.cpp
@@ -0,0 +1,165 @@
+#include "CtlCommands.h"
+
+#include "ConfigurationChange.h"
+#include "FileError.h"
+#include "JsonReader.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <ostream>
+
+namespace jayhold {
+
+namespace json = boost::json;
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr std::string_view configurationTarget = "/admin/v1/configuration";
+
+/// Reads a configuration and reports its fault.
+auto loadConfiguration(const std::string& path, const CtlOutput& output) -> std::optional<Configuration>
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<Configuration>> {
+            BOOST_LEAF_AUTO(text, readFile(path));
+            BOOST_LEAF_AUTO(configuration, parseConfiguration(text));
+            return std::optional(std::move(configuration));
+        },
+        [&](const ConfigError& error) {
+            output.problems << path << ": " << describe(error) << '\n';
+            return std::optional<Configuration>();
+        },
+        [&](const FileError& error) {
+            output.problems << describe(error) << '\n';
+            return std::optional<Configuration>();
+        },
+        [&] {
+            output.problems << path << ": unexpected error\n";
+            return std::optional<Configuration>();
+        });
+}
+
+auto parseAnswer(const std::string& body) -> std::optional<Configuration>
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<Configuration>> {
+            BOOST_LEAF_AUTO(configuration, parseConfiguration(body));
+            return std::optional(std::move(configuration));
+        },
+        [] { return std::optional<Configuration>(); });
+}
+
+auto fetchInForce(const CtlOptions& options, AdminClient& client) -> HttpResult<HttpResponse>
+{
+    return client.callFirst(options.entries, { "GET", std::string(configurationTarget), {}, {} });
+}
+
+auto printChanges(const std::vector<ConfigurationChange>& changes, bool asJson, std::ostream& stream) -> void
+{
+    if (asJson) {
+        json::array array;
+        for (const auto& change : changes)
+            array.push_back({ { "path", change.path }, { "before", change.before }, { "after", change.after } });
+        stream << json::serialize(array) << '\n';
+        return;
+    }
+    for (const auto& change : changes) {
+        stream << change.path << '\n';
+        if (!change.before.empty())
+            stream << "  - " << change.before << '\n';
+        if (!change.after.empty())
+            stream << "  + " << change.after << '\n';
+    }
+}
+
+/// Shows the operator what another operator's change did to the same configuration.
+auto reportConflict(const Configuration& ours, const std::string& body, const CtlOptions& options, const CtlOutput& output) -> ExitCode
+{
+    boost::system::error_code code;
+    const auto answer = json::parse(body, code);
+    const auto* object = code ? nullptr : answer.if_object();
+    const auto* winner = object ? object->if_contains("configuration") : nullptr;
+    const auto configuration = winner ? parseAnswer(json::serialize(*winner)) : std::nullopt;
+    if (!configuration) {
+        output.problems << "conflict: another change came first: " << body << '\n';
+        return ExitCode::Conflict;
+    }
+    output.problems << "conflict: version " << configuration->version << " is in force; from it to yours:\n";
+    printChanges(diffConfigurations(*configuration, ours), options.printJson, output.result);
+    return ExitCode::Conflict;
+}
+
+}
+
+auto runCheck(const CtlOptions& options, const CtlOutput& output) -> ExitCode
+{
+    const auto configuration = loadConfiguration(options.arguments.front(), output);
+    if (!configuration)
+        return ExitCode::Failed;
+    if (options.printJson)
+        output.result << json::serialize(toJson(*configuration)) << '\n';
+    else
+        output.result << "version " << configuration->version << " is valid\n";
+    return ExitCode::Success;
+}
+
+auto runApply(const CtlOptions& options, AdminClient& client, const CtlOutput& output) -> ExitCode
+{
+    const auto next = loadConfiguration(options.arguments.front(), output);
+    if (!next)
+        return ExitCode::Failed;
+    // The base defaults to the version before the file's, so that a change that was prepared on an
+    // older configuration never silently undoes another operator's change.
+    const auto base = options.baseVersion.value_or(next->version - 1);
+    HttpRequest request { "PUT", std::string(configurationTarget), {}, json::serialize(toJson(*next)) };
+    request.headers.push_back({ "If-Match", "\"" + std::to_string(base) + "\"" });
+    request.headers.push_back({ "Content-Type", "application/json" });
+    const auto answer = client.callFirst(options.entries, request);
+    if (answer.has_value() && answer->status == 409)
+        return reportConflict(*next, answer->body, options, output);
+    if (answer.has_error() || answer->status != 200)
+        return reportFailure(answer, output);
+    if (options.printJson)
+        output.result << answer->body << '\n';
+    else
+        output.result << "version " << next->version << " is accepted\n";
+    return ExitCode::Success;
+}
+
+auto runShow(const CtlOptions& options, AdminClient& client, const CtlOutput& output) -> ExitCode
+{
+    const auto answer = fetchInForce(options, client);
+    if (answer.has_error() || answer->status != 200)
+        return reportFailure(answer, output);
+    const auto configuration = parseAnswer(answer->body);
+    if (!configuration) {
+        output.problems << "the answer is not a configuration: " << answer->body << '\n';
+        return ExitCode::Failed;
+    }
+    if (options.printJson)
+        output.result << json::serialize(toJson(*configuration)) << '\n';
+    else
+        output.result << printConfiguration(*configuration);
+    return ExitCode::Success;
+}
+
+auto runDiff(const CtlOptions& options, AdminClient& client, const CtlOutput& output) -> ExitCode
+{
+    const auto proposed = loadConfiguration(options.arguments.front(), output);
+    if (!proposed)
+        return ExitCode::Failed;
+    const auto answer = fetchInForce(options, client);
+    if (answer.has_error() || answer->status != 200)
+        return reportFailure(answer, output);
+    const auto inForce = parseAnswer(answer->body);
+    if (!inForce)
+        return reportFailure(answer, output);
+    printChanges(diffConfigurations(*inForce, *proposed), options.printJson, output.result);
+    return ExitCode::Success;
+}
+
+}
--- /dev/null
+++ b/src/CtlOptions.cpp
@@ -0,0 +1,202 @@
+#include "CtlOptions.h"
+
+#include "FileError.h"
+#include "Version.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <getopt.h>
+
+#include <array>
+#include <charconv>
+#include <cstdlib>
+
+namespace jayhold {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr std::string_view helpText = R"(usage: jayholdctl [options] COMMAND [arguments]
+
+Commands
+  check FILE       check a configuration; nothing is changed
+  apply FILE       put a configuration in force, if the one in force is its base
+  show             print the configuration in force
+  diff FILE        compare a configuration with the one in force
+  status           instances, versions in force and backend servers
+  drain            shut the addressed instance down gracefully
+  timeline         merge the event logs of all addressed instances in causal order
+  hash-key         read a key from standard input and print its SHA-256 digest
+
+Options
+  -e, --entry IP:PORT     administration address of an entry instance; repeat for several
+                          (default: JAYHOLD_ENTRY, separated by commas)
+  -k, --key-file FILE     file with the operator's key (default: JAYHOLD_OPERATOR_KEY)
+  -b, --base VERSION      apply: version the change is based on (default: the file's version less 1)
+  -r, --request ID        timeline: only this request
+  -c, --config VERSION    timeline: only this configuration version
+  -j, --json              print JSON
+  -h, --help              print this text
+  -V, --version           print the version
+
+FILE may be - for standard input.
+Exit codes: 0 success, 1 failed, 2 usage, 3 conflict with another change, 4 unreachable.
+)";
+
+constexpr std::array<option, 9> longOptions { {
+    { "entry", required_argument, nullptr, 'e' },
+    { "key-file", required_argument, nullptr, 'k' },
+    { "base", required_argument, nullptr, 'b' },
+    { "request", required_argument, nullptr, 'r' },
+    { "config", required_argument, nullptr, 'c' },
+    { "json", no_argument, nullptr, 'j' },
+    { "help", no_argument, nullptr, 'h' },
+    { "version", no_argument, nullptr, 'V' },
+    { nullptr, 0, nullptr, 0 },
+} };
+
+struct CommandShape {
+    std::string_view name;
+    std::size_t argumentCount;
+    bool needsEntry;
+};
+
+constexpr std::array<CommandShape, 8> commands { {
+    { "check", 1, false },
+    { "apply", 1, true },
+    { "show", 0, true },
+    { "diff", 1, true },
+    { "status", 0, true },
+    { "drain", 0, true },
+    { "timeline", 0, true },
+    { "hash-key", 0, false },
+} };
+
+auto usageError(std::string_view problem) -> CtlUsageError
+{
+    return { "jayholdctl: " + std::string(problem) + "\nTry 'jayholdctl --help'.\n" };
+}
+
+auto addEntries(CtlOptions& options, std::string_view list) -> bool
+{
+    while (!list.empty()) {
+        const auto comma = list.find(',');
+        const auto endpoint = parseHttpEndpoint(list.substr(0, comma));
+        if (!endpoint)
+            return false;
+        options.entries.push_back(*endpoint);
+        list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
+    }
+    return true;
+}
+
+auto parseVersion(std::string_view text) -> std::optional<std::int64_t>
+{
+    std::int64_t number = 0;
+    const auto [rest, code] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (code != std::errc {} || rest != text.data() + text.size() || number < 0)
+        return std::nullopt;
+    return number;
+}
+
+auto readKeyFile(const std::string& path) -> std::optional<std::string>
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<std::string>> {
+            BOOST_LEAF_AUTO(text, readFile(path));
+            const auto end = text.find_last_not_of("\r\n");
+            return std::optional<std::string>(text.substr(0, end == std::string::npos ? 0 : end + 1));
+        },
+        [] { return std::optional<std::string>(); });
+}
+
+auto readEnvironment(CtlOptions& options) -> std::optional<CtlUsageError>
+{
+    const auto* entries = std::getenv("JAYHOLD_ENTRY");
+    if (options.entries.empty() && entries && !addEntries(options, entries))
+        return usageError("JAYHOLD_ENTRY is not a list of IP:PORT addresses");
+    const auto* key = std::getenv("JAYHOLD_OPERATOR_KEY");
+    if (options.operatorKey.empty() && key)
+        options.operatorKey = key;
+    return std::nullopt;
+}
+
+auto checkCommand(const CtlOptions& options) -> std::optional<CtlUsageError>
+{
+    for (const auto& shape : commands) {
+        if (shape.name != options.command)
+            continue;
+        if (options.arguments.size() != shape.argumentCount)
+            return usageError(options.command + (shape.argumentCount == 1 ? " takes one file" : " takes no argument"));
+        if (shape.needsEntry && options.entries.empty())
+            return usageError("no entry instance given; use --entry or JAYHOLD_ENTRY");
+        return std::nullopt;
+    }
+    return usageError(options.command.empty() ? "no command given" : "unknown command " + options.command);
+}
+
+auto applyOption(CtlOptions& options, int option, const char* argument) -> std::optional<CtlUsageError>
+{
+    switch (option) {
+    case 'e':
+        if (!addEntries(options, argument))
+            return usageError("not an IP:PORT address: " + std::string(argument));
+        return std::nullopt;
+    case 'k':
+        if (const auto key = readKeyFile(argument))
+            options.operatorKey = *key;
+        else
+            return usageError("the key file can't be read: " + std::string(argument));
+        return std::nullopt;
+    case 'b':
+        options.baseVersion = parseVersion(argument);
+        if (!options.baseVersion)
+            return usageError("not a version: " + std::string(argument));
+        return std::nullopt;
+    case 'r':
+        options.request = argument;
+        return std::nullopt;
+    case 'c':
+        options.configurationVersion = argument;
+        return std::nullopt;
+    case 'j':
+        options.printJson = true;
+        return std::nullopt;
+    default:
+        return usageError("unknown option or missing argument");
+    }
+}
+
+}
+
+auto parseCtlCommandLine(std::span<char*> arguments) -> CtlCommandLine
+{
+    CtlOptions options;
+    optind = 0;
+    opterr = 0;
+    const auto count = static_cast<int>(arguments.size());
+    while (true) {
+        const auto option = getopt_long(count, arguments.data(), "e:k:b:r:c:jhV", longOptions.data(), nullptr);
+        if (option == -1)
+            break;
+        if (option == 'h')
+            return CtlInformation { std::string(helpText) };
+        if (option == 'V')
+            return CtlInformation { "jayholdctl " + std::string(version()) + "\n" };
+        if (auto error = applyOption(options, option, optarg))
+            return *error;
+    }
+    const auto rest = arguments.subspan(static_cast<std::size_t>(optind));
+    if (!rest.empty())
+        options.command = rest.front();
+    for (std::size_t index = 1; index < rest.size(); ++index)
+        options.arguments.emplace_back(rest[index]);
+    if (auto error = readEnvironment(options))
+        return *error;
+    if (auto error = checkCommand(options))
+        return *error;
+    return options;
+}
+
+}
--- /dev/null
+++ b/test/correctness/CtlCommandsTest.cpp
@@ -0,0 +1,67 @@
+#include "CtlCommands.h"
+
+#include "Configuration.h"
+#include "HttpServer.h"
+
+#include <boost/json/serialize.hpp>
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+using namespace jayhold;
+namespace asio = boost::asio;
+
+namespace {
+
+struct CommandRun {
+    ExitCode code;
+    std::string result;
+    std::string problems;
+};
+
+auto run(const CtlOptions& options) -> CommandRun
+{
+    std::ostringstream result;
+    std::ostringstream problems;
+    const auto code = runCtlCommand(options, { result, problems });
+    return { code, result.str(), problems.str() };
+}
+
+auto conflictServer(HttpExchange& exchange) -> asio::awaitable<void>
+{
+    Configuration winner { .version = 2 };
+    winner.availabilityZones = { { "alpine", "big-bend" } };
+    const auto isPut = exchange.request().method == "PUT";
+    const auto body = isPut ? R"({"configuration":)" + boost::json::serialize(toJson(winner)) + "}" : boost::json::serialize(toJson(winner));
+    co_await exchange.respond(jsonResponse(isPut ? 409 : 200, body));
+}
+
+constexpr std::string_view exampleFile = JAYHOLD_EXAMPLES "/caprock.json";
+
+}
+
+// Guards against a race between operators that ends in silence or a generic failure.
+TEST_CASE("apply shows the other operator's change and exits with the conflict code")
+{
+    IoThreads threads(1);
+    HttpServer server(threads, {}, conflictServer);
+    const auto conflict = run({ .command = "apply", .arguments = { std::string(exampleFile) }, .entries = { server.endpoint() } });
+    CHECK(conflict.code == ExitCode::Conflict);
+    CHECK_THAT(conflict.problems, Catch::Contains("version 2 is in force"));
+    CHECK_THAT(conflict.result, Catch::Contains("$.availability_zones[terlingua]"));
+    const auto shown = run({ .command = "show", .entries = { server.endpoint() } });
+    CHECK(shown.code == ExitCode::Success);
+    CHECK_THAT(shown.result, Catch::Contains("\"version\": 2"));
+    threads.stop();
+}
+
+// Guards against an unreachable instance being reported as success or as a faulty file.
+TEST_CASE("an unreachable instance and a faulty file have their own exit codes")
+{
+    CHECK(run({ .command = "show", .entries = { { "127.0.0.1", 1 } } }).code == ExitCode::Unreachable);
+    CHECK(run({ .command = "timeline", .entries = { { "127.0.0.1", 1 } } }).code == ExitCode::Unreachable);
+    CHECK(run({ .command = "check", .arguments = { std::string(exampleFile) } }).code == ExitCode::Success);
+    const auto missing = run({ .command = "check", .arguments = { "/nonexistent/file" } });
+    CHECK(missing.code == ExitCode::Failed);
+    CHECK_THAT(missing.problems, Catch::Contains("No such file"));
+}
--- /dev/null
+++ b/test/error/CtlOptionsTest.cpp
@@ -0,0 +1,50 @@
+#include "CtlOptions.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+
+using namespace jayhold;
+
+namespace {
+
+auto parsed(std::vector<std::string> words) -> CtlCommandLine
+{
+    words.insert(words.begin(), "jayholdctl");
+    std::vector<char*> arguments;
+    for (auto& word : words)
+        arguments.push_back(word.data());
+    return parseCtlCommandLine(arguments);
+}
+
+}
+
+// Guards against a mistyped command line doing something other than the operator meant.
+TEST_CASE("faulty command lines are usage errors")
+{
+    unsetenv("JAYHOLD_ENTRY");
+    const std::vector<std::vector<std::string>> faulty {
+        {}, { "unknown" }, { "check" }, { "check", "a", "b" }, { "--entry", "nowhere", "show" }, { "--base", "x", "apply", "f" },
+        { "show" }, { "--surprise" }, { "--entry" }, { "--key-file", "/nonexistent/key", "hash-key" }
+    };
+    for (const auto& words : faulty)
+        CHECK(std::holds_alternative<CtlUsageError>(parsed(words)));
+}
+
+// Guards against options lost or applied to the wrong setting.
+TEST_CASE("options and the environment are read")
+{
+    setenv("JAYHOLD_ENTRY", "127.0.0.1:1,127.0.0.1:2", 1);
+    setenv("JAYHOLD_OPERATOR_KEY", "secret", 1);
+    const auto fromEnvironment = std::get<CtlOptions>(parsed({ "show", "--json" }));
+    CHECK(fromEnvironment.entries.size() == 2);
+    CHECK(fromEnvironment.operatorKey == "secret");
+    CHECK(fromEnvironment.printJson);
+    const auto given = std::get<CtlOptions>(parsed({ "-e", "127.0.0.1:9", "-b", "7", "apply", "file" }));
+    CHECK(given.entries == std::vector<HttpEndpoint> { { "127.0.0.1", 9 } });
+    CHECK(given.baseVersion == 7);
+    CHECK(given.arguments == std::vector<std::string> { "file" });
+    CHECK(std::holds_alternative<CtlInformation>(parsed({ "--help" })));
+    unsetenv("JAYHOLD_ENTRY");
+    unsetenv("JAYHOLD_OPERATOR_KEY");
+}
