--- a/test/error/CtlOptionsTest.cpp
+++ b/test/error/CtlOptionsTest.cpp
@@ -12,6 +12,7 @@
 {
     words.insert(words.begin(), "jayholdctl");
     std::vector<char*> arguments;
+    arguments.reserve(words.size());
     for (auto& word : words)
         arguments.push_back(word.data());
     return parseCtlCommandLine(arguments);
