Keep an acceptor's state out of the connections of other threads

Cause: the address sanitizer found a use after free in the HTTP tests: a connection on a second I/O thread kept the whole server state alive beyond the first thread's io_context, and the acceptor was closed on a dead reactor. Ruled out: joining connections before the contexts end (they may wait for a caller for a minute). Change: connections share only the settings and counters.

--- a/cmake/base.cmake
+++ b/cmake/base.cmake
@@ -11,12 +11,14 @@
 # Declares a test program of one area and registers it with CTest. The RapidCheck seed is fixed so
 # that every run gives the same verdict; JAYHOLD_RC_PARAMS at configure time replaces it.
 set(JAYHOLD_RC_PARAMS "seed=20261204" CACHE STRING "RapidCheck parameters of the registered tests")
+add_custom_target(unit_tests)
 function(jayhold_test name)
   cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
   add_executable(${name} ${ARG_SOURCES})
   target_link_libraries(${name} PRIVATE ${ARG_LINK} catch_main rapidcheck)
   add_test(NAME ${name} COMMAND ${name})
-  set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=${JAYHOLD_RC_PARAMS}" TIMEOUT 120)
+  add_dependencies(unit_tests ${name})
+  set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=${JAYHOLD_RC_PARAMS}" TIMEOUT 120 LABELS unit)
 endfunction()
 
 jayhold_test(base_test
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -16,13 +16,15 @@
 struct HttpServer::State {
     State(IoThreads& ioThreads, const HttpServerSettings& serverSettings, HttpHandler serverHandler)
         : threads(ioThreads)
-        , shared { serverSettings, std::move(serverHandler) }
+        , shared(std::make_shared<HttpServerShared>(serverSettings, std::move(serverHandler)))
         , acceptor(ioThreads.context(0))
     {
     }
 
     IoThreads& threads;
-    HttpServerShared shared;
+    /// Connections live on any of the I/O threads and may outlast the acceptor's; they share this and
+    /// not the whole state.
+    std::shared_ptr<HttpServerShared> shared;
     asio::ip::tcp::acceptor acceptor;
     asio::ip::tcp::endpoint bound;
 };
@@ -49,8 +51,7 @@
             co_await timer.async_wait(awaitInto(code));
             continue;
         }
-        std::shared_ptr<HttpServerShared> shared(state, &state->shared);
-        asio::co_spawn(context, serveConnection(std::move(shared), std::move(socket), state->threads.client(index)), asio::detached);
+        asio::co_spawn(context, serveConnection(state->shared, std::move(socket), state->threads.client(index)), asio::detached);
     }
 }
 
@@ -81,7 +82,7 @@
 
 auto HttpServer::stopAccepting() -> void
 {
-    m_state->shared.isDraining = true;
+    m_state->shared->isDraining = true;
     asio::post(m_state->threads.context(0), [state = m_state] {
         boost::system::error_code ignored;
         state->acceptor.close(ignored);
@@ -90,7 +91,7 @@
 
 auto HttpServer::activeExchanges() const -> std::size_t
 {
-    return m_state->shared.activeExchanges;
+    return m_state->shared->activeExchanges;
 }
 
 }
--- a/src/HttpServerConnection.h
+++ b/src/HttpServerConnection.h
@@ -15,6 +15,12 @@
 
 /// What the connections of one server share.
 struct HttpServerShared {
+    HttpServerShared(const HttpServerSettings& serverSettings, HttpHandler serverHandler)
+        : settings(serverSettings)
+        , handler(std::move(serverHandler))
+    {
+    }
+
     const HttpServerSettings settings;
     const HttpHandler handler;
     std::atomic<std::size_t> activeExchanges { 0 };
