--- a/src/ActiveRequest.h
+++ b/src/ActiveRequest.h
@@ -2,9 +2,9 @@
 
 /// A request between its arrival and its final answer.
 
-#include "FlowKey.h"
 #include "Identifiers.h"
 #include "LatencyClass.h"
+#include "QueueEntry.h"
 #include "RequestArrived.h"
 #include "RequestPhase.h"
 #include "Reservation.h"
@@ -22,8 +22,7 @@
     Attempt attempt = 0;
     FlowKey flow;
     LatencyClass latencyClass = LatencyClass::Standard;
-    /// Set once it can't meet its first-token target any more.
-    bool late = false;
+    QueueLane lane = QueueLane::Fair;
 
     std::optional<ReplicaId> prefill;
     std::optional<ReplicaId> decode;
@@ -37,6 +36,12 @@
     /// Time of the entry in the timer queue.
     TimePoint timerAt = TimePoint::max();
 
+    /// When its decode is expected to end, and the tokens it had at that forecast.
+    TimePoint expectedEnd = TimePoint::max();
+    std::uint32_t forecastAt = 0;
+    /// Tokens on the prefill replica, its own included, when its prefill started.
+    std::uint32_t prefillBacklog = 0;
+
     /// Tokens that the caller has.
     std::uint32_t emitted = 0;
     /// Whether some earlier decode attempt may have run.
--- a/src/Ledger.cpp
+++ b/src/Ledger.cpp
@@ -3,6 +3,7 @@
 #include "ReplicaIndex.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace jayhold {
 
@@ -78,12 +79,29 @@
         releasePart(context, request, *request.decode, request.decodeHold, part);
 }
 
+auto growDecode(DecisionContext& context, ActiveRequest& request) -> void
+{
+    auto* replica = findReplica(context.state, *request.decode);
+    if (!replica)
+        return;
+    const auto tokens = std::uint64_t { request.arrival.promptTokens } + request.emitted;
+    if (piecesFor(*replica, tokens) > request.decodeHold.pieces && hasPieces(*replica, 1))
+        reserve(context, request, *replica, { .pieces = 1 });
+}
+
 auto piecesFor(const Replica& replica, std::uint64_t tokens) -> std::uint32_t
 {
     const auto size = replica.description.pieceTokens ? replica.description.pieceTokens : defaultPieceTokens;
     return static_cast<std::uint32_t>((tokens + size - 1) / size);
 }
 
+auto tokenCapacity(const Replica& replica) -> std::uint64_t
+{
+    const auto& description = replica.description;
+    const auto size = description.pieceTokens ? description.pieceTokens : defaultPieceTokens;
+    return description.memoryPieces ? std::uint64_t { description.memoryPieces } * size : std::numeric_limits<std::uint64_t>::max();
+}
+
 auto freeSeats(const Replica& replica) -> std::uint32_t
 {
     const auto used = replica.reserved.seats + replica.othersSeats;
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -1,5 +1,7 @@
 #include "RequestLife.h"
 
+#include "Deadlines.h"
+#include "Forecast.h"
 #include "Ledger.h"
 #include "Placement.h"
 #include "RetryDelay.h"
@@ -14,6 +16,9 @@
 /// An attempt without progress for this long is cancelled; engines report progress in batches.
 constexpr Duration stallTimeout = std::chrono::seconds(10);
 
+/// Late requests are given up when too little capacity is left over for them.
+constexpr Duration lateCheckInterval = std::chrono::seconds(1);
+
 auto enter(DecisionContext& context, ActiveRequest& request, RequestPhase phase) -> void
 {
     request.phase = phase;
@@ -37,6 +42,8 @@
         state.ready.erase({ request.kvExpiresAt, request.arrival.request });
     if (request.phase == RequestPhase::Prefilling || request.phase == RequestPhase::Ready || request.phase == RequestPhase::Starting)
         wastePrefill(context, request);
+    state.promised.erase({ request.phaseSince, request.arrival.request });
+    clearExpectedEnd(context, request);
     releasePrefill(context, request);
     releaseDecode(context, request);
 }
@@ -45,6 +52,7 @@
 {
     const auto id = request.arrival.request;
     context.state.timers.move(id, request.timerAt, TimePoint::max());
+    context.state.answered.insert(id);
     context.state.requests.erase(id);
 }
 
@@ -79,6 +87,13 @@
     return index < state.settings.kinds.size() ? state.settings.kinds[index] : unknownKind;
 }
 
+auto customerWeight(const ShardState& state, const ActiveRequest& request) -> double
+{
+    const auto& weights = state.settings.customerWeights;
+    const auto customer = static_cast<std::size_t>(request.arrival.customer);
+    return customer < weights.size() ? weights[customer] : 1.0;
+}
+
 auto queueEntry(const ActiveRequest& request) -> QueueEntry
 {
     return {
@@ -86,13 +101,26 @@
         .order = static_cast<std::uint64_t>(request.arrivedAt.time_since_epoch().count()),
         .flow = request.flow,
         .latencyClass = request.latencyClass,
-        .late = request.late,
+        .lane = request.lane,
     };
 }
 
+/// A waiting request is looked at when it gets late or hopeless, a late one also in between.
+auto nextCheck(const DecisionContext& context, const ActiveRequest& request) -> TimePoint
+{
+    if (request.lane == QueueLane::Resume)
+        return TimePoint::max();
+    const auto last = latestStart(context.state, request);
+    if (request.lane == QueueLane::Fair)
+        return std::max(std::min(last, latestOnTimeStart(context.state, request)), context.now);
+    return std::min(last, context.now + lateCheckInterval);
+}
+
 auto setTimer(DecisionContext& context, ActiveRequest& request) -> void
 {
     auto time = request.arrival.deadline;
+    if (request.phase == RequestPhase::Queued)
+        time = std::min(time, nextCheck(context, request));
     if (request.phase == RequestPhase::Ready)
         time = std::min(time, request.kvExpiresAt);
     else if (request.phase == RequestPhase::Stopping)
@@ -104,25 +132,44 @@
 
 auto enqueue(DecisionContext& context, ActiveRequest& request) -> void
 {
-    auto& state = context.state;
-    const auto& weights = state.settings.customerWeights;
-    const auto customer = static_cast<std::size_t>(request.arrival.customer);
     request.prefill.reset();
     request.decode.reset();
+    if (request.emitted)
+        request.lane = QueueLane::Resume;
     enter(context, request, RequestPhase::Queued);
-    state.queue.push(queueEntry(request), customer < weights.size() ? weights[customer] : 1.0);
+    context.state.queue.push(queueEntry(request), customerWeight(context.state, request));
+}
+
+auto checkWaiting(DecisionContext& context, ActiveRequest& request) -> void
+{
+    auto& queue = context.state.queue;
+    if (request.lane == QueueLane::Fair && latestOnTimeStart(context.state, request) <= context.now) {
+        queue.remove(queueEntry(request));
+        request.lane = QueueLane::Late;
+        queue.push(queueEntry(request), customerWeight(context.state, request));
+    }
+    if (isHopeless(context, request))
+        refuse(context, request, RefusalReason::Overloaded);
+    else
+        setTimer(context, request);
 }
 
-auto startPrefill(DecisionContext& context, ActiveRequest& request, Replica& prefill, Replica& decode) -> void
+auto startPrefill(DecisionContext& context, ActiveRequest& request, const Placement& placement) -> void
 {
     auto& state = context.state;
     state.queue.remove(queueEntry(request));
-    state.queue.charge(queueEntry(request), request.arrival.promptTokens + request.arrival.maxTokens);
+    state.queue.charge(queueEntry(request), request.arrival.promptTokens + expectedTokens(state, request));
     ++request.attempt;
+    auto& prefill = *placement.prefill;
+    auto& decode = *placement.decode;
     request.prefill = prefill.description.replica;
     request.decode = decode.description.replica;
     reserve(context, request, prefill, prefillReservation(context, request, prefill));
-    reserve(context, request, decode, decodeReservation(context, request, decode));
+    if (placement.seatFree)
+        reserve(context, request, decode, decodeReservation(context, request, decode));
+    else
+        state.promised.emplace(context.now, request.arrival.request);
+    request.prefillBacklog = prefill.reserved.prefillTokens;
     state.totals.prefillTokens += request.arrival.promptTokens;
     enter(context, request, RequestPhase::Prefilling);
     context.actions.emplace_back(StartPrefill { request.arrival.request, request.attempt, *request.prefill, *request.decode });
@@ -130,6 +177,8 @@
 
 auto prefillDone(DecisionContext& context, ActiveRequest& request, TimePoint expiresAt, std::uint32_t) -> void
 {
+    learnPrefill(context, request, expiresAt);
+    context.state.promised.erase({ request.phaseSince, request.arrival.request });
     releasePrefillSeat(context, request);
     request.kvExpiresAt = expiresAt;
     context.state.ready.emplace(expiresAt, request.arrival.request);
@@ -137,15 +186,21 @@
     startDecode(context, request);
 }
 
+auto reserveDecode(DecisionContext& context, ActiveRequest& request) -> bool
+{
+    auto* replica = chooseDecode(context, request);
+    if (!replica)
+        return false;
+    request.decode = replica->description.replica;
+    reserve(context, request, *replica, decodeReservation(context, request, *replica));
+    context.state.promised.erase({ request.phaseSince, request.arrival.request });
+    return true;
+}
+
 auto startDecode(DecisionContext& context, ActiveRequest& request) -> bool
 {
-    if (request.decodeHold.empty()) {
-        auto* replica = chooseDecode(context, request);
-        if (!replica)
-            return false;
-        request.decode = replica->description.replica;
-        reserve(context, request, *replica, decodeReservation(context, request, *replica));
-    }
+    if (request.decodeHold.empty() && !reserveDecode(context, request))
+        return false;
     context.state.ready.erase({ request.kvExpiresAt, request.arrival.request });
     enter(context, request, RequestPhase::Starting);
     context.actions.emplace_back(StartDecode { request.arrival.request, request.attempt, *request.prefill, *request.decode, request.emitted });
@@ -154,9 +209,12 @@
 
 auto decodeStarted(DecisionContext& context, ActiveRequest& request) -> void
 {
+    learnTransfer(context, request);
+    learnFirstToken(context, request);
     releasePrefill(context, request);
     releaseDecodeLink(context, request);
     enter(context, request, RequestPhase::Decoding);
+    updateExpectedEnd(context, request);
 }
 
 auto stopDecode(DecisionContext& context, ActiveRequest& request) -> void
@@ -168,7 +226,8 @@
 
 auto attemptFailed(DecisionContext& context, ActiveRequest& request, FailureKind failure) -> void
 {
-    const auto ran = mayRunNow(request.phase) && !provablyNotRun(failure);
+    const auto notRun = request.phase == RequestPhase::Starting && provablyNotRun(failure);
+    const auto ran = mayRunNow(request.phase) && !notRun;
     request.mayHaveRun = request.mayHaveRun || ran;
     if (provablyNotRun(failure))
         ++request.redirects;
--- a/src/RequestLife.h
+++ b/src/RequestLife.h
@@ -5,13 +5,18 @@
 #include "DecisionContext.h"
 #include "FailureKind.h"
 #include "Outcome.h"
+#include "Placement.h"
 #include "RefusalReason.h"
 
 namespace jayhold {
 
 auto enqueue(DecisionContext& context, ActiveRequest& request) -> void;
-auto startPrefill(DecisionContext& context, ActiveRequest& request, Replica& prefill, Replica& decode) -> void;
+/// Moves a waiting request to the late ones or refuses it once it misses its target or deadline.
+auto checkWaiting(DecisionContext& context, ActiveRequest& request) -> void;
+auto startPrefill(DecisionContext& context, ActiveRequest& request, const Placement& placement) -> void;
 auto prefillDone(DecisionContext& context, ActiveRequest& request, TimePoint expiresAt, std::uint32_t cachedTokens) -> void;
+/// Reserves a decode seat for a request that has none. @return whether there was one.
+auto reserveDecode(DecisionContext& context, ActiveRequest& request) -> bool;
 /// Takes the prefill result to a decode seat if there is one; otherwise the result waits.
 auto startDecode(DecisionContext& context, ActiveRequest& request) -> bool;
 auto decodeStarted(DecisionContext& context, ActiveRequest& request) -> void;
@@ -29,6 +34,7 @@
 /// @return how the queue knows the request.
 auto queueEntry(const ActiveRequest& request) -> QueueEntry;
 auto kindOf(const ShardState& state, const ActiveRequest& request) -> const RequestKind&;
+auto customerWeight(const ShardState& state, const ActiveRequest& request) -> double;
 /// Cancels on the replicas where the present attempt may hold something.
 auto cancelAttempt(DecisionContext& context, const ActiveRequest& request) -> void;
 /// Sets the time at which the request needs attention.
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -3,11 +3,16 @@
 /// The state behind a Shard. Private to the decision library.
 
 #include "ActiveRequest.h"
+#include "AnsweredRequests.h"
+#include "EndForecast.h"
+#include "LengthModel.h"
 #include "PlacementIndex.h"
 #include "Replica.h"
 #include "RequestQueue.h"
+#include "ServiceRates.h"
 #include "ShardSettings.h"
 #include "ShardSummary.h"
+#include "StartPace.h"
 #include "TimerQueue.h"
 
 #include <random>
@@ -16,19 +21,36 @@
 
 namespace jayhold {
 
+inline auto largestCapacity(const std::multiset<std::uint64_t>& capacities) -> std::uint64_t
+{
+    return capacities.empty() ? 0 : *capacities.rbegin();
+}
+
 struct ShardState {
     ShardSettings settings;
     std::unordered_map<RequestId, ActiveRequest> requests;
+    AnsweredRequests answered;
     std::unordered_map<ReplicaId, Replica> replicas;
     PlacementIndex index;
     RequestQueue queue;
     TimerQueue timers;
     /// Requests whose prefill result waits for a decode seat, first to expire first.
     std::set<std::pair<TimePoint, RequestId>> ready;
+    /// Prefills that started on the expectation that a seat frees up, by the time of their start.
+    std::set<std::pair<TimePoint, RequestId>> promised;
+    EndForecast ends;
+    ServiceRates rates;
+    /// By kind.
+    std::vector<LengthModel> lengths;
+    StartPace pace;
+    StartPace latePace;
+    /// Starts since an aged request got its turn.
+    std::uint32_t startsSinceAged = 0;
     std::minstd_rand random;
     ShardSummary totals;
-    std::uint32_t livePrefills = 0;
-    std::uint32_t liveDecodes = 0;
+    /// Memory of the live replicas in tokens.
+    std::multiset<std::uint64_t> prefillCapacities;
+    std::multiset<std::uint64_t> decodeCapacities;
     TimePoint announcedWake = TimePoint::max();
     bool draining = false;
 };
