--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -0,0 +1,21 @@
+jayhold_library(jayhold_entry
+  UNITS AdminApi AnswerWriter ApiError CallerApi CallerChecks ClusterRecords CompletionFormat
+    CompletionRequest ConfigurationIndex DecodeRelay EngineClient EngineError EngineMessages
+    EngineMonitor EntryDaemon EntryDaemonDrain EntrySettings HeldMemory LatencyHistogram LostOwners
+    Metrics ModelRequest ModelRequestTasks ModelService ModelServiceTimer PlainBalancer PlainRoute
+    PlainService PromptDigest RequestMachine ServiceTable SpreadDelay StatusReport TokenEventReader
+    TokenSequence
+  LINK jayhold_cluster jayhold_decision jayhold_operator jayhold_http)
+
+add_executable(jayhold-entry apps/jayhold-entry.cpp)
+target_link_libraries(jayhold-entry PRIVATE jayhold_entry)
+
+jayhold_test(entry_rules_test
+  SOURCES test/error/EntrySettingsTest.cpp test/error/CallerChecksTest.cpp
+    test/correctness/EngineMessagesTest.cpp test/correctness/TokenRelayTest.cpp
+  LINK jayhold_entry)
+
+jayhold_test(entry_request_test
+  SOURCES test/correctness/ModelRequestTest.cpp test/correctness/PlainBalancerTest.cpp
+    test/correctness/PlainServiceTest.cpp
+  LINK jayhold_entry)
--- /dev/null
+++ b/include/jayhold/Entry.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/// Public header of jayhold_entry: an entry instance and its settings.
+
+#include "EntryDaemon.h"
+#include "EntrySettings.h"
--- /dev/null
+++ b/src/AtMostOnceRecords.h
@@ -0,0 +1,24 @@
+#pragma once
+
+/// The records of calls that may not run twice, as a plain service uses them. The daemon forwards
+/// to ClusterNode.
+
+#include "HttpClient.h"
+#include "RecordDecision.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <string>
+
+namespace jayhold {
+
+class AtMostOnceRecords {
+public:
+    virtual ~AtMostOnceRecords() = default;
+
+    virtual auto begin(HttpClient& client, std::string key, std::string digest, std::string attemptId) -> boost::asio::awaitable<RecordDecision> = 0;
+    virtual auto finish(HttpClient& client, std::string key, std::string attemptId, StoredAnswer answer) -> boost::asio::awaitable<bool> = 0;
+    virtual auto abandon(HttpClient& client, std::string key, std::string attemptId) -> boost::asio::awaitable<bool> = 0;
+};
+
+}
--- /dev/null
+++ b/src/CallerApi.cpp
@@ -0,0 +1,162 @@
+#include "CallerApi.h"
+
+#include "CallerChecks.h"
+#include "ModelRequest.h"
+#include "SpreadDelay.h"
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration refusalDelay = std::chrono::seconds(1);
+
+/// Counts a request for as long as it is in progress.
+class OpenRequestCount {
+public:
+    explicit OpenRequestCount(std::atomic<std::size_t>& count)
+        : m_count(count)
+        , m_position(++count)
+    {
+    }
+    ~OpenRequestCount() { --m_count; }
+    OpenRequestCount(const OpenRequestCount&) = delete;
+    auto operator=(const OpenRequestCount&) -> OpenRequestCount& = delete;
+
+    /// @return requests in progress when this one arrived, itself included.
+    auto position() const -> std::size_t { return m_position; }
+
+private:
+    std::atomic<std::size_t>& m_count;
+    const std::size_t m_position;
+};
+
+auto pathOf(const HttpRequest& request) -> std::string_view
+{
+    return std::string_view(request.target).substr(0, request.target.find('?'));
+}
+
+auto completionShape(std::string_view path) -> std::optional<CompletionShape>
+{
+    if (path == "/v1/completions")
+        return CompletionShape::Text;
+    if (path == "/v1/chat/completions")
+        return CompletionShape::Chat;
+    return std::nullopt;
+}
+
+}
+
+CallerApi::CallerApi(EntryContext& context, ServiceTable& services)
+    : m_context(context)
+    , m_services(services)
+{
+}
+
+auto CallerApi::handle(HttpExchange& exchange) -> asio::awaitable<void>
+{
+    const auto isHealth = co_await serveHealth(exchange);
+    if (!isHealth)
+        co_await serveWork(exchange);
+}
+
+auto CallerApi::serveHealth(HttpExchange& exchange) -> asio::awaitable<bool>
+{
+    const auto path = pathOf(exchange.request());
+    if (path == "/healthz") {
+        co_await exchange.respond(jsonResponse(200, R"({"status":"ok"})"));
+        co_return true;
+    }
+    if (path == "/readyz") {
+        if (m_context.isDraining)
+            co_await exchange.respond(jsonResponse(503, R"({"status":"draining"})"));
+        else if (!m_services.index())
+            co_await exchange.respond(jsonResponse(503, R"({"status":"no_configuration"})"));
+        else
+            co_await exchange.respond(jsonResponse(200, R"({"status":"ready"})"));
+        co_return true;
+    }
+    if (path == "/metrics") {
+        HttpResponse response { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_context.metrics.print(m_context.openRequests) };
+        co_await exchange.respond(std::move(response));
+        co_return true;
+    }
+    co_return false;
+}
+
+auto CallerApi::serveWork(HttpExchange& exchange) -> asio::awaitable<void>
+{
+    const OpenRequestCount open(m_context.openRequests);
+    const auto& request = exchange.request();
+    if (m_context.isDraining) {
+        co_await refuse(exchange, refusalError(RefusalReason::Draining, Outcome::NotRun, spreadDelay(refusalDelay)));
+        co_return;
+    }
+    const auto index = m_services.index();
+    if (!index) {
+        co_await refuse(exchange, ApiError(503, "no_configuration", "the instance has no configuration yet", Outcome::NotRun, spreadDelay(refusalDelay)));
+        co_return;
+    }
+    const auto customer = index->customerOf(findHeader(request.headers, "Authorization"));
+    if (!customer) {
+        co_await refuse(exchange, ApiError(401, "unauthenticated", "the key is missing or not known"));
+        co_return;
+    }
+    if (open.position() > m_context.settings.limits.openRequests) {
+        co_await refuse(exchange, refusalError(RefusalReason::Overloaded, Outcome::NotRun, spreadDelay(refusalDelay)));
+        co_return;
+    }
+    const auto path = pathOf(request);
+    const auto shape = completionShape(path);
+    if (shape && request.method != "POST")
+        co_await refuse(exchange, ApiError(405, "method_not_allowed", "completions are requested by POST"));
+    else if (shape)
+        co_await serveCompletion(exchange, *index, *customer, *shape);
+    else if (path.starts_with("/services/"))
+        co_await servePlain(exchange, *index, *customer);
+    else
+        co_await refuse(exchange, ApiError(404, "unknown_route", "there is nothing at this path"));
+}
+
+auto CallerApi::serveCompletion(HttpExchange& exchange, const ConfigurationIndex& index, CustomerId customer, CompletionShape shape) -> asio::awaitable<void>
+{
+    auto checked = checkCompletion(index, customer, shape, exchange.request(), monotonicNow());
+    if (checked.has_error()) {
+        co_await refuse(exchange, checked.error());
+        co_return;
+    }
+    auto service = m_services.model(checked->service);
+    if (!service) {
+        co_await refuse(exchange, ApiError(404, "unknown_service", "the service was removed", Outcome::NotRun));
+        co_return;
+    }
+    const auto request = std::make_shared<ModelRequest>(m_context, std::move(service), exchange, std::move(checked->info));
+    co_await request->run();
+}
+
+auto CallerApi::servePlain(HttpExchange& exchange, const ConfigurationIndex& index, CustomerId customer) -> asio::awaitable<void>
+{
+    auto checked = checkPlainCall(index, customer, exchange.request(), monotonicNow());
+    if (checked.has_error()) {
+        co_await refuse(exchange, checked.error());
+        co_return;
+    }
+    const auto service = m_services.plain(checked->service);
+    if (!service) {
+        co_await refuse(exchange, ApiError(404, "unknown_service", "the service was removed", Outcome::NotRun));
+        co_return;
+    }
+    co_await service->serve(exchange, std::move(checked->info));
+}
+
+auto CallerApi::refuse(HttpExchange& exchange, ApiError error) -> asio::awaitable<void>
+{
+    auto response = toResponse(error);
+    response.headers.push_back({ std::string(hybridTimeHeader), toString(m_context.log.clock().tick()) });
+    if (error.status == 401)
+        response.headers.push_back({ "WWW-Authenticate", "Bearer" });
+    co_await exchange.respond(std::move(response));
+}
+
+}
--- /dev/null
+++ b/src/ConfigurationIndex.cpp
@@ -0,0 +1,91 @@
+#include "ConfigurationIndex.h"
+
+#include "Sha256.h"
+
+#include <algorithm>
+
+namespace jayhold {
+
+namespace {
+
+constexpr std::string_view bearerPrefix = "Bearer ";
+
+auto digestOf(std::optional<std::string_view> authorization) -> std::optional<std::string>
+{
+    if (!authorization || !authorization->starts_with(bearerPrefix))
+        return std::nullopt;
+    return sha256Hex(authorization->substr(bearerPrefix.size()));
+}
+
+}
+
+ConfigurationIndex::ConfigurationIndex(std::shared_ptr<const Configuration> configuration, const std::vector<std::string>& operatorDigests)
+    : m_configuration(std::move(configuration))
+{
+    for (std::size_t index = 0; index < m_configuration->customers.size(); ++index)
+        m_customers.emplace(m_configuration->customers[index].keySha256, static_cast<CustomerId>(index));
+    for (const auto& key : m_configuration->operators)
+        m_operators.emplace(key.keySha256, key.name);
+    for (const auto& digest : operatorDigests)
+        m_operators.emplace(digest, "settings");
+}
+
+// Digests are compared as map keys: the time of the comparison tells about the digest of the key
+// shown, from which the key can't be derived.
+auto ConfigurationIndex::customerOf(std::optional<std::string_view> authorization) const -> std::optional<CustomerId>
+{
+    const auto digest = digestOf(authorization);
+    const auto found = digest ? m_customers.find(*digest) : m_customers.end();
+    return found == m_customers.end() ? std::nullopt : std::optional(found->second);
+}
+
+auto ConfigurationIndex::operatorOf(std::optional<std::string_view> authorization) const -> std::optional<std::string>
+{
+    const auto digest = digestOf(authorization);
+    const auto found = digest ? m_operators.find(*digest) : m_operators.end();
+    return found == m_operators.end() ? std::nullopt : std::optional(found->second);
+}
+
+auto ConfigurationIndex::customerName(CustomerId customer) const -> const std::string&
+{
+    return m_configuration->customers.at(static_cast<std::size_t>(customer)).name;
+}
+
+auto ConfigurationIndex::service(std::string_view name) const -> const Service*
+{
+    const auto found = std::ranges::find(m_configuration->services, name, &Service::name);
+    return found == m_configuration->services.end() ? nullptr : &*found;
+}
+
+auto ConfigurationIndex::modelService(std::string_view name, std::string_view model) const -> const Service*
+{
+    const Service* only = nullptr;
+    auto count = 0;
+    for (const auto& candidate : m_configuration->services) {
+        if (candidate.type != ServiceType::Model)
+            continue;
+        if (!name.empty() ? candidate.name == name : candidate.model == model)
+            return &candidate;
+        only = &candidate;
+        ++count;
+    }
+    return name.empty() && model.empty() && count == 1 ? only : nullptr;
+}
+
+auto ConfigurationIndex::zoneOf(std::string_view name) const -> ZoneId
+{
+    const auto& zones = m_configuration->availabilityZones;
+    return static_cast<ZoneId>(std::ranges::find(zones, name, &AvailabilityZone::name) - zones.begin());
+}
+
+auto findKind(const Service& service, std::string_view name) -> std::optional<KindId>
+{
+    if (name.empty())
+        return KindId {};
+    const auto found = std::ranges::find(service.kinds, name, &RequestKind::name);
+    if (found == service.kinds.end())
+        return std::nullopt;
+    return static_cast<KindId>(found - service.kinds.begin());
+}
+
+}
--- /dev/null
+++ b/src/ConfigurationIndex.h
@@ -0,0 +1,52 @@
+#pragma once
+
+/// Look-ups into the configuration in force, built once for each version. An index is immutable,
+/// so that requests use it without a lock.
+
+#include "Configuration.h"
+#include "Identifiers.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace jayhold {
+
+class ConfigurationIndex {
+public:
+    /// @param operatorDigests digests of operator keys that are accepted besides those of the
+    /// configuration.
+    ConfigurationIndex(std::shared_ptr<const Configuration> configuration, const std::vector<std::string>& operatorDigests);
+
+    auto configuration() const -> const Configuration& { return *m_configuration; }
+
+    /// @param authorization value of the Authorization header.
+    /// @return the customer whose key it carries.
+    auto customerOf(std::optional<std::string_view> authorization) const -> std::optional<CustomerId>;
+    /// @return the name of the operator whose key the header carries.
+    auto operatorOf(std::optional<std::string_view> authorization) const -> std::optional<std::string>;
+
+    auto customerName(CustomerId customer) const -> const std::string&;
+
+    /// @return the service with this name, or null.
+    auto service(std::string_view name) const -> const Service*;
+    /// Finds a model service by name, or else by model, or else the only one.
+    auto modelService(std::string_view name, std::string_view model) const -> const Service*;
+
+    /// @return the position of a zone in the configuration, or the number of zones for one that is
+    /// not declared.
+    auto zoneOf(std::string_view name) const -> ZoneId;
+
+private:
+    const std::shared_ptr<const Configuration> m_configuration;
+    std::unordered_map<std::string, CustomerId> m_customers;
+    std::unordered_map<std::string, std::string> m_operators;
+};
+
+/// @return the position of a kind in its service: by name, or the first where the name is empty.
+auto findKind(const Service& service, std::string_view name) -> std::optional<KindId>;
+
+}
--- /dev/null
+++ b/src/DecodeRelay.cpp
@@ -0,0 +1,98 @@
+#include "DecodeRelay.h"
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Tokens between two reports to the decision code, which uses them to learn output lengths and
+/// does not need every single one.
+constexpr std::uint32_t reportInterval = 32;
+
+}
+
+DecodeRelay::DecodeRelay(AnswerWriter& writer, RequestMachine& machine, ServiceMetrics& metrics, EntryTimeouts timeouts, TimePoint arrivedAt)
+    : m_writer(writer)
+    , m_machine(machine)
+    , m_metrics(metrics)
+    , m_timeouts(timeouts)
+    , m_lastToken(arrivedAt)
+{
+}
+
+auto DecodeRelay::run(HttpStream& stream, Observer observer) -> asio::awaitable<RelayOutcome>
+{
+    TokenEventReader reader;
+    auto hasStarted = false;
+    auto reported = tokens();
+    while (true) {
+        const auto timeout = hasStarted ? m_timeouts.stall : m_timeouts.firstToken;
+        const auto piece = co_await stream.readSome(timeout);
+        if (piece.has_error())
+            co_return RelayOutcome { engineErrorOf(piece.error()) };
+        if (piece->empty())
+            co_return RelayOutcome { EngineError { FailureKind::ConnectionLost, "the stream ended before the answer was complete" } };
+        const auto before = tokens();
+        const auto step = takePiece(*piece, reader);
+        if (!hasStarted && tokens() > before) {
+            hasStarted = true;
+            observer.onStarted();
+        }
+        // Tokens before a faulty event are good and are not asked for again.
+        const auto isFlushed = co_await m_writer.flush();
+        if (!isFlushed)
+            co_return RelayOutcome { .isCallerGone = true };
+        if (step == Step::Faulty)
+            co_return RelayOutcome { EngineError { FailureKind::ServerError, m_fault } };
+        if (step == Step::Complete)
+            co_return RelayOutcome {};
+        if (tokens() - reported >= reportInterval) {
+            reported = tokens();
+            observer.onTokens(reported);
+        }
+    }
+}
+
+auto DecodeRelay::takePiece(std::string_view piece, TokenEventReader& reader) -> Step
+{
+    reader.feed(piece);
+    m_now = monotonicNow();
+    TokenEvent event;
+    while (true) {
+        const auto status = reader.next(event);
+        if (status == TokenEventReader::Status::NeedMore)
+            return Step::NeedMore;
+        if (status == TokenEventReader::Status::Malformed) {
+            m_fault = "malformed token event";
+            return Step::Faulty;
+        }
+        if (event.isDone) {
+            if (m_sequence.takeEnd(event.index) == TokenVerdict::Next)
+                return Step::Complete;
+            m_fault = "the stream ended at token " + std::to_string(event.index) + " of " + std::to_string(tokens());
+            return Step::Faulty;
+        }
+        if (!takeToken(event))
+            return Step::Faulty;
+    }
+}
+
+auto DecodeRelay::takeToken(const TokenEvent& event) -> bool
+{
+    const auto verdict = m_sequence.takeToken(event.index);
+    if (verdict == TokenVerdict::Repeated)
+        return true;
+    if (verdict != TokenVerdict::Next || !m_machine.apply(RequestStep::TokenSent)) {
+        m_fault = "token " + std::to_string(event.index) + " came where " + std::to_string(tokens()) + " was expected";
+        return false;
+    }
+    m_writer.addToken(event.text);
+    m_metrics.tokens.fetch_add(1, std::memory_order_relaxed);
+    auto& histogram = tokens() == 1 ? m_metrics.firstToken : m_metrics.tokenGap;
+    histogram.record(m_now - m_lastToken);
+    m_lastToken = m_now;
+    return true;
+}
+
+}
--- /dev/null
+++ b/src/DecodeRelay.h
@@ -0,0 +1,64 @@
+#pragma once
+
+/// Relays the token events of decode streams to a caller. It outlives the single attempts, so that
+/// the check of the token indices covers the whole answer.
+
+#include "AnswerWriter.h"
+#include "EngineError.h"
+#include "EntryTimeouts.h"
+#include "HttpStream.h"
+#include "RelayOutcome.h"
+#include "RequestMachine.h"
+#include "ServiceMetrics.h"
+#include "TokenEventReader.h"
+#include "TokenSequence.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+
+namespace jayhold {
+
+class DecodeRelay {
+public:
+    struct Observer {
+        /// The engine has sent the first token of this attempt.
+        std::function<void()> onStarted;
+        /// The caller has been sent so many tokens; called for batches.
+        std::function<void(std::uint32_t)> onTokens;
+    };
+
+    /// @param arrivedAt when the request arrived, for the metrics.
+    DecodeRelay(AnswerWriter& writer, RequestMachine& machine, ServiceMetrics& metrics, EntryTimeouts timeouts, TimePoint arrivedAt);
+
+    /// Relays one attempt until its end.
+    auto run(HttpStream& stream, Observer observer) -> boost::asio::awaitable<RelayOutcome>;
+
+    /// @return tokens that the caller has.
+    auto tokens() const -> std::uint32_t { return m_sequence.count(); }
+
+private:
+    enum class Step {
+        /// The reader has no further event.
+        NeedMore,
+        /// The last event of the answer was read.
+        Complete,
+        /// The engine's events are faulty.
+        Faulty,
+    };
+
+    auto takePiece(std::string_view piece, TokenEventReader& reader) -> Step;
+    auto takeToken(const TokenEvent& event) -> bool;
+
+    AnswerWriter& m_writer;
+    RequestMachine& m_machine;
+    ServiceMetrics& m_metrics;
+    const EntryTimeouts m_timeouts;
+    TokenSequence m_sequence;
+    /// When the caller's last token left, or the request arrived.
+    TimePoint m_lastToken;
+    TimePoint m_now {};
+    std::string m_fault;
+};
+
+}
--- /dev/null
+++ b/src/EngineClient.cpp
@@ -0,0 +1,102 @@
+#include "EngineClient.h"
+
+#include "EngineMessages.h"
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto cancelTimeout = std::chrono::seconds(1);
+/// Longest answer of a prefill, in bytes; it has no payload.
+constexpr std::size_t maximumPrefillAnswer = 1U << 16U;
+
+auto postRequest(std::string target, std::string body) -> HttpRequest
+{
+    return { "POST", std::move(target), { { "Content-Type", "application/json" } }, std::move(body) };
+}
+
+auto readBody(HttpStream& stream, Duration timeout) -> asio::awaitable<EngineResult<std::string>>
+{
+    std::string body;
+    while (body.size() < maximumPrefillAnswer) {
+        const auto piece = co_await stream.readSome(timeout);
+        if (piece.has_error())
+            co_return engineErrorOf(piece.error());
+        if (piece->empty())
+            co_return body;
+        body += *piece;
+    }
+    co_return EngineError { FailureKind::ServerError, "the answer is too large" };
+}
+
+}
+
+// The calls use open() rather than request(), because a connection of their own can be closed to
+// cancel the call.
+auto prefillOnEngine(HttpClient& client, HttpEndpoint endpoint, EngineCall call, Duration timeout) -> asio::awaitable<EngineResult<PrefillResult>>
+{
+    auto request = postRequest("/v1/prefill", printPrefillCall(call));
+    const auto stream = co_await client.open(std::move(endpoint), std::move(request), timeout);
+    if (stream.has_error())
+        co_return engineErrorOf(stream.error());
+    if ((*stream)->status() != 200)
+        co_return engineErrorOf((*stream)->status());
+    const auto body = co_await readBody(**stream, timeout);
+    if (body.has_error())
+        co_return body.error();
+    auto result = parsePrefillResult(*body);
+    if (!result)
+        co_return EngineError { FailureKind::ServerError, "malformed prefill result" };
+    co_return std::move(*result);
+}
+
+auto decodeOnEngine(HttpClient& client, HttpEndpoint endpoint, EngineCall call, Duration timeout) -> asio::awaitable<EngineResult<std::shared_ptr<HttpStream>>>
+{
+    auto request = postRequest("/v1/decode", printDecodeCall(call));
+    const auto stream = co_await client.open(std::move(endpoint), std::move(request), timeout);
+    if (stream.has_error())
+        co_return engineErrorOf(stream.error());
+    if ((*stream)->status() != 200)
+        co_return engineErrorOf((*stream)->status());
+    co_return *stream;
+}
+
+auto cancelOnEngine(HttpClient& client, HttpEndpoint endpoint, std::string requestId) -> asio::awaitable<bool>
+{
+    auto request = postRequest("/v1/cancel", printCancelCall(requestId));
+    request.isIdempotent = true;
+    const auto answer = co_await client.request(std::move(endpoint), std::move(request), cancelTimeout);
+    co_return answer.has_value() && answer->status == 200;
+}
+
+auto loadOfEngine(HttpClient& client, HttpEndpoint endpoint, Duration timeout) -> asio::awaitable<EngineResult<EngineLoad>>
+{
+    HttpRequest request { .target = "/v1/load" };
+    const auto answer = co_await client.request(std::move(endpoint), std::move(request), timeout);
+    if (answer.has_error())
+        co_return engineErrorOf(answer.error());
+    if (answer->status != 200)
+        co_return engineErrorOf(answer->status);
+    auto load = parseEngineLoad(answer->body);
+    if (!load)
+        co_return EngineError { FailureKind::ServerError, "malformed load report" };
+    co_return std::move(*load);
+}
+
+auto cacheEventsOfEngine(HttpClient& client, HttpEndpoint endpoint, std::uint64_t after, Duration timeout) -> asio::awaitable<EngineResult<EngineCacheEvents>>
+{
+    HttpRequest request { .target = "/v1/cache_events?after=" + std::to_string(after) };
+    const auto answer = co_await client.request(std::move(endpoint), std::move(request), timeout);
+    if (answer.has_error())
+        co_return engineErrorOf(answer.error());
+    if (answer->status != 200)
+        co_return engineErrorOf(answer->status);
+    auto events = parseCacheEvents(answer->body);
+    if (!events)
+        co_return EngineError { FailureKind::ServerError, "malformed cache events" };
+    co_return std::move(*events);
+}
+
+}
--- /dev/null
+++ b/src/EngineError.h
@@ -0,0 +1,40 @@
+#pragma once
+
+/// A call to an engine that failed.
+
+#include "FailureKind.h"
+#include "HttpError.h"
+
+#include <boost/system/result.hpp>
+
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace jayhold {
+
+struct EngineError {
+    FailureKind failure;
+    /// For logs.
+    std::string detail;
+};
+
+/// @return the stable name of a failure, for logs and metrics.
+auto name(FailureKind failure) -> std::string_view;
+
+/// @return the failure for an HTTP call that brought no answer.
+auto engineErrorOf(const HttpError& error) -> EngineError;
+
+/// @return the failure for an answer with an error status.
+auto engineErrorOf(unsigned status) -> EngineError;
+
+template <typename Value>
+using EngineResult = boost::system::result<Value, EngineError>;
+
+// NOLINTNEXTLINE(readability-identifier-naming): Boost.System looks the function up by this name.
+[[noreturn]] inline auto throw_exception_from_error(const EngineError& error, const boost::source_location&) -> void
+{
+    throw std::logic_error("value taken from a failed engine call: " + error.detail);
+}
+
+}
--- /dev/null
+++ b/src/EngineMessages.h
@@ -0,0 +1,25 @@
+#pragma once
+
+/// The JSON messages between an entry instance and an engine.
+
+#include "EngineCacheEvents.h"
+#include "EngineCall.h"
+#include "EngineLoad.h"
+#include "PrefillResult.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace jayhold {
+
+auto printPrefillCall(const EngineCall& call) -> std::string;
+auto printDecodeCall(const EngineCall& call) -> std::string;
+auto printCancelCall(std::string_view requestId) -> std::string;
+
+/// Each parser returns nothing for text that does not have the agreed form.
+auto parsePrefillResult(std::string_view text) -> std::optional<PrefillResult>;
+auto parseEngineLoad(std::string_view text) -> std::optional<EngineLoad>;
+auto parseCacheEvents(std::string_view text) -> std::optional<EngineCacheEvents>;
+
+}
--- /dev/null
+++ b/src/EntryContext.h
@@ -0,0 +1,32 @@
+#pragma once
+
+/// What the parts of an entry instance share.
+
+#include "EntrySettings.h"
+#include "EventLog.h"
+#include "IoThreads.h"
+#include "Metrics.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace jayhold {
+
+struct EntryContext {
+    const EntrySettings& settings;
+    IoThreads& threads;
+    EventLog& log;
+    Metrics metrics;
+    /// Unique to this run of the process, because a restarted instance may keep its name.
+    std::string runId;
+    std::atomic<bool> isDraining { false };
+    std::atomic<std::size_t> openRequests { 0 };
+    /// Tells the peers of a request that crashes backend servers.
+    std::function<void(std::uint64_t)> reportSignature = [](std::uint64_t) {};
+    /// Tells the peers of a backend server that says it is leaving.
+    std::function<void(std::string_view)> reportLeaving = [](std::string_view) {};
+};
+
+}
--- /dev/null
+++ b/src/EntryDaemon.cpp
@@ -0,0 +1,140 @@
+#include "EntryDaemon.h"
+
+#include "EntryDaemonState.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+auto nextRunId() -> std::string
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count());
+}
+
+auto serverSettings(const HttpEndpoint& endpoint, const EntrySettings& settings) -> HttpServerSettings
+{
+    HttpServerSettings server;
+    server.endpoint = endpoint;
+    server.maximumBody = settings.limits.bodyBytes;
+    return server;
+}
+
+auto clusterSettings(const EntrySettings& settings, const HttpEndpoint& bound) -> ClusterSettings
+{
+    ClusterSettings cluster;
+    cluster.instance = settings.instance;
+    cluster.availabilityZone = settings.availabilityZone;
+    cluster.peerEndpoint = settings.peerAdvertise.value_or(bound);
+    cluster.platform = settings.platform;
+    cluster.seedPeers = settings.seedPeers;
+    cluster.peerKey = settings.peerKey;
+    cluster.seed = settings.seed;
+    return cluster;
+}
+
+}
+
+EntryDaemon::State::State(EntrySettings entrySettings)
+    : settings(std::move(entrySettings))
+    , log(settings.instance)
+    , threads(std::make_unique<IoThreads>(settings.threads))
+    , context { settings, *threads, log }
+{
+    context.runId = nextRunId();
+}
+
+auto EntryDaemon::State::bind() -> void
+{
+    // The cluster needs the bound peer address, so the servers come first and refuse until all
+    // parts exist.
+    const auto serve = [this](auto api) {
+        return [this, api](HttpExchange& exchange) -> asio::awaitable<void> {
+            if (isComplete)
+                co_await (this->*api)->handle(exchange);
+            else
+                co_await exchange.respond(toResponse(ApiError(503, "starting", "the instance is starting")));
+        };
+    };
+    peerServer = std::make_unique<HttpServer>(*threads, serverSettings(settings.peerListen, settings), serve(&State::adminApi));
+    callerServer = std::make_unique<HttpServer>(*threads, serverSettings(settings.listen, settings), serve(&State::callerApi));
+}
+
+auto EntryDaemon::State::connect() -> void
+{
+    node = std::make_unique<ClusterNode>(*threads, clusterSettings(settings, peerServer->endpoint()), log);
+    records = std::make_unique<ClusterRecords>(*node);
+    services = std::make_unique<ServiceTable>(context, *records, [this](std::string_view owner, std::string_view backend) { return isAbandonedOwner(owner, backend); });
+    callerApi = std::make_unique<CallerApi>(context, *services);
+    adminApi = std::make_unique<AdminApi>(context, *services, *node, [this] { startDraining(); });
+    context.reportSignature = [this](std::uint64_t signature) { node->reportSignature(signature); };
+    context.reportLeaving = [this](std::string_view backend) { node->reportLeaving(backend); };
+    node->onConfiguration([this](std::shared_ptr<const Configuration> configuration) {
+        log.record(LogLevel::Info, "configuration_in_force", { { "version", configuration->version } });
+        services->updateConfiguration(std::move(configuration));
+    });
+    node->onBackends([this](const std::vector<BackendServer>& backends) { services->updateBackends(backends); });
+    node->onSignature([this](std::uint64_t signature) { services->noteSignature(signature); });
+    node->onMemberLost([this](const Member& member) {
+        log.record(LogLevel::Info, "member_lost", { { "member", member.id } });
+        lostOwners.noteLost(member.id);
+    });
+    isComplete = true;
+    node->start();
+    asio::co_spawn(threads->context(0), watchMembers(), asio::detached);
+}
+
+EntryDaemon::State::~State()
+{
+    // Coroutines end with their I/O thread and use all other parts until then.
+    if (services)
+        services->stop();
+    threads->stop();
+    callerServer.reset();
+    peerServer.reset();
+    services.reset();
+    node.reset();
+    threads.reset();
+}
+
+EntryDaemon::EntryDaemon(EntrySettings settings)
+    : m_state(std::make_unique<State>(std::move(settings)))
+{
+    m_state->bind();
+    m_state->connect();
+    m_state->log.record(LogLevel::Info, "listening", { { "address", toString(endpoint()) }, { "peer_address", toString(peerEndpoint()) } });
+}
+
+EntryDaemon::~EntryDaemon() = default;
+
+auto EntryDaemon::endpoint() const -> HttpEndpoint
+{
+    return m_state->callerServer->endpoint();
+}
+
+auto EntryDaemon::peerEndpoint() const -> HttpEndpoint
+{
+    return m_state->peerServer->endpoint();
+}
+
+auto EntryDaemon::log() -> EventLog&
+{
+    return m_state->log;
+}
+
+auto EntryDaemon::startDraining() -> void
+{
+    m_state->startDraining();
+}
+
+auto EntryDaemon::onDrained(std::function<void(bool)> callback) -> void
+{
+    m_state->drained = std::move(callback);
+}
+
+}
--- /dev/null
+++ b/src/EntryDaemonDrain.cpp
@@ -0,0 +1,95 @@
+#include "EntryDaemonState.h"
+
+#include "AwaitToken.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto drainCheckInterval = std::chrono::milliseconds(20);
+/// Time for two rounds of gossip, by which the peers learn that this instance is leaving and take
+/// its partitions over.
+constexpr auto handOverTime = std::chrono::milliseconds(1'200);
+constexpr auto memberInterval = std::chrono::milliseconds(250);
+
+auto pause(asio::steady_timer& timer, std::chrono::milliseconds duration) -> asio::awaitable<void>
+{
+    timer.expires_after(duration);
+    boost::system::error_code code;
+    co_await timer.async_wait(awaitInto(code));
+}
+
+}
+
+auto EntryDaemon::State::startDraining() -> void
+{
+    if (context.isDraining.exchange(true))
+        return;
+    log.record(LogLevel::Info, "draining", { { "open_requests", context.openRequests.load() } });
+    asio::co_spawn(threads->context(0), drain(), asio::detached);
+}
+
+auto EntryDaemon::State::drain() -> asio::awaitable<void>
+{
+    const auto begun = monotonicNow();
+    // Connections stay open for refusals and for /readyz, but each answer asks the caller to go.
+    callerServer->closeAfterAnswers();
+    node->startDraining();
+    services->startDraining();
+    const auto isComplete = co_await awaitOpenRequests();
+    asio::steady_timer timer(threads->context(0));
+    const auto handedOver = begun + handOverTime;
+    if (const auto now = monotonicNow(); now < handedOver)
+        co_await pause(timer, std::chrono::ceil<std::chrono::milliseconds>(handedOver - now));
+    callerServer->stopAccepting();
+    // A request that arrived just before the last check still gets its answer.
+    const auto isEmpty = co_await awaitOpenRequests();
+    log.record(LogLevel::Info, "drained", { { "complete", isComplete && isEmpty } });
+    drained(isComplete && isEmpty);
+}
+
+auto EntryDaemon::State::awaitOpenRequests() -> asio::awaitable<bool>
+{
+    const auto deadline = monotonicNow() + settings.drain;
+    asio::steady_timer timer(threads->context(0));
+    while (callerServer->activeExchanges() > 0) {
+        if (monotonicNow() >= deadline)
+            co_return false;
+        co_await pause(timer, drainCheckInterval);
+    }
+    co_return true;
+}
+
+auto EntryDaemon::State::watchMembers() -> asio::awaitable<void>
+{
+    asio::steady_timer timer(threads->context(0));
+    while (true) {
+        const auto members = node->members();
+        {
+            const std::lock_guard guard(memberLock);
+            memberIds.clear();
+            for (const auto& member : members)
+                memberIds.insert(member.id);
+        }
+        services->updateSharing(static_cast<std::uint32_t>(std::max<std::size_t>(members.size(), 1)));
+        co_await pause(timer, memberInterval);
+    }
+}
+
+auto EntryDaemon::State::isAbandonedOwner(std::string_view owner, std::string_view backend) -> bool
+{
+    auto isMember = false;
+    {
+        const std::lock_guard guard(memberLock);
+        isMember = memberIds.contains(owner);
+    }
+    return lostOwners.isLost(owner, isMember, monotonicNow()) && node->ownerOf("engine/" + std::string(backend)) == settings.instance;
+}
+
+}
--- /dev/null
+++ b/src/EntrySettings.h
@@ -0,0 +1,52 @@
+#pragma once
+
+/// Settings of one entry instance: its name, addresses and limits. Everything that instances
+/// share is in the configuration instead.
+
+#include "ConfigError.h"
+#include "EntryLimits.h"
+#include "EntryTimeouts.h"
+#include "HttpEndpoint.h"
+#include "LogLine.h"
+
+#include <boost/leaf/result.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jayhold {
+
+struct EntrySettings {
+    /// Unique among entry instances.
+    std::string instance;
+    std::string availabilityZone;
+    /// Where callers connect.
+    HttpEndpoint listen;
+    /// Where peers and operators connect.
+    HttpEndpoint peerListen;
+    /// Address under which peers reach this instance; the one it listens on where absent.
+    std::optional<HttpEndpoint> peerAdvertise;
+    std::vector<HttpEndpoint> platform;
+    /// Peers to ask while the platform can't be reached at the start; optional.
+    std::vector<HttpEndpoint> seedPeers;
+    std::string peerKey;
+    /// SHA-256 of operator keys that are accepted besides those of the configuration, so that the
+    /// first configuration can be applied.
+    std::vector<std::string> operatorKeysSha256;
+    std::size_t threads = 1;
+    EntryLimits limits;
+    EntryTimeouts timeouts;
+    /// Longest time that open requests get to finish after a signal to shut down.
+    std::chrono::milliseconds drain { 330'000 };
+    std::uint64_t seed = 1;
+    LogLevel logLevel = LogLevel::Info;
+};
+
+/// Parses and checks settings.
+/// @return the settings, or ConfigError for the first fault.
+auto parseEntrySettings(std::string_view text) -> boost::leaf::result<EntrySettings>;
+
+}
--- /dev/null
+++ b/src/EntryTimeouts.h
@@ -0,0 +1,18 @@
+#pragma once
+
+/// How long a request waits for an engine before the attempt counts as failed.
+
+#include <chrono>
+
+namespace jayhold {
+
+struct EntryTimeouts {
+    /// From sending a prefill to its result.
+    std::chrono::milliseconds prefill { 10'000 };
+    /// From sending a decode to its first token; covers the transfer of the KV cache.
+    std::chrono::milliseconds firstToken { 3'000 };
+    /// Between two tokens of a stream.
+    std::chrono::milliseconds stall { 2'000 };
+};
+
+}
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -89,6 +89,11 @@
     });
 }
 
+auto HttpServer::closeAfterAnswers() -> void
+{
+    m_state->shared->isDraining = true;
+}
+
 auto HttpServer::activeExchanges() const -> std::size_t
 {
     return m_state->shared->activeExchanges;
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -46,6 +46,9 @@
     /// Stops accepting connections; open exchanges go on and end with `Connection: close`.
     auto stopAccepting() -> void;
 
+    /// Makes every further answer end its connection; new connections are still accepted.
+    auto closeAfterAnswers() -> void;
+
     /// @return exchanges that a handler is working on.
     auto activeExchanges() const -> std::size_t;
 
--- /dev/null
+++ b/src/Metrics.cpp
@@ -0,0 +1,100 @@
+#include "Metrics.h"
+
+#include <sstream>
+
+namespace jayhold {
+
+namespace {
+
+struct CounterInfo {
+    std::string_view name;
+    std::string_view help;
+    std::atomic<std::uint64_t> ServiceMetrics::*value;
+};
+
+struct HistogramInfo {
+    std::string_view name;
+    std::string_view help;
+    LatencyHistogram ServiceMetrics::*value;
+};
+
+constexpr CounterInfo counters[] = {
+    { "jayhold_requests_total", "Requests that arrived.", &ServiceMetrics::arrived },
+    { "jayhold_requests_finished_total", "Requests answered whole.", &ServiceMetrics::finished },
+    { "jayhold_requests_refused_not_run_total", "Requests refused that did not run.", &ServiceMetrics::refusedNotRun },
+    { "jayhold_requests_refused_unknown_total", "Requests refused that may have run.", &ServiceMetrics::refusedUnknown },
+    { "jayhold_requests_cancelled_total", "Requests whose caller closed the connection.", &ServiceMetrics::cancelled },
+    { "jayhold_attempts_failed_total", "Attempts on a backend server that failed.", &ServiceMetrics::failedAttempts },
+    { "jayhold_streams_resumed_total", "Streams resumed on another engine.", &ServiceMetrics::resumed },
+    { "jayhold_answers_replayed_total", "Stored answers sent for a repeated call.", &ServiceMetrics::replayed },
+    { "jayhold_tokens_relayed_total", "Tokens relayed to callers.", &ServiceMetrics::tokens },
+    { "jayhold_engine_memory_reclaimed_total", "Attempts cancelled at engines because nobody waits for them.", &ServiceMetrics::reclaimed },
+};
+
+constexpr HistogramInfo histograms[] = {
+    { "jayhold_first_token_seconds", "Time from arrival to the first token.", &ServiceMetrics::firstToken },
+    { "jayhold_token_gap_seconds", "Time between tokens.", &ServiceMetrics::tokenGap },
+    { "jayhold_decision_seconds", "Time that one event takes in the decision code.", &ServiceMetrics::decision },
+    { "jayhold_queue_wait_seconds", "Time from arrival to the start of the prefill.", &ServiceMetrics::queueWait },
+};
+
+auto printHeader(std::ostream& output, std::string_view name, std::string_view help, std::string_view type) -> void
+{
+    output << "# HELP " << name << ' ' << help << '\n';
+    output << "# TYPE " << name << ' ' << type << '\n';
+}
+
+auto escapeLabel(std::string_view text) -> std::string
+{
+    std::string escaped;
+    for (const auto character : text) {
+        if (character == '"' || character == '\\')
+            escaped += '\\';
+        escaped += character == '\n' ? ' ' : character;
+    }
+    return escaped;
+}
+
+auto printHistogram(std::ostream& output, std::string_view name, const std::string& service, const LatencySnapshot& snapshot) -> void
+{
+    std::uint64_t cumulative = 0;
+    for (const auto& bucket : snapshot.buckets) {
+        cumulative += bucket.count;
+        output << name << "_bucket{service=\"" << service << "\",le=\"" << bucket.upTo << "\"} " << cumulative << '\n';
+    }
+    output << name << "_bucket{service=\"" << service << "\",le=\"+Inf\"} " << snapshot.total << '\n';
+    output << name << "_sum{service=\"" << service << "\"} " << snapshot.sumSeconds << '\n';
+    output << name << "_count{service=\"" << service << "\"} " << snapshot.total << '\n';
+}
+
+}
+
+auto Metrics::service(std::string_view name) -> std::shared_ptr<ServiceMetrics>
+{
+    const std::lock_guard guard(m_lock);
+    auto found = m_services.find(name);
+    if (found == m_services.end())
+        found = m_services.emplace(name, std::make_shared<ServiceMetrics>()).first;
+    return found->second;
+}
+
+auto Metrics::print(std::size_t openRequests) const -> std::string
+{
+    std::ostringstream output;
+    const std::lock_guard guard(m_lock);
+    printHeader(output, "jayhold_open_requests", "Requests in progress.", "gauge");
+    output << "jayhold_open_requests " << openRequests << '\n';
+    for (const auto& counter : counters) {
+        printHeader(output, counter.name, counter.help, "counter");
+        for (const auto& [service, metrics] : m_services)
+            output << counter.name << "{service=\"" << escapeLabel(service) << "\"} " << ((*metrics).*counter.value).load() << '\n';
+    }
+    for (const auto& info : histograms) {
+        printHeader(output, info.name, info.help, "histogram");
+        for (const auto& [service, metrics] : m_services)
+            printHistogram(output, info.name, escapeLabel(service), ((*metrics).*info.value).snapshot());
+    }
+    return std::move(output).str();
+}
+
+}
--- /dev/null
+++ b/src/ModelRequest.cpp
@@ -0,0 +1,311 @@
+#include "ModelRequest.h"
+
+#include "AwaitToken.h"
+#include "EngineClient.h"
+#include "ModelRequestTasks.h"
+#include "SpreadDelay.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/dispatch.hpp>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Time after a request's deadline at which the instance gives up on it by itself.
+constexpr auto deadlineGrace = std::chrono::seconds(1);
+constexpr auto lateSpreadDelay = std::chrono::seconds(1);
+
+auto unixSeconds() -> std::int64_t
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::seconds>(sinceEpoch).count();
+}
+
+auto answerId(const ModelRequestInfo& info, const EntryContext& context) -> std::string
+{
+    static std::atomic<std::uint64_t> lastAnswer { 0 };
+    const auto* prefix = info.request.shape == CompletionShape::Chat ? "chatcmpl-" : "cmpl-";
+    return prefix + context.settings.instance + "-" + context.runId + "-" + std::to_string(++lastAnswer);
+}
+
+auto formatOf(const ModelRequestInfo& info, const EntryContext& context) -> CompletionFormat
+{
+    return { info.request.shape, answerId(info, context), info.model, unixSeconds() };
+}
+
+auto arrivalOf(const ModelRequestInfo& info) -> RequestArrived
+{
+    RequestArrived arrived {};
+    arrived.kind = info.kind;
+    arrived.customer = info.customer;
+    arrived.promptTokens = info.digest.tokens;
+    arrived.maxTokens = info.request.maxTokens;
+    arrived.deadline = info.deadline;
+    arrived.prefixBlocks = info.digest.prefixBlocks;
+    arrived.signature = info.digest.signature;
+    return arrived;
+}
+
+}
+
+ModelRequest::ModelRequest(EntryContext& context, std::shared_ptr<ModelService> service, HttpExchange& exchange, ModelRequestInfo info)
+    : m_context(context)
+    , m_service(std::move(service))
+    , m_exchange(exchange)
+    , m_info(std::move(info))
+    , m_tasks(std::make_unique<Tasks>(exchange.executor()))
+    , m_writer(exchange, m_info.request, formatOf(m_info, context), { { std::string(hybridTimeHeader), toString(context.log.clock().tick()) } })
+    , m_relay(m_writer, m_machine, m_service->metrics(), context.settings.timeouts, m_info.arrivedAt)
+    , m_promptTokens(m_info.digest.tokens)
+{
+}
+
+ModelRequest::~ModelRequest() = default;
+
+auto ModelRequest::run() -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    m_exchange.onClose([weak = weak_from_this()] {
+        if (const auto request = weak.lock())
+            request->push(CallerClosed {});
+    });
+    m_service->metrics().arrived.fetch_add(1, std::memory_order_relaxed);
+    m_id = m_service->open(arrivalOf(m_info), self);
+    record("request_arrived");
+    while (!m_isOver) {
+        auto command = co_await nextCommand();
+        co_await handle(std::move(command));
+    }
+    co_await stopTask();
+    m_service->close(m_id);
+}
+
+auto ModelRequest::deliver(const DecisionAction& action) -> void
+{
+    asio::dispatch(m_tasks->executor, [self = shared_from_this(), action] { self->push(action); });
+}
+
+auto ModelRequest::push(Command command) -> void
+{
+    m_tasks->commands.push_back(std::move(command));
+    m_tasks->wake.cancel();
+}
+
+auto ModelRequest::nextCommand() -> asio::awaitable<Command>
+{
+    auto& tasks = *m_tasks;
+    while (tasks.commands.empty()) {
+        tasks.wake.expires_at(m_info.deadline + deadlineGrace);
+        boost::system::error_code code;
+        co_await tasks.wake.async_wait(awaitInto(code));
+        if (!code && tasks.commands.empty())
+            co_return DeadlineMissed {};
+    }
+    auto command = std::move(tasks.commands.front());
+    tasks.commands.pop_front();
+    co_return command;
+}
+
+auto ModelRequest::handle(Command command) -> asio::awaitable<void>
+{
+    if (auto* action = std::get_if<DecisionAction>(&command)) {
+        co_await handleAction(*action);
+    } else if (auto* prefill = std::get_if<PrefillEnded>(&command)) {
+        endPrefill(std::move(*prefill));
+    } else if (auto* decode = std::get_if<DecodeEnded>(&command)) {
+        co_await endDecode(std::move(*decode));
+    } else if (std::holds_alternative<CallerClosed>(command)) {
+        co_await cancel();
+    } else {
+        m_service->feed(RequestCancelled { m_id });
+        auto error = refusalError(RefusalReason::DeadlineExceeded, m_hasRun ? Outcome::Unknown : Outcome::NotRun, spreadDelay(lateSpreadDelay));
+        co_await refuse(std::move(error));
+    }
+}
+
+auto ModelRequest::handleAction(DecisionAction action) -> asio::awaitable<void>
+{
+    if (const auto* prefill = std::get_if<StartPrefill>(&action)) {
+        co_await beginPrefill(*prefill);
+    } else if (const auto* decode = std::get_if<StartDecode>(&action)) {
+        co_await beginDecode(*decode);
+    } else if (const auto* refusal = std::get_if<Refuse>(&action)) {
+        // Tokens that the caller has prove that the request ran, whatever the shard knows.
+        const auto outcome = m_relay.tokens() > 0 ? Outcome::Unknown : refusal->outcome;
+        auto error = refusalError(refusal->reason, outcome, refusal->retryAfter);
+        co_await refuse(std::move(error));
+    } else if (const auto* cancelled = std::get_if<CancelOnReplica>(&action)) {
+        // The task then ends as failed, by which the shard learns how far the answer got.
+        if (cancelled->replica == m_tasks->replica)
+            interruptTask();
+    }
+}
+
+auto ModelRequest::beginPrefill(StartPrefill action) -> asio::awaitable<void>
+{
+    co_await stopTask();
+    if (!m_machine.apply(RequestStep::PrefillStarted))
+        co_return;
+    if (!m_hasRun)
+        m_service->metrics().queueWait.record(monotonicNow() - m_info.arrivedAt);
+    m_attempt = action.attempt;
+    m_prefill.reset();
+    m_prefillReplica = action.prefill;
+    const auto replica = m_service->replica(action.prefill);
+    if (!replica) {
+        push(PrefillEnded { ++m_tasks->lastTask, EngineError { FailureKind::NotConnected, "the backend server is gone" } });
+        co_return;
+    }
+    m_hasRun = true;
+    m_backend = replica->backend.id;
+    record("prefill_started");
+    auto call = engineCall();
+    const auto task = ++m_tasks->lastTask;
+    m_tasks->replica = action.prefill;
+    spawnTask(runPrefill(task, *replica, std::move(call)));
+}
+
+auto ModelRequest::endPrefill(PrefillEnded ended) -> void
+{
+    if (ended.task != m_tasks->lastTask)
+        return;
+    if (ended.result.has_error()) {
+        if (!m_machine.apply(RequestStep::PrefillFailed))
+            return;
+        noteFailure("prefill", ended.result.error());
+        m_service->feed(PrefillFailed { m_id, m_attempt, ended.result.error().failure });
+        return;
+    }
+    if (!m_machine.apply(RequestStep::PrefillDone))
+        return;
+    m_prefill = std::move(*ended.result);
+    m_promptTokens = m_prefill->promptTokens;
+    m_cachedTokens = m_prefill->cachedTokens;
+    record("prefill_done", "cached_tokens", std::to_string(m_cachedTokens));
+    m_service->feed(PrefillDone { m_id, m_attempt, monotonicNow() + m_prefill->kept, m_cachedTokens });
+}
+
+auto ModelRequest::beginDecode(StartDecode action) -> asio::awaitable<void>
+{
+    co_await stopTask();
+    if (!m_machine.apply(RequestStep::DecodeStarted))
+        co_return;
+    m_attempt = action.attempt;
+    const auto replica = m_service->replica(action.decode);
+    if (!replica) {
+        push(DecodeEnded { ++m_tasks->lastTask, { EngineError { FailureKind::NotConnected, "the backend server is gone" } } });
+        co_return;
+    }
+    m_hasRun = true;
+    m_backend = replica->backend.id;
+    auto call = engineCall();
+    call.maxTokens = m_info.request.maxTokens;
+    // The tokens that the caller has are counted here; the shard's number may lag.
+    call.resumeFrom = m_relay.tokens();
+    if (m_prefill && m_prefillReplica == action.prefill) {
+        if (const auto source = m_service->replica(action.prefill))
+            call.kv = KvSource { source->backend.endpoint, m_prefill->handle };
+    }
+    record("transfer_started");
+    const auto task = ++m_tasks->lastTask;
+    m_tasks->replica = action.decode;
+    spawnTask(runDecode(task, *replica, std::move(call)));
+}
+
+auto ModelRequest::endDecode(DecodeEnded ended) -> asio::awaitable<void>
+{
+    if (ended.task != m_tasks->lastTask)
+        co_return;
+    if (ended.outcome.isCallerGone) {
+        co_await cancel();
+        co_return;
+    }
+    if (!ended.outcome.error) {
+        co_await finish();
+        co_return;
+    }
+    if (!m_machine.apply(RequestStep::DecodeFailed))
+        co_return;
+    noteFailure("decode", *ended.outcome.error);
+    m_service->feed(DecodeFailed { m_id, m_attempt, ended.outcome.error->failure, m_relay.tokens() });
+}
+
+auto ModelRequest::finish() -> asio::awaitable<void>
+{
+    if (!m_machine.apply(RequestStep::Finished))
+        co_return;
+    m_isOver = true;
+    // The engine has ended the request, so its seat is free whether or not the caller takes the rest.
+    m_service->feed(DecodeFinished { m_id, m_attempt, m_relay.tokens() });
+    const auto* reason = m_relay.tokens() >= m_info.request.maxTokens ? "length" : "stop";
+    const auto isSent = co_await m_writer.finish(reason, usage());
+    m_service->metrics().finished.fetch_add(1, std::memory_order_relaxed);
+    record(isSent ? "request_finished" : "answer_not_taken", "tokens", std::to_string(m_relay.tokens()));
+}
+
+auto ModelRequest::refuse(ApiError error) -> asio::awaitable<void>
+{
+    co_await stopTask();
+    if (!m_machine.apply(RequestStep::Refused))
+        co_return;
+    m_isOver = true;
+    auto& metrics = m_service->metrics();
+    auto& counter = error.outcome == Outcome::NotRun ? metrics.refusedNotRun : metrics.refusedUnknown;
+    counter.fetch_add(1, std::memory_order_relaxed);
+    record("request_refused", "reason", error.type);
+    co_await m_writer.fail(std::move(error));
+}
+
+auto ModelRequest::cancel() -> asio::awaitable<void>
+{
+    if (!m_machine.apply(RequestStep::Cancelled))
+        co_return;
+    m_isOver = true;
+    m_service->feed(RequestCancelled { m_id });
+    m_service->metrics().cancelled.fetch_add(1, std::memory_order_relaxed);
+    record("request_cancelled");
+    co_await stopTask();
+}
+
+auto ModelRequest::engineCall() const -> EngineCall
+{
+    EngineCall call;
+    call.requestId = m_service->engineRequestId(m_id, m_attempt);
+    call.owner = m_context.settings.instance;
+    call.model = m_info.model;
+    call.prompt = m_info.request.prompt;
+    call.priority = static_cast<int>(m_info.kindSettings.latencyClass);
+    const auto remaining = std::max(m_info.deadline - monotonicNow(), Duration::zero());
+    call.deadlineMs = std::chrono::ceil<std::chrono::milliseconds>(remaining).count();
+    return call;
+}
+
+auto ModelRequest::noteFailure(std::string_view phase, const EngineError& error) -> void
+{
+    m_service->metrics().failedAttempts.fetch_add(1, std::memory_order_relaxed);
+    if (error.failure == FailureKind::Leaving)
+        m_context.reportLeaving(m_backend);
+    record(std::string(phase) + "_failed", "failure", std::string(name(error.failure)) + ": " + error.detail);
+}
+
+auto ModelRequest::record(std::string_view event, std::string_view detailKey, std::string_view detail) -> void
+{
+    const LogField request("request", m_service->engineRequestId(m_id, m_attempt));
+    const LogField service("service", m_service->name());
+    const LogField kind("kind", m_info.kindSettings.name);
+    const LogField customer("customer", m_info.customerName);
+    if (detailKey.empty())
+        m_context.log.record(LogLevel::Debug, event, { request, service, kind, customer, { "backend", m_backend } });
+    else
+        m_context.log.record(LogLevel::Debug, event, { request, service, kind, customer, { "backend", m_backend }, { detailKey, detail } });
+}
+
+auto ModelRequest::usage() const -> CompletionUsage
+{
+    return { m_promptTokens, m_cachedTokens, m_relay.tokens() };
+}
+
+}
--- /dev/null
+++ b/src/ModelRequest.h
@@ -0,0 +1,100 @@
+#pragma once
+
+/// The life cycle of one model request at an entry instance: it carries out what the shard decides
+/// for the request, reports what comes of it, and answers the caller. Everything but deliver()
+/// runs on the I/O thread of the exchange.
+
+#include "ActionReceiver.h"
+#include "AnswerWriter.h"
+#include "DecodeRelay.h"
+#include "EngineCall.h"
+#include "EngineError.h"
+#include "ModelRequestInfo.h"
+#include "ModelService.h"
+#include "PrefillResult.h"
+#include "RequestMachine.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <variant>
+
+namespace jayhold {
+
+class ModelRequest : public ActionReceiver, public std::enable_shared_from_this<ModelRequest> {
+public:
+    ModelRequest(EntryContext& context, std::shared_ptr<ModelService> service, HttpExchange& exchange, ModelRequestInfo info);
+    ~ModelRequest() override;
+    ModelRequest(const ModelRequest&) = delete;
+    auto operator=(const ModelRequest&) -> ModelRequest& = delete;
+
+    /// Runs the request until the caller has its final answer or is gone.
+    auto run() -> boost::asio::awaitable<void>;
+
+    auto deliver(const DecisionAction& action) -> void override;
+
+private:
+    struct CallerClosed { };
+    /// The shard has not ended the request although its deadline is long past.
+    struct DeadlineMissed { };
+    struct PrefillEnded {
+        std::uint64_t task;
+        EngineResult<PrefillResult> result;
+    };
+    struct DecodeEnded {
+        std::uint64_t task;
+        RelayOutcome outcome;
+    };
+    using Command = std::variant<DecisionAction, CallerClosed, DeadlineMissed, PrefillEnded, DecodeEnded>;
+    struct Tasks;
+
+    auto push(Command command) -> void;
+    auto nextCommand() -> boost::asio::awaitable<Command>;
+    auto handle(Command command) -> boost::asio::awaitable<void>;
+    auto handleAction(DecisionAction action) -> boost::asio::awaitable<void>;
+    auto beginPrefill(StartPrefill action) -> boost::asio::awaitable<void>;
+    auto beginDecode(StartDecode action) -> boost::asio::awaitable<void>;
+    auto endPrefill(PrefillEnded ended) -> void;
+    auto endDecode(DecodeEnded ended) -> boost::asio::awaitable<void>;
+    auto finish() -> boost::asio::awaitable<void>;
+    auto refuse(ApiError error) -> boost::asio::awaitable<void>;
+    auto cancel() -> boost::asio::awaitable<void>;
+
+    /// Starts the task of an attempt; at most one runs at a time.
+    auto spawnTask(boost::asio::awaitable<void> task) -> void;
+    /// Makes the running task fail at once and closes its connection to the engine.
+    auto interruptTask() -> void;
+    /// Ends the running task, closes its connection and waits until it is gone.
+    auto stopTask() -> boost::asio::awaitable<void>;
+    auto runPrefill(std::uint64_t task, ReplicaStatus replica, EngineCall call) -> boost::asio::awaitable<void>;
+    auto runDecode(std::uint64_t task, ReplicaStatus replica, EngineCall call) -> boost::asio::awaitable<void>;
+    auto relay(HttpStream& stream) -> boost::asio::awaitable<RelayOutcome>;
+
+    /// @param resumedFrom tokens that the caller had before this attempt.
+    auto noteFirstToken(std::uint32_t resumedFrom) -> void;
+    auto engineCall() const -> EngineCall;
+    auto noteFailure(std::string_view phase, const EngineError& error) -> void;
+    auto record(std::string_view event, std::string_view detailKey = {}, std::string_view detail = {}) -> void;
+    auto usage() const -> CompletionUsage;
+
+    EntryContext& m_context;
+    const std::shared_ptr<ModelService> m_service;
+    HttpExchange& m_exchange;
+    const ModelRequestInfo m_info;
+    const std::unique_ptr<Tasks> m_tasks;
+    RequestMachine m_machine;
+    AnswerWriter m_writer;
+    DecodeRelay m_relay;
+    RequestId m_id {};
+    Attempt m_attempt = 0;
+    /// Backend server of the present attempt, for the event log.
+    std::string m_backend;
+    ReplicaId m_prefillReplica {};
+    std::optional<PrefillResult> m_prefill;
+    std::uint32_t m_promptTokens;
+    std::uint32_t m_cachedTokens = 0;
+    bool m_hasRun = false;
+    bool m_isOver = false;
+};
+
+}
--- /dev/null
+++ b/src/ModelRequestInfo.h
@@ -0,0 +1,28 @@
+#pragma once
+
+/// A checked model request as it enters its life cycle.
+
+#include "CompletionRequest.h"
+#include "Identifiers.h"
+#include "PromptDigest.h"
+#include "RequestKind.h"
+#include "Time.h"
+
+#include <string>
+
+namespace jayhold {
+
+struct ModelRequestInfo {
+    CompletionRequest request;
+    PromptDigest digest;
+    KindId kind {};
+    RequestKind kindSettings;
+    CustomerId customer {};
+    std::string customerName;
+    /// Model that the engines run.
+    std::string model;
+    TimePoint arrivedAt {};
+    TimePoint deadline {};
+};
+
+}
--- /dev/null
+++ b/src/ModelRequestTasks.cpp
@@ -0,0 +1,100 @@
+#include "ModelRequestTasks.h"
+
+#include "AwaitToken.h"
+#include "EngineClient.h"
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/co_spawn.hpp>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+auto ModelRequest::spawnTask(asio::awaitable<void> task) -> void
+{
+    m_tasks->isRunning = true;
+    auto onEnd = [self = shared_from_this()](const std::exception_ptr&) {
+        self->m_tasks->isRunning = false;
+        self->m_tasks->stream.reset();
+        self->m_tasks->ended.cancel();
+    };
+    asio::co_spawn(m_tasks->executor, std::move(task), asio::bind_cancellation_slot(m_tasks->interrupt.slot(), std::move(onEnd)));
+}
+
+auto ModelRequest::interruptTask() -> void
+{
+    if (!m_tasks->isRunning)
+        return;
+    if (m_tasks->stream)
+        m_tasks->stream->close();
+    else
+        m_tasks->interrupt.emit(asio::cancellation_type::terminal);
+}
+
+auto ModelRequest::stopTask() -> asio::awaitable<void>
+{
+    if (!m_tasks->isRunning)
+        co_return;
+    // What the task still reports is not about the present attempt any more.
+    ++m_tasks->lastTask;
+    interruptTask();
+    while (m_tasks->isRunning) {
+        m_tasks->ended.expires_at(asio::steady_timer::time_point::max());
+        boost::system::error_code code;
+        co_await m_tasks->ended.async_wait(awaitInto(code));
+    }
+    // The state machine leaves the interrupted attempt; only one of the two steps applies.
+    if (!m_machine.apply(RequestStep::PrefillFailed))
+        m_machine.apply(RequestStep::DecodeFailed);
+}
+
+auto ModelRequest::runPrefill(std::uint64_t task, ReplicaStatus replica, EngineCall call) -> asio::awaitable<void>
+{
+    co_await asio::this_coro::throw_if_cancelled(false);
+    const auto self = shared_from_this();
+    auto result = co_await prefillOnEngine(m_exchange.client(), replica.backend.endpoint, std::move(call), m_context.settings.timeouts.prefill);
+    push(PrefillEnded { task, std::move(result) });
+}
+
+auto ModelRequest::runDecode(std::uint64_t task, ReplicaStatus replica, EngineCall call) -> asio::awaitable<void>
+{
+    co_await asio::this_coro::throw_if_cancelled(false);
+    const auto self = shared_from_this();
+    const auto stream = co_await decodeOnEngine(m_exchange.client(), replica.backend.endpoint, std::move(call), m_context.settings.timeouts.firstToken);
+    if (stream.has_error()) {
+        push(DecodeEnded { task, { stream.error() } });
+        co_return;
+    }
+    // A task that was stopped while the engine answered must not relay.
+    if (task != m_tasks->lastTask)
+        co_return;
+    m_tasks->stream = *stream;
+    auto outcome = co_await relay(**stream);
+    (*stream)->close();
+    push(DecodeEnded { task, std::move(outcome) });
+}
+
+auto ModelRequest::relay(HttpStream& stream) -> asio::awaitable<RelayOutcome>
+{
+    DecodeRelay::Observer observer {
+        [this, resumedFrom = m_relay.tokens()] {
+            noteFirstToken(resumedFrom);
+            m_service->feed(DecodeStarted { m_id, m_attempt });
+        },
+        [this](std::uint32_t total) { m_service->feed(TokensEmitted { m_id, m_attempt, total }); },
+    };
+    auto outcome = co_await m_relay.run(stream, std::move(observer));
+    co_return outcome;
+}
+
+auto ModelRequest::noteFirstToken(std::uint32_t resumedFrom) -> void
+{
+    if (resumedFrom == 0) {
+        record("first_token");
+        return;
+    }
+    m_service->metrics().resumed.fetch_add(1, std::memory_order_relaxed);
+    record("stream_resumed", "token", std::to_string(resumedFrom));
+}
+
+}
--- /dev/null
+++ b/src/ModelRequestTasks.h
@@ -0,0 +1,41 @@
+#pragma once
+
+/// The running attempt of a model request and the queue of what it has to handle; private to the
+/// implementation of ModelRequest.
+
+#include "ModelRequest.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+
+namespace jayhold {
+
+struct ModelRequest::Tasks {
+    explicit Tasks(boost::asio::any_io_executor requestExecutor)
+        : executor(std::move(requestExecutor))
+        , wake(executor)
+        , ended(executor)
+    {
+    }
+
+    boost::asio::any_io_executor executor;
+    std::deque<Command> commands;
+    /// Cancelled when a command arrives.
+    boost::asio::steady_timer wake;
+    /// Number of the last task; the outcome of an earlier one is late and ignored.
+    std::uint64_t lastTask = 0;
+    bool isRunning = false;
+    /// Where the running task has its attempt.
+    ReplicaId replica {};
+    /// Cancelled when the running task ends.
+    boost::asio::steady_timer ended;
+    /// Interrupts a task that waits for an engine's first answer.
+    boost::asio::cancellation_signal interrupt;
+    /// The stream that the task relays, once it is open.
+    std::shared_ptr<HttpStream> stream;
+};
+
+}
--- /dev/null
+++ b/src/ModelService.cpp
@@ -0,0 +1,342 @@
+#include "ModelService.h"
+
+#include "EngineClient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+auto shardSettingsOf(const EntryContext& context, const ConfigurationIndex& index, const Service& service) -> ShardSettings
+{
+    ShardSettings settings;
+    settings.seed = context.settings.seed;
+    settings.localZone = index.zoneOf(context.settings.availabilityZone);
+    settings.wastedPrefillWeight = service.wastedPrefillWeight;
+    settings.kinds = service.kinds;
+    for (const auto& customer : index.configuration().customers) {
+        settings.customerWeights.push_back(customer.weight);
+        settings.customerQueueLimits.push_back(static_cast<std::uint32_t>(std::min<std::int64_t>(customer.maxQueued, UINT32_MAX)));
+    }
+    return settings;
+}
+
+auto zoneNames(const ConfigurationIndex& index) -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    for (const auto& zone : index.configuration().availabilityZones)
+        names.push_back(zone.name);
+    return names;
+}
+
+}
+
+ModelService::ModelService(EntryContext& context, const ConfigurationIndex& index, const Service& service)
+    : m_context(context)
+    , m_name(service.name)
+    , m_idPrefix(context.settings.instance + "/" + context.runId + "/" + service.name + "/")
+    , m_metrics(context.metrics.service(service.name))
+    , m_pools(service.pools)
+    , m_zones(zoneNames(index))
+    , m_shardSettings(shardSettingsOf(context, index, service))
+    , m_shard(makeShard(m_shardSettings))
+{
+}
+
+ModelService::~ModelService() = default;
+
+auto ModelService::updateConfiguration(const ConfigurationIndex& index, const Service& service) -> void
+{
+    Outbox outbox;
+    {
+        const std::lock_guard guard(m_lock);
+        const auto sharing = m_shardSettings.sharingInstances;
+        m_pools = service.pools;
+        m_zones = zoneNames(index);
+        m_shardSettings = shardSettingsOf(m_context, index, service);
+        m_shardSettings.sharingInstances = sharing;
+        jayhold::updateSettings(m_shard, m_shardSettings);
+        // Seats, memory and zones come from the pools, which may have changed.
+        for (const auto& [id, status] : m_replicas)
+            changeLocked(status, outbox);
+    }
+    send(std::move(outbox));
+}
+
+auto ModelService::updateSharing(std::uint32_t sharing) -> void
+{
+    const std::lock_guard guard(m_lock);
+    if (m_shardSettings.sharingInstances == sharing)
+        return;
+    m_shardSettings.sharingInstances = sharing;
+    jayhold::updateSettings(m_shard, m_shardSettings);
+}
+
+auto ModelService::updateBackends(std::span<const BackendServer> backends) -> void
+{
+    Outbox outbox;
+    {
+        const std::lock_guard guard(m_lock);
+        std::set<ReplicaId> present;
+        for (const auto& backend : backends) {
+            const auto* pool = poolOf(backend.pool);
+            if (!pool || backend.state == ReplicaState::Gone)
+                continue;
+            auto [known, isNew] = m_replicaIds.try_emplace(backend.id, static_cast<ReplicaId>(m_lastReplica + 1));
+            if (isNew)
+                ++m_lastReplica;
+            present.insert(known->second);
+            auto& status = m_replicas[known->second];
+            if (!isNew && status.backend == backend && status.role == pool->role)
+                continue;
+            status.id = known->second;
+            status.backend = backend;
+            status.role = pool->role;
+            changeLocked(status, outbox);
+        }
+        for (auto replica = m_replicas.begin(); replica != m_replicas.end();) {
+            if (present.contains(replica->first)) {
+                ++replica;
+                continue;
+            }
+            replica->second.backend.state = ReplicaState::Gone;
+            changeLocked(replica->second, outbox);
+            m_replicaIds.erase(replica->second.backend.id);
+            replica = m_replicas.erase(replica);
+        }
+    }
+    send(std::move(outbox));
+}
+
+auto ModelService::changeLocked(const ReplicaStatus& status, Outbox& outbox) -> void
+{
+    const auto* pool = poolOf(status.backend.pool);
+    const auto zone = std::ranges::find(m_zones, status.backend.availabilityZone) - m_zones.begin();
+    ReplicaChanged change { .replica = status.id, .role = status.role, .zone = static_cast<ZoneId>(zone), .state = status.backend.state };
+    if (pool) {
+        change.seats = static_cast<std::uint32_t>(pool->seats);
+        change.memoryPieces = static_cast<std::uint32_t>(pool->memoryPieces);
+        change.pieceTokens = static_cast<std::uint32_t>(pool->pieceTokens);
+        change.linkBytesPerSecond = static_cast<std::uint64_t>(pool->linkBytesPerSecond);
+    } else {
+        change.state = ReplicaState::Gone;
+    }
+    decideLocked(change, outbox);
+}
+
+auto ModelService::poolOf(std::string_view name) const -> const Pool*
+{
+    const auto found = std::ranges::find(m_pools, name, &Pool::name);
+    return found == m_pools.end() ? nullptr : &*found;
+}
+
+auto ModelService::open(RequestArrived arrived, const std::shared_ptr<ActionReceiver>& receiver) -> RequestId
+{
+    Outbox outbox;
+    {
+        const std::lock_guard guard(m_lock);
+        arrived.request = static_cast<RequestId>(++m_lastRequest);
+        m_requests.emplace(arrived.request, OpenRequest { receiver, {} });
+        decideLocked(arrived, outbox);
+    }
+    send(std::move(outbox));
+    return arrived.request;
+}
+
+auto ModelService::feed(const DecisionEvent& event) -> void
+{
+    Outbox outbox;
+    {
+        const std::lock_guard guard(m_lock);
+        cancelEndedLocked(event, outbox);
+        decideLocked(event, outbox);
+    }
+    send(std::move(outbox));
+}
+
+auto ModelService::close(RequestId request) -> void
+{
+    const std::lock_guard guard(m_lock);
+    m_requests.erase(request);
+}
+
+auto ModelService::recordLoad(ReplicaId replica, EngineLoad load, TimePoint asOf) -> void
+{
+    ReplicaLoad event { .replica = replica, .sequence = load.sequence, .asOf = asOf, .running = load.running, .waiting = load.waiting, .freePieces = load.freePieces };
+    for (const auto& held : load.held) {
+        if (const auto attempt = attemptOf(held.requestId))
+            event.held.push_back(attempt->first);
+    }
+    Outbox outbox;
+    {
+        const std::lock_guard guard(m_lock);
+        const auto known = m_replicas.find(replica);
+        if (known == m_replicas.end())
+            return;
+        known->second.load = std::move(load);
+        decideLocked(event, outbox);
+    }
+    send(std::move(outbox));
+}
+
+auto ModelService::replica(ReplicaId replica) const -> std::optional<ReplicaStatus>
+{
+    const std::lock_guard guard(m_lock);
+    const auto known = m_replicas.find(replica);
+    return known == m_replicas.end() ? std::nullopt : std::optional(known->second);
+}
+
+auto ModelService::replicas() const -> std::vector<ReplicaStatus>
+{
+    std::vector<ReplicaStatus> list;
+    const std::lock_guard guard(m_lock);
+    for (const auto& [id, status] : m_replicas)
+        list.push_back(status);
+    std::ranges::sort(list, {}, &ReplicaStatus::id);
+    return list;
+}
+
+auto ModelService::summary() const -> ShardSummary
+{
+    const std::lock_guard guard(m_lock);
+    return summarize(m_shard);
+}
+
+auto ModelService::isExpected(ReplicaId replica, std::string_view engineRequestId) const -> bool
+{
+    const auto named = attemptOf(engineRequestId);
+    if (!named)
+        return false;
+    const std::lock_guard guard(m_lock);
+    const auto open = m_requests.find(named->first);
+    return open != m_requests.end() && std::ranges::any_of(open->second.attempts, [&](const RunningAttempt& running) {
+        return running.replica == replica && running.attempt == named->second;
+    });
+}
+
+auto ModelService::engineRequestId(RequestId request, Attempt attempt) const -> std::string
+{
+    return m_idPrefix + std::to_string(static_cast<std::uint64_t>(request)) + "." + std::to_string(attempt);
+}
+
+auto ModelService::attemptOf(std::string_view engineRequestId) const -> std::optional<std::pair<RequestId, Attempt>>
+{
+    if (!engineRequestId.starts_with(m_idPrefix))
+        return std::nullopt;
+    const auto* text = engineRequestId.data() + m_idPrefix.size();
+    const auto* end = engineRequestId.data() + engineRequestId.size();
+    std::uint64_t request = 0;
+    Attempt attempt = 0;
+    const auto [dot, requestCode] = std::from_chars(text, end, request);
+    if (requestCode != std::errc {} || dot == end || *dot != '.')
+        return std::nullopt;
+    const auto [rest, attemptCode] = std::from_chars(dot + 1, end, attempt);
+    if (attemptCode != std::errc {} || rest != end)
+        return std::nullopt;
+    return std::pair { static_cast<RequestId>(request), attempt };
+}
+
+auto ModelService::decideLocked(const DecisionEvent& event, Outbox& outbox) -> void
+{
+    m_actions.clear();
+    const auto before = monotonicNow();
+    decide(m_shard, before, event, m_actions);
+    m_metrics->decision.record(monotonicNow() - before);
+    for (const auto& action : m_actions)
+        routeLocked(action, outbox);
+}
+
+auto ModelService::routeLocked(const DecisionAction& action, Outbox& outbox) -> void
+{
+    const auto deliver = [&](RequestId request) {
+        const auto open = m_requests.find(request);
+        auto receiver = open == m_requests.end() ? nullptr : open->second.receiver.lock();
+        if (receiver)
+            outbox.deliveries.push_back({ std::move(receiver), action });
+    };
+    if (const auto* prefill = std::get_if<StartPrefill>(&action)) {
+        noteAttemptLocked(prefill->request, prefill->prefill, prefill->attempt);
+        deliver(prefill->request);
+    } else if (const auto* decode = std::get_if<StartDecode>(&action)) {
+        noteAttemptLocked(decode->request, decode->decode, decode->attempt);
+        deliver(decode->request);
+    } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
+        cancelLocked(refuse->request, std::nullopt, outbox);
+        deliver(refuse->request);
+    } else if (const auto* cancel = std::get_if<CancelOnReplica>(&action)) {
+        cancelLocked(cancel->request, cancel->replica, outbox);
+        deliver(cancel->request);
+    } else if (const auto* report = std::get_if<ReportSignature>(&action)) {
+        outbox.signatures.push_back(report->signature);
+    } else if (const auto* wake = std::get_if<WakeAt>(&action)) {
+        m_wakeAt = wake->time;
+    }
+}
+
+auto ModelService::noteAttemptLocked(RequestId request, ReplicaId replica, Attempt attempt) -> void
+{
+    if (const auto open = m_requests.find(request); open != m_requests.end())
+        open->second.attempts.push_back({ replica, attempt });
+}
+
+/// Attempts are cancelled by their own names, so that a late cancel can't hit a newer attempt of
+/// the same request on the same engine.
+auto ModelService::cancelLocked(RequestId request, std::optional<ReplicaId> replica, Outbox& outbox) -> void
+{
+    const auto open = m_requests.find(request);
+    if (open == m_requests.end())
+        return;
+    std::erase_if(open->second.attempts, [&](const RunningAttempt& running) {
+        if (replica && running.replica != *replica)
+            return false;
+        if (const auto known = m_replicas.find(running.replica); known != m_replicas.end())
+            outbox.cancels.push_back({ known->second.backend.endpoint, engineRequestId(request, running.attempt) });
+        return true;
+    });
+}
+
+/// The decision precedes what it starts, so attempts that a failure ends are cancelled before the
+/// shard sees the failure and can begin another one.
+auto ModelService::cancelEndedLocked(const DecisionEvent& event, Outbox& outbox) -> void
+{
+    const auto mayHoldMemory = [](FailureKind failure) {
+        return failure == FailureKind::TimedOut || failure == FailureKind::ConnectionLost || failure == FailureKind::ServerError;
+    };
+    if (const auto* cancelled = std::get_if<RequestCancelled>(&event))
+        cancelLocked(cancelled->request, std::nullopt, outbox);
+    else if (const auto* prefill = std::get_if<PrefillFailed>(&event); prefill && mayHoldMemory(prefill->failure))
+        cancelLocked(prefill->request, std::nullopt, outbox);
+    else if (const auto* decode = std::get_if<DecodeFailed>(&event); decode && mayHoldMemory(decode->failure))
+        cancelLocked(decode->request, std::nullopt, outbox);
+}
+
+auto ModelService::send(Outbox outbox) -> void
+{
+    for (auto& delivery : outbox.deliveries)
+        delivery.receiver->deliver(delivery.action);
+    for (const auto signature : outbox.signatures)
+        m_context.reportSignature(signature);
+    if (!outbox.cancels.empty())
+        sendCancels(std::move(outbox.cancels));
+    rearm();
+}
+
+auto ModelService::sendCancels(std::vector<EngineCancel> cancels) -> void
+{
+    const auto thread = m_context.threads.nextIndex();
+    for (auto& cancel : cancels) {
+        m_context.log.record(LogLevel::Debug, "engine_cancel", { { "request", cancel.requestId }, { "backend", toString(cancel.endpoint) } });
+        asio::co_spawn(m_context.threads.context(thread),
+            cancelOnEngine(m_context.threads.client(thread), std::move(cancel.endpoint), std::move(cancel.requestId)), asio::detached);
+    }
+}
+
+}
--- /dev/null
+++ b/src/ModelServiceTimer.cpp
@@ -0,0 +1,97 @@
+#include "ModelService.h"
+
+#include "AwaitToken.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Longest time between two ticks, as a bound on the effect of a wake-up that was not asked for.
+constexpr auto maximumPause = std::chrono::milliseconds(100);
+
+}
+
+struct ModelService::Timer {
+    explicit Timer(asio::io_context& context)
+        : timer(context)
+    {
+    }
+
+    /// Used on its own thread only.
+    asio::steady_timer timer;
+    std::atomic<bool> isStopped { false };
+    /// When the timer ends; under the lock of the service.
+    TimePoint armedFor {};
+};
+
+auto ModelService::start() -> void
+{
+    auto& context = m_context.threads.context(m_context.threads.nextIndex());
+    auto timer = std::make_shared<Timer>(context);
+    m_timer = timer;
+    asio::co_spawn(context, runTimer(std::move(timer)), asio::detached);
+}
+
+auto ModelService::stop() -> void
+{
+    const auto timer = m_timer.lock();
+    if (!timer)
+        return;
+    timer->isStopped = true;
+    asio::post(timer->timer.get_executor(), [timer] { timer->timer.cancel(); });
+}
+
+auto ModelService::retire() -> void
+{
+    {
+        const std::lock_guard guard(m_lock);
+        m_isRetired = true;
+    }
+    feed(DrainStarted {});
+}
+
+auto ModelService::runTimer(std::shared_ptr<Timer> timer) -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    while (!timer->isStopped) {
+        {
+            const std::lock_guard guard(m_lock);
+            if (m_isRetired && m_requests.empty())
+                co_return;
+            const auto now = monotonicNow();
+            // The tick that was just fed has served a wake-up that is due.
+            if (m_wakeAt && *m_wakeAt <= now)
+                m_wakeAt.reset();
+            timer->armedFor = m_wakeAt ? std::min(*m_wakeAt, now + maximumPause) : now + maximumPause;
+        }
+        timer->timer.expires_at(timer->armedFor);
+        boost::system::error_code code;
+        co_await timer->timer.async_wait(awaitInto(code));
+        if (!code && !timer->isStopped)
+            feed(Tick {});
+    }
+}
+
+/// Brings the timer forward where the shard asked for an earlier wake-up.
+auto ModelService::rearm() -> void
+{
+    const auto timer = m_timer.lock();
+    if (!timer)
+        return;
+    {
+        const std::lock_guard guard(m_lock);
+        if (!m_wakeAt || *m_wakeAt >= timer->armedFor)
+            return;
+        timer->armedFor = *m_wakeAt;
+    }
+    asio::post(timer->timer.get_executor(), [timer] { timer->timer.cancel(); });
+}
+
+}
--- /dev/null
+++ b/src/PlainBalancer.cpp
@@ -0,0 +1,97 @@
+#include "PlainBalancer.h"
+
+#include <algorithm>
+
+namespace jayhold {
+
+namespace {
+
+auto isEjected(const PlainBackend& backend) -> bool
+{
+    return backend.consecutiveFailures >= PlainBalancer::failuresToEject;
+}
+
+auto canTake(const PlainBackend& backend, TimePoint now) -> bool
+{
+    if (backend.server.state != ReplicaState::Live || backend.inFlight >= backend.seats)
+        return false;
+    return !isEjected(backend) || (now >= backend.ejectedUntil && backend.inFlight == 0);
+}
+
+/// Whether the first of two usable servers is the better choice.
+auto isBetter(const PlainBackend& left, const PlainBackend& right) -> bool
+{
+    if (left.isLocal != right.isLocal)
+        return left.isLocal;
+    return left.inFlight < right.inFlight;
+}
+
+auto ejectionTime(std::uint32_t failures) -> Duration
+{
+    const auto doublings = std::min(failures - PlainBalancer::failuresToEject, 5U);
+    return std::min(PlainBalancer::shortestEjection * (1U << doublings), PlainBalancer::longestEjection);
+}
+
+}
+
+auto PlainBalancer::update(std::vector<PlainBackend> backends) -> void
+{
+    for (auto& backend : backends) {
+        const auto* known = find(backend.server.id);
+        if (!known)
+            continue;
+        backend.inFlight = known->inFlight;
+        // A server at another address is another process.
+        if (known->server.endpoint != backend.server.endpoint)
+            continue;
+        backend.consecutiveFailures = known->consecutiveFailures;
+        backend.ejectedUntil = known->ejectedUntil;
+    }
+    m_backends = std::move(backends);
+}
+
+auto PlainBalancer::acquire(TimePoint now, std::span<const std::string> excluded) -> std::optional<BackendServer>
+{
+    PlainBackend* best = nullptr;
+    // The search starts at a place that moves on, so that equally busy servers take turns.
+    ++m_next;
+    for (std::size_t offset = 0; offset < m_backends.size(); ++offset) {
+        auto& candidate = m_backends[(m_next + offset) % m_backends.size()];
+        if (!canTake(candidate, now) || std::ranges::find(excluded, candidate.server.id) != excluded.end())
+            continue;
+        if (!best || isBetter(candidate, *best))
+            best = &candidate;
+    }
+    if (!best)
+        return std::nullopt;
+    ++best->inFlight;
+    return best->server;
+}
+
+auto PlainBalancer::release(TimePoint now, std::string_view id, bool isHealthy) -> void
+{
+    auto* backend = find(id);
+    if (!backend)
+        return;
+    backend->inFlight -= backend->inFlight > 0 ? 1 : 0;
+    if (isHealthy) {
+        backend->consecutiveFailures = 0;
+        return;
+    }
+    ++backend->consecutiveFailures;
+    if (isEjected(*backend))
+        backend->ejectedUntil = now + ejectionTime(backend->consecutiveFailures);
+}
+
+auto PlainBalancer::hasLive() const -> bool
+{
+    return std::ranges::any_of(m_backends, [](const PlainBackend& backend) { return backend.server.state == ReplicaState::Live; });
+}
+
+auto PlainBalancer::find(std::string_view id) -> PlainBackend*
+{
+    const auto found = std::ranges::find_if(m_backends, [&](const PlainBackend& backend) { return backend.server.id == id; });
+    return found == m_backends.end() ? nullptr : &*found;
+}
+
+}
--- /dev/null
+++ b/src/PrefillResult.h
@@ -0,0 +1,22 @@
+#pragma once
+
+/// What a prefill engine reports when it has finished.
+
+#include "Time.h"
+
+#include <cstdint>
+#include <string>
+
+namespace jayhold {
+
+struct PrefillResult {
+    /// Names the KV cache at the engine.
+    std::string handle;
+    std::uint32_t promptTokens = 0;
+    std::uint32_t cachedTokens = 0;
+    std::uint64_t kvBytes = 0;
+    /// How long the engine keeps the KV cache.
+    Duration kept {};
+};
+
+}
--- /dev/null
+++ b/src/PromptDigest.cpp
@@ -0,0 +1,54 @@
+#include "PromptDigest.h"
+
+#include <string>
+
+namespace jayhold {
+
+namespace {
+
+constexpr std::uint64_t hashSeed = 0xcbf29ce484222325ULL;
+constexpr std::uint64_t hashPrime = 0x100000001b3ULL;
+
+/// 64-bit FNV-1a, by which the engines name the blocks of their prefix caches.
+auto hashOne(std::uint64_t hash, char character) -> std::uint64_t
+{
+    return (hash ^ static_cast<unsigned char>(character)) * hashPrime;
+}
+
+auto isSpace(char character) -> bool
+{
+    return character == ' ' || (character >= '\t' && character <= '\r');
+}
+
+}
+
+auto digestPrompt(std::string_view model, std::string_view prompt, std::uint32_t blockTokens) -> PromptDigest
+{
+    PromptDigest digest;
+    digest.signature = hashSeed;
+    for (const auto character : model)
+        digest.signature = hashOne(digest.signature, character);
+    // A block's hash runs over every word and one space after it, from the start of the prompt.
+    auto blockHash = hashSeed;
+    auto isInWord = false;
+    const auto endWord = [&] {
+        isInWord = false;
+        blockHash = hashOne(blockHash, ' ');
+        if (++digest.tokens % blockTokens == 0)
+            digest.prefixBlocks.push_back(blockHash);
+    };
+    for (const auto character : prompt) {
+        digest.signature = hashOne(digest.signature, character);
+        if (!isSpace(character)) {
+            isInWord = true;
+            blockHash = hashOne(blockHash, character);
+        } else if (isInWord) {
+            endWord();
+        }
+    }
+    if (isInWord)
+        endWord();
+    return digest;
+}
+
+}
--- /dev/null
+++ b/src/RequestMachine.cpp
@@ -0,0 +1,135 @@
+#include "RequestMachine.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+#include <array>
+
+namespace jayhold {
+
+namespace msm = boost::msm;
+namespace mpl = boost::mpl;
+
+namespace {
+
+struct PrefillStarted { };
+struct PrefillDone { };
+struct PrefillFailed { };
+struct DecodeStarted { };
+struct TokenSent { };
+struct DecodeFailed { };
+struct Finished { };
+/// Refused or cancelled: nothing more follows.
+struct Abandoned { };
+
+struct Queued : msm::front::state<> { };
+struct Prefilling : msm::front::state<> { };
+struct Prefilled : msm::front::state<> { };
+struct Transferring : msm::front::state<> { };
+struct Streaming : msm::front::state<> { };
+/// A decode failed after tokens were sent; the answer resumes on another engine.
+struct Interrupted : msm::front::state<> { };
+struct Ended : msm::front::state<> { };
+
+/// Order of the states in the transition table, by which MSM numbers them.
+constexpr std::array<std::string_view, 7> stateNames { "queued", "prefilling", "prefilled", "transferring", "streaming", "interrupted", "ended" };
+
+// NOLINTBEGIN(readability-identifier-naming): MSM looks these members up by name.
+struct Definition : msm::front::state_machine_def<Definition> {
+    using initial_state = Queued;
+    // Rejected events are reported by the result of process_event().
+    using no_exception_thrown = int;
+
+    template <typename Source, typename Event, typename Target>
+    using Row = msm::front::Row<Source, Event, Target>;
+
+    struct transition_table
+        : mpl::vector<
+              Row<Queued, PrefillStarted, Prefilling>,
+              // A decode engine that prefills by itself needs no prefill before.
+              Row<Queued, DecodeStarted, Transferring>,
+              Row<Queued, Abandoned, Ended>,
+              Row<Prefilling, PrefillDone, Prefilled>,
+              Row<Prefilling, PrefillFailed, Queued>,
+              Row<Prefilling, Abandoned, Ended>,
+              Row<Prefilled, DecodeStarted, Transferring>,
+              // The result expired or its engine is gone before the decode began.
+              Row<Prefilled, PrefillStarted, Prefilling>,
+              Row<Prefilled, Abandoned, Ended>,
+              Row<Transferring, TokenSent, Streaming>,
+              Row<Transferring, DecodeFailed, Interrupted>,
+              // An answer may have no token at all.
+              Row<Transferring, Finished, Ended>,
+              Row<Transferring, Abandoned, Ended>,
+              Row<Streaming, TokenSent, Streaming>,
+              Row<Streaming, DecodeFailed, Interrupted>,
+              Row<Streaming, Finished, Ended>,
+              Row<Streaming, Abandoned, Ended>,
+              Row<Interrupted, PrefillStarted, Prefilling>,
+              Row<Interrupted, DecodeStarted, Transferring>,
+              Row<Interrupted, Abandoned, Ended>> {
+    };
+
+    template <typename Machine, typename Event>
+    auto no_transition(const Event&, Machine&, int) -> void
+    {
+    }
+};
+// NOLINTEND(readability-identifier-naming)
+
+}
+
+struct RequestMachine::Machine {
+    msm::back::state_machine<Definition> machine;
+
+    template <typename Event>
+    auto take(const Event& event) -> bool
+    {
+        return machine.process_event(event) == msm::back::HANDLED_TRUE;
+    }
+};
+
+RequestMachine::RequestMachine()
+    : m_machine(std::make_unique<Machine>())
+{
+    m_machine->machine.start();
+}
+
+RequestMachine::~RequestMachine() = default;
+
+auto RequestMachine::apply(RequestStep step) -> bool
+{
+    switch (step) {
+    case RequestStep::PrefillStarted:
+        return m_machine->take(PrefillStarted {});
+    case RequestStep::PrefillDone:
+        return m_machine->take(PrefillDone {});
+    case RequestStep::PrefillFailed:
+        return m_machine->take(PrefillFailed {});
+    case RequestStep::DecodeStarted:
+        return m_machine->take(DecodeStarted {});
+    case RequestStep::TokenSent:
+        return m_machine->take(TokenSent {});
+    case RequestStep::DecodeFailed:
+        return m_machine->take(DecodeFailed {});
+    case RequestStep::Finished:
+        return m_machine->take(Finished {});
+    case RequestStep::Refused:
+    case RequestStep::Cancelled:
+        return m_machine->take(Abandoned {});
+    }
+    return false;
+}
+
+auto RequestMachine::hasEnded() const -> bool
+{
+    return stateName() == stateNames.back();
+}
+
+auto RequestMachine::stateName() const -> std::string_view
+{
+    return stateNames.at(static_cast<std::size_t>(m_machine->machine.current_state()[0]));
+}
+
+}
--- /dev/null
+++ b/src/RequestStep.h
@@ -0,0 +1,21 @@
+#pragma once
+
+/// What can happen to a model request at an entry instance.
+
+namespace jayhold {
+
+enum class RequestStep {
+    PrefillStarted,
+    PrefillDone,
+    PrefillFailed,
+    DecodeStarted,
+    /// A token went to the caller.
+    TokenSent,
+    DecodeFailed,
+    /// The whole answer went to the caller.
+    Finished,
+    Refused,
+    Cancelled,
+};
+
+}
--- /dev/null
+++ b/src/ServiceMetrics.h
@@ -0,0 +1,32 @@
+#pragma once
+
+/// Counters and histograms of one service at this instance.
+
+#include "LatencyHistogram.h"
+
+#include <atomic>
+#include <cstdint>
+
+namespace jayhold {
+
+struct ServiceMetrics {
+    std::atomic<std::uint64_t> arrived { 0 };
+    std::atomic<std::uint64_t> finished { 0 };
+    std::atomic<std::uint64_t> refusedNotRun { 0 };
+    std::atomic<std::uint64_t> refusedUnknown { 0 };
+    std::atomic<std::uint64_t> cancelled { 0 };
+    std::atomic<std::uint64_t> failedAttempts { 0 };
+    std::atomic<std::uint64_t> resumed { 0 };
+    std::atomic<std::uint64_t> replayed { 0 };
+    std::atomic<std::uint64_t> tokens { 0 };
+    std::atomic<std::uint64_t> reclaimed { 0 };
+    /// From arrival to the first token at the caller.
+    LatencyHistogram firstToken;
+    LatencyHistogram tokenGap;
+    /// Time that one event takes in the decision code, the wait for the lock not included.
+    LatencyHistogram decision;
+    /// From arrival to the start of the first prefill.
+    LatencyHistogram queueWait;
+};
+
+}
--- /dev/null
+++ b/src/ServiceTable.cpp
@@ -0,0 +1,150 @@
+#include "ServiceTable.h"
+
+namespace jayhold {
+
+ServiceTable::ServiceTable(EntryContext& context, AtMostOnceRecords& records, EngineMonitor::OwnerCheck isAbandonedOwner)
+    : m_context(context)
+    , m_records(records)
+    , m_isAbandonedOwner(std::move(isAbandonedOwner))
+{
+}
+
+auto ServiceTable::updateConfiguration(std::shared_ptr<const Configuration> configuration) -> void
+{
+    auto index = std::make_shared<const ConfigurationIndex>(std::move(configuration), m_context.settings.operatorKeysSha256);
+    const std::lock_guard guard(m_lock);
+    m_index = index;
+    for (const auto& service : index->configuration().services) {
+        if (service.type == ServiceType::Model)
+            addModelLocked(*index, service);
+        else
+            addPlainLocked(service);
+    }
+    removeMissingLocked(*index);
+    applyBackendsLocked();
+}
+
+auto ServiceTable::addModelLocked(const ConfigurationIndex& index, const Service& service) -> void
+{
+    if (const auto known = m_models.find(service.name); known != m_models.end()) {
+        known->second.service->updateConfiguration(index, service);
+        return;
+    }
+    Model model { std::make_shared<ModelService>(m_context, index, service), nullptr };
+    model.monitor = std::make_shared<EngineMonitor>(m_context, model.service, m_isAbandonedOwner);
+    model.service->updateSharing(m_sharing);
+    model.service->start();
+    m_models.emplace(service.name, std::move(model));
+}
+
+auto ServiceTable::addPlainLocked(const Service& service) -> void
+{
+    const auto known = m_plains.find(service.name);
+    if (known != m_plains.end())
+        known->second->updateConfiguration(service);
+    else
+        m_plains.emplace(service.name, std::make_shared<PlainService>(m_context, service, m_records));
+}
+
+auto ServiceTable::removeMissingLocked(const ConfigurationIndex& index) -> void
+{
+    std::erase_if(m_models, [&](const auto& entry) {
+        const auto* service = index.service(entry.first);
+        if (service && service->type == ServiceType::Model)
+            return false;
+        // Requests in progress keep the service until they end.
+        entry.second.monitor->stop();
+        entry.second.service->retire();
+        return true;
+    });
+    std::erase_if(m_plains, [&](const auto& entry) {
+        const auto* service = index.service(entry.first);
+        return !service || service->type != ServiceType::Plain;
+    });
+}
+
+auto ServiceTable::updateBackends(std::vector<BackendServer> backends) -> void
+{
+    const std::lock_guard guard(m_lock);
+    m_backends = std::move(backends);
+    applyBackendsLocked();
+}
+
+auto ServiceTable::applyBackendsLocked() -> void
+{
+    for (const auto& [name, model] : m_models) {
+        model.service->updateBackends(m_backends);
+        model.monitor->refresh();
+    }
+    for (const auto& [name, plain] : m_plains)
+        plain->updateBackends(m_backends);
+}
+
+auto ServiceTable::updateSharing(std::uint32_t sharing) -> void
+{
+    const std::lock_guard guard(m_lock);
+    m_sharing = sharing;
+    for (const auto& [name, model] : m_models)
+        model.service->updateSharing(sharing);
+}
+
+auto ServiceTable::noteSignature(std::uint64_t signature) -> void
+{
+    for (const auto& service : models())
+        service->feed(SignatureReported { signature });
+}
+
+auto ServiceTable::startDraining() -> void
+{
+    for (const auto& service : models())
+        service->feed(DrainStarted {});
+}
+
+auto ServiceTable::stop() -> void
+{
+    const std::lock_guard guard(m_lock);
+    for (const auto& [name, model] : m_models) {
+        model.monitor->stop();
+        model.service->stop();
+    }
+}
+
+auto ServiceTable::index() const -> std::shared_ptr<const ConfigurationIndex>
+{
+    const std::lock_guard guard(m_lock);
+    return m_index;
+}
+
+auto ServiceTable::model(std::string_view name) const -> std::shared_ptr<ModelService>
+{
+    const std::lock_guard guard(m_lock);
+    const auto found = m_models.find(name);
+    return found == m_models.end() ? nullptr : found->second.service;
+}
+
+auto ServiceTable::plain(std::string_view name) const -> std::shared_ptr<PlainService>
+{
+    const std::lock_guard guard(m_lock);
+    const auto found = m_plains.find(name);
+    return found == m_plains.end() ? nullptr : found->second;
+}
+
+auto ServiceTable::models() const -> std::vector<std::shared_ptr<ModelService>>
+{
+    std::vector<std::shared_ptr<ModelService>> list;
+    const std::lock_guard guard(m_lock);
+    for (const auto& [name, model] : m_models)
+        list.push_back(model.service);
+    return list;
+}
+
+auto ServiceTable::plains() const -> std::vector<std::shared_ptr<PlainService>>
+{
+    std::vector<std::shared_ptr<PlainService>> list;
+    const std::lock_guard guard(m_lock);
+    for (const auto& [name, plain] : m_plains)
+        list.push_back(plain);
+    return list;
+}
+
+}
--- /dev/null
+++ b/src/ServiceTable.h
@@ -0,0 +1,61 @@
+#pragma once
+
+/// The services of the configuration in force at this instance. A request takes what it needs
+/// when it arrives and keeps it, whatever configuration comes later.
+
+#include "ConfigurationIndex.h"
+#include "EngineMonitor.h"
+#include "ModelService.h"
+#include "PlainService.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace jayhold {
+
+class ServiceTable {
+public:
+    ServiceTable(EntryContext& context, AtMostOnceRecords& records, EngineMonitor::OwnerCheck isAbandonedOwner);
+
+    auto updateConfiguration(std::shared_ptr<const Configuration> configuration) -> void;
+    auto updateBackends(std::vector<BackendServer> backends) -> void;
+    auto updateSharing(std::uint32_t sharing) -> void;
+    auto noteSignature(std::uint64_t signature) -> void;
+    /// Lets the shards refuse what has not started.
+    auto startDraining() -> void;
+    auto stop() -> void;
+
+    /// @return the look-ups of the configuration in force, or null before the first.
+    auto index() const -> std::shared_ptr<const ConfigurationIndex>;
+    auto model(std::string_view name) const -> std::shared_ptr<ModelService>;
+    auto plain(std::string_view name) const -> std::shared_ptr<PlainService>;
+    auto models() const -> std::vector<std::shared_ptr<ModelService>>;
+    auto plains() const -> std::vector<std::shared_ptr<PlainService>>;
+
+private:
+    struct Model {
+        std::shared_ptr<ModelService> service;
+        std::shared_ptr<EngineMonitor> monitor;
+    };
+
+    auto addModelLocked(const ConfigurationIndex& index, const Service& service) -> void;
+    auto addPlainLocked(const Service& service) -> void;
+    auto removeMissingLocked(const ConfigurationIndex& index) -> void;
+    auto applyBackendsLocked() -> void;
+
+    EntryContext& m_context;
+    AtMostOnceRecords& m_records;
+    const EngineMonitor::OwnerCheck m_isAbandonedOwner;
+
+    mutable std::mutex m_lock;
+    std::shared_ptr<const ConfigurationIndex> m_index;
+    std::map<std::string, Model, std::less<>> m_models;
+    std::map<std::string, std::shared_ptr<PlainService>, std::less<>> m_plains;
+    std::vector<BackendServer> m_backends;
+    std::uint32_t m_sharing = 1;
+};
+
+}
--- /dev/null
+++ b/src/TokenEvent.h
@@ -0,0 +1,20 @@
+#pragma once
+
+/// One event of an engine's decode stream.
+
+#include <cstdint>
+#include <string_view>
+
+namespace jayhold {
+
+struct TokenEvent {
+    /// Whether this is the last event of the stream.
+    bool isDone = false;
+    /// Position of the token in the whole answer, from 0; for the last event the number of tokens
+    /// of the whole answer.
+    std::uint32_t index = 0;
+    /// Text of the token; valid until the next event is read.
+    std::string_view text;
+};
+
+}
--- /dev/null
+++ b/src/TokenEventReader.cpp
@@ -0,0 +1,95 @@
+#include "TokenEventReader.h"
+
+#include <boost/json/monotonic_resource.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+
+#include <limits>
+
+namespace jayhold {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view eventEnd = "\n\n";
+constexpr std::string_view dataPrefix = "data: ";
+/// Longest event that is accepted, in bytes; a token's text is far shorter.
+constexpr std::size_t maximumEvent = 1U << 20U;
+/// Room for the parsed form of an ordinary token event, which then needs no allocation.
+constexpr std::size_t parseBuffer = 1'024;
+
+auto readIndex(const json::object& object, std::string_view key) -> std::optional<std::uint32_t>
+{
+    const auto* value = object.if_contains(key);
+    const auto* number = value ? value->if_int64() : nullptr;
+    if (!number || *number < 0 || *number > std::numeric_limits<std::uint32_t>::max())
+        return std::nullopt;
+    return static_cast<std::uint32_t>(*number);
+}
+
+}
+
+auto TokenEventReader::feed(std::string_view piece) -> void
+{
+    m_piece = piece;
+}
+
+auto TokenEventReader::next(TokenEvent& event) -> Status
+{
+    if (!m_partial.empty()) {
+        // The end mark may be split between the partial event and the piece.
+        const auto searchFrom = m_partial.size() - 1;
+        const auto taken = std::min(m_piece.find('\n') == std::string_view::npos ? m_piece.size() : m_piece.find('\n') + 1, m_piece.size());
+        m_partial += m_piece.substr(0, taken);
+        m_piece.remove_prefix(taken);
+        if (m_partial.find(eventEnd, searchFrom) == std::string::npos) {
+            if (m_partial.size() > maximumEvent)
+                return Status::Malformed;
+            if (m_piece.empty())
+                return Status::NeedMore;
+            return next(event);
+        }
+        m_line = std::exchange(m_partial, {});
+        return parse(std::string_view(m_line).substr(0, m_line.size() - eventEnd.size()), event);
+    }
+    const auto end = m_piece.find(eventEnd);
+    if (end == std::string_view::npos) {
+        m_partial = m_piece;
+        m_piece = {};
+        return Status::NeedMore;
+    }
+    const auto line = m_piece.substr(0, end);
+    m_piece.remove_prefix(end + eventEnd.size());
+    return parse(line, event);
+}
+
+auto TokenEventReader::parse(std::string_view line, TokenEvent& event) -> Status
+{
+    if (!line.starts_with(dataPrefix))
+        return Status::Malformed;
+    std::array<unsigned char, parseBuffer> space {};
+    json::monotonic_resource resource(space.data(), space.size());
+    boost::system::error_code code;
+    const auto value = json::parse(line.substr(dataPrefix.size()), code, &resource);
+    const auto* object = code ? nullptr : value.if_object();
+    if (!object)
+        return Status::Malformed;
+    const auto* done = object->if_contains("done");
+    event.isDone = done && done->is_bool() && done->get_bool();
+    const auto index = readIndex(*object, event.isDone ? "tokens" : "index");
+    if (!index)
+        return Status::Malformed;
+    event.index = *index;
+    if (event.isDone)
+        return Status::Event;
+    const auto* text = object->if_contains("text");
+    if (!text || !text->is_string())
+        return Status::Malformed;
+    m_text.assign(text->get_string());
+    event.text = m_text;
+    return Status::Event;
+}
+
+}
--- /dev/null
+++ b/src/TokenSequence.h
@@ -0,0 +1,37 @@
+#pragma once
+
+/// Checks the index of each token event, so that the caller gets every token once and in order,
+/// also where the stream resumes on another engine.
+
+#include <cstdint>
+
+namespace jayhold {
+
+enum class TokenVerdict {
+    /// The next token; it goes to the caller.
+    Next,
+    /// A token that the caller has already.
+    Repeated,
+    /// Tokens before this one are missing.
+    Gap,
+    /// An event after the end.
+    AfterEnd,
+};
+
+class TokenSequence {
+public:
+    /// @param index position of the token in the whole answer, from 0.
+    auto takeToken(std::uint32_t index) -> TokenVerdict;
+    /// @param total tokens of the whole answer, as the engine counts them.
+    auto takeEnd(std::uint32_t total) -> TokenVerdict;
+
+    /// @return tokens taken, which is also the index to resume at.
+    auto count() const -> std::uint32_t { return m_count; }
+    auto hasEnded() const -> bool { return m_hasEnded; }
+
+private:
+    std::uint32_t m_count = 0;
+    bool m_hasEnded = false;
+};
+
+}
--- /dev/null
+++ b/test/correctness/PlainBalancerTest.cpp
@@ -0,0 +1,96 @@
+#include "PlainBalancer.h"
+#include "RetryBudget.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jayhold;
+using namespace std::chrono_literals;
+
+namespace {
+
+auto backend(std::string id, bool isLocal = true, std::uint32_t seats = 2) -> PlainBackend
+{
+    return { .server = { .id = std::move(id) }, .isLocal = isLocal, .seats = seats };
+}
+
+auto acquiredId(PlainBalancer& balancer, TimePoint now, std::vector<std::string> excluded = {}) -> std::string
+{
+    const auto server = balancer.acquire(now, excluded);
+    return server ? server->id : "none";
+}
+
+}
+
+// Guards against calls sent to a far, full or leaving backend server while a better one is free.
+TEST_CASE("plain calls go to the least busy local backend server")
+{
+    PlainBalancer balancer;
+    const TimePoint now {};
+    balancer.update({ backend("far", false), backend("near") });
+    CHECK(acquiredId(balancer, now) == "near");
+    CHECK(acquiredId(balancer, now) == "near");
+    CHECK(acquiredId(balancer, now) == "far");
+    balancer.release(now, "near", true);
+    CHECK(acquiredId(balancer, now, { "near" }) == "far");
+    CHECK(acquiredId(balancer, now) == "near");
+    CHECK(acquiredId(balancer, now) == "none");
+    auto leaving = backend("near");
+    leaving.server.state = ReplicaState::Leaving;
+    balancer.update({ leaving });
+    CHECK_FALSE(balancer.hasLive());
+    CHECK(acquiredId(balancer, now) == "none");
+}
+
+// Guards against a failing backend server that keeps getting calls, or never gets one again.
+TEST_CASE("a backend server that fails is left out and readmitted by one probe")
+{
+    PlainBalancer balancer;
+    TimePoint now {};
+    balancer.update({ backend("a") });
+    for (std::uint32_t count = 0; count < PlainBalancer::failuresToEject; ++count) {
+        CHECK(acquiredId(balancer, now) == "a");
+        balancer.release(now, "a", false);
+    }
+    CHECK(acquiredId(balancer, now) == "none");
+    now += PlainBalancer::shortestEjection;
+    CHECK(acquiredId(balancer, now) == "a");
+    CHECK(acquiredId(balancer, now) == "none");
+    balancer.release(now, "a", false);
+    now += PlainBalancer::shortestEjection;
+    CHECK(acquiredId(balancer, now) == "none");
+    now += PlainBalancer::shortestEjection;
+    CHECK(acquiredId(balancer, now) == "a");
+    balancer.release(now, "a", true);
+    CHECK(acquiredId(balancer, now) == "a");
+    CHECK(acquiredId(balancer, now) == "a");
+}
+
+// Guards against seats that leak when the list of backend servers changes during a call.
+TEST_CASE("a new list keeps the calls in flight")
+{
+    PlainBalancer balancer;
+    const TimePoint now {};
+    balancer.update({ backend("a", true, 1) });
+    CHECK(acquiredId(balancer, now) == "a");
+    balancer.update({ backend("a", true, 1), backend("b", false, 1) });
+    CHECK(acquiredId(balancer, now) == "b");
+    balancer.release(now, "a", true);
+    CHECK(acquiredId(balancer, now) == "a");
+    balancer.update({});
+    balancer.release(now, "a", true);
+    CHECK(acquiredId(balancer, now) == "none");
+}
+
+// Guards against retries that multiply the load of a service that is failing.
+TEST_CASE("retries are bounded to a share of the calls")
+{
+    RetryBudget budget;
+    auto retries = 0;
+    for (auto call = 0; call < 1'000; ++call) {
+        budget.noteCall();
+        while (budget.take())
+            ++retries;
+    }
+    CHECK(retries <= 111);
+    CHECK(retries >= 90);
+}
--- /dev/null
+++ b/test/correctness/PlainServiceTest.cpp
@@ -0,0 +1,187 @@
+#include "../EntryHarness.h"
+#include "../FakeRecords.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+#include <catch2/catch.hpp>
+
+using namespace jayhold;
+using namespace std::chrono_literals;
+namespace json = boost::json;
+
+namespace {
+
+enum class Behaviour {
+    Answer,
+    /// Runs the call and closes without an answer.
+    Cut,
+    /// Says that it is leaving and did not run the call.
+    Leaving,
+};
+
+/// A plain backend server that counts the calls that it runs.
+class FakeService {
+public:
+    explicit FakeService(IoThreads& threads, Behaviour behaviour = Behaviour::Answer)
+        : m_behaviour(behaviour)
+        , m_server(threads, {}, [this](HttpExchange& exchange) { return handle(exchange); })
+    {
+    }
+
+    auto endpoint() const -> HttpEndpoint { return m_server.endpoint(); }
+    auto runs() const -> int { return m_runs; }
+
+private:
+    auto handle(HttpExchange& exchange) -> boost::asio::awaitable<void>
+    {
+        if (m_behaviour == Behaviour::Leaving) {
+            co_await exchange.respond(jsonResponse(503, R"({"error":{"ran":"no"}})"));
+            co_return;
+        }
+        const auto number = ++m_runs;
+        if (m_behaviour == Behaviour::Cut) {
+            exchange.abort();
+            co_return;
+        }
+        co_await exchange.respond(jsonResponse(201, exchange.request().method + " " + exchange.request().target + " run " + std::to_string(number)));
+    }
+
+    const Behaviour m_behaviour;
+    std::atomic<int> m_runs { 0 };
+    HttpServer m_server;
+};
+
+struct Scene {
+    ~Scene() { threads.stop(); }
+
+    auto deposit(std::string key, std::string body = "5") -> HttpResponse
+    {
+        std::vector<HttpHeader> headers;
+        if (!key.empty())
+            headers.push_back({ "Idempotency-Key", std::move(key) });
+        return *harness.call({ "POST", "/services/coop-ledger/deposits", std::move(headers), std::move(body) });
+    }
+
+    FakeRecords records;
+    IoThreads threads { 1 };
+    EntryHarness harness { records };
+};
+
+auto errorOf(const HttpResponse& response) -> std::string
+{
+    const auto error = json::parse(response.body).at("error");
+    return std::to_string(response.status) + " " + std::string(error.at("type").as_string()) + " " + std::string(error.at("ran").as_string());
+}
+
+}
+
+// Guards against a deposit that runs twice, or whose repeat gets another answer.
+TEST_CASE("a call that may not be repeated runs once and its answer is replayed")
+{
+    Scene scene;
+    FakeService ledger(scene.threads);
+    scene.harness.addBackend("ledger-1", "ledger", ledger.endpoint());
+    CHECK(errorOf(scene.deposit("")) == "400 idempotency_key_required no");
+    const auto first = scene.deposit("k1");
+    CHECK(first.status == 201);
+    CHECK(first.body == "POST /deposits run 1");
+    const auto repeat = scene.deposit("k1");
+    CHECK(repeat.status == 201);
+    CHECK(repeat.body == first.body);
+    CHECK(findHeader(repeat.headers, "X-Jayhold-Replayed"));
+    CHECK(errorOf(scene.deposit("k1", "6")) == "422 idempotency_key_reused no");
+    CHECK(ledger.runs() == 1);
+}
+
+// Guards against a second run of a call that may have run already.
+TEST_CASE("a call that was sent is never sent again")
+{
+    Scene scene;
+    FakeService first(scene.threads, Behaviour::Cut);
+    FakeService second(scene.threads, Behaviour::Cut);
+    scene.harness.addBackend("ledger-1", "ledger", first.endpoint());
+    scene.harness.addBackend("ledger-2", "ledger", second.endpoint());
+    CHECK(errorOf(scene.deposit("k1")) == "409 outcome_unknown unknown");
+    CHECK(errorOf(scene.deposit("k1")).substr(0, 3) == "409");
+    CHECK(first.runs() + second.runs() == 1);
+}
+
+// Guards against a key that stays blocked by a call that certainly did not run.
+TEST_CASE("a call that did not run leaves its key usable")
+{
+    Scene scene;
+    FakeService leaving(scene.threads, Behaviour::Leaving);
+    scene.harness.addBackend("ledger-1", "ledger", leaving.endpoint());
+    CHECK(errorOf(scene.deposit("k1")) == "503 no_backend no");
+    CHECK(scene.records.size() == 0);
+    FakeService ledger(scene.threads);
+    scene.harness.addBackend("ledger-2", "ledger", ledger.endpoint());
+    CHECK(scene.deposit("k1").status == 201);
+}
+
+// Guards against an answer that leaves the caller without what the record says.
+TEST_CASE("each state of a record has its answer")
+{
+    Scene scene;
+    FakeService ledger(scene.threads);
+    scene.harness.addBackend("ledger-1", "ledger", ledger.endpoint());
+    scene.records.forced = RecordInProgress { 300ms };
+    const auto running = scene.deposit("k");
+    CHECK(errorOf(running) == "409 in_progress unknown");
+    CHECK(findHeader(running.headers, "Retry-After") == "1");
+    scene.records.forced = RecordUnknown {};
+    CHECK(errorOf(scene.deposit("k")) == "409 outcome_unknown unknown");
+    scene.records.forced = RecordMismatch {};
+    CHECK(errorOf(scene.deposit("k")) == "422 idempotency_key_reused no");
+    scene.records.forced = RecordUnavailable {};
+    const auto unavailable = scene.deposit("k");
+    CHECK(errorOf(unavailable) == "503 records_unavailable no");
+    CHECK(findHeader(unavailable.headers, "Retry-After"));
+    CHECK(ledger.runs() == 0);
+}
+
+// Guards against an answer withheld because it could not be stored, although the call ran.
+TEST_CASE("an answer that can't be stored still reaches the caller")
+{
+    Scene scene;
+    FakeService ledger(scene.threads);
+    scene.harness.addBackend("ledger-1", "ledger", ledger.endpoint());
+    scene.records.canFinish = false;
+    CHECK(scene.deposit("k1").status == 201);
+    CHECK(errorOf(scene.deposit("k1")) == "409 in_progress unknown");
+    CHECK(ledger.runs() == 1);
+}
+
+// Guards against a lookup that fails although another backend server would answer it.
+TEST_CASE("a repeatable call is tried again on another backend server")
+{
+    Scene scene;
+    FakeService cutting(scene.threads, Behaviour::Cut);
+    FakeService leaving(scene.threads, Behaviour::Leaving);
+    FakeService good(scene.threads);
+    scene.harness.addBackend("ledger-1", "ledger", cutting.endpoint());
+    scene.harness.addBackend("ledger-2", "ledger", leaving.endpoint());
+    scene.harness.addBackend("ledger-3", "ledger", good.endpoint());
+    for (auto count = 0; count < 6; ++count) {
+        const auto answer = scene.harness.call({ "GET", "/services/coop-ledger/items?q=1", {}, {} });
+        CHECK(answer->status == 201);
+        CHECK(answer->body.starts_with("GET /items?q=1 run"));
+    }
+}
+
+// Guards against work without a key, and against new work on an instance that is shutting down.
+TEST_CASE("work is refused without a key and while draining")
+{
+    Scene scene;
+    auto& threads = scene.harness.threads();
+    const auto get = [&](std::string target) {
+        return *runOn(threads, 0, threads.client(0).request(scene.harness.endpoint(), { "GET", std::move(target), {}, {} }, 2s));
+    };
+    CHECK(errorOf(get("/services/coop-ledger/items")) == "401 unauthenticated no");
+    CHECK(get("/readyz").status == 200);
+    CHECK(get("/metrics").body.find("jayhold_requests_total{service=\"coop-ledger\"} 0") != std::string::npos);
+    scene.harness.context().isDraining = true;
+    CHECK(get("/readyz").status == 503);
+    CHECK(get("/healthz").status == 200);
+    CHECK(errorOf(scene.deposit("k")) == "503 draining no");
+}
