Add stand-ins for engine, platform, plain service and network link

The tests need outside systems that behave as the design describes, with faults on request. Each stand-in runs on one I/O thread without locks. JsonReader gains isNull() and isString() for keys with more than one type.

The stalled-transfer test aborted with an invalid free at first: GCC 12 destroys the operands of a conditional expression of class type inside a co_await expression twice (AddressSanitizer: bad-free in respond()). Such values are now built before the co_await.

--- a/src/JsonReader.cpp
+++ b/src/JsonReader.cpp
@@ -69,6 +69,18 @@
     return find(key) != nullptr;
 }
 
+auto JsonReader::isNull(std::string_view key) -> bool
+{
+    const auto* value = find(key);
+    return value && value->is_null();
+}
+
+auto JsonReader::isString(std::string_view key) -> bool
+{
+    const auto* value = find(key);
+    return value && value->is_string();
+}
+
 auto JsonReader::require(std::string_view key) -> leaf::result<const json::value*>
 {
     const auto* value = find(key);
--- a/src/JsonReader.h
+++ b/src/JsonReader.h
@@ -53,6 +53,10 @@
     auto object(std::string_view key) -> boost::leaf::result<JsonReader>;
     /// @return whether the key is present; counts as reading it.
     auto has(std::string_view key) -> bool;
+    /// @return whether the key is present with the value null; counts as reading it.
+    auto isNull(std::string_view key) -> bool;
+    /// @return whether the key is present with a string; counts as reading it.
+    auto isString(std::string_view key) -> bool;
     /// Checks that every key of the object has been read.
     /// @return success, or ConfigError with UnknownKey.
     auto finish() const -> boost::leaf::result<void>;
--- /dev/null
+++ b/standins/ComputeQueue.cpp
@@ -0,0 +1,62 @@
+#include "ComputeQueue.h"
+
+#include "Pause.h"
+
+#include <algorithm>
+
+namespace jayhold::standin {
+
+/// Passes the compute on when its holder ends, also where the coroutine is destroyed.
+class ComputeQueue::Turn {
+public:
+    explicit Turn(ComputeQueue& queue)
+        : m_queue(queue)
+    {
+    }
+    ~Turn() { m_queue.grantNext(); }
+    Turn(const Turn&) = delete;
+    auto operator=(const Turn&) -> Turn& = delete;
+
+private:
+    ComputeQueue& m_queue;
+};
+
+auto ComputeQueue::grantNext() -> void
+{
+    // max_element keeps the first of equals, which has waited longest.
+    const auto next = std::ranges::max_element(m_waiters, {}, &Waiter::priority);
+    m_isBusy = next != m_waiters.end();
+    if (!m_isBusy)
+        return;
+    next->isGranted = true;
+    next->timer.cancel();
+}
+
+auto ComputeQueue::use(EngineRun& run, Duration time, std::int64_t priority) -> boost::asio::awaitable<Duration>
+{
+    boost::system::error_code ignored;
+    const auto executor = co_await boost::asio::this_coro::executor;
+    if (m_isBusy) {
+        m_waiters.push_back({ priority, boost::asio::steady_timer(executor, boost::asio::steady_timer::time_point::max()) });
+        const auto self = std::prev(m_waiters.end());
+        run.interrupt = [self] { self->timer.cancel(); };
+        co_await self->timer.async_wait(awaitInto(ignored));
+        run.interrupt = nullptr;
+        const auto isGranted = self->isGranted;
+        m_waiters.erase(self);
+        if (!isGranted)
+            co_return Duration(0);
+    }
+    m_isBusy = true;
+    const Turn turn(*this);
+    if (run.isCancelled)
+        co_return Duration(0);
+    const auto start = monotonicNow();
+    boost::asio::steady_timer timer(executor, start + time);
+    run.interrupt = [&timer] { timer.cancel(); };
+    co_await timer.async_wait(awaitInto(ignored));
+    run.interrupt = nullptr;
+    co_return run.isCancelled ? std::min(time, monotonicNow() - start) : time;
+}
+
+}
--- /dev/null
+++ b/standins/Engine.cpp
@@ -0,0 +1,93 @@
+#include "Engine.h"
+
+#include "EngineHandlers.h"
+#include "JsonBody.h"
+#include "Pause.h"
+#include "Target.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <array>
+
+namespace jayhold::standin {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using EngineHandler = asio::awaitable<void> (*)(EnginePointer, HttpExchange&);
+
+struct EngineRoute {
+    std::string_view method;
+    std::string_view path;
+    EngineHandler handler;
+};
+
+constexpr std::array<EngineRoute, 8> routes { {
+    { "POST", "/v1/prefill", handlePrefill },
+    { "POST", "/v1/decode", handleDecode },
+    { "POST", "/v1/cancel", handleCancel },
+    { "GET", "/v1/load", handleLoad },
+    { "GET", "/v1/cache_events", handleCacheEvents },
+    { "POST", "/v1/orders", handleOrder },
+    { "PUT", "/admin/faults", handleEngineFaults },
+    { "GET", "/admin/counts", handleEngineCounts },
+} };
+
+constexpr auto loadReportInterval = std::chrono::milliseconds(5);
+/// Prompts of tens of thousands of tokens fit.
+constexpr std::size_t largestBody = 16U << 20U;
+
+auto route(EnginePointer state, HttpExchange& exchange) -> asio::awaitable<void>
+{
+    const auto& request = exchange.request();
+    const auto path = pathOf(request.target);
+    for (const auto& item : routes) {
+        if (item.method == request.method && item.path == path) {
+            co_await item.handler(state, exchange);
+            co_return;
+        }
+    }
+    if (request.method == "GET" && path.starts_with("/v1/kv/"))
+        co_await handleKv(state, exchange);
+    else
+        co_await exchange.respond(notRun(404, "no_such_route"));
+}
+
+auto runSteps(EnginePointer state) -> asio::awaitable<void>
+{
+    co_await state->steps.run();
+}
+
+auto keepLoadReports(EnginePointer state) -> asio::awaitable<void>
+{
+    const auto kept = std::chrono::milliseconds(state->settings.loadLagMilliseconds) + 4 * loadReportInterval;
+    while (state->settings.loadLagMilliseconds > 0) {
+        const auto now = monotonicNow();
+        state->loadReports.emplace_back(now, makeLoadReport(*state));
+        while (state->loadReports.front().first < now - kept)
+            state->loadReports.pop_front();
+        co_await pauseFor(loadReportInterval);
+    }
+}
+
+auto serverSettings(const EngineSettings& settings) -> HttpServerSettings
+{
+    HttpServerSettings result;
+    result.endpoint = settings.listen;
+    result.maximumBody = largestBody;
+    return result;
+}
+
+}
+
+Engine::Engine(IoThreads& threads, EngineSettings settings)
+    : m_state(std::make_shared<EngineState>(std::move(settings)))
+    , m_server(threads, serverSettings(m_state->settings), [state = m_state](HttpExchange& exchange) { return route(state, exchange); })
+{
+    asio::co_spawn(threads.context(0), runSteps(m_state), asio::detached);
+    asio::co_spawn(threads.context(0), keepLoadReports(m_state), asio::detached);
+}
+
+}
--- /dev/null
+++ b/standins/LinkFaults.h
@@ -0,0 +1,23 @@
+#pragma once
+
+/// The faults that a test or a scenario can switch on in the stand-in link.
+
+#include "JsonReader.h"
+
+namespace jayhold::standin {
+
+struct LinkFaults {
+    /// Open connections are closed, and so is every new one.
+    bool cut = false;
+    /// Connections stay open and carry nothing.
+    bool stall = false;
+    /// Added to every piece in both directions.
+    std::int64_t delayMicroseconds = 0;
+    /// Rate of each direction of a connection; 0 for no limit.
+    std::int64_t bytesPerSecond = 0;
+};
+
+/// Keys that are absent keep their present value.
+auto readLinkFaults(JsonReader& reader, const LinkFaults& present) -> boost::leaf::result<LinkFaults>;
+
+}
--- /dev/null
+++ b/standins/Pause.h
@@ -0,0 +1,29 @@
+#pragma once
+
+/// Waits inside the coroutines of the stand-ins.
+
+#include "AwaitToken.h"
+#include "Time.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+
+namespace jayhold {
+
+/// How often a coroutine that a fault holds back looks whether the fault is gone.
+inline constexpr auto faultPollInterval = std::chrono::milliseconds(2);
+
+inline auto pauseUntil(TimePoint time) -> boost::asio::awaitable<void>
+{
+    boost::system::error_code ignored;
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, time);
+    co_await timer.async_wait(awaitInto(ignored));
+}
+
+inline auto pauseFor(Duration duration) -> boost::asio::awaitable<void>
+{
+    co_await pauseUntil(monotonicNow() + duration);
+}
+
+}
--- /dev/null
+++ b/standins/PrefixCache.h
@@ -0,0 +1,43 @@
+#pragma once
+
+/// The prefix cache of a stand-in engine: block hashes in limited memory, least recently used
+/// first out, and the log of its changes, which is published late and may have gaps.
+
+#include "CacheChange.h"
+
+#include <list>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace jayhold::standin {
+
+class PrefixCache {
+public:
+    explicit PrefixCache(std::size_t capacity)
+        : m_capacity(capacity)
+    {
+    }
+
+    /// @return how many leading blocks are cached; they count as used.
+    auto hits(std::span<const std::uint64_t> blocks) -> std::size_t;
+
+    /// Stores the blocks of a prompt.
+    /// @param lostChanges changes that are still to be lost; counted down by one where this one is.
+    auto store(std::span<const std::uint64_t> blocks, TimePoint now, std::int64_t& lostChanges) -> void;
+
+    /// @return changes with a greater sequence number that were made at or before the given time.
+    auto changesAfter(std::uint64_t sequence, TimePoint publishedUpTo) const -> std::vector<CacheChange>;
+
+private:
+    auto touch(std::uint64_t block) -> bool;
+    auto evictOldest(CacheChange& change) -> void;
+
+    const std::size_t m_capacity;
+    std::list<std::uint64_t> m_order;
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> m_blocks;
+    std::uint64_t m_lastSequence = 0;
+    std::vector<CacheChange> m_changes;
+};
+
+}
--- /dev/null
+++ b/standins/ServiceAnswer.cpp
@@ -0,0 +1,17 @@
+#include "ServiceAnswer.h"
+
+#include "PromptBlocks.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace jayhold {
+
+auto expectedServiceAnswer(std::string_view method, std::string_view target, std::string_view body) -> std::string
+{
+    const auto digest = hashText(body, hashText(target, hashText(method)));
+    const boost::json::object answer { { "method", method }, { "target", target }, { "digest", digest } };
+    return boost::json::serialize(answer);
+}
+
+}
--- /dev/null
+++ b/standins/Target.h
@@ -0,0 +1,20 @@
+#pragma once
+
+/// The path and query of a request target.
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace jayhold {
+
+/// @return the target without its query.
+inline auto pathOf(std::string_view target) -> std::string_view
+{
+    return target.substr(0, target.find('?'));
+}
+
+/// @return the number of a query parameter, or the fallback where it is absent or no number.
+auto queryNumber(std::string_view target, std::string_view key, std::int64_t fallback) -> std::int64_t;
+
+}
