--- /dev/null
+++ b/test/correctness/LoadToolTest.cpp
@@ -0,0 +1,162 @@
+#include "../HttpTestServer.h"
+
+#include "AnswerReader.h"
+#include "CallRunner.h"
+#include "ExpectedTokens.h"
+#include "LoadMix.h"
+#include "LoadReport.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <catch2/catch.hpp>
+
+using namespace jayhold;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+auto chunkOf(const std::string& text) -> std::string
+{
+    const json::object chunk { { "choices", json::array { json::object { { "text", text } } } } };
+    return "data: " + json::serialize(chunk) + "\n\n";
+}
+
+/// What the entry instance of a test does wrong.
+enum class EntryFault {
+    None,
+    WrongToken,
+    MissingToken,
+    Repeats,
+    NoEnd,
+    Drops,
+    RefusesOnce,
+    RefusesUnknown,
+};
+
+/// An entry instance that answers completions as streams, with one fault.
+class TestEntry {
+public:
+    explicit TestEntry(EntryFault fault)
+        : m_fault(fault)
+    {
+    }
+    ~TestEntry() { m_threads.stop(); }
+    TestEntry(const TestEntry&) = delete;
+    auto operator=(const TestEntry&) -> TestEntry& = delete;
+
+    auto run(std::int64_t cancelAfter = 0) -> CallResult
+    {
+        LoadItem item;
+        item.name = "kind";
+        item.model = "m";
+        item.outputTokens = 8;
+        auto plan = planCall(item, 1, 1, cancelAfter > 0);
+        LoadSettings settings;
+        settings.entries = { m_server.endpoint() };
+        settings.retriesRefusals = m_fault == EntryFault::RefusesOnce;
+        std::atomic<std::size_t> nextEntry { 0 };
+        return runOn(m_threads, 1, runCall(m_threads.client(1), settings, std::move(plan), nextEntry));
+    }
+
+private:
+    auto refuse(HttpExchange& exchange, std::string_view ran) -> asio::awaitable<void>
+    {
+        const json::object error { { "type", "overloaded" }, { "message", "" }, { "ran", ran }, { "retry_after_ms", 10 } };
+        auto response = jsonResponse(503, json::serialize(json::object { { "error", error } }));
+        co_await exchange.respond(std::move(response));
+    }
+
+    auto answer(HttpExchange& exchange) -> asio::awaitable<void>
+    {
+        ++m_calls;
+        if (m_fault == EntryFault::RefusesUnknown || (m_fault == EntryFault::RefusesOnce && m_calls == 1)) {
+            const std::string_view ran = m_fault == EntryFault::RefusesOnce ? "no" : "unknown";
+            co_await refuse(exchange, ran);
+            co_return;
+        }
+        const auto body = json::parse(exchange.request().body).as_object();
+        const std::string prompt(body.at("prompt").as_string());
+        auto tokens = expectedTokens("m", prompt, body.at("max_tokens").to_number<std::int64_t>());
+        if (m_fault == EntryFault::WrongToken)
+            tokens[3] = " wrong";
+        if (m_fault == EntryFault::MissingToken)
+            tokens.erase(tokens.begin() + 3);
+        co_await exchange.startStream(200, {});
+        const auto times = m_fault == EntryFault::Repeats ? 2 : 1;
+        for (auto time = 0; time < times; ++time) {
+            for (const auto& token : tokens)
+                co_await exchange.write(chunkOf(token));
+        }
+        if (m_fault == EntryFault::Drops) {
+            exchange.abort();
+            co_return;
+        }
+        if (m_fault != EntryFault::NoEnd)
+            co_await exchange.write("data: [DONE]\n\n");
+        co_await exchange.finishStream();
+    }
+
+    const EntryFault m_fault;
+    int m_calls = 0;
+    IoThreads m_threads { 2 };
+    HttpServer m_server { m_threads, {}, [this](HttpExchange& exchange) { return answer(exchange); } };
+};
+
+}
+
+// Guards against a load tool that passes an answer which is not the complete right one.
+TEST_CASE("only the complete right answer counts as whole")
+{
+    CHECK(TestEntry(EntryFault::None).run().outcome == CallOutcome::Whole);
+    CHECK(TestEntry(EntryFault::WrongToken).run().outcome == CallOutcome::Wrong);
+    CHECK(TestEntry(EntryFault::MissingToken).run().outcome == CallOutcome::Wrong);
+    CHECK(TestEntry(EntryFault::Repeats).run().outcome == CallOutcome::Doubled);
+    CHECK(TestEntry(EntryFault::NoEnd).run().outcome == CallOutcome::Wrong);
+}
+
+// Guards against calls that may have run being reported as not run.
+TEST_CASE("refusals and lost connections are told apart")
+{
+    const auto refused = TestEntry(EntryFault::RefusesOnce).run();
+    CHECK(refused.outcome == CallOutcome::Whole);
+    CHECK(refused.attempts == 2);
+    CHECK(TestEntry(EntryFault::RefusesUnknown).run().outcome == CallOutcome::Unknown);
+    CHECK(TestEntry(EntryFault::Drops).run().outcome == CallOutcome::Unknown);
+    CHECK(TestEntry(EntryFault::None).run(4).outcome == CallOutcome::Cancelled);
+}
+
+// Guards against pieces of the network being taken for whole events.
+TEST_CASE("events are recognised wherever the pieces are cut")
+{
+    const auto events = chunkOf("a") + chunkOf(" b") + "data: [DONE]\n\n";
+    for (std::size_t cut = 0; cut <= events.size(); ++cut) {
+        AnswerReader reader;
+        reader.take(std::string_view(events).substr(0, cut));
+        reader.take(std::string_view(events).substr(cut));
+        CHECK(reader.text() == "a b");
+        CHECK(reader.ends() == 1);
+    }
+}
+
+// Guards against results that the report loses or counts under the wrong name.
+TEST_CASE("the report counts every outcome once and judges the targets")
+{
+    LoadItem item;
+    item.name = "kind";
+    item.firstTokenTarget = 100ms;
+    item.tokenGapTarget = 10ms;
+    LoadReport report({ item });
+    report.add(item, { CallOutcome::Whole, {}, 1, 50ms, { 5ms, 14ms } });
+    report.add(item, { CallOutcome::Whole, {}, 1, 150ms, { 5ms } });
+    report.add(item, { CallOutcome::Lost, {}, 2, 0ms, {} });
+    const auto total = report.toJson(1s).at("total").as_object();
+    CHECK(total.at("sent") == 3);
+    CHECK(total.at("attempts") == 4);
+    CHECK(total.at("whole") == 2);
+    CHECK(total.at("lost") == 1);
+    CHECK(total.at("within_targets") == 1);
+    const auto p99 = report.toJson(1s).at("items").at("kind").at("first_token_ms").at("p99").as_double();
+    CHECK(p99 == Approx(150).epsilon(0.03));
+}
--- /dev/null
+++ b/tools/CallRunner.cpp
@@ -0,0 +1,164 @@
+#include "CallRunner.h"
+
+#include "AnswerReader.h"
+#include "Pause.h"
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Wait before a call is sent again that no entry instance took.
+constexpr auto reconnectDelay = std::chrono::milliseconds(20);
+
+struct Attempt {
+    CallOutcome outcome = CallOutcome::Unknown;
+    std::string detail;
+    Duration retryAfter { reconnectDelay };
+    /// Whether the call may be sent again without a risk of its own: it was refused as not run,
+    /// or its connection was lost and it is repeatable or carries an idempotency key.
+    bool mayRetry = false;
+};
+
+/// What all attempts of one call share.
+struct CallContext {
+    const CallPlan& plan;
+    CallResult& result;
+    TimePoint start;
+    TimePoint deadline;
+};
+
+auto failedAttempt(const HttpError& error) -> Attempt
+{
+    const auto text = std::string(name(error.kind)) + ": " + error.detail;
+    if (error.kind == HttpErrorKind::TimedOut)
+        return { CallOutcome::Lost, text };
+    if (error.kind == HttpErrorKind::MalformedAnswer)
+        return { CallOutcome::Wrong, text };
+    const auto outcome = error.kind == HttpErrorKind::NotConnected ? CallOutcome::NotRun : CallOutcome::Unknown;
+    return { outcome, text, reconnectDelay, true };
+}
+
+auto refusedAttempt(unsigned status, const std::string& body) -> Attempt
+{
+    const auto refusal = parseRefusal(body);
+    auto detail = std::to_string(status) + " " + body.substr(0, 200);
+    if (refusal.ran != RanState::No)
+        return { CallOutcome::Unknown, std::move(detail) };
+    const Duration retryAfter = std::chrono::milliseconds(refusal.retryAfterMilliseconds);
+    return { CallOutcome::NotRun, std::move(detail), retryAfter, refusal.retryAfterMilliseconds > 0 };
+}
+
+auto checkedAttempt(const std::string& text, const std::string& expected, std::int64_t ends) -> Attempt
+{
+    if (text == expected && ends == 1)
+        return { CallOutcome::Whole, {} };
+    if (ends > 1 || text == expected + expected)
+        return { CallOutcome::Doubled, "the answer came twice" };
+    return { CallOutcome::Wrong, "received \"" + text.substr(0, 100) + "\" of " + std::to_string(text.size()) + " bytes, expected " + std::to_string(expected.size()) + " bytes, ends " + std::to_string(ends) };
+}
+
+auto timeLeft(const CallContext& context) -> Duration
+{
+    return std::max<Duration>(context.deadline - monotonicNow(), std::chrono::milliseconds(1));
+}
+
+/// Notes the arrival of tokens.
+auto noteTokens(CallContext& context, TimePoint& lastToken) -> void
+{
+    const auto now = monotonicNow();
+    if (context.result.firstToken.count() == 0)
+        context.result.firstToken = now - context.start;
+    else
+        context.result.gaps.push_back(now - lastToken);
+    lastToken = now;
+}
+
+auto finishedStream(const CallContext& context, unsigned status, const AnswerReader& reader, const std::string& body) -> Attempt
+{
+    if (status != 200)
+        return refusedAttempt(status, body);
+    if (!reader.error().empty())
+        return refusedAttempt(status, reader.error());
+    return checkedAttempt(reader.text(), context.plan.expected, reader.ends());
+}
+
+auto streamAttempt(HttpClient& client, CallContext& context, HttpEndpoint entry) -> asio::awaitable<Attempt>
+{
+    const auto opened = co_await client.open(entry, context.plan.request, timeLeft(context));
+    if (opened.has_error())
+        co_return failedAttempt(opened.error());
+    const auto& stream = *opened;
+    AnswerReader reader;
+    std::string body;
+    auto lastToken = context.start;
+    while (true) {
+        const auto piece = co_await stream->readSome(timeLeft(context));
+        if (piece.has_error()) {
+            if (!context.plan.expected.starts_with(reader.text()))
+                co_return checkedAttempt(reader.text(), context.plan.expected, reader.ends());
+            co_return failedAttempt(piece.error());
+        }
+        if (piece->empty())
+            co_return finishedStream(context, stream->status(), reader, body);
+        if (stream->status() != 200) {
+            body += *piece;
+            continue;
+        }
+        if (reader.take(*piece) > 0)
+            noteTokens(context, lastToken);
+        const auto cancelAfter = context.plan.cancelAfterTokens;
+        if (cancelAfter > 0 && reader.tokens() >= cancelAfter && reader.ends() == 0) {
+            stream->close();
+            if (!context.plan.expected.starts_with(reader.text()))
+                co_return checkedAttempt(reader.text(), context.plan.expected, 0);
+            co_return Attempt { CallOutcome::Cancelled, {} };
+        }
+    }
+}
+
+auto wholeAttempt(HttpClient& client, CallContext& context, HttpEndpoint entry) -> asio::awaitable<Attempt>
+{
+    const auto answer = co_await client.request(entry, context.plan.request, timeLeft(context));
+    if (answer.has_error())
+        co_return failedAttempt(answer.error());
+    if (answer->status != 200)
+        co_return refusedAttempt(answer->status, answer->body);
+    if (context.result.firstToken.count() == 0)
+        context.result.firstToken = monotonicNow() - context.start;
+    if (context.plan.item->model.empty())
+        co_return checkedAttempt(answer->body, context.plan.expected, 1);
+    std::string text;
+    if (!parseWholeCompletion(answer->body, text))
+        co_return Attempt { CallOutcome::Wrong, answer->body.substr(0, 200) };
+    co_return checkedAttempt(text, context.plan.expected, 1);
+}
+
+}
+
+auto runCall(HttpClient& client, const LoadSettings& settings, CallPlan plan, std::atomic<std::size_t>& nextEntry) -> asio::awaitable<CallResult>
+{
+    CallResult result;
+    const auto start = monotonicNow();
+    CallContext context { plan, result, start, start + settings.callTimeout };
+    const auto isRepeatable = !plan.item->model.empty() || plan.item->hasKey || plan.item->method == "GET";
+    while (true) {
+        ++result.attempts;
+        const auto& entry = settings.entries[nextEntry.fetch_add(1) % settings.entries.size()];
+        Attempt attempt;
+        if (plan.item->isStream)
+            attempt = co_await streamAttempt(client, context, entry);
+        else
+            attempt = co_await wholeAttempt(client, context, entry);
+        result.outcome = attempt.outcome;
+        result.detail = attempt.detail;
+        const auto mayRetry = attempt.mayRetry && (attempt.outcome == CallOutcome::NotRun || isRepeatable);
+        const auto isInTime = monotonicNow() + attempt.retryAfter < context.deadline;
+        if (!settings.retriesRefusals || !mayRetry || !isInTime || result.attempts >= settings.maximumAttempts)
+            co_return result;
+        co_await pauseFor(attempt.retryAfter);
+    }
+}
+
+}
--- /dev/null
+++ b/tools/LoadItem.h
@@ -0,0 +1,44 @@
+#pragma once
+
+/// One sort of call in a load mix.
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace jayhold {
+
+struct LoadItem {
+    /// Name in the report.
+    std::string name;
+    /// Share of the calls, in relation to the other items.
+    double weight = 1;
+    std::string service;
+    std::string kind;
+    /// Key of the customer.
+    std::string key;
+    /// Model of a model service; empty for a plain service.
+    std::string model;
+    std::int64_t promptTokens = 100;
+    /// Words at the start of the prompt that all calls of the item share.
+    std::int64_t sharedTokens = 0;
+    /// Most tokens that the call asks for.
+    std::int64_t maxTokens = 64;
+    /// Exact length of the answer, or 0 where the engine chooses it.
+    std::int64_t outputTokens = 0;
+    /// Text that every prompt contains, such as the marker that crashes a stand-in engine.
+    std::string marker;
+    bool isStream = true;
+    /// Share of streams that are cancelled in the middle.
+    double cancelShare = 0;
+    std::string method = "POST";
+    std::string path;
+    /// Whether a call carries an Idempotency-Key of its own.
+    bool hasKey = false;
+    std::chrono::milliseconds firstTokenTarget { 0 };
+    std::chrono::milliseconds tokenGapTarget { 0 };
+    /// Sent as X-Request-Timeout-Ms; 0 leaves it out.
+    std::chrono::milliseconds requestTimeout { 0 };
+};
+
+}
