--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -1,6 +1,7 @@
 #include "RequestEvents.h"
 
 #include "Admission.h"
+#include "CrashWatch.h"
 #include "Forecast.h"
 #include "Ledger.h"
 #include "ReplicaHealth.h"
@@ -43,6 +44,7 @@
     auto& state = context.state;
     if (state.requests.contains(event.request) || state.answered.contains(event.request))
         return;
+    state.retryBudget.requestArrived();
     auto& request = state.requests[event.request];
     request.arrival = event;
     request.arrivedAt = context.now;
@@ -94,6 +96,7 @@
     raiseEmitted(context, *request, event.total);
     if (request->phase != RequestPhase::Decoding)
         return;
+    noteProgress(context, *request);
     updateExpectedEnd(context, *request);
     growDecode(context, *request);
 }
