Test the record partition under any interleaving of owners and faults

Up to three would-be owners run the machine over one in-memory object with conditional updates; replies are lost, writes arrive late, owners crash, pause and have clocks that differ by minutes. The test checks that one attempt at most runs, that a refused one never counts as having run, and that an answer neither changes nor disappears.

--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -8,3 +8,7 @@
 jayhold_test(cluster_node_test
   SOURCES test/correctness/ClusterNodeTest.cpp test/FakePlatform.cpp
   LINK jayhold_cluster)
+
+jayhold_test(cluster_record_test
+  SOURCES test/correctness/RecordPartitionTest.cpp test/RecordWorld.cpp
+  LINK jayhold_cluster)
--- a/src/Membership.cpp
+++ b/src/Membership.cpp
@@ -121,7 +121,7 @@
 
 }
 
-auto makeMembership(MembershipSettings settings, TimePoint now) -> Membership
+auto makeMembership(const MembershipSettings& settings, TimePoint now) -> Membership
 {
     Membership membership { .settings = settings, .self = settings.self, .lastRound = now };
     membership.random.state = settings.seed;
--- a/src/Membership.h
+++ b/src/Membership.h
@@ -92,7 +92,7 @@
 
 using MembershipAction = std::variant<MemberFound, MemberLost, MemberSuspected, SelfRenewed>;
 
-auto makeMembership(MembershipSettings settings, TimePoint now) -> Membership;
+auto makeMembership(const MembershipSettings& settings, TimePoint now) -> Membership;
 
 /// Replaces the contacts: the platform's entry instances and the seed addresses.
 auto setContacts(Membership& membership, std::vector<Contact> contacts) -> void;
--- /dev/null
+++ b/test/RecordWorld.h
@@ -0,0 +1,99 @@
+#pragma once
+
+/// Several would-be owners of one record partition over one in-memory object with conditional
+/// updates, and callers whose attempts are checked: every step is chosen by the test, so that
+/// replies can be lost, writes arrive late, and owners crash or pause at any point.
+
+#include "RecordPartition.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jayhold {
+
+class RecordWorld {
+public:
+    RecordWorld(std::size_t owners, RecordPartitionSettings settings);
+
+    /// Carries out the step that a random number chooses.
+    auto step(std::uint32_t choice) -> void;
+    /// Ends all faults and runs every open operation to its reply.
+    auto settle() -> void;
+
+    /// @return what went wrong, empty where all properties hold.
+    auto fault() const -> const std::string& { return m_fault; }
+    auto startedCount() const -> int { return m_startedCount; }
+    auto doneCount() const -> int { return m_doneCount; }
+    auto writes() const -> std::int64_t { return m_revision; }
+    auto openTickets() const -> std::size_t { return m_tickets.size(); }
+    /// Starts a call at an owner.
+    auto beginCall(std::size_t owner, const std::string& key, const std::string& digest) -> std::string;
+    /// Lets the owner's open store call reach the store and its reply arrive.
+    auto deliver(std::size_t owner) -> void;
+
+private:
+    enum class AttemptState {
+        Waiting,
+        /// Told RecordStarted: the call runs or has run.
+        Running,
+        /// Refused, or withdrawn by its caller: it never runs.
+        NotRun,
+    };
+
+    struct Attempt {
+        std::string key;
+        std::string digest;
+        AttemptState state = AttemptState::Waiting;
+        /// The ticket whose reply the caller still waits for.
+        std::uint64_t ticket = 0;
+        bool isFinished = false;
+    };
+
+    struct Ticket {
+        std::string attempt;
+        bool isBegin;
+        bool isFinish;
+    };
+
+    struct Owner {
+        RecordPartition machine;
+        std::int64_t wallOffsetMs = 0;
+        bool hasCall = false;
+        RecordAction call;
+    };
+
+    auto time(const Owner& owner) const -> RecordTime;
+    auto execute(std::size_t owner, RecordActions actions) -> void;
+    auto send(std::size_t owner, const std::string& attempt, std::variant<BeginRecord, FinishRecord, AbandonRecord> request) -> void;
+    auto applyWrite(const WriteTable& write) -> bool;
+    auto deliverRead(Owner& owner, RecordActions& actions) -> void;
+    auto deliverWrite(Owner& owner, RecordActions& actions) -> void;
+    auto breakCall(std::size_t owner, std::uint32_t choice) -> void;
+    auto crash(std::size_t owner) -> void;
+    auto callerStep(std::uint32_t choice) -> void;
+    auto replyBegin(const ReplyBegin& reply) -> void;
+    auto started(const std::string& id) -> void;
+    auto done(const std::string& key, const StoredAnswer& answer) -> void;
+    auto fail(std::string text) -> void;
+
+    RecordPartitionSettings m_settings;
+    std::vector<Owner> m_owners;
+    std::int64_t m_revision = 0;
+    RecordTable m_table;
+    /// Writes on their way whose sender has given up on the reply.
+    std::vector<WriteTable> m_lateWrites;
+    std::map<std::string, Attempt> m_attempts;
+    std::map<std::uint64_t, Ticket> m_tickets;
+    std::map<std::string, StoredAnswer> m_answers;
+    std::uint64_t m_lastTicket = 0;
+    TimePoint m_now { std::chrono::seconds(1'000) };
+    std::uint64_t m_liveness = 0;
+    bool m_isSettling = false;
+    int m_startedCount = 0;
+    int m_doneCount = 0;
+    std::string m_fault;
+};
+
+}
--- /dev/null
+++ b/test/correctness/RecordPartitionTest.cpp
@@ -0,0 +1,129 @@
+#include "../RecordWorld.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace jayhold;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t stepsPerRun = 400;
+
+auto submitBegin(RecordPartition& partition, RecordTime time, std::uint64_t ticket, const std::string& key) -> RecordActions
+{
+    RecordActions actions;
+    RecordOperation operation { ticket, key, "attempt-" + std::to_string(ticket), time.now + 2s, BeginRecord { "digest", "holder/1" } };
+    submit(partition, time, std::move(operation), actions);
+    return actions;
+}
+
+auto decisionOf(const RecordActions& actions) -> const RecordDecision&
+{
+    return std::get<ReplyBegin>(actions.at(0)).decision;
+}
+
+}
+
+// Guards against a call that runs twice, an answer that changes, and a refused call that ran,
+// under lost replies, late writes, outages, crashes and pauses of any of several owners.
+TEST_CASE("records are safe under any interleaving of owners and faults")
+{
+    rc::prop("one attempt at most runs and its answer stays", [] {
+        const auto owners = *rc::gen::inRange<std::size_t>(1, 4);
+        const auto steps = *rc::gen::container<std::vector<std::uint32_t>>(stepsPerRun, rc::gen::resize(100, rc::gen::inRange<std::uint32_t>(0, 1U << 30U)));
+        RecordWorld world(owners, {});
+        for (const auto choice : steps) {
+            world.step(choice);
+            if (!world.fault().empty())
+                RC_FAIL(world.fault());
+        }
+        world.settle();
+        if (!world.fault().empty())
+            RC_FAIL(world.fault());
+        RC_CLASSIFY(world.startedCount() > 0, "some call ran");
+        RC_CLASSIFY(world.doneCount() > 0, "some answer was replayed");
+    });
+}
+
+// Guards against one platform write for each call, which the platform's rate would not allow.
+TEST_CASE("operations that arrive during a write are committed together")
+{
+    RecordWorld world(1, {});
+    world.beginCall(0, "key-0", "digest");
+    world.deliver(0);
+    for (int call = 1; call <= 50; ++call)
+        world.beginCall(0, "key-" + std::to_string(call), "digest");
+    world.deliver(0);
+    world.deliver(0);
+    CHECK(world.startedCount() == 51);
+    CHECK(world.writes() == 2);
+}
+
+// Guards against records that are kept for ever, and against a value over the platform's limit.
+TEST_CASE("a full partition refuses and records age out")
+{
+    RecordPartition partition;
+    partition.settings.maximumBytes = 10'000;
+    RecordTime time { TimePoint(1'000s), 1'000'000 };
+    auto actions = submitBegin(partition, time, 1, "key-1");
+    REQUIRE(std::holds_alternative<LoadTable>(actions.at(0)));
+    actions.clear();
+    tableLoaded(partition, time, 0, {}, actions);
+    std::int64_t revision = 0;
+    auto accepted = 0;
+    for (std::uint64_t ticket = 2; ticket < 20; ++ticket) {
+        if (!actions.empty() && std::holds_alternative<WriteTable>(actions.back())) {
+            CHECK(boost::json::serialize(toJson(*partition.proposed)).size() <= partition.settings.maximumBytes);
+            actions.clear();
+            updateApplied(partition, time, ++revision, actions);
+            ++accepted;
+        }
+        actions = submitBegin(partition, time, ticket, "key-" + std::to_string(ticket));
+    }
+    CHECK(accepted > 1);
+    CHECK(accepted < 10);
+    CHECK(std::holds_alternative<RecordUnavailable>(decisionOf(actions)));
+    time.wallMs += partition.settings.retentionMs + 1;
+    actions = submitBegin(partition, time, 99, "key-99");
+    REQUIRE(std::holds_alternative<WriteTable>(actions.at(0)));
+    CHECK(partition.proposed->entries.size() == 1);
+}
+
+// Guards against an answer that can't be stored because it is not text, and against a size estimate
+// below the true size.
+TEST_CASE("tables survive a round trip and their size is not underestimated")
+{
+    rc::prop("a table with any answer survives", [](const std::string& body) {
+        RecordTable table;
+        putEntry(table, "k", { RecordState::Done, "digest", "attempt", "holder", 5, { 200, "text/plain", body } });
+        putEntry(table, "other", { RecordState::Started, "digest", "attempt", "holder", 6, {} });
+        const auto text = boost::json::serialize(toJson(table));
+        const auto copy = recordTableFromJson(boost::json::parse(text));
+        RC_ASSERT(copy.has_value());
+        RC_ASSERT(copy->entries == table.entries);
+        RC_ASSERT(text.size() <= table.bytes);
+    });
+}
+
+// Guards against a repeat that runs a call whose holder died, or that waits for it for ever.
+TEST_CASE("a record whose holder is gone or that is overdue answers unknown")
+{
+    RecordPartition partition;
+    auto isLive = true;
+    partition.isHolderLive = [&](std::string_view) { return isLive; };
+    RecordTime time { TimePoint(1'000s), 1'000'000 };
+    RecordTable table;
+    putEntry(table, "key", { RecordState::Started, "digest", "first", "holder/1", time.wallMs, {} });
+    auto actions = submitBegin(partition, time, 1, "key");
+    actions.clear();
+    tableLoaded(partition, time, 1, table, actions);
+    CHECK(std::holds_alternative<RecordInProgress>(decisionOf(actions)));
+    isLive = false;
+    CHECK(std::holds_alternative<RecordUnknown>(decisionOf(submitBegin(partition, time, 2, "key"))));
+    isLive = true;
+    time.wallMs += partition.settings.startedLimitMs + 1;
+    CHECK(std::holds_alternative<RecordUnknown>(decisionOf(submitBegin(partition, time, 3, "key"))));
+}
