--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -9,7 +9,7 @@
 #include "PlainAttempt.h"
 #include "PlainBalancer.h"
 #include "PlainCallInfo.h"
-#include "RetryBudget.h"
+#include "PlainRetryBudget.h"
 #include "Service.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -61,7 +61,7 @@
     mutable std::mutex m_lock;
     std::vector<Pool> m_pools;
     PlainBalancer m_balancer;
-    RetryBudget m_budget;
+    PlainRetryBudget m_budget;
 };
 
 }
--- a/src/Replica.h
+++ b/src/Replica.h
@@ -3,6 +3,7 @@
 /// A backend server as the shard sees it: its capacity, what this shard has reserved on it and
 /// what others are believed to use.
 
+#include "EngineUse.h"
 #include "Identifiers.h"
 #include "ReplicaChanged.h"
 #include "Reservation.h"
@@ -14,6 +15,9 @@
 
 namespace jayhold {
 
+/// Consecutive failures after which a replica gets no work for a time.
+constexpr std::uint32_t failuresBeforeEjection = 3;
+
 struct Replica {
     ReplicaChanged description;
     /// Sum of the reservations of this shard.
@@ -25,12 +29,21 @@
     std::uint32_t othersSeats = 0;
     std::uint32_t othersPieces = 0;
     std::uint64_t reportSequence = 0;
+    TimePoint reportAsOf = TimePoint::min();
+    EngineUses endedUses;
+    /// Free seats that this instance may still take before the next report, where it shares the replica.
+    std::optional<std::uint32_t> seatAllowance;
+    TimePoint allowanceUntil;
 
     /// Turned work away; gets none before this time.
     TimePoint busyUntil = TimePoint::min();
     std::uint32_t consecutiveFailures = 0;
     TimePoint ejectedUntil = TimePoint::min();
 
+    /// The suspect that runs here in isolation; the replica gets no new work meanwhile.
+    std::optional<RequestId> probationer;
+    /// When the last crash was blamed on a suspect.
+    std::optional<TimePoint> blamedAt;
     /// Its entry among the capacities of the live replicas.
     std::optional<std::uint64_t> countedCapacity;
     /// Whether it is in the placement index, and under which key.
--- a/src/ReplicaIndex.cpp
+++ b/src/ReplicaIndex.cpp
@@ -23,10 +23,20 @@
     return replica.reserved.prefillTokens + others * loadScale;
 }
 
-auto returnTime(const Replica& replica, TimePoint now) -> TimePoint
+/// After an ejection the replica gets one request at a time until one succeeds.
+auto probeAllowed(const Replica& replica) -> bool
 {
-    const auto time = std::max(replica.busyUntil, replica.ejectedUntil);
-    return time > now ? time : TimePoint::max();
+    return replica.consecutiveFailures < failuresBeforeEjection || replica.reserved.seats == 0;
+}
+
+auto nextTimer(const Replica& replica, TimePoint now) -> TimePoint
+{
+    auto next = TimePoint::max();
+    for (const auto time : { replica.busyUntil, replica.ejectedUntil }) {
+        if (time > now)
+            next = std::min(next, time);
+    }
+    return replica.seatAllowance ? std::min(next, replica.allowanceUntil) : next;
 }
 
 }
@@ -36,6 +46,8 @@
     return replica.description.state == ReplicaState::Live
         && replica.busyUntil <= now
         && replica.ejectedUntil <= now
+        && !replica.probationer
+        && probeAllowed(replica)
         && freeSeats(replica) > 0;
 }
 
@@ -59,7 +71,7 @@
         zone.emplace(key, description.replica);
     replica.indexed = accepts;
     replica.indexKey = key;
-    context.state.timers.move(description.replica, replica.timerAt, returnTime(replica, context.now));
+    context.state.timers.move(description.replica, replica.timerAt, nextTimer(replica, context.now));
 }
 
 }
--- a/src/RetryBudget.h
+++ b/src/RetryBudget.h
@@ -1,7 +1,6 @@
 #pragma once
 
-/// Bounds retries to a share of new calls, so that a failing service does not get more load than
-/// it would have without retries.
+/// Limits retries to a part of the new requests, so that a failing backend is not loaded further.
 
 #include <algorithm>
 
@@ -9,14 +8,9 @@
 
 class RetryBudget {
 public:
-    /// Retries that each new call allows for.
-    static constexpr double ratio = 0.1;
-    /// Most retries that a quiet service can save up.
-    static constexpr double capacity = 10;
+    auto requestArrived() -> void { m_tokens = std::min(m_tokens + ratio, largest); }
 
-    auto noteCall() -> void { m_tokens = std::min(m_tokens + ratio, capacity); }
-
-    /// @return whether a retry is allowed; it is then taken off the budget.
+    /// @return whether one more retry is within the budget, which it then takes from.
     auto take() -> bool
     {
         if (m_tokens < 1)
@@ -26,7 +20,11 @@
     }
 
 private:
-    double m_tokens = capacity;
+    static constexpr double ratio = 0.2;
+    /// Covers the streams of a few decode engines that fail together; an engine runs about 20.
+    static constexpr double largest = 64;
+
+    double m_tokens = largest;
 };
 
 }
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -1,7 +1,9 @@
 #include "Shard.h"
 
+#include "CrashWatch.h"
 #include "DecisionContext.h"
 #include "Dispatch.h"
+#include "LoadReports.h"
 #include "ReplicaEvents.h"
 #include "RequestEvents.h"
 #include "RequestLife.h"
@@ -11,8 +13,9 @@
 
 namespace {
 
-auto handle(DecisionContext&, const SignatureReported&) -> void
+auto handle(DecisionContext& context, const SignatureReported& event) -> void
 {
+    blockSignature(context, event.signature);
 }
 
 auto handle(DecisionContext& context, const DrainStarted&) -> void
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -9,6 +9,7 @@
 #include "PlacementIndex.h"
 #include "Replica.h"
 #include "RequestQueue.h"
+#include "RetryBudget.h"
 #include "ServiceRates.h"
 #include "ShardSettings.h"
 #include "ShardSummary.h"
@@ -42,6 +43,9 @@
     ServiceRates rates;
     /// By kind.
     std::vector<LengthModel> lengths;
+    /// Signatures of requests that crash engines, and until when they are refused.
+    std::unordered_map<std::uint64_t, TimePoint> blockedSignatures;
+    RetryBudget retryBudget;
     StartPace pace;
     StartPace latePace;
     /// Starts since an aged request got its turn.
