--- a/src/CtlStatus.cpp
+++ b/src/CtlStatus.cpp
@@ -21,44 +21,72 @@
     return value.is_string() ? std::string(value.get_string()) : json::serialize(value);
 }
 
+auto isObjectList(const json::value& value) -> bool
+{
+    const auto* array = value.if_array();
+    return array && !array->empty() && std::ranges::all_of(*array, [](const json::value& item) { return item.is_object(); });
+}
+
+/// Copies the members that fit into one row: scalars, and the members of nested objects under
+/// `outer.inner`. Nested lists are printed as tables of their own.
+auto appendFlat(const json::object& object, const std::string& prefix, json::object& row) -> void
+{
+    for (const auto& member : object) {
+        const auto key = prefix + std::string(member.key());
+        if (member.value().is_object())
+            appendFlat(member.value().get_object(), key + ".", row);
+        else if (!isObjectList(member.value()))
+            row[key] = member.value();
+    }
+}
+
 /// Lays out a list of objects with one column for each key that occurs.
 auto tableOf(const json::array& list) -> TextTable
 {
+    std::vector<json::object> rows(list.size());
     TextTable table;
-    for (const auto& item : list) {
-        for (const auto& member : item.get_object()) {
+    for (std::size_t index = 0; index < list.size(); ++index) {
+        appendFlat(list[index].get_object(), "", rows[index]);
+        for (const auto& member : rows[index]) {
             if (std::ranges::find(table.header, std::string_view(member.key())) == table.header.end())
                 table.header.emplace_back(member.key());
         }
     }
-    for (const auto& item : list) {
+    for (const auto& source : rows) {
         auto& row = table.rows.emplace_back();
         for (const auto& key : table.header) {
-            const auto* value = item.get_object().if_contains(key);
+            const auto* value = source.if_contains(key);
             row.push_back(value ? cellText(*value) : "-");
         }
     }
     return table;
 }
 
-auto isObjectList(const json::value& value) -> bool
+/// Prints the lists of an object as tables, and after each the lists inside its elements.
+auto printTables(const json::object& object, const std::string& path, std::ostream& stream) -> void
 {
-    const auto* array = value.if_array();
-    return array && !array->empty() && std::ranges::all_of(*array, [](const json::value& item) { return item.is_object(); });
+    for (const auto& member : object) {
+        if (!isObjectList(member.value()))
+            continue;
+        const auto title = path + std::string(member.key());
+        const auto& list = member.value().get_array();
+        stream << '\n'
+               << title << '\n'
+               << format(tableOf(list));
+        for (const auto& item : list) {
+            const auto* name = item.get_object().if_contains("name");
+            printTables(item.get_object(), title + "[" + (name ? cellText(*name) : std::string()) + "].", stream);
+        }
+    }
 }
 
 auto printStatus(const json::object& status, std::ostream& stream) -> void
 {
-    for (const auto& member : status) {
-        if (!isObjectList(member.value()))
-            stream << std::string_view(member.key()) << '=' << cellText(member.value()) << '\n';
-    }
-    for (const auto& member : status) {
-        if (isObjectList(member.value()))
-            stream << '\n'
-                   << std::string_view(member.key()) << '\n'
-                   << format(tableOf(member.value().get_array()));
-    }
+    json::object summary;
+    appendFlat(status, "", summary);
+    for (const auto& member : summary)
+        stream << std::string_view(member.key()) << '=' << cellText(member.value()) << '\n';
+    printTables(status, "", stream);
 }
 
 }
--- a/test/correctness/CtlCommandsTest.cpp
+++ b/test/correctness/CtlCommandsTest.cpp
@@ -55,6 +55,19 @@
     threads.stop();
 }
 
+// Guards against lists inside lists being printed as one unreadable line.
+TEST_CASE("status prints nested lists as tables of their own")
+{
+    IoThreads threads(1);
+    HttpServer server(threads, {}, [](HttpExchange& exchange) -> asio::awaitable<void> {
+        co_await exchange.respond(jsonResponse(200, R"({"instance":"e1","services":[{"name":"llm","shard":{"queued":3},"replicas":[{"id":"d1","state":"live"}]}]})"));
+    });
+    const auto shown = run({ .command = "status", .entries = { server.endpoint() } });
+    CHECK(shown.code == ExitCode::Success);
+    CHECK(shown.result == "instance=e1\n\nservices\nname  shard.queued\nllm   3\n\nservices[llm].replicas\nid  state\nd1  live\n");
+    threads.stop();
+}
+
 // Guards against an unreachable instance being reported as success or as a faulty file.
 TEST_CASE("an unreachable instance and a faulty file have their own exit codes")
 {
