--- /dev/null
+++ b/bench/Arms.cpp
@@ -0,0 +1,10 @@
+#include "Arm.h"
+
+namespace jayhold::bench {
+
+auto allArms() -> std::vector<Arm>
+{
+    return { roundRobinArm(), leastOutstandingArm() };
+}
+
+}
--- /dev/null
+++ b/bench/Callers.h
@@ -0,0 +1,58 @@
+#pragma once
+
+/// The callers' side of a run: when each request got its tokens and its final answer, and who comes
+/// back after a refusal.
+
+#include "CallerRequest.h"
+#include "EventQueue.h"
+#include "Faults.h"
+#include "Metrics.h"
+#include "Refuse.h"
+#include "Workload.h"
+
+#include <functional>
+#include <span>
+#include <vector>
+
+namespace jayhold::bench {
+
+class Callers {
+public:
+    /// @param send sends the request of that index once more.
+    Callers(EventQueue& events, const Workload& workload, const Faults& faults, std::span<const CallerRequest> requests, Metrics& metrics, std::function<void(std::size_t)> send);
+
+    auto start() -> void;
+    auto token(std::size_t caller, std::uint32_t index) -> void;
+    auto refused(std::size_t caller, const Refuse& refusal) -> void;
+    /// The caller goes away; nothing more is expected for it.
+    auto left(std::size_t caller) -> void;
+
+    /// Requests whose caller still waits or has yet to arrive.
+    auto open() const -> std::size_t { return m_open; }
+    /// Adds up goodput; callers that still wait count as unanswered.
+    auto finish() -> void;
+
+private:
+    struct State {
+        TimePoint firstToken {};
+        TimePoint lastToken {};
+        std::uint32_t tokens = 0;
+        std::uint32_t repeats = 0;
+        bool closed = false;
+    };
+
+    auto arriveNext(std::size_t caller) -> void;
+    auto close(State& state) -> void;
+    auto addUp(const CallerRequest& request, const State& state) -> void;
+
+    EventQueue& m_events;
+    const Workload& m_workload;
+    const Faults& m_faults;
+    std::span<const CallerRequest> m_requests;
+    Metrics& m_metrics;
+    std::function<void(std::size_t)> m_send;
+    std::vector<State> m_states;
+    std::size_t m_open = 0;
+};
+
+}
--- /dev/null
+++ b/bench/EngineShape.h
@@ -0,0 +1,47 @@
+#pragma once
+
+/// The sizes and rates of the fake engines of one workload.
+
+#include "Time.h"
+
+#include <cstdint>
+
+namespace jayhold::bench {
+
+struct EngineShape {
+    /// Prompts that a prefill engine accepts at once; it computes one chunk at a time.
+    std::uint32_t prefillSeats = 4;
+    double prefillTokensPerSecond = 10'000;
+    /// Tokens computed before the engine looks for a more urgent prompt.
+    std::uint32_t prefillChunkTokens = 512;
+    Duration keptFor = std::chrono::milliseconds(800);
+    std::uint32_t prefixBlockTokens = 256;
+    std::uint32_t prefixCacheBlocks = 400;
+    std::uint32_t decodeSeats = 20;
+    /// Token gap = base + step * batch size: 34 ms at 20 requests.
+    Duration tokenGapBase = std::chrono::milliseconds(18);
+    Duration tokenGapPerRequest = Duration(800);
+    std::uint32_t memoryPieces = 64;
+    std::uint32_t pieceTokens = 2'000;
+    /// Rate of the link out of one prefill engine.
+    std::uint64_t linkBytesPerSecond = 3'000'000'000;
+    std::uint64_t kvBytesPerToken = 131'072;
+};
+
+inline auto tokenGap(const EngineShape& shape, std::size_t batch) -> Duration
+{
+    return shape.tokenGapBase + shape.tokenGapPerRequest * static_cast<std::int64_t>(batch);
+}
+
+/// @return tokens per second of a decode engine whose seats are all taken, which is the most it reaches.
+inline auto decodeTokensPerSecond(const EngineShape& shape) -> double
+{
+    return shape.decodeSeats * 1e6 / static_cast<double>(tokenGap(shape, shape.decodeSeats).count());
+}
+
+inline auto piecesFor(const EngineShape& shape, std::uint32_t tokens) -> std::uint32_t
+{
+    return (tokens + shape.pieceTokens - 1) / shape.pieceTokens;
+}
+
+}
--- /dev/null
+++ b/bench/Engines.h
@@ -0,0 +1,91 @@
+#pragma once
+
+/// All fake engines of a run, as the entry instances reach them over the network: calls, KV
+/// transfers between engines, cancels, deaths and restarts.
+
+#include "DecodeEngine.h"
+#include "FailureKind.h"
+#include "Metrics.h"
+#include "Network.h"
+#include "PoolRole.h"
+#include "PrefillEngine.h"
+
+#include <memory>
+#include <random>
+
+namespace jayhold::bench {
+
+/// What an entry instance learns from the engines; the first parameter is the instance.
+struct EngineListener {
+    std::function<void(const EngineJob&, std::uint32_t cachedTokens, TimePoint expiresAt)> prefillDone;
+    std::function<void(const EngineJob&, FailureKind)> prefillFailed;
+    std::function<void(const EngineJob&, std::uint32_t generated)> token;
+    std::function<void(const EngineJob&, FailureKind)> decodeFailed;
+    /// The engine's process has ended, or is back.
+    std::function<void(std::size_t engine, bool alive)> aliveChanged;
+};
+
+struct Engine {
+    PoolRole role;
+    ZoneId zone;
+    bool alive = true;
+    std::unique_ptr<PrefillEngine> prefill;
+    std::unique_ptr<DecodeEngine> decode;
+};
+
+class Engines {
+public:
+    Engines(EventQueue& events, const Workload& workload, const Faults& faults, const Network& network, Metrics& metrics, std::uint64_t seed);
+
+    auto setListener(EngineListener listener) -> void { m_listener = std::move(listener); }
+    auto setInstanceZones(std::vector<ZoneId> zones) -> void { m_instanceZones = std::move(zones); }
+
+    auto startPrefill(const EngineJob& job, ReplicaId replica) -> void;
+    /// @param prefillAttempt the attempt that computed the KV cache.
+    auto startDecode(const EngineJob& job, Attempt prefillAttempt, ReplicaId prefill, ReplicaId decode) -> void;
+    auto cancel(std::size_t instance, RequestId request, ReplicaId replica) -> void;
+
+    auto die(std::size_t engine) -> void;
+    auto restart(std::size_t engine) -> void;
+    /// Ends all calls that cross the border of the zone.
+    auto cutConnections(ZoneId zone) -> void;
+
+    auto all() -> std::vector<Engine>& { return m_engines; }
+    auto heldPieces() const -> std::uint64_t;
+
+private:
+    struct Transfer {
+        EngineJob job;
+        Attempt prefillAttempt;
+        std::size_t prefill;
+        std::size_t decode;
+        SharedLink::TransferId link;
+    };
+
+    auto addEngine(PoolRole role, ZoneId zone) -> void;
+    auto listen(std::size_t engine) -> PrefillEngine::Callbacks;
+    auto listenDecode(std::size_t engine) -> DecodeEngine::Callbacks;
+    auto reachableFrom(std::size_t instance, std::size_t engine) const -> bool;
+    auto delay(std::size_t instance, std::size_t engine) const -> Duration;
+    auto acceptPrefill(const EngineJob& job, std::size_t engine) -> void;
+    auto acceptDecode(const EngineJob& job, Attempt prefillAttempt, std::size_t prefill, std::size_t decode) -> void;
+    auto beginTransfer(Transfer transfer) -> void;
+    auto finishTransfer(RequestId request, Attempt attempt) -> void;
+    auto dropTransfers(const std::function<bool(const Transfer&)>& chosen, bool tellInstance) -> void;
+    auto cancelNow(RequestId request, std::size_t engine) -> void;
+    auto failPrefill(const EngineJob& job, std::size_t engine, FailureKind failure) -> void;
+    auto failDecode(const EngineJob& job, std::size_t engine, FailureKind failure) -> void;
+
+    EventQueue& m_events;
+    const Workload& m_workload;
+    const Faults& m_faults;
+    const Network& m_network;
+    Metrics& m_metrics;
+    EngineListener m_listener;
+    std::vector<ZoneId> m_instanceZones;
+    std::vector<Engine> m_engines;
+    std::vector<Transfer> m_transfers;
+    std::mt19937_64 m_random;
+};
+
+}
--- /dev/null
+++ b/bench/EntryInstance.cpp
@@ -0,0 +1,233 @@
+#include "EntryInstance.h"
+
+#include <algorithm>
+
+namespace jayhold::bench {
+
+namespace {
+
+/// Tokens between two reports to the router.
+constexpr std::uint32_t TokensPerReport = 16;
+/// A decode without a first token after this time is given up, for routers that do not time it themselves.
+constexpr Duration FirstTokenTimeout = std::chrono::seconds(12);
+/// How long it takes to find that the network to an engine is cut.
+constexpr Duration CutDetection = std::chrono::milliseconds(500);
+
+}
+
+EntryInstance::EntryInstance(std::size_t index, ZoneId zone, Router router, const Surroundings& surroundings)
+    : m_index(index)
+    , m_zone(zone)
+    , m_router(std::move(router))
+    , m_around(surroundings)
+{
+}
+
+auto EntryInstance::find(RequestId id) -> Active*
+{
+    const auto found = m_active.find(id);
+    return found == m_active.end() ? nullptr : &found->second;
+}
+
+auto EntryInstance::queued() const -> std::size_t
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_active, [](const auto& item) { return item.second.stage == Stage::Queued; }));
+}
+
+auto EntryInstance::seatsUsed(std::size_t engine) const -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(std::ranges::count_if(m_active, [&](const auto& item) {
+        return item.second.stage != Stage::Queued && static_cast<std::size_t>(item.second.decode) == engine;
+    }));
+}
+
+auto EntryInstance::arrive(RequestId id, std::size_t caller, const CallerRequest& request) -> void
+{
+    m_active[id] = { .caller = caller, .request = &request };
+    const auto& kind = m_around.workload.kinds[static_cast<std::size_t>(request.kind)].kind;
+    feed(RequestArrived {
+        .request = id,
+        .kind = request.kind,
+        .customer = request.customer,
+        .promptTokens = request.promptTokens,
+        .maxTokens = request.maxTokens,
+        .deadline = m_around.events.now() + kind.deadline,
+        .prefixBlocks = request.prefixBlocks,
+        .signature = request.signature,
+    });
+}
+
+auto EntryInstance::cancel(RequestId id) -> void
+{
+    if (m_active.erase(id))
+        feed(RequestCancelled { id });
+}
+
+auto EntryInstance::feed(const DecisionEvent& event) -> void
+{
+    std::vector<DecisionAction> actions;
+    m_router(m_around.events.now(), event, actions);
+    for (const auto& action : actions)
+        std::visit([this](const auto& alternative) { carryOut(alternative); }, action);
+}
+
+auto EntryInstance::jobFor(RequestId id, const Active& active) const -> EngineJob
+{
+    const auto& request = *active.request;
+    const auto& kind = m_around.workload.kinds[static_cast<std::size_t>(request.kind)].kind;
+    return {
+        .request = id,
+        .attempt = active.attempt,
+        .instance = m_index,
+        .priority = static_cast<int>(kind.latencyClass),
+        .promptTokens = request.promptTokens + active.emitted,
+        .outputTokens = request.outputTokens - active.emitted,
+        .crashes = request.crashesEngines,
+        .prefixBlocks = request.prefixBlocks,
+    };
+}
+
+auto EntryInstance::carryOut(const StartPrefill& action) -> void
+{
+    auto* active = find(action.request);
+    if (!active)
+        return;
+    active->stage = Stage::Prefilling;
+    active->attempt = action.attempt;
+    active->prefillAttempt = action.attempt;
+    active->prefill = action.prefill;
+    active->decode = action.decode;
+    ++m_around.metrics.attempts;
+    if (action.attempt > 1)
+        ++m_around.metrics.retried;
+    m_around.engines.startPrefill(jobFor(action.request, *active), action.prefill);
+}
+
+auto EntryInstance::carryOut(const StartDecode& action) -> void
+{
+    auto* active = find(action.request);
+    if (!active)
+        return;
+    active->stage = Stage::Decoding;
+    active->attempt = action.attempt;
+    active->decode = action.decode;
+    active->resumedFrom = action.resumeFrom;
+    if (action.resumeFrom != active->emitted)
+        ++m_around.metrics.misplacedTokens;
+    m_around.engines.startDecode(jobFor(action.request, *active), active->prefillAttempt, action.prefill, action.decode);
+    watchDecode(action.request, action.attempt);
+}
+
+auto EntryInstance::watchDecode(RequestId id, Attempt attempt) -> void
+{
+    const auto* active = find(id);
+    const auto emitted = active->emitted;
+    m_around.events.after(FirstTokenTimeout, [this, id, attempt, emitted] {
+        const auto* late = find(id);
+        if (!late || late->attempt != attempt || late->stage != Stage::Decoding || late->emitted != emitted)
+            return;
+        const auto job = jobFor(id, *late);
+        m_around.engines.cancel(m_index, id, late->decode);
+        decodeFailed(job, FailureKind::TimedOut);
+    });
+}
+
+auto EntryInstance::carryOut(const Refuse& action) -> void
+{
+    const auto* active = find(action.request);
+    const auto reason = static_cast<std::size_t>(action.reason);
+    ++m_around.metrics.refused;
+    if (reason < m_around.metrics.refusedBy.size())
+        ++m_around.metrics.refusedBy[reason];
+    if (!active) {
+        ++m_around.metrics.answeredTwice;
+        return;
+    }
+    const auto caller = active->caller;
+    m_active.erase(action.request);
+    m_around.callers.refused(caller, action);
+}
+
+auto EntryInstance::carryOut(const CancelOnReplica& action) -> void
+{
+    m_around.engines.cancel(m_index, action.request, action.replica);
+}
+
+auto EntryInstance::carryOut(const ReportSignature& action) -> void
+{
+    m_around.callers.signatureReported(action.signature);
+}
+
+auto EntryInstance::carryOut(const WakeAt& action) -> void
+{
+    const auto wake = ++m_wakes;
+    m_around.events.at(action.time, [this, wake] {
+        if (wake == m_wakes)
+            feed(Tick {});
+    });
+}
+
+auto EntryInstance::prefillDone(const EngineJob& job, std::uint32_t cachedTokens, TimePoint expiresAt) -> void
+{
+    feed(PrefillDone { job.request, job.attempt, expiresAt, cachedTokens });
+}
+
+auto EntryInstance::prefillFailed(const EngineJob& job, FailureKind failure) -> void
+{
+    feed(PrefillFailed { job.request, job.attempt, failure });
+}
+
+auto EntryInstance::firstTokenOf(const EngineJob& job, const Active& active) -> void
+{
+    auto& metrics = m_around.metrics;
+    if (const auto open = metrics.openPrefills.extract({ job.request, active.prefillAttempt }))
+        metrics.usedPrefillTokens += open.mapped();
+}
+
+auto EntryInstance::token(const EngineJob& job, std::uint32_t generated) -> void
+{
+    auto* active = find(job.request);
+    if (!active || active->attempt != job.attempt || active->stage != Stage::Decoding)
+        return;
+    if (active->resumedFrom + generated != active->emitted + 1)
+        ++m_around.metrics.misplacedTokens;
+    active->emitted = active->resumedFrom + generated;
+    m_around.callers.token(active->caller, active->emitted);
+    const auto emitted = active->emitted;
+    const bool last = emitted == active->request->outputTokens;
+    if (generated == 1)
+        firstTokenOf(job, *active);
+    if (last)
+        m_active.erase(job.request);
+    if (generated == 1)
+        feed(DecodeStarted { job.request, job.attempt });
+    if (last)
+        feed(DecodeFinished { job.request, job.attempt, emitted });
+    else if (generated % TokensPerReport == 0)
+        feed(TokensEmitted { job.request, job.attempt, emitted });
+}
+
+auto EntryInstance::decodeFailed(const EngineJob& job, FailureKind failure) -> void
+{
+    const auto* active = find(job.request);
+    feed(DecodeFailed { job.request, job.attempt, failure, active ? active->emitted : 0 });
+}
+
+auto EntryInstance::cutConnections() -> void
+{
+    const auto lost = [&](ReplicaId replica) {
+        return !m_around.network.reachable(m_zone, m_around.engines.all()[static_cast<std::size_t>(replica)].zone);
+    };
+    for (const auto& [id, active] : m_active) {
+        if (active.stage == Stage::Queued || !lost(active.stage == Stage::Prefilling ? active.prefill : active.decode))
+            continue;
+        m_around.events.after(CutDetection, [this, job = jobFor(id, active), stage = active.stage] {
+            if (stage == Stage::Prefilling)
+                prefillFailed(job, FailureKind::ConnectionLost);
+            else
+                decodeFailed(job, FailureKind::ConnectionLost);
+        });
+    }
+}
+
+}
--- /dev/null
+++ b/bench/EntryInstance.h
@@ -0,0 +1,92 @@
+#pragma once
+
+/// The part of an entry instance that the bench needs: feeds its router with events, carries out
+/// the actions, and tells the callers' side about tokens and refusals.
+
+#include "Arm.h"
+#include "CallerRequest.h"
+#include "Engines.h"
+
+#include <unordered_map>
+
+namespace jayhold::bench {
+
+/// What the callers' side learns.
+struct CallerListener {
+    /// @param caller index of the caller's request.
+    std::function<void(std::size_t caller, std::uint32_t index)> token;
+    std::function<void(std::size_t caller, const Refuse&)> refused;
+    std::function<void(std::uint64_t signature)> signatureReported;
+};
+
+class EntryInstance {
+public:
+    struct Surroundings {
+        EventQueue& events;
+        Engines& engines;
+        const Network& network;
+        const Workload& workload;
+        Metrics& metrics;
+        const CallerListener& callers;
+    };
+
+    EntryInstance(std::size_t index, ZoneId zone, Router router, const Surroundings& surroundings);
+
+    auto zone() const -> ZoneId { return m_zone; }
+    auto arrive(RequestId id, std::size_t caller, const CallerRequest& request) -> void;
+    auto cancel(RequestId id) -> void;
+    /// Feeds an event that concerns no single request.
+    auto feed(const DecisionEvent& event) -> void;
+
+    auto prefillDone(const EngineJob& job, std::uint32_t cachedTokens, TimePoint expiresAt) -> void;
+    auto prefillFailed(const EngineJob& job, FailureKind failure) -> void;
+    auto token(const EngineJob& job, std::uint32_t generated) -> void;
+    auto decodeFailed(const EngineJob& job, FailureKind failure) -> void;
+    /// The connections to engines that are not reachable any more fail.
+    auto cutConnections() -> void;
+
+    /// Requests without a final answer, and those of them that have not been sent to an engine.
+    auto active() const -> std::size_t { return m_active.size(); }
+    auto queued() const -> std::size_t;
+    /// Requests that hold or will hold a seat of the decode engine.
+    auto seatsUsed(std::size_t engine) const -> std::uint32_t;
+
+private:
+    enum class Stage {
+        Queued,
+        Prefilling,
+        Decoding,
+    };
+    struct Active {
+        std::size_t caller = 0;
+        const CallerRequest* request = nullptr;
+        Stage stage = Stage::Queued;
+        Attempt attempt = 0;
+        Attempt prefillAttempt = 0;
+        ReplicaId prefill {};
+        ReplicaId decode {};
+        std::uint32_t emitted = 0;
+        std::uint32_t resumedFrom = 0;
+    };
+
+    auto carryOut(const StartPrefill& action) -> void;
+    auto carryOut(const StartDecode& action) -> void;
+    auto carryOut(const Refuse& action) -> void;
+    auto carryOut(const CancelOnReplica& action) -> void;
+    auto carryOut(const ReportSignature& action) -> void;
+    auto carryOut(const WakeAt& action) -> void;
+
+    auto find(RequestId id) -> Active*;
+    auto jobFor(RequestId id, const Active& active) const -> EngineJob;
+    auto watchDecode(RequestId id, Attempt attempt) -> void;
+    auto firstTokenOf(const EngineJob& job, const Active& active) -> void;
+
+    std::size_t m_index;
+    ZoneId m_zone;
+    Router m_router;
+    Surroundings m_around;
+    std::unordered_map<RequestId, Active> m_active;
+    std::uint64_t m_wakes = 0;
+};
+
+}
--- /dev/null
+++ b/bench/Fleet.cpp
@@ -0,0 +1,286 @@
+#include "Fleet.h"
+
+#include "ClairvoyantBound.h"
+
+#include <algorithm>
+
+namespace jayhold::bench {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration LoadReportInterval = 100ms;
+constexpr Duration CacheEventInterval = 250ms;
+constexpr Duration TickInterval = 100ms;
+constexpr Duration SeatSharingInterval = 100ms;
+/// After a gap in its cache events, an engine's whole cache is read this much later.
+constexpr Duration CacheResyncDelay = 2s;
+/// The instance list shows that an engine has died, or is back, this much later.
+constexpr Duration InstanceListLag = 2s;
+/// Gossip takes a signature to all instances in this time.
+constexpr Duration GossipDelay = 1s;
+/// From an instance to the owner that it hands a request to.
+constexpr Duration HandOverHop = Duration(500);
+/// Nothing may be held this long after the last event.
+constexpr Duration FreedWithin = 2s;
+/// A run that has not ended so long after its last arrival is stopped; the rest is unanswered.
+constexpr Duration LongestTail = 400s;
+
+}
+
+Fleet::Fleet(const Cell& cell, const Faults& faults, std::span<const CallerRequest> requests)
+    : m_cell(cell)
+    , m_faults(faults)
+    , m_requests(requests)
+    , m_network { m_events, faults }
+    , m_engines(m_events, cell.workload, faults, m_network, m_metrics, cell.plan.seed)
+    , m_callers(m_events, cell.workload, faults, requests, m_metrics, [this](std::size_t caller) { send(caller); })
+    , m_seats(cell.sharing, cell.workload.engines)
+    , m_sent(requests.size())
+    , m_random(cell.plan.seed + 1)
+{
+    listen();
+    addInstances();
+    scheduleFaults();
+}
+
+auto Fleet::listen() -> void
+{
+    m_callerListener = {
+        .token = [this](std::size_t caller, std::uint32_t index) { m_callers.token(caller, index); },
+        .refused = [this](std::size_t caller, const Refuse& refusal) { m_callers.refused(caller, refusal); },
+        .signatureReported = [this](std::uint64_t signature) { m_events.after(GossipDelay, [this, signature] {
+                                                                   for (const auto& instance : m_instances)
+                                                                       instance->feed(SignatureReported { signature });
+                                                               }); },
+    };
+    m_engines.setListener({
+        .prefillDone = [this](const EngineJob& job, std::uint32_t cachedTokens, TimePoint expiresAt) { m_instances[job.instance]->prefillDone(job, cachedTokens, expiresAt); },
+        .prefillFailed = [this](const EngineJob& job, FailureKind failure) { m_instances[job.instance]->prefillFailed(job, failure); },
+        .token = [this](const EngineJob& job, std::uint32_t generated) { m_instances[job.instance]->token(job, generated); },
+        .decodeFailed = [this](const EngineJob& job, FailureKind failure) { m_instances[job.instance]->decodeFailed(job, failure); },
+        .aliveChanged = [this](std::size_t engine, bool alive) { aliveChanged(engine, alive); },
+    });
+}
+
+auto Fleet::settingsFor(std::size_t instance, ZoneId zone) const -> ShardSettings
+{
+    const auto& workload = m_cell.workload;
+    ShardSettings settings;
+    settings.seed = m_cell.plan.seed * 1'000 + instance;
+    settings.localZone = zone;
+    settings.wastedPrefillWeight = m_cell.wastedPrefillWeight.value_or(workload.wastedPrefillWeight);
+    for (const auto& kind : workload.kinds)
+        settings.kinds.push_back(kind.kind);
+    settings.customerWeights = workload.customerWeights;
+    settings.customerQueueLimits.assign(workload.customerWeights.size(), 1'000);
+    settings.kvBytesPerToken = workload.engines.kvBytesPerToken;
+    settings.prefixBlockTokens = workload.engines.prefixBlockTokens;
+    settings.sharingInstances = m_seats.contenders();
+    return settings;
+}
+
+auto Fleet::addInstances() -> void
+{
+    std::vector<ZoneId> zones;
+    const auto& byZone = m_cell.workload.entryInstances;
+    for (std::size_t zone = 0; zone < byZone.size(); ++zone) {
+        m_firstInstanceOfZone.push_back(zones.size());
+        zones.insert(zones.end(), byZone[zone], ZoneId { static_cast<std::uint16_t>(zone) });
+    }
+    m_engines.setInstanceZones(zones);
+    m_seats.begin(m_engines.all(), zones);
+    const EntryInstance::Surroundings surroundings { m_events, m_engines, m_network, m_cell.workload, m_metrics, m_callerListener };
+    for (std::size_t index = 0; index < zones.size(); ++index)
+        m_instances.push_back(std::make_unique<EntryInstance>(index, zones[index], m_cell.arm.makeRouter(settingsFor(index, zones[index])), surroundings));
+    for (std::size_t engine = 0; engine < m_engines.all().size(); ++engine)
+        announce(engine, ReplicaState::Live);
+}
+
+auto Fleet::announce(std::size_t engine, ReplicaState state) -> void
+{
+    for (std::size_t instance = 0; instance < m_instances.size(); ++instance)
+        announceTo(instance, engine, state);
+}
+
+auto Fleet::announceTo(std::size_t instance, std::size_t engine, ReplicaState state) -> void
+{
+    const auto& shape = m_cell.workload.engines;
+    const auto& target = m_engines.all()[engine];
+    const auto seats = m_seats.seats(instance, engine);
+    if (seats == 0 && m_cell.sharing == Sharing::Owner)
+        return;
+    const auto wholeSeats = target.role == PoolRole::Prefill ? shape.prefillSeats : shape.decodeSeats;
+    m_instances[instance]->feed(ReplicaChanged {
+        .replica = ReplicaId { static_cast<std::uint32_t>(engine) },
+        .role = target.role,
+        .zone = target.zone,
+        .state = state,
+        .seats = seats,
+        .memoryPieces = shape.memoryPieces * seats / wholeSeats,
+        .pieceTokens = shape.pieceTokens,
+        .linkBytesPerSecond = shape.linkBytesPerSecond,
+    });
+}
+
+auto Fleet::aliveChanged(std::size_t engine, bool alive) -> void
+{
+    m_events.after(InstanceListLag, [this, engine, alive] {
+        // A short death may be over before the list shows it.
+        if (m_engines.all()[engine].alive == alive)
+            announce(engine, alive ? ReplicaState::Live : ReplicaState::Gone);
+    });
+}
+
+auto Fleet::scheduleFaults() -> void
+{
+    for (const auto& death : m_faults.deaths) {
+        m_events.at(death.at, [this, death] { m_engines.die(death.engine); });
+        m_events.at(death.until, [this, death] { m_engines.restart(death.engine); });
+    }
+    if (m_faults.zoneCut) {
+        m_events.at(m_faults.zoneCut->interval.from, [this] {
+            m_engines.cutConnections(m_faults.zoneCut->zone);
+            for (const auto& instance : m_instances)
+                instance->cutConnections();
+        });
+    }
+}
+
+auto Fleet::instanceFor(std::size_t caller) const -> std::size_t
+{
+    const auto& request = m_requests[caller];
+    const auto zone = static_cast<std::size_t>(request.zone);
+    // A repeat may come to another instance of the zone.
+    const auto draw = request.instanceDraw + static_cast<std::uint64_t>(m_sent[caller].id);
+    return m_firstInstanceOfZone[zone] + draw % m_cell.workload.entryInstances[zone];
+}
+
+auto Fleet::send(std::size_t caller) -> void
+{
+    const auto& request = m_requests[caller];
+    const auto receiver = instanceFor(caller);
+    const auto target = m_seats.place(receiver);
+    const auto id = RequestId { m_nextRequest++ };
+    m_sent[caller] = { id, target };
+    const auto hop = target == receiver ? Duration::zero() : HandOverHop;
+    m_events.after(hop, [this, caller, id, target] { m_instances[target]->arrive(id, caller, m_requests[caller]); });
+    if (!request.cancelAfter)
+        return;
+    m_events.at(request.arrival + *request.cancelAfter, [this, caller] {
+        m_callers.left(caller);
+        m_instances[m_sent[caller].instance]->cancel(m_sent[caller].id);
+    });
+}
+
+auto Fleet::scheduleEvery(Duration interval, std::function<void()> callback) -> void
+{
+    m_events.after(interval, [this, interval, callback = std::move(callback)] {
+        if (!m_running)
+            return;
+        callback();
+        scheduleEvery(interval, callback);
+    });
+}
+
+auto Fleet::reportLoads() -> void
+{
+    ++m_reportSequence;
+    for (std::size_t engine = 0; engine < m_engines.all().size(); ++engine) {
+        if (!m_engines.all()[engine].alive)
+            continue;
+        for (std::size_t instance = 0; instance < m_instances.size(); ++instance)
+            reportLoad(engine, instance);
+    }
+}
+
+auto Fleet::reportLoad(std::size_t engine, std::size_t instance) -> void
+{
+    const auto& target = m_engines.all()[engine];
+    if (!m_network.reachable(target.zone, m_instances[instance]->zone()) || (m_cell.sharing == Sharing::Owner && m_seats.seats(instance, engine) == 0))
+        return;
+    const auto running = target.prefill ? target.prefill->running() : target.decode->running();
+    const auto used = target.prefill ? target.prefill->usedPieces() : target.decode->usedPieces();
+    ReplicaLoad load {
+        .replica = ReplicaId { static_cast<std::uint32_t>(engine) },
+        .sequence = m_reportSequence,
+        .asOf = m_events.now(),
+        .running = running,
+        .waiting = 0,
+        .freePieces = m_cell.workload.engines.memoryPieces - used,
+        .held = target.prefill ? target.prefill->held(instance) : target.decode->held(instance),
+    };
+    const auto lag = m_faults.slowLoadReports.contains(m_events.now()) ? m_faults.slowLoadReportLag : m_faults.loadReportLag;
+    m_events.after(lag, [this, instance, load = std::move(load)] { m_instances[instance]->feed(load); });
+}
+
+auto Fleet::reportCaches() -> void
+{
+    for (std::size_t engine = 0; engine < m_engines.all().size(); ++engine) {
+        const auto& target = m_engines.all()[engine];
+        if (!target.prefill)
+            continue;
+        const auto replica = ReplicaId { static_cast<std::uint32_t>(engine) };
+        auto changes = target.prefill->cache().takeChanges();
+        if (changes.lastSequence < changes.firstSequence)
+            continue;
+        const CacheEvents batch { replica, changes.firstSequence, changes.lastSequence, std::move(changes.stored), std::move(changes.evicted) };
+        for (const auto& instance : m_instances) {
+            const bool lost = std::uniform_real_distribution<double>(0, 1)(m_random) < m_faults.lostCacheEventShare;
+            if (!lost && m_network.reachable(target.zone, instance->zone())) {
+                m_events.after(m_faults.cacheEventLag, [&instance, batch] { instance->feed(batch); });
+                continue;
+            }
+            m_events.after(CacheResyncDelay, [this, &instance, engine, replica] {
+                auto whole = m_engines.all()[engine].prefill->cache().snapshot();
+                instance->feed(CacheEvents { replica, whole.firstSequence, whole.lastSequence, std::move(whole.stored), {} });
+            });
+        }
+    }
+}
+
+auto Fleet::shareSeats() -> void
+{
+    if (!m_seats.update(m_instances))
+        return;
+    for (std::size_t engine = 0; engine < m_engines.all().size(); ++engine) {
+        if (m_engines.all()[engine].alive && m_engines.all()[engine].role == PoolRole::Decode)
+            announce(engine, ReplicaState::Live);
+    }
+}
+
+auto Fleet::run() -> Metrics
+{
+    scheduleEvery(LoadReportInterval, [this] { reportLoads(); });
+    scheduleEvery(CacheEventInterval, [this] { reportCaches(); });
+    scheduleEvery(SeatSharingInterval, [this] { shareSeats(); });
+    scheduleEvery(TickInterval, [this] {
+        for (const auto& instance : m_instances)
+            instance->feed(Tick {});
+    });
+    m_callers.start();
+    const auto stop = TimePoint {} + m_cell.plan.length + LongestTail;
+    while (m_callers.open() > 0 && m_events.now() < stop)
+        m_events.runUntil(m_events.now() + 100ms);
+    m_events.runUntil(m_events.now() + FreedWithin);
+    m_running = false;
+    m_metrics.heldPieces = m_engines.heldPieces();
+    m_callers.finish();
+    return std::move(m_metrics);
+}
+
+auto faultsOf(const Cell& cell) -> Faults
+{
+    return cell.withFaults ? allFaults(cell.workload, cell.plan.length) : Faults {};
+}
+
+auto runCell(const Cell& cell) -> CellResult
+{
+    const auto faults = faultsOf(cell);
+    const auto requests = generateRequests(cell.workload, faults, cell.plan);
+    Fleet fleet(cell, faults, requests);
+    return { fleet.run(), clairvoyantBound(cell.workload, faults, requests, cell.plan.length), capacity(cell.workload) };
+}
+
+}
--- /dev/null
+++ b/bench/JsonReport.h
@@ -0,0 +1,15 @@
+#pragma once
+
+/// Writes the results as JSON for other programs.
+
+#include "BoundChecks.h"
+#include "Row.h"
+
+#include <span>
+#include <string>
+
+namespace jayhold::bench {
+
+auto jsonReport(std::span<Row> rows, std::span<const BoundCheck> checks) -> std::string;
+
+}
--- /dev/null
+++ b/bench/Matrix.cpp
@@ -0,0 +1,135 @@
+#include "Matrix.h"
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+
+namespace jayhold::bench {
+
+namespace {
+
+/// Seeds of the check set follow the given seed at this distance.
+constexpr std::uint64_t CheckSeedOffset = 1'000;
+constexpr std::uint64_t CheckSeeds = 2;
+/// Load of the appraisal flood: far more appraisals than the engines can run.
+constexpr double FloodLoad = 3;
+
+auto known(const std::vector<std::string>& names, const std::string& name) -> bool
+{
+    return std::ranges::find(names, name) != names.end();
+}
+
+auto rejectUnknown(const std::vector<std::string>& chosen, const std::vector<std::string>& names, const char* what) -> void
+{
+    for (const auto& name : chosen) {
+        if (!known(names, name))
+            throw UsageError { std::string("unknown ") + what + " '" + name + "'; see --help" };
+    }
+}
+
+auto workloadsFor(const BenchOptions& options) -> std::vector<Workload>
+{
+    const std::vector<Workload> all { caprock(), babAmen(), caprockAppraisalFlood() };
+    std::vector<std::string> names;
+    for (const auto& workload : all)
+        names.push_back(workload.name);
+    rejectUnknown(options.workloads, names, "workload");
+    std::vector<Workload> chosen;
+    for (const auto& workload : all) {
+        if (options.workloads.empty() || known(options.workloads, workload.name))
+            chosen.push_back(options.checkSet ? withOtherMix(workload) : workload);
+    }
+    return chosen;
+}
+
+auto armsFor(const BenchOptions& options) -> std::vector<Arm>
+{
+    auto arms = allArms();
+    std::vector<std::string> names;
+    for (const auto& arm : arms)
+        names.push_back(arm.name);
+    rejectUnknown(options.arms, names, "arm");
+    std::erase_if(arms, [&](const Arm& arm) { return !options.arms.empty() && !known(options.arms, arm.name); });
+    return arms;
+}
+
+auto seedsFor(const BenchOptions& options) -> std::vector<std::uint64_t>
+{
+    if (!options.checkSet)
+        return { options.seed };
+    std::vector<std::uint64_t> seeds;
+    for (std::uint64_t index = 0; index < CheckSeeds; ++index)
+        seeds.push_back(options.seed + CheckSeedOffset * (index + 1));
+    return seeds;
+}
+
+auto addCells(const BenchOptions& options, const Cell& pattern, std::vector<Cell>& cells) -> void
+{
+    const bool flood = pattern.workload.name.starts_with("caprock-appraisal-flood");
+    for (const auto load : flood ? std::vector { FloodLoad } : options.loads) {
+        for (const bool withFaults : options.faults) {
+            for (const auto sharing : options.sharings) {
+                for (const auto& arm : armsFor(options)) {
+                    cells.push_back(pattern);
+                    cells.back().plan.load = load;
+                    cells.back().withFaults = withFaults;
+                    cells.back().sharing = sharing;
+                    cells.back().arm = arm;
+                }
+            }
+        }
+    }
+}
+
+auto runOne(const Cell& cell) -> Row
+{
+    Row row {
+        .workload = cell.workload.name,
+        .load = cell.plan.load,
+        .withFaults = cell.withFaults,
+        .arm = cell.arm.name,
+        .sharing = cell.sharing,
+        .seed = cell.plan.seed,
+        .seconds = toSeconds(cell.plan.length),
+        .kindNames = {},
+        .result = runCell(cell),
+    };
+    for (const auto& kind : cell.workload.kinds)
+        row.kindNames.push_back(kind.kind.name);
+    return row;
+}
+
+}
+
+auto cellsFor(const BenchOptions& options) -> std::vector<Cell>
+{
+    std::vector<Cell> cells;
+    for (const auto& workload : workloadsFor(options)) {
+        for (const auto seed : seedsFor(options)) {
+            Cell pattern;
+            pattern.workload = workload;
+            pattern.plan.seed = seed;
+            pattern.plan.length = fromSeconds(options.seconds);
+            pattern.wastedPrefillWeight = options.wastedPrefillWeight;
+            addCells(options, pattern, cells);
+        }
+    }
+    return cells;
+}
+
+auto runCells(const std::vector<Cell>& cells, unsigned threads) -> std::vector<Row>
+{
+    std::vector<Row> rows(cells.size());
+    std::atomic<std::size_t> next = 0;
+    std::vector<std::jthread> workers;
+    for (unsigned worker = 0; worker < threads; ++worker) {
+        workers.emplace_back([&] {
+            for (auto index = next++; index < cells.size(); index = next++)
+                rows[index] = runOne(cells[index]);
+        });
+    }
+    workers.clear();
+    return rows;
+}
+
+}
--- /dev/null
+++ b/bench/PrefillEngine.cpp
@@ -0,0 +1,169 @@
+#include "PrefillEngine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jayhold::bench {
+
+namespace {
+
+/// Fixed cost of each chunk, for scheduling and kernel launches.
+constexpr Duration ChunkOverhead { 500 };
+
+}
+
+PrefillEngine::PrefillEngine(EventQueue& events, const EngineShape& shape, Callbacks callbacks)
+    : m_events(events)
+    , m_shape(shape)
+    , m_callbacks(std::move(callbacks))
+    , m_cache(shape.prefixCacheBlocks)
+    , m_link(events, static_cast<double>(shape.linkBytesPerSecond))
+{
+}
+
+auto PrefillEngine::submit(const EngineJob& job) -> bool
+{
+    const auto pieces = piecesFor(m_shape, job.promptTokens);
+    if (running() >= m_shape.prefillSeats || m_usedPieces + pieces > m_shape.memoryPieces)
+        return false;
+    m_usedPieces += pieces;
+    m_items.push_back({ .job = job, .pieces = pieces, .order = m_order++ });
+    computeNext();
+    return true;
+}
+
+auto PrefillEngine::cancel(RequestId request) -> void
+{
+    std::erase_if(m_items, [&](const Item& item) {
+        if (item.job.request != request)
+            return false;
+        m_usedPieces -= item.pieces;
+        return true;
+    });
+}
+
+auto PrefillEngine::pin(RequestId request, Attempt attempt) -> bool
+{
+    auto* item = find(request, attempt);
+    if (!item || item->stage != Stage::Kept)
+        return false;
+    item->stage = Stage::Pinned;
+    return true;
+}
+
+auto PrefillEngine::release(RequestId request, Attempt attempt) -> void
+{
+    erase(request, attempt);
+}
+
+auto PrefillEngine::die() -> std::vector<EngineJob>
+{
+    std::vector<EngineJob> lost;
+    for (const auto& item : m_items) {
+        if (item.stage == Stage::Computing)
+            lost.push_back(item.job);
+    }
+    m_items.clear();
+    m_usedPieces = 0;
+    m_computing = false;
+    ++m_life;
+    m_cache.clear();
+    return lost;
+}
+
+auto PrefillEngine::running() const -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(std::ranges::count(m_items, Stage::Computing, &Item::stage));
+}
+
+auto PrefillEngine::held(std::size_t instance) const -> std::vector<RequestId>
+{
+    std::vector<RequestId> requests;
+    for (const auto& item : m_items) {
+        if (item.job.instance == instance)
+            requests.push_back(item.job.request);
+    }
+    return requests;
+}
+
+auto PrefillEngine::find(RequestId request, Attempt attempt) -> Item*
+{
+    const auto found = std::ranges::find_if(m_items, [&](const Item& item) { return item.job.request == request && item.job.attempt == attempt; });
+    return found == m_items.end() ? nullptr : &*found;
+}
+
+auto PrefillEngine::mostUrgent() -> Item*
+{
+    Item* best = nullptr;
+    for (auto& item : m_items) {
+        if (item.stage != Stage::Computing)
+            continue;
+        if (!best || std::pair(item.job.priority, item.order) < std::pair(best->job.priority, best->order))
+            best = &item;
+    }
+    return best;
+}
+
+auto PrefillEngine::begin(Item& item) -> void
+{
+    const auto hits = static_cast<std::uint32_t>(m_cache.lookUp(item.job.prefixBlocks));
+    // The last token is always computed, because its output starts the answer.
+    item.cachedTokens = std::min(hits * m_shape.prefixBlockTokens, item.job.promptTokens - 1);
+    item.remainingTokens = item.job.promptTokens - item.cachedTokens;
+    item.started = true;
+}
+
+auto PrefillEngine::computeNext() -> void
+{
+    auto* item = m_computing ? nullptr : mostUrgent();
+    if (!item)
+        return;
+    if (!item->started)
+        begin(*item);
+    const auto tokens = std::min(item->remainingTokens, m_shape.prefillChunkTokens);
+    m_computing = true;
+    const auto life = m_life;
+    m_events.after(fromSeconds(tokens / m_shape.prefillTokensPerSecond) + ChunkOverhead,
+        [this, life, request = item->job.request, attempt = item->job.attempt, tokens] {
+            if (life == m_life)
+                chunkDone(request, attempt, tokens);
+        });
+}
+
+auto PrefillEngine::chunkDone(RequestId request, Attempt attempt, std::uint32_t tokens) -> void
+{
+    m_computing = false;
+    if (auto* item = find(request, attempt)) {
+        m_callbacks.computed(item->job, tokens);
+        item->remainingTokens -= tokens;
+        if (item->remainingTokens == 0)
+            keep(*item);
+    }
+    computeNext();
+}
+
+auto PrefillEngine::keep(Item& item) -> void
+{
+    m_cache.store(item.job.prefixBlocks);
+    item.stage = Stage::Kept;
+    const auto expiresAt = m_events.now() + m_shape.keptFor;
+    const auto life = m_life;
+    m_events.at(expiresAt, [this, life, request = item.job.request, attempt = item.job.attempt] {
+        const auto* kept = life == m_life ? find(request, attempt) : nullptr;
+        if (kept && kept->stage == Stage::Kept)
+            erase(request, attempt);
+    });
+    m_callbacks.done(item.job, item.cachedTokens, expiresAt);
+}
+
+auto PrefillEngine::erase(RequestId request, Attempt attempt) -> void
+{
+    std::erase_if(m_items, [&](const Item& item) {
+        if (item.job.request != request || item.job.attempt != attempt)
+            return false;
+        m_usedPieces -= item.pieces;
+        return true;
+    });
+}
+
+}
--- /dev/null
+++ b/bench/PrefillEngine.h
@@ -0,0 +1,82 @@
+#pragma once
+
+/// A fake prefill engine: accepts a few prompts, computes them in chunks by priority, keeps each
+/// result for a short time, and hands it over through its link.
+
+#include "EngineJob.h"
+#include "EngineShape.h"
+#include "EventQueue.h"
+#include "PrefixCache.h"
+#include "SharedLink.h"
+
+#include <functional>
+#include <vector>
+
+namespace jayhold::bench {
+
+class PrefillEngine {
+public:
+    struct Callbacks {
+        std::function<void(const EngineJob&, std::uint32_t cachedTokens, TimePoint expiresAt)> done;
+        /// Tokens that were computed, for the count of waste.
+        std::function<void(const EngineJob&, std::uint32_t tokens)> computed;
+    };
+
+    PrefillEngine(EventQueue& events, const EngineShape& shape, Callbacks callbacks);
+
+    /// @return false if the engine has no free seat or memory; the prompt did not run.
+    auto submit(const EngineJob& job) -> bool;
+    /// Drops whatever the engine computes or keeps for the request.
+    auto cancel(RequestId request) -> void;
+    /// Keeps the result beyond its end until release, for a transfer.
+    /// @return false if the engine has no such result, because it expired.
+    auto pin(RequestId request, Attempt attempt) -> bool;
+    auto release(RequestId request, Attempt attempt) -> void;
+    /// Loses all jobs, results and the cache.
+    /// @return the jobs that had not been computed.
+    auto die() -> std::vector<EngineJob>;
+
+    auto running() const -> std::uint32_t;
+    auto usedPieces() const -> std::uint32_t { return m_usedPieces; }
+    auto held(std::size_t instance) const -> std::vector<RequestId>;
+    auto cache() -> PrefixCache& { return m_cache; }
+    auto link() -> SharedLink& { return m_link; }
+
+private:
+    enum class Stage {
+        Computing,
+        Kept,
+        Pinned,
+    };
+    struct Item {
+        EngineJob job;
+        Stage stage = Stage::Computing;
+        bool started = false;
+        std::uint32_t pieces = 0;
+        std::uint32_t cachedTokens = 0;
+        std::uint32_t remainingTokens = 0;
+        std::uint64_t order = 0;
+    };
+
+    auto find(RequestId request, Attempt attempt) -> Item*;
+    auto mostUrgent() -> Item*;
+    auto begin(Item& item) -> void;
+    auto computeNext() -> void;
+    auto chunkDone(RequestId request, Attempt attempt, std::uint32_t tokens) -> void;
+    auto keep(Item& item) -> void;
+    auto erase(RequestId request, Attempt attempt) -> void;
+
+    EventQueue& m_events;
+    const EngineShape& m_shape;
+    Callbacks m_callbacks;
+    PrefixCache m_cache;
+    SharedLink m_link;
+    std::vector<Item> m_items;
+    bool m_computing = false;
+    std::uint32_t m_usedPieces = 0;
+    std::uint64_t m_order = 0;
+    /// Counts the lives of the engine, so that callbacks of an earlier life are ignored.
+    std::uint64_t m_life = 0;
+};
+
+}
--- /dev/null
+++ b/bench/PrefixCache.h
@@ -0,0 +1,50 @@
+#pragma once
+
+/// The prefix cache of a fake prefill engine: a limited number of prompt blocks, least recently
+/// used out first, with a numbered log of its changes.
+
+#include <cstdint>
+#include <list>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace jayhold::bench {
+
+class PrefixCache {
+public:
+    explicit PrefixCache(std::size_t capacityBlocks)
+        : m_capacity(capacityBlocks)
+    {
+    }
+
+    /// @return how many leading blocks are cached; they count as used now.
+    auto lookUp(std::span<const std::uint64_t> blocks) -> std::size_t;
+    auto store(std::span<const std::uint64_t> blocks) -> void;
+    auto clear() -> void;
+    auto size() const -> std::size_t { return m_order.size(); }
+
+    struct Changes {
+        std::uint64_t firstSequence;
+        std::uint64_t lastSequence;
+        std::vector<std::uint64_t> stored;
+        std::vector<std::uint64_t> evicted;
+    };
+    /// @return the changes since the last call; empty if lastSequence < firstSequence.
+    auto takeChanges() -> Changes;
+    /// @return every cached block, as one change numbered from 1 to the latest.
+    auto snapshot() const -> Changes;
+
+private:
+    auto touch(std::uint64_t block) -> bool;
+
+    std::size_t m_capacity;
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_reported = 0;
+    std::list<std::uint64_t> m_order;
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> m_places;
+    std::vector<std::uint64_t> m_stored;
+    std::vector<std::uint64_t> m_evicted;
+};
+
+}
--- /dev/null
+++ b/bench/Row.h
@@ -0,0 +1,31 @@
+#pragma once
+
+/// The result of one cell with what identifies it, as printed and written to files.
+
+#include "Cell.h"
+
+#include <string>
+#include <vector>
+
+namespace jayhold::bench {
+
+struct Row {
+    std::string workload;
+    double load = 0;
+    bool withFaults = false;
+    std::string arm;
+    Sharing sharing = Sharing::Independent;
+    std::uint64_t seed = 0;
+    double seconds = 0;
+    std::vector<std::string> kindNames;
+    CellResult result;
+};
+
+/// @return requests per second that met both targets, over the length of the day.
+auto goodputRate(const Row& row) -> double;
+/// @return that as a share of the offered requests.
+auto goodputShare(const Row& row) -> double;
+/// @return the clairvoyant bound in requests per second.
+auto boundRate(const Row& row) -> double;
+
+}
--- /dev/null
+++ b/bench/SeatSharing.cpp
@@ -0,0 +1,113 @@
+#include "SeatSharing.h"
+
+#include "RendezvousOwner.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace jayhold::bench {
+
+namespace {
+
+/// Seats move between instances in batches of this size, so that an owner sends few messages.
+constexpr std::uint32_t LeaseBatch = 2;
+/// A request is handed to an owner in another zone only where that one is less loaded by this factor.
+constexpr double OtherZoneCost = 1.25;
+
+}
+
+auto SeatSharing::begin(std::span<const Engine> engines, std::vector<ZoneId> instanceZones) -> void
+{
+    m_zones = std::move(instanceZones);
+    m_ownedSeats.assign(m_zones.size(), 0);
+    m_load.assign(m_zones.size(), 0);
+    for (std::size_t engine = 0; engine < engines.size(); ++engine) {
+        m_roles.push_back(engines[engine].role);
+        m_owners.push_back(rendezvousOwner(engine, m_zones.size()));
+        m_leases.emplace_back(m_zones.size(), 0);
+        if (m_roles.back() != PoolRole::Decode)
+            continue;
+        m_ownedSeats[m_owners.back()] += m_shape.decodeSeats;
+        // Begins with an even split; what is left goes to the first instances.
+        for (std::uint32_t seat = 0; seat < m_shape.decodeSeats; ++seat)
+            ++m_leases.back()[(engine + seat) % m_zones.size()];
+    }
+}
+
+auto SeatSharing::seats(std::size_t instance, std::size_t engine) const -> std::uint32_t
+{
+    if (m_roles[engine] == PoolRole::Prefill)
+        return m_shape.prefillSeats;
+    if (m_sharing == Sharing::Independent)
+        return m_shape.decodeSeats;
+    if (m_sharing == Sharing::Owner)
+        return m_owners[engine] == instance ? m_shape.decodeSeats : 0;
+    return m_leases[engine][instance];
+}
+
+auto SeatSharing::contenders() const -> std::uint32_t
+{
+    return m_sharing == Sharing::Independent ? static_cast<std::uint32_t>(m_zones.size()) : 1;
+}
+
+auto SeatSharing::place(std::size_t receiver) -> std::size_t
+{
+    if (m_sharing != Sharing::Owner)
+        return receiver;
+    std::size_t best = receiver;
+    auto least = std::numeric_limits<double>::infinity();
+    for (std::size_t instance = 0; instance < m_zones.size(); ++instance) {
+        if (m_ownedSeats[instance] == 0)
+            continue;
+        const auto cost = m_zones[instance] == m_zones[receiver] ? 1.0 : OtherZoneCost;
+        const auto load = cost * static_cast<double>(m_load[instance] + 1) / m_ownedSeats[instance];
+        if (load < least) {
+            least = load;
+            best = instance;
+        }
+    }
+    ++m_load[best];
+    return best;
+}
+
+auto SeatSharing::update(const std::vector<std::unique_ptr<EntryInstance>>& instances) -> bool
+{
+    for (std::size_t instance = 0; instance < instances.size(); ++instance)
+        m_load[instance] = instances[instance]->active();
+    bool moved = false;
+    for (std::size_t engine = 0; engine < m_roles.size() && m_sharing == Sharing::Credits; ++engine) {
+        if (m_roles[engine] == PoolRole::Decode)
+            moved = moveLeases(engine, instances) || moved;
+    }
+    return moved;
+}
+
+auto SeatSharing::moveLeases(std::size_t engine, const std::vector<std::unique_ptr<EntryInstance>>& instances) -> bool
+{
+    auto& leases = m_leases[engine];
+    bool moved = false;
+    for (std::size_t needy = 0; needy < instances.size(); ++needy) {
+        const auto used = instances[needy]->seatsUsed(engine);
+        if (used + LeaseBatch <= leases[needy] || (instances[needy]->queued() == 0 && used < leases[needy]))
+            continue;
+        // Takes a batch from the instance with the most idle seats, while that keeps more than it gives.
+        std::size_t donor = needy;
+        std::uint32_t mostIdle = LeaseBatch;
+        for (std::size_t other = 0; other < instances.size(); ++other) {
+            const auto otherUsed = instances[other]->seatsUsed(engine);
+            const auto idle = leases[other] > otherUsed ? leases[other] - otherUsed : 0;
+            if (other != needy && idle > mostIdle && instances[other]->queued() == 0) {
+                mostIdle = idle;
+                donor = other;
+            }
+        }
+        if (donor == needy)
+            continue;
+        leases[donor] -= LeaseBatch;
+        leases[needy] += LeaseBatch;
+        moved = true;
+    }
+    return moved;
+}
+
+}
--- /dev/null
+++ b/bench/SvgPlot.h
@@ -0,0 +1,14 @@
+#pragma once
+
+/// Draws goodput and wasted prefill against load, one line for each arm.
+
+#include "Row.h"
+
+#include <span>
+#include <string>
+
+namespace jayhold::bench {
+
+auto svgPlot(std::span<const Row> rows) -> std::string;
+
+}
--- /dev/null
+++ b/bench/WorkloadKind.h
@@ -0,0 +1,28 @@
+#pragma once
+
+/// One request kind of a workload: its targets, its share of the arrivals and the sizes of its
+/// prompts and answers. Sizes are log-normal, which gives the long tails seen in practice.
+
+#include "Identifiers.h"
+#include "RequestKind.h"
+
+#include <cstdint>
+
+namespace jayhold::bench {
+
+struct WorkloadKind {
+    RequestKind kind;
+    double share = 0;
+    CustomerId customer {};
+    double promptMedian = 0;
+    double promptSigma = 0.5;
+    std::uint32_t promptMost = 32'768;
+    double outputMedian = 0;
+    double outputSigma = 0.5;
+    std::uint32_t outputMost = 4'096;
+    /// Prompts begin with one of so many templates, the first of which are used most.
+    std::uint32_t templates = 1;
+    std::uint32_t templateTokens = 0;
+};
+
+}
