--- a/bench/BaselineRouter.cpp
+++ b/bench/BaselineRouter.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 /// A request is refused after so many attempts.
-constexpr Attempt MostAttempts = 6;
-constexpr Duration RetryAfter = std::chrono::seconds(1);
+constexpr Attempt mostAttempts = 6;
+constexpr Duration retryAfter = std::chrono::seconds(1);
 
 }
 
@@ -49,9 +49,9 @@
 {
     const auto* prefill = pick(PoolRole::Prefill);
     const auto* decode = pick(PoolRole::Decode);
-    if (!prefill || !decode || request.attempt >= MostAttempts) {
+    if (!prefill || !decode || request.attempt >= mostAttempts) {
         const auto outcome = request.emitted ? Outcome::Unknown : Outcome::NotRun;
-        m_actions->emplace_back(Refuse { id, RefusalReason::RetriesExhausted, outcome, RetryAfter });
+        m_actions->emplace_back(Refuse { id, RefusalReason::RetriesExhausted, outcome, retryAfter });
         m_requests.erase(id);
         return;
     }
--- a/bench/BenchOptions.cpp
+++ b/bench/BenchOptions.cpp
@@ -33,7 +33,7 @@
     VersionOption,
 };
 
-constexpr option LongOptions[] = {
+constexpr option longOptions[] = {
     { "workload", required_argument, nullptr, Workload },
     { "load", required_argument, nullptr, Load },
     { "faults", required_argument, nullptr, FaultsOption },
@@ -181,7 +181,7 @@
     BenchOptions options;
     for (;;) {
         // Only the main thread runs while the command line is read.
-        const auto code = getopt_long(argc, argv, "", LongOptions, nullptr); // NOLINT(concurrency-mt-unsafe)
+        const auto code = getopt_long(argc, argv, "", longOptions, nullptr); // NOLINT(concurrency-mt-unsafe)
         if (code == -1)
             break;
         if (code == Help) {
--- a/bench/BenchOptions.h
+++ b/bench/BenchOptions.h
@@ -12,7 +12,7 @@
 namespace jayhold::bench {
 
 struct BenchOptions {
-    /// Names; empty selects all.
+    /// names; empty selects all.
     std::vector<std::string> workloads;
     std::vector<std::string> arms;
     std::vector<double> loads { 0.5, 0.75, 1, 1.5, 2 };
--- a/bench/BoundChecks.cpp
+++ b/bench/BoundChecks.cpp
@@ -7,12 +7,12 @@
 
 namespace {
 
-constexpr std::string_view CheckedArm = "jayhold";
-constexpr double ShareOfClairvoyant = 0.95;
-constexpr double ShareAtTwiceCapacity = 0.95;
-constexpr double WasteWithoutFaults = 0.005;
-constexpr double WasteWithFaults = 0.02;
-constexpr double LookupShare = 0.95;
+constexpr std::string_view checkedArm = "jayhold";
+constexpr double shareOfClairvoyant = 0.95;
+constexpr double shareAtTwiceCapacity = 0.95;
+constexpr double wasteWithoutFaults = 0.005;
+constexpr double wasteWithFaults = 0.02;
+constexpr double lookupShare = 0.95;
 
 auto label(const Row& row) -> std::string
 {
@@ -38,10 +38,10 @@
 {
     if (row.load != 1 || row.result.bound <= 0)
         return;
-    checks.push_back(atLeast("goodput at capacity / clairvoyant, " + label(row), goodputRate(row) / boundRate(row), ShareOfClairvoyant));
-    const auto twice = std::ranges::find_if(rows, [&](const Row& other) { return other.arm == CheckedArm && other.load == 2 && sameCell(row, other); });
+    checks.push_back(atLeast("goodput at capacity / clairvoyant, " + label(row), goodputRate(row) / boundRate(row), shareOfClairvoyant));
+    const auto twice = std::ranges::find_if(rows, [&](const Row& other) { return other.arm == checkedArm && other.load == 2 && sameCell(row, other); });
     if (twice != rows.end())
-        checks.push_back(atLeast("goodput at twice capacity / at capacity, " + label(row), goodputRate(*twice) / goodputRate(row), ShareAtTwiceCapacity));
+        checks.push_back(atLeast("goodput at twice capacity / at capacity, " + label(row), goodputRate(*twice) / goodputRate(row), shareAtTwiceCapacity));
 }
 
 auto checkWaste(const Row& row, std::vector<BoundCheck>& checks) -> void
@@ -50,7 +50,7 @@
         return;
     const auto load = row.load;
     const auto text = std::to_string(load).substr(0, 4);
-    checks.push_back(atMost("wasted prefill at load " + text + ", " + label(row), row.result.metrics.wastedShare(), row.withFaults ? WasteWithFaults : WasteWithoutFaults));
+    checks.push_back(atMost("wasted prefill at load " + text + ", " + label(row), row.result.metrics.wastedShare(), row.withFaults ? wasteWithFaults : wasteWithoutFaults));
 }
 
 auto checkLookups(const Row& row, std::vector<BoundCheck>& checks) -> void
@@ -59,7 +59,7 @@
         return;
     const auto& lookups = row.result.metrics.kinds.front();
     const auto share = lookups.offered ? static_cast<double>(lookups.good) / static_cast<double>(lookups.offered) : 0;
-    checks.push_back(atLeast("lookups within both targets, " + label(row), share, LookupShare));
+    checks.push_back(atLeast("lookups within both targets, " + label(row), share, lookupShare));
 }
 
 auto checkNothingLeft(std::span<const Row> rows, std::vector<BoundCheck>& checks) -> void
@@ -69,7 +69,7 @@
     std::uint64_t unanswered = 0;
     std::uint64_t misplaced = 0;
     for (const auto& row : rows) {
-        if (row.arm != CheckedArm)
+        if (row.arm != checkedArm)
             continue;
         held += row.result.metrics.heldPieces;
         twice += row.result.metrics.answeredTwice;
@@ -89,7 +89,7 @@
     std::vector<BoundCheck> checks;
     bool present = false;
     for (const auto& row : rows) {
-        if (row.arm != CheckedArm)
+        if (row.arm != checkedArm)
             continue;
         present = true;
         if (!row.workload.starts_with("caprock-appraisal-flood"))
--- a/bench/ClairvoyantBound.cpp
+++ b/bench/ClairvoyantBound.cpp
@@ -10,11 +10,11 @@
 
 namespace {
 
-constexpr double SlotSeconds = 0.5;
+constexpr double slotSeconds = 0.5;
 /// Slots after the last arrival; all later time falls into one last slot without limit.
-constexpr std::size_t SlotsAfterEnd = 100;
+constexpr std::size_t slotsAfterEnd = 100;
 /// Weights of the prefill work in the joined sum; the rest is decode work.
-constexpr double PrefillWeights[] = { 0, 0.25, 0.5, 0.75, 1 };
+constexpr double prefillWeights[] = { 0, 0.25, 0.5, 0.75, 1 };
 
 struct Demand {
     std::size_t firstSlot = 0;
@@ -37,14 +37,14 @@
 
 auto overlapSeconds(double from, double until, double slotBegin) -> double
 {
-    return std::max(0.0, std::min(until, slotBegin + SlotSeconds) - std::max(from, slotBegin));
+    return std::max(0.0, std::min(until, slotBegin + slotSeconds) - std::max(from, slotBegin));
 }
 
 auto capacityOf(const Workload& workload, const Faults& faults, std::size_t slots) -> Capacity
 {
     const auto prefills = engineCount(workload.prefillEngines);
     const auto decodes = engineCount(workload.decodeEngines);
-    Capacity result { std::vector<double>(slots, SlotSeconds), std::vector<double>(slots, SlotSeconds) };
+    Capacity result { std::vector<double>(slots, slotSeconds), std::vector<double>(slots, slotSeconds) };
     for (const auto& death : faults.deaths) {
         const bool isPrefill = death.engine < prefills;
         auto& capacities = isPrefill ? result.prefill : result.decode;
@@ -52,7 +52,7 @@
         for (std::size_t slot = 0; slot < slots; ++slot) {
             const auto from = toSeconds(death.at.time_since_epoch());
             const auto until = toSeconds(death.until.time_since_epoch());
-            capacities[slot] -= overlapSeconds(from, until, static_cast<double>(slot) * SlotSeconds) / engines;
+            capacities[slot] -= overlapSeconds(from, until, static_cast<double>(slot) * slotSeconds) / engines;
         }
     }
     return result;
@@ -60,7 +60,7 @@
 
 auto slotOf(double seconds, std::size_t slots) -> std::size_t
 {
-    return std::min(static_cast<std::size_t>(std::max(0.0, seconds) / SlotSeconds), slots - 1);
+    return std::min(static_cast<std::size_t>(std::max(0.0, seconds) / slotSeconds), slots - 1);
 }
 
 /// @return the demand of every request that counts.
@@ -144,11 +144,11 @@
 
 auto clairvoyantBound(const Workload& workload, const Faults& faults, std::span<const CallerRequest> requests, Duration length) -> double
 {
-    const auto slots = static_cast<std::size_t>(toSeconds(length) / SlotSeconds) + SlotsAfterEnd;
+    const auto slots = static_cast<std::size_t>(toSeconds(length) / slotSeconds) + slotsAfterEnd;
     const auto capacity = capacityOf(workload, faults, slots);
     const auto demands = demandsOf(workload, requests, slots);
     auto bound = static_cast<double>(demands.size());
-    for (const auto weight : PrefillWeights)
+    for (const auto weight : prefillWeights)
         bound = std::min(bound, boundFor(weight, capacity, demands));
     return bound;
 }
--- a/bench/DecodeEngine.cpp
+++ b/bench/DecodeEngine.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// A crashing request ends the engine after this many tokens.
-constexpr std::uint32_t TokensBeforeCrash = 3;
+constexpr std::uint32_t tokensBeforeCrash = 3;
 
 }
 
@@ -131,7 +131,7 @@
             return false;
         ++item.generated;
         tokens.emplace_back(item.job, item.generated);
-        crashed = crashed || (item.job.crashes && item.generated >= TokensBeforeCrash);
+        crashed = crashed || (item.job.crashes && item.generated >= tokensBeforeCrash);
         if (item.generated < item.job.outputTokens)
             return false;
         m_usedPieces -= item.pieces;
--- a/bench/Engines.cpp
+++ b/bench/Engines.cpp
@@ -8,9 +8,9 @@
 namespace {
 
 /// How long it takes to find that no connection can be opened.
-constexpr Duration ConnectTimeout = std::chrono::milliseconds(200);
+constexpr Duration connectTimeout = std::chrono::milliseconds(200);
 /// How long it takes an entry instance and an engine to find that the network between them is cut.
-constexpr Duration CutDetection = std::chrono::milliseconds(500);
+constexpr Duration cutDetection = std::chrono::milliseconds(500);
 
 }
 
@@ -91,7 +91,7 @@
 auto Engines::acceptPrefill(const EngineJob& job, std::size_t engine) -> void
 {
     if (!reachableFrom(job.instance, engine)) {
-        m_events.after(ConnectTimeout, [this, job] { m_listener.prefillFailed(job, FailureKind::NotConnected); });
+        m_events.after(connectTimeout, [this, job] { m_listener.prefillFailed(job, FailureKind::NotConnected); });
         return;
     }
     if (!m_engines[engine].alive) {
@@ -115,7 +115,7 @@
 auto Engines::acceptDecode(const EngineJob& job, Attempt prefillAttempt, std::size_t prefill, std::size_t decode) -> void
 {
     if (!reachableFrom(job.instance, decode)) {
-        m_events.after(ConnectTimeout, [this, job] { m_listener.decodeFailed(job, FailureKind::NotConnected); });
+        m_events.after(connectTimeout, [this, job] { m_listener.decodeFailed(job, FailureKind::NotConnected); });
         return;
     }
     auto& target = m_engines[decode];
@@ -145,7 +145,7 @@
     const bool reachable = m_network.reachable(m_engines[transfer.prefill].zone, m_engines[transfer.decode].zone);
     if (!reachable || std::uniform_real_distribution<double>(0, 1)(m_random) < m_faults.stalledTransferShare)
         link.stall(transfer.link);
-    m_transfers.push_back(std::move(transfer));
+    m_transfers.push_back(transfer);
 }
 
 auto Engines::finishTransfer(RequestId request, Attempt attempt) -> void
@@ -243,7 +243,7 @@
             auto& target = m_engines[engine];
             // Each side closes its half of the connections when it finds the cut.
             for (const auto request : target.decode ? target.decode->held(instance) : target.prefill->held(instance))
-                m_events.after(CutDetection, [this, request, engine] { cancelNow(request, engine); });
+                m_events.after(cutDetection, [this, request, engine] { cancelNow(request, engine); });
         }
     }
     for (const auto& transfer : m_transfers) {
--- a/bench/EntryInstance.cpp
+++ b/bench/EntryInstance.cpp
@@ -7,11 +7,11 @@
 namespace {
 
 /// Tokens between two reports to the router.
-constexpr std::uint32_t TokensPerReport = 16;
+constexpr std::uint32_t tokensPerReport = 16;
 /// A decode without a first token after this time is given up, for routers that do not time it themselves.
-constexpr Duration FirstTokenTimeout = std::chrono::seconds(12);
+constexpr Duration firstTokenTimeout = std::chrono::seconds(12);
 /// How long it takes to find that the network to an engine is cut.
-constexpr Duration CutDetection = std::chrono::milliseconds(500);
+constexpr Duration cutDetection = std::chrono::milliseconds(500);
 
 }
 
@@ -122,7 +122,7 @@
 {
     const auto* active = find(id);
     const auto emitted = active->emitted;
-    m_around.events.after(FirstTokenTimeout, [this, id, attempt, emitted] {
+    m_around.events.after(firstTokenTimeout, [this, id, attempt, emitted] {
         const auto* late = find(id);
         if (!late || late->attempt != attempt || late->stage != Stage::Decoding || late->emitted != emitted)
             return;
@@ -203,7 +203,7 @@
         feed(DecodeStarted { job.request, job.attempt });
     if (last)
         feed(DecodeFinished { job.request, job.attempt, emitted });
-    else if (generated % TokensPerReport == 0)
+    else if (generated % tokensPerReport == 0)
         feed(TokensEmitted { job.request, job.attempt, emitted });
 }
 
@@ -221,7 +221,7 @@
     for (const auto& [id, active] : m_active) {
         if (active.stage == Stage::Queued || !lost(active.stage == Stage::Prefilling ? active.prefill : active.decode))
             continue;
-        m_around.events.after(CutDetection, [this, job = jobFor(id, active), stage = active.stage] {
+        m_around.events.after(cutDetection, [this, job = jobFor(id, active), stage = active.stage] {
             if (stage == Stage::Prefilling)
                 prefillFailed(job, FailureKind::ConnectionLost);
             else
--- a/bench/Fleet.cpp
+++ b/bench/Fleet.cpp
@@ -10,22 +10,22 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration LoadReportInterval = 100ms;
-constexpr Duration CacheEventInterval = 250ms;
-constexpr Duration TickInterval = 100ms;
-constexpr Duration SeatSharingInterval = 100ms;
+constexpr Duration loadReportInterval = 100ms;
+constexpr Duration cacheEventInterval = 250ms;
+constexpr Duration tickInterval = 100ms;
+constexpr Duration seatSharingInterval = 100ms;
 /// After a gap in its cache events, an engine's whole cache is read this much later.
-constexpr Duration CacheResyncDelay = 2s;
+constexpr Duration cacheResyncDelay = 2s;
 /// The instance list shows that an engine has died, or is back, this much later.
-constexpr Duration InstanceListLag = 2s;
+constexpr Duration instanceListLag = 2s;
 /// Gossip takes a signature to all instances in this time.
-constexpr Duration GossipDelay = 1s;
+constexpr Duration gossipDelay = 1s;
 /// From an instance to the owner that it hands a request to.
-constexpr Duration HandOverHop = Duration(500);
+constexpr Duration handOverHop = Duration(500);
 /// Nothing may be held this long after the last event.
-constexpr Duration FreedWithin = 2s;
+constexpr Duration freedWithin = 2s;
 /// A run that has not ended so long after its last arrival is stopped; the rest is unanswered.
-constexpr Duration LongestTail = 400s;
+constexpr Duration longestTail = 400s;
 
 }
 
@@ -50,7 +50,7 @@
     m_callerListener = {
         .token = [this](std::size_t caller, std::uint32_t index) { m_callers.token(caller, index); },
         .refused = [this](std::size_t caller, const Refuse& refusal) { m_callers.refused(caller, refusal); },
-        .signatureReported = [this](std::uint64_t signature) { m_events.after(GossipDelay, [this, signature] {
+        .signatureReported = [this](std::uint64_t signature) { m_events.after(gossipDelay, [this, signature] {
                                                                    for (const auto& instance : m_instances)
                                                                        instance->feed(SignatureReported { signature });
                                                                }); },
@@ -126,7 +126,7 @@
 
 auto Fleet::aliveChanged(std::size_t engine, bool alive) -> void
 {
-    m_events.after(InstanceListLag, [this, engine, alive] {
+    m_events.after(instanceListLag, [this, engine, alive] {
         // A short death may be over before the list shows it.
         if (m_engines.all()[engine].alive == alive)
             announce(engine, alive ? ReplicaState::Live : ReplicaState::Gone);
@@ -164,7 +164,7 @@
     const auto target = m_seats.place(receiver);
     const auto id = RequestId { m_nextRequest++ };
     m_sent[caller] = { id, target };
-    const auto hop = target == receiver ? Duration::zero() : HandOverHop;
+    const auto hop = target == receiver ? Duration::zero() : handOverHop;
     m_events.after(hop, [this, caller, id, target] { m_instances[target]->arrive(id, caller, m_requests[caller]); });
     if (!request.cancelAfter)
         return;
@@ -232,7 +232,7 @@
                 m_events.after(m_faults.cacheEventLag, [&instance, batch] { instance->feed(batch); });
                 continue;
             }
-            m_events.after(CacheResyncDelay, [this, &instance, engine, replica] {
+            m_events.after(cacheResyncDelay, [this, &instance, engine, replica] {
                 auto whole = m_engines.all()[engine].prefill->cache().snapshot();
                 instance->feed(CacheEvents { replica, whole.firstSequence, whole.lastSequence, std::move(whole.stored), {} });
             });
@@ -252,18 +252,18 @@
 
 auto Fleet::run() -> Metrics
 {
-    scheduleEvery(LoadReportInterval, [this] { reportLoads(); });
-    scheduleEvery(CacheEventInterval, [this] { reportCaches(); });
-    scheduleEvery(SeatSharingInterval, [this] { shareSeats(); });
-    scheduleEvery(TickInterval, [this] {
+    scheduleEvery(loadReportInterval, [this] { reportLoads(); });
+    scheduleEvery(cacheEventInterval, [this] { reportCaches(); });
+    scheduleEvery(seatSharingInterval, [this] { shareSeats(); });
+    scheduleEvery(tickInterval, [this] {
         for (const auto& instance : m_instances)
             instance->feed(Tick {});
     });
     m_callers.start();
-    const auto stop = TimePoint {} + m_cell.plan.length + LongestTail;
+    const auto stop = TimePoint {} + m_cell.plan.length + longestTail;
     while (m_callers.open() > 0 && m_events.now() < stop)
         m_events.runUntil(m_events.now() + 100ms);
-    m_events.runUntil(m_events.now() + FreedWithin);
+    m_events.runUntil(m_events.now() + freedWithin);
     m_running = false;
     m_metrics.heldPieces = m_engines.heldPieces();
     m_callers.finish();
--- a/bench/Matrix.cpp
+++ b/bench/Matrix.cpp
@@ -9,10 +9,10 @@
 namespace {
 
 /// Seeds of the check set follow the given seed at this distance.
-constexpr std::uint64_t CheckSeedOffset = 1'000;
-constexpr std::uint64_t CheckSeeds = 2;
+constexpr std::uint64_t checkSeedOffset = 1'000;
+constexpr std::uint64_t checkSeeds = 2;
 /// Load of the appraisal flood: far more appraisals than the engines can run.
-constexpr double FloodLoad = 3;
+constexpr double floodLoad = 3;
 
 auto known(const std::vector<std::string>& names, const std::string& name) -> bool
 {
@@ -31,6 +31,7 @@
 {
     const std::vector<Workload> all { caprock(), babAmen(), caprockAppraisalFlood() };
     std::vector<std::string> names;
+    names.reserve(all.size());
     for (const auto& workload : all)
         names.push_back(workload.name);
     rejectUnknown(options.workloads, names, "workload");
@@ -46,6 +47,7 @@
 {
     auto arms = allArms();
     std::vector<std::string> names;
+    names.reserve(arms.size());
     for (const auto& arm : arms)
         names.push_back(arm.name);
     rejectUnknown(options.arms, names, "arm");
@@ -58,15 +60,15 @@
     if (!options.checkSet)
         return { options.seed };
     std::vector<std::uint64_t> seeds;
-    for (std::uint64_t index = 0; index < CheckSeeds; ++index)
-        seeds.push_back(options.seed + CheckSeedOffset * (index + 1));
+    for (std::uint64_t index = 0; index < checkSeeds; ++index)
+        seeds.push_back(options.seed + checkSeedOffset * (index + 1));
     return seeds;
 }
 
 auto addCells(const BenchOptions& options, const Cell& pattern, std::vector<Cell>& cells) -> void
 {
     const bool flood = pattern.workload.name.starts_with("caprock-appraisal-flood");
-    for (const auto load : flood ? std::vector { FloodLoad } : options.loads) {
+    for (const auto load : flood ? std::vector { floodLoad } : options.loads) {
         for (const bool withFaults : options.faults) {
             for (const auto sharing : options.sharings) {
                 for (const auto& arm : armsFor(options)) {
--- a/bench/Network.h
+++ b/bench/Network.h
@@ -10,10 +10,10 @@
     const EventQueue& events;
     const Faults& faults;
 
-    static constexpr Duration WithinZone { 100 };
-    static constexpr Duration BetweenZones { 500 };
+    static constexpr Duration withinZone { 100 };
+    static constexpr Duration betweenZones { 500 };
 
-    auto latency(ZoneId from, ZoneId to) const -> Duration { return from == to ? WithinZone : BetweenZones; }
+    auto latency(ZoneId from, ZoneId to) const -> Duration { return from == to ? withinZone : betweenZones; }
 
     auto reachable(ZoneId from, ZoneId to) const -> bool
     {
--- a/bench/PrefillEngine.cpp
+++ b/bench/PrefillEngine.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Fixed cost of each chunk, for scheduling and kernel launches.
-constexpr Duration ChunkOverhead { 500 };
+constexpr Duration chunkOverhead { 500 };
 
 }
 
@@ -123,7 +123,7 @@
     const auto tokens = std::min(item->remainingTokens, m_shape.prefillChunkTokens);
     m_computing = true;
     const auto life = m_life;
-    m_events.after(fromSeconds(tokens / m_shape.prefillTokensPerSecond) + ChunkOverhead,
+    m_events.after(fromSeconds(tokens / m_shape.prefillTokensPerSecond) + chunkOverhead,
         [this, life, request = item->job.request, attempt = item->job.attempt, tokens] {
             if (life == m_life)
                 chunkDone(request, attempt, tokens);
--- a/bench/RequestGenerator.cpp
+++ b/bench/RequestGenerator.cpp
@@ -10,11 +10,11 @@
 namespace {
 
 /// The rate rises over this share of the day and falls over the same at its end.
-constexpr double RampShare = 0.15;
+constexpr double rampShare = 0.15;
 /// The rate at the ends of the day, as a share of the plateau.
-constexpr double NightRate = 0.4;
+constexpr double nightRate = 0.4;
 /// How much of its mean a zone's share swings as the working day moves.
-constexpr double ZoneSwing = 0.5;
+constexpr double zoneSwing = 0.5;
 
 using Random = std::mt19937_64;
 
@@ -55,7 +55,7 @@
     std::vector<double> weights;
     for (std::size_t zone = 0; zone < zones; ++zone) {
         const auto phase = static_cast<double>(zone) / static_cast<double>(zones);
-        weights.push_back(1 + ZoneSwing * std::cos(2 * std::numbers::pi * (shareOfDay - phase)));
+        weights.push_back(1 + zoneSwing * std::cos(2 * std::numbers::pi * (shareOfDay - phase)));
     }
     return ZoneId { static_cast<std::uint16_t>(std::discrete_distribution<unsigned>(weights.begin(), weights.end())(random)) };
 }
@@ -110,7 +110,7 @@
 auto dayShape(double shareOfDay) -> double
 {
     const auto toEdge = std::min(shareOfDay, 1 - shareOfDay);
-    return NightRate + (1 - NightRate) * std::min(1.0, toEdge / RampShare);
+    return nightRate + (1 - nightRate) * std::min(1.0, toEdge / rampShare);
 }
 
 auto generateRequests(const Workload& workload, const Faults& faults, const RunPlan& plan) -> std::vector<CallerRequest>
--- a/bench/SeatSharing.cpp
+++ b/bench/SeatSharing.cpp
@@ -10,9 +10,9 @@
 namespace {
 
 /// Seats move between instances in batches of this size, so that an owner sends few messages.
-constexpr std::uint32_t LeaseBatch = 2;
+constexpr std::uint32_t leaseBatch = 2;
 /// A request is handed to an owner in another zone only where that one is less loaded by this factor.
-constexpr double OtherZoneCost = 1.25;
+constexpr double otherZoneCost = 1.25;
 
 }
 
@@ -59,7 +59,7 @@
     for (std::size_t instance = 0; instance < m_zones.size(); ++instance) {
         if (m_ownedSeats[instance] == 0)
             continue;
-        const auto cost = m_zones[instance] == m_zones[receiver] ? 1.0 : OtherZoneCost;
+        const auto cost = m_zones[instance] == m_zones[receiver] ? 1.0 : otherZoneCost;
         const auto load = cost * static_cast<double>(m_load[instance] + 1) / m_ownedSeats[instance];
         if (load < least) {
             least = load;
@@ -88,11 +88,11 @@
     bool moved = false;
     for (std::size_t needy = 0; needy < instances.size(); ++needy) {
         const auto used = instances[needy]->seatsUsed(engine);
-        if (used + LeaseBatch <= leases[needy] || (instances[needy]->queued() == 0 && used < leases[needy]))
+        if (used + leaseBatch <= leases[needy] || (instances[needy]->queued() == 0 && used < leases[needy]))
             continue;
         // Takes a batch from the instance with the most idle seats, while that keeps more than it gives.
         std::size_t donor = needy;
-        std::uint32_t mostIdle = LeaseBatch;
+        std::uint32_t mostIdle = leaseBatch;
         for (std::size_t other = 0; other < instances.size(); ++other) {
             const auto otherUsed = instances[other]->seatsUsed(engine);
             const auto idle = leases[other] > otherUsed ? leases[other] - otherUsed : 0;
@@ -103,8 +103,8 @@
         }
         if (donor == needy)
             continue;
-        leases[donor] -= LeaseBatch;
-        leases[needy] += LeaseBatch;
+        leases[donor] -= leaseBatch;
+        leases[needy] += leaseBatch;
         moved = true;
     }
     return moved;
--- a/bench/SharedLink.cpp
+++ b/bench/SharedLink.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// Less than this is a rounding error of the shares.
-constexpr double NegligibleBytes = 1;
+constexpr double negligibleBytes = 1;
 
 }
 
@@ -83,7 +83,7 @@
     advance();
     std::vector<std::function<void()>> finished;
     std::erase_if(m_transfers, [&](auto& item) {
-        const bool ready = !item.second.stalled && item.second.remainingBytes < NegligibleBytes;
+        const bool ready = !item.second.stalled && item.second.remainingBytes < negligibleBytes;
         if (ready)
             finished.push_back(std::move(item.second.done));
         return ready;
--- a/bench/Sharing.h
+++ b/bench/Sharing.h
@@ -18,8 +18,8 @@
 
 inline auto name(Sharing sharing) -> std::string_view
 {
-    constexpr std::string_view Names[] = { "independent", "owner", "credits" };
-    return Names[static_cast<int>(sharing)];
+    constexpr std::string_view names[] = { "independent", "owner", "credits" };
+    return names[static_cast<int>(sharing)];
 }
 
 }
--- a/bench/SvgPlot.cpp
+++ b/bench/SvgPlot.cpp
@@ -18,10 +18,12 @@
     std::map<std::string, Points> lines;
 };
 
-constexpr double PanelWidth = 440;
-constexpr double PanelHeight = 240;
-constexpr double Margin = 50;
-constexpr const char* Colours[] = { "#444444", "#c0392b", "#2471a3", "#1e8449", "#b9770e", "#7d3c98", "#117864" };
+constexpr double panelWidth = 440;
+constexpr double panelHeight = 240;
+constexpr double margin = 50;
+/// Names of lines side by side in the legend.
+constexpr std::size_t namesPerRow = 3;
+constexpr const char* colours[] = { "#444444", "#c0392b", "#2471a3", "#1e8449", "#b9770e", "#7d3c98", "#117864" };
 
 auto lineName(const Row& row) -> std::string
 {
@@ -56,8 +58,8 @@
     double mostX;
     double mostY;
 
-    auto x(double value) const -> double { return left + Margin + value / mostX * (PanelWidth - 2 * Margin); }
-    auto y(double value) const -> double { return top + PanelHeight - Margin - value / mostY * (PanelHeight - 2 * Margin); }
+    auto x(double value) const -> double { return left + margin + value / mostX * (panelWidth - 2 * margin); }
+    auto y(double value) const -> double { return top + panelHeight - margin - value / mostY * (panelHeight - 2 * margin); }
 };
 
 auto scaleOf(const Panel& panel, double left, double top) -> Scale
@@ -79,8 +81,8 @@
 
 auto drawAxes(std::ostream& out, const Panel& panel, const Scale& scale) -> void
 {
-    drawText(out, scale.left + Margin, scale.top + 20, panel.title, "black");
-    drawText(out, scale.left + Margin, scale.top + 36, panel.unit, "#666666");
+    drawText(out, scale.left + margin, scale.top + 20, panel.title, "black");
+    drawText(out, scale.left + margin, scale.top + 36, panel.unit, "#666666");
     out << "<path d=\"M" << scale.x(0) << ' ' << scale.y(scale.mostY) << " V" << scale.y(0) << " H" << scale.x(scale.mostX)
         << "\" fill=\"none\" stroke=\"#888888\"/>\n";
     for (int step = 0; step <= 4; ++step) {
@@ -98,12 +100,14 @@
     for (const auto& [name, given] : panel.lines) {
         auto points = given;
         std::ranges::sort(points);
-        const auto* colour = Colours[index % std::size(Colours)];
+        const auto* colour = colours[index % std::size(colours)];
         out << "<polyline fill=\"none\" stroke-width=\"2\" stroke=\"" << colour << "\" points=\"";
         for (const auto& [x, y] : points)
             out << scale.x(x) << ',' << scale.y(y) << ' ';
         out << "\"/>\n";
-        drawText(out, scale.x(0) + 8 + 130 * static_cast<double>(index % 3), scale.top + PanelHeight - 30 + 14 * static_cast<double>(index / 3), name, colour);
+        const auto row = index / namesPerRow;
+        const auto column = index % namesPerRow;
+        drawText(out, scale.x(0) + 8 + 130 * static_cast<double>(column), scale.top + panelHeight - 30 + 14 * static_cast<double>(row), name, colour);
         ++index;
     }
     for (const auto& [x, y] : panel.lines.begin()->second)
@@ -115,12 +119,14 @@
 auto svgPlot(std::span<const Row> rows) -> std::string
 {
     const auto panels = panelsOf(rows);
-    const auto height = PanelHeight * static_cast<double>((panels.size() + 1) / 2);
+    const auto panelRows = (panels.size() + 1) / 2;
+    const auto height = panelHeight * static_cast<double>(panelRows);
     std::ostringstream out;
-    out << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << 2 * PanelWidth << "\" height=\"" << height << "\" font-family=\"sans-serif\" font-size=\"11\">\n"
+    out << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << 2 * panelWidth << "\" height=\"" << height << "\" font-family=\"sans-serif\" font-size=\"11\">\n"
         << "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n";
     for (std::size_t index = 0; index < panels.size(); ++index) {
-        const auto scale = scaleOf(panels[index], index % 2 ? PanelWidth : 0, PanelHeight * static_cast<double>(index / 2));
+        const auto row = index / 2;
+        const auto scale = scaleOf(panels[index], index % 2 ? panelWidth : 0, panelHeight * static_cast<double>(row));
         drawAxes(out, panels[index], scale);
         drawLines(out, panels[index], scale);
     }
--- a/cmake/bench.cmake
+++ b/cmake/bench.cmake
@@ -5,7 +5,7 @@
 list(TRANSFORM BENCH_UNITS APPEND .cpp)
 add_library(jayhold_bench_units STATIC ${BENCH_UNITS})
 target_include_directories(jayhold_bench_units PUBLIC ${PROJECT_SOURCE_DIR}/bench)
-target_link_libraries(jayhold_bench_units PUBLIC jayhold_operator)
+target_link_libraries(jayhold_bench_units PUBLIC jayhold_decision)
 
 add_executable(jayhold-bench bench/main.cpp)
 target_link_libraries(jayhold-bench PRIVATE jayhold_bench_units)
