--- a/bench/BenchOptions.cpp
+++ b/bench/BenchOptions.cpp
@@ -1,5 +1,6 @@
 #include "BenchOptions.h"
 
+#include "Faults.h"
 #include "Version.h"
 
 #include <getopt.h>
@@ -52,11 +53,11 @@
     { nullptr, 0, nullptr, 0 },
 };
 
-auto split(const std::string& text) -> std::vector<std::string>
+auto split(const std::string& text, char separator) -> std::vector<std::string>
 {
     std::vector<std::string> parts;
     std::istringstream stream(text);
-    for (std::string part; std::getline(stream, part, ',');)
+    for (std::string part; std::getline(stream, part, separator);)
         parts.push_back(part);
     return parts;
 }
@@ -75,7 +76,7 @@
 auto parseNames(const std::string& text, const char* option, const std::map<std::string, Value>& values) -> std::vector<Value>
 {
     std::vector<Value> chosen;
-    for (const auto& part : split(text)) {
+    for (const auto& part : split(text, ',')) {
         const auto found = values.find(part);
         if (found == values.end())
             throw UsageError { std::string("--") + option + ": '" + part + "' is not known" };
@@ -84,9 +85,27 @@
     return chosen;
 }
 
-auto parseFaults(const std::string& text) -> std::vector<bool>
+auto parseFaultSet(const std::string& text) -> std::vector<std::string>
 {
-    return parseNames<bool>(text, "faults", { { "none", false }, { "all", true } });
+    if (text == "none")
+        return {};
+    if (text == "all")
+        return faultNames();
+    const auto known = faultNames();
+    auto chosen = split(text, '+');
+    for (const auto& name : chosen) {
+        if (std::ranges::find(known, name) == known.end())
+            throw UsageError { "--faults: '" + name + "' is not known" };
+    }
+    return chosen;
+}
+
+auto parseFaults(const std::string& text) -> std::vector<std::vector<std::string>>
+{
+    std::vector<std::vector<std::string>> sets;
+    for (const auto& part : split(text, ','))
+        sets.push_back(parseFaultSet(part));
+    return sets;
 }
 
 auto parseSharing(const std::string& text) -> std::vector<Sharing>
@@ -97,7 +116,7 @@
 auto parseLoads(const std::string& text) -> std::vector<double>
 {
     std::vector<double> loads;
-    for (const auto& part : split(text))
+    for (const auto& part : split(text, ','))
         loads.push_back(parseNumber<double>(part, "load"));
     return loads;
 }
@@ -106,7 +125,7 @@
 {
     switch (code) {
     case Workload:
-        options.workloads = split(value);
+        options.workloads = split(value, ',');
         return;
     case Load:
         options.loads = parseLoads(value);
@@ -115,7 +134,7 @@
         options.faults = parseFaults(value);
         return;
     case ArmOption:
-        options.arms = split(value);
+        options.arms = split(value, ',');
         return;
     case Seed:
         options.seed = parseNumber<std::uint64_t>(value, "seed");
@@ -156,9 +175,10 @@
     return R"(usage: jayhold-bench [OPTIONS]
 Runs the decision code in virtual time against baselines and an upper bound.
 
-  --workload NAMES   caprock, babamen, caprock-appraisal-flood (default: the first two)
+  --workload NAMES   caprock, babamen, caprock-appraisal-flood (default: all)
   --load FACTORS     multiples of the capacity (default: 0.5,0.75,1,1.5,2)
-  --faults LIST      none, all (default: none,all)
+  --faults LIST      none, all, or names joined with +: death, cut, crash, stall, cancel, lag, cache,
+                     repeat (default: none,all)
   --arm NAMES        round-robin, least-outstanding, jayhold (default: all)
   --sharing LIST     independent, owner, credits: how entry instances share the engines
                      (default: independent)
@@ -179,6 +199,7 @@
 auto parseBenchOptions(int argc, char** argv) -> std::optional<BenchOptions>
 {
     BenchOptions options;
+    options.faults = { {}, faultNames() };
     for (;;) {
         // Only the main thread runs while the command line is read.
         const auto code = getopt_long(argc, argv, "", longOptions, nullptr); // NOLINT(concurrency-mt-unsafe)
--- a/bench/BenchOptions.h
+++ b/bench/BenchOptions.h
@@ -16,7 +16,8 @@
     std::vector<std::string> workloads;
     std::vector<std::string> arms;
     std::vector<double> loads { 0.5, 0.75, 1, 1.5, 2 };
-    std::vector<bool> faults { false, true };
+    /// One set of fault names for each cell.
+    std::vector<std::vector<std::string>> faults;
     std::vector<Sharing> sharings { Sharing::Independent };
     std::uint64_t seed = 1;
     double seconds = 90;
--- a/bench/BoundChecks.cpp
+++ b/bench/BoundChecks.cpp
@@ -16,7 +16,7 @@
 
 auto label(const Row& row) -> std::string
 {
-    return row.workload + (row.withFaults ? " with faults" : " without faults") + ", " + std::string(name(row.sharing));
+    return row.workload + (withFaults(row) ? ", faults " + row.faults : ", no faults") + ", " + std::string(name(row.sharing));
 }
 
 auto atLeast(std::string name, double value, double limit) -> BoundCheck
@@ -31,7 +31,7 @@
 
 auto sameCell(const Row& left, const Row& right) -> bool
 {
-    return left.workload == right.workload && left.withFaults == right.withFaults && left.sharing == right.sharing;
+    return left.workload == right.workload && left.faults == right.faults && left.sharing == right.sharing;
 }
 
 auto checkGoodput(const Row& row, std::span<const Row> rows, std::vector<BoundCheck>& checks) -> void
@@ -50,7 +50,7 @@
         return;
     const auto load = row.load;
     const auto text = std::to_string(load).substr(0, 4);
-    checks.push_back(atMost("wasted prefill at load " + text + ", " + label(row), row.result.metrics.wastedShare(), row.withFaults ? wasteWithFaults : wasteWithoutFaults));
+    checks.push_back(atMost("wasted prefill at load " + text + ", " + label(row), row.result.metrics.wastedShare(), withFaults(row) ? wasteWithFaults : wasteWithoutFaults));
 }
 
 auto checkLookups(const Row& row, std::vector<BoundCheck>& checks) -> void
--- a/bench/Cell.h
+++ b/bench/Cell.h
@@ -13,7 +13,8 @@
 
 struct Cell {
     Workload workload;
-    bool withFaults = false;
+    /// Names of the faults of the run; none by default.
+    std::vector<std::string> faults;
     RunPlan plan;
     Arm arm;
     Sharing sharing = Sharing::Independent;
@@ -28,9 +29,6 @@
     double capacity = 0;
 };
 
-/// @return the faults of the cell; without faults, what is always present.
-auto faultsOf(const Cell& cell) -> Faults;
-
 auto runCell(const Cell& cell) -> CellResult;
 
 }
--- a/bench/Faults.h
+++ b/bench/Faults.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace jayhold::bench {
@@ -52,7 +53,11 @@
     Duration restartTime = std::chrono::seconds(8);
 };
 
+/// @return the names of the faults that can be chosen singly.
+auto faultNames() -> std::vector<std::string>;
+
 /// @param length of the run; the faults are spread over it.
-auto allFaults(const Workload& workload, Duration length) -> Faults;
+/// @param chosen names of the faults; the others stay at their defaults.
+auto makeFaults(const Workload& workload, Duration length, const std::vector<std::string>& chosen) -> Faults;
 
 }
--- a/bench/Fleet.cpp
+++ b/bench/Fleet.cpp
@@ -270,14 +270,9 @@
     return std::move(m_metrics);
 }
 
-auto faultsOf(const Cell& cell) -> Faults
-{
-    return cell.withFaults ? allFaults(cell.workload, cell.plan.length) : Faults {};
-}
-
 auto runCell(const Cell& cell) -> CellResult
 {
-    const auto faults = faultsOf(cell);
+    const auto faults = makeFaults(cell.workload, cell.plan.length, cell.faults);
     const auto requests = generateRequests(cell.workload, faults, cell.plan);
     Fleet fleet(cell, faults, requests);
     return { fleet.run(), clairvoyantBound(cell.workload, faults, requests, cell.plan.length), capacity(cell.workload) };
--- a/bench/JsonReport.cpp
+++ b/bench/JsonReport.cpp
@@ -39,7 +39,7 @@
         { "workload", row.workload },
         { "load", row.load },
         { "capacity_per_second", row.result.capacity },
-        { "faults", row.withFaults },
+        { "faults", row.faults },
         { "arm", row.arm },
         { "sharing", name(row.sharing) },
         { "seed", row.seed },
--- a/bench/Matrix.cpp
+++ b/bench/Matrix.cpp
@@ -69,12 +69,12 @@
 {
     const bool flood = pattern.workload.name.starts_with("caprock-appraisal-flood");
     for (const auto load : flood ? std::vector { floodLoad } : options.loads) {
-        for (const bool withFaults : options.faults) {
+        for (const auto& faults : options.faults) {
             for (const auto sharing : options.sharings) {
                 for (const auto& arm : armsFor(options)) {
                     cells.push_back(pattern);
                     cells.back().plan.load = load;
-                    cells.back().withFaults = withFaults;
+                    cells.back().faults = faults;
                     cells.back().sharing = sharing;
                     cells.back().arm = arm;
                 }
@@ -83,12 +83,24 @@
     }
 }
 
+auto faultText(const std::vector<std::string>& faults) -> std::string
+{
+    if (faults.empty())
+        return "none";
+    if (faults == faultNames())
+        return "all";
+    std::string text;
+    for (const auto& fault : faults)
+        text += (text.empty() ? "" : "+") + fault;
+    return text;
+}
+
 auto runOne(const Cell& cell) -> Row
 {
     Row row {
         .workload = cell.workload.name,
         .load = cell.plan.load,
-        .withFaults = cell.withFaults,
+        .faults = faultText(cell.faults),
         .arm = cell.arm.name,
         .sharing = cell.sharing,
         .seed = cell.plan.seed,
--- a/bench/Row.h
+++ b/bench/Row.h
@@ -12,7 +12,8 @@
 struct Row {
     std::string workload;
     double load = 0;
-    bool withFaults = false;
+    /// "none", "all" or names joined with +.
+    std::string faults;
     std::string arm;
     Sharing sharing = Sharing::Independent;
     std::uint64_t seed = 0;
@@ -21,6 +22,8 @@
     CellResult result;
 };
 
+inline auto withFaults(const Row& row) -> bool { return row.faults != "none"; }
+
 /// @return requests per second that met both targets, over the length of the day.
 auto goodputRate(const Row& row) -> double;
 /// @return that as a share of the offered requests.
--- a/bench/SvgPlot.cpp
+++ b/bench/SvgPlot.cpp
@@ -34,7 +34,7 @@
 {
     std::map<std::string, std::pair<Panel, Panel>> byTitle;
     for (const auto& row : rows) {
-        const auto title = row.workload + (row.withFaults ? ", with faults" : ", without faults");
+        const auto title = row.workload + (withFaults(row) ? ", faults " + row.faults : ", no faults");
         auto& [goodput, waste] = byTitle[title];
         goodput.title = title + ": goodput";
         goodput.unit = "requests/s";
--- a/bench/TableReport.cpp
+++ b/bench/TableReport.cpp
@@ -21,7 +21,7 @@
 {
     out << '\n'
         << format("%s, load %.2f of %.1f requests/s, %s, sharing %s, seed %llu\n", row.workload.c_str(), row.load, row.result.capacity,
-               row.withFaults ? "with faults" : "without faults", std::string(name(row.sharing)).c_str(), static_cast<unsigned long long>(row.seed));
+               ("faults " + row.faults).c_str(), std::string(name(row.sharing)).c_str(), static_cast<unsigned long long>(row.seed));
     out << "arm                 good/s  share  of-bound  wasted%  refused  retried   held  twice | kind: first token p50/p95/p99 ms, token gap p50/p95/p99 ms, good share\n";
     out << format("%-18s %7.2f %6.3f %9s\n", "clairvoyant bound", boundRate(row), row.result.bound / static_cast<double>(offered(row.result.metrics)), "1.000");
 }
@@ -63,7 +63,7 @@
 
 auto sameHead(const Row& left, const Row& right) -> bool
 {
-    return left.workload == right.workload && left.load == right.load && left.withFaults == right.withFaults && left.sharing == right.sharing && left.seed == right.seed;
+    return left.workload == right.workload && left.load == right.load && left.faults == right.faults && left.sharing == right.sharing && left.seed == right.seed;
 }
 
 }
--- a/cmake/bench.cmake
+++ b/cmake/bench.cmake
@@ -9,3 +9,7 @@
 
 add_executable(jayhold-bench bench/main.cpp)
 target_link_libraries(jayhold-bench PRIVATE jayhold_bench_units)
+
+jayhold_test(bench_test
+  SOURCES test/correctness/BenchEngineTest.cpp test/correctness/BenchRunTest.cpp
+  LINK jayhold_bench_units)
