Bound out requests that are too long alone, and count what sharing costs

The bound leaves out requests whose prefill and transfer alone take longer than their first-token target, and covers 120 s after the last arrival, so that long answers don't fall into the slot without limit. Refusals are counted by prefill and decode, and messages by scheme of sharing. Under the owner and credit schemes an instance is shown its own part of a decode engine in load reports, and leases move only where the donor keeps memory for what it runs.

--- a/bench/ClairvoyantBound.cpp
+++ b/bench/ClairvoyantBound.cpp
@@ -12,7 +12,7 @@
 
 constexpr double slotSeconds = 0.5;
 /// Slots after the last arrival; all later time falls into one last slot without limit.
-constexpr std::size_t slotsAfterEnd = 100;
+constexpr std::size_t slotsAfterEnd = 240;
 /// Weights of the prefill work in the joined sum; the rest is decode work.
 constexpr double prefillWeights[] = { 0, 0.25, 0.5, 0.75, 1 };
 
@@ -63,7 +63,17 @@
     return std::min(static_cast<std::size_t>(std::max(0.0, seconds) / slotSeconds), slots - 1);
 }
 
-/// @return the demand of every request that counts.
+/// @return whether the request can meet its first-token target when it is alone.
+auto feasibleAlone(const Workload& workload, const RequestKind& kind, double promptTokens, double computedTokens) -> bool
+{
+    const auto& engines = workload.engines;
+    const auto prefill = computedTokens / engines.prefillTokensPerSecond;
+    const auto transfer = promptTokens * static_cast<double>(engines.kvBytesPerToken) / static_cast<double>(engines.linkBytesPerSecond);
+    const auto rest = toSeconds(tokenGap(engines, 1) + 2 * workload.clientLatency);
+    return prefill + transfer + rest <= toSeconds(kind.firstToken);
+}
+
+/// @return the demand of every request that counts and can be served well.
 auto demandsOf(const Workload& workload, std::span<const CallerRequest> requests, std::size_t slots) -> std::vector<Demand>
 {
     std::unordered_map<std::uint64_t, std::uint32_t> uses;
@@ -81,6 +91,8 @@
         const auto& kind = workload.kinds[static_cast<std::size_t>(request.kind)].kind;
         const auto shared = std::ranges::count_if(request.prefixBlocks, [&](std::uint64_t block) { return uses[block] > 1; });
         const auto computed = static_cast<double>(request.promptTokens) - static_cast<double>(shared) * engines.prefixBlockTokens;
+        if (!feasibleAlone(workload, kind, request.promptTokens, computed))
+            continue;
         const auto arrival = toSeconds(request.arrival.time_since_epoch());
         const auto due = arrival + toSeconds(kind.firstToken) + (request.outputTokens - 1) * toSeconds(kind.tokenGap);
         demands.push_back({ slotOf(arrival, slots), slotOf(due, slots), std::max(1.0, computed) / prefillRate, request.outputTokens / decodeRate });
--- a/bench/ClairvoyantBound.h
+++ b/bench/ClairvoyantBound.h
@@ -11,6 +11,9 @@
 /// - A good request must do all its work between its arrival and the time by which its last token
 ///   is due (first-token target plus its other tokens at the target gap). Both ends are widened to
 ///   whole slots.
+/// - A request that would get its first token too late even if it were alone is left out: its prompt
+///   is computed by one engine, its KV cache crosses the link of that engine, and a decode step of a
+///   batch of one follows.
 /// - A request may be served in part and counts for that part. The choice of parts is then a linear
 ///   program over a polymatroid (work in a window of slots is at most the capacity of the window),
 ///   and taking requests in order of least work first, each as far as it fits, solves it exactly.
--- a/bench/Engines.cpp
+++ b/bench/Engines.cpp
@@ -53,6 +53,7 @@
         .computed = [this](const EngineJob& job, std::uint32_t tokens) {
             m_metrics.prefillTokens += tokens;
             m_metrics.openPrefills[{ job.request, job.attempt }] += tokens; },
+        .expired = [this](const EngineJob&) { ++m_metrics.expiredResults; },
     };
 }
 
@@ -99,7 +100,7 @@
         return;
     }
     if (!m_engines[engine].prefill->submit(job)) {
-        ++m_metrics.engineRefusals;
+        ++m_metrics.prefillRefusals;
         failPrefill(job, engine, FailureKind::Busy);
     }
 }
@@ -124,12 +125,12 @@
         return;
     }
     if (!target.decode->submit(job)) {
-        ++m_metrics.engineRefusals;
+        ++m_metrics.decodeRefusals;
         failDecode(job, decode, FailureKind::Busy);
         return;
     }
     if (!m_engines[prefill].alive || !m_engines[prefill].prefill->pin(job.request, prefillAttempt)) {
-        ++m_metrics.expiredResults;
+        ++m_metrics.missingResults;
         target.decode->cancel(job.request, job.attempt);
         failDecode(job, decode, FailureKind::KvExpired);
         return;
--- a/bench/EntryInstance.cpp
+++ b/bench/EntryInstance.cpp
@@ -41,6 +41,16 @@
     }));
 }
 
+auto EntryInstance::piecesUsed(std::size_t engine) const -> std::uint32_t
+{
+    std::uint32_t pieces = 0;
+    for (const auto& [id, active] : m_active) {
+        if (active.stage != Stage::Queued && static_cast<std::size_t>(active.decode) == engine)
+            pieces += piecesFor(m_around.workload.engines, active.request->promptTokens + active.emitted + 1);
+    }
+    return pieces;
+}
+
 auto EntryInstance::arrive(RequestId id, std::size_t caller, const CallerRequest& request) -> void
 {
     m_active[id] = { .caller = caller, .request = &request };
--- a/bench/EntryInstance.h
+++ b/bench/EntryInstance.h
@@ -50,6 +50,8 @@
     auto queued() const -> std::size_t;
     /// Requests that hold or will hold a seat of the decode engine.
     auto seatsUsed(std::size_t engine) const -> std::uint32_t;
+    /// Memory pieces of the decode engine that those requests take now.
+    auto piecesUsed(std::size_t engine) const -> std::uint32_t;
 
 private:
     enum class Stage {
--- a/bench/Fleet.cpp
+++ b/bench/Fleet.cpp
@@ -14,6 +14,8 @@
 constexpr Duration cacheEventInterval = 250ms;
 constexpr Duration tickInterval = 100ms;
 constexpr Duration seatSharingInterval = 100ms;
+/// One takes seats from an instance and one gives them to another.
+constexpr std::uint64_t messagesPerLeaseMove = 2;
 /// After a gap in its cache events, an engine's whole cache is read this much later.
 constexpr Duration cacheResyncDelay = 2s;
 /// The instance list shows that an engine has died, or is back, this much later.
@@ -77,7 +79,7 @@
     settings.customerQueueLimits.assign(workload.customerWeights.size(), 1'000);
     settings.kvBytesPerToken = workload.engines.kvBytesPerToken;
     settings.prefixBlockTokens = workload.engines.prefixBlockTokens;
-    settings.sharingInstances = m_seats.contenders();
+    settings.sharingInstances = static_cast<std::uint32_t>(m_firstInstanceOfZone.back() + workload.entryInstances.back());
     return settings;
 }
 
@@ -164,6 +166,8 @@
     const auto target = m_seats.place(receiver);
     const auto id = RequestId { m_nextRequest++ };
     m_sent[caller] = { id, target };
+    if (target != receiver)
+        ++m_metrics.sharingMessages;
     const auto hop = target == receiver ? Duration::zero() : handOverHop;
     m_events.after(hop, [this, caller, id, target] { m_instances[target]->arrive(id, caller, m_requests[caller]); });
     if (!request.cancelAfter)
@@ -200,16 +204,24 @@
     const auto& target = m_engines.all()[engine];
     if (!m_network.reachable(target.zone, m_instances[instance]->zone()) || (m_cell.sharing == Sharing::Owner && m_seats.seats(instance, engine) == 0))
         return;
-    const auto running = target.prefill ? target.prefill->running() : target.decode->running();
-    const auto used = target.prefill ? target.prefill->usedPieces() : target.decode->usedPieces();
+    const auto shape = m_cell.workload.engines;
+    auto running = target.prefill ? target.prefill->running() : target.decode->running();
+    auto freePieces = shape.memoryPieces - (target.prefill ? target.prefill->usedPieces() : target.decode->usedPieces());
+    auto held = target.prefill ? target.prefill->held(instance) : target.decode->held(instance);
+    if (m_seats.divided(engine)) {
+        // Of a divided engine, an instance is shown its own part.
+        const auto pieces = shape.memoryPieces * m_seats.seats(instance, engine) / shape.decodeSeats;
+        running = static_cast<std::uint32_t>(held.size());
+        freePieces = pieces - std::min(pieces, m_instances[instance]->piecesUsed(engine));
+    }
     ReplicaLoad load {
         .replica = ReplicaId { static_cast<std::uint32_t>(engine) },
         .sequence = m_reportSequence,
         .asOf = m_events.now(),
         .running = running,
         .waiting = 0,
-        .freePieces = m_cell.workload.engines.memoryPieces - used,
-        .held = target.prefill ? target.prefill->held(instance) : target.decode->held(instance),
+        .freePieces = freePieces,
+        .held = std::move(held),
     };
     const auto lag = m_faults.slowLoadReports.contains(m_events.now()) ? m_faults.slowLoadReportLag : m_faults.loadReportLag;
     m_events.after(lag, [this, instance, load = std::move(load)] { m_instances[instance]->feed(load); });
@@ -242,10 +254,9 @@
 
 auto Fleet::shareSeats() -> void
 {
-    if (!m_seats.update(m_instances))
-        return;
-    for (std::size_t engine = 0; engine < m_engines.all().size(); ++engine) {
-        if (m_engines.all()[engine].alive && m_engines.all()[engine].role == PoolRole::Decode)
+    for (const auto engine : m_seats.update(m_instances)) {
+        m_metrics.sharingMessages += messagesPerLeaseMove;
+        if (m_engines.all()[engine].alive)
             announce(engine, ReplicaState::Live);
     }
 }
--- a/bench/Metrics.h
+++ b/bench/Metrics.h
@@ -24,7 +24,14 @@
     /// Refused requests by reason.
     std::array<std::uint64_t, 8> refusedBy {};
     std::uint64_t callerRepeats = 0;
-    std::uint64_t engineRefusals = 0;
+    /// Messages between entry instances that the scheme of sharing takes: requests handed to an owner,
+    /// or lease moves (two messages each).
+    std::uint64_t sharingMessages = 0;
+    /// Attempts that an engine turned away as busy.
+    std::uint64_t prefillRefusals = 0;
+    std::uint64_t decodeRefusals = 0;
+    /// Decodes that found no prefill result, and results that were never fetched.
+    std::uint64_t missingResults = 0;
     std::uint64_t expiredResults = 0;
     std::uint64_t preempted = 0;
     std::uint64_t engineCrashes = 0;
@@ -46,6 +53,7 @@
     }
 };
 
+inline auto engineRefusals(const Metrics& metrics) -> std::uint64_t { return metrics.prefillRefusals + metrics.decodeRefusals; }
 auto offered(const Metrics& metrics) -> std::uint64_t;
 auto good(const Metrics& metrics) -> std::uint64_t;
 
--- a/bench/PrefillEngine.cpp
+++ b/bench/PrefillEngine.cpp
@@ -150,8 +150,10 @@
     const auto life = m_life;
     m_events.at(expiresAt, [this, life, request = item.job.request, attempt = item.job.attempt] {
         const auto* kept = life == m_life ? find(request, attempt) : nullptr;
-        if (kept && kept->stage == Stage::Kept)
-            erase(request, attempt);
+        if (!kept || kept->stage != Stage::Kept)
+            return;
+        m_callbacks.expired(kept->job);
+        erase(request, attempt);
     });
     m_callbacks.done(item.job, item.cachedTokens, expiresAt);
 }
--- a/bench/PrefillEngine.h
+++ b/bench/PrefillEngine.h
@@ -20,6 +20,8 @@
         std::function<void(const EngineJob&, std::uint32_t cachedTokens, TimePoint expiresAt)> done;
         /// Tokens that were computed, for the count of waste.
         std::function<void(const EngineJob&, std::uint32_t tokens)> computed;
+        /// The result was dropped because nobody fetched it in time.
+        std::function<void(const EngineJob&)> expired;
     };
 
     PrefillEngine(EventQueue& events, const EngineShape& shape, Callbacks callbacks);
--- a/bench/SeatSharing.cpp
+++ b/bench/SeatSharing.cpp
@@ -45,11 +45,6 @@
     return m_leases[engine][instance];
 }
 
-auto SeatSharing::contenders() const -> std::uint32_t
-{
-    return m_sharing == Sharing::Independent ? static_cast<std::uint32_t>(m_zones.size()) : 1;
-}
-
 auto SeatSharing::place(std::size_t receiver) -> std::size_t
 {
     if (m_sharing != Sharing::Owner)
@@ -70,18 +65,24 @@
     return best;
 }
 
-auto SeatSharing::update(const std::vector<std::unique_ptr<EntryInstance>>& instances) -> bool
+auto SeatSharing::update(const std::vector<std::unique_ptr<EntryInstance>>& instances) -> std::vector<std::size_t>
 {
     for (std::size_t instance = 0; instance < instances.size(); ++instance)
         m_load[instance] = instances[instance]->active();
-    bool moved = false;
+    std::vector<std::size_t> moved;
     for (std::size_t engine = 0; engine < m_roles.size() && m_sharing == Sharing::Credits; ++engine) {
-        if (m_roles[engine] == PoolRole::Decode)
-            moved = moveLeases(engine, instances) || moved;
+        if (m_roles[engine] == PoolRole::Decode && moveLeases(engine, instances))
+            moved.push_back(engine);
     }
     return moved;
 }
 
+auto SeatSharing::memoryFits(std::size_t engine, std::size_t instance, const EntryInstance& user) const -> bool
+{
+    const auto leftSeats = m_leases[engine][instance] - leaseBatch;
+    return user.piecesUsed(engine) <= m_shape.memoryPieces * leftSeats / m_shape.decodeSeats;
+}
+
 auto SeatSharing::moveLeases(std::size_t engine, const std::vector<std::unique_ptr<EntryInstance>>& instances) -> bool
 {
     auto& leases = m_leases[engine];
@@ -90,13 +91,13 @@
         const auto used = instances[needy]->seatsUsed(engine);
         if (used + leaseBatch <= leases[needy] || (instances[needy]->queued() == 0 && used < leases[needy]))
             continue;
-        // Takes a batch from the instance with the most idle seats, while that keeps more than it gives.
+        // Takes a batch from the instance with the most idle seats.
         std::size_t donor = needy;
-        std::uint32_t mostIdle = leaseBatch;
+        std::uint32_t mostIdle = leaseBatch - 1;
         for (std::size_t other = 0; other < instances.size(); ++other) {
             const auto otherUsed = instances[other]->seatsUsed(engine);
             const auto idle = leases[other] > otherUsed ? leases[other] - otherUsed : 0;
-            if (other != needy && idle > mostIdle && instances[other]->queued() == 0) {
+            if (other != needy && idle > mostIdle && instances[other]->queued() == 0 && memoryFits(engine, other, *instances[other])) {
                 mostIdle = idle;
                 donor = other;
             }
--- a/bench/SeatSharing.h
+++ b/bench/SeatSharing.h
@@ -25,15 +25,18 @@
     auto begin(std::span<const Engine> engines, std::vector<ZoneId> instanceZones) -> void;
     /// @return seats of the engine that the instance may use.
     auto seats(std::size_t instance, std::size_t engine) const -> std::uint32_t;
-    /// @return entry instances among which a seat may be contended.
-    auto contenders() const -> std::uint32_t;
+    /// @return whether the seats of the engine are divided among the instances, so that no instance
+    /// has to leave room for the others.
+    auto divided(std::size_t engine) const -> bool { return m_sharing != Sharing::Independent && m_roles[engine] == PoolRole::Decode; }
     /// @return the instance that the request is handed to, which may be the one that received it.
     auto place(std::size_t receiver) -> std::size_t;
     /// Takes a new view of what the instances use; it is as old as the interval between two calls.
-    /// @return whether leases have moved.
-    auto update(const std::vector<std::unique_ptr<EntryInstance>>& instances) -> bool;
+    /// @return the engines whose leases have moved.
+    auto update(const std::vector<std::unique_ptr<EntryInstance>>& instances) -> std::vector<std::size_t>;
 
 private:
+    /// @return whether the instance still has memory for what it runs when it gives up a batch of seats.
+    auto memoryFits(std::size_t engine, std::size_t instance, const EntryInstance& user) const -> bool;
     auto moveLeases(std::size_t engine, const std::vector<std::unique_ptr<EntryInstance>>& instances) -> bool;
 
     Sharing m_sharing;
--- a/bench/TableReport.cpp
+++ b/bench/TableReport.cpp
@@ -51,7 +51,7 @@
     out << "  refused by reason (order of RefusalReason):";
     for (const auto count : metrics.refusedBy)
         out << ' ' << count;
-    out << "; caller repeats " << metrics.callerRepeats << ", engine refusals " << metrics.engineRefusals << ", expired results " << metrics.expiredResults
+    out << "; caller repeats " << metrics.callerRepeats << ", sharing messages " << metrics.sharingMessages << ", engine refusals " << engineRefusals(metrics) << " (prefill " << metrics.prefillRefusals << ", decode " << metrics.decodeRefusals << "), missing results " << metrics.missingResults << ", expired results " << metrics.expiredResults
         << ", preempted " << metrics.preempted << ", engine crashes " << metrics.engineCrashes << ", unanswered " << metrics.unanswered
         << ", misplaced tokens " << metrics.misplacedTokens << ", attempts " << metrics.attempts << ", prefill tokens " << metrics.prefillTokens << '\n';
     for (std::size_t index = 0; index < metrics.kinds.size(); ++index) {
--- a/test/correctness/BenchEngineTest.cpp
+++ b/test/correctness/BenchEngineTest.cpp
@@ -32,11 +32,13 @@
     std::vector<std::pair<RequestId, TimePoint>> done;
     std::uint64_t computed = 0;
     std::uint32_t lastCached = 0;
+    std::uint32_t expired = 0;
     PrefillEngine engine { events, shape, {
                                               .done = [this](const EngineJob& given, std::uint32_t cached, TimePoint) {
                                                   lastCached = cached;
                                                   done.emplace_back(given.request, events.now()); },
                                               .computed = [this](const EngineJob&, std::uint32_t count) { computed += count; },
+                                              .expired = [this](const EngineJob&) { ++expired; },
                                           } };
 };
 
@@ -108,6 +110,7 @@
     CHECK(fixture.engine.usedPieces() == 2);
     fixture.events.runUntil(fixture.done[1].second + 801ms);
     CHECK(fixture.engine.usedPieces() == 1);
+    CHECK(fixture.expired == 1);
     CHECK_FALSE(fixture.engine.pin(RequestId { 1 }, 1));
     fixture.engine.release(RequestId { 2 }, 1);
     CHECK(fixture.engine.usedPieces() == 0);
