--- a/bench/SeatSharing.cpp
+++ b/bench/SeatSharing.cpp
@@ -12,7 +12,7 @@
 /// Seats move between instances in batches of this size, so that an owner sends few messages.
 constexpr std::uint32_t leaseBatch = 2;
 /// A request is handed to an owner in another zone only where that one is less loaded by this factor.
-constexpr double otherZoneCost = 1.25;
+constexpr double otherZoneCost = 1.02;
 
 }
 
