Start the first requests of a kind whose callers allow long answers

Cause: before a kind's answer lengths are known, the forecast takes the caller's token limit. With a limit of 4,096 tokens, half of it at 40 tokens/s is 51 s, more than the 10 s deadline of a lookup, so every lookup was refused as hopeless, none ran, and the lengths never became known. Ruled out: seats, memory and prefill engines (no engine refused; the other kinds kept their goodput). Conclusion: the least time that an answer takes counts as none until lengths are known; memory is still reserved for the caller's limit.

--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -41,9 +41,7 @@
 
 auto latestStart(const ShardState& state, const ActiveRequest& request) -> TimePoint
 {
-    const auto left = expectedTokens(state, request) - std::min(request.emitted, expectedTokens(state, request));
-    // Half of the expected length, because the answer may be a short one.
-    const auto decode = Duration(static_cast<Duration::rep>(left / 2 * 1e6 / state.rates.tokensPerSecond.value()));
+    const auto decode = Duration(static_cast<Duration::rep>(leastTokensLeft(state, request) * 1e6 / state.rates.tokensPerSecond.value()));
     return request.arrival.deadline - timeToFirstToken(state, request) - decode;
 }
 
--- a/src/Forecast.cpp
+++ b/src/Forecast.cpp
@@ -57,6 +57,14 @@
     return lengths(state, request).quantile(quantile, request.emitted, request.arrival.maxTokens);
 }
 
+auto leastTokensLeft(const ShardState& state, const ActiveRequest& request) -> std::uint32_t
+{
+    if (!lengths(state, request).known())
+        return 0;
+    const auto expected = expectedTokens(state, request);
+    return (expected - std::min(request.emitted, expected)) / 2;
+}
+
 auto reservedTokens(const ShardState& state, const ActiveRequest& request) -> std::uint64_t
 {
     return std::uint64_t { request.arrival.promptTokens } + lengths(state, request).quantile(memoryQuantile, request.emitted, request.arrival.maxTokens);
--- a/src/Forecast.h
+++ b/src/Forecast.h
@@ -11,6 +11,10 @@
 auto transferTime(const ShardState& state, const ActiveRequest& request) -> Duration;
 /// Length of the whole answer, at the quantile that the weight of wasted prefill asks for.
 auto expectedTokens(const ShardState& state, const ActiveRequest& request) -> std::uint32_t;
+/// @return tokens that the answer still takes at least: half of the expected length, because it may
+/// be a short one, and none before the kind's lengths are known. A guess from the caller's limit would
+/// refuse every request of a kind, and its lengths would never become known.
+auto leastTokensLeft(const ShardState& state, const ActiveRequest& request) -> std::uint32_t;
 /// Tokens to reserve memory for; exceeded by few answers.
 auto reservedTokens(const ShardState& state, const ActiveRequest& request) -> std::uint64_t;
 auto transferBytes(const ShardState& state, const ActiveRequest& request) -> std::uint64_t;
--- a/src/LengthModel.cpp
+++ b/src/LengthModel.cpp
@@ -11,8 +11,6 @@
 /// Half of the weight lies on the last 350 answers.
 constexpr double growth = 1.002;
 constexpr double largestStep = 1e12;
-/// With fewer answers the caller's limit is the safer guess.
-constexpr std::uint32_t enoughAnswers = 16;
 
 auto bucketOf(std::uint32_t tokens, std::size_t count) -> std::size_t
 {
@@ -41,7 +39,7 @@
 
 auto LengthModel::quantile(double quantile, std::uint32_t emitted, std::uint32_t limit) const -> std::uint32_t
 {
-    if (m_observed < enoughAnswers)
+    if (!known())
         return limit;
     const auto first = bucketOf(emitted, m_weights.size());
     double total = 0;
--- a/test/correctness/OverloadTest.cpp
+++ b/test/correctness/OverloadTest.cpp
@@ -105,3 +105,26 @@
     REQUIRE(harness.last<Refuse>());
     CHECK(harness.last<Refuse>()->reason == RefusalReason::TooLarge);
 }
+
+// Guards against a kind whose callers allow long answers and that is refused for ever, because no
+// answer has shown yet that they are short.
+TEST_CASE("a large token limit does not make the first requests of a kind hopeless")
+{
+    auto settings = testSettings();
+    settings.kinds[0].deadline = 10s;
+    ShardHarness harness(settings);
+    harness.replica(1, PoolRole::Prefill, 4);
+    harness.replica(2, PoolRole::Decode, 20);
+    harness.send(RequestArrived {
+        .request = RequestId { 1 },
+        .kind = KindId { 0 },
+        .customer = CustomerId { 0 },
+        .promptTokens = 300,
+        .maxTokens = 4'096,
+        .deadline = harness.now + 10s,
+        .prefixBlocks = {},
+        .signature = 1,
+    });
+    CHECK_FALSE(harness.last<Refuse>());
+    CHECK(harness.last<StartPrefill>());
+}
