Promise seats only where the memory is free, and not to batch work

Cause: a prefill may start on the forecast that a decode seat frees up. The forecast counted seats only: where memory pieces limit an engine, the seat came without the memory and the result expired. And a promised seat goes past the queue, so batch work took the next seats from lookups that arrived meanwhile. Ruled out: refusals by engines (with one owner per engine there were none at decode, and the waste was the same).

--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -88,13 +88,16 @@
 namespace {
 
 /// @return the live decode replica where a seat is expected to free up next.
-auto expectedDecode(DecisionContext& context) -> Replica*
+auto expectedDecode(DecisionContext& context, const ActiveRequest& request) -> Replica*
 {
     const auto ending = context.state.ends.firstAfter(context.now);
     if (!ending)
         return nullptr;
     auto* replica = findReplica(context.state, *findRequest(context.state, *ending)->decode);
-    return replica && replica->description.state == ReplicaState::Live ? replica : nullptr;
+    if (!replica || replica->description.state != ReplicaState::Live)
+        return nullptr;
+    // The memory must be free now: the ending request may be a small one.
+    return hasPieces(*replica, decodeReservation(context, request, *replica).pieces) ? replica : nullptr;
 }
 
 }
@@ -108,10 +111,14 @@
         return std::nullopt;
     if (auto* decode = chooseDecode(context, request))
         return Placement { prefill, decode, true };
+    // A promised seat goes past the queue. Batch work with a promise would take the next seats from
+    // interactive work that arrives in the meantime.
+    if (request.latencyClass == LatencyClass::Batch)
+        return std::nullopt;
     const auto tokens = prefill->reserved.prefillTokens + request.arrival.promptTokens;
     if (!seatExpected(context, prefillTime(context.state, tokens)))
         return std::nullopt;
-    if (auto* decode = expectedDecode(context))
+    if (auto* decode = expectedDecode(context, request))
         return Placement { prefill, decode, false };
     return std::nullopt;
 }
--- a/test/correctness/SeatForecastTest.cpp
+++ b/test/correctness/SeatForecastTest.cpp
@@ -69,6 +69,37 @@
     CHECK(harness.last<StartDecode>());
 }
 
+// Guards against batch work that takes the next seat from interactive work which arrives before it
+// frees up.
+TEST_CASE("batch work does not start before its seat is free")
+{
+    auto harness = trained(0);
+    const auto running = startDecodeOf(harness, 50);
+    harness.arrive(51, 2);
+    harness.now += 2'200ms;
+    harness.send(TokensEmitted { running.request, running.attempt, 88 });
+    CHECK_FALSE(harness.last<StartPrefill>());
+    harness.arrive(52);
+    harness.send(DecodeFinished { running.request, running.attempt, 100 });
+    REQUIRE(harness.lastEver<StartPrefill>());
+    CHECK(harness.lastEver<StartPrefill>()->request == RequestId { 52 });
+}
+
+// Guards against prefills whose result expires because the seat frees up without the memory.
+TEST_CASE("no prefill starts for a seat whose memory will not be there")
+{
+    auto harness = trained(0);
+    const auto running = startDecodeOf(harness, 50);
+    // The running answer takes one of two pieces; the next prompt needs both.
+    harness.send(ReplicaChanged { ReplicaId { 2 }, PoolRole::Decode, ZoneId { 0 }, ReplicaState::Live, 1, 2, 2'000, 0 });
+    harness.arrive(51, 1, 0, 3'000);
+    harness.now += 2'200ms;
+    harness.send(TokensEmitted { running.request, running.attempt, 88 });
+    CHECK_FALSE(harness.last<StartPrefill>());
+    harness.send(DecodeFinished { running.request, running.attempt, 100 });
+    CHECK(harness.last<StartPrefill>());
+}
+
 // Guards against results that expire while they wait for a link that is full.
 TEST_CASE("a prefill waits until the link has a share for its transfer")
 {
