--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -1,9 +1,11 @@
 #include "RequestLife.h"
 
+#include "CrashWatch.h"
 #include "Deadlines.h"
 #include "Forecast.h"
 #include "Ledger.h"
 #include "Placement.h"
+#include "PrefillChoice.h"
 #include "RetryDelay.h"
 #include "RetryRules.h"
 
@@ -170,15 +172,17 @@
     else
         state.promised.emplace(context.now, request.arrival.request);
     request.prefillBacklog = prefill.reserved.prefillTokens;
+    notePrefillZone(context, prefill);
     state.totals.prefillTokens += request.arrival.promptTokens;
     request.engineSince = context.now;
     enter(context, request, RequestPhase::Prefilling);
     context.actions.emplace_back(StartPrefill { request.arrival.request, request.attempt, *request.prefill, *request.decode });
 }
 
-auto prefillDone(DecisionContext& context, ActiveRequest& request, TimePoint expiresAt, std::uint32_t) -> void
+auto prefillDone(DecisionContext& context, ActiveRequest& request, TimePoint expiresAt, std::uint32_t cachedTokens) -> void
 {
-    learnPrefill(context, request, expiresAt);
+    learnPrefill(context, request, expiresAt, cachedTokens);
+    context.state.cache.computed(*request.prefill, request.arrival.prefixBlocks);
     context.state.promised.erase({ request.phaseSince, request.arrival.request });
     releasePrefillSeat(context, request);
     request.kvExpiresAt = expiresAt;
@@ -189,7 +193,8 @@
 
 auto reserveDecode(DecisionContext& context, ActiveRequest& request) -> bool
 {
-    auto* replica = chooseDecode(context, request);
+    const auto* prefill = findReplica(context.state, *request.prefill);
+    auto* replica = chooseDecode(context, request, prefill ? prefill->description.zone : context.state.settings.localZone);
     if (!replica)
         return false;
     request.decode = replica->description.replica;
@@ -219,8 +224,31 @@
     updateExpectedEnd(context, request);
 }
 
+namespace {
+
+auto noteLostConnection(DecisionContext& context, ActiveRequest& request) -> void
+{
+    // Of a replica that is gone, the verdict was taken when it went.
+    auto* replica = request.avoid ? findReplica(context.state, *request.avoid) : nullptr;
+    if (replica && request.phase != RequestPhase::Stopping)
+        noteCrash(context, request, *replica);
+}
+
+auto refuseCulprit(DecisionContext& context, ActiveRequest& request) -> void
+{
+    const auto signature = request.arrival.signature;
+    // A prefill that crashes its engine counts as a run, too.
+    request.mayHaveRun = true;
+    context.actions.emplace_back(ReportSignature { signature });
+    refuse(context, request, RefusalReason::CrashSuspect);
+    blockSignature(context, signature);
+}
+
+}
+
 auto stopDecode(DecisionContext& context, ActiveRequest& request) -> void
 {
+    request.mayHaveRun = true;
     cancelAttempt(context, request);
     leave(context, request);
     enter(context, request, RequestPhase::Stopping);
@@ -235,7 +263,13 @@
         ++request.redirects;
     else
         ++request.failures;
-    request.avoid = request.phase == RequestPhase::Prefilling ? request.prefill : request.decode;
+    request.avoid = mayRunNow(request.phase) ? request.decode : request.prefill;
+    if (failure == FailureKind::ConnectionLost)
+        noteLostConnection(context, request);
+    if (request.verdict == CrashVerdict::Culprit) {
+        refuseCulprit(context, request);
+        return;
+    }
     const auto retry = mayRetry(context, request, failure);
     if (retry && resultStillKept(context, request, failure)) {
         redirectDecode(context, request);
