--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -69,18 +69,21 @@
 
 namespace {
 
-/// @return the live decode replica where a seat is expected to free up soon.
-auto expectedDecode(DecisionContext& context) -> Replica*
+/// @return a live decode replica where a seat is expected to free up soon.
+auto expectedDecode(DecisionContext& context, const ActiveRequest& request) -> Replica*
 {
     Replica* replica = nullptr;
-    context.state.ends.firstAfter(context.now, [&](RequestId ending) {
-        const auto* request = findRequest(context.state, ending);
-        if (!request || request->phase != RequestPhase::Decoding)
+    const auto found = context.state.ends.firstAfter(context.now, [&](RequestId id) {
+        const auto* ending = findRequest(context.state, id);
+        if (!ending || ending->phase != RequestPhase::Decoding)
             return false;
-        replica = findReplica(context.state, *request->decode);
-        return replica && replica->description.state == ReplicaState::Live;
+        replica = findReplica(context.state, *ending->decode);
+        if (!replica || replica->description.state != ReplicaState::Live)
+            return false;
+        // The memory must be free now: the ending request may be a small one.
+        return hasPieces(*replica, decodeReservation(context, request, *replica).pieces);
     });
-    return replica && replica->description.state == ReplicaState::Live ? replica : nullptr;
+    return found ? replica : nullptr;
 }
 
 auto hasFreeDecode(const ShardState& state) -> bool
@@ -101,13 +104,17 @@
         return std::nullopt;
     if (auto* decode = chooseDecode(context, request, prefill->description.zone))
         return Placement { prefill, decode, true };
+    // A promised seat goes past the queue. Batch work with a promise would take the next seats from
+    // interactive work that arrives in the meantime.
+    if (request.latencyClass == LatencyClass::Batch)
+        return std::nullopt;
     // A suspect is not run on the chance of a seat; its replica must be free of other suspects.
     if (request.verdict == CrashVerdict::Suspect)
         return std::nullopt;
     const auto tokens = prefill->reserved.prefillTokens + request.arrival.promptTokens;
     if (!seatExpected(context, prefillTime(context.state, tokens)))
         return std::nullopt;
-    if (auto* decode = expectedDecode(context))
+    if (auto* decode = expectedDecode(context, request))
         return Placement { prefill, decode, false };
     return std::nullopt;
 }
