Leave seats for urgent work, and count seats that no report shows yet

Cause: at overload long requests took each seat that freed up while no short one happened to wait, and held it for many seconds; lookups were then refused although all of them would fit. Late batch work stood before batch work in time, and one aged start in eight took most of the capacity, as a batch answer is some twenty times longer than a lookup. With independent sharing, instances took seats that others had reserved for prefills under way, which no load report shows; the results expired.

Now a request leaves about one standard deviation of the seats that more urgent classes would use (a fading sum of expected holding times) free, up to a fifth of the pool; late batch work waits behind the rest but keeps its aged turns, which are counted in output tokens; other instances are taken to have as many prefills under way as this one; a replica that answered Busy gets no share from older reports.

--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -32,7 +32,7 @@
 
 auto latestOnTimeStart(const ShardState& state, const ActiveRequest& request) -> TimePoint
 {
-    if (request.latencyClass == LatencyClass::Batch || request.lane == QueueLane::Resume)
+    if (request.lane == QueueLane::Resume)
         return TimePoint::max();
     const auto target = std::chrono::duration_cast<Duration>(kindOf(state, request).firstToken);
     const auto margin = std::min(state.rates.firstTokenMargin, target / largestMarginPart);
@@ -70,6 +70,8 @@
     const auto left = latestStart(context.state, request) - context.now;
     if (left <= Duration::zero())
         return true;
+    if (request.lane == QueueLane::Late && request.latencyClass == LatencyClass::Batch)
+        return false;
     if (request.lane == QueueLane::Late)
         return clearlyExceeds(expectedLateWait(context), left);
     return request.lane == QueueLane::Fair && clearlyExceeds(expectedWait(context, request), left);
--- a/src/Deadlines.h
+++ b/src/Deadlines.h
@@ -6,8 +6,8 @@
 
 namespace jayhold {
 
-/// @return the last time at which a start can meet the first-token target; never for batch work and
-/// for streams whose first token is out.
+/// @return the last time at which a start can meet the first-token target; the end of time for
+/// streams whose first token is out.
 auto latestOnTimeStart(const ShardState& state, const ActiveRequest& request) -> TimePoint;
 /// @return the last time at which a start can meet the deadline.
 auto latestStart(const ShardState& state, const ActiveRequest& request) -> TimePoint;
--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -1,7 +1,9 @@
 #include "Dispatch.h"
 
+#include "Forecast.h"
 #include "Placement.h"
 #include "RequestLife.h"
+#include "SeatReserve.h"
 
 #include <algorithm>
 
@@ -11,22 +13,22 @@
 
 /// Flows of a class that are tried when the first does not fit.
 constexpr std::size_t triedFlows = 2;
-/// An aged request gets one start in this many, so that its wait is bounded and urgent work still
-/// gets nearly all.
-constexpr std::uint32_t startsPerAgedTurn = 8;
+/// Aged requests get one output token for this many of others, so that their wait is bounded and
+/// urgent work still gets nearly all. Counted in tokens because batch answers are long.
+constexpr std::uint64_t servicePerAged = 7;
 /// A request is aged after this part of its deadline, which leaves most of it for the service.
 constexpr int agedPartOfDeadline = 8;
 
-auto tryStart(DecisionContext& context, RequestId id) -> bool
+auto tryStart(DecisionContext& context, RequestId id, bool aged = false) -> bool
 {
     auto* request = findRequest(context.state, id);
-    const auto placement = choosePlacement(context, *request);
+    const auto placement = choosePlacement(context, *request, aged ? 0 : seatsToLeave(context, *request));
     if (!placement)
         return false;
     auto& state = context.state;
-    const auto late = request->lane == QueueLane::Late;
+    const auto late = request->lane == QueueLane::Late && request->latencyClass != LatencyClass::Batch;
     startPrefill(context, *request, *placement);
-    ++state.startsSinceAged;
+    state.servedSinceAged += expectedTokens(state, *request);
     state.pace.started(context.now, state.queue.size() > 0);
     if (late)
         state.latePace.started(context.now, state.queue.lateSize() > 0);
@@ -38,15 +40,23 @@
     return id && tryStart(context, *id);
 }
 
+auto isAged(const DecisionContext& context, const std::optional<RequestId>& id) -> bool
+{
+    if (!id)
+        return false;
+    const auto& request = *findRequest(context.state, *id);
+    return context.now - request.arrivedAt >= (request.arrival.deadline - request.arrivedAt) / agedPartOfDeadline;
+}
+
+/// @return the aged request whose turn it is.
 auto agedRequest(const DecisionContext& context) -> std::optional<RequestId>
 {
-    for (const auto latencyClass : { LatencyClass::Batch, LatencyClass::Standard }) {
-        const auto id = context.state.queue.oldest(latencyClass);
-        if (!id)
+    const auto& queue = context.state.queue;
+    for (const auto& id : { queue.oldestLateBatch(), queue.oldest(LatencyClass::Batch), queue.oldest(LatencyClass::Standard) }) {
+        if (!isAged(context, id))
             continue;
-        const auto& request = *findRequest(context.state, *id);
-        if (context.now - request.arrivedAt >= (request.arrival.deadline - request.arrivedAt) / agedPartOfDeadline)
-            return id;
+        const auto tokens = expectedTokens(context.state, *findRequest(context.state, *id));
+        return context.state.servedSinceAged >= servicePerAged * tokens ? id : std::nullopt;
     }
     return std::nullopt;
 }
@@ -63,9 +73,9 @@
     auto& state = context.state;
     if (tryStart(context, state.queue.oldestResume()))
         return true;
-    const auto agedTurn = state.startsSinceAged >= startsPerAgedTurn ? agedRequest(context) : std::nullopt;
-    if (agedTurn && tryStart(context, *agedTurn)) {
-        state.startsSinceAged = 0;
+    const auto agedTurn = agedRequest(context);
+    if (agedTurn && tryStart(context, *agedTurn, true)) {
+        state.servedSinceAged = 0;
         return true;
     }
     if (startFromClass(context, LatencyClass::Interactive))
@@ -75,7 +85,8 @@
         return false;
     return startFromClass(context, LatencyClass::Standard)
         || startFromClass(context, LatencyClass::Batch)
-        || tryStart(context, state.queue.oldestLate());
+        || tryStart(context, state.queue.oldestLate())
+        || tryStart(context, state.queue.oldestLateBatch());
 }
 
 auto startReady(DecisionContext& context) -> void
--- a/src/Forecast.cpp
+++ b/src/Forecast.cpp
@@ -88,7 +88,7 @@
     request.forecastAt = 0;
 }
 
-auto seatExpected(const DecisionContext& context, Duration prefill) -> bool
+auto seatExpected(const DecisionContext& context, Duration prefill, std::int64_t seatsLeft) -> bool
 {
     const auto& state = context.state;
     const auto weight = state.settings.wastedPrefillWeight;
@@ -96,7 +96,8 @@
     const auto ends = static_cast<double>(state.ends.count(context.now, context.now + prefill + kept));
     // Ends are about Poisson distributed; the weight sets how many deviations are left out.
     const auto safe = ends - weight * std::sqrt(ends);
-    return safe >= static_cast<double>(state.promised.size() + state.ready.size() + 1);
+    const auto missing = std::max<std::int64_t>(seatsLeft - state.freeDecodeSeats, 0);
+    return safe >= static_cast<double>(state.promised.size() + state.ready.size() + 1) + static_cast<double>(missing);
 }
 
 auto learnPrefill(DecisionContext& context, const ActiveRequest& request, TimePoint expiresAt, std::uint32_t cachedTokens) -> void
--- a/src/Forecast.h
+++ b/src/Forecast.h
@@ -24,8 +24,8 @@
 auto clearExpectedEnd(DecisionContext& context, ActiveRequest& request) -> void;
 
 /// @return whether a seat that is taken now is expected to be free in time for one more request
-/// whose prefill takes the given time.
-auto seatExpected(const DecisionContext& context, Duration prefill) -> bool;
+/// whose prefill takes the given time, with `seatsLeft` others to stay free.
+auto seatExpected(const DecisionContext& context, Duration prefill, std::int64_t seatsLeft) -> bool;
 
 /// Learns from the events of a request.
 auto learnPrefill(DecisionContext& context, const ActiveRequest& request, TimePoint expiresAt, std::uint32_t cachedTokens) -> void;
--- a/src/LoadReports.cpp
+++ b/src/LoadReports.cpp
@@ -66,6 +66,16 @@
     return freeSeats / sharing + (draw(state.random) < remainder ? 1 : 0);
 }
 
+/// @return seats on one decode replica that others have in mind for prefills under way, which no
+/// report shows. The others are taken to be as busy as this instance.
+auto othersPending(ShardState& state) -> std::uint32_t
+{
+    const auto pending = std::uint64_t { state.prefilling } * (state.settings.sharingInstances - 1);
+    const auto replicas = std::max<std::uint64_t>(state.decodeCapacities.size(), 1);
+    std::uniform_int_distribution<std::uint64_t> draw(0, replicas - 1);
+    return static_cast<std::uint32_t>(pending / replicas + (draw(state.random) < pending % replicas ? 1 : 0));
+}
+
 auto learnOthers(DecisionContext& context, Replica& replica, const ReplicaLoad& event) -> void
 {
     auto& state = context.state;
@@ -74,8 +84,10 @@
     replica.othersSeats = difference(used, own.running);
     const auto usedPieces = difference(replica.description.memoryPieces, event.freePieces);
     replica.othersPieces = difference(usedPieces, own.pieces);
-    const auto taken = replica.reserved.seats + replica.othersSeats;
     replica.allowanceUntil = context.now + allowanceLifetime;
+    if (event.asOf < replica.busyAt)
+        return;
+    const auto taken = replica.reserved.seats + replica.othersSeats + (replica.role() == PoolRole::Decode ? othersPending(state) : 0);
     replica.seatAllowance = seatShare(state, difference(replica.description.seats, taken));
 }
 
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -93,16 +93,16 @@
 
 }
 
-auto choosePlacement(DecisionContext& context, const ActiveRequest& request) -> std::optional<Placement>
+auto choosePlacement(DecisionContext& context, const ActiveRequest& request, std::int64_t seatsLeft) -> std::optional<Placement>
 {
     // Without a seat or the prospect of one, the more expensive choice of a prefill is left out.
-    const auto seatIsFree = hasFreeDecode(context.state);
-    if (!seatIsFree && !seatExpected(context, prefillTime(context.state, request.arrival.promptTokens)))
+    const auto seatIsFree = hasFreeDecode(context.state) && context.state.freeDecodeSeats > seatsLeft;
+    if (!seatIsFree && !seatExpected(context, prefillTime(context.state, request.arrival.promptTokens), seatsLeft))
         return std::nullopt;
     auto* prefill = choosePrefill(context, request);
     if (!prefill)
         return std::nullopt;
-    if (auto* decode = chooseDecode(context, request, prefill->description.zone))
+    if (auto* decode = seatIsFree ? chooseDecode(context, request, prefill->description.zone) : nullptr)
         return Placement { prefill, decode, true };
     // A promised seat goes past the queue. Batch work with a promise would take the next seats from
     // interactive work that arrives in the meantime.
@@ -112,7 +112,7 @@
     if (request.verdict == CrashVerdict::Suspect)
         return std::nullopt;
     const auto tokens = prefill->reserved.prefillTokens + request.arrival.promptTokens;
-    if (!seatExpected(context, prefillTime(context.state, tokens)))
+    if (!seatExpected(context, prefillTime(context.state, tokens), seatsLeft))
         return std::nullopt;
     if (auto* decode = expectedDecode(context, request))
         return Placement { prefill, decode, false };
--- a/src/Placement.h
+++ b/src/Placement.h
@@ -15,9 +15,10 @@
     bool seatFree;
 };
 
+/// @param seatsLeft decode seats that must stay free besides.
 /// @return a prefill replica, and a decode replica where a seat and memory are free or will be when
 /// the result is ready; nothing if there is no such pair now.
-auto choosePlacement(DecisionContext& context, const ActiveRequest& request) -> std::optional<Placement>;
+auto choosePlacement(DecisionContext& context, const ActiveRequest& request, std::int64_t seatsLeft) -> std::optional<Placement>;
 /// @param prefillZone where the prefill result is; a decode there is preferred.
 /// @return a decode replica with a free seat and memory for the request.
 auto chooseDecode(DecisionContext& context, const ActiveRequest& request, ZoneId prefillZone) -> Replica*;
--- a/src/Replica.h
+++ b/src/Replica.h
@@ -44,6 +44,11 @@
     std::optional<RequestId> probationer;
     /// When the last crash was blamed on a suspect.
     std::optional<TimePoint> blamedAt;
+    /// Its part of the free and of all seats of the shard.
+    std::int64_t countedFreeSeats = 0;
+    std::int64_t countedSeats = 0;
+    /// When it last turned work away for lack of room; older reports say nothing about its seats.
+    TimePoint busyAt = TimePoint::min();
     /// Its entry among the capacities of the live replicas.
     std::optional<std::uint64_t> countedCapacity;
     /// Whether it is in the placement index, and under which key.
--- a/src/ReplicaHealth.cpp
+++ b/src/ReplicaHealth.cpp
@@ -68,6 +68,9 @@
     switch (failure) {
     case FailureKind::Busy:
         replica->busyUntil = context.now + busyPause;
+        replica->busyAt = context.now;
+        if (replica->seatAllowance)
+            replica->seatAllowance = 0;
         break;
     case FailureKind::Leaving:
         changeState(context, *replica, ReplicaState::Leaving);
--- a/src/ReplicaIndex.cpp
+++ b/src/ReplicaIndex.cpp
@@ -52,6 +52,20 @@
     return replica.consecutiveFailures < failuresBeforeEjection || replica.reserved.seats == 0;
 }
 
+auto countFreeSeats(ShardState& state, Replica& replica) -> void
+{
+    if (replica.role() != PoolRole::Decode)
+        return;
+    const auto live = replica.description.state == ReplicaState::Live;
+    const auto used = std::int64_t { replica.reserved.seats } + replica.othersSeats;
+    const auto free = live ? std::max<std::int64_t>(replica.description.seats - used, 0) : 0;
+    state.freeDecodeSeats += free - replica.countedFreeSeats;
+    replica.countedFreeSeats = free;
+    const auto all = live ? std::int64_t { replica.description.seats } : 0;
+    state.decodeSeats += all - replica.countedSeats;
+    replica.countedSeats = all;
+}
+
 auto nextTimer(const Replica& replica, TimePoint now) -> TimePoint
 {
     auto next = TimePoint::max();
@@ -84,6 +98,7 @@
 
 auto updateIndex(DecisionContext& context, Replica& replica) -> void
 {
+    countFreeSeats(context.state, replica);
     const auto& description = replica.description;
     auto& zone = context.state.index.ofRole(description.role)[description.zone];
     const auto accepts = acceptsWork(replica, context.now);
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -6,6 +6,7 @@
 #include "Ledger.h"
 #include "ReplicaHealth.h"
 #include "RequestLife.h"
+#include "SeatReserve.h"
 
 #include <algorithm>
 
@@ -49,6 +50,7 @@
     request.arrival = event;
     request.arrivedAt = context.now;
     request.latencyClass = kindOf(state, request).latencyClass;
+    noteOffered(context, request);
     const auto refusal = admissionRefusal(context, request);
     enqueue(context, request);
     if (refusal)
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -23,6 +23,9 @@
 
 auto enter(DecisionContext& context, ActiveRequest& request, RequestPhase phase) -> void
 {
+    auto& prefilling = context.state.prefilling;
+    prefilling += phase == RequestPhase::Prefilling;
+    prefilling -= request.phase == RequestPhase::Prefilling;
     request.phase = phase;
     if (phase != RequestPhase::Decoding)
         request.phaseSince = context.now;
@@ -54,6 +57,7 @@
 auto erase(DecisionContext& context, ActiveRequest& request) -> void
 {
     const auto id = request.arrival.request;
+    context.state.prefilling -= request.phase == RequestPhase::Prefilling;
     context.state.timers.move(id, request.timerAt, TimePoint::max());
     context.state.answered.insert(id);
     context.state.requests.erase(id);
--- a/src/RequestQueue.cpp
+++ b/src/RequestQueue.cpp
@@ -27,7 +27,7 @@
         m_resume.emplace(entry.order, entry.request);
         break;
     case QueueLane::Late:
-        m_late.emplace(entry.order, entry.request);
+        lateOf(entry).emplace(entry.order, entry.request);
         break;
     case QueueLane::Fair:
         pushFair(entry, std::max(weight, minimumWeight));
@@ -44,7 +44,7 @@
         removed = m_resume.erase(position);
         break;
     case QueueLane::Late:
-        removed = m_late.erase(position);
+        removed = lateOf(entry).erase(position);
         break;
     case QueueLane::Fair:
         removed = removeFair(entry);
@@ -108,6 +108,11 @@
     return first(m_late);
 }
 
+auto RequestQueue::oldestLateBatch() const -> std::optional<RequestId>
+{
+    return first(m_lateBatch);
+}
+
 auto RequestQueue::oldestResume() const -> std::optional<RequestId>
 {
     return first(m_resume);
--- a/src/RequestQueue.h
+++ b/src/RequestQueue.h
@@ -39,7 +39,10 @@
 
     /// @return the request of the class that has waited longest.
     auto oldest(LatencyClass latencyClass) const -> std::optional<RequestId>;
+    /// @return the oldest late request that is not batch work.
     auto oldestLate() const -> std::optional<RequestId>;
+    /// Batch work is still to be answered after its first-token target.
+    auto oldestLateBatch() const -> std::optional<RequestId>;
     auto oldestResume() const -> std::optional<RequestId>;
 
     auto size() const -> std::size_t { return m_size; }
@@ -74,7 +77,10 @@
 
     std::map<FlowKey, Flow> m_flows;
     std::array<Class, 3> m_classes;
+    auto lateOf(const QueueEntry& entry) -> Waiting& { return entry.latencyClass == LatencyClass::Batch ? m_lateBatch : m_late; }
+
     Waiting m_late;
+    Waiting m_lateBatch;
     Waiting m_resume;
     std::map<CustomerId, std::size_t> m_customers;
     std::size_t m_size = 0;
--- /dev/null
+++ b/src/SeatReserve.cpp
@@ -0,0 +1,46 @@
+#include "SeatReserve.h"
+
+#include "Forecast.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jayhold {
+
+namespace {
+
+/// The number of seats in use varies by about its square root.
+constexpr double deviationsLeft = 1.0;
+/// Of all decode seats; a pool of a few seats is not kept from less urgent work altogether.
+constexpr double largestPart = 0.2;
+
+auto seconds(Duration duration) -> double
+{
+    return static_cast<double>(duration.count()) / 1e6;
+}
+
+}
+
+auto noteOffered(DecisionContext& context, const ActiveRequest& request) -> void
+{
+    auto& state = context.state;
+    const auto decode = expectedTokens(state, request) / state.rates.tokensPerSecond.value();
+    const auto prefill = prefillTime(state, request.arrival.promptTokens) + transferTime(state, request);
+    state.offered.arrived(request.latencyClass, context.now, decode + seconds(prefill));
+}
+
+auto seatsToLeave(const DecisionContext& context, const ActiveRequest& request) -> std::int64_t
+{
+    if (request.lane == QueueLane::Resume)
+        return 0;
+    // Late work leaves seats for all classes, its own included.
+    const auto classes = request.lane == QueueLane::Late ? 3 : static_cast<int>(request.latencyClass);
+    double offered = 0;
+    for (int urgent = 0; urgent < classes; ++urgent)
+        offered += context.state.offered.seats(static_cast<LatencyClass>(urgent), context.now);
+    const auto wanted = deviationsLeft * std::sqrt(offered * context.state.settings.sharingInstances);
+    const auto most = largestPart * static_cast<double>(context.state.decodeSeats);
+    return static_cast<std::int64_t>(std::min(wanted, most));
+}
+
+}
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -6,6 +6,7 @@
 #include "AnsweredRequests.h"
 #include "EndForecast.h"
 #include "LengthModel.h"
+#include "OfferedLoad.h"
 #include "PlacementIndex.h"
 #include "PrefixCacheView.h"
 #include "Replica.h"
@@ -51,10 +52,17 @@
     /// Signatures of requests that crash engines, and until when they are refused.
     std::unordered_map<std::uint64_t, TimePoint> blockedSignatures;
     RetryBudget retryBudget;
+    OfferedLoad offered;
+    /// Free seats of the live decode replicas, as far as known.
+    std::int64_t freeDecodeSeats = 0;
+    /// All seats of the live decode replicas.
+    std::int64_t decodeSeats = 0;
+    /// Requests whose prefill runs; each is about to take a decode seat that no report shows.
+    std::uint32_t prefilling = 0;
     StartPace pace;
     StartPace latePace;
-    /// Starts since an aged request got its turn.
-    std::uint32_t startsSinceAged = 0;
+    /// Expected output tokens of the requests started since an aged request got its turn.
+    std::uint64_t servedSinceAged = 0;
     std::minstd_rand random;
     ShardSummary totals;
     /// Memory of the live replicas in tokens.
