Tell a lost connection and a cut zone from a crash

A broken connection made its request a suspect, whose replicas got no new work until it was cleared. Now the suspects of a replica are cleared as soon as it answers other work that was there before; and when connections to three replicas of a zone break within 100 ms, none of them crashed. Memory that others have in mind for prefills under way is counted like their seats.

--- a/src/CrashWatch.cpp
+++ b/src/CrashWatch.cpp
@@ -3,12 +3,20 @@
 #include "ReplicaIndex.h"
 #include "RequestLife.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace jayhold {
 
 namespace {
 
 /// The failures of all requests of a crashed engine arrive within this time.
 constexpr Duration crashWindow = std::chrono::seconds(1);
+/// A request crashes one replica at a time; more than two within this time have another cause.
+constexpr Duration cutWindow = std::chrono::milliseconds(100);
+constexpr std::ptrdiff_t replicasOfCut = 3;
+/// Events of other streams from before the crash may still be on their way for this long.
+constexpr Duration eventDelay = std::chrono::milliseconds(20);
 /// Tokens past the point of the crash that clear a suspect; a crash may come a little later than
 /// the last token that got through.
 constexpr std::uint32_t clearingTokens = 4;
@@ -36,6 +44,37 @@
     std::erase_if(context.state.blockedSignatures, [&](const auto& blocked) { return blocked.second <= context.now; });
 }
 
+auto clearSuspects(DecisionContext& context, Replica& replica) -> void
+{
+    for (const auto id : std::exchange(replica.freshSuspects, {})) {
+        auto* suspect = findRequest(context.state, id);
+        if (!suspect || suspect->verdict != CrashVerdict::Suspect)
+            continue;
+        suspect->verdict = CrashVerdict::None;
+        endProbation(context, *suspect, suspect->prefill);
+        endProbation(context, *suspect, suspect->decode);
+    }
+}
+
+/// Connections to several replicas of a zone that break at once show a network failure.
+auto clearIfZoneIsCut(DecisionContext& context, const Replica& replica) -> void
+{
+    auto& lost = context.state.lostReplicas;
+    const auto id = replica.description.replica;
+    std::erase_if(lost, [&](const auto& entry) { return context.now - entry.second > cutWindow || entry.first == id; });
+    lost.emplace_back(id, context.now);
+    const auto sameZone = [&](const auto& entry) {
+        const auto* other = findReplica(context.state, entry.first);
+        return other && other->description.zone == replica.description.zone;
+    };
+    if (std::count_if(lost.begin(), lost.end(), sameZone) < replicasOfCut)
+        return;
+    for (const auto& entry : lost) {
+        if (sameZone(entry))
+            clearSuspects(context, *findReplica(context.state, entry.first));
+    }
+}
+
 }
 
 auto noteCrash(DecisionContext& context, ActiveRequest& request, Replica& replica) -> void
@@ -46,9 +85,25 @@
         request.verdict = CrashVerdict::Culprit;
     } else if (!blamedOnAnother(context, request, replica)) {
         request.verdict = CrashVerdict::Suspect;
+        if (replica.freshSuspects.empty() || context.now - replica.lostAt > crashWindow) {
+            replica.freshSuspects.clear();
+            replica.lostAt = context.now;
+        }
+        replica.freshSuspects.push_back(request.arrival.request);
+        clearIfZoneIsCut(context, replica);
     }
 }
 
+auto noteAlive(DecisionContext& context, const ActiveRequest& request, ReplicaId id) -> void
+{
+    auto* replica = findReplica(context.state, id);
+    if (!replica || replica->freshSuspects.empty())
+        return;
+    if (request.phaseSince >= replica->lostAt || context.now - replica->lostAt < eventDelay)
+        return;
+    clearSuspects(context, *replica);
+}
+
 auto noteProgress(DecisionContext& context, ActiveRequest& request) -> void
 {
     if (request.verdict != CrashVerdict::Suspect || request.emitted < request.emittedAtCrash + clearingTokens)
--- a/src/CrashWatch.h
+++ b/src/CrashWatch.h
@@ -12,6 +12,9 @@
 /// The connection to the replica that runs the request broke, or the replica is gone without having
 /// left; sets the request's verdict.
 auto noteCrash(DecisionContext& context, ActiveRequest& request, Replica& replica) -> void;
+/// The replica answered the request. If that work was there before connections to the replica broke,
+/// it did not crash, and those who lost their connections are no suspects.
+auto noteAlive(DecisionContext& context, const ActiveRequest& request, ReplicaId id) -> void;
 /// Ends the probation of a request that has got past the point where it ran into a crash.
 auto noteProgress(DecisionContext& context, ActiveRequest& request) -> void;
 /// Refuses all requests with the signature, now and for some time.
--- a/src/Ledger.cpp
+++ b/src/Ledger.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr double newestPiecesShare = 0.05;
 constexpr std::uint32_t defaultPieceTokens = 2'000;
 
 auto subtract(Reservation& from, const Reservation& amount) -> void
@@ -62,6 +63,8 @@
         replica.owners.push_back(request.arrival.request);
     add(hold, amount);
     add(replica.reserved, amount);
+    if (replica.role() == PoolRole::Decode && amount.seats)
+        context.state.meanDecodePieces += (amount.pieces - context.state.meanDecodePieces) * newestPiecesShare;
     if (request.verdict == CrashVerdict::Suspect && amount.seats)
         replica.probationer = request.arrival.request;
     if (replica.seatAllowance)
--- a/src/LoadReports.cpp
+++ b/src/LoadReports.cpp
@@ -83,11 +83,12 @@
     const auto used = event.running + event.waiting;
     replica.othersSeats = difference(used, own.running);
     const auto usedPieces = difference(replica.description.memoryPieces, event.freePieces);
-    replica.othersPieces = difference(usedPieces, own.pieces);
+    const auto pending = replica.role() == PoolRole::Decode ? othersPending(state) : 0;
+    replica.othersPieces = difference(usedPieces, own.pieces) + static_cast<std::uint32_t>(pending * state.meanDecodePieces);
     replica.allowanceUntil = context.now + allowanceLifetime;
     if (event.asOf < replica.busyAt)
         return;
-    const auto taken = replica.reserved.seats + replica.othersSeats + (replica.role() == PoolRole::Decode ? othersPending(state) : 0);
+    const auto taken = replica.reserved.seats + replica.othersSeats + pending;
     replica.seatAllowance = seatShare(state, difference(replica.description.seats, taken));
 }
 
--- a/src/Replica.h
+++ b/src/Replica.h
@@ -42,6 +42,9 @@
 
     /// The suspect that runs here in isolation; the replica gets no new work meanwhile.
     std::optional<RequestId> probationer;
+    /// Requests that became suspects here since `lostAt`, until something shows that it did not crash.
+    std::vector<RequestId> freshSuspects;
+    TimePoint lostAt;
     /// When the last crash was blamed on a suspect.
     std::optional<TimePoint> blamedAt;
     /// Its part of the free and of all seats of the shard.
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -63,6 +63,7 @@
     if (!request)
         return;
     attemptSucceeded(context, *request->prefill);
+    noteAlive(context, *request, *request->prefill);
     prefillDone(context, *request, event.expiresAt, event.cachedTokens);
 }
 
@@ -97,6 +98,7 @@
     raiseEmitted(context, *request, event.total);
     if (request->phase != RequestPhase::Decoding)
         return;
+    noteAlive(context, *request, *request->decode);
     noteProgress(context, *request);
     updateExpectedEnd(context, *request);
     growDecode(context, *request);
@@ -108,6 +110,7 @@
     if (!request)
         return;
     attemptSucceeded(context, *request->decode);
+    noteAlive(context, *request, *request->decode);
     learnLength(context, *request, event.totalTokens);
     finish(context, *request);
 }
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -51,6 +51,8 @@
     std::vector<LengthModel> lengths;
     /// Signatures of requests that crash engines, and until when they are refused.
     std::unordered_map<std::uint64_t, TimePoint> blockedSignatures;
+    /// Replicas that lost connections, and when, for a short time.
+    std::vector<std::pair<ReplicaId, TimePoint>> lostReplicas;
     RetryBudget retryBudget;
     OfferedLoad offered;
     /// Free seats of the live decode replicas, as far as known.
@@ -59,6 +61,8 @@
     std::int64_t decodeSeats = 0;
     /// Requests whose prefill runs; each is about to take a decode seat that no report shows.
     std::uint32_t prefilling = 0;
+    /// Memory pieces of a request on a decode replica, averaged.
+    double meanDecodePieces = 0;
     StartPace pace;
     StartPace latePace;
     /// Expected output tokens of the requests started since an aged request got its turn.
--- a/test/correctness/CrashTest.cpp
+++ b/test/correctness/CrashTest.cpp
@@ -172,6 +172,52 @@
     CHECK(engines.reported == std::set<std::uint64_t> { 3, 12 });
 }
 
+// Guards against engines that are kept from new work because a single connection broke.
+TEST_CASE("a lost connection is no crash while other streams of the engine go on")
+{
+    ShardHarness harness;
+    harness.replica(1, PoolRole::Prefill, 8);
+    harness.replica(2, PoolRole::Decode, 8);
+    std::vector<StartDecode> decodes;
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+        harness.arrive(id);
+        harness.prefilled(*harness.last<StartPrefill>());
+        decodes.push_back(*harness.last<StartDecode>());
+        harness.started(decodes.back());
+    }
+    harness.now += 100ms;
+    harness.send(DecodeFailed { decodes[0].request, decodes[0].attempt, FailureKind::ConnectionLost, 3 });
+    harness.arrive(10);
+    CHECK_FALSE(harness.last<StartPrefill>());
+    harness.now += 30ms;
+    harness.send(TokensEmitted { decodes[1].request, decodes[1].attempt, 6 });
+    CHECK(harness.last<StartPrefill>());
+}
+
+// Guards against a zone that is cut off being taken for crashes, so that the requests of all its
+// replicas run in isolation.
+TEST_CASE("connections of several replicas that break at once are no crash")
+{
+    ShardHarness harness;
+    harness.replica(1, PoolRole::Prefill, 8);
+    std::vector<StartDecode> decodes;
+    for (std::uint32_t id = 10; id < 13; ++id) {
+        harness.replica(id, PoolRole::Decode, 1);
+        harness.arrive(id);
+        harness.prefilled(*harness.last<StartPrefill>());
+        decodes.push_back(*harness.last<StartDecode>());
+        harness.started(decodes.back());
+    }
+    harness.replica(20, PoolRole::Decode, 8);
+    harness.now += 100ms;
+    std::size_t starts = 0;
+    for (const auto& decode : decodes) {
+        harness.send(DecodeFailed { decode.request, decode.attempt, FailureKind::ConnectionLost, 3 });
+        starts += harness.count<StartPrefill>();
+    }
+    CHECK(starts == 3);
+}
+
 // Guards against a caller that sends a crashing request again, here or at a peer.
 TEST_CASE("a request with a reported signature is refused as not run")
 {
