Test the entry daemon in a whole deployment over real sockets

Platform, prefill engine, decode engine, plain service and entry instance run in one process and talk over loopback sockets. The tests compare streamed and whole answers with the engine's text, repeat a deposit, race two operators and shut the instance down during a stream.

--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -19,3 +19,7 @@
   SOURCES test/correctness/ModelRequestTest.cpp test/correctness/PlainBalancerTest.cpp
     test/correctness/PlainServiceTest.cpp
   LINK jayhold_entry)
+
+jayhold_test(entry_daemon_test
+  SOURCES test/correctness/EntryDaemonTest.cpp
+  LINK jayhold_entry jayhold_standins)
--- a/test/EntryHarness.h
+++ b/test/EntryHarness.h
@@ -50,7 +50,7 @@
         return runOn(m_threads, 0, m_threads.client(0).request(endpoint(), std::move(request), std::chrono::seconds(8)));
     }
 
-    auto complete(bool isStream, std::string prompt = "a b c") -> HttpResponse
+    auto complete(bool isStream, const std::string& prompt = "a b c") -> HttpResponse
     {
         const std::string body = R"({"prompt":")" + prompt + R"(","max_tokens":10,"stream":)" + (isStream ? "true}" : "false}");
         return *call({ "POST", "/v1/completions", {}, body });
--- a/test/FakeEngine.h
+++ b/test/FakeEngine.h
@@ -61,7 +61,7 @@
     auto prefills() const -> int { return m_prefills; }
 
     /// Makes the load report show memory that is held for a request.
-    auto hold(std::string requestId, std::string owner) -> void
+    auto hold(const std::string& requestId, const std::string& owner) -> void
     {
         const std::lock_guard guard(m_lock);
         m_held = R"({"request_id":")" + requestId + R"(","owner":")" + owner + R"(","pieces":1,"age_ms":5})";
