Relay tokens with fewer timers and turns, and measure the relay

jayhold-relay-bench runs an entry instance in a process of its own and measures events per second of its I/O thread, added latency against callers that make the same engine calls directly, and memory.

The profile showed a timer that was set and cancelled for every read and every write, and a turn of the event loop for writes that the socket's buffer took at once. Now one timer for a stream is set anew only when it ends, and a piece is sent directly where the socket takes it.

--- /dev/null
+++ b/bench/RelayBench.cpp
@@ -0,0 +1,297 @@
+// Measures what one I/O thread of an entry instance relays, the latency that it adds, and its
+// memory. The entry instance runs in a process of its own, so that its memory and CPU time can be
+// told apart from those of engines and callers.
+#include "ProcessUsage.h"
+#include "RelayCallers.h"
+
+#include "Platform.h"
+
+#include <jayhold/Base.h>
+#include <jayhold/Entry.h>
+#include <jayhold/Operator.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <getopt.h>
+#include <iostream>
+#include <thread>
+
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+using namespace jayhold;
+using namespace jayhold::bench;
+using namespace std::chrono_literals;
+namespace json = boost::json;
+
+namespace {
+
+struct Options {
+    int streams = 2'000;
+    int latencyStreams = 50;
+    int engines = 4;
+    int seconds = 5;
+    int gapMs = 40;
+};
+
+struct EntryProcess {
+    pid_t process = -1;
+    HttpEndpoint endpoint;
+    HttpEndpoint peerEndpoint;
+};
+
+auto ports(int descriptor, std::uint16_t (&values)[2]) -> bool
+{
+    return read(descriptor, values, sizeof values) == static_cast<ssize_t>(sizeof values);
+}
+
+/// The process of the entry instance: learns the platform's port, tells its own, and serves until
+/// it is told to end.
+[[noreturn]] auto runEntry(int input, int output) -> void
+{
+    std::uint16_t received[2] {};
+    if (!ports(input, received))
+        std::_Exit(1);
+    configureLogging(LogLevel::Warning);
+    EntrySettings settings;
+    settings.instance = "entry-1";
+    settings.availabilityZone = "zone";
+    settings.listen = settings.peerListen = { "127.0.0.1", 0 };
+    settings.platform = { { "127.0.0.1", received[0] } };
+    settings.peerKey = "peer-key";
+    settings.operatorKeysSha256 = { sha256Hex("operator-key") };
+    EntryDaemon daemon(std::move(settings));
+    const std::uint16_t sent[2] { daemon.endpoint().port, daemon.peerEndpoint().port };
+    if (write(output, sent, sizeof sent) != static_cast<ssize_t>(sizeof sent))
+        std::_Exit(1);
+    char byte = 0;
+    // Returns when the other process closes its end.
+    (void)!read(input, &byte, 1);
+    std::_Exit(0);
+}
+
+auto benchConfiguration(int engines) -> Configuration
+{
+    Configuration configuration;
+    configuration.availabilityZones = { { "zone", "region" } };
+    configuration.customers = { { .name = "bench", .keySha256 = sha256Hex("bench-key"), .maxQueued = 100'000 } };
+    Service service { .name = "llm", .model = "model" };
+    service.pools.push_back({ .name = "prefill", .availabilityZone = "zone", .role = PoolRole::Prefill, .seats = 4'000, .memoryPieces = 60'000, .linkBytesPerSecond = 1'000'000'000'000 });
+    service.pools.push_back({ .name = "decode", .availabilityZone = "zone", .role = PoolRole::Decode, .seats = 4'000 / engines, .memoryPieces = 60'000, .linkBytesPerSecond = 1'000'000'000'000 });
+    service.kinds = { { .name = "chat", .firstToken = 2s, .tokenGap = 100ms, .deadline = 600s } };
+    configuration.services = { service };
+    return configuration;
+}
+
+/// Everything in the benchmark's own process.
+class Scene {
+    // Threads outlive the servers that listen on them.
+    IoThreads m_platformThreads { 1 };
+    IoThreads m_callerThreads { 3 };
+    std::vector<std::unique_ptr<IoThreads>> m_engineThreads;
+    standin::Platform m_platform;
+
+public:
+    Scene(const Options& options, int toEntry, int fromEntry, pid_t process)
+        : m_platform(m_platformThreads, {})
+    {
+        const std::uint16_t sent[2] { m_platform.endpoint().port, 0 };
+        std::uint16_t received[2] {};
+        if (write(toEntry, sent, sizeof sent) != static_cast<ssize_t>(sizeof sent) || !ports(fromEntry, received))
+            throw std::runtime_error("the entry process did not start");
+        entry = { process, { "127.0.0.1", received[0] }, { "127.0.0.1", received[1] } };
+        RelayEngineSettings settings { .tokens = 1'000'000, .tokenGap = std::chrono::milliseconds(options.gapMs) };
+        for (auto index = 0; index <= options.engines; ++index) {
+            m_engineThreads.push_back(std::make_unique<IoThreads>(1));
+            engines.push_back(std::make_unique<RelayEngine>(*m_engineThreads.back(), settings));
+        }
+        callers = std::make_unique<RelayCallers>(m_callerThreads, entry.endpoint, engines.back()->endpoint());
+        configure(options);
+    }
+    ~Scene()
+    {
+        m_callerThreads.stop();
+        for (auto& threads : m_engineThreads)
+            threads->stop();
+        m_platformThreads.stop();
+    }
+    Scene(const Scene&) = delete;
+    auto operator=(const Scene&) -> Scene& = delete;
+
+    EntryProcess entry;
+    /// The last engine serves the prefills and the direct callers.
+    std::vector<std::unique_ptr<RelayEngine>> engines;
+    std::unique_ptr<RelayCallers> callers;
+
+private:
+    auto send(const HttpEndpoint& endpoint, HttpRequest request) -> unsigned
+    {
+        const auto answer = boost::asio::co_spawn(m_callerThreads.context(0), m_callerThreads.client(0).request(endpoint, std::move(request), 5s), boost::asio::use_future).get();
+        return answer.has_value() ? answer->status : 0;
+    }
+
+    auto configure(const Options& options) -> void
+    {
+        json::array list;
+        for (std::size_t index = 0; index < engines.size(); ++index) {
+            const auto* pool = index + 1 < engines.size() ? "decode" : "prefill";
+            list.push_back(json::object { { "id", "engine-" + std::to_string(index) }, { "address", toString(engines[index]->endpoint()) }, { "availability_zone", "zone" }, { "pool", pool }, { "state", "live" } });
+        }
+        const json::object body { { "instances", list } };
+        send(m_platform.endpoint(), { "PUT", "/admin/instances", {}, json::serialize(body) });
+        HttpRequest apply { "PUT", "/admin/v1/configuration", { { "Authorization", "Bearer operator-key" }, { "If-Match", "0" } }, printConfiguration(benchConfiguration(options.engines)) };
+        if (send(entry.peerEndpoint, std::move(apply)) != 200)
+            throw std::runtime_error("the configuration was not accepted");
+        std::this_thread::sleep_for(2s);
+    }
+};
+
+auto quantile(std::vector<std::int64_t> values, double share) -> double
+{
+    if (values.empty())
+        return 0;
+    const auto position = std::min(values.size() - 1, static_cast<std::size_t>(static_cast<double>(values.size()) * share));
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(position), values.end());
+    return static_cast<double>(values[position]) / 1e6;
+}
+
+/// Opens streams at a rate that is no burst, and waits until they run.
+auto openStreams(Scene& scene, int count, bool isDirect) -> void
+{
+    const auto wanted = scene.callers->streaming() + count;
+    for (auto index = 0; index < count; ++index) {
+        scene.callers->start(isDirect);
+        std::this_thread::sleep_for(1ms);
+    }
+    for (auto wait = 0; wait < 500 && scene.callers->streaming() < wanted; ++wait)
+        std::this_thread::sleep_for(10ms);
+}
+
+auto printLatency(std::string_view name, const std::vector<std::int64_t>& relayed, const std::vector<std::int64_t>& direct) -> void
+{
+    std::printf("measure=%.*s samples=%zu relayed_p50_ms=%.3f direct_p50_ms=%.3f relayed_p99_ms=%.3f direct_p99_ms=%.3f added_p99_ms=%.3f\n", static_cast<int>(name.size()), name.data(),
+        relayed.size(), quantile(relayed, 0.5), quantile(direct, 0.5), quantile(relayed, 0.99), quantile(direct, 0.99), quantile(relayed, 0.99) - quantile(direct, 0.99));
+}
+
+/// Opens relayed and direct streams alternately in the same run.
+auto measureLatency(Scene& scene, const Options& options, std::string_view name) -> void
+{
+    scene.callers->setRecording(true);
+    for (auto index = 0; index < options.latencyStreams; ++index) {
+        openStreams(scene, 1, false);
+        openStreams(scene, 1, true);
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(options.seconds));
+    scene.callers->setRecording(false);
+    const auto relayed = scene.callers->take(false);
+    const auto direct = scene.callers->take(true);
+    printLatency(std::string(name) + "_first_token", relayed.firstToken, direct.firstToken);
+    printLatency(std::string(name) + "_token", relayed.token, direct.token);
+}
+
+auto measureThroughput(Scene& scene, const Options& options) -> void
+{
+    openStreams(scene, options.streams, false);
+    std::printf("measure=memory streams=%d resident_mb=%.1f\n", scene.callers->streaming(), static_cast<double>(residentBytes(scene.entry.process)) / 1e6);
+    auto before = threadTimes(scene.entry.process);
+    scene.callers->setRecording(true);
+    const auto begun = nanoseconds();
+    std::this_thread::sleep_for(std::chrono::seconds(options.seconds));
+    scene.callers->setRecording(false);
+    const auto wall = static_cast<double>(nanoseconds() - begun) / 1e9;
+    const auto after = threadTimes(scene.entry.process);
+    // The entry instance has one I/O thread, which is the busiest.
+    ThreadTime busiest;
+    for (const auto& [thread, time] : after) {
+        const ThreadTime used { time.running - before[thread].running, time.waiting - before[thread].waiting };
+        if (used.running > busiest.running)
+            busiest = used;
+    }
+    const auto samples = scene.callers->take(false);
+    const auto cores = static_cast<double>(busiest.running) / 1e9 / wall;
+    const auto waiting = static_cast<double>(busiest.waiting) / 1e9 / wall;
+    const auto rate = static_cast<double>(samples.tokens) / wall;
+    std::printf("measure=throughput streams=%d events_per_second=%.0f io_thread_cores=%.3f waiting_for_core=%.3f events_per_core_second=%.0f token_p50_ms=%.3f token_p99_ms=%.3f\n", scene.callers->streaming(), rate, cores, waiting, rate / cores,
+        quantile(samples.token, 0.5), quantile(samples.token, 0.99));
+}
+
+auto parseOptions(int argumentCount, char** arguments, Options& options) -> bool
+{
+    static const option longOptions[] = {
+        { "streams", required_argument, nullptr, 's' },
+        { "latency-streams", required_argument, nullptr, 'l' },
+        { "engines", required_argument, nullptr, 'e' },
+        { "seconds", required_argument, nullptr, 't' },
+        { "token-gap-ms", required_argument, nullptr, 'g' },
+        { "help", no_argument, nullptr, 'h' },
+        { nullptr, 0, nullptr, 0 },
+    };
+    for (auto choice = 0; (choice = getopt_long(argumentCount, arguments, "", longOptions, nullptr)) != -1;) {
+        if (choice == 's')
+            options.streams = std::atoi(optarg);
+        else if (choice == 'l')
+            options.latencyStreams = std::atoi(optarg);
+        else if (choice == 'e')
+            options.engines = std::atoi(optarg);
+        else if (choice == 't')
+            options.seconds = std::atoi(optarg);
+        else if (choice == 'g')
+            options.gapMs = std::atoi(optarg);
+        else
+            return false;
+    }
+    return true;
+}
+
+/// Two sockets for each stream in each process.
+auto raiseDescriptorLimit() -> void
+{
+    rlimit limit {};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+}
+
+auto main(int argumentCount, char** arguments) -> int
+{
+    Options options;
+    if (!parseOptions(argumentCount, arguments, options)) {
+        std::cerr << "usage: jayhold-relay-bench [--streams N] [--latency-streams N] [--engines N] [--seconds N] [--token-gap-ms N]\n";
+        return static_cast<int>(ExitCode::Usage);
+    }
+    std::setvbuf(stdout, nullptr, _IOLBF, 0);
+    raiseDescriptorLimit();
+    int toEntry[2];
+    int fromEntry[2];
+    if (pipe(toEntry) != 0 || pipe(fromEntry) != 0)
+        return static_cast<int>(ExitCode::Failed);
+    // Before any thread exists, because only the calling thread lives on in the new process.
+    const auto process = fork();
+    if (process == 0) {
+        close(toEntry[1]);
+        close(fromEntry[0]);
+        runEntry(toEntry[0], fromEntry[1]);
+    }
+    close(toEntry[0]);
+    close(fromEntry[1]);
+    configureLogging(LogLevel::Error);
+    {
+        Scene scene(options, toEntry[1], fromEntry[0], process);
+        measureLatency(scene, options, "idle");
+        measureThroughput(scene, options);
+        measureLatency(scene, options, "loaded");
+    }
+    close(toEntry[1]);
+    waitpid(process, nullptr, 0);
+    return static_cast<int>(ExitCode::Success);
+}
--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -23,3 +23,6 @@
 jayhold_test(entry_daemon_test
   SOURCES test/correctness/EntryDaemonTest.cpp
   LINK jayhold_entry jayhold_standins)
+
+add_executable(jayhold-relay-bench bench/RelayBench.cpp bench/RelayCallers.cpp)
+target_link_libraries(jayhold-relay-bench PRIVATE jayhold_entry jayhold_standins)
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -4,21 +4,48 @@
 
 #include "HttpStream.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include <array>
+#include <memory>
 #include <optional>
 
 namespace jayhold {
 
 struct HttpStream::Connection {
+    /// Ends a read that takes too long. A timer of its own for every read would cost more than the
+    /// read of a short piece; this one is set anew only when it ends or has to end earlier.
+    struct Watch {
+        explicit Watch(const boost::asio::any_io_executor& executor)
+            : timer(executor)
+        {
+        }
+
+        boost::asio::steady_timer timer;
+        /// Null when the connection is gone.
+        Connection* connection = nullptr;
+        TimePoint deadline = TimePoint::max();
+        TimePoint armedFor = TimePoint::max();
+        bool hasTimedOut = false;
+    };
+
     explicit Connection(boost::asio::io_context& context)
         : stream(context)
+        , watch(std::make_shared<Watch>(stream.get_executor()))
+    {
+        watch->connection = this;
+    }
+    ~Connection()
     {
+        watch->connection = nullptr;
+        watch->timer.cancel();
     }
+    Connection(const Connection&) = delete;
+    auto operator=(const Connection&) -> Connection& = delete;
 
     static constexpr std::size_t pieceBytes = 16'384;
 
@@ -28,6 +55,7 @@
     std::vector<HttpHeader> headers;
     std::array<char, pieceBytes> piece {};
     bool isClosed = false;
+    const std::shared_ptr<Watch> watch;
 };
 
 /// @return the typed error for a failure after the request was, or may have been, sent.
--- a/src/HttpServerConnection.cpp
+++ b/src/HttpServerConnection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/bind_handler.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
@@ -112,10 +113,22 @@
     {
         if (m_hasFailed)
             co_return false;
+        const auto chunk = http::make_chunk(asio::buffer(piece.data(), piece.size()));
         boost::system::error_code code;
+        // A piece nearly always fits into the socket's buffer. Sent at once, it costs neither a
+        // timer nor a turn of the event loop, which together outweigh the sending.
+        auto& socket = m_connection->stream.socket();
+        socket.non_blocking(true, code);
+        const auto sent = socket.write_some(chunk, code);
+        if (code && code != asio::error::would_block)
+            co_return note(code);
+        const auto total = beast::buffer_bytes(chunk);
+        if (sent == total)
+            co_return true;
         arm();
-        co_await asio::async_write(m_connection->stream, http::make_chunk(asio::buffer(piece.data(), piece.size())),
-            awaitInto(code));
+        beast::buffers_suffix rest(chunk);
+        rest.consume(sent);
+        co_await asio::async_write(m_connection->stream, rest, awaitInto(code));
         co_return note(code);
     }
 
--- a/src/HttpStream.cpp
+++ b/src/HttpStream.cpp
@@ -4,7 +4,6 @@
 #include "HttpConnection.h"
 
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 
 namespace jayhold {
 
@@ -12,6 +11,58 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+namespace {
+
+using WatchPointer = std::shared_ptr<HttpStream::Connection::Watch>;
+
+auto arm(const WatchPointer& watch) -> void
+{
+    watch->armedFor = watch->deadline;
+    watch->timer.expires_at(watch->armedFor);
+    watch->timer.async_wait([watch](const boost::system::error_code& code) {
+        if (code || !watch->connection)
+            return;
+        watch->armedFor = TimePoint::max();
+        if (watch->deadline == TimePoint::max())
+            return;
+        if (monotonicNow() < watch->deadline) {
+            arm(watch);
+            return;
+        }
+        watch->hasTimedOut = true;
+        watch->connection->stream.socket().cancel();
+    });
+}
+
+auto setDeadline(const WatchPointer& watch, TimePoint deadline) -> void
+{
+    watch->deadline = deadline;
+    if (watch->deadline < watch->armedFor)
+        arm(watch);
+}
+
+/// Decodes what has been received.
+/// @return bytes of the body that are in the piece now.
+auto parseBuffered(HttpStream::Connection& connection, boost::system::error_code& code) -> std::size_t
+{
+    auto& parser = *connection.parser;
+    auto& body = parser.get().body();
+    body.data = connection.piece.data();
+    body.size = connection.piece.size();
+    while (connection.buffer.size() > 0 && !parser.is_done() && body.size > 0) {
+        const auto used = parser.put(connection.buffer.data(), code);
+        connection.buffer.consume(used);
+        const auto isShort = code == http::error::need_more || code == http::error::need_buffer;
+        if (isShort)
+            code = {};
+        if (code || isShort || used == 0)
+            break;
+    }
+    return connection.piece.size() - body.size;
+}
+
+}
+
 HttpStream::HttpStream(std::unique_ptr<Connection> connection)
     : m_connection(std::move(connection))
 {
@@ -33,22 +84,29 @@
 {
     auto& connection = *m_connection;
     auto& parser = *connection.parser;
+    // The parser's own limit ended with the header; from here on the watch keeps the time.
+    connection.stream.expires_never();
+    setDeadline(connection.watch, monotonicNow() + timeout);
     while (!connection.isClosed) {
-        if (parser.is_done())
-            co_return std::string_view {};
-        auto& body = parser.get().body();
-        body.data = connection.piece.data();
-        body.size = connection.piece.size();
-        connection.stream.expires_after(timeout);
         boost::system::error_code code;
-        co_await http::async_read_some(connection.stream, connection.buffer, parser, awaitInto(code));
+        const auto size = parseBuffered(connection, code);
+        if (code)
+            co_return httpErrorOf(code);
+        if (size > 0 || parser.is_done()) {
+            connection.watch->deadline = TimePoint::max();
+            co_return std::string_view(connection.piece.data(), size);
+        }
+        const auto space = connection.buffer.prepare(Connection::pieceBytes);
+        const auto received = co_await connection.stream.socket().async_read_some(space, awaitInto(code));
         if (connection.isClosed)
             break;
-        if (code && code != http::error::need_buffer)
+        if (connection.watch->hasTimedOut)
+            co_return httpErrorOf(beast::error::timeout);
+        connection.buffer.commit(received);
+        if (code == asio::error::eof)
+            parser.put_eof(code);
+        if (code)
             co_return httpErrorOf(code);
-        const auto size = connection.piece.size() - body.size;
-        if (size > 0)
-            co_return std::string_view(connection.piece.data(), size);
     }
     co_return HttpError { HttpErrorKind::Cancelled, "the stream was closed" };
 }
