Keep leases over the platform, and repeat answers that could not be stored

ClusterNode::keepLease() drives the lease state machine. A finish or an abandon that fails while the platform is away is now repeated in the background for some minutes (2,048 at most), so that a short outage no longer turns answers into unknown ones.

The test that freezes an instance showed its peers raising their incarnations as well: their old messages waited in the frozen instance's sockets, were read after newer ones and looked like those of a restarted process. The reply to an older counter now carries the newer entry, and the sender itself decides whether it ever reached it.

--- a/src/ClusterNode.cpp
+++ b/src/ClusterNode.cpp
@@ -4,6 +4,7 @@
 #include "ClusterDocuments.h"
 #include "ClusterGossip.h"
 #include "ConfigurationApply.h"
+#include "LeaseKeeper.h"
 #include "MembershipOwners.h"
 #include "RecordService.h"
 #include "Rendezvous.h"
@@ -191,6 +192,13 @@
     co_return co_await applyConfigurationChange(core, client, std::move(next), expectedVersion);
 }
 
+auto ClusterNode::keepLease(std::string name, Duration leaseTime) -> std::shared_ptr<LeaseKeeper>
+{
+    auto keeper = std::make_shared<LeaseKeeper>(m_state->core, std::move(name), leaseTime);
+    keeper->start();
+    return keeper;
+}
+
 auto ClusterNode::reportSignature(std::uint64_t signature) -> void
 {
     learnSignature(m_state->core, signature);
--- a/src/ClusterNode.h
+++ b/src/ClusterNode.h
@@ -22,6 +22,8 @@
 
 namespace jayhold {
 
+class LeaseKeeper;
+
 class ClusterNode {
 public:
     ClusterNode(IoThreads& threads, ClusterSettings settings, EventLog& log);
@@ -68,6 +70,11 @@
     /// @param expectedVersion the version that the operator's change is based on, 0 for none.
     auto applyConfiguration(HttpClient& client, Configuration next, std::int64_t expectedVersion) -> boost::asio::awaitable<ApplyOutcome>;
 
+    /// Acquires a lease and keeps it until it is released; include LeaseKeeper.h to use it.
+    /// @param name the lease is stored in the platform's object `leases/NAME`.
+    /// @param leaseTime how long others wait after a holder that died.
+    auto keepLease(std::string name, Duration leaseTime) -> std::shared_ptr<LeaseKeeper>;
+
     /// Passes a signature on to the peers.
     auto reportSignature(std::uint64_t signature) -> void;
     /// Tells the peers that a backend server says it is leaving.
--- a/src/GossipMessage.h
+++ b/src/GossipMessage.h
@@ -21,8 +21,8 @@
     std::vector<HeartbeatEntry> heartbeats;
     /// Version of the instance list that the sender has, 0 for none.
     std::int64_t listVersion = 0;
-    /// In a reply: an incarnation of the receiver that the sender holds to be dead or newer than
-    /// the receiver's own; the receiver continues with a higher one.
+    /// In a reply: an incarnation of the receiver that the sender declared dead; the receiver
+    /// continues with a higher one.
     std::optional<std::int64_t> disownedIncarnation;
     /// Asks for full entries in the reply, because an instance is known here without its address.
     bool isJoining = false;
--- /dev/null
+++ b/src/LeaseKeeper.h
@@ -0,0 +1,43 @@
+#pragma once
+
+/// Keeps one lease in the platform for as long as it is wanted: the thin driver of the lease state
+/// machine. Members are thread-safe.
+
+#include "ClusterCore.h"
+#include "Lease.h"
+
+#include <mutex>
+
+namespace jayhold {
+
+class LeaseKeeper : public std::enable_shared_from_this<LeaseKeeper> {
+public:
+    /// @param name the lease is stored in the object `leases/NAME`.
+    LeaseKeeper(ClusterPointer core, std::string name, Duration leaseTime);
+
+    /// Starts acquiring and renewing; runs until release() has been stored or the node ends.
+    auto start() -> void;
+
+    /// Must be asked immediately before each act under the lease.
+    /// @return the fencing number while the lease is held, otherwise nothing.
+    auto fencingNumber() const -> std::optional<std::int64_t>;
+
+    /// @return until when the lease is held, on the monotonic clock; in the past where it is not.
+    auto heldUntil() const -> TimePoint;
+
+    /// Gives the lease up, so that another instance need not wait for its end.
+    auto release() -> void;
+
+private:
+    auto run() -> boost::asio::awaitable<void>;
+    auto call(LeaseAction action) -> boost::asio::awaitable<void>;
+    auto read() -> boost::asio::awaitable<void>;
+    auto write(WriteLease action) -> boost::asio::awaitable<void>;
+
+    const ClusterPointer m_core;
+    const std::string m_object;
+    mutable std::mutex m_lock;
+    Lease m_lease;
+};
+
+}
--- a/src/Membership.cpp
+++ b/src/Membership.cpp
@@ -253,8 +253,10 @@
     const auto peer = membership.peers.find(sender.id);
     if (tombstone != membership.dead.end())
         reply.disownedIncarnation = tombstone->second;
+    // Messages on different connections overtake each other, so an older counter alone proves
+    // nothing. The sender compares: it never reached a newer entry only if it has restarted.
     else if (peer != membership.peers.end() && isNewer({ peer->second.member, peer->second.heartbeat }, sender.incarnation, received.sender.heartbeat))
-        reply.disownedIncarnation = peer->second.member.incarnation;
+        reply.introductions.push_back({ peer->second.member, peer->second.heartbeat });
     addSample(membership, membership.settings.replySample, reply);
     if (received.isJoining)
         addAddresses(membership, sender.id, reply);
--- a/src/RecordService.cpp
+++ b/src/RecordService.cpp
@@ -19,11 +19,12 @@
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusMisdirected = 421;
 
-/// Records that this instance refused but that may be stored; more are left to answer "unknown".
-constexpr int maximumWithdrawals = 4'096;
-constexpr int withdrawalTries = 12;
-constexpr auto firstWithdrawalPause = std::chrono::milliseconds(500);
-constexpr auto longestWithdrawalPause = std::chrono::seconds(30);
+/// Operations repeated in the background at once, which bounds the memory that an outage of the
+/// platform takes. The records of further ones stay started and answer "unknown".
+constexpr int maximumRepeating = 2'048;
+constexpr int repeatTries = 12;
+constexpr auto firstRepeatPause = std::chrono::milliseconds(500);
+constexpr auto longestRepeatPause = std::chrono::seconds(30);
 
 struct OwnerView {
     std::string id;
@@ -113,14 +114,14 @@
         const std::lock_guard guard(m_core->lock);
         operation.request = BeginRecord { std::move(requestDigest), holderName(m_core->membership) };
     }
-    const auto digest = operation.key;
-    const auto attempt = operation.attemptId;
+    RecordOperation withdrawal { .key = operation.key, .attemptId = operation.attemptId };
+    withdrawal.request = AbandonRecord {};
     const auto action = co_await runOperation(client, std::move(operation));
     const auto* reply = std::get_if<ReplyBegin>(&action);
     if (!reply)
         co_return RecordUnavailable { std::chrono::seconds(1) };
     if (std::holds_alternative<RecordUnavailable>(reply->decision) && reply->mayBeCommitted)
-        spawnAtHome(m_core, withdrawLater(digest, attempt));
+        spawnAtHome(m_core, runLater(std::move(withdrawal)));
     co_return reply->decision;
 }
 
@@ -129,45 +130,46 @@
     const auto self = shared_from_this();
     RecordOperation operation { .key = sha256Hex(key), .attemptId = std::move(attemptId) };
     operation.request = FinishRecord { std::move(answer) };
-    const auto action = co_await runOperation(client, std::move(operation));
-    const auto* reply = std::get_if<ReplyStored>(&action);
-    co_return reply && reply->isStored;
+    co_return co_await runStored(client, std::move(operation));
 }
 
 auto RecordService::abandon(HttpClient& client, std::string key, std::string attemptId) -> asio::awaitable<bool>
 {
     const auto self = shared_from_this();
-    RecordOperation operation { .key = sha256Hex(key), .attemptId = attemptId };
+    RecordOperation operation { .key = sha256Hex(key), .attemptId = std::move(attemptId) };
     operation.request = AbandonRecord {};
-    const auto digest = operation.key;
+    co_return co_await runStored(client, std::move(operation));
+}
+
+auto RecordService::runStored(HttpClient& client, RecordOperation operation) -> asio::awaitable<bool>
+{
+    auto repeated = operation;
     const auto action = co_await runOperation(client, std::move(operation));
     const auto* reply = std::get_if<ReplyStored>(&action);
-    const auto isWithdrawn = reply && reply->isStored;
-    if (!isWithdrawn)
-        spawnAtHome(m_core, withdrawLater(digest, attemptId));
-    co_return isWithdrawn;
+    if (reply && reply->isStored)
+        co_return true;
+    spawnAtHome(m_core, runLater(std::move(repeated)));
+    co_return false;
 }
 
-auto RecordService::withdrawLater(std::string key, std::string attemptId) -> asio::awaitable<void>
+auto RecordService::runLater(RecordOperation operation) -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
-    if (m_withdrawals >= maximumWithdrawals)
+    if (m_repeating >= maximumRepeating)
         co_return;
-    ++m_withdrawals;
-    Duration wait = firstWithdrawalPause;
-    for (int tries = 0; tries < withdrawalTries && !m_core->isStopped; ++tries) {
+    ++m_repeating;
+    Duration wait = firstRepeatPause;
+    for (int tries = 0; tries < repeatTries && !m_core->isStopped; ++tries) {
         co_await pause(wait);
-        wait = std::min<Duration>(wait * 2, longestWithdrawalPause);
+        wait = std::min<Duration>(wait * 2, longestRepeatPause);
         if (m_core->isStopped)
             break;
-        RecordOperation operation { .key = key, .attemptId = attemptId };
-        operation.request = AbandonRecord {};
-        const auto action = co_await runOperation(m_core->threads.client(0), std::move(operation));
+        const auto action = co_await runOperation(m_core->threads.client(0), operation);
         const auto* reply = std::get_if<ReplyStored>(&action);
         if (reply && reply->isStored)
             break;
     }
-    --m_withdrawals;
+    --m_repeating;
 }
 
 auto RecordService::answerPeer(std::string route, std::string body) -> asio::awaitable<HttpResponse>
--- a/src/RecordService.h
+++ b/src/RecordService.h
@@ -29,12 +29,15 @@
 
     auto runOperation(HttpClient& client, RecordOperation operation) -> boost::asio::awaitable<RecordAction>;
     auto forward(HttpClient& client, const RecordOperation& operation, HttpEndpoint owner) -> boost::asio::awaitable<Forwarded>;
-    auto withdrawLater(std::string key, std::string attemptId) -> boost::asio::awaitable<void>;
+    /// Runs a finish or an abandon, and goes on in the background where it can't be stored now.
+    auto runStored(HttpClient& client, RecordOperation operation) -> boost::asio::awaitable<bool>;
+    auto runLater(RecordOperation operation) -> boost::asio::awaitable<void>;
     auto partitionOf(std::string_view key) const -> std::size_t;
 
     const ClusterPointer m_core;
     std::vector<std::shared_ptr<RecordDriver>> m_partitions;
-    std::atomic<int> m_withdrawals { 0 };
+    /// Operations that runLater() is repeating.
+    std::atomic<int> m_repeating { 0 };
 };
 
 /// @return the object of a partition, such as `records/07`.
--- a/test/RecordWorld.cpp
+++ b/test/RecordWorld.cpp
@@ -89,7 +89,7 @@
     auto& attempt = m_attempts[id];
     for (const auto& [otherId, other] : m_attempts) {
         if (otherId != id && other.key == attempt.key && other.state == AttemptState::Running)
-            fail("attempts " + otherId + " and " + id + " both run the call of " + attempt.key);
+            fail(std::string("attempts ").append(otherId).append(" and ").append(id).append(" both run the call of ").append(attempt.key));
     }
     attempt.state = AttemptState::Running;
     ++m_startedCount;
@@ -100,7 +100,7 @@
     ++m_doneCount;
     const auto attempt = m_attempts.find(answer.body);
     if (attempt == m_attempts.end() || attempt->second.state != AttemptState::Running)
-        fail("the answer of attempt " + answer.body + " was replayed, which did not run");
+        fail(std::string("the answer of attempt ").append(answer.body).append(" was replayed, which did not run"));
     const auto [known, isNew] = m_answers.emplace(key, answer);
     if (!isNew && known->second != answer)
         fail("the answer of " + key + " changed");
--- a/test/RecordWorld.h
+++ b/test/RecordWorld.h
@@ -90,7 +90,6 @@
     std::uint64_t m_lastTicket = 0;
     TimePoint m_now { std::chrono::seconds(1'000) };
     std::uint64_t m_liveness = 0;
-    bool m_isSettling = false;
     int m_startedCount = 0;
     int m_doneCount = 0;
     std::string m_fault;
--- a/test/correctness/ClusterNodeTest.cpp
+++ b/test/correctness/ClusterNodeTest.cpp
@@ -1,7 +1,10 @@
 #include "../ClusterFixture.h"
+#include "LeaseKeeper.h"
 
 #include <catch2/catch.hpp>
 
+#include <future>
+
 using namespace jayhold;
 using namespace std::chrono_literals;
 
@@ -129,6 +132,15 @@
         CHECK(eventually([&] { return late.version() == 1 && late.node->members().size() == 4 && late.node->backends().size() == 1; }));
         CHECK(eventually([&] { return cluster.instances[0]->node->members().size() == 4; }));
     }
+    SECTION("an answer that could not be stored is stored later")
+    {
+        cluster.platform.setDown(false);
+        REQUIRE(eventually([&] { return isStarted(cluster.instances[0]->begin("hold-8", "c8")); }));
+        cluster.platform.setDown(true);
+        CHECK_FALSE(cluster.instances[0]->finish("hold-8", "c8", { 200, "text/plain", "held" }));
+        cluster.platform.setDown(false);
+        CHECK(eventually([&] { return std::holds_alternative<RecordDone>(cluster.instances[1]->begin("hold-8", "c9")); }));
+    }
     SECTION("records work again when the platform is back")
     {
         cluster.platform.setDown(false);
@@ -173,3 +185,43 @@
     REQUIRE(answer.has_value());
     CHECK(answer->status == 403);
 }
+
+// Guards against two holders of a lease, and against one that nobody gets after its release or after a
+// lost reply.
+TEST_CASE("a lease goes from one instance to another with a higher fencing number")
+{
+    Cluster cluster;
+    REQUIRE(cluster.start());
+    cluster.platform.loseReplies(1);
+    const auto first = cluster.instances[0]->node->keepLease("orders", 2s);
+    REQUIRE(eventually([&] { return first->fencingNumber() == 1; }));
+    const auto second = cluster.instances[1]->node->keepLease("orders", 2s);
+    std::this_thread::sleep_for(2500ms);
+    CHECK(first->fencingNumber() == 1);
+    CHECK_FALSE(second->fencingNumber());
+    first->release();
+    CHECK_FALSE(first->fencingNumber());
+    CHECK(eventually([&] { return second->fencingNumber() == 2; }));
+    cluster.platform.setDown(true);
+    CHECK(eventually([&] { return !second->fencingNumber(); }, 3s));
+}
+
+// Guards against an instance that was frozen and stays out, and against its peers not being told of
+// its end.
+TEST_CASE("a frozen instance is lost and comes back")
+{
+    Cluster cluster;
+    std::atomic<int> lost = 0;
+    cluster.instances[0]->node->onMemberLost([&](const Member& member) { lost += member.id == "alpine-3" ? 1 : 100; });
+    REQUIRE(cluster.start());
+    auto& frozen = *cluster.instances[2];
+    frozen.isFrozen = true;
+    // The home thread is held, so that neither timers nor calls run.
+    std::promise<void> wake;
+    boost::asio::post(frozen.threads.context(0), [&] { wake.get_future().wait(); });
+    CHECK(eventually([&] { return lost == 1; }));
+    CHECK(cluster.instances[0]->node->members().size() == 2);
+    frozen.isFrozen = false;
+    wake.set_value();
+    CHECK(eventually([&] { return cluster.everyone([](auto& instance) { return instance.node->members().size() == 3; }); }));
+}
--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -102,6 +102,30 @@
     CHECK(restarted.membership.self.incarnation > 60'000'000);
 }
 
+// Guards against an instance that raises its incarnation because an old message of its own arrived
+// late, which is common after the receiver was frozen.
+TEST_CASE("a message that was overtaken is no reason for a new incarnation")
+{
+    const TimePoint now { 1'000s };
+    MembershipSettings settings { .self = { .id = "a", .peerEndpoint = { "10.0.0.1", 1 }, .availabilityZone = "z", .incarnation = 5 } };
+    auto sender = makeMembership(settings, now);
+    settings.self = { .id = "b", .peerEndpoint = { "10.0.0.2", 1 }, .availabilityZone = "z", .incarnation = 5 };
+    auto receiver = makeMembership(settings, now);
+    std::vector<MembershipAction> actions;
+    startRound(sender, now, actions);
+    const auto older = composeMessage(sender, now);
+    startRound(sender, now + 500ms, actions);
+    const auto newer = composeMessage(sender, now + 500ms);
+    mergeMessage(receiver, now + 600ms, newer, actions);
+    mergeMessage(receiver, now + 700ms, older, actions);
+    mergeMessage(sender, now + 700ms, composeReply(receiver, older), actions);
+    CHECK(sender.self.incarnation == 5);
+    settings.self = sender.self;
+    auto restarted = makeMembership(settings, now);
+    mergeMessage(restarted, now + 800ms, composeReply(receiver, composeMessage(restarted, now)), actions);
+    CHECK(restarted.self.incarnation == 6);
+}
+
 // Guards against a zone that was cut off and does not come together with the others again.
 TEST_CASE("both sides of a cut go on and come together again")
 {
@@ -141,6 +165,7 @@
 TEST_CASE("a member that leaves moves only the names that it owned")
 {
     std::vector<std::string> ids;
+    ids.reserve(7);
     for (int index = 0; index < 7; ++index)
         ids.push_back("alpine-" + std::to_string(index));
     const std::vector<std::string> fewer(ids.begin() + 1, ids.end());
