Add jayhold-scenario and scenarios for the failures of the design

The runner starts real processes on loopback, takes their addresses from their listening lines, runs the statements of a scenario file in order and prints the merged event time line where an expectation fails.

A retry of jayhold-load now goes to the entry after the one that failed.

--- /dev/null
+++ b/test/scenario/Fleet.h
@@ -0,0 +1,61 @@
+#pragma once
+
+/// The processes of a scenario: starts them, lists them in the platform and sets their faults.
+
+#include "ScenarioClient.h"
+#include "ScenarioError.h"
+#include "ScenarioProcess.h"
+
+#include <boost/leaf/result.hpp>
+
+#include <map>
+
+namespace jayhold {
+
+class Fleet {
+public:
+    /// @param programs folder of the programs.
+    explicit Fleet(std::string programs)
+        : m_programs(std::move(programs))
+    {
+    }
+
+    /// Starts a process and waits until it listens.
+    auto start(const Statement& statement) -> boost::leaf::result<void>;
+    auto kill(const Statement& statement) -> boost::leaf::result<void>;
+    /// Asks a process to end and does not wait for it.
+    auto stop(const Statement& statement) -> boost::leaf::result<void>;
+    auto freeze(const Statement& statement) -> boost::leaf::result<void>;
+    auto thaw(const Statement& statement) -> boost::leaf::result<void>;
+    auto setFaults(const Statement& statement) -> boost::leaf::result<void>;
+    auto leave(const Statement& statement) -> boost::leaf::result<void>;
+    auto remove(const Statement& statement) -> boost::leaf::result<void>;
+    auto drain(const Statement& statement) -> boost::leaf::result<void>;
+    /// Applies a configuration that has no predecessor.
+    auto apply(const Statement& statement) -> boost::leaf::result<void>;
+
+    auto find(const std::string& name) const -> const ScenarioProcess* { return m_processes.contains(name) ? &m_processes.at(name) : nullptr; }
+    /// Notes which processes have ended.
+    auto refresh() -> void;
+    /// @return the processes of a type that run and are not frozen.
+    auto answering(ProcessType type) -> std::vector<const ScenarioProcess*>;
+    /// @return processes that ended although the scenario did not ask for it.
+    auto crashed() -> std::vector<const ScenarioProcess*>;
+
+    /// @return headers of an operator's call.
+    static auto operatorHeaders() -> std::vector<HttpHeader>;
+    auto client() -> ScenarioClient& { return m_client; }
+    auto programs() const -> const std::string& { return m_programs; }
+
+private:
+    auto publishInstances(std::size_t line) -> boost::leaf::result<void>;
+    auto entrySettings(const Statement& statement) const -> std::string;
+    auto argumentsOf(const Statement& statement) const -> std::vector<std::string>;
+    auto addressesOf(const Statement& statement, const std::map<std::string, std::string>& listening) -> ScenarioProcess;
+
+    const std::string m_programs;
+    ScenarioClient m_client;
+    std::map<std::string, ScenarioProcess> m_processes;
+};
+
+}
--- /dev/null
+++ b/test/scenario/ScenarioMetrics.cpp
@@ -0,0 +1,159 @@
+#include "ScenarioRunner.h"
+
+#include "LogLine.h"
+#include "LoggedEventJson.h"
+#include "Timeline.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
+#include <numeric>
+#include <ostream>
+
+namespace jayhold {
+
+namespace json = boost::json;
+
+namespace {
+
+auto numberOf(const json::value& body, std::string_view key) -> std::optional<double>
+{
+    const auto* object = body.if_object();
+    const auto* value = object ? object->if_contains(key) : nullptr;
+    if (!value || !value->is_number())
+        return std::nullopt;
+    return value->to_number<double>();
+}
+
+auto sumOf(const std::vector<double>& values) -> double
+{
+    return std::accumulate(values.begin(), values.end(), 0.0);
+}
+
+auto largestOf(const std::vector<double>& values) -> double
+{
+    return values.empty() ? 0 : *std::ranges::max_element(values);
+}
+
+/// Reads all events of an entry instance, page by page.
+auto readEvents(ScenarioClient& client, const HttpEndpoint& endpoint) -> std::vector<LoggedEvent>
+{
+    std::vector<LoggedEvent> events;
+    while (true) {
+        const auto after = events.empty() ? 0 : events.back().sequence;
+        const auto answer = client.call(endpoint, "GET", "/admin/v1/events?after=" + std::to_string(after), {}, Fleet::operatorHeaders());
+        const auto* object = answer.body.if_object();
+        const auto* page = object ? object->if_contains("events") : nullptr;
+        const auto before = events.size();
+        if (page && page->is_array()) {
+            for (const auto& item : page->get_array()) {
+                if (auto event = loggedEventFromJson(item))
+                    events.push_back(std::move(*event));
+            }
+        }
+        if (events.size() == before)
+            return events;
+    }
+}
+
+}
+
+auto ScenarioRunner::value(const Condition& condition) -> std::optional<double>
+{
+    if (!condition.process.empty())
+        return processValue(condition);
+    const auto fromFleet = fleetValue(condition.metric);
+    if (!fromFleet)
+        return loadValue(condition.metric);
+    // An answer given twice and a call that ran twice break the same promise.
+    const auto isDoubled = condition.metric == "doubled";
+    return *fromFleet + (isDoubled ? loadValue("doubled").value_or(0) : 0);
+}
+
+auto ScenarioRunner::processValue(const Condition& condition) -> std::optional<double>
+{
+    m_fleet.refresh();
+    const auto* process = m_fleet.find(condition.process);
+    if (!process)
+        return std::nullopt;
+    if (condition.metric == "running")
+        return process->hasEnded ? 0 : 1;
+    if (process->hasEnded || process->isFrozen)
+        return std::nullopt;
+    if (process->type == ProcessType::Entry) {
+        if (condition.metric == "ready")
+            return m_fleet.client().get(process->endpoint, "/readyz").status == 200 ? 1 : 0;
+        const auto status = m_fleet.client().call(process->adminEndpoint, "GET", "/admin/v1/status", {}, Fleet::operatorHeaders());
+        return numberOf(status.body, condition.metric);
+    }
+    return numberOf(m_fleet.client().get(process->adminEndpoint, "/admin/counts").body, condition.metric);
+}
+
+auto ScenarioRunner::loadValue(const std::string& metric) const -> std::optional<double>
+{
+    std::optional<double> total;
+    for (const auto& load : m_loads) {
+        if (!load.report)
+            continue;
+        if (const auto number = numberOf(load.report->at("total"), metric))
+            total = total.value_or(0) + *number;
+    }
+    return total;
+}
+
+auto ScenarioRunner::countsOf(ProcessType type, const std::string& key) -> std::vector<double>
+{
+    std::vector<double> values;
+    for (const auto* process : m_fleet.answering(type)) {
+        if (const auto number = numberOf(m_fleet.client().get(process->adminEndpoint, "/admin/counts").body, key))
+            values.push_back(*number);
+    }
+    return values;
+}
+
+auto ScenarioRunner::fleetValue(const std::string& metric) -> std::optional<double>
+{
+    if (metric == "held")
+        return sumOf(countsOf(ProcessType::Engine, "held_pieces"));
+    if (metric == "seats")
+        return sumOf(countsOf(ProcessType::Engine, "seats_in_use"));
+    if (metric == "decodes" || metric == "prefills")
+        return sumOf(countsOf(ProcessType::Engine, metric));
+    if (metric == "wasted_percent") {
+        const auto prefilled = sumOf(countsOf(ProcessType::Engine, "tokens_prefilled"));
+        return prefilled == 0 ? 0 : 100 * sumOf(countsOf(ProcessType::Engine, "tokens_never_decoded")) / prefilled;
+    }
+    if (metric == "doubled")
+        return std::max(0.0, largestOf(countsOf(ProcessType::Service, "largest_runs_by_key")) - 1);
+    if (metric == "crashed")
+        return static_cast<double>(m_fleet.crashed().size());
+    if (metric == "ready") {
+        return static_cast<double>(std::ranges::count_if(m_fleet.answering(ProcessType::Entry),
+            [&](const auto* entry) { return m_fleet.client().get(entry->endpoint, "/readyz").status == 200; }));
+    }
+    return std::nullopt;
+}
+
+auto ScenarioRunner::printTimeline(std::ostream& output) -> void
+{
+    for (const auto& load : m_loads) {
+        output << "output of the load:\n";
+        for (const auto& line : load.child->output())
+            output << "    " << line << '\n';
+    }
+    std::vector<std::vector<LoggedEvent>> logs;
+    for (const auto* entry : m_fleet.answering(ProcessType::Entry))
+        logs.push_back(readEvents(m_fleet.client(), entry->adminEndpoint));
+    for (const auto& event : mergeTimelines(logs)) {
+        std::vector<LogField> fields { { "instance", event.instance } };
+        fields.insert(fields.end(), event.fields.begin(), event.fields.end());
+        output << formatLogLine(event.time, event.event, fields) << '\n';
+    }
+    for (const auto* process : m_fleet.crashed()) {
+        output << "output of " << process->name << ", which ended by itself:\n";
+        for (const auto& line : process->child->output())
+            output << "    " << line << '\n';
+    }
+}
+
+}
--- /dev/null
+++ b/test/scenario/ScenarioParser.cpp
@@ -0,0 +1,367 @@
+#include "ScenarioParser.h"
+
+#include "WordReader.h"
+
+#include <boost/leaf/error.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace jayhold {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+/// The processes that the lines so far have started, by name.
+using Processes = std::map<std::string, ProcessType, std::less<>>;
+
+struct NamedType {
+    std::string_view name;
+    ProcessType type;
+};
+
+constexpr std::array<NamedType, 5> processTypes { {
+    { "platform", ProcessType::Platform },
+    { "engine", ProcessType::Engine },
+    { "service", ProcessType::Service },
+    { "link", ProcessType::Link },
+    { "entry", ProcessType::Entry },
+} };
+
+class LineParser {
+public:
+    LineParser(WordReader reader, Processes& processes)
+        : m_reader(std::move(reader))
+        , m_processes(processes)
+    {
+        m_statement.line = m_reader.lineNumber();
+    }
+
+    auto parse() -> leaf::result<Statement>
+    {
+        if (m_reader.accept("at")) {
+            BOOST_LEAF_ASSIGN(m_statement.at, m_reader.duration());
+        }
+        BOOST_LEAF_AUTO(verb, m_reader.word("a statement"));
+        BOOST_LEAF_CHECK(parseVerb(verb));
+        BOOST_LEAF_CHECK(m_reader.end());
+        return m_statement;
+    }
+
+private:
+    using Parse = leaf::result<void> (LineParser::*)();
+
+    struct Verb {
+        std::string_view name;
+        StatementType type;
+        Parse parse;
+    };
+
+    auto parseVerb(std::string_view name) -> leaf::result<void>
+    {
+        static constexpr std::array<Verb, 20> verbs { {
+            { "start", StatementType::Start, &LineParser::parseStart },
+            { "apply", StatementType::Apply, &LineParser::parseApply },
+            { "load", StatementType::Load, &LineParser::parseLoad },
+            { "kill", StatementType::Kill, &LineParser::parseName },
+            { "stop", StatementType::Stop, &LineParser::parseName },
+            { "freeze", StatementType::Freeze, &LineParser::parseName },
+            { "thaw", StatementType::Thaw, &LineParser::parseName },
+            { "leave", StatementType::Leave, &LineParser::parseName },
+            { "remove", StatementType::Remove, &LineParser::parseName },
+            { "drain", StatementType::Drain, &LineParser::parseEntry },
+            { "cut", StatementType::Fault, &LineParser::parseCut },
+            { "mend", StatementType::Fault, &LineParser::parseMend },
+            { "stall", StatementType::Fault, &LineParser::parseStall },
+            { "resume", StatementType::Fault, &LineParser::parseResume },
+            { "slow", StatementType::Fault, &LineParser::parseSlow },
+            { "lose", StatementType::Fault, &LineParser::parseLose },
+            { "platform", StatementType::Fault, &LineParser::parsePlatform },
+            { "fault", StatementType::Fault, &LineParser::parseFault },
+            { "wait", StatementType::Wait, &LineParser::parseWait },
+            { "expect", StatementType::Expect, &LineParser::parseCondition },
+        } };
+        for (const auto& verb : verbs) {
+            if (verb.name != name)
+                continue;
+            m_statement.type = verb.type;
+            return (this->*verb.parse)();
+        }
+        return m_reader.errorAtLast("unknown statement \"" + std::string(name) + "\"");
+    }
+
+    auto parseStart() -> leaf::result<void>
+    {
+        BOOST_LEAF_AUTO(typeName, m_reader.word("a type of process"));
+        const auto* type = std::ranges::find(processTypes, std::string_view(typeName), &NamedType::name);
+        if (type == processTypes.end())
+            return m_reader.errorAtLast("expected platform, engine, service, link or entry");
+        m_statement.process = type->type;
+        BOOST_LEAF_ASSIGN(m_statement.name, m_reader.word("a name"));
+        if (m_processes.contains(m_statement.name))
+            return m_reader.errorAtLast("the name \"" + m_statement.name + "\" is used already");
+        while (!m_reader.isAtEnd())
+            BOOST_LEAF_CHECK(parseStartOption());
+        BOOST_LEAF_CHECK(requireStartOptions());
+        m_processes.emplace(m_statement.name, type->type);
+        return {};
+    }
+
+    auto parseStartOption() -> leaf::result<void>
+    {
+        BOOST_LEAF_AUTO(key, m_reader.word("an option"));
+        const auto isProcess = key == "to" || key == "platform";
+        BOOST_LEAF_AUTO(value, isProcess ? knownName() : m_reader.word("a value for " + key));
+        m_statement.options[key] = value;
+        return {};
+    }
+
+    auto requireStartOptions() -> leaf::result<void>
+    {
+        std::vector<std::string> required;
+        if (m_statement.process == ProcessType::Engine)
+            required = { "zone", "pool", "role" };
+        else if (m_statement.process == ProcessType::Service)
+            required = { "zone", "pool" };
+        else if (m_statement.process == ProcessType::Link)
+            required = { "to" };
+        else if (m_statement.process == ProcessType::Entry)
+            required = { "zone" };
+        for (const auto& key : required) {
+            if (!m_statement.options.contains(key))
+                return m_reader.error("expected \"" + key + "\" and its value");
+        }
+        return {};
+    }
+
+    auto parseApply() -> leaf::result<void>
+    {
+        BOOST_LEAF_ASSIGN(m_statement.file, m_reader.word("a configuration file"));
+        BOOST_LEAF_CHECK(m_reader.keyword("through"));
+        BOOST_LEAF_CHECK(parseEntry());
+        if (m_reader.accept("expecting")) {
+            BOOST_LEAF_AUTO(status, m_reader.number());
+            m_statement.status = static_cast<unsigned>(status);
+        }
+        return {};
+    }
+
+    auto parseLoad() -> leaf::result<void>
+    {
+        if (m_reader.accept("from")) {
+            BOOST_LEAF_ASSIGN(m_statement.file, m_reader.word("a load mix"));
+        }
+        BOOST_LEAF_ASSIGN(m_statement.rate, m_reader.number());
+        BOOST_LEAF_CHECK(m_reader.keyword("per"));
+        BOOST_LEAF_CHECK(m_reader.keyword("second"));
+        BOOST_LEAF_CHECK(m_reader.keyword("for"));
+        BOOST_LEAF_ASSIGN(m_statement.duration, m_reader.duration());
+        m_statement.isRetrying = m_reader.accept("retrying");
+        if (!m_reader.accept("through"))
+            return {};
+        while (!m_reader.isAtEnd()) {
+            BOOST_LEAF_AUTO(entry, nameOf(ProcessType::Entry, "an entry instance"));
+            m_statement.entries.push_back(entry);
+        }
+        return {};
+    }
+
+    auto knownName() -> leaf::result<std::string>
+    {
+        BOOST_LEAF_AUTO(name, m_reader.word("the name of a process"));
+        if (!m_processes.contains(name))
+            return m_reader.errorAtLast("no process \"" + name + "\" has been started");
+        return name;
+    }
+
+    auto nameOf(ProcessType type, const std::string& expected) -> leaf::result<std::string>
+    {
+        BOOST_LEAF_AUTO(name, knownName());
+        if (m_processes.find(name)->second != type)
+            return m_reader.errorAtLast("expected " + expected);
+        return name;
+    }
+
+    auto parseName() -> leaf::result<void>
+    {
+        BOOST_LEAF_ASSIGN(m_statement.name, knownName());
+        m_statement.process = m_processes.find(m_statement.name)->second;
+        return {};
+    }
+
+    auto parseEntry() -> leaf::result<void>
+    {
+        BOOST_LEAF_ASSIGN(m_statement.name, nameOf(ProcessType::Entry, "an entry instance"));
+        return {};
+    }
+
+    auto parseLinkFault(const std::string& key, const std::string& value) -> leaf::result<void>
+    {
+        BOOST_LEAF_ASSIGN(m_statement.name, nameOf(ProcessType::Link, "a link"));
+        m_statement.options[key] = value;
+        return {};
+    }
+
+    auto parseCut() -> leaf::result<void> { return parseLinkFault("cut", "true"); }
+    auto parseMend() -> leaf::result<void> { return parseLinkFault("cut", "false"); }
+    auto parseStall() -> leaf::result<void> { return parseStallOf("true"); }
+    auto parseResume() -> leaf::result<void> { return parseStallOf("false"); }
+
+    /// Stalls a link, or the KV transfers of an engine.
+    auto parseStallOf(const std::string& value) -> leaf::result<void>
+    {
+        BOOST_LEAF_CHECK(parseName());
+        const auto type = m_statement.process;
+        if (type != ProcessType::Link && type != ProcessType::Engine)
+            return m_reader.errorAtLast("expected a link or an engine");
+        m_statement.options[type == ProcessType::Link ? "stall" : "stall_transfers"] = value;
+        return {};
+    }
+
+    auto parseSlow() -> leaf::result<void>
+    {
+        BOOST_LEAF_CHECK(parseName());
+        BOOST_LEAF_CHECK(m_reader.keyword("by"));
+        BOOST_LEAF_AUTO(delay, m_reader.duration());
+        if (m_statement.process == ProcessType::Link)
+            m_statement.options["delay_us"] = std::to_string(delay.count());
+        else
+            m_statement.options["delay_ms"] = std::to_string(delay.count() / 1'000);
+        return {};
+    }
+
+    /// `lose reply` or `lose N replies`, of the platform; with `of NAME` of a service.
+    auto parseLose() -> leaf::result<void>
+    {
+        std::string count = "1";
+        if (!m_reader.accept("reply")) {
+            BOOST_LEAF_AUTO(number, m_reader.number());
+            count = std::to_string(static_cast<std::int64_t>(number));
+            BOOST_LEAF_CHECK(m_reader.keyword("replies"));
+        }
+        if (!m_reader.accept("of")) {
+            m_statement.options["lose_replies"] = count;
+            return usePlatform();
+        }
+        BOOST_LEAF_ASSIGN(m_statement.name, nameOf(ProcessType::Service, "a service"));
+        m_statement.options["drop_replies"] = count;
+        return {};
+    }
+
+    auto parsePlatform() -> leaf::result<void>
+    {
+        if (m_reader.accept("up")) {
+            m_statement.options["down"] = "false";
+            return usePlatform();
+        }
+        BOOST_LEAF_CHECK(m_reader.keyword("down"));
+        m_statement.options["down"] = m_reader.accept("hanging") ? "\"hang\"" : "true";
+        return usePlatform();
+    }
+
+    auto usePlatform() -> leaf::result<void>
+    {
+        const auto found = std::ranges::find(m_processes, ProcessType::Platform, [](const auto& item) { return item.second; });
+        if (found == m_processes.end())
+            return m_reader.errorAtLast("no platform has been started");
+        m_statement.name = found->first;
+        return {};
+    }
+
+    auto parseFault() -> leaf::result<void>
+    {
+        BOOST_LEAF_CHECK(parseName());
+        if (m_statement.process == ProcessType::Entry)
+            return m_reader.errorAtLast("entry instances have no faults of their own");
+        if (m_reader.isAtEnd())
+            return m_reader.error("expected KEY=VALUE");
+        while (!m_reader.isAtEnd()) {
+            BOOST_LEAF_AUTO(pair, m_reader.word("KEY=VALUE"));
+            const auto equals = pair.find('=');
+            if (equals == std::string::npos || equals == 0 || equals + 1 == pair.size())
+                return m_reader.errorAtLast("expected KEY=VALUE");
+            m_statement.options[pair.substr(0, equals)] = pair.substr(equals + 1);
+        }
+        return {};
+    }
+
+    auto parseWait() -> leaf::result<void>
+    {
+        if (!m_reader.accept("until")) {
+            BOOST_LEAF_ASSIGN(m_statement.duration, m_reader.duration());
+            return {};
+        }
+        if (m_reader.accept("load")) {
+            m_statement.type = StatementType::WaitForLoad;
+            return m_reader.keyword("ends");
+        }
+        m_statement.type = StatementType::WaitUntil;
+        BOOST_LEAF_CHECK(parseCondition());
+        // Longer than anything in a scenario takes; `within` sets a tighter limit.
+        if (!m_statement.condition.within)
+            m_statement.condition.within = std::chrono::seconds(20);
+        return {};
+    }
+
+    auto parseCondition() -> leaf::result<void>
+    {
+        auto& condition = m_statement.condition;
+        BOOST_LEAF_ASSIGN(condition.metric, m_reader.word("a metric"));
+        if (m_reader.accept("of")) {
+            BOOST_LEAF_ASSIGN(condition.process, knownName());
+        }
+        BOOST_LEAF_ASSIGN(condition.comparison, comparison());
+        BOOST_LEAF_ASSIGN(condition.number, m_reader.number());
+        if (m_reader.accept("within")) {
+            BOOST_LEAF_ASSIGN(condition.within, m_reader.duration());
+        }
+        return {};
+    }
+
+    auto comparison() -> leaf::result<Comparison>
+    {
+        struct Sign {
+            std::string_view text;
+            Comparison comparison;
+        };
+        static constexpr std::array<Sign, 6> signs { {
+            { "=", Comparison::Equal },
+            { "!=", Comparison::NotEqual },
+            { "<", Comparison::Less },
+            { "<=", Comparison::LessOrEqual },
+            { ">", Comparison::Greater },
+            { ">=", Comparison::GreaterOrEqual },
+        } };
+        for (const auto& sign : signs) {
+            if (m_reader.accept(sign.text))
+                return sign.comparison;
+        }
+        return m_reader.error("expected =, !=, <, <=, > or >=");
+    }
+
+    WordReader m_reader;
+    Processes& m_processes;
+    Statement m_statement;
+};
+
+}
+
+auto parseScenario(std::string_view text) -> leaf::result<std::vector<Statement>>
+{
+    std::vector<Statement> statements;
+    Processes processes;
+    for (std::size_t line = 1; !text.empty(); ++line) {
+        const auto end = std::min(text.find('\n'), text.size());
+        WordReader reader(text.substr(0, end), line);
+        text.remove_prefix(std::min(end + 1, text.size()));
+        if (reader.isAtEnd())
+            continue;
+        LineParser parser(std::move(reader), processes);
+        BOOST_LEAF_AUTO(statement, parser.parse());
+        statements.push_back(std::move(statement));
+    }
+    return statements;
+}
+
+}
--- a/tools/CallPlan.cpp
+++ b/tools/CallPlan.cpp
@@ -27,7 +27,7 @@
 
 auto planModelCall(CallPlan& plan, const LoadItem& item, const std::string& callName, bool isCancelled) -> void
 {
-    const auto prompt = makePrompt(item, callName);
+    const auto prompt = makePrompt(item, item.hasSamePrompt ? item.name : callName);
     const boost::json::object body { { "model", item.model }, { "prompt", prompt }, { "max_tokens", item.maxTokens }, { "stream", item.isStream } };
     plan.request.target = "/v1/completions";
     plan.request.body = boost::json::serialize(body);
--- a/tools/CallRunner.cpp
+++ b/tools/CallRunner.cpp
@@ -143,9 +143,10 @@
     const auto start = monotonicNow();
     CallContext context { plan, result, start, start + settings.callTimeout };
     const auto isRepeatable = !plan.item->model.empty() || plan.item->hasKey || plan.item->method == "GET";
-    while (true) {
+    // A retry goes to the entry after the one that failed, as a load balancer sends it.
+    for (auto entryIndex = nextEntry.fetch_add(1);; ++entryIndex) {
         ++result.attempts;
-        const auto& entry = settings.entries[nextEntry.fetch_add(1) % settings.entries.size()];
+        const auto& entry = settings.entries[entryIndex % settings.entries.size()];
         Attempt attempt;
         if (plan.item->isStream)
             attempt = co_await streamAttempt(client, context, entry);
--- a/tools/CallRunner.h
+++ b/tools/CallRunner.h
@@ -11,7 +11,7 @@
 
 namespace jayhold {
 
-/// @param nextEntry counts up with every attempt, so that entries are used in turn.
+/// @param nextEntry counts up with every call, so that entries are used in turn.
 auto runCall(HttpClient& client, const LoadSettings& settings, CallPlan plan, std::atomic<std::size_t>& nextEntry) -> boost::asio::awaitable<CallResult>;
 
 }
--- a/tools/LoadItem.h
+++ b/tools/LoadItem.h
@@ -28,6 +28,8 @@
     std::int64_t outputTokens = 0;
     /// Text that every prompt contains, such as the marker that crashes a stand-in engine.
     std::string marker;
+    /// Whether all calls of the item send the same prompt.
+    bool hasSamePrompt = false;
     bool isStream = true;
     /// Share of streams that are cancelled in the middle.
     double cancelShare = 0;
--- a/tools/LoadMix.cpp
+++ b/tools/LoadMix.cpp
@@ -26,6 +26,7 @@
     BOOST_LEAF_ASSIGN(item.maxTokens, reader.integer("max_tokens", tokenRange, item.maxTokens));
     BOOST_LEAF_ASSIGN(item.outputTokens, reader.integer("output_tokens", tokenRange, item.outputTokens));
     BOOST_LEAF_ASSIGN(item.marker, reader.string("marker", ""));
+    BOOST_LEAF_ASSIGN(item.hasSamePrompt, reader.boolean("same_prompt", item.hasSamePrompt));
     BOOST_LEAF_ASSIGN(item.isStream, reader.boolean("stream", item.isStream));
     BOOST_LEAF_ASSIGN(item.cancelShare, reader.number("cancel_share", shareRange, item.cancelShare));
     return {};
--- a/tools/LoadRunner.cpp
+++ b/tools/LoadRunner.cpp
@@ -31,17 +31,21 @@
     std::int64_t running = 0;
 };
 
-auto isBad(CallOutcome outcome) -> bool
+/// Refusals are expected under overload, but not where they are sent again.
+auto isBad(CallOutcome outcome, bool retriesRefusals) -> bool
 {
-    return outcome == CallOutcome::Wrong || outcome == CallOutcome::Doubled || outcome == CallOutcome::Lost || outcome == CallOutcome::Unknown;
+    if (outcome == CallOutcome::NotRun)
+        return retriesRefusals;
+    return outcome != CallOutcome::Whole && outcome != CallOutcome::Cancelled;
 }
 
-auto logBad(const CallPlan& plan, const CallResult& result) -> void
+auto logBad(const LoadSettings& settings, const CallPlan& plan, const CallResult& result) -> void
 {
-    if (!isBad(result.outcome))
+    if (!isBad(result.outcome, settings.retriesRefusals))
         return;
+    const HybridTime now { std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch()).count(), 0 };
     const std::vector<LogField> fields { { "kind", plan.item->name }, { "attempts", result.attempts }, { "detail", result.detail } };
-    writeLogLine(LogLevel::Warning, formatLogLine({}, "bad_answer", fields));
+    writeLogLine(LogLevel::Warning, formatLogLine(now, "bad_answer", fields));
 }
 
 auto startCall(LoadPart& part, CallPlan plan) -> asio::awaitable<void>
@@ -49,7 +53,7 @@
     auto copy = plan;
     const auto result = co_await runCall(part.client, part.settings, std::move(copy), part.nextEntry);
     part.report.add(*plan.item, result);
-    logBad(plan, result);
+    logBad(part.settings, plan, result);
     --part.running;
 }
 
