--- a/src/Forecast.cpp
+++ b/src/Forecast.cpp
@@ -57,6 +57,14 @@
     return lengths(state, request).quantile(quantile, request.emitted, request.arrival.maxTokens);
 }
 
+auto leastTokensLeft(const ShardState& state, const ActiveRequest& request) -> std::uint32_t
+{
+    if (!lengths(state, request).known())
+        return 0;
+    const auto expected = expectedTokens(state, request);
+    return (expected - std::min(request.emitted, expected)) / 2;
+}
+
 auto reservedTokens(const ShardState& state, const ActiveRequest& request) -> std::uint64_t
 {
     return std::uint64_t { request.arrival.promptTokens } + lengths(state, request).quantile(memoryQuantile, request.emitted, request.arrival.maxTokens);
@@ -91,10 +99,13 @@
     return safe >= static_cast<double>(state.promised.size() + state.ready.size() + 1);
 }
 
-auto learnPrefill(DecisionContext& context, const ActiveRequest& request, TimePoint expiresAt) -> void
+auto learnPrefill(DecisionContext& context, const ActiveRequest& request, TimePoint expiresAt, std::uint32_t cachedTokens) -> void
 {
     auto& rates = context.state.rates;
-    rates.prefillTokensPerSecond.observe(request.prefillBacklog, toSeconds(context.now - request.phaseSince));
+    // The backlog was counted with the cached tokens that were expected.
+    const double own = request.prefillHold.prefillTokens;
+    const double computed = request.prefillBacklog - own + request.arrival.promptTokens - std::min(cachedTokens, request.arrival.promptTokens);
+    rates.prefillTokensPerSecond.observe(computed, toSeconds(context.now - request.phaseSince));
     rates.keptSeconds.observe(toSeconds(expiresAt - context.now), 1);
 }
 
