Run the scenarios as tests and list the one that fails

Each scenario file is a test of its own. crashing-request-twice fails: one request that is sent through two instances within about 100 ms crashes four engines, because every instance counts crashes by itself until the next gossip. Sent through one instance after the other it crashes two (crashing-request passes).

--- a/cmake/scenario.cmake
+++ b/cmake/scenario.cmake
@@ -8,7 +8,27 @@
 
 add_executable(jayhold-scenario test/scenario/jayhold-scenario.cpp)
 target_link_libraries(jayhold-scenario PRIVATE jayhold_scenario)
+# The programs that scenarios start.
+add_dependencies(jayhold-scenario jayhold-entry jayhold-load standin-engine standin-platform standin-service standin-link)
 
 jayhold_test(scenario_test
   SOURCES test/error/ScenarioParserErrorTest.cpp
   LINK jayhold_scenario)
+
+# Each scenario file is a test. Their paths are relative to the root of the source tree.
+file(GLOB scenario_files CONFIGURE_DEPENDS RELATIVE ${PROJECT_SOURCE_DIR} test/scenarios/*.scenario)
+foreach(file ${scenario_files})
+  get_filename_component(name ${file} NAME_WE)
+  add_test(NAME scenario-${name} COMMAND jayhold-scenario --file ${file} WORKING_DIRECTORY ${PROJECT_SOURCE_DIR})
+  set_tests_properties(scenario-${name} PROPERTIES TIMEOUT 120)
+endforeach()
+
+# Tests that KNOWN-RED.txt lists fail because of a known fault; scripts/test runs and prints them.
+if(EXISTS ${PROJECT_SOURCE_DIR}/KNOWN-RED.txt)
+  set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/KNOWN-RED.txt)
+  file(STRINGS KNOWN-RED.txt known_red REGEX "^test: ")
+  foreach(line ${known_red})
+    string(REGEX REPLACE "^test: *([^ ]+).*" "\\1" name "${line}")
+    set_tests_properties(${name} PROPERTIES LABELS known-red)
+  endforeach()
+endif()
