--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -30,7 +30,7 @@
     // An answer that may outgrow the replica still runs where its prompt fits.
     if (tokenCapacity(replica) > request.arrival.promptTokens && replica.description.memoryPieces)
         pieces = std::min(pieces, replica.description.memoryPieces);
-    return { .seats = 1, .pieces = pieces, .linkBytes = transferBytes(state, request) };
+    return { .linkBytes = transferBytes(state, request), .seats = 1, .pieces = pieces };
 }
 
 auto prefillReservation(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> Reservation
@@ -38,9 +38,9 @@
     const auto tokens = request.arrival.promptTokens;
     const auto cached = expectedCachedTokens(context.state, request, replica.description.replica);
     return {
+        .linkBytes = transferBytes(context.state, request),
         .seats = 1,
         .pieces = piecesFor(replica, tokens),
-        .linkBytes = transferBytes(context.state, request),
         .prefillTokens = tokens - cached,
     };
 }
@@ -69,17 +69,21 @@
 
 namespace {
 
-/// @return the live decode replica where a seat is expected to free up next.
+/// @return a live decode replica where a seat is expected to free up soon.
 auto expectedDecode(DecisionContext& context, const ActiveRequest& request) -> Replica*
 {
-    const auto ending = context.state.ends.firstAfter(context.now);
-    if (!ending)
-        return nullptr;
-    auto* replica = findReplica(context.state, *findRequest(context.state, *ending)->decode);
-    if (!replica || replica->description.state != ReplicaState::Live)
-        return nullptr;
-    // The memory must be free now: the ending request may be a small one.
-    return hasPieces(*replica, decodeReservation(context, request, *replica).pieces) ? replica : nullptr;
+    Replica* replica = nullptr;
+    const auto found = context.state.ends.firstAfter(context.now, [&](RequestId id) {
+        const auto* ending = findRequest(context.state, id);
+        if (!ending || ending->phase != RequestPhase::Decoding)
+            return false;
+        replica = findReplica(context.state, *ending->decode);
+        if (!replica || replica->description.state != ReplicaState::Live)
+            return false;
+        // The memory must be free now: the ending request may be a small one.
+        return hasPieces(*replica, decodeReservation(context, request, *replica).pieces);
+    });
+    return found ? replica : nullptr;
 }
 
 auto hasFreeDecode(const ShardState& state) -> bool
@@ -89,16 +93,16 @@
 
 }
 
-auto choosePlacement(DecisionContext& context, const ActiveRequest& request) -> std::optional<Placement>
+auto choosePlacement(DecisionContext& context, const ActiveRequest& request, std::int64_t seatsLeft) -> std::optional<Placement>
 {
     // Without a seat or the prospect of one, the more expensive choice of a prefill is left out.
-    const auto seatIsFree = hasFreeDecode(context.state);
-    if (!seatIsFree && !seatExpected(context, prefillTime(context.state, request.arrival.promptTokens)))
+    const auto seatIsFree = hasFreeDecode(context.state) && context.state.freeDecodeSeats > seatsLeft;
+    if (!seatIsFree && !seatExpected(context, prefillTime(context.state, request.arrival.promptTokens), seatsLeft))
         return std::nullopt;
     auto* prefill = choosePrefill(context, request);
     if (!prefill)
         return std::nullopt;
-    if (auto* decode = chooseDecode(context, request, prefill->description.zone))
+    if (auto* decode = seatIsFree ? chooseDecode(context, request, prefill->description.zone) : nullptr)
         return Placement { prefill, decode, true };
     // A promised seat goes past the queue. Batch work with a promise would take the next seats from
     // interactive work that arrives in the meantime.
@@ -108,7 +112,7 @@
     if (request.verdict == CrashVerdict::Suspect)
         return std::nullopt;
     const auto tokens = prefill->reserved.prefillTokens + request.arrival.promptTokens;
-    if (!seatExpected(context, prefillTime(context.state, tokens)))
+    if (!seatExpected(context, prefillTime(context.state, tokens), seatsLeft))
         return std::nullopt;
     if (auto* decode = expectedDecode(context, request))
         return Placement { prefill, decode, false };
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -23,8 +23,12 @@
 
 auto enter(DecisionContext& context, ActiveRequest& request, RequestPhase phase) -> void
 {
+    auto& prefilling = context.state.prefilling;
+    prefilling += phase == RequestPhase::Prefilling;
+    prefilling -= request.phase == RequestPhase::Prefilling;
     request.phase = phase;
-    request.phaseSince = context.now;
+    if (phase != RequestPhase::Decoding)
+        request.phaseSince = context.now;
     request.progressAt = context.now;
     setTimer(context, request);
 }
@@ -53,6 +57,7 @@
 auto erase(DecisionContext& context, ActiveRequest& request) -> void
 {
     const auto id = request.arrival.request;
+    context.state.prefilling -= request.phase == RequestPhase::Prefilling;
     context.state.timers.move(id, request.timerAt, TimePoint::max());
     context.state.answered.insert(id);
     context.state.requests.erase(id);
@@ -101,7 +106,7 @@
     return {
         .request = request.arrival.request,
         .order = static_cast<std::uint64_t>(request.arrivedAt.time_since_epoch().count()),
-        .flow = request.flow,
+        .flow = request.flow(),
         .latencyClass = request.latencyClass,
         .lane = request.lane,
     };
@@ -174,7 +179,6 @@
     request.prefillBacklog = prefill.reserved.prefillTokens;
     notePrefillZone(context, prefill);
     state.totals.prefillTokens += request.arrival.promptTokens;
-    request.engineSince = context.now;
     enter(context, request, RequestPhase::Prefilling);
     context.actions.emplace_back(StartPrefill { request.arrival.request, request.attempt, *request.prefill, *request.decode });
 }
@@ -208,7 +212,6 @@
     if (request.decodeHold.empty() && !reserveDecode(context, request))
         return false;
     context.state.ready.erase({ request.kvExpiresAt, request.arrival.request });
-    request.engineSince = context.now;
     enter(context, request, RequestPhase::Starting);
     context.actions.emplace_back(StartDecode { request.arrival.request, request.attempt, *request.prefill, *request.decode, request.emitted });
     return true;
@@ -220,6 +223,8 @@
     learnFirstToken(context, request);
     releasePrefill(context, request);
     releaseDecodeLink(context, request);
+    // Most of the memory of a running request; a retry is placed without it.
+    std::vector<std::uint64_t>().swap(request.arrival.prefixBlocks);
     enter(context, request, RequestPhase::Decoding);
     updateExpectedEnd(context, request);
 }
