Use a port that is kept from others in the test of an unreachable instance

Cause: the test took port 1 as never used; a daemon of another test run was given a settings file with that port and answered 503, so the exit code was 1 instead of 4. Ruled out: the client (it reported the answer it got).

--- a/test/correctness/CtlCommandsTest.cpp
+++ b/test/correctness/CtlCommandsTest.cpp
@@ -3,6 +3,7 @@
 #include "Configuration.h"
 #include "HttpServer.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
 
@@ -71,8 +72,12 @@
 // Guards against an unreachable instance being reported as success or as a faulty file.
 TEST_CASE("an unreachable instance and a faulty file have their own exit codes")
 {
-    CHECK(run({ .command = "show", .entries = { { "127.0.0.1", 1 } } }).code == ExitCode::Unreachable);
-    CHECK(run({ .command = "timeline", .entries = { { "127.0.0.1", 1 } } }).code == ExitCode::Unreachable);
+    // A bound socket that does not listen refuses connections and keeps others off its port.
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context, { asio::ip::address_v4::loopback(), 0 });
+    const HttpEndpoint unreachable { "127.0.0.1", socket.local_endpoint().port() };
+    CHECK(run({ .command = "show", .entries = { unreachable } }).code == ExitCode::Unreachable);
+    CHECK(run({ .command = "timeline", .entries = { unreachable } }).code == ExitCode::Unreachable);
     CHECK(run({ .command = "check", .arguments = { std::string(exampleFile) } }).code == ExitCode::Success);
     const auto missing = run({ .command = "check", .arguments = { "/nonexistent/file" } });
     CHECK(missing.code == ExitCode::Failed);
