--- a/src/SeatReserve.cpp
+++ b/src/SeatReserve.cpp
@@ -11,6 +11,8 @@
 
 /// The number of seats in use varies by about its square root.
 constexpr double deviationsLeft = 1.0;
+/// Late work no longer counts for goodput and holds its seat as long as work that does.
+constexpr double deviationsLeftByLate = 3.0;
 /// Of all decode seats; a pool of a few seats is not kept from less urgent work altogether.
 constexpr double largestPart = 0.2;
 
@@ -38,7 +40,8 @@
     double offered = 0;
     for (int urgent = 0; urgent < classes; ++urgent)
         offered += context.state.offered.seats(static_cast<LatencyClass>(urgent), context.now);
-    const auto wanted = deviationsLeft * std::sqrt(offered * context.state.settings.sharingInstances);
+    const auto deviations = request.lane == QueueLane::Late ? deviationsLeftByLate : deviationsLeft;
+    const auto wanted = deviations * std::sqrt(offered * context.state.settings.sharingInstances);
     const auto most = largestPart * static_cast<double>(context.state.decodeSeats);
     return static_cast<std::int64_t>(std::min(wanted, most));
 }
--- a/test/correctness/ShardModel.cpp
+++ b/test/correctness/ShardModel.cpp
@@ -53,9 +53,10 @@
     };
 }
 
-auto modelSettings() -> ShardSettings
+auto modelSettings(std::uint32_t sharingInstances) -> ShardSettings
 {
     auto settings = testSettings();
+    settings.sharingInstances = sharingInstances;
     settings.kinds[1].repeatable = false;
     return settings;
 }
@@ -70,8 +71,8 @@
 
 }
 
-ShardModel::ShardModel()
-    : m_harness(modelSettings())
+ShardModel::ShardModel(std::uint32_t sharingInstances)
+    : m_harness(modelSettings(sharingInstances))
 {
     for (std::uint32_t id = 0; id < prefillReplicas + decodeReplicas; ++id) {
         m_replicas[ReplicaId { id }] = testReplica(id);
--- a/test/correctness/ShardModel.h
+++ b/test/correctness/ShardModel.h
@@ -20,7 +20,8 @@
 
 class ShardModel {
 public:
-    ShardModel();
+    /// @param sharingInstances instances that place on the same replicas.
+    explicit ShardModel(std::uint32_t sharingInstances);
     auto play(const ModelStep& step) -> void;
     /// Lets all deadlines pass and checks that every request has had its answer.
     auto finish() -> void;
--- a/test/correctness/ShardPropertyTest.cpp
+++ b/test/correctness/ShardPropertyTest.cpp
@@ -31,7 +31,7 @@
         constexpr std::size_t longest = 600;
         const auto length = *rc::gen::inRange<std::size_t>(1, longest);
         const auto steps = *rc::gen::container<std::vector<ModelStep>>(length, rc::gen::resize(100, rc::gen::arbitrary<ModelStep>()));
-        ShardModel model;
+        ShardModel model(*rc::gen::inRange<std::uint32_t>(1, 4));
         for (const auto& step : steps)
             model.play(step);
         model.finish();
