Leave decode seats free for interactive work

Cause: with more long work than engines, every decode seat is held for tens of seconds, so a lookup waits for the next end, wherever it is, and several instances contend for the same seat. Priority in the queue does not help: it orders what waits on one instance. Conclusion: a part of the seats that grows with late lookups.

--- a/src/Admission.cpp
+++ b/src/Admission.cpp
@@ -50,7 +50,7 @@
     if (queueIsFull(state, request))
         return RefusalReason::QueueFull;
     if (clearlyLate(context, request))
-        request.lane = QueueLane::Late;
+        becomeLate(context, request);
     if (isHopeless(context, request))
         return RefusalReason::Overloaded;
     return std::nullopt;
--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -75,14 +75,24 @@
     return request.lane == QueueLane::Fair && clearlyExceeds(expectedWait(context, request), left);
 }
 
+auto becomeLate(DecisionContext& context, ActiveRequest& request) -> void
+{
+    request.lane = QueueLane::Late;
+    if (request.latencyClass == LatencyClass::Interactive)
+        context.state.headroom.observe(true);
+}
+
 auto learnFirstToken(DecisionContext& context, const ActiveRequest& request) -> void
 {
     if (request.latencyClass == LatencyClass::Batch || request.lane != QueueLane::Fair)
         return;
     const auto target = std::chrono::duration_cast<Duration>(kindOf(context.state, request).firstToken);
     auto& margin = context.state.rates.firstTokenMargin;
-    margin += context.now > request.arrivedAt + target ? marginUp : -marginDown;
+    const auto late = context.now > request.arrivedAt + target;
+    margin += late ? marginUp : -marginDown;
     margin = std::clamp(margin, Duration::zero(), target / largestMarginPart);
+    if (request.latencyClass == LatencyClass::Interactive)
+        context.state.headroom.observe(late);
 }
 
 }
--- a/src/Deadlines.h
+++ b/src/Deadlines.h
@@ -17,7 +17,9 @@
 auto expectedLateWait(const DecisionContext& context) -> Duration;
 /// @return whether the request clearly can't be answered before its deadline.
 auto isHopeless(const DecisionContext& context, const ActiveRequest& request) -> bool;
-/// Adjusts the safety margin after a first token came in time or too late.
+/// Moves the request to the late ones; its queue entry is the caller's.
+auto becomeLate(DecisionContext& context, ActiveRequest& request) -> void;
+/// Adjusts the safety margin and the headroom after a first token came in time or too late.
 auto learnFirstToken(DecisionContext& context, const ActiveRequest& request) -> void;
 
 }
--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -17,6 +17,16 @@
 /// A request is aged after this part of its deadline, which leaves most of it for the service.
 constexpr int agedPartOfDeadline = 8;
 
+auto hasInteractiveKind(const ShardState& state) -> bool
+{
+    return std::ranges::find(state.settings.kinds, LatencyClass::Interactive, &RequestKind::latencyClass) != state.settings.kinds.end();
+}
+
+auto leavesHeadroom(const ShardState& state, LatencyClass latencyClass) -> bool
+{
+    return state.headroom.allows(state.decodeSeats, latencyClass) || !hasInteractiveKind(state);
+}
+
 auto tryStart(DecisionContext& context, RequestId id) -> bool
 {
     auto* request = findRequest(context.state, id);
@@ -73,9 +83,11 @@
     // What frees up is left for the aged request that does not fit yet; only interactive work passes it.
     if (agedTurn)
         return false;
-    return startFromClass(context, LatencyClass::Standard)
-        || startFromClass(context, LatencyClass::Batch)
-        || tryStart(context, state.queue.oldestLate());
+    if (leavesHeadroom(state, LatencyClass::Standard) && startFromClass(context, LatencyClass::Standard))
+        return true;
+    if (!leavesHeadroom(state, LatencyClass::Batch))
+        return false;
+    return startFromClass(context, LatencyClass::Batch) || tryStart(context, state.queue.oldestLate());
 }
 
 auto startReady(DecisionContext& context) -> void
--- a/src/Replica.h
+++ b/src/Replica.h
@@ -3,6 +3,7 @@
 /// A backend server as the shard sees it: its capacity, what this shard has reserved on it and
 /// what others are believed to use.
 
+#include "DecodeSeats.h"
 #include "EngineUse.h"
 #include "Identifiers.h"
 #include "ReplicaChanged.h"
@@ -46,6 +47,8 @@
     std::optional<TimePoint> blamedAt;
     /// Its entry among the capacities of the live replicas.
     std::optional<std::uint64_t> countedCapacity;
+    /// Its part of the seats of all decode replicas.
+    DecodeSeats countedSeats;
     /// Whether it is in the placement index, and under which key.
     bool indexed = false;
     std::uint64_t indexKey = 0;
--- a/src/ReplicaIndex.cpp
+++ b/src/ReplicaIndex.cpp
@@ -52,6 +52,21 @@
     return replica.consecutiveFailures < failuresBeforeEjection || replica.reserved.seats == 0;
 }
 
+auto countSeats(DecisionContext& context, Replica& replica, bool accepts) -> void
+{
+    if (replica.role() != PoolRole::Decode)
+        return;
+    const auto live = replica.description.state == ReplicaState::Live;
+    const DecodeSeats counted {
+        .total = live ? replica.description.seats : 0,
+        .free = accepts && hasPieces(replica, 1) ? freeSeats(replica) : 0,
+    };
+    auto& all = context.state.decodeSeats;
+    all.total = all.total - replica.countedSeats.total + counted.total;
+    all.free = all.free - replica.countedSeats.free + counted.free;
+    replica.countedSeats = counted;
+}
+
 auto nextTimer(const Replica& replica, TimePoint now) -> TimePoint
 {
     auto next = TimePoint::max();
@@ -92,6 +107,7 @@
         zone.erase({ replica.indexKey, description.replica });
     if (accepts && (!replica.indexed || key != replica.indexKey))
         zone.emplace(key, description.replica);
+    countSeats(context, replica, accepts);
     replica.indexed = accepts;
     replica.indexKey = key;
     context.state.timers.move(description.replica, replica.timerAt, nextTimer(replica, context.now));
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -147,7 +147,7 @@
     auto& queue = context.state.queue;
     if (request.lane == QueueLane::Fair && latestOnTimeStart(context.state, request) <= context.now) {
         queue.remove(queueEntry(request));
-        request.lane = QueueLane::Late;
+        becomeLate(context, request);
         queue.push(queueEntry(request), customerWeight(context.state, request));
     }
     if (isHopeless(context, request))
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -4,6 +4,7 @@
 
 #include "ActiveRequest.h"
 #include "AnsweredRequests.h"
+#include "DecodeSeats.h"
 #include "EndForecast.h"
 #include "LengthModel.h"
 #include "PlacementIndex.h"
@@ -11,6 +12,7 @@
 #include "Replica.h"
 #include "RequestQueue.h"
 #include "RetryBudget.h"
+#include "SeatHeadroom.h"
 #include "ServiceRates.h"
 #include "ShardSettings.h"
 #include "ShardSummary.h"
@@ -35,6 +37,8 @@
     AnsweredRequests answered;
     std::unordered_map<ReplicaId, Replica> replicas;
     PlacementIndex index;
+    DecodeSeats decodeSeats;
+    SeatHeadroom headroom;
     RequestQueue queue;
     TimerQueue timers;
     /// Requests whose prefill result waits for a decode seat, first to expire first.
