--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -51,8 +51,8 @@
     double ahead = 0;
     for (auto urgent = 0; urgent < static_cast<int>(request.latencyClass); ++urgent)
         ahead += static_cast<double>(queue.classSize(static_cast<LatencyClass>(urgent)));
-    const auto share = queue.share(request.flow, request.latencyClass, customerWeight(context.state, request));
-    const auto inFlow = static_cast<double>(queue.flowSize(request.flow)) / share;
+    const auto share = queue.share(request.flow(), request.latencyClass, customerWeight(context.state, request));
+    const auto inFlow = static_cast<double>(queue.flowSize(request.flow())) / share;
     ahead += std::min(inFlow, static_cast<double>(queue.classSize(request.latencyClass)));
     return Duration(static_cast<Duration::rep>(ahead * static_cast<double>(context.state.pace.interval(context.now).count())));
 }
