--- a/src/Deadlines.h
+++ b/src/Deadlines.h
@@ -6,8 +6,8 @@
 
 namespace jayhold {
 
-/// @return the last time at which a start can meet the first-token target; never for batch work and
-/// for streams whose first token is out.
+/// @return the last time at which a start can meet the first-token target; the end of time for
+/// streams whose first token is out.
 auto latestOnTimeStart(const ShardState& state, const ActiveRequest& request) -> TimePoint;
 /// @return the last time at which a start can meet the deadline.
 auto latestStart(const ShardState& state, const ActiveRequest& request) -> TimePoint;
@@ -19,7 +19,7 @@
 auto isHopeless(const DecisionContext& context, const ActiveRequest& request) -> bool;
 /// Moves the request to the late ones; its queue entry is the caller's.
 auto becomeLate(DecisionContext& context, ActiveRequest& request) -> void;
-/// Adjusts the safety margin and the headroom after a first token came in time or too late.
+/// Adjusts the safety margin and the seats left free after a first token came in time or too late.
 auto learnFirstToken(DecisionContext& context, const ActiveRequest& request) -> void;
 
 }
--- a/src/Replica.h
+++ b/src/Replica.h
@@ -3,7 +3,6 @@
 /// A backend server as the shard sees it: its capacity, what this shard has reserved on it and
 /// what others are believed to use.
 
-#include "DecodeSeats.h"
 #include "EngineUse.h"
 #include "Identifiers.h"
 #include "ReplicaChanged.h"
@@ -43,12 +42,18 @@
 
     /// The suspect that runs here in isolation; the replica gets no new work meanwhile.
     std::optional<RequestId> probationer;
+    /// Requests that became suspects here since `lostAt`, until something shows that it did not crash.
+    std::vector<RequestId> freshSuspects;
+    TimePoint lostAt;
     /// When the last crash was blamed on a suspect.
     std::optional<TimePoint> blamedAt;
+    /// Its part of the free and of all seats of the shard.
+    std::int64_t countedFreeSeats = 0;
+    std::int64_t countedSeats = 0;
+    /// When it last turned work away for lack of room; older reports say nothing about its seats.
+    TimePoint busyAt = TimePoint::min();
     /// Its entry among the capacities of the live replicas.
     std::optional<std::uint64_t> countedCapacity;
-    /// Its part of the seats of all decode replicas.
-    DecodeSeats countedSeats;
     /// Whether it is in the placement index, and under which key.
     bool indexed = false;
     std::uint64_t indexKey = 0;
--- a/src/ReplicaIndex.cpp
+++ b/src/ReplicaIndex.cpp
@@ -52,19 +52,18 @@
     return replica.consecutiveFailures < failuresBeforeEjection || replica.reserved.seats == 0;
 }
 
-auto countSeats(DecisionContext& context, Replica& replica, bool accepts) -> void
+auto countFreeSeats(ShardState& state, Replica& replica) -> void
 {
     if (replica.role() != PoolRole::Decode)
         return;
     const auto live = replica.description.state == ReplicaState::Live;
-    const DecodeSeats counted {
-        .total = live ? replica.description.seats : 0,
-        .free = accepts && hasPieces(replica, 1) ? freeSeats(replica) : 0,
-    };
-    auto& all = context.state.decodeSeats;
-    all.total = all.total - replica.countedSeats.total + counted.total;
-    all.free = all.free - replica.countedSeats.free + counted.free;
-    replica.countedSeats = counted;
+    const auto used = std::int64_t { replica.reserved.seats } + replica.othersSeats;
+    const auto free = live ? std::max<std::int64_t>(replica.description.seats - used, 0) : 0;
+    state.freeDecodeSeats += free - replica.countedFreeSeats;
+    replica.countedFreeSeats = free;
+    const auto all = live ? std::int64_t { replica.description.seats } : 0;
+    state.decodeSeats += all - replica.countedSeats;
+    replica.countedSeats = all;
 }
 
 auto nextTimer(const Replica& replica, TimePoint now) -> TimePoint
@@ -99,6 +98,7 @@
 
 auto updateIndex(DecisionContext& context, Replica& replica) -> void
 {
+    countFreeSeats(context.state, replica);
     const auto& description = replica.description;
     auto& zone = context.state.index.ofRole(description.role)[description.zone];
     const auto accepts = acceptsWork(replica, context.now);
@@ -107,7 +107,6 @@
         zone.erase({ replica.indexKey, description.replica });
     if (accepts && (!replica.indexed || key != replica.indexKey))
         zone.emplace(key, description.replica);
-    countSeats(context, replica, accepts);
     replica.indexed = accepts;
     replica.indexKey = key;
     context.state.timers.move(description.replica, replica.timerAt, nextTimer(replica, context.now));
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -4,15 +4,15 @@
 
 #include "ActiveRequest.h"
 #include "AnsweredRequests.h"
-#include "DecodeSeats.h"
 #include "EndForecast.h"
 #include "LengthModel.h"
+#include "OfferedLoad.h"
 #include "PlacementIndex.h"
 #include "PrefixCacheView.h"
 #include "Replica.h"
 #include "RequestQueue.h"
+#include "ReserveScale.h"
 #include "RetryBudget.h"
-#include "SeatHeadroom.h"
 #include "ServiceRates.h"
 #include "ShardSettings.h"
 #include "ShardSummary.h"
@@ -37,8 +37,6 @@
     AnsweredRequests answered;
     std::unordered_map<ReplicaId, Replica> replicas;
     PlacementIndex index;
-    DecodeSeats decodeSeats;
-    SeatHeadroom headroom;
     RequestQueue queue;
     TimerQueue timers;
     /// Requests whose prefill result waits for a decode seat, first to expire first.
@@ -54,11 +52,23 @@
     std::vector<LengthModel> lengths;
     /// Signatures of requests that crash engines, and until when they are refused.
     std::unordered_map<std::uint64_t, TimePoint> blockedSignatures;
+    /// Replicas that lost connections, and when, for a short time.
+    std::vector<std::pair<ReplicaId, TimePoint>> lostReplicas;
     RetryBudget retryBudget;
+    OfferedLoad offered;
+    /// Free seats of the live decode replicas, as far as known.
+    std::int64_t freeDecodeSeats = 0;
+    /// All seats of the live decode replicas.
+    std::int64_t decodeSeats = 0;
+    ReserveScale reserveScale;
+    /// Requests whose prefill runs; each is about to take a decode seat that no report shows.
+    std::uint32_t prefilling = 0;
+    /// Memory pieces of a request on a decode replica, averaged.
+    double meanDecodePieces = 0;
     StartPace pace;
     StartPace latePace;
-    /// Starts since an aged request got its turn.
-    std::uint32_t startsSinceAged = 0;
+    /// Expected output tokens of the requests started since an aged request got its turn.
+    std::uint64_t servedSinceAged = 0;
     std::minstd_rand random;
     ShardSummary totals;
     /// Memory of the live replicas in tokens.
