--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -19,3 +19,10 @@
   SOURCES test/correctness/ModelRequestTest.cpp test/correctness/PlainBalancerTest.cpp
     test/correctness/PlainServiceTest.cpp
   LINK jayhold_entry)
+
+jayhold_test(entry_daemon_test
+  SOURCES test/correctness/EntryDaemonTest.cpp
+  LINK jayhold_entry jayhold_standins)
+
+add_executable(jayhold-relay-bench bench/RelayBench.cpp bench/RelayCallers.cpp)
+target_link_libraries(jayhold-relay-bench PRIVATE jayhold_entry jayhold_standins)
