--- a/src/SeatReserve.cpp
+++ b/src/SeatReserve.cpp
@@ -21,6 +21,15 @@
     return static_cast<double>(duration.count()) / 1e6;
 }
 
+/// Only batch work leaves more while interactive work is late: its seats are held for longest, and
+/// standard work has a first-token target of its own.
+auto deviationsLeftBy(const ShardState& state, const ActiveRequest& request) -> double
+{
+    if (request.lane == QueueLane::Late)
+        return deviationsLeftByLate;
+    return request.latencyClass == LatencyClass::Batch ? deviationsLeft * state.reserveScale.value() : deviationsLeft;
+}
+
 }
 
 auto noteOffered(DecisionContext& context, const ActiveRequest& request) -> void
@@ -40,8 +49,7 @@
     double offered = 0;
     for (int urgent = 0; urgent < classes; ++urgent)
         offered += context.state.offered.seats(static_cast<LatencyClass>(urgent), context.now);
-    const auto deviations = request.lane == QueueLane::Late ? deviationsLeftByLate : deviationsLeft;
-    const auto wanted = deviations * std::sqrt(offered * context.state.settings.sharingInstances);
+    const auto wanted = deviationsLeftBy(context.state, request) * std::sqrt(offered * context.state.settings.sharingInstances);
     const auto most = largestPart * static_cast<double>(context.state.decodeSeats);
     return static_cast<std::int64_t>(std::min(wanted, most));
 }
--- /dev/null
+++ b/test/correctness/HeadroomTest.cpp
@@ -0,0 +1,64 @@
+#include "ReserveScale.h"
+#include "ShardHarness.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace jayhold;
+using namespace jayhold::test;
+
+namespace {
+
+auto starts(const ShardHarness& harness) -> std::ptrdiff_t
+{
+    return std::count_if(harness.all.begin(), harness.all.end(), [](const DecisionAction& action) { return std::holds_alternative<StartPrefill>(action); });
+}
+
+/// @return how many of 60 batch requests start on 50 decode seats, after so many lookups of which each
+/// got its first token after the given time.
+auto batchStarts(int lookups, Duration firstToken) -> std::ptrdiff_t
+{
+    ShardHarness harness;
+    harness.replica(1, PoolRole::Prefill, 200);
+    harness.replica(2, PoolRole::Decode, 50);
+    for (int id = 1; id <= lookups; ++id) {
+        harness.arrive(static_cast<std::uint64_t>(id), 0, 0, 100);
+        const auto prefill = *harness.last<StartPrefill>();
+        harness.now += firstToken;
+        harness.prefilled(prefill);
+        const auto decode = *harness.last<StartDecode>();
+        harness.started(decode);
+        harness.send(DecodeFinished { decode.request, decode.attempt, 100 });
+    }
+    const auto before = starts(harness);
+    for (std::uint64_t id = 1'001; id <= 1'060; ++id)
+        harness.arrive(id, 2, 0, 100);
+    return starts(harness) - before;
+}
+
+}
+
+// Guards against lookups that wait for a seat while long answers hold all of them.
+TEST_CASE("batch work leaves seats free for lookups, and more of them after late ones")
+{
+    const auto withoutLookups = batchStarts(0, 0ms);
+    const auto inTime = batchStarts(30, 200ms);
+    const auto late = batchStarts(30, 600ms);
+    CHECK(withoutLookups == 50);
+    CHECK(inTime < withoutLookups);
+    CHECK(late < inTime);
+}
+
+// Guards against seats that stay empty for lookups that are in time, and against a scale without end.
+TEST_CASE("the scale of the seats left free is bounded and returns to its start")
+{
+    ReserveScale scale;
+    const auto start = scale.value();
+    for (int request = 0; request < 100; ++request)
+        scale.observe(true);
+    CHECK(scale.value() == 3 * start);
+    for (int request = 0; request < 1'000; ++request)
+        scale.observe(false);
+    CHECK(scale.value() == start);
+}
