--- /dev/null
+++ b/src/Placement.cpp
@@ -0,0 +1,122 @@
+#include "Placement.h"
+
+#include "Forecast.h"
+#include "Ledger.h"
+#include "PrefillChoice.h"
+#include "ZoneSearch.h"
+
+#include <algorithm>
+
+namespace jayhold {
+
+namespace {
+
+/// A transfer may wait this long for the link; longer, and the result could expire.
+constexpr double longestLinkSeconds = 0.4;
+
+auto linkHasShare(const Replica& replica, std::uint64_t bytes) -> bool
+{
+    const auto rate = static_cast<double>(replica.description.linkBytesPerSecond);
+    // A single transfer gets the link even if it takes long; otherwise it would never run.
+    return rate <= 0 || !replica.reserved.linkBytes || static_cast<double>(replica.reserved.linkBytes + bytes) <= rate * longestLinkSeconds;
+}
+
+}
+
+auto decodeReservation(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> Reservation
+{
+    const auto& state = context.state;
+    auto pieces = piecesFor(replica, reservedTokens(state, request));
+    // An answer that may outgrow the replica still runs where its prompt fits.
+    if (tokenCapacity(replica) > request.arrival.promptTokens && replica.description.memoryPieces)
+        pieces = std::min(pieces, replica.description.memoryPieces);
+    return { .linkBytes = transferBytes(state, request), .seats = 1, .pieces = pieces };
+}
+
+auto prefillReservation(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> Reservation
+{
+    const auto tokens = request.arrival.promptTokens;
+    const auto cached = expectedCachedTokens(context.state, request, replica.description.replica);
+    return {
+        .linkBytes = transferBytes(context.state, request),
+        .seats = 1,
+        .pieces = piecesFor(replica, tokens),
+        .prefillTokens = tokens - cached,
+    };
+}
+
+auto prefillFits(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> bool
+{
+    return hasPieces(replica, piecesFor(replica, request.arrival.promptTokens)) && linkHasShare(replica, transferBytes(context.state, request));
+}
+
+auto chooseDecode(DecisionContext& context, const ActiveRequest& request, ZoneId prefillZone) -> Replica*
+{
+    const auto fits = [&](const Replica& replica) {
+        const auto amount = decodeReservation(context, request, replica);
+        return hasPieces(replica, amount.pieces) && linkHasShare(replica, amount.linkBytes);
+    };
+    const auto local = context.state.settings.localZone;
+    // The transfer stays within a zone where it can.
+    if (auto* replica = firstInZone(context, PoolRole::Decode, prefillZone, request, fits))
+        return replica;
+    if (auto* replica = firstInZone(context, PoolRole::Decode, local, request, fits))
+        return replica;
+    if (auto* replica = firstElsewhere(context, PoolRole::Decode, { prefillZone, local }, request, fits))
+        return replica;
+    return avoidedIfFits(context, PoolRole::Decode, request, fits);
+}
+
+namespace {
+
+/// @return a live decode replica where a seat is expected to free up soon.
+auto expectedDecode(DecisionContext& context, const ActiveRequest& request) -> Replica*
+{
+    Replica* replica = nullptr;
+    const auto found = context.state.ends.firstAfter(context.now, [&](RequestId id) {
+        const auto* ending = findRequest(context.state, id);
+        if (!ending || ending->phase != RequestPhase::Decoding)
+            return false;
+        replica = findReplica(context.state, *ending->decode);
+        if (!replica || replica->description.state != ReplicaState::Live)
+            return false;
+        // The memory must be free now: the ending request may be a small one.
+        return hasPieces(*replica, decodeReservation(context, request, *replica).pieces);
+    });
+    return found ? replica : nullptr;
+}
+
+auto hasFreeDecode(const ShardState& state) -> bool
+{
+    return std::any_of(state.index.decode.begin(), state.index.decode.end(), [](const auto& zone) { return !zone.second.empty(); });
+}
+
+}
+
+auto choosePlacement(DecisionContext& context, const ActiveRequest& request, std::int64_t seatsLeft) -> std::optional<Placement>
+{
+    // Without a seat or the prospect of one, the more expensive choice of a prefill is left out.
+    const auto seatIsFree = hasFreeDecode(context.state) && context.state.freeDecodeSeats > seatsLeft;
+    if (!seatIsFree && !seatExpected(context, prefillTime(context.state, request.arrival.promptTokens), seatsLeft))
+        return std::nullopt;
+    auto* prefill = choosePrefill(context, request);
+    if (!prefill)
+        return std::nullopt;
+    if (auto* decode = seatIsFree ? chooseDecode(context, request, prefill->description.zone) : nullptr)
+        return Placement { prefill, decode, true };
+    // A promised seat goes past the queue. Batch work with a promise would take the next seats from
+    // interactive work that arrives in the meantime.
+    if (request.latencyClass == LatencyClass::Batch)
+        return std::nullopt;
+    // A suspect is not run on the chance of a seat; its replica must be free of other suspects.
+    if (request.verdict == CrashVerdict::Suspect)
+        return std::nullopt;
+    const auto tokens = prefill->reserved.prefillTokens + request.arrival.promptTokens;
+    if (!seatExpected(context, prefillTime(context.state, tokens), seatsLeft))
+        return std::nullopt;
+    if (auto* decode = expectedDecode(context, request))
+        return Placement { prefill, decode, false };
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/src/ReplicaEvents.cpp
@@ -0,0 +1,106 @@
+#include "ReplicaEvents.h"
+
+#include "CrashWatch.h"
+#include "Ledger.h"
+#include "ReplicaHealth.h"
+#include "ReplicaIndex.h"
+#include "RequestLife.h"
+
+#include <algorithm>
+
+namespace jayhold {
+
+namespace {
+
+auto decodeGone(DecisionContext& context, ActiveRequest& request, Replica& replica, bool crashed) -> void
+{
+    if (crashed)
+        noteCrash(context, request, replica);
+    stopDecode(context, request);
+}
+
+auto prefillGone(DecisionContext& context, ActiveRequest& request, bool crashed) -> void
+{
+    if (request.phase == RequestPhase::Prefilling || request.phase == RequestPhase::Ready)
+        attemptFailed(context, request, crashed ? FailureKind::ConnectionLost : FailureKind::TimedOut);
+    else
+        // The transfer may be complete; if it is not, the decode engine reports it.
+        releasePrefill(context, request);
+}
+
+/// What ran on a replica that is gone has failed. One that went without leaving first has crashed.
+auto failOwners(DecisionContext& context, Replica& replica, bool crashed) -> void
+{
+    const auto id = replica.description.replica;
+    const auto owners = replica.owners;
+    for (const auto owner : owners) {
+        // The failure of one owner can end others that have the same signature.
+        auto* request = findRequest(context.state, owner);
+        if (!request)
+            continue;
+        if (request->decode == id && !request->decodeHold.empty())
+            decodeGone(context, *request, replica, crashed);
+        else if (request->prefill == id && !request->prefillHold.empty())
+            prefillGone(context, *request, crashed);
+    }
+}
+
+auto removeReplica(DecisionContext& context, Replica& replica, bool crashed) -> void
+{
+    const auto id = replica.description.replica;
+    failOwners(context, replica, crashed);
+    context.state.timers.move(id, replica.timerAt, TimePoint::max());
+    context.state.cache.drop(id);
+    context.state.replicas.erase(id);
+}
+
+}
+
+auto handle(DecisionContext& context, const ReplicaChanged& event) -> void
+{
+    auto* known = findReplica(context.state, event.replica);
+    if (known && known->role() != event.role) {
+        // What it ran in its former role has ended with it.
+        changeState(context, *known, ReplicaState::Gone);
+        removeReplica(context, *known, false);
+        known = nullptr;
+    }
+    if (!known && event.state == ReplicaState::Gone)
+        return;
+    if (!known) {
+        known = &context.state.replicas[event.replica];
+        known->description = event;
+        known->description.state = ReplicaState::Gone;
+    }
+    // The index is keyed by zone; the replica leaves it before the zone may change.
+    removeFromIndex(context, *known);
+    const auto before = known->description.state;
+    known->description = event;
+    known->description.state = before;
+    changeState(context, *known, event.state);
+    if (event.state == ReplicaState::Gone)
+        removeReplica(context, *known, before == ReplicaState::Live);
+}
+
+auto handle(DecisionContext& context, const CacheEvents& event) -> void
+{
+    if (findReplica(context.state, event.replica))
+        context.state.cache.apply(event);
+}
+
+auto replicaTimerDue(DecisionContext& context, ReplicaId id) -> void
+{
+    auto* replica = findReplica(context.state, id);
+    if (!replica)
+        return;
+    replica->timerAt = TimePoint::max();
+    // An engine that is full after all turns work away unrun.
+    if (replica->seatAllowance && replica->allowanceUntil <= context.now) {
+        replica->seatAllowance.reset();
+        replica->othersSeats = 0;
+        replica->othersPieces = 0;
+    }
+    updateIndex(context, *replica);
+}
+
+}
--- /dev/null
+++ b/src/RequestQueue.cpp
@@ -0,0 +1,140 @@
+#include "RequestQueue.h"
+
+#include <algorithm>
+
+namespace jayhold {
+
+namespace {
+
+constexpr double minimumWeight = 1e-6;
+
+template <typename Waiting>
+auto first(const Waiting& waiting) -> std::optional<RequestId>
+{
+    if (waiting.empty())
+        return std::nullopt;
+    return waiting.begin()->second;
+}
+
+}
+
+auto RequestQueue::push(const QueueEntry& entry, double weight) -> void
+{
+    ++m_size;
+    ++m_customers[entry.flow.customer];
+    switch (entry.lane) {
+    case QueueLane::Resume:
+        m_resume.emplace(entry.order, entry.request);
+        break;
+    case QueueLane::Late:
+        lateOf(entry).emplace(entry.order, entry.request);
+        break;
+    case QueueLane::Fair:
+        pushFair(entry, std::max(weight, minimumWeight));
+        break;
+    }
+}
+
+auto RequestQueue::remove(const QueueEntry& entry) -> void
+{
+    const std::pair position { entry.order, entry.request };
+    std::size_t removed = 0;
+    switch (entry.lane) {
+    case QueueLane::Resume:
+        removed = m_resume.erase(position);
+        break;
+    case QueueLane::Late:
+        removed = lateOf(entry).erase(position);
+        break;
+    case QueueLane::Fair:
+        removed = removeFair(entry);
+        break;
+    }
+    m_size -= removed;
+    const auto customer = m_customers.find(entry.flow.customer);
+    customer->second -= removed;
+    if (!customer->second)
+        m_customers.erase(customer);
+}
+
+auto RequestQueue::pushFair(const QueueEntry& entry, double weight) -> void
+{
+    auto& flow = m_flows[entry.flow];
+    auto& owner = classOf(entry.latencyClass);
+    if (flow.waiting.empty()) {
+        flow.weight = weight;
+        flow.tag = std::max(flow.tag, owner.virtualTime);
+        owner.active.emplace(flow.tag, entry.flow);
+        owner.activeWeight += weight;
+    }
+    flow.waiting.emplace(entry.order, entry.request);
+    owner.byAge.emplace(entry.order, entry.request);
+}
+
+auto RequestQueue::removeFair(const QueueEntry& entry) -> std::size_t
+{
+    auto& flow = m_flows.at(entry.flow);
+    auto& owner = classOf(entry.latencyClass);
+    const auto removed = flow.waiting.erase({ entry.order, entry.request });
+    owner.byAge.erase({ entry.order, entry.request });
+    if (removed && flow.waiting.empty()) {
+        owner.active.erase({ flow.tag, entry.flow });
+        // Starting again from zero keeps rounding errors from adding up.
+        owner.activeWeight = owner.active.empty() ? 0 : owner.activeWeight - flow.weight;
+    }
+    return removed;
+}
+
+auto RequestQueue::charge(const QueueEntry& entry, double cost) -> void
+{
+    if (entry.lane != QueueLane::Fair)
+        return;
+    auto& flow = m_flows[entry.flow];
+    auto& owner = classOf(entry.latencyClass);
+    const auto active = owner.active.erase({ flow.tag, entry.flow }) > 0;
+    owner.virtualTime = std::max(owner.virtualTime, flow.tag);
+    flow.tag += cost / flow.weight;
+    if (active)
+        owner.active.emplace(flow.tag, entry.flow);
+}
+
+auto RequestQueue::oldest(LatencyClass latencyClass) const -> std::optional<RequestId>
+{
+    return first(classOf(latencyClass).byAge);
+}
+
+auto RequestQueue::oldestLate() const -> std::optional<RequestId>
+{
+    return first(m_late);
+}
+
+auto RequestQueue::oldestLateBatch() const -> std::optional<RequestId>
+{
+    return first(m_lateBatch);
+}
+
+auto RequestQueue::oldestResume() const -> std::optional<RequestId>
+{
+    return first(m_resume);
+}
+
+auto RequestQueue::flowSize(const FlowKey& flow) const -> std::size_t
+{
+    const auto found = m_flows.find(flow);
+    return found == m_flows.end() ? 0 : found->second.waiting.size();
+}
+
+auto RequestQueue::customerSize(CustomerId customer) const -> std::size_t
+{
+    const auto found = m_customers.find(customer);
+    return found == m_customers.end() ? 0 : found->second;
+}
+
+auto RequestQueue::share(const FlowKey& flow, LatencyClass latencyClass, double weight) const -> double
+{
+    const auto own = std::max(weight, minimumWeight);
+    const auto others = classOf(latencyClass).activeWeight - (flowSize(flow) ? own : 0);
+    return own / (own + std::max(others, 0.0));
+}
+
+}
