--- a/test/scenario/ScenarioMetrics.cpp
+++ b/test/scenario/ScenarioMetrics.cpp
@@ -7,6 +7,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
+#include <array>
 #include <numeric>
 #include <ostream>
 
@@ -134,13 +135,28 @@
     return std::nullopt;
 }
 
-auto ScenarioRunner::printTimeline(std::ostream& output) -> void
+auto ScenarioRunner::printLoadOutput(std::ostream& output) const -> void
 {
     for (const auto& load : m_loads) {
         output << "output of the load:\n";
         for (const auto& line : load.child->output())
             output << "    " << line << '\n';
     }
+}
+
+auto ScenarioRunner::printSummary(std::ostream& output) -> void
+{
+    printLoadOutput(output);
+    constexpr std::array<std::string_view, 7> metrics { "lost", "doubled", "wrong", "unknown", "wasted_percent", "held", "seats" };
+    for (const auto metric : metrics) {
+        if (const auto number = value({ .metric = std::string(metric) }))
+            output << metric << '=' << *number << '\n';
+    }
+}
+
+auto ScenarioRunner::printTimeline(std::ostream& output) -> void
+{
+    printLoadOutput(output);
     std::vector<std::vector<LoggedEvent>> logs;
     for (const auto* entry : m_fleet.answering(ProcessType::Entry))
         logs.push_back(readEvents(m_fleet.client(), entry->adminEndpoint));
--- a/test/scenario/ScenarioRunner.h
+++ b/test/scenario/ScenarioRunner.h
@@ -21,11 +21,15 @@
     /// @return success, or ScenarioError or FileError for the first statement that failed.
     auto run(std::span<const Statement> statements) -> boost::leaf::result<void>;
 
+    /// Prints the tables of the loads and what the engines and services counted.
+    auto printSummary(std::ostream& output) -> void;
+
     /// Prints the output of the loads, the events of all entry instances in causal order, and the
     /// output of processes that crashed.
     auto printTimeline(std::ostream& output) -> void;
 
 private:
+    auto printLoadOutput(std::ostream& output) const -> void;
     auto execute(const Statement& statement) -> boost::leaf::result<void>;
     auto startLoad(const Statement& statement) -> boost::leaf::result<void>;
     auto waitForLoads(std::size_t line) -> boost::leaf::result<void>;
--- a/test/scenario/jayhold-scenario.cpp
+++ b/test/scenario/jayhold-scenario.cpp
@@ -20,6 +20,7 @@
     std::string file;
     std::string programs;
     bool onlyChecks = false;
+    bool printsSummary = false;
 };
 
 auto optionsOf(Options& options) -> std::vector<CommandOption>
@@ -27,6 +28,7 @@
     return {
         textOption("file", "scenario file", options.file),
         textOption("programs", "folder of the programs; that of this program where absent", options.programs),
+        booleanOption("summary", "print the tables of the loads and what engines and services counted", options.printsSummary),
         booleanOption("check", "only check the file", options.onlyChecks),
     };
 }
@@ -72,6 +74,8 @@
     ScenarioRunner runner(options.programs);
     const auto start = monotonicNow();
     const auto code = report(options, ExitCode::Failed, [&] { return runner.run(statements); });
+    if (options.printsSummary)
+        runner.printSummary(std::cout);
     if (code != ExitCode::Success)
         runner.printTimeline(std::cerr);
     const auto seconds = std::chrono::duration<double>(monotonicNow() - start).count();
