--- a/src/CancelOnReplica.h
+++ b/src/CancelOnReplica.h
@@ -1,6 +1,8 @@
 #pragma once
 
-/// Action: cancel what a backend server runs or holds for a request.
+/// Action: cancel what a backend server runs or holds for a request. A retry may go to the same
+/// replica when there is no other, so a driver carries out the actions for one request and replica in
+/// their order.
 
 #include "Identifiers.h"
 
