--- a/src/ClusterGossip.cpp
+++ b/src/ClusterGossip.cpp
@@ -117,10 +117,10 @@
         const std::lock_guard guard(core->lock);
         const auto now = monotonicNow();
         startRound(core->membership, now, actions);
-        for (auto& peer : chooseTargets(core->membership, now)) {
-            auto message = composeMessage(core->membership, now);
+        for (auto& target : chooseTargets(core->membership, now)) {
+            auto message = composeMessage(core->membership, now, target.isRemote);
             addVersionsAndRumors(*core, message);
-            round.push_back({ std::move(peer), json::serialize(toJson(message)) });
+            round.push_back({ std::move(target.endpoint), json::serialize(toJson(message)) });
         }
     }
     reportAtHome(core, std::move(actions));
--- a/src/Membership.cpp
+++ b/src/Membership.cpp
@@ -9,6 +9,8 @@
 
 /// Messages that introduce a peer with its address after it appeared or changed.
 constexpr unsigned introductionsPerChange = 8;
+/// Heartbeats in a message of a small group.
+constexpr std::size_t smallestSample = 3;
 /// Full entries among the sample of one message.
 constexpr std::size_t introductionsPerMessage = 2;
 /// Pause between two requests for addresses. Heartbeats of instances that have died or restarted go
@@ -95,7 +97,7 @@
 {
     std::vector<const PeerState*> live;
     for (const auto& [id, peer] : membership.peers) {
-        if (id != receiver && !peer.isSuspect)
+        if (id != receiver && !peer.isSuspect && isInGroup(membership, peer.member.availabilityZone))
             live.push_back(&peer);
     }
     if (live.empty())
@@ -118,7 +120,7 @@
     };
     std::vector<Ranked> ranked;
     for (auto& [id, peer] : membership.peers) {
-        if (!peer.isSuspect)
+        if (!peer.isSuspect && isInGroup(membership, peer.member.availabilityZone))
             ranked.push_back({ peer.sends, membership.random.next(), &peer });
     }
     const auto count = std::min(size, ranked.size());
@@ -144,7 +146,7 @@
     for (auto& [id, peer] : membership.peers) {
         if (message.introductions.size() >= introductionsPerMessage)
             return;
-        if (peer.isSuspect || peer.introductions >= introductionsPerChange)
+        if (peer.isSuspect || peer.introductions >= introductionsPerChange || !isInGroup(membership, peer.member.availabilityZone))
             continue;
         ++peer.introductions;
         message.introductions.push_back({ peer.member, peer.heartbeat });
@@ -231,10 +233,12 @@
     }
 }
 
-auto composeMessage(Membership& membership, TimePoint now) -> GossipMessage
+auto composeMessage(Membership& membership, TimePoint now, bool isRemote) -> GossipMessage
 {
     GossipMessage message { .sender = selfEntry(membership) };
-    addSample(membership, membership.settings.messageSample, message);
+    if (isRemote)
+        return message;
+    addSample(membership, std::clamp(membership.peers.size() / 2, smallestSample, membership.settings.messageSample), message);
     addIntroductions(membership, message);
     const auto mayAsk = membership.askedAt == TimePoint() || now - membership.askedAt >= addressPause;
     if (membership.peers.empty() || (membership.wantsAddresses && mayAsk)) {
@@ -257,7 +261,9 @@
     // nothing. The sender compares: it never reached a newer entry only if it has restarted.
     else if (peer != membership.peers.end() && isNewer({ peer->second.member, peer->second.heartbeat }, sender.incarnation, received.sender.heartbeat))
         reply.introductions.push_back({ peer->second.member, peer->second.heartbeat });
-    addSample(membership, membership.settings.replySample, reply);
+    if (!isInGroup(membership, sender.availabilityZone))
+        return reply;
+    addSample(membership, std::clamp(membership.peers.size() / 4, smallestSample, membership.settings.replySample), reply);
     if (received.isJoining)
         addAddresses(membership, sender.id, reply);
     return reply;
--- a/src/Membership.h
+++ b/src/Membership.h
@@ -24,8 +24,8 @@
     unsigned remoteFactor = 10;
     /// Peers that each round sends to.
     std::size_t fanout = 3;
-    /// Heartbeats of others in one message and in one reply. Six messages and replies a second with
-    /// this many stay under 4 KB/s together with the HTTP headers.
+    /// Most heartbeats of others in one message and in one reply; small groups need fewer. Six
+    /// messages and replies a second with this many stay under 4 KB/s together with HTTP headers.
     std::size_t messageSample = 14;
     std::size_t replySample = 8;
     /// Up to this many known instances all gossip as one group; above it each zone is a group
@@ -75,6 +75,14 @@
     RandomSource random;
 };
 
+/// Where a round sends to.
+struct GossipTarget {
+    HttpEndpoint endpoint;
+    /// Whether the receiver is in another gossip group; it gets no sample, because it doesn't know
+    /// the instances of this one.
+    bool isRemote = false;
+};
+
 /// A peer is known now, or known again.
 struct MemberFound {
     Member member;
@@ -106,11 +114,10 @@
 /// Starts a round: counts the heartbeat, and judges peers without progress.
 auto startRound(Membership& membership, TimePoint now, std::vector<MembershipAction>& actions) -> void;
 
-/// @return the endpoints that this round sends to.
-auto chooseTargets(Membership& membership, TimePoint now) -> std::vector<HttpEndpoint>;
+auto chooseTargets(Membership& membership, TimePoint now) -> std::vector<GossipTarget>;
 
 /// @return a message with this instance's entry and a sample; the caller adds versions and rumors.
-auto composeMessage(Membership& membership, TimePoint now) -> GossipMessage;
+auto composeMessage(Membership& membership, TimePoint now, bool isRemote = false) -> GossipMessage;
 
 /// @return the reply to a message that has been merged; to an instance that joins it carries many
 /// entries, once.
--- a/src/MembershipTargets.cpp
+++ b/src/MembershipTargets.cpp
@@ -16,13 +16,13 @@
 constexpr std::size_t gatewaysPerZone = 2;
 
 struct TargetChoice {
-    std::vector<HttpEndpoint> endpoints;
+    std::vector<GossipTarget> targets;
 
-    auto add(const HttpEndpoint& endpoint) -> bool
+    auto add(const HttpEndpoint& endpoint, bool isRemote = false) -> bool
     {
-        if (std::ranges::find(endpoints, endpoint) != endpoints.end())
+        if (std::ranges::find(targets, endpoint, &GossipTarget::endpoint) != targets.end())
             return false;
-        endpoints.push_back(endpoint);
+        targets.push_back({ endpoint, isRemote });
         return true;
     }
 };
@@ -79,7 +79,7 @@
     auto zone = zones.begin();
     std::advance(zone, membership.random.below(zones.size()));
     const auto gateways = rendezvousOrder("gateway/" + zone->first, zone->second, gatewaysPerZone);
-    choice.add(endpoints[gateways[membership.random.below(gateways.size())]]);
+    choice.add(endpoints[gateways[membership.random.below(gateways.size())]], true);
 }
 
 auto groupPeers(Membership& membership) -> std::vector<PeerState*>
@@ -100,7 +100,7 @@
 
 }
 
-auto chooseTargets(Membership& membership, TimePoint now) -> std::vector<HttpEndpoint>
+auto chooseTargets(Membership& membership, TimePoint now) -> std::vector<GossipTarget>
 {
     TargetChoice choice;
     const auto fanout = membership.settings.fanout;
@@ -110,18 +110,18 @@
         addRemoteGateway(membership, choice);
     auto peers = groupPeers(membership);
     if (peers.empty())
-        return choice.endpoints;
+        return choice.targets;
     // One peer is drawn at random, so that news spreads evenly; the others are those without
     // progress for longest, so that no live peer is suspected for want of messages.
     addPeerTarget(*peers[membership.random.below(peers.size())], now, choice);
     std::ranges::sort(peers, {}, &PeerState::progressAt);
     for (auto* peer : peers) {
-        if (choice.endpoints.size() >= fanout)
+        if (choice.targets.size() >= fanout)
             break;
         if (peer->contactedAt == TimePoint() || now - peer->contactedAt >= contactPause)
             addPeerTarget(*peer, now, choice);
     }
-    return choice.endpoints;
+    return choice.targets;
 }
 
 }
--- a/test/correctness/ConfigurationSpreadTest.cpp
+++ b/test/correctness/ConfigurationSpreadTest.cpp
@@ -82,4 +82,13 @@
     const auto rounds = world.roundsUntil([&] { return world.haveVersion(9); }, 60);
     CHECK(rounds >= 0);
     CHECK(rounds <= 32);
+    // Zones that tell each other about all their instances would exceed the budget of 4 KB/s.
+    for (auto& instance : world.instances())
+        instance.bytesSent = 0;
+    world.rounds(20);
+    for (const auto& instance : world.instances()) {
+        CHECK(instance.bytesSent / 10 < 4'096);
+        // Gateways change while a zone starts, so that up to three of each zone are met.
+        CHECK(instance.membership.peers.size() <= 7 + 17 * 3);
+    }
 }
