--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -11,6 +11,7 @@
 #include "PrefixCacheView.h"
 #include "Replica.h"
 #include "RequestQueue.h"
+#include "ReserveScale.h"
 #include "RetryBudget.h"
 #include "ServiceRates.h"
 #include "ShardSettings.h"
@@ -59,6 +60,7 @@
     std::int64_t freeDecodeSeats = 0;
     /// All seats of the live decode replicas.
     std::int64_t decodeSeats = 0;
+    ReserveScale reserveScale;
     /// Requests whose prefill runs; each is about to take a decode seat that no report shows.
     std::uint32_t prefilling = 0;
     /// Memory pieces of a request on a decode replica, averaged.
