Record where a request is placed as an event of its own

The time line had the start of the prefill but not the decode engine that was reserved with it, and no placement for calls to plain services.

--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -161,6 +161,8 @@
     }
     m_hasRun = true;
     m_backend = replica->backend.id;
+    const auto decode = m_service->replica(action.decode);
+    record("request_placed", "decode_backend", decode ? decode->backend.id : "");
     record("prefill_started");
     auto call = engineCall();
     const auto task = ++m_tasks->lastTask;
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -111,6 +111,7 @@
         if (!backend)
             break;
         tried.push_back(backend->id);
+        record(call, "request_placed", backend->id, "");
         last = co_await tryOn(client, *backend, call);
         if (last.answer)
             co_return last;
--- a/test/correctness/EntryDaemonTest.cpp
+++ b/test/correctness/EntryDaemonTest.cpp
@@ -72,7 +72,7 @@
 
     auto entry() -> EntryDaemon& { return *m_entry; }
 
-    auto send(HttpEndpoint endpoint, HttpRequest request, std::string key) -> HttpResult<HttpResponse>
+    auto send(HttpEndpoint endpoint, HttpRequest request, const std::string& key) -> HttpResult<HttpResponse>
     {
         request.headers.push_back({ "Authorization", "Bearer " + key });
         return runOn(m_callerThreads, 0, m_callerThreads.client(0).request(std::move(endpoint), std::move(request), 10s));
@@ -175,7 +175,7 @@
     CHECK(status.at("services").at(0).at("shard").at("finished") == 4);
     CHECK(status.at("services").at(0).at("shard").at("reserved_seats") == 0);
     const auto events = deployment.admin({ "GET", "/admin/v1/events?after=0", {}, {} }).body;
-    for (const auto* event : { "request_arrived", "prefill_started", "prefill_done", "transfer_started", "first_token", "request_finished" })
+    for (const auto* event : { "request_arrived", "request_placed", "prefill_started", "prefill_done", "transfer_started", "first_token", "request_finished" })
         CHECK(events.find(event) != std::string::npos);
 }
 
