--- a/src/Admission.cpp
+++ b/src/Admission.cpp
@@ -15,7 +15,7 @@
 {
     const auto& limits = state.settings.customerQueueLimits;
     const auto customer = static_cast<std::size_t>(request.arrival.customer);
-    return customer < limits.size() && state.queue.customerSize(request.flow.customer) >= limits[customer];
+    return customer < limits.size() && state.queue.customerSize(request.arrival.customer) >= limits[customer];
 }
 
 /// The request does not fit even the replica with the most memory.
@@ -50,7 +50,7 @@
     if (queueIsFull(state, request))
         return RefusalReason::QueueFull;
     if (clearlyLate(context, request))
-        request.lane = QueueLane::Late;
+        becomeLate(context, request);
     if (isHopeless(context, request))
         return RefusalReason::Overloaded;
     return std::nullopt;
--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -32,7 +32,7 @@
 
 auto latestOnTimeStart(const ShardState& state, const ActiveRequest& request) -> TimePoint
 {
-    if (request.latencyClass == LatencyClass::Batch || request.lane == QueueLane::Resume)
+    if (request.lane == QueueLane::Resume)
         return TimePoint::max();
     const auto target = std::chrono::duration_cast<Duration>(kindOf(state, request).firstToken);
     const auto margin = std::min(state.rates.firstTokenMargin, target / largestMarginPart);
@@ -41,9 +41,7 @@
 
 auto latestStart(const ShardState& state, const ActiveRequest& request) -> TimePoint
 {
-    const auto left = expectedTokens(state, request) - std::min(request.emitted, expectedTokens(state, request));
-    // Half of the expected length, because the answer may be a short one.
-    const auto decode = Duration(static_cast<Duration::rep>(left / 2 * 1e6 / state.rates.tokensPerSecond.value()));
+    const auto decode = Duration(static_cast<Duration::rep>(leastTokensLeft(state, request) * 1e6 / state.rates.tokensPerSecond.value()));
     return request.arrival.deadline - timeToFirstToken(state, request) - decode;
 }
 
@@ -53,8 +51,8 @@
     double ahead = 0;
     for (auto urgent = 0; urgent < static_cast<int>(request.latencyClass); ++urgent)
         ahead += static_cast<double>(queue.classSize(static_cast<LatencyClass>(urgent)));
-    const auto share = queue.share(request.flow, request.latencyClass, customerWeight(context.state, request));
-    const auto inFlow = static_cast<double>(queue.flowSize(request.flow)) / share;
+    const auto share = queue.share(request.flow(), request.latencyClass, customerWeight(context.state, request));
+    const auto inFlow = static_cast<double>(queue.flowSize(request.flow())) / share;
     ahead += std::min(inFlow, static_cast<double>(queue.classSize(request.latencyClass)));
     return Duration(static_cast<Duration::rep>(ahead * static_cast<double>(context.state.pace.interval(context.now).count())));
 }
@@ -72,19 +70,31 @@
     const auto left = latestStart(context.state, request) - context.now;
     if (left <= Duration::zero())
         return true;
+    if (request.lane == QueueLane::Late && request.latencyClass == LatencyClass::Batch)
+        return false;
     if (request.lane == QueueLane::Late)
         return clearlyExceeds(expectedLateWait(context), left);
     return request.lane == QueueLane::Fair && clearlyExceeds(expectedWait(context, request), left);
 }
 
+auto becomeLate(DecisionContext& context, ActiveRequest& request) -> void
+{
+    request.lane = QueueLane::Late;
+    if (request.latencyClass == LatencyClass::Interactive)
+        context.state.reserveScale.observe(true);
+}
+
 auto learnFirstToken(DecisionContext& context, const ActiveRequest& request) -> void
 {
     if (request.latencyClass == LatencyClass::Batch || request.lane != QueueLane::Fair)
         return;
     const auto target = std::chrono::duration_cast<Duration>(kindOf(context.state, request).firstToken);
     auto& margin = context.state.rates.firstTokenMargin;
-    margin += context.now > request.arrivedAt + target ? marginUp : -marginDown;
+    const auto late = context.now > request.arrivedAt + target;
+    margin += late ? marginUp : -marginDown;
     margin = std::clamp(margin, Duration::zero(), target / largestMarginPart);
+    if (request.latencyClass == LatencyClass::Interactive)
+        context.state.reserveScale.observe(late);
 }
 
 }
--- a/src/Deadlines.h
+++ b/src/Deadlines.h
@@ -6,8 +6,8 @@
 
 namespace jayhold {
 
-/// @return the last time at which a start can meet the first-token target; never for batch work and
-/// for streams whose first token is out.
+/// @return the last time at which a start can meet the first-token target; the end of time for
+/// streams whose first token is out.
 auto latestOnTimeStart(const ShardState& state, const ActiveRequest& request) -> TimePoint;
 /// @return the last time at which a start can meet the deadline.
 auto latestStart(const ShardState& state, const ActiveRequest& request) -> TimePoint;
@@ -17,7 +17,9 @@
 auto expectedLateWait(const DecisionContext& context) -> Duration;
 /// @return whether the request clearly can't be answered before its deadline.
 auto isHopeless(const DecisionContext& context, const ActiveRequest& request) -> bool;
-/// Adjusts the safety margin after a first token came in time or too late.
+/// Moves the request to the late ones; its queue entry is the caller's.
+auto becomeLate(DecisionContext& context, ActiveRequest& request) -> void;
+/// Adjusts the safety margin and the seats left free after a first token came in time or too late.
 auto learnFirstToken(DecisionContext& context, const ActiveRequest& request) -> void;
 
 }
--- a/src/Forecast.cpp
+++ b/src/Forecast.cpp
@@ -57,6 +57,14 @@
     return lengths(state, request).quantile(quantile, request.emitted, request.arrival.maxTokens);
 }
 
+auto leastTokensLeft(const ShardState& state, const ActiveRequest& request) -> std::uint32_t
+{
+    if (!lengths(state, request).known())
+        return 0;
+    const auto expected = expectedTokens(state, request);
+    return (expected - std::min(request.emitted, expected)) / 2;
+}
+
 auto reservedTokens(const ShardState& state, const ActiveRequest& request) -> std::uint64_t
 {
     return std::uint64_t { request.arrival.promptTokens } + lengths(state, request).quantile(memoryQuantile, request.emitted, request.arrival.maxTokens);
@@ -80,7 +88,7 @@
     request.forecastAt = 0;
 }
 
-auto seatExpected(const DecisionContext& context, Duration prefill) -> bool
+auto seatExpected(const DecisionContext& context, Duration prefill, std::int64_t seatsLeft) -> bool
 {
     const auto& state = context.state;
     const auto weight = state.settings.wastedPrefillWeight;
@@ -88,13 +96,17 @@
     const auto ends = static_cast<double>(state.ends.count(context.now, context.now + prefill + kept));
     // Ends are about Poisson distributed; the weight sets how many deviations are left out.
     const auto safe = ends - weight * std::sqrt(ends);
-    return safe >= static_cast<double>(state.promised.size() + state.ready.size() + 1);
+    const auto missing = std::max<std::int64_t>(seatsLeft - state.freeDecodeSeats, 0);
+    return safe >= static_cast<double>(state.promised.size() + state.ready.size() + 1) + static_cast<double>(missing);
 }
 
-auto learnPrefill(DecisionContext& context, const ActiveRequest& request, TimePoint expiresAt) -> void
+auto learnPrefill(DecisionContext& context, const ActiveRequest& request, TimePoint expiresAt, std::uint32_t cachedTokens) -> void
 {
     auto& rates = context.state.rates;
-    rates.prefillTokensPerSecond.observe(request.prefillBacklog, toSeconds(context.now - request.phaseSince));
+    // The backlog was counted with the cached tokens that were expected.
+    const double own = request.prefillHold.prefillTokens;
+    const double computed = request.prefillBacklog - own + request.arrival.promptTokens - std::min(cachedTokens, request.arrival.promptTokens);
+    rates.prefillTokensPerSecond.observe(computed, toSeconds(context.now - request.phaseSince));
     rates.keptSeconds.observe(toSeconds(expiresAt - context.now), 1);
 }
 
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -2,7 +2,8 @@
 
 #include "Forecast.h"
 #include "Ledger.h"
-#include "ReplicaIndex.h"
+#include "PrefillChoice.h"
+#include "ZoneSearch.h"
 
 #include <algorithm>
 
@@ -10,9 +11,6 @@
 
 namespace {
 
-/// Replicas examined in each zone before the next zone is tried; bounds the cost of a decision.
-constexpr std::size_t examinedPerZone = 8;
-
 /// A transfer may wait this long for the link; longer, and the result could expire.
 constexpr double longestLinkSeconds = 0.4;
 
@@ -23,98 +21,100 @@
     return rate <= 0 || !replica.reserved.linkBytes || static_cast<double>(replica.reserved.linkBytes + bytes) <= rate * longestLinkSeconds;
 }
 
-auto fits(const Replica& replica, const Reservation& amount) -> bool
-{
-    return hasPieces(replica, amount.pieces) && linkHasShare(replica, amount.linkBytes);
 }
 
-template <typename Fits>
-auto firstInZone(DecisionContext& context, const ZoneIndex& zone, const ActiveRequest& request, Fits fitsThere) -> Replica*
+auto decodeReservation(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> Reservation
 {
-    Replica* second = nullptr;
-    std::size_t examined = 0;
-    for (const auto& [load, id] : zone) {
-        if (++examined > examinedPerZone)
-            break;
-        auto* replica = findReplica(context.state, id);
-        if (!replica || !fitsThere(*replica))
-            continue;
-        if (request.avoid != id)
-            return replica;
-        second = replica;
-    }
-    return second;
+    const auto& state = context.state;
+    auto pieces = piecesFor(replica, reservedTokens(state, request));
+    // An answer that may outgrow the replica still runs where its prompt fits.
+    if (tokenCapacity(replica) > request.arrival.promptTokens && replica.description.memoryPieces)
+        pieces = std::min(pieces, replica.description.memoryPieces);
+    return { .linkBytes = transferBytes(state, request), .seats = 1, .pieces = pieces };
 }
 
-template <typename Fits>
-auto firstOfRole(DecisionContext& context, PoolRole role, const ActiveRequest& request, Fits fitsThere) -> Replica*
+auto prefillReservation(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> Reservation
 {
-    auto& zones = context.state.index.ofRole(role);
-    const auto local = context.state.settings.localZone;
-    if (const auto zone = zones.find(local); zone != zones.end()) {
-        if (auto* replica = firstInZone(context, zone->second, request, fitsThere))
-            return replica;
-    }
-    for (const auto& [id, zone] : zones) {
-        if (id == local)
-            continue;
-        if (auto* replica = firstInZone(context, zone, request, fitsThere))
-            return replica;
-    }
-    return nullptr;
-}
-
+    const auto tokens = request.arrival.promptTokens;
+    const auto cached = expectedCachedTokens(context.state, request, replica.description.replica);
+    return {
+        .linkBytes = transferBytes(context.state, request),
+        .seats = 1,
+        .pieces = piecesFor(replica, tokens),
+        .prefillTokens = tokens - cached,
+    };
 }
 
-auto decodeReservation(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> Reservation
+auto prefillFits(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> bool
 {
-    const auto& state = context.state;
-    return { .seats = 1, .pieces = piecesFor(replica, reservedTokens(state, request)), .linkBytes = transferBytes(state, request) };
+    return hasPieces(replica, piecesFor(replica, request.arrival.promptTokens)) && linkHasShare(replica, transferBytes(context.state, request));
 }
 
-auto prefillReservation(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> Reservation
+auto chooseDecode(DecisionContext& context, const ActiveRequest& request, ZoneId prefillZone) -> Replica*
 {
-    const auto tokens = request.arrival.promptTokens;
-    return { .seats = 1, .pieces = piecesFor(replica, tokens), .linkBytes = transferBytes(context.state, request), .prefillTokens = tokens };
+    const auto fits = [&](const Replica& replica) {
+        const auto amount = decodeReservation(context, request, replica);
+        return hasPieces(replica, amount.pieces) && linkHasShare(replica, amount.linkBytes);
+    };
+    const auto local = context.state.settings.localZone;
+    // The transfer stays within a zone where it can.
+    if (auto* replica = firstInZone(context, PoolRole::Decode, prefillZone, request, fits))
+        return replica;
+    if (auto* replica = firstInZone(context, PoolRole::Decode, local, request, fits))
+        return replica;
+    if (auto* replica = firstElsewhere(context, PoolRole::Decode, { prefillZone, local }, request, fits))
+        return replica;
+    return avoidedIfFits(context, PoolRole::Decode, request, fits);
 }
 
-auto chooseDecode(DecisionContext& context, const ActiveRequest& request) -> Replica*
+namespace {
+
+/// @return a live decode replica where a seat is expected to free up soon.
+auto expectedDecode(DecisionContext& context, const ActiveRequest& request) -> Replica*
 {
-    return firstOfRole(context, PoolRole::Decode, request, [&](const Replica& replica) {
-        return fits(replica, decodeReservation(context, request, replica));
+    Replica* replica = nullptr;
+    const auto found = context.state.ends.firstAfter(context.now, [&](RequestId id) {
+        const auto* ending = findRequest(context.state, id);
+        if (!ending || ending->phase != RequestPhase::Decoding)
+            return false;
+        replica = findReplica(context.state, *ending->decode);
+        if (!replica || replica->description.state != ReplicaState::Live)
+            return false;
+        // The memory must be free now: the ending request may be a small one.
+        return hasPieces(*replica, decodeReservation(context, request, *replica).pieces);
     });
+    return found ? replica : nullptr;
 }
 
-namespace {
-
-/// @return the live decode replica where a seat is expected to free up next.
-auto expectedDecode(DecisionContext& context) -> Replica*
+auto hasFreeDecode(const ShardState& state) -> bool
 {
-    const auto ending = context.state.ends.firstAfter(context.now);
-    if (!ending)
-        return nullptr;
-    auto* replica = findReplica(context.state, *findRequest(context.state, *ending)->decode);
-    return replica && replica->description.state == ReplicaState::Live ? replica : nullptr;
+    return std::any_of(state.index.decode.begin(), state.index.decode.end(), [](const auto& zone) { return !zone.second.empty(); });
 }
 
 }
 
-auto choosePlacement(DecisionContext& context, const ActiveRequest& request) -> std::optional<Placement>
+auto choosePlacement(DecisionContext& context, const ActiveRequest& request, std::int64_t seatsLeft) -> std::optional<Placement>
 {
-    auto* prefill = firstOfRole(context, PoolRole::Prefill, request, [&](const Replica& replica) {
-        return fits(replica, prefillReservation(context, request, replica));
-    });
+    // Without a seat or the prospect of one, the more expensive choice of a prefill is left out.
+    const auto seatIsFree = hasFreeDecode(context.state) && context.state.freeDecodeSeats > seatsLeft;
+    if (!seatIsFree && !seatExpected(context, prefillTime(context.state, request.arrival.promptTokens), seatsLeft))
+        return std::nullopt;
+    auto* prefill = choosePrefill(context, request);
     if (!prefill)
         return std::nullopt;
-    if (auto* decode = chooseDecode(context, request))
+    if (auto* decode = seatIsFree ? chooseDecode(context, request, prefill->description.zone) : nullptr)
         return Placement { prefill, decode, true };
+    // A promised seat goes past the queue. Batch work with a promise would take the next seats from
+    // interactive work that arrives in the meantime.
+    if (request.latencyClass == LatencyClass::Batch)
+        return std::nullopt;
     // A suspect is not run on the chance of a seat; its replica must be free of other suspects.
     if (request.verdict == CrashVerdict::Suspect)
         return std::nullopt;
     const auto tokens = prefill->reserved.prefillTokens + request.arrival.promptTokens;
-    if (!seatExpected(context, prefillTime(context.state, tokens)))
+    if (!seatExpected(context, prefillTime(context.state, tokens), seatsLeft))
         return std::nullopt;
-    if (auto* decode = expectedDecode(context))
+    if (auto* decode = expectedDecode(context, request))
         return Placement { prefill, decode, false };
     return std::nullopt;
 }
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -6,6 +6,7 @@
 #include "Ledger.h"
 #include "ReplicaHealth.h"
 #include "RequestLife.h"
+#include "SeatReserve.h"
 
 #include <algorithm>
 
@@ -48,8 +49,8 @@
     auto& request = state.requests[event.request];
     request.arrival = event;
     request.arrivedAt = context.now;
-    request.flow = { event.kind, event.customer };
     request.latencyClass = kindOf(state, request).latencyClass;
+    noteOffered(context, request);
     const auto refusal = admissionRefusal(context, request);
     enqueue(context, request);
     if (refusal)
@@ -62,6 +63,7 @@
     if (!request)
         return;
     attemptSucceeded(context, *request->prefill);
+    noteAlive(context, *request, *request->prefill);
     prefillDone(context, *request, event.expiresAt, event.cachedTokens);
 }
 
@@ -96,6 +98,7 @@
     raiseEmitted(context, *request, event.total);
     if (request->phase != RequestPhase::Decoding)
         return;
+    noteAlive(context, *request, *request->decode);
     noteProgress(context, *request);
     updateExpectedEnd(context, *request);
     growDecode(context, *request);
@@ -107,6 +110,7 @@
     if (!request)
         return;
     attemptSucceeded(context, *request->decode);
+    noteAlive(context, *request, *request->decode);
     learnLength(context, *request, event.totalTokens);
     finish(context, *request);
 }
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -5,6 +5,7 @@
 #include "Forecast.h"
 #include "Ledger.h"
 #include "Placement.h"
+#include "PrefillChoice.h"
 #include "RetryDelay.h"
 #include "RetryRules.h"
 
@@ -22,8 +23,12 @@
 
 auto enter(DecisionContext& context, ActiveRequest& request, RequestPhase phase) -> void
 {
+    auto& prefilling = context.state.prefilling;
+    prefilling += phase == RequestPhase::Prefilling;
+    prefilling -= request.phase == RequestPhase::Prefilling;
     request.phase = phase;
-    request.phaseSince = context.now;
+    if (phase != RequestPhase::Decoding)
+        request.phaseSince = context.now;
     request.progressAt = context.now;
     setTimer(context, request);
 }
@@ -52,6 +57,7 @@
 auto erase(DecisionContext& context, ActiveRequest& request) -> void
 {
     const auto id = request.arrival.request;
+    context.state.prefilling -= request.phase == RequestPhase::Prefilling;
     context.state.timers.move(id, request.timerAt, TimePoint::max());
     context.state.answered.insert(id);
     context.state.requests.erase(id);
@@ -100,7 +106,7 @@
     return {
         .request = request.arrival.request,
         .order = static_cast<std::uint64_t>(request.arrivedAt.time_since_epoch().count()),
-        .flow = request.flow,
+        .flow = request.flow(),
         .latencyClass = request.latencyClass,
         .lane = request.lane,
     };
@@ -146,7 +152,7 @@
     auto& queue = context.state.queue;
     if (request.lane == QueueLane::Fair && latestOnTimeStart(context.state, request) <= context.now) {
         queue.remove(queueEntry(request));
-        request.lane = QueueLane::Late;
+        becomeLate(context, request);
         queue.push(queueEntry(request), customerWeight(context.state, request));
     }
     if (isHopeless(context, request))
@@ -171,15 +177,16 @@
     else
         state.promised.emplace(context.now, request.arrival.request);
     request.prefillBacklog = prefill.reserved.prefillTokens;
+    notePrefillZone(context, prefill);
     state.totals.prefillTokens += request.arrival.promptTokens;
-    request.engineSince = context.now;
     enter(context, request, RequestPhase::Prefilling);
     context.actions.emplace_back(StartPrefill { request.arrival.request, request.attempt, *request.prefill, *request.decode });
 }
 
-auto prefillDone(DecisionContext& context, ActiveRequest& request, TimePoint expiresAt, std::uint32_t) -> void
+auto prefillDone(DecisionContext& context, ActiveRequest& request, TimePoint expiresAt, std::uint32_t cachedTokens) -> void
 {
-    learnPrefill(context, request, expiresAt);
+    learnPrefill(context, request, expiresAt, cachedTokens);
+    context.state.cache.computed(*request.prefill, request.arrival.prefixBlocks);
     context.state.promised.erase({ request.phaseSince, request.arrival.request });
     releasePrefillSeat(context, request);
     request.kvExpiresAt = expiresAt;
@@ -190,7 +197,8 @@
 
 auto reserveDecode(DecisionContext& context, ActiveRequest& request) -> bool
 {
-    auto* replica = chooseDecode(context, request);
+    const auto* prefill = findReplica(context.state, *request.prefill);
+    auto* replica = chooseDecode(context, request, prefill ? prefill->description.zone : context.state.settings.localZone);
     if (!replica)
         return false;
     request.decode = replica->description.replica;
@@ -204,7 +212,6 @@
     if (request.decodeHold.empty() && !reserveDecode(context, request))
         return false;
     context.state.ready.erase({ request.kvExpiresAt, request.arrival.request });
-    request.engineSince = context.now;
     enter(context, request, RequestPhase::Starting);
     context.actions.emplace_back(StartDecode { request.arrival.request, request.attempt, *request.prefill, *request.decode, request.emitted });
     return true;
@@ -216,6 +223,8 @@
     learnFirstToken(context, request);
     releasePrefill(context, request);
     releaseDecodeLink(context, request);
+    // Most of the memory of a running request; a retry is placed without it.
+    std::vector<std::uint64_t>().swap(request.arrival.prefixBlocks);
     enter(context, request, RequestPhase::Decoding);
     updateExpectedEnd(context, request);
 }
--- a/test/correctness/ShardModel.cpp
+++ b/test/correctness/ShardModel.cpp
@@ -53,9 +53,10 @@
     };
 }
 
-auto modelSettings() -> ShardSettings
+auto modelSettings(std::uint32_t sharingInstances) -> ShardSettings
 {
     auto settings = testSettings();
+    settings.sharingInstances = sharingInstances;
     settings.kinds[1].repeatable = false;
     return settings;
 }
@@ -70,8 +71,8 @@
 
 }
 
-ShardModel::ShardModel()
-    : m_harness(modelSettings())
+ShardModel::ShardModel(std::uint32_t sharingInstances)
+    : m_harness(modelSettings(sharingInstances))
 {
     for (std::uint32_t id = 0; id < prefillReplicas + decodeReplicas; ++id) {
         m_replicas[ReplicaId { id }] = testReplica(id);
@@ -137,7 +138,7 @@
 auto ShardModel::arrive(const ModelStep& step) -> void
 {
     if (step.second % 8 == 0 && !m_requests.empty()) {
-        deliver(std::next(m_requests.begin(), step.third % m_requests.size())->second.arrival);
+        deliver(nth(step.third)->second.arrival);
         return;
     }
     const RequestId id { m_requests.size() + 1 };
@@ -156,6 +157,11 @@
     deliver(request.arrival);
 }
 
+auto ShardModel::nth(std::size_t index) -> Requests::iterator
+{
+    return std::next(m_requests.begin(), static_cast<std::ptrdiff_t>(index % m_requests.size()));
+}
+
 auto ShardModel::prefillEvent(const ModelStep& step) -> void
 {
     if (m_prefills.empty())
@@ -235,7 +241,7 @@
 {
     if (m_requests.empty())
         return;
-    auto& [id, request] = *std::next(m_requests.begin(), (step.second * 256U + step.third) % m_requests.size());
+    auto& [id, request] = *nth(step.second * 256U + step.third);
     request.answered = true;
     deliver(RequestCancelled { id });
 }
@@ -261,7 +267,7 @@
         .held = {},
     };
     if (!m_requests.empty())
-        load.held.push_back(std::next(m_requests.begin(), step.first % m_requests.size())->first);
+        load.held.push_back(nth(step.first)->first);
     deliver(load);
 }
 
