Eject a replica that takes no connection, and report ready only with backend servers

A refused connection now ejects at once, for a second, then one probe. Ruled out: a pause for each request (it would hold innocent work back).

--- a/src/CallerApi.cpp
+++ b/src/CallerApi.cpp
@@ -73,6 +73,8 @@
             co_await exchange.respond(jsonResponse(503, R"({"status":"draining"})"));
         else if (!m_services.index())
             co_await exchange.respond(jsonResponse(503, R"({"status":"no_configuration"})"));
+        else if (!m_context.knowsBackends)
+            co_await exchange.respond(jsonResponse(503, R"({"status":"no_backends"})"));
         else
             co_await exchange.respond(jsonResponse(200, R"({"status":"ready"})"));
         co_return true;
--- a/src/EntryContext.h
+++ b/src/EntryContext.h
@@ -22,6 +22,8 @@
     /// Unique to this run of the process, because a restarted instance may keep its name.
     std::string runId;
     std::atomic<bool> isDraining { false };
+    /// Whether a list with backend servers has arrived; before that every request would be refused.
+    std::atomic<bool> knowsBackends { false };
     std::atomic<std::size_t> openRequests { 0 };
     /// Tells the peers of a request that crashes backend servers.
     std::function<void(std::uint64_t)> reportSignature = [](std::uint64_t) {};
--- a/src/EntryDaemon.cpp
+++ b/src/EntryDaemon.cpp
@@ -78,7 +78,10 @@
         log.record(LogLevel::Info, "configuration_in_force", { { "version", configuration->version } });
         services->updateConfiguration(std::move(configuration));
     });
-    node->onBackends([this](const std::vector<BackendServer>& backends) { services->updateBackends(backends); });
+    node->onBackends([this](const std::vector<BackendServer>& backends) {
+        services->updateBackends(backends);
+        context.knowsBackends = !backends.empty();
+    });
     node->onSignature([this](std::uint64_t signature) { services->noteSignature(signature); });
     node->onMemberLost([this](const Member& member) {
         log.record(LogLevel::Info, "member_lost", { { "member", member.id } });
--- a/src/ReplicaHealth.cpp
+++ b/src/ReplicaHealth.cpp
@@ -14,12 +14,17 @@
 constexpr Duration firstEjection = std::chrono::seconds(1);
 constexpr std::uint32_t longestEjectionDoublings = 5;
 
-auto countFailure(DecisionContext& context, Replica& replica) -> void
+auto countFailure(DecisionContext& context, Replica& replica, FailureKind failure) -> void
 {
     // All requests of an engine that dies fail at once; that is one reason to eject it, not many.
     if (replica.ejectedUntil > context.now)
         return;
-    if (++replica.consecutiveFailures < failuresBeforeEjection)
+    ++replica.consecutiveFailures;
+    // A process that takes no connection fails every request within microseconds; a request that
+    // alternates between two such engines would use up its attempts at once.
+    if (failure == FailureKind::NotConnected)
+        replica.consecutiveFailures = std::max(replica.consecutiveFailures, failuresBeforeEjection);
+    if (replica.consecutiveFailures < failuresBeforeEjection)
         return;
     const auto doublings = std::min(replica.consecutiveFailures - failuresBeforeEjection, longestEjectionDoublings);
     replica.ejectedUntil = context.now + firstEjection * (1U << doublings);
@@ -81,7 +86,7 @@
     case FailureKind::ConnectionLost:
     case FailureKind::TimedOut:
     case FailureKind::ServerError:
-        countFailure(context, *replica);
+        countFailure(context, *replica, failure);
         break;
     }
     updateIndex(context, *replica);
--- a/test/correctness/PlainServiceTest.cpp
+++ b/test/correctness/PlainServiceTest.cpp
@@ -169,7 +169,8 @@
     }
 }
 
-// Guards against work without a key, and against new work on an instance that is shutting down.
+// Guards against work without a key, and against new work on an instance that knows no backend server
+// yet or is shutting down.
 TEST_CASE("work is refused without a key and while draining")
 {
     Scene scene;
@@ -178,6 +179,8 @@
         return *runOn(threads, 0, threads.client(0).request(scene.harness.endpoint(), { "GET", std::move(target), {}, {} }, 2s));
     };
     CHECK(errorOf(get("/services/coop-ledger/items")) == "401 unauthenticated no");
+    CHECK(get("/readyz").status == 503);
+    scene.harness.context().knowsBackends = true;
     CHECK(get("/readyz").status == 200);
     CHECK(get("/metrics").body.find("jayhold_requests_total{service=\"coop-ledger\"} 0") != std::string::npos);
     scene.harness.context().isDraining = true;
--- a/test/correctness/RetryTest.cpp
+++ b/test/correctness/RetryTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace jayhold;
 using namespace jayhold::test;
 
@@ -36,6 +38,24 @@
     CHECK(summarize(harness.shard).retries > requests / 10);
 }
 
+// Guards against a request that uses up its attempts within microseconds by going back and forth
+// between engines whose processes are gone.
+TEST_CASE("a replica that takes no connection gets no second request at once")
+{
+    ShardHarness harness;
+    harness.replica(1, PoolRole::Prefill, 4);
+    harness.replica(2, PoolRole::Prefill, 4);
+    harness.replica(3, PoolRole::Decode, 20);
+    harness.arrive(1);
+    std::set<ReplicaId> tried;
+    while (const auto start = harness.last<StartPrefill>()) {
+        REQUIRE(tried.insert(start->prefill).second);
+        failPrefill(harness, *start, FailureKind::NotConnected);
+    }
+    CHECK(tried.size() == 2);
+    CHECK_FALSE(harness.last<Refuse>());
+}
+
 // Guards against a backend server that fails every request and still gets them.
 TEST_CASE("a replica is ejected after consecutive failures and returns by one probe")
 {
