--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -82,7 +82,7 @@
     record(call, "request_arrived", "", "");
     {
         const std::lock_guard guard(m_lock);
-        m_budget.noteCall();
+        m_budget.requestArrived();
     }
     if (call.kind.repeatable)
         co_await serveRepeatable(exchange, call);
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -9,7 +9,7 @@
 #include "PlainAttempt.h"
 #include "PlainBalancer.h"
 #include "PlainCallInfo.h"
-#include "PlainRetryBudget.h"
+#include "RetryBudget.h"
 #include "Service.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -61,7 +61,7 @@
     mutable std::mutex m_lock;
     std::vector<Pool> m_pools;
     PlainBalancer m_balancer;
-    PlainRetryBudget m_budget;
+    RetryBudget m_budget { plainRetryLimits };
 };
 
 }
--- a/src/RetryBudget.h
+++ b/src/RetryBudget.h
@@ -1,14 +1,28 @@
 #pragma once
 
-/// Limits retries to a part of the new requests, so that a failing backend is not loaded further.
+/// Limits retries to a part of the new requests, so that a failing backend server or service gets
+/// little more load than it would have without retries.
 
 #include <algorithm>
 
 namespace jayhold {
 
+struct RetryBudgetLimits {
+    /// Retries that each new request allows for.
+    double ratio;
+    /// Most retries that a quiet service can save up.
+    double largest;
+};
+
 class RetryBudget {
 public:
-    auto requestArrived() -> void { m_tokens = std::min(m_tokens + ratio, largest); }
+    explicit RetryBudget(RetryBudgetLimits limits)
+        : m_limits(limits)
+        , m_tokens(limits.largest)
+    {
+    }
+
+    auto requestArrived() -> void { m_tokens = std::min(m_tokens + m_limits.ratio, m_limits.largest); }
 
     /// @return whether one more retry is within the budget, which it then takes from.
     auto take() -> bool
@@ -20,11 +34,15 @@
     }
 
 private:
-    static constexpr double ratio = 0.2;
-    /// Covers the streams of a few decode engines that fail together; an engine runs about 20.
-    static constexpr double largest = 64;
-
-    double m_tokens = largest;
+    RetryBudgetLimits m_limits;
+    double m_tokens;
 };
 
+/// Model requests: a burst of 64 covers the streams of a few decode engines that fail together; an
+/// engine runs about 20.
+inline constexpr RetryBudgetLimits modelRetryLimits { .ratio = 0.2, .largest = 64 };
+
+/// Calls of plain services.
+inline constexpr RetryBudgetLimits plainRetryLimits { .ratio = 0.1, .largest = 10 };
+
 }
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -54,7 +54,7 @@
     std::unordered_map<std::uint64_t, TimePoint> blockedSignatures;
     /// Replicas that lost connections, and when, for a short time.
     std::vector<std::pair<ReplicaId, TimePoint>> lostReplicas;
-    RetryBudget retryBudget;
+    RetryBudget retryBudget { modelRetryLimits };
     OfferedLoad offered;
     /// Free seats of the live decode replicas, as far as known.
     std::int64_t freeDecodeSeats = 0;
--- a/src/StatusReport.cpp
+++ b/src/StatusReport.cpp
@@ -1,5 +1,7 @@
 #include "StatusReport.h"
 
+#include "LoggedEventJson.h"
+
 #include <boost/json/array.hpp>
 
 namespace jayhold {
@@ -97,20 +99,6 @@
     return { { "name", service.name() }, { "type", "plain" }, { "replicas", std::move(replicas) } };
 }
 
-auto eventReport(const LoggedEvent& event) -> json::object
-{
-    json::object fields;
-    for (const auto& field : event.fields)
-        fields[field.key] = field.value;
-    return {
-        { "sequence", event.sequence },
-        { "time", toString(event.time) },
-        { "instance", event.instance },
-        { "event", event.event },
-        { "fields", std::move(fields) },
-    };
-}
-
 }
 
 auto statusReport(const EntryContext& context, const ServiceTable& services, const ClusterNode& node) -> json::object
@@ -139,7 +127,7 @@
 {
     json::array events;
     for (const auto& event : log.after(after, eventsPerPage)) {
-        events.push_back(eventReport(event));
+        events.push_back(toJson(event));
         after = event.sequence;
     }
     return { { "events", std::move(events) }, { "last", after } };
--- a/test/correctness/PlainBalancerTest.cpp
+++ b/test/correctness/PlainBalancerTest.cpp
@@ -1,5 +1,5 @@
 #include "PlainBalancer.h"
-#include "PlainRetryBudget.h"
+#include "RetryBudget.h"
 
 #include <catch2/catch.hpp>
 
@@ -84,10 +84,10 @@
 // Guards against retries that multiply the load of a service that is failing.
 TEST_CASE("retries are bounded to a share of the calls")
 {
-    PlainRetryBudget budget;
+    RetryBudget budget(plainRetryLimits);
     auto retries = 0;
     for (auto call = 0; call < 1'000; ++call) {
-        budget.noteCall();
+        budget.requestArrived();
         while (budget.take())
             ++retries;
     }
