--- a/src/ReplicaHealth.cpp
+++ b/src/ReplicaHealth.cpp
@@ -11,20 +11,16 @@
 
 /// About one report interval of an engine; until then a full engine is likely to be still full.
 constexpr Duration busyPause = std::chrono::milliseconds(50);
+constexpr Duration unreachablePause = std::chrono::milliseconds(50);
 constexpr Duration firstEjection = std::chrono::seconds(1);
 constexpr std::uint32_t longestEjectionDoublings = 5;
 
-auto countFailure(DecisionContext& context, Replica& replica, FailureKind failure) -> void
+auto countFailure(DecisionContext& context, Replica& replica) -> void
 {
     // All requests of an engine that dies fail at once; that is one reason to eject it, not many.
     if (replica.ejectedUntil > context.now)
         return;
-    ++replica.consecutiveFailures;
-    // A process that takes no connection fails every request within microseconds; a request that
-    // alternates between two such engines would use up its attempts at once.
-    if (failure == FailureKind::NotConnected)
-        replica.consecutiveFailures = std::max(replica.consecutiveFailures, failuresBeforeEjection);
-    if (replica.consecutiveFailures < failuresBeforeEjection)
+    if (++replica.consecutiveFailures < failuresBeforeEjection)
         return;
     const auto doublings = std::min(replica.consecutiveFailures - failuresBeforeEjection, longestEjectionDoublings);
     replica.ejectedUntil = context.now + firstEjection * (1U << doublings);
@@ -83,10 +79,15 @@
     case FailureKind::KvExpired:
         break;
     case FailureKind::NotConnected:
+        // A process that takes no connection fails every request within microseconds; a request
+        // that alternates between two such replicas would use up its attempts at once.
+        replica->busyUntil = context.now + unreachablePause;
+        countFailure(context, *replica);
+        break;
     case FailureKind::ConnectionLost:
     case FailureKind::TimedOut:
     case FailureKind::ServerError:
-        countFailure(context, *replica, failure);
+        countFailure(context, *replica);
         break;
     }
     updateIndex(context, *replica);
