Let batch work leave memory for one more of its size where instances share replicas

Seats were left free for other work, memory was not. The new test fails without the change (9 == 8).

--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -21,6 +21,18 @@
     return rate <= 0 || !replica.reserved.linkBytes || static_cast<double>(replica.reserved.linkBytes + bytes) <= rate * longestLinkSeconds;
 }
 
+/// Other instances take memory that no report shows yet, and a long prompt that is refused for it
+/// has been prefilled in vain. Batch work can wait until there is room for two of its size.
+auto piecesToLeave(const DecisionContext& context, const ActiveRequest& request, const Replica& replica, std::uint32_t pieces) -> std::uint32_t
+{
+    const auto isBatch = request.latencyClass == LatencyClass::Batch && request.lane != QueueLane::Resume;
+    if (!isBatch || context.state.settings.sharingInstances < 2)
+        return 0;
+    // A request of more than half of the memory needs an empty replica and no more.
+    const auto total = replica.description.memoryPieces;
+    return std::min(pieces, total - std::min(pieces, total));
+}
+
 }
 
 auto decodeReservation(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> Reservation
@@ -54,7 +66,8 @@
 {
     const auto fits = [&](const Replica& replica) {
         const auto amount = decodeReservation(context, request, replica);
-        return hasPieces(replica, amount.pieces) && linkHasShare(replica, amount.linkBytes);
+        const auto needed = amount.pieces + piecesToLeave(context, request, replica, amount.pieces);
+        return hasPieces(replica, needed) && linkHasShare(replica, amount.linkBytes);
     };
     const auto local = context.state.settings.localZone;
     // The transfer stays within a zone where it can.
--- a/test/correctness/HeadroomTest.cpp
+++ b/test/correctness/HeadroomTest.cpp
@@ -37,6 +37,34 @@
     return starts(harness) - before;
 }
 
+/// @return how many of 20 batch requests of this size start on a decode replica of 1,000 pieces of 2,000
+/// tokens, where so many instances place on it.
+auto longBatchStarts(std::uint32_t instances, std::uint32_t promptTokens) -> std::ptrdiff_t
+{
+    auto settings = testSettings();
+    settings.sharingInstances = instances;
+    // Keeps the link from limiting the starts.
+    settings.kvBytesPerToken = 1;
+    ShardHarness harness(std::move(settings));
+    for (std::uint32_t id = 1; id <= 20; ++id)
+        harness.replica(id, PoolRole::Prefill, 1);
+    harness.replica(100, PoolRole::Decode, 50);
+    for (std::uint64_t id = 1; id <= 20; ++id)
+        harness.arrive(id, 2, 0, promptTokens);
+    return starts(harness);
+}
+
+}
+
+// Guards against long prompts that are prefilled in vain because another instance has taken the
+// memory, and against prompts of more than half of the memory that would never start.
+TEST_CASE("batch work leaves memory for another of its size where instances share replicas")
+{
+    constexpr std::uint32_t tenth = 200'000;
+    CHECK(longBatchStarts(1, tenth) == 9);
+    CHECK(longBatchStarts(7, tenth) == 8);
+    constexpr std::uint32_t threeFifths = 1'200'000;
+    CHECK(longBatchStarts(7, threeFifths) == 1);
 }
 
 // Guards against lookups that wait for a seat while long answers hold all of them.
