Let urgent work have up to 40% of the decode seats left free

Cause: the seats left free for interactive work were limited to a fifth of the pool; with appraisals in all queues or half of the engines gone, one and a half deviations of the lookups' seats come to more than that, and lookups were late although the mechanism asked for more seats.

--- a/src/SeatReserve.cpp
+++ b/src/SeatReserve.cpp
@@ -14,7 +14,7 @@
 /// Late work no longer counts for goodput and holds its seat as long as work that does.
 constexpr double deviationsLeftByLate = 3.0;
 /// Of all decode seats; a pool of a few seats is not kept from less urgent work altogether.
-constexpr double largestPart = 0.2;
+constexpr double largestPart = 0.4;
 
 auto seconds(Duration duration) -> double
 {
