--- a/test/scenario/ScenarioMetrics.cpp
+++ b/test/scenario/ScenarioMetrics.cpp
@@ -2,12 +2,14 @@
 
 #include "LogLine.h"
 #include "LoggedEventJson.h"
+#include "TextTable.h"
 #include "Timeline.h"
 
 #include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <numeric>
 #include <ostream>
 
@@ -36,6 +38,41 @@
     return values.empty() ? 0 : *std::ranges::max_element(values);
 }
 
+/// @return the percentiles of a distribution as `p50/p95/p99`.
+auto percentiles(const json::object& kind, std::string_view key) -> std::string
+{
+    const auto* values = kind.if_contains(key);
+    if (!values)
+        return "-";
+    std::string text;
+    for (const std::string_view percentile : { "p50", "p95", "p99" }) {
+        const auto number = numberOf(*values, percentile).value_or(0);
+        text += (text.empty() ? "" : "/") + std::to_string(std::lround(number));
+    }
+    return text;
+}
+
+/// Lays out the report of a load with one row for each kind and one for all.
+auto tableOf(const json::object& report) -> TextTable
+{
+    constexpr std::array<std::string_view, 9> counts { "sent", "whole", "cancelled", "not_run", "unknown", "lost", "wrong", "doubled", "within_targets" };
+    TextTable table { { "kind" }, {} };
+    table.header.insert(table.header.end(), counts.begin(), counts.end());
+    table.header.insert(table.header.end(), { "first_token_ms", "token_gap_ms" });
+    const auto addRow = [&](std::string name, const json::value& kind) {
+        auto& row = table.rows.emplace_back();
+        row.push_back(std::move(name));
+        for (const auto count : counts)
+            row.push_back(std::to_string(std::lround(numberOf(kind, count).value_or(0))));
+        row.push_back(percentiles(kind.get_object(), "first_token_ms"));
+        row.push_back(percentiles(kind.get_object(), "token_gap_ms"));
+    };
+    for (const auto& kind : report.at("items").get_object())
+        addRow(std::string(kind.key()), kind.value());
+    addRow("total", report.at("total"));
+    return table;
+}
+
 /// Reads all events of an entry instance, page by page.
 auto readEvents(ScenarioClient& client, const HttpEndpoint& endpoint) -> std::vector<LoggedEvent>
 {
@@ -146,8 +183,11 @@
 
 auto ScenarioRunner::printSummary(std::ostream& output) -> void
 {
-    printLoadOutput(output);
-    constexpr std::array<std::string_view, 7> metrics { "lost", "doubled", "wrong", "unknown", "wasted_percent", "held", "seats" };
+    for (const auto& load : m_loads) {
+        if (load.report)
+            output << format(tableOf(*load.report)) << '\n';
+    }
+    constexpr std::array<std::string_view, 8> metrics { "goodput_per_second", "lost", "doubled", "wrong", "unknown", "wasted_percent", "held", "seats" };
     for (const auto metric : metrics) {
         if (const auto number = value({ .metric = std::string(metric) }))
             output << metric << '=' << *number << '\n';
