--- a/bench/RelayBench.cpp
+++ b/bench/RelayBench.cpp
@@ -1,6 +1,7 @@
 // Measures what one I/O thread of an entry instance relays, the latency that it adds, and its
 // memory. The entry instance runs in a process of its own, so that its memory and CPU time can be
 // told apart from those of engines and callers.
+#include "CommandLine.h"
 #include "ProcessUsage.h"
 #include "RelayCallers.h"
 
@@ -19,8 +20,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
-#include <getopt.h>
-#include <iostream>
+#include <span>
 #include <thread>
 
 #include <sys/resource.h>
@@ -35,11 +35,11 @@
 namespace {
 
 struct Options {
-    int streams = 2'000;
-    int latencyStreams = 50;
-    int engines = 4;
-    int seconds = 5;
-    int gapMs = 40;
+    std::int64_t streams = 2'000;
+    std::int64_t latencyStreams = 50;
+    std::int64_t engines = 4;
+    std::int64_t seconds = 5;
+    std::int64_t gapMs = 40;
 };
 
 struct EntryProcess {
@@ -147,7 +147,7 @@
         }
         const json::object body { { "instances", list } };
         send(m_platform.endpoint(), { "PUT", "/admin/instances", {}, json::serialize(body) });
-        HttpRequest apply { "PUT", "/admin/v1/configuration", { { "Authorization", "Bearer operator-key" }, { "If-Match", "0" } }, printConfiguration(benchConfiguration(options.engines)) };
+        HttpRequest apply { "PUT", "/admin/v1/configuration", { { "Authorization", "Bearer operator-key" }, { "If-Match", "0" } }, printConfiguration(benchConfiguration(static_cast<int>(options.engines))) };
         if (send(entry.peerEndpoint, std::move(apply)) != 200)
             throw std::runtime_error("the configuration was not accepted");
         std::this_thread::sleep_for(2s);
@@ -199,7 +199,7 @@
 
 auto measureThroughput(Scene& scene, const Options& options) -> void
 {
-    openStreams(scene, options.streams, false);
+    openStreams(scene, static_cast<int>(options.streams), false);
     std::printf("measure=memory streams=%d resident_mb=%.1f\n", scene.callers->streaming(), static_cast<double>(residentBytes(scene.entry.process)) / 1e6);
     auto before = threadTimes(scene.entry.process);
     scene.callers->setRecording(true);
@@ -223,32 +223,15 @@
         quantile(samples.token, 0.5), quantile(samples.token, 0.99));
 }
 
-auto parseOptions(int argumentCount, char** arguments, Options& options) -> bool
+auto commandOptions(Options& options) -> std::vector<CommandOption>
 {
-    static const option longOptions[] = {
-        { "streams", required_argument, nullptr, 's' },
-        { "latency-streams", required_argument, nullptr, 'l' },
-        { "engines", required_argument, nullptr, 'e' },
-        { "seconds", required_argument, nullptr, 't' },
-        { "token-gap-ms", required_argument, nullptr, 'g' },
-        { "help", no_argument, nullptr, 'h' },
-        { nullptr, 0, nullptr, 0 },
+    return {
+        numberOption("streams", "streams open in the throughput part", options.streams),
+        numberOption("latency-streams", "streams whose latency is compared", options.latencyStreams),
+        numberOption("engines", "decode engines", options.engines),
+        numberOption("seconds", "length of each part", options.seconds),
+        numberOption("token-gap-ms", "time between the tokens of a stream", options.gapMs),
     };
-    for (auto choice = 0; (choice = getopt_long(argumentCount, arguments, "", longOptions, nullptr)) != -1;) {
-        if (choice == 's')
-            options.streams = std::atoi(optarg);
-        else if (choice == 'l')
-            options.latencyStreams = std::atoi(optarg);
-        else if (choice == 'e')
-            options.engines = std::atoi(optarg);
-        else if (choice == 't')
-            options.seconds = std::atoi(optarg);
-        else if (choice == 'g')
-            options.gapMs = std::atoi(optarg);
-        else
-            return false;
-    }
-    return true;
 }
 
 /// Two sockets for each stream in each process.
@@ -265,10 +248,10 @@
 auto main(int argumentCount, char** arguments) -> int
 {
     Options options;
-    if (!parseOptions(argumentCount, arguments, options)) {
-        std::cerr << "usage: jayhold-relay-bench [--streams N] [--latency-streams N] [--engines N] [--seconds N] [--token-gap-ms N]\n";
-        return static_cast<int>(ExitCode::Usage);
-    }
+    const auto commandLine = commandOptions(options);
+    const std::span given(arguments, static_cast<std::size_t>(argumentCount));
+    if (const auto code = parseCommandLine(given, "measures what an entry instance adds to streams", commandLine))
+        return static_cast<int>(*code);
     std::setvbuf(stdout, nullptr, _IOLBF, 0);
     raiseDescriptorLimit();
     int toEntry[2];
