Share one connection pool between whole and streamed HTTP calls

Cause: streamed calls always opened a connection, and idle connections were shared by address alone, so one could reach a process that had taken over the address. An idle caller was closed by the timeout of the moment it went idle.

The pool is keyed by endpoint and process, drops connections that became readable, and honours Keep-Alive. Answers that repeat another call's identifier are skipped. Sockets can detect a silent peer by keep-alive probes.

--- a/cmake/http.cmake
+++ b/cmake/http.cmake
@@ -1,5 +1,5 @@
 jayhold_library(jayhold_http
-  UNITS HttpClient HttpMessages HttpServer HttpServerConnection HttpStream IoThreads
+  UNITS ConnectionPool HttpClient HttpMessages HttpServer HttpServerConnection HttpStream IoThreads SocketOptions
   LINK jayhold_base)
 
 jayhold_test(http_test
--- /dev/null
+++ b/src/ConnectionPool.cpp
@@ -0,0 +1,92 @@
+#include "ConnectionPool.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// A peer closes an idle connection at the time that it names; a call sent just before would be lost.
+constexpr Duration closeMargin = std::chrono::milliseconds(500);
+/// Expired connections hold descriptors; a sweep a second keeps them few at little cost.
+constexpr Duration sweepInterval = std::chrono::seconds(1);
+
+/// @return the time in `Keep-Alive: timeout=SECONDS`.
+auto statedIdleTime(std::span<const HttpHeader> headers) -> std::optional<Duration>
+{
+    constexpr std::string_view parameter = "timeout=";
+    const auto field = findHeader(headers, "Keep-Alive");
+    const auto position = field ? field->find(parameter) : std::string_view::npos;
+    if (position == std::string_view::npos)
+        return std::nullopt;
+    const auto text = field->substr(position + parameter.size());
+    unsigned seconds = 0;
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    if (code != std::errc {})
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
+/// Anything readable on an idle connection is its end or an answer that nobody asked for.
+auto isReadable(HttpStream::Connection& connection) -> bool
+{
+    auto& socket = connection.stream.socket();
+    boost::system::error_code code;
+    socket.non_blocking(true, code);
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, code);
+    return code != asio::error::would_block;
+}
+
+}
+
+ConnectionPool::ConnectionPool(std::size_t mostIdle, Duration idleTime)
+    : m_mostIdle(mostIdle)
+    , m_idleTime(idleTime)
+{
+}
+
+auto ConnectionPool::take(const PoolKey& key, TimePoint now) -> Connection
+{
+    const auto found = m_idle.find(key);
+    if (found == m_idle.end())
+        return nullptr;
+    auto& idle = found->second;
+    while (!idle.empty()) {
+        auto last = std::move(idle.back());
+        idle.pop_back();
+        if (now < last.usableUntil && !isReadable(*last.connection))
+            return std::move(last.connection);
+    }
+    return nullptr;
+}
+
+auto ConnectionPool::give(Connection connection, TimePoint now) -> void
+{
+    dropExpired(now);
+    auto usable = m_idleTime;
+    if (const auto stated = statedIdleTime(connection->headers))
+        usable = std::min(usable, *stated - closeMargin);
+    auto& idle = m_idle[connection->key];
+    if (usable <= Duration::zero() || idle.size() >= m_mostIdle)
+        return;
+    connection->parser.reset();
+    connection->headers.clear();
+    idle.push_back({ std::move(connection), now + usable });
+}
+
+auto ConnectionPool::dropExpired(TimePoint now) -> void
+{
+    if (now < m_sweptAt + sweepInterval)
+        return;
+    m_sweptAt = now;
+    for (auto entry = m_idle.begin(); entry != m_idle.end();) {
+        std::erase_if(entry->second, [&](const Idle& idle) { return idle.usableUntil <= now; });
+        entry = entry->second.empty() ? m_idle.erase(entry) : std::next(entry);
+    }
+}
+
+}
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -1,14 +1,14 @@
 #include "HttpClient.h"
 
 #include "AwaitToken.h"
+#include "ConnectionPool.h"
 #include "HttpConnection.h"
+#include "SocketOptions.h"
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <map>
-
 namespace jayhold {
 
 namespace asio = boost::asio;
@@ -17,13 +17,11 @@
 
 namespace {
 
-struct IdleConnection {
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer;
-};
+/// Answers to earlier calls that are skipped before the one that is waited for.
+constexpr int mostSkipped = 2;
 
-using IdlePointer = std::unique_ptr<IdleConnection>;
 using BeastRequest = http::request<http::string_body>;
+using Connection = HttpStream::Connection;
 
 auto toBeast(const HttpEndpoint& endpoint, HttpRequest&& request) -> BeastRequest
 {
@@ -31,72 +29,102 @@
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
-    message.set(http::field::host, toString(endpoint));
+    if (!findHeader(request.headers, "Host"))
+        message.set(http::field::host, toString(endpoint));
     for (const auto& header : request.headers)
-        message.set(header.name, header.value);
+        message.insert(header.name, header.value);
     message.body() = std::move(request.body);
     message.prepare_payload();
     return message;
 }
 
-auto connect(beast::tcp_stream& stream, const HttpEndpoint& endpoint, Duration timeout) -> asio::awaitable<std::optional<HttpError>>
+auto connect(beast::tcp_stream& stream, const HttpEndpoint& endpoint, const HttpClientSettings& settings) -> asio::awaitable<std::optional<HttpError>>
 {
     boost::system::error_code code;
     const auto address = asio::ip::make_address(endpoint.address, code);
     if (code)
         co_return HttpError { HttpErrorKind::NotConnected, code.message() };
-    stream.expires_after(timeout);
+    stream.expires_after(settings.connectTimeout);
     co_await stream.async_connect(asio::ip::tcp::endpoint(address, endpoint.port), awaitInto(code));
     if (code)
         co_return HttpError { HttpErrorKind::NotConnected, code.message() };
-    stream.socket().set_option(asio::ip::tcp::no_delay(true), code);
+    setSocketOptions(stream.socket(), settings.silenceLimit);
     co_return std::nullopt;
 }
 
-struct ExchangeOutcome {
+auto readHeader(Connection& connection, bool hasNoBody) -> asio::awaitable<boost::system::error_code>
+{
     boost::system::error_code code;
-    HttpResponse response;
-    bool isReusable = false;
-};
+    auto& parser = connection.parser.emplace();
+    parser.body_limit(boost::none);
+    parser.skip(hasNoBody);
+    co_await http::async_read_header(connection.stream, connection.buffer, parser, awaitInto(code));
+    if (!code)
+        connection.headers = copyHeaders(parser.get());
+    co_return code;
+}
 
-auto exchange(IdleConnection& connection, BeastRequest& message, std::size_t maximumBody, Duration timeout) -> asio::awaitable<ExchangeOutcome>
+/// Reads the rest of an answer that nobody waits for.
+auto skipBody(Connection& connection) -> asio::awaitable<boost::system::error_code>
 {
-    ExchangeOutcome outcome;
-    connection.stream.expires_after(timeout);
-    co_await http::async_write(connection.stream, message, awaitInto(outcome.code));
-    if (outcome.code)
-        co_return outcome;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(maximumBody);
-    co_await http::async_read(connection.stream, connection.buffer, parser, awaitInto(outcome.code));
-    if (outcome.code)
-        co_return outcome;
-    auto& answer = parser.get();
-    outcome.isReusable = answer.keep_alive();
-    outcome.response = { answer.result_int(), copyHeaders(answer), std::move(answer.body()) };
-    co_return outcome;
+    boost::system::error_code code;
+    auto& parser = *connection.parser;
+    while (!code && !parser.is_done()) {
+        auto& body = parser.get().body();
+        body.data = connection.piece.data();
+        body.size = connection.piece.size();
+        co_await http::async_read_some(connection.stream, connection.buffer, parser, awaitInto(code));
+        if (code == http::error::need_buffer)
+            code = {};
+    }
+    co_return code;
 }
 
+auto belongsTo(const Connection& connection, const std::optional<HttpHeader>& echo) -> bool
+{
+    if (!echo)
+        return true;
+    // An answer without the field is judged by its caller.
+    const auto value = findHeader(connection.headers, echo->name);
+    return !value || *value == echo->value;
 }
 
-struct HttpClient::Pool {
-    std::map<HttpEndpoint, std::vector<IdlePointer>> idle;
-
-    auto take(const HttpEndpoint& endpoint) -> IdlePointer
-    {
-        auto& connections = idle[endpoint];
-        if (connections.empty())
-            return nullptr;
-        auto connection = std::move(connections.back());
-        connections.pop_back();
-        return connection;
+/// Sends the request and reads the header of its answer.
+auto exchangeHeaders(Connection& connection, const BeastRequest& message, const HttpCallOptions& options) -> asio::awaitable<boost::system::error_code>
+{
+    boost::system::error_code code;
+    connection.stream.expires_after(options.timeout);
+    co_await http::async_write(connection.stream, message, awaitInto(code));
+    if (code)
+        co_return code;
+    const auto hasNoBody = message.method() == http::verb::head;
+    for (auto skipped = 0; skipped <= mostSkipped; ++skipped) {
+        code = co_await readHeader(connection, hasNoBody);
+        if (code || belongsTo(connection, options.echo))
+            co_return code;
+        code = co_await skipBody(connection);
+        if (code)
+            co_return code;
+        if (!connection.parser->keep_alive())
+            co_return http::error::end_of_stream;
     }
-};
+    co_return http::error::unexpected_body;
+}
+
+/// Whether an idle connection turned out to be closed before any part of an answer came.
+auto wasStale(const Connection& connection, const boost::system::error_code& code) -> bool
+{
+    if (code == beast::error::timeout || code == asio::error::operation_aborted)
+        return false;
+    return !connection.parser || !connection.parser->got_some();
+}
+
+}
 
 HttpClient::HttpClient(asio::io_context& context, HttpClientSettings settings)
     : m_context(context)
     , m_settings(settings)
-    , m_pool(std::make_unique<Pool>())
+    , m_pool(std::make_shared<ConnectionPool>(settings.idlePerEndpoint, settings.idleTime))
 {
 }
 
@@ -104,49 +132,68 @@
 
 auto HttpClient::request(HttpEndpoint endpoint, HttpRequest request, Duration timeout) -> asio::awaitable<HttpResult<HttpResponse>>
 {
-    const auto mayRunTwice = request.isIdempotent || request.method == "GET";
-    auto message = toBeast(endpoint, std::move(request));
+    HttpCallOptions options;
+    options.timeout = timeout;
+    options.mayResend = request.isIdempotent || request.method == "GET";
     // Only calls that may run twice use a pooled connection: it can be closed by the other side
     // at the moment of sending, which can't be told apart from a call that ran.
-    auto connection = mayRunTwice ? m_pool->take(endpoint) : nullptr;
-    const auto wasPooled = connection != nullptr;
-    for (auto attempt = wasPooled ? 0 : 1; attempt < 2; ++attempt) {
-        if (!connection) {
-            connection = std::make_unique<IdleConnection>(IdleConnection { beast::tcp_stream(m_context), {} });
-            if (auto error = co_await connect(connection->stream, endpoint, m_settings.connectTimeout))
-                co_return std::move(*error);
-        }
-        auto outcome = co_await exchange(*connection, message, m_settings.maximumBody, timeout);
-        if (!outcome.code) {
-            auto& idle = m_pool->idle[endpoint];
-            if (outcome.isReusable && idle.size() < m_settings.idlePerEndpoint)
-                idle.push_back(std::move(connection));
-            co_return std::move(outcome.response);
-        }
-        if (attempt == 1 || outcome.code == beast::error::timeout)
-            co_return httpErrorOf(outcome.code);
-        connection = nullptr;
+    options.mayReuse = options.mayResend;
+    auto answer = co_await this->request(std::move(endpoint), std::move(request), std::move(options));
+    co_return answer;
+}
+
+auto HttpClient::request(HttpEndpoint endpoint, HttpRequest request, HttpCallOptions options) -> asio::awaitable<HttpResult<HttpResponse>>
+{
+    const auto timeout = options.timeout;
+    const auto opened = co_await open(std::move(endpoint), std::move(request), std::move(options));
+    if (opened.has_error())
+        co_return opened.error();
+    auto& stream = **opened;
+    HttpResponse response { stream.status(), stream.headers(), {} };
+    const auto deadline = monotonicNow() + timeout;
+    while (true) {
+        const auto left = std::max(deadline - monotonicNow(), Duration(1));
+        const auto piece = co_await stream.readSome(left);
+        if (piece.has_error())
+            co_return piece.error();
+        if (piece->empty())
+            break;
+        if (response.body.size() + piece->size() > m_settings.maximumBody)
+            co_return HttpError { HttpErrorKind::MalformedAnswer, "the body is larger than allowed" };
+        response.body += *piece;
     }
-    co_return HttpError { HttpErrorKind::NotConnected, "no attempt was made" };
+    stream.release();
+    co_return response;
 }
 
 auto HttpClient::open(HttpEndpoint endpoint, HttpRequest request, Duration timeout) -> asio::awaitable<HttpResult<std::shared_ptr<HttpStream>>>
 {
-    auto connection = std::make_unique<HttpStream::Connection>(m_context);
-    if (auto error = co_await connect(connection->stream, endpoint, m_settings.connectTimeout))
-        co_return std::move(*error);
+    HttpCallOptions options;
+    options.timeout = timeout;
+    auto stream = co_await open(std::move(endpoint), std::move(request), std::move(options));
+    co_return stream;
+}
+
+auto HttpClient::open(HttpEndpoint endpoint, HttpRequest request, HttpCallOptions options) -> asio::awaitable<HttpResult<std::shared_ptr<HttpStream>>>
+{
     const auto message = toBeast(endpoint, std::move(request));
-    boost::system::error_code code;
-    connection->stream.expires_after(timeout);
-    co_await http::async_write(connection->stream, message, awaitInto(code));
-    if (code)
-        co_return httpErrorOf(code);
-    auto& parser = connection->parser.emplace();
-    parser.body_limit(boost::none);
-    co_await http::async_read_header(connection->stream, connection->buffer, parser, awaitInto(code));
+    const PoolKey key { endpoint, options.peer };
+    auto connection = options.mayReuse ? m_pool->take(key, monotonicNow()) : nullptr;
+    if (connection) {
+        const auto code = co_await exchangeHeaders(*connection, message, options);
+        if (!code)
+            co_return std::make_shared<HttpStream>(std::move(connection));
+        if (!options.mayResend || !wasStale(*connection, code))
+            co_return httpErrorOf(code);
+    }
+    connection = std::make_unique<Connection>(m_context);
+    connection->key = key;
+    connection->pool = m_pool;
+    if (auto error = co_await connect(connection->stream, endpoint, m_settings))
+        co_return std::move(*error);
+    const auto code = co_await exchangeHeaders(*connection, message, options);
     if (code)
         co_return httpErrorOf(code);
-    connection->headers = copyHeaders(parser.get());
     co_return std::make_shared<HttpStream>(std::move(connection));
 }
 
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -3,6 +3,7 @@
 /// The socket and buffers behind HttpClient and HttpStream; private to the two.
 
 #include "HttpStream.h"
+#include "PoolKey.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -16,6 +17,8 @@
 
 namespace jayhold {
 
+class ConnectionPool;
+
 struct HttpStream::Connection {
     /// Ends a read that takes too long. A timer of its own for every read would cost more than the
     /// read of a short piece; this one is set anew only when it ends or has to end earlier.
@@ -55,6 +58,9 @@
     std::vector<HttpHeader> headers;
     std::array<char, pieceBytes> piece {};
     bool isClosed = false;
+    PoolKey key;
+    /// Where the connection goes when its answer was read whole.
+    std::weak_ptr<ConnectionPool> pool;
     const std::shared_ptr<Watch> watch;
 };
 
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -80,6 +80,11 @@
     return { m_state->bound.address().to_string(), m_state->bound.port() };
 }
 
+auto HttpServer::updateLimits(const HttpServerSettings& settings) -> void
+{
+    m_state->shared->settings.store(std::make_shared<const HttpServerSettings>(settings));
+}
+
 auto HttpServer::stopAccepting() -> void
 {
     m_state->shared->isDraining = true;
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -27,6 +27,8 @@
     Duration idleTimeout = std::chrono::seconds(60);
     /// Longest time for one piece of an answer to be taken by the caller.
     Duration writeTimeout = std::chrono::seconds(10);
+    /// A caller that acknowledges nothing for this long counts as gone; zero is the system's default.
+    Duration silenceLimit {};
 };
 
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
@@ -43,6 +45,9 @@
     /// @return the endpoint in use, with the port that the system chose where 0 was asked for.
     auto endpoint() const -> HttpEndpoint;
 
+    /// Replaces the limits and timeouts for requests that arrive from now on; the endpoint stays.
+    auto updateLimits(const HttpServerSettings& settings) -> void;
+
     /// Stops accepting connections; open exchanges go on and end with `Connection: close`.
     auto stopAccepting() -> void;
 
--- a/src/HttpServerConnection.cpp
+++ b/src/HttpServerConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "AwaitToken.h"
 #include "HttpConnection.h"
+#include "SocketOptions.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -169,7 +170,7 @@
         message.keep_alive(m_keepAlive);
     }
 
-    auto arm() -> void { m_connection->stream.expires_after(m_shared.settings.writeTimeout); }
+    auto arm() -> void { m_connection->stream.expires_after(m_shared.settings.load()->writeTimeout); }
 
     auto note(const boost::system::error_code& code) -> bool
     {
@@ -236,36 +237,82 @@
 
 using RequestParser = http::request_parser<http::string_body>;
 
+/// Cancels a read after a time and leaves the socket open, so that an answer can still be sent; the
+/// timeout of the stream would close it.
+class ReadTimer {
+public:
+    ReadTimer(std::shared_ptr<ConnectionState> connection, Duration timeout)
+        : m_state(std::make_shared<State>(std::move(connection)))
+        , m_timer(m_state->connection->stream.get_executor(), timeout)
+    {
+        m_timer.async_wait([state = m_state](boost::system::error_code code) {
+            if (code || state->isOver)
+                return;
+            state->hasTimedOut = true;
+            state->connection->stream.cancel();
+        });
+    }
+    ~ReadTimer() { m_state->isOver = true; }
+    ReadTimer(const ReadTimer&) = delete;
+    auto operator=(const ReadTimer&) -> ReadTimer& = delete;
+
+    auto hasTimedOut() const -> bool { return m_state->hasTimedOut; }
+
+private:
+    struct State {
+        explicit State(std::shared_ptr<ConnectionState> watched)
+            : connection(std::move(watched))
+        {
+        }
+
+        const std::shared_ptr<ConnectionState> connection;
+        bool isOver = false;
+        bool hasTimedOut = false;
+    };
+
+    const std::shared_ptr<State> m_state;
+    asio::steady_timer m_timer;
+};
+
+/// Waits for the first byte of a request, for as long as the idle timeout allows at its end: it may
+/// grow meanwhile, and a caller that knows the longer one still uses the connection.
+auto awaitFirstByte(HttpServerShared& shared, const std::shared_ptr<ConnectionState>& connection) -> asio::awaitable<boost::system::error_code>
+{
+    constexpr std::size_t firstRead = 4'096;
+    const auto since = monotonicNow();
+    while (true) {
+        const auto left = since + shared.settings.load()->idleTimeout - monotonicNow();
+        if (left <= Duration::zero())
+            co_return http::error::end_of_stream;
+        const ReadTimer timer(connection, left);
+        boost::system::error_code code;
+        const auto space = connection->buffer.prepare(firstRead);
+        const auto size = co_await connection->stream.async_read_some(space, awaitInto(code));
+        if (timer.hasTimedOut() && code)
+            continue;
+        connection->buffer.commit(size);
+        co_return code;
+    }
+}
+
 /// Waits for a request: up to the idle timeout for its first byte, then up to the read timeout
 /// for the rest.
-auto readRequest(const HttpServerSettings& settings, ConnectionState& connection, RequestParser& parser) -> asio::awaitable<boost::system::error_code>
+auto readRequest(HttpServerShared& shared, const std::shared_ptr<ConnectionState>& connection, RequestParser& parser) -> asio::awaitable<boost::system::error_code>
 {
     boost::system::error_code code;
-    parser.header_limit(static_cast<std::uint32_t>(settings.maximumHeader));
-    parser.body_limit(settings.maximumBody);
-    if (connection.buffer.size() == 0) {
-        connection.stream.expires_after(settings.idleTimeout);
-        const auto space = connection.buffer.prepare(4'096);
-        const auto size = co_await connection.stream.async_read_some(space, awaitInto(code));
-        if (code)
-            co_return code == beast::error::timeout ? boost::system::error_code(http::error::end_of_stream) : code;
-        connection.buffer.commit(size);
-    }
-    // The stream's own timeout would close the socket, and the 408 answer could not be sent.
-    connection.stream.expires_never();
-    asio::steady_timer timer(connection.stream.get_executor(), settings.readTimeout);
-    auto hasTimedOut = false;
-    timer.async_wait([&](boost::system::error_code timerCode) {
-        if (timerCode)
-            return;
-        hasTimedOut = true;
-        connection.stream.cancel();
-    });
-    co_await http::async_read(connection.stream, connection.buffer, parser, awaitInto(code));
-    // Lets the wait's handler run before its captures go out of scope.
-    timer.cancel();
-    co_await asio::post(connection.stream.get_executor(), asio::use_awaitable);
-    co_return hasTimedOut ? boost::system::error_code(beast::error::timeout) : code;
+    connection->stream.expires_never();
+    if (connection->buffer.size() == 0)
+        code = co_await awaitFirstByte(shared, connection);
+    if (code)
+        co_return code;
+    const auto settings = shared.settings.load();
+    parser.header_limit(static_cast<std::uint32_t>(settings->maximumHeader));
+    parser.body_limit(settings->maximumBody);
+    const ReadTimer timer(connection, settings->readTimeout);
+    co_await http::async_read(connection->stream, connection->buffer, parser, awaitInto(code));
+    if (code && timer.hasTimedOut())
+        code = beast::error::timeout;
+    co_return code;
 }
 
 auto refuse(HttpServerShared& shared, const std::shared_ptr<ConnectionState>& connection, HttpClient& client, const RequestFault& fault) -> asio::awaitable<void>
@@ -279,11 +326,11 @@
 auto serveConnection(std::shared_ptr<HttpServerShared> shared, asio::ip::tcp::socket socket, HttpClient& client) -> asio::awaitable<void>
 {
     boost::system::error_code code;
-    socket.set_option(asio::ip::tcp::no_delay(true), code);
+    setSocketOptions(socket, shared->settings.load()->silenceLimit);
     const auto connection = std::make_shared<ConnectionState>(std::move(socket));
     for (auto reusable = true; reusable;) {
         RequestParser parser;
-        code = co_await readRequest(shared->settings, *connection, parser);
+        code = co_await readRequest(*shared, connection, parser);
         if (code) {
             if (const auto fault = faultOf(code))
                 co_await refuse(*shared, connection, client, *fault);
--- a/src/HttpServerConnection.h
+++ b/src/HttpServerConnection.h
@@ -16,12 +16,12 @@
 /// What the connections of one server share.
 struct HttpServerShared {
     HttpServerShared(const HttpServerSettings& serverSettings, HttpHandler serverHandler)
-        : settings(serverSettings)
+        : settings(std::make_shared<const HttpServerSettings>(serverSettings))
         , handler(std::move(serverHandler))
     {
     }
 
-    const HttpServerSettings settings;
+    std::atomic<std::shared_ptr<const HttpServerSettings>> settings;
     const HttpHandler handler;
     std::atomic<std::size_t> activeExchanges { 0 };
     std::atomic<bool> isDraining { false };
--- a/src/HttpStream.cpp
+++ b/src/HttpStream.cpp
@@ -1,6 +1,7 @@
 #include "HttpStream.h"
 
 #include "AwaitToken.h"
+#include "ConnectionPool.h"
 #include "HttpConnection.h"
 
 #include <boost/beast/http/error.hpp>
@@ -111,6 +112,15 @@
     co_return HttpError { HttpErrorKind::Cancelled, "the stream was closed" };
 }
 
+auto HttpStream::release() -> void
+{
+    auto connection = std::move(m_connection);
+    const auto pool = connection->pool.lock();
+    const auto isClean = !connection->isClosed && connection->parser->is_done() && connection->buffer.size() == 0;
+    if (pool && isClean && connection->parser->keep_alive())
+        pool->give(std::move(connection), monotonicNow());
+}
+
 auto HttpStream::close() -> void
 {
     m_connection->isClosed = true;
--- a/src/HttpStream.h
+++ b/src/HttpStream.h
@@ -31,6 +31,10 @@
     /// @return a view that is valid until the next call; empty at the end of the body.
     auto readSome(Duration timeout) -> boost::asio::awaitable<HttpResult<std::string_view>>;
 
+    /// Ends the use of the stream and keeps its connection for other calls, if the whole body was
+    /// read and nothing came after it; otherwise closes it. Nothing else may be called afterwards.
+    auto release() -> void;
+
     /// Closes the connection; a pending readSome() ends with Cancelled. Must be called on the I/O
     /// thread of the client.
     auto close() -> void;
--- /dev/null
+++ b/src/SocketOptions.cpp
@@ -0,0 +1,38 @@
+#include "SocketOptions.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+namespace jayhold {
+
+namespace {
+
+/// Probes that may stay unanswered; with one probe a second the last is due at the silence limit.
+constexpr int keepAliveProbes = 1;
+
+auto setOption(int descriptor, int option, int value) -> void
+{
+    // A system without the option keeps its default, which is only slower to notice a dead peer.
+    ::setsockopt(descriptor, IPPROTO_TCP, option, &value, sizeof(value));
+}
+
+}
+
+auto setSocketOptions(boost::asio::ip::tcp::socket& socket, Duration silenceLimit) -> void
+{
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    if (silenceLimit <= Duration::zero())
+        return;
+    socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    const auto descriptor = socket.native_handle();
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(silenceLimit).count();
+    setOption(descriptor, TCP_KEEPIDLE, std::max(1, static_cast<int>(seconds) - keepAliveProbes));
+    setOption(descriptor, TCP_KEEPINTVL, 1);
+    setOption(descriptor, TCP_KEEPCNT, keepAliveProbes);
+    setOption(descriptor, TCP_USER_TIMEOUT, static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(silenceLimit).count()));
+}
+
+}
