--- a/bench/EntryInstance.cpp
+++ b/bench/EntryInstance.cpp
@@ -124,7 +124,7 @@
     active->resumedFrom = action.resumeFrom;
     if (action.resumeFrom != active->emitted)
         ++m_around.metrics.misplacedTokens;
-    m_around.engines.startDecode(jobFor(action.request, *active), active->prefillAttempt, action.prefill, action.decode);
+    m_around.engines.startDecode(jobFor(action.request, *active), active->prefillAttempt, *action.prefill, action.decode);
     watchDecode(action.request, action.attempt);
 }
 
--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -1,8 +1,8 @@
 jayhold_library(jayhold_entry
-  UNITS AdminApi AnswerWriter ApiError CallerApi CallerChecks ClusterRecords CompletionFormat
-    CompletionRequest ConfigurationIndex DecodeRelay EngineClient EngineError EngineMessages
+  UNITS AdminApi ApiError CallerApi CallerChecks ClusterRecords CompletionFormat
+    CompletionRequest CompletionWriter ConfigurationIndex DecodeRelay EngineClient EngineError EngineMessages
     EngineMonitor EntryDaemon EntryDaemonDrain EntrySettings HeldMemory LatencyHistogram LostOwners
-    Metrics ModelRequest ModelRequestTasks ModelService ModelServiceTimer PlainBalancer PlainRoute
+    Metrics ModelRequest ModelRequestTasks ModelService ModelServiceTimer NativeProtocols PassThroughReader PassThroughWriter PlainBalancer PlainRoute
     PlainService PromptDigest RequestMachine ServiceTable SpreadDelay StatusReport TokenEventReader
     TokenSequence
   LINK jayhold_cluster jayhold_decision jayhold_operator jayhold_http)
--- a/src/ActiveRequest.h
+++ b/src/ActiveRequest.h
@@ -49,6 +49,10 @@
     LatencyClass latencyClass = LatencyClass::Standard;
     /// Attempts that failed and may have run.
     std::uint8_t failures = 0;
+    /// Those of them that failed on a decode replica, where a request runs.
+    std::uint8_t failedRuns = 0;
+    /// Prefill results that a decode replica could not fetch.
+    std::uint8_t lostResults = 0;
     /// Attempts that a backend server turned away without running them.
     std::uint8_t redirects = 0;
 
--- a/src/Admission.cpp
+++ b/src/Admission.cpp
@@ -22,7 +22,8 @@
 auto isTooLarge(const ShardState& state, const ActiveRequest& request) -> bool
 {
     const std::uint64_t prompt = request.arrival.promptTokens;
-    return prompt > largestCapacity(state.prefillCapacities) || prompt + 1 > largestCapacity(state.decodeCapacities);
+    const auto fitsPrefill = state.settings.decodeMayPrefill || prompt <= largestCapacity(state.prefillCapacities);
+    return !fitsPrefill || prompt + 1 > largestCapacity(state.decodeCapacities);
 }
 
 /// The work that is ahead makes it miss its first-token target.
@@ -41,7 +42,8 @@
         return RefusalReason::Draining;
     if (isBlocked(context, request.arrival.signature))
         return RefusalReason::CrashSuspect;
-    if (state.prefillCapacities.empty() || state.decodeCapacities.empty())
+    const auto canPrefill = state.settings.decodeMayPrefill || !state.prefillCapacities.empty();
+    if (!canPrefill || state.decodeCapacities.empty())
         return RefusalReason::NoBackend;
     if (request.arrival.deadline <= context.now)
         return RefusalReason::DeadlineExceeded;
--- a/src/ApiError.h
+++ b/src/ApiError.h
@@ -10,6 +10,7 @@
 
 #include <boost/json/object.hpp>
 
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -34,6 +35,8 @@
     Outcome outcome = Outcome::Unknown;
     /// Time after which a repeat makes sense; zero where it makes none.
     Duration retryAfter {};
+    /// The failure that a backend server answered itself, for callers that get such answers unchanged.
+    std::shared_ptr<const HttpResponse> answer;
 };
 
 /// @return the stable name of a reason, for callers, logs and metrics.
--- a/src/BackendServer.h
+++ b/src/BackendServer.h
@@ -5,6 +5,7 @@
 #include "HttpEndpoint.h"
 #include "ReplicaState.h"
 
+#include <cstdint>
 #include <string>
 
 namespace jayhold {
@@ -16,6 +17,10 @@
     /// Name of the pool in the configuration.
     std::string pool;
     ReplicaState state = ReplicaState::Live;
+    /// Tells two runs of a process under one id apart; empty where ids are not used again.
+    std::string incarnation;
+    /// Requests that it runs at once; 0 where the pool says so.
+    std::int64_t seats = 0;
 
     auto operator==(const BackendServer&) const -> bool = default;
 };
--- a/src/AnswerWriter.cpp
+++ b/src/CompletionWriter.cpp
@@ -1,10 +1,10 @@
-#include "AnswerWriter.h"
+#include "CompletionWriter.h"
 
 namespace jayhold {
 
 namespace asio = boost::asio;
 
-AnswerWriter::AnswerWriter(HttpExchange& exchange, const CompletionRequest& request, CompletionFormat format, std::vector<HttpHeader> headers)
+CompletionWriter::CompletionWriter(HttpExchange& exchange, const CompletionRequest& request, CompletionFormat format, std::vector<HttpHeader> headers)
     : m_exchange(exchange)
     , m_format(std::move(format))
     , m_headers(std::move(headers))
@@ -13,7 +13,7 @@
 {
 }
 
-auto AnswerWriter::addToken(std::string_view text) -> void
+auto CompletionWriter::addToken(std::string_view text) -> void
 {
     if (m_isStream)
         m_format.appendToken(m_pending, text, !m_hasTokens);
@@ -22,7 +22,7 @@
     m_hasTokens = true;
 }
 
-auto AnswerWriter::flush() -> asio::awaitable<bool>
+auto CompletionWriter::flush() -> asio::awaitable<bool>
 {
     if (!m_isStream || m_pending.empty())
         co_return true;
@@ -39,7 +39,7 @@
     co_return isWritten;
 }
 
-auto AnswerWriter::finish(std::string_view finishReason, CompletionUsage usage) -> asio::awaitable<bool>
+auto CompletionWriter::finish(std::string_view finishReason, CompletionUsage usage) -> asio::awaitable<bool>
 {
     if (!m_isStream) {
         auto response = jsonResponse(200, m_format.whole(m_pending, finishReason, usage));
@@ -58,7 +58,7 @@
     co_return isFinished;
 }
 
-auto AnswerWriter::fail(ApiError error) -> asio::awaitable<bool>
+auto CompletionWriter::fail(ApiError error) -> asio::awaitable<bool>
 {
     if (!m_exchange.hasStarted()) {
         auto response = toResponse(error);
--- /dev/null
+++ b/src/CompletionWriter.h
@@ -0,0 +1,40 @@
+#pragma once
+
+/// Answers in the form of the completion endpoints, as a stream of events or as one document.
+
+#include "AnswerWriter.h"
+#include "CompletionFormat.h"
+#include "HttpExchange.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace jayhold {
+
+class CompletionWriter final : public AnswerWriter {
+public:
+    /// @param headers fields that every answer carries.
+    CompletionWriter(HttpExchange& exchange, const CompletionRequest& request, CompletionFormat format, std::vector<HttpHeader> headers);
+
+    auto begin(const std::vector<HttpHeader>&) -> void override { }
+    auto addToken(std::string_view text) -> void override;
+    auto flush() -> boost::asio::awaitable<bool> override;
+    auto finish(std::string_view finishReason, CompletionUsage usage) -> boost::asio::awaitable<bool> override;
+    /// Ends the answer with an error: as a whole answer where none has begun, or else as the last
+    /// event of the stream, which then has no `[DONE]`.
+    auto fail(ApiError error) -> boost::asio::awaitable<bool> override;
+
+private:
+    HttpExchange& m_exchange;
+    const CompletionFormat m_format;
+    const std::vector<HttpHeader> m_headers;
+    const bool m_isStream;
+    const bool m_includesUsage;
+    bool m_hasTokens = false;
+    /// Chunks that have not been sent, or the text so far of an answer that is sent whole.
+    std::string m_pending;
+};
+
+}
--- a/src/Configuration.cpp
+++ b/src/Configuration.cpp
@@ -56,6 +56,8 @@
         { "token_gap_ms", kind.tokenGap.count() },
         { "deadline_ms", kind.deadline.count() },
         { "repeatable", kind.repeatable },
+        { "max_attempts", kind.maxAttempts },
+        { "recorded", kind.recorded },
     };
     if (!kind.methods.empty())
         object["methods"] = json::array(kind.methods.begin(), kind.methods.end());
@@ -65,6 +67,8 @@
 }
 
 auto toJson(const Service& service) -> json::value;
+auto toJson(const RouteTarget& target) -> json::value;
+auto toJson(const Route& route) -> json::value;
 
 template <typename Item>
 auto toJson(const std::vector<Item>& items) -> json::array
@@ -84,12 +88,47 @@
         object["checks_fencing"] = service.checksFencing;
         object["max_prompt_tokens"] = service.maxPromptTokens;
         object["max_output_tokens"] = service.maxOutputTokens;
+        object["prefill_kept_ms"] = service.prefillKept.count();
+        object["kv_bytes_per_token"] = service.kvBytesPerToken;
+        object["decode_may_prefill"] = service.decodeMayPrefill;
     }
+    object["retry"] = json::object {
+        { "ratio", service.retry.ratio },
+        { "burst", service.retry.burst },
+        { "shared", service.retry.isShared },
+        { "counts_rejections", service.retry.countsRejections },
+    };
     object["pools"] = toJson(service.pools);
     object["kinds"] = toJson(service.kinds);
     return object;
 }
 
+auto toJson(const RouteTarget& target) -> json::value
+{
+    return json::object { { "service", target.service }, { "weight", target.weight } };
+}
+
+auto toJson(const Route& route) -> json::value
+{
+    return json::object {
+        { "name", route.name },
+        { "host", route.host },
+        { "path_prefix", route.pathPrefix },
+        { "kind", route.kind },
+        { "targets", toJson(route.targets) },
+    };
+}
+
+auto toJson(const CallerLimits& limits) -> json::value
+{
+    return json::object {
+        { "header_bytes", limits.headerBytes },
+        { "body_bytes", limits.bodyBytes },
+        { "read_timeout_ms", limits.readTimeout.count() },
+        { "idle_timeout_ms", limits.idleTimeout.count() },
+    };
+}
+
 }
 
 auto toJson(const Configuration& configuration) -> json::value
@@ -100,6 +139,8 @@
         { "availability_zones", toJson(configuration.availabilityZones) },
         { "customers", toJson(configuration.customers) },
         { "services", toJson(configuration.services) },
+        { "routes", toJson(configuration.routes) },
+        { "limits", toJson(configuration.limits) },
     };
 }
 
--- a/src/Configuration.h
+++ b/src/Configuration.h
@@ -4,9 +4,11 @@
 /// a plain struct; free functions print it as JSON, parse and check it, and compare two of them.
 
 #include "AvailabilityZone.h"
+#include "CallerLimits.h"
 #include "ConfigError.h"
 #include "Customer.h"
 #include "OperatorKey.h"
+#include "Route.h"
 #include "Service.h"
 
 #include <boost/json/value.hpp>
@@ -26,6 +28,8 @@
     std::vector<AvailabilityZone> availabilityZones;
     std::vector<Customer> customers;
     std::vector<Service> services;
+    std::vector<Route> routes;
+    CallerLimits limits;
 
     auto operator==(const Configuration&) const -> bool = default;
 };
--- a/src/ConfigurationParser.cpp
+++ b/src/ConfigurationParser.cpp
@@ -11,8 +11,10 @@
 
 constexpr NumberRange positive { 1, 1e15 };
 constexpr NumberRange weightRange { 0.001, 1'000 };
+constexpr NumberRange burstRange { 0, 1'000'000 };
 constexpr NumberRange fraction { 0, 1 };
 constexpr NumberRange seatRange { 1, 100'000 };
+constexpr NumberRange attemptRange { 1, 100 };
 constexpr NumberRange milliseconds { 1, 86'400'000 };
 
 template <typename Item>
@@ -109,11 +111,60 @@
     BOOST_LEAF_ASSIGN(kind.tokenGap, readMilliseconds(reader, "token_gap_ms", kind.tokenGap));
     BOOST_LEAF_ASSIGN(kind.deadline, readMilliseconds(reader, "deadline_ms", kind.deadline));
     BOOST_LEAF_ASSIGN(kind.repeatable, reader.boolean("repeatable", kind.repeatable));
+    BOOST_LEAF_ASSIGN(kind.maxAttempts, reader.integer("max_attempts", attemptRange, kind.maxAttempts));
+    BOOST_LEAF_ASSIGN(kind.recorded, reader.boolean("recorded", kind.recorded));
     BOOST_LEAF_ASSIGN(kind.methods, reader.strings("methods"));
     BOOST_LEAF_ASSIGN(kind.pathPrefix, reader.string("path_prefix", ""));
     return kind;
 }
 
+auto readRetry(JsonReader& parent) -> leaf::result<RetryPolicy>
+{
+    RetryPolicy policy;
+    if (!parent.has("retry"))
+        return policy;
+    BOOST_LEAF_AUTO(reader, parent.object("retry"));
+    BOOST_LEAF_ASSIGN(policy.ratio, reader.number("ratio", fraction, policy.ratio));
+    BOOST_LEAF_ASSIGN(policy.burst, reader.number("burst", burstRange, policy.burst));
+    BOOST_LEAF_ASSIGN(policy.isShared, reader.boolean("shared", policy.isShared));
+    BOOST_LEAF_ASSIGN(policy.countsRejections, reader.boolean("counts_rejections", policy.countsRejections));
+    BOOST_LEAF_CHECK(reader.finish());
+    return policy;
+}
+
+auto readTarget(JsonReader& reader) -> leaf::result<RouteTarget>
+{
+    RouteTarget target;
+    BOOST_LEAF_ASSIGN(target.service, reader.string("service"));
+    BOOST_LEAF_ASSIGN(target.weight, reader.integer("weight", positive, target.weight));
+    return target;
+}
+
+auto readRoute(JsonReader& reader) -> leaf::result<Route>
+{
+    Route route;
+    BOOST_LEAF_ASSIGN(route.name, reader.string("name"));
+    BOOST_LEAF_ASSIGN(route.host, reader.string("host"));
+    BOOST_LEAF_ASSIGN(route.pathPrefix, reader.string("path_prefix"));
+    BOOST_LEAF_ASSIGN(route.kind, reader.string("kind"));
+    BOOST_LEAF_ASSIGN(route.targets, readList<RouteTarget>(reader, "targets", readTarget));
+    return route;
+}
+
+auto readLimits(JsonReader& parent) -> leaf::result<CallerLimits>
+{
+    CallerLimits limits;
+    if (!parent.has("limits"))
+        return limits;
+    BOOST_LEAF_AUTO(reader, parent.object("limits"));
+    BOOST_LEAF_ASSIGN(limits.headerBytes, reader.integer("header_bytes", positive, limits.headerBytes));
+    BOOST_LEAF_ASSIGN(limits.bodyBytes, reader.integer("body_bytes", positive, limits.bodyBytes));
+    BOOST_LEAF_ASSIGN(limits.readTimeout, readMilliseconds(reader, "read_timeout_ms", limits.readTimeout));
+    BOOST_LEAF_ASSIGN(limits.idleTimeout, readMilliseconds(reader, "idle_timeout_ms", limits.idleTimeout));
+    BOOST_LEAF_CHECK(reader.finish());
+    return limits;
+}
+
 auto readService(JsonReader& reader) -> leaf::result<Service>
 {
     Service service;
@@ -125,7 +176,11 @@
         BOOST_LEAF_ASSIGN(service.checksFencing, reader.boolean("checks_fencing", service.checksFencing));
         BOOST_LEAF_ASSIGN(service.maxPromptTokens, reader.integer("max_prompt_tokens", positive, service.maxPromptTokens));
         BOOST_LEAF_ASSIGN(service.maxOutputTokens, reader.integer("max_output_tokens", positive, service.maxOutputTokens));
+        BOOST_LEAF_ASSIGN(service.prefillKept, readMilliseconds(reader, "prefill_kept_ms", service.prefillKept));
+        BOOST_LEAF_ASSIGN(service.kvBytesPerToken, reader.integer("kv_bytes_per_token", positive, service.kvBytesPerToken));
+        BOOST_LEAF_ASSIGN(service.decodeMayPrefill, reader.boolean("decode_may_prefill", service.decodeMayPrefill));
     }
+    BOOST_LEAF_ASSIGN(service.retry, readRetry(reader));
     BOOST_LEAF_ASSIGN(service.pools, readList<Pool>(reader, "pools", readPool));
     BOOST_LEAF_ASSIGN(service.kinds, readList<RequestKind>(reader, "kinds", readKind));
     return service;
@@ -145,6 +200,8 @@
     BOOST_LEAF_ASSIGN(configuration.availabilityZones, readList<AvailabilityZone>(reader, "availability_zones", readZone));
     BOOST_LEAF_ASSIGN(configuration.customers, readList<Customer>(reader, "customers", readCustomer));
     BOOST_LEAF_ASSIGN(configuration.services, readList<Service>(reader, "services", readService));
+    BOOST_LEAF_ASSIGN(configuration.routes, readList<Route>(reader, "routes", readRoute));
+    BOOST_LEAF_ASSIGN(configuration.limits, readLimits(reader));
     BOOST_LEAF_CHECK(reader.finish());
     BOOST_LEAF_CHECK(validateConfiguration(configuration));
     return configuration;
--- a/src/ConfigurationRules.cpp
+++ b/src/ConfigurationRules.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/leaf/error.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace jayhold {
@@ -86,6 +87,30 @@
     return checkKinds(service, path);
 }
 
+auto declaresKind(const Configuration& configuration, const RouteTarget& target, std::string_view kind) -> bool
+{
+    const auto service = std::ranges::find(configuration.services, target.service, &Service::name);
+    return service != configuration.services.end() && std::ranges::find(service->kinds, kind, &RequestKind::name) != service->kinds.end();
+}
+
+auto checkRoute(const Configuration& configuration, const Route& route, const std::string& path) -> leaf::result<void>
+{
+    if (!route.pathPrefix.starts_with('/') || !route.pathPrefix.ends_with('/')) {
+        return leaf::new_error(ConfigError { ConfigErrorCode::OutOfRange, path + ".path_prefix",
+            "a path prefix begins and ends with a slash" });
+    }
+    if (route.targets.empty())
+        return leaf::new_error(ConfigError { ConfigErrorCode::MissingKey, path + ".targets", "the route has no target" });
+    for (std::size_t index = 0; index < route.targets.size(); ++index) {
+        const auto& target = route.targets[index];
+        if (!declaresKind(configuration, target, route.kind)) {
+            return leaf::new_error(ConfigError { ConfigErrorCode::UnknownReference, elementPath(path + ".targets", index),
+                "service " + target.service + " is not declared or has no kind " + route.kind });
+        }
+    }
+    return {};
+}
+
 template <typename Item>
 auto checkKeys(const std::vector<Item>& items, std::string_view listPath, std::set<std::string>& digests) -> leaf::result<void>
 {
@@ -117,6 +142,10 @@
     std::set<std::string> poolNames { "entry" };
     for (std::size_t index = 0; index < configuration.services.size(); ++index)
         BOOST_LEAF_CHECK(checkService(configuration.services[index], zones, poolNames, elementPath("$.services", index)));
+    std::set<std::string> routes;
+    BOOST_LEAF_CHECK(checkUnique(configuration.routes, "$.routes", routes));
+    for (std::size_t index = 0; index < configuration.routes.size(); ++index)
+        BOOST_LEAF_CHECK(checkRoute(configuration, configuration.routes[index], elementPath("$.routes", index)));
     return {};
 }
 
--- a/src/DecodeRelay.cpp
+++ b/src/DecodeRelay.cpp
@@ -12,18 +12,18 @@
 
 }
 
-DecodeRelay::DecodeRelay(AnswerWriter& writer, RequestMachine& machine, ServiceMetrics& metrics, EntryTimeouts timeouts, TimePoint arrivedAt)
+DecodeRelay::DecodeRelay(AnswerWriter& writer, RequestMachine& machine, ServiceMetrics& metrics, EntryTimeouts timeouts, TimePoint arrivedAt, TokenSequence sequence)
     : m_writer(writer)
     , m_machine(machine)
     , m_metrics(metrics)
     , m_timeouts(timeouts)
+    , m_sequence(sequence)
     , m_lastToken(arrivedAt)
 {
 }
 
-auto DecodeRelay::run(HttpStream& stream, Observer observer) -> asio::awaitable<RelayOutcome>
+auto DecodeRelay::run(HttpStream& stream, EventReader& reader, Observer observer) -> asio::awaitable<RelayOutcome>
 {
-    TokenEventReader reader;
     auto hasStarted = false;
     auto reported = tokens();
     while (true) {
@@ -31,10 +31,10 @@
         const auto piece = co_await stream.readSome(timeout);
         if (piece.has_error())
             co_return RelayOutcome { engineErrorOf(piece.error()) };
-        if (piece->empty())
-            co_return RelayOutcome { EngineError { FailureKind::ConnectionLost, "the stream ended before the answer was complete" } };
         const auto before = tokens();
-        const auto step = takePiece(*piece, reader);
+        const auto step = piece->empty() ? takeEndOfBody(reader) : takePiece(*piece, reader);
+        if (piece->empty() && step == Step::NeedMore)
+            co_return RelayOutcome { EngineError { FailureKind::ConnectionLost, "the stream ended before the answer was complete" } };
         if (!hasStarted && tokens() > before) {
             hasStarted = true;
             observer.onStarted();
@@ -54,25 +54,35 @@
     }
 }
 
-auto DecodeRelay::takePiece(std::string_view piece, TokenEventReader& reader) -> Step
+auto DecodeRelay::takeEndOfBody(EventReader& reader) -> Step
+{
+    TokenEvent event;
+    return reader.endOfBody(event) == EventReader::Status::Event ? takeEnd(event) : Step::NeedMore;
+}
+
+auto DecodeRelay::takeEnd(const TokenEvent& event) -> Step
+{
+    if (m_sequence.takeEnd(event.index) == TokenVerdict::Next)
+        return Step::Complete;
+    m_fault = "the stream ended at token " + std::to_string(event.index) + " of " + std::to_string(tokens());
+    return Step::Faulty;
+}
+
+auto DecodeRelay::takePiece(std::string_view piece, EventReader& reader) -> Step
 {
     reader.feed(piece);
     m_now = monotonicNow();
     TokenEvent event;
     while (true) {
         const auto status = reader.next(event);
-        if (status == TokenEventReader::Status::NeedMore)
+        if (status == EventReader::Status::NeedMore)
             return Step::NeedMore;
-        if (status == TokenEventReader::Status::Malformed) {
+        if (status == EventReader::Status::Malformed) {
             m_fault = "malformed token event";
             return Step::Faulty;
         }
-        if (event.isDone) {
-            if (m_sequence.takeEnd(event.index) == TokenVerdict::Next)
-                return Step::Complete;
-            m_fault = "the stream ended at token " + std::to_string(event.index) + " of " + std::to_string(tokens());
-            return Step::Faulty;
-        }
+        if (event.isDone)
+            return takeEnd(event);
         if (!takeToken(event))
             return Step::Faulty;
     }
@@ -89,8 +99,9 @@
     }
     m_writer.addToken(event.text);
     m_metrics.tokens.fetch_add(1, std::memory_order_relaxed);
-    auto& histogram = tokens() == 1 ? m_metrics.firstToken : m_metrics.tokenGap;
+    auto& histogram = m_hasSent ? m_metrics.tokenGap : m_metrics.firstToken;
     histogram.record(m_now - m_lastToken);
+    m_hasSent = true;
     m_lastToken = m_now;
     return true;
 }
--- a/src/DecodeRelay.h
+++ b/src/DecodeRelay.h
@@ -6,11 +6,11 @@
 #include "AnswerWriter.h"
 #include "EngineError.h"
 #include "EntryTimeouts.h"
+#include "EventReader.h"
 #include "HttpStream.h"
 #include "RelayOutcome.h"
 #include "RequestMachine.h"
 #include "ServiceMetrics.h"
-#include "TokenEventReader.h"
 #include "TokenSequence.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -29,13 +29,16 @@
     };
 
     /// @param arrivedAt when the request arrived, for the metrics.
-    DecodeRelay(AnswerWriter& writer, RequestMachine& machine, ServiceMetrics& metrics, EntryTimeouts timeouts, TimePoint arrivedAt);
+    /// @param sequence the tokens that the caller has already.
+    DecodeRelay(AnswerWriter& writer, RequestMachine& machine, ServiceMetrics& metrics, EntryTimeouts timeouts, TimePoint arrivedAt, TokenSequence sequence = TokenSequence());
 
     /// Relays one attempt until its end.
-    auto run(HttpStream& stream, Observer observer) -> boost::asio::awaitable<RelayOutcome>;
+    auto run(HttpStream& stream, EventReader& reader, Observer observer) -> boost::asio::awaitable<RelayOutcome>;
 
-    /// @return tokens that the caller has.
+    /// @return tokens that the caller has, those of an earlier answer that it resumes included.
     auto tokens() const -> std::uint32_t { return m_sequence.count(); }
+    /// @return whether the caller has got a token of this answer.
+    auto hasSent() const -> bool { return m_hasSent; }
 
 private:
     enum class Step {
@@ -47,7 +50,9 @@
         Faulty,
     };
 
-    auto takePiece(std::string_view piece, TokenEventReader& reader) -> Step;
+    auto takePiece(std::string_view piece, EventReader& reader) -> Step;
+    auto takeEndOfBody(EventReader& reader) -> Step;
+    auto takeEnd(const TokenEvent& event) -> Step;
     auto takeToken(const TokenEvent& event) -> bool;
 
     AnswerWriter& m_writer;
@@ -55,6 +60,7 @@
     ServiceMetrics& m_metrics;
     const EntryTimeouts m_timeouts;
     TokenSequence m_sequence;
+    bool m_hasSent = false;
     /// When the caller's last token left, or the request arrived.
     TimePoint m_lastToken;
     TimePoint m_now {};
--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -27,7 +27,7 @@
         return false;
     auto& state = context.state;
     const auto late = request->lane == QueueLane::Late && request->latencyClass != LatencyClass::Batch;
-    startPrefill(context, *request, *placement);
+    start(context, *request, *placement);
     state.servedSinceAged += expectedTokens(state, *request);
     state.pace.started(context.now, state.queue.size() > 0);
     if (late)
--- a/src/EngineCall.h
+++ b/src/EngineCall.h
@@ -2,7 +2,9 @@
 
 /// What an engine is told about a request.
 
+#include "ForwardedCall.h"
 #include "HttpEndpoint.h"
+#include "Time.h"
 
 #include <cstdint>
 #include <memory>
@@ -30,6 +32,10 @@
     std::uint32_t maxTokens = 0;
     std::uint32_t resumeFrom = 0;
     std::optional<KvSource> kv;
+    /// The caller's request, where it goes to the engine unchanged; null otherwise.
+    std::shared_ptr<const ForwardedCall> forwarded;
+    /// How long the engine keeps a prefill result, where its answer does not say.
+    Duration resultKept {};
 };
 
 }
--- a/src/EngineClient.cpp
+++ b/src/EngineClient.cpp
@@ -35,10 +35,10 @@
 
 // The calls use open() rather than request(), because a connection of their own can be closed to
 // cancel the call.
-auto prefillOnEngine(HttpClient& client, HttpEndpoint endpoint, EngineCall call, Duration timeout) -> asio::awaitable<EngineResult<PrefillResult>>
+auto prefillOnEngine(HttpClient& client, BackendServer server, EngineCall call, Duration timeout) -> asio::awaitable<EngineResult<PrefillResult>>
 {
     auto request = postRequest("/v1/prefill", printPrefillCall(call));
-    const auto stream = co_await client.open(std::move(endpoint), std::move(request), timeout);
+    const auto stream = co_await client.open(std::move(server.endpoint), std::move(request), timeout);
     if (stream.has_error())
         co_return engineErrorOf(stream.error());
     if ((*stream)->status() != 200)
@@ -52,10 +52,10 @@
     co_return std::move(*result);
 }
 
-auto decodeOnEngine(HttpClient& client, HttpEndpoint endpoint, EngineCall call, Duration timeout) -> asio::awaitable<EngineResult<std::shared_ptr<HttpStream>>>
+auto decodeOnEngine(HttpClient& client, BackendServer server, EngineCall call, Duration timeout) -> asio::awaitable<EngineResult<std::shared_ptr<HttpStream>>>
 {
     auto request = postRequest("/v1/decode", printDecodeCall(call));
-    const auto stream = co_await client.open(std::move(endpoint), std::move(request), timeout);
+    const auto stream = co_await client.open(std::move(server.endpoint), std::move(request), timeout);
     if (stream.has_error())
         co_return engineErrorOf(stream.error());
     if ((*stream)->status() != 200)
--- a/src/EngineClient.h
+++ b/src/EngineClient.h
@@ -4,6 +4,7 @@
 /// a decode end at once, and close their connection, when the coroutine that awaits them is
 /// cancelled.
 
+#include "BackendServer.h"
 #include "EngineCacheEvents.h"
 #include "EngineCall.h"
 #include "EngineError.h"
@@ -20,12 +21,12 @@
 
 /// Runs a prefill.
 /// @param timeout time until the result has arrived.
-auto prefillOnEngine(HttpClient& client, HttpEndpoint endpoint, EngineCall call, Duration timeout) -> boost::asio::awaitable<EngineResult<PrefillResult>>;
+auto prefillOnEngine(HttpClient& client, BackendServer server, EngineCall call, Duration timeout) -> boost::asio::awaitable<EngineResult<PrefillResult>>;
 
 /// Starts a decode.
 /// @param timeout time until the engine has begun to answer.
 /// @return the stream of token events.
-auto decodeOnEngine(HttpClient& client, HttpEndpoint endpoint, EngineCall call, Duration timeout) -> boost::asio::awaitable<EngineResult<std::shared_ptr<HttpStream>>>;
+auto decodeOnEngine(HttpClient& client, BackendServer server, EngineCall call, Duration timeout) -> boost::asio::awaitable<EngineResult<std::shared_ptr<HttpStream>>>;
 
 /// Cancels what an engine runs or holds for an attempt.
 auto cancelOnEngine(HttpClient& client, HttpEndpoint endpoint, std::string requestId) -> boost::asio::awaitable<bool>;
--- a/src/EngineError.h
+++ b/src/EngineError.h
@@ -4,9 +4,11 @@
 
 #include "FailureKind.h"
 #include "HttpError.h"
+#include "HttpResponse.h"
 
 #include <boost/system/result.hpp>
 
+#include <memory>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -17,6 +19,8 @@
     FailureKind failure;
     /// For logs.
     std::string detail;
+    /// What the engine answered where it failed the request by itself; null otherwise.
+    std::shared_ptr<const HttpResponse> answer;
 };
 
 /// @return the stable name of a failure, for logs and metrics.
--- a/src/EntryContext.h
+++ b/src/EntryContext.h
@@ -2,6 +2,8 @@
 
 /// What the parts of an entry instance share.
 
+#include "BackendProtocol.h"
+#include "CallerProtocol.h"
 #include "EntrySettings.h"
 #include "EventLog.h"
 #include "IoThreads.h"
@@ -29,6 +31,8 @@
     std::function<void(std::uint64_t)> reportSignature = [](std::uint64_t) {};
     /// Tells the peers of a backend server that says it is leaving.
     std::function<void(std::string_view)> reportLeaving = [](std::string_view) {};
+    const CallerProtocol& callers = nativeCallerProtocol();
+    const BackendProtocol& backends = nativeBackendProtocol();
 };
 
 }
--- a/src/EventLog.cpp
+++ b/src/EventLog.cpp
@@ -12,6 +12,13 @@
 
 auto EventLog::record(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) -> void
 {
+    record(level, event, std::span(fields.begin(), fields.size()));
+}
+
+auto EventLog::record(LogLevel level, std::string_view event, std::span<const LogField> fields) -> void
+{
+    if (level < m_lowest.load(std::memory_order_relaxed))
+        return;
     std::vector<LogField> kept;
     kept.reserve(fields.size() + 1);
     kept.emplace_back("instance", m_instance);
--- a/src/EventLog.h
+++ b/src/EventLog.h
@@ -8,6 +8,7 @@
 #include "LogLine.h"
 #include "LoggedEvent.h"
 
+#include <atomic>
 #include <deque>
 #include <mutex>
 #include <span>
@@ -25,8 +26,12 @@
     /// @param capacity how many events are kept.
     explicit EventLog(std::string instance, std::size_t capacity = defaultCapacity);
 
+    /// Events below this level are neither kept nor written.
+    auto setLowest(LogLevel lowest) -> void { m_lowest = lowest; }
+
     /// Records an event at the current hybrid time and writes its log line.
     auto record(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) -> void;
+    auto record(LogLevel level, std::string_view event, std::span<const LogField> fields) -> void;
 
     /// @param sequence the last event that the caller has.
     /// @param limit the most events to return.
@@ -40,6 +45,7 @@
     const std::string m_instance;
     const std::size_t m_capacity;
     HybridClock m_clock;
+    std::atomic<LogLevel> m_lowest { LogLevel::Debug };
     mutable std::mutex m_lock;
     std::uint64_t m_lastSequence = 0;
     std::deque<LoggedEvent> m_events;
--- a/src/HttpStream.cpp
+++ b/src/HttpStream.cpp
@@ -123,6 +123,8 @@
 
 auto HttpStream::close() -> void
 {
+    if (!m_connection)
+        return;
     m_connection->isClosed = true;
     m_connection->stream.close();
 }
--- a/src/HttpStream.h
+++ b/src/HttpStream.h
@@ -32,7 +32,7 @@
     auto readSome(Duration timeout) -> boost::asio::awaitable<HttpResult<std::string_view>>;
 
     /// Ends the use of the stream and keeps its connection for other calls, if the whole body was
-    /// read and nothing came after it; otherwise closes it. Nothing else may be called afterwards.
+    /// read and nothing came after it; otherwise closes it. Only close() may be called afterwards.
     auto release() -> void;
 
     /// Closes the connection; a pending readSome() ends with Cancelled. Must be called on the I/O
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -1,11 +1,13 @@
 #include "ModelRequest.h"
 
 #include "AwaitToken.h"
-#include "EngineClient.h"
+#include "CompletionWriter.h"
 #include "ModelRequestTasks.h"
+#include "PassThroughWriter.h"
 #include "SpreadDelay.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/dispatch.hpp>
 
 namespace jayhold {
@@ -36,6 +38,21 @@
     return { info.request.shape, answerId(info, context), info.model, unixSeconds() };
 }
 
+auto makeWriter(HttpExchange& exchange, const ModelRequestInfo& info, const EntryContext& context) -> std::unique_ptr<AnswerWriter>
+{
+    if (info.forwarded)
+        return std::make_unique<PassThroughWriter>(exchange, context.callers);
+    std::vector<HttpHeader> headers { { std::string(hybridTimeHeader), toString(context.log.clock().tick()) } };
+    return std::make_unique<CompletionWriter>(exchange, info.request, formatOf(info, context), std::move(headers));
+}
+
+/// @return where the answer begins: after what the caller has of an earlier one.
+auto sequenceOf(const ModelRequestInfo& info, const EntryContext& context) -> TokenSequence
+{
+    const auto last = info.forwarded ? info.forwarded->lastToken : std::nullopt;
+    return TokenSequence(context.backends.indexRule, last ? *last + 1 : 0);
+}
+
 auto arrivalOf(const ModelRequestInfo& info) -> RequestArrived
 {
     RequestArrived arrived {};
@@ -57,8 +74,8 @@
     , m_exchange(exchange)
     , m_info(std::move(info))
     , m_tasks(std::make_unique<Tasks>(exchange.executor()))
-    , m_writer(exchange, m_info.request, formatOf(m_info, context), { { std::string(hybridTimeHeader), toString(context.log.clock().tick()) } })
-    , m_relay(m_writer, m_machine, m_service->metrics(), context.settings.timeouts, m_info.arrivedAt)
+    , m_writer(makeWriter(exchange, m_info, context))
+    , m_relay(*m_writer, m_machine, m_service->metrics(), context.settings.timeouts, m_info.arrivedAt, sequenceOf(m_info, context))
     , m_promptTokens(m_info.digest.tokens)
 {
 }
@@ -73,13 +90,16 @@
             request->push(CallerClosed {});
     });
     m_service->metrics().arrived.fetch_add(1, std::memory_order_relaxed);
-    m_id = m_service->open(arrivalOf(m_info), self);
-    record("request_arrived");
+    auto arrival = arrivalOf(m_info);
+    arrival.kind = m_service->kindId(m_info.kindSettings.name);
+    m_id = m_service->open(std::move(arrival), self);
+    record(LogLevel::Debug, "request_arrived");
     while (!m_isOver) {
         auto command = co_await nextCommand();
         co_await handle(std::move(command));
     }
     co_await stopTask();
+    dropPrefill();
     m_service->close(m_id);
 }
 
@@ -134,7 +154,7 @@
         co_await beginDecode(*decode);
     } else if (const auto* refusal = std::get_if<Refuse>(&action)) {
         // Tokens that the caller has prove that the request ran, whatever the shard knows.
-        const auto outcome = m_relay.tokens() > 0 ? Outcome::Unknown : refusal->outcome;
+        const auto outcome = m_relay.hasSent() ? Outcome::Unknown : refusal->outcome;
         auto error = refusalError(refusal->reason, outcome, refusal->retryAfter);
         co_await refuse(std::move(error));
     } else if (const auto* cancelled = std::get_if<CancelOnReplica>(&action)) {
@@ -152,7 +172,7 @@
     if (!m_hasRun)
         m_service->metrics().queueWait.record(monotonicNow() - m_info.arrivedAt);
     m_attempt = action.attempt;
-    m_prefill.reset();
+    dropPrefill();
     m_prefillReplica = action.prefill;
     const auto replica = m_service->replica(action.prefill);
     if (!replica) {
@@ -162,8 +182,9 @@
     m_hasRun = true;
     m_backend = replica->backend.id;
     const auto decode = m_service->replica(action.decode);
-    record("request_placed", "decode_backend", decode ? decode->backend.id : "");
-    record("prefill_started");
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - m_info.arrivedAt);
+    record(LogLevel::Info, "request_placed", { { "decode_backend", decode ? decode->backend.id : "" }, { "waited_ms", waited.count() } });
+    record(LogLevel::Debug, "prefill_started");
     auto call = engineCall();
     const auto task = ++m_tasks->lastTask;
     m_tasks->replica = action.prefill;
@@ -186,7 +207,7 @@
     m_prefill = std::move(*ended.result);
     m_promptTokens = m_prefill->promptTokens;
     m_cachedTokens = m_prefill->cachedTokens;
-    record("prefill_done", "cached_tokens", std::to_string(m_cachedTokens));
+    record(LogLevel::Debug, "prefill_done", { { "cached_tokens", m_cachedTokens } });
     m_service->feed(PrefillDone { m_id, m_attempt, monotonicNow() + m_prefill->kept, m_cachedTokens });
 }
 
@@ -205,13 +226,13 @@
     m_backend = replica->backend.id;
     auto call = engineCall();
     call.maxTokens = m_info.request.maxTokens;
-    // The tokens that the caller has are counted here; the shard's number may lag.
-    call.resumeFrom = m_relay.tokens();
-    if (m_prefill && m_prefillReplica == action.prefill) {
-        if (const auto source = m_service->replica(action.prefill))
+    if (m_prefill && action.prefill == m_prefillReplica) {
+        if (const auto source = m_service->replica(m_prefillReplica))
             call.kv = KvSource { source->backend.endpoint, m_prefill->handle };
+    } else {
+        dropPrefill();
     }
-    record("transfer_started");
+    record(LogLevel::Info, "transfer_started", { { "split", call.kv.has_value() }, { "resume_from", call.resumeFrom } });
     const auto task = ++m_tasks->lastTask;
     m_tasks->replica = action.decode;
     spawnTask(runDecode(task, *replica, std::move(call)));
@@ -243,9 +264,10 @@
     // The engine has ended the request, so its seat is free whether or not the caller takes the rest.
     m_service->feed(DecodeFinished { m_id, m_attempt, m_relay.tokens() });
     const auto* reason = m_relay.tokens() >= m_info.request.maxTokens ? "length" : "stop";
-    const auto isSent = co_await m_writer.finish(reason, usage());
+    const auto isSent = co_await m_writer->finish(reason, usage());
     m_service->metrics().finished.fetch_add(1, std::memory_order_relaxed);
-    record(isSent ? "request_finished" : "answer_not_taken", "tokens", std::to_string(m_relay.tokens()));
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - m_info.arrivedAt);
+    record(LogLevel::Info, isSent ? "request_finished" : "answer_not_taken", { { "tokens", m_relay.tokens() }, { "took_ms", took.count() } });
 }
 
 auto ModelRequest::refuse(ApiError error) -> asio::awaitable<void>
@@ -257,8 +279,11 @@
     auto& metrics = m_service->metrics();
     auto& counter = error.outcome == Outcome::NotRun ? metrics.refusedNotRun : metrics.refusedUnknown;
     counter.fetch_add(1, std::memory_order_relaxed);
-    record("request_refused", "reason", error.type);
-    co_await m_writer.fail(std::move(error));
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_info.deadline - monotonicNow());
+    record(LogLevel::Info, "request_refused", { { "reason", error.type }, { "ran", error.outcome == Outcome::NotRun ? "no" : "unknown" }, { "left_ms", left.count() }, { "retry_after_ms", error.retryAfter.count() / 1'000 } });
+    if (error.outcome == Outcome::Unknown)
+        error.answer = m_failedAnswer;
+    co_await m_writer->fail(std::move(error));
 }
 
 auto ModelRequest::cancel() -> asio::awaitable<void>
@@ -268,7 +293,7 @@
     m_isOver = true;
     m_service->feed(RequestCancelled { m_id });
     m_service->metrics().cancelled.fetch_add(1, std::memory_order_relaxed);
-    record("request_cancelled");
+    record(LogLevel::Info, "request_cancelled", { { "tokens", m_relay.tokens() } });
     co_await stopTask();
 }
 
@@ -280,6 +305,10 @@
     call.model = m_info.model;
     call.prompt = m_info.request.prompt;
     call.priority = static_cast<int>(m_info.kindSettings.latencyClass);
+    // The tokens that the caller has are counted here; the shard's number may lag.
+    call.resumeFrom = m_relay.tokens();
+    call.forwarded = m_info.forwarded;
+    call.resultKept = m_service->prefillKept();
     const auto remaining = std::max(m_info.deadline - monotonicNow(), Duration::zero());
     call.deadlineMs = std::chrono::ceil<std::chrono::milliseconds>(remaining).count();
     return call;
@@ -290,19 +319,30 @@
     m_service->metrics().failedAttempts.fetch_add(1, std::memory_order_relaxed);
     if (error.failure == FailureKind::Leaving)
         m_context.reportLeaving(m_backend);
-    record(std::string(phase) + "_failed", "failure", std::string(name(error.failure)) + ": " + error.detail);
+    m_failedAnswer = error.answer;
+    record(LogLevel::Info, std::string(phase) + "_failed", { { "failure", name(error.failure) }, { "detail", error.detail }, { "tokens", m_relay.tokens() } });
+}
+
+auto ModelRequest::dropPrefill() -> void
+{
+    const auto release = m_context.backends.releasePrefill;
+    const auto source = m_prefill && release && !m_isPrefillFetched ? m_service->replica(m_prefillReplica) : std::nullopt;
+    if (source)
+        asio::co_spawn(m_tasks->executor, release(m_exchange.client(), source->backend, m_prefill->handle), asio::detached);
+    m_prefill.reset();
+    m_isPrefillFetched = false;
 }
 
-auto ModelRequest::record(std::string_view event, std::string_view detailKey, std::string_view detail) -> void
+auto ModelRequest::record(LogLevel level, std::string_view event, std::initializer_list<LogField> details) -> void
 {
-    const LogField request("request", m_service->engineRequestId(m_id, m_attempt));
-    const LogField service("service", m_service->name());
-    const LogField kind("kind", m_info.kindSettings.name);
-    const LogField customer("customer", m_info.customerName);
-    if (detailKey.empty())
-        m_context.log.record(LogLevel::Debug, event, { request, service, kind, customer, { "backend", m_backend } });
-    else
-        m_context.log.record(LogLevel::Debug, event, { request, service, kind, customer, { "backend", m_backend }, { detailKey, detail } });
+    const auto caller = m_info.forwarded ? m_info.forwarded->requestId : m_service->engineRequestId(m_id, m_attempt);
+    std::vector<LogField> fields { { "request", caller }, { "service", m_service->name() }, { "kind", m_info.kindSettings.name } };
+    if (!m_info.customerName.empty())
+        fields.emplace_back("customer", m_info.customerName);
+    fields.emplace_back("attempt", m_attempt);
+    fields.emplace_back("backend", m_backend);
+    fields.insert(fields.end(), details.begin(), details.end());
+    m_context.log.record(level, event, fields);
 }
 
 auto ModelRequest::usage() const -> CompletionUsage
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -9,6 +9,7 @@
 #include "DecodeRelay.h"
 #include "EngineCall.h"
 #include "EngineError.h"
+#include "HttpExchange.h"
 #include "ModelRequestInfo.h"
 #include "ModelService.h"
 #include "PrefillResult.h"
@@ -74,7 +75,9 @@
     auto noteFirstToken(std::uint32_t resumedFrom) -> void;
     auto engineCall() const -> EngineCall;
     auto noteFailure(std::string_view phase, const EngineError& error) -> void;
-    auto record(std::string_view event, std::string_view detailKey = {}, std::string_view detail = {}) -> void;
+    auto record(LogLevel level, std::string_view event, std::initializer_list<LogField> details = {}) -> void;
+    /// Frees the prefill result where no decode has fetched it.
+    auto dropPrefill() -> void;
     auto usage() const -> CompletionUsage;
 
     EntryContext& m_context;
@@ -83,7 +86,7 @@
     const ModelRequestInfo m_info;
     const std::unique_ptr<Tasks> m_tasks;
     RequestMachine m_machine;
-    AnswerWriter m_writer;
+    const std::unique_ptr<AnswerWriter> m_writer;
     DecodeRelay m_relay;
     RequestId m_id {};
     Attempt m_attempt = 0;
@@ -91,6 +94,9 @@
     std::string m_backend;
     ReplicaId m_prefillReplica {};
     std::optional<PrefillResult> m_prefill;
+    bool m_isPrefillFetched = false;
+    /// What the last engine answered that failed the request by itself; null otherwise.
+    std::shared_ptr<const HttpResponse> m_failedAnswer;
     std::uint32_t m_promptTokens;
     std::uint32_t m_cachedTokens = 0;
     bool m_hasRun = false;
--- a/src/ModelRequestInfo.h
+++ b/src/ModelRequestInfo.h
@@ -3,11 +3,13 @@
 /// A checked model request as it enters its life cycle.
 
 #include "CompletionRequest.h"
+#include "ForwardedCall.h"
 #include "Identifiers.h"
 #include "PromptDigest.h"
 #include "RequestKind.h"
 #include "Time.h"
 
+#include <memory>
 #include <string>
 
 namespace jayhold {
@@ -23,6 +25,8 @@
     std::string model;
     TimePoint arrivedAt {};
     TimePoint deadline {};
+    /// The caller's request, where it goes to the engines unchanged; null otherwise.
+    std::shared_ptr<const ForwardedCall> forwarded;
 };
 
 }
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -1,7 +1,6 @@
 #include "ModelRequestTasks.h"
 
 #include "AwaitToken.h"
-#include "EngineClient.h"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -52,7 +51,7 @@
 {
     co_await asio::this_coro::throw_if_cancelled(false);
     const auto self = shared_from_this();
-    auto result = co_await prefillOnEngine(m_exchange.client(), replica.backend.endpoint, std::move(call), m_context.settings.timeouts.prefill);
+    auto result = co_await m_context.backends.prefill(m_exchange.client(), replica.backend, std::move(call), m_context.settings.timeouts.prefill);
     push(PrefillEnded { task, std::move(result) });
 }
 
@@ -60,7 +59,8 @@
 {
     co_await asio::this_coro::throw_if_cancelled(false);
     const auto self = shared_from_this();
-    const auto stream = co_await decodeOnEngine(m_exchange.client(), replica.backend.endpoint, std::move(call), m_context.settings.timeouts.firstToken);
+    const auto usesPrefill = call.kv.has_value();
+    const auto stream = co_await m_context.backends.decode(m_exchange.client(), replica.backend, std::move(call), m_context.settings.timeouts.firstToken);
     if (stream.has_error()) {
         push(DecodeEnded { task, { stream.error() } });
         co_return;
@@ -68,9 +68,14 @@
     // A task that was stopped while the engine answered must not relay.
     if (task != m_tasks->lastTask)
         co_return;
+    m_isPrefillFetched = m_isPrefillFetched || usesPrefill;
+    m_writer->begin((*stream)->headers());
     m_tasks->stream = *stream;
     auto outcome = co_await relay(**stream);
-    (*stream)->close();
+    if (outcome.error || outcome.isCallerGone)
+        (*stream)->close();
+    else
+        (*stream)->release();
     push(DecodeEnded { task, std::move(outcome) });
 }
 
@@ -83,18 +88,19 @@
         },
         [this](std::uint32_t total) { m_service->feed(TokensEmitted { m_id, m_attempt, total }); },
     };
-    auto outcome = co_await m_relay.run(stream, std::move(observer));
+    const auto reader = m_context.backends.makeEventReader();
+    auto outcome = co_await m_relay.run(stream, *reader, std::move(observer));
     co_return outcome;
 }
 
 auto ModelRequest::noteFirstToken(std::uint32_t resumedFrom) -> void
 {
     if (resumedFrom == 0) {
-        record("first_token");
+        record(LogLevel::Debug, "first_token");
         return;
     }
     m_service->metrics().resumed.fetch_add(1, std::memory_order_relaxed);
-    record("stream_resumed", "token", std::to_string(resumedFrom));
+    record(LogLevel::Info, "stream_resumed", { { "token", resumedFrom } });
 }
 
 }
--- a/src/ModelService.cpp
+++ b/src/ModelService.cpp
@@ -1,7 +1,5 @@
 #include "ModelService.h"
 
-#include "EngineClient.h"
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -15,13 +13,30 @@
 
 namespace {
 
-auto shardSettingsOf(const EntryContext& context, const ConfigurationIndex& index, const Service& service) -> ShardSettings
+/// Kinds keep their positions over changes of the configuration, because requests in progress and
+/// learned lengths refer to them.
+auto mergeKinds(std::vector<RequestKind> known, const std::vector<RequestKind>& declared) -> std::vector<RequestKind>
+{
+    for (const auto& kind : declared) {
+        const auto found = std::ranges::find(known, kind.name, &RequestKind::name);
+        if (found == known.end())
+            known.push_back(kind);
+        else
+            *found = kind;
+    }
+    return known;
+}
+
+auto shardSettingsOf(const EntryContext& context, const ConfigurationIndex& index, const Service& service, std::vector<RequestKind> knownKinds) -> ShardSettings
 {
     ShardSettings settings;
     settings.seed = context.settings.seed;
     settings.localZone = index.zoneOf(context.settings.availabilityZone);
     settings.wastedPrefillWeight = service.wastedPrefillWeight;
-    settings.kinds = service.kinds;
+    settings.kinds = mergeKinds(std::move(knownKinds), service.kinds);
+    settings.kvBytesPerToken = static_cast<std::uint64_t>(service.kvBytesPerToken);
+    settings.decodeMayPrefill = service.decodeMayPrefill;
+    settings.retry = service.retry;
     for (const auto& customer : index.configuration().customers) {
         settings.customerWeights.push_back(customer.weight);
         settings.customerQueueLimits.push_back(static_cast<std::uint32_t>(std::min<std::int64_t>(customer.maxQueued, UINT32_MAX)));
@@ -46,7 +61,8 @@
     , m_metrics(context.metrics.service(service.name))
     , m_pools(service.pools)
     , m_zones(zoneNames(index))
-    , m_shardSettings(shardSettingsOf(context, index, service))
+    , m_prefillKept(service.prefillKept)
+    , m_shardSettings(shardSettingsOf(context, index, service, {}))
     , m_shard(makeShard(m_shardSettings))
 {
 }
@@ -61,7 +77,8 @@
         const auto sharing = m_shardSettings.sharingInstances;
         m_pools = service.pools;
         m_zones = zoneNames(index);
-        m_shardSettings = shardSettingsOf(m_context, index, service);
+        m_prefillKept = service.prefillKept;
+        m_shardSettings = shardSettingsOf(m_context, index, service, std::move(m_shardSettings.kinds));
         m_shardSettings.sharingInstances = sharing;
         jayhold::updateSettings(m_shard, m_shardSettings);
         // Seats, memory and zones come from the pools, which may have changed.
@@ -88,41 +105,57 @@
         std::set<ReplicaId> present;
         for (const auto& backend : backends) {
             const auto* pool = poolOf(backend.pool);
-            if (!pool || backend.state == ReplicaState::Gone)
-                continue;
-            auto [known, isNew] = m_replicaIds.try_emplace(backend.id, static_cast<ReplicaId>(m_lastReplica + 1));
-            if (isNew)
-                ++m_lastReplica;
-            present.insert(known->second);
-            auto& status = m_replicas[known->second];
-            if (!isNew && status.backend == backend && status.role == pool->role)
-                continue;
-            status.id = known->second;
-            status.backend = backend;
-            status.role = pool->role;
-            changeLocked(status, outbox);
+            if (pool && backend.state != ReplicaState::Gone)
+                present.insert(updateReplicaLocked(backend, *pool, outbox));
         }
         for (auto replica = m_replicas.begin(); replica != m_replicas.end();) {
             if (present.contains(replica->first)) {
                 ++replica;
                 continue;
             }
-            replica->second.backend.state = ReplicaState::Gone;
-            changeLocked(replica->second, outbox);
-            m_replicaIds.erase(replica->second.backend.id);
+            removeReplicaLocked(replica->second, outbox);
             replica = m_replicas.erase(replica);
         }
     }
     send(std::move(outbox));
 }
 
+auto ModelService::updateReplicaLocked(const BackendServer& backend, const Pool& pool, Outbox& outbox) -> ReplicaId
+{
+    const auto known = m_replicaIds.find(backend.id);
+    // A process that started again under its id holds nothing of what the earlier one held.
+    if (known != m_replicaIds.end() && m_replicas.at(known->second).backend.incarnation != backend.incarnation) {
+        const auto former = known->second;
+        removeReplicaLocked(m_replicas.at(former), outbox);
+        m_replicas.erase(former);
+    }
+    auto [entry, isNew] = m_replicaIds.try_emplace(backend.id, static_cast<ReplicaId>(m_lastReplica + 1));
+    if (isNew)
+        ++m_lastReplica;
+    auto& status = m_replicas[entry->second];
+    if (!isNew && status.backend == backend && status.role == pool.role)
+        return status.id;
+    status.id = entry->second;
+    status.backend = backend;
+    status.role = pool.role;
+    changeLocked(status, outbox);
+    return status.id;
+}
+
+auto ModelService::removeReplicaLocked(ReplicaStatus& status, Outbox& outbox) -> void
+{
+    status.backend.state = ReplicaState::Gone;
+    changeLocked(status, outbox);
+    m_replicaIds.erase(status.backend.id);
+}
+
 auto ModelService::changeLocked(const ReplicaStatus& status, Outbox& outbox) -> void
 {
     const auto* pool = poolOf(status.backend.pool);
     const auto zone = std::ranges::find(m_zones, status.backend.availabilityZone) - m_zones.begin();
     ReplicaChanged change { .replica = status.id, .role = status.role, .zone = static_cast<ZoneId>(zone), .state = status.backend.state };
     if (pool) {
-        change.seats = static_cast<std::uint32_t>(pool->seats);
+        change.seats = static_cast<std::uint32_t>(status.backend.seats > 0 ? status.backend.seats : pool->seats);
         change.memoryPieces = static_cast<std::uint32_t>(pool->memoryPieces);
         change.pieceTokens = static_cast<std::uint32_t>(pool->pieceTokens);
         change.linkBytesPerSecond = static_cast<std::uint64_t>(pool->linkBytesPerSecond);
@@ -138,6 +171,19 @@
     return found == m_pools.end() ? nullptr : &*found;
 }
 
+auto ModelService::kindId(std::string_view kind) const -> KindId
+{
+    const std::lock_guard guard(m_lock);
+    const auto& kinds = m_shardSettings.kinds;
+    return static_cast<KindId>(std::ranges::find(kinds, kind, &RequestKind::name) - kinds.begin());
+}
+
+auto ModelService::prefillKept() const -> Duration
+{
+    const std::lock_guard guard(m_lock);
+    return m_prefillKept;
+}
+
 auto ModelService::open(RequestArrived arrived, const std::shared_ptr<ActionReceiver>& receiver) -> RequestId
 {
     Outbox outbox;
@@ -331,11 +377,14 @@
 
 auto ModelService::sendCancels(std::vector<EngineCancel> cancels) -> void
 {
+    // Without a call of its own for it, the request cancels by closing its connection.
+    if (!m_context.backends.cancel)
+        return;
     const auto thread = m_context.threads.nextIndex();
     for (auto& cancel : cancels) {
         m_context.log.record(LogLevel::Debug, "engine_cancel", { { "request", cancel.requestId }, { "backend", toString(cancel.endpoint) } });
         asio::co_spawn(m_context.threads.context(thread),
-            cancelOnEngine(m_context.threads.client(thread), std::move(cancel.endpoint), std::move(cancel.requestId)), asio::detached);
+            m_context.backends.cancel(m_context.threads.client(thread), std::move(cancel.endpoint), std::move(cancel.requestId)), asio::detached);
     }
 }
 
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -48,6 +48,12 @@
     /// @param sharing entry instances that place on the same replicas, this one included.
     auto updateSharing(std::uint32_t sharing) -> void;
 
+    /// @return the position of a kind among those that the service has had; it stays the same when a
+    /// new configuration reorders the kinds.
+    auto kindId(std::string_view kind) const -> KindId;
+    /// @return how long prefill engines keep their results.
+    auto prefillKept() const -> Duration;
+
     /// Admits a request to the shard.
     /// @param arrived the request; its identifier is assigned here.
     auto open(RequestArrived arrived, const std::shared_ptr<ActionReceiver>& receiver) -> RequestId;
@@ -106,6 +112,8 @@
     /// the process and of this service.
     auto attemptOf(std::string_view engineRequestId) const -> std::optional<std::pair<RequestId, Attempt>>;
     auto changeLocked(const ReplicaStatus& status, Outbox& outbox) -> void;
+    auto updateReplicaLocked(const BackendServer& backend, const Pool& pool, Outbox& outbox) -> ReplicaId;
+    auto removeReplicaLocked(ReplicaStatus& status, Outbox& outbox) -> void;
     auto poolOf(std::string_view name) const -> const Pool*;
 
     auto send(Outbox outbox) -> void;
@@ -121,6 +129,7 @@
     mutable std::mutex m_lock;
     std::vector<Pool> m_pools;
     std::vector<std::string> m_zones;
+    Duration m_prefillKept;
     ShardSettings m_shardSettings;
     Shard m_shard;
     std::vector<DecisionAction> m_actions;
--- a/src/OptionalReplica.h
+++ b/src/OptionalReplica.h
@@ -11,6 +11,10 @@
 class OptionalReplica {
 public:
     OptionalReplica() = default;
+    OptionalReplica(ReplicaId id)
+        : m_id(id)
+    {
+    }
     auto operator=(ReplicaId id) -> OptionalReplica&
     {
         m_id = id;
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -99,6 +99,25 @@
     return found ? replica : nullptr;
 }
 
+/// A decode replica prefills at half the speed of a prefill replica.
+constexpr int ownPrefillFactor = 2;
+/// Results that a decode replica could not fetch before the request goes without one.
+constexpr int mostLostResults = 1;
+
+/// @return whether a decode replica that prefills by itself answers sooner than the prefill replica.
+auto isSlowerThanOwnPrefill(const ShardState& state, const ActiveRequest& request, const Replica& prefill) -> bool
+{
+    const std::uint64_t own = request.arrival.promptTokens;
+    return prefillTime(state, prefill.reserved.prefillTokens + own) > prefillTime(state, own) * (ownPrefillFactor + 1);
+}
+
+auto prefersOwnPrefill(const ShardState& state, const ActiveRequest& request, const Replica* prefill) -> bool
+{
+    if (!state.settings.decodeMayPrefill)
+        return false;
+    return !prefill || request.lostResults >= mostLostResults || isSlowerThanOwnPrefill(state, request, *prefill);
+}
+
 auto hasFreeDecode(const ShardState& state) -> bool
 {
     return std::any_of(state.index.decode.begin(), state.index.decode.end(), [](const auto& zone) { return !zone.second.empty(); });
@@ -113,6 +132,11 @@
     if (!seatIsFree && !seatExpected(context, prefillTime(context.state, request.arrival.promptTokens), seatsLeft))
         return std::nullopt;
     auto* prefill = choosePrefill(context, request);
+    if (prefersOwnPrefill(context.state, request, prefill)) {
+        auto* decode = seatIsFree ? chooseDecode(context, request, context.state.settings.localZone) : nullptr;
+        if (decode)
+            return Placement { nullptr, decode, true };
+    }
     if (!prefill)
         return std::nullopt;
     if (auto* decode = seatIsFree ? chooseDecode(context, request, prefill->description.zone) : nullptr)
--- a/src/Placement.h
+++ b/src/Placement.h
@@ -9,6 +9,7 @@
 namespace jayhold {
 
 struct Placement {
+    /// Null where the decode replica prefills by itself.
     Replica* prefill;
     Replica* decode;
     /// Whether the seat is free now; otherwise it is expected to be free when the result is ready.
--- a/src/PlainCallInfo.h
+++ b/src/PlainCallInfo.h
@@ -17,6 +17,8 @@
     std::string customer;
     /// Empty where the caller sent none.
     std::string idempotencyKey;
+    /// The caller's name for this attempt of its request; empty where it gave none.
+    std::string requestId;
     TimePoint arrivedAt {};
     TimePoint deadline {};
 };
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -3,6 +3,12 @@
 #include "Sha256.h"
 #include "SpreadDelay.h"
 
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 
 namespace jayhold {
@@ -11,7 +17,11 @@
 
 namespace {
 
-constexpr int maximumAttempts = 3;
+/// Backend servers that one call is sent to at most, those that turned it away included.
+constexpr std::size_t maximumAttempts = 3;
+/// Part of the time left that one attempt may take while another may follow.
+constexpr int attemptPart = 2;
+constexpr Duration shortestTimeout = std::chrono::milliseconds(1);
 constexpr Duration retryDelay = std::chrono::seconds(1);
 
 auto digestOf(const HttpRequest& request) -> std::string
@@ -25,32 +35,38 @@
     return context.settings.instance + "/" + context.runId + "/" + std::to_string(++lastAttempt);
 }
 
-/// The fields of a backend server's answer that callers get; all others concern the connection.
-auto forwardedHeaders(const HttpResponse& answer) -> std::vector<HttpHeader>
-{
-    std::vector<HttpHeader> headers;
-    for (const auto* name : { "Content-Type", "Location", "ETag", "Retry-After" }) {
-        if (const auto value = findHeader(answer.headers, name))
-            headers.push_back({ name, std::string(*value) });
-    }
-    return headers;
 }
 
-}
-
-PlainService::PlainService(EntryContext& context, const Service& service, AtMostOnceRecords& records)
+PlainService::PlainService(EntryContext& context, const Service& service, AtMostOnceRecords& records, std::uint32_t sharing)
     : m_context(context)
     , m_records(records)
     , m_name(service.name)
     , m_metrics(context.metrics.service(service.name))
     , m_pools(service.pools)
+    , m_retry(service.retry)
+    , m_sharing(sharing)
 {
+    updateBudgetLocked();
 }
 
 auto PlainService::updateConfiguration(const Service& service) -> void
 {
     const std::lock_guard guard(m_lock);
     m_pools = service.pools;
+    m_retry = service.retry;
+    updateBudgetLocked();
+}
+
+auto PlainService::updateSharing(std::uint32_t sharing) -> void
+{
+    const std::lock_guard guard(m_lock);
+    m_sharing = sharing;
+    updateBudgetLocked();
+}
+
+auto PlainService::updateBudgetLocked() -> void
+{
+    m_budget.updateLimits(m_retry.isShared ? budgetLimits(m_retry, std::max(m_sharing, 1U)) : plainRetryLimits);
 }
 
 auto PlainService::updateBackends(std::span<const BackendServer> backends) -> void
@@ -63,7 +79,7 @@
             continue;
         PlainBackend entry { .server = backend };
         entry.isLocal = backend.availabilityZone == m_context.settings.availabilityZone;
-        entry.seats = static_cast<std::uint32_t>(pool->seats);
+        entry.seats = static_cast<std::uint32_t>(backend.seats > 0 ? backend.seats : pool->seats);
         list.push_back(std::move(entry));
     }
     m_balancer.update(std::move(list));
@@ -79,70 +95,121 @@
 {
     const auto self = shared_from_this();
     m_metrics->arrived.fetch_add(1, std::memory_order_relaxed);
-    record(call, "request_arrived", "", "");
+    record(LogLevel::Debug, call, "request_arrived");
     {
         const std::lock_guard guard(m_lock);
         m_budget.requestArrived();
     }
-    if (call.kind.repeatable)
-        co_await serveRepeatable(exchange, call);
+    if (call.kind.repeatable || !call.kind.recorded)
+        co_await serveUnrecorded(exchange, call);
     else
         co_await serveOnce(exchange, call);
 }
 
-auto PlainService::serveRepeatable(HttpExchange& exchange, const PlainCallInfo& call) -> asio::awaitable<void>
+auto PlainService::serveUnrecorded(HttpExchange& exchange, const PlainCallInfo& call) -> asio::awaitable<void>
 {
-    auto attempt = co_await runCall(exchange.client(), call, true);
-    if (attempt.answer)
+    CallState state;
+    asio::cancellation_signal interrupt;
+    // A call that may not be repeated goes on without its caller: an end midway would leave it open
+    // whether it ran.
+    if (call.kind.repeatable) {
+        exchange.onClose([&] {
+            state.isCallerGone = true;
+            interrupt.emit(asio::cancellation_type::terminal);
+        });
+    }
+    auto run = runCall(exchange.client(), call, call.kind.repeatable, state);
+    auto attempt = co_await asio::co_spawn(exchange.executor(), std::move(run), asio::bind_cancellation_slot(interrupt.slot(), asio::use_awaitable));
+    if (state.isCallerGone) {
+        m_metrics->cancelled.fetch_add(1, std::memory_order_relaxed);
+        record(LogLevel::Info, call, "request_cancelled", { { "attempts", state.tried.size() } });
+        exchange.abort();
+    } else if (attempt.answer) {
         co_await answer(exchange, call, std::move(*attempt.answer));
-    else
-        co_await refuse(exchange, call, unanswered(attempt));
+    } else {
+        co_await refuse(exchange, call, unanswered(call, attempt));
+    }
 }
 
-auto PlainService::runCall(HttpClient& client, const PlainCallInfo& call, bool mayRepeat) -> asio::awaitable<PlainAttempt>
+auto PlainService::runCall(HttpClient& client, const PlainCallInfo& call, bool mayRepeat, CallState& state) -> asio::awaitable<PlainAttempt>
 {
-    PlainAttempt last { .isNotRun = true, .detail = "no backend server is available" };
-    auto mayHaveRun = false;
-    std::vector<std::string> tried;
-    for (auto count = 0; count < maximumAttempts && monotonicNow() < call.deadline; ++count) {
-        if (count > 0 && !takeRetry())
-            break;
-        const auto backend = acquire(tried);
+    co_await asio::this_coro::throw_if_cancelled(false);
+    PlainAttempt last { .isNotRun = true, .hasArrived = false, .detail = "no backend server is available" };
+    while (true) {
+        const auto backend = acquire(state.tried);
         if (!backend)
             break;
-        tried.push_back(backend->id);
-        record(call, "request_placed", backend->id, "");
-        last = co_await tryOn(client, *backend, call);
-        if (last.answer)
-            co_return last;
+        state.tried.push_back(backend->id);
+        const auto timeout = attemptTimeout(call, state, mayRepeat);
+        record(LogLevel::Info, call, "request_placed", { { "backend", backend->id }, { "attempt", state.tried.size() }, { "timeout_ms", timeout.count() / 1'000 } });
+        last = co_await tryOn(client, *backend, call, timeout);
+        state.runs += !last.isNotRun;
+        if (last.answer && last.isFinal)
+            break;
         m_metrics->failedAttempts.fetch_add(1, std::memory_order_relaxed);
-        record(call, "attempt_failed", backend->id, last.detail);
-        mayHaveRun = mayHaveRun || !last.isNotRun;
-        if (!last.isNotRun && !mayRepeat)
+        record(LogLevel::Info, call, "attempt_failed", { { "backend", backend->id }, { "attempt", state.tried.size() }, { "detail", last.detail }, { "ran", last.isNotRun ? "no" : "unknown" } });
+        if (!mayTryAgain(call, state, last, mayRepeat))
             break;
     }
-    last.isNotRun = !mayHaveRun;
+    last.isNotRun = state.runs == 0;
     co_return last;
 }
 
-auto PlainService::tryOn(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call) -> asio::awaitable<PlainAttempt>
+auto PlainService::mayTryAgain(const PlainCallInfo& call, const CallState& state, const PlainAttempt& last, bool mayRepeat) -> bool
+{
+    if (state.isCallerGone || monotonicNow() >= call.deadline || state.tried.size() >= maximumAttempts)
+        return false;
+    if (state.runs > 0 && (!mayRepeat || state.runs >= call.kind.maxAttempts))
+        return false;
+    // An attempt that reached nobody cost the backend servers nothing.
+    return !last.hasArrived || takeRetry();
+}
+
+auto PlainService::attemptTimeout(const PlainCallInfo& call, const CallState& state, bool mayRepeat) const -> Duration
+{
+    const auto left = std::max<Duration>(call.deadline - monotonicNow(), shortestTimeout);
+    const auto mayFollow = mayRepeat && state.runs + 1 < call.kind.maxAttempts;
+    return mayFollow ? std::max<Duration>(left / attemptPart, shortestTimeout) : left;
+}
+
+auto PlainService::tryOn(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call, Duration timeout) -> asio::awaitable<PlainAttempt>
+{
+    auto answer = co_await m_context.backends.plainCall(client, backend, call, timeout);
+    if (answer.has_value())
+        co_return attemptOf(backend, call, std::move(*answer));
+    release(backend.id, false);
+    const auto& error = answer.error();
+    const auto isNotSent = error.kind == HttpErrorKind::NotConnected;
+    co_return PlainAttempt { .isNotRun = isNotSent, .hasArrived = !isNotSent, .hasTimedOut = error.kind == HttpErrorKind::TimedOut, .detail = std::string(jayhold::name(error.kind)) + ": " + error.detail };
+}
+
+auto PlainService::attemptOf(const BackendServer& backend, const PlainCallInfo& call, HttpResponse answer) -> PlainAttempt
 {
-    auto request = call.request;
-    // The client sends a call again by itself only where it may run more than once.
-    request.isIdempotent = call.kind.repeatable;
-    const auto timeout = std::max(call.deadline - monotonicNow(), Duration(1'000));
-    auto answer = co_await client.request(backend.endpoint, std::move(request), timeout);
-    release(backend.id, answer.has_value());
-    if (answer.has_error())
-        co_return PlainAttempt { {}, answer.error().kind == HttpErrorKind::NotConnected, answer.error().detail };
-    if (answer->status == 503) {
+    const auto status = answer.status;
+    const auto verdict = m_context.backends.judge(call, answer);
+    release(backend.id, verdict == AnswerVerdict::Final || verdict == AnswerVerdict::Busy);
+    PlainAttempt attempt { .detail = "status " + std::to_string(status) };
+    switch (verdict) {
+    case AnswerVerdict::Final:
+        attempt.isFinal = true;
+        attempt.answer = std::move(answer);
+        break;
+    case AnswerVerdict::Failed:
+        attempt.answer = std::move(answer);
+        break;
+    case AnswerVerdict::Leaving:
         m_context.reportLeaving(backend.id);
-        // A backend server that is leaving says so before it runs a call.
-        const auto saysNotRun = answer->body.find(R"("ran":"no")") != std::string::npos || answer->body.find(R"("ran":false)") != std::string::npos;
-        if (saysNotRun || call.kind.repeatable)
-            co_return PlainAttempt { {}, saysNotRun, "status 503" };
+        attempt.isNotRun = true;
+        break;
+    case AnswerVerdict::Busy:
+    case AnswerVerdict::Misdirected:
+        attempt.isNotRun = true;
+        break;
+    case AnswerVerdict::Unrecognised:
+        attempt.detail = "the answer is not the backend server's";
+        break;
     }
-    co_return PlainAttempt { std::move(*answer) };
+    return attempt;
 }
 
 auto PlainService::serveOnce(HttpExchange& exchange, const PlainCallInfo& call) -> asio::awaitable<void>
@@ -175,7 +242,8 @@
 auto PlainService::runRecorded(HttpExchange& exchange, const PlainCallInfo& call, std::string key, std::string attemptId) -> asio::awaitable<void>
 {
     auto& client = exchange.client();
-    auto attempt = co_await runCall(client, call, false);
+    CallState state;
+    auto attempt = co_await runCall(client, call, false, state);
     if (attempt.answer) {
         const auto contentType = findHeader(attempt.answer->headers, "Content-Type").value_or("application/octet-stream");
         StoredAnswer stored { attempt.answer->status, std::string(contentType), attempt.answer->body };
@@ -190,7 +258,7 @@
         const auto isWithdrawn = co_await m_records.abandon(client, key, attemptId);
         if (!isWithdrawn)
             m_context.log.record(LogLevel::Warning, "record_not_withdrawn", { { "service", m_name }, { "attempt", attemptId } });
-        co_await refuse(exchange, call, unanswered(attempt));
+        co_await refuse(exchange, call, unanswered(call, attempt));
         co_return;
     }
     // The outcome is stored as not known, so that a repeat gets the same answer at once.
@@ -201,22 +269,26 @@
     co_await refuse(exchange, call, std::move(error));
 }
 
-auto PlainService::unanswered(const PlainAttempt& attempt) const -> ApiError
+auto PlainService::unanswered(const PlainCallInfo& call, const PlainAttempt& attempt) const -> ApiError
 {
     const auto outcome = attempt.isNotRun ? Outcome::NotRun : Outcome::Unknown;
+    if (attempt.hasTimedOut && monotonicNow() >= call.deadline)
+        return { 504, std::string(jayhold::name(RefusalReason::DeadlineExceeded)), "no backend server answered in time: " + attempt.detail, outcome };
     return { 503, "no_backend", "no backend server answered: " + attempt.detail, outcome, spreadDelay(retryDelay) };
 }
 
 auto PlainService::answer(HttpExchange& exchange, const PlainCallInfo& call, HttpResponse response) -> asio::awaitable<void>
 {
-    auto headers = forwardedHeaders(response);
+    auto headers = m_context.callers.answerHeaders(response.headers);
     if (findHeader(response.headers, "X-Jayhold-Replayed"))
         headers.push_back({ "X-Jayhold-Replayed", "true" });
-    headers.push_back({ std::string(hybridTimeHeader), toString(m_context.log.clock().tick()) });
+    if (m_context.callers.showsHybridTime)
+        headers.push_back({ std::string(hybridTimeHeader), toString(m_context.log.clock().tick()) });
     response.headers = std::move(headers);
     m_metrics->finished.fetch_add(1, std::memory_order_relaxed);
-    m_metrics->firstToken.record(monotonicNow() - call.arrivedAt);
-    record(call, "request_finished", "", std::to_string(response.status));
+    const auto took = monotonicNow() - call.arrivedAt;
+    m_metrics->firstToken.record(took);
+    record(LogLevel::Info, call, "request_finished", { { "status", response.status }, { "took_ms", took.count() / 1'000 } });
     co_await exchange.respond(std::move(response));
 }
 
@@ -224,8 +296,8 @@
 {
     auto& counter = error.outcome == Outcome::NotRun ? m_metrics->refusedNotRun : m_metrics->refusedUnknown;
     counter.fetch_add(1, std::memory_order_relaxed);
-    record(call, "request_refused", "", error.type);
-    co_await exchange.respond(toResponse(error));
+    record(LogLevel::Info, call, "request_refused", { { "reason", error.type }, { "detail", error.message }, { "ran", error.outcome == Outcome::NotRun ? "no" : "unknown" }, { "retry_after_ms", error.retryAfter.count() / 1'000 } });
+    co_await exchange.respond(m_context.callers.refusal(error));
 }
 
 auto PlainService::acquire(std::span<const std::string> excluded) -> std::optional<BackendServer>
@@ -246,9 +318,13 @@
     return m_budget.take();
 }
 
-auto PlainService::record(const PlainCallInfo& call, std::string_view event, std::string_view backend, std::string_view detail) -> void
+auto PlainService::record(LogLevel level, const PlainCallInfo& call, std::string_view event, std::initializer_list<LogField> details) -> void
 {
-    m_context.log.record(LogLevel::Debug, event, { { "service", m_name }, { "kind", call.kind.name }, { "customer", call.customer }, { "key", call.idempotencyKey }, { "backend", backend }, { "detail", detail } });
+    std::vector<LogField> fields { { "request", call.requestId.empty() ? call.idempotencyKey : call.requestId }, { "service", m_name }, { "kind", call.kind.name } };
+    if (!call.customer.empty())
+        fields.emplace_back("customer", call.customer);
+    fields.insert(fields.end(), details.begin(), details.end());
+    m_context.log.record(level, event, fields);
 }
 
 }
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -23,7 +23,8 @@
 
 class PlainService : public std::enable_shared_from_this<PlainService> {
 public:
-    PlainService(EntryContext& context, const Service& service, AtMostOnceRecords& records);
+    /// @param sharing entry instances that use the same backend servers, this one included.
+    PlainService(EntryContext& context, const Service& service, AtMostOnceRecords& records, std::uint32_t sharing = 1);
 
     auto name() const -> const std::string& { return m_name; }
     auto metrics() -> ServiceMetrics& { return *m_metrics; }
@@ -31,27 +32,45 @@
     auto updateConfiguration(const Service& service) -> void;
     /// Takes the whole list of backend servers; those of other services are ignored.
     auto updateBackends(std::span<const BackendServer> backends) -> void;
+    auto updateSharing(std::uint32_t sharing) -> void;
     auto backends() const -> std::vector<PlainBackend>;
 
     /// Runs a call and answers the caller.
     auto serve(HttpExchange& exchange, PlainCallInfo call) -> boost::asio::awaitable<void>;
 
 private:
+    /// What the coroutines of one call share.
+    struct CallState {
+        bool isCallerGone = false;
+        /// Attempts that may have run.
+        std::int64_t runs = 0;
+        /// Backend servers that were tried.
+        std::vector<std::string> tried;
+    };
+
     /// Runs a call on backend servers until one answers or no further attempt is allowed.
     /// @param mayRepeat whether a call that may have run can be sent again.
-    auto runCall(HttpClient& client, const PlainCallInfo& call, bool mayRepeat) -> boost::asio::awaitable<PlainAttempt>;
-    auto tryOn(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call) -> boost::asio::awaitable<PlainAttempt>;
-    auto serveRepeatable(HttpExchange& exchange, const PlainCallInfo& call) -> boost::asio::awaitable<void>;
+    auto runCall(HttpClient& client, const PlainCallInfo& call, bool mayRepeat, CallState& state) -> boost::asio::awaitable<PlainAttempt>;
+    auto tryOn(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call, Duration timeout) -> boost::asio::awaitable<PlainAttempt>;
+    /// Judges a backend server's answer.
+    auto attemptOf(const BackendServer& backend, const PlainCallInfo& call, HttpResponse answer) -> PlainAttempt;
+    /// @return whether another attempt may follow.
+    auto mayTryAgain(const PlainCallInfo& call, const CallState& state, const PlainAttempt& last, bool mayRepeat) -> bool;
+    auto attemptTimeout(const PlainCallInfo& call, const CallState& state, bool mayRepeat) const -> Duration;
+    /// Serves a call without a record: it runs once for each request, or may run again.
+    auto serveUnrecorded(HttpExchange& exchange, const PlainCallInfo& call) -> boost::asio::awaitable<void>;
     auto serveOnce(HttpExchange& exchange, const PlainCallInfo& call) -> boost::asio::awaitable<void>;
     auto runRecorded(HttpExchange& exchange, const PlainCallInfo& call, std::string key, std::string attemptId) -> boost::asio::awaitable<void>;
     auto answer(HttpExchange& exchange, const PlainCallInfo& call, HttpResponse response) -> boost::asio::awaitable<void>;
     auto refuse(HttpExchange& exchange, const PlainCallInfo& call, ApiError error) -> boost::asio::awaitable<void>;
-    auto unanswered(const PlainAttempt& attempt) const -> ApiError;
+    auto unanswered(const PlainCallInfo& call, const PlainAttempt& attempt) const -> ApiError;
 
     auto acquire(std::span<const std::string> excluded) -> std::optional<BackendServer>;
     auto release(const std::string& id, bool isHealthy) -> void;
     auto takeRetry() -> bool;
-    auto record(const PlainCallInfo& call, std::string_view event, std::string_view backend, std::string_view detail) -> void;
+    auto record(LogLevel level, const PlainCallInfo& call, std::string_view event, std::initializer_list<LogField> details = {}) -> void;
+    /// Applies the service's retry policy to the budget; with the lock held.
+    auto updateBudgetLocked() -> void;
 
     EntryContext& m_context;
     AtMostOnceRecords& m_records;
@@ -60,6 +79,8 @@
 
     mutable std::mutex m_lock;
     std::vector<Pool> m_pools;
+    RetryPolicy m_retry;
+    std::uint32_t m_sharing;
     PlainBalancer m_balancer;
     RetryBudget m_budget { plainRetryLimits };
 };
--- a/src/RequestKind.h
+++ b/src/RequestKind.h
@@ -5,6 +5,7 @@
 #include "LatencyClass.h"
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,11 @@
     std::chrono::milliseconds deadline { 60'000 };
     /// Whether a call may run more than once. Calls that may not need an idempotency key.
     bool repeatable = true;
+    /// Most backend servers on which one request may run.
+    std::int64_t maxAttempts = 5;
+    /// Whether a call that may not be repeated is recorded before it is sent, so that it runs at most
+    /// once over all repeats of its caller. Otherwise it runs at most once for each request.
+    bool recorded = true;
     /// HTTP methods that select this kind at a plain service; empty selects all.
     std::vector<std::string> methods;
     /// Path prefix that selects this kind at a plain service; empty selects all.
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -46,7 +46,8 @@
         state.queue.remove(queueEntry(request));
     if (request.phase == RequestPhase::Ready)
         state.ready.erase({ request.kvExpiresAt, request.arrival.request });
-    if (request.phase == RequestPhase::Prefilling || request.phase == RequestPhase::Ready || request.phase == RequestPhase::Starting)
+    const auto hasResult = request.phase == RequestPhase::Prefilling || request.phase == RequestPhase::Ready || request.phase == RequestPhase::Starting;
+    if (hasResult && request.prefill)
         wastePrefill(context, request);
     state.promised.erase({ request.phaseSince, request.arrival.request });
     clearExpectedEnd(context, request);
@@ -81,7 +82,7 @@
 
 auto resultStillKept(const DecisionContext& context, const ActiveRequest& request, FailureKind failure) -> bool
 {
-    return request.phase == RequestPhase::Starting && provablyNotRun(failure)
+    return request.phase == RequestPhase::Starting && request.prefill && provablyNotRun(failure)
         && failure != FailureKind::KvExpired && context.now < request.kvExpiresAt;
 }
 
@@ -161,12 +162,30 @@
         setTimer(context, request);
 }
 
-auto startPrefill(DecisionContext& context, ActiveRequest& request, const Placement& placement) -> void
+namespace {
+
+/// The decode replica prefills by itself.
+auto startWithoutPrefill(DecisionContext& context, ActiveRequest& request, Replica& decode) -> void
+{
+    request.prefill.reset();
+    request.decode = decode.description.replica;
+    reserve(context, request, decode, decodeReservation(context, request, decode));
+    enter(context, request, RequestPhase::Starting);
+    context.actions.emplace_back(StartDecode { request.arrival.request, request.attempt, request.prefill, *request.decode, request.emitted });
+}
+
+}
+
+auto start(DecisionContext& context, ActiveRequest& request, const Placement& placement) -> void
 {
     auto& state = context.state;
     state.queue.remove(queueEntry(request));
     state.queue.charge(queueEntry(request), request.arrival.promptTokens + expectedTokens(state, request));
     ++request.attempt;
+    if (!placement.prefill) {
+        startWithoutPrefill(context, request, *placement.decode);
+        return;
+    }
     auto& prefill = *placement.prefill;
     auto& decode = *placement.decode;
     request.prefill = prefill.description.replica;
@@ -213,13 +232,14 @@
         return false;
     context.state.ready.erase({ request.kvExpiresAt, request.arrival.request });
     enter(context, request, RequestPhase::Starting);
-    context.actions.emplace_back(StartDecode { request.arrival.request, request.attempt, *request.prefill, *request.decode, request.emitted });
+    context.actions.emplace_back(StartDecode { request.arrival.request, request.attempt, request.prefill, *request.decode, request.emitted });
     return true;
 }
 
 auto decodeStarted(DecisionContext& context, ActiveRequest& request) -> void
 {
-    learnTransfer(context, request);
+    if (request.prefill)
+        learnTransfer(context, request);
     learnFirstToken(context, request);
     releasePrefill(context, request);
     releaseDecodeLink(context, request);
@@ -268,6 +288,8 @@
         ++request.redirects;
     else
         ++request.failures;
+    request.failedRuns += ran;
+    request.lostResults += request.phase == RequestPhase::Starting && request.prefill && provablyNotRun(failure);
     request.avoid = mayRunNow(request.phase) ? request.decode : request.prefill;
     if (failure == FailureKind::ConnectionLost)
         noteLostConnection(context, request);
--- a/src/RequestLife.h
+++ b/src/RequestLife.h
@@ -13,7 +13,8 @@
 auto enqueue(DecisionContext& context, ActiveRequest& request) -> void;
 /// Moves a waiting request to the late ones or refuses it once it misses its target or deadline.
 auto checkWaiting(DecisionContext& context, ActiveRequest& request) -> void;
-auto startPrefill(DecisionContext& context, ActiveRequest& request, const Placement& placement) -> void;
+/// Starts the prefill, or the decode where it needs none, at the replicas chosen.
+auto start(DecisionContext& context, ActiveRequest& request, const Placement& placement) -> void;
 auto prefillDone(DecisionContext& context, ActiveRequest& request, TimePoint expiresAt, std::uint32_t cachedTokens) -> void;
 /// Reserves a decode seat for a request that has none. @return whether there was one.
 auto reserveDecode(DecisionContext& context, ActiveRequest& request) -> bool;
--- a/src/RetryBudget.h
+++ b/src/RetryBudget.h
@@ -4,6 +4,7 @@
 /// little more load than it would have without retries.
 
 #include <algorithm>
+#include <cstdint>
 
 namespace jayhold {
 
@@ -22,6 +23,13 @@
     {
     }
 
+    /// Replaces the limits; what was saved up stays as far as they allow.
+    auto updateLimits(RetryBudgetLimits limits) -> void
+    {
+        m_limits = limits;
+        m_tokens = std::min(m_tokens, m_limits.largest);
+    }
+
     auto requestArrived() -> void { m_tokens = std::min(m_tokens + m_limits.ratio, m_limits.largest); }
 
     /// @return whether one more retry is within the budget, which it then takes from.
@@ -33,6 +41,8 @@
         return true;
     }
 
+    auto left() const -> double { return m_tokens; }
+
 private:
     RetryBudgetLimits m_limits;
     double m_tokens;
--- a/src/RetryRules.cpp
+++ b/src/RetryRules.cpp
@@ -9,9 +9,12 @@
 constexpr std::uint32_t maximumFailures = 4;
 constexpr std::uint32_t maximumRedirects = 16;
 
-/// Work that was turned away cost the engines nothing. An expired result cost a prefill.
-auto isFree(FailureKind failure) -> bool
+/// Work that was turned away cost the engines nothing, unless the policy says otherwise; work that
+/// did not reach an engine never does. An expired result cost a prefill.
+auto isFree(const RetryPolicy& policy, FailureKind failure) -> bool
 {
+    if (policy.countsRejections)
+        return failure == FailureKind::NotConnected;
     return provablyNotRun(failure) && failure != FailureKind::KvExpired;
 }
 
@@ -39,7 +42,9 @@
         return false;
     if (request.redirects > maximumRedirects || request.failures > maximumFailures)
         return false;
-    return isFree(failure) || context.state.retryBudget.take();
+    if (request.failedRuns >= kindOf(context.state, request).maxAttempts)
+        return false;
+    return isFree(context.state.settings.retry, failure) || context.state.retryBudget.take();
 }
 
 }
--- a/src/Service.h
+++ b/src/Service.h
@@ -4,6 +4,7 @@
 
 #include "Pool.h"
 #include "RequestKind.h"
+#include "RetryPolicy.h"
 #include "ServiceType.h"
 
 #include <cstdint>
@@ -24,6 +25,13 @@
     bool checksFencing = true;
     std::int64_t maxPromptTokens = 32'768;
     std::int64_t maxOutputTokens = 4'096;
+    /// How long a prefill engine keeps its result.
+    std::chrono::milliseconds prefillKept { 1'000 };
+    /// Bytes of KV cache for one prompt token.
+    std::int64_t kvBytesPerToken = 131'072;
+    /// Whether decode engines may prefill by themselves, where no prefill engine can do it in time.
+    bool decodeMayPrefill = false;
+    RetryPolicy retry;
     std::vector<Pool> pools;
     std::vector<RequestKind> kinds;
 
--- a/src/ServiceTable.cpp
+++ b/src/ServiceTable.cpp
@@ -31,7 +31,8 @@
         return;
     }
     Model model { std::make_shared<ModelService>(m_context, index, service), nullptr };
-    model.monitor = std::make_shared<EngineMonitor>(m_context, model.service, m_isAbandonedOwner);
+    if (m_context.backends.load)
+        model.monitor = std::make_shared<EngineMonitor>(m_context, model.service, m_isAbandonedOwner);
     model.service->updateSharing(m_sharing);
     model.service->start();
     m_models.emplace(service.name, std::move(model));
@@ -43,7 +44,7 @@
     if (known != m_plains.end())
         known->second->updateConfiguration(service);
     else
-        m_plains.emplace(service.name, std::make_shared<PlainService>(m_context, service, m_records));
+        m_plains.emplace(service.name, std::make_shared<PlainService>(m_context, service, m_records, m_sharing));
 }
 
 auto ServiceTable::removeMissingLocked(const ConfigurationIndex& index) -> void
@@ -53,7 +54,8 @@
         if (service && service->type == ServiceType::Model)
             return false;
         // Requests in progress keep the service until they end.
-        entry.second.monitor->stop();
+        if (entry.second.monitor)
+            entry.second.monitor->stop();
         entry.second.service->retire();
         return true;
     });
@@ -74,7 +76,8 @@
 {
     for (const auto& [name, model] : m_models) {
         model.service->updateBackends(m_backends);
-        model.monitor->refresh();
+        if (model.monitor)
+            model.monitor->refresh();
     }
     for (const auto& [name, plain] : m_plains)
         plain->updateBackends(m_backends);
@@ -86,6 +89,8 @@
     m_sharing = sharing;
     for (const auto& [name, model] : m_models)
         model.service->updateSharing(sharing);
+    for (const auto& [name, plain] : m_plains)
+        plain->updateSharing(sharing);
 }
 
 auto ServiceTable::noteSignature(std::uint64_t signature) -> void
@@ -104,7 +109,8 @@
 {
     const std::lock_guard guard(m_lock);
     for (const auto& [name, model] : m_models) {
-        model.monitor->stop();
+        if (model.monitor)
+            model.monitor->stop();
         model.service->stop();
     }
 }
--- a/src/ServiceTable.h
+++ b/src/ServiceTable.h
@@ -38,6 +38,7 @@
 private:
     struct Model {
         std::shared_ptr<ModelService> service;
+        /// Null where engines are not polled.
         std::shared_ptr<EngineMonitor> monitor;
     };
 
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -9,6 +9,8 @@
 #include "RequestLife.h"
 #include "ShardSummary.h"
 
+#include <algorithm>
+
 namespace jayhold {
 
 namespace {
@@ -85,6 +87,7 @@
 auto updateSettings(Shard& shard, ShardSettings settings) -> void
 {
     shard.state->lengths.resize(settings.kinds.size());
+    shard.state->retryBudget.updateLimits(budgetLimits(settings.retry, std::max(settings.sharingInstances, 1U)));
     shard.state->settings = std::move(settings);
 }
 
--- a/src/ShardSettings.h
+++ b/src/ShardSettings.h
@@ -4,6 +4,7 @@
 
 #include "Identifiers.h"
 #include "RequestKind.h"
+#include "RetryPolicy.h"
 
 #include <cstdint>
 #include <vector>
@@ -25,6 +26,9 @@
     std::uint64_t kvBytesPerToken = 131'072;
     /// Tokens in one block of the prefix cache.
     std::uint32_t prefixBlockTokens = 256;
+    /// Whether decode replicas may prefill by themselves.
+    bool decodeMayPrefill = false;
+    RetryPolicy retry;
     /// Entry instances that place on the same replicas, this one included; scales how much of a
     /// lagging report's free seats this instance may take.
     std::uint32_t sharingInstances = 1;
--- a/src/StartDecode.h
+++ b/src/StartDecode.h
@@ -1,8 +1,10 @@
 #pragma once
 
-/// Action: start a decode, pulling the KV cache from the prefill engine that has it.
+/// Action: start a decode, pulling the KV cache from the prefill engine that has it, or prefilling on
+/// the decode engine where none is named.
 
 #include "Identifiers.h"
+#include "OptionalReplica.h"
 
 #include <cstdint>
 
@@ -11,7 +13,7 @@
 struct StartDecode {
     RequestId request;
     Attempt attempt;
-    ReplicaId prefill;
+    OptionalReplica prefill;
     ReplicaId decode;
     /// Tokens that the shard knows the caller to have. A driver that has sent more starts the stream
     /// here and drops those it has sent already; it never starts after what it has sent.
--- a/src/TokenEventReader.h
+++ b/src/TokenEventReader.h
@@ -1,8 +1,8 @@
 #pragma once
 
-/// Cuts the body of a decode stream, which arrives in arbitrary pieces, into token events.
+/// Reads the token events of jayhold's own engine interface, which are JSON.
 
-#include "TokenEvent.h"
+#include "EventReader.h"
 
 #include <boost/json/parser.hpp>
 
@@ -13,24 +13,12 @@
 
 namespace jayhold {
 
-class TokenEventReader {
+class TokenEventReader final : public EventReader {
 public:
-    enum class Status {
-        /// An event was read.
-        Event,
-        /// The rest of the next event has not arrived.
-        NeedMore,
-        /// The engine sent something that is not a token event.
-        Malformed,
-    };
-
-    /// Adds a piece of the body.
-    /// @param piece must stay valid until next() returns NeedMore.
-    auto feed(std::string_view piece) -> void;
-
-    /// Reads the next event.
-    /// @param event filled in where the status is Event.
-    auto next(TokenEvent& event) -> Status;
+    auto feed(std::string_view piece) -> void override;
+    auto next(TokenEvent& event) -> Status override;
+    /// These streams end with an event of their own, so a body that ends without it is cut.
+    auto endOfBody(TokenEvent&) -> Status override { return Status::NeedMore; }
 
 private:
     auto parse(std::string_view data, TokenEvent& event) -> Status;
--- a/src/TokenSequence.cpp
+++ b/src/TokenSequence.cpp
@@ -8,9 +8,9 @@
         return TokenVerdict::AfterEnd;
     if (index < m_count)
         return TokenVerdict::Repeated;
-    if (index > m_count)
+    if (m_rule == IndexRule::Contiguous && index > m_count)
         return TokenVerdict::Gap;
-    ++m_count;
+    m_count = index + 1;
     return TokenVerdict::Next;
 }
 
@@ -20,7 +20,7 @@
         return TokenVerdict::AfterEnd;
     // An engine that ends before or after the tokens it sent has lost some; the answer is not
     // complete and must not be reported as such.
-    if (total != m_count)
+    if (m_rule == IndexRule::Contiguous && total != m_count)
         return TokenVerdict::Gap;
     m_hasEnded = true;
     return TokenVerdict::Next;
--- a/src/TokenSequence.h
+++ b/src/TokenSequence.h
@@ -18,8 +18,23 @@
     AfterEnd,
 };
 
+/// What the indices of token events say.
+enum class IndexRule {
+    /// Each token has the index after the last one's, and the end names their number.
+    Contiguous,
+    /// An event may carry several tokens, so indices only rise.
+    Rising,
+};
+
 class TokenSequence {
 public:
+    /// @param first index of the first token that the caller lacks.
+    explicit TokenSequence(IndexRule rule = IndexRule::Contiguous, std::uint32_t first = 0)
+        : m_rule(rule)
+        , m_count(first)
+    {
+    }
+
     /// @param index position of the token in the whole answer, from 0.
     auto takeToken(std::uint32_t index) -> TokenVerdict;
     /// @param total tokens of the whole answer, as the engine counts them.
@@ -30,7 +45,8 @@
     auto hasEnded() const -> bool { return m_hasEnded; }
 
 private:
-    std::uint32_t m_count = 0;
+    IndexRule m_rule;
+    std::uint32_t m_count;
     bool m_hasEnded = false;
 };
 
