--- a/apps/jayhold-entry.cpp
+++ b/apps/jayhold-entry.cpp
@@ -2,6 +2,8 @@
 #include <jayhold/Base.h>
 #include <jayhold/Entry.h>
 
+#include <Platform.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -18,20 +20,28 @@
 namespace {
 
 constexpr std::string_view usage = R"(usage: jayhold-entry --settings FILE [--check]
+       jayhold-entry --deployment platform [--settings FILE] [--check]
 
 Runs an entry instance: answers callers and routes their requests to backend servers.
 
-  --settings FILE  settings as JSON; "-" reads standard input
-  --check          only check the settings
-  --help           show this text
-  --version        show the version
+  --deployment NAME  "native" (default): settings as JSON, callers use jayhold's own interface;
+                     "platform": settings in the platform's format, requests are forwarded unchanged
+  --settings FILE    the settings; "-" reads standard input. On the platform the environment names
+                     the file where the option is left out
+  --check            only check the settings
+  --help             show this text
+  --version          show the version
 
-SIGTERM or SIGINT begins a graceful shutdown; a second one ends the process at once.
+SIGHUP reads the settings again and reports whether they are valid. SIGTERM or SIGINT begins a graceful shutdown; a second one ends the process at once.
 Exit codes: 0 success, 1 failure or shutdown that cut requests off, 2 faulty usage or settings.
 )";
 
+constexpr std::string_view nativeDeployment = "native";
+constexpr std::string_view platformDeployment = "platform";
+
 struct Options {
     std::string settings;
+    bool isPlatform = false;
     bool isCheck = false;
     /// Set where the program has nothing more to do.
     std::optional<ExitCode> exit;
@@ -40,6 +50,7 @@
 auto parseOptions(int argumentCount, char** arguments) -> Options
 {
     static const option longOptions[] = {
+        { "deployment", required_argument, nullptr, 'd' },
         { "settings", required_argument, nullptr, 's' },
         { "check", no_argument, nullptr, 'c' },
         { "help", no_argument, nullptr, 'h' },
@@ -53,6 +64,12 @@
             break;
         if (choice == 's') {
             options.settings = optarg;
+        } else if (choice == 'd' && (optarg == nativeDeployment || optarg == platformDeployment)) {
+            options.isPlatform = optarg == platformDeployment;
+        } else if (choice == 'd') {
+            std::cerr << "jayhold-entry: unknown deployment " << optarg << '\n';
+            options.exit = ExitCode::Usage;
+            return options;
         } else if (choice == 'c') {
             options.isCheck = true;
         } else if (choice == 'h') {
@@ -68,6 +85,8 @@
             return options;
         }
     }
+    if (options.isPlatform && options.settings.empty())
+        options.settings = platform::settingsPath().value_or("");
     if (options.settings.empty() || optind < argumentCount) {
         std::cerr << usage;
         options.exit = ExitCode::Usage;
@@ -75,37 +94,37 @@
     return options;
 }
 
-auto loadSettings(const std::string& path) -> std::optional<EntrySettings>
+/// @return the settings, or nothing after a message about the first fault.
+template <typename Settings>
+auto loadSettings(const std::string& path, leaf::result<Settings> (*parse)(std::string_view)) -> std::optional<Settings>
 {
     return leaf::try_handle_all(
-        [&]() -> leaf::result<std::optional<EntrySettings>> {
+        [&]() -> leaf::result<std::optional<Settings>> {
             BOOST_LEAF_AUTO(text, readFile(path));
-            BOOST_LEAF_AUTO(settings, parseEntrySettings(text));
+            BOOST_LEAF_AUTO(settings, parse(text));
             return std::optional(std::move(settings));
         },
-        [](const ConfigError& error) -> std::optional<EntrySettings> {
+        [](const ConfigError& error) -> std::optional<Settings> {
             std::cerr << "jayhold-entry: " << describe(error) << '\n';
             return std::nullopt;
         },
-        [](const FileError& error) -> std::optional<EntrySettings> {
+        [](const FileError& error) -> std::optional<Settings> {
             std::cerr << "jayhold-entry: " << describe(error) << '\n';
             return std::nullopt;
         },
-        []() -> std::optional<EntrySettings> {
+        []() -> std::optional<Settings> {
             std::cerr << "jayhold-entry: the settings can't be read\n";
             return std::nullopt;
         });
 }
 
-auto run(EntrySettings settings) -> ExitCode
+/// Runs a daemon until it has drained after a signal.
+/// @param isValid reads the settings again and says whether they are valid.
+template <typename Daemon>
+auto runUntilDrained(Daemon& daemon, const std::function<bool()>& isValid) -> ExitCode
 {
     boost::asio::io_context signals;
-    boost::asio::signal_set watched(signals, SIGTERM, SIGINT);
-    const auto level = settings.logLevel;
-    // The line with the addresses is printed at every log level.
-    configureLogging(std::min(level, LogLevel::Info));
-    EntryDaemon daemon(std::move(settings));
-    configureLogging(level);
+    boost::asio::signal_set watched(signals, SIGTERM, SIGINT, SIGHUP);
     auto exit = ExitCode::Failed;
     daemon.onDrained([&](bool isComplete) {
         boost::asio::post(signals, [&, isComplete] {
@@ -114,14 +133,19 @@
         });
     });
     auto isDraining = false;
-    std::function<void(const boost::system::error_code&, int)> onSignal = [&](const boost::system::error_code& code, int) {
+    std::function<void(const boost::system::error_code&, int)> onSignal = [&](const boost::system::error_code& code, int signal) {
         if (code)
             return;
+        watched.async_wait(onSignal);
+        if (signal == SIGHUP) {
+            // Addresses and identity are fixed for the life of the process.
+            daemon.log().record(LogLevel::Info, "settings_reread", { { "valid", isValid() } });
+            return;
+        }
         // Without orderly destruction, because the second signal asks for the fastest end.
         if (isDraining)
             std::_Exit(static_cast<int>(ExitCode::Failed));
         isDraining = true;
-        watched.async_wait(onSignal);
         daemon.startDraining();
     };
     watched.async_wait(onSignal);
@@ -129,22 +153,49 @@
     return exit;
 }
 
+auto runNative(EntrySettings settings, const std::string& path) -> ExitCode
+{
+    const auto level = settings.logLevel;
+    // The line with the addresses is printed at every log level.
+    configureLogging(std::min(level, LogLevel::Info));
+    EntryDaemon daemon(std::move(settings));
+    configureLogging(level);
+    return runUntilDrained(daemon, [&] { return loadSettings(path, parseEntrySettings).has_value(); });
 }
 
-auto main(int argumentCount, char** arguments) -> int
+auto runOnPlatform(platform::Settings settings, const std::string& path) -> ExitCode
 {
-    const auto options = parseOptions(argumentCount, arguments);
-    if (options.exit)
-        return static_cast<int>(*options.exit);
-    auto settings = loadSettings(options.settings);
+    configureLogging(settings.entry.logLevel);
+    RouterDaemon daemon(settings.entry, platform::makeParts(settings));
+    return runUntilDrained(daemon, [&] { return loadSettings(path, platform::parseSettings).has_value(); });
+}
+
+/// Checks the settings and runs the daemon, unless only the check was asked for.
+template <typename Settings>
+auto checkAndRun(const Options& options, leaf::result<Settings> (*parse)(std::string_view), ExitCode (*run)(Settings, const std::string&)) -> ExitCode
+{
+    auto settings = loadSettings(options.settings, parse);
     if (!settings)
-        return static_cast<int>(ExitCode::Usage);
+        return ExitCode::Usage;
     if (options.isCheck) {
         std::cout << "the settings are valid\n";
-        return static_cast<int>(ExitCode::Success);
+        return ExitCode::Success;
     }
+    return run(std::move(*settings), options.settings);
+}
+
+}
+
+auto main(int argumentCount, char** arguments) -> int
+{
+    const auto options = parseOptions(argumentCount, arguments);
+    if (options.exit)
+        return static_cast<int>(*options.exit);
     try {
-        return static_cast<int>(run(std::move(*settings)));
+        const auto exit = options.isPlatform
+            ? checkAndRun<platform::Settings>(options, platform::parseSettings, runOnPlatform)
+            : checkAndRun<EntrySettings>(options, parseEntrySettings, runNative);
+        return static_cast<int>(exit);
     } catch (const std::exception& error) {
         std::cerr << "jayhold-entry: " << error.what() << '\n';
         return static_cast<int>(ExitCode::Failed);
--- a/cmake/base.cmake
+++ b/cmake/base.cmake
@@ -5,14 +5,19 @@
   UNITS ConfigError EventLog FileError HybridClock JsonReader JsonText LogLine LoggedEventJson Sha256 Timeline Version
   LINK easyloggingpp Boost::json OpenSSL::Crypto)
 
-add_library(catch_main STATIC test/CatchMain.cpp)
-target_link_libraries(catch_main PUBLIC Catch2::Catch2)
+if(JAYHOLD_TESTS)
+  add_library(catch_main STATIC test/CatchMain.cpp)
+  target_link_libraries(catch_main PUBLIC Catch2::Catch2)
+endif()
 
 # Declares a test program of one area and registers it with CTest. The RapidCheck seed is fixed so
 # that every run gives the same verdict; JAYHOLD_RC_PARAMS at configure time replaces it.
 set(JAYHOLD_RC_PARAMS "seed=20261204" CACHE STRING "RapidCheck parameters of the registered tests")
 add_custom_target(unit_tests)
 function(jayhold_test name)
+  if(NOT JAYHOLD_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;LINK" ${ARGN})
   add_executable(${name} ${ARG_SOURCES})
   target_link_libraries(${name} PRIVATE ${ARG_LINK} catch_main rapidcheck)
--- a/cmake/bench.cmake
+++ b/cmake/bench.cmake
@@ -13,3 +13,13 @@
 jayhold_test(bench_test
   SOURCES test/correctness/BenchEngineTest.cpp test/correctness/BenchRunTest.cpp
   LINK jayhold_bench_units)
+
+add_executable(jayhold-relay-bench bench/RelayBench.cpp bench/RelayCallers.cpp)
+target_link_libraries(jayhold-relay-bench PRIVATE jayhold_entry jayhold_standins)
+
+# Measures the cost of gossip, configuration spread and records; the figures are in docs/notes.
+add_executable(jayhold-cluster-cost bench/ClusterCost.cpp test/GossipWorld.cpp)
+target_link_libraries(jayhold-cluster-cost PRIVATE jayhold_cluster)
+
+add_executable(jayhold-decision-cost bench/DecisionCost.cpp)
+target_link_libraries(jayhold-decision-cost PRIVATE jayhold_decision)
--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -1,7 +1,7 @@
 jayhold_library(jayhold_cluster
-  UNITS BackOff CallBudget ClusterCore ClusterDocuments ClusterGossip ClusterNode ConfigurationApply
-    GossipMessage InstanceList Lease LeaseKeeper Membership MembershipOwners MembershipTargets OrderGate PlatformStore
-    RecordDriver RecordMessages RecordPartition RecordRules RecordService RecordTable Rendezvous
+  UNITS BackendDirectory BackOff CallBudget ClusterCore ClusterDocuments ClusterGossip ClusterNode ConfigurationApply
+    GossipMessage InstanceCount InstanceList Lease LeaseKeeper Membership MembershipOwners MembershipTargets OrderGate PlatformStore
+    RecordDriver RecordMessages RecordPartition RecordRules RecordService RecordTable Rendezvous SpreadDelay StoreConnection StoreDirectory
     VersionedCopy
   LINK jayhold_http jayhold_operator)
 
@@ -20,7 +20,3 @@
 jayhold_test(cluster_lease_test
   SOURCES test/correctness/LeaseTest.cpp test/correctness/PlatformLimitsTest.cpp
   LINK jayhold_cluster)
-
-# Measures the cost of gossip, configuration spread and records; the figures are in docs/notes.
-add_executable(jayhold-cluster-cost bench/ClusterCost.cpp test/GossipWorld.cpp)
-target_link_libraries(jayhold-cluster-cost PRIVATE jayhold_cluster)
--- a/cmake/ctl.cmake
+++ b/cmake/ctl.cmake
@@ -8,4 +8,6 @@
 jayhold_test(ctl_test
   SOURCES test/correctness/TimelineTest.cpp test/error/CtlOptionsTest.cpp test/correctness/CtlCommandsTest.cpp
   LINK jayhold_ctl)
-target_compile_definitions(ctl_test PRIVATE JAYHOLD_EXAMPLES="${PROJECT_SOURCE_DIR}/examples")
+if(JAYHOLD_TESTS)
+  target_compile_definitions(ctl_test PRIVATE JAYHOLD_EXAMPLES="${PROJECT_SOURCE_DIR}/examples")
+endif()
--- a/cmake/decision.cmake
+++ b/cmake/decision.cmake
@@ -7,8 +7,7 @@
   SOURCES test/correctness/CrashTest.cpp test/correctness/FairnessTest.cpp test/correctness/LoadReportTest.cpp test/correctness/HeadroomTest.cpp test/correctness/OverloadTest.cpp test/correctness/PlacementTest.cpp test/correctness/RetryTest.cpp test/correctness/SeatForecastTest.cpp test/correctness/ShardModel.cpp test/correctness/ShardPropertyTest.cpp
     test/correctness/ShardTest.cpp
   LINK jayhold_decision)
-# Some faults showed only after more than a thousand random sequences; they take about 2 s.
-set_tests_properties(decision_test PROPERTIES ENVIRONMENT "RC_PARAMS=${JAYHOLD_RC_PARAMS} max_success=2000")
-
-add_executable(jayhold-decision-cost bench/DecisionCost.cpp)
-target_link_libraries(jayhold-decision-cost PRIVATE jayhold_decision)
+if(JAYHOLD_TESTS)
+  # Some faults showed only after more than a thousand random sequences; they take about 2 s.
+  set_tests_properties(decision_test PROPERTIES ENVIRONMENT "RC_PARAMS=${JAYHOLD_RC_PARAMS} max_success=2000")
+endif()
--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -1,15 +1,12 @@
 jayhold_library(jayhold_entry
   UNITS AdminApi ApiError CallerApi CallerChecks ClusterRecords CompletionFormat
     CompletionRequest CompletionWriter ConfigurationIndex DecodeRelay EngineClient EngineError EngineMessages
-    EngineMonitor EntryDaemon EntryDaemonDrain EntrySettings HeldMemory LatencyHistogram LostOwners
+    EngineMonitor EntryDaemon EntryDaemonDrain EntrySettings ForwardApi ForwardChecks HeldMemory LatencyHistogram LostOwners
     Metrics ModelRequest ModelRequestTasks ModelService ModelServiceTimer NativeProtocols PassThroughReader PassThroughWriter PlainBalancer PlainRoute
-    PlainService PromptDigest RequestMachine ServiceTable SpreadDelay StatusReport TokenEventReader
+    PlainService PromptDigest RequestMachine RouteTable RouterDaemon ServiceTable StatusReport TokenEventReader
     TokenSequence
   LINK jayhold_cluster jayhold_decision jayhold_operator jayhold_http)
 
-add_executable(jayhold-entry apps/jayhold-entry.cpp)
-target_link_libraries(jayhold-entry PRIVATE jayhold_entry)
-
 jayhold_test(entry_rules_test
   SOURCES test/error/EntrySettingsTest.cpp test/error/CallerChecksTest.cpp
     test/correctness/EngineMessagesTest.cpp test/correctness/TokenRelayTest.cpp
@@ -23,6 +20,3 @@
 jayhold_test(entry_daemon_test
   SOURCES test/correctness/EntryDaemonTest.cpp
   LINK jayhold_entry jayhold_standins)
-
-add_executable(jayhold-relay-bench bench/RelayBench.cpp bench/RelayCallers.cpp)
-target_link_libraries(jayhold-relay-bench PRIVATE jayhold_entry jayhold_standins)
--- a/cmake/operator.cmake
+++ b/cmake/operator.cmake
@@ -10,4 +10,6 @@
 jayhold_test(operator_test
   SOURCES test/correctness/ConfigurationTest.cpp test/error/ConfigurationErrorTest.cpp
   LINK jayhold_operator)
-target_compile_definitions(operator_test PRIVATE JAYHOLD_EXAMPLES="${PROJECT_SOURCE_DIR}/examples")
+if(JAYHOLD_TESTS)
+  target_compile_definitions(operator_test PRIVATE JAYHOLD_EXAMPLES="${PROJECT_SOURCE_DIR}/examples")
+endif()
--- /dev/null
+++ b/cmake/platform.cmake
@@ -0,0 +1,4 @@
+add_library(jayhold_platform STATIC platform/BackendCalls.cpp platform/CallerMessages.cpp platform/Formats.cpp
+  platform/Headers.cpp platform/ObjectCalls.cpp platform/Parts.cpp platform/SettingsFile.cpp)
+target_include_directories(jayhold_platform PUBLIC ${PROJECT_SOURCE_DIR}/platform)
+target_link_libraries(jayhold_platform PUBLIC jayhold_entry)
--- a/include/jayhold/Entry.h
+++ b/include/jayhold/Entry.h
@@ -4,3 +4,4 @@
 
 #include "EntryDaemon.h"
 #include "EntrySettings.h"
+#include "RouterDaemon.h"
--- a/src/ConfigurationIndex.cpp
+++ b/src/ConfigurationIndex.cpp
@@ -21,6 +21,7 @@
 
 ConfigurationIndex::ConfigurationIndex(std::shared_ptr<const Configuration> configuration, const std::vector<std::string>& operatorDigests)
     : m_configuration(std::move(configuration))
+    , m_routes(m_configuration->routes)
 {
     for (std::size_t index = 0; index < m_configuration->customers.size(); ++index)
         m_customers.emplace(m_configuration->customers[index].keySha256, static_cast<CustomerId>(index));
--- a/src/ConfigurationIndex.h
+++ b/src/ConfigurationIndex.h
@@ -5,6 +5,7 @@
 
 #include "Configuration.h"
 #include "Identifiers.h"
+#include "RouteTable.h"
 
 #include <memory>
 #include <optional>
@@ -36,6 +37,9 @@
     /// Finds a model service by name, or else by model, or else the only one.
     auto modelService(std::string_view name, std::string_view model) const -> const Service*;
 
+    /// @return the route of a request that goes to a service unchanged, or null.
+    auto route(std::string_view host, std::string_view path) const -> const Route* { return m_routes.find(host, path); }
+
     /// @return the position of a zone in the configuration, or the number of zones for one that is
     /// not declared.
     auto zoneOf(std::string_view name) const -> ZoneId;
@@ -44,6 +48,7 @@
     const std::shared_ptr<const Configuration> m_configuration;
     std::unordered_map<std::string, CustomerId> m_customers;
     std::unordered_map<std::string, std::string> m_operators;
+    RouteTable m_routes;
 };
 
 /// @return the position of a kind in its service: by name, or the first where the name is empty.
--- a/src/EngineMessages.cpp
+++ b/src/EngineMessages.cpp
@@ -1,5 +1,7 @@
 #include "EngineMessages.h"
 
+#include "JsonFields.h"
+
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -31,27 +33,6 @@
     return std::move(value.get_object());
 }
 
-template <typename Number>
-auto readNumber(const json::object& object, std::string_view key, Number& number) -> bool
-{
-    const auto* value = object.if_contains(key);
-    if (!value)
-        return false;
-    boost::system::error_code code;
-    number = value->to_number<Number>(code);
-    return !code;
-}
-
-auto readText(const json::object& object, std::string_view key, std::string& text) -> bool
-{
-    const auto* value = object.if_contains(key);
-    const auto* found = value ? value->if_string() : nullptr;
-    if (!found)
-        return false;
-    text = *found;
-    return true;
-}
-
 auto readHashes(const json::object& object, std::string_view key, std::vector<std::uint64_t>& hashes) -> bool
 {
     const auto* value = object.if_contains(key);
--- a/src/EntrySettings.h
+++ b/src/EntrySettings.h
@@ -41,6 +41,13 @@
     EntryTimeouts timeouts;
     /// Longest time that open requests get to finish after a signal to shut down.
     std::chrono::milliseconds drain { 330'000 };
+    /// Time after that signal in which the balancer may still send new connections: it asks once a
+    /// second, and leaves an instance out after two answers that it is not ready.
+    std::chrono::milliseconds balancerNotice { 2'600 };
+    /// Where the balancer asks whether the instance is ready, where that is an address of its own.
+    std::optional<HttpEndpoint> readyListen;
+    /// Where metrics are served, where that is an address of its own.
+    std::optional<HttpEndpoint> metricsListen;
     std::uint64_t seed = 1;
     LogLevel logLevel = LogLevel::Info;
 };
--- /dev/null
+++ b/src/ForwardApi.cpp
@@ -0,0 +1,92 @@
+#include "ForwardApi.h"
+
+#include "ModelRequest.h"
+#include "SpreadDelay.h"
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration refusalDelay = std::chrono::seconds(1);
+
+/// Counts a request for as long as it is in progress.
+class OpenRequest {
+public:
+    explicit OpenRequest(std::atomic<std::size_t>& count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+    ~OpenRequest() { --m_count; }
+    OpenRequest(const OpenRequest&) = delete;
+    auto operator=(const OpenRequest&) -> OpenRequest& = delete;
+
+private:
+    std::atomic<std::size_t>& m_count;
+};
+
+}
+
+ForwardApi::ForwardApi(EntryContext& context, ServiceTable& services)
+    : m_context(context)
+    , m_services(services)
+{
+}
+
+auto ForwardApi::handle(HttpExchange& exchange) -> asio::awaitable<void>
+{
+    const OpenRequest open(m_context.openRequests);
+    auto call = m_context.callers.decode(exchange.request());
+    if (call.has_error()) {
+        co_await refuse(exchange, "", call.error());
+        co_return;
+    }
+    const auto requestId = call->requestId;
+    const auto index = m_services.index();
+    if (!index) {
+        const ApiError error(503, "no_configuration", "the instance has no configuration yet", Outcome::NotRun, spreadDelay(refusalDelay));
+        co_await refuse(exchange, requestId, error);
+        co_return;
+    }
+    if (m_context.openRequests > m_context.settings.limits.openRequests) {
+        const auto error = refusalError(RefusalReason::Overloaded, Outcome::NotRun, spreadDelay(refusalDelay));
+        co_await refuse(exchange, requestId, error);
+        co_return;
+    }
+    auto checked = checkForward(*index, std::move(*call), monotonicNow());
+    if (checked.has_error())
+        co_await refuse(exchange, requestId, checked.error());
+    else
+        co_await serve(exchange, std::move(*checked));
+}
+
+auto ForwardApi::serve(HttpExchange& exchange, CheckedForward checked) -> asio::awaitable<void>
+{
+    const ApiError removed(503, "unknown_service", "the service was removed", Outcome::NotRun, spreadDelay(refusalDelay));
+    if (auto* completion = std::get_if<CheckedCompletion>(&checked)) {
+        auto service = m_services.model(completion->service);
+        if (!service) {
+            co_await refuse(exchange, completion->info.forwarded->requestId, removed);
+            co_return;
+        }
+        const auto request = std::make_shared<ModelRequest>(m_context, std::move(service), exchange, std::move(completion->info));
+        co_await request->run();
+        co_return;
+    }
+    auto& call = std::get<CheckedPlainCall>(checked);
+    const auto service = m_services.plain(call.service);
+    if (service)
+        co_await service->serve(exchange, std::move(call.info));
+    else
+        co_await refuse(exchange, call.info.requestId, removed);
+}
+
+auto ForwardApi::refuse(HttpExchange& exchange, std::string_view requestId, const ApiError& error) -> asio::awaitable<void>
+{
+    m_context.log.record(LogLevel::Info, "request_refused", { { "request", requestId }, { "reason", error.type }, { "detail", error.message }, { "ran", "no" }, { "retry_after_ms", error.retryAfter.count() / 1'000 } });
+    co_await exchange.respond(m_context.callers.refusal(error));
+}
+
+}
--- /dev/null
+++ b/src/ForwardApi.h
@@ -0,0 +1,28 @@
+#pragma once
+
+/// The callers' side of an instance that forwards requests unchanged: finds the route of each and
+/// hands it to its service.
+
+#include "ForwardChecks.h"
+#include "HttpExchange.h"
+#include "ServiceTable.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace jayhold {
+
+class ForwardApi {
+public:
+    ForwardApi(EntryContext& context, ServiceTable& services);
+
+    auto handle(HttpExchange& exchange) -> boost::asio::awaitable<void>;
+
+private:
+    auto serve(HttpExchange& exchange, CheckedForward checked) -> boost::asio::awaitable<void>;
+    auto refuse(HttpExchange& exchange, std::string_view requestId, const ApiError& error) -> boost::asio::awaitable<void>;
+
+    EntryContext& m_context;
+    ServiceTable& m_services;
+};
+
+}
--- /dev/null
+++ b/src/ForwardChecks.cpp
@@ -0,0 +1,72 @@
+#include "ForwardChecks.h"
+
+#include "SpreadDelay.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace jayhold {
+
+namespace {
+
+/// A configuration that names a missing service is replaced within seconds.
+constexpr Duration incompleteRetryDelay = std::chrono::seconds(1);
+
+auto deadlineOf(const ForwardedCall& call, const RequestKind& kind, TimePoint now) -> TimePoint
+{
+    const Duration longest = kind.deadline;
+    return now + std::min(longest, call.patience.value_or(longest));
+}
+
+/// By content and place, so that a request that crashes engines is recognised when it comes again.
+auto signatureOf(const ForwardedCall& call) -> std::uint64_t
+{
+    const std::hash<std::string> hash;
+    return hash(call.host + call.request.target + "\n" + call.request.body);
+}
+
+auto modelInfo(ForwardedCall call, const RequestKind& kind, TimePoint now) -> ModelRequestInfo
+{
+    ModelRequestInfo info;
+    info.request.maxTokens = call.maxTokens;
+    info.request.isStream = true;
+    info.digest.tokens = call.promptTokens;
+    info.digest.signature = signatureOf(call);
+    info.kindSettings = kind;
+    info.model = call.model;
+    info.arrivedAt = now;
+    info.deadline = deadlineOf(call, kind, now);
+    info.forwarded = std::make_shared<const ForwardedCall>(std::move(call));
+    return info;
+}
+
+auto plainInfo(ForwardedCall call, const RequestKind& kind, TimePoint now) -> PlainCallInfo
+{
+    PlainCallInfo info;
+    info.kind = kind;
+    info.requestId = call.requestId;
+    info.arrivedAt = now;
+    info.deadline = deadlineOf(call, kind, now);
+    info.request = std::move(call.request);
+    return info;
+}
+
+}
+
+auto checkForward(const ConfigurationIndex& index, ForwardedCall call, TimePoint now) -> ApiResult<CheckedForward>
+{
+    const auto* route = index.route(call.host, call.path);
+    if (!route)
+        return ApiError(404, "unknown_route", "no route has this host and path");
+    const auto target = chooseTarget(*route, call.requestId);
+    const auto* service = index.service(target);
+    const auto kind = service ? std::ranges::find(service->kinds, route->kind, &RequestKind::name) : decltype(service->kinds.begin()) {};
+    if (!service || kind == service->kinds.end()) {
+        return ApiError(503, "unknown_service", "route " + route->name + " names a service or kind that does not exist", Outcome::NotRun, spreadDelay(incompleteRetryDelay));
+    }
+    if (service->type == ServiceType::Model)
+        return CheckedForward(CheckedCompletion { service->name, modelInfo(std::move(call), *kind, now) });
+    return CheckedForward(CheckedPlainCall { service->name, plainInfo(std::move(call), *kind, now) });
+}
+
+}
--- /dev/null
+++ b/src/InstanceCount.h
@@ -0,0 +1,33 @@
+#pragma once
+
+/// Counts the live entry instances by the records that each keeps writing to the platform's store, as
+/// a pure state machine. An instance that has written nothing for some time is gone; clocks of
+/// different instances are never compared.
+
+#include "Time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace jayhold {
+
+struct InstanceCount {
+    struct Seen {
+        std::int64_t revision = 0;
+        /// When this revision was first seen here.
+        TimePoint at {};
+    };
+
+    /// Three missed writes.
+    Duration lifetime = std::chrono::seconds(60);
+    std::map<std::string, Seen> instances;
+};
+
+/// An instance's record was read.
+auto noteInstance(InstanceCount& count, TimePoint now, const std::string& name, std::int64_t revision) -> void;
+
+/// @return live instances, this one included, which is at least 1.
+auto liveInstances(InstanceCount& count, TimePoint now) -> std::uint32_t;
+
+}
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -46,6 +46,28 @@
     return std::make_unique<CompletionWriter>(exchange, info.request, formatOf(info, context), std::move(headers));
 }
 
+/// An engine that is this many times later than the target is not worth waiting for.
+constexpr int lateFactor = 2;
+constexpr int stallFactor = 4;
+
+/// An attempt that may not be followed by another is not given up for silence: its engine may still
+/// answer, and nothing else can.
+auto timeoutsOf(const ModelRequestInfo& info, const EntryContext& context) -> EntryTimeouts
+{
+    auto timeouts = context.settings.timeouts;
+    if (info.forwarded) {
+        timeouts.prefill = std::min(timeouts.prefill, info.kindSettings.firstToken * lateFactor);
+        timeouts.firstToken = std::min(timeouts.firstToken, info.kindSettings.firstToken * lateFactor);
+        timeouts.stall = std::min(timeouts.stall, info.kindSettings.tokenGap * stallFactor);
+    }
+    if (info.kindSettings.repeatable)
+        return timeouts;
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(info.deadline - info.arrivedAt);
+    timeouts.firstToken = std::max(timeouts.firstToken, left);
+    timeouts.stall = std::max(timeouts.stall, left);
+    return timeouts;
+}
+
 /// @return where the answer begins: after what the caller has of an earlier one.
 auto sequenceOf(const ModelRequestInfo& info, const EntryContext& context) -> TokenSequence
 {
@@ -75,7 +97,8 @@
     , m_info(std::move(info))
     , m_tasks(std::make_unique<Tasks>(exchange.executor()))
     , m_writer(makeWriter(exchange, m_info, context))
-    , m_relay(*m_writer, m_machine, m_service->metrics(), context.settings.timeouts, m_info.arrivedAt, sequenceOf(m_info, context))
+    , m_timeouts(timeoutsOf(m_info, context))
+    , m_relay(*m_writer, m_machine, m_service->metrics(), m_timeouts, m_info.arrivedAt, sequenceOf(m_info, context))
     , m_promptTokens(m_info.digest.tokens)
 {
 }
@@ -308,6 +331,7 @@
     // The tokens that the caller has are counted here; the shard's number may lag.
     call.resumeFrom = m_relay.tokens();
     call.forwarded = m_info.forwarded;
+    call.mayRepeat = m_info.kindSettings.repeatable;
     call.resultKept = m_service->prefillKept();
     const auto remaining = std::max(m_info.deadline - monotonicNow(), Duration::zero());
     call.deadlineMs = std::chrono::ceil<std::chrono::milliseconds>(remaining).count();
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -87,6 +87,7 @@
     const std::unique_ptr<Tasks> m_tasks;
     RequestMachine m_machine;
     const std::unique_ptr<AnswerWriter> m_writer;
+    const EntryTimeouts m_timeouts;
     DecodeRelay m_relay;
     RequestId m_id {};
     Attempt m_attempt = 0;
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -51,7 +51,7 @@
 {
     co_await asio::this_coro::throw_if_cancelled(false);
     const auto self = shared_from_this();
-    auto result = co_await m_context.backends.prefill(m_exchange.client(), replica.backend, std::move(call), m_context.settings.timeouts.prefill);
+    auto result = co_await m_context.backends.prefill(m_exchange.client(), replica.backend, std::move(call), m_timeouts.prefill);
     push(PrefillEnded { task, std::move(result) });
 }
 
@@ -60,7 +60,7 @@
     co_await asio::this_coro::throw_if_cancelled(false);
     const auto self = shared_from_this();
     const auto usesPrefill = call.kv.has_value();
-    const auto stream = co_await m_context.backends.decode(m_exchange.client(), replica.backend, std::move(call), m_context.settings.timeouts.firstToken);
+    const auto stream = co_await m_context.backends.decode(m_exchange.client(), replica.backend, std::move(call), m_timeouts.firstToken);
     if (stream.has_error()) {
         push(DecodeEnded { task, { stream.error() } });
         co_return;
--- a/src/PlatformStore.h
+++ b/src/PlatformStore.h
@@ -7,10 +7,9 @@
 #include "ClusterSettings.h"
 #include "HttpClient.h"
 #include "InstanceList.h"
-#include "StoreError.h"
+#include "StoreConnection.h"
 #include "StoredObject.h"
 
-#include <memory>
 #include <optional>
 
 namespace jayhold {
@@ -18,9 +17,6 @@
 class PlatformStore {
 public:
     explicit PlatformStore(const ClusterSettings& settings);
-    ~PlatformStore();
-    PlatformStore(const PlatformStore&) = delete;
-    auto operator=(const PlatformStore&) -> PlatformStore& = delete;
 
     /// @return the object; revision 0 where it does not exist.
     auto read(HttpClient& client, std::string name) -> boost::asio::awaitable<StoreResult<StoredObject>>;
@@ -42,11 +38,7 @@
     auto retryAfter() const -> Duration;
 
 private:
-    struct State;
-
-    auto call(HttpClient& client, HttpRequest request, Duration timeout) -> boost::asio::awaitable<StoreResult<HttpResponse>>;
-
-    std::unique_ptr<State> m_state;
+    StoreConnection m_connection;
 };
 
 }
--- /dev/null
+++ b/src/RecordsUnavailable.h
@@ -0,0 +1,16 @@
+#pragma once
+
+/// At-most-once records of a deployment that keeps none: a kind that needs them is refused as not run.
+
+#include "AtMostOnceRecords.h"
+
+namespace jayhold {
+
+class RecordsUnavailable final : public AtMostOnceRecords {
+public:
+    auto begin(HttpClient&, std::string, std::string, std::string) -> boost::asio::awaitable<RecordDecision> override { co_return RecordUnavailable {}; }
+    auto finish(HttpClient&, std::string, std::string, StoredAnswer) -> boost::asio::awaitable<bool> override { co_return false; }
+    auto abandon(HttpClient&, std::string, std::string) -> boost::asio::awaitable<bool> override { co_return false; }
+};
+
+}
--- /dev/null
+++ b/src/RouterDaemon.cpp
@@ -0,0 +1,202 @@
+#include "RouterDaemon.h"
+
+#include "AwaitToken.h"
+#include "ForwardApi.h"
+#include "HttpServer.h"
+#include "RecordsUnavailable.h"
+#include "ServiceTable.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Long enough for a new connection between zones beside loss of a packet, short enough to try
+/// another backend server within the target of a first token.
+constexpr Duration connectTimeout = std::chrono::milliseconds(400);
+/// A silent peer is found within the time in which a leaving backend server must get no more work.
+constexpr Duration backendSilenceLimit = std::chrono::seconds(2);
+/// Callers are served over links that lose packets; they give up a stream after some seconds.
+constexpr Duration callerSilenceLimit = std::chrono::seconds(5);
+/// Backend servers that name no time of their own close idle connections after less than a second.
+constexpr Duration backendIdleTime = std::chrono::seconds(20);
+constexpr auto drainCheckInterval = std::chrono::milliseconds(20);
+/// Part of the time to shut down that is kept for the end of the process itself.
+constexpr int drainReservePart = 8;
+/// The log lines on standard output are what is read afterwards; the ring serves no timeline here.
+constexpr std::size_t keptEvents = 256;
+
+auto clientSettings() -> HttpClientSettings
+{
+    HttpClientSettings settings;
+    settings.connectTimeout = connectTimeout;
+    settings.silenceLimit = backendSilenceLimit;
+    settings.idleTime = backendIdleTime;
+    return settings;
+}
+
+auto serverSettings(const HttpEndpoint& endpoint, const CallerLimits& limits) -> HttpServerSettings
+{
+    HttpServerSettings settings;
+    settings.endpoint = endpoint;
+    settings.maximumHeader = static_cast<std::size_t>(limits.headerBytes);
+    settings.maximumBody = static_cast<std::size_t>(limits.bodyBytes);
+    settings.readTimeout = limits.readTimeout;
+    settings.idleTimeout = limits.idleTimeout;
+    settings.silenceLimit = callerSilenceLimit;
+    return settings;
+}
+
+auto pause(asio::steady_timer& timer, Duration duration) -> asio::awaitable<void>
+{
+    timer.expires_after(duration);
+    boost::system::error_code code;
+    co_await timer.async_wait(awaitInto(code));
+}
+
+}
+
+struct RouterDaemon::State {
+    State(EntrySettings entrySettings, PlatformParts platformParts)
+        : settings(std::move(entrySettings))
+        , parts(std::move(platformParts))
+        , log(settings.instance, keptEvents)
+        , threads(settings.threads, clientSettings())
+        , context { .settings = settings, .threads = threads, .log = log, .callers = parts.callers, .backends = parts.backends }
+        , services(context, records, [](std::string_view, std::string_view) { return false; })
+        , api(context, services)
+    {
+        log.setLowest(settings.logLevel);
+    }
+
+    ~State()
+    {
+        // Coroutines end with their I/O thread and use all other parts until then.
+        services.stop();
+        threads.stop();
+    }
+    State(const State&) = delete;
+    auto operator=(const State&) -> State& = delete;
+
+    auto start() -> void
+    {
+        const auto& ready = settings.readyListen.value_or(settings.peerListen);
+        const auto& metrics = settings.metricsListen;
+        callerServer = std::make_unique<HttpServer>(threads, serverSettings(settings.listen, {}), [this](HttpExchange& exchange) { return api.handle(exchange); });
+        readyServer = std::make_unique<HttpServer>(threads, serverSettings(ready, {}), [this](HttpExchange& exchange) { return answerReady(exchange); });
+        if (metrics)
+            metricsServer = std::make_unique<HttpServer>(threads, serverSettings(*metrics, {}), [this](HttpExchange& exchange) { return answerMetrics(exchange); });
+        DirectoryCallbacks callbacks {
+            .configuration = [this](std::shared_ptr<const Configuration> configuration) {
+                callerServer->updateLimits(serverSettings(settings.listen, configuration->limits));
+                services.updateConfiguration(std::move(configuration));
+            },
+            .backends = [this](std::vector<BackendServer> backends) {
+                context.knowsBackends = !backends.empty();
+                services.updateBackends(std::move(backends));
+            },
+            .instances = [this](std::uint32_t count) { services.updateSharing(count); },
+        };
+        directory = std::make_shared<StoreDirectory>(threads, *parts.store, parts.directory, settings.instance, log, std::move(callbacks));
+        directory->start();
+    }
+
+    auto isReady() const -> bool { return !context.isDraining && context.knowsBackends && services.index(); }
+
+    auto answerReady(HttpExchange& exchange) -> asio::awaitable<void>
+    {
+        const auto ready = isReady();
+        if (ready != wasReady) {
+            wasReady = ready;
+            log.record(LogLevel::Info, ready ? "ready" : "not_ready", { { "draining", context.isDraining.load() }, { "configuration", services.index() != nullptr }, { "backends", context.knowsBackends.load() } });
+        }
+        auto response = jsonResponse(ready ? 200 : 503, ready ? R"({"status":"ready"})" : R"({"status":"not_ready"})");
+        co_await exchange.respond(std::move(response));
+    }
+
+    auto answerMetrics(HttpExchange& exchange) -> asio::awaitable<void>
+    {
+        HttpResponse response { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, context.metrics.print(context.openRequests) };
+        co_await exchange.respond(std::move(response));
+    }
+
+    auto startDraining() -> void
+    {
+        if (context.isDraining.exchange(true))
+            return;
+        log.record(LogLevel::Info, "draining", { { "open_requests", context.openRequests.load() }, { "grace_ms", settings.drain.count() } });
+        asio::co_spawn(threads.context(0), drain(), asio::detached);
+    }
+
+    /// The balancer sends new connections until it has noticed, and callers reuse theirs until an
+    /// answer asks them to go, so work is served on for that time.
+    auto drain() -> asio::awaitable<void>
+    {
+        const auto begun = monotonicNow();
+        callerServer->closeAfterAnswers();
+        asio::steady_timer timer(threads.context(0));
+        co_await pause(timer, settings.balancerNotice);
+        const auto latest = begun + settings.drain - settings.drain / drainReservePart;
+        while (callerServer->activeExchanges() > 0 && monotonicNow() < latest)
+            co_await pause(timer, drainCheckInterval);
+        const auto left = callerServer->activeExchanges();
+        log.record(LogLevel::Info, "drained", { { "complete", left == 0 }, { "open_requests", left } });
+        drained(left == 0);
+    }
+
+    const EntrySettings settings;
+    PlatformParts parts;
+    EventLog log;
+    IoThreads threads;
+    EntryContext context;
+    RecordsUnavailable records;
+    ServiceTable services;
+    ForwardApi api;
+    std::shared_ptr<StoreDirectory> directory;
+    std::unique_ptr<HttpServer> callerServer;
+    std::unique_ptr<HttpServer> readyServer;
+    std::unique_ptr<HttpServer> metricsServer;
+    std::function<void(bool)> drained = [](bool) {};
+    bool wasReady = false;
+};
+
+RouterDaemon::RouterDaemon(EntrySettings settings, PlatformParts parts)
+    : m_state(std::make_unique<State>(std::move(settings), std::move(parts)))
+{
+    m_state->start();
+    m_state->log.record(LogLevel::Info, "listening", { { "address", toString(endpoint()) }, { "ready_address", toString(readyEndpoint()) }, { "zone", m_state->settings.availabilityZone } });
+}
+
+RouterDaemon::~RouterDaemon() = default;
+
+auto RouterDaemon::endpoint() const -> HttpEndpoint
+{
+    return m_state->callerServer->endpoint();
+}
+
+auto RouterDaemon::readyEndpoint() const -> HttpEndpoint
+{
+    return m_state->readyServer->endpoint();
+}
+
+auto RouterDaemon::log() -> EventLog&
+{
+    return m_state->log;
+}
+
+auto RouterDaemon::startDraining() -> void
+{
+    m_state->startDraining();
+}
+
+auto RouterDaemon::onDrained(std::function<void(bool)> callback) -> void
+{
+    m_state->drained = std::move(callback);
+}
+
+}
--- /dev/null
+++ b/src/StoreConnection.cpp
@@ -0,0 +1,124 @@
+#include "StoreConnection.h"
+
+#include "AwaitToken.h"
+#include "BackOff.h"
+#include "CallBudget.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <mutex>
+#include <random>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr unsigned statusTooManyRequests = 429;
+constexpr unsigned statusServerError = 500;
+
+/// Longest time that a call waits for the budget before it is refused.
+constexpr auto longestBudgetWait = std::chrono::milliseconds(500);
+
+/// A call that was not sent can't have taken effect; of any other failure this is not known.
+auto storeErrorOf(const HttpError& error, Duration retryAfter) -> StoreError
+{
+    const auto kind = error.kind == HttpErrorKind::NotConnected ? StoreErrorKind::Unavailable : StoreErrorKind::OutcomeUnknown;
+    return { kind, std::string(name(error.kind)) + ": " + error.detail, retryAfter };
+}
+
+}
+
+struct StoreConnection::State {
+    explicit State(StoreConnectionSettings connectionSettings)
+        : settings(std::move(connectionSettings))
+        , random(settings.seed)
+    {
+        budget.callsPerSecond = settings.callsPerSecond;
+        budget.refilledAt = monotonicNow();
+        backOff.probeTime = settings.timeout;
+        backOff.longest = settings.longestBackOff;
+    }
+
+    const StoreConnectionSettings settings;
+    mutable std::mutex lock;
+    CallBudget budget;
+    BackOff backOff;
+    std::size_t current = 0;
+    std::mt19937_64 random;
+
+    /// @return the time to wait before the call, or the reason why it may not be made.
+    auto admit() -> StoreResult<Duration>
+    {
+        const std::lock_guard guard(lock);
+        const auto now = monotonicNow();
+        if (settings.endpoints.empty())
+            return StoreError { StoreErrorKind::Unavailable, "no platform address is set" };
+        if (!admitCall(backOff, now))
+            return StoreError { StoreErrorKind::Unavailable, "the platform failed before and is not tried yet", remainingTime(backOff, now) };
+        const auto wait = takeCall(budget, now, longestBudgetWait);
+        if (wait < Duration::zero())
+            return StoreError { StoreErrorKind::OverBudget, "the budget of calls to the platform is used up" };
+        return wait;
+    }
+
+    auto endpoint() const -> HttpEndpoint
+    {
+        const std::lock_guard guard(lock);
+        return settings.endpoints[current % settings.endpoints.size()];
+    }
+
+    auto succeeded() -> void
+    {
+        const std::lock_guard guard(lock);
+        recordSuccess(backOff);
+    }
+
+    auto failed() -> Duration
+    {
+        const std::lock_guard guard(lock);
+        const auto now = monotonicNow();
+        recordFailure(backOff, now, random());
+        ++current;
+        return remainingTime(backOff, now);
+    }
+};
+
+StoreConnection::StoreConnection(StoreConnectionSettings settings)
+    : m_state(std::make_unique<State>(std::move(settings)))
+{
+}
+
+StoreConnection::~StoreConnection() = default;
+
+auto StoreConnection::retryAfter() const -> Duration
+{
+    const std::lock_guard guard(m_state->lock);
+    return remainingTime(m_state->backOff, monotonicNow());
+}
+
+auto StoreConnection::call(HttpClient& client, HttpRequest request, Duration wait) -> asio::awaitable<StoreResult<HttpResponse>>
+{
+    const auto pause = m_state->admit();
+    if (pause.has_error())
+        co_return pause.error();
+    if (*pause > Duration::zero()) {
+        asio::steady_timer timer(co_await asio::this_coro::executor, *pause);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(awaitInto(ignored));
+    }
+    const auto answer = co_await client.request(m_state->endpoint(), std::move(request), m_state->settings.timeout + wait);
+    if (answer.has_error())
+        co_return storeErrorOf(answer.error(), m_state->failed());
+    if (answer->status == statusTooManyRequests || answer->status >= statusServerError) {
+        // The protocol does not say that a failed call had no effect.
+        const auto kind = answer->status == statusTooManyRequests ? StoreErrorKind::Unavailable : StoreErrorKind::OutcomeUnknown;
+        co_return StoreError { kind, "status " + std::to_string(answer->status), m_state->failed() };
+    }
+    m_state->succeeded();
+    co_return *answer;
+}
+
+}
--- /dev/null
+++ b/src/StoreConnection.h
@@ -0,0 +1,50 @@
+#pragma once
+
+/// The calls to the platform's store, whatever their form: a budget of calls a second, a back-off
+/// while the store fails, and typed outcomes. All members are thread-safe; a call runs on the thread
+/// of the client that it is given.
+
+#include "HttpClient.h"
+#include "StoreError.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace jayhold {
+
+struct StoreConnectionSettings {
+    /// Addresses of the store, tried in turn.
+    std::vector<HttpEndpoint> endpoints;
+    /// Longest time for one call that does not wait for changes.
+    Duration timeout = std::chrono::seconds(1);
+    double callsPerSecond = 100;
+    /// Longest pause between two tries while the store fails.
+    Duration longestBackOff = std::chrono::seconds(3);
+    std::uint64_t seed = 1;
+};
+
+class StoreConnection {
+public:
+    explicit StoreConnection(StoreConnectionSettings settings);
+    ~StoreConnection();
+    StoreConnection(const StoreConnection&) = delete;
+    auto operator=(const StoreConnection&) -> StoreConnection& = delete;
+
+    /// Makes a call. Server errors and refusals for too many calls are errors; all other answers are
+    /// the caller's to read.
+    /// @param wait time that the store may hold the call besides the timeout of the settings.
+    auto call(HttpClient& client, HttpRequest request, Duration wait = {}) -> boost::asio::awaitable<StoreResult<HttpResponse>>;
+
+    /// @return the time until the store is tried again; zero while it is not known to be away.
+    auto retryAfter() const -> Duration;
+
+private:
+    struct State;
+
+    std::unique_ptr<State> m_state;
+};
+
+}
--- /dev/null
+++ b/src/StoreDirectory.cpp
@@ -0,0 +1,242 @@
+#include "StoreDirectory.h"
+
+#include "AwaitToken.h"
+#include "SpreadDelay.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+
+#include <algorithm>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// A watch costs one call however long it waits; keep-alive probes find a dead connection sooner.
+constexpr Duration watchTime = std::chrono::seconds(20);
+/// Pause after a failed call, unless the store's back-off asks for more.
+constexpr Duration shortestRetry = std::chrono::milliseconds(200);
+/// Records of instances are written and counted this often; each write costs a call.
+constexpr Duration instanceInterval = std::chrono::seconds(20);
+constexpr Duration firstCountDelay = std::chrono::seconds(2);
+constexpr Duration expiryInterval = std::chrono::milliseconds(100);
+
+auto pause(Duration duration) -> asio::awaitable<void>
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(awaitInto(ignored));
+}
+
+auto stateName(ReplicaState state) -> std::string_view
+{
+    return state == ReplicaState::Live ? "live" : "leaving";
+}
+
+}
+
+StoreDirectory::StoreDirectory(IoThreads& threads, ObjectStore& store, DirectoryFormat format, std::string instance, EventLog& log, DirectoryCallbacks callbacks)
+    : m_threads(threads)
+    , m_store(store)
+    , m_format(std::move(format))
+    , m_instance(std::move(instance))
+    , m_log(log)
+    , m_callbacks(std::move(callbacks))
+{
+}
+
+auto StoreDirectory::start() -> void
+{
+    const auto self = shared_from_this();
+    auto& context = m_threads.context(0);
+    Follower configuration {
+        .kind = m_format.configurationKind,
+        .take = [this](const ItemList& list) { std::ranges::for_each(list.items, [this](const StoredItem& item) { takeConfiguration(item); }); },
+        .change = [this](const ItemChange& change) {
+            if (!change.isDeleted)
+                takeConfiguration(change.item);
+        },
+    };
+    Follower backends {
+        .kind = m_format.backendKind,
+        .take = [this](const ItemList& list) { takeBackends(list); },
+        .change = [this](const ItemChange& change) { takeBackend(change); },
+    };
+    asio::co_spawn(context, follow(std::move(configuration)), asio::detached);
+    asio::co_spawn(context, follow(std::move(backends)), asio::detached);
+    asio::co_spawn(context, announceInstance(), asio::detached);
+    asio::co_spawn(context, countInstances(), asio::detached);
+    asio::co_spawn(context, expireBackends(), asio::detached);
+}
+
+auto StoreDirectory::follow(Follower follower) -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    while (true) {
+        const auto error = co_await followOnce(follower);
+        noteOutcome(follower, error);
+        if (error && error->kind != StoreErrorKind::HistoryGone)
+            co_await pause(spreadDelay(std::max(shortestRetry, error->retryAfter / 2)));
+    }
+}
+
+auto StoreDirectory::followOnce(Follower& follower) -> asio::awaitable<std::optional<StoreError>>
+{
+    auto& client = m_threads.client(0);
+    if (follower.revision == 0) {
+        const auto list = co_await m_store.list(client, follower.kind, ReadMode::Current);
+        if (list.has_error())
+            co_return list.error();
+        storeAnswered(m_directory, monotonicNow());
+        follower.take(*list);
+        follower.revision = list->revision;
+        co_return std::nullopt;
+    }
+    const auto changes = co_await m_store.watch(client, follower.kind, follower.revision, watchTime);
+    if (changes.has_error()) {
+        // Changes may have been missed with the answer; only a list is sure to have them all.
+        follower.revision = 0;
+        co_return changes.error();
+    }
+    storeAnswered(m_directory, monotonicNow());
+    for (const auto& change : changes->changes)
+        follower.change(change);
+    follower.revision = changes->revision;
+    co_return std::nullopt;
+}
+
+auto StoreDirectory::noteOutcome(Follower& follower, const std::optional<StoreError>& error) -> void
+{
+    if (error && error->kind == StoreErrorKind::HistoryGone) {
+        m_log.record(LogLevel::Info, "store_history_gone", { { "kind", follower.kind } });
+        return;
+    }
+    if (error)
+        storeFailed(m_directory, monotonicNow());
+    if (follower.isConnected == !error)
+        return;
+    follower.isConnected = !error;
+    if (error)
+        m_log.record(LogLevel::Warning, "store_lost", { { "kind", follower.kind }, { "detail", error->detail } });
+    else
+        m_log.record(LogLevel::Info, "store_connected", { { "kind", follower.kind }, { "revision", follower.revision } });
+}
+
+auto StoreDirectory::announceInstance() -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    std::int64_t beat = 0;
+    while (true) {
+        boost::json::object value { { "beat", ++beat } };
+        const auto revision = co_await m_store.put(m_threads.client(0), m_format.instanceKind, m_instance, std::move(value));
+        if (revision.has_error())
+            m_log.record(LogLevel::Info, "instance_not_announced", { { "detail", revision.error().detail } });
+        co_await pause(revision.has_error() ? spreadDelay(firstCountDelay) : spreadDelay(instanceInterval));
+    }
+}
+
+auto StoreDirectory::countInstances() -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    auto known = std::uint32_t { 0 };
+    auto interval = firstCountDelay;
+    while (true) {
+        co_await pause(spreadDelay(interval));
+        const auto list = co_await m_store.list(m_threads.client(0), m_format.instanceKind, ReadMode::MayBeStale);
+        if (list.has_error())
+            continue;
+        interval = instanceInterval;
+        const auto now = monotonicNow();
+        for (const auto& item : list->items)
+            noteInstance(m_instances, now, item.name, item.revision);
+        const auto live = liveInstances(m_instances, now);
+        if (live == known)
+            continue;
+        known = live;
+        m_log.record(LogLevel::Info, "instances_counted", { { "live", live } });
+        m_callbacks.instances(live);
+    }
+}
+
+auto StoreDirectory::expireBackends() -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    while (true) {
+        co_await pause(expiryInterval);
+        if (expire(m_directory, monotonicNow()))
+            publishBackends();
+    }
+}
+
+auto StoreDirectory::takeConfiguration(const StoredItem& item) -> void
+{
+    if (item.name != m_format.configurationName)
+        return;
+    auto configuration = m_format.readConfiguration(item);
+    if (!configuration) {
+        m_log.record(LogLevel::Error, "configuration_unreadable", { { "revision", item.revision } });
+        return;
+    }
+    // Versions are only ever applied upwards.
+    if (configuration->version <= m_version)
+        return;
+    m_version = configuration->version;
+    m_log.record(LogLevel::Info, "configuration_in_force", { { "version", m_version }, { "revision", item.revision }, { "routes", configuration->routes.size() } });
+    m_callbacks.configuration(std::make_shared<const Configuration>(std::move(*configuration)));
+}
+
+auto StoreDirectory::takeBackends(const ItemList& list) -> void
+{
+    std::vector<BackendServer> listed;
+    for (const auto& item : list.items) {
+        if (auto server = m_format.readBackend(item))
+            listed.push_back(std::move(*server));
+        else
+            m_log.record(LogLevel::Info, "backend_unreadable", { { "backend", item.name }, { "revision", item.revision } });
+    }
+    replaceAll(m_directory, monotonicNow(), std::move(listed));
+    publishBackends();
+}
+
+auto StoreDirectory::takeBackend(const ItemChange& change) -> void
+{
+    if (change.isDeleted) {
+        remove(m_directory, monotonicNow(), change.item.name);
+    } else if (auto server = m_format.readBackend(change.item)) {
+        upsert(m_directory, std::move(*server));
+    } else {
+        m_log.record(LogLevel::Info, "backend_unreadable", { { "backend", change.item.name }, { "revision", change.item.revision } });
+        return;
+    }
+    publishBackends();
+}
+
+auto StoreDirectory::publishBackends() -> void
+{
+    auto next = servers(m_directory);
+    if (next == m_published)
+        return;
+    logStates(next);
+    m_published = next;
+    m_callbacks.backends(std::move(next));
+}
+
+auto StoreDirectory::logStates(const std::vector<BackendServer>& next) -> void
+{
+    for (const auto& server : next) {
+        const auto before = std::ranges::find(m_published, server.id, &BackendServer::id);
+        if (before != m_published.end() && before->state == server.state && before->incarnation == server.incarnation)
+            continue;
+        m_log.record(LogLevel::Info, "backend_changed", { { "backend", server.id }, { "state", stateName(server.state) }, { "pool", server.pool }, { "address", toString(server.endpoint) }, { "incarnation", server.incarnation } });
+    }
+    for (const auto& server : m_published) {
+        if (std::ranges::find(next, server.id, &BackendServer::id) == next.end())
+            m_log.record(LogLevel::Info, "backend_forgotten", { { "backend", server.id } });
+    }
+}
+
+}
--- /dev/null
+++ b/src/StoreDirectory.h
@@ -0,0 +1,85 @@
+#pragma once
+
+/// Keeps an entry instance's view of the platform's store: the configuration in force, the backend
+/// servers and the number of live instances. Lists are read once and then watched; while the store is
+/// away, what is known stays in use.
+
+#include "BackendDirectory.h"
+#include "Configuration.h"
+#include "EventLog.h"
+#include "InstanceCount.h"
+#include "IoThreads.h"
+#include "ObjectStore.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace jayhold {
+
+/// Where the store keeps what the directory reads, and how it is read.
+struct DirectoryFormat {
+    std::string configurationKind;
+    std::string configurationName;
+    std::string backendKind;
+    std::string instanceKind;
+    /// @return nothing where the object is not a configuration.
+    std::function<std::optional<Configuration>(const StoredItem&)> readConfiguration;
+    /// @return nothing where the object names no backend server.
+    std::function<std::optional<BackendServer>(const StoredItem&)> readBackend;
+};
+
+struct DirectoryCallbacks {
+    std::function<void(std::shared_ptr<const Configuration>)> configuration;
+    std::function<void(std::vector<BackendServer>)> backends;
+    std::function<void(std::uint32_t)> instances;
+};
+
+class StoreDirectory : public std::enable_shared_from_this<StoreDirectory> {
+public:
+    StoreDirectory(IoThreads& threads, ObjectStore& store, DirectoryFormat format, std::string instance, EventLog& log, DirectoryCallbacks callbacks);
+
+    /// Starts the coroutines, which all run on the first I/O thread.
+    auto start() -> void;
+
+private:
+    /// Reads a kind and then its changes, for ever.
+    struct Follower {
+        std::string kind;
+        /// Takes the whole list.
+        std::function<void(const ItemList&)> take;
+        std::function<void(const ItemChange&)> change;
+        /// Where the next watch begins; 0 where the list has to be read.
+        std::int64_t revision = 0;
+        bool isConnected = false;
+    };
+
+    auto follow(Follower follower) -> boost::asio::awaitable<void>;
+    auto followOnce(Follower& follower) -> boost::asio::awaitable<std::optional<StoreError>>;
+    auto noteOutcome(Follower& follower, const std::optional<StoreError>& error) -> void;
+    auto announceInstance() -> boost::asio::awaitable<void>;
+    auto countInstances() -> boost::asio::awaitable<void>;
+    auto expireBackends() -> boost::asio::awaitable<void>;
+
+    auto takeConfiguration(const StoredItem& item) -> void;
+    auto takeBackends(const ItemList& list) -> void;
+    auto takeBackend(const ItemChange& change) -> void;
+    auto publishBackends() -> void;
+    auto logStates(const std::vector<BackendServer>& next) -> void;
+
+    IoThreads& m_threads;
+    ObjectStore& m_store;
+    const DirectoryFormat m_format;
+    const std::string m_instance;
+    EventLog& m_log;
+    const DirectoryCallbacks m_callbacks;
+    std::int64_t m_version = 0;
+    BackendDirectory m_directory;
+    std::vector<BackendServer> m_published;
+    InstanceCount m_instances;
+};
+
+}
--- a/src/StoreError.h
+++ b/src/StoreError.h
@@ -18,6 +18,8 @@
     OutcomeUnknown,
     /// The budget of calls is used up; the call was not made.
     OverBudget,
+    /// The changes since the revision are no longer kept; the objects have to be read anew.
+    HistoryGone,
     /// The answer breaks the protocol; an update may have taken effect.
     MalformedAnswer,
 };
