Tell the other instances what is reserved on the engines

Instances exchange their reservations by datagrams, with addresses from their records in the store. Decode engines of other zones are used when the near ones are a quarter fuller.

Ruled out: load reports of the engines, which lag by 0.9 s and cost a probe each.

--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -1,6 +1,6 @@
 jayhold_library(jayhold_cluster
   UNITS BackendDirectory BackOff CallBudget ClusterCore ClusterDocuments ClusterGossip ClusterNode ConfigurationApply
-    GossipMessage InstanceCount InstanceList Lease LeaseKeeper Membership MembershipOwners MembershipTargets OrderGate PlatformStore
+    GossipMessage InstanceCount InstanceList Lease LeaseKeeper LoadExchange LoadMessage Membership MembershipOwners MembershipTargets OrderGate PeerLoads PlatformStore
     RecordDriver RecordMessages RecordPartition RecordRules RecordService RecordTable Rendezvous SpreadDelay StoreConnection StoreDirectory
     VersionedCopy
   LINK jayhold_http jayhold_operator)
--- a/src/Configuration.cpp
+++ b/src/Configuration.cpp
@@ -89,6 +89,7 @@
         object["max_prompt_tokens"] = service.maxPromptTokens;
         object["max_output_tokens"] = service.maxOutputTokens;
         object["prefill_kept_ms"] = service.prefillKept.count();
+        object["tokens_per_event"] = service.tokensPerEvent;
         object["kv_bytes_per_token"] = service.kvBytesPerToken;
         object["decode_may_prefill"] = service.decodeMayPrefill;
     }
--- a/src/DecisionEvent.h
+++ b/src/DecisionEvent.h
@@ -7,6 +7,7 @@
 #include "DecodeFinished.h"
 #include "DecodeStarted.h"
 #include "DrainStarted.h"
+#include "OthersUse.h"
 #include "PrefillDone.h"
 #include "PrefillFailed.h"
 #include "ReplicaChanged.h"
@@ -32,6 +33,7 @@
     RequestCancelled,
     ReplicaChanged,
     ReplicaLoad,
+    OthersUse,
     CacheEvents,
     SignatureReported,
     DrainStarted,
--- a/src/EntrySettings.h
+++ b/src/EntrySettings.h
@@ -46,6 +46,8 @@
     std::chrono::milliseconds balancerNotice { 2'600 };
     /// Where the balancer asks whether the instance is ready, where that is an address of its own.
     std::optional<HttpEndpoint> readyListen;
+    /// Where other instances tell this one what they have reserved on the engines.
+    std::optional<HttpEndpoint> loadListen;
     /// Where metrics are served, where that is an address of its own.
     std::optional<HttpEndpoint> metricsListen;
     std::uint64_t seed = 1;
--- a/src/InstanceCount.h
+++ b/src/InstanceCount.h
@@ -4,11 +4,14 @@
 /// a pure state machine. An instance that has written nothing for some time is gone; clocks of
 /// different instances are never compared.
 
+#include "HttpEndpoint.h"
 #include "Time.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace jayhold {
 
@@ -17,6 +20,8 @@
         std::int64_t revision = 0;
         /// When this revision was first seen here.
         TimePoint at {};
+        /// Where its peers reach it; absent where its record does not say.
+        std::optional<HttpEndpoint> endpoint;
     };
 
     /// Three missed writes.
@@ -25,9 +30,12 @@
 };
 
 /// An instance's record was read.
-auto noteInstance(InstanceCount& count, TimePoint now, const std::string& name, std::int64_t revision) -> void;
+auto noteInstance(InstanceCount& count, TimePoint now, const std::string& name, std::int64_t revision, std::optional<HttpEndpoint> endpoint = {}) -> void;
 
 /// @return live instances, this one included, which is at least 1.
-auto liveInstances(InstanceCount& count, TimePoint now) -> std::uint32_t;
+auto liveInstances(const InstanceCount& count, TimePoint now) -> std::uint32_t;
+
+/// @return the addresses of live instances.
+auto liveEndpoints(const InstanceCount& count, TimePoint now) -> std::vector<HttpEndpoint>;
 
 }
--- /dev/null
+++ b/src/LoadMessage.cpp
@@ -0,0 +1,72 @@
+#include "LoadMessage.h"
+
+#include "JsonFields.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace jayhold {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t useFields = 4;
+
+auto readCount(const json::value& value, std::uint32_t& count) -> bool
+{
+    boost::system::error_code code;
+    count = value.to_number<std::uint32_t>(code);
+    return !code;
+}
+
+auto readUse(const json::value& value) -> std::optional<BackendUse>
+{
+    const auto* fields = value.if_array();
+    if (!fields || fields->size() != useFields || !(*fields)[0].is_string())
+        return std::nullopt;
+    BackendUse use;
+    use.backend = (*fields)[0].get_string();
+    if (!readCount((*fields)[1], use.seats) || !readCount((*fields)[2], use.pieces) || !readCount((*fields)[3], use.prefillTokens))
+        return std::nullopt;
+    return use;
+}
+
+}
+
+auto printLoadMessage(const LoadMessage& message) -> std::string
+{
+    json::array uses;
+    for (const auto& use : message.uses)
+        uses.push_back(json::array { use.backend, use.seats, use.pieces, use.prefillTokens });
+    const json::object object {
+        { "instance", message.instance },
+        { "run", message.run },
+        { "sequence", message.sequence },
+        { "uses", std::move(uses) },
+    };
+    return json::serialize(object);
+}
+
+auto parseLoadMessage(std::string_view text) -> std::optional<LoadMessage>
+{
+    boost::system::error_code code;
+    const auto value = json::parse(text, code);
+    const auto* object = code ? nullptr : value.if_object();
+    LoadMessage message;
+    if (!object || !readText(*object, "instance", message.instance) || !readText(*object, "run", message.run) || !readNumber(*object, "sequence", message.sequence))
+        return std::nullopt;
+    const auto* uses = arrayField(*object, "uses");
+    if (!uses)
+        return std::nullopt;
+    for (const auto& element : *uses) {
+        auto use = readUse(element);
+        if (!use)
+            return std::nullopt;
+        message.uses.push_back(std::move(*use));
+    }
+    return message;
+}
+
+}
--- /dev/null
+++ b/src/LoadMessage.h
@@ -0,0 +1,30 @@
+#pragma once
+
+/// What an entry instance tells the others of its reservations.
+
+#include "BackendUse.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jayhold {
+
+struct LoadMessage {
+    std::string instance;
+    /// Tells two runs of the instance's process apart.
+    std::string run;
+    /// Rises with each message of a run.
+    std::uint64_t sequence = 0;
+    std::vector<BackendUse> uses;
+};
+
+/// @return the message as JSON.
+auto printLoadMessage(const LoadMessage& message) -> std::string;
+
+/// @return nothing where the text is not a message.
+auto parseLoadMessage(std::string_view text) -> std::optional<LoadMessage>;
+
+}
--- a/src/LoadReports.cpp
+++ b/src/LoadReports.cpp
@@ -109,6 +109,18 @@
 
 }
 
+auto handle(DecisionContext& context, const OthersUse& event) -> void
+{
+    for (auto& [id, replica] : context.state.replicas) {
+        const auto use = std::find_if(event.uses.begin(), event.uses.end(), [&](const ReplicaUse& told) { return told.replica == id; });
+        const auto known = use == event.uses.end() ? ReplicaUse {} : *use;
+        replica.othersSeats = known.seats;
+        replica.othersPieces = known.pieces;
+        replica.othersPrefillTokens = known.prefillTokens;
+        updateIndex(context, replica);
+    }
+}
+
 auto handle(DecisionContext& context, const ReplicaLoad& event) -> void
 {
     auto* replica = findReplica(context.state, event.replica);
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -98,6 +98,7 @@
     , m_tasks(std::make_unique<Tasks>(exchange.executor()))
     , m_writer(makeWriter(exchange, m_info, context))
     , m_timeouts(timeoutsOf(m_info, context))
+    , m_tokensPerEvent(m_service->tokensPerEvent())
     , m_relay(*m_writer, m_machine, m_service->metrics(), m_timeouts, m_info.arrivedAt, sequenceOf(m_info, context))
     , m_promptTokens(m_info.digest.tokens)
 {
@@ -276,7 +277,7 @@
     if (!m_machine.apply(RequestStep::DecodeFailed))
         co_return;
     noteFailure("decode", *ended.outcome.error);
-    m_service->feed(DecodeFailed { m_id, m_attempt, ended.outcome.error->failure, m_relay.tokens() });
+    m_service->feed(DecodeFailed { m_id, m_attempt, ended.outcome.error->failure, tokensSent() });
 }
 
 auto ModelRequest::finish() -> asio::awaitable<void>
@@ -285,7 +286,7 @@
         co_return;
     m_isOver = true;
     // The engine has ended the request, so its seat is free whether or not the caller takes the rest.
-    m_service->feed(DecodeFinished { m_id, m_attempt, m_relay.tokens() });
+    m_service->feed(DecodeFinished { m_id, m_attempt, tokensSent() });
     const auto* reason = m_relay.tokens() >= m_info.request.maxTokens ? "length" : "stop";
     const auto isSent = co_await m_writer->finish(reason, usage());
     m_service->metrics().finished.fetch_add(1, std::memory_order_relaxed);
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -79,6 +79,8 @@
     /// Frees the prefill result where no decode has fetched it.
     auto dropPrefill() -> void;
     auto usage() const -> CompletionUsage;
+    /// @return tokens that the caller has, as the decision code counts them.
+    auto tokensSent() const -> std::uint32_t { return m_relay.tokens() * m_tokensPerEvent; }
 
     EntryContext& m_context;
     const std::shared_ptr<ModelService> m_service;
@@ -88,6 +90,7 @@
     RequestMachine m_machine;
     const std::unique_ptr<AnswerWriter> m_writer;
     const EntryTimeouts m_timeouts;
+    const std::uint32_t m_tokensPerEvent;
     DecodeRelay m_relay;
     RequestId m_id {};
     Attempt m_attempt = 0;
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -86,7 +86,7 @@
             noteFirstToken(resumedFrom);
             m_service->feed(DecodeStarted { m_id, m_attempt });
         },
-        [this](std::uint32_t total) { m_service->feed(TokensEmitted { m_id, m_attempt, total }); },
+        [this](std::uint32_t total) { m_service->feed(TokensEmitted { m_id, m_attempt, total * m_tokensPerEvent }); },
     };
     const auto reader = m_context.backends.makeEventReader();
     auto outcome = co_await m_relay.run(stream, *reader, std::move(observer));
--- a/src/ModelService.cpp
+++ b/src/ModelService.cpp
@@ -62,6 +62,7 @@
     , m_pools(service.pools)
     , m_zones(zoneNames(index))
     , m_prefillKept(service.prefillKept)
+    , m_tokensPerEvent(static_cast<std::uint32_t>(service.tokensPerEvent))
     , m_shardSettings(shardSettingsOf(context, index, service, {}))
     , m_shard(makeShard(m_shardSettings))
 {
@@ -78,6 +79,7 @@
         m_pools = service.pools;
         m_zones = zoneNames(index);
         m_prefillKept = service.prefillKept;
+        m_tokensPerEvent = static_cast<std::uint32_t>(service.tokensPerEvent);
         m_shardSettings = shardSettingsOf(m_context, index, service, std::move(m_shardSettings.kinds));
         m_shardSettings.sharingInstances = sharing;
         jayhold::updateSettings(m_shard, m_shardSettings);
@@ -184,6 +186,12 @@
     return m_prefillKept;
 }
 
+auto ModelService::tokensPerEvent() const -> std::uint32_t
+{
+    const std::lock_guard guard(m_lock);
+    return m_tokensPerEvent;
+}
+
 auto ModelService::open(RequestArrived arrived, const std::shared_ptr<ActionReceiver>& receiver) -> RequestId
 {
     Outbox outbox;
@@ -256,6 +264,32 @@
     return summarize(m_shard);
 }
 
+auto ModelService::use() const -> std::vector<BackendUse>
+{
+    std::vector<BackendUse> uses;
+    const std::lock_guard guard(m_lock);
+    for (const auto& own : ownUse(m_shard)) {
+        if (const auto known = m_replicas.find(own.replica); known != m_replicas.end())
+            uses.push_back({ known->second.backend.id, own.seats, own.pieces, own.prefillTokens });
+    }
+    return uses;
+}
+
+auto ModelService::updateOthersUse(std::span<const BackendUse> uses) -> void
+{
+    OthersUse event;
+    Outbox outbox;
+    {
+        const std::lock_guard guard(m_lock);
+        for (const auto& use : uses) {
+            if (const auto known = m_replicaIds.find(use.backend); known != m_replicaIds.end())
+                event.uses.push_back({ known->second, use.seats, use.pieces, use.prefillTokens });
+        }
+        decideLocked(event, outbox);
+    }
+    send(std::move(outbox));
+}
+
 auto ModelService::isExpected(ReplicaId replica, std::string_view engineRequestId) const -> bool
 {
     const auto named = attemptOf(engineRequestId);
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -5,6 +5,7 @@
 /// are delivered to the requests they concern.
 
 #include "ActionReceiver.h"
+#include "BackendUse.h"
 #include "ConfigurationIndex.h"
 #include "DecisionEvent.h"
 #include "EntryContext.h"
@@ -53,6 +54,8 @@
     auto kindId(std::string_view kind) const -> KindId;
     /// @return how long prefill engines keep their results.
     auto prefillKept() const -> Duration;
+    /// @return tokens that one event of a stream carries.
+    auto tokensPerEvent() const -> std::uint32_t;
 
     /// Admits a request to the shard.
     /// @param arrived the request; its identifier is assigned here.
@@ -69,6 +72,11 @@
     auto replicas() const -> std::vector<ReplicaStatus>;
     auto summary() const -> ShardSummary;
 
+    /// @return what this instance has reserved.
+    auto use() const -> std::vector<BackendUse>;
+    /// Takes what all other instances have reserved; backend servers of other services are ignored.
+    auto updateOthersUse(std::span<const BackendUse> uses) -> void;
+
     /// @return the name under which an attempt is known at the engines.
     auto engineRequestId(RequestId request, Attempt attempt) const -> std::string;
     /// @return whether an engine may hold memory for this attempt of an open request.
@@ -130,6 +138,7 @@
     std::vector<Pool> m_pools;
     std::vector<std::string> m_zones;
     Duration m_prefillKept;
+    std::uint32_t m_tokensPerEvent;
     ShardSettings m_shardSettings;
     Shard m_shard;
     std::vector<DecisionAction> m_actions;
--- /dev/null
+++ b/src/PeerLoads.cpp
@@ -0,0 +1,37 @@
+#include "PeerLoads.h"
+
+namespace jayhold {
+
+auto takeMessage(PeerLoads& loads, TimePoint now, LoadMessage message) -> bool
+{
+    auto& told = loads.instances[message.instance];
+    if (told.run == message.run && told.sequence >= message.sequence)
+        return false;
+    told = { std::move(message.run), message.sequence, now, std::move(message.uses) };
+    return true;
+}
+
+auto dropSilent(PeerLoads& loads, TimePoint now) -> bool
+{
+    return std::erase_if(loads.instances, [&](const auto& entry) { return now - entry.second.at >= loads.lifetime; }) > 0;
+}
+
+auto totalUse(const PeerLoads& loads) -> std::vector<BackendUse>
+{
+    std::map<std::string, BackendUse> sums;
+    for (const auto& [instance, told] : loads.instances) {
+        for (const auto& use : told.uses) {
+            auto& sum = sums[use.backend];
+            sum.backend = use.backend;
+            sum.seats += use.seats;
+            sum.pieces += use.pieces;
+            sum.prefillTokens += use.prefillTokens;
+        }
+    }
+    std::vector<BackendUse> list;
+    for (auto& [backend, sum] : sums)
+        list.push_back(std::move(sum));
+    return list;
+}
+
+}
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -3,6 +3,7 @@
 #include "Forecast.h"
 #include "Ledger.h"
 #include "PrefillChoice.h"
+#include "ReplicaIndex.h"
 #include "ZoneSearch.h"
 
 #include <algorithm>
@@ -14,6 +15,10 @@
 /// A transfer may wait this long for the link; longer, and the result could expire.
 constexpr double longestLinkSeconds = 0.4;
 
+/// A decode replica in another zone must have this much less load, in parts of its seats or memory: a
+/// full one decodes slowly and turns work away, and a transfer between zones costs little more time.
+constexpr std::uint64_t otherZoneLoad = loadScale / 4;
+
 auto linkHasShare(const Replica& replica, std::uint64_t bytes) -> bool
 {
     const auto rate = static_cast<double>(replica.description.linkBytesPerSecond);
@@ -71,12 +76,14 @@
     };
     const auto local = context.state.settings.localZone;
     // The transfer stays within a zone where it can.
-    if (auto* replica = firstInZone(context, PoolRole::Decode, prefillZone, request, fits))
-        return replica;
-    if (auto* replica = firstInZone(context, PoolRole::Decode, local, request, fits))
-        return replica;
-    if (auto* replica = firstElsewhere(context, PoolRole::Decode, { prefillZone, local }, request, fits))
-        return replica;
+    auto* near = firstInZone(context, PoolRole::Decode, prefillZone, request, fits);
+    if (!near)
+        near = firstInZone(context, PoolRole::Decode, local, request, fits);
+    auto* far = firstElsewhere(context, PoolRole::Decode, { prefillZone, local }, request, fits);
+    if (near && far)
+        return decodeLoad(*near) > decodeLoad(*far) + otherZoneLoad ? far : near;
+    if (near || far)
+        return near ? near : far;
     return avoidedIfFits(context, PoolRole::Decode, request, fits);
 }
 
@@ -108,7 +115,7 @@
 auto isSlowerThanOwnPrefill(const ShardState& state, const ActiveRequest& request, const Replica& prefill) -> bool
 {
     const std::uint64_t own = request.arrival.promptTokens;
-    return prefillTime(state, prefill.reserved.prefillTokens + own) > prefillTime(state, own) * (ownPrefillFactor + 1);
+    return prefillTime(state, std::uint64_t { prefill.reserved.prefillTokens } + prefill.othersPrefillTokens + own) > prefillTime(state, own) * (ownPrefillFactor + 1);
 }
 
 auto prefersOwnPrefill(const ShardState& state, const ActiveRequest& request, const Replica* prefill) -> bool
--- a/src/PrefillChoice.cpp
+++ b/src/PrefillChoice.cpp
@@ -68,7 +68,7 @@
         const auto id = replica.description.replica;
         const std::uint64_t own = m_request.arrival.promptTokens - expectedCachedTokens(state, m_request, id);
         const auto avoided = m_request.avoid == id ? avoidedCost : Duration::zero();
-        return prefillTime(state, replica.reserved.prefillTokens + own) + zoneCost(state, replica.description.zone) + avoided;
+        return prefillTime(state, std::uint64_t { replica.reserved.prefillTokens } + replica.othersPrefillTokens + own) + zoneCost(state, replica.description.zone) + avoided;
     }
 
     DecisionContext& m_context;
--- a/src/Replica.h
+++ b/src/Replica.h
@@ -25,9 +25,11 @@
     /// Requests of this shard with a reservation here.
     std::vector<RequestId> owners;
 
-    /// Use by others, estimated from the last load report.
+    /// Use by others, as they tell it or estimated from the last load report.
     std::uint32_t othersSeats = 0;
     std::uint32_t othersPieces = 0;
+    /// Prompt tokens of others that wait for or are in their prefill here, where they tell.
+    std::uint32_t othersPrefillTokens = 0;
     std::uint64_t reportSequence = 0;
     TimePoint reportAsOf = TimePoint::min();
     EngineUses endedUses;
--- a/src/ReplicaIndex.cpp
+++ b/src/ReplicaIndex.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// Load in units fine enough that small differences in free memory still order replicas.
-constexpr std::uint64_t loadScale = 1'024;
 constexpr int tieBits = 16;
 /// Taken for the prompt of another instance's prefill, of which only the number is known.
 constexpr std::uint64_t othersPrefillTokens = 2'000;
@@ -19,17 +17,10 @@
     return total ? used * loadScale / total : 0;
 }
 
-auto decodeLoad(const Replica& replica) -> std::uint64_t
-{
-    const auto& description = replica.description;
-    const auto seats = usedPart(std::uint64_t { replica.reserved.seats } + replica.othersSeats, description.seats);
-    const auto pieces = usedPart(std::uint64_t { replica.reserved.pieces } + replica.othersPieces, description.memoryPieces);
-    return std::max(seats, pieces);
-}
-
 auto prefillLoad(const Replica& replica) -> std::uint64_t
 {
-    return replica.reserved.prefillTokens + std::uint64_t { replica.othersSeats } * othersPrefillTokens;
+    const auto others = replica.othersPrefillTokens ? std::uint64_t { replica.othersPrefillTokens } : std::uint64_t { replica.othersSeats } * othersPrefillTokens;
+    return replica.reserved.prefillTokens + others;
 }
 
 /// Orders replicas of equal load differently on each instance, so that instances that see the same
@@ -78,6 +69,14 @@
 
 }
 
+auto decodeLoad(const Replica& replica) -> std::uint64_t
+{
+    const auto& description = replica.description;
+    const auto seats = usedPart(std::uint64_t { replica.reserved.seats } + replica.othersSeats, description.seats);
+    const auto pieces = usedPart(std::uint64_t { replica.reserved.pieces } + replica.othersPieces, description.memoryPieces);
+    return std::max(seats, pieces);
+}
+
 auto acceptsWork(const Replica& replica, TimePoint now) -> bool
 {
     return replica.description.state == ReplicaState::Live
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -3,6 +3,7 @@
 #include "AwaitToken.h"
 #include "ForwardApi.h"
 #include "HttpServer.h"
+#include "LoadExchange.h"
 #include "RecordsUnavailable.h"
 #include "ServiceTable.h"
 
@@ -10,6 +11,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <random>
+
 namespace jayhold {
 
 namespace asio = boost::asio;
@@ -23,8 +26,10 @@
 constexpr Duration backendSilenceLimit = std::chrono::seconds(2);
 /// Callers are served over links that lose packets; they give up a stream after some seconds.
 constexpr Duration callerSilenceLimit = std::chrono::seconds(5);
-/// Backend servers that name no time of their own close idle connections after less than a second.
+/// Backend servers name the time after which they close idle connections; this only bounds it.
 constexpr Duration backendIdleTime = std::chrono::seconds(20);
+/// A backend server of a plain service has few slots, and all instances share its connections.
+constexpr std::size_t idlePerBackend = 8;
 constexpr auto drainCheckInterval = std::chrono::milliseconds(20);
 /// Part of the time to shut down that is kept for the end of the process itself.
 constexpr int drainReservePart = 8;
@@ -37,6 +42,7 @@
     settings.connectTimeout = connectTimeout;
     settings.silenceLimit = backendSilenceLimit;
     settings.idleTime = backendIdleTime;
+    settings.idlePerEndpoint = idlePerBackend;
     return settings;
 }
 
@@ -52,6 +58,13 @@
     return settings;
 }
 
+/// Tells the runs of an instance apart; the time of day may jump, so it is not the only part.
+auto uniqueRunId() -> std::string
+{
+    std::random_device random;
+    return std::to_string(random()) + "-" + std::to_string(std::chrono::system_clock::now().time_since_epoch().count());
+}
+
 auto pause(asio::steady_timer& timer, Duration duration) -> asio::awaitable<void>
 {
     timer.expires_after(duration);
@@ -72,6 +85,7 @@
         , api(context, services)
     {
         log.setLowest(settings.logLevel);
+        context.runId = uniqueRunId();
     }
 
     ~State()
@@ -100,12 +114,29 @@
                 context.knowsBackends = !backends.empty();
                 services.updateBackends(std::move(backends));
             },
-            .instances = [this](std::uint32_t count) { services.updateSharing(count); },
+            .instances = [this](std::uint32_t count, std::vector<HttpEndpoint> peers) {
+                services.updateSharing(count);
+                if (exchange)
+                    exchange->updatePeers(std::move(peers));
+            },
         };
-        directory = std::make_shared<StoreDirectory>(threads, *parts.store, parts.directory, settings.instance, log, std::move(callbacks));
+        if (settings.loadListen)
+            startExchange(*settings.loadListen);
+        const auto peerEndpoint = exchange ? std::optional(exchange->endpoint()) : std::nullopt;
+        directory = std::make_shared<StoreDirectory>(threads, *parts.store, parts.directory, settings.instance, peerEndpoint, log, std::move(callbacks));
         directory->start();
     }
 
+    auto startExchange(const HttpEndpoint& endpoint) -> void
+    {
+        LoadExchangeCallbacks callbacks {
+            .own = [this] { return services.use(); },
+            .others = [this](const std::vector<BackendUse>& uses) { services.updateOthersUse(uses); },
+        };
+        exchange = std::make_shared<LoadExchange>(threads, endpoint, settings.instance, context.runId, log, std::move(callbacks));
+        exchange->start();
+    }
+
     auto isReady() const -> bool { return !context.isDraining && context.knowsBackends && services.index(); }
 
     auto answerReady(HttpExchange& exchange) -> asio::awaitable<void>
@@ -157,6 +188,7 @@
     RecordsUnavailable records;
     ServiceTable services;
     ForwardApi api;
+    std::shared_ptr<LoadExchange> exchange;
     std::shared_ptr<StoreDirectory> directory;
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> readyServer;
--- a/src/Service.h
+++ b/src/Service.h
@@ -27,6 +27,8 @@
     std::int64_t maxOutputTokens = 4'096;
     /// How long a prefill engine keeps its result.
     std::chrono::milliseconds prefillKept { 1'000 };
+    /// Tokens that one event of a stream carries, where the service's streams pass unchanged.
+    std::int64_t tokensPerEvent = 1;
     /// Bytes of KV cache for one prompt token.
     std::int64_t kvBytesPerToken = 131'072;
     /// Whether decode engines may prefill by themselves, where no prefill engine can do it in time.
--- a/src/ServiceTable.cpp
+++ b/src/ServiceTable.cpp
@@ -1,5 +1,8 @@
 #include "ServiceTable.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace jayhold {
 
 ServiceTable::ServiceTable(EntryContext& context, AtMostOnceRecords& records, EngineMonitor::OwnerCheck isAbandonedOwner)
@@ -93,6 +96,22 @@
         plain->updateSharing(sharing);
 }
 
+auto ServiceTable::use() const -> std::vector<BackendUse>
+{
+    std::vector<BackendUse> uses;
+    for (const auto& service : models()) {
+        auto own = service->use();
+        std::ranges::move(own, std::back_inserter(uses));
+    }
+    return uses;
+}
+
+auto ServiceTable::updateOthersUse(std::span<const BackendUse> uses) -> void
+{
+    for (const auto& service : models())
+        service->updateOthersUse(uses);
+}
+
 auto ServiceTable::noteSignature(std::uint64_t signature) -> void
 {
     for (const auto& service : models())
--- a/src/ServiceTable.h
+++ b/src/ServiceTable.h
@@ -23,6 +23,10 @@
     auto updateConfiguration(std::shared_ptr<const Configuration> configuration) -> void;
     auto updateBackends(std::vector<BackendServer> backends) -> void;
     auto updateSharing(std::uint32_t sharing) -> void;
+    /// @return what this instance has reserved on the engines of all model services.
+    auto use() const -> std::vector<BackendUse>;
+    /// Takes what all other instances have reserved.
+    auto updateOthersUse(std::span<const BackendUse> uses) -> void;
     auto noteSignature(std::uint64_t signature) -> void;
     /// Lets the shards refuse what has not started.
     auto startDraining() -> void;
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -91,6 +91,17 @@
     shard.state->settings = std::move(settings);
 }
 
+auto ownUse(const Shard& shard) -> std::vector<ReplicaUse>
+{
+    std::vector<ReplicaUse> uses;
+    for (const auto& [id, replica] : shard.state->replicas) {
+        const auto& reserved = replica.reserved;
+        if (!reserved.empty())
+            uses.push_back({ id, reserved.seats, reserved.pieces, reserved.prefillTokens });
+    }
+    return uses;
+}
+
 auto summarize(const Shard& shard) -> ShardSummary
 {
     const auto& state = *shard.state;
--- a/src/Shard.h
+++ b/src/Shard.h
@@ -6,6 +6,7 @@
 
 #include "DecisionAction.h"
 #include "DecisionEvent.h"
+#include "ReplicaUse.h"
 #include "ShardSettings.h"
 #include "Time.h"
 
@@ -31,6 +32,9 @@
 /// @param now never goes back between calls.
 auto decide(Shard& shard, TimePoint now, const DecisionEvent& event, std::vector<DecisionAction>& actions) -> void;
 
+/// @return what the shard has reserved on each replica that it uses.
+auto ownUse(const Shard& shard) -> std::vector<ReplicaUse>;
+
 /// Replaces the settings after a change of configuration; requests in the shard keep their targets.
 auto updateSettings(Shard& shard, ShardSettings settings) -> void;
 
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -1,6 +1,7 @@
 #include "StoreDirectory.h"
 
 #include "AwaitToken.h"
+#include "JsonFields.h"
 #include "SpreadDelay.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -32,6 +33,15 @@
     co_await timer.async_wait(awaitInto(ignored));
 }
 
+auto endpointOf(const StoredItem& item) -> std::optional<HttpEndpoint>
+{
+    const auto* object = item.value.if_object();
+    std::string address;
+    if (!object || !readText(*object, "address", address))
+        return std::nullopt;
+    return parseHttpEndpoint(address);
+}
+
 auto stateName(ReplicaState state) -> std::string_view
 {
     return state == ReplicaState::Live ? "live" : "leaving";
@@ -39,11 +49,12 @@
 
 }
 
-StoreDirectory::StoreDirectory(IoThreads& threads, ObjectStore& store, DirectoryFormat format, std::string instance, EventLog& log, DirectoryCallbacks callbacks)
+StoreDirectory::StoreDirectory(IoThreads& threads, ObjectStore& store, DirectoryFormat format, std::string instance, std::optional<HttpEndpoint> peerEndpoint, EventLog& log, DirectoryCallbacks callbacks)
     : m_threads(threads)
     , m_store(store)
     , m_format(std::move(format))
     , m_instance(std::move(instance))
+    , m_peerEndpoint(std::move(peerEndpoint))
     , m_log(log)
     , m_callbacks(std::move(callbacks))
 {
@@ -132,6 +143,8 @@
     std::int64_t beat = 0;
     while (true) {
         boost::json::object value { { "beat", ++beat } };
+        if (m_peerEndpoint)
+            value["address"] = toString(*m_peerEndpoint);
         const auto revision = co_await m_store.put(m_threads.client(0), m_format.instanceKind, m_instance, std::move(value));
         if (revision.has_error())
             m_log.record(LogLevel::Info, "instance_not_announced", { { "detail", revision.error().detail } });
@@ -152,13 +165,12 @@
         interval = instanceInterval;
         const auto now = monotonicNow();
         for (const auto& item : list->items)
-            noteInstance(m_instances, now, item.name, item.revision);
+            noteInstance(m_instances, now, item.name, item.revision, endpointOf(item));
         const auto live = liveInstances(m_instances, now);
-        if (live == known)
-            continue;
+        if (live != known)
+            m_log.record(LogLevel::Info, "instances_counted", { { "live", live } });
         known = live;
-        m_log.record(LogLevel::Info, "instances_counted", { { "live", live } });
-        m_callbacks.instances(live);
+        m_callbacks.instances(live, liveEndpoints(m_instances, now));
     }
 }
 
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -35,12 +35,14 @@
 struct DirectoryCallbacks {
     std::function<void(std::shared_ptr<const Configuration>)> configuration;
     std::function<void(std::vector<BackendServer>)> backends;
-    std::function<void(std::uint32_t)> instances;
+    /// Gets the number of live instances, this one included, and the addresses of those that gave one.
+    std::function<void(std::uint32_t, std::vector<HttpEndpoint>)> instances;
 };
 
 class StoreDirectory : public std::enable_shared_from_this<StoreDirectory> {
 public:
-    StoreDirectory(IoThreads& threads, ObjectStore& store, DirectoryFormat format, std::string instance, EventLog& log, DirectoryCallbacks callbacks);
+    /// @param peerEndpoint where other instances reach this one.
+    StoreDirectory(IoThreads& threads, ObjectStore& store, DirectoryFormat format, std::string instance, std::optional<HttpEndpoint> peerEndpoint, EventLog& log, DirectoryCallbacks callbacks);
 
     /// Starts the coroutines, which all run on the first I/O thread.
     auto start() -> void;
@@ -74,6 +76,7 @@
     ObjectStore& m_store;
     const DirectoryFormat m_format;
     const std::string m_instance;
+    const std::optional<HttpEndpoint> m_peerEndpoint;
     EventLog& m_log;
     const DirectoryCallbacks m_callbacks;
     std::int64_t m_version = 0;
