Refuse requests whose callers will have left, and reserve memory for the median answer

Cause: callers leave a stream after a gap of some seconds, and requests waited past it; the memory reserved for each request was that of the longest twentieth, so a third of the engines' memory stayed unused at the bursts.

--- a/src/Configuration.cpp
+++ b/src/Configuration.cpp
@@ -55,6 +55,7 @@
         { "first_token_ms", kind.firstToken.count() },
         { "token_gap_ms", kind.tokenGap.count() },
         { "deadline_ms", kind.deadline.count() },
+        { "patience_ms", kind.patience.count() },
         { "repeatable", kind.repeatable },
         { "max_attempts", kind.maxAttempts },
         { "recorded", kind.recorded },
@@ -91,6 +92,7 @@
         object["prefill_kept_ms"] = service.prefillKept.count();
         object["tokens_per_event"] = service.tokensPerEvent;
         object["kv_bytes_per_token"] = service.kvBytesPerToken;
+        object["memory_quantile"] = service.memoryQuantile;
         object["decode_may_prefill"] = service.decodeMayPrefill;
     }
     object["retry"] = json::object {
--- a/src/ConfigurationParser.cpp
+++ b/src/ConfigurationParser.cpp
@@ -14,6 +14,7 @@
 constexpr NumberRange burstRange { 0, 1'000'000 };
 constexpr NumberRange fraction { 0, 1 };
 constexpr NumberRange seatRange { 1, 100'000 };
+constexpr NumberRange patienceRange { 0, 86'400'000 };
 constexpr NumberRange attemptRange { 1, 100 };
 constexpr NumberRange milliseconds { 1, 86'400'000 };
 
@@ -110,6 +111,8 @@
     BOOST_LEAF_ASSIGN(kind.firstToken, readMilliseconds(reader, "first_token_ms", kind.firstToken));
     BOOST_LEAF_ASSIGN(kind.tokenGap, readMilliseconds(reader, "token_gap_ms", kind.tokenGap));
     BOOST_LEAF_ASSIGN(kind.deadline, readMilliseconds(reader, "deadline_ms", kind.deadline));
+    BOOST_LEAF_AUTO(patience, reader.integer("patience_ms", patienceRange, kind.patience.count()));
+    kind.patience = std::chrono::milliseconds(patience);
     BOOST_LEAF_ASSIGN(kind.repeatable, reader.boolean("repeatable", kind.repeatable));
     BOOST_LEAF_ASSIGN(kind.maxAttempts, reader.integer("max_attempts", attemptRange, kind.maxAttempts));
     BOOST_LEAF_ASSIGN(kind.recorded, reader.boolean("recorded", kind.recorded));
@@ -179,6 +182,7 @@
         BOOST_LEAF_ASSIGN(service.prefillKept, readMilliseconds(reader, "prefill_kept_ms", service.prefillKept));
         BOOST_LEAF_ASSIGN(service.tokensPerEvent, reader.integer("tokens_per_event", positive, service.tokensPerEvent));
         BOOST_LEAF_ASSIGN(service.kvBytesPerToken, reader.integer("kv_bytes_per_token", positive, service.kvBytesPerToken));
+        BOOST_LEAF_ASSIGN(service.memoryQuantile, reader.number("memory_quantile", fraction, service.memoryQuantile));
         BOOST_LEAF_ASSIGN(service.decodeMayPrefill, reader.boolean("decode_may_prefill", service.decodeMayPrefill));
     }
     BOOST_LEAF_ASSIGN(service.retry, readRetry(reader));
--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -42,7 +42,11 @@
 auto latestStart(const ShardState& state, const ActiveRequest& request) -> TimePoint
 {
     const auto decode = Duration(static_cast<Duration::rep>(leastTokensLeft(state, request) * 1e6 / state.rates.tokensPerSecond.value()));
-    return request.arrival.deadline - timeToFirstToken(state, request) - decode;
+    const auto beforeDeadline = request.arrival.deadline - timeToFirstToken(state, request) - decode;
+    const auto patience = std::chrono::duration_cast<Duration>(kindOf(state, request).patience);
+    if (patience <= Duration::zero() || request.lane == QueueLane::Resume)
+        return beforeDeadline;
+    return std::min(beforeDeadline, request.arrivedAt + patience - timeToFirstToken(state, request));
 }
 
 auto expectedWait(const DecisionContext& context, const ActiveRequest& request) -> Duration
--- a/src/Forecast.cpp
+++ b/src/Forecast.cpp
@@ -10,7 +10,6 @@
 /// The median serves most requests; with the weight on wasted prefill the guess is safer.
 constexpr double lowestLengthQuantile = 0.5;
 constexpr double lengthQuantileRange = 0.4;
-constexpr double memoryQuantile = 0.95;
 /// Part of the time a result is kept that may be spent on waiting for a seat.
 constexpr double keptPartForSeat = 0.5;
 /// A new forecast is made after this many more tokens, or an eighth of those emitted.
@@ -67,7 +66,7 @@
 
 auto reservedTokens(const ShardState& state, const ActiveRequest& request) -> std::uint64_t
 {
-    return std::uint64_t { request.arrival.promptTokens } + lengths(state, request).quantile(memoryQuantile, request.emitted, request.arrival.maxTokens);
+    return std::uint64_t { request.arrival.promptTokens } + lengths(state, request).quantile(state.settings.memoryQuantile, request.emitted, request.arrival.maxTokens);
 }
 
 auto updateExpectedEnd(DecisionContext& context, ActiveRequest& request) -> void
--- a/src/ModelService.cpp
+++ b/src/ModelService.cpp
@@ -35,6 +35,7 @@
     settings.wastedPrefillWeight = service.wastedPrefillWeight;
     settings.kinds = mergeKinds(std::move(knownKinds), service.kinds);
     settings.kvBytesPerToken = static_cast<std::uint64_t>(service.kvBytesPerToken);
+    settings.memoryQuantile = service.memoryQuantile;
     settings.decodeMayPrefill = service.decodeMayPrefill;
     settings.retry = service.retry;
     for (const auto& customer : index.configuration().customers) {
--- a/src/RequestKind.h
+++ b/src/RequestKind.h
@@ -20,6 +20,9 @@
     std::chrono::milliseconds tokenGap { 37 };
     /// Time after which an answer is of no use; measured from arrival.
     std::chrono::milliseconds deadline { 60'000 };
+    /// Longest time without a token, also before the first, after which callers leave; zero where they
+    /// wait until the deadline.
+    std::chrono::milliseconds patience { 0 };
     /// Whether a call may run more than once. Calls that may not need an idempotency key.
     bool repeatable = true;
     /// Most backend servers on which one request may run.
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -58,6 +58,16 @@
     return settings;
 }
 
+/// Sets what the platform's configuration leaves to the router.
+auto applyForwardingPolicy(Configuration& configuration) -> void
+{
+    constexpr double medianLength = 0.5;
+    for (auto& service : configuration.services) {
+        service.decodeMayPrefill = true;
+        service.memoryQuantile = medianLength;
+    }
+}
+
 /// Tells the runs of an instance apart; the time of day may jump, so it is not the only part.
 auto uniqueRunId() -> std::string
 {
@@ -106,9 +116,10 @@
         if (metrics)
             metricsServer = std::make_unique<HttpServer>(threads, serverSettings(*metrics, {}), [this](HttpExchange& exchange) { return answerMetrics(exchange); });
         DirectoryCallbacks callbacks {
-            .configuration = [this](std::shared_ptr<const Configuration> configuration) {
-                callerServer->updateLimits(serverSettings(settings.listen, configuration->limits));
-                services.updateConfiguration(std::move(configuration));
+            .configuration = [this](Configuration configuration) {
+                callerServer->updateLimits(serverSettings(settings.listen, configuration.limits));
+                applyForwardingPolicy(configuration);
+                services.updateConfiguration(std::make_shared<const Configuration>(std::move(configuration)));
             },
             .backends = [this](std::vector<BackendServer> backends) {
                 context.knowsBackends = !backends.empty();
--- a/src/Service.h
+++ b/src/Service.h
@@ -31,6 +31,10 @@
     std::int64_t tokensPerEvent = 1;
     /// Bytes of KV cache for one prompt token.
     std::int64_t kvBytesPerToken = 131'072;
+    /// Part of the answers whose length the memory reserved for them covers. The lengths of many
+    /// answers on one engine even out, and engines take memory as answers grow, so the median is
+    /// enough where a shortage only delays a request.
+    double memoryQuantile = 0.95;
     /// Whether decode engines may prefill by themselves, where no prefill engine can do it in time.
     bool decodeMayPrefill = false;
     RetryPolicy retry;
--- a/src/ShardSettings.h
+++ b/src/ShardSettings.h
@@ -26,6 +26,8 @@
     std::uint64_t kvBytesPerToken = 131'072;
     /// Tokens in one block of the prefix cache.
     std::uint32_t prefixBlockTokens = 256;
+    /// Part of the answers whose length the memory reserved for them covers.
+    double memoryQuantile = 0.95;
     /// Whether decode replicas may prefill by themselves.
     bool decodeMayPrefill = false;
     RetryPolicy retry;
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -198,7 +198,7 @@
         return;
     m_version = configuration->version;
     m_log.record(LogLevel::Info, "configuration_in_force", { { "version", m_version }, { "revision", item.revision }, { "routes", configuration->routes.size() } });
-    m_callbacks.configuration(std::make_shared<const Configuration>(std::move(*configuration)));
+    m_callbacks.configuration(std::move(*configuration));
 }
 
 auto StoreDirectory::takeBackends(const ItemList& list) -> void
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -33,7 +33,7 @@
 };
 
 struct DirectoryCallbacks {
-    std::function<void(std::shared_ptr<const Configuration>)> configuration;
+    std::function<void(Configuration)> configuration;
     std::function<void(std::vector<BackendServer>)> backends;
     /// Gets the number of live instances, this one included, and the addresses of those that gave one.
     std::function<void(std::uint32_t, std::vector<HttpEndpoint>)> instances;
