Ask the store again within the bound of a change

Cause: when the store drops its history, a waiting watch neither gets the changes nor ends; the next one is told.

Ruled out: a lost connection, since the same call got its 410 later.

--- a/src/EntrySettings.h
+++ b/src/EntrySettings.h
@@ -44,6 +44,8 @@
     /// Time after that signal in which the balancer may still send new connections: it asks once a
     /// second, and leaves an instance out after two answers that it is not ready.
     std::chrono::milliseconds balancerNotice { 2'600 };
+    /// Time within which a change in the platform's store has to take effect here.
+    std::chrono::milliseconds changeBound { 2'000 };
     /// Where the balancer asks whether the instance is ready, where that is an address of its own.
     std::optional<HttpEndpoint> readyListen;
     /// Where other instances tell this one what they have reserved on the engines.
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -133,8 +133,10 @@
         };
         if (settings.loadListen)
             startExchange(*settings.loadListen);
-        const auto peerEndpoint = exchange ? std::optional(exchange->endpoint()) : std::nullopt;
-        directory = std::make_shared<StoreDirectory>(threads, *parts.store, parts.directory, settings.instance, peerEndpoint, log, std::move(callbacks));
+        DirectorySettings directorySettings { .instance = settings.instance, .changeBound = settings.changeBound };
+        if (exchange)
+            directorySettings.peerEndpoint = exchange->endpoint();
+        directory = std::make_shared<StoreDirectory>(threads, *parts.store, parts.directory, std::move(directorySettings), log, std::move(callbacks));
         directory->start();
     }
 
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -17,8 +17,10 @@
 
 namespace {
 
-/// A watch costs one call however long it waits; keep-alive probes find a dead connection sooner.
-constexpr Duration watchTime = std::chrono::seconds(20);
+/// A store that drops its history leaves waiting watches without the changes that went with it; they
+/// hear of it only when they ask again. The rest of the bound is for that answer and a new list.
+constexpr int watchPartOfBound = 60;
+constexpr int wholeBound = 100;
 /// Pause after a failed call, unless the store's back-off asks for more.
 constexpr Duration shortestRetry = std::chrono::milliseconds(200);
 /// Records of instances are written and counted this often; each write costs a call.
@@ -49,12 +51,11 @@
 
 }
 
-StoreDirectory::StoreDirectory(IoThreads& threads, ObjectStore& store, DirectoryFormat format, std::string instance, std::optional<HttpEndpoint> peerEndpoint, EventLog& log, DirectoryCallbacks callbacks)
+StoreDirectory::StoreDirectory(IoThreads& threads, ObjectStore& store, DirectoryFormat format, DirectorySettings settings, EventLog& log, DirectoryCallbacks callbacks)
     : m_threads(threads)
     , m_store(store)
     , m_format(std::move(format))
-    , m_instance(std::move(instance))
-    , m_peerEndpoint(std::move(peerEndpoint))
+    , m_settings(std::move(settings))
     , m_log(log)
     , m_callbacks(std::move(callbacks))
 {
@@ -107,6 +108,7 @@
         follower.revision = list->revision;
         co_return std::nullopt;
     }
+    const auto watchTime = m_settings.changeBound * watchPartOfBound / wholeBound;
     const auto changes = co_await m_store.watch(client, follower.kind, follower.revision, watchTime);
     if (changes.has_error()) {
         // Changes may have been missed with the answer; only a list is sure to have them all.
@@ -143,9 +145,9 @@
     std::int64_t beat = 0;
     while (true) {
         boost::json::object value { { "beat", ++beat } };
-        if (m_peerEndpoint)
-            value["address"] = toString(*m_peerEndpoint);
-        const auto revision = co_await m_store.put(m_threads.client(0), m_format.instanceKind, m_instance, std::move(value));
+        if (m_settings.peerEndpoint)
+            value["address"] = toString(*m_settings.peerEndpoint);
+        const auto revision = co_await m_store.put(m_threads.client(0), m_format.instanceKind, m_settings.instance, std::move(value));
         if (revision.has_error())
             m_log.record(LogLevel::Info, "instance_not_announced", { { "detail", revision.error().detail } });
         co_await pause(revision.has_error() ? spreadDelay(firstCountDelay) : spreadDelay(instanceInterval));
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -32,6 +32,14 @@
     std::function<std::optional<BackendServer>(const StoredItem&)> readBackend;
 };
 
+struct DirectorySettings {
+    std::string instance;
+    /// Where other instances reach this one.
+    std::optional<HttpEndpoint> peerEndpoint;
+    /// Time within which a change has to take effect here.
+    Duration changeBound = std::chrono::seconds(2);
+};
+
 struct DirectoryCallbacks {
     std::function<void(Configuration)> configuration;
     std::function<void(std::vector<BackendServer>)> backends;
@@ -41,8 +49,7 @@
 
 class StoreDirectory : public std::enable_shared_from_this<StoreDirectory> {
 public:
-    /// @param peerEndpoint where other instances reach this one.
-    StoreDirectory(IoThreads& threads, ObjectStore& store, DirectoryFormat format, std::string instance, std::optional<HttpEndpoint> peerEndpoint, EventLog& log, DirectoryCallbacks callbacks);
+    StoreDirectory(IoThreads& threads, ObjectStore& store, DirectoryFormat format, DirectorySettings settings, EventLog& log, DirectoryCallbacks callbacks);
 
     /// Starts the coroutines, which all run on the first I/O thread.
     auto start() -> void;
@@ -75,8 +82,7 @@
     IoThreads& m_threads;
     ObjectStore& m_store;
     const DirectoryFormat m_format;
-    const std::string m_instance;
-    const std::optional<HttpEndpoint> m_peerEndpoint;
+    const DirectorySettings m_settings;
     EventLog& m_log;
     const DirectoryCallbacks m_callbacks;
     std::int64_t m_version = 0;
