--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -94,6 +94,13 @@
     });
 }
 
+auto HttpServer::closeIdle() -> void
+{
+    m_state->shared->isDraining = true;
+    m_state->shared->closesIdle = true;
+    m_state->shared->connections.wakeAll();
+}
+
 auto HttpServer::closeAfterAnswers() -> void
 {
     m_state->shared->isDraining = true;
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -51,6 +51,10 @@
     /// Stops accepting connections; open exchanges go on and end with `Connection: close`.
     auto stopAccepting() -> void;
 
+    /// Closes connections on which no request is in progress, now and when their request ends. A
+    /// request that its caller has just sent there was not read, so the caller may send it again.
+    auto closeIdle() -> void;
+
     /// Makes every further answer end its connection; new connections are still accepted.
     auto closeAfterAnswers() -> void;
 
--- a/src/HttpServerConnection.cpp
+++ b/src/HttpServerConnection.cpp
@@ -36,6 +36,8 @@
     /// Called when the caller closes; empty when no exchange watches.
     std::function<void()> closeCallback;
     bool isWatching = false;
+    /// Whether it waits for the first byte of a request.
+    bool isIdle = false;
 };
 
 auto hasPeerClosed(ConnectionState& connection) -> bool
@@ -280,19 +282,22 @@
 {
     constexpr std::size_t firstRead = 4'096;
     const auto since = monotonicNow();
-    while (true) {
+    while (!shared.closesIdle) {
         const auto left = since + shared.settings.load()->idleTimeout - monotonicNow();
         if (left <= Duration::zero())
-            co_return http::error::end_of_stream;
+            break;
         const ReadTimer timer(connection, left);
         boost::system::error_code code;
         const auto space = connection->buffer.prepare(firstRead);
+        connection->isIdle = true;
         const auto size = co_await connection->stream.async_read_some(space, awaitInto(code));
-        if (timer.hasTimedOut() && code)
+        connection->isIdle = false;
+        if (code == asio::error::operation_aborted)
             continue;
         connection->buffer.commit(size);
         co_return code;
     }
+    co_return http::error::end_of_stream;
 }
 
 /// Waits for a request: up to the idle timeout for its first byte, then up to the read timeout
@@ -315,6 +320,29 @@
     co_return code;
 }
 
+/// Lets a connection that waits for a request be woken.
+class RegisteredConnection {
+public:
+    RegisteredConnection(HttpServerShared& shared, const std::shared_ptr<ConnectionState>& connection)
+        : m_shared(shared)
+        , m_key(shared.connections.add([weak = std::weak_ptr(connection), executor = connection->stream.get_executor()] {
+            asio::post(executor, [weak] {
+                const auto woken = weak.lock();
+                if (woken && woken->isIdle)
+                    woken->stream.cancel();
+            });
+        }))
+    {
+    }
+    ~RegisteredConnection() { m_shared.connections.remove(m_key); }
+    RegisteredConnection(const RegisteredConnection&) = delete;
+    auto operator=(const RegisteredConnection&) -> RegisteredConnection& = delete;
+
+private:
+    HttpServerShared& m_shared;
+    const std::uint64_t m_key;
+};
+
 auto refuse(HttpServerShared& shared, const std::shared_ptr<ConnectionState>& connection, HttpClient& client, const RequestFault& fault) -> asio::awaitable<void>
 {
     ServerExchange exchange(shared, connection, client, {}, false);
@@ -328,6 +356,7 @@
     boost::system::error_code code;
     setSocketOptions(socket, shared->settings.load()->silenceLimit);
     const auto connection = std::make_shared<ConnectionState>(std::move(socket));
+    const RegisteredConnection registered(*shared, connection);
     for (auto reusable = true; reusable;) {
         RequestParser parser;
         code = co_await readRequest(*shared, connection, parser);
--- a/src/HttpServerConnection.h
+++ b/src/HttpServerConnection.h
@@ -3,6 +3,7 @@
 /// One connection of an HttpServer: reads requests, hands them to the handler and refuses those
 /// that are malformed, oversized or slow.
 
+#include "ConnectionRegistry.h"
 #include "HttpServer.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -25,6 +26,8 @@
     const HttpHandler handler;
     std::atomic<std::size_t> activeExchanges { 0 };
     std::atomic<bool> isDraining { false };
+    std::atomic<bool> closesIdle { false };
+    ConnectionRegistry connections;
 };
 
 /// Serves a connection until it closes.
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -185,6 +185,9 @@
         callerServer->closeAfterAnswers();
         asio::steady_timer timer(threads.context(0));
         co_await pause(timer, settings.balancerNotice);
+        // Work taken later could not end in time. Callers whose request was not read send it again.
+        callerServer->stopAccepting();
+        callerServer->closeIdle();
         const auto latest = begun + settings.drain - settings.drain / drainReservePart;
         while (callerServer->activeExchanges() > 0 && monotonicNow() < latest)
             co_await pause(timer, drainCheckInterval);
