Ask decode engines to keep a seat before a prefill starts

Cause: instances that place at the same moment choose the same decode engine, and a prefill whose result finds no room is wasted.

--- a/src/BackendProtocol.h
+++ b/src/BackendProtocol.h
@@ -33,6 +33,10 @@
     auto (*cancel)(HttpClient& client, HttpEndpoint endpoint, std::string requestId) -> boost::asio::awaitable<bool>;
     /// Frees a prefill result that no decode will fetch; null where cancel() does.
     auto (*releasePrefill)(HttpClient& client, BackendServer server, std::string handle) -> boost::asio::awaitable<bool>;
+    /// Asks a decode engine to keep a seat and memory for some time; null where engines do not.
+    /// @return the name of what is kept.
+    auto (*holdSeat)(HttpClient& client, BackendServer server, std::uint32_t tokens, Duration time, Duration timeout) -> boost::asio::awaitable<EngineResult<std::string>>;
+    auto (*dropSeat)(HttpClient& client, BackendServer server, std::string seat) -> boost::asio::awaitable<bool>;
     /// Reads load and cache events; null where engines are not polled.
     auto (*load)(HttpClient& client, HttpEndpoint endpoint, Duration timeout) -> boost::asio::awaitable<EngineResult<EngineLoad>>;
     auto (*cacheEvents)(HttpClient& client, HttpEndpoint endpoint, std::uint64_t after, Duration timeout) -> boost::asio::awaitable<EngineResult<EngineCacheEvents>>;
--- a/src/DecisionEvent.h
+++ b/src/DecisionEvent.h
@@ -14,6 +14,7 @@
 #include "ReplicaLoad.h"
 #include "RequestArrived.h"
 #include "RequestCancelled.h"
+#include "SeatRefused.h"
 #include "SignatureReported.h"
 #include "Tick.h"
 #include "TokensEmitted.h"
@@ -31,6 +32,7 @@
     DecodeFinished,
     DecodeFailed,
     RequestCancelled,
+    SeatRefused,
     ReplicaChanged,
     ReplicaLoad,
     OthersUse,
--- a/src/EngineCall.h
+++ b/src/EngineCall.h
@@ -34,6 +34,8 @@
     std::optional<KvSource> kv;
     /// The caller's request, where it goes to the engine unchanged; null otherwise.
     std::shared_ptr<const ForwardedCall> forwarded;
+    /// Names the seat and memory that the decode engine keeps for the request.
+    std::optional<std::string> seat;
     /// Whether the call may run more than once.
     bool mayRepeat = true;
     /// How long the engine keeps a prefill result, where its answer does not say.
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -124,6 +124,7 @@
     }
     co_await stopTask();
     dropPrefill();
+    dropSeat();
     m_service->close(m_id);
 }
 
@@ -197,6 +198,7 @@
         m_service->metrics().queueWait.record(monotonicNow() - m_info.arrivedAt);
     m_attempt = action.attempt;
     dropPrefill();
+    dropSeat();
     m_prefillReplica = action.prefill;
     const auto replica = m_service->replica(action.prefill);
     if (!replica) {
@@ -212,7 +214,8 @@
     auto call = engineCall();
     const auto task = ++m_tasks->lastTask;
     m_tasks->replica = action.prefill;
-    spawnTask(runPrefill(task, *replica, std::move(call)));
+    m_decodeTokens = action.decodeTokens;
+    spawnTask(runPrefill(task, *replica, decode, std::move(call)));
 }
 
 auto ModelRequest::endPrefill(PrefillEnded ended) -> void
@@ -222,8 +225,14 @@
     if (ended.result.has_error()) {
         if (!m_machine.apply(RequestStep::PrefillFailed))
             return;
+        const auto failure = ended.result.error().failure;
+        if (ended.isSeatRefused) {
+            record(LogLevel::Info, "seat_refused", { { "failure", name(failure) }, { "detail", ended.result.error().detail }, { "tokens", m_decodeTokens } });
+            m_service->feed(SeatRefused { m_id, m_attempt, failure });
+            return;
+        }
         noteFailure("prefill", ended.result.error());
-        m_service->feed(PrefillFailed { m_id, m_attempt, ended.result.error().failure });
+        m_service->feed(PrefillFailed { m_id, m_attempt, failure });
         return;
     }
     if (!m_machine.apply(RequestStep::PrefillDone))
@@ -256,6 +265,12 @@
     } else {
         dropPrefill();
     }
+    if (m_seat && m_seat->replica == action.decode) {
+        call.seat = m_seat->name;
+        m_seat.reset();
+    } else {
+        dropSeat();
+    }
     record(LogLevel::Info, "transfer_started", { { "split", call.kv.has_value() }, { "resume_from", call.resumeFrom } });
     const auto task = ++m_tasks->lastTask;
     m_tasks->replica = action.decode;
@@ -358,6 +373,14 @@
     m_isPrefillFetched = false;
 }
 
+auto ModelRequest::dropSeat() -> void
+{
+    const auto drop = m_context.backends.dropSeat;
+    if (m_seat && drop)
+        asio::co_spawn(m_tasks->executor, drop(m_exchange.client(), m_seat->server, m_seat->name), asio::detached);
+    m_seat.reset();
+}
+
 auto ModelRequest::record(LogLevel level, std::string_view event, std::initializer_list<LogField> details) -> void
 {
     const auto caller = m_info.forwarded ? m_info.forwarded->requestId : m_service->engineRequestId(m_id, m_attempt);
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -41,6 +41,14 @@
     struct PrefillEnded {
         std::uint64_t task;
         EngineResult<PrefillResult> result;
+        /// Whether the decode engine had no room, so that the prefill was not sent.
+        bool isSeatRefused = false;
+    };
+    /// A seat that a decode engine keeps for the request.
+    struct HeldSeat {
+        BackendServer server;
+        ReplicaId replica;
+        std::string name;
     };
     struct DecodeEnded {
         std::uint64_t task;
@@ -67,7 +75,11 @@
     auto interruptTask() -> void;
     /// Ends the running task, closes its connection and waits until it is gone.
     auto stopTask() -> boost::asio::awaitable<void>;
-    auto runPrefill(std::uint64_t task, ReplicaStatus replica, EngineCall call) -> boost::asio::awaitable<void>;
+    auto runPrefill(std::uint64_t task, ReplicaStatus replica, std::optional<ReplicaStatus> decode, EngineCall call) -> boost::asio::awaitable<void>;
+    /// Asks the decode engine to keep a seat, where engines do that.
+    /// @return the failure where it refused.
+    auto holdSeat(const std::optional<ReplicaStatus>& decode) -> boost::asio::awaitable<std::optional<EngineError>>;
+    auto dropSeat() -> void;
     auto runDecode(std::uint64_t task, ReplicaStatus replica, EngineCall call) -> boost::asio::awaitable<void>;
     auto relay(HttpStream& stream) -> boost::asio::awaitable<RelayOutcome>;
 
@@ -99,6 +111,8 @@
     ReplicaId m_prefillReplica {};
     std::optional<PrefillResult> m_prefill;
     bool m_isPrefillFetched = false;
+    std::optional<HeldSeat> m_seat;
+    std::uint32_t m_decodeTokens = 0;
     /// What the last engine answered that failed the request by itself; null otherwise.
     std::shared_ptr<const HttpResponse> m_failedAnswer;
     std::uint32_t m_promptTokens;
--- a/src/ModelService.cpp
+++ b/src/ModelService.cpp
@@ -63,6 +63,7 @@
     , m_pools(service.pools)
     , m_zones(zoneNames(index))
     , m_prefillKept(service.prefillKept)
+    , m_seatHold(service.seatHold)
     , m_tokensPerEvent(static_cast<std::uint32_t>(service.tokensPerEvent))
     , m_shardSettings(shardSettingsOf(context, index, service, {}))
     , m_shard(makeShard(m_shardSettings))
@@ -80,6 +81,7 @@
         m_pools = service.pools;
         m_zones = zoneNames(index);
         m_prefillKept = service.prefillKept;
+        m_seatHold = service.seatHold;
         m_tokensPerEvent = static_cast<std::uint32_t>(service.tokensPerEvent);
         m_shardSettings = shardSettingsOf(m_context, index, service, std::move(m_shardSettings.kinds));
         m_shardSettings.sharingInstances = sharing;
@@ -187,6 +189,12 @@
     return m_prefillKept;
 }
 
+auto ModelService::seatHold() const -> Duration
+{
+    const std::lock_guard guard(m_lock);
+    return m_seatHold;
+}
+
 auto ModelService::tokensPerEvent() const -> std::uint32_t
 {
     const std::lock_guard guard(m_lock);
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -54,6 +54,8 @@
     auto kindId(std::string_view kind) const -> KindId;
     /// @return how long prefill engines keep their results.
     auto prefillKept() const -> Duration;
+    /// @return how long decode engines may be asked to keep a seat; zero where they do not.
+    auto seatHold() const -> Duration;
     /// @return tokens that one event of a stream carries.
     auto tokensPerEvent() const -> std::uint32_t;
 
@@ -138,6 +140,7 @@
     std::vector<Pool> m_pools;
     std::vector<std::string> m_zones;
     Duration m_prefillKept;
+    Duration m_seatHold;
     std::uint32_t m_tokensPerEvent;
     ShardSettings m_shardSettings;
     Shard m_shard;
--- a/src/NativeProtocols.cpp
+++ b/src/NativeProtocols.cpp
@@ -63,6 +63,8 @@
         .decode = decodeOnEngine,
         .cancel = cancelOnEngine,
         .releasePrefill = nullptr,
+        .holdSeat = nullptr,
+        .dropSeat = nullptr,
         .load = loadOfEngine,
         .cacheEvents = cacheEventsOfEngine,
         .makeEventReader = makeEventReader,
--- a/src/Replica.h
+++ b/src/Replica.h
@@ -40,6 +40,8 @@
     /// Turned work away; gets none before this time.
     TimePoint busyUntil = TimePoint::min();
     std::uint32_t consecutiveFailures = 0;
+    /// Times in a row that it turned work away.
+    std::uint32_t consecutiveRejections = 0;
     TimePoint ejectedUntil = TimePoint::min();
 
     /// The suspect that runs here in isolation; the replica gets no new work meanwhile.
--- a/src/ReplicaHealth.cpp
+++ b/src/ReplicaHealth.cpp
@@ -11,6 +11,7 @@
 
 /// About one report interval of an engine; until then a full engine is likely to be still full.
 constexpr Duration busyPause = std::chrono::milliseconds(50);
+constexpr std::uint32_t longestBusyDoublings = 4;
 constexpr Duration unreachablePause = std::chrono::milliseconds(50);
 constexpr Duration firstEjection = std::chrono::seconds(1);
 constexpr std::uint32_t longestEjectionDoublings = 5;
@@ -54,7 +55,10 @@
 auto attemptSucceeded(DecisionContext& context, ReplicaId id) -> void
 {
     auto* replica = findReplica(context.state, id);
-    if (!replica || !replica->consecutiveFailures)
+    if (!replica)
+        return;
+    replica->consecutiveRejections = 0;
+    if (!replica->consecutiveFailures)
         return;
     replica->consecutiveFailures = 0;
     replica->ejectedUntil = context.now;
@@ -68,7 +72,8 @@
         return;
     switch (failure) {
     case FailureKind::Busy:
-        replica->busyUntil = context.now + busyPause;
+        // An engine that changes its role, or that others fill, turns work away for longer.
+        replica->busyUntil = context.now + busyPause * (1U << std::min(replica->consecutiveRejections++, longestBusyDoublings));
         replica->busyAt = context.now;
         if (replica->seatAllowance)
             replica->seatAllowance = 0;
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -76,6 +76,15 @@
     attemptFailed(context, *request, event.failure);
 }
 
+auto handle(DecisionContext& context, const SeatRefused& event) -> void
+{
+    auto* request = present(context.state, event.request, event.attempt, { RequestPhase::Prefilling });
+    if (!request || !request->decode)
+        return;
+    replicaFailed(context, *request->decode, event.failure);
+    seatRefused(context, *request);
+}
+
 auto handle(DecisionContext& context, const DecodeStarted& event) -> void
 {
     auto* request = present(context.state, event.request, event.attempt, { RequestPhase::Starting });
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -199,7 +199,7 @@
     notePrefillZone(context, prefill);
     state.totals.prefillTokens += request.arrival.promptTokens;
     enter(context, request, RequestPhase::Prefilling);
-    context.actions.emplace_back(StartPrefill { request.arrival.request, request.attempt, *request.prefill, *request.decode });
+    context.actions.emplace_back(StartPrefill { request.arrival.request, request.attempt, *request.prefill, *request.decode, static_cast<std::uint32_t>(reservedTokens(state, request)) });
 }
 
 auto prefillDone(DecisionContext& context, ActiveRequest& request, TimePoint expiresAt, std::uint32_t cachedTokens) -> void
@@ -310,6 +310,18 @@
         refuse(context, request, RefusalReason::RetriesExhausted);
 }
 
+auto seatRefused(DecisionContext& context, ActiveRequest& request) -> void
+{
+    ++request.redirects;
+    request.avoid = request.decode;
+    context.state.totals.wastedPrefillTokens -= request.arrival.promptTokens;
+    context.state.totals.prefillTokens -= request.arrival.promptTokens;
+    leave(context, request);
+    enqueue(context, request);
+    if (request.redirects > maximumRedirects)
+        refuse(context, request, RefusalReason::RetriesExhausted);
+}
+
 auto finish(DecisionContext& context, ActiveRequest& request) -> void
 {
     // A finished answer shows that the prefill was of use even if the start was not reported.
--- a/src/RequestLife.h
+++ b/src/RequestLife.h
@@ -27,6 +27,10 @@
 /// The present attempt failed; decides whether and how to go on.
 auto attemptFailed(DecisionContext& context, ActiveRequest& request, FailureKind failure) -> void;
 
+/// The decode replica has no room after all, and nothing has been sent to the prefill replica: the
+/// request is placed anew.
+auto seatRefused(DecisionContext& context, ActiveRequest& request) -> void;
+
 /// These end the request; the reference is invalid afterwards.
 auto finish(DecisionContext& context, ActiveRequest& request) -> void;
 auto refuse(DecisionContext& context, ActiveRequest& request, RefusalReason reason) -> void;
--- a/src/RetryRules.cpp
+++ b/src/RetryRules.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr std::uint32_t maximumFailures = 4;
-constexpr std::uint32_t maximumRedirects = 16;
 
 /// Work that was turned away cost the engines nothing, unless the policy says otherwise; work that
 /// did not reach an engine never does. An expired result cost a prefill.
--- a/src/RetryRules.h
+++ b/src/RetryRules.h
@@ -10,6 +10,9 @@
 /// Time that a driver has to report the exact token count of a decode whose engine is gone.
 constexpr Duration stopGrace = std::chrono::milliseconds(250);
 
+/// Times that backend servers may turn a request away.
+constexpr std::uint32_t maximumRedirects = 16;
+
 /// @return whether the failure proves that the backend server did not run the attempt.
 auto provablyNotRun(FailureKind failure) -> bool;
 /// Takes from the retry budget where needed.
--- a/src/Service.h
+++ b/src/Service.h
@@ -29,6 +29,9 @@
     std::chrono::milliseconds prefillKept { 1'000 };
     /// Tokens that one event of a stream carries, where the service's streams pass unchanged.
     std::int64_t tokensPerEvent = 1;
+    /// How long a decode engine may be asked to keep a seat and memory for a request whose prefill has
+    /// not ended; zero where engines do not.
+    std::chrono::milliseconds seatHold { 0 };
     /// Bytes of KV cache for one prompt token.
     std::int64_t kvBytesPerToken = 131'072;
     /// Part of the answers whose length the memory reserved for them covers. The lengths of many
--- a/src/StartPrefill.h
+++ b/src/StartPrefill.h
@@ -6,6 +6,8 @@
 
 #include "Identifiers.h"
 
+#include <cstdint>
+
 namespace jayhold {
 
 struct StartPrefill {
@@ -13,6 +15,8 @@
     Attempt attempt;
     ReplicaId prefill;
     ReplicaId decode;
+    /// Tokens for which the decode needs memory.
+    std::uint32_t decodeTokens = 0;
 };
 
 }
