Move engines between prefill and decode as the lasting load asks

One instance, under a lease with a fencing number, orders a change of role where the averaged work of the two roles is off by more than half an engine. Until a kind's lengths are known, memory is reserved for the caller's own estimate.

--- a/cmake/decision.cmake
+++ b/cmake/decision.cmake
@@ -1,6 +1,6 @@
 jayhold_library(jayhold_decision
   UNITS Admission AnsweredRequests CrashWatch Deadlines Dispatch EndForecast Forecast Ledger LengthModel LoadReports Placement PrefillChoice PrefixCacheView ReplicaEvents ReplicaHealth ReplicaIndex RequestEvents
-    RequestLife RequestQueue RetryDelay RetryRules SeatReserve Shard TimerQueue
+    RequestLife RequestQueue RetryDelay RetryRules RoleBalance SeatReserve Shard TimerQueue
   LINK jayhold_operator)
 
 jayhold_test(decision_test
--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -3,7 +3,7 @@
     CompletionRequest CompletionWriter ConfigurationIndex DecodeRelay EngineClient EngineError EngineMessages
     EngineMonitor EntryDaemon EntryDaemonDrain EntrySettings ForwardApi ForwardChecks HeldMemory LatencyHistogram LostOwners
     Metrics ModelRequest ModelRequestTasks ModelService ModelServiceTimer NativeProtocols PassThroughReader PassThroughWriter PlainBalancer PlainRoute
-    PlainService PromptDigest RequestMachine RouteTable RouterDaemon ServiceTable StatusReport TokenEventReader
+    PlainService PromptDigest RequestMachine RoleBalancer RouteTable RouterDaemon ServiceTable StatusReport TokenEventReader
     TokenSequence
   LINK jayhold_cluster jayhold_decision jayhold_operator jayhold_http)
 
--- a/src/BackendProtocol.h
+++ b/src/BackendProtocol.h
@@ -9,15 +9,18 @@
 #include "EngineCall.h"
 #include "EngineError.h"
 #include "EngineLoad.h"
+#include "EngineOrderState.h"
 #include "EventReader.h"
 #include "HttpClient.h"
 #include "PlainCallInfo.h"
 #include "PrefillResult.h"
+#include "RoleOrder.h"
 #include "TokenSequence.h"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace jayhold {
@@ -37,6 +40,12 @@
     /// @return the name of what is kept.
     auto (*holdSeat)(HttpClient& client, BackendServer server, std::uint32_t tokens, Duration time, Duration timeout) -> boost::asio::awaitable<EngineResult<std::string>>;
     auto (*dropSeat)(HttpClient& client, BackendServer server, std::string seat) -> boost::asio::awaitable<bool>;
+    /// Reads how many orders an engine has accepted, and whether it carries one out; null where engines
+    /// take no orders.
+    auto (*orderState)(HttpClient& client, BackendServer server, Duration timeout) -> boost::asio::awaitable<EngineResult<EngineOrderState>>;
+    /// Orders an engine to change its role.
+    /// @return nothing where the engine accepted the order or has the role already.
+    auto (*orderRole)(HttpClient& client, BackendServer server, RoleOrder order, Duration timeout) -> boost::asio::awaitable<std::optional<EngineError>>;
     /// Reads load and cache events; null where engines are not polled.
     auto (*load)(HttpClient& client, HttpEndpoint endpoint, Duration timeout) -> boost::asio::awaitable<EngineResult<EngineLoad>>;
     auto (*cacheEvents)(HttpClient& client, HttpEndpoint endpoint, std::uint64_t after, Duration timeout) -> boost::asio::awaitable<EngineResult<EngineCacheEvents>>;
--- a/src/ClusterCore.cpp
+++ b/src/ClusterCore.cpp
@@ -53,13 +53,6 @@
     return request;
 }
 
-auto pause(Duration time) -> asio::awaitable<void>
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, time);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(awaitInto(ignored));
-}
-
 auto spawnAtHome(const ClusterPointer& core, asio::awaitable<void> task) -> void
 {
     asio::co_spawn(core->threads.context(0), std::move(task), asio::detached);
--- a/src/ClusterCore.h
+++ b/src/ClusterCore.h
@@ -5,6 +5,7 @@
 
 #include "ClusterNode.h"
 #include "Membership.h"
+#include "Pause.h"
 #include "PlatformStore.h"
 #include "RumorBuffer.h"
 #include "VersionedCopy.h"
@@ -62,9 +63,6 @@
 /// @return a request to a peer with the peer key and the hybrid time.
 auto peerRequest(ClusterCore& core, std::string method, std::string target, std::string body) -> HttpRequest;
 
-/// Waits on the calling coroutine's executor.
-auto pause(Duration time) -> boost::asio::awaitable<void>;
-
 /// Runs a coroutine on the home thread, on which callbacks run one after another.
 auto spawnAtHome(const ClusterPointer& core, boost::asio::awaitable<void> task) -> void;
 
--- a/src/ClusterNode.cpp
+++ b/src/ClusterNode.cpp
@@ -194,7 +194,21 @@
 
 auto ClusterNode::keepLease(std::string name, Duration leaseTime) -> std::shared_ptr<LeaseKeeper>
 {
-    auto keeper = std::make_shared<LeaseKeeper>(m_state->core, std::move(name), leaseTime);
+    const auto core = m_state->core;
+    const auto object = "leases/" + name;
+    LeasePort port {
+        .executor = core->threads.context(0).get_executor(),
+        .read = [core, object] { return core->store.read(core->threads.client(0), object); },
+        .update = [core, object](boost::json::value value, std::int64_t revision) { return core->store.update(core->threads.client(0), object, std::move(value), revision); },
+        .now = bootNow,
+        .isStopped = [core] { return core->isStopped.load(); },
+    };
+    std::string holder;
+    {
+        const std::lock_guard guard(core->lock);
+        holder = holderName(core->membership);
+    }
+    auto keeper = std::make_shared<LeaseKeeper>(std::move(port), leaseSettings(std::move(name), std::move(holder), leaseTime));
     keeper->start();
     return keeper;
 }
--- a/src/Configuration.cpp
+++ b/src/Configuration.cpp
@@ -90,6 +90,7 @@
         object["max_prompt_tokens"] = service.maxPromptTokens;
         object["max_output_tokens"] = service.maxOutputTokens;
         object["prefill_kept_ms"] = service.prefillKept.count();
+        object["role_change_ms"] = service.roleChange.count();
         object["seat_hold_ms"] = service.seatHold.count();
         object["tokens_per_event"] = service.tokensPerEvent;
         object["kv_bytes_per_token"] = service.kvBytesPerToken;
--- a/src/ConfigurationParser.cpp
+++ b/src/ConfigurationParser.cpp
@@ -180,6 +180,8 @@
         BOOST_LEAF_ASSIGN(service.maxPromptTokens, reader.integer("max_prompt_tokens", positive, service.maxPromptTokens));
         BOOST_LEAF_ASSIGN(service.maxOutputTokens, reader.integer("max_output_tokens", positive, service.maxOutputTokens));
         BOOST_LEAF_ASSIGN(service.prefillKept, readMilliseconds(reader, "prefill_kept_ms", service.prefillKept));
+        BOOST_LEAF_AUTO(roleChange, reader.integer("role_change_ms", patienceRange, service.roleChange.count()));
+        service.roleChange = std::chrono::milliseconds(roleChange);
         BOOST_LEAF_AUTO(seatHold, reader.integer("seat_hold_ms", patienceRange, service.seatHold.count()));
         service.seatHold = std::chrono::milliseconds(seatHold);
         BOOST_LEAF_ASSIGN(service.tokensPerEvent, reader.integer("tokens_per_event", positive, service.tokensPerEvent));
--- a/src/EntrySettings.h
+++ b/src/EntrySettings.h
@@ -46,6 +46,8 @@
     std::chrono::milliseconds balancerNotice { 2'600 };
     /// Time within which a change in the platform's store has to take effect here.
     std::chrono::milliseconds changeBound { 2'000 };
+    /// Time that must pass between the orders of two instances to one engine.
+    std::chrono::milliseconds orderSpacing { 3'000 };
     /// Where the balancer asks whether the instance is ready, where that is an address of its own.
     std::optional<HttpEndpoint> readyListen;
     /// Where other instances tell this one what they have reserved on the engines.
--- a/src/Forecast.cpp
+++ b/src/Forecast.cpp
@@ -33,6 +33,17 @@
     return kind < state.lengths.size() ? state.lengths[kind] : unknown;
 }
 
+/// Tokens of the whole answer, at a quantile of the kind's lengths; until those are known, as the
+/// caller estimates it.
+auto answerTokens(const ShardState& state, const ActiveRequest& request, double quantile) -> std::uint32_t
+{
+    const auto& model = lengths(state, request);
+    const auto& arrival = request.arrival;
+    if (!model.known() && arrival.expectedTokens > 0)
+        return std::min(std::max(arrival.expectedTokens, request.emitted + 1), arrival.maxTokens);
+    return model.quantile(quantile, request.emitted, arrival.maxTokens);
+}
+
 }
 
 auto prefillTime(const ShardState& state, std::uint64_t tokens) -> Duration
@@ -53,7 +64,7 @@
 auto expectedTokens(const ShardState& state, const ActiveRequest& request) -> std::uint32_t
 {
     const auto quantile = lowestLengthQuantile + lengthQuantileRange * state.settings.wastedPrefillWeight;
-    return lengths(state, request).quantile(quantile, request.emitted, request.arrival.maxTokens);
+    return answerTokens(state, request, quantile);
 }
 
 auto leastTokensLeft(const ShardState& state, const ActiveRequest& request) -> std::uint32_t
@@ -66,7 +77,7 @@
 
 auto reservedTokens(const ShardState& state, const ActiveRequest& request) -> std::uint64_t
 {
-    return std::uint64_t { request.arrival.promptTokens } + lengths(state, request).quantile(state.settings.memoryQuantile, request.emitted, request.arrival.maxTokens);
+    return std::uint64_t { request.arrival.promptTokens } + answerTokens(state, request, state.settings.memoryQuantile);
 }
 
 auto updateExpectedEnd(DecisionContext& context, ActiveRequest& request) -> void
--- a/src/ForwardedCall.h
+++ b/src/ForwardedCall.h
@@ -24,6 +24,8 @@
     std::uint32_t promptTokens = 0;
     /// Most tokens that the caller accepts.
     std::uint32_t maxTokens = 0;
+    /// The caller's own estimate of the tokens of the answer, 0 for none.
+    std::uint32_t expectedTokens = 0;
     std::string model;
     /// Index of the last token that the caller has of an answer that broke off.
     std::optional<std::uint32_t> lastToken;
--- a/src/LeaseKeeper.cpp
+++ b/src/LeaseKeeper.cpp
@@ -1,6 +1,9 @@
 #include "LeaseKeeper.h"
 
-#include "MembershipOwners.h"
+#include "Pause.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 
 namespace jayhold {
 
@@ -13,12 +16,6 @@
 /// A tenth of the lease time covers clocks that run at different rates.
 constexpr int marginParts = 10;
 
-auto leaseSettings(const ClusterCore& core, std::string name, Duration leaseTime) -> LeaseSettings
-{
-    const std::lock_guard guard(core.lock);
-    return { .name = std::move(name), .holder = holderName(core.membership), .leaseTime = leaseTime, .margin = leaseTime / marginParts, .renewBefore = leaseTime / 2, .retryPause = leaseTime / marginParts };
-}
-
 auto grantOf(const StoredObject& object) -> std::optional<LeaseGrant>
 {
     return object.revision == 0 ? std::nullopt : leaseGrantFromJson(object.value);
@@ -26,22 +23,26 @@
 
 }
 
-LeaseKeeper::LeaseKeeper(ClusterPointer core, std::string name, Duration leaseTime)
-    : m_core(std::move(core))
-    , m_object("leases/" + name)
-    , m_lease { .settings = leaseSettings(*m_core, std::move(name), leaseTime) }
+auto leaseSettings(std::string name, std::string holder, Duration leaseTime) -> LeaseSettings
+{
+    return { .name = std::move(name), .holder = std::move(holder), .leaseTime = leaseTime, .margin = leaseTime / marginParts, .renewBefore = leaseTime / 2, .retryPause = leaseTime / marginParts };
+}
+
+LeaseKeeper::LeaseKeeper(LeasePort port, LeaseSettings settings)
+    : m_port(std::move(port))
+    , m_lease { .settings = std::move(settings) }
 {
 }
 
 auto LeaseKeeper::start() -> void
 {
-    spawnAtHome(m_core, run());
+    asio::co_spawn(m_port.executor, run(), asio::detached);
 }
 
 auto LeaseKeeper::fencingNumber() const -> std::optional<std::int64_t>
 {
     const std::lock_guard guard(m_lock);
-    if (!holdsLease(m_lease, monotonicNow()))
+    if (!holdsLease(m_lease, m_port.now()))
         return std::nullopt;
     return m_lease.fencingNumber;
 }
@@ -55,18 +56,18 @@
 auto LeaseKeeper::release() -> void
 {
     const std::lock_guard guard(m_lock);
-    releaseLease(m_lease, monotonicNow());
+    releaseLease(m_lease, m_port.now());
 }
 
 auto LeaseKeeper::run() -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
     auto isEnding = false;
-    while (!m_core->isStopped && !isEnding) {
+    while (!m_port.isStopped() && !isEnding) {
         std::optional<LeaseAction> action;
         {
             const std::lock_guard guard(m_lock);
-            const auto now = monotonicNow();
+            const auto now = m_port.now();
             action = nextLeaseCall(m_lease, now);
             isEnding = !action && !m_lease.isWanted && now >= m_lease.nextCallAt;
         }
@@ -75,6 +76,14 @@
         else
             co_await pause(checkInterval);
     }
+    const std::lock_guard guard(m_lock);
+    m_hasEnded = true;
+}
+
+auto LeaseKeeper::hasEnded() const -> bool
+{
+    const std::lock_guard guard(m_lock);
+    return m_hasEnded;
 }
 
 auto LeaseKeeper::call(LeaseAction action) -> asio::awaitable<void>
@@ -87,20 +96,20 @@
 
 auto LeaseKeeper::read() -> asio::awaitable<void>
 {
-    const auto object = co_await m_core->store.read(m_core->threads.client(0), m_object);
+    const auto object = co_await m_port.read();
     const std::lock_guard guard(m_lock);
     if (object.has_value())
-        leaseRead(m_lease, monotonicNow(), object->revision, grantOf(*object));
+        leaseRead(m_lease, m_port.now(), object->revision, grantOf(*object));
     else
-        leaseFailed(m_lease, monotonicNow());
+        leaseFailed(m_lease, m_port.now());
 }
 
 auto LeaseKeeper::write(WriteLease action) -> asio::awaitable<void>
 {
     auto value = toJson(action.grant);
-    const auto outcome = co_await m_core->store.update(m_core->threads.client(0), m_object, std::move(value), action.expectedRevision);
+    const auto outcome = co_await m_port.update(std::move(value), action.expectedRevision);
     const std::lock_guard guard(m_lock);
-    const auto now = monotonicNow();
+    const auto now = m_port.now();
     if (outcome.has_error()) {
         leaseFailed(m_lease, now);
         co_return;
--- a/src/LeaseKeeper.h
+++ b/src/LeaseKeeper.h
@@ -3,17 +3,17 @@
 /// Keeps one lease in the platform for as long as it is wanted: the thin driver of the lease state
 /// machine. Members are thread-safe.
 
-#include "ClusterCore.h"
 #include "Lease.h"
+#include "LeasePort.h"
 
+#include <memory>
 #include <mutex>
 
 namespace jayhold {
 
 class LeaseKeeper : public std::enable_shared_from_this<LeaseKeeper> {
 public:
-    /// @param name the lease is stored in the object `leases/NAME`.
-    LeaseKeeper(ClusterPointer core, std::string name, Duration leaseTime);
+    LeaseKeeper(LeasePort port, LeaseSettings settings);
 
     /// Starts acquiring and renewing; runs until release() has been stored or the node ends.
     auto start() -> void;
@@ -22,22 +22,28 @@
     /// @return the fencing number while the lease is held, otherwise nothing.
     auto fencingNumber() const -> std::optional<std::int64_t>;
 
-    /// @return until when the lease is held, on the monotonic clock; in the past where it is not.
+    /// @return until when the lease is held, on the clock of the port; in the past where it is not.
     auto heldUntil() const -> TimePoint;
 
     /// Gives the lease up, so that another instance need not wait for its end.
     auto release() -> void;
 
+    /// @return whether start()'s work is over, after a release.
+    auto hasEnded() const -> bool;
+
 private:
     auto run() -> boost::asio::awaitable<void>;
     auto call(LeaseAction action) -> boost::asio::awaitable<void>;
     auto read() -> boost::asio::awaitable<void>;
     auto write(WriteLease action) -> boost::asio::awaitable<void>;
 
-    const ClusterPointer m_core;
-    const std::string m_object;
+    const LeasePort m_port;
     mutable std::mutex m_lock;
     Lease m_lease;
+    bool m_hasEnded = false;
 };
 
+/// @param holder unique to this process.
+auto leaseSettings(std::string name, std::string holder, Duration leaseTime) -> LeaseSettings;
+
 }
--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -77,6 +77,12 @@
     }
 }
 
+auto LoadExchange::isFirst() const -> bool
+{
+    const auto& heard = m_state->loads.instances;
+    return heard.empty() || m_state->instance < heard.begin()->first;
+}
+
 auto LoadExchange::endpoint() const -> HttpEndpoint
 {
     const auto local = m_state->socket.local_endpoint();
@@ -104,11 +110,12 @@
     auto& state = *m_state;
     auto uses = state.callbacks.own();
     std::ranges::sort(uses, {}, &BackendUse::backend);
-    if (uses == state.told && now - state.toldAt < longestSilence)
+    auto changing = state.callbacks.changing();
+    if (uses == state.told && changing.empty() && now - state.toldAt < longestSilence)
         return;
     state.told = uses;
     state.toldAt = now;
-    sendTo(printLoadMessage({ state.instance, state.run, ++state.sequence, std::move(uses) }));
+    sendTo(printLoadMessage({ state.instance, state.run, ++state.sequence, std::move(uses), std::move(changing) }));
 }
 
 auto LoadExchange::sendTo(const std::string& text) -> void
@@ -142,8 +149,12 @@
         // The store's list of instances lags behind a new one, which knows this one already.
         if (std::ranges::find(state.peers, sender) == state.peers.end())
             state.peers.push_back(sender);
-        if (takeMessage(state.loads, monotonicNow(), std::move(*message)))
-            state.callbacks.others(totalUse(state.loads));
+        const auto changing = message->changing;
+        if (!takeMessage(state.loads, monotonicNow(), std::move(*message)))
+            continue;
+        if (!changing.empty())
+            state.callbacks.onChanging(changing);
+        state.callbacks.others(totalUse(state.loads));
     }
 }
 
--- a/src/LoadExchange.h
+++ b/src/LoadExchange.h
@@ -22,6 +22,10 @@
     std::function<std::vector<BackendUse>()> own;
     /// Takes the sum of what the others have reserved.
     std::function<void(const std::vector<BackendUse>&)> others;
+    /// @return backend servers that this instance has lately ordered to change their role.
+    std::function<std::vector<std::string>()> changing;
+    /// Another instance has ordered backend servers to change their role.
+    std::function<void(const std::vector<std::string>&)> onChanging;
 };
 
 class LoadExchange : public std::enable_shared_from_this<LoadExchange> {
@@ -39,6 +43,10 @@
     /// Replaces the addresses of the other instances; must be called on the first I/O thread.
     auto updatePeers(std::vector<HttpEndpoint> peers) -> void;
 
+    /// @return whether this instance's name comes before those of all others that are heard; must be
+    /// called on the first I/O thread.
+    auto isFirst() const -> bool;
+
     /// @return where the datagrams arrive.
     auto endpoint() const -> HttpEndpoint;
 
--- a/src/LoadMessage.cpp
+++ b/src/LoadMessage.cpp
@@ -45,6 +45,7 @@
         { "run", message.run },
         { "sequence", message.sequence },
         { "uses", std::move(uses) },
+        { "changing", json::array(message.changing.begin(), message.changing.end()) },
     };
     return json::serialize(object);
 }
@@ -66,6 +67,11 @@
             return std::nullopt;
         message.uses.push_back(std::move(*use));
     }
+    const auto* changing = arrayField(*object, "changing");
+    for (const auto& element : changing ? *changing : json::array()) {
+        if (element.is_string())
+            message.changing.emplace_back(element.get_string());
+    }
     return message;
 }
 
--- a/src/LoadMessage.h
+++ b/src/LoadMessage.h
@@ -19,6 +19,8 @@
     /// Rises with each message of a run.
     std::uint64_t sequence = 0;
     std::vector<BackendUse> uses;
+    /// Backend servers that the instance has lately ordered to change their role.
+    std::vector<std::string> changing;
 };
 
 /// @return the message as JSON.
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -82,6 +82,7 @@
     arrived.customer = info.customer;
     arrived.promptTokens = info.digest.tokens;
     arrived.maxTokens = info.request.maxTokens;
+    arrived.expectedTokens = info.forwarded ? info.forwarded->expectedTokens : 0;
     arrived.deadline = info.deadline;
     arrived.prefixBlocks = info.digest.prefixBlocks;
     arrived.signature = info.digest.signature;
@@ -209,7 +210,7 @@
     m_backend = replica->backend.id;
     const auto decode = m_service->replica(action.decode);
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - m_info.arrivedAt);
-    record(LogLevel::Info, "request_placed", { { "decode_backend", decode ? decode->backend.id : "" }, { "waited_ms", waited.count() } });
+    record(LogLevel::Info, "request_placed", { { "decode_backend", decode ? decode->backend.id : "" }, { "decode_tokens", action.decodeTokens }, { "prompt_tokens", m_info.digest.tokens }, { "waited_ms", waited.count() } });
     record(LogLevel::Debug, "prefill_started");
     auto call = engineCall();
     const auto task = ++m_tasks->lastTask;
--- a/src/ModelService.cpp
+++ b/src/ModelService.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <map>
 #include <set>
 
 namespace jayhold {
@@ -63,6 +64,7 @@
     , m_pools(service.pools)
     , m_zones(zoneNames(index))
     , m_prefillKept(service.prefillKept)
+    , m_roleChange(service.roleChange)
     , m_seatHold(service.seatHold)
     , m_tokensPerEvent(static_cast<std::uint32_t>(service.tokensPerEvent))
     , m_shardSettings(shardSettingsOf(context, index, service, {}))
@@ -81,6 +83,7 @@
         m_pools = service.pools;
         m_zones = zoneNames(index);
         m_prefillKept = service.prefillKept;
+        m_roleChange = service.roleChange;
         m_seatHold = service.seatHold;
         m_tokensPerEvent = static_cast<std::uint32_t>(service.tokensPerEvent);
         m_shardSettings = shardSettingsOf(m_context, index, service, std::move(m_shardSettings.kinds));
@@ -140,6 +143,8 @@
     auto& status = m_replicas[entry->second];
     if (!isNew && status.backend == backend && status.role == pool.role)
         return status.id;
+    if (!isNew && status.role != pool.role)
+        m_changing.erase(status.id);
     status.id = entry->second;
     status.backend = backend;
     status.role = pool.role;
@@ -152,6 +157,7 @@
     status.backend.state = ReplicaState::Gone;
     changeLocked(status, outbox);
     m_replicaIds.erase(status.backend.id);
+    m_changing.erase(status.id);
 }
 
 auto ModelService::changeLocked(const ReplicaStatus& status, Outbox& outbox) -> void
@@ -159,6 +165,8 @@
     const auto* pool = poolOf(status.backend.pool);
     const auto zone = std::ranges::find(m_zones, status.backend.availabilityZone) - m_zones.begin();
     ReplicaChanged change { .replica = status.id, .role = status.role, .zone = static_cast<ZoneId>(zone), .state = status.backend.state };
+    if (m_changing.contains(status.id) && change.state == ReplicaState::Live)
+        change.state = ReplicaState::Leaving;
     if (pool) {
         change.seats = static_cast<std::uint32_t>(status.backend.seats > 0 ? status.backend.seats : pool->seats);
         change.memoryPieces = static_cast<std::uint32_t>(pool->memoryPieces);
@@ -189,6 +197,72 @@
     return m_prefillKept;
 }
 
+auto ModelService::roleChange() const -> Duration
+{
+    const std::lock_guard guard(m_lock);
+    return m_roleChange;
+}
+
+auto ModelService::roleDemand() const -> RoleDemand
+{
+    const std::lock_guard guard(m_lock);
+    return jayhold::roleDemand(m_shard);
+}
+
+auto ModelService::sparable(PoolRole role) const -> std::vector<BackendServer>
+{
+    const std::lock_guard guard(m_lock);
+    std::map<std::string, int> inZone;
+    std::vector<const ReplicaStatus*> candidates;
+    for (const auto& [id, status] : m_replicas) {
+        if (status.role != role || status.backend.state != ReplicaState::Live || m_changing.contains(id))
+            continue;
+        candidates.push_back(&status);
+        ++inZone[status.backend.availabilityZone];
+    }
+    // The zone with the most of them spares one first, so that each zone keeps both roles if it can.
+    std::ranges::sort(candidates, [&](const ReplicaStatus* left, const ReplicaStatus* right) {
+        const auto leftCount = inZone[left->backend.availabilityZone];
+        const auto rightCount = inZone[right->backend.availabilityZone];
+        return leftCount != rightCount ? leftCount > rightCount : left->backend.id < right->backend.id;
+    });
+    std::vector<BackendServer> servers;
+    for (const auto* candidate : candidates)
+        servers.push_back(candidate->backend);
+    return servers;
+}
+
+auto ModelService::noteRoleChange(std::string_view backend, TimePoint until) -> void
+{
+    Outbox outbox;
+    {
+        const std::lock_guard guard(m_lock);
+        const auto known = m_replicaIds.find(std::string(backend));
+        if (known == m_replicaIds.end())
+            return;
+        const auto [change, isNew] = m_changing.try_emplace(known->second, until);
+        change->second = std::max(change->second, until);
+        if (!isNew)
+            return;
+        changeLocked(m_replicas.at(known->second), outbox);
+    }
+    send(std::move(outbox));
+}
+
+auto ModelService::expireChangesLocked(TimePoint now, Outbox& outbox) -> void
+{
+    for (auto change = m_changing.begin(); change != m_changing.end();) {
+        if (now < change->second) {
+            ++change;
+            continue;
+        }
+        const auto replica = m_replicas.find(change->first);
+        change = m_changing.erase(change);
+        if (replica != m_replicas.end())
+            changeLocked(replica->second, outbox);
+    }
+}
+
 auto ModelService::seatHold() const -> Duration
 {
     const std::lock_guard guard(m_lock);
@@ -219,6 +293,8 @@
     Outbox outbox;
     {
         const std::lock_guard guard(m_lock);
+        if (std::holds_alternative<Tick>(event) && !m_changing.empty())
+            expireChangesLocked(monotonicNow(), outbox);
         cancelEndedLocked(event, outbox);
         decideLocked(event, outbox);
     }
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -59,6 +59,15 @@
     /// @return tokens that one event of a stream carries.
     auto tokensPerEvent() const -> std::uint32_t;
 
+    /// @return how long engines take to change their role; zero where they don't.
+    auto roleChange() const -> Duration;
+    auto roleDemand() const -> RoleDemand;
+    /// @return the engines of a role that are best spared, the least needed first.
+    auto sparable(PoolRole role) const -> std::vector<BackendServer>;
+    /// An engine has been ordered to change its role: it gets no new work until the platform lists it
+    /// with the new one, or the time has passed.
+    auto noteRoleChange(std::string_view backend, TimePoint until) -> void;
+
     /// Admits a request to the shard.
     /// @param arrived the request; its identifier is assigned here.
     auto open(RequestArrived arrived, const std::shared_ptr<ActionReceiver>& receiver) -> RequestId;
@@ -123,6 +132,8 @@
     auto attemptOf(std::string_view engineRequestId) const -> std::optional<std::pair<RequestId, Attempt>>;
     auto changeLocked(const ReplicaStatus& status, Outbox& outbox) -> void;
     auto updateReplicaLocked(const BackendServer& backend, const Pool& pool, Outbox& outbox) -> ReplicaId;
+    /// Takes back what is believed of role changes that took too long.
+    auto expireChangesLocked(TimePoint now, Outbox& outbox) -> void;
     auto removeReplicaLocked(ReplicaStatus& status, Outbox& outbox) -> void;
     auto poolOf(std::string_view name) const -> const Pool*;
 
@@ -140,6 +151,7 @@
     std::vector<Pool> m_pools;
     std::vector<std::string> m_zones;
     Duration m_prefillKept;
+    Duration m_roleChange;
     Duration m_seatHold;
     std::uint32_t m_tokensPerEvent;
     ShardSettings m_shardSettings;
@@ -150,6 +162,8 @@
     std::unordered_map<RequestId, OpenRequest> m_requests;
     std::unordered_map<ReplicaId, ReplicaStatus> m_replicas;
     std::unordered_map<std::string, ReplicaId> m_replicaIds;
+    /// Engines that change their role, and until when that is believed.
+    std::unordered_map<ReplicaId, TimePoint> m_changing;
     std::optional<TimePoint> m_wakeAt;
     /// Owned by its coroutine, for the same reason.
     std::weak_ptr<Timer> m_timer;
--- a/src/NativeProtocols.cpp
+++ b/src/NativeProtocols.cpp
@@ -65,6 +65,8 @@
         .releasePrefill = nullptr,
         .holdSeat = nullptr,
         .dropSeat = nullptr,
+        .orderState = nullptr,
+        .orderRole = nullptr,
         .load = loadOfEngine,
         .cacheEvents = cacheEventsOfEngine,
         .makeEventReader = makeEventReader,
--- a/src/ObjectStore.h
+++ b/src/ObjectStore.h
@@ -5,6 +5,7 @@
 
 #include "HttpClient.h"
 #include "StoreError.h"
+#include "StoredObject.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/json/value.hpp>
@@ -57,6 +58,13 @@
     /// keep them any more.
     virtual auto watch(HttpClient& client, std::string kind, std::int64_t revision, Duration wait) -> boost::asio::awaitable<StoreResult<ItemChanges>> = 0;
 
+    /// @return the object; revision 0 where it does not exist.
+    virtual auto read(HttpClient& client, std::string kind, std::string name) -> boost::asio::awaitable<StoreResult<StoredObject>> = 0;
+
+    /// Replaces an object if it still has the revision, or creates it.
+    /// @param expectedRevision 0 where the object must not exist.
+    virtual auto update(HttpClient& client, std::string kind, std::string name, boost::json::value value, std::int64_t expectedRevision) -> boost::asio::awaitable<StoreResult<UpdateOutcome>> = 0;
+
     /// Creates or replaces an object, whatever its revision.
     /// @return the revision of the object.
     virtual auto put(HttpClient& client, std::string kind, std::string name, boost::json::value value) -> boost::asio::awaitable<StoreResult<std::int64_t>> = 0;
--- a/src/RequestArrived.h
+++ b/src/RequestArrived.h
@@ -17,6 +17,8 @@
     std::uint32_t promptTokens;
     /// Most tokens that the caller accepts.
     std::uint32_t maxTokens;
+    /// The caller's own estimate of the tokens, 0 for none.
+    std::uint32_t expectedTokens;
     /// Time after which an answer is of no use.
     TimePoint deadline;
     /// Chained hashes of the prompt's prefix blocks, first block first.
--- /dev/null
+++ b/src/RoleBalance.cpp
@@ -0,0 +1,73 @@
+#include "RoleBalance.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jayhold {
+
+namespace {
+
+/// Less work than this says nothing about its kind.
+constexpr double leastWork = 0.5;
+/// A prefill replica is kept emptier than a decode replica: a prompt that waits delays the first
+/// token, while a decode in company only gets a little slower.
+constexpr double prefillWeight = 1.0;
+/// The share must be off by this part of a replica, so that it doesn't swing to and fro.
+constexpr double hysteresis = 0.6;
+/// Part of the replicas that may change at once.
+constexpr double largestPart = 0.12;
+
+auto fresh(double average, double value, double part) -> double
+{
+    return average + (value - average) * part;
+}
+
+}
+
+auto observeDemand(RoleBalance& balance, TimePoint now, const RoleDemand& demand) -> void
+{
+    const auto isBusy = demand.prefillWork + demand.decodeWork >= leastWork;
+    if (!balance.busySince && !isBusy)
+        return;
+    if (!balance.busySince)
+        balance.busySince = now;
+    if (now - *balance.busySince < balance.settings.rampUp)
+        return;
+    if (!balance.hasAverage) {
+        balance.hasAverage = true;
+        balance.prefillWork = demand.prefillWork;
+        balance.decodeWork = demand.decodeWork;
+    } else {
+        const auto elapsed = std::chrono::duration<double>(now - balance.observedAt).count();
+        const auto part = 1 - std::exp(-elapsed / std::chrono::duration<double>(balance.settings.window).count());
+        balance.prefillWork = fresh(balance.prefillWork, demand.prefillWork, part);
+        balance.decodeWork = fresh(balance.decodeWork, demand.decodeWork, part);
+    }
+    balance.observedAt = now;
+}
+
+auto wantedRoleChange(const RoleBalance& balance, TimePoint now, const RoleDemand& demand) -> int
+{
+    const auto total = demand.prefillReplicas + demand.decodeReplicas;
+    if (!balance.busySince || now - *balance.busySince < balance.settings.warmUp || total < 2)
+        return 0;
+    if (balance.changedAt != TimePoint() && now - balance.changedAt < balance.settings.pause)
+        return 0;
+    const auto weighted = balance.prefillWork * prefillWeight;
+    const auto work = balance.decodeWork + weighted;
+    if (work < leastWork)
+        return 0;
+    const auto wanted = std::clamp(total * balance.decodeWork / work, 1.0, static_cast<double>(total - 1));
+    const auto difference = wanted - demand.decodeReplicas;
+    if (std::abs(difference) < hysteresis)
+        return 0;
+    const auto most = std::max(1.0, std::floor(total * largestPart));
+    return static_cast<int>(std::clamp(std::round(difference), -most, most));
+}
+
+auto noteRoleChange(RoleBalance& balance, TimePoint now) -> void
+{
+    balance.changedAt = now;
+}
+
+}
--- /dev/null
+++ b/src/RoleDemand.h
@@ -0,0 +1,18 @@
+#pragma once
+
+/// How much work there is for the two roles of a model service's replicas.
+
+#include <cstdint>
+
+namespace jayhold {
+
+struct RoleDemand {
+    std::uint32_t prefillReplicas = 0;
+    std::uint32_t decodeReplicas = 0;
+    /// Work in units of what one replica does at a time: prompts being read, and memory in use by
+    /// decodes or wanted by requests that wait for it.
+    double prefillWork = 0;
+    double decodeWork = 0;
+};
+
+}
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -1,15 +1,15 @@
 #include "RouterDaemon.h"
 
-#include "AwaitToken.h"
 #include "ForwardApi.h"
 #include "HttpServer.h"
 #include "LoadExchange.h"
+#include "Pause.h"
 #include "RecordsUnavailable.h"
+#include "RoleBalancer.h"
 #include "ServiceTable.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <random>
 
@@ -30,6 +30,8 @@
 constexpr Duration backendIdleTime = std::chrono::seconds(20);
 /// A backend server of a plain service has few slots, and all instances share its connections.
 constexpr std::size_t idlePerBackend = 8;
+/// The instance that ordered a change of role repeats it in each message until then.
+constexpr Duration changeBelieved = std::chrono::seconds(2);
 constexpr auto drainCheckInterval = std::chrono::milliseconds(20);
 /// Part of the time to shut down that is kept for the end of the process itself.
 constexpr int drainReservePart = 8;
@@ -75,13 +77,6 @@
     return std::to_string(random()) + "-" + std::to_string(std::chrono::system_clock::now().time_since_epoch().count());
 }
 
-auto pause(asio::steady_timer& timer, Duration duration) -> asio::awaitable<void>
-{
-    timer.expires_after(duration);
-    boost::system::error_code code;
-    co_await timer.async_wait(awaitInto(code));
-}
-
 }
 
 struct RouterDaemon::State {
@@ -138,6 +133,8 @@
             directorySettings.peerEndpoint = exchange->endpoint();
         directory = std::make_shared<StoreDirectory>(threads, *parts.store, parts.directory, std::move(directorySettings), log, std::move(callbacks));
         directory->start();
+        if (parts.backends.orderRole)
+            startBalancer();
     }
 
     auto startExchange(const HttpEndpoint& endpoint) -> void
@@ -145,11 +142,33 @@
         LoadExchangeCallbacks callbacks {
             .own = [this] { return services.use(); },
             .others = [this](const std::vector<BackendUse>& uses) { services.updateOthersUse(uses); },
+            .changing = [this] { return balancer ? balancer->changing() : std::vector<std::string>(); },
+            .onChanging = [this](const std::vector<std::string>& backends) { noteChanging(backends); },
         };
         exchange = std::make_shared<LoadExchange>(threads, endpoint, settings.instance, context.runId, log, std::move(callbacks));
         exchange->start();
     }
 
+    auto startBalancer() -> void
+    {
+        RoleBalancerSettings balancerSettings { .leaseKind = parts.directory.leaseKind, .orderSpacing = settings.orderSpacing };
+        RoleBalancerCallbacks callbacks {
+            .models = [this] { return services.models(); },
+            .isCandidate = [this] { return exchange && exchange->isFirst(); },
+        };
+        balancer = std::make_shared<RoleBalancer>(context, *parts.store, std::move(balancerSettings), std::move(callbacks));
+        balancer->start();
+    }
+
+    auto noteChanging(const std::vector<std::string>& backends) -> void
+    {
+        const auto until = monotonicNow() + changeBelieved;
+        for (const auto& service : services.models()) {
+            for (const auto& backend : backends)
+                service->noteRoleChange(backend, until);
+        }
+    }
+
     auto isReady() const -> bool { return !context.isDraining && context.knowsBackends && services.index(); }
 
     auto answerReady(HttpExchange& exchange) -> asio::awaitable<void>
@@ -183,14 +202,13 @@
     {
         const auto begun = monotonicNow();
         callerServer->closeAfterAnswers();
-        asio::steady_timer timer(threads.context(0));
-        co_await pause(timer, settings.balancerNotice);
+        co_await pause(settings.balancerNotice);
         // Work taken later could not end in time. Callers whose request was not read send it again.
         callerServer->stopAccepting();
         callerServer->closeIdle();
         const auto latest = begun + settings.drain - settings.drain / drainReservePart;
         while (callerServer->activeExchanges() > 0 && monotonicNow() < latest)
-            co_await pause(timer, drainCheckInterval);
+            co_await pause(drainCheckInterval);
         const auto left = callerServer->activeExchanges();
         log.record(LogLevel::Info, "drained", { { "complete", left == 0 }, { "open_requests", left } });
         drained(left == 0);
@@ -206,6 +224,7 @@
     ForwardApi api;
     std::shared_ptr<LoadExchange> exchange;
     std::shared_ptr<StoreDirectory> directory;
+    std::shared_ptr<RoleBalancer> balancer;
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> readyServer;
     std::unique_ptr<HttpServer> metricsServer;
--- a/src/Service.h
+++ b/src/Service.h
@@ -29,6 +29,8 @@
     std::chrono::milliseconds prefillKept { 1'000 };
     /// Tokens that one event of a stream carries, where the service's streams pass unchanged.
     std::int64_t tokensPerEvent = 1;
+    /// How long an engine takes to change its role once its work has ended; zero where none can.
+    std::chrono::milliseconds roleChange { 0 };
     /// How long a decode engine may be asked to keep a seat and memory for a request whose prefill has
     /// not ended; zero where engines do not.
     std::chrono::milliseconds seatHold { 0 };
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -4,6 +4,7 @@
 #include "DecisionContext.h"
 #include "Dispatch.h"
 #include "LoadReports.h"
+#include "ReplicaIndex.h"
 #include "ReplicaEvents.h"
 #include "RequestEvents.h"
 #include "RequestLife.h"
@@ -102,6 +103,30 @@
     return uses;
 }
 
+auto roleDemand(const Shard& shard) -> RoleDemand
+{
+    const auto& state = *shard.state;
+    RoleDemand demand;
+    double memoryPieces = 0;
+    for (const auto& [id, replica] : state.replicas) {
+        if (replica.description.state != ReplicaState::Live)
+            continue;
+        if (replica.role() == PoolRole::Prefill) {
+            ++demand.prefillReplicas;
+            demand.prefillWork += replica.reserved.seats + replica.othersSeats;
+            continue;
+        }
+        ++demand.decodeReplicas;
+        memoryPieces += replica.description.memoryPieces;
+        demand.decodeWork += static_cast<double>(decodeLoad(replica)) / static_cast<double>(loadScale);
+    }
+    // The others are taken to have as many requests waiting for memory as this instance.
+    const auto waiting = static_cast<double>(state.queue.size()) * std::max(state.settings.sharingInstances, 1U);
+    if (memoryPieces > 0)
+        demand.decodeWork += waiting * state.meanDecodePieces * demand.decodeReplicas / memoryPieces;
+    return demand;
+}
+
 auto summarize(const Shard& shard) -> ShardSummary
 {
     const auto& state = *shard.state;
--- a/src/Shard.h
+++ b/src/Shard.h
@@ -7,6 +7,7 @@
 #include "DecisionAction.h"
 #include "DecisionEvent.h"
 #include "ReplicaUse.h"
+#include "RoleDemand.h"
 #include "ShardSettings.h"
 #include "Time.h"
 
@@ -35,6 +36,9 @@
 /// @return what the shard has reserved on each replica that it uses.
 auto ownUse(const Shard& shard) -> std::vector<ReplicaUse>;
 
+/// @return the work for the two roles, as far as this instance knows.
+auto roleDemand(const Shard& shard) -> RoleDemand;
+
 /// Replaces the settings after a change of configuration; requests in the shard keep their targets.
 auto updateSettings(Shard& shard, ShardSettings settings) -> void;
 
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -1,12 +1,11 @@
 #include "StoreDirectory.h"
 
-#include "AwaitToken.h"
 #include "JsonFields.h"
+#include "Pause.h"
 #include "SpreadDelay.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 
 #include <algorithm>
@@ -28,13 +27,6 @@
 constexpr Duration firstCountDelay = std::chrono::seconds(2);
 constexpr Duration expiryInterval = std::chrono::milliseconds(100);
 
-auto pause(Duration duration) -> asio::awaitable<void>
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
-    boost::system::error_code ignored;
-    co_await timer.async_wait(awaitInto(ignored));
-}
-
 auto endpointOf(const StoredItem& item) -> std::optional<HttpEndpoint>
 {
     const auto* object = item.value.if_object();
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -26,6 +26,7 @@
     std::string configurationName;
     std::string backendKind;
     std::string instanceKind;
+    std::string leaseKind;
     /// @return nothing where the object is not a configuration.
     std::function<std::optional<Configuration>(const StoredItem&)> readConfiguration;
     /// @return nothing where the object names no backend server.
--- a/src/Time.h
+++ b/src/Time.h
@@ -5,6 +5,7 @@
 /// in virtual time.
 
 #include <chrono>
+#include <ctime>
 
 namespace jayhold {
 
@@ -19,4 +20,13 @@
     return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
 }
 
+/// @return the time since the system started, its suspensions included. Leases are counted on this
+/// clock, so that a holder that was suspended learns that its lease has ended.
+inline auto bootNow() -> TimePoint
+{
+    timespec time {};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+}
+
 }
