--- a/src/RoleBalance.cpp
+++ b/src/RoleBalance.cpp
@@ -12,8 +12,11 @@
 /// A prefill replica is kept emptier than a decode replica: a prompt that waits delays the first
 /// token, while a decode in company only gets a little slower.
 constexpr double prefillWeight = 1.0;
-/// The share must be off by this part of a replica, so that it doesn't swing to and fro.
-constexpr double hysteresis = 0.6;
+/// The share must be off by this part of a replica, so that it doesn't swing to and fro. Prompts that
+/// queue up count more than their work, and decode replicas can prefill for a while; so the way back
+/// takes more.
+constexpr double hysteresisToDecode = 0.6;
+constexpr double hysteresisToPrefill = 1.5;
 /// Part of the replicas that may change at once.
 constexpr double largestPart = 0.12;
 
@@ -59,7 +62,7 @@
         return 0;
     const auto wanted = std::clamp(total * balance.decodeWork / work, 1.0, static_cast<double>(total - 1));
     const auto difference = wanted - demand.decodeReplicas;
-    if (std::abs(difference) < hysteresis)
+    if (difference < hysteresisToDecode && difference > -hysteresisToPrefill)
         return 0;
     const auto most = std::max(1.0, std::floor(total * largestPart));
     return static_cast<int>(std::clamp(std::round(difference), -most, most));
