Let instances tell each other which changes of the store they have taken

A few instances ask in each bound and tell the others the revision; near instances are told of reservations three times as often as far ones.

--- a/src/HttpError.h
+++ b/src/HttpError.h
@@ -20,7 +20,7 @@
     TimedOut,
     /// The answer was not valid HTTP or larger than allowed.
     MalformedAnswer,
-    /// The caller closed the stream.
+    /// The caller closed the stream or gave the call up; the request may have run.
     Cancelled,
 };
 
--- a/src/HttpStream.cpp
+++ b/src/HttpStream.cpp
@@ -133,6 +133,8 @@
 {
     if (code == beast::error::timeout)
         return { HttpErrorKind::TimedOut, code.message() };
+    if (code == asio::error::operation_aborted)
+        return { HttpErrorKind::Cancelled, code.message() };
     const auto& category = code.category();
     if (category == http::make_error_code(http::error::bad_version).category()
         && code != http::error::end_of_stream && code != http::error::partial_message)
--- a/src/InstanceCount.cpp
+++ b/src/InstanceCount.cpp
@@ -13,11 +13,11 @@
 
 }
 
-auto noteInstance(InstanceCount& count, TimePoint now, const std::string& name, std::int64_t revision, std::optional<HttpEndpoint> endpoint) -> void
+auto noteInstance(InstanceCount& count, TimePoint now, const std::string& name, std::int64_t revision, std::optional<HttpEndpoint> endpoint, std::string availabilityZone) -> void
 {
-    auto [entry, isNew] = count.instances.try_emplace(name, InstanceCount::Seen { revision, now, endpoint });
+    auto [entry, isNew] = count.instances.try_emplace(name, InstanceCount::Seen { revision, now, endpoint, availabilityZone });
     if (!isNew && entry->second.revision != revision)
-        entry->second = { revision, now, std::move(endpoint) };
+        entry->second = { revision, now, std::move(endpoint), std::move(availabilityZone) };
 }
 
 auto liveInstances(const InstanceCount& count, TimePoint now) -> std::uint32_t
@@ -26,14 +26,14 @@
     return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(live));
 }
 
-auto liveEndpoints(const InstanceCount& count, TimePoint now) -> std::vector<HttpEndpoint>
+auto livePeers(const InstanceCount& count, TimePoint now) -> std::vector<PeerAddress>
 {
-    std::vector<HttpEndpoint> endpoints;
+    std::vector<PeerAddress> peers;
     for (const auto& [name, seen] : count.instances) {
         if (isLive(count, seen, now) && seen.endpoint)
-            endpoints.push_back(*seen.endpoint);
+            peers.push_back({ *seen.endpoint, seen.availabilityZone });
     }
-    return endpoints;
+    return peers;
 }
 
 }
--- a/src/InstanceCount.h
+++ b/src/InstanceCount.h
@@ -4,7 +4,7 @@
 /// a pure state machine. An instance that has written nothing for some time is gone; clocks of
 /// different instances are never compared.
 
-#include "HttpEndpoint.h"
+#include "PeerAddress.h"
 #include "Time.h"
 
 #include <cstdint>
@@ -22,6 +22,7 @@
         TimePoint at {};
         /// Where its peers reach it; absent where its record does not say.
         std::optional<HttpEndpoint> endpoint;
+        std::string availabilityZone;
     };
 
     /// Three missed writes.
@@ -30,12 +31,12 @@
 };
 
 /// An instance's record was read.
-auto noteInstance(InstanceCount& count, TimePoint now, const std::string& name, std::int64_t revision, std::optional<HttpEndpoint> endpoint = {}) -> void;
+auto noteInstance(InstanceCount& count, TimePoint now, const std::string& name, std::int64_t revision, std::optional<HttpEndpoint> endpoint = {}, std::string availabilityZone = {}) -> void;
 
 /// @return live instances, this one included, which is at least 1.
 auto liveInstances(const InstanceCount& count, TimePoint now) -> std::uint32_t;
 
-/// @return the addresses of live instances.
-auto liveEndpoints(const InstanceCount& count, TimePoint now) -> std::vector<HttpEndpoint>;
+/// @return the live instances that gave an address.
+auto livePeers(const InstanceCount& count, TimePoint now) -> std::vector<PeerAddress>;
 
 }
--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -1,11 +1,11 @@
 #include "LoadExchange.h"
 
 #include "AwaitToken.h"
+#include "Pause.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/udp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <array>
@@ -18,8 +18,10 @@
 
 /// Requests run for seconds, so a view of this age misplaces few of them.
 constexpr Duration shortestInterval = std::chrono::milliseconds(100);
-/// Keeps the datagrams of one instance at about 100 a second, however many instances there are.
-constexpr Duration intervalPerPeer = std::chrono::milliseconds(10);
+/// Keeps the datagrams of one instance at some 150 a second, however many instances there are.
+constexpr Duration intervalPerPeer = std::chrono::milliseconds(6);
+/// Most requests are placed within the zone, so the other zones are told less often.
+constexpr std::uint64_t farPart = 3;
 /// What has not changed is told again after this time, because a datagram can be lost.
 constexpr Duration longestSilence = std::chrono::milliseconds(800);
 constexpr std::size_t largestDatagram = 65'536;
@@ -27,25 +29,27 @@
 }
 
 struct LoadExchange::State {
-    State(IoThreads& ioThreads, const HttpEndpoint& endpoint, std::string instanceName, std::string runName, EventLog& eventLog, LoadExchangeCallbacks exchangeCallbacks)
-        : context(ioThreads.context(0))
-        , socket(context, asio::ip::udp::endpoint(asio::ip::make_address(endpoint.address), endpoint.port))
-        , instance(std::move(instanceName))
-        , run(std::move(runName))
+    State(IoThreads& ioThreads, LoadExchangeSettings exchangeSettings, EventLog& eventLog, LoadExchangeCallbacks exchangeCallbacks)
+        : settings(std::move(exchangeSettings))
+        , context(ioThreads.context(0))
+        , socket(context, asio::ip::udp::endpoint(asio::ip::make_address(settings.endpoint.address), settings.endpoint.port))
         , log(eventLog)
         , callbacks(std::move(exchangeCallbacks))
     {
         socket.non_blocking(true);
     }
 
+    const LoadExchangeSettings settings;
     asio::io_context& context;
     asio::ip::udp::socket socket;
-    const std::string instance;
-    const std::string run;
     EventLog& log;
     const LoadExchangeCallbacks callbacks;
-    std::vector<asio::ip::udp::endpoint> peers;
+    std::vector<asio::ip::udp::endpoint> near;
+    std::vector<asio::ip::udp::endpoint> far;
     PeerLoads loads;
+    std::map<std::string, std::int64_t> revisions;
+    /// Whether something changed that the others have not been told.
+    bool hasNews = false;
     std::uint64_t sequence = 0;
     std::vector<BackendUse> told;
     TimePoint toldAt {};
@@ -53,8 +57,8 @@
     std::uint64_t unreadable = 0;
 };
 
-LoadExchange::LoadExchange(IoThreads& threads, const HttpEndpoint& endpoint, std::string instance, std::string run, EventLog& log, LoadExchangeCallbacks callbacks)
-    : m_state(std::make_unique<State>(threads, endpoint, std::move(instance), std::move(run), log, std::move(callbacks)))
+LoadExchange::LoadExchange(IoThreads& threads, LoadExchangeSettings settings, EventLog& log, LoadExchangeCallbacks callbacks)
+    : m_state(std::make_unique<State>(threads, std::move(settings), log, std::move(callbacks)))
 {
 }
 
@@ -66,21 +70,37 @@
     asio::co_spawn(m_state->context, receive(), asio::detached);
 }
 
-auto LoadExchange::updatePeers(std::vector<HttpEndpoint> peers) -> void
+auto LoadExchange::updatePeers(const std::vector<PeerAddress>& peers) -> void
 {
-    m_state->peers.clear();
-    const auto own = m_state->socket.local_endpoint();
+    auto& state = *m_state;
+    state.near.clear();
+    state.far.clear();
+    const auto own = state.socket.local_endpoint();
     for (const auto& peer : peers) {
-        const asio::ip::udp::endpoint target(asio::ip::make_address(peer.address), peer.port);
+        const asio::ip::udp::endpoint target(asio::ip::make_address(peer.endpoint.address), peer.endpoint.port);
         if (target != own)
-            m_state->peers.push_back(target);
+            (peer.availabilityZone == state.settings.availabilityZone ? state.near : state.far).push_back(target);
     }
 }
 
+auto LoadExchange::noteRevision(const std::string& kind, std::int64_t revision) -> void
+{
+    auto& known = m_state->revisions[kind];
+    if (revision <= known)
+        return;
+    known = revision;
+    m_state->hasNews = true;
+}
+
+auto LoadExchange::heardPeers() const -> std::size_t
+{
+    return m_state->loads.instances.size();
+}
+
 auto LoadExchange::isFirst() const -> bool
 {
     const auto& heard = m_state->loads.instances;
-    return heard.empty() || m_state->instance < heard.begin()->first;
+    return heard.empty() || m_state->settings.instance < heard.begin()->first;
 }
 
 auto LoadExchange::endpoint() const -> HttpEndpoint
@@ -92,12 +112,9 @@
 auto LoadExchange::send() -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
-    asio::steady_timer timer(m_state->context);
     while (true) {
-        const auto interval = std::max(shortestInterval, intervalPerPeer * static_cast<Duration::rep>(m_state->peers.size()));
-        timer.expires_after(interval);
-        boost::system::error_code code;
-        co_await timer.async_wait(awaitInto(code));
+        const auto targets = m_state->near.size() + m_state->far.size() / farPart;
+        co_await pause(std::max(shortestInterval, intervalPerPeer * static_cast<Duration::rep>(targets)));
         const auto now = monotonicNow();
         if (dropSilent(m_state->loads, now))
             m_state->callbacks.others(totalUse(m_state->loads));
@@ -111,20 +128,24 @@
     auto uses = state.callbacks.own();
     std::ranges::sort(uses, {}, &BackendUse::backend);
     auto changing = state.callbacks.changing();
-    if (uses == state.told && changing.empty() && now - state.toldAt < longestSilence)
+    if (uses == state.told && changing.empty() && !state.hasNews && now - state.toldAt < longestSilence)
         return;
     state.told = uses;
     state.toldAt = now;
-    sendTo(printLoadMessage({ state.instance, state.run, ++state.sequence, std::move(uses), std::move(changing) }));
+    state.hasNews = false;
+    sendToPeers(printLoadMessage({ state.settings.instance, state.settings.run, ++state.sequence, std::move(uses), std::move(changing), state.revisions }));
 }
 
-auto LoadExchange::sendTo(const std::string& text) -> void
+auto LoadExchange::sendToPeers(const std::string& text) -> void
 {
-    for (const auto& peer : m_state->peers) {
-        // A datagram that does not fit into the socket's buffer is as good as lost on the way.
-        boost::system::error_code ignored;
-        m_state->socket.send_to(asio::buffer(text), peer, 0, ignored);
-    }
+    auto& state = *m_state;
+    // A datagram that does not fit into the socket's buffer is as good as lost on the way.
+    boost::system::error_code ignored;
+    for (const auto& peer : state.near)
+        state.socket.send_to(asio::buffer(text), peer, 0, ignored);
+    // Each message goes to another part of the far instances.
+    for (auto index = state.sequence % farPart; index < state.far.size(); index += farPart)
+        state.socket.send_to(asio::buffer(text), state.far[index], 0, ignored);
 }
 
 auto LoadExchange::receive() -> asio::awaitable<void>
@@ -147,15 +168,25 @@
             continue;
         }
         // The store's list of instances lags behind a new one, which knows this one already.
-        if (std::ranges::find(state.peers, sender) == state.peers.end())
-            state.peers.push_back(sender);
-        const auto changing = message->changing;
-        if (!takeMessage(state.loads, monotonicNow(), std::move(*message)))
-            continue;
-        if (!changing.empty())
-            state.callbacks.onChanging(changing);
-        state.callbacks.others(totalUse(state.loads));
+        const auto isKnown = std::ranges::find(state.near, sender) != state.near.end() || std::ranges::find(state.far, sender) != state.far.end();
+        if (!isKnown)
+            state.far.push_back(sender);
+        take(std::move(*message));
     }
 }
 
+auto LoadExchange::take(LoadMessage message) -> void
+{
+    auto& state = *m_state;
+    const auto changing = message.changing;
+    const auto revisions = message.revisions;
+    if (!takeMessage(state.loads, monotonicNow(), std::move(message)))
+        return;
+    for (const auto& [kind, revision] : revisions)
+        state.callbacks.onRevision(kind, revision);
+    if (!changing.empty())
+        state.callbacks.onChanging(changing);
+    state.callbacks.others(totalUse(state.loads));
+}
+
 }
--- a/src/LoadExchange.h
+++ b/src/LoadExchange.h
@@ -7,6 +7,7 @@
 #include "EventLog.h"
 #include "HttpEndpoint.h"
 #include "IoThreads.h"
+#include "PeerAddress.h"
 #include "PeerLoads.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -24,15 +25,25 @@
     std::function<void(const std::vector<BackendUse>&)> others;
     /// @return backend servers that this instance has lately ordered to change their role.
     std::function<std::vector<std::string>()> changing;
+    /// Another instance has taken a change of a kind of the store's objects.
+    std::function<void(const std::string& kind, std::int64_t revision)> onRevision;
     /// Another instance has ordered backend servers to change their role.
     std::function<void(const std::vector<std::string>&)> onChanging;
 };
 
+struct LoadExchangeSettings {
+    /// Where the datagrams of the others arrive.
+    HttpEndpoint endpoint;
+    std::string instance;
+    /// Tells two runs of the instance's process apart.
+    std::string run;
+    std::string availabilityZone;
+};
+
 class LoadExchange : public std::enable_shared_from_this<LoadExchange> {
 public:
-    /// @param endpoint where the datagrams of the others arrive.
     /// @throws boost::system::system_error where the endpoint can't be bound.
-    LoadExchange(IoThreads& threads, const HttpEndpoint& endpoint, std::string instance, std::string run, EventLog& log, LoadExchangeCallbacks callbacks);
+    LoadExchange(IoThreads& threads, LoadExchangeSettings settings, EventLog& log, LoadExchangeCallbacks callbacks);
     ~LoadExchange();
     LoadExchange(const LoadExchange&) = delete;
     auto operator=(const LoadExchange&) -> LoadExchange& = delete;
@@ -41,7 +52,14 @@
     auto start() -> void;
 
     /// Replaces the addresses of the other instances; must be called on the first I/O thread.
-    auto updatePeers(std::vector<HttpEndpoint> peers) -> void;
+    auto updatePeers(const std::vector<PeerAddress>& peers) -> void;
+
+    /// This instance has taken a change of a kind of the store's objects; must be called on the first
+    /// I/O thread.
+    auto noteRevision(const std::string& kind, std::int64_t revision) -> void;
+
+    /// @return instances that are heard; must be called on the first I/O thread.
+    auto heardPeers() const -> std::size_t;
 
     /// @return whether this instance's name comes before those of all others that are heard; must be
     /// called on the first I/O thread.
@@ -55,7 +73,9 @@
 
     auto send() -> boost::asio::awaitable<void>;
     auto receive() -> boost::asio::awaitable<void>;
-    auto sendTo(const std::string& text) -> void;
+    /// Sends to the instances of this zone, and to the others where it is their turn.
+    auto sendToPeers(const std::string& text) -> void;
+    auto take(LoadMessage message) -> void;
     /// Sends what has changed, or all of it after a longer pause.
     auto tell(TimePoint now) -> void;
 
--- a/src/LoadMessage.cpp
+++ b/src/LoadMessage.cpp
@@ -40,12 +40,16 @@
     json::array uses;
     for (const auto& use : message.uses)
         uses.push_back(json::array { use.backend, use.seats, use.pieces, use.prefillTokens });
+    json::object revisions;
+    for (const auto& [kind, revision] : message.revisions)
+        revisions[kind] = revision;
     const json::object object {
         { "instance", message.instance },
         { "run", message.run },
         { "sequence", message.sequence },
         { "uses", std::move(uses) },
         { "changing", json::array(message.changing.begin(), message.changing.end()) },
+        { "revisions", std::move(revisions) },
     };
     return json::serialize(object);
 }
@@ -72,6 +76,12 @@
         if (element.is_string())
             message.changing.emplace_back(element.get_string());
     }
+    const auto* revisions = objectField(*object, "revisions");
+    for (const auto& field : revisions ? *revisions : json::object()) {
+        std::int64_t revision = 0;
+        if (readNumber(*revisions, field.key(), revision))
+            message.revisions[field.key()] = revision;
+    }
     return message;
 }
 
--- a/src/LoadMessage.h
+++ b/src/LoadMessage.h
@@ -5,6 +5,7 @@
 #include "BackendUse.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -21,6 +22,8 @@
     std::vector<BackendUse> uses;
     /// Backend servers that the instance has lately ordered to change their role.
     std::vector<std::string> changing;
+    /// By kind of the store's objects: the revision of the last change that the instance has taken.
+    std::map<std::string, std::int64_t> revisions;
 };
 
 /// @return the message as JSON.
--- /dev/null
+++ b/src/PeerAddress.h
@@ -0,0 +1,16 @@
+#pragma once
+
+/// Where another entry instance is reached.
+
+#include "HttpEndpoint.h"
+
+#include <string>
+
+namespace jayhold {
+
+struct PeerAddress {
+    HttpEndpoint endpoint;
+    std::string availabilityZone;
+};
+
+}
--- a/src/ReplicaHealth.cpp
+++ b/src/ReplicaHealth.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 /// About one report interval of an engine; until then a full engine is likely to be still full.
-constexpr Duration busyPause = std::chrono::milliseconds(25);
-constexpr std::uint32_t longestBusyDoublings = 0;
+constexpr Duration busyPause = std::chrono::milliseconds(50);
+constexpr std::uint32_t longestBusyDoublings = 2;
 constexpr Duration unreachablePause = std::chrono::milliseconds(50);
 constexpr Duration firstEjection = std::chrono::seconds(1);
 constexpr std::uint32_t longestEjectionDoublings = 5;
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -312,14 +312,12 @@
 
 auto seatRefused(DecisionContext& context, ActiveRequest& request) -> void
 {
-    ++request.redirects;
     request.avoid = request.decode;
     context.state.totals.wastedPrefillTokens -= request.arrival.promptTokens;
     context.state.totals.prefillTokens -= request.arrival.promptTokens;
     leave(context, request);
+    // It costs little to be told that there is no room, so only the time to wait is bounded.
     enqueue(context, request);
-    if (request.redirects > maximumRedirects)
-        refuse(context, request, RefusalReason::RetriesExhausted);
 }
 
 auto finish(DecisionContext& context, ActiveRequest& request) -> void
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -120,15 +120,20 @@
                 context.knowsBackends = !backends.empty();
                 services.updateBackends(std::move(backends));
             },
-            .instances = [this](std::uint32_t count, std::vector<HttpEndpoint> peers) {
+            .instances = [this](std::uint32_t count, const std::vector<PeerAddress>& peers) {
                 services.updateSharing(count);
                 if (exchange)
-                    exchange->updatePeers(std::move(peers));
+                    exchange->updatePeers(peers);
             },
+            .changed = [this](const std::string& kind, std::int64_t revision) {
+                if (exchange)
+                    exchange->noteRevision(kind, revision);
+            },
+            .tellingPeers = [this] { return exchange ? exchange->heardPeers() : 0; },
         };
         if (settings.loadListen)
             startExchange(*settings.loadListen);
-        DirectorySettings directorySettings { .instance = settings.instance, .changeBound = settings.changeBound };
+        DirectorySettings directorySettings { .instance = settings.instance, .availabilityZone = settings.availabilityZone, .changeBound = settings.changeBound };
         if (exchange)
             directorySettings.peerEndpoint = exchange->endpoint();
         directory = std::make_shared<StoreDirectory>(threads, *parts.store, parts.directory, std::move(directorySettings), log, std::move(callbacks));
@@ -143,9 +148,14 @@
             .own = [this] { return services.use(); },
             .others = [this](const std::vector<BackendUse>& uses) { services.updateOthersUse(uses); },
             .changing = [this] { return balancer ? balancer->changing() : std::vector<std::string>(); },
+            .onRevision = [this](const std::string& kind, std::int64_t revision) {
+                if (directory)
+                    directory->noteChange(kind, revision);
+            },
             .onChanging = [this](const std::vector<std::string>& backends) { noteChanging(backends); },
         };
-        exchange = std::make_shared<LoadExchange>(threads, endpoint, settings.instance, context.runId, log, std::move(callbacks));
+        LoadExchangeSettings exchangeSettings { endpoint, settings.instance, context.runId, settings.availabilityZone };
+        exchange = std::make_shared<LoadExchange>(threads, std::move(exchangeSettings), log, std::move(callbacks));
         exchange->start();
     }
 
--- a/src/StoreConnection.cpp
+++ b/src/StoreConnection.cpp
@@ -110,6 +110,9 @@
         co_await timer.async_wait(awaitInto(ignored));
     }
     const auto answer = co_await client.request(m_state->endpoint(), std::move(request), m_state->settings.timeout + wait);
+    // A call that was given up says nothing about the store.
+    if (answer.has_error() && answer.error().kind == HttpErrorKind::Cancelled)
+        co_return StoreError { StoreErrorKind::Cancelled, answer.error().detail };
     if (answer.has_error())
         co_return storeErrorOf(answer.error(), m_state->failed());
     if (answer->status == statusTooManyRequests || answer->status >= statusServerError) {
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -4,8 +4,11 @@
 #include "Pause.h"
 #include "SpreadDelay.h"
 
+#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/object.hpp>
 
 #include <algorithm>
@@ -20,6 +23,11 @@
 /// hear of it only when they ask again. The rest of the bound is for that answer and a new list.
 constexpr int watchPartOfBound = 60;
 constexpr int wholeBound = 100;
+/// Instances that ask anew within each such time; what one learns it tells the others.
+constexpr std::size_t askersPerBound = 6;
+/// Watches last from a third to the whole of their time, so that instances don't ask at the same moment.
+constexpr int spreadAround = 66;
+constexpr Duration longestWatch = std::chrono::seconds(20);
 /// Pause after a failed call, unless the store's back-off asks for more.
 constexpr Duration shortestRetry = std::chrono::milliseconds(200);
 /// Records of instances are written and counted this often; each write costs a call.
@@ -27,13 +35,13 @@
 constexpr Duration firstCountDelay = std::chrono::seconds(2);
 constexpr Duration expiryInterval = std::chrono::milliseconds(100);
 
-auto endpointOf(const StoredItem& item) -> std::optional<HttpEndpoint>
+auto textOf(const StoredItem& item, std::string_view field) -> std::string
 {
     const auto* object = item.value.if_object();
-    std::string address;
-    if (!object || !readText(*object, "address", address))
-        return std::nullopt;
-    return parseHttpEndpoint(address);
+    std::string text;
+    if (object)
+        readText(*object, field, text);
+    return text;
 }
 
 auto stateName(ReplicaState state) -> std::string_view
@@ -57,37 +65,56 @@
 {
     const auto self = shared_from_this();
     auto& context = m_threads.context(0);
-    Follower configuration {
-        .kind = m_format.configurationKind,
-        .take = [this](const ItemList& list) { std::ranges::for_each(list.items, [this](const StoredItem& item) { takeConfiguration(item); }); },
-        .change = [this](const ItemChange& change) {
-            if (!change.isDeleted)
-                takeConfiguration(change.item);
-        },
+    auto configuration = std::make_shared<Follower>();
+    configuration->kind = m_format.configurationKind;
+    configuration->take = [this](const ItemList& list) { std::ranges::for_each(list.items, [this](const StoredItem& item) { takeConfiguration(item); }); };
+    configuration->change = [this](const ItemChange& change) {
+        if (!change.isDeleted)
+            takeConfiguration(change.item);
     };
-    Follower backends {
-        .kind = m_format.backendKind,
-        .take = [this](const ItemList& list) { takeBackends(list); },
-        .change = [this](const ItemChange& change) { takeBackend(change); },
-    };
-    asio::co_spawn(context, follow(std::move(configuration)), asio::detached);
-    asio::co_spawn(context, follow(std::move(backends)), asio::detached);
+    auto backends = std::make_shared<Follower>();
+    backends->kind = m_format.backendKind;
+    backends->take = [this](const ItemList& list) { takeBackends(list); };
+    backends->change = [this](const ItemChange& change) { takeBackend(change); };
+    m_followers = { configuration, backends };
+    for (const auto& follower : m_followers)
+        asio::co_spawn(context, follow(follower), asio::detached);
     asio::co_spawn(context, announceInstance(), asio::detached);
     asio::co_spawn(context, countInstances(), asio::detached);
     asio::co_spawn(context, expireBackends(), asio::detached);
 }
 
-auto StoreDirectory::follow(Follower follower) -> asio::awaitable<void>
+auto StoreDirectory::noteChange(const std::string& kind, std::int64_t revision) -> void
+{
+    for (const auto& follower : m_followers) {
+        if (follower->kind != kind || follower->revision == 0 || follower->revision >= revision)
+            continue;
+        m_log.record(LogLevel::Info, "change_told_by_peer", { { "kind", kind }, { "revision", revision }, { "own_revision", follower->revision } });
+        follower->revision = 0;
+        follower->interrupt.emit(asio::cancellation_type::terminal);
+    }
+}
+
+auto StoreDirectory::follow(FollowerPointer follower) -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
     while (true) {
-        const auto error = co_await followOnce(follower);
-        noteOutcome(follower, error);
+        const auto error = co_await followOnce(*follower);
+        if (error && error->kind == StoreErrorKind::Cancelled)
+            continue;
+        noteOutcome(*follower, error);
         if (error && error->kind != StoreErrorKind::HistoryGone)
             co_await pause(spreadDelay(std::max(shortestRetry, error->retryAfter / 2)));
     }
 }
 
+auto StoreDirectory::watchTime() const -> Duration
+{
+    const auto alone = m_settings.changeBound * watchPartOfBound / wholeBound;
+    const auto sharing = static_cast<Duration::rep>(std::max<std::size_t>(m_callbacks.tellingPeers() / askersPerBound, 1));
+    return std::min(alone * sharing, longestWatch);
+}
+
 auto StoreDirectory::followOnce(Follower& follower) -> asio::awaitable<std::optional<StoreError>>
 {
     auto& client = m_threads.client(0);
@@ -100,17 +127,23 @@
         follower.revision = list->revision;
         co_return std::nullopt;
     }
-    const auto watchTime = m_settings.changeBound * watchPartOfBound / wholeBound;
-    const auto changes = co_await m_store.watch(client, follower.kind, follower.revision, watchTime);
+    auto watch = m_store.watch(client, follower.kind, follower.revision, spreadDelay(watchTime() * spreadAround / wholeBound));
+    const auto executor = co_await asio::this_coro::executor;
+    const auto changes = co_await asio::co_spawn(executor, std::move(watch), asio::bind_cancellation_slot(follower.interrupt.slot(), asio::use_awaitable));
     if (changes.has_error()) {
         // Changes may have been missed with the answer; only a list is sure to have them all.
         follower.revision = 0;
         co_return changes.error();
     }
     storeAnswered(m_directory, monotonicNow());
+    // A peer told of a change meanwhile; the list that follows has it and what came before.
+    if (follower.revision == 0)
+        co_return std::nullopt;
     for (const auto& change : changes->changes)
         follower.change(change);
     follower.revision = changes->revision;
+    if (!changes->changes.empty())
+        m_callbacks.changed(follower.kind, changes->changes.back().item.revision);
     co_return std::nullopt;
 }
 
@@ -139,6 +172,7 @@
         boost::json::object value { { "beat", ++beat } };
         if (m_settings.peerEndpoint)
             value["address"] = toString(*m_settings.peerEndpoint);
+        value["availability_zone"] = m_settings.availabilityZone;
         const auto revision = co_await m_store.put(m_threads.client(0), m_format.instanceKind, m_settings.instance, std::move(value));
         if (revision.has_error())
             m_log.record(LogLevel::Info, "instance_not_announced", { { "detail", revision.error().detail } });
@@ -159,12 +193,12 @@
         interval = instanceInterval;
         const auto now = monotonicNow();
         for (const auto& item : list->items)
-            noteInstance(m_instances, now, item.name, item.revision, endpointOf(item));
+            noteInstance(m_instances, now, item.name, item.revision, parseHttpEndpoint(textOf(item, "address")), textOf(item, "availability_zone"));
         const auto live = liveInstances(m_instances, now);
         if (live != known)
             m_log.record(LogLevel::Info, "instances_counted", { { "live", live } });
         known = live;
-        m_callbacks.instances(live, liveEndpoints(m_instances, now));
+        m_callbacks.instances(live, livePeers(m_instances, now));
     }
 }
 
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -12,6 +12,7 @@
 #include "ObjectStore.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 
 #include <functional>
 #include <memory>
@@ -35,6 +36,7 @@
 
 struct DirectorySettings {
     std::string instance;
+    std::string availabilityZone;
     /// Where other instances reach this one.
     std::optional<HttpEndpoint> peerEndpoint;
     /// Time within which a change has to take effect here.
@@ -45,7 +47,11 @@
     std::function<void(Configuration)> configuration;
     std::function<void(std::vector<BackendServer>)> backends;
     /// Gets the number of live instances, this one included, and the addresses of those that gave one.
-    std::function<void(std::uint32_t, std::vector<HttpEndpoint>)> instances;
+    std::function<void(std::uint32_t, std::vector<PeerAddress>)> instances;
+    /// A change of a followed kind has been taken, from the list or a watch, up to this revision.
+    std::function<void(const std::string& kind, std::int64_t revision)> changed = [](const std::string&, std::int64_t) {};
+    /// @return other instances that tell of such changes.
+    std::function<std::size_t()> tellingPeers = [] { return std::size_t { 0 }; };
 };
 
 class StoreDirectory : public std::enable_shared_from_this<StoreDirectory> {
@@ -55,6 +61,10 @@
     /// Starts the coroutines, which all run on the first I/O thread.
     auto start() -> void;
 
+    /// Another instance has taken a change of a kind up to a revision; where this one has not, it reads
+    /// the list anew. Must be called on the first I/O thread.
+    auto noteChange(const std::string& kind, std::int64_t revision) -> void;
+
 private:
     /// Reads a kind and then its changes, for ever.
     struct Follower {
@@ -64,10 +74,15 @@
         std::function<void(const ItemChange&)> change;
         /// Where the next watch begins; 0 where the list has to be read.
         std::int64_t revision = 0;
+        /// Ends a watch that waits although there is a change.
+        boost::asio::cancellation_signal interrupt;
         bool isConnected = false;
     };
+    using FollowerPointer = std::shared_ptr<Follower>;
 
-    auto follow(Follower follower) -> boost::asio::awaitable<void>;
+    auto follow(FollowerPointer follower) -> boost::asio::awaitable<void>;
+    /// @return how long a watch may wait.
+    auto watchTime() const -> Duration;
     auto followOnce(Follower& follower) -> boost::asio::awaitable<std::optional<StoreError>>;
     auto noteOutcome(Follower& follower, const std::optional<StoreError>& error) -> void;
     auto announceInstance() -> boost::asio::awaitable<void>;
@@ -86,6 +101,7 @@
     const DirectorySettings m_settings;
     EventLog& m_log;
     const DirectoryCallbacks m_callbacks;
+    std::vector<FollowerPointer> m_followers;
     std::int64_t m_version = 0;
     BackendDirectory m_directory;
     std::vector<BackendServer> m_published;
--- a/src/StoreError.h
+++ b/src/StoreError.h
@@ -20,6 +20,8 @@
     OverBudget,
     /// The changes since the revision are no longer kept; the objects have to be read anew.
     HistoryGone,
+    /// The caller gave the call up; an update may have taken effect.
+    Cancelled,
     /// The answer breaks the protocol; an update may have taken effect.
     MalformedAnswer,
 };
