--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -26,12 +26,19 @@
     return rate <= 0 || !replica.reserved.linkBytes || static_cast<double>(replica.reserved.linkBytes + bytes) <= rate * longestLinkSeconds;
 }
 
+/// Part of the memory that a request which has missed its target leaves free: it is worth less than
+/// those that can still meet theirs, and would take their memory for seconds.
+constexpr double leftByLate = 0.25;
+
 /// Other instances take memory that no report shows yet, and a long prompt that is refused for it
 /// has been prefilled in vain. Batch work can wait until there is room for two of its size.
 auto piecesToLeave(const DecisionContext& context, const ActiveRequest& request, const Replica& replica, std::uint32_t pieces) -> std::uint32_t
 {
-    const auto isBatch = request.latencyClass == LatencyClass::Batch && request.lane != QueueLane::Resume;
-    if (!isBatch || context.state.settings.sharingInstances < 2)
+    if (context.state.settings.sharingInstances < 2)
+        return 0;
+    if (request.lane == QueueLane::Late)
+        return static_cast<std::uint32_t>(replica.description.memoryPieces * leftByLate);
+    if (request.latencyClass != LatencyClass::Batch || request.lane == QueueLane::Resume)
         return 0;
     // A request of more than half of the memory needs an empty replica and no more.
     const auto total = replica.description.memoryPieces;
