--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -9,6 +9,10 @@
   SOURCES test/correctness/ClusterNodeTest.cpp test/FakePlatform.cpp
   LINK jayhold_cluster)
 
+jayhold_test(cluster_directory_test
+  SOURCES test/correctness/BackendDirectoryTest.cpp
+  LINK jayhold_cluster)
+
 jayhold_test(cluster_record_test
   SOURCES test/correctness/RecordPartitionTest.cpp test/RecordWorld.cpp
   LINK jayhold_cluster)
--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -9,7 +9,7 @@
 
 jayhold_test(entry_rules_test
   SOURCES test/error/EntrySettingsTest.cpp test/error/CallerChecksTest.cpp
-    test/correctness/EngineMessagesTest.cpp test/correctness/TokenRelayTest.cpp
+    test/correctness/EngineMessagesTest.cpp test/correctness/RouteTableTest.cpp test/correctness/TokenRelayTest.cpp
   LINK jayhold_entry)
 
 jayhold_test(entry_request_test
--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -2,3 +2,11 @@
   platform/Headers.cpp platform/ObjectCalls.cpp platform/Parts.cpp platform/SettingsFile.cpp)
 target_include_directories(jayhold_platform PUBLIC ${PROJECT_SOURCE_DIR}/platform)
 target_link_libraries(jayhold_platform PUBLIC jayhold_entry)
+
+jayhold_test(platform_formats_test
+  SOURCES test/error/PlatformFormatsTest.cpp
+  LINK jayhold_platform)
+
+jayhold_test(router_daemon_test
+  SOURCES test/correctness/RouterDaemonTest.cpp test/PlatformStandin.cpp
+  LINK jayhold_platform)
--- a/src/CallerProtocol.h
+++ b/src/CallerProtocol.h
@@ -15,12 +15,12 @@
 
 struct CallerProtocol {
     /// @return the header fields of a backend server's answer that the caller gets.
-    auto (*answerHeaders)(const std::vector<HttpHeader>& headers) -> std::vector<HttpHeader>;
+    auto(*answerHeaders)(const std::vector<HttpHeader>& headers) -> std::vector<HttpHeader>;
     /// @return the answer for an error of jayhold's own.
-    auto (*refusal)(const ApiError& error) -> HttpResponse;
+    auto(*refusal)(const ApiError& error) -> HttpResponse;
     /// Reads a request that goes to a backend server unchanged; null where requests have a form of
     /// jayhold's own.
-    auto (*decode)(const HttpRequest& request) -> ApiResult<ForwardedCall>;
+    auto(*decode)(const HttpRequest& request) -> ApiResult<ForwardedCall>;
     /// Whether answers carry the hybrid time of the instance.
     bool showsHybridTime;
 };
--- a/src/EventLog.cpp
+++ b/src/EventLog.cpp
@@ -1,5 +1,7 @@
 #include "EventLog.h"
 
+#include "Time.h"
+
 #include <algorithm>
 
 namespace jayhold {
@@ -24,18 +26,36 @@
     kept.emplace_back("instance", m_instance);
     kept.insert(kept.end(), fields.begin(), fields.end());
     std::string line;
+    std::uint64_t leftOut = 0;
     {
         // The timestamp is taken under the lock, so that sequence order is time order.
         const std::lock_guard guard(m_lock);
         const auto time = m_clock.tick();
-        line = formatLogLine(time, event, kept);
+        const auto now = monotonicNow();
+        // Failures keep their lines; their number is bounded by that of the requests.
+        if (level >= LogLevel::Warning || admitLine(m_rate, now, event)) {
+            line = formatLogLine(time, event, kept);
+            leftOut = takeLeftOut(m_rate, event);
+        } else {
+            ++m_leftOut;
+        }
         m_events.push_back({ ++m_lastSequence, time, m_instance, std::string(event), { kept.begin() + 1, kept.end() } });
         if (m_events.size() > m_capacity)
             m_events.pop_front();
     }
+    if (line.empty())
+        return;
+    if (leftOut > 0)
+        writeLogLine(LogLevel::Warning, "event=log_lines_left_out instance=" + m_instance + " reason=rate of=" + std::string(event) + " count=" + std::to_string(leftOut));
     writeLogLine(level, line);
 }
 
+auto EventLog::leftOut() const -> std::uint64_t
+{
+    const std::lock_guard guard(m_lock);
+    return m_leftOut;
+}
+
 auto EventLog::after(std::uint64_t sequence, std::size_t limit) const -> std::vector<LoggedEvent>
 {
     const std::lock_guard guard(m_lock);
--- a/src/EventLog.h
+++ b/src/EventLog.h
@@ -6,6 +6,7 @@
 
 #include "HybridClock.h"
 #include "LogLine.h"
+#include "LogRate.h"
 #include "LoggedEvent.h"
 
 #include <atomic>
@@ -26,6 +27,9 @@
     /// @param capacity how many events are kept.
     explicit EventLog(std::string instance, std::size_t capacity = defaultCapacity);
 
+    /// @return lines that were left out because too many of their kind came at once.
+    auto leftOut() const -> std::uint64_t;
+
     /// Events below this level are neither kept nor written.
     auto setLowest(LogLevel lowest) -> void { m_lowest = lowest; }
 
@@ -48,6 +52,8 @@
     std::atomic<LogLevel> m_lowest { LogLevel::Debug };
     mutable std::mutex m_lock;
     std::uint64_t m_lastSequence = 0;
+    LogRate m_rate;
+    std::uint64_t m_leftOut = 0;
     std::deque<LoggedEvent> m_events;
 };
 
--- a/src/HttpStream.cpp
+++ b/src/HttpStream.cpp
@@ -81,6 +81,13 @@
     return m_connection->headers;
 }
 
+auto HttpStream::localPort() const -> std::uint16_t
+{
+    boost::system::error_code code;
+    const auto local = m_connection->stream.socket().local_endpoint(code);
+    return code ? std::uint16_t { 0 } : local.port();
+}
+
 auto HttpStream::readSome(Duration timeout) -> asio::awaitable<HttpResult<std::string_view>>
 {
     auto& connection = *m_connection;
--- a/src/HttpStream.h
+++ b/src/HttpStream.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <string_view>
 #include <vector>
@@ -26,6 +27,9 @@
     auto status() const -> unsigned;
     auto headers() const -> const std::vector<HttpHeader>&;
 
+    /// @return the port of this side of the connection, which tells connections apart.
+    auto localPort() const -> std::uint16_t;
+
     /// Waits for the next piece of the body.
     /// @param timeout longest wait for the piece.
     /// @return a view that is valid until the next call; empty at the end of the body.
--- a/src/LogLine.cpp
+++ b/src/LogLine.cpp
@@ -1,8 +1,10 @@
 #include "LogLine.h"
 
+#include "LogQueue.h"
+
 #include <easylogging++.h>
 
-#include <mutex>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -10,6 +12,26 @@
 
 namespace {
 
+/// Bytes of log lines that wait for a reader: some seconds of a busy instance.
+constexpr std::size_t queueBytes = 256U << 10U;
+
+auto outputQueue() -> LogQueue&
+{
+    static LogQueue queue(STDOUT_FILENO, queueBytes);
+    return queue;
+}
+
+/// Takes the place of the logger's own output, which would wait for a reader.
+class QueueDispatch final : public el::LogDispatchCallback {
+protected:
+    auto handle(const el::LogDispatchData* data) noexcept -> void override
+    {
+        const auto* message = data->logMessage();
+        const auto isFailure = message->level() == el::Level::Warning || message->level() == el::Level::Error;
+        outputQueue().push(message->logger()->logBuilder()->build(message, true), isFailure);
+    }
+};
+
 auto needsQuotes(std::string_view value) -> bool
 {
     if (value.empty())
@@ -72,6 +94,8 @@
     enable(el::Level::Info, lowest <= LogLevel::Info);
     enable(el::Level::Warning, lowest <= LogLevel::Warning);
     el::Loggers::reconfigureLogger("default", configuration);
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<QueueDispatch>("QueueDispatch");
 }
 
 auto formatLogLine(HybridTime time, std::string_view event, std::span<const LogField> fields) -> std::string
@@ -84,6 +108,16 @@
     return line;
 }
 
+auto flushLog() -> void
+{
+    outputQueue().flush();
+}
+
+auto logLinesLeftOut() -> std::uint64_t
+{
+    return outputQueue().leftOut();
+}
+
 auto writeLogLine(LogLevel level, std::string_view line) -> void
 {
     switch (level) {
--- a/src/LogLine.h
+++ b/src/LogLine.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// Formats and writes log lines: one line of key=value pairs for each event, through
-/// easylogging++ to standard error.
+/// easylogging++ to standard output. Writing never waits for a reader.
 
 #include "HybridTime.h"
 #include "LogField.h"
@@ -27,7 +27,13 @@
 /// are quoted and escaped, so that a line is always one event.
 auto formatLogLine(HybridTime time, std::string_view event, std::span<const LogField> fields) -> std::string;
 
-/// Writes one line.
+/// Writes one line, or keeps it until the output takes it.
 auto writeLogLine(LogLevel level, std::string_view line) -> void;
 
+/// Writes what waits, as far as the output takes it.
+auto flushLog() -> void;
+
+/// @return lines that were left out because the output was not read.
+auto logLinesLeftOut() -> std::uint64_t;
+
 }
--- a/src/Metrics.cpp
+++ b/src/Metrics.cpp
@@ -78,12 +78,29 @@
     return found->second;
 }
 
-auto Metrics::print(std::size_t openRequests) const -> std::string
+auto Metrics::countRefusal(std::string_view reason) -> void
+{
+    const std::lock_guard guard(m_lock);
+    const auto found = m_refusals.find(reason);
+    if (found == m_refusals.end())
+        m_refusals.emplace(reason, 1);
+    else
+        ++found->second;
+}
+
+auto Metrics::print(std::size_t openRequests, std::span<const Gauge> gauges) const -> std::string
 {
     std::ostringstream output;
     const std::lock_guard guard(m_lock);
     printHeader(output, "jayhold_open_requests", "Requests in progress.", "gauge");
     output << "jayhold_open_requests " << openRequests << '\n';
+    for (const auto& gauge : gauges) {
+        printHeader(output, gauge.name, gauge.help, gauge.isCounter ? "counter" : "gauge");
+        output << gauge.name << ' ' << gauge.value << '\n';
+    }
+    printHeader(output, "jayhold_refusals_total", "Requests refused, by reason.", "counter");
+    for (const auto& [reason, count] : m_refusals)
+        output << "jayhold_refusals_total{reason=\"" << escapeLabel(reason) << "\"} " << count << '\n';
     for (const auto& counter : counters) {
         printHeader(output, counter.name, counter.help, "counter");
         for (const auto& [service, metrics] : m_services)
--- a/src/Metrics.h
+++ b/src/Metrics.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -17,12 +18,25 @@
     /// @return the metrics of a service, created at the first call.
     auto service(std::string_view name) -> std::shared_ptr<ServiceMetrics>;
 
+    /// One value of the instance as a whole.
+    struct Gauge {
+        std::string_view name;
+        std::string_view help;
+        double value;
+        bool isCounter = false;
+    };
+
     /// @param openRequests requests in progress now.
-    auto print(std::size_t openRequests) const -> std::string;
+    /// @param gauges further values of the instance.
+    auto print(std::size_t openRequests, std::span<const Gauge> gauges = {}) const -> std::string;
+
+    /// Counts a refusal by its reason.
+    auto countRefusal(std::string_view reason) -> void;
 
 private:
     mutable std::mutex m_lock;
     std::map<std::string, std::shared_ptr<ServiceMetrics>, std::less<>> m_services;
+    std::map<std::string, std::uint64_t, std::less<>> m_refusals;
 };
 
 }
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -210,7 +210,7 @@
     m_backend = replica->backend.id;
     const auto decode = m_service->replica(action.decode);
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - m_info.arrivedAt);
-    record(LogLevel::Info, "request_placed", { { "decode_backend", decode ? decode->backend.id : "" }, { "decode_tokens", action.decodeTokens }, { "prompt_tokens", m_info.digest.tokens }, { "waited_ms", waited.count() } });
+    record(m_seatRefusals == 0 ? LogLevel::Info : LogLevel::Debug, "request_placed", { { "decode_backend", decode ? decode->backend.id : "" }, { "decode_tokens", action.decodeTokens }, { "prompt_tokens", m_info.digest.tokens }, { "waited_ms", waited.count() } });
     record(LogLevel::Debug, "prefill_started");
     auto call = engineCall();
     const auto task = ++m_tasks->lastTask;
@@ -228,7 +228,9 @@
             return;
         const auto failure = ended.result.error().failure;
         if (ended.isSeatRefused) {
-            record(LogLevel::Info, "seat_refused", { { "failure", name(failure) }, { "detail", ended.result.error().detail }, { "tokens", m_decodeTokens } });
+            // A request can be turned away many times in a burst; the first line and the number say it.
+            const auto level = ++m_seatRefusals == 1 ? LogLevel::Info : LogLevel::Debug;
+            record(level, "seat_refused", { { "failure", name(failure) }, { "detail", ended.result.error().detail }, { "tokens", m_decodeTokens } });
             m_service->feed(SeatRefused { m_id, m_attempt, failure });
             return;
         }
@@ -272,7 +274,7 @@
     } else {
         dropSeat();
     }
-    record(LogLevel::Info, "transfer_started", { { "split", call.kv.has_value() }, { "resume_from", call.resumeFrom } });
+    record(LogLevel::Info, "transfer_started", { { "split", call.kv.has_value() }, { "resume_from", call.resumeFrom }, { "seat_refusals", m_seatRefusals } });
     const auto task = ++m_tasks->lastTask;
     m_tasks->replica = action.decode;
     spawnTask(runDecode(task, *replica, std::move(call)));
@@ -319,8 +321,9 @@
     auto& metrics = m_service->metrics();
     auto& counter = error.outcome == Outcome::NotRun ? metrics.refusedNotRun : metrics.refusedUnknown;
     counter.fetch_add(1, std::memory_order_relaxed);
+    m_context.metrics.countRefusal(error.type);
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_info.deadline - monotonicNow());
-    record(LogLevel::Info, "request_refused", { { "reason", error.type }, { "ran", error.outcome == Outcome::NotRun ? "no" : "unknown" }, { "left_ms", left.count() }, { "retry_after_ms", error.retryAfter.count() / 1'000 } });
+    record(LogLevel::Info, "request_refused", { { "reason", error.type }, { "ran", error.outcome == Outcome::NotRun ? "no" : "unknown" }, { "left_ms", left.count() }, { "seat_refusals", m_seatRefusals }, { "retry_after_ms", error.retryAfter.count() / 1'000 } });
     if (error.outcome == Outcome::Unknown)
         error.answer = m_failedAnswer;
     co_await m_writer->fail(std::move(error));
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -113,6 +113,7 @@
     bool m_isPrefillFetched = false;
     std::optional<HeldSeat> m_seat;
     std::uint32_t m_decodeTokens = 0;
+    std::uint32_t m_seatRefusals = 0;
     /// What the last engine answered that failed the request by itself; null otherwise.
     std::shared_ptr<const HttpResponse> m_failedAnswer;
     std::uint32_t m_promptTokens;
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -296,6 +296,7 @@
 {
     auto& counter = error.outcome == Outcome::NotRun ? m_metrics->refusedNotRun : m_metrics->refusedUnknown;
     counter.fetch_add(1, std::memory_order_relaxed);
+    m_context.metrics.countRefusal(error.type);
     record(LogLevel::Info, call, "request_refused", { { "reason", error.type }, { "detail", error.message }, { "ran", error.outcome == Outcome::NotRun ? "no" : "unknown" }, { "retry_after_ms", error.retryAfter.count() / 1'000 } });
     co_await exchange.respond(m_context.callers.refusal(error));
 }
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -32,6 +32,7 @@
 constexpr std::size_t idlePerBackend = 8;
 /// The instance that ordered a change of role repeats it in each message until then.
 constexpr Duration changeBelieved = std::chrono::seconds(2);
+constexpr Duration logFlushInterval = std::chrono::milliseconds(200);
 constexpr auto drainCheckInterval = std::chrono::milliseconds(20);
 /// Part of the time to shut down that is kept for the end of the process itself.
 constexpr int drainReservePart = 8;
@@ -114,21 +115,17 @@
             .configuration = [this](Configuration configuration) {
                 callerServer->updateLimits(serverSettings(settings.listen, configuration.limits));
                 applyForwardingPolicy(configuration);
-                services.updateConfiguration(std::make_shared<const Configuration>(std::move(configuration)));
-            },
+                services.updateConfiguration(std::make_shared<const Configuration>(std::move(configuration))); },
             .backends = [this](std::vector<BackendServer> backends) {
                 context.knowsBackends = !backends.empty();
-                services.updateBackends(std::move(backends));
-            },
+                services.updateBackends(std::move(backends)); },
             .instances = [this](std::uint32_t count, const std::vector<PeerAddress>& peers) {
                 services.updateSharing(count);
                 if (exchange)
-                    exchange->updatePeers(peers);
-            },
+                    exchange->updatePeers(peers); },
             .changed = [this](const std::string& kind, std::int64_t revision) {
                 if (exchange)
-                    exchange->noteRevision(kind, revision);
-            },
+                    exchange->noteRevision(kind, revision); },
             .tellingPeers = [this] { return exchange ? exchange->heardPeers() : 0; },
         };
         if (settings.loadListen)
@@ -138,6 +135,7 @@
             directorySettings.peerEndpoint = exchange->endpoint();
         directory = std::make_shared<StoreDirectory>(threads, *parts.store, parts.directory, std::move(directorySettings), log, std::move(callbacks));
         directory->start();
+        asio::co_spawn(threads.context(0), flushLogRegularly(), asio::detached);
         if (parts.backends.orderRole)
             startBalancer();
     }
@@ -150,8 +148,7 @@
             .changing = [this] { return balancer ? balancer->changing() : std::vector<std::string>(); },
             .onRevision = [this](const std::string& kind, std::int64_t revision) {
                 if (directory)
-                    directory->noteChange(kind, revision);
-            },
+                    directory->noteChange(kind, revision); },
             .onChanging = [this](const std::vector<std::string>& backends) { noteChanging(backends); },
         };
         LoadExchangeSettings exchangeSettings { endpoint, settings.instance, context.runId, settings.availabilityZone };
@@ -194,10 +191,33 @@
 
     auto answerMetrics(HttpExchange& exchange) -> asio::awaitable<void>
     {
-        HttpResponse response { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, context.metrics.print(context.openRequests) };
+        const auto known = directory->summary();
+        const auto storeAge = known.storeAwaySince ? std::chrono::duration<double>(monotonicNow() - *known.storeAwaySince).count() : 0.0;
+        double pieces = 0;
+        for (const auto& use : services.use())
+            pieces += use.pieces;
+        const Metrics::Gauge gauges[] = {
+            { "jayhold_ready", "Whether the instance tells the balancer that it is ready.", isReady() ? 1.0 : 0.0 },
+            { "jayhold_configuration_version", "Version of the configuration in force.", static_cast<double>(known.configurationVersion) },
+            { "jayhold_backends", "Backend servers that are live or leaving.", static_cast<double>(known.backends) },
+            { "jayhold_instances", "Live entry instances, as the store has them.", static_cast<double>(known.instances) },
+            { "jayhold_store_away_seconds", "Time for which the store has failed; 0 while it answers.", storeAge },
+            { "jayhold_memory_pieces_reserved", "Engine memory that this instance has reserved, in pieces.", pieces },
+            { "jayhold_log_lines_left_out_total", "Log lines left out for their rate or because the output was not read.", static_cast<double>(log.leftOut() + logLinesLeftOut()), true },
+        };
+        HttpResponse response { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, context.metrics.print(context.openRequests, gauges) };
         co_await exchange.respond(std::move(response));
     }
 
+    /// Lines that found no room leave as soon as the output takes them.
+    auto flushLogRegularly() -> asio::awaitable<void>
+    {
+        while (true) {
+            co_await pause(logFlushInterval);
+            flushLog();
+        }
+    }
+
     auto startDraining() -> void
     {
         if (context.isDraining.exchange(true))
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -84,6 +84,11 @@
     asio::co_spawn(context, expireBackends(), asio::detached);
 }
 
+auto StoreDirectory::summary() const -> Summary
+{
+    return { m_version, m_published.size(), liveInstances(m_instances, monotonicNow()), m_directory.awaySince };
+}
+
 auto StoreDirectory::noteChange(const std::string& kind, std::int64_t revision) -> void
 {
     for (const auto& follower : m_followers) {
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -61,6 +61,16 @@
     /// Starts the coroutines, which all run on the first I/O thread.
     auto start() -> void;
 
+    /// What the directory knows, for metrics; must be called on the first I/O thread.
+    struct Summary {
+        std::int64_t configurationVersion = 0;
+        std::size_t backends = 0;
+        std::uint32_t instances = 1;
+        /// Since when the store fails, absent while it answers.
+        std::optional<TimePoint> storeAwaySince;
+    };
+    auto summary() const -> Summary;
+
     /// Another instance has taken a change of a kind up to a revision; where this one has not, it reads
     /// the list anew. Must be called on the first I/O thread.
     auto noteChange(const std::string& kind, std::int64_t revision) -> void;
--- /dev/null
+++ b/test/PlatformStandin.cpp
@@ -0,0 +1,263 @@
+#include "PlatformStandin.h"
+
+#include "JsonFields.h"
+#include "Pause.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+/// Objects in one page; small, so that tests with a few objects read several.
+constexpr std::size_t pageSize = 2;
+constexpr std::string_view objectsPath = "/-/objects/";
+constexpr int streamEvents = 5;
+
+auto queryValue(std::string_view target, std::string_view key) -> std::string
+{
+    const auto query = target.find('?');
+    auto rest = query == std::string_view::npos ? std::string_view() : target.substr(query + 1);
+    while (!rest.empty()) {
+        const auto end = std::min(rest.find('&'), rest.size());
+        const auto field = rest.substr(0, end);
+        rest.remove_prefix(std::min(end + 1, rest.size()));
+        if (field.starts_with(key) && field.size() > key.size() && field[key.size()] == '=')
+            return std::string(field.substr(key.size() + 1));
+    }
+    return {};
+}
+
+auto headerOf(const HttpRequest& request, std::string_view name) -> std::string
+{
+    return std::string(findHeader(request.headers, name).value_or(std::string_view()));
+}
+
+}
+
+PlatformStandin::PlatformStandin(IoThreads& threads)
+    : m_server(threads, {}, [this](HttpExchange& exchange) { return handle(exchange); })
+{
+}
+
+auto PlatformStandin::put(const std::string& kind, const std::string& name, json::value spec) -> void
+{
+    const std::lock_guard guard(m_lock);
+    Object object { kind, name, ++m_revision, std::move(spec) };
+    m_history.push_back(object);
+    m_objects[{ kind, name }] = std::move(object);
+}
+
+auto PlatformStandin::remove(const std::string& kind, const std::string& name) -> void
+{
+    const std::lock_guard guard(m_lock);
+    auto object = m_objects[{ kind, name }];
+    object.revision = ++m_revision;
+    object.isDeleted = true;
+    m_objects.erase({ kind, name });
+    m_history.push_back(std::move(object));
+}
+
+auto PlatformStandin::compact() -> void
+{
+    const std::lock_guard guard(m_lock);
+    m_history.clear();
+    m_compacted = m_revision;
+}
+
+auto PlatformStandin::toJson(const Object& object) -> json::object
+{
+    return { { "metadata", json::object { { "name", object.name }, { "revision", object.revision } } }, { "spec", object.spec } };
+}
+
+auto PlatformStandin::handle(HttpExchange& exchange) -> asio::awaitable<void>
+{
+    ++m_calls;
+    const auto& request = exchange.request();
+    if (m_isDown) {
+        co_await exchange.respond(jsonResponse(503, "{}"));
+        co_return;
+    }
+    auto path = std::string_view(request.target).substr(0, request.target.find('?'));
+    if (!path.starts_with(objectsPath)) {
+        co_await exchange.respond(jsonResponse(404, "{}"));
+        co_return;
+    }
+    path.remove_prefix(objectsPath.size());
+    const auto slash = path.find('/');
+    const std::string kind(path.substr(0, slash));
+    const auto watched = queryValue(request.target, "watch");
+    if (request.method != "GET")
+        co_await write(exchange, kind);
+    else if (!watched.empty())
+        co_await watch(exchange, kind, std::stoll(watched), std::chrono::milliseconds(std::stoll(queryValue(request.target, "waitMs"))));
+    else
+        co_await list(exchange, kind, queryValue(request.target, "after"));
+}
+
+auto PlatformStandin::list(HttpExchange& exchange, const std::string& kind, const std::string& after) -> asio::awaitable<void>
+{
+    json::array items;
+    auto isTruncated = false;
+    std::int64_t revision = 0;
+    {
+        const std::lock_guard guard(m_lock);
+        revision = m_revision;
+        for (const auto& [key, object] : m_objects) {
+            if (key.first != kind || (!after.empty() && key.second <= after))
+                continue;
+            isTruncated = items.size() == pageSize;
+            if (isTruncated)
+                break;
+            items.push_back(toJson(object));
+        }
+    }
+    const json::object page { { "items", std::move(items) }, { "truncated", isTruncated }, { "storeRevision", revision } };
+    co_await exchange.respond(jsonResponse(200, json::serialize(page)));
+}
+
+auto PlatformStandin::watch(HttpExchange& exchange, const std::string& kind, std::int64_t revision, Duration wait) -> asio::awaitable<void>
+{
+    const auto end = monotonicNow() + wait;
+    auto isFirst = true;
+    while (true) {
+        json::array events;
+        std::int64_t current = 0;
+        auto isGone = false;
+        {
+            const std::lock_guard guard(m_lock);
+            current = m_revision;
+            // A watch that waits while the history is dropped is told only when its time is over.
+            isGone = revision < m_compacted && (isFirst || monotonicNow() >= end);
+            for (const auto& object : m_history) {
+                if (object.kind == kind && object.revision > revision)
+                    events.push_back(json::object { { "object", toJson(object) }, { "deleted", object.isDeleted } });
+            }
+        }
+        if (isGone) {
+            co_await exchange.respond(jsonResponse(410, "{}"));
+            co_return;
+        }
+        if (!events.empty() || monotonicNow() >= end) {
+            const json::object body { { "events", std::move(events) }, { "storeRevision", current } };
+            co_await exchange.respond(jsonResponse(200, json::serialize(body)));
+            co_return;
+        }
+        isFirst = false;
+        co_await pause(std::chrono::milliseconds(5));
+    }
+}
+
+auto PlatformStandin::write(HttpExchange& exchange, const std::string& kind) -> asio::awaitable<void>
+{
+    const auto body = json::parse(exchange.request().body);
+    const auto& metadata = body.at("metadata").as_object();
+    const std::string name(metadata.at("name").as_string());
+    const auto isCreate = exchange.request().method == "POST";
+    unsigned status = 200;
+    json::object answer;
+    {
+        const std::lock_guard guard(m_lock);
+        const auto known = m_objects.find({ kind, name });
+        std::int64_t expected = 0;
+        readNumber(metadata, "revision", expected);
+        const auto isConflict = known != m_objects.end() && (isCreate || (expected > 0 && known->second.revision != expected));
+        if (isConflict) {
+            status = 409;
+            answer = toJson(known->second);
+        } else if (!isCreate && known == m_objects.end()) {
+            status = 404;
+        } else {
+            Object object { kind, name, ++m_revision, body.at("spec") };
+            answer = toJson(object);
+            m_history.push_back(object);
+            m_objects[{ kind, name }] = std::move(object);
+        }
+    }
+    co_await exchange.respond(jsonResponse(status, json::serialize(answer)));
+}
+
+ReplicaStandin::ReplicaStandin(IoThreads& threads, std::string id, Behaviour behaviour)
+    : m_id(std::move(id))
+    , m_behaviour(behaviour)
+    , m_server(threads, {}, [this](HttpExchange& exchange) { return handle(exchange); })
+{
+}
+
+auto ReplicaStandin::lastRequest() const -> HttpRequest
+{
+    const std::lock_guard guard(m_lock);
+    return m_last;
+}
+
+auto ReplicaStandin::handle(HttpExchange& exchange) -> asio::awaitable<void>
+{
+    const auto& request = exchange.request();
+    if (request.target == "/-/hold-take") {
+        co_await exchange.respond(jsonResponse(200, R"({"hold":"seat"})"));
+        co_return;
+    }
+    if (request.target.starts_with("/-/")) {
+        co_await exchange.respond(jsonResponse(200, "{}"));
+        co_return;
+    }
+    {
+        const std::lock_guard guard(m_lock);
+        m_last = request;
+    }
+    if (headerOf(request, "Expect-Replica") != m_id) {
+        HttpResponse misdirected { 421, { { "Replica-Id", m_id } }, {} };
+        co_await exchange.respond(std::move(misdirected));
+        co_return;
+    }
+    const auto behaviour = m_behaviour.load();
+    if (behaviour == Behaviour::Reject) {
+        HttpResponse rejection { 503, { { "Not-Executed", "1" } }, {} };
+        co_await exchange.respond(std::move(rejection));
+        co_return;
+    }
+    std::vector<HttpHeader> headers { { "Server-Seal", "seal-" + m_id }, { "Request-Id", headerOf(request, "Request-Id") } };
+    if (headerOf(request, "Stage") == "prefill") {
+        ++m_prefills;
+        HttpResponse result { 200, headers, R"({"handleId":"h1","tokens":100,"version":1})" };
+        co_await exchange.respond(std::move(result));
+        co_return;
+    }
+    ++m_runs;
+    if (behaviour == Behaviour::Cut) {
+        exchange.abort();
+        co_return;
+    }
+    if (behaviour == Behaviour::WrongRequest)
+        headers[1].value = "another";
+    if (!headerOf(request, "Model").empty()) {
+        co_await stream(exchange, std::move(headers));
+        co_return;
+    }
+    HttpResponse answer { behaviour == Behaviour::Fail ? 500U : 200U, std::move(headers), request.method + " " + request.target + " " + request.body };
+    co_await exchange.respond(std::move(answer));
+}
+
+auto ReplicaStandin::stream(HttpExchange& exchange, std::vector<HttpHeader> headers) -> asio::awaitable<void>
+{
+    const auto last = headerOf(exchange.request(), "Last-Event-Id");
+    const auto first = last.empty() ? 1 : std::stoi(last) + 1;
+    headers.push_back({ "Content-Type", "text/event-stream" });
+    co_await exchange.startStream(200, std::move(headers));
+    for (auto event = first; event <= streamEvents; ++event) {
+        if (m_behaviour == Behaviour::CutStream && event == 3) {
+            co_await exchange.write("id: 3\nda");
+            exchange.abort();
+            co_return;
+        }
+        co_await exchange.write("id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + "\n\n");
+    }
+    co_await exchange.finishStream();
+}
+
+}
--- /dev/null
+++ b/test/PlatformStandin.h
@@ -0,0 +1,98 @@
+#pragma once
+
+/// A small in-process stand-in for the platform, by its published protocol: the object store with
+/// lists by pages, watches and conditional updates, and backend servers that answer plain calls,
+/// prefills and decodes.
+
+#include "HttpServer.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/value.hpp>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace jayhold {
+
+class PlatformStandin {
+public:
+    explicit PlatformStandin(IoThreads& threads);
+
+    auto endpoint() const -> HttpEndpoint { return m_server.endpoint(); }
+    auto put(const std::string& kind, const std::string& name, boost::json::value spec) -> void;
+    auto remove(const std::string& kind, const std::string& name) -> void;
+    /// Drops the history, without telling watches that wait.
+    auto compact() -> void;
+    /// Every call is answered with 503 while the store is down.
+    auto setDown(bool isDown) -> void { m_isDown = isDown; }
+    auto calls() const -> int { return m_calls; }
+
+private:
+    struct Object {
+        std::string kind;
+        std::string name;
+        std::int64_t revision = 0;
+        boost::json::value spec;
+        bool isDeleted = false;
+    };
+
+    auto handle(HttpExchange& exchange) -> boost::asio::awaitable<void>;
+    auto list(HttpExchange& exchange, const std::string& kind, const std::string& after) -> boost::asio::awaitable<void>;
+    auto watch(HttpExchange& exchange, const std::string& kind, std::int64_t revision, Duration wait) -> boost::asio::awaitable<void>;
+    auto write(HttpExchange& exchange, const std::string& kind) -> boost::asio::awaitable<void>;
+    static auto toJson(const Object& object) -> boost::json::object;
+
+    mutable std::mutex m_lock;
+    std::map<std::pair<std::string, std::string>, Object> m_objects;
+    std::vector<Object> m_history;
+    std::int64_t m_revision = 1;
+    std::int64_t m_compacted = 0;
+    std::atomic<bool> m_isDown { false };
+    std::atomic<int> m_calls { 0 };
+    HttpServer m_server;
+};
+
+/// A backend server of the platform whose behaviour a test sets.
+class ReplicaStandin {
+public:
+    enum class Behaviour {
+        Answer,
+        /// Turns every request away.
+        Reject,
+        /// Runs the request and closes without an answer.
+        Cut,
+        /// Answers for another request.
+        WrongRequest,
+        /// Fails the request by itself.
+        Fail,
+        /// Sends some events of a stream and closes.
+        CutStream,
+    };
+
+    ReplicaStandin(IoThreads& threads, std::string id, Behaviour behaviour = Behaviour::Answer);
+
+    auto endpoint() const -> HttpEndpoint { return m_server.endpoint(); }
+    auto id() const -> const std::string& { return m_id; }
+    auto runs() const -> int { return m_runs; }
+    auto prefills() const -> int { return m_prefills; }
+    auto setBehaviour(Behaviour behaviour) -> void { m_behaviour = behaviour; }
+    /// @return the request that arrived last.
+    auto lastRequest() const -> HttpRequest;
+
+private:
+    auto handle(HttpExchange& exchange) -> boost::asio::awaitable<void>;
+    auto stream(HttpExchange& exchange, std::vector<HttpHeader> headers) -> boost::asio::awaitable<void>;
+
+    const std::string m_id;
+    std::atomic<Behaviour> m_behaviour;
+    std::atomic<int> m_runs { 0 };
+    std::atomic<int> m_prefills { 0 };
+    mutable std::mutex m_lock;
+    HttpRequest m_last;
+    HttpServer m_server;
+};
+
+}
--- /dev/null
+++ b/test/correctness/BackendDirectoryTest.cpp
@@ -0,0 +1,123 @@
+#include "BackendDirectory.h"
+#include "InstanceCount.h"
+#include "PeerLoads.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace jayhold;
+using namespace std::chrono_literals;
+
+namespace {
+
+auto server(std::string id, ReplicaState state = ReplicaState::Live) -> BackendServer
+{
+    return { .id = std::move(id), .endpoint = { "127.0.0.1", 1 }, .availabilityZone = "alpine", .pool = "pool", .state = state };
+}
+
+auto stateOf(const BackendDirectory& directory, std::string_view id) -> std::optional<ReplicaState>
+{
+    for (const auto& entry : servers(directory)) {
+        if (entry.id == id)
+            return entry.state;
+    }
+    return std::nullopt;
+}
+
+constexpr TimePoint start { 1'000s };
+
+}
+
+// Guards against new work for a server that left the list, and against cutting off what it still runs.
+TEST_CASE("a server that leaves the list gets no new work and is kept for its running requests")
+{
+    BackendDirectory directory;
+    replaceAll(directory, start, { server("a"), server("b") });
+    remove(directory, start + 1s, "a");
+    CHECK(stateOf(directory, "a") == ReplicaState::Leaving);
+    CHECK(stateOf(directory, "b") == ReplicaState::Live);
+    CHECK_FALSE(expire(directory, start + 20s));
+    CHECK(expire(directory, start + 21s));
+    CHECK_FALSE(stateOf(directory, "a"));
+}
+
+// Guards against losing every server when an outage of the store drops their entries.
+TEST_CASE("after an outage missing entries count only when the time to return is over")
+{
+    BackendDirectory directory;
+    replaceAll(directory, start, { server("lives"), server("gone") });
+    storeFailed(directory, start + 1s);
+    storeAnswered(directory, start + 6s);
+    replaceAll(directory, start + 6s, {});
+    CHECK(stateOf(directory, "lives") == ReplicaState::Live);
+    upsert(directory, server("lives"));
+    CHECK_FALSE(expire(directory, start + 7s));
+    CHECK(stateOf(directory, "gone") == ReplicaState::Live);
+    CHECK(expire(directory, start + 8s));
+    CHECK(stateOf(directory, "lives") == ReplicaState::Live);
+    CHECK(stateOf(directory, "gone") == ReplicaState::Leaving);
+}
+
+// Guards against a leaving server that is kept as live for a broken connection to the store.
+TEST_CASE("a short failure of the store excuses no missing entry")
+{
+    BackendDirectory directory;
+    replaceAll(directory, start, { server("a") });
+    storeFailed(directory, start + 1s);
+    storeAnswered(directory, start + 1'200ms);
+    replaceAll(directory, start + 1'200ms, {});
+    CHECK(stateOf(directory, "a") == ReplicaState::Leaving);
+}
+
+// Guards against instances that crash and are counted for ever, which would shrink the retry budget.
+TEST_CASE("an instance that stops writing its record is not counted")
+{
+    InstanceCount count;
+    CHECK(liveInstances(count, start) == 1);
+    noteInstance(count, start, "a", 1, HttpEndpoint { "127.0.0.1", 1 }, "alpine");
+    noteInstance(count, start, "b", 2);
+    noteInstance(count, start + 40s, "a", 9, HttpEndpoint { "127.0.0.1", 2 }, "alpine");
+    noteInstance(count, start + 40s, "b", 2);
+    CHECK(liveInstances(count, start + 59s) == 2);
+    CHECK(liveInstances(count, start + 61s) == 1);
+    REQUIRE(livePeers(count, start + 61s).size() == 1);
+    CHECK(livePeers(count, start + 61s)[0].endpoint.port == 2);
+}
+
+// Guards against an old or doubled datagram that replaces a newer one, and a restart that is ignored.
+TEST_CASE("only newer messages of an instance count")
+{
+    PeerLoads loads;
+    CHECK(takeMessage(loads, start, { "a", "run-1", 5, { { "engine", 2, 30, 100 } } }));
+    CHECK_FALSE(takeMessage(loads, start, { "a", "run-1", 4, { { "engine", 9, 90, 900 } } }));
+    CHECK(takeMessage(loads, start, { "b", "run-1", 1, { { "engine", 1, 10, 0 } } }));
+    const auto total = totalUse(loads);
+    REQUIRE(total.size() == 1);
+    CHECK(total[0] == BackendUse { "engine", 3, 40, 100 });
+    CHECK(takeMessage(loads, start, { "a", "run-2", 1, {} }));
+    CHECK(totalUse(loads)[0] == BackendUse { "engine", 1, 10, 0 });
+    CHECK(dropSilent(loads, start + 2s));
+    CHECK(totalUse(loads).empty());
+}
+
+// Guards against a message that does not survive the way, and against a datagram of another program
+// that is taken for one.
+TEST_CASE("load messages survive their encoding and other texts are refused")
+{
+    CHECK(rc::check("any message", [] {
+        const auto printable = rc::gen::container<std::string>(rc::gen::inRange<char>(' ', '~'));
+        LoadMessage message { *printable, "run", *rc::gen::arbitrary<std::uint64_t>() };
+        message.uses.push_back({ "engine", *rc::gen::arbitrary<std::uint32_t>(), 3, 4 });
+        message.changing.push_back("other");
+        message.revisions["config"] = 7;
+        const auto read = parseLoadMessage(printLoadMessage(message));
+        RC_ASSERT(read.has_value());
+        RC_ASSERT(read->instance == message.instance && read->sequence == message.sequence);
+        RC_ASSERT(read->uses == message.uses && read->changing == message.changing && read->revisions == message.revisions);
+    }));
+    CHECK(rc::check("any bytes", [] {
+        parseLoadMessage(*rc::gen::arbitrary<std::string>());
+    }));
+    for (const auto* text : { "", "{}", "[]", R"({"instance":"a","run":"b","sequence":1})", R"({"instance":"a","run":"b","sequence":1,"uses":[["x",1,2]]})", R"({"instance":"a","run":"b","sequence":1,"uses":[["x",-1,2,3]]})" })
+        CHECK_FALSE(parseLoadMessage(text));
+}
--- /dev/null
+++ b/test/correctness/ForwardShardTest.cpp
@@ -0,0 +1,243 @@
+#include "ShardHarness.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jayhold;
+using namespace jayhold::test;
+
+namespace {
+
+/// A service whose requests are forwarded: two kinds that may not be repeated or may, and engines whose
+/// memory holds few requests.
+auto forwardSettings() -> ShardSettings
+{
+    auto settings = testSettings();
+    settings.kinds[0].repeatable = false;
+    settings.kinds[0].maxAttempts = 1;
+    settings.kinds[0].patience = 2s;
+    settings.kinds[1].maxAttempts = 2;
+    settings.decodeMayPrefill = true;
+    settings.memoryQuantile = 0.5;
+    settings.retry = { .ratio = 0.2, .burst = 12, .isShared = true, .countsRejections = true };
+    settings.sharingInstances = 2;
+    return settings;
+}
+
+auto addEngine(ShardHarness& harness, std::uint32_t id, PoolRole role, std::uint16_t zone = 0) -> void
+{
+    // Memory for ten requests of 1,000 tokens.
+    harness.send(ReplicaChanged { .replica = ReplicaId { id }, .role = role, .zone = ZoneId { zone }, .state = ReplicaState::Live, .seats = 40, .memoryPieces = 750, .pieceTokens = 16, .linkBytesPerSecond = 100'000'000'000 });
+}
+
+}
+
+// Guards against a request that is refused although a decode engine could prefill it.
+TEST_CASE("a decode engine prefills where there is no prefill engine")
+{
+    ShardHarness harness(forwardSettings());
+    addEngine(harness, 1, PoolRole::Decode);
+    harness.arrive(1);
+    const auto start = harness.last<StartDecode>();
+    REQUIRE(start);
+    CHECK_FALSE(start->prefill);
+    harness.started(*start);
+    harness.send(DecodeFinished { start->request, start->attempt, 50 });
+    CHECK(summarize(harness.shard).reservedPieces == 0);
+    CHECK(summarize(harness.shard).wastedPrefillTokens == 0);
+}
+
+// Load pattern: prompts in a burst queue up at one prefill engine while decode engines idle.
+TEST_CASE("a burst of prompts spills over to decode engines that prefill by themselves")
+{
+    ShardHarness harness(forwardSettings());
+    addEngine(harness, 1, PoolRole::Prefill);
+    addEngine(harness, 2, PoolRole::Decode);
+    addEngine(harness, 3, PoolRole::Decode);
+    std::size_t split = 0;
+    std::size_t direct = 0;
+    for (std::uint64_t id = 1; id <= 8; ++id) {
+        harness.arrive(id);
+        split += harness.count<StartPrefill>();
+        direct += harness.count<StartDecode>();
+    }
+    CHECK(split >= 2);
+    CHECK(direct >= 2);
+    CHECK(split + direct == 8);
+}
+
+// Guards against a prefill result that lapses at once, again and again.
+TEST_CASE("after a lost prefill result the decode engine prefills by itself")
+{
+    ShardHarness harness(forwardSettings());
+    addEngine(harness, 1, PoolRole::Prefill);
+    addEngine(harness, 2, PoolRole::Decode);
+    addEngine(harness, 3, PoolRole::Decode);
+    harness.arrive(1, 1);
+    harness.prefilled(*harness.last<StartPrefill>());
+    auto decode = *harness.last<StartDecode>();
+    harness.send(DecodeFailed { decode.request, decode.attempt, FailureKind::KvExpired, 0 });
+    const auto second = harness.last<StartDecode>();
+    REQUIRE(second);
+    CHECK_FALSE(second->prefill);
+}
+
+// Guards against a request that runs on more engines than its kind allows.
+TEST_CASE("a kind's attempts bound the engines on which a request runs")
+{
+    ShardHarness harness(forwardSettings());
+    for (std::uint32_t id = 1; id <= 6; ++id)
+        addEngine(harness, id, PoolRole::Decode);
+    harness.arrive(1, 1);
+    std::size_t runs = 0;
+    while (const auto start = harness.last<StartDecode>()) {
+        ++runs;
+        harness.started(*start);
+        harness.send(DecodeFailed { start->request, start->attempt, FailureKind::ServerError, 0 });
+    }
+    CHECK(runs == 2);
+    REQUIRE(harness.last<Refuse>());
+    CHECK(harness.last<Refuse>()->outcome == Outcome::Unknown);
+}
+
+// Guards against a second run of a request that may not be repeated.
+TEST_CASE("a request that may not be repeated is not sent again after it may have run")
+{
+    const auto failure = GENERATE(FailureKind::ConnectionLost, FailureKind::TimedOut, FailureKind::ServerError);
+    ShardHarness harness(forwardSettings());
+    addEngine(harness, 1, PoolRole::Decode);
+    addEngine(harness, 2, PoolRole::Decode);
+    harness.arrive(1, 0);
+    const auto start = *harness.last<StartDecode>();
+    harness.send(DecodeFailed { start.request, start.attempt, failure, 0 });
+    CHECK_FALSE(harness.last<StartDecode>());
+    REQUIRE(harness.last<Refuse>());
+    CHECK(harness.last<Refuse>()->outcome == Outcome::Unknown);
+}
+
+// Guards against a refusal that claims the request ran, and against giving up a request that an
+// engine turned away.
+TEST_CASE("a request that was turned away goes to another engine and is refused as not run")
+{
+    ShardHarness harness(forwardSettings());
+    addEngine(harness, 1, PoolRole::Decode);
+    addEngine(harness, 2, PoolRole::Decode);
+    harness.arrive(1, 0);
+    const auto first = *harness.last<StartDecode>();
+    harness.send(DecodeFailed { first.request, first.attempt, FailureKind::Busy, 0 });
+    const auto second = harness.last<StartDecode>();
+    REQUIRE(second);
+    CHECK(second->decode != first.decode);
+    const auto rejectAll = [&] {
+        while (const auto start = harness.last<StartDecode>())
+            harness.send(DecodeFailed { start->request, start->attempt, FailureKind::Busy, 0 });
+    };
+    rejectAll();
+    for (auto waited = 0; waited < 30 && !harness.lastEver<Refuse>(); ++waited) {
+        harness.advance(100ms);
+        rejectAll();
+    }
+    REQUIRE(harness.lastEver<Refuse>());
+    CHECK(harness.lastEver<Refuse>()->outcome == Outcome::NotRun);
+    CHECK(harness.lastEver<Refuse>()->retryAfter > Duration::zero());
+}
+
+// Load pattern: engines that are full turn every request away, at every instance.
+TEST_CASE("rejected attempts draw on the retry budget that instances share")
+{
+    ShardHarness harness(forwardSettings());
+    for (std::uint32_t id = 1; id <= 40; ++id)
+        addEngine(harness, id, PoolRole::Decode);
+    std::size_t sends = 0;
+    constexpr std::size_t requests = 100;
+    for (std::uint64_t id = 1; id <= requests; ++id) {
+        harness.now += 1s;
+        harness.arrive(id, 1);
+        while (const auto start = harness.last<StartDecode>()) {
+            ++sends;
+            harness.send(DecodeFailed { start->request, start->attempt, FailureKind::Busy, 0 });
+        }
+    }
+    // Half of the burst of 12, and a fifth of the requests.
+    CHECK(sends <= requests + 6 + requests / 5);
+}
+
+// Load pattern: instances that place at the same moment choose the same decode engine.
+TEST_CASE("an engine that others have filled gets no request, and one without room is not asked again at once")
+{
+    ShardHarness harness(forwardSettings());
+    addEngine(harness, 1, PoolRole::Prefill);
+    addEngine(harness, 2, PoolRole::Decode);
+    addEngine(harness, 3, PoolRole::Decode);
+    harness.send(OthersUse { { { ReplicaId { 2 }, 10, 745, 0 } } });
+    harness.arrive(1);
+    const auto start = *harness.last<StartPrefill>();
+    CHECK(start.decode == ReplicaId { 3 });
+    CHECK(start.decodeTokens >= 1'000);
+    harness.send(SeatRefused { start.request, start.attempt, FailureKind::Busy });
+    CHECK_FALSE(harness.last<StartPrefill>());
+    CHECK_FALSE(harness.last<Refuse>());
+    harness.send(OthersUse {});
+    const auto again = harness.last<StartPrefill>();
+    REQUIRE(again);
+    CHECK(again->decode == ReplicaId { 2 });
+    CHECK(summarize(harness.shard).wastedPrefillTokens == 0);
+}
+
+// Load pattern: a burst fills the decode engines of one zone while those of another idle.
+TEST_CASE("a decode goes to another zone when the near engines are much fuller")
+{
+    ShardHarness harness(forwardSettings());
+    addEngine(harness, 1, PoolRole::Prefill);
+    addEngine(harness, 2, PoolRole::Decode);
+    addEngine(harness, 3, PoolRole::Decode, 1);
+    harness.arrive(1);
+    CHECK(harness.last<StartPrefill>()->decode == ReplicaId { 2 });
+    harness.send(OthersUse { { { ReplicaId { 2 }, 5, 400, 0 } } });
+    harness.arrive(2);
+    CHECK(harness.last<StartPrefill>()->decode == ReplicaId { 3 });
+}
+
+// Load pattern: in a burst of twice the capacity, requests that missed their target hold memory for
+// seconds that requests in time need.
+TEST_CASE("a request that missed its target leaves memory to those in time")
+{
+    ShardHarness harness(forwardSettings());
+    addEngine(harness, 1, PoolRole::Decode);
+    harness.send(OthersUse { { { ReplicaId { 1 }, 10, 740, 0 } } });
+    harness.arrive(1, 1);
+    CHECK_FALSE(harness.last<StartDecode>());
+    harness.advance(2'500ms);
+    // Room for two requests: the late one would leave less than a quarter.
+    harness.send(OthersUse { { { ReplicaId { 1 }, 10, 580, 0 } } });
+    CHECK_FALSE(harness.last<StartDecode>());
+    harness.arrive(2, 1);
+    REQUIRE(harness.last<StartDecode>());
+    CHECK(harness.last<StartDecode>()->request == RequestId { 2 });
+    harness.send(OthersUse {});
+    REQUIRE(harness.last<StartDecode>());
+    CHECK(harness.last<StartDecode>()->request == RequestId { 1 });
+}
+
+// Load pattern: callers leave a stream that shows no token; what starts after that is wasted.
+TEST_CASE("a request is refused before its caller's patience ends")
+{
+    ShardHarness harness(forwardSettings());
+    addEngine(harness, 1, PoolRole::Decode);
+    harness.send(OthersUse { { { ReplicaId { 1 }, 40, 750, 0 } } });
+    harness.arrive(1, 0);
+    for (auto waited = 0; waited < 20 && !harness.lastEver<Refuse>(); ++waited)
+        harness.advance(100ms);
+    REQUIRE(harness.lastEver<Refuse>());
+    CHECK(harness.lastEver<Refuse>()->outcome == Outcome::NotRun);
+}
+
+// Guards against memory reserved for the longest answers while the kind's lengths are not known.
+TEST_CASE("the caller's estimate stands in for unknown lengths")
+{
+    ShardHarness harness(forwardSettings());
+    addEngine(harness, 1, PoolRole::Prefill);
+    addEngine(harness, 2, PoolRole::Decode);
+    RequestArrived arrival { .request = RequestId { 1 }, .kind = KindId { 1 }, .promptTokens = 1'000, .maxTokens = 2'000, .expectedTokens = 300, .deadline = harness.now + 60s, .signature = 1 };
+    harness.send(arrival);
+    CHECK(harness.last<StartPrefill>()->decodeTokens == 1'300);
+}
--- a/test/correctness/HttpTest.cpp
+++ b/test/correctness/HttpTest.cpp
@@ -2,10 +2,15 @@
 
 #include "AwaitToken.h"
 
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <future>
+#include <thread>
 
 using namespace jayhold;
 using namespace std::chrono_literals;
@@ -118,3 +123,78 @@
     CHECK(lost.error().kind == HttpErrorKind::ConnectionLost);
     threads.stop();
 }
+
+// Guards against an answer to an earlier call, sent late on a kept connection, that is taken for the
+// present one.
+TEST_CASE("an answer that repeats another call's name is skipped")
+{
+    IoThreads threads(2);
+    asio::ip::tcp::acceptor acceptor(threads.context(0), { asio::ip::make_address("127.0.0.1"), 0 });
+    const auto port = acceptor.local_endpoint().port();
+    auto serve = [&]() -> asio::awaitable<void> {
+        auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+        std::array<char, 4'096> buffer {};
+        co_await socket.async_read_some(asio::buffer(buffer), asio::use_awaitable);
+        const std::string late = "HTTP/1.1 200 OK\r\nCall: old\r\nContent-Length: 3\r\n\r\nold";
+        const std::string present = "HTTP/1.1 200 OK\r\nCall: new\r\nContent-Length: 3\r\n\r\nnew";
+        co_await asio::async_write(socket, asio::buffer(late + present), asio::use_awaitable);
+    };
+    asio::co_spawn(threads.context(0), serve(), asio::detached);
+    HttpCallOptions options;
+    options.timeout = 2s;
+    options.echo = HttpHeader { "Call", "new" };
+    const auto answer = runOn(threads, 1, threads.client(1).request({ "127.0.0.1", port }, HttpRequest {}, options));
+    threads.stop();
+    REQUIRE(answer.has_value());
+    CHECK(answer->body == "new");
+}
+
+// Guards against a call that reaches another process because it took over the address of a kept
+// connection, and against calls that don't share connections where they could.
+TEST_CASE("idle connections are shared by calls to the same process only")
+{
+    IoThreads threads(2);
+    HttpServer server(threads, {}, [&](HttpExchange& exchange) -> asio::awaitable<void> {
+        co_await exchange.respond(jsonResponse(200, "{}"));
+    });
+    auto& client = threads.client(1);
+    const auto call = [&](std::string peer) {
+        HttpCallOptions options;
+        options.timeout = 2s;
+        options.mayReuse = true;
+        options.peer = std::move(peer);
+        const auto stream = runOn(threads, 1, client.open(server.endpoint(), HttpRequest { .method = "POST" }, options));
+        REQUIRE(stream.has_value());
+        auto finish = [](std::shared_ptr<HttpStream> open) -> asio::awaitable<int> {
+            auto piece = co_await open->readSome(2s);
+            while (piece.has_value() && !piece->empty())
+                piece = co_await open->readSome(2s);
+            const auto port = open->localPort();
+            open->release();
+            co_return port;
+        };
+        return runOn(threads, 1, finish(*stream));
+    };
+    const auto first = call("a/1");
+    CHECK(call("a/1") == first);
+    CHECK(call("a/2") != first);
+    CHECK(call("a/1") == first);
+    threads.stop();
+}
+
+// Guards against a request that arrives long after a shutdown began, on a connection kept open.
+TEST_CASE("idle connections are closed on request and busy ones after their answer")
+{
+    IoThreads threads(2);
+    HttpServer server(threads, {}, echo);
+    auto& client = threads.client(1);
+    const auto call = [&] { return runOn(threads, 1, client.request(server.endpoint(), HttpRequest { "GET", "/", {}, {} }, 2s)); };
+    REQUIRE(call().has_value());
+    server.stopAccepting();
+    server.closeIdle();
+    std::this_thread::sleep_for(100ms);
+    const auto refused = call();
+    threads.stop();
+    REQUIRE(refused.has_error());
+    CHECK(refused.error().kind == HttpErrorKind::NotConnected);
+}
--- /dev/null
+++ b/test/correctness/RoleBalanceTest.cpp
@@ -0,0 +1,86 @@
+#include "RoleBalance.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jayhold;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Scene {
+    RoleBalance balance;
+    TimePoint now { 1'000s };
+
+    /// Observes the same demand for some time.
+    auto observe(const RoleDemand& demand, Duration time) -> void
+    {
+        for (Duration passed {}; passed < time; passed += 250ms) {
+            now += 250ms;
+            observeDemand(balance, now, demand);
+        }
+    }
+};
+
+}
+
+// Load pattern: decodes last for seconds and fill the decode engines, while prefill engines idle.
+TEST_CASE("engines move to the role with the lasting work")
+{
+    Scene scene;
+    const RoleDemand demand { .prefillReplicas = 4, .decodeReplicas = 5, .prefillWork = 1, .decodeWork = 4.5 };
+    scene.observe(demand, 12s);
+    CHECK(wantedRoleChange(scene.balance, scene.now, demand) == 1);
+    noteRoleChange(scene.balance, scene.now);
+    CHECK(wantedRoleChange(scene.balance, scene.now + 5s, demand) == 0);
+    CHECK(wantedRoleChange(scene.balance, scene.now + 13s, demand) == 1);
+}
+
+// Guards against a change by the first seconds, in which prompts are read and no decode has ended.
+TEST_CASE("the ramp-up of the decodes decides nothing")
+{
+    Scene scene;
+    const RoleDemand prompts { .prefillReplicas = 4, .decodeReplicas = 5, .prefillWork = 3, .decodeWork = 0.5 };
+    scene.observe(prompts, 2s);
+    CHECK(wantedRoleChange(scene.balance, scene.now, prompts) == 0);
+    const RoleDemand steady { .prefillReplicas = 4, .decodeReplicas = 5, .prefillWork = 2, .decodeWork = 2.5 };
+    scene.observe(steady, 10s);
+    CHECK(wantedRoleChange(scene.balance, scene.now, steady) == 0);
+}
+
+// Load pattern: a burst of four seconds fills one role.
+TEST_CASE("a short burst moves no engine back")
+{
+    Scene scene;
+    const RoleDemand balanced { .prefillReplicas = 3, .decodeReplicas = 6, .prefillWork = 1.5, .decodeWork = 3 };
+    scene.observe(balanced, 15s);
+    CHECK(wantedRoleChange(scene.balance, scene.now, balanced) == 0);
+    auto burst = balanced;
+    burst.prefillWork = 5;
+    burst.decodeWork = 5;
+    scene.observe(burst, 4s);
+    CHECK(wantedRoleChange(scene.balance, scene.now, burst) == 0);
+}
+
+// Guards against a role that loses its last engine, and against moving a large part at once.
+TEST_CASE("each role keeps an engine and few move at once")
+{
+    Scene scene;
+    const RoleDemand few { .prefillReplicas = 1, .decodeReplicas = 3, .prefillWork = 0, .decodeWork = 9 };
+    scene.observe(few, 12s);
+    CHECK(wantedRoleChange(scene.balance, scene.now, few) == 0);
+    Scene large;
+    const RoleDemand many { .prefillReplicas = 24, .decodeReplicas = 24, .prefillWork = 1, .decodeWork = 24 };
+    large.observe(many, 12s);
+    const auto change = wantedRoleChange(large.balance, large.now, many);
+    CHECK(change > 0);
+    CHECK(change <= 6);
+}
+
+// Guards against orders where there is nothing to go by.
+TEST_CASE("an idle service keeps its roles")
+{
+    Scene scene;
+    const RoleDemand idle { .prefillReplicas = 4, .decodeReplicas = 5, .prefillWork = 0, .decodeWork = 0.1 };
+    scene.observe(idle, 30s);
+    CHECK(wantedRoleChange(scene.balance, scene.now, idle) == 0);
+}
--- /dev/null
+++ b/test/error/PlatformFormatsTest.cpp
@@ -0,0 +1,150 @@
+#include "Formats.h"
+#include "Protocols.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace jayhold;
+namespace leaf = boost::leaf;
+namespace json = boost::json;
+
+namespace {
+
+const std::string goodSettings = "node=edge-1\nzone=alpine\nregion=big-bend\nip=10.1.0.35\nzones.alpine=big-bend\nzones.marfa=big-bend\n"
+                                 "listen.front=10.1.0.35:8144\nlisten.ready=10.1.0.35:8140\nportRange=7660,7675\nbounds.graceS=8\nbounds.applyMs=2000\n"
+                                 "bounds.drainMs=1500\nbounds.budgetRatio=0.2\nbounds.budgetExtra=52\nplatform.address=10.200.1.7:8142\nplatform.readsPerS=2000\nnewer.field=x\n";
+
+/// @return the settings, or the path of the fault.
+auto parse(std::string_view text) -> std::variant<platform::Settings, std::string>
+{
+    using Outcome = std::variant<platform::Settings, std::string>;
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<Outcome> {
+            BOOST_LEAF_AUTO(settings, platform::parseSettings(text));
+            return Outcome(std::move(settings));
+        },
+        [](const ConfigError& error) { return Outcome(error.path); },
+        [] { return Outcome("unknown error"); });
+}
+
+auto without(std::string text, const std::string& key) -> std::string
+{
+    const auto start = text.find(key + "=");
+    return text.erase(start, text.find('\n', start) - start + 1);
+}
+
+auto item(std::string_view text) -> StoredItem
+{
+    return { "name", 1, json::parse(text) };
+}
+
+const std::vector<AvailabilityZone> zones { { "alpine", "big-bend" } };
+
+}
+
+// Guards against settings that are misread or refused for a field that is new.
+TEST_CASE("the platform's settings are read")
+{
+    const auto outcome = parse(goodSettings);
+    REQUIRE(std::holds_alternative<platform::Settings>(outcome));
+    const auto& settings = std::get<platform::Settings>(outcome);
+    CHECK(settings.entry.instance == "edge-1");
+    CHECK(settings.entry.listen == HttpEndpoint { "10.1.0.35", 8144 });
+    CHECK(settings.entry.loadListen == HttpEndpoint { "10.1.0.35", 7660 });
+    CHECK(settings.entry.drain == std::chrono::seconds(8));
+    CHECK(settings.entry.changeBound == std::chrono::milliseconds(1'500));
+    CHECK(settings.availabilityZones.size() == 2);
+    CHECK(settings.retry.burst == 52);
+}
+
+// Guards against a process that starts with settings that it can't work with.
+TEST_CASE("missing and faulty settings name their key")
+{
+    for (const auto* key : { "node", "zone", "ip", "listen.front", "listen.ready", "portRange", "bounds.graceS", "platform.address", "platform.readsPerS" })
+        CHECK(std::get<std::string>(parse(without(goodSettings, key))) == key);
+    CHECK(std::get<std::string>(parse(goodSettings + "bounds.graceS=soon\n")) == "bounds.graceS");
+    CHECK(std::get<std::string>(parse(goodSettings + "listen.front=here\n")) == "listen.front");
+    CHECK(std::get<std::string>(parse(goodSettings + "platform.readsPerS=-1\n")) == "platform.readsPerS");
+}
+
+// Guards against a parser that fails on bytes from another writer.
+TEST_CASE("no bytes make the parsers of settings and entries fail")
+{
+    CHECK(rc::check("settings", [] { parse(*rc::gen::arbitrary<std::string>()); }));
+    CHECK(rc::check("damaged settings", [] {
+        auto text = goodSettings;
+        text[*rc::gen::inRange<std::size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
+        parse(text);
+    }));
+    const std::string entry = R"({"service":"s","address":"10.0.0.1:80","zone":"alpine","slots":4,"state":"ready","phase":"decode","born":17})";
+    CHECK(rc::check("damaged entries", [&] {
+        auto text = entry;
+        text[*rc::gen::inRange<std::size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
+        boost::system::error_code code;
+        const auto value = json::parse(text, code);
+        if (!code)
+            platform::readBackend({ "id", 1, value });
+    }));
+}
+
+// Guards against an entry of another writer that is taken for a backend server.
+TEST_CASE("entries that name no server to use are left out")
+{
+    const auto good = platform::readBackend(item(R"({"service":"s","address":"10.0.0.1:80","zone":"alpine","slots":4,"state":"draining","phase":"decode","born":17})"));
+    REQUIRE(good);
+    CHECK(good->pool == platform::poolName("s", "alpine", PoolRole::Decode));
+    CHECK(good->state == ReplicaState::Leaving);
+    CHECK(good->incarnation == "17");
+    CHECK(good->seats == 4);
+    for (const auto* text : { "7", "{}", R"({"service":"s","address":"10.0.0.1:80","zone":"alpine"})", R"({"service":3,"address":"10.0.0.1:80","zone":"alpine","state":"ready"})",
+             R"({"service":"s","address":"host:80","zone":"alpine","state":"ready"})", R"({"service":"s","address":"10.0.0.1:80","zone":"alpine","state":"unheard"})",
+             R"({"service":"s","address":"10.0.0.1:80","zone":"alpine","state":"ready","phase":"unheard"})" })
+        CHECK_FALSE(platform::readBackend(item(text)));
+}
+
+// Guards against a configuration of which a part is dropped silently, and against a stream that may be
+// repeated although it can't be resumed.
+TEST_CASE("configurations are read whole or not at all")
+{
+    const auto* text = R"({"version":7,"routes":[
+        {"name":"a","host":"h","pathPrefix":"/a/","kind":"streaming","timeoutMs":14000,"targetLatencyMs":900,"priority":1,"service":"llm","maxAttempts":1,"canResume":false,"targetGapMs":300},
+        {"name":"b","host":"h","pathPrefix":"/b/","kind":"idempotent","timeoutMs":800,"maxAttempts":2,"trafficSplit":[{"service":"plain","weight":90},{"service":"llm","weight":10}]}],
+        "services":[{"name":"llm","engine":{"slots":48,"kvCapacity":42121,"kvTokenBytes":18432,"linkMbps":8000.0,"stride":11,"kvHoldS":0.5,"roleSwitchS":6.0,"holdMs":2000.0}},{"name":"plain"}],
+        "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+    const auto configuration = platform::readConfiguration(item(text), zones, {});
+    REQUIRE(configuration);
+    CHECK(configuration->version == 7);
+    const auto& model = configuration->services.at(0);
+    CHECK(model.type == ServiceType::Model);
+    CHECK(model.pools.size() == 2);
+    CHECK(model.pools[0].memoryPieces == 42'121 / 16);
+    CHECK(model.pools[0].linkBytesPerSecond == 1'000'000'000);
+    CHECK(model.kinds.at(0).patience == std::chrono::milliseconds(3'600));
+    CHECK_FALSE(model.kinds[0].repeatable);
+    CHECK(configuration->services.at(1).kinds.at(0).repeatable);
+    CHECK(configuration->routes.at(1).targets.size() == 2);
+    CHECK(configuration->limits.idleTimeout == std::chrono::seconds(15));
+    for (const auto* faulty : { "[]", R"({"version":7})", R"({"version":"7","routes":[],"services":[]})", R"({"version":7,"routes":[{}],"services":[]})", R"({"version":7,"routes":[],"services":[{"name":3}]})" })
+        CHECK_FALSE(platform::readConfiguration(item(faulty), zones, {}));
+}
+
+// Guards against a status that promises too much or too little, and a time to return that is rounded
+// away.
+TEST_CASE("refusals say whether the request ran")
+{
+    const auto& protocol = platform::callerProtocol();
+    using std::chrono::milliseconds;
+    const auto notRun = protocol.refusal(refusalError(RefusalReason::Overloaded, Outcome::NotRun, milliseconds(1'250)));
+    CHECK(notRun.status == 503);
+    CHECK(findHeader(notRun.headers, "Retry-After") == "1.250");
+    CHECK(protocol.refusal(refusalError(RefusalReason::TooLarge, Outcome::NotRun, {})).status == 503);
+    CHECK(protocol.refusal(refusalError(RefusalReason::QueueFull, Outcome::NotRun, {})).status == 429);
+    for (const auto reason : { RefusalReason::RetriesExhausted, RefusalReason::CrashSuspect, RefusalReason::QueueFull, RefusalReason::Overloaded, RefusalReason::NoBackend, RefusalReason::Draining }) {
+        const auto unknown = protocol.refusal(refusalError(reason, Outcome::Unknown, milliseconds(500)));
+        CHECK(unknown.status == 502);
+        CHECK_FALSE(findHeader(unknown.headers, "Retry-After"));
+    }
+    CHECK(protocol.refusal(refusalError(RefusalReason::DeadlineExceeded, Outcome::Unknown, {})).status == 504);
+}
