--- a/apps/jayhold-entry.cpp
+++ b/apps/jayhold-entry.cpp
@@ -153,17 +153,17 @@
     return exit;
 }
 
-auto runNative(EntrySettings settings, const std::string& path) -> ExitCode
+auto runNative(const EntrySettings& settings, const std::string& path) -> ExitCode
 {
     const auto level = settings.logLevel;
     // The line with the addresses is printed at every log level.
     configureLogging(std::min(level, LogLevel::Info));
-    EntryDaemon daemon(std::move(settings));
+    EntryDaemon daemon(settings);
     configureLogging(level);
     return runUntilDrained(daemon, [&] { return loadSettings(path, parseEntrySettings).has_value(); });
 }
 
-auto runOnPlatform(platform::Settings settings, const std::string& path) -> ExitCode
+auto runOnPlatform(const platform::Settings& settings, const std::string& path) -> ExitCode
 {
     configureLogging(settings.entry.logLevel);
     RouterDaemon daemon(settings.entry, platform::makeParts(settings));
@@ -172,7 +172,7 @@
 
 /// Checks the settings and runs the daemon, unless only the check was asked for.
 template <typename Settings>
-auto checkAndRun(const Options& options, leaf::result<Settings> (*parse)(std::string_view), ExitCode (*run)(Settings, const std::string&)) -> ExitCode
+auto checkAndRun(const Options& options, leaf::result<Settings> (*parse)(std::string_view), ExitCode (*run)(const Settings&, const std::string&)) -> ExitCode
 {
     auto settings = loadSettings(options.settings, parse);
     if (!settings)
@@ -181,7 +181,7 @@
         std::cout << "the settings are valid\n";
         return ExitCode::Success;
     }
-    return run(std::move(*settings), options.settings);
+    return run(*settings, options.settings);
 }
 
 }
--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -18,6 +18,10 @@
 /// Part of the target that the margin may take; more would refuse work that can succeed.
 constexpr int largestMarginPart = 4;
 
+/// Part of a caller's patience that is left for what the forecast does not see: the wait for a seat at
+/// the engines, their queues, and the first step of the decode.
+constexpr int patienceMarginPart = 4;
+
 auto clearlyExceeds(Duration wait, Duration left) -> bool
 {
     return static_cast<double>(wait.count()) > static_cast<double>(left.count()) * clearlyTooLong;
@@ -46,7 +50,7 @@
     const auto patience = std::chrono::duration_cast<Duration>(kindOf(state, request).patience);
     if (patience <= Duration::zero() || request.lane == QueueLane::Resume)
         return beforeDeadline;
-    return std::min(beforeDeadline, request.arrivedAt + patience - timeToFirstToken(state, request));
+    return std::min(beforeDeadline, request.arrivedAt + patience - patience / patienceMarginPart - timeToFirstToken(state, request));
 }
 
 auto expectedWait(const DecisionContext& context, const ActiveRequest& request) -> Duration
