--- a/src/LoadReports.cpp
+++ b/src/LoadReports.cpp
@@ -111,8 +111,10 @@
 
 auto handle(DecisionContext& context, const OthersUse& event) -> void
 {
-    for (auto& [id, replica] : context.state.replicas) {
-        const auto use = std::find_if(event.uses.begin(), event.uses.end(), [&](const ReplicaUse& told) { return told.replica == id; });
+    for (auto& entry : context.state.replicas) {
+        auto& replica = entry.second;
+        const auto id = entry.first;
+        const auto use = std::find_if(event.uses.begin(), event.uses.end(), [id](const ReplicaUse& told) { return told.replica == id; });
         const auto known = use == event.uses.end() ? ReplicaUse {} : *use;
         replica.othersSeats = known.seats;
         replica.othersPieces = known.pieces;
--- a/src/ModelService.cpp
+++ b/src/ModelService.cpp
@@ -227,6 +227,7 @@
         return leftCount != rightCount ? leftCount > rightCount : left->backend.id < right->backend.id;
     });
     std::vector<BackendServer> servers;
+    servers.reserve(candidates.size());
     for (const auto* candidate : candidates)
         servers.push_back(candidate->backend);
     return servers;
--- a/src/PeerLoads.cpp
+++ b/src/PeerLoads.cpp
@@ -29,6 +29,7 @@
         }
     }
     std::vector<BackendUse> list;
+    list.reserve(sums.size());
     for (auto& [backend, sum] : sums)
         list.push_back(std::move(sum));
     return list;
--- a/src/RoleBalance.cpp
+++ b/src/RoleBalance.cpp
@@ -9,9 +9,8 @@
 
 /// Less work than this says nothing about its kind.
 constexpr double leastWork = 0.5;
-/// A prefill replica is kept emptier than a decode replica: a prompt that waits delays the first
-/// token, while a decode in company only gets a little slower.
-constexpr double prefillWeight = 1.0;
+/// A prefill counts as long as it waits for a seat at a decode engine, too, which is no work.
+constexpr double prefillWeight = 0.75;
 /// The share must be off by this part of a replica, so that it doesn't swing to and fro. Prompts that
 /// queue up count more than their work, and decode replicas can prefill for a while; so the way back
 /// takes more.
--- a/test/correctness/RouterDaemonTest.cpp
+++ b/test/correctness/RouterDaemonTest.cpp
@@ -52,7 +52,7 @@
     Scene(const Scene&) = delete;
     auto operator=(const Scene&) -> Scene& = delete;
 
-    auto enter(const ReplicaStandin& replica, std::string service, std::string phase, std::string state = "ready") -> void
+    auto enter(const ReplicaStandin& replica, const std::string& service, const std::string& phase, const std::string& state = "ready") -> void
     {
         json::object entry { { "service", service }, { "address", toString(replica.endpoint()) }, { "zone", "alpine" }, { "state", state }, { "slots", 6 }, { "born", 1'700'000'000'000 } };
         if (!phase.empty())
