Mend what a reading of the whole change found

Cause: read as a newcomer, the change repeated what the project had, left decisions in the adapter and swallowed errors.

- One copy each: status codes, the error for malformed answers, parsing of a JSON object, of a number and of lower case, the count of open requests.
- Timeouts, reuse of connections and the share of the store's rate are the product's (backendCallOptions, sharedStoreSettings); an instance took the whole rate of all instances for its own.
- An order whose answer was lost counted as answered; the gate now waits.
- A caller that left counted as a failure of its plain backend server.
- Datagrams, seats and results that could not be sent or freed leave a line.
- ModelService and ModelRequest are split: replicas, and what is held at engines.

Tests: ObjectCallsTest, and callers that leave in RouterDaemonTest. The rule for lost orders has its test in the gate's own state machine, none in the driver.

--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -1,8 +1,8 @@
 jayhold_library(jayhold_entry
-  UNITS AdminApi ApiError CallerApi CallerChecks ClusterRecords CompletionFormat
+  UNITS AdminApi BackendCallOptions ApiError CallerApi CallerChecks ClusterRecords CompletionFormat
     CompletionRequest CompletionWriter ConfigurationIndex DecodeRelay EngineClient EngineError EngineMessages
     EngineMonitor EntryDaemon EntryDaemonDrain EntrySettings ForwardApi ForwardChecks HeldMemory LatencyHistogram LostOwners
-    Metrics ModelRequest ModelRequestTasks ModelService ModelServiceTimer NativeProtocols PassThroughReader PassThroughWriter PlainBalancer PlainRoute
+    Metrics ModelRequest ModelRequestHolds ModelRequestTasks ModelService ModelServiceReplicas ModelServiceTimer NativeProtocols PassThroughReader PassThroughWriter PlainBalancer PlainRoute
     PlainService PromptDigest RequestMachine RoleBalancer RouteTable RouterDaemon ServiceTable StatusReport TokenEventReader
     TokenSequence
   LINK jayhold_cluster jayhold_decision jayhold_operator jayhold_http)
--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -8,5 +8,5 @@
   LINK jayhold_platform)
 
 jayhold_test(router_daemon_test
-  SOURCES test/correctness/RouterDaemonTest.cpp test/PlatformStandin.cpp
+  SOURCES test/correctness/ObjectCallsTest.cpp test/correctness/RouterDaemonTest.cpp test/PlatformStandin.cpp
   LINK jayhold_platform)
--- /dev/null
+++ b/src/BackendCallOptions.h
@@ -0,0 +1,14 @@
+#pragma once
+
+/// How calls to backend servers use connections.
+
+#include "BackendServer.h"
+#include "HttpCallOptions.h"
+
+namespace jayhold {
+
+/// @param timeout time until the header of the answer, or a whole answer, has arrived.
+/// @param mayRepeat whether the call may run more than once.
+auto backendCallOptions(const BackendServer& server, Duration timeout, bool mayRepeat) -> HttpCallOptions;
+
+}
--- a/src/BackendProtocol.h
+++ b/src/BackendProtocol.h
@@ -35,11 +35,11 @@
     /// Cancels an attempt by its name; null where closing its connection does.
     auto(*cancel)(HttpClient& client, HttpEndpoint endpoint, std::string requestId) -> boost::asio::awaitable<bool>;
     /// Frees a prefill result that no decode will fetch; null where cancel() does.
-    auto(*releasePrefill)(HttpClient& client, BackendServer server, std::string handle) -> boost::asio::awaitable<bool>;
+    auto(*releasePrefill)(HttpClient& client, BackendServer server, std::string handle, Duration timeout) -> boost::asio::awaitable<bool>;
     /// Asks a decode engine to keep a seat and memory for some time; null where engines do not.
     /// @return the name of what is kept.
     auto(*holdSeat)(HttpClient& client, BackendServer server, std::uint32_t tokens, Duration time, Duration timeout) -> boost::asio::awaitable<EngineResult<std::string>>;
-    auto(*dropSeat)(HttpClient& client, BackendServer server, std::string seat) -> boost::asio::awaitable<bool>;
+    auto(*dropSeat)(HttpClient& client, BackendServer server, std::string seat, Duration timeout) -> boost::asio::awaitable<bool>;
     /// Reads how many orders an engine has accepted, and whether it carries one out; null where engines
     /// take no orders.
     auto(*orderState)(HttpClient& client, BackendServer server, Duration timeout) -> boost::asio::awaitable<EngineResult<EngineOrderState>>;
--- a/src/CallerApi.cpp
+++ b/src/CallerApi.cpp
@@ -2,6 +2,7 @@
 
 #include "CallerChecks.h"
 #include "ModelRequest.h"
+#include "OpenRequestCount.h"
 #include "SpreadDelay.h"
 
 namespace jayhold {
@@ -12,26 +13,6 @@
 
 constexpr Duration refusalDelay = std::chrono::seconds(1);
 
-/// Counts a request for as long as it is in progress.
-class OpenRequestCount {
-public:
-    explicit OpenRequestCount(std::atomic<std::size_t>& count)
-        : m_count(count)
-        , m_position(++count)
-    {
-    }
-    ~OpenRequestCount() { --m_count; }
-    OpenRequestCount(const OpenRequestCount&) = delete;
-    auto operator=(const OpenRequestCount&) -> OpenRequestCount& = delete;
-
-    /// @return requests in progress when this one arrived, itself included.
-    auto position() const -> std::size_t { return m_position; }
-
-private:
-    std::atomic<std::size_t>& m_count;
-    const std::size_t m_position;
-};
-
 auto pathOf(const HttpRequest& request) -> std::string_view
 {
     return std::string_view(request.target).substr(0, request.target.find('?'));
--- a/src/CallerChecks.cpp
+++ b/src/CallerChecks.cpp
@@ -1,10 +1,10 @@
 #include "CallerChecks.h"
 
+#include "ParseNumber.h"
 #include "PlainRoute.h"
 #include "ShardSettings.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace jayhold {
 
@@ -25,11 +25,10 @@
     const auto text = findHeader(request.headers, "X-Request-Timeout-Ms");
     if (!text)
         return now + kind.deadline;
-    std::int64_t milliseconds = 0;
-    const auto [rest, code] = std::from_chars(text->data(), text->data() + text->size(), milliseconds);
-    if (code != std::errc {} || rest != text->data() + text->size() || milliseconds < 1)
+    const auto milliseconds = parseNumber<std::int64_t>(*text);
+    if (!milliseconds || *milliseconds < 1)
         return ApiError(400, "invalid_timeout", "X-Request-Timeout-Ms must be a whole number of at least 1");
-    return now + std::min(std::chrono::milliseconds(milliseconds), kind.deadline);
+    return now + std::min(std::chrono::milliseconds(*milliseconds), kind.deadline);
 }
 
 auto checkSize(const Service& service, const ModelRequestInfo& info) -> std::optional<ApiError>
--- a/src/ClusterDocuments.cpp
+++ b/src/ClusterDocuments.cpp
@@ -1,5 +1,6 @@
 #include "ClusterDocuments.h"
 
+#include "HttpStatus.h"
 #include "MembershipOwners.h"
 
 #include <boost/json/object.hpp>
@@ -19,7 +20,6 @@
 constexpr auto watchTime = std::chrono::seconds(10);
 constexpr auto shortestRetry = std::chrono::milliseconds(200);
 constexpr auto fetchTime = std::chrono::seconds(2);
-constexpr unsigned statusOk = 200;
 
 auto isChosen(const ClusterCore& core, std::string_view task) -> bool
 {
--- a/src/ClusterGossip.cpp
+++ b/src/ClusterGossip.cpp
@@ -1,6 +1,7 @@
 #include "ClusterGossip.h"
 
 #include "ClusterDocuments.h"
+#include "HttpStatus.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/json/parse.hpp>
@@ -20,8 +21,6 @@
 /// A report that a backend server is leaving holds until the platform's list, which lags, says
 /// the same.
 constexpr auto leavingTime = std::chrono::seconds(60);
-constexpr unsigned statusOk = 200;
-constexpr unsigned statusBadRequest = 400;
 
 auto logMember(ClusterCore& core, std::string_view event, const Member& member) -> void
 {
--- a/src/ClusterNode.cpp
+++ b/src/ClusterNode.cpp
@@ -4,6 +4,7 @@
 #include "ClusterDocuments.h"
 #include "ClusterGossip.h"
 #include "ConfigurationApply.h"
+#include "HttpStatus.h"
 #include "LeaseKeeper.h"
 #include "MembershipOwners.h"
 #include "RecordService.h"
@@ -18,9 +19,6 @@
 
 namespace {
 
-constexpr unsigned statusOk = 200;
-constexpr unsigned statusForbidden = 403;
-constexpr unsigned statusNotFound = 404;
 constexpr std::string_view recordRoutePrefix = "/internal/v1/records/";
 
 auto hasPeerKey(const ClusterCore& core, const HttpRequest& request) -> bool
--- a/src/EngineMessages.cpp
+++ b/src/EngineMessages.cpp
@@ -4,7 +4,6 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 namespace jayhold {
@@ -24,15 +23,6 @@
     };
 }
 
-auto parseObject(std::string_view text) -> std::optional<json::object>
-{
-    boost::system::error_code code;
-    auto value = json::parse(text, code);
-    if (code || !value.is_object())
-        return std::nullopt;
-    return std::move(value.get_object());
-}
-
 auto readHashes(const json::object& object, std::string_view key, std::vector<std::uint64_t>& hashes) -> bool
 {
     const auto* value = object.if_contains(key);
--- a/src/ForwardApi.cpp
+++ b/src/ForwardApi.cpp
@@ -1,6 +1,7 @@
 #include "ForwardApi.h"
 
 #include "ModelRequest.h"
+#include "OpenRequestCount.h"
 #include "SpreadDelay.h"
 
 namespace jayhold {
@@ -11,22 +12,6 @@
 
 constexpr Duration refusalDelay = std::chrono::seconds(1);
 
-/// Counts a request for as long as it is in progress.
-class OpenRequest {
-public:
-    explicit OpenRequest(std::atomic<std::size_t>& count)
-        : m_count(count)
-    {
-        ++m_count;
-    }
-    ~OpenRequest() { --m_count; }
-    OpenRequest(const OpenRequest&) = delete;
-    auto operator=(const OpenRequest&) -> OpenRequest& = delete;
-
-private:
-    std::atomic<std::size_t>& m_count;
-};
-
 }
 
 ForwardApi::ForwardApi(EntryContext& context, ServiceTable& services)
@@ -37,7 +22,7 @@
 
 auto ForwardApi::handle(HttpExchange& exchange) -> asio::awaitable<void>
 {
-    const OpenRequest open(m_context.openRequests);
+    const OpenRequestCount open(m_context.openRequests);
     auto call = m_context.callers.decode(exchange.request());
     if (call.has_error()) {
         co_await refuse(exchange, "", call.error());
@@ -50,7 +35,7 @@
         co_await refuse(exchange, requestId, error);
         co_return;
     }
-    if (m_context.openRequests > m_context.settings.limits.openRequests) {
+    if (open.position() > m_context.settings.limits.openRequests) {
         const auto error = refusalError(RefusalReason::Overloaded, Outcome::NotRun, spreadDelay(refusalDelay));
         co_await refuse(exchange, requestId, error);
         co_return;
--- a/src/HttpMessages.cpp
+++ b/src/HttpMessages.cpp
@@ -2,6 +2,7 @@
 #include "HttpError.h"
 #include "HttpRequest.h"
 #include "HttpResponse.h"
+#include "LowerCase.h"
 
 #include <boost/asio/ip/address.hpp>
 
@@ -10,18 +11,10 @@
 
 namespace jayhold {
 
-namespace {
-
-auto lowerCase(char character) -> char
-{
-    return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
-}
-
-}
-
 auto equalHeaderNames(std::string_view left, std::string_view right) -> bool
 {
-    return std::ranges::equal(left, right, {}, lowerCase, lowerCase);
+    const auto lower = [](char letter) { return lowerCase(letter); };
+    return std::ranges::equal(left, right, {}, lower, lower);
 }
 
 auto findHeader(std::span<const HttpHeader> headers, std::string_view name) -> std::optional<std::string_view>
--- /dev/null
+++ b/src/HttpStatus.h
@@ -0,0 +1,23 @@
+#pragma once
+
+/// The HTTP status codes that calls between processes compare or send.
+
+namespace jayhold {
+
+inline constexpr unsigned statusOk = 200;
+inline constexpr unsigned statusCreated = 201;
+inline constexpr unsigned statusAccepted = 202;
+/// First status that is not a success.
+inline constexpr unsigned statusSuccessEnd = 300;
+inline constexpr unsigned statusNotModified = 304;
+inline constexpr unsigned statusBadRequest = 400;
+inline constexpr unsigned statusForbidden = 403;
+inline constexpr unsigned statusNotFound = 404;
+inline constexpr unsigned statusConflict = 409;
+inline constexpr unsigned statusGone = 410;
+inline constexpr unsigned statusMisdirected = 421;
+inline constexpr unsigned statusTooManyRequests = 429;
+/// First status that states a failure of the other side.
+inline constexpr unsigned statusServerError = 500;
+
+}
--- a/src/JsonFields.h
+++ b/src/JsonFields.h
@@ -3,14 +3,27 @@
 /// Reads fields of a JSON object that another party wrote: a field that is missing or of another type
 /// is reported, not thrown.
 
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
 
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace jayhold {
 
+/// @return nothing where the text is not a JSON object.
+inline auto parseObject(std::string_view text) -> std::optional<boost::json::object>
+{
+    boost::system::error_code code;
+    auto value = boost::json::parse(text, code);
+    if (code || !value.is_object())
+        return std::nullopt;
+    return std::move(value.get_object());
+}
+
 /// @param number set where the field holds a number that fits its type.
 /// @return whether it was set.
 template <typename Number>
--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -139,13 +139,21 @@
 auto LoadExchange::sendToPeers(const std::string& text) -> void
 {
     auto& state = *m_state;
-    // A datagram that does not fit into the socket's buffer is as good as lost on the way.
-    boost::system::error_code ignored;
-    for (const auto& peer : state.near)
-        state.socket.send_to(asio::buffer(text), peer, 0, ignored);
+    std::size_t failed = 0;
+    boost::system::error_code last;
+    const auto sendTo = [&](const asio::ip::udp::endpoint& peer) {
+        boost::system::error_code code;
+        state.socket.send_to(asio::buffer(text), peer, 0, code);
+        failed += code ? 1 : 0;
+        last = code ? code : last;
+    };
+    std::ranges::for_each(state.near, sendTo);
     // Each message goes to another part of the far instances.
     for (auto index = state.sequence % farPart; index < state.far.size(); index += farPart)
-        state.socket.send_to(asio::buffer(text), state.far[index], 0, ignored);
+        sendTo(state.far[index]);
+    // A datagram that can't be sent is as good as one lost on the way; the next message makes up for it.
+    if (failed > 0)
+        state.log.record(LogLevel::Info, "load_message_not_sent", { { "peers", failed }, { "detail", last.message() } });
 }
 
 auto LoadExchange::receive() -> asio::awaitable<void>
@@ -159,8 +167,10 @@
         if (code == asio::error::operation_aborted)
             co_return;
         // Other errors report that an earlier datagram found no listener.
-        if (code)
+        if (code) {
+            state.log.record(LogLevel::Info, "load_message_not_delivered", { { "detail", code.message() } });
             continue;
+        }
         auto message = parseLoadMessage({ state.buffer.data(), size });
         if (!message) {
             ++state.unreadable;
--- a/src/LoadMessage.cpp
+++ b/src/LoadMessage.cpp
@@ -3,7 +3,6 @@
 #include "JsonFields.h"
 
 #include <boost/json/array.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 namespace jayhold {
@@ -56,9 +55,7 @@
 
 auto parseLoadMessage(std::string_view text) -> std::optional<LoadMessage>
 {
-    boost::system::error_code code;
-    const auto value = json::parse(text, code);
-    const auto* object = code ? nullptr : value.if_object();
+    const auto object = parseObject(text);
     LoadMessage message;
     if (!object || !readText(*object, "instance", message.instance) || !readText(*object, "run", message.run) || !readNumber(*object, "sequence", message.sequence))
         return std::nullopt;
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -6,8 +6,6 @@
 #include "PassThroughWriter.h"
 #include "SpreadDelay.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/dispatch.hpp>
 
 namespace jayhold {
@@ -367,28 +365,14 @@
     record(LogLevel::Info, std::string(phase) + "_failed", { { "failure", name(error.failure) }, { "detail", error.detail }, { "tokens", m_relay.tokens() } });
 }
 
-auto ModelRequest::dropPrefill() -> void
+auto ModelRequest::callerRequestId() const -> std::string
 {
-    const auto release = m_context.backends.releasePrefill;
-    const auto source = m_prefill && release && !m_isPrefillFetched ? m_service->replica(m_prefillReplica) : std::nullopt;
-    if (source)
-        asio::co_spawn(m_tasks->executor, release(m_exchange.client(), source->backend, m_prefill->handle), asio::detached);
-    m_prefill.reset();
-    m_isPrefillFetched = false;
-}
-
-auto ModelRequest::dropSeat() -> void
-{
-    const auto drop = m_context.backends.dropSeat;
-    if (m_seat && drop)
-        asio::co_spawn(m_tasks->executor, drop(m_exchange.client(), m_seat->server, m_seat->name), asio::detached);
-    m_seat.reset();
+    return m_info.forwarded ? m_info.forwarded->requestId : m_service->engineRequestId(m_id, m_attempt);
 }
 
 auto ModelRequest::record(LogLevel level, std::string_view event, std::initializer_list<LogField> details) -> void
 {
-    const auto caller = m_info.forwarded ? m_info.forwarded->requestId : m_service->engineRequestId(m_id, m_attempt);
-    std::vector<LogField> fields { { "request", caller }, { "service", m_service->name() }, { "kind", m_info.kindSettings.name } };
+    std::vector<LogField> fields { { "request", callerRequestId() }, { "service", m_service->name() }, { "kind", m_info.kindSettings.name } };
     if (!m_info.customerName.empty())
         fields.emplace_back("customer", m_info.customerName);
     fields.emplace_back("attempt", m_attempt);
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -80,6 +80,8 @@
     /// @return the failure where it refused.
     auto holdSeat(const std::optional<ReplicaStatus>& decode) -> boost::asio::awaitable<std::optional<EngineError>>;
     auto dropSeat() -> void;
+    /// Frees something at an engine in the background, and says where that fails.
+    auto freeInBackground(std::string_view what, const BackendServer& server, boost::asio::awaitable<bool> call) -> void;
     auto runDecode(std::uint64_t task, ReplicaStatus replica, EngineCall call) -> boost::asio::awaitable<void>;
     auto relay(HttpStream& stream) -> boost::asio::awaitable<RelayOutcome>;
 
@@ -87,6 +89,8 @@
     auto noteFirstToken(std::uint32_t resumedFrom) -> void;
     auto engineCall() const -> EngineCall;
     auto noteFailure(std::string_view phase, const EngineError& error) -> void;
+    /// @return the name under which the request is logged.
+    auto callerRequestId() const -> std::string;
     auto record(LogLevel level, std::string_view event, std::initializer_list<LogField> details = {}) -> void;
     /// Frees the prefill result where no decode has fetched it.
     auto dropPrefill() -> void;
--- /dev/null
+++ b/src/ModelRequestHolds.cpp
@@ -0,0 +1,60 @@
+#include "ModelRequestTasks.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Results and seats lapse by themselves within two seconds, so a longer wait frees nothing sooner.
+constexpr Duration releaseTimeout = std::chrono::seconds(1);
+
+/// The request may end before its call does, so nothing of it is used here.
+auto runRelease(EventLog& log, std::string requestId, std::string what, std::string backend, asio::awaitable<bool> call) -> asio::awaitable<void>
+{
+    const auto isDone = co_await std::move(call);
+    if (!isDone)
+        log.record(LogLevel::Info, "release_failed", { { "request", requestId }, { "what", what }, { "backend", backend } });
+}
+
+}
+
+auto ModelRequest::holdSeat(const std::optional<ReplicaStatus>& decode) -> asio::awaitable<std::optional<EngineError>>
+{
+    const auto time = m_service->seatHold();
+    if (!m_context.backends.holdSeat || time <= Duration::zero() || !decode)
+        co_return std::nullopt;
+    auto held = co_await m_context.backends.holdSeat(m_exchange.client(), decode->backend, m_decodeTokens, time, m_timeouts.seat);
+    if (held.has_error())
+        co_return held.error();
+    m_seat = HeldSeat { decode->backend, decode->id, std::move(*held) };
+    co_return std::nullopt;
+}
+
+auto ModelRequest::dropPrefill() -> void
+{
+    const auto release = m_context.backends.releasePrefill;
+    const auto source = m_prefill && release && !m_isPrefillFetched ? m_service->replica(m_prefillReplica) : std::nullopt;
+    if (source)
+        freeInBackground("prefill_result", source->backend, release(m_exchange.client(), source->backend, m_prefill->handle, releaseTimeout));
+    m_prefill.reset();
+    m_isPrefillFetched = false;
+}
+
+auto ModelRequest::dropSeat() -> void
+{
+    const auto drop = m_context.backends.dropSeat;
+    if (m_seat && drop)
+        freeInBackground("seat", m_seat->server, drop(m_exchange.client(), m_seat->server, m_seat->name, releaseTimeout));
+    m_seat.reset();
+}
+
+auto ModelRequest::freeInBackground(std::string_view what, const BackendServer& server, asio::awaitable<bool> call) -> void
+{
+    asio::co_spawn(m_tasks->executor, runRelease(m_context.log, callerRequestId(), std::string(what), server.id, std::move(call)), asio::detached);
+}
+
+}
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -47,18 +47,6 @@
         m_machine.apply(RequestStep::DecodeFailed);
 }
 
-auto ModelRequest::holdSeat(const std::optional<ReplicaStatus>& decode) -> asio::awaitable<std::optional<EngineError>>
-{
-    const auto time = m_service->seatHold();
-    if (!m_context.backends.holdSeat || time <= Duration::zero() || !decode)
-        co_return std::nullopt;
-    auto held = co_await m_context.backends.holdSeat(m_exchange.client(), decode->backend, m_decodeTokens, time, m_timeouts.seat);
-    if (held.has_error())
-        co_return held.error();
-    m_seat = HeldSeat { decode->backend, decode->id, std::move(*held) };
-    co_return std::nullopt;
-}
-
 auto ModelRequest::runPrefill(std::uint64_t task, ReplicaStatus replica, std::optional<ReplicaStatus> decode, EngineCall call) -> asio::awaitable<void>
 {
     co_await asio::this_coro::throw_if_cancelled(false);
--- /dev/null
+++ b/src/ModelServiceReplicas.cpp
@@ -0,0 +1,217 @@
+#include "ModelService.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace jayhold {
+
+auto ModelService::updateBackends(std::span<const BackendServer> backends) -> void
+{
+    Outbox outbox;
+    {
+        const std::lock_guard guard(m_lock);
+        std::set<ReplicaId> present;
+        for (const auto& backend : backends) {
+            const auto* pool = poolOf(backend.pool);
+            if (pool && backend.state != ReplicaState::Gone)
+                present.insert(updateReplicaLocked(backend, *pool, outbox));
+        }
+        for (auto replica = m_replicas.begin(); replica != m_replicas.end();) {
+            if (present.contains(replica->first)) {
+                ++replica;
+                continue;
+            }
+            removeReplicaLocked(replica->second, outbox);
+            replica = m_replicas.erase(replica);
+        }
+    }
+    send(std::move(outbox));
+}
+
+auto ModelService::updateReplicaLocked(const BackendServer& backend, const Pool& pool, Outbox& outbox) -> ReplicaId
+{
+    const auto known = m_replicaIds.find(backend.id);
+    // A process that started again under its id holds nothing of what the earlier one held.
+    if (known != m_replicaIds.end() && m_replicas.at(known->second).backend.incarnation != backend.incarnation) {
+        const auto former = known->second;
+        removeReplicaLocked(m_replicas.at(former), outbox);
+        m_replicas.erase(former);
+    }
+    auto [entry, isNew] = m_replicaIds.try_emplace(backend.id, static_cast<ReplicaId>(m_lastReplica + 1));
+    if (isNew)
+        ++m_lastReplica;
+    auto& status = m_replicas[entry->second];
+    if (!isNew && status.backend == backend && status.role == pool.role)
+        return status.id;
+    if (!isNew && status.role != pool.role)
+        m_changing.erase(status.id);
+    status.id = entry->second;
+    status.backend = backend;
+    status.role = pool.role;
+    changeLocked(status, outbox);
+    return status.id;
+}
+
+auto ModelService::removeReplicaLocked(ReplicaStatus& status, Outbox& outbox) -> void
+{
+    status.backend.state = ReplicaState::Gone;
+    changeLocked(status, outbox);
+    m_replicaIds.erase(status.backend.id);
+    m_changing.erase(status.id);
+}
+
+auto ModelService::changeLocked(const ReplicaStatus& status, Outbox& outbox) -> void
+{
+    const auto* pool = poolOf(status.backend.pool);
+    const auto zone = std::ranges::find(m_zones, status.backend.availabilityZone) - m_zones.begin();
+    ReplicaChanged change { .replica = status.id, .role = status.role, .zone = static_cast<ZoneId>(zone), .state = status.backend.state };
+    if (m_changing.contains(status.id) && change.state == ReplicaState::Live)
+        change.state = ReplicaState::Leaving;
+    if (pool) {
+        change.seats = static_cast<std::uint32_t>(status.backend.seats > 0 ? status.backend.seats : pool->seats);
+        change.memoryPieces = static_cast<std::uint32_t>(pool->memoryPieces);
+        change.pieceTokens = static_cast<std::uint32_t>(pool->pieceTokens);
+        change.linkBytesPerSecond = static_cast<std::uint64_t>(pool->linkBytesPerSecond);
+    } else {
+        change.state = ReplicaState::Gone;
+    }
+    decideLocked(change, outbox);
+}
+
+auto ModelService::poolOf(std::string_view name) const -> const Pool*
+{
+    const auto found = std::ranges::find(m_pools, name, &Pool::name);
+    return found == m_pools.end() ? nullptr : &*found;
+}
+
+auto ModelService::roleDemand() const -> RoleDemand
+{
+    const std::lock_guard guard(m_lock);
+    return jayhold::roleDemand(m_shard);
+}
+
+auto ModelService::sparable(PoolRole role) const -> std::vector<BackendServer>
+{
+    const std::lock_guard guard(m_lock);
+    std::map<std::string, int> inZone;
+    std::vector<const ReplicaStatus*> candidates;
+    for (const auto& [id, status] : m_replicas) {
+        if (status.role != role || status.backend.state != ReplicaState::Live || m_changing.contains(id))
+            continue;
+        candidates.push_back(&status);
+        ++inZone[status.backend.availabilityZone];
+    }
+    // The zone with the most of them spares one first, so that each zone keeps both roles if it can.
+    std::ranges::sort(candidates, [&](const ReplicaStatus* left, const ReplicaStatus* right) {
+        const auto leftCount = inZone[left->backend.availabilityZone];
+        const auto rightCount = inZone[right->backend.availabilityZone];
+        return leftCount != rightCount ? leftCount > rightCount : left->backend.id < right->backend.id;
+    });
+    std::vector<BackendServer> servers;
+    servers.reserve(candidates.size());
+    for (const auto* candidate : candidates)
+        servers.push_back(candidate->backend);
+    return servers;
+}
+
+auto ModelService::noteRoleChange(std::string_view backend, TimePoint until) -> void
+{
+    Outbox outbox;
+    {
+        const std::lock_guard guard(m_lock);
+        const auto known = m_replicaIds.find(std::string(backend));
+        if (known == m_replicaIds.end())
+            return;
+        const auto [change, isNew] = m_changing.try_emplace(known->second, until);
+        change->second = std::max(change->second, until);
+        if (!isNew)
+            return;
+        changeLocked(m_replicas.at(known->second), outbox);
+    }
+    send(std::move(outbox));
+}
+
+auto ModelService::expireChangesLocked(TimePoint now, Outbox& outbox) -> void
+{
+    for (auto change = m_changing.begin(); change != m_changing.end();) {
+        if (now < change->second) {
+            ++change;
+            continue;
+        }
+        const auto replica = m_replicas.find(change->first);
+        change = m_changing.erase(change);
+        if (replica != m_replicas.end())
+            changeLocked(replica->second, outbox);
+    }
+}
+
+auto ModelService::recordLoad(ReplicaId replica, EngineLoad load, TimePoint asOf) -> void
+{
+    ReplicaLoad event { .replica = replica, .sequence = load.sequence, .asOf = asOf, .running = load.running, .waiting = load.waiting, .freePieces = load.freePieces };
+    for (const auto& held : load.held) {
+        if (const auto attempt = attemptOf(held.requestId))
+            event.held.push_back(attempt->first);
+    }
+    Outbox outbox;
+    {
+        const std::lock_guard guard(m_lock);
+        const auto known = m_replicas.find(replica);
+        if (known == m_replicas.end())
+            return;
+        known->second.load = std::move(load);
+        decideLocked(event, outbox);
+    }
+    send(std::move(outbox));
+}
+
+auto ModelService::replica(ReplicaId replica) const -> std::optional<ReplicaStatus>
+{
+    const std::lock_guard guard(m_lock);
+    const auto known = m_replicas.find(replica);
+    return known == m_replicas.end() ? std::nullopt : std::optional(known->second);
+}
+
+auto ModelService::replicas() const -> std::vector<ReplicaStatus>
+{
+    std::vector<ReplicaStatus> list;
+    const std::lock_guard guard(m_lock);
+    for (const auto& [id, status] : m_replicas)
+        list.push_back(status);
+    std::ranges::sort(list, {}, &ReplicaStatus::id);
+    return list;
+}
+
+auto ModelService::summary() const -> ShardSummary
+{
+    const std::lock_guard guard(m_lock);
+    return summarize(m_shard);
+}
+
+auto ModelService::use() const -> std::vector<BackendUse>
+{
+    std::vector<BackendUse> uses;
+    const std::lock_guard guard(m_lock);
+    for (const auto& own : ownUse(m_shard)) {
+        if (const auto known = m_replicas.find(own.replica); known != m_replicas.end())
+            uses.push_back({ known->second.backend.id, own.seats, own.pieces, own.prefillTokens });
+    }
+    return uses;
+}
+
+auto ModelService::updateOthersUse(std::span<const BackendUse> uses) -> void
+{
+    OthersUse event;
+    Outbox outbox;
+    {
+        const std::lock_guard guard(m_lock);
+        for (const auto& use : uses) {
+            if (const auto known = m_replicaIds.find(use.backend); known != m_replicaIds.end())
+                event.uses.push_back({ known->second, use.seats, use.pieces, use.prefillTokens });
+        }
+        decideLocked(event, outbox);
+    }
+    send(std::move(outbox));
+}
+
+}
--- a/src/ObjectStore.h
+++ b/src/ObjectStore.h
@@ -24,6 +24,8 @@
 
 struct ItemList {
     std::vector<StoredItem> items;
+    /// Items whose name or revision can't be read; they are left out.
+    std::size_t unreadable = 0;
     /// Changes after this revision are not in the list.
     std::int64_t revision = 0;
 };
@@ -35,6 +37,8 @@
 
 struct ItemChanges {
     std::vector<ItemChange> changes;
+    /// Changes that can't be read; they are left out.
+    std::size_t unreadable = 0;
     std::int64_t revision = 0;
 };
 
--- a/src/PassThroughReader.cpp
+++ b/src/PassThroughReader.cpp
@@ -1,6 +1,7 @@
 #include "PassThroughReader.h"
 
-#include <charconv>
+#include "ParseNumber.h"
+
 #include <optional>
 
 namespace jayhold {
@@ -16,11 +17,7 @@
         text.remove_prefix(1);
     while (text.ends_with('\r'))
         text.remove_suffix(1);
-    std::uint32_t id = 0;
-    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), id);
-    if (code != std::errc {} || end != text.data() + text.size())
-        return std::nullopt;
-    return id;
+    return parseNumber<std::uint32_t>(text);
 }
 
 /// @return the value of the event's id line.
--- a/src/PlainBalancer.h
+++ b/src/PlainBalancer.h
@@ -30,6 +30,9 @@
     /// @param isHealthy whether the server answered.
     auto release(TimePoint now, std::string_view id, bool isHealthy) -> void;
 
+    /// Gives the seat back of a call that its caller gave up, which says nothing about the server.
+    auto abandon(std::string_view id) -> void;
+
     /// @return whether the list has a server that is not leaving.
     auto hasLive() const -> bool;
     auto backends() const -> const std::vector<PlainBackend>& { return m_backends; }
--- a/src/PlainRoute.cpp
+++ b/src/PlainRoute.cpp
@@ -1,5 +1,7 @@
 #include "PlainRoute.h"
 
+#include "LowerCase.h"
+
 #include <algorithm>
 
 namespace jayhold {
@@ -13,16 +15,10 @@
     return target.substr(0, target.find('?'));
 }
 
-auto lowerCase(char character) -> char
-{
-    return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
-}
-
 auto hasAmbiguousEscape(std::string_view path) -> bool
 {
     for (auto position = path.find('%'); position != std::string_view::npos; position = path.find('%', position + 1)) {
-        std::string code(path.substr(position + 1, 2));
-        std::ranges::transform(code, code.begin(), lowerCase);
+        const auto code = lowerCase(path.substr(position + 1, 2));
         if (code.size() < 2 || code == "2f" || code == "2e" || code == "5c" || code == "25" || code == "00")
             return true;
     }
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -177,8 +177,11 @@
     auto answer = co_await m_context.backends.plainCall(client, backend, call, timeout);
     if (answer.has_value())
         co_return attemptOf(backend, call, std::move(*answer));
-    release(backend.id, false);
     const auto& error = answer.error();
+    if (error.kind == HttpErrorKind::Cancelled)
+        abandon(backend.id);
+    else
+        release(backend.id, false);
     const auto isNotSent = error.kind == HttpErrorKind::NotConnected;
     co_return PlainAttempt { .isNotRun = isNotSent, .hasArrived = !isNotSent, .hasTimedOut = error.kind == HttpErrorKind::TimedOut, .detail = std::string(jayhold::name(error.kind)) + ": " + error.detail };
 }
@@ -313,6 +316,12 @@
     m_balancer.release(monotonicNow(), id, isHealthy);
 }
 
+auto PlainService::abandon(const std::string& id) -> void
+{
+    const std::lock_guard guard(m_lock);
+    m_balancer.abandon(id);
+}
+
 auto PlainService::takeRetry() -> bool
 {
     const std::lock_guard guard(m_lock);
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -67,6 +67,7 @@
 
     auto acquire(std::span<const std::string> excluded) -> std::optional<BackendServer>;
     auto release(const std::string& id, bool isHealthy) -> void;
+    auto abandon(const std::string& id) -> void;
     auto takeRetry() -> bool;
     auto record(LogLevel level, const PlainCallInfo& call, std::string_view event, std::initializer_list<LogField> details = {}) -> void;
     /// Applies the service's retry policy to the budget; with the lock held.
--- a/src/PlatformStore.cpp
+++ b/src/PlatformStore.cpp
@@ -1,5 +1,7 @@
 #include "PlatformStore.h"
 
+#include "HttpStatus.h"
+
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -11,17 +13,6 @@
 
 namespace {
 
-constexpr unsigned statusOk = 200;
-constexpr unsigned statusCreated = 201;
-constexpr unsigned statusNotModified = 304;
-constexpr unsigned statusNotFound = 404;
-constexpr unsigned statusConflict = 409;
-
-auto malformed(std::string detail) -> StoreError
-{
-    return { StoreErrorKind::MalformedAnswer, std::move(detail) };
-}
-
 auto parseObject(const HttpResponse& response) -> StoreResult<StoredObject>
 {
     boost::system::error_code code;
@@ -29,7 +20,7 @@
     auto* object = code ? nullptr : document.if_object();
     auto* revision = object ? object->if_contains("revision") : nullptr;
     if (!revision || !revision->is_int64())
-        return malformed("the platform's answer has no revision");
+        return malformedAnswer("the platform's answer has no revision");
     StoredObject stored { revision->get_int64(), nullptr };
     if (auto* value = object->if_contains("value"))
         stored.value = std::move(*value);
@@ -67,7 +58,7 @@
     if (answer->status == statusNotFound)
         co_return StoredObject {};
     if (answer->status != statusOk)
-        co_return malformed("status " + std::to_string(answer->status));
+        co_return malformedAnswer("status " + std::to_string(answer->status));
     co_return parseObject(*answer);
 }
 
@@ -82,7 +73,7 @@
     if (answer->status == statusNotModified || answer->status == statusNotFound)
         co_return std::optional<StoredObject> {};
     if (answer->status != statusOk)
-        co_return malformed("status " + std::to_string(answer->status));
+        co_return malformedAnswer("status " + std::to_string(answer->status));
     auto object = parseObject(*answer);
     if (object.has_error())
         co_return object.error();
@@ -101,7 +92,7 @@
     if (answer.has_error())
         co_return answer.error();
     if (answer->status != statusOk && answer->status != statusCreated && answer->status != statusConflict)
-        co_return malformed("status " + std::to_string(answer->status));
+        co_return malformedAnswer("status " + std::to_string(answer->status));
     auto object = parseObject(*answer);
     if (object.has_error())
         co_return object.error();
@@ -120,7 +111,7 @@
     const auto document = json::parse(answer->body, code);
     auto list = code ? std::nullopt : instanceListFromJson(document);
     if (!list)
-        co_return malformed("the instance list can't be read");
+        co_return malformedAnswer("the instance list can't be read");
     co_return std::move(*list);
 }
 
--- a/src/RecordService.cpp
+++ b/src/RecordService.cpp
@@ -1,5 +1,6 @@
 #include "RecordService.h"
 
+#include "HttpStatus.h"
 #include "MembershipOwners.h"
 #include "RecordMessages.h"
 #include "Rendezvous.h"
@@ -15,10 +16,6 @@
 
 namespace {
 
-constexpr unsigned statusOk = 200;
-constexpr unsigned statusBadRequest = 400;
-constexpr unsigned statusMisdirected = 421;
-
 /// Operations repeated in the background at once, which bounds the memory that an outage of the
 /// platform takes. The records of further ones stay started and answer "unknown".
 constexpr int maximumRepeating = 2'048;
--- a/src/ReplicaHealth.cpp
+++ b/src/ReplicaHealth.cpp
@@ -11,6 +11,7 @@
 
 /// About one report interval of an engine; until then a full engine is likely to be still full.
 constexpr Duration busyPause = std::chrono::milliseconds(50);
+/// Up to 200 ms, in which a decode engine of ten requests of three seconds frees room for another.
 constexpr std::uint32_t longestBusyDoublings = 2;
 constexpr Duration unreachablePause = std::chrono::milliseconds(50);
 constexpr Duration firstEjection = std::chrono::seconds(1);
--- a/src/RoleBalancer.cpp
+++ b/src/RoleBalancer.cpp
@@ -140,7 +140,8 @@
     auto& client = m_context.threads.client(0);
     const auto id = server.id;
     const auto state = co_await m_context.backends.orderState(client, server, orderTimeout);
-    stateReadBack(m_gate);
+    if (state.has_value())
+        stateReadBack(m_gate);
     if (state.has_error() || state->isBusy) {
         m_context.log.record(LogLevel::Info, "role_order_skipped", { { "backend", id }, { "detail", state.has_error() ? state.error().detail : std::string("it carries out another order") } });
         co_return;
@@ -151,11 +152,14 @@
     RoleOrder roleOrder { .role = role, .holder = m_context.settings.instance, .fencingNumber = *fencingNumber, .expectedSequence = state->sequence };
     orderSent(m_gate, bootNow());
     const auto error = co_await m_context.backends.orderRole(client, server, std::move(roleOrder), orderTimeout);
-    orderAnswered(m_gate);
+    const auto isAnswered = !error || error->failure == FailureKind::Busy || error->failure == FailureKind::NotConnected;
+    if (isAnswered)
+        orderAnswered(m_gate);
+    else
+        orderLost(m_gate, bootNow());
     m_context.log.record(LogLevel::Info, "role_ordered", { { "service", service.name() }, { "backend", id }, { "to", name(role) }, { "fencing_number", *fencingNumber }, { "outcome", error ? error->detail : std::string("accepted") } });
     // Without an answer the order may have been accepted, or be carried out seconds later.
-    const auto isRefused = error && error->failure == FailureKind::Busy;
-    if (isRefused || (error && error->failure == FailureKind::NotConnected))
+    if (error && isAnswered)
         co_return;
     const auto until = monotonicNow() + service.roleChange() + listingMargin;
     m_ordered.push_back({ id, until });
--- a/src/StoreConnection.cpp
+++ b/src/StoreConnection.cpp
@@ -3,6 +3,7 @@
 #include "AwaitToken.h"
 #include "BackOff.h"
 #include "CallBudget.h"
+#include "HttpStatus.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -16,9 +17,6 @@
 
 namespace {
 
-constexpr unsigned statusTooManyRequests = 429;
-constexpr unsigned statusServerError = 500;
-
 /// Longest time that a call waits for the budget before it is refused.
 constexpr auto longestBudgetWait = std::chrono::milliseconds(500);
 
@@ -31,6 +29,17 @@
 
 }
 
+auto sharedStoreSettings(HttpEndpoint endpoint, double callsPerSecondOfAll, std::uint64_t seed) -> StoreConnectionSettings
+{
+    // More than the instances of the largest site of today, which is 65; one needs about two a second.
+    constexpr double mostInstances = 100;
+    // A store answers in milliseconds, and some tens of times slower on bad days.
+    constexpr Duration timeout = std::chrono::seconds(1);
+    // Backend servers are listed again within two seconds of the store's return, and must be seen then.
+    constexpr Duration longestBackOff = std::chrono::milliseconds(600);
+    return { .endpoints = { std::move(endpoint) }, .timeout = timeout, .callsPerSecond = callsPerSecondOfAll / mostInstances, .longestBackOff = longestBackOff, .seed = seed };
+}
+
 struct StoreConnection::State {
     explicit State(StoreConnectionSettings connectionSettings)
         : settings(std::move(connectionSettings))
--- a/src/StoreConnection.h
+++ b/src/StoreConnection.h
@@ -26,6 +26,10 @@
     std::uint64_t seed = 1;
 };
 
+/// The connection to a store whose rate of calls all instances share.
+/// @param callsPerSecondOfAll what all instances together may make.
+auto sharedStoreSettings(HttpEndpoint endpoint, double callsPerSecondOfAll, std::uint64_t seed) -> StoreConnectionSettings;
+
 class StoreConnection {
 public:
     explicit StoreConnection(StoreConnectionSettings settings);
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -128,6 +128,7 @@
         if (list.has_error())
             co_return list.error();
         storeAnswered(m_directory, monotonicNow());
+        logUnreadable(follower.kind, list->unreadable);
         follower.take(*list);
         follower.revision = list->revision;
         co_return std::nullopt;
@@ -144,6 +145,7 @@
     // A peer told of a change meanwhile; the list that follows has it and what came before.
     if (follower.revision == 0)
         co_return std::nullopt;
+    logUnreadable(follower.kind, changes->unreadable);
     for (const auto& change : changes->changes)
         follower.change(change);
     follower.revision = changes->revision;
@@ -169,6 +171,12 @@
         m_log.record(LogLevel::Info, "store_connected", { { "kind", follower.kind }, { "revision", follower.revision } });
 }
 
+auto StoreDirectory::logUnreadable(const std::string& kind, std::size_t count) -> void
+{
+    if (count > 0)
+        m_log.record(LogLevel::Warning, "store_items_unreadable", { { "kind", kind }, { "count", count } });
+}
+
 auto StoreDirectory::announceInstance() -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
@@ -193,8 +201,10 @@
     while (true) {
         co_await pause(spreadDelay(interval));
         const auto list = co_await m_store.list(m_threads.client(0), m_format.instanceKind, ReadMode::MayBeStale);
-        if (list.has_error())
+        if (list.has_error()) {
+            m_log.record(LogLevel::Info, "instances_not_counted", { { "detail", list.error().detail } });
             continue;
+        }
         interval = instanceInterval;
         const auto now = monotonicNow();
         for (const auto& item : list->items)
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -94,6 +94,7 @@
     /// @return how long a watch may wait.
     auto watchTime() const -> Duration;
     auto followOnce(Follower& follower) -> boost::asio::awaitable<std::optional<StoreError>>;
+    auto logUnreadable(const std::string& kind, std::size_t count) -> void;
     auto noteOutcome(Follower& follower, const std::optional<StoreError>& error) -> void;
     auto announceInstance() -> boost::asio::awaitable<void>;
     auto countInstances() -> boost::asio::awaitable<void>;
--- a/src/StoreError.h
+++ b/src/StoreError.h
@@ -8,6 +8,7 @@
 
 #include <stdexcept>
 #include <string>
+#include <utility>
 
 namespace jayhold {
 
@@ -34,6 +35,12 @@
     Duration retryAfter = std::chrono::seconds(1);
 };
 
+/// @return the error for an answer that breaks the protocol.
+inline auto malformedAnswer(std::string detail) -> StoreError
+{
+    return { StoreErrorKind::MalformedAnswer, std::move(detail) };
+}
+
 template <typename Value>
 using StoreResult = boost::system::result<Value, StoreError>;
 
--- a/test/PlatformStandin.cpp
+++ b/test/PlatformStandin.cpp
@@ -83,6 +83,10 @@
         co_await exchange.respond(jsonResponse(503, "{}"));
         co_return;
     }
+    if (m_isGarbled) {
+        co_await exchange.respond(jsonResponse(200, R"({"items":[7,{}],"truncated":true,"storeRevision":9})"));
+        co_return;
+    }
     auto path = std::string_view(request.target).substr(0, request.target.find('?'));
     if (!path.starts_with(objectsPath)) {
         co_await exchange.respond(jsonResponse(404, "{}"));
@@ -91,15 +95,29 @@
     path.remove_prefix(objectsPath.size());
     const auto slash = path.find('/');
     const std::string kind(path.substr(0, slash));
+    const std::string name(slash == std::string_view::npos ? std::string_view() : path.substr(slash + 1));
     const auto watched = queryValue(request.target, "watch");
     if (request.method != "GET")
         co_await write(exchange, kind);
+    else if (!name.empty())
+        co_await readOne(exchange, kind, name);
     else if (!watched.empty())
         co_await watch(exchange, kind, std::stoll(watched), std::chrono::milliseconds(std::stoll(queryValue(request.target, "waitMs"))));
     else
         co_await list(exchange, kind, queryValue(request.target, "after"));
 }
 
+auto PlatformStandin::readOne(HttpExchange& exchange, const std::string& kind, const std::string& name) -> asio::awaitable<void>
+{
+    json::object answer;
+    {
+        const std::lock_guard guard(m_lock);
+        if (const auto known = m_objects.find({ kind, name }); known != m_objects.end())
+            answer = toJson(known->second);
+    }
+    co_await exchange.respond(jsonResponse(answer.empty() ? 404 : 200, json::serialize(answer)));
+}
+
 auto PlatformStandin::list(HttpExchange& exchange, const std::string& kind, const std::string& after) -> asio::awaitable<void>
 {
     json::array items;
@@ -229,6 +247,8 @@
         co_return;
     }
     ++m_runs;
+    if (behaviour == Behaviour::Stall)
+        co_await pause(std::chrono::milliseconds(500));
     if (behaviour == Behaviour::Cut) {
         exchange.abort();
         co_return;
--- a/test/PlatformStandin.h
+++ b/test/PlatformStandin.h
@@ -28,6 +28,8 @@
     auto compact() -> void;
     /// Every call is answered with 503 while the store is down.
     auto setDown(bool isDown) -> void { m_isDown = isDown; }
+    /// Calls are answered with bytes that hold no object.
+    auto setGarbled(bool isGarbled) -> void { m_isGarbled = isGarbled; }
     auto calls() const -> int { return m_calls; }
 
 private:
@@ -40,6 +42,7 @@
     };
 
     auto handle(HttpExchange& exchange) -> boost::asio::awaitable<void>;
+    auto readOne(HttpExchange& exchange, const std::string& kind, const std::string& name) -> boost::asio::awaitable<void>;
     auto list(HttpExchange& exchange, const std::string& kind, const std::string& after) -> boost::asio::awaitable<void>;
     auto watch(HttpExchange& exchange, const std::string& kind, std::int64_t revision, Duration wait) -> boost::asio::awaitable<void>;
     auto write(HttpExchange& exchange, const std::string& kind) -> boost::asio::awaitable<void>;
@@ -51,6 +54,7 @@
     std::int64_t m_revision = 1;
     std::int64_t m_compacted = 0;
     std::atomic<bool> m_isDown { false };
+    std::atomic<bool> m_isGarbled { false };
     std::atomic<int> m_calls { 0 };
     HttpServer m_server;
 };
@@ -70,6 +74,8 @@
         Fail,
         /// Sends some events of a stream and closes.
         CutStream,
+        /// Takes its time.
+        Stall,
     };
 
     ReplicaStandin(IoThreads& threads, std::string id, Behaviour behaviour = Behaviour::Answer);
--- a/test/correctness/RouterDaemonTest.cpp
+++ b/test/correctness/RouterDaemonTest.cpp
@@ -208,6 +208,23 @@
     CHECK(findHeader(failed->headers, "Server-Seal"));
 }
 
+// Guards against backend servers that get no calls because callers gave up theirs.
+TEST_CASE("callers that leave say nothing about the backend servers")
+{
+    Scene scene;
+    scene.plain1.setBehaviour(Behaviour::Stall);
+    scene.plain2.setBehaviour(Behaviour::Stall);
+    scene.startAndWait();
+    for (auto index = 0; index < 8; ++index) {
+        HttpRequest request { "GET", "/read/x", { { "Host", "a.example" }, { "Request-Id", "left-" + std::to_string(index) }, { "Deadline-Ms", "1500" } }, {} };
+        const auto left = runOn(scene.threads, 0, scene.threads.client(0).request(scene.router->endpoint(), std::move(request), 40ms));
+        REQUIRE(left.has_error());
+    }
+    scene.plain1.setBehaviour(Behaviour::Answer);
+    scene.plain2.setBehaviour(Behaviour::Answer);
+    CHECK(scene.call("GET", "/read/x")->status == 200);
+}
+
 // Guards against a stream whose events are changed, and a prefill that no decode uses.
 TEST_CASE("a stream goes from prefill to decode and passes unchanged")
 {
