Tell peers of a crash at once, so that copies of one request are recognised

Cause: a request that crashes engines was recognised by an instance only after two crashes of its own. On the platform, signatures were not shared at all.

Change: requests in flight at a crash are told to the peers at once, by an extra round of gossip (native) or a datagram of its own (platform). A signature that was in flight at the crashes of two replicas is to blame, after 30 ms in which broken connections of a whole zone would end the suspicion. Of two copies lost with one engine, the instance whose name comes first runs its copy again; the other waits up to 1 s. A crashed replica gets no new work for the 30 ms. Known signatures now also travel in the platform's datagrams.

Ruled out: a faster regular gossip (500 ms to 30 ms costs 16 times the messages, and both copies would still run again before the verdict); sharing only signatures already recognised (each instance still needs two crashes).

--- a/bench/EntryInstance.cpp
+++ b/bench/EntryInstance.cpp
@@ -168,6 +168,11 @@
     m_around.callers.signatureReported(action.signature);
 }
 
+auto EntryInstance::carryOut(const ReportCrash& action) -> void
+{
+    m_around.callers.crashReported(m_index, action);
+}
+
 auto EntryInstance::carryOut(const WakeAt& action) -> void
 {
     const auto wake = ++m_wakes;
--- a/bench/EntryInstance.h
+++ b/bench/EntryInstance.h
@@ -17,6 +17,7 @@
     std::function<void(std::size_t caller, std::uint32_t index)> token;
     std::function<void(std::size_t caller, const Refuse&)> refused;
     std::function<void(std::uint64_t signature)> signatureReported;
+    std::function<void(std::size_t instance, const ReportCrash&)> crashReported;
 };
 
 class EntryInstance {
@@ -76,6 +77,7 @@
     auto carryOut(const Refuse& action) -> void;
     auto carryOut(const CancelOnReplica& action) -> void;
     auto carryOut(const ReportSignature& action) -> void;
+    auto carryOut(const ReportCrash& action) -> void;
     auto carryOut(const WakeAt& action) -> void;
 
     auto find(RequestId id) -> Active*;
--- a/bench/Fleet.cpp
+++ b/bench/Fleet.cpp
@@ -22,6 +22,8 @@
 constexpr Duration instanceListLag = 2s;
 /// Gossip takes a signature to all instances in this time.
 constexpr Duration gossipDelay = 1s;
+/// News of a crash is passed on at once, over some hops of a zone.
+constexpr Duration crashReportDelay = 10ms;
 /// From an instance to the owner that it hands a request to.
 constexpr Duration handOverHop = Duration(500);
 /// Nothing may be held this long after the last event.
@@ -56,6 +58,7 @@
                                                                    for (const auto& instance : m_instances)
                                                                        instance->feed(SignatureReported { signature });
                                                                }); },
+        .crashReported = [this](std::size_t reporter, const ReportCrash& report) { m_events.after(crashReportDelay, [this, reporter, report] { tellOfCrash(reporter, report); }); },
     };
     m_engines.setListener({
         .prefillDone = [this](const EngineJob& job, std::uint32_t cachedTokens, TimePoint expiresAt) { m_instances[job.instance]->prefillDone(job, cachedTokens, expiresAt); },
@@ -66,6 +69,14 @@
     });
 }
 
+auto Fleet::tellOfCrash(std::size_t reporter, const ReportCrash& report) -> void
+{
+    for (std::size_t index = 0; index < m_instances.size(); ++index) {
+        if (index != reporter)
+            m_instances[index]->feed(CrashReported { report.signature, report.replica, reporter < index });
+    }
+}
+
 auto Fleet::settingsFor(std::size_t instance, ZoneId zone) const -> ShardSettings
 {
     const auto& workload = m_cell.workload;
--- a/bench/Fleet.h
+++ b/bench/Fleet.h
@@ -22,6 +22,7 @@
 private:
     auto addInstances() -> void;
     auto listen() -> void;
+    auto tellOfCrash(std::size_t reporter, const ReportCrash& report) -> void;
     auto settingsFor(std::size_t instance, ZoneId zone) const -> ShardSettings;
     auto send(std::size_t caller) -> void;
     auto instanceFor(std::size_t caller) const -> std::size_t;
--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -1,5 +1,5 @@
 jayhold_library(jayhold_cluster
-  UNITS BackendDirectory BackOff CallBudget ClusterCore ClusterDocuments ClusterGossip ClusterNode ConfigurationApply
+  UNITS BackendDirectory BackOff CallBudget ClusterCore ClusterDocuments ClusterGossip ClusterNode ConfigurationApply CrashSuspect
     GossipMessage InstanceCount InstanceList Lease LeaseKeeper LoadExchange LoadMessage Membership MembershipOwners MembershipTargets OrderGate PeerLoads PlatformStore
     RecordDriver RecordMessages RecordPartition RecordRules RecordService RecordTable Rendezvous SpreadDelay StoreConnection StoreDirectory
     VersionedCopy
@@ -10,7 +10,7 @@
   LINK jayhold_cluster)
 
 jayhold_test(cluster_directory_test
-  SOURCES test/correctness/BackendDirectoryTest.cpp
+  SOURCES test/correctness/BackendDirectoryTest.cpp test/correctness/LoadExchangeTest.cpp
   LINK jayhold_cluster)
 
 jayhold_test(cluster_record_test
--- a/cmake/decision.cmake
+++ b/cmake/decision.cmake
@@ -1,5 +1,5 @@
 jayhold_library(jayhold_decision
-  UNITS Admission AnsweredRequests CrashWatch Deadlines Dispatch EndForecast Forecast Ledger LengthModel LoadReports Placement PrefillChoice PrefixCacheView ReplicaEvents ReplicaHealth ReplicaIndex RequestEvents
+  UNITS Admission AnsweredRequests CrashEvidence CrashWatch Deadlines Dispatch EndForecast Forecast Ledger LengthModel LoadReports Placement PrefillChoice PrefixCacheView ReplicaEvents ReplicaHealth ReplicaIndex RequestEvents
     RequestLife RequestQueue RetryDelay RetryRules RoleBalance SeatReserve Shard TimerQueue
   LINK jayhold_operator)
 
--- a/src/ClusterCore.h
+++ b/src/ClusterCore.h
@@ -27,6 +27,7 @@
     std::function<void(std::shared_ptr<const Configuration>)> configuration;
     std::function<void(const std::vector<BackendServer>&)> backends;
     std::function<void(std::uint64_t)> signature;
+    std::function<void(const CrashSuspect&)> suspect;
     std::function<void(const Member&)> memberLost;
 };
 
@@ -50,12 +51,15 @@
     std::shared_ptr<const Configuration> configuration;
     InstanceList list;
     RumorBuffer<std::uint64_t> signatures;
+    RumorBuffer<CrashSuspect> suspects;
     RumorBuffer<std::string> leaving;
     /// Until when a report that a backend server is leaving holds.
     std::map<std::string, TimePoint> leavingUntil;
     /// The backend servers as last given to the callback.
     std::vector<BackendServer> backends;
     bool isDraining = false;
+    /// Whether a round that does not wait for its turn is about to be sent.
+    bool extraRoundDue = false;
 };
 
 using ClusterPointer = std::shared_ptr<ClusterCore>;
--- a/src/ClusterGossip.cpp
+++ b/src/ClusterGossip.cpp
@@ -7,6 +7,8 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <utility>
+
 namespace jayhold {
 
 namespace asio = boost::asio;
@@ -17,7 +19,10 @@
 constexpr auto gossipTimeout = std::chrono::seconds(1);
 /// Rumors in one message, which bounds its size.
 constexpr std::size_t signaturesPerMessage = 8;
+constexpr std::size_t suspectsPerMessage = 16;
 constexpr std::size_t leavingPerMessage = 4;
+/// News of a crash that come together travel together.
+constexpr auto extraRoundDelay = std::chrono::milliseconds(2);
 /// A report that a backend server is leaving holds until the platform's list, which lags, says
 /// the same.
 constexpr auto leavingTime = std::chrono::seconds(60);
@@ -59,6 +64,7 @@
 {
     message.listVersion = core.listCopy.version;
     message.signatures = takeRumors(core.signatures, signaturesPerMessage);
+    message.suspects = takeRumors(core.suspects, suspectsPerMessage);
     message.leaving = takeRumors(core.leaving, leavingPerMessage);
 }
 
@@ -74,6 +80,8 @@
     notePeerVersions(core, sender.peerEndpoint, sender.configurationVersion, message.listVersion);
     for (const auto signature : message.signatures)
         learnSignature(core, signature);
+    for (const auto& suspect : message.suspects)
+        learnSuspect(core, suspect);
     for (const auto& backend : message.leaving)
         learnLeaving(core, backend);
 }
@@ -108,6 +116,18 @@
     std::string body;
 };
 
+/// The core's lock is held.
+auto composeMessages(ClusterCore& core, TimePoint now) -> std::vector<Outgoing>
+{
+    std::vector<Outgoing> round;
+    for (auto& target : chooseTargets(core.membership, now)) {
+        auto message = composeMessage(core.membership, now, target.isRemote);
+        addVersionsAndRumors(core, message);
+        round.push_back({ std::move(target.endpoint), json::serialize(toJson(message)) });
+    }
+    return round;
+}
+
 auto composeRound(const ClusterPointer& core) -> std::vector<Outgoing>
 {
     std::vector<Outgoing> round;
@@ -116,23 +136,49 @@
         const std::lock_guard guard(core->lock);
         const auto now = monotonicNow();
         startRound(core->membership, now, actions);
-        for (auto& target : chooseTargets(core->membership, now)) {
-            auto message = composeMessage(core->membership, now, target.isRemote);
-            addVersionsAndRumors(*core, message);
-            round.push_back({ std::move(target.endpoint), json::serialize(toJson(message)) });
-        }
+        round = composeMessages(*core, now);
     }
     reportAtHome(core, std::move(actions));
     return round;
 }
 
+auto sendRound(const ClusterPointer& core, std::vector<Outgoing> round) -> void
+{
+    for (auto& outgoing : round)
+        spawnAtHome(core, sendGossip(core, std::move(outgoing.peer), std::move(outgoing.body)));
+}
+
+auto sendExtraRound(ClusterPointer core) -> asio::awaitable<void>
+{
+    co_await pause(extraRoundDelay);
+    if (core->isStopped)
+        co_return;
+    std::vector<Outgoing> round;
+    {
+        const std::lock_guard guard(core->lock);
+        core->extraRoundDue = false;
+        round = composeMessages(*core, monotonicNow());
+    }
+    sendRound(core, std::move(round));
+}
+
+/// Tells of a crash at once: by the next regular round, other instances have run the request again.
+auto startExtraRound(const ClusterPointer& core) -> void
+{
+    {
+        const std::lock_guard guard(core->lock);
+        if (std::exchange(core->extraRoundDue, true))
+            return;
+    }
+    spawnAtHome(core, sendExtraRound(core));
+}
+
 }
 
 auto runGossip(ClusterPointer core) -> asio::awaitable<void>
 {
     while (!core->isStopped) {
-        for (auto& outgoing : composeRound(core))
-            spawnAtHome(core, sendGossip(core, std::move(outgoing.peer), std::move(outgoing.body)));
+        sendRound(core, composeRound(core));
         co_await pause(core->settings.gossipInterval);
     }
 }
@@ -160,6 +206,24 @@
         if (!core->isStopped && core->callbacks.signature)
             core->callbacks.signature(signature);
     });
+    startExtraRound(core);
+}
+
+auto learnSuspect(const ClusterPointer& core, const CrashSuspect& suspect) -> void
+{
+    {
+        const std::lock_guard guard(core->lock);
+        if (!learn(core->suspects, suspect))
+            return;
+    }
+    // What this instance has reported itself, its services know.
+    if (suspect.instance != core->settings.instance) {
+        asio::post(core->threads.context(0), [core, suspect] {
+            if (!core->isStopped && core->callbacks.suspect)
+                core->callbacks.suspect(suspect);
+        });
+    }
+    startExtraRound(core);
 }
 
 auto learnLeaving(const ClusterPointer& core, const std::string& backendId) -> void
--- a/src/ClusterNode.cpp
+++ b/src/ClusterNode.cpp
@@ -122,6 +122,11 @@
     m_state->core->callbacks.signature = std::move(callback);
 }
 
+auto ClusterNode::onSuspect(std::function<void(const CrashSuspect&)> callback) -> void
+{
+    m_state->core->callbacks.suspect = std::move(callback);
+}
+
 auto ClusterNode::onMemberLost(std::function<void(const Member&)> callback) -> void
 {
     m_state->core->callbacks.memberLost = std::move(callback);
@@ -216,6 +221,11 @@
     learnSignature(m_state->core, signature);
 }
 
+auto ClusterNode::reportSuspect(const CrashSuspect& suspect) -> void
+{
+    learnSuspect(m_state->core, suspect);
+}
+
 auto ClusterNode::reportLeaving(std::string_view backendId) -> void
 {
     learnLeaving(m_state->core, std::string(backendId));
--- a/src/ClusterNode.h
+++ b/src/ClusterNode.h
@@ -7,6 +7,7 @@
 #include "ApplyOutcome.h"
 #include "BackendServer.h"
 #include "ClusterSettings.h"
+#include "CrashSuspect.h"
 #include "EventLog.h"
 #include "HttpExchange.h"
 #include "IoThreads.h"
@@ -75,6 +76,10 @@
     /// @param leaseTime how long others wait after a holder that died.
     auto keepLease(std::string name, Duration leaseTime) -> std::shared_ptr<LeaseKeeper>;
 
+    /// Calls back with each newly learned suspect of a crash.
+    auto onSuspect(std::function<void(const CrashSuspect&)> callback) -> void;
+    /// Passes a suspect of a crash on to the peers.
+    auto reportSuspect(const CrashSuspect& suspect) -> void;
     /// Passes a signature on to the peers.
     auto reportSignature(std::uint64_t signature) -> void;
     /// Tells the peers that a backend server says it is leaving.
--- a/src/CrashWatch.cpp
+++ b/src/CrashWatch.cpp
@@ -20,6 +20,9 @@
 /// Tokens past the point of the crash that clear a suspect; a crash may come a little later than
 /// the last token that got through.
 constexpr std::uint32_t clearingTokens = 4;
+/// Time in which the peer that goes first gets its copy of a request past the point of the crash or
+/// runs into the next one.
+constexpr Duration peerTurn = std::chrono::seconds(1);
 /// Limits the harm if a request is blamed by mistake.
 constexpr Duration blockedFor = std::chrono::minutes(10);
 
@@ -46,6 +49,9 @@
 
 auto clearSuspects(DecisionContext& context, Replica& replica) -> void
 {
+    forgetCrash(context.state.crashEvidence, replica.description.replica);
+    replica.settlesAt = TimePoint::min();
+    updateIndex(context, replica);
     for (const auto id : std::exchange(replica.freshSuspects, {})) {
         auto* suspect = findRequest(context.state, id);
         if (!suspect || suspect->verdict != CrashVerdict::Suspect)
@@ -75,6 +81,16 @@
     }
 }
 
+/// The verdict waits for what peers have seen of the same crash.
+auto tellPeers(DecisionContext& context, const ActiveRequest& request, Replica& replica) -> void
+{
+    const auto id = replica.description.replica;
+    addCrash(context.state.crashEvidence, request.arrival.signature, id, context.now, Duration::zero());
+    context.actions.emplace_back(ReportCrash { request.arrival.signature, id });
+    replica.settlesAt = context.now + crashSettleTime;
+    updateIndex(context, replica);
+}
+
 }
 
 auto noteCrash(DecisionContext& context, ActiveRequest& request, Replica& replica) -> void
@@ -83,6 +99,7 @@
     if (replica.probationer == request.arrival.request) {
         replica.blamedAt = context.now;
         request.verdict = CrashVerdict::Culprit;
+        context.state.crashEvidence.erase(request.arrival.signature);
     } else if (!blamedOnAnother(context, request, replica)) {
         request.verdict = CrashVerdict::Suspect;
         if (replica.freshSuspects.empty() || context.now - replica.lostAt > crashWindow) {
@@ -90,6 +107,8 @@
             replica.lostAt = context.now;
         }
         replica.freshSuspects.push_back(request.arrival.request);
+        if (context.state.settings.sharingInstances > 1)
+            tellPeers(context, request, replica);
         clearIfZoneIsCut(context, replica);
     }
 }
@@ -109,6 +128,7 @@
     if (request.verdict != CrashVerdict::Suspect || request.emitted < request.emittedAtCrash + clearingTokens)
         return;
     request.verdict = CrashVerdict::None;
+    context.state.crashEvidence.erase(request.arrival.signature);
     endProbation(context, request, request.decode);
 }
 
@@ -128,6 +148,25 @@
         refuse(context, *findRequest(context.state, id), RefusalReason::CrashSuspect);
 }
 
+auto noteCrashElsewhere(DecisionContext& context, std::uint64_t signature, Replica& replica, bool peerGoesFirst) -> void
+{
+    addCrash(context.state.crashEvidence, signature, replica.description.replica, context.now, peerGoesFirst ? peerTurn : Duration::zero());
+    clearIfZoneIsCut(context, replica);
+}
+
+auto awaitsVerdict(const DecisionContext& context, const ActiveRequest& request) -> bool
+{
+    return request.verdict == CrashVerdict::Suspect && isHeld(context.state.crashEvidence, request.arrival.signature, context.now);
+}
+
+auto judgeCrashes(DecisionContext& context) -> void
+{
+    for (const auto signature : takeBlamed(context.state.crashEvidence, context.now)) {
+        context.actions.emplace_back(ReportSignature { signature });
+        blockSignature(context, signature);
+    }
+}
+
 auto isBlocked(const DecisionContext& context, std::uint64_t signature) -> bool
 {
     const auto blocked = context.state.blockedSignatures.find(signature);
--- a/src/DecisionAction.h
+++ b/src/DecisionAction.h
@@ -4,6 +4,7 @@
 
 #include "CancelOnReplica.h"
 #include "Refuse.h"
+#include "ReportCrash.h"
 #include "ReportSignature.h"
 #include "StartDecode.h"
 #include "StartPrefill.h"
@@ -19,6 +20,7 @@
     Refuse,
     CancelOnReplica,
     ReportSignature,
+    ReportCrash,
     WakeAt>;
 
 }
--- a/src/DecisionEvent.h
+++ b/src/DecisionEvent.h
@@ -3,6 +3,7 @@
 /// Everything that the decision code can be told.
 
 #include "CacheEvents.h"
+#include "CrashReported.h"
 #include "DecodeFailed.h"
 #include "DecodeFinished.h"
 #include "DecodeStarted.h"
@@ -38,6 +39,7 @@
     OthersUse,
     CacheEvents,
     SignatureReported,
+    CrashReported,
     DrainStarted,
     Tick>;
 
--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -1,5 +1,6 @@
 #include "Dispatch.h"
 
+#include "CrashWatch.h"
 #include "Forecast.h"
 #include "Placement.h"
 #include "RequestLife.h"
@@ -13,6 +14,8 @@
 
 /// Flows of a class that are tried when the first does not fit.
 constexpr std::size_t triedFlows = 2;
+/// Broken streams among which one is sought that need not wait for the verdict on a crash.
+constexpr std::size_t triedResumes = 8;
 /// Aged requests get one output token for this many of others, so that their wait is bounded and
 /// urgent work still gets nearly all. Counted in tokens because batch answers are long.
 constexpr std::uint64_t servicePerAged = 7;
@@ -40,6 +43,14 @@
     return id && tryStart(context, *id);
 }
 
+auto oldestResume(const DecisionContext& context) -> std::optional<RequestId>
+{
+    std::array<RequestId, triedResumes> resumes {};
+    const auto end = resumes.begin() + context.state.queue.resumes(resumes);
+    const auto found = std::find_if(resumes.begin(), end, [&](RequestId id) { return !awaitsVerdict(context, *findRequest(context.state, id)); });
+    return found == end ? std::nullopt : std::optional(*found);
+}
+
 auto isAged(const DecisionContext& context, const std::optional<RequestId>& id) -> bool
 {
     if (!id)
@@ -71,7 +82,7 @@
 auto startOne(DecisionContext& context) -> bool
 {
     auto& state = context.state;
-    if (tryStart(context, state.queue.oldestResume()))
+    if (tryStart(context, oldestResume(context)))
         return true;
     const auto agedTurn = agedRequest(context);
     if (agedTurn && tryStart(context, *agedTurn, true)) {
--- a/src/EntryContext.h
+++ b/src/EntryContext.h
@@ -4,6 +4,7 @@
 
 #include "BackendProtocol.h"
 #include "CallerProtocol.h"
+#include "CrashSuspect.h"
 #include "EntrySettings.h"
 #include "EventLog.h"
 #include "IoThreads.h"
@@ -29,6 +30,8 @@
     std::atomic<std::size_t> openRequests { 0 };
     /// Tells the peers of a request that crashes backend servers.
     std::function<void(std::uint64_t)> reportSignature = [](std::uint64_t) {};
+    /// Tells the peers of a request that was in flight on a backend server that crashed.
+    std::function<void(const CrashSuspect&)> reportSuspect = [](const CrashSuspect&) {};
     /// Tells the peers of a backend server that says it is leaving.
     std::function<void(std::string_view)> reportLeaving = [](std::string_view) {};
     const CallerProtocol& callers = nativeCallerProtocol();
--- a/src/EntryDaemon.cpp
+++ b/src/EntryDaemon.cpp
@@ -73,6 +73,7 @@
     callerApi = std::make_unique<CallerApi>(context, *services);
     adminApi = std::make_unique<AdminApi>(context, *services, *node, [this] { startDraining(); });
     context.reportSignature = [this](std::uint64_t signature) { node->reportSignature(signature); };
+    context.reportSuspect = [this](const CrashSuspect& suspect) { node->reportSuspect(suspect); };
     context.reportLeaving = [this](std::string_view backend) { node->reportLeaving(backend); };
     node->onConfiguration([this](std::shared_ptr<const Configuration> configuration) {
         log.record(LogLevel::Info, "configuration_in_force", { { "version", configuration->version } });
@@ -83,6 +84,7 @@
         context.knowsBackends = !backends.empty();
     });
     node->onSignature([this](std::uint64_t signature) { services->noteSignature(signature); });
+    node->onSuspect([this](const CrashSuspect& suspect) { services->noteSuspect(suspect); });
     node->onMemberLost([this](const Member& member) {
         log.record(LogLevel::Info, "member_lost", { { "member", member.id } });
         lostOwners.noteLost(member.id);
--- a/src/GossipMessage.cpp
+++ b/src/GossipMessage.cpp
@@ -93,6 +93,12 @@
                 message.signatures.push_back(signature);
         }
     }
+    if (const auto* suspects = object.if_contains("s"); suspects && suspects->is_array()) {
+        for (const auto& item : suspects->get_array()) {
+            if (auto suspect = crashSuspectFromJson(item))
+                message.suspects.push_back(std::move(*suspect));
+        }
+    }
     if (const auto* leaving = object.if_contains("b"); leaving && leaving->is_array()) {
         for (const auto& item : leaving->get_array()) {
             if (item.is_string())
@@ -132,6 +138,12 @@
         object["j"] = 1;
     if (!message.signatures.empty())
         object["g"] = json::array(message.signatures.begin(), message.signatures.end());
+    if (!message.suspects.empty()) {
+        json::array suspects;
+        for (const auto& suspect : message.suspects)
+            suspects.push_back(toJson(suspect));
+        object["s"] = std::move(suspects);
+    }
     if (!message.leaving.empty())
         object["b"] = json::array(message.leaving.begin(), message.leaving.end());
     return object;
--- a/src/GossipMessage.h
+++ b/src/GossipMessage.h
@@ -2,6 +2,7 @@
 
 /// One gossip message, and its compact JSON form.
 
+#include "CrashSuspect.h"
 #include "MemberEntry.h"
 
 #include <boost/json/value.hpp>
@@ -27,6 +28,7 @@
     /// Asks for full entries in the reply, because an instance is known here without its address.
     bool isJoining = false;
     std::vector<std::uint64_t> signatures;
+    std::vector<CrashSuspect> suspects;
     /// Identifiers of backend servers that said they are leaving.
     std::vector<std::string> leaving;
 
--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -2,10 +2,12 @@
 
 #include "AwaitToken.h"
 #include "Pause.h"
+#include "RumorBuffer.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <array>
@@ -24,6 +26,12 @@
 constexpr std::uint64_t farPart = 3;
 /// What has not changed is told again after this time, because a datagram can be lost.
 constexpr Duration longestSilence = std::chrono::milliseconds(800);
+/// A datagram with news of a crash can be lost; regular messages repeat them.
+constexpr unsigned crashMessages = 4;
+/// News of a crash that come together travel together.
+constexpr Duration crashDelay = std::chrono::milliseconds(2);
+/// Bounds the size of a message.
+constexpr std::size_t crashesPerMessage = 64;
 constexpr std::size_t largestDatagram = 65'536;
 
 }
@@ -50,6 +58,10 @@
     std::map<std::string, std::int64_t> revisions;
     /// Whether something changed that the others have not been told.
     bool hasNews = false;
+    RumorBuffer<std::uint64_t> signatures { .sendsPerFact = crashMessages };
+    RumorBuffer<CrashSuspect> suspects { .sendsPerFact = crashMessages };
+    /// Whether a message that tells of a crash is about to be sent.
+    bool crashMessageDue = false;
     std::uint64_t sequence = 0;
     std::vector<BackendUse> told;
     TimePoint toldAt {};
@@ -128,15 +140,52 @@
     auto uses = state.callbacks.own();
     std::ranges::sort(uses, {}, &BackendUse::backend);
     auto changing = state.callbacks.changing();
-    if (uses == state.told && changing.empty() && !state.hasNews && now - state.toldAt < longestSilence)
+    const auto hasCrashes = !state.signatures.pending.empty() || !state.suspects.pending.empty();
+    if (uses == state.told && changing.empty() && !state.hasNews && !hasCrashes && now - state.toldAt < longestSilence)
         return;
     state.told = uses;
     state.toldAt = now;
     state.hasNews = false;
-    sendToPeers(printLoadMessage({ state.settings.instance, state.settings.run, ++state.sequence, std::move(uses), std::move(changing), state.revisions }));
+    const LoadMessage message {
+        .instance = state.settings.instance,
+        .run = state.settings.run,
+        .sequence = ++state.sequence,
+        .uses = std::move(uses),
+        .changing = std::move(changing),
+        .signatures = takeRumors(state.signatures, crashesPerMessage),
+        .suspects = takeRumors(state.suspects, crashesPerMessage),
+        .revisions = state.revisions,
+    };
+    sendToPeers(printLoadMessage(message), hasCrashes);
+}
+
+auto LoadExchange::reportSignature(std::uint64_t signature) -> void
+{
+    asio::post(m_state->context, [self = shared_from_this(), signature] {
+        if (learn(self->m_state->signatures, signature))
+            asio::co_spawn(self->m_state->context, self->tellOfCrash(), asio::detached);
+    });
+}
+
+auto LoadExchange::reportSuspect(const CrashSuspect& suspect) -> void
+{
+    asio::post(m_state->context, [self = shared_from_this(), suspect] {
+        if (learn(self->m_state->suspects, suspect))
+            asio::co_spawn(self->m_state->context, self->tellOfCrash(), asio::detached);
+    });
+}
+
+auto LoadExchange::tellOfCrash() -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    if (std::exchange(m_state->crashMessageDue, true))
+        co_return;
+    co_await pause(crashDelay);
+    m_state->crashMessageDue = false;
+    tell(monotonicNow());
 }
 
-auto LoadExchange::sendToPeers(const std::string& text) -> void
+auto LoadExchange::sendToPeers(const std::string& text, bool isForAll) -> void
 {
     auto& state = *m_state;
     std::size_t failed = 0;
@@ -149,7 +198,8 @@
     };
     std::ranges::for_each(state.near, sendTo);
     // Each message goes to another part of the far instances.
-    for (auto index = state.sequence % farPart; index < state.far.size(); index += farPart)
+    const auto part = isForAll ? 1 : farPart;
+    for (auto index = state.sequence % part; index < state.far.size(); index += part)
         sendTo(state.far[index]);
     // A datagram that can't be sent is as good as one lost on the way; the next message makes up for it.
     if (failed > 0)
@@ -185,9 +235,22 @@
     }
 }
 
+auto LoadExchange::takeCrashes(const LoadMessage& message) -> void
+{
+    for (const auto signature : message.signatures) {
+        if (noteKnown(m_state->signatures, signature))
+            m_state->callbacks.onSignature(signature);
+    }
+    for (const auto& suspect : message.suspects) {
+        if (noteKnown(m_state->suspects, suspect))
+            m_state->callbacks.onSuspect(suspect);
+    }
+}
+
 auto LoadExchange::take(LoadMessage message) -> void
 {
     auto& state = *m_state;
+    takeCrashes(message);
     const auto changing = message.changing;
     const auto revisions = message.revisions;
     if (!takeMessage(state.loads, monotonicNow(), std::move(message)))
--- a/src/LoadExchange.h
+++ b/src/LoadExchange.h
@@ -27,6 +27,10 @@
     std::function<std::vector<std::string>()> changing;
     /// Another instance has taken a change of a kind of the store's objects.
     std::function<void(const std::string& kind, std::int64_t revision)> onRevision;
+    /// Another instance has recognised a request that crashes backend servers.
+    std::function<void(std::uint64_t)> onSignature;
+    /// Another instance had a request in flight on a backend server that crashed.
+    std::function<void(const CrashSuspect&)> onSuspect;
     /// Another instance has ordered backend servers to change their role.
     std::function<void(const std::vector<std::string>&)> onChanging;
 };
@@ -58,6 +62,12 @@
     /// I/O thread.
     auto noteRevision(const std::string& kind, std::int64_t revision) -> void;
 
+    /// Tells the others at once of a request that crashes backend servers.
+    auto reportSignature(std::uint64_t signature) -> void;
+
+    /// Tells the others at once of a request that was in flight on a backend server that crashed.
+    auto reportSuspect(const CrashSuspect& suspect) -> void;
+
     /// @return instances that are heard; must be called on the first I/O thread.
     auto heardPeers() const -> std::size_t;
 
@@ -73,11 +83,13 @@
 
     auto send() -> boost::asio::awaitable<void>;
     auto receive() -> boost::asio::awaitable<void>;
-    /// Sends to the instances of this zone, and to the others where it is their turn.
-    auto sendToPeers(const std::string& text) -> void;
+    /// Sends to the instances of this zone, and to the others where it is their turn or all are to know.
+    auto sendToPeers(const std::string& text, bool isForAll) -> void;
     auto take(LoadMessage message) -> void;
     /// Sends what has changed, or all of it after a longer pause.
     auto tell(TimePoint now) -> void;
+    auto tellOfCrash() -> boost::asio::awaitable<void>;
+    auto takeCrashes(const LoadMessage& message) -> void;
 
     const std::unique_ptr<State> m_state;
 };
--- a/src/LoadMessage.cpp
+++ b/src/LoadMessage.cpp
@@ -42,7 +42,7 @@
     json::object revisions;
     for (const auto& [kind, revision] : message.revisions)
         revisions[kind] = revision;
-    const json::object object {
+    json::object object {
         { "instance", message.instance },
         { "run", message.run },
         { "sequence", message.sequence },
@@ -50,6 +50,14 @@
         { "changing", json::array(message.changing.begin(), message.changing.end()) },
         { "revisions", std::move(revisions) },
     };
+    if (!message.signatures.empty())
+        object["signatures"] = json::array(message.signatures.begin(), message.signatures.end());
+    if (!message.suspects.empty()) {
+        json::array suspects;
+        for (const auto& suspect : message.suspects)
+            suspects.push_back(toJson(suspect));
+        object["suspects"] = std::move(suspects);
+    }
     return json::serialize(object);
 }
 
@@ -73,6 +81,18 @@
         if (element.is_string())
             message.changing.emplace_back(element.get_string());
     }
+    const auto* signatures = arrayField(*object, "signatures");
+    for (const auto& element : signatures ? *signatures : json::array()) {
+        boost::system::error_code code;
+        const auto signature = element.to_number<std::uint64_t>(code);
+        if (!code)
+            message.signatures.push_back(signature);
+    }
+    const auto* suspects = arrayField(*object, "suspects");
+    for (const auto& element : suspects ? *suspects : json::array()) {
+        if (auto suspect = crashSuspectFromJson(element))
+            message.suspects.push_back(std::move(*suspect));
+    }
     const auto* revisions = objectField(*object, "revisions");
     for (const auto& field : revisions ? *revisions : json::object()) {
         std::int64_t revision = 0;
--- a/src/LoadMessage.h
+++ b/src/LoadMessage.h
@@ -3,6 +3,7 @@
 /// What an entry instance tells the others of its reservations.
 
 #include "BackendUse.h"
+#include "CrashSuspect.h"
 
 #include <cstdint>
 #include <map>
@@ -22,6 +23,10 @@
     std::vector<BackendUse> uses;
     /// Backend servers that the instance has lately ordered to change their role.
     std::vector<std::string> changing;
+    /// Signatures of requests that crash backend servers.
+    std::vector<std::uint64_t> signatures;
+    /// Requests that were in flight on backend servers that crashed.
+    std::vector<CrashSuspect> suspects;
     /// By kind of the store's objects: the revision of the last change that the instance has taken.
     std::map<std::string, std::int64_t> revisions;
 };
--- a/src/ModelService.cpp
+++ b/src/ModelService.cpp
@@ -232,6 +232,9 @@
         deliver(cancel->request);
     } else if (const auto* report = std::get_if<ReportSignature>(&action)) {
         outbox.signatures.push_back(report->signature);
+    } else if (const auto* crash = std::get_if<ReportCrash>(&action)) {
+        if (const auto known = m_replicas.find(crash->replica); known != m_replicas.end())
+            outbox.suspects.push_back({ crash->signature, known->second.backend.id, known->second.backend.incarnation, m_context.settings.instance });
     } else if (const auto* wake = std::get_if<WakeAt>(&action)) {
         m_wakeAt = wake->time;
     }
@@ -278,8 +281,14 @@
 {
     for (auto& delivery : outbox.deliveries)
         delivery.receiver->deliver(delivery.action);
-    for (const auto signature : outbox.signatures)
+    for (const auto signature : outbox.signatures) {
+        m_context.log.record(LogLevel::Warning, "crash_signature_blocked", { { "service", m_name }, { "signature", std::to_string(signature) } });
         m_context.reportSignature(signature);
+    }
+    for (const auto& suspect : outbox.suspects) {
+        m_context.log.record(LogLevel::Info, "crash_suspect", { { "service", m_name }, { "signature", std::to_string(suspect.signature) }, { "backend", suspect.backend } });
+        m_context.reportSuspect(suspect);
+    }
     if (!outbox.cancels.empty())
         sendCancels(std::move(outbox.cancels));
     rearm();
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -7,6 +7,7 @@
 #include "ActionReceiver.h"
 #include "BackendUse.h"
 #include "ConfigurationIndex.h"
+#include "CrashSuspect.h"
 #include "DecisionEvent.h"
 #include "EntryContext.h"
 #include "ReplicaStatus.h"
@@ -79,6 +80,9 @@
     /// Takes a load report of a replica.
     auto recordLoad(ReplicaId replica, EngineLoad load, TimePoint asOf) -> void;
 
+    /// A peer had a request in flight on a backend server that crashed; other services ignore it.
+    auto noteSuspect(const CrashSuspect& suspect) -> void;
+
     auto replica(ReplicaId replica) const -> std::optional<ReplicaStatus>;
     auto replicas() const -> std::vector<ReplicaStatus>;
     auto summary() const -> ShardSummary;
@@ -116,6 +120,7 @@
         std::vector<Delivery> deliveries;
         std::vector<EngineCancel> cancels;
         std::vector<std::uint64_t> signatures;
+        std::vector<CrashSuspect> suspects;
     };
     struct Timer;
 
--- a/src/ModelServiceReplicas.cpp
+++ b/src/ModelServiceReplicas.cpp
@@ -132,6 +132,20 @@
     send(std::move(outbox));
 }
 
+auto ModelService::noteSuspect(const CrashSuspect& suspect) -> void
+{
+    Outbox outbox;
+    {
+        const std::lock_guard guard(m_lock);
+        const auto known = m_replicaIds.find(suspect.backend);
+        if (known == m_replicaIds.end() || m_replicas.at(known->second).backend.incarnation != suspect.incarnation)
+            return;
+        m_context.log.record(LogLevel::Info, "crash_suspect_heard", { { "service", m_name }, { "signature", std::to_string(suspect.signature) }, { "backend", suspect.backend }, { "from", suspect.instance } });
+        decideLocked(CrashReported { suspect.signature, known->second, suspect.instance < m_context.settings.instance }, outbox);
+    }
+    send(std::move(outbox));
+}
+
 auto ModelService::expireChangesLocked(TimePoint now, Outbox& outbox) -> void
 {
     for (auto change = m_changing.begin(); change != m_changing.end();) {
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -1,5 +1,6 @@
 #include "Placement.h"
 
+#include "CrashWatch.h"
 #include "Forecast.h"
 #include "Ledger.h"
 #include "PrefillChoice.h"
@@ -141,6 +142,8 @@
 
 auto choosePlacement(DecisionContext& context, const ActiveRequest& request, std::int64_t seatsLeft) -> std::optional<Placement>
 {
+    if (awaitsVerdict(context, request))
+        return std::nullopt;
     // Without a seat or the prospect of one, the more expensive choice of a prefill is left out.
     const auto seatIsFree = hasFreeDecode(context.state) && context.state.freeDecodeSeats > seatsLeft;
     if (!seatIsFree && !seatExpected(context, prefillTime(context.state, request.arrival.promptTokens), seatsLeft))
--- a/src/Replica.h
+++ b/src/Replica.h
@@ -49,6 +49,8 @@
     /// Requests that became suspects here since `lostAt`, until something shows that it did not crash.
     std::vector<RequestId> freshSuspects;
     TimePoint lostAt;
+    /// It gets no new work before this time, while the peers' reports of the same crash arrive.
+    TimePoint settlesAt = TimePoint::min();
     /// When the last crash was blamed on a suspect.
     std::optional<TimePoint> blamedAt;
     /// Its part of the free and of all seats of the shard.
--- a/src/ReplicaIndex.cpp
+++ b/src/ReplicaIndex.cpp
@@ -60,7 +60,7 @@
 auto nextTimer(const Replica& replica, TimePoint now) -> TimePoint
 {
     auto next = TimePoint::max();
-    for (const auto time : { replica.busyUntil, replica.ejectedUntil }) {
+    for (const auto time : { replica.busyUntil, replica.ejectedUntil, replica.settlesAt }) {
         if (time > now)
             next = std::min(next, time);
     }
@@ -82,6 +82,7 @@
     return replica.description.state == ReplicaState::Live
         && replica.busyUntil <= now
         && replica.ejectedUntil <= now
+        && replica.settlesAt <= now
         && !replica.probationer
         && probeAllowed(replica)
         && freeSeats(replica) > 0;
--- a/src/RequestQueue.cpp
+++ b/src/RequestQueue.cpp
@@ -113,11 +113,6 @@
     return first(m_lateBatch);
 }
 
-auto RequestQueue::oldestResume() const -> std::optional<RequestId>
-{
-    return first(m_resume);
-}
-
 auto RequestQueue::flowSize(const FlowKey& flow) const -> std::size_t
 {
     const auto found = m_flows.find(flow);
--- a/src/RequestQueue.h
+++ b/src/RequestQueue.h
@@ -43,7 +43,19 @@
     auto oldestLate() const -> std::optional<RequestId>;
     /// Batch work is still to be answered after its first-token target.
     auto oldestLateBatch() const -> std::optional<RequestId>;
-    auto oldestResume() const -> std::optional<RequestId>;
+    /// Fills `resumes` with the oldest requests whose stream broke off, as many as fit.
+    /// @return how many there are.
+    template <std::size_t Count>
+    auto resumes(std::array<RequestId, Count>& resumes) const -> std::size_t
+    {
+        std::size_t count = 0;
+        for (const auto& [order, request] : m_resume) {
+            if (count == Count)
+                break;
+            resumes[count++] = request;
+        }
+        return count;
+    }
 
     auto size() const -> std::size_t { return m_size; }
     auto lateSize() const -> std::size_t { return m_late.size(); }
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -150,10 +150,14 @@
             .onRevision = [this](const std::string& kind, std::int64_t revision) {
                 if (directory)
                     directory->noteChange(kind, revision); },
+            .onSignature = [this](std::uint64_t signature) { services.noteSignature(signature); },
+            .onSuspect = [this](const CrashSuspect& suspect) { services.noteSuspect(suspect); },
             .onChanging = [this](const std::vector<std::string>& backends) { noteChanging(backends); },
         };
         LoadExchangeSettings exchangeSettings { endpoint, settings.instance, context.runId, settings.availabilityZone };
         exchange = std::make_shared<LoadExchange>(threads, std::move(exchangeSettings), log, std::move(callbacks));
+        context.reportSignature = [this](std::uint64_t signature) { exchange->reportSignature(signature); };
+        context.reportSuspect = [this](const CrashSuspect& suspect) { exchange->reportSuspect(suspect); };
         exchange->start();
     }
 
--- a/src/RumorBuffer.h
+++ b/src/RumorBuffer.h
@@ -29,14 +29,14 @@
     std::deque<Pending> pending;
 };
 
-/// @return whether the fact is new here.
+/// Takes a fact that others pass on.
+/// @return whether it is new here.
 template <typename Fact>
-auto learn(RumorBuffer<Fact>& buffer, const Fact& fact) -> bool
+auto noteKnown(RumorBuffer<Fact>& buffer, const Fact& fact) -> bool
 {
     if (!buffer.known.insert(fact).second)
         return false;
     buffer.order.push_back(fact);
-    buffer.pending.push_back({ fact, buffer.sendsPerFact });
     if (buffer.order.size() > buffer.capacity) {
         buffer.known.erase(buffer.order.front());
         buffer.order.pop_front();
@@ -44,6 +44,17 @@
     return true;
 }
 
+/// Takes a fact and passes it on.
+/// @return whether it is new here.
+template <typename Fact>
+auto learn(RumorBuffer<Fact>& buffer, const Fact& fact) -> bool
+{
+    if (!noteKnown(buffer, fact))
+        return false;
+    buffer.pending.push_back({ fact, buffer.sendsPerFact });
+    return true;
+}
+
 /// @return facts for the next message, at most `limit`, those in turn longest first.
 template <typename Fact>
 auto takeRumors(RumorBuffer<Fact>& buffer, std::size_t limit) -> std::vector<Fact>
--- a/src/ServiceTable.cpp
+++ b/src/ServiceTable.cpp
@@ -118,6 +118,12 @@
         service->feed(SignatureReported { signature });
 }
 
+auto ServiceTable::noteSuspect(const CrashSuspect& suspect) -> void
+{
+    for (const auto& service : models())
+        service->noteSuspect(suspect);
+}
+
 auto ServiceTable::startDraining() -> void
 {
     for (const auto& service : models())
--- a/src/ServiceTable.h
+++ b/src/ServiceTable.h
@@ -28,6 +28,7 @@
     /// Takes what all other instances have reserved.
     auto updateOthersUse(std::span<const BackendUse> uses) -> void;
     auto noteSignature(std::uint64_t signature) -> void;
+    auto noteSuspect(const CrashSuspect& suspect) -> void;
     /// Lets the shards refuse what has not started.
     auto startDraining() -> void;
     auto stop() -> void;
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -21,6 +21,12 @@
     blockSignature(context, event.signature);
 }
 
+auto handle(DecisionContext& context, const CrashReported& event) -> void
+{
+    if (auto* replica = findReplica(context.state, event.replica))
+        noteCrashElsewhere(context, event.signature, *replica, event.peerGoesFirst);
+}
+
 auto handle(DecisionContext& context, const DrainStarted&) -> void
 {
     auto& state = context.state;
@@ -52,7 +58,7 @@
 auto announceWake(DecisionContext& context) -> void
 {
     auto& state = context.state;
-    const auto next = state.timers.next();
+    const auto next = std::min(state.timers.next(), nextHoldEnd(state.crashEvidence, context.now));
     // A wake that comes too early does no harm; one is announced only if none comes in time.
     const auto pending = state.announcedWake > context.now ? state.announcedWake : TimePoint::max();
     if (next >= pending)
@@ -81,6 +87,7 @@
     DecisionContext context { *shard.state, now, actions };
     std::visit([&](const auto& message) { handle(context, message); }, event);
     runTimers(context);
+    judgeCrashes(context);
     dispatch(context);
     announceWake(context);
 }
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -4,6 +4,7 @@
 
 #include "ActiveRequest.h"
 #include "AnsweredRequests.h"
+#include "CrashEvidence.h"
 #include "EndForecast.h"
 #include "LengthModel.h"
 #include "OfferedLoad.h"
@@ -52,6 +53,7 @@
     std::vector<LengthModel> lengths;
     /// Signatures of requests that crash engines, and until when they are refused.
     std::unordered_map<std::uint64_t, TimePoint> blockedSignatures;
+    CrashEvidenceTable crashEvidence;
     /// Replicas that lost connections, and when, for a short time.
     std::vector<std::pair<ReplicaId, TimePoint>> lostReplicas;
     RetryBudget retryBudget { modelRetryLimits };
--- a/test/correctness/BackendDirectoryTest.cpp
+++ b/test/correctness/BackendDirectoryTest.cpp
@@ -109,10 +109,13 @@
         LoadMessage message { *printable, "run", *rc::gen::arbitrary<std::uint64_t>() };
         message.uses.push_back({ "engine", *rc::gen::arbitrary<std::uint32_t>(), 3, 4 });
         message.changing.push_back("other");
+        message.signatures.push_back(*rc::gen::arbitrary<std::uint64_t>());
+        message.suspects.push_back({ *rc::gen::arbitrary<std::uint64_t>(), "engine", "run-3", "edge-1" });
         message.revisions["config"] = 7;
         const auto read = parseLoadMessage(printLoadMessage(message));
         RC_ASSERT(read.has_value());
         RC_ASSERT(read->instance == message.instance && read->sequence == message.sequence);
+        RC_ASSERT(read->signatures == message.signatures && read->suspects == message.suspects);
         RC_ASSERT(read->uses == message.uses && read->changing == message.changing && read->revisions == message.revisions);
     }));
     CHECK(rc::check("any bytes", [] {
--- a/test/correctness/ClusterNodeTest.cpp
+++ b/test/correctness/ClusterNodeTest.cpp
@@ -175,6 +175,22 @@
     CHECK((seen[0] == 1 && seen[1] == 1 && seen[2] == 1));
 }
 
+// Guards against news of a crash that wait for the next round of gossip, by when each instance has
+// run its copy of the crashing request again.
+TEST_CASE("suspects of a crash reach every other instance well before the next round of gossip")
+{
+    Cluster cluster;
+    const CrashSuspect suspect { 55, "engine-3", "run-2", "booking-1" };
+    std::array<std::atomic<int>, 3> seen {};
+    for (std::size_t index = 0; index < 3; ++index)
+        cluster.instances[index]->node->onSuspect([&, index](const CrashSuspect& heard) { seen[index] += heard == suspect ? 1 : 100; });
+    REQUIRE(cluster.start());
+    cluster.instances[1]->node->reportSuspect(suspect);
+    CHECK(eventually([&] { return seen[0] == 1 && seen[2] == 1; }, 200ms));
+    std::this_thread::sleep_for(700ms);
+    CHECK((seen[0] == 1 && seen[1] <= 1 && seen[2] == 1));
+}
+
 // Guards against peer routes that answer a caller without the key.
 TEST_CASE("peer routes need the peer key")
 {
--- a/test/correctness/CrashTest.cpp
+++ b/test/correctness/CrashTest.cpp
@@ -231,3 +231,113 @@
     CHECK(harness.last<Refuse>()->outcome == Outcome::NotRun);
     CHECK(harness.last<Refuse>()->retryAfter == Duration::zero());
 }
+
+namespace {
+
+constexpr std::uint64_t sharedSignature = 55;
+constexpr auto longerThanSettling = 50ms;
+
+auto sharedSettings() -> ShardSettings
+{
+    auto settings = testSettings();
+    settings.sharingInstances = 2;
+    return settings;
+}
+
+/// One of two instances that share decode engines, each with a copy of the same request.
+struct CopyHolder {
+    ShardHarness harness { sharedSettings() };
+    StartDecode decode;
+
+    explicit CopyHolder(std::uint32_t startedOn)
+    {
+        harness.replica(1, PoolRole::Prefill, 8);
+        harness.replica(startedOn, PoolRole::Decode, 8);
+        harness.arrive(1, 0, 0, 1'000, sharedSignature);
+        harness.prefilled(*harness.last<StartPrefill>());
+        decode = *harness.last<StartDecode>();
+        harness.started(decode);
+        for (std::uint32_t id = firstDecode; id < firstDecode + decodeCount; ++id) {
+            if (id != startedOn)
+                harness.replica(id, PoolRole::Decode, 8);
+        }
+    }
+
+    auto crash() -> ReportCrash
+    {
+        harness.send(DecodeFailed { decode.request, decode.attempt, FailureKind::ConnectionLost, 3 });
+        return *harness.last<ReportCrash>();
+    }
+
+    auto hear(const ReportCrash& report, bool peerGoesFirst) -> void
+    {
+        harness.send(CrashReported { report.signature, report.replica, peerGoesFirst });
+    }
+};
+
+}
+
+// Guards against four crashes where a caller sends a crashing request through two instances at once:
+// each of them has seen only its own.
+TEST_CASE("a request that crashes one engine at each of two instances is refused by both")
+{
+    CopyHolder first(firstDecode);
+    CopyHolder second(firstDecode + 1);
+    const auto firstReport = first.crash();
+    const auto secondReport = second.crash();
+    first.hear(secondReport, false);
+    second.hear(firstReport, true);
+    for (auto* holder : { &first, &second }) {
+        CHECK(holder->harness.count<StartPrefill>() == 0);
+        holder->harness.advance(longerThanSettling);
+        REQUIRE(holder->harness.last<Refuse>());
+        CHECK(holder->harness.last<Refuse>()->reason == RefusalReason::CrashSuspect);
+        CHECK(holder->harness.last<Refuse>()->outcome == Outcome::Unknown);
+        CHECK(holder->harness.last<ReportSignature>()->signature == sharedSignature);
+        CHECK(holder->harness.count<StartPrefill>() == 0);
+    }
+}
+
+// Guards against two more crashes where both copies were on one engine and both run again at once.
+TEST_CASE("of two copies lost with one engine only one runs again at first")
+{
+    CopyHolder first(firstDecode);
+    CopyHolder second(firstDecode);
+    const auto firstReport = first.crash();
+    const auto secondReport = second.crash();
+    first.hear(secondReport, false);
+    second.hear(firstReport, true);
+    first.harness.advance(longerThanSettling);
+    second.harness.advance(longerThanSettling);
+    CHECK(first.harness.count<StartPrefill>() == 1);
+    CHECK(second.harness.count<StartPrefill>() == 0);
+    second.harness.advance(1s);
+    CHECK(second.harness.count<StartPrefill>() == 1);
+}
+
+// Guards against blaming a request that is popular for the loss of a zone.
+TEST_CASE("peers' reports of a zone that is cut off blame no request")
+{
+    CopyHolder holder(firstDecode);
+    holder.crash();
+    for (std::uint32_t id = firstDecode + 1; id < firstDecode + 3; ++id)
+        holder.hear({ sharedSignature, ReplicaId { id } }, false);
+    holder.harness.advance(longerThanSettling);
+    CHECK_FALSE(holder.harness.lastEver<Refuse>());
+    CHECK(holder.harness.lastEver<StartPrefill>()->attempt == 2);
+}
+
+// Guards against a verdict on a request that has got past the point of its crash since.
+TEST_CASE("a request that got past the point of its crash is not blamed for a peer's crash")
+{
+    CopyHolder holder(firstDecode);
+    holder.crash();
+    holder.harness.advance(longerThanSettling);
+    holder.harness.prefilled(*holder.harness.last<StartPrefill>());
+    const auto again = *holder.harness.last<StartDecode>();
+    holder.harness.started(again);
+    holder.harness.send(TokensEmitted { again.request, again.attempt, 30 });
+    holder.hear({ sharedSignature, ReplicaId { firstDecode + 3 } }, false);
+    holder.harness.advance(longerThanSettling);
+    CHECK_FALSE(holder.harness.lastEver<Refuse>());
+}
--- /dev/null
+++ b/test/correctness/LoadExchangeTest.cpp
@@ -0,0 +1,67 @@
+#include "LoadExchange.h"
+
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <thread>
+
+using namespace jayhold;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+struct Instance {
+    explicit Instance(const std::string& name)
+        : log(name, 16)
+    {
+        LoadExchangeCallbacks callbacks {
+            .own = [] { return std::vector<BackendUse>(); },
+            .others = [](const std::vector<BackendUse>&) {},
+            .changing = [] { return std::vector<std::string>(); },
+            .onRevision = [](const std::string&, std::int64_t) {},
+            .onSignature = [this](std::uint64_t signature) { signatures += signature == ~0ULL ? 1 : 100; },
+            .onSuspect = [this](const CrashSuspect& suspect) { suspects += suspect == CrashSuspect { 55, "engine-3", "run-2", "edge-1" } ? 1 : 100; },
+            .onChanging = [](const std::vector<std::string>&) {},
+        };
+        exchange = std::make_shared<LoadExchange>(threads, LoadExchangeSettings { { "127.0.0.1", 0 }, name, "run", "alpine" }, log, std::move(callbacks));
+        exchange->start();
+    }
+    ~Instance() { threads.stop(); }
+    Instance(const Instance&) = delete;
+    auto operator=(const Instance&) -> Instance& = delete;
+
+    EventLog log;
+    IoThreads threads { 1 };
+    std::atomic<int> signatures { 0 };
+    std::atomic<int> suspects { 0 };
+    std::shared_ptr<LoadExchange> exchange;
+};
+
+auto introduce(Instance& instance, const Instance& peer) -> void
+{
+    asio::post(instance.threads.context(0), [&instance, address = PeerAddress { peer.exchange->endpoint(), "alpine" }] { instance.exchange->updatePeers({ address }); });
+}
+
+}
+
+// Guards against news of a crash that wait for the next regular message, get lost, or count twice
+// because they are repeated.
+TEST_CASE("instances tell each other of a crash at once and count it once")
+{
+    Instance first("edge-1");
+    Instance second("edge-2");
+    introduce(first, second);
+    first.exchange->reportSuspect({ 55, "engine-3", "run-2", "edge-1" });
+    first.exchange->reportSignature(~0ULL);
+    const auto latest = monotonicNow() + 80ms;
+    while ((second.suspects == 0 || second.signatures == 0) && monotonicNow() < latest)
+        std::this_thread::sleep_for(1ms);
+    CHECK(second.suspects == 1);
+    CHECK(second.signatures == 1);
+    std::this_thread::sleep_for(600ms);
+    CHECK(second.suspects == 1);
+    CHECK(second.signatures == 1);
+    CHECK(first.suspects == 0);
+}
--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -155,6 +155,7 @@
     message.disownedIncarnation = 6;
     message.isJoining = true;
     message.signatures = { 1, ~0ULL };
+    message.suspects = { { ~0ULL, "engine-4", "run-2", "alpine-1" } };
     message.leaving = { "engine-3" };
     CHECK(gossipMessageFromJson(toJson(message)) == message);
     CHECK_FALSE(gossipMessageFromJson(boost::json::value("text")));
