Explain a request from the logs, and log what each decision rested on

Cause: the history of a failed request had to be put together with grep and sort, and its lines did not say which configuration and how old lists decided it. Nothing kept a new refusal from having no line.

Lines that place or refuse a request carry the version of the configuration and the age of the lists. Metrics gain calls to the store by result, queues, memory believed free, the retry budget left and prompt tokens read for nothing.

--- a/src/CtlCommands.cpp
+++ b/src/CtlCommands.cpp
@@ -46,6 +46,8 @@
         return runCheck(options, output);
     if (options.command == "hash-key")
         return runHashKey(std::cin, output);
+    if (options.command == "explain")
+        return runExplain(options, output);
     AdminClient client(options.operatorKey);
     if (options.command == "apply")
         return runApply(options, client, output);
--- a/src/CtlCommands.h
+++ b/src/CtlCommands.h
@@ -27,6 +27,8 @@
 auto runStatus(const CtlOptions& options, AdminClient& client, const CtlOutput& output) -> ExitCode;
 auto runDrain(const CtlOptions& options, AdminClient& client, const CtlOutput& output) -> ExitCode;
 auto runTimeline(const CtlOptions& options, AdminClient& client, const CtlOutput& output) -> ExitCode;
+/// Prints the history of one request from log files.
+auto runExplain(const CtlOptions& options, const CtlOutput& output) -> ExitCode;
 auto runHashKey(std::istream& input, const CtlOutput& output) -> ExitCode;
 
 /// Reports a call that got no answer or one that is not a success.
--- a/src/CtlOptions.cpp
+++ b/src/CtlOptions.cpp
@@ -27,6 +27,7 @@
   status           instances, versions in force and backend servers
   drain            shut the addressed instance down gracefully
   timeline         merge the event logs of all addressed instances in causal order
+  explain ID       print the history of a request from the logs of all instances, and its cause
   hash-key         read a key from standard input and print its SHA-256 digest
 
 Options
@@ -34,6 +35,7 @@
                           (default: JAYHOLD_ENTRY, separated by commas)
   -k, --key-file FILE     file with the operator's key (default: JAYHOLD_OPERATOR_KEY)
   -b, --base VERSION      apply: version the change is based on (default: the file's version less 1)
+  -l, --logs FILE...      explain: log files (default: standard input)
   -r, --request ID        timeline: only this request
   -c, --config VERSION    timeline: only this configuration version
   -j, --json              print JSON
@@ -44,10 +46,11 @@
 Exit codes: 0 success, 1 failed, 2 usage, 3 conflict with another change, 4 unreachable.
 )";
 
-constexpr std::array<option, 9> longOptions { {
+constexpr std::array<option, 10> longOptions { {
     { "entry", required_argument, nullptr, 'e' },
     { "key-file", required_argument, nullptr, 'k' },
     { "base", required_argument, nullptr, 'b' },
+    { "logs", required_argument, nullptr, 'l' },
     { "request", required_argument, nullptr, 'r' },
     { "config", required_argument, nullptr, 'c' },
     { "json", no_argument, nullptr, 'j' },
@@ -60,9 +63,10 @@
     std::string_view name;
     std::size_t argumentCount;
     bool needsEntry;
+    bool takesMoreFiles = false;
 };
 
-constexpr std::array<CommandShape, 8> commands { {
+constexpr std::array<CommandShape, 9> commands { {
     { "check", 1, false },
     { "apply", 1, true },
     { "show", 0, true },
@@ -70,6 +74,7 @@
     { "status", 0, true },
     { "drain", 0, true },
     { "timeline", 0, true },
+    { "explain", 1, false, true },
     { "hash-key", 0, false },
 } };
 
@@ -122,13 +127,21 @@
     return std::nullopt;
 }
 
+auto argumentProblem(const CommandShape& shape) -> std::string_view
+{
+    if (shape.takesMoreFiles)
+        return " takes a request's identifier";
+    return shape.argumentCount == 1 ? " takes one file" : " takes no argument";
+}
+
 auto checkCommand(const CtlOptions& options) -> std::optional<CtlUsageError>
 {
     for (const auto& shape : commands) {
         if (shape.name != options.command)
             continue;
-        if (options.arguments.size() != shape.argumentCount)
-            return usageError(options.command + (shape.argumentCount == 1 ? " takes one file" : " takes no argument"));
+        const auto isTooMany = options.arguments.size() > shape.argumentCount && !shape.takesMoreFiles;
+        if (options.arguments.size() < shape.argumentCount || isTooMany)
+            return usageError(options.command + std::string(argumentProblem(shape)));
         if (shape.needsEntry && options.entries.empty())
             return usageError("no entry instance given; use --entry or JAYHOLD_ENTRY");
         return std::nullopt;
@@ -154,6 +167,9 @@
         if (!options.baseVersion)
             return usageError("not a version: " + std::string(argument));
         return std::nullopt;
+    case 'l':
+        options.logFiles.emplace_back(argument);
+        return std::nullopt;
     case 'r':
         options.request = argument;
         return std::nullopt;
@@ -177,7 +193,7 @@
     opterr = 0;
     const auto count = static_cast<int>(arguments.size());
     while (true) {
-        const auto option = getopt_long(count, arguments.data(), "e:k:b:r:c:jhV", longOptions.data(), nullptr);
+        const auto option = getopt_long(count, arguments.data(), "e:k:b:l:r:c:jhV", longOptions.data(), nullptr);
         if (option == -1)
             break;
         if (option == 'h')
--- a/src/CtlOptions.h
+++ b/src/CtlOptions.h
@@ -22,6 +22,8 @@
     std::string operatorKey;
     bool printJson = false;
     std::optional<std::int64_t> baseVersion;
+    /// Logs to read; standard input where none is named.
+    std::vector<std::string> logFiles;
     std::optional<std::string> request;
     std::optional<std::string> configurationVersion;
 };
--- a/src/EntryContext.h
+++ b/src/EntryContext.h
@@ -9,6 +9,7 @@
 #include "EventLog.h"
 #include "IoThreads.h"
 #include "Metrics.h"
+#include "Time.h"
 
 #include <atomic>
 #include <cstdint>
@@ -28,6 +29,10 @@
     /// Whether a list with backend servers has arrived; before that every request would be refused.
     std::atomic<bool> knowsBackends { false };
     std::atomic<std::size_t> openRequests { 0 };
+    /// What decisions rest on, for the log: the version of the configuration in force, and since when
+    /// the store has not confirmed the lists, in the clock's ticks; 0 while it does.
+    std::atomic<std::int64_t> configurationVersion { 0 };
+    std::atomic<TimePoint::rep> storeAwaySince { 0 };
     /// Tells the peers of a request that crashes backend servers.
     std::function<void(std::uint64_t)> reportSignature = [](std::uint64_t) {};
     /// Tells the peers of a request that was in flight on a backend server that crashed.
@@ -38,4 +43,11 @@
     const BackendProtocol& backends = nativeBackendProtocol();
 };
 
+/// @return how old the lists of backend servers and instances may be; zero while the store confirms them.
+inline auto listAge(const EntryContext& context) -> Duration
+{
+    const TimePoint since { TimePoint::duration { context.storeAwaySince.load() } };
+    return since == TimePoint {} ? Duration::zero() : std::chrono::duration_cast<Duration>(monotonicNow() - since);
+}
+
 }
--- a/src/EntryDaemon.cpp
+++ b/src/EntryDaemon.cpp
@@ -77,6 +77,7 @@
     context.reportLeaving = [this](std::string_view backend) { node->reportLeaving(backend); };
     node->onConfiguration([this](std::shared_ptr<const Configuration> configuration) {
         log.record(LogLevel::Info, "configuration_in_force", { { "version", configuration->version } });
+        context.configurationVersion = configuration->version;
         services->updateConfiguration(std::move(configuration));
     });
     node->onBackends([this](const std::vector<BackendServer>& backends) {
--- a/src/Metrics.cpp
+++ b/src/Metrics.cpp
@@ -94,9 +94,12 @@
     const std::lock_guard guard(m_lock);
     printHeader(output, "jayhold_open_requests", "Requests in progress.", "gauge");
     output << "jayhold_open_requests " << openRequests << '\n';
+    std::string_view before;
     for (const auto& gauge : gauges) {
-        printHeader(output, gauge.name, gauge.help, gauge.isCounter ? "counter" : "gauge");
-        output << gauge.name << ' ' << gauge.value << '\n';
+        if (gauge.name != before)
+            printHeader(output, gauge.name, gauge.help, gauge.isCounter ? "counter" : "gauge");
+        before = gauge.name;
+        output << gauge.name << (gauge.labels.empty() ? "" : "{" + gauge.labels + "}") << ' ' << gauge.value << '\n';
     }
     printHeader(output, "jayhold_refusals_total", "Requests refused, by reason.", "counter");
     for (const auto& [reason, count] : m_refusals)
--- a/src/Metrics.h
+++ b/src/Metrics.h
@@ -24,6 +24,8 @@
         std::string_view help;
         double value;
         bool isCounter = false;
+        /// Labels in the text format, without braces; gauges of one name stand together.
+        std::string labels {};
     };
 
     /// @param openRequests requests in progress now.
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -208,7 +208,7 @@
     m_backend = replica->backend.id;
     const auto decode = m_service->replica(action.decode);
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - m_info.arrivedAt);
-    record(m_seatRefusals == 0 ? LogLevel::Info : LogLevel::Debug, "request_placed", { { "decode_backend", decode ? decode->backend.id : "" }, { "decode_tokens", action.decodeTokens }, { "prompt_tokens", m_info.digest.tokens }, { "waited_ms", waited.count() } });
+    record(m_seatRefusals == 0 ? LogLevel::Info : LogLevel::Debug, "request_placed", { { "decode_backend", decode ? decode->backend.id : "" }, { "decode_tokens", action.decodeTokens }, { "prompt_tokens", m_info.digest.tokens }, { "waited_ms", waited.count() }, { "config", m_context.configurationVersion.load() }, { "list_age_ms", listAge(m_context).count() / 1'000 } });
     record(LogLevel::Debug, "prefill_started");
     auto call = engineCall();
     const auto task = ++m_tasks->lastTask;
@@ -321,7 +321,7 @@
     counter.fetch_add(1, std::memory_order_relaxed);
     m_context.metrics.countRefusal(error.type);
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_info.deadline - monotonicNow());
-    record(LogLevel::Info, "request_refused", { { "reason", error.type }, { "ran", error.outcome == Outcome::NotRun ? "no" : "unknown" }, { "left_ms", left.count() }, { "seat_refusals", m_seatRefusals }, { "retry_after_ms", error.retryAfter.count() / 1'000 } });
+    record(LogLevel::Info, "request_refused", { { "reason", error.type }, { "ran", error.outcome == Outcome::NotRun ? "no" : "unknown" }, { "left_ms", left.count() }, { "seat_refusals", m_seatRefusals }, { "retry_after_ms", error.retryAfter.count() / 1'000 }, { "config", m_context.configurationVersion.load() }, { "list_age_ms", listAge(m_context).count() / 1'000 } });
     if (error.outcome == Outcome::Unknown)
         error.answer = m_failedAnswer;
     co_await m_writer->fail(std::move(error));
--- a/src/ObjectStore.h
+++ b/src/ObjectStore.h
@@ -4,6 +4,7 @@
 /// counter covers all objects, so that changes can be watched from a list on without a gap.
 
 #include "HttpClient.h"
+#include "StoreCallCounts.h"
 #include "StoreError.h"
 #include "StoredObject.h"
 
@@ -69,6 +70,9 @@
     /// @param expectedRevision 0 where the object must not exist.
     virtual auto update(HttpClient& client, std::string kind, std::string name, boost::json::value value, std::int64_t expectedRevision) -> boost::asio::awaitable<StoreResult<UpdateOutcome>> = 0;
 
+    /// @return how the calls so far have ended.
+    virtual auto counts() const -> StoreCallCounts = 0;
+
     /// Creates or replaces an object, whatever its revision.
     /// @return the revision of the object.
     virtual auto put(HttpClient& client, std::string kind, std::string name, boost::json::value value) -> boost::asio::awaitable<StoreResult<std::int64_t>> = 0;
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -141,7 +141,7 @@
             break;
         state.tried.push_back(backend->id);
         const auto timeout = attemptTimeout(call, state, mayRepeat);
-        record(LogLevel::Info, call, "request_placed", { { "backend", backend->id }, { "attempt", state.tried.size() }, { "timeout_ms", timeout.count() / 1'000 } });
+        record(LogLevel::Info, call, "request_placed", { { "backend", backend->id }, { "attempt", state.tried.size() }, { "timeout_ms", timeout.count() / 1'000 }, { "config", m_context.configurationVersion.load() }, { "list_age_ms", listAge(m_context).count() / 1'000 } });
         last = co_await tryOn(client, *backend, call, timeout);
         state.runs += !last.isNotRun;
         if (last.answer && last.isFinal)
@@ -300,7 +300,7 @@
     auto& counter = error.outcome == Outcome::NotRun ? m_metrics->refusedNotRun : m_metrics->refusedUnknown;
     counter.fetch_add(1, std::memory_order_relaxed);
     m_context.metrics.countRefusal(error.type);
-    record(LogLevel::Info, call, "request_refused", { { "reason", error.type }, { "detail", error.message }, { "ran", error.outcome == Outcome::NotRun ? "no" : "unknown" }, { "retry_after_ms", error.retryAfter.count() / 1'000 } });
+    record(LogLevel::Info, call, "request_refused", { { "reason", error.type }, { "detail", error.message }, { "ran", error.outcome == Outcome::NotRun ? "no" : "unknown" }, { "retry_after_ms", error.retryAfter.count() / 1'000 }, { "config", m_context.configurationVersion.load() }, { "list_age_ms", listAge(m_context).count() / 1'000 } });
     co_await exchange.respond(m_context.callers.refusal(error));
 }
 
@@ -322,6 +322,12 @@
     m_balancer.abandon(id);
 }
 
+auto PlainService::retriesLeft() const -> double
+{
+    const std::lock_guard guard(m_lock);
+    return m_budget.left();
+}
+
 auto PlainService::takeRetry() -> bool
 {
     const std::lock_guard guard(m_lock);
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -32,6 +32,8 @@
     auto updateConfiguration(const Service& service) -> void;
     /// Takes the whole list of backend servers; those of other services are ignored.
     auto updateBackends(std::span<const BackendServer> backends) -> void;
+    /// @return retries that the budget allows now.
+    auto retriesLeft() const -> double;
     auto updateSharing(std::uint32_t sharing) -> void;
     auto backends() const -> std::vector<PlainBackend>;
 
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -72,6 +72,19 @@
     }
 }
 
+auto addStoreCalls(const StoreCallCounts& counts, std::vector<Metrics::Gauge>& gauges) -> void
+{
+    const std::pair<std::string_view, std::uint64_t> results[] = {
+        { "answered", counts.answered },
+        { "failed", counts.failed },
+        { "given_up", counts.givenUp },
+        { "held_back", counts.heldBack },
+        { "over_budget", counts.overBudget },
+    };
+    for (const auto& [result, count] : results)
+        gauges.push_back({ "jayhold_store_calls_total", "Calls to the store, by result; those held back or over budget were not sent.", static_cast<double>(count), true, "result=\"" + std::string(result) + "\"" });
+}
+
 /// Tells the runs of an instance apart; the time of day may jump, so it is not the only part.
 auto uniqueRunId() -> std::string
 {
@@ -116,6 +129,7 @@
             .configuration = [this](Configuration configuration) {
                 callerServer->updateLimits(serverSettings(settings.listen, configuration.limits));
                 applyForwardingPolicy(configuration);
+                context.configurationVersion = configuration.version;
                 services.updateConfiguration(std::make_shared<const Configuration>(std::move(configuration))); },
             .backends = [this](std::vector<BackendServer> backends) {
                 context.knowsBackends = !backends.empty();
@@ -124,6 +138,7 @@
                 services.updateSharing(count);
                 if (exchange)
                     exchange->updatePeers(peers); },
+            .storeAway = [this](std::optional<TimePoint> since) { context.storeAwaySince = since.value_or(TimePoint {}).time_since_epoch().count(); },
             .changed = [this](const std::string& kind, std::int64_t revision) {
                 if (exchange)
                     exchange->noteRevision(kind, revision); },
@@ -197,11 +212,11 @@
     auto answerMetrics(HttpExchange& exchange) -> asio::awaitable<void>
     {
         const auto known = directory->summary();
-        const auto storeAge = known.storeAwaySince ? std::chrono::duration<double>(monotonicNow() - *known.storeAwaySince).count() : 0.0;
+        const auto storeAge = std::chrono::duration<double>(listAge(context)).count();
         double pieces = 0;
         for (const auto& use : services.use())
             pieces += use.pieces;
-        const Metrics::Gauge gauges[] = {
+        std::vector<Metrics::Gauge> gauges {
             { "jayhold_ready", "Whether the instance tells the balancer that it is ready.", isReady() ? 1.0 : 0.0 },
             { "jayhold_configuration_version", "Version of the configuration in force.", static_cast<double>(known.configurationVersion) },
             { "jayhold_backends", "Backend servers that are live or leaving.", static_cast<double>(known.backends) },
@@ -210,6 +225,8 @@
             { "jayhold_memory_pieces_reserved", "Engine memory that this instance has reserved, in pieces.", pieces },
             { "jayhold_log_lines_left_out_total", "Log lines left out for their rate or because the output was not read.", static_cast<double>(log.leftOut() + logLinesLeftOut()), true },
         };
+        addStoreCalls(parts.store->counts(), gauges);
+        services.addGauges(gauges);
         HttpResponse response { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, context.metrics.print(context.openRequests, gauges) };
         co_await exchange.respond(std::move(response));
     }
--- a/src/ServiceTable.cpp
+++ b/src/ServiceTable.cpp
@@ -160,6 +160,35 @@
     return found == m_plains.end() ? nullptr : found->second;
 }
 
+auto ServiceTable::addGauges(std::vector<Metrics::Gauge>& gauges) const -> void
+{
+    struct Value {
+        std::string_view name;
+        std::string_view help;
+        std::function<double(const ShardSummary&)> read;
+        bool isCounter = false;
+    };
+    const Value values[] = {
+        { "jayhold_queued", "Requests that wait for an engine.", [](const ShardSummary& summary) { return static_cast<double>(summary.queued); } },
+        { "jayhold_prefilling", "Requests in their prefill.", [](const ShardSummary& summary) { return static_cast<double>(summary.prefilling); } },
+        { "jayhold_decoding", "Requests on a decode engine.", [](const ShardSummary& summary) { return static_cast<double>(summary.decoding); } },
+        { "jayhold_memory_pieces_believed_free", "Memory pieces of the live decode engines that no instance is known to use.", [](const ShardSummary& summary) { return static_cast<double>(summary.freePieces); } },
+        { "jayhold_retries_left", "Retries that the budget allows now.", [](const ShardSummary& summary) { return summary.retriesLeft; } },
+        { "jayhold_retries_total", "Attempts after the first.", [](const ShardSummary& summary) { return static_cast<double>(summary.retries); }, true },
+        { "jayhold_prefill_tokens_total", "Prompt tokens sent to be read.", [](const ShardSummary& summary) { return static_cast<double>(summary.prefillTokens); }, true },
+        { "jayhold_prefill_tokens_wasted_total", "Prompt tokens read for nothing.", [](const ShardSummary& summary) { return static_cast<double>(summary.wastedPrefillTokens); }, true },
+    };
+    std::vector<std::pair<std::string, ShardSummary>> summaries;
+    for (const auto& service : models())
+        summaries.emplace_back(service->name(), service->summary());
+    for (const auto& value : values) {
+        for (const auto& [service, summary] : summaries)
+            gauges.push_back({ value.name, value.help, value.read(summary), value.isCounter, "service=\"" + service + "\"" });
+    }
+    for (const auto& service : plains())
+        gauges.push_back({ "jayhold_plain_retries_left", "Retries of plain calls that the budget allows now.", service->retriesLeft(), false, "service=\"" + service->name() + "\"" });
+}
+
 auto ServiceTable::models() const -> std::vector<std::shared_ptr<ModelService>>
 {
     std::vector<std::shared_ptr<ModelService>> list;
--- a/src/ServiceTable.h
+++ b/src/ServiceTable.h
@@ -37,6 +37,8 @@
     auto index() const -> std::shared_ptr<const ConfigurationIndex>;
     auto model(std::string_view name) const -> std::shared_ptr<ModelService>;
     auto plain(std::string_view name) const -> std::shared_ptr<PlainService>;
+    /// Adds what the services hold now.
+    auto addGauges(std::vector<Metrics::Gauge>& gauges) const -> void;
     auto models() const -> std::vector<std::shared_ptr<ModelService>>;
     auto plains() const -> std::vector<std::shared_ptr<PlainService>>;
 
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -146,7 +146,11 @@
     for (const auto& [id, replica] : state.replicas) {
         summary.reservedSeats += replica.reserved.seats;
         summary.reservedPieces += replica.reserved.pieces;
+        const auto used = std::uint64_t { replica.reserved.pieces } + replica.othersPieces;
+        if (replica.role() == PoolRole::Decode && replica.description.state == ReplicaState::Live)
+            summary.freePieces += replica.description.memoryPieces - std::min<std::uint64_t>(used, replica.description.memoryPieces);
     }
+    summary.retriesLeft = state.retryBudget.left();
     summary.liveReplicas = state.prefillCapacities.size() + state.decodeCapacities.size();
     return summary;
 }
--- a/src/StoreConnection.cpp
+++ b/src/StoreConnection.cpp
@@ -56,6 +56,7 @@
     CallBudget budget;
     BackOff backOff;
     std::size_t current = 0;
+    StoreCallCounts counts;
     std::mt19937_64 random;
 
     /// @return the time to wait before the call, or the reason why it may not be made.
@@ -65,11 +66,15 @@
         const auto now = monotonicNow();
         if (settings.endpoints.empty())
             return StoreError { StoreErrorKind::Unavailable, "no platform address is set" };
-        if (!admitCall(backOff, now))
+        if (!admitCall(backOff, now)) {
+            ++counts.heldBack;
             return StoreError { StoreErrorKind::Unavailable, "the platform failed before and is not tried yet", remainingTime(backOff, now) };
+        }
         const auto wait = takeCall(budget, now, longestBudgetWait);
-        if (wait < Duration::zero())
+        if (wait < Duration::zero()) {
+            ++counts.overBudget;
             return StoreError { StoreErrorKind::OverBudget, "the budget of calls to the platform is used up" };
+        }
         return wait;
     }
 
@@ -83,6 +88,13 @@
     {
         const std::lock_guard guard(lock);
         recordSuccess(backOff);
+        ++counts.answered;
+    }
+
+    auto gaveUp() -> void
+    {
+        const std::lock_guard guard(lock);
+        ++counts.givenUp;
     }
 
     auto failed() -> Duration
@@ -90,6 +102,7 @@
         const std::lock_guard guard(lock);
         const auto now = monotonicNow();
         recordFailure(backOff, now, random());
+        ++counts.failed;
         ++current;
         return remainingTime(backOff, now);
     }
@@ -102,6 +115,12 @@
 
 StoreConnection::~StoreConnection() = default;
 
+auto StoreConnection::counts() const -> StoreCallCounts
+{
+    const std::lock_guard guard(m_state->lock);
+    return m_state->counts;
+}
+
 auto StoreConnection::retryAfter() const -> Duration
 {
     const std::lock_guard guard(m_state->lock);
@@ -120,8 +139,10 @@
     }
     const auto answer = co_await client.request(m_state->endpoint(), std::move(request), m_state->settings.timeout + wait);
     // A call that was given up says nothing about the store.
-    if (answer.has_error() && answer.error().kind == HttpErrorKind::Cancelled)
+    if (answer.has_error() && answer.error().kind == HttpErrorKind::Cancelled) {
+        m_state->gaveUp();
         co_return StoreError { StoreErrorKind::Cancelled, answer.error().detail };
+    }
     if (answer.has_error())
         co_return storeErrorOf(answer.error(), m_state->failed());
     if (answer->status == statusTooManyRequests || answer->status >= statusServerError) {
--- a/src/StoreConnection.h
+++ b/src/StoreConnection.h
@@ -5,6 +5,7 @@
 /// of the client that it is given.
 
 #include "HttpClient.h"
+#include "StoreCallCounts.h"
 #include "StoreError.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -42,6 +43,8 @@
     /// @param wait time that the store may hold the call besides the timeout of the settings.
     auto call(HttpClient& client, HttpRequest request, Duration wait = {}) -> boost::asio::awaitable<StoreResult<HttpResponse>>;
 
+    auto counts() const -> StoreCallCounts;
+
     /// @return the time until the store is tried again; zero while it is not known to be away.
     auto retryAfter() const -> Duration;
 
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -162,6 +162,7 @@
     }
     if (error)
         storeFailed(m_directory, monotonicNow());
+    m_callbacks.storeAway(m_directory.awaySince);
     if (follower.isConnected == !error)
         return;
     follower.isConnected = !error;
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -48,6 +48,8 @@
     std::function<void(std::vector<BackendServer>)> backends;
     /// Gets the number of live instances, this one included, and the addresses of those that gave one.
     std::function<void(std::uint32_t, std::vector<PeerAddress>)> instances;
+    /// The store has begun to fail, or answers again.
+    std::function<void(std::optional<TimePoint>)> storeAway = [](std::optional<TimePoint>) {};
     /// A change of a followed kind has been taken, from the list or a watch, up to this revision.
     std::function<void(const std::string& kind, std::int64_t revision)> changed = [](const std::string&, std::int64_t) {};
     /// @return other instances that tell of such changes.
--- /dev/null
+++ b/test/correctness/OutcomeLogTest.cpp
@@ -0,0 +1,146 @@
+#include "../EntryHarness.h"
+#include "../FakeRecords.h"
+
+#include "ModelRequest.h"
+
+#include <boost/asio/this_coro.hpp>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace jayhold;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::atomic<int> nextFailure { 0 };
+
+auto failingPrefill(HttpClient&, BackendServer, EngineCall, Duration) -> boost::asio::awaitable<EngineResult<PrefillResult>>
+{
+    co_return EngineError { static_cast<FailureKind>(nextFailure.load()), "as the test wants" };
+}
+
+/// An entry instance that hands each request to the test before it runs.
+struct Instance {
+    explicit Instance(const BackendProtocol& backends = nativeBackendProtocol())
+        : context { .settings = settings, .threads = threads, .log = log, .backends = backends }
+    {
+        context.runId = "run";
+        context.configurationVersion = 7;
+        services.updateConfiguration(entryConfiguration());
+    }
+    ~Instance()
+    {
+        services.stop();
+        threads.stop();
+    }
+    Instance(const Instance&) = delete;
+    auto operator=(const Instance&) -> Instance& = delete;
+
+    auto handle(HttpExchange& exchange) -> boost::asio::awaitable<void>
+    {
+        ModelRequestInfo info;
+        info.request.maxTokens = 10;
+        info.digest.tokens = 5;
+        info.kindSettings = entryConfiguration()->services[0].kinds[0];
+        info.arrivedAt = monotonicNow();
+        info.deadline = info.arrivedAt + 2s;
+        const auto request = std::make_shared<ModelRequest>(context, services.model("appraiser-llm"), exchange, std::move(info));
+        if (refusal)
+            request->deliver(*refusal);
+        co_await request->run();
+    }
+
+    auto call() -> HttpResult<HttpResponse>
+    {
+        return runOn(threads, 0, threads.client(0).request(server.endpoint(), { "POST", "/", {}, {} }, 4s));
+    }
+
+    /// @return the fields of the last event of that name; empty where there is none.
+    auto lastEvent(std::string_view name) const -> std::vector<LogField>
+    {
+        std::vector<LogField> fields;
+        for (const auto& event : log.after(0, EventLog::defaultCapacity)) {
+            if (event.event == name)
+                fields = event.fields;
+        }
+        return fields;
+    }
+
+    FakeRecords records;
+    EntrySettings settings { .instance = "entry-1", .availabilityZone = "alpine" };
+    EventLog log { "entry-1" };
+    IoThreads threads { 2 };
+    EntryContext context;
+    ServiceTable services { context, records, [](std::string_view, std::string_view) { return false; } };
+    std::optional<Refuse> refusal;
+    HttpServer server { threads, {}, [this](HttpExchange& exchange) { return handle(exchange); } };
+};
+
+auto valueOf(const std::vector<LogField>& fields, std::string_view key) -> std::string
+{
+    const auto found = std::ranges::find(fields, key, &LogField::key);
+    return found == fields.end() ? "missing" : found->value;
+}
+
+}
+
+// Guards against a refusal that can't be explained afterwards: a new reason without a name, or a line
+// without what decided it.
+TEST_CASE("every reason to refuse leaves a line with its deciding inputs")
+{
+    std::set<std::string> names;
+    for (int value = 0; name(static_cast<RefusalReason>(value)) != "refused"; ++value) {
+        const auto reason = static_cast<RefusalReason>(value);
+        const auto outcome = value % 2 == 0 ? Outcome::NotRun : Outcome::Unknown;
+        Instance instance;
+        instance.refusal = Refuse { RequestId { 1 }, reason, outcome, 1'500ms };
+        REQUIRE(instance.call().has_value());
+        const auto line = instance.lastEvent("request_refused");
+        INFO(name(reason));
+        CHECK(valueOf(line, "reason") == name(reason));
+        CHECK(valueOf(line, "ran") == (outcome == Outcome::NotRun ? "no" : "unknown"));
+        CHECK(valueOf(line, "retry_after_ms") == "1500");
+        CHECK(valueOf(line, "config") == "7");
+        CHECK(valueOf(line, "list_age_ms") == "0");
+        for (const auto* key : { "request", "service", "kind", "attempt", "backend", "left_ms", "seat_refusals" })
+            CHECK(valueOf(line, key) != "missing");
+        CHECK_THAT(instance.context.metrics.print(0), Catch::Contains("jayhold_refusals_total{reason=\"" + std::string(name(reason)) + "\"} 1"));
+        names.emplace(name(reason));
+    }
+    CHECK(names.size() >= 8);
+}
+
+// Guards against an attempt that fails without a trace.
+TEST_CASE("every failure of an attempt leaves a line with its kind and backend server")
+{
+    auto backends = nativeBackendProtocol();
+    backends.prefill = failingPrefill;
+    int kinds = 0;
+    for (int value = 0; name(static_cast<FailureKind>(value)) != "invalid"; ++value, ++kinds) {
+        nextFailure = value;
+        Instance instance(backends);
+        instance.services.updateBackends({ { "prefill-1", { "127.0.0.1", 1 }, "alpine", "prefill" }, { "decode-1", { "127.0.0.1", 1 }, "alpine", "decode" } });
+        REQUIRE(instance.call().has_value());
+        const auto line = instance.lastEvent("prefill_failed");
+        INFO(name(static_cast<FailureKind>(value)));
+        CHECK(valueOf(line, "failure") == name(static_cast<FailureKind>(value)));
+        CHECK(valueOf(line, "detail") == "as the test wants");
+        CHECK(valueOf(line, "backend") == "prefill-1");
+        CHECK(valueOf(instance.lastEvent("request_placed"), "config") == "7");
+        CHECK(valueOf(instance.lastEvent("request_refused"), "reason") != "missing");
+    }
+    CHECK(kinds >= 7);
+}
+
+// Guards against lines that show lists as current although the store has been away for long.
+TEST_CASE("the age of the lists is that of the store's absence")
+{
+    Instance instance;
+    instance.context.storeAwaySince = (monotonicNow() - 3s).time_since_epoch().count();
+    instance.refusal = Refuse { RequestId { 1 }, RefusalReason::NoBackend, Outcome::NotRun, 1s };
+    REQUIRE(instance.call().has_value());
+    const auto age = std::stoi(valueOf(instance.lastEvent("request_refused"), "list_age_ms"));
+    CHECK((age >= 3'000 && age < 5'000));
+}
