Keep following the store when a peer's news interrupts a call between two steps

A peer's news of a change cancels the watch; where it arrived between two steps of the call, the next step threw, and the detached coroutine ended without a trace. The instance then kept its list for good.

Change: the watch reports an interrupt as an outcome at every step; whatever else a call throws becomes an error of that call, and the list is read anew; a coroutine that nobody waits for logs what it throws (task_failed).

--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -10,7 +10,7 @@
   LINK jayhold_cluster)
 
 jayhold_test(cluster_directory_test
-  SOURCES test/correctness/BackendDirectoryTest.cpp test/correctness/LoadExchangeTest.cpp
+  SOURCES test/correctness/BackendDirectoryTest.cpp test/correctness/LoadExchangeTest.cpp test/correctness/StoreDirectoryTest.cpp
   LINK jayhold_cluster)
 
 jayhold_test(cluster_record_test
--- a/src/ClusterCore.cpp
+++ b/src/ClusterCore.cpp
@@ -1,9 +1,9 @@
 #include "ClusterCore.h"
 
 #include "AwaitToken.h"
+#include "TaskEnd.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 
@@ -55,7 +55,7 @@
 
 auto spawnAtHome(const ClusterPointer& core, asio::awaitable<void> task) -> void
 {
-    asio::co_spawn(core->threads.context(0), std::move(task), asio::detached);
+    asio::co_spawn(core->threads.context(0), std::move(task), reportTaskEnd(core->log, "cluster"));
 }
 
 }
--- a/src/EngineMonitor.cpp
+++ b/src/EngineMonitor.cpp
@@ -2,9 +2,9 @@
 
 #include "AwaitToken.h"
 #include "SpreadDelay.h"
+#include "TaskEnd.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 namespace jayhold {
@@ -41,7 +41,7 @@
         if (!m_polled.insert(status.id).second)
             continue;
         const auto thread = m_context.threads.nextIndex();
-        asio::co_spawn(m_context.threads.context(thread), run(status.id, thread), asio::detached);
+        asio::co_spawn(m_context.threads.context(thread), run(status.id, thread), reportTaskEnd(m_context.log, "poll engine " + status.backend.id));
     }
 }
 
--- a/src/EntryDaemon.cpp
+++ b/src/EntryDaemon.cpp
@@ -1,9 +1,9 @@
 #include "EntryDaemon.h"
 
 #include "EntryDaemonState.h"
+#include "TaskEnd.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace jayhold {
 
@@ -92,7 +92,7 @@
     });
     isComplete = true;
     node->start();
-    asio::co_spawn(threads->context(0), watchMembers(), asio::detached);
+    asio::co_spawn(threads->context(0), watchMembers(), reportTaskEnd(log, "watch members"));
 }
 
 EntryDaemon::State::~State()
--- a/src/EntryDaemonDrain.cpp
+++ b/src/EntryDaemonDrain.cpp
@@ -1,9 +1,9 @@
 #include "EntryDaemonState.h"
 
 #include "AwaitToken.h"
+#include "TaskEnd.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 namespace jayhold {
@@ -32,7 +32,7 @@
     if (context.isDraining.exchange(true))
         return;
     log.record(LogLevel::Info, "draining", { { "open_requests", context.openRequests.load() } });
-    asio::co_spawn(threads->context(0), drain(), asio::detached);
+    asio::co_spawn(threads->context(0), drain(), reportTaskEnd(log, "drain"));
 }
 
 auto EntryDaemon::State::drain() -> asio::awaitable<void>
--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -3,9 +3,9 @@
 #include "AwaitToken.h"
 #include "Pause.h"
 #include "RumorBuffer.h"
+#include "TaskEnd.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
 
@@ -78,8 +78,8 @@
 
 auto LoadExchange::start() -> void
 {
-    asio::co_spawn(m_state->context, send(), asio::detached);
-    asio::co_spawn(m_state->context, receive(), asio::detached);
+    asio::co_spawn(m_state->context, send(), reportTaskEnd(m_state->log, "send loads"));
+    asio::co_spawn(m_state->context, receive(), reportTaskEnd(m_state->log, "receive loads"));
 }
 
 auto LoadExchange::updatePeers(const std::vector<PeerAddress>& peers) -> void
@@ -163,7 +163,7 @@
 {
     asio::post(m_state->context, [self = shared_from_this(), signature] {
         if (learn(self->m_state->signatures, signature))
-            asio::co_spawn(self->m_state->context, self->tellOfCrash(), asio::detached);
+            asio::co_spawn(self->m_state->context, self->tellOfCrash(), reportTaskEnd(self->m_state->log, "tell of crash"));
     });
 }
 
@@ -171,7 +171,7 @@
 {
     asio::post(m_state->context, [self = shared_from_this(), suspect] {
         if (learn(self->m_state->suspects, suspect))
-            asio::co_spawn(self->m_state->context, self->tellOfCrash(), asio::detached);
+            asio::co_spawn(self->m_state->context, self->tellOfCrash(), reportTaskEnd(self->m_state->log, "tell of crash"));
     });
 }
 
--- a/src/ModelServiceTimer.cpp
+++ b/src/ModelServiceTimer.cpp
@@ -1,9 +1,9 @@
 #include "ModelService.h"
 
 #include "AwaitToken.h"
+#include "TaskEnd.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -36,7 +36,7 @@
     auto& context = m_context.threads.context(m_context.threads.nextIndex());
     auto timer = std::make_shared<Timer>(context);
     m_timer = timer;
-    asio::co_spawn(context, runTimer(std::move(timer)), asio::detached);
+    asio::co_spawn(context, runTimer(std::move(timer)), reportTaskEnd(m_context.log, "timer of " + m_name));
 }
 
 auto ModelService::stop() -> void
--- a/src/RoleBalancer.cpp
+++ b/src/RoleBalancer.cpp
@@ -1,9 +1,9 @@
 #include "RoleBalancer.h"
 
 #include "Pause.h"
+#include "TaskEnd.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <algorithm>
 #include <cstdlib>
@@ -39,7 +39,7 @@
 
 auto RoleBalancer::start() -> void
 {
-    asio::co_spawn(m_context.threads.context(0), run(), asio::detached);
+    asio::co_spawn(m_context.threads.context(0), run(), reportTaskEnd(m_context.log, "balance roles"));
 }
 
 auto RoleBalancer::changing() const -> std::vector<std::string>
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -7,9 +7,9 @@
 #include "RecordsUnavailable.h"
 #include "RoleBalancer.h"
 #include "ServiceTable.h"
+#include "TaskEnd.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <random>
 
@@ -151,7 +151,7 @@
             directorySettings.peerEndpoint = exchange->endpoint();
         directory = std::make_shared<StoreDirectory>(threads, *parts.store, parts.directory, std::move(directorySettings), log, std::move(callbacks));
         directory->start();
-        asio::co_spawn(threads.context(0), flushLogRegularly(), asio::detached);
+        asio::co_spawn(threads.context(0), flushLogRegularly(), reportTaskEnd(log, "flush log"));
         if (parts.backends.orderRole)
             startBalancer();
     }
@@ -245,7 +245,7 @@
         if (context.isDraining.exchange(true))
             return;
         log.record(LogLevel::Info, "draining", { { "open_requests", context.openRequests.load() }, { "grace_ms", settings.drain.count() } });
-        asio::co_spawn(threads.context(0), drain(), asio::detached);
+        asio::co_spawn(threads.context(0), drain(), reportTaskEnd(log, "drain"));
     }
 
     /// The balancer sends new connections until it has noticed, and callers reuse theirs until an
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -3,10 +3,10 @@
 #include "JsonFields.h"
 #include "Pause.h"
 #include "SpreadDelay.h"
+#include "TaskEnd.h"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/object.hpp>
@@ -78,10 +78,10 @@
     backends->change = [this](const ItemChange& change) { takeBackend(change); };
     m_followers = { configuration, backends };
     for (const auto& follower : m_followers)
-        asio::co_spawn(context, follow(follower), asio::detached);
-    asio::co_spawn(context, announceInstance(), asio::detached);
-    asio::co_spawn(context, countInstances(), asio::detached);
-    asio::co_spawn(context, expireBackends(), asio::detached);
+        asio::co_spawn(context, follow(follower), reportTaskEnd(m_log, "follow " + follower->kind));
+    asio::co_spawn(context, announceInstance(), reportTaskEnd(m_log, "announce instance"));
+    asio::co_spawn(context, countInstances(), reportTaskEnd(m_log, "count instances"));
+    asio::co_spawn(context, expireBackends(), reportTaskEnd(m_log, "expire backends"));
 }
 
 auto StoreDirectory::summary() const -> Summary
@@ -104,7 +104,7 @@
 {
     const auto self = shared_from_this();
     while (true) {
-        const auto error = co_await followOnce(*follower);
+        const auto error = co_await followGuarded(*follower);
         if (error && error->kind == StoreErrorKind::Cancelled)
             continue;
         noteOutcome(*follower, error);
@@ -113,6 +113,25 @@
     }
 }
 
+auto StoreDirectory::followGuarded(Follower& follower) -> asio::awaitable<std::optional<StoreError>>
+{
+    try {
+        co_return co_await followOnce(follower);
+    } catch (const std::exception& error) {
+        // An instance that follows its lists no longer would send work to servers that are gone.
+        follower.revision = 0;
+        co_return StoreError { StoreErrorKind::Unavailable, std::string("unforeseen fault: ") + error.what() };
+    }
+}
+
+auto StoreDirectory::watch(const Follower& follower) -> asio::awaitable<StoreResult<ItemChanges>>
+{
+    // An interrupt can arrive between two steps of the call; the next step then fails, and must not throw.
+    co_await asio::this_coro::throw_if_cancelled(false);
+    auto changes = co_await m_store.watch(m_threads.client(0), follower.kind, follower.revision, spreadDelay(watchTime() * spreadAround / wholeBound));
+    co_return changes;
+}
+
 auto StoreDirectory::watchTime() const -> Duration
 {
     const auto alone = m_settings.changeBound * watchPartOfBound / wholeBound;
@@ -122,9 +141,8 @@
 
 auto StoreDirectory::followOnce(Follower& follower) -> asio::awaitable<std::optional<StoreError>>
 {
-    auto& client = m_threads.client(0);
     if (follower.revision == 0) {
-        const auto list = co_await m_store.list(client, follower.kind, ReadMode::Current);
+        const auto list = co_await m_store.list(m_threads.client(0), follower.kind, ReadMode::Current);
         if (list.has_error())
             co_return list.error();
         storeAnswered(m_directory, monotonicNow());
@@ -133,9 +151,8 @@
         follower.revision = list->revision;
         co_return std::nullopt;
     }
-    auto watch = m_store.watch(client, follower.kind, follower.revision, spreadDelay(watchTime() * spreadAround / wholeBound));
     const auto executor = co_await asio::this_coro::executor;
-    const auto changes = co_await asio::co_spawn(executor, std::move(watch), asio::bind_cancellation_slot(follower.interrupt.slot(), asio::use_awaitable));
+    const auto changes = co_await asio::co_spawn(executor, watch(follower), asio::bind_cancellation_slot(follower.interrupt.slot(), asio::use_awaitable));
     if (changes.has_error()) {
         // Changes may have been missed with the answer; only a list is sure to have them all.
         follower.revision = 0;
