Learn engine speed from streams that run, and never refuse all work on estimates

Its estimate of the engines' speed was 22.7 tokens/s, where they make 550. The relay reports tokens every 32 events, which are 352 tokens on the platform, so that answers of usual length taught nothing; the only samples were streams that had stalled, whose time until the timeout passed for their speed. As nothing was admitted, nothing corrected it.

Ruled out: the estimates of prefill and transfer (7.5 ms and 30 ms, right).

Refusals log what they rest on: requests waiting, expected wait, time needed.

Tests: two in OverloadTest, each failing without its part of the change.

--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -27,6 +27,13 @@
     return static_cast<double>(wait.count()) > static_cast<double>(left.count()) * clearlyTooLong;
 }
 
+/// Estimates that refuse all work would never be corrected, so an instance without work in progress
+/// does not rely on them.
+auto mayRelyOnEstimates(const ShardState& state) -> bool
+{
+    return state.running > 0;
+}
+
 auto timeToFirstToken(const ShardState& state, const ActiveRequest& request) -> Duration
 {
     return prefillTime(state, request.arrival.promptTokens) + transferTime(state, request);
@@ -45,12 +52,14 @@
 
 auto latestStart(const ShardState& state, const ActiveRequest& request) -> TimePoint
 {
-    const auto decode = Duration(static_cast<Duration::rep>(leastTokensLeft(state, request) * 1e6 / state.rates.tokensPerSecond.value()));
-    const auto beforeDeadline = request.arrival.deadline - timeToFirstToken(state, request) - decode;
+    const auto isKnown = mayRelyOnEstimates(state);
+    const auto firstToken = isKnown ? timeToFirstToken(state, request) : Duration::zero();
+    const auto decode = isKnown ? Duration(static_cast<Duration::rep>(leastTokensLeft(state, request) * 1e6 / state.rates.tokensPerSecond.value())) : Duration::zero();
+    const auto beforeDeadline = request.arrival.deadline - firstToken - decode;
     const auto patience = std::chrono::duration_cast<Duration>(kindOf(state, request).patience);
     if (patience <= Duration::zero() || request.lane == QueueLane::Resume)
         return beforeDeadline;
-    return std::min(beforeDeadline, request.arrivedAt + patience - patience / patienceMarginPart - timeToFirstToken(state, request));
+    return std::min(beforeDeadline, request.arrivedAt + patience - patience / patienceMarginPart - firstToken);
 }
 
 auto expectedWait(const DecisionContext& context, const ActiveRequest& request) -> Duration
@@ -85,6 +94,12 @@
     return request.lane == QueueLane::Fair && clearlyExceeds(expectedWait(context, request), left);
 }
 
+auto refusalInputs(const DecisionContext& context, const ActiveRequest& request) -> RefusalInputs
+{
+    const auto wait = request.lane == QueueLane::Late ? expectedLateWait(context) : expectedWait(context, request);
+    return { context.state.queue.size(), wait, request.arrival.deadline - latestStart(context.state, request) };
+}
+
 auto becomeLate(DecisionContext& context, ActiveRequest& request) -> void
 {
     request.lane = QueueLane::Late;
--- a/src/Deadlines.h
+++ b/src/Deadlines.h
@@ -18,6 +18,8 @@
 /// @return whether the request clearly can't be answered before its deadline.
 auto isHopeless(const DecisionContext& context, const ActiveRequest& request) -> bool;
 /// Moves the request to the late ones; its queue entry is the caller's.
+/// @return what a refusal of the request now would rest on.
+auto refusalInputs(const DecisionContext& context, const ActiveRequest& request) -> RefusalInputs;
 auto becomeLate(DecisionContext& context, ActiveRequest& request) -> void;
 /// Adjusts the safety margin and the seats left free after a first token came in time or too late.
 auto learnFirstToken(DecisionContext& context, const ActiveRequest& request) -> void;
--- a/src/DecodeRelay.cpp
+++ b/src/DecodeRelay.cpp
@@ -1,5 +1,7 @@
 #include "DecodeRelay.h"
 
+#include <algorithm>
+
 namespace jayhold {
 
 namespace asio = boost::asio;
@@ -8,15 +10,16 @@
 
 /// Tokens between two reports to the decision code, which uses them to learn output lengths and
 /// does not need every single one.
-constexpr std::uint32_t reportInterval = 32;
+constexpr std::uint32_t reportedTokens = 32;
 
 }
 
-DecodeRelay::DecodeRelay(AnswerWriter& writer, RequestMachine& machine, ServiceMetrics& metrics, EntryTimeouts timeouts, TimePoint arrivedAt, TokenSequence sequence)
+DecodeRelay::DecodeRelay(AnswerWriter& writer, RequestMachine& machine, ServiceMetrics& metrics, EntryTimeouts timeouts, TimePoint arrivedAt, TokenSequence sequence, std::uint32_t tokensPerEvent)
     : m_writer(writer)
     , m_machine(machine)
     , m_metrics(metrics)
     , m_timeouts(timeouts)
+    , m_reportInterval(std::max(reportedTokens / std::max(tokensPerEvent, 1U), 1U))
     , m_sequence(sequence)
     , m_lastToken(arrivedAt)
 {
@@ -47,7 +50,7 @@
             co_return RelayOutcome { EngineError { FailureKind::ServerError, m_fault } };
         if (step == Step::Complete)
             co_return RelayOutcome {};
-        if (tokens() - reported >= reportInterval) {
+        if (tokens() - reported >= m_reportInterval) {
             reported = tokens();
             observer.onTokens(reported);
         }
--- a/src/DecodeRelay.h
+++ b/src/DecodeRelay.h
@@ -30,7 +30,7 @@
 
     /// @param arrivedAt when the request arrived, for the metrics.
     /// @param sequence the tokens that the caller has already.
-    DecodeRelay(AnswerWriter& writer, RequestMachine& machine, ServiceMetrics& metrics, EntryTimeouts timeouts, TimePoint arrivedAt, TokenSequence sequence = TokenSequence());
+    DecodeRelay(AnswerWriter& writer, RequestMachine& machine, ServiceMetrics& metrics, EntryTimeouts timeouts, TimePoint arrivedAt, TokenSequence sequence = TokenSequence(), std::uint32_t tokensPerEvent = 1);
 
     /// Relays one attempt until its end.
     auto run(HttpStream& stream, EventReader& reader, Observer observer) -> boost::asio::awaitable<RelayOutcome>;
@@ -59,6 +59,8 @@
     RequestMachine& m_machine;
     ServiceMetrics& m_metrics;
     const EntryTimeouts m_timeouts;
+    /// Events between two reports to the decision code.
+    const std::uint32_t m_reportInterval;
     TokenSequence m_sequence;
     bool m_hasSent = false;
     /// When the caller's last token left, or the request arrived.
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -98,7 +98,7 @@
     , m_writer(makeWriter(exchange, m_info, context))
     , m_timeouts(timeoutsOf(m_info, context))
     , m_tokensPerEvent(m_service->tokensPerEvent())
-    , m_relay(*m_writer, m_machine, m_service->metrics(), m_timeouts, m_info.arrivedAt, sequenceOf(m_info, context))
+    , m_relay(*m_writer, m_machine, m_service->metrics(), m_timeouts, m_info.arrivedAt, sequenceOf(m_info, context), m_tokensPerEvent)
     , m_promptTokens(m_info.digest.tokens)
 {
 }
@@ -179,6 +179,7 @@
     } else if (const auto* refusal = std::get_if<Refuse>(&action)) {
         // Tokens that the caller has prove that the request ran, whatever the shard knows.
         const auto outcome = m_relay.hasSent() ? Outcome::Unknown : refusal->outcome;
+        m_refusalInputs = refusal->inputs;
         auto error = refusalError(refusal->reason, outcome, refusal->retryAfter);
         co_await refuse(std::move(error));
     } else if (const auto* cancelled = std::get_if<CancelOnReplica>(&action)) {
@@ -321,7 +322,7 @@
     counter.fetch_add(1, std::memory_order_relaxed);
     m_context.metrics.countRefusal(error.type);
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_info.deadline - monotonicNow());
-    record(LogLevel::Info, "request_refused", { { "reason", error.type }, { "ran", error.outcome == Outcome::NotRun ? "no" : "unknown" }, { "left_ms", left.count() }, { "seat_refusals", m_seatRefusals }, { "retry_after_ms", error.retryAfter.count() / 1'000 }, { "config", m_context.configurationVersion.load() }, { "list_age_ms", listAge(m_context).count() / 1'000 } });
+    record(LogLevel::Info, "request_refused", { { "reason", error.type }, { "ran", error.outcome == Outcome::NotRun ? "no" : "unknown" }, { "left_ms", left.count() }, { "seat_refusals", m_seatRefusals }, { "queued", m_refusalInputs.queued }, { "wait_ms", m_refusalInputs.wait.count() / 1'000 }, { "needed_ms", m_refusalInputs.needed.count() / 1'000 }, { "retry_after_ms", error.retryAfter.count() / 1'000 }, { "config", m_context.configurationVersion.load() }, { "list_age_ms", listAge(m_context).count() / 1'000 } });
     if (error.outcome == Outcome::Unknown)
         error.answer = m_failedAnswer;
     co_await m_writer->fail(std::move(error));
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -120,6 +120,7 @@
     std::uint32_t m_seatRefusals = 0;
     /// What the last engine answered that failed the request by itself; null otherwise.
     std::shared_ptr<const HttpResponse> m_failedAnswer;
+    RefusalInputs m_refusalInputs;
     std::uint32_t m_promptTokens;
     std::uint32_t m_cachedTokens = 0;
     bool m_hasRun = false;
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -133,7 +133,8 @@
     }
     if (request->phase == RequestPhase::Starting && event.emittedTokens > request->emitted)
         decodeStarted(context, *request);
-    raiseEmitted(context, *request, event.emittedTokens);
+    // The time until a failure was found says nothing about the speed of engines.
+    request->emitted = std::max(request->emitted, event.emittedTokens);
     if (request->phase != RequestPhase::Stopping)
         replicaFailed(context, *request->decode, event.failure);
     attemptFailed(context, *request, event.failure);
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -26,6 +26,8 @@
     auto& prefilling = context.state.prefilling;
     prefilling += phase == RequestPhase::Prefilling;
     prefilling -= request.phase == RequestPhase::Prefilling;
+    context.state.running += phase != RequestPhase::Queued;
+    context.state.running -= request.phase != RequestPhase::Queued;
     request.phase = phase;
     if (phase != RequestPhase::Decoding)
         request.phaseSince = context.now;
@@ -59,6 +61,7 @@
 {
     const auto id = request.arrival.request;
     context.state.prefilling -= request.phase == RequestPhase::Prefilling;
+    context.state.running -= request.phase != RequestPhase::Queued;
     context.state.timers.move(id, request.timerAt, TimePoint::max());
     context.state.answered.insert(id);
     context.state.requests.erase(id);
@@ -333,6 +336,7 @@
 auto refuse(DecisionContext& context, ActiveRequest& request, RefusalReason reason) -> void
 {
     const auto unknown = request.mayHaveRun || mayRunNow(request.phase);
+    const auto inputs = refusalInputs(context, request);
     cancelAttempt(context, request);
     leave(context, request);
     ++context.state.totals.refused;
@@ -341,6 +345,7 @@
         reason,
         unknown ? Outcome::Unknown : Outcome::NotRun,
         retryDelay(context, reason),
+        inputs,
     });
     erase(context, request);
 }
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -65,6 +65,8 @@
     ReserveScale reserveScale;
     /// Requests whose prefill runs; each is about to take a decode seat that no report shows.
     std::uint32_t prefilling = 0;
+    /// Requests that are not waiting in the queue.
+    std::uint32_t running = 0;
     /// Memory pieces of a request on a decode replica, averaged.
     double meanDecodePieces = 0;
     StartPace pace;
--- a/test/correctness/OutcomeLogTest.cpp
+++ b/test/correctness/OutcomeLogTest.cpp
@@ -104,7 +104,7 @@
         CHECK(valueOf(line, "retry_after_ms") == "1500");
         CHECK(valueOf(line, "config") == "7");
         CHECK(valueOf(line, "list_age_ms") == "0");
-        for (const auto* key : { "request", "service", "kind", "attempt", "backend", "left_ms", "seat_refusals" })
+        for (const auto* key : { "request", "service", "kind", "attempt", "backend", "left_ms", "seat_refusals", "queued", "wait_ms", "needed_ms" })
             CHECK(valueOf(line, key) != "missing");
         CHECK_THAT(instance.context.metrics.print(0), Catch::Contains("jayhold_refusals_total{reason=\"" + std::string(name(reason)) + "\"} 1"));
         names.emplace(name(reason));
--- a/test/correctness/OverloadTest.cpp
+++ b/test/correctness/OverloadTest.cpp
@@ -128,3 +128,74 @@
     CHECK_FALSE(harness.last<Refuse>());
     CHECK(harness.last<StartPrefill>());
 }
+
+namespace {
+
+/// A request that leaves little time for its answer.
+auto arriveUrgently(ShardHarness& harness, std::uint64_t id) -> void
+{
+    harness.send(RequestArrived { .request = RequestId { id }, .kind = KindId { 0 }, .promptTokens = 100, .maxTokens = 1'000, .deadline = harness.now + 1'500ms, .signature = id });
+}
+
+/// Runs one request to its end.
+/// @param gap time between two tokens.
+auto runThrough(ShardHarness& harness, std::uint64_t id, Duration gap) -> void
+{
+    arriveUrgently(harness, id);
+    harness.prefilled(*harness.last<StartPrefill>());
+    const auto decode = *harness.last<StartDecode>();
+    harness.started(decode);
+    harness.now += gap * 60;
+    harness.send(DecodeFinished { decode.request, decode.attempt, 60 });
+}
+
+}
+
+// Guards against an instance that refuses all work because the time until its streams were found to
+// have stalled passed for the speed of its engines (found by the soak, seed 121).
+TEST_CASE("failed streams teach nothing of the engines' speed")
+{
+    ShardHarness harness;
+    harness.replica(1, PoolRole::Prefill, 8);
+    harness.replica(2, PoolRole::Decode, 8);
+    for (std::uint64_t id = 1; id <= 40; ++id)
+        runThrough(harness, id, 2ms);
+    for (std::uint64_t id = 41; id <= 50; id += 2) {
+        arriveUrgently(harness, id);
+        harness.prefilled(*harness.last<StartPrefill>());
+        const auto stalled = *harness.last<StartDecode>();
+        harness.started(stalled);
+        harness.now += 1'200ms;
+        harness.send(DecodeFailed { stalled.request, stalled.attempt, FailureKind::TimedOut, 20 });
+        harness.send(RequestCancelled { stalled.request });
+        harness.now += 1s;
+        runThrough(harness, id + 1, 2ms);
+    }
+    harness.now += 10s;
+    // The first is work in progress, by which the estimates count for the second.
+    arriveUrgently(harness, 61);
+    CHECK(harness.last<StartPrefill>());
+    arriveUrgently(harness, 62);
+    CHECK(harness.last<StartPrefill>());
+}
+
+// Guards against estimates that refuse all work, so that nothing can ever correct them.
+TEST_CASE("an instance without work in progress tries again whether its engines are still slow")
+{
+    ShardHarness harness;
+    harness.replica(1, PoolRole::Prefill, 8);
+    harness.replica(2, PoolRole::Decode, 8);
+    for (std::uint64_t id = 1; id <= 40; ++id)
+        runThrough(harness, id, 2ms);
+    for (std::uint64_t id = 101; id <= 200; ++id) {
+        harness.arrive(id, 2);
+        harness.prefilled(*harness.last<StartPrefill>());
+        const auto slow = *harness.last<StartDecode>();
+        harness.started(slow);
+        harness.now += 5s;
+        harness.send(TokensEmitted { slow.request, slow.attempt, 10 });
+        harness.send(DecodeFinished { slow.request, slow.attempt, 10 });
+    }
+    arriveUrgently(harness, 301);
+    CHECK(harness.last<StartPrefill>());
+}
