Add a soak of the real programs under random faults

jayhold-soak starts entry instances of the platform's form, backend servers and links as processes of their own and plays faults from a seed, overlapping: kills, freezes, shutdowns, settings read again, links cut, reset, stalled both or one way and slowed, the store down, garbled or without history, new configurations, backend servers that leave. Callers keep their connections while they stay open. Afterwards the fleet has to serve again, and entry instances are replaced one after the other and a backend server leaves without other faults.

Checked from what callers and backend servers saw: runs of requests that may run once, refusals that promise that nothing ran, whole and right answers and streams, repeats within the budget, no request cut by planned shutdowns, no new work for leaving backend servers, recovery, clean ends, memory and descriptors. SoakChecksTest shows for each check that it can fail.

--- a/standins/ComputeQueue.cpp
+++ b/standins/ComputeQueue.cpp
@@ -1,6 +1,6 @@
 #include "ComputeQueue.h"
 
-#include "Pause.h"
+#include "FaultPause.h"
 
 #include <algorithm>
 
--- a/standins/Engine.cpp
+++ b/standins/Engine.cpp
@@ -1,8 +1,8 @@
 #include "Engine.h"
 
 #include "EngineHandlers.h"
+#include "FaultPause.h"
 #include "JsonBody.h"
-#include "Pause.h"
 #include "Target.h"
 
 #include <boost/asio/co_spawn.hpp>
--- a/standins/EngineKv.cpp
+++ b/standins/EngineKv.cpp
@@ -1,6 +1,6 @@
 #include "EngineHandlers.h"
+#include "FaultPause.h"
 #include "JsonBody.h"
-#include "Pause.h"
 #include "Target.h"
 
 namespace jayhold::standin {
--- a/standins/EnginePrefill.cpp
+++ b/standins/EnginePrefill.cpp
@@ -1,7 +1,7 @@
 #include "EngineHandlers.h"
 #include "EngineRequest.h"
+#include "FaultPause.h"
 #include "JsonBody.h"
-#include "Pause.h"
 #include "PromptBlocks.h"
 
 #include <boost/asio/co_spawn.hpp>
--- a/standins/Link.cpp
+++ b/standins/Link.cpp
@@ -1,8 +1,8 @@
 #include "Link.h"
 
+#include "FaultPause.h"
 #include "JsonBody.h"
 #include "LinkFaults.h"
-#include "Pause.h"
 #include "TransferLink.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -26,6 +26,14 @@
     {
     }
 
+    /// Makes close() reset both connections.
+    auto discardUnsent() -> void
+    {
+        boost::system::error_code ignored;
+        caller.set_option(asio::socket_base::linger(true, 0), ignored);
+        target.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+
     auto close() -> void
     {
         boost::system::error_code ignored;
@@ -74,7 +82,8 @@
     boost::system::error_code code;
     while (!code) {
         const auto size = co_await from.async_read_some(asio::buffer(piece), awaitInto(code));
-        while (state->faults.stall && from.is_open())
+        const auto isAnswer = &from == &connection->target;
+        while ((state->faults.stall || (isAnswer && state->faults.stallAnswers)) && from.is_open())
             co_await pauseFor(faultPollInterval);
         const auto& faults = state->faults;
         if (faults.delayMicroseconds > 0)
@@ -125,7 +134,10 @@
 auto cutConnections(LinkState& state) -> void
 {
     for (const auto& item : state.connections) {
-        if (const auto connection = item.lock())
+        const auto connection = item.lock();
+        if (connection && state.faults.reset)
+            connection->discardUnsent();
+        if (connection)
             connection->close();
     }
     state.connections.clear();
@@ -141,7 +153,7 @@
     if (!faults)
         return notRun(400, "bad_request", fault);
     state.faults = *faults;
-    if (state.faults.cut)
+    if (state.faults.cut || state.faults.reset)
         cutConnections(state);
     return jsonResponse(200, "{}");
 }
--- a/standins/LinkFaults.cpp
+++ b/standins/LinkFaults.cpp
@@ -8,6 +8,8 @@
     auto faults = present;
     BOOST_LEAF_ASSIGN(faults.cut, reader.boolean("cut", present.cut));
     BOOST_LEAF_ASSIGN(faults.stall, reader.boolean("stall", present.stall));
+    BOOST_LEAF_ASSIGN(faults.stallAnswers, reader.boolean("stall_answers", present.stallAnswers));
+    BOOST_LEAF_ASSIGN(faults.reset, reader.boolean("reset", false));
     BOOST_LEAF_ASSIGN(faults.delayMicroseconds, reader.integer("delay_us", range, present.delayMicroseconds));
     BOOST_LEAF_ASSIGN(faults.bytesPerSecond, reader.integer("bytes_per_second", range, present.bytesPerSecond));
     BOOST_LEAF_CHECK(reader.finish());
--- a/standins/LinkFaults.h
+++ b/standins/LinkFaults.h
@@ -11,6 +11,10 @@
     bool cut = false;
     /// Connections stay open and carry nothing.
     bool stall = false;
+    /// Connections carry nothing from the target to the caller.
+    bool stallAnswers = false;
+    /// Resets the open connections once; new ones are accepted.
+    bool reset = false;
     /// Added to every piece in both directions.
     std::int64_t delayMicroseconds = 0;
     /// Rate of each direction of a connection; 0 for no limit.
--- a/standins/Platform.cpp
+++ b/standins/Platform.cpp
@@ -1,7 +1,7 @@
 #include "Platform.h"
 
+#include "FaultPause.h"
 #include "JsonBody.h"
-#include "Pause.h"
 #include "PlatformObjects.h"
 #include "Target.h"
 
--- a/standins/PlatformObjects.cpp
+++ b/standins/PlatformObjects.cpp
@@ -1,7 +1,7 @@
 #include "PlatformObjects.h"
 
+#include "FaultPause.h"
 #include "JsonBody.h"
-#include "Pause.h"
 #include "Target.h"
 
 #include <charconv>
--- a/standins/StandinService.cpp
+++ b/standins/StandinService.cpp
@@ -1,7 +1,7 @@
 #include "StandinService.h"
 
+#include "FaultPause.h"
 #include "JsonBody.h"
-#include "Pause.h"
 #include "ServiceAnswer.h"
 #include "ServiceFaults.h"
 #include "Target.h"
--- a/standins/StepLoop.cpp
+++ b/standins/StepLoop.cpp
@@ -1,6 +1,6 @@
 #include "StepLoop.h"
 
-#include "Pause.h"
+#include "FaultPause.h"
 
 namespace jayhold::standin {
 
--- a/test/PlatformStandin.cpp
+++ b/test/PlatformStandin.cpp
@@ -33,6 +33,13 @@
     return {};
 }
 
+auto listenOn(const HttpEndpoint& endpoint) -> HttpServerSettings
+{
+    HttpServerSettings settings;
+    settings.endpoint = endpoint;
+    return settings;
+}
+
 auto headerOf(const HttpRequest& request, std::string_view name) -> std::string
 {
     return std::string(findHeader(request.headers, name).value_or(std::string_view()));
@@ -200,10 +207,10 @@
     co_await exchange.respond(jsonResponse(status, json::serialize(answer)));
 }
 
-ReplicaStandin::ReplicaStandin(IoThreads& threads, std::string id, Behaviour behaviour)
+ReplicaStandin::ReplicaStandin(IoThreads& threads, std::string id, Behaviour behaviour, const HttpEndpoint& listen)
     : m_id(std::move(id))
     , m_behaviour(behaviour)
-    , m_server(threads, {}, [this](HttpExchange& exchange) { return handle(exchange); })
+    , m_server(threads, listenOn(listen), [this](HttpExchange& exchange) { return handle(exchange); })
 {
 }
 
@@ -239,6 +246,9 @@
         co_await exchange.respond(std::move(rejection));
         co_return;
     }
+    m_onRun(headerOf(request, "Request-Id"), headerOf(request, "Stage"));
+    if (m_work.load() > Duration::zero())
+        co_await pause(m_work);
     std::vector<HttpHeader> headers { { "Server-Seal", "seal-" + m_id }, { "Request-Id", headerOf(request, "Request-Id") } };
     if (headerOf(request, "Stage") == "prefill") {
         ++m_prefills;
@@ -275,6 +285,8 @@
             exchange.abort();
             co_return;
         }
+        if (m_gap.load() > Duration::zero())
+            co_await pause(m_gap);
         co_await exchange.write("id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + "\n\n");
     }
     co_await exchange.finishStream();
--- a/test/PlatformStandin.h
+++ b/test/PlatformStandin.h
@@ -10,6 +10,7 @@
 #include <boost/json/value.hpp>
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -78,12 +79,22 @@
         Stall,
     };
 
-    ReplicaStandin(IoThreads& threads, std::string id, Behaviour behaviour = Behaviour::Answer);
+    ReplicaStandin(IoThreads& threads, std::string id, Behaviour behaviour = Behaviour::Answer, const HttpEndpoint& listen = { "127.0.0.1", 0 });
 
     auto endpoint() const -> HttpEndpoint { return m_server.endpoint(); }
     auto id() const -> const std::string& { return m_id; }
     auto runs() const -> int { return m_runs; }
     auto prefills() const -> int { return m_prefills; }
+    /// @param work time that a plain call or a prefill takes.
+    /// @param gap time between two events of a stream.
+    auto setTiming(Duration work, Duration gap) -> void
+    {
+        m_work = work;
+        m_gap = gap;
+    }
+    /// Calls back with the request's identifier and stage when it begins to run; must be set before
+    /// the first request.
+    auto onRun(std::function<void(const std::string&, const std::string&)> callback) -> void { m_onRun = std::move(callback); }
     auto setBehaviour(Behaviour behaviour) -> void { m_behaviour = behaviour; }
     /// @return the request that arrived last.
     auto lastRequest() const -> HttpRequest;
@@ -94,6 +105,9 @@
 
     const std::string m_id;
     std::atomic<Behaviour> m_behaviour;
+    std::atomic<Duration> m_work { Duration::zero() };
+    std::atomic<Duration> m_gap { Duration::zero() };
+    std::function<void(const std::string&, const std::string&)> m_onRun = [](const std::string&, const std::string&) {};
     std::atomic<int> m_runs { 0 };
     std::atomic<int> m_prefills { 0 };
     mutable std::mutex m_lock;
--- /dev/null
+++ b/test/correctness/SoakChecksTest.cpp
@@ -0,0 +1,94 @@
+#include "SoakChecks.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace jayhold;
+using namespace jayhold::soak;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start { 100s };
+
+auto call(std::string request, CallKind kind, unsigned status) -> CallRecord
+{
+    return { .request = std::move(request), .kind = kind, .sentAt = start, .endedAt = start + 1s, .status = status };
+}
+
+auto promisesOf(const CallRecord& record, int runs, const CalmSpan& calm = {}) -> std::set<std::string>
+{
+    const std::vector<BackendRun> list(static_cast<std::size_t>(runs), { record.request, "plain-0", false, start });
+    std::set<std::string> promises;
+    for (const auto& broken : checkCalls(std::span(&record, 1), list, calm))
+        promises.insert(broken.promise);
+    return promises;
+}
+
+}
+
+// Guards against a soak that passes whatever happens.
+TEST_CASE("each broken promise of a request is found and kept ones are not")
+{
+    CHECK(promisesOf(call("a", CallKind::Post, 200), 1).empty());
+    CHECK(promisesOf(call("a", CallKind::Read, 200), 2).empty());
+    CHECK(promisesOf(call("a", CallKind::Post, 503), 0).empty());
+    CHECK(promisesOf(call("a", CallKind::Post, 502), 1).empty());
+    CHECK(promisesOf(call("a", CallKind::Post, 0), 1).empty());
+    CHECK(promisesOf(call("a", CallKind::Post, 200), 2) == std::set<std::string> { "a request that may run once runs once" });
+    CHECK(promisesOf(call("a", CallKind::OnceStream, 429), 1) == std::set<std::string> { "a request refused as not run has not run" });
+    CHECK(promisesOf(call("a", CallKind::Read, 200), 0) == std::set<std::string> { "a success comes from a backend server" });
+    auto wrong = call("a", CallKind::ResumedStream, 200);
+    wrong.fault = "another body";
+    CHECK(promisesOf(wrong, 1) == std::set<std::string> { "an answer that looks complete is right" });
+    const CalmSpan calm { start - 1s, start + 5s };
+    CHECK(promisesOf(call("a", CallKind::Read, 0), 1, calm) == std::set<std::string> { "planned shutdowns cut no request" });
+    CHECK(promisesOf(call("a", CallKind::Read, 0), 0, calm).empty());
+}
+
+// Guards against a budget that is never checked because prefills or single calls hide the repeats.
+TEST_CASE("repeats beyond the budget are found")
+{
+    std::vector<CallRecord> calls;
+    std::vector<BackendRun> runs;
+    for (int index = 0; index < 100; ++index) {
+        calls.push_back(call("r" + std::to_string(index), CallKind::Read, 200));
+        runs.push_back({ "r" + std::to_string(index), "plain-0", false, start });
+        if (index < 70)
+            runs.push_back(runs.back());
+    }
+    CHECK(checkCalls(calls, runs, {}).empty());
+    runs.push_back(runs.front());
+    CHECK(checkCalls(calls, runs, {}).size() == 1);
+}
+
+// Guards against late work on a leaving backend server that goes unnoticed.
+TEST_CASE("work on a backend server that is leaving is found")
+{
+    const std::vector<BackendRun> runs { { "a", "plain-0", false, start + 1s }, { "b", "plain-1", false, start + 3s }, { "c", "plain-0", false, start + 9s } };
+    CHECK(checkLeaving(runs, "plain-0", start + 2s, start + 8s).empty());
+    CHECK(checkLeaving(runs, "plain-0", start, start + 8s).size() == 1);
+}
+
+// Guards against faults that outlast their run, hit targets that do not exist or differ from run to run.
+TEST_CASE("a plan follows from its seed and stays within its time")
+{
+    std::set<FaultKind> kinds;
+    std::size_t overlapping = 0;
+    const FleetSize size;
+    for (std::uint64_t seed = 0; seed < 100; ++seed) {
+        const auto plan = planFaults(seed, 8s, size);
+        const auto again = planFaults(seed, 8s, size);
+        REQUIRE(plan.size() == again.size());
+        for (std::size_t index = 0; index < plan.size(); ++index) {
+            CHECK(describe(plan[index]) == describe(again[index]));
+            CHECK(plan[index].start + plan[index].length <= 8s);
+            CHECK(plan[index].target < size.links);
+            kinds.insert(plan[index].kind);
+            overlapping += index > 0 && plan[index - 1].start + plan[index - 1].length > plan[index].start;
+        }
+    }
+    CHECK(kinds.size() == static_cast<std::size_t>(FaultKind::Count));
+    CHECK(overlapping > 100);
+}
--- a/test/scenario/ChildProcess.h
+++ b/test/scenario/ChildProcess.h
@@ -35,6 +35,8 @@
     /// @return its exit code, negative for a signal; nothing where the time is over.
     auto waitForExit(Duration timeout) -> std::optional<int>;
 
+    auto id() const -> pid_t { return m_pid; }
+
     /// Sends a signal; does nothing where the process has ended.
     auto signal(int number) -> void;
 
--- /dev/null
+++ b/test/soak/FaultPlan.cpp
@@ -0,0 +1,105 @@
+#include "FaultPlan.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+namespace jayhold::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Mean time between the starts of two faults; with their lengths, two to three are in force at once.
+constexpr auto meanPause = milliseconds(450);
+
+struct KindInfo {
+    std::string_view name;
+    milliseconds shortest;
+    milliseconds longest;
+    /// Number of targets; null where there is one.
+    std::size_t FleetSize::*targets;
+};
+
+constexpr KindInfo kinds[] = {
+    { "freeze entry", milliseconds(200), milliseconds(2'500), &FleetSize::entries },
+    { "kill entry", milliseconds(50), milliseconds(1'500), &FleetSize::entries },
+    { "replace entry", milliseconds(50), milliseconds(1'000), &FleetSize::entries },
+    { "reread settings of entry", milliseconds(0), milliseconds(0), &FleetSize::entries },
+    { "kill all entries", milliseconds(50), milliseconds(800), nullptr },
+    { "freeze backend", milliseconds(100), milliseconds(2'500), &FleetSize::backends },
+    { "kill backend", milliseconds(100), milliseconds(2'000), &FleetSize::backends },
+    { "backend leaves", milliseconds(500), milliseconds(3'000), &FleetSize::backends },
+    { "cut link", milliseconds(50), milliseconds(1'500), &FleetSize::links },
+    { "reset link", milliseconds(0), milliseconds(0), &FleetSize::links },
+    { "stall link", milliseconds(100), milliseconds(2'500), &FleetSize::links },
+    { "stall answers of link", milliseconds(100), milliseconds(2'500), &FleetSize::links },
+    { "slow link", milliseconds(300), milliseconds(2'000), &FleetSize::links },
+    { "store down", milliseconds(300), milliseconds(3'000), nullptr },
+    { "store garbled", milliseconds(100), milliseconds(1'000), nullptr },
+    { "store forgets history", milliseconds(0), milliseconds(0), nullptr },
+    { "new configuration", milliseconds(0), milliseconds(0), nullptr },
+};
+static_assert(std::size(kinds) == static_cast<std::size_t>(FaultKind::Count));
+
+auto infoOf(FaultKind kind) -> const KindInfo&
+{
+    return kinds[static_cast<std::size_t>(kind)];
+}
+
+/// What a fault of this kind occupies, so that no other fault takes hold of it at the same time.
+auto resourceOf(FaultKind kind) -> int
+{
+    if (kind <= FaultKind::KillAllEntries)
+        return 0;
+    if (kind <= FaultKind::BackendLeaves)
+        return 1;
+    if (kind <= FaultKind::SlowLink)
+        return 2;
+    return 3 + static_cast<int>(kind);
+}
+
+}
+
+auto planFaults(std::uint64_t seed, Duration duration, const FleetSize& size) -> std::vector<PlannedFault>
+{
+    std::mt19937_64 random(seed);
+    const auto below = [&](std::uint64_t bound) { return bound ? random() % bound : 0; };
+    std::map<std::pair<int, std::size_t>, Duration> busyUntil;
+    std::vector<PlannedFault> plan;
+    for (Duration start {}; start < duration; start += Duration(below(2 * Duration(meanPause).count()))) {
+        PlannedFault fault { .kind = static_cast<FaultKind>(below(static_cast<std::uint64_t>(FaultKind::Count))), .start = start };
+        const auto& info = infoOf(fault.kind);
+        fault.target = info.targets ? below(size.*info.targets) : 0;
+        fault.length = Duration(info.shortest) + Duration(below(Duration(info.longest - info.shortest).count() + 1));
+        fault.length = std::min(fault.length, duration - start);
+        const auto isForAll = fault.kind == FaultKind::KillAllEntries;
+        auto isFree = true;
+        for (std::size_t target = isForAll ? 0 : fault.target; target < (isForAll ? size.entries : fault.target + 1); ++target)
+            isFree = isFree && busyUntil[{ resourceOf(fault.kind), target }] <= start;
+        if (!isFree)
+            continue;
+        for (std::size_t target = isForAll ? 0 : fault.target; target < (isForAll ? size.entries : fault.target + 1); ++target)
+            busyUntil[{ resourceOf(fault.kind), target }] = start + fault.length;
+        plan.push_back(fault);
+    }
+    return plan;
+}
+
+auto name(FaultKind kind) -> std::string_view
+{
+    return infoOf(kind).name;
+}
+
+auto describe(const PlannedFault& fault) -> std::string
+{
+    const auto inMilliseconds = [](Duration time) { return std::to_string(time.count() / 1'000); };
+    auto text = inMilliseconds(fault.start) + " ms: " + std::string(name(fault.kind));
+    if (infoOf(fault.kind).targets)
+        text += " " + std::to_string(fault.target);
+    if (fault.length > Duration::zero())
+        text += " for " + inMilliseconds(fault.length) + " ms";
+    return text;
+}
+
+}
--- /dev/null
+++ b/test/soak/SoakCallers.cpp
@@ -0,0 +1,154 @@
+#include "SoakCallers.h"
+
+#include "Pause.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <random>
+#include <thread>
+
+namespace jayhold::soak {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t callerCount = 16;
+constexpr auto longestPause = milliseconds(40);
+constexpr auto callTimeout = std::chrono::seconds(5);
+constexpr auto patience = milliseconds(1'500);
+constexpr int streamEvents = 5;
+
+auto targetOf(CallKind kind) -> std::string
+{
+    switch (kind) {
+    case CallKind::Read:
+        return "/read/x?a=1";
+    case CallKind::Post:
+        return "/post/x";
+    case CallKind::ResumedStream:
+        return "/resumed/x";
+    case CallKind::OnceStream:
+        return "/once/x";
+    }
+    return {};
+}
+
+auto isStream(CallKind kind) -> bool
+{
+    return kind == CallKind::ResumedStream || kind == CallKind::OnceStream;
+}
+
+auto expectedBody(CallKind kind, const HttpRequest& request) -> std::string
+{
+    if (!isStream(kind))
+        return request.method + " " + request.target + " " + request.body;
+    std::string text;
+    for (int event = 1; event <= streamEvents; ++event)
+        text += "id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + "\n\n";
+    return text;
+}
+
+auto requestOf(CallKind kind, const std::string& id) -> HttpRequest
+{
+    HttpRequest request { kind == CallKind::Read ? "GET" : "POST", targetOf(kind), { { "Host", "a.example" }, { "Request-Id", id }, { "Deadline-Ms", std::to_string(patience.count()) } }, {} };
+    if (kind != CallKind::Read)
+        request.body = "body of " + id;
+    if (isStream(kind)) {
+        request.headers.push_back({ "Model", "m" });
+        request.headers.push_back({ "Token-Counts", "100,200" });
+    }
+    return request;
+}
+
+/// @return what is wrong with a success; empty where it is right.
+auto faultOf(CallKind kind, const HttpRequest& request, const std::string& id, const HttpResponse& answer) -> std::string
+{
+    if (answer.status / 100 != 2)
+        return {};
+    const auto seal = findHeader(answer.headers, "Server-Seal");
+    if (!seal || !seal->starts_with("seal-"))
+        return "a success without the backend server's mark";
+    if (const auto echoed = findHeader(answer.headers, "Request-Id"); echoed && *echoed != id)
+        return "the answer is that of " + std::string(*echoed);
+    if (answer.body != expectedBody(kind, request))
+        return "another body: " + answer.body;
+    return {};
+}
+
+}
+
+SoakCallers::SoakCallers(std::vector<HttpEndpoint> endpoints, std::uint64_t seed)
+    : m_endpoints(std::move(endpoints))
+    , m_seed(seed)
+{
+}
+
+SoakCallers::~SoakCallers()
+{
+    m_threads.stop();
+}
+
+auto SoakCallers::start() -> void
+{
+    for (std::size_t caller = 0; caller < callerCount; ++caller) {
+        ++m_running;
+        asio::co_spawn(m_threads.context(caller % m_threads.size()), callInTurn(caller), asio::detached);
+    }
+}
+
+auto SoakCallers::stop() -> void
+{
+    m_isStopping = true;
+    while (m_running > 0)
+        std::this_thread::sleep_for(milliseconds(5));
+}
+
+auto SoakCallers::records() const -> std::vector<CallRecord>
+{
+    const std::lock_guard guard(m_lock);
+    return m_records;
+}
+
+auto SoakCallers::callInTurn(std::size_t caller) -> asio::awaitable<void>
+{
+    std::minstd_rand random(static_cast<std::minstd_rand::result_type>(m_seed * callerCount + caller + 1));
+    while (!m_isStopping) {
+        const auto kind = static_cast<CallKind>(random() % 4);
+        const auto endpoint = m_endpoints[random() % m_endpoints.size()];
+        auto record = co_await callOnce(m_threads.client(caller % m_threads.size()), kind, endpoint);
+        {
+            const std::lock_guard guard(m_lock);
+            m_records.push_back(std::move(record));
+        }
+        co_await pause(milliseconds(random() % longestPause.count()));
+    }
+    --m_running;
+}
+
+auto SoakCallers::callOnce(HttpClient& client, CallKind kind, HttpEndpoint endpoint) -> asio::awaitable<CallRecord>
+{
+    CallRecord record;
+    record.request = "r" + std::to_string(++m_lastRequest);
+    record.kind = kind;
+    record.sentAt = monotonicNow();
+    const auto request = requestOf(kind, record.request);
+    HttpCallOptions options;
+    options.timeout = callTimeout;
+    // A reused connection can be closed as the request arrives; nothing is sent twice, so that a
+    // request runs as often as the entry instance lets it.
+    options.mayReuse = true;
+    const auto answer = co_await client.request(std::move(endpoint), request, options);
+    record.endedAt = monotonicNow();
+    if (answer.has_error()) {
+        record.wasConnected = answer.error().kind != HttpErrorKind::NotConnected;
+    } else {
+        record.status = answer->status;
+        record.fault = faultOf(kind, request, record.request, *answer);
+    }
+    co_return record;
+}
+
+}
--- /dev/null
+++ b/test/soak/SoakFleet.cpp
@@ -0,0 +1,397 @@
+#include "SoakFleet.h"
+
+#include "LogParser.h"
+#include "ParseNumber.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+#include <unistd.h>
+
+namespace jayhold::soak {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto startTimeout = std::chrono::seconds(10);
+/// The smallest machine has 88 MB; an instance keeps to 64 MB, as docs/CAPACITY.md says.
+constexpr std::int64_t mostMemoryKb = 64 * 1'024;
+/// Far more than the callers, backend servers and links of a run need.
+constexpr std::size_t mostDescriptors = 300;
+constexpr std::uint16_t callerPort = 8'080;
+constexpr std::uint16_t readyPort = 8'081;
+
+auto routeOf(const std::string& name, const std::string& service, const std::string& kind, int attempts) -> json::object
+{
+    return { { "name", name }, { "host", "a.example" }, { "pathPrefix", "/" + name + "/" }, { "service", service }, { "kind", kind }, { "timeoutMs", 3'000 },
+        { "targetLatencyMs", 500 }, { "targetGapMs", 300 }, { "maxAttempts", attempts }, { "priority", 1 }, { "canResume", name == "resumed" }, { "sticky", kind == "streaming" } };
+}
+
+/// @return an address of this run alone, because every entry instance serves its metrics on the same port.
+auto addressOf(std::size_t index) -> std::string
+{
+    constexpr int networks = 200;
+    return "127." + std::to_string(20 + getpid() % networks) + "." + std::to_string(getpid() / networks % networks) + "." + std::to_string(index + 2);
+}
+
+auto endpointIn(const std::map<std::string, std::string>& listening, const std::string& key) -> HttpEndpoint
+{
+    const auto found = listening.find(key);
+    const auto endpoint = found == listening.end() ? std::nullopt : parseHttpEndpoint(found->second);
+    if (!endpoint)
+        throw std::runtime_error("a process did not say where it listens");
+    return *endpoint;
+}
+
+auto listeningOf(ChildProcess& process, const std::string& what) -> std::map<std::string, std::string>
+{
+    auto listening = process.waitForListening(startTimeout);
+    if (listening)
+        return std::move(*listening);
+    const auto output = process.output();
+    throw std::runtime_error(what + " did not start" + (output.empty() ? "" : ": " + output.back()));
+}
+
+auto peakMemoryKb(pid_t process) -> std::int64_t
+{
+    std::ifstream status("/proc/" + std::to_string(process) + "/status");
+    std::string key;
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmHWM:"))
+            return std::stoll(line.substr(line.find_first_of("0123456789")));
+    }
+    return 0;
+}
+
+auto descriptorsOf(pid_t process) -> std::size_t
+{
+    std::error_code ignored;
+    std::size_t count = 0;
+    for (const auto& entry : std::filesystem::directory_iterator("/proc/" + std::to_string(process) + "/fd", ignored))
+        count += !entry.path().empty();
+    return count;
+}
+
+}
+
+SoakFleet::SoakFleet(std::string programs, const FleetSize& size)
+    : m_programs(std::move(programs))
+{
+    putConfiguration();
+    // One prefill engine, two plain servers or more, and decode engines for the rest.
+    for (std::size_t index = 0; index < size.backends; ++index) {
+        Backend backend;
+        const auto isPlain = index < size.backends / 2;
+        const auto isPrefill = index == size.backends / 2;
+        backend.service = isPlain ? "ledger" : "llm";
+        if (!isPlain)
+            backend.phase = isPrefill ? "prefill" : "decode";
+        backend.name = (isPlain ? "plain-" : backend.phase + "-") + std::to_string(index);
+        startBackend(backend, 0);
+        m_links.push_back(startLink(backend.endpoint));
+        m_backends.push_back(std::move(backend));
+        listBackend(index);
+    }
+    for (std::size_t index = 0; index < size.entries; ++index) {
+        m_links.push_back(startLink(m_store.endpoint()));
+        Entry entry;
+        entry.address = addressOf(index);
+        entry.settingsFile = (std::filesystem::temp_directory_path() / ("jayhold-soak-" + std::to_string(getpid()) + "-" + std::to_string(index))).string();
+        std::ofstream(entry.settingsFile) << "node=edge-" << index << "\nzone=alpine\nregion=big-bend\nip=" << entry.address << "\nzones.alpine=big-bend\nlisten.front=" << entry.address << ":" << callerPort
+                                          << "\nlisten.ready=" << entry.address << ":" << readyPort << "\nportRange=7660,7675\nbounds.graceS=" << grace / std::chrono::seconds(1) << "\nbounds.applyMs=2000\nbounds.drainMs=2000\nbounds.leaseMs=3000\n"
+                                          << "bounds.budgetRatio=0.2\nbounds.budgetExtra=50\nplatform.address=" << toString(m_links.back().endpoint) << "\nplatform.readsPerS=2000\n";
+        startEntry(entry);
+        m_entries.push_back(std::move(entry));
+    }
+}
+
+SoakFleet::~SoakFleet()
+{
+    m_threads.stop();
+    for (const auto& entry : m_entries) {
+        std::error_code ignored;
+        std::filesystem::remove(entry.settingsFile, ignored);
+    }
+}
+
+auto SoakFleet::putConfiguration() -> void
+{
+    const json::object engine { { "slots", 8 }, { "kvCapacity", 40'000 }, { "kvTokenBytes", 18'432 }, { "linkMbps", 1'000.0 }, { "stride", 11 }, { "kvHoldS", 0.5 }, { "holdMs", 2'000.0 } };
+    json::array routes { routeOf("read", "ledger", "idempotent", 2), routeOf("post", "ledger", "non_idempotent", 1), routeOf("resumed", "llm", "streaming", 2), routeOf("once", "llm", "streaming", 1) };
+    ++m_version;
+    // Each version has one more route than the one before.
+    for (int extra = 1; extra < m_version; ++extra)
+        routes.push_back(routeOf("extra-" + std::to_string(extra), "ledger", "idempotent", 2));
+    m_store.put("config", "main",
+        json::object { { "version", m_version }, { "routes", std::move(routes) },
+            { "services", json::array { json::object { { "name", "ledger" }, { "healthPath", "/health" } }, json::object { { "name", "llm" }, { "engine", engine } } } },
+            { "limits", json::object { { "maxHeaderBytes", 8'192 }, { "maxBodyBytes", 10'000 }, { "headerTimeoutMs", 500 }, { "idleTimeoutMs", 5'000 } } } });
+}
+
+auto SoakFleet::startLink(const HttpEndpoint& target) -> Link
+{
+    Link link;
+    link.process = std::make_unique<ChildProcess>(m_programs + "/standin-link", std::vector<std::string> { "--target", toString(target) }, "");
+    const auto listening = listeningOf(*link.process, "a link");
+    link.endpoint = endpointIn(listening, "address");
+    link.admin = endpointIn(listening, "admin");
+    return link;
+}
+
+auto SoakFleet::startBackend(Backend& backend, std::uint16_t port) -> void
+{
+    const std::vector<std::string> arguments { "--id", backend.name, "--listen", "127.0.0.1:" + std::to_string(port) };
+    backend.process = std::make_unique<ChildProcess>(m_programs + "/standin-replica", arguments, "");
+    backend.endpoint = endpointIn(listeningOf(*backend.process, backend.name), "address");
+    ++m_births;
+}
+
+auto SoakFleet::startEntry(Entry& entry) -> void
+{
+    entry.isAskedToEnd = false;
+    entry.process = std::make_unique<ChildProcess>(m_programs + "/jayhold-entry", std::vector<std::string> { "--deployment", "platform", "--settings", entry.settingsFile }, "");
+    listeningOf(*entry.process, "an entry instance");
+}
+
+auto SoakFleet::retire(std::unique_ptr<ChildProcess> process, bool isEntry) -> void
+{
+    auto& past = isEntry ? m_pastLogs : m_pastRuns;
+    const auto output = process->output();
+    past.insert(past.end(), output.begin(), output.end());
+}
+
+auto SoakFleet::listBackend(std::size_t index) -> void
+{
+    const auto& backend = m_backends[index];
+    json::object entry { { "service", backend.service }, { "address", toString(m_links[index].endpoint) }, { "zone", "alpine" }, { "state", backend.isLeaving ? "draining" : "ready" }, { "slots", 6 }, { "born", 1'700'000'000'000 + m_births } };
+    if (!backend.phase.empty())
+        entry["phase"] = backend.phase;
+    m_store.put("servers", backend.name, std::move(entry));
+}
+
+auto SoakFleet::markLeaving(std::size_t backend, bool isLeaving) -> void
+{
+    m_backends[backend].isLeaving = isLeaving;
+    listBackend(backend);
+}
+
+auto SoakFleet::setLink(std::size_t index, const std::string& faults) -> void
+{
+    const auto answer = m_client.call(m_links[index].admin, "PUT", "/admin/faults", faults);
+    if (answer.status != 200)
+        throw std::runtime_error("a link did not take a fault: " + answer.text);
+}
+
+auto SoakFleet::beginEntryFault(const PlannedFault& fault) -> void
+{
+    auto& entry = m_entries[fault.target];
+    switch (fault.kind) {
+    case FaultKind::FreezeEntry:
+        entry.process->signal(SIGSTOP);
+        break;
+    case FaultKind::KillEntry:
+        entry.isAskedToEnd = true;
+        entry.process->signal(SIGKILL);
+        break;
+    case FaultKind::ReplaceEntry:
+        entry.isAskedToEnd = true;
+        entry.process->signal(SIGTERM);
+        break;
+    case FaultKind::RereadSettings:
+        entry.process->signal(SIGHUP);
+        break;
+    default:
+        for (auto& each : m_entries) {
+            each.isAskedToEnd = true;
+            each.process->signal(SIGKILL);
+        }
+        break;
+    }
+}
+
+auto SoakFleet::endEntryFault(const PlannedFault& fault) -> void
+{
+    if (fault.kind == FaultKind::FreezeEntry)
+        m_entries[fault.target].process->signal(SIGCONT);
+    if (fault.kind == FaultKind::FreezeEntry || fault.kind == FaultKind::RereadSettings)
+        return;
+    for (std::size_t index = 0; index < m_entries.size(); ++index) {
+        auto& entry = m_entries[index];
+        if (fault.kind != FaultKind::KillAllEntries && index != fault.target)
+            continue;
+        const auto code = entry.process->waitForExit(grace + std::chrono::seconds(1));
+        // A shutdown amid other faults may cut requests off, which exit code 1 says.
+        if (fault.kind == FaultKind::ReplaceEntry && (!code || *code < 0 || *code > 1))
+            m_badEnds.push_back("edge-" + std::to_string(index) + (code ? " ended with " + std::to_string(*code) : " did not end") + " after SIGTERM");
+        retire(std::move(entry.process), true);
+        startEntry(entry);
+    }
+}
+
+auto SoakFleet::beginBackendFault(const PlannedFault& fault) -> void
+{
+    auto& backend = m_backends[fault.target];
+    if (fault.kind == FaultKind::FreezeBackend)
+        backend.process->signal(SIGSTOP);
+    else if (fault.kind == FaultKind::KillBackend)
+        backend.process->signal(SIGKILL);
+    else
+        markLeaving(fault.target, true);
+}
+
+auto SoakFleet::endBackendFault(const PlannedFault& fault) -> void
+{
+    auto& backend = m_backends[fault.target];
+    if (fault.kind == FaultKind::FreezeBackend)
+        backend.process->signal(SIGCONT);
+    if (fault.kind == FaultKind::BackendLeaves)
+        markLeaving(fault.target, false);
+    if (fault.kind != FaultKind::KillBackend)
+        return;
+    backend.process->waitForExit(startTimeout);
+    retire(std::move(backend.process), false);
+    startBackend(backend, backend.endpoint.port);
+    listBackend(fault.target);
+}
+
+auto SoakFleet::begin(const PlannedFault& fault) -> void
+{
+    switch (fault.kind) {
+    case FaultKind::CutLink:
+        setLink(fault.target, R"({"cut":true})");
+        break;
+    case FaultKind::ResetLink:
+        setLink(fault.target, R"({"reset":true})");
+        break;
+    case FaultKind::StallLink:
+        setLink(fault.target, R"({"stall":true})");
+        break;
+    case FaultKind::StallAnswers:
+        setLink(fault.target, R"({"stall_answers":true})");
+        break;
+    case FaultKind::SlowLink:
+        setLink(fault.target, R"({"delay_us":80000})");
+        break;
+    case FaultKind::StoreDown:
+        m_store.setDown(true);
+        break;
+    case FaultKind::StoreGarbled:
+        m_store.setGarbled(true);
+        break;
+    case FaultKind::StoreForgetsHistory:
+        m_store.compact();
+        break;
+    case FaultKind::NewConfiguration:
+        putConfiguration();
+        break;
+    default:
+        if (fault.kind <= FaultKind::KillAllEntries)
+            beginEntryFault(fault);
+        else
+            beginBackendFault(fault);
+    }
+}
+
+auto SoakFleet::end(const PlannedFault& fault) -> void
+{
+    if (fault.kind <= FaultKind::KillAllEntries)
+        endEntryFault(fault);
+    else if (fault.kind <= FaultKind::BackendLeaves)
+        endBackendFault(fault);
+    else if (fault.kind <= FaultKind::SlowLink)
+        setLink(fault.target, R"({"cut":false,"stall":false,"stall_answers":false,"delay_us":0})");
+    else if (fault.kind == FaultKind::StoreDown)
+        m_store.setDown(false);
+    else if (fault.kind == FaultKind::StoreGarbled)
+        m_store.setGarbled(false);
+}
+
+auto SoakFleet::entryEndpoint(std::size_t index) const -> HttpEndpoint
+{
+    return { addressOf(index), callerPort };
+}
+
+auto SoakFleet::isReady(std::size_t index) -> bool
+{
+    return m_client.get({ addressOf(index), readyPort }, "/-/ready").status == 200;
+}
+
+auto SoakFleet::waitUntilReady(Duration longest) -> bool
+{
+    const auto end = monotonicNow() + longest;
+    for (std::size_t index = 0; index < m_entries.size(); ++index) {
+        while (!isReady(index)) {
+            if (monotonicNow() >= end)
+                return false;
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+    }
+    return true;
+}
+
+auto SoakFleet::replaceInOrder(std::size_t index) -> std::string
+{
+    auto& entry = m_entries[index];
+    entry.isAskedToEnd = true;
+    entry.process->signal(SIGTERM);
+    const auto code = entry.process->waitForExit(grace + std::chrono::seconds(1));
+    retire(std::move(entry.process), true);
+    startEntry(entry);
+    if (!code || *code != 0)
+        return "edge-" + std::to_string(index) + (code ? " ended with " + std::to_string(*code) : " did not end in time") + " after SIGTERM on a calm fleet";
+    return {};
+}
+
+auto SoakFleet::runs() const -> std::vector<BackendRun>
+{
+    auto lines = m_pastRuns;
+    for (const auto& backend : m_backends) {
+        const auto output = backend.process->output();
+        lines.insert(lines.end(), output.begin(), output.end());
+    }
+    std::vector<BackendRun> runs;
+    for (const auto& text : lines) {
+        const auto line = parseLogLine(text);
+        if (!line || line->event != "run")
+            continue;
+        const auto at = parseNumber<TimePoint::rep>(line->field("at")).value_or(0);
+        runs.push_back({ std::string(line->field("request")), std::string(line->field("replica")), line->field("stage") == "prefill", TimePoint(TimePoint::duration(at)) });
+    }
+    return runs;
+}
+
+auto SoakFleet::entryLogs() const -> std::vector<std::string>
+{
+    auto lines = m_pastLogs;
+    for (const auto& entry : m_entries) {
+        const auto output = entry.process->output();
+        lines.insert(lines.end(), output.begin(), output.end());
+    }
+    return lines;
+}
+
+auto SoakFleet::faultyEntries() -> std::vector<std::string>
+{
+    auto faults = m_badEnds;
+    for (std::size_t index = 0; index < m_entries.size(); ++index) {
+        const auto& entry = m_entries[index];
+        const auto instance = "edge-" + std::to_string(index);
+        if (const auto code = entry.process->waitForExit(Duration::zero()))
+            faults.push_back(instance + " ended by itself with " + std::to_string(*code));
+        if (const auto memory = peakMemoryKb(entry.process->id()); memory > mostMemoryKb)
+            faults.push_back(instance + " used " + std::to_string(memory) + " kB of memory");
+        if (const auto descriptors = descriptorsOf(entry.process->id()); descriptors > mostDescriptors)
+            faults.push_back(instance + " holds " + std::to_string(descriptors) + " descriptors");
+    }
+    return faults;
+}
+
+}
--- a/tools/CallRunner.cpp
+++ b/tools/CallRunner.cpp
@@ -1,7 +1,7 @@
 #include "CallRunner.h"
 
 #include "AnswerReader.h"
-#include "Pause.h"
+#include "FaultPause.h"
 
 namespace jayhold {
 
--- a/tools/LoadRunner.cpp
+++ b/tools/LoadRunner.cpp
@@ -1,9 +1,9 @@
 #include "LoadRunner.h"
 
 #include "CallRunner.h"
+#include "FaultPause.h"
 #include "IoThreads.h"
 #include "LogLine.h"
-#include "Pause.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
