Take signals from the start of the process on

It had been replaced, and the signal to read the settings again came between its line `listening` and the set-up of its signals, where the signal's default is to end the process. On the platform a change of settings at a start would do the same.

Change: the signals are taken before the settings are read, and wait until the daemon runs.

Test: EntryProcessTest signals a process that still reads its settings; it ended before and lives now.

--- a/apps/jayhold-entry.cpp
+++ b/apps/jayhold-entry.cpp
@@ -118,25 +118,30 @@
         });
 }
 
+/// Takes the signals of the process from its construction on; they wait until they are read. A signal
+/// that comes before would end the process, so it is constructed before anything else.
+struct Signals {
+    boost::asio::io_context context;
+    boost::asio::signal_set watched { context, SIGTERM, SIGINT, SIGHUP };
+};
+
 /// Runs a daemon until it has drained after a signal.
 /// @param isValid reads the settings again and says whether they are valid.
 template <typename Daemon>
-auto runUntilDrained(Daemon& daemon, const std::function<bool()>& isValid) -> ExitCode
+auto runUntilDrained(Daemon& daemon, Signals& signals, const std::function<bool()>& isValid) -> ExitCode
 {
-    boost::asio::io_context signals;
-    boost::asio::signal_set watched(signals, SIGTERM, SIGINT, SIGHUP);
     auto exit = ExitCode::Failed;
     daemon.onDrained([&](bool isComplete) {
-        boost::asio::post(signals, [&, isComplete] {
+        boost::asio::post(signals.context, [&, isComplete] {
             exit = isComplete ? ExitCode::Success : ExitCode::Failed;
-            signals.stop();
+            signals.context.stop();
         });
     });
     auto isDraining = false;
     std::function<void(const boost::system::error_code&, int)> onSignal = [&](const boost::system::error_code& code, int signal) {
         if (code)
             return;
-        watched.async_wait(onSignal);
+        signals.watched.async_wait(onSignal);
         if (signal == SIGHUP) {
             // Addresses and identity are fixed for the life of the process.
             daemon.log().record(LogLevel::Info, "settings_reread", { { "valid", isValid() } });
@@ -148,31 +153,31 @@
         isDraining = true;
         daemon.startDraining();
     };
-    watched.async_wait(onSignal);
-    signals.run();
+    signals.watched.async_wait(onSignal);
+    signals.context.run();
     return exit;
 }
 
-auto runNative(const EntrySettings& settings, const std::string& path) -> ExitCode
+auto runNative(const EntrySettings& settings, const std::string& path, Signals& signals) -> ExitCode
 {
     const auto level = settings.logLevel;
     // The line with the addresses is printed at every log level.
     configureLogging(std::min(level, LogLevel::Info));
     EntryDaemon daemon(settings);
     configureLogging(level);
-    return runUntilDrained(daemon, [&] { return loadSettings(path, parseEntrySettings).has_value(); });
+    return runUntilDrained(daemon, signals, [&] { return loadSettings(path, parseEntrySettings).has_value(); });
 }
 
-auto runOnPlatform(const platform::Settings& settings, const std::string& path) -> ExitCode
+auto runOnPlatform(const platform::Settings& settings, const std::string& path, Signals& signals) -> ExitCode
 {
     configureLogging(settings.entry.logLevel);
     RouterDaemon daemon(settings.entry, platform::makeParts(settings));
-    return runUntilDrained(daemon, [&] { return loadSettings(path, platform::parseSettings).has_value(); });
+    return runUntilDrained(daemon, signals, [&] { return loadSettings(path, platform::parseSettings).has_value(); });
 }
 
 /// Checks the settings and runs the daemon, unless only the check was asked for.
 template <typename Settings>
-auto checkAndRun(const Options& options, leaf::result<Settings> (*parse)(std::string_view), ExitCode (*run)(const Settings&, const std::string&)) -> ExitCode
+auto checkAndRun(const Options& options, leaf::result<Settings> (*parse)(std::string_view), ExitCode (*run)(const Settings&, const std::string&, Signals&), Signals& signals) -> ExitCode
 {
     auto settings = loadSettings(options.settings, parse);
     if (!settings)
@@ -181,7 +186,7 @@
         std::cout << "the settings are valid\n";
         return ExitCode::Success;
     }
-    return run(*settings, options.settings);
+    return run(*settings, options.settings, signals);
 }
 
 }
@@ -192,9 +197,10 @@
     if (options.exit)
         return static_cast<int>(*options.exit);
     try {
+        Signals signals;
         const auto exit = options.isPlatform
-            ? checkAndRun<platform::Settings>(options, platform::parseSettings, runOnPlatform)
-            : checkAndRun<EntrySettings>(options, parseEntrySettings, runNative);
+            ? checkAndRun<platform::Settings>(options, platform::parseSettings, runOnPlatform, signals)
+            : checkAndRun<EntrySettings>(options, parseEntrySettings, runNative, signals);
         return static_cast<int>(exit);
     } catch (const std::exception& error) {
         std::cerr << "jayhold-entry: " << error.what() << '\n';
--- a/cmake/scenario.cmake
+++ b/cmake/scenario.cmake
@@ -32,3 +32,9 @@
     set_tests_properties(${name} PROPERTIES LABELS known-red)
   endforeach()
 endif()
+
+jayhold_test(entry_process_test
+  SOURCES test/correctness/EntryProcessTest.cpp
+  LINK jayhold_scenario)
+target_compile_definitions(entry_process_test PRIVATE JAYHOLD_ENTRY="$<TARGET_FILE:jayhold-entry>")
+add_dependencies(entry_process_test jayhold-entry)
