Tell others and the role balance only of work that engines have agreed to

Each try reserved a prefill and a decode engine; reservations of tries were told to the other instances, which took the engines for fuller than they were for up to 0.8 s, and counted as prefill work, so that the balance moved engines from decode to prefill while decode memory was short (at 37.8 s, prefill_work=16.9).

Change: a request whose decode engine has not agreed to keep a seat uses nothing in the messages to others and in the demand by role; it counts as waiting.

Test: "a request that waits for a seat uses nothing" (ForwardShardTest) fails without it.

--- a/src/DecisionEvent.h
+++ b/src/DecisionEvent.h
@@ -15,6 +15,7 @@
 #include "ReplicaLoad.h"
 #include "RequestArrived.h"
 #include "RequestCancelled.h"
+#include "SeatHeld.h"
 #include "SeatRefused.h"
 #include "SignatureReported.h"
 #include "Tick.h"
@@ -33,6 +34,7 @@
     DecodeFinished,
     DecodeFailed,
     RequestCancelled,
+    SeatHeld,
     SeatRefused,
     ReplicaChanged,
     ReplicaLoad,
--- a/src/Ledger.cpp
+++ b/src/Ledger.cpp
@@ -12,22 +12,6 @@
 constexpr double newestPiecesShare = 0.05;
 constexpr std::uint32_t defaultPieceTokens = 2'000;
 
-auto subtract(Reservation& from, const Reservation& amount) -> void
-{
-    from.seats -= amount.seats;
-    from.pieces -= amount.pieces;
-    from.linkBytes -= amount.linkBytes;
-    from.prefillTokens -= amount.prefillTokens;
-}
-
-auto add(Reservation& to, const Reservation& amount) -> void
-{
-    to.seats += amount.seats;
-    to.pieces += amount.pieces;
-    to.linkBytes += amount.linkBytes;
-    to.prefillTokens += amount.prefillTokens;
-}
-
 /// Whether the request runs on its replica of that role, not only holds a seat for later.
 auto usesEngine(const ActiveRequest& request, PoolRole role) -> bool
 {
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -57,6 +57,8 @@
     }
     if (task != m_tasks->lastTask)
         co_return;
+    if (m_context.backends.holdSeat)
+        m_service->feed(SeatHeld { m_id, m_attempt });
     auto result = co_await m_context.backends.prefill(m_exchange.client(), replica.backend, std::move(call), m_timeouts.prefill);
     push(PrefillEnded { task, std::move(result) });
 }
--- a/src/ReplicaIndex.cpp
+++ b/src/ReplicaIndex.cpp
@@ -70,10 +70,15 @@
 }
 
 auto decodeLoad(const Replica& replica) -> std::uint64_t
+{
+    return decodeLoad(replica, replica.reserved);
+}
+
+auto decodeLoad(const Replica& replica, const Reservation& reserved) -> std::uint64_t
 {
     const auto& description = replica.description;
-    const auto seats = usedPart(std::uint64_t { replica.reserved.seats } + replica.othersSeats, description.seats);
-    const auto pieces = usedPart(std::uint64_t { replica.reserved.pieces } + replica.othersPieces, description.memoryPieces);
+    const auto seats = usedPart(std::uint64_t { reserved.seats } + replica.othersSeats, description.seats);
+    const auto pieces = usedPart(std::uint64_t { reserved.pieces } + replica.othersPieces, description.memoryPieces);
     return std::max(seats, pieces);
 }
 
--- a/src/ReplicaIndex.h
+++ b/src/ReplicaIndex.h
@@ -12,6 +12,8 @@
 /// @return the part of a decode replica's seats or memory that is in use, whichever is more, in units
 /// of 1/loadScale.
 auto decodeLoad(const Replica& replica) -> std::uint64_t;
+/// The same with another sum of this shard's reservations.
+auto decodeLoad(const Replica& replica, const Reservation& reserved) -> std::uint64_t;
 
 /// Enters, moves or removes the replica after a change of its state or load, and sets its timer.
 auto updateIndex(DecisionContext& context, Replica& replica) -> void;
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -76,6 +76,12 @@
     attemptFailed(context, *request, event.failure);
 }
 
+auto handle(DecisionContext& context, const SeatHeld& event) -> void
+{
+    if (present(context.state, event.request, event.attempt, { RequestPhase::Prefilling }))
+        context.state.awaitingSeat.erase(event.request);
+}
+
 auto handle(DecisionContext& context, const SeatRefused& event) -> void
 {
     auto* request = present(context.state, event.request, event.attempt, { RequestPhase::Prefilling });
--- a/src/RequestEvents.h
+++ b/src/RequestEvents.h
@@ -10,6 +10,7 @@
 auto handle(DecisionContext& context, const RequestArrived& event) -> void;
 auto handle(DecisionContext& context, const PrefillDone& event) -> void;
 auto handle(DecisionContext& context, const PrefillFailed& event) -> void;
+auto handle(DecisionContext& context, const SeatHeld& event) -> void;
 auto handle(DecisionContext& context, const SeatRefused& event) -> void;
 auto handle(DecisionContext& context, const DecodeStarted& event) -> void;
 auto handle(DecisionContext& context, const TokensEmitted& event) -> void;
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -52,6 +52,7 @@
     if (hasResult && request.prefill)
         wastePrefill(context, request);
     state.promised.erase({ request.phaseSince, request.arrival.request });
+    state.awaitingSeat.erase(request.arrival.request);
     clearExpectedEnd(context, request);
     releasePrefill(context, request);
     releaseDecode(context, request);
@@ -198,6 +199,8 @@
         reserve(context, request, decode, decodeReservation(context, request, decode));
     else
         state.promised.emplace(context.now, request.arrival.request);
+    if (state.settings.holdsSeats)
+        state.awaitingSeat.insert(request.arrival.request);
     request.prefillBacklog = prefill.reserved.prefillTokens;
     notePrefillZone(context, prefill);
     state.totals.prefillTokens += request.arrival.promptTokens;
--- a/src/Reservation.h
+++ b/src/Reservation.h
@@ -16,4 +16,20 @@
     auto empty() const -> bool { return !seats && !pieces && !linkBytes && !prefillTokens; }
 };
 
+inline auto add(Reservation& to, const Reservation& amount) -> void
+{
+    to.seats += amount.seats;
+    to.pieces += amount.pieces;
+    to.linkBytes += amount.linkBytes;
+    to.prefillTokens += amount.prefillTokens;
+}
+
+inline auto subtract(Reservation& from, const Reservation& amount) -> void
+{
+    from.seats -= amount.seats;
+    from.pieces -= amount.pieces;
+    from.linkBytes -= amount.linkBytes;
+    from.prefillTokens -= amount.prefillTokens;
+}
+
 }
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -3,6 +3,7 @@
 #include "CrashWatch.h"
 #include "DecisionContext.h"
 #include "Dispatch.h"
+#include "Ledger.h"
 #include "LoadReports.h"
 #include "ReplicaEvents.h"
 #include "ReplicaIndex.h"
@@ -99,11 +100,41 @@
     shard.state->settings = std::move(settings);
 }
 
+namespace {
+
+using ReservationByReplica = std::unordered_map<ReplicaId, Reservation>;
+
+/// @return what is reserved for requests that wait for a seat, by replica.
+auto reservedForNothing(const ShardState& state) -> ReservationByReplica
+{
+    ReservationByReplica sums;
+    for (const auto id : state.awaitingSeat) {
+        const auto& request = state.requests.at(id);
+        if (request.prefill)
+            add(sums[*request.prefill], request.prefillHold);
+        if (request.decode)
+            add(sums[*request.decode], request.decodeHold);
+    }
+    return sums;
+}
+
+/// @return what is reserved on the replica for work that it does or has agreed to.
+auto usedPart(const Replica& replica, const ReservationByReplica& unused) -> Reservation
+{
+    auto used = replica.reserved;
+    if (const auto found = unused.find(replica.description.replica); found != unused.end())
+        subtract(used, found->second);
+    return used;
+}
+
+}
+
 auto ownUse(const Shard& shard) -> std::vector<ReplicaUse>
 {
     std::vector<ReplicaUse> uses;
+    const auto unused = reservedForNothing(*shard.state);
     for (const auto& [id, replica] : shard.state->replicas) {
-        const auto& reserved = replica.reserved;
+        const auto reserved = usedPart(replica, unused);
         if (!reserved.empty())
             uses.push_back({ id, reserved.seats, reserved.pieces, reserved.prefillTokens });
     }
@@ -115,20 +146,21 @@
     const auto& state = *shard.state;
     RoleDemand demand;
     double memoryPieces = 0;
+    const auto unused = reservedForNothing(state);
     for (const auto& [id, replica] : state.replicas) {
         if (replica.description.state != ReplicaState::Live)
             continue;
         if (replica.role() == PoolRole::Prefill) {
             ++demand.prefillReplicas;
-            demand.prefillWork += replica.reserved.seats + replica.othersSeats;
+            demand.prefillWork += usedPart(replica, unused).seats + replica.othersSeats;
             continue;
         }
         ++demand.decodeReplicas;
         memoryPieces += replica.description.memoryPieces;
-        demand.decodeWork += static_cast<double>(decodeLoad(replica)) / static_cast<double>(loadScale);
+        demand.decodeWork += static_cast<double>(decodeLoad(replica, usedPart(replica, unused))) / static_cast<double>(loadScale);
     }
     // The others are taken to have as many requests waiting for memory as this instance.
-    const auto waiting = static_cast<double>(state.queue.size()) * std::max(state.settings.sharingInstances, 1U);
+    const auto waiting = static_cast<double>(state.queue.size() + state.awaitingSeat.size()) * std::max(state.settings.sharingInstances, 1U);
     if (memoryPieces > 0)
         demand.decodeWork += waiting * state.meanDecodePieces * demand.decodeReplicas / memoryPieces;
     return demand;
--- a/src/ShardSettings.h
+++ b/src/ShardSettings.h
@@ -30,6 +30,8 @@
     double memoryQuantile = 0.95;
     /// Whether decode replicas may prefill by themselves.
     bool decodeMayPrefill = false;
+    /// Whether decode replicas are asked to keep a seat before a prefill begins.
+    bool holdsSeats = false;
     RetryPolicy retry;
     /// Entry instances that place on the same replicas, this one included; scales how much of a
     /// lagging report's free seats this instance may take.
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -42,6 +42,9 @@
     TimerQueue timers;
     /// Requests whose prefill result waits for a decode seat, first to expire first.
     std::set<std::pair<TimePoint, RequestId>> ready;
+    /// Requests whose decode replica has been asked for a seat and has not answered. Their prefill has
+    /// not begun, and a full replica turns most of them away.
+    std::set<RequestId> awaitingSeat;
     /// Prefills that started on the expectation that a seat frees up, by the time of their start.
     std::set<std::pair<TimePoint, RequestId>> promised;
     PrefixCacheView cache;
--- a/test/correctness/ForwardShardTest.cpp
+++ b/test/correctness/ForwardShardTest.cpp
@@ -241,3 +241,31 @@
     harness.send(arrival);
     CHECK(harness.last<StartPrefill>()->decodeTokens == 1'300);
 }
+
+// Load pattern: decode engines full in a burst, where waiting requests ask one after the other for a
+// seat. Guards against waiting that is told to others as use, and counts as prefill work, so that engines
+// are moved away from the decode that is short.
+TEST_CASE("a request that waits for a seat uses nothing")
+{
+    auto settings = forwardSettings();
+    settings.holdsSeats = true;
+    ShardHarness harness(settings);
+    addEngine(harness, 1, PoolRole::Prefill);
+    addEngine(harness, 2, PoolRole::Decode);
+    harness.arrive(1);
+    const auto start = *harness.last<StartPrefill>();
+    CHECK(ownUse(harness.shard).empty());
+    CHECK(roleDemand(harness.shard).prefillWork == 0);
+    CHECK(roleDemand(harness.shard).decodeWork > 0);
+    harness.send(SeatRefused { start.request, start.attempt, FailureKind::Busy });
+    CHECK(ownUse(harness.shard).empty());
+    harness.advance(300ms);
+    const auto again = *harness.last<StartPrefill>();
+    harness.send(SeatHeld { again.request, again.attempt });
+    CHECK(ownUse(harness.shard).size() == 2);
+    CHECK(roleDemand(harness.shard).prefillWork == 1);
+    harness.prefilled(again);
+    harness.started(*harness.last<StartDecode>());
+    harness.send(DecodeFinished { again.request, again.attempt, 50 });
+    CHECK(ownUse(harness.shard).empty());
+}
