--- a/src/RequestHistory.cpp
+++ b/src/RequestHistory.cpp
@@ -171,11 +171,11 @@
         return std::tuple(!event.line.time, event.line.time.value_or(HybridTime {}), std::string_view(event.line.instance), std::string_view(event.line.event));
     };
     std::ranges::stable_sort(events, {}, key);
-    const auto rest = std::ranges::unique(events, [&](const RequestEvent& left, const RequestEvent& right) {
+    const auto rest = std::unique(events.begin(), events.end(), [&](const RequestEvent& left, const RequestEvent& right) {
         const auto isSame = [](const LogField& one, const LogField& other) { return one.key == other.key && one.value == other.value; };
         return left.line.time && key(left) == key(right) && std::ranges::equal(left.line.fields, right.line.fields, isSame);
     });
-    events.erase(rest.begin(), rest.end());
+    events.erase(rest, events.end());
 }
 
 }
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -105,7 +105,7 @@
 using ReservationByReplica = std::unordered_map<ReplicaId, Reservation>;
 
 /// @return what is reserved for requests that wait for a seat, by replica.
-auto reservedForNothing(const ShardState& state) -> ReservationByReplica
+auto reservedWhileWaiting(const ShardState& state) -> ReservationByReplica
 {
     ReservationByReplica sums;
     for (const auto id : state.awaitingSeat) {
@@ -119,10 +119,10 @@
 }
 
 /// @return what is reserved on the replica for work that it does or has agreed to.
-auto usedPart(const Replica& replica, const ReservationByReplica& unused) -> Reservation
+auto usedPart(const Replica& replica, const ReservationByReplica& waitingUse) -> Reservation
 {
     auto used = replica.reserved;
-    if (const auto found = unused.find(replica.description.replica); found != unused.end())
+    if (const auto found = waitingUse.find(replica.description.replica); found != waitingUse.end())
         subtract(used, found->second);
     return used;
 }
@@ -132,9 +132,9 @@
 auto ownUse(const Shard& shard) -> std::vector<ReplicaUse>
 {
     std::vector<ReplicaUse> uses;
-    const auto unused = reservedForNothing(*shard.state);
+    const auto waitingUse = reservedWhileWaiting(*shard.state);
     for (const auto& [id, replica] : shard.state->replicas) {
-        const auto reserved = usedPart(replica, unused);
+        const auto reserved = usedPart(replica, waitingUse);
         if (!reserved.empty())
             uses.push_back({ id, reserved.seats, reserved.pieces, reserved.prefillTokens });
     }
@@ -146,18 +146,18 @@
     const auto& state = *shard.state;
     RoleDemand demand;
     double memoryPieces = 0;
-    const auto unused = reservedForNothing(state);
+    const auto waitingUse = reservedWhileWaiting(state);
     for (const auto& [id, replica] : state.replicas) {
         if (replica.description.state != ReplicaState::Live)
             continue;
         if (replica.role() == PoolRole::Prefill) {
             ++demand.prefillReplicas;
-            demand.prefillWork += usedPart(replica, unused).seats + replica.othersSeats;
+            demand.prefillWork += usedPart(replica, waitingUse).seats + replica.othersSeats;
             continue;
         }
         ++demand.decodeReplicas;
         memoryPieces += replica.description.memoryPieces;
-        demand.decodeWork += static_cast<double>(decodeLoad(replica, usedPart(replica, unused))) / static_cast<double>(loadScale);
+        demand.decodeWork += static_cast<double>(decodeLoad(replica, usedPart(replica, waitingUse))) / static_cast<double>(loadScale);
     }
     // The others are taken to have as many requests waiting for memory as this instance.
     const auto waiting = static_cast<double>(state.queue.size() + state.awaitingSeat.size()) * std::max(state.settings.sharingInstances, 1U);
--- a/test/correctness/StoreDirectoryTest.cpp
+++ b/test/correctness/StoreDirectoryTest.cpp
@@ -56,9 +56,9 @@
         format.readConfiguration = [](const StoredItem&) { return std::nullopt; };
         format.readBackend = [](const StoredItem&) { return std::nullopt; };
         DirectoryCallbacks callbacks {
-            .configuration = [](Configuration) {},
-            .backends = [](std::vector<BackendServer>) {},
-            .instances = [](std::uint32_t, std::vector<PeerAddress>) {},
+            .configuration = [](const Configuration&) {},
+            .backends = [](const std::vector<BackendServer>&) {},
+            .instances = [](std::uint32_t, const std::vector<PeerAddress>&) {},
         };
         directory = std::make_shared<StoreDirectory>(threads, store, std::move(format), DirectorySettings { .instance = "edge-1", .availabilityZone = "alpine" }, log, std::move(callbacks));
         directory->start();
--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -23,7 +23,7 @@
 
 constexpr auto startTimeout = std::chrono::seconds(10);
 /// The smallest machine has 88 MB; an instance keeps to 64 MB, as docs/CAPACITY.md says.
-constexpr std::int64_t mostMemoryKb = 64 * 1'024;
+constexpr std::int64_t mostMemoryKb = 65'536;
 /// Far more than the callers, backend servers and links of a run need.
 constexpr std::size_t mostDescriptors = 300;
 constexpr std::uint16_t callerPort = 8'080;
