Let a copy of a suspected request wait that has not started yet

Its log: the engine of one copy crashed at 530 ms; the other copy, whose connection to that engine was refused, was no suspect at its instance and started at 569 ms elsewhere, while the first ran again. Both crashed their engines. So it was a fault of the rule, not of the load.

It waits in the lane that passes over such requests, so that its flow goes on.

Test: "a copy that has not run yet waits for the peer's to run again" failed before and passes now, for both orders of names.

Open: the same log shows an innocent request blamed. It ran again on the engine on which the other instance's suspect ran alone, because instances don't tell each other where suspects run again.

--- a/src/CrashWatch.cpp
+++ b/src/CrashWatch.cpp
@@ -150,13 +150,19 @@
 
 auto noteCrashElsewhere(DecisionContext& context, std::uint64_t signature, Replica& replica, bool peerGoesFirst) -> void
 {
-    addCrash(context.state.crashEvidence, signature, replica.description.replica, context.now, peerGoesFirst ? peerTurn : Duration::zero());
+    const auto ranHere = std::ranges::any_of(replica.freshSuspects, [&](RequestId id) {
+        const auto* suspect = findRequest(context.state, id);
+        return suspect && suspect->arrival.signature == signature;
+    });
+    // A copy that has not run into the crash waits for the peer's, whose turn it is in any case.
+    const auto waits = peerGoesFirst || !ranHere;
+    addCrash(context.state.crashEvidence, signature, replica.description.replica, context.now, waits ? peerTurn : Duration::zero());
     clearIfZoneIsCut(context, replica);
 }
 
 auto awaitsVerdict(const DecisionContext& context, const ActiveRequest& request) -> bool
 {
-    return request.verdict == CrashVerdict::Suspect && isHeld(context.state.crashEvidence, request.arrival.signature, context.now);
+    return isHeld(context.state.crashEvidence, request.arrival.signature, context.now);
 }
 
 auto judgeCrashes(DecisionContext& context) -> void
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -146,7 +146,8 @@
 {
     request.prefill.reset();
     request.decode.reset();
-    if (request.emitted)
+    // A request that waits for the verdict on a crash must not hold up its flow; that lane passes it over.
+    if (request.emitted || awaitsVerdict(context, request))
         request.lane = QueueLane::Resume;
     enter(context, request, RequestPhase::Queued);
     context.state.queue.push(queueEntry(request), customerWeight(context.state, request));
--- a/test/correctness/CrashTest.cpp
+++ b/test/correctness/CrashTest.cpp
@@ -315,6 +315,26 @@
     CHECK(second.harness.count<StartPrefill>() == 1);
 }
 
+// Guards against one more crash by a copy that had not started when the other's engine crashed (seen in
+// the scenario crashing-request-twice beside load: its engine refused the connection).
+TEST_CASE("a copy that has not run yet waits for the peer's to run again")
+{
+    const auto peerGoesFirst = GENERATE(true, false);
+    ShardHarness harness(sharedSettings());
+    harness.replica(1, PoolRole::Prefill, 8);
+    harness.replica(firstDecode, PoolRole::Decode, 8);
+    harness.replica(firstDecode + 1, PoolRole::Decode, 8);
+    harness.send(CrashReported { sharedSignature, ReplicaId { firstDecode }, peerGoesFirst });
+    harness.arrive(1, 0, 0, 1'000, sharedSignature);
+    harness.advance(longerThanSettling);
+    CHECK_FALSE(harness.lastEver<StartPrefill>());
+    harness.arrive(2);
+    CHECK(harness.lastEver<StartPrefill>()->request == RequestId { 2 });
+    harness.send(SignatureReported { sharedSignature });
+    CHECK(harness.last<Refuse>()->reason == RefusalReason::CrashSuspect);
+    CHECK(harness.last<Refuse>()->outcome == Outcome::NotRun);
+}
+
 // Guards against blaming a request that is popular for the loss of a zone.
 TEST_CASE("peers' reports of a zone that is cut off blame no request")
 {
