Tell peers of changes that only a list shows

Change: an instance that reads a list tells the revision of its newest object; the first to miss a server tells that of the list.

Test: "a change that only a list shows is told to the peers" failed before.

--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -12,6 +12,7 @@
 #include <boost/json/object.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace jayhold {
 
@@ -44,6 +45,15 @@
     return text;
 }
 
+/// @return the revision of the last change that the list shows; 0 where it is empty.
+auto newestRevision(const ItemList& list) -> std::int64_t
+{
+    std::int64_t newest = 0;
+    for (const auto& item : list.items)
+        newest = std::max(newest, item.revision);
+    return newest;
+}
+
 auto stateName(ReplicaState state) -> std::string_view
 {
     return state == ReplicaState::Live ? "live" : "leaving";
@@ -96,6 +106,7 @@
             continue;
         m_log.record(LogLevel::Info, "change_told_by_peer", { { "kind", kind }, { "revision", revision }, { "own_revision", follower->revision } });
         follower->revision = 0;
+        follower->isToldByPeer = true;
         follower->interrupt.emit(asio::cancellation_type::terminal);
     }
 }
@@ -147,8 +158,15 @@
             co_return list.error();
         storeAnswered(m_directory, monotonicNow());
         logUnreadable(follower.kind, list->unreadable);
+        const auto known = m_published;
         follower.take(*list);
         follower.revision = list->revision;
+        // A list shows what went with the store's history; watches that still wait don't. Of a server
+        // that is missing, no revision remains but that of the list, which only the first to miss it
+        // tells: each list has another.
+        const auto isFirst = !std::exchange(follower.isToldByPeer, false);
+        const auto isAnyMissing = isFirst && std::ranges::any_of(known, [&](const BackendServer& server) { return std::ranges::find(m_published, server.id, &BackendServer::id) == m_published.end(); });
+        m_callbacks.changed(follower.kind, isAnyMissing ? list->revision : newestRevision(*list));
         co_return std::nullopt;
     }
     const auto executor = co_await asio::this_coro::executor;
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -86,6 +86,8 @@
         std::function<void(const ItemChange&)> change;
         /// Where the next watch begins; 0 where the list has to be read.
         std::int64_t revision = 0;
+        /// Whether the list is read because a peer has told of a change.
+        bool isToldByPeer = false;
         /// Ends a watch that waits although there is a change.
         boost::asio::cancellation_signal interrupt;
         bool isConnected = false;
--- a/test/correctness/StoreDirectoryTest.cpp
+++ b/test/correctness/StoreDirectoryTest.cpp
@@ -24,6 +24,8 @@
             throw std::runtime_error("a fault of the adapter");
         co_await pause(1ms);
         ItemList result;
+        result.items.push_back({ "main", 1, nullptr });
+        result.items.push_back({ "newest", itemRevision, nullptr });
         result.revision = ++m_revision;
         co_return result;
     }
@@ -32,6 +34,8 @@
         ++watches;
         for (int step = 0; step < 4; ++step)
             co_await pause(1ms);
+        if (forgets)
+            co_return StoreError { StoreErrorKind::HistoryGone, "status 410" };
         ItemChanges result;
         result.revision = ++m_revision;
         co_return result;
@@ -44,6 +48,10 @@
     std::atomic<int> lists { 0 };
     std::atomic<int> watches { 0 };
     std::atomic<bool> throws { false };
+    /// Whether watches find that the history is gone.
+    std::atomic<bool> forgets { false };
+    /// Of the newest object in a list.
+    std::atomic<std::int64_t> itemRevision { 2 };
 
 private:
     std::atomic<std::int64_t> m_revision { 0 };
@@ -59,6 +67,7 @@
             .configuration = [](const Configuration&) {},
             .backends = [](const std::vector<BackendServer>&) {},
             .instances = [](std::uint32_t, const std::vector<PeerAddress>&) {},
+            .changed = [this](const std::string&, std::int64_t revision) { told = std::max(told.load(), revision); },
         };
         directory = std::make_shared<StoreDirectory>(threads, store, std::move(format), DirectorySettings { .instance = "edge-1", .availabilityZone = "alpine" }, log, std::move(callbacks));
         directory->start();
@@ -77,6 +86,7 @@
     }
 
     SteppingStore store;
+    std::atomic<std::int64_t> told { 0 };
     EventLog log { "edge-1", 16 };
     IoThreads threads { 1 };
     std::shared_ptr<StoreDirectory> directory;
@@ -107,3 +117,17 @@
     }
     CHECK(scene.isFollowing());
 }
+
+// Guards against instances that keep an old configuration because the store forgot its history while
+// their watches waited, and the first to find the change in a list told nobody (found by a hunt: grown
+// Bab Amen, scale-2, seed 353305229677).
+TEST_CASE("a change that only a list shows is told to the peers")
+{
+    Scene scene;
+    std::this_thread::sleep_for(50ms);
+    CHECK(scene.told == 2);
+    scene.store.itemRevision = 77;
+    scene.store.forgets = true;
+    std::this_thread::sleep_for(100ms);
+    CHECK(scene.told == 77);
+}
