Read the time of a service's timer under its lock

The race is older; OutcomeLogTest now starts services often enough to show it.

Change: the coroutine keeps the time that it set under the lock.

What it could do: a timer set for a time half written, on machines where such a write is not one step.

--- a/src/ModelServiceTimer.cpp
+++ b/src/ModelServiceTimer.cpp
@@ -61,6 +61,7 @@
 {
     const auto self = shared_from_this();
     while (!timer->isStopped) {
+        TimePoint end;
         {
             const std::lock_guard guard(m_lock);
             if (m_isRetired && m_requests.empty())
@@ -69,9 +70,10 @@
             // The tick that was just fed has served a wake-up that is due.
             if (m_wakeAt && *m_wakeAt <= now)
                 m_wakeAt.reset();
-            timer->armedFor = m_wakeAt ? std::min(*m_wakeAt, now + maximumPause) : now + maximumPause;
+            end = m_wakeAt ? std::min(*m_wakeAt, now + maximumPause) : now + maximumPause;
+            timer->armedFor = end;
         }
-        timer->timer.expires_at(timer->armedFor);
+        timer->timer.expires_at(end);
         boost::system::error_code code;
         co_await timer->timer.async_wait(awaitInto(code));
         if (!code && !timer->isStopped)
