Tell peers of a backend server that only a list shows to be gone

Cause, found on reading the change: the check for a missing server compared the published servers before and after the list. A server that leaves the list stays published as leaving for 20 s, so the check never held, and peers whose watches waited over a dropped history heard of the leaving only when they asked again.

Change: the check looks for servers that were live, are not any more, and are not in the list.

Test: "a backend server that only a list shows to be gone is told to the peers" failed before and passes now.

--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -54,6 +54,16 @@
     return newest;
 }
 
+/// @return whether a server that was live has left because the list does not name it.
+auto losesServer(const std::vector<BackendServer>& before, const std::vector<BackendServer>& after, const ItemList& list) -> bool
+{
+    return std::ranges::any_of(before, [&](const BackendServer& server) {
+        const auto now = std::ranges::find(after, server.id, &BackendServer::id);
+        const auto isLive = now != after.end() && now->state == ReplicaState::Live;
+        return server.state == ReplicaState::Live && !isLive && std::ranges::find(list.items, server.id, &StoredItem::name) == list.items.end();
+    });
+}
+
 auto stateName(ReplicaState state) -> std::string_view
 {
     return state == ReplicaState::Live ? "live" : "leaving";
@@ -165,8 +175,8 @@
         // that is missing, no revision remains but that of the list, which only the first to miss it
         // tells: each list has another.
         const auto isFirst = !std::exchange(follower.isToldByPeer, false);
-        const auto isAnyMissing = isFirst && std::ranges::any_of(known, [&](const BackendServer& server) { return std::ranges::find(m_published, server.id, &BackendServer::id) == m_published.end(); });
-        m_callbacks.changed(follower.kind, isAnyMissing ? list->revision : newestRevision(*list));
+        const auto tellsList = isFirst && losesServer(known, m_published, *list);
+        m_callbacks.changed(follower.kind, tellsList ? list->revision : newestRevision(*list));
         co_return std::nullopt;
     }
     const auto executor = co_await asio::this_coro::executor;
--- a/test/correctness/StoreDirectoryTest.cpp
+++ b/test/correctness/StoreDirectoryTest.cpp
@@ -26,6 +26,8 @@
         ItemList result;
         result.items.push_back({ "main", 1, nullptr });
         result.items.push_back({ "newest", itemRevision, nullptr });
+        if (listsServer)
+            result.items.push_back({ "server", 1, nullptr });
         result.revision = ++m_revision;
         co_return result;
     }
@@ -50,6 +52,8 @@
     std::atomic<bool> throws { false };
     /// Whether watches find that the history is gone.
     std::atomic<bool> forgets { false };
+    /// Whether lists have the object of a backend server.
+    std::atomic<bool> listsServer { true };
     /// Of the newest object in a list.
     std::atomic<std::int64_t> itemRevision { 2 };
 
@@ -62,7 +66,7 @@
     {
         DirectoryFormat format { .configurationKind = "config", .configurationName = "main", .backendKind = "servers", .instanceKind = "instances", .leaseKind = "leases" };
         format.readConfiguration = [](const StoredItem&) { return std::nullopt; };
-        format.readBackend = [](const StoredItem&) { return std::nullopt; };
+        format.readBackend = [](const StoredItem& item) { return item.name == "server" ? std::optional(BackendServer { .id = "server" }) : std::nullopt; };
         DirectoryCallbacks callbacks {
             .configuration = [](const Configuration&) {},
             .backends = [](const std::vector<BackendServer>&) {},
@@ -131,3 +135,16 @@
     std::this_thread::sleep_for(100ms);
     CHECK(scene.told == 77);
 }
+
+// Guards against instances that send work to a backend server that left while the store forgot its
+// history: the list in which it is missing names no revision of its own.
+TEST_CASE("a backend server that only a list shows to be gone is told to the peers")
+{
+    Scene scene;
+    std::this_thread::sleep_for(50ms);
+    REQUIRE(scene.told == 2);
+    scene.store.listsServer = false;
+    scene.store.forgets = true;
+    std::this_thread::sleep_for(100ms);
+    CHECK(scene.told > 2);
+}
