--- a/cmake/http.cmake
+++ b/cmake/http.cmake
@@ -1,7 +1,7 @@
 jayhold_library(jayhold_http
-  UNITS ConnectionPool HttpClient HttpMessages HttpServer HttpServerConnection HttpStream IoThreads Pause SocketOptions
+  UNITS ConnectionPool HttpClient HttpMessages HttpServer HttpServerConnection HttpStream IoThreads Pause SocketOptions Tasks
   LINK jayhold_base)
 
 jayhold_test(http_test
-  SOURCES test/correctness/HttpTest.cpp test/error/HttpServerErrorTest.cpp
+  SOURCES test/correctness/HttpTest.cpp test/correctness/TasksTest.cpp test/error/HttpServerErrorTest.cpp
   LINK jayhold_http)
--- a/src/ClusterCore.cpp
+++ b/src/ClusterCore.cpp
@@ -1,7 +1,7 @@
 #include "ClusterCore.h"
 
 #include "AwaitToken.h"
-#include "TaskEnd.h"
+#include "Tasks.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/ClusterNode.cpp
+++ b/src/ClusterNode.cpp
@@ -10,6 +10,7 @@
 #include "RecordService.h"
 #include "Rendezvous.h"
 #include "Sha256.h"
+#include "Tasks.h"
 
 #include <boost/json/serialize.hpp>
 
@@ -102,9 +103,10 @@
             seeds.push_back({ .id = {}, .endpoint = endpoint, .availabilityZone = {} });
         setContacts(core->membership, std::move(seeds));
     }
-    spawnAtHome(core, runGossip(core));
-    spawnAtHome(core, watchConfiguration(core));
-    spawnAtHome(core, pollInstances(core));
+    const auto executor = core->threads.context(0).get_executor();
+    keepRunning(executor, core->log, "gossip", [core] { return runGossip(core); });
+    keepRunning(executor, core->log, "watch configuration", [core] { return watchConfiguration(core); });
+    keepRunning(executor, core->log, "poll instances", [core] { return pollInstances(core); });
 }
 
 auto ClusterNode::onConfiguration(std::function<void(std::shared_ptr<const Configuration>)> callback) -> void
@@ -205,6 +207,7 @@
         .update = [core, object](boost::json::value value, std::int64_t revision) { return core->store.update(core->threads.client(0), object, std::move(value), revision); },
         .now = bootNow,
         .isStopped = [core] { return core->isStopped.load(); },
+        .log = core->log,
     };
     std::string holder;
     {
--- a/src/EngineMonitor.cpp
+++ b/src/EngineMonitor.cpp
@@ -2,7 +2,7 @@
 
 #include "AwaitToken.h"
 #include "SpreadDelay.h"
-#include "TaskEnd.h"
+#include "Tasks.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -41,7 +41,7 @@
         if (!m_polled.insert(status.id).second)
             continue;
         const auto thread = m_context.threads.nextIndex();
-        asio::co_spawn(m_context.threads.context(thread), run(status.id, thread), reportTaskEnd(m_context.log, "poll engine " + status.backend.id));
+        keepRunning(m_context.threads.context(thread).get_executor(), m_context.log, "poll engine " + status.backend.id, [self = shared_from_this(), id = status.id, thread] { return self->run(id, thread); });
     }
 }
 
--- a/src/EntryContext.h
+++ b/src/EntryContext.h
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace jayhold {
 
@@ -50,4 +51,11 @@
     return since == TimePoint {} ? Duration::zero() : std::chrono::duration_cast<Duration>(monotonicNow() - since);
 }
 
+/// Adds to the fields of a log line how current the knowledge was on which a request was placed or refused.
+inline auto addKnowledge(const EntryContext& context, std::vector<LogField>& fields) -> void
+{
+    fields.emplace_back("config", context.configurationVersion.load());
+    fields.emplace_back("list_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(listAge(context)).count());
+}
+
 }
--- a/src/EntryDaemon.cpp
+++ b/src/EntryDaemon.cpp
@@ -1,7 +1,7 @@
 #include "EntryDaemon.h"
 
 #include "EntryDaemonState.h"
-#include "TaskEnd.h"
+#include "Tasks.h"
 
 #include <boost/asio/co_spawn.hpp>
 
@@ -92,7 +92,7 @@
     });
     isComplete = true;
     node->start();
-    asio::co_spawn(threads->context(0), watchMembers(), reportTaskEnd(log, "watch members"));
+    keepRunning(threads->context(0).get_executor(), log, "watch members", [this] { return watchMembers(); });
 }
 
 EntryDaemon::State::~State()
--- a/src/ForwardApi.cpp
+++ b/src/ForwardApi.cpp
@@ -71,7 +71,9 @@
 auto ForwardApi::refuse(HttpExchange& exchange, std::string_view requestId, const ApiError& error) -> asio::awaitable<void>
 {
     m_context.metrics.countRefusal(error.type);
-    m_context.log.record(LogLevel::Info, "request_refused", { { "request", requestId }, { "reason", error.type }, { "detail", error.message }, { "ran", "no" }, { "retry_after_ms", error.retryAfter.count() / 1'000 }, { "config", m_context.configurationVersion.load() }, { "list_age_ms", listAge(m_context).count() / 1'000 } });
+    std::vector<LogField> fields { { "request", requestId }, { "reason", error.type }, { "detail", error.message }, { "ran", "no" }, { "retry_after_ms", error.retryAfter.count() / 1'000 } };
+    addKnowledge(m_context, fields);
+    m_context.log.record(LogLevel::Info, "request_refused", fields);
     co_await exchange.respond(m_context.callers.refusal(error));
 }
 
--- a/src/LeaseKeeper.cpp
+++ b/src/LeaseKeeper.cpp
@@ -1,9 +1,7 @@
 #include "LeaseKeeper.h"
 
 #include "Pause.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "Tasks.h"
 
 namespace jayhold {
 
@@ -36,7 +34,7 @@
 
 auto LeaseKeeper::start() -> void
 {
-    asio::co_spawn(m_port.executor, run(), asio::detached);
+    keepRunning(m_port.executor, m_port.log, "keep lease " + m_lease.settings.name, [self = shared_from_this()] { return self->run(); });
 }
 
 auto LeaseKeeper::fencingNumber() const -> std::optional<std::int64_t>
--- a/src/LeasePort.h
+++ b/src/LeasePort.h
@@ -2,6 +2,7 @@
 
 /// Where and by which clock a LeaseKeeper keeps its lease.
 
+#include "EventLog.h"
 #include "StoreError.h"
 #include "StoredObject.h"
 #include "Time.h"
@@ -21,6 +22,7 @@
     std::function<boost::asio::awaitable<StoreResult<UpdateOutcome>>(boost::json::value, std::int64_t)> update;
     std::function<TimePoint()> now;
     std::function<bool()> isStopped;
+    EventLog& log;
 };
 
 }
--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -3,7 +3,7 @@
 #include "AwaitToken.h"
 #include "Pause.h"
 #include "RumorBuffer.h"
-#include "TaskEnd.h"
+#include "Tasks.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -78,8 +78,10 @@
 
 auto LoadExchange::start() -> void
 {
-    asio::co_spawn(m_state->context, send(), reportTaskEnd(m_state->log, "send loads"));
-    asio::co_spawn(m_state->context, receive(), reportTaskEnd(m_state->log, "receive loads"));
+    const auto self = shared_from_this();
+    const auto executor = m_state->context.get_executor();
+    keepRunning(executor, m_state->log, "send loads", [self] { return self->send(); });
+    keepRunning(executor, m_state->log, "receive loads", [self] { return self->receive(); });
 }
 
 auto LoadExchange::updatePeers(const std::vector<PeerAddress>& peers) -> void
@@ -161,16 +163,18 @@
 
 auto LoadExchange::reportSignature(std::uint64_t signature) -> void
 {
-    asio::post(m_state->context, [self = shared_from_this(), signature] {
-        if (learn(self->m_state->signatures, signature))
-            asio::co_spawn(self->m_state->context, self->tellOfCrash(), reportTaskEnd(self->m_state->log, "tell of crash"));
-    });
+    reportCrash([signature](State& state) { return learn(state.signatures, signature); });
 }
 
 auto LoadExchange::reportSuspect(const CrashSuspect& suspect) -> void
 {
-    asio::post(m_state->context, [self = shared_from_this(), suspect] {
-        if (learn(self->m_state->suspects, suspect))
+    reportCrash([suspect](State& state) { return learn(state.suspects, suspect); });
+}
+
+auto LoadExchange::reportCrash(std::function<bool(State&)> learnNews) -> void
+{
+    asio::post(m_state->context, [self = shared_from_this(), learnNews = std::move(learnNews)] {
+        if (learnNews(*self->m_state))
             asio::co_spawn(self->m_state->context, self->tellOfCrash(), reportTaskEnd(self->m_state->log, "tell of crash"));
     });
 }
--- a/src/LoadExchange.h
+++ b/src/LoadExchange.h
@@ -88,6 +88,9 @@
     auto take(LoadMessage message) -> void;
     /// Sends what has changed, or all of it after a longer pause.
     auto tell(TimePoint now) -> void;
+    /// Tells the others at once, where the news is new to this instance.
+    /// @param learnNews takes the news. @return whether it is new.
+    auto reportCrash(std::function<bool(State&)> learnNews) -> void;
     auto tellOfCrash() -> boost::asio::awaitable<void>;
     auto takeCrashes(const LoadMessage& message) -> void;
 
--- a/src/Metrics.cpp
+++ b/src/Metrics.cpp
@@ -99,7 +99,10 @@
         if (gauge.name != before)
             printHeader(output, gauge.name, gauge.help, gauge.isCounter ? "counter" : "gauge");
         before = gauge.name;
-        output << gauge.name << (gauge.labels.empty() ? "" : "{" + gauge.labels + "}") << ' ' << gauge.value << '\n';
+        output << gauge.name;
+        if (!gauge.label.empty())
+            output << '{' << gauge.label << "=\"" << escapeLabel(gauge.labelValue) << "\"}";
+        output << ' ' << gauge.value << '\n';
     }
     printHeader(output, "jayhold_refusals_total", "Requests refused, by reason.", "counter");
     for (const auto& [reason, count] : m_refusals)
--- a/src/Metrics.h
+++ b/src/Metrics.h
@@ -24,8 +24,9 @@
         std::string_view help;
         double value;
         bool isCounter = false;
-        /// Labels in the text format, without braces; gauges of one name stand together.
-        std::string labels {};
+        /// Gauges of one name stand together and differ in the value of one label.
+        std::string_view label {};
+        std::string labelValue {};
     };
 
     /// @param openRequests requests in progress now.
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -209,7 +209,7 @@
     m_backend = replica->backend.id;
     const auto decode = m_service->replica(action.decode);
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - m_info.arrivedAt);
-    record(m_seatRefusals == 0 ? LogLevel::Info : LogLevel::Debug, "request_placed", { { "decode_backend", decode ? decode->backend.id : "" }, { "decode_tokens", action.decodeTokens }, { "prompt_tokens", m_info.digest.tokens }, { "waited_ms", waited.count() }, { "config", m_context.configurationVersion.load() }, { "list_age_ms", listAge(m_context).count() / 1'000 } });
+    recordDecision(m_seatRefusals == 0 ? LogLevel::Info : LogLevel::Debug, "request_placed", { { "decode_backend", decode ? decode->backend.id : "" }, { "decode_tokens", action.decodeTokens }, { "prompt_tokens", m_info.digest.tokens }, { "waited_ms", waited.count() } });
     record(LogLevel::Debug, "prefill_started");
     auto call = engineCall();
     const auto task = ++m_tasks->lastTask;
@@ -322,7 +322,7 @@
     counter.fetch_add(1, std::memory_order_relaxed);
     m_context.metrics.countRefusal(error.type);
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_info.deadline - monotonicNow());
-    record(LogLevel::Info, "request_refused", { { "reason", error.type }, { "ran", error.outcome == Outcome::NotRun ? "no" : "unknown" }, { "left_ms", left.count() }, { "seat_refusals", m_seatRefusals }, { "queued", m_refusalInputs.queued }, { "wait_ms", m_refusalInputs.wait.count() / 1'000 }, { "needed_ms", m_refusalInputs.needed.count() / 1'000 }, { "retry_after_ms", error.retryAfter.count() / 1'000 }, { "config", m_context.configurationVersion.load() }, { "list_age_ms", listAge(m_context).count() / 1'000 } });
+    recordDecision(LogLevel::Info, "request_refused", { { "reason", error.type }, { "ran", error.outcome == Outcome::NotRun ? "no" : "unknown" }, { "left_ms", left.count() }, { "seat_refusals", m_seatRefusals }, { "queued", m_refusalInputs.queued }, { "wait_ms", m_refusalInputs.wait.count() / 1'000 }, { "needed_ms", m_refusalInputs.needed.count() / 1'000 }, { "retry_after_ms", error.retryAfter.count() / 1'000 } });
     if (error.outcome == Outcome::Unknown)
         error.answer = m_failedAnswer;
     co_await m_writer->fail(std::move(error));
@@ -372,6 +372,18 @@
 }
 
 auto ModelRequest::record(LogLevel level, std::string_view event, std::initializer_list<LogField> details) -> void
+{
+    m_context.log.record(level, event, fieldsOf(details));
+}
+
+auto ModelRequest::recordDecision(LogLevel level, std::string_view event, std::initializer_list<LogField> details) -> void
+{
+    auto fields = fieldsOf(details);
+    addKnowledge(m_context, fields);
+    m_context.log.record(level, event, fields);
+}
+
+auto ModelRequest::fieldsOf(std::initializer_list<LogField> details) const -> std::vector<LogField>
 {
     std::vector<LogField> fields { { "request", callerRequestId() }, { "service", m_service->name() }, { "kind", m_info.kindSettings.name } };
     if (!m_info.customerName.empty())
@@ -379,7 +391,7 @@
     fields.emplace_back("attempt", m_attempt);
     fields.emplace_back("backend", m_backend);
     fields.insert(fields.end(), details.begin(), details.end());
-    m_context.log.record(level, event, fields);
+    return fields;
 }
 
 auto ModelRequest::usage() const -> CompletionUsage
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -92,6 +92,9 @@
     /// @return the name under which the request is logged.
     auto callerRequestId() const -> std::string;
     auto record(LogLevel level, std::string_view event, std::initializer_list<LogField> details = {}) -> void;
+    /// Records what places or refuses the request, with the age of what it rests on.
+    auto recordDecision(LogLevel level, std::string_view event, std::initializer_list<LogField> details) -> void;
+    auto fieldsOf(std::initializer_list<LogField> details) const -> std::vector<LogField>;
     /// Frees the prefill result where no decode has fetched it.
     auto dropPrefill() -> void;
     auto usage() const -> CompletionUsage;
--- a/src/ModelServiceTimer.cpp
+++ b/src/ModelServiceTimer.cpp
@@ -1,7 +1,7 @@
 #include "ModelService.h"
 
 #include "AwaitToken.h"
-#include "TaskEnd.h"
+#include "Tasks.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
@@ -36,7 +36,7 @@
     auto& context = m_context.threads.context(m_context.threads.nextIndex());
     auto timer = std::make_shared<Timer>(context);
     m_timer = timer;
-    asio::co_spawn(context, runTimer(std::move(timer)), reportTaskEnd(m_context.log, "timer of " + m_name));
+    keepRunning(context.get_executor(), m_context.log, "timer of " + m_name, [self = shared_from_this(), timer] { return self->runTimer(timer); });
 }
 
 auto ModelService::stop() -> void
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -141,7 +141,7 @@
             break;
         state.tried.push_back(backend->id);
         const auto timeout = attemptTimeout(call, state, mayRepeat);
-        record(LogLevel::Info, call, "request_placed", { { "backend", backend->id }, { "attempt", state.tried.size() }, { "timeout_ms", timeout.count() / 1'000 }, { "config", m_context.configurationVersion.load() }, { "list_age_ms", listAge(m_context).count() / 1'000 } });
+        recordDecision(call, "request_placed", { { "backend", backend->id }, { "attempt", state.tried.size() }, { "timeout_ms", timeout.count() / 1'000 } });
         last = co_await tryOn(client, *backend, call, timeout);
         state.runs += !last.isNotRun;
         if (last.answer && last.isFinal)
@@ -300,7 +300,7 @@
     auto& counter = error.outcome == Outcome::NotRun ? m_metrics->refusedNotRun : m_metrics->refusedUnknown;
     counter.fetch_add(1, std::memory_order_relaxed);
     m_context.metrics.countRefusal(error.type);
-    record(LogLevel::Info, call, "request_refused", { { "reason", error.type }, { "detail", error.message }, { "ran", error.outcome == Outcome::NotRun ? "no" : "unknown" }, { "retry_after_ms", error.retryAfter.count() / 1'000 }, { "config", m_context.configurationVersion.load() }, { "list_age_ms", listAge(m_context).count() / 1'000 } });
+    recordDecision(call, "request_refused", { { "reason", error.type }, { "detail", error.message }, { "ran", error.outcome == Outcome::NotRun ? "no" : "unknown" }, { "retry_after_ms", error.retryAfter.count() / 1'000 } });
     co_await exchange.respond(m_context.callers.refusal(error));
 }
 
@@ -335,12 +335,24 @@
 }
 
 auto PlainService::record(LogLevel level, const PlainCallInfo& call, std::string_view event, std::initializer_list<LogField> details) -> void
+{
+    m_context.log.record(level, event, fieldsOf(call, details));
+}
+
+auto PlainService::recordDecision(const PlainCallInfo& call, std::string_view event, std::initializer_list<LogField> details) -> void
+{
+    auto fields = fieldsOf(call, details);
+    addKnowledge(m_context, fields);
+    m_context.log.record(LogLevel::Info, event, fields);
+}
+
+auto PlainService::fieldsOf(const PlainCallInfo& call, std::initializer_list<LogField> details) const -> std::vector<LogField>
 {
     std::vector<LogField> fields { { "request", call.requestId.empty() ? call.idempotencyKey : call.requestId }, { "service", m_name }, { "kind", call.kind.name } };
     if (!call.customer.empty())
         fields.emplace_back("customer", call.customer);
     fields.insert(fields.end(), details.begin(), details.end());
-    m_context.log.record(level, event, fields);
+    return fields;
 }
 
 }
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -72,6 +72,9 @@
     auto abandon(const std::string& id) -> void;
     auto takeRetry() -> bool;
     auto record(LogLevel level, const PlainCallInfo& call, std::string_view event, std::initializer_list<LogField> details = {}) -> void;
+    /// Records what places or refuses the call, with the age of what it rests on.
+    auto recordDecision(const PlainCallInfo& call, std::string_view event, std::initializer_list<LogField> details) -> void;
+    auto fieldsOf(const PlainCallInfo& call, std::initializer_list<LogField> details) const -> std::vector<LogField>;
     /// Applies the service's retry policy to the budget; with the lock held.
     auto updateBudgetLocked() -> void;
 
--- a/src/PlatformStore.cpp
+++ b/src/PlatformStore.cpp
@@ -53,13 +53,7 @@
 {
     HttpRequest request { "GET", objectTarget(name), {}, {} };
     const auto answer = co_await m_connection.call(client, std::move(request));
-    if (answer.has_error())
-        co_return answer.error();
-    if (answer->status == statusNotFound)
-        co_return StoredObject {};
-    if (answer->status != statusOk)
-        co_return malformedAnswer("status " + std::to_string(answer->status));
-    co_return parseObject(*answer);
+    co_return readStoredObject(answer, parseObject);
 }
 
 auto PlatformStore::watch(HttpClient& client, std::string name, std::int64_t afterRevision, Duration wait) -> asio::awaitable<StoreResult<std::optional<StoredObject>>>
--- a/src/RoleBalancer.cpp
+++ b/src/RoleBalancer.cpp
@@ -1,7 +1,7 @@
 #include "RoleBalancer.h"
 
 #include "Pause.h"
-#include "TaskEnd.h"
+#include "Tasks.h"
 
 #include <boost/asio/co_spawn.hpp>
 
@@ -39,7 +39,7 @@
 
 auto RoleBalancer::start() -> void
 {
-    asio::co_spawn(m_context.threads.context(0), run(), reportTaskEnd(m_context.log, "balance roles"));
+    keepRunning(m_context.threads.context(0).get_executor(), m_context.log, "balance roles", [self = shared_from_this()] { return self->run(); });
 }
 
 auto RoleBalancer::changing() const -> std::vector<std::string>
@@ -93,6 +93,7 @@
         .update = [this, name](boost::json::value value, std::int64_t revision) { return m_store.update(m_context.threads.client(0), m_settings.leaseKind, name, std::move(value), revision); },
         .now = bootNow,
         .isStopped = [] { return false; },
+        .log = m_context.log,
     };
 }
 
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -7,9 +7,10 @@
 #include "RecordsUnavailable.h"
 #include "RoleBalancer.h"
 #include "ServiceTable.h"
-#include "TaskEnd.h"
+#include "Tasks.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <random>
 
@@ -82,7 +83,7 @@
         { "over_budget", counts.overBudget },
     };
     for (const auto& [result, count] : results)
-        gauges.push_back({ "jayhold_store_calls_total", "Calls to the store, by result; those held back or over budget were not sent.", static_cast<double>(count), true, "result=\"" + std::string(result) + "\"" });
+        gauges.push_back({ "jayhold_store_calls_total", "Calls to the store, by result; those held back or over budget were not sent.", static_cast<double>(count), true, "result", std::string(result) });
 }
 
 /// Tells the runs of an instance apart; the time of day may jump, so it is not the only part.
@@ -151,7 +152,7 @@
             directorySettings.peerEndpoint = exchange->endpoint();
         directory = std::make_shared<StoreDirectory>(threads, *parts.store, parts.directory, std::move(directorySettings), log, std::move(callbacks));
         directory->start();
-        asio::co_spawn(threads.context(0), flushLogRegularly(), reportTaskEnd(log, "flush log"));
+        keepRunning(threads.context(0).get_executor(), log, "flush log", [this] { return flushLogRegularly(); });
         if (parts.backends.orderRole)
             startBalancer();
     }
@@ -211,7 +212,9 @@
 
     auto answerMetrics(HttpExchange& exchange) -> asio::awaitable<void>
     {
-        const auto known = directory->summary();
+        // The directory lives on the first thread, and this exchange may live on another.
+        auto readSummary = [this]() -> asio::awaitable<StoreDirectory::Summary> { co_return directory->summary(); };
+        const auto known = co_await asio::co_spawn(threads.context(0), readSummary, asio::use_awaitable);
         const auto storeAge = std::chrono::duration<double>(listAge(context)).count();
         double pieces = 0;
         for (const auto& use : services.use())
--- a/src/ServiceTable.cpp
+++ b/src/ServiceTable.cpp
@@ -183,10 +183,10 @@
         summaries.emplace_back(service->name(), service->summary());
     for (const auto& value : values) {
         for (const auto& [service, summary] : summaries)
-            gauges.push_back({ value.name, value.help, value.read(summary), value.isCounter, "service=\"" + service + "\"" });
+            gauges.push_back({ value.name, value.help, value.read(summary), value.isCounter, "service", service });
     }
     for (const auto& service : plains())
-        gauges.push_back({ "jayhold_plain_retries_left", "Retries of plain calls that the budget allows now.", service->retriesLeft(), false, "service=\"" + service->name() + "\"" });
+        gauges.push_back({ "jayhold_plain_retries_left", "Retries of plain calls that the budget allows now.", service->retriesLeft(), false, "service", service->name() });
 }
 
 auto ServiceTable::models() const -> std::vector<std::shared_ptr<ModelService>>
--- a/src/StoreConnection.cpp
+++ b/src/StoreConnection.cpp
@@ -40,6 +40,17 @@
     return { .endpoints = { std::move(endpoint) }, .timeout = timeout, .callsPerSecond = callsPerSecondOfAll / mostInstances, .longestBackOff = longestBackOff, .seed = seed };
 }
 
+auto readStoredObject(const StoreResult<HttpResponse>& answer, const std::function<StoreResult<StoredObject>(const HttpResponse&)>& parse) -> StoreResult<StoredObject>
+{
+    if (answer.has_error())
+        return answer.error();
+    if (answer->status == statusNotFound)
+        return StoredObject {};
+    if (answer->status != statusOk)
+        return malformedAnswer("status " + std::to_string(answer->status));
+    return parse(*answer);
+}
+
 struct StoreConnection::State {
     explicit State(StoreConnectionSettings connectionSettings)
         : settings(std::move(connectionSettings))
--- a/src/StoreConnection.h
+++ b/src/StoreConnection.h
@@ -7,10 +7,12 @@
 #include "HttpClient.h"
 #include "StoreCallCounts.h"
 #include "StoreError.h"
+#include "StoredObject.h"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -31,6 +33,11 @@
 /// @param callsPerSecondOfAll what all instances together may make.
 auto sharedStoreSettings(HttpEndpoint endpoint, double callsPerSecondOfAll, std::uint64_t seed) -> StoreConnectionSettings;
 
+/// Reads an answer to a call for one object.
+/// @param parse reads the object from an answer that holds one.
+/// @return the object; revision 0 where the store says that it does not exist.
+auto readStoredObject(const StoreResult<HttpResponse>& answer, const std::function<StoreResult<StoredObject>(const HttpResponse&)>& parse) -> StoreResult<StoredObject>;
+
 class StoreConnection {
 public:
     explicit StoreConnection(StoreConnectionSettings settings);
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -3,7 +3,7 @@
 #include "JsonFields.h"
 #include "Pause.h"
 #include "SpreadDelay.h"
-#include "TaskEnd.h"
+#include "Tasks.h"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -84,7 +84,6 @@
 auto StoreDirectory::start() -> void
 {
     const auto self = shared_from_this();
-    auto& context = m_threads.context(0);
     auto configuration = std::make_shared<Follower>();
     configuration->kind = m_format.configurationKind;
     configuration->take = [this](const ItemList& list) { std::ranges::for_each(list.items, [this](const StoredItem& item) { takeConfiguration(item); }); };
@@ -97,11 +96,13 @@
     backends->take = [this](const ItemList& list) { takeBackends(list); };
     backends->change = [this](const ItemChange& change) { takeBackend(change); };
     m_followers = { configuration, backends };
+    const auto executor = m_threads.context(0).get_executor();
     for (const auto& follower : m_followers)
-        asio::co_spawn(context, follow(follower), reportTaskEnd(m_log, "follow " + follower->kind));
-    asio::co_spawn(context, announceInstance(), reportTaskEnd(m_log, "announce instance"));
-    asio::co_spawn(context, countInstances(), reportTaskEnd(m_log, "count instances"));
-    asio::co_spawn(context, expireBackends(), reportTaskEnd(m_log, "expire backends"));
+        keepRunning(
+            executor, m_log, "follow " + follower->kind, [self, follower] { return self->follow(follower); }, shortestRetry);
+    keepRunning(executor, m_log, "announce instance", [self] { return self->announceInstance(); });
+    keepRunning(executor, m_log, "count instances", [self] { return self->countInstances(); });
+    keepRunning(executor, m_log, "expire backends", [self] { return self->expireBackends(); });
 }
 
 auto StoreDirectory::summary() const -> Summary
@@ -124,8 +125,10 @@
 auto StoreDirectory::follow(FollowerPointer follower) -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
+    // What an earlier run of this coroutine had read may be incomplete.
+    follower->revision = 0;
     while (true) {
-        const auto error = co_await followGuarded(*follower);
+        const auto error = co_await followOnce(*follower);
         if (error && error->kind == StoreErrorKind::Cancelled)
             continue;
         noteOutcome(*follower, error);
@@ -134,17 +137,6 @@
     }
 }
 
-auto StoreDirectory::followGuarded(Follower& follower) -> asio::awaitable<std::optional<StoreError>>
-{
-    try {
-        co_return co_await followOnce(follower);
-    } catch (const std::exception& error) {
-        // An instance that follows its lists no longer would send work to servers that are gone.
-        follower.revision = 0;
-        co_return StoreError { StoreErrorKind::Unavailable, std::string("unforeseen fault: ") + error.what() };
-    }
-}
-
 auto StoreDirectory::watch(const Follower& follower) -> asio::awaitable<StoreResult<ItemChanges>>
 {
     // An interrupt can arrive between two steps of the call; the next step then fails, and must not throw.
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -98,8 +98,6 @@
     /// @return how long a watch may wait.
     auto watchTime() const -> Duration;
     auto followOnce(Follower& follower) -> boost::asio::awaitable<std::optional<StoreError>>;
-    /// Turns whatever a call throws into an error.
-    auto followGuarded(Follower& follower) -> boost::asio::awaitable<std::optional<StoreError>>;
     auto watch(const Follower& follower) -> boost::asio::awaitable<StoreResult<ItemChanges>>;
     auto logUnreadable(const std::string& kind, std::size_t count) -> void;
     auto noteOutcome(Follower& follower, const std::optional<StoreError>& error) -> void;
--- /dev/null
+++ b/src/Tasks.cpp
@@ -0,0 +1,61 @@
+#include "Tasks.h"
+
+#include "Pause.h"
+
+#include <boost/asio/co_spawn.hpp>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+auto describe(const std::exception_ptr& thrown) -> std::string
+{
+    try {
+        std::rethrow_exception(thrown);
+    } catch (const std::exception& error) {
+        return error.what();
+    } catch (...) {
+        return "not a standard exception";
+    }
+}
+
+auto logFault(EventLog& log, std::string_view task, const std::exception_ptr& thrown) -> void
+{
+    log.record(LogLevel::Error, "task_failed", { { "task", task }, { "detail", describe(thrown) } });
+}
+
+auto runAgain(EventLog& log, std::string task, std::function<asio::awaitable<void>()> start, Duration pauseAfterFault) -> asio::awaitable<void>
+{
+    while (true) {
+        std::exception_ptr thrown;
+        try {
+            co_await start();
+        } catch (...) {
+            thrown = std::current_exception();
+        }
+        if (!thrown)
+            co_return;
+        logFault(log, task, thrown);
+        co_await pause(pauseAfterFault);
+    }
+}
+
+}
+
+auto reportTaskEnd(EventLog& log, std::string task) -> std::function<void(const std::exception_ptr&)>
+{
+    return [&log, task = std::move(task)](const std::exception_ptr& thrown) {
+        if (thrown)
+            logFault(log, task, thrown);
+    };
+}
+
+auto keepRunning(const asio::any_io_executor& executor, EventLog& log, std::string task, std::function<asio::awaitable<void>()> start, Duration pauseAfterFault) -> void
+{
+    auto onEnd = reportTaskEnd(log, task);
+    asio::co_spawn(executor, runAgain(log, std::move(task), std::move(start), pauseAfterFault), std::move(onEnd));
+}
+
+}
