Let three instances of each zone watch the store and tell the others

Each change returns the watches of all 61 instances, and an instance that a peer told first read the list on top. Ruled out: longer watches (they are seldom the ones that end without a change) and reads that may be stale.

WatchDuty decides who watches; watchers send changes by datagram, with the revision after which they begin. A list that a peer's news asks for is now read beside the waiting watch. Interrupting the watch crashed: a cancellation that arrived after its last step reached a timer that was gone. The test "news from peers never end the watch" showed it.

--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -1,8 +1,8 @@
 jayhold_library(jayhold_cluster
   UNITS BackendDirectory BackOff CallBudget ClusterCore ClusterDocuments ClusterGossip ClusterNode ConfigurationApply CrashSuspect
-    GossipMessage InstanceCount InstanceList Lease LeaseKeeper LoadExchange LoadMessage Membership MembershipOwners MembershipTargets OrderGate PeerLoads PlatformStore
-    RecordDriver RecordMessages RecordPartition RecordRules RecordService RecordTable Rendezvous SpreadDelay StoreConnection StoreDirectory
-    VersionedCopy
+    DirectoryNews GossipMessage InstanceCount InstanceList Lease LeaseKeeper LoadExchange LoadMessage Membership MembershipOwners MembershipTargets OrderGate PeerLoads PlatformStore
+    RecordDriver RecordMessages RecordPartition RecordRules RecordService RecordTable Rendezvous SpreadDelay StoreConnection StoreDirectory StoreDirectoryNews
+    VersionedCopy WatchDuty
   LINK jayhold_http jayhold_operator)
 
 jayhold_test(cluster_node_test
@@ -11,6 +11,7 @@
 
 jayhold_test(cluster_directory_test
   SOURCES test/correctness/BackendDirectoryTest.cpp test/correctness/LoadExchangeTest.cpp test/correctness/StoreDirectoryTest.cpp
+    test/correctness/SharedWatchTest.cpp test/correctness/WatchDutyTest.cpp
   LINK jayhold_cluster)
 
 jayhold_test(cluster_record_test
--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <span>
 
 namespace jayhold {
 
@@ -33,6 +34,8 @@
 /// Bounds the size of a message.
 constexpr std::size_t crashesPerMessage = 64;
 constexpr std::size_t largestDatagram = 65'536;
+/// Instances of a zone get each its own copy, over links of 10 Mbit/s on the smallest machines.
+constexpr std::size_t largestNews = 16'384;
 
 }
 
@@ -47,6 +50,22 @@
         socket.non_blocking(true);
     }
 
+    /// Sends one datagram to each. One that can't be sent is as good as lost on the way; the next
+    /// message makes up for it.
+    auto sendToEach(std::span<const asio::ip::udp::endpoint> peers, std::string_view text) -> void
+    {
+        std::size_t failed = 0;
+        boost::system::error_code last;
+        for (const auto& peer : peers) {
+            boost::system::error_code code;
+            socket.send_to(asio::buffer(text), peer, 0, code);
+            failed += code ? 1 : 0;
+            last = code ? code : last;
+        }
+        if (failed > 0)
+            log.record(LogLevel::Info, "load_message_not_sent", { { "peers", failed }, { "detail", last.message() } });
+    }
+
     const LoadExchangeSettings settings;
     asio::io_context& context;
     asio::ip::udp::socket socket;
@@ -106,11 +125,6 @@
     m_state->hasNews = true;
 }
 
-auto LoadExchange::heardPeers() const -> std::size_t
-{
-    return m_state->loads.instances.size();
-}
-
 auto LoadExchange::isFirst() const -> bool
 {
     const auto& heard = m_state->loads.instances;
@@ -192,22 +206,21 @@
 auto LoadExchange::sendToPeers(const std::string& text, bool isForAll) -> void
 {
     auto& state = *m_state;
-    std::size_t failed = 0;
-    boost::system::error_code last;
-    const auto sendTo = [&](const asio::ip::udp::endpoint& peer) {
-        boost::system::error_code code;
-        state.socket.send_to(asio::buffer(text), peer, 0, code);
-        failed += code ? 1 : 0;
-        last = code ? code : last;
-    };
-    std::ranges::for_each(state.near, sendTo);
+    state.sendToEach(state.near, text);
     // Each message goes to another part of the far instances.
     const auto part = isForAll ? 1 : farPart;
+    std::vector<asio::ip::udp::endpoint> turn;
     for (auto index = state.sequence % part; index < state.far.size(); index += part)
-        sendTo(state.far[index]);
-    // A datagram that can't be sent is as good as one lost on the way; the next message makes up for it.
-    if (failed > 0)
-        state.log.record(LogLevel::Info, "load_message_not_sent", { { "peers", failed }, { "detail", last.message() } });
+        turn.push_back(state.far[index]);
+    state.sendToEach(turn, text);
+}
+
+auto LoadExchange::sendNews(const DirectoryNews& news) -> void
+{
+    const auto text = printDirectoryNews(news);
+    // Larger news would not fit a datagram; the regular messages tell the revision, and who lacks it reads the list.
+    if (text.size() <= largestNews)
+        m_state->sendToEach(m_state->near, text);
 }
 
 auto LoadExchange::receive() -> asio::awaitable<void>
@@ -225,18 +238,26 @@
             state.log.record(LogLevel::Info, "load_message_not_delivered", { { "detail", code.message() } });
             continue;
         }
-        auto message = parseLoadMessage({ state.buffer.data(), size });
-        if (!message) {
-            ++state.unreadable;
-            state.log.record(LogLevel::Warning, "load_message_unreadable", { { "bytes", size }, { "total", state.unreadable } });
-            continue;
-        }
         // The store's list of instances lags behind a new one, which knows this one already.
         const auto isKnown = std::ranges::find(state.near, sender) != state.near.end() || std::ranges::find(state.far, sender) != state.far.end();
         if (!isKnown)
             state.far.push_back(sender);
+        takeDatagram({ state.buffer.data(), size });
+    }
+}
+
+auto LoadExchange::takeDatagram(std::string_view text) -> void
+{
+    if (auto message = parseLoadMessage(text)) {
         take(std::move(*message));
+        return;
+    }
+    if (auto news = parseDirectoryNews(text)) {
+        m_state->callbacks.onNews(std::move(*news));
+        return;
     }
+    ++m_state->unreadable;
+    m_state->log.record(LogLevel::Warning, "load_message_unreadable", { { "bytes", text.size() }, { "total", m_state->unreadable } });
 }
 
 auto LoadExchange::takeCrashes(const LoadMessage& message) -> void
--- a/src/LoadExchange.h
+++ b/src/LoadExchange.h
@@ -4,6 +4,7 @@
 /// same of them, by datagrams. Engines report their load late and each report has a price; a lost
 /// datagram is made up for by the next.
 
+#include "DirectoryNews.h"
 #include "EventLog.h"
 #include "HttpEndpoint.h"
 #include "IoThreads.h"
@@ -14,6 +15,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 namespace jayhold {
@@ -33,6 +35,8 @@
     std::function<void(const CrashSuspect&)> onSuspect;
     /// Another instance has ordered backend servers to change their role.
     std::function<void(const std::vector<std::string>&)> onChanging;
+    /// Another instance of the zone tells of the store's objects.
+    std::function<void(DirectoryNews)> onNews = [](DirectoryNews) {};
 };
 
 struct LoadExchangeSettings {
@@ -62,15 +66,16 @@
     /// I/O thread.
     auto noteRevision(const std::string& kind, std::int64_t revision) -> void;
 
+    /// Tells the other instances of the zone of the store's objects; must be called on the first I/O
+    /// thread.
+    auto sendNews(const DirectoryNews& news) -> void;
+
     /// Tells the others at once of a request that crashes backend servers.
     auto reportSignature(std::uint64_t signature) -> void;
 
     /// Tells the others at once of a request that was in flight on a backend server that crashed.
     auto reportSuspect(const CrashSuspect& suspect) -> void;
 
-    /// @return instances that are heard; must be called on the first I/O thread.
-    auto heardPeers() const -> std::size_t;
-
     /// @return whether this instance's name comes before those of all others that are heard; must be
     /// called on the first I/O thread.
     auto isFirst() const -> bool;
@@ -85,6 +90,7 @@
     auto receive() -> boost::asio::awaitable<void>;
     /// Sends to the instances of this zone, and to the others where it is their turn or all are to know.
     auto sendToPeers(const std::string& text, bool isForAll) -> void;
+    auto takeDatagram(std::string_view text) -> void;
     auto take(LoadMessage message) -> void;
     /// Sends what has changed, or all of it after a longer pause.
     auto tell(TimePoint now) -> void;
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -143,10 +143,11 @@
             .changed = [this](const std::string& kind, std::int64_t revision) {
                 if (exchange)
                     exchange->noteRevision(kind, revision); },
-            .tellingPeers = [this] { return exchange ? exchange->heardPeers() : 0; },
         };
-        if (settings.loadListen)
+        if (settings.loadListen) {
             startExchange(*settings.loadListen);
+            callbacks.tellZone = [this](const DirectoryNews& news) { exchange->sendNews(news); };
+        }
         DirectorySettings directorySettings { .instance = settings.instance, .availabilityZone = settings.availabilityZone, .changeBound = settings.changeBound };
         if (exchange)
             directorySettings.peerEndpoint = exchange->endpoint();
@@ -169,6 +170,9 @@
             .onSignature = [this](std::uint64_t signature) { services.noteSignature(signature); },
             .onSuspect = [this](const CrashSuspect& suspect) { services.noteSuspect(suspect); },
             .onChanging = [this](const std::vector<std::string>& backends) { noteChanging(backends); },
+            .onNews = [this](const DirectoryNews& news) {
+                if (directory)
+                    directory->noteNews(news); },
         };
         LoadExchangeSettings exchangeSettings { endpoint, settings.instance, context.runId, settings.availabilityZone };
         exchange = std::make_shared<LoadExchange>(threads, std::move(exchangeSettings), log, std::move(callbacks));
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -5,10 +5,6 @@
 #include "SpreadDelay.h"
 #include "Tasks.h"
 
-#include <boost/asio/bind_cancellation_slot.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/object.hpp>
 
 #include <algorithm>
@@ -24,17 +20,16 @@
 /// hear of it only when they ask again. The rest of the bound is for that answer and a new list.
 constexpr int watchPartOfBound = 60;
 constexpr int wholeBound = 100;
-/// Instances that ask anew within each such time; what one learns it tells the others.
-constexpr std::size_t askersPerBound = 6;
 /// Watches last from a third to the whole of their time, so that instances don't ask at the same moment.
 constexpr int spreadAround = 66;
-constexpr Duration longestWatch = std::chrono::seconds(20);
 /// Pause after a failed call, unless the store's back-off asks for more.
 constexpr Duration shortestRetry = std::chrono::milliseconds(200);
 /// Records of instances are written and counted this often; each write costs a call.
 constexpr Duration instanceInterval = std::chrono::seconds(20);
 constexpr Duration firstCountDelay = std::chrono::seconds(2);
 constexpr Duration expiryInterval = std::chrono::milliseconds(100);
+/// An instance that is told of changes looks this often whether it has to read by itself.
+constexpr Duration toldInterval = std::chrono::milliseconds(50);
 
 auto textOf(const StoredItem& item, std::string_view field) -> std::string
 {
@@ -78,6 +73,7 @@
     , m_settings(std::move(settings))
     , m_log(log)
     , m_callbacks(std::move(callbacks))
+    , m_duty { .instance = m_settings.instance }
 {
 }
 
@@ -103,6 +99,8 @@
     keepRunning(executor, m_log, "announce instance", [self] { return self->announceInstance(); });
     keepRunning(executor, m_log, "count instances", [self] { return self->countInstances(); });
     keepRunning(executor, m_log, "expire backends", [self] { return self->expireBackends(); });
+    if (m_callbacks.tellZone)
+        keepRunning(executor, m_log, "share watches", [self] { return self->keepDuty(); });
 }
 
 auto StoreDirectory::summary() const -> Summary
@@ -110,84 +108,65 @@
     return { m_version, m_published.size(), liveInstances(m_instances, monotonicNow()), m_directory.awaySince };
 }
 
-auto StoreDirectory::noteChange(const std::string& kind, std::int64_t revision) -> void
-{
-    for (const auto& follower : m_followers) {
-        if (follower->kind != kind || follower->revision == 0 || follower->revision >= revision)
-            continue;
-        m_log.record(LogLevel::Info, "change_told_by_peer", { { "kind", kind }, { "revision", revision }, { "own_revision", follower->revision } });
-        follower->revision = 0;
-        follower->isToldByPeer = true;
-        follower->interrupt.emit(asio::cancellation_type::terminal);
-    }
-}
-
 auto StoreDirectory::follow(FollowerPointer follower) -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
     // What an earlier run of this coroutine had read may be incomplete.
     follower->revision = 0;
     while (true) {
-        const auto error = co_await followOnce(*follower);
-        if (error && error->kind == StoreErrorKind::Cancelled)
+        if (isTold(*follower)) {
+            storeAnswered(m_directory, monotonicNow());
+            noteOutcome(*follower, std::nullopt);
+            co_await pause(toldInterval);
             continue;
+        }
+        const auto error = co_await followOnce(*follower);
         noteOutcome(*follower, error);
         if (error && error->kind != StoreErrorKind::HistoryGone)
             co_await pause(spreadDelay(std::max(shortestRetry, error->retryAfter / 2)));
     }
 }
 
-auto StoreDirectory::watch(const Follower& follower) -> asio::awaitable<StoreResult<ItemChanges>>
+auto StoreDirectory::readList(Follower& follower, bool isToldByPeer) -> asio::awaitable<std::optional<StoreError>>
 {
-    // An interrupt can arrive between two steps of the call; the next step then fails, and must not throw.
-    co_await asio::this_coro::throw_if_cancelled(false);
-    auto changes = co_await m_store.watch(m_threads.client(0), follower.kind, follower.revision, spreadDelay(watchTime() * spreadAround / wholeBound));
-    co_return changes;
-}
-
-auto StoreDirectory::watchTime() const -> Duration
-{
-    const auto alone = m_settings.changeBound * watchPartOfBound / wholeBound;
-    const auto sharing = static_cast<Duration::rep>(std::max<std::size_t>(m_callbacks.tellingPeers() / askersPerBound, 1));
-    return std::min(alone * sharing, longestWatch);
+    const auto list = co_await m_store.list(m_threads.client(0), follower.kind, ReadMode::Current);
+    if (list.has_error())
+        co_return list.error();
+    storeAnswered(m_directory, monotonicNow());
+    // Changes that were taken while the list was on its way are newer.
+    if (list->revision < follower.revision)
+        co_return std::nullopt;
+    logUnreadable(follower.kind, list->unreadable);
+    const auto known = m_published;
+    follower.take(*list);
+    follower.revision = list->revision;
+    follower.lastChange = list->revision;
+    // A list shows what went with the store's history; watches that still wait don't. Of a server
+    // that is missing, no revision remains but that of the list, which only the first to miss it
+    // tells: each list has another.
+    const auto tellsList = !isToldByPeer && losesServer(known, m_published, *list);
+    m_callbacks.changed(follower.kind, tellsList ? list->revision : newestRevision(*list));
+    co_return std::nullopt;
 }
 
 auto StoreDirectory::followOnce(Follower& follower) -> asio::awaitable<std::optional<StoreError>>
 {
-    if (follower.revision == 0) {
-        const auto list = co_await m_store.list(m_threads.client(0), follower.kind, ReadMode::Current);
-        if (list.has_error())
-            co_return list.error();
-        storeAnswered(m_directory, monotonicNow());
-        logUnreadable(follower.kind, list->unreadable);
-        const auto known = m_published;
-        follower.take(*list);
-        follower.revision = list->revision;
-        // A list shows what went with the store's history; watches that still wait don't. Of a server
-        // that is missing, no revision remains but that of the list, which only the first to miss it
-        // tells: each list has another.
-        const auto isFirst = !std::exchange(follower.isToldByPeer, false);
-        const auto tellsList = isFirst && losesServer(known, m_published, *list);
-        m_callbacks.changed(follower.kind, tellsList ? list->revision : newestRevision(*list));
-        co_return std::nullopt;
-    }
-    const auto executor = co_await asio::this_coro::executor;
-    const auto changes = co_await asio::co_spawn(executor, watch(follower), asio::bind_cancellation_slot(follower.interrupt.slot(), asio::use_awaitable));
-    if (changes.has_error()) {
+    if (follower.revision == 0)
+        co_return co_await readList(follower, false);
+    const auto begin = follower.lastChange;
+    const auto time = m_settings.changeBound * watchPartOfBound / wholeBound * spreadAround / wholeBound;
+    auto answer = co_await m_store.watch(m_threads.client(0), follower.kind, follower.revision, spreadDelay(time));
+    if (answer.has_error()) {
         // Changes may have been missed with the answer; only a list is sure to have them all.
         follower.revision = 0;
-        co_return changes.error();
+        co_return answer.error();
     }
     storeAnswered(m_directory, monotonicNow());
-    // A peer told of a change meanwhile; the list that follows has it and what came before.
-    if (follower.revision == 0)
-        co_return std::nullopt;
-    logUnreadable(follower.kind, changes->unreadable);
-    for (const auto& change : changes->changes)
-        follower.change(change);
-    follower.revision = changes->revision;
-    if (!changes->changes.empty())
-        m_callbacks.changed(follower.kind, changes->changes.back().item.revision);
+    logUnreadable(follower.kind, answer->unreadable);
+    KindChanges changes { follower.kind, begin, answer->revision, std::move(answer->changes) };
+    const auto isComplete = answer->unreadable == 0;
+    if (takeChanges(follower, changes) && isComplete && !changes.changes.empty())
+        tellZone(std::move(changes));
     co_return std::nullopt;
 }
 
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -6,13 +6,14 @@
 
 #include "BackendDirectory.h"
 #include "Configuration.h"
+#include "DirectoryNews.h"
 #include "EventLog.h"
 #include "InstanceCount.h"
 #include "IoThreads.h"
 #include "ObjectStore.h"
+#include "WatchDuty.h"
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/cancellation_signal.hpp>
 
 #include <functional>
 #include <memory>
@@ -52,8 +53,8 @@
     std::function<void(std::optional<TimePoint>)> storeAway = [](std::optional<TimePoint>) {};
     /// A change of a followed kind has been taken, from the list or a watch, up to this revision.
     std::function<void(const std::string& kind, std::int64_t revision)> changed = [](const std::string&, std::int64_t) {};
-    /// @return other instances that tell of such changes.
-    std::function<std::size_t()> tellingPeers = [] { return std::size_t { 0 }; };
+    /// Tells the other instances of the zone; absent where there is no way to do so.
+    std::function<void(const DirectoryNews&)> tellZone;
 };
 
 class StoreDirectory : public std::enable_shared_from_this<StoreDirectory> {
@@ -73,10 +74,13 @@
     };
     auto summary() const -> Summary;
 
-    /// Another instance has taken a change of a kind up to a revision; where this one has not, it reads
-    /// the list anew. Must be called on the first I/O thread.
+    /// Another instance has taken a change of a kind up to a revision; where this one does not soon, it
+    /// reads the list anew. Must be called on the first I/O thread.
     auto noteChange(const std::string& kind, std::int64_t revision) -> void;
 
+    /// Takes what another instance of the zone tells. Must be called on the first I/O thread.
+    auto noteNews(const DirectoryNews& news) -> void;
+
 private:
     /// Reads a kind and then its changes, for ever.
     struct Follower {
@@ -86,19 +90,28 @@
         std::function<void(const ItemChange&)> change;
         /// Where the next watch begins; 0 where the list has to be read.
         std::int64_t revision = 0;
-        /// Whether the list is read because a peer has told of a change.
-        bool isToldByPeer = false;
-        /// Ends a watch that waits although there is a change.
-        boost::asio::cancellation_signal interrupt;
+        /// Revision of the last change that is known; after a list, that of the list, which may lack the
+        /// last object that was deleted.
+        std::int64_t lastChange = 0;
         bool isConnected = false;
+        /// Whether it waits to see if the change that a peer told of comes with the news of the zone.
+        bool isAwaitingNews = false;
     };
     using FollowerPointer = std::shared_ptr<Follower>;
 
     auto follow(FollowerPointer follower) -> boost::asio::awaitable<void>;
-    /// @return how long a watch may wait.
-    auto watchTime() const -> Duration;
     auto followOnce(Follower& follower) -> boost::asio::awaitable<std::optional<StoreError>>;
-    auto watch(const Follower& follower) -> boost::asio::awaitable<StoreResult<ItemChanges>>;
+    /// @param isToldByPeer whether the list is read because a peer has told of a change.
+    auto readList(Follower& follower, bool isToldByPeer) -> boost::asio::awaitable<std::optional<StoreError>>;
+    /// @return whether the follower relies on what other instances of the zone tell.
+    auto isTold(const Follower& follower) const -> bool;
+    /// Takes changes that follow on what is known, whoever brings them.
+    /// @return whether they did.
+    auto takeChanges(Follower& follower, const KindChanges& changes) -> bool;
+    auto readIfBehind(FollowerPointer follower, std::int64_t revision) -> boost::asio::awaitable<void>;
+    /// Keeps up the duty to watch, and tells the zone of it.
+    auto keepDuty() -> boost::asio::awaitable<void>;
+    auto tellZone(std::optional<KindChanges> changes) -> void;
     auto logUnreadable(const std::string& kind, std::size_t count) -> void;
     auto noteOutcome(Follower& follower, const std::optional<StoreError>& error) -> void;
     auto announceInstance() -> boost::asio::awaitable<void>;
@@ -122,6 +135,7 @@
     BackendDirectory m_directory;
     std::vector<BackendServer> m_published;
     InstanceCount m_instances;
+    WatchDuty m_duty;
 };
 
 }
--- a/test/correctness/StoreDirectoryTest.cpp
+++ b/test/correctness/StoreDirectoryTest.cpp
@@ -34,6 +34,8 @@
     auto watch(HttpClient&, std::string, std::int64_t, Duration) -> asio::awaitable<StoreResult<ItemChanges>> override
     {
         ++watches;
+        if (throws.exchange(false))
+            throw std::runtime_error("a fault of the adapter");
         for (int step = 0; step < 4; ++step)
             co_await pause(1ms);
         if (forgets)
