--- a/src/DecodeRelay.cpp
+++ b/src/DecodeRelay.cpp
@@ -102,8 +102,13 @@
     }
     m_writer.addToken(event.text);
     m_metrics.tokens.fetch_add(1, std::memory_order_relaxed);
+    const auto pause = m_now - m_lastToken;
     auto& histogram = m_hasSent ? m_metrics.tokenGap : m_metrics.firstToken;
-    histogram.record(m_now - m_lastToken);
+    histogram.record(pause);
+    if (m_hasSent)
+        m_longestGap = std::max(m_longestGap, pause);
+    else
+        m_firstTokenTime = pause;
     m_hasSent = true;
     m_lastToken = m_now;
     return true;
--- a/src/DecodeRelay.h
+++ b/src/DecodeRelay.h
@@ -39,6 +39,10 @@
     auto tokens() const -> std::uint32_t { return m_sequence.count(); }
     /// @return whether the caller has got a token of this answer.
     auto hasSent() const -> bool { return m_hasSent; }
+    /// @return from the request's arrival to the first token of this answer; zero before it.
+    auto firstTokenTime() const -> Duration { return m_firstTokenTime; }
+    /// @return the longest pause between two tokens of this answer.
+    auto longestGap() const -> Duration { return m_longestGap; }
 
 private:
     enum class Step {
@@ -66,6 +70,8 @@
     /// When the caller's last token left, or the request arrived.
     TimePoint m_lastToken;
     TimePoint m_now {};
+    Duration m_firstTokenTime {};
+    Duration m_longestGap {};
     std::string m_fault;
 };
 
--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -252,8 +252,8 @@
         take(std::move(*message));
         return;
     }
-    if (auto news = parseDirectoryNews(text)) {
-        m_state->callbacks.onNews(std::move(*news));
+    if (const auto news = parseDirectoryNews(text)) {
+        m_state->callbacks.onNews(*news);
         return;
     }
     ++m_state->unreadable;
--- a/src/LoadExchange.h
+++ b/src/LoadExchange.h
@@ -36,7 +36,7 @@
     /// Another instance has ordered backend servers to change their role.
     std::function<void(const std::vector<std::string>&)> onChanging;
     /// Another instance of the zone tells of the store's objects.
-    std::function<void(DirectoryNews)> onNews = [](DirectoryNews) {};
+    std::function<void(const DirectoryNews&)> onNews = [](const DirectoryNews&) {};
 };
 
 struct LoadExchangeSettings {
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -308,7 +308,7 @@
     const auto isSent = co_await m_writer->finish(reason, usage());
     m_service->metrics().finished.fetch_add(1, std::memory_order_relaxed);
     const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - m_info.arrivedAt);
-    record(LogLevel::Info, isSent ? "request_finished" : "answer_not_taken", { { "tokens", m_relay.tokens() }, { "took_ms", took.count() } });
+    record(LogLevel::Info, isSent ? "request_finished" : "answer_not_taken", { { "tokens", m_relay.tokens() }, { "first_token_ms", m_relay.firstTokenTime().count() / 1'000 }, { "longest_gap_ms", m_relay.longestGap().count() / 1'000 }, { "took_ms", took.count() } });
 }
 
 auto ModelRequest::refuse(ApiError error) -> asio::awaitable<void>
