Spare engines from the zones in turn when several change their role

Cause: the engines to change were sorted by the number in their zone before the change, so a change of six took all of them from one zone, which then had no prefill engine of its own.

--- a/src/ModelServiceReplicas.cpp
+++ b/src/ModelServiceReplicas.cpp
@@ -1,5 +1,7 @@
 #include "ModelService.h"
 
+#include "RoleBalance.h"
+
 #include <algorithm>
 #include <map>
 #include <set>
@@ -94,25 +96,12 @@
 auto ModelService::sparable(PoolRole role) const -> std::vector<BackendServer>
 {
     const std::lock_guard guard(m_lock);
-    std::map<std::string, int> inZone;
-    std::vector<const ReplicaStatus*> candidates;
+    std::vector<BackendServer> servers;
     for (const auto& [id, status] : m_replicas) {
-        if (status.role != role || status.backend.state != ReplicaState::Live || m_changing.contains(id))
-            continue;
-        candidates.push_back(&status);
-        ++inZone[status.backend.availabilityZone];
+        if (status.role == role && status.backend.state == ReplicaState::Live && !m_changing.contains(id))
+            servers.push_back(status.backend);
     }
-    // The zone with the most of them spares one first, so that each zone keeps both roles if it can.
-    std::ranges::sort(candidates, [&](const ReplicaStatus* left, const ReplicaStatus* right) {
-        const auto leftCount = inZone[left->backend.availabilityZone];
-        const auto rightCount = inZone[right->backend.availabilityZone];
-        return leftCount != rightCount ? leftCount > rightCount : left->backend.id < right->backend.id;
-    });
-    std::vector<BackendServer> servers;
-    servers.reserve(candidates.size());
-    for (const auto* candidate : candidates)
-        servers.push_back(candidate->backend);
-    return servers;
+    return spareOrder(std::move(servers));
 }
 
 auto ModelService::noteRoleChange(std::string_view backend, TimePoint until) -> void
--- a/src/RoleBalance.cpp
+++ b/src/RoleBalance.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <map>
+#include <string>
 
 namespace jayhold {
 
@@ -65,6 +68,21 @@
     return static_cast<int>(std::clamp(std::round(difference), -most, most));
 }
 
+auto spareOrder(std::vector<BackendServer> servers) -> std::vector<BackendServer>
+{
+    std::ranges::sort(servers, std::ranges::greater {}, &BackendServer::id);
+    std::map<std::string, std::vector<BackendServer>> zones;
+    for (auto& server : servers)
+        zones[server.availabilityZone].push_back(std::move(server));
+    std::vector<BackendServer> order;
+    while (order.size() < servers.size()) {
+        auto& most = std::ranges::max_element(zones, {}, [](const auto& zone) { return zone.second.size(); })->second;
+        order.push_back(std::move(most.back()));
+        most.pop_back();
+    }
+    return order;
+}
+
 auto noteRoleChange(RoleBalance& balance, TimePoint now) -> void
 {
     balance.changedAt = now;
--- a/src/RoleBalance.h
+++ b/src/RoleBalance.h
@@ -4,10 +4,12 @@
 /// machine. It answers lasting imbalance, such as decode engines without free memory beside idle
 /// prefill engines: a change of role takes seconds, so bursts are left to the placement.
 
+#include "BackendServer.h"
 #include "RoleDemand.h"
 #include "Time.h"
 
 #include <optional>
+#include <vector>
 
 namespace jayhold {
 
@@ -46,6 +48,10 @@
 /// other way, zero for none now.
 auto wantedRoleChange(const RoleBalance& balance, TimePoint now, const RoleDemand& demand) -> int;
 
+/// @return the servers of one role in the order in which they are best spared: the zone that has most of
+/// those left gives up the next one, so that each zone keeps both roles if it can.
+auto spareOrder(std::vector<BackendServer> servers) -> std::vector<BackendServer>;
+
 /// A change has been ordered.
 auto noteRoleChange(RoleBalance& balance, TimePoint now) -> void;
 
--- a/test/correctness/RoleBalanceTest.cpp
+++ b/test/correctness/RoleBalanceTest.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+#include <string>
+
 using namespace jayhold;
 using namespace std::chrono_literals;
 
@@ -84,3 +87,23 @@
     scene.observe(idle, 30s);
     CHECK(wantedRoleChange(scene.balance, scene.now, idle) == 0);
 }
+
+// Guards against a zone that loses its last prefill engine while another keeps six: a change of several
+// engines took all of them from one zone.
+TEST_CASE("each zone keeps engines of a role when several change")
+{
+    std::vector<BackendServer> servers;
+    const std::pair<std::string, int> zones[] = { { "alpine", 6 }, { "marfa", 5 }, { "terlingua", 4 } };
+    for (const auto& [zone, count] : zones) {
+        for (int index = 0; index < count; ++index)
+            servers.push_back({ .id = zone + std::to_string(index), .availabilityZone = zone });
+    }
+    const auto order = spareOrder(servers);
+    REQUIRE(order.size() == 15);
+    std::map<std::string, int> spared;
+    for (std::size_t index = 0; index < 9; ++index)
+        ++spared[order[index].availabilityZone];
+    CHECK(spared["alpine"] == 4);
+    CHECK(spared["marfa"] == 3);
+    CHECK(spared["terlingua"] == 2);
+}
