--- a/src/RoleBalance.cpp
+++ b/src/RoleBalance.cpp
@@ -18,7 +18,7 @@
 constexpr double hysteresisToDecode = 0.6;
 constexpr double hysteresisToPrefill = 1.5;
 /// Part of the replicas that may change at once.
-constexpr double largestPart = 0.2;
+constexpr double largestPart = 0.12;
 
 auto fresh(double average, double value, double part) -> double
 {
--- a/src/RoleBalance.h
+++ b/src/RoleBalance.h
@@ -25,9 +25,9 @@
     /// last for seconds.
     Duration rampUp = std::chrono::seconds(3);
     /// Shortest time of observation before the first change, the ramp-up included.
-    Duration warmUp = std::chrono::seconds(6);
+    Duration warmUp = std::chrono::seconds(8);
     /// Time from one change to the next, in which the first takes effect.
-    Duration pause = std::chrono::seconds(8);
+    Duration pause = std::chrono::seconds(12);
 };
 
 struct RoleBalance {
--- a/src/RoleBalancer.cpp
+++ b/src/RoleBalancer.cpp
@@ -22,7 +22,7 @@
 /// Added to the spacing, for the time in which an order is on its way.
 constexpr Duration flightMargin = std::chrono::milliseconds(500);
 /// Time beyond the change itself in which the engine's work ends and the platform lists its new role.
-constexpr Duration listingMargin = std::chrono::seconds(2);
+constexpr Duration listingMargin = std::chrono::seconds(6);
 
 }
 
