Ask for a seat also before a decode without a prefill result

Cause: on the grown sites a seventh of the model requests go to a decode engine that prefills by itself, because the prefill engines are behind. Now the engine is asked first, and a refusal leads to another engine at once.

--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -227,10 +227,7 @@
             return;
         const auto failure = ended.result.error().failure;
         if (ended.isSeatRefused) {
-            // A request can be turned away many times in a burst; the first line and the number say it.
-            const auto level = ++m_seatRefusals == 1 ? LogLevel::Info : LogLevel::Debug;
-            record(level, "seat_refused", { { "failure", name(failure) }, { "detail", ended.result.error().detail }, { "tokens", m_decodeTokens } });
-            m_service->feed(SeatRefused { m_id, m_attempt, failure });
+            noteSeatRefused(ended.result.error());
             return;
         }
         noteFailure("prefill", ended.result.error());
@@ -273,10 +270,13 @@
     } else {
         dropSeat();
     }
+    const auto asksForSeat = action.seatTokens > 0 && !call.seat;
+    if (asksForSeat)
+        m_decodeTokens = action.seatTokens;
     record(LogLevel::Info, "transfer_started", { { "split", call.kv.has_value() }, { "resume_from", call.resumeFrom }, { "seat_refusals", m_seatRefusals } });
     const auto task = ++m_tasks->lastTask;
     m_tasks->replica = action.decode;
-    spawnTask(runDecode(task, *replica, std::move(call)));
+    spawnTask(runDecode(task, *replica, std::move(call), asksForSeat));
 }
 
 auto ModelRequest::endDecode(DecodeEnded ended) -> asio::awaitable<void>
@@ -293,6 +293,10 @@
     }
     if (!m_machine.apply(RequestStep::DecodeFailed))
         co_return;
+    if (ended.isSeatRefused) {
+        noteSeatRefused(*ended.outcome.error);
+        co_return;
+    }
     noteFailure("decode", *ended.outcome.error);
     m_service->feed(DecodeFailed { m_id, m_attempt, ended.outcome.error->failure, tokensSent() });
 }
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -53,6 +53,8 @@
     struct DecodeEnded {
         std::uint64_t task;
         RelayOutcome outcome;
+        /// Whether the decode engine had no room, so that the decode was not sent.
+        bool isSeatRefused = false;
     };
     using Command = std::variant<DecisionAction, CallerClosed, DeadlineMissed, PrefillEnded, DecodeEnded>;
     struct Tasks;
@@ -79,10 +81,12 @@
     /// Asks the decode engine to keep a seat, where engines do that.
     /// @return the failure where it refused.
     auto holdSeat(const std::optional<ReplicaStatus>& decode) -> boost::asio::awaitable<std::optional<EngineError>>;
+    auto noteSeatRefused(const EngineError& error) -> void;
     auto dropSeat() -> void;
     /// Frees something at an engine in the background, and says where that fails.
     auto freeInBackground(std::string_view what, const BackendServer& server, boost::asio::awaitable<bool> call) -> void;
-    auto runDecode(std::uint64_t task, ReplicaStatus replica, EngineCall call) -> boost::asio::awaitable<void>;
+    /// @param asksForSeat whether the engine is asked to keep a seat first.
+    auto runDecode(std::uint64_t task, ReplicaStatus replica, EngineCall call, bool asksForSeat) -> boost::asio::awaitable<void>;
     auto relay(HttpStream& stream) -> boost::asio::awaitable<RelayOutcome>;
 
     /// @param resumedFrom tokens that the caller had before this attempt.
--- a/src/ModelRequestHolds.cpp
+++ b/src/ModelRequestHolds.cpp
@@ -34,6 +34,14 @@
     co_return std::nullopt;
 }
 
+auto ModelRequest::noteSeatRefused(const EngineError& error) -> void
+{
+    // A request can be turned away many times in a burst; the first line and the number say it.
+    const auto level = ++m_seatRefusals == 1 ? LogLevel::Info : LogLevel::Debug;
+    record(level, "seat_refused", { { "failure", name(error.failure) }, { "detail", error.detail }, { "tokens", m_decodeTokens } });
+    m_service->feed(SeatRefused { m_id, m_attempt, error.failure });
+}
+
 auto ModelRequest::dropPrefill() -> void
 {
     const auto release = m_context.backends.releasePrefill;
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -63,10 +63,21 @@
     push(PrefillEnded { task, std::move(result) });
 }
 
-auto ModelRequest::runDecode(std::uint64_t task, ReplicaStatus replica, EngineCall call) -> asio::awaitable<void>
+auto ModelRequest::runDecode(std::uint64_t task, ReplicaStatus replica, EngineCall call, bool asksForSeat) -> asio::awaitable<void>
 {
     co_await asio::this_coro::throw_if_cancelled(false);
     const auto self = shared_from_this();
+    if (asksForSeat) {
+        if (auto refusal = co_await holdSeat(replica)) {
+            push(DecodeEnded { task, { std::move(*refusal) }, true });
+            co_return;
+        }
+        if (task != m_tasks->lastTask)
+            co_return;
+        m_service->feed(SeatHeld { m_id, m_attempt });
+        if (m_seat)
+            call.seat = std::exchange(m_seat, std::nullopt)->name;
+    }
     const auto usesPrefill = call.kv.has_value();
     const auto stream = co_await m_context.backends.decode(m_exchange.client(), replica.backend, std::move(call), m_timeouts.firstToken);
     if (stream.has_error()) {
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -78,13 +78,13 @@
 
 auto handle(DecisionContext& context, const SeatHeld& event) -> void
 {
-    if (present(context.state, event.request, event.attempt, { RequestPhase::Prefilling }))
+    if (present(context.state, event.request, event.attempt, { RequestPhase::Prefilling, RequestPhase::Starting }))
         context.state.awaitingSeat.erase(event.request);
 }
 
 auto handle(DecisionContext& context, const SeatRefused& event) -> void
 {
-    auto* request = present(context.state, event.request, event.attempt, { RequestPhase::Prefilling });
+    auto* request = present(context.state, event.request, event.attempt, { RequestPhase::Prefilling, RequestPhase::Starting });
     if (!request || !request->decode)
         return;
     replicaFailed(context, *request->decode, event.failure);
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -176,7 +176,12 @@
     request.decode = decode.description.replica;
     reserve(context, request, decode, decodeReservation(context, request, decode));
     enter(context, request, RequestPhase::Starting);
-    context.actions.emplace_back(StartDecode { request.arrival.request, request.attempt, request.prefill, *request.decode, request.emitted });
+    std::uint32_t seatTokens = 0;
+    if (context.state.settings.holdsSeats) {
+        context.state.awaitingSeat.insert(request.arrival.request);
+        seatTokens = static_cast<std::uint32_t>(reservedTokens(context.state, request));
+    }
+    context.actions.emplace_back(StartDecode { request.arrival.request, request.attempt, request.prefill, *request.decode, request.emitted, seatTokens });
 }
 
 }
@@ -320,8 +325,10 @@
 auto seatRefused(DecisionContext& context, ActiveRequest& request) -> void
 {
     request.avoid = request.decode;
-    context.state.totals.wastedPrefillTokens -= request.arrival.promptTokens;
-    context.state.totals.prefillTokens -= request.arrival.promptTokens;
+    if (request.prefill) {
+        context.state.totals.wastedPrefillTokens -= request.arrival.promptTokens;
+        context.state.totals.prefillTokens -= request.arrival.promptTokens;
+    }
     leave(context, request);
     // It costs little to be told that there is no room, so only the time to wait is bounded.
     enqueue(context, request);
--- a/src/SeatHeld.h
+++ b/src/SeatHeld.h
@@ -1,6 +1,7 @@
 #pragma once
 
-/// Event: the decode engine keeps a seat for a request, whose prefill begins now.
+/// Event: the decode engine keeps a seat for a request, whose prefill begins now, or its decode where
+/// the decode engine prefills by itself.
 
 #include "Identifiers.h"
 
--- a/src/StartDecode.h
+++ b/src/StartDecode.h
@@ -18,6 +18,8 @@
     /// Tokens that the shard knows the caller to have. A driver that has sent more starts the stream
     /// here and drops those it has sent already; it never starts after what it has sent.
     std::uint32_t resumeFrom;
+    /// Memory for which the engine is asked to keep a seat first; 0 where that has been done.
+    std::uint32_t seatTokens = 0;
 };
 
 }
--- a/test/correctness/ForwardShardTest.cpp
+++ b/test/correctness/ForwardShardTest.cpp
@@ -269,3 +269,43 @@
     harness.send(DecodeFinished { again.request, again.attempt, 50 });
     CHECK(ownUse(harness.shard).empty());
 }
+
+// Load pattern: prefill engines behind in a burst, decode engines full. Guards against requests without
+// a prefill result that wait for seconds in the queue of a full engine while others have room.
+TEST_CASE("a decode that prefills by itself asks for a seat first")
+{
+    auto settings = forwardSettings();
+    settings.holdsSeats = true;
+    ShardHarness harness(settings);
+    addEngine(harness, 1, PoolRole::Decode);
+    addEngine(harness, 2, PoolRole::Decode);
+    harness.arrive(1);
+    const auto first = *harness.last<StartDecode>();
+    CHECK(first.seatTokens > 100);
+    CHECK(ownUse(harness.shard).empty());
+    harness.send(SeatRefused { first.request, first.attempt, FailureKind::Busy });
+    const auto second = harness.last<StartDecode>();
+    REQUIRE(second);
+    CHECK(second->decode != first.decode);
+    harness.send(SeatHeld { second->request, second->attempt });
+    CHECK(ownUse(harness.shard).size() == 1);
+    harness.started(*second);
+    harness.send(DecodeFinished { second->request, second->attempt, 50 });
+    CHECK(ownUse(harness.shard).empty());
+    CHECK(summarize(harness.shard).wastedPrefillTokens == 0);
+}
+
+// Guards against a seat for a prefill result that already has one, which would take memory twice.
+TEST_CASE("a decode from a prefill result asks for no second seat")
+{
+    auto settings = forwardSettings();
+    settings.holdsSeats = true;
+    ShardHarness harness(settings);
+    addEngine(harness, 1, PoolRole::Prefill);
+    addEngine(harness, 2, PoolRole::Decode);
+    harness.arrive(1);
+    const auto start = *harness.last<StartPrefill>();
+    harness.send(SeatHeld { start.request, start.attempt });
+    harness.prefilled(start);
+    CHECK(harness.last<StartDecode>()->seatTokens == 0);
+}
