Take changes of the store that come in series with one call

Cause: half of the remaining calls of the grown sites fall into the first seconds, when some 60 backend servers register one after the other and each returns the watches of all instances, which do not know each other yet. After a watch with changes an instance now waits 0.1 s before it asks again.

A change is taken up to 0.1 s later, of a bound of 2 s.

--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -22,6 +22,8 @@
 constexpr int wholeBound = 100;
 /// Watches last from a third to the whole of their time, so that instances don't ask at the same moment.
 constexpr int spreadAround = 66;
+/// Changes come in series, as when all backend servers start; those within this time come with one call.
+constexpr Duration batchTime = std::chrono::milliseconds(100);
 /// Pause after a failed call, unless the store's back-off asks for more.
 constexpr Duration shortestRetry = std::chrono::milliseconds(200);
 /// Records of instances are written and counted this often; each write costs a call.
@@ -165,8 +167,11 @@
     logUnreadable(follower.kind, answer->unreadable);
     KindChanges changes { follower.kind, begin, answer->revision, std::move(answer->changes) };
     const auto isComplete = answer->unreadable == 0;
-    if (takeChanges(follower, changes) && isComplete && !changes.changes.empty())
+    const auto hasChanges = !changes.changes.empty();
+    if (takeChanges(follower, changes) && isComplete && hasChanges)
         tellZone(std::move(changes));
+    if (hasChanges)
+        co_await pause(batchTime);
     co_return std::nullopt;
 }
 
