Send requests that miss their target while they wait back for some seconds

Cause: in a burst, requests that had waited past their target went on asking for seats until three quarters of their caller's patience, and took memory from requests that could still be in time; those refused came back after 0.5 to 1.5 s, into the same burst, and were refused again. A request that has most of its time left is now refused when it misses its target, and returns after about a quarter of its deadline; one that has returned waits on. The setting is send_back_late; the router for the users' platform sets it.

--- a/src/Configuration.cpp
+++ b/src/Configuration.cpp
@@ -96,6 +96,7 @@
         object["kv_bytes_per_token"] = service.kvBytesPerToken;
         object["memory_quantile"] = service.memoryQuantile;
         object["decode_may_prefill"] = service.decodeMayPrefill;
+        object["send_back_late"] = service.sendBackLate;
     }
     object["retry"] = json::object {
         { "ratio", service.retry.ratio },
--- a/src/ConfigurationParser.cpp
+++ b/src/ConfigurationParser.cpp
@@ -188,6 +188,7 @@
         BOOST_LEAF_ASSIGN(service.kvBytesPerToken, reader.integer("kv_bytes_per_token", positive, service.kvBytesPerToken));
         BOOST_LEAF_ASSIGN(service.memoryQuantile, reader.number("memory_quantile", fraction, service.memoryQuantile));
         BOOST_LEAF_ASSIGN(service.decodeMayPrefill, reader.boolean("decode_may_prefill", service.decodeMayPrefill));
+        BOOST_LEAF_ASSIGN(service.sendBackLate, reader.boolean("send_back_late", service.sendBackLate));
     }
     BOOST_LEAF_ASSIGN(service.retry, readRetry(reader));
     BOOST_LEAF_ASSIGN(service.pools, readList<Pool>(reader, "pools", readPool));
--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -22,6 +22,11 @@
 /// the engines, their queues, and the first step of the decode.
 constexpr int patienceMarginPart = 4;
 
+/// Part of a kind's time that is left to a request that has waited for a first token in vain, but has
+/// not been refused before, in hundredths.
+constexpr int returnPart = 80;
+constexpr int wholeTime = 100;
+
 auto clearlyExceeds(Duration wait, Duration left) -> bool
 {
     return static_cast<double>(wait.count()) > static_cast<double>(left.count()) * clearlyTooLong;
@@ -100,6 +105,14 @@
     return { context.state.queue.size(), wait, request.arrival.deadline - latestStart(context.state, request) };
 }
 
+auto mayReturnLater(const DecisionContext& context, const ActiveRequest& request) -> bool
+{
+    if (!context.state.settings.sendBackLate || request.lane == QueueLane::Resume || request.latencyClass == LatencyClass::Batch || request.mayHaveRun)
+        return false;
+    const auto whole = std::chrono::duration_cast<Duration>(kindOf(context.state, request).deadline);
+    return request.arrival.deadline - context.now >= whole * returnPart / wholeTime;
+}
+
 auto becomeLate(DecisionContext& context, ActiveRequest& request) -> void
 {
     request.lane = QueueLane::Late;
--- a/src/ModelService.cpp
+++ b/src/ModelService.cpp
@@ -36,6 +36,7 @@
     settings.kvBytesPerToken = static_cast<std::uint64_t>(service.kvBytesPerToken);
     settings.memoryQuantile = service.memoryQuantile;
     settings.decodeMayPrefill = service.decodeMayPrefill;
+    settings.sendBackLate = service.sendBackLate;
     settings.holdsSeats = context.backends.holdSeat && service.seatHold > Duration::zero();
     settings.retry = service.retry;
     for (const auto& customer : index.configuration().customers) {
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -20,6 +20,9 @@
 
 /// Late requests are given up when too little capacity is left over for them.
 constexpr Duration lateCheckInterval = std::chrono::seconds(1);
+/// A request that is late when it arrives may start at once where there is room; it is not held for
+/// longer before it is sent back.
+constexpr Duration sendBackDelay = std::chrono::milliseconds(100);
 
 auto enter(DecisionContext& context, ActiveRequest& request, RequestPhase phase) -> void
 {
@@ -125,7 +128,7 @@
     const auto last = latestStart(context.state, request);
     if (request.lane == QueueLane::Fair)
         return std::max(std::min(last, latestOnTimeStart(context.state, request)), context.now);
-    return std::min(last, context.now + lateCheckInterval);
+    return std::min(last, context.now + (mayReturnLater(context, request) ? sendBackDelay : lateCheckInterval));
 }
 
 auto setTimer(DecisionContext& context, ActiveRequest& request) -> void
@@ -156,6 +159,10 @@
 auto checkWaiting(DecisionContext& context, ActiveRequest& request) -> void
 {
     auto& queue = context.state.queue;
+    if (mayReturnLater(context, request) && latestOnTimeStart(context.state, request) <= context.now) {
+        refuse(context, request, RefusalReason::Overloaded);
+        return;
+    }
     if (request.lane == QueueLane::Fair && latestOnTimeStart(context.state, request) <= context.now) {
         queue.remove(queueEntry(request));
         becomeLate(context, request);
@@ -355,7 +362,7 @@
         request.arrival.request,
         reason,
         unknown ? Outcome::Unknown : Outcome::NotRun,
-        retryDelay(context, reason),
+        retryDelay(context, request, reason),
         inputs,
     });
     erase(context, request);
--- a/src/RetryDelay.cpp
+++ b/src/RetryDelay.cpp
@@ -1,5 +1,7 @@
 #include "RetryDelay.h"
 
+#include "RequestLife.h"
+
 #include <algorithm>
 
 namespace jayhold {
@@ -8,6 +10,9 @@
 
 constexpr Duration shortestMean = std::chrono::seconds(1);
 constexpr Duration longestMean = std::chrono::seconds(20);
+/// Bursts last some seconds, deadlines are several times as long, and a request that returns needs most
+/// of its time for the service.
+constexpr int returnPartOfDeadline = 4;
 
 auto meanDelay(const DecisionContext& context) -> Duration
 {
@@ -18,11 +23,14 @@
 
 }
 
-auto retryDelay(DecisionContext& context, RefusalReason reason) -> Duration
+auto retryDelay(DecisionContext& context, const ActiveRequest& request, RefusalReason reason) -> Duration
 {
     if (reason == RefusalReason::TooLarge || reason == RefusalReason::CrashSuspect)
         return Duration::zero();
-    const auto mean = meanDelay(context).count();
+    auto delay = meanDelay(context);
+    if (reason == RefusalReason::Overloaded && context.state.settings.sendBackLate)
+        delay = std::max(delay, std::chrono::duration_cast<Duration>(kindOf(context.state, request).deadline) / returnPartOfDeadline);
+    const auto mean = delay.count();
     std::uniform_int_distribution<Duration::rep> spread(mean / 2, mean * 3 / 2);
     return Duration(spread(context.state.random));
 }
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -69,6 +69,7 @@
     constexpr double medianLength = 0.5;
     for (auto& service : configuration.services) {
         service.decodeMayPrefill = true;
+        service.sendBackLate = true;
         service.memoryQuantile = medianLength;
     }
 }
--- a/src/Service.h
+++ b/src/Service.h
@@ -42,6 +42,9 @@
     double memoryQuantile = 0.95;
     /// Whether decode engines may prefill by themselves, where no prefill engine can do it in time.
     bool decodeMayPrefill = false;
+    /// Whether a request that misses its target for the first token while it waits is refused with a
+    /// time to return, instead of waiting on, as long as most of its time is left.
+    bool sendBackLate = false;
     RetryPolicy retry;
     std::vector<Pool> pools;
     std::vector<RequestKind> kinds;
--- a/src/ShardSettings.h
+++ b/src/ShardSettings.h
@@ -30,6 +30,8 @@
     double memoryQuantile = 0.95;
     /// Whether decode replicas may prefill by themselves.
     bool decodeMayPrefill = false;
+    /// Whether requests that miss their target while they wait are told to return later.
+    bool sendBackLate = false;
     /// Whether decode replicas are asked to keep a seat before a prefill begins.
     bool holdsSeats = false;
     RetryPolicy retry;
--- a/test/correctness/ForwardShardTest.cpp
+++ b/test/correctness/ForwardShardTest.cpp
@@ -309,3 +309,44 @@
     harness.prefilled(start);
     CHECK(harness.last<StartDecode>()->seatTokens == 0);
 }
+
+namespace {
+
+/// Turns every request for a seat away until the request is refused.
+/// @return how long that took; the given time where it was not.
+auto timeUntilRefused(Duration deadline, Duration longest) -> Duration
+{
+    auto settings = forwardSettings();
+    settings.holdsSeats = true;
+    settings.sendBackLate = true;
+    ShardHarness harness(settings);
+    addEngine(harness, 1, PoolRole::Decode);
+    const auto begun = harness.now;
+    harness.send(RequestArrived { .request = RequestId { 1 }, .kind = KindId { 0 }, .promptTokens = 1'000, .maxTokens = 100, .deadline = harness.now + deadline, .signature = 1 });
+    while (harness.now - begun < longest && !harness.lastEver<Refuse>()) {
+        if (const auto start = harness.last<StartDecode>())
+            harness.send(SeatRefused { start->request, start->attempt, FailureKind::Busy });
+        harness.advance(10ms);
+    }
+    if (const auto refusal = harness.lastEver<Refuse>()) {
+        CHECK(refusal->outcome == Outcome::NotRun);
+        // The kind allows 60 s; a burst is over after a good part of a quarter of them.
+        CHECK(refusal->retryAfter >= 7s);
+    }
+    return harness.now - begun;
+}
+
+}
+
+// Load pattern: a burst that is longer than the engines can serve in time. Guards against requests that
+// wait on after they have missed their target, and then take memory from those that can meet theirs.
+TEST_CASE("a request that misses its target while it waits is told to return after the burst")
+{
+    CHECK(timeUntilRefused(60s, 1500ms) <= 510ms);
+}
+
+// Guards against a caller that has returned once and is sent away again, which is the end of its request.
+TEST_CASE("a request that has returned waits on after its target")
+{
+    CHECK(timeUntilRefused(40s, 1'200ms) >= 1'200ms);
+}
