Ask decode engines for half of an answer's memory at the start

Tried first, and dropped: seats that leave room for the growth of the running answers (about the length of one answer) and more for late requests. So room at the start costs more than preemptions do.

Seats now ask for the prompt and half of the answer.

A request larger than an engine's memory asks for no more than that.

--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -31,6 +31,11 @@
 /// those that can still meet theirs, and would take their memory for seconds.
 constexpr double leftByLate = 0.25;
 
+/// Part of its answer for which a request asks for memory at the start. The answer takes it over seconds,
+/// in which others on the engine end: asking for the whole, or for room for the growth of the others
+/// besides, left memory unused and refused more than the preemptions that it saved.
+constexpr std::uint64_t seatPartOfAnswer = 2;
+
 /// Other instances take memory that no report shows yet, and a long prompt that is refused for it
 /// has been prefilled in vain. Batch work can wait until there is room for two of its size.
 auto piecesToLeave(const DecisionContext& context, const ActiveRequest& request, const Replica& replica, std::uint32_t pieces) -> std::uint32_t
@@ -95,6 +100,13 @@
     return avoidedIfFits(context, PoolRole::Decode, request, fits);
 }
 
+auto tokensOfSeat(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> std::uint32_t
+{
+    const std::uint64_t prompt = request.arrival.promptTokens;
+    const auto answer = reservedTokens(context.state, request) - prompt;
+    return static_cast<std::uint32_t>(std::min(prompt + answer / seatPartOfAnswer, tokenCapacity(replica)));
+}
+
 namespace {
 
 /// @return a live decode replica where a seat is expected to free up soon.
--- a/src/Placement.h
+++ b/src/Placement.h
@@ -28,6 +28,9 @@
 
 /// What the request takes on a decode replica.
 auto decodeReservation(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> Reservation;
+/// @return memory for which the decode replica is asked to keep a seat, in tokens: less than the request
+/// may take in the end, and at most what the replica has.
+auto tokensOfSeat(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> std::uint32_t;
 /// What the request takes on a prefill replica.
 auto prefillReservation(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> Reservation;
 
--- a/src/RequestLife.cpp
+++ b/src/RequestLife.cpp
@@ -186,7 +186,7 @@
     std::uint32_t seatTokens = 0;
     if (context.state.settings.holdsSeats) {
         context.state.awaitingSeat.insert(request.arrival.request);
-        seatTokens = static_cast<std::uint32_t>(reservedTokens(context.state, request));
+        seatTokens = tokensOfSeat(context, request, decode);
     }
     context.actions.emplace_back(StartDecode { request.arrival.request, request.attempt, request.prefill, *request.decode, request.emitted, seatTokens });
 }
@@ -218,7 +218,7 @@
     notePrefillZone(context, prefill);
     state.totals.prefillTokens += request.arrival.promptTokens;
     enter(context, request, RequestPhase::Prefilling);
-    context.actions.emplace_back(StartPrefill { request.arrival.request, request.attempt, *request.prefill, *request.decode, static_cast<std::uint32_t>(reservedTokens(state, request)) });
+    context.actions.emplace_back(StartPrefill { request.arrival.request, request.attempt, *request.prefill, *request.decode, tokensOfSeat(context, request, decode) });
 }
 
 auto prefillDone(DecisionContext& context, ActiveRequest& request, TimePoint expiresAt, std::uint32_t cachedTokens) -> void
