--- a/test/correctness/ForwardShardTest.cpp
+++ b/test/correctness/ForwardShardTest.cpp
@@ -23,6 +23,20 @@
     return settings;
 }
 
+/// Engines that are asked to keep a seat first.
+auto seatSettings() -> ShardSettings
+{
+    auto settings = forwardSettings();
+    settings.holdsSeats = true;
+    return settings;
+}
+
+/// @return a request of the second kind whose caller estimates 300 tokens of answer.
+auto estimatedArrival(const ShardHarness& harness, std::uint32_t promptTokens) -> RequestArrived
+{
+    return { .request = RequestId { 1 }, .kind = KindId { 1 }, .promptTokens = promptTokens, .maxTokens = 2'000, .expectedTokens = 300, .deadline = harness.now + 60s, .signature = 1 };
+}
+
 auto addEngine(ShardHarness& harness, std::uint32_t id, PoolRole role, std::uint16_t zone = 0) -> void
 {
     // Memory for ten requests of 1,000 tokens.
@@ -237,8 +251,7 @@
     ShardHarness harness(forwardSettings());
     addEngine(harness, 1, PoolRole::Prefill);
     addEngine(harness, 2, PoolRole::Decode);
-    RequestArrived arrival { .request = RequestId { 1 }, .kind = KindId { 1 }, .promptTokens = 1'000, .maxTokens = 2'000, .expectedTokens = 300, .deadline = harness.now + 60s, .signature = 1 };
-    harness.send(arrival);
+    harness.send(estimatedArrival(harness, 1'000));
     // The prompt and half of the answer.
     CHECK(harness.last<StartPrefill>()->decodeTokens == 1'150);
 }
@@ -248,9 +261,7 @@
 // are moved away from the decode that is short.
 TEST_CASE("a request that waits for a seat uses nothing")
 {
-    auto settings = forwardSettings();
-    settings.holdsSeats = true;
-    ShardHarness harness(settings);
+    ShardHarness harness(seatSettings());
     addEngine(harness, 1, PoolRole::Prefill);
     addEngine(harness, 2, PoolRole::Decode);
     harness.arrive(1);
@@ -275,9 +286,7 @@
 // a prefill result that wait for seconds in the queue of a full engine while others have room.
 TEST_CASE("a decode that prefills by itself asks for a seat first")
 {
-    auto settings = forwardSettings();
-    settings.holdsSeats = true;
-    ShardHarness harness(settings);
+    ShardHarness harness(seatSettings());
     addEngine(harness, 1, PoolRole::Decode);
     addEngine(harness, 2, PoolRole::Decode);
     harness.arrive(1);
@@ -299,9 +308,7 @@
 // Guards against a seat for a prefill result that already has one, which would take memory twice.
 TEST_CASE("a decode from a prefill result asks for no second seat")
 {
-    auto settings = forwardSettings();
-    settings.holdsSeats = true;
-    ShardHarness harness(settings);
+    ShardHarness harness(seatSettings());
     addEngine(harness, 1, PoolRole::Prefill);
     addEngine(harness, 2, PoolRole::Decode);
     harness.arrive(1);
@@ -315,11 +322,9 @@
 // which leave memory unused that running answers free before the new one has grown.
 TEST_CASE("a seat is asked for the prompt and half of the answer")
 {
-    auto settings = forwardSettings();
-    settings.holdsSeats = true;
-    ShardHarness harness(settings);
+    ShardHarness harness(seatSettings());
     addEngine(harness, 1, PoolRole::Decode);
-    harness.send(RequestArrived { .request = RequestId { 1 }, .kind = KindId { 1 }, .promptTokens = 1'000, .maxTokens = 2'000, .expectedTokens = 300, .deadline = harness.now + 60s, .signature = 1 });
+    harness.send(estimatedArrival(harness, 1'000));
     REQUIRE(harness.last<StartDecode>());
     CHECK(harness.last<StartDecode>()->seatTokens == 1'150);
 }
@@ -327,11 +332,9 @@
 // Guards against a request that never starts because its seat is to hold more than any engine has.
 TEST_CASE("a seat never asks for more than the engine has")
 {
-    auto settings = forwardSettings();
-    settings.holdsSeats = true;
-    ShardHarness harness(settings);
+    ShardHarness harness(seatSettings());
     addEngine(harness, 1, PoolRole::Decode);
-    harness.send(RequestArrived { .request = RequestId { 1 }, .kind = KindId { 1 }, .promptTokens = 11'900, .maxTokens = 2'000, .expectedTokens = 300, .deadline = harness.now + 60s, .signature = 1 });
+    harness.send(estimatedArrival(harness, 11'900));
     REQUIRE(harness.last<StartDecode>());
     CHECK(harness.last<StartDecode>()->seatTokens == 12'000);
 }
@@ -342,8 +345,7 @@
 /// @return how long that took; the given time where it was not.
 auto timeUntilRefused(Duration deadline, Duration longest) -> Duration
 {
-    auto settings = forwardSettings();
-    settings.holdsSeats = true;
+    auto settings = seatSettings();
     settings.sendBackLate = true;
     ShardHarness harness(settings);
     addEngine(harness, 1, PoolRole::Decode);
