Count the calls and retries behind the retry budget

Three hypotheses on retries beyond the budget differ in calls that nothing counted: calls that the HTTP client sends again by itself, and the share of the budget that each instance believes to be its own. New metrics: calls that reach backend servers, calls resent, retries taken and denied, and the capacity of each budget; a line call_resent for each resent call, and retries_left and retry_capacity on the lines of failed attempts. No change of behaviour.

--- a/src/EngineCall.h
+++ b/src/EngineCall.h
@@ -7,6 +7,7 @@
 #include "Time.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -38,6 +39,8 @@
     std::optional<std::string> slot;
     /// Whether the call may be executed more than once.
     bool isRepeatable = true;
+    /// Called before the call is sent again because a reused connection had closed.
+    std::function<void()> onResend = [] {};
     /// Time to live of a prefill result, if the engine's response does not state it.
     Duration prefillResultTtl {};
 };
--- a/src/HttpCallOptions.h
+++ b/src/HttpCallOptions.h
@@ -5,6 +5,7 @@
 #include "HttpHeader.h"
 #include "Time.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -19,6 +20,8 @@
     /// Whether the call may be executed twice: it is sent again on a new connection if the reused idle
     /// connection turns out to be closed.
     bool mayResend = false;
+    /// Called before the call is sent again.
+    std::function<void()> onResend = [] {};
     /// Identifies the process behind the endpoint. Only calls with the same value share idle connections,
     /// because an address can be reassigned to another process.
     std::string peer;
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -185,6 +185,7 @@
             co_return std::make_shared<HttpStream>(std::move(connection));
         if (!options.mayResend || !wasStale(*connection, code))
             co_return httpErrorOf(code);
+        options.onResend();
     }
     connection = std::make_unique<Connection>(m_context);
     connection->key = key;
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -344,7 +344,7 @@
     co_await stopTask();
 }
 
-auto ModelRequest::engineCall() const -> EngineCall
+auto ModelRequest::engineCall() -> EngineCall
 {
     EngineCall call;
     call.requestId = m_service->engineRequestId(m_id, m_attempt);
@@ -356,6 +356,7 @@
     call.resumeFrom = m_relay.tokens();
     call.forwarded = m_info.forwarded;
     call.isRepeatable = m_info.kindSettings.repeatable;
+    call.onResend = [this] { recordResend(); };
     call.prefillResultTtl = m_service->prefillResultTtl();
     const auto remaining = std::max(m_info.deadline - monotonicNow(), Duration::zero());
     call.deadlineMs = std::chrono::ceil<std::chrono::milliseconds>(remaining).count();
@@ -368,7 +369,14 @@
     if (error.failure == FailureKind::Leaving)
         m_context.reportLeaving(m_backend);
     m_failedResponse = error.response;
-    record(LogLevel::Info, std::string(phase) + "_failed", { { "failure", name(error.failure) }, { "detail", error.detail }, { "tokens", m_relay.tokens() } });
+    const auto budget = m_service->retryBudget();
+    record(LogLevel::Info, std::string(phase) + "_failed", { { "failure", name(error.failure) }, { "detail", error.detail }, { "tokens", m_relay.tokens() }, { "retries_left", budget.remaining() }, { "retry_capacity", budget.capacity() } });
+}
+
+auto ModelRequest::recordResend() -> void
+{
+    m_service->metrics().resentCalls.fetch_add(1, std::memory_order_relaxed);
+    record(LogLevel::Info, "call_resent");
 }
 
 auto ModelRequest::callerRequestId() const -> std::string
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -92,7 +92,16 @@
 
     /// @param resumedFrom number of tokens that the caller had before this attempt.
     auto recordFirstToken(std::uint32_t resumedFrom) -> void;
-    auto engineCall() const -> EngineCall;
+    auto engineCall() -> EngineCall;
+    /// Records that a call is sent again because a reused connection had closed.
+    auto recordResend() -> void;
+    /// Counts a prefill or decode call, unless it did not reach the engine.
+    template <typename Result>
+    auto countBackendCall(const Result& result) -> void
+    {
+        if (result.has_value() || result.error().failure != FailureKind::NotConnected)
+            m_service->metrics().backendCalls.fetch_add(1, std::memory_order_relaxed);
+    }
     auto recordAttemptFailure(std::string_view phase, const EngineError& error) -> void;
     /// @return the request id for the log.
     auto callerRequestId() const -> std::string;
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -90,6 +90,8 @@
     auto replica(ReplicaId replica) const -> std::optional<ReplicaStatus>;
     auto replicas() const -> std::vector<ReplicaStatus>;
     auto summary() const -> ShardSummary;
+    /// @return a copy of the retry budget's state.
+    auto retryBudget() const -> RetryBudget;
 
     /// @return the capacity that this instance has reserved on each backend server.
     auto usage() const -> std::vector<BackendUsage>;
--- a/src/ModelServiceReplicas.cpp
+++ b/src/ModelServiceReplicas.cpp
@@ -192,6 +192,12 @@
     return summarize(m_shard);
 }
 
+auto ModelService::retryBudget() const -> RetryBudget
+{
+    const std::lock_guard guard(m_lock);
+    return jayhold::retryBudget(m_shard);
+}
+
 auto ModelService::usage() const -> std::vector<BackendUsage>
 {
     std::vector<BackendUsage> usages;
--- a/src/NativeProtocols.cpp
+++ b/src/NativeProtocols.cpp
@@ -28,9 +28,14 @@
 auto plainCall(HttpClient& client, BackendServer server, const PlainCallInfo& call, Duration timeout) -> asio::awaitable<HttpResult<HttpResponse>>
 {
     auto request = call.request;
-    // The HTTP client sends a call again only if it may be executed more than once.
-    request.isIdempotent = call.kind.repeatable;
-    auto response = co_await client.request(std::move(server.endpoint), std::move(request), timeout);
+    HttpCallOptions options;
+    options.timeout = timeout;
+    // Only calls that may be executed more than once use idle connections, which the server may close
+    // while a call is sent.
+    options.mayReuse = call.kind.repeatable;
+    options.mayResend = call.kind.repeatable;
+    options.onResend = call.onResend;
+    auto response = co_await client.request(std::move(server.endpoint), std::move(request), std::move(options));
     co_return response;
 }
 
--- a/src/PlainCallInfo.h
+++ b/src/PlainCallInfo.h
@@ -6,6 +6,7 @@
 #include "RequestKind.h"
 #include "Time.h"
 
+#include <functional>
 #include <string>
 
 namespace jayhold {
@@ -21,6 +22,8 @@
     std::string requestId;
     TimePoint arrivedAt {};
     TimePoint deadline {};
+    /// Called before the call is sent again because a reused connection had closed.
+    std::function<void()> onResend = [] {};
 };
 
 }
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -100,6 +100,7 @@
         const std::lock_guard guard(m_lock);
         m_budget.recordRequest();
     }
+    call.onResend = [this, &call] { recordResend(call); };
     if (call.kind.repeatable || !call.kind.recorded)
         co_await serveUnrecorded(exchange, call);
     else
@@ -144,10 +145,12 @@
         recordDecision(call, "request_placed", { { "backend", backend->id }, { "attempt", state.triedBackends.size() }, { "timeout_ms", timeout.count() / 1'000 } });
         last = co_await attemptOn(client, *backend, call, timeout);
         state.executions += !last.isNotRun;
+        m_metrics->backendCalls.fetch_add(last.reachedBackend, std::memory_order_relaxed);
         if (last.response && last.isFinal)
             break;
         m_metrics->failedAttempts.fetch_add(1, std::memory_order_relaxed);
-        record(LogLevel::Info, call, "attempt_failed", { { "backend", backend->id }, { "attempt", state.triedBackends.size() }, { "detail", last.detail }, { "ran", last.isNotRun ? "no" : "unknown" } });
+        const auto budget = retryBudget();
+        record(LogLevel::Info, call, "attempt_failed", { { "backend", backend->id }, { "attempt", state.triedBackends.size() }, { "detail", last.detail }, { "ran", last.isNotRun ? "no" : "unknown" }, { "retries_left", budget.remaining() }, { "retry_capacity", budget.capacity() } });
         if (!mayTryAgain(call, state, last, isRepeatable))
             break;
     }
@@ -186,6 +189,12 @@
     co_return PlainAttempt { .isNotRun = isNotSent, .reachedBackend = !isNotSent, .hasTimedOut = error.kind == HttpErrorKind::TimedOut, .detail = std::string(jayhold::name(error.kind)) + ": " + error.detail };
 }
 
+auto PlainService::recordResend(const PlainCallInfo& call) -> void
+{
+    m_metrics->resentCalls.fetch_add(1, std::memory_order_relaxed);
+    record(LogLevel::Info, call, "call_resent");
+}
+
 auto PlainService::attemptFromResponse(const BackendServer& backend, const PlainCallInfo& call, HttpResponse response) -> PlainAttempt
 {
     const auto status = response.status;
@@ -322,10 +331,10 @@
     m_balancer.releaseCancelled(id);
 }
 
-auto PlainService::remainingRetries() const -> double
+auto PlainService::retryBudget() const -> RetryBudget
 {
     const std::lock_guard guard(m_lock);
-    return m_budget.remaining();
+    return m_budget;
 }
 
 auto PlainService::tryConsumeRetry() -> bool
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -33,8 +33,8 @@
     auto updateConfiguration(const Service& service) -> void;
     /// Replaces the list of backend servers; those of other services are ignored.
     auto updateBackends(std::span<const BackendServer> backends) -> void;
-    /// @return the number of retries that the budget allows now.
-    auto remainingRetries() const -> double;
+    /// @return a copy of the retry budget's state.
+    auto retryBudget() const -> RetryBudget;
     auto updateInstanceCount(std::uint32_t instanceCount) -> void;
     auto backends() const -> std::vector<PlainBackend>;
 
@@ -59,6 +59,8 @@
     auto attemptFromResponse(const BackendServer& backend, const PlainCallInfo& call, HttpResponse response) -> PlainAttempt;
     /// @return whether another attempt may follow.
     auto mayTryAgain(const PlainCallInfo& call, const CallState& state, const PlainAttempt& last, bool isRepeatable) -> bool;
+    /// Records that a call is sent again because a reused connection had closed.
+    auto recordResend(const PlainCallInfo& call) -> void;
     auto attemptTimeout(const PlainCallInfo& call, const CallState& state, bool isRepeatable) const -> Duration;
     /// Serves a call without a record. It is executed at most once per request, unless its kind is
     /// repeatable.
--- a/src/RetryBudget.h
+++ b/src/RetryBudget.h
@@ -15,6 +15,12 @@
     double capacity;
 };
 
+/// Number of retries since the start.
+struct RetryTotals {
+    std::uint64_t consumed = 0;
+    std::uint64_t denied = 0;
+};
+
 class RetryBudget {
 public:
     explicit RetryBudget(RetryBudgetLimits limits)
@@ -36,17 +42,25 @@
     /// @return false if the budget is exhausted.
     auto tryConsume() -> bool
     {
-        if (m_tokens < 1)
+        if (m_tokens < 1) {
+            ++m_denied;
             return false;
+        }
         m_tokens -= 1;
+        ++m_consumed;
         return true;
     }
 
     auto remaining() const -> double { return m_tokens; }
+    auto capacity() const -> double { return m_limits.capacity; }
+    /// @return the totals since the start, for metrics.
+    auto totals() const -> RetryTotals { return { m_consumed, m_denied }; }
 
 private:
     RetryBudgetLimits m_limits;
     double m_tokens;
+    std::uint64_t m_consumed = 0;
+    std::uint64_t m_denied = 0;
 };
 
 /// Limits for model requests. A burst of 64 covers the streams of a few decode engines that fail together,
--- a/src/ServiceMetrics.h
+++ b/src/ServiceMetrics.h
@@ -16,6 +16,10 @@
     std::atomic<std::uint64_t> refusedUnknown { 0 };
     std::atomic<std::uint64_t> cancelled { 0 };
     std::atomic<std::uint64_t> failedAttempts { 0 };
+    /// Calls that reached a backend server: plain calls, prefills and decodes, without resent ones.
+    std::atomic<std::uint64_t> backendCalls { 0 };
+    /// Calls that were sent a second time because a reused connection had closed.
+    std::atomic<std::uint64_t> resentCalls { 0 };
     std::atomic<std::uint64_t> resumed { 0 };
     std::atomic<std::uint64_t> replayed { 0 };
     std::atomic<std::uint64_t> tokens { 0 };
--- a/src/ServiceTable.cpp
+++ b/src/ServiceTable.cpp
@@ -186,7 +186,32 @@
             samples.push_back({ value.name, value.help, value.read(summary), value.isCounter, "service", service });
     }
     for (const auto& service : plainServices())
-        samples.push_back({ "jayhold_plain_retries_left", "Retries of plain calls that the budget allows now.", service->remainingRetries(), false, "service", service->name() });
+        samples.push_back({ "jayhold_plain_retries_left", "Retries of plain calls that the budget allows now.", service->retryBudget().remaining(), false, "service", service->name() });
+    addRetrySamples(samples);
+}
+
+auto ServiceTable::addRetrySamples(std::vector<Metrics::Sample>& samples) const -> void
+{
+    struct Value {
+        std::string_view name;
+        std::string_view help;
+        std::function<double(const RetryBudget&)> read;
+        bool isCounter = false;
+    };
+    const Value values[] = {
+        { "jayhold_retry_capacity", "Retries that the budget can hold.", [](const RetryBudget& budget) { return budget.capacity(); } },
+        { "jayhold_retries_budgeted_total", "Retries taken from the budget.", [](const RetryBudget& budget) { return static_cast<double>(budget.totals().consumed); }, true },
+        { "jayhold_retries_denied_total", "Retries that the budget denied.", [](const RetryBudget& budget) { return static_cast<double>(budget.totals().denied); }, true },
+    };
+    std::vector<std::pair<std::string, RetryBudget>> budgets;
+    for (const auto& service : modelServices())
+        budgets.emplace_back(service->name(), service->retryBudget());
+    for (const auto& service : plainServices())
+        budgets.emplace_back(service->name(), service->retryBudget());
+    for (const auto& value : values) {
+        for (const auto& [service, budget] : budgets)
+            samples.push_back({ value.name, value.help, value.read(budget), value.isCounter, "service", service });
+    }
 }
 
 auto ServiceTable::modelServices() const -> std::vector<std::shared_ptr<ModelService>>
--- a/src/ServiceTable.h
+++ b/src/ServiceTable.h
@@ -53,6 +53,8 @@
     auto addPlainLocked(const Service& service) -> void;
     auto removeMissingLocked(const ConfigurationIndex& index) -> void;
     auto applyBackendsLocked() -> void;
+    /// Appends the state of the retry budgets of all services.
+    auto addRetrySamples(std::vector<Metrics::Sample>& samples) const -> void;
 
     EntryContext& m_context;
     AtMostOnceRecords& m_records;
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -166,6 +166,11 @@
     return demand;
 }
 
+auto retryBudget(const Shard& shard) -> const RetryBudget&
+{
+    return shard.state->retryBudget;
+}
+
 auto summarize(const Shard& shard) -> ShardSummary
 {
     const auto& state = *shard.state;
--- a/src/Shard.h
+++ b/src/Shard.h
@@ -7,6 +7,7 @@
 #include "DecisionAction.h"
 #include "DecisionEvent.h"
 #include "ReplicaUsage.h"
+#include "RetryBudget.h"
 #include "RoleDemand.h"
 #include "ShardSettings.h"
 #include "Time.h"
@@ -39,6 +40,8 @@
 /// @return the work for the two roles, as far as this instance knows it.
 auto roleDemand(const Shard& shard) -> RoleDemand;
 
+auto retryBudget(const Shard& shard) -> const RetryBudget&;
+
 /// Replaces the settings after a change of configuration; requests in the shard keep their targets.
 auto updateSettings(Shard& shard, ShardSettings settings) -> void;
 
