--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -10,3 +10,7 @@
 jayhold_test(router_daemon_test
   SOURCES test/correctness/ObjectCallsTest.cpp test/correctness/RouterDaemonTest.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
+
+jayhold_test(retry_budget_test
+  SOURCES test/correctness/ResendTest.cpp test/correctness/RetryBudgetTest.cpp
+  LINK jayhold_platform)
--- /dev/null
+++ b/test/correctness/ResendTest.cpp
@@ -0,0 +1,78 @@
+#include "../EntryHarness.h"
+#include "../FakeRecords.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <array>
+
+using namespace jayhold;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/// Reads one request head and discards it.
+auto readRequest(asio::ip::tcp::socket& socket) -> asio::awaitable<void>
+{
+    std::array<char, 4'096> buffer {};
+    co_await socket.async_read_some(asio::buffer(buffer), asio::use_awaitable);
+}
+
+}
+
+// Guards against a call that the HTTP client sends again by itself although the backend server ran it and
+// lost the answer, so that neither the retry budget nor the maximum attempts apply.
+TEST_CASE("a call that a backend server ran is not sent again without a retry of the budget")
+{
+    FakeRecords records;
+    IoThreads threads { 1 };
+    EntryHarness harness { records };
+    auto configuration = std::make_shared<Configuration>(*entryConfiguration());
+    for (auto& service : configuration->services)
+        service.retry = { .ratio = 0, .burst = 0, .isShared = true };
+    harness.services().updateConfiguration(configuration);
+    std::atomic<int> runs { 0 };
+    std::atomic<bool> losesAnswers { false };
+    HttpServer ledger(threads, {}, [&](HttpExchange& exchange) -> asio::awaitable<void> {
+        ++runs;
+        if (losesAnswers)
+            exchange.abort();
+        else
+            co_await exchange.respond(jsonResponse(200, "{}"));
+    });
+    harness.addBackend("ledger-1", "ledger", ledger.endpoint());
+    const auto lookup = [&] { return *harness.call({ "GET", "/services/coop-ledger/stock", {}, {} }); };
+    CHECK(lookup().status == 200);
+    losesAnswers = true;
+    CHECK(lookup().status == 503);
+    CHECK(runs == 2);
+    threads.stop();
+}
+
+// Guards against a call that counts as never sent because its second send found no listener.
+TEST_CASE("a call that was sent once and could not be sent again is reported as sent")
+{
+    IoThreads threads(2);
+    asio::ip::tcp::acceptor acceptor(threads.context(0), { asio::ip::make_address("127.0.0.1"), 0 });
+    const auto port = acceptor.local_endpoint().port();
+    auto serve = [&]() -> asio::awaitable<void> {
+        auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+        co_await readRequest(socket);
+        co_await asio::async_write(socket, asio::buffer(answer), asio::use_awaitable);
+        co_await readRequest(socket);
+        acceptor.close();
+    };
+    asio::co_spawn(threads.context(0), serve(), asio::detached);
+    const auto call = [&] { return runOn(threads, 1, threads.client(1).request({ "127.0.0.1", port }, HttpRequest {}, 2s)); };
+    REQUIRE(call().has_value());
+    const auto lost = call();
+    threads.stop();
+    REQUIRE(lost.has_error());
+    CHECK(lost.error().kind == HttpErrorKind::ConnectionLost);
+}
