Take a retry from the budget for each call that is sent again

Callers saw nothing of it: when a reused connection closed before any byte of an answer, the HTTP client sent the call again by itself. A backend server that ran a call and lost the answer by a reset looks the same as a connection that closed while idle, so the second send was a repeat that no budget, attempt limit or crash attribution saw, with the deadline of the first. If the second connection failed to open, the call even counted as never sent, and a third send was free as well.

The client now asks before it sends a call again, and the answer takes a retry from the budget of the service. It asks only within 100 ms of sending: an idle connection that was closed fails within a round trip, a later close is that of a server that read the call. A call that was sent and could not be sent again counts as sent.

--- a/src/BackendCallOptions.cpp
+++ b/src/BackendCallOptions.cpp
@@ -2,14 +2,14 @@
 
 namespace jayhold {
 
-auto backendCallOptions(const BackendServer& server, Duration timeout, bool isRepeatable) -> HttpCallOptions
+auto backendCallOptions(const BackendServer& server, Duration timeout, std::function<bool()> mayResend) -> HttpCallOptions
 {
     HttpCallOptions options;
     options.timeout = timeout;
     // The connection pool drops an idle connection well before its peer closes it, so calls that must not
     // be repeated can reuse one, too.
     options.mayReuse = true;
-    options.mayResend = isRepeatable;
+    options.mayResend = std::move(mayResend);
     // A restarted backend server has the same id, but is another process.
     options.peer = server.id + "/" + server.incarnation;
     return options;
--- a/src/BackendCallOptions.h
+++ b/src/BackendCallOptions.h
@@ -9,7 +9,7 @@
 
 /// @param timeout limit for the response header to arrive; HttpClient::request() applies it again to the
 /// body.
-/// @param isRepeatable whether the call may be executed more than once.
-auto backendCallOptions(const BackendServer& server, Duration timeout, bool isRepeatable) -> HttpCallOptions;
+/// @param mayResend asked before the call is sent again because a reused connection had closed.
+auto backendCallOptions(const BackendServer& server, Duration timeout, std::function<bool()> mayResend) -> HttpCallOptions;
 
 }
--- a/src/EngineCall.h
+++ b/src/EngineCall.h
@@ -37,10 +37,9 @@
     std::shared_ptr<const ForwardedCall> forwarded;
     /// Name of the slot and memory reservation at the decode engine.
     std::optional<std::string> slot;
-    /// Whether the call may be executed more than once.
-    bool isRepeatable = true;
-    /// Called before the call is sent again because a reused connection had closed.
-    std::function<void()> onResend = [] {};
+    /// Asked before the call is sent again because a reused connection had closed. A call that is sent
+    /// again takes a retry from the budget.
+    std::function<bool()> mayResend = [] { return false; };
     /// Time to live of a prefill result, if the engine's response does not state it.
     Duration prefillResultTtl {};
 };
--- a/src/HttpCallOptions.h
+++ b/src/HttpCallOptions.h
@@ -17,11 +17,9 @@
     /// Whether the call may reuse an idle connection. The peer can close it while the request is sent,
     /// which cannot be distinguished from a call that was executed.
     bool mayReuse = false;
-    /// Whether the call may be executed twice: it is sent again on a new connection if the reused idle
-    /// connection turns out to be closed.
-    bool mayResend = false;
-    /// Called before the call is sent again.
-    std::function<void()> onResend = [] {};
+    /// Asked before the call is sent again on a new connection because the reused idle connection turned
+    /// out to be closed. The server may have executed the call in spite of that.
+    std::function<bool()> mayResend = [] { return false; };
     /// Identifies the process behind the endpoint. Only calls with the same value share idle connections,
     /// because an address can be reassigned to another process.
     std::string peer;
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -19,6 +19,9 @@
 
 /// Maximum number of late responses to earlier calls that are skipped before the expected one.
 constexpr int maxSkippedResponses = 2;
+/// A connection that closed while it was idle fails within a round trip. If it fails later, the server has
+/// probably read the call.
+constexpr Duration maxStaleDetectionTime = std::chrono::milliseconds(100);
 
 using BeastRequest = http::request<http::string_body>;
 using Connection = HttpStream::Connection;
@@ -111,10 +114,11 @@
     co_return http::error::unexpected_body;
 }
 
-/// @return whether a reused connection was closed before any part of a response arrived.
-auto wasStale(const Connection& connection, const boost::system::error_code& code) -> bool
+/// @param elapsed time since the call was sent.
+/// @return whether a reused connection had probably closed before the call was sent.
+auto wasStale(const Connection& connection, const boost::system::error_code& code, Duration elapsed) -> bool
 {
-    if (code == beast::error::timeout || code == asio::error::operation_aborted)
+    if (code == beast::error::timeout || code == asio::error::operation_aborted || elapsed > maxStaleDetectionTime)
         return false;
     return !connection.parser || !connection.parser->got_some();
 }
@@ -134,10 +138,11 @@
 {
     HttpCallOptions options;
     options.timeout = timeout;
-    options.mayResend = request.isIdempotent || request.method == "GET";
+    const auto mayRunTwice = request.isIdempotent || request.method == "GET";
+    options.mayResend = [mayRunTwice] { return mayRunTwice; };
     // Only calls that may run twice use a pooled connection: the server can close it while the request
     // is being sent, and the client can't distinguish this case from a call that ran.
-    options.mayReuse = options.mayResend;
+    options.mayReuse = mayRunTwice;
     auto response = co_await this->request(std::move(endpoint), std::move(request), std::move(options));
     co_return response;
 }
@@ -179,19 +184,24 @@
     const auto message = toBeast(endpoint, std::move(request));
     const ConnectionKey key { endpoint, options.peer };
     auto connection = options.mayReuse ? m_pool->acquire(key, monotonicNow()) : nullptr;
-    if (connection) {
+    const auto isReused = connection != nullptr;
+    if (isReused) {
+        const auto sentAt = monotonicNow();
         const auto code = co_await exchangeHeaders(*connection, message, options);
         if (!code)
             co_return std::make_shared<HttpStream>(std::move(connection));
-        if (!options.mayResend || !wasStale(*connection, code))
+        if (!wasStale(*connection, code, monotonicNow() - sentAt) || !options.mayResend())
             co_return httpErrorOf(code);
-        options.onResend();
     }
     connection = std::make_unique<Connection>(m_context);
     connection->key = key;
     connection->pool = m_pool;
-    if (auto error = co_await connect(connection->stream, endpoint, m_settings))
+    if (auto error = co_await connect(connection->stream, endpoint, m_settings)) {
+        // The server may have executed the call that was sent on the reused connection.
+        if (isReused)
+            error->kind = HttpErrorKind::ConnectionLost;
         co_return std::move(*error);
+    }
     const auto code = co_await exchangeHeaders(*connection, message, options);
     if (code)
         co_return httpErrorOf(code);
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -213,6 +213,7 @@
     recordDecision(m_slotRefusals == 0 ? LogLevel::Info : LogLevel::Debug, "request_placed", { { "decode_backend", decode ? decode->backend.id : "" }, { "decode_tokens", action.decodeTokens }, { "prompt_tokens", m_info.digest.tokens }, { "waited_ms", queueTime.count() } });
     record(LogLevel::Debug, "prefill_started");
     auto call = engineCall();
+    call.mayResend = [this] { return mayResend(); };
     const auto task = ++m_tasks->lastTask;
     m_tasks->replica = action.prefill;
     m_decodeTokens = action.decodeTokens;
@@ -259,6 +260,8 @@
     m_backend = replica->backend.id;
     auto call = engineCall();
     call.maxTokens = m_info.request.maxTokens;
+    if (m_info.kindSettings.repeatable)
+        call.mayResend = [this] { return mayResend(); };
     if (m_prefill && action.prefill == m_prefillReplica) {
         if (const auto source = m_service->replica(m_prefillReplica))
             call.kv = KvSource { source->backend.endpoint, m_prefill->handle };
@@ -344,7 +347,7 @@
     co_await stopTask();
 }
 
-auto ModelRequest::engineCall() -> EngineCall
+auto ModelRequest::engineCall() const -> EngineCall
 {
     EngineCall call;
     call.requestId = m_service->engineRequestId(m_id, m_attempt);
@@ -355,8 +358,6 @@
     // The relay counts the events that the caller has. The shard's count may lag behind.
     call.resumeFrom = m_relay.tokens();
     call.forwarded = m_info.forwarded;
-    call.isRepeatable = m_info.kindSettings.repeatable;
-    call.onResend = [this] { recordResend(); };
     call.prefillResultTtl = m_service->prefillResultTtl();
     const auto remaining = std::max(m_info.deadline - monotonicNow(), Duration::zero());
     call.deadlineMs = std::chrono::ceil<std::chrono::milliseconds>(remaining).count();
@@ -373,10 +374,13 @@
     record(LogLevel::Info, std::string(phase) + "_failed", { { "failure", name(error.failure) }, { "detail", error.detail }, { "tokens", m_relay.tokens() }, { "retries_left", budget.remaining() }, { "retry_capacity", budget.capacity() } });
 }
 
-auto ModelRequest::recordResend() -> void
+auto ModelRequest::mayResend() -> bool
 {
+    if (!m_service->tryConsumeRetry())
+        return false;
     m_service->metrics().resentCalls.fetch_add(1, std::memory_order_relaxed);
     record(LogLevel::Info, "call_resent");
+    return true;
 }
 
 auto ModelRequest::callerRequestId() const -> std::string
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -92,9 +92,11 @@
 
     /// @param resumedFrom number of tokens that the caller had before this attempt.
     auto recordFirstToken(std::uint32_t resumedFrom) -> void;
-    auto engineCall() -> EngineCall;
-    /// Records that a call is sent again because a reused connection had closed.
-    auto recordResend() -> void;
+    auto engineCall() const -> EngineCall;
+    /// Takes a retry from the budget for a call that would be sent again because a reused connection had
+    /// closed.
+    /// @return whether the budget allows it.
+    auto mayResend() -> bool;
     /// Counts a prefill or decode call, unless it did not reach the engine.
     template <typename Result>
     auto countBackendCall(const Result& result) -> void
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -90,6 +90,9 @@
     auto replica(ReplicaId replica) const -> std::optional<ReplicaStatus>;
     auto replicas() const -> std::vector<ReplicaStatus>;
     auto summary() const -> ShardSummary;
+    /// Takes a retry from the budget for a call that the shard has not started.
+    /// @return false if the budget is exhausted.
+    auto tryConsumeRetry() -> bool;
     /// @return a copy of the retry budget's state.
     auto retryBudget() const -> RetryBudget;
 
--- a/src/ModelServiceReplicas.cpp
+++ b/src/ModelServiceReplicas.cpp
@@ -192,6 +192,12 @@
     return summarize(m_shard);
 }
 
+auto ModelService::tryConsumeRetry() -> bool
+{
+    const std::lock_guard guard(m_lock);
+    return jayhold::tryConsumeRetry(m_shard);
+}
+
 auto ModelService::retryBudget() const -> RetryBudget
 {
     const std::lock_guard guard(m_lock);
--- a/src/PlainCallInfo.h
+++ b/src/PlainCallInfo.h
@@ -22,8 +22,9 @@
     std::string requestId;
     TimePoint arrivedAt {};
     TimePoint deadline {};
-    /// Called before the call is sent again because a reused connection had closed.
-    std::function<void()> onResend = [] {};
+    /// Asked before the call is sent again because a reused connection had closed. A call that is sent
+    /// again takes a retry from the budget.
+    std::function<bool()> mayResend = [] { return false; };
 };
 
 }
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -100,7 +100,7 @@
         const std::lock_guard guard(m_lock);
         m_budget.recordRequest();
     }
-    call.onResend = [this, &call] { recordResend(call); };
+    call.mayResend = [this, &call] { return mayResend(call); };
     if (call.kind.repeatable || !call.kind.recorded)
         co_await serveUnrecorded(exchange, call);
     else
@@ -189,10 +189,13 @@
     co_return PlainAttempt { .isNotRun = isNotSent, .reachedBackend = !isNotSent, .hasTimedOut = error.kind == HttpErrorKind::TimedOut, .detail = std::string(jayhold::name(error.kind)) + ": " + error.detail };
 }
 
-auto PlainService::recordResend(const PlainCallInfo& call) -> void
+auto PlainService::mayResend(const PlainCallInfo& call) -> bool
 {
+    if (!call.kind.repeatable || !tryConsumeRetry())
+        return false;
     m_metrics->resentCalls.fetch_add(1, std::memory_order_relaxed);
     record(LogLevel::Info, call, "call_resent");
+    return true;
 }
 
 auto PlainService::attemptFromResponse(const BackendServer& backend, const PlainCallInfo& call, HttpResponse response) -> PlainAttempt
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -59,8 +59,10 @@
     auto attemptFromResponse(const BackendServer& backend, const PlainCallInfo& call, HttpResponse response) -> PlainAttempt;
     /// @return whether another attempt may follow.
     auto mayTryAgain(const PlainCallInfo& call, const CallState& state, const PlainAttempt& last, bool isRepeatable) -> bool;
-    /// Records that a call is sent again because a reused connection had closed.
-    auto recordResend(const PlainCallInfo& call) -> void;
+    /// Takes a retry from the budget for a call that would be sent again because a reused connection had
+    /// closed.
+    /// @return whether the call may be repeated and the budget allows it.
+    auto mayResend(const PlainCallInfo& call) -> bool;
     auto attemptTimeout(const PlainCallInfo& call, const CallState& state, bool isRepeatable) const -> Duration;
     /// Serves a call without a record. It is executed at most once per request, unless its kind is
     /// repeatable.
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -166,6 +166,11 @@
     return demand;
 }
 
+auto tryConsumeRetry(Shard& shard) -> bool
+{
+    return shard.state->retryBudget.tryConsume();
+}
+
 auto retryBudget(const Shard& shard) -> const RetryBudget&
 {
     return shard.state->retryBudget;
--- a/test/correctness/ResendTest.cpp
+++ b/test/correctness/ResendTest.cpp
@@ -1,6 +1,8 @@
 #include "../EntryHarness.h"
 #include "../FakeRecords.h"
 
+#include "Pause.h"
+
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -76,3 +78,38 @@
     REQUIRE(lost.has_error());
     CHECK(lost.error().kind == HttpErrorKind::ConnectionLost);
 }
+
+// Guards against a call that fails although its connection had only been closed while it was idle, and
+// against a second send of a call that the server had read.
+TEST_CASE("a call is sent again only if its connection fails at once")
+{
+    const auto closeDelay = GENERATE(Duration::zero(), Duration(200ms));
+    const auto isStale = closeDelay == Duration::zero();
+    IoThreads threads(2);
+    asio::ip::tcp::acceptor acceptor(threads.context(0), { asio::ip::make_address("127.0.0.1"), 0 });
+    const auto port = acceptor.local_endpoint().port();
+    auto serve = [&]() -> asio::awaitable<void> {
+        auto first = co_await acceptor.async_accept(asio::use_awaitable);
+        co_await readRequest(first);
+        co_await asio::async_write(first, asio::buffer(answer), asio::use_awaitable);
+        co_await readRequest(first);
+        co_await pause(closeDelay);
+        first.close();
+        auto second = co_await acceptor.async_accept(asio::use_awaitable);
+        co_await readRequest(second);
+        co_await asio::async_write(second, asio::buffer(answer), asio::use_awaitable);
+    };
+    asio::co_spawn(threads.context(0), serve(), asio::detached);
+    auto asked = 0;
+    const auto call = [&] {
+        HttpCallOptions options;
+        options.timeout = 2s;
+        options.mayReuse = true;
+        options.mayResend = [&] { return ++asked > 0; };
+        return runOn(threads, 1, threads.client(1).request({ "127.0.0.1", port }, HttpRequest {}, options));
+    };
+    REQUIRE(call().has_value());
+    CHECK(call().has_value() == isStale);
+    CHECK(asked == (isStale ? 1 : 0));
+    threads.stop();
+}
