Take a retry from the budget for each repeated call of an attempt

One retry was taken for each failed attempt, but an attempt after a failed decode can make two calls, a second prefill and a second decode, and both are repeats. A request whose decode could not connect and whose prefill result had expired repeated the prefill for nothing. And a retry taken at the failure could wait for capacity for seconds, so that the retries of a whole outage were sent when it ended.

The shard now counts the calls of a request and pays for those beyond the first decode and the first prefill with a result when it starts an attempt; if the budget does not allow for another prefill, the decode engine prefills itself, and otherwise the request is refused. A retry that waits longer than 2 s is paid again.

--- a/src/ActiveRequest.h
+++ b/src/ActiveRequest.h
@@ -25,6 +25,8 @@
     /// Last sign of progress of the current attempt.
     TimePoint lastProgressAt;
     TimePoint kvExpiresAt;
+    /// When the last retry was taken from the budget.
+    TimePoint retryPaidAt;
     /// Time of the request's entry in the timer queue.
     TimePoint timerAt = TimePoint::max();
     /// Expected end of the decode.
@@ -55,10 +57,16 @@
     std::uint8_t kvFetchFailures = 0;
     /// Failed attempts that provably did not run.
     std::uint8_t attemptsNotRun = 0;
+    /// Prefills and failed decodes that count as calls to an engine.
+    std::uint8_t engineCalls = 0;
+    /// Retries that were taken from the budget.
+    std::uint8_t paidRetries = 0;
 
     RequestPhase phase = RequestPhase::Queued;
     SubQueue subQueue = SubQueue::Fair;
     CrashSuspicion crashSuspicion = CrashSuspicion::None;
+    /// Whether a prefill has ended with a result.
+    bool hadPrefillResult = false;
     /// Whether an earlier decode attempt may have run.
     bool mayHaveRun = false;
 
--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -4,6 +4,7 @@
 #include "Estimates.h"
 #include "Placement.h"
 #include "RequestLifecycle.h"
+#include "RetryRules.h"
 #include "SlotHeadroom.h"
 
 #include <algorithm>
@@ -23,12 +24,32 @@
 /// execution.
 constexpr int agedDeadlineDivisor = 8;
 
+/// Takes the retries that the calls of the placement need from the budget. If it does not allow for a
+/// prefill call, the decode replica prefills itself.
+/// @return false if the budget does not allow for the attempt.
+auto payForPlacement(DecisionContext& context, ActiveRequest& request, Placement& placement) -> bool
+{
+    constexpr std::uint32_t decodeCalls = 1;
+    constexpr std::uint32_t prefillAndDecodeCalls = 2;
+    if (tryPayForCalls(context, request, placement.prefill ? prefillAndDecodeCalls : decodeCalls))
+        return true;
+    if (!placement.prefill || !placement.slotFree || !context.state.settings.decodeMayPrefill)
+        return false;
+    placement.prefill = nullptr;
+    return tryPayForCalls(context, request, decodeCalls);
+}
+
+/// @return whether the request has left the queue.
 auto tryStart(DecisionContext& context, RequestId id, bool aged = false) -> bool
 {
     auto* request = findRequest(context.state, id);
-    const auto placement = choosePlacement(context, *request, aged ? 0 : requiredSlotHeadroom(context, *request));
+    auto placement = choosePlacement(context, *request, aged ? 0 : requiredSlotHeadroom(context, *request));
     if (!placement)
         return false;
+    if (!payForPlacement(context, *request, *placement)) {
+        refuse(context, *request, RefusalReason::RetriesExhausted);
+        return true;
+    }
     auto& state = context.state;
     const auto isOverdue = request->subQueue == SubQueue::Overdue && request->latencyClass != LatencyClass::Batch;
     start(context, *request, *placement);
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -231,6 +231,8 @@
     context.state.prefillsWithoutSlot.erase({ request.phaseStartedAt, request.arrival.request });
     releasePrefillSlot(context, request);
     request.kvExpiresAt = expiresAt;
+    request.hadPrefillResult = true;
+    ++request.engineCalls;
     context.state.prefilled.emplace(expiresAt, request.arrival.request);
     enterPhase(context, request, RequestPhase::Prefilled);
     startDecode(context, request);
@@ -311,6 +313,8 @@
     else
         ++request.failures;
     request.failedDecodes += ran;
+    // The call of a prefill that has ended is already counted.
+    request.engineCalls += request.phase != RequestPhase::Prefilled && isCountedCall(context.state.settings.retry, failure);
     request.kvFetchFailures += request.phase == RequestPhase::Starting && request.prefill && provablyNotRun(failure);
     request.avoidedReplica = mayBeRunning(request.phase) ? request.decode : request.prefill;
     if (failure == FailureKind::ConnectionLost)
--- a/src/RetryBudget.h
+++ b/src/RetryBudget.h
@@ -38,16 +38,16 @@
 
     auto recordRequest() -> void { m_tokens = std::min(m_tokens + m_limits.ratio, m_limits.capacity); }
 
-    /// Takes one retry from the budget.
-    /// @return false if the budget is exhausted.
-    auto tryConsume() -> bool
+    /// Takes retries from the budget, either all or none.
+    /// @return false if the budget has fewer.
+    auto tryConsume(std::uint32_t retries = 1) -> bool
     {
-        if (m_tokens < 1) {
-            ++m_denied;
+        if (m_tokens < retries) {
+            m_denied += retries;
             return false;
         }
-        m_tokens -= 1;
-        ++m_consumed;
+        m_tokens -= retries;
+        m_consumed += retries;
         return true;
     }
 
--- a/src/RetryRules.cpp
+++ b/src/RetryRules.cpp
@@ -2,24 +2,36 @@
 
 #include "RequestLifecycle.h"
 
+#include <algorithm>
+
 namespace jayhold {
 
 namespace {
 
 constexpr std::uint32_t maxFailures = 4;
 
-/// Whether a retry after the failure needs nothing from the retry budget. A rejected attempt costs the
-/// engines nothing, unless the policy counts rejections. An attempt that did not reach an engine is
-/// always exempt. An expired result cost a prefill and is not.
-auto isBudgetExempt(const RetryPolicy& policy, FailureKind failure) -> bool
+/// A retry that waits longer than this for capacity is paid again, because the budget limits the calls
+/// that engines get within a period of time.
+constexpr Duration paidRetryLifetime = std::chrono::seconds(2);
+
+/// @return how many of the calls need a retry from the budget.
+auto repeatedCalls(std::uint32_t calls, bool hadPrefillResult) -> std::uint32_t
 {
-    if (policy.countsRejections)
-        return failure == FailureKind::NotConnected;
-    return provablyNotRun(failure) && failure != FailureKind::KvExpired;
+    const std::uint32_t firstCalls = hadPrefillResult ? 2 : 1;
+    return calls > firstCalls ? calls - firstCalls : 0;
 }
 
 }
 
+/// A rejected attempt costs the engines nothing, unless the policy counts rejections. An attempt that did
+/// not reach an engine never counts. An expired result cost a prefill and does.
+auto isCountedCall(const RetryPolicy& policy, FailureKind failure) -> bool
+{
+    if (policy.countsRejections)
+        return failure != FailureKind::NotConnected;
+    return !provablyNotRun(failure) || failure == FailureKind::KvExpired;
+}
+
 auto provablyNotRun(FailureKind failure) -> bool
 {
     switch (failure) {
@@ -36,7 +48,7 @@
     return false;
 }
 
-auto mayRetry(DecisionContext& context, const ActiveRequest& request, FailureKind failure) -> bool
+auto mayRetry(DecisionContext& context, ActiveRequest& request, FailureKind failure) -> bool
 {
     if (request.mayHaveRun && !kindOf(context.state, request).repeatable)
         return false;
@@ -44,7 +56,30 @@
         return false;
     if (request.failedDecodes >= kindOf(context.state, request).maxAttempts)
         return false;
-    return isBudgetExempt(context.state.settings.retry, failure) || context.state.retryBudget.tryConsume();
+    if (!isCountedCall(context.state.settings.retry, failure))
+        return true;
+    if (!context.state.retryBudget.tryConsume())
+        return false;
+    ++request.paidRetries;
+    request.retryPaidAt = context.now;
+    return true;
+}
+
+auto tryPayForCalls(DecisionContext& context, ActiveRequest& request, std::uint32_t calls) -> bool
+{
+    // Only a prefill of its own adds a second call to an attempt.
+    const auto hasPrefillResult = request.hadPrefillResult || calls > 1;
+    const auto needed = repeatedCalls(request.engineCalls + calls, hasPrefillResult);
+    const auto used = repeatedCalls(request.engineCalls, request.hadPrefillResult);
+    const auto isExpired = context.now - request.retryPaidAt > paidRetryLifetime;
+    const auto paid = isExpired ? std::min<std::uint32_t>(request.paidRetries, used) : request.paidRetries;
+    if (needed > paid) {
+        if (!context.state.retryBudget.tryConsume(needed - paid))
+            return false;
+        request.retryPaidAt = context.now;
+        request.paidRetries = static_cast<std::uint8_t>(needed);
+    }
+    return true;
 }
 
 }
--- a/test/correctness/RetryBudgetTest.cpp
+++ b/test/correctness/RetryBudgetTest.cpp
@@ -99,3 +99,24 @@
     CHECK(calls <= 3);
     CHECK(harness.lastEver<Refuse>());
 }
+
+// Guards against retries that are taken from the budget during an outage and all sent when it ends.
+TEST_CASE("a retry that has waited for capacity is paid for when it is sent")
+{
+    const auto outage = GENERATE(Duration(1s), Duration(4s));
+    auto settings = testSettings();
+    settings.decodeMayPrefill = true;
+    settings.retry = { .ratio = 0, .burst = 1, .isShared = false, .countsRejections = true };
+    ShardHarness harness(settings);
+    harness.replica(1, PoolRole::Decode, 20);
+    harness.replica(2, PoolRole::Decode, 20, ReplicaState::Leaving);
+    harness.arrive(1, 1);
+    const auto first = *harness.last<StartDecode>();
+    harness.replica(1, PoolRole::Decode, 20, ReplicaState::Leaving);
+    harness.send(DecodeFailed { first.request, first.attempt, FailureKind::Busy, 0 });
+    REQUIRE_FALSE(harness.last<Refuse>());
+    harness.advance(outage);
+    harness.replica(2, PoolRole::Decode, 20);
+    CHECK(harness.last<StartDecode>().has_value() == (outage < 2s));
+    CHECK(harness.last<Refuse>().has_value() == (outage > 2s));
+}
