Keep the parts of the shared retry budget below the whole

The burst of the budget is shared by all instances, and no single instance can see the sum. Each started with a full budget; until it had read the list of instances it took itself for the only one and held 64 retries for a model service and 10 for a plain one, where its part is 2.7. The first list could be stale and the next one followed 20 s later, and each restart filled the budget again. A long outage of the store made an instance forget all others at once.

A shared budget now starts empty and holds nothing until the number of instances is known, so that retries stored by a process die with it and restarts add nothing. The first list is a current one, the list is read again soon while the number changes, an instance counts from its first message, and time without a list does not count against the others. In the native deployment the number of members never falls.

--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -12,5 +12,5 @@
   LINK jayhold_platform)
 
 jayhold_test(retry_budget_test
-  SOURCES test/correctness/ResendTest.cpp test/correctness/RetryBudgetTest.cpp
+  SOURCES test/correctness/FleetRetryTest.cpp test/correctness/ResendTest.cpp test/correctness/RetryBudgetTest.cpp
   LINK jayhold_platform)
--- a/src/EntryDaemonDrain.cpp
+++ b/src/EntryDaemonDrain.cpp
@@ -69,6 +69,7 @@
 auto EntryDaemon::State::watchMembers() -> asio::awaitable<void>
 {
     asio::steady_timer timer(threads->context(0));
+    std::size_t mostMembers = 1;
     while (true) {
         const auto members = node->members();
         {
@@ -77,7 +78,9 @@
             for (const auto& member : members)
                 memberIds.insert(member.id);
         }
-        services->updateInstanceCount(static_cast<std::uint32_t>(std::max<std::size_t>(members.size(), 1)));
+        // Members that this instance can't reach may still be running, so the number never falls.
+        mostMembers = std::max(mostMembers, members.size());
+        services->updateInstanceCount(static_cast<std::uint32_t>(mostMembers));
         co_await pause(timer, memberInterval);
     }
 }
--- a/src/InstanceCount.cpp
+++ b/src/InstanceCount.cpp
@@ -6,11 +6,29 @@
 
 namespace {
 
-auto isLive(const InstanceCount& count, const InstanceCount::Observation& observation, TimePoint now) -> bool
+auto isHeard(const InstanceCount& count, const std::string& name, TimePoint now) -> bool
 {
-    return now - observation.observedAt < count.lifetime;
+    const auto heard = count.heardAt.find(name);
+    return heard != count.heardAt.end() && now - heard->second < count.lifetime;
 }
 
+auto isLive(const InstanceCount& count, const std::string& name, TimePoint now) -> bool
+{
+    const auto entry = count.instances.find(name);
+    return isHeard(count, name, now) || (entry != count.instances.end() && now - entry->second.observedAt < count.lifetime);
+}
+
+}
+
+auto beginList(InstanceCount& count, TimePoint now) -> void
+{
+    const auto unread = count.listedAt ? now - *count.listedAt - count.maxListInterval : Duration::zero();
+    if (unread > Duration::zero()) {
+        for (auto& [name, observation] : count.instances)
+            observation.observedAt += unread;
+    }
+    count.listedAt = now;
+    std::erase_if(count.heardAt, [&](const auto& heard) { return now - heard.second >= count.lifetime; });
 }
 
 auto recordInstance(InstanceCount& count, TimePoint now, const std::string& name, std::int64_t revision, std::optional<HttpEndpoint> endpoint, std::string availabilityZone) -> void
@@ -20,17 +38,25 @@
         entry->second = { revision, now, std::move(endpoint), std::move(availabilityZone) };
 }
 
+auto recordMessage(InstanceCount& count, TimePoint now, const std::string& name) -> bool
+{
+    const auto isNew = !isLive(count, name, now);
+    count.heardAt[name] = now;
+    return isNew;
+}
+
 auto liveInstances(const InstanceCount& count, TimePoint now) -> std::uint32_t
 {
-    const auto live = std::ranges::count_if(count.instances, [&](const auto& entry) { return isLive(count, entry.second, now); });
-    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(live));
+    const auto listed = std::ranges::count_if(count.instances, [&](const auto& entry) { return isLive(count, entry.first, now); });
+    const auto heardOnly = std::ranges::count_if(count.heardAt, [&](const auto& heard) { return !count.instances.contains(heard.first) && isHeard(count, heard.first, now); });
+    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(listed + heardOnly));
 }
 
 auto livePeers(const InstanceCount& count, TimePoint now) -> std::vector<PeerAddress>
 {
     std::vector<PeerAddress> peers;
     for (const auto& [name, observation] : count.instances) {
-        if (isLive(count, observation, now) && observation.endpoint)
+        if (isLive(count, name, now) && observation.endpoint)
             peers.push_back({ *observation.endpoint, observation.availabilityZone });
     }
     return peers;
--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -278,6 +278,7 @@
 auto LoadExchange::handleMessage(LoadMessage message) -> void
 {
     auto& state = *m_state;
+    state.callbacks.onMessage(message.instance);
     handleCrashReports(message);
     const auto backendsChangingRole = message.backendsChangingRole;
     const auto revisions = message.revisions;
--- a/src/LoadExchange.h
+++ b/src/LoadExchange.h
@@ -23,6 +23,8 @@
 struct LoadExchangeCallbacks {
     /// @return the current reservations of this instance.
     std::function<std::vector<BackendUsage>()> ownUsage;
+    /// An instance has sent a load message.
+    std::function<void(const std::string& instance)> onMessage = [](const std::string&) {};
     /// Receives the sum of the peers' reservations.
     std::function<void(const std::vector<BackendUsage>&)> onPeerUsage;
     /// @return backend servers that this instance has recently ordered to change their role.
--- a/src/LoadReports.cpp
+++ b/src/LoadReports.cpp
@@ -61,7 +61,7 @@
 /// at random so that all instances together take about the number of free slots.
 auto slotShare(ShardState& state, std::uint32_t freeSlots) -> std::uint32_t
 {
-    const auto instances = state.settings.instanceCount;
+    const auto instances = assumedInstances(state.settings);
     const auto remainder = freeSlots % instances;
     std::uniform_int_distribution<std::uint32_t> draw(0, instances - 1);
     return freeSlots / instances + (draw(state.random) < remainder ? 1 : 0);
@@ -71,7 +71,7 @@
 /// report shows. Peers are assumed to be as busy as this instance.
 auto peerPendingSlots(ShardState& state) -> std::uint32_t
 {
-    const auto pending = std::uint64_t { state.prefilling } * (state.settings.instanceCount - 1);
+    const auto pending = std::uint64_t { state.prefilling } * (assumedInstances(state.settings) - 1);
     const auto replicas = std::max<std::uint64_t>(state.decodeCapacities.size(), 1);
     std::uniform_int_distribution<std::uint64_t> draw(0, replicas - 1);
     return static_cast<std::uint32_t>(pending / replicas + (draw(state.random) < pending % replicas ? 1 : 0));
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -29,6 +29,12 @@
     return sha256Hex(request.method + "\n" + request.target + "\n" + request.body);
 }
 
+/// A policy that instances do not share is replaced by the limits for plain calls.
+auto plainPolicy(const RetryPolicy& policy) -> RetryPolicy
+{
+    return policy.isShared ? policy : RetryPolicy { .ratio = plainRetryLimits.ratio, .burst = plainRetryLimits.capacity };
+}
+
 auto nextAttemptId(const EntryContext& context) -> std::string
 {
     static std::atomic<std::uint64_t> lastAttempt { 0 };
@@ -45,8 +51,8 @@
     , m_pools(service.pools)
     , m_retry(service.retry)
     , m_instanceCount(instanceCount)
+    , m_budget(makeRetryBudget(plainPolicy(service.retry), instanceCount))
 {
-    updateBudgetLocked();
 }
 
 auto PlainService::updateConfiguration(const Service& service) -> void
@@ -66,7 +72,7 @@
 
 auto PlainService::updateBudgetLocked() -> void
 {
-    m_budget.updateLimits(m_retry.isShared ? budgetLimits(m_retry, std::max(m_instanceCount, 1U)) : plainRetryLimits);
+    m_budget.updateLimits(budgetLimits(plainPolicy(m_retry), m_instanceCount));
 }
 
 auto PlainService::updateBackends(std::span<const BackendServer> backends) -> void
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -24,8 +24,9 @@
 
 class PlainService : public std::enable_shared_from_this<PlainService> {
 public:
-    /// @param instanceCount number of entry instances that use the same backend servers, including this one.
-    PlainService(EntryContext& context, const Service& service, AtMostOnceRecords& records, std::uint32_t instanceCount = 1);
+    /// @param instanceCount number of entry instances that use the same backend servers, including this one,
+    /// or 0 if it is not known yet.
+    PlainService(EntryContext& context, const Service& service, AtMostOnceRecords& records, std::uint32_t instanceCount = 0);
 
     auto name() const -> const std::string& { return m_name; }
     auto metrics() -> ServiceMetrics& { return *m_metrics; }
@@ -95,7 +96,7 @@
     RetryPolicy m_retry;
     std::uint32_t m_instanceCount;
     PlainBalancer m_balancer;
-    RetryBudget m_budget { plainRetryLimits };
+    RetryBudget m_budget;
 };
 
 }
--- a/src/RetryBudget.h
+++ b/src/RetryBudget.h
@@ -23,9 +23,10 @@
 
 class RetryBudget {
 public:
-    explicit RetryBudget(RetryBudgetLimits limits)
+    /// @param tokens retries that the budget has at the start.
+    RetryBudget(RetryBudgetLimits limits, double tokens)
         : m_limits(limits)
-        , m_tokens(limits.capacity)
+        , m_tokens(std::min(tokens, limits.capacity))
     {
     }
 
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -139,8 +139,8 @@
             .backends = [this](std::vector<BackendServer> backends) {
                 context.hasBackendList = !backends.empty();
                 services.updateBackends(std::move(backends)); },
-            .instances = [this](std::uint32_t count, const std::vector<PeerAddress>& peers) {
-                services.updateInstanceCount(count);
+            .instanceCount = [this](std::uint32_t count) { services.updateInstanceCount(count); },
+            .peers = [this](const std::vector<PeerAddress>& peers) {
                 if (loadExchange)
                     loadExchange->updatePeers(peers); },
             .onStoreAvailability = [this](std::optional<TimePoint> since) { context.storeUnavailableSince = since.value_or(TimePoint {}).time_since_epoch().count(); },
@@ -166,6 +166,9 @@
     {
         LoadExchangeCallbacks callbacks {
             .ownUsage = [this] { return services.usage(); },
+            .onMessage = [this](const std::string& instance) {
+                if (directory)
+                    directory->handlePeerMessage(instance); },
             .onPeerUsage = [this](const std::vector<BackendUsage>& usages) { services.updatePeerUsage(usages); },
             .backendsChangingRole = [this] { return roleBalancer ? roleBalancer->backendsChangingRole() : std::vector<std::string>(); },
             .onRevision = [this](const std::string& kind, std::int64_t revision) {
@@ -231,7 +234,7 @@
             { "jayhold_ready", "Whether the instance tells the balancer that it is ready.", isReady() ? 1.0 : 0.0 },
             { "jayhold_configuration_version", "Version of the configuration in force.", static_cast<double>(summary.configurationVersion) },
             { "jayhold_backends", "Backend servers that are live or leaving.", static_cast<double>(summary.backends) },
-            { "jayhold_instances", "Live entry instances, as the store has them.", static_cast<double>(summary.instances) },
+            { "jayhold_instances", "Live entry instances by their records and messages; 0 until they have been counted.", static_cast<double>(summary.instances) },
             { "jayhold_store_away_seconds", "Time for which the store has failed; 0 while it answers.", storeUnavailableSeconds },
             { "jayhold_memory_pieces_reserved", "Engine memory that this instance has reserved, in pieces.", reservedMemoryBlocks },
             { "jayhold_log_lines_left_out_total", "Log lines left out for their rate or because the output was not read.", static_cast<double>(log.droppedLines() + droppedLogLines()), true },
--- a/src/ServiceTable.h
+++ b/src/ServiceTable.h
@@ -65,7 +65,8 @@
     std::map<std::string, Model, std::less<>> m_modelServices;
     std::map<std::string, std::shared_ptr<PlainService>, std::less<>> m_plainServices;
     std::vector<BackendServer> m_backends;
-    std::uint32_t m_instanceCount = 1;
+    /// 0 while it is not known.
+    std::uint32_t m_instanceCount = 0;
 };
 
 }
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -79,6 +79,7 @@
 {
     Shard shard { std::unique_ptr<ShardState, ShardStateDeleter>(new ShardState) };
     shard.state->random.seed(static_cast<std::minstd_rand::result_type>(settings.seed));
+    shard.state->retryBudget = makeRetryBudget(settings.retry, settings.instanceCount);
     updateSettings(shard, std::move(settings));
     return shard;
 }
@@ -96,7 +97,7 @@
 auto updateSettings(Shard& shard, ShardSettings settings) -> void
 {
     shard.state->lengthModels.resize(settings.kinds.size());
-    shard.state->retryBudget.updateLimits(budgetLimits(settings.retry, std::max(settings.instanceCount, 1U)));
+    shard.state->retryBudget.updateLimits(budgetLimits(settings.retry, settings.instanceCount));
     shard.state->settings = std::move(settings);
 }
 
@@ -160,7 +161,7 @@
         demand.decodeWork += static_cast<double>(decodeLoad(replica, committedReservation(replica, waitingReservations))) / static_cast<double>(loadScale);
     }
     // Peers are assumed to have as many requests waiting for memory as this instance.
-    const auto waiting = static_cast<double>(state.queue.size() + state.awaitingSlotReply.size()) * std::max(state.settings.instanceCount, 1U);
+    const auto waiting = static_cast<double>(state.queue.size() + state.awaitingSlotReply.size()) * assumedInstances(state.settings);
     if (memoryBlocks > 0)
         demand.decodeWork += waiting * state.meanDecodeMemoryBlocks * demand.decodeReplicas / memoryBlocks;
     return demand;
--- a/src/ShardSettings.h
+++ b/src/ShardSettings.h
@@ -6,6 +6,7 @@
 #include "RequestKind.h"
 #include "RetryPolicy.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <vector>
 
@@ -35,9 +36,16 @@
     /// Whether decode replicas are asked to reserve a slot before a prefill begins.
     bool reservesSlots = false;
     RetryPolicy retry;
-    /// Number of entry instances that place on the same replicas, this one included. It scales how many
-    /// of the free slots in a lagging report this instance may take.
-    std::uint32_t instanceCount = 1;
+    /// Number of entry instances that place on the same replicas, this one included, or 0 if it is not
+    /// known yet. It scales how many of the free slots in a lagging report this instance may take, and
+    /// its part of a shared retry budget.
+    std::uint32_t instanceCount = 0;
 };
 
+/// @return the number of instances to assume for placement: 1 if it is not known.
+inline auto assumedInstances(const ShardSettings& settings) -> std::uint32_t
+{
+    return std::max(settings.instanceCount, 1U);
+}
+
 }
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -60,7 +60,7 @@
     CrashHistoryTable crashHistory;
     /// Replicas that recently lost connections, and when.
     std::vector<std::pair<ReplicaId, TimePoint>> disconnectedReplicas;
-    RetryBudget retryBudget { modelRetryLimits };
+    RetryBudget retryBudget { modelRetryLimits, modelRetryLimits.capacity };
     OfferedLoad offeredLoad;
     /// Number of free slots of the live decode replicas, as far as known.
     std::int64_t freeDecodeSlots = 0;
--- a/src/SlotHeadroom.cpp
+++ b/src/SlotHeadroom.cpp
@@ -50,7 +50,7 @@
     double offered = 0;
     for (int moreUrgent = 0; moreUrgent < moreUrgentClasses; ++moreUrgent)
         offered += context.state.offeredLoad.slots(static_cast<LatencyClass>(moreUrgent), context.now);
-    const auto wanted = headroomDeviationsFor(context.state, request) * std::sqrt(offered * context.state.settings.instanceCount);
+    const auto wanted = headroomDeviationsFor(context.state, request) * std::sqrt(offered * assumedInstances(context.state.settings));
     const auto maxHeadroom = maxHeadroomFraction * static_cast<double>(context.state.decodeSlots);
     return static_cast<std::int64_t>(std::min(wanted, maxHeadroom));
 }
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -110,7 +110,7 @@
 
 auto StoreDirectory::summary() const -> Summary
 {
-    return { m_version, m_published.size(), liveInstances(m_instances, monotonicNow()), m_directory.unavailableSince };
+    return { m_version, m_published.size(), m_liveInstances, m_directory.unavailableSince };
 }
 
 auto StoreDirectory::runKindWatch(KindWatchPointer kindWatch) -> asio::awaitable<void>
@@ -222,27 +222,46 @@
 auto StoreDirectory::countInstances() -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
-    auto previousLive = std::uint32_t { 0 };
     auto interval = firstCountDelay;
     while (true) {
         co_await pause(jitteredDelay(interval));
-        const auto list = co_await m_store.list(m_threads.client(0), m_format.instanceKind, ReadMode::MayBeStale);
+        // A stale list would lack the instances that have started with this one.
+        const auto mode = m_liveInstances == 0 ? ReadMode::Current : ReadMode::MayBeStale;
+        const auto list = co_await m_store.list(m_threads.client(0), m_format.instanceKind, mode);
         if (list.has_error()) {
             m_log.record(LogLevel::Info, "instances_not_counted", { { "detail", list.error().detail } });
             continue;
         }
-        interval = instanceInterval;
         const auto now = monotonicNow();
+        beginList(m_instances, now);
         for (const auto& item : list->items)
             recordInstance(m_instances, now, item.name, item.revision, parseHttpEndpoint(textOf(item, "address")), textOf(item, "availability_zone"));
-        const auto live = liveInstances(m_instances, now);
-        if (live != previousLive)
-            m_log.record(LogLevel::Info, "instances_counted", { { "live", live } });
-        previousLive = live;
-        m_callbacks.instances(live, livePeers(m_instances, now));
+        // This instance counts even if it could not write its record.
+        recordMessage(m_instances, now, m_settings.instance);
+        // While instances join, the next list may show more of them.
+        interval = updateInstanceCount(now) ? firstCountDelay : instanceInterval;
+        m_callbacks.peers(livePeers(m_instances, now));
     }
 }
 
+auto StoreDirectory::updateInstanceCount(TimePoint now) -> bool
+{
+    const auto live = liveInstances(m_instances, now);
+    if (live == m_liveInstances)
+        return false;
+    m_liveInstances = live;
+    m_log.record(LogLevel::Info, "instances_counted", { { "live", live } });
+    m_callbacks.instanceCount(live);
+    return true;
+}
+
+auto StoreDirectory::handlePeerMessage(const std::string& instance) -> void
+{
+    const auto now = monotonicNow();
+    if (recordMessage(m_instances, now, instance) && m_liveInstances > 0)
+        updateInstanceCount(now);
+}
+
 auto StoreDirectory::expireBackends() -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -47,9 +47,11 @@
 struct DirectoryCallbacks {
     std::function<void(Configuration)> configuration;
     std::function<void(std::vector<BackendServer>)> backends;
-    /// Receives the number of live instances, including this one, and the addresses of those that have
-    /// one.
-    std::function<void(std::uint32_t, std::vector<PeerAddress>)> instances;
+    /// Receives the number of live instances, including this one, when it is first known and when it
+    /// changes.
+    std::function<void(std::uint32_t)> instanceCount;
+    /// Receives the addresses of the live instances that have one.
+    std::function<void(std::vector<PeerAddress>)> peers;
     /// Receives the time since when the store has been unavailable, or nothing while it is available.
     std::function<void(std::optional<TimePoint>)> onStoreAvailability = [](std::optional<TimePoint>) {};
     /// Changes of a watched kind have been applied up to a revision, from a list, a watch or an update.
@@ -69,7 +71,8 @@
     struct Summary {
         std::int64_t configurationVersion = 0;
         std::size_t backends = 0;
-        std::uint32_t instances = 1;
+        /// 0 until the instances have been counted.
+        std::uint32_t instances = 0;
         /// Since when the store has been unavailable; absent while it is available.
         std::optional<TimePoint> storeUnavailableSince;
     };
@@ -80,6 +83,9 @@
     /// not get them soon, it reads the list again. Must be called on the first I/O thread.
     auto handlePeerRevision(const std::string& kind, std::int64_t revision) -> void;
 
+    /// Records that a message of an instance has arrived. Must be called on the first I/O thread.
+    auto handlePeerMessage(const std::string& instance) -> void;
+
     /// Handles an update from another instance of the zone. Must be called on the first I/O thread.
     auto handleDirectoryUpdate(const DirectoryUpdate& update) -> void;
 
@@ -118,6 +124,8 @@
     auto updateConnectionState(KindWatch& kindWatch, const std::optional<StoreError>& error) -> void;
     auto announceInstance() -> boost::asio::awaitable<void>;
     auto countInstances() -> boost::asio::awaitable<void>;
+    /// @return whether the number of live instances has changed.
+    auto updateInstanceCount(TimePoint now) -> bool;
     auto expireBackends() -> boost::asio::awaitable<void>;
 
     auto updateConfiguration(const StoredItem& item) -> void;
@@ -137,6 +145,9 @@
     BackendDirectory m_directory;
     std::vector<BackendServer> m_published;
     InstanceCount m_instances;
+    /// The number of live instances that was last published, or 0 before the first list. Without a list it
+    /// does not fall, because instances that this one can't see may still be running.
+    std::uint32_t m_liveInstances = 0;
     WatcherElection m_election;
 };
 
