Check the retry budget of the soak in every window

The soak compared the retries of a whole run with an allowance of 50, so a burst after a restart or a lost answer could not fail it. It now checks every window of ten seconds, as the guarantee is stated, with an allowance of 12 for six instances; the settings of the instances take the same constants. SoakChecksTest covers retries that only one window shows.

--- a/test/correctness/SoakChecksTest.cpp
+++ b/test/correctness/SoakChecksTest.cpp
@@ -56,12 +56,18 @@
     for (int index = 0; index < 100; ++index) {
         calls.push_back(call("r" + std::to_string(index), CallKind::IdempotentGet, 200));
         runs.push_back({ "r" + std::to_string(index), "plain-0", false, start });
-        if (index < 70)
+        if (index < 20 + retryBudgetExtra)
             runs.push_back(runs.back());
     }
     CHECK(checkCalls(calls, runs, {}).empty());
     runs.push_back(runs.front());
     CHECK(checkCalls(calls, runs, {}).size() == 1);
+    // The budget is a limit for each window, not for the whole run.
+    runs.back().at += 25s;
+    CHECK(checkCalls(calls, runs, {}).empty());
+    for (auto retry = 0; retry < retryBudgetExtra; ++retry)
+        runs.push_back(runs.back());
+    CHECK(checkCalls(calls, runs, {}).size() == 1);
 }
 
 // Guards against a soak that misses late work on a leaving backend server.
--- a/test/soak/SoakChecks.cpp
+++ b/test/soak/SoakChecks.cpp
@@ -1,14 +1,14 @@
 #include "SoakChecks.h"
 
+#include <algorithm>
 #include <map>
+#include <set>
 
 namespace jayhold::soak {
 
 namespace {
 
-/// The retry budget in the settings of the fleet's entry instances.
-constexpr double retryBudgetRatio = 0.2;
-constexpr double retryBudgetExtra = 50;
+constexpr Duration retryWindow = std::chrono::seconds(10);
 
 auto allowsRetry(CallKind kind) -> bool
 {
@@ -21,56 +21,87 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-struct RunCounts {
-    int runs = 0;
-    int prefills = 0;
-};
-
-auto countRuns(std::span<const BackendRun> runs) -> std::map<std::string, RunCounts, std::less<>>
+/// @return the number of runs by request, prefills not included.
+auto countRuns(std::span<const BackendRun> runs) -> std::map<std::string, int, std::less<>>
 {
-    std::map<std::string, RunCounts, std::less<>> counts;
-    for (const auto& run : runs)
-        ++(run.isPrefill ? counts[run.request].prefills : counts[run.request].runs);
+    std::map<std::string, int, std::less<>> counts;
+    for (const auto& run : runs) {
+        if (!run.isPrefill)
+            ++counts[run.request];
+    }
     return counts;
 }
 
-auto checkCall(const CallRecord& call, const RunCounts& count, const FaultFreePeriod& faultFreePeriod, std::vector<Violation>& violations) -> void
+auto checkCall(const CallRecord& call, int count, const FaultFreePeriod& faultFreePeriod, std::vector<Violation>& violations) -> void
 {
-    const auto runs = std::to_string(count.runs) + " runs, status " + std::to_string(call.status);
-    if (!allowsRetry(call.kind) && count.runs > 1)
+    const auto runs = std::to_string(count) + " runs, status " + std::to_string(call.status);
+    if (!allowsRetry(call.kind) && count > 1)
         violations.push_back({ "a request that may run once runs once", call.request, runs });
-    if (!allowsRetry(call.kind) && guaranteesNotRun(call.status) && count.runs > 0)
+    if (!allowsRetry(call.kind) && guaranteesNotRun(call.status) && count > 0)
         violations.push_back({ "a request refused as not run has not run", call.request, runs });
-    if (call.status / 100 == 2 && count.runs == 0)
+    if (call.status / 100 == 2 && count == 0)
         violations.push_back({ "a success comes from a backend server", call.request, runs });
     if (!call.responseError.empty())
         violations.push_back({ "an answer that looks complete is right", call.request, call.responseError });
     const auto isFaultFree = call.sentAt >= faultFreePeriod.from && call.endedAt <= faultFreePeriod.until;
-    if (isFaultFree && call.status == 0 && call.wasConnected && count.runs > 0)
+    if (isFaultFree && call.status == 0 && call.wasConnected && count > 0)
         violations.push_back({ "planned shutdowns cut no request", call.request, runs });
 }
 
+auto isModelCall(CallKind kind) -> bool
+{
+    return kind >= CallKind::ResumableStream;
+}
+
+/// @return how many of the sorted times are in the window that ends at a time.
+auto countInWindow(std::span<const TimePoint> times, TimePoint end) -> double
+{
+    return static_cast<double>(std::ranges::upper_bound(times, end) - std::ranges::upper_bound(times, end - retryWindow));
+}
+
+/// @param isModel whether the calls of the model service are checked, or those of the plain service.
+/// @return a violation if in some window the backend servers got more repeated calls than the budget allows.
+auto checkRetries(std::span<const CallRecord> calls, std::span<const BackendRun> runs, bool isModel) -> std::vector<Violation>
+{
+    std::set<std::string, std::less<>> known;
+    std::vector<TimePoint> requests;
+    for (const auto& call : calls) {
+        if (isModelCall(call.kind) != isModel)
+            continue;
+        known.insert(call.request);
+        requests.push_back(call.sentAt);
+    }
+    // The first prefill call of a request, which only processes the prompt, is not a retry.
+    std::set<std::pair<std::string, bool>> firstRuns;
+    std::vector<TimePoint> retries;
+    for (const auto& run : runs) {
+        if (known.contains(run.request) && !firstRuns.emplace(run.request, run.isPrefill).second)
+            retries.push_back(run.at);
+    }
+    std::ranges::sort(requests);
+    std::ranges::sort(retries);
+    for (const auto end : retries) {
+        const auto count = countInWindow(retries, end);
+        const auto requested = std::max({ countInWindow(requests, end), countInWindow(requests, end - retryWindow / 2), countInWindow(requests, end - retryWindow) });
+        if (count > retryBudgetRatio * requested + retryBudgetExtra)
+            return { { "retries stay within the retry budget", "", std::to_string(count) + " retries of " + std::to_string(requested) + " requests" } };
+    }
+    return {};
+}
+
 }
 
 auto checkCalls(std::span<const CallRecord> calls, std::span<const BackendRun> runs, const FaultFreePeriod& faultFreePeriod) -> std::vector<Violation>
 {
     std::vector<Violation> violations;
     const auto counts = countRuns(runs);
-    std::map<bool, double> requests;
-    std::map<bool, double> retries;
     for (const auto& call : calls) {
         const auto found = counts.find(call.request);
-        const auto count = found == counts.end() ? RunCounts {} : found->second;
+        const auto count = found == counts.end() ? 0 : found->second;
         checkCall(call, count, faultFreePeriod, violations);
-        const auto isModel = call.kind >= CallKind::ResumableStream;
-        requests[isModel] += 1;
-        // The first prefill call of a request, which only processes the prompt, is not a retry.
-        retries[isModel] += std::max(count.runs - 1, 0) + std::max(count.prefills - 1, 0);
-    }
-    for (const auto& [isModel, count] : retries) {
-        if (count > retryBudgetRatio * requests[isModel] + retryBudgetExtra)
-            violations.push_back({ "retries stay within the retry budget", "", std::to_string(count) + " retries of " + std::to_string(requests[isModel]) + " requests" });
     }
+    for (const auto isModel : { false, true })
+        std::ranges::move(checkRetries(calls, runs, isModel), std::back_inserter(violations));
     return violations;
 }
 
--- a/test/soak/SoakChecks.h
+++ b/test/soak/SoakChecks.h
@@ -27,7 +27,7 @@
 
 /// @param faultFreePeriod period in which each request that a backend server ran must get a
 /// complete response.
-/// @return all violations by single requests, and by the number of retries.
+/// @return all violations by single requests, and by the number of retries in a window of ten seconds.
 auto checkCalls(std::span<const CallRecord> calls, std::span<const BackendRun> runs, const FaultFreePeriod& faultFreePeriod) -> std::vector<Violation>;
 
 /// @return a violation if the backend server started work after `allowedUntil`, while it was
--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -109,7 +109,7 @@
         entry.settingsFile = (std::filesystem::temp_directory_path() / ("jayhold-soak-" + std::to_string(getpid()) + "-" + std::to_string(index))).string();
         std::ofstream(entry.settingsFile) << "node=edge-" << index << "\nzone=alpine\nregion=big-bend\nip=" << entry.address << "\nzones.alpine=big-bend\nlisten.front=" << entry.address << ":" << callerPort
                                           << "\nlisten.ready=" << entry.address << ":" << readyPort << "\nportRange=7660,7675\nbounds.graceS=" << shutdownGracePeriod / std::chrono::seconds(1) << "\nbounds.applyMs=2000\nbounds.drainMs=2000\nbounds.leaseMs=3000\n"
-                                          << "bounds.budgetRatio=0.2\nbounds.budgetExtra=50\nplatform.address=" << toString(m_links.back().endpoint) << "\nplatform.readsPerS=2000\n";
+                                          << "bounds.budgetRatio=" << retryBudgetRatio << "\nbounds.budgetExtra=" << retryBudgetExtra << "\nplatform.address=" << toString(m_links.back().endpoint) << "\nplatform.readsPerS=2000\n";
         startEntry(entry);
         m_entries.push_back(std::move(entry));
     }
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -16,6 +16,10 @@
 namespace jayhold::soak {
 
 /// The start of work on a request, as a backend server logged it.
+/// The retry budget in the settings of the fleet's entry instances.
+inline constexpr double retryBudgetRatio = 0.2;
+inline constexpr int retryBudgetExtra = 12;
+
 struct BackendRun {
     std::string request;
     std::string backend;
