Bound what a response may hold before it can be parsed

A backend server that sends a chunk extension or a trailer without end filled the memory of the instance: the client read until the call timed out, 2 GB in the test. Heads and bodies were already bounded; the receive buffer now is, too, at 64 KB, and a response that an instance of the platform holds in memory may have 4 MB instead of 16.

--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -51,9 +51,11 @@
     auto operator=(const Connection&) -> Connection& = delete;
 
     static constexpr std::size_t readBufferBytes = 16'384;
+    /// Limits received bytes that can't be parsed yet, such as a chunk extension or a trailer without end.
+    static constexpr std::size_t maxUnparsedBytes = 65'536;
 
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer { maxUnparsedBytes };
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser;
     std::vector<HttpHeader> headers;
     std::array<char, readBufferBytes> chunk {};
--- a/src/HttpStream.cpp
+++ b/src/HttpStream.cpp
@@ -104,6 +104,8 @@
             connection.readTimer->deadline = TimePoint::max();
             co_return std::string_view(connection.chunk.data(), size);
         }
+        if (connection.buffer.size() + Connection::readBufferBytes > connection.buffer.max_size())
+            co_return HttpError { HttpErrorKind::MalformedAnswer, "a part of the response is larger than allowed" };
         const auto space = connection.buffer.prepare(Connection::readBufferBytes);
         const auto received = co_await connection.stream.socket().async_read_some(space, awaitInto(code));
         if (connection.isClosed)
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -33,6 +33,9 @@
 /// All instances share the connection limit of a backend server: 450 connections for 65 instances on
 /// the largest site.
 constexpr std::size_t maxIdleConnectionsPerBackend = 4;
+/// Responses to plain calls and pages of the store's lists are held in memory. The smallest instances have
+/// 88 MB, and objects of the store at most 1 MB.
+constexpr std::size_t maxBufferedBodyBytes = 4U << 20U;
 /// Time for which a role change reported by a peer is assumed to be in progress. The peer that ordered
 /// the change repeats it in each load message while it lasts.
 constexpr Duration roleChangeTtl = std::chrono::seconds(2);
@@ -50,6 +53,7 @@
     settings.tcpUserTimeout = backendTcpUserTimeout;
     settings.idleConnectionTimeout = backendIdleTimeout;
     settings.maxIdlePerEndpoint = maxIdleConnectionsPerBackend;
+    settings.maxBodyBytes = maxBufferedBodyBytes;
     return settings;
 }
 
