Compute the time left of an engine call when it is sent

Test: 'an engine gets the time that is left when its call is sent' failed before (1500 for a call sent 250 ms later) and passes.

--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -359,11 +359,15 @@
     call.resumeFrom = m_relay.tokens();
     call.forwarded = m_info.forwarded;
     call.prefillResultTtl = m_service->prefillResultTtl();
-    const auto remaining = std::max(m_info.deadline - monotonicNow(), Duration::zero());
-    call.deadlineMs = std::chrono::ceil<std::chrono::milliseconds>(remaining).count();
     return call;
 }
 
+auto ModelRequest::remainingMs() const -> std::int64_t
+{
+    const auto remaining = std::max(m_info.deadline - monotonicNow(), Duration::zero());
+    return std::chrono::ceil<std::chrono::milliseconds>(remaining).count();
+}
+
 auto ModelRequest::recordAttemptFailure(std::string_view phase, const EngineError& error) -> void
 {
     m_service->metrics().failedAttempts.fetch_add(1, std::memory_order_relaxed);
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -92,7 +92,10 @@
 
     /// @param resumedFrom number of tokens that the caller had before this attempt.
     auto recordFirstToken(std::uint32_t resumedFrom) -> void;
+    /// @return the parameters of a call, except for its deadline, which depends on when it is sent.
     auto engineCall() const -> EngineCall;
+    /// @return the time until the caller's deadline.
+    auto remainingMs() const -> std::int64_t;
     /// Takes a retry from the budget for a call that would be sent again because a reused connection had
     /// closed.
     /// @return whether the budget allows it.
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -59,6 +59,7 @@
         co_return;
     if (m_context.backendProtocol.reserveSlot)
         m_service->handleEvent(SlotReserved { m_id, m_attempt });
+    call.deadlineMs = remainingMs();
     auto result = co_await m_context.backendProtocol.prefill(m_exchange.client(), replica.backend, std::move(call), m_timeouts.prefill);
     countBackendCall(result);
     enqueue(PrefillEnded { task, std::move(result) });
@@ -80,6 +81,7 @@
             call.slot = std::exchange(m_slot, std::nullopt)->name;
     }
     const auto usesPrefill = call.kv.has_value();
+    call.deadlineMs = remainingMs();
     const auto stream = co_await m_context.backendProtocol.decode(m_exchange.client(), replica.backend, std::move(call), m_timeouts.firstToken);
     countBackendCall(stream);
     if (stream.has_error()) {
--- a/test/FakeObjectStore.cpp
+++ b/test/FakeObjectStore.cpp
@@ -224,6 +224,8 @@
 {
     const auto& request = exchange.request();
     if (request.target == "/-/hold-take") {
+        if (m_reservationTime.load() > Duration::zero())
+            co_await pause(m_reservationTime);
         co_await exchange.respond(jsonResponse(200, R"({"hold":"seat"})"));
         co_return;
     }
--- a/test/FakeObjectStore.h
+++ b/test/FakeObjectStore.h
@@ -92,6 +92,8 @@
         m_work = work;
         m_gap = gap;
     }
+    /// @param time time that a slot reservation takes.
+    auto setReservationTime(Duration time) -> void { m_reservationTime = time; }
     /// Sets a callback that receives the identifier and stage of each request when it starts to run;
     /// must be called before the first request.
     auto onRun(std::function<void(const std::string&, const std::string&)> callback) -> void { m_onRun = std::move(callback); }
@@ -107,6 +109,7 @@
     std::atomic<Behaviour> m_behaviour;
     std::atomic<Duration> m_work { Duration::zero() };
     std::atomic<Duration> m_gap { Duration::zero() };
+    std::atomic<Duration> m_reservationTime { Duration::zero() };
     std::function<void(const std::string&, const std::string&)> m_onRun = [](const std::string&, const std::string&) {};
     std::atomic<int> m_runs { 0 };
     std::atomic<int> m_prefills { 0 };
--- a/test/correctness/RouterDaemonTest.cpp
+++ b/test/correctness/RouterDaemonTest.cpp
@@ -226,6 +226,21 @@
     CHECK(fixture.call("GET", "/read/x")->status == 200);
 }
 
+// Guards against an engine that is given more time than the caller waits, because the remaining time was
+// computed before the slot reservation.
+TEST_CASE("an engine gets the time that is left when its call is sent")
+{
+    Fixture fixture;
+    fixture.decode1.setReservationTime(250ms);
+    fixture.decode2.setReservationTime(250ms);
+    fixture.startAndWait();
+    REQUIRE(fixture.streamCall("/resumed/x")->status == 200);
+    const auto request = fixture.prefill.lastRequest();
+    const auto remaining = findHeader(request.headers, "Deadline-Ms");
+    REQUIRE(remaining);
+    CHECK(std::stoi(std::string(*remaining)) <= 1'250);
+}
+
 // Guards against a stream whose events are changed, and against a prefill that no decode uses.
 TEST_CASE("a stream is prefilled, decoded and forwarded unchanged")
 {
