Ignore the timeout of a read whose stream was closed

The timer of a read cancelled the socket of a stream that had been closed meanwhile; the cancellation throws, and the instance aborted with all its requests.

Test: 'a read whose stream was closed may time out later' ended with SIGABRT before and passes now.

--- a/src/HttpStream.cpp
+++ b/src/HttpStream.cpp
@@ -30,6 +30,9 @@
             armTimer(readTimer);
             return;
         }
+        // A read of a closed stream has already ended, and its socket can't be cancelled.
+        if (readTimer->connection->isClosed)
+            return;
         readTimer->hasTimedOut = true;
         readTimer->connection->stream.socket().cancel();
     });
--- a/test/correctness/HttpTest.cpp
+++ b/test/correctness/HttpTest.cpp
@@ -1,9 +1,11 @@
 #include "../HttpTestServer.h"
 
 #include "AwaitToken.h"
+#include "Pause.h"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
@@ -198,3 +200,26 @@
     REQUIRE(refused.has_error());
     CHECK(refused.error().kind == HttpErrorKind::NotConnected);
 }
+
+// Guards against a process that ends because the timeout of a read expires after its stream was closed
+// (found by the soak test, seed 5300).
+TEST_CASE("a read whose stream was closed may time out later")
+{
+    IoThreads threads(2);
+    HttpServer server(threads, {}, [](HttpExchange& exchange) -> asio::awaitable<void> {
+        co_await exchange.startStream(200, {});
+        co_await exchange.write("first");
+        co_await pause(1s);
+        co_await exchange.finishStream();
+    });
+    const auto opened = runOn(threads, 1, threads.client(1).open(server.endpoint(), HttpRequest {}, 2s));
+    REQUIRE(opened.has_value());
+    const auto stream = *opened;
+    const auto read = [&] { return runOn(threads, 1, stream->readSome(200ms)); };
+    REQUIRE(read().has_value());
+    asio::post(threads.context(1), [&] { stream->close(); });
+    CHECK(read().has_error());
+    std::this_thread::sleep_for(400ms);
+    CHECK(runOn(threads, 1, threads.client(1).open(server.endpoint(), HttpRequest {}, 2s)).has_value());
+    threads.stop();
+}
