Count the instances as soon as an instance starts

A budget that the instances share holds nothing until their number is known, and the first list was read 1 to 3 s after the start. The list is now read at once, and again every 2 s, current, while the number changes.

Test: 'an instance that has just started earns retries from its first requests' failed before (500 instead of 200) and passes.

--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -31,7 +31,8 @@
 constexpr Duration minRetryDelay = std::chrono::milliseconds(200);
 /// Interval at which instance records are written and counted. Each write costs a call.
 constexpr Duration instanceInterval = std::chrono::seconds(20);
-constexpr Duration firstCountDelay = std::chrono::seconds(2);
+/// Interval at which instance records are counted while their number changes, and written after a failure.
+constexpr Duration joinInterval = std::chrono::seconds(2);
 constexpr Duration expiryInterval = std::chrono::milliseconds(100);
 /// Interval at which an instance that relies on watchers checks whether it has to watch the store itself.
 constexpr Duration watcherCheckInterval = std::chrono::milliseconds(50);
@@ -215,21 +216,21 @@
         const auto revision = co_await m_store.put(m_threads.client(0), m_format.instanceKind, m_settings.instance, std::move(value));
         if (revision.has_error())
             m_log.record(LogLevel::Info, "instance_not_announced", { { "detail", revision.error().detail } });
-        co_await pause(revision.has_error() ? jitteredDelay(firstCountDelay) : jitteredDelay(instanceInterval));
+        co_await pause(revision.has_error() ? jitteredDelay(joinInterval) : jitteredDelay(instanceInterval));
     }
 }
 
 auto StoreDirectory::countInstances() -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
-    auto interval = firstCountDelay;
+    auto interval = joinInterval;
     while (true) {
-        co_await pause(jitteredDelay(interval));
         // A stale list would lack the instances that have started with this one.
-        const auto mode = m_liveInstances == 0 ? ReadMode::Current : ReadMode::MayBeStale;
+        const auto mode = interval == joinInterval ? ReadMode::Current : ReadMode::MayBeStale;
         const auto list = co_await m_store.list(m_threads.client(0), m_format.instanceKind, mode);
         if (list.has_error()) {
             m_log.record(LogLevel::Info, "instances_not_counted", { { "detail", list.error().detail } });
+            co_await pause(jitteredDelay(interval));
             continue;
         }
         const auto now = monotonicNow();
@@ -239,8 +240,9 @@
         // This instance counts even if it could not write its record.
         recordMessage(m_instances, now, m_settings.instance);
         // While instances join, the next list may show more of them.
-        interval = updateInstanceCount(now) ? firstCountDelay : instanceInterval;
+        interval = updateInstanceCount(now) ? joinInterval : instanceInterval;
         m_callbacks.peers(livePeers(m_instances, now));
+        co_await pause(jitteredDelay(interval));
     }
 }
 
--- a/test/correctness/RouterDaemonTest.cpp
+++ b/test/correctness/RouterDaemonTest.cpp
@@ -76,7 +76,7 @@
         settings.store = platform.endpoint();
         settings.storeCallsPerSecond = 1'000;
         // A budget of this instance alone starts full, so that the first call of a test may be retried.
-        settings.retry = { .ratio = 0.2, .burst = 50, .isShared = false, .countsRejections = true };
+        settings.retry = { .ratio = 0.2, .burst = 50, .isShared = sharesRetries, .countsRejections = true };
         router.emplace(settings.entry, platform::makePlatformAdapter(settings));
     }
 
@@ -129,6 +129,7 @@
     FakeBackendServer decode2 { threads, "decode-2" };
     std::optional<RouterDaemon> router;
     int requests = 0;
+    bool sharesRetries = false;
 };
 
 auto streamText(int first, int last) -> std::string
@@ -209,6 +210,21 @@
     CHECK(findHeader(failed->headers, "Server-Seal"));
 }
 
+// Guards against an instance that retries nothing in its first seconds, because it has not counted the
+// instances that share the budget (found by the soak test, seed 6109).
+TEST_CASE("an instance that has just started earns retries from its first requests")
+{
+    Fixture fixture;
+    fixture.sharesRetries = true;
+    fixture.startAndWait();
+    constexpr auto requestsPerRetry = 5;
+    for (auto index = 0; index < 2 * requestsPerRetry; ++index)
+        CHECK(fixture.call("GET", "/read/x")->status == 200);
+    fixture.plain1.setBehaviour(Behaviour::Fail);
+    for (auto index = 0; index < 2; ++index)
+        CHECK(fixture.call("GET", "/read/x")->status == 200);
+}
+
 // Guards against backend servers that are ejected because callers cancelled their calls.
 TEST_CASE("cancelled calls do not count as failures of the backend servers")
 {
