--- a/src/RetryPolicy.h
+++ b/src/RetryPolicy.h
@@ -36,6 +36,8 @@
 
 /// A shared budget starts empty. If it started full, each restart of an instance would add its part of the
 /// burst once more.
+/// @param instances as for budgetLimits().
+/// @return the budget of an instance that has just started.
 inline auto makeRetryBudget(const RetryPolicy& policy, std::uint32_t instances) -> RetryBudget
 {
     return { budgetLimits(policy, instances), policy.isShared ? 0 : policy.burst };
