--- a/test/correctness/HttpTest.cpp
+++ b/test/correctness/HttpTest.cpp
@@ -214,7 +214,7 @@
     });
     const auto opened = runOn(threads, 1, threads.client(1).open(server.endpoint(), HttpRequest {}, 2s));
     REQUIRE(opened.has_value());
-    const auto stream = *opened;
+    const auto& stream = *opened;
     const auto read = [&] { return runOn(threads, 1, stream->readSome(200ms)); };
     REQUIRE(read().has_value());
     asio::post(threads.context(1), [&] { stream->close(); });
