Use the budget's terms for retries, and split the log lines of a request

One concept had two names: retries were 'consumed' in the budget and 'paid' in the shard, so tryPayForCalls, paidRetries and paidRetryLifetime become tryConsumeRetries, consumedRetries and consumedRetryLifetime. mayResend of ModelRequest and PlainService takes a retry and becomes tryConsumeResend; the callback that asks keeps its name.

--- a/src/ActiveRequest.h
+++ b/src/ActiveRequest.h
@@ -26,7 +26,7 @@
     TimePoint lastProgressAt;
     TimePoint kvExpiresAt;
     /// When the last retry was taken from the budget.
-    TimePoint retryPaidAt;
+    TimePoint retryConsumedAt;
     /// Time of the request's entry in the timer queue.
     TimePoint timerAt = TimePoint::max();
     /// Expected end of the decode.
@@ -60,7 +60,7 @@
     /// Prefills and failed decodes that count as calls to an engine.
     std::uint8_t engineCalls = 0;
     /// Retries that were taken from the budget.
-    std::uint8_t paidRetries = 0;
+    std::uint8_t consumedRetries = 0;
 
     RequestPhase phase = RequestPhase::Queued;
     SubQueue subQueue = SubQueue::Fair;
--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -27,16 +27,16 @@
 /// Takes the retries that the calls of the placement need from the budget. If it does not allow for a
 /// prefill call, the decode replica prefills itself.
 /// @return false if the budget does not allow for the attempt.
-auto payForPlacement(DecisionContext& context, ActiveRequest& request, Placement& placement) -> bool
+auto consumeRetriesFor(DecisionContext& context, ActiveRequest& request, Placement& placement) -> bool
 {
     constexpr std::uint32_t decodeCalls = 1;
     constexpr std::uint32_t prefillAndDecodeCalls = 2;
-    if (tryPayForCalls(context, request, placement.prefill ? prefillAndDecodeCalls : decodeCalls))
+    if (tryConsumeRetries(context, request, placement.prefill ? prefillAndDecodeCalls : decodeCalls))
         return true;
     if (!placement.prefill || !placement.slotFree || !context.state.settings.decodeMayPrefill)
         return false;
     placement.prefill = nullptr;
-    return tryPayForCalls(context, request, decodeCalls);
+    return tryConsumeRetries(context, request, decodeCalls);
 }
 
 /// @return whether the request has left the queue.
@@ -46,7 +46,7 @@
     auto placement = choosePlacement(context, *request, aged ? 0 : requiredSlotHeadroom(context, *request));
     if (!placement)
         return false;
-    if (!payForPlacement(context, *request, *placement)) {
+    if (!consumeRetriesFor(context, *request, *placement)) {
         refuse(context, *request, RefusalReason::RetriesExhausted);
         return true;
     }
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -213,7 +213,7 @@
     recordDecision(m_slotRefusals == 0 ? LogLevel::Info : LogLevel::Debug, "request_placed", { { "decode_backend", decode ? decode->backend.id : "" }, { "decode_tokens", action.decodeTokens }, { "prompt_tokens", m_info.digest.tokens }, { "waited_ms", queueTime.count() } });
     record(LogLevel::Debug, "prefill_started");
     auto call = engineCall();
-    call.mayResend = [this] { return mayResend(); };
+    call.mayResend = [this] { return tryConsumeResend(); };
     const auto task = ++m_tasks->lastTask;
     m_tasks->replica = action.prefill;
     m_decodeTokens = action.decodeTokens;
@@ -261,7 +261,7 @@
     auto call = engineCall();
     call.maxTokens = m_info.request.maxTokens;
     if (m_info.kindSettings.repeatable)
-        call.mayResend = [this] { return mayResend(); };
+        call.mayResend = [this] { return tryConsumeResend(); };
     if (m_prefill && action.prefill == m_prefillReplica) {
         if (const auto source = m_service->replica(m_prefillReplica))
             call.kv = KvSource { source->backend.endpoint, m_prefill->handle };
@@ -368,53 +368,6 @@
     return std::chrono::ceil<std::chrono::milliseconds>(remaining).count();
 }
 
-auto ModelRequest::recordAttemptFailure(std::string_view phase, const EngineError& error) -> void
-{
-    m_service->metrics().failedAttempts.fetch_add(1, std::memory_order_relaxed);
-    if (error.failure == FailureKind::Leaving)
-        m_context.reportLeaving(m_backend);
-    m_failedResponse = error.response;
-    const auto budget = m_service->retryBudget();
-    record(LogLevel::Info, std::string(phase) + "_failed", { { "failure", name(error.failure) }, { "detail", error.detail }, { "tokens", m_relay.tokens() }, { "retries_left", budget.remaining() }, { "retry_capacity", budget.capacity() } });
-}
-
-auto ModelRequest::mayResend() -> bool
-{
-    if (!m_service->tryConsumeRetry())
-        return false;
-    m_service->metrics().resentCalls.fetch_add(1, std::memory_order_relaxed);
-    record(LogLevel::Info, "call_resent");
-    return true;
-}
-
-auto ModelRequest::callerRequestId() const -> std::string
-{
-    return m_info.forwarded ? m_info.forwarded->requestId : m_service->engineRequestId(m_id, m_attempt);
-}
-
-auto ModelRequest::record(LogLevel level, std::string_view event, std::initializer_list<LogField> details) -> void
-{
-    m_context.log.record(level, event, fieldsOf(details));
-}
-
-auto ModelRequest::recordDecision(LogLevel level, std::string_view event, std::initializer_list<LogField> details) -> void
-{
-    auto fields = fieldsOf(details);
-    addFreshnessFields(m_context, fields);
-    m_context.log.record(level, event, fields);
-}
-
-auto ModelRequest::fieldsOf(std::initializer_list<LogField> details) const -> std::vector<LogField>
-{
-    std::vector<LogField> fields { { "request", callerRequestId() }, { "service", m_service->name() }, { "kind", m_info.kindSettings.name } };
-    if (!m_info.customerName.empty())
-        fields.emplace_back("customer", m_info.customerName);
-    fields.emplace_back("attempt", m_attempt);
-    fields.emplace_back("backend", m_backend);
-    fields.insert(fields.end(), details.begin(), details.end());
-    return fields;
-}
-
 auto ModelRequest::usage() const -> CompletionUsage
 {
     return { m_promptTokens, m_cachedTokens, m_relay.tokens() };
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -99,7 +99,7 @@
     /// Takes a retry from the budget for a call that would be sent again because a reused connection had
     /// closed.
     /// @return whether the budget allows it.
-    auto mayResend() -> bool;
+    auto tryConsumeResend() -> bool;
     /// Counts a prefill or decode call, unless it did not reach the engine.
     template <typename Result>
     auto countBackendCall(const Result& result) -> void
--- /dev/null
+++ b/src/ModelRequestLog.cpp
@@ -0,0 +1,52 @@
+#include "ModelRequest.h"
+
+namespace jayhold {
+
+auto ModelRequest::recordAttemptFailure(std::string_view phase, const EngineError& error) -> void
+{
+    m_service->metrics().failedAttempts.fetch_add(1, std::memory_order_relaxed);
+    if (error.failure == FailureKind::Leaving)
+        m_context.reportLeaving(m_backend);
+    m_failedResponse = error.response;
+    const auto budget = m_service->retryBudget();
+    record(LogLevel::Info, std::string(phase) + "_failed", { { "failure", name(error.failure) }, { "detail", error.detail }, { "tokens", m_relay.tokens() }, { "retries_left", budget.remaining() }, { "retry_capacity", budget.capacity() } });
+}
+
+auto ModelRequest::tryConsumeResend() -> bool
+{
+    if (!m_service->tryConsumeRetry())
+        return false;
+    m_service->metrics().resentCalls.fetch_add(1, std::memory_order_relaxed);
+    record(LogLevel::Info, "call_resent");
+    return true;
+}
+
+auto ModelRequest::callerRequestId() const -> std::string
+{
+    return m_info.forwarded ? m_info.forwarded->requestId : m_service->engineRequestId(m_id, m_attempt);
+}
+
+auto ModelRequest::record(LogLevel level, std::string_view event, std::initializer_list<LogField> details) -> void
+{
+    m_context.log.record(level, event, fieldsOf(details));
+}
+
+auto ModelRequest::recordDecision(LogLevel level, std::string_view event, std::initializer_list<LogField> details) -> void
+{
+    auto fields = fieldsOf(details);
+    addFreshnessFields(m_context, fields);
+    m_context.log.record(level, event, fields);
+}
+
+auto ModelRequest::fieldsOf(std::initializer_list<LogField> details) const -> std::vector<LogField>
+{
+    std::vector<LogField> fields { { "request", callerRequestId() }, { "service", m_service->name() }, { "kind", m_info.kindSettings.name } };
+    if (!m_info.customerName.empty())
+        fields.emplace_back("customer", m_info.customerName);
+    fields.emplace_back("attempt", m_attempt);
+    fields.emplace_back("backend", m_backend);
+    fields.insert(fields.end(), details.begin(), details.end());
+    return fields;
+}
+
+}
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -106,7 +106,7 @@
         const std::lock_guard guard(m_lock);
         m_budget.recordRequest();
     }
-    call.mayResend = [this, &call] { return mayResend(call); };
+    call.mayResend = [this, &call] { return tryConsumeResend(call); };
     if (call.kind.repeatable || !call.kind.recorded)
         co_await serveUnrecorded(exchange, call);
     else
@@ -195,7 +195,7 @@
     co_return PlainAttempt { .isNotRun = isNotSent, .reachedBackend = !isNotSent, .hasTimedOut = error.kind == HttpErrorKind::TimedOut, .detail = std::string(jayhold::name(error.kind)) + ": " + error.detail };
 }
 
-auto PlainService::mayResend(const PlainCallInfo& call) -> bool
+auto PlainService::tryConsumeResend(const PlainCallInfo& call) -> bool
 {
     if (!call.kind.repeatable || !tryConsumeRetry())
         return false;
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -63,7 +63,7 @@
     /// Takes a retry from the budget for a call that would be sent again because a reused connection had
     /// closed.
     /// @return whether the call may be repeated and the budget allows it.
-    auto mayResend(const PlainCallInfo& call) -> bool;
+    auto tryConsumeResend(const PlainCallInfo& call) -> bool;
     auto attemptTimeout(const PlainCallInfo& call, const CallState& state, bool isRepeatable) const -> Duration;
     /// Serves a call without a record. It is executed at most once per request, unless its kind is
     /// repeatable.
--- a/src/RetryRules.cpp
+++ b/src/RetryRules.cpp
@@ -10,9 +10,9 @@
 
 constexpr std::uint32_t maxFailures = 4;
 
-/// A retry that waits longer than this for capacity is paid again, because the budget limits the calls
+/// A retry that waits longer than this for capacity is taken from the budget again, because the budget limits the calls
 /// that engines get within a period of time.
-constexpr Duration paidRetryLifetime = std::chrono::seconds(2);
+constexpr Duration consumedRetryLifetime = std::chrono::seconds(2);
 
 /// @return how many of the calls need a retry from the budget.
 auto repeatedCalls(std::uint32_t calls, bool hadPrefillResult) -> std::uint32_t
@@ -60,24 +60,24 @@
         return true;
     if (!context.state.retryBudget.tryConsume())
         return false;
-    ++request.paidRetries;
-    request.retryPaidAt = context.now;
+    ++request.consumedRetries;
+    request.retryConsumedAt = context.now;
     return true;
 }
 
-auto tryPayForCalls(DecisionContext& context, ActiveRequest& request, std::uint32_t calls) -> bool
+auto tryConsumeRetries(DecisionContext& context, ActiveRequest& request, std::uint32_t calls) -> bool
 {
     // Only a prefill of its own adds a second call to an attempt.
     const auto hasPrefillResult = request.hadPrefillResult || calls > 1;
     const auto needed = repeatedCalls(request.engineCalls + calls, hasPrefillResult);
     const auto used = repeatedCalls(request.engineCalls, request.hadPrefillResult);
-    const auto isExpired = context.now - request.retryPaidAt > paidRetryLifetime;
-    const auto paid = isExpired ? std::min<std::uint32_t>(request.paidRetries, used) : request.paidRetries;
-    if (needed > paid) {
-        if (!context.state.retryBudget.tryConsume(needed - paid))
+    const auto isExpired = context.now - request.retryConsumedAt > consumedRetryLifetime;
+    const auto consumed = isExpired ? std::min<std::uint32_t>(request.consumedRetries, used) : request.consumedRetries;
+    if (needed > consumed) {
+        if (!context.state.retryBudget.tryConsume(needed - consumed))
             return false;
-        request.retryPaidAt = context.now;
-        request.paidRetries = static_cast<std::uint8_t>(needed);
+        request.retryConsumedAt = context.now;
+        request.consumedRetries = static_cast<std::uint8_t>(needed);
     }
     return true;
 }
--- a/src/RetryRules.h
+++ b/src/RetryRules.h
@@ -20,10 +20,10 @@
 /// Takes a retry from the retry budget where one is needed.
 /// @return whether the request may be retried after the failure, which has already been counted.
 auto mayRetry(DecisionContext& context, ActiveRequest& request, FailureKind failure) -> bool;
-/// Takes from the retry budget what the next calls of a request need beyond the retries that it has paid
-/// for. The first decode, and the first prefill that ends with a result, need none.
+/// Takes from the retry budget what the next calls of a request need beyond the retries that it has
+/// taken. The first decode, and the first prefill that ends with a result, need none.
 /// @param calls calls of the next attempt: 2 with a prefill of its own, otherwise 1.
 /// @return false if the budget does not allow for the calls; nothing is taken then.
-auto tryPayForCalls(DecisionContext& context, ActiveRequest& request, std::uint32_t calls) -> bool;
+auto tryConsumeRetries(DecisionContext& context, ActiveRequest& request, std::uint32_t calls) -> bool;
 
 }
--- a/test/correctness/RetryBudgetTest.cpp
+++ b/test/correctness/RetryBudgetTest.cpp
@@ -101,7 +101,7 @@
 }
 
 // Guards against retries that are taken from the budget during an outage and all sent when it ends.
-TEST_CASE("a retry that has waited for capacity is paid for when it is sent")
+TEST_CASE("a retry that has waited for capacity is taken from the budget when it is sent")
 {
     const auto outage = GENERATE(Duration(1s), Duration(4s));
     auto settings = testSettings();
