Log the parts of prompts of failed attempts, and count crash suspects

Observability for the incident of crashing prompt parts: the logs had only crash signatures, which do not show what the requests have in common.

Ruled out: nothing yet. No logic has changed.

--- a/src/ForwardedCall.h
+++ b/src/ForwardedCall.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace jayhold {
 
@@ -27,6 +28,9 @@
     /// The caller's own estimate of the number of output tokens; 0 if it gives none.
     std::uint32_t expectedTokens = 0;
     std::string model;
+    /// Identifiers of the parts of the prompt, in order. Other requests may have the same parts, except for
+    /// the last one, which belongs to this request or its session.
+    std::vector<std::uint64_t> promptParts;
     /// Index of the last token that the caller received of an interrupted response, which this request
     /// resumes.
     std::optional<std::uint32_t> lastToken;
--- a/src/Metrics.cpp
+++ b/src/Metrics.cpp
@@ -27,6 +27,8 @@
     { "jayhold_attempts_failed_total", "Attempts on a backend server that failed.", &ServiceMetrics::failedAttempts },
     { "jayhold_backend_calls_total", "Calls that reached a backend server: plain calls, prefills and decodes.", &ServiceMetrics::backendCalls },
     { "jayhold_backend_calls_resent_total", "Calls sent again because a reused connection had closed.", &ServiceMetrics::resentCalls },
+    { "jayhold_crash_suspects_total", "Requests that were in flight on a backend server that crashed.", &ServiceMetrics::crashSuspects },
+    { "jayhold_crash_signatures_blocked_total", "Crash signatures that this instance has identified.", &ServiceMetrics::blockedSignatures },
     { "jayhold_streams_resumed_total", "Streams resumed on another engine.", &ServiceMetrics::resumed },
     { "jayhold_answers_replayed_total", "Stored answers sent for a repeated call.", &ServiceMetrics::replayed },
     { "jayhold_tokens_relayed_total", "Tokens relayed to callers.", &ServiceMetrics::tokens },
--- a/src/ModelService.cpp
+++ b/src/ModelService.cpp
@@ -283,6 +283,8 @@
 {
     for (auto& delivery : outbox.deliveries)
         delivery.receiver->deliver(delivery.action);
+    m_metrics->blockedSignatures.fetch_add(outbox.signatures.size(), std::memory_order_relaxed);
+    m_metrics->crashSuspects.fetch_add(outbox.suspects.size(), std::memory_order_relaxed);
     for (const auto signature : outbox.signatures) {
         m_context.log.record(LogLevel::Warning, "crash_signature_blocked", { { "service", m_name }, { "signature", std::to_string(signature) } });
         m_context.reportCrashSignature(signature);
--- a/src/ServiceMetrics.h
+++ b/src/ServiceMetrics.h
@@ -20,6 +20,10 @@
     std::atomic<std::uint64_t> backendCalls { 0 };
     /// Calls that were sent a second time because a reused connection had closed.
     std::atomic<std::uint64_t> resentCalls { 0 };
+    /// Requests that were in flight on a backend server that crashed.
+    std::atomic<std::uint64_t> crashSuspects { 0 };
+    /// Crash signatures that this instance has identified.
+    std::atomic<std::uint64_t> blockedSignatures { 0 };
     std::atomic<std::uint64_t> resumed { 0 };
     std::atomic<std::uint64_t> replayed { 0 };
     std::atomic<std::uint64_t> tokens { 0 };
--- a/test/error/PlatformFormatsTest.cpp
+++ b/test/error/PlatformFormatsTest.cpp
@@ -6,6 +6,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <set>
+
 using namespace jayhold;
 namespace leaf = boost::leaf;
 namespace json = boost::json;
@@ -148,3 +150,19 @@
     }
     CHECK(protocol.refusal(refusalError(RefusalReason::DeadlineExceeded, ExecutionOutcome::Unknown, {})).status == 504);
 }
+
+// Guards against prompt parts that are misread, so that requests that share a part look different.
+TEST_CASE("the parts of a prompt are read in order, whatever the header contains")
+{
+    const auto partsOf = [](const std::string& text) {
+        const auto call = platform::callerProtocol().decode({ "POST", "/a/b", { { "Host", "h" }, { "Prompt-Prefix", text } }, "" });
+        return call->promptParts;
+    };
+    CHECK(partsOf("5c1e07a2:800, 91bd3f06:410,ffffffffffffffff:1") == std::vector<std::uint64_t> { 0x5c1e07a2, 0x91bd3f06, 0xffffffffffffffff });
+    CHECK(partsOf("").empty());
+    CHECK(partsOf(",:5,, ,").empty());
+    // Ids that are not a number of 64 bits differ from each other.
+    const auto unusual = partsOf("10000000000000000:1,xyz:2,12 :3");
+    CHECK(std::set<std::uint64_t>(unusual.begin(), unusual.end()).size() == 3);
+    CHECK(rc::check("arbitrary headers", [&](const std::string& text) { RC_ASSERT(partsOf(text).size() <= text.size()); }));
+}
