Add a failing fleet test for prompt parts that crash engines

Six instances before 24 decode engines, in virtual time; 15 in 100 requests have a part that crashes the engine that decodes them, and all requests differ.

Requests and replicas carry the fields that it sets; nothing reads them yet.

--- a/cmake/decision.cmake
+++ b/cmake/decision.cmake
@@ -12,3 +12,8 @@
   # 2000 sequences take about 2 s.
   set_tests_properties(decision_test PROPERTIES ENVIRONMENT "RC_PARAMS=${JAYHOLD_RC_PARAMS} max_success=2000")
 endif()
+
+# A test of its own, because KNOWN-RED.txt lists whole tests.
+jayhold_test(fleet_crash_test
+  SOURCES test/correctness/CrashFleet.cpp test/correctness/FleetCrashTest.cpp
+  LINK jayhold_decision)
--- a/src/ReplicaChanged.h
+++ b/src/ReplicaChanged.h
@@ -19,6 +19,8 @@
     std::uint32_t memoryBlocks;
     std::uint32_t memoryBlockTokens;
     std::uint64_t linkBytesPerSecond;
+    /// Identifies the process of the backend server at all instances.
+    std::uint64_t process = 0;
 };
 
 }
--- a/src/RequestArrived.h
+++ b/src/RequestArrived.h
@@ -26,6 +26,8 @@
     /// Digest of what the caller sent. It identifies a request that crashes backend servers when it is
     /// sent again.
     std::uint64_t signature;
+    /// Parts of the prompt that other requests may share, in order.
+    std::vector<std::uint64_t> promptParts {};
 };
 
 }
