--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -1,6 +1,6 @@
 jayhold_library(jayhold_cluster
-  UNITS BackendDirectory BackOff CallRateLimiter ClusterCore ClusterDocuments ClusterGossip ClusterNode ConfigurationApply CrashSuspect
-    DirectoryUpdate GossipMessage InstanceCount InstanceList Lease LeaseManager LoadExchange LoadMessage Membership MembershipOwners MembershipTargets OrderFence PeerLoads PlatformStore
+  UNITS BackendDirectory BackOff BlockedParts BlockedPartsWriter CallRateLimiter ClusterCore ClusterDocuments ClusterGossip ClusterNode ConfigurationApply CrashSuspect
+    DirectoryUpdate GossipMessage InstanceCount InstanceList Lease LeaseManager LoadExchange LoadMessage Membership MembershipOwners MembershipTargets OrderFence PeerLoads PlatformStore PromptReport
     RecordDriver RecordMessages RecordPartition RecordRules RecordService RecordTable Rendezvous JitteredDelay StoreConnection StoreDirectory StoreDirectoryUpdates
     VersionedCopy WatcherElection
   LINK jayhold_http jayhold_operator)
@@ -10,7 +10,7 @@
   LINK jayhold_cluster)
 
 jayhold_test(cluster_directory_test
-  SOURCES test/correctness/BackendDirectoryTest.cpp test/correctness/LoadExchangeTest.cpp test/correctness/StoreDirectoryTest.cpp
+  SOURCES test/correctness/BackendDirectoryTest.cpp test/correctness/BlockedPartsTest.cpp test/correctness/LoadExchangeTest.cpp test/correctness/StoreDirectoryTest.cpp
     test/correctness/SharedWatchTest.cpp test/correctness/WatcherElectionTest.cpp
   LINK jayhold_cluster)
 
--- a/src/ActiveRequest.h
+++ b/src/ActiveRequest.h
@@ -44,6 +44,8 @@
     std::uint32_t emitted = 0;
     /// Tokens that the caller had when the end was last estimated.
     std::uint32_t emittedAtEstimate = 0;
+    /// Tokens that the caller had when the current attempt started.
+    std::uint32_t emittedAtStart = 0;
     /// Tokens that the caller had at the last crash.
     std::uint32_t emittedAtCrash = 0;
     /// Prompt tokens on the prefill replica when the prefill started, those of this request included.
@@ -65,6 +67,8 @@
     RequestPhase phase = RequestPhase::Queued;
     SubQueue subQueue = SubQueue::Fair;
     CrashSuspicion crashSuspicion = CrashSuspicion::None;
+    /// Whether the request tries whether a blocked part of its prompt still crashes engines.
+    bool triesBlockedPart = false;
     /// Whether a prefill has ended with a result.
     bool hadPrefillResult = false;
     /// Whether an earlier decode attempt may have run.
--- a/src/Admission.cpp
+++ b/src/Admission.cpp
@@ -3,6 +3,7 @@
 #include "CrashAttribution.h"
 #include "Deadlines.h"
 #include "Estimates.h"
+#include "PromptPartBlocking.h"
 #include "ReservationAccounting.h"
 
 #include <algorithm>
@@ -43,6 +44,8 @@
         return RefusalReason::Draining;
     if (isBlocked(context, request.arrival.signature))
         return RefusalReason::CrashSuspect;
+    if (isRefusedForPart(context, request))
+        return RefusalReason::CrashSuspect;
     const auto canPrefill = state.settings.decodeMayPrefill || !state.prefillCapacities.empty();
     if (!canPrefill || state.decodeCapacities.empty())
         return RefusalReason::NoBackend;
--- /dev/null
+++ b/src/BlockedParts.cpp
@@ -0,0 +1,75 @@
+#include "BlockedParts.h"
+
+#include "JsonFields.h"
+#include "ParseNumber.h"
+
+#include <algorithm>
+
+namespace jayhold {
+
+namespace json = boost::json;
+
+namespace {
+
+/// Bounds the object. The oldest entries give way.
+constexpr std::size_t maxParts = 256;
+
+}
+
+auto blockedPartsToJson(std::span<const ListedPart> parts) -> json::value
+{
+    json::array entries;
+    for (const auto& part : parts) {
+        // JSON readers may not keep integers of 64 bits exactly.
+        entries.push_back(json::object { { "part", std::to_string(part.part) }, { "trials", part.trials } });
+    }
+    return json::object { { "parts", std::move(entries) } };
+}
+
+auto blockedPartsFromJson(const json::value& value) -> std::vector<ListedPart>
+{
+    std::vector<ListedPart> parts;
+    const auto* object = value.if_object();
+    const auto* entries = object ? arrayField(*object, "parts") : nullptr;
+    for (const auto& element : entries ? *entries : json::array()) {
+        const auto* entry = element.if_object();
+        std::string text;
+        ListedPart listed;
+        if (!entry || !readText(*entry, "part", text) || !readNumber(*entry, "trials", listed.trials))
+            continue;
+        const auto part = parseNumber<std::uint64_t>(text);
+        if (!part)
+            continue;
+        listed.part = *part;
+        parts.push_back(listed);
+    }
+    return parts;
+}
+
+auto changeBlockedParts(std::vector<ListedPart> parts, std::uint64_t part, BlockedPartChange change, std::uint32_t trials) -> std::optional<std::vector<ListedPart>>
+{
+    const auto known = std::ranges::find(parts, part, &ListedPart::part);
+    const auto isKnown = known != parts.end();
+    switch (change) {
+    case BlockedPartChange::Add:
+        if (isKnown)
+            return std::nullopt;
+        if (parts.size() >= maxParts)
+            parts.erase(parts.begin());
+        parts.push_back({ part });
+        break;
+    case BlockedPartChange::Remove:
+        if (!isKnown)
+            return std::nullopt;
+        parts.erase(known);
+        break;
+    case BlockedPartChange::BeginTrial:
+        if (!isKnown || known->trials != trials)
+            return std::nullopt;
+        ++known->trials;
+        break;
+    }
+    return parts;
+}
+
+}
--- /dev/null
+++ b/src/BlockedPartsWriter.cpp
@@ -0,0 +1,99 @@
+#include "BlockedPartsWriter.h"
+
+#include "JitteredDelay.h"
+#include "Pause.h"
+#include "Tasks.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Mean delay of the first attempt. In a large fleet a few instances write before the others have read the
+/// change.
+constexpr Duration meanWriteDelay = std::chrono::milliseconds(200);
+constexpr Duration minRetryDelay = std::chrono::milliseconds(100);
+/// Limits the wait after the store has become available again.
+constexpr Duration maxRetryDelay = std::chrono::milliseconds(500);
+
+}
+
+BlockedPartsWriter::BlockedPartsWriter(IoThreads& threads, ObjectStore& store, std::string kind, EventLog& log, BlockedPartsCallbacks callbacks)
+    : m_threads(threads)
+    , m_store(store)
+    , m_kind(std::move(kind))
+    , m_log(log)
+    , m_callbacks(std::move(callbacks))
+{
+}
+
+auto BlockedPartsWriter::update(const std::string& service, const UpdateBlockedPart& change) -> void
+{
+    asio::post(m_threads.context(0), [self = shared_from_this(), service, change] {
+        const Key key { service, change.part };
+        const auto [pending, isNew] = self->m_pending.insert_or_assign(key, change);
+        if (isNew)
+            asio::co_spawn(self->m_threads.context(0), self->write(key), logTaskFailure(self->m_log, "write blocked prompt parts"));
+    });
+}
+
+auto BlockedPartsWriter::handleList(const std::string& service, std::vector<ListedPart> parts) -> void
+{
+    m_listed[service] = std::move(parts);
+}
+
+auto BlockedPartsWriter::write(Key key) -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    co_await pause(jitteredDelay(meanWriteDelay));
+    while (true) {
+        const auto change = m_pending.at(key);
+        const auto retryDelay = co_await writeOnce(key, change);
+        const auto isReplaced = m_pending.at(key).change != change.change;
+        if (!retryDelay && !isReplaced)
+            break;
+        co_await pause(retryDelay.value_or(Duration::zero()));
+    }
+    m_pending.erase(key);
+}
+
+auto BlockedPartsWriter::writeOnce(const Key& key, UpdateBlockedPart change) -> asio::awaitable<std::optional<Duration>>
+{
+    const auto& [service, part] = key;
+    // The list that was read last may lack a recent entry, so it saves only the calls of additions.
+    if (change.change == BlockedPartChange::Add && !changeBlockedParts(m_listed[service], part, change.change, change.trials))
+        co_return std::nullopt;
+    const auto failed = [&](const StoreError& error) {
+        m_log.record(LogLevel::Info, "blocked_parts_not_written", { { "service", service }, { "detail", error.detail } });
+        return jitteredDelay(std::clamp(error.retryAfter / 2, minRetryDelay, maxRetryDelay));
+    };
+    const auto current = co_await m_store.read(m_threads.client(0), m_kind, service);
+    if (current.has_error())
+        co_return failed(current.error());
+    const auto changed = changeBlockedParts(blockedPartsFromJson(current->value), part, change.change, change.trials);
+    if (!changed)
+        co_return std::nullopt;
+    const auto outcome = co_await m_store.update(m_threads.client(0), m_kind, service, blockedPartsToJson(*changed), current->revision);
+    if (outcome.has_error()) {
+        // A trial whose update may have taken effect counts as used, so that the number of trials is limited.
+        if (change.change == BlockedPartChange::BeginTrial && outcome.error().kind != StoreErrorKind::Unavailable)
+            co_return std::nullopt;
+        co_return failed(outcome.error());
+    }
+    const auto* applied = std::get_if<UpdateApplied>(&*outcome);
+    if (!applied)
+        co_return minRetryDelay;
+    m_log.record(LogLevel::Info, "blocked_parts_written", { { "service", service }, { "parts", changed->size() }, { "revision", applied->revision } });
+    m_callbacks.written(applied->revision);
+    if (change.change == BlockedPartChange::BeginTrial)
+        m_callbacks.trialAllowed(service, part);
+    co_return std::nullopt;
+}
+
+}
--- a/src/ClusterCore.h
+++ b/src/ClusterCore.h
@@ -28,6 +28,7 @@
     std::function<void(const std::vector<BackendServer>&)> backends;
     std::function<void(std::uint64_t)> signature;
     std::function<void(const CrashSuspect&)> suspect;
+    std::function<void(const PromptReport&)> promptReport;
     std::function<void(const Member&)> memberLost;
 };
 
@@ -52,6 +53,7 @@
     InstanceList list;
     RumorBuffer<std::uint64_t> signatures;
     RumorBuffer<CrashSuspect> suspects;
+    RumorBuffer<PromptReport> promptReports;
     RumorBuffer<std::string> leaving;
     /// Expiry times of the reports that a backend server is leaving, by id.
     std::map<std::string, TimePoint> leavingUntil;
--- a/src/ClusterGossip.cpp
+++ b/src/ClusterGossip.cpp
@@ -20,6 +20,7 @@
 /// Limits on the rumors in one message, which bound its size.
 constexpr std::size_t signaturesPerMessage = 8;
 constexpr std::size_t suspectsPerMessage = 16;
+constexpr std::size_t promptReportsPerMessage = 8;
 constexpr std::size_t leavingPerMessage = 4;
 /// Collects crash reports that arrive at nearly the same time into one message.
 constexpr auto extraRoundDelay = std::chrono::milliseconds(2);
@@ -65,6 +66,7 @@
     message.listVersion = core.listCopy.version;
     message.signatures = takeRumors(core.signatures, signaturesPerMessage);
     message.suspects = takeRumors(core.suspects, suspectsPerMessage);
+    message.promptReports = takeRumors(core.promptReports, promptReportsPerMessage);
     message.leaving = takeRumors(core.leaving, leavingPerMessage);
 }
 
@@ -82,6 +84,8 @@
         spreadSignature(core, signature);
     for (const auto& suspect : message.suspects)
         spreadSuspect(core, suspect);
+    for (const auto& report : message.promptReports)
+        spreadPromptReport(core, report);
     for (const auto& backend : message.leaving)
         spreadLeaving(core, backend);
 }
@@ -227,6 +231,22 @@
     startExtraRound(core);
 }
 
+auto spreadPromptReport(const ClusterPointer& core, const PromptReport& report) -> void
+{
+    {
+        const std::lock_guard guard(core->lock);
+        if (!addRumor(core->promptReports, report))
+            return;
+    }
+    if (report.instance != core->settings.instance) {
+        asio::post(core->threads.context(0), [core, report] {
+            if (!core->isStopped && core->callbacks.promptReport)
+                core->callbacks.promptReport(report);
+        });
+    }
+    startExtraRound(core);
+}
+
 auto spreadLeaving(const ClusterPointer& core, const std::string& backendId) -> void
 {
     {
--- a/src/ClusterGossip.h
+++ b/src/ClusterGossip.h
@@ -19,6 +19,9 @@
 /// Records a crash suspect and spreads it. The callback is called if the suspect is new.
 auto spreadSuspect(const ClusterPointer& core, const CrashSuspect& suspect) -> void;
 
+/// Records a report on a prompt and spreads it. The callback is called if the report is new.
+auto spreadPromptReport(const ClusterPointer& core, const PromptReport& report) -> void;
+
 /// Records that a backend server is leaving and spreads it.
 auto spreadLeaving(const ClusterPointer& core, const std::string& backendId) -> void;
 
--- a/src/ClusterNode.cpp
+++ b/src/ClusterNode.cpp
@@ -129,6 +129,11 @@
     m_state->core->callbacks.suspect = std::move(callback);
 }
 
+auto ClusterNode::onPromptReport(std::function<void(const PromptReport&)> callback) -> void
+{
+    m_state->core->callbacks.promptReport = std::move(callback);
+}
+
 auto ClusterNode::onMemberLost(std::function<void(const Member&)> callback) -> void
 {
     m_state->core->callbacks.memberLost = std::move(callback);
@@ -229,6 +234,11 @@
     spreadSuspect(m_state->core, suspect);
 }
 
+auto ClusterNode::reportPrompt(const PromptReport& report) -> void
+{
+    spreadPromptReport(m_state->core, report);
+}
+
 auto ClusterNode::reportLeaving(std::string_view backendId) -> void
 {
     spreadLeaving(m_state->core, std::string(backendId));
--- a/src/ClusterNode.h
+++ b/src/ClusterNode.h
@@ -12,6 +12,7 @@
 #include "HttpExchange.h"
 #include "IoThreads.h"
 #include "Member.h"
+#include "PromptReport.h"
 #include "RecordDecision.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -81,6 +82,10 @@
     auto onCrashSuspect(std::function<void(const CrashSuspect&)> callback) -> void;
     /// Spreads a crash suspect to the peers.
     auto reportCrashSuspect(const CrashSuspect& suspect) -> void;
+    /// Registers a callback for each new report of a peer on the prompt of a request.
+    auto onPromptReport(std::function<void(const PromptReport&)> callback) -> void;
+    /// Spreads a report on the prompt of a request to the peers.
+    auto reportPrompt(const PromptReport& report) -> void;
     /// Spreads a crash signature to the peers.
     auto reportCrashSignature(std::uint64_t signature) -> void;
     /// Reports to the peers that a backend server has announced that it is leaving.
--- a/src/CrashAttribution.cpp
+++ b/src/CrashAttribution.cpp
@@ -1,5 +1,6 @@
 #include "CrashAttribution.h"
 
+#include "PromptPartBlocking.h"
 #include "ReplicaIndex.h"
 #include "RequestLifecycle.h"
 
@@ -51,6 +52,7 @@
 auto clearSuspects(DecisionContext& context, Replica& replica) -> void
 {
     removeCrash(context.state.crashHistory, replica.description.replica);
+    removePromptCrash(context.state.partCrashes, replica.description.process);
     replica.crashReportWaitUntil = TimePoint::min();
     updateIndex(context, replica);
     for (const auto id : std::exchange(replica.recentSuspects, {})) {
@@ -98,6 +100,7 @@
 auto recordCrash(DecisionContext& context, ActiveRequest& request, Replica& replica) -> void
 {
     request.emittedAtCrash = request.emitted;
+    recordCrashedPrompt(context, request, replica);
     if (replica.isolatedSuspect == request.arrival.request) {
         replica.blamedAt = context.now;
         request.crashSuspicion = CrashSuspicion::Confirmed;
--- a/src/DecisionAction.h
+++ b/src/DecisionAction.h
@@ -6,8 +6,11 @@
 #include "Refuse.h"
 #include "ReportCrash.h"
 #include "ReportCrashSignature.h"
+#include "ReportCrashedPrompt.h"
+#include "ReportSoundParts.h"
 #include "StartDecode.h"
 #include "StartPrefill.h"
+#include "UpdateBlockedPart.h"
 #include "WakeAt.h"
 
 #include <variant>
@@ -21,6 +24,9 @@
     CancelOnReplica,
     ReportCrashSignature,
     ReportCrash,
+    ReportCrashedPrompt,
+    ReportSoundParts,
+    UpdateBlockedPart,
     WakeAt>;
 
 }
--- a/src/DecisionEvent.h
+++ b/src/DecisionEvent.h
@@ -2,13 +2,16 @@
 
 /// All events that the decision code handles.
 
+#include "BlockedPartsListed.h"
 #include "CacheEvents.h"
 #include "CrashReported.h"
 #include "CrashSignatureReported.h"
+#include "CrashedPromptReported.h"
 #include "DecodeFailed.h"
 #include "DecodeFinished.h"
 #include "DecodeStarted.h"
 #include "DrainStarted.h"
+#include "PartTrialAllowed.h"
 #include "PeerUsage.h"
 #include "PrefillDone.h"
 #include "PrefillFailed.h"
@@ -18,6 +21,7 @@
 #include "RequestCancelled.h"
 #include "SlotRefused.h"
 #include "SlotReserved.h"
+#include "SoundPartsReported.h"
 #include "Tick.h"
 #include "TokensEmitted.h"
 
@@ -42,6 +46,10 @@
     CacheEvents,
     CrashSignatureReported,
     CrashReported,
+    CrashedPromptReported,
+    SoundPartsReported,
+    BlockedPartsListed,
+    PartTrialAllowed,
     DrainStarted,
     Tick>;
 
--- a/src/EntryContext.h
+++ b/src/EntryContext.h
@@ -9,7 +9,9 @@
 #include "EventLog.h"
 #include "IoThreads.h"
 #include "Metrics.h"
+#include "PromptReport.h"
 #include "Time.h"
+#include "UpdateBlockedPart.h"
 
 #include <atomic>
 #include <cstdint>
@@ -38,6 +40,10 @@
     std::function<void(std::uint64_t)> reportCrashSignature = [](std::uint64_t) {};
     /// Reports a request that was in flight on a crashed backend server to the peers.
     std::function<void(const CrashSuspect&)> reportCrashSuspect = [](const CrashSuspect&) {};
+    /// Reports the prompt of a request on a crashed engine, or sound parts of prompts, to the peers.
+    std::function<void(const PromptReport&)> reportPrompt = [](const PromptReport&) {};
+    /// Changes the list of blocked prompt parts of a service that all instances share.
+    std::function<void(const std::string& service, const UpdateBlockedPart&)> updateBlockedPart = [](const std::string&, const UpdateBlockedPart&) {};
     /// Reports a backend server that announced that it is leaving to the peers.
     std::function<void(std::string_view)> reportLeaving = [](std::string_view) {};
     const CallerProtocol& callerProtocol = nativeCallerProtocol();
--- a/src/EntryDaemon.cpp
+++ b/src/EntryDaemon.cpp
@@ -73,6 +73,7 @@
     callerApi = std::make_unique<CallerApi>(context, *services);
     adminApi = std::make_unique<AdminApi>(context, *services, *node, [this] { startDraining(); });
     context.reportCrashSignature = [this](std::uint64_t signature) { node->reportCrashSignature(signature); };
+    context.reportPrompt = [this](const PromptReport& report) { node->reportPrompt(report); };
     context.reportCrashSuspect = [this](const CrashSuspect& suspect) { node->reportCrashSuspect(suspect); };
     context.reportLeaving = [this](std::string_view backend) { node->reportLeaving(backend); };
     node->onConfiguration([this](std::shared_ptr<const Configuration> configuration) {
@@ -85,6 +86,7 @@
         context.hasBackendList = !backends.empty();
     });
     node->onCrashSignature([this](std::uint64_t signature) { services->handleCrashSignature(signature); });
+    node->onPromptReport([this](const PromptReport& report) { services->handlePromptReport(report); });
     node->onCrashSuspect([this](const CrashSuspect& suspect) { services->handleCrashSuspect(suspect); });
     node->onMemberLost([this](const Member& member) {
         log.record(LogLevel::Info, "member_lost", { { "member", member.id } });
--- a/src/GossipMessage.cpp
+++ b/src/GossipMessage.cpp
@@ -99,6 +99,12 @@
                 message.suspects.push_back(std::move(*suspect));
         }
     }
+    if (const auto* reports = object.if_contains("p"); reports && reports->is_array()) {
+        for (const auto& item : reports->get_array()) {
+            if (auto report = promptReportFromJson(item))
+                message.promptReports.push_back(std::move(*report));
+        }
+    }
     if (const auto* leaving = object.if_contains("b"); leaving && leaving->is_array()) {
         for (const auto& item : leaving->get_array()) {
             if (item.is_string())
@@ -144,6 +150,12 @@
             suspects.push_back(toJson(suspect));
         object["s"] = std::move(suspects);
     }
+    if (!message.promptReports.empty()) {
+        json::array reports;
+        for (const auto& report : message.promptReports)
+            reports.push_back(toJson(report));
+        object["p"] = std::move(reports);
+    }
     if (!message.leaving.empty())
         object["b"] = json::array(message.leaving.begin(), message.leaving.end());
     return object;
--- a/src/GossipMessage.h
+++ b/src/GossipMessage.h
@@ -4,6 +4,7 @@
 
 #include "CrashSuspect.h"
 #include "MemberEntry.h"
+#include "PromptReport.h"
 
 #include <boost/json/value.hpp>
 
@@ -29,6 +30,7 @@
     bool requestsFullEntries = false;
     std::vector<std::uint64_t> signatures;
     std::vector<CrashSuspect> suspects;
+    std::vector<PromptReport> promptReports;
     /// Identifiers of backend servers that have announced that they are leaving.
     std::vector<std::string> leaving;
 
--- /dev/null
+++ b/src/ListedPart.h
@@ -0,0 +1,17 @@
+#pragma once
+
+/// A part of prompts in the list of blocked parts that all instances share.
+
+#include <cstdint>
+
+namespace jayhold {
+
+struct ListedPart {
+    std::uint64_t part = 0;
+    /// Requests with the part that ran since it was blocked, to see whether it still crashes engines.
+    std::uint32_t trials = 0;
+
+    auto operator==(const ListedPart&) const -> bool = default;
+};
+
+}
--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -33,6 +33,8 @@
 constexpr Duration crashReportDelay = std::chrono::milliseconds(2);
 /// Limits the size of a message.
 constexpr std::size_t maxCrashReportsPerMessage = 64;
+/// A report names up to 32 parts of a prompt.
+constexpr std::size_t maxPromptReportsPerMessage = 32;
 constexpr std::size_t maxDatagramBytes = 65'536;
 /// Every instance of a zone gets its own copy, and the smallest machines have links of 10 Mbit/s.
 constexpr std::size_t maxDirectoryUpdateBytes = 16'384;
@@ -81,6 +83,7 @@
     bool hasNewRevisions = false;
     RumorBuffer<std::uint64_t> signatures { .sendsPerRumor = sendsPerCrashReport };
     RumorBuffer<CrashSuspect> suspects { .sendsPerRumor = sendsPerCrashReport };
+    RumorBuffer<PromptReport> promptReports { .sendsPerRumor = sendsPerCrashReport };
     /// Whether a message with crash reports is scheduled.
     bool crashMessageDue = false;
     std::uint64_t sequence = 0;
@@ -159,7 +162,7 @@
     auto usages = state.callbacks.ownUsage();
     std::ranges::sort(usages, {}, &BackendUsage::backend);
     auto backendsChangingRole = state.callbacks.backendsChangingRole();
-    const auto hasCrashReports = !state.signatures.pending.empty() || !state.suspects.pending.empty();
+    const auto hasCrashReports = !state.signatures.pending.empty() || !state.suspects.pending.empty() || !state.promptReports.pending.empty();
     if (usages == state.sentUsages && backendsChangingRole.empty() && !state.hasNewRevisions && !hasCrashReports && now - state.sentAt < maxSilence)
         return;
     state.sentUsages = usages;
@@ -173,6 +176,7 @@
         .backendsChangingRole = std::move(backendsChangingRole),
         .signatures = takeRumors(state.signatures, maxCrashReportsPerMessage),
         .suspects = takeRumors(state.suspects, maxCrashReportsPerMessage),
+        .promptReports = takeRumors(state.promptReports, maxPromptReportsPerMessage),
         .revisions = state.revisions,
     };
     sendToPeers(serializeLoadMessage(message), hasCrashReports);
@@ -188,6 +192,11 @@
     reportCrash([suspect](State& state) { return addRumor(state.suspects, suspect); });
 }
 
+auto LoadExchange::reportPrompt(const PromptReport& report) -> void
+{
+    reportCrash([report](State& state) { return addRumor(state.promptReports, report); });
+}
+
 auto LoadExchange::reportCrash(std::function<bool(State&)> addReport) -> void
 {
     asio::post(m_state->context, [self = shared_from_this(), addReport = std::move(addReport)] {
@@ -273,6 +282,10 @@
         if (markKnown(m_state->suspects, suspect))
             m_state->callbacks.onCrashSuspect(suspect);
     }
+    for (const auto& report : message.promptReports) {
+        if (markKnown(m_state->promptReports, report))
+            m_state->callbacks.onPromptReport(report);
+    }
 }
 
 auto LoadExchange::handleMessage(LoadMessage message) -> void
--- a/src/LoadMessage.cpp
+++ b/src/LoadMessage.cpp
@@ -58,6 +58,12 @@
             suspects.push_back(toJson(suspect));
         object["suspects"] = std::move(suspects);
     }
+    if (!message.promptReports.empty()) {
+        json::array reports;
+        for (const auto& report : message.promptReports)
+            reports.push_back(toJson(report));
+        object["prompts"] = std::move(reports);
+    }
     return json::serialize(object);
 }
 
@@ -93,6 +99,11 @@
         if (auto suspect = crashSuspectFromJson(element))
             message.suspects.push_back(std::move(*suspect));
     }
+    const auto* reports = arrayField(*object, "prompts");
+    for (const auto& element : reports ? *reports : json::array()) {
+        if (auto report = promptReportFromJson(element))
+            message.promptReports.push_back(std::move(*report));
+    }
     const auto* revisions = objectField(*object, "revisions");
     for (const auto& field : revisions ? *revisions : json::object()) {
         std::int64_t revision = 0;
--- a/src/LoadMessage.h
+++ b/src/LoadMessage.h
@@ -4,6 +4,7 @@
 
 #include "BackendUsage.h"
 #include "CrashSuspect.h"
+#include "PromptReport.h"
 
 #include <cstdint>
 #include <map>
@@ -27,6 +28,7 @@
     std::vector<std::uint64_t> signatures;
     /// Requests that were in flight on backend servers that crashed.
     std::vector<CrashSuspect> suspects;
+    std::vector<PromptReport> promptReports;
     /// Revision of the last change that the instance has applied, by kind of the store's objects.
     std::map<std::string, std::int64_t> revisions;
 };
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -74,6 +74,16 @@
     return TokenSequence(context.backendProtocol.indexRule, last ? *last + 1 : 0);
 }
 
+/// @return the parts of the prompt that other requests may share. The last part belongs to the request.
+auto sharedParts(const ModelRequestInfo& info) -> std::vector<std::uint64_t>
+{
+    // Bounds the memory of requests and the size of messages.
+    constexpr std::size_t maxParts = 32;
+    const auto& parts = info.forwarded ? info.forwarded->promptParts : info.digest.prefixBlocks;
+    const auto shared = info.forwarded && !parts.empty() ? parts.size() - 1 : parts.size();
+    return { parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(std::min(shared, maxParts)) };
+}
+
 auto arrivalOf(const ModelRequestInfo& info) -> RequestArrived
 {
     RequestArrived arrived {};
@@ -85,6 +95,7 @@
     arrived.deadline = info.deadline;
     arrived.prefixBlocks = info.digest.prefixBlocks;
     arrived.signature = info.digest.signature;
+    arrived.promptParts = sharedParts(info);
     return arrived;
 }
 
--- a/src/ModelRequestLog.cpp
+++ b/src/ModelRequestLog.cpp
@@ -1,29 +1,9 @@
 #include "ModelRequest.h"
 
-#include <charconv>
+#include "HexadecimalList.h"
 
 namespace jayhold {
 
-namespace {
-
-auto partsText(const ModelRequestInfo& info) -> std::string
-{
-    constexpr int hexadecimal = 16;
-    constexpr std::size_t maxDigits = 16;
-    std::string text;
-    if (!info.forwarded)
-        return text;
-    for (const auto part : info.forwarded->promptParts) {
-        char digits[maxDigits];
-        const auto end = std::to_chars(std::begin(digits), std::end(digits), part, hexadecimal).ptr;
-        text += text.empty() ? "" : ",";
-        text.append(digits, end);
-    }
-    return text;
-}
-
-}
-
 auto ModelRequest::recordAttemptFailure(std::string_view phase, const EngineError& error) -> void
 {
     m_service->metrics().failedAttempts.fetch_add(1, std::memory_order_relaxed);
@@ -31,7 +11,7 @@
         m_context.reportLeaving(m_backend);
     m_failedResponse = error.response;
     const auto budget = m_service->retryBudget();
-    record(LogLevel::Info, std::string(phase) + "_failed", { { "failure", name(error.failure) }, { "detail", error.detail }, { "tokens", m_relay.tokens() }, { "retries_left", budget.remaining() }, { "retry_capacity", budget.capacity() }, { "prompt_parts", partsText(m_info) } });
+    record(LogLevel::Info, std::string(phase) + "_failed", { { "failure", name(error.failure) }, { "detail", error.detail }, { "tokens", m_relay.tokens() }, { "retries_left", budget.remaining() }, { "retry_capacity", budget.capacity() }, { "prompt_parts", m_info.forwarded ? hexadecimalList(m_info.forwarded->promptParts) : "" } });
 }
 
 auto ModelRequest::tryConsumeResend() -> bool
--- a/src/ModelService.cpp
+++ b/src/ModelService.cpp
@@ -1,5 +1,7 @@
 #include "ModelService.h"
 
+#include "HexadecimalList.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -46,6 +48,19 @@
     return settings;
 }
 
+auto eventName(BlockedPartChange change) -> std::string_view
+{
+    switch (change) {
+    case BlockedPartChange::Add:
+        return "prompt_part_blocked";
+    case BlockedPartChange::Remove:
+        return "prompt_part_unblocked";
+    case BlockedPartChange::BeginTrial:
+        return "prompt_part_trial_due";
+    }
+    return "";
+}
+
 auto zoneNames(const ConfigurationIndex& index) -> std::vector<std::string>
 {
     std::vector<std::string> names;
@@ -237,6 +252,12 @@
     } else if (const auto* crash = std::get_if<ReportCrash>(&action)) {
         if (const auto known = m_replicas.find(crash->replica); known != m_replicas.end())
             outbox.suspects.push_back({ crash->signature, known->second.backend.id, known->second.backend.incarnation, m_context.settings.instance });
+    } else if (const auto* crashed = std::get_if<ReportCrashedPrompt>(&action)) {
+        outbox.promptReports.push_back({ m_name, m_context.settings.instance, m_reportIds(), false, crashed->prompt });
+    } else if (const auto* sound = std::get_if<ReportSoundParts>(&action)) {
+        outbox.promptReports.push_back({ m_name, m_context.settings.instance, m_reportIds(), true, { .parts = sound->parts } });
+    } else if (const auto* update = std::get_if<UpdateBlockedPart>(&action)) {
+        outbox.blockedParts.push_back(*update);
     } else if (const auto* wake = std::get_if<WakeAt>(&action)) {
         m_wakeAt = wake->time;
     }
@@ -293,11 +314,25 @@
         m_context.log.record(LogLevel::Info, "crash_suspect", { { "service", m_name }, { "signature", std::to_string(suspect.signature) }, { "backend", suspect.backend } });
         m_context.reportCrashSuspect(suspect);
     }
+    sendPromptReports(outbox);
     if (!outbox.cancels.empty())
         sendCancels(std::move(outbox.cancels));
     rearmTimer();
 }
 
+auto ModelService::sendPromptReports(const Outbox& outbox) -> void
+{
+    for (const auto& report : outbox.promptReports) {
+        m_context.log.record(LogLevel::Info, report.isSound ? "prompt_parts_sound" : "prompt_at_crash", { { "service", m_name }, { "process", report.prompt.process }, { "signature", report.prompt.signature }, { "prompt_parts", hexadecimalList(report.prompt.parts) } });
+        m_context.reportPrompt(report);
+    }
+    for (const auto& update : outbox.blockedParts) {
+        m_metrics->blockedParts.fetch_add(update.change == BlockedPartChange::Add ? 1 : 0, std::memory_order_relaxed);
+        m_context.log.record(LogLevel::Warning, eventName(update.change), { { "service", m_name }, { "prompt_part", hexadecimalList(std::span(&update.part, 1)) }, { "trials", update.trials } });
+        m_context.updateBlockedPart(m_name, update);
+    }
+}
+
 auto ModelService::sendCancels(std::vector<EngineCancel> cancels) -> void
 {
     // If the protocol has no cancel call, the request cancels by closing its connection.
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -19,6 +19,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -87,6 +88,9 @@
     /// if the backend server belongs to another service.
     auto handleCrashSuspect(const CrashSuspect& suspect) -> void;
 
+    /// Processes a peer's report on the prompt of a request for this service.
+    auto handlePromptReport(const PromptReport& report) -> void;
+
     auto replica(ReplicaId replica) const -> std::optional<ReplicaStatus>;
     auto replicas() const -> std::vector<ReplicaStatus>;
     auto summary() const -> ShardSummary;
@@ -131,6 +135,8 @@
         std::vector<EngineCancel> cancels;
         std::vector<std::uint64_t> signatures;
         std::vector<CrashSuspect> suspects;
+        std::vector<PromptReport> promptReports;
+        std::vector<UpdateBlockedPart> blockedParts;
     };
     struct Timer;
 
@@ -153,6 +159,8 @@
     auto findPool(std::string_view name) const -> const Pool*;
 
     auto send(Outbox outbox) -> void;
+    /// Reports prompts and blocked parts to the peers.
+    auto sendPromptReports(const Outbox& outbox) -> void;
     auto sendCancels(std::vector<EngineCancel> cancels) -> void;
     auto runTimer(std::shared_ptr<Timer> timer) -> boost::asio::awaitable<void>;
     auto rearmTimer() -> void;
@@ -174,6 +182,7 @@
     std::vector<DecisionAction> m_actions;
     std::uint64_t m_lastRequest = 0;
     std::uint32_t m_lastReplica = 0;
+    std::mt19937_64 m_reportIds { std::random_device {}() };
     std::unordered_map<RequestId, OpenRequest> m_requests;
     std::unordered_map<ReplicaId, ReplicaStatus> m_replicas;
     std::unordered_map<std::string, ReplicaId> m_replicaIds;
--- a/src/ModelServiceReplicas.cpp
+++ b/src/ModelServiceReplicas.cpp
@@ -1,5 +1,7 @@
 #include "ModelService.h"
 
+#include "HexadecimalList.h"
+#include "Rendezvous.h"
 #include "RoleBalance.h"
 
 #include <algorithm>
@@ -69,6 +71,7 @@
     const auto* pool = findPool(status.backend.pool);
     const auto zone = std::ranges::find(m_zones, status.backend.availabilityZone) - m_zones.begin();
     ReplicaChanged change { .replica = status.id, .role = status.role, .zone = static_cast<ZoneId>(zone), .state = status.backend.state };
+    change.process = stableHash(status.backend.id + "/" + status.backend.incarnation);
     if (m_roleChanges.contains(status.id) && change.state == ReplicaState::Live)
         change.state = ReplicaState::Leaving;
     if (pool) {
@@ -136,6 +139,15 @@
     send(std::move(outbox));
 }
 
+auto ModelService::handlePromptReport(const PromptReport& report) -> void
+{
+    m_context.log.record(LogLevel::Info, "prompt_report_heard", { { "service", m_name }, { "sound", report.isSound }, { "process", report.prompt.process }, { "signature", report.prompt.signature }, { "prompt_parts", hexadecimalList(report.prompt.parts) }, { "from", report.instance } });
+    if (report.isSound)
+        handleEvent(SoundPartsReported { report.prompt.parts });
+    else
+        handleEvent(CrashedPromptReported { report.prompt });
+}
+
 auto ModelService::expireRoleChangesLocked(TimePoint now, Outbox& outbox) -> void
 {
     for (auto change = m_roleChanges.begin(); change != m_roleChanges.end();) {
--- /dev/null
+++ b/src/PromptPartBlocking.cpp
@@ -0,0 +1,117 @@
+#include "PromptPartBlocking.h"
+
+#include "RequestLifecycle.h"
+
+#include <algorithm>
+
+namespace jayhold {
+
+namespace {
+
+/// A request is not the cause of a crash this many tokens after the start of its attempt. Engines send
+/// several tokens in one event.
+constexpr std::uint32_t soundTokens = 16;
+
+auto hasProgressed(const ActiveRequest& request) -> bool
+{
+    return request.emitted >= request.emittedAtStart + soundTokens;
+}
+
+auto reportUnblocked(DecisionContext& context, std::span<const std::uint64_t> parts) -> void
+{
+    for (const auto part : parts)
+        context.actions.emplace_back(UpdateBlockedPart { part, BlockedPartChange::Remove });
+}
+
+auto refuseRequestsWithBlockedParts(DecisionContext& context) -> void
+{
+    std::vector<RequestId> matching;
+    for (const auto& [id, request] : context.state.requests) {
+        if (!request.triesBlockedPart && hasBlockedPart(context.state.partCrashes, request.arrival.promptParts))
+            matching.push_back(id);
+    }
+    for (const auto id : matching)
+        refuse(context, *findRequest(context.state, id), RefusalReason::CrashSuspect);
+}
+
+}
+
+auto recordCrashedPrompt(DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> void
+{
+    if (request.arrival.promptParts.empty() || hasProgressed(request))
+        return;
+    CrashedPrompt prompt { replica.description.process, request.arrival.signature, request.arrival.promptParts };
+    addCrashedPrompt(context.state.partCrashes, context.now, prompt);
+    context.actions.emplace_back(ReportCrashedPrompt { std::move(prompt) });
+}
+
+auto recordPromptProgress(DecisionContext& context, ActiveRequest& request, bool isFinished) -> void
+{
+    auto& parts = request.arrival.promptParts;
+    if (parts.empty() || (!isFinished && !hasProgressed(request)))
+        return;
+    const auto unblocked = recordSoundParts(context.state.partCrashes, context.now, parts, true);
+    if (!unblocked.empty()) {
+        reportUnblocked(context, unblocked);
+        context.actions.emplace_back(ReportSoundParts { unblocked });
+    }
+    // Later attempts of the request have nothing to add.
+    std::vector<std::uint64_t>().swap(parts);
+}
+
+auto refuseCrashingParts(DecisionContext& context) -> void
+{
+    const auto parts = blockCrashingParts(context.state.partCrashes, context.now);
+    if (parts.empty())
+        return;
+    for (const auto part : parts)
+        context.actions.emplace_back(UpdateBlockedPart { part, BlockedPartChange::Add });
+    refuseRequestsWithBlockedParts(context);
+}
+
+auto isRefusedForPart(DecisionContext& context, ActiveRequest& request) -> bool
+{
+    auto& state = context.state.partCrashes;
+    const auto& parts = request.arrival.promptParts;
+    if (!hasBlockedPart(state, parts))
+        return false;
+    if (tryBeginTrial(state, context.now, parts)) {
+        request.triesBlockedPart = true;
+        request.crashSuspicion = CrashSuspicion::Suspect;
+        return false;
+    }
+    if (const auto due = dueTrial(state, context.now, parts))
+        context.actions.emplace_back(UpdateBlockedPart { due->part, BlockedPartChange::BeginTrial, due->trials });
+    return true;
+}
+
+auto handle(DecisionContext& context, const CrashedPromptReported& event) -> void
+{
+    auto& state = context.state.partCrashes;
+    addCrashedPrompt(state, context.now, event.prompt);
+    auto sound = ownSoundParts(state, context.now, event.prompt.parts);
+    if (!sound.empty())
+        context.actions.emplace_back(ReportSoundParts { std::move(sound) });
+}
+
+auto handle(DecisionContext& context, const SoundPartsReported& event) -> void
+{
+    reportUnblocked(context, recordSoundParts(context.state.partCrashes, context.now, event.parts, false));
+}
+
+auto handle(DecisionContext& context, const BlockedPartsListed& event) -> void
+{
+    auto sound = applyListedParts(context.state.partCrashes, context.now, event.parts);
+    if (!sound.empty()) {
+        reportUnblocked(context, sound);
+        context.actions.emplace_back(ReportSoundParts { std::move(sound) });
+    }
+    refuseRequestsWithBlockedParts(context);
+}
+
+auto handle(DecisionContext& context, const PartTrialAllowed& event) -> void
+{
+    allowTrial(context.state.partCrashes, context.now, event.part);
+}
+
+}
--- /dev/null
+++ b/src/PromptPartBlocking.h
@@ -0,0 +1,27 @@
+#pragma once
+
+/// Refuses requests whose prompts have parts that crash engines, and reports crashes and sound parts to the
+/// peers. PromptPartCrashes finds the parts.
+
+#include "DecisionContext.h"
+
+namespace jayhold {
+
+/// Records that the replica of the request crashed. Nothing is recorded if the request had got past the
+/// point at which it could have been the cause.
+auto recordCrashedPrompt(DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> void;
+/// Records that the parts of the request's prompt are sound, once its answer shows that.
+/// @param isFinished whether the answer is complete.
+auto recordPromptProgress(DecisionContext& context, ActiveRequest& request, bool isFinished) -> void;
+/// Blocks the parts that crash engines and refuses the requests that have them.
+auto refuseCrashingParts(DecisionContext& context) -> void;
+/// @return whether the new request must be refused for a blocked part of its prompt. A request that tries
+/// whether a part still crashes engines becomes a suspect.
+auto isRefusedForPart(DecisionContext& context, ActiveRequest& request) -> bool;
+
+auto handle(DecisionContext& context, const CrashedPromptReported& event) -> void;
+auto handle(DecisionContext& context, const SoundPartsReported& event) -> void;
+auto handle(DecisionContext& context, const BlockedPartsListed& event) -> void;
+auto handle(DecisionContext& context, const PartTrialAllowed& event) -> void;
+
+}
--- /dev/null
+++ b/src/PromptPartCrashes.cpp
@@ -0,0 +1,237 @@
+#include "PromptPartCrashes.h"
+
+#include "CrashHistory.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace jayhold {
+
+namespace {
+
+/// Crashes that are compared. Requests with the part may be rare, so crashes count for minutes.
+constexpr Duration crashTtl = std::chrono::minutes(10);
+constexpr std::size_t maxCrashes = 64;
+constexpr std::size_t maxPromptsPerCrash = 32;
+/// Reports of one crash arrive within this time. A later one of the same process id is another crash.
+constexpr Duration crashReportWindow = std::chrono::seconds(2);
+/// A part that is sound can begin to crash engines, for example with new weights, so its soundness counts
+/// for a limited time.
+constexpr Duration soundPartTtl = std::chrono::seconds(30);
+constexpr std::size_t maxSoundParts = 2'048;
+constexpr std::size_t maxBlockedParts = 256;
+constexpr std::size_t minCrashes = 2;
+constexpr std::size_t minRequests = 2;
+
+/// A part that is not in the shared list, because there is none or it can't be written, is blocked for this
+/// time.
+constexpr Duration unlistedBlockTtl = std::chrono::minutes(10);
+
+/// Time before a blocked part may be tried again. Only a few trials are made in all, because each may crash
+/// an engine.
+constexpr Duration trialInterval = std::chrono::minutes(10);
+constexpr std::uint32_t maxTrials = 3;
+/// Time in which the request of a trial has to arrive.
+constexpr Duration trialPermitTime = std::chrono::minutes(1);
+
+auto findSound(const PromptPartCrashes& state, std::uint64_t part) -> const PromptPartCrashes::SoundPart*
+{
+    if (const auto found = state.soundParts.find(part); found != state.soundParts.end())
+        return &found->second;
+    const auto older = state.olderSoundParts.find(part);
+    return older == state.olderSoundParts.end() ? nullptr : &older->second;
+}
+
+auto wasSoundAt(const PromptPartCrashes& state, std::uint64_t part, TimePoint time) -> bool
+{
+    const auto* sound = findSound(state, part);
+    return sound && sound->at + soundPartTtl >= time;
+}
+
+/// The crashes and requests that a part was in.
+struct PartEvidence {
+    std::size_t crashes = 0;
+    std::set<std::uint64_t> requests;
+    /// Deepest position in a prompt.
+    std::size_t depth = 0;
+};
+
+using EvidenceTable = std::unordered_map<std::uint64_t, PartEvidence>;
+
+auto addEvidence(EvidenceTable& table, const PromptPartCrashes& state, const PromptPartCrashes::Crash& crash) -> void
+{
+    std::set<std::uint64_t> counted;
+    for (const auto& prompt : crash.prompts) {
+        for (std::size_t index = 0; index < prompt.parts.size(); ++index) {
+            const auto part = prompt.parts[index];
+            if (wasSoundAt(state, part, crash.time))
+                continue;
+            auto& evidence = table[part];
+            evidence.crashes += counted.insert(part).second;
+            evidence.requests.insert(prompt.signature);
+            evidence.depth = std::max(evidence.depth, index);
+        }
+    }
+}
+
+/// @return the deepest part that was in several crashes. Requests share the parts before the cause more often
+/// than the parts after it.
+auto mostLikelyCause(const PromptPartCrashes& state, TimePoint now) -> std::optional<std::uint64_t>
+{
+    EvidenceTable table;
+    for (const auto& crash : state.crashes) {
+        // A crash with a blocked part is explained and says nothing about other parts.
+        const auto isExplained = std::ranges::any_of(crash.prompts, [&](const auto& prompt) { return hasBlockedPart(state, prompt.parts); });
+        if (!isExplained && now - crash.time >= crashReportWait)
+            addEvidence(table, state, crash);
+    }
+    std::optional<std::uint64_t> cause;
+    const PartEvidence* best = nullptr;
+    for (const auto& [part, evidence] : table) {
+        if (evidence.crashes < minCrashes || evidence.requests.size() < minRequests)
+            continue;
+        // The last criterion makes all instances choose the same part.
+        if (best && std::tuple(evidence.depth, evidence.crashes, part) < std::tuple(best->depth, best->crashes, *cause))
+            continue;
+        best = &evidence;
+        cause = part;
+    }
+    return cause;
+}
+
+}
+
+auto addCrashedPrompt(PromptPartCrashes& state, TimePoint now, const CrashedPrompt& prompt) -> void
+{
+    auto crash = std::ranges::find_if(state.crashes, [&](const auto& known) { return known.process == prompt.process && now - known.time < crashReportWindow; });
+    if (crash == state.crashes.end()) {
+        if (state.crashes.size() == maxCrashes)
+            state.crashes.pop_front();
+        crash = state.crashes.insert(state.crashes.end(), { .process = prompt.process, .time = now, .prompts = {} });
+    }
+    if (crash->prompts.size() < maxPromptsPerCrash && std::ranges::find(crash->prompts, prompt) == crash->prompts.end())
+        crash->prompts.push_back(prompt);
+    state.decideAt = std::min(state.decideAt, crash->time + crashReportWait);
+}
+
+auto removePromptCrash(PromptPartCrashes& state, std::uint64_t process) -> void
+{
+    std::erase_if(state.crashes, [&](const auto& crash) { return crash.process == process; });
+}
+
+auto recordSoundParts(PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts, bool isOwn) -> std::vector<std::uint64_t>
+{
+    std::vector<std::uint64_t> unblocked;
+    for (const auto part : parts) {
+        if (state.soundParts.size() >= maxSoundParts)
+            state.olderSoundParts = std::exchange(state.soundParts, {});
+        const auto* known = findSound(state, part);
+        const auto wasOwn = known && known->isOwn && now - known->at < soundPartTtl;
+        state.soundParts[part] = { now, isOwn || wasOwn };
+        if (state.blocked.erase(part) > 0)
+            unblocked.push_back(part);
+    }
+    return unblocked;
+}
+
+auto ownSoundParts(const PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts) -> std::vector<std::uint64_t>
+{
+    std::vector<std::uint64_t> sound;
+    for (const auto part : parts) {
+        const auto* known = findSound(state, part);
+        if (known && known->isOwn && now - known->at < soundPartTtl)
+            sound.push_back(part);
+    }
+    return sound;
+}
+
+auto blockCrashingParts(PromptPartCrashes& state, TimePoint now) -> std::vector<std::uint64_t>
+{
+    std::erase_if(state.blocked, [&](const auto& blocked) { return !blocked.second.isListed && now - blocked.second.since >= unlistedBlockTtl; });
+    std::vector<std::uint64_t> parts;
+    if (now < state.decideAt)
+        return parts;
+    while (!state.crashes.empty() && now - state.crashes.front().time >= crashTtl)
+        state.crashes.pop_front();
+    state.decideAt = TimePoint::max();
+    for (const auto& crash : state.crashes) {
+        if (now - crash.time < crashReportWait)
+            state.decideAt = std::min(state.decideAt, crash.time + crashReportWait);
+    }
+    while (state.crashes.size() >= minCrashes && state.blocked.size() < maxBlockedParts) {
+        const auto cause = mostLikelyCause(state, now);
+        if (!cause)
+            break;
+        state.blocked[*cause].since = now;
+        parts.push_back(*cause);
+    }
+    return parts;
+}
+
+auto hasBlockedPart(const PromptPartCrashes& state, std::span<const std::uint64_t> parts) -> bool
+{
+    return !state.blocked.empty() && std::ranges::any_of(parts, [&](std::uint64_t part) { return state.blocked.contains(part); });
+}
+
+auto applyListedParts(PromptPartCrashes& state, TimePoint now, std::span<const ListedPart> listed) -> std::vector<std::uint64_t>
+{
+    std::erase_if(state.blocked, [&](const auto& blocked) {
+        return blocked.second.isListed && std::ranges::find(listed, blocked.first, &ListedPart::part) == listed.end();
+    });
+    std::vector<std::uint64_t> sound;
+    for (const auto& entry : listed) {
+        if (!ownSoundParts(state, now, std::span(&entry.part, 1)).empty()) {
+            sound.push_back(entry.part);
+            continue;
+        }
+        const auto [known, isNew] = state.blocked.try_emplace(entry.part);
+        auto& blocked = known->second;
+        if (isNew || blocked.trials != entry.trials)
+            blocked.since = now;
+        blocked.trials = entry.trials;
+        blocked.isListed = true;
+    }
+    return sound;
+}
+
+auto dueTrial(PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts) -> std::optional<ListedPart>
+{
+    for (const auto part : parts) {
+        const auto found = state.blocked.find(part);
+        if (found == state.blocked.end())
+            continue;
+        auto& blocked = found->second;
+        const auto wasRequested = blocked.trialRequestedAt && now - *blocked.trialRequestedAt < trialInterval;
+        if (!blocked.isListed || blocked.trials >= maxTrials || wasRequested || now - blocked.since < trialInterval)
+            continue;
+        blocked.trialRequestedAt = now;
+        return ListedPart { part, blocked.trials };
+    }
+    return std::nullopt;
+}
+
+auto allowTrial(PromptPartCrashes& state, TimePoint now, std::uint64_t part) -> void
+{
+    if (const auto found = state.blocked.find(part); found != state.blocked.end())
+        found->second.trialAllowedUntil = now + trialPermitTime;
+}
+
+auto tryBeginTrial(PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts) -> bool
+{
+    std::vector<PromptPartCrashes::BlockedPart*> blockedParts;
+    for (const auto part : parts) {
+        const auto found = state.blocked.find(part);
+        if (found == state.blocked.end())
+            continue;
+        if (!found->second.trialAllowedUntil || now > *found->second.trialAllowedUntil)
+            return false;
+        blockedParts.push_back(&found->second);
+    }
+    for (auto* blocked : blockedParts)
+        blocked->trialAllowedUntil.reset();
+    return !blockedParts.empty();
+}
+
+}
--- /dev/null
+++ b/src/PromptPartCrashes.h
@@ -0,0 +1,86 @@
+#pragma once
+
+/// Finds parts of prompts that crash every engine that begins an answer to them, as a pure state machine.
+/// It compares the prompts of requests that had no answer yet when engines crashed, at this instance and
+/// at its peers. A part is blocked if different requests with it were at the crashes of two engines while
+/// no request with it got past that point. Private to the decision library.
+
+#include "CrashedPrompt.h"
+#include "ListedPart.h"
+#include "Time.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace jayhold {
+
+struct PromptPartCrashes {
+    struct Crash {
+        std::uint64_t process = 0;
+        TimePoint time {};
+        std::vector<CrashedPrompt> prompts;
+    };
+    struct SoundPart {
+        TimePoint at {};
+        /// Whether a request of this instance had the part, not one of a peer.
+        bool isOwn = false;
+    };
+    using SoundParts = std::unordered_map<std::uint64_t, SoundPart>;
+    struct BlockedPart {
+        /// Whether the list that all instances share contains the part.
+        bool isListed = false;
+        /// Requests with the part that ran since it was blocked, to see whether it still crashes engines.
+        std::uint32_t trials = 0;
+        /// When this instance first saw the part with this number of trials.
+        TimePoint since {};
+        /// When this instance last asked for a trial.
+        std::optional<TimePoint> trialRequestedAt;
+        /// Until when this instance may run one request with the part.
+        std::optional<TimePoint> trialAllowedUntil;
+    };
+
+    /// Most recent crash last.
+    std::deque<Crash> crashes;
+    /// When the reports of a crash will have arrived that have not been compared yet.
+    TimePoint decideAt = TimePoint::max();
+    /// Parts of requests that got past the point at which their engine could have crashed. When the first
+    /// table is full, it replaces the second one.
+    SoundParts soundParts;
+    SoundParts olderSoundParts;
+    std::unordered_map<std::uint64_t, BlockedPart> blocked;
+};
+
+/// Adds a request to the crash of its engine.
+auto addCrashedPrompt(PromptPartCrashes& state, TimePoint now, const CrashedPrompt& prompt) -> void;
+/// Removes the crash of an engine process that turned out not to have crashed.
+auto removePromptCrash(PromptPartCrashes& state, std::uint64_t process) -> void;
+/// Records that a request with the parts got past the point at which its engine could have crashed.
+/// @param isOwn whether it was a request of this instance.
+/// @return the parts that were blocked until now.
+auto recordSoundParts(PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts, bool isOwn) -> std::vector<std::uint64_t>;
+/// @return those of the parts that this instance has recently found to be sound.
+auto ownSoundParts(const PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts) -> std::vector<std::uint64_t>;
+
+/// Blocks the parts that the crashes show to be the cause.
+/// @return the parts that were not blocked before.
+auto blockCrashingParts(PromptPartCrashes& state, TimePoint now) -> std::vector<std::uint64_t>;
+auto hasBlockedPart(const PromptPartCrashes& state, std::span<const std::uint64_t> parts) -> bool;
+
+/// Applies the shared list. Parts that are no longer listed are not blocked any more.
+/// @return the listed parts that this instance knows to be sound. They are not blocked here.
+auto applyListedParts(PromptPartCrashes& state, TimePoint now, std::span<const ListedPart> listed) -> std::vector<std::uint64_t>;
+
+/// Decides whether a request with a blocked part is a reason to ask for a trial.
+/// @return the part to try and its trials so far, if a trial is due.
+auto dueTrial(PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts) -> std::optional<ListedPart>;
+/// Allows this instance to run one request with the part.
+auto allowTrial(PromptPartCrashes& state, TimePoint now, std::uint64_t part) -> void;
+/// Uses the permission for a trial, if every blocked part of the request has one.
+/// @return whether the request may run.
+auto tryBeginTrial(PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts) -> bool;
+
+}
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -3,6 +3,7 @@
 #include "Admission.h"
 #include "CrashAttribution.h"
 #include "Estimates.h"
+#include "PromptPartBlocking.h"
 #include "ReplicaHealth.h"
 #include "RequestLifecycle.h"
 #include "ReservationAccounting.h"
@@ -115,6 +116,7 @@
         return;
     clearSuspectsIfAlive(context, *request, *request->decode);
     clearSuspectAfterProgress(context, *request);
+    recordPromptProgress(context, *request, false);
     updateExpectedEnd(context, *request);
     growDecode(context, *request);
 }
@@ -126,6 +128,7 @@
         return;
     recordSuccess(context, *request->decode);
     clearSuspectsIfAlive(context, *request, *request->decode);
+    recordPromptProgress(context, *request, true);
     updateLengthModel(context, *request, event.totalTokens);
     finish(context, *request);
 }
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -83,6 +83,7 @@
     releaseDecode(context, request);
     request.decode.reset();
     ++request.attempt;
+    request.emittedAtStart = request.emitted;
     context.state.prefilled.emplace(request.kvExpiresAt, request.arrival.request);
     enterPhase(context, request, RequestPhase::Prefilled);
     startDecode(context, request);
@@ -202,6 +203,7 @@
     state.queue.remove(queueEntry(request));
     state.queue.charge(queueEntry(request), request.arrival.promptTokens + expectedTokens(state, request));
     ++request.attempt;
+    request.emittedAtStart = request.emitted;
     if (!placement.prefill) {
         startWithoutPrefill(context, request, *placement.decode);
         return;
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -1,5 +1,6 @@
 #include "RouterDaemon.h"
 
+#include "BlockedPartsWriter.h"
 #include "DisabledAtMostOnceRecords.h"
 #include "ForwardApi.h"
 #include "HttpServer.h"
@@ -147,6 +148,9 @@
             .peers = [this](const std::vector<PeerAddress>& peers) {
                 if (loadExchange)
                     loadExchange->updatePeers(peers); },
+            .blockedParts = [this](const std::string& service, std::vector<ListedPart> parts) {
+                blockedPartsWriter->handleList(service, parts);
+                services.updateBlockedParts(service, std::move(parts)); },
             .onStoreAvailability = [this](std::optional<TimePoint> since) { context.storeUnavailableSince = since.value_or(TimePoint {}).time_since_epoch().count(); },
             .changed = [this](const std::string& kind, std::int64_t revision) {
                 if (loadExchange)
@@ -156,6 +160,7 @@
             startLoadExchange(*settings.loadListen);
             callbacks.publishToZone = [this](const DirectoryUpdate& update) { loadExchange->sendDirectoryUpdate(update); };
         }
+        startBlockedPartsWriter();
         DirectorySettings directorySettings { .instance = settings.instance, .availabilityZone = settings.availabilityZone, .maxPropagationDelay = settings.maxPropagationDelay };
         if (loadExchange)
             directorySettings.peerEndpoint = loadExchange->endpoint();
@@ -180,6 +185,7 @@
                     directory->handlePeerRevision(kind, revision); },
             .onCrashSignature = [this](std::uint64_t signature) { services.handleCrashSignature(signature); },
             .onCrashSuspect = [this](const CrashSuspect& suspect) { services.handleCrashSuspect(suspect); },
+            .onPromptReport = [this](const PromptReport& report) { services.handlePromptReport(report); },
             .onBackendsChangingRole = [this](const std::vector<std::string>& backends) { excludeChangingBackends(backends); },
             .onDirectoryUpdate = [this](const DirectoryUpdate& update) {
                 if (directory)
@@ -188,10 +194,26 @@
         LoadExchangeSettings exchangeSettings { endpoint, settings.instance, context.runId, settings.availabilityZone };
         loadExchange = std::make_shared<LoadExchange>(threads, std::move(exchangeSettings), log, std::move(callbacks));
         context.reportCrashSignature = [this](std::uint64_t signature) { loadExchange->reportCrashSignature(signature); };
+        context.reportPrompt = [this](const PromptReport& report) { loadExchange->reportPrompt(report); };
         context.reportCrashSuspect = [this](const CrashSuspect& suspect) { loadExchange->reportCrashSuspect(suspect); };
         loadExchange->start();
     }
 
+    auto startBlockedPartsWriter() -> void
+    {
+        BlockedPartsCallbacks callbacks {
+            .written = [this](std::int64_t revision) {
+                directory->handlePeerRevision(adapter.directory.blockedPartsKind, revision);
+                if (loadExchange)
+                    loadExchange->advanceRevision(adapter.directory.blockedPartsKind, revision); },
+            .trialAllowed = [this](const std::string& service, std::uint64_t part) {
+                if (const auto model = services.modelService(service))
+                    model->handleEvent(PartTrialAllowed { part }); },
+        };
+        blockedPartsWriter = std::make_shared<BlockedPartsWriter>(threads, *adapter.store, adapter.directory.blockedPartsKind, log, std::move(callbacks));
+        context.updateBlockedPart = [this](const std::string& service, const UpdateBlockedPart& change) { blockedPartsWriter->update(service, change); };
+    }
+
     auto startRoleBalancer() -> void
     {
         RoleBalancerSettings balancerSettings { .leaseKind = adapter.directory.leaseKind, .minOrderInterval = settings.minOrderInterval };
@@ -295,6 +317,7 @@
     ForwardApi api;
     std::shared_ptr<LoadExchange> loadExchange;
     std::shared_ptr<StoreDirectory> directory;
+    std::shared_ptr<BlockedPartsWriter> blockedPartsWriter;
     std::shared_ptr<RoleBalancer> roleBalancer;
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> readinessServer;
--- a/src/ServiceMetrics.h
+++ b/src/ServiceMetrics.h
@@ -24,6 +24,8 @@
     std::atomic<std::uint64_t> crashSuspects { 0 };
     /// Crash signatures that this instance has identified.
     std::atomic<std::uint64_t> blockedSignatures { 0 };
+    /// Prompt parts that this instance has found to crash backend servers.
+    std::atomic<std::uint64_t> blockedParts { 0 };
     std::atomic<std::uint64_t> resumed { 0 };
     std::atomic<std::uint64_t> replayed { 0 };
     std::atomic<std::uint64_t> tokens { 0 };
--- a/src/ServiceTable.cpp
+++ b/src/ServiceTable.cpp
@@ -37,6 +37,8 @@
     if (m_context.backendProtocol.load)
         model.monitor = std::make_shared<EngineMonitor>(m_context, model.service, m_shouldReclaimFor);
     model.service->updateInstanceCount(m_instanceCount);
+    if (const auto blocked = m_blockedParts.find(service.name); blocked != m_blockedParts.end())
+        model.service->handleEvent(BlockedPartsListed { blocked->second });
     model.service->start();
     m_modelServices.emplace(service.name, std::move(model));
 }
@@ -124,6 +126,20 @@
         service->handleCrashSuspect(suspect);
 }
 
+auto ServiceTable::handlePromptReport(const PromptReport& report) -> void
+{
+    if (const auto service = modelService(report.service))
+        service->handlePromptReport(report);
+}
+
+auto ServiceTable::updateBlockedParts(const std::string& service, std::vector<ListedPart> parts) -> void
+{
+    const std::lock_guard guard(m_lock);
+    if (const auto found = m_modelServices.find(service); found != m_modelServices.end())
+        found->second.service->handleEvent(BlockedPartsListed { parts });
+    m_blockedParts[service] = std::move(parts);
+}
+
 auto ServiceTable::startDraining() -> void
 {
     for (const auto& service : modelServices())
--- a/src/ServiceTable.h
+++ b/src/ServiceTable.h
@@ -29,6 +29,9 @@
     auto updatePeerUsage(std::span<const BackendUsage> usages) -> void;
     auto handleCrashSignature(std::uint64_t signature) -> void;
     auto handleCrashSuspect(const CrashSuspect& suspect) -> void;
+    auto handlePromptReport(const PromptReport& report) -> void;
+    /// Replaces the list of blocked prompt parts of a service, which may not be known yet.
+    auto updateBlockedParts(const std::string& service, std::vector<ListedPart> parts) -> void;
     /// Makes the shards refuse requests that have not started.
     auto startDraining() -> void;
     auto stop() -> void;
@@ -65,6 +68,8 @@
     std::map<std::string, Model, std::less<>> m_modelServices;
     std::map<std::string, std::shared_ptr<PlainService>, std::less<>> m_plainServices;
     std::vector<BackendServer> m_backends;
+    /// The last lists of blocked prompt parts, by service.
+    std::map<std::string, std::vector<ListedPart>> m_blockedParts;
     /// 0 while it is not known.
     std::uint32_t m_instanceCount = 0;
 };
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -4,6 +4,7 @@
 #include "DecisionContext.h"
 #include "Dispatch.h"
 #include "LoadReports.h"
+#include "PromptPartBlocking.h"
 #include "ReplicaEvents.h"
 #include "ReplicaIndex.h"
 #include "RequestEvents.h"
@@ -59,7 +60,7 @@
 auto scheduleWake(DecisionContext& context) -> void
 {
     auto& state = context.state;
-    const auto next = std::min(state.timers.next(), nextStartDelayEnd(state.crashHistory, context.now));
+    const auto next = std::min({ state.timers.next(), nextStartDelayEnd(state.crashHistory, context.now), state.partCrashes.decideAt });
     // An early wake-up does no harm, so a new one is requested only if none is due in time.
     const auto pending = state.scheduledWake > context.now ? state.scheduledWake : TimePoint::max();
     if (next >= pending)
@@ -90,6 +91,7 @@
     std::visit([&](const auto& message) { handle(context, message); }, event);
     runTimers(context);
     blockBlamedSignatures(context);
+    refuseCrashingParts(context);
     dispatch(context);
     scheduleWake(context);
 }
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -11,6 +11,7 @@
 #include "OfferedLoad.h"
 #include "PlacementIndex.h"
 #include "PrefixCacheView.h"
+#include "PromptPartCrashes.h"
 #include "Replica.h"
 #include "RequestQueue.h"
 #include "RetryBudget.h"
@@ -58,6 +59,7 @@
     /// Signatures of requests that crash engines, with the times until which they are refused.
     std::unordered_map<std::uint64_t, TimePoint> blockedSignatures;
     CrashHistoryTable crashHistory;
+    PromptPartCrashes partCrashes;
     /// Replicas that recently lost connections, and when.
     std::vector<std::pair<ReplicaId, TimePoint>> disconnectedReplicas;
     RetryBudget retryBudget { modelRetryLimits, modelRetryLimits.capacity };
--- /dev/null
+++ b/src/SoundPartsReported.h
@@ -0,0 +1,14 @@
+#pragma once
+
+/// Event: a peer has recently answered requests with these parts of a prompt.
+
+#include <cstdint>
+#include <vector>
+
+namespace jayhold {
+
+struct SoundPartsReported {
+    std::vector<std::uint64_t> parts;
+};
+
+}
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -16,10 +16,15 @@
 
 namespace {
 
-/// Maximum duration of a watch in percent of the maximum propagation delay. When the store drops its
+/// Maximum duration of a watch of configuration and backend servers in percent of the maximum propagation
+/// delay. When the store drops its
 /// history, a waiting watch misses the dropped changes and gets an error only on its next call. The rest
 /// of the delay is for that call and a new list.
 constexpr int maxWatchPercent = 60;
+/// The same for the lists of blocked prompt parts. Peers report the crashes as well, so the lists are the
+/// second way in which an instance learns of a blocked part.
+constexpr int maxBlockedPartsWatchPercent = 150;
+constexpr std::size_t blockedPartsWatchers = 1;
 constexpr int wholePercent = 100;
 /// Mean duration of a watch in percent of its maximum. With jitter, watches last from a third of the maximum
 /// to all of it, so that instances don't call at the same time.
@@ -86,7 +91,9 @@
 auto StoreDirectory::start() -> void
 {
     const auto self = shared_from_this();
+    const auto maxWatch = m_settings.maxPropagationDelay * maxWatchPercent / wholePercent;
     auto configuration = std::make_shared<KindWatch>();
+    configuration->maxWatch = maxWatch;
     configuration->kind = m_format.configurationKind;
     configuration->applyList = [this](const ItemList& list) { std::ranges::for_each(list.items, [this](const StoredItem& item) { updateConfiguration(item); }); };
     configuration->applyChange = [this](const ItemChange& change) {
@@ -95,9 +102,22 @@
     };
     auto backends = std::make_shared<KindWatch>();
     backends->kind = m_format.backendKind;
+    backends->maxWatch = maxWatch;
     backends->applyList = [this](const ItemList& list) { replaceBackends(list); };
     backends->applyChange = [this](const ItemChange& change) { updateBackend(change); };
     m_kindWatches = { configuration, backends };
+    if (!m_format.blockedPartsKind.empty()) {
+        auto blockedParts = std::make_shared<KindWatch>();
+        blockedParts->kind = m_format.blockedPartsKind;
+        blockedParts->maxWatch = m_settings.maxPropagationDelay * maxBlockedPartsWatchPercent / wholePercent;
+        blockedParts->watchers = blockedPartsWatchers;
+        blockedParts->applyList = [this](const ItemList& list) { replaceBlockedParts(list); };
+        blockedParts->applyChange = [this](const ItemChange& change) {
+            m_blockedPartsServices.insert(change.item.name);
+            m_callbacks.blockedParts(change.item.name, change.isDeleted ? std::vector<ListedPart>() : blockedPartsFromJson(change.item.value));
+        };
+        m_kindWatches.push_back(blockedParts);
+    }
     const auto executor = m_threads.context(0).get_executor();
     for (const auto& kindWatch : m_kindWatches)
         spawnSupervised(
@@ -161,7 +181,7 @@
     if (kindWatch.revision == 0)
         co_return co_await readList(kindWatch, false);
     const auto afterRevision = kindWatch.lastChange;
-    const auto meanDuration = m_settings.maxPropagationDelay * maxWatchPercent / wholePercent * meanWatchPercent / wholePercent;
+    const auto meanDuration = kindWatch.maxWatch * meanWatchPercent / wholePercent;
     auto result = co_await m_store.watch(m_threads.client(0), kindWatch.kind, kindWatch.revision, jitteredDelay(meanDuration));
     if (result.has_error()) {
         // Changes may have been lost with the response. Only a list is certain to contain them all.
@@ -317,6 +337,18 @@
     publishBackends();
 }
 
+auto StoreDirectory::replaceBlockedParts(const ItemList& list) -> void
+{
+    auto removed = std::exchange(m_blockedPartsServices, {});
+    for (const auto& item : list.items) {
+        removed.erase(item.name);
+        m_blockedPartsServices.insert(item.name);
+        m_callbacks.blockedParts(item.name, blockedPartsFromJson(item.value));
+    }
+    for (const auto& service : removed)
+        m_callbacks.blockedParts(service, {});
+}
+
 auto StoreDirectory::publishBackends() -> void
 {
     auto next = servers(m_directory);
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -5,6 +5,7 @@
 /// the last known state stays in use.
 
 #include "BackendDirectory.h"
+#include "BlockedParts.h"
 #include "Configuration.h"
 #include "DirectoryUpdate.h"
 #include "EventLog.h"
@@ -18,6 +19,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace jayhold {
@@ -29,6 +31,8 @@
     std::string backendKind;
     std::string instanceKind;
     std::string leaseKind;
+    /// Kind of the lists of blocked prompt parts, one object for each service; empty if there are none.
+    std::string blockedPartsKind;
     /// @return the configuration, or nothing if the object is not a configuration.
     std::function<std::optional<Configuration>(const StoredItem&)> readConfiguration;
     /// @return the backend server, or nothing if the object does not describe one.
@@ -52,6 +56,8 @@
     std::function<void(std::uint32_t)> instanceCount;
     /// Receives the addresses of the live instances that have one.
     std::function<void(std::vector<PeerAddress>)> peers;
+    /// Receives the list of blocked prompt parts of a service.
+    std::function<void(const std::string& service, std::vector<ListedPart>)> blockedParts = [](const std::string&, std::vector<ListedPart>) {};
     /// Receives the time since when the store has been unavailable, or nothing while it is available.
     std::function<void(std::optional<TimePoint>)> onStoreAvailability = [](std::optional<TimePoint>) {};
     /// Changes of a watched kind have been applied up to a revision, from a list, a watch or an update.
@@ -96,6 +102,10 @@
         /// Applies a complete list.
         std::function<void(const ItemList&)> applyList;
         std::function<void(const ItemChange&)> applyChange;
+        /// Maximum duration of a watch.
+        Duration maxWatch {};
+        /// Number of watchers of the zone that watch the kind, if not all of them do.
+        std::optional<std::size_t> watchers {};
         /// Revision at which the next watch starts, or 0 if the list has to be read.
         std::int64_t revision = 0;
         /// Revision of the last known change. After a list it is the revision of the list, because the last
@@ -131,6 +141,7 @@
     auto updateConfiguration(const StoredItem& item) -> void;
     auto replaceBackends(const ItemList& list) -> void;
     auto updateBackend(const ItemChange& change) -> void;
+    auto replaceBlockedParts(const ItemList& list) -> void;
     auto publishBackends() -> void;
     auto logBackendChanges(const std::vector<BackendServer>& next) -> void;
 
@@ -144,6 +155,8 @@
     std::int64_t m_version = 0;
     BackendDirectory m_directory;
     std::vector<BackendServer> m_published;
+    /// Services with a list of blocked prompt parts.
+    std::set<std::string> m_blockedPartsServices;
     InstanceCount m_instances;
     /// The number of live instances that was last published, or 0 before the first list. Without a list it
     /// does not fall, because instances that this one can't see may still be running.
--- a/src/StoreDirectoryUpdates.cpp
+++ b/src/StoreDirectoryUpdates.cpp
@@ -24,7 +24,9 @@
 
 auto StoreDirectory::reliesOnWatchers(const KindWatch& kindWatch) const -> bool
 {
-    return kindWatch.revision != 0 && !m_election.isWatching;
+    if (kindWatch.revision == 0)
+        return false;
+    return !m_election.isWatching || (kindWatch.watchers && precedingWatchers(m_election) >= *kindWatch.watchers);
 }
 
 auto StoreDirectory::handleDirectoryUpdate(const DirectoryUpdate& update) -> void
--- /dev/null
+++ b/src/UpdateBlockedPart.h
@@ -0,0 +1,18 @@
+#pragma once
+
+/// Action: change the list of blocked prompt parts that all instances share.
+
+#include "BlockedPartChange.h"
+
+#include <cstdint>
+
+namespace jayhold {
+
+struct UpdateBlockedPart {
+    std::uint64_t part;
+    BlockedPartChange change;
+    /// Number of trials on which a BeginTrial change is based.
+    std::uint32_t trials = 0;
+};
+
+}
--- a/src/WatcherElection.cpp
+++ b/src/WatcherElection.cpp
@@ -31,12 +31,17 @@
 /// If there are too many watchers, those whose names sort first remain.
 auto shouldStepDown(const WatcherElection& election) -> bool
 {
-    const auto precedingWatchers = std::ranges::count_if(election.watchers, [&](const auto& watcher) { return watcher.first < election.instance; });
-    return static_cast<std::size_t>(precedingWatchers) >= election.settings.watchersPerZone;
+    return precedingWatchers(election) >= election.settings.watchersPerZone;
 }
 
 }
 
+auto precedingWatchers(const WatcherElection& election) -> std::size_t
+{
+    const auto count = std::ranges::count_if(election.watchers, [&](const auto& watcher) { return watcher.first < election.instance; });
+    return static_cast<std::size_t>(count);
+}
+
 auto updateWatcher(WatcherElection& election, TimePoint now, const std::string& instance, bool isConnected) -> void
 {
     if (isConnected)
--- a/src/WatcherElection.h
+++ b/src/WatcherElection.h
@@ -41,6 +41,9 @@
 /// Handles another instance's report of whether its watches are connected.
 auto updateWatcher(WatcherElection& election, TimePoint now, const std::string& instance, bool isConnected) -> void;
 
+/// @return the number of watchers whose names sort before this instance's.
+auto precedingWatchers(const WatcherElection& election) -> std::size_t;
+
 /// Decides whether this instance is a watcher now.
 /// @return whether the decision has changed.
 auto updateElection(WatcherElection& election, TimePoint now) -> bool;
--- /dev/null
+++ b/test/correctness/BlockedPartsTest.cpp
@@ -0,0 +1,146 @@
+#include "BlockedPartsWriter.h"
+#include "Pause.h"
+
+#include <boost/json/parse.hpp>
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+using namespace jayhold;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+/// A store with one object that can be unavailable and lose replies.
+class OneObjectStore final : public ObjectStore {
+public:
+    auto list(HttpClient&, std::string, ReadMode) -> asio::awaitable<StoreResult<ItemList>> override { co_return ItemList {}; }
+    auto watch(HttpClient&, std::string, std::int64_t, Duration) -> asio::awaitable<StoreResult<ItemChanges>> override { co_return ItemChanges {}; }
+    auto read(HttpClient&, std::string, std::string) -> asio::awaitable<StoreResult<StoredObject>> override
+    {
+        co_await pause(1ms);
+        if (isDown)
+            co_return StoreError { StoreErrorKind::Unavailable, "down" };
+        co_return object();
+    }
+    auto update(HttpClient&, std::string, std::string, json::value value, std::int64_t expectedRevision) -> asio::awaitable<StoreResult<UpdateOutcome>> override
+    {
+        co_await pause(1ms);
+        if (isDown)
+            co_return StoreError { StoreErrorKind::Unavailable, "down" };
+        const std::lock_guard guard(m_lock);
+        if (m_object.revision != expectedRevision)
+            co_return UpdateOutcome(UpdateConflict { m_object });
+        m_object = { expectedRevision + 1, std::move(value) };
+        if (losesReplies)
+            co_return StoreError { StoreErrorKind::OutcomeUnknown, "lost" };
+        co_return UpdateOutcome(UpdateApplied { m_object.revision });
+    }
+    auto put(HttpClient&, std::string, std::string, json::value) -> asio::awaitable<StoreResult<std::int64_t>> override { co_return std::int64_t { 1 }; }
+    auto counts() const -> StoreCallCounts override { return {}; }
+
+    auto object() const -> StoredObject
+    {
+        const std::lock_guard guard(m_lock);
+        return m_object;
+    }
+    auto parts() const -> std::vector<ListedPart> { return blockedPartsFromJson(object().value); }
+
+    std::atomic<bool> isDown { false };
+    std::atomic<bool> losesReplies { false };
+
+private:
+    mutable std::mutex m_lock;
+    StoredObject m_object;
+};
+
+/// Instances that write to one store.
+struct Writers {
+    explicit Writers(std::size_t count)
+    {
+        for (std::size_t index = 0; index < count; ++index) {
+            BlockedPartsCallbacks callbacks { [this](std::int64_t) { ++written; }, [this](const std::string&, std::uint64_t) { ++trials; } };
+            writers.push_back(std::make_shared<BlockedPartsWriter>(threads, store, "parts", log, std::move(callbacks)));
+        }
+    }
+    ~Writers() { threads.stop(); }
+    Writers(const Writers&) = delete;
+    auto operator=(const Writers&) -> Writers& = delete;
+
+    auto update(const UpdateBlockedPart& change) -> void
+    {
+        for (const auto& writer : writers)
+            writer->update("service", change);
+    }
+
+    OneObjectStore store;
+    EventLog log { "edge-1", 16 };
+    IoThreads threads { 1 };
+    std::atomic<int> written { 0 };
+    std::atomic<int> trials { 0 };
+    std::vector<std::shared_ptr<BlockedPartsWriter>> writers;
+};
+
+/// Longer than the random delay of the first attempt and some retries.
+constexpr auto settleTime = 700ms;
+
+}
+
+// Guards against lists that lose an entry in their JSON form or are spoilt by an entry of another writer.
+TEST_CASE("lists of blocked parts survive their conversion to JSON")
+{
+    const std::vector<ListedPart> parts { { 0xffffffffffffffff, 2 }, { 7, 0 } };
+    CHECK(blockedPartsFromJson(blockedPartsToJson(parts)) == parts);
+    CHECK(blockedPartsFromJson(json::parse(R"({"parts":[5,{"part":"x","trials":0},{"part":"9","trials":-1},{"part":"8","trials":1}]})")) == std::vector<ListedPart> { { 8, 1 } });
+    CHECK(blockedPartsFromJson(json::parse(R"("text")")).empty());
+    CHECK(blockedPartsFromJson({}).empty());
+}
+
+// Guards against writers that overwrite each other's entries, and against a write for each instance.
+TEST_CASE("several writers add, keep and remove entries")
+{
+    Writers writers(5);
+    writers.update({ 7, BlockedPartChange::Add });
+    writers.update({ 8, BlockedPartChange::Add });
+    std::this_thread::sleep_for(settleTime);
+    CHECK(writers.store.parts().size() == 2);
+    CHECK(writers.written == 2);
+    writers.update({ 7, BlockedPartChange::Remove });
+    std::this_thread::sleep_for(settleTime);
+    CHECK(writers.store.parts() == std::vector<ListedPart> { { 8 } });
+}
+
+// Guards against a block that is lost because the store was unavailable when it was found.
+TEST_CASE("a change is written when the store is available again")
+{
+    Writers writers(1);
+    writers.store.isDown = true;
+    writers.update({ 7, BlockedPartChange::Add });
+    std::this_thread::sleep_for(settleTime);
+    CHECK(writers.store.parts().empty());
+    writers.store.isDown = false;
+    std::this_thread::sleep_for(settleTime);
+    CHECK(writers.store.parts() == std::vector<ListedPart> { { 7 } });
+}
+
+// Guards against several instances that try a blocked part, which each can cost an engine.
+TEST_CASE("one instance gets the permission for a trial")
+{
+    Writers writers(5);
+    writers.update({ 7, BlockedPartChange::Add });
+    std::this_thread::sleep_for(settleTime);
+    writers.update({ 7, BlockedPartChange::BeginTrial, 0 });
+    std::this_thread::sleep_for(settleTime);
+    CHECK(writers.trials == 1);
+    CHECK(writers.store.parts() == std::vector<ListedPart> { { 7, 1 } });
+    // A trial that may have been counted is not made.
+    writers.store.losesReplies = true;
+    writers.update({ 7, BlockedPartChange::BeginTrial, 1 });
+    std::this_thread::sleep_for(settleTime);
+    CHECK(writers.trials == 1);
+    CHECK(writers.store.parts() == std::vector<ListedPart> { { 7, 2 } });
+}
--- a/test/correctness/CrashFleet.cpp
+++ b/test/correctness/CrashFleet.cpp
@@ -22,6 +22,9 @@
 constexpr std::uint64_t crashingPart = 13;
 constexpr double soundShareOfFirstPart = 0.1;
 constexpr Duration messageDelay = 5ms;
+/// Delay of a write to the shared list, and interval at which an instance that gets no messages reads it.
+constexpr Duration writeDelay = 200ms;
+constexpr Duration readInterval = 2s;
 
 }
 
@@ -117,6 +120,7 @@
         for (std::size_t index = 0; index < m_instances.size(); ++index)
             advance(index);
         advanceEngines();
+        readList();
     }
 }
 
@@ -196,7 +200,7 @@
 
 auto CrashFleet::crash(std::uint32_t engine) -> void
 {
-    if (++crashes == boundCrashes)
+    if (++crashes == m_settings.boundCrashes)
         m_boundAt = m_now + stableTime;
     m_engines[engine].isDown = true;
     m_engines[engine].backAt = m_now + downTime;
@@ -245,10 +249,50 @@
             broadcast(index, CrashSignatureReported { signature->signature });
         } else if (const auto* crashed = std::get_if<ReportCrash>(&action)) {
             broadcast(index, CrashReported { crashed->signature, crashed->replica, index % 2 == 0 });
+        } else if (const auto* prompt = std::get_if<ReportCrashedPrompt>(&action)) {
+            broadcast(index, CrashedPromptReported { prompt->prompt });
+        } else if (const auto* sound = std::get_if<ReportSoundParts>(&action)) {
+            broadcast(index, SoundPartsReported { sound->parts });
+        } else if (const auto* update = std::get_if<UpdateBlockedPart>(&action)) {
+            scheduleWrite(index, *update);
         }
     }
 }
 
+auto CrashFleet::scheduleWrite(std::size_t writer, const UpdateBlockedPart& update) -> void
+{
+    m_scheduled.emplace(m_now + writeDelay, [this, writer, update] {
+        if (m_now < m_instances[writer]->cutFromStoreUntil)
+            scheduleWrite(writer, update);
+        else
+            write(update);
+    });
+}
+
+auto CrashFleet::write(const UpdateBlockedPart& update) -> void
+{
+    const auto known = std::ranges::find(m_listed, update.part, &ListedPart::part);
+    if (update.change == BlockedPartChange::Add && known == m_listed.end())
+        m_listed.push_back({ update.part });
+    else if (update.change == BlockedPartChange::Remove && known != m_listed.end())
+        m_listed.erase(known);
+    else
+        return;
+    ++m_listRevision;
+}
+
+auto CrashFleet::readList() -> void
+{
+    for (std::size_t index = 0; index < m_instances.size(); ++index) {
+        auto& instance = *m_instances[index];
+        if (m_now < instance.nextRead || m_now < instance.cutFromStoreUntil || instance.readRevision == m_listRevision)
+            continue;
+        instance.readRevision = m_listRevision;
+        instance.nextRead = m_now + readInterval;
+        send(index, BlockedPartsListed { m_listed });
+    }
+}
+
 auto CrashFleet::broadcast(std::size_t sender, const DecisionEvent& event) -> void
 {
     for (std::size_t receiver = 0; receiver < m_instances.size(); ++receiver) {
--- a/test/correctness/CrashFleet.h
+++ b/test/correctness/CrashFleet.h
@@ -25,6 +25,8 @@
     /// Fraction of the requests that have the crashing part.
     double crashingShare = 0.15;
     double messageLoss = 0;
+    /// Crashes after which the limit holds.
+    std::size_t boundCrashes = 5;
     Duration length = std::chrono::seconds(40);
 };
 
@@ -33,8 +35,6 @@
     static constexpr TimePoint start { std::chrono::seconds(1'000) };
     /// Time for which an instance must have been undisturbed to be bound by the limit.
     static constexpr Duration stableTime = std::chrono::seconds(3);
-    /// Crashes after which the limit holds.
-    static constexpr std::size_t boundCrashes = 5;
 
     explicit CrashFleet(CrashFleetSettings settings);
 
@@ -42,7 +42,7 @@
 
     /// Replaces an instance by a new process that knows nothing.
     auto restart(std::size_t instance) -> void;
-    /// Cuts an instance off from the other instances.
+    /// Cuts an instance off from the other instances. It is bound meanwhile, because it reaches the store.
     auto cutFromPeers(std::size_t instance, Duration time) -> void;
     /// Cuts an instance off from the shared list.
     auto cutFromStore(std::size_t instance, Duration time) -> void;
@@ -77,6 +77,8 @@
         TimePoint undisturbedSince = start;
         TimePoint cutFromPeersUntil = start;
         TimePoint cutFromStoreUntil = start;
+        std::uint64_t readRevision = 0;
+        TimePoint nextRead = start;
     };
     struct Message {
         TimePoint arrivesAt;
@@ -100,6 +102,10 @@
     auto advance(std::size_t index) -> void;
     auto send(std::size_t index, const DecisionEvent& event) -> void;
     auto countCall(const Instance& instance, const Request& request) -> void;
+    auto scheduleWrite(std::size_t writer, const UpdateBlockedPart& update) -> void;
+    auto write(const UpdateBlockedPart& update) -> void;
+    /// Passes the shared list to the instances that reach it and have not read its current revision.
+    auto readList() -> void;
     auto broadcast(std::size_t sender, const DecisionEvent& event) -> void;
     auto isPastBound(Duration margin) const -> bool { return m_boundAt && m_now >= *m_boundAt + margin; }
 
@@ -110,6 +116,9 @@
     std::vector<Engine> m_engines;
     std::deque<Message> m_messages;
     std::multimap<TimePoint, std::function<void()>> m_scheduled;
+    /// The list of blocked parts in the store.
+    std::vector<ListedPart> m_listed;
+    std::uint64_t m_listRevision = 1;
     std::uint64_t m_lastRequest = 0;
     std::uint64_t m_lastProcess = 0;
     /// When the limit begins to hold.
--- a/test/correctness/LoadExchangeTest.cpp
+++ b/test/correctness/LoadExchangeTest.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+const PromptReport crashedPrompt { "service", "edge-1", ~0ULL, false, { ~1ULL, 3, { 7, ~2ULL } } };
+
 struct Instance {
     explicit Instance(const std::string& name)
         : log(name, 16)
@@ -23,6 +25,7 @@
             .onRevision = [](const std::string&, std::int64_t) {},
             .onCrashSignature = [this](std::uint64_t signature) { signatures += signature == ~0ULL ? 1 : 100; },
             .onCrashSuspect = [this](const CrashSuspect& suspect) { suspects += suspect == CrashSuspect { 55, "engine-3", "run-2", "edge-1" } ? 1 : 100; },
+            .onPromptReport = [this](const PromptReport& report) { promptReports += report == crashedPrompt ? 1 : 100; },
             .onBackendsChangingRole = [](const std::vector<std::string>&) {},
         };
         exchange = std::make_shared<LoadExchange>(threads, LoadExchangeSettings { { "127.0.0.1", 0 }, name, "run", "alpine" }, log, std::move(callbacks));
@@ -36,6 +39,7 @@
     IoThreads threads { 1 };
     std::atomic<int> signatures { 0 };
     std::atomic<int> suspects { 0 };
+    std::atomic<int> promptReports { 0 };
     std::shared_ptr<LoadExchange> exchange;
 };
 
@@ -55,13 +59,16 @@
     addPeer(first, second);
     first.exchange->reportCrashSuspect({ 55, "engine-3", "run-2", "edge-1" });
     first.exchange->reportCrashSignature(~0ULL);
+    first.exchange->reportPrompt(crashedPrompt);
     const auto deadline = monotonicNow() + 80ms;
-    while ((second.suspects == 0 || second.signatures == 0) && monotonicNow() < deadline)
+    while ((second.suspects == 0 || second.signatures == 0 || second.promptReports == 0) && monotonicNow() < deadline)
         std::this_thread::sleep_for(1ms);
     CHECK(second.suspects == 1);
     CHECK(second.signatures == 1);
+    CHECK(second.promptReports == 1);
     std::this_thread::sleep_for(600ms);
     CHECK(second.suspects == 1);
     CHECK(second.signatures == 1);
+    CHECK(second.promptReports == 1);
     CHECK(first.suspects == 0);
 }
--- /dev/null
+++ b/test/correctness/PromptPartCrashesTest.cpp
@@ -0,0 +1,156 @@
+#include "PromptPartCrashes.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jayhold;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Parts = std::vector<std::uint64_t>;
+
+constexpr TimePoint start { 1'000s };
+/// By then the peers' reports of a crash have arrived.
+constexpr Duration settled = 1s;
+
+/// Lets a request crash an engine process of its own.
+auto crash(PromptPartCrashes& state, TimePoint now, std::uint64_t request, const Parts& parts) -> Parts
+{
+    addCrashedPrompt(state, now, { .process = 1'000 + static_cast<std::uint64_t>(state.crashes.size()), .signature = request, .parts = parts });
+    return blockCrashingParts(state, now + settled);
+}
+
+auto blockedState(std::uint64_t part, bool isListed) -> PromptPartCrashes
+{
+    PromptPartCrashes state;
+    crash(state, start, 1, { part });
+    crash(state, start + 1s, 2, { part });
+    if (isListed)
+        applyListedParts(state, start + 2s, std::vector<ListedPart> { { part } });
+    return state;
+}
+
+}
+
+// Guards against blaming what crashing requests share with sound ones instead of the part that is the cause.
+TEST_CASE("the deepest part that was at the crashes of two requests is blocked")
+{
+    PromptPartCrashes state;
+    CHECK(crash(state, start, 1, { 7, 13, 21 }).empty());
+    CHECK(crash(state, start + 5min, 2, { 7, 13, 22 }) == Parts { 13 });
+    CHECK(hasBlockedPart(state, Parts { 5, 13 }));
+    CHECK_FALSE(hasBlockedPart(state, Parts { 7, 21 }));
+    // The crashes are explained, and a further one does not make their other parts suspicious.
+    CHECK(crash(state, start + 6min, 3, { 7, 13, 23 }).empty());
+    CHECK(crash(state, start + 7min, 4, { 7 }).empty());
+}
+
+// Guards against blocking the parts of a request that crashes engines by itself, or of requests that ran
+// beside a crash.
+TEST_CASE("one request or one crash does not block a part")
+{
+    PromptPartCrashes state;
+    crash(state, start, 1, { 7 });
+    CHECK(crash(state, start + 1s, 1, { 7 }).empty());
+    PromptPartCrashes beside;
+    addCrashedPrompt(beside, start, { .process = 1, .signature = 1, .parts = { 7 } });
+    addCrashedPrompt(beside, start, { .process = 1, .signature = 2, .parts = { 7 } });
+    CHECK(blockCrashingParts(beside, start + settled).empty());
+}
+
+// Guards against a decision before the peers could report that a part is sound.
+TEST_CASE("a part is blocked only after the reports of the peers can have arrived")
+{
+    PromptPartCrashes state;
+    crash(state, start, 1, { 7 });
+    addCrashedPrompt(state, start + 1s, { .process = 2, .signature = 2, .parts = { 7 } });
+    CHECK(blockCrashingParts(state, start + 1s).empty());
+    CHECK(blockCrashingParts(state, state.decideAt) == Parts { 7 });
+}
+
+// Guards against refusing sound requests because engines crashed for other reasons while they ran, and
+// against a part that is never blocked because it was sound long ago.
+TEST_CASE("a part that was recently sound is not blocked")
+{
+    PromptPartCrashes state;
+    recordSoundParts(state, start, Parts { 7 }, true);
+    CHECK(ownSoundParts(state, start + 1s, Parts { 6, 7 }) == Parts { 7 });
+    crash(state, start + 1s, 1, { 7 });
+    CHECK(crash(state, start + 2s, 2, { 7 }).empty());
+    crash(state, start + 10min, 3, { 7 });
+    CHECK(crash(state, start + 11min, 4, { 7 }) == Parts { 7 });
+}
+
+TEST_CASE("a part that turns out to be sound is not blocked any more")
+{
+    auto state = blockedState(7, true);
+    REQUIRE(hasBlockedPart(state, Parts { 7 }));
+    CHECK(recordSoundParts(state, start + 3s, Parts { 7 }, false) == Parts { 7 });
+    CHECK_FALSE(hasBlockedPart(state, Parts { 7 }));
+    // What a peer reports is not reported again, so that it can't circulate.
+    CHECK(ownSoundParts(state, start + 3s, Parts { 7 }).empty());
+    CHECK(applyListedParts(state, start + 4s, std::vector<ListedPart> { { 7 } }).empty());
+    CHECK(hasBlockedPart(state, Parts { 7 }));
+}
+
+// Guards against an instance that blocks a part although its own requests with the part are answered.
+TEST_CASE("an instance objects to a listed part that it knows to be sound")
+{
+    PromptPartCrashes state;
+    recordSoundParts(state, start, Parts { 7 }, true);
+    CHECK(applyListedParts(state, start + 1s, std::vector<ListedPart> { { 7 }, { 8 } }) == Parts { 7 });
+    CHECK_FALSE(hasBlockedPart(state, Parts { 7 }));
+    CHECK(hasBlockedPart(state, Parts { 8 }));
+}
+
+// Guards against blocks that never end: neither when operators remove the entry, nor without a list.
+TEST_CASE("a block ends with its entry, or after some time if it has none")
+{
+    auto listed = blockedState(7, true);
+    blockCrashingParts(listed, start + 1h);
+    CHECK(hasBlockedPart(listed, Parts { 7 }));
+    applyListedParts(listed, start + 2h, {});
+    CHECK_FALSE(hasBlockedPart(listed, Parts { 7 }));
+    auto unlisted = blockedState(7, false);
+    applyListedParts(unlisted, start + 2s, {});
+    CHECK(hasBlockedPart(unlisted, Parts { 7 }));
+    blockCrashingParts(unlisted, start + 1h);
+    CHECK_FALSE(hasBlockedPart(unlisted, Parts { 7 }));
+}
+
+// Guards against instances that each try a blocked part again, and against a part that is never tried.
+TEST_CASE("a listed part is tried again a few times, each after a long time")
+{
+    auto state = blockedState(7, true);
+    auto now = start + 2s;
+    CHECK_FALSE(dueTrial(state, now + 1min, Parts { 7 }));
+    for (std::uint32_t trials = 0; trials < 3; ++trials) {
+        now += 11min;
+        CHECK(dueTrial(state, now, Parts { 7 }) == ListedPart { 7, trials });
+        CHECK_FALSE(dueTrial(state, now + 1s, Parts { 7 }));
+        CHECK_FALSE(tryBeginTrial(state, now, Parts { 7 }));
+        allowTrial(state, now, 7);
+        CHECK(tryBeginTrial(state, now + 1s, Parts { 6, 7 }));
+        CHECK_FALSE(tryBeginTrial(state, now + 1s, Parts { 7 }));
+        applyListedParts(state, now, std::vector<ListedPart> { { 7, trials + 1 } });
+    }
+    CHECK_FALSE(dueTrial(state, now + 1h, Parts { 7 }));
+    // A permission that was not used in time is void.
+    allowTrial(state, now, 7);
+    CHECK_FALSE(tryBeginTrial(state, now + 1h, Parts { 7 }));
+}
+
+// Guards against memory that grows with the parts that callers choose.
+TEST_CASE("the state is bounded")
+{
+    PromptPartCrashes state;
+    for (std::uint64_t number = 0; number < 20'000; ++number) {
+        recordSoundParts(state, start, Parts { number }, true);
+        addCrashedPrompt(state, start, { .process = number, .signature = number, .parts = { number } });
+        addCrashedPrompt(state, start, { .process = 1, .signature = number, .parts = { number } });
+    }
+    CHECK(state.soundParts.size() + state.olderSoundParts.size() <= 4'096);
+    CHECK(state.crashes.size() <= 64);
+    for (const auto& crash : state.crashes)
+        CHECK(crash.prompts.size() <= 32);
+}
--- a/test/correctness/StoreDirectoryTest.cpp
+++ b/test/correctness/StoreDirectoryTest.cpp
@@ -17,7 +17,7 @@
 /// A store whose watches suspend several times, as real calls do.
 class SteppingStore final : public ObjectStore {
 public:
-    auto list(HttpClient&, std::string, ReadMode) -> asio::awaitable<StoreResult<ItemList>> override
+    auto list(HttpClient&, std::string kind, ReadMode) -> asio::awaitable<StoreResult<ItemList>> override
     {
         ++lists;
         if (throws.exchange(false))
@@ -28,6 +28,8 @@
         result.items.push_back({ "newest", itemRevision, nullptr });
         if (listsServer)
             result.items.push_back({ "server", 1, nullptr });
+        if (kind == "blocked" && listsBlockedParts)
+            result.items.push_back({ "service", 1, blockedPartsToJson(std::vector<ListedPart> { { 7, 1 } }) });
         result.revision = ++m_revision;
         co_return result;
     }
@@ -56,6 +58,8 @@
     std::atomic<bool> dropsHistory { false };
     /// Whether lists contain the object of a backend server.
     std::atomic<bool> listsServer { true };
+    /// Whether lists contain blocked prompt parts.
+    std::atomic<bool> listsBlockedParts { true };
     /// Revision of the newest object in a list.
     std::atomic<std::int64_t> itemRevision { 2 };
 
@@ -66,7 +70,7 @@
 struct Fixture {
     Fixture()
     {
-        DirectoryFormat format { .configurationKind = "config", .configurationName = "main", .backendKind = "servers", .instanceKind = "instances", .leaseKind = "leases" };
+        DirectoryFormat format { .configurationKind = "config", .configurationName = "main", .backendKind = "servers", .instanceKind = "instances", .leaseKind = "leases", .blockedPartsKind = "blocked" };
         format.readConfiguration = [](const StoredItem&) { return std::nullopt; };
         format.readBackend = [](const StoredItem& item) { return item.name == "server" ? std::optional(BackendServer { .id = "server" }) : std::nullopt; };
         DirectoryCallbacks callbacks {
@@ -74,6 +78,9 @@
             .backends = [](const std::vector<BackendServer>&) {},
             .instanceCount = [](std::uint32_t) {},
             .peers = [](const std::vector<PeerAddress>&) {},
+            .blockedParts = [this](const std::string& service, const std::vector<ListedPart>& parts) {
+                if (service == "service")
+                    blockedParts = parts.size(); },
             .changed = [this](const std::string&, std::int64_t revision) { reportedRevision = std::max(reportedRevision.load(), revision); },
         };
         directory = std::make_shared<StoreDirectory>(threads, store, std::move(format), DirectorySettings { .instance = "edge-1", .availabilityZone = "alpine" }, log, std::move(callbacks));
@@ -95,6 +102,8 @@
     SteppingStore store;
     /// Highest revision that was reported to the peers.
     std::atomic<std::int64_t> reportedRevision { 0 };
+    /// Number of blocked parts in the last list of the service.
+    std::atomic<std::size_t> blockedParts { 0 };
     EventLog log { "edge-1", 16 };
     IoThreads threads { 1 };
     std::shared_ptr<StoreDirectory> directory;
@@ -152,3 +161,16 @@
     std::this_thread::sleep_for(100ms);
     CHECK(fixture.reportedRevision > 2);
 }
+
+// Guards against blocked parts of prompts that an instance does not read, or blocks for ever after operators
+// have removed the list.
+TEST_CASE("the lists of blocked prompt parts are read, and removed lists are empty")
+{
+    Fixture fixture;
+    std::this_thread::sleep_for(50ms);
+    CHECK(fixture.blockedParts == 1);
+    fixture.store.listsBlockedParts = false;
+    fixture.store.dropsHistory = true;
+    std::this_thread::sleep_for(100ms);
+    CHECK(fixture.blockedParts == 0);
+}
