--- a/bench/EntryInstance.h
+++ b/bench/EntryInstance.h
@@ -82,9 +82,9 @@
     auto execute(const ReportCrashSignature& action) -> void;
     auto execute(const ReportCrash& action) -> void;
     // Prompts of the bench have no parts.
-    static auto execute(const ReportCrashedPrompt&) -> void { }
-    static auto execute(const ReportSoundParts&) -> void { }
-    static auto execute(const UpdateBlockedPart&) -> void { }
+    auto execute(const ReportCrashedPrompt&) -> void { }
+    auto execute(const ReportSoundParts&) -> void { }
+    auto execute(const UpdateBlockedPart&) -> void { }
     auto execute(const WakeAt& action) -> void;
 
     auto find(RequestId id) -> Active*;
--- a/src/BlockedPartsWriter.cpp
+++ b/src/BlockedPartsWriter.cpp
@@ -65,7 +65,8 @@
 
 auto BlockedPartsWriter::writeOnce(const Key& key, UpdateBlockedPart change) -> asio::awaitable<std::optional<Duration>>
 {
-    const auto& [service, part] = key;
+    const auto& service = key.first;
+    const auto part = key.second;
     // The list that was read last may lack a recent entry, so it saves only the calls of additions.
     if (change.change == BlockedPartChange::Add && !changeBlockedParts(m_listed[service], part, change.change, change.trials))
         co_return std::nullopt;
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -57,7 +57,7 @@
     /// Receives the addresses of the live instances that have one.
     std::function<void(std::vector<PeerAddress>)> peers;
     /// Receives the list of blocked prompt parts of a service.
-    std::function<void(const std::string& service, std::vector<ListedPart>)> blockedParts = [](const std::string&, std::vector<ListedPart>) {};
+    std::function<void(const std::string& service, std::vector<ListedPart>)> blockedParts = [](const std::string&, const std::vector<ListedPart>&) {};
     /// Receives the time since when the store has been unavailable, or nothing while it is available.
     std::function<void(std::optional<TimePoint>)> onStoreAvailability = [](std::optional<TimePoint>) {};
     /// Changes of a watched kind have been applied up to a revision, from a list, a watch or an update.
