--- a/src/BackendProtocol.h
+++ b/src/BackendProtocol.h
@@ -56,6 +56,9 @@
     /// @param timeout limit for the complete response to arrive.
     auto(*plainCall)(HttpClient& client, BackendServer server, const PlainCallInfo& call, Duration timeout) -> boost::asio::awaitable<HttpResult<HttpResponse>>;
     auto(*classifyResponse)(const PlainCallInfo& call, const HttpResponse& response) -> ResponseClass;
+    /// @return the calls a second that the server takes from all instances together, if the headers of its
+    /// response name a limit.
+    auto(*namedLimit)(const std::vector<HttpHeader>& headers) -> std::optional<double>;
 };
 
 /// @return the protocol of jayhold's own engine interface and of plain services.
--- a/src/EngineCall.h
+++ b/src/EngineCall.h
@@ -40,6 +40,8 @@
     /// Asked before the call is sent again because a reused connection had closed. A call that is sent
     /// again takes a retry from the budget.
     std::function<bool()> mayResend = [] { return false; };
+    /// Receives the headers of the engine's response, whatever its status.
+    std::function<void(const std::vector<HttpHeader>&)> onResponse = [](const std::vector<HttpHeader>&) {};
     /// Time to live of a prefill result, if the engine's response does not state it.
     Duration prefillResultTtl {};
 };
--- a/src/EngineClient.cpp
+++ b/src/EngineClient.cpp
@@ -41,6 +41,7 @@
     const auto stream = co_await client.open(std::move(server.endpoint), std::move(request), timeout);
     if (stream.has_error())
         co_return engineErrorOf(stream.error());
+    call.onResponse((*stream)->headers());
     if ((*stream)->status() != 200)
         co_return engineErrorOf((*stream)->status());
     const auto body = co_await readBody(**stream, timeout);
@@ -58,6 +59,7 @@
     const auto stream = co_await client.open(std::move(server.endpoint), std::move(request), timeout);
     if (stream.has_error())
         co_return engineErrorOf(stream.error());
+    call.onResponse((*stream)->headers());
     if ((*stream)->status() != 200)
         co_return engineErrorOf((*stream)->status());
     co_return *stream;
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -373,6 +373,13 @@
     return call;
 }
 
+auto ModelRequest::observeLimit(EngineCall& call, const BackendServer& server) -> void
+{
+    call.onResponse = [this, server, sentAt = monotonicNow()](const std::vector<HttpHeader>& headers) {
+        m_context.recordLimit(server, sentAt, m_context.backendProtocol.namedLimit(headers));
+    };
+}
+
 auto ModelRequest::remainingMs() const -> std::int64_t
 {
     const auto remaining = std::max(m_info.deadline - monotonicNow(), Duration::zero());
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -60,6 +60,7 @@
     if (m_context.backendProtocol.reserveSlot)
         m_service->handleEvent(SlotReserved { m_id, m_attempt });
     call.deadlineMs = remainingMs();
+    observeLimit(call, replica.backend);
     auto result = co_await m_context.backendProtocol.prefill(m_exchange.client(), replica.backend, std::move(call), m_timeouts.prefill);
     countBackendCall(result);
     enqueue(PrefillEnded { task, std::move(result) });
@@ -82,6 +83,7 @@
     }
     const auto usesPrefill = call.kv.has_value();
     call.deadlineMs = remainingMs();
+    observeLimit(call, replica.backend);
     const auto stream = co_await m_context.backendProtocol.decode(m_exchange.client(), replica.backend, std::move(call), m_timeouts.firstToken);
     countBackendCall(stream);
     if (stream.has_error()) {
--- a/src/NativeProtocols.cpp
+++ b/src/NativeProtocols.cpp
@@ -1,4 +1,5 @@
 #include "BackendProtocol.h"
+#include "CallLimitFormat.h"
 #include "CallerProtocol.h"
 #include "EngineClient.h"
 #include "TokenEventReader.h"
@@ -38,6 +39,11 @@
     co_return response;
 }
 
+auto namedLimit(const std::vector<HttpHeader>& headers) -> std::optional<double>
+{
+    return parseCallLimit(findHeader(headers, "X-Calls-Per-Second"));
+}
+
 auto classifyResponse(const PlainCallInfo&, const HttpResponse& response) -> ResponseClass
 {
     if (response.status != 503)
@@ -77,6 +83,7 @@
         .indexRule = IndexRule::Contiguous,
         .plainCall = plainCall,
         .classifyResponse = classifyResponse,
+        .namedLimit = namedLimit,
     };
     return protocol;
 }
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -183,9 +183,15 @@
 
 auto PlainService::attemptOn(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call, Duration timeout) -> asio::awaitable<PlainAttempt>
 {
+    const auto sentAt = monotonicNow();
     auto result = co_await m_context.backendProtocol.plainCall(client, backend, call, timeout);
-    if (result.has_value())
-        co_return attemptFromResponse(backend, call, std::move(*result));
+    if (result.has_value()) {
+        const auto limit = m_context.backendProtocol.namedLimit(result->headers);
+        auto attempt = attemptFromResponse(backend, call, std::move(*result));
+        if (attempt.isRecognised)
+            m_context.recordLimit(backend, sentAt, limit);
+        co_return attempt;
+    }
     const auto& error = result.error();
     if (error.kind == HttpErrorKind::Cancelled)
         releaseCancelled(backend.id);
@@ -227,6 +233,7 @@
         attempt.isNotRun = true;
         break;
     case ResponseClass::Unrecognised:
+        attempt.isRecognised = false;
         attempt.detail = "the answer is not the backend server's";
         break;
     }
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -116,6 +116,7 @@
     {
         log.setMinimumLevel(settings.logLevel);
         context.runId = uniqueRunId();
+        context.recordLimit = [this](const BackendServer& server, TimePoint sentAt, std::optional<double> perSecond) { services.recordLimit(server, sentAt, perSecond); };
     }
 
     ~State()
--- a/src/ServiceTable.cpp
+++ b/src/ServiceTable.cpp
@@ -140,6 +140,14 @@
     m_blockedParts[service] = std::move(parts);
 }
 
+auto ServiceTable::recordLimit(const BackendServer& server, TimePoint sentAt, std::optional<double> perSecond) -> void
+{
+    const std::lock_guard guard(m_lock);
+    if (!jayhold::recordLimit(m_limits, { server.id, server.incarnation, perSecond, sentAt, monotonicNow() }))
+        return;
+    m_context.log.record(LogLevel::Info, perSecond ? "backend_limit_named" : "backend_limit_lifted", { { "backend", server.id }, { "per_second", perSecond.value_or(0) } });
+}
+
 auto ServiceTable::startDraining() -> void
 {
     for (const auto& service : modelServices())
@@ -204,6 +212,11 @@
     for (const auto& service : plainServices())
         samples.push_back({ "jayhold_plain_retries_left", "Retries of plain calls that the budget allows now.", service->retryBudget().remaining(), false, "service", service->name() });
     addRetrySamples(samples);
+    const std::lock_guard guard(m_lock);
+    for (const auto& [backend, observation] : m_limits.observations) {
+        if (observation.perSecond)
+            samples.push_back({ "jayhold_backend_limit", "Calls a second that a backend server takes from all instances together.", *observation.perSecond, false, "backend", backend });
+    }
 }
 
 auto ServiceTable::addRetrySamples(std::vector<Metrics::Sample>& samples) const -> void
--- a/src/ServiceTable.h
+++ b/src/ServiceTable.h
@@ -3,6 +3,7 @@
 /// The services of the active configuration at this instance. A request keeps the service and the
 /// configuration that it got on arrival, even if another configuration is activated later.
 
+#include "BackendLimits.h"
 #include "ConfigurationIndex.h"
 #include "EngineMonitor.h"
 #include "ModelService.h"
@@ -32,6 +33,9 @@
     auto handlePromptReport(const PromptReport& report) -> void;
     /// Replaces the list of blocked prompt parts of a service, which may not be known yet.
     auto updateBlockedParts(const std::string& service, std::vector<ListedPart> parts) -> void;
+    /// Records the limit that a response of a backend server names, or that it names none.
+    /// @param sentAt when the call was sent.
+    auto recordLimit(const BackendServer& server, TimePoint sentAt, std::optional<double> perSecond) -> void;
     /// Makes the shards refuse requests that have not started.
     auto startDraining() -> void;
     auto stop() -> void;
@@ -68,6 +72,7 @@
     std::map<std::string, Model, std::less<>> m_modelServices;
     std::map<std::string, std::shared_ptr<PlainService>, std::less<>> m_plainServices;
     std::vector<BackendServer> m_backends;
+    BackendLimits m_limits;
     /// The last lists of blocked prompt parts, by service.
     std::map<std::string, std::vector<ListedPart>> m_blockedParts;
     /// 0 while it is not known.
