Add a failing test for limits that backend servers name

Three instances before one plain server and one engine of each role, over loopback. On the current logic a plain server that takes 5 calls a second gets 1,151 in 4 s (35 allowed), engines that take 2 a second get 1,111 (17 allowed).

--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -14,3 +14,8 @@
 jayhold_test(retry_budget_test
   SOURCES test/correctness/FleetRetryTest.cpp test/correctness/ResendTest.cpp test/correctness/RetryBudgetTest.cpp
   LINK jayhold_platform)
+
+# A test of its own, because KNOWN-RED.txt lists whole tests.
+jayhold_test(named_limit_test
+  SOURCES test/correctness/NamedLimitTest.cpp test/FakeObjectStore.cpp
+  LINK jayhold_platform)
--- a/test/FakeObjectStore.cpp
+++ b/test/FakeObjectStore.cpp
@@ -252,6 +252,8 @@
     if (m_work.load() > Duration::zero())
         co_await pause(m_work);
     std::vector<HttpHeader> headers { { "Server-Seal", "seal-" + m_id }, { "Request-Id", headerValue(request, "Request-Id") } };
+    if (const auto limit = m_limit.load(); limit > 0)
+        headers.push_back({ "Server-Limit", std::to_string(limit) });
     if (headerValue(request, "Stage") == "prefill") {
         ++m_prefills;
         HttpResponse result { 200, headers, R"({"handleId":"h1","tokens":100,"version":1})" };
--- a/test/FakeObjectStore.h
+++ b/test/FakeObjectStore.h
@@ -94,6 +94,8 @@
     }
     /// @param time time that a slot reservation takes.
     auto setReservationTime(Duration time) -> void { m_reservationTime = time; }
+    /// @param perSecond limit that the server names in its responses; 0 if it names none.
+    auto setLimit(double perSecond) -> void { m_limit = perSecond; }
     /// Sets a callback that receives the identifier and stage of each request when it starts to run;
     /// must be called before the first request.
     auto onRun(std::function<void(const std::string&, const std::string&)> callback) -> void { m_onRun = std::move(callback); }
@@ -109,6 +111,7 @@
     std::atomic<Behaviour> m_behaviour;
     std::atomic<Duration> m_work { Duration::zero() };
     std::atomic<Duration> m_gap { Duration::zero() };
+    std::atomic<double> m_limit { 0 };
     std::atomic<Duration> m_reservationTime { Duration::zero() };
     std::function<void(const std::string&, const std::string&)> m_onRun = [](const std::string&, const std::string&) {};
     std::atomic<int> m_runs { 0 };
--- /dev/null
+++ b/test/correctness/NamedLimitTest.cpp
@@ -0,0 +1,174 @@
+#include "../FakeObjectStore.h"
+#include "../HttpTestServer.h"
+
+#include "Platform.h"
+#include "RouterDaemon.h"
+
+#include <boost/json/array.hpp>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <list>
+#include <thread>
+
+using namespace jayhold;
+using namespace std::chrono_literals;
+namespace json = boost::json;
+
+namespace {
+
+/// From this time after it first named its limit, a server is protected by it.
+constexpr Duration settlingTime = 3s;
+constexpr Duration window = 4s;
+constexpr std::size_t instanceCount = 3;
+
+/// @return the most calls that a server with the limit may get within the window.
+auto allowedCalls(double perSecond) -> double
+{
+    return 1.5 * perSecond * 4 + 5;
+}
+
+auto routeOf(const std::string& prefix, const std::string& service, const std::string& kind) -> json::object
+{
+    return { { "name", service }, { "host", "a.example" }, { "pathPrefix", prefix }, { "service", service }, { "kind", kind }, { "timeoutMs", 2'000 },
+        { "targetLatencyMs", 500 }, { "targetGapMs", 300 }, { "maxAttempts", 2 }, { "priority", 1 }, { "canResume", false }, { "sticky", kind == "streaming" } };
+}
+
+/// Several instances before one server of each kind, and callers that send more than the servers take.
+struct Fleet {
+    Fleet()
+    {
+        json::object engine { { "slots", 8 }, { "kvCapacity", 40'000 }, { "kvTokenBytes", 18'432 }, { "linkMbps", 1'000.0 }, { "stride", 11 }, { "kvHoldS", 0.5 }, { "holdMs", 2'000.0 } };
+        json::object configuration { { "version", 1 },
+            { "routes", json::array { routeOf("/read/", "ledger", "idempotent"), routeOf("/once/", "llm", "streaming") } },
+            { "services", json::array { json::object { { "name", "ledger" }, { "healthPath", "/health" } }, json::object { { "name", "llm" }, { "engine", std::move(engine) } } } },
+            { "limits", json::object { { "maxHeaderBytes", 8'192 }, { "maxBodyBytes", 10'000 }, { "headerTimeoutMs", 500 }, { "idleTimeoutMs", 5'000 } } } };
+        store.put("config", "main", std::move(configuration));
+        registerServer(plain, "ledger", {});
+        registerServer(prefill, "llm", "prefill");
+        registerServer(decode, "llm", "decode");
+        for (std::size_t index = 0; index < instanceCount; ++index)
+            start("entry-" + std::to_string(index + 1));
+    }
+    ~Fleet()
+    {
+        routers.clear();
+        threads.stop();
+    }
+    Fleet(const Fleet&) = delete;
+    auto operator=(const Fleet&) -> Fleet& = delete;
+
+    auto registerServer(const FakeBackendServer& server, const std::string& service, const std::string& phase) -> void
+    {
+        json::object entry { { "service", service }, { "address", toString(server.endpoint()) }, { "zone", "alpine" }, { "state", "ready" }, { "slots", 6 }, { "born", 1'700'000'000'000 } };
+        if (!phase.empty())
+            entry["phase"] = phase;
+        store.put("servers", server.id(), std::move(entry));
+    }
+
+    auto start(const std::string& name) -> void
+    {
+        platform::Settings settings;
+        settings.entry.instance = name;
+        settings.entry.availabilityZone = "alpine";
+        settings.entry.listen = { "127.0.0.1", 0 };
+        settings.entry.readinessListen = HttpEndpoint { "127.0.0.1", 0 };
+        settings.entry.loadListen = HttpEndpoint { "127.0.0.1", 0 };
+        settings.entry.logLevel = LogLevel::Error;
+        settings.availabilityZones = { { "alpine", "big-bend" } };
+        settings.store = store.endpoint();
+        settings.storeCallsPerSecond = 1'000;
+        settings.retry = { .ratio = 0.2, .burst = 50, .isShared = true, .countsRejections = true };
+        routers.emplace_back(settings.entry, platform::makePlatformAdapter(settings));
+    }
+
+    /// Sends calls to all instances for a time, one at a time to each.
+    auto load(const std::string& target, Duration time) -> void
+    {
+        std::vector<std::jthread> callers;
+        auto thread = std::size_t { 0 };
+        for (const auto& router : routers)
+            callers.emplace_back([this, &target, time, endpoint = router.endpoint(), index = thread++ % 2] { runCaller(target, time, endpoint, index); });
+    }
+
+    auto runCaller(const std::string& target, Duration time, const HttpEndpoint& endpoint, std::size_t thread) -> void
+    {
+        const auto end = monotonicNow() + time;
+        while (monotonicNow() < end) {
+            HttpRequest request { "POST", target, { { "Host", "a.example" }, { "Request-Id", "request-" + std::to_string(++requests) }, { "Deadline-Ms", "300" }, { "Model", "m" }, { "Token-Counts", "100,200" } }, "prompt" };
+            runOn(threads, thread, threads.client(thread).request(endpoint, std::move(request), 1s));
+            std::this_thread::sleep_for(10ms);
+        }
+    }
+
+    IoThreads threads { 2 };
+    FakeObjectStore store { threads };
+    FakeBackendServer plain { threads, "plain-1" };
+    FakeBackendServer prefill { threads, "prefill-1" };
+    FakeBackendServer decode { threads, "decode-1" };
+    std::list<RouterDaemon> routers;
+    std::atomic<int> requests { 0 };
+};
+
+/// The times at which a server started to run calls.
+struct RunTimes {
+    explicit RunTimes(FakeBackendServer& server)
+    {
+        server.onRun([this](const std::string&, const std::string&) {
+            const std::lock_guard guard(lock);
+            times.push_back(monotonicNow());
+        });
+    }
+
+    /// @return the most runs within the window that begin at the time or later.
+    auto mostInWindow(TimePoint from) -> std::size_t
+    {
+        const std::lock_guard guard(lock);
+        std::size_t most = 0;
+        for (auto first = std::ranges::lower_bound(times, from); first != times.end(); ++first)
+            most = std::max<std::size_t>(most, static_cast<std::size_t>(std::ranges::lower_bound(times, *first + window) - first));
+        return most;
+    }
+
+    std::mutex lock;
+    std::vector<TimePoint> times;
+};
+
+}
+
+// Guards against a plain server that gets more calls from all instances than the limit that it names.
+TEST_CASE("a plain server gets the calls that it takes from all instances together")
+{
+    constexpr double limit = 5;
+    Fleet fleet;
+    RunTimes runs(fleet.plain);
+    fleet.plain.setLimit(limit);
+    const auto start = monotonicNow();
+    fleet.load("/read/x", settlingTime + window + 1s);
+    CHECK(static_cast<double>(runs.mostInWindow(start + settlingTime)) <= allowedCalls(limit));
+    // The server is still used.
+    CHECK(static_cast<double>(runs.mostInWindow(start + settlingTime)) >= limit);
+    // When it names no limit any more, it gets all calls again.
+    fleet.plain.setLimit(0);
+    fleet.load("/read/x", 2s);
+    const auto before = fleet.plain.runs();
+    fleet.load("/read/x", 1s);
+    CHECK(fleet.plain.runs() - before > 3 * limit);
+}
+
+// Guards against an engine that gets more prefills or decodes from all instances than the limit that it
+// names.
+TEST_CASE("engines get the calls that they take from all instances together")
+{
+    constexpr double limit = 2;
+    Fleet fleet;
+    RunTimes prefills(fleet.prefill);
+    RunTimes decodes(fleet.decode);
+    fleet.prefill.setLimit(limit);
+    fleet.decode.setLimit(limit);
+    const auto start = monotonicNow();
+    fleet.load("/once/x", settlingTime + window + 1s);
+    CHECK(static_cast<double>(prefills.mostInWindow(start + settlingTime)) <= allowedCalls(limit));
+    CHECK(static_cast<double>(decodes.mostInWindow(start + settlingTime)) <= allowedCalls(limit));
+    CHECK(static_cast<double>(decodes.mostInWindow(start + settlingTime)) >= limit);
+}
