Keep the limits that backend servers name, over all instances

What callers saw: nothing; a backend server in need got as many calls as before it named its limit (up to 156 in 4 s where it bears 85, 12 where it bears 11).

Cause: no code read the limit. Class: a limit of the whole system without a holder of the right to use it, as for the retry budget.

Fix: each instance takes from an allowance for every decode and plain call to a server that names a limit, also for repeated prefills and calls that are sent again. The allowance is the instance's part of the limit (divideLimit): as many instances are entitled as may save up a call each without exceeding what the server bears, chosen by rendezvous hashing, so that a limit of one call a second before 61 instances is kept as well. Observations are shared in load messages; the newest one decides, so a limit ends with the first response that does not name it. What a server does not take goes to others, waits in the queue, or is refused with the time at which a call is possible.

--- a/src/BackendLimits.cpp
+++ b/src/BackendLimits.cpp
@@ -1,9 +1,31 @@
 #include "BackendLimits.h"
 
+#include "Rendezvous.h"
+
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace jayhold {
 
+namespace {
+
+/// Observations are reported for this time, in which several messages reach each peer.
+constexpr Duration reportTtl = std::chrono::seconds(3);
+
+constexpr Duration limitTtl = std::chrono::seconds(60);
+
+/// Calls beside the rate that the instances may save up: three quarters of those that a server bears within
+/// four seconds, which are twice its limit and five. The rest covers calls that were taken earlier and are
+/// sent later, and instances that divide the limit among other instances for a short time.
+constexpr double sparePerLimit = 1.5;
+constexpr double spareCalls = 3.5;
+
+/// A server that names a very low limit is still called from time to time, to learn when it ends.
+constexpr double minCallsPerSecond = 0.2;
+
+}
+
 auto recordLimit(BackendLimits& limits, LimitObservation observation) -> bool
 {
     const auto known = limits.observations.find(observation.backend);
@@ -29,4 +51,32 @@
     return known == limits.observations.end() || known->second.incarnation != incarnation ? std::nullopt : known->second.perSecond;
 }
 
+auto forgetOldLimits(BackendLimits& limits, TimePoint now) -> bool
+{
+    return std::erase_if(limits.observations, [&](const auto& entry) { return now - entry.second.observedAt >= limitTtl; }) > 0;
+}
+
+auto reportableLimits(const BackendLimits& limits, TimePoint now) -> std::vector<LimitReport>
+{
+    std::vector<LimitReport> reports;
+    for (const auto& [backend, observation] : limits.observations) {
+        if (observation.isOwn && now - observation.observedAt < reportTtl)
+            reports.push_back({ backend, observation.incarnation, observation.perSecond, std::chrono::duration_cast<Duration>(now - observation.observedAt) });
+    }
+    return reports;
+}
+
+auto divideLimit(double perSecond, std::string_view backend, std::string_view instance, std::span<const std::string> instances, bool isSettled) -> CallRate
+{
+    const auto rate = std::max(perSecond, minCallsPerSecond);
+    const auto spare = rate * sparePerLimit + spareCalls;
+    const auto entitledCount = std::min(static_cast<std::size_t>(std::max(std::floor(spare), 1.0)), instances.size());
+    const auto entitled = rendezvousOrder(backend, instances, entitledCount);
+    if (std::ranges::find(entitled, instance) == entitled.end())
+        return {};
+    const auto count = static_cast<double>(entitledCount);
+    const auto capacity = std::max(std::floor(spare / count), 1.0);
+    return { rate / count, capacity, isSettled ? capacity : 0 };
+}
+
 }
--- a/src/BackendLimits.h
+++ b/src/BackendLimits.h
@@ -3,11 +3,15 @@
 /// The limits that backend servers name: the calls a second that a server takes from all instances
 /// together. The newest observation of a server counts, and a new process of it has no limit.
 
+#include "CallRate.h"
 #include "Time.h"
 
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace jayhold {
 
@@ -20,6 +24,8 @@
     /// When the call was sent to which the server responded.
     TimePoint sentAt {};
     TimePoint observedAt {};
+    /// Whether a call of this instance got the response, not one of a peer.
+    bool isOwn = true;
 };
 
 struct BackendLimits {
@@ -32,6 +38,33 @@
 /// @return whether the limit of the server has changed.
 auto recordLimit(BackendLimits& limits, LimitObservation observation) -> bool;
 
+/// Forgets limits that no response has confirmed for a long time, so that an instance that is not entitled
+/// to calls learns whether the server still has a limit.
+/// @return whether any limit was forgotten.
+auto forgetOldLimits(BackendLimits& limits, TimePoint now) -> bool;
+
+/// A limit as instances report it to each other. Their clocks differ, so it carries its age.
+struct LimitReport {
+    std::string backend;
+    std::string incarnation;
+    /// Absent if the server names no limit any more.
+    std::optional<double> perSecond;
+    Duration age {};
+
+    auto operator==(const LimitReport&) const -> bool = default;
+};
+
+/// @return the observations of this instance that are recent enough to be reported.
+auto reportableLimits(const BackendLimits& limits, TimePoint now) -> std::vector<LimitReport>;
+
+/// Divides a limit among the instances. Only some of them are entitled to calls, so that the calls which
+/// they have saved up stay within what the server bears beside its rate.
+/// @param instances names of all instances.
+/// @param isSettled whether the instance has been running for some time, so that it replaces no other one in
+/// its part of the limit.
+/// @return the part of the instance.
+auto divideLimit(double perSecond, std::string_view backend, std::string_view instance, std::span<const std::string> instances, bool isSettled) -> CallRate;
+
 /// @return the limit that the process of the backend server has named, if it has one now.
 auto limitOf(const BackendLimits& limits, const std::string& backend, const std::string& incarnation) -> std::optional<double>;
 
--- /dev/null
+++ b/src/CallRate.h
@@ -0,0 +1,17 @@
+#pragma once
+
+/// The part of a backend server's limit that an instance may use.
+
+namespace jayhold {
+
+struct CallRate {
+    double perSecond = 0;
+    /// Calls that may be saved up.
+    double capacity = 0;
+    /// Calls that are there when the limit becomes known.
+    double initial = 0;
+
+    auto operator==(const CallRate&) const -> bool = default;
+};
+
+}
--- a/src/DecisionEvent.h
+++ b/src/DecisionEvent.h
@@ -16,6 +16,7 @@
 #include "PrefillDone.h"
 #include "PrefillFailed.h"
 #include "ReplicaChanged.h"
+#include "ReplicaLimited.h"
 #include "ReplicaLoad.h"
 #include "RequestArrived.h"
 #include "RequestCancelled.h"
@@ -41,6 +42,7 @@
     SlotReserved,
     SlotRefused,
     ReplicaChanged,
+    ReplicaLimited,
     ReplicaLoad,
     PeerUsage,
     CacheEvents,
--- a/src/EntryDaemonDrain.cpp
+++ b/src/EntryDaemonDrain.cpp
@@ -81,6 +81,11 @@
         // Members that this instance can't reach may still be running, so the number never falls.
         mostMembers = std::max(mostMembers, members.size());
         services->updateInstanceCount(static_cast<std::uint32_t>(mostMembers));
+        std::vector<std::string> names;
+        for (const auto& member : members)
+            names.push_back(member.id);
+        std::ranges::sort(names);
+        services->updateInstances(std::move(names));
         co_await pause(timer, memberInterval);
     }
 }
--- a/src/InstanceCount.cpp
+++ b/src/InstanceCount.cpp
@@ -1,6 +1,7 @@
 #include "InstanceCount.h"
 
 #include <algorithm>
+#include <set>
 
 namespace jayhold {
 
@@ -45,11 +46,23 @@
     return isNew;
 }
 
+auto liveInstanceNames(const InstanceCount& count, TimePoint now) -> std::vector<std::string>
+{
+    std::set<std::string> names;
+    for (const auto& [name, observation] : count.instances) {
+        if (isLive(count, name, now))
+            names.insert(name);
+    }
+    for (const auto& [name, heardAt] : count.heardAt) {
+        if (isHeard(count, name, now))
+            names.insert(name);
+    }
+    return { names.begin(), names.end() };
+}
+
 auto liveInstances(const InstanceCount& count, TimePoint now) -> std::uint32_t
 {
-    const auto listed = std::ranges::count_if(count.instances, [&](const auto& entry) { return isLive(count, entry.first, now); });
-    const auto heardOnly = std::ranges::count_if(count.heardAt, [&](const auto& heard) { return !count.instances.contains(heard.first) && isHeard(count, heard.first, now); });
-    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(listed + heardOnly));
+    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(liveInstanceNames(count, now).size()));
 }
 
 auto livePeers(const InstanceCount& count, TimePoint now) -> std::vector<PeerAddress>
--- a/src/InstanceCount.h
+++ b/src/InstanceCount.h
@@ -48,6 +48,9 @@
 /// @return whether the instance was not counted before.
 auto recordMessage(InstanceCount& count, TimePoint now, const std::string& name) -> bool;
 
+/// @return the names of the live instances, sorted.
+auto liveInstanceNames(const InstanceCount& count, TimePoint now) -> std::vector<std::string>;
+
 /// @return the number of live instances including this one, at least 1.
 auto liveInstances(const InstanceCount& count, TimePoint now) -> std::uint32_t;
 
--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -39,6 +39,14 @@
 /// Every instance of a zone gets its own copy, and the smallest machines have links of 10 Mbit/s.
 constexpr std::size_t maxDirectoryUpdateBytes = 16'384;
 
+/// @return whether the reports differ in nothing but their ages.
+auto sameLimits(std::span<const LimitReport> left, std::span<const LimitReport> right) -> bool
+{
+    return std::ranges::equal(left, right, [](const LimitReport& first, const LimitReport& second) {
+        return first.backend == second.backend && first.incarnation == second.incarnation && first.perSecond == second.perSecond;
+    });
+}
+
 }
 
 struct LoadExchange::State {
@@ -87,8 +95,9 @@
     /// Whether a message with crash reports is scheduled.
     bool crashMessageDue = false;
     std::uint64_t sequence = 0;
-    /// Usages in the last message that was sent.
+    /// Usages and limits in the last message that was sent.
     std::vector<BackendUsage> sentUsages;
+    std::vector<LimitReport> sentLimits;
     TimePoint sentAt {};
     std::array<char, maxDatagramBytes> buffer {};
     std::uint64_t unreadableDatagrams = 0;
@@ -159,13 +168,16 @@
 auto LoadExchange::sendIfDue(TimePoint now) -> void
 {
     auto& state = *m_state;
+    auto limits = state.callbacks.limitReports();
+    const auto hasNewLimits = !sameLimits(limits, state.sentLimits);
     auto usages = state.callbacks.ownUsage();
     std::ranges::sort(usages, {}, &BackendUsage::backend);
     auto backendsChangingRole = state.callbacks.backendsChangingRole();
     const auto hasCrashReports = !state.signatures.pending.empty() || !state.suspects.pending.empty() || !state.promptReports.pending.empty();
-    if (usages == state.sentUsages && backendsChangingRole.empty() && !state.hasNewRevisions && !hasCrashReports && now - state.sentAt < maxSilence)
+    if (usages == state.sentUsages && backendsChangingRole.empty() && !state.hasNewRevisions && !hasCrashReports && !hasNewLimits && now - state.sentAt < maxSilence)
         return;
     state.sentUsages = usages;
+    state.sentLimits = limits;
     state.sentAt = now;
     state.hasNewRevisions = false;
     const LoadMessage message {
@@ -174,6 +186,7 @@
         .sequence = ++state.sequence,
         .usages = std::move(usages),
         .backendsChangingRole = std::move(backendsChangingRole),
+        .limits = std::move(limits),
         .signatures = takeRumors(state.signatures, maxCrashReportsPerMessage),
         .suspects = takeRumors(state.suspects, maxCrashReportsPerMessage),
         .promptReports = takeRumors(state.promptReports, maxPromptReportsPerMessage),
@@ -295,10 +308,13 @@
     handleCrashReports(message);
     const auto backendsChangingRole = message.backendsChangingRole;
     const auto revisions = message.revisions;
+    const auto limits = message.limits;
     if (!applyMessage(state.loads, monotonicNow(), std::move(message)))
         return;
     for (const auto& [kind, revision] : revisions)
         state.callbacks.onRevision(kind, revision);
+    if (!limits.empty())
+        state.callbacks.onLimitReports(limits);
     if (!backendsChangingRole.empty())
         state.callbacks.onBackendsChangingRole(backendsChangingRole);
     state.callbacks.onPeerUsage(totalUsage(state.loads));
--- a/src/LoadExchange.h
+++ b/src/LoadExchange.h
@@ -25,6 +25,10 @@
     std::function<std::vector<BackendUsage>()> ownUsage;
     /// An instance has sent a load message.
     std::function<void(const std::string& instance)> onMessage = [](const std::string&) {};
+    /// @return the limits of backend servers that this instance has recently observed.
+    std::function<std::vector<LimitReport>()> limitReports = [] { return std::vector<LimitReport>(); };
+    /// Receives the limits that a peer has observed.
+    std::function<void(const std::vector<LimitReport>&)> onLimitReports = [](const std::vector<LimitReport>&) {};
     /// Receives the sum of the peers' reservations.
     std::function<void(const std::vector<BackendUsage>&)> onPeerUsage;
     /// @return backend servers that this instance has recently ordered to change their role.
--- a/src/LoadMessage.cpp
+++ b/src/LoadMessage.cpp
@@ -20,6 +20,31 @@
     return !code;
 }
 
+auto toJson(const LimitReport& report) -> json::value
+{
+    const auto ageMs = std::chrono::duration_cast<std::chrono::milliseconds>(report.age).count();
+    return json::array { report.backend, report.incarnation, report.perSecond ? json::value(*report.perSecond) : json::value(), ageMs };
+}
+
+auto readLimit(const json::value& value) -> std::optional<LimitReport>
+{
+    constexpr std::size_t fieldCount = 4;
+    const auto* fields = value.if_array();
+    if (!fields || fields->size() != fieldCount || !(*fields)[0].is_string() || !(*fields)[1].is_string())
+        return std::nullopt;
+    LimitReport report;
+    report.backend = (*fields)[0].get_string();
+    report.incarnation = (*fields)[1].get_string();
+    boost::system::error_code code;
+    if (!(*fields)[2].is_null())
+        report.perSecond = (*fields)[2].to_number<double>(code);
+    if (code || (report.perSecond && *report.perSecond < 0))
+        return std::nullopt;
+    const auto ageMs = (*fields)[3].to_number<std::uint32_t>(code);
+    report.age = std::chrono::milliseconds(ageMs);
+    return code ? std::nullopt : std::optional(std::move(report));
+}
+
 auto readUsage(const json::value& value) -> std::optional<BackendUsage>
 {
     const auto* fields = value.if_array();
@@ -50,6 +75,12 @@
         { "changing", json::array(message.backendsChangingRole.begin(), message.backendsChangingRole.end()) },
         { "revisions", std::move(revisions) },
     };
+    if (!message.limits.empty()) {
+        json::array limits;
+        for (const auto& report : message.limits)
+            limits.push_back(toJson(report));
+        object["limits"] = std::move(limits);
+    }
     if (!message.signatures.empty())
         object["signatures"] = json::array(message.signatures.begin(), message.signatures.end());
     if (!message.suspects.empty()) {
@@ -87,6 +118,11 @@
         if (element.is_string())
             message.backendsChangingRole.emplace_back(element.get_string());
     }
+    const auto* limits = arrayField(*object, "limits");
+    for (const auto& element : limits ? *limits : json::array()) {
+        if (auto report = readLimit(element))
+            message.limits.push_back(std::move(*report));
+    }
     const auto* signatures = arrayField(*object, "signatures");
     for (const auto& element : signatures ? *signatures : json::array()) {
         boost::system::error_code code;
--- a/src/LoadMessage.h
+++ b/src/LoadMessage.h
@@ -2,6 +2,7 @@
 
 /// The message in which an entry instance reports its reservations to its peers.
 
+#include "BackendLimits.h"
 #include "BackendUsage.h"
 #include "CrashSuspect.h"
 #include "PromptReport.h"
@@ -24,6 +25,8 @@
     std::vector<BackendUsage> usages;
     /// Backend servers that the instance has recently ordered to change their role.
     std::vector<std::string> backendsChangingRole;
+    /// Limits of backend servers that the instance has recently observed.
+    std::vector<LimitReport> limits;
     /// Signatures of requests that crash backend servers.
     std::vector<std::uint64_t> signatures;
     /// Requests that were in flight on backend servers that crashed.
--- a/src/ModelRequestLog.cpp
+++ b/src/ModelRequestLog.cpp
@@ -1,6 +1,7 @@
 #include "ModelRequest.h"
 
 #include "HexadecimalList.h"
+#include "ModelRequestTasks.h"
 
 namespace jayhold {
 
@@ -16,7 +17,7 @@
 
 auto ModelRequest::tryConsumeResend() -> bool
 {
-    if (!m_service->tryConsumeRetry())
+    if (!m_service->tryConsumeRetry(m_tasks->replica))
         return false;
     m_service->metrics().resentCalls.fetch_add(1, std::memory_order_relaxed);
     record(LogLevel::Info, "call_resent");
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -6,6 +6,7 @@
 
 #include "ActionReceiver.h"
 #include "BackendUsage.h"
+#include "CallRates.h"
 #include "ConfigurationIndex.h"
 #include "CrashSuspect.h"
 #include "DecisionEvent.h"
@@ -48,6 +49,8 @@
     auto updateConfiguration(const ConfigurationIndex& index, const Service& service) -> void;
     /// Replaces the list of backend servers; those of other services are ignored.
     auto updateBackends(std::span<const BackendServer> backends) -> void;
+    /// Limits the calls to the backend servers. Those without a rate are not limited.
+    auto updateRates(const CallRates& rates) -> void;
     /// @param instanceCount number of entry instances that place requests on the same replicas, including
     /// this one.
     auto updateInstanceCount(std::uint32_t instanceCount) -> void;
@@ -94,9 +97,9 @@
     auto replica(ReplicaId replica) const -> std::optional<ReplicaStatus>;
     auto replicas() const -> std::vector<ReplicaStatus>;
     auto summary() const -> ShardSummary;
-    /// Takes a retry from the budget for a call that the shard has not started.
-    /// @return false if the budget is exhausted.
-    auto tryConsumeRetry() -> bool;
+    /// Takes a retry from the budget for a call to the replica that the shard has not started.
+    /// @return false if the budget is exhausted, or the replica takes no further call now.
+    auto tryConsumeRetry(ReplicaId replica) -> bool;
     /// @return a copy of the retry budget's state.
     auto retryBudget() const -> RetryBudget;
 
--- a/src/ModelServiceReplicas.cpp
+++ b/src/ModelServiceReplicas.cpp
@@ -33,6 +33,17 @@
     send(std::move(outbox));
 }
 
+auto ModelService::updateRates(const CallRates& rates) -> void
+{
+    Outbox outbox;
+    {
+        const std::lock_guard guard(m_lock);
+        for (const auto& [id, status] : m_replicas)
+            decideLocked(ReplicaLimited { id, rateOf(rates, status.backend.id, status.backend.incarnation) }, outbox);
+    }
+    send(std::move(outbox));
+}
+
 auto ModelService::upsertReplicaLocked(const BackendServer& backend, const Pool& pool, Outbox& outbox) -> ReplicaId
 {
     const auto known = m_replicaIds.find(backend.id);
@@ -204,10 +215,10 @@
     return summarize(m_shard);
 }
 
-auto ModelService::tryConsumeRetry() -> bool
+auto ModelService::tryConsumeRetry(ReplicaId replica) -> bool
 {
     const std::lock_guard guard(m_lock);
-    return jayhold::tryConsumeRetry(m_shard);
+    return jayhold::tryConsumeRetry(m_shard, monotonicNow(), replica);
 }
 
 auto ModelService::retryBudget() const -> RetryBudget
--- a/src/NativeProtocols.cpp
+++ b/src/NativeProtocols.cpp
@@ -34,7 +34,7 @@
     // Only calls that may be executed more than once use idle connections, which the server may close
     // while a call is sent.
     options.mayReuse = call.kind.repeatable;
-    options.mayResend = call.mayResend;
+    options.mayResend = [&call, server] { return call.mayResend(server); };
     auto response = co_await client.request(std::move(server.endpoint), std::move(request), std::move(options));
     co_return response;
 }
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -81,6 +81,8 @@
 
 auto prefillFits(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> bool
 {
+    if (replica.allowance && isLimitedCall(request, replica) && !replica.allowance->hasCall(context.now))
+        return false;
     return hasFreeMemoryBlocks(replica, memoryBlocksFor(replica, request.arrival.promptTokens)) && linkHasCapacity(replica, transferBytes(context.state, request));
 }
 
@@ -124,6 +126,9 @@
         replica = findReplica(context.state, *ending->decode);
         if (!replica || replica->description.state != ReplicaState::Live)
             return false;
+        // Its limit may not allow for the decode when the slot is free, and the prefill would be wasted.
+        if (replica->allowance)
+            return false;
         // The memory must be free now, because the ending request may be a small one.
         return hasFreeMemoryBlocks(*replica, decodeReservation(context, request, *replica).memoryBlocks);
     });
--- a/src/PlainBackend.h
+++ b/src/PlainBackend.h
@@ -3,9 +3,11 @@
 /// A backend server of a plain service, and its health as this instance observes it.
 
 #include "BackendServer.h"
+#include "CallAllowance.h"
 #include "Time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace jayhold {
 
@@ -14,6 +16,8 @@
     bool isLocal = false;
     std::uint32_t slots = 1;
     std::uint32_t inFlight = 0;
+    /// The calls that this instance may send, if the server has named a limit.
+    std::optional<CallAllowance> allowance {};
     std::uint32_t consecutiveFailures = 0;
     /// End of the ejection. Until then the server gets no calls; afterwards a single call probes it.
     TimePoint ejectedUntil {};
--- a/src/PlainBalancer.cpp
+++ b/src/PlainBalancer.cpp
@@ -15,6 +15,8 @@
 {
     if (backend.server.state != ReplicaState::Live || backend.inFlight >= backend.slots)
         return false;
+    if (backend.allowance && !backend.allowance->hasCall(now))
+        return false;
     return !isEjected(backend) || (now >= backend.ejectedUntil && backend.inFlight == 0);
 }
 
@@ -44,12 +46,43 @@
         // A server at another address is another process, whose health is unknown.
         if (known->server.endpoint != backend.server.endpoint)
             continue;
+        if (known->server.incarnation == backend.server.incarnation)
+            backend.allowance = known->allowance;
         backend.consecutiveFailures = known->consecutiveFailures;
         backend.ejectedUntil = known->ejectedUntil;
     }
     m_backends = std::move(backends);
 }
 
+auto PlainBalancer::updateRates(TimePoint now, const CallRates& rates) -> void
+{
+    for (auto& backend : m_backends) {
+        const auto rate = rateOf(rates, backend.server.id, backend.server.incarnation);
+        if (!rate)
+            backend.allowance.reset();
+        else if (backend.allowance)
+            backend.allowance->updateRate(*rate, now);
+        else
+            backend.allowance.emplace(*rate, now);
+    }
+}
+
+auto PlainBalancer::tryTakeCall(TimePoint now, std::string_view id) -> bool
+{
+    auto* backend = find(id);
+    return backend && (!backend->allowance || backend->allowance->tryTake(now));
+}
+
+auto PlainBalancer::nextCallAt(TimePoint now) const -> TimePoint
+{
+    auto next = TimePoint::max();
+    for (const auto& backend : m_backends) {
+        if (backend.allowance && backend.server.state == ReplicaState::Live && backend.inFlight < backend.slots)
+            next = std::min(next, backend.allowance->nextCallAt(now));
+    }
+    return next;
+}
+
 auto PlainBalancer::acquire(TimePoint now, std::span<const std::string> excluded) -> std::optional<BackendServer>
 {
     PlainBackend* best = nullptr;
@@ -64,6 +97,8 @@
     }
     if (!best)
         return std::nullopt;
+    if (best->allowance)
+        best->allowance->tryTake(now);
     ++best->inFlight;
     return best->server;
 }
--- a/src/PlainBalancer.h
+++ b/src/PlainBalancer.h
@@ -4,6 +4,7 @@
 /// preferably in the instance's own availability zone. Servers that fail repeatedly are ejected for a
 /// limited time and readmitted after a single successful probe. It uses no clock, socket or lock.
 
+#include "CallRates.h"
 #include "PlainBackend.h"
 
 #include <optional>
@@ -23,6 +24,17 @@
     /// their health if the address is the same.
     auto update(std::vector<PlainBackend> backends) -> void;
 
+    /// Limits the calls to the servers. Those without a rate are not limited.
+    auto updateRates(TimePoint now, const CallRates& rates) -> void;
+
+    /// Takes a call to a server that is sent again, which acquire() has chosen before.
+    /// @return whether the server takes a further call now.
+    auto tryTakeCall(TimePoint now, std::string_view id) -> bool;
+
+    /// @return when a server that only its limit keeps from being chosen can be chosen again, or
+    /// TimePoint::max() if there is none.
+    auto nextCallAt(TimePoint now) const -> TimePoint;
+
     /// Chooses a backend server and takes one of its slots.
     /// @param excluded ids of the servers that this call has tried.
     /// @return the server, or std::nullopt if none is available.
--- a/src/PlainCallInfo.h
+++ b/src/PlainCallInfo.h
@@ -2,6 +2,7 @@
 
 /// A validated call to a plain service.
 
+#include "BackendServer.h"
 #include "HttpRequest.h"
 #include "RequestKind.h"
 #include "Time.h"
@@ -24,7 +25,7 @@
     TimePoint deadline {};
     /// Asked before the call is sent again because a reused connection had closed. A call that is sent
     /// again takes a retry from the budget.
-    std::function<bool()> mayResend = [] { return false; };
+    std::function<bool(const BackendServer&)> mayResend = [](const BackendServer&) { return false; };
 };
 
 }
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -91,6 +91,12 @@
     m_balancer.update(std::move(list));
 }
 
+auto PlainService::updateRates(const CallRates& rates) -> void
+{
+    const std::lock_guard guard(m_lock);
+    m_balancer.updateRates(monotonicNow(), rates);
+}
+
 auto PlainService::backends() const -> std::vector<PlainBackend>
 {
     const std::lock_guard guard(m_lock);
@@ -106,7 +112,7 @@
         const std::lock_guard guard(m_lock);
         m_budget.recordRequest();
     }
-    call.mayResend = [this, &call] { return tryConsumeResend(call); };
+    call.mayResend = [this, &call](const BackendServer& server) { return tryConsumeResend(call, server); };
     if (call.kind.repeatable || !call.kind.recorded)
         co_await serveUnrecorded(exchange, call);
     else
@@ -201,10 +207,13 @@
     co_return PlainAttempt { .isNotRun = isNotSent, .reachedBackend = !isNotSent, .hasTimedOut = error.kind == HttpErrorKind::TimedOut, .detail = std::string(jayhold::name(error.kind)) + ": " + error.detail };
 }
 
-auto PlainService::tryConsumeResend(const PlainCallInfo& call) -> bool
+auto PlainService::tryConsumeResend(const PlainCallInfo& call, const BackendServer& server) -> bool
 {
-    if (!call.kind.repeatable || !tryConsumeRetry())
-        return false;
+    {
+        const std::lock_guard guard(m_lock);
+        if (!call.kind.repeatable || !m_balancer.tryTakeCall(monotonicNow(), server.id) || !m_budget.tryConsume())
+            return false;
+    }
     m_metrics->resentCalls.fetch_add(1, std::memory_order_relaxed);
     record(LogLevel::Info, call, "call_resent");
     return true;
@@ -302,7 +311,16 @@
     const auto outcome = attempt.isNotRun ? ExecutionOutcome::NotRun : ExecutionOutcome::Unknown;
     if (attempt.hasTimedOut && monotonicNow() >= call.deadline)
         return { 504, std::string(jayhold::name(RefusalReason::DeadlineExceeded)), "no backend server answered in time: " + attempt.detail, outcome };
-    return { 503, "no_backend", "no backend server answered: " + attempt.detail, outcome, jitteredDelay(retryDelay) };
+    return { 503, "no_backend", "no backend server answered: " + attempt.detail, outcome, retryDelayOfCall() };
+}
+
+auto PlainService::retryDelayOfCall() const -> Duration
+{
+    const auto delay = jitteredDelay(retryDelay);
+    const std::lock_guard guard(m_lock);
+    const auto now = monotonicNow();
+    const auto next = m_balancer.nextCallAt(now);
+    return next == TimePoint::max() ? delay : std::max(delay, std::chrono::duration_cast<Duration>(next - now));
 }
 
 auto PlainService::respond(HttpExchange& exchange, const PlainCallInfo& call, HttpResponse response) -> asio::awaitable<void>
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -34,6 +34,8 @@
     auto updateConfiguration(const Service& service) -> void;
     /// Replaces the list of backend servers; those of other services are ignored.
     auto updateBackends(std::span<const BackendServer> backends) -> void;
+    /// Limits the calls to the backend servers. Those without a rate are not limited.
+    auto updateRates(const CallRates& rates) -> void;
     /// @return a copy of the retry budget's state.
     auto retryBudget() const -> RetryBudget;
     auto updateInstanceCount(std::uint32_t instanceCount) -> void;
@@ -62,8 +64,8 @@
     auto mayTryAgain(const PlainCallInfo& call, const CallState& state, const PlainAttempt& last, bool isRepeatable) -> bool;
     /// Takes a retry from the budget for a call that would be sent again because a reused connection had
     /// closed.
-    /// @return whether the call may be repeated and the budget allows it.
-    auto tryConsumeResend(const PlainCallInfo& call) -> bool;
+    /// @return whether the call may be repeated, and the budget and the server's limit allow it.
+    auto tryConsumeResend(const PlainCallInfo& call, const BackendServer& server) -> bool;
     auto attemptTimeout(const PlainCallInfo& call, const CallState& state, bool isRepeatable) const -> Duration;
     /// Serves a call without a record. It is executed at most once per request, unless its kind is
     /// repeatable.
@@ -72,6 +74,8 @@
     auto runRecorded(HttpExchange& exchange, const PlainCallInfo& call, std::string key, std::string attemptId) -> boost::asio::awaitable<void>;
     auto respond(HttpExchange& exchange, const PlainCallInfo& call, HttpResponse response) -> boost::asio::awaitable<void>;
     auto refuse(HttpExchange& exchange, const PlainCallInfo& call, ApiError error) -> boost::asio::awaitable<void>;
+    /// @return the time after which a call that no server takes now can be sent again.
+    auto retryDelayOfCall() const -> Duration;
     auto noResponseError(const PlainCallInfo& call, const PlainAttempt& attempt) const -> ApiError;
 
     auto acquire(std::span<const std::string> excluded) -> std::optional<BackendServer>;
--- a/src/Replica.h
+++ b/src/Replica.h
@@ -3,6 +3,7 @@
 /// A backend server as the shard sees it: its capacity, the reservations of this shard and the
 /// estimated usage by peers.
 
+#include "CallAllowance.h"
 #include "EndedUsage.h"
 #include "Identifiers.h"
 #include "ReplicaChanged.h"
@@ -38,6 +39,9 @@
     std::optional<std::uint32_t> slotAllowance;
     TimePoint slotAllowanceUntil;
 
+    /// The calls that this instance may send, if the replica has named a limit.
+    std::optional<CallAllowance> allowance;
+
     /// The replica rejected work and gets none before this time.
     TimePoint busyUntil = TimePoint::min();
     std::uint32_t consecutiveFailures = 0;
--- a/src/ReplicaEvents.cpp
+++ b/src/ReplicaEvents.cpp
@@ -83,6 +83,20 @@
         removeReplica(context, *replica, previousState == ReplicaState::Live);
 }
 
+auto handle(DecisionContext& context, const ReplicaLimited& event) -> void
+{
+    auto* replica = findReplica(context.state, event.replica);
+    if (!replica)
+        return;
+    if (!event.rate)
+        replica->allowance.reset();
+    else if (replica->allowance)
+        replica->allowance->updateRate(*event.rate, context.now);
+    else
+        replica->allowance.emplace(*event.rate, context.now);
+    updateIndex(context, *replica);
+}
+
 auto handle(DecisionContext& context, const CacheEvents& event) -> void
 {
     if (findReplica(context.state, event.replica))
--- a/src/ReplicaEvents.h
+++ b/src/ReplicaEvents.h
@@ -5,10 +5,12 @@
 #include "CacheEvents.h"
 #include "DecisionContext.h"
 #include "ReplicaChanged.h"
+#include "ReplicaLimited.h"
 
 namespace jayhold {
 
 auto handle(DecisionContext& context, const ReplicaChanged& event) -> void;
+auto handle(DecisionContext& context, const ReplicaLimited& event) -> void;
 auto handle(DecisionContext& context, const CacheEvents& event) -> void;
 /// Handles the expiry of the replica's timer.
 auto handleReplicaTimer(DecisionContext& context, ReplicaId id) -> void;
--- a/src/ReplicaIndex.cpp
+++ b/src/ReplicaIndex.cpp
@@ -64,6 +64,8 @@
         if (time > now)
             next = std::min(next, time);
     }
+    if (const auto call = replica.allowance ? replica.allowance->nextCallAt(now) : now; call > now)
+        next = std::min(next, call);
     return replica.slotAllowance ? std::min(next, replica.slotAllowanceUntil) : next;
 }
 
@@ -89,6 +91,7 @@
         && replica.ejectedUntil <= now
         && replica.crashReportWaitUntil <= now
         && !replica.isolatedSuspect
+        && (!replica.allowance || replica.role() == PoolRole::Prefill || replica.allowance->hasCall(now))
         && probeAllowed(replica)
         && freeSlots(replica) > 0;
 }
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -345,6 +345,7 @@
         context.state.totals.wastedPrefillTokens -= request.arrival.promptTokens;
         context.state.totals.prefillTokens -= request.arrival.promptTokens;
     }
+    putBackCalls(context, request);
     leavePhase(context, request);
     // A slot refusal for lack of room costs little, so the number of slot refusals is not limited. Only
     // the waiting time is.
--- a/src/ReservationAccounting.cpp
+++ b/src/ReservationAccounting.cpp
@@ -51,11 +51,29 @@
         context.state.meanDecodeMemoryBlocks += (amount.memoryBlocks - context.state.meanDecodeMemoryBlocks) * memoryBlocksSmoothing;
     if (request.crashSuspicion == CrashSuspicion::Suspect && amount.slots)
         replica.isolatedSuspect = request.arrival.request;
+    // Each reservation of a slot is for one call to the replica.
+    if (replica.allowance && amount.slots && isLimitedCall(request, replica))
+        replica.allowance->tryTake(context.now);
     if (replica.slotAllowance)
         *replica.slotAllowance -= std::min(*replica.slotAllowance, amount.slots);
     updateIndex(context, replica);
 }
 
+auto isLimitedCall(const ActiveRequest& request, const Replica& replica) -> bool
+{
+    return replica.role() == PoolRole::Decode || request.engineCalls > 0;
+}
+
+auto putBackCalls(DecisionContext& context, const ActiveRequest& request) -> void
+{
+    const std::pair<OptionalReplica, Reservation> reservations[] = { { request.prefill, request.prefillReserved }, { request.decode, request.decodeReserved } };
+    for (const auto& [id, reserved] : reservations) {
+        auto* replica = id && reserved.slots ? findReplica(context.state, *id) : nullptr;
+        if (replica && replica->allowance && isLimitedCall(request, *replica))
+            replica->allowance->putBack(context.now);
+    }
+}
+
 auto releasePrefill(DecisionContext& context, ActiveRequest& request) -> void
 {
     if (request.prefill && !request.prefillReserved.empty())
--- a/src/ReservationAccounting.h
+++ b/src/ReservationAccounting.h
@@ -8,6 +8,11 @@
 namespace jayhold {
 
 auto reserve(DecisionContext& context, ActiveRequest& request, Replica& replica, const Reservation& amount) -> void;
+/// @return whether the next call of the request to the replica counts against a limit that the replica names.
+/// The first prefill of a request does not.
+auto isLimitedCall(const ActiveRequest& request, const Replica& replica) -> bool;
+/// Gives back the calls to limited replicas that the reservations of the request took, because none was sent.
+auto putBackCalls(DecisionContext& context, const ActiveRequest& request) -> void;
 /// Releases everything that the request holds on its prefill replica.
 auto releasePrefill(DecisionContext& context, ActiveRequest& request) -> void;
 /// Releases the slot and the work of a finished prefill. The memory of the result stays reserved until
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -146,6 +146,7 @@
                 context.hasBackendList = !backends.empty();
                 services.updateBackends(std::move(backends)); },
             .instanceCount = [this](std::uint32_t count) { services.updateInstanceCount(count); },
+            .instances = [this](const std::vector<std::string>& names) { services.updateInstances(names); },
             .peers = [this](const std::vector<PeerAddress>& peers) {
                 if (loadExchange)
                     loadExchange->updatePeers(peers); },
@@ -179,6 +180,8 @@
             .onMessage = [this](const std::string& instance) {
                 if (directory)
                     directory->handlePeerMessage(instance); },
+            .limitReports = [this] { return services.limitReports(); },
+            .onLimitReports = [this](const std::vector<LimitReport>& reports) { services.handleLimitReports(reports); },
             .onPeerUsage = [this](const std::vector<BackendUsage>& usages) { services.updatePeerUsage(usages); },
             .backendsChangingRole = [this] { return roleBalancer ? roleBalancer->backendsChangingRole() : std::vector<std::string>(); },
             .onRevision = [this](const std::string& kind, std::int64_t revision) {
--- a/src/ServiceTable.cpp
+++ b/src/ServiceTable.cpp
@@ -5,6 +5,13 @@
 
 namespace jayhold {
 
+namespace {
+
+/// After this time the other instances know this one.
+constexpr Duration settlingTime = std::chrono::seconds(5);
+
+}
+
 ServiceTable::ServiceTable(EntryContext& context, AtMostOnceRecords& records, EngineMonitor::ReclaimCheck shouldReclaimFor)
     : m_context(context)
     , m_records(records)
@@ -86,6 +93,8 @@
     }
     for (const auto& [name, plain] : m_plainServices)
         plain->updateBackends(m_backends);
+    if (!m_limits.observations.empty())
+        applyLimitsLocked();
 }
 
 auto ServiceTable::updateInstanceCount(std::uint32_t instanceCount) -> void
@@ -143,9 +152,60 @@
 auto ServiceTable::recordLimit(const BackendServer& server, TimePoint sentAt, std::optional<double> perSecond) -> void
 {
     const std::lock_guard guard(m_lock);
-    if (!jayhold::recordLimit(m_limits, { server.id, server.incarnation, perSecond, sentAt, monotonicNow() }))
+    const auto now = monotonicNow();
+    const auto hasForgotten = forgetOldLimits(m_limits, now);
+    const auto hasChanged = jayhold::recordLimit(m_limits, { server.id, server.incarnation, perSecond, sentAt, now });
+    if (hasForgotten || hasChanged)
+        applyLimitsLocked();
+    if (hasChanged)
+        m_context.log.record(LogLevel::Info, perSecond ? "backend_limit_named" : "backend_limit_lifted", { { "backend", server.id }, { "per_second", perSecond.value_or(0) } });
+}
+
+auto ServiceTable::limitReports() const -> std::vector<LimitReport>
+{
+    const std::lock_guard guard(m_lock);
+    return reportableLimits(m_limits, monotonicNow());
+}
+
+auto ServiceTable::handleLimitReports(std::span<const LimitReport> reports) -> void
+{
+    const std::lock_guard guard(m_lock);
+    const auto now = monotonicNow();
+    auto hasChanged = forgetOldLimits(m_limits, now);
+    for (const auto& report : reports) {
+        const auto observedAt = now - report.age;
+        if (!jayhold::recordLimit(m_limits, { report.backend, report.incarnation, report.perSecond, observedAt, observedAt, false }))
+            continue;
+        hasChanged = true;
+        m_context.log.record(LogLevel::Info, "backend_limit_heard", { { "backend", report.backend }, { "limited", report.perSecond.has_value() }, { "per_second", report.perSecond.value_or(0) } });
+    }
+    if (hasChanged)
+        applyLimitsLocked();
+}
+
+auto ServiceTable::updateInstances(std::vector<std::string> instances) -> void
+{
+    const std::lock_guard guard(m_lock);
+    if (instances == m_instances)
         return;
-    m_context.log.record(LogLevel::Info, perSecond ? "backend_limit_named" : "backend_limit_lifted", { { "backend", server.id }, { "per_second", perSecond.value_or(0) } });
+    m_instances = std::move(instances);
+    m_instancesKnownSince = m_instancesKnownSince.value_or(monotonicNow());
+    if (!m_limits.observations.empty())
+        applyLimitsLocked();
+}
+
+auto ServiceTable::applyLimitsLocked() -> void
+{
+    CallRates rates;
+    const auto isSettled = m_instancesKnownSince && monotonicNow() - *m_instancesKnownSince >= settlingTime;
+    for (const auto& [backend, observation] : m_limits.observations) {
+        if (observation.perSecond)
+            rates[backend] = { observation.incarnation, divideLimit(*observation.perSecond, backend, m_context.settings.instance, m_instances, isSettled) };
+    }
+    for (const auto& [name, model] : m_modelServices)
+        model.service->updateRates(rates);
+    for (const auto& [name, plain] : m_plainServices)
+        plain->updateRates(rates);
 }
 
 auto ServiceTable::startDraining() -> void
--- a/src/ServiceTable.h
+++ b/src/ServiceTable.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,8 @@
     auto updateConfiguration(std::shared_ptr<const Configuration> configuration) -> void;
     auto updateBackends(std::vector<BackendServer> backends) -> void;
     auto updateInstanceCount(std::uint32_t instanceCount) -> void;
+    /// Replaces the names of the live instances, including this one, which divide the limits of backend servers.
+    auto updateInstances(std::vector<std::string> instances) -> void;
     /// @return the reservations of this instance on the engines of all model services.
     auto usage() const -> std::vector<BackendUsage>;
     /// Replaces the known reservations of all peers.
@@ -36,6 +39,10 @@
     /// Records the limit that a response of a backend server names, or that it names none.
     /// @param sentAt when the call was sent.
     auto recordLimit(const BackendServer& server, TimePoint sentAt, std::optional<double> perSecond) -> void;
+    /// @return the limits that this instance has recently observed.
+    auto limitReports() const -> std::vector<LimitReport>;
+    /// Processes the limits that a peer has observed.
+    auto handleLimitReports(std::span<const LimitReport> reports) -> void;
     /// Makes the shards refuse requests that have not started.
     auto startDraining() -> void;
     auto stop() -> void;
@@ -60,6 +67,8 @@
     auto addPlainLocked(const Service& service) -> void;
     auto removeMissingLocked(const ConfigurationIndex& index) -> void;
     auto applyBackendsLocked() -> void;
+    /// Passes this instance's parts of the limits to the services.
+    auto applyLimitsLocked() -> void;
     /// Appends the state of the retry budgets of all services.
     auto addRetrySamples(std::vector<Metrics::Sample>& samples) const -> void;
 
@@ -73,6 +82,9 @@
     std::map<std::string, std::shared_ptr<PlainService>, std::less<>> m_plainServices;
     std::vector<BackendServer> m_backends;
     BackendLimits m_limits;
+    /// Empty until the instances are known.
+    std::vector<std::string> m_instances;
+    std::optional<TimePoint> m_instancesKnownSince;
     /// The last lists of blocked prompt parts, by service.
     std::map<std::string, std::vector<ListedPart>> m_blockedParts;
     /// 0 while it is not known.
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -169,8 +169,11 @@
     return demand;
 }
 
-auto tryConsumeRetry(Shard& shard) -> bool
+auto tryConsumeRetry(Shard& shard, TimePoint now, ReplicaId id) -> bool
 {
+    auto* replica = findReplica(*shard.state, id);
+    if (replica && replica->allowance && !replica->allowance->tryTake(now))
+        return false;
     return shard.state->retryBudget.tryConsume();
 }
 
--- a/src/Shard.h
+++ b/src/Shard.h
@@ -40,9 +40,9 @@
 /// @return the work for the two roles, as far as this instance knows it.
 auto roleDemand(const Shard& shard) -> RoleDemand;
 
-/// Takes a retry from the budget for a call that the shard has not started.
-/// @return false if the budget is exhausted.
-auto tryConsumeRetry(Shard& shard) -> bool;
+/// Takes a retry from the budget for a call to the replica that the shard has not started.
+/// @return false if the budget is exhausted, or the replica takes no further call now.
+auto tryConsumeRetry(Shard& shard, TimePoint now, ReplicaId replica) -> bool;
 auto retryBudget(const Shard& shard) -> const RetryBudget&;
 
 /// Replaces the settings after a change of configuration; requests in the shard keep their targets.
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -268,6 +268,11 @@
 
 auto StoreDirectory::updateInstanceCount(TimePoint now) -> bool
 {
+    auto names = liveInstanceNames(m_instances, now);
+    if (names != m_instanceNames) {
+        m_instanceNames = std::move(names);
+        m_callbacks.instances(m_instanceNames);
+    }
     const auto live = liveInstances(m_instances, now);
     if (live == m_liveInstances)
         return false;
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -54,6 +54,9 @@
     /// Receives the number of live instances, including this one, when it is first known and when it
     /// changes.
     std::function<void(std::uint32_t)> instanceCount;
+    /// Receives the names of the live instances, including this one, when they are first known and when
+    /// they change.
+    std::function<void(const std::vector<std::string>&)> instances = [](const std::vector<std::string>&) {};
     /// Receives the addresses of the live instances that have one.
     std::function<void(std::vector<PeerAddress>)> peers;
     /// Receives the list of blocked prompt parts of a service.
@@ -161,6 +164,7 @@
     /// The number of live instances that was last published, or 0 before the first list. Without a list it
     /// does not fall, because instances that this one can't see may still be running.
     std::uint32_t m_liveInstances = 0;
+    std::vector<std::string> m_instanceNames;
     WatcherElection m_election;
 };
 
--- a/test/correctness/LoadExchangeTest.cpp
+++ b/test/correctness/LoadExchangeTest.cpp
@@ -14,12 +14,16 @@
 
 const PromptReport crashedPrompt { "service", "edge-1", ~0ULL, false, { ~1ULL, 3, { 7, ~2ULL } } };
 
+const std::vector<LimitReport> reportedLimits { { "server-1", "run", 1.5, 20ms }, { "server-2", "run", std::nullopt, 0ms } };
+
 struct Instance {
     explicit Instance(const std::string& name)
         : log(name, 16)
     {
         LoadExchangeCallbacks callbacks {
             .ownUsage = [] { return std::vector<BackendUsage>(); },
+            .limitReports = [this] { return ownLimits; },
+            .onLimitReports = [this](const std::vector<LimitReport>& reports) { limits += reports == reportedLimits ? 1 : 100; },
             .onPeerUsage = [](const std::vector<BackendUsage>&) {},
             .backendsChangingRole = [] { return std::vector<std::string>(); },
             .onRevision = [](const std::string&, std::int64_t) {},
@@ -39,6 +43,9 @@
     IoThreads threads { 1 };
     std::atomic<int> signatures { 0 };
     std::atomic<int> suspects { 0 };
+    /// Set before the exchange has a peer.
+    std::vector<LimitReport> ownLimits;
+    std::atomic<int> limits { 0 };
     std::atomic<int> promptReports { 0 };
     std::shared_ptr<LoadExchange> exchange;
 };
@@ -72,3 +79,17 @@
     CHECK(second.promptReports == 1);
     CHECK(first.suspects == 0);
 }
+
+// Guards against limits of backend servers that reach the peers late or changed.
+TEST_CASE("limits of backend servers reach peers within a message interval")
+{
+    Instance first("edge-1");
+    Instance second("edge-2");
+    asio::post(first.threads.context(0), [&] { first.ownLimits = reportedLimits; });
+    addPeer(first, second);
+    const auto deadline = monotonicNow() + 400ms;
+    while (second.limits == 0 && monotonicNow() < deadline)
+        std::this_thread::sleep_for(1ms);
+    CHECK(second.limits > 0);
+    CHECK(second.limits < 100);
+}
--- a/test/correctness/PlainBalancerTest.cpp
+++ b/test/correctness/PlainBalancerTest.cpp
@@ -94,3 +94,28 @@
     CHECK(retries <= 111);
     CHECK(retries >= 90);
 }
+
+// Guards against calls beyond the limit that a server names, and against calls that are refused although
+// another server takes them.
+TEST_CASE("a limited server gets the calls that it takes, and others get the rest")
+{
+    PlainBalancer balancer;
+    TimePoint now { 1'000s };
+    balancer.update({ backend("near", true, 100), backend("far", false, 1) });
+    balancer.updateRates(now, { { "near", { "", { .perSecond = 1, .capacity = 2, .initial = 2 } } } });
+    CHECK(balancer.nextCallAt(now) == now);
+    CHECK(acquiredId(balancer, now) == "near");
+    CHECK(balancer.tryTakeCall(now, "near"));
+    CHECK_FALSE(balancer.tryTakeCall(now, "near"));
+    CHECK(acquiredId(balancer, now) == "far");
+    CHECK(acquiredId(balancer, now) == "none");
+    CHECK(balancer.nextCallAt(now) > now);
+    now += 1100ms;
+    // A new list of servers does not refill the allowance.
+    balancer.update({ backend("near", true, 100) });
+    CHECK(acquiredId(balancer, now) == "near");
+    CHECK(acquiredId(balancer, now) == "none");
+    balancer.updateRates(now, {});
+    CHECK(acquiredId(balancer, now) == "near");
+    CHECK(balancer.nextCallAt(now) == TimePoint::max());
+}
--- a/test/error/PlatformFormatsTest.cpp
+++ b/test/error/PlatformFormatsTest.cpp
@@ -166,3 +166,15 @@
     CHECK(std::set<std::uint64_t>(unusual.begin(), unusual.end()).size() == 3);
     CHECK(rc::check("arbitrary headers", [&](const std::string& text) { RC_ASSERT(partsOf(text).size() <= text.size()); }));
 }
+
+// Guards against a limit that is misread, or a header of a faulty server that is taken for one.
+TEST_CASE("the limit that a server names is a decimal number")
+{
+    const auto limitOf = [](const std::string& text) { return platform::backendProtocol().namedLimit({ { "Server-Limit", text } }); };
+    CHECK(limitOf("13.4") == 13.4);
+    CHECK(limitOf("0") == 0);
+    for (const auto* text : { "", "-1", "nan", "inf", "1e999", "5 ", "many" })
+        CHECK_FALSE(limitOf(text));
+    CHECK_FALSE(platform::backendProtocol().namedLimit({}));
+    CHECK(rc::check("arbitrary headers", [&](const std::string& text) { RC_ASSERT(limitOf(text).value_or(0) >= 0); }));
+}
