--- a/src/EntryDaemonDrain.cpp
+++ b/src/EntryDaemonDrain.cpp
@@ -82,6 +82,7 @@
         mostMembers = std::max(mostMembers, members.size());
         services->updateInstanceCount(static_cast<std::uint32_t>(mostMembers));
         std::vector<std::string> names;
+        names.reserve(members.size());
         for (const auto& member : members)
             names.push_back(member.id);
         std::ranges::sort(names);
