--- a/src/BackendLimits.cpp
+++ b/src/BackendLimits.cpp
@@ -70,11 +70,11 @@
 {
     const auto rate = std::max(perSecond, minCallsPerSecond);
     const auto spare = rate * sparePerLimit + spareCalls;
-    const auto entitledCount = std::min(static_cast<std::size_t>(std::max(std::floor(spare), 1.0)), instances.size());
-    const auto entitled = rendezvousOrder(backend, instances, entitledCount);
+    // A limit can be greater than any number of instances.
+    const auto count = std::min(std::max(std::floor(spare), 1.0), static_cast<double>(instances.size()));
+    const auto entitled = rendezvousOrder(backend, instances, static_cast<std::size_t>(count));
     if (std::ranges::find(entitled, instance) == entitled.end())
         return {};
-    const auto count = static_cast<double>(entitledCount);
     const auto capacity = std::max(std::floor(spare / count), 1.0);
     return { rate / count, capacity, isSettled ? capacity : 0 };
 }
--- a/src/PromptReport.cpp
+++ b/src/PromptReport.cpp
@@ -6,6 +6,13 @@
 
 namespace json = boost::json;
 
+namespace {
+
+/// Instances report at most 32 parts of a prompt.
+constexpr std::size_t maxParts = 64;
+
+}
+
 auto toJson(const PromptReport& report) -> json::value
 {
     return json::object {
@@ -29,7 +36,7 @@
     if (!readBoolean(*object, "sound", report.isSound) || !readNumber(*object, "process", prompt.process) || !readNumber(*object, "signature", prompt.signature))
         return std::nullopt;
     const auto* parts = arrayField(*object, "parts");
-    if (!parts)
+    if (!parts || parts->size() > maxParts)
         return std::nullopt;
     for (const auto& element : *parts) {
         boost::system::error_code code;
--- a/test/correctness/FleetLimitTest.cpp
+++ b/test/correctness/FleetLimitTest.cpp
@@ -175,7 +175,7 @@
     for (const auto count : { 1, 7, 61 }) {
         while (names.size() < static_cast<std::size_t>(count))
             names.push_back("entry-" + std::to_string(names.size()));
-        for (const auto limit : { 0.5, 1.0, 13.0, 400.0 }) {
+        for (const auto limit : { 0.5, 1.0, 13.0, 400.0, 1e300 }) {
             double rate = 0;
             double capacity = 0;
             for (const auto& name : names) {
--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -159,6 +159,10 @@
     message.suspects = { { ~0ULL, "engine-4", "run-2", "alpine-1" } };
     message.leaving = { "engine-3" };
     CHECK(gossipMessageFromJson(toJson(message)) == message);
+    // A report that is larger than any instance sends is left out.
+    auto oversized = message;
+    oversized.promptReports.push_back({ "service", "edge-1", 7, false, { 6, 7, std::vector<std::uint64_t>(1'000) } });
+    CHECK(gossipMessageFromJson(toJson(oversized)) == message);
     CHECK_FALSE(gossipMessageFromJson(boost::json::value("text")));
 }
 
