--- a/src/ClusterGossip.cpp
+++ b/src/ClusterGossip.cpp
@@ -7,6 +7,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <functional>
 #include <utility>
 
 namespace jayhold {
@@ -178,6 +179,26 @@
     spawnOnFirstThread(core, sendExtraRound(core));
 }
 
+/// Records a report of an instance and spreads it.
+/// @param notify called on the first I/O thread if the report is new.
+template <typename Report>
+auto spreadReport(const ClusterPointer& core, RumorBuffer<Report>& reports, const Report& report, std::function<void()> notify) -> void
+{
+    {
+        const std::lock_guard guard(core->lock);
+        if (!addRumor(reports, report))
+            return;
+    }
+    // This instance's own services already know what it has reported itself.
+    if (report.instance != core->settings.instance) {
+        asio::post(core->threads.context(0), [core, notify = std::move(notify)] {
+            if (!core->isStopped)
+                notify();
+        });
+    }
+    startExtraRound(core);
+}
+
 }
 
 auto runGossip(ClusterPointer core) -> asio::awaitable<void>
@@ -216,35 +237,18 @@
 
 auto spreadSuspect(const ClusterPointer& core, const CrashSuspect& suspect) -> void
 {
-    {
-        const std::lock_guard guard(core->lock);
-        if (!addRumor(core->suspects, suspect))
-            return;
-    }
-    // This instance's own services already know the suspects that it has reported itself.
-    if (suspect.instance != core->settings.instance) {
-        asio::post(core->threads.context(0), [core, suspect] {
-            if (!core->isStopped && core->callbacks.suspect)
-                core->callbacks.suspect(suspect);
-        });
-    }
-    startExtraRound(core);
+    spreadReport(core, core->suspects, suspect, [core, suspect] {
+        if (core->callbacks.suspect)
+            core->callbacks.suspect(suspect);
+    });
 }
 
 auto spreadPromptReport(const ClusterPointer& core, const PromptReport& report) -> void
 {
-    {
-        const std::lock_guard guard(core->lock);
-        if (!addRumor(core->promptReports, report))
-            return;
-    }
-    if (report.instance != core->settings.instance) {
-        asio::post(core->threads.context(0), [core, report] {
-            if (!core->isStopped && core->callbacks.promptReport)
-                core->callbacks.promptReport(report);
-        });
-    }
-    startExtraRound(core);
+    spreadReport(core, core->promptReports, report, [core, report] {
+        if (core->callbacks.promptReport)
+            core->callbacks.promptReport(report);
+    });
 }
 
 auto spreadLeaving(const ClusterPointer& core, const std::string& backendId) -> void
--- a/test/correctness/ClusterNodeTest.cpp
+++ b/test/correctness/ClusterNodeTest.cpp
@@ -191,6 +191,22 @@
     CHECK((received[0] == 1 && received[1] <= 1 && received[2] == 1));
 }
 
+// Guards against instances that do not hear which prompts were on a crashed engine, or hear of their own
+// reports.
+TEST_CASE("reports on prompts reach every other instance once")
+{
+    Cluster cluster;
+    const PromptReport report { "service", "booking-1", 9, false, { 5, 6, { 7, 8 } } };
+    std::array<std::atomic<int>, 3> received {};
+    for (std::size_t index = 0; index < 3; ++index)
+        cluster.instances[index]->node->onPromptReport([&, index](const PromptReport& heard) { received[index] += heard == report ? 1 : 100; });
+    REQUIRE(cluster.start());
+    cluster.instances[1]->node->reportPrompt(report);
+    CHECK(eventually([&] { return received[0] == 1 && received[2] == 1; }));
+    std::this_thread::sleep_for(700ms);
+    CHECK((received[0] == 1 && received[1] <= 1 && received[2] == 1));
+}
+
 // Guards against peer routes that serve a caller without the peer key.
 TEST_CASE("peer routes need the peer key")
 {
