--- a/src/BackendLimits.cpp
+++ b/src/BackendLimits.cpp
@@ -15,11 +15,11 @@
 
 constexpr Duration limitTtl = std::chrono::seconds(60);
 
-/// Calls beside the rate that the instances may save up: three quarters of those that a server bears within
-/// four seconds, which are twice its limit and five. The rest covers calls that were taken earlier and are
-/// sent later, and instances that divide the limit among other instances for a short time.
-constexpr double sparePerLimit = 1.5;
-constexpr double spareCalls = 3.5;
+/// Burst of all instances together, beside the rate. A server accepts a burst of twice its limit plus five
+/// within four seconds. A quarter of that is left for calls that are sent some time after they were taken, and
+/// for instances that divide the limit among different instances until their lists agree.
+constexpr double burstPerLimit = 1.5;
+constexpr double burstCalls = 3.5;
 
 /// A server that names a very low limit is still called from time to time, to learn when it ends.
 constexpr double minCallsPerSecond = 0.2;
@@ -69,13 +69,13 @@
 auto divideLimit(double perSecond, std::string_view backend, std::string_view instance, std::span<const std::string> instances, bool isSettled) -> CallRate
 {
     const auto rate = std::max(perSecond, minCallsPerSecond);
-    const auto spare = rate * sparePerLimit + spareCalls;
+    const auto burst = rate * burstPerLimit + burstCalls;
     // A limit can be greater than any number of instances.
-    const auto count = std::min(std::max(std::floor(spare), 1.0), static_cast<double>(instances.size()));
+    const auto count = std::min(std::max(std::floor(burst), 1.0), static_cast<double>(instances.size()));
     const auto entitled = rendezvousOrder(backend, instances, static_cast<std::size_t>(count));
     if (std::ranges::find(entitled, instance) == entitled.end())
         return {};
-    const auto capacity = std::max(std::floor(spare / count), 1.0);
+    const auto capacity = std::max(std::floor(burst / count), 1.0);
     return { rate / count, capacity, isSettled ? capacity : 0 };
 }
 
--- a/src/CallRate.h
+++ b/src/CallRate.h
@@ -8,7 +8,7 @@
     double perSecond = 0;
     /// Calls that may be saved up.
     double capacity = 0;
-    /// Calls that are there when the limit becomes known.
+    /// Calls that may be sent as soon as the limit is known.
     double initial = 0;
 
     auto operator==(const CallRate&) const -> bool = default;
--- a/src/PromptPartBlocking.h
+++ b/src/PromptPartBlocking.h
@@ -15,8 +15,9 @@
 auto recordPromptProgress(DecisionContext& context, ActiveRequest& request, bool isFinished) -> void;
 /// Blocks the parts that crash engines and refuses the requests that have them.
 auto refuseCrashingParts(DecisionContext& context) -> void;
-/// @return whether the new request must be refused for a blocked part of its prompt. A request that tries
-/// whether a part still crashes engines becomes a suspect.
+/// Decides about a new request whose prompt may have a blocked part. If a trial of the part is allowed, the
+/// request runs in isolation.
+/// @return whether the request must be refused.
 auto isRefusedForPart(DecisionContext& context, ActiveRequest& request) -> bool;
 
 auto handle(DecisionContext& context, const CrashedPromptReported& event) -> void;
--- a/src/PromptPartCrashes.h
+++ b/src/PromptPartCrashes.h
@@ -74,7 +74,8 @@
 /// @return the listed parts that this instance knows to be sound. They are not blocked here.
 auto applyListedParts(PromptPartCrashes& state, TimePoint now, std::span<const ListedPart> listed) -> std::vector<std::uint64_t>;
 
-/// Decides whether a request with a blocked part is a reason to ask for a trial.
+/// Called for a request that is refused for a blocked part. A trial is due some time after the part was
+/// blocked or last tried.
 /// @return the part to try and its trials so far, if a trial is due.
 auto dueTrial(PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts) -> std::optional<ListedPart>;
 /// Allows this instance to run one request with the part.
