Let peers' reports not prolong what an instance has observed of a prompt part

A peer's report that a part is sound renewed this instance's own observation of it. Two instances that had both answered a part could confirm it to each other at each crash and never block it once it had begun to crash engines. Own observations and reports now have times of their own, and only own ones are reported.

The test fails on the code before.

--- a/src/PromptPartCrashes.cpp
+++ b/src/PromptPartCrashes.cpp
@@ -47,7 +47,14 @@
 auto wasSoundAt(const PromptPartCrashes& state, std::uint64_t part, TimePoint time) -> bool
 {
     const auto* sound = findSound(state, part);
-    return sound && sound->at + soundPartTtl >= time;
+    const auto covers = [&](const std::optional<TimePoint>& at) { return at && *at + soundPartTtl >= time; };
+    return sound && (covers(sound->ownAt) || covers(sound->reportedAt));
+}
+
+auto isOwnSound(const PromptPartCrashes& state, std::uint64_t part, TimePoint now) -> bool
+{
+    const auto* sound = findSound(state, part);
+    return sound && sound->ownAt && now - *sound->ownAt < soundPartTtl;
 }
 
 /// The crashes and requests that a part was in.
@@ -128,8 +135,9 @@
         if (state.soundParts.size() >= maxSoundParts)
             state.olderSoundParts = std::exchange(state.soundParts, {});
         const auto* known = findSound(state, part);
-        const auto wasOwn = known && known->isOwn && now - known->at < soundPartTtl;
-        state.soundParts[part] = { now, isOwn || wasOwn };
+        auto sound = known ? *known : PromptPartCrashes::SoundPart {};
+        (isOwn ? sound.ownAt : sound.reportedAt) = now;
+        state.soundParts[part] = sound;
         if (state.blocked.erase(part) > 0)
             unblocked.push_back(part);
     }
@@ -140,8 +148,7 @@
 {
     std::vector<std::uint64_t> sound;
     for (const auto part : parts) {
-        const auto* known = findSound(state, part);
-        if (known && known->isOwn && now - known->at < soundPartTtl)
+        if (isOwnSound(state, part, now))
             sound.push_back(part);
     }
     return sound;
--- a/src/PromptPartCrashes.h
+++ b/src/PromptPartCrashes.h
@@ -25,9 +25,10 @@
         std::vector<CrashedPrompt> prompts;
     };
     struct SoundPart {
-        TimePoint at {};
-        /// Whether a request of this instance had the part, not one of a peer.
-        bool isOwn = false;
+        /// When a request of this instance showed last that the part is sound.
+        std::optional<TimePoint> ownAt;
+        /// When a peer reported it last. Peers report only what they have observed themselves.
+        std::optional<TimePoint> reportedAt;
     };
     using SoundParts = std::unordered_map<std::uint64_t, SoundPart>;
     struct BlockedPart {
--- a/test/correctness/PromptPartCrashesTest.cpp
+++ b/test/correctness/PromptPartCrashesTest.cpp
@@ -93,6 +93,22 @@
     CHECK(hasBlockedPart(state, Parts { 7 }));
 }
 
+// Guards against instances that confirm to each other for ever that a part is sound, after it has begun to
+// crash engines.
+TEST_CASE("reports of peers do not prolong what an instance has observed itself")
+{
+    PromptPartCrashes state;
+    recordSoundParts(state, start, Parts { 7 }, true);
+    recordSoundParts(state, start + 20s, Parts { 7 }, false);
+    CHECK(ownSoundParts(state, start + 25s, Parts { 7 }) == Parts { 7 });
+    CHECK(ownSoundParts(state, start + 31s, Parts { 7 }).empty());
+    // The report of the peer counts for as long as an observation of its own.
+    crash(state, start + 45s, 1, { 7 });
+    CHECK(crash(state, start + 49s, 2, { 7 }).empty());
+    crash(state, start + 55s, 3, { 7 });
+    CHECK(crash(state, start + 60s, 4, { 7 }) == Parts { 7 });
+}
+
 // Guards against an instance that blocks a part although its own requests with the part are answered.
 TEST_CASE("an instance objects to a listed part that it knows to be sound")
 {
