--- a/cmake/base.cmake
+++ b/cmake/base.cmake
@@ -2,7 +2,7 @@
 target_compile_options(easyloggingpp PRIVATE -w)
 
 jayhold_library(jayhold_base
-  UNITS ConfigError EventLog FileError HybridClock JsonReader JsonText LogLine LogParser LogQueue LogRateLimiter LoggedEventJson RequestHistory Sha256 Timeline Version
+  UNITS ConfigError EventLog FileError Hexadecimal HybridClock JsonReader JsonText LogLine LogParser LogQueue LogRateLimiter LoggedEventJson RequestHistory Sha256 Timeline Version
   LINK easyloggingpp Boost::json OpenSSL::Crypto)
 
 if(JAYHOLD_TESTS)
--- a/src/BackendLimits.cpp
+++ b/src/BackendLimits.cpp
@@ -13,6 +13,7 @@
 /// Observations are reported for this time, in which several messages reach each peer.
 constexpr Duration reportTtl = std::chrono::seconds(3);
 
+/// Time after which an instance without a share calls the server again to learn whether it is still limited.
 constexpr Duration limitTtl = std::chrono::seconds(60);
 
 /// Burst of all instances together, beside the rate. A server accepts a burst of twice its limit plus five
@@ -45,12 +46,6 @@
     return hasChanged;
 }
 
-auto limitOf(const BackendLimits& limits, const std::string& backend, const std::string& incarnation) -> std::optional<double>
-{
-    const auto known = limits.observations.find(backend);
-    return known == limits.observations.end() || known->second.incarnation != incarnation ? std::nullopt : known->second.perSecond;
-}
-
 auto forgetOldLimits(BackendLimits& limits, TimePoint now) -> bool
 {
     return std::erase_if(limits.observations, [&](const auto& entry) { return now - entry.second.observedAt >= limitTtl; }) > 0;
@@ -72,8 +67,8 @@
     const auto burst = rate * burstPerLimit + burstCalls;
     // A limit can be greater than any number of instances.
     const auto count = std::min(std::max(std::floor(burst), 1.0), static_cast<double>(instances.size()));
-    const auto entitled = rendezvousOrder(backend, instances, static_cast<std::size_t>(count));
-    if (std::ranges::find(entitled, instance) == entitled.end())
+    const auto sharers = rendezvousOrder(backend, instances, static_cast<std::size_t>(count));
+    if (std::ranges::find(sharers, instance) == sharers.end())
         return {};
     const auto capacity = std::max(std::floor(burst / count), 1.0);
     return { rate / count, capacity, isSettled ? capacity : 0 };
--- a/src/BackendLimits.h
+++ b/src/BackendLimits.h
@@ -38,7 +38,7 @@
 /// @return whether the limit of the server has changed.
 auto recordLimit(BackendLimits& limits, LimitObservation observation) -> bool;
 
-/// Forgets limits that no response has confirmed for a long time, so that an instance without a part learns
+/// Forgets limits that no response has confirmed for a long time, so that an instance without a share learns
 /// whether the server still has a limit.
 /// @return whether any limit was forgotten.
 auto forgetOldLimits(BackendLimits& limits, TimePoint now) -> bool;
@@ -57,15 +57,12 @@
 /// @return the observations of this instance that are recent enough to be reported.
 auto reportableLimits(const BackendLimits& limits, TimePoint now) -> std::vector<LimitReport>;
 
-/// Divides a limit among the instances. In a large fleet only some of them get a part, because each of these
+/// Divides a limit among the instances. In a large fleet only some of them get a share, because each of these
 /// can save up a call, and the server accepts a limited burst.
 /// @param instances names of all instances.
 /// @param isSettled whether the instance has been running for some time, so that it replaces no other one in
-/// its part of the limit.
-/// @return the part of the instance, which is zero if it may not call the server.
+/// its share of the limit.
+/// @return the share of the instance, which is zero if it may not call the server.
 auto divideLimit(double perSecond, std::string_view backend, std::string_view instance, std::span<const std::string> instances, bool isSettled) -> CallRate;
 
-/// @return the limit that the process of the backend server has named, if it has one now.
-auto limitOf(const BackendLimits& limits, const std::string& backend, const std::string& incarnation) -> std::optional<double>;
-
 }
--- a/src/BlockedParts.cpp
+++ b/src/BlockedParts.cpp
@@ -1,7 +1,7 @@
 #include "BlockedParts.h"
 
+#include "Hexadecimal.h"
 #include "JsonFields.h"
-#include "ParseNumber.h"
 
 #include <algorithm>
 
@@ -20,8 +20,8 @@
 {
     json::array entries;
     for (const auto& part : parts) {
-        // JSON readers may not keep integers of 64 bits exactly.
-        entries.push_back(json::object { { "part", std::to_string(part.part) }, { "trials", part.trials } });
+        // As in the log. JSON readers may not keep integers of 64 bits exactly.
+        entries.push_back(json::object { { "part", toHexadecimal(part.part) }, { "trials", part.trials } });
     }
     return json::object { { "parts", std::move(entries) } };
 }
@@ -37,7 +37,7 @@
         ListedPart listed;
         if (!entry || !readText(*entry, "part", text) || !readNumber(*entry, "trials", listed.trials))
             continue;
-        const auto part = parseNumber<std::uint64_t>(text);
+        const auto part = parseHexadecimal(text);
         if (!part)
             continue;
         listed.part = *part;
--- a/src/CallAllowance.h
+++ b/src/CallAllowance.h
@@ -1,8 +1,8 @@
 #pragma once
 
 /// Limits the calls of an instance to a backend server: a token bucket that fills with time. An instance
-/// that gets a part of the limit while the server is limited starts with an empty bucket, because the
-/// instance that had this part before may just have used its calls.
+/// that gets a share of the limit while the server is limited starts with an empty bucket, because the
+/// instance that had this share before may just have used its calls.
 
 #include "CallRate.h"
 #include "Time.h"
--- a/src/CallRate.h
+++ b/src/CallRate.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// The part of a backend server's limit that an instance may use.
+/// The share of a backend server's limit that an instance may use.
 
 namespace jayhold {
 
--- a/src/CallRates.h
+++ b/src/CallRates.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// The parts of the limits of backend servers that an instance may use, by id of the server.
+/// The shares of the limits of backend servers that an instance may use, by id of the server.
 
 #include "CallRate.h"
 
--- a/src/CrashedPrompt.h
+++ b/src/CrashedPrompt.h
@@ -2,11 +2,15 @@
 
 /// A request that had got no answer yet from an engine that crashed, as instances report it to each other.
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
 namespace jayhold {
 
+/// Bounds the memory of requests and the size of messages. Further parts of a prompt are not compared.
+inline constexpr std::size_t maxComparedParts = 32;
+
 struct CrashedPrompt {
     /// Identifies the process of the engine.
     std::uint64_t process = 0;
--- a/src/EngineCall.h
+++ b/src/EngineCall.h
@@ -38,7 +38,7 @@
     /// Name of the slot and memory reservation at the decode engine.
     std::optional<std::string> slot;
     /// Asked before the call is sent again because a reused connection had closed. A call that is sent
-    /// again takes a retry from the budget.
+    /// again takes a retry from the budget, and a call from the limit that the engine names.
     std::function<bool()> mayResend = [] { return false; };
     /// Receives the headers of the engine's response, whatever its status.
     std::function<void(const std::vector<HttpHeader>&)> onResponse = [](const std::vector<HttpHeader>&) {};
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -77,11 +77,9 @@
 /// @return the parts of the prompt that other requests may share. The last part belongs to the request.
 auto sharedParts(const ModelRequestInfo& info) -> std::vector<std::uint64_t>
 {
-    // Bounds the memory of requests and the size of messages.
-    constexpr std::size_t maxParts = 32;
     const auto& parts = info.forwarded ? info.forwarded->promptParts : info.digest.prefixBlocks;
     const auto shared = info.forwarded && !parts.empty() ? parts.size() - 1 : parts.size();
-    return { parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(std::min(shared, maxParts)) };
+    return { parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(std::min(shared, maxComparedParts)) };
 }
 
 auto arrivalOf(const ModelRequestInfo& info) -> RequestArrived
--- a/src/ModelRequestLog.cpp
+++ b/src/ModelRequestLog.cpp
@@ -1,6 +1,6 @@
 #include "ModelRequest.h"
 
-#include "HexadecimalList.h"
+#include "Hexadecimal.h"
 #include "ModelRequestTasks.h"
 
 namespace jayhold {
@@ -12,7 +12,7 @@
         m_context.reportLeaving(m_backend);
     m_failedResponse = error.response;
     const auto budget = m_service->retryBudget();
-    record(LogLevel::Info, std::string(phase) + "_failed", { { "failure", name(error.failure) }, { "detail", error.detail }, { "tokens", m_relay.tokens() }, { "retries_left", budget.remaining() }, { "retry_capacity", budget.capacity() }, { "prompt_parts", m_info.forwarded ? hexadecimalList(m_info.forwarded->promptParts) : "" } });
+    record(LogLevel::Info, std::string(phase) + "_failed", { { "failure", name(error.failure) }, { "detail", error.detail }, { "tokens", m_relay.tokens() }, { "retries_left", budget.remaining() }, { "retry_capacity", budget.capacity() }, { "prompt_parts", m_info.forwarded ? toHexadecimal(m_info.forwarded->promptParts) : "" } });
 }
 
 auto ModelRequest::tryConsumeResend() -> bool
--- a/src/ModelService.cpp
+++ b/src/ModelService.cpp
@@ -1,6 +1,6 @@
 #include "ModelService.h"
 
-#include "HexadecimalList.h"
+#include "Hexadecimal.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -323,12 +323,12 @@
 auto ModelService::sendPromptReports(const Outbox& outbox) -> void
 {
     for (const auto& report : outbox.promptReports) {
-        m_context.log.record(LogLevel::Info, report.isSound ? "prompt_parts_sound" : "prompt_at_crash", { { "service", m_name }, { "process", report.prompt.process }, { "signature", report.prompt.signature }, { "prompt_parts", hexadecimalList(report.prompt.parts) } });
+        m_context.log.record(LogLevel::Info, report.isSound ? "prompt_parts_sound" : "prompt_at_crash", { { "service", m_name }, { "process", report.prompt.process }, { "signature", report.prompt.signature }, { "prompt_parts", toHexadecimal(report.prompt.parts) } });
         m_context.reportPrompt(report);
     }
     for (const auto& update : outbox.blockedParts) {
         m_metrics->blockedParts.fetch_add(update.change == BlockedPartChange::Add ? 1 : 0, std::memory_order_relaxed);
-        m_context.log.record(LogLevel::Warning, eventName(update.change), { { "service", m_name }, { "prompt_part", hexadecimalList(std::span(&update.part, 1)) }, { "trials", update.trials } });
+        m_context.log.record(LogLevel::Warning, eventName(update.change), { { "service", m_name }, { "prompt_part", toHexadecimal(update.part) }, { "trials", update.trials } });
         m_context.updateBlockedPart(m_name, update);
     }
 }
--- a/src/ModelServiceReplicas.cpp
+++ b/src/ModelServiceReplicas.cpp
@@ -1,6 +1,6 @@
 #include "ModelService.h"
 
-#include "HexadecimalList.h"
+#include "Hexadecimal.h"
 #include "Rendezvous.h"
 #include "RoleBalance.h"
 
@@ -152,7 +152,7 @@
 
 auto ModelService::handlePromptReport(const PromptReport& report) -> void
 {
-    m_context.log.record(LogLevel::Info, "prompt_report_heard", { { "service", m_name }, { "sound", report.isSound }, { "process", report.prompt.process }, { "signature", report.prompt.signature }, { "prompt_parts", hexadecimalList(report.prompt.parts) }, { "from", report.instance } });
+    m_context.log.record(LogLevel::Info, "prompt_report_heard", { { "service", m_name }, { "sound", report.isSound }, { "process", report.prompt.process }, { "signature", report.prompt.signature }, { "prompt_parts", toHexadecimal(report.prompt.parts) }, { "from", report.instance } });
     if (report.isSound)
         handleEvent(SoundPartsReported { report.prompt.parts });
     else
--- a/src/PlainCallInfo.h
+++ b/src/PlainCallInfo.h
@@ -24,7 +24,7 @@
     TimePoint arrivedAt {};
     TimePoint deadline {};
     /// Asked before the call is sent again because a reused connection had closed. A call that is sent
-    /// again takes a retry from the budget.
+    /// again takes a retry from the budget, and a call from the limit that the server names.
     std::function<bool(const BackendServer&)> mayResend = [](const BackendServer&) { return false; };
 };
 
--- a/src/PromptReport.cpp
+++ b/src/PromptReport.cpp
@@ -6,13 +6,6 @@
 
 namespace json = boost::json;
 
-namespace {
-
-/// Instances report at most 32 parts of a prompt.
-constexpr std::size_t maxParts = 64;
-
-}
-
 auto toJson(const PromptReport& report) -> json::value
 {
     return json::object {
@@ -36,7 +29,7 @@
     if (!readBoolean(*object, "sound", report.isSound) || !readNumber(*object, "process", prompt.process) || !readNumber(*object, "signature", prompt.signature))
         return std::nullopt;
     const auto* parts = arrayField(*object, "parts");
-    if (!parts || parts->size() > maxParts)
+    if (!parts || parts->size() > maxComparedParts)
         return std::nullopt;
     for (const auto& element : *parts) {
         boost::system::error_code code;
--- a/src/ServiceTable.h
+++ b/src/ServiceTable.h
@@ -67,7 +67,7 @@
     auto addPlainLocked(const Service& service) -> void;
     auto removeMissingLocked(const ConfigurationIndex& index) -> void;
     auto applyBackendsLocked() -> void;
-    /// Passes this instance's parts of the limits to the services.
+    /// Passes this instance's shares of the limits to the services.
     auto applyLimitsLocked() -> void;
     /// Appends the state of the retry budgets of all services.
     auto addRetrySamples(std::vector<Metrics::Sample>& samples) const -> void;
--- a/test/correctness/BlockedPartsTest.cpp
+++ b/test/correctness/BlockedPartsTest.cpp
@@ -95,7 +95,7 @@
 {
     const std::vector<ListedPart> parts { { 0xffffffffffffffff, 2 }, { 7, 0 } };
     CHECK(blockedPartsFromJson(blockedPartsToJson(parts)) == parts);
-    CHECK(blockedPartsFromJson(json::parse(R"({"parts":[5,{"part":"x","trials":0},{"part":"9","trials":-1},{"part":"8","trials":1}]})")) == std::vector<ListedPart> { { 8, 1 } });
+    CHECK(blockedPartsFromJson(json::parse(R"({"parts":[5,{"part":"x","trials":0},{"part":"9","trials":-1},{"part":"a8","trials":1}]})")) == std::vector<ListedPart> { { 0xa8, 1 } });
     CHECK(blockedPartsFromJson(json::parse(R"("text")")).empty());
     CHECK(blockedPartsFromJson({}).empty());
 }
--- a/test/correctness/FleetLimitTest.cpp
+++ b/test/correctness/FleetLimitTest.cpp
@@ -155,6 +155,12 @@
     return { "server", incarnation, perSecond, sentAt, observedAt };
 }
 
+auto limitOf(const BackendLimits& limits, const std::string& incarnation) -> std::optional<double>
+{
+    const auto known = limits.observations.find("server");
+    return known == limits.observations.end() || known->second.incarnation != incarnation ? std::nullopt : known->second.perSecond;
+}
+
 }
 
 // Guards against a fleet whose instances each keep to a limit that all of them together exceed, while
@@ -204,14 +210,14 @@
     CHECK_FALSE(recordLimit(limits, observation(2, now + 1s, now + 2s)));
     // The call was sent before the server named its limit.
     CHECK_FALSE(recordLimit(limits, observation(std::nullopt, now + 1s, now + 3s)));
-    CHECK(limitOf(limits, "server", "run-1") == 2);
-    CHECK_FALSE(limitOf(limits, "server", "run-2"));
+    CHECK(limitOf(limits, "run-1") == 2);
+    CHECK_FALSE(limitOf(limits, "run-2"));
     CHECK(recordLimit(limits, observation(3, now + 3s, now + 3s)));
     CHECK(recordLimit(limits, observation(std::nullopt, now + 4s, now + 5s)));
-    CHECK_FALSE(limitOf(limits, "server", "run-1"));
+    CHECK_FALSE(limitOf(limits, "run-1"));
     CHECK(recordLimit(limits, observation(2, now + 6s, now + 6s)));
     CHECK(recordLimit(limits, observation(std::nullopt, now + 1s, now + 7s, "run-2")));
-    CHECK_FALSE(limitOf(limits, "server", "run-1"));
+    CHECK_FALSE(limitOf(limits, "run-1"));
 }
 
 // Guards against instances that never learn that a limit has ended, because they may not call the server.
