Use one term for harmless prompt parts, log unreadable stored parts, split long files

Change: parts that were answered are harmless, in code, messages, logs and pages (load messages and gossip: "harmless"; log: prompt_parts_harmless; both are new in this change). blockedPartsFromJson counts what it skips, and the directory logs it as store_items_unreadable. The log functions of PlainService have their own file, as those of ModelRequest do; RouterFixture serves two test files.

Checks: none fell; the test of stored lists checks the number of skipped entries as well. No decision changes.

--- a/bench/EntryInstance.h
+++ b/bench/EntryInstance.h
@@ -83,7 +83,7 @@
     auto execute(const ReportCrash& action) -> void;
     // Prompts of the bench have no parts.
     auto execute(const ReportCrashedPrompt&) -> void { }
-    auto execute(const ReportSoundParts&) -> void { }
+    auto execute(const ReportHarmlessParts&) -> void { }
     auto execute(const UpdateBlockedPart&) -> void { }
     auto execute(const WakeAt& action) -> void;
 
--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -3,7 +3,7 @@
     CompletionRequest CompletionWriter ConfigurationIndex DecodeRelay EngineClient EngineError EngineMessages
     EngineMonitor EntryDaemon EntryDaemonDrain EntrySettings ForwardApi ForwardChecks OrphanDetector LatencyHistogram LostOwners
     Metrics ModelRequest ModelRequestLog ModelRequestReservations ModelRequestTasks ModelService ModelServiceReplicas ModelServiceTimer NativeProtocols PassThroughReader PassThroughWriter PlainBalancer PlainRoute
-    PlainService PromptDigest RequestStateMachine RoleBalancer RouteTable RouterDaemon ServiceTable StatusReport TokenEventReader
+    PlainService PlainServiceLog PromptDigest RequestStateMachine RoleBalancer RouteTable RouterDaemon ServiceTable StatusReport TokenEventReader
     TokenSequence
   LINK jayhold_cluster jayhold_decision jayhold_operator jayhold_http)
 
--- a/src/BlockedParts.cpp
+++ b/src/BlockedParts.cpp
@@ -14,6 +14,20 @@
 /// Bounds the object. The oldest entries give way.
 constexpr std::size_t maxParts = 256;
 
+auto readListedPart(const json::value& value) -> std::optional<ListedPart>
+{
+    const auto* entry = value.if_object();
+    std::string text;
+    ListedPart listed;
+    if (!entry || !readText(*entry, "part", text) || !readNumber(*entry, "trials", listed.trials))
+        return std::nullopt;
+    const auto part = parseHexadecimal(text);
+    if (!part)
+        return std::nullopt;
+    listed.part = *part;
+    return listed;
+}
+
 }
 
 auto blockedPartsToJson(std::span<const ListedPart> parts) -> json::value
@@ -26,24 +40,24 @@
     return json::object { { "parts", std::move(entries) } };
 }
 
-auto blockedPartsFromJson(const json::value& value) -> std::vector<ListedPart>
+auto blockedPartsFromJson(const json::value& value) -> StoredBlockedParts
 {
-    std::vector<ListedPart> parts;
+    StoredBlockedParts stored;
+    if (value.is_null())
+        return stored;
     const auto* object = value.if_object();
     const auto* entries = object ? arrayField(*object, "parts") : nullptr;
-    for (const auto& element : entries ? *entries : json::array()) {
-        const auto* entry = element.if_object();
-        std::string text;
-        ListedPart listed;
-        if (!entry || !readText(*entry, "part", text) || !readNumber(*entry, "trials", listed.trials))
-            continue;
-        const auto part = parseHexadecimal(text);
-        if (!part)
-            continue;
-        listed.part = *part;
-        parts.push_back(listed);
+    if (!entries) {
+        ++stored.unreadable;
+        return stored;
     }
-    return parts;
+    for (const auto& element : *entries) {
+        if (const auto listed = readListedPart(element))
+            stored.parts.push_back(*listed);
+        else
+            ++stored.unreadable;
+    }
+    return stored;
 }
 
 auto changeBlockedParts(std::vector<ListedPart> parts, std::uint64_t part, BlockedPartChange change, std::uint32_t trials) -> std::optional<std::vector<ListedPart>>
--- a/src/BlockedParts.h
+++ b/src/BlockedParts.h
@@ -7,17 +7,24 @@
 
 #include <boost/json/value.hpp>
 
+#include <cstddef>
 #include <optional>
 #include <span>
 #include <vector>
 
 namespace jayhold {
 
+struct StoredBlockedParts {
+    std::vector<ListedPart> parts;
+    /// Number of skipped entries, which can't be read.
+    std::size_t unreadable = 0;
+};
+
 /// @return the value of the object in the store.
 auto blockedPartsToJson(std::span<const ListedPart> parts) -> boost::json::value;
 
-/// @return the valid entries of the value. Others are left out.
-auto blockedPartsFromJson(const boost::json::value& value) -> std::vector<ListedPart>;
+/// @param value null if there is no list.
+auto blockedPartsFromJson(const boost::json::value& value) -> StoredBlockedParts;
 
 /// @param trials number of trials on which a BeginTrial change is based.
 /// @return the changed list, or nothing if the change has no effect on it.
--- a/src/BlockedPartsWriter.cpp
+++ b/src/BlockedPartsWriter.cpp
@@ -77,7 +77,7 @@
     const auto current = co_await m_store.read(m_threads.client(0), m_kind, service);
     if (current.has_error())
         co_return failed(current.error());
-    const auto changed = changeBlockedParts(blockedPartsFromJson(current->value), part, change.change, change.trials);
+    const auto changed = changeBlockedParts(blockedPartsFromJson(current->value).parts, part, change.change, change.trials);
     if (!changed)
         co_return std::nullopt;
     const auto outcome = co_await m_store.update(m_threads.client(0), m_kind, service, blockedPartsToJson(*changed), current->revision);
--- a/src/DecisionAction.h
+++ b/src/DecisionAction.h
@@ -7,7 +7,7 @@
 #include "ReportCrash.h"
 #include "ReportCrashSignature.h"
 #include "ReportCrashedPrompt.h"
-#include "ReportSoundParts.h"
+#include "ReportHarmlessParts.h"
 #include "StartDecode.h"
 #include "StartPrefill.h"
 #include "UpdateBlockedPart.h"
@@ -25,7 +25,7 @@
     ReportCrashSignature,
     ReportCrash,
     ReportCrashedPrompt,
-    ReportSoundParts,
+    ReportHarmlessParts,
     UpdateBlockedPart,
     WakeAt>;
 
--- a/src/DecisionEvent.h
+++ b/src/DecisionEvent.h
@@ -11,6 +11,7 @@
 #include "DecodeFinished.h"
 #include "DecodeStarted.h"
 #include "DrainStarted.h"
+#include "HarmlessPartsReported.h"
 #include "PartTrialAllowed.h"
 #include "PeerUsage.h"
 #include "PrefillDone.h"
@@ -22,7 +23,6 @@
 #include "RequestCancelled.h"
 #include "SlotRefused.h"
 #include "SlotReserved.h"
-#include "SoundPartsReported.h"
 #include "Tick.h"
 #include "TokensEmitted.h"
 
@@ -49,7 +49,7 @@
     CrashSignatureReported,
     CrashReported,
     CrashedPromptReported,
-    SoundPartsReported,
+    HarmlessPartsReported,
     BlockedPartsListed,
     PartTrialAllowed,
     DrainStarted,
--- a/src/EntryContext.h
+++ b/src/EntryContext.h
@@ -40,7 +40,7 @@
     std::function<void(std::uint64_t)> reportCrashSignature = [](std::uint64_t) {};
     /// Reports a request that was in flight on a crashed backend server to the peers.
     std::function<void(const CrashSuspect&)> reportCrashSuspect = [](const CrashSuspect&) {};
-    /// Reports the prompt of a request on a crashed engine, or sound parts of prompts, to the peers.
+    /// Reports the prompt of a request on a crashed engine, or harmless parts of prompts, to the peers.
     std::function<void(const PromptReport&)> reportPrompt = [](const PromptReport&) {};
     /// Changes the list of blocked prompt parts of a service that all instances share.
     std::function<void(const std::string& service, const UpdateBlockedPart&)> updateBlockedPart = [](const std::string&, const UpdateBlockedPart&) {};
--- a/src/SoundPartsReported.h
+++ b/src/HarmlessPartsReported.h
@@ -7,7 +7,7 @@
 
 namespace jayhold {
 
-struct SoundPartsReported {
+struct HarmlessPartsReported {
     std::vector<std::uint64_t> parts;
 };
 
--- a/src/LoadExchange.h
+++ b/src/LoadExchange.h
@@ -39,7 +39,7 @@
     std::function<void(std::uint64_t)> onCrashSignature;
     /// A peer had a request in flight on a backend server that crashed.
     std::function<void(const CrashSuspect&)> onCrashSuspect;
-    /// A peer has reported the prompt of a request on a crashed engine, or sound parts of prompts.
+    /// A peer has reported the prompt of a request on a crashed engine, or harmless parts of prompts.
     std::function<void(const PromptReport&)> onPromptReport = [](const PromptReport&) {};
     /// A peer has ordered backend servers to change their role.
     std::function<void(const std::vector<std::string>&)> onBackendsChangingRole;
@@ -84,7 +84,7 @@
     /// Reports a request that was in flight on a crashed backend server to the peers without delay.
     auto reportCrashSuspect(const CrashSuspect& suspect) -> void;
 
-    /// Reports the prompt of a request on a crashed engine, or sound parts, to the peers without delay.
+    /// Reports the prompt of a request on a crashed engine, or harmless parts, to the peers without delay.
     auto reportPrompt(const PromptReport& report) -> void;
 
     /// Must be called on the first I/O thread.
--- a/src/ModelService.cpp
+++ b/src/ModelService.cpp
@@ -254,8 +254,8 @@
             outbox.suspects.push_back({ crash->signature, known->second.backend.id, known->second.backend.incarnation, m_context.settings.instance });
     } else if (const auto* crashed = std::get_if<ReportCrashedPrompt>(&action)) {
         outbox.promptReports.push_back({ m_name, m_context.settings.instance, m_reportIds(), false, crashed->prompt });
-    } else if (const auto* sound = std::get_if<ReportSoundParts>(&action)) {
-        outbox.promptReports.push_back({ m_name, m_context.settings.instance, m_reportIds(), true, { .parts = sound->parts } });
+    } else if (const auto* harmless = std::get_if<ReportHarmlessParts>(&action)) {
+        outbox.promptReports.push_back({ m_name, m_context.settings.instance, m_reportIds(), true, { .parts = harmless->parts } });
     } else if (const auto* update = std::get_if<UpdateBlockedPart>(&action)) {
         outbox.blockedParts.push_back(*update);
     } else if (const auto* wake = std::get_if<WakeAt>(&action)) {
@@ -323,7 +323,7 @@
 auto ModelService::sendPromptReports(const Outbox& outbox) -> void
 {
     for (const auto& report : outbox.promptReports) {
-        m_context.log.record(LogLevel::Info, report.isSound ? "prompt_parts_sound" : "prompt_at_crash", { { "service", m_name }, { "process", report.prompt.process }, { "signature", report.prompt.signature }, { "prompt_parts", toHexadecimal(report.prompt.parts) } });
+        m_context.log.record(LogLevel::Info, report.isHarmless ? "prompt_parts_harmless" : "prompt_at_crash", { { "service", m_name }, { "process", report.prompt.process }, { "signature", report.prompt.signature }, { "prompt_parts", toHexadecimal(report.prompt.parts) } });
         m_context.reportPrompt(report);
     }
     for (const auto& update : outbox.blockedParts) {
--- a/src/ModelServiceReplicas.cpp
+++ b/src/ModelServiceReplicas.cpp
@@ -152,9 +152,9 @@
 
 auto ModelService::handlePromptReport(const PromptReport& report) -> void
 {
-    m_context.log.record(LogLevel::Info, "prompt_report_heard", { { "service", m_name }, { "sound", report.isSound }, { "process", report.prompt.process }, { "signature", report.prompt.signature }, { "prompt_parts", toHexadecimal(report.prompt.parts) }, { "from", report.instance } });
-    if (report.isSound)
-        handleEvent(SoundPartsReported { report.prompt.parts });
+    m_context.log.record(LogLevel::Info, "prompt_report_heard", { { "service", m_name }, { "harmless", report.isHarmless }, { "process", report.prompt.process }, { "signature", report.prompt.signature }, { "prompt_parts", toHexadecimal(report.prompt.parts) }, { "from", report.instance } });
+    if (report.isHarmless)
+        handleEvent(HarmlessPartsReported { report.prompt.parts });
     else
         handleEvent(CrashedPromptReported { report.prompt });
 }
--- a/src/PromptPartBlocking.cpp
+++ b/src/PromptPartBlocking.cpp
@@ -10,11 +10,11 @@
 
 /// A request is not the cause of a crash this many tokens after the start of its attempt. Engines send
 /// several tokens in one event.
-constexpr std::uint32_t soundTokens = 16;
+constexpr std::uint32_t progressTokens = 16;
 
 auto hasProgressed(const ActiveRequest& request) -> bool
 {
-    return request.emitted >= request.emittedAtStart + soundTokens;
+    return request.emitted >= request.emittedAtStart + progressTokens;
 }
 
 auto reportUnblocked(DecisionContext& context, std::span<const std::uint64_t> parts) -> void
@@ -50,10 +50,10 @@
     auto& parts = request.arrival.promptParts;
     if (parts.empty() || (!isFinished && !hasProgressed(request)))
         return;
-    const auto unblocked = recordSoundParts(context.state.partCrashes, context.now, parts, true);
+    const auto unblocked = recordHarmlessParts(context.state.partCrashes, context.now, parts, true);
     if (!unblocked.empty()) {
         reportUnblocked(context, unblocked);
-        context.actions.emplace_back(ReportSoundParts { unblocked });
+        context.actions.emplace_back(ReportHarmlessParts { unblocked });
     }
     // Later attempts of the request have nothing to add.
     std::vector<std::uint64_t>().swap(parts);
@@ -89,22 +89,22 @@
 {
     auto& state = context.state.partCrashes;
     addCrashedPrompt(state, context.now, event.prompt);
-    auto sound = ownSoundParts(state, context.now, event.prompt.parts);
-    if (!sound.empty())
-        context.actions.emplace_back(ReportSoundParts { std::move(sound) });
+    auto harmless = ownHarmlessParts(state, context.now, event.prompt.parts);
+    if (!harmless.empty())
+        context.actions.emplace_back(ReportHarmlessParts { std::move(harmless) });
 }
 
-auto handle(DecisionContext& context, const SoundPartsReported& event) -> void
+auto handle(DecisionContext& context, const HarmlessPartsReported& event) -> void
 {
-    reportUnblocked(context, recordSoundParts(context.state.partCrashes, context.now, event.parts, false));
+    reportUnblocked(context, recordHarmlessParts(context.state.partCrashes, context.now, event.parts, false));
 }
 
 auto handle(DecisionContext& context, const BlockedPartsListed& event) -> void
 {
-    auto sound = applyListedParts(context.state.partCrashes, context.now, event.parts);
-    if (!sound.empty()) {
-        reportUnblocked(context, sound);
-        context.actions.emplace_back(ReportSoundParts { std::move(sound) });
+    auto harmless = applyListedParts(context.state.partCrashes, context.now, event.parts);
+    if (!harmless.empty()) {
+        reportUnblocked(context, harmless);
+        context.actions.emplace_back(ReportHarmlessParts { std::move(harmless) });
     }
     refuseRequestsWithBlockedParts(context);
 }
--- a/src/PromptPartBlocking.h
+++ b/src/PromptPartBlocking.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// Refuses requests whose prompts have parts that crash engines, and reports crashes and sound parts to the
+/// Refuses requests whose prompts have parts that crash engines, and reports crashes and harmless parts to the
 /// peers. PromptPartCrashes finds the parts.
 
 #include "DecisionContext.h"
@@ -10,7 +10,7 @@
 /// Records that the replica of the request crashed. Nothing is recorded if the request had got past the
 /// point at which it could have been the cause.
 auto recordCrashedPrompt(DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> void;
-/// Records that the parts of the request's prompt are sound, once its answer shows that.
+/// Records that the parts of the request's prompt are harmless, once its answer shows that.
 /// @param isFinished whether the answer is complete.
 auto recordPromptProgress(DecisionContext& context, ActiveRequest& request, bool isFinished) -> void;
 /// Blocks the parts that crash engines and refuses the requests that have them.
@@ -21,7 +21,7 @@
 auto isRefusedForPart(DecisionContext& context, ActiveRequest& request) -> bool;
 
 auto handle(DecisionContext& context, const CrashedPromptReported& event) -> void;
-auto handle(DecisionContext& context, const SoundPartsReported& event) -> void;
+auto handle(DecisionContext& context, const HarmlessPartsReported& event) -> void;
 auto handle(DecisionContext& context, const BlockedPartsListed& event) -> void;
 auto handle(DecisionContext& context, const PartTrialAllowed& event) -> void;
 
--- a/src/PromptPartCrashes.cpp
+++ b/src/PromptPartCrashes.cpp
@@ -17,10 +17,10 @@
 constexpr std::size_t maxPromptsPerCrash = 32;
 /// Reports of one crash arrive within this time. A later one of the same process id is another crash.
 constexpr Duration crashReportWindow = std::chrono::seconds(2);
-/// A part that is sound can begin to crash engines, for example with new weights, so its soundness counts
+/// A part that is harmless can begin to crash engines, for example with new weights, so this counts
 /// for a limited time.
-constexpr Duration soundPartTtl = std::chrono::seconds(30);
-constexpr std::size_t maxSoundParts = 2'048;
+constexpr Duration harmlessPartTtl = std::chrono::seconds(30);
+constexpr std::size_t maxHarmlessParts = 2'048;
 constexpr std::size_t maxBlockedParts = 256;
 constexpr std::size_t minCrashes = 2;
 constexpr std::size_t minRequests = 2;
@@ -36,25 +36,25 @@
 /// Time in which the request of a trial has to arrive.
 constexpr Duration trialPermitTime = std::chrono::minutes(1);
 
-auto findSound(const PromptPartCrashes& state, std::uint64_t part) -> const PromptPartCrashes::SoundPart*
+auto findHarmless(const PromptPartCrashes& state, std::uint64_t part) -> const PromptPartCrashes::HarmlessPart*
 {
-    if (const auto found = state.soundParts.find(part); found != state.soundParts.end())
+    if (const auto found = state.harmlessParts.find(part); found != state.harmlessParts.end())
         return &found->second;
-    const auto older = state.olderSoundParts.find(part);
-    return older == state.olderSoundParts.end() ? nullptr : &older->second;
+    const auto older = state.olderHarmlessParts.find(part);
+    return older == state.olderHarmlessParts.end() ? nullptr : &older->second;
 }
 
-auto wasSoundAt(const PromptPartCrashes& state, std::uint64_t part, TimePoint time) -> bool
+auto wasHarmlessAt(const PromptPartCrashes& state, std::uint64_t part, TimePoint time) -> bool
 {
-    const auto* sound = findSound(state, part);
-    const auto covers = [&](const std::optional<TimePoint>& at) { return at && *at + soundPartTtl >= time; };
-    return sound && (covers(sound->ownAt) || covers(sound->reportedAt));
+    const auto* harmless = findHarmless(state, part);
+    const auto covers = [&](const std::optional<TimePoint>& at) { return at && *at + harmlessPartTtl >= time; };
+    return harmless && (covers(harmless->ownAt) || covers(harmless->reportedAt));
 }
 
-auto isOwnSound(const PromptPartCrashes& state, std::uint64_t part, TimePoint now) -> bool
+auto isOwnHarmless(const PromptPartCrashes& state, std::uint64_t part, TimePoint now) -> bool
 {
-    const auto* sound = findSound(state, part);
-    return sound && sound->ownAt && now - *sound->ownAt < soundPartTtl;
+    const auto* harmless = findHarmless(state, part);
+    return harmless && harmless->ownAt && now - *harmless->ownAt < harmlessPartTtl;
 }
 
 /// The crashes and requests that a part was in.
@@ -73,7 +73,7 @@
     for (const auto& prompt : crash.prompts) {
         for (std::size_t index = 0; index < prompt.parts.size(); ++index) {
             const auto part = prompt.parts[index];
-            if (wasSoundAt(state, part, crash.time))
+            if (wasHarmlessAt(state, part, crash.time))
                 continue;
             auto& evidence = table[part];
             evidence.crashes += counted.insert(part).second;
@@ -128,30 +128,30 @@
     std::erase_if(state.crashes, [&](const auto& crash) { return crash.process == process; });
 }
 
-auto recordSoundParts(PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts, bool isOwn) -> std::vector<std::uint64_t>
+auto recordHarmlessParts(PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts, bool isOwn) -> std::vector<std::uint64_t>
 {
     std::vector<std::uint64_t> unblocked;
     for (const auto part : parts) {
-        if (state.soundParts.size() >= maxSoundParts)
-            state.olderSoundParts = std::exchange(state.soundParts, {});
-        const auto* known = findSound(state, part);
-        auto sound = known ? *known : PromptPartCrashes::SoundPart {};
-        (isOwn ? sound.ownAt : sound.reportedAt) = now;
-        state.soundParts[part] = sound;
+        if (state.harmlessParts.size() >= maxHarmlessParts)
+            state.olderHarmlessParts = std::exchange(state.harmlessParts, {});
+        const auto* known = findHarmless(state, part);
+        auto harmless = known ? *known : PromptPartCrashes::HarmlessPart {};
+        (isOwn ? harmless.ownAt : harmless.reportedAt) = now;
+        state.harmlessParts[part] = harmless;
         if (state.blocked.erase(part) > 0)
             unblocked.push_back(part);
     }
     return unblocked;
 }
 
-auto ownSoundParts(const PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts) -> std::vector<std::uint64_t>
+auto ownHarmlessParts(const PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts) -> std::vector<std::uint64_t>
 {
-    std::vector<std::uint64_t> sound;
+    std::vector<std::uint64_t> harmless;
     for (const auto part : parts) {
-        if (isOwnSound(state, part, now))
-            sound.push_back(part);
+        if (isOwnHarmless(state, part, now))
+            harmless.push_back(part);
     }
-    return sound;
+    return harmless;
 }
 
 auto blockCrashingParts(PromptPartCrashes& state, TimePoint now) -> std::vector<std::uint64_t>
@@ -187,10 +187,10 @@
     std::erase_if(state.blocked, [&](const auto& blocked) {
         return blocked.second.isListed && std::ranges::find(listed, blocked.first, &ListedPart::part) == listed.end();
     });
-    std::vector<std::uint64_t> sound;
+    std::vector<std::uint64_t> harmless;
     for (const auto& entry : listed) {
-        if (!ownSoundParts(state, now, std::span(&entry.part, 1)).empty()) {
-            sound.push_back(entry.part);
+        if (!ownHarmlessParts(state, now, std::span(&entry.part, 1)).empty()) {
+            harmless.push_back(entry.part);
             continue;
         }
         const auto [known, isNew] = state.blocked.try_emplace(entry.part);
@@ -200,7 +200,7 @@
         blocked.trials = entry.trials;
         blocked.isListed = true;
     }
-    return sound;
+    return harmless;
 }
 
 auto dueTrial(PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts) -> std::optional<ListedPart>
--- a/src/PromptPartCrashes.h
+++ b/src/PromptPartCrashes.h
@@ -24,13 +24,13 @@
         TimePoint time {};
         std::vector<CrashedPrompt> prompts;
     };
-    struct SoundPart {
-        /// When a request of this instance showed last that the part is sound.
+    struct HarmlessPart {
+        /// When a request of this instance showed last that the part is harmless.
         std::optional<TimePoint> ownAt;
         /// When a peer reported it last. Peers report only what they have observed themselves.
         std::optional<TimePoint> reportedAt;
     };
-    using SoundParts = std::unordered_map<std::uint64_t, SoundPart>;
+    using HarmlessParts = std::unordered_map<std::uint64_t, HarmlessPart>;
     struct BlockedPart {
         /// Whether the list that all instances share contains the part.
         bool isListed = false;
@@ -50,8 +50,8 @@
     TimePoint decideAt = TimePoint::max();
     /// Parts of requests that got past the point at which their engine could have crashed. When the first
     /// table is full, it replaces the second one.
-    SoundParts soundParts;
-    SoundParts olderSoundParts;
+    HarmlessParts harmlessParts;
+    HarmlessParts olderHarmlessParts;
     std::unordered_map<std::uint64_t, BlockedPart> blocked;
 };
 
@@ -62,9 +62,9 @@
 /// Records that a request with the parts got past the point at which its engine could have crashed.
 /// @param isOwn whether it was a request of this instance.
 /// @return the parts that were blocked until now.
-auto recordSoundParts(PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts, bool isOwn) -> std::vector<std::uint64_t>;
-/// @return those of the parts that this instance has recently found to be sound.
-auto ownSoundParts(const PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts) -> std::vector<std::uint64_t>;
+auto recordHarmlessParts(PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts, bool isOwn) -> std::vector<std::uint64_t>;
+/// @return those of the parts that this instance has recently found to be harmless.
+auto ownHarmlessParts(const PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts) -> std::vector<std::uint64_t>;
 
 /// Blocks the parts that the crashes show to be the cause.
 /// @return the parts that were not blocked before.
@@ -72,7 +72,7 @@
 auto hasBlockedPart(const PromptPartCrashes& state, std::span<const std::uint64_t> parts) -> bool;
 
 /// Applies the shared list. Parts that are no longer listed are not blocked any more.
-/// @return the listed parts that this instance knows to be sound. They are not blocked here.
+/// @return the listed parts that this instance knows to be harmless. They are not blocked here.
 auto applyListedParts(PromptPartCrashes& state, TimePoint now, std::span<const ListedPart> listed) -> std::vector<std::uint64_t>;
 
 /// Called for a request that is refused for a blocked part. A trial is due some time after the part was
--- a/src/PromptReport.cpp
+++ b/src/PromptReport.cpp
@@ -12,7 +12,7 @@
         { "service", report.service },
         { "instance", report.instance },
         { "id", report.id },
-        { "sound", report.isSound },
+        { "harmless", report.isHarmless },
         { "process", report.prompt.process },
         { "signature", report.prompt.signature },
         { "parts", json::array(report.prompt.parts.begin(), report.prompt.parts.end()) },
@@ -26,7 +26,7 @@
     auto& prompt = report.prompt;
     if (!object || !readText(*object, "service", report.service) || !readText(*object, "instance", report.instance) || !readNumber(*object, "id", report.id))
         return std::nullopt;
-    if (!readBoolean(*object, "sound", report.isSound) || !readNumber(*object, "process", prompt.process) || !readNumber(*object, "signature", prompt.signature))
+    if (!readBoolean(*object, "harmless", report.isHarmless) || !readNumber(*object, "process", prompt.process) || !readNumber(*object, "signature", prompt.signature))
         return std::nullopt;
     const auto* parts = arrayField(*object, "parts");
     if (!parts || parts->size() > maxComparedParts)
--- a/src/PromptReport.h
+++ b/src/PromptReport.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// What an instance tells its peers about the prompts of a model service: that a request without an answer
-/// was on an engine that crashed, or that parts which a crash makes suspicious are sound.
+/// was on an engine that crashed, or that parts which a crash makes suspicious are harmless.
 
 #include "CrashedPrompt.h"
 
@@ -19,8 +19,8 @@
     std::string instance;
     /// Distinguishes reports with the same contents.
     std::uint64_t id = 0;
-    /// Whether the parts are sound. Otherwise the prompt was on an engine that crashed.
-    bool isSound = false;
+    /// Whether the parts are harmless. Otherwise the prompt was on an engine that crashed.
+    bool isHarmless = false;
     CrashedPrompt prompt;
 
     auto operator<=>(const PromptReport&) const = default;
--- a/src/ReportSoundParts.h
+++ b/src/ReportHarmlessParts.h
@@ -1,13 +1,13 @@
 #pragma once
 
-/// Action: report to the peers that parts of a prompt that a crash makes suspicious are sound.
+/// Action: report to the peers that parts of a prompt that a crash makes suspicious are harmless.
 
 #include <cstdint>
 #include <vector>
 
 namespace jayhold {
 
-struct ReportSoundParts {
+struct ReportHarmlessParts {
     std::vector<std::uint64_t> parts;
 };
 
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -114,7 +114,7 @@
         blockedParts->applyList = [this](const ItemList& list) { replaceBlockedParts(list); };
         blockedParts->applyChange = [this](const ItemChange& change) {
             m_blockedPartsServices.insert(change.item.name);
-            m_callbacks.blockedParts(change.item.name, change.isDeleted ? std::vector<ListedPart>() : blockedPartsFromJson(change.item.value));
+            updateBlockedParts(change.item.name, change.isDeleted ? boost::json::value() : change.item.value);
         };
         m_kindWatches.push_back(blockedParts);
     }
@@ -348,10 +348,17 @@
     for (const auto& item : list.items) {
         removed.erase(item.name);
         m_blockedPartsServices.insert(item.name);
-        m_callbacks.blockedParts(item.name, blockedPartsFromJson(item.value));
+        updateBlockedParts(item.name, item.value);
     }
     for (const auto& service : removed)
-        m_callbacks.blockedParts(service, {});
+        updateBlockedParts(service, nullptr);
+}
+
+auto StoreDirectory::updateBlockedParts(const std::string& service, const boost::json::value& value) -> void
+{
+    auto stored = blockedPartsFromJson(value);
+    logUnreadable(m_format.blockedPartsKind, stored.unreadable);
+    m_callbacks.blockedParts(service, std::move(stored.parts));
 }
 
 auto StoreDirectory::publishBackends() -> void
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -145,6 +145,8 @@
     auto replaceBackends(const ItemList& list) -> void;
     auto updateBackend(const ItemChange& change) -> void;
     auto replaceBlockedParts(const ItemList& list) -> void;
+    /// @param value null if the service has no list any more.
+    auto updateBlockedParts(const std::string& service, const boost::json::value& value) -> void;
     auto publishBackends() -> void;
     auto logBackendChanges(const std::vector<BackendServer>& next) -> void;
 
--- /dev/null
+++ b/test/RouterFixture.h
@@ -0,0 +1,139 @@
+#pragma once
+
+/// A router daemon with the platform's adapter on a fake platform.
+
+#include "FakeObjectStore.h"
+#include "HttpTestServer.h"
+
+#include "Platform.h"
+#include "RouterDaemon.h"
+
+#include <boost/json/array.hpp>
+#include <catch2/catch.hpp>
+
+#include <optional>
+#include <thread>
+
+namespace jayhold::test {
+
+using namespace std::chrono_literals;
+namespace json = boost::json;
+using Behaviour = FakeBackendServer::Behaviour;
+
+inline auto routeOf(std::string name, std::string prefix, std::string service, std::string kind, int attempts, bool canResume) -> json::object
+{
+    return { { "name", name }, { "host", "a.example" }, { "pathPrefix", prefix }, { "service", service }, { "kind", kind }, { "timeoutMs", 2'000 },
+        { "targetLatencyMs", 500 }, { "targetGapMs", 300 }, { "maxAttempts", attempts }, { "priority", 1 }, { "canResume", canResume }, { "sticky", kind == "streaming" } };
+}
+
+inline auto configurationOf(int version) -> json::object
+{
+    json::object engine { { "slots", 8 }, { "kvCapacity", 40'000 }, { "kvTokenBytes", 18'432 }, { "linkMbps", 1'000.0 }, { "stride", 11 }, { "kvHoldS", 0.5 }, { "holdMs", 2'000.0 } };
+    return { { "version", version },
+        { "routes", json::array { routeOf("read", "/read/", "ledger", "idempotent", 2, false), routeOf("post", "/post/", "ledger", "non_idempotent", 1, false), routeOf("resumed", "/resumed/", "llm", "streaming", 2, true), routeOf("once", "/once/", "llm", "streaming", 1, false) } },
+        { "services", json::array { json::object { { "name", "ledger" }, { "healthPath", "/health" } }, json::object { { "name", "llm" }, { "engine", std::move(engine) } } } },
+        { "limits", json::object { { "maxHeaderBytes", 8'192 }, { "maxBodyBytes", 10'000 }, { "headerTimeoutMs", 500 }, { "idleTimeoutMs", 5'000 } } } };
+}
+
+/// A router on a fake platform with two plain replicas, one prefill engine and two decode engines.
+struct RouterFixture {
+    RouterFixture()
+    {
+        platform.put("config", "main", configurationOf(3));
+        registerServer(plain1, "ledger", {});
+        registerServer(plain2, "ledger", {});
+        registerServer(prefill, "llm", "prefill");
+        registerServer(decode1, "llm", "decode");
+        registerServer(decode2, "llm", "decode");
+        platform.put("servers", "forged", json::object { { "service", 7 }, { "address", "nowhere" } });
+        platform.put("servers", "strange", json::object { { "service", "ledger" }, { "address", "127.0.0.1:1" }, { "zone", "alpine" }, { "state", "asleep" } });
+    }
+    ~RouterFixture()
+    {
+        router.reset();
+        threads.stop();
+    }
+    RouterFixture(const RouterFixture&) = delete;
+    auto operator=(const RouterFixture&) -> RouterFixture& = delete;
+
+    auto registerServer(const FakeBackendServer& replica, const std::string& service, const std::string& phase, const std::string& state = "ready") -> void
+    {
+        json::object entry { { "service", service }, { "address", toString(replica.endpoint()) }, { "zone", "alpine" }, { "state", state }, { "slots", 6 }, { "born", 1'700'000'000'000 } };
+        if (!phase.empty())
+            entry["phase"] = phase;
+        platform.put("servers", replica.id(), std::move(entry));
+    }
+
+    auto start() -> void
+    {
+        platform::Settings settings;
+        settings.entry.instance = "entry-1";
+        settings.entry.availabilityZone = "alpine";
+        settings.entry.listen = { "127.0.0.1", 0 };
+        settings.entry.readinessListen = HttpEndpoint { "127.0.0.1", 0 };
+        settings.entry.loadListen = HttpEndpoint { "127.0.0.1", 0 };
+        settings.entry.drainTimeout = 3s;
+        settings.entry.deregistrationDelay = 200ms;
+        settings.entry.maxPropagationDelay = 600ms;
+        settings.entry.logLevel = LogLevel::Error;
+        settings.availabilityZones = { { "alpine", "big-bend" } };
+        settings.store = platform.endpoint();
+        settings.storeCallsPerSecond = 1'000;
+        // A budget of this instance alone starts full, so that the first call of a test may be retried.
+        settings.retry = { .ratio = 0.2, .burst = 50, .isShared = sharesRetries, .countsRejections = true };
+        router.emplace(settings.entry, platform::makePlatformAdapter(settings));
+    }
+
+    auto isReady() -> bool
+    {
+        const auto response = runOn(threads, 0, threads.client(0).request(router->readinessEndpoint(), HttpRequest { .target = "/-/ready" }, 1s));
+        return response.has_value() && response->status == 200;
+    }
+
+    auto startAndWait() -> void
+    {
+        start();
+        REQUIRE(waitUntil([&] { return isReady(); }));
+    }
+
+    template <typename Condition>
+    auto waitUntil(Condition condition) -> bool
+    {
+        const auto end = monotonicNow() + 5s;
+        while (!condition()) {
+            if (monotonicNow() > end)
+                return false;
+            std::this_thread::sleep_for(10ms);
+        }
+        return true;
+    }
+
+    auto call(std::string method, std::string target, std::string body = {}, std::vector<HttpHeader> headers = {}) -> HttpResult<HttpResponse>
+    {
+        headers.push_back({ "Host", "A.example:80" });
+        headers.push_back({ "Request-Id", "request-" + std::to_string(++requests) });
+        headers.push_back({ "Deadline-Ms", "1500" });
+        HttpRequest request { std::move(method), std::move(target), std::move(headers), std::move(body) };
+        return runOn(threads, 0, threads.client(0).request(router->endpoint(), std::move(request), 5s));
+    }
+
+    auto streamCall(std::string target, std::vector<HttpHeader> headers = {}) -> HttpResult<HttpResponse>
+    {
+        headers.push_back({ "Model", "m" });
+        headers.push_back({ "Token-Counts", "100,200" });
+        return call("POST", std::move(target), "prompt", std::move(headers));
+    }
+
+    IoThreads threads { 2 };
+    FakeObjectStore platform { threads };
+    FakeBackendServer plain1 { threads, "plain-1" };
+    FakeBackendServer plain2 { threads, "plain-2" };
+    FakeBackendServer prefill { threads, "prefill-1" };
+    FakeBackendServer decode1 { threads, "decode-1" };
+    FakeBackendServer decode2 { threads, "decode-2" };
+    std::optional<RouterDaemon> router;
+    int requests = 0;
+    bool sharesRetries = false;
+};
+
+}
--- /dev/null
+++ b/test/correctness/BlockedPartsRouterTest.cpp
@@ -0,0 +1,34 @@
+#include "../RouterFixture.h"
+
+using namespace jayhold;
+using namespace jayhold::test;
+
+// Guards against an instance that runs requests with a blocked part of the prompt because it started after
+// the part was found, and against harmless requests that are refused for the other parts that they share.
+TEST_CASE("a prompt part that crashes engines is refused, also by a new process")
+{
+    RouterFixture fixture;
+    fixture.decode1.setBehaviour(Behaviour::DropConnection);
+    fixture.decode2.setBehaviour(Behaviour::DropConnection);
+    fixture.startAndWait();
+    const auto callWith = [&](const std::string& parts) {
+        const auto body = "prompt " + std::to_string(fixture.requests);
+        return fixture.call("POST", "/once/x", body, { { "Model", "m" }, { "Token-Counts", "100,200" }, { "Prompt-Prefix", parts + ",ff" + std::to_string(fixture.requests) + ":50" } })->status;
+    };
+    // Connections that break on one engine within two seconds count as one crash.
+    REQUIRE(fixture.waitUntil([&] { return callWith("a1:30,b2:20") == 503; }));
+    const auto crashes = fixture.decode1.runs() + fixture.decode2.runs();
+    CHECK(callWith("a1:30,b2:20") == 503);
+    CHECK(fixture.decode1.runs() + fixture.decode2.runs() == crashes);
+    fixture.decode1.setBehaviour(Behaviour::Answer);
+    fixture.decode2.setBehaviour(Behaviour::Answer);
+    CHECK(fixture.waitUntil([&] { return callWith("a1:30") == 200; }));
+    // Longer than the delay of the write to the store.
+    std::this_thread::sleep_for(600ms);
+    fixture.router.reset();
+    fixture.startAndWait();
+    CHECK(fixture.waitUntil([&] { return callWith("a1:30") == 200; }));
+    const auto runs = fixture.decode1.runs() + fixture.decode2.runs();
+    CHECK(callWith("a1:30,b2:20") == 503);
+    CHECK(fixture.decode1.runs() + fixture.decode2.runs() == runs);
+}
--- a/test/correctness/BlockedPartsTest.cpp
+++ b/test/correctness/BlockedPartsTest.cpp
@@ -48,7 +48,7 @@
         const std::lock_guard guard(m_lock);
         return m_object;
     }
-    auto parts() const -> std::vector<ListedPart> { return blockedPartsFromJson(object().value); }
+    auto parts() const -> std::vector<ListedPart> { return blockedPartsFromJson(object().value).parts; }
 
     std::atomic<bool> isDown { false };
     std::atomic<bool> losesReplies { false };
@@ -94,10 +94,16 @@
 TEST_CASE("lists of blocked parts survive their conversion to JSON")
 {
     const std::vector<ListedPart> parts { { 0xffffffffffffffff, 2 }, { 7, 0 } };
-    CHECK(blockedPartsFromJson(blockedPartsToJson(parts)) == parts);
-    CHECK(blockedPartsFromJson(json::parse(R"({"parts":[5,{"part":"x","trials":0},{"part":"9","trials":-1},{"part":"a8","trials":1}]})")) == std::vector<ListedPart> { { 0xa8, 1 } });
-    CHECK(blockedPartsFromJson(json::parse(R"("text")")).empty());
-    CHECK(blockedPartsFromJson({}).empty());
+    CHECK(blockedPartsFromJson(blockedPartsToJson(parts)).parts == parts);
+    CHECK(blockedPartsFromJson(blockedPartsToJson(parts)).unreadable == 0);
+    const auto damaged = blockedPartsFromJson(json::parse(R"({"parts":[5,{"part":"x","trials":0},{"part":"9","trials":-1},{"part":"a8","trials":1}]})"));
+    CHECK(damaged.parts == std::vector<ListedPart> { { 0xa8, 1 } });
+    CHECK(damaged.unreadable == 3);
+    const auto text = blockedPartsFromJson(json::parse(R"("text")"));
+    CHECK(text.parts.empty());
+    CHECK(text.unreadable == 1);
+    CHECK(blockedPartsFromJson({}).parts.empty());
+    CHECK(blockedPartsFromJson({}).unreadable == 0);
 }
 
 // Guards against writers that overwrite each other's entries, and against a write for each instance.
--- a/test/correctness/CrashFleet.cpp
+++ b/test/correctness/CrashFleet.cpp
@@ -17,10 +17,10 @@
 constexpr Duration downTime = 3s;
 /// Requests of the whole fleet in one step.
 constexpr double requestsPerStep = 0.25;
-/// The same first part is in all crashing requests and in some sound ones.
+/// The same first part is in all crashing requests and in some harmless ones.
 constexpr std::uint64_t firstPart = 7;
 constexpr std::uint64_t crashingPart = 13;
-constexpr double soundShareOfFirstPart = 0.1;
+constexpr double harmlessShareOfFirstPart = 0.1;
 constexpr Duration messageDelay = 5ms;
 /// Delay of a write to the shared list, and interval at which an instance that gets no messages reads it.
 constexpr Duration writeDelay = 200ms;
@@ -130,12 +130,12 @@
     const RequestId id { ++m_lastRequest };
     Request request;
     request.isCrashing = chance(m_settings.crashingShare);
-    const auto hasFirstPart = request.isCrashing || chance(soundShareOfFirstPart);
+    const auto hasFirstPart = request.isCrashing || chance(harmlessShareOfFirstPart);
     request.parts = { hasFirstPart ? firstPart : 1'000 + m_lastRequest };
     if (request.isCrashing)
         request.parts.push_back(crashingPart);
     request.isCounted = !request.isCrashing && hasFirstPart && isPastBound(stableTime);
-    soundArrived += request.isCounted;
+    harmlessArrived += request.isCounted;
     m_instances[index]->requests[id] = request;
     send(index, RequestArrived {
                     .request = id,
@@ -172,7 +172,7 @@
         if (request.tokens < answerTokens)
             continue;
         instance.decodes.erase(id);
-        soundFinished += request.isCounted;
+        harmlessFinished += request.isCounted;
         send(index, DecodeFinished { id, decode.start.attempt, request.tokens });
     }
 }
@@ -251,8 +251,8 @@
             broadcast(index, CrashReported { crashed->signature, crashed->replica, index % 2 == 0 });
         } else if (const auto* prompt = std::get_if<ReportCrashedPrompt>(&action)) {
             broadcast(index, CrashedPromptReported { prompt->prompt });
-        } else if (const auto* sound = std::get_if<ReportSoundParts>(&action)) {
-            broadcast(index, SoundPartsReported { sound->parts });
+        } else if (const auto* harmless = std::get_if<ReportHarmlessParts>(&action)) {
+            broadcast(index, HarmlessPartsReported { harmless->parts });
         } else if (const auto* update = std::get_if<UpdateBlockedPart>(&action)) {
             scheduleWrite(index, *update);
         }
--- a/test/correctness/CrashFleet.h
+++ b/test/correctness/CrashFleet.h
@@ -52,9 +52,9 @@
     std::size_t crashes = 0;
     /// Calls for requests with the part that undisturbed instances sent after the bound.
     std::size_t callsAfterBound = 0;
-    /// Sound requests with the same first part as the crashing ones: arrived and finished after the bound.
-    std::size_t soundArrived = 0;
-    std::size_t soundFinished = 0;
+    /// Harmless requests with the same first part as the crashing ones: arrived and finished after the bound.
+    std::size_t harmlessArrived = 0;
+    std::size_t harmlessFinished = 0;
 
 private:
     static constexpr Duration step = std::chrono::milliseconds(5);
--- a/test/correctness/FleetCrashTest.cpp
+++ b/test/correctness/FleetCrashTest.cpp
@@ -22,11 +22,11 @@
     REQUIRE(fleet.crashes > 0);
     CHECK(fleet.crashes <= CrashFleetSettings().boundCrashes);
     CHECK(fleet.callsAfterBound <= maxCallsAfterBound);
-    CHECK(fleet.soundFinished * 2 >= fleet.soundArrived);
+    CHECK(fleet.harmlessFinished * 2 >= fleet.harmlessArrived);
 }
 
 // Guards against instances that do not know of a blocked part because they started later, were cut off or
-// lost messages, and against sound requests that are refused for what they share with crashing ones.
+// lost messages, and against harmless requests that are refused for what they share with crashing ones.
 TEST_CASE("restarted and cut off instances do not run requests with a blocked part")
 {
     rc::prop("in any order of restarts and cuts", [](std::uint32_t seed) {
@@ -49,7 +49,7 @@
         }
         fleet.run();
         RC_ASSERT(fleet.callsAfterBound <= maxCallsAfterBound);
-        RC_ASSERT(fleet.soundFinished * 2 >= fleet.soundArrived);
+        RC_ASSERT(fleet.harmlessFinished * 2 >= fleet.harmlessArrived);
     });
 }
 
@@ -66,5 +66,5 @@
     fleet.run();
     REQUIRE(fleet.crashes > 0);
     CHECK(fleet.callsAfterBound <= maxCallsAfterBound);
-    CHECK(fleet.soundFinished * 2 >= fleet.soundArrived);
+    CHECK(fleet.harmlessFinished * 2 >= fleet.harmlessArrived);
 }
--- a/test/correctness/FleetLimitTest.cpp
+++ b/test/correctness/FleetLimitTest.cpp
@@ -174,7 +174,7 @@
     });
 }
 
-// Guards against a limited server that is left unused because only some instances are entitled to calls.
+// Guards against a limited server that is left unused because only some instances get a share.
 TEST_CASE("the parts of a limit add up to the limit")
 {
     std::vector<std::string> names;
--- a/test/correctness/PromptPartBlockingTest.cpp
+++ b/test/correctness/PromptPartBlockingTest.cpp
@@ -62,7 +62,7 @@
     CHECK(harness.last<CancelOnReplica>()->replica == ReplicaId { 2 });
 }
 
-// Guards against a request that is refused although its answer shows that the part is sound.
+// Guards against a request that is refused although its answer shows that the part is harmless.
 TEST_CASE("a request that is past the point of the crash is not refused and unblocks the part")
 {
     PartHarness harness;
@@ -72,7 +72,7 @@
     harness.block();
     CHECK_FALSE(harness.last<Refuse>());
     CHECK(harness.last<UpdateBlockedPart>()->change == BlockedPartChange::Remove);
-    CHECK(harness.last<ReportSoundParts>()->parts == std::vector<std::uint64_t> { crashingPart });
+    CHECK(harness.last<ReportHarmlessParts>()->parts == std::vector<std::uint64_t> { crashingPart });
 }
 
 // Guards against blaming requests that were running before the crash, and against crashes that peers do not
@@ -91,16 +91,16 @@
     CHECK(harness.last<ReportCrashedPrompt>()->prompt.parts == std::vector<std::uint64_t> { 2 });
 }
 
-// Guards against peers that block a part which this instance knows to be sound.
-TEST_CASE("an instance tells its peers that a suspicious part is sound")
+// Guards against peers that block a part which this instance knows to be harmless.
+TEST_CASE("an instance tells its peers that a suspicious part is harmless")
 {
     PartHarness harness;
     const auto decode = harness.decodeOf(1, { 7 });
     harness.started(decode);
     harness.send(DecodeFinished { decode.request, decode.attempt, 3 });
     harness.send(CrashedPromptReported { { .process = 5, .signature = 9, .parts = { 7, 8 } } });
-    REQUIRE(harness.last<ReportSoundParts>());
-    CHECK(harness.last<ReportSoundParts>()->parts == std::vector<std::uint64_t> { 7 });
+    REQUIRE(harness.last<ReportHarmlessParts>());
+    CHECK(harness.last<ReportHarmlessParts>()->parts == std::vector<std::uint64_t> { 7 });
 }
 
 // Guards against a trial of a blocked part that takes other requests with it or is repeated.
--- a/test/correctness/PromptPartCrashesTest.cpp
+++ b/test/correctness/PromptPartCrashesTest.cpp
@@ -32,7 +32,7 @@
 
 }
 
-// Guards against blaming what crashing requests share with sound ones instead of the part that is the cause.
+// Guards against blaming what crashing requests share with harmless ones instead of the part that is the cause.
 TEST_CASE("the deepest part that was at the crashes of two requests is blocked")
 {
     PromptPartCrashes state;
@@ -58,7 +58,7 @@
     CHECK(blockCrashingParts(beside, start + settled).empty());
 }
 
-// Guards against a decision before the peers could report that a part is sound.
+// Guards against a decision before the peers could report that a part is harmless.
 TEST_CASE("a part is blocked only after the reports of the peers can have arrived")
 {
     PromptPartCrashes state;
@@ -68,40 +68,40 @@
     CHECK(blockCrashingParts(state, state.decideAt) == Parts { 7 });
 }
 
-// Guards against refusing sound requests because engines crashed for other reasons while they ran, and
-// against a part that is never blocked because it was sound long ago.
-TEST_CASE("a part that was recently sound is not blocked")
+// Guards against refusing harmless requests because engines crashed for other reasons while they ran, and
+// against a part that is never blocked because it was harmless long ago.
+TEST_CASE("a part that was recently harmless is not blocked")
 {
     PromptPartCrashes state;
-    recordSoundParts(state, start, Parts { 7 }, true);
-    CHECK(ownSoundParts(state, start + 1s, Parts { 6, 7 }) == Parts { 7 });
+    recordHarmlessParts(state, start, Parts { 7 }, true);
+    CHECK(ownHarmlessParts(state, start + 1s, Parts { 6, 7 }) == Parts { 7 });
     crash(state, start + 1s, 1, { 7 });
     CHECK(crash(state, start + 2s, 2, { 7 }).empty());
     crash(state, start + 10min, 3, { 7 });
     CHECK(crash(state, start + 11min, 4, { 7 }) == Parts { 7 });
 }
 
-TEST_CASE("a part that turns out to be sound is not blocked any more")
+TEST_CASE("a part that turns out to be harmless is not blocked any more")
 {
     auto state = blockedState(7, true);
     REQUIRE(hasBlockedPart(state, Parts { 7 }));
-    CHECK(recordSoundParts(state, start + 3s, Parts { 7 }, false) == Parts { 7 });
+    CHECK(recordHarmlessParts(state, start + 3s, Parts { 7 }, false) == Parts { 7 });
     CHECK_FALSE(hasBlockedPart(state, Parts { 7 }));
     // What a peer reports is not reported again, so that it can't circulate.
-    CHECK(ownSoundParts(state, start + 3s, Parts { 7 }).empty());
+    CHECK(ownHarmlessParts(state, start + 3s, Parts { 7 }).empty());
     CHECK(applyListedParts(state, start + 4s, std::vector<ListedPart> { { 7 } }).empty());
     CHECK(hasBlockedPart(state, Parts { 7 }));
 }
 
-// Guards against instances that confirm to each other for ever that a part is sound, after it has begun to
+// Guards against instances that confirm to each other for ever that a part is harmless, after it has begun to
 // crash engines.
 TEST_CASE("reports of peers do not prolong what an instance has observed itself")
 {
     PromptPartCrashes state;
-    recordSoundParts(state, start, Parts { 7 }, true);
-    recordSoundParts(state, start + 20s, Parts { 7 }, false);
-    CHECK(ownSoundParts(state, start + 25s, Parts { 7 }) == Parts { 7 });
-    CHECK(ownSoundParts(state, start + 31s, Parts { 7 }).empty());
+    recordHarmlessParts(state, start, Parts { 7 }, true);
+    recordHarmlessParts(state, start + 20s, Parts { 7 }, false);
+    CHECK(ownHarmlessParts(state, start + 25s, Parts { 7 }) == Parts { 7 });
+    CHECK(ownHarmlessParts(state, start + 31s, Parts { 7 }).empty());
     // The report of the peer counts for as long as an observation of its own.
     crash(state, start + 45s, 1, { 7 });
     CHECK(crash(state, start + 49s, 2, { 7 }).empty());
@@ -110,10 +110,10 @@
 }
 
 // Guards against an instance that blocks a part although its own requests with the part are answered.
-TEST_CASE("an instance objects to a listed part that it knows to be sound")
+TEST_CASE("an instance objects to a listed part that it knows to be harmless")
 {
     PromptPartCrashes state;
-    recordSoundParts(state, start, Parts { 7 }, true);
+    recordHarmlessParts(state, start, Parts { 7 }, true);
     CHECK(applyListedParts(state, start + 1s, std::vector<ListedPart> { { 7 }, { 8 } }) == Parts { 7 });
     CHECK_FALSE(hasBlockedPart(state, Parts { 7 }));
     CHECK(hasBlockedPart(state, Parts { 8 }));
@@ -161,11 +161,11 @@
 {
     PromptPartCrashes state;
     for (std::uint64_t number = 0; number < 20'000; ++number) {
-        recordSoundParts(state, start, Parts { number }, true);
+        recordHarmlessParts(state, start, Parts { number }, true);
         addCrashedPrompt(state, start, { .process = number, .signature = number, .parts = { number } });
         addCrashedPrompt(state, start, { .process = 1, .signature = number, .parts = { number } });
     }
-    CHECK(state.soundParts.size() + state.olderSoundParts.size() <= 4'096);
+    CHECK(state.harmlessParts.size() + state.olderHarmlessParts.size() <= 4'096);
     CHECK(state.crashes.size() <= 64);
     for (const auto& crash : state.crashes)
         CHECK(crash.prompts.size() <= 32);
