--- a/test/RouterFixture.h
+++ b/test/RouterFixture.h
@@ -35,6 +35,32 @@
         { "limits", json::object { { "maxHeaderBytes", 8'192 }, { "maxBodyBytes", 10'000 }, { "headerTimeoutMs", 500 }, { "idleTimeoutMs", 5'000 } } } };
 }
 
+/// @return the entry of a backend server in the store.
+inline auto serverEntry(const FakeBackendServer& server, const std::string& service, const std::string& phase, const std::string& state = "ready") -> json::object
+{
+    json::object entry { { "service", service }, { "address", toString(server.endpoint()) }, { "zone", "alpine" }, { "state", state }, { "slots", 6 }, { "born", 1'700'000'000'000 } };
+    if (!phase.empty())
+        entry["phase"] = phase;
+    return entry;
+}
+
+/// @return the settings of an instance that shares its retry budget with others.
+inline auto routerSettings(const std::string& instance, const HttpEndpoint& store) -> platform::Settings
+{
+    platform::Settings settings;
+    settings.entry.instance = instance;
+    settings.entry.availabilityZone = "alpine";
+    settings.entry.listen = { "127.0.0.1", 0 };
+    settings.entry.readinessListen = HttpEndpoint { "127.0.0.1", 0 };
+    settings.entry.loadListen = HttpEndpoint { "127.0.0.1", 0 };
+    settings.entry.logLevel = LogLevel::Error;
+    settings.availabilityZones = { { "alpine", "big-bend" } };
+    settings.store = store;
+    settings.storeCallsPerSecond = 1'000;
+    settings.retry = { .ratio = 0.2, .burst = 50, .isShared = true, .countsRejections = true };
+    return settings;
+}
+
 /// A router on a fake platform with two plain replicas, one prefill engine and two decode engines.
 struct RouterFixture {
     RouterFixture()
@@ -56,31 +82,19 @@
     RouterFixture(const RouterFixture&) = delete;
     auto operator=(const RouterFixture&) -> RouterFixture& = delete;
 
-    auto registerServer(const FakeBackendServer& replica, const std::string& service, const std::string& phase, const std::string& state = "ready") -> void
+    auto registerServer(const FakeBackendServer& server, const std::string& service, const std::string& phase, const std::string& state = "ready") -> void
     {
-        json::object entry { { "service", service }, { "address", toString(replica.endpoint()) }, { "zone", "alpine" }, { "state", state }, { "slots", 6 }, { "born", 1'700'000'000'000 } };
-        if (!phase.empty())
-            entry["phase"] = phase;
-        platform.put("servers", replica.id(), std::move(entry));
+        platform.put("servers", server.id(), serverEntry(server, service, phase, state));
     }
 
     auto start() -> void
     {
-        platform::Settings settings;
-        settings.entry.instance = "entry-1";
-        settings.entry.availabilityZone = "alpine";
-        settings.entry.listen = { "127.0.0.1", 0 };
-        settings.entry.readinessListen = HttpEndpoint { "127.0.0.1", 0 };
-        settings.entry.loadListen = HttpEndpoint { "127.0.0.1", 0 };
+        auto settings = routerSettings("entry-1", platform.endpoint());
         settings.entry.drainTimeout = 3s;
         settings.entry.deregistrationDelay = 200ms;
         settings.entry.maxPropagationDelay = 600ms;
-        settings.entry.logLevel = LogLevel::Error;
-        settings.availabilityZones = { { "alpine", "big-bend" } };
-        settings.store = platform.endpoint();
-        settings.storeCallsPerSecond = 1'000;
         // A budget of this instance alone starts full, so that the first call of a test may be retried.
-        settings.retry = { .ratio = 0.2, .burst = 50, .isShared = sharesRetries, .countsRejections = true };
+        settings.retry.isShared = sharesRetries;
         router.emplace(settings.entry, platform::makePlatformAdapter(settings));
     }
 
--- a/test/correctness/NamedLimitTest.cpp
+++ b/test/correctness/NamedLimitTest.cpp
@@ -1,19 +1,10 @@
-#include "../FakeObjectStore.h"
-#include "../HttpTestServer.h"
-
-#include "Platform.h"
-#include "RouterDaemon.h"
-
-#include <boost/json/array.hpp>
-#include <catch2/catch.hpp>
+#include "../RouterFixture.h"
 
 #include <algorithm>
 #include <list>
-#include <thread>
 
 using namespace jayhold;
-using namespace std::chrono_literals;
-namespace json = boost::json;
+using namespace jayhold::test;
 
 namespace {
 
@@ -28,27 +19,18 @@
     return 1.5 * perSecond * 4 + 5;
 }
 
-auto routeOf(const std::string& prefix, const std::string& service, const std::string& kind) -> json::object
-{
-    return { { "name", service }, { "host", "a.example" }, { "pathPrefix", prefix }, { "service", service }, { "kind", kind }, { "timeoutMs", 2'000 },
-        { "targetLatencyMs", 500 }, { "targetGapMs", 300 }, { "maxAttempts", 2 }, { "priority", 1 }, { "canResume", false }, { "sticky", kind == "streaming" } };
-}
-
 /// Several instances before one server of each kind, and callers that send more than the servers take.
 struct Fleet {
     Fleet()
     {
-        json::object engine { { "slots", 8 }, { "kvCapacity", 40'000 }, { "kvTokenBytes", 18'432 }, { "linkMbps", 1'000.0 }, { "stride", 11 }, { "kvHoldS", 0.5 }, { "holdMs", 2'000.0 } };
-        json::object configuration { { "version", 1 },
-            { "routes", json::array { routeOf("/read/", "ledger", "idempotent"), routeOf("/once/", "llm", "streaming") } },
-            { "services", json::array { json::object { { "name", "ledger" }, { "healthPath", "/health" } }, json::object { { "name", "llm" }, { "engine", std::move(engine) } } } },
-            { "limits", json::object { { "maxHeaderBytes", 8'192 }, { "maxBodyBytes", 10'000 }, { "headerTimeoutMs", 500 }, { "idleTimeoutMs", 5'000 } } } };
-        store.put("config", "main", std::move(configuration));
-        registerServer(plain, "ledger", {});
-        registerServer(prefill, "llm", "prefill");
-        registerServer(decode, "llm", "decode");
-        for (std::size_t index = 0; index < instanceCount; ++index)
-            start("entry-" + std::to_string(index + 1));
+        store.put("config", "main", configurationOf(1));
+        store.put("servers", plain.id(), serverEntry(plain, "ledger", {}));
+        store.put("servers", prefill.id(), serverEntry(prefill, "llm", "prefill"));
+        store.put("servers", decode.id(), serverEntry(decode, "llm", "decode"));
+        for (std::size_t index = 0; index < instanceCount; ++index) {
+            const auto settings = routerSettings("entry-" + std::to_string(index + 1), store.endpoint());
+            routers.emplace_back(settings.entry, platform::makePlatformAdapter(settings));
+        }
     }
     ~Fleet()
     {
@@ -58,30 +40,6 @@
     Fleet(const Fleet&) = delete;
     auto operator=(const Fleet&) -> Fleet& = delete;
 
-    auto registerServer(const FakeBackendServer& server, const std::string& service, const std::string& phase) -> void
-    {
-        json::object entry { { "service", service }, { "address", toString(server.endpoint()) }, { "zone", "alpine" }, { "state", "ready" }, { "slots", 6 }, { "born", 1'700'000'000'000 } };
-        if (!phase.empty())
-            entry["phase"] = phase;
-        store.put("servers", server.id(), std::move(entry));
-    }
-
-    auto start(const std::string& name) -> void
-    {
-        platform::Settings settings;
-        settings.entry.instance = name;
-        settings.entry.availabilityZone = "alpine";
-        settings.entry.listen = { "127.0.0.1", 0 };
-        settings.entry.readinessListen = HttpEndpoint { "127.0.0.1", 0 };
-        settings.entry.loadListen = HttpEndpoint { "127.0.0.1", 0 };
-        settings.entry.logLevel = LogLevel::Error;
-        settings.availabilityZones = { { "alpine", "big-bend" } };
-        settings.store = store.endpoint();
-        settings.storeCallsPerSecond = 1'000;
-        settings.retry = { .ratio = 0.2, .burst = 50, .isShared = true, .countsRejections = true };
-        routers.emplace_back(settings.entry, platform::makePlatformAdapter(settings));
-    }
-
     /// Sends calls to all instances for a time, one at a time to each.
     auto load(const std::string& target, Duration time) -> void
     {
--- a/test/correctness/RouterDaemonTest.cpp
+++ b/test/correctness/RouterDaemonTest.cpp
@@ -2,7 +2,6 @@
 
 using namespace jayhold;
 using namespace jayhold::test;
-using Fixture = RouterFixture;
 
 namespace {
 
@@ -20,7 +19,7 @@
 // a caller must not set.
 TEST_CASE("a plain call is forwarded unchanged")
 {
-    Fixture fixture;
+    RouterFixture fixture;
     fixture.startAndWait();
     const auto response = fixture.call("POST", "/post/x?a=1", "body", { { "Cache-Source", "10.0.0.1:1/stolen" }, { "Stage", "prefill" }, { "X-Own", "kept" }, { "Connection", "X-Hop" }, { "X-Hop", "dropped" } });
     REQUIRE(response.has_value());
@@ -44,7 +43,7 @@
 TEST_CASE("a call that is not repeatable runs once, and its loss is not reported as not run")
 {
     const auto behaviour = GENERATE(Behaviour::DropConnection, Behaviour::WrongRequestId);
-    Fixture fixture;
+    RouterFixture fixture;
     fixture.plain1.setBehaviour(behaviour);
     fixture.plain2.setBehaviour(behaviour);
     fixture.startAndWait();
@@ -58,7 +57,7 @@
 // does not state that the call did not run.
 TEST_CASE("a rejected call is sent to another server, and is refused as not run if all reject it")
 {
-    Fixture fixture;
+    RouterFixture fixture;
     fixture.plain1.setBehaviour(Behaviour::Reject);
     fixture.startAndWait();
     for (auto index = 0; index < 4; ++index)
@@ -73,7 +72,7 @@
 // Guards against an idempotent call that fails because its first backend server fails.
 TEST_CASE("an idempotent call is retried, and an error of the last backend server is forwarded")
 {
-    Fixture fixture;
+    RouterFixture fixture;
     fixture.plain1.setBehaviour(Behaviour::Fail);
     fixture.startAndWait();
     for (auto index = 0; index < 4; ++index)
@@ -88,7 +87,7 @@
 // instances that share the budget (found by the soak test, seed 6109).
 TEST_CASE("an instance that has just started earns retries from its first requests")
 {
-    Fixture fixture;
+    RouterFixture fixture;
     fixture.sharesRetries = true;
     fixture.startAndWait();
     constexpr auto requestsPerRetry = 5;
@@ -102,7 +101,7 @@
 // Guards against backend servers that are ejected because callers cancelled their calls.
 TEST_CASE("cancelled calls do not count as failures of the backend servers")
 {
-    Fixture fixture;
+    RouterFixture fixture;
     fixture.plain1.setBehaviour(Behaviour::Stall);
     fixture.plain2.setBehaviour(Behaviour::Stall);
     fixture.startAndWait();
@@ -120,7 +119,7 @@
 // computed before the slot reservation.
 TEST_CASE("an engine gets the time that is left when its call is sent")
 {
-    Fixture fixture;
+    RouterFixture fixture;
     fixture.decode1.setReservationTime(250ms);
     fixture.decode2.setReservationTime(250ms);
     fixture.startAndWait();
@@ -134,7 +133,7 @@
 // Guards against a stream whose events are changed, and against a prefill that no decode uses.
 TEST_CASE("a stream is prefilled, decoded and forwarded unchanged")
 {
-    Fixture fixture;
+    RouterFixture fixture;
     fixture.startAndWait();
     const auto response = fixture.streamCall("/once/x");
     REQUIRE(response.has_value());
@@ -150,7 +149,7 @@
 // against a truncated stream that is not repeatable but looks complete.
 TEST_CASE("a truncated stream resumes if that is allowed and otherwise ends with an error")
 {
-    Fixture fixture;
+    RouterFixture fixture;
     fixture.decode1.setBehaviour(Behaviour::TruncateStream);
     fixture.decode2.setBehaviour(Behaviour::TruncateStream);
     fixture.startAndWait();
@@ -173,7 +172,7 @@
 // Guards against requests that the configuration does not allow.
 TEST_CASE("requests without a route and oversized requests are rejected immediately")
 {
-    Fixture fixture;
+    RouterFixture fixture;
     fixture.startAndWait();
     CHECK(fixture.call("GET", "/none/x")->status == 404);
     CHECK(fixture.call("POST", "/post/x", std::string(10'001, 'x'))->status == 413);
@@ -183,7 +182,7 @@
 // Guards against an instance that reports ready, or responds with 404, before it has a configuration.
 TEST_CASE("an instance without a store is not ready and refuses as not run")
 {
-    Fixture fixture;
+    RouterFixture fixture;
     fixture.platform.setDown(true);
     fixture.start();
     CHECK_FALSE(fixture.isReady());
@@ -199,7 +198,7 @@
 // configuration version.
 TEST_CASE("an instance keeps serving without its store and ignores an older configuration")
 {
-    Fixture fixture;
+    RouterFixture fixture;
     fixture.startAndWait();
     fixture.platform.setDown(true);
     std::this_thread::sleep_for(300ms);
@@ -219,7 +218,7 @@
 // Guards against a change that a watch misses because the store has discarded its history.
 TEST_CASE("a change is detected after the store has discarded its history")
 {
-    Fixture fixture;
+    RouterFixture fixture;
     fixture.startAndWait();
     std::this_thread::sleep_for(50ms);
     auto newer = configurationOf(4);
@@ -234,7 +233,7 @@
 // Guards against new work for a backend server that is draining or has been removed.
 TEST_CASE("a draining backend server gets no new work")
 {
-    Fixture fixture;
+    RouterFixture fixture;
     fixture.startAndWait();
     fixture.registerServer(fixture.plain1, "ledger", {}, "draining");
     std::this_thread::sleep_for(200ms);
@@ -250,7 +249,7 @@
 // Guards against a shutdown that rejects requests while the load balancer still sends them.
 TEST_CASE("a shutting-down instance keeps serving until the deregistration delay has passed")
 {
-    Fixture fixture;
+    RouterFixture fixture;
     fixture.startAndWait();
     std::atomic<bool> isDrained { false };
     fixture.router->onDrained([&](bool isComplete) { isDrained = isComplete; });
