Let the silence of an engine not end the last possible attempt

Callers lost model requests whose engine only paused: no answer, or a stream that was cut with seconds of its time left.

Cause: a class of fault in which a timeout ends work before it is known whether better work can start. The timeouts for the prefill, the first token and the gap between tokens closed the connection to the engine first; only then the shard asked whether an attempt, a retry of the budget and room at another engine were left.

Now calls last until the request's deadline. The driver reports a silent attempt (AttemptSilent) to the shard, which replaces it only if the retry rules, the budget and the room at other engines allow a start at once, and asks again every 250 ms. The shard's own check after 10 s follows the same rule. Connections to engines that are gone still end by keep-alive.

OverloadTest: "a waiting request is refused as not run once it cannot meet its deadline" passed only because the other request's attempts were given up and both ran out of retries. It now keeps the slot in use by a request that makes progress, and checks the reason and that it is the only refusal.

--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -19,3 +19,7 @@
 jayhold_test(named_limit_test
   SOURCES test/correctness/NamedLimitTest.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
+
+jayhold_test(silent_backend_test
+  SOURCES test/correctness/SilentBackendTest.cpp test/FakeObjectStore.cpp
+  LINK jayhold_platform)
--- a/src/ActiveRequest.h
+++ b/src/ActiveRequest.h
@@ -40,6 +40,8 @@
     OptionalReplica avoidedReplica;
 
     Attempt attempt = 0;
+    /// The attempt whose silence was last counted as a failure of its replica.
+    Attempt silentAttempt = 0;
     /// Tokens that the caller has received.
     std::uint32_t emitted = 0;
     /// Tokens that the caller had when the end was last estimated.
--- a/src/DecisionEvent.h
+++ b/src/DecisionEvent.h
@@ -2,6 +2,7 @@
 
 /// All events that the decision code handles.
 
+#include "AttemptSilent.h"
 #include "BlockedPartsListed.h"
 #include "CacheEvents.h"
 #include "CrashReported.h"
@@ -38,6 +39,7 @@
     TokensEmitted,
     DecodeFinished,
     DecodeFailed,
+    AttemptSilent,
     RequestCancelled,
     SlotReserved,
     SlotRefused,
--- a/src/DecodeRelay.h
+++ b/src/DecodeRelay.h
@@ -43,6 +43,8 @@
     /// @return the time from the arrival of the request to the first token of this response; zero before
     /// the first token.
     auto timeToFirstToken() const -> Duration { return m_timeToFirstToken; }
+    /// @return when the last token was received; the arrival time of the request before the first token.
+    auto lastTokenAt() const -> TimePoint { return m_lastTokenAt; }
     /// @return the longest time between two consecutive tokens of this response.
     auto longestTokenGap() const -> Duration { return m_longestTokenGap; }
 
--- a/src/EntryTimeouts.h
+++ b/src/EntryTimeouts.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// Timeouts of calls to an engine, after which an attempt counts as failed.
+/// Timeouts of calls to an engine, after which an engine that is silent is replaced if another one has room.
 
 #include <chrono>
 
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -44,14 +44,12 @@
     return std::make_unique<CompletionWriter>(exchange, info.request, formatOf(info, context), std::move(headers));
 }
 
-/// Timeouts as multiples of the kind's targets: an engine that is later than that is not worth waiting
-/// for.
+/// Timeouts as multiples of the kind's targets: an engine that is later than that is replaced if another
+/// one has room.
 constexpr int firstTokenTimeoutFactor = 2;
 constexpr int stallTimeoutFactor = 4;
 
-/// The decode of a request that must not be repeated does not time out before the deadline, because its
-/// engine may still respond and no other engine can.
-auto timeoutsOf(const ModelRequestInfo& info, const EntryContext& context) -> EntryTimeouts
+auto silenceTimeoutsOf(const ModelRequestInfo& info, const EntryContext& context) -> EntryTimeouts
 {
     auto timeouts = context.settings.timeouts;
     if (info.forwarded) {
@@ -59,11 +57,18 @@
         timeouts.firstToken = std::min(timeouts.firstToken, info.kindSettings.firstToken * firstTokenTimeoutFactor);
         timeouts.stall = std::min(timeouts.stall, info.kindSettings.tokenGap * stallTimeoutFactor);
     }
-    if (info.kindSettings.repeatable)
-        return timeouts;
-    const auto remainingTime = std::chrono::ceil<std::chrono::milliseconds>(info.deadline - info.arrivedAt);
-    timeouts.firstToken = std::max(timeouts.firstToken, remainingTime);
-    timeouts.stall = std::max(timeouts.stall, remainingTime);
+    return timeouts;
+}
+
+/// Calls don't time out before the request is answered at its deadline. An engine that is silent may still
+/// respond, and the shard decides whether another one is tried.
+auto callTimeoutsOf(const ModelRequestInfo& info, const EntryContext& context) -> EntryTimeouts
+{
+    auto timeouts = context.settings.timeouts;
+    const auto allowedTime = std::chrono::ceil<std::chrono::milliseconds>(info.deadline - info.arrivedAt + deadlineGracePeriod);
+    timeouts.prefill = allowedTime;
+    timeouts.firstToken = allowedTime;
+    timeouts.stall = allowedTime;
     return timeouts;
 }
 
@@ -106,7 +111,8 @@
     , m_info(std::move(info))
     , m_tasks(std::make_unique<Tasks>(exchange.executor()))
     , m_writer(makeWriter(exchange, m_info, context))
-    , m_timeouts(timeoutsOf(m_info, context))
+    , m_timeouts(callTimeoutsOf(m_info, context))
+    , m_silenceTimeouts(silenceTimeoutsOf(m_info, context))
     , m_tokensPerEvent(m_service->tokensPerEvent())
     , m_relay(*m_writer, m_machine, m_service->metrics(), m_timeouts, m_info.arrivedAt, sequenceOf(m_info, context), m_tokensPerEvent)
     , m_promptTokens(m_info.digest.tokens)
@@ -226,7 +232,7 @@
     const auto task = ++m_tasks->lastTask;
     m_tasks->replica = action.prefill;
     m_decodeTokens = action.decodeTokens;
-    spawnTask(runPrefill(task, *replica, decode, std::move(call)));
+    spawnTask(runPrefill(task, *replica, decode, std::move(call)), true);
 }
 
 auto ModelRequest::endPrefill(PrefillEnded ended) -> void
@@ -289,7 +295,7 @@
     record(LogLevel::Info, "transfer_started", { { "split", call.kv.has_value() }, { "resume_from", call.resumeFrom }, { "seat_refusals", m_slotRefusals } });
     const auto task = ++m_tasks->lastTask;
     m_tasks->replica = action.decode;
-    spawnTask(runDecode(task, *replica, std::move(call), needsSlot));
+    spawnTask(runDecode(task, *replica, std::move(call), needsSlot), false);
 }
 
 auto ModelRequest::endDecode(DecodeEnded ended) -> asio::awaitable<void>
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -72,7 +72,12 @@
     auto cancel() -> boost::asio::awaitable<void>;
 
     /// Starts the task of an attempt; at most one runs at a time.
-    auto spawnTask(boost::asio::awaitable<void> task) -> void;
+    auto spawnTask(boost::asio::awaitable<void> task, bool isPrefill) -> void;
+    /// Reports to the shard when the engine of the running attempt sends nothing for longer than its timeout.
+    auto watchSilence(TimePoint checkAt) -> void;
+    auto checkSilence() -> void;
+    /// @return when the engine will have been silent for too long.
+    auto silenceEnd() const -> TimePoint;
     /// Makes the running task fail immediately and closes its connection to the engine.
     auto interruptTask() -> void;
     /// Interrupts the running task and waits until it has ended.
@@ -132,6 +137,7 @@
     RequestStateMachine m_machine;
     const std::unique_ptr<ResponseWriter> m_writer;
     const EntryTimeouts m_timeouts;
+    const EntryTimeouts m_silenceTimeouts;
     const std::uint32_t m_tokensPerEvent;
     DecodeRelay m_relay;
     RequestId m_id {};
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -9,17 +9,65 @@
 
 namespace asio = boost::asio;
 
-auto ModelRequest::spawnTask(asio::awaitable<void> task) -> void
+namespace {
+
+/// Interval at which the shard is asked again to replace a silent engine.
+constexpr Duration silenceCheckInterval = std::chrono::milliseconds(250);
+
+}
+
+auto ModelRequest::spawnTask(asio::awaitable<void> task, bool isPrefill) -> void
 {
     m_tasks->isRunning = true;
+    m_tasks->isPrefill = isPrefill;
+    m_tasks->calledAt = monotonicNow();
+    m_tasks->tokensAtCall = m_relay.tokens();
+    m_tasks->isSilenceLogged = false;
+    watchSilence(silenceEnd());
     auto onEnd = [self = shared_from_this()](const std::exception_ptr&) {
         self->m_tasks->isRunning = false;
+        self->m_tasks->silence.cancel();
         self->m_tasks->stream.reset();
         self->m_tasks->ended.cancel();
     };
     asio::co_spawn(m_tasks->executor, std::move(task), asio::bind_cancellation_slot(m_tasks->interrupt.slot(), std::move(onEnd)));
 }
 
+auto ModelRequest::watchSilence(TimePoint checkAt) -> void
+{
+    m_tasks->silence.expires_at(checkAt);
+    m_tasks->silence.async_wait([weak = weak_from_this()](const boost::system::error_code& code) {
+        const auto request = weak.lock();
+        if (!code && request)
+            request->checkSilence();
+    });
+}
+
+auto ModelRequest::checkSilence() -> void
+{
+    if (!m_tasks->isRunning)
+        return;
+    const auto now = monotonicNow();
+    if (now < silenceEnd()) {
+        watchSilence(silenceEnd());
+        return;
+    }
+    if (!std::exchange(m_tasks->isSilenceLogged, true))
+        record(LogLevel::Info, "attempt_silent", { { "phase", m_tasks->isPrefill ? "prefill" : "decode" }, { "tokens", m_relay.tokens() }, { "left_ms", remainingMs() } });
+    // Room at other engines may become free later.
+    watchSilence(now + silenceCheckInterval);
+    m_service->handleEvent(AttemptSilent { m_id, m_attempt, tokensSent() });
+}
+
+auto ModelRequest::silenceEnd() const -> TimePoint
+{
+    if (m_tasks->isPrefill)
+        return m_tasks->calledAt + m_silenceTimeouts.prefill;
+    if (m_relay.tokens() == m_tasks->tokensAtCall)
+        return m_tasks->calledAt + m_silenceTimeouts.firstToken;
+    return m_relay.lastTokenAt() + m_silenceTimeouts.stall;
+}
+
 auto ModelRequest::interruptTask() -> void
 {
     if (!m_tasks->isRunning)
@@ -60,6 +108,7 @@
     if (m_context.backendProtocol.reserveSlot)
         m_service->handleEvent(SlotReserved { m_id, m_attempt });
     call.deadlineMs = remainingMs();
+    m_tasks->calledAt = monotonicNow();
     observeLimit(call, replica.backend);
     auto result = co_await m_context.backendProtocol.prefill(m_exchange.client(), replica.backend, std::move(call), m_timeouts.prefill);
     countBackendCall(result);
@@ -83,6 +132,7 @@
     }
     const auto usesPrefill = call.kv.has_value();
     call.deadlineMs = remainingMs();
+    m_tasks->calledAt = monotonicNow();
     observeLimit(call, replica.backend);
     const auto stream = co_await m_context.backendProtocol.decode(m_exchange.client(), replica.backend, std::move(call), m_timeouts.firstToken);
     countBackendCall(stream);
--- a/src/ModelRequestTasks.h
+++ b/src/ModelRequestTasks.h
@@ -18,6 +18,7 @@
         : executor(std::move(requestExecutor))
         , wake(executor)
         , ended(executor)
+        , silence(executor)
     {
     }
 
@@ -32,6 +33,14 @@
     ReplicaId replica {};
     /// Cancelled when the running task ends.
     boost::asio::steady_timer ended;
+    /// Expires when the engine of the running task may have been silent for too long.
+    boost::asio::steady_timer silence;
+    bool isPrefill = false;
+    /// When the running task called its engine, and how many tokens the caller had then.
+    TimePoint calledAt {};
+    std::uint32_t tokensAtCall = 0;
+    /// Whether the silence of the running task is logged.
+    bool isSilenceLogged = false;
     /// Interrupts a task that waits for an engine to start its response.
     boost::asio::cancellation_signal interrupt;
     /// The stream that the task relays; null until it is open.
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -7,6 +7,7 @@
 #include "ReplicaHealth.h"
 #include "RequestLifecycle.h"
 #include "ReservationAccounting.h"
+#include "SilentAttempts.h"
 #include "SlotHeadroom.h"
 
 #include <algorithm>
@@ -150,6 +151,22 @@
     retryOrRefuse(context, *request, event.failure);
 }
 
+auto handle(DecisionContext& context, const AttemptSilent& event) -> void
+{
+    auto* request = findCurrent(context.state, event.request, event.attempt, { RequestPhase::Prefilling, RequestPhase::Starting, RequestPhase::Decoding });
+    if (!request)
+        return;
+    // A long silence counts as one failure of the replica.
+    if (request->silentAttempt != event.attempt) {
+        request->silentAttempt = event.attempt;
+        recordFailure(context, request->phase == RequestPhase::Prefilling ? *request->prefill : *request->decode, FailureKind::TimedOut);
+    }
+    if (request->phase == RequestPhase::Starting && event.emittedTokens > request->emitted)
+        enterDecoding(context, *request);
+    request->emitted = std::max(request->emitted, event.emittedTokens);
+    replaceSilentAttempt(context, *request);
+}
+
 auto handle(DecisionContext& context, const RequestCancelled& event) -> void
 {
     if (auto* request = findRequest(context.state, event.request))
@@ -176,10 +193,15 @@
     setTimer(context, *request);
     if (request->timerAt > context.now)
         return;
-    if (request->phase == RequestPhase::Prefilling)
-        recordFailure(context, *request->prefill, FailureKind::TimedOut);
-    if (request->phase == RequestPhase::Starting || request->phase == RequestPhase::Decoding)
-        recordFailure(context, *request->decode, FailureKind::TimedOut);
+    if (request->phase == RequestPhase::Prefilling || request->phase == RequestPhase::Starting || request->phase == RequestPhase::Decoding) {
+        handle(context, AttemptSilent { id, request->attempt, request->emitted });
+        // The next check comes after another period without progress.
+        if (auto* waiting = findRequest(context.state, id); waiting && waiting->phase != RequestPhase::Queued) {
+            waiting->lastProgressAt = context.now;
+            setTimer(context, *waiting);
+        }
+        return;
+    }
     cancelAttempt(context, *request);
     const auto expired = request->phase == RequestPhase::Prefilled;
     retryOrRefuse(context, *request, expired ? FailureKind::KvExpired : FailureKind::TimedOut);
--- a/src/RetryRules.cpp
+++ b/src/RetryRules.cpp
@@ -14,6 +14,21 @@
 /// that engines get within a period of time.
 constexpr Duration consumedRetryLifetime = std::chrono::seconds(2);
 
+/// What the attempts of a request allow, apart from the budget.
+struct AttemptCounts {
+    bool mayHaveRun;
+    std::uint32_t attemptsNotRun;
+    std::uint32_t failures;
+    std::int64_t failedDecodes;
+};
+
+auto allowsRetry(const RequestKind& kind, const AttemptCounts& counts) -> bool
+{
+    if (counts.mayHaveRun && !kind.repeatable)
+        return false;
+    return counts.attemptsNotRun <= maxAttemptsNotRun && counts.failures <= maxFailures && counts.failedDecodes < kind.maxAttempts;
+}
+
 /// @return how many of the calls need a retry from the budget.
 auto repeatedCalls(std::uint32_t calls, bool hadPrefillResult) -> std::uint32_t
 {
@@ -48,13 +63,14 @@
     return false;
 }
 
+auto allowsRetryOfRunning(const ShardState& state, const ActiveRequest& request, bool isDecoding) -> bool
+{
+    return allowsRetry(kindOf(state, request), { request.mayHaveRun || isDecoding, request.attemptsNotRun, request.failures + 1U, request.failedDecodes + (isDecoding ? 1 : 0) });
+}
+
 auto mayRetry(DecisionContext& context, ActiveRequest& request, FailureKind failure) -> bool
 {
-    if (request.mayHaveRun && !kindOf(context.state, request).repeatable)
-        return false;
-    if (request.attemptsNotRun > maxAttemptsNotRun || request.failures > maxFailures)
-        return false;
-    if (request.failedDecodes >= kindOf(context.state, request).maxAttempts)
+    if (!allowsRetry(kindOf(context.state, request), { request.mayHaveRun, request.attemptsNotRun, request.failures, request.failedDecodes }))
         return false;
     if (!isCountedCall(context.state.settings.retry, failure))
         return true;
--- a/src/RetryRules.h
+++ b/src/RetryRules.h
@@ -17,6 +17,9 @@
 auto provablyNotRun(FailureKind failure) -> bool;
 /// @return whether the failed attempt made a call that the retry budget counts.
 auto isCountedCall(const RetryPolicy& policy, FailureKind failure) -> bool;
+/// @param isDecoding whether the running attempt is on a decode replica, where it counts as a run.
+/// @return whether the rules, apart from the budget, would allow a retry if the running attempt failed now.
+auto allowsRetryOfRunning(const ShardState& state, const ActiveRequest& request, bool isDecoding) -> bool;
 /// Takes a retry from the retry budget where one is needed.
 /// @return whether the request may be retried after the failure, which has already been counted.
 auto mayRetry(DecisionContext& context, ActiveRequest& request, FailureKind failure) -> bool;
--- /dev/null
+++ b/src/SilentAttempts.cpp
@@ -0,0 +1,60 @@
+#include "SilentAttempts.h"
+
+#include "Placement.h"
+#include "ReplicaHealth.h"
+#include "RequestLifecycle.h"
+#include "RetryRules.h"
+
+#include <array>
+#include <utility>
+
+namespace jayhold {
+
+namespace {
+
+auto silentReplica(const ActiveRequest& request) -> const OptionalReplica&
+{
+    return request.phase == RequestPhase::Prefilling ? request.prefill : request.decode;
+}
+
+/// @return whether other interrupted requests wait for capacity; they start first.
+auto hasWaitingResumes(const DecisionContext& context) -> bool
+{
+    std::array<RequestId, 1> first {};
+    return context.state.queue.resumes(first) > 0;
+}
+
+/// @return whether another attempt would start now, on engines other than the silent one.
+auto hasOtherPlacement(DecisionContext& context, ActiveRequest& request) -> bool
+{
+    const auto silent = silentReplica(request);
+    const auto avoided = std::exchange(request.avoidedReplica, silent);
+    const auto subQueue = std::exchange(request.subQueue, SubQueue::Resume);
+    const auto placement = choosePlacement(context, request, 0);
+    request.avoidedReplica = avoided;
+    request.subQueue = subQueue;
+    if (!placement || !placement->slotFree)
+        return false;
+    // Without a retry for the prefill, the decode replica prefills itself, if it may.
+    const std::uint32_t retries = placement->prefill && !context.state.settings.decodeMayPrefill ? 2 : 1;
+    if (context.state.retryBudget.remaining() < retries)
+        return false;
+    const auto isSilent = [&](const Replica* replica) { return replica && replica->description.replica == *silent; };
+    return !isSilent(placement->prefill) && !isSilent(placement->decode);
+}
+
+}
+
+auto replaceSilentAttempt(DecisionContext& context, ActiveRequest& request) -> bool
+{
+    const auto isPrefilling = request.phase == RequestPhase::Prefilling;
+    if (!allowsRetryOfRunning(context.state, request, !isPrefilling) || hasWaitingResumes(context) || !hasOtherPlacement(context, request))
+        return false;
+    // Dispatch starts interrupted requests first, so no waiting request takes the room.
+    request.subQueue = SubQueue::Resume;
+    cancelAttempt(context, request);
+    retryOrRefuse(context, request, FailureKind::TimedOut);
+    return true;
+}
+
+}
--- a/test/RouterFixture.h
+++ b/test/RouterFixture.h
@@ -44,6 +44,15 @@
     return entry;
 }
 
+/// @return the events of a complete stream with these ids.
+inline auto streamText(int first, int last) -> std::string
+{
+    std::string text;
+    for (auto event = first; event <= last; ++event)
+        text += "id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + "\n\n";
+    return text;
+}
+
 /// @return the settings of an instance that shares its retry budget with others.
 inline auto routerSettings(const std::string& instance, const HttpEndpoint& store) -> platform::Settings
 {
--- a/test/correctness/OverloadTest.cpp
+++ b/test/correctness/OverloadTest.cpp
@@ -72,13 +72,22 @@
 // Guards against a caller that learns only at its deadline that its request cannot be served.
 TEST_CASE("a waiting request is refused as not run once it cannot meet its deadline")
 {
-    auto harness = withOccupiedSlot();
-    harness.arrive(2, 2);
-    for (int second = 0; second < 599; ++second)
+    ShardHarness harness;
+    harness.replica(1, PoolRole::Prefill, 1);
+    harness.replica(2, PoolRole::Decode, 1);
+    harness.arrive(1, 2);
+    harness.prefilled(*harness.last<StartPrefill>());
+    const auto running = *harness.last<StartDecode>();
+    harness.started(running);
+    harness.arrive(2, 1);
+    for (std::uint32_t second = 1; second < 60; ++second) {
         harness.advance(1s);
+        harness.send(TokensEmitted { running.request, running.attempt, second });
+    }
     const auto all = refusals(harness);
-    REQUIRE_FALSE(all.empty());
+    REQUIRE(all.size() == 1);
     CHECK(all.back().request == RequestId { 2 });
+    CHECK(all.back().reason == RefusalReason::Overloaded);
     CHECK(all.back().outcome == ExecutionOutcome::NotRun);
 }
 
--- a/test/correctness/RouterDaemonTest.cpp
+++ b/test/correctness/RouterDaemonTest.cpp
@@ -3,18 +3,6 @@
 using namespace jayhold;
 using namespace jayhold::test;
 
-namespace {
-
-auto streamText(int first, int last) -> std::string
-{
-    std::string text;
-    for (auto event = first; event <= last; ++event)
-        text += "id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + "\n\n";
-    return text;
-}
-
-}
-
 // Guards against a request or a response that is changed by the router, and against header fields that
 // a caller must not set.
 TEST_CASE("a plain call is forwarded unchanged")
