Let the silence of a backend server not end the last attempt of a plain call

A repeatable plain call got 502 after half of its time, although its server was still at work and no other server could take it.

The first attempt got half of the remaining time because another one may follow; whether one can follow was decided after it had been cut. The new test failed on: 502 instead of 200 for a server that needs 1 s of 1.5 s.

Now an attempt may take all of the remaining time. After half of it, and then every 50 ms, the call moves to another server if one is free and the retry budget allows it. Calls that may run only once stay where they are, as before.

--- a/cmake/http.cmake
+++ b/cmake/http.cmake
@@ -1,5 +1,5 @@
 jayhold_library(jayhold_http
-  UNITS ConnectionPool HttpClient HttpMessages HttpServer HttpServerConnection HttpStream IoThreads Pause SocketOptions Tasks
+  UNITS ConnectionPool HttpClient HttpMessages HttpServer HttpServerConnection HttpStream IoThreads Pause RepeatedCheck SocketOptions Tasks
   LINK jayhold_base)
 
 jayhold_test(http_test
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -1,10 +1,10 @@
 #include "PlainService.h"
 
 #include "JitteredDelay.h"
+#include "RepeatedCheck.h"
 #include "Sha256.h"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
-#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -19,9 +19,16 @@
 
 /// Includes the backend servers that reject the call.
 constexpr std::size_t maxBackendsPerCall = 3;
-/// An attempt may use the remaining time divided by this number while another attempt may follow.
-constexpr int attemptTimeoutDivisor = 2;
+/// A server that has not answered within the remaining time divided by this number is replaced if another
+/// one can take the call.
+constexpr int silenceTimeoutDivisor = 2;
+constexpr Duration silenceCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration minAttemptTimeout = std::chrono::milliseconds(1);
+
+auto remainingTime(const PlainCallInfo& call) -> Duration
+{
+    return std::max<Duration>(call.deadline - monotonicNow(), minAttemptTimeout);
+}
 constexpr Duration retryDelay = std::chrono::seconds(1);
 
 auto digestOf(const HttpRequest& request) -> std::string
@@ -122,17 +129,15 @@
 auto PlainService::serveUnrecorded(HttpExchange& exchange, const PlainCallInfo& call) -> asio::awaitable<void>
 {
     CallState state;
-    asio::cancellation_signal interrupt;
     // A call that must not be repeated continues after its caller has disconnected, because cancelling it
     // would leave unknown whether it was executed.
     if (call.kind.repeatable) {
         exchange.onClose([&] {
             state.isCallerDisconnected = true;
-            interrupt.emit(asio::cancellation_type::terminal);
+            state.interrupt.emit(asio::cancellation_type::terminal);
         });
     }
-    auto run = runCall(exchange.client(), call, call.kind.repeatable, state);
-    auto attempt = co_await asio::co_spawn(exchange.executor(), std::move(run), asio::bind_cancellation_slot(interrupt.slot(), asio::use_awaitable));
+    auto attempt = co_await runCall(exchange.client(), call, call.kind.repeatable, state);
     if (state.isCallerDisconnected) {
         m_metrics->cancelled.fetch_add(1, std::memory_order_relaxed);
         record(LogLevel::Info, call, "request_cancelled", { { "attempts", state.triedBackends.size() } });
@@ -146,24 +151,25 @@
 
 auto PlainService::runCall(HttpClient& client, const PlainCallInfo& call, bool isRepeatable, CallState& state) -> asio::awaitable<PlainAttempt>
 {
-    co_await asio::this_coro::throw_if_cancelled(false);
     PlainAttempt last { .isNotRun = true, .reachedBackend = false, .detail = "no backend server is available" };
     while (true) {
-        const auto backend = acquire(state.triedBackends);
+        const auto backend = state.replacement ? std::exchange(state.replacement, std::nullopt) : acquire(state.triedBackends);
         if (!backend)
             break;
         state.triedBackends.push_back(backend->id);
-        const auto timeout = attemptTimeout(call, state, isRepeatable);
-        recordDecision(call, "request_placed", { { "backend", backend->id }, { "attempt", state.triedBackends.size() }, { "timeout_ms", timeout.count() / 1'000 } });
-        last = co_await attemptOn(client, *backend, call, timeout);
+        recordDecision(call, "request_placed", { { "backend", backend->id }, { "attempt", state.triedBackends.size() }, { "timeout_ms", remainingTime(call).count() / 1'000 } });
+        last = co_await attemptOn(client, *backend, call, isRepeatable, state);
         state.executions += !last.isNotRun;
         m_metrics->backendCalls.fetch_add(last.reachedBackend, std::memory_order_relaxed);
-        if (last.response && last.isFinal)
+        const auto isEnded = (last.response && last.isFinal) || state.isCallerDisconnected;
+        if (isEnded && state.replacement)
+            releaseCancelled(std::exchange(state.replacement, std::nullopt)->id);
+        if (isEnded)
             break;
         m_metrics->failedAttempts.fetch_add(1, std::memory_order_relaxed);
         const auto budget = retryBudget();
         record(LogLevel::Info, call, "attempt_failed", { { "backend", backend->id }, { "attempt", state.triedBackends.size() }, { "detail", last.detail }, { "ran", last.isNotRun ? "no" : "unknown" }, { "retries_left", budget.remaining() }, { "retry_capacity", budget.capacity() } });
-        if (!mayTryAgain(call, state, last, isRepeatable))
+        if (!state.replacement && !mayTryAgain(call, state, last, isRepeatable))
             break;
     }
     last.isNotRun = state.executions == 0;
@@ -180,17 +186,40 @@
     return !last.reachedBackend || tryConsumeRetry();
 }
 
-auto PlainService::attemptTimeout(const PlainCallInfo& call, const CallState& state, bool isRepeatable) const -> Duration
+auto PlainService::sendCall(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call) -> asio::awaitable<HttpResult<HttpResponse>>
+{
+    co_await asio::this_coro::throw_if_cancelled(false);
+    auto result = co_await m_context.backendProtocol.plainCall(client, backend, call, remainingTime(call));
+    co_return result;
+}
+
+auto PlainService::replaceSilentAttempt(const PlainCallInfo& call, CallState& state) -> bool
 {
-    const auto remainingTime = std::max<Duration>(call.deadline - monotonicNow(), minAttemptTimeout);
-    const auto mayFollow = isRepeatable && state.executions + 1 < call.kind.maxAttempts;
-    return mayFollow ? std::max<Duration>(remainingTime / attemptTimeoutDivisor, minAttemptTimeout) : remainingTime;
+    if (state.isCallerDisconnected || state.triedBackends.size() >= maxBackendsPerCall || state.executions + 1 >= call.kind.maxAttempts)
+        return false;
+    {
+        const std::lock_guard guard(m_lock);
+        if (m_budget.remaining() < 1)
+            return true;
+        state.replacement = m_balancer.acquire(monotonicNow(), state.triedBackends);
+        if (!state.replacement)
+            return true;
+        m_budget.tryConsume();
+    }
+    record(LogLevel::Info, call, "attempt_silent", { { "backend", state.triedBackends.back() }, { "replacement", state.replacement->id }, { "left_ms", remainingTime(call).count() / 1'000 } });
+    state.interrupt.emit(asio::cancellation_type::terminal);
+    return false;
 }
 
-auto PlainService::attemptOn(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call, Duration timeout) -> asio::awaitable<PlainAttempt>
+auto PlainService::attemptOn(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call, bool isRepeatable, CallState& state) -> asio::awaitable<PlainAttempt>
 {
     const auto sentAt = monotonicNow();
-    auto result = co_await m_context.backendProtocol.plainCall(client, backend, call, timeout);
+    const auto executor = co_await asio::this_coro::executor;
+    std::optional<RepeatedCheck> silenceCheck;
+    if (isRepeatable)
+        silenceCheck.emplace(executor, remainingTime(call) / silenceTimeoutDivisor, silenceCheckInterval, [this, &call, &state] { return replaceSilentAttempt(call, state); });
+    auto result = co_await asio::co_spawn(executor, sendCall(client, backend, call), asio::bind_cancellation_slot(state.interrupt.slot(), asio::use_awaitable));
+    silenceCheck.reset();
     if (result.has_value()) {
         const auto limit = m_context.backendProtocol.namedLimit(result->headers);
         auto attempt = attemptFromResponse(backend, call, std::move(*result));
@@ -199,7 +228,7 @@
         co_return attempt;
     }
     const auto& error = result.error();
-    if (error.kind == HttpErrorKind::Cancelled)
+    if (error.kind == HttpErrorKind::Cancelled && state.isCallerDisconnected)
         releaseCancelled(backend.id);
     else
         release(backend.id, false);
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -14,6 +14,7 @@
 #include "Service.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 
 #include <memory>
 #include <mutex>
@@ -52,12 +53,21 @@
         std::int64_t executions = 0;
         /// Ids of the backend servers that were tried.
         std::vector<std::string> triedBackends;
+        /// Interrupts the running attempt.
+        boost::asio::cancellation_signal interrupt;
+        /// The server that takes the call over after the running attempt was interrupted for its silence.
+        std::optional<BackendServer> replacement;
     };
 
     /// Sends a call to backend servers until one returns a final response or no further attempt is allowed.
     /// @param isRepeatable whether a call that may have been executed can be sent again.
     auto runCall(HttpClient& client, const PlainCallInfo& call, bool isRepeatable, CallState& state) -> boost::asio::awaitable<PlainAttempt>;
-    auto attemptOn(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call, Duration timeout) -> boost::asio::awaitable<PlainAttempt>;
+    auto attemptOn(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call, bool isRepeatable, CallState& state) -> boost::asio::awaitable<PlainAttempt>;
+    /// Sends the call; ends when the server has answered or the call state's signal interrupts it.
+    auto sendCall(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call) -> boost::asio::awaitable<HttpResult<HttpResponse>>;
+    /// Interrupts an attempt whose server is silent if another server can take the call now.
+    /// @return whether the silence has to be checked again.
+    auto replaceSilentAttempt(const PlainCallInfo& call, CallState& state) -> bool;
     /// Classifies a backend server's response and releases its slot.
     auto attemptFromResponse(const BackendServer& backend, const PlainCallInfo& call, HttpResponse response) -> PlainAttempt;
     /// @return whether another attempt may follow.
@@ -66,7 +76,6 @@
     /// closed.
     /// @return whether the call may be repeated, and the budget and the server's limit allow it.
     auto tryConsumeResend(const PlainCallInfo& call, const BackendServer& server) -> bool;
-    auto attemptTimeout(const PlainCallInfo& call, const CallState& state, bool isRepeatable) const -> Duration;
     /// Serves a call without a record. It is executed at most once per request, unless its kind is
     /// repeatable.
     auto serveUnrecorded(HttpExchange& exchange, const PlainCallInfo& call) -> boost::asio::awaitable<void>;
--- a/test/correctness/SilentBackendTest.cpp
+++ b/test/correctness/SilentBackendTest.cpp
@@ -47,3 +47,49 @@
     REQUIRE(response.has_value());
     CHECK(response->body == streamText(1, 5));
 }
+
+// Guards against a call that fails because its server took half of the time, although no other server could
+// take it.
+TEST_CASE("a plain call waits for a silent server if no other one can take it")
+{
+    RouterFixture fixture;
+    fixture.registerServer(fixture.plain2, "ledger", {}, "draining");
+    fixture.plain1.setTiming(1s, Duration::zero());
+    fixture.startAndWait();
+    const auto response = fixture.call("GET", "/read/x");
+    REQUIRE(response.has_value());
+    CHECK(response->status == 200);
+    CHECK(fixture.plain1.runs() == 1);
+}
+
+// Guards against a call that waits for a hung server although another one could answer.
+TEST_CASE("a plain call moves from a silent server to another one")
+{
+    RouterFixture fixture;
+    fixture.plain1.setTiming(5s, Duration::zero());
+    fixture.startAndWait();
+    auto longest = Duration::zero();
+    for (auto call = 0; call < 3; ++call) {
+        const auto startedAt = monotonicNow();
+        const auto response = fixture.call("GET", "/read/x");
+        REQUIRE(response.has_value());
+        CHECK(response->status == 200);
+        longest = std::max(longest, monotonicNow() - startedAt);
+    }
+    // At least one call was sent to the silent server first, for half of its time.
+    CHECK(longest > 700ms);
+    CHECK(fixture.plain2.runs() == 3);
+}
+
+// Guards against a second run of a call that must not be repeated.
+TEST_CASE("a plain call that may run only once stays at its silent server")
+{
+    RouterFixture fixture;
+    fixture.plain1.setTiming(1s, Duration::zero());
+    fixture.plain2.setTiming(1s, Duration::zero());
+    fixture.startAndWait();
+    const auto response = fixture.call("POST", "/post/x", "deposit");
+    REQUIRE(response.has_value());
+    CHECK(response->status == 200);
+    CHECK(fixture.plain1.runs() + fixture.plain2.runs() == 1);
+}
