Start an attempt although the result of the former one waits

A request could wait for 10 s, or until its deadline, with no attempt running: it had been read whole, and got neither an answer nor a refusal.

Cause: two sources of events about one request that are ordered only by their arrival. The decision code may start another attempt on its own, when a server is removed or changes its role. If the result of the former attempt was queued behind that start, the state machine had no transition for it and the start was dropped; the result that came next belonged to an outdated attempt and was ignored. This takes an instance that handles both in one pass of its event loop, as after a freeze or under load. The new test brings the moment about by blocking the I/O threads. It failed before: the request was refused as deadline_exceeded after 5 s without a second attempt.

Now the result of a task that has ended is handled before a start or a refusal. Looked for elsewhere: stopTask already discards the results of a running task; PlainService has one coroutine for each call.

--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -8,6 +8,8 @@
 
 #include <boost/asio/dispatch.hpp>
 
+#include <algorithm>
+
 namespace jayhold {
 
 namespace asio = boost::asio;
@@ -188,6 +190,14 @@
 
 auto ModelRequest::handleAction(DecisionAction action) -> asio::awaitable<void>
 {
+    if (!std::holds_alternative<CancelOnReplica>(action)) {
+        co_await handleEndedTask();
+        if (m_hasEnded) {
+            // The shard does not know of the end if it has started another attempt meanwhile.
+            m_service->handleEvent(RequestCancelled { m_id });
+            co_return;
+        }
+    }
     if (const auto* prefill = std::get_if<StartPrefill>(&action)) {
         co_await beginPrefill(*prefill);
     } else if (const auto* decode = std::get_if<StartDecode>(&action)) {
@@ -205,6 +215,17 @@
     }
 }
 
+auto ModelRequest::handleEndedTask() -> asio::awaitable<void>
+{
+    auto& events = m_tasks->events;
+    const auto ended = std::ranges::find_if(events, [](const RequestEvent& queued) { return std::holds_alternative<PrefillEnded>(queued) || std::holds_alternative<DecodeEnded>(queued); });
+    if (ended == events.end())
+        co_return;
+    auto result = std::move(*ended);
+    events.erase(ended);
+    co_await handle(std::move(result));
+}
+
 auto ModelRequest::beginPrefill(StartPrefill action) -> asio::awaitable<void>
 {
     co_await stopTask();
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -63,6 +63,9 @@
     auto nextEvent() -> boost::asio::awaitable<RequestEvent>;
     auto handle(RequestEvent requestEvent) -> boost::asio::awaitable<void>;
     auto handleAction(DecisionAction action) -> boost::asio::awaitable<void>;
+    /// Handles the result of a task that has ended, if it waits behind other events. The state machine knows the
+    /// end of an attempt only then, and rejects the start of another one before.
+    auto handleEndedTask() -> boost::asio::awaitable<void>;
     auto beginPrefill(StartPrefill action) -> boost::asio::awaitable<void>;
     auto beginDecode(StartDecode action) -> boost::asio::awaitable<void>;
     auto endPrefill(PrefillEnded ended) -> void;
--- a/test/EntryHarness.h
+++ b/test/EntryHarness.h
@@ -43,6 +43,12 @@
         m_services.updateBackends(m_backends);
     }
 
+    auto removeBackend(std::string_view id) -> void
+    {
+        std::erase_if(m_backends, [&](const BackendServer& backend) { return backend.id == id; });
+        m_services.updateBackends(m_backends);
+    }
+
     /// Sends a request with the valid key of a customer.
     auto call(HttpRequest request) -> HttpResult<HttpResponse>
     {
--- a/test/FakeEngine.h
+++ b/test/FakeEngine.h
@@ -5,6 +5,7 @@
 
 #include "AwaitToken.h"
 #include "HttpServer.h"
+#include "Pause.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/parse.hpp>
@@ -53,6 +54,9 @@
 
     auto endpoint() const -> HttpEndpoint { return m_server.endpoint(); }
     auto setPrefillStatus(unsigned status) -> void { m_prefillStatus = status; }
+    /// Prefills get no response until their connections are closed by abortPrefills().
+    auto holdPrefills() -> void { m_holdsPrefills = true; }
+    auto abortPrefills() -> void { m_holdsPrefills = false; }
 
     /// @return a copy, made under the lock.
     auto decodes() const -> std::vector<boost::json::value> { return copy(m_decodes); }
@@ -99,6 +103,12 @@
     auto prefill(HttpExchange& exchange) -> boost::asio::awaitable<void>
     {
         ++m_prefills;
+        if (m_holdsPrefills) {
+            while (m_holdsPrefills)
+                co_await pause(std::chrono::milliseconds(1));
+            exchange.abort();
+            co_return;
+        }
         if (m_prefillStatus != 200) {
             co_await exchange.respond(jsonResponse(m_prefillStatus, R"({"error":"busy","ran":false})"));
             co_return;
@@ -162,6 +172,7 @@
     std::string m_held;
     std::uint64_t m_sequence = 0;
     std::atomic<unsigned> m_prefillStatus { 200 };
+    std::atomic<bool> m_holdsPrefills { false };
     std::atomic<int> m_prefills { 0 };
     std::atomic<int> m_closedStreams { 0 };
     HttpServer m_server;
--- a/test/correctness/ModelRequestTest.cpp
+++ b/test/correctness/ModelRequestTest.cpp
@@ -126,6 +126,41 @@
     CHECK(text.find("DONE") == std::string::npos);
 }
 
+// Guards against a request that waits for 10 s without an attempt: the decision code had started another attempt
+// while the result of the former one waited to be handled, and that start was dropped. It takes an instance that
+// handles the removal of an engine and the loss of its connection in one pass of its event loop, as after a freeze.
+TEST_CASE("an attempt starts although the result of the former one has not been handled")
+{
+    Fixture fixture({ { .chunks = { tokenEvent(0, "a") + doneEvent(1) } } });
+    FakeEngine other(fixture.engineThreads);
+    fixture.prefill.holdPrefills();
+    HttpResponse answer;
+    std::thread caller([&] { answer = fixture.harness.complete(true); });
+    REQUIRE(waitFor([&] { return fixture.prefill.prefills() == 1; }));
+    fixture.harness.addBackend("prefill-2", "prefill", other.endpoint());
+    // The I/O threads are blocked until both events are there.
+    auto& threads = fixture.harness.threads();
+    std::atomic<int> blocked { 0 };
+    std::atomic<bool> isBlocking { true };
+    for (std::size_t thread = 0; thread < threads.size(); ++thread) {
+        boost::asio::post(threads.context(thread), [&] {
+            ++blocked;
+            while (isBlocking)
+                std::this_thread::sleep_for(1ms);
+        });
+    }
+    REQUIRE(waitFor([&] { return blocked == static_cast<int>(threads.size()); }));
+    fixture.prefill.abortPrefills();
+    std::this_thread::sleep_for(50ms);
+    fixture.harness.removeBackend("prefill-1");
+    const auto resumedAt = std::chrono::steady_clock::now();
+    isBlocking = false;
+    caller.join();
+    CHECK(answer.status == 200);
+    CHECK(answer.body.find("[DONE]") != std::string::npos);
+    CHECK(std::chrono::steady_clock::now() - resumedAt < 2s);
+}
+
 // Guards against work that continues, and memory that stays allocated, after the caller has disconnected.
 TEST_CASE("a caller that disconnects cancels its request on the engines")
 {
