--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -2,8 +2,8 @@
   UNITS AdminApi BackendCallOptions ApiError CallerApi CallerChecks ClusterRecords CompletionFormat
     CompletionRequest CompletionWriter ConfigurationIndex DecodeRelay EngineClient EngineError EngineMessages
     EngineMonitor EntryDaemon EntryDaemonDrain EntrySettings ForwardApi ForwardChecks OrphanDetector LatencyHistogram LostOwners
-    Metrics ModelRequest ModelRequestLog ModelRequestReservations ModelRequestTasks ModelService ModelServiceReplicas ModelServiceTimer NativeProtocols PassThroughReader PassThroughWriter PlainBalancer PlainRoute
-    PlainService PlainServiceLog PromptDigest RequestStateMachine RoleBalancer RouteTable RouterDaemon ServiceTable StatusReport TokenEventReader
+    Metrics ModelRequest ModelRequestLog ModelRequestReservations ModelRequestTasks RequestTimeouts ModelService ModelServiceReplicas ModelServiceTimer NativeProtocols PassThroughReader PassThroughWriter PlainBalancer PlainRoute
+    PlainService PlainServiceAttempts PlainServiceLog PromptDigest RequestStateMachine RoleBalancer RouteTable RouterDaemon ServiceTable StatusReport TokenEventReader
     TokenSequence
   LINK jayhold_cluster jayhold_decision jayhold_operator jayhold_http)
 
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -5,19 +5,16 @@
 #include "JitteredDelay.h"
 #include "ModelRequestTasks.h"
 #include "PassThroughWriter.h"
+#include "RequestTimeouts.h"
 
 #include <boost/asio/dispatch.hpp>
 
-#include <algorithm>
-
 namespace jayhold {
 
 namespace asio = boost::asio;
 
 namespace {
 
-/// Time after a request's deadline at which the instance refuses it without a decision of the shard.
-constexpr auto deadlineGracePeriod = std::chrono::seconds(1);
 constexpr auto deadlineRetryDelay = std::chrono::seconds(1);
 
 auto unixSeconds() -> std::int64_t
@@ -46,34 +43,6 @@
     return std::make_unique<CompletionWriter>(exchange, info.request, formatOf(info, context), std::move(headers));
 }
 
-/// Timeouts as multiples of the kind's targets: an engine that is later than that is replaced if another
-/// one has room.
-constexpr int firstTokenTimeoutFactor = 2;
-constexpr int stallTimeoutFactor = 4;
-
-auto silenceTimeoutsOf(const ModelRequestInfo& info, const EntryContext& context) -> EntryTimeouts
-{
-    auto timeouts = context.settings.timeouts;
-    if (info.forwarded) {
-        timeouts.prefill = std::min(timeouts.prefill, info.kindSettings.firstToken * firstTokenTimeoutFactor);
-        timeouts.firstToken = std::min(timeouts.firstToken, info.kindSettings.firstToken * firstTokenTimeoutFactor);
-        timeouts.stall = std::min(timeouts.stall, info.kindSettings.tokenGap * stallTimeoutFactor);
-    }
-    return timeouts;
-}
-
-/// Calls don't time out before the request is answered at its deadline. An engine that is silent may still
-/// respond, and the shard decides whether another one is tried.
-auto callTimeoutsOf(const ModelRequestInfo& info, const EntryContext& context) -> EntryTimeouts
-{
-    auto timeouts = context.settings.timeouts;
-    const auto allowedTime = std::chrono::ceil<std::chrono::milliseconds>(info.deadline - info.arrivedAt + deadlineGracePeriod);
-    timeouts.prefill = allowedTime;
-    timeouts.firstToken = allowedTime;
-    timeouts.stall = allowedTime;
-    return timeouts;
-}
-
 /// @return a sequence that continues after the tokens that the caller has from an earlier response.
 auto sequenceOf(const ModelRequestInfo& info, const EntryContext& context) -> TokenSequence
 {
@@ -215,17 +184,6 @@
     }
 }
 
-auto ModelRequest::handleEndedTask() -> asio::awaitable<void>
-{
-    auto& events = m_tasks->events;
-    const auto ended = std::ranges::find_if(events, [](const RequestEvent& queued) { return std::holds_alternative<PrefillEnded>(queued) || std::holds_alternative<DecodeEnded>(queued); });
-    if (ended == events.end())
-        co_return;
-    auto result = std::move(*ended);
-    events.erase(ended);
-    co_await handle(std::move(result));
-}
-
 auto ModelRequest::beginPrefill(StartPrefill action) -> asio::awaitable<void>
 {
     co_await stopTask();
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 
+#include <algorithm>
+
 namespace jayhold {
 
 namespace asio = boost::asio;
@@ -95,6 +97,17 @@
         m_machine.apply(RequestTransition::DecodeFailed);
 }
 
+auto ModelRequest::handleEndedTask() -> asio::awaitable<void>
+{
+    auto& events = m_tasks->events;
+    const auto ended = std::ranges::find_if(events, [](const RequestEvent& queued) { return std::holds_alternative<PrefillEnded>(queued) || std::holds_alternative<DecodeEnded>(queued); });
+    if (ended == events.end())
+        co_return;
+    auto result = std::move(*ended);
+    events.erase(ended);
+    co_await handle(std::move(result));
+}
+
 auto ModelRequest::runPrefill(std::uint64_t task, ReplicaStatus replica, std::optional<ReplicaStatus> decode, EngineCall call) -> asio::awaitable<void>
 {
     co_await asio::this_coro::throw_if_cancelled(false);
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -1,14 +1,8 @@
 #include "PlainService.h"
 
 #include "JitteredDelay.h"
-#include "RepeatedCheck.h"
 #include "Sha256.h"
 
-#include <boost/asio/bind_cancellation_slot.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <algorithm>
 
 namespace jayhold {
@@ -17,18 +11,6 @@
 
 namespace {
 
-/// Includes the backend servers that reject the call.
-constexpr std::size_t maxBackendsPerCall = 3;
-/// A server that has not answered within the remaining time divided by this number is replaced if another
-/// one can take the call.
-constexpr int silenceTimeoutDivisor = 2;
-constexpr Duration silenceCheckInterval = std::chrono::milliseconds(50);
-constexpr Duration minAttemptTimeout = std::chrono::milliseconds(1);
-
-auto remainingTime(const PlainCallInfo& call) -> Duration
-{
-    return std::max<Duration>(call.deadline - monotonicNow(), minAttemptTimeout);
-}
 constexpr Duration retryDelay = std::chrono::seconds(1);
 
 auto digestOf(const HttpRequest& request) -> std::string
@@ -149,135 +131,6 @@
     }
 }
 
-auto PlainService::runCall(HttpClient& client, const PlainCallInfo& call, bool isRepeatable, CallState& state) -> asio::awaitable<PlainAttempt>
-{
-    PlainAttempt last { .isNotRun = true, .reachedBackend = false, .detail = "no backend server is available" };
-    while (true) {
-        const auto backend = state.replacement ? std::exchange(state.replacement, std::nullopt) : acquire(state.triedBackends);
-        if (!backend)
-            break;
-        state.triedBackends.push_back(backend->id);
-        recordDecision(call, "request_placed", { { "backend", backend->id }, { "attempt", state.triedBackends.size() }, { "timeout_ms", remainingTime(call).count() / 1'000 } });
-        last = co_await attemptOn(client, *backend, call, isRepeatable, state);
-        state.executions += !last.isNotRun;
-        m_metrics->backendCalls.fetch_add(last.reachedBackend, std::memory_order_relaxed);
-        const auto isEnded = (last.response && last.isFinal) || state.isCallerDisconnected;
-        if (isEnded && state.replacement)
-            releaseCancelled(std::exchange(state.replacement, std::nullopt)->id);
-        if (isEnded)
-            break;
-        m_metrics->failedAttempts.fetch_add(1, std::memory_order_relaxed);
-        const auto budget = retryBudget();
-        record(LogLevel::Info, call, "attempt_failed", { { "backend", backend->id }, { "attempt", state.triedBackends.size() }, { "detail", last.detail }, { "ran", last.isNotRun ? "no" : "unknown" }, { "retries_left", budget.remaining() }, { "retry_capacity", budget.capacity() } });
-        if (!state.replacement && !mayTryAgain(call, state, last, isRepeatable))
-            break;
-    }
-    last.isNotRun = state.executions == 0;
-    co_return last;
-}
-
-auto PlainService::mayTryAgain(const PlainCallInfo& call, const CallState& state, const PlainAttempt& last, bool isRepeatable) -> bool
-{
-    if (state.isCallerDisconnected || monotonicNow() >= call.deadline || state.triedBackends.size() >= maxBackendsPerCall)
-        return false;
-    if (state.executions > 0 && (!isRepeatable || state.executions >= call.kind.maxAttempts))
-        return false;
-    // An attempt that reached no backend server caused no load, so it takes nothing from the retry budget.
-    return !last.reachedBackend || tryConsumeRetry();
-}
-
-auto PlainService::sendCall(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call) -> asio::awaitable<HttpResult<HttpResponse>>
-{
-    co_await asio::this_coro::throw_if_cancelled(false);
-    auto result = co_await m_context.backendProtocol.plainCall(client, backend, call, remainingTime(call));
-    co_return result;
-}
-
-auto PlainService::replaceSilentAttempt(const PlainCallInfo& call, CallState& state) -> bool
-{
-    if (state.isCallerDisconnected || state.triedBackends.size() >= maxBackendsPerCall || state.executions + 1 >= call.kind.maxAttempts)
-        return false;
-    {
-        const std::lock_guard guard(m_lock);
-        if (m_budget.remaining() < 1)
-            return true;
-        state.replacement = m_balancer.acquire(monotonicNow(), state.triedBackends);
-        if (!state.replacement)
-            return true;
-        m_budget.tryConsume();
-    }
-    record(LogLevel::Info, call, "attempt_silent", { { "backend", state.triedBackends.back() }, { "replacement", state.replacement->id }, { "left_ms", remainingTime(call).count() / 1'000 } });
-    state.interrupt.emit(asio::cancellation_type::terminal);
-    return false;
-}
-
-auto PlainService::attemptOn(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call, bool isRepeatable, CallState& state) -> asio::awaitable<PlainAttempt>
-{
-    const auto sentAt = monotonicNow();
-    const auto executor = co_await asio::this_coro::executor;
-    std::optional<RepeatedCheck> silenceCheck;
-    if (isRepeatable)
-        silenceCheck.emplace(executor, remainingTime(call) / silenceTimeoutDivisor, silenceCheckInterval, [this, &call, &state] { return replaceSilentAttempt(call, state); });
-    auto result = co_await asio::co_spawn(executor, sendCall(client, backend, call), asio::bind_cancellation_slot(state.interrupt.slot(), asio::use_awaitable));
-    silenceCheck.reset();
-    if (result.has_value()) {
-        const auto limit = m_context.backendProtocol.namedLimit(result->headers);
-        auto attempt = attemptFromResponse(backend, call, std::move(*result));
-        if (attempt.isRecognised)
-            m_context.recordLimit(backend, sentAt, limit);
-        co_return attempt;
-    }
-    const auto& error = result.error();
-    if (error.kind == HttpErrorKind::Cancelled && state.isCallerDisconnected)
-        releaseCancelled(backend.id);
-    else
-        release(backend.id, false);
-    const auto isNotSent = error.kind == HttpErrorKind::NotConnected;
-    co_return PlainAttempt { .isNotRun = isNotSent, .reachedBackend = !isNotSent, .hasTimedOut = error.kind == HttpErrorKind::TimedOut, .detail = std::string(jayhold::name(error.kind)) + ": " + error.detail };
-}
-
-auto PlainService::tryConsumeResend(const PlainCallInfo& call, const BackendServer& server) -> bool
-{
-    {
-        const std::lock_guard guard(m_lock);
-        if (!call.kind.repeatable || !m_balancer.tryTakeCall(monotonicNow(), server.id) || !m_budget.tryConsume())
-            return false;
-    }
-    m_metrics->resentCalls.fetch_add(1, std::memory_order_relaxed);
-    record(LogLevel::Info, call, "call_resent");
-    return true;
-}
-
-auto PlainService::attemptFromResponse(const BackendServer& backend, const PlainCallInfo& call, HttpResponse response) -> PlainAttempt
-{
-    const auto status = response.status;
-    const auto responseClass = m_context.backendProtocol.classifyResponse(call, response);
-    release(backend.id, responseClass == ResponseClass::Final || responseClass == ResponseClass::Busy);
-    PlainAttempt attempt { .detail = "status " + std::to_string(status) };
-    switch (responseClass) {
-    case ResponseClass::Final:
-        attempt.isFinal = true;
-        attempt.response = std::move(response);
-        break;
-    case ResponseClass::Failed:
-        attempt.response = std::move(response);
-        break;
-    case ResponseClass::Leaving:
-        m_context.reportLeaving(backend.id);
-        attempt.isNotRun = true;
-        break;
-    case ResponseClass::Busy:
-    case ResponseClass::Misdirected:
-        attempt.isNotRun = true;
-        break;
-    case ResponseClass::Unrecognised:
-        attempt.isRecognised = false;
-        attempt.detail = "the answer is not the backend server's";
-        break;
-    }
-    return attempt;
-}
-
 auto PlainService::serveRecorded(HttpExchange& exchange, const PlainCallInfo& call) -> asio::awaitable<void>
 {
     if (call.idempotencyKey.empty()) {
