Refuse a request without a token before its caller's idle timeout

A caller whose engine was silent left with neither an answer nor a refusal: callers leave a stream after a gap of some seconds, and requests were refused only at their deadline.

Cause: the caller's idle timeout bounded only the wait for a start. Now it bounds the whole time until the first token, in each phase, less a sixteenth for the way of the refusal. The new test failed before: refused after 60 s instead of 4 s.

--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -24,6 +24,9 @@
 /// a slot at the engines, their queues, and the first step of the decode.
 constexpr int idleTimeoutMarginDivisor = 4;
 
+/// This fraction of the caller's idle timeout is kept for the way of a refusal to the caller.
+constexpr int refusalMarginDivisor = 16;
+
 /// Percentage of the time allowed by its kind that a request must still have for a refusal with a retry
 /// delay. A request with less has probably been refused before.
 constexpr int retryTimePercent = 80;
@@ -69,6 +72,15 @@
     return std::min(beforeDeadline, request.arrivedAt + callerIdleTimeout - callerIdleTimeout / idleTimeoutMarginDivisor - firstToken);
 }
 
+auto latestRefusal(const ShardState& state, const ActiveRequest& request) -> TimePoint
+{
+    const auto callerIdleTimeout = std::chrono::duration_cast<Duration>(kindOf(state, request).callerIdleTimeout);
+    const auto hasTokens = request.emitted > 0 || request.phase == RequestPhase::Decoding || request.phase == RequestPhase::Stopping;
+    if (callerIdleTimeout <= Duration::zero() || hasTokens)
+        return request.arrival.deadline;
+    return std::min(request.arrival.deadline, request.arrivedAt + callerIdleTimeout - callerIdleTimeout / refusalMarginDivisor);
+}
+
 auto expectedWait(const DecisionContext& context, const ActiveRequest& request) -> Duration
 {
     const auto& queue = context.state.queue;
--- a/src/Deadlines.h
+++ b/src/Deadlines.h
@@ -11,6 +11,9 @@
 auto latestOnTimeStart(const ShardState& state, const ActiveRequest& request) -> TimePoint;
 /// @return the latest start that can meet the deadline and the caller's idle timeout.
 auto latestStart(const ShardState& state, const ActiveRequest& request) -> TimePoint;
+/// @return when a request must be refused at the latest: at its deadline, or, as long as its caller has no token,
+/// shortly before the caller's idle timeout.
+auto latestRefusal(const ShardState& state, const ActiveRequest& request) -> TimePoint;
 /// @return the expected wait of a request that joins the Fair sub-queue now.
 auto expectedWait(const DecisionContext& context, const ActiveRequest& request) -> Duration;
 /// @return the expected wait of a request that joins the Overdue sub-queue now.
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -136,7 +136,7 @@
 
 auto setTimer(DecisionContext& context, ActiveRequest& request) -> void
 {
-    auto time = request.arrival.deadline;
+    auto time = latestRefusal(context.state, request);
     if (request.phase == RequestPhase::Queued)
         time = std::min(time, nextCheck(context, request));
     if (request.phase == RequestPhase::Prefilled)
--- a/test/correctness/SilentAttemptsTest.cpp
+++ b/test/correctness/SilentAttemptsTest.cpp
@@ -30,10 +30,10 @@
     }
 
     auto start() -> void { harness.started(attempt); }
-    auto beSilent(Duration time) -> void
+    auto beSilent(Duration time, std::uint32_t tokens = 0) -> void
     {
         harness.advance(time);
-        harness.send(AttemptSilent { attempt.request, attempt.attempt, 3 });
+        harness.send(AttemptSilent { attempt.request, attempt.attempt, tokens });
     }
     auto isRunning() const -> bool { return !harness.lastEver<Refuse>() && !harness.lastEver<CancelOnReplica>(); }
 
@@ -148,3 +148,27 @@
     decoding.harness.arrive(2);
     CHECK(decoding.harness.last<StartPrefill>());
 }
+
+// Guards against a caller that leaves without an answer or a refusal, because its engine is silent for longer than
+// the caller waits for a first token.
+TEST_CASE("a request without a token is refused before its caller's idle timeout")
+{
+    auto settings = settingsFor(3);
+    settings.kinds[0].callerIdleTimeout = 4s;
+    Decoding decoding(std::move(settings));
+    auto& harness = decoding.harness;
+    const auto endsWithToken = GENERATE(false, true);
+    for (int second = 1; second < 4; ++second)
+        decoding.beSilent(1s);
+    CHECK(decoding.isRunning());
+    if (endsWithToken)
+        decoding.start();
+    harness.advance(900ms);
+    REQUIRE(harness.lastEver<Refuse>().has_value() == !endsWithToken);
+    if (endsWithToken) {
+        harness.advance(20s);
+        CHECK_FALSE(harness.lastEver<Refuse>());
+        return;
+    }
+    CHECK(harness.lastEver<Refuse>()->outcome == ExecutionOutcome::Unknown);
+}
