Readmit an engine as soon as a silent attempt on it goes on

Cause: each silent attempt counts as a failure, and three of them eject the engine. An ejected engine is probed only when it is empty, but the silent attempts now go on. Success was recorded only at the start and the end of a decode. The new test failed before: no start of the new request.

--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -52,6 +52,9 @@
     const auto now = monotonicNow();
     if (now < silenceEnd()) {
         watchSilence(silenceEnd());
+        // Tokens are reported in batches; an engine that goes on after a pause is reported at once.
+        if (std::exchange(m_tasks->isSilenceLogged, false) && tokensSent() > 0)
+            m_service->handleEvent(TokensEmitted { m_id, m_attempt, tokensSent() });
         return;
     }
     if (!std::exchange(m_tasks->isSilenceLogged, true))
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -12,6 +12,7 @@
 #include "SlotHeadroom.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jayhold {
 
@@ -116,6 +117,9 @@
     raiseEmitted(context, *request, event.total);
     if (request->phase != RequestPhase::Decoding)
         return;
+    // An engine that goes on after a pause must not stay ejected.
+    if (std::exchange(request->silentAttempt, Attempt {}) == event.attempt)
+        recordSuccess(context, *request->decode);
     clearSuspectsIfAlive(context, *request, *request->decode);
     clearSuspectAfterProgress(context, *request);
     recordPromptProgress(context, *request, false);
--- a/test/correctness/SilentAttemptsTest.cpp
+++ b/test/correctness/SilentAttemptsTest.cpp
@@ -149,6 +149,30 @@
     CHECK(decoding.harness.last<StartPrefill>());
 }
 
+// Guards against an engine that gets no new requests for as long as the answers last that it resumed after a pause.
+TEST_CASE("an engine that goes on after a pause gets new requests")
+{
+    ShardHarness harness(settingsFor(3));
+    harness.replica(1, PoolRole::Prefill, 8);
+    harness.replica(2, PoolRole::Decode, 8);
+    std::vector<StartDecode> attempts;
+    for (std::uint64_t request = 1; request <= 4; ++request) {
+        harness.arrive(request);
+        harness.prefilled(*harness.last<StartPrefill>());
+        attempts.push_back(*harness.last<StartDecode>());
+        harness.started(attempts.back());
+    }
+    harness.advance(1500ms);
+    for (const auto& attempt : attempts)
+        harness.send(AttemptSilent { attempt.request, attempt.attempt, 1 });
+    CHECK_FALSE(harness.lastEver<CancelOnReplica>());
+    for (const auto& attempt : attempts)
+        harness.send(TokensEmitted { attempt.request, attempt.attempt, 2 });
+    harness.arrive(5);
+    REQUIRE(harness.last<StartPrefill>());
+    CHECK(harness.last<StartPrefill>()->request == RequestId { 5 });
+}
+
 // Guards against a caller that leaves without an answer or a refusal, because its engine is silent for longer than
 // the caller waits for a first token.
 TEST_CASE("a request without a token is refused before its caller's idle timeout")
