Tell a caller that reads slowly from a silent engine

The time without a token included the time in which the relay waited for the caller. Now only the time spent waiting for the engine counts.

--- a/src/DecodeRelay.cpp
+++ b/src/DecodeRelay.cpp
@@ -43,7 +43,10 @@
             observer.onStarted();
         }
         // The tokens before an invalid event are valid; the next attempt does not request them again.
+        m_isSending = true;
         const auto isFlushed = co_await m_writer.flush();
+        m_isSending = false;
+        m_sentAt = monotonicNow();
         if (!isFlushed)
             co_return RelayResult { .isCallerDisconnected = true };
         if (result == ParseResult::Invalid)
--- a/src/DecodeRelay.h
+++ b/src/DecodeRelay.h
@@ -15,6 +15,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <algorithm>
 #include <functional>
 
 namespace jayhold {
@@ -43,8 +44,9 @@
     /// @return the time from the arrival of the request to the first token of this response; zero before
     /// the first token.
     auto timeToFirstToken() const -> Duration { return m_timeToFirstToken; }
-    /// @return when the last token was received; the arrival time of the request before the first token.
-    auto lastTokenAt() const -> TimePoint { return m_lastTokenAt; }
+    /// @return since when the relay has waited for the engine's next token; now if it is sending tokens to the
+    /// caller, whose slow reading is not the engine's silence.
+    auto waitingSince() const -> TimePoint { return m_isSending ? monotonicNow() : std::max(m_lastTokenAt, m_sentAt); }
     /// @return the longest time between two consecutive tokens of this response.
     auto longestTokenGap() const -> Duration { return m_longestTokenGap; }
 
@@ -74,6 +76,9 @@
     /// Time of the last token; the arrival time of the request before the first token.
     TimePoint m_lastTokenAt;
     TimePoint m_now {};
+    bool m_isSending = false;
+    /// When the tokens of the last part were sent to the caller.
+    TimePoint m_sentAt {};
     Duration m_timeToFirstToken {};
     Duration m_longestTokenGap {};
     std::string m_errorDetail;
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -70,7 +70,7 @@
         return m_tasks->calledAt + m_silenceTimeouts.prefill;
     if (m_relay.tokens() == m_tasks->tokensAtCall)
         return m_tasks->calledAt + m_silenceTimeouts.firstToken;
-    return m_relay.lastTokenAt() + m_silenceTimeouts.stall;
+    return m_relay.waitingSince() + m_silenceTimeouts.stall;
 }
 
 auto ModelRequest::interruptTask() -> void
--- a/test/correctness/ModelRequestTest.cpp
+++ b/test/correctness/ModelRequestTest.cpp
@@ -2,7 +2,9 @@
 #include "../FakeEngine.h"
 #include "../FakeRecords.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 using namespace jayhold;
@@ -161,6 +163,35 @@
     CHECK(std::chrono::steady_clock::now() - resumedAt < 2s);
 }
 
+// Guards against a decode that is sent to a second engine, and a failure that a sound engine is blamed for, because
+// the caller reads slowly.
+TEST_CASE("a caller that does not read does not count as the silence of its engine")
+{
+    std::vector<std::string> chunks;
+    for (int token = 0; token < 99; ++token)
+        chunks.push_back(tokenEvent(token, std::string(60'000, 'x')));
+    chunks.push_back(doneEvent(99));
+    Fixture fixture({ { .chunks = chunks } }, { { .chunks = chunks } });
+    fixture.addSecond();
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context, boost::asio::ip::tcp::v4());
+    socket.set_option(boost::asio::socket_base::receive_buffer_size(8'192));
+    const auto endpoint = fixture.harness.endpoint();
+    socket.connect({ boost::asio::ip::make_address(endpoint.address), endpoint.port });
+    const std::string body = R"({"prompt":"a b c","max_tokens":100,"stream":true})";
+    boost::asio::write(socket, boost::asio::buffer("POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer members-key\r\nContent-Length: " + std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + body));
+    std::this_thread::sleep_for(1s);
+    std::string received;
+    std::vector<char> space(1U << 20U);
+    boost::system::error_code code;
+    while (!code) {
+        const auto size = socket.read_some(boost::asio::buffer(space), code);
+        received.append(space.data(), size);
+    }
+    CHECK(fixture.decode1.decodes().size() + fixture.decode2.decodes().size() == 1);
+    CHECK(received.find("[DONE]") != std::string::npos);
+}
+
 // Guards against work that continues, and memory that stays allocated, after the caller has disconnected.
 TEST_CASE("a caller that disconnects cancels its request on the engines")
 {
