Tell the shard of the end of a request for which it has started another attempt

The slots and memory of that attempt stayed reserved until the request's deadline: the end carried the number of the former attempt, which the shard ignores.

--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -9,6 +9,8 @@
 
 #include <boost/asio/dispatch.hpp>
 
+#include <algorithm>
+
 namespace jayhold {
 
 namespace asio = boost::asio;
@@ -109,6 +111,13 @@
         co_await handle(std::move(requestEvent));
     }
     co_await stopTask();
+    // The shard does not know of the end if it has started another attempt meanwhile.
+    const auto isStart = [](const RequestEvent& queued) {
+        const auto* action = std::get_if<DecisionAction>(&queued);
+        return action && (std::holds_alternative<StartPrefill>(*action) || std::holds_alternative<StartDecode>(*action));
+    };
+    if (std::ranges::any_of(m_tasks->events, isStart))
+        m_service->handleEvent(RequestCancelled { m_id });
     releasePrefillResult();
     releaseSlot();
     m_service->close(m_id);
