--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -5,6 +5,7 @@
 #include "JitteredDelay.h"
 #include "ModelRequestTasks.h"
 #include "PassThroughWriter.h"
+#include "RequestTimeouts.h"
 
 #include <boost/asio/dispatch.hpp>
 
@@ -14,8 +15,6 @@
 
 namespace {
 
-/// Time after a request's deadline at which the instance refuses it without a decision of the shard.
-constexpr auto deadlineGracePeriod = std::chrono::seconds(1);
 constexpr auto deadlineRetryDelay = std::chrono::seconds(1);
 
 auto unixSeconds() -> std::int64_t
@@ -44,29 +43,6 @@
     return std::make_unique<CompletionWriter>(exchange, info.request, formatOf(info, context), std::move(headers));
 }
 
-/// Timeouts as multiples of the kind's targets: an engine that is later than that is not worth waiting
-/// for.
-constexpr int firstTokenTimeoutFactor = 2;
-constexpr int stallTimeoutFactor = 4;
-
-/// The decode of a request that must not be repeated does not time out before the deadline, because its
-/// engine may still respond and no other engine can.
-auto timeoutsOf(const ModelRequestInfo& info, const EntryContext& context) -> EntryTimeouts
-{
-    auto timeouts = context.settings.timeouts;
-    if (info.forwarded) {
-        timeouts.prefill = std::min(timeouts.prefill, info.kindSettings.firstToken * firstTokenTimeoutFactor);
-        timeouts.firstToken = std::min(timeouts.firstToken, info.kindSettings.firstToken * firstTokenTimeoutFactor);
-        timeouts.stall = std::min(timeouts.stall, info.kindSettings.tokenGap * stallTimeoutFactor);
-    }
-    if (info.kindSettings.repeatable)
-        return timeouts;
-    const auto remainingTime = std::chrono::ceil<std::chrono::milliseconds>(info.deadline - info.arrivedAt);
-    timeouts.firstToken = std::max(timeouts.firstToken, remainingTime);
-    timeouts.stall = std::max(timeouts.stall, remainingTime);
-    return timeouts;
-}
-
 /// @return a sequence that continues after the tokens that the caller has from an earlier response.
 auto sequenceOf(const ModelRequestInfo& info, const EntryContext& context) -> TokenSequence
 {
@@ -106,7 +82,8 @@
     , m_info(std::move(info))
     , m_tasks(std::make_unique<Tasks>(exchange.executor()))
     , m_writer(makeWriter(exchange, m_info, context))
-    , m_timeouts(timeoutsOf(m_info, context))
+    , m_timeouts(callTimeoutsOf(m_info, context))
+    , m_silenceTimeouts(silenceTimeoutsOf(m_info, context))
     , m_tokensPerEvent(m_service->tokensPerEvent())
     , m_relay(*m_writer, m_machine, m_service->metrics(), m_timeouts, m_info.arrivedAt, sequenceOf(m_info, context), m_tokensPerEvent)
     , m_promptTokens(m_info.digest.tokens)
@@ -182,6 +159,14 @@
 
 auto ModelRequest::handleAction(DecisionAction action) -> asio::awaitable<void>
 {
+    if (!std::holds_alternative<CancelOnReplica>(action)) {
+        co_await handleEndedTask();
+        if (m_hasEnded) {
+            // The shard does not know of the end if it has started another attempt meanwhile.
+            m_service->handleEvent(RequestCancelled { m_id });
+            co_return;
+        }
+    }
     if (const auto* prefill = std::get_if<StartPrefill>(&action)) {
         co_await beginPrefill(*prefill);
     } else if (const auto* decode = std::get_if<StartDecode>(&action)) {
@@ -226,7 +211,7 @@
     const auto task = ++m_tasks->lastTask;
     m_tasks->replica = action.prefill;
     m_decodeTokens = action.decodeTokens;
-    spawnTask(runPrefill(task, *replica, decode, std::move(call)));
+    spawnTask(runPrefill(task, *replica, decode, std::move(call)), true);
 }
 
 auto ModelRequest::endPrefill(PrefillEnded ended) -> void
@@ -289,7 +274,7 @@
     record(LogLevel::Info, "transfer_started", { { "split", call.kv.has_value() }, { "resume_from", call.resumeFrom }, { "seat_refusals", m_slotRefusals } });
     const auto task = ++m_tasks->lastTask;
     m_tasks->replica = action.decode;
-    spawnTask(runDecode(task, *replica, std::move(call), needsSlot));
+    spawnTask(runDecode(task, *replica, std::move(call), needsSlot), false);
 }
 
 auto ModelRequest::endDecode(DecodeEnded ended) -> asio::awaitable<void>
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -3,12 +3,6 @@
 #include "JitteredDelay.h"
 #include "Sha256.h"
 
-#include <boost/asio/bind_cancellation_slot.hpp>
-#include <boost/asio/cancellation_signal.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <algorithm>
 
 namespace jayhold {
@@ -17,11 +11,6 @@
 
 namespace {
 
-/// Includes the backend servers that reject the call.
-constexpr std::size_t maxBackendsPerCall = 3;
-/// An attempt may use the remaining time divided by this number while another attempt may follow.
-constexpr int attemptTimeoutDivisor = 2;
-constexpr Duration minAttemptTimeout = std::chrono::milliseconds(1);
 constexpr Duration retryDelay = std::chrono::seconds(1);
 
 auto digestOf(const HttpRequest& request) -> std::string
@@ -122,17 +111,15 @@
 auto PlainService::serveUnrecorded(HttpExchange& exchange, const PlainCallInfo& call) -> asio::awaitable<void>
 {
     CallState state;
-    asio::cancellation_signal interrupt;
     // A call that must not be repeated continues after its caller has disconnected, because cancelling it
     // would leave unknown whether it was executed.
     if (call.kind.repeatable) {
         exchange.onClose([&] {
             state.isCallerDisconnected = true;
-            interrupt.emit(asio::cancellation_type::terminal);
+            state.interrupt.emit(asio::cancellation_type::terminal);
         });
     }
-    auto run = runCall(exchange.client(), call, call.kind.repeatable, state);
-    auto attempt = co_await asio::co_spawn(exchange.executor(), std::move(run), asio::bind_cancellation_slot(interrupt.slot(), asio::use_awaitable));
+    auto attempt = co_await runCall(exchange.client(), call, call.kind.repeatable, state);
     if (state.isCallerDisconnected) {
         m_metrics->cancelled.fetch_add(1, std::memory_order_relaxed);
         record(LogLevel::Info, call, "request_cancelled", { { "attempts", state.triedBackends.size() } });
@@ -144,111 +131,6 @@
     }
 }
 
-auto PlainService::runCall(HttpClient& client, const PlainCallInfo& call, bool isRepeatable, CallState& state) -> asio::awaitable<PlainAttempt>
-{
-    co_await asio::this_coro::throw_if_cancelled(false);
-    PlainAttempt last { .isNotRun = true, .reachedBackend = false, .detail = "no backend server is available" };
-    while (true) {
-        const auto backend = acquire(state.triedBackends);
-        if (!backend)
-            break;
-        state.triedBackends.push_back(backend->id);
-        const auto timeout = attemptTimeout(call, state, isRepeatable);
-        recordDecision(call, "request_placed", { { "backend", backend->id }, { "attempt", state.triedBackends.size() }, { "timeout_ms", timeout.count() / 1'000 } });
-        last = co_await attemptOn(client, *backend, call, timeout);
-        state.executions += !last.isNotRun;
-        m_metrics->backendCalls.fetch_add(last.reachedBackend, std::memory_order_relaxed);
-        if (last.response && last.isFinal)
-            break;
-        m_metrics->failedAttempts.fetch_add(1, std::memory_order_relaxed);
-        const auto budget = retryBudget();
-        record(LogLevel::Info, call, "attempt_failed", { { "backend", backend->id }, { "attempt", state.triedBackends.size() }, { "detail", last.detail }, { "ran", last.isNotRun ? "no" : "unknown" }, { "retries_left", budget.remaining() }, { "retry_capacity", budget.capacity() } });
-        if (!mayTryAgain(call, state, last, isRepeatable))
-            break;
-    }
-    last.isNotRun = state.executions == 0;
-    co_return last;
-}
-
-auto PlainService::mayTryAgain(const PlainCallInfo& call, const CallState& state, const PlainAttempt& last, bool isRepeatable) -> bool
-{
-    if (state.isCallerDisconnected || monotonicNow() >= call.deadline || state.triedBackends.size() >= maxBackendsPerCall)
-        return false;
-    if (state.executions > 0 && (!isRepeatable || state.executions >= call.kind.maxAttempts))
-        return false;
-    // An attempt that reached no backend server caused no load, so it takes nothing from the retry budget.
-    return !last.reachedBackend || tryConsumeRetry();
-}
-
-auto PlainService::attemptTimeout(const PlainCallInfo& call, const CallState& state, bool isRepeatable) const -> Duration
-{
-    const auto remainingTime = std::max<Duration>(call.deadline - monotonicNow(), minAttemptTimeout);
-    const auto mayFollow = isRepeatable && state.executions + 1 < call.kind.maxAttempts;
-    return mayFollow ? std::max<Duration>(remainingTime / attemptTimeoutDivisor, minAttemptTimeout) : remainingTime;
-}
-
-auto PlainService::attemptOn(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call, Duration timeout) -> asio::awaitable<PlainAttempt>
-{
-    const auto sentAt = monotonicNow();
-    auto result = co_await m_context.backendProtocol.plainCall(client, backend, call, timeout);
-    if (result.has_value()) {
-        const auto limit = m_context.backendProtocol.namedLimit(result->headers);
-        auto attempt = attemptFromResponse(backend, call, std::move(*result));
-        if (attempt.isRecognised)
-            m_context.recordLimit(backend, sentAt, limit);
-        co_return attempt;
-    }
-    const auto& error = result.error();
-    if (error.kind == HttpErrorKind::Cancelled)
-        releaseCancelled(backend.id);
-    else
-        release(backend.id, false);
-    const auto isNotSent = error.kind == HttpErrorKind::NotConnected;
-    co_return PlainAttempt { .isNotRun = isNotSent, .reachedBackend = !isNotSent, .hasTimedOut = error.kind == HttpErrorKind::TimedOut, .detail = std::string(jayhold::name(error.kind)) + ": " + error.detail };
-}
-
-auto PlainService::tryConsumeResend(const PlainCallInfo& call, const BackendServer& server) -> bool
-{
-    {
-        const std::lock_guard guard(m_lock);
-        if (!call.kind.repeatable || !m_balancer.tryTakeCall(monotonicNow(), server.id) || !m_budget.tryConsume())
-            return false;
-    }
-    m_metrics->resentCalls.fetch_add(1, std::memory_order_relaxed);
-    record(LogLevel::Info, call, "call_resent");
-    return true;
-}
-
-auto PlainService::attemptFromResponse(const BackendServer& backend, const PlainCallInfo& call, HttpResponse response) -> PlainAttempt
-{
-    const auto status = response.status;
-    const auto responseClass = m_context.backendProtocol.classifyResponse(call, response);
-    release(backend.id, responseClass == ResponseClass::Final || responseClass == ResponseClass::Busy);
-    PlainAttempt attempt { .detail = "status " + std::to_string(status) };
-    switch (responseClass) {
-    case ResponseClass::Final:
-        attempt.isFinal = true;
-        attempt.response = std::move(response);
-        break;
-    case ResponseClass::Failed:
-        attempt.response = std::move(response);
-        break;
-    case ResponseClass::Leaving:
-        m_context.reportLeaving(backend.id);
-        attempt.isNotRun = true;
-        break;
-    case ResponseClass::Busy:
-    case ResponseClass::Misdirected:
-        attempt.isNotRun = true;
-        break;
-    case ResponseClass::Unrecognised:
-        attempt.isRecognised = false;
-        attempt.detail = "the answer is not the backend server's";
-        break;
-    }
-    return attempt;
-}
-
 auto PlainService::serveRecorded(HttpExchange& exchange, const PlainCallInfo& call) -> asio::awaitable<void>
 {
     if (call.idempotencyKey.empty()) {
