--- a/test/FakeObjectStore.cpp
+++ b/test/FakeObjectStore.cpp
@@ -114,7 +114,8 @@
 
 auto FakeObjectStore::handle(HttpExchange& exchange) -> asio::awaitable<void>
 {
-    ++m_calls;
+    if (++m_calls == m_restoreAtCall)
+        restore();
     const auto& request = exchange.request();
     if (m_isDown) {
         co_await respond(exchange, 503, "{}");
--- a/test/FakeObjectStore.h
+++ b/test/FakeObjectStore.h
@@ -32,6 +32,9 @@
     /// Goes back to the saved copy: later writes are gone, revisions go back and the history is empty. Begins a new
     /// era.
     auto restore() -> void;
+    /// Restores the saved copy just before a call is answered.
+    /// @param call number of the call, counted as by calls().
+    auto restoreAtCall(int call) -> void { m_restoreAtCall = call; }
     auto era() const -> std::int64_t { return m_era; }
     auto revision() const -> std::int64_t;
     /// Every call is answered with 503 while the store is down.
@@ -69,6 +72,7 @@
     std::atomic<bool> m_isDown { false };
     std::atomic<bool> m_isMalformed { false };
     std::atomic<int> m_calls { 0 };
+    std::atomic<int> m_restoreAtCall { 0 };
     HttpServer m_server;
 };
 
