Log the store's history beside revisions, and a restore

A revision in the log means nothing after a restore of the store without its history. The lines of the directory name both, `store_restored` (kind, old and new history and revision) marks the first list or change of a newer history, and the metric jayhold_store_history shows the newest one. Behaviour is unchanged.

The test store can be restored without connections (RestorableStore), and RestorableZone runs directories on it. RestoredStoreTest checks the line and the number; it passes. Neither existed before.

--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -1,7 +1,7 @@
 jayhold_library(jayhold_cluster
   UNITS BackendDirectory BackendLimits BackOff BlockedParts BlockedPartsWriter CallRateLimiter CallLimitFormat ClusterCore ClusterDocuments ClusterGossip ClusterNode ConfigurationApply CrashSuspect
     DirectoryUpdate GossipMessage InstanceCount InstanceList Lease LeaseManager LoadExchange LoadMessage Membership MembershipOwners MembershipTargets OrderFence PeerLoads PlatformStore PromptReport
-    RecordDriver RecordMessages RecordPartition RecordRules RecordService RecordTable Rendezvous JitteredDelay StoreConnection StoreDirectory StoreDirectoryUpdates
+    RecordDriver RecordMessages RecordPartition RecordRules RecordService RecordTable Rendezvous JitteredDelay StoreConnection StoreDirectory StoreDirectoryHistory StoreDirectoryUpdates
     VersionedCopy WatcherElection
   LINK jayhold_http jayhold_operator)
 
@@ -11,7 +11,7 @@
 
 jayhold_test(cluster_directory_test
   SOURCES test/correctness/BackendDirectoryTest.cpp test/correctness/FleetLimitTest.cpp test/correctness/BlockedPartsTest.cpp test/correctness/LoadExchangeTest.cpp test/correctness/StoreDirectoryTest.cpp
-    test/correctness/SharedWatchTest.cpp test/correctness/WatcherElectionTest.cpp
+    test/correctness/RestoredStoreTest.cpp test/correctness/SharedWatchTest.cpp test/correctness/WatcherElectionTest.cpp
   LINK jayhold_cluster)
 
 jayhold_test(cluster_record_test
--- a/src/RequestHistory.cpp
+++ b/src/RequestHistory.cpp
@@ -16,7 +16,7 @@
 constexpr std::int64_t contextAfterMicroseconds = 200'000;
 
 /// Events that concern every request of an instance.
-constexpr std::array<std::string_view, 9> instanceEvents { "store_lost", "store_connected", "store_history_gone", "configuration_in_force",
+constexpr std::array<std::string_view, 10> instanceEvents { "store_lost", "store_connected", "store_history_gone", "store_restored", "configuration_in_force",
     "draining", "ready", "not_ready", "log_lines_left_out", "instances_counted" };
 
 struct RefusalCause {
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -266,6 +266,7 @@
             { "jayhold_backends", "Backend servers that are live or leaving.", static_cast<double>(summary.backends) },
             { "jayhold_instances", "Live entry instances by their records and messages; 0 until they have been counted.", static_cast<double>(summary.instances) },
             { "jayhold_store_away_seconds", "Time for which the store has failed; 0 while it answers.", storeUnavailableSeconds },
+            { "jayhold_store_history", "History of the store; each restore from an older copy increases it. 0 if the store names none.", static_cast<double>(summary.storeHistory) },
             { "jayhold_memory_pieces_reserved", "Engine memory that this instance has reserved, in pieces.", reservedMemoryBlocks },
             { "jayhold_log_lines_left_out_total", "Log lines left out for their rate or because the output was not read.", static_cast<double>(log.droppedLines() + droppedLogLines()), true },
         };
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -3,6 +3,7 @@
 #include "JitteredDelay.h"
 #include "JsonFields.h"
 #include "Pause.h"
+#include "StoreRevision.h"
 #include "Tasks.h"
 
 #include <boost/json/object.hpp>
@@ -131,7 +132,7 @@
 
 auto StoreDirectory::summary() const -> Summary
 {
-    return { m_version, m_published.size(), m_liveInstances, m_directory.unavailableSince };
+    return { m_version, m_published.size(), m_liveInstances, m_directory.unavailableSince, m_history.value_or(0) };
 }
 
 auto StoreDirectory::runKindWatch(KindWatchPointer kindWatch) -> asio::awaitable<void>
@@ -165,6 +166,7 @@
         co_return std::nullopt;
     logUnreadable(kindWatch.kind, list->unreadable);
     const auto before = m_published;
+    recordApplied(kindWatch, list->revision);
     kindWatch.applyList(*list);
     kindWatch.revision = list->revision;
     kindWatch.lastChange = list->revision;
@@ -215,7 +217,7 @@
     if (error)
         m_log.record(LogLevel::Warning, "store_lost", { { "kind", kindWatch.kind }, { "detail", error->detail } });
     else
-        m_log.record(LogLevel::Info, "store_connected", { { "kind", kindWatch.kind }, { "revision", kindWatch.revision } });
+        m_log.record(LogLevel::Info, "store_connected", { { "kind", kindWatch.kind }, { "revision", numberOf(kindWatch.revision) }, { "history", historyOf(kindWatch.revision) } });
 }
 
 auto StoreDirectory::logUnreadable(const std::string& kind, std::size_t count) -> void
@@ -305,14 +307,14 @@
         return;
     auto configuration = m_format.readConfiguration(item);
     if (!configuration) {
-        m_log.record(LogLevel::Error, "configuration_unreadable", { { "revision", item.revision } });
+        m_log.record(LogLevel::Error, "configuration_unreadable", { { "revision", numberOf(item.revision) }, { "history", historyOf(item.revision) } });
         return;
     }
     // Versions are applied in increasing order only.
     if (configuration->version <= m_version)
         return;
     m_version = configuration->version;
-    m_log.record(LogLevel::Info, "configuration_in_force", { { "version", m_version }, { "revision", item.revision }, { "routes", configuration->routes.size() } });
+    m_log.record(LogLevel::Info, "configuration_in_force", { { "version", m_version }, { "revision", numberOf(item.revision) }, { "history", historyOf(item.revision) }, { "routes", configuration->routes.size() } });
     m_callbacks.configuration(std::move(*configuration));
 }
 
@@ -323,7 +325,7 @@
         if (auto server = m_format.readBackend(item))
             listed.push_back(std::move(*server));
         else
-            m_log.record(LogLevel::Info, "backend_unreadable", { { "backend", item.name }, { "revision", item.revision } });
+            m_log.record(LogLevel::Info, "backend_unreadable", { { "backend", item.name }, { "revision", numberOf(item.revision) }, { "history", historyOf(item.revision) } });
     }
     replaceAll(m_directory, monotonicNow(), std::move(listed));
     publishBackends();
@@ -336,7 +338,7 @@
     } else if (auto server = m_format.readBackend(change.item)) {
         upsert(m_directory, std::move(*server));
     } else {
-        m_log.record(LogLevel::Info, "backend_unreadable", { { "backend", change.item.name }, { "revision", change.item.revision } });
+        m_log.record(LogLevel::Info, "backend_unreadable", { { "backend", change.item.name }, { "revision", numberOf(change.item.revision) }, { "history", historyOf(change.item.revision) } });
         return;
     }
     publishBackends();
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -84,6 +84,8 @@
         std::uint32_t instances = 0;
         /// Since when the store has been unavailable; absent while it is available.
         std::optional<TimePoint> storeUnavailableSince;
+        /// Greatest history that the store has named; each restore from an older copy increases it. 0 if none.
+        std::int64_t storeHistory = 0;
     };
     /// Must be called on the first I/O thread.
     auto summary() const -> Summary;
@@ -114,6 +116,8 @@
         /// Revision of the last known change. After a list it is the revision of the list, because the last
         /// change may be a deletion, which the list does not show.
         std::int64_t lastChange = 0;
+        /// Greatest revision that has been applied. It stays when the list has to be read again.
+        std::int64_t appliedRevision = 0;
         bool isConnected = false;
         /// Whether a list read is scheduled, in case a change reported by a peer does not arrive otherwise.
         bool isListPending = false;
@@ -134,6 +138,8 @@
     auto runElection() -> boost::asio::awaitable<void>;
     auto publishToZone(std::optional<KindChanges> changes) -> void;
     auto logUnreadable(const std::string& kind, std::size_t count) -> void;
+    /// Records that a list or changes have been applied, and logs if they begin another history.
+    auto recordApplied(KindWatch& kindWatch, std::int64_t revision) -> void;
     auto updateConnectionState(KindWatch& kindWatch, const std::optional<StoreError>& error) -> void;
     auto announceInstance() -> boost::asio::awaitable<void>;
     auto countInstances() -> boost::asio::awaitable<void>;
@@ -158,6 +164,8 @@
     const DirectoryCallbacks m_callbacks;
     std::vector<KindWatchPointer> m_kindWatches;
     std::int64_t m_version = 0;
+    /// Greatest history that the store has named; nothing until its first answer.
+    std::optional<std::int64_t> m_history;
     BackendDirectory m_directory;
     std::vector<BackendServer> m_published;
     /// Services with a list of blocked prompt parts.
--- a/src/StoreDirectoryUpdates.cpp
+++ b/src/StoreDirectoryUpdates.cpp
@@ -1,5 +1,6 @@
 #include "Pause.h"
 #include "StoreDirectory.h"
+#include "StoreRevision.h"
 #include "Tasks.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -49,6 +50,7 @@
     if (kindWatch.revision == 0 || kindWatch.revision < changes.after || kindWatch.revision >= changes.upTo)
         return false;
     const auto known = kindWatch.revision;
+    recordApplied(kindWatch, changes.upTo);
     for (const auto& change : changes.changes) {
         if (change.item.revision > known)
             kindWatch.applyChange(change);
@@ -78,11 +80,11 @@
     kindWatch->isListPending = false;
     if (kindWatch->revision == 0 || kindWatch->revision >= revision)
         co_return;
-    m_log.record(LogLevel::Info, "change_told_by_peer", { { "kind", kindWatch->kind }, { "revision", revision }, { "own_revision", kindWatch->revision } });
+    m_log.record(LogLevel::Info, "change_told_by_peer", { { "kind", kindWatch->kind }, { "revision", numberOf(revision) }, { "history", historyOf(revision) }, { "own_revision", numberOf(kindWatch->revision) }, { "own_history", historyOf(kindWatch->revision) } });
     // A waiting watch continues. Changes that it returns and the list already contained are skipped.
     const auto error = co_await readList(*kindWatch, true);
     if (error)
-        m_log.record(LogLevel::Info, "change_not_read", { { "kind", kindWatch->kind }, { "revision", revision }, { "detail", error->detail } });
+        m_log.record(LogLevel::Info, "change_not_read", { { "kind", kindWatch->kind }, { "revision", numberOf(revision) }, { "history", historyOf(revision) }, { "detail", error->detail } });
 }
 
 auto StoreDirectory::runElection() -> asio::awaitable<void>
