Bring all kinds of objects up to date after a restore of the store

Operators saw changes made right after a restore that some instances applied late or never, because only the next call of each watch shows the new history, and one kind's watch says nothing to the others. Cause: the state of one history is continued in another, and a noticed restore stays with the call that noticed it.

The first answer of the store that names a newer history, also that to a write of the instance's record or to a count of instances, now makes the instance read the lists of all kinds after a jittered 200 ms, and tell the zone and the other zones. A peer's report of a newer history does the same. A failed read is repeated. Lists, changes and reports of an ended history are dropped, and so are changes that span two. A watch that ends after its list was read in the new history doesn't read the list again. An empty list reports its history, too.

The blocked parts' functions of the directory moved to a file of their own, unchanged.

--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -1,7 +1,7 @@
 jayhold_library(jayhold_cluster
   UNITS BackendDirectory BackendLimits BackOff BlockedParts BlockedPartsWriter CallRateLimiter CallLimitFormat ClusterCore ClusterDocuments ClusterGossip ClusterNode ConfigurationApply CrashSuspect
     DirectoryUpdate GossipMessage InstanceCount InstanceList Lease LeaseManager LoadExchange LoadMessage Membership MembershipOwners MembershipTargets OrderFence PeerLoads PlatformStore PromptReport
-    RecordDriver RecordMessages RecordPartition RecordRules RecordService RecordTable Rendezvous JitteredDelay StoreConnection StoreDirectory StoreDirectoryHistory StoreDirectoryUpdates
+    RecordDriver RecordMessages RecordPartition RecordRules RecordService RecordTable Rendezvous JitteredDelay StoreConnection StoreDirectory StoreDirectoryBlockedParts StoreDirectoryHistory StoreDirectoryUpdates
     VersionedCopy WatcherElection
   LINK jayhold_http jayhold_operator)
 
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -148,9 +148,10 @@
             co_await pause(watcherCheckInterval);
             continue;
         }
+        const auto isList = kindWatch->revision == 0;
         const auto error = co_await watchOnce(*kindWatch);
         updateConnectionState(*kindWatch, error);
-        if (error && error->kind != StoreErrorKind::HistoryGone)
+        if (error && (isList || error->kind != StoreErrorKind::HistoryGone))
             co_await pause(jitteredDelay(std::max(minRetryDelay, error->retryAfter / 2)));
     }
 }
@@ -161,6 +162,9 @@
     if (list.has_error())
         co_return list.error();
     storeAnswered(m_directory, monotonicNow());
+    handleStoreAnswer(list->revision);
+    if (isFromEndedHistory(list->revision))
+        co_return StoreError { StoreErrorKind::HistoryGone, "the list is older than the restore of the store", Duration::zero() };
     // Changes that were applied while the list was in transit are newer than the list.
     if (list->revision < kindWatch.revision)
         co_return std::nullopt;
@@ -174,7 +178,9 @@
     // miss. A removed server leaves no revision except that of the list. Only the first instance to
     // notice the removal reports that revision, because every list has a different one.
     const auto reportsListRevision = !isPeerTriggered && removesLiveServer(before, m_published, *list);
-    m_callbacks.changed(kindWatch.kind, reportsListRevision ? list->revision : newestRevision(*list));
+    // An empty list reports its history, so that peers notice a restore.
+    const auto reported = std::max(newestRevision(*list), makeRevision(historyOf(list->revision), 0));
+    m_callbacks.changed(kindWatch.kind, reportsListRevision ? list->revision : reported);
     co_return std::nullopt;
 }
 
@@ -183,8 +189,12 @@
     if (kindWatch.revision == 0)
         co_return co_await readList(kindWatch, false);
     const auto afterRevision = kindWatch.lastChange;
+    const auto startRevision = kindWatch.revision;
     const auto meanDuration = kindWatch.maxWatch * meanWatchPercent / wholePercent;
-    auto result = co_await m_store.watch(m_threads.client(0), kindWatch.kind, kindWatch.revision, jitteredDelay(meanDuration));
+    auto result = co_await m_store.watch(m_threads.client(0), kindWatch.kind, startRevision, jitteredDelay(meanDuration));
+    // A list of the new history was read while the watch of the ended one waited.
+    if (result.has_error() && result.error().kind == StoreErrorKind::HistoryGone && historyOf(startRevision) < historyOf(kindWatch.revision))
+        co_return std::nullopt;
     if (result.has_error()) {
         // Changes may have been lost with the response. Only a list is certain to contain them all.
         kindWatch.revision = 0;
@@ -236,7 +246,9 @@
             value["address"] = toString(*m_settings.peerEndpoint);
         value["availability_zone"] = m_settings.availabilityZone;
         const auto revision = co_await m_store.put(m_threads.client(0), m_format.instanceKind, m_settings.instance, std::move(value));
-        if (revision.has_error())
+        if (revision.has_value())
+            handleStoreAnswer(*revision);
+        else
             m_log.record(LogLevel::Info, "instance_not_announced", { { "detail", revision.error().detail } });
         co_await pause(revision.has_error() ? jitteredDelay(joinInterval) : jitteredDelay(instanceInterval));
     }
@@ -255,6 +267,7 @@
             co_await pause(jitteredDelay(interval));
             continue;
         }
+        handleStoreAnswer(list->revision);
         const auto now = monotonicNow();
         beginList(m_instances, now);
         for (const auto& item : list->items)
@@ -344,25 +357,6 @@
     publishBackends();
 }
 
-auto StoreDirectory::replaceBlockedParts(const ItemList& list) -> void
-{
-    auto removed = std::exchange(m_blockedPartsServices, {});
-    for (const auto& item : list.items) {
-        removed.erase(item.name);
-        m_blockedPartsServices.insert(item.name);
-        updateBlockedParts(item.name, item.value);
-    }
-    for (const auto& service : removed)
-        updateBlockedParts(service, nullptr);
-}
-
-auto StoreDirectory::updateBlockedParts(const std::string& service, const boost::json::value& value) -> void
-{
-    auto stored = blockedPartsFromJson(value);
-    logUnreadable(m_format.blockedPartsKind, stored.unreadable);
-    m_callbacks.blockedParts(service, std::move(stored.parts));
-}
-
 auto StoreDirectory::publishBackends() -> void
 {
     auto next = servers(m_directory);
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -91,7 +91,8 @@
     auto summary() const -> Summary;
 
     /// Handles the report that a peer has applied changes of a kind up to a revision. If this instance does
-    /// not get them soon, it reads the list again. Must be called on the first I/O thread.
+    /// not get them soon, it reads the list again; if the revision begins a new history, it reads those of all
+    /// kinds. Must be called on the first I/O thread.
     auto handlePeerRevision(const std::string& kind, std::int64_t revision) -> void;
 
     /// Records that a message of an instance has arrived. Must be called on the first I/O thread.
@@ -133,9 +134,19 @@
     /// Applies changes from a watch or an update if they continue the known state without a gap.
     /// @return whether they were applied.
     auto applyChanges(KindWatch& kindWatch, const KindChanges& changes) -> bool;
-    auto readIfBehind(KindWatchPointer kindWatch, std::int64_t revision) -> boost::asio::awaitable<void>;
+    /// Reads the list of a kind after a delay, unless the changes up to a revision arrive before.
+    auto readIfBehind(KindWatchPointer kindWatch, std::int64_t revision, Duration delay) -> boost::asio::awaitable<void>;
+    /// Handles the revision in an answer of the store. The first one of a newer history brings all kinds up to date,
+    /// here and at the peers.
+    auto handleStoreAnswer(std::int64_t revision) -> void;
+    /// Reads the lists of all kinds whose state belongs to an earlier history.
+    auto readListsOfHistory(std::int64_t history) -> void;
+    /// @return whether the store is known to have begun a later history.
+    auto isFromEndedHistory(std::int64_t revision) const -> bool;
     /// Runs the watcher election, and announces this instance to the zone while it is a watcher.
     auto runElection() -> boost::asio::awaitable<void>;
+    /// @return whether this instance is a watcher with connected watches.
+    auto isServingZone() const -> bool;
     auto publishToZone(std::optional<KindChanges> changes) -> void;
     auto logUnreadable(const std::string& kind, std::size_t count) -> void;
     /// Records that a list or changes have been applied, and logs if they begin another history.
@@ -166,6 +177,8 @@
     std::int64_t m_version = 0;
     /// Greatest history that the store has named; nothing until its first answer.
     std::optional<std::int64_t> m_history;
+    /// Greatest history that a peer has reported.
+    std::int64_t m_reportedHistory = 0;
     BackendDirectory m_directory;
     std::vector<BackendServer> m_published;
     /// Services with a list of blocked prompt parts.
--- a/src/StoreDirectoryHistory.cpp
+++ b/src/StoreDirectoryHistory.cpp
@@ -1,14 +1,60 @@
+#include "JitteredDelay.h"
 #include "StoreDirectory.h"
 #include "StoreRevision.h"
+#include "Tasks.h"
+
+#include <boost/asio/co_spawn.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace jayhold {
 
+namespace asio = boost::asio;
+
+namespace {
+
+/// Mean delay before the lists are read after a restore. All instances learn of it at nearly the same time, and
+/// jitter spreads their calls over this time.
+constexpr Duration meanRestoreReadDelay = std::chrono::milliseconds(200);
+
+}
+
+auto StoreDirectory::handleStoreAnswer(std::int64_t revision) -> void
+{
+    const auto history = historyOf(revision);
+    const auto before = std::exchange(m_history, std::max(m_history.value_or(history), history));
+    if (!before || *before >= history)
+        return;
+    // Peers whose watches still wait can't know of the restore. If one of them has reported it, all others know.
+    const auto isReported = m_reportedHistory >= history;
+    readListsOfHistory(history);
+    const auto beginning = makeRevision(history, 0);
+    for (const auto& kindWatch : m_kindWatches)
+        m_callbacks.changed(kindWatch->kind, beginning);
+    if (!isReported && m_callbacks.publishToZone)
+        m_callbacks.publishToZone({ m_settings.instance, isServingZone(), KindChanges { m_format.configurationKind, beginning, beginning, {} } });
+}
+
+auto StoreDirectory::readListsOfHistory(std::int64_t history) -> void
+{
+    for (const auto& kindWatch : m_kindWatches) {
+        // With revision 0 the list is read next anyway.
+        if (kindWatch->revision == 0 || historyOf(kindWatch->revision) >= history || kindWatch->isListPending)
+            continue;
+        kindWatch->isListPending = true;
+        asio::co_spawn(m_threads.context(0), readIfBehind(kindWatch, makeRevision(history, 0), jitteredDelay(meanRestoreReadDelay)), logTaskFailure(m_log, "read lists after a restore"));
+    }
+}
+
+auto StoreDirectory::isFromEndedHistory(std::int64_t revision) const -> bool
+{
+    return m_history && historyOf(revision) < *m_history;
+}
+
 auto StoreDirectory::recordApplied(KindWatch& kindWatch, std::int64_t revision) -> void
 {
     const auto before = std::exchange(kindWatch.appliedRevision, std::max(kindWatch.appliedRevision, revision));
-    m_history = std::max(m_history.value_or(0), historyOf(revision));
     if (before > 0 && historyOf(before) < historyOf(revision))
         m_log.record(LogLevel::Warning, "store_restored", { { "kind", kindWatch.kind }, { "old_history", historyOf(before) }, { "old_revision", numberOf(before) }, { "history", historyOf(revision) }, { "revision", numberOf(revision) } });
 }
--- a/src/StoreDirectoryUpdates.cpp
+++ b/src/StoreDirectoryUpdates.cpp
@@ -1,3 +1,4 @@
+#include "JitteredDelay.h"
 #include "Pause.h"
 #include "StoreDirectory.h"
 #include "StoreRevision.h"
@@ -16,6 +17,8 @@
 /// Time to wait for a change that a peer has reported before the list is read. The updates of the zone or
 /// this instance's own watch deliver it about when the report arrives, and within this time with a slow store.
 constexpr Duration peerRevisionGrace = std::chrono::milliseconds(150);
+/// Delay before a list is read again after a failed read, unless the store's back-off requires more.
+constexpr Duration minReadRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration electionInterval = std::chrono::milliseconds(100);
 /// Election intervals between two heartbeats of a watcher to its zone, so that it sends three of them within
 /// the watcher timeout.
@@ -46,6 +49,9 @@
 
 auto StoreDirectory::applyChanges(KindWatch& kindWatch, const KindChanges& changes) -> bool
 {
+    // The changes of two histories don't continue each other.
+    if (isFromEndedHistory(changes.upTo) || historyOf(changes.after) != historyOf(changes.upTo))
+        return false;
     // With revision 0 the list is read next, which contains these and all earlier changes.
     if (kindWatch.revision == 0 || kindWatch.revision < changes.after || kindWatch.revision >= changes.upTo)
         return false;
@@ -65,26 +71,38 @@
 
 auto StoreDirectory::handlePeerRevision(const std::string& kind, std::int64_t revision) -> void
 {
+    if (isFromEndedHistory(revision))
+        return;
+    if (m_history && historyOf(revision) > *m_history) {
+        m_reportedHistory = std::max(m_reportedHistory, historyOf(revision));
+        readListsOfHistory(historyOf(revision));
+    }
     for (const auto& kindWatch : m_kindWatches) {
         if (kindWatch->kind != kind || kindWatch->revision == 0 || kindWatch->revision >= revision || kindWatch->isListPending)
             continue;
         kindWatch->isListPending = true;
-        asio::co_spawn(m_threads.context(0), readIfBehind(kindWatch, revision), logTaskFailure(m_log, "read missed changes"));
+        asio::co_spawn(m_threads.context(0), readIfBehind(kindWatch, revision, peerRevisionGrace), logTaskFailure(m_log, "read missed changes"));
     }
 }
 
-auto StoreDirectory::readIfBehind(KindWatchPointer kindWatch, std::int64_t revision) -> asio::awaitable<void>
+auto StoreDirectory::readIfBehind(KindWatchPointer kindWatch, std::int64_t revision, Duration delay) -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
-    co_await pause(peerRevisionGrace);
-    kindWatch->isListPending = false;
-    if (kindWatch->revision == 0 || kindWatch->revision >= revision)
-        co_return;
-    m_log.record(LogLevel::Info, "change_told_by_peer", { { "kind", kindWatch->kind }, { "revision", numberOf(revision) }, { "history", historyOf(revision) }, { "own_revision", numberOf(kindWatch->revision) }, { "own_history", historyOf(kindWatch->revision) } });
-    // A waiting watch continues. Changes that it returns and the list already contained are skipped.
-    const auto error = co_await readList(*kindWatch, true);
-    if (error)
+    while (true) {
+        co_await pause(delay);
+        kindWatch->isListPending = false;
+        if (kindWatch->revision == 0 || kindWatch->revision >= revision)
+            co_return;
+        m_log.record(LogLevel::Info, "change_told_by_peer", { { "kind", kindWatch->kind }, { "revision", numberOf(revision) }, { "history", historyOf(revision) }, { "own_revision", numberOf(kindWatch->revision) }, { "own_history", historyOf(kindWatch->revision) } });
+        // A waiting watch continues. Changes that it returns and the list already contained are skipped.
+        const auto error = co_await readList(*kindWatch, true);
+        if (!error || kindWatch->isListPending)
+            co_return;
         m_log.record(LogLevel::Info, "change_not_read", { { "kind", kindWatch->kind }, { "revision", numberOf(revision) }, { "history", historyOf(revision) }, { "detail", error->detail } });
+        // The report may not be repeated.
+        kindWatch->isListPending = true;
+        delay = jitteredDelay(std::max(minReadRetryDelay, error->retryAfter / 2));
+    }
 }
 
 auto StoreDirectory::runElection() -> asio::awaitable<void>
@@ -103,8 +121,12 @@
 {
     if (!m_callbacks.publishToZone || !m_election.isWatching)
         return;
-    const auto isWatching = std::ranges::all_of(m_kindWatches, [](const auto& kindWatch) { return kindWatch->isConnected; });
-    m_callbacks.publishToZone({ m_settings.instance, isWatching, std::move(changes) });
+    m_callbacks.publishToZone({ m_settings.instance, isServingZone(), std::move(changes) });
+}
+
+auto StoreDirectory::isServingZone() const -> bool
+{
+    return m_election.isWatching && std::ranges::all_of(m_kindWatches, [](const auto& kindWatch) { return kindWatch->isConnected; });
 }
 
 }
