Keep servers that left before a restore of the store from getting work

After a restore the store lists backend servers as they were some seconds ago: those that have left as live, earlier incarnations, and not those that came later. Callers saw requests sent to servers that were gone, and live servers lost their work for a moment. Cause: every entry of a list counted as news.

An entry of an earlier incarnation is ignored; incarnations are compared as numbers (start times), and those of another form have no order. An entry of a newer history that shows as live an incarnation known to be leaving or removed is ignored, too (`backend_entry_outdated`). A server that was removed only because its entry stayed missing may come back. Removed servers are remembered for 10 minutes instead of 20 s. After each restore, missing entries are ignored for the re-registration time, as after an outage, however short it was.

--- a/src/BackendDirectory.cpp
+++ b/src/BackendDirectory.cpp
@@ -1,18 +1,41 @@
 #include "BackendDirectory.h"
 
+#include "ParseNumber.h"
+
+#include <algorithm>
+#include <functional>
 #include <set>
+#include <utility>
 
 namespace jayhold {
 
 namespace {
 
-auto markRemoved(BackendDirectory::Entry& entry, TimePoint now) -> void
+auto markRemoved(const BackendDirectory& directory, BackendDirectory::Entry& entry, TimePoint now) -> void
 {
-    entry.isMissing = false;
+    entry.isPresumedGone = std::exchange(entry.isMissing, false);
+    entry.history = directory.history.value_or(0);
     entry.removedAt = now;
     entry.server.state = ReplicaState::Leaving;
 }
 
+/// Incarnations are start times as decimal numbers. Others have no order.
+auto isEarlier(std::string_view incarnation, std::string_view other) -> bool
+{
+    const auto start = parseNumber<std::int64_t>(incarnation);
+    const auto otherStart = parseNumber<std::int64_t>(other);
+    return start && otherStart && *start < *otherStart;
+}
+
+auto isOutdated(const BackendDirectory& directory, const BackendDirectory::Entry& known, const BackendServer& server) -> bool
+{
+    if (isEarlier(server.incarnation, known.server.incarnation))
+        return true;
+    const auto isRestored = known.history < directory.history.value_or(0);
+    const auto isKnownGone = known.server.state == ReplicaState::Leaving && !known.isPresumedGone;
+    return isRestored && isKnownGone && server.state == ReplicaState::Live && server.incarnation == known.server.incarnation;
+}
+
 }
 
 auto storeFailed(BackendDirectory& directory, TimePoint now) -> void
@@ -30,23 +53,38 @@
     directory.unavailableSince.reset();
 }
 
-auto replaceAll(BackendDirectory& directory, TimePoint now, std::vector<BackendServer> servers) -> void
+auto beginHistory(BackendDirectory& directory, TimePoint now, std::int64_t history) -> void
+{
+    const auto before = std::exchange(directory.history, std::max(directory.history.value_or(history), history));
+    if (before && *before < history)
+        directory.reregistrationDeadline = now + directory.settings.reregistrationTime;
+}
+
+auto replaceAll(BackendDirectory& directory, TimePoint now, std::vector<BackendServer> servers) -> std::vector<std::string>
 {
     std::set<std::string, std::less<>> present;
+    std::vector<std::string> outdated;
     for (auto& server : servers) {
         present.insert(server.id);
-        upsert(directory, std::move(server));
+        auto id = server.id;
+        if (!upsert(directory, std::move(server)))
+            outdated.push_back(std::move(id));
     }
     for (const auto& [id, entry] : directory.entries) {
         if (!present.contains(id))
             remove(directory, now, id);
     }
+    return outdated;
 }
 
-auto upsert(BackendDirectory& directory, BackendServer server) -> void
+auto upsert(BackendDirectory& directory, BackendServer server) -> bool
 {
+    const auto known = directory.entries.find(server.id);
+    if (known != directory.entries.end() && isOutdated(directory, known->second, server))
+        return false;
     auto& entry = directory.entries[server.id];
-    entry = { .server = std::move(server) };
+    entry = { .server = std::move(server), .history = directory.history.value_or(0) };
+    return true;
 }
 
 auto remove(BackendDirectory& directory, TimePoint now, std::string_view id) -> void
@@ -57,7 +95,7 @@
     if (now < directory.reregistrationDeadline)
         found->second.isMissing = true;
     else
-        markRemoved(found->second, now);
+        markRemoved(directory, found->second, now);
 }
 
 auto expire(BackendDirectory& directory, TimePoint now) -> bool
@@ -66,20 +104,27 @@
     for (auto& [id, entry] : directory.entries) {
         if (!entry.isMissing || now < directory.reregistrationDeadline)
             continue;
-        markRemoved(entry, now);
+        markRemoved(directory, entry, now);
         hasChanged = true;
     }
-    const auto erased = std::erase_if(directory.entries, [&](const auto& item) {
-        return item.second.removedAt && now - *item.second.removedAt >= directory.settings.lingerTime;
+    for (auto& [id, entry] : directory.entries) {
+        const auto isPast = entry.removedAt && now - *entry.removedAt >= directory.settings.lingerTime;
+        hasChanged = hasChanged || isPast != entry.isForgotten;
+        entry.isForgotten = isPast;
+    }
+    std::erase_if(directory.entries, [&](const auto& item) {
+        return item.second.removedAt && now - *item.second.removedAt >= directory.settings.memoryTime;
     });
-    return hasChanged || erased > 0;
+    return hasChanged;
 }
 
 auto servers(const BackendDirectory& directory) -> std::vector<BackendServer>
 {
     std::vector<BackendServer> list;
-    for (const auto& [id, entry] : directory.entries)
-        list.push_back(entry.server);
+    for (const auto& [id, entry] : directory.entries) {
+        if (!entry.isForgotten)
+            list.push_back(entry.server);
+    }
     return list;
 }
 
--- a/src/BackendDirectory.h
+++ b/src/BackendDirectory.h
@@ -2,11 +2,13 @@
 
 /// The backend servers that the platform's store lists, as a pure state machine. During an outage the
 /// store drops the entries of live servers, which register again shortly after it recovers. Missing
-/// entries are therefore ignored for some time after an outage.
+/// entries are therefore ignored for some time after an outage. The same holds after the store was restored from an
+/// older copy, whose entries may also show servers as they were before they left.
 
 #include "BackendServer.h"
 #include "Time.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -22,6 +24,8 @@
     Duration reregistrationTime = std::chrono::seconds(2);
     /// How long a server that left the list is kept for the requests that are still running on it.
     Duration lingerTime = std::chrono::seconds(20);
+    /// How long a server that left is remembered, so that an entry of an older copy does not bring it back.
+    Duration memoryTime = std::chrono::minutes(10);
 };
 
 struct BackendDirectory {
@@ -31,6 +35,12 @@
         std::optional<TimePoint> removedAt;
         /// Whether the entry has been missing since an outage and is not yet removed.
         bool isMissing = false;
+        /// Whether the server was removed because its entry stayed missing. It may still run and register late.
+        bool isPresumedGone = false;
+        /// Whether the linger time after the removal has passed.
+        bool isForgotten = false;
+        /// History of the store that has shown this state.
+        std::int64_t history = 0;
     };
 
     BackendDirectorySettings settings;
@@ -39,6 +49,8 @@
     std::optional<TimePoint> unavailableSince;
     /// Missing entries are ignored until this time.
     TimePoint reregistrationDeadline {};
+    /// History of the store that the entries are read from; absent before the first list.
+    std::optional<std::int64_t> history;
 };
 
 /// Handles a failed call to the store.
@@ -46,17 +58,26 @@
 /// Handles a successful call to the store.
 auto storeAnswered(BackendDirectory& directory, TimePoint now) -> void;
 
-/// Applies a complete list of the store: adds and updates its servers and calls remove() for all others.
-auto replaceAll(BackendDirectory& directory, TimePoint now, std::vector<BackendServer> servers) -> void;
-auto upsert(BackendDirectory& directory, BackendServer server) -> void;
+/// Handles the store's history of the next list or change. After a restore, missing entries are ignored until live
+/// servers have registered again.
+auto beginHistory(BackendDirectory& directory, TimePoint now, std::int64_t history) -> void;
+
+/// Applies a complete list of the store: calls upsert() for its servers and remove() for all others.
+/// @return the ids of the outdated entries, which were ignored.
+auto replaceAll(BackendDirectory& directory, TimePoint now, std::vector<BackendServer> servers) -> std::vector<std::string>;
+
+/// Adds or updates a server, unless the entry is outdated: its incarnation is earlier than the known one, or the store
+/// was restored and the entry shows as live an incarnation that is known to be leaving or removed.
+/// @return whether the entry was applied.
+auto upsert(BackendDirectory& directory, BackendServer server) -> bool;
 auto remove(BackendDirectory& directory, TimePoint now, std::string_view id) -> void;
 
-/// Removes missing servers after the re-registration deadline, and erases servers that left the list
+/// Removes missing servers after the re-registration deadline, and no longer names servers that left the list
 /// longer than the linger time ago.
 /// @return whether anything changed.
 auto expire(BackendDirectory& directory, TimePoint now) -> bool;
 
-/// @return all servers that are live or leaving.
+/// @return all servers that are live or leaving, without those that left longer than the linger time ago.
 auto servers(const BackendDirectory& directory) -> std::vector<BackendServer>;
 
 }
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -340,7 +340,9 @@
         else
             m_log.record(LogLevel::Info, "backend_unreadable", { { "backend", item.name }, { "revision", numberOf(item.revision) }, { "history", historyOf(item.revision) } });
     }
-    replaceAll(m_directory, monotonicNow(), std::move(listed));
+    beginHistory(m_directory, monotonicNow(), historyOf(list.revision));
+    for (const auto& id : replaceAll(m_directory, monotonicNow(), std::move(listed)))
+        logOutdated(id);
     publishBackends();
 }
 
@@ -349,7 +351,8 @@
     if (change.isDeleted) {
         remove(m_directory, monotonicNow(), change.item.name);
     } else if (auto server = m_format.readBackend(change.item)) {
-        upsert(m_directory, std::move(*server));
+        if (!upsert(m_directory, std::move(*server)))
+            logOutdated(change.item.name);
     } else {
         m_log.record(LogLevel::Info, "backend_unreadable", { { "backend", change.item.name }, { "revision", numberOf(change.item.revision) }, { "history", historyOf(change.item.revision) } });
         return;
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -165,6 +165,8 @@
     /// @param value null if the service has no list any more.
     auto updateBlockedParts(const std::string& service, const boost::json::value& value) -> void;
     auto publishBackends() -> void;
+    /// Logs that an outdated entry of a known backend server was ignored.
+    auto logOutdated(const std::string& backend) -> void;
     auto logBackendChanges(const std::vector<BackendServer>& next) -> void;
 
     IoThreads& m_threads;
--- a/src/StoreDirectoryHistory.cpp
+++ b/src/StoreDirectoryHistory.cpp
@@ -59,4 +59,10 @@
         m_log.record(LogLevel::Warning, "store_restored", { { "kind", kindWatch.kind }, { "old_history", historyOf(before) }, { "old_revision", numberOf(before) }, { "history", historyOf(revision) }, { "revision", numberOf(revision) } });
 }
 
+auto StoreDirectory::logOutdated(const std::string& backend) -> void
+{
+    const auto& known = m_directory.entries.at(backend).server;
+    m_log.record(LogLevel::Info, "backend_entry_outdated", { { "backend", backend }, { "known_state", known.state == ReplicaState::Live ? "live" : "leaving" }, { "known_incarnation", known.incarnation }, { "history", m_directory.history.value_or(0) } });
+}
+
 }
--- a/test/correctness/BackendDirectoryTest.cpp
+++ b/test/correctness/BackendDirectoryTest.cpp
@@ -15,6 +15,13 @@
     return { .id = std::move(id), .endpoint = { "127.0.0.1", 1 }, .availabilityZone = "alpine", .pool = "pool", .state = state };
 }
 
+auto server(std::string id, std::string incarnation, ReplicaState state = ReplicaState::Live) -> BackendServer
+{
+    auto result = server(std::move(id), state);
+    result.incarnation = std::move(incarnation);
+    return result;
+}
+
 auto stateOf(const BackendDirectory& directory, std::string_view id) -> std::optional<ReplicaState>
 {
     for (const auto& entry : servers(directory)) {
@@ -70,6 +77,76 @@
     CHECK(stateOf(directory, "a") == ReplicaState::Leaving);
 }
 
+// Guards against new work for a server that left, because a restored store lists it as it was before.
+TEST_CASE("a server that is known to leave or to be removed stays so when the store is restored")
+{
+    BackendDirectory directory;
+    beginHistory(directory, start, 1);
+    replaceAll(directory, start, { server("leaves", "900"), server("removed", "900"), server("stays", "900") });
+    upsert(directory, server("leaves", "900", ReplicaState::Leaving));
+    remove(directory, start + 1s, "removed");
+    beginHistory(directory, start + 2s, 2);
+    const auto outdated = replaceAll(directory, start + 2s, { server("leaves", "900"), server("removed", "900"), server("stays", "900") });
+    CHECK(outdated == std::vector<std::string> { "leaves", "removed" });
+    CHECK(stateOf(directory, "leaves") == ReplicaState::Leaving);
+    CHECK(stateOf(directory, "removed") == ReplicaState::Leaving);
+    CHECK(stateOf(directory, "stays") == ReplicaState::Live);
+    // Later than any request runs, but before the copy is out of use.
+    CHECK(expire(directory, start + 60s));
+    CHECK_FALSE(upsert(directory, server("removed", "900")));
+    CHECK_FALSE(stateOf(directory, "removed"));
+    // A new process with the same id.
+    CHECK(upsert(directory, server("leaves", "1000")));
+    CHECK(upsert(directory, server("removed", "1000")));
+    CHECK(stateOf(directory, "leaves") == ReplicaState::Live);
+    CHECK(stateOf(directory, "removed") == ReplicaState::Live);
+}
+
+// Guards against requests to the address of an earlier process, and against start times that are compared as text.
+TEST_CASE("an entry of an earlier incarnation is ignored")
+{
+    BackendDirectory directory;
+    beginHistory(directory, start, 1);
+    upsert(directory, server("a", "1000"));
+    beginHistory(directory, start + 1s, 2);
+    CHECK_FALSE(upsert(directory, server("a", "999")));
+    REQUIRE(servers(directory).size() == 1);
+    CHECK(servers(directory)[0].incarnation == "1000");
+    CHECK(upsert(directory, server("a", "1001")));
+    // Names of another form have no order.
+    CHECK(upsert(directory, server("a", "run-7")));
+}
+
+// Guards against losing live servers that the copy lacks, and against keeping those that are gone.
+TEST_CASE("after a restore missing entries are removed only after the re-registration deadline")
+{
+    BackendDirectory directory;
+    beginHistory(directory, start, 1);
+    replaceAll(directory, start, { server("lives", "900"), server("gone", "900") });
+    beginHistory(directory, start + 1s, 2);
+    replaceAll(directory, start + 1s, {});
+    CHECK(stateOf(directory, "lives") == ReplicaState::Live);
+    CHECK(upsert(directory, server("lives", "900")));
+    CHECK(expire(directory, start + 3s));
+    CHECK(stateOf(directory, "lives") == ReplicaState::Live);
+    CHECK(stateOf(directory, "gone") == ReplicaState::Leaving);
+}
+
+// Guards against a live server that gets no work for ever because it registered late before a restore.
+TEST_CASE("a server that was only missing comes back")
+{
+    BackendDirectory directory;
+    beginHistory(directory, start, 1);
+    replaceAll(directory, start, { server("late", "900") });
+    beginHistory(directory, start + 1s, 2);
+    replaceAll(directory, start + 1s, {});
+    CHECK(expire(directory, start + 3s));
+    CHECK(stateOf(directory, "late") == ReplicaState::Leaving);
+    beginHistory(directory, start + 4s, 3);
+    CHECK(upsert(directory, server("late", "900")));
+    CHECK(stateOf(directory, "late") == ReplicaState::Live);
+}
+
 // Guards against crashed instances that are counted forever, which would reduce the retry budget.
 TEST_CASE("an instance that stops writing its record is not counted")
 {
--- a/test/correctness/RestoredStoreTest.cpp
+++ b/test/correctness/RestoredStoreTest.cpp
@@ -207,3 +207,23 @@
     fixture.zone.store.put("config", "main", 3);
     CHECK(fixture.zone.reachesVersion(3, propagationBound));
 }
+
+// Guards against new work for a server that left shortly before a restore, whose copy lists it as live.
+TEST_CASE("a server that left before a restore gets no work again")
+{
+    RestorableZone zone(5);
+    zone.store.put("servers", "leaves", server("900"));
+    zone.store.put("servers", "removed", server("900"));
+    zone.store.put("servers", "stays", server("900"));
+    zone.store.saveCopy();
+    std::this_thread::sleep_for(settlingTime);
+    zone.store.put("servers", "leaves", server("900", true));
+    zone.store.remove("servers", "removed");
+    REQUIRE(zone.reaches([](const auto& any) { return !any.isLive("leaves") && !any.isLive("removed"); }, propagationBound));
+    zone.store.restore();
+    zone.store.put("servers", "new", server("900"));
+    CHECK(zone.reaches([](const auto& any) { return any.isLive("new"); }, propagationBound));
+    CHECK(zone.reaches([](const auto& any) { return any.isLive("stays") && !any.isLive("leaves") && !any.isLive("removed"); }, 0s));
+    zone.store.put("servers", "removed", server("1000"));
+    CHECK(zone.reaches([](const auto& any) { return any.isLive("removed"); }, propagationBound));
+}
