Write again what a restore of the store takes from the instances

Blocked prompt parts and instance records are written by the instances alone, so after a restore nobody wrote them again: parts were unblocked, trials were counted again from an older number, and records were missing until their next turn. Old records of the copy showed gone instances as live. Cause: a list of a newer history counted as the newest state.

The known blocked parts stay in force over a restore until the store's lists contain them, and are merged into the list by conditional updates after a jittered delay; the number of trials never falls. Parts that the list shows again can be removed, and after 30 s the list alone counts. The record is written again after a jittered 1 s, until that succeeds. An instance's first record of a newer history keeps its age and address, and counts of an ended history are dropped.

--- a/src/BlockedParts.cpp
+++ b/src/BlockedParts.cpp
@@ -86,4 +86,16 @@
     return parts;
 }
 
+auto mergeBlockedParts(std::vector<ListedPart> parts, std::span<const ListedPart> others) -> std::vector<ListedPart>
+{
+    for (const auto& other : others) {
+        const auto known = std::ranges::find(parts, other.part, &ListedPart::part);
+        if (known != parts.end())
+            known->trials = std::max(known->trials, other.trials);
+        else if (parts.size() < maxParts)
+            parts.push_back(other);
+    }
+    return parts;
+}
+
 }
--- a/src/BlockedParts.h
+++ b/src/BlockedParts.h
@@ -30,4 +30,7 @@
 /// @return the changed list, or nothing if the change has no effect on it.
 auto changeBlockedParts(std::vector<ListedPart> parts, std::uint64_t part, BlockedPartChange change, std::uint32_t trials) -> std::optional<std::vector<ListedPart>>;
 
+/// @return the list with the parts that it lacks, and the higher number of trials of each part.
+auto mergeBlockedParts(std::vector<ListedPart> parts, std::span<const ListedPart> others) -> std::vector<ListedPart>;
+
 }
--- a/src/BlockedPartsWriter.cpp
+++ b/src/BlockedPartsWriter.cpp
@@ -2,6 +2,7 @@
 
 #include "JitteredDelay.h"
 #include "Pause.h"
+#include "StoreRevision.h"
 #include "Tasks.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -70,13 +71,9 @@
     // The list that was read last may lack a recent entry, so it saves only the calls of additions.
     if (change.change == BlockedPartChange::Add && !changeBlockedParts(m_listed[service], part, change.change, change.trials))
         co_return std::nullopt;
-    const auto failed = [&](const StoreError& error) {
-        m_log.record(LogLevel::Info, "blocked_parts_not_written", { { "service", service }, { "detail", error.detail } });
-        return std::clamp(jitteredDelay(error.retryAfter / 2), minRetryDelay, maxRetryDelay);
-    };
     const auto current = co_await m_store.read(m_threads.client(0), m_kind, service);
     if (current.has_error())
-        co_return failed(current.error());
+        co_return logFailure(service, current.error());
     const auto changed = changeBlockedParts(blockedPartsFromJson(current->value).parts, part, change.change, change.trials);
     if (!changed)
         co_return std::nullopt;
@@ -85,16 +82,61 @@
         // A trial whose update may have taken effect counts as used, so that the number of trials is limited.
         if (change.change == BlockedPartChange::BeginTrial && outcome.error().kind != StoreErrorKind::Unavailable)
             co_return std::nullopt;
-        co_return failed(outcome.error());
+        co_return logFailure(service, outcome.error());
     }
     const auto* applied = std::get_if<UpdateApplied>(&*outcome);
     if (!applied)
         co_return minRetryDelay;
-    m_log.record(LogLevel::Info, "blocked_parts_written", { { "service", service }, { "parts", changed->size() }, { "revision", applied->revision } });
-    m_callbacks.written(applied->revision);
+    logWritten(service, changed->size(), applied->revision);
     if (change.change == BlockedPartChange::BeginTrial)
         m_callbacks.trialAllowed(service, part);
     co_return std::nullopt;
 }
 
+auto BlockedPartsWriter::logFailure(const std::string& service, const StoreError& error) -> Duration
+{
+    m_log.record(LogLevel::Info, "blocked_parts_not_written", { { "service", service }, { "detail", error.detail } });
+    return std::clamp(jitteredDelay(error.retryAfter / 2), minRetryDelay, maxRetryDelay);
+}
+
+auto BlockedPartsWriter::logWritten(const std::string& service, std::size_t parts, std::int64_t revision) -> void
+{
+    m_log.record(LogLevel::Info, "blocked_parts_written", { { "service", service }, { "parts", parts }, { "revision", numberOf(revision) }, { "history", historyOf(revision) } });
+    m_callbacks.written(revision);
+}
+
+auto BlockedPartsWriter::restore(const std::string& service, std::vector<ListedPart> parts) -> void
+{
+    asio::co_spawn(m_threads.context(0), writeLost(service, std::move(parts)), logTaskFailure(m_log, "write lost blocked prompt parts"));
+}
+
+auto BlockedPartsWriter::writeLost(std::string service, std::vector<ListedPart> parts) -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    std::optional<Duration> delay = jitteredDelay(meanWriteDelay);
+    while (delay) {
+        co_await pause(*delay);
+        delay = co_await writeLostOnce(service, parts);
+    }
+}
+
+auto BlockedPartsWriter::writeLostOnce(const std::string& service, const std::vector<ListedPart>& parts) -> asio::awaitable<std::optional<Duration>>
+{
+    const auto current = co_await m_store.read(m_threads.client(0), m_kind, service);
+    if (current.has_error())
+        co_return logFailure(service, current.error());
+    const auto listed = blockedPartsFromJson(current->value).parts;
+    const auto merged = mergeBlockedParts(listed, parts);
+    if (merged == listed)
+        co_return std::nullopt;
+    const auto outcome = co_await m_store.update(m_threads.client(0), m_kind, service, blockedPartsToJson(merged), current->revision);
+    if (outcome.has_error())
+        co_return logFailure(service, outcome.error());
+    const auto* applied = std::get_if<UpdateApplied>(&*outcome);
+    if (!applied)
+        co_return minRetryDelay;
+    logWritten(service, merged.size(), applied->revision);
+    co_return std::nullopt;
+}
+
 }
--- a/src/BlockedPartsWriter.h
+++ b/src/BlockedPartsWriter.h
@@ -35,12 +35,23 @@
     /// Schedules a change. A later one of the same part replaces it. Thread-safe.
     auto update(const std::string& service, const UpdateBlockedPart& change) -> void;
 
+    /// Schedules the write of parts that a restore of the store may have lost. Parts of the store's list stay, and the
+    /// higher number of trials counts. Must be called on the first I/O thread.
+    auto restore(const std::string& service, std::vector<ListedPart> parts) -> void;
+
     /// Records the list that has been read from the store. Must be called on the first I/O thread.
     auto handleList(const std::string& service, std::vector<ListedPart> parts) -> void;
 
 private:
     using Key = std::pair<std::string, std::uint64_t>;
 
+    auto writeLost(std::string service, std::vector<ListedPart> parts) -> boost::asio::awaitable<void>;
+    /// @return the time after which to try again, or nothing if the list contains the parts.
+    auto writeLostOnce(const std::string& service, const std::vector<ListedPart>& parts) -> boost::asio::awaitable<std::optional<Duration>>;
+    /// Logs a failed call.
+    /// @return the time after which to try again.
+    auto logFailure(const std::string& service, const StoreError& error) -> Duration;
+    auto logWritten(const std::string& service, std::size_t parts, std::int64_t revision) -> void;
     auto write(Key key) -> boost::asio::awaitable<void>;
     /// @return the time after which to try again, or nothing if the change is done or has no effect.
     auto writeOnce(const Key& key, UpdateBlockedPart change) -> boost::asio::awaitable<std::optional<Duration>>;
--- a/src/InstanceCount.cpp
+++ b/src/InstanceCount.cpp
@@ -1,5 +1,7 @@
 #include "InstanceCount.h"
 
+#include "StoreRevision.h"
+
 #include <algorithm>
 #include <set>
 
@@ -35,7 +37,12 @@
 auto recordInstance(InstanceCount& count, TimePoint now, const std::string& name, std::int64_t revision, std::optional<HttpEndpoint> endpoint, std::string availabilityZone) -> void
 {
     auto [entry, isNew] = count.instances.try_emplace(name, InstanceCount::Observation { revision, now, endpoint, availabilityZone });
-    if (!isNew && entry->second.revision != revision)
+    if (isNew || entry->second.revision == revision)
+        return;
+    // After a restore of the store, a record may be an old one, which does not show that its instance lives.
+    if (historyOf(entry->second.revision) < historyOf(revision))
+        entry->second.revision = revision;
+    else
         entry->second = { revision, now, std::move(endpoint), std::move(availabilityZone) };
 }
 
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -153,6 +153,7 @@
             .blockedParts = [this](const std::string& service, std::vector<ListedPart> parts) {
                 blockedPartsWriter->handleList(service, parts);
                 services.updateBlockedParts(service, std::move(parts)); },
+            .lostBlockedParts = [this](const std::string& service, std::vector<ListedPart> parts) { blockedPartsWriter->restore(service, std::move(parts)); },
             .onStoreAvailability = [this](std::optional<TimePoint> since) { context.storeUnavailableSince = since.value_or(TimePoint {}).time_since_epoch().count(); },
             .changed = [this](const std::string& kind, std::int64_t revision) {
                 if (loadExchange)
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -239,21 +239,26 @@
 auto StoreDirectory::announceInstance() -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
-    std::int64_t heartbeat = 0;
     while (true) {
-        boost::json::object value { { "beat", ++heartbeat } };
-        if (m_settings.peerEndpoint)
-            value["address"] = toString(*m_settings.peerEndpoint);
-        value["availability_zone"] = m_settings.availabilityZone;
-        const auto revision = co_await m_store.put(m_threads.client(0), m_format.instanceKind, m_settings.instance, std::move(value));
-        if (revision.has_value())
-            handleStoreAnswer(*revision);
-        else
-            m_log.record(LogLevel::Info, "instance_not_announced", { { "detail", revision.error().detail } });
-        co_await pause(revision.has_error() ? jitteredDelay(joinInterval) : jitteredDelay(instanceInterval));
+        const auto isWritten = co_await writeRecord();
+        co_await pause(isWritten ? jitteredDelay(instanceInterval) : jitteredDelay(joinInterval));
     }
 }
 
+auto StoreDirectory::writeRecord() -> asio::awaitable<bool>
+{
+    boost::json::object value { { "beat", ++m_heartbeat } };
+    if (m_settings.peerEndpoint)
+        value["address"] = toString(*m_settings.peerEndpoint);
+    value["availability_zone"] = m_settings.availabilityZone;
+    const auto revision = co_await m_store.put(m_threads.client(0), m_format.instanceKind, m_settings.instance, std::move(value));
+    if (revision.has_value())
+        handleStoreAnswer(*revision);
+    else
+        m_log.record(LogLevel::Info, "instance_not_announced", { { "detail", revision.error().detail } });
+    co_return revision.has_value();
+}
+
 auto StoreDirectory::countInstances() -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
@@ -268,6 +273,10 @@
             continue;
         }
         handleStoreAnswer(list->revision);
+        if (isFromEndedHistory(list->revision)) {
+            co_await pause(jitteredDelay(interval));
+            continue;
+        }
         const auto now = monotonicNow();
         beginList(m_instances, now);
         for (const auto& item : list->items)
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -17,6 +17,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -61,6 +62,9 @@
     std::function<void(std::vector<PeerAddress>)> peers;
     /// Receives the list of blocked prompt parts of a service.
     std::function<void(const std::string& service, std::vector<ListedPart>)> blockedParts = [](const std::string&, const std::vector<ListedPart>&) {};
+    /// Receives the blocked prompt parts of a service that a restore of the store may have lost and that have to be
+    /// written again.
+    std::function<void(const std::string& service, std::vector<ListedPart>)> lostBlockedParts = [](const std::string&, const std::vector<ListedPart>&) {};
     /// Receives the time since when the store has been unavailable, or nothing while it is available.
     std::function<void(std::optional<TimePoint>)> onStoreAvailability = [](std::optional<TimePoint>) {};
     /// Changes of a watched kind have been applied up to a revision, from a list, a watch or an update.
@@ -153,6 +157,11 @@
     auto recordApplied(KindWatch& kindWatch, std::int64_t revision) -> void;
     auto updateConnectionState(KindWatch& kindWatch, const std::optional<StoreError>& error) -> void;
     auto announceInstance() -> boost::asio::awaitable<void>;
+    /// Writes the record of this instance.
+    /// @return whether it was written.
+    auto writeRecord() -> boost::asio::awaitable<bool>;
+    /// Writes the record that a restore of the store may have lost.
+    auto rewriteRecord() -> boost::asio::awaitable<void>;
     auto countInstances() -> boost::asio::awaitable<void>;
     /// @return whether the number of live instances has changed.
     auto updateInstanceCount(TimePoint now) -> bool;
@@ -164,6 +173,10 @@
     auto replaceBlockedParts(const ItemList& list) -> void;
     /// @param value null if the service has no list any more.
     auto updateBlockedParts(const std::string& service, const boost::json::value& value) -> void;
+    /// Keeps the known blocked parts over a restore of the store, until its lists contain them again.
+    auto keepBlockedParts() -> void;
+    /// @return the parts of a list with those that are kept.
+    auto withKeptParts(const std::string& service, std::vector<ListedPart> listed) -> std::vector<ListedPart>;
     auto publishBackends() -> void;
     /// Logs that an outdated entry of a known backend server was ignored.
     auto logOutdated(const std::string& backend) -> void;
@@ -185,6 +198,13 @@
     std::vector<BackendServer> m_published;
     /// Services with a list of blocked prompt parts.
     std::set<std::string> m_blockedPartsServices;
+    /// Blocked prompt parts that are in force, by service.
+    std::map<std::string, std::vector<ListedPart>> m_blockedParts;
+    /// Blocked prompt parts from before a restore that the store's lists have not shown since, by service.
+    std::map<std::string, std::vector<ListedPart>> m_keptParts;
+    TimePoint m_keptPartsExpireAt {};
+    /// Number of records that this instance has written.
+    std::int64_t m_heartbeat = 0;
     InstanceCount m_instances;
     /// The number of live instances that was last published, or 0 before the first list. Without a list it
     /// does not fall, because instances that this one can't see may still be running.
--- a/src/StoreDirectoryBlockedParts.cpp
+++ b/src/StoreDirectoryBlockedParts.cpp
@@ -1,9 +1,17 @@
 #include "StoreDirectory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jayhold {
 
+namespace {
+
+/// Limits the time for which parts stay blocked that the store does not list, if they can't be written again.
+constexpr Duration maxKeptPartsTime = std::chrono::seconds(30);
+
+}
+
 auto StoreDirectory::replaceBlockedParts(const ItemList& list) -> void
 {
     auto removed = std::exchange(m_blockedPartsServices, {});
@@ -20,7 +28,33 @@
 {
     auto stored = blockedPartsFromJson(value);
     logUnreadable(m_format.blockedPartsKind, stored.unreadable);
-    m_callbacks.blockedParts(service, std::move(stored.parts));
+    auto parts = withKeptParts(service, std::move(stored.parts));
+    m_blockedParts[service] = parts;
+    m_callbacks.blockedParts(service, std::move(parts));
+}
+
+auto StoreDirectory::keepBlockedParts() -> void
+{
+    m_keptParts = m_blockedParts;
+    m_keptPartsExpireAt = monotonicNow() + maxKeptPartsTime;
+    for (const auto& [service, parts] : m_keptParts) {
+        m_blockedPartsServices.insert(service);
+        if (!parts.empty())
+            m_callbacks.lostBlockedParts(service, parts);
+    }
+}
+
+auto StoreDirectory::withKeptParts(const std::string& service, std::vector<ListedPart> listed) -> std::vector<ListedPart>
+{
+    const auto kept = m_keptParts.find(service);
+    if (kept == m_keptParts.end() || monotonicNow() >= m_keptPartsExpireAt)
+        return listed;
+    // Parts that the store lists are its own again, so that they can be removed.
+    std::erase_if(kept->second, [&](const ListedPart& part) {
+        const auto found = std::ranges::find(listed, part.part, &ListedPart::part);
+        return found != listed.end() && found->trials >= part.trials;
+    });
+    return mergeBlockedParts(std::move(listed), kept->second);
 }
 
 }
--- a/src/StoreDirectoryHistory.cpp
+++ b/src/StoreDirectoryHistory.cpp
@@ -1,4 +1,5 @@
 #include "JitteredDelay.h"
+#include "Pause.h"
 #include "StoreDirectory.h"
 #include "StoreRevision.h"
 #include "Tasks.h"
@@ -17,6 +18,8 @@
 /// Mean delay before the lists are read after a restore. All instances learn of it at nearly the same time, and
 /// jitter spreads their calls over this time.
 constexpr Duration meanRestoreReadDelay = std::chrono::milliseconds(200);
+/// Mean delay before the instance's record is written again. All instances write, and the peers count them for longer.
+constexpr Duration meanRecordDelay = std::chrono::seconds(1);
 
 }
 
@@ -29,6 +32,7 @@
     // Peers whose watches still wait can't know of the restore. If one of them has reported it, all others know.
     const auto isReported = m_reportedHistory >= history;
     readListsOfHistory(history);
+    asio::co_spawn(m_threads.context(0), rewriteRecord(), logTaskFailure(m_log, "write the record after a restore"));
     const auto beginning = makeRevision(history, 0);
     for (const auto& kindWatch : m_kindWatches)
         m_callbacks.changed(kindWatch->kind, beginning);
@@ -36,6 +40,14 @@
         m_callbacks.publishToZone({ m_settings.instance, isServingZone(), KindChanges { m_format.configurationKind, beginning, beginning, {} } });
 }
 
+auto StoreDirectory::rewriteRecord() -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    do
+        co_await pause(jitteredDelay(meanRecordDelay));
+    while (!co_await writeRecord());
+}
+
 auto StoreDirectory::readListsOfHistory(std::int64_t history) -> void
 {
     for (const auto& kindWatch : m_kindWatches) {
@@ -55,8 +67,11 @@
 auto StoreDirectory::recordApplied(KindWatch& kindWatch, std::int64_t revision) -> void
 {
     const auto before = std::exchange(kindWatch.appliedRevision, std::max(kindWatch.appliedRevision, revision));
-    if (before > 0 && historyOf(before) < historyOf(revision))
-        m_log.record(LogLevel::Warning, "store_restored", { { "kind", kindWatch.kind }, { "old_history", historyOf(before) }, { "old_revision", numberOf(before) }, { "history", historyOf(revision) }, { "revision", numberOf(revision) } });
+    if (before == 0 || historyOf(before) >= historyOf(revision))
+        return;
+    m_log.record(LogLevel::Warning, "store_restored", { { "kind", kindWatch.kind }, { "old_history", historyOf(before) }, { "old_revision", numberOf(before) }, { "history", historyOf(revision) }, { "revision", numberOf(revision) } });
+    if (kindWatch.kind == m_format.blockedPartsKind)
+        keepBlockedParts();
 }
 
 auto StoreDirectory::logOutdated(const std::string& backend) -> void
--- a/test/RestorableZone.h
+++ b/test/RestorableZone.h
@@ -4,6 +4,7 @@
 
 #include "RestorableStore.h"
 
+#include "BlockedPartsWriter.h"
 #include "StoreDirectory.h"
 
 #include <boost/asio/post.hpp>
@@ -38,9 +39,12 @@
                 .blockedParts = [this](const std::string&, const std::vector<ListedPart>& parts) {
                     const std::lock_guard guard(lock);
                     blockedParts = parts; },
+                .lostBlockedParts = [this](const std::string& service, std::vector<ListedPart> parts) { writer->restore(service, std::move(parts)); },
                 .changed = [this, &zone](const std::string& kind, std::int64_t revision) { zone.report(*this, kind, revision); },
                 .publishToZone = [this, &zone](const DirectoryUpdate& update) { zone.publish(*this, update); },
             };
+            BlockedPartsCallbacks writerCallbacks { [this](std::int64_t revision) { directory->handlePeerRevision("blocked", revision); }, [](const std::string&, std::uint64_t) {} };
+            writer = std::make_shared<BlockedPartsWriter>(threads, store, "blocked", log, std::move(writerCallbacks));
             directory = std::make_shared<StoreDirectory>(threads, store, std::move(format), DirectorySettings { .instance = std::move(name), .availabilityZone = "alpine", .maxPropagationDelay = maxPropagationDelay }, log, std::move(callbacks));
             directory->start();
         }
@@ -76,6 +80,7 @@
         std::vector<BackendServer> backends;
         std::vector<ListedPart> blockedParts;
         IoThreads threads { 1 };
+        std::shared_ptr<BlockedPartsWriter> writer;
         std::shared_ptr<StoreDirectory> directory;
     };
 
--- a/test/correctness/BackendDirectoryTest.cpp
+++ b/test/correctness/BackendDirectoryTest.cpp
@@ -1,6 +1,7 @@
 #include "BackendDirectory.h"
 #include "InstanceCount.h"
 #include "PeerLoads.h"
+#include "StoreRevision.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -162,6 +163,21 @@
     CHECK(livePeers(count, start + 61s)[0].endpoint.port == 2);
 }
 
+// Guards against gone instances that count as live, because a restored store lists their old records.
+TEST_CASE("the record of an older copy does not show that its instance lives")
+{
+    InstanceCount count;
+    recordInstance(count, start, "a", makeRevision(1, 90), HttpEndpoint { "127.0.0.1", 2 }, "alpine");
+    recordInstance(count, start, "b", makeRevision(1, 91));
+    recordInstance(count, start + 50s, "a", makeRevision(2, 80), HttpEndpoint { "127.0.0.1", 1 }, "alpine");
+    recordInstance(count, start + 50s, "b", makeRevision(2, 81));
+    recordInstance(count, start + 55s, "a", makeRevision(2, 95), HttpEndpoint { "127.0.0.1", 2 }, "alpine");
+    recordInstance(count, start + 55s, "b", makeRevision(2, 81));
+    CHECK(liveInstanceNames(count, start + 61s) == std::vector<std::string> { "a" });
+    REQUIRE(livePeers(count, start + 61s).size() == 1);
+    CHECK(livePeers(count, start + 61s)[0].endpoint.port == 2);
+}
+
 // Guards against an old or duplicate datagram that replaces a newer one, and against a restart that is
 // ignored.
 TEST_CASE("only newer messages of an instance are applied")
--- a/test/correctness/RestoredStoreTest.cpp
+++ b/test/correctness/RestoredStoreTest.cpp
@@ -227,3 +227,48 @@
     zone.store.put("servers", "removed", server("1000"));
     CHECK(zone.reaches([](const auto& any) { return any.isLive("removed"); }, propagationBound));
 }
+
+// Guards against blocked prompt parts that a restore unblocks, because only the instances have written them.
+TEST_CASE("blocked prompt parts outlast a restore and are written again")
+{
+    RestorableZone zone(5);
+    zone.store.put("blocked", "service", blockedPartsToJson(std::vector<ListedPart> { { 7, 1 } }));
+    zone.store.saveCopy();
+    const std::vector<ListedPart> known { { 7, 2 }, { 8, 0 } };
+    zone.store.put("blocked", "service", blockedPartsToJson(known));
+    REQUIRE(zone.reaches([&](const auto& any) { return any.parts() == known; }, settlingTime));
+    std::this_thread::sleep_for(settlingTime);
+    zone.store.restore();
+    // An operator's change to the restored list.
+    zone.store.put("blocked", "service", blockedPartsToJson(std::vector<ListedPart> { { 7, 1 }, { 9, 0 } }));
+    const auto isBlocked = [](const auto& any) {
+        const auto parts = any.parts();
+        return std::ranges::count(parts, ListedPart { 7, 2 }) == 1 && std::ranges::count(parts, ListedPart { 8, 0 }) == 1;
+    };
+    const auto deadline = monotonicNow() + 5s;
+    auto isAlwaysBlocked = true;
+    while (monotonicNow() < deadline) {
+        isAlwaysBlocked = isAlwaysBlocked && zone.reaches(isBlocked, 0s);
+        std::this_thread::sleep_for(1ms);
+    }
+    CHECK(isAlwaysBlocked);
+    const std::vector<ListedPart> merged { { 7, 2 }, { 9, 0 }, { 8, 0 } };
+    CHECK(blockedPartsFromJson(zone.store.read("blocked", "service").value).parts == merged);
+    CHECK(zone.reaches([&](const auto& any) { return any.parts() == merged; }, 0s));
+    // Parts that the store lists again can be removed.
+    zone.store.put("blocked", "service", blockedPartsToJson({}));
+    CHECK(zone.reaches([](const auto& any) { return any.parts().empty(); }, 5s));
+}
+
+// Guards against instances that are not counted for some time, because a restore has lost their records.
+TEST_CASE("the record of an instance is written again soon after a restore")
+{
+    RestorableZone zone(1);
+    zone.store.saveCopy();
+    zone.store.put("config", "main", 1);
+    REQUIRE(zone.reachesVersion(1, propagationBound));
+    zone.store.restore();
+    REQUIRE(zone.store.read("instances", "edge-1").revision == 0);
+    std::this_thread::sleep_for(4s);
+    CHECK(zone.store.read("instances", "edge-1").revision > 0);
+}
