Test random sequences of restores, writes and late messages

An instance's configuration version never goes back, and all instances of a zone get the newest one within 3 s once messages and reads stop being lost, whatever the order of writes, restores, late lists, datagrams and reports. The cases about a restored store run in a program of their own, restored_store_test, because they wait in real time.

Load messages repeat them at least every 800 ms, and the test's zone now does so, too.

--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -11,9 +11,18 @@
 
 jayhold_test(cluster_directory_test
   SOURCES test/correctness/BackendDirectoryTest.cpp test/correctness/FleetLimitTest.cpp test/correctness/BlockedPartsTest.cpp test/correctness/LoadExchangeTest.cpp test/correctness/StoreDirectoryTest.cpp
-    test/correctness/RestoredStoreTest.cpp test/correctness/SharedWatchTest.cpp test/correctness/WatcherElectionTest.cpp
+    test/correctness/SharedWatchTest.cpp test/correctness/WatcherElectionTest.cpp
   LINK jayhold_cluster)
 
+# A test of its own, because it waits for watches for most of its time.
+jayhold_test(restored_store_test
+  SOURCES test/correctness/RestoredStoreTest.cpp test/correctness/RestoredStorePropertyTest.cpp
+  LINK jayhold_cluster)
+if(JAYHOLD_TESTS)
+  # Each sequence takes up to one second, because directories run in real time.
+  set_tests_properties(restored_store_test PROPERTIES ENVIRONMENT "RC_PARAMS=${JAYHOLD_RC_PARAMS} max_success=30")
+endif()
+
 jayhold_test(cluster_record_test
   SOURCES test/correctness/RecordPartitionTest.cpp test/RecordSimulation.cpp
   LINK jayhold_cluster)
--- a/test/RestorableZone.h
+++ b/test/RestorableZone.h
@@ -102,8 +102,20 @@
     /// Sends the report of an instance to the others, as load messages do.
     auto report(const Instance& sender, const std::string& kind, std::int64_t revision) -> void
     {
+        {
+            const std::lock_guard guard(m_lock);
+            auto& known = m_reports[{ &sender, kind }];
+            known = std::max(known, revision);
+        }
         sendToOthers(sender, [kind, revision](StoreDirectory& directory) { directory.handlePeerRevision(kind, revision); });
     }
+    /// Sends the newest reports of all instances again, as the next load messages do.
+    auto repeatReports() -> void
+    {
+        const std::lock_guard guard(m_lock);
+        for (const auto& [key, revision] : m_reports)
+            sendToOthers(*key.first, [kind = key.second, revision = revision](StoreDirectory& directory) { directory.handlePeerRevision(kind, revision); });
+    }
     auto publish(const Instance& sender, const DirectoryUpdate& update) -> void
     {
         sendToOthers(sender, [update](StoreDirectory& directory) { directory.handleDirectoryUpdate(update); });
@@ -141,6 +153,9 @@
     }
 
     std::atomic<bool> m_isComplete { false };
+    std::mutex m_lock;
+    /// Greatest revision that an instance has reported of a kind.
+    std::map<std::pair<const Instance*, std::string>, std::int64_t> m_reports;
 };
 
 }
