--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -1,7 +1,7 @@
 jayhold_library(jayhold_cluster
   UNITS BackendDirectory BackendLimits BackOff BlockedParts BlockedPartsWriter CallRateLimiter CallLimitFormat ClusterCore ClusterDocuments ClusterGossip ClusterNode ConfigurationApply CrashSuspect
     DirectoryUpdate GossipMessage InstanceCount InstanceList Lease LeaseManager LoadExchange LoadMessage Membership MembershipOwners MembershipTargets OrderFence PeerLoads PlatformStore PromptReport
-    RecordDriver RecordMessages RecordPartition RecordRules RecordService RecordTable Rendezvous JitteredDelay StoreConnection StoreDirectory StoreDirectoryUpdates
+    RecordDriver RecordMessages RecordPartition RecordRules RecordService RecordTable Rendezvous JitteredDelay StoreConnection StoreDirectory StoreDirectoryBlockedParts StoreDirectoryHistory StoreDirectoryUpdates
     VersionedCopy WatcherElection
   LINK jayhold_http jayhold_operator)
 
@@ -14,6 +14,15 @@
     test/correctness/SharedWatchTest.cpp test/correctness/WatcherElectionTest.cpp
   LINK jayhold_cluster)
 
+# A test of its own, because it waits for watches for most of its time.
+jayhold_test(restored_store_test
+  SOURCES test/correctness/RestoredStoreTest.cpp test/correctness/RestoredStorePropertyTest.cpp
+  LINK jayhold_cluster)
+if(JAYHOLD_TESTS)
+  # Each sequence takes up to one second, because directories run in real time.
+  set_tests_properties(restored_store_test PROPERTIES ENVIRONMENT "RC_PARAMS=${JAYHOLD_RC_PARAMS} max_success=30")
+endif()
+
 jayhold_test(cluster_record_test
   SOURCES test/correctness/RecordPartitionTest.cpp test/RecordSimulation.cpp
   LINK jayhold_cluster)
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -3,6 +3,7 @@
 #include "JitteredDelay.h"
 #include "JsonFields.h"
 #include "Pause.h"
+#include "StoreRevision.h"
 #include "Tasks.h"
 
 #include <boost/json/object.hpp>
@@ -131,7 +132,7 @@
 
 auto StoreDirectory::summary() const -> Summary
 {
-    return { m_version, m_published.size(), m_liveInstances, m_directory.unavailableSince };
+    return { m_version, m_published.size(), m_liveInstances, m_directory.unavailableSince, m_history.value_or(0) };
 }
 
 auto StoreDirectory::runKindWatch(KindWatchPointer kindWatch) -> asio::awaitable<void>
@@ -147,9 +148,10 @@
             co_await pause(watcherCheckInterval);
             continue;
         }
+        const auto isList = kindWatch->revision == 0;
         const auto error = co_await watchOnce(*kindWatch);
         updateConnectionState(*kindWatch, error);
-        if (error && error->kind != StoreErrorKind::HistoryGone)
+        if (error && (isList || error->kind != StoreErrorKind::HistoryGone))
             co_await pause(jitteredDelay(std::max(minRetryDelay, error->retryAfter / 2)));
     }
 }
@@ -160,11 +162,15 @@
     if (list.has_error())
         co_return list.error();
     storeAnswered(m_directory, monotonicNow());
+    handleStoreAnswer(list->revision);
+    if (isFromEndedHistory(list->revision))
+        co_return StoreError { StoreErrorKind::HistoryGone, "the list is older than the restore of the store", Duration::zero() };
     // Changes that were applied while the list was in transit are newer than the list.
     if (list->revision < kindWatch.revision)
         co_return std::nullopt;
     logUnreadable(kindWatch.kind, list->unreadable);
     const auto before = m_published;
+    recordApplied(kindWatch, list->revision);
     kindWatch.applyList(*list);
     kindWatch.revision = list->revision;
     kindWatch.lastChange = list->revision;
@@ -172,7 +178,9 @@
     // miss. A removed server leaves no revision except that of the list. Only the first instance to
     // notice the removal reports that revision, because every list has a different one.
     const auto reportsListRevision = !isPeerTriggered && removesLiveServer(before, m_published, *list);
-    m_callbacks.changed(kindWatch.kind, reportsListRevision ? list->revision : newestRevision(*list));
+    // An empty list reports its history, so that peers notice a restore.
+    const auto reported = std::max(newestRevision(*list), makeRevision(historyOf(list->revision), 0));
+    m_callbacks.changed(kindWatch.kind, reportsListRevision ? list->revision : reported);
     co_return std::nullopt;
 }
 
@@ -181,8 +189,12 @@
     if (kindWatch.revision == 0)
         co_return co_await readList(kindWatch, false);
     const auto afterRevision = kindWatch.lastChange;
+    const auto startRevision = kindWatch.revision;
     const auto meanDuration = kindWatch.maxWatch * meanWatchPercent / wholePercent;
-    auto result = co_await m_store.watch(m_threads.client(0), kindWatch.kind, kindWatch.revision, jitteredDelay(meanDuration));
+    auto result = co_await m_store.watch(m_threads.client(0), kindWatch.kind, startRevision, jitteredDelay(meanDuration));
+    // A list of the new history was read while the watch of the ended one waited.
+    if (result.has_error() && result.error().kind == StoreErrorKind::HistoryGone && historyOf(startRevision) < historyOf(kindWatch.revision))
+        co_return std::nullopt;
     if (result.has_error()) {
         // Changes may have been lost with the response. Only a list is certain to contain them all.
         kindWatch.revision = 0;
@@ -215,7 +227,7 @@
     if (error)
         m_log.record(LogLevel::Warning, "store_lost", { { "kind", kindWatch.kind }, { "detail", error->detail } });
     else
-        m_log.record(LogLevel::Info, "store_connected", { { "kind", kindWatch.kind }, { "revision", kindWatch.revision } });
+        m_log.record(LogLevel::Info, "store_connected", { { "kind", kindWatch.kind }, { "revision", numberOf(kindWatch.revision) }, { "history", historyOf(kindWatch.revision) } });
 }
 
 auto StoreDirectory::logUnreadable(const std::string& kind, std::size_t count) -> void
@@ -227,19 +239,26 @@
 auto StoreDirectory::announceInstance() -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
-    std::int64_t heartbeat = 0;
     while (true) {
-        boost::json::object value { { "beat", ++heartbeat } };
-        if (m_settings.peerEndpoint)
-            value["address"] = toString(*m_settings.peerEndpoint);
-        value["availability_zone"] = m_settings.availabilityZone;
-        const auto revision = co_await m_store.put(m_threads.client(0), m_format.instanceKind, m_settings.instance, std::move(value));
-        if (revision.has_error())
-            m_log.record(LogLevel::Info, "instance_not_announced", { { "detail", revision.error().detail } });
-        co_await pause(revision.has_error() ? jitteredDelay(joinInterval) : jitteredDelay(instanceInterval));
+        const auto isWritten = co_await writeRecord();
+        co_await pause(isWritten ? jitteredDelay(instanceInterval) : jitteredDelay(joinInterval));
     }
 }
 
+auto StoreDirectory::writeRecord() -> asio::awaitable<bool>
+{
+    boost::json::object value { { "beat", ++m_heartbeat } };
+    if (m_settings.peerEndpoint)
+        value["address"] = toString(*m_settings.peerEndpoint);
+    value["availability_zone"] = m_settings.availabilityZone;
+    const auto revision = co_await m_store.put(m_threads.client(0), m_format.instanceKind, m_settings.instance, std::move(value));
+    if (revision.has_value())
+        handleStoreAnswer(*revision);
+    else
+        m_log.record(LogLevel::Info, "instance_not_announced", { { "detail", revision.error().detail } });
+    co_return revision.has_value();
+}
+
 auto StoreDirectory::countInstances() -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
@@ -253,6 +272,11 @@
             co_await pause(jitteredDelay(interval));
             continue;
         }
+        handleStoreAnswer(list->revision);
+        if (isFromEndedHistory(list->revision)) {
+            co_await pause(jitteredDelay(interval));
+            continue;
+        }
         const auto now = monotonicNow();
         beginList(m_instances, now);
         for (const auto& item : list->items)
@@ -305,14 +329,14 @@
         return;
     auto configuration = m_format.readConfiguration(item);
     if (!configuration) {
-        m_log.record(LogLevel::Error, "configuration_unreadable", { { "revision", item.revision } });
+        m_log.record(LogLevel::Error, "configuration_unreadable", { { "revision", numberOf(item.revision) }, { "history", historyOf(item.revision) } });
         return;
     }
     // Versions are applied in increasing order only.
     if (configuration->version <= m_version)
         return;
     m_version = configuration->version;
-    m_log.record(LogLevel::Info, "configuration_in_force", { { "version", m_version }, { "revision", item.revision }, { "routes", configuration->routes.size() } });
+    m_log.record(LogLevel::Info, "configuration_in_force", { { "version", m_version }, { "revision", numberOf(item.revision) }, { "history", historyOf(item.revision) }, { "routes", configuration->routes.size() } });
     m_callbacks.configuration(std::move(*configuration));
 }
 
@@ -323,9 +347,11 @@
         if (auto server = m_format.readBackend(item))
             listed.push_back(std::move(*server));
         else
-            m_log.record(LogLevel::Info, "backend_unreadable", { { "backend", item.name }, { "revision", item.revision } });
+            m_log.record(LogLevel::Info, "backend_unreadable", { { "backend", item.name }, { "revision", numberOf(item.revision) }, { "history", historyOf(item.revision) } });
     }
-    replaceAll(m_directory, monotonicNow(), std::move(listed));
+    beginHistory(m_directory, monotonicNow(), historyOf(list.revision));
+    for (const auto& id : replaceAll(m_directory, monotonicNow(), std::move(listed)))
+        logOutdated(id);
     publishBackends();
 }
 
@@ -334,33 +360,15 @@
     if (change.isDeleted) {
         remove(m_directory, monotonicNow(), change.item.name);
     } else if (auto server = m_format.readBackend(change.item)) {
-        upsert(m_directory, std::move(*server));
+        if (!upsert(m_directory, std::move(*server)))
+            logOutdated(change.item.name);
     } else {
-        m_log.record(LogLevel::Info, "backend_unreadable", { { "backend", change.item.name }, { "revision", change.item.revision } });
+        m_log.record(LogLevel::Info, "backend_unreadable", { { "backend", change.item.name }, { "revision", numberOf(change.item.revision) }, { "history", historyOf(change.item.revision) } });
         return;
     }
     publishBackends();
 }
 
-auto StoreDirectory::replaceBlockedParts(const ItemList& list) -> void
-{
-    auto removed = std::exchange(m_blockedPartsServices, {});
-    for (const auto& item : list.items) {
-        removed.erase(item.name);
-        m_blockedPartsServices.insert(item.name);
-        updateBlockedParts(item.name, item.value);
-    }
-    for (const auto& service : removed)
-        updateBlockedParts(service, nullptr);
-}
-
-auto StoreDirectory::updateBlockedParts(const std::string& service, const boost::json::value& value) -> void
-{
-    auto stored = blockedPartsFromJson(value);
-    logUnreadable(m_format.blockedPartsKind, stored.unreadable);
-    m_callbacks.blockedParts(service, std::move(stored.parts));
-}
-
 auto StoreDirectory::publishBackends() -> void
 {
     auto next = servers(m_directory);
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -17,6 +17,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -61,6 +62,9 @@
     std::function<void(std::vector<PeerAddress>)> peers;
     /// Receives the list of blocked prompt parts of a service.
     std::function<void(const std::string& service, std::vector<ListedPart>)> blockedParts = [](const std::string&, const std::vector<ListedPart>&) {};
+    /// Receives the blocked prompt parts of a service that a restore of the store may have lost and that have to be
+    /// written again.
+    std::function<void(const std::string& service, std::vector<ListedPart>)> lostBlockedParts = [](const std::string&, const std::vector<ListedPart>&) {};
     /// Receives the time since when the store has been unavailable, or nothing while it is available.
     std::function<void(std::optional<TimePoint>)> onStoreAvailability = [](std::optional<TimePoint>) {};
     /// Changes of a watched kind have been applied up to a revision, from a list, a watch or an update.
@@ -84,12 +88,15 @@
         std::uint32_t instances = 0;
         /// Since when the store has been unavailable; absent while it is available.
         std::optional<TimePoint> storeUnavailableSince;
+        /// Greatest history that the store has named; each restore from an older copy increases it. 0 if none.
+        std::int64_t storeHistory = 0;
     };
     /// Must be called on the first I/O thread.
     auto summary() const -> Summary;
 
     /// Handles the report that a peer has applied changes of a kind up to a revision. If this instance does
-    /// not get them soon, it reads the list again. Must be called on the first I/O thread.
+    /// not get them soon, it reads the list again; if the revision begins a new history, it reads those of all
+    /// kinds. Must be called on the first I/O thread.
     auto handlePeerRevision(const std::string& kind, std::int64_t revision) -> void;
 
     /// Records that a message of an instance has arrived. Must be called on the first I/O thread.
@@ -114,6 +121,8 @@
         /// Revision of the last known change. After a list it is the revision of the list, because the last
         /// change may be a deletion, which the list does not show.
         std::int64_t lastChange = 0;
+        /// Greatest revision that has been applied. It stays when the list has to be read again.
+        std::int64_t appliedRevision = 0;
         bool isConnected = false;
         /// Whether a list read is scheduled, in case a change reported by a peer does not arrive otherwise.
         bool isListPending = false;
@@ -129,13 +138,30 @@
     /// Applies changes from a watch or an update if they continue the known state without a gap.
     /// @return whether they were applied.
     auto applyChanges(KindWatch& kindWatch, const KindChanges& changes) -> bool;
-    auto readIfBehind(KindWatchPointer kindWatch, std::int64_t revision) -> boost::asio::awaitable<void>;
+    /// Reads the list of a kind after a delay, unless the changes up to a revision arrive before.
+    auto readIfBehind(KindWatchPointer kindWatch, std::int64_t revision, Duration delay) -> boost::asio::awaitable<void>;
+    /// Handles the revision in an answer of the store. The first one of a newer history brings all kinds up to date,
+    /// here and at the peers.
+    auto handleStoreAnswer(std::int64_t revision) -> void;
+    /// Reads the lists of all kinds whose state belongs to an earlier history.
+    auto readListsOfHistory(std::int64_t history) -> void;
+    /// @return whether the store is known to have begun a later history.
+    auto isFromEndedHistory(std::int64_t revision) const -> bool;
     /// Runs the watcher election, and announces this instance to the zone while it is a watcher.
     auto runElection() -> boost::asio::awaitable<void>;
+    /// @return whether this instance is a watcher with connected watches.
+    auto isServingZone() const -> bool;
     auto publishToZone(std::optional<KindChanges> changes) -> void;
     auto logUnreadable(const std::string& kind, std::size_t count) -> void;
+    /// Records that a list or changes have been applied, and logs if they begin another history.
+    auto recordApplied(KindWatch& kindWatch, std::int64_t revision) -> void;
     auto updateConnectionState(KindWatch& kindWatch, const std::optional<StoreError>& error) -> void;
     auto announceInstance() -> boost::asio::awaitable<void>;
+    /// Writes the record of this instance.
+    /// @return whether it was written.
+    auto writeRecord() -> boost::asio::awaitable<bool>;
+    /// Writes the record that a restore of the store may have lost.
+    auto rewriteRecord() -> boost::asio::awaitable<void>;
     auto countInstances() -> boost::asio::awaitable<void>;
     /// @return whether the number of live instances has changed.
     auto updateInstanceCount(TimePoint now) -> bool;
@@ -147,7 +173,13 @@
     auto replaceBlockedParts(const ItemList& list) -> void;
     /// @param value null if the service has no list any more.
     auto updateBlockedParts(const std::string& service, const boost::json::value& value) -> void;
+    /// Keeps the known blocked parts over a restore of the store, until its lists contain them again.
+    auto keepBlockedParts() -> void;
+    /// @return the parts of a list with those that are kept.
+    auto withKeptParts(const std::string& service, std::vector<ListedPart> listed) -> std::vector<ListedPart>;
     auto publishBackends() -> void;
+    /// Logs that an outdated entry of a known backend server was ignored.
+    auto logOutdated(const std::string& backend) -> void;
     auto logBackendChanges(const std::vector<BackendServer>& next) -> void;
 
     IoThreads& m_threads;
@@ -158,10 +190,21 @@
     const DirectoryCallbacks m_callbacks;
     std::vector<KindWatchPointer> m_kindWatches;
     std::int64_t m_version = 0;
+    /// Greatest history that the store has named; nothing until its first answer.
+    std::optional<std::int64_t> m_history;
+    /// Greatest history that a peer has reported.
+    std::int64_t m_reportedHistory = 0;
     BackendDirectory m_directory;
     std::vector<BackendServer> m_published;
     /// Services with a list of blocked prompt parts.
     std::set<std::string> m_blockedPartsServices;
+    /// Blocked prompt parts that are in force, by service.
+    std::map<std::string, std::vector<ListedPart>> m_blockedParts;
+    /// Blocked prompt parts from before a restore that the store's lists have not shown since, by service.
+    std::map<std::string, std::vector<ListedPart>> m_keptParts;
+    TimePoint m_keptPartsExpireAt {};
+    /// Number of records that this instance has written.
+    std::int64_t m_heartbeat = 0;
     InstanceCount m_instances;
     /// The number of live instances that was last published, or 0 before the first list. Without a list it
     /// does not fall, because instances that this one can't see may still be running.
