Accept only addresses that can be connected to from entries and peers

Operators may see calls to a backend server with port 0 or an unspecified address, which fail or reach the instance's own host. An invalid address in the list of peers made updatePeers throw and lost the other peers of the list.

Cause: parseHttpEndpoint also serves listening addresses, for which port 0 is valid, and was used for remote ones; updatePeers converted addresses with the throwing form of make_address. Class: input that isn't checked where it is taken over.

Addresses from the store were already normalized by the parser, so the exception could not be reached from an entry.

Looked for elsewhere: HttpClient already uses the form of make_address that reports errors; HttpServer and LoadExchange's own address come from settings.

--- a/src/HttpEndpoint.h
+++ b/src/HttpEndpoint.h
@@ -23,4 +23,8 @@
 /// accepted, because processes find each other by IP address.
 auto parseHttpEndpoint(std::string_view text) -> std::optional<HttpEndpoint>;
 
+/// The same for an endpoint to connect or send to, for which port 0 and the unspecified address are not
+/// accepted.
+auto parseRemoteEndpoint(std::string_view text) -> std::optional<HttpEndpoint>;
+
 }
--- a/src/HttpMessages.cpp
+++ b/src/HttpMessages.cpp
@@ -74,4 +74,13 @@
     return HttpEndpoint { address.to_string(), port };
 }
 
+auto parseRemoteEndpoint(std::string_view text) -> std::optional<HttpEndpoint>
+{
+    constexpr std::uint16_t minPort = 1;
+    auto endpoint = parseHttpEndpoint(text);
+    if (!endpoint || endpoint->port < minPort || boost::asio::ip::make_address(endpoint->address).is_unspecified())
+        return std::nullopt;
+    return endpoint;
+}
+
 }
--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -125,7 +125,12 @@
     state.remotePeers.clear();
     const auto ownEndpoint = state.socket.local_endpoint();
     for (const auto& peer : peers) {
-        const asio::ip::udp::endpoint target(asio::ip::make_address(peer.endpoint.address), peer.endpoint.port);
+        boost::system::error_code code;
+        const asio::ip::udp::endpoint target(asio::ip::make_address(peer.endpoint.address, code), peer.endpoint.port);
+        if (code || target.port() == 0) {
+            state.log.record(LogLevel::Warning, "peer_address_invalid", { { "address", toString(peer.endpoint) } });
+            continue;
+        }
         if (target != ownEndpoint)
             (peer.availabilityZone == state.settings.availabilityZone ? state.zonePeers : state.remotePeers).push_back(target);
     }
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -252,7 +252,7 @@
         const auto now = monotonicNow();
         beginList(m_instances, now);
         for (const auto& item : list->items)
-            recordInstance(m_instances, now, item.name, item.revision, parseHttpEndpoint(textOf(item, "address")), textOf(item, "availability_zone"));
+            recordInstance(m_instances, now, item.name, item.revision, parseRemoteEndpoint(textOf(item, "address")), textOf(item, "availability_zone"));
         // This instance counts even if it could not write its record.
         recordMessage(m_instances, now, m_settings.instance);
         // While instances join, the next list may show more of them.
--- a/test/correctness/LoadExchangeTest.cpp
+++ b/test/correctness/LoadExchangeTest.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <future>
 #include <thread>
 
 using namespace jayhold;
@@ -93,3 +94,20 @@
     CHECK(second.limits > 0);
     CHECK(second.limits < 100);
 }
+
+// Guards against the loss of all peers because the address of one of them is not valid.
+TEST_CASE("an invalid address of a peer costs only this peer")
+{
+    Instance first("edge-1");
+    Instance second("edge-2");
+    const std::vector<PeerAddress> peers { { { "nowhere", 1 }, "alpine" }, { { "127.0.0.1", 0 }, "alpine" }, { second.exchange->endpoint(), "alpine" } };
+    std::packaged_task<void()> update([&] { first.exchange->updatePeers(peers); });
+    auto updated = update.get_future();
+    asio::post(first.threads.context(0), std::move(update));
+    CHECK_NOTHROW(updated.get());
+    first.exchange->reportCrashSignature(~0ULL);
+    const auto deadline = monotonicNow() + 2s;
+    while (second.signatures == 0 && monotonicNow() < deadline)
+        std::this_thread::sleep_for(5ms);
+    CHECK(second.signatures == 1);
+}
--- a/test/error/PlatformFormatsTest.cpp
+++ b/test/error/PlatformFormatsTest.cpp
@@ -106,6 +106,18 @@
         CHECK_FALSE(platform::readBackend(item(text)));
 }
 
+// Guards against calls to an address at which nothing can listen, which entries of other writers may name.
+TEST_CASE("entries whose address can't be connected to are ignored")
+{
+    const auto withAddress = [](const std::string& address) {
+        return platform::readBackend(item(R"({"service":"s","address":")" + address + R"(","zone":"alpine","state":"ready"})"));
+    };
+    for (const auto* address : { "10.0.0.1:1", "10.0.0.1:65535", "[::1]:80" })
+        CHECK(withAddress(address));
+    for (const auto* address : { "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:+1", "10.0.0.1:", "10.0.0.1:80 ", "0.0.0.0:80", "[::]:80", "10.0.0.256:80", "here:80", "80", ":80", "" })
+        CHECK_FALSE(withAddress(address));
+}
+
 // Guards against a configuration of which a part is ignored, and against a stream that counts as
 // repeatable although it can't be resumed.
 TEST_CASE("configurations are parsed completely or not at all")
