--- a/test/error/PlatformFormatsTest.cpp
+++ b/test/error/PlatformFormatsTest.cpp
@@ -118,6 +118,29 @@
         CHECK_FALSE(withAddress(address));
 }
 
+// Guards against numbers that overflow in later calculations, or a version that blocks all later ones.
+TEST_CASE("entries with numbers out of range are ignored")
+{
+    for (const auto* slots : { "-1", "100001", "1e300", "9223372036854775807", "18446744073709551615" })
+        CHECK_FALSE(platform::readBackend(item(R"({"service":"s","address":"10.0.0.1:80","zone":"alpine","state":"ready","slots":)" + std::string(slots) + "}")));
+    const auto isAccepted = [](const std::string& version, const std::string& route, const std::string& engine, const std::string& limits) {
+        const auto text = R"({"version":)" + version + R"(,"routes":[{"name":"a","host":"h","pathPrefix":"/a/")" + route + R"(}],"services":[{"name":"llm","engine":{)" + engine + R"(}}],"limits":{)" + limits + "}}";
+        return platform::readConfiguration(item(text), zones, {}).has_value();
+    };
+    REQUIRE(isAccepted("1", "", "", ""));
+    for (const std::string number : { "9223372036854775807", "18446744073709551615", "-1", "-1e300", "1e300" }) {
+        INFO(number);
+        CHECK_FALSE(isAccepted(number, "", "", ""));
+        for (const auto* field : { "targetLatencyMs", "targetGapMs", "timeoutMs", "maxAttempts" })
+            CHECK_FALSE(isAccepted("1", R"(,")" + std::string(field) + "\":" + number, "", ""));
+        CHECK_FALSE(isAccepted("1", R"(,"trafficSplit":[{"service":"llm","weight":)" + number + "}]", "", ""));
+        for (const auto* field : { "slots", "kvCapacity", "linkMbps", "kvHoldS", "roleSwitchS", "holdMs", "kvTokenBytes", "stride" })
+            CHECK_FALSE(isAccepted("1", "", "\"" + std::string(field) + "\":" + number, ""));
+        for (const auto* field : { "maxHeaderBytes", "maxBodyBytes", "headerTimeoutMs", "idleTimeoutMs" })
+            CHECK_FALSE(isAccepted("1", "", "", "\"" + std::string(field) + "\":" + number));
+    }
+}
+
 // Guards against a configuration of which a part is ignored, and against a stream that counts as
 // repeatable although it can't be resumed.
 TEST_CASE("configurations are parsed completely or not at all")
