Ignore stored leases with numbers out of range

Operators may see a role that no instance takes over after another writer has changed a lease's object: a lease time near the maximum never ends.

Cause: leaseGrantFromJson took over any 64-bit integer. The lease time overflowed when converted to nanoseconds, and the next fencing number after the maximum overflowed. Class: input without bounds.

A grant with a lease time above an hour, a fencing number above 1e18 or a negative number counts as absent, as other unreadable grants do, so the next holder replaces it. Fencing numbers then begin again at 1, as they do for any unreadable grant.

Evidence: the new test with the old Lease.cpp failed in 4 of 5 assertions:

LeaseTest.cpp:241: CHECK_FALSE( withNumbers(maximum, 10'000) ) LeaseTest.cpp:242: CHECK_FALSE( withNumbers(-1, 10'000) ) LeaseTest.cpp:243: CHECK_FALSE( withNumbers(1, maximum) ) LeaseTest.cpp:244: CHECK_FALSE( withNumbers(1, -maximum) )

With the change cluster_lease_test passes (44 assertions).

Looked for elsewhere: the number of trials of a blocked part is used only up to a small maximum.

--- a/src/Lease.cpp
+++ b/src/Lease.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+/// A longer lease could block its object for ever and overflow Duration.
+constexpr std::int64_t maxLeaseMilliseconds = 3'600'000;
+/// Leaves room for the increments of all later holders.
+constexpr std::int64_t maxFencingNumber = 1'000'000'000'000'000'000;
+
 auto recordObserved(Lease& lease, TimePoint now, std::int64_t revision, std::optional<LeaseGrant> grant) -> void
 {
     if (revision == lease.revision && lease.observedAt != TimePoint())
@@ -160,6 +165,9 @@
         return std::nullopt;
     if (!holder->is_string() || !number->is_int64() || !attempt->is_string() || !time->is_int64() || !released->is_bool())
         return std::nullopt;
+    const auto isInRange = time->get_int64() >= 0 && time->get_int64() <= maxLeaseMilliseconds && number->get_int64() >= 0 && number->get_int64() <= maxFencingNumber;
+    if (!isInRange)
+        return std::nullopt;
     return LeaseGrant { std::string(holder->get_string()), number->get_int64(), std::string(attempt->get_string()),
         std::chrono::milliseconds(time->get_int64()), released->get_bool() };
 }
--- a/test/correctness/LeaseTest.cpp
+++ b/test/correctness/LeaseTest.cpp
@@ -1,6 +1,7 @@
 #include "Lease.h"
 #include "OrderFence.h"
 
+#include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -228,3 +229,17 @@
     CHECK(nextOrderStep(fence, now, now + 10s) == OrderStep::ReadBack);
     CHECK(nextOrderStep(fence, now + 10s, now + 10s) == OrderStep::Wait);
 }
+
+// Guards against a stored lease that never expires, or whose numbers overflow when the next grant is made.
+TEST_CASE("stored leases with numbers out of range are not grants")
+{
+    const auto withNumbers = [](std::int64_t fencingNumber, std::int64_t leaseMs) {
+        return leaseGrantFromJson(boost::json::object { { "holder", "a" }, { "fencing_number", fencingNumber }, { "attempt", "a#1" }, { "lease_ms", leaseMs }, { "released", false } });
+    };
+    constexpr auto maximum = std::numeric_limits<std::int64_t>::max();
+    CHECK(withNumbers(1, 10'000));
+    CHECK_FALSE(withNumbers(maximum, 10'000));
+    CHECK_FALSE(withNumbers(-1, 10'000));
+    CHECK_FALSE(withNumbers(1, maximum));
+    CHECK_FALSE(withNumbers(1, -maximum));
+}
