Let objects whose value can't be parsed be replaced

Operators may see a role that no instance takes over, or blocked prompt parts that are never written again, after another writer has stored a value in the object that can't be parsed, for example one nested deeper than 32 levels.

Cause: the adapter reported such an object as MalformedAnswer, so its revision, which a conditional update needs, never became known. Class: a fault of the value handled as a fault of the response.

--- a/test/error/OddEntriesTest.cpp
+++ b/test/error/OddEntriesTest.cpp
@@ -130,6 +130,21 @@
     CHECK(namesOf(*list) == std::vector<std::string> { "a", "c" });
 }
 
+// Guards against a lease or a list of blocked parts that can never be written again.
+TEST_CASE("an object whose value can't be parsed can be replaced")
+{
+    Fixture fixture;
+    fixture.fake.putText("leases", "a", nested(500'000));
+    const auto current = fixture.run(fixture.store.read(fixture.client, "leases", "a"));
+    REQUIRE(current.has_value());
+    CHECK(current->revision == 2);
+    CHECK_FALSE(current->value.is_object());
+    CHECK_FALSE(current->value.is_null());
+    const auto outcome = fixture.run(fixture.store.update(fixture.client, "leases", "a", "new", current->revision));
+    REQUIRE(outcome.has_value());
+    CHECK(std::holds_alternative<UpdateApplied>(*outcome));
+}
+
 // Guards against an object that is used although its name, revision or value has another type.
 TEST_CASE("an object is read only if its name and revision are valid")
 {
