Test that odd datagrams cost only themselves

Datagrams that are nested 30,000 levels deep, have numbers out of range or fields of other types, or are not UTF-8, are dropped, and the receiver goes on.

--- a/test/correctness/LoadExchangeTest.cpp
+++ b/test/correctness/LoadExchangeTest.cpp
@@ -1,5 +1,7 @@
 #include "LoadExchange.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 
@@ -111,3 +113,27 @@
         std::this_thread::sleep_for(5ms);
     CHECK(second.signatures == 1);
 }
+
+// Guards against an instance that no longer receives messages after a datagram that can't be parsed.
+TEST_CASE("odd datagrams cost only themselves")
+{
+    Instance first("edge-1");
+    Instance second("edge-2");
+    asio::io_context context;
+    asio::ip::udp::socket socket(context, asio::ip::udp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    const asio::ip::udp::endpoint target(asio::ip::make_address("127.0.0.1"), second.exchange->endpoint().port);
+    const std::string nested = std::string(30'000, '[') + std::string(30'000, ']');
+    const std::string start = R"({"instance":"a","run":"r","sequence":)";
+    for (const auto& text : { nested, R"({"instance":"a","watching":true,"kind":"servers","after":0,"up_to":1,"changes":)" + nested + "}", start + "1e999999999999,\"uses\":[]}",
+             start + "-1,\"uses\":[]}", start + R"(1,"uses":[["b",-1,1e300,0.5]]})", start + R"(1,"uses":[],"revisions":{"servers":18446744073709551615,"config":"x"}})",
+             start + R"(1,"uses":[],"limits":[["b","i",1e400,-1]],"suspects":7,"prompts":[[]],"signatures":["x",-1]})", std::string("\xff\xfe"), std::string() })
+        socket.send_to(asio::buffer(text), target);
+    addPeer(first, second);
+    first.exchange->reportCrashSignature(~0ULL);
+    const auto deadline = monotonicNow() + 2s;
+    while (second.signatures == 0 && monotonicNow() < deadline)
+        std::this_thread::sleep_for(5ms);
+    CHECK(second.signatures == 1);
+    for (const auto& event : second.log.after(0, 16))
+        CHECK(event.event != "task_failed");
+}
