Ignore limits in load messages that are not finite

An instance could take over an infinite call limit of a backend server from a datagram, because a number such as 1e400 is parsed as infinity, and divide it among the instances. Class: input without bounds.

readLimit skips it like a negative limit. Own limits were already finite, and limits of peers are not sent on.

--- a/src/LoadMessage.cpp
+++ b/src/LoadMessage.cpp
@@ -5,6 +5,8 @@
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <cmath>
+
 namespace jayhold {
 
 namespace json = boost::json;
@@ -38,7 +40,7 @@
     boost::system::error_code code;
     if (!(*fields)[2].is_null())
         report.perSecond = (*fields)[2].to_number<double>(code);
-    if (code || (report.perSecond && *report.perSecond < 0))
+    if (code || (report.perSecond && (!std::isfinite(*report.perSecond) || *report.perSecond < 0)))
         return std::nullopt;
     const auto ageMs = (*fields)[3].to_number<std::uint32_t>(code);
     report.age = std::chrono::milliseconds(ageMs);
--- a/test/correctness/LoadExchangeTest.cpp
+++ b/test/correctness/LoadExchangeTest.cpp
@@ -137,3 +137,15 @@
     for (const auto& event : second.log.after(0, 16))
         CHECK(event.event != "task_failed");
 }
+
+// Guards against an infinite limit in the division among instances.
+TEST_CASE("a limit that is not finite is not taken over")
+{
+    const auto limitsOf = [](const std::string& perSecond) {
+        const auto message = parseLoadMessage(R"({"instance":"a","run":"r","sequence":1,"uses":[],"limits":[["b","i",)" + perSecond + ",5]]}");
+        return message ? message->limits.size() : 0;
+    };
+    CHECK(limitsOf("1e300") == 1);
+    CHECK(limitsOf("1e400") == 0);
+    CHECK(limitsOf("-1") == 0);
+}
