--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -67,7 +67,8 @@
     return std::ranges::any_of(before, [&](const BackendServer& server) {
         const auto found = std::ranges::find(after, server.id, &BackendServer::id);
         const auto isLive = found != after.end() && found->state == ReplicaState::Live;
-        return server.state == ReplicaState::Live && !isLive && std::ranges::find(list.items, server.id, &StoredItem::name) == list.items.end();
+        const auto isListed = std::ranges::find(list.items, server.id, &StoredItem::name) != list.items.end() || std::ranges::find(list.unreadableNames, server.id) != list.unreadableNames.end();
+        return server.state == ReplicaState::Live && !isLive && !isListed;
     });
 }
 
@@ -168,7 +169,7 @@
     // Changes that were applied while the list was in transit are newer than the list.
     if (list->revision < kindWatch.revision)
         co_return std::nullopt;
-    logUnreadable(kindWatch.kind, list->unreadable);
+    logUnreadable(kindWatch.kind, list->unreadable, list->unreadableNames);
     const auto before = m_published;
     recordApplied(kindWatch, list->revision);
     kindWatch.applyList(*list);
@@ -201,7 +202,7 @@
         co_return result.error();
     }
     storeAnswered(m_directory, monotonicNow());
-    logUnreadable(kindWatch.kind, result->unreadable);
+    logUnreadable(kindWatch.kind, result->unreadable, result->unreadableNames);
     KindChanges changes { kindWatch.kind, afterRevision, result->revision, std::move(result->changes) };
     const auto isComplete = result->unreadable == 0;
     const auto hasChanges = !changes.changes.empty();
@@ -230,12 +231,6 @@
         m_log.record(LogLevel::Info, "store_connected", { { "kind", kindWatch.kind }, { "revision", numberOf(kindWatch.revision) }, { "history", historyOf(kindWatch.revision) } });
 }
 
-auto StoreDirectory::logUnreadable(const std::string& kind, std::size_t count) -> void
-{
-    if (count > 0)
-        m_log.record(LogLevel::Warning, "store_items_unreadable", { { "kind", kind }, { "count", count } });
-}
-
 auto StoreDirectory::announceInstance() -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
@@ -277,10 +272,11 @@
             co_await pause(jitteredDelay(interval));
             continue;
         }
+        logUnreadable(m_format.instanceKind, list->unreadable, list->unreadableNames);
         const auto now = monotonicNow();
         beginList(m_instances, now);
         for (const auto& item : list->items)
-            recordInstance(m_instances, now, item.name, item.revision, parseHttpEndpoint(textOf(item, "address")), textOf(item, "availability_zone"));
+            recordInstance(m_instances, now, item.name, item.revision, parseRemoteEndpoint(textOf(item, "address")), textOf(item, "availability_zone"));
         // This instance counts even if it could not write its record.
         recordMessage(m_instances, now, m_settings.instance);
         // While instances join, the next list may show more of them.
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -21,6 +21,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 
 namespace jayhold {
@@ -152,7 +153,7 @@
     /// @return whether this instance is a watcher with connected watches.
     auto isServingZone() const -> bool;
     auto publishToZone(std::optional<KindChanges> changes) -> void;
-    auto logUnreadable(const std::string& kind, std::size_t count) -> void;
+    auto logUnreadable(const std::string& kind, std::size_t count, std::span<const std::string> names) -> void;
     /// Records that a list or changes have been applied, and logs if they begin another history.
     auto recordApplied(KindWatch& kindWatch, std::int64_t revision) -> void;
     auto updateConnectionState(KindWatch& kindWatch, const std::optional<StoreError>& error) -> void;
--- a/src/StoreDirectoryBlockedParts.cpp
+++ b/src/StoreDirectoryBlockedParts.cpp
@@ -15,6 +15,11 @@
 auto StoreDirectory::replaceBlockedParts(const ItemList& list) -> void
 {
     auto removed = std::exchange(m_blockedPartsServices, {});
+    // The parts of a service whose object can't be read stay blocked.
+    for (const auto& name : list.unreadableNames) {
+        if (removed.erase(name) > 0)
+            m_blockedPartsServices.insert(name);
+    }
     for (const auto& item : list.items) {
         removed.erase(item.name);
         m_blockedPartsServices.insert(item.name);
@@ -27,7 +32,7 @@
 auto StoreDirectory::updateBlockedParts(const std::string& service, const boost::json::value& value) -> void
 {
     auto stored = blockedPartsFromJson(value);
-    logUnreadable(m_format.blockedPartsKind, stored.unreadable);
+    logUnreadable(m_format.blockedPartsKind, stored.unreadable, std::span(&service, stored.unreadable > 0 ? 1 : 0));
     auto parts = withKeptParts(service, std::move(stored.parts));
     m_blockedParts[service] = parts;
     m_callbacks.blockedParts(service, std::move(parts));
--- a/test/RestorableStore.h
+++ b/test/RestorableStore.h
@@ -133,7 +133,7 @@
         co_await pause(listDelay);
         if (isDown)
             co_return StoreError { StoreErrorKind::Unavailable, "down", Duration::zero() };
-        co_return ItemList { snapshot.items, 0, snapshot.revision };
+        co_return ItemList { .items = snapshot.items, .revision = snapshot.revision };
     }
     /// A waiting watch learns of a restore when its wait ends.
     auto watch(HttpClient&, std::string kind, std::int64_t revision, Duration wait) -> boost::asio::awaitable<StoreResult<ItemChanges>> override
