Log a restore of the store at each lease

A holder whose lease object was lost with a restore of the store, and an instance that took the lease over, left no line that told the restore apart from an ordinary change of the holder. Each lease now knows the store's history in the last response, and the line lease_store_restored names it with the previous one, the fencing number of a holder and whether it gave the lease up. The state machine takes the responses as one struct with revision, history and grant; LeaseTest passes history 0, as the native store names none.

--- a/src/Lease.cpp
+++ b/src/Lease.cpp
@@ -1,5 +1,7 @@
 #include "Lease.h"
 
+#include "StoreRevision.h"
+
 #include <boost/json/object.hpp>
 
 #include <utility>
@@ -10,12 +12,13 @@
 
 namespace {
 
-auto recordObserved(Lease& lease, TimePoint now, std::int64_t revision, std::optional<LeaseGrant> grant) -> void
+auto recordObserved(Lease& lease, TimePoint now, StoredLease stored) -> void
 {
-    if (revision == lease.revision && lease.observedAt != TimePoint())
+    lease.history = stored.history;
+    if (stored.revision == lease.revision && lease.observedAt != TimePoint())
         return;
-    lease.revision = revision;
-    lease.observed = std::move(grant);
+    lease.revision = stored.revision;
+    lease.observed = std::move(stored.grant);
     lease.observedAt = now;
 }
 
@@ -105,23 +108,23 @@
     return ReadLease {};
 }
 
-auto handleLeaseRead(Lease& lease, TimePoint now, std::int64_t revision, std::optional<LeaseGrant> grant) -> void
+auto handleLeaseRead(Lease& lease, TimePoint now, StoredLease stored) -> void
 {
     lease.isCallInFlight = false;
-    recordObserved(lease, now, revision, std::move(grant));
+    recordObserved(lease, now, std::move(stored));
     resolveProposal(lease);
 }
 
 auto handleLeaseWritten(Lease& lease, TimePoint now, std::int64_t revision) -> void
 {
     lease.isCallInFlight = false;
-    recordObserved(lease, now, revision, lease.proposed);
+    recordObserved(lease, now, { revision, historyOf(revision), lease.proposed });
     resolveProposal(lease);
 }
 
-auto handleLeaseConflict(Lease& lease, TimePoint now, std::int64_t revision, std::optional<LeaseGrant> grant) -> void
+auto handleLeaseConflict(Lease& lease, TimePoint now, StoredLease stored) -> void
 {
-    handleLeaseRead(lease, now, revision, std::move(grant));
+    handleLeaseRead(lease, now, std::move(stored));
 }
 
 auto handleLeaseCallFailure(Lease& lease, TimePoint now) -> void
--- a/src/Lease.h
+++ b/src/Lease.h
@@ -39,8 +39,20 @@
     auto operator==(const LeaseGrant&) const -> bool = default;
 };
 
+/// The lease object in a response of the store.
+struct StoredLease {
+    /// 0 if the object does not exist.
+    std::int64_t revision = 0;
+    /// The store's history at the time of the response; 0 if the store names none.
+    std::int64_t history = 0;
+    /// Nothing if the object does not exist or can't be parsed.
+    std::optional<LeaseGrant> grant;
+};
+
 struct Lease {
     LeaseSettings settings;
+    /// The store's history in the last response.
+    std::int64_t history = 0;
     std::int64_t revision = 0;
     std::optional<LeaseGrant> observed;
     /// When this instance first observed the current revision.
@@ -73,14 +85,14 @@
 auto nextLeaseCall(Lease& lease, TimePoint now) -> std::optional<LeaseAction>;
 
 /// Handles a successful read.
-/// @param grant the stored grant; nothing if the object does not exist.
-auto handleLeaseRead(Lease& lease, TimePoint now, std::int64_t revision, std::optional<LeaseGrant> grant) -> void;
+auto handleLeaseRead(Lease& lease, TimePoint now, StoredLease stored) -> void;
 
 /// Handles an update that took effect.
+/// @param revision revision of the object after the update, which includes the store's history.
 auto handleLeaseWritten(Lease& lease, TimePoint now, std::int64_t revision) -> void;
 
 /// Handles an update that was rejected because another one came first.
-auto handleLeaseConflict(Lease& lease, TimePoint now, std::int64_t revision, std::optional<LeaseGrant> grant) -> void;
+auto handleLeaseConflict(Lease& lease, TimePoint now, StoredLease stored) -> void;
 
 /// Handles a failed call. An update may have taken effect, which the next read shows.
 auto handleLeaseCallFailure(Lease& lease, TimePoint now) -> void;
--- a/src/LeaseManager.cpp
+++ b/src/LeaseManager.cpp
@@ -1,8 +1,11 @@
 #include "LeaseManager.h"
 
 #include "Pause.h"
+#include "StoreRevision.h"
 #include "Tasks.h"
 
+#include <algorithm>
+
 namespace jayhold {
 
 namespace asio = boost::asio;
@@ -15,9 +18,13 @@
 /// run at different rates.
 constexpr int leaseTimeDivisor = 10;
 
-auto grantOf(const StoredObject& object) -> std::optional<LeaseGrant>
+auto storedLease(const StoredObject& object) -> StoredLease
 {
-    return object.revision == 0 ? std::nullopt : leaseGrantFromJson(object.value);
+    return {
+        .revision = object.revision,
+        .history = std::max(object.history, historyOf(object.revision)),
+        .grant = object.revision == 0 ? std::nullopt : leaseGrantFromJson(object.value),
+    };
 }
 
 }
@@ -96,29 +103,38 @@
 auto LeaseManager::read() -> asio::awaitable<void>
 {
     const auto object = co_await m_environment.read();
-    const std::lock_guard guard(m_lock);
-    if (object.has_value())
-        handleLeaseRead(m_lease, m_environment.now(), object->revision, grantOf(*object));
-    else
-        handleLeaseCallFailure(m_lease, m_environment.now());
+    handleOutcome([&](TimePoint now) {
+        if (object.has_value())
+            handleLeaseRead(m_lease, now, storedLease(*object));
+        else
+            handleLeaseCallFailure(m_lease, now);
+    });
 }
 
 auto LeaseManager::write(WriteLease action) -> asio::awaitable<void>
 {
     auto value = toJson(action.grant);
     const auto outcome = co_await m_environment.update(std::move(value), action.expectedRevision);
+    handleOutcome([&](TimePoint now) {
+        if (outcome.has_error())
+            handleLeaseCallFailure(m_lease, now);
+        else if (const auto* applied = std::get_if<UpdateApplied>(&*outcome))
+            handleLeaseWritten(m_lease, now, applied->revision);
+        else
+            handleLeaseConflict(m_lease, now, storedLease(std::get<UpdateConflict>(*outcome).current));
+    });
+}
+
+auto LeaseManager::handleOutcome(const std::function<void(TimePoint)>& handle) -> void
+{
     const std::lock_guard guard(m_lock);
     const auto now = m_environment.now();
-    if (outcome.has_error()) {
-        handleLeaseCallFailure(m_lease, now);
-        co_return;
-    }
-    if (const auto* applied = std::get_if<UpdateApplied>(&*outcome)) {
-        handleLeaseWritten(m_lease, now, applied->revision);
-        co_return;
-    }
-    const auto& current = std::get<UpdateConflict>(*outcome).current;
-    handleLeaseConflict(m_lease, now, current.revision, grantOf(current));
+    const auto isFirst = m_lease.observedAt == TimePoint();
+    const auto history = m_lease.history;
+    const auto fencingNumber = holdsLease(m_lease, now) ? m_lease.fencingNumber : 0;
+    handle(now);
+    if (!isFirst && m_lease.history != history)
+        m_environment.log.record(LogLevel::Warning, "lease_store_restored", { { "lease", m_lease.settings.name }, { "history", m_lease.history }, { "previous_history", history }, { "held", fencingNumber != 0 }, { "fencing_number", fencingNumber }, { "given_up", fencingNumber != 0 && !holdsLease(m_lease, now) } });
 }
 
 }
--- a/src/LeaseManager.h
+++ b/src/LeaseManager.h
@@ -6,6 +6,7 @@
 #include "Lease.h"
 #include "LeaseEnvironment.h"
 
+#include <functional>
 #include <memory>
 #include <mutex>
 
@@ -36,6 +37,8 @@
     auto call(LeaseAction action) -> boost::asio::awaitable<void>;
     auto read() -> boost::asio::awaitable<void>;
     auto write(WriteLease action) -> boost::asio::awaitable<void>;
+    /// Passes the outcome of a call to the state machine, and logs a restore of the store that it shows.
+    auto handleOutcome(const std::function<void(TimePoint)>& handle) -> void;
 
     const LeaseEnvironment m_environment;
     mutable std::mutex m_lock;
--- a/test/correctness/LeaseTest.cpp
+++ b/test/correctness/LeaseTest.cpp
@@ -59,11 +59,11 @@
         const auto call = *std::exchange(calls[index], std::nullopt);
         const auto* write = std::get_if<WriteLease>(&call);
         if (!write)
-            handleLeaseRead(leases[index], clock(index), revision, stored);
+            handleLeaseRead(leases[index], clock(index), { revision, 0, stored });
         else if (applyWrite(*write))
             handleLeaseWritten(leases[index], clock(index), revision);
         else
-            handleLeaseConflict(leases[index], clock(index), revision, stored);
+            handleLeaseConflict(leases[index], clock(index), { revision, 0, stored });
     }
 
     auto failCall(std::size_t index, bool isApplied, bool isLate) -> void
