Derive fencing numbers of a restored store from its history

Backend servers could see one fencing number from two instances, or a smaller one after a greater one: the next number was the stored one plus 1, and a restored store has lost the grants with the last numbers. Class: state that only this system writes is taken from a store that forgets it.

From history 1 on, the number is the revision that the grant replaces plus 1. The revision has the history in its upper bits, so numbers of a later history are greater without knowing the lost ones, and only one update replaces a revision, so none is given out twice within a history. A counter below the history would not do: an update that was delayed since an earlier history replaces the grant if the store gives out its expected number again, and the counter goes back with it. Numbers stay below 2^53 for 8191 restores. In history 0, and for the native store, numbers grow by 1 as before; no update can come from an earlier history there.

Other counters in the store that only this system writes: none in the lease code; the sequence in role orders is counted by the engines.

--- a/src/Lease.cpp
+++ b/src/Lease.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json/object.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace jayhold {
@@ -51,12 +52,24 @@
     return WriteLease { lease.revision, std::move(grant) };
 }
 
+/// @return a number that is greater than those of all earlier grants. In a restored store it is derived from the
+/// revision that the grant replaces, because the grants with the last numbers may be lost. Only one update
+/// replaces a revision, and the revisions of a later history are greater.
+auto nextFencingNumber(const Lease& lease) -> std::int64_t
+{
+    const auto last = lease.observed ? lease.observed->fencingNumber : 0;
+    if (lease.history == 0)
+        return last + 1;
+    const auto replaced = std::max(lease.revision, makeRevision(lease.history, 0));
+    return std::max(last, replaced) + 1;
+}
+
 auto nextGrant(const Lease& lease) -> LeaseGrant
 {
     const auto last = lease.observed ? lease.observed->fencingNumber : 0;
     // A renewal keeps the fencing number, but only if the lease was held without interruption.
     const auto isRenewal = isOwnGrant(lease) && lease.fencingNumber == last && lease.fencingNumber != 0;
-    return { lease.settings.holder, isRenewal ? last : last + 1, {}, lease.settings.leaseTime, false };
+    return { lease.settings.holder, isRenewal ? last : nextFencingNumber(lease), {}, lease.settings.leaseTime, false };
 }
 
 /// Adopts a stored grant that this instance has proposed. The lease time counts from before the call
--- a/src/Lease.h
+++ b/src/Lease.h
@@ -30,6 +30,8 @@
 /// The lease as stored.
 struct LeaseGrant {
     std::string holder;
+    /// Contains the store's history as a revision does (StoreRevision.h), and stays below 2^53, up to which
+    /// a double holds integers exactly, for 8191 restores.
     std::int64_t fencingNumber = 0;
     /// Changes with every grant and renewal; identifies an update whose reply was lost.
     std::string attemptId;
--- a/test/correctness/LeaseRestoreTest.cpp
+++ b/test/correctness/LeaseRestoreTest.cpp
@@ -59,6 +59,46 @@
     return found == event.fields.end() ? std::string() : found->value;
 }
 
+/// An instance that calls the store without delay.
+struct Contender {
+    Lease lease;
+
+    explicit Contender(std::string holder)
+        : lease { .settings = { .name = "roles", .holder = std::move(holder) } }
+    {
+    }
+
+    /// Sends the next call, if one is due, and handles its answer.
+    auto call(RestorableLease& store, TimePoint now) -> void
+    {
+        const auto action = nextLeaseCall(lease, now);
+        if (!action)
+            return;
+        const auto* write = std::get_if<WriteLease>(&*action);
+        if (write && store.write(*write))
+            handleLeaseWritten(lease, now, store.read().revision);
+        else
+            handleLeaseRead(lease, now, store.read());
+    }
+
+    /// Calls the store until the lease is held.
+    /// @return when that was; nothing if the time has passed before.
+    auto acquire(RestorableLease& store, TimePoint now, Duration time) -> std::optional<TimePoint>
+    {
+        for (const auto end = now + time; now < end; now += 100ms) {
+            call(store, now);
+            if (holdsLease(lease, now))
+                return now;
+        }
+        return std::nullopt;
+    }
+};
+
+constexpr TimePoint start { 1'000s };
+constexpr Duration leaseTime = LeaseSettings {}.leaseTime;
+/// Time in which the lease is acquired after it has expired.
+constexpr Duration acquisitionTime = 2 * LeaseSettings {}.retryDelay;
+
 /// Waits until an event is in the log.
 auto waitForEvent(const EventLog& log, std::string_view name, Duration timeout) -> std::optional<LoggedEvent>
 {
@@ -105,3 +145,40 @@
     CHECK(field(*restored, "history") == "1");
     CHECK(field(*restored, "fencing_number") == std::to_string(*number));
 }
+
+// Guards against a fencing number that a backend server has seen from an earlier holder, or a smaller one, after
+// the store has lost the grants with the highest numbers.
+TEST_CASE("fencing numbers grow although a restored store has lost the last ones")
+{
+    RestorableLease store { .history = GENERATE(0, 1, 7) };
+    Contender first("entry-1/1");
+    const auto firstHeldAt = first.acquire(store, start, 2 * leaseTime);
+    REQUIRE(firstHeldAt);
+    const auto copy = GENERATE(true, false) ? store.content : RestorableLease::Content {};
+    Contender second("entry-2/1");
+    const auto secondHeldAt = second.acquire(store, *firstHeldAt, 2 * leaseTime);
+    REQUIRE(secondHeldAt);
+    REQUIRE(second.lease.fencingNumber > first.lease.fencingNumber);
+    store.restore(copy);
+    Contender third("entry-3/1");
+    REQUIRE(third.acquire(store, *secondHeldAt, 2 * leaseTime));
+    CHECK(third.lease.fencingNumber > second.lease.fencingNumber);
+    // Backend servers may read JSON numbers as doubles.
+    CHECK(third.lease.fencingNumber < std::int64_t { 1 } << 53U);
+}
+
+// Guards against the number of a lost grant being given out again when an update that was sent in an earlier
+// history replaces the grant, because the store compares only its own revision numbers.
+TEST_CASE("a fencing number is not repeated after a delayed update of an earlier history")
+{
+    // The restored store has granted the lease three times since, which the delayed update can't know.
+    RestorableLease store { .history = 1, .content = { 9, 9, LeaseGrant { "entry-1/1", 11, "entry-1/1#6", leaseTime, true } } };
+    Contender holder("entry-1/1");
+    const auto heldAt = holder.acquire(store, start, 2 * leaseTime);
+    REQUIRE(heldAt);
+    const LeaseGrant delayed { "entry-2/1", 10, "entry-2/1#3", leaseTime, false };
+    REQUIRE(store.write({ makeRevision(0, 10), delayed }));
+    Contender next("entry-3/1");
+    REQUIRE(next.acquire(store, *heldAt, 3 * leaseTime));
+    CHECK(next.lease.fencingNumber > holder.lease.fencingNumber);
+}
