Wait out the unknown holder of a lease after a restore of its store

Two instances could act under one lease: after a restore that had lost the grant, or that left a released one, a waiter or a restarted process acquired the lease at once while its holder, cut off from the store, acted until its own deadline. A holder renewed its grant from the copy, and adopted a proposal that was found in the new history, although another instance may have acquired the lease in between. Class: an observation of one history is used in another.

The cause is that only the stored grant and its revision were considered. Now a new history ends everything that was held, proposed or observed; an update whose revision names a later history than the one it was proposed in is not adopted; a response of an earlier history counts as a failed call. A grant counts as released, or as one's own, only if its fencing number is of the current history, because one from the copy or from a delayed update may have replaced a valid grant. Otherwise, and if there is no object in a history after 0, the lease is acquired after the same object, or none, was observed for a lease time in that history. A grant of the current history needs no such wait, because its holder has waited. A first history of 0 means no wait at the first start; with a first history of 1 the first start waits for a lease time, as it looks like a restore.

The native store names no history, and nothing changes there.

--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -23,5 +23,5 @@
   LINK jayhold_cluster)
 
 jayhold_test(cluster_lease_test
-  SOURCES test/correctness/LeaseTest.cpp test/correctness/LeaseRestoreTest.cpp test/correctness/PlatformLimitsTest.cpp
+  SOURCES test/correctness/LeaseTest.cpp test/correctness/LeaseRestoreTest.cpp test/correctness/LeaseRestorePropertyTest.cpp test/correctness/PlatformLimitsTest.cpp
   LINK jayhold_cluster)
--- a/src/Lease.cpp
+++ b/src/Lease.cpp
@@ -13,9 +13,25 @@
 
 namespace {
 
+/// The store may name its first history 0 or 1. A process that starts in history 1 can't tell whether that is
+/// the first, so it waits as after a restore.
+constexpr std::int64_t lastHistoryWithoutRestore = 0;
+
+/// Handles a restore of the store. Another instance may have acquired the lease after the copy was made, and
+/// the store has lost its grant, so nothing that was held, proposed or observed before still counts.
+auto handleRestore(Lease& lease, std::int64_t history) -> void
+{
+    lease.history = history;
+    lease.observedAt = {};
+    lease.proposed.reset();
+    lease.heldUntil = {};
+    lease.fencingNumber = 0;
+}
+
 auto recordObserved(Lease& lease, TimePoint now, StoredLease stored) -> void
 {
-    lease.history = stored.history;
+    if (stored.history > lease.history)
+        handleRestore(lease, stored.history);
     if (stored.revision == lease.revision && lease.observedAt != TimePoint())
         return;
     lease.revision = stored.revision;
@@ -23,18 +39,29 @@
     lease.observedAt = now;
 }
 
+/// @return whether the observed grant was proposed in the current history. Other grants come from the copy
+/// or from a delayed update, and may have replaced a later grant that is still valid.
+auto isCurrentGrant(const Lease& lease) -> bool
+{
+    return lease.observed && historyOf(lease.observed->fencingNumber) == lease.history;
+}
+
 auto isOwnGrant(const Lease& lease) -> bool
 {
-    return lease.observed && lease.observed->holder == lease.settings.holder && !lease.observed->isReleased;
+    return isCurrentGrant(lease) && lease.observed->holder == lease.settings.holder && !lease.observed->isReleased;
 }
 
 /// @return whether the grant of another holder has certainly expired. Its holder measures the lease
-/// time from before it wrote the grant, which was before this instance observed it.
+/// time from before it wrote the grant, which was before this instance observed it. A holder that is unknown
+/// because of a restore renewed the lease before the restore, which was before this instance observed it.
 auto hasExpired(const Lease& lease, TimePoint now) -> bool
 {
-    if (!lease.observed || lease.observed->isReleased)
+    if (isCurrentGrant(lease))
+        return lease.observed->isReleased || now - lease.observedAt >= lease.observed->leaseTime;
+    if (!lease.observed && lease.history <= lastHistoryWithoutRestore)
         return true;
-    return now - lease.observedAt >= lease.observed->leaseTime;
+    const auto storedTime = lease.observed ? lease.observed->leaseTime : Duration::zero();
+    return now - lease.observedAt >= std::max(storedTime, lease.settings.leaseTime);
 }
 
 auto startCall(Lease& lease, TimePoint now) -> void
@@ -123,6 +150,10 @@
 
 auto handleLeaseRead(Lease& lease, TimePoint now, StoredLease stored) -> void
 {
+    if (stored.history < lease.history) {
+        handleLeaseCallFailure(lease, now);
+        return;
+    }
     lease.isCallInFlight = false;
     recordObserved(lease, now, std::move(stored));
     resolveProposal(lease);
@@ -130,9 +161,7 @@
 
 auto handleLeaseWritten(Lease& lease, TimePoint now, std::int64_t revision) -> void
 {
-    lease.isCallInFlight = false;
-    recordObserved(lease, now, { revision, historyOf(revision), lease.proposed });
-    resolveProposal(lease);
+    handleLeaseRead(lease, now, { revision, historyOf(revision), lease.proposed });
 }
 
 auto handleLeaseConflict(Lease& lease, TimePoint now, StoredLease stored) -> void
--- a/src/Lease.h
+++ b/src/Lease.h
@@ -4,6 +4,11 @@
 /// lease time on its own monotonic clock from before the call was sent, minus a safety margin. All other
 /// instances wait for the whole lease time from when they first observed the current grant, so that no
 /// two instances act as the holder at the same time. Each new grant has a higher fencing number.
+///
+/// The store may be restored from an older copy, which begins a new history and may lose the current grant. A
+/// holder that learns of it stops. An instance acquires the lease only after it has observed, for the whole
+/// lease time, the same object or that none exists in the new history; by then a holder that is cut off from
+/// the store has stopped by its own deadline.
 
 #include "StoredObject.h"
 #include "Time.h"
@@ -53,11 +58,11 @@
 
 struct Lease {
     LeaseSettings settings;
-    /// The store's history in the last response.
+    /// The store's latest history in a response.
     std::int64_t history = 0;
     std::int64_t revision = 0;
     std::optional<LeaseGrant> observed;
-    /// When this instance first observed the current revision.
+    /// When this instance first observed the current revision in the current history.
     TimePoint observedAt {};
     bool isCallInFlight = false;
     /// Time just before the call in flight was sent.
@@ -86,7 +91,7 @@
 /// @return the next call, if one is due; its outcome must be passed to one of the functions below.
 auto nextLeaseCall(Lease& lease, TimePoint now) -> std::optional<LeaseAction>;
 
-/// Handles a successful read.
+/// Handles a successful read. A response from an earlier history than a previous one counts as a failed call.
 auto handleLeaseRead(Lease& lease, TimePoint now, StoredLease stored) -> void;
 
 /// Handles an update that took effect.
--- a/test/correctness/LeaseRestoreTest.cpp
+++ b/test/correctness/LeaseRestoreTest.cpp
@@ -144,6 +144,7 @@
     CHECK(field(*restored, "previous_history") == "0");
     CHECK(field(*restored, "history") == "1");
     CHECK(field(*restored, "fencing_number") == std::to_string(*number));
+    CHECK(field(*restored, "given_up") == "true");
 }
 
 // Guards against a fencing number that a backend server has seen from an earlier holder, or a smaller one, after
@@ -182,3 +183,104 @@
     REQUIRE(next.acquire(store, *heldAt, 3 * leaseTime));
     CHECK(next.lease.fencingNumber > holder.lease.fencingNumber);
 }
+
+// Guards against two holders at the same time after a restore that loses the lease object, or leaves an older
+// one, while the holder is cut off from the store and acts until its deadline.
+TEST_CASE("a lease that a restored store has lost is acquired only after its holder has stopped")
+{
+    RestorableLease store { .history = GENERATE(0, 1) };
+    Contender waiter("entry-2/1");
+    waiter.call(store, start);
+    const LeaseGrant released { "entry-0/1", 1, "entry-0/1#2", leaseTime, true };
+    const auto copy = GENERATE(true, false) ? RestorableLease::Content {} : RestorableLease::Content { 1, 1, released };
+    Contender holder("entry-1/1");
+    const auto heldAt = holder.acquire(store, start, 2 * leaseTime);
+    REQUIRE(heldAt);
+    store.restore(copy);
+    // The waiter knows the earlier history, or is restarted and knows none.
+    auto next = GENERATE(true, false) ? waiter : Contender("entry-2/2");
+    const auto nextHeldAt = next.acquire(store, *heldAt, 2 * leaseTime);
+    REQUIRE(nextHeldAt);
+    CHECK_FALSE(holdsLease(holder.lease, *nextHeldAt));
+    CHECK(*nextHeldAt - *heldAt <= leaseTime + acquisitionTime);
+}
+
+// Guards against a holder that renews its grant from the copy although another instance may have acquired the
+// lease between the copy and the restore.
+TEST_CASE("a holder stops at once when it learns of a restore and waits like all others")
+{
+    RestorableLease store { .history = 1 };
+    Contender holder("entry-1/1");
+    const auto heldAt = holder.acquire(store, start, 2 * leaseTime);
+    REQUIRE(heldAt);
+    const auto fencingNumber = holder.lease.fencingNumber;
+    store.restore(store.content);
+    handleLeaseRead(holder.lease, *heldAt, store.read());
+    CHECK_FALSE(holdsLease(holder.lease, *heldAt));
+    const auto heldAgainAt = holder.acquire(store, *heldAt, 2 * leaseTime);
+    REQUIRE(heldAgainAt);
+    CHECK(*heldAgainAt - *heldAt >= leaseTime);
+    CHECK(*heldAgainAt - *heldAt <= leaseTime + acquisitionTime);
+    CHECK(holder.lease.fencingNumber > fencingNumber);
+}
+
+// Guards against a grant that was proposed in one history and is found in the next: another instance may have
+// acquired the lease in between, which the store has lost.
+TEST_CASE("a proposal that took effect in a later history is not adopted")
+{
+    RestorableLease store { .history = GENERATE(0, 1) };
+    Contender proposer("entry-1/1");
+    std::optional<WriteLease> proposal;
+    for (auto now = start; !proposal; now += 100ms) {
+        const auto action = nextLeaseCall(proposer.lease, now);
+        if (action && std::holds_alternative<WriteLease>(*action))
+            proposal = std::get<WriteLease>(*action);
+        else if (action)
+            handleLeaseRead(proposer.lease, now, store.read());
+    }
+    const auto sentAt = proposer.lease.sentAt;
+    store.restore(store.content);
+    REQUIRE(store.write(*proposal));
+    SECTION("the answer was lost")
+    {
+        handleLeaseCallFailure(proposer.lease, sentAt);
+        handleLeaseRead(proposer.lease, sentAt, store.read());
+    }
+    SECTION("the answer to a creation names the later history")
+    {
+        handleLeaseWritten(proposer.lease, sentAt, store.read().revision);
+    }
+    CHECK_FALSE(holdsLease(proposer.lease, sentAt));
+    CHECK(proposer.acquire(store, sentAt, 2 * leaseTime).value_or(sentAt) - sentAt >= leaseTime);
+}
+
+// Guards against a lease that no instance acquires for a lease time although nothing is unknown.
+TEST_CASE("the first instance of a system, and one that finds a grant of the current history, does not wait needlessly")
+{
+    RestorableLease store;
+    Contender first("entry-1/1");
+    const auto heldAt = first.acquire(store, start, acquisitionTime);
+    REQUIRE(heldAt);
+    store.restore({});
+    const auto heldAgainAt = first.acquire(store, *heldAt + leaseTime, 2 * leaseTime);
+    REQUIRE(heldAgainAt);
+    releaseLease(first.lease, *heldAgainAt);
+    first.call(store, *heldAgainAt);
+    Contender next("entry-2/1");
+    CHECK(next.acquire(store, *heldAgainAt, acquisitionTime));
+}
+
+// Guards against a wait that began in an earlier history: the lease may have been acquired and lost since then,
+// although no object exists before and after the restore.
+TEST_CASE("the wait for an unknown holder starts again with each restore")
+{
+    RestorableLease store { .history = 1 };
+    Contender waiter("entry-1/1");
+    waiter.call(store, start);
+    const auto restoredAt = start + leaseTime - 1s;
+    store.restore({});
+    const auto heldAt = waiter.acquire(store, restoredAt, 3 * leaseTime);
+    REQUIRE(heldAt);
+    CHECK(*heldAt - restoredAt >= leaseTime);
+    CHECK(*heldAt - restoredAt <= leaseTime + acquisitionTime);
+}
