Set the lease times of LeaseRestoreTest as constants

clang-tidy rejected constants that were taken from a default-constructed LeaseSettings, which is no constant expression because of its strings.

--- a/test/correctness/LeaseRestoreTest.cpp
+++ b/test/correctness/LeaseRestoreTest.cpp
@@ -59,12 +59,18 @@
     return found == event.fields.end() ? std::string() : found->value;
 }
 
+constexpr TimePoint start { 1'000s };
+constexpr Duration leaseTime = 10s;
+constexpr Duration retryDelay = 500ms;
+/// Time in which the lease is acquired after it has expired.
+constexpr Duration acquisitionTime = 2 * retryDelay;
+
 /// An instance that calls the store without delay.
 struct Contender {
     Lease lease;
 
     explicit Contender(std::string holder)
-        : lease { .settings = { .name = "roles", .holder = std::move(holder) } }
+        : lease { .settings = { .name = "roles", .holder = std::move(holder), .leaseTime = leaseTime, .retryDelay = retryDelay } }
     {
     }
 
@@ -94,11 +100,6 @@
     }
 };
 
-constexpr TimePoint start { 1'000s };
-constexpr Duration leaseTime = LeaseSettings {}.leaseTime;
-/// Time in which the lease is acquired after it has expired.
-constexpr Duration acquisitionTime = 2 * LeaseSettings {}.retryDelay;
-
 /// Waits until an event is in the log.
 auto waitForEvent(const EventLog& log, std::string_view name, Duration timeout) -> std::optional<LoggedEvent>
 {
