Order under a new grant only after the order fence has waited

An engine could get orders of two instances within 3 s: while an instance read an engine's state, its lease could be lost, held by another instance and acquired again; the order was then sent at once under the new fencing number. Class: a check that binds to "the lease is held" instead of to the grant. The order fence learns of a new grant only in updateLease(), which does not run while orders are being sent, so its wait did not apply.

nextStep() compares the lease's fencing number with that of the order fence, and both checks before an order use it. The new test restores the store while the state is read; it failed before: CHECK( orderedAt.load() - store.createdAt() >= balancerSettings.minOrderInterval ) 8741us >= 500000us RoleBalancerTest's LeaseStore now has a history and rejects updates of another one; the existing test is unchanged. Both pass, as does all of entry_request_test. fencingNumber() has no other callers that send.

--- a/src/RoleBalancer.cpp
+++ b/src/RoleBalancer.cpp
@@ -102,13 +102,20 @@
     };
 }
 
-auto RoleBalancer::mayOrder() -> bool
+auto RoleBalancer::nextStep() const -> OrderStep
+{
+    const auto fencingNumber = m_lease ? m_lease->fencingNumber() : std::nullopt;
+    // Another instance may have held the lease between two grants, so the order fence must learn of the new one
+    // and wait before an order is sent under it.
+    if (!fencingNumber || *fencingNumber != m_orderFence.fencingNumber)
+        return OrderStep::Wait;
+    return nextOrderStep(m_orderFence, bootTimeNow(), m_lease->heldUntil());
+}
+
+auto RoleBalancer::mayOrder() const -> bool
 {
-    if (!m_lease || !m_lease->fencingNumber())
-        return false;
-    const auto step = nextOrderStep(m_orderFence, bootTimeNow(), m_lease->heldUntil());
     // ReadBack is allowed as well, because order() reads the engine's state before it sends.
-    return step != OrderStep::Wait;
+    return nextStep() != OrderStep::Wait;
 }
 
 auto RoleBalancer::balanceOnce() -> asio::awaitable<void>
@@ -163,10 +170,10 @@
         m_context.log.record(LogLevel::Info, "role_order_skipped", { { "backend", id }, { "detail", state.has_error() ? state.error().detail : std::string("it carries out another order") } });
         co_return;
     }
-    const auto fencingNumber = m_lease ? m_lease->fencingNumber() : std::nullopt;
-    if (!fencingNumber || nextOrderStep(m_orderFence, bootTimeNow(), m_lease->heldUntil()) != OrderStep::Send)
+    if (nextStep() != OrderStep::Send)
         co_return;
-    RoleOrder roleOrder { .role = role, .holder = m_context.settings.instance, .fencingNumber = *fencingNumber, .expectedSequence = state->sequence };
+    const auto fencingNumber = m_orderFence.fencingNumber;
+    RoleOrder roleOrder { .role = role, .holder = m_context.settings.instance, .fencingNumber = fencingNumber, .expectedSequence = state->sequence };
     handleOrderSent(m_orderFence, bootTimeNow());
     const auto error = co_await m_context.backendProtocol.orderRole(client, server, std::move(roleOrder), orderTimeout);
     const auto isOutcomeKnown = !error || error->failure == FailureKind::Busy || error->failure == FailureKind::NotConnected;
@@ -174,7 +181,7 @@
         handleOrderReply(m_orderFence);
     else
         handleOrderLost(m_orderFence, bootTimeNow());
-    m_context.log.record(LogLevel::Info, "role_ordered", { { "service", service.name() }, { "backend", id }, { "to", name(role) }, { "fencing_number", *fencingNumber }, { "outcome", error ? error->detail : std::string("accepted") } });
+    m_context.log.record(LogLevel::Info, "role_ordered", { { "service", service.name() }, { "backend", id }, { "to", name(role) }, { "fencing_number", fencingNumber }, { "outcome", error ? error->detail : std::string("accepted") } });
     // An order without a definite response may have been accepted or may take effect seconds later, so the
     // backend server stays excluded as after an accepted order.
     if (error && isOutcomeKnown)
--- a/src/RoleBalancer.h
+++ b/src/RoleBalancer.h
@@ -58,8 +58,10 @@
     /// Acquires the lease when this instance becomes the candidate, and releases it when it no longer is.
     auto updateLease() -> void;
     auto leaseEnvironment() -> LeaseEnvironment;
+    /// @return the step that the lease and the order fence allow now.
+    auto nextStep() const -> OrderStep;
     /// @return whether orders may be sent now.
-    auto mayOrder() -> bool;
+    auto mayOrder() const -> bool;
     auto changeRoles(ModelService& service, RoleBalance& balance, int change) -> boost::asio::awaitable<void>;
     /// Excludes a backend server from placement for the given time, here and, through the load exchange,
     /// at the peers.
--- a/test/correctness/RoleBalancerTest.cpp
+++ b/test/correctness/RoleBalancerTest.cpp
@@ -2,7 +2,9 @@
 #include "../FakeRecords.h"
 
 #include "ObjectStore.h"
+#include "Pause.h"
 #include "RoleBalancer.h"
+#include "StoreRevision.h"
 
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
@@ -16,22 +18,33 @@
 
 namespace {
 
-/// A store with a single object, the lease.
+/// A store with a single object, the lease, which can be lost with a restore. Used on the first I/O thread only.
 class LeaseStore final : public ObjectStore {
 public:
     auto list(HttpClient&, std::string, ReadMode) -> asio::awaitable<StoreResult<ItemList>> override { co_return ItemList {}; }
     auto watch(HttpClient&, std::string, std::int64_t, Duration) -> asio::awaitable<StoreResult<ItemChanges>> override { co_return ItemChanges {}; }
     auto read(HttpClient&, std::string, std::string) -> asio::awaitable<StoreResult<StoredObject>> override { co_return m_object; }
-    auto update(HttpClient&, std::string, std::string, boost::json::value value, std::int64_t) -> asio::awaitable<StoreResult<UpdateOutcome>> override
+    auto update(HttpClient&, std::string, std::string, boost::json::value value, std::int64_t expected) -> asio::awaitable<StoreResult<UpdateOutcome>> override
     {
-        m_object = { m_object.revision + 1, std::move(value) };
+        if (expected != 0 && historyOf(expected) != m_object.history)
+            co_return StoreError { StoreErrorKind::OutcomeUnknown, "the store was restored" };
+        if (m_object.revision == 0)
+            m_createdAt = monotonicNow();
+        m_object = { std::max(m_object.revision, makeRevision(m_object.history, 0)) + 1, std::move(value), m_object.history };
         co_return UpdateOutcome(UpdateApplied { m_object.revision });
     }
     auto put(HttpClient&, std::string, std::string, boost::json::value) -> asio::awaitable<StoreResult<std::int64_t>> override { co_return std::int64_t { 1 }; }
     auto counts() const -> StoreCallCounts override { return {}; }
 
+    auto restore() -> void { m_object = { .history = m_object.history + 1 }; }
+    auto history() const -> std::int64_t { return m_object.history; }
+    auto hasObject() const -> bool { return m_object.revision != 0; }
+    /// @return when the lease object was last created.
+    auto createdAt() const -> TimePoint { return m_createdAt; }
+
 private:
     StoredObject m_object;
+    std::atomic<TimePoint> m_createdAt {};
 };
 
 std::atomic<TimePoint> orderedAt {};
@@ -48,6 +61,20 @@
     return protocol;
 }
 
+LeaseStore* storeToRestore = nullptr;
+
+/// Restores the store while the first engine's state is read, and returns the state when the lease has been
+/// acquired again.
+auto orderStateDuringRestore(HttpClient&, BackendServer, Duration) -> asio::awaitable<EngineResult<EngineOrderState>>
+{
+    if (storeToRestore->history() == 0) {
+        storeToRestore->restore();
+        while (!storeToRestore->hasObject())
+            co_await pause(10ms);
+    }
+    co_return EngineOrderState {};
+}
+
 /// Four idle prefill engines, and two decode engines on which peers have reserved almost all slots.
 auto addImbalance(ServiceTable& services) -> void
 {
@@ -101,3 +128,30 @@
     // Within 540 ms each peer in another zone receives a load message, which carries the announcement.
     CHECK(orderedAt.load() - *announcedAt >= 540ms);
 }
+
+// Guards against an order that follows too soon after one of another instance: if the lease is lost and acquired
+// again while an engine's state is read, another instance may have held it in between.
+TEST_CASE("no order is sent under a lease acquired again before the wait for other holders' orders")
+{
+    const EntrySettings settings { .instance = "entry-1", .availabilityZone = "alpine" };
+    EventLog log { "entry-1" };
+    IoThreads threads { 1 };
+    auto protocol = acceptingProtocol();
+    protocol.orderState = orderStateDuringRestore;
+    EntryContext context { .settings = settings, .threads = threads, .log = log, .backendProtocol = protocol };
+    FakeRecords records;
+    ServiceTable services { context, records, [](std::string_view, std::string_view) { return false; } };
+    addImbalance(services);
+    LeaseStore store;
+    storeToRestore = &store;
+    RoleBalancerSettings balancerSettings { .leaseKind = "leases", .minOrderInterval = 500ms, .balance = { .window = 1s, .rampUp = 10ms, .warmUp = 20ms, .cooldown = 1s } };
+    const auto balancer = std::make_shared<RoleBalancer>(context, store, balancerSettings, RoleBalancerCallbacks { [&] { return services.modelServices(); }, [] { return true; } });
+    orderedAt = TimePoint {};
+    balancer->start();
+    const auto isOrdered = waitFor([] { return orderedAt.load() != TimePoint {}; }, 20s);
+    services.stop();
+    threads.stop();
+    REQUIRE(isOrdered);
+    CHECK(store.history() == 1);
+    CHECK(orderedAt.load() - store.createdAt() >= balancerSettings.minOrderInterval);
+}
