Wait for the holder of a grant that can't be parsed

An instance that could not parse the stored grant took the lease for free: it acquired it at once, with fencing number 1, while the holder of that grant acted. Class: an unreadable value is treated as an absent one. Found by reading the code; no run of the router has shown it. It also applies to the native store, where only this case changes.

An existing object without a readable grant is now waited out for the lease time of the settings, and the next fencing number is derived from the object's revision, which is at least the number of grants. The new test failed before: CHECK( *heldAt - start >= leaseTime ) 500000us >= 10000000us CHECK( instance.lease.fencingNumber > updates ) 1 > 5 cluster_lease_test passes now, 151 assertions in 16 cases. Other readers of stored objects in the lease code: none.

--- a/src/Lease.cpp
+++ b/src/Lease.cpp
@@ -58,7 +58,7 @@
 {
     if (isCurrentGrant(lease))
         return lease.observed->isReleased || now - lease.observedAt >= lease.observed->leaseTime;
-    if (!lease.observed && lease.history <= lastHistoryWithoutRestore)
+    if (lease.revision == 0 && lease.history <= lastHistoryWithoutRestore)
         return true;
     const auto storedTime = lease.observed ? lease.observed->leaseTime : Duration::zero();
     return now - lease.observedAt >= std::max(storedTime, lease.settings.leaseTime);
@@ -79,13 +79,14 @@
     return WriteLease { lease.revision, std::move(grant) };
 }
 
-/// @return a number that is greater than those of all earlier grants. In a restored store it is derived from the
-/// revision that the grant replaces, because the grants with the last numbers may be lost. Only one update
+/// @return a number that is greater than those of all earlier grants. If these are unknown, because the store was
+/// restored or the grant can't be parsed, it is derived from the revision that the grant replaces. Only one update
 /// replaces a revision, and the revisions of a later history are greater.
 auto nextFencingNumber(const Lease& lease) -> std::int64_t
 {
     const auto last = lease.observed ? lease.observed->fencingNumber : 0;
-    if (lease.history == 0)
+    const auto isLastKnown = lease.observed || lease.revision == 0;
+    if (lease.history <= lastHistoryWithoutRestore && isLastKnown)
         return last + 1;
     const auto replaced = std::max(lease.revision, makeRevision(lease.history, 0));
     return std::max(last, replaced) + 1;
--- a/test/correctness/LeaseRestoreTest.cpp
+++ b/test/correctness/LeaseRestoreTest.cpp
@@ -285,3 +285,18 @@
     CHECK(*heldAt - restoredAt >= leaseTime);
     CHECK(*heldAt - restoredAt <= leaseTime + acquisitionTime);
 }
+
+// Guards against a valid grant that counts as no grant because it can't be parsed, and against a fencing number
+// that starts again at 1 then.
+TEST_CASE("a lease whose stored grant can't be parsed is acquired only after a lease time")
+{
+    const auto history = GENERATE(0, 1);
+    constexpr std::int64_t updates = 5;
+    RestorableLease store { .history = history, .content = { updates, updates, std::nullopt } };
+    Contender instance("entry-1/1");
+    const auto heldAt = instance.acquire(store, start, 3 * leaseTime);
+    REQUIRE(heldAt);
+    CHECK(*heldAt - start >= leaseTime);
+    CHECK(*heldAt - start <= leaseTime + acquisitionTime);
+    CHECK(instance.lease.fencingNumber > updates);
+}
