Adopt a proposal only with its fencing number

A holder whose renewal had lost its reply extended its deadline if the stored grant had the same attempt name, although it was another grant: lease managers of one process, one after the other, count their attempts from 1 under the same holder, and a delayed update of an earlier one can take effect in a restored store. Class: an identifier that is unique only within one object's life. Found by reading the code; no run of the router has shown it.

The fencing number, which contains the history, must match as well. The new test failed before: CHECK( holder.lease.heldUntil == heldUntil ). cluster_lease_test passes now, 155 assertions in 17 cases.

--- a/src/Lease.cpp
+++ b/src/Lease.cpp
@@ -112,7 +112,10 @@
 auto resolveProposal(Lease& lease) -> void
 {
     const auto proposed = std::exchange(lease.proposed, std::nullopt);
-    if (!proposed || !lease.observed || lease.observed->attemptId != proposed->attemptId)
+    if (!proposed || !lease.observed)
+        return;
+    // Managers of one process, one after the other, give their attempts the same names.
+    if (lease.observed->attemptId != proposed->attemptId || lease.observed->fencingNumber != proposed->fencingNumber)
         return;
     if (lease.isWanted && !proposed->isReleased)
         acceptGrant(lease, *proposed);
--- a/test/correctness/LeaseRestoreTest.cpp
+++ b/test/correctness/LeaseRestoreTest.cpp
@@ -300,3 +300,22 @@
     CHECK(*heldAt - start <= leaseTime + acquisitionTime);
     CHECK(instance.lease.fencingNumber > updates);
 }
+
+// Guards against adopting a grant of an earlier manager of this process, whose attempts have the same names, when
+// its delayed update takes effect in a restored store.
+TEST_CASE("a proposal is adopted only if the stored grant has its fencing number")
+{
+    RestorableLease store { .history = 1 };
+    Contender holder("entry-1/1");
+    REQUIRE(holder.acquire(store, start, 2 * leaseTime));
+    const auto renewedAt = holder.lease.nextCallAt;
+    const auto action = nextLeaseCall(holder.lease, renewedAt);
+    const auto* renewal = action ? std::get_if<WriteLease>(&*action) : nullptr;
+    REQUIRE(renewal);
+    const auto heldUntil = holder.lease.heldUntil;
+    const LeaseGrant delayed { "entry-1/1", 1, renewal->grant.attemptId, leaseTime, false };
+    REQUIRE(store.write({ makeRevision(0, store.content.number), delayed }));
+    handleLeaseCallFailure(holder.lease, renewedAt);
+    handleLeaseRead(holder.lease, renewedAt, store.read());
+    CHECK(holder.lease.heldUntil == heldUntil);
+}
