Log why a lease is not acquired after a restore

After a restore no instance holds the lease for up to a lease time, and nothing in the log said why, or that responses of an earlier history were ignored. New lines: lease_delayed with the history, the fencing number of the stored grant and the wait, each time an object is first observed that may have replaced a lost grant, and lease_response_outdated. RoleBalancer logs lease_acquired for each new grant; it logged none if the lease was lost and acquired again between two checks.

--- a/src/Lease.cpp
+++ b/src/Lease.cpp
@@ -52,16 +52,14 @@
 }
 
 /// @return whether the grant of another holder has certainly expired. Its holder measures the lease
-/// time from before it wrote the grant, which was before this instance observed it. A holder that is unknown
-/// because of a restore renewed the lease before the restore, which was before this instance observed it.
+/// time from before it wrote the grant, which was before this instance observed it.
 auto hasExpired(const Lease& lease, TimePoint now) -> bool
 {
-    if (isCurrentGrant(lease))
-        return lease.observed->isReleased || now - lease.observedAt >= lease.observed->leaseTime;
-    if (lease.revision == 0 && lease.history <= lastHistoryWithoutRestore)
+    if (const auto until = unknownHolderUntil(lease))
+        return now >= *until;
+    if (!lease.observed || lease.observed->isReleased)
         return true;
-    const auto storedTime = lease.observed ? lease.observed->leaseTime : Duration::zero();
-    return now - lease.observedAt >= std::max(storedTime, lease.settings.leaseTime);
+    return now - lease.observedAt >= lease.observed->leaseTime;
 }
 
 auto startCall(Lease& lease, TimePoint now) -> void
@@ -179,6 +177,15 @@
     lease.nextCallAt = now + lease.settings.retryDelay;
 }
 
+auto unknownHolderUntil(const Lease& lease) -> std::optional<TimePoint>
+{
+    const auto isFirstGrant = lease.revision == 0 && lease.history <= lastHistoryWithoutRestore;
+    if (isCurrentGrant(lease) || isFirstGrant)
+        return std::nullopt;
+    const auto storedTime = lease.observed ? lease.observed->leaseTime : Duration::zero();
+    return lease.observedAt + std::max(storedTime, lease.settings.leaseTime);
+}
+
 auto holdsLease(const Lease& lease, TimePoint now) -> bool
 {
     return lease.isWanted && lease.fencingNumber != 0 && now < lease.heldUntil;
--- a/src/Lease.h
+++ b/src/Lease.h
@@ -104,6 +104,11 @@
 /// Handles a failed call. An update may have taken effect, which the next read shows.
 auto handleLeaseCallFailure(Lease& lease, TimePoint now) -> void;
 
+/// A restored store may have lost the current grant. Its holder renewed it before the restore, which was before
+/// this instance observed the object, or its absence, in the new history.
+/// @return until when an unknown holder may act; nothing if the stored grant, or its absence, is reliable.
+auto unknownHolderUntil(const Lease& lease) -> std::optional<TimePoint>;
+
 /// Must be called with the current time immediately before each action that requires the lease, so
 /// that a holder that was suspended detects that the lease has expired.
 /// @return whether this instance holds the lease.
--- a/src/LeaseManager.cpp
+++ b/src/LeaseManager.cpp
@@ -105,7 +105,7 @@
     const auto object = co_await m_environment.read();
     handleOutcome([&](TimePoint now) {
         if (object.has_value())
-            handleLeaseRead(m_lease, now, storedLease(*object));
+            handleLeaseRead(m_lease, now, checkedLease(*object));
         else
             handleLeaseCallFailure(m_lease, now);
     });
@@ -121,20 +121,39 @@
         else if (const auto* applied = std::get_if<UpdateApplied>(&*outcome))
             handleLeaseWritten(m_lease, now, applied->revision);
         else
-            handleLeaseConflict(m_lease, now, storedLease(std::get<UpdateConflict>(*outcome).current));
+            handleLeaseConflict(m_lease, now, checkedLease(std::get<UpdateConflict>(*outcome).current));
     });
 }
 
+auto LeaseManager::checkedLease(const StoredObject& object) -> StoredLease
+{
+    auto stored = storedLease(object);
+    if (stored.history < m_lease.history)
+        m_environment.log.record(LogLevel::Warning, "lease_response_outdated", { { "lease", m_lease.settings.name }, { "history", m_lease.history }, { "response_history", stored.history } });
+    return stored;
+}
+
 auto LeaseManager::handleOutcome(const std::function<void(TimePoint)>& handle) -> void
 {
     const std::lock_guard guard(m_lock);
     const auto now = m_environment.now();
-    const auto isFirst = m_lease.observedAt == TimePoint();
     const auto history = m_lease.history;
+    const auto observedAt = m_lease.observedAt;
     const auto fencingNumber = holdsLease(m_lease, now) ? m_lease.fencingNumber : 0;
     handle(now);
-    if (!isFirst && m_lease.history != history)
+    if (observedAt != TimePoint() && m_lease.history != history)
         m_environment.log.record(LogLevel::Warning, "lease_store_restored", { { "lease", m_lease.settings.name }, { "history", m_lease.history }, { "previous_history", history }, { "held", fencingNumber != 0 }, { "fencing_number", fencingNumber }, { "given_up", fencingNumber != 0 && !holdsLease(m_lease, now) } });
+    if (m_lease.observedAt != observedAt)
+        logDelay(now);
+}
+
+auto LeaseManager::logDelay(TimePoint now) -> void
+{
+    const auto until = unknownHolderUntil(m_lease);
+    if (!until)
+        return;
+    const auto fencingNumber = m_lease.observed ? m_lease.observed->fencingNumber : 0;
+    m_environment.log.record(LogLevel::Info, "lease_delayed", { { "lease", m_lease.settings.name }, { "history", m_lease.history }, { "fencing_number", fencingNumber }, { "wait_ms", std::chrono::duration_cast<std::chrono::milliseconds>(*until - now).count() } });
 }
 
 }
--- a/src/LeaseManager.h
+++ b/src/LeaseManager.h
@@ -37,8 +37,12 @@
     auto call(LeaseAction action) -> boost::asio::awaitable<void>;
     auto read() -> boost::asio::awaitable<void>;
     auto write(WriteLease action) -> boost::asio::awaitable<void>;
+    /// @return the lease in a response. Logs a response of an earlier history, which the state machine ignores.
+    auto checkedLease(const StoredObject& object) -> StoredLease;
     /// Passes the outcome of a call to the state machine, and logs a restore of the store that it shows.
     auto handleOutcome(const std::function<void(TimePoint)>& handle) -> void;
+    /// Logs that the lease can't be acquired yet because of a holder whose grant the store may have lost.
+    auto logDelay(TimePoint now) -> void;
 
     const LeaseEnvironment m_environment;
     mutable std::mutex m_lock;
--- a/src/RoleBalancer.cpp
+++ b/src/RoleBalancer.cpp
@@ -81,7 +81,8 @@
         m_lease->release();
     }
     const auto fencingNumber = m_lease ? m_lease->fencingNumber() : std::nullopt;
-    if (fencingNumber.has_value() != m_hadLease) {
+    const auto isNewGrant = fencingNumber && *fencingNumber != m_orderFence.fencingNumber;
+    if (fencingNumber.has_value() != m_hadLease || isNewGrant) {
         m_hadLease = fencingNumber.has_value();
         m_context.log.record(LogLevel::Info, m_hadLease ? "lease_acquired" : "lease_lost", { { "lease", leaseName }, { "fencing_number", fencingNumber.value_or(m_orderFence.fencingNumber) } });
     }
--- a/test/correctness/LeaseRestoreTest.cpp
+++ b/test/correctness/LeaseRestoreTest.cpp
@@ -124,7 +124,7 @@
 
 }
 
-// Guards against a lease whose store was restored without any trace in the log.
+// Guards against a lease that is given up or delayed because of a restore without any trace in the log.
 TEST_CASE("a restore of the lease's store is logged with the history and the fencing number")
 {
     EventLog log { "entry-1" };
@@ -138,6 +138,7 @@
         store.object.restore({});
     }
     const auto restored = waitForEvent(log, "lease_store_restored", 3s);
+    const auto delayed = waitForEvent(log, "lease_delayed", 3s);
     threads.stop();
     REQUIRE(number);
     REQUIRE(restored);
@@ -146,6 +147,34 @@
     CHECK(field(*restored, "history") == "1");
     CHECK(field(*restored, "fencing_number") == std::to_string(*number));
     CHECK(field(*restored, "given_up") == "true");
+    REQUIRE(delayed);
+    CHECK(field(*delayed, "history") == "1");
+    CHECK(field(*delayed, "fencing_number") == "0");
+    CHECK(field(*delayed, "wait_ms") == "1000");
+}
+
+// Guards against a response without a history, or of an earlier one, that ends a wait or passes without a log line.
+TEST_CASE("a response of an earlier history is ignored and logged")
+{
+    EventLog log { "entry-1" };
+    IoThreads threads { 1 };
+    SharedStore store;
+    store.object.history = 2;
+    const auto manager = std::make_shared<LeaseManager>(store.environment(threads, log), leaseSettings("roles", "entry-1/1", 1s));
+    manager->start();
+    const auto delayed = waitForEvent(log, "lease_delayed", 2s);
+    {
+        const std::lock_guard guard(store.lock);
+        store.object.history = 0;
+    }
+    const auto outdated = waitForEvent(log, "lease_response_outdated", 2s);
+    const auto number = waitForLease(*manager, 1s);
+    threads.stop();
+    REQUIRE(delayed);
+    REQUIRE(outdated);
+    CHECK(field(*outdated, "history") == "2");
+    CHECK(field(*outdated, "response_history") == "0");
+    CHECK_FALSE(number);
 }
 
 // Guards against a fencing number that a backend server has seen from an earlier holder, or a smaller one, after
--- a/test/correctness/RoleBalancerTest.cpp
+++ b/test/correctness/RoleBalancerTest.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 
@@ -154,4 +155,5 @@
     REQUIRE(isOrdered);
     CHECK(store.history() == 1);
     CHECK(orderedAt.load() - store.createdAt() >= balancerSettings.minOrderInterval);
+    CHECK(std::ranges::count(log.after(0, EventLog::defaultCapacity), "lease_acquired", &LoggedEvent::event) == 2);
 }
