--- a/src/Lease.cpp
+++ b/src/Lease.cpp
@@ -1,7 +1,10 @@
 #include "Lease.h"
 
+#include "StoreRevision.h"
+
 #include <boost/json/object.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace jayhold {
@@ -15,24 +18,50 @@
 /// Leaves room for the increments of all later holders.
 constexpr std::int64_t maxFencingNumber = 1'000'000'000'000'000'000;
 
-auto recordObserved(Lease& lease, TimePoint now, std::int64_t revision, std::optional<LeaseGrant> grant) -> void
+/// The store may name its first history 0 or 1. A process that starts in history 1 can't tell whether that is
+/// the first, so it waits as after a restore.
+constexpr std::int64_t lastHistoryWithoutRestore = 0;
+
+/// Handles a restore of the store. Another instance may have acquired the lease after the copy was made, and
+/// the store has lost its grant, so nothing that was held, proposed or observed before still counts.
+auto handleRestore(Lease& lease, std::int64_t history) -> void
+{
+    lease.history = history;
+    lease.observedAt = {};
+    lease.proposed.reset();
+    lease.heldUntil = {};
+    lease.fencingNumber = 0;
+}
+
+auto recordObserved(Lease& lease, TimePoint now, StoredLease stored) -> void
 {
-    if (revision == lease.revision && lease.observedAt != TimePoint())
+    if (stored.history > lease.history)
+        handleRestore(lease, stored.history);
+    if (stored.revision == lease.revision && lease.observedAt != TimePoint())
         return;
-    lease.revision = revision;
-    lease.observed = std::move(grant);
+    lease.revision = stored.revision;
+    lease.observed = std::move(stored.grant);
     lease.observedAt = now;
 }
 
+/// @return whether the observed grant was proposed in the current history. Other grants come from the copy
+/// or from a delayed update, and may have replaced a later grant that is still valid.
+auto isCurrentGrant(const Lease& lease) -> bool
+{
+    return lease.observed && historyOf(lease.observed->fencingNumber) == lease.history;
+}
+
 auto isOwnGrant(const Lease& lease) -> bool
 {
-    return lease.observed && lease.observed->holder == lease.settings.holder && !lease.observed->isReleased;
+    return isCurrentGrant(lease) && lease.observed->holder == lease.settings.holder && !lease.observed->isReleased;
 }
 
 /// @return whether the grant of another holder has certainly expired. Its holder measures the lease
 /// time from before it wrote the grant, which was before this instance observed it.
 auto hasExpired(const Lease& lease, TimePoint now) -> bool
 {
+    if (const auto until = unknownHolderUntil(lease))
+        return now >= *until;
     if (!lease.observed || lease.observed->isReleased)
         return true;
     return now - lease.observedAt >= lease.observed->leaseTime;
@@ -53,12 +82,25 @@
     return WriteLease { lease.revision, std::move(grant) };
 }
 
+/// @return a number that is greater than those of all earlier grants. If these are unknown, because the store was
+/// restored or the grant can't be parsed, it is derived from the revision that the grant replaces. Only one update
+/// replaces a revision, and the revisions of a later history are greater.
+auto nextFencingNumber(const Lease& lease) -> std::int64_t
+{
+    const auto last = lease.observed ? lease.observed->fencingNumber : 0;
+    const auto isLastKnown = lease.observed || lease.revision == 0;
+    if (lease.history <= lastHistoryWithoutRestore && isLastKnown)
+        return last + 1;
+    const auto replaced = std::max(lease.revision, makeRevision(lease.history, 0));
+    return std::max(last, replaced) + 1;
+}
+
 auto nextGrant(const Lease& lease) -> LeaseGrant
 {
     const auto last = lease.observed ? lease.observed->fencingNumber : 0;
     // A renewal keeps the fencing number, but only if the lease was held without interruption.
     const auto isRenewal = isOwnGrant(lease) && lease.fencingNumber == last && lease.fencingNumber != 0;
-    return { lease.settings.holder, isRenewal ? last : last + 1, {}, lease.settings.leaseTime, false };
+    return { lease.settings.holder, isRenewal ? last : nextFencingNumber(lease), {}, lease.settings.leaseTime, false };
 }
 
 /// Adopts a stored grant that this instance has proposed. The lease time counts from before the call
@@ -73,7 +115,10 @@
 auto resolveProposal(Lease& lease) -> void
 {
     const auto proposed = std::exchange(lease.proposed, std::nullopt);
-    if (!proposed || !lease.observed || lease.observed->attemptId != proposed->attemptId)
+    if (!proposed || !lease.observed)
+        return;
+    // Managers of one process, one after the other, give their attempts the same names.
+    if (lease.observed->attemptId != proposed->attemptId || lease.observed->fencingNumber != proposed->fencingNumber)
         return;
     if (lease.isWanted && !proposed->isReleased)
         acceptGrant(lease, *proposed);
@@ -110,23 +155,25 @@
     return ReadLease {};
 }
 
-auto handleLeaseRead(Lease& lease, TimePoint now, std::int64_t revision, std::optional<LeaseGrant> grant) -> void
+auto handleLeaseRead(Lease& lease, TimePoint now, StoredLease stored) -> void
 {
+    if (stored.history < lease.history) {
+        handleLeaseCallFailure(lease, now);
+        return;
+    }
     lease.isCallInFlight = false;
-    recordObserved(lease, now, revision, std::move(grant));
+    recordObserved(lease, now, std::move(stored));
     resolveProposal(lease);
 }
 
 auto handleLeaseWritten(Lease& lease, TimePoint now, std::int64_t revision) -> void
 {
-    lease.isCallInFlight = false;
-    recordObserved(lease, now, revision, lease.proposed);
-    resolveProposal(lease);
+    handleLeaseRead(lease, now, { revision, historyOf(revision), lease.proposed });
 }
 
-auto handleLeaseConflict(Lease& lease, TimePoint now, std::int64_t revision, std::optional<LeaseGrant> grant) -> void
+auto handleLeaseConflict(Lease& lease, TimePoint now, StoredLease stored) -> void
 {
-    handleLeaseRead(lease, now, revision, std::move(grant));
+    handleLeaseRead(lease, now, std::move(stored));
 }
 
 auto handleLeaseCallFailure(Lease& lease, TimePoint now) -> void
@@ -135,6 +182,15 @@
     lease.nextCallAt = now + lease.settings.retryDelay;
 }
 
+auto unknownHolderUntil(const Lease& lease) -> std::optional<TimePoint>
+{
+    const auto isFirstGrant = lease.revision == 0 && lease.history <= lastHistoryWithoutRestore;
+    if (isCurrentGrant(lease) || isFirstGrant)
+        return std::nullopt;
+    const auto storedTime = lease.observed ? lease.observed->leaseTime : Duration::zero();
+    return lease.observedAt + std::max(storedTime, lease.settings.leaseTime);
+}
+
 auto holdsLease(const Lease& lease, TimePoint now) -> bool
 {
     return lease.isWanted && lease.fencingNumber != 0 && now < lease.heldUntil;
