--- a/test/correctness/RestoredStorePropertyTest.cpp
+++ b/test/correctness/RestoredStorePropertyTest.cpp
@@ -105,20 +105,20 @@
     auto recordMessages() -> void
     {
         const auto state = zone.store.snapshot("config");
-        messages.emplace_back([revision = state.revision](StoreDirectory& directory) { directory.handlePeerRevision("config", revision); });
+        m_messages.emplace_back([revision = state.revision](StoreDirectory& directory) { directory.handlePeerRevision("config", revision); });
         KindChanges changes { "config", makeRevision(historyOf(state.revision), 0), state.revision, {} };
         for (const auto& item : state.items)
             changes.changes.push_back({ item, false });
-        messages.emplace_back([changes](StoreDirectory& directory) { directory.handleDirectoryUpdate({ "edge-9", false, changes }); });
+        m_messages.emplace_back([changes](StoreDirectory& directory) { directory.handleDirectoryUpdate({ "edge-9", false, changes }); });
     }
 
     auto deliverMessage() -> void
     {
-        if (!messages.empty())
-            anyInstance().post(messages[anyBelow(messages.size())]);
+        if (!m_messages.empty())
+            anyInstance().post(m_messages[anyBelow(m_messages.size())]);
     }
 
-    std::vector<Message> messages;
+    std::vector<Message> m_messages;
 };
 
 }
--- a/test/correctness/RestoredStoreTest.cpp
+++ b/test/correctness/RestoredStoreTest.cpp
@@ -140,8 +140,8 @@
     auto& instance = fixture.zone.last();
     fixture.zone.isSilent = true;
     const auto before = fixture.zone.store.snapshot("servers").revision;
-    const auto later = makeRevision(2, 9);
-    instance.post([before, later](StoreDirectory& directory) {
+    constexpr auto later = makeRevision(2, 9);
+    instance.post([before](StoreDirectory& directory) {
         const ItemChange change { { "ghost", later, server("1") } };
         directory.handleDirectoryUpdate({ "edge-2", false, KindChanges { "servers", before, later, { change } } });
     });
