--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -23,3 +23,7 @@
 jayhold_test(silent_backend_test
   SOURCES test/correctness/SilentBackendTest.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
+
+jayhold_test(backend_answer_test
+  SOURCES test/correctness/RepeatedRefusalTest.cpp test/FakeObjectStore.cpp
+  LINK jayhold_platform)
--- a/src/HttpError.h
+++ b/src/HttpError.h
@@ -18,7 +18,8 @@
     ConnectionLost,
     /// No response within the timeout; the request may have run.
     TimedOut,
-    /// The response was not valid HTTP or larger than allowed.
+    /// The response was not valid HTTP, larger than allowed, or not identified as the response to the call; the
+    /// request may have run.
     MalformedAnswer,
     /// The caller closed the stream or cancelled the call; the request may have run.
     Cancelled,
--- a/src/HttpStatus.h
+++ b/src/HttpStatus.h
@@ -17,6 +17,7 @@
 inline constexpr unsigned statusGone = 410;
 inline constexpr unsigned statusMisdirected = 421;
 inline constexpr unsigned statusTooManyRequests = 429;
+inline constexpr unsigned statusUnavailable = 503;
 /// First status of the server error range.
 inline constexpr unsigned statusServerError = 500;
 
--- a/test/FakeObjectStore.cpp
+++ b/test/FakeObjectStore.cpp
@@ -238,13 +238,13 @@
         m_last = request;
     }
     if (headerValue(request, "Expect-Replica") != m_id) {
-        HttpResponse misdirected { 421, { { "Replica-Id", m_id } }, {} };
+        HttpResponse misdirected { 421, { { "Replica-Id", m_id }, { "Not-Executed", "1" }, { "Request-Id", headerValue(request, "Request-Id") } }, {} };
         co_await exchange.respond(std::move(misdirected));
         co_return;
     }
     const auto behaviour = m_behaviour.load();
     if (behaviour == Behaviour::Reject) {
-        HttpResponse rejection { 503, { { "Not-Executed", "1" } }, {} };
+        HttpResponse rejection { 503, { { "Not-Executed", "1" }, { "Request-Id", headerValue(request, "Request-Id") } }, {} };
         co_await exchange.respond(std::move(rejection));
         co_return;
     }
--- /dev/null
+++ b/test/correctness/RepeatedRefusalTest.cpp
@@ -0,0 +1,147 @@
+#include "../RawBackend.h"
+#include "../RouterFixture.h"
+
+using namespace jayhold;
+using namespace jayhold::test;
+
+namespace {
+
+const std::string notExecuted = "Not-Executed: 1\r\n";
+const std::string seal = "Server-Seal: s\r\n";
+
+auto entryOf(const HttpEndpoint& endpoint, const std::string& service, const std::string& phase) -> json::object
+{
+    json::object entry { { "service", service }, { "address", toString(endpoint) }, { "zone", "alpine" }, { "state", "ready" }, { "slots", 6 }, { "born", 1'700'000'000'000 } };
+    if (!phase.empty())
+        entry["phase"] = phase;
+    return entry;
+}
+
+/// A router whose plain service has a given number of servers, which all send what the script says.
+struct PlainFixture : RouterFixture {
+    explicit PlainFixture(int servers, RawBackend::Script script)
+        : backend(threads, std::move(script))
+    {
+        platform.remove("servers", "plain-1");
+        platform.remove("servers", "plain-2");
+        for (auto server = 1; server <= servers; ++server)
+            platform.put("servers", "raw-" + std::to_string(server), entryOf(backend.endpoint(), "ledger", {}));
+        startAndWait();
+    }
+
+    /// @return the status of the answer to a call that may not be repeated; 0 if there is none.
+    auto post() -> unsigned
+    {
+        const auto response = call("POST", "/post/x");
+        return response.has_value() ? response->status : 0;
+    }
+
+    /// Same, with a given id.
+    auto postAgain(const std::string& id) -> unsigned
+    {
+        HttpRequest request { "POST", "/post/x", { { "Host", "a.example" }, { "Request-Id", id }, { "Deadline-Ms", "1500" } }, {} };
+        const auto response = runOn(threads, 0, threads.client(0).request(router->endpoint(), std::move(request), 5s));
+        return response.has_value() ? response->status : 0;
+    }
+
+    RawBackend backend;
+};
+
+/// A router whose model service has one engine of each role, which both send what the script says.
+struct ModelFixture : RouterFixture {
+    explicit ModelFixture(RawBackend::Script script)
+        : backend(threads, std::move(script))
+    {
+        for (const auto* id : { "prefill-1", "decode-1", "decode-2" })
+            platform.remove("servers", id);
+        platform.put("servers", "raw-prefill", entryOf(backend.endpoint(), "llm", "prefill"));
+        platform.put("servers", "raw-decode", entryOf(backend.endpoint(), "llm", "decode"));
+        startAndWait();
+    }
+
+    RawBackend backend;
+};
+
+/// Answers a control call or a prefill correctly.
+auto soundControlAnswer(const RawRequest& request) -> std::string
+{
+    if (request.target == "/-/hold-take")
+        return rawResponse(200, "Content-Type: application/json\r\n", R"({"hold":"seat"})");
+    if (request.target.starts_with("/-/"))
+        return rawResponse(200, "", "{}");
+    return rawResponse(200, idField(request) + seal, R"({"handleId":"h1","tokens":100,"version":1})");
+}
+
+auto isDecode(const RawRequest& request) -> bool
+{
+    return !request.target.starts_with("/-/") && request.stage.empty();
+}
+
+}
+
+// Guards against a caller that is told "not run", and against a second run at another server, because of an
+// answer that does not repeat the id of the request.
+TEST_CASE("an answer to a plain call without its id says nothing about the call")
+{
+    const auto status = GENERATE(200, 400, 421, 429, 500, 503);
+    const auto field = GENERATE(std::string("Not-Executed: 1\r\n"), std::string("Other: 1\r\n"));
+    CAPTURE(status, field);
+    PlainFixture fixture(2, [&](const RawRequest&) { return RawAnswer { rawResponse(status, field + seal) }; });
+    CHECK(fixture.post() == 502);
+    CHECK(fixture.backend.calls() == 1);
+}
+
+// Guards against a caller that is told "not run", and against a second run, because of a status without the field
+// Not-Executed, or of that field with a status that does not allow it.
+TEST_CASE("only Not-Executed with one of its statuses says that a call was not run")
+{
+    const auto [status, field] = GENERATE(table<int, std::string>({ { 421, "" }, { 500, notExecuted }, { 502, notExecuted } }));
+    CAPTURE(status, field);
+    PlainFixture fixture(2, [&](const RawRequest& request) { return RawAnswer { rawResponse(status, idField(request) + seal + field) }; });
+    const auto answered = fixture.post();
+    CHECK(answered >= 500);
+    CHECK(answered != 503);
+    CHECK(fixture.backend.calls() == 1);
+}
+
+// Guards against a request that fails although a full server has rejected it and another one could run it.
+TEST_CASE("a call that a server rejects with its id is sent to another server")
+{
+    const auto status = GENERATE(421, 429, 503);
+    std::atomic<int> calls { 0 };
+    PlainFixture fixture(2, [&](const RawRequest& request) { return RawAnswer { ++calls == 1 ? refusalOf(request, status) : soundAnswer(request) }; });
+    CHECK(fixture.post() == 200);
+    CHECK(calls == 2);
+}
+
+// Guards against a prefill or a decode that counts as not run, or as done, because of an answer without the id of
+// the request.
+TEST_CASE("an answer to a model request without its id says nothing about the request")
+{
+    const auto status = GENERATE(200, 421, 429, 503);
+    CAPTURE(status);
+    ModelFixture fixture([&](const RawRequest& request) {
+        if (!isDecode(request))
+            return RawAnswer { soundControlAnswer(request) };
+        const auto type = std::string("Content-Type: text/event-stream\r\n");
+        return RawAnswer { rawResponse(status, notExecuted + seal + type, "id: 1\ndata: x\n\n") };
+    });
+    const auto response = fixture.streamCall("/once/x");
+    REQUIRE(response.has_value());
+    CHECK(response->status == 502);
+    CHECK(response->body.find("data: x") == std::string::npos);
+}
+
+// Guards against a decode that starts from the result of another request's prefill.
+TEST_CASE("a prefill result without the id of the request is not used")
+{
+    std::atomic<bool> isUsed { false };
+    ModelFixture fixture([&](const RawRequest& request) {
+        isUsed = isUsed || !request.cacheSource.empty();
+        if (request.stage == "prefill")
+            return RawAnswer { rawResponse(200, seal, R"({"handleId":"other","tokens":100,"version":1})") };
+        return RawAnswer { isDecode(request) ? refusalOf(request) : soundControlAnswer(request) };
+    });
+    REQUIRE(fixture.streamCall("/once/x").has_value());
+    CHECK_FALSE(isUsed);
+}
