Don't reuse a connection whose next response can't be identified

Callers were told "not run, try again" for a request that the server ran: one request keeps its id over all attempts, so a repeated refusal of an earlier attempt on the same connection had the right id. A connection on which a response to another call had arrived went back to the pool, where more could follow. Cause: the pool knew nothing of the calls that a connection had carried.

A connection now remembers the correlation values of its calls (at most 1,000, then it is closed) and is not used for the same value again. One that has received a response with another value, or with none although the call has one, is closed after the call. It also doesn't count as closed while idle, so the call is not sent again.

--- a/src/ConnectionPool.cpp
+++ b/src/ConnectionPool.cpp
@@ -14,6 +14,8 @@
 constexpr Duration closeMargin = std::chrono::milliseconds(500);
 /// Expired connections occupy file descriptors; one sweep per second keeps them few at little cost.
 constexpr Duration sweepInterval = std::chrono::seconds(1);
+/// Bounds the memory for the calls that a connection has carried.
+constexpr std::size_t maxCallsPerConnection = 1'000;
 
 /// @return the timeout in `Keep-Alive: timeout=SECONDS`.
 auto keepAliveTimeout(std::span<const HttpHeader> headers) -> std::optional<Duration>
@@ -50,17 +52,19 @@
 {
 }
 
-auto ConnectionPool::acquire(const ConnectionKey& key, TimePoint now) -> Connection
+auto ConnectionPool::acquire(const ConnectionKey& key, TimePoint now, std::optional<std::size_t> call) -> Connection
 {
     const auto found = m_idle.find(key);
     if (found == m_idle.end())
         return nullptr;
     auto& idle = found->second;
-    while (!idle.empty()) {
-        auto last = std::move(idle.back());
-        idle.pop_back();
-        if (now < last.expiresAt && !isReadable(*last.connection))
-            return std::move(last.connection);
+    for (auto index = idle.size(); index-- > 0;) {
+        if (call && idle[index].connection->carriedCalls.contains(*call))
+            continue;
+        auto candidate = std::move(idle[index]);
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(index));
+        if (now < candidate.expiresAt && !isReadable(*candidate.connection))
+            return std::move(candidate.connection);
     }
     return nullptr;
 }
@@ -72,9 +76,10 @@
     if (const auto serverTimeout = keepAliveTimeout(connection->headers))
         idleTime = std::min(idleTime, *serverTimeout - closeMargin);
     auto& idle = m_idle[connection->key];
-    if (idleTime <= Duration::zero() || idle.size() >= m_maxIdlePerKey)
+    if (idleTime <= Duration::zero() || idle.size() >= m_maxIdlePerKey || connection->carriedCalls.size() >= maxCallsPerConnection)
         return;
     connection->parser.reset();
+    connection->hasAnswered = false;
     connection->headers.clear();
     idle.push_back({ std::move(connection), now + idleTime });
 }
--- a/src/HttpCallOptions.h
+++ b/src/HttpCallOptions.h
@@ -24,8 +24,11 @@
     /// because an address can be reassigned to another process.
     std::string peer;
     /// A header field that the response must repeat. A response with another value belongs to an earlier
-    /// call and is skipped.
+    /// call and is skipped; its connection is not kept. An idle connection that has carried a call with the
+    /// same value is not used, because a late response to that call could not be distinguished.
     std::optional<HttpHeader> correlationHeader;
+    /// Receives the status of each response that is skipped.
+    std::function<void(unsigned)> onSkippedResponse = [](unsigned) {};
 };
 
 }
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -92,19 +92,40 @@
     return !value || *value == correlationHeader->value;
 }
 
+/// @return whether the response certainly belongs to the call, as far as the call has a correlation value.
+auto repeatsCorrelationHeader(const Connection& connection, const std::optional<HttpHeader>& correlationHeader) -> bool
+{
+    return !correlationHeader || findHeader(connection.headers, correlationHeader->name) == correlationHeader->value;
+}
+
+/// @return the hash by which a connection remembers the call.
+auto callHash(const HttpCallOptions& options) -> std::optional<std::size_t>
+{
+    if (!options.correlationHeader)
+        return std::nullopt;
+    return std::hash<std::string> {}(options.correlationHeader->value);
+}
+
 /// Sends the request and reads the header of its response.
 auto exchangeHeaders(Connection& connection, const BeastRequest& message, const HttpCallOptions& options) -> asio::awaitable<boost::system::error_code>
 {
     boost::system::error_code code;
     connection.stream.expires_after(options.timeout);
+    if (const auto call = callHash(options))
+        connection.carriedCalls.insert(*call);
     co_await http::async_write(connection.stream, message, awaitInto(code));
     if (code)
         co_return code;
     const auto hasNoBody = message.method() == http::verb::head;
     for (auto skipped = 0; skipped <= maxSkippedResponses; ++skipped) {
         code = co_await readHeader(connection, hasNoBody);
-        if (code || matchesCorrelationHeader(connection, options.correlationHeader))
+        if (code)
+            co_return code;
+        connection.isReusable = connection.isReusable && repeatsCorrelationHeader(connection, options.correlationHeader);
+        if (matchesCorrelationHeader(connection, options.correlationHeader))
             co_return code;
+        connection.hasAnswered = true;
+        options.onSkippedResponse(connection.parser->get().result_int());
         code = co_await skipBody(connection);
         if (code)
             co_return code;
@@ -120,7 +141,7 @@
 {
     if (code == beast::error::timeout || code == asio::error::operation_aborted || elapsed > maxStaleDetectionTime)
         return false;
-    return !connection.parser || !connection.parser->got_some();
+    return !connection.hasAnswered && (!connection.parser || !connection.parser->got_some());
 }
 
 }
@@ -183,7 +204,7 @@
 {
     const auto message = toBeast(endpoint, std::move(request));
     const ConnectionKey key { endpoint, options.peer };
-    auto connection = options.mayReuse ? m_pool->acquire(key, monotonicNow()) : nullptr;
+    auto connection = options.mayReuse ? m_pool->acquire(key, monotonicNow(), callHash(options)) : nullptr;
     const auto isReused = connection != nullptr;
     if (isReused) {
         const auto sentAt = monotonicNow();
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -14,6 +14,7 @@
 #include <array>
 #include <memory>
 #include <optional>
+#include <unordered_set>
 
 namespace jayhold {
 
@@ -60,6 +61,13 @@
     std::vector<HttpHeader> headers;
     std::array<char, readBufferBytes> chunk {};
     bool isClosed = false;
+    /// False once a response has arrived that no call expected; another one may follow.
+    bool isReusable = true;
+    /// Whether the server has sent a response, even if it was skipped, since the connection was opened or taken from
+    /// the pool.
+    bool hasAnswered = false;
+    /// Hashes of the correlation values of the calls that were sent on the connection.
+    std::unordered_set<std::size_t> carriedCalls;
     ConnectionKey key;
     /// The pool to which the connection returns after its response has been read completely.
     std::weak_ptr<ConnectionPool> pool;
--- a/src/HttpStream.cpp
+++ b/src/HttpStream.cpp
@@ -84,6 +84,11 @@
     return m_connection->headers;
 }
 
+auto HttpStream::isDelimited() const -> bool
+{
+    return !m_connection->parser->need_eof();
+}
+
 auto HttpStream::localPort() const -> std::uint16_t
 {
     boost::system::error_code code;
@@ -128,7 +133,7 @@
 {
     auto connection = std::move(m_connection);
     const auto pool = connection->pool.lock();
-    const auto isComplete = !connection->isClosed && connection->parser->is_done() && connection->buffer.size() == 0;
+    const auto isComplete = !connection->isClosed && connection->parser->is_done() && connection->buffer.size() == 0 && connection->isReusable;
     if (pool && isComplete && connection->parser->keep_alive())
         pool->returnIdle(std::move(connection), monotonicNow());
 }
--- a/test/RawBackend.h
+++ b/test/RawBackend.h
@@ -31,6 +31,8 @@
     std::string lastEvent;
     /// Value of the field Cache-Source.
     std::string cacheSource;
+    /// Value of the field Cache-Hold.
+    std::string cacheHold;
     /// Number of the connection and of the request on it, from 1.
     int connection = 0;
     int call = 0;
@@ -84,7 +86,7 @@
             co_await boost::beast::http::async_read(socket, buffer, message, awaitInto(code));
             if (code)
                 co_return;
-            const RawRequest request { std::string(message.method_string()), std::string(message.target()), std::string(message["Request-Id"]), std::string(message["Stage"]), std::string(message["Last-Event-Id"]), std::string(message["Cache-Source"]), connection, call };
+            const RawRequest request { std::string(message.method_string()), std::string(message.target()), std::string(message["Request-Id"]), std::string(message["Stage"]), std::string(message["Last-Event-Id"]), std::string(message["Cache-Source"]), std::string(message["Cache-Hold"]), connection, call };
             m_calls += !request.target.starts_with("/-/");
             const auto answer = m_script(request);
             co_await boost::asio::async_write(socket, boost::asio::buffer(answer.bytes), awaitInto(code));
--- a/test/correctness/RepeatedRefusalTest.cpp
+++ b/test/correctness/RepeatedRefusalTest.cpp
@@ -1,6 +1,8 @@
 #include "../RawBackend.h"
 #include "../RouterFixture.h"
 
+#include <map>
+
 using namespace jayhold;
 using namespace jayhold::test;
 
@@ -36,10 +38,12 @@
         return response.has_value() ? response->status : 0;
     }
 
-    /// Same, with a given id.
+    /// Same, with a given id, or without one if it is empty.
     auto postAgain(const std::string& id) -> unsigned
     {
-        HttpRequest request { "POST", "/post/x", { { "Host", "a.example" }, { "Request-Id", id }, { "Deadline-Ms", "1500" } }, {} };
+        HttpRequest request { "POST", "/post/x", { { "Host", "a.example" }, { "Deadline-Ms", "1500" } }, {} };
+        if (!id.empty())
+            request.headers.push_back({ "Request-Id", id });
         const auto response = runOn(threads, 0, threads.client(0).request(router->endpoint(), std::move(request), 5s));
         return response.has_value() ? response->status : 0;
     }
@@ -145,3 +149,32 @@
     REQUIRE(fixture.streamCall("/once/x").has_value());
     CHECK_FALSE(isUsed);
 }
+
+// Guards against a caller that is told "not run" because of an answer to an earlier call, which the server sends
+// again when it gets the next call on the connection.
+TEST_CASE("a repeated refusal is not the answer to the next call")
+{
+    const bool answersNext = GENERATE(true, false);
+    std::map<int, std::string> refusals;
+    PlainFixture fixture(1, [&](const RawRequest& request) {
+        const auto [refusal, isFirst] = refusals.emplace(request.connection, refusalOf(request));
+        return RawAnswer { isFirst ? refusal->second : refusal->second + (answersNext ? soundAnswer(request) : ""), !isFirst && !answersNext };
+    });
+    CHECK(fixture.post() == 503);
+    CHECK(fixture.post() == (answersNext ? 200 : 502));
+    // The connection on which the unexpected answer arrived is not used again, so this is a new one.
+    CHECK(fixture.post() == 503);
+}
+
+// Guards against "not run" for a request that a server runs, because of its refusal of an earlier attempt with the
+// same id.
+TEST_CASE("a repeated refusal of a request with the same id is not the answer to its next attempt")
+{
+    std::map<int, std::string> refusals;
+    PlainFixture fixture(1, [&](const RawRequest& request) {
+        const auto [refusal, isFirst] = refusals.emplace(request.connection, refusalOf(request));
+        return RawAnswer { request.connection == 1 ? refusal->second : soundAnswer(request) };
+    });
+    CHECK(fixture.postAgain("same") == 503);
+    CHECK(fixture.postAgain("same") == 200);
+}
