--- a/test/correctness/RepeatedRefusalTest.cpp
+++ b/test/correctness/RepeatedRefusalTest.cpp
@@ -76,6 +76,12 @@
     return rawResponse(200, idField(request) + seal, R"({"handleId":"h1","tokens":100,"version":1})");
 }
 
+/// Answers a decode with two events.
+auto decodeAnswer(const RawRequest& request) -> std::string
+{
+    return rawResponse(200, idField(request) + seal + "Content-Type: text/event-stream\r\n", streamText(1, 2));
+}
+
 auto isDecode(const RawRequest& request) -> bool
 {
     return !request.target.starts_with("/-/") && request.stage.empty();
@@ -150,6 +156,25 @@
     CHECK_FALSE(isUsed);
 }
 
+// Guards against a request that uses the reservation of another one: a repeated answer to a control call has no id
+// by which it could be told from the answer to the next one.
+TEST_CASE("a repeated answer to a reservation is not the answer to the next one")
+{
+    std::map<int, std::string> answers;
+    std::vector<std::string> used;
+    ModelFixture fixture([&](const RawRequest& request) {
+        if (isDecode(request))
+            used.push_back(request.cacheHold);
+        if (request.target != "/-/hold-take")
+            return RawAnswer { isDecode(request) ? decodeAnswer(request) : soundControlAnswer(request) };
+        const auto seat = rawResponse(200, "", R"({"hold":"seat-)" + std::to_string(answers.size()) + R"("})");
+        return RawAnswer { answers.emplace(request.connection, seat).first->second };
+    });
+    for (auto call = 0; call < 3; ++call)
+        CHECK(fixture.streamCall("/once/x")->body == streamText(1, 2));
+    CHECK(used == std::vector<std::string> { "seat-0", "seat-1", "seat-2" });
+}
+
 // Guards against a caller that is told "not run" because of an answer to an earlier call, which the server sends
 // again when it gets the next call on the connection.
 TEST_CASE("a repeated refusal is not the answer to the next call")
@@ -178,3 +203,16 @@
     CHECK(fixture.postAgain("same") == 503);
     CHECK(fixture.postAgain("same") == 200);
 }
+
+// Guards against "not run" for a call without an id, whose answer has none by which an earlier one could be told
+// from it.
+TEST_CASE("a call without an id is sent on a connection that has carried no other")
+{
+    PlainFixture fixture(1, [](const RawRequest& request) {
+        const auto fields = request.id.empty() ? seal : seal + idField(request);
+        return RawAnswer { request.call > 1 ? rawResponse(503, notExecuted) : rawResponse(200, fields, "ok") };
+    });
+    CHECK(fixture.postAgain("first") == 200);
+    CHECK(fixture.postAgain("") == 200);
+    CHECK(fixture.postAgain("") == 200);
+}
