--- a/test/correctness/RepeatedRefusalTest.cpp
+++ b/test/correctness/RepeatedRefusalTest.cpp
@@ -216,3 +216,18 @@
     CHECK(fixture.postAgain("") == 200);
     CHECK(fixture.postAgain("") == 200);
 }
+
+// Guards against "not run" for a call that the router sent twice because a kept connection had closed: the server
+// may have run the first one, and rejected only the second.
+TEST_CASE("a rejection of a call that was sent twice does not say that it was not run")
+{
+    PlainFixture fixture(1, [](const RawRequest& request) {
+        const auto isLost = request.connection == 1 && request.call == 2;
+        return RawAnswer { isLost ? "" : request.connection == 1 ? soundAnswer(request)
+                                                                 : refusalOf(request),
+            isLost };
+    });
+    CHECK(fixture.call("GET", "/read/x")->status == 200);
+    CHECK(fixture.call("GET", "/read/x")->status == 502);
+    CHECK(fixture.backend.calls() >= 2);
+}
