Log responses that are skipped because they repeat the id of another request

Operators could not see that a server sends responses to earlier requests again. The event `answer_skipped` names the request that waits, the server and the status.

--- a/src/EngineCall.h
+++ b/src/EngineCall.h
@@ -42,6 +42,8 @@
     std::function<bool()> mayResend = [] { return false; };
     /// Receives the headers of the engine's response, whatever its status.
     std::function<void(const std::vector<HttpHeader>&)> onResponse = [](const std::vector<HttpHeader>&) {};
+    /// Receives the status of a response that belongs to another call and was skipped.
+    std::function<void(unsigned)> onSkippedResponse = [](unsigned) {};
     /// Time to live of a prefill result, if the engine's response does not state it.
     Duration prefillResultTtl {};
 };
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -361,6 +361,9 @@
     call.onResponse = [this, server, sentAt = monotonicNow()](const std::vector<HttpHeader>& headers) {
         m_context.recordLimit(server, sentAt, m_context.backendProtocol.namedLimit(headers));
     };
+    call.onSkippedResponse = [this](unsigned status) {
+        record(LogLevel::Info, "answer_skipped", { { "status", status } });
+    };
 }
 
 auto ModelRequest::remainingMs() const -> std::int64_t
--- a/src/PlainCallInfo.h
+++ b/src/PlainCallInfo.h
@@ -26,6 +26,8 @@
     /// Asked before the call is sent again because a reused connection had closed. A call that is sent
     /// again takes a retry from the budget, and a call from the limit that the server names.
     std::function<bool(const BackendServer&)> mayResend = [](const BackendServer&) { return false; };
+    /// Receives the server and status of a response that belongs to another call and was skipped.
+    std::function<void(const BackendServer&, unsigned)> onSkippedResponse = [](const BackendServer&, unsigned) {};
 };
 
 }
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -101,6 +101,7 @@
         const std::lock_guard guard(m_lock);
         m_budget.recordRequest();
     }
+    call.onSkippedResponse = [this, &call](const BackendServer& server, unsigned status) { record(LogLevel::Info, call, "answer_skipped", { { "backend", server.id }, { "status", status } }); };
     call.mayResend = [this, &call](const BackendServer& server) { return tryConsumeResend(call, server); };
     if (call.kind.repeatable || !call.kind.recorded)
         co_await serveUnrecorded(exchange, call);
