Test that an error answer of the next engine stays out of a stream

Operators of systems like ours found the text of an error, or its head, inside a caller's stream.

RepeatedRefusalTest checks the log lines of attempt_failed and answer_skipped, too.

--- a/test/correctness/RepeatedRefusalTest.cpp
+++ b/test/correctness/RepeatedRefusalTest.cpp
@@ -1,6 +1,7 @@
 #include "../RawBackend.h"
 #include "../RouterFixture.h"
 
+#include <algorithm>
 #include <map>
 
 using namespace jayhold;
@@ -82,6 +83,18 @@
     return rawResponse(200, idField(request) + seal + "Content-Type: text/event-stream\r\n", streamText(1, 2));
 }
 
+/// @return the value of a field in the first event with a name; empty if there is none.
+auto logged(RouterFixture& fixture, std::string_view name, std::string_view key) -> std::string
+{
+    constexpr std::size_t maxEvents = 1'000;
+    for (const auto& event : fixture.router->log().after(0, maxEvents)) {
+        const auto field = std::ranges::find(event.fields, key, &LogField::key);
+        if (event.event == name && field != event.fields.end())
+            return field->value;
+    }
+    return {};
+}
+
 auto isDecode(const RawRequest& request) -> bool
 {
     return !request.target.starts_with("/-/") && request.stage.empty();
@@ -97,8 +110,10 @@
     const auto field = GENERATE(std::string("Not-Executed: 1\r\n"), std::string("Other: 1\r\n"));
     CAPTURE(status, field);
     PlainFixture fixture(2, [&](const RawRequest&) { return RawAnswer { rawResponse(status, field + seal) }; });
+    fixture.router->log().setMinimumLevel(LogLevel::Info);
     CHECK(fixture.post() == 502);
     CHECK(fixture.backend.calls() == 1);
+    CHECK(logged(fixture, "attempt_failed", "detail").ends_with("without the id of the request"));
 }
 
 // Guards against a caller that is told "not run", and against a second run, because of a status without the field
@@ -185,8 +200,11 @@
         const auto [refusal, isFirst] = refusals.emplace(request.connection, refusalOf(request));
         return RawAnswer { isFirst ? refusal->second : refusal->second + (answersNext ? soundAnswer(request) : ""), !isFirst && !answersNext };
     });
+    fixture.router->log().setMinimumLevel(LogLevel::Info);
     CHECK(fixture.post() == 503);
     CHECK(fixture.post() == (answersNext ? 200 : 502));
+    CHECK(logged(fixture, "answer_skipped", "backend") == "raw-1");
+    CHECK(logged(fixture, "answer_skipped", "status") == "503");
     // The connection on which the unexpected answer arrived is not used again, so this is a new one.
     CHECK(fixture.post() == 503);
 }
--- /dev/null
+++ b/test/correctness/StreamErrorTest.cpp
@@ -0,0 +1,144 @@
+#include "../RawBackend.h"
+#include "../RouterFixture.h"
+
+#include <algorithm>
+
+using namespace jayhold;
+using namespace jayhold::test;
+namespace asio = boost::asio;
+
+namespace {
+
+const std::string notExecuted = "Not-Executed: 1\r\n";
+const std::string streamHead = "Server-Seal: s\r\nContent-Type: text/event-stream\r\n";
+
+auto engineEntry(const HttpEndpoint& endpoint, const std::string& phase) -> json::object
+{
+    return { { "service", "llm" }, { "address", toString(endpoint) }, { "zone", "alpine" }, { "state", "ready" }, { "slots", 6 }, { "born", 1'700'000'000'000 }, { "phase", phase } };
+}
+
+/// @return the start of a chunked response, without its last chunk.
+auto chunkedStart(const RawRequest& request, const std::string& fields, const std::string& body) -> std::string
+{
+    auto text = "HTTP/1.1 200 OK\r\n" + idField(request) + fields + "Transfer-Encoding: chunked\r\n\r\n";
+    if (!body.empty()) {
+        char size[32];
+        std::snprintf(size, sizeof(size), "%zx\r\n", body.size());
+        text += size + body + "\r\n";
+    }
+    return text;
+}
+
+auto chunked(const RawRequest& request, const std::string& fields, const std::string& body) -> std::string
+{
+    return chunkedStart(request, fields, body) + "0\r\n\r\n";
+}
+
+struct Received {
+    std::string body;
+    bool isComplete = false;
+};
+
+auto readAll(HttpClient& client, HttpEndpoint endpoint, HttpRequest request) -> asio::awaitable<Received>
+{
+    Received received;
+    const auto stream = co_await client.open(std::move(endpoint), std::move(request), 5s);
+    if (stream.has_error())
+        co_return received;
+    while (true) {
+        const auto chunk = co_await (*stream)->readSome(5s);
+        if (chunk.has_error())
+            co_return received;
+        received.isComplete = chunk->empty();
+        if (chunk->empty())
+            co_return received;
+        received.body += *chunk;
+    }
+}
+
+/// A router with one prefill and two decode engines. The first decode is cut off in its third event, and a test
+/// gives the answers to the later ones.
+struct ResumeFixture : RouterFixture {
+    explicit ResumeFixture(RawBackend::Script later)
+        : backend(threads, [this, answer = std::move(later)](const RawRequest& request) {
+            if (request.target == "/-/hold-take")
+                return RawAnswer { rawResponse(200, "", R"({"hold":"seat"})") };
+            if (request.target.starts_with("/-/"))
+                return RawAnswer { rawResponse(200, "", "{}") };
+            if (!request.stage.empty())
+                return RawAnswer { rawResponse(200, idField(request) + "Server-Seal: s\r\n", R"({"handleId":"h1","tokens":100,"version":1})") };
+            if (++decodes == 1)
+                return RawAnswer { chunkedStart(request, streamHead, streamText(1, 2) + "id: 3\nda"), true };
+            return answer(request);
+        })
+    {
+        for (const auto* id : { "prefill-1", "decode-1", "decode-2" })
+            platform.remove("servers", id);
+        platform.put("servers", "raw-prefill", engineEntry(backend.endpoint(), "prefill"));
+        platform.put("servers", "raw-decode-1", engineEntry(backend.endpoint(), "decode"));
+        platform.put("servers", "raw-decode-2", engineEntry(backend.endpoint(), "decode"));
+        startAndWait();
+    }
+
+    auto receive() -> Received
+    {
+        HttpRequest request { "POST", "/resumed/x", { { "Host", "a.example" }, { "Request-Id", "r" }, { "Deadline-Ms", "1500" }, { "Model", "m" }, { "Token-Counts", "100,200" } }, "prompt" };
+        return runOn(threads, 0, readAll(threads.client(0), router->endpoint(), std::move(request)));
+    }
+
+    std::atomic<int> decodes { 0 };
+    RawBackend backend;
+};
+
+/// @return the number of failed decodes in the log that state the backend server and what was wrong.
+auto failedDecodes(const EventLog& log) -> std::ptrdiff_t
+{
+    const auto states = [](const LoggedEvent& event, std::string_view key) {
+        const auto field = std::ranges::find(event.fields, key, &LogField::key);
+        return field != event.fields.end() && !field->value.empty();
+    };
+    constexpr std::size_t maxEvents = 1'000;
+    const auto events = log.after(0, maxEvents);
+    return std::ranges::count_if(events, [&](const LoggedEvent& event) { return event.event == "decode_failed" && states(event, "backend") && states(event, "detail"); });
+}
+
+auto checkBroken(const RawBackend::Script& later) -> void
+{
+    ResumeFixture fixture(later);
+    fixture.router->log().setMinimumLevel(LogLevel::Info);
+    const auto received = fixture.receive();
+    CHECK(fixture.decodes > 1);
+    CHECK(failedDecodes(fixture.router->log()) > 1);
+    CHECK(received.body == streamText(1, 2));
+    CHECK_FALSE(received.isComplete);
+}
+
+}
+
+// Guards against the text of an error inside a caller's stream, and against a stream that ends as if it were complete.
+TEST_CASE("an error answer of the next engine is not part of the stream")
+{
+    const auto [status, field] = GENERATE(table<int, std::string>({ { 204, "" }, { 302, "" }, { 400, notExecuted }, { 429, notExecuted }, { 500, "" }, { 503, "" }, { 503, notExecuted } }));
+    const auto body = GENERATE(std::string(""), std::string("id: 3\ndata: error\n\n"), std::string("error\n\nid: 3\n\n"));
+    CAPTURE(status, body, field);
+    checkBroken([status = status, field = field, body](const RawRequest& request) { return RawAnswer { rawResponse(status, idField(request) + streamHead + field, status == 204 ? "" : body) }; });
+}
+
+// Guards against a body that is not the engine's in a caller's stream.
+TEST_CASE("a successful answer without a signature is not part of the stream")
+{
+    checkBroken([](const RawRequest& request) { return RawAnswer { chunked(request, "Content-Type: text/event-stream\r\n", streamText(3, 5)) }; });
+}
+
+// Guards against the rest of an event that the first engine began, joined with bytes of the next one.
+TEST_CASE("a cut event is not joined with the bytes of the next engine")
+{
+    checkBroken([](const RawRequest& request) { return RawAnswer { chunked(request, streamHead, "ta: token 3\n\n" + streamText(4, 5)) }; });
+}
+
+// Guards against parts of a head inside a caller's stream.
+TEST_CASE("an answer that breaks off in its head is not part of the stream")
+{
+    const auto head = GENERATE(std::string("HTTP/1.1 200 O"), std::string("HTTP/1.1 200 OK\r\nServer-Seal: s\r\nid: 3\n\n"), std::string("HTTP/1.1 102 Processing\r\n\r\n"), std::string("id: 3\ndata: x\n\n"));
+    checkBroken([=](const RawRequest&) { return RawAnswer { head, true }; });
+}
