--- a/test/correctness/StreamErrorTest.cpp
+++ b/test/correctness/StreamErrorTest.cpp
@@ -130,6 +130,26 @@
     checkBroken([](const RawRequest& request) { return RawAnswer { chunked(request, "Content-Type: text/event-stream\r\n", streamText(3, 5)) }; });
 }
 
+// Guards against the text of an error with status 200 inside a caller's stream.
+TEST_CASE("an answer that is not an event stream is not part of the stream")
+{
+    const auto type = GENERATE(std::string(""), std::string("Content-Type: text/plain\r\n"), std::string("Content-Type: application/json\r\n"));
+    checkBroken([=](const RawRequest& request) { return RawAnswer { chunked(request, "Server-Seal: s\r\n" + type, "id: 3\nerror\n\n") }; });
+}
+
+// Guards against a lost connection that looks like the end of the stream.
+TEST_CASE("an answer without a length does not complete a stream")
+{
+    checkBroken([](const RawRequest& request) { return RawAnswer { "HTTP/1.1 200 OK\r\n" + idField(request) + streamHead + "\r\n" + streamText(3, 4), true }; });
+}
+
+// Guards against the head of a response inside a caller's stream.
+TEST_CASE("a chunk that contains the head of a response is not part of the stream")
+{
+    const auto head = GENERATE(std::string("HTTP/1.1 503 Busy\r\nid: 3\r\n\r\n"), std::string("HTTP/1.1 503 Busy\nid: 3\n\n"), std::string("HTTP/1.1 503 Busy\r\n\r\nid: 3\ndata: x\n\n"));
+    checkBroken([=](const RawRequest& request) { return RawAnswer { chunked(request, streamHead, head) }; });
+}
+
 // Guards against the rest of an event that the first engine began, joined with bytes of the next one.
 TEST_CASE("a cut event is not joined with the bytes of the next engine")
 {
