Don't complete a resumed stream with an empty response or after a gap

Streams that had broken off ended as if they were complete, or with events missing. Cause: the end of the body is the end of the platform's streams, so an empty response of the next engine completed any stream; and ids only have to increase, so a stream could continue anywhere after its last event.

An attempt that resumes a stream has to send an event. Its first new one may be as far from the last one as the earlier events were from each other; if they differ or only one is known, as far as the stride of the service or the largest distance so far. Streams that a caller resumes itself are not checked, because their earlier events are not known here.

On the code before, StreamErrorTest: an empty answer: CHECK_FALSE( received.isComplete ) failed, chunked and with Content-Length: 0 a stream that continues at a later event: events 7 to 9 followed event 2 and the stream was complete

--- a/src/DecodeRelay.cpp
+++ b/src/DecodeRelay.cpp
@@ -21,6 +21,7 @@
     , m_timeouts(timeouts)
     , m_reportIntervalEvents(std::max(reportIntervalTokens / std::max(tokensPerEvent, 1U), 1U))
     , m_sequence(sequence)
+    , m_assumedStep(std::max(tokensPerEvent, 1U))
     , m_lastTokenAt(arrivedAt)
 {
 }
@@ -29,6 +30,9 @@
 {
     auto hasStarted = false;
     auto reportedTokens = tokens();
+    m_isResumed = m_hasSentTokens;
+    m_hasReceivedEvent = false;
+    m_hasContinued = false;
     while (true) {
         const auto timeout = hasStarted ? m_timeouts.stall : m_timeouts.firstToken;
         const auto chunk = co_await stream.readSome(timeout);
@@ -60,7 +64,14 @@
 auto DecodeRelay::processEndOfBody(EventReader& reader) -> ParseResult
 {
     TokenEvent event;
-    return reader.endOfBody(event) == EventReader::Status::Event ? acceptEnd(event) : ParseResult::NeedMore;
+    if (reader.endOfBody(event) != EventReader::Status::Event)
+        return ParseResult::NeedMore;
+    // An empty body doesn't show that the tokens which the caller has are all.
+    if (m_isResumed && !m_hasReceivedEvent) {
+        m_errorDetail = "the resumed response is empty";
+        return ParseResult::Invalid;
+    }
+    return acceptEnd(event);
 }
 
 auto DecodeRelay::acceptEnd(const TokenEvent& event) -> ParseResult
@@ -91,15 +102,37 @@
     }
 }
 
+auto DecodeRelay::continuesResponse(std::uint32_t index) const -> bool
+{
+    const auto isRegular = m_largestStep > 0 && m_smallestStep == m_largestStep;
+    const auto maxStep = isRegular ? m_largestStep : std::max(m_largestStep, m_assumedStep);
+    return index < tokens() || index - tokens() < maxStep;
+}
+
+auto DecodeRelay::recordStep(std::uint32_t step) -> void
+{
+    m_smallestStep = m_smallestStep == 0 ? step : std::min(m_smallestStep, step);
+    m_largestStep = std::max(m_largestStep, step);
+}
+
 auto DecodeRelay::acceptToken(const TokenEvent& event) -> bool
 {
+    m_hasReceivedEvent = true;
+    const auto expected = tokens();
+    if (m_isResumed && !m_hasContinued && !continuesResponse(event.index)) {
+        m_errorDetail = "the resumed response continues with token " + std::to_string(event.index) + " after token " + std::to_string(expected - 1);
+        return false;
+    }
     const auto check = m_sequence.acceptToken(event.index);
     if (check == TokenCheckResult::Duplicate)
         return true;
+    m_hasContinued = true;
     if (check != TokenCheckResult::Next || !m_machine.apply(RequestTransition::TokenSent)) {
         m_errorDetail = "received token " + std::to_string(event.index) + " instead of token " + std::to_string(tokens());
         return false;
     }
+    if (m_hasSentTokens)
+        recordStep(tokens() - expected);
     m_writer.addToken(event.text);
     m_metrics.tokens.fetch_add(1, std::memory_order_relaxed);
     const auto gap = m_now - m_lastTokenAt;
--- a/src/DecodeRelay.h
+++ b/src/DecodeRelay.h
@@ -62,6 +62,10 @@
     auto processEndOfBody(EventReader& reader) -> ParseResult;
     auto acceptEnd(const TokenEvent& event) -> ParseResult;
     auto acceptToken(const TokenEvent& event) -> bool;
+    /// @return whether a resumed response continues after the last token. Indices that only increase don't show a
+    /// gap by themselves, but the steps between the earlier ones do.
+    auto continuesResponse(std::uint32_t index) const -> bool;
+    auto recordStep(std::uint32_t step) -> void;
 
     ResponseWriter& m_writer;
     RequestStateMachine& m_machine;
@@ -71,6 +75,16 @@
     const std::uint32_t m_reportIntervalEvents;
     TokenSequence m_sequence;
     bool m_hasSentTokens = false;
+    /// Whether the caller had tokens of this response before the running attempt.
+    bool m_isResumed = false;
+    /// Whether the running attempt has sent an event, and whether one of them was new.
+    bool m_hasReceivedEvent = false;
+    bool m_hasContinued = false;
+    /// Largest step between two indices until one is known.
+    const std::uint32_t m_assumedStep = 1;
+    /// Differences between consecutive indices of this response; 0 before the second token.
+    std::uint32_t m_smallestStep = 0;
+    std::uint32_t m_largestStep = 0;
     /// Time of the last token; the arrival time of the request before the first token.
     TimePoint m_lastTokenAt;
     TimePoint m_now {};
--- a/test/correctness/StreamErrorTest.cpp
+++ b/test/correctness/StreamErrorTest.cpp
@@ -137,6 +137,19 @@
     checkBroken([=](const RawRequest& request) { return RawAnswer { chunked(request, "Server-Seal: s\r\n" + type, "id: 3\nerror\n\n") }; });
 }
 
+// Guards against a stream that ends as if it were complete because the next engine has sent nothing.
+TEST_CASE("an empty answer does not complete a stream that has broken off")
+{
+    const bool isChunked = GENERATE(true, false);
+    checkBroken([=](const RawRequest& request) { return RawAnswer { isChunked ? chunked(request, streamHead, "") : rawResponse(200, idField(request) + streamHead) }; });
+}
+
+// Guards against a stream in which events are missing.
+TEST_CASE("a stream that continues at a later event is not part of the stream")
+{
+    checkBroken([](const RawRequest& request) { return RawAnswer { chunked(request, streamHead, streamText(7, 9)) }; });
+}
+
 // Guards against a lost connection that looks like the end of the stream.
 TEST_CASE("an answer without a length does not complete a stream")
 {
