Discard interim responses before the final one

A stream broke although the next engine continued it correctly after an interim response (1xx). Cause: the HTTP client took the first header for that of the final response; with status 102 the call failed as an unidentified response. Class: a message accepted as the response that isn't one.

The client discards up to 8 interim responses; more of them, or status 101, are malformed. A connection on which one arrived didn't close while it was idle, so the call isn't sent again.

On the code before, StreamErrorTest, "a stream that the next engine continues is complete": CHECK( received.body == streamText(1, 5) ) and CHECK( received.isComplete ) failed with 102, and with 100 followed by 103; without an interim response they passed.

--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "AwaitToken.h"
 #include "ConnectionPool.h"
 #include "HttpConnection.h"
+#include "HttpStatus.h"
 #include "SocketOptions.h"
 
 #include <boost/beast/http/read.hpp>
@@ -19,6 +20,8 @@
 
 /// Maximum number of late responses to earlier calls that are skipped before the expected one.
 constexpr int maxSkippedResponses = 2;
+/// A response is preceded by few interim ones; more would keep a call waiting for a faulty server.
+constexpr int maxInterimResponses = 8;
 /// A connection that closed while it was idle fails within a round trip. If it fails later, the server has
 /// probably read the call.
 constexpr Duration maxStaleDetectionTime = std::chrono::milliseconds(100);
@@ -67,6 +70,20 @@
     co_return code;
 }
 
+/// Reads the header of the next final response and discards interim ones, which may precede it.
+auto readFinalHeader(Connection& connection, bool hasNoBody) -> asio::awaitable<boost::system::error_code>
+{
+    for (auto interim = 0; interim <= maxInterimResponses; ++interim) {
+        const auto code = co_await readHeader(connection, hasNoBody);
+        if (code || connection.parser->get().result_int() >= statusOk)
+            co_return code;
+        if (connection.parser->get().result() == http::status::switching_protocols)
+            co_return http::error::bad_status;
+        connection.hasAnswered = true;
+    }
+    co_return http::error::bad_status;
+}
+
 /// Reads and discards the body of a late response to an earlier call.
 auto skipBody(Connection& connection) -> asio::awaitable<boost::system::error_code>
 {
@@ -118,7 +135,7 @@
         co_return code;
     const auto hasNoBody = message.method() == http::verb::head;
     for (auto skipped = 0; skipped <= maxSkippedResponses; ++skipped) {
-        code = co_await readHeader(connection, hasNoBody);
+        code = co_await readFinalHeader(connection, hasNoBody);
         if (code)
             co_return code;
         connection.isReusable = connection.isReusable && repeatsCorrelationHeader(connection, options.correlationHeader);
--- a/test/correctness/StreamErrorTest.cpp
+++ b/test/correctness/StreamErrorTest.cpp
@@ -175,3 +175,14 @@
     const auto head = GENERATE(std::string("HTTP/1.1 200 O"), std::string("HTTP/1.1 200 OK\r\nServer-Seal: s\r\nid: 3\n\n"), std::string("HTTP/1.1 102 Processing\r\n\r\n"), std::string("id: 3\ndata: x\n\n"));
     checkBroken([=](const RawRequest&) { return RawAnswer { head, true }; });
 }
+
+// Guards against a stream that breaks although the next engine continues it correctly, also after an interim response.
+TEST_CASE("a stream that the next engine continues is complete")
+{
+    const auto interim = GENERATE(std::string(""), std::string("HTTP/1.1 102 Processing\r\n\r\n"), std::string("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"));
+    CAPTURE(interim);
+    ResumeFixture fixture([=](const RawRequest& request) { return RawAnswer { interim + chunked(request, streamHead, streamText(std::stoi(request.lastEvent) + 1, 5)) }; });
+    const auto received = fixture.receive();
+    CHECK(received.body == streamText(1, 5));
+    CHECK(received.isComplete);
+}
