Test that an error of the next engine stays out of a completion stream

On the native interface, an error answer of the engine that resumes a stream does not reach the caller: free text, the head of a response, id lines, the rest of the event that the first engine had begun, a later token, a wrong count and an empty body. The first run of the test passed, without a change to the code of that interface; it stays as a guard.

--- a/test/correctness/ModelRequestTest.cpp
+++ b/test/correctness/ModelRequestTest.cpp
@@ -126,6 +126,25 @@
     CHECK(text.find("DONE") == std::string::npos);
 }
 
+// Guards against the text of the next engine's error inside a caller's stream, against a cut event that is joined
+// with its bytes, and against a stream that ends as if it were complete. The end is the router's own error event.
+TEST_CASE("an error answer of the next engine is not part of a completion stream")
+{
+    const std::string rest = "ex\":1,\"text\":\"joined\"}\n\n";
+    const auto answer = GENERATE_COPY(std::string(), std::string("HTTP/1.1 503 Busy\r\n\r\noops"), std::string("oops\n\n"), std::string("id: 1\ndata: oops\n\n"), rest, tokenEvent(5, "later"), doneEvent(7));
+    CAPTURE(answer);
+    const DecodeScript truncated { .chunks = { tokenEvent(0, "a") + "data: {\"ind" }, .end = ScriptEnd::Abort };
+    const DecodeScript faulty { .chunks = { answer } };
+    Fixture fixture({ truncated, faulty, faulty, faulty, faulty });
+    const auto text = streamedText(fixture.harness.complete(true).body);
+    CHECK(text.starts_with("a["));
+    CHECK(text.ends_with(" unknown]"));
+    CHECK(text.find("DONE") == std::string::npos);
+    CHECK(text.find("oops") == std::string::npos);
+    CHECK(text.find("later") == std::string::npos);
+    CHECK(text.find("joined") == std::string::npos);
+}
+
 // Guards against a request that waits for 10 s without an attempt: the decision code had started another attempt
 // while the result of the former one waited to be handled, and that start was dropped. It takes an instance that
 // handles the removal of an engine and the loss of its connection in one pass of its event loop, as after a freeze.
