--- a/test/correctness/RepeatedRefusalTest.cpp
+++ b/test/correctness/RepeatedRefusalTest.cpp
@@ -122,7 +122,7 @@
 {
     const auto [status, field] = GENERATE(table<int, std::string>({ { 421, "" }, { 500, notExecuted }, { 502, notExecuted } }));
     CAPTURE(status, field);
-    PlainFixture fixture(2, [&](const RawRequest& request) { return RawAnswer { rawResponse(status, idField(request) + seal + field) }; });
+    PlainFixture fixture(2, [status = status, field = field](const RawRequest& request) { return RawAnswer { rawResponse(status, idField(request) + seal + field) }; });
     const auto answered = fixture.post();
     CHECK(answered >= 500);
     CHECK(answered != 503);
