--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "AwaitToken.h"
 #include "ConnectionPool.h"
 #include "HttpConnection.h"
+#include "HttpStatus.h"
 #include "SocketOptions.h"
 
 #include <boost/beast/http/read.hpp>
@@ -19,6 +20,8 @@
 
 /// Maximum number of late responses to earlier calls that are skipped before the expected one.
 constexpr int maxSkippedResponses = 2;
+/// A response is preceded by few interim ones; more would keep a call waiting for a faulty server.
+constexpr int maxInterimResponses = 8;
 /// A connection that closed while it was idle fails within a round trip. If it fails later, the server has
 /// probably read the call.
 constexpr Duration maxStaleDetectionTime = std::chrono::milliseconds(100);
@@ -67,6 +70,20 @@
     co_return code;
 }
 
+/// Reads the header of the next final response and discards interim ones, which may precede it.
+auto readFinalHeader(Connection& connection, bool hasNoBody) -> asio::awaitable<boost::system::error_code>
+{
+    for (auto interim = 0; interim <= maxInterimResponses; ++interim) {
+        const auto code = co_await readHeader(connection, hasNoBody);
+        if (code || connection.parser->get().result_int() >= statusOk)
+            co_return code;
+        if (connection.parser->get().result() == http::status::switching_protocols)
+            co_return http::error::bad_status;
+        connection.hasAnswered = true;
+    }
+    co_return http::error::bad_status;
+}
+
 /// Reads and discards the body of a late response to an earlier call.
 auto skipBody(Connection& connection) -> asio::awaitable<boost::system::error_code>
 {
@@ -92,19 +109,40 @@
     return !value || *value == correlationHeader->value;
 }
 
+/// @return whether the response certainly belongs to the call, as far as the call has a correlation value.
+auto repeatsCorrelationHeader(const Connection& connection, const std::optional<HttpHeader>& correlationHeader) -> bool
+{
+    return !correlationHeader || findHeader(connection.headers, correlationHeader->name) == correlationHeader->value;
+}
+
+/// @return the hash by which a connection remembers the call.
+auto callHash(const HttpCallOptions& options) -> std::optional<std::size_t>
+{
+    if (!options.correlationHeader)
+        return std::nullopt;
+    return std::hash<std::string> {}(options.correlationHeader->value);
+}
+
 /// Sends the request and reads the header of its response.
 auto exchangeHeaders(Connection& connection, const BeastRequest& message, const HttpCallOptions& options) -> asio::awaitable<boost::system::error_code>
 {
     boost::system::error_code code;
     connection.stream.expires_after(options.timeout);
+    if (const auto call = callHash(options))
+        connection.carriedCalls.insert(*call);
     co_await http::async_write(connection.stream, message, awaitInto(code));
     if (code)
         co_return code;
     const auto hasNoBody = message.method() == http::verb::head;
     for (auto skipped = 0; skipped <= maxSkippedResponses; ++skipped) {
-        code = co_await readHeader(connection, hasNoBody);
-        if (code || matchesCorrelationHeader(connection, options.correlationHeader))
+        code = co_await readFinalHeader(connection, hasNoBody);
+        if (code)
+            co_return code;
+        connection.isReusable = connection.isReusable && repeatsCorrelationHeader(connection, options.correlationHeader);
+        if (matchesCorrelationHeader(connection, options.correlationHeader))
             co_return code;
+        connection.hasAnswered = true;
+        options.onSkippedResponse(connection.parser->get().result_int());
         code = co_await skipBody(connection);
         if (code)
             co_return code;
@@ -120,7 +158,7 @@
 {
     if (code == beast::error::timeout || code == asio::error::operation_aborted || elapsed > maxStaleDetectionTime)
         return false;
-    return !connection.parser || !connection.parser->got_some();
+    return !connection.hasAnswered && (!connection.parser || !connection.parser->got_some());
 }
 
 }
@@ -183,7 +221,7 @@
 {
     const auto message = toBeast(endpoint, std::move(request));
     const ConnectionKey key { endpoint, options.peer };
-    auto connection = options.mayReuse ? m_pool->acquire(key, monotonicNow()) : nullptr;
+    auto connection = options.mayReuse ? m_pool->acquire(key, monotonicNow(), callHash(options)) : nullptr;
     const auto isReused = connection != nullptr;
     if (isReused) {
         const auto sentAt = monotonicNow();
--- /dev/null
+++ b/test/correctness/RepeatedRefusalTest.cpp
@@ -0,0 +1,251 @@
+#include "../RawBackend.h"
+#include "../RouterFixture.h"
+
+#include <algorithm>
+#include <map>
+
+using namespace jayhold;
+using namespace jayhold::test;
+
+namespace {
+
+const std::string notExecuted = "Not-Executed: 1\r\n";
+const std::string seal = "Server-Seal: s\r\n";
+
+auto entryOf(const HttpEndpoint& endpoint, const std::string& service, const std::string& phase) -> json::object
+{
+    json::object entry { { "service", service }, { "address", toString(endpoint) }, { "zone", "alpine" }, { "state", "ready" }, { "slots", 6 }, { "born", 1'700'000'000'000 } };
+    if (!phase.empty())
+        entry["phase"] = phase;
+    return entry;
+}
+
+/// A router whose plain service has a given number of servers, which all send what the script says.
+struct PlainFixture : RouterFixture {
+    explicit PlainFixture(int servers, RawBackend::Script script)
+        : backend(threads, std::move(script))
+    {
+        platform.remove("servers", "plain-1");
+        platform.remove("servers", "plain-2");
+        for (auto server = 1; server <= servers; ++server)
+            platform.put("servers", "raw-" + std::to_string(server), entryOf(backend.endpoint(), "ledger", {}));
+        startAndWait();
+    }
+
+    /// @return the status of the answer to a call that may not be repeated; 0 if there is none.
+    auto post() -> unsigned
+    {
+        const auto response = call("POST", "/post/x");
+        return response.has_value() ? response->status : 0;
+    }
+
+    /// Same, with a given id, or without one if it is empty.
+    auto postAgain(const std::string& id) -> unsigned
+    {
+        HttpRequest request { "POST", "/post/x", { { "Host", "a.example" }, { "Deadline-Ms", "1500" } }, {} };
+        if (!id.empty())
+            request.headers.push_back({ "Request-Id", id });
+        const auto response = runOn(threads, 0, threads.client(0).request(router->endpoint(), std::move(request), 5s));
+        return response.has_value() ? response->status : 0;
+    }
+
+    RawBackend backend;
+};
+
+/// A router whose model service has one engine of each role, which both send what the script says.
+struct ModelFixture : RouterFixture {
+    explicit ModelFixture(RawBackend::Script script)
+        : backend(threads, std::move(script))
+    {
+        for (const auto* id : { "prefill-1", "decode-1", "decode-2" })
+            platform.remove("servers", id);
+        platform.put("servers", "raw-prefill", entryOf(backend.endpoint(), "llm", "prefill"));
+        platform.put("servers", "raw-decode", entryOf(backend.endpoint(), "llm", "decode"));
+        startAndWait();
+    }
+
+    RawBackend backend;
+};
+
+/// Answers a control call or a prefill correctly.
+auto soundControlAnswer(const RawRequest& request) -> std::string
+{
+    if (request.target == "/-/hold-take")
+        return rawResponse(200, "Content-Type: application/json\r\n", R"({"hold":"seat"})");
+    if (request.target.starts_with("/-/"))
+        return rawResponse(200, "", "{}");
+    return rawResponse(200, idField(request) + seal, R"({"handleId":"h1","tokens":100,"version":1})");
+}
+
+/// Answers a decode with two events.
+auto decodeAnswer(const RawRequest& request) -> std::string
+{
+    return rawResponse(200, idField(request) + seal + "Content-Type: text/event-stream\r\n", streamText(1, 2));
+}
+
+/// @return the value of a field in the first event with a name; empty if there is none.
+auto logged(RouterFixture& fixture, std::string_view name, std::string_view key) -> std::string
+{
+    constexpr std::size_t maxEvents = 1'000;
+    for (const auto& event : fixture.router->log().after(0, maxEvents)) {
+        const auto field = std::ranges::find(event.fields, key, &LogField::key);
+        if (event.event == name && field != event.fields.end())
+            return field->value;
+    }
+    return {};
+}
+
+auto isDecode(const RawRequest& request) -> bool
+{
+    return !request.target.starts_with("/-/") && request.stage.empty();
+}
+
+}
+
+// Guards against a caller that is told "not run", and against a second run at another server, because of an
+// answer that does not repeat the id of the request.
+TEST_CASE("an answer to a plain call without its id says nothing about the call")
+{
+    const auto status = GENERATE(200, 400, 421, 429, 500, 503);
+    const auto field = GENERATE(std::string("Not-Executed: 1\r\n"), std::string("Other: 1\r\n"));
+    CAPTURE(status, field);
+    PlainFixture fixture(2, [&](const RawRequest&) { return RawAnswer { rawResponse(status, field + seal) }; });
+    fixture.router->log().setMinimumLevel(LogLevel::Info);
+    CHECK(fixture.post() == 502);
+    CHECK(fixture.backend.calls() == 1);
+    CHECK(logged(fixture, "attempt_failed", "detail").ends_with("without the id of the request"));
+}
+
+// Guards against a caller that is told "not run", and against a second run, because of a status without the field
+// Not-Executed, or of that field with a status that does not allow it.
+TEST_CASE("only Not-Executed with one of its statuses says that a call was not run")
+{
+    const auto [status, field] = GENERATE(table<int, std::string>({ { 421, "" }, { 500, notExecuted }, { 502, notExecuted } }));
+    CAPTURE(status, field);
+    PlainFixture fixture(2, [status = status, field = field](const RawRequest& request) { return RawAnswer { rawResponse(status, idField(request) + seal + field) }; });
+    const auto answered = fixture.post();
+    CHECK(answered >= 500);
+    CHECK(answered != 503);
+    CHECK(fixture.backend.calls() == 1);
+}
+
+// Guards against a request that fails although a full server has rejected it and another one could run it.
+TEST_CASE("a call that a server rejects with its id is sent to another server")
+{
+    const auto status = GENERATE(421, 429, 503);
+    std::atomic<int> calls { 0 };
+    PlainFixture fixture(2, [&](const RawRequest& request) { return RawAnswer { ++calls == 1 ? refusalOf(request, status) : soundAnswer(request) }; });
+    CHECK(fixture.post() == 200);
+    CHECK(calls == 2);
+}
+
+// Guards against a prefill or a decode that counts as not run, or as done, because of an answer without the id of
+// the request.
+TEST_CASE("an answer to a model request without its id says nothing about the request")
+{
+    const auto status = GENERATE(200, 421, 429, 503);
+    CAPTURE(status);
+    ModelFixture fixture([&](const RawRequest& request) {
+        if (!isDecode(request))
+            return RawAnswer { soundControlAnswer(request) };
+        const auto type = std::string("Content-Type: text/event-stream\r\n");
+        return RawAnswer { rawResponse(status, notExecuted + seal + type, "id: 1\ndata: x\n\n") };
+    });
+    const auto response = fixture.streamCall("/once/x");
+    REQUIRE(response.has_value());
+    CHECK(response->status == 502);
+    CHECK(response->body.find("data: x") == std::string::npos);
+}
+
+// Guards against a decode that starts from the result of another request's prefill.
+TEST_CASE("a prefill result without the id of the request is not used")
+{
+    std::atomic<bool> isUsed { false };
+    ModelFixture fixture([&](const RawRequest& request) {
+        isUsed = isUsed || !request.cacheSource.empty();
+        if (request.stage == "prefill")
+            return RawAnswer { rawResponse(200, seal, R"({"handleId":"other","tokens":100,"version":1})") };
+        return RawAnswer { isDecode(request) ? refusalOf(request) : soundControlAnswer(request) };
+    });
+    REQUIRE(fixture.streamCall("/once/x").has_value());
+    CHECK_FALSE(isUsed);
+}
+
+// Guards against a request that uses the reservation of another one: a repeated answer to a control call has no id
+// by which it could be told from the answer to the next one.
+TEST_CASE("a repeated answer to a reservation is not the answer to the next one")
+{
+    std::map<int, std::string> answers;
+    std::vector<std::string> used;
+    ModelFixture fixture([&](const RawRequest& request) {
+        if (isDecode(request))
+            used.push_back(request.cacheHold);
+        if (request.target != "/-/hold-take")
+            return RawAnswer { isDecode(request) ? decodeAnswer(request) : soundControlAnswer(request) };
+        const auto seat = rawResponse(200, "", R"({"hold":"seat-)" + std::to_string(answers.size()) + R"("})");
+        return RawAnswer { answers.emplace(request.connection, seat).first->second };
+    });
+    for (auto call = 0; call < 3; ++call)
+        CHECK(fixture.streamCall("/once/x")->body == streamText(1, 2));
+    CHECK(used == std::vector<std::string> { "seat-0", "seat-1", "seat-2" });
+}
+
+// Guards against a caller that is told "not run" because of an answer to an earlier call, which the server sends
+// again when it gets the next call on the connection.
+TEST_CASE("a repeated refusal is not the answer to the next call")
+{
+    const bool answersNext = GENERATE(true, false);
+    std::map<int, std::string> refusals;
+    PlainFixture fixture(1, [&](const RawRequest& request) {
+        const auto [refusal, isFirst] = refusals.emplace(request.connection, refusalOf(request));
+        return RawAnswer { isFirst ? refusal->second : refusal->second + (answersNext ? soundAnswer(request) : ""), !isFirst && !answersNext };
+    });
+    fixture.router->log().setMinimumLevel(LogLevel::Info);
+    CHECK(fixture.post() == 503);
+    CHECK(fixture.post() == (answersNext ? 200 : 502));
+    CHECK(logged(fixture, "answer_skipped", "backend") == "raw-1");
+    CHECK(logged(fixture, "answer_skipped", "status") == "503");
+    // The connection on which the unexpected answer arrived is not used again, so this is a new one.
+    CHECK(fixture.post() == 503);
+}
+
+// Guards against "not run" for a request that a server runs, because of its refusal of an earlier attempt with the
+// same id.
+TEST_CASE("a repeated refusal of a request with the same id is not the answer to its next attempt")
+{
+    std::map<int, std::string> refusals;
+    PlainFixture fixture(1, [&](const RawRequest& request) {
+        const auto [refusal, isFirst] = refusals.emplace(request.connection, refusalOf(request));
+        return RawAnswer { request.connection == 1 ? refusal->second : soundAnswer(request) };
+    });
+    CHECK(fixture.postAgain("same") == 503);
+    CHECK(fixture.postAgain("same") == 200);
+}
+
+// Guards against "not run" for a call without an id, whose answer has none by which an earlier one could be told
+// from it.
+TEST_CASE("a call without an id is sent on a connection that has carried no other")
+{
+    PlainFixture fixture(1, [](const RawRequest& request) {
+        const auto fields = request.id.empty() ? seal : seal + idField(request);
+        return RawAnswer { request.call > 1 ? rawResponse(503, notExecuted) : rawResponse(200, fields, "ok") };
+    });
+    CHECK(fixture.postAgain("first") == 200);
+    CHECK(fixture.postAgain("") == 200);
+    CHECK(fixture.postAgain("") == 200);
+}
+
+// Guards against "not run" for a call that the router sent twice because a kept connection had closed: the server
+// may have run the first one, and rejected only the second.
+TEST_CASE("a rejection of a call that was sent twice does not say that it was not run")
+{
+    PlainFixture fixture(1, [](const RawRequest& request) {
+        const auto isLost = request.connection == 1 && request.call == 2;
+        return RawAnswer { isLost ? "" : request.connection == 1 ? soundAnswer(request)
+                                                                 : refusalOf(request),
+            isLost };
+    });
+    CHECK(fixture.call("GET", "/read/x")->status == 200);
+    CHECK(fixture.call("GET", "/read/x")->status == 502);
+    CHECK(fixture.backend.calls() >= 2);
+}
