Report why each connection of a caller is closed

A connection of a caller could close without any trace: an exception of a handler was discarded, and a response that was cut looked like one whose caller had left.

Each close now has a reason, counted in jayhold_connections_closed_total. A request that was read and ended without a complete response gets a log line connection_closed, with the text of an exception if one was thrown. The HTTP library reports closes to a function in its settings and does not know the entry library. The exchange moves to files of its own.

--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -1,6 +1,6 @@
 jayhold_library(jayhold_entry
   UNITS AdminApi BackendCallOptions ApiError CallerApi CallerChecks ClusterRecords CompletionFormat
-    CompletionRequest CompletionWriter ConfigurationIndex DecodeRelay EngineClient EngineError EngineMessages
+    CompletionRequest CompletionWriter ConfigurationIndex ConnectionLog DecodeRelay EngineClient EngineError EngineMessages
     EngineMonitor EntryDaemon EntryDaemonDrain EntrySettings ForwardApi ForwardChecks OrphanDetector LatencyHistogram LostOwners
     Metrics ModelRequest ModelRequestLog ModelRequestReservations ModelRequestTasks RequestTimeouts ModelService ModelServiceReplicas ModelServiceTimer NativeProtocols PassThroughReader PassThroughWriter PlainBalancer PlainRoute
     PlainService PlainServiceAttempts PlainServiceLog PromptDigest RequestStateMachine RoleBalancer RouteTable RouterDaemon ServiceTable StatusReport TokenEventReader
--- a/src/EntryDaemon.cpp
+++ b/src/EntryDaemon.cpp
@@ -1,5 +1,6 @@
 #include "EntryDaemon.h"
 
+#include "ConnectionLog.h"
 #include "EntryDaemonState.h"
 #include "Tasks.h"
 
@@ -61,8 +62,12 @@
                 co_await exchange.respond(toResponse(ApiError(503, "starting", "the instance is starting")));
         };
     };
-    peerServer = std::make_unique<HttpServer>(*threads, serverSettings(settings.peerListen, settings), serve(&State::adminApi));
-    callerServer = std::make_unique<HttpServer>(*threads, serverSettings(settings.listen, settings), serve(&State::callerApi));
+    auto peerSettings = serverSettings(settings.peerListen, settings);
+    peerSettings.onConnectionClosed = [this](const ConnectionClose& close) { logConnectionClose(context, close); };
+    peerServer = std::make_unique<HttpServer>(*threads, peerSettings, serve(&State::adminApi));
+    auto callerSettings = serverSettings(settings.listen, settings);
+    callerSettings.onConnectionClosed = [this](const ConnectionClose& close) { recordCallerClose(context, close); };
+    callerServer = std::make_unique<HttpServer>(*threads, callerSettings, serve(&State::callerApi));
 }
 
 auto EntryDaemon::State::createComponents() -> void
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "HttpServer.h"
 
 #include "AwaitToken.h"
+#include "ExceptionText.h"
 #include "HttpServerConnection.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -51,7 +52,11 @@
             co_await timer.async_wait(awaitInto(code));
             continue;
         }
-        asio::co_spawn(context, serveConnection(state->shared, std::move(socket), state->threads.client(index)), asio::detached);
+        auto onEnd = [shared = state->shared](const std::exception_ptr& thrown) {
+            if (thrown)
+                shared->onConnectionClosed({ CloseReason::Exception, nullptr, false, exceptionText(thrown) });
+        };
+        asio::co_spawn(context, serveConnection(state->shared, std::move(socket), state->threads.client(index)), std::move(onEnd));
     }
 }
 
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -4,6 +4,7 @@
 /// requests with a typed JSON error. All other requests go to the handler, which runs in one coroutine
 /// per connection, on the connection's I/O thread.
 
+#include "ConnectionClose.h"
 #include "HttpEndpoint.h"
 #include "HttpExchange.h"
 #include "IoThreads.h"
@@ -30,6 +31,8 @@
     /// A connection on which nothing is acknowledged for this long is closed; zero keeps the system's
     /// defaults.
     Duration tcpUserTimeout {};
+    /// Called for each closed connection on its I/O thread.
+    std::function<void(const ConnectionClose&)> onConnectionClosed = [](const ConnectionClose&) {};
 };
 
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
@@ -46,7 +49,8 @@
     /// @return the bound endpoint, with the port that the system chose if port 0 was requested.
     auto endpoint() const -> HttpEndpoint;
 
-    /// Replaces the limits and timeouts for requests that arrive from now on; the endpoint is ignored.
+    /// Replaces the limits and timeouts for requests that arrive from now on; the endpoint and the
+    /// functions are ignored.
     auto updateLimits(const HttpServerSettings& settings) -> void;
 
     /// Stops accepting connections. Open exchanges are completed, and responses that start from now on
--- a/src/HttpServerConnection.h
+++ b/src/HttpServerConnection.h
@@ -19,11 +19,13 @@
     HttpServerSharedState(const HttpServerSettings& serverSettings, HttpHandler serverHandler)
         : settings(std::make_shared<const HttpServerSettings>(serverSettings))
         , handler(std::move(serverHandler))
+        , onConnectionClosed(serverSettings.onConnectionClosed)
     {
     }
 
     std::atomic<std::shared_ptr<const HttpServerSettings>> settings;
     const HttpHandler handler;
+    const std::function<void(const ConnectionClose&)> onConnectionClosed;
     std::atomic<std::size_t> activeExchanges { 0 };
     std::atomic<bool> isDraining { false };
     std::atomic<bool> closesIdleConnections { false };
--- /dev/null
+++ b/src/HttpServerConnectionState.h
@@ -0,0 +1,31 @@
+#pragma once
+
+/// The socket of one connection of an HttpServer. Private to the HTTP library.
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <functional>
+
+namespace jayhold {
+
+/// Socket state, which outlives the exchange while a wait for the close of the connection is pending.
+struct HttpServerConnectionState {
+    explicit HttpServerConnectionState(boost::asio::ip::tcp::socket socket)
+        : stream(std::move(socket))
+    {
+    }
+
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    /// Called when the caller closes the connection; empty if no exchange has set a callback.
+    std::function<void()> closeCallback;
+    bool isWaitingForClose = false;
+    /// Whether the caller closed the connection during an exchange.
+    bool isClosedByCaller = false;
+    /// Whether the connection waits for the first byte of a request.
+    bool isIdle = false;
+};
+
+}
--- /dev/null
+++ b/src/HttpServerExchange.h
@@ -0,0 +1,57 @@
+#pragma once
+
+/// One exchange on a connection of an HttpServer. Private to the HTTP library.
+
+#include "ConnectionClose.h"
+#include "HttpExchange.h"
+#include "HttpServerConnection.h"
+#include "HttpServerConnectionState.h"
+
+#include <memory>
+#include <optional>
+
+namespace jayhold {
+
+class HttpServerExchange final : public HttpExchange {
+public:
+    HttpServerExchange(HttpServerSharedState& shared, std::shared_ptr<HttpServerConnectionState> connection, HttpClient& client, HttpRequest request, bool keepAlive);
+
+    auto request() const -> const HttpRequest& override { return m_request; }
+    auto hasStarted() const -> bool override { return m_hasStarted; }
+    auto executor() -> boost::asio::any_io_executor override { return m_connection->stream.get_executor(); }
+    auto client() -> HttpClient& override { return m_client; }
+    auto respond(HttpResponse response) -> boost::asio::awaitable<bool> override;
+    auto startStream(unsigned status, std::vector<HttpHeader> headers) -> boost::asio::awaitable<bool> override;
+    auto write(std::string_view bodyPart) -> boost::asio::awaitable<bool> override;
+    auto finishStream() -> boost::asio::awaitable<bool> override;
+    auto abort() -> void override;
+    auto onClose(std::function<void()> callback) -> void override;
+
+    /// @return whether the complete response was handed to the operating system.
+    auto isAnswered() const -> bool { return m_isComplete && !m_failure; }
+
+    /// @return why the connection has to be closed after the handler has ended; nothing if it can be reused.
+    auto closeReason() const -> std::optional<CloseReason>;
+
+    /// @return the error of a failed write, for the log; empty if there was none.
+    auto errorText() const -> const std::string& { return m_errorText; }
+
+private:
+    template <typename Message>
+    auto fillHeader(Message& message, unsigned status, const std::vector<HttpHeader>& headers) -> void;
+    auto startWriteTimeout() -> void;
+    auto recordResult(const boost::system::error_code& code) -> bool;
+
+    HttpServerSharedState& m_shared;
+    std::shared_ptr<HttpServerConnectionState> m_connection;
+    HttpClient& m_client;
+    const HttpRequest m_request;
+    bool m_keepAlive;
+    bool m_isClosedForDrain = false;
+    bool m_hasStarted = false;
+    bool m_isComplete = false;
+    std::optional<CloseReason> m_failure;
+    std::string m_errorText;
+};
+
+}
--- a/src/Metrics.cpp
+++ b/src/Metrics.cpp
@@ -60,6 +60,13 @@
     return escaped;
 }
 
+auto printByReason(std::ostream& output, std::string_view name, std::string_view help, const std::map<std::string, std::uint64_t, std::less<>>& counts) -> void
+{
+    printHeader(output, name, help, "counter");
+    for (const auto& [reason, count] : counts)
+        output << name << "{reason=\"" << escapeLabel(reason) << "\"} " << count << '\n';
+}
+
 auto printHistogram(std::ostream& output, std::string_view name, const std::string& service, const LatencySnapshot& snapshot) -> void
 {
     std::uint64_t cumulative = 0;
@@ -86,11 +93,13 @@
 auto Metrics::countRefusal(std::string_view reason) -> void
 {
     const std::lock_guard guard(m_lock);
-    const auto found = m_refusals.find(reason);
-    if (found == m_refusals.end())
-        m_refusals.emplace(reason, 1);
-    else
-        ++found->second;
+    ++m_refusals[std::string(reason)];
+}
+
+auto Metrics::countClosedConnection(std::string_view reason) -> void
+{
+    const std::lock_guard guard(m_lock);
+    ++m_closedConnections[std::string(reason)];
 }
 
 auto Metrics::print(std::size_t openRequests, std::span<const Sample> samples) const -> std::string
@@ -109,9 +118,8 @@
             output << '{' << sample.label << "=\"" << escapeLabel(sample.labelValue) << "\"}";
         output << ' ' << sample.value << '\n';
     }
-    printHeader(output, "jayhold_refusals_total", "Requests refused, by reason.", "counter");
-    for (const auto& [reason, count] : m_refusals)
-        output << "jayhold_refusals_total{reason=\"" << escapeLabel(reason) << "\"} " << count << '\n';
+    printByReason(output, "jayhold_refusals_total", "Requests refused, by reason.", m_refusals);
+    printByReason(output, "jayhold_connections_closed_total", "Connections of callers that were closed, by reason.", m_closedConnections);
     for (const auto& counter : counters) {
         printHeader(output, counter.name, counter.help, "counter");
         for (const auto& [service, metrics] : m_services)
--- a/src/Metrics.h
+++ b/src/Metrics.h
@@ -35,11 +35,15 @@
     auto print(std::size_t openRequests, std::span<const Sample> samples = {}) const -> std::string;
 
     auto countRefusal(std::string_view reason) -> void;
+    auto countClosedConnection(std::string_view reason) -> void;
 
 private:
+    using Counts = std::map<std::string, std::uint64_t, std::less<>>;
+
     mutable std::mutex m_lock;
     std::map<std::string, std::shared_ptr<ServiceMetrics>, std::less<>> m_services;
-    std::map<std::string, std::uint64_t, std::less<>> m_refusals;
+    Counts m_refusals;
+    Counts m_closedConnections;
 };
 
 }
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -1,6 +1,7 @@
 #include "RouterDaemon.h"
 
 #include "BlockedPartsWriter.h"
+#include "ConnectionLog.h"
 #include "DisabledAtMostOnceRecords.h"
 #include "ForwardApi.h"
 #include "HttpServer.h"
@@ -132,10 +133,12 @@
     {
         const auto& readiness = settings.readinessListen.value_or(settings.peerListen);
         const auto& metrics = settings.metricsListen;
-        callerServer = std::make_unique<HttpServer>(threads, serverSettings(settings.listen, {}), [this](HttpExchange& exchange) { return api.handle(exchange); });
-        readinessServer = std::make_unique<HttpServer>(threads, serverSettings(readiness, {}), [this](HttpExchange& exchange) { return handleReadiness(exchange); });
+        auto callerSettings = serverSettings(settings.listen, {});
+        callerSettings.onConnectionClosed = [this](const ConnectionClose& close) { recordCallerClose(context, close); };
+        callerServer = std::make_unique<HttpServer>(threads, callerSettings, [this](HttpExchange& exchange) { return api.handle(exchange); });
+        readinessServer = std::make_unique<HttpServer>(threads, probeServerSettings(readiness), [this](HttpExchange& exchange) { return handleReadiness(exchange); });
         if (metrics)
-            metricsServer = std::make_unique<HttpServer>(threads, serverSettings(*metrics, {}), [this](HttpExchange& exchange) { return handleMetrics(exchange); });
+            metricsServer = std::make_unique<HttpServer>(threads, probeServerSettings(*metrics), [this](HttpExchange& exchange) { return handleMetrics(exchange); });
         DirectoryCallbacks callbacks {
             .configuration = [this](Configuration configuration) {
                 callerServer->updateLimits(serverSettings(settings.listen, configuration.limits));
@@ -173,6 +176,13 @@
             startRoleBalancer();
     }
 
+    auto probeServerSettings(const HttpEndpoint& endpoint) -> HttpServerSettings
+    {
+        auto server = serverSettings(endpoint, {});
+        server.onConnectionClosed = [this](const ConnectionClose& close) { logConnectionClose(context, close); };
+        return server;
+    }
+
     auto startLoadExchange(const HttpEndpoint& endpoint) -> void
     {
         LoadExchangeCallbacks callbacks {
--- a/src/Tasks.cpp
+++ b/src/Tasks.cpp
@@ -1,5 +1,6 @@
 #include "Tasks.h"
 
+#include "ExceptionText.h"
 #include "Pause.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -10,20 +11,9 @@
 
 namespace {
 
-auto describe(const std::exception_ptr& thrown) -> std::string
-{
-    try {
-        std::rethrow_exception(thrown);
-    } catch (const std::exception& error) {
-        return error.what();
-    } catch (...) {
-        return "not a standard exception";
-    }
-}
-
 auto logException(EventLog& log, std::string_view task, const std::exception_ptr& thrown) -> void
 {
-    log.record(LogLevel::Error, "task_failed", { { "task", task }, { "detail", describe(thrown) } });
+    log.record(LogLevel::Error, "task_failed", { { "task", task }, { "detail", exceptionText(thrown) } });
 }
 
 auto superviseTask(EventLog& log, std::string task, std::function<asio::awaitable<void>()> start, Duration restartDelay) -> asio::awaitable<void>
