Answer requests whose handler or attempt fails with an exception

Callers saw their connection close without an answer when the handler of their request threw, or returned without a response; when the attempt of a model request threw, nobody told the request, which then waited until its time was up.

A handler that fails before its response now gives the caller the response for an unknown outcome: status 500 with "ran":"unknown", and on the platform the status of its adapter. After the response has begun the connection closes before the last chunk, so the response looks truncated. A task of a model request that throws is reported as a failed attempt whose outcome is unknown, and a plain call likewise, which also releases its slot. The task of a model request refers to the exchange, so it is ended before an exception of the request leaves the handler. Exceptions are logged with their text (connection_closed, task_failed).

Looked for elsewhere: detached coroutines of the daemons log exceptions (logTaskFailure, spawnSupervised). EntryHarness takes a backend protocol, so that a test can make an attempt throw; its other tests are unchanged.

--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -111,6 +111,16 @@
     m_state->shared->isDraining = true;
 }
 
+auto HttpServer::endOpenExchanges() -> void
+{
+    m_state->shared->exchanges.wakeAll();
+}
+
+auto HttpServer::endedExchanges() const -> std::size_t
+{
+    return m_state->shared->endedExchanges;
+}
+
 auto HttpServer::activeExchanges() const -> std::size_t
 {
     return m_state->shared->activeExchanges;
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -33,6 +33,11 @@
     Duration tcpUserTimeout {};
     /// Called for each closed connection on its I/O thread.
     std::function<void(const ConnectionClose&)> onConnectionClosed = [](const ConnectionClose&) {};
+    /// Creates the response to a request whose handler fails or is ended before it responds, so that the
+    /// outcome is unknown.
+    std::function<HttpResponse()> unknownOutcomeResponse = [] {
+        return jsonResponse(500, R"({"error":{"type":"internal_error","message":"the request ended without a result","ran":"unknown"}})");
+    };
 };
 
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
@@ -64,9 +69,18 @@
     /// Closes each connection after its next response; new connections are still accepted.
     auto closeAfterResponses() -> void;
 
-    /// @return number of exchanges whose handler is running.
+    /// Ends all exchanges whose handler is running. A response that has begun is aborted, so that its caller
+    /// detects that it is truncated; otherwise the caller gets the response for an unknown outcome. Complete
+    /// responses that are being sent are not affected.
+    auto endOpenExchanges() -> void;
+
+    /// @return number of exchanges that are not answered yet, including requests of which only a part has
+    /// arrived.
     auto activeExchanges() const -> std::size_t;
 
+    /// @return number of exchanges that endOpenExchanges() has ended.
+    auto endedExchanges() const -> std::size_t;
+
 private:
     struct State;
 
--- a/src/HttpServerConnection.cpp
+++ b/src/HttpServerConnection.cpp
@@ -51,20 +51,6 @@
     return { std::string(message.method_string()), std::string(message.target()), copyHeaders(message), std::move(message.body()), false };
 }
 
-/// Counts an exchange for as long as its handler runs.
-struct ActiveExchange {
-    explicit ActiveExchange(std::atomic<std::size_t>& total)
-        : counter(total)
-    {
-        ++counter;
-    }
-    ~ActiveExchange() { --counter; }
-    ActiveExchange(const ActiveExchange&) = delete;
-    auto operator=(const ActiveExchange&) -> ActiveExchange& = delete;
-
-    std::atomic<std::size_t>& counter;
-};
-
 using RequestParser = http::request_parser<http::string_body>;
 
 /// Cancels a read after a timeout but leaves the socket open, so that an error response can still be
@@ -147,6 +133,8 @@
         if (end)
             co_return end;
     }
+    // A request of which a part has arrived is read and answered even if the server is draining.
+    connection->active.emplace(shared.activeExchanges);
     const auto settings = shared.settings.load();
     parser.header_limit(static_cast<std::uint32_t>(settings->maxHeaderBytes));
     parser.body_limit(settings->maxBodyBytes);
@@ -160,27 +148,39 @@
     co_return ReadEnd { requestErrorOf(code) ? CloseReason::RequestError : CloseReason::CallerClosed, code };
 }
 
-/// Registers a connection, so that it can be woken while it waits for a request.
+/// Registers a connection, so that it can be woken while it waits for a request and its exchange can be ended.
 class RegisteredConnection {
 public:
     RegisteredConnection(HttpServerSharedState& shared, const std::shared_ptr<HttpServerConnectionState>& connection)
         : m_shared(shared)
-        , m_key(shared.connections.add([weak = std::weak_ptr(connection), executor = connection->stream.get_executor()] {
+        , m_wakeKey(shared.connections.add([weak = std::weak_ptr(connection), executor = connection->stream.get_executor()] {
             asio::post(executor, [weak] {
                 const auto woken = weak.lock();
                 if (woken && woken->isIdle)
                     woken->stream.cancel();
             });
         }))
+        , m_endKey(shared.exchanges.add([weak = std::weak_ptr(connection), executor = connection->stream.get_executor()] {
+            asio::post(executor, [weak] {
+                const auto ended = weak.lock();
+                if (ended && ended->exchange)
+                    ended->exchange->end();
+            });
+        }))
+    {
+    }
+    ~RegisteredConnection()
     {
+        m_shared.connections.remove(m_wakeKey);
+        m_shared.exchanges.remove(m_endKey);
     }
-    ~RegisteredConnection() { m_shared.connections.remove(m_key); }
     RegisteredConnection(const RegisteredConnection&) = delete;
     auto operator=(const RegisteredConnection&) -> RegisteredConnection& = delete;
 
 private:
     HttpServerSharedState& m_shared;
-    const std::uint64_t m_key;
+    const std::uint64_t m_wakeKey;
+    const std::uint64_t m_endKey;
 };
 
 auto rejectRequest(HttpServerSharedState& shared, const std::shared_ptr<HttpServerConnectionState>& connection, HttpClient& client, const RequestError& requestError) -> asio::awaitable<void>
@@ -189,27 +189,40 @@
     co_await exchange.respond(errorResponse(requestError));
 }
 
+/// Runs the handler.
+/// @return the exception that it threw; null if there is none.
+auto runHandler(HttpServerSharedState& shared, HttpServerConnectionState& connection, HttpServerExchange& exchange) -> asio::awaitable<std::exception_ptr>
+{
+    std::exception_ptr thrown;
+    connection.stream.expires_never();
+    connection.exchange = &exchange;
+    try {
+        co_await shared.handler(exchange);
+    } catch (...) {
+        thrown = std::current_exception();
+    }
+    connection.exchange = nullptr;
+    connection.closeCallback = nullptr;
+    co_return thrown;
+}
+
 /// Runs the handler for one request and reports the close of the connection if it can't be reused.
 /// @return whether the connection can be reused.
 auto serveRequest(HttpServerSharedState& shared, const std::shared_ptr<HttpServerConnectionState>& connection, HttpClient& client, RequestParser& parser) -> asio::awaitable<bool>
 {
     const auto keepAlive = parser.get().keep_alive();
     HttpServerExchange exchange(shared, connection, client, toRequest(parser.get()), keepAlive);
-    std::exception_ptr thrown;
-    {
-        const ActiveExchange active(shared.activeExchanges);
-        connection->stream.expires_never();
-        try {
-            co_await shared.handler(exchange);
-        } catch (...) {
-            thrown = std::current_exception();
-        }
-    }
-    connection->closeCallback = nullptr;
+    const auto thrown = co_await runHandler(shared, *connection, exchange);
     const auto reason = thrown ? CloseReason::Exception : exchange.closeReason();
+    const auto isHandlerAnswer = exchange.isAnswered();
+    const auto hasStarted = exchange.hasStarted();
+    if (reason && !hasStarted && !connection->isClosedByCaller)
+        exchange.respondUnknownOutcome();
+    co_await exchange.awaitEnd();
+    connection->active.reset();
     if (!reason)
         co_return true;
-    shared.onConnectionClosed({ *reason, exchange.isAnswered() ? nullptr : &exchange.request(), exchange.hasStarted(), thrown ? exceptionText(thrown) : exchange.errorText() });
+    shared.onConnectionClosed({ *reason, isHandlerAnswer ? nullptr : &exchange.request(), hasStarted, thrown ? exceptionText(thrown) : exchange.errorText() });
     co_return false;
 }
 
@@ -222,6 +235,7 @@
         if (end) {
             if (const auto requestError = requestErrorOf(end->code))
                 co_await rejectRequest(shared, connection, client, *requestError);
+            connection->active.reset();
             shared.onConnectionClosed({ end->reason, nullptr, false, end->code ? end->code.message() : std::string() });
             co_return;
         }
--- a/src/HttpServerConnection.h
+++ b/src/HttpServerConnection.h
@@ -20,16 +20,22 @@
         : settings(std::make_shared<const HttpServerSettings>(serverSettings))
         , handler(std::move(serverHandler))
         , onConnectionClosed(serverSettings.onConnectionClosed)
+        , unknownOutcomeResponse(serverSettings.unknownOutcomeResponse)
     {
     }
 
     std::atomic<std::shared_ptr<const HttpServerSettings>> settings;
     const HttpHandler handler;
     const std::function<void(const ConnectionClose&)> onConnectionClosed;
+    const std::function<HttpResponse()> unknownOutcomeResponse;
     std::atomic<std::size_t> activeExchanges { 0 };
+    std::atomic<std::size_t> endedExchanges { 0 };
     std::atomic<bool> isDraining { false };
     std::atomic<bool> closesIdleConnections { false };
+    /// Wakes the connections that wait for a request.
     ConnectionRegistry connections;
+    /// Ends the exchanges whose handler is running.
+    ConnectionRegistry exchanges;
 };
 
 /// Serves a connection until it closes.
--- a/src/HttpServerConnectionState.h
+++ b/src/HttpServerConnectionState.h
@@ -2,14 +2,19 @@
 
 /// The socket of one connection of an HttpServer. Private to the HTTP library.
 
+#include "ActiveExchange.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <functional>
+#include <optional>
 
 namespace jayhold {
 
+class HttpServerExchange;
+
 /// Socket state, which outlives the exchange while a wait for the close of the connection is pending.
 struct HttpServerConnectionState {
     explicit HttpServerConnectionState(boost::asio::ip::tcp::socket socket)
@@ -24,6 +29,10 @@
     bool isWaitingForClose = false;
     /// Whether the caller closed the connection during an exchange.
     bool isClosedByCaller = false;
+    /// Counts the connection as active from the first byte of a request until it is answered.
+    std::optional<ActiveExchange> active;
+    /// The exchange whose handler is running; null if there is none.
+    HttpServerExchange* exchange = nullptr;
     /// Whether the connection waits for the first byte of a request.
     bool isIdle = false;
 };
--- a/src/HttpServerExchange.cpp
+++ b/src/HttpServerExchange.cpp
@@ -75,11 +75,14 @@
 
 auto HttpServerExchange::respond(HttpResponse response) -> asio::awaitable<bool>
 {
+    if (m_failure)
+        co_return false;
     http::response<http::string_body> message;
     fillHeader(message, response.status, response.headers);
     message.body() = std::move(response.body);
     message.prepare_payload();
     m_hasStarted = true;
+    m_isFinishing = true;
     boost::system::error_code code;
     startWriteTimeout();
     co_await http::async_write(m_connection->stream, message, awaitInto(code));
@@ -89,6 +92,8 @@
 
 auto HttpServerExchange::startStream(unsigned status, std::vector<HttpHeader> headers) -> asio::awaitable<bool>
 {
+    if (m_failure)
+        co_return false;
     http::response<http::empty_body> message;
     fillHeader(message, status, headers);
     message.chunked(true);
@@ -127,6 +132,7 @@
 {
     if (m_failure)
         co_return false;
+    m_isFinishing = true;
     boost::system::error_code code;
     startWriteTimeout();
     co_await asio::async_write(m_connection->stream, http::make_chunk_last(), awaitInto(code));
@@ -147,6 +153,50 @@
     waitForClose(m_connection);
 }
 
+auto HttpServerExchange::end() -> void
+{
+    if (m_isFinishing || m_failure)
+        return;
+    ++m_shared.endedExchanges;
+    m_failure = CloseReason::Drain;
+    if (m_hasStarted)
+        abort();
+    else
+        respondUnknownOutcome();
+    // The handler may run on for long, but nobody waits for it any more.
+    if (!m_endWritten)
+        m_connection->active.reset();
+}
+
+auto HttpServerExchange::respondUnknownOutcome() -> void
+{
+    if (m_hasStarted || !m_connection->stream.socket().is_open())
+        return;
+    m_failure = m_failure.value_or(CloseReason::Aborted);
+    m_keepAlive = false;
+    auto response = m_shared.unknownOutcomeResponse();
+    const auto message = std::make_shared<http::response<http::string_body>>();
+    fillHeader(*message, response.status, response.headers);
+    message->body() = std::move(response.body);
+    message->prepare_payload();
+    m_hasStarted = true;
+    m_endWritten.emplace(executor(), asio::steady_timer::time_point::max());
+    startWriteTimeout();
+    http::async_write(m_connection->stream, *message, [this, message](boost::system::error_code code, std::size_t) {
+        m_errorText = code ? code.message() : std::string();
+        m_endWritten->cancel();
+        m_isEndWritten = true;
+        m_connection->active.reset();
+    });
+}
+
+auto HttpServerExchange::awaitEnd() -> asio::awaitable<void>
+{
+    boost::system::error_code code;
+    if (m_endWritten && !m_isEndWritten)
+        co_await m_endWritten->async_wait(awaitInto(code));
+}
+
 auto HttpServerExchange::closeReason() const -> std::optional<CloseReason>
 {
     if (!isAnswered() && m_connection->isClosedByCaller)
--- a/src/HttpServerExchange.h
+++ b/src/HttpServerExchange.h
@@ -7,6 +7,8 @@
 #include "HttpServerConnection.h"
 #include "HttpServerConnectionState.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <memory>
 #include <optional>
 
@@ -27,6 +29,17 @@
     auto abort() -> void override;
     auto onClose(std::function<void()> callback) -> void override;
 
+    /// Ends the exchange while its handler runs, as HttpServer::endOpenExchanges() describes. Later responses of
+    /// the handler are discarded.
+    auto end() -> void;
+
+    /// Starts to send the response for an unknown outcome, unless a response has begun or the connection is
+    /// closed.
+    auto respondUnknownOutcome() -> void;
+
+    /// Waits until the response for an unknown outcome is written.
+    auto awaitEnd() -> boost::asio::awaitable<void>;
+
     /// @return whether the complete response was handed to the operating system.
     auto isAnswered() const -> bool { return m_isComplete && !m_failure; }
 
@@ -49,7 +62,12 @@
     bool m_keepAlive;
     bool m_isClosedForDrain = false;
     bool m_hasStarted = false;
+    /// Whether a complete response, or the end of a stream, is being sent or was sent.
+    bool m_isFinishing = false;
     bool m_isComplete = false;
+    /// Exists once the response for an unknown outcome is being sent; cancelled when it is written.
+    std::optional<boost::asio::steady_timer> m_endWritten;
+    bool m_isEndWritten = false;
     std::optional<CloseReason> m_failure;
     std::string m_errorText;
 };
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -104,14 +104,26 @@
     arrival.kind = m_service->kindId(m_info.kindSettings.name);
     m_id = m_service->open(std::move(arrival), self);
     record(LogLevel::Debug, "request_arrived");
-    while (!m_hasEnded) {
-        auto requestEvent = co_await nextEvent();
-        co_await handle(std::move(requestEvent));
+    std::exception_ptr thrown;
+    try {
+        while (!m_hasEnded) {
+            auto requestEvent = co_await nextEvent();
+            co_await handle(std::move(requestEvent));
+        }
+    } catch (...) {
+        thrown = std::current_exception();
+    }
+    // The running attempt refers to the exchange, so it must end before the exception leaves the handler.
+    if (thrown) {
+        m_hasEnded = true;
+        m_service->handleEvent(RequestCancelled { m_id });
     }
     co_await stopTask();
     releasePrefillResult();
     releaseSlot();
     m_service->close(m_id);
+    if (thrown)
+        std::rethrow_exception(thrown);
 }
 
 auto ModelRequest::deliver(const DecisionAction& action) -> void
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -76,6 +76,8 @@
 
     /// Starts the task of an attempt; at most one runs at a time.
     auto spawnTask(boost::asio::awaitable<void> task, bool isPrefill) -> void;
+    /// Reports a task that ended with an exception as a failed attempt whose outcome is unknown.
+    auto failTask(std::uint64_t task, bool isPrefill, const std::exception_ptr& thrown) -> void;
     /// Reports to the shard when the engine of the running attempt sends nothing for longer than its timeout.
     auto watchSilence(TimePoint checkAt) -> void;
     auto checkSilence() -> void;
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -1,6 +1,7 @@
 #include "ModelRequestTasks.h"
 
 #include "AwaitToken.h"
+#include "ExceptionText.h"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -26,15 +27,28 @@
     m_tasks->tokensAtCall = m_relay.tokens();
     m_tasks->isSilenceLogged = false;
     watchSilence(silenceEnd());
-    auto onEnd = [self = shared_from_this()](const std::exception_ptr&) {
+    auto onEnd = [self = shared_from_this(), task = m_tasks->lastTask, isPrefill](const std::exception_ptr& thrown) {
         self->m_tasks->isRunning = false;
         self->m_tasks->silence.cancel();
-        self->m_tasks->stream.reset();
+        if (const auto stream = std::exchange(self->m_tasks->stream, nullptr); stream && thrown)
+            stream->close();
+        if (thrown)
+            self->failTask(task, isPrefill, thrown);
         self->m_tasks->ended.cancel();
     };
     asio::co_spawn(m_tasks->executor, std::move(task), asio::bind_cancellation_slot(m_tasks->interrupt.slot(), std::move(onEnd)));
 }
 
+auto ModelRequest::failTask(std::uint64_t task, bool isPrefill, const std::exception_ptr& thrown) -> void
+{
+    EngineError error { FailureKind::ServerError, exceptionText(thrown) };
+    record(LogLevel::Error, "task_failed", { { "task", isPrefill ? "prefill" : "decode" }, { "detail", error.detail } });
+    if (isPrefill)
+        enqueue(PrefillEnded { task, std::move(error) });
+    else
+        enqueue(DecodeEnded { task, { std::move(error) } });
+}
+
 auto ModelRequest::watchSilence(TimePoint checkAt) -> void
 {
     m_tasks->silence.expires_at(checkAt);
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -68,6 +68,8 @@
     /// Interrupts an attempt whose server is silent if another server can take the call now.
     /// @return whether the silence has to be checked again.
     auto replaceSilentAttempt(const PlainCallInfo& call, CallState& state) -> bool;
+    /// Reports an attempt that ended with an exception as failed with an unknown outcome, and releases its slot.
+    auto failAttempt(const BackendServer& backend, const PlainCallInfo& call, const std::exception_ptr& thrown) -> PlainAttempt;
     /// Classifies a backend server's response and releases its slot.
     auto attemptFromResponse(const BackendServer& backend, const PlainCallInfo& call, HttpResponse response) -> PlainAttempt;
     /// @return whether another attempt may follow.
--- a/src/PlainServiceAttempts.cpp
+++ b/src/PlainServiceAttempts.cpp
@@ -1,5 +1,6 @@
 #include "PlainService.h"
 
+#include "ExceptionText.h"
 #include "RepeatedCheck.h"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -100,8 +101,16 @@
     std::optional<RepeatedCheck> silenceCheck;
     if (isRepeatable)
         silenceCheck.emplace(executor, remainingTime(call) / silenceTimeoutDivisor, silenceCheckInterval, [this, &call, &state] { return replaceSilentAttempt(call, state); });
-    auto result = co_await asio::co_spawn(executor, sendCall(client, backend, call), asio::bind_cancellation_slot(state.interrupt.slot(), asio::use_awaitable));
+    HttpResult<HttpResponse> result = HttpError { HttpErrorKind::ConnectionLost, {} };
+    std::exception_ptr thrown;
+    try {
+        result = co_await asio::co_spawn(executor, sendCall(client, backend, call), asio::bind_cancellation_slot(state.interrupt.slot(), asio::use_awaitable));
+    } catch (...) {
+        thrown = std::current_exception();
+    }
     silenceCheck.reset();
+    if (thrown)
+        co_return failAttempt(backend, call, thrown);
     if (result.has_value()) {
         const auto limit = m_context.backendProtocol.namedLimit(result->headers);
         auto attempt = attemptFromResponse(backend, call, std::move(*result));
@@ -118,6 +127,14 @@
     co_return PlainAttempt { .isNotRun = isNotSent, .reachedBackend = !isNotSent, .hasTimedOut = error.kind == HttpErrorKind::TimedOut, .detail = std::string(jayhold::name(error.kind)) + ": " + error.detail };
 }
 
+auto PlainService::failAttempt(const BackendServer& backend, const PlainCallInfo& call, const std::exception_ptr& thrown) -> PlainAttempt
+{
+    release(backend.id, false);
+    const auto detail = exceptionText(thrown);
+    record(LogLevel::Error, call, "task_failed", { { "task", "plain call" }, { "detail", detail } });
+    return { .detail = "exception: " + detail };
+}
+
 auto PlainService::tryConsumeResend(const PlainCallInfo& call, const BackendServer& server) -> bool
 {
     {
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -134,6 +134,7 @@
         const auto& readiness = settings.readinessListen.value_or(settings.peerListen);
         const auto& metrics = settings.metricsListen;
         auto callerSettings = serverSettings(settings.listen, {});
+        callerSettings.unknownOutcomeResponse = [this] { return context.callerProtocol.refusal(ApiError(500, "internal_error", "the request ended without a result", ExecutionOutcome::Unknown)); };
         callerSettings.onConnectionClosed = [this](const ConnectionClose& close) { recordCallerClose(context, close); };
         callerServer = std::make_unique<HttpServer>(threads, callerSettings, [this](HttpExchange& exchange) { return api.handle(exchange); });
         readinessServer = std::make_unique<HttpServer>(threads, probeServerSettings(readiness), [this](HttpExchange& exchange) { return handleReadiness(exchange); });
--- a/test/EntryHarness.h
+++ b/test/EntryHarness.h
@@ -15,8 +15,9 @@
 
 class EntryHarness {
 public:
-    explicit EntryHarness(AtMostOnceRecords& records)
+    explicit EntryHarness(AtMostOnceRecords& records, const BackendProtocol& backends = nativeBackendProtocol())
         : m_records(records)
+        , m_context { .settings = m_settings, .threads = m_threads, .log = m_log, .backendProtocol = backends }
     {
         m_settings.instance = "entry-1";
         m_settings.availabilityZone = "alpine";
@@ -67,7 +68,7 @@
     EntrySettings m_settings;
     EventLog m_log { "entry-1" };
     IoThreads m_threads { 3 };
-    EntryContext m_context { m_settings, m_threads, m_log };
+    EntryContext m_context;
     ServiceTable m_services { m_context, m_records, [](std::string_view owner, std::string_view) { return owner == "lost"; } };
     CallerApi m_api { m_context, m_services };
     std::vector<BackendServer> m_backends;
--- a/test/correctness/OutcomeLogTest.cpp
+++ b/test/correctness/OutcomeLogTest.cpp
@@ -21,6 +21,23 @@
     co_return EngineError { static_cast<FailureKind>(nextFailure.load()), "as the test wants" };
 }
 
+auto throwingPrefill(HttpClient&, BackendServer, EngineCall, Duration) -> boost::asio::awaitable<EngineResult<PrefillResult>>
+{
+    throw std::runtime_error("a fault of the prefill");
+    co_return EngineError {};
+}
+
+auto immediatePrefill(HttpClient&, BackendServer, EngineCall, Duration) -> boost::asio::awaitable<EngineResult<PrefillResult>>
+{
+    co_return PrefillResult { .handle = "kv", .promptTokens = 5, .ttl = 1s };
+}
+
+auto throwingDecode(HttpClient&, BackendServer, EngineCall, Duration) -> boost::asio::awaitable<EngineResult<std::shared_ptr<HttpStream>>>
+{
+    throw std::runtime_error("a fault of the decode");
+    co_return EngineError {};
+}
+
 /// An entry instance that can deliver a refusal to each request before the request runs.
 struct Instance {
     explicit Instance(const BackendProtocol& backends = nativeBackendProtocol())
@@ -144,3 +161,21 @@
     const auto age = std::stoi(valueOf(instance.lastEvent("request_refused"), "list_age_ms"));
     CHECK((age >= 3'000 && age < 5'000));
 }
+
+// Guards against an attempt that ends with an exception although nobody reports it, so that no other attempt follows,
+// and against such a request that is refused as not run although its decode was sent.
+TEST_CASE("an exception in an attempt is a failure of the attempt whose outcome is unknown")
+{
+    const auto isPrefill = GENERATE(true, false);
+    auto backends = nativeBackendProtocol();
+    backends.prefill = isPrefill ? throwingPrefill : immediatePrefill;
+    backends.decode = throwingDecode;
+    Instance instance(backends);
+    instance.services.updateBackends({ { "prefill-1", { "127.0.0.1", 1 }, "alpine", "prefill" }, { "decode-1", { "127.0.0.1", 1 }, "alpine", "decode" } });
+    const auto response = instance.call();
+    REQUIRE(response.has_value());
+    const auto line = instance.lastEvent(isPrefill ? "prefill_failed" : "decode_failed");
+    CHECK(valueOf(line, "detail") == (isPrefill ? "a fault of the prefill" : "a fault of the decode"));
+    CHECK(valueOf(instance.lastEvent("task_failed"), "task") == (isPrefill ? "prefill" : "decode"));
+    CHECK_THAT(response->body, Catch::Contains(isPrefill ? R"("ran":"no")" : R"("ran":"unknown")"));
+}
--- a/test/correctness/PlainServiceTest.cpp
+++ b/test/correctness/PlainServiceTest.cpp
@@ -188,3 +188,22 @@
     CHECK(get("/healthz").status == 200);
     CHECK(errorOf(fixture.deposit("k")) == "503 draining no");
 }
+
+// Guards against a call that ends without an answer because its attempt throws, against an answer that claims that
+// it did not run, and against a slot of the backend server that is never released.
+TEST_CASE("an exception in an attempt is a failure of the call whose outcome is unknown")
+{
+    auto backends = nativeBackendProtocol();
+    backends.plainCall = [](HttpClient&, BackendServer, const PlainCallInfo&, Duration) -> boost::asio::awaitable<HttpResult<HttpResponse>> {
+        throw std::runtime_error("a fault of the attempt");
+        co_return HttpResponse {};
+    };
+    FakeRecords records;
+    EntryHarness harness { records, backends };
+    harness.addBackend("ledger-1", "ledger", { "127.0.0.1", 1 });
+    const auto answer = harness.call({ "GET", "/services/coop-ledger/items?q=1", {}, {} });
+    REQUIRE(answer.has_value());
+    CHECK(errorOf(*answer) == "503 no_backend unknown");
+    for (const auto& backend : harness.services().plainService("coop-ledger")->backends())
+        CHECK(backend.inFlight == 0);
+}
--- a/test/error/HttpServerErrorTest.cpp
+++ b/test/error/HttpServerErrorTest.cpp
@@ -76,3 +76,34 @@
     });
     threads.stop();
 }
+
+// Guards against a request that was read and gets no answer because its handler throws or returns without one.
+TEST_CASE("a handler that fails before its response gives the caller an error with an unknown outcome")
+{
+    const auto throws = GENERATE(true, false);
+    IoThreads threads(1);
+    HttpServer server(threads, strictSettings(), [throws](HttpExchange&) -> asio::awaitable<void> {
+        if (throws)
+            throw std::runtime_error("a fault of the handler");
+        co_return;
+    });
+    const auto response = sendRaw(server.endpoint(), "GET / HTTP/1.1\r\nHost: a\r\n\r\n", false);
+    CHECK_THAT(response, Catch::StartsWith("HTTP/1.1 500"));
+    CHECK_THAT(response, Catch::Contains(R"("ran":"unknown")"));
+    threads.stop();
+}
+
+// Guards against a response that looks complete although its handler failed.
+TEST_CASE("a handler that fails after its response has begun truncates it")
+{
+    IoThreads threads(1);
+    HttpServer server(threads, strictSettings(), [](HttpExchange& exchange) -> asio::awaitable<void> {
+        co_await exchange.startStream(200, {});
+        co_await exchange.write("part");
+        throw std::runtime_error("a fault of the handler");
+    });
+    const auto response = sendRaw(server.endpoint(), "GET / HTTP/1.1\r\nHost: a\r\n\r\n", false);
+    CHECK_THAT(response, Catch::StartsWith("HTTP/1.1 200") && Catch::Contains("part"));
+    CHECK(response.find("\r\n0\r\n") == std::string::npos);
+    threads.stop();
+}
