Answer or refuse every open request before a drain ends

Cause: the decision code did not know when the instance ends, and the wait for open exchanges counted only running handlers.

DrainStarted now carries the end, which bounds the deadline of each request: one that waits and can't be served by then is refused at once as not run with a retry delay, one that still runs ends with an unknown outcome or a truncated stream. A plain call gets the same bound when it arrives, and one that arrives after it is refused. Requests that are being read count as active. The native daemon still refuses waiting work when a drain begins.

Looked for elsewhere: services that a configuration adds during a drain get the end too. RouterFixture has a member for the drain timeout, with the former value as its default.

--- a/src/Admission.cpp
+++ b/src/Admission.cpp
@@ -51,6 +51,8 @@
         return RefusalReason::NoBackend;
     if (request.arrival.deadline <= context.now)
         return RefusalReason::DeadlineExceeded;
+    if (state.endsAt <= context.now)
+        return RefusalReason::Draining;
     if (isTooLarge(state, request))
         return RefusalReason::TooLarge;
     if (queueIsFull(state, request))
@@ -58,7 +60,7 @@
     if (willMissTarget(context, request))
         moveToOverdue(context, request);
     if (cannotMeetDeadline(context, request))
-        return RefusalReason::Overloaded;
+        return endsBeforeDeadline(state, request) ? RefusalReason::Draining : RefusalReason::Overloaded;
     return std::nullopt;
 }
 
--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -48,6 +48,16 @@
 
 }
 
+auto endOfTime(const ShardState& state, const ActiveRequest& request) -> TimePoint
+{
+    return std::min(request.arrival.deadline, state.endsAt);
+}
+
+auto endsBeforeDeadline(const ShardState& state, const ActiveRequest& request) -> bool
+{
+    return state.endsAt < request.arrival.deadline;
+}
+
 auto latestOnTimeStart(const ShardState& state, const ActiveRequest& request) -> TimePoint
 {
     if (request.subQueue == SubQueue::Resume)
@@ -62,7 +72,7 @@
     const auto useEstimates = canRelyOnEstimates(state);
     const auto firstToken = useEstimates ? timeToFirstToken(state, request) : Duration::zero();
     const auto decode = useEstimates ? Duration(static_cast<Duration::rep>(minRemainingTokens(state, request) * 1e6 / state.rates.tokensPerSecond.value())) : Duration::zero();
-    const auto beforeDeadline = request.arrival.deadline - firstToken - decode;
+    const auto beforeDeadline = endOfTime(state, request) - firstToken - decode;
     const auto callerIdleTimeout = std::chrono::duration_cast<Duration>(kindOf(state, request).callerIdleTimeout);
     if (callerIdleTimeout <= Duration::zero() || request.subQueue == SubQueue::Resume)
         return beforeDeadline;
@@ -104,7 +114,7 @@
 auto refusalInputs(const DecisionContext& context, const ActiveRequest& request) -> RefusalInputs
 {
     const auto wait = request.subQueue == SubQueue::Overdue ? expectedOverdueWait(context) : expectedWait(context, request);
-    return { context.state.queue.size(), wait, request.arrival.deadline - latestStart(context.state, request) };
+    return { context.state.queue.size(), wait, endOfTime(context.state, request) - latestStart(context.state, request) };
 }
 
 auto shouldRetryLater(const DecisionContext& context, const ActiveRequest& request) -> bool
--- a/src/Deadlines.h
+++ b/src/Deadlines.h
@@ -6,6 +6,10 @@
 
 namespace jayhold {
 
+/// @return when the request must have ended: at its deadline, or earlier if the instance ends its requests.
+auto endOfTime(const ShardState& state, const ActiveRequest& request) -> TimePoint;
+/// @return whether the instance ends the request before its deadline.
+auto endsBeforeDeadline(const ShardState& state, const ActiveRequest& request) -> bool;
 /// @return the latest start that can meet the first-token target; TimePoint::max() for interrupted
 /// streams, whose first token has been sent.
 auto latestOnTimeStart(const ShardState& state, const ActiveRequest& request) -> TimePoint;
--- a/src/EntryContext.h
+++ b/src/EntryContext.h
@@ -32,6 +32,8 @@
     /// Whether a list with backend servers has arrived; until then every request would be refused.
     std::atomic<bool> hasBackendList { false };
     std::atomic<std::size_t> openRequests { 0 };
+    /// When a draining instance ends its open requests, in ticks of the monotonic clock.
+    std::atomic<TimePoint::rep> requestsEndAt { TimePoint::max().time_since_epoch().count() };
     /// Logged with decisions: the version of the active configuration, and the time since which the store
     /// has not confirmed the lists, in ticks of the clock, or 0 while it confirms them.
     std::atomic<std::int64_t> configurationVersion { 0 };
@@ -53,6 +55,12 @@
     const BackendProtocol& backendProtocol = nativeBackendProtocol();
 };
 
+/// @return when the instance ends its open requests; the maximum while it is not draining.
+inline auto requestsEndAt(const EntryContext& context) -> TimePoint
+{
+    return TimePoint { TimePoint::duration { context.requestsEndAt.load() } };
+}
+
 /// @return the maximum age of the lists of backend servers and instances; zero while the store confirms
 /// them.
 inline auto listAge(const EntryContext& context) -> Duration
--- a/src/EntryDaemonDrain.cpp
+++ b/src/EntryDaemonDrain.cpp
@@ -1,6 +1,7 @@
 #include "EntryDaemonState.h"
 
 #include "AwaitToken.h"
+#include "DrainTimes.h"
 #include "Tasks.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -41,7 +42,9 @@
     // Connections stay open for refusals and for /readyz, but each response closes its connection.
     callerServer->closeAfterResponses();
     node->startDraining();
-    services->startDraining();
+    const auto endsAt = drainTimes(startedAt, settings.drainTimeout).requestsEndAt;
+    context.requestsEndAt = endsAt.time_since_epoch().count();
+    services->startDraining({ .endsAt = endsAt });
     const auto isComplete = co_await awaitOpenRequests();
     asio::steady_timer timer(threads->context(0));
     const auto handoverDeadline = startedAt + handoverTime;
@@ -56,14 +59,14 @@
 
 auto EntryDaemon::State::awaitOpenRequests() -> asio::awaitable<bool>
 {
-    const auto deadline = monotonicNow() + settings.drainTimeout;
+    const auto times = drainTimes(monotonicNow(), settings.drainTimeout);
     asio::steady_timer timer(threads->context(0));
-    while (callerServer->activeExchanges() > 0) {
-        if (monotonicNow() >= deadline)
-            co_return false;
+    while (callerServer->activeExchanges() > 0 && monotonicNow() < times.exchangesEndAt)
         co_await pause(timer, drainCheckInterval);
-    }
-    co_return true;
+    callerServer->endOpenExchanges();
+    while (callerServer->activeExchanges() > 0 && monotonicNow() < times.exitAt)
+        co_await pause(timer, drainCheckInterval);
+    co_return callerServer->activeExchanges() == 0 && callerServer->endedExchanges() == 0;
 }
 
 auto EntryDaemon::State::watchMembers() -> asio::awaitable<void>
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -101,6 +101,12 @@
         const std::lock_guard guard(m_lock);
         m_budget.recordRequest();
     }
+    const auto endsAt = requestsEndAt(m_context);
+    if (monotonicNow() >= endsAt) {
+        co_await refuse(exchange, call, refusalError(RefusalReason::Draining, ExecutionOutcome::NotRun, jitteredDelay(retryDelay)));
+        co_return;
+    }
+    call.deadline = std::min(call.deadline, endsAt);
     call.mayResend = [this, &call](const BackendServer& server) { return tryConsumeResend(call, server); };
     if (call.kind.repeatable || !call.kind.recorded)
         co_await serveUnrecorded(exchange, call);
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -2,6 +2,7 @@
 
 #include "Admission.h"
 #include "CrashAttribution.h"
+#include "Deadlines.h"
 #include "Estimates.h"
 #include "PromptPartBlocking.h"
 #include "ReplicaHealth.h"
@@ -182,8 +183,8 @@
     if (!request)
         return;
     request->timerAt = TimePoint::max();
-    if (request->arrival.deadline <= context.now) {
-        refuse(context, *request, RefusalReason::DeadlineExceeded);
+    if (endOfTime(context.state, *request) <= context.now) {
+        refuse(context, *request, endsBeforeDeadline(context.state, *request) ? RefusalReason::Draining : RefusalReason::DeadlineExceeded);
         return;
     }
     if (request->phase == RequestPhase::Queued) {
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -136,7 +136,7 @@
 
 auto setTimer(DecisionContext& context, ActiveRequest& request) -> void
 {
-    auto time = request.arrival.deadline;
+    auto time = endOfTime(context.state, request);
     if (request.phase == RequestPhase::Queued)
         time = std::min(time, nextCheck(context, request));
     if (request.phase == RequestPhase::Prefilled)
@@ -173,7 +173,7 @@
         queue.push(queueEntry(request), customerWeight(context.state, request));
     }
     if (cannotMeetDeadline(context, request))
-        refuse(context, request, RefusalReason::Overloaded);
+        refuse(context, request, endsBeforeDeadline(context.state, request) ? RefusalReason::Draining : RefusalReason::Overloaded);
     else
         setTimer(context, request);
 }
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -3,6 +3,7 @@
 #include "BlockedPartsWriter.h"
 #include "ConnectionLog.h"
 #include "DisabledAtMostOnceRecords.h"
+#include "DrainTimes.h"
 #include "ForwardApi.h"
 #include "HttpServer.h"
 #include "LoadExchange.h"
@@ -307,19 +308,25 @@
     /// until its probes fail and callers reuse their connections until a response closes them.
     auto drain() -> asio::awaitable<void>
     {
-        const auto startedAt = monotonicNow();
+        const auto times = drainTimes(monotonicNow(), settings.drainTimeout - settings.drainTimeout / drainReserveDivisor);
+        context.requestsEndAt = times.requestsEndAt.time_since_epoch().count();
+        services.startDraining({ .endsAt = times.requestsEndAt, .refusesNewRequests = false });
         callerServer->closeAfterResponses();
         co_await pause(settings.deregistrationDelay);
         // Requests accepted later might not finish in time. Callers can resend a request that was not
         // read.
         callerServer->stopAccepting();
         callerServer->closeIdleConnections();
-        const auto deadline = startedAt + settings.drainTimeout - settings.drainTimeout / drainReserveDivisor;
-        while (callerServer->activeExchanges() > 0 && monotonicNow() < deadline)
+        while (callerServer->activeExchanges() > 0 && monotonicNow() < times.exchangesEndAt)
+            co_await pause(drainCheckInterval);
+        callerServer->endOpenExchanges();
+        while (callerServer->activeExchanges() > 0 && monotonicNow() < times.exitAt)
             co_await pause(drainCheckInterval);
         const auto remaining = callerServer->activeExchanges();
-        log.record(LogLevel::Info, "drained", { { "complete", remaining == 0 }, { "open_requests", remaining } });
-        onDrainedCallback(remaining == 0);
+        const auto ended = callerServer->endedExchanges();
+        const auto isComplete = remaining == 0 && ended == 0;
+        log.record(LogLevel::Info, "drained", { { "complete", isComplete }, { "open_requests", remaining }, { "ended_requests", ended } });
+        onDrainedCallback(isComplete);
     }
 
     const EntrySettings settings;
--- a/src/ServiceTable.cpp
+++ b/src/ServiceTable.cpp
@@ -46,6 +46,8 @@
     model.service->updateInstanceCount(m_instanceCount);
     if (const auto blocked = m_blockedParts.find(service.name); blocked != m_blockedParts.end())
         model.service->handleEvent(BlockedPartsListed { blocked->second });
+    if (m_drain)
+        model.service->handleEvent(*m_drain);
     model.service->start();
     m_modelServices.emplace(service.name, std::move(model));
 }
@@ -208,10 +210,12 @@
         plain->updateRates(rates);
 }
 
-auto ServiceTable::startDraining() -> void
+auto ServiceTable::startDraining(const DrainStarted& drain) -> void
 {
-    for (const auto& service : modelServices())
-        service->handleEvent(DrainStarted {});
+    const std::lock_guard guard(m_lock);
+    m_drain = drain;
+    for (const auto& [name, model] : m_modelServices)
+        model.service->handleEvent(drain);
 }
 
 auto ServiceTable::stop() -> void
--- a/src/ServiceTable.h
+++ b/src/ServiceTable.h
@@ -43,8 +43,8 @@
     auto limitReports() const -> std::vector<LimitReport>;
     /// Processes the limits that a peer has observed.
     auto handleLimitReports(std::span<const LimitReport> reports) -> void;
-    /// Makes the shards refuse requests that have not started.
-    auto startDraining() -> void;
+    /// Tells all shards that the instance is draining, also those of services that are added later.
+    auto startDraining(const DrainStarted& drain) -> void;
     auto stop() -> void;
 
     /// @return the index of the active configuration, or null before the first configuration.
@@ -89,6 +89,8 @@
     std::map<std::string, std::vector<ListedPart>> m_blockedParts;
     /// 0 while it is not known.
     std::uint32_t m_instanceCount = 0;
+    /// Empty while the instance is not draining.
+    std::optional<DrainStarted> m_drain;
 };
 
 }
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -29,18 +29,25 @@
         recordPeerCrash(context, event.signature, *replica, event.peerRetriesFirst);
 }
 
-auto handle(DecisionContext& context, const DrainStarted&) -> void
+auto handle(DecisionContext& context, const DrainStarted& event) -> void
 {
     auto& state = context.state;
-    state.draining = true;
-    std::vector<RequestId> waiting;
-    for (const auto& [id, request] : state.requests) {
+    state.draining = state.draining || event.refusesNewRequests;
+    state.endsAt = std::min(state.endsAt, event.endsAt);
+    std::vector<RequestId> open;
+    open.reserve(state.requests.size());
+    for (const auto& [id, request] : state.requests)
+        open.push_back(id);
+    for (const auto id : open) {
+        auto& request = *findRequest(state, id);
         // A request that has been answered in part finishes. Only work that never started is refused.
-        if (request.phase == RequestPhase::Queued && request.attempt == 0)
-            waiting.push_back(id);
+        if (request.phase != RequestPhase::Queued)
+            setTimer(context, request);
+        else if (state.draining && request.attempt == 0)
+            refuse(context, request, RefusalReason::Draining);
+        else
+            checkWaiting(context, request);
     }
-    for (const auto id : waiting)
-        refuse(context, *findRequest(state, id), RefusalReason::Draining);
 }
 
 auto handle(DecisionContext&, const Tick&) -> void
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -85,7 +85,10 @@
     std::multiset<std::uint64_t> prefillCapacities;
     std::multiset<std::uint64_t> decodeCapacities;
     TimePoint scheduledWake = TimePoint::max();
+    /// Whether new requests are refused.
     bool draining = false;
+    /// When the instance ends the open requests.
+    TimePoint endsAt = TimePoint::max();
 };
 
 }
--- a/test/RouterFixture.h
+++ b/test/RouterFixture.h
@@ -99,7 +99,7 @@
     auto start() -> void
     {
         auto settings = routerSettings("entry-1", platform.endpoint());
-        settings.entry.drainTimeout = 3s;
+        settings.entry.drainTimeout = drainTimeout;
         settings.entry.deregistrationDelay = 200ms;
         settings.entry.maxPropagationDelay = 600ms;
         // A budget of this instance alone starts full, so that the first call of a test may be retried.
@@ -157,6 +157,7 @@
     std::optional<RouterDaemon> router;
     int requests = 0;
     bool sharesRetries = false;
+    std::chrono::milliseconds drainTimeout = 3s;
 };
 
 }
--- /dev/null
+++ b/test/correctness/HttpServerDrainTest.cpp
@@ -0,0 +1,118 @@
+#include "../HttpTestServer.h"
+
+#include "AwaitToken.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+using namespace jayhold;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+/// Responds, except that `/hold` and `/hold-stream` run for 1 s first, the latter after a part of its response.
+auto answer(HttpExchange& exchange) -> asio::awaitable<void>
+{
+    const auto target = exchange.request().target;
+    const auto isStream = target == "/hold-stream";
+    if (isStream) {
+        co_await exchange.startStream(200, {});
+        co_await exchange.write("part");
+    }
+    if (target.starts_with("/hold")) {
+        asio::steady_timer timer(exchange.executor(), 1s);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(awaitInto(ignored));
+    }
+    if (isStream)
+        co_await exchange.finishStream();
+    else
+        co_await exchange.respond(jsonResponse(200, "{}"));
+}
+
+struct Fixture {
+    Fixture() = default;
+    ~Fixture() { threads.stop(); }
+    Fixture(const Fixture&) = delete;
+    auto operator=(const Fixture&) -> Fixture& = delete;
+
+    auto connect(const std::string& bytes) -> asio::ip::tcp::socket
+    {
+        asio::ip::tcp::socket socket(context);
+        socket.connect({ asio::ip::make_address(server.endpoint().address), server.endpoint().port });
+        asio::write(socket, asio::buffer(bytes));
+        return socket;
+    }
+
+    auto readAll(asio::ip::tcp::socket& socket) -> std::string
+    {
+        std::string response;
+        boost::system::error_code ignored;
+        asio::read(socket, asio::dynamic_buffer(response), ignored);
+        return response;
+    }
+
+    auto waitForActive(std::size_t count) -> bool
+    {
+        const auto end = monotonicNow() + 500ms;
+        while (server.activeExchanges() != count) {
+            if (monotonicNow() > end)
+                return false;
+            std::this_thread::sleep_for(5ms);
+        }
+        return true;
+    }
+
+    asio::io_context context;
+    IoThreads threads { 1 };
+    HttpServer server { threads, {}, answer };
+};
+
+}
+
+// Guards against a process that exits while a request is being read, so that its caller gets no answer.
+TEST_CASE("a request of which a part has arrived is active and is answered during a drain")
+{
+    Fixture fixture;
+    auto socket = fixture.connect("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbo");
+    REQUIRE(fixture.waitForActive(1));
+    fixture.server.stopAccepting();
+    fixture.server.closeIdleConnections();
+    asio::write(socket, asio::buffer("dy", 2));
+    CHECK_THAT(fixture.readAll(socket), Catch::StartsWith("HTTP/1.1 200"));
+    CHECK(fixture.waitForActive(0));
+}
+
+// Guards against a process that exits while a handler runs, so that a request that was read gets no answer.
+TEST_CASE("an open exchange is answered with an unknown outcome when it is ended")
+{
+    Fixture fixture;
+    auto socket = fixture.connect("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(fixture.waitForActive(1));
+    fixture.server.endOpenExchanges();
+    // The handler still runs, but nobody waits for it.
+    CHECK(fixture.waitForActive(0));
+    const auto response = fixture.readAll(socket);
+    CHECK_THAT(response, Catch::StartsWith("HTTP/1.1 500"));
+    CHECK_THAT(response, Catch::Contains(R"("ran":"unknown")") && Catch::Contains("Connection: close"));
+    CHECK(response.find("HTTP/1.1 200") == std::string::npos);
+    CHECK(fixture.server.endedExchanges() == 1);
+}
+
+// Guards against a stream that looks complete although it was ended.
+TEST_CASE("an open stream is truncated when it is ended")
+{
+    Fixture fixture;
+    auto socket = fixture.connect("GET /hold-stream HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(fixture.waitForActive(1));
+    std::this_thread::sleep_for(50ms);
+    fixture.server.endOpenExchanges();
+    CHECK(fixture.waitForActive(0));
+    const auto response = fixture.readAll(socket);
+    CHECK_THAT(response, Catch::Contains("part"));
+    CHECK(response.find("\r\n0\r\n") == std::string::npos);
+}
--- a/test/correctness/PlainServiceTest.cpp
+++ b/test/correctness/PlainServiceTest.cpp
@@ -207,3 +207,16 @@
     for (const auto& backend : harness.services().plainService("coop-ledger")->backends())
         CHECK(backend.inFlight == 0);
 }
+
+// Guards against a call that is sent although its instance ends before the call can be answered.
+TEST_CASE("a call that arrives after the end of a drain is refused as not run")
+{
+    Fixture fixture;
+    FakeService ledger(fixture.threads);
+    fixture.harness.addBackend("ledger-1", "ledger", ledger.endpoint());
+    fixture.harness.context().requestsEndAt = monotonicNow().time_since_epoch().count();
+    const auto refused = fixture.deposit("k");
+    CHECK(errorOf(refused) == "503 draining no");
+    CHECK(findHeader(refused.headers, "Retry-After"));
+    CHECK(ledger.runs() == 0);
+}
--- a/test/correctness/RouterDaemonTest.cpp
+++ b/test/correctness/RouterDaemonTest.cpp
@@ -1,5 +1,7 @@
 #include "../RouterFixture.h"
 
+#include <future>
+
 using namespace jayhold;
 using namespace jayhold::test;
 
@@ -250,3 +252,53 @@
     CHECK(fixture.waitUntil([&] { return isDrained.load(); }));
     CHECK(fixture.call("GET", "/read/x").has_error());
 }
+
+// Guards against a shutdown that ends the process while a call runs, so that its caller gets no answer, and against
+// an answer that claims that the call did not run.
+TEST_CASE("a call that runs at the end of a shutdown is answered with an unknown outcome before the process ends")
+{
+    RouterFixture fixture;
+    fixture.drainTimeout = 1s;
+    fixture.plain1.setTiming(2s, 0s);
+    fixture.plain2.setTiming(2s, 0s);
+    fixture.startAndWait();
+    std::promise<std::pair<bool, TimePoint>> drained;
+    fixture.router->onDrained([&](bool isComplete) { drained.set_value({ isComplete, monotonicNow() }); });
+    std::thread shutdown([&] {
+        std::this_thread::sleep_for(100ms);
+        fixture.router->startDraining();
+    });
+    const auto response = fixture.call("POST", "/post/x");
+    const auto respondedAt = monotonicNow();
+    shutdown.join();
+    REQUIRE(response.has_value());
+    CHECK(response->status == 502);
+    CHECK_THAT(response->body, Catch::Contains(R"("ran":"unknown")"));
+    const auto [isComplete, drainedAt] = drained.get_future().get();
+    CHECK_FALSE(isComplete);
+    CHECK(respondedAt < drainedAt + 20ms);
+}
+
+// Guards against a stream that waits for a slot when the process ends, and gets neither an answer nor a refusal.
+TEST_CASE("a stream that waits for a slot at the end of a shutdown is refused as not run")
+{
+    RouterFixture fixture;
+    fixture.drainTimeout = 1s;
+    // The decode engines don't answer the slot reservation in time, so the prefill does not begin.
+    fixture.decode1.setReservationTime(3s);
+    fixture.decode2.setReservationTime(3s);
+    fixture.startAndWait();
+    std::promise<TimePoint> drained;
+    fixture.router->onDrained([&](bool) { drained.set_value(monotonicNow()); });
+    std::thread shutdown([&] {
+        std::this_thread::sleep_for(100ms);
+        fixture.router->startDraining();
+    });
+    const auto response = fixture.streamCall("/resumed/x");
+    const auto respondedAt = monotonicNow();
+    shutdown.join();
+    REQUIRE(response.has_value());
+    CHECK(response->status == 503);
+    CHECK(findHeader(response->headers, "Retry-After"));
+    CHECK(respondedAt < drained.get_future().get() + 20ms);
+}
