Read the rest of a rejected request before closing its connection

A caller whose request was rejected while it still sent (413, 431, 408, 400) could see a reset connection instead of the response. Cause: the server closed its socket with unread data, which makes the system reset the connection, and a reset can discard a response that the caller has not read.

The server now shuts down its sending side and discards what arrives, until the caller closes or for at most 1 s.

Evidence: the new test against the old code: HttpServerErrorTest.cpp:124 "Broken pipe" == "Success" (while the caller sends the 8 MB body that was rejected). With the change http_test passes, 202 assertions in 22 cases.

Looked for elsewhere: after a handler's response the request was read whole, so only a pipelined request can be unread there.

--- a/src/HttpServerConnection.cpp
+++ b/src/HttpServerConnection.cpp
@@ -11,6 +11,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <array>
+
 namespace jayhold {
 
 namespace asio = boost::asio;
@@ -183,10 +185,26 @@
     const std::uint64_t m_endKey;
 };
 
+/// Closes the sending side and reads what the caller still sends for a bounded time. A socket that is closed with
+/// unread data resets the connection, which can discard the response before the caller has read it.
+auto discardRest(const std::shared_ptr<HttpServerConnectionState>& connection) -> asio::awaitable<void>
+{
+    constexpr Duration maxDiscardTime = std::chrono::seconds(1);
+    boost::system::error_code code;
+    connection->stream.expires_never();
+    connection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, code);
+    const ReadTimer timer(connection, maxDiscardTime);
+    std::array<char, 16U << 10U> discarded {};
+    while (!code && !timer.hasTimedOut())
+        co_await connection->stream.async_read_some(asio::buffer(discarded), awaitInto(code));
+}
+
 auto rejectRequest(HttpServerSharedState& shared, const std::shared_ptr<HttpServerConnectionState>& connection, HttpClient& client, const RequestError& requestError) -> asio::awaitable<void>
 {
     HttpServerExchange exchange(shared, connection, client, {}, false);
     co_await exchange.respond(errorResponse(requestError));
+    connection->active.reset();
+    co_await discardRest(connection);
 }
 
 /// Runs the handler.
--- a/test/error/HttpServerErrorTest.cpp
+++ b/test/error/HttpServerErrorTest.cpp
@@ -107,3 +107,43 @@
     CHECK(response.find("\r\n0\r\n") == std::string::npos);
     threads.stop();
 }
+
+// Guards against an error response that its caller can't read, because the server closed the connection while the
+// rest of the request was still arriving, and so reset it.
+TEST_CASE("the connection of a rejected request is closed without a reset")
+{
+    IoThreads threads(1);
+    HttpServer server(threads, strictSettings(), answerOk);
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({ asio::ip::make_address(server.endpoint().address), server.endpoint().port });
+    constexpr std::size_t bodyBytes = 8U << 20U;
+    boost::system::error_code code;
+    asio::write(socket, asio::buffer("POST / HTTP/1.1\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n"), code);
+    asio::write(socket, asio::buffer(std::string(bodyBytes, 'x')), code);
+    CHECK(code.message() == boost::system::error_code().message());
+    std::string response;
+    asio::read(socket, asio::dynamic_buffer(response), code);
+    CHECK(code == asio::error::eof);
+    CHECK_THAT(response, Catch::StartsWith("HTTP/1.1 413"));
+    threads.stop();
+}
+
+// Guards against a caller that occupies a connection for long by sending on after its request was rejected.
+TEST_CASE("a rejected caller that sends on is disconnected after a bounded time")
+{
+    IoThreads threads(1);
+    HttpServer server(threads, strictSettings(), answerOk);
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({ asio::ip::make_address(server.endpoint().address), server.endpoint().port });
+    boost::system::error_code code;
+    asio::write(socket, asio::buffer(std::string("POST / HTTP/1.1\r\nContent-Length: 1000\r\n\r\n")), code);
+    const auto startedAt = monotonicNow();
+    while (!code && monotonicNow() - startedAt < 5s) {
+        std::this_thread::sleep_for(20ms);
+        asio::write(socket, asio::buffer("x", 1), code);
+    }
+    CHECK(code);
+    threads.stop();
+}
