--- a/test/error/HttpServerErrorTest.cpp
+++ b/test/error/HttpServerErrorTest.cpp
@@ -147,3 +147,13 @@
     CHECK(code);
     threads.stop();
 }
+
+// Guards against a request without an answer because its response can't be serialized.
+TEST_CASE("a response that can't be serialized becomes an error with an unknown outcome")
+{
+    IoThreads threads(1);
+    HttpServer server(threads, strictSettings(), [](HttpExchange& exchange) -> asio::awaitable<void> { co_await exchange.respond(jsonResponse(204, "{}")); });
+    const auto response = sendRaw(server.endpoint(), "GET / HTTP/1.1\r\nHost: a\r\n\r\n", false);
+    CHECK_THAT(response, Catch::StartsWith("HTTP/1.1 500"));
+    threads.stop();
+}
