Release the count of an open exchange before its counter

When the I/O threads end with an exchange open, a pending wait for the close of its connection can keep the connection's state alive longer than the server's shared state, whose counter the state would then decrement. The count is now released with the registration of the connection, while the shared state exists.

--- a/src/HttpServerConnection.cpp
+++ b/src/HttpServerConnection.cpp
@@ -155,6 +155,7 @@
 public:
     RegisteredConnection(HttpServerSharedState& shared, const std::shared_ptr<HttpServerConnectionState>& connection)
         : m_shared(shared)
+        , m_connection(connection)
         , m_wakeKey(shared.connections.add([weak = std::weak_ptr(connection), executor = connection->stream.get_executor()] {
             asio::post(executor, [weak] {
                 const auto woken = weak.lock();
@@ -175,12 +176,15 @@
     {
         m_shared.connections.remove(m_wakeKey);
         m_shared.exchanges.remove(m_endKey);
+        // A pending wait for the close of the connection may outlive the counter.
+        m_connection->active.reset();
     }
     RegisteredConnection(const RegisteredConnection&) = delete;
     auto operator=(const RegisteredConnection&) -> RegisteredConnection& = delete;
 
 private:
     HttpServerSharedState& m_shared;
+    const std::shared_ptr<HttpServerConnectionState> m_connection;
     const std::uint64_t m_wakeKey;
     const std::uint64_t m_endKey;
 };
