--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -51,6 +51,16 @@
 
 }
 
+auto endOfTime(const ShardState& state, const ActiveRequest& request) -> TimePoint
+{
+    return std::min(request.arrival.deadline, state.endsAt);
+}
+
+auto endsBeforeDeadline(const ShardState& state, const ActiveRequest& request) -> bool
+{
+    return state.endsAt < request.arrival.deadline;
+}
+
 auto latestOnTimeStart(const ShardState& state, const ActiveRequest& request) -> TimePoint
 {
     if (request.subQueue == SubQueue::Resume)
@@ -65,7 +75,7 @@
     const auto useEstimates = canRelyOnEstimates(state);
     const auto firstToken = useEstimates ? timeToFirstToken(state, request) : Duration::zero();
     const auto decode = useEstimates ? Duration(static_cast<Duration::rep>(minRemainingTokens(state, request) * 1e6 / state.rates.tokensPerSecond.value())) : Duration::zero();
-    const auto beforeDeadline = request.arrival.deadline - firstToken - decode;
+    const auto beforeDeadline = endOfTime(state, request) - firstToken - decode;
     const auto callerIdleTimeout = std::chrono::duration_cast<Duration>(kindOf(state, request).callerIdleTimeout);
     if (callerIdleTimeout <= Duration::zero() || request.subQueue == SubQueue::Resume)
         return beforeDeadline;
@@ -77,8 +87,8 @@
     const auto callerIdleTimeout = std::chrono::duration_cast<Duration>(kindOf(state, request).callerIdleTimeout);
     const auto hasTokens = request.emitted > 0 || request.phase == RequestPhase::Decoding || request.phase == RequestPhase::Stopping;
     if (callerIdleTimeout <= Duration::zero() || hasTokens)
-        return request.arrival.deadline;
-    return std::min(request.arrival.deadline, request.arrivedAt + callerIdleTimeout - callerIdleTimeout / refusalMarginDivisor);
+        return endOfTime(state, request);
+    return std::min(endOfTime(state, request), request.arrivedAt + callerIdleTimeout - callerIdleTimeout / refusalMarginDivisor);
 }
 
 auto expectedWait(const DecisionContext& context, const ActiveRequest& request) -> Duration
@@ -116,7 +126,7 @@
 auto refusalInputs(const DecisionContext& context, const ActiveRequest& request) -> RefusalInputs
 {
     const auto wait = request.subQueue == SubQueue::Overdue ? expectedOverdueWait(context) : expectedWait(context, request);
-    return { context.state.queue.size(), wait, request.arrival.deadline - latestStart(context.state, request) };
+    return { context.state.queue.size(), wait, endOfTime(context.state, request) - latestStart(context.state, request) };
 }
 
 auto shouldRetryLater(const DecisionContext& context, const ActiveRequest& request) -> bool
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -4,6 +4,7 @@
 /// requests with a typed JSON error. All other requests go to the handler, which runs in one coroutine
 /// per connection, on the connection's I/O thread.
 
+#include "ConnectionClose.h"
 #include "HttpEndpoint.h"
 #include "HttpExchange.h"
 #include "IoThreads.h"
@@ -30,6 +31,13 @@
     /// A connection on which nothing is acknowledged for this long is closed; zero keeps the system's
     /// defaults.
     Duration tcpUserTimeout {};
+    /// Called for each closed connection on its I/O thread.
+    std::function<void(const ConnectionClose&)> onConnectionClosed = [](const ConnectionClose&) {};
+    /// Creates the response to a request whose handler fails or is ended before it responds, so that the
+    /// outcome is unknown.
+    std::function<HttpResponse()> unknownOutcomeResponse = [] {
+        return jsonResponse(500, R"({"error":{"type":"internal_error","message":"the request ended without a result","ran":"unknown"}})");
+    };
 };
 
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
@@ -46,7 +54,8 @@
     /// @return the bound endpoint, with the port that the system chose if port 0 was requested.
     auto endpoint() const -> HttpEndpoint;
 
-    /// Replaces the limits and timeouts for requests that arrive from now on; the endpoint is ignored.
+    /// Replaces the limits and timeouts for requests that arrive from now on; the endpoint and the
+    /// functions are ignored.
     auto updateLimits(const HttpServerSettings& settings) -> void;
 
     /// Stops accepting connections. Open exchanges are completed, and responses that start from now on
@@ -60,9 +69,18 @@
     /// Closes each connection after its next response; new connections are still accepted.
     auto closeAfterResponses() -> void;
 
-    /// @return number of exchanges whose handler is running.
+    /// Ends all exchanges whose handler is running. A response that has begun is aborted, so that its caller
+    /// detects that it is truncated; otherwise the caller gets the response for an unknown outcome. Complete
+    /// responses that are being sent are not affected.
+    auto endOpenExchanges() -> void;
+
+    /// @return number of exchanges that are not answered yet, including requests of which only a part has
+    /// arrived.
     auto activeExchanges() const -> std::size_t;
 
+    /// @return number of exchanges that endOpenExchanges() has ended.
+    auto endedExchanges() const -> std::size_t;
+
 private:
     struct State;
 
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -102,6 +102,12 @@
         m_budget.recordRequest();
     }
     call.onSkippedResponse = [this, &call](const BackendServer& server, unsigned status) { record(LogLevel::Info, call, "answer_skipped", { { "backend", server.id }, { "status", status } }); };
+    const auto endsAt = requestsEndAt(m_context);
+    if (monotonicNow() >= endsAt) {
+        co_await refuse(exchange, call, refusalError(RefusalReason::Draining, ExecutionOutcome::NotRun, jitteredDelay(retryDelay)));
+        co_return;
+    }
+    call.deadline = std::min(call.deadline, endsAt);
     call.mayResend = [this, &call](const BackendServer& server) { return tryConsumeResend(call, server); };
     if (call.kind.repeatable || !call.kind.recorded)
         co_await serveUnrecorded(exchange, call);
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -188,7 +188,8 @@
         return;
     request->timerAt = TimePoint::max();
     if (latestRefusal(context.state, *request) <= context.now) {
-        refuse(context, *request, RefusalReason::DeadlineExceeded);
+        const auto isDraining = endsBeforeDeadline(context.state, *request) && endOfTime(context.state, *request) <= context.now;
+        refuse(context, *request, isDraining ? RefusalReason::Draining : RefusalReason::DeadlineExceeded);
         return;
     }
     if (request->phase == RequestPhase::Queued) {
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -173,7 +173,7 @@
         queue.push(queueEntry(request), customerWeight(context.state, request));
     }
     if (cannotMeetDeadline(context, request))
-        refuse(context, request, RefusalReason::Overloaded);
+        refuse(context, request, endsBeforeDeadline(context.state, request) ? RefusalReason::Draining : RefusalReason::Overloaded);
     else
         setTimer(context, request);
 }
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -1,7 +1,9 @@
 #include "RouterDaemon.h"
 
 #include "BlockedPartsWriter.h"
+#include "ConnectionLog.h"
 #include "DisabledAtMostOnceRecords.h"
+#include "DrainTimes.h"
 #include "ForwardApi.h"
 #include "HttpServer.h"
 #include "LoadExchange.h"
@@ -42,8 +44,9 @@
 constexpr Duration roleChangeTtl = std::chrono::seconds(2);
 constexpr Duration logFlushInterval = std::chrono::milliseconds(200);
 constexpr auto drainCheckInterval = std::chrono::milliseconds(20);
-/// This fraction (1/8) of the drain time is reserved for the exit of the process itself.
-constexpr int drainReserveDivisor = 8;
+/// This fraction (1/16) of the drain time is reserved for the exit of the process itself. Requests then end at 7/8
+/// of it, in the last sixth, in which the platform excuses an end.
+constexpr int drainReserveDivisor = 16;
 /// Operators read the log lines on standard output, and no timeline is served from the ring buffer here.
 constexpr std::size_t eventLogCapacity = 256;
 
@@ -132,10 +135,13 @@
     {
         const auto& readiness = settings.readinessListen.value_or(settings.peerListen);
         const auto& metrics = settings.metricsListen;
-        callerServer = std::make_unique<HttpServer>(threads, serverSettings(settings.listen, {}), [this](HttpExchange& exchange) { return api.handle(exchange); });
-        readinessServer = std::make_unique<HttpServer>(threads, serverSettings(readiness, {}), [this](HttpExchange& exchange) { return handleReadiness(exchange); });
+        auto callerSettings = serverSettings(settings.listen, {});
+        callerSettings.unknownOutcomeResponse = [this] { return context.callerProtocol.refusal(ApiError(500, "internal_error", "the request ended without a result", ExecutionOutcome::Unknown)); };
+        callerSettings.onConnectionClosed = [this](const ConnectionClose& close) { recordCallerClose(context, close); };
+        callerServer = std::make_unique<HttpServer>(threads, callerSettings, [this](HttpExchange& exchange) { return api.handle(exchange); });
+        readinessServer = std::make_unique<HttpServer>(threads, probeServerSettings(readiness), [this](HttpExchange& exchange) { return handleReadiness(exchange); });
         if (metrics)
-            metricsServer = std::make_unique<HttpServer>(threads, serverSettings(*metrics, {}), [this](HttpExchange& exchange) { return handleMetrics(exchange); });
+            metricsServer = std::make_unique<HttpServer>(threads, probeServerSettings(*metrics), [this](HttpExchange& exchange) { return handleMetrics(exchange); });
         DirectoryCallbacks callbacks {
             .configuration = [this](Configuration configuration) {
                 callerServer->updateLimits(serverSettings(settings.listen, configuration.limits));
@@ -174,6 +180,13 @@
             startRoleBalancer();
     }
 
+    auto probeServerSettings(const HttpEndpoint& endpoint) -> HttpServerSettings
+    {
+        auto server = serverSettings(endpoint, {});
+        server.onConnectionClosed = [this](const ConnectionClose& close) { logConnectionClose(context, close); };
+        return server;
+    }
+
     auto startLoadExchange(const HttpEndpoint& endpoint) -> void
     {
         LoadExchangeCallbacks callbacks {
@@ -298,19 +311,25 @@
     /// until its probes fail and callers reuse their connections until a response closes them.
     auto drain() -> asio::awaitable<void>
     {
-        const auto startedAt = monotonicNow();
+        const auto times = drainTimes(monotonicNow(), settings.drainTimeout - settings.drainTimeout / drainReserveDivisor);
+        context.requestsEndAt = times.requestsEndAt.time_since_epoch().count();
+        services.startDraining({ .endsAt = times.requestsEndAt, .refusesNewRequests = false });
         callerServer->closeAfterResponses();
         co_await pause(settings.deregistrationDelay);
         // Requests accepted later might not finish in time. Callers can resend a request that was not
         // read.
         callerServer->stopAccepting();
         callerServer->closeIdleConnections();
-        const auto deadline = startedAt + settings.drainTimeout - settings.drainTimeout / drainReserveDivisor;
-        while (callerServer->activeExchanges() > 0 && monotonicNow() < deadline)
+        while (callerServer->activeExchanges() > 0 && monotonicNow() < times.exchangesEndAt)
+            co_await pause(drainCheckInterval);
+        callerServer->endOpenExchanges();
+        while (callerServer->activeExchanges() > 0 && monotonicNow() < times.exitAt)
             co_await pause(drainCheckInterval);
         const auto remaining = callerServer->activeExchanges();
-        log.record(LogLevel::Info, "drained", { { "complete", remaining == 0 }, { "open_requests", remaining } });
-        onDrainedCallback(remaining == 0);
+        const auto ended = callerServer->endedExchanges();
+        const auto isComplete = remaining == 0 && ended == 0;
+        log.record(LogLevel::Info, "drained", { { "complete", isComplete }, { "open_requests", remaining }, { "ended_requests", ended } });
+        onDrainedCallback(isComplete);
     }
 
     const EntrySettings settings;
--- a/test/error/HttpServerErrorTest.cpp
+++ b/test/error/HttpServerErrorTest.cpp
@@ -76,3 +76,84 @@
     });
     threads.stop();
 }
+
+// Guards against a request that was read and gets no answer because its handler throws or returns without one.
+TEST_CASE("a handler that fails before its response gives the caller an error with an unknown outcome")
+{
+    const auto throws = GENERATE(true, false);
+    IoThreads threads(1);
+    HttpServer server(threads, strictSettings(), [throws](HttpExchange&) -> asio::awaitable<void> {
+        if (throws)
+            throw std::runtime_error("a fault of the handler");
+        co_return;
+    });
+    const auto response = sendRaw(server.endpoint(), "GET / HTTP/1.1\r\nHost: a\r\n\r\n", false);
+    CHECK_THAT(response, Catch::StartsWith("HTTP/1.1 500"));
+    CHECK_THAT(response, Catch::Contains(R"("ran":"unknown")"));
+    threads.stop();
+}
+
+// Guards against a response that looks complete although its handler failed.
+TEST_CASE("a handler that fails after its response has begun truncates it")
+{
+    IoThreads threads(1);
+    HttpServer server(threads, strictSettings(), [](HttpExchange& exchange) -> asio::awaitable<void> {
+        co_await exchange.startStream(200, {});
+        co_await exchange.write("part");
+        throw std::runtime_error("a fault of the handler");
+    });
+    const auto response = sendRaw(server.endpoint(), "GET / HTTP/1.1\r\nHost: a\r\n\r\n", false);
+    CHECK_THAT(response, Catch::StartsWith("HTTP/1.1 200") && Catch::Contains("part"));
+    CHECK(response.find("\r\n0\r\n") == std::string::npos);
+    threads.stop();
+}
+
+// Guards against an error response that its caller can't read, because the server closed the connection while the
+// rest of the request was still arriving, and so reset it.
+TEST_CASE("the connection of a rejected request is closed without a reset")
+{
+    IoThreads threads(1);
+    HttpServer server(threads, strictSettings(), answerOk);
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({ asio::ip::make_address(server.endpoint().address), server.endpoint().port });
+    constexpr std::size_t bodyBytes = 8U << 20U;
+    boost::system::error_code code;
+    asio::write(socket, asio::buffer("POST / HTTP/1.1\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n"), code);
+    asio::write(socket, asio::buffer(std::string(bodyBytes, 'x')), code);
+    CHECK(code.message() == boost::system::error_code().message());
+    std::string response;
+    asio::read(socket, asio::dynamic_buffer(response), code);
+    CHECK(code == asio::error::eof);
+    CHECK_THAT(response, Catch::StartsWith("HTTP/1.1 413"));
+    threads.stop();
+}
+
+// Guards against a caller that occupies a connection for long by sending on after its request was rejected.
+TEST_CASE("a rejected caller that sends on is disconnected after a bounded time")
+{
+    IoThreads threads(1);
+    HttpServer server(threads, strictSettings(), answerOk);
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({ asio::ip::make_address(server.endpoint().address), server.endpoint().port });
+    boost::system::error_code code;
+    asio::write(socket, asio::buffer(std::string("POST / HTTP/1.1\r\nContent-Length: 1000\r\n\r\n")), code);
+    const auto startedAt = monotonicNow();
+    while (!code && monotonicNow() - startedAt < 5s) {
+        std::this_thread::sleep_for(20ms);
+        asio::write(socket, asio::buffer("x", 1), code);
+    }
+    CHECK(code);
+    threads.stop();
+}
+
+// Guards against a request without an answer because its response can't be serialized.
+TEST_CASE("a response that can't be serialized becomes an error with an unknown outcome")
+{
+    IoThreads threads(1);
+    HttpServer server(threads, strictSettings(), [](HttpExchange& exchange) -> asio::awaitable<void> { co_await exchange.respond(jsonResponse(204, "{}")); });
+    const auto response = sendRaw(server.endpoint(), "GET / HTTP/1.1\r\nHost: a\r\n\r\n", false);
+    CHECK_THAT(response, Catch::StartsWith("HTTP/1.1 500"));
+    threads.stop();
+}
