Let the timeout of a call cover its header and its body

A call could last for nearly twice its timeout, because the time for the body started anew after the header; a plain call with all of its time could so outlive its caller.

--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -187,13 +187,13 @@
 
 auto HttpClient::request(HttpEndpoint endpoint, HttpRequest request, HttpCallOptions options) -> asio::awaitable<HttpResult<HttpResponse>>
 {
-    const auto timeout = options.timeout;
+    // The timeout covers the whole call.
+    const auto deadline = monotonicNow() + options.timeout;
     const auto opened = co_await open(std::move(endpoint), std::move(request), std::move(options));
     if (opened.has_error())
         co_return opened.error();
     auto& stream = **opened;
     HttpResponse response { stream.status(), stream.headers(), {} };
-    const auto deadline = monotonicNow() + timeout;
     while (true) {
         const auto remaining = std::max(deadline - monotonicNow(), Duration(1));
         const auto chunk = co_await stream.readSome(remaining);
--- a/test/error/HttpClientErrorTest.cpp
+++ b/test/error/HttpClientErrorTest.cpp
@@ -1,5 +1,7 @@
 #include "../HttpTestServer.h"
 
+#include "Pause.h"
+
 #include "AwaitToken.h"
 
 #include <boost/asio/detached.hpp>
@@ -69,3 +71,20 @@
     CHECK(server.sentBytes() < maxBodyBytes + (16U << 20U));
     threads.stop();
 }
+
+// Guards against a call that lasts for twice its timeout because its header comes late and its body does not.
+TEST_CASE("the timeout of a call covers its header and its body")
+{
+    IoThreads threads { 1 };
+    HttpServer server(threads, {}, [](HttpExchange& exchange) -> boost::asio::awaitable<void> {
+        co_await pause(400ms);
+        co_await exchange.startStream(200, {});
+        co_await pause(1s);
+        exchange.abort();
+    });
+    const auto startedAt = monotonicNow();
+    const auto response = runOn(threads, 0, threads.client(0).request(server.endpoint(), HttpRequest { .target = "/" }, 500ms));
+    CHECK_FALSE(response.has_value());
+    CHECK(monotonicNow() - startedAt < 750ms);
+    threads.stop();
+}
