--- a/src/HttpStream.cpp
+++ b/src/HttpStream.cpp
@@ -84,11 +84,6 @@
     return m_connection->headers;
 }
 
-auto HttpStream::isDelimited() const -> bool
-{
-    return !m_connection->parser->need_eof();
-}
-
 auto HttpStream::localPort() const -> std::uint16_t
 {
     boost::system::error_code code;
--- a/src/HttpStream.h
+++ b/src/HttpStream.h
@@ -27,9 +27,6 @@
     auto status() const -> unsigned;
     auto headers() const -> const std::vector<HttpHeader>&;
 
-    /// @return whether the response states where its body ends. Without that, a lost connection looks like the end.
-    auto isDelimited() const -> bool;
-
     /// @return the local port of the connection, which identifies it.
     auto localPort() const -> std::uint16_t;
 
