Define revisions that order the histories of a restored store

A store that comes back from an older copy gives its revisions out again, so a number says nothing without the history in which it was given out.

--- a/src/StoredObject.h
+++ b/src/StoredObject.h
@@ -13,6 +13,9 @@
     /// 0 if the object does not exist.
     std::int64_t revision = 0;
     boost::json::value value;
+    /// The store's history at the time of the response, also if the object does not exist; 0 if the store names
+    /// none.
+    std::int64_t history = 0;
 };
 
 struct UpdateApplied {
