--- a/test/FakeObjectStore.cpp
+++ b/test/FakeObjectStore.cpp
@@ -77,6 +77,36 @@
     m_compactedRevision = m_revision;
 }
 
+auto FakeObjectStore::saveCopy() -> void
+{
+    const std::lock_guard guard(m_lock);
+    m_copiedObjects = m_objects;
+    m_copiedRevision = m_revision;
+}
+
+auto FakeObjectStore::restore() -> void
+{
+    const std::lock_guard guard(m_lock);
+    m_objects = m_copiedObjects;
+    m_revision = m_copiedRevision;
+    m_compactedRevision = m_copiedRevision;
+    m_history.clear();
+    ++m_era;
+}
+
+auto FakeObjectStore::revision() const -> std::int64_t
+{
+    const std::lock_guard guard(m_lock);
+    return m_revision;
+}
+
+auto FakeObjectStore::respond(HttpExchange& exchange, unsigned status, std::string body) -> asio::awaitable<void>
+{
+    auto response = jsonResponse(status, std::move(body));
+    response.headers.push_back({ "Store-Era", std::to_string(m_era) });
+    co_await exchange.respond(std::move(response));
+}
+
 auto FakeObjectStore::toJson(const Object& object) -> json::object
 {
     return { { "metadata", json::object { { "name", object.name }, { "revision", object.revision } } }, { "spec", object.spec } };
@@ -87,16 +117,16 @@
     ++m_calls;
     const auto& request = exchange.request();
     if (m_isDown) {
-        co_await exchange.respond(jsonResponse(503, "{}"));
+        co_await respond(exchange, 503, "{}");
         co_return;
     }
     if (m_isMalformed) {
-        co_await exchange.respond(jsonResponse(200, R"({"items":[7,{}],"truncated":true,"storeRevision":9})"));
+        co_await respond(exchange, 200, R"({"items":[7,{}],"truncated":true,"storeRevision":9})");
         co_return;
     }
     auto path = std::string_view(request.target).substr(0, request.target.find('?'));
     if (!path.starts_with(objectsPath)) {
-        co_await exchange.respond(jsonResponse(404, "{}"));
+        co_await respond(exchange, 404, "{}");
         co_return;
     }
     path.remove_prefix(objectsPath.size());
@@ -122,7 +152,7 @@
         if (const auto known = m_objects.find({ kind, name }); known != m_objects.end())
             response = toJson(known->second);
     }
-    co_await exchange.respond(jsonResponse(response.empty() ? 404 : 200, json::serialize(response)));
+    co_await respond(exchange, response.empty() ? 404 : 200, json::serialize(response));
 }
 
 auto FakeObjectStore::list(HttpExchange& exchange, const std::string& kind, const std::string& after) -> asio::awaitable<void>
@@ -143,7 +173,7 @@
         }
     }
     const json::object page { { "items", std::move(items) }, { "truncated", isTruncated }, { "storeRevision", revision } };
-    co_await exchange.respond(jsonResponse(200, json::serialize(page)));
+    co_await respond(exchange, 200, json::serialize(page));
 }
 
 auto FakeObjectStore::watch(HttpExchange& exchange, const std::string& kind, std::int64_t revision, Duration wait) -> asio::awaitable<void>
@@ -158,19 +188,19 @@
             const std::lock_guard guard(m_lock);
             current = m_revision;
             // A watch that is pending when the history is discarded gets the error when its wait ends.
-            isGone = revision < m_compactedRevision && (isFirst || monotonicNow() >= end);
+            isGone = (revision < m_compactedRevision && (isFirst || monotonicNow() >= end)) || revision > m_revision;
             for (const auto& object : m_history) {
                 if (object.kind == kind && object.revision > revision)
                     events.push_back(json::object { { "object", toJson(object) }, { "deleted", object.isDeleted } });
             }
         }
         if (isGone) {
-            co_await exchange.respond(jsonResponse(410, "{}"));
+            co_await respond(exchange, 410, "{}");
             co_return;
         }
         if (!events.empty() || monotonicNow() >= end) {
             const json::object body { { "events", std::move(events) }, { "storeRevision", current } };
-            co_await exchange.respond(jsonResponse(200, json::serialize(body)));
+            co_await respond(exchange, 200, json::serialize(body));
             co_return;
         }
         isFirst = false;
@@ -204,7 +234,7 @@
             m_objects[{ kind, name }] = std::move(object);
         }
     }
-    co_await exchange.respond(jsonResponse(status, json::serialize(response)));
+    co_await respond(exchange, status, json::serialize(response));
 }
 
 FakeBackendServer::FakeBackendServer(IoThreads& threads, std::string id, Behaviour behaviour, const HttpEndpoint& listen)
--- a/test/FakeObjectStore.h
+++ b/test/FakeObjectStore.h
@@ -27,6 +27,13 @@
     auto remove(const std::string& kind, const std::string& name) -> void;
     /// Discards the history without notifying pending watches.
     auto compact() -> void;
+    /// Remembers the current state for restore().
+    auto saveCopy() -> void;
+    /// Goes back to the saved copy: later writes are gone, revisions go back and the history is empty. Begins a new
+    /// era.
+    auto restore() -> void;
+    auto era() const -> std::int64_t { return m_era; }
+    auto revision() const -> std::int64_t;
     /// Every call is answered with 503 while the store is down.
     auto setDown(bool isDown) -> void { m_isDown = isDown; }
     /// While set, calls are answered with JSON that contains no valid object.
@@ -42,6 +49,8 @@
         bool isDeleted = false;
     };
 
+    /// Adds the era, which all responses of the store name.
+    auto respond(HttpExchange& exchange, unsigned status, std::string body) -> boost::asio::awaitable<void>;
     auto handle(HttpExchange& exchange) -> boost::asio::awaitable<void>;
     auto readOne(HttpExchange& exchange, const std::string& kind, const std::string& name) -> boost::asio::awaitable<void>;
     auto list(HttpExchange& exchange, const std::string& kind, const std::string& after) -> boost::asio::awaitable<void>;
@@ -54,6 +63,9 @@
     std::vector<Object> m_history;
     std::int64_t m_revision = 1;
     std::int64_t m_compactedRevision = 0;
+    std::map<std::pair<std::string, std::string>, Object> m_copiedObjects;
+    std::int64_t m_copiedRevision = 1;
+    std::atomic<std::int64_t> m_era { 1 };
     std::atomic<bool> m_isDown { false };
     std::atomic<bool> m_isMalformed { false };
     std::atomic<int> m_calls { 0 };
