Restore the store in the soak, and pause backend servers beside a change

In the fault-free phase all backend servers now pause for 1.3 s while a new configuration takes effect: each request that reached one must be answered in its time, and the configuration must be in force everywhere after 2 s. Callers wait for 2.5 s instead of 1.5 s, so that a request outlives the pause.

--- a/test/soak/FaultPlan.h
+++ b/test/soak/FaultPlan.h
@@ -36,6 +36,9 @@
     /// The store discards its history of changes.
     StoreHistoryCompacted,
     NewConfiguration,
+    /// The store goes back to a copy that was made when the fault began. Operators and backend servers write
+    /// their objects again.
+    StoreRestored,
     Count,
 };
 
--- a/test/soak/SoakCallers.h
+++ b/test/soak/SoakCallers.h
@@ -15,6 +15,9 @@
 
 namespace jayhold::soak {
 
+/// Time that callers allow for a response.
+inline constexpr std::chrono::milliseconds callerTimeout { 2'500 };
+
 enum class CallKind {
     /// May run more than once.
     IdempotentGet,
--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -28,6 +28,7 @@
 constexpr std::size_t maxDescriptors = 300;
 constexpr std::uint16_t callerPort = 8'080;
 constexpr std::uint16_t readyPort = 8'081;
+constexpr std::uint16_t metricsPort = 9'464;
 
 auto makeRoute(const std::string& name, const std::string& service, const std::string& kind, int attempts) -> json::object
 {
@@ -125,10 +126,15 @@
 }
 
 auto SoakFleet::putConfiguration() -> void
+{
+    ++m_configurationVersion;
+    writeConfiguration();
+}
+
+auto SoakFleet::writeConfiguration() -> void
 {
     const json::object engine { { "slots", 8 }, { "kvCapacity", 40'000 }, { "kvTokenBytes", 18'432 }, { "linkMbps", 1'000.0 }, { "stride", 11 }, { "kvHoldS", 0.5 }, { "holdMs", 2'000.0 } };
     json::array routes { makeRoute("read", "ledger", "idempotent", 2), makeRoute("post", "ledger", "non_idempotent", 1), makeRoute("resumed", "llm", "streaming", 2), makeRoute("once", "llm", "streaming", 1) };
-    ++m_configurationVersion;
     // Each version has one route more than the previous one.
     for (int extra = 1; extra < m_configurationVersion; ++extra)
         routes.push_back(makeRoute("extra-" + std::to_string(extra), "ledger", "idempotent", 2));
@@ -138,6 +144,35 @@
             { "limits", json::object { { "maxHeaderBytes", 8'192 }, { "maxBodyBytes", 10'000 }, { "headerTimeoutMs", 500 }, { "idleTimeoutMs", 5'000 } } } });
 }
 
+auto SoakFleet::restoreStore() -> void
+{
+    m_store.restore();
+    writeConfiguration();
+    for (std::size_t index = 0; index < m_backends.size(); ++index)
+        registerBackend(index);
+}
+
+auto SoakFleet::pauseBackendsBesideChange(Duration pauseTime) -> void
+{
+    putConfiguration();
+    for (const auto& backend : m_backends)
+        backend.process->signal(SIGSTOP);
+    std::this_thread::sleep_for(pauseTime);
+    for (const auto& backend : m_backends)
+        backend.process->signal(SIGCONT);
+}
+
+auto SoakFleet::findOutdatedEntries() -> std::vector<std::string>
+{
+    const auto expected = "\njayhold_configuration_version " + std::to_string(m_configurationVersion) + "\n";
+    std::vector<std::string> outdated;
+    for (std::size_t index = 0; index < m_entries.size(); ++index) {
+        if (m_client.get({ loopbackAddress(index), metricsPort }, "/metrics").text.find(expected) == std::string::npos)
+            outdated.push_back("edge-" + std::to_string(index));
+    }
+    return outdated;
+}
+
 auto SoakFleet::startLink(const HttpEndpoint& target) -> Link
 {
     Link link;
@@ -294,6 +329,9 @@
     case FaultKind::NewConfiguration:
         putConfiguration();
         break;
+    case FaultKind::StoreRestored:
+        m_store.saveCopy();
+        break;
     default:
         if (fault.kind <= FaultKind::KillAllEntries)
             beginEntryFault(fault);
@@ -314,6 +352,8 @@
         m_store.setDown(false);
     else if (fault.kind == FaultKind::StoreMalformed)
         m_store.setMalformed(false);
+    else if (fault.kind == FaultKind::StoreRestored)
+        restoreStore();
 }
 
 auto SoakFleet::entryEndpoint(std::size_t index) const -> HttpEndpoint
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -49,6 +49,10 @@
     /// @return the error of the shutdown; empty if the process exited with code 0 in time.
     auto restartGracefully(std::size_t index) -> std::string;
     auto markLeaving(std::size_t backend, bool isLeaving) -> void;
+    /// Writes a new configuration and stops all backend servers for a moment while it takes effect.
+    auto pauseBackendsBesideChange(Duration pauseTime) -> void;
+    /// @return the entry instances on which the newest configuration is not in force.
+    auto findOutdatedEntries() -> std::vector<std::string>;
     auto backendName(std::size_t index) const -> const std::string& { return m_backends[index].name; }
 
     /// @return the runs of all backend servers, including killed ones.
@@ -93,6 +97,9 @@
     auto keepOutput(std::unique_ptr<ChildProcess> process, bool isEntry) -> void;
     auto registerBackend(std::size_t index) -> void;
     auto putConfiguration() -> void;
+    auto writeConfiguration() -> void;
+    /// Restores the store; its other writers then write their objects again.
+    auto restoreStore() -> void;
     auto setLinkFaults(std::size_t index, const std::string& faults) -> void;
     auto beginEntryFault(const PlannedFault& fault) -> void;
     auto endEntryFault(const PlannedFault& fault) -> void;
--- a/test/soak/jayhold-soak.cpp
+++ b/test/soak/jayhold-soak.cpp
@@ -20,6 +20,10 @@
 /// Time after the last fault within which all entry instances must be ready again.
 constexpr auto recoveryTime = std::chrono::seconds(8);
 constexpr auto settlingTime = std::chrono::seconds(2);
+/// Time after the store's acknowledgement within which a configuration must be in force everywhere.
+constexpr auto maxPropagationTime = std::chrono::seconds(2);
+/// A sound backend server may fall silent for about this long.
+constexpr auto backendPause = std::chrono::milliseconds(1'300);
 constexpr std::size_t maxViolationsShown = 40;
 
 struct Options {
@@ -70,11 +74,15 @@
     violations.insert(violations.end(), more.begin(), more.end());
 }
 
-/// Marks a backend server as leaving and restarts the entry instances one after the other, without
-/// other faults.
+/// Changes the configuration while the backend servers pause, marks one of them as leaving and restarts the entry
+/// instances one after the other, without other faults.
 auto performPlannedMaintenance(SoakFleet& fleet, const FleetSize& size, FaultFreePeriod& faultFreePeriod, TimePoint& leavingSince, std::vector<Violation>& violations) -> void
 {
     faultFreePeriod.from = monotonicNow();
+    fleet.pauseBackendsBesideChange(backendPause);
+    std::this_thread::sleep_for(maxPropagationTime - backendPause);
+    for (const auto& entry : fleet.findOutdatedEntries())
+        violations.push_back({ "a configuration is in force everywhere in time", "", entry });
     fleet.markLeaving(0, true);
     leavingSince = monotonicNow();
     for (std::size_t index = 0; index < size.entries; ++index) {
