--- a/test/error/OddEntriesTest.cpp
+++ b/test/error/OddEntriesTest.cpp
@@ -2,6 +2,7 @@
 #include "../HttpTestServer.h"
 
 #include "HttpObjectStore.h"
+#include "StoreRevision.h"
 #include "StoredItemText.h"
 
 #include <catch2/catch.hpp>
@@ -74,9 +75,9 @@
     fixture.fake.putText("servers", "b", odd);
     fixture.fake.put("servers", "c", 1);
     fixture.fake.remove("servers", "b");
-    const auto changes = fixture.run(fixture.store.watch(fixture.client, "servers", 1, 100ms));
+    const auto changes = fixture.run(fixture.store.watch(fixture.client, "servers", makeRevision(fixture.fake.era(), 1), 100ms));
     REQUIRE(changes.has_value());
-    CHECK(changes->revision == 5);
+    CHECK(changes->revision == makeRevision(fixture.fake.era(), 5));
     CHECK(changes->unreadable == 1);
     CHECK(changes->unreadableNames == std::vector<std::string> { "b" });
     REQUIRE(changes->changes.size() == 3);
@@ -137,7 +138,7 @@
     fixture.fake.putText("leases", "a", nested(500'000));
     const auto current = fixture.run(fixture.store.read(fixture.client, "leases", "a"));
     REQUIRE(current.has_value());
-    CHECK(current->revision == 2);
+    CHECK(current->revision == makeRevision(fixture.fake.era(), 2));
     CHECK_FALSE(current->value.is_object());
     CHECK_FALSE(current->value.is_null());
     const auto outcome = fixture.run(fixture.store.update(fixture.client, "leases", "a", "new", current->revision));
@@ -153,7 +154,7 @@
     CHECK(completeItem(readItemText(R"({"metadata":{"name":"a","revision":7},"spec":{"x":1}})"))->revision == 7);
     CHECK(completeItem(readItemText(R"({"metadata":{"name":"a","revision":7}})"))->value.is_null());
     for (const auto* text : { "", "7", "{}", R"({"metadata":7})", R"({"metadata":{"name":7,"revision":7}})", R"({"metadata":{"name":"a"}})", R"({"metadata":{"name":"a","revision":"7"}})",
-             R"({"metadata":{"name":"a","revision":7.5}})", R"({"metadata":{"name":"a","revision":1e30}})", R"({"metadata":{"name":"a","revision":9223372036854775808}})" })
+             R"({"metadata":{"name":"a","revision":7.5}})", R"({"metadata":{"name":"a","revision":1e30}})", R"({"metadata":{"name":"a","revision":9223372036854775808}})", R"({"metadata":{"name":"a","revision":-1}})", R"({"metadata":{"name":"a","revision":1099511627776}})" })
         CHECK_FALSE(completeItem(readItemText(text)));
 }
 
