Keep a leaving server gone when its entry is missing after a restore

A server that was known to leave could get work again: if its entry vanished within two seconds after a restore, it counted as one that may come back, and the copy of a further restore listed it as live. The new test failed before: the stale entry was accepted.

--- a/src/BackendDirectory.cpp
+++ b/src/BackendDirectory.cpp
@@ -92,7 +92,8 @@
     const auto found = directory.entries.find(id);
     if (found == directory.entries.end() || found->second.removedAt)
         return;
-    if (now < directory.reregistrationDeadline)
+    // A server that is known to leave does not register again.
+    if (now < directory.reregistrationDeadline && found->second.server.state == ReplicaState::Live)
         found->second.isMissing = true;
     else
         markRemoved(directory, found->second, now);
--- a/test/correctness/BackendDirectoryTest.cpp
+++ b/test/correctness/BackendDirectoryTest.cpp
@@ -219,3 +219,20 @@
     for (const auto* text : { "", "{}", "[]", R"({"instance":"a","run":"b","sequence":1})", R"({"instance":"a","run":"b","sequence":1,"uses":[["x",1,2]]})", R"({"instance":"a","run":"b","sequence":1,"uses":[["x",-1,2,3]]})" })
         CHECK_FALSE(parseLoadMessage(text));
 }
+
+// Guards against new work for a server that left, after its entry vanished during one restore and came back with the
+// copy of another one.
+TEST_CASE("a server that leaves is gone for good when its entry is missing after a restore")
+{
+    BackendDirectory directory;
+    beginHistory(directory, start, 1);
+    auto leaving = server("leaves", "900");
+    leaving.state = ReplicaState::Leaving;
+    upsert(directory, leaving);
+    beginHistory(directory, start + 1s, 2);
+    remove(directory, start + 2s, "leaves");
+    expire(directory, start + 4s);
+    beginHistory(directory, start + 5s, 3);
+    CHECK_FALSE(upsert(directory, server("leaves", "900")));
+    CHECK(stateOf(directory, "leaves") == ReplicaState::Leaving);
+}
