Report the store as lost when its lists belong to an ended history

An instance whose lists are all older than the latest history it has seen follows nothing, and said so nowhere; as a watcher it went on to serve its zone. Found by the review; no test shows it.

--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -151,7 +151,10 @@
         }
         const auto isList = kindWatch->revision == 0;
         const auto error = co_await watchOnce(*kindWatch);
-        updateConnectionState(*kindWatch, error);
+        if (error && error->kind == StoreErrorKind::HistoryGone && !isList)
+            m_log.record(LogLevel::Info, "store_history_gone", { { "kind", kindWatch->kind } });
+        else
+            updateConnectionState(*kindWatch, error);
         if (error && (isList || error->kind != StoreErrorKind::HistoryGone))
             co_await pause(jitteredDelay(std::max(minRetryDelay, error->retryAfter / 2)));
     }
@@ -215,10 +218,6 @@
 
 auto StoreDirectory::updateConnectionState(KindWatch& kindWatch, const std::optional<StoreError>& error) -> void
 {
-    if (error && error->kind == StoreErrorKind::HistoryGone) {
-        m_log.record(LogLevel::Info, "store_history_gone", { { "kind", kindWatch.kind } });
-        return;
-    }
     if (error)
         storeFailed(m_directory, monotonicNow());
     m_callbacks.onStoreAvailability(m_directory.unavailableSince);
