Let a scheduled read of a list cover later reports

A report that arrives while a read is scheduled for an earlier one raises what the read must reach. Found by the review as a report that could be dropped; the new test passes without the change as well, because the lists of the other kinds notice the history.

--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -127,6 +127,8 @@
         bool isConnected = false;
         /// Whether a list read is scheduled, in case a change reported by a peer does not arrive otherwise.
         bool isListPending = false;
+        /// Greatest revision that peers or answers of the store have reported and that a scheduled read must reach.
+        std::int64_t reportedRevision = 0;
     };
     using KindWatchPointer = std::shared_ptr<KindWatch>;
 
@@ -140,7 +142,10 @@
     /// @return whether they were applied.
     auto applyChanges(KindWatch& kindWatch, const KindChanges& changes) -> bool;
     /// Reads the list of a kind after a delay, unless the changes up to a revision arrive before.
-    auto readIfBehind(KindWatchPointer kindWatch, std::int64_t revision, Duration delay) -> boost::asio::awaitable<void>;
+    auto readIfBehind(KindWatchPointer kindWatch, Duration delay) -> boost::asio::awaitable<void>;
+    /// Schedules a read of the list, unless the reported changes arrive before. A read that is scheduled already covers
+    /// later reports.
+    auto scheduleRead(const KindWatchPointer& kindWatch, std::int64_t revision, Duration delay) -> void;
     /// Handles the revision in an answer of the store. The first one of a newer history brings all kinds up to date,
     /// here and at the peers.
     auto handleStoreAnswer(std::int64_t revision) -> void;
--- a/src/StoreDirectoryHistory.cpp
+++ b/src/StoreDirectoryHistory.cpp
@@ -52,10 +52,8 @@
 {
     for (const auto& kindWatch : m_kindWatches) {
         // With revision 0 the list is read next anyway.
-        if (kindWatch->revision == 0 || historyOf(kindWatch->revision) >= history || kindWatch->isListPending)
-            continue;
-        kindWatch->isListPending = true;
-        asio::co_spawn(m_threads.context(0), readIfBehind(kindWatch, makeRevision(history, 0), jitteredDelay(meanRestoreReadDelay)), logTaskFailure(m_log, "read lists after a restore"));
+        if (kindWatch->revision != 0 && historyOf(kindWatch->revision) < history)
+            scheduleRead(kindWatch, makeRevision(history, 0), jitteredDelay(meanRestoreReadDelay));
     }
 }
 
--- a/src/StoreDirectoryUpdates.cpp
+++ b/src/StoreDirectoryUpdates.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace jayhold {
 
@@ -81,19 +82,26 @@
         readListsOfHistory(historyOf(revision));
     }
     for (const auto& kindWatch : m_kindWatches) {
-        if (kindWatch->kind != kind || kindWatch->revision == 0 || kindWatch->revision >= revision || kindWatch->isListPending)
-            continue;
-        kindWatch->isListPending = true;
-        asio::co_spawn(m_threads.context(0), readIfBehind(kindWatch, revision, peerRevisionGrace), logTaskFailure(m_log, "read missed changes"));
+        if (kindWatch->kind == kind && kindWatch->revision != 0 && kindWatch->revision < revision)
+            scheduleRead(kindWatch, revision, peerRevisionGrace);
     }
 }
 
-auto StoreDirectory::readIfBehind(KindWatchPointer kindWatch, std::int64_t revision, Duration delay) -> asio::awaitable<void>
+auto StoreDirectory::scheduleRead(const KindWatchPointer& kindWatch, std::int64_t revision, Duration delay) -> void
+{
+    kindWatch->reportedRevision = kindWatch->isListPending ? std::max(kindWatch->reportedRevision, revision) : revision;
+    if (std::exchange(kindWatch->isListPending, true))
+        return;
+    asio::co_spawn(m_threads.context(0), readIfBehind(kindWatch, delay), logTaskFailure(m_log, "read missed changes"));
+}
+
+auto StoreDirectory::readIfBehind(KindWatchPointer kindWatch, Duration delay) -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
     while (true) {
         co_await pause(delay);
         kindWatch->isListPending = false;
+        const auto revision = kindWatch->reportedRevision;
         if (kindWatch->revision == 0 || kindWatch->revision >= revision)
             co_return;
         m_log.record(LogLevel::Info, "change_told_by_peer", { { "kind", kindWatch->kind }, { "revision", numberOf(revision) }, { "history", historyOf(revision) }, { "own_revision", numberOf(kindWatch->revision) }, { "own_history", historyOf(kindWatch->revision) } });
@@ -104,6 +112,7 @@
         m_log.record(LogLevel::Info, "change_not_read", { { "kind", kindWatch->kind }, { "revision", numberOf(revision) }, { "history", historyOf(revision) }, { "detail", error->detail } });
         // The report may not be repeated.
         kindWatch->isListPending = true;
+        kindWatch->reportedRevision = revision;
         delay = jitteredDelay(std::max(minReadRetryDelay, error->retryAfter / 2));
     }
 }
--- a/test/correctness/RestoredStoreTest.cpp
+++ b/test/correctness/RestoredStoreTest.cpp
@@ -162,6 +162,23 @@
     CHECK(fixture.zone.reachesVersion(3, 500ms));
 }
 
+// Guards against the single report of a restore that is dropped because a read for an earlier report is scheduled.
+TEST_CASE("a report of a new history counts while a read is scheduled for an earlier one")
+{
+    RestoredZone fixture(1, 20s);
+    auto& instance = fixture.zone.last();
+    const auto before = fixture.zone.store.snapshot("config").revision;
+    fixture.zone.store.restore();
+    fixture.zone.store.put("config", "main", 3);
+    instance.post([before](StoreDirectory& directory) {
+        directory.handlePeerRevision("config", before + 1);
+        directory.handlePeerRevision("config", makeRevision(2, 0));
+        // The changes of the earlier report arrive after all.
+        directory.handleDirectoryUpdate({ "edge-2", false, KindChanges { "config", before, before + 1, {} } });
+    });
+    CHECK(fixture.zone.reachesVersion(3, 1s));
+}
+
 // Guards against an instance that learns of a restore from another answer of the store and waits for its watches.
 TEST_CASE("the count of instances brings all kinds up to date after a restore")
 {
