--- a/test/correctness/ModelRequestTest.cpp
+++ b/test/correctness/ModelRequestTest.cpp
@@ -186,10 +186,12 @@
 // the caller reads slowly.
 TEST_CASE("a caller that does not read does not count as the silence of its engine")
 {
+    constexpr int tokens = 99;
     std::vector<std::string> chunks;
-    for (int token = 0; token < 99; ++token)
+    chunks.reserve(tokens + 1);
+    for (int token = 0; token < tokens; ++token)
         chunks.push_back(tokenEvent(token, std::string(60'000, 'x')));
-    chunks.push_back(doneEvent(99));
+    chunks.push_back(doneEvent(tokens));
     Fixture fixture({ { .chunks = chunks } }, { { .chunks = chunks } });
     fixture.addSecond();
     boost::asio::io_context context;
