Split long files, and share the fixture of the object store's tests

Three tests built the same client on a fake store. No logic and no check changes; router_daemon_test, odd_entries_test, entry_request_test and soak_checks_test pass.

--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -362,31 +362,6 @@
     co_await stopTask();
 }
 
-auto ModelRequest::engineCall() const -> EngineCall
-{
-    EngineCall call;
-    call.requestId = m_service->engineRequestId(m_id, m_attempt);
-    call.owner = m_context.settings.instance;
-    call.model = m_info.model;
-    call.prompt = m_info.request.prompt;
-    call.priority = static_cast<int>(m_info.kindSettings.latencyClass);
-    // The relay counts the events that the caller has. The shard's count may lag behind.
-    call.resumeFrom = m_relay.tokens();
-    call.forwarded = m_info.forwarded;
-    call.prefillResultTtl = m_service->prefillResultTtl();
-    return call;
-}
-
-auto ModelRequest::observeLimit(EngineCall& call, const BackendServer& server) -> void
-{
-    call.onResponse = [this, server, sentAt = monotonicNow()](const std::vector<HttpHeader>& headers) {
-        m_context.recordLimit(server, sentAt, m_context.backendProtocol.namedLimit(headers));
-    };
-    call.onSkippedResponse = [this](unsigned status) {
-        record(LogLevel::Info, "answer_skipped", { { "status", status } });
-    };
-}
-
 auto ModelRequest::remainingMs() const -> std::int64_t
 {
     const auto remaining = std::max(m_info.deadline - monotonicNow(), Duration::zero());
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -125,6 +125,31 @@
     co_await handle(std::move(result));
 }
 
+auto ModelRequest::engineCall() const -> EngineCall
+{
+    EngineCall call;
+    call.requestId = m_service->engineRequestId(m_id, m_attempt);
+    call.owner = m_context.settings.instance;
+    call.model = m_info.model;
+    call.prompt = m_info.request.prompt;
+    call.priority = static_cast<int>(m_info.kindSettings.latencyClass);
+    // The relay counts the events that the caller has. The shard's count may lag behind.
+    call.resumeFrom = m_relay.tokens();
+    call.forwarded = m_info.forwarded;
+    call.prefillResultTtl = m_service->prefillResultTtl();
+    return call;
+}
+
+auto ModelRequest::observeLimit(EngineCall& call, const BackendServer& server) -> void
+{
+    call.onResponse = [this, server, sentAt = monotonicNow()](const std::vector<HttpHeader>& headers) {
+        m_context.recordLimit(server, sentAt, m_context.backendProtocol.namedLimit(headers));
+    };
+    call.onSkippedResponse = [this](unsigned status) {
+        record(LogLevel::Info, "answer_skipped", { { "status", status } });
+    };
+}
+
 auto ModelRequest::runPrefill(std::uint64_t task, ReplicaStatus replica, std::optional<ReplicaStatus> decode, EngineCall call) -> asio::awaitable<void>
 {
     co_await asio::this_coro::throw_if_cancelled(false);
--- a/test/correctness/ObjectCallsTest.cpp
+++ b/test/correctness/ObjectCallsTest.cpp
@@ -1,7 +1,4 @@
-#include "../FakeObjectStore.h"
-#include "../HttpTestServer.h"
-
-#include "HttpObjectStore.h"
+#include "../ObjectStoreFixture.h"
 
 #include <catch2/catch.hpp>
 
@@ -10,21 +7,7 @@
 
 namespace {
 
-struct Fixture {
-    ~Fixture() { threads.stop(); }
-
-    template <typename Result>
-    auto run(boost::asio::awaitable<Result> task) -> Result
-    {
-        return runOn(threads, 0, std::move(task));
-    }
-
-    IoThreads threads { 2 };
-    FakeObjectStore fake { threads };
-    platform::HttpObjectStore store { sharedStoreSettings(fake.endpoint(), 10'000, 1) };
-    HttpClient& client = threads.client(0);
-};
-
+using Fixture = test::ObjectStoreFixture;
 }
 
 // Guards against two holders of a lease after a malformed response that is mistaken for a missing
--- a/test/correctness/StoreHistoryTest.cpp
+++ b/test/correctness/StoreHistoryTest.cpp
@@ -1,7 +1,5 @@
-#include "../FakeObjectStore.h"
-#include "../HttpTestServer.h"
+#include "../ObjectStoreFixture.h"
 
-#include "HttpObjectStore.h"
 #include "StoreRevision.h"
 
 #include <catch2/catch.hpp>
@@ -14,7 +12,7 @@
 namespace {
 
 /// A store whose copy has revision 3 and that was at revision 8 before it was restored.
-struct Fixture {
+struct Fixture : test::ObjectStoreFixture {
     Fixture()
     {
         fake.put("servers", "a", "1");
@@ -23,16 +21,7 @@
         for (const auto* value : { "2", "3", "4", "5", "6" })
             fake.put("servers", "a", value);
     }
-    ~Fixture() { threads.stop(); }
-    Fixture(const Fixture&) = delete;
-    auto operator=(const Fixture&) -> Fixture& = delete;
-
-    template <typename Result>
-    auto run(boost::asio::awaitable<Result> task) -> Result
-    {
-        return runOn(threads, 0, std::move(task));
-    }
-    auto list() -> StoreResult<ItemList> { return run(store.list(client, "servers", ReadMode::Current)); }
+    auto list() -> StoreResult<ItemList> { return ObjectStoreFixture::list("servers"); }
     auto watch(std::int64_t revision, Duration wait = 20ms) -> StoreResult<ItemChanges> { return run(store.watch(client, "servers", revision, wait)); }
     /// Writes until the new history has passed the numbers of the old one.
     auto passOldNumbers() -> void
@@ -40,13 +29,7 @@
         for (int count = 0; count < 10; ++count)
             fake.put("servers", "b", "new");
     }
-
-    IoThreads threads { 2 };
-    FakeObjectStore fake { threads };
-    platform::HttpObjectStore store { sharedStoreSettings(fake.endpoint(), 10'000, 1) };
-    HttpClient& client = threads.client(0);
 };
-
 }
 
 // Guards against new objects that count as older than those which a restore has removed.
--- a/test/error/OddEntriesTest.cpp
+++ b/test/error/OddEntriesTest.cpp
@@ -1,7 +1,5 @@
-#include "../FakeObjectStore.h"
-#include "../HttpTestServer.h"
+#include "../ObjectStoreFixture.h"
 
-#include "HttpObjectStore.h"
 #include "StoreRevision.h"
 #include "StoredItemText.h"
 
@@ -13,22 +11,7 @@
 
 namespace {
 
-struct Fixture {
-    ~Fixture() { threads.stop(); }
-
-    template <typename Result>
-    auto run(boost::asio::awaitable<Result> task) -> Result
-    {
-        return runOn(threads, 0, std::move(task));
-    }
-
-    auto list(std::string kind) -> StoreResult<ItemList> { return run(store.list(client, std::move(kind), ReadMode::Current)); }
-
-    IoThreads threads { 2 };
-    FakeObjectStore fake { threads };
-    platform::HttpObjectStore store { sharedStoreSettings(fake.endpoint(), 10'000, 1) };
-    HttpClient& client = threads.client(0);
-};
+using Fixture = test::ObjectStoreFixture;
 
 auto nested(std::size_t levels) -> std::string
 {
@@ -48,7 +31,6 @@
         names.push_back(item.name);
     return names;
 }
-
 }
 
 // Guards against a list that is never read again because one of its items can't be parsed.
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -15,11 +15,14 @@
 
 namespace jayhold::soak {
 
-/// The start of work on a request, as a backend server logged it.
 /// The retry budget in the settings of the fleet's entry instances.
 inline constexpr double retryBudgetRatio = 0.2;
 inline constexpr int retryBudgetExtra = 12;
 
+/// Time within which a process must start, or exit after it was killed.
+inline constexpr Duration startTimeout = std::chrono::seconds(10);
+
+/// The start of work on a request, as a backend server logged it.
 struct BackendRun {
     std::string request;
     std::string backend;
--- /dev/null
+++ b/test/soak/SoakFleetFaults.cpp
@@ -0,0 +1,163 @@
+#include "SoakFleet.h"
+
+#include <csignal>
+#include <stdexcept>
+#include <thread>
+
+namespace jayhold::soak {
+
+auto SoakFleet::restoreStore() -> void
+{
+    m_store.restore();
+    writeConfiguration();
+    for (std::size_t index = 0; index < m_backends.size(); ++index)
+        registerBackend(index);
+}
+
+auto SoakFleet::pauseBackendsBesideChange(Duration pauseTime) -> void
+{
+    putConfiguration();
+    for (const auto& backend : m_backends)
+        backend.process->signal(SIGSTOP);
+    std::this_thread::sleep_for(pauseTime);
+    for (const auto& backend : m_backends)
+        backend.process->signal(SIGCONT);
+}
+
+auto SoakFleet::setLinkFaults(std::size_t index, const std::string& faults) -> void
+{
+    const auto response = m_client.call(m_links[index].admin, "PUT", "/admin/faults", faults);
+    if (response.status != 200)
+        throw std::runtime_error("a link rejected its fault settings: " + response.text);
+}
+
+auto SoakFleet::beginEntryFault(const PlannedFault& fault) -> void
+{
+    auto& entry = m_entries[fault.target];
+    switch (fault.kind) {
+    case FaultKind::FreezeEntry:
+        entry.process->signal(SIGSTOP);
+        break;
+    case FaultKind::KillEntry:
+        entry.isExitExpected = true;
+        entry.process->signal(SIGKILL);
+        break;
+    case FaultKind::ReplaceEntry:
+        entry.isExitExpected = true;
+        entry.process->signal(SIGTERM);
+        break;
+    case FaultKind::ReloadSettings:
+        entry.process->signal(SIGHUP);
+        break;
+    default:
+        for (auto& each : m_entries) {
+            each.isExitExpected = true;
+            each.process->signal(SIGKILL);
+        }
+        break;
+    }
+}
+
+auto SoakFleet::endEntryFault(const PlannedFault& fault) -> void
+{
+    if (fault.kind == FaultKind::FreezeEntry)
+        m_entries[fault.target].process->signal(SIGCONT);
+    if (fault.kind == FaultKind::FreezeEntry || fault.kind == FaultKind::ReloadSettings)
+        return;
+    for (std::size_t index = 0; index < m_entries.size(); ++index) {
+        auto& entry = m_entries[index];
+        if (fault.kind != FaultKind::KillAllEntries && index != fault.target)
+            continue;
+        const auto code = entry.process->waitForExit(shutdownGracePeriod + std::chrono::seconds(1));
+        // A shutdown during other faults may interrupt requests; the exit code is then 1.
+        if (fault.kind == FaultKind::ReplaceEntry && (!code || *code < 0 || *code > 1))
+            m_unexpectedExits.push_back("edge-" + std::to_string(index) + (code ? " exited with code " + std::to_string(*code) : " did not exit in time") + " after SIGTERM");
+        keepOutput(std::move(entry.process), true);
+        startEntry(entry);
+    }
+}
+
+auto SoakFleet::beginBackendFault(const PlannedFault& fault) -> void
+{
+    auto& backend = m_backends[fault.target];
+    if (fault.kind == FaultKind::FreezeBackend)
+        backend.process->signal(SIGSTOP);
+    else if (fault.kind == FaultKind::KillBackend)
+        backend.process->signal(SIGKILL);
+    else
+        markLeaving(fault.target, true);
+}
+
+auto SoakFleet::endBackendFault(const PlannedFault& fault) -> void
+{
+    auto& backend = m_backends[fault.target];
+    if (fault.kind == FaultKind::FreezeBackend)
+        backend.process->signal(SIGCONT);
+    if (fault.kind == FaultKind::BackendLeaves)
+        markLeaving(fault.target, false);
+    if (fault.kind != FaultKind::KillBackend)
+        return;
+    backend.process->waitForExit(startTimeout);
+    keepOutput(std::move(backend.process), false);
+    startBackend(backend, backend.endpoint.port);
+    registerBackend(fault.target);
+}
+
+auto SoakFleet::begin(const PlannedFault& fault) -> void
+{
+    switch (fault.kind) {
+    case FaultKind::CutLink:
+        setLinkFaults(fault.target, R"({"cut":true})");
+        break;
+    case FaultKind::ResetLink:
+        setLinkFaults(fault.target, R"({"reset":true})");
+        break;
+    case FaultKind::StallLink:
+        setLinkFaults(fault.target, R"({"stall":true})");
+        break;
+    case FaultKind::StallAnswers:
+        setLinkFaults(fault.target, R"({"stall_answers":true})");
+        break;
+    case FaultKind::SlowLink:
+        setLinkFaults(fault.target, R"({"delay_us":80000})");
+        break;
+    case FaultKind::StoreDown:
+        m_store.setDown(true);
+        break;
+    case FaultKind::StoreMalformed:
+        m_store.setMalformed(true);
+        break;
+    case FaultKind::StoreHistoryCompacted:
+        m_store.compact();
+        break;
+    case FaultKind::NewConfiguration:
+        putConfiguration();
+        break;
+    case FaultKind::StoreRestored:
+        m_store.saveCopy();
+        break;
+    default:
+        if (fault.kind <= FaultKind::KillAllEntries)
+            beginEntryFault(fault);
+        else
+            beginBackendFault(fault);
+    }
+}
+
+auto SoakFleet::end(const PlannedFault& fault) -> void
+{
+    if (fault.kind <= FaultKind::KillAllEntries)
+        endEntryFault(fault);
+    else if (fault.kind <= FaultKind::BackendLeaves)
+        endBackendFault(fault);
+    else if (fault.kind <= FaultKind::SlowLink)
+        setLinkFaults(fault.target, R"({"cut":false,"stall":false,"stall_answers":false,"delay_us":0})");
+    else if (fault.kind == FaultKind::StoreDown)
+        m_store.setDown(false);
+    else if (fault.kind == FaultKind::StoreMalformed)
+        m_store.setMalformed(false);
+    else if (fault.kind == FaultKind::StoreRestored)
+        restoreStore();
+}
+
+}
