Keep a test's server usable for the I/O threads while it is destroyed

The product was not involved.

Cause: RawBackend was a member of fixtures derived from RouterFixture, so it was destroyed before the base class stopped the I/O threads. The acceptor was closed on the test's thread while an I/O thread started the next accept on it, and the router's control calls could still run the script and what it refers to. HttpServer shares its state with its coroutines; RawBackend did not.

Evidence: the thread sanitizer reports the race in one of two runs of the former test program: start_op() of the accept reads the descriptor data that ~basic_socket_acceptor(), called from ~ResumeFixture, has cleared, and uses a null pointer.

Change: the coroutines share the state of RawBackend; its destructor waits for a running script and lets no further one start.

--- a/test/RawBackend.h
+++ b/test/RawBackend.h
@@ -10,6 +10,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
@@ -17,6 +18,9 @@
 
 #include <atomic>
 #include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
 #include <string>
 
 namespace jayhold::test {
@@ -50,34 +54,71 @@
 public:
     using Script = std::function<RawReply(const RawRequest&)>;
 
-    /// @param script called for each request, on an I/O thread.
+    /// @param script called for each request, on an I/O thread, until the destructor returns.
     RawBackend(IoThreads& threads, Script script)
-        : m_script(std::move(script))
-        , m_acceptor(threads.context(0), { boost::asio::ip::make_address("127.0.0.1"), 0 })
+        : m_state(std::make_shared<State>(threads, std::move(script)))
     {
-        boost::asio::co_spawn(threads.context(0), accept(), boost::asio::detached);
+        boost::asio::co_spawn(threads.context(0), accept(m_state), boost::asio::detached);
     }
+    ~RawBackend()
+    {
+        {
+            const std::lock_guard guard(m_state->lock);
+            m_state->script = nullptr;
+        }
+        boost::asio::post(m_state->acceptor.get_executor(), [state = m_state] {
+            boost::system::error_code ignored;
+            state->acceptor.close(ignored);
+        });
+    }
+    RawBackend(const RawBackend&) = delete;
+    auto operator=(const RawBackend&) -> RawBackend& = delete;
 
-    auto endpoint() const -> HttpEndpoint { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
+    auto endpoint() const -> HttpEndpoint { return m_state->endpoint; }
     /// @return the number of requests that were not control calls.
-    auto calls() const -> int { return m_calls; }
-    auto connections() const -> int { return m_connections; }
+    auto calls() const -> int { return m_state->calls; }
+    auto connections() const -> int { return m_state->connections; }
 
 private:
     using Socket = boost::asio::ip::tcp::socket;
 
-    auto accept() -> boost::asio::awaitable<void>
+    /// The I/O threads may still serve connections when the server is destroyed, so their coroutines share its state.
+    struct State {
+        State(IoThreads& threads, Script serverScript)
+            : script(std::move(serverScript))
+            , acceptor(threads.context(0), { boost::asio::ip::make_address("127.0.0.1"), 0 })
+            , endpoint { "127.0.0.1", acceptor.local_endpoint().port() }
+        {
+        }
+
+        /// @return the reply of the script; std::nullopt if the server was destroyed.
+        auto reply(const RawRequest& request) -> std::optional<RawReply>
+        {
+            const std::lock_guard guard(lock);
+            return script ? std::optional(script(request)) : std::nullopt;
+        }
+
+        /// Protects script, and what it refers to, against its use after the server was destroyed.
+        std::mutex lock;
+        Script script;
+        boost::asio::ip::tcp::acceptor acceptor;
+        const HttpEndpoint endpoint;
+        std::atomic<int> calls { 0 };
+        std::atomic<int> connections { 0 };
+    };
+
+    static auto accept(std::shared_ptr<State> state) -> boost::asio::awaitable<void>
     {
         while (true) {
             boost::system::error_code code;
-            auto socket = co_await m_acceptor.async_accept(awaitInto(code));
+            auto socket = co_await state->acceptor.async_accept(awaitInto(code));
             if (code)
                 co_return;
-            boost::asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket), ++m_connections), boost::asio::detached);
+            boost::asio::co_spawn(state->acceptor.get_executor(), serve(state, std::move(socket), ++state->connections), boost::asio::detached);
         }
     }
 
-    auto serve(Socket socket, int connection) -> boost::asio::awaitable<void>
+    static auto serve(std::shared_ptr<State> state, Socket socket, int connection) -> boost::asio::awaitable<void>
     {
         boost::beast::flat_buffer buffer;
         for (auto call = 1;; ++call) {
@@ -87,22 +128,21 @@
             if (code)
                 co_return;
             const RawRequest request { std::string(message.method_string()), std::string(message.target()), std::string(message["Request-Id"]), std::string(message["Stage"]), std::string(message["Last-Event-Id"]), std::string(message["Cache-Source"]), std::string(message["Cache-Hold"]), connection, call };
-            m_calls += !request.target.starts_with("/-/");
-            const auto reply = m_script(request);
-            co_await boost::asio::async_write(socket, boost::asio::buffer(reply.bytes), awaitInto(code));
-            if (!reply.lateBytes.empty()) {
+            state->calls += !request.target.starts_with("/-/");
+            const auto reply = state->reply(request);
+            if (!reply)
+                co_return;
+            co_await boost::asio::async_write(socket, boost::asio::buffer(reply->bytes), awaitInto(code));
+            if (!reply->lateBytes.empty()) {
                 co_await pause(std::chrono::milliseconds(20));
-                co_await boost::asio::async_write(socket, boost::asio::buffer(reply.lateBytes), awaitInto(code));
+                co_await boost::asio::async_write(socket, boost::asio::buffer(reply->lateBytes), awaitInto(code));
             }
-            if (code || reply.closes)
+            if (code || reply->closes)
                 co_return;
         }
     }
 
-    const Script m_script;
-    boost::asio::ip::tcp::acceptor m_acceptor;
-    std::atomic<int> m_calls { 0 };
-    std::atomic<int> m_connections { 0 };
+    const std::shared_ptr<State> m_state;
 };
 
 /// @param fields header lines, each with its line end.
--- a/test/RouterFixture.h
+++ b/test/RouterFixture.h
@@ -83,13 +83,17 @@
         platform.put("servers", "forged", json::object { { "service", 7 }, { "address", "nowhere" } });
         platform.put("servers", "strange", json::object { { "service", "ledger" }, { "address", "127.0.0.1:1" }, { "zone", "alpine" }, { "state", "asleep" } });
     }
-    ~RouterFixture()
+    ~RouterFixture() { stop(); }
+    RouterFixture(const RouterFixture&) = delete;
+    auto operator=(const RouterFixture&) -> RouterFixture& = delete;
+
+    /// Stops the router and the I/O threads. A derived fixture whose members run on these threads, or are used by what
+    /// runs there, calls it in its destructor: its members are destroyed before the base class would stop the threads.
+    auto stop() -> void
     {
         router.reset();
         threads.stop();
     }
-    RouterFixture(const RouterFixture&) = delete;
-    auto operator=(const RouterFixture&) -> RouterFixture& = delete;
 
     auto registerServer(const FakeBackendServer& server, const std::string& service, const std::string& phase, const std::string& state = "ready") -> void
     {
