Keep the lease of a test from expiring while the machine is slow

Cause: the test has a lease of 1 s on the real clock. The renewal is due 0.5 s before the end of the 900 ms for which it counts as held; the store rejects it, and the read that shows the restore follows after one to two polls of 100 ms. If that takes about 0.2 s longer, the lease has expired before the restore is noticed, so nothing is given up, which is what the log should say then.

Change: the clock of the test is advanced by the test and stays behind the end of the lease, however long the calls take. All former checks remain, and two are added.

--- a/test/correctness/LeaseRestoreTest.cpp
+++ b/test/correctness/LeaseRestoreTest.cpp
@@ -8,6 +8,8 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <atomic>
+#include <functional>
 #include <mutex>
 #include <thread>
 
@@ -22,14 +24,15 @@
 struct SharedStore {
     std::mutex lock;
     RestorableLease object;
+    std::atomic<int> reads { 0 };
 
-    auto environment(IoThreads& threads, EventLog& log) -> LeaseEnvironment
+    auto environment(IoThreads& threads, EventLog& log, std::function<TimePoint()> now = bootTimeNow) -> LeaseEnvironment
     {
         return {
             .executor = threads.context(0).get_executor(),
-            .read = [this]() -> asio::awaitable<StoreResult<StoredObject>> { co_return storedObject(); },
+            .read = [this]() -> asio::awaitable<StoreResult<StoredObject>> { ++reads; co_return storedObject(); },
             .update = [this](boost::json::value value, std::int64_t revision) -> asio::awaitable<StoreResult<UpdateOutcome>> { co_return update(value, revision); },
-            .now = bootTimeNow,
+            .now = std::move(now),
             .isStopped = [] { return false; },
             .log = log,
         };
@@ -96,6 +99,16 @@
     }
 };
 
+template <typename Condition>
+auto waitUntil(Condition condition, Duration timeout) -> bool
+{
+    for (const auto end = monotonicNow() + timeout; monotonicNow() < end; std::this_thread::sleep_for(10ms)) {
+        if (condition())
+            return true;
+    }
+    return false;
+}
+
 /// Waits until an event is in the log.
 auto waitForEvent(const EventLog& log, std::string_view name, Duration timeout) -> std::optional<LoggedEvent>
 {
@@ -108,6 +121,16 @@
     return std::nullopt;
 }
 
+/// A clock that only the test advances, so that no lease expires because the machine is slow.
+class ManualClock {
+public:
+    auto now() const -> TimePoint { return start + Duration(m_elapsed.load()); }
+    auto advance(Duration duration) -> void { m_elapsed += duration.count(); }
+
+private:
+    std::atomic<Duration::rep> m_elapsed { 0 };
+};
+
 /// Waits until a LeaseManager holds its lease.
 auto waitForLease(const LeaseManager& manager, Duration timeout) -> std::optional<std::int64_t>
 {
@@ -126,17 +149,34 @@
     EventLog log { "entry-1" };
     IoThreads threads { 1 };
     SharedStore store;
-    const auto manager = std::make_shared<LeaseManager>(store.environment(threads, log), leaseSettings("roles", "entry-1/1", 1s));
+    ManualClock clock;
+    const auto manager = std::make_shared<LeaseManager>(store.environment(threads, log, [&] { return clock.now(); }), leaseSettings("roles", "entry-1/1", 1s));
     manager->start();
-    const auto number = waitForLease(*manager, 2s);
+    // Both calls of the acquisition are due within 100 ms.
+    const auto isHeld = waitUntil([&] {
+        clock.advance(1ms);
+        return manager->fencingNumber().has_value();
+    },
+        5s);
+    const auto number = manager->fencingNumber();
     {
         const std::lock_guard guard(store.lock);
         store.object.restore({});
     }
+    // The renewal is due after 400 ms. The store rejects it, and the manager reads the lease 100 ms later. The clock
+    // stays behind the end of the lease, which is at 900 ms.
+    clock.advance(400ms);
+    const auto hasRead = waitUntil([&] {
+        clock.advance(1ms);
+        return store.reads == 2;
+    },
+        3s);
     const auto restored = waitForEvent(log, "lease_store_restored", 3s);
     const auto delayed = waitForEvent(log, "lease_delayed", 3s);
     threads.stop();
+    CHECK(isHeld);
     REQUIRE(number);
+    CHECK(hasRead);
     REQUIRE(restored);
     CHECK(fieldValue(restored->fields, "lease") == "roles");
     CHECK(fieldValue(restored->fields, "previous_history") == "0");
