Record the crash of an engine where a suspect only holds a slot

Callers could see: a crashing request runs against a third engine, whose other requests are interrupted.

Cause: a suspect reserves its decode slot when its prefill starts, and the decode engine counts as its isolated replica from then on. When that engine crashed during the prefill, the crash was put down to the suspect, which had not reached it. The requests that really ran there were neither suspected nor reported, so the crash was missing from the crash history of their signature, and their next crash counted as the first.

The test failed before: there was no crash report for the request that ran on the engine.

Change: a crash is put down to an isolated suspect only if that suspect runs on the replica, for a decode replica from the start of its decode.

--- a/src/CrashAttribution.cpp
+++ b/src/CrashAttribution.cpp
@@ -28,9 +28,16 @@
 /// Limits the harm of blaming a request by mistake.
 constexpr Duration blockDuration = std::chrono::minutes(10);
 
+/// A suspect whose prefill is not complete only holds a slot of its decode replica and cannot crash it.
+auto runsIsolatedSuspect(const DecisionContext& context, const Replica& replica) -> bool
+{
+    const auto* suspect = replica.isolatedSuspect ? findRequest(context.state, *replica.isolatedSuspect) : nullptr;
+    return suspect && (replica.role() == PoolRole::Prefill || suspect->phase == RequestPhase::Starting || suspect->phase == RequestPhase::Decoding);
+}
+
 auto isBlamedOnAnother(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> bool
 {
-    if (replica.isolatedSuspect)
+    if (runsIsolatedSuspect(context, replica))
         return true;
     return replica.blamedAt && context.now - *replica.blamedAt <= crashFailureWindow && request.phaseStartedAt <= *replica.blamedAt;
 }
--- a/test/correctness/CrashTest.cpp
+++ b/test/correctness/CrashTest.cpp
@@ -360,3 +360,24 @@
     holder.harness.advance(longerThanReportWait);
     CHECK_FALSE(holder.harness.lastEver<Refuse>());
 }
+
+// Guards against a third crash because an engine's crash is put down to a suspect that only holds a slot there for
+// after its prefill, and not to the request that ran.
+TEST_CASE("a suspect that only holds a slot of an engine is not blamed for its crash")
+{
+    ShardHarness harness(sharedSettings());
+    harness.replica(1, PoolRole::Prefill, 20);
+    harness.replica(10, PoolRole::Decode, 20);
+    const auto lost = harness.startDecode(1);
+    harness.replica(10, PoolRole::Decode, 20, ReplicaState::Leaving);
+    harness.replica(11, PoolRole::Decode, 20);
+    const auto running = harness.startDecode(2);
+    harness.send(DecodeFailed { lost.request, lost.attempt, FailureKind::ConnectionLost, 3 });
+    harness.advance(longerThanReportWait);
+    REQUIRE(harness.last<StartPrefill>()->request == lost.request);
+    REQUIRE(harness.last<StartPrefill>()->decode == running.decode);
+    harness.send(DecodeFailed { running.request, running.attempt, FailureKind::ConnectionLost, 3 });
+    REQUIRE(harness.last<ReportCrash>());
+    CHECK(harness.last<ReportCrash>()->signature == 2);
+    CHECK(harness.last<ReportCrash>()->replica == running.decode);
+}
