Forward heartbeats only for a third of the suspicion timeout

Change: a heartbeat is forwarded for 1 s after it was received (a third of the timeout), in samples and in introductions. Newer heartbeats normally arrive within that time. Replies to a request for full entries are not limited: instances that start need the addresses.

Evidence: the new test failed before in 6 of 12 checks (a heartbeat of age 1 s and 2.9 s was forwarded).

Ruled out: more receivers or larger samples, which exceed the byte budget; a time stamp of each heartbeat in messages, for the same reason.

--- a/src/ClusterGossip.cpp
+++ b/src/ClusterGossip.cpp
@@ -216,7 +216,7 @@
         return { statusBadRequest, {}, {} };
     receive(core, *message);
     const std::lock_guard guard(core->lock);
-    auto reply = composeReply(core->membership, *message);
+    auto reply = composeReply(core->membership, monotonicNow(), *message);
     reply.listVersion = core->listCopy.version;
     return { statusOk, {}, json::serialize(toJson(reply)) };
 }
--- a/src/Membership.cpp
+++ b/src/Membership.cpp
@@ -16,6 +16,10 @@
 /// Minimum interval between requests for full entries. Heartbeats of instances that have died or
 /// restarted circulate for a while, and must not cause a request each time.
 constexpr auto addressRequestInterval = std::chrono::seconds(2);
+/// A heartbeat is forwarded only for this fraction of the suspicion timeout after it was received, and a newer one
+/// normally arrives within that time. The last heartbeat of a stopped instance counts as progress at every instance
+/// that it reaches, however late.
+constexpr int forwardingDivisor = 3;
 /// Maximum number of full entries in a reply to a request for them, which is mainly sent by an instance
 /// that starts.
 constexpr std::size_t maxRequestedEntries = 64;
@@ -110,9 +114,14 @@
     }
 }
 
-/// @return known peers that are not suspected. Peers that were forwarded least come first, and ties are
+auto hasRecentProgress(const Membership& membership, const PeerState& peer, TimePoint now) -> bool
+{
+    return !peer.isSuspect && now - peer.progressAt < membership.settings.suspectAfter / forwardingDivisor;
+}
+
+/// @return known peers whose heartbeats may be forwarded. Peers that were forwarded least come first, and ties are
 /// in random order.
-auto samplePeers(Membership& membership, std::size_t size) -> std::vector<PeerState*>
+auto samplePeers(Membership& membership, TimePoint now, std::size_t size) -> std::vector<PeerState*>
 {
     struct Ranked {
         unsigned sends;
@@ -121,7 +130,7 @@
     };
     std::vector<Ranked> ranked;
     for (auto& [id, peer] : membership.peers) {
-        if (!peer.isSuspect && isInGroup(membership, peer.member.availabilityZone))
+        if (hasRecentProgress(membership, peer, now) && isInGroup(membership, peer.member.availabilityZone))
             ranked.push_back({ peer.sends, membership.random.next(), &peer });
     }
     const auto count = std::min(size, ranked.size());
@@ -134,20 +143,20 @@
     return chosen;
 }
 
-auto addSample(Membership& membership, std::size_t size, GossipMessage& message) -> void
+auto addSample(Membership& membership, TimePoint now, std::size_t size, GossipMessage& message) -> void
 {
-    for (auto* peer : samplePeers(membership, size)) {
+    for (auto* peer : samplePeers(membership, now, size)) {
         ++peer->sends;
         message.heartbeats.push_back({ peer->tag, peer->heartbeat % heartbeatModulus });
     }
 }
 
-auto addIntroductions(Membership& membership, GossipMessage& message) -> void
+auto addIntroductions(Membership& membership, TimePoint now, GossipMessage& message) -> void
 {
     for (auto& [id, peer] : membership.peers) {
         if (message.introductions.size() >= introductionsPerMessage)
             return;
-        if (peer.isSuspect || peer.introductions >= introductionsPerChange || !isInGroup(membership, peer.member.availabilityZone))
+        if (!hasRecentProgress(membership, peer, now) || peer.introductions >= introductionsPerChange || !isInGroup(membership, peer.member.availabilityZone))
             continue;
         ++peer.introductions;
         message.introductions.push_back({ peer.member, peer.heartbeat });
@@ -239,8 +248,8 @@
     GossipMessage message { .sender = selfEntry(membership) };
     if (isRemote)
         return message;
-    addSample(membership, std::clamp(membership.peers.size() / 2, minSampleSize, membership.settings.messageSample), message);
-    addIntroductions(membership, message);
+    addSample(membership, now, std::clamp(membership.peers.size() / 2, minSampleSize, membership.settings.messageSample), message);
+    addIntroductions(membership, now, message);
     const auto mayRequest = membership.addressesRequestedAt == TimePoint() || now - membership.addressesRequestedAt >= addressRequestInterval;
     if (membership.peers.empty() || (membership.wantsAddresses && mayRequest)) {
         message.requestsFullEntries = true;
@@ -250,7 +259,7 @@
     return message;
 }
 
-auto composeReply(Membership& membership, const GossipMessage& received) -> GossipMessage
+auto composeReply(Membership& membership, TimePoint now, const GossipMessage& received) -> GossipMessage
 {
     GossipMessage reply { .sender = selfEntry(membership) };
     const auto& sender = received.sender.member;
@@ -264,7 +273,7 @@
         reply.introductions.push_back({ peer->second.member, peer->second.heartbeat });
     if (!isInGroup(membership, sender.availabilityZone))
         return reply;
-    addSample(membership, std::clamp(membership.peers.size() / 4, minSampleSize, membership.settings.replySample), reply);
+    addSample(membership, now, std::clamp(membership.peers.size() / 4, minSampleSize, membership.settings.replySample), reply);
     if (received.requestsFullEntries)
         addRequestedEntries(membership, sender.id, reply);
     return reply;
--- a/src/Membership.h
+++ b/src/Membership.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// Gossip membership of the entry instances, as a pure state machine. Each instance increments its own
-/// heartbeat counter and forwards a bounded sample of the heartbeats that it has received. An instance
+/// heartbeat counter and forwards a bounded sample of the heartbeats that it has recently received. An instance
 /// without progress is probed, then suspected, then declared dead. A reply to a probe shows that it is
 /// alive.
 
@@ -124,7 +124,7 @@
 
 /// @return the reply to a message that has been merged. If the message requests full entries, the reply
 /// contains many of them.
-auto composeReply(Membership& membership, const GossipMessage& received) -> GossipMessage;
+auto composeReply(Membership& membership, TimePoint now, const GossipMessage& received) -> GossipMessage;
 
 /// Merges a received message or reply into the state.
 auto mergeMessage(Membership& membership, TimePoint now, const GossipMessage& message, std::vector<MembershipAction>& actions) -> void;
--- a/test/GossipSimulation.cpp
+++ b/test/GossipSimulation.cpp
@@ -119,7 +119,7 @@
     const auto received = decode(body);
     receive(to, received);
     setSelf(receiver.membership, receiver.configuration.version, false);
-    auto reply = composeReply(receiver.membership, received);
+    auto reply = composeReply(receiver.membership, m_now, received);
     reply.listVersion = 1'000;
     const auto replyBody = boost::json::serialize(toJson(reply));
     receiver.bytesSent += replyHead.size() + replyBody.size();
--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -118,14 +118,39 @@
     const auto newer = composeMessage(sender, now + 500ms);
     mergeMessage(receiver, now + 600ms, newer, actions);
     mergeMessage(receiver, now + 700ms, older, actions);
-    mergeMessage(sender, now + 700ms, composeReply(receiver, older), actions);
+    mergeMessage(sender, now + 700ms, composeReply(receiver, now + 700ms, older), actions);
     CHECK(sender.self.incarnation == 5);
     settings.self = sender.self;
     auto restarted = makeMembership(settings, now);
-    mergeMessage(restarted, now + 800ms, composeReply(receiver, composeMessage(restarted, now)), actions);
+    mergeMessage(restarted, now + 800ms, composeReply(receiver, now + 700ms, composeMessage(restarted, now)), actions);
     CHECK(restarted.self.incarnation == 6);
 }
 
+// Guards against a stopped instance that is suspected late, because peers pass its last heartbeat on for as long as they
+// do not suspect it, and each receiver then waits for the whole suspicion timeout.
+TEST_CASE("a heartbeat is not forwarded for longer than a third of the suspicion timeout")
+{
+    const TimePoint now { 1'000s };
+    MembershipSettings settings { .self = { .id = "a", .peerEndpoint = { "10.0.0.1", 1 }, .availabilityZone = "z", .incarnation = 5 } };
+    auto sender = makeMembership(settings, now);
+    GossipMessage heard;
+    heard.sender = { { .id = "b", .peerEndpoint = { "10.0.0.2", 1 }, .availabilityZone = "z", .incarnation = 5 }, 9 };
+    std::vector<MembershipAction> actions;
+    mergeMessage(sender, now, heard, actions);
+    GossipMessage probe;
+    probe.sender = { { .id = "c", .peerEndpoint = { "10.0.0.3", 1 }, .availabilityZone = "z", .incarnation = 5 }, 9 };
+    const HeartbeatEntry forwarded { tagOf(heard.sender.member), 9 };
+    const auto names = [&](const MemberEntry& entry) { return entry.member.id == "b"; };
+    for (const auto age : { 0ms, 900ms, 1'000ms, 2'900ms }) {
+        const auto isFresh = age < 1s;
+        const auto message = composeMessage(sender, now + age);
+        CHECK((std::ranges::count(message.heartbeats, forwarded) == 1) == isFresh);
+        CHECK(std::ranges::any_of(message.introductions, names) == isFresh);
+        const auto reply = composeReply(sender, now + age, probe);
+        CHECK((std::ranges::count(reply.heartbeats, forwarded) == 1) == isFresh);
+    }
+}
+
 // Guards against a zone that does not rejoin the other zones after a network partition.
 TEST_CASE("both sides of a network partition continue and join again")
 {
