--- a/src/Membership.h
+++ b/src/Membership.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /// Gossip membership of the entry instances, as a pure state machine. Each instance increments its own
-/// heartbeat counter and forwards a bounded sample of the heartbeats that it has received. An instance
+/// heartbeat counter and forwards a bounded sample of the heartbeats that it has recently received. An instance
 /// without progress is probed, then suspected, then declared dead. A reply to a probe shows that it is
 /// alive.
 
@@ -116,7 +116,9 @@
 /// Starts a round: increments the heartbeat, and suspects or declares dead peers without progress.
 auto startRound(Membership& membership, TimePoint now, std::vector<MembershipAction>& actions) -> void;
 
-auto chooseTargets(Membership& membership, TimePoint now) -> std::vector<GossipTarget>;
+/// @param isExtraRound whether the round spreads a report at once. It may go to peers that the last round has just
+/// reached.
+auto chooseTargets(Membership& membership, TimePoint now, bool isExtraRound = false) -> std::vector<GossipTarget>;
 
 /// @return a message with this instance's entry and a sample. The caller adds the list version and
 /// rumors.
@@ -124,7 +126,7 @@
 
 /// @return the reply to a message that has been merged. If the message requests full entries, the reply
 /// contains many of them.
-auto composeReply(Membership& membership, const GossipMessage& received) -> GossipMessage;
+auto composeReply(Membership& membership, TimePoint now, const GossipMessage& received) -> GossipMessage;
 
 /// Merges a received message or reply into the state.
 auto mergeMessage(Membership& membership, TimePoint now, const GossipMessage& message, std::vector<MembershipAction>& actions) -> void;
