Use a backend server again that lapsed before a restore and still lives

What callers see: a live server gets no work for up to 10 minutes, and its share of the capacity is missing. Its entry had lapsed (its machine was cut off from the store, say) shortly before the store was restored from a copy that lists it.

Cause: after a restore, every entry that shows a removed incarnation as live counted as one of the older copy. An entry that the server writes again after the restore looks the same, and if the copy has it, writing it again is no change at all, so nothing ever proved that the server lives.

Change: a change of an entry in the new history was written after the restore, because the watch begins at a revision of that history, so it proves that the server lives. If the copy lists the entry, the store removes it after three intervals of silence; one that is listed for the lapse time (20 s) is confirmed by one more list and then used. A server that has itself reported that it leaves does not come back, whatever is written.

Ruled out: proof by the number of an entry's revision. An entry of the copy that was not seen before the restore may have a greater number than the last one seen. A server that registers between the restore and the first list waits for the lapse time therefore.

--- a/src/BackendDirectory.cpp
+++ b/src/BackendDirectory.cpp
@@ -16,9 +16,15 @@
     entry.isPresumedGone = std::exchange(entry.isMissing, false);
     entry.history = directory.history.value_or(0);
     entry.removedAt = now;
+    entry.hasReportedLeaving = entry.server.state == ReplicaState::Leaving;
     entry.server.state = ReplicaState::Leaving;
 }
 
+auto hasReportedLeaving(const BackendDirectory::Entry& entry) -> bool
+{
+    return entry.removedAt ? entry.hasReportedLeaving : entry.server.state == ReplicaState::Leaving;
+}
+
 /// Incarnations are start times as decimal numbers. Others have no order.
 auto isEarlier(std::string_view incarnation, std::string_view other) -> bool
 {
@@ -27,15 +33,29 @@
     return start && otherStart && *start < *otherStart;
 }
 
-auto isOutdated(const BackendDirectory& directory, const BackendDirectory::Entry& known, const BackendServer& server) -> bool
+/// @return whether an entry of the older copy may show the server as it was before it left.
+auto contradictsRestored(const BackendDirectory& directory, const BackendDirectory::Entry& known, const BackendServer& server) -> bool
 {
-    if (isEarlier(server.incarnation, known.server.incarnation))
-        return true;
     const auto isRestored = known.history < directory.history.value_or(0);
     const auto isKnownGone = known.server.state == ReplicaState::Leaving && !known.isPresumedGone;
     return isRestored && isKnownGone && server.state == ReplicaState::Live && server.incarnation == known.server.incarnation;
 }
 
+auto mayReturn(const BackendDirectory::Entry& known, const BackendServer& server) -> bool
+{
+    return server.incarnation == known.server.incarnation && !hasReportedLeaving(known);
+}
+
+auto isOutdated(const BackendDirectory& directory, const BackendDirectory::Entry& known, const BackendServer& server, EntrySource source) -> bool
+{
+    if (isEarlier(server.incarnation, known.server.incarnation))
+        return true;
+    if (!contradictsRestored(directory, known, server))
+        return false;
+    const auto isShownToLive = source == EntrySource::Change || known.relisting.hasNotLapsed;
+    return !isShownToLive || !mayReturn(known, server);
+}
+
 }
 
 auto storeFailed(BackendDirectory& directory, TimePoint now) -> void
@@ -56,8 +76,11 @@
 auto beginHistory(BackendDirectory& directory, TimePoint now, std::int64_t history) -> void
 {
     const auto before = std::exchange(directory.history, std::max(directory.history.value_or(history), history));
-    if (before && *before < history)
-        directory.reregistrationDeadline = now + directory.settings.reregistrationTime;
+    if (!before || *before >= history)
+        return;
+    directory.reregistrationDeadline = now + directory.settings.reregistrationTime;
+    for (auto& [id, entry] : directory.entries)
+        entry.relisting = {};
 }
 
 auto replaceAll(BackendDirectory& directory, TimePoint now, std::vector<BackendServer> servers) -> std::vector<std::string>
@@ -77,11 +100,13 @@
     return outdated;
 }
 
-auto upsert(BackendDirectory& directory, BackendServer server) -> bool
+auto upsert(BackendDirectory& directory, BackendServer server, EntrySource source) -> bool
 {
     const auto known = directory.entries.find(server.id);
-    if (known != directory.entries.end() && isOutdated(directory, known->second, server))
+    if (known != directory.entries.end() && isOutdated(directory, known->second, server, source)) {
+        known->second.relisting.isListed = mayReturn(known->second, server);
         return false;
+    }
     auto& entry = directory.entries[server.id];
     entry = { .server = std::move(server), .history = directory.history.value_or(0) };
     return true;
@@ -90,7 +115,10 @@
 auto remove(BackendDirectory& directory, TimePoint now, std::string_view id) -> void
 {
     const auto found = directory.entries.find(id);
-    if (found == directory.entries.end() || found->second.removedAt)
+    if (found == directory.entries.end())
+        return;
+    found->second.relisting = {};
+    if (found->second.removedAt)
         return;
     // A server that is known to leave does not register again.
     if (now < directory.reregistrationDeadline && found->second.server.state == ReplicaState::Live)
@@ -113,12 +141,23 @@
         hasChanged = hasChanged || isPast != entry.isUnlisted;
         entry.isUnlisted = isPast;
     }
+    for (auto& [id, entry] : directory.entries) {
+        auto& relisting = entry.relisting;
+        if (relisting.isListed && !relisting.since)
+            relisting.since = now;
+        relisting.hasNotLapsed = relisting.since && now - *relisting.since >= directory.settings.lapseTime;
+    }
     std::erase_if(directory.entries, [&](const auto& item) {
         return item.second.removedAt && now - *item.second.removedAt >= directory.settings.tombstoneTime;
     });
     return hasChanged;
 }
 
+auto hasUnlapsedEntry(const BackendDirectory& directory) -> bool
+{
+    return std::ranges::any_of(directory.entries, [](const auto& item) { return item.second.relisting.hasNotLapsed; });
+}
+
 auto servers(const BackendDirectory& directory) -> std::vector<BackendServer>
 {
     std::vector<BackendServer> list;
--- a/src/BackendDirectory.h
+++ b/src/BackendDirectory.h
@@ -3,7 +3,8 @@
 /// The backend servers that the platform's store lists, as a pure state machine. During an outage the
 /// store drops the entries of live servers, which register again shortly after it recovers. Missing
 /// entries are therefore ignored for some time after an outage. The same holds after the store was restored from an
-/// older copy, whose entries may also show servers as they were before they left.
+/// older copy, whose entries may also show servers as they were before they left. A removed server gets work again if
+/// its entry was written after the restore, or does not lapse.
 
 #include "BackendServer.h"
 #include "Time.h"
@@ -26,9 +27,28 @@
     Duration lingerTime = std::chrono::seconds(20);
     /// How long the entry of a removed server is kept, so that an entry of an older copy does not bring it back.
     Duration tombstoneTime = std::chrono::minutes(10);
+    /// Time after which the store has removed the entry of a server that no longer writes it. A server writes it every
+    /// second or so, and the store removes it after three intervals of silence.
+    Duration lapseTime = std::chrono::seconds(20);
+};
+
+/// How the store has shown an entry.
+enum class EntrySource {
+    /// In a list. After a restore, its entries may be those of the older copy.
+    List,
+    /// As a change. It was written in the store's current history.
+    Change,
 };
 
 struct BackendDirectory {
+    /// An entry of the restored store that shows a removed server as live.
+    struct Relisting {
+        bool isListed = false;
+        /// When expire() first found it listed in the current history.
+        std::optional<TimePoint> since;
+        /// Whether it has been listed for the lapse time.
+        bool hasNotLapsed = false;
+    };
     struct Entry {
         BackendServer server;
         /// When the server left the list. It gets no new work from then on.
@@ -37,6 +57,9 @@
         bool isMissing = false;
         /// Whether the server was removed because its entry stayed missing. It may still run and register late.
         bool isPresumedGone = false;
+        /// Whether the server itself has reported that it leaves. This incarnation does not come back.
+        bool hasReportedLeaving = false;
+        Relisting relisting;
         /// Whether the linger time after the removal has passed, so that servers() no longer lists the server.
         bool isUnlisted = false;
         /// History of the store that has shown this state.
@@ -67,9 +90,9 @@
 auto replaceAll(BackendDirectory& directory, TimePoint now, std::vector<BackendServer> servers) -> std::vector<std::string>;
 
 /// Adds or updates a server, unless the entry is outdated: its incarnation is earlier than the known one, or the store
-/// was restored and the entry shows as live an incarnation that is known to be leaving or removed.
+/// was restored and the entry may show an incarnation as it was before it reported that it leaves, or was removed.
 /// @return whether the entry was applied.
-auto upsert(BackendDirectory& directory, BackendServer server) -> bool;
+auto upsert(BackendDirectory& directory, BackendServer server, EntrySource source = EntrySource::List) -> bool;
 auto remove(BackendDirectory& directory, TimePoint now, std::string_view id) -> void;
 
 /// Removes missing servers after the re-registration deadline, and no longer names servers that left the list
@@ -77,6 +100,10 @@
 /// @return whether anything changed.
 auto expire(BackendDirectory& directory, TimePoint now) -> bool;
 
+/// @return whether the restored store has listed a removed server as live for the lapse time. If the next list still
+/// contains its entry, upsert() applies it.
+auto hasUnlapsedEntry(const BackendDirectory& directory) -> bool;
+
 /// @return all servers that are live or leaving, without those that left longer than the linger time ago.
 auto servers(const BackendDirectory& directory) -> std::vector<BackendServer>;
 
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -88,6 +88,7 @@
     , m_callbacks(std::move(callbacks))
     , m_election { .instance = m_settings.instance }
 {
+    m_directory.settings.lapseTime = m_settings.backendLapseTime;
 }
 
 auto StoreDirectory::start() -> void
@@ -107,6 +108,7 @@
     backends->maxWatch = maxWatch;
     backends->applyList = [this](const ItemList& list) { replaceBackends(list); };
     backends->applyChange = [this](const ItemChange& change) { updateBackend(change); };
+    m_backendWatch = backends;
     m_kindWatches = { configuration, backends };
     if (!m_format.blockedPartsKind.empty()) {
         auto blockedParts = std::make_shared<KindWatch>();
@@ -315,6 +317,7 @@
         co_await pause(expiryInterval);
         if (expire(m_directory, monotonicNow()))
             publishBackends();
+        confirmUnlapsedEntries();
     }
 }
 
@@ -355,7 +358,7 @@
     if (change.isDeleted) {
         remove(m_directory, monotonicNow(), change.item.name);
     } else if (auto server = m_format.readBackend(change.item)) {
-        if (!upsert(m_directory, std::move(*server)))
+        if (!upsert(m_directory, std::move(*server), EntrySource::Change))
             logOutdated(change.item.name);
     } else {
         m_log.record(LogLevel::Info, "backend_unreadable", { { "backend", change.item.name }, { "revision", numberOf(change.item.revision) }, { "history", historyOf(change.item.revision) } });
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -48,6 +48,8 @@
     std::optional<HttpEndpoint> peerEndpoint;
     /// Time within which a change has to take effect on this instance.
     Duration maxPropagationDelay = std::chrono::seconds(2);
+    /// Time after which the store has removed the entry of a backend server that no longer writes it.
+    Duration backendLapseTime = BackendDirectorySettings {}.lapseTime;
 };
 
 struct DirectoryCallbacks {
@@ -172,6 +174,8 @@
     /// @return whether the number of live instances has changed.
     auto updateInstanceCount(TimePoint now) -> bool;
     auto expireBackends() -> boost::asio::awaitable<void>;
+    /// Reads the list of backend servers if a restored store has listed a removed one for so long that it must live.
+    auto confirmUnlapsedEntries() -> void;
 
     auto updateConfiguration(const StoredItem& item) -> void;
     auto replaceBackends(const ItemList& list) -> void;
@@ -201,6 +205,9 @@
     /// Greatest history that a peer has reported.
     std::int64_t m_reportedHistory = 0;
     BackendDirectory m_directory;
+    KindWatchPointer m_backendWatch;
+    /// When unlapsed entries may be confirmed by the next list.
+    TimePoint m_nextConfirmation {};
     std::vector<BackendServer> m_published;
     /// Services with a list of blocked prompt parts.
     std::set<std::string> m_blockedPartsServices;
--- a/src/StoreDirectoryHistory.cpp
+++ b/src/StoreDirectoryHistory.cpp
@@ -18,6 +18,8 @@
 /// Mean delay before the lists are read after a restore. All instances learn of it at nearly the same time, and
 /// jitter spreads their calls over this time.
 constexpr Duration meanRestoreReadDelay = std::chrono::milliseconds(200);
+/// Mean interval of the lists that confirm the entries of backend servers, while they fail.
+constexpr Duration meanConfirmationInterval = std::chrono::seconds(2);
 /// Mean delay before the instance's record is written again. All instances write, and the peers count them for longer.
 constexpr Duration meanRecordDelay = std::chrono::seconds(1);
 
@@ -72,6 +74,16 @@
         keepBlockedParts();
 }
 
+auto StoreDirectory::confirmUnlapsedEntries() -> void
+{
+    const auto now = monotonicNow();
+    if (!hasUnlapsedEntry(m_directory) || now < m_nextConfirmation)
+        return;
+    m_nextConfirmation = now + jitteredDelay(meanConfirmationInterval);
+    const auto read = [](std::shared_ptr<StoreDirectory> self) -> asio::awaitable<void> { co_await self->readList(*self->m_backendWatch, true); };
+    asio::co_spawn(m_threads.context(0), read(shared_from_this()), logTaskFailure(m_log, "confirm backend servers"));
+}
+
 auto StoreDirectory::logOutdated(const std::string& backend) -> void
 {
     const auto& known = m_directory.entries.at(backend).server;
--- a/test/RestorableZone.h
+++ b/test/RestorableZone.h
@@ -16,8 +16,13 @@
 
 class RestorableZone {
 public:
+    struct Timing {
+        Duration maxPropagationDelay;
+        Duration backendLapseTime;
+    };
+
     struct Instance {
-        Instance(RestorableZone& zone, std::string name, Duration maxPropagationDelay)
+        Instance(RestorableZone& zone, std::string name, const Timing& timing)
             : store(zone.store)
             , log(name)
         {
@@ -45,7 +50,7 @@
             };
             BlockedPartsCallbacks writerCallbacks { [this](std::int64_t revision) { directory->handlePeerRevision("blocked", revision); }, [](const std::string&, std::uint64_t) {} };
             writer = std::make_shared<BlockedPartsWriter>(threads, store, "blocked", log, std::move(writerCallbacks));
-            directory = std::make_shared<StoreDirectory>(threads, store, std::move(format), DirectorySettings { .instance = std::move(name), .availabilityZone = "alpine", .maxPropagationDelay = maxPropagationDelay }, log, std::move(callbacks));
+            directory = std::make_shared<StoreDirectory>(threads, store, std::move(format), DirectorySettings { .instance = std::move(name), .availabilityZone = "alpine", .maxPropagationDelay = timing.maxPropagationDelay, .backendLapseTime = timing.backendLapseTime }, log, std::move(callbacks));
             directory->start();
         }
         ~Instance() { threads.stop(); }
@@ -84,10 +89,10 @@
         std::shared_ptr<StoreDirectory> directory;
     };
 
-    explicit RestorableZone(std::size_t count, Duration maxPropagationDelay = std::chrono::seconds(2))
+    explicit RestorableZone(std::size_t count, Duration maxPropagationDelay = std::chrono::seconds(2), Duration backendLapseTime = std::chrono::seconds(20))
     {
         for (std::size_t index = 0; index < count; ++index)
-            instances.push_back(std::make_unique<Instance>(*this, "edge-" + std::to_string(index + 1), maxPropagationDelay));
+            instances.push_back(std::make_unique<Instance>(*this, "edge-" + std::to_string(index + 1), Timing { maxPropagationDelay, backendLapseTime }));
         m_isComplete = true;
     }
     ~RestorableZone()
--- a/test/correctness/RestoredStoreTest.cpp
+++ b/test/correctness/RestoredStoreTest.cpp
@@ -245,6 +245,42 @@
     CHECK(zone.reaches([](const auto& any) { return any.isLive("removed"); }, propagationBound));
 }
 
+// Guards against a live server that gets no work for minutes, because its entry lapsed shortly before a restore.
+TEST_CASE("a server that lapsed before a restore gets work again when it writes its entry")
+{
+    RestorableZone zone(5);
+    zone.store.put("servers", "lapsed", server("900"));
+    zone.store.saveCopy();
+    std::this_thread::sleep_for(settlingTime);
+    zone.store.remove("servers", "lapsed");
+    REQUIRE(zone.reaches([](const auto& any) { return !any.isLive("lapsed"); }, propagationBound));
+    zone.store.restore();
+    zone.store.put("servers", "new", server("900"));
+    REQUIRE(zone.reaches([](const auto& any) { return any.isLive("new"); }, propagationBound));
+    CHECK(zone.reaches([](const auto& any) { return !any.isLive("lapsed"); }, 0s));
+    zone.store.put("servers", "lapsed", server("900"));
+    CHECK(zone.reaches([](const auto& any) { return any.isLive("lapsed"); }, propagationBound));
+}
+
+// Guards against a live server that gets no work for minutes, because writing its entry again changes nothing in the copy.
+TEST_CASE("a server that lapsed before a restore gets work again if its restored entry does not lapse")
+{
+    RestorableZone zone(1, propagationBound, 3s);
+    zone.store.put("servers", "lives", server("900"));
+    zone.store.put("servers", "gone", server("900"));
+    zone.store.saveCopy();
+    std::this_thread::sleep_for(settlingTime);
+    zone.store.remove("servers", "lives");
+    zone.store.remove("servers", "gone");
+    REQUIRE(zone.reaches([](const auto& any) { return !any.isLive("lives") && !any.isLive("gone"); }, propagationBound));
+    zone.store.restore();
+    std::this_thread::sleep_for(propagationBound);
+    CHECK(zone.reaches([](const auto& any) { return !any.isLive("lives") && !any.isLive("gone"); }, 0s));
+    zone.store.remove("servers", "gone");
+    CHECK(zone.reaches([](const auto& any) { return any.isLive("lives"); }, 4s));
+    CHECK_FALSE(zone.last().isLive("gone"));
+}
+
 // Guards against blocked prompt parts that a restore unblocks, because only the instances have written them.
 TEST_CASE("blocked prompt parts outlast a restore and are written again")
 {
