Check peers' reports of revisions and histories against the store

What operators see: an instance that reads its lists again and again (change_told_by_peer for each message, up to its limit of calls), because a peer reports a revision or a history that the store does not have. What callers could see: a restore that the zone learns of later, because such a report also suppressed this instance's own report of the restore.

Cause: a report was taken as true until the own state reached it, which a wrong one never lets happen, and any reported history that is not less than the new one counted as a report of it.

Change: a list is requested after the report, and the store's lists are current, so a list that does not reach the report refutes it (report_refuted). Reports from that revision on are ignored for 1 s, smaller ones count as before. A refuted history is forgotten, and only a report of exactly the history that the store names replaces the own one.

--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -16,7 +16,7 @@
 
 # A test of its own, because it waits for watches for most of its time.
 jayhold_test(restored_store_test
-  SOURCES test/correctness/RestoredStoreTest.cpp test/correctness/RestoredStorePropertyTest.cpp
+  SOURCES test/correctness/PeerReportTest.cpp test/correctness/RestoredStoreTest.cpp test/correctness/RestoredStorePropertyTest.cpp
   LINK jayhold_cluster)
 if(JAYHOLD_TESTS)
   # Each sequence takes up to one second, because directories run in real time.
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -131,6 +131,10 @@
         bool isListPending = false;
         /// Greatest revision that peers or answers of the store have reported and that a scheduled read must reach.
         std::int64_t reportedRevision = 0;
+        /// Least revision that peers have reported and a later list has not reached; 0 if none.
+        std::int64_t refutedRevision = 0;
+        /// Reports from the refuted revision on are ignored until then.
+        TimePoint refutedUntil {};
     };
     using KindWatchPointer = std::shared_ptr<KindWatch>;
 
@@ -148,9 +152,14 @@
     /// Schedules a read of the list, unless the reported changes arrive before. A read that is scheduled already covers
     /// later reports.
     auto scheduleRead(const KindWatchPointer& kindWatch, std::int64_t revision, Duration delay) -> void;
+    /// Handles the end of a read that peers' reports have caused. A report that the list does not reach is wrong, because
+    /// the list was requested after it.
+    auto checkReport(KindWatch& kindWatch, std::int64_t reported) -> void;
     /// Handles the revision in an answer of the store. The first one of a newer history brings all kinds up to date,
     /// here and at the peers.
     auto handleStoreAnswer(std::int64_t revision) -> void;
+    /// @return the delay before a list is read after a restore.
+    static auto restoreReadDelay() -> Duration;
     /// Reads the lists of all kinds whose state belongs to an earlier history.
     auto readListsOfHistory(std::int64_t history) -> void;
     /// @return whether the store is known to have begun a later history.
@@ -202,7 +211,7 @@
     std::int64_t m_version = 0;
     /// Greatest history that the store has named; nothing until its first answer.
     std::optional<std::int64_t> m_history;
-    /// Greatest history that a peer has reported.
+    /// Greatest history that a peer has reported and that no list has refuted.
     std::int64_t m_reportedHistory = 0;
     BackendDirectory m_directory;
     KindWatchPointer m_backendWatch;
--- a/src/StoreDirectoryHistory.cpp
+++ b/src/StoreDirectoryHistory.cpp
@@ -32,7 +32,7 @@
     if (!before || *before >= history)
         return;
     // Peers whose watches still wait can't know of the restore. If one of them has reported it, all others know.
-    const auto isReported = m_reportedHistory >= history;
+    const auto isReported = m_reportedHistory == history;
     readListsOfHistory(history);
     asio::co_spawn(m_threads.context(0), rewriteRecord(), logTaskFailure(m_log, "write the record after a restore"));
     const auto beginning = makeRevision(history, 0);
@@ -50,12 +50,17 @@
     while (!co_await writeRecord());
 }
 
+auto StoreDirectory::restoreReadDelay() -> Duration
+{
+    return jitteredDelay(meanRestoreReadDelay);
+}
+
 auto StoreDirectory::readListsOfHistory(std::int64_t history) -> void
 {
     for (const auto& kindWatch : m_kindWatches) {
         // With revision 0 the list is read next anyway.
         if (kindWatch->revision != 0 && historyOf(kindWatch->revision) < history)
-            scheduleRead(kindWatch, makeRevision(history, 0), jitteredDelay(meanRestoreReadDelay));
+            scheduleRead(kindWatch, makeRevision(history, 0), restoreReadDelay());
     }
 }
 
--- a/src/StoreDirectoryUpdates.cpp
+++ b/src/StoreDirectoryUpdates.cpp
@@ -20,6 +20,9 @@
 constexpr Duration peerRevisionGrace = std::chrono::milliseconds(150);
 /// Delay before a list is read again after a failed read, unless the store's back-off requires more.
 constexpr Duration minReadRetryDelay = std::chrono::milliseconds(200);
+/// Time for which reports are ignored after a list has refuted one. Peers repeat their reports in less, and a change that
+/// is missed has to be read within the maximum propagation delay.
+constexpr Duration refutationTime = std::chrono::seconds(1);
 constexpr Duration electionInterval = std::chrono::milliseconds(100);
 /// Election intervals between two heartbeats of a watcher to its zone, so that it sends three of them within
 /// the watcher timeout.
@@ -77,13 +80,19 @@
 {
     if (isFromEndedHistory(revision))
         return;
-    if (m_history && historyOf(revision) > *m_history) {
-        m_reportedHistory = std::max(m_reportedHistory, historyOf(revision));
-        readListsOfHistory(historyOf(revision));
-    }
+    const auto history = historyOf(revision);
+    const auto isNewHistory = m_history && history > *m_history;
+    const auto now = monotonicNow();
     for (const auto& kindWatch : m_kindWatches) {
-        if (kindWatch->kind == kind && kindWatch->revision != 0 && kindWatch->revision < revision)
-            scheduleRead(kindWatch, revision, peerRevisionGrace);
+        const auto isReportedKind = kindWatch->kind == kind;
+        if (kindWatch->revision == 0 || kindWatch->revision >= revision || (!isReportedKind && !isNewHistory))
+            continue;
+        const auto reported = isReportedKind ? revision : makeRevision(history, 0);
+        if (kindWatch->refutedRevision != 0 && reported >= kindWatch->refutedRevision && now < kindWatch->refutedUntil)
+            continue;
+        if (isNewHistory)
+            m_reportedHistory = std::max(m_reportedHistory, history);
+        scheduleRead(kindWatch, reported, isNewHistory ? restoreReadDelay() : peerRevisionGrace);
     }
 }
 
@@ -107,6 +116,8 @@
         m_log.record(LogLevel::Info, "change_told_by_peer", { { "kind", kindWatch->kind }, { "revision", numberOf(revision) }, { "history", historyOf(revision) }, { "own_revision", numberOf(kindWatch->revision) }, { "own_history", historyOf(kindWatch->revision) } });
         // A waiting watch continues. Changes that it returns and the list already contained are skipped.
         const auto error = co_await readList(*kindWatch, true);
+        if (!error)
+            checkReport(*kindWatch, revision);
         if (!error || kindWatch->isListPending)
             co_return;
         m_log.record(LogLevel::Info, "change_not_read", { { "kind", kindWatch->kind }, { "revision", numberOf(revision) }, { "history", historyOf(revision) }, { "detail", error->detail } });
@@ -117,6 +128,20 @@
     }
 }
 
+auto StoreDirectory::checkReport(KindWatch& kindWatch, std::int64_t reported) -> void
+{
+    if (kindWatch.revision >= kindWatch.refutedRevision)
+        kindWatch.refutedRevision = 0;
+    if (kindWatch.revision >= reported)
+        return;
+    if (kindWatch.refutedRevision == 0 || reported < kindWatch.refutedRevision)
+        kindWatch.refutedRevision = reported;
+    kindWatch.refutedUntil = monotonicNow() + refutationTime;
+    if (m_history && m_reportedHistory > *m_history)
+        m_reportedHistory = 0;
+    m_log.record(LogLevel::Warning, "report_refuted", { { "kind", kindWatch.kind }, { "revision", numberOf(reported) }, { "history", historyOf(reported) }, { "own_revision", numberOf(kindWatch.revision) }, { "own_history", historyOf(kindWatch.revision) } });
+}
+
 auto StoreDirectory::logUnreadable(const std::string& kind, std::size_t count, std::span<const std::string> names) -> void
 {
     if (count == 0)
--- a/test/RestorableZone.h
+++ b/test/RestorableZone.h
@@ -123,6 +123,8 @@
     }
     auto publish(const Instance& sender, const DirectoryUpdate& update) -> void
     {
+        if (update.changes)
+            publishedHistory = std::max(publishedHistory.load(), historyOf(update.changes->upTo));
         sendToOthers(sender, [update](StoreDirectory& directory) { directory.handleDirectoryUpdate(update); });
     }
     auto last() -> Instance& { return *instances.back(); }
@@ -143,6 +145,8 @@
 
     RestorableStore store;
     std::vector<std::unique_ptr<Instance>> instances;
+    /// Greatest history of the changes in the updates that instances have sent.
+    std::atomic<std::int64_t> publishedHistory { 0 };
     /// Whether no message reaches another instance.
     std::atomic<bool> dropsMessages { false };
 
--- /dev/null
+++ b/test/correctness/PeerReportTest.cpp
@@ -0,0 +1,78 @@
+#include "../RestorableZone.h"
+
+#include <catch2/catch.hpp>
+
+using namespace jayhold;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Watches wait for several seconds, so that they don't bring an instance up to date themselves.
+constexpr auto longPropagationDelay = 20s;
+
+/// Numbers that the store of a test doesn't reach.
+constexpr std::int64_t wrongNumber = 1'000'000;
+constexpr std::int64_t wrongHistory = 9;
+
+/// One instance that has read version 1.
+struct ReportedZone {
+    explicit ReportedZone(Duration maxPropagationDelay = longPropagationDelay)
+        : zone(1, maxPropagationDelay)
+    {
+        zone.store.put("config", "main", 1);
+        zone.store.saveCopy();
+        report("config", zone.store.snapshot("config").revision);
+        isPrepared = zone.reachesVersion(1, 3s);
+    }
+
+    auto report(const std::string& kind, std::int64_t revision) -> void
+    {
+        zone.last().post([kind, revision](StoreDirectory& directory) { directory.handlePeerRevision(kind, revision); });
+    }
+
+    RestorableZone zone;
+    bool isPrepared = false;
+};
+
+}
+
+// Guards against an instance that reads its lists for each message of a peer that reports revisions or histories which
+// the store does not have.
+TEST_CASE("a wrong report costs one list a second however often it is repeated")
+{
+    ReportedZone fixture;
+    REQUIRE(fixture.isPrepared);
+    const auto before = fixture.zone.last().store.lists.load();
+    for (int message = 0; message < 100; ++message) {
+        fixture.report("servers", makeRevision(1, wrongNumber + message));
+        fixture.report("config", makeRevision(wrongHistory + message, 0));
+        std::this_thread::sleep_for(20ms);
+    }
+    // Three kinds for at least 2 s.
+    CHECK(fixture.zone.last().store.lists - before <= 9);
+}
+
+// Guards against a change that is missed because an earlier report was wrong.
+TEST_CASE("a right report counts at once after a wrong one")
+{
+    ReportedZone fixture;
+    REQUIRE(fixture.isPrepared);
+    fixture.report("config", makeRevision(1, wrongNumber));
+    fixture.report("config", makeRevision(wrongHistory, 0));
+    std::this_thread::sleep_for(500ms);
+    fixture.report("config", fixture.zone.store.put("config", "main", 2));
+    CHECK(fixture.zone.reachesVersion(2, 500ms));
+}
+
+// Guards against a restore that the peers don't learn of because one of them has reported a history that does not exist.
+TEST_CASE("a wrong report of a history does not suppress the report of a restore")
+{
+    ReportedZone fixture(2s);
+    REQUIRE(fixture.isPrepared);
+    fixture.report("config", makeRevision(wrongHistory, 0));
+    std::this_thread::sleep_for(100ms);
+    fixture.zone.store.restore();
+    fixture.zone.store.put("config", "main", 3);
+    REQUIRE(fixture.zone.reachesVersion(3, 2s));
+    CHECK(fixture.zone.publishedHistory == 2);
+}
