Bound what the revision in a peer's update can suppress

What callers could see: an instance that relies on its zone's watchers keeps an old configuration or an old list of servers for ever, after one update that names a revision above the store's. All later changes count as known.

Cause: an update was applied by its own word. An instance that relies on updates asks the store nothing that could contradict it.

Change: an update whose revisions are out of order, or more than 1,000,000 above the store's last answer to this instance, is not applied but read, which refutes it.

Evidence: PeerReportTest.

Ruled out: going back to an older list at once. An answer that the store gives out of order would then bring back a server that leaves.

--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -145,6 +145,11 @@
     m_state->hasNewRevisions = true;
 }
 
+auto LoadExchange::resetRevision(const std::string& kind) -> void
+{
+    m_state->revisions.erase(kind);
+}
+
 auto LoadExchange::hasLowestName() const -> bool
 {
     const auto& peers = m_state->loads.instances;
--- a/src/LoadExchange.h
+++ b/src/LoadExchange.h
@@ -74,6 +74,10 @@
     /// Must be called on the first I/O thread.
     auto advanceRevision(const std::string& kind, std::int64_t revision) -> void;
 
+    /// Records that a revision that was passed to advanceRevision() is wrong. Messages contain none of the kind until the
+    /// next one. Must be called on the first I/O thread.
+    auto resetRevision(const std::string& kind) -> void;
+
     /// Sends a directory update to the other instances of the zone. Must be called on the first I/O
     /// thread.
     auto sendDirectoryUpdate(const DirectoryUpdate& update) -> void;
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -164,6 +164,9 @@
             .changed = [this](const std::string& kind, std::int64_t revision) {
                 if (loadExchange)
                     loadExchange->advanceRevision(kind, revision); },
+            .revisionRefuted = [this](const std::string& kind) {
+                if (loadExchange)
+                    loadExchange->resetRevision(kind); },
         };
         if (settings.loadListen) {
             startLoadExchange(*settings.loadListen);
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -207,6 +207,7 @@
         co_return result.error();
     }
     storeAnswered(m_directory, monotonicNow());
+    m_storeRevision = std::max(m_storeRevision, result->revision);
     logUnreadable(kindWatch.kind, result->unreadable, result->unreadableNames);
     KindChanges changes { kindWatch.kind, afterRevision, result->revision, std::move(result->changes) };
     const auto isComplete = result->unreadable == 0;
@@ -247,10 +248,12 @@
     if (m_settings.peerEndpoint)
         value["address"] = toString(*m_settings.peerEndpoint);
     value["availability_zone"] = m_settings.availabilityZone;
+    const auto before = appliedRevisions();
     const auto revision = co_await m_store.put(m_threads.client(0), m_format.instanceKind, m_settings.instance, std::move(value));
-    if (revision.has_value())
+    if (revision.has_value()) {
         handleStoreAnswer(*revision);
-    else
+        refuteRevisions(before, *revision);
+    } else
         m_log.record(LogLevel::Info, "instance_not_announced", { { "detail", revision.error().detail } });
     co_return revision.has_value();
 }
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -72,6 +72,8 @@
     std::function<void(std::optional<TimePoint>)> onStoreAvailability = [](std::optional<TimePoint>) {};
     /// Changes of a watched kind have been applied up to a revision, from a list, a watch or an update.
     std::function<void(const std::string& kind, std::int64_t revision)> changed = [](const std::string&, std::int64_t) {};
+    /// A revision of a kind that was applied, and may have been passed to `changed`, is wrong.
+    std::function<void(const std::string& kind)> revisionRefuted = [](const std::string&) {};
     /// Sends a directory update to the other instances of the zone. Absent if there is no channel to them.
     std::function<void(const DirectoryUpdate&)> publishToZone;
 };
@@ -155,6 +157,14 @@
     /// Handles the end of a read that peers' reports have caused. A report that the list does not reach is wrong, because
     /// the list was requested after it.
     auto checkReport(KindWatch& kindWatch, std::int64_t reported) -> void;
+    /// @return whether the revisions of an update fit together and the store can have reached them.
+    auto isPlausible(const KindChanges& changes) const -> bool;
+    /// @return the revisions up to which changes have been applied, in the order of the kinds.
+    auto appliedRevisions() const -> std::vector<std::int64_t>;
+    /// Reads the lists again of kinds whose revision only a peer's update can have set, because it is greater than the
+    /// store's answer to a later call.
+    /// @param before revisions of the kinds when the call was made.
+    auto refuteRevisions(std::span<const std::int64_t> before, std::int64_t answered) -> void;
     /// Handles the revision in an answer of the store. The first one of a newer history brings all kinds up to date,
     /// here and at the peers.
     auto handleStoreAnswer(std::int64_t revision) -> void;
@@ -211,6 +221,8 @@
     std::int64_t m_version = 0;
     /// Greatest history that the store has named; nothing until its first answer.
     std::optional<std::int64_t> m_history;
+    /// Greatest revision in the store's answers.
+    std::int64_t m_storeRevision = 0;
     /// Greatest history that a peer has reported and that no list has refuted.
     std::int64_t m_reportedHistory = 0;
     BackendDirectory m_directory;
--- a/src/StoreDirectoryHistory.cpp
+++ b/src/StoreDirectoryHistory.cpp
@@ -27,6 +27,7 @@
 
 auto StoreDirectory::handleStoreAnswer(std::int64_t revision) -> void
 {
+    m_storeRevision = std::max(m_storeRevision, revision);
     const auto history = historyOf(revision);
     const auto before = std::exchange(m_history, std::max(m_history.value_or(history), history));
     if (!before || *before >= history)
--- a/src/StoreDirectoryUpdates.cpp
+++ b/src/StoreDirectoryUpdates.cpp
@@ -23,6 +23,9 @@
 /// Time for which reports are ignored after a list has refuted one. Peers repeat their reports in less, and a change that
 /// is missed has to be read within the maximum propagation delay.
 constexpr Duration refutationTime = std::chrono::seconds(1);
+/// Changes that the store may have made since its last answer to this instance. It takes some hundred writes a second, and
+/// an instance writes its record at least twice a minute.
+constexpr std::int64_t maxUnconfirmedChanges = 1'000'000;
 constexpr Duration electionInterval = std::chrono::milliseconds(100);
 /// Election intervals between two heartbeats of a watcher to its zone, so that it sends three of them within
 /// the watcher timeout.
@@ -45,15 +48,42 @@
     updateWatcher(m_election, monotonicNow(), update.instance, update.isWatching);
     if (!update.changes)
         return;
+    const auto mayApply = isPlausible(*update.changes);
     for (const auto& kindWatch : m_kindWatches) {
-        if (kindWatch->kind != update.changes->kind || applyChanges(*kindWatch, *update.changes))
+        if (kindWatch->kind != update.changes->kind || (mayApply && applyChanges(*kindWatch, *update.changes)))
             continue;
         // Changes before these may be missing, unless another watcher delivers them.
-        if (kindWatch->revision < update.changes->after)
+        if (!mayApply || kindWatch->revision < update.changes->after)
             handlePeerRevision(kindWatch->kind, update.changes->upTo);
     }
 }
 
+auto StoreDirectory::isPlausible(const KindChanges& changes) const -> bool
+{
+    const auto isInOrder = changes.after <= changes.upTo && std::ranges::all_of(changes.changes, [&](const ItemChange& change) { return change.item.revision <= changes.upTo; });
+    return isInOrder && (historyOf(changes.upTo) != historyOf(m_storeRevision) || changes.upTo - m_storeRevision <= maxUnconfirmedChanges);
+}
+
+auto StoreDirectory::appliedRevisions() const -> std::vector<std::int64_t>
+{
+    std::vector<std::int64_t> revisions;
+    for (const auto& kindWatch : m_kindWatches)
+        revisions.push_back(kindWatch->revision);
+    return revisions;
+}
+
+auto StoreDirectory::refuteRevisions(std::span<const std::int64_t> before, std::int64_t answered) -> void
+{
+    for (std::size_t index = 0; index < before.size(); ++index) {
+        auto& kindWatch = *m_kindWatches[index];
+        if (historyOf(before[index]) != historyOf(answered) || before[index] <= answered || kindWatch.revision < before[index])
+            continue;
+        m_log.record(LogLevel::Warning, "report_refuted", { { "kind", kindWatch.kind }, { "revision", numberOf(before[index]) }, { "history", historyOf(before[index]) }, { "own_revision", numberOf(answered) }, { "own_history", historyOf(answered) } });
+        kindWatch.revision = 0;
+        m_callbacks.revisionRefuted(kindWatch.kind);
+    }
+}
+
 auto StoreDirectory::applyChanges(KindWatch& kindWatch, const KindChanges& changes) -> bool
 {
     // The changes of two histories don't continue each other.
--- a/test/RestorableZone.h
+++ b/test/RestorableZone.h
@@ -46,6 +46,9 @@
                     blockedParts = parts; },
                 .lostBlockedParts = [this](const std::string& service, std::vector<ListedPart> parts) { writer->restore(service, std::move(parts)); },
                 .changed = [this, &zone](const std::string& kind, std::int64_t revision) { zone.report(*this, kind, revision); },
+                .revisionRefuted = [this](const std::string& kind) {
+                    const std::lock_guard guard(lock);
+                    refuted = kind; },
                 .publishToZone = [this, &zone](const DirectoryUpdate& update) { zone.publish(*this, update); },
             };
             BlockedPartsCallbacks writerCallbacks { [this](std::int64_t revision) { directory->handlePeerRevision("blocked", revision); }, [](const std::string&, std::uint64_t) {} };
@@ -72,6 +75,12 @@
             const std::lock_guard guard(lock);
             return blockedParts;
         }
+        /// @return the last kind of which an applied revision was wrong; empty if none.
+        auto refutedKind() const -> std::string
+        {
+            const std::lock_guard guard(lock);
+            return refuted;
+        }
         auto hasLogged(std::string_view event) const -> bool
         {
             return std::ranges::any_of(log.after(0, EventLog::defaultCapacity), [&](const LoggedEvent& logged) { return logged.event == event; });
@@ -84,6 +93,7 @@
         mutable std::mutex lock;
         std::vector<BackendServer> backends;
         std::vector<ListedPart> blockedParts;
+        std::string refuted;
         IoThreads threads { 1 };
         std::shared_ptr<BlockedPartsWriter> writer;
         std::shared_ptr<StoreDirectory> directory;
--- a/test/correctness/PeerReportTest.cpp
+++ b/test/correctness/PeerReportTest.cpp
@@ -11,7 +11,7 @@
 constexpr auto longPropagationDelay = 20s;
 
 /// Numbers that the store of a test doesn't reach.
-constexpr std::int64_t wrongNumber = 1'000'000;
+constexpr std::int64_t wrongNumber = 1'000'000'000;
 constexpr std::int64_t wrongHistory = 9;
 
 /// One instance that has read version 1.
@@ -30,6 +30,22 @@
         zone.last().post([kind, revision](StoreDirectory& directory) { directory.handlePeerRevision(kind, revision); });
     }
 
+    /// Delivers an update that claims that the configuration has not changed up to a number.
+    auto claimUnchanged(std::int64_t number) -> void
+    {
+        zone.last().post([number](StoreDirectory& directory) { directory.handleDirectoryUpdate({ "edge-2", false, KindChanges { "config", makeRevision(1, 1), makeRevision(1, number), {} } }); });
+    }
+    /// Writes a version and delivers the update of a watcher.
+    auto change(std::int64_t version) -> void
+    {
+        const auto before = zone.store.snapshot("config").revision;
+        const auto revision = zone.store.put("config", "main", version);
+        zone.last().post([before, revision, version](StoreDirectory& directory) {
+            const ItemChange change { { "main", revision, version } };
+            directory.handleDirectoryUpdate({ "edge-2", false, KindChanges { "config", before, revision, { change } } });
+        });
+    }
+
     RestorableZone zone;
     bool isPrepared = false;
 };
@@ -76,3 +92,27 @@
     REQUIRE(fixture.zone.reachesVersion(3, 2s));
     CHECK(fixture.zone.publishedHistory == 2);
 }
+
+// Guards against an instance that skips all later changes because an update names a revision far above the store's.
+TEST_CASE("an update with a revision that the store can't have reached suppresses no change")
+{
+    ReportedZone fixture;
+    REQUIRE(fixture.isPrepared);
+    fixture.claimUnchanged(wrongNumber);
+    std::this_thread::sleep_for(100ms);
+    fixture.change(2);
+    CHECK(fixture.zone.reachesVersion(2, 1s));
+}
+
+// Guards against an instance that relies on an update for ever which the store's own answers contradict.
+TEST_CASE("the answer to the write of an instance's record refutes the revision of an update")
+{
+    ReportedZone fixture;
+    REQUIRE(fixture.isPrepared);
+    fixture.claimUnchanged(numberOf(fixture.zone.store.snapshot("config").revision) + 1000);
+    std::this_thread::sleep_for(100ms);
+    fixture.change(2);
+    // The record is written at the latest 30 s after the last time.
+    CHECK(fixture.zone.reachesVersion(2, 31s));
+    CHECK(fixture.zone.last().refutedKind() == "config");
+}
