Name the store's history in each directory update

What callers could see: an old configuration. An instance whose watchers stay in an ended history, or run a version without histories during an upgrade, relies on messages of which it can apply none, and no message said so. And an instance that loses the one update that reports a restore learned of it from a load message or its own watch only.

Cause: the messages in which watchers announce themselves named no history.

Change: each update names the greatest history that its sender knows.

Evidence: PeerReportTest. Without the two rules, an instance that relies on three watchers of history 0 or 1 after a restore to history 2 does not get version 3 in 4 s, and one that gets only a message without changes does not get version 2 in 500 ms; both pass with them.

--- a/src/DirectoryUpdate.cpp
+++ b/src/DirectoryUpdate.cpp
@@ -48,7 +48,7 @@
 
 auto serializeDirectoryUpdate(const DirectoryUpdate& update) -> std::string
 {
-    json::object object { { "instance", update.instance }, { "watching", update.isWatching } };
+    json::object object { { "instance", update.instance }, { "watching", update.isWatching }, { "history", update.history } };
     if (update.changes) {
         json::array list;
         for (const auto& change : update.changes->changes)
@@ -67,6 +67,7 @@
     DirectoryUpdate update;
     if (!object || !readText(*object, "instance", update.instance) || !readBoolean(*object, "watching", update.isWatching))
         return std::nullopt;
+    readNumber(*object, "history", update.history);
     if (object->contains("changes")) {
         update.changes = parseChanges(*object);
         if (!update.changes)
--- a/src/DirectoryUpdate.h
+++ b/src/DirectoryUpdate.h
@@ -26,6 +26,8 @@
     /// Whether the sender's watches of the store are connected.
     bool isWatching = false;
     std::optional<KindChanges> changes;
+    /// Greatest history of the store that the sender knows; 0 if it knows none, as senders of earlier versions do.
+    std::int64_t history = 0;
 };
 
 /// @return the update as JSON text.
--- a/src/StoreDirectoryHistory.cpp
+++ b/src/StoreDirectoryHistory.cpp
@@ -40,7 +40,7 @@
     for (const auto& kindWatch : m_kindWatches)
         m_callbacks.changed(kindWatch->kind, beginning);
     if (!isReported && m_callbacks.publishToZone)
-        m_callbacks.publishToZone({ m_settings.instance, isServingZone(), KindChanges { m_format.configurationKind, beginning, beginning, {} } });
+        m_callbacks.publishToZone({ m_settings.instance, isServingZone(), KindChanges { m_format.configurationKind, beginning, beginning, {} }, history });
 }
 
 auto StoreDirectory::rewriteRecord() -> asio::awaitable<void>
--- a/src/StoreDirectoryUpdates.cpp
+++ b/src/StoreDirectoryUpdates.cpp
@@ -45,7 +45,13 @@
 
 auto StoreDirectory::handleDirectoryUpdate(const DirectoryUpdate& update) -> void
 {
-    updateWatcher(m_election, monotonicNow(), update.instance, update.isWatching);
+    // A watcher that stays in an ended history sends nothing that can be applied. It is no longer counted when its
+    // timeout is over, so one that learns of the restore in time remains a watcher.
+    if (!update.isWatching || update.history >= m_history.value_or(0))
+        updateWatcher(m_election, monotonicNow(), update.instance, update.isWatching);
+    // The update that reported the restore may have been lost.
+    if (m_history && update.history > *m_history)
+        handlePeerRevision(m_format.configurationKind, makeRevision(update.history, 0));
     if (!update.changes)
         return;
     const auto mayApply = isPlausible(*update.changes);
@@ -198,7 +204,7 @@
 {
     if (!m_callbacks.publishToZone || !m_election.isWatching)
         return;
-    m_callbacks.publishToZone({ m_settings.instance, isServingZone(), std::move(changes) });
+    m_callbacks.publishToZone({ m_settings.instance, isServingZone(), std::move(changes), m_history.value_or(0) });
 }
 
 auto StoreDirectory::isServingZone() const -> bool
--- a/test/correctness/PeerReportTest.cpp
+++ b/test/correctness/PeerReportTest.cpp
@@ -35,6 +35,12 @@
     {
         zone.last().post([number](StoreDirectory& directory) { directory.handleDirectoryUpdate({ "edge-2", false, KindChanges { "config", makeRevision(1, 1), makeRevision(1, number), {} } }); });
     }
+    /// Delivers the messages that watchers send while nothing changes.
+    auto sendHeartbeats(std::int64_t history) -> void
+    {
+        for (const auto* watcher : { "edge-0a", "edge-0b", "edge-0c" })
+            zone.last().post([watcher, history](StoreDirectory& directory) { directory.handleDirectoryUpdate({ watcher, true, std::nullopt, history }); });
+    }
     /// Writes a version and delivers the update of a watcher.
     auto change(std::int64_t version) -> void
     {
@@ -116,3 +122,33 @@
     CHECK(fixture.zone.reachesVersion(2, 31s));
     CHECK(fixture.zone.last().refutedKind() == "config");
 }
+
+// Guards against an instance that keeps an old configuration because it relies on watchers that have not learned of a
+// restore, or that run an earlier version, which knows no histories.
+TEST_CASE("an instance does not rely on watchers of an ended history")
+{
+    ReportedZone fixture(2s);
+    REQUIRE(fixture.isPrepared);
+    fixture.zone.store.restore();
+    fixture.zone.store.put("config", "main", 2);
+    REQUIRE(fixture.zone.reachesVersion(2, 2s));
+    for (int message = 0; message < 20; ++message) {
+        fixture.sendHeartbeats(message % 2);
+        std::this_thread::sleep_for(100ms);
+    }
+    fixture.zone.store.put("config", "main", 3);
+    for (int message = 0; message < 20 && !fixture.zone.reachesVersion(3, 100ms); ++message)
+        fixture.sendHeartbeats(message % 2);
+    CHECK(fixture.zone.reachesVersion(3, 0s));
+}
+
+// Guards against an instance that learns of a restore late because the one update that reported it was lost.
+TEST_CASE("the next message of a watcher reports a restore")
+{
+    ReportedZone fixture;
+    REQUIRE(fixture.isPrepared);
+    fixture.zone.store.restore();
+    fixture.zone.store.put("config", "main", 2);
+    fixture.sendHeartbeats(2);
+    CHECK(fixture.zone.reachesVersion(2, 500ms));
+}
--- a/test/correctness/WatcherElectionTest.cpp
+++ b/test/correctness/WatcherElectionTest.cpp
@@ -121,13 +121,14 @@
     rc::prop("serialize and parse", [](std::int64_t revision, bool isDeleted) {
         // Names are parsed from JSON, so they are valid UTF-8.
         const auto name = *rc::gen::container<std::string>(rc::gen::inRange<char>(1, 127));
-        DirectoryUpdate update { "edge-1", true, KindChanges { "servers", revision, revision, {} } };
+        DirectoryUpdate update { "edge-1", true, KindChanges { "servers", revision, revision, {} }, 7 };
         const boost::json::value value { { "zone", name } };
         update.changes->changes.push_back({ { name, revision, isDeleted ? boost::json::value() : value }, isDeleted });
         update.changes->changes.push_back({ { "last", revision, value }, false });
         const auto read = parseDirectoryUpdate(serializeDirectoryUpdate(update));
         RC_ASSERT(read.has_value());
         RC_ASSERT(read->instance == "edge-1");
+        RC_ASSERT(read->history == 7);
         RC_ASSERT(read->changes.has_value());
         RC_ASSERT(read->changes->after == revision);
         RC_ASSERT(read->changes->changes.size() == 2U);
