Keep revisions with a history out of the field that earlier versions read

What operators could see: during an upgrade, instances of an earlier version read all lists for each load message of a newer one, up to their limit of calls.

Cause: earlier versions compare the bare number of the store with the revision in the field `revisions`, which since the histories contains the history in its upper bits and is greater than any number that they know.

Change: revisions of a store that names a history are sent in `history_revisions`. Earlier versions then learn of changes from their own watches and from directory updates only, as they do without load messages. Without a history nothing changes.

Evidence: BackendDirectoryTest; before, `revisions` contained (history 2, number 5), now only the plain number 7. An upgrade was not run.

--- a/src/LoadMessage.cpp
+++ b/src/LoadMessage.cpp
@@ -1,10 +1,12 @@
 #include "LoadMessage.h"
 
 #include "JsonFields.h"
+#include "StoreRevision.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <cmath>
 
 namespace jayhold {
@@ -15,6 +17,12 @@
 
 constexpr std::size_t usageFieldCount = 4;
 
+/// Revisions of a store that names no history. Earlier versions know only these, and would take a greater revision for a
+/// change that they lack.
+constexpr std::string_view plainRevisionsField = "revisions";
+/// Revisions of a store that names its history.
+constexpr std::string_view revisionsField = "history_revisions";
+
 auto readCount(const json::value& value, std::uint32_t& count) -> bool
 {
     boost::system::error_code code;
@@ -59,6 +67,17 @@
     return usage;
 }
 
+/// Adds the greater revision of each kind.
+auto readRevisions(const json::object& object, std::string_view field, std::map<std::string, std::int64_t>& revisions) -> void
+{
+    const auto* kinds = objectField(object, field);
+    for (const auto& kind : kinds ? *kinds : json::object()) {
+        std::int64_t revision = 0;
+        if (readNumber(*kinds, kind.key(), revision))
+            revisions[kind.key()] = std::max(revisions[kind.key()], revision);
+    }
+}
+
 }
 
 auto serializeLoadMessage(const LoadMessage& message) -> std::string
@@ -66,16 +85,18 @@
     json::array usages;
     for (const auto& usage : message.usages)
         usages.push_back(json::array { usage.backend, usage.slots, usage.memoryBlocks, usage.prefillTokens });
+    json::object plainRevisions;
     json::object revisions;
     for (const auto& [kind, revision] : message.revisions)
-        revisions[kind] = revision;
+        (historyOf(revision) == 0 ? plainRevisions : revisions)[kind] = revision;
     json::object object {
         { "instance", message.instance },
         { "run", message.incarnation },
         { "sequence", message.sequence },
         { "uses", std::move(usages) },
         { "changing", json::array(message.backendsChangingRole.begin(), message.backendsChangingRole.end()) },
-        { "revisions", std::move(revisions) },
+        { plainRevisionsField, std::move(plainRevisions) },
+        { revisionsField, std::move(revisions) },
     };
     if (!message.limits.empty()) {
         json::array limits;
@@ -142,12 +163,8 @@
         if (auto report = promptReportFromJson(element))
             message.promptReports.push_back(std::move(*report));
     }
-    const auto* revisions = objectField(*object, "revisions");
-    for (const auto& field : revisions ? *revisions : json::object()) {
-        std::int64_t revision = 0;
-        if (readNumber(*revisions, field.key(), revision))
-            message.revisions[field.key()] = revision;
-    }
+    readRevisions(*object, plainRevisionsField, message.revisions);
+    readRevisions(*object, revisionsField, message.revisions);
     return message;
 }
 
--- a/test/correctness/BackendDirectoryTest.cpp
+++ b/test/correctness/BackendDirectoryTest.cpp
@@ -3,6 +3,7 @@
 #include "PeerLoads.h"
 #include "StoreRevision.h"
 
+#include <boost/json/parse.hpp>
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
@@ -220,6 +221,17 @@
         CHECK_FALSE(parseLoadMessage(text));
 }
 
+// Guards against an instance of an earlier version that reads its lists for each message during an upgrade, because it
+// takes revisions with a history for changes that it lacks.
+TEST_CASE("load messages name revisions with a history in a field that earlier versions ignore")
+{
+    LoadMessage message { "a", "run-1", 1 };
+    message.revisions = { { "plain", 7 }, { "restored", makeRevision(2, 5) } };
+    const auto object = boost::json::parse(serializeLoadMessage(message)).as_object();
+    CHECK(object.at("revisions") == boost::json::value { { "plain", 7 } });
+    CHECK(parseLoadMessage(serializeLoadMessage(message))->revisions == message.revisions);
+}
+
 // Guards against new work for a server that left, after its entry vanished during one restore and came back with the
 // copy of another one.
 TEST_CASE("a server that leaves is gone for good when its entry is missing after a restore")
