Apply an earlier incarnation that the store shows after the known one

What callers see: a server gets no work for up to 10 minutes. Its machine's clock had been set back before it started again, so its start time is less than that of its former process.

Cause: the order of incarnations was taken from their start times everywhere, although it is needed only where the store's own order is lost: for entries of a copy after a restore.

Change: an earlier incarnation is ignored only in a list after a restore, and only until the store has shown the server in the new history.

--- a/src/BackendDirectory.cpp
+++ b/src/BackendDirectory.cpp
@@ -33,12 +33,18 @@
     return start && otherStart && *start < *otherStart;
 }
 
-/// @return whether an entry of the older copy may show the server as it was before it left.
-auto contradictsRestored(const BackendDirectory& directory, const BackendDirectory::Entry& known, const BackendServer& server) -> bool
+/// @return whether the store was restored since it showed the known state. In one history, its later entry is the newer
+/// one.
+auto isRestored(const BackendDirectory& directory, const BackendDirectory::Entry& known) -> bool
+{
+    return known.history < directory.history.value_or(0);
+}
+
+/// @return whether an entry shows the known incarnation as it was before it left.
+auto showsEarlierState(const BackendDirectory::Entry& known, const BackendServer& server) -> bool
 {
-    const auto isRestored = known.history < directory.history.value_or(0);
     const auto isKnownGone = known.server.state == ReplicaState::Leaving && !known.isPresumedGone;
-    return isRestored && isKnownGone && server.state == ReplicaState::Live && server.incarnation == known.server.incarnation;
+    return isKnownGone && server.state == ReplicaState::Live && server.incarnation == known.server.incarnation;
 }
 
 auto mayReturn(const BackendDirectory::Entry& known, const BackendServer& server) -> bool
@@ -48,9 +54,11 @@
 
 auto isOutdated(const BackendDirectory& directory, const BackendDirectory::Entry& known, const BackendServer& server, EntrySource source) -> bool
 {
+    if (!isRestored(directory, known))
+        return false;
     if (isEarlier(server.incarnation, known.server.incarnation))
-        return true;
-    if (!contradictsRestored(directory, known, server))
+        return source == EntrySource::List;
+    if (!showsEarlierState(known, server))
         return false;
     const auto isShownToLive = source == EntrySource::Change || known.relisting.hasNotLapsed;
     return !isShownToLive || !mayReturn(known, server);
--- a/src/BackendDirectory.h
+++ b/src/BackendDirectory.h
@@ -89,8 +89,9 @@
 /// @return the ids of the outdated entries, which were ignored.
 auto replaceAll(BackendDirectory& directory, TimePoint now, std::vector<BackendServer> servers) -> std::vector<std::string>;
 
-/// Adds or updates a server, unless the entry is outdated: its incarnation is earlier than the known one, or the store
-/// was restored and the entry may show an incarnation as it was before it reported that it leaves, or was removed.
+/// Adds or updates a server, unless the store was restored and the entry is outdated: it may be one of the older copy and
+/// its incarnation is earlier than the known one, or it shows an incarnation as it was before it reported that it leaves,
+/// or was removed.
 /// @return whether the entry was applied.
 auto upsert(BackendDirectory& directory, BackendServer server, EntrySource source = EntrySource::List) -> bool;
 auto remove(BackendDirectory& directory, TimePoint now, std::string_view id) -> void;
--- a/test/correctness/BackendDirectoryTest.cpp
+++ b/test/correctness/BackendDirectoryTest.cpp
@@ -119,6 +119,21 @@
     CHECK(upsert(directory, server("a", "run-7")));
 }
 
+// Guards against a live server that gets no work for minutes, because its clock was set back before it started again.
+TEST_CASE("an earlier incarnation is applied if the store has shown it after the known one")
+{
+    BackendDirectory directory;
+    beginHistory(directory, start, 1);
+    replaceAll(directory, start, { server("lapsed", "1000"), server("restarted", "1000"), server("listed", "1000") });
+    remove(directory, start + 1s, "lapsed");
+    CHECK(upsert(directory, server("lapsed", "998"), EntrySource::Change));
+    CHECK(replaceAll(directory, start + 2s, { server("lapsed", "998"), server("restarted", "1000"), server("listed", "998") }).empty());
+    beginHistory(directory, start + 3s, 2);
+    CHECK(replaceAll(directory, start + 3s, { server("lapsed", "998"), server("restarted", "998"), server("listed", "998") }) == std::vector<std::string> { "restarted" });
+    CHECK(upsert(directory, server("restarted", "998"), EntrySource::Change));
+    CHECK(stateOf(directory, "restarted") == ReplicaState::Live);
+}
+
 // Guards against losing live servers that the copy lacks, and against keeping those that are gone.
 TEST_CASE("after a restore missing entries are removed only after the re-registration deadline")
 {
