--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -88,6 +88,7 @@
     , m_callbacks(std::move(callbacks))
     , m_election { .instance = m_settings.instance }
 {
+    m_directory.settings.lapseTime = m_settings.backendLapseTime;
 }
 
 auto StoreDirectory::start() -> void
@@ -107,6 +108,7 @@
     backends->maxWatch = maxWatch;
     backends->applyList = [this](const ItemList& list) { replaceBackends(list); };
     backends->applyChange = [this](const ItemChange& change) { updateBackend(change); };
+    m_backendWatch = backends;
     m_kindWatches = { configuration, backends };
     if (!m_format.blockedPartsKind.empty()) {
         auto blockedParts = std::make_shared<KindWatch>();
@@ -205,6 +207,7 @@
         co_return result.error();
     }
     storeAnswered(m_directory, monotonicNow());
+    m_storeRevision = std::max(m_storeRevision, result->revision);
     logUnreadable(kindWatch.kind, result->unreadable, result->unreadableNames);
     KindChanges changes { kindWatch.kind, afterRevision, result->revision, std::move(result->changes) };
     const auto isComplete = result->unreadable == 0;
@@ -245,10 +248,12 @@
     if (m_settings.peerEndpoint)
         value["address"] = toString(*m_settings.peerEndpoint);
     value["availability_zone"] = m_settings.availabilityZone;
+    const auto before = appliedRevisions();
     const auto revision = co_await m_store.put(m_threads.client(0), m_format.instanceKind, m_settings.instance, std::move(value));
-    if (revision.has_value())
+    if (revision.has_value()) {
         handleStoreAnswer(*revision);
-    else
+        refuteRevisions(before, *revision);
+    } else
         m_log.record(LogLevel::Info, "instance_not_announced", { { "detail", revision.error().detail } });
     co_return revision.has_value();
 }
@@ -315,6 +320,7 @@
         co_await pause(expiryInterval);
         if (expire(m_directory, monotonicNow()))
             publishBackends();
+        confirmUnlapsedEntries();
     }
 }
 
@@ -355,7 +361,7 @@
     if (change.isDeleted) {
         remove(m_directory, monotonicNow(), change.item.name);
     } else if (auto server = m_format.readBackend(change.item)) {
-        if (!upsert(m_directory, std::move(*server)))
+        if (!upsert(m_directory, std::move(*server), EntrySource::Change))
             logOutdated(change.item.name);
     } else {
         m_log.record(LogLevel::Info, "backend_unreadable", { { "backend", change.item.name }, { "revision", numberOf(change.item.revision) }, { "history", historyOf(change.item.revision) } });
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -48,6 +48,8 @@
     std::optional<HttpEndpoint> peerEndpoint;
     /// Time within which a change has to take effect on this instance.
     Duration maxPropagationDelay = std::chrono::seconds(2);
+    /// Time after which the store has removed the entry of a backend server that no longer writes it.
+    Duration backendLapseTime = BackendDirectorySettings {}.lapseTime;
 };
 
 struct DirectoryCallbacks {
@@ -70,6 +72,8 @@
     std::function<void(std::optional<TimePoint>)> onStoreAvailability = [](std::optional<TimePoint>) {};
     /// Changes of a watched kind have been applied up to a revision, from a list, a watch or an update.
     std::function<void(const std::string& kind, std::int64_t revision)> changed = [](const std::string&, std::int64_t) {};
+    /// A revision of a kind that was applied, and may have been passed to `changed`, is wrong.
+    std::function<void(const std::string& kind)> revisionRefuted = [](const std::string&) {};
     /// Sends a directory update to the other instances of the zone. Absent if there is no channel to them.
     std::function<void(const DirectoryUpdate&)> publishToZone;
 };
@@ -129,6 +133,10 @@
         bool isListPending = false;
         /// Greatest revision that peers or answers of the store have reported and that a scheduled read must reach.
         std::int64_t reportedRevision = 0;
+        /// Least revision that peers have reported and a later list has not reached; 0 if none.
+        std::int64_t refutedRevision = 0;
+        /// Reports from the refuted revision on are ignored until then.
+        TimePoint refutedUntil {};
     };
     using KindWatchPointer = std::shared_ptr<KindWatch>;
 
@@ -146,9 +154,22 @@
     /// Schedules a read of the list, unless the reported changes arrive before. A read that is scheduled already covers
     /// later reports.
     auto scheduleRead(const KindWatchPointer& kindWatch, std::int64_t revision, Duration delay) -> void;
+    /// Handles the end of a read that peers' reports have caused. A report that the list does not reach is wrong, because
+    /// the list was requested after it.
+    auto checkReport(KindWatch& kindWatch, std::int64_t reported) -> void;
+    /// @return whether the revisions of an update fit together and the store can have reached them.
+    auto isPlausible(const KindChanges& changes) const -> bool;
+    /// @return the revisions up to which changes have been applied, in the order of the kinds.
+    auto appliedRevisions() const -> std::vector<std::int64_t>;
+    /// Reads the lists again of kinds whose revision only a peer's update can have set, because it is greater than the
+    /// store's answer to a later call.
+    /// @param before revisions of the kinds when the call was made.
+    auto refuteRevisions(std::span<const std::int64_t> before, std::int64_t answered) -> void;
     /// Handles the revision in an answer of the store. The first one of a newer history brings all kinds up to date,
     /// here and at the peers.
     auto handleStoreAnswer(std::int64_t revision) -> void;
+    /// @return the delay before a list is read after a restore.
+    static auto restoreReadDelay() -> Duration;
     /// Reads the lists of all kinds whose state belongs to an earlier history.
     auto readListsOfHistory(std::int64_t history) -> void;
     /// @return whether the store is known to have begun a later history.
@@ -172,6 +193,8 @@
     /// @return whether the number of live instances has changed.
     auto updateInstanceCount(TimePoint now) -> bool;
     auto expireBackends() -> boost::asio::awaitable<void>;
+    /// Reads the list of backend servers if a restored store has listed a removed one for so long that it must live.
+    auto confirmUnlapsedEntries() -> void;
 
     auto updateConfiguration(const StoredItem& item) -> void;
     auto replaceBackends(const ItemList& list) -> void;
@@ -198,9 +221,14 @@
     std::int64_t m_version = 0;
     /// Greatest history that the store has named; nothing until its first answer.
     std::optional<std::int64_t> m_history;
-    /// Greatest history that a peer has reported.
+    /// Greatest revision in the store's answers.
+    std::int64_t m_storeRevision = 0;
+    /// Greatest history that a peer has reported and that no list has refuted.
     std::int64_t m_reportedHistory = 0;
     BackendDirectory m_directory;
+    KindWatchPointer m_backendWatch;
+    /// When unlapsed entries may be confirmed by the next list.
+    TimePoint m_nextConfirmation {};
     std::vector<BackendServer> m_published;
     /// Services with a list of blocked prompt parts.
     std::set<std::string> m_blockedPartsServices;
--- a/src/StoreDirectoryUpdates.cpp
+++ b/src/StoreDirectoryUpdates.cpp
@@ -20,6 +20,12 @@
 constexpr Duration peerRevisionGrace = std::chrono::milliseconds(150);
 /// Delay before a list is read again after a failed read, unless the store's back-off requires more.
 constexpr Duration minReadRetryDelay = std::chrono::milliseconds(200);
+/// Time for which reports are ignored after a list has refuted one. Peers repeat their reports in less, and a change that
+/// is missed has to be read within the maximum propagation delay.
+constexpr Duration refutationTime = std::chrono::seconds(1);
+/// Changes that the store may have made since its last answer to this instance. It takes some hundred writes a second, and
+/// an instance writes its record at least twice a minute.
+constexpr std::int64_t maxUnconfirmedChanges = 1'000'000;
 constexpr Duration electionInterval = std::chrono::milliseconds(100);
 /// Election intervals between two heartbeats of a watcher to its zone, so that it sends three of them within
 /// the watcher timeout.
@@ -39,18 +45,51 @@
 
 auto StoreDirectory::handleDirectoryUpdate(const DirectoryUpdate& update) -> void
 {
-    updateWatcher(m_election, monotonicNow(), update.instance, update.isWatching);
+    // A watcher that stays in an ended history sends nothing that can be applied. It is no longer counted when its
+    // timeout is over, so one that learns of the restore in time remains a watcher.
+    if (!update.isWatching || update.history >= m_history.value_or(0))
+        updateWatcher(m_election, monotonicNow(), update.instance, update.isWatching);
+    // The update that reported the restore may have been lost.
+    if (m_history && update.history > *m_history)
+        handlePeerRevision(m_format.configurationKind, makeRevision(update.history, 0));
     if (!update.changes)
         return;
+    const auto mayApply = isPlausible(*update.changes);
     for (const auto& kindWatch : m_kindWatches) {
-        if (kindWatch->kind != update.changes->kind || applyChanges(*kindWatch, *update.changes))
+        if (kindWatch->kind != update.changes->kind || (mayApply && applyChanges(*kindWatch, *update.changes)))
             continue;
         // Changes before these may be missing, unless another watcher delivers them.
-        if (kindWatch->revision < update.changes->after)
+        if (!mayApply || kindWatch->revision < update.changes->after)
             handlePeerRevision(kindWatch->kind, update.changes->upTo);
     }
 }
 
+auto StoreDirectory::isPlausible(const KindChanges& changes) const -> bool
+{
+    const auto isInOrder = changes.after <= changes.upTo && std::ranges::all_of(changes.changes, [&](const ItemChange& change) { return change.item.revision <= changes.upTo; });
+    return isInOrder && (historyOf(changes.upTo) != historyOf(m_storeRevision) || changes.upTo - m_storeRevision <= maxUnconfirmedChanges);
+}
+
+auto StoreDirectory::appliedRevisions() const -> std::vector<std::int64_t>
+{
+    std::vector<std::int64_t> revisions;
+    for (const auto& kindWatch : m_kindWatches)
+        revisions.push_back(kindWatch->revision);
+    return revisions;
+}
+
+auto StoreDirectory::refuteRevisions(std::span<const std::int64_t> before, std::int64_t answered) -> void
+{
+    for (std::size_t index = 0; index < before.size(); ++index) {
+        auto& kindWatch = *m_kindWatches[index];
+        if (historyOf(before[index]) != historyOf(answered) || before[index] <= answered || kindWatch.revision < before[index])
+            continue;
+        m_log.record(LogLevel::Warning, "report_refuted", { { "kind", kindWatch.kind }, { "revision", numberOf(before[index]) }, { "history", historyOf(before[index]) }, { "own_revision", numberOf(answered) }, { "own_history", historyOf(answered) } });
+        kindWatch.revision = 0;
+        m_callbacks.revisionRefuted(kindWatch.kind);
+    }
+}
+
 auto StoreDirectory::applyChanges(KindWatch& kindWatch, const KindChanges& changes) -> bool
 {
     // The changes of two histories don't continue each other.
@@ -77,13 +116,19 @@
 {
     if (isFromEndedHistory(revision))
         return;
-    if (m_history && historyOf(revision) > *m_history) {
-        m_reportedHistory = std::max(m_reportedHistory, historyOf(revision));
-        readListsOfHistory(historyOf(revision));
-    }
+    const auto history = historyOf(revision);
+    const auto isNewHistory = m_history && history > *m_history;
+    const auto now = monotonicNow();
     for (const auto& kindWatch : m_kindWatches) {
-        if (kindWatch->kind == kind && kindWatch->revision != 0 && kindWatch->revision < revision)
-            scheduleRead(kindWatch, revision, peerRevisionGrace);
+        const auto isReportedKind = kindWatch->kind == kind;
+        if (kindWatch->revision == 0 || kindWatch->revision >= revision || (!isReportedKind && !isNewHistory))
+            continue;
+        const auto reported = isReportedKind ? revision : makeRevision(history, 0);
+        if (kindWatch->refutedRevision != 0 && reported >= kindWatch->refutedRevision && now < kindWatch->refutedUntil)
+            continue;
+        if (isNewHistory)
+            m_reportedHistory = std::max(m_reportedHistory, history);
+        scheduleRead(kindWatch, reported, isNewHistory ? restoreReadDelay() : peerRevisionGrace);
     }
 }
 
@@ -107,6 +152,8 @@
         m_log.record(LogLevel::Info, "change_told_by_peer", { { "kind", kindWatch->kind }, { "revision", numberOf(revision) }, { "history", historyOf(revision) }, { "own_revision", numberOf(kindWatch->revision) }, { "own_history", historyOf(kindWatch->revision) } });
         // A waiting watch continues. Changes that it returns and the list already contained are skipped.
         const auto error = co_await readList(*kindWatch, true);
+        if (!error)
+            checkReport(*kindWatch, revision);
         if (!error || kindWatch->isListPending)
             co_return;
         m_log.record(LogLevel::Info, "change_not_read", { { "kind", kindWatch->kind }, { "revision", numberOf(revision) }, { "history", historyOf(revision) }, { "detail", error->detail } });
@@ -117,6 +164,20 @@
     }
 }
 
+auto StoreDirectory::checkReport(KindWatch& kindWatch, std::int64_t reported) -> void
+{
+    if (kindWatch.revision >= kindWatch.refutedRevision)
+        kindWatch.refutedRevision = 0;
+    if (kindWatch.revision >= reported)
+        return;
+    if (kindWatch.refutedRevision == 0 || reported < kindWatch.refutedRevision)
+        kindWatch.refutedRevision = reported;
+    kindWatch.refutedUntil = monotonicNow() + refutationTime;
+    if (m_history && m_reportedHistory > *m_history)
+        m_reportedHistory = 0;
+    m_log.record(LogLevel::Warning, "report_refuted", { { "kind", kindWatch.kind }, { "revision", numberOf(reported) }, { "history", historyOf(reported) }, { "own_revision", numberOf(kindWatch.revision) }, { "own_history", historyOf(kindWatch.revision) } });
+}
+
 auto StoreDirectory::logUnreadable(const std::string& kind, std::size_t count, std::span<const std::string> names) -> void
 {
     if (count == 0)
@@ -143,7 +204,7 @@
 {
     if (!m_callbacks.publishToZone || !m_election.isWatching)
         return;
-    m_callbacks.publishToZone({ m_settings.instance, isServingZone(), std::move(changes) });
+    m_callbacks.publishToZone({ m_settings.instance, isServingZone(), std::move(changes), m_history.value_or(0) });
 }
 
 auto StoreDirectory::isServingZone() const -> bool
--- a/test/RestorableZone.h
+++ b/test/RestorableZone.h
@@ -16,8 +16,13 @@
 
 class RestorableZone {
 public:
+    struct Timing {
+        Duration maxPropagationDelay;
+        Duration backendLapseTime;
+    };
+
     struct Instance {
-        Instance(RestorableZone& zone, std::string name, Duration maxPropagationDelay)
+        Instance(RestorableZone& zone, std::string name, const Timing& timing)
             : store(zone.store)
             , log(name)
         {
@@ -41,11 +46,14 @@
                     blockedParts = parts; },
                 .lostBlockedParts = [this](const std::string& service, std::vector<ListedPart> parts) { writer->restore(service, std::move(parts)); },
                 .changed = [this, &zone](const std::string& kind, std::int64_t revision) { zone.report(*this, kind, revision); },
+                .revisionRefuted = [this](const std::string& kind) {
+                    const std::lock_guard guard(lock);
+                    refuted = kind; },
                 .publishToZone = [this, &zone](const DirectoryUpdate& update) { zone.publish(*this, update); },
             };
             BlockedPartsCallbacks writerCallbacks { [this](std::int64_t revision) { directory->handlePeerRevision("blocked", revision); }, [](const std::string&, std::uint64_t) {} };
             writer = std::make_shared<BlockedPartsWriter>(threads, store, "blocked", log, std::move(writerCallbacks));
-            directory = std::make_shared<StoreDirectory>(threads, store, std::move(format), DirectorySettings { .instance = std::move(name), .availabilityZone = "alpine", .maxPropagationDelay = maxPropagationDelay }, log, std::move(callbacks));
+            directory = std::make_shared<StoreDirectory>(threads, store, std::move(format), DirectorySettings { .instance = std::move(name), .availabilityZone = "alpine", .maxPropagationDelay = timing.maxPropagationDelay, .backendLapseTime = timing.backendLapseTime }, log, std::move(callbacks));
             directory->start();
         }
         ~Instance() { threads.stop(); }
@@ -67,6 +75,12 @@
             const std::lock_guard guard(lock);
             return blockedParts;
         }
+        /// @return the last kind of which an applied revision was wrong; empty if none.
+        auto refutedKind() const -> std::string
+        {
+            const std::lock_guard guard(lock);
+            return refuted;
+        }
         auto hasLogged(std::string_view event) const -> bool
         {
             return std::ranges::any_of(log.after(0, EventLog::defaultCapacity), [&](const LoggedEvent& logged) { return logged.event == event; });
@@ -79,15 +93,16 @@
         mutable std::mutex lock;
         std::vector<BackendServer> backends;
         std::vector<ListedPart> blockedParts;
+        std::string refuted;
         IoThreads threads { 1 };
         std::shared_ptr<BlockedPartsWriter> writer;
         std::shared_ptr<StoreDirectory> directory;
     };
 
-    explicit RestorableZone(std::size_t count, Duration maxPropagationDelay = std::chrono::seconds(2))
+    explicit RestorableZone(std::size_t count, Duration maxPropagationDelay = std::chrono::seconds(2), Duration backendLapseTime = std::chrono::seconds(20))
     {
         for (std::size_t index = 0; index < count; ++index)
-            instances.push_back(std::make_unique<Instance>(*this, "edge-" + std::to_string(index + 1), maxPropagationDelay));
+            instances.push_back(std::make_unique<Instance>(*this, "edge-" + std::to_string(index + 1), Timing { maxPropagationDelay, backendLapseTime }));
         m_isComplete = true;
     }
     ~RestorableZone()
@@ -118,6 +133,8 @@
     }
     auto publish(const Instance& sender, const DirectoryUpdate& update) -> void
     {
+        if (update.changes)
+            publishedHistory = std::max(publishedHistory.load(), historyOf(update.changes->upTo));
         sendToOthers(sender, [update](StoreDirectory& directory) { directory.handleDirectoryUpdate(update); });
     }
     auto last() -> Instance& { return *instances.back(); }
@@ -138,6 +155,8 @@
 
     RestorableStore store;
     std::vector<std::unique_ptr<Instance>> instances;
+    /// Greatest history of the changes in the updates that instances have sent.
+    std::atomic<std::int64_t> publishedHistory { 0 };
     /// Whether no message reaches another instance.
     std::atomic<bool> dropsMessages { false };
 
--- a/test/correctness/BackendDirectoryTest.cpp
+++ b/test/correctness/BackendDirectoryTest.cpp
@@ -3,6 +3,7 @@
 #include "PeerLoads.h"
 #include "StoreRevision.h"
 
+#include <boost/json/parse.hpp>
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
@@ -118,6 +119,21 @@
     CHECK(upsert(directory, server("a", "run-7")));
 }
 
+// Guards against a live server that gets no work for minutes, because its clock was set back before it started again.
+TEST_CASE("an earlier incarnation is applied if the store has shown it after the known one")
+{
+    BackendDirectory directory;
+    beginHistory(directory, start, 1);
+    replaceAll(directory, start, { server("lapsed", "1000"), server("restarted", "1000"), server("listed", "1000") });
+    remove(directory, start + 1s, "lapsed");
+    CHECK(upsert(directory, server("lapsed", "998"), EntrySource::Change));
+    CHECK(replaceAll(directory, start + 2s, { server("lapsed", "998"), server("restarted", "1000"), server("listed", "998") }).empty());
+    beginHistory(directory, start + 3s, 2);
+    CHECK(replaceAll(directory, start + 3s, { server("lapsed", "998"), server("restarted", "998"), server("listed", "998") }) == std::vector<std::string> { "restarted" });
+    CHECK(upsert(directory, server("restarted", "998"), EntrySource::Change));
+    CHECK(stateOf(directory, "restarted") == ReplicaState::Live);
+}
+
 // Guards against losing live servers that the copy lacks, and against keeping those that are gone.
 TEST_CASE("after a restore missing entries are removed only after the re-registration deadline")
 {
@@ -220,6 +236,17 @@
         CHECK_FALSE(parseLoadMessage(text));
 }
 
+// Guards against an instance of an earlier version that reads its lists for each message during an upgrade, because it
+// takes revisions with a history for changes that it lacks.
+TEST_CASE("load messages name revisions with a history in a field that earlier versions ignore")
+{
+    LoadMessage message { "a", "run-1", 1 };
+    message.revisions = { { "plain", 7 }, { "restored", makeRevision(2, 5) } };
+    const auto object = boost::json::parse(serializeLoadMessage(message)).as_object();
+    CHECK(object.at("revisions") == boost::json::value { { "plain", 7 } });
+    CHECK(parseLoadMessage(serializeLoadMessage(message))->revisions == message.revisions);
+}
+
 // Guards against new work for a server that left, after its entry vanished during one restore and came back with the
 // copy of another one.
 TEST_CASE("a server that leaves is gone for good when its entry is missing after a restore")
@@ -236,3 +263,69 @@
     CHECK_FALSE(upsert(directory, server("leaves", "900")));
     CHECK(stateOf(directory, "leaves") == ReplicaState::Leaving);
 }
+
+// Guards against a live server that gets no work for minutes, because it lapsed before a restore and wrote its entry
+// again after it.
+TEST_CASE("a server that lapsed comes back with an entry that it writes after a restore")
+{
+    BackendDirectory directory;
+    beginHistory(directory, start, 1);
+    replaceAll(directory, start, { server("lapsed", "900"), server("leaves", "900"), server("left", "900") });
+    upsert(directory, server("leaves", "900", ReplicaState::Leaving));
+    upsert(directory, server("left", "900", ReplicaState::Leaving));
+    remove(directory, start + 1s, "left");
+    remove(directory, start + 1s, "lapsed");
+    beginHistory(directory, start + 2s, 2);
+    const auto outdated = replaceAll(directory, start + 2s, { server("lapsed", "900"), server("leaves", "900"), server("left", "900") });
+    CHECK(outdated == std::vector<std::string> { "lapsed", "leaves", "left" });
+    CHECK(upsert(directory, server("lapsed", "900"), EntrySource::Change));
+    CHECK(stateOf(directory, "lapsed") == ReplicaState::Live);
+    // These have reported that they leave, so only a later process can be live.
+    CHECK_FALSE(upsert(directory, server("leaves", "900"), EntrySource::Change));
+    CHECK_FALSE(upsert(directory, server("left", "900"), EntrySource::Change));
+}
+
+// Guards against a live server that gets no work for minutes, because it lapsed before a restore and the copy has its
+// entry, so that writing it again is no change.
+TEST_CASE("a server that lapsed comes back if its entry of an older copy does not lapse")
+{
+    BackendDirectory directory;
+    beginHistory(directory, start, 1);
+    replaceAll(directory, start, { server("lives", "900"), server("gone", "900"), server("left", "900") });
+    remove(directory, start + 1s, "lives");
+    remove(directory, start + 1s, "gone");
+    upsert(directory, server("left", "900", ReplicaState::Leaving));
+    remove(directory, start + 1s, "left");
+    beginHistory(directory, start + 2s, 2);
+    replaceAll(directory, start + 2s, { server("lives", "900"), server("gone", "900"), server("left", "900") });
+    expire(directory, start + 2s);
+    // The store removes the entry of the server that no longer writes it.
+    remove(directory, start + 6s, "gone");
+    expire(directory, start + 21s);
+    CHECK_FALSE(hasUnlapsedEntry(directory));
+    CHECK_FALSE(upsert(directory, server("lives", "900")));
+    expire(directory, start + 22s);
+    CHECK(hasUnlapsedEntry(directory));
+    CHECK(replaceAll(directory, start + 22s, { server("lives", "900"), server("left", "900") }) == std::vector<std::string> { "left" });
+    CHECK(stateOf(directory, "lives") == ReplicaState::Live);
+    CHECK_FALSE(stateOf(directory, "left") == ReplicaState::Live);
+    expire(directory, start + 22s);
+    CHECK_FALSE(hasUnlapsedEntry(directory));
+}
+
+// Guards against an entry that counts as written by a live server because two copies in a row list it.
+TEST_CASE("the time for which an entry is listed begins again with each restore")
+{
+    BackendDirectory directory;
+    beginHistory(directory, start, 1);
+    replaceAll(directory, start, { server("gone", "900") });
+    remove(directory, start + 1s, "gone");
+    beginHistory(directory, start + 2s, 2);
+    replaceAll(directory, start + 2s, { server("gone", "900") });
+    expire(directory, start + 2s);
+    expire(directory, start + 22s);
+    beginHistory(directory, start + 22s, 3);
+    CHECK_FALSE(upsert(directory, server("gone", "900")));
+    expire(directory, start + 23s);
+    CHECK_FALSE(hasUnlapsedEntry(directory));
+}
