Report what every response of a backend server says about it

A response of a backend server can say something about the server itself, apart from the call. So far the product read one such thing, a named limit, from the responses to prefills, decodes and plain calls only; responses to slot reservations, releases, reports and orders had no way to the product, and neither had responses that were skipped because they repeat another id.

BackendProtocol::readNotice turns status and header of a response into a BackendNotice, and EntryContext::handleNotice receives the called server, the time at which the call was sent, and the notice, as soon as the header has arrived. HttpCallOptions::onHeader calls it for each final response, so no operation of the adapter can leave it out. The notice carries how the response belongs to the call: a response to a control call, or one without the request's id, may name no limit although the server has one, so limits are read from the others only, as before. One thing changes for limits: the unsigned successful response of a plain server now counts, if it repeats the request's id, as that of an engine did.

retryDelay is left empty; readNotice gets the status for it.

Tests: server_notice_test calls each operation of the platform's protocol against the fake server. The fake server can say that it is leaving in all answers, reject all requests with a Retry-After, and counts what reaches it. RoleBalancerTest and PlatformFormatsTest follow the changed signatures, with the same checks.

--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -32,3 +32,7 @@
 jayhold_test(backend_answer_test
   SOURCES test/correctness/RepeatedRefusalTest.cpp test/correctness/StreamErrorTest.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
+
+jayhold_test(server_notice_test
+  SOURCES test/correctness/ServerNoticeTest.cpp test/FakeObjectStore.cpp
+  LINK jayhold_platform)
--- a/src/EngineCall.h
+++ b/src/EngineCall.h
@@ -2,6 +2,7 @@
 
 /// The parameters of a prefill or decode call to an engine.
 
+#include "BackendNotice.h"
 #include "ForwardedCall.h"
 #include "HttpEndpoint.h"
 #include "Time.h"
@@ -40,8 +41,8 @@
     /// Asked before the call is sent again because a reused connection had closed. A call that is sent
     /// again takes a retry from the budget, and a call from the limit that the engine names.
     std::function<bool()> mayResend = [] { return false; };
-    /// Receives the headers of the engine's response, whatever its status.
-    std::function<void(const std::vector<HttpHeader>&)> onResponse = [](const std::vector<HttpHeader>&) {};
+    /// Receives what each response to the call says about the engine.
+    NoticeHandler onNotice = ignoreNotices();
     /// Receives the status of a response that belongs to another call and was skipped.
     std::function<void(unsigned)> onSkippedResponse = [](unsigned) {};
     /// Time to live of a prefill result, if the engine's response does not state it.
--- a/src/EngineClient.cpp
+++ b/src/EngineClient.cpp
@@ -1,5 +1,6 @@
 #include "EngineClient.h"
 
+#include "BackendProtocol.h"
 #include "EngineMessages.h"
 
 namespace jayhold {
@@ -38,10 +39,11 @@
 auto prefillOnEngine(HttpClient& client, BackendServer server, EngineCall call, Duration timeout) -> asio::awaitable<EngineResult<PrefillResult>>
 {
     auto request = postRequest("/v1/prefill", serializePrefillCall(call));
-    const auto stream = co_await client.open(std::move(server.endpoint), std::move(request), timeout);
+    const auto sentAt = monotonicNow();
+    const auto stream = co_await client.open(server.endpoint, std::move(request), timeout);
     if (stream.has_error())
         co_return engineErrorOf(stream.error());
-    call.onResponse((*stream)->headers());
+    call.onNotice(server, sentAt, nativeBackendProtocol().readNotice((*stream)->status(), (*stream)->headers()));
     if ((*stream)->status() != 200)
         co_return engineErrorOf((*stream)->status());
     const auto body = co_await readBody(**stream, timeout);
@@ -56,10 +58,11 @@
 auto decodeOnEngine(HttpClient& client, BackendServer server, EngineCall call, Duration timeout) -> asio::awaitable<EngineResult<std::shared_ptr<HttpStream>>>
 {
     auto request = postRequest("/v1/decode", serializeDecodeCall(call));
-    const auto stream = co_await client.open(std::move(server.endpoint), std::move(request), timeout);
+    const auto sentAt = monotonicNow();
+    const auto stream = co_await client.open(server.endpoint, std::move(request), timeout);
     if (stream.has_error())
         co_return engineErrorOf(stream.error());
-    call.onResponse((*stream)->headers());
+    call.onNotice(server, sentAt, nativeBackendProtocol().readNotice((*stream)->status(), (*stream)->headers()));
     if ((*stream)->status() != 200)
         co_return engineErrorOf((*stream)->status());
     co_return *stream;
--- a/src/EntryContext.h
+++ b/src/EntryContext.h
@@ -46,9 +46,8 @@
     std::function<void(const PromptReport&)> reportPrompt = [](const PromptReport&) {};
     /// Changes the list of blocked prompt parts of a service that all instances share.
     std::function<void(const std::string& service, const UpdateBlockedPart&)> updateBlockedPart = [](const std::string&, const UpdateBlockedPart&) {};
-    /// Records the limit that a response of a backend server names, or that it names none.
-    /// @param sentAt when the call was sent.
-    std::function<void(const BackendServer&, TimePoint sentAt, std::optional<double> perSecond)> recordLimit = [](const BackendServer&, TimePoint, std::optional<double>) {};
+    /// Processes what a response of a backend server says about the server.
+    NoticeHandler handleNotice = ignoreNotices();
     /// Reports a backend server that announced that it is leaving to the peers.
     std::function<void(std::string_view)> reportLeaving = [](std::string_view) {};
     const CallerProtocol& callerProtocol = nativeCallerProtocol();
--- a/src/EntryDaemon.cpp
+++ b/src/EntryDaemon.cpp
@@ -78,7 +78,7 @@
     callerApi = std::make_unique<CallerApi>(context, *services);
     adminApi = std::make_unique<AdminApi>(context, *services, *node, [this] { startDraining(); });
     context.reportCrashSignature = [this](std::uint64_t signature) { node->reportCrashSignature(signature); };
-    context.recordLimit = [this](const BackendServer& server, TimePoint sentAt, std::optional<double> perSecond) { services->recordLimit(server, sentAt, perSecond); };
+    context.handleNotice = [this](const BackendServer& server, TimePoint sentAt, const BackendNotice& notice) { services->handleNotice(server, sentAt, notice); };
     context.reportPrompt = [this](const PromptReport& report) { node->reportPrompt(report); };
     context.reportCrashSuspect = [this](const CrashSuspect& suspect) { node->reportCrashSuspect(suspect); };
     context.reportLeaving = [this](std::string_view backend) { node->reportLeaving(backend); };
--- a/src/HttpCallOptions.h
+++ b/src/HttpCallOptions.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace jayhold {
 
@@ -27,6 +28,8 @@
     /// call and is skipped; its connection is not kept. An idle connection that has carried a call with the
     /// same value is not used, because a late response to that call could not be distinguished.
     std::optional<HttpHeader> correlationHeader;
+    /// Receives the status and header of each final response, also of one that is skipped, before its body is read.
+    std::function<void(unsigned, const std::vector<HttpHeader>&)> onHeader = [](unsigned, const std::vector<HttpHeader>&) {};
     /// Receives the status of each response that is skipped.
     std::function<void(unsigned)> onSkippedResponse = [](unsigned) {};
 };
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -138,6 +138,7 @@
         code = co_await readFinalHeader(connection, hasNoBody);
         if (code)
             co_return code;
+        options.onHeader(connection.parser->get().result_int(), connection.headers);
         connection.isReusable = connection.isReusable && repeatsCorrelationHeader(connection, options.correlationHeader);
         if (matchesCorrelationHeader(connection, options.correlationHeader))
             co_return code;
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -104,8 +104,8 @@
     auto recordFirstToken(std::uint32_t resumedFrom) -> void;
     /// @return the parameters of a call, except for its deadline, which depends on when it is sent.
     auto engineCall() const -> EngineCall;
-    /// Records the limit that the engine names in its response to the call.
-    auto observeLimit(EngineCall& call, const BackendServer& server) -> void;
+    /// Sets the functions that receive the responses to the call.
+    auto observeResponses(EngineCall& call) -> void;
     /// @return the time until the caller's deadline.
     auto remainingMs() const -> std::int64_t;
     /// Takes a retry from the budget for a call that would be sent again because a reused connection had
--- a/src/ModelRequestReservations.cpp
+++ b/src/ModelRequestReservations.cpp
@@ -28,7 +28,7 @@
     const auto time = m_service->slotReservationTime();
     if (!m_context.backendProtocol.reserveSlot || time <= Duration::zero() || !decode)
         co_return std::nullopt;
-    auto reservation = co_await m_context.backendProtocol.reserveSlot(m_exchange.client(), decode->backend, m_decodeTokens, time, m_timeouts.slotReservation);
+    auto reservation = co_await m_context.backendProtocol.reserveSlot(m_exchange.client(), decode->backend, m_decodeTokens, time, m_timeouts.slotReservation, m_context.handleNotice);
     if (reservation.has_error())
         co_return reservation.error();
     m_slot = SlotHandle { decode->backend, decode->id, std::move(*reservation) };
@@ -49,7 +49,7 @@
     const auto release = m_context.backendProtocol.releasePrefill;
     const auto source = m_prefill && release && !m_isPrefillFetched ? m_service->replica(m_prefillReplica) : std::nullopt;
     if (source)
-        releaseInBackground("prefill_result", source->backend, release(m_exchange.client(), source->backend, m_prefill->handle, releaseTimeout));
+        releaseInBackground("prefill_result", source->backend, release(m_exchange.client(), source->backend, m_prefill->handle, releaseTimeout, m_context.handleNotice));
     m_prefill.reset();
     m_isPrefillFetched = false;
 }
@@ -58,7 +58,7 @@
 {
     const auto releaseOnEngine = m_context.backendProtocol.releaseSlot;
     if (m_slot && releaseOnEngine)
-        releaseInBackground("seat", m_slot->server, releaseOnEngine(m_exchange.client(), m_slot->server, m_slot->name, releaseTimeout));
+        releaseInBackground("seat", m_slot->server, releaseOnEngine(m_exchange.client(), m_slot->server, m_slot->name, releaseTimeout, m_context.handleNotice));
     m_slot.reset();
 }
 
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -140,11 +140,9 @@
     return call;
 }
 
-auto ModelRequest::observeLimit(EngineCall& call, const BackendServer& server) -> void
+auto ModelRequest::observeResponses(EngineCall& call) -> void
 {
-    call.onResponse = [this, server, sentAt = monotonicNow()](const std::vector<HttpHeader>& headers) {
-        m_context.recordLimit(server, sentAt, m_context.backendProtocol.namedLimit(headers));
-    };
+    call.onNotice = m_context.handleNotice;
     call.onSkippedResponse = [this](unsigned status) {
         record(LogLevel::Info, "response_skipped", { { "status", status } });
     };
@@ -164,7 +162,7 @@
         m_service->handleEvent(SlotReserved { m_id, m_attempt });
     call.deadlineMs = remainingMs();
     m_tasks->calledAt = monotonicNow();
-    observeLimit(call, replica.backend);
+    observeResponses(call);
     auto result = co_await m_context.backendProtocol.prefill(m_exchange.client(), replica.backend, std::move(call), m_timeouts.prefill);
     countBackendCall(result);
     enqueue(PrefillEnded { task, std::move(result) });
@@ -188,7 +186,7 @@
     const auto usesPrefill = call.kv.has_value();
     call.deadlineMs = remainingMs();
     m_tasks->calledAt = monotonicNow();
-    observeLimit(call, replica.backend);
+    observeResponses(call);
     const auto stream = co_await m_context.backendProtocol.decode(m_exchange.client(), replica.backend, std::move(call), m_timeouts.firstToken);
     countBackendCall(stream);
     if (stream.has_error()) {
--- a/src/NativeProtocols.cpp
+++ b/src/NativeProtocols.cpp
@@ -26,6 +26,12 @@
     return std::make_unique<TokenEventReader>();
 }
 
+/// Servers of this protocol report that they are leaving by rejecting a call.
+auto readNotice(unsigned status, const std::vector<HttpHeader>& headers) -> BackendNotice
+{
+    return { .status = status, .callsPerSecond = parseCallLimit(findHeader(headers, "X-Calls-Per-Second")) };
+}
+
 auto plainCall(HttpClient& client, BackendServer server, const PlainCallInfo& call, Duration timeout) -> asio::awaitable<HttpResult<HttpResponse>>
 {
     auto request = call.request;
@@ -35,15 +41,11 @@
     // while a call is sent.
     options.mayReuse = call.kind.repeatable;
     options.mayResend = [&call, server] { return call.mayResend(server); };
+    options.onHeader = [&call, server, sentAt = monotonicNow()](unsigned status, const std::vector<HttpHeader>& headers) { call.onNotice(server, sentAt, readNotice(status, headers)); };
     auto response = co_await client.request(std::move(server.endpoint), std::move(request), std::move(options));
     co_return response;
 }
 
-auto namedLimit(const std::vector<HttpHeader>& headers) -> std::optional<double>
-{
-    return parseCallLimit(findHeader(headers, "X-Calls-Per-Second"));
-}
-
 auto classifyResponse(const PlainCallInfo&, const HttpResponse& response) -> ResponseClass
 {
     if (response.status != 503)
@@ -83,7 +85,7 @@
         .indexRule = IndexRule::Contiguous,
         .plainCall = plainCall,
         .classifyResponse = classifyResponse,
-        .namedLimit = namedLimit,
+        .readNotice = readNotice,
     };
     return protocol;
 }
--- a/src/PlainAttempt.h
+++ b/src/PlainAttempt.h
@@ -18,8 +18,6 @@
     bool isNotRun = false;
     /// Whether the backend server received the call, even if it rejected it.
     bool reachedBackend = true;
-    /// Whether the response, if there is one, is the backend server's response to this call.
-    bool isRecognised = true;
     /// Whether the attempt exceeded its timeout.
     bool hasTimedOut = false;
     /// For logs.
--- a/src/PlainCallInfo.h
+++ b/src/PlainCallInfo.h
@@ -2,6 +2,7 @@
 
 /// A validated call to a plain service.
 
+#include "BackendNotice.h"
 #include "BackendServer.h"
 #include "HttpRequest.h"
 #include "RequestKind.h"
@@ -26,6 +27,8 @@
     /// Asked before the call is sent again because a reused connection had closed. A call that is sent
     /// again takes a retry from the budget, and a call from the limit that the server names.
     std::function<bool(const BackendServer&)> mayResend = [](const BackendServer&) { return false; };
+    /// Receives what each response to the call says about the server.
+    NoticeHandler onNotice = ignoreNotices();
     /// Receives the server and status of a response that belongs to another call and was skipped.
     std::function<void(const BackendServer&, unsigned)> onSkippedResponse = [](const BackendServer&, unsigned) {};
 };
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -101,6 +101,7 @@
         const std::lock_guard guard(m_lock);
         m_budget.recordRequest();
     }
+    call.onNotice = m_context.handleNotice;
     call.onSkippedResponse = [this, &call](const BackendServer& server, unsigned status) { record(LogLevel::Info, call, "response_skipped", { { "backend", server.id }, { "status", status } }); };
     const auto endsAt = requestsEndAt(m_context);
     if (monotonicNow() >= endsAt) {
--- a/src/PlainServiceAttempts.cpp
+++ b/src/PlainServiceAttempts.cpp
@@ -96,7 +96,6 @@
 
 auto PlainService::attemptOn(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call, bool isRepeatable, CallState& state) -> asio::awaitable<PlainAttempt>
 {
-    const auto sentAt = monotonicNow();
     const auto executor = co_await asio::this_coro::executor;
     std::optional<RepeatedCheck> silenceCheck;
     if (isRepeatable)
@@ -111,13 +110,8 @@
     silenceCheck.reset();
     if (thrown)
         co_return failAttempt(backend, call, thrown);
-    if (result.has_value()) {
-        const auto limit = m_context.backendProtocol.namedLimit(result->headers);
-        auto attempt = attemptFromResponse(backend, call, std::move(*result));
-        if (attempt.isRecognised)
-            m_context.recordLimit(backend, sentAt, limit);
-        co_return attempt;
-    }
+    if (result.has_value())
+        co_return attemptFromResponse(backend, call, std::move(*result));
     const auto& error = result.error();
     if (error.kind == HttpErrorKind::Cancelled && state.isCallerDisconnected)
         releaseCancelled(backend.id);
@@ -170,7 +164,6 @@
         attempt.isNotRun = true;
         break;
     case ResponseClass::Unrecognised:
-        attempt.isRecognised = false;
         attempt.detail = "the answer is not the backend server's";
         break;
     }
--- a/src/RoleBalancer.cpp
+++ b/src/RoleBalancer.cpp
@@ -164,7 +164,7 @@
 {
     auto& client = m_context.threads.client(0);
     const auto id = server.id;
-    const auto state = co_await m_context.backendProtocol.orderState(client, server, orderTimeout);
+    const auto state = co_await m_context.backendProtocol.orderState(client, server, orderTimeout, m_context.handleNotice);
     if (state.has_value())
         handleStateReadBack(m_orderFence);
     if (state.has_error() || state->isBusy) {
@@ -176,7 +176,7 @@
     const auto fencingNumber = m_orderFence.fencingNumber;
     RoleOrder roleOrder { .role = role, .holder = m_context.settings.instance, .fencingNumber = fencingNumber, .expectedSequence = state->sequence };
     handleOrderSent(m_orderFence, bootTimeNow());
-    const auto error = co_await m_context.backendProtocol.orderRole(client, server, std::move(roleOrder), orderTimeout);
+    const auto error = co_await m_context.backendProtocol.orderRole(client, server, std::move(roleOrder), orderTimeout, m_context.handleNotice);
     const auto isOutcomeKnown = !error || error->failure == FailureKind::Busy || error->failure == FailureKind::NotConnected;
     if (isOutcomeKnown)
         handleOrderReply(m_orderFence);
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -119,7 +119,7 @@
     {
         log.setMinimumLevel(settings.logLevel);
         context.runId = uniqueRunId();
-        context.recordLimit = [this](const BackendServer& server, TimePoint sentAt, std::optional<double> perSecond) { services.recordLimit(server, sentAt, perSecond); };
+        context.handleNotice = [this](const BackendServer& server, TimePoint sentAt, const BackendNotice& notice) { services.handleNotice(server, sentAt, notice); };
     }
 
     ~State()
--- a/src/ServiceTable.cpp
+++ b/src/ServiceTable.cpp
@@ -151,9 +151,17 @@
     m_blockedParts[service] = std::move(parts);
 }
 
-auto ServiceTable::recordLimit(const BackendServer& server, TimePoint sentAt, std::optional<double> perSecond) -> void
+auto ServiceTable::handleNotice(const BackendServer& server, TimePoint sentAt, const BackendNotice& notice) -> void
 {
+    // Responses to control calls may name no limit although there is one.
+    if (notice.origin != ResponseOrigin::Call)
+        return;
     const std::lock_guard guard(m_lock);
+    recordLimitLocked(server, sentAt, notice.callsPerSecond);
+}
+
+auto ServiceTable::recordLimitLocked(const BackendServer& server, TimePoint sentAt, std::optional<double> perSecond) -> void
+{
     const auto now = monotonicNow();
     const auto hasForgotten = forgetOldLimits(m_limits, now);
     const auto hasChanged = jayhold::recordLimit(m_limits, { server.id, server.incarnation, perSecond, sentAt, now });
--- a/src/ServiceTable.h
+++ b/src/ServiceTable.h
@@ -36,9 +36,9 @@
     auto handlePromptReport(const PromptReport& report) -> void;
     /// Replaces the list of blocked prompt parts of a service, which may not be known yet.
     auto updateBlockedParts(const std::string& service, std::vector<ListedPart> parts) -> void;
-    /// Records the limit that a response of a backend server names, or that it names none.
+    /// Processes what a response of a backend server says about the server.
     /// @param sentAt when the call was sent.
-    auto recordLimit(const BackendServer& server, TimePoint sentAt, std::optional<double> perSecond) -> void;
+    auto handleNotice(const BackendServer& server, TimePoint sentAt, const BackendNotice& notice) -> void;
     /// @return the limits that this instance has recently observed.
     auto limitReports() const -> std::vector<LimitReport>;
     /// Processes the limits that a peer has observed.
@@ -67,6 +67,8 @@
     auto addPlainLocked(const Service& service) -> void;
     auto removeMissingLocked(const ConfigurationIndex& index) -> void;
     auto applyBackendsLocked() -> void;
+    /// Records the limit that a response of a backend server names, or that it names none.
+    auto recordLimitLocked(const BackendServer& server, TimePoint sentAt, std::optional<double> perSecond) -> void;
     /// Passes this instance's shares of the limits to the services.
     auto applyLimitsLocked() -> void;
     /// Appends the state of the retry budgets of all services.
--- a/test/FakeObjectStore.cpp
+++ b/test/FakeObjectStore.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t pageSize = 2;
 constexpr std::string_view objectsPath = "/-/objects/";
 constexpr int streamEvents = 5;
+const HttpHeader leavingField { "Server-Leaving", "1" };
 
 auto unescape(std::string_view text) -> std::string
 {
@@ -288,32 +289,61 @@
     return m_last;
 }
 
+auto FakeBackendServer::setRetryDelay(std::string text) -> void
+{
+    const std::lock_guard guard(m_lock);
+    m_retryDelay = std::move(text);
+}
+
+auto FakeBackendServer::retryDelay() const -> std::string
+{
+    const std::lock_guard guard(m_lock);
+    return m_retryDelay;
+}
+
+auto FakeBackendServer::respond(HttpExchange& exchange, HttpResponse response) -> asio::awaitable<void>
+{
+    if (m_isLeaving)
+        response.headers.push_back(leavingField);
+    co_await exchange.respond(std::move(response));
+}
+
+auto FakeBackendServer::handleControl(HttpExchange& exchange) -> asio::awaitable<void>
+{
+    ++m_controlCalls;
+    const auto isReservation = exchange.request().target == "/-/hold-take";
+    if (isReservation && m_reservationTime.load() > Duration::zero())
+        co_await pause(m_reservationTime);
+    auto response = jsonResponse(200, isReservation ? R"({"hold":"seat"})" : "{}");
+    if (const auto delay = retryDelay(); !delay.empty())
+        response = { 503, { { "Not-Executed", "1" }, { "Retry-After", delay } }, {} };
+    co_await respond(exchange, std::move(response));
+}
+
 auto FakeBackendServer::handle(HttpExchange& exchange) -> asio::awaitable<void>
 {
     const auto& request = exchange.request();
-    if (request.target == "/-/hold-take") {
-        if (m_reservationTime.load() > Duration::zero())
-            co_await pause(m_reservationTime);
-        co_await exchange.respond(jsonResponse(200, R"({"hold":"seat"})"));
-        co_return;
-    }
     if (request.target.starts_with("/-/")) {
-        co_await exchange.respond(jsonResponse(200, "{}"));
+        co_await handleControl(exchange);
         co_return;
     }
+    ++m_requests;
     {
         const std::lock_guard guard(m_lock);
         m_last = request;
     }
     if (headerValue(request, "Expect-Replica") != m_id) {
         HttpResponse misdirected { 421, { { "Replica-Id", m_id }, { "Not-Executed", "1" }, { "Request-Id", headerValue(request, "Request-Id") } }, {} };
-        co_await exchange.respond(std::move(misdirected));
+        co_await respond(exchange, std::move(misdirected));
         co_return;
     }
     const auto behaviour = m_behaviour.load();
-    if (behaviour == Behaviour::Reject) {
+    const auto delay = retryDelay();
+    if (behaviour == Behaviour::Reject || !delay.empty()) {
         HttpResponse rejection { 503, { { "Not-Executed", "1" }, { "Request-Id", headerValue(request, "Request-Id") } }, {} };
-        co_await exchange.respond(std::move(rejection));
+        if (!delay.empty())
+            rejection.headers.push_back({ "Retry-After", delay });
+        co_await respond(exchange, std::move(rejection));
         co_return;
     }
     m_onRun(headerValue(request, "Request-Id"), headerValue(request, "Stage"));
@@ -325,7 +355,7 @@
     if (headerValue(request, "Stage") == "prefill") {
         ++m_prefills;
         HttpResponse result { 200, headers, R"({"handleId":"h1","tokens":100,"version":1})" };
-        co_await exchange.respond(std::move(result));
+        co_await respond(exchange, std::move(result));
         co_return;
     }
     ++m_runs;
@@ -342,7 +372,7 @@
         co_return;
     }
     HttpResponse response { behaviour == Behaviour::Fail ? 500U : 200U, std::move(headers), request.method + " " + request.target + " " + request.body };
-    co_await exchange.respond(std::move(response));
+    co_await respond(exchange, std::move(response));
 }
 
 auto FakeBackendServer::stream(HttpExchange& exchange, std::vector<HttpHeader> headers) -> asio::awaitable<void>
@@ -350,6 +380,8 @@
     const auto last = headerValue(exchange.request(), "Last-Event-Id");
     const auto first = last.empty() ? 1 : std::stoi(last) + 1;
     headers.push_back({ "Content-Type", "text/event-stream" });
+    if (m_isLeaving)
+        headers.push_back(leavingField);
     co_await exchange.startStream(200, std::move(headers));
     for (auto event = first; event <= streamEvents; ++event) {
         if (m_behaviour == Behaviour::TruncateStream && event == 3) {
--- a/test/FakeObjectStore.h
+++ b/test/FakeObjectStore.h
@@ -122,6 +122,14 @@
     auto setReservationTime(Duration time) -> void { m_reservationTime = time; }
     /// @param perSecond limit that the server names in its responses; 0 if it names none.
     auto setLimit(double perSecond) -> void { m_limit = perSecond; }
+    /// @param isLeaving whether all answers say that the server is leaving.
+    auto setLeaving(bool isLeaving) -> void { m_isLeaving = isLeaving; }
+    /// @param text value of Retry-After in the rejections with which the server then answers every request; empty if it
+    /// rejects none.
+    auto setRetryDelay(std::string text) -> void;
+    /// @return how many requests of clients have reached the server, including those that it rejected.
+    auto requests() const -> int { return m_requests; }
+    auto controlCalls() const -> int { return m_controlCalls; }
     /// Sets a callback that receives the identifier and stage of each request when it starts to run;
     /// must be called before the first request.
     auto onRun(std::function<void(const std::string&, const std::string&)> callback) -> void { m_onRun = std::move(callback); }
@@ -131,6 +139,10 @@
 
 private:
     auto handle(HttpExchange& exchange) -> boost::asio::awaitable<void>;
+    auto handleControl(HttpExchange& exchange) -> boost::asio::awaitable<void>;
+    /// Adds the fields that all answers have.
+    auto respond(HttpExchange& exchange, HttpResponse response) -> boost::asio::awaitable<void>;
+    auto retryDelay() const -> std::string;
     auto stream(HttpExchange& exchange, std::vector<HttpHeader> headers) -> boost::asio::awaitable<void>;
 
     const std::string m_id;
@@ -142,8 +154,12 @@
     std::function<void(const std::string&, const std::string&)> m_onRun = [](const std::string&, const std::string&) {};
     std::atomic<int> m_runs { 0 };
     std::atomic<int> m_prefills { 0 };
+    std::atomic<int> m_requests { 0 };
+    std::atomic<int> m_controlCalls { 0 };
+    std::atomic<bool> m_isLeaving { false };
     mutable std::mutex m_lock;
     HttpRequest m_last;
+    std::string m_retryDelay;
     HttpServer m_server;
 };
 
--- a/test/correctness/RoleBalancerTest.cpp
+++ b/test/correctness/RoleBalancerTest.cpp
@@ -54,8 +54,8 @@
 auto acceptingProtocol() -> BackendProtocol
 {
     auto protocol = nativeBackendProtocol();
-    protocol.orderState = [](HttpClient&, BackendServer, Duration) -> asio::awaitable<EngineResult<EngineOrderState>> { co_return EngineOrderState {}; };
-    protocol.orderRole = [](HttpClient&, BackendServer, RoleOrder, Duration) -> asio::awaitable<std::optional<EngineError>> {
+    protocol.orderState = [](HttpClient&, BackendServer, Duration, NoticeHandler) -> asio::awaitable<EngineResult<EngineOrderState>> { co_return EngineOrderState {}; };
+    protocol.orderRole = [](HttpClient&, BackendServer, RoleOrder, Duration, NoticeHandler) -> asio::awaitable<std::optional<EngineError>> {
         orderedAt = monotonicNow();
         co_return std::nullopt;
     };
@@ -66,7 +66,7 @@
 
 /// Restores the store while the first engine's state is read, and returns the state when the lease has been
 /// acquired again.
-auto orderStateDuringRestore(HttpClient&, BackendServer, Duration) -> asio::awaitable<EngineResult<EngineOrderState>>
+auto orderStateDuringRestore(HttpClient&, BackendServer, Duration, NoticeHandler) -> asio::awaitable<EngineResult<EngineOrderState>>
 {
     if (storeToRestore->history() == 0) {
         storeToRestore->restore();
--- a/test/error/PlatformFormatsTest.cpp
+++ b/test/error/PlatformFormatsTest.cpp
@@ -205,11 +205,11 @@
 // Guards against a limit that is misread, or a header of a faulty server that is taken for one.
 TEST_CASE("the limit that a server names is a decimal number")
 {
-    const auto limitOf = [](const std::string& text) { return platform::backendProtocol().namedLimit({ { "Server-Limit", text } }); };
+    const auto limitOf = [](const std::string& text) { return platform::backendProtocol().readNotice(200, { { "Server-Limit", text } }).callsPerSecond; };
     CHECK(limitOf("13.4") == 13.4);
     CHECK(limitOf("0") == 0);
     for (const auto* text : { "", "-1", "nan", "inf", "1e999", "5 ", "many" })
         CHECK_FALSE(limitOf(text));
-    CHECK_FALSE(platform::backendProtocol().namedLimit({}));
+    CHECK_FALSE(platform::backendProtocol().readNotice(200, {}).callsPerSecond);
     CHECK(rc::check("arbitrary headers", [&](const std::string& text) { RC_ASSERT(limitOf(text).value_or(0) >= 0); }));
 }
