Keep a server that has said that it is leaving out of the list of live ones

A leaving backend server says so in its answers, before or without a change of its entry in the store. BackendDirectory::markLeaving keeps that for the process. Entries of the same incarnation that show it as ready, because they are stale, written by a heartbeat, or from a restored store, change its other fields only. Another incarnation is used again.

Servers without an incarnation can't be told from a later process with the same id. Such a server counts as another process at another address, or after its entry was removed and written again; otherwise the id would never be used again. An entry that is only missing after an outage or a restore does not count as removed, because servers whose entry does not say that they are leaving register again then.

--- a/src/BackendDirectory.cpp
+++ b/src/BackendDirectory.cpp
@@ -36,6 +36,16 @@
     return isRestored && isKnownGone && server.state == ReplicaState::Live && server.incarnation == known.server.incarnation;
 }
 
+/// Servers without an incarnation can't be told from a later process with the same id, unless the address differs or the
+/// entry was removed in between. Without these exceptions their id would never be used again.
+auto isSameProcess(const BackendDirectory::Entry& known, const BackendServer& server) -> bool
+{
+    if (!known.server.incarnation.empty() || !server.incarnation.empty())
+        return known.server.incarnation == server.incarnation;
+    const auto wasRemoved = known.removedAt && !known.isPresumedGone;
+    return known.server.endpoint == server.endpoint && !wasRemoved;
+}
+
 }
 
 auto storeFailed(BackendDirectory& directory, TimePoint now) -> void
@@ -82,18 +92,32 @@
     const auto known = directory.entries.find(server.id);
     if (known != directory.entries.end() && isOutdated(directory, known->second, server))
         return false;
+    const auto hasSaidLeaving = known != directory.entries.end() && known->second.hasSaidLeaving && isSameProcess(known->second, server);
+    if (hasSaidLeaving)
+        server.state = ReplicaState::Leaving;
     auto& entry = directory.entries[server.id];
-    entry = { .server = std::move(server), .history = directory.history.value_or(0) };
+    entry = { .server = std::move(server), .hasSaidLeaving = hasSaidLeaving, .history = directory.history.value_or(0) };
     return true;
 }
 
+auto markLeaving(BackendDirectory& directory, const BackendServer& server) -> std::optional<ReplicaState>
+{
+    const auto found = directory.entries.find(server.id);
+    if (found == directory.entries.end() || found->second.hasSaidLeaving || !isSameProcess(found->second, server))
+        return std::nullopt;
+    found->second.hasSaidLeaving = true;
+    return std::exchange(found->second.server.state, ReplicaState::Leaving);
+}
+
 auto remove(BackendDirectory& directory, TimePoint now, std::string_view id) -> void
 {
     const auto found = directory.entries.find(id);
     if (found == directory.entries.end() || found->second.removedAt)
         return;
-    // A server that is known to leave does not register again.
-    if (now < directory.reregistrationDeadline && found->second.server.state == ReplicaState::Live)
+    // A server does not register again after its entry has shown that it is leaving. Before, its entry is written again
+    // even if it has said so itself.
+    const auto mayRegisterAgain = found->second.server.state == ReplicaState::Live || found->second.hasSaidLeaving;
+    if (now < directory.reregistrationDeadline && mayRegisterAgain)
         found->second.isMissing = true;
     else
         markRemoved(directory, found->second, now);
--- a/src/BackendDirectory.h
+++ b/src/BackendDirectory.h
@@ -3,7 +3,8 @@
 /// The backend servers that the platform's store lists, as a pure state machine. During an outage the
 /// store drops the entries of live servers, which register again shortly after it recovers. Missing
 /// entries are therefore ignored for some time after an outage. The same holds after the store was restored from an
-/// older copy, whose entries may also show servers as they were before they left.
+/// older copy, whose entries may also show servers as they were before they left. A server also says itself that it is
+/// leaving, before or without its entry; no entry of the same process takes that back.
 
 #include "BackendServer.h"
 #include "Time.h"
@@ -39,6 +40,8 @@
         bool isPresumedGone = false;
         /// Whether the linger time after the removal has passed, so that servers() no longer lists the server.
         bool isUnlisted = false;
+        /// Whether the process has said itself that it is leaving.
+        bool hasSaidLeaving = false;
         /// History of the store that has shown this state.
         std::int64_t history = 0;
     };
@@ -67,11 +70,17 @@
 auto replaceAll(BackendDirectory& directory, TimePoint now, std::vector<BackendServer> servers) -> std::vector<std::string>;
 
 /// Adds or updates a server, unless the entry is outdated: its incarnation is earlier than the known one, or the store
-/// was restored and the entry shows as live an incarnation that is known to be leaving or removed.
+/// was restored and the entry shows as live an incarnation that is known to be leaving or removed. A process that has said
+/// that it is leaving stays so.
 /// @return whether the entry was applied.
 auto upsert(BackendDirectory& directory, BackendServer server) -> bool;
 auto remove(BackendDirectory& directory, TimePoint now, std::string_view id) -> void;
 
+/// Handles a response in which a server says that it is leaving. Its process gets no new work from then on.
+/// @param server the server as it was when it was called.
+/// @return the state that the store shows, or nothing if the process has said so before or is not the known one.
+auto markLeaving(BackendDirectory& directory, const BackendServer& server) -> std::optional<ReplicaState>;
+
 /// Removes missing servers after the re-registration deadline, and no longer names servers that left the list
 /// longer than the linger time ago.
 /// @return whether anything changed.
--- a/test/correctness/BackendDirectoryTest.cpp
+++ b/test/correctness/BackendDirectoryTest.cpp
@@ -148,6 +148,96 @@
     CHECK(stateOf(directory, "late") == ReplicaState::Live);
 }
 
+// Guards against new work for a server that has said that it is leaving, because an entry that was written before, or is
+// written again by a heartbeat, shows it as live.
+TEST_CASE("a server that has said that it is leaving stays so whatever the store says of its process")
+{
+    BackendDirectory directory;
+    beginHistory(directory, start, 1);
+    replaceAll(directory, start, { server("a", "900"), server("b", "900") });
+    CHECK(markLeaving(directory, server("a", "900")) == ReplicaState::Live);
+    CHECK(stateOf(directory, "a") == ReplicaState::Leaving);
+    CHECK(stateOf(directory, "b") == ReplicaState::Live);
+    // Only the first answer changes anything.
+    CHECK_FALSE(markLeaving(directory, server("a", "900")));
+    auto moved = server("a", "900");
+    moved.pool = "other";
+    upsert(directory, moved);
+    CHECK(stateOf(directory, "a") == ReplicaState::Leaving);
+    // Requests that run there are told from others by the pool, so the rest of the entry counts.
+    CHECK(servers(directory)[0].pool == "other");
+    replaceAll(directory, start + 1s, { server("a", "900"), server("b", "900") });
+    CHECK(stateOf(directory, "a") == ReplicaState::Leaving);
+    upsert(directory, server("a", "900", ReplicaState::Leaving));
+    upsert(directory, server("a", "900"));
+    CHECK(stateOf(directory, "a") == ReplicaState::Leaving);
+    remove(directory, start + 2s, "a");
+    upsert(directory, server("a", "900"));
+    CHECK(stateOf(directory, "a") == ReplicaState::Leaving);
+    beginHistory(directory, start + 3s, 2);
+    replaceAll(directory, start + 3s, { server("a", "900"), server("b", "900") });
+    CHECK(stateOf(directory, "a") == ReplicaState::Leaving);
+    CHECK(stateOf(directory, "b") == ReplicaState::Live);
+}
+
+// Guards against a server that was only missing after an outage of the store, and comes back although it leaves.
+TEST_CASE("a server that has said that it is leaving stays so over an outage of the store")
+{
+    BackendDirectory directory;
+    const std::string incarnation = GENERATE("900", "");
+    replaceAll(directory, start, { server("a", incarnation) });
+    storeFailed(directory, start + 1s);
+    const auto isSaidBefore = GENERATE(true, false);
+    if (isSaidBefore)
+        CHECK(markLeaving(directory, server("a", incarnation)));
+    storeAnswered(directory, start + 6s);
+    replaceAll(directory, start + 6s, {});
+    if (!isSaidBefore)
+        CHECK(markLeaving(directory, server("a", incarnation)));
+    expire(directory, start + 9s);
+    CHECK(stateOf(directory, "a") == ReplicaState::Leaving);
+    upsert(directory, server("a", incarnation));
+    CHECK(stateOf(directory, "a") == ReplicaState::Leaving);
+}
+
+// Guards against a restarted server that gets no work because its former process was leaving, and against an answer of the
+// former process that is taken for one of the new process.
+TEST_CASE("another process with the id of a leaving server is served")
+{
+    BackendDirectory directory;
+    upsert(directory, server("a", "900"));
+    REQUIRE(markLeaving(directory, server("a", "900")));
+    CHECK(upsert(directory, server("a", "1000")));
+    CHECK(stateOf(directory, "a") == ReplicaState::Live);
+    CHECK_FALSE(markLeaving(directory, server("a", "900")));
+    CHECK(stateOf(directory, "a") == ReplicaState::Live);
+    // An entry of the former process is outdated.
+    CHECK_FALSE(upsert(directory, server("a", "900")));
+    CHECK(stateOf(directory, "a") == ReplicaState::Live);
+    CHECK_FALSE(markLeaving(directory, server("unknown", "900")));
+    CHECK(markLeaving(directory, server("a", "1000")) == ReplicaState::Live);
+}
+
+// Guards against an id that is never used again, because entries without an incarnation all look the same.
+TEST_CASE("without an incarnation a server is another process after its removal or at another address")
+{
+    BackendDirectory directory;
+    upsert(directory, server("a"));
+    REQUIRE(markLeaving(directory, server("a")));
+    upsert(directory, server("a"));
+    CHECK(stateOf(directory, "a") == ReplicaState::Leaving);
+    remove(directory, start, "a");
+    upsert(directory, server("a"));
+    CHECK(stateOf(directory, "a") == ReplicaState::Live);
+    REQUIRE(markLeaving(directory, server("a")));
+    auto moved = server("a");
+    moved.endpoint.port = 2;
+    upsert(directory, moved);
+    CHECK(stateOf(directory, "a") == ReplicaState::Live);
+    // An answer from the former address.
+    CHECK_FALSE(markLeaving(directory, server("a")));
+}
+
 // Guards against crashed instances that are counted forever, which would reduce the retry budget.
 TEST_CASE("an instance that stops writing its record is not counted")
 {
