Send no new work to a backend server that says that it is leaving

Callers could see requests refused or cut off at servers that had long said that they were leaving: an instance learned it from the store's list only.

The notice of an answer goes to ServiceTable::handleNotice as soon as its header has arrived. It marks the server as leaving for all services before the answer is passed on, so a retry of another request can't reach it either, and StoreDirectory::handleLeaving, on the first thread, makes that last (BackendDirectory::markLeaving), logs backend_said_leaving and counts jayhold_backends_said_leaving_total. Calls that are chosen but not yet sent are checked again: prefills and decodes after the slot was reserved, calls that the HTTP client sends again, and role orders after the announcement and after the engine's report. These prefills and decodes count as not connected, as with a removed server: nothing was sent, so they take nothing from the retry budget.

An answer without the request's id counts too. It came on a connection to the server's address, so either the server or a program in its place has sent it, and neither is worth new requests. An answer that names another server (Replica-Id, status 421) counts for that server, if the list has it at the same address; before, such an answer also ended the limit of the called server.

--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -38,5 +38,5 @@
   LINK jayhold_platform)
 
 jayhold_test(leaving_server_test
-  SOURCES test/correctness/LeavingPropertyTest.cpp
+  SOURCES test/correctness/LeavingPropertyTest.cpp test/correctness/LeavingServerTest.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -91,6 +91,8 @@
     /// Reserves a slot at the decode engine, if engines support reservations.
     /// @return the error if the reservation failed.
     auto reserveSlot(const std::optional<ReplicaStatus>& decode) -> boost::asio::awaitable<std::optional<EngineError>>;
+    /// @return the error if the replica has begun to leave since it was chosen, so that the call must not be sent.
+    auto checkLive(ReplicaId replica) const -> std::optional<EngineError>;
     auto recordSlotRefusal(const EngineError& error) -> void;
     auto releaseSlot() -> void;
     /// Releases a reservation or result at an engine in the background, and logs a failure.
--- a/src/ModelRequestReservations.cpp
+++ b/src/ModelRequestReservations.cpp
@@ -35,6 +35,13 @@
     co_return std::nullopt;
 }
 
+auto ModelRequest::checkLive(ReplicaId replica) const -> std::optional<EngineError>
+{
+    if (m_service->isLive(replica))
+        return std::nullopt;
+    return EngineError { FailureKind::NotConnected, "the backend server is leaving" };
+}
+
 auto ModelRequest::recordSlotRefusal(const EngineError& error) -> void
 {
     // A slot can be refused many times in a burst, so only the first refusal is logged at level Info; the
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -160,6 +160,10 @@
         co_return;
     if (m_context.backendProtocol.reserveSlot)
         m_service->handleEvent(SlotReserved { m_id, m_attempt });
+    if (auto refusal = checkLive(replica.id)) {
+        enqueue(PrefillEnded { task, std::move(*refusal) });
+        co_return;
+    }
     call.deadlineMs = remainingMs();
     m_tasks->calledAt = monotonicNow();
     observeResponses(call);
@@ -179,10 +183,18 @@
         }
         if (task != m_tasks->lastTask)
             co_return;
+        if (auto refusal = checkLive(replica.id)) {
+            enqueue(DecodeEnded { task, { std::move(*refusal) }, true });
+            co_return;
+        }
         m_service->handleEvent(SlotReserved { m_id, m_attempt });
         if (m_slot)
             call.slot = std::exchange(m_slot, std::nullopt)->name;
     }
+    if (auto refusal = checkLive(replica.id)) {
+        enqueue(DecodeEnded { task, { std::move(*refusal) } });
+        co_return;
+    }
     const auto usesPrefill = call.kv.has_value();
     call.deadlineMs = remainingMs();
     m_tasks->calledAt = monotonicNow();
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -96,9 +96,13 @@
 
     auto replica(ReplicaId replica) const -> std::optional<ReplicaStatus>;
     auto replicas() const -> std::vector<ReplicaStatus>;
+    /// @return whether the replica is known and not leaving.
+    auto isLive(ReplicaId replica) const -> bool;
+    /// @return whether this process of the backend server is known and not leaving.
+    auto isLive(const BackendServer& server) const -> bool;
     auto summary() const -> ShardSummary;
     /// Takes a retry from the budget for a call to the replica that the shard has not started.
-    /// @return false if the budget is exhausted, or the replica takes no further call now.
+    /// @return false if the budget is exhausted, or the replica takes no further call now or is leaving.
     auto tryConsumeRetry(ReplicaId replica) -> bool;
     /// @return a copy of the retry budget's state.
     auto retryBudget() const -> RetryBudget;
@@ -159,6 +163,7 @@
     /// Removes role changes that took too long, so that their engines get new work again.
     auto expireRoleChangesLocked(TimePoint now, Outbox& outbox) -> void;
     auto removeReplicaLocked(ReplicaStatus& status, Outbox& outbox) -> void;
+    auto isLiveLocked(ReplicaId replica) const -> bool;
     auto findPool(std::string_view name) const -> const Pool*;
 
     auto send(Outbox outbox) -> void;
--- a/src/ModelServiceReplicas.cpp
+++ b/src/ModelServiceReplicas.cpp
@@ -199,6 +199,25 @@
     return known == m_replicas.end() ? std::nullopt : std::optional(known->second);
 }
 
+auto ModelService::isLiveLocked(ReplicaId replica) const -> bool
+{
+    const auto known = m_replicas.find(replica);
+    return known != m_replicas.end() && known->second.backend.state == ReplicaState::Live;
+}
+
+auto ModelService::isLive(ReplicaId replica) const -> bool
+{
+    const std::lock_guard guard(m_lock);
+    return isLiveLocked(replica);
+}
+
+auto ModelService::isLive(const BackendServer& server) const -> bool
+{
+    const std::lock_guard guard(m_lock);
+    const auto known = m_replicaIds.find(server.id);
+    return known != m_replicaIds.end() && isLiveLocked(known->second) && m_replicas.at(known->second).backend.incarnation == server.incarnation;
+}
+
 auto ModelService::replicas() const -> std::vector<ReplicaStatus>
 {
     std::vector<ReplicaStatus> list;
@@ -218,7 +237,7 @@
 auto ModelService::tryConsumeRetry(ReplicaId replica) -> bool
 {
     const std::lock_guard guard(m_lock);
-    return jayhold::tryConsumeRetry(m_shard, monotonicNow(), replica);
+    return isLiveLocked(replica) && jayhold::tryConsumeRetry(m_shard, monotonicNow(), replica);
 }
 
 auto ModelService::retryBudget() const -> RetryBudget
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -76,7 +76,7 @@
     auto mayTryAgain(const PlainCallInfo& call, const CallState& state, const PlainAttempt& last, bool isRepeatable) -> bool;
     /// Takes a retry from the budget for a call that would be sent again because a reused connection had
     /// closed.
-    /// @return whether the call may be repeated, and the budget and the server's limit allow it.
+    /// @return whether the call may be repeated, the server is not leaving, and the budget and its limit allow it.
     auto tryConsumeResend(const PlainCallInfo& call, const BackendServer& server) -> bool;
     /// Serves a call without a record. It is executed at most once per request, unless its kind is
     /// repeatable.
@@ -89,6 +89,8 @@
     auto retryDelayOfCall() const -> Duration;
     auto noResponseError(const PlainCallInfo& call, const PlainAttempt& attempt) const -> ApiError;
 
+    /// @return whether the server is in the list and not leaving; requires the lock.
+    auto isLiveLocked(const BackendServer& server) const -> bool;
     auto acquire(std::span<const std::string> excluded) -> std::optional<BackendServer>;
     auto release(const std::string& id, bool isHealthy) -> void;
     auto releaseCancelled(const std::string& id) -> void;
--- a/src/PlainServiceAttempts.cpp
+++ b/src/PlainServiceAttempts.cpp
@@ -129,11 +129,18 @@
     return { .detail = "exception: " + detail };
 }
 
+auto PlainService::isLiveLocked(const BackendServer& server) const -> bool
+{
+    return std::ranges::any_of(m_balancer.backends(), [&](const PlainBackend& backend) {
+        return backend.server.id == server.id && backend.server.incarnation == server.incarnation && backend.server.state == ReplicaState::Live;
+    });
+}
+
 auto PlainService::tryConsumeResend(const PlainCallInfo& call, const BackendServer& server) -> bool
 {
     {
         const std::lock_guard guard(m_lock);
-        if (!call.kind.repeatable || !m_balancer.tryTakeCall(monotonicNow(), server.id) || !m_budget.tryConsume())
+        if (!call.kind.repeatable || !isLiveLocked(server) || !m_balancer.tryTakeCall(monotonicNow(), server.id) || !m_budget.tryConsume())
             return false;
     }
     m_metrics->resentCalls.fetch_add(1, std::memory_order_relaxed);
--- a/src/RoleBalancer.cpp
+++ b/src/RoleBalancer.cpp
@@ -164,6 +164,9 @@
 {
     auto& client = m_context.threads.client(0);
     const auto id = server.id;
+    // It may have begun to leave since it was chosen.
+    if (!service.isLive(server))
+        co_return;
     const auto state = co_await m_context.backendProtocol.orderState(client, server, orderTimeout, m_context.handleNotice);
     if (state.has_value())
         handleStateReadBack(m_orderFence);
@@ -171,7 +174,7 @@
         m_context.log.record(LogLevel::Info, "role_order_skipped", { { "backend", id }, { "detail", state.has_error() ? state.error().detail : std::string("it carries out another order") } });
         co_return;
     }
-    if (nextStep() != OrderStep::Send)
+    if (nextStep() != OrderStep::Send || !service.isLive(server))
         co_return;
     const auto fencingNumber = m_orderFence.fencingNumber;
     RoleOrder roleOrder { .role = role, .holder = m_context.settings.instance, .fencingNumber = fencingNumber, .expectedSequence = state->sequence };
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -13,6 +13,7 @@
 #include "Tasks.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <random>
@@ -119,7 +120,10 @@
     {
         log.setMinimumLevel(settings.logLevel);
         context.runId = uniqueRunId();
-        context.handleNotice = [this](const BackendServer& server, TimePoint sentAt, const BackendNotice& notice) { services.handleNotice(server, sentAt, notice); };
+        context.handleNotice = [this](const BackendServer& server, TimePoint sentAt, const BackendNotice& notice) {
+            if (auto leaving = services.handleNotice(server, sentAt, notice))
+                asio::dispatch(threads.context(0), [this, server = std::move(*leaving), notice] { directory->handleLeaving(server, notice); });
+        };
     }
 
     ~State()
@@ -281,6 +285,7 @@
             { "jayhold_instances", "Live entry instances by their records and messages; 0 until they have been counted.", static_cast<double>(summary.instances) },
             { "jayhold_store_away_seconds", "Time for which the store has failed; 0 while it answers.", storeUnavailableSeconds },
             { "jayhold_store_history", "History of the store; each restore from an older copy increases it. 0 if the store names none.", static_cast<double>(summary.storeHistory) },
+            { "jayhold_backends_said_leaving_total", "Processes of backend servers that have said in an answer that they are leaving.", static_cast<double>(summary.leavingByAnswer), true },
             { "jayhold_memory_pieces_reserved", "Engine memory that this instance has reserved, in pieces.", reservedMemoryBlocks },
             { "jayhold_log_lines_left_out_total", "Log lines left out for their rate or because the output was not read.", static_cast<double>(log.droppedLines() + droppedLogLines()), true },
         };
--- a/src/ServiceTable.cpp
+++ b/src/ServiceTable.cpp
@@ -151,13 +151,41 @@
     m_blockedParts[service] = std::move(parts);
 }
 
-auto ServiceTable::handleNotice(const BackendServer& server, TimePoint sentAt, const BackendNotice& notice) -> void
+auto ServiceTable::handleNotice(const BackendServer& server, TimePoint sentAt, const BackendNotice& notice) -> std::optional<BackendServer>
 {
     // Responses to control calls may name no limit although there is one.
-    if (notice.origin != ResponseOrigin::Call)
-        return;
+    const auto tellsLimit = notice.origin == ResponseOrigin::Call;
+    if (!tellsLimit && !notice.isLeaving)
+        return std::nullopt;
     const std::lock_guard guard(m_lock);
-    recordLimitLocked(server, sentAt, notice.callsPerSecond);
+    auto responder = responderLocked(server, notice);
+    if (!responder)
+        return std::nullopt;
+    if (tellsLimit)
+        recordLimitLocked(*responder, sentAt, notice.callsPerSecond);
+    // A response without the request's id counts here: it came on a connection to the server's address, from the server or
+    // from another program in its place.
+    if (!notice.isLeaving)
+        return std::nullopt;
+    markLeavingLocked(*responder);
+    return responder;
+}
+
+auto ServiceTable::responderLocked(const BackendServer& called, const BackendNotice& notice) const -> std::optional<BackendServer>
+{
+    if (notice.responder.empty() || notice.responder == called.id)
+        return called;
+    const auto known = std::ranges::find_if(m_backends, [&](const BackendServer& backend) { return backend.id == notice.responder && backend.endpoint == called.endpoint; });
+    return known == m_backends.end() ? std::nullopt : std::optional(*known);
+}
+
+auto ServiceTable::markLeavingLocked(const BackendServer& server) -> void
+{
+    const auto known = std::ranges::find(m_backends, server.id, &BackendServer::id);
+    if (known == m_backends.end() || known->incarnation != server.incarnation || known->endpoint != server.endpoint || known->state != ReplicaState::Live)
+        return;
+    known->state = ReplicaState::Leaving;
+    applyBackendsLocked();
 }
 
 auto ServiceTable::recordLimitLocked(const BackendServer& server, TimePoint sentAt, std::optional<double> perSecond) -> void
--- a/src/ServiceTable.h
+++ b/src/ServiceTable.h
@@ -36,9 +36,11 @@
     auto handlePromptReport(const PromptReport& report) -> void;
     /// Replaces the list of blocked prompt parts of a service, which may not be known yet.
     auto updateBlockedParts(const std::string& service, std::vector<ListedPart> parts) -> void;
-    /// Processes what a response of a backend server says about the server.
+    /// Processes what a response of a backend server says about the server. One that is leaving gets no new work from
+    /// then on, until the next list of backend servers shows its state.
     /// @param sentAt when the call was sent.
-    auto handleNotice(const BackendServer& server, TimePoint sentAt, const BackendNotice& notice) -> void;
+    /// @return the server that has responded, if it is leaving.
+    auto handleNotice(const BackendServer& server, TimePoint sentAt, const BackendNotice& notice) -> std::optional<BackendServer>;
     /// @return the limits that this instance has recently observed.
     auto limitReports() const -> std::vector<LimitReport>;
     /// Processes the limits that a peer has observed.
@@ -67,6 +69,9 @@
     auto addPlainLocked(const Service& service) -> void;
     auto removeMissingLocked(const ConfigurationIndex& index) -> void;
     auto applyBackendsLocked() -> void;
+    /// @return the server that has responded to a call, or nothing if it isn't known.
+    auto responderLocked(const BackendServer& called, const BackendNotice& notice) const -> std::optional<BackendServer>;
+    auto markLeavingLocked(const BackendServer& server) -> void;
     /// Records the limit that a response of a backend server names, or that it names none.
     auto recordLimitLocked(const BackendServer& server, TimePoint sentAt, std::optional<double> perSecond) -> void;
     /// Passes this instance's shares of the limits to the services.
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -133,7 +133,7 @@
 
 auto StoreDirectory::summary() const -> Summary
 {
-    return { m_version, m_published.size(), m_liveInstances, m_directory.unavailableSince, m_history.value_or(0) };
+    return { m_version, m_published.size(), m_liveInstances, m_directory.unavailableSince, m_history.value_or(0), m_leavingByAnswer };
 }
 
 auto StoreDirectory::runKindWatch(KindWatchPointer kindWatch) -> asio::awaitable<void>
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -5,6 +5,7 @@
 /// the last known state stays in use.
 
 #include "BackendDirectory.h"
+#include "BackendNotice.h"
 #include "BlockedParts.h"
 #include "Configuration.h"
 #include "DirectoryUpdate.h"
@@ -91,6 +92,8 @@
         std::optional<TimePoint> storeUnavailableSince;
         /// Greatest history that the store has named; each restore from an older copy increases it. 0 if none.
         std::int64_t storeHistory = 0;
+        /// Number of processes of backend servers that have said that they are leaving.
+        std::uint64_t leavingByAnswer = 0;
     };
     /// Must be called on the first I/O thread.
     auto summary() const -> Summary;
@@ -103,6 +106,9 @@
     /// Records that a message of an instance has arrived. Must be called on the first I/O thread.
     auto handlePeerMessage(const std::string& instance) -> void;
 
+    /// Handles a response in which a backend server says that it is leaving. Must be called on the first I/O thread.
+    auto handleLeaving(const BackendServer& server, const BackendNotice& notice) -> void;
+
     /// Handles an update from another instance of the zone. Must be called on the first I/O thread.
     auto handleDirectoryUpdate(const DirectoryUpdate& update) -> void;
 
@@ -202,6 +208,7 @@
     std::int64_t m_reportedHistory = 0;
     BackendDirectory m_directory;
     std::vector<BackendServer> m_published;
+    std::uint64_t m_leavingByAnswer = 0;
     /// Services with a list of blocked prompt parts.
     std::set<std::string> m_blockedPartsServices;
     /// Blocked prompt parts that apply, by service.
--- a/src/StoreDirectoryUpdates.cpp
+++ b/src/StoreDirectoryUpdates.cpp
@@ -28,6 +28,19 @@
 constexpr std::size_t maxLoggedNames = 8;
 constexpr std::size_t maxLoggedNameBytes = 100;
 
+auto originName(ResponseOrigin origin) -> std::string_view
+{
+    switch (origin) {
+    case ResponseOrigin::Call:
+        return "call";
+    case ResponseOrigin::ControlCall:
+        return "control_call";
+    case ResponseOrigin::Unidentified:
+        return "unidentified";
+    }
+    return "";
+}
+
 }
 
 auto StoreDirectory::reliesOnWatchers(const KindWatch& kindWatch) const -> bool
@@ -117,6 +130,16 @@
     }
 }
 
+auto StoreDirectory::handleLeaving(const BackendServer& server, const BackendNotice& notice) -> void
+{
+    const auto listed = markLeaving(m_directory, server);
+    if (!listed)
+        return;
+    ++m_leavingByAnswer;
+    m_log.record(LogLevel::Info, "backend_said_leaving", { { "backend", server.id }, { "incarnation", server.incarnation }, { "status", notice.status }, { "answer_to", originName(notice.origin) }, { "listed_state", *listed == ReplicaState::Live ? "live" : "leaving" }, { "history", m_directory.history.value_or(0) } });
+    publishBackends();
+}
+
 auto StoreDirectory::logUnreadable(const std::string& kind, std::size_t count, std::span<const std::string> names) -> void
 {
     if (count == 0)
--- a/test/correctness/ResendTest.cpp
+++ b/test/correctness/ResendTest.cpp
@@ -113,3 +113,46 @@
     CHECK(asked == (isStale ? 1 : 0));
     threads.stop();
 }
+
+// Guards against a call that reaches a server that is known to be leaving, because the HTTP client sends it again after the
+// connection closed.
+TEST_CASE("a call is not sent again to a server that has begun to leave")
+{
+    const auto isLeaving = GENERATE(true, false);
+    FakeRecords records;
+    IoThreads threads { 1 };
+    EntryHarness harness { records };
+    std::atomic<int> runs { 0 };
+    BackendServer target { .id = "ledger-1", .availabilityZone = "alpine", .pool = "ledger" };
+    HttpServer ledger(threads, {}, [&](HttpExchange& exchange) -> asio::awaitable<void> {
+        if (++runs != 2) {
+            co_await exchange.respond(jsonResponse(200, "{}"));
+            co_return;
+        }
+        if (isLeaving)
+            harness.services().handleNotice(target, monotonicNow(), { .status = 200, .isLeaving = true });
+        exchange.abort();
+    });
+    target.endpoint = ledger.endpoint();
+    harness.addBackend(target.id, target.pool, target.endpoint);
+    const auto lookup = [&] { return *harness.call({ "GET", "/services/coop-ledger/stock", {}, {} }); };
+    CHECK(lookup().status == 200);
+    CHECK(lookup().status == (isLeaving ? 503 : 200));
+    CHECK(runs == (isLeaving ? 2 : 3));
+    threads.stop();
+}
+
+// The same for prefills and decodes.
+TEST_CASE("no retry is taken for a call to an engine that has begun to leave")
+{
+    FakeRecords records;
+    EntryHarness harness { records };
+    harness.addBackend("prefill-1", "prefill", { "127.0.0.1", 1 });
+    const auto service = harness.services().modelService("appraiser-llm");
+    const auto replica = service->replicas().at(0);
+    CHECK(service->isLive(replica.backend));
+    CHECK(service->tryConsumeRetry(replica.id));
+    CHECK(harness.services().handleNotice(replica.backend, monotonicNow(), { .status = 200, .origin = ResponseOrigin::Unidentified, .isLeaving = true }));
+    CHECK_FALSE(service->tryConsumeRetry(replica.id));
+    CHECK_FALSE(service->isLive(replica.backend));
+}
--- a/test/correctness/RoleBalancerTest.cpp
+++ b/test/correctness/RoleBalancerTest.cpp
@@ -76,6 +76,16 @@
     co_return EngineOrderState {};
 }
 
+std::atomic<int> stateReads { 0 };
+
+/// An engine that says in its report that it is leaving.
+auto leavingOrderState(HttpClient&, BackendServer server, Duration, NoticeHandler onNotice) -> asio::awaitable<EngineResult<EngineOrderState>>
+{
+    onNotice(server, monotonicNow(), { .status = 200, .origin = ResponseOrigin::ControlCall, .isLeaving = true });
+    ++stateReads;
+    co_return EngineOrderState {};
+}
+
 /// Four idle prefill engines, and two decode engines on which peers have reserved almost all slots.
 auto addImbalance(ServiceTable& services) -> void
 {
@@ -157,3 +167,31 @@
     CHECK(orderedAt.load() - store.createdAt() >= balancerSettings.minOrderInterval);
     CHECK(std::ranges::count(log.after(0, EventLog::defaultCapacity), "lease_acquired", &LoggedEvent::event) == 2);
 }
+
+// Guards against orders to an engine that leaves: it can't carry them out, and the role lacks an engine until the next try.
+TEST_CASE("an engine that says in its report that it is leaving gets no order")
+{
+    const EntrySettings settings { .instance = "entry-1", .availabilityZone = "alpine" };
+    EventLog log { "entry-1" };
+    IoThreads threads { 1 };
+    auto protocol = acceptingProtocol();
+    protocol.orderState = leavingOrderState;
+    EntryContext context { .settings = settings, .threads = threads, .log = log, .backendProtocol = protocol };
+    FakeRecords records;
+    ServiceTable services { context, records, [](std::string_view, std::string_view) { return false; } };
+    context.handleNotice = [&](const BackendServer& server, TimePoint sentAt, const BackendNotice& notice) { services.handleNotice(server, sentAt, notice); };
+    addImbalance(services);
+    LeaseStore store;
+    RoleBalancerSettings balancerSettings { .leaseKind = "leases", .minOrderInterval = 10ms, .balance = { .window = 1s, .rampUp = 10ms, .warmUp = 20ms, .cooldown = 10s } };
+    const auto balancer = std::make_shared<RoleBalancer>(context, store, balancerSettings, RoleBalancerCallbacks { [&] { return services.modelServices(); }, [] { return true; } });
+    orderedAt = TimePoint {};
+    stateReads = 0;
+    balancer->start();
+    const auto isRead = waitFor([] { return stateReads > 0; }, 8s);
+    // An order follows the report at once.
+    std::this_thread::sleep_for(200ms);
+    services.stop();
+    threads.stop();
+    REQUIRE(isRead);
+    CHECK(orderedAt.load() == TimePoint {});
+}
