--- a/src/BackendDirectory.h
+++ b/src/BackendDirectory.h
@@ -4,7 +4,8 @@
 /// store drops the entries of live servers, which register again shortly after it recovers. Missing
 /// entries are therefore ignored for some time after an outage. The same holds after the store was restored from an
 /// older copy, whose entries may also show servers as they were before they left. A removed server gets work again if
-/// its entry was written after the restore, or does not lapse.
+/// its entry was written after the restore, or does not lapse. A server also says itself that it is leaving, before or
+/// without its entry; no entry of the same process takes that back.
 
 #include "BackendServer.h"
 #include "Time.h"
@@ -57,11 +58,13 @@
         bool isMissing = false;
         /// Whether the server was removed because its entry stayed missing. It may still run and register late.
         bool isPresumedGone = false;
-        /// Whether the server itself has reported that it leaves. This incarnation does not come back.
+        /// Whether the server's entry or its own answers had shown that it leaves. This incarnation does not come back.
         bool hasReportedLeaving = false;
         Relisting relisting;
         /// Whether the linger time after the removal has passed, so that servers() no longer lists the server.
         bool isUnlisted = false;
+        /// Whether the process has said itself that it is leaving.
+        bool hasSaidLeaving = false;
         /// History of the store that has shown this state.
         std::int64_t history = 0;
     };
@@ -91,11 +94,16 @@
 
 /// Adds or updates a server, unless the store was restored and the entry is outdated: it may be one of the older copy and
 /// its incarnation is earlier than the known one, or it shows an incarnation as it was before it reported that it leaves,
-/// or was removed.
+/// or was removed. A process that has said that it is leaving stays so.
 /// @return whether the entry was applied.
 auto upsert(BackendDirectory& directory, BackendServer server, EntrySource source = EntrySource::List) -> bool;
 auto remove(BackendDirectory& directory, TimePoint now, std::string_view id) -> void;
 
+/// Handles a response in which a server says that it is leaving. Its process gets no new work from then on.
+/// @param server the server as it was when it was called.
+/// @return the state that the store shows, or nothing if the process has said so before or is not the known one.
+auto markLeaving(BackendDirectory& directory, const BackendServer& server) -> std::optional<ReplicaState>;
+
 /// Removes missing servers after the re-registration deadline, and no longer names servers that left the list
 /// longer than the linger time ago.
 /// @return whether anything changed.
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -91,6 +91,8 @@
     /// Reserves a slot at the decode engine, if engines support reservations.
     /// @return the error if the reservation failed.
     auto reserveSlot(const std::optional<ReplicaStatus>& decode) -> boost::asio::awaitable<std::optional<EngineError>>;
+    /// @return the error if the replica has begun to leave since it was chosen, so that the call must not be sent.
+    auto checkLive(ReplicaId replica) const -> std::optional<EngineError>;
     auto recordSlotRefusal(const EngineError& error) -> void;
     auto releaseSlot() -> void;
     /// Releases a reservation or result at an engine in the background, and logs a failure.
@@ -104,8 +106,8 @@
     auto recordFirstToken(std::uint32_t resumedFrom) -> void;
     /// @return the parameters of a call, except for its deadline, which depends on when it is sent.
     auto engineCall() const -> EngineCall;
-    /// Records the limit that the engine names in its response to the call.
-    auto observeLimit(EngineCall& call, const BackendServer& server) -> void;
+    /// Sets the functions that receive the responses to the call.
+    auto observeResponses(EngineCall& call) -> void;
     /// @return the time until the caller's deadline.
     auto remainingMs() const -> std::int64_t;
     /// Takes a retry from the budget for a call that would be sent again because a reused connection had
--- a/src/PlainServiceAttempts.cpp
+++ b/src/PlainServiceAttempts.cpp
@@ -96,7 +96,6 @@
 
 auto PlainService::attemptOn(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call, bool isRepeatable, CallState& state) -> asio::awaitable<PlainAttempt>
 {
-    const auto sentAt = monotonicNow();
     const auto executor = co_await asio::this_coro::executor;
     std::optional<RepeatedCheck> silenceCheck;
     if (isRepeatable)
@@ -111,13 +110,8 @@
     silenceCheck.reset();
     if (thrown)
         co_return failAttempt(backend, call, thrown);
-    if (result.has_value()) {
-        const auto limit = m_context.backendProtocol.namedLimit(result->headers);
-        auto attempt = attemptFromResponse(backend, call, std::move(*result));
-        if (attempt.isRecognised)
-            m_context.recordLimit(backend, sentAt, limit);
-        co_return attempt;
-    }
+    if (result.has_value())
+        co_return attemptFromResponse(backend, call, std::move(*result));
     const auto& error = result.error();
     if (error.kind == HttpErrorKind::Cancelled && state.isCallerDisconnected)
         releaseCancelled(backend.id);
@@ -135,11 +129,18 @@
     return { .detail = "exception: " + detail };
 }
 
+auto PlainService::isLiveLocked(const BackendServer& server) const -> bool
+{
+    return std::ranges::any_of(m_balancer.backends(), [&](const PlainBackend& backend) {
+        return backend.server.id == server.id && backend.server.incarnation == server.incarnation && backend.server.state == ReplicaState::Live;
+    });
+}
+
 auto PlainService::tryConsumeResend(const PlainCallInfo& call, const BackendServer& server) -> bool
 {
     {
         const std::lock_guard guard(m_lock);
-        if (!call.kind.repeatable || !m_balancer.tryTakeCall(monotonicNow(), server.id) || !m_budget.tryConsume())
+        if (!call.kind.repeatable || !isLiveLocked(server) || !m_balancer.tryTakeCall(monotonicNow(), server.id) || !m_budget.tryConsume())
             return false;
     }
     m_metrics->resentCalls.fetch_add(1, std::memory_order_relaxed);
@@ -170,7 +171,6 @@
         attempt.isNotRun = true;
         break;
     case ResponseClass::Unrecognised:
-        attempt.isRecognised = false;
         attempt.detail = "the answer is not the backend server's";
         break;
     }
--- a/src/RoleBalancer.cpp
+++ b/src/RoleBalancer.cpp
@@ -164,19 +164,22 @@
 {
     auto& client = m_context.threads.client(0);
     const auto id = server.id;
-    const auto state = co_await m_context.backendProtocol.orderState(client, server, orderTimeout);
+    // It may have begun to leave since it was chosen.
+    if (!service.isLive(server))
+        co_return;
+    const auto state = co_await m_context.backendProtocol.orderState(client, server, orderTimeout, m_context.handleNotice);
     if (state.has_value())
         handleStateReadBack(m_orderFence);
     if (state.has_error() || state->isBusy) {
         m_context.log.record(LogLevel::Info, "role_order_skipped", { { "backend", id }, { "detail", state.has_error() ? state.error().detail : std::string("it carries out another order") } });
         co_return;
     }
-    if (nextStep() != OrderStep::Send)
+    if (nextStep() != OrderStep::Send || !service.isLive(server))
         co_return;
     const auto fencingNumber = m_orderFence.fencingNumber;
     RoleOrder roleOrder { .role = role, .holder = m_context.settings.instance, .fencingNumber = fencingNumber, .expectedSequence = state->sequence };
     handleOrderSent(m_orderFence, bootTimeNow());
-    const auto error = co_await m_context.backendProtocol.orderRole(client, server, std::move(roleOrder), orderTimeout);
+    const auto error = co_await m_context.backendProtocol.orderRole(client, server, std::move(roleOrder), orderTimeout, m_context.handleNotice);
     const auto isOutcomeKnown = !error || error->failure == FailureKind::Busy || error->failure == FailureKind::NotConnected;
     if (isOutcomeKnown)
         handleOrderReply(m_orderFence);
