Remember each process that has said that it is leaving, also after another one with its id

Change: the entry of an id keeps the incarnations that have said so. The check that an entry of a former process is ignored is replaced: the entry is applied, as the store has shown it last, and the process stays leaving; the next process gets work again.

--- a/src/BackendDirectory.cpp
+++ b/src/BackendDirectory.cpp
@@ -74,6 +74,16 @@
     return known.server.endpoint == server.endpoint && !wasRemoved;
 }
 
+/// Keeps what processes with the server's id have said about leaving when its entry replaces the known one.
+auto carryOverLeaving(BackendDirectory::Entry& entry, BackendDirectory::Entry known, const BackendServer& server) -> void
+{
+    const auto isSame = isSameProcess(known, server);
+    if (known.hasSaidLeaving && !isSame && !known.server.incarnation.empty())
+        known.leavingIncarnations.insert(known.server.incarnation);
+    entry.hasSaidLeaving = isSame ? known.hasSaidLeaving : known.leavingIncarnations.contains(server.incarnation);
+    entry.leavingIncarnations = std::move(known.leavingIncarnations);
+}
+
 }
 
 auto storeFailed(BackendDirectory& directory, TimePoint now) -> void
@@ -125,11 +135,13 @@
         known->second.relisting.isListed = mayReturn(known->second, server);
         return false;
     }
-    const auto hasSaidLeaving = known != directory.entries.end() && known->second.hasSaidLeaving && isSameProcess(known->second, server);
-    if (hasSaidLeaving)
+    BackendDirectory::Entry entry { .history = directory.history.value_or(0) };
+    if (known != directory.entries.end())
+        carryOverLeaving(entry, std::move(known->second), server);
+    if (entry.hasSaidLeaving)
         server.state = ReplicaState::Leaving;
-    auto& entry = directory.entries[server.id];
-    entry = { .server = std::move(server), .hasSaidLeaving = hasSaidLeaving, .history = directory.history.value_or(0) };
+    entry.server = std::move(server);
+    directory.entries[entry.server.id] = std::move(entry);
     return true;
 }
 
--- a/src/BackendDirectory.h
+++ b/src/BackendDirectory.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -65,6 +66,8 @@
         bool isUnlisted = false;
         /// Whether the process has said itself that it is leaving.
         bool hasSaidLeaving = false;
+        /// Other incarnations with the id that have said so. The store may show one of them again.
+        std::set<std::string, std::less<>> leavingIncarnations;
         /// History of the store that has shown this state.
         std::int64_t history = 0;
     };
