Check which responses end the limit of a server

Limits are read from the notices of all responses since these also report control calls and responses of other servers.

--- a/test/correctness/NamedLimitTest.cpp
+++ b/test/correctness/NamedLimitTest.cpp
@@ -1,3 +1,5 @@
+#include "../EntryHarness.h"
+#include "../FakeRecords.h"
 #include "../RouterFixture.h"
 
 #include <algorithm>
@@ -128,3 +130,33 @@
     CHECK(static_cast<double>(decodes.mostInWindow(start + settlingTime)) <= allowedCalls(limit));
     CHECK(static_cast<double>(decodes.mostInWindow(start + settlingTime)) >= limit);
 }
+
+// Guards against calls beyond the limit of a server, because a response that says nothing about its limit seemed to end it:
+// one to a control call, one without the request's id, or one of another server at its address.
+TEST_CASE("only a response of the server to a call ends its limit")
+{
+    FakeRecords records;
+    EntryHarness harness { records };
+    auto& services = harness.services();
+    harness.addBackend("limited", "ledger", { "127.0.0.1", 1 });
+    harness.addBackend("other", "ledger", { "127.0.0.1", 1 });
+    const auto limited = services.plainService("coop-ledger")->backends().at(0).server;
+    REQUIRE(limited.id == "limited");
+    const auto limitOf = [&](std::string_view backend) {
+        for (const auto& report : services.limitReports()) {
+            if (report.backend == backend)
+                return report.perSecond;
+        }
+        return std::optional<double>();
+    };
+    services.handleNotice(limited, monotonicNow(), { .status = 200, .callsPerSecond = 5 });
+    REQUIRE(limitOf("limited") == 5);
+    services.handleNotice(limited, monotonicNow(), { .status = 200, .origin = ResponseOrigin::ControlCall });
+    services.handleNotice(limited, monotonicNow(), { .status = 200, .origin = ResponseOrigin::Unidentified });
+    services.handleNotice(limited, monotonicNow(), { .status = 421, .responder = "other", .callsPerSecond = 7 });
+    services.handleNotice(limited, monotonicNow(), { .status = 421, .responder = "unknown" });
+    CHECK(limitOf("limited") == 5);
+    CHECK(limitOf("other") == 7);
+    services.handleNotice(limited, monotonicNow(), { .status = 421, .responder = "limited" });
+    CHECK_FALSE(limitOf("limited"));
+}
