--- a/test/LogSearch.h
+++ b/test/LogSearch.h
@@ -23,7 +23,7 @@
 inline auto firstLogged(const EventLog& log, std::string_view event, std::string_view key) -> std::optional<std::string>
 {
     for (const auto& logged : log.after(0, EventLog::defaultCapacity)) {
-        const auto value = logged.event == event ? fieldValue(logged.fields, key) : std::nullopt;
+        auto value = logged.event == event ? fieldValue(logged.fields, key) : std::nullopt;
         if (value)
             return value;
     }
