Forget since when an entry was listed when another one replaces it

What operators could see: an instance that reads the list of servers every other second. The restored store listed a removed server, and then an earlier incarnation with the same id.

Cause: the entry was no longer counted as listed, but the time since when was kept, so it passed the lapse time and a list was read that could never confirm it.

Evidence: BackendDirectoryTest, "an entry that another one replaces no longer counts as listed"; fails before.

--- a/src/BackendDirectory.cpp
+++ b/src/BackendDirectory.cpp
@@ -112,7 +112,11 @@
 {
     const auto known = directory.entries.find(server.id);
     if (known != directory.entries.end() && isOutdated(directory, known->second, server, source)) {
-        known->second.relisting.isListed = mayReturn(known->second, server);
+        auto& relisting = known->second.relisting;
+        if (mayReturn(known->second, server))
+            relisting.isListed = true;
+        else
+            relisting = {};
         return false;
     }
     auto& entry = directory.entries[server.id];
--- a/test/correctness/BackendDirectoryTest.cpp
+++ b/test/correctness/BackendDirectoryTest.cpp
@@ -329,3 +329,19 @@
     expire(directory, start + 23s);
     CHECK_FALSE(hasUnlapsedEntry(directory));
 }
+
+// Guards against an instance that reads the list every other second, because an entry that was replaced still counts as
+// listed.
+TEST_CASE("an entry that another one replaces no longer counts as listed")
+{
+    BackendDirectory directory;
+    beginHistory(directory, start, 1);
+    replaceAll(directory, start, { server("gone", "900") });
+    remove(directory, start + 1s, "gone");
+    beginHistory(directory, start + 2s, 2);
+    replaceAll(directory, start + 2s, { server("gone", "900") });
+    expire(directory, start + 2s);
+    replaceAll(directory, start + 3s, { server("gone", "899") });
+    expire(directory, start + 30s);
+    CHECK_FALSE(hasUnlapsedEntry(directory));
+}
