Let running requests end before a replica changes its role

Callers of an engine whose entry shows another role lost their answers: a stream that may not be resumed was cut or got 502, and one that may be resumed used up an attempt. The platform's engines complete running work before they change their role, so nothing was wrong with these answers.

The shard removed a replica whose role changed and cancelled what ran on it. It now keeps the replica in its former role, without new work, until its last request has ended, and then adds it in the new role. The results of a prefill engine stay usable meanwhile, as the platform keeps them until they expire.

--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -26,7 +26,7 @@
   LINK jayhold_platform)
 
 jayhold_test(silent_backend_test
-  SOURCES test/correctness/SilentBackendTest.cpp test/FakeObjectStore.cpp
+  SOURCES test/correctness/RunningAnswerTest.cpp test/correctness/SilentBackendTest.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
 jayhold_test(backend_answer_test
--- a/src/ReplicaEvents.cpp
+++ b/src/ReplicaEvents.cpp
@@ -46,41 +46,72 @@
     }
 }
 
-auto removeReplica(DecisionContext& context, Replica& replica, bool crashed) -> void
+auto removeReplica(DecisionContext& context, Replica& replica) -> void
 {
     const auto id = replica.description.replica;
-    failRequests(context, replica, crashed);
+    changeState(context, replica, ReplicaState::Gone);
     context.state.timers.move(id, replica.timerAt, TimePoint::max());
     context.state.cache.dropReplica(id);
     context.state.replicas.erase(id);
 }
 
+auto handleGone(DecisionContext& context, Replica& replica) -> void
+{
+    const auto crashed = replica.description.state == ReplicaState::Live;
+    changeState(context, replica, ReplicaState::Gone);
+    failRequests(context, replica, crashed);
+    context.state.endingReplicas[replica.description.replica] = std::nullopt;
+}
+
+auto updateReplica(DecisionContext& context, const ReplicaChanged& event) -> void
+{
+    const auto [entry, isNew] = context.state.replicas.try_emplace(event.replica);
+    auto& replica = entry->second;
+    if (isNew)
+        replica.description.state = ReplicaState::Gone;
+    else
+        // The index is keyed by zone, so the replica is removed before its zone may change.
+        removeFromIndex(context, replica);
+    const auto previousState = replica.description.state;
+    replica.description = event;
+    replica.description.state = previousState;
+    changeState(context, replica, event.state);
+}
+
 }
 
 auto handle(DecisionContext& context, const ReplicaChanged& event) -> void
 {
+    auto& ending = context.state.endingReplicas;
     auto* replica = findReplica(context.state, event.replica);
-    if (replica && replica->role() != event.role) {
-        // What ran in the former role ended with it.
-        changeState(context, *replica, ReplicaState::Gone);
-        removeReplica(context, *replica, false);
-        replica = nullptr;
+    if (event.state == ReplicaState::Gone) {
+        if (replica)
+            handleGone(context, *replica);
+    } else if (replica && replica->role() != event.role) {
+        changeState(context, *replica, ReplicaState::Leaving);
+        ending[event.replica] = event;
+    } else {
+        ending.erase(event.replica);
+        updateReplica(context, event);
     }
-    if (!replica && event.state == ReplicaState::Gone)
-        return;
-    if (!replica) {
-        replica = &context.state.replicas[event.replica];
-        replica->description = event;
-        replica->description.state = ReplicaState::Gone;
+}
+
+auto removeEndedReplicas(DecisionContext& context) -> void
+{
+    auto& ending = context.state.endingReplicas;
+    for (auto entry = ending.begin(); entry != ending.end();) {
+        auto* replica = findReplica(context.state, entry->first);
+        if (replica && !replica->requests.empty()) {
+            ++entry;
+            continue;
+        }
+        const auto next = entry->second;
+        entry = ending.erase(entry);
+        if (replica)
+            removeReplica(context, *replica);
+        if (next)
+            updateReplica(context, *next);
     }
-    // The index is keyed by zone, so the replica is removed before its zone may change.
-    removeFromIndex(context, *replica);
-    const auto previousState = replica->description.state;
-    replica->description = event;
-    replica->description.state = previousState;
-    changeState(context, *replica, event.state);
-    if (event.state == ReplicaState::Gone)
-        removeReplica(context, *replica, previousState == ReplicaState::Live);
 }
 
 auto handle(DecisionContext& context, const ReplicaLimited& event) -> void
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -99,6 +99,7 @@
     runTimers(context);
     blockBlamedSignatures(context);
     refuseCrashingParts(context);
+    removeEndedReplicas(context);
     dispatch(context);
     scheduleWake(context);
 }
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -21,6 +21,7 @@
 #include "StartInterval.h"
 #include "TimerQueue.h"
 
+#include <map>
 #include <optional>
 #include <random>
 #include <set>
@@ -38,6 +39,9 @@
     std::unordered_map<RequestId, ActiveRequest> requests;
     AnsweredRequests answered;
     std::unordered_map<ReplicaId, Replica> replicas;
+    /// Replicas that are removed when no request runs on them any more. Those whose role changed are then added
+    /// again with the given description.
+    std::map<ReplicaId, std::optional<ReplicaChanged>> endingReplicas;
     PlacementIndex index;
     RequestQueue queue;
     TimerQueue timers;
--- a/test/correctness/ShardModel.cpp
+++ b/test/correctness/ShardModel.cpp
@@ -251,6 +251,8 @@
     auto change = testReplica(step.second % (prefillReplicas + decodeReplicas));
     constexpr std::array states { ReplicaState::Live, ReplicaState::Live, ReplicaState::Leaving, ReplicaState::Gone };
     change.state = states.at(step.third % states.size());
+    if (step.third / states.size() % 8 == 0)
+        change.role = change.role == PoolRole::Prefill ? PoolRole::Decode : PoolRole::Prefill;
     m_replicas[change.replica] = change;
     deliver(change);
 }
