Let requests run on when their leaving replica is removed

Callers could lose an answer when the entry of its engine disappeared: a stream that may not be resumed was cut or got 502. A server that leaves completes what it runs, at times for longer than the 20 s for which its entry is kept as leaving, and a configuration that takes an engine out of a service's pools says nothing about what the engine runs.

The shard ended the requests of every replica that went, although only a replica that was live before, whose process has ended or started again, is known to have crashed. Requests of one that had left now go on until their connection ends or their engine counts as silent. The loss of such a connection is not recorded as a crash. A server that a configuration no longer uses is reported as leaving first.

On the platform a pool disappears only with its service or zone, so there the first part matters.

Ruled out: plain calls hold their connection and go on when their server or service is removed.

--- a/src/ModelServiceReplicas.cpp
+++ b/src/ModelServiceReplicas.cpp
@@ -10,6 +10,18 @@
 
 namespace jayhold {
 
+namespace {
+
+/// @return whether the list has the server, in whatever pool. Such a server completes what it runs.
+auto isListed(std::span<const BackendServer> backends, const BackendServer& server) -> bool
+{
+    return std::ranges::any_of(backends, [&](const BackendServer& backend) {
+        return backend.id == server.id && backend.incarnation == server.incarnation && backend.state != ReplicaState::Gone;
+    });
+}
+
+}
+
 auto ModelService::updateBackends(std::span<const BackendServer> backends) -> void
 {
     Outbox outbox;
@@ -26,6 +38,10 @@
                 ++replica;
                 continue;
             }
+            if (isListed(backends, replica->second.backend)) {
+                replica->second.backend.state = ReplicaState::Leaving;
+                reportReplicaLocked(replica->second, outbox);
+            }
             removeReplicaLocked(replica->second, outbox);
             replica = m_replicas.erase(replica);
         }
@@ -90,8 +106,8 @@
         change.memoryBlocks = static_cast<std::uint32_t>(pool->memoryBlocks);
         change.memoryBlockTokens = static_cast<std::uint32_t>(pool->memoryBlockTokens);
         change.linkBytesPerSecond = static_cast<std::uint64_t>(pool->linkBytesPerSecond);
-    } else {
-        change.state = ReplicaState::Gone;
+    } else if (change.state == ReplicaState::Live) {
+        change.state = ReplicaState::Leaving;
     }
     decideLocked(change, outbox);
 }
--- a/src/ReplicaEvents.cpp
+++ b/src/ReplicaEvents.cpp
@@ -12,25 +12,23 @@
 
 namespace {
 
-auto handleDecodeGone(DecisionContext& context, ActiveRequest& request, Replica& replica, bool crashed) -> void
+auto handleDecodeCrash(DecisionContext& context, ActiveRequest& request, Replica& replica) -> void
 {
-    if (crashed)
-        recordCrash(context, request, replica);
+    recordCrash(context, request, replica);
     stopDecode(context, request);
 }
 
-auto handlePrefillGone(DecisionContext& context, ActiveRequest& request, bool crashed) -> void
+auto handlePrefillCrash(DecisionContext& context, ActiveRequest& request) -> void
 {
     if (request.phase == RequestPhase::Prefilling || request.phase == RequestPhase::Prefilled)
-        retryOrRefuse(context, request, crashed ? FailureKind::ConnectionLost : FailureKind::TimedOut);
+        retryOrRefuse(context, request, FailureKind::ConnectionLost);
     else
         // The transfer may be complete. If it is not, the decode engine reports it.
         releasePrefill(context, request);
 }
 
-/// Fails the requests that ran on a replica that is gone. A replica that went without leaving first has
-/// crashed.
-auto failRequests(DecisionContext& context, Replica& replica, bool crashed) -> void
+/// Fails the requests that ran on a replica that has crashed.
+auto failRequests(DecisionContext& context, Replica& replica) -> void
 {
     const auto id = replica.description.replica;
     const auto requests = replica.requests;
@@ -40,9 +38,9 @@
         if (!request)
             continue;
         if (request->decode == id && !request->decodeReserved.empty())
-            handleDecodeGone(context, *request, replica, crashed);
+            handleDecodeCrash(context, *request, replica);
         else if (request->prefill == id && !request->prefillReserved.empty())
-            handlePrefillGone(context, *request, crashed);
+            handlePrefillCrash(context, *request);
     }
 }
 
@@ -55,11 +53,14 @@
     context.state.replicas.erase(id);
 }
 
+/// A replica that went without leaving first has crashed. One that has left may still complete what it runs, and
+/// its connections show when it ends.
 auto handleGone(DecisionContext& context, Replica& replica) -> void
 {
     const auto crashed = replica.description.state == ReplicaState::Live;
     changeState(context, replica, ReplicaState::Gone);
-    failRequests(context, replica, crashed);
+    if (crashed)
+        failRequests(context, replica);
     context.state.endingReplicas[replica.description.replica] = std::nullopt;
 }
 
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -279,9 +279,9 @@
 
 auto recordLostConnection(DecisionContext& context, ActiveRequest& request) -> void
 {
-    // If the replica is gone, the crash was already recorded when it went.
+    // A crash of a replica that is gone was already recorded when it went.
     auto* replica = request.avoidedReplica ? findReplica(context.state, *request.avoidedReplica) : nullptr;
-    if (replica && request.phase != RequestPhase::Stopping)
+    if (replica && replica->description.state != ReplicaState::Gone && request.phase != RequestPhase::Stopping)
         recordCrash(context, request, *replica);
 }
 
--- a/test/correctness/ModelRequestTest.cpp
+++ b/test/correctness/ModelRequestTest.cpp
@@ -181,6 +181,23 @@
     CHECK(std::chrono::steady_clock::now() - resumedAt < 2s);
 }
 
+// Guards against a stream that is cut because a configuration moves its engine out of the service.
+TEST_CASE("a configuration without the pool of an engine does not end the engine's running answers")
+{
+    Fixture fixture({ { .chunks = { tokenEvent(0, "a") }, .end = ScriptEnd::Stall } });
+    auto& threads = fixture.harness.threads();
+    HttpRequest request { "POST", "/v1/completions", { { "Authorization", "Bearer members-key" } }, R"({"prompt":"a b","stream":true})" };
+    const auto stream = *runOn(threads, 0, threads.client(0).open(fixture.harness.endpoint(), request, 2s));
+    REQUIRE(runOn(threads, 0, stream->readSome(2s)).has_value());
+    auto configuration = std::make_shared<Configuration>(*entryConfiguration());
+    configuration->services.front().pools.back().name = "other-decode";
+    fixture.harness.services().updateConfiguration(std::move(configuration));
+    CHECK_FALSE(waitFor([&] { return fixture.decode1.closedStreams() > 0; }, 150ms));
+    CHECK(fixture.decode1.cancels().empty());
+    boost::asio::post(threads.context(0), [stream] { stream->close(); });
+    CHECK(waitFor([&] { return fixture.harness.services().modelService("appraiser-llm")->summary().reservedSlots == 0; }));
+}
+
 // Guards against a decode that is sent to a second engine, and a failure that a healthy engine is blamed for, because
 // the caller reads slowly.
 TEST_CASE("a caller that does not read does not count as the silence of its engine")
--- a/test/correctness/ReplicaRemovalTest.cpp
+++ b/test/correctness/ReplicaRemovalTest.cpp
@@ -103,3 +103,56 @@
     CHECK(running.isUndisturbed());
     CHECK(summarize(harness.shard).liveReplicas == 2);
 }
+
+// Guards against an answer that is cut when the entry of its replica disappears, although a replica that leaves
+// completes what it runs.
+TEST_CASE("a decode goes on when its leaving replica is removed")
+{
+    Running running;
+    auto& harness = running.harness;
+    harness.replica(3, PoolRole::Decode, 4);
+    harness.replica(2, PoolRole::Decode, 4, ReplicaState::Leaving);
+    harness.replica(2, PoolRole::Decode, 4, ReplicaState::Gone);
+    harness.advance(1s);
+    CHECK(running.isUndisturbed());
+    harness.arrive(2);
+    REQUIRE(harness.last<StartPrefill>());
+    CHECK(harness.last<StartPrefill>()->decode == ReplicaId { 3 });
+    running.finish();
+    CHECK(summarize(harness.shard).finished == 1);
+    CHECK(running.isUndisturbed());
+}
+
+// Guards against a request that is suspected of a crash, because its replica closed the connection when it had left.
+TEST_CASE("the end of a replica that has left is not a crash")
+{
+    auto settings = testSettings();
+    settings.instanceCount = 2;
+    ShardHarness harness(settings);
+    harness.replica(1, PoolRole::Prefill, 4);
+    harness.replica(2, PoolRole::Decode, 4);
+    const auto attempt = harness.startDecode(1);
+    harness.replica(3, PoolRole::Decode, 4);
+    harness.replica(2, PoolRole::Decode, 4, ReplicaState::Leaving);
+    harness.replica(2, PoolRole::Decode, 4, ReplicaState::Gone);
+    harness.send(DecodeFailed { attempt.request, attempt.attempt, FailureKind::ConnectionLost, 5 });
+    CHECK_FALSE(harness.lastEver<ReportCrash>());
+    REQUIRE(harness.last<StartPrefill>());
+    CHECK(harness.last<StartPrefill>()->decode == ReplicaId { 3 });
+}
+
+// Guards against a prefill that is cut and repeated when the entry of its leaving replica disappears.
+TEST_CASE("a prefill goes on when its leaving replica is removed")
+{
+    ShardHarness harness(Running::settings());
+    harness.replica(1, PoolRole::Prefill, 4);
+    harness.replica(2, PoolRole::Decode, 4);
+    harness.arrive(1);
+    const auto prefill = *harness.last<StartPrefill>();
+    harness.replica(1, PoolRole::Prefill, 4, ReplicaState::Leaving);
+    harness.replica(1, PoolRole::Prefill, 4, ReplicaState::Gone);
+    CHECK(harness.actions.empty());
+    harness.prefilled(prefill);
+    CHECK(harness.last<StartDecode>());
+    CHECK_FALSE(harness.lastEver<CancelOnReplica>());
+}
