Answer a request that has arrived before its idle connection is closed

A caller that reuses a connection at the moment of a drain or of the idle timeout could lose its request although it had arrived whole: if the process was paused or busy, the end of the wait was handled before the bytes in the receive buffer, and the connection was closed with them unread.

The server now closes an idle connection only if no bytes are waiting, and reads and answers them otherwise, with the drain's usual bounds. A request that crosses the close still sees it.

Evidence: with the I/O thread blocked while the drain began and the request arrived, the caller got no answer in 3 of 3 runs before, and an answer in 3 of 3 after. The same for the idle timeout passed before, too: with few connections the event loop handles the bytes before its timers. The test keeps that case.

--- a/src/HttpServerConnection.cpp
+++ b/src/HttpServerConnection.cpp
@@ -99,20 +99,32 @@
     boost::system::error_code code;
 };
 
+/// @return whether bytes have arrived that were not read yet.
+auto hasUnreadBytes(HttpServerConnectionState& connection) -> bool
+{
+    boost::system::error_code code;
+    return connection.stream.socket().available(code) > 0 && !code;
+}
+
 /// Waits for the first byte of a request. When the idle timeout ends, its current value is checked
-/// again: it may have been raised, and callers that know the new value still use the connection.
+/// again: it may have been raised, and callers that know the new value still use the connection. A request may
+/// have arrived by then, while the process was paused or busy; it is read also after the timeout or during a drain.
 auto waitForFirstByte(HttpServerSharedState& shared, const std::shared_ptr<HttpServerConnectionState>& connection) -> asio::awaitable<std::optional<ReadEnd>>
 {
     constexpr std::size_t firstReadBytes = 4'096;
     const auto startedAt = monotonicNow();
-    while (!shared.closesIdleConnections) {
+    while (true) {
+        const auto isDraining = shared.closesIdleConnections.load();
         const auto remaining = startedAt + shared.settings.load()->idleTimeout - monotonicNow();
-        if (remaining <= Duration::zero())
-            co_return ReadEnd { CloseReason::IdleTimeout, {} };
-        const ReadTimer timer(connection, remaining);
+        const auto isEnding = isDraining || remaining <= Duration::zero();
+        if (isEnding && !hasUnreadBytes(*connection))
+            co_return ReadEnd { isDraining ? CloseReason::Drain : CloseReason::IdleTimeout, {} };
+        std::optional<ReadTimer> timer;
+        if (!isEnding)
+            timer.emplace(connection, remaining);
         boost::system::error_code code;
         const auto space = connection->buffer.prepare(firstReadBytes);
-        connection->isIdle = true;
+        connection->isIdle = !isEnding;
         const auto size = co_await connection->stream.async_read_some(space, awaitInto(code));
         connection->isIdle = false;
         if (code == asio::error::operation_aborted)
@@ -122,7 +134,6 @@
             co_return ReadEnd { CloseReason::CallerClosed, code };
         co_return std::nullopt;
     }
-    co_return ReadEnd { CloseReason::Drain, {} };
 }
 
 /// Waits for a request: up to the idle timeout for its first byte, then up to the read timeout
--- a/test/correctness/HttpServerDrainTest.cpp
+++ b/test/correctness/HttpServerDrainTest.cpp
@@ -4,10 +4,13 @@
 #include "AwaitToken.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <atomic>
+
 using namespace jayhold;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
@@ -35,7 +38,10 @@
 }
 
 struct Fixture {
-    Fixture() = default;
+    explicit Fixture(const HttpServerSettings& serverSettings = {})
+        : settings(serverSettings)
+    {
+    }
     ~Fixture() { threads.stop(); }
     Fixture(const Fixture&) = delete;
     auto operator=(const Fixture&) -> Fixture& = delete;
@@ -59,8 +65,9 @@
     }
 
     asio::io_context context;
+    const HttpServerSettings settings;
     IoThreads threads { 1 };
-    HttpServer server { threads, {}, answer };
+    HttpServer server { threads, settings, answer };
 };
 
 }
@@ -107,3 +114,34 @@
     CHECK_THAT(response, Catch::Contains("part"));
     CHECK(response.find("\r\n0\r\n") == std::string::npos);
 }
+
+// Guards against a request that is reset although it has arrived whole, because the process was paused until its
+// connection was to be closed. The I/O thread is blocked in place of the process.
+TEST_CASE("a request that has arrived before an idle connection is closed is answered")
+{
+    const auto isDraining = GENERATE(false, true);
+    CAPTURE(isDraining);
+    Fixture fixture(HttpServerSettings { .idleTimeout = 200ms });
+    // Answered requests leave a wait for the close of the connection behind, which changes the order of events.
+    auto socket = fixture.connect("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    std::this_thread::sleep_for(50ms);
+    std::atomic<bool> isBlocked { false };
+    std::atomic<bool> isBlocking { true };
+    asio::post(fixture.threads.context(0), [&] {
+        isBlocked = true;
+        while (isBlocking)
+            std::this_thread::sleep_for(1ms);
+    });
+    while (!isBlocked)
+        std::this_thread::sleep_for(1ms);
+    if (isDraining)
+        fixture.server.closeIdleConnections();
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")));
+    std::this_thread::sleep_for(300ms);
+    isBlocking = false;
+    boost::system::error_code code;
+    const auto received = test::readUntilClosed(socket, code);
+    CHECK(code == asio::error::eof);
+    const auto second = received.find("HTTP/1.1 200", 1);
+    CHECK(second != std::string::npos);
+}
