Wait at a drain until each idle connection has been checked

The process could exit at the end of a drain while a request lay unread on an idle connection: connections learn of the drain on their own threads, and until then the request counted nowhere, so a busy or paused thread let the drain find nothing open. The caller got a reset.

A connection that waits for a request now counts as active after closeIdleConnections() until it has found out whether a request has arrived. The bounds of the drain stay as they are.

A whole process that exits early was not reproduced.

--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -123,7 +123,8 @@
 
 auto HttpServer::activeExchanges() const -> std::size_t
 {
-    return m_state->shared->activeExchanges;
+    const auto& shared = *m_state->shared;
+    return shared.activeExchanges + (shared.closesIdleConnections ? shared.waitingConnections.load() : 0);
 }
 
 }
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -75,6 +75,7 @@
     auto endOpenExchanges() -> void;
 
     /// @return number of exchanges that are not answered yet, including requests of which only a part has
+    /// arrived. After closeIdleConnections(), a connection counts until it has found out whether a request has
     /// arrived.
     auto activeExchanges() const -> std::size_t;
 
--- a/src/HttpServerConnection.cpp
+++ b/src/HttpServerConnection.cpp
@@ -141,13 +141,16 @@
 auto readRequest(HttpServerSharedState& shared, const std::shared_ptr<HttpServerConnectionState>& connection, RequestParser& parser) -> asio::awaitable<std::optional<ReadEnd>>
 {
     connection->stream.expires_never();
-    if (connection->buffer.size() == 0) {
-        const auto end = co_await waitForFirstByte(shared, connection);
-        if (end)
-            co_return end;
+    {
+        const ActiveExchange waiting(shared.waitingConnections);
+        if (connection->buffer.size() == 0) {
+            const auto end = co_await waitForFirstByte(shared, connection);
+            if (end)
+                co_return end;
+        }
+        // A request of which a part has arrived is read and answered even if the server is draining.
+        connection->active.emplace(shared.activeExchanges);
     }
-    // A request of which a part has arrived is read and answered even if the server is draining.
-    connection->active.emplace(shared.activeExchanges);
     const auto settings = shared.settings.load();
     parser.header_limit(static_cast<std::uint32_t>(settings->maxHeaderBytes));
     parser.body_limit(settings->maxBodyBytes);
--- a/src/HttpServerConnection.h
+++ b/src/HttpServerConnection.h
@@ -29,6 +29,8 @@
     const std::function<void(const ConnectionClose&)> onConnectionClosed;
     const std::function<HttpResponse()> unknownOutcomeResponse;
     std::atomic<std::size_t> activeExchanges { 0 };
+    /// Connections that wait for the first byte of a request.
+    std::atomic<std::size_t> waitingConnections { 0 };
     std::atomic<std::size_t> endedExchanges { 0 };
     std::atomic<bool> isDraining { false };
     std::atomic<bool> closesIdleConnections { false };
--- a/test/correctness/HttpServerDrainTest.cpp
+++ b/test/correctness/HttpServerDrainTest.cpp
@@ -134,8 +134,11 @@
     });
     while (!isBlocked)
         std::this_thread::sleep_for(1ms);
-    if (isDraining)
+    if (isDraining) {
         fixture.server.closeIdleConnections();
+        // Otherwise the process could exit before it has found the request.
+        CHECK(fixture.server.activeExchanges() == 1);
+    }
     asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")));
     std::this_thread::sleep_for(300ms);
     isBlocking = false;
@@ -144,4 +147,5 @@
     CHECK(code == asio::error::eof);
     const auto second = received.find("HTTP/1.1 200", 1);
     CHECK(second != std::string::npos);
+    CHECK(fixture.waitForActive(0));
 }
