Parse the retry delay that a backend server names with status 503

Backend servers may add Retry-After to a response 503. The adapter needs its time as a duration, whatever text a server sends: seconds with a fraction, HTTP dates in their three forms, and values that are unreadable or huge.

Fractions are rounded up, so that a pause is never shorter than asked for. A text with a sign, an exponent or anything after the number is unreadable and asks for nothing. Zero and dates in the past ask for nothing either. Times are bounded by a year in the format only, so that sums with points in time stay within their range; how long a server is obeyed is decided elsewhere. Dates are compared in seconds, because the system clock's type ends in 2262.

Date and time of the wall clock are read once, when the response arrives.

--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -1,10 +1,10 @@
 add_library(jayhold_platform STATIC platform/BackendCalls.cpp platform/CallerMessages.cpp platform/Formats.cpp
-  platform/Headers.cpp platform/HttpObjectStore.cpp platform/Parts.cpp platform/SettingsFile.cpp platform/StoredItemText.cpp)
+  platform/Headers.cpp platform/HttpObjectStore.cpp platform/Parts.cpp platform/RetryDelayFormat.cpp platform/SettingsFile.cpp platform/StoredItemText.cpp)
 target_include_directories(jayhold_platform PUBLIC ${PROJECT_SOURCE_DIR}/platform)
 target_link_libraries(jayhold_platform PUBLIC jayhold_entry)
 
 jayhold_test(platform_formats_test
-  SOURCES test/error/PlatformFormatsTest.cpp
+  SOURCES test/error/PlatformFormatsTest.cpp test/error/RetryDelayFormatTest.cpp
   LINK jayhold_platform)
 
 jayhold_test(router_daemon_test
