--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -20,3 +20,7 @@
 jayhold_test(entry_daemon_test
   SOURCES test/correctness/EntryDaemonTest.cpp
   LINK jayhold_entry jayhold_standins)
+
+jayhold_test(backend_pause_test
+  SOURCES test/correctness/BackendPausesTest.cpp
+  LINK jayhold_entry)
