Send no work to a replica that has asked for a pause

The shard placed work on every live replica that is neither busy nor ejected, so it kept sending to an engine that had named a time for which it wants nothing.

A paused replica leaves the placement index until the end of its pause. Its slots and memory don't count as free, and slots that are reserved there for prefills in progress are taken elsewhere. Running requests go on. If all replicas of a role are paused, requests that can't wait for the earliest end are refused at once as not run, with a time to return after that end; others wait. The time in which all are paused does not count for the estimate of how fast waiting work starts. At the end one request goes first, as after an ejection, and others when it has succeeded. Unlike there, a request from before the pause neither counts as that success nor holds up the first one, so the shard remembers which request went first. A call that the driver holds back because of a pause fails as 'paused': it did not run, and takes nothing from the retry budget.

Each test was seen to fail with the line that it guards removed: placement (replica 2 instead of 3, and 5 requests instead of one at the end), slots of prefills (a decode on the paused replica), capacity (2,000 memory blocks instead of 1,000), refusal and its time (1.2 s instead of more than 90 s), first success, the second request within a long time, resent calls, and the retry budget.

--- a/cmake/decision.cmake
+++ b/cmake/decision.cmake
@@ -1,5 +1,5 @@
 jayhold_library(jayhold_decision
-  UNITS Admission AnsweredRequests CrashHistory CrashAttribution Deadlines Dispatch DecodeEndHistogram Estimates ReservationAccounting LengthModel LoadReports Placement PrefillChoice PrefixCacheView PromptPartBlocking PromptPartCrashes ReplicaEvents ReplicaHealth ReplicaIndex RequestEvents
+  UNITS Admission AnsweredRequests CrashHistory CrashAttribution Deadlines Dispatch DecodeEndHistogram Estimates ReservationAccounting LengthModel LoadReports Placement PrefillChoice PrefixCacheView PromptPartBlocking PromptPartCrashes ReplicaEvents ReplicaHealth ReplicaIndex ReplicaPauses RequestEvents
     RequestLifecycle RequestQueue RetryDelay RetryRules RoleBalance SilentAttempts SlotHeadroom Shard TimerQueue
   LINK jayhold_operator)
 
--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -22,5 +22,6 @@
   LINK jayhold_entry jayhold_standins)
 
 jayhold_test(backend_pause_test
-  SOURCES test/correctness/BackendPausesTest.cpp
+  SOURCES test/correctness/BackendPausesTest.cpp test/correctness/PausedReplicaTest.cpp
+    test/correctness/PausedShardPropertyTest.cpp
   LINK jayhold_entry)
--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -1,6 +1,7 @@
 #include "Deadlines.h"
 
 #include "Estimates.h"
+#include "ReplicaPauses.h"
 #include "RequestLifecycle.h"
 
 #include <algorithm>
@@ -109,12 +110,18 @@
     return context.state.overdueStartInterval.interval(context.now) * ahead;
 }
 
+auto pausesEndAfterLatestStart(const DecisionContext& context, const ActiveRequest& request) -> bool
+{
+    const auto end = pausesEndAt(context.state, context.now);
+    return end > context.now && end > latestStart(context.state, request);
+}
+
 auto cannotMeetDeadline(const DecisionContext& context, const ActiveRequest& request) -> bool
 {
     if (request.subQueue == SubQueue::Resume)
         return false;
     const auto remaining = latestStart(context.state, request) - context.now;
-    if (remaining <= Duration::zero())
+    if (remaining <= Duration::zero() || pausesEndAfterLatestStart(context, request))
         return true;
     if (request.subQueue == SubQueue::Overdue && request.latencyClass == LatencyClass::Batch)
         return false;
--- a/src/Deadlines.h
+++ b/src/Deadlines.h
@@ -22,6 +22,8 @@
 auto expectedWait(const DecisionContext& context, const ActiveRequest& request) -> Duration;
 /// @return the expected wait of a request that joins the Overdue sub-queue now.
 auto expectedOverdueWait(const DecisionContext& context) -> Duration;
+/// @return whether all replicas that could run the request are paused for longer than it can wait.
+auto pausesEndAfterLatestStart(const DecisionContext& context, const ActiveRequest& request) -> bool;
 /// @return whether the request clearly cannot be answered before its deadline.
 auto cannotMeetDeadline(const DecisionContext& context, const ActiveRequest& request) -> bool;
 /// @return the inputs of a decision to refuse the request now.
--- a/src/DecisionAction.h
+++ b/src/DecisionAction.h
@@ -4,6 +4,7 @@
 
 #include "CancelOnReplica.h"
 #include "Refuse.h"
+#include "ReplicaReturned.h"
 #include "ReportCrash.h"
 #include "ReportCrashSignature.h"
 #include "ReportCrashedPrompt.h"
@@ -26,6 +27,7 @@
     ReportCrash,
     ReportCrashedPrompt,
     ReportHarmlessParts,
+    ReplicaReturned,
     UpdateBlockedPart,
     WakeAt>;
 
--- a/src/DecisionEvent.h
+++ b/src/DecisionEvent.h
@@ -20,6 +20,7 @@
 #include "ReplicaChanged.h"
 #include "ReplicaLimited.h"
 #include "ReplicaLoad.h"
+#include "ReplicaPaused.h"
 #include "RequestArrived.h"
 #include "RequestCancelled.h"
 #include "SlotRefused.h"
@@ -45,6 +46,7 @@
     SlotRefused,
     ReplicaChanged,
     ReplicaLimited,
+    ReplicaPaused,
     ReplicaLoad,
     PeerUsage,
     CacheEvents,
--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -3,6 +3,7 @@
 #include "CrashAttribution.h"
 #include "Estimates.h"
 #include "Placement.h"
+#include "ReplicaPauses.h"
 #include "RequestLifecycle.h"
 #include "RetryRules.h"
 #include "SlotHeadroom.h"
@@ -151,11 +152,13 @@
     assignFreedSlots(context);
     auto& state = context.state;
     while (state.queue.size() && startOne(context)) { }
-    if (state.queue.size())
+    // The time in which all replicas are paused says nothing about the speed at which waiting work starts.
+    const auto isPaused = pausesEndAt(state, context.now) > context.now;
+    if (state.queue.size() && !isPaused)
         state.startInterval.backlogStarted(context.now);
     else
         state.startInterval.backlogEnded();
-    if (state.queue.overdueCount())
+    if (state.queue.overdueCount() && !isPaused)
         state.overdueStartInterval.backlogStarted(context.now);
     else
         state.overdueStartInterval.backlogEnded();
--- a/src/EngineError.cpp
+++ b/src/EngineError.cpp
@@ -19,6 +19,8 @@
         return "server_error";
     case FailureKind::Leaving:
         return "leaving";
+    case FailureKind::Paused:
+        return "paused";
     }
     return "invalid";
 }
--- a/src/FailureKind.h
+++ b/src/FailureKind.h
@@ -19,6 +19,8 @@
     ServerError,
     /// The backend server is leaving and accepts no new work; the attempt did not run.
     Leaving,
+    /// The call was not sent, because the backend server has asked for a pause.
+    Paused,
 };
 
 }
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -4,6 +4,7 @@
 #include "Estimates.h"
 #include "PrefillChoice.h"
 #include "ReplicaIndex.h"
+#include "ReplicaPauses.h"
 #include "ReservationAccounting.h"
 #include "ZoneSearch.h"
 
@@ -124,7 +125,7 @@
         if (!ending || ending->phase != RequestPhase::Decoding)
             return false;
         replica = findReplica(context.state, *ending->decode);
-        if (!replica || replica->description.state != ReplicaState::Live)
+        if (!replica || replica->description.state != ReplicaState::Live || isPausedOrReturning(*replica, context.now))
             return false;
         // Its limit may not allow for the decode when the slot is free, and the prefill would be wasted.
         if (replica->allowance)
--- a/src/Replica.h
+++ b/src/Replica.h
@@ -49,6 +49,17 @@
     std::uint32_t consecutiveRejections = 0;
     TimePoint ejectedUntil = TimePoint::min();
 
+    /// The replica has asked for a pause and gets nothing before this time.
+    TimePoint pausedUntil = TimePoint::min();
+    /// End of the time that the replica has asked for, which may be later than the end of the pause.
+    TimePoint pauseAskedUntil = TimePoint::min();
+    /// Whether no request has succeeded since the last pause. The replica gets one at a time until then.
+    bool isReturning = false;
+    /// The request that was placed first after the pause, while it is here.
+    std::optional<RequestId> firstAfterPause;
+    /// The replica's entry among the ends of the pauses.
+    std::optional<TimePoint> countedPause;
+
     /// The suspect that runs here in isolation. The replica gets no new work meanwhile.
     std::optional<RequestId> isolatedSuspect;
     /// Requests that became suspects since `connectionLostAt`, until there is a sign that the replica
--- a/src/ReplicaHealth.cpp
+++ b/src/ReplicaHealth.cpp
@@ -1,6 +1,7 @@
 #include "ReplicaHealth.h"
 
 #include "ReplicaIndex.h"
+#include "ReplicaPauses.h"
 #include "ReservationAccounting.h"
 
 #include <algorithm>
@@ -42,7 +43,13 @@
         replica.countedCapacity = *capacities.insert(tokenCapacity(replica));
     replica.description.state = state;
     updateIndex(context, replica);
-    if (state == ReplicaState::Live || replica.role() == PoolRole::Prefill)
+    if (state != ReplicaState::Live)
+        releaseSlotsOfPrefills(context, replica);
+}
+
+auto releaseSlotsOfPrefills(DecisionContext& context, Replica& replica) -> void
+{
+    if (replica.role() == PoolRole::Prefill)
         return;
     const auto requests = replica.requests;
     for (const auto requestId : requests) {
@@ -54,11 +61,12 @@
     }
 }
 
-auto recordSuccess(DecisionContext& context, ReplicaId id) -> void
+auto recordSuccess(DecisionContext& context, ReplicaId id, RequestId request) -> void
 {
     auto* replica = findReplica(context.state, id);
     if (!replica)
         return;
+    recordReturn(context, *replica, request);
     replica->consecutiveRejections = 0;
     if (!replica->consecutiveFailures)
         return;
@@ -85,6 +93,7 @@
         changeState(context, *replica, ReplicaState::Leaving);
         break;
     case FailureKind::KvExpired:
+    case FailureKind::Paused:
         break;
     case FailureKind::NotConnected:
         // A process that accepts no connection fails every request within microseconds. A request that
--- a/src/ReplicaHealth.h
+++ b/src/ReplicaHealth.h
@@ -10,7 +10,10 @@
 /// Sets the state of the replica. When a decode replica is no longer live, the slots reserved on it for
 /// prefills in progress are released. The prefills continue and get other slots.
 auto changeState(DecisionContext& context, Replica& replica, ReplicaState state) -> void;
-auto recordSuccess(DecisionContext& context, ReplicaId id) -> void;
+/// Releases the slots of a decode replica that are reserved for prefills in progress, which get other slots.
+auto releaseSlotsOfPrefills(DecisionContext& context, Replica& replica) -> void;
+/// @param request the request that has succeeded on the replica.
+auto recordSuccess(DecisionContext& context, ReplicaId id, RequestId request) -> void;
 auto recordFailure(DecisionContext& context, ReplicaId id, FailureKind failure) -> void;
 
 }
--- a/src/ReplicaIndex.cpp
+++ b/src/ReplicaIndex.cpp
@@ -1,5 +1,6 @@
 #include "ReplicaIndex.h"
 
+#include "ReplicaPauses.h"
 #include "ReservationAccounting.h"
 
 #include <algorithm>
@@ -43,11 +44,21 @@
     return replica.consecutiveFailures < failuresBeforeEjection || replica.reserved.slots == 0;
 }
 
+auto countPause(ShardState& state, Replica& replica, TimePoint now) -> void
+{
+    auto& pauses = replica.role() == PoolRole::Prefill ? state.prefillPauses : state.decodePauses;
+    if (replica.countedPause)
+        pauses.erase(pauses.find(*replica.countedPause));
+    replica.countedPause.reset();
+    if (replica.description.state == ReplicaState::Live && replica.pausedUntil > now)
+        replica.countedPause = *pauses.insert(replica.pausedUntil);
+}
+
 auto countFreeSlots(ShardState& state, Replica& replica) -> void
 {
     if (replica.role() != PoolRole::Decode)
         return;
-    const auto live = replica.description.state == ReplicaState::Live;
+    const auto live = replica.description.state == ReplicaState::Live && !replica.countedPause;
     const auto used = std::int64_t { replica.reserved.slots } + replica.peerSlots;
     const auto free = live ? std::max<std::int64_t>(replica.description.slots - used, 0) : 0;
     state.freeDecodeSlots += free - replica.countedFreeSlots;
@@ -60,7 +71,7 @@
 auto nextTimer(const Replica& replica, TimePoint now) -> TimePoint
 {
     auto next = TimePoint::max();
-    for (const auto time : { replica.busyUntil, replica.ejectedUntil, replica.crashReportWaitUntil }) {
+    for (const auto time : { replica.busyUntil, replica.ejectedUntil, replica.pausedUntil, replica.crashReportWaitUntil }) {
         if (time > now)
             next = std::min(next, time);
     }
@@ -90,6 +101,7 @@
         && replica.busyUntil <= now
         && replica.ejectedUntil <= now
         && replica.crashReportWaitUntil <= now
+        && !isPausedOrReturning(replica, now)
         && !replica.isolatedSuspect
         && (!replica.allowance || replica.role() == PoolRole::Prefill || replica.allowance->hasCall(now))
         && probeAllowed(replica)
@@ -106,6 +118,7 @@
 
 auto updateIndex(DecisionContext& context, Replica& replica) -> void
 {
+    countPause(context.state, replica, context.now);
     countFreeSlots(context.state, replica);
     const auto& description = replica.description;
     auto& zone = context.state.index.ofRole(description.role)[description.zone];
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -66,7 +66,7 @@
     auto* request = findCurrent(context.state, event.request, event.attempt, { RequestPhase::Prefilling });
     if (!request)
         return;
-    recordSuccess(context, *request->prefill);
+    recordSuccess(context, *request->prefill, event.request);
     clearSuspectsIfAlive(context, *request, *request->prefill);
     completePrefill(context, *request, event.expiresAt, event.cachedTokens);
 }
@@ -100,7 +100,7 @@
     auto* request = findCurrent(context.state, event.request, event.attempt, { RequestPhase::Starting });
     if (!request)
         return;
-    recordSuccess(context, *request->decode);
+    recordSuccess(context, *request->decode, event.request);
     enterDecoding(context, *request);
 }
 
@@ -119,7 +119,7 @@
         return;
     // An engine that goes on after a pause must not stay ejected.
     if (std::exchange(request->silentAttempt, Attempt {}) == event.attempt)
-        recordSuccess(context, *request->decode);
+        recordSuccess(context, *request->decode, event.request);
     clearSuspectsIfAlive(context, *request, *request->decode);
     clearSuspectAfterProgress(context, *request);
     recordPromptProgress(context, *request, false);
@@ -132,7 +132,7 @@
     auto* request = findCurrent(context.state, event.request, event.attempt, { RequestPhase::Starting, RequestPhase::Decoding, RequestPhase::Stopping });
     if (!request)
         return;
-    recordSuccess(context, *request->decode);
+    recordSuccess(context, *request->decode, event.request);
     clearSuspectsIfAlive(context, *request, *request->decode);
     recordPromptProgress(context, *request, true);
     updateLengthModel(context, *request, event.totalTokens);
--- a/src/ReservationAccounting.cpp
+++ b/src/ReservationAccounting.cpp
@@ -1,6 +1,7 @@
 #include "ReservationAccounting.h"
 
 #include "ReplicaIndex.h"
+#include "ReplicaPauses.h"
 
 #include <algorithm>
 #include <limits>
@@ -31,6 +32,8 @@
         std::erase(replica->requests, request.arrival.request);
     if (part.slots && replica->isolatedSuspect == request.arrival.request)
         replica->isolatedSuspect.reset();
+    if (part.slots)
+        forgetFirstAfterPause(*replica, request.arrival.request, context.now);
     if (part.slots && replica->slotAllowance)
         *replica->slotAllowance += part.slots;
     if (part.slots && runsOnEngine(request, replica->role()))
@@ -51,6 +54,8 @@
         context.state.meanDecodeMemoryBlocks += (amount.memoryBlocks - context.state.meanDecodeMemoryBlocks) * memoryBlocksSmoothing;
     if (request.crashSuspicion == CrashSuspicion::Suspect && amount.slots)
         replica.isolatedSuspect = request.arrival.request;
+    if (amount.slots)
+        recordFirstAfterPause(replica, request.arrival.request);
     // Each reservation of a slot is for one call to the replica.
     if (replica.allowance && amount.slots && isLimitedCall(request, replica))
         replica.allowance->tryTake(context.now);
--- a/src/RetryDelay.cpp
+++ b/src/RetryDelay.cpp
@@ -1,5 +1,6 @@
 #include "RetryDelay.h"
 
+#include "ReplicaPauses.h"
 #include "RequestLifecycle.h"
 
 #include <algorithm>
@@ -32,7 +33,12 @@
         delay = std::max(delay, std::chrono::duration_cast<Duration>(kindOf(context.state, request).deadline) / retryDeadlineDivisor);
     const auto mean = delay.count();
     std::uniform_int_distribution<Duration::rep> distribution(mean / 2, mean * 3 / 2);
-    return Duration(distribution(context.state.random));
+    const Duration jittered(distribution(context.state.random));
+    // A caller that is refused at shutdown comes back to another instance.
+    if (reason == RefusalReason::Draining)
+        return jittered;
+    // A caller that returns before the end of all pauses would be refused again.
+    return pausesEndAt(context.state, context.now) - context.now + jittered;
 }
 
 }
--- a/src/RetryRules.cpp
+++ b/src/RetryRules.cpp
@@ -43,7 +43,7 @@
 auto isCountedCall(const RetryPolicy& policy, FailureKind failure) -> bool
 {
     if (policy.countsRejections)
-        return failure != FailureKind::NotConnected;
+        return failure != FailureKind::NotConnected && failure != FailureKind::Paused;
     return !provablyNotRun(failure) || failure == FailureKind::KvExpired;
 }
 
@@ -54,6 +54,7 @@
     case FailureKind::NotConnected:
     case FailureKind::KvExpired:
     case FailureKind::Leaving:
+    case FailureKind::Paused:
         return true;
     case FailureKind::ConnectionLost:
     case FailureKind::TimedOut:
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -7,6 +7,7 @@
 #include "PromptPartBlocking.h"
 #include "ReplicaEvents.h"
 #include "ReplicaIndex.h"
+#include "ReplicaPauses.h"
 #include "RequestEvents.h"
 #include "RequestLifecycle.h"
 #include "ReservationAccounting.h"
@@ -179,11 +180,19 @@
 auto tryConsumeRetry(Shard& shard, TimePoint now, ReplicaId id) -> bool
 {
     auto* replica = findReplica(*shard.state, id);
+    if (replica && replica->pausedUntil > now)
+        return false;
     if (replica && replica->allowance && !replica->allowance->tryTake(now))
         return false;
     return shard.state->retryBudget.tryConsume();
 }
 
+auto isPaused(const Shard& shard, TimePoint now, ReplicaId id) -> bool
+{
+    const auto* replica = findReplica(*shard.state, id);
+    return replica && replica->pausedUntil > now;
+}
+
 auto retryBudget(const Shard& shard) -> const RetryBudget&
 {
     return shard.state->retryBudget;
@@ -202,7 +211,7 @@
         summary.reservedSlots += replica.reserved.slots;
         summary.reservedMemoryBlocks += replica.reserved.memoryBlocks;
         const auto used = std::uint64_t { replica.reserved.memoryBlocks } + replica.peerMemoryBlocks;
-        if (replica.role() == PoolRole::Decode && replica.description.state == ReplicaState::Live)
+        if (replica.role() == PoolRole::Decode && replica.description.state == ReplicaState::Live && !replica.countedPause)
             summary.freeMemoryBlocks += replica.description.memoryBlocks - std::min<std::uint64_t>(used, replica.description.memoryBlocks);
     }
     summary.remainingRetries = state.retryBudget.remaining();
--- a/src/Shard.h
+++ b/src/Shard.h
@@ -43,6 +43,8 @@
 /// Takes a retry from the budget for a call to the replica that the shard has not started.
 /// @return false if the budget is exhausted, or the replica takes no further call now.
 auto tryConsumeRetry(Shard& shard, TimePoint now, ReplicaId replica) -> bool;
+/// @return whether the replica has asked for a pause that has not ended.
+auto isPaused(const Shard& shard, TimePoint now, ReplicaId replica) -> bool;
 auto retryBudget(const Shard& shard) -> const RetryBudget&;
 
 /// Replaces the settings after a change of configuration; requests in the shard keep their targets.
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -84,6 +84,9 @@
     /// Memory of the live replicas in tokens.
     std::multiset<std::uint64_t> prefillCapacities;
     std::multiset<std::uint64_t> decodeCapacities;
+    /// Ends of the pauses of the live replicas that want no requests now.
+    std::multiset<TimePoint> prefillPauses;
+    std::multiset<TimePoint> decodePauses;
     TimePoint scheduledWake = TimePoint::max();
     /// Whether new requests are refused.
     bool draining = false;
