Send no calls to a plain server that has asked for a pause

The balancer of plain services kept sending calls to a server that had named a time for which it wants none.

Such a server gets no calls before the end of its pause, and then one at a time until one succeeds; calls from before the pause, rejections and cancelled calls are no success. The pause stays with its process when the list of servers changes. pausesEndAt() gives callers a true time to return when every server is paused.

The tests failed without the check (calls within the pause, and a second one at its end), with a list that forgets the pause, with one that is applied to another process, and with a success that any call counts as; the property test failed with the second and the last of these.

--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -22,6 +22,6 @@
   LINK jayhold_entry jayhold_standins)
 
 jayhold_test(backend_pause_test
-  SOURCES test/correctness/BackendPausesTest.cpp test/correctness/PausedReplicaTest.cpp
-    test/correctness/PausedShardPropertyTest.cpp
+  SOURCES test/correctness/BackendPausesTest.cpp test/correctness/PausedBackendTest.cpp test/correctness/PausedReplicaTest.cpp
+    test/correctness/PausePropertyTest.cpp test/correctness/PausedShardPropertyTest.cpp
   LINK jayhold_entry)
--- a/src/PlainBackend.h
+++ b/src/PlainBackend.h
@@ -21,6 +21,14 @@
     std::uint32_t consecutiveFailures = 0;
     /// End of the ejection. Until then the server gets no calls; afterwards a single call probes it.
     TimePoint ejectedUntil {};
+    /// The server has asked for a pause and gets no calls before this time.
+    TimePoint pausedUntil = TimePoint::min();
+    /// End of the time that the server has asked for, which may be later than the end of the pause.
+    TimePoint pauseAskedUntil = TimePoint::min();
+    /// Whether no call has succeeded since the last pause. The server gets one at a time until then.
+    bool isReturning = false;
+    /// Whether the call that was sent first after the pause is in flight.
+    bool hasFirstCall = false;
 };
 
 }
--- a/src/PlainBalancer.cpp
+++ b/src/PlainBalancer.cpp
@@ -1,6 +1,7 @@
 #include "PlainBalancer.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jayhold {
 
@@ -17,6 +18,8 @@
         return false;
     if (backend.allowance && !backend.allowance->hasCall(now))
         return false;
+    if (backend.pausedUntil > now || (backend.isReturning && backend.inFlight > 0))
+        return false;
     return !isEjected(backend) || (now >= backend.ejectedUntil && backend.inFlight == 0);
 }
 
@@ -28,6 +31,16 @@
     return left.inFlight < right.inFlight;
 }
 
+auto removeCall(PlainBackend& backend, TimePoint now, bool isServed) -> void
+{
+    backend.inFlight -= backend.inFlight > 0 ? 1 : 0;
+    const auto wasFirst = std::exchange(backend.hasFirstCall, false);
+    // The time that the server has asked for is not over, so it gets no second call.
+    if (wasFirst && !isServed && now < backend.pauseAskedUntil)
+        backend.pausedUntil = std::max(backend.pausedUntil, backend.pauseAskedUntil);
+    backend.isReturning = backend.isReturning && !(wasFirst && isServed);
+}
+
 auto ejectionTime(std::uint32_t failures) -> Duration
 {
     const auto doublings = std::min(failures - PlainBalancer::ejectionThreshold, 5U);
@@ -46,8 +59,13 @@
         // A server at another address is another process, whose health is unknown.
         if (known->server.endpoint != backend.server.endpoint)
             continue;
-        if (known->server.incarnation == backend.server.incarnation)
+        if (known->server.incarnation == backend.server.incarnation) {
             backend.allowance = known->allowance;
+            backend.pausedUntil = known->pausedUntil;
+            backend.pauseAskedUntil = known->pauseAskedUntil;
+            backend.isReturning = known->isReturning;
+            backend.hasFirstCall = known->hasFirstCall;
+        }
         backend.consecutiveFailures = known->consecutiveFailures;
         backend.ejectedUntil = known->ejectedUntil;
     }
@@ -67,10 +85,35 @@
     }
 }
 
+auto PlainBalancer::applyPause(std::string_view id, std::string_view incarnation, const BackendPause& pause) -> void
+{
+    auto* backend = find(id);
+    if (!backend || backend->server.incarnation != incarnation)
+        return;
+    // Pauses are only extended. One that was applied before, as after each change of the list of servers, must not
+    // undo what has happened since.
+    if (pause.until <= backend->pausedUntil && pause.askedUntil <= backend->pauseAskedUntil)
+        return;
+    backend->pausedUntil = std::max(backend->pausedUntil, pause.until);
+    backend->pauseAskedUntil = std::max(backend->pauseAskedUntil, pause.askedUntil);
+    backend->isReturning = true;
+    backend->hasFirstCall = false;
+}
+
+auto PlainBalancer::pausesEndAt(TimePoint now) const -> TimePoint
+{
+    auto next = TimePoint::max();
+    for (const auto& backend : m_backends) {
+        if (backend.server.state == ReplicaState::Live)
+            next = std::min(next, std::max(backend.pausedUntil, now));
+    }
+    return next == TimePoint::max() ? now : next;
+}
+
 auto PlainBalancer::tryTakeCall(TimePoint now, std::string_view id) -> bool
 {
     auto* backend = find(id);
-    return backend && (!backend->allowance || backend->allowance->tryTake(now));
+    return backend && backend->pausedUntil <= now && (!backend->allowance || backend->allowance->tryTake(now));
 }
 
 auto PlainBalancer::nextCallAt(TimePoint now) const -> TimePoint
@@ -100,28 +143,40 @@
     if (best->allowance)
         best->allowance->tryTake(now);
     ++best->inFlight;
+    best->hasFirstCall = best->isReturning;
     return best->server;
 }
 
-auto PlainBalancer::release(TimePoint now, std::string_view id, bool isHealthy) -> void
+auto PlainBalancer::release(TimePoint now, std::string_view id, bool isHealthy) -> bool
 {
     auto* backend = find(id);
     if (!backend)
-        return;
-    backend->inFlight -= backend->inFlight > 0 ? 1 : 0;
+        return false;
+    const auto wasReturning = backend->isReturning;
+    removeCall(*backend, now, isHealthy);
     if (isHealthy) {
         backend->consecutiveFailures = 0;
-        return;
+        return wasReturning && !backend->isReturning;
     }
     ++backend->consecutiveFailures;
     if (isEjected(*backend))
         backend->ejectedUntil = now + ejectionTime(backend->consecutiveFailures);
+    return false;
+}
+
+auto PlainBalancer::releaseRejected(TimePoint now, std::string_view id) -> void
+{
+    auto* backend = find(id);
+    if (!backend)
+        return;
+    removeCall(*backend, now, false);
+    backend->consecutiveFailures = 0;
 }
 
-auto PlainBalancer::releaseCancelled(std::string_view id) -> void
+auto PlainBalancer::releaseCancelled(TimePoint now, std::string_view id) -> void
 {
     if (auto* backend = find(id))
-        backend->inFlight -= backend->inFlight > 0 ? 1 : 0;
+        removeCall(*backend, now, false);
 }
 
 auto PlainBalancer::hasLiveBackend() const -> bool
--- a/src/PlainBalancer.h
+++ b/src/PlainBalancer.h
@@ -4,6 +4,7 @@
 /// preferably in the instance's own availability zone. Servers that fail repeatedly are ejected for a
 /// limited time and readmitted after a single successful probe. It uses no clock, socket or lock.
 
+#include "BackendPauses.h"
 #include "CallRates.h"
 #include "PlainBackend.h"
 
@@ -27,6 +28,12 @@
     /// Limits the calls to the servers. Those without a rate are not limited.
     auto updateRates(TimePoint now, const CallRates& rates) -> void;
 
+    /// Sends no calls to a server before the end of its pause; ignored if the server's process is another one.
+    auto applyPause(std::string_view id, std::string_view incarnation, const BackendPause& pause) -> void;
+
+    /// @return the earliest end of the pauses if all servers that are not leaving are paused, or the current time.
+    auto pausesEndAt(TimePoint now) const -> TimePoint;
+
     /// Takes a call to a server that is sent again, which acquire() has chosen before.
     /// @return whether the server takes a further call now.
     auto tryTakeCall(TimePoint now, std::string_view id) -> bool;
@@ -42,10 +49,14 @@
 
     /// Releases the slot.
     /// @param isHealthy whether the result of the call shows that the server is healthy.
-    auto release(TimePoint now, std::string_view id, bool isHealthy) -> void;
+    /// @return whether the server gets calls again as before its pause.
+    auto release(TimePoint now, std::string_view id, bool isHealthy) -> bool;
+
+    /// Releases the slot of a call that a healthy server has rejected for lack of capacity.
+    auto releaseRejected(TimePoint now, std::string_view id) -> void;
 
     /// Releases the slot of a call that its caller cancelled, which says nothing about the server's health.
-    auto releaseCancelled(std::string_view id) -> void;
+    auto releaseCancelled(TimePoint now, std::string_view id) -> void;
 
     /// @return whether the list has a server that is not leaving.
     auto hasLiveBackend() const -> bool;
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -251,7 +251,7 @@
 auto PlainService::releaseCancelled(const std::string& id) -> void
 {
     const std::lock_guard guard(m_lock);
-    m_balancer.releaseCancelled(id);
+    m_balancer.releaseCancelled(monotonicNow(), id);
 }
 
 auto PlainService::retryBudget() const -> RetryBudget
