Change a pause only when a response names a later end than its own

At the start of a pause the responses to all requests that are under way arrive within some milliseconds, each naming about the same end. Each of them extended the pause by the difference, which passed an event to each service and could check all waiting requests again.

A response whose end is covered by the pause, which includes the delay of the return, changes nothing now, and waiting requests are checked again only if there are any. The test failed before: the second of two responses one microsecond apart was reported as a change.

--- a/src/BackendPauses.cpp
+++ b/src/BackendPauses.cpp
@@ -43,8 +43,12 @@
     const auto isConfirmed = before.until <= now && now < before.askedUntil;
     auto& pause = entry.pause;
     pause.askedUntil = std::max(before.askedUntil, now + delay);
-    pause.until = std::max(before.until, (isConfirmed ? pause.askedUntil : now + std::min(delay, maxPause)) + entry.returnDelay);
-    return pause == before ? std::nullopt : std::optional(pause);
+    const auto end = isConfirmed ? pause.askedUntil : now + std::min(delay, maxPause);
+    // Responses that arrive one after the other name about the same end. The delay of the return covers them.
+    if (end > before.until)
+        pause.until = end + entry.returnDelay;
+    const auto isChanged = pause.until != before.until || (pause.askedUntil != before.askedUntil && pause.askedUntil > pause.until);
+    return isChanged ? std::optional(pause) : std::nullopt;
 }
 
 auto endPause(BackendPauses& pauses, TimePoint now, std::string_view backend, std::string_view incarnation) -> void
--- a/src/ReplicaPauses.cpp
+++ b/src/ReplicaPauses.cpp
@@ -32,7 +32,7 @@
     replica->firstAfterPause.reset();
     updateIndex(context, *replica);
     releaseSlotsOfPrefills(context, *replica);
-    if (pausesEndAt(context.state, context.now) <= context.now)
+    if (context.state.queue.size() == 0 || pausesEndAt(context.state, context.now) <= context.now)
         return;
     // Requests that can't wait until the end of the pause are refused by their timers.
     for (auto& [id, request] : context.state.requests) {
--- a/test/correctness/BackendPausesTest.cpp
+++ b/test/correctness/BackendPausesTest.cpp
@@ -45,6 +45,10 @@
     for (auto answer = 0; answer < 100; ++answer)
         CHECK_FALSE(recordPause(first, start, "a", "1", 10s));
     CHECK(pauseAfter(first, start, 10s) == pause);
+    // The next responses to requests that were under way change nothing until their end is later.
+    CHECK_FALSE(recordPause(first, start + 1us, "a", "1", 10s));
+    CHECK(recordPause(first, start + 2s, "a", "1", 10s));
+    CHECK(pauseOf(first, start + 2s, "a", "1")->until > start + 12s);
 }
 
 // Guards against a pause that ends before the time that an earlier response has named.
