Pause backend servers at which a 503 names a time

The users' rule: a server that turns a request away with 503 may name a time with Retry-After, and wants nothing from this instance for so long.

The table of services records it for the process that has responded: not if the response repeats no id of the request, or names another server, but also for control calls. It passes the pause to the services at once, and again with each list of servers; a process that comes back to the list, or changes its role, is paused before it gets work, because a live replica gets work as soon as the shard knows it.

Requests check again just before each call, as a slot reservation or a prefill can lie between the decision and the call. Slots and prefill results at a paused engine are not released but expire, no orders are sent there, and calls are not sent again. If all servers are paused, a plain call is refused at once with a time after the earliest end.

The native interface names no time, so nothing changes there.

--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -36,3 +36,7 @@
 jayhold_test(server_notice_test
   SOURCES test/correctness/ServerNoticeTest.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
+
+jayhold_test(pause_router_test
+  SOURCES test/correctness/PauseNoticeTest.cpp test/correctness/PauseRouterTest.cpp test/FakeObjectStore.cpp
+  LINK jayhold_platform)
--- a/src/EntryContext.h
+++ b/src/EntryContext.h
@@ -48,6 +48,9 @@
     std::function<void(const std::string& service, const UpdateBlockedPart&)> updateBlockedPart = [](const std::string&, const UpdateBlockedPart&) {};
     /// Processes what a response of a backend server says about the server.
     NoticeHandler handleNotice = ignoreNotices();
+    /// Reports that a backend server has served the first request after its pause. Must not be called within a call
+    /// of the services' table, whose lock it takes.
+    std::function<void(const BackendServer&)> reportReturned = [](const BackendServer&) {};
     /// Reports a backend server that announced that it is leaving to the peers.
     std::function<void(std::string_view)> reportLeaving = [](std::string_view) {};
     const CallerProtocol& callerProtocol = nativeCallerProtocol();
--- a/src/EntryDaemon.cpp
+++ b/src/EntryDaemon.cpp
@@ -79,6 +79,7 @@
     adminApi = std::make_unique<AdminApi>(context, *services, *node, [this] { startDraining(); });
     context.reportCrashSignature = [this](std::uint64_t signature) { node->reportCrashSignature(signature); };
     context.handleNotice = [this](const BackendServer& server, TimePoint sentAt, const BackendNotice& notice) { services->handleNotice(server, sentAt, notice); };
+    context.reportReturned = [this](const BackendServer& server) { services->handleReturn(server); };
     context.reportPrompt = [this](const PromptReport& report) { node->reportPrompt(report); };
     context.reportCrashSuspect = [this](const CrashSuspect& suspect) { node->reportCrashSuspect(suspect); };
     context.reportLeaving = [this](std::string_view backend) { node->reportLeaving(backend); };
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -91,6 +91,8 @@
     /// Reserves a slot at the decode engine, if engines support reservations.
     /// @return the error if the reservation failed.
     auto reserveSlot(const std::optional<ReplicaStatus>& decode) -> boost::asio::awaitable<std::optional<EngineError>>;
+    /// @return the error of a call that is not sent because its engine has asked for a pause.
+    static auto pausedError() -> EngineError;
     auto recordSlotRefusal(const EngineError& error) -> void;
     auto releaseSlot() -> void;
     /// Releases a reservation or result at an engine in the background, and logs a failure.
--- a/src/ModelRequestReservations.cpp
+++ b/src/ModelRequestReservations.cpp
@@ -28,6 +28,8 @@
     const auto time = m_service->slotReservationTime();
     if (!m_context.backendProtocol.reserveSlot || time <= Duration::zero() || !decode)
         co_return std::nullopt;
+    if (m_service->isPaused(decode->id))
+        co_return pausedError();
     auto reservation = co_await m_context.backendProtocol.reserveSlot(m_exchange.client(), decode->backend, m_decodeTokens, time, m_timeouts.slotReservation, m_context.handleNotice);
     if (reservation.has_error())
         co_return reservation.error();
@@ -35,6 +37,11 @@
     co_return std::nullopt;
 }
 
+auto ModelRequest::pausedError() -> EngineError
+{
+    return { FailureKind::Paused, "the engine has asked for a pause", nullptr };
+}
+
 auto ModelRequest::recordSlotRefusal(const EngineError& error) -> void
 {
     // A slot can be refused many times in a burst, so only the first refusal is logged at level Info; the
@@ -48,7 +55,8 @@
 {
     const auto release = m_context.backendProtocol.releasePrefill;
     const auto source = m_prefill && release && !m_isPrefillFetched ? m_service->replica(m_prefillReplica) : std::nullopt;
-    if (source)
+    // The result expires by itself. An engine that has asked for a pause gets no control calls either.
+    if (source && !m_service->isPaused(m_prefillReplica))
         releaseInBackground("prefill_result", source->backend, release(m_exchange.client(), source->backend, m_prefill->handle, releaseTimeout, m_context.handleNotice));
     m_prefill.reset();
     m_isPrefillFetched = false;
@@ -57,7 +65,7 @@
 auto ModelRequest::releaseSlot() -> void
 {
     const auto releaseOnEngine = m_context.backendProtocol.releaseSlot;
-    if (m_slot && releaseOnEngine)
+    if (m_slot && releaseOnEngine && !m_service->isPaused(m_slot->replica))
         releaseInBackground("seat", m_slot->server, releaseOnEngine(m_exchange.client(), m_slot->server, m_slot->name, releaseTimeout, m_context.handleNotice));
     m_slot.reset();
 }
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -160,6 +160,11 @@
         co_return;
     if (m_context.backendProtocol.reserveSlot)
         m_service->handleEvent(SlotReserved { m_id, m_attempt });
+    // The engine may have asked for a pause since it was chosen.
+    if (m_service->isPaused(replica.id)) {
+        enqueue(PrefillEnded { task, pausedError() });
+        co_return;
+    }
     call.deadlineMs = remainingMs();
     m_tasks->calledAt = monotonicNow();
     observeResponses(call);
@@ -183,6 +188,10 @@
         if (m_slot)
             call.slot = std::exchange(m_slot, std::nullopt)->name;
     }
+    if (m_service->isPaused(replica.id)) {
+        enqueue(DecodeEnded { task, { pausedError() } });
+        co_return;
+    }
     const auto usesPrefill = call.kv.has_value();
     call.deadlineMs = remainingMs();
     m_tasks->calledAt = monotonicNow();
--- a/src/ModelService.cpp
+++ b/src/ModelService.cpp
@@ -258,6 +258,9 @@
         outbox.promptReports.push_back({ m_name, m_context.settings.instance, m_reportIds(), true, { .parts = harmless->parts } });
     } else if (const auto* update = std::get_if<UpdateBlockedPart>(&action)) {
         outbox.blockedParts.push_back(*update);
+    } else if (const auto* returned = std::get_if<ReplicaReturned>(&action)) {
+        if (const auto known = m_replicas.find(returned->replica); known != m_replicas.end())
+            outbox.returned.push_back(known->second.backend);
     } else if (const auto* wake = std::get_if<WakeAt>(&action)) {
         m_wakeAt = wake->time;
     }
@@ -315,6 +318,8 @@
         m_context.reportCrashSuspect(suspect);
     }
     sendPromptReports(outbox);
+    for (const auto& server : outbox.returned)
+        m_context.reportReturned(server);
     if (!outbox.cancels.empty())
         sendCancels(std::move(outbox.cancels));
     rearmTimer();
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -5,6 +5,7 @@
 /// the requests that they concern.
 
 #include "ActionReceiver.h"
+#include "BackendPauses.h"
 #include "BackendUsage.h"
 #include "CallRates.h"
 #include "ConfigurationIndex.h"
@@ -48,7 +49,13 @@
 
     auto updateConfiguration(const ConfigurationIndex& index, const Service& service) -> void;
     /// Replaces the list of backend servers; those of other services are ignored.
-    auto updateBackends(std::span<const BackendServer> backends) -> void;
+    /// @param pauses the known pauses of backend servers.
+    auto updateBackends(std::span<const BackendServer> backends, const BackendPauses& pauses = {}) -> void;
+    /// Sends no requests to a backend server before the end of its pause; ignored if the server is of another service.
+    auto applyPause(const BackendServer& server, const BackendPause& pause) -> void;
+    /// @return whether a backend server has asked for a pause that has not ended, so that no call may be sent to it.
+    auto isPaused(ReplicaId replica) const -> bool;
+    auto isPaused(std::string_view backend) const -> bool;
     /// Limits the calls to the backend servers. Those without a rate are not limited.
     auto updateRates(const CallRates& rates) -> void;
     /// @param instanceCount number of entry instances that place requests on the same replicas, including
@@ -140,6 +147,8 @@
         std::vector<CrashSuspect> suspects;
         std::vector<PromptReport> promptReports;
         std::vector<UpdateBlockedPart> blockedParts;
+        /// Backend servers that have served the first request after their pause.
+        std::vector<BackendServer> returned;
     };
     struct Timer;
 
@@ -155,7 +164,7 @@
     /// run of the process.
     auto parseEngineRequestId(std::string_view engineRequestId) const -> std::optional<std::pair<RequestId, Attempt>>;
     auto reportReplicaLocked(const ReplicaStatus& status, Outbox& outbox) -> void;
-    auto upsertReplicaLocked(const BackendServer& backend, const Pool& pool, Outbox& outbox) -> ReplicaId;
+    auto upsertReplicaLocked(const BackendServer& backend, const Pool& pool, const BackendPauses& pauses, Outbox& outbox) -> ReplicaId;
     /// Removes role changes that took too long, so that their engines get new work again.
     auto expireRoleChangesLocked(TimePoint now, Outbox& outbox) -> void;
     auto removeReplicaLocked(ReplicaStatus& status, Outbox& outbox) -> void;
--- a/src/ModelServiceReplicas.cpp
+++ b/src/ModelServiceReplicas.cpp
@@ -10,7 +10,7 @@
 
 namespace jayhold {
 
-auto ModelService::updateBackends(std::span<const BackendServer> backends) -> void
+auto ModelService::updateBackends(std::span<const BackendServer> backends, const BackendPauses& pauses) -> void
 {
     Outbox outbox;
     {
@@ -19,7 +19,7 @@
         for (const auto& backend : backends) {
             const auto* pool = findPool(backend.pool);
             if (pool && backend.state != ReplicaState::Gone)
-                present.insert(upsertReplicaLocked(backend, *pool, outbox));
+                present.insert(upsertReplicaLocked(backend, *pool, pauses, outbox));
         }
         for (auto replica = m_replicas.begin(); replica != m_replicas.end();) {
             if (present.contains(replica->first)) {
@@ -33,6 +33,32 @@
     send(std::move(outbox));
 }
 
+auto ModelService::applyPause(const BackendServer& server, const BackendPause& pause) -> void
+{
+    Outbox outbox;
+    {
+        const std::lock_guard guard(m_lock);
+        const auto known = m_replicaIds.find(server.id);
+        if (known == m_replicaIds.end() || m_replicas.at(known->second).backend.incarnation != server.incarnation)
+            return;
+        decideLocked(ReplicaPaused { known->second, pause.until, pause.askedUntil }, outbox);
+    }
+    send(std::move(outbox));
+}
+
+auto ModelService::isPaused(ReplicaId replica) const -> bool
+{
+    const std::lock_guard guard(m_lock);
+    return jayhold::isPaused(m_shard, monotonicNow(), replica);
+}
+
+auto ModelService::isPaused(std::string_view backend) const -> bool
+{
+    const std::lock_guard guard(m_lock);
+    const auto known = m_replicaIds.find(std::string(backend));
+    return known != m_replicaIds.end() && jayhold::isPaused(m_shard, monotonicNow(), known->second);
+}
+
 auto ModelService::updateRates(const CallRates& rates) -> void
 {
     Outbox outbox;
@@ -44,7 +70,7 @@
     send(std::move(outbox));
 }
 
-auto ModelService::upsertReplicaLocked(const BackendServer& backend, const Pool& pool, Outbox& outbox) -> ReplicaId
+auto ModelService::upsertReplicaLocked(const BackendServer& backend, const Pool& pool, const BackendPauses& pauses, Outbox& outbox) -> ReplicaId
 {
     const auto known = m_replicaIds.find(backend.id);
     // A process that restarted under the same id has lost the state of the earlier one, so it becomes a new
@@ -65,6 +91,13 @@
     status.id = entry->second;
     status.backend = backend;
     status.role = pool.role;
+    // A new replica gets work as soon as it is live, so the shard learns of its pause before.
+    if (const auto pause = pauseOf(pauses, monotonicNow(), backend.id, backend.incarnation); pause && backend.state == ReplicaState::Live) {
+        status.backend.state = ReplicaState::Leaving;
+        reportReplicaLocked(status, outbox);
+        decideLocked(ReplicaPaused { status.id, pause->until, pause->askedUntil }, outbox);
+        status.backend.state = backend.state;
+    }
     reportReplicaLocked(status, outbox);
     return status.id;
 }
@@ -111,9 +144,11 @@
 auto ModelService::roleChangeCandidates(PoolRole role) const -> std::vector<BackendServer>
 {
     const std::lock_guard guard(m_lock);
+    const auto now = monotonicNow();
     std::vector<BackendServer> servers;
     for (const auto& [id, status] : m_replicas) {
-        if (status.role == role && status.backend.state == ReplicaState::Live && !m_roleChanges.contains(id))
+        const auto isFree = status.backend.state == ReplicaState::Live && !m_roleChanges.contains(id) && !jayhold::isPaused(m_shard, now, id);
+        if (status.role == role && isFree)
             servers.push_back(status.backend);
     }
     return rankForRoleChange(std::move(servers));
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -64,7 +64,7 @@
     m_budget.updateLimits(budgetLimits(plainPolicy(m_retry), m_instanceCount));
 }
 
-auto PlainService::updateBackends(std::span<const BackendServer> backends) -> void
+auto PlainService::updateBackends(std::span<const BackendServer> backends, const BackendPauses& pauses) -> void
 {
     const std::lock_guard guard(m_lock);
     std::vector<PlainBackend> list;
@@ -78,6 +78,14 @@
         list.push_back(std::move(entry));
     }
     m_balancer.update(std::move(list));
+    for (const auto& [process, entry] : pauses.entries)
+        m_balancer.applyPause(process.first, process.second, entry.pause);
+}
+
+auto PlainService::applyPause(const BackendServer& server, const BackendPause& pause) -> void
+{
+    const std::lock_guard guard(m_lock);
+    m_balancer.applyPause(server.id, server.incarnation, pause);
 }
 
 auto PlainService::updateRates(const CallRates& rates) -> void
@@ -209,6 +217,9 @@
     const auto delay = jitteredDelay(retryDelay);
     const std::lock_guard guard(m_lock);
     const auto now = monotonicNow();
+    // A caller that returns before the end of all pauses would be refused again.
+    if (const auto pausesEnd = m_balancer.pausesEndAt(now); pausesEnd > now)
+        return pausesEnd - now + delay;
     const auto next = m_balancer.nextCallAt(now);
     return next == TimePoint::max() ? delay : std::max(delay, std::chrono::duration_cast<Duration>(next - now));
 }
@@ -243,10 +254,21 @@
     return m_balancer.acquire(monotonicNow(), excluded);
 }
 
-auto PlainService::release(const std::string& id, bool isHealthy) -> void
+auto PlainService::release(const BackendServer& backend, bool isHealthy) -> void
+{
+    auto hasReturned = false;
+    {
+        const std::lock_guard guard(m_lock);
+        hasReturned = m_balancer.release(monotonicNow(), backend.id, isHealthy);
+    }
+    if (hasReturned)
+        m_context.reportReturned(backend);
+}
+
+auto PlainService::releaseRejected(const std::string& id) -> void
 {
     const std::lock_guard guard(m_lock);
-    m_balancer.release(monotonicNow(), id, isHealthy);
+    m_balancer.releaseRejected(monotonicNow(), id);
 }
 
 auto PlainService::releaseCancelled(const std::string& id) -> void
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -34,7 +34,10 @@
 
     auto updateConfiguration(const Service& service) -> void;
     /// Replaces the list of backend servers; those of other services are ignored.
-    auto updateBackends(std::span<const BackendServer> backends) -> void;
+    /// @param pauses the known pauses of backend servers.
+    auto updateBackends(std::span<const BackendServer> backends, const BackendPauses& pauses = {}) -> void;
+    /// Sends no calls to a backend server before the end of its pause; ignored if the server is of another service.
+    auto applyPause(const BackendServer& server, const BackendPause& pause) -> void;
     /// Limits the calls to the backend servers. Those without a rate are not limited.
     auto updateRates(const CallRates& rates) -> void;
     /// @return a copy of the retry budget's state.
@@ -90,7 +93,8 @@
     auto noResponseError(const PlainCallInfo& call, const PlainAttempt& attempt) const -> ApiError;
 
     auto acquire(std::span<const std::string> excluded) -> std::optional<BackendServer>;
-    auto release(const std::string& id, bool isHealthy) -> void;
+    auto release(const BackendServer& backend, bool isHealthy) -> void;
+    auto releaseRejected(const std::string& id) -> void;
     auto releaseCancelled(const std::string& id) -> void;
     auto tryConsumeRetry() -> bool;
     auto record(LogLevel level, const PlainCallInfo& call, std::string_view event, std::initializer_list<LogField> details = {}) -> void;
--- a/src/PlainServiceAttempts.cpp
+++ b/src/PlainServiceAttempts.cpp
@@ -116,14 +116,14 @@
     if (error.kind == HttpErrorKind::Cancelled && state.isCallerDisconnected)
         releaseCancelled(backend.id);
     else
-        release(backend.id, false);
+        release(backend, false);
     const auto isNotSent = error.kind == HttpErrorKind::NotConnected;
     co_return PlainAttempt { .isNotRun = isNotSent, .reachedBackend = !isNotSent, .hasTimedOut = error.kind == HttpErrorKind::TimedOut, .detail = std::string(jayhold::name(error.kind)) + ": " + error.detail };
 }
 
 auto PlainService::failAttempt(const BackendServer& backend, const PlainCallInfo& call, const std::exception_ptr& thrown) -> PlainAttempt
 {
-    release(backend.id, false);
+    release(backend, false);
     const auto detail = exceptionText(thrown);
     record(LogLevel::Error, call, "task_failed", { { "task", "plain call" }, { "detail", detail } });
     return { .detail = "exception: " + detail };
@@ -145,7 +145,10 @@
 {
     const auto status = response.status;
     const auto responseClass = m_context.backendProtocol.classifyResponse(call, response);
-    release(backend.id, responseClass == ResponseClass::Final || responseClass == ResponseClass::Busy);
+    if (responseClass == ResponseClass::Busy)
+        releaseRejected(backend.id);
+    else
+        release(backend, responseClass == ResponseClass::Final);
     PlainAttempt attempt { .detail = "status " + std::to_string(status) };
     switch (responseClass) {
     case ResponseClass::Final:
--- a/src/RoleBalancer.cpp
+++ b/src/RoleBalancer.cpp
@@ -164,6 +164,10 @@
 {
     auto& client = m_context.threads.client(0);
     const auto id = server.id;
+    if (service.isPaused(id)) {
+        m_context.log.record(LogLevel::Info, "role_order_skipped", { { "backend", id }, { "detail", "it has asked for a pause" } });
+        co_return;
+    }
     const auto state = co_await m_context.backendProtocol.orderState(client, server, orderTimeout, m_context.handleNotice);
     if (state.has_value())
         handleStateReadBack(m_orderFence);
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -120,6 +120,7 @@
         log.setMinimumLevel(settings.logLevel);
         context.runId = uniqueRunId();
         context.handleNotice = [this](const BackendServer& server, TimePoint sentAt, const BackendNotice& notice) { services.handleNotice(server, sentAt, notice); };
+        context.reportReturned = [this](const BackendServer& server) { services.handleReturn(server); };
     }
 
     ~State()
--- a/src/ServiceTable.cpp
+++ b/src/ServiceTable.cpp
@@ -16,6 +16,7 @@
     : m_context(context)
     , m_records(records)
     , m_shouldReclaimFor(std::move(shouldReclaimFor))
+    , m_pauses { .random = { context.settings.seed } }
 {
 }
 
@@ -88,13 +89,14 @@
 
 auto ServiceTable::applyBackendsLocked() -> void
 {
+    updatePausesLocked();
     for (const auto& [name, model] : m_modelServices) {
-        model.service->updateBackends(m_backends);
+        model.service->updateBackends(m_backends, m_pauses);
         if (model.monitor)
             model.monitor->refresh();
     }
     for (const auto& [name, plain] : m_plainServices)
-        plain->updateBackends(m_backends);
+        plain->updateBackends(m_backends, m_pauses);
     if (!m_limits.observations.empty())
         applyLimitsLocked();
 }
@@ -153,10 +155,13 @@
 
 auto ServiceTable::handleNotice(const BackendServer& server, TimePoint sentAt, const BackendNotice& notice) -> void
 {
+    const std::lock_guard guard(m_lock);
+    const auto isOwn = notice.origin != ResponseOrigin::Unidentified && (notice.responder.empty() || notice.responder == server.id);
+    if (notice.retryDelay && isOwn)
+        recordPauseLocked(server, *notice.retryDelay);
     // Responses to control calls may name no limit although there is one.
     if (notice.origin != ResponseOrigin::Call)
         return;
-    const std::lock_guard guard(m_lock);
     recordLimitLocked(server, sentAt, notice.callsPerSecond);
 }
 
@@ -285,6 +290,7 @@
         samples.push_back({ "jayhold_plain_retries_left", "Retries of plain calls that the budget allows now.", service->retryBudget().remaining(), false, "service", service->name() });
     addRetrySamples(samples);
     const std::lock_guard guard(m_lock);
+    addPauseSamplesLocked(samples);
     for (const auto& [backend, observation] : m_limits.observations) {
         if (observation.perSecond)
             samples.push_back({ "jayhold_backend_limit", "Calls a second that a backend server takes from all instances together.", *observation.perSecond, false, "backend", backend });
--- a/src/ServiceTable.h
+++ b/src/ServiceTable.h
@@ -4,6 +4,7 @@
 /// configuration that it got on arrival, even if another configuration is activated later.
 
 #include "BackendLimits.h"
+#include "BackendPauses.h"
 #include "ConfigurationIndex.h"
 #include "EngineMonitor.h"
 #include "ModelService.h"
@@ -39,6 +40,8 @@
     /// Processes what a response of a backend server says about the server.
     /// @param sentAt when the call was sent.
     auto handleNotice(const BackendServer& server, TimePoint sentAt, const BackendNotice& notice) -> void;
+    /// Handles that a server has served the first request after its pause.
+    auto handleReturn(const BackendServer& server) -> void;
     /// @return the limits that this instance has recently observed.
     auto limitReports() const -> std::vector<LimitReport>;
     /// Processes the limits that a peer has observed.
@@ -69,6 +72,12 @@
     auto applyBackendsLocked() -> void;
     /// Records the limit that a response of a backend server names, or that it names none.
     auto recordLimitLocked(const BackendServer& server, TimePoint sentAt, std::optional<double> perSecond) -> void;
+    /// Records that a server wants no requests from this instance for some time.
+    auto recordPauseLocked(const BackendServer& server, Duration delay) -> void;
+    /// Updates the known pauses before the list of servers is passed to the services.
+    auto updatePausesLocked() -> void;
+    /// Appends the remaining times of the pauses.
+    auto addPauseSamplesLocked(std::vector<Metrics::Sample>& samples) const -> void;
     /// Passes this instance's shares of the limits to the services.
     auto applyLimitsLocked() -> void;
     /// Appends the state of the retry budgets of all services.
@@ -84,6 +93,9 @@
     std::map<std::string, std::shared_ptr<PlainService>, std::less<>> m_plainServices;
     std::vector<BackendServer> m_backends;
     BackendLimits m_limits;
+    BackendPauses m_pauses;
+    /// Number of pauses that servers have asked for since the start.
+    std::uint64_t m_pauseCount = 0;
     /// Empty until the instances are known.
     std::vector<std::string> m_instances;
     std::optional<TimePoint> m_instancesKnownSince;
--- a/test/correctness/RoleBalancerTest.cpp
+++ b/test/correctness/RoleBalancerTest.cpp
@@ -157,3 +157,38 @@
     CHECK(orderedAt.load() - store.createdAt() >= balancerSettings.minOrderInterval);
     CHECK(std::ranges::count(log.after(0, EventLog::defaultCapacity), "lease_acquired", &LoggedEvent::event) == 2);
 }
+
+// Guards against an order, or a read of its state, that is sent to an engine which has asked for a pause since its
+// role change was announced.
+TEST_CASE("an engine that asks for a pause before its order is sent gets none")
+{
+    const EntrySettings settings { .instance = "entry-1", .availabilityZone = "alpine" };
+    EventLog log { "entry-1" };
+    IoThreads threads { 1 };
+    static std::atomic<int> stateReads { 0 };
+    auto protocol = acceptingProtocol();
+    protocol.orderState = [](HttpClient&, BackendServer, Duration, NoticeHandler) -> asio::awaitable<EngineResult<EngineOrderState>> {
+        ++stateReads;
+        co_return EngineOrderState {};
+    };
+    EntryContext context { .settings = settings, .threads = threads, .log = log, .backendProtocol = protocol };
+    FakeRecords records;
+    ServiceTable services { context, records, [](std::string_view, std::string_view) { return false; } };
+    addImbalance(services);
+    LeaseStore store;
+    RoleBalancerSettings balancerSettings { .leaseKind = "leases", .minOrderInterval = 10ms, .balance = { .window = 1s, .rampUp = 10ms, .warmUp = 20ms, .cooldown = 10s } };
+    const auto balancer = std::make_shared<RoleBalancer>(context, store, balancerSettings, RoleBalancerCallbacks { [&] { return services.modelServices(); }, [] { return true; } });
+    orderedAt = TimePoint {};
+    balancer->start();
+    const auto hasLogged = [&](std::string_view event) { return std::ranges::count(log.after(0, EventLog::defaultCapacity), event, &LoggedEvent::event) > 0; };
+    const auto isAnnounced = waitFor([&] { return hasLogged("role_change_decided"); }, 8s);
+    for (const auto* id : { "prefill-1", "prefill-2", "prefill-3", "prefill-4" })
+        services.handleNotice({ .id = id }, monotonicNow(), { .status = 503, .retryDelay = 10s });
+    const auto isSkipped = waitFor([&] { return hasLogged("role_order_skipped"); }, 4s);
+    services.stop();
+    threads.stop();
+    REQUIRE(isAnnounced);
+    CHECK(isSkipped);
+    CHECK(stateReads == 0);
+    CHECK(orderedAt.load() == TimePoint {});
+}
