--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -128,9 +128,7 @@
 {
     if (request.subQueue == SubQueue::Resume)
         return TimePoint::max();
-    if (pausesEndAfterLatestStart(context, request))
-        return context.now;
-    const auto last = latestStart(context.state, request);
+    const auto last = pausesEndAfterLatestStart(context, request) ? context.now : latestStart(context.state, request);
     if (request.subQueue == SubQueue::Fair)
         return std::max(std::min(last, latestOnTimeStart(context.state, request)), context.now);
     return std::min(last, context.now + (shouldRetryLater(context, request) ? overdueRefusalDelay : overdueCheckInterval));
