--- a/bench/EntryInstance.h
+++ b/bench/EntryInstance.h
@@ -85,6 +85,8 @@
     auto execute(const ReportCrashedPrompt&) -> void { }
     auto execute(const ReportHarmlessParts&) -> void { }
     auto execute(const UpdateBlockedPart&) -> void { }
+    /// The engines of the bench ask for no pauses.
+    auto execute(const ReplicaReturned&) -> void { }
     auto execute(const WakeAt& action) -> void;
 
     auto find(RequestId id) -> Active*;
