Refuse prefilled requests at once that no replica can decode after the pauses

If all decode replicas were paused for longer than a request can wait, a request with a prefill result waited until the result expired, up to the time that prefill engines keep it, and then took a retry from the budget only to be refused. It is refused at once now, as not run, when the last replica pauses or when its prefill ends.

The test failed in both cases before: the request got no refusal.

--- a/src/ReplicaPauses.cpp
+++ b/src/ReplicaPauses.cpp
@@ -32,11 +32,12 @@
     replica->firstAfterPause.reset();
     updateIndex(context, *replica);
     releaseSlotsOfPrefills(context, *replica);
-    if (context.state.queue.size() == 0 || pausesEndAt(context.state, context.now) <= context.now)
+    const auto hasWaiting = context.state.queue.size() > 0 || !context.state.prefilled.empty();
+    if (!hasWaiting || pausesEndAt(context.state, context.now) <= context.now)
         return;
     // Requests that can't wait until the end of the pause are refused by their timers.
     for (auto& [id, request] : context.state.requests) {
-        if (request.phase == RequestPhase::Queued)
+        if (request.phase == RequestPhase::Queued || request.phase == RequestPhase::Prefilled)
             setTimer(context, request);
     }
 }
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -196,6 +196,10 @@
         checkWaiting(context, *request);
         return;
     }
+    if (request->phase == RequestPhase::Prefilled && pausesEndAfterLatestStart(context, *request)) {
+        refuse(context, *request, RefusalReason::Overloaded);
+        return;
+    }
     setTimer(context, *request);
     if (request->timerAt > context.now)
         return;
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -140,7 +140,7 @@
     if (request.phase == RequestPhase::Queued)
         time = std::min(time, nextCheck(context, request));
     if (request.phase == RequestPhase::Prefilled)
-        time = std::min(time, request.kvExpiresAt);
+        time = std::min(time, pausesEndAfterLatestStart(context, request) ? context.now : request.kvExpiresAt);
     else if (request.phase == RequestPhase::Stopping)
         time = std::min(time, request.phaseStartedAt + tokenCountTimeout);
     else if (request.phase != RequestPhase::Queued)
--- a/test/correctness/PausedReplicaTest.cpp
+++ b/test/correctness/PausedReplicaTest.cpp
@@ -84,6 +84,37 @@
     CHECK_FALSE(harness.lastEver<CancelOnReplica>());
 }
 
+// Guards against callers that wait for the expiry of a prefill result that no engine can use in time.
+TEST_CASE("a prefilled request is refused at once if no replica can decode it after the pauses")
+{
+    PauseHarness harness;
+    harness.arrive(1);
+    const auto start = harness.last<StartPrefill>().value();
+    const auto pauseBoth = [&] {
+        harness.pauseReplica(2, 100s);
+        harness.pauseReplica(3, 90s);
+    };
+    const auto isPrefilledFirst = GENERATE(false, true);
+    if (isPrefilledFirst) {
+        // Its decode is rejected, and no other slot is free.
+        harness.prefilled(start);
+        const auto decode = harness.last<StartDecode>().value();
+        harness.replica(decode.decode == second ? 3 : 2, PoolRole::Decode, 0);
+        harness.send(DecodeFailed { decode.request, decode.attempt, FailureKind::Busy, 0 });
+        REQUIRE_FALSE(harness.last<StartDecode>());
+        pauseBoth();
+    } else {
+        pauseBoth();
+        REQUIRE_FALSE(harness.last<Refuse>());
+        harness.prefilled(start);
+    }
+    const auto refusal = harness.last<Refuse>();
+    REQUIRE(refusal);
+    CHECK(refusal->outcome == ExecutionOutcome::NotRun);
+    CHECK(refusal->retryAfter > 90s);
+    CHECK(summarize(harness.shard).reservedSlots == 0);
+}
+
 // Guards against a refusal of requests that can be served in time after the pause.
 TEST_CASE("requests wait for the end of a pause that is before their deadline")
 {
