--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -160,7 +160,7 @@
         co_return;
     if (m_context.backendProtocol.reserveSlot)
         m_service->handleEvent(SlotReserved { m_id, m_attempt });
-    if (auto refusal = checkLive(replica.id)) {
+    if (auto refusal = checkAccepting(replica.id)) {
         enqueue(PrefillEnded { task, std::move(*refusal) });
         co_return;
     }
@@ -183,7 +183,7 @@
         }
         if (task != m_tasks->lastTask)
             co_return;
-        if (auto refusal = checkLive(replica.id)) {
+        if (auto refusal = checkAccepting(replica.id)) {
             enqueue(DecodeEnded { task, { std::move(*refusal) }, true });
             co_return;
         }
@@ -191,7 +191,7 @@
         if (m_slot)
             call.slot = std::exchange(m_slot, std::nullopt)->name;
     }
-    if (auto refusal = checkLive(replica.id)) {
+    if (auto refusal = checkAccepting(replica.id)) {
         enqueue(DecodeEnded { task, { std::move(*refusal) } });
         co_return;
     }
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -128,7 +128,7 @@
 {
     if (request.subQueue == SubQueue::Resume)
         return TimePoint::max();
-    const auto last = latestStart(context.state, request);
+    const auto last = pausesEndAfterLatestStart(context, request) ? context.now : latestStart(context.state, request);
     if (request.subQueue == SubQueue::Fair)
         return std::max(std::min(last, latestOnTimeStart(context.state, request)), context.now);
     return std::min(last, context.now + (shouldRetryLater(context, request) ? overdueRefusalDelay : overdueCheckInterval));
@@ -140,7 +140,7 @@
     if (request.phase == RequestPhase::Queued)
         time = std::min(time, nextCheck(context, request));
     if (request.phase == RequestPhase::Prefilled)
-        time = std::min(time, request.kvExpiresAt);
+        time = std::min(time, pausesEndAfterLatestStart(context, request) ? context.now : request.kvExpiresAt);
     else if (request.phase == RequestPhase::Stopping)
         time = std::min(time, request.phaseStartedAt + tokenCountTimeout);
     else if (request.phase != RequestPhase::Queued)
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -124,6 +124,7 @@
             if (auto leaving = services.handleNotice(server, sentAt, notice))
                 asio::dispatch(threads.context(0), [this, server = std::move(*leaving), notice] { directory->handleLeaving(server, notice); });
         };
+        context.reportReturned = [this](const BackendServer& server) { services.handleReturn(server); };
     }
 
     ~State()
