Run the copies of a crash suspect one at a time

Callers could see: three engines crash where two are allowed, and the streams on the third are interrupted. scenario-crashing-request-count failed beside load.

Cause: two copies of a crashing request are at one instance. One loses its engine and waits 30 ms for the reports of peers. The other finds the same engine gone (not_connected), still has its prefill result, and its decode started at once at another engine: only the start of a prefill asked whether the signature waits. A copy that arrived after the 30 ms started beside the suspect as well, and two copies lost with one engine ran again at the same time. With a single instance there was no wait at all.

Change: after a crash, requests with its signature run one at a time at an instance until one gets past the point of the crash, finishes or is blamed, and for at most 2 s after the crash. Suspects run first. A copy that was decoding already is waited for; a prefill result waits in its turn, in whichever way its request came back. Crashes are recorded for a single instance as well. Waiting copies move to the Resume sub-queue, where they hold up nothing: dispatch searches 64 of them instead of 8 for one that may start, and a silent attempt is replaced although copies wait.

Ruled out: a longer wait for all requests with the signature, which delays the suspect too; marking copies as suspects, which takes an engine for each of them.

Requests with other signatures never wait. A copy that is not the cause waits at most 2 s.

--- a/src/CrashAttribution.cpp
+++ b/src/CrashAttribution.cpp
@@ -1,5 +1,6 @@
 #include "CrashAttribution.h"
 
+#include "CrashCopies.h"
 #include "PromptPartBlocking.h"
 #include "ReplicaIndex.h"
 #include "RequestLifecycle.h"
@@ -19,9 +20,6 @@
 constexpr std::ptrdiff_t zoneFailureReplicas = 3;
 /// Events that other streams sent before the crash may arrive up to this long after it.
 constexpr Duration maxEventDelay = std::chrono::milliseconds(20);
-/// A suspect is cleared this many tokens past the point of the crash, because a crash may come a little
-/// later than the last token that was delivered.
-constexpr std::uint32_t clearingTokens = 4;
 /// Time in which the peer that retries first gets its copy of a request past the point of the crash, or
 /// runs into the next crash.
 constexpr Duration peerRetryTime = std::chrono::seconds(1);
@@ -95,9 +93,7 @@
 /// can have arrived.
 auto reportToPeers(DecisionContext& context, const ActiveRequest& request, Replica& replica) -> void
 {
-    const auto id = replica.description.replica;
-    addCrash(context.state.crashHistory, request.arrival.signature, id, context.now, Duration::zero());
-    context.actions.emplace_back(ReportCrash { request.arrival.signature, id });
+    context.actions.emplace_back(ReportCrash { request.arrival.signature, replica.description.replica });
     replica.crashReportWaitUntil = context.now + crashReportWait;
     updateIndex(context, replica);
 }
@@ -119,7 +115,11 @@
             replica.connectionLostAt = context.now;
         }
         replica.recentSuspects.push_back(request.arrival.request);
-        if (context.state.settings.instanceCount > 1)
+        const auto hasPeers = context.state.settings.instanceCount > 1;
+        const auto id = replica.description.replica;
+        addCrash(context.state.crashHistory, request.arrival.signature, id, context.now, hasPeers ? crashReportWait : Duration::zero());
+        delayCopies(context, request);
+        if (hasPeers)
             reportToPeers(context, request, replica);
         clearIfZoneDisconnected(context, replica);
     }
@@ -135,9 +135,9 @@
     clearSuspects(context, *replica);
 }
 
-auto clearSuspectAfterProgress(DecisionContext& context, ActiveRequest& request) -> void
+auto clearSuspectAfterProgress(DecisionContext& context, ActiveRequest& request, bool isFinished) -> void
 {
-    if (request.crashSuspicion != CrashSuspicion::Suspect || request.emitted < request.emittedAtCrash + clearingTokens)
+    if (request.crashSuspicion != CrashSuspicion::Suspect || (!isFinished && !isPastCrash(context, request)))
         return;
     request.crashSuspicion = CrashSuspicion::None;
     context.state.crashHistory.erase(request.arrival.signature);
@@ -168,13 +168,14 @@
     });
     // A copy that has not run into the crash waits for the peer's copy, which runs first in any case.
     const auto waitsForPeer = peerRetriesFirst || !ranHere;
-    addCrash(context.state.crashHistory, signature, replica.description.replica, context.now, waitsForPeer ? peerRetryTime : Duration::zero());
+    addCrash(context.state.crashHistory, signature, replica.description.replica, context.now, waitsForPeer ? peerRetryTime : crashReportWait);
+    moveWaitingCopies(context, signature);
     clearIfZoneDisconnected(context, replica);
 }
 
 auto awaitsCrashReports(const DecisionContext& context, const ActiveRequest& request) -> bool
 {
-    return isStartDelayed(context.state.crashHistory, request.arrival.signature, context.now);
+    return isStartDelayed(context.state.crashHistory, request.arrival.signature, context.now) || awaitsCopy(context, request);
 }
 
 auto blockBlamedSignatures(DecisionContext& context) -> void
--- a/src/CrashAttribution.h
+++ b/src/CrashAttribution.h
@@ -16,8 +16,10 @@
 /// it broke, it did not crash, and the requests that lost their connections are no longer suspects.
 auto clearSuspectsIfAlive(DecisionContext& context, const ActiveRequest& request, ReplicaId id) -> void;
 /// Ends the isolation of a request that has got past the point of its crash.
-auto clearSuspectAfterProgress(DecisionContext& context, ActiveRequest& request) -> void;
-/// @return whether the request must wait until peers can have reported their crashes.
+/// @param isFinished whether its answer is complete.
+auto clearSuspectAfterProgress(DecisionContext& context, ActiveRequest& request, bool isFinished) -> void;
+/// @return whether the request must wait until peers can have reported their crashes, or until a copy of it
+/// that was in flight at a crash has run again.
 auto awaitsCrashReports(const DecisionContext& context, const ActiveRequest& request) -> bool;
 /// Refuses all requests with the signature, now and for a limited time.
 auto blockSignature(DecisionContext& context, std::uint64_t signature) -> void;
--- a/src/CrashHistory.cpp
+++ b/src/CrashHistory.cpp
@@ -17,15 +17,16 @@
 
 }
 
-auto addCrash(CrashHistoryTable& table, std::uint64_t signature, ReplicaId replica, TimePoint now, Duration minDelay) -> void
+auto addCrash(CrashHistoryTable& table, std::uint64_t signature, ReplicaId replica, TimePoint now, Duration delay) -> void
 {
     // Zero stands for a request without a signature.
     if (!signature)
         return;
     auto& history = table[signature];
-    history.startNotBefore = std::max(history.startNotBefore, now + std::max(minDelay, crashReportWait));
     if (std::ranges::find(history.crashes, replica, &std::pair<ReplicaId, TimePoint>::first) == history.crashes.end())
         history.crashes.emplace_back(replica, now);
+    const auto minDelay = history.crashes.size() > 1 ? crashReportWait : Duration::zero();
+    history.startNotBefore = std::max(history.startNotBefore, now + std::max(delay, minDelay));
 }
 
 auto removeCrash(CrashHistoryTable& table, ReplicaId replica) -> void
@@ -60,8 +61,10 @@
 {
     auto next = TimePoint::max();
     for (const auto& [signature, history] : table) {
-        if (history.startNotBefore > now)
-            next = std::min(next, history.startNotBefore);
+        for (const auto time : { history.startNotBefore, history.copiesWaitUntil }) {
+            if (time > now)
+                next = std::min(next, time);
+        }
     }
     return next;
 }
--- a/src/CrashHistory.h
+++ b/src/CrashHistory.h
@@ -19,6 +19,12 @@
     std::vector<std::pair<ReplicaId, TimePoint>> crashes;
     /// Requests with the signature are not started again before this time.
     TimePoint startNotBefore;
+    /// Requests of this instance with the signature that were open at its last crash or have started since.
+    std::vector<RequestId> copies;
+    /// Until when they run one at a time.
+    TimePoint copiesWaitUntil;
+    /// Largest number of tokens that a caller of this instance had at a crash.
+    std::uint32_t emittedAtCrash = 0;
 };
 
 using CrashHistoryTable = std::unordered_map<std::uint64_t, CrashHistory>;
@@ -28,8 +34,9 @@
 inline constexpr Duration crashReportWait = std::chrono::milliseconds(30);
 
 /// Records a crash unless it is already known.
-/// @param minDelay minimum time for which requests with the signature wait.
-auto addCrash(CrashHistoryTable& table, std::uint64_t signature, ReplicaId replica, TimePoint now, Duration minDelay) -> void;
+/// @param delay time for which requests with the signature wait, after a second crash at least until the reports of it
+/// have arrived.
+auto addCrash(CrashHistoryTable& table, std::uint64_t signature, ReplicaId replica, TimePoint now, Duration delay) -> void;
 
 /// Removes all records of crashes of the replica, which turned out not to have crashed.
 auto removeCrash(CrashHistoryTable& table, ReplicaId replica) -> void;
@@ -40,7 +47,7 @@
 /// @return the signatures to blame. They are removed from the table together with expired entries.
 auto takeBlamedSignatures(CrashHistoryTable& table, TimePoint now) -> std::vector<std::uint64_t>;
 
-/// @return the end of the next start delay, or TimePoint::max() if there is none.
+/// @return when the next requests that wait need not wait any longer, or TimePoint::max() if none wait.
 auto nextStartDelayEnd(const CrashHistoryTable& table, TimePoint now) -> TimePoint;
 
 }
--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -1,6 +1,7 @@
 #include "Dispatch.h"
 
 #include "CrashAttribution.h"
+#include "CrashCopies.h"
 #include "Estimates.h"
 #include "Placement.h"
 #include "RequestLifecycle.h"
@@ -15,8 +16,9 @@
 
 /// Number of flows of a class that dispatch tries, since the request of the first may not fit.
 constexpr std::size_t maxTriedFlows = 2;
-/// Number of interrupted streams that dispatch searches for one that does not wait for crash reports.
-constexpr std::size_t maxTriedResumes = 8;
+/// Number of interrupted streams that dispatch searches for one that does not wait for crash reports. A
+/// caller may repeat a request that crashes engines many times.
+constexpr std::size_t maxTriedResumes = 64;
 /// Aged requests get one output token for this many tokens of other requests, which bounds their wait
 /// and leaves nearly all capacity to urgent work. The unit is tokens because batch responses are long.
 constexpr std::uint64_t tokensPerAgedToken = 7;
@@ -53,6 +55,7 @@
     auto& state = context.state;
     const auto isOverdue = request->subQueue == SubQueue::Overdue && request->latencyClass != LatencyClass::Batch;
     start(context, *request, *placement);
+    recordCopyStart(context, *request);
     state.tokensSinceAgedStart += expectedTokens(state, *request);
     state.startInterval.started(context.now, state.queue.size() > 0);
     if (isOverdue)
@@ -65,14 +68,6 @@
     return id && tryStart(context, *id);
 }
 
-auto oldestResume(const DecisionContext& context) -> std::optional<RequestId>
-{
-    std::array<RequestId, maxTriedResumes> resumes {};
-    const auto end = resumes.begin() + context.state.queue.resumes(resumes);
-    const auto found = std::find_if(resumes.begin(), end, [&](RequestId id) { return !awaitsCrashReports(context, *findRequest(context.state, id)); });
-    return found == end ? std::nullopt : std::optional(*found);
-}
-
 auto isAged(const DecisionContext& context, const std::optional<RequestId>& id) -> bool
 {
     if (!id)
@@ -127,8 +122,10 @@
 auto startPrefilled(DecisionContext& context) -> void
 {
     auto& prefilled = context.state.prefilled;
-    while (!prefilled.empty()) {
-        if (!startDecode(context, *findRequest(context.state, prefilled.begin()->second)))
+    for (auto entry = prefilled.begin(); entry != prefilled.end();) {
+        // A request that starts is removed.
+        auto& request = *findRequest(context.state, (entry++)->second);
+        if (!awaitsCrashReports(context, request) && !startDecode(context, request))
             return;
     }
 }
@@ -145,6 +142,14 @@
 
 }
 
+auto oldestResume(const DecisionContext& context) -> std::optional<RequestId>
+{
+    std::array<RequestId, maxTriedResumes> resumes {};
+    const auto end = resumes.begin() + context.state.queue.resumes(resumes);
+    const auto found = std::find_if(resumes.begin(), end, [&](RequestId id) { return !awaitsCrashReports(context, *findRequest(context.state, id)); });
+    return found == end ? std::nullopt : std::optional(*found);
+}
+
 auto dispatch(DecisionContext& context) -> void
 {
     startPrefilled(context);
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -121,7 +121,7 @@
     if (std::exchange(request->silentAttempt, Attempt {}) == event.attempt)
         recordSuccess(context, *request->decode);
     clearSuspectsIfAlive(context, *request, *request->decode);
-    clearSuspectAfterProgress(context, *request);
+    clearSuspectAfterProgress(context, *request, false);
     recordPromptProgress(context, *request, false);
     updateExpectedEnd(context, *request);
     growDecode(context, *request);
@@ -134,6 +134,7 @@
         return;
     recordSuccess(context, *request->decode);
     clearSuspectsIfAlive(context, *request, *request->decode);
+    clearSuspectAfterProgress(context, *request, true);
     recordPromptProgress(context, *request, true);
     updateLengthModel(context, *request, event.totalTokens);
     finish(context, *request);
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -254,7 +254,7 @@
 
 auto startDecode(DecisionContext& context, ActiveRequest& request) -> bool
 {
-    if (request.decodeReserved.empty() && !reserveDecode(context, request))
+    if (awaitsCrashReports(context, request) || (request.decodeReserved.empty() && !reserveDecode(context, request)))
         return false;
     context.state.prefilled.erase({ request.kvExpiresAt, request.arrival.request });
     enterPhase(context, request, RequestPhase::Starting);
--- a/src/SilentAttempts.cpp
+++ b/src/SilentAttempts.cpp
@@ -1,11 +1,11 @@
 #include "SilentAttempts.h"
 
+#include "Dispatch.h"
 #include "Placement.h"
 #include "ReplicaHealth.h"
 #include "RequestLifecycle.h"
 #include "RetryRules.h"
 
-#include <array>
 #include <utility>
 
 namespace jayhold {
@@ -20,8 +20,7 @@
 /// @return whether other interrupted requests wait for capacity; they start first.
 auto hasWaitingResumes(const DecisionContext& context) -> bool
 {
-    std::array<RequestId, 1> first {};
-    return context.state.queue.resumes(first) > 0;
+    return oldestResume(context).has_value();
 }
 
 /// @return whether another attempt would start now, on engines other than the silent one.
