--- a/test/correctness/CrashCopyPropertyTest.cpp
+++ b/test/correctness/CrashCopyPropertyTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <random>
@@ -21,7 +22,6 @@
 constexpr std::uint64_t laterCopies = 6;
 constexpr std::uint64_t copies = firstCopies + laterCopies;
 constexpr std::uint64_t others = 12;
-constexpr Duration step = 1ms;
 constexpr Duration length = 6s;
 constexpr std::uint32_t answerTokens = 30;
 
@@ -51,13 +51,17 @@
     {
         const auto end = m_harness.now + length;
         while (m_harness.now < end) {
-            m_harness.now += step;
-            send(Tick {});
-            while (!m_events.empty() && m_events.begin()->first <= m_harness.now) {
-                const auto event = std::move(m_events.begin()->second);
-                m_events.erase(m_events.begin());
-                event();
+            auto next = m_events.empty() ? end : m_events.begin()->first;
+            if (m_wakeAt > m_harness.now)
+                next = std::min(next, m_wakeAt);
+            m_harness.now = next;
+            if (m_events.empty() || m_events.begin()->first > next) {
+                send(Tick {});
+                continue;
             }
+            const auto event = std::move(m_events.begin()->second);
+            m_events.erase(m_events.begin());
+            event();
         }
     }
 
@@ -101,6 +105,8 @@
                 at(1ms + time(30), [this, start = *decode] { connect(start); });
             else if (const auto* refusal = std::get_if<Refuse>(&action))
                 m_attempts.erase(refusal->request);
+            else if (const auto* wake = std::get_if<WakeAt>(&action))
+                m_wakeAt = wake->time;
         }
     }
 
@@ -153,6 +159,7 @@
 
     ShardHarness m_harness;
     std::minstd_rand m_random;
+    TimePoint m_wakeAt = TimePoint::min();
     std::multimap<TimePoint, std::function<void()>> m_events;
     std::map<RequestId, Attempt> m_attempts;
     std::map<RequestId, std::uint32_t> m_tokens;
