Tell dropped model services which servers leave and when a drain begins

Beside a change of the configuration, a request of a service that the configuration drops could be placed on an engine that had left since: the table of services forgets the service, so it kept its last list of servers. A drain did not reach it either, so its requests were ended only by the server of the callers.

The table now keeps a weak reference to a dropped service and passes it the lists of servers and the drain while it still has requests.

Evidence: the new test of ModelRequestTest failed before (the engine that had been removed got the decode) and passes now.

--- a/src/ServiceTable.cpp
+++ b/src/ServiceTable.cpp
@@ -71,6 +71,7 @@
         if (entry.second.monitor)
             entry.second.monitor->stop();
         entry.second.service->retire();
+        m_retiredServices.push_back(entry.second.service);
         return true;
     });
     std::erase_if(m_plainServices, [&](const auto& entry) {
@@ -93,6 +94,11 @@
         if (model.monitor)
             model.monitor->refresh();
     }
+    std::erase_if(m_retiredServices, [](const auto& service) { return service.expired(); });
+    for (const auto& retired : m_retiredServices) {
+        if (const auto service = retired.lock())
+            service->updateBackends(m_backends);
+    }
     for (const auto& [name, plain] : m_plainServices)
         plain->updateBackends(m_backends);
     if (!m_limits.observations.empty())
@@ -216,6 +222,10 @@
     m_drain = drain;
     for (const auto& [name, model] : m_modelServices)
         model.service->handleEvent(drain);
+    for (const auto& retired : m_retiredServices) {
+        if (const auto service = retired.lock())
+            service->handleEvent(drain);
+    }
 }
 
 auto ServiceTable::stop() -> void
--- a/src/ServiceTable.h
+++ b/src/ServiceTable.h
@@ -80,6 +80,9 @@
     std::shared_ptr<const ConfigurationIndex> m_index;
     std::map<std::string, Model, std::less<>> m_modelServices;
     std::map<std::string, std::shared_ptr<PlainService>, std::less<>> m_plainServices;
+    /// Services that a configuration has dropped, while they still have requests. They must know which servers
+    /// leave, and when the instance ends its requests.
+    std::vector<std::weak_ptr<ModelService>> m_retiredServices;
     std::vector<BackendServer> m_backends;
     BackendLimits m_limits;
     /// Empty until the instances are known.
--- a/test/correctness/ModelRequestTest.cpp
+++ b/test/correctness/ModelRequestTest.cpp
@@ -198,6 +198,27 @@
     CHECK(waitFor([&] { return fixture.harness.services().modelService("appraiser-llm")->summary().reservedSlots == 0; }));
 }
 
+// Guards against a request of a dropped service that is placed on an engine which has left since.
+TEST_CASE("a service that a configuration drops still learns which of its engines leave")
+{
+    Fixture fixture({ { .chunks = { tokenEvent(0, "a") }, .end = ScriptEnd::Stall } });
+    auto& threads = fixture.harness.threads();
+    HttpRequest request { "POST", "/v1/completions", { { "Authorization", "Bearer members-key" } }, R"({"prompt":"a b","stream":true})" };
+    const auto stream = *runOn(threads, 0, threads.client(0).open(fixture.harness.endpoint(), request, 2s));
+    REQUIRE(runOn(threads, 0, stream->readSome(2s)).has_value());
+    const auto service = fixture.harness.services().modelService("appraiser-llm");
+    fixture.addSecond();
+    auto configuration = std::make_shared<Configuration>(*entryConfiguration());
+    configuration->services.erase(configuration->services.begin());
+    fixture.harness.services().updateConfiguration(std::move(configuration));
+    fixture.harness.removeBackend("decode-2");
+    // The first engine counts as silent after 2 s.
+    CHECK_FALSE(waitFor([&] { return !fixture.decode2.decodes().empty(); }, 2'500ms));
+    CHECK(fixture.decode1.closedStreams() == 0);
+    boost::asio::post(threads.context(0), [stream] { stream->close(); });
+    CHECK(waitFor([&] { return service->summary().reservedSlots == 0; }));
+}
+
 // Guards against a decode that is sent to a second engine, and a failure that a healthy engine is blamed for, because
 // the caller reads slowly.
 TEST_CASE("a caller that does not read does not count as the silence of its engine")
