Keep a backend server's start time when the soak writes its entry again

The soak wrote the number of all starts so far as the start time of a server each time it wrote its entry: after a restore of the store, and when the server began or stopped leaving. Such an entry is one of a new process, so instances closed their connections to a server that still ran, and rightly ended the requests there. The check of the soak is unchanged.

--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -28,6 +28,7 @@
 constexpr std::uint16_t callerPort = 8'080;
 constexpr std::uint16_t readyPort = 8'081;
 constexpr std::uint16_t metricsPort = 9'464;
+constexpr std::int64_t firstBackendStart = 1'700'000'000'000;
 
 auto makeRoute(const std::string& name, const std::string& service, const std::string& kind, int attempts) -> json::object
 {
@@ -169,7 +170,7 @@
     const std::vector<std::string> arguments { "--id", backend.name, "--listen", "127.0.0.1:" + std::to_string(port) };
     backend.process = std::make_unique<ChildProcess>(m_programs + "/standin-replica", arguments, "");
     backend.endpoint = requireEndpoint(requireListening(*backend.process, backend.name), "address");
-    ++m_backendStartCount;
+    backend.born = firstBackendStart + ++m_backendStartCount;
 }
 
 auto SoakFleet::startEntry(Entry& entry) -> void
@@ -189,7 +190,7 @@
 auto SoakFleet::registerBackend(std::size_t index) -> void
 {
     const auto& backend = m_backends[index];
-    json::object entry { { "service", backend.service }, { "address", toString(m_links[index].endpoint) }, { "zone", "alpine" }, { "state", backend.isLeaving ? "draining" : "ready" }, { "slots", 6 }, { "born", 1'700'000'000'000 + m_backendStartCount } };
+    json::object entry { { "service", backend.service }, { "address", toString(m_links[index].endpoint) }, { "zone", "alpine" }, { "state", backend.isLeaving ? "draining" : "ready" }, { "slots", 6 }, { "born", backend.born } };
     if (!backend.phase.empty())
         entry["phase"] = backend.phase;
     m_store.put("servers", backend.name, std::move(entry));
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -85,6 +85,8 @@
         std::unique_ptr<ChildProcess> process;
         HttpEndpoint endpoint;
         bool isLeaving = false;
+        /// Start time of the process in milliseconds, as its entry in the store names it.
+        std::int64_t born = 0;
     };
     struct Entry {
         std::unique_ptr<ChildProcess> process;
