Let the soak show stuck configurations after a restore, and answers cut by pauses

A restore was one random fault among others, with three instances that all watch the store, and nothing checked each instance's configuration after it. During the pause of the backend servers only requests without any response counted, not a 502, and the retry budgets had enough for those few that were concerned.

Now the fault-free part of each run restores the store twice, each time after a copy, a burst of 20 to 100 changes of the configuration (by the size of the fleet) and 0.2 s in which the store is down, with another change within 0.3 s. All active versions are read every 25 ms: none may go back, and 2 s after the last change it must be active at each instance, and its new route known. Then all servers pause twice beside a change, with 32 callers instead of 16, so that the retry budgets can't repeat all requests; each request that is open in a pause gets its whole answer, unless it never ran and was refused. The instances of large fleets are restarted by thirds. The report names the longest stall of the machine.

seeds.txt names the number of instances; the earlier seeds keep their three, so their plans are unchanged.

--- a/cmake/soak.cmake
+++ b/cmake/soak.cmake
@@ -2,18 +2,18 @@
 target_include_directories(standin-replica PRIVATE test)
 target_link_libraries(standin-replica PRIVATE jayhold_standins)
 
-add_executable(jayhold-soak test/soak/jayhold-soak.cpp test/soak/FaultPlan.cpp test/soak/SoakCallers.cpp test/soak/SoakChecks.cpp
-  test/soak/SoakFleet.cpp test/soak/SoakFleetFaults.cpp test/FakeObjectStore.cpp)
+add_executable(jayhold-soak test/soak/jayhold-soak.cpp test/soak/FaultPlan.cpp test/soak/PlannedMaintenance.cpp test/soak/SoakCallers.cpp
+  test/soak/SoakChecks.cpp test/soak/SoakFleet.cpp test/soak/SoakFleetFaults.cpp test/soak/StallMeter.cpp test/FakeObjectStore.cpp)
 target_include_directories(jayhold-soak PRIVATE test test/soak)
 target_link_libraries(jayhold-soak PRIVATE jayhold_scenario)
 add_dependencies(jayhold-soak jayhold-entry standin-link standin-replica)
 
 # A short run, and each seed that has ever failed, with the duration of its fault injection in
-# seconds.
+# seconds and the number of its entry instances.
 file(STRINGS test/soak/seeds.txt soak_seeds REGEX "^[0-9]")
 foreach(line ${soak_seeds})
-  string(REGEX MATCH "^([0-9]+) ([0-9]+)" matched "${line}")
-  add_test(NAME soak-${CMAKE_MATCH_1} COMMAND jayhold-soak --seed ${CMAKE_MATCH_1} --seconds ${CMAKE_MATCH_2})
+  string(REGEX MATCH "^([0-9]+) ([0-9]+) ([0-9]+)" matched "${line}")
+  add_test(NAME soak-${CMAKE_MATCH_1} COMMAND jayhold-soak --seed ${CMAKE_MATCH_1} --seconds ${CMAKE_MATCH_2} --entries ${CMAKE_MATCH_3})
   set_tests_properties(soak-${CMAKE_MATCH_1} PROPERTIES TIMEOUT 120)
 endforeach()
 
--- a/test/correctness/SoakChecksTest.cpp
+++ b/test/correctness/SoakChecksTest.cpp
@@ -76,6 +76,57 @@
     CHECK(checkCalls(calls, runs, {}).size() == 1);
 }
 
+// Guards against a soak that passes although a pause of the backend servers ends requests, or that fails for requests
+// that had no time left or never ran.
+TEST_CASE("requests that end because their backend server pauses are found without false positives")
+{
+    const PausePeriod pause { start + 500ms, start + 1500ms };
+    const auto found = [&](CallRecord record, bool hasRun) {
+        record.endedAt = record.sentAt + 1600ms;
+        const std::vector<BackendRun> runs(hasRun ? 1 : 0, { record.request, "plain-0", false, record.sentAt });
+        return checkPause(std::span(&record, 1), runs, pause).size();
+    };
+    CHECK(found(call("a", CallKind::IdempotentGet, 200), true) == 0);
+    CHECK(found(call("a", CallKind::IdempotentGet, 502), true) == 1);
+    CHECK(found(call("a", CallKind::IdempotentGet, 502), false) == 1);
+    CHECK(found(call("a", CallKind::ResumableStream, 0), true) == 1);
+    CHECK(found(call("a", CallKind::IdempotentGet, 503), true) == 1);
+    CHECK(found(call("a", CallKind::IdempotentGet, 503), false) == 0);
+    auto other = call("a", CallKind::IdempotentGet, 502);
+    other.sentAt = pause.until + 1ms;
+    CHECK(found(other, true) == 0);
+    // Its deadline comes too soon after the pause.
+    other.sentAt = pause.until - callerTimeout + 100ms;
+    CHECK(found(other, true) == 0);
+}
+
+// Guards against a soak that misses an older configuration on one instance.
+TEST_CASE("an instance whose configuration goes back is found")
+{
+    VersionHistory history;
+    recordVersions(history, std::vector { 1, 3 });
+    recordVersions(history, std::vector { 2, 3 });
+    CHECK(history.violations.empty());
+    recordVersions(history, std::vector { 3, 2 });
+    CHECK(history.violations.size() == 1);
+    CHECK(history.versions == std::vector { 3, 3 });
+}
+
+// Guards against hunts in which all instances of a zone watch the store, and against seeds whose faults change.
+TEST_CASE("some seeds have more instances than watch the store")
+{
+    std::size_t large = 0;
+    for (std::uint64_t seed = 0; seed < 100; ++seed) {
+        const auto size = fleetSize(seed, 0, FleetSize().backends);
+        CHECK(size.links == size.entries + size.backends);
+        CHECK(size.entries >= FleetSize().entries);
+        large += size.entries > FleetSize().entries;
+    }
+    CHECK(large > 30);
+    CHECK(large < 70);
+    CHECK(fleetSize(1, 3, 7).links == FleetSize().links);
+}
+
 // Guards against a soak that misses late work on a leaving backend server.
 TEST_CASE("new work on a leaving backend server is found")
 {
--- a/test/soak/FaultPlan.cpp
+++ b/test/soak/FaultPlan.cpp
@@ -88,6 +88,24 @@
 
 }
 
+auto fleetSize(std::uint64_t seed, std::size_t entries, std::size_t backends) -> FleetSize
+{
+    constexpr std::size_t largeFleetVariants = 5;
+    constexpr std::uint64_t sizeSequence = 1'000;
+    FleetSize size { .backends = backends };
+    if (entries > 0) {
+        size.entries = entries;
+    } else {
+        // A sequence of its own, so that the size does not depend on the faults.
+        std::seed_seq sequence { seed, sizeSequence };
+        std::mt19937_64 random(sequence);
+        if (random() % 2 == 0)
+            size.entries += 1 + random() % largeFleetVariants;
+    }
+    size.links = size.entries + size.backends;
+    return size;
+}
+
 auto planFaults(std::uint64_t seed, Duration duration, const FleetSize& size) -> std::vector<PlannedFault>
 {
     std::mt19937_64 random(seed);
--- a/test/soak/FaultPlan.h
+++ b/test/soak/FaultPlan.h
@@ -59,6 +59,11 @@
     std::size_t links = 10;
 };
 
+/// @param entries number of entry instances; if 0, the seed determines it. The fleets of half of the seeds have more
+/// than the three instances of a zone that watch the store.
+/// @param backends number of backend servers.
+auto fleetSize(std::uint64_t seed, std::size_t entries, std::size_t backends) -> FleetSize;
+
 /// @param duration time within which all faults start and end.
 /// @return the faults, ordered by start time.
 auto planFaults(std::uint64_t seed, Duration duration, const FleetSize& size) -> std::vector<PlannedFault>;
--- a/test/soak/SoakCallers.cpp
+++ b/test/soak/SoakCallers.cpp
@@ -92,7 +92,8 @@
 
 auto SoakCallers::start() -> void
 {
-    for (std::size_t caller = 0; caller < callerCount; ++caller) {
+    for (const auto end = m_startedCallers + callerCount; m_startedCallers < end; ++m_startedCallers) {
+        const auto caller = m_startedCallers;
         ++m_runningCallers;
         asio::co_spawn(m_threads.context(caller % m_threads.size()), runCaller(caller), asio::detached);
     }
--- a/test/soak/SoakCallers.h
+++ b/test/soak/SoakCallers.h
@@ -50,6 +50,7 @@
     SoakCallers(const SoakCallers&) = delete;
     auto operator=(const SoakCallers&) -> SoakCallers& = delete;
 
+    /// Starts a group of callers; each call starts another group.
     auto start() -> void;
     /// Sends no further requests and waits for those in progress.
     auto stop() -> void;
@@ -63,6 +64,7 @@
     const std::uint64_t m_seed;
     IoThreads m_threads { 2 };
     std::atomic<bool> m_isStopping { false };
+    std::size_t m_startedCallers = 0;
     std::atomic<std::size_t> m_runningCallers { 0 };
     std::atomic<std::uint64_t> m_lastRequest { 0 };
     mutable std::mutex m_lock;
--- a/test/soak/SoakChecks.cpp
+++ b/test/soak/SoakChecks.cpp
@@ -11,6 +11,9 @@
 constexpr Duration retryWindow = std::chrono::seconds(10);
 /// Time after a deadline within which a truncated stream must have reached its caller.
 constexpr Duration deadlineTolerance = std::chrono::milliseconds(500);
+/// Time that a backend server needs after a pause to answer the requests that it has got, and that the others need to
+/// answer what moved to them.
+constexpr Duration answerTime = std::chrono::milliseconds(600);
 
 auto allowsRetry(CallKind kind) -> bool
 {
@@ -110,6 +113,31 @@
     return violations;
 }
 
+auto recordVersions(VersionHistory& history, std::span<const int> current) -> void
+{
+    history.versions.resize(current.size());
+    for (std::size_t index = 0; index < current.size(); ++index) {
+        auto& highest = history.versions[index];
+        if (current[index] < highest)
+            history.violations.push_back({ "the active configuration never goes back", "", "edge-" + std::to_string(index) + " from version " + std::to_string(highest) + " to " + std::to_string(current[index]) });
+        highest = std::max(highest, current[index]);
+    }
+}
+
+auto checkPause(std::span<const CallRecord> calls, std::span<const BackendRun> runs, const PausePeriod& pause) -> std::vector<Violation>
+{
+    std::vector<Violation> violations;
+    const auto counts = countRuns(runs);
+    for (const auto& call : calls) {
+        const auto isAffected = call.sentAt <= pause.until && call.endedAt >= pause.from;
+        const auto hasTime = call.sentAt + callerTimeout >= pause.until + answerTime;
+        const auto isRefused = guaranteesNotRun(call.status) && !counts.contains(call.request);
+        if (isAffected && hasTime && call.wasConnected && !isRefused && call.status / 100 != 2)
+            violations.push_back({ "a request whose backend server pauses gets its whole answer", call.request, "status " + std::to_string(call.status) });
+    }
+    return violations;
+}
+
 auto checkLeaving(std::span<const BackendRun> runs, const std::string& backend, TimePoint allowedUntil, TimePoint until) -> std::vector<Violation>
 {
     for (const auto& run : runs) {
--- a/test/soak/SoakChecks.h
+++ b/test/soak/SoakChecks.h
@@ -30,6 +30,19 @@
 /// @return all violations by single requests, and by the number of retries in a window of ten seconds.
 auto checkCalls(std::span<const CallRecord> calls, std::span<const BackendRun> runs, const FaultFreePeriod& faultFreePeriod) -> std::vector<Violation>;
 
+/// The highest version of the configuration with which each entry instance was seen.
+struct VersionHistory {
+    std::vector<int> versions;
+    std::vector<Violation> violations;
+};
+
+/// Records the current versions of all entry instances, and a violation for each that went back.
+auto recordVersions(VersionHistory& history, std::span<const int> current) -> void;
+
+/// @return the requests that were open while all backend servers paused and got no whole answer, although their
+/// deadlines left enough time for one. Those that were refused and never ran are allowed.
+auto checkPause(std::span<const CallRecord> calls, std::span<const BackendRun> runs, const PausePeriod& pause) -> std::vector<Violation>;
+
 /// @return a violation if the backend server started work after `allowedUntil`, while it was
 /// leaving.
 /// @param until the end of the checked period.
--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -6,9 +6,11 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <span>
 #include <stdexcept>
 #include <thread>
 
@@ -28,6 +30,7 @@
 constexpr std::uint16_t callerPort = 8'080;
 constexpr std::uint16_t readyPort = 8'081;
 constexpr std::uint16_t metricsPort = 9'464;
+constexpr unsigned notFound = 404;
 constexpr std::int64_t firstBackendStart = 1'700'000'000'000;
 
 auto makeRoute(const std::string& name, const std::string& service, const std::string& kind, int attempts) -> json::object
@@ -144,13 +147,31 @@
             { "limits", json::object { { "maxHeaderBytes", 8'192 }, { "maxBodyBytes", 10'000 }, { "headerTimeoutMs", 500 }, { "idleTimeoutMs", 5'000 } } } });
 }
 
+auto SoakFleet::activeVersions() -> std::vector<int>
+{
+    constexpr std::string_view metric = "\njayhold_configuration_version ";
+    std::vector<int> versions;
+    for (std::size_t index = 0; index < m_entries.size(); ++index) {
+        const auto text = m_client.get({ loopbackAddress(index), metricsPort }, "/metrics").text;
+        if (const auto found = text.find(metric); found != std::string::npos) {
+            const auto begin = found + metric.size();
+            m_entries[index].activeVersion = parseNumber<int>(std::string_view(text).substr(begin, text.find('\n', begin) - begin)).value_or(0);
+        }
+        versions.push_back(m_entries[index].activeVersion);
+    }
+    return versions;
+}
+
 auto SoakFleet::findOutdatedEntries() -> std::vector<std::string>
 {
-    const auto expected = "\njayhold_configuration_version " + std::to_string(m_configurationVersion) + "\n";
+    const auto newestRoute = "/extra-" + std::to_string(m_configurationVersion - 1) + "/x";
+    const auto versions = activeVersions();
     std::vector<std::string> outdated;
     for (std::size_t index = 0; index < m_entries.size(); ++index) {
-        if (m_client.get({ loopbackAddress(index), metricsPort }, "/metrics").text.find(expected) == std::string::npos)
-            outdated.push_back("edge-" + std::to_string(index));
+        if (versions[index] != m_configurationVersion)
+            outdated.push_back("edge-" + std::to_string(index) + " has version " + std::to_string(versions[index]) + " instead of " + std::to_string(m_configurationVersion));
+        else if (m_client.call(entryEndpoint(index), "GET", newestRoute, {}, { { "Host", "a.example" } }).status == notFound)
+            outdated.push_back("edge-" + std::to_string(index) + " does not know " + newestRoute);
     }
     return outdated;
 }
@@ -225,17 +246,25 @@
     return true;
 }
 
-auto SoakFleet::restartGracefully(std::size_t index) -> std::string
+auto SoakFleet::restartGracefully(std::size_t first, std::size_t count) -> std::vector<std::string>
 {
-    auto& entry = m_entries[index];
-    entry.isExitExpected = true;
-    entry.process->signal(SIGTERM);
-    const auto code = entry.process->waitForExit(shutdownGracePeriod + std::chrono::seconds(1));
-    keepOutput(std::move(entry.process), true);
-    startEntry(entry);
-    if (!code || *code != 0)
-        return "edge-" + std::to_string(index) + (code ? " exited with code " + std::to_string(*code) : " did not exit in time") + " after SIGTERM without other faults";
-    return {};
+    const auto entries = std::span(m_entries).subspan(first, count);
+    for (auto& entry : entries) {
+        entry.isExitExpected = true;
+        entry.process->signal(SIGTERM);
+    }
+    const auto end = monotonicNow() + shutdownGracePeriod + std::chrono::seconds(1);
+    std::vector<std::string> errors;
+    for (std::size_t index = first; index < first + count; ++index) {
+        const auto code = m_entries[index].process->waitForExit(std::max(end - monotonicNow(), Duration::zero()));
+        if (!code || *code != 0)
+            errors.push_back("edge-" + std::to_string(index) + (code ? " exited with code " + std::to_string(*code) : " did not exit in time") + " after SIGTERM without other faults");
+    }
+    for (auto& entry : entries) {
+        keepOutput(std::move(entry.process), true);
+        startEntry(entry);
+    }
+    return errors;
 }
 
 auto SoakFleet::runs() const -> std::vector<BackendRun>
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -31,6 +31,12 @@
     TimePoint at {};
 };
 
+/// Period in which all backend servers were stopped.
+struct PausePeriod {
+    TimePoint from {};
+    TimePoint until {};
+};
+
 class SoakFleet {
 public:
     /// @param programs directory of the programs.
@@ -48,14 +54,23 @@
     auto isReady(std::size_t index) -> bool;
     /// Waits until all entry instances are ready.
     auto waitUntilReady(Duration timeout) -> bool;
-    /// Stops an entry instance with SIGTERM and starts it again.
-    /// @return the error of the shutdown; empty if the process exited with code 0 in time.
-    auto restartGracefully(std::size_t index) -> std::string;
+    /// Stops some entry instances with SIGTERM at the same time and starts them again.
+    /// @return the errors of the shutdowns, one for each process that did not exit with code 0 in time.
+    auto restartGracefully(std::size_t first, std::size_t count) -> std::vector<std::string>;
     auto markLeaving(std::size_t backend, bool isLeaving) -> void;
     /// Writes a new configuration and stops all backend servers for a moment while it takes effect.
-    auto pauseBackendsBesideChange(Duration pauseTime) -> void;
-    /// @return the entry instances on which the newest configuration is not active.
+    auto pauseBackendsBesideChange(Duration pauseTime) -> PausePeriod;
+    /// Writes a configuration with a higher version and one more route.
+    auto putConfiguration() -> void;
+    /// @return for each entry instance the version of its active configuration, or the version of the last call if
+    /// it could not be read.
+    auto activeVersions() -> std::vector<int>;
+    /// @return the entry instances on which the newest configuration is not active, or its newest route is unknown.
     auto findOutdatedEntries() -> std::vector<std::string>;
+    auto setStoreDown(bool isDown) -> void { m_store.setDown(isDown); }
+    auto saveStoreCopy() -> void { m_store.saveCopy(); }
+    /// Restores the store; its other writers then write their objects again.
+    auto restoreStore() -> void;
     auto backendName(std::size_t index) const -> const std::string& { return m_backends[index].name; }
 
     /// @return the runs of all backend servers, including killed ones.
@@ -93,6 +108,8 @@
         std::string address;
         std::string settingsFile;
         bool isExitExpected = false;
+        /// The last version read of its active configuration.
+        int activeVersion = 0;
     };
 
     auto startLink(const HttpEndpoint& target) -> Link;
@@ -101,10 +118,7 @@
     /// Keeps the output of a process that has exited.
     auto keepOutput(std::unique_ptr<ChildProcess> process, bool isEntry) -> void;
     auto registerBackend(std::size_t index) -> void;
-    auto putConfiguration() -> void;
     auto writeConfiguration() -> void;
-    /// Restores the store; its other writers then write their objects again.
-    auto restoreStore() -> void;
     auto setLinkFaults(std::size_t index, const std::string& faults) -> void;
     auto beginEntryFault(const PlannedFault& fault) -> void;
     auto endEntryFault(const PlannedFault& fault) -> void;
--- a/test/soak/SoakFleetFaults.cpp
+++ b/test/soak/SoakFleetFaults.cpp
@@ -14,14 +14,17 @@
         registerBackend(index);
 }
 
-auto SoakFleet::pauseBackendsBesideChange(Duration pauseTime) -> void
+auto SoakFleet::pauseBackendsBesideChange(Duration pauseTime) -> PausePeriod
 {
     putConfiguration();
+    PausePeriod pause { monotonicNow(), {} };
     for (const auto& backend : m_backends)
         backend.process->signal(SIGSTOP);
     std::this_thread::sleep_for(pauseTime);
     for (const auto& backend : m_backends)
         backend.process->signal(SIGCONT);
+    pause.until = monotonicNow();
+    return pause;
 }
 
 auto SoakFleet::setLinkFaults(std::size_t index, const std::string& faults) -> void
--- a/test/soak/jayhold-soak.cpp
+++ b/test/soak/jayhold-soak.cpp
@@ -3,8 +3,9 @@
 #include "CommandLine.h"
 #include "LogLine.h"
 #include "LogParser.h"
+#include "PlannedMaintenance.h"
 #include "RequestHistory.h"
-#include "SoakChecks.h"
+#include "StallMeter.h"
 
 #include <algorithm>
 #include <filesystem>
@@ -17,19 +18,17 @@
 
 namespace {
 
-/// Time after the last fault within which all entry instances must be ready again.
-constexpr auto recoveryTime = std::chrono::seconds(8);
 constexpr auto settlingTime = std::chrono::seconds(2);
-/// Time after the store's acknowledgement within which a configuration must be active everywhere.
-constexpr auto maxPropagationTime = std::chrono::seconds(2);
-/// A healthy backend server may fall silent for about this long.
-constexpr auto backendPause = std::chrono::milliseconds(1'300);
+/// So that a run has at most some hundred processes: each instance and each server has a link of its own.
+constexpr std::int64_t maxFleet = 120;
 constexpr std::size_t maxViolationsShown = 40;
 
 struct Options {
     std::int64_t seed = 1;
     std::int64_t runs = 1;
     std::int64_t seconds = 8;
+    std::int64_t entries = 0;
+    std::int64_t backends = static_cast<std::int64_t>(FleetSize().backends);
     std::string programs;
     std::string logs;
 };
@@ -66,6 +65,7 @@
     std::vector<Violation> violations;
     std::size_t calls = 0;
     std::size_t successes = 0;
+    Duration longestStall {};
     std::vector<std::string> logs;
 };
 
@@ -74,27 +74,6 @@
     violations.insert(violations.end(), more.begin(), more.end());
 }
 
-/// Changes the configuration while the backend servers pause, marks one of them as leaving and restarts the entry
-/// instances one after the other, without other faults.
-auto performPlannedMaintenance(SoakFleet& fleet, const FleetSize& size, FaultFreePeriod& faultFreePeriod, TimePoint& leavingSince, std::vector<Violation>& violations) -> void
-{
-    faultFreePeriod.from = monotonicNow();
-    fleet.pauseBackendsBesideChange(backendPause);
-    std::this_thread::sleep_for(maxPropagationTime - backendPause);
-    for (const auto& entry : fleet.findOutdatedEntries())
-        violations.push_back({ "a configuration is active everywhere in time", "", entry });
-    fleet.markLeaving(0, true);
-    leavingSince = monotonicNow();
-    for (std::size_t index = 0; index < size.entries; ++index) {
-        if (const auto problem = fleet.restartGracefully(index); !problem.empty())
-            violations.push_back({ "an entry instance shuts down gracefully", "", problem });
-        if (!fleet.waitUntilReady(recoveryTime))
-            violations.push_back({ "a restarted entry instance becomes ready", "", "edge-" + std::to_string(index) });
-    }
-    std::this_thread::sleep_for(SoakFleet::maxDeregistrationDelay);
-    faultFreePeriod.until = monotonicNow();
-}
-
 /// @return a violation if the fleet does not serve requests again after its faults.
 auto checkRecovery(const std::vector<CallRecord>& calls, TimePoint from) -> std::vector<Violation>
 {
@@ -115,6 +94,7 @@
 auto runOnce(const Options& options, std::uint64_t seed, const std::vector<PlannedFault>& plan, const FleetSize& size) -> RunResult
 {
     RunResult result;
+    const StallMeter stallMeter;
     SoakFleet fleet(options.programs, size);
     if (!fleet.waitUntilReady(recoveryTime))
         result.violations.push_back({ "the fleet becomes ready", "", "before the first fault" });
@@ -130,19 +110,24 @@
     std::this_thread::sleep_for(settlingTime);
     const auto recoveredAt = monotonicNow();
     std::this_thread::sleep_for(settlingTime);
-    FaultFreePeriod faultFreePeriod;
-    TimePoint leavingSince;
-    performPlannedMaintenance(fleet, size, faultFreePeriod, leavingSince, result.violations);
+    // So that pauses of the backend servers concern more requests than the retry budgets allow to repeat.
+    callers.start();
+    const auto maintenance = performPlannedMaintenance(fleet, size, seed);
+    const auto& faultFreePeriod = maintenance.faultFreePeriod;
     callers.stop();
     const auto calls = callers.records();
     const auto runs = fleet.runs();
+    append(result.violations, maintenance.violations);
     append(result.violations, checkRecovery(calls, recoveredAt));
     append(result.violations, checkCalls(calls, runs, faultFreePeriod));
-    append(result.violations, checkLeaving(runs, fleet.backendName(0), leavingSince + SoakFleet::maxDeregistrationDelay, faultFreePeriod.until));
+    for (const auto& pause : maintenance.pauses)
+        append(result.violations, checkPause(calls, runs, pause));
+    append(result.violations, checkLeaving(runs, fleet.backendName(0), maintenance.leavingSince + SoakFleet::maxDeregistrationDelay, faultFreePeriod.until));
     for (const auto& fault : fleet.findEntryFailures())
         result.violations.push_back({ "entry instances stay alive and within their resource limits", "", fault });
     result.calls = calls.size();
     result.successes = static_cast<std::size_t>(std::ranges::count_if(calls, [](const CallRecord& call) { return call.status / 100 == 2; }));
+    result.longestStall = stallMeter.longest();
     result.logs = fleet.entryLogs();
     return result;
 }
@@ -194,20 +179,27 @@
         numberOption("seed", "seed of the first run", options.seed),
         numberOption("runs", "number of runs; each uses the next seed", options.runs),
         numberOption("seconds", "duration of the fault injection in seconds", options.seconds),
+        numberOption("entries", "number of entry instances; 0 lets the seed determine it", options.entries),
+        numberOption("backends", "number of backend servers, at least 4", options.backends),
         textOption("programs", "directory of the programs; defaults to the directory of this program", options.programs),
         textOption("logs", "directory for the logs of failed runs", options.logs),
     };
     const std::span arguments(argv, static_cast<std::size_t>(argc));
     if (const auto code = parseCommandLine(arguments, "runs the real programs under random faults and checks their guarantees", commandOptions))
         return static_cast<int>(*code);
+    // Below four there is no decode engine.
+    if (options.backends < 4 || options.entries + options.backends > maxFleet) {
+        std::cerr << "jayhold-soak: a fleet has at least 4 backend servers, and at most " << maxFleet << " of these and entry instances\n";
+        return static_cast<int>(ExitCode::Usage);
+    }
     configureLogging(LogLevel::Error);
     auto failed = 0;
     for (auto run = 0; run < options.runs; ++run) {
         const auto seed = static_cast<std::uint64_t>(options.seed + run);
-        const FleetSize size;
+        const auto size = fleetSize(seed, static_cast<std::size_t>(options.entries), static_cast<std::size_t>(options.backends));
         const auto plan = planFaults(seed, std::chrono::seconds(options.seconds), size);
         const auto result = runOnce(options, seed, plan, size);
-        std::cout << "seed " << seed << ": " << (result.violations.empty() ? "passed" : "FAILED") << ", " << plan.size() << " faults, " << result.calls << " calls, " << result.successes << " served" << std::endl;
+        std::cout << "seed " << seed << ": " << (result.violations.empty() ? "passed" : "FAILED") << ", " << size.entries << " instances, " << plan.size() << " faults, " << result.calls << " calls, " << result.successes << " served, the machine stalled for up to " << std::chrono::duration_cast<std::chrono::milliseconds>(result.longestStall).count() << " ms" << std::endl;
         if (result.violations.empty())
             continue;
         ++failed;
