Let backend servers of the soak say that they leave and turn requests away

Two promises are new: from 2 s after an instance has passed on an answer with Server-Leaving, no later request of a caller reaches that server process from that instance; and a server that turns a request away with 503 and Retry-After gets at most two requests from that instance between 0.5 s after it and the end of that time. Nothing tested them with real processes.

Two faults of the plan switch them on in the stand-in by signals: a server says that it leaves for 2.5 to 4 s, while its entry in the store stays, and is then replaced; a server rejects all requests for 0.5 to 3 s and names 2 s. Each run has up to three of them, from a sequence of their own, so that the other faults of a seed do not move. The stand-ins log their process, whether they say that they leave, and each rejection; which instance sent a request is known from its caller, which sends it to one instance only. For the retry delay, a restart, freeze or cut of the instance excuses it, and a cut, reset or held back connection between it and the server; for leaving, a restart of the instance.

--- a/cmake/soak.cmake
+++ b/cmake/soak.cmake
@@ -2,7 +2,7 @@
 target_include_directories(standin-replica PRIVATE test)
 target_link_libraries(standin-replica PRIVATE jayhold_standins)
 
-add_executable(jayhold-soak test/soak/jayhold-soak.cpp test/soak/FaultPlan.cpp test/soak/PlannedMaintenance.cpp test/soak/SoakCallers.cpp
+add_executable(jayhold-soak test/soak/jayhold-soak.cpp test/soak/FaultPlan.cpp test/soak/NoticeChecks.cpp test/soak/PlannedMaintenance.cpp test/soak/SoakCallers.cpp
   test/soak/SoakChecks.cpp test/soak/SoakFleet.cpp test/soak/SoakFleetFaults.cpp test/soak/StallMeter.cpp test/FakeObjectStore.cpp)
 target_include_directories(jayhold-soak PRIVATE test test/soak)
 target_link_libraries(jayhold-soak PRIVATE jayhold_scenario)
@@ -18,6 +18,6 @@
 endforeach()
 
 jayhold_test(soak_checks_test
-  SOURCES test/correctness/SoakChecksTest.cpp test/soak/FaultPlan.cpp test/soak/SoakCallers.cpp test/soak/SoakChecks.cpp test/soak/SoakFleet.cpp test/soak/SoakFleetFaults.cpp test/FakeObjectStore.cpp
+  SOURCES test/correctness/SoakChecksTest.cpp test/soak/FaultPlan.cpp test/soak/NoticeChecks.cpp test/soak/SoakCallers.cpp test/soak/SoakChecks.cpp test/soak/SoakFleet.cpp test/soak/SoakFleetFaults.cpp test/FakeObjectStore.cpp
   LINK jayhold_scenario)
 target_include_directories(soak_checks_test PRIVATE test test/soak)
--- a/test/FakeObjectStore.cpp
+++ b/test/FakeObjectStore.cpp
@@ -341,8 +341,10 @@
     const auto delay = retryDelay();
     if (behaviour == Behaviour::Reject || !delay.empty()) {
         HttpResponse rejection { 503, { { "Not-Executed", "1" }, { "Request-Id", headerValue(request, "Request-Id") } }, {} };
-        if (!delay.empty())
+        if (!delay.empty()) {
             rejection.headers.push_back({ "Retry-After", delay });
+            m_onRejection(headerValue(request, "Request-Id"), headerValue(request, "Stage"), delay);
+        }
         co_await respond(exchange, std::move(rejection));
         co_return;
     }
--- a/test/FakeObjectStore.h
+++ b/test/FakeObjectStore.h
@@ -133,6 +133,10 @@
     /// Sets a callback that receives the identifier and stage of each request when it starts to run;
     /// must be called before the first request.
     auto onRun(std::function<void(const std::string&, const std::string&)> callback) -> void { m_onRun = std::move(callback); }
+    /// Sets a callback that receives the identifier, stage and retry delay of each request that is rejected with a
+    /// retry delay; must be called before the first request.
+    auto onRejection(std::function<void(const std::string&, const std::string&, const std::string&)> callback) -> void { m_onRejection = std::move(callback); }
+    auto isLeaving() const -> bool { return m_isLeaving; }
     auto setBehaviour(Behaviour behaviour) -> void { m_behaviour = behaviour; }
     /// @return the last received request.
     auto lastRequest() const -> HttpRequest;
@@ -152,6 +156,7 @@
     std::atomic<double> m_limit { 0 };
     std::atomic<Duration> m_reservationTime { Duration::zero() };
     std::function<void(const std::string&, const std::string&)> m_onRun = [](const std::string&, const std::string&) {};
+    std::function<void(const std::string&, const std::string&, const std::string&)> m_onRejection = [](const std::string&, const std::string&, const std::string&) {};
     std::atomic<int> m_runs { 0 };
     std::atomic<int> m_prefills { 0 };
     std::atomic<int> m_requests { 0 };
--- a/test/correctness/SoakChecksTest.cpp
+++ b/test/correctness/SoakChecksTest.cpp
@@ -1,4 +1,4 @@
-#include "SoakChecks.h"
+#include "NoticeChecks.h"
 
 #include <catch2/catch.hpp>
 
@@ -135,6 +135,72 @@
     CHECK(checkLeaving(runs, "plain-0", start, start + 8s).size() == 1);
 }
 
+// Guards against a soak that misses new work for a server that says it is leaving, or that fails for requests sent
+// before its instance knew, or by an instance that was restarted since.
+TEST_CASE("new work on a backend server that says it is leaving is found without false positives")
+{
+    auto answered = call("a", CallKind::IdempotentGet, 200);
+    answered.answeredBy = "plain-0";
+    auto later = call("b", CallKind::IdempotentGet, 200);
+    later.sentAt = answered.endedAt + 2100ms;
+    std::vector<CallRecord> calls { answered, later };
+    std::vector<BackendRun> runs { { "a", "plain-0", false, start, "1", 0, true }, { "b", "plain-0", false, later.sentAt, "1", 0, true } };
+    CHECK(checkLeavingNotices(calls, runs, {}).size() == 1);
+    const FaultPeriod restart { { .kind = FaultKind::KillEntry, .target = 0 }, answered.endedAt + 1s, answered.endedAt + 2s };
+    CHECK(checkLeavingNotices(calls, runs, std::vector { restart }).empty());
+    auto other = restart;
+    other.fault.target = 1;
+    CHECK(checkLeavingNotices(calls, runs, std::vector { other }).size() == 1);
+    runs[1].process = "2";
+    CHECK(checkLeavingNotices(calls, runs, {}).empty());
+    runs[1].process = "1";
+    runs[0].isLeaving = false;
+    CHECK(checkLeavingNotices(calls, runs, {}).empty());
+    runs[0].isLeaving = true;
+    calls[1].entry = 1;
+    CHECK(checkLeavingNotices(calls, runs, {}).empty());
+    calls[1].entry = 0;
+    calls[1].sentAt = answered.endedAt + 1900ms;
+    CHECK(checkLeavingNotices(calls, runs, {}).empty());
+    calls[0].answeredBy = "plain-1";
+    calls[1].sentAt = later.sentAt;
+    CHECK(checkLeavingNotices(calls, runs, {}).empty());
+}
+
+// Guards against a soak that misses requests for a server that has turned others away, or that fails for a few of them
+// or for a disturbed instance.
+TEST_CASE("too many requests before the end of a retry delay are found without false positives")
+{
+    std::vector<CallRecord> calls;
+    std::vector<BackendRun> runs;
+    const auto arrive = [&](Duration time, Duration retryDelay) {
+        calls.push_back(call("r" + std::to_string(calls.size()), CallKind::IdempotentGet, 200));
+        runs.push_back({ calls.back().request, "plain-0", false, start + time, "1", 0, false, retryDelay });
+    };
+    arrive(0s, 2s);
+    arrive(400ms, 2s);
+    arrive(600ms, 0s);
+    arrive(1900ms, 0s);
+    arrive(2500ms, 0s);
+    CHECK(checkRetryDelays(calls, runs, {}).empty());
+    arrive(1s, 0s);
+    CHECK(checkRetryDelays(calls, runs, {}).size() == 1);
+    const auto excused = [&](FaultKind kind, std::size_t target) {
+        const FaultPeriod fault { { .kind = kind, .target = target }, start + 700ms, start + 800ms };
+        return checkRetryDelays(calls, runs, std::vector { fault }).empty();
+    };
+    CHECK(excused(FaultKind::FreezeEntry, 0));
+    CHECK(excused(FaultKind::KillAllEntries, 0));
+    CHECK(excused(FaultKind::CutLink, 0));
+    CHECK_FALSE(excused(FaultKind::FreezeEntry, 1));
+    CHECK_FALSE(excused(FaultKind::CutLink, 1));
+    CHECK_FALSE(excused(FaultKind::SlowLink, 0));
+    CHECK_FALSE(excused(FaultKind::ReloadSettings, 0));
+    CHECK_FALSE(excused(FaultKind::StoreDown, 0));
+    calls.back().entry = 1;
+    CHECK(checkRetryDelays(calls, runs, {}).empty());
+}
+
 // Guards against faults that last beyond the end of the run, have a target that does not exist, or
 // differ between runs with the same seed.
 TEST_CASE("a fault plan is determined by its seed and stays within its duration")
--- a/test/soak/FaultPlan.cpp
+++ b/test/soak/FaultPlan.cpp
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <map>
 #include <random>
+#include <span>
 
 namespace jayhold::soak {
 
@@ -42,13 +43,16 @@
     { "store forgets history", milliseconds(0), milliseconds(0), nullptr },
     { "new configuration", milliseconds(0), milliseconds(0), nullptr },
     { "store restored", milliseconds(200), milliseconds(4'000), nullptr },
+    { "backend says it leaves", milliseconds(2'500), milliseconds(4'000), &FleetSize::backends },
+    { "backend rejects", milliseconds(500), milliseconds(3'000), &FleetSize::backends },
 };
 static_assert(std::size(faultProperties) == static_cast<std::size_t>(FaultKind::Count));
 
-/// Number of the kinds that are drawn from the main random sequence. Restores have a sequence of their own, so that
-/// adding them moves no other fault of a plan.
+/// Number of the kinds that are drawn from the main random sequence. Later kinds have sequences of their own, so
+/// that adding them moves no other fault of a plan.
 constexpr auto sharedKinds = static_cast<std::uint64_t>(FaultKind::StoreRestored);
 constexpr std::uint64_t maxRestores = 2;
+constexpr std::uint64_t maxNotices = 3;
 
 auto propertiesOf(FaultKind kind) -> const FaultProperties&
 {
@@ -61,7 +65,7 @@
 {
     if (kind <= FaultKind::KillAllEntries)
         return 0;
-    if (kind <= FaultKind::BackendLeaves)
+    if (kind <= FaultKind::BackendLeaves || kind == FaultKind::BackendSaysLeaving || kind == FaultKind::BackendRejects)
         return 1;
     if (kind <= FaultKind::SlowLink)
         return 2;
@@ -86,6 +90,30 @@
     return plan;
 }
 
+/// @param others faults that these must not overlap, if they have the same target.
+/// @return the faults in which backend servers say in their answers that they are leaving or reject requests.
+auto planNotices(std::uint64_t seed, Duration duration, const FleetSize& size, std::span<const PlannedFault> others) -> std::vector<PlannedFault>
+{
+    std::seed_seq sequence { seed, static_cast<std::uint64_t>(FaultKind::BackendSaysLeaving) };
+    std::mt19937_64 random(sequence);
+    const auto randomBelow = [&](Duration bound) { return Duration(static_cast<Duration::rep>(random() % static_cast<std::uint64_t>(bound.count() + 1))); };
+    std::vector<PlannedFault> plan;
+    const auto isFree = [&](const PlannedFault& fault) {
+        const auto overlaps = [&](const PlannedFault& other) { return resourceOf(other.kind) == resourceOf(fault.kind) && other.target == fault.target && other.start <= fault.start + fault.length && fault.start <= other.start + other.length; };
+        return std::ranges::none_of(others, overlaps) && std::ranges::none_of(plan, overlaps);
+    };
+    const auto count = 1 + random() % maxNotices;
+    for (std::uint64_t index = 0; index < count; ++index) {
+        PlannedFault fault { .kind = random() % 2 == 0 ? FaultKind::BackendSaysLeaving : FaultKind::BackendRejects, .target = random() % size.backends };
+        const auto& properties = propertiesOf(fault.kind);
+        fault.length = std::min(Duration(properties.minLength) + randomBelow(properties.maxLength - properties.minLength), duration);
+        fault.start = randomBelow(duration - fault.length);
+        if (isFree(fault))
+            plan.push_back(fault);
+    }
+    return plan;
+}
+
 }
 
 auto fleetSize(std::uint64_t seed, std::size_t entries, std::size_t backends) -> FleetSize
@@ -129,6 +157,7 @@
         plan.push_back(fault);
     }
     std::ranges::move(planRestores(seed, duration), std::back_inserter(plan));
+    std::ranges::move(planNotices(seed, duration, size, plan), std::back_inserter(plan));
     std::ranges::stable_sort(plan, {}, &PlannedFault::start);
     return plan;
 }
--- a/test/soak/FaultPlan.h
+++ b/test/soak/FaultPlan.h
@@ -39,6 +39,10 @@
     /// The store goes back to a copy that was made when the fault began. Operators and backend servers write
     /// their objects again.
     StoreRestored,
+    /// The backend server says in all its answers that it is leaving, and is then replaced. Its entry does not change.
+    BackendSaysLeaving,
+    /// The backend server turns all requests away and names a retry delay.
+    BackendRejects,
     Count,
 };
 
--- a/test/soak/SoakCallers.cpp
+++ b/test/soak/SoakCallers.cpp
@@ -19,6 +19,8 @@
 constexpr auto maxPause = milliseconds(40);
 constexpr auto callTimeout = std::chrono::seconds(5);
 constexpr int streamEventCount = 5;
+/// Precedes the name of a backend server in its signature.
+constexpr std::string_view sealPrefix = "seal-";
 
 auto targetOf(CallKind kind) -> std::string
 {
@@ -68,7 +70,7 @@
     if (response.status / 100 != 2)
         return {};
     const auto seal = findHeader(response.headers, "Server-Seal");
-    if (!seal || !seal->starts_with("seal-"))
+    if (!seal || !seal->starts_with(sealPrefix))
         return "a success without the Server-Seal header of a backend server";
     if (const auto echoed = findHeader(response.headers, "Request-Id"); echoed && *echoed != id)
         return "the response belongs to request " + std::string(*echoed);
@@ -117,8 +119,8 @@
     std::minstd_rand random(static_cast<std::minstd_rand::result_type>(m_seed * callerCount + caller + 1));
     while (!m_isStopping) {
         const auto kind = static_cast<CallKind>(random() % 4);
-        const auto endpoint = m_endpoints[random() % m_endpoints.size()];
-        auto record = co_await callOnce(m_threads.client(caller % m_threads.size()), kind, endpoint);
+        const auto entry = random() % m_endpoints.size();
+        auto record = co_await callOnce(m_threads.client(caller % m_threads.size()), kind, entry);
         {
             const std::lock_guard guard(m_lock);
             m_records.push_back(std::move(record));
@@ -128,11 +130,12 @@
     --m_runningCallers;
 }
 
-auto SoakCallers::callOnce(HttpClient& client, CallKind kind, HttpEndpoint endpoint) -> asio::awaitable<CallRecord>
+auto SoakCallers::callOnce(HttpClient& client, CallKind kind, std::size_t entry) -> asio::awaitable<CallRecord>
 {
     CallRecord record;
     record.request = "r" + std::to_string(++m_lastRequest);
     record.kind = kind;
+    record.entry = entry;
     record.sentAt = monotonicNow();
     const auto request = makeRequest(kind, record.request);
     HttpCallOptions options;
@@ -140,12 +143,14 @@
     // A reused connection can be closed while the request arrives. The client doesn't retry, so the
     // number of runs depends on the entry instance alone.
     options.mayReuse = true;
-    const auto response = co_await client.request(std::move(endpoint), request, options);
+    const auto response = co_await client.request(m_endpoints[entry], request, options);
     record.endedAt = monotonicNow();
     if (response.has_error()) {
         record.wasConnected = response.error().kind != HttpErrorKind::NotConnected;
     } else {
         record.status = response->status;
+        if (const auto seal = findHeader(response->headers, "Server-Seal"); seal && seal->starts_with(sealPrefix))
+            record.answeredBy = seal->substr(sealPrefix.size());
         record.responseError = checkResponse(kind, request, record.request, *response);
     }
     co_return record;
--- a/test/soak/SoakCallers.h
+++ b/test/soak/SoakCallers.h
@@ -32,12 +32,16 @@
 struct CallRecord {
     std::string request;
     CallKind kind {};
+    /// Index of the entry instance to which it was sent.
+    std::size_t entry = 0;
     TimePoint sentAt {};
     TimePoint endedAt {};
     /// 0 if no complete response arrived.
     unsigned status = 0;
     /// Whether a connection was established.
     bool wasConnected = true;
+    /// The backend server that gave a successful response.
+    std::string answeredBy;
     /// Error in a complete response; empty if the response is correct.
     std::string responseError;
 };
@@ -58,7 +62,7 @@
 
 private:
     auto runCaller(std::size_t caller) -> boost::asio::awaitable<void>;
-    auto callOnce(HttpClient& client, CallKind kind, HttpEndpoint endpoint) -> boost::asio::awaitable<CallRecord>;
+    auto callOnce(HttpClient& client, CallKind kind, std::size_t entry) -> boost::asio::awaitable<CallRecord>;
 
     const std::vector<HttpEndpoint> m_endpoints;
     const std::uint64_t m_seed;
--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -268,6 +268,16 @@
 }
 
 auto SoakFleet::runs() const -> std::vector<BackendRun>
+{
+    return backendRuns("run");
+}
+
+auto SoakFleet::rejections() const -> std::vector<BackendRun>
+{
+    return backendRuns("rejected");
+}
+
+auto SoakFleet::backendRuns(std::string_view event) const -> std::vector<BackendRun>
 {
     auto lines = m_endedBackendOutput;
     for (const auto& backend : m_backends) {
@@ -277,10 +287,13 @@
     std::vector<BackendRun> runs;
     for (const auto& text : lines) {
         const auto line = parseLogLine(text);
-        if (!line || line->event != "run")
+        if (!line || line->event != event)
             continue;
         const auto at = parseNumber<TimePoint::rep>(line->field("at")).value_or(0);
-        runs.push_back({ std::string(line->field("request")), std::string(line->field("replica")), line->field("stage") == "prefill", TimePoint(TimePoint::duration(at)) });
+        const auto backend = std::ranges::find(m_backends, line->field("replica"), &Backend::name);
+        const std::chrono::seconds retryDelay(parseNumber<int>(line->field("retry_after")).value_or(0));
+        runs.push_back({ std::string(line->field("request")), std::string(line->field("replica")), line->field("stage") == "prefill", TimePoint(TimePoint::duration(at)),
+            std::string(line->field("process")), static_cast<std::size_t>(backend - m_backends.begin()), line->field("leaving") == "1", retryDelay });
     }
     return runs;
 }
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -22,13 +22,27 @@
 /// Time within which a process must start, or exit after it was killed.
 inline constexpr Duration startTimeout = std::chrono::seconds(10);
 
-/// The start of work on a request, as a backend server logged it.
+/// The start of work on a request, or its rejection, as a backend server logged it.
 struct BackendRun {
     std::string request;
     std::string backend;
     bool isPrefill = false;
     /// Time on the steady clock, which all processes share.
     TimePoint at {};
+    /// Identifies the process of the backend server.
+    std::string process;
+    std::size_t backendIndex = 0;
+    /// Whether its answer says that the server is leaving.
+    bool isLeaving = false;
+    /// The retry delay with which it was rejected; zero if it runs.
+    Duration retryDelay {};
+};
+
+/// A fault with the time at which it was active.
+struct FaultPeriod {
+    PlannedFault fault;
+    TimePoint from {};
+    TimePoint until = TimePoint::max();
 };
 
 /// Period in which all backend servers were stopped.
@@ -75,6 +89,9 @@
 
     /// @return the runs of all backend servers, including killed ones.
     auto runs() const -> std::vector<BackendRun>;
+    /// @return the requests that backend servers rejected with a retry delay.
+    auto rejections() const -> std::vector<BackendRun>;
+    auto faultPeriods() const -> const std::vector<FaultPeriod>& { return m_faultPeriods; }
     /// @return the log lines of all entry instances.
     auto entryLogs() const -> std::vector<std::string>;
     /// @return the unexpected exits of entry instances and their exceeded limits on memory and
@@ -112,6 +129,8 @@
         int activeVersion = 0;
     };
 
+    /// @param event the event of the log lines.
+    auto backendRuns(std::string_view event) const -> std::vector<BackendRun>;
     auto startLink(const HttpEndpoint& target) -> Link;
     auto startBackend(Backend& backend, std::uint16_t port) -> void;
     auto startEntry(Entry& entry) -> void;
@@ -135,6 +154,7 @@
     std::vector<std::string> m_endedBackendOutput;
     std::vector<std::string> m_endedEntryOutput;
     std::vector<std::string> m_unexpectedExits;
+    std::vector<FaultPeriod> m_faultPeriods;
     int m_configurationVersion = 0;
     std::int64_t m_backendStartCount = 0;
 };
--- a/test/soak/SoakFleetFaults.cpp
+++ b/test/soak/SoakFleetFaults.cpp
@@ -1,5 +1,6 @@
 #include "SoakFleet.h"
 
+#include <algorithm>
 #include <csignal>
 #include <stdexcept>
 #include <thread>
@@ -87,6 +88,10 @@
         backend.process->signal(SIGSTOP);
     else if (fault.kind == FaultKind::KillBackend)
         backend.process->signal(SIGKILL);
+    else if (fault.kind == FaultKind::BackendSaysLeaving)
+        backend.process->signal(SIGUSR1);
+    else if (fault.kind == FaultKind::BackendRejects)
+        backend.process->signal(SIGUSR2);
     else
         markLeaving(fault.target, true);
 }
@@ -98,7 +103,11 @@
         backend.process->signal(SIGCONT);
     if (fault.kind == FaultKind::BackendLeaves)
         markLeaving(fault.target, false);
-    if (fault.kind != FaultKind::KillBackend)
+    if (fault.kind == FaultKind::BackendRejects)
+        backend.process->signal(SIGUSR2);
+    if (fault.kind == FaultKind::BackendSaysLeaving)
+        backend.process->signal(SIGKILL);
+    else if (fault.kind != FaultKind::KillBackend)
         return;
     backend.process->waitForExit(startTimeout);
     keepOutput(std::move(backend.process), false);
@@ -108,6 +117,7 @@
 
 auto SoakFleet::begin(const PlannedFault& fault) -> void
 {
+    m_faultPeriods.push_back({ fault, monotonicNow() });
     switch (fault.kind) {
     case FaultKind::CutLink:
         setLinkFaults(fault.target, R"({"cut":true})");
@@ -151,7 +161,7 @@
 {
     if (fault.kind <= FaultKind::KillAllEntries)
         endEntryFault(fault);
-    else if (fault.kind <= FaultKind::BackendLeaves)
+    else if (fault.kind <= FaultKind::BackendLeaves || fault.kind >= FaultKind::BackendSaysLeaving)
         endBackendFault(fault);
     else if (fault.kind <= FaultKind::SlowLink)
         setLinkFaults(fault.target, R"({"cut":false,"stall":false,"stall_answers":false,"delay_us":0})");
@@ -161,6 +171,8 @@
         m_store.setMalformed(false);
     else if (fault.kind == FaultKind::StoreRestored)
         restoreStore();
+    const auto isEnded = [&](const FaultPeriod& period) { return period.fault.kind == fault.kind && period.fault.target == fault.target && period.until == TimePoint::max(); };
+    std::ranges::find_if(m_faultPeriods, isEnded)->until = monotonicNow();
 }
 
 }
--- a/test/soak/jayhold-soak.cpp
+++ b/test/soak/jayhold-soak.cpp
@@ -3,6 +3,7 @@
 #include "CommandLine.h"
 #include "LogLine.h"
 #include "LogParser.h"
+#include "NoticeChecks.h"
 #include "PlannedMaintenance.h"
 #include "RequestHistory.h"
 #include "StallMeter.h"
@@ -120,6 +121,10 @@
     append(result.violations, maintenance.violations);
     append(result.violations, checkRecovery(calls, recoveredAt));
     append(result.violations, checkCalls(calls, runs, faultFreePeriod));
+    auto arrivals = fleet.rejections();
+    arrivals.insert(arrivals.end(), runs.begin(), runs.end());
+    append(result.violations, checkLeavingNotices(calls, arrivals, fleet.faultPeriods()));
+    append(result.violations, checkRetryDelays(calls, arrivals, fleet.faultPeriods()));
     for (const auto& pause : maintenance.pauses)
         append(result.violations, checkPause(calls, runs, pause));
     append(result.violations, checkLeaving(runs, fleet.backendName(0), maintenance.leavingSince + SoakFleet::maxDeregistrationDelay, faultFreePeriod.until));
--- a/test/soak/standin-replica.cpp
+++ b/test/soak/standin-replica.cpp
@@ -1,26 +1,57 @@
 // Stand-in for a backend server of the platform. It prints a line for each request that it starts
-// to run, before it responds.
+// to run or rejects, before it responds. SIGUSR1 makes it say that it is leaving; SIGUSR2 begins and ends a time in
+// which it rejects all requests.
 #include "CommandLine.h"
 #include "FakeObjectStore.h"
 #include "StandinMain.h"
 
 #include <iostream>
 
+#include <csignal>
+
 #include <unistd.h>
 
 using namespace jayhold;
 
 namespace {
 
-auto printRun(const std::string& replica, const std::string& request, const std::string& stage) -> void
+/// Value of Retry-After in rejections, in seconds.
+constexpr auto retryDelay = "2";
+
+auto print(const std::string& event, const FakeBackendServer& replica, const std::string& request, const std::string& stage, const std::string& retryAfter) -> void
 {
-    const auto line = "event=run replica=" + replica + " request=" + request + " stage=" + (stage.empty() ? "run" : stage) + " at=" + std::to_string(monotonicNow().time_since_epoch().count()) + "\n";
+    const auto line = "event=" + event + " replica=" + replica.id() + " process=" + std::to_string(getpid()) + " request=" + request + " stage=" + (stage.empty() ? "run" : stage) + " leaving=" + (replica.isLeaving() ? "1" : "0")
+        + " retry_after=" + retryAfter + " at=" + std::to_string(monotonicNow().time_since_epoch().count()) + "\n";
     // A single unbuffered write, so that the line is complete even if the process is killed while
     // it responds.
     if (write(STDOUT_FILENO, line.data(), line.size()) < 0)
         std::exit(static_cast<int>(ExitCode::Failed));
 }
 
+auto controlSignals() -> sigset_t
+{
+    sigset_t set;
+    sigemptyset(&set);
+    for (const auto signal : { SIGTERM, SIGINT, SIGUSR1, SIGUSR2 })
+        sigaddset(&set, signal);
+    return set;
+}
+
+/// Handles the signals of the soak until one of them ends the process.
+auto handleSignals(FakeBackendServer& replica) -> void
+{
+    const auto set = controlSignals();
+    auto isRejecting = false;
+    for (int signal = 0; sigwait(&set, &signal) == 0 && (signal == SIGUSR1 || signal == SIGUSR2);) {
+        if (signal == SIGUSR1) {
+            replica.setLeaving(true);
+            continue;
+        }
+        isRejecting = !isRejecting;
+        replica.setRetryDelay(isRejecting ? retryDelay : "");
+    }
+}
+
 }
 
 auto main(int argc, char** argv) -> int
@@ -38,13 +69,16 @@
         std::cerr << "standin-replica: --id is required\n";
         return static_cast<int>(ExitCode::Usage);
     }
-    blockStopSignals();
+    // In all threads, so that handleSignals() receives them.
+    const auto signals = controlSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     IoThreads threads(1);
     FakeBackendServer replica(threads, id, FakeBackendServer::Behaviour::Answer, listen);
     replica.setTiming(std::chrono::milliseconds(10), std::chrono::milliseconds(20));
-    replica.onRun([&](const std::string& request, const std::string& stage) { printRun(id, request, stage); });
+    replica.onRun([&](const std::string& request, const std::string& stage) { print("run", replica, request, stage, "0"); });
+    replica.onRejection([&](const std::string& request, const std::string& stage, const std::string& delay) { print("rejected", replica, request, stage, delay); });
     printListening(replica.endpoint());
-    waitForStop();
+    handleSignals(replica);
     threads.stop();
     return static_cast<int>(ExitCode::Success);
 }
