Start child processes of the soak and the scenarios without inherited sockets

A child process inherited all sockets that the soak had open, since Asio does not close them at exec. Such a connection stays open after the soak has closed it, so an instance could miss that its caller or the store had gone, and the count of open descriptors of an instance included those of the soak.

--- a/test/scenario/ChildProcess.cpp
+++ b/test/scenario/ChildProcess.cpp
@@ -30,6 +30,8 @@
     dup2(input, STDIN_FILENO);
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
+    // Sockets of the runner that the child inherits would stay open after the runner has closed them.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execv(program, arguments);
     _exit(127);
 }
