--- a/test/correctness/SoakChecksTest.cpp
+++ b/test/correctness/SoakChecksTest.cpp
@@ -1,4 +1,4 @@
-#include "SoakChecks.h"
+#include "NoticeChecks.h"
 
 #include <catch2/catch.hpp>
 
@@ -76,6 +76,57 @@
     CHECK(checkCalls(calls, runs, {}).size() == 1);
 }
 
+// Guards against a soak that passes although a pause of the backend servers ends requests, or that fails for requests
+// that had no time left or never ran.
+TEST_CASE("requests that end because their backend server pauses are found without false positives")
+{
+    const PausePeriod pause { start + 500ms, start + 1500ms };
+    const auto found = [&](CallRecord record, bool hasRun) {
+        record.endedAt = record.sentAt + 1600ms;
+        const std::vector<BackendRun> runs(hasRun ? 1 : 0, { record.request, "plain-0", false, record.sentAt });
+        return checkPause(std::span(&record, 1), runs, pause).size();
+    };
+    CHECK(found(call("a", CallKind::IdempotentGet, 200), true) == 0);
+    CHECK(found(call("a", CallKind::IdempotentGet, 502), true) == 1);
+    CHECK(found(call("a", CallKind::IdempotentGet, 502), false) == 1);
+    CHECK(found(call("a", CallKind::ResumableStream, 0), true) == 1);
+    CHECK(found(call("a", CallKind::IdempotentGet, 503), true) == 1);
+    CHECK(found(call("a", CallKind::IdempotentGet, 503), false) == 0);
+    auto other = call("a", CallKind::IdempotentGet, 502);
+    other.sentAt = pause.until + 1ms;
+    CHECK(found(other, true) == 0);
+    // Its deadline comes too soon after the pause.
+    other.sentAt = pause.until - callerTimeout + 100ms;
+    CHECK(found(other, true) == 0);
+}
+
+// Guards against a soak that misses an older configuration on one instance.
+TEST_CASE("an instance whose configuration goes back is found")
+{
+    VersionHistory history;
+    recordVersions(history, std::vector { 1, 3 });
+    recordVersions(history, std::vector { 2, 3 });
+    CHECK(history.violations.empty());
+    recordVersions(history, std::vector { 3, 2 });
+    CHECK(history.violations.size() == 1);
+    CHECK(history.versions == std::vector { 3, 3 });
+}
+
+// Guards against hunts in which all instances of a zone watch the store, and against seeds whose faults change.
+TEST_CASE("some seeds have more instances than watch the store")
+{
+    std::size_t large = 0;
+    for (std::uint64_t seed = 0; seed < 100; ++seed) {
+        const auto size = fleetSize(seed, 0, FleetSize().backends);
+        CHECK(size.links == size.entries + size.backends);
+        CHECK(size.entries >= FleetSize().entries);
+        large += size.entries > FleetSize().entries;
+    }
+    CHECK(large > 30);
+    CHECK(large < 70);
+    CHECK(fleetSize(1, 3, 7).links == FleetSize().links);
+}
+
 // Guards against a soak that misses late work on a leaving backend server.
 TEST_CASE("new work on a leaving backend server is found")
 {
@@ -84,6 +135,72 @@
     CHECK(checkLeaving(runs, "plain-0", start, start + 8s).size() == 1);
 }
 
+// Guards against a soak that misses new work for a server that says it is leaving, or that fails for requests sent
+// before its instance knew, or by an instance that was restarted since.
+TEST_CASE("new work on a backend server that says it is leaving is found without false positives")
+{
+    auto answered = call("a", CallKind::IdempotentGet, 200);
+    answered.answeredBy = "plain-0";
+    auto later = call("b", CallKind::IdempotentGet, 200);
+    later.sentAt = answered.endedAt + 2100ms;
+    std::vector<CallRecord> calls { answered, later };
+    std::vector<BackendRun> runs { { "a", "plain-0", false, start, "1", 0, true }, { "b", "plain-0", false, later.sentAt, "1", 0, true } };
+    CHECK(checkLeavingNotices(calls, runs, {}).size() == 1);
+    const FaultPeriod restart { { .kind = FaultKind::KillEntry, .target = 0 }, answered.endedAt + 1s, answered.endedAt + 2s };
+    CHECK(checkLeavingNotices(calls, runs, std::vector { restart }).empty());
+    auto other = restart;
+    other.fault.target = 1;
+    CHECK(checkLeavingNotices(calls, runs, std::vector { other }).size() == 1);
+    runs[1].process = "2";
+    CHECK(checkLeavingNotices(calls, runs, {}).empty());
+    runs[1].process = "1";
+    runs[0].isLeaving = false;
+    CHECK(checkLeavingNotices(calls, runs, {}).empty());
+    runs[0].isLeaving = true;
+    calls[1].entry = 1;
+    CHECK(checkLeavingNotices(calls, runs, {}).empty());
+    calls[1].entry = 0;
+    calls[1].sentAt = answered.endedAt + 1900ms;
+    CHECK(checkLeavingNotices(calls, runs, {}).empty());
+    calls[0].answeredBy = "plain-1";
+    calls[1].sentAt = later.sentAt;
+    CHECK(checkLeavingNotices(calls, runs, {}).empty());
+}
+
+// Guards against a soak that misses requests for a server that has turned others away, or that fails for a few of them
+// or for a disturbed instance.
+TEST_CASE("too many requests before the end of a retry delay are found without false positives")
+{
+    std::vector<CallRecord> calls;
+    std::vector<BackendRun> runs;
+    const auto arrive = [&](Duration time, Duration retryDelay) {
+        calls.push_back(call("r" + std::to_string(calls.size()), CallKind::IdempotentGet, 200));
+        runs.push_back({ calls.back().request, "plain-0", false, start + time, "1", 0, false, retryDelay });
+    };
+    arrive(0s, 2s);
+    arrive(400ms, 2s);
+    arrive(600ms, 0s);
+    arrive(1900ms, 0s);
+    arrive(2500ms, 0s);
+    CHECK(checkRetryDelays(calls, runs, {}).empty());
+    arrive(1s, 0s);
+    CHECK(checkRetryDelays(calls, runs, {}).size() == 1);
+    const auto excused = [&](FaultKind kind, std::size_t target) {
+        const FaultPeriod fault { { .kind = kind, .target = target }, start + 700ms, start + 800ms };
+        return checkRetryDelays(calls, runs, std::vector { fault }).empty();
+    };
+    CHECK(excused(FaultKind::FreezeEntry, 0));
+    CHECK(excused(FaultKind::KillAllEntries, 0));
+    CHECK(excused(FaultKind::CutLink, 0));
+    CHECK_FALSE(excused(FaultKind::FreezeEntry, 1));
+    CHECK_FALSE(excused(FaultKind::CutLink, 1));
+    CHECK_FALSE(excused(FaultKind::SlowLink, 0));
+    CHECK_FALSE(excused(FaultKind::ReloadSettings, 0));
+    CHECK_FALSE(excused(FaultKind::StoreDown, 0));
+    calls.back().entry = 1;
+    CHECK(checkRetryDelays(calls, runs, {}).empty());
+}
+
 // Guards against faults that last beyond the end of the run, have a target that does not exist, or
 // differ between runs with the same seed.
 TEST_CASE("a fault plan is determined by its seed and stays within its duration")
--- a/test/soak/FaultPlan.h
+++ b/test/soak/FaultPlan.h
@@ -39,6 +39,10 @@
     /// The store goes back to a copy that was made when the fault began. Operators and backend servers write
     /// their objects again.
     StoreRestored,
+    /// The backend server says in all its answers that it is leaving, and is then replaced. Its entry does not change.
+    BackendSaysLeaving,
+    /// The backend server turns all requests away and names a retry delay.
+    BackendRejects,
     Count,
 };
 
@@ -59,6 +63,11 @@
     std::size_t links = 10;
 };
 
+/// @param entries number of entry instances; if 0, the seed determines it. The fleets of half of the seeds have more
+/// than the three instances of a zone that watch the store.
+/// @param backends number of backend servers.
+auto fleetSize(std::uint64_t seed, std::size_t entries, std::size_t backends) -> FleetSize;
+
 /// @param duration time within which all faults start and end.
 /// @return the faults, ordered by start time.
 auto planFaults(std::uint64_t seed, Duration duration, const FleetSize& size) -> std::vector<PlannedFault>;
--- a/test/soak/SoakCallers.h
+++ b/test/soak/SoakCallers.h
@@ -32,12 +32,16 @@
 struct CallRecord {
     std::string request;
     CallKind kind {};
+    /// Index of the entry instance to which it was sent.
+    std::size_t entry = 0;
     TimePoint sentAt {};
     TimePoint endedAt {};
     /// 0 if no complete response arrived.
     unsigned status = 0;
     /// Whether a connection was established.
     bool wasConnected = true;
+    /// The backend server that gave a successful response.
+    std::string answeredBy;
     /// Error in a complete response; empty if the response is correct.
     std::string responseError;
 };
@@ -50,6 +54,7 @@
     SoakCallers(const SoakCallers&) = delete;
     auto operator=(const SoakCallers&) -> SoakCallers& = delete;
 
+    /// Starts a group of callers; each call starts another group.
     auto start() -> void;
     /// Sends no further requests and waits for those in progress.
     auto stop() -> void;
@@ -57,12 +62,13 @@
 
 private:
     auto runCaller(std::size_t caller) -> boost::asio::awaitable<void>;
-    auto callOnce(HttpClient& client, CallKind kind, HttpEndpoint endpoint) -> boost::asio::awaitable<CallRecord>;
+    auto callOnce(HttpClient& client, CallKind kind, std::size_t entry) -> boost::asio::awaitable<CallRecord>;
 
     const std::vector<HttpEndpoint> m_endpoints;
     const std::uint64_t m_seed;
     IoThreads m_threads { 2 };
     std::atomic<bool> m_isStopping { false };
+    std::size_t m_startedCallers = 0;
     std::atomic<std::size_t> m_runningCallers { 0 };
     std::atomic<std::uint64_t> m_lastRequest { 0 };
     mutable std::mutex m_lock;
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -22,13 +22,33 @@
 /// Time within which a process must start, or exit after it was killed.
 inline constexpr Duration startTimeout = std::chrono::seconds(10);
 
-/// The start of work on a request, as a backend server logged it.
+/// The start of work on a request, or its rejection, as a backend server logged it.
 struct BackendRun {
     std::string request;
     std::string backend;
     bool isPrefill = false;
     /// Time on the steady clock, which all processes share.
     TimePoint at {};
+    /// Identifies the process of the backend server.
+    std::string process;
+    std::size_t backendIndex = 0;
+    /// Whether its answer says that the server is leaving.
+    bool isLeaving = false;
+    /// The retry delay with which it was rejected; zero if it runs.
+    Duration retryDelay {};
+};
+
+/// A fault with the time at which it was active.
+struct FaultPeriod {
+    PlannedFault fault;
+    TimePoint from {};
+    TimePoint until = TimePoint::max();
+};
+
+/// Period in which all backend servers were stopped.
+struct PausePeriod {
+    TimePoint from {};
+    TimePoint until {};
 };
 
 class SoakFleet {
@@ -48,18 +68,30 @@
     auto isReady(std::size_t index) -> bool;
     /// Waits until all entry instances are ready.
     auto waitUntilReady(Duration timeout) -> bool;
-    /// Stops an entry instance with SIGTERM and starts it again.
-    /// @return the error of the shutdown; empty if the process exited with code 0 in time.
-    auto restartGracefully(std::size_t index) -> std::string;
+    /// Stops some entry instances with SIGTERM at the same time and starts them again.
+    /// @return the errors of the shutdowns, one for each process that did not exit with code 0 in time.
+    auto restartGracefully(std::size_t first, std::size_t count) -> std::vector<std::string>;
     auto markLeaving(std::size_t backend, bool isLeaving) -> void;
     /// Writes a new configuration and stops all backend servers for a moment while it takes effect.
-    auto pauseBackendsBesideChange(Duration pauseTime) -> void;
-    /// @return the entry instances on which the newest configuration is not active.
+    auto pauseBackendsBesideChange(Duration pauseTime) -> PausePeriod;
+    /// Writes a configuration with a higher version and one more route.
+    auto putConfiguration() -> void;
+    /// @return for each entry instance the version of its active configuration, or the version of the last call if
+    /// it could not be read.
+    auto activeVersions() -> std::vector<int>;
+    /// @return the entry instances on which the newest configuration is not active, or its newest route is unknown.
     auto findOutdatedEntries() -> std::vector<std::string>;
+    auto setStoreDown(bool isDown) -> void { m_store.setDown(isDown); }
+    auto saveStoreCopy() -> void { m_store.saveCopy(); }
+    /// Restores the store; its other writers then write their objects again.
+    auto restoreStore() -> void;
     auto backendName(std::size_t index) const -> const std::string& { return m_backends[index].name; }
 
     /// @return the runs of all backend servers, including killed ones.
     auto runs() const -> std::vector<BackendRun>;
+    /// @return the requests that backend servers rejected with a retry delay.
+    auto rejections() const -> std::vector<BackendRun>;
+    auto faultPeriods() const -> const std::vector<FaultPeriod>& { return m_faultPeriods; }
     /// @return the log lines of all entry instances.
     auto entryLogs() const -> std::vector<std::string>;
     /// @return the unexpected exits of entry instances and their exceeded limits on memory and
@@ -85,24 +117,27 @@
         std::unique_ptr<ChildProcess> process;
         HttpEndpoint endpoint;
         bool isLeaving = false;
+        /// Start time of the process in milliseconds, as its entry in the store names it.
+        std::int64_t born = 0;
     };
     struct Entry {
         std::unique_ptr<ChildProcess> process;
         std::string address;
         std::string settingsFile;
         bool isExitExpected = false;
+        /// The last version read of its active configuration.
+        int activeVersion = 0;
     };
 
+    /// @param event the event of the log lines.
+    auto backendRuns(std::string_view event) const -> std::vector<BackendRun>;
     auto startLink(const HttpEndpoint& target) -> Link;
     auto startBackend(Backend& backend, std::uint16_t port) -> void;
     auto startEntry(Entry& entry) -> void;
     /// Keeps the output of a process that has exited.
     auto keepOutput(std::unique_ptr<ChildProcess> process, bool isEntry) -> void;
     auto registerBackend(std::size_t index) -> void;
-    auto putConfiguration() -> void;
     auto writeConfiguration() -> void;
-    /// Restores the store; its other writers then write their objects again.
-    auto restoreStore() -> void;
     auto setLinkFaults(std::size_t index, const std::string& faults) -> void;
     auto beginEntryFault(const PlannedFault& fault) -> void;
     auto endEntryFault(const PlannedFault& fault) -> void;
@@ -119,6 +154,7 @@
     std::vector<std::string> m_endedBackendOutput;
     std::vector<std::string> m_endedEntryOutput;
     std::vector<std::string> m_unexpectedExits;
+    std::vector<FaultPeriod> m_faultPeriods;
     int m_configurationVersion = 0;
     std::int64_t m_backendStartCount = 0;
 };
