Let calls from before a pause not keep a plain server unused after it

After a pause a plain server got nothing until all calls from before it had ended: with calls of 10 s, a pause of 1 s took the server out for 10 s more, and callers were refused although the server wanted work again.

The new test failed before: no server was acquired at the end of the pause.

--- a/src/PlainBalancer.cpp
+++ b/src/PlainBalancer.cpp
@@ -12,13 +12,20 @@
     return backend.consecutiveFailures >= PlainBalancer::ejectionThreshold;
 }
 
+/// @return whether a call after a pause must end before the server gets another one. Calls from before the pause don't
+/// count once the time that the server has asked for is over, because they may last for long.
+auto awaitsFirstCall(const PlainBackend& backend, TimePoint now) -> bool
+{
+    return backend.isReturning && (backend.hasFirstCall || (now < backend.pauseAskedUntil && backend.inFlight > 0));
+}
+
 auto isAvailable(const PlainBackend& backend, TimePoint now) -> bool
 {
     if (backend.server.state != ReplicaState::Live || backend.inFlight >= backend.slots)
         return false;
     if (backend.allowance && !backend.allowance->hasCall(now))
         return false;
-    if (backend.pausedUntil > now || (backend.isReturning && backend.inFlight > 0))
+    if (backend.pausedUntil > now || awaitsFirstCall(backend, now))
         return false;
     return !isEjected(backend) || (now >= backend.ejectedUntil && backend.inFlight == 0);
 }
--- a/test/correctness/PausedBackendTest.cpp
+++ b/test/correctness/PausedBackendTest.cpp
@@ -68,6 +68,21 @@
     CHECK(acquiredId(balancer, start + 11s) == "none");
 }
 
+// Guards against a server that gets nothing for long after a short pause, because calls from before it still run.
+TEST_CASE("a call from before a pause does not keep the first one after it back")
+{
+    PlainBalancer balancer;
+    balancer.update({ backend("a") });
+    CHECK(acquiredId(balancer, start) == "a");
+    balancer.applyPause("a", "1", pauseOf(1s));
+    CHECK(acquiredId(balancer, start + 999ms) == "none");
+    CHECK(acquiredId(balancer, start + 1s) == "a");
+    CHECK(acquiredId(balancer, start + 1s) == "none");
+    // Within a longer time it does, because only one call is allowed there.
+    balancer.applyPause("a", "1", { start + 2s, start + 100s });
+    CHECK(acquiredId(balancer, start + 3s) == "none");
+}
+
 // Guards against calls that are refused although another server is free, and against a time to return that is later
 // than the first server's return.
 TEST_CASE("other servers get the calls, and the earliest end of all pauses counts")
