Count only time in which the store answers as proof that a listed server lives

After a restore, a removed server whose entry stays listed for 20 s is used again, because the store removes the entries of silent servers sooner. While the store is away it may remove none, so a server that had left could get work when the store came back.

--- a/src/BackendDirectory.cpp
+++ b/src/BackendDirectory.cpp
@@ -191,7 +191,8 @@
     }
     for (auto& [id, entry] : directory.entries) {
         auto& relisting = entry.relisting;
-        if (relisting.isListed && !relisting.since)
+        // The store may remove no entries while it is away.
+        if (relisting.isListed && (!relisting.since || directory.unavailableSince))
             relisting.since = now;
         relisting.hasNotLapsed = relisting.since && now - *relisting.since >= directory.settings.lapseTime;
     }
--- a/test/correctness/BackendDirectoryTest.cpp
+++ b/test/correctness/BackendDirectoryTest.cpp
@@ -405,6 +405,27 @@
     CHECK_FALSE(hasUnlapsedEntry(directory));
 }
 
+// Guards against new work for a server that left, because its entry of an older copy stays while the store is away and
+// removes none.
+TEST_CASE("time in which the store is away does not show that a listed server lives")
+{
+    BackendDirectory directory;
+    beginHistory(directory, start, 1);
+    replaceAll(directory, start, { server("gone", "900") });
+    remove(directory, start + 1s, "gone");
+    beginHistory(directory, start + 2s, 2);
+    replaceAll(directory, start + 2s, { server("gone", "900") });
+    expire(directory, start + 2s);
+    storeFailed(directory, start + 3s);
+    expire(directory, start + 21s);
+    storeAnswered(directory, start + 22s);
+    expire(directory, start + 23s);
+    CHECK_FALSE(hasUnlapsedEntry(directory));
+    CHECK(replaceAll(directory, start + 23s, { server("gone", "900") }) == std::vector<std::string> { "gone" });
+    expire(directory, start + 41s);
+    CHECK(hasUnlapsedEntry(directory));
+}
+
 // Guards against an entry that counts as written by a live server because two copies in a row list it.
 TEST_CASE("the time for which an entry is listed begins again with each restore")
 {
