Keep the pause and the limit of an engine when its role changes

An engine that changes its role is added again in the new role when its last request has ended. Its pause and its limit were lost then, and a further response that named the same end changed nothing, so requests reached an engine that wanted none.

--- a/src/ReplicaEvents.cpp
+++ b/src/ReplicaEvents.cpp
@@ -7,6 +7,7 @@
 #include "ReservationAccounting.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jayhold {
 
@@ -79,6 +80,23 @@
     changeState(context, replica, event.state);
 }
 
+/// Replaces a replica by the same process in its new role. The pause and the limit that it has named still hold.
+auto moveToNewRole(DecisionContext& context, Replica& replica, const ReplicaChanged& event) -> void
+{
+    auto allowance = std::move(replica.allowance);
+    const auto pausedUntil = replica.pausedUntil;
+    const auto pauseAskedUntil = replica.pauseAskedUntil;
+    const auto isReturning = replica.isReturning;
+    removeReplica(context, replica);
+    updateReplica(context, event);
+    auto& moved = context.state.replicas.at(event.replica);
+    moved.allowance = std::move(allowance);
+    moved.pausedUntil = pausedUntil;
+    moved.pauseAskedUntil = pauseAskedUntil;
+    moved.isReturning = isReturning;
+    updateIndex(context, moved);
+}
+
 }
 
 auto handle(DecisionContext& context, const ReplicaChanged& event) -> void
@@ -108,10 +126,10 @@
         }
         const auto next = entry->second;
         entry = ending.erase(entry);
-        if (replica)
+        if (replica && next)
+            moveToNewRole(context, *replica, *next);
+        else if (replica)
             removeReplica(context, *replica);
-        if (next)
-            updateReplica(context, *next);
     }
 }
 
--- a/test/correctness/PausedReplicaTest.cpp
+++ b/test/correctness/PausedReplicaTest.cpp
@@ -1,5 +1,7 @@
 #include "ShardHarness.h"
 
+#include "ShardState.h"
+
 #include <catch2/catch.hpp>
 
 using namespace jayhold;
@@ -302,3 +304,22 @@
     CHECK(next->decode != decode.decode);
     CHECK(retryBudget(harness.shard).remaining() == retries);
 }
+
+// Guards against requests to a paused engine, and beyond the limit that it has named, after it has changed its role.
+TEST_CASE("a pause and a limit hold in the new role of a replica")
+{
+    PauseHarness harness;
+    const auto running = harness.startDecode(1);
+    const auto id = static_cast<std::uint32_t>(running.decode);
+    harness.send(ReplicaLimited { running.decode, CallRate { 1.0, 1.0 } });
+    harness.pauseReplica(id, 3600s);
+    harness.replica(id, PoolRole::Prefill, 8);
+    harness.finish(running);
+    CHECK(isPaused(harness.shard, harness.now, running.decode));
+    // The other prefill replica leaves.
+    harness.replica(1, PoolRole::Prefill, 8, ReplicaState::Leaving);
+    harness.arrive(2);
+    const auto start = harness.last<StartPrefill>();
+    CHECK_FALSE((start && start->prefill == running.decode));
+    CHECK(harness.shard.state->replicas.at(running.decode).allowance);
+}
