Record the crash of a prefill engine that the list of servers shows first

If the list shows a new process of a prefill engine before the connection of a prefill is lost, the request was retried without being recorded at the crash, because a replica that is gone counts as recorded already, which was true of decodes only. A request that crashes prefill engines was then neither isolated nor reported to peers.

The new test failed before: no crash was reported.

--- a/src/ReplicaEvents.cpp
+++ b/src/ReplicaEvents.cpp
@@ -19,11 +19,12 @@
     stopDecode(context, request);
 }
 
-auto handlePrefillCrash(DecisionContext& context, ActiveRequest& request) -> void
+auto handlePrefillCrash(DecisionContext& context, ActiveRequest& request, Replica& replica) -> void
 {
-    if (request.phase == RequestPhase::Prefilling || request.phase == RequestPhase::Prefilled)
+    if (request.phase == RequestPhase::Prefilling || request.phase == RequestPhase::Prefilled) {
+        recordCrash(context, request, replica);
         retryOrRefuse(context, request, FailureKind::ConnectionLost);
-    else
+    } else
         // The transfer may be complete. If it is not, the decode engine reports it.
         releasePrefill(context, request);
 }
@@ -41,7 +42,7 @@
         if (request->decode == id && !request->decodeReserved.empty())
             handleDecodeCrash(context, *request, replica);
         else if (request->prefill == id && !request->prefillReserved.empty())
-            handlePrefillCrash(context, *request);
+            handlePrefillCrash(context, *request, replica);
     }
 }
 
--- a/test/correctness/ReplicaRemovalTest.cpp
+++ b/test/correctness/ReplicaRemovalTest.cpp
@@ -156,3 +156,19 @@
     CHECK(harness.last<StartDecode>());
     CHECK_FALSE(harness.lastEver<CancelOnReplica>());
 }
+
+// Guards against a crash that is not counted because the list shows the new process of the engine before the prefill's
+// connection is lost, so that the request crashes engine after engine.
+TEST_CASE("a prefill on a replica that is gone is recorded as a crash")
+{
+    auto settings = testSettings();
+    settings.instanceCount = 2;
+    ShardHarness harness(settings);
+    harness.replica(1, PoolRole::Prefill, 4);
+    harness.replica(2, PoolRole::Decode, 4);
+    harness.arrive(1);
+    REQUIRE(harness.last<StartPrefill>());
+    harness.replica(1, PoolRole::Prefill, 4, ReplicaState::Gone);
+    REQUIRE(harness.last<ReportCrash>());
+    CHECK(harness.last<ReportCrash>()->replica == ReplicaId { 1 });
+}
