Read the connections that wait before those that are active

Found by a review: a connection that became active between the two reads counted in neither, so the end of a drain could come while a request was being read. It counts as active before it stops counting as waiting, so it is missed in neither if the waiting ones are read first. The window is too short for a test to hit.

--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -124,7 +124,9 @@
 auto HttpServer::activeExchanges() const -> std::size_t
 {
     const auto& shared = *m_state->shared;
-    return shared.activeExchanges + (shared.closesIdleConnections ? shared.waitingConnections.load() : 0);
+    // A connection counts as active before it stops counting as waiting, so it is missed in neither in this order.
+    const auto waiting = shared.closesIdleConnections ? shared.waitingConnections.load() : 0;
+    return waiting + shared.activeExchanges;
 }
 
 }
