--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -10,7 +10,7 @@
   LINK jayhold_cluster)
 
 jayhold_test(cluster_directory_test
-  SOURCES test/correctness/BackendDirectoryTest.cpp test/correctness/FleetLimitTest.cpp test/correctness/BlockedPartsTest.cpp test/correctness/LoadExchangeTest.cpp test/correctness/StoreDirectoryTest.cpp
+  SOURCES test/correctness/BackendDirectoryTest.cpp test/correctness/RelistedBackendTest.cpp test/correctness/FleetLimitTest.cpp test/correctness/BlockedPartsTest.cpp test/correctness/LoadExchangeTest.cpp test/correctness/StoreDirectoryTest.cpp
     test/correctness/SharedWatchTest.cpp test/correctness/WatcherElectionTest.cpp
   LINK jayhold_cluster)
 
--- /dev/null
+++ b/test/DirectoryEntries.h
@@ -0,0 +1,37 @@
+#pragma once
+
+/// Entries of backend servers for tests of the directory.
+
+#include "BackendDirectory.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace jayhold::test {
+
+inline constexpr TimePoint start { std::chrono::seconds(1'000) };
+
+inline auto server(std::string id, ReplicaState state = ReplicaState::Live) -> BackendServer
+{
+    return { .id = std::move(id), .endpoint = { "127.0.0.1", 1 }, .availabilityZone = "alpine", .pool = "pool", .state = state };
+}
+
+inline auto server(std::string id, std::string incarnation, ReplicaState state = ReplicaState::Live) -> BackendServer
+{
+    auto result = server(std::move(id), state);
+    result.incarnation = std::move(incarnation);
+    return result;
+}
+
+/// @return the state with which the directory names the server; nothing if it does not name it.
+inline auto stateOf(const BackendDirectory& directory, std::string_view id) -> std::optional<ReplicaState>
+{
+    for (const auto& entry : servers(directory)) {
+        if (entry.id == id)
+            return entry.state;
+    }
+    return std::nullopt;
+}
+
+}
