--- a/src/ReplicaEvents.cpp
+++ b/src/ReplicaEvents.cpp
@@ -7,7 +7,6 @@
 #include "ReservationAccounting.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace jayhold {
 
@@ -84,14 +83,14 @@
 /// Replaces a replica by the same process in its new role. The pause and the limit that it has named still hold.
 auto moveToNewRole(DecisionContext& context, Replica& replica, const ReplicaChanged& event) -> void
 {
-    auto allowance = std::move(replica.allowance);
+    const auto allowance = replica.allowance;
     const auto pausedUntil = replica.pausedUntil;
     const auto pauseAskedUntil = replica.pauseAskedUntil;
     const auto isReturning = replica.isReturning;
     removeReplica(context, replica);
     updateReplica(context, event);
     auto& moved = context.state.replicas.at(event.replica);
-    moved.allowance = std::move(allowance);
+    moved.allowance = allowance;
     moved.pausedUntil = pausedUntil;
     moved.pauseAskedUntil = pauseAskedUntil;
     moved.isReturning = isReturning;
