Give a prefill that was started for an expected slot a free one at once

A request that is started because a slot is expected to become free may find one free already, for example one that was kept as headroom when it was placed, but gets it only in the pass that the next event causes, whatever that event is. Until then its slot is not reserved, and ownUsage() tells peers so.

dispatch() now assigns free slots after the starts too. Ruled out: the handling of outdated events themselves; a Tick has the same effect.

--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -157,6 +157,8 @@
     assignFreedSlots(context);
     auto& state = context.state;
     while (state.queue.size() && startOne(context)) { }
+    // A prefill that was started for an expected slot takes a free one at once, not at the next event.
+    assignFreedSlots(context);
     // The time in which all replicas are paused says nothing about the speed at which waiting work starts.
     const auto isPaused = pausesEndAt(state, context.now) > context.now;
     if (state.queue.size() && !isPaused)
--- a/test/correctness/ShardModel.cpp
+++ b/test/correctness/ShardModel.cpp
@@ -118,6 +118,15 @@
     m_harness.send(event);
     checkActions();
     checkReservations();
+    checkSettled();
+}
+
+auto ShardModel::checkSettled() -> void
+{
+    const auto before = summarize(m_harness.shard);
+    m_harness.send(Tick {});
+    checkActions();
+    RC_ASSERT(sameCounts(before, summarize(m_harness.shard)));
 }
 
 auto ShardModel::deliverToRequest(RequestId id, Attempt attempt, const DecisionEvent& event) -> void
--- a/test/correctness/ShardModel.h
+++ b/test/correctness/ShardModel.h
@@ -65,6 +65,8 @@
     auto check(const Refuse& action) -> void;
     auto checkLive(ReplicaId id, PoolRole role) -> void;
     auto checkReservations() -> void;
+    /// Checks that the last event has had all of its effect: another pass at the same time changes nothing.
+    auto checkSettled() -> void;
     auto unanswered() const -> std::size_t;
 
     ShardHarness m_harness;
