Log why a request may not be retried, and when a running attempt is ended

The log of a stream that was aborted with seconds left showed neither what the retry rules had counted nor that its running attempt was ended by a decision and not by its engine. request_refused now has the failed attempts, the retries that the request took and those that the budget had left; attempt_cancelled shows the attempt that is ended, and whether its engine was silent.

OutcomeLogTest checks the new fields of request_refused.

--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -133,7 +133,15 @@
 auto refusalInputs(const DecisionContext& context, const ActiveRequest& request) -> RefusalInputs
 {
     const auto wait = request.subQueue == SubQueue::Overdue ? expectedOverdueWait(context) : expectedWait(context, request);
-    return { context.state.queue.size(), wait, endOfTime(context.state, request) - latestStart(context.state, request) };
+    return {
+        .queued = context.state.queue.size(),
+        .wait = wait,
+        .needed = endOfTime(context.state, request) - latestStart(context.state, request),
+        .failures = request.failures,
+        .attemptsNotRun = request.attemptsNotRun,
+        .consumedRetries = request.consumedRetries,
+        .remainingRetries = context.state.retryBudget.remaining(),
+    };
 }
 
 auto shouldRetryLater(const DecisionContext& context, const ActiveRequest& request) -> bool
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -200,6 +200,8 @@
         co_await refuse(std::move(error));
     } else if (const auto* cancelled = std::get_if<CancelOnReplica>(&action)) {
         // The task then fails, which reports to the shard how many tokens were sent.
+        if (m_tasks->isRunning && cancelled->replica == m_tasks->replica)
+            record(LogLevel::Info, "attempt_cancelled", { { "phase", m_tasks->isPrefill ? "prefill" : "decode" }, { "tokens", m_relay.tokens() }, { "silent", m_tasks->isSilenceLogged }, { "left_ms", remainingMs() } });
         if (cancelled->replica == m_tasks->replica)
             interruptTask();
     }
@@ -345,7 +347,7 @@
     counter.fetch_add(1, std::memory_order_relaxed);
     m_context.metrics.countRefusal(error.type);
     const auto remainingTime = std::chrono::duration_cast<std::chrono::milliseconds>(m_info.deadline - monotonicNow());
-    recordDecision(LogLevel::Info, "request_refused", { { "reason", error.type }, { "ran", error.outcome == ExecutionOutcome::NotRun ? "no" : "unknown" }, { "left_ms", remainingTime.count() }, { "seat_refusals", m_slotRefusals }, { "queued", m_refusalInputs.queued }, { "wait_ms", m_refusalInputs.wait.count() / 1'000 }, { "needed_ms", m_refusalInputs.needed.count() / 1'000 }, { "retry_after_ms", error.retryAfter.count() / 1'000 } });
+    recordDecision(LogLevel::Info, "request_refused", { { "reason", error.type }, { "ran", error.outcome == ExecutionOutcome::NotRun ? "no" : "unknown" }, { "left_ms", remainingTime.count() }, { "seat_refusals", m_slotRefusals }, { "queued", m_refusalInputs.queued }, { "wait_ms", m_refusalInputs.wait.count() / 1'000 }, { "needed_ms", m_refusalInputs.needed.count() / 1'000 }, { "failures", m_refusalInputs.failures }, { "attempts_not_run", m_refusalInputs.attemptsNotRun }, { "retries_taken", m_refusalInputs.consumedRetries }, { "retries_left", m_refusalInputs.remainingRetries }, { "retry_after_ms", error.retryAfter.count() / 1'000 } });
     if (error.outcome == ExecutionOutcome::Unknown)
         error.response = m_failedResponse;
     co_await m_writer->fail(std::move(error));
--- a/src/Refuse.h
+++ b/src/Refuse.h
@@ -19,6 +19,12 @@
     Duration wait {};
     /// Estimated time from the start of the request that it needs to be served.
     Duration needed {};
+    /// Failed attempts of the request that may have run, and those that provably did not.
+    std::uint32_t failures = 0;
+    std::uint32_t attemptsNotRun = 0;
+    /// Retries that the request has taken from the budget, and those that the budget has left.
+    std::uint32_t consumedRetries = 0;
+    double remainingRetries = 0;
 };
 
 struct Refuse {
--- a/test/correctness/OutcomeLogTest.cpp
+++ b/test/correctness/OutcomeLogTest.cpp
@@ -117,7 +117,7 @@
         CHECK(fieldValue(line, "retry_after_ms") == "1500");
         CHECK(fieldValue(line, "config") == "7");
         CHECK(fieldValue(line, "list_age_ms") == "0");
-        for (const auto* key : { "request", "service", "kind", "attempt", "backend", "left_ms", "seat_refusals", "queued", "wait_ms", "needed_ms" })
+        for (const auto* key : { "request", "service", "kind", "attempt", "backend", "left_ms", "seat_refusals", "queued", "wait_ms", "needed_ms", "failures", "attempts_not_run", "retries_taken", "retries_left" })
             CHECK(fieldValue(line, key));
         CHECK_THAT(instance.context.metrics.print(0), Catch::Contains("jayhold_refusals_total{reason=\"" + std::string(name(reason)) + "\"} 1"));
         names.emplace(name(reason));
