Keep a silent attempt running until its replacement holds a slot

Callers' streams were aborted with seconds left. A decode that was only silent was cancelled first; then eight engines were asked for a slot within 88 ms, each refused, and the request ended as retries_exhausted with 9.4 s left. What an instance knows of free slots is older than what its peers have placed, so under load most engines that seem to have room refuse.

The shard now asks the driver to reserve a slot at the chosen engine while the silent attempt goes on (ReserveReplacement), and ends that attempt only when the slot is held and no token has come since. The new attempt names the reservation whose slot it takes. Otherwise the slot is released. A request has one reservation at a time, its number tells a late outcome from the current one, and a refused reservation costs neither an attempt nor a retry: the retry is taken when the slot is held, and if the budget lacks it by then, the silent attempt goes on as well. Silent prefills follow the same way. Engines without reservations are replaced at once, as before, if one seems to have room.

Failed before this change: - SilentAttemptsTest, "a silent attempt goes on until its replacement holds a slot": CHECK(decoding.isRunning()) was false after the first report of silence. - SilentBackendTest, "a silent engine goes on with its stream if the other one refuses a slot": decode1.runs() was 2, prefills 2; "an engine that goes on while a slot is reserved elsewhere keeps its stream": decode2.runs() was 1.

The property test of the shard plays silence, grants, refusals and outdated outcomes, with and without reservations. With the check that the attempt is still silent removed it fails: a request whose engine had gone on was moved.

A fresh slot is reserved for a silent prefill too, instead of keeping the one it holds: that one expires (2 s on the platform) about when the prefill counts as silent.

--- a/bench/EntryInstance.h
+++ b/bench/EntryInstance.h
@@ -79,6 +79,9 @@
     auto execute(const StartDecode& action) -> void;
     auto execute(const Refuse& action) -> void;
     auto execute(const CancelOnReplica& action) -> void;
+    /// The engines of the bench take no reservations.
+    auto execute(const ReserveReplacement&) -> void { }
+    auto execute(const ReleaseReplacement&) -> void { }
     auto execute(const ReportCrashSignature& action) -> void;
     auto execute(const ReportCrash& action) -> void;
     // Prompts of the bench have no parts.
--- a/src/DecisionAction.h
+++ b/src/DecisionAction.h
@@ -4,11 +4,13 @@
 
 #include "CancelOnReplica.h"
 #include "Refuse.h"
+#include "ReleaseReplacement.h"
 #include "ReplicaReturned.h"
 #include "ReportCrash.h"
 #include "ReportCrashSignature.h"
 #include "ReportCrashedPrompt.h"
 #include "ReportHarmlessParts.h"
+#include "ReserveReplacement.h"
 #include "StartDecode.h"
 #include "StartPrefill.h"
 #include "UpdateBlockedPart.h"
@@ -23,6 +25,8 @@
     StartDecode,
     Refuse,
     CancelOnReplica,
+    ReserveReplacement,
+    ReleaseReplacement,
     ReportCrashSignature,
     ReportCrash,
     ReportCrashedPrompt,
--- a/src/DecisionEvent.h
+++ b/src/DecisionEvent.h
@@ -17,6 +17,8 @@
 #include "PeerUsage.h"
 #include "PrefillDone.h"
 #include "PrefillFailed.h"
+#include "ReplacementRefused.h"
+#include "ReplacementReserved.h"
 #include "ReplicaChanged.h"
 #include "ReplicaLimited.h"
 #include "ReplicaLoad.h"
@@ -44,6 +46,8 @@
     RequestCancelled,
     SlotReserved,
     SlotRefused,
+    ReplacementReserved,
+    ReplacementRefused,
     ReplicaChanged,
     ReplicaLimited,
     ReplicaPaused,
--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -27,21 +27,6 @@
 /// execution.
 constexpr int agedDeadlineDivisor = 8;
 
-/// Takes the retries that the calls of the placement need from the budget. If it does not allow for a
-/// prefill call, the decode replica prefills itself.
-/// @return false if the budget does not allow for the attempt.
-auto consumeRetriesFor(DecisionContext& context, ActiveRequest& request, Placement& placement) -> bool
-{
-    constexpr std::uint32_t decodeCalls = 1;
-    constexpr std::uint32_t prefillAndDecodeCalls = 2;
-    if (tryConsumeRetries(context, request, placement.prefill ? prefillAndDecodeCalls : decodeCalls))
-        return true;
-    if (!placement.prefill || !placement.slotFree || !context.state.settings.decodeMayPrefill)
-        return false;
-    placement.prefill = nullptr;
-    return tryConsumeRetries(context, request, decodeCalls);
-}
-
 /// @return whether the request has left the queue.
 auto tryStart(DecisionContext& context, RequestId id, bool aged = false) -> bool
 {
@@ -53,14 +38,7 @@
         refuse(context, *request, RefusalReason::RetriesExhausted);
         return true;
     }
-    auto& state = context.state;
-    const auto isOverdue = request->subQueue == SubQueue::Overdue && request->latencyClass != LatencyClass::Batch;
-    start(context, *request, *placement);
-    recordCopyStart(context, *request);
-    state.tokensSinceAgedStart += expectedTokens(state, *request);
-    state.startInterval.started(context.now, state.queue.size() > 0);
-    if (isOverdue)
-        state.overdueStartInterval.started(context.now, state.queue.overdueCount() > 0);
+    startPlaced(context, *request, *placement);
     return true;
 }
 
@@ -143,6 +121,30 @@
 
 }
 
+auto consumeRetriesFor(DecisionContext& context, ActiveRequest& request, Placement& placement) -> bool
+{
+    constexpr std::uint32_t decodeCalls = 1;
+    constexpr std::uint32_t prefillAndDecodeCalls = 2;
+    if (tryConsumeRetries(context, request, placement.prefill ? prefillAndDecodeCalls : decodeCalls))
+        return true;
+    if (!placement.prefill || !placement.slotFree || !context.state.settings.decodeMayPrefill)
+        return false;
+    placement.prefill = nullptr;
+    return tryConsumeRetries(context, request, decodeCalls);
+}
+
+auto startPlaced(DecisionContext& context, ActiveRequest& request, const Placement& placement) -> void
+{
+    auto& state = context.state;
+    const auto isOverdue = request.subQueue == SubQueue::Overdue && request.latencyClass != LatencyClass::Batch;
+    start(context, request, placement);
+    recordCopyStart(context, request);
+    state.tokensSinceAgedStart += expectedTokens(state, request);
+    state.startInterval.started(context.now, state.queue.size() > 0);
+    if (isOverdue)
+        state.overdueStartInterval.started(context.now, state.queue.overdueCount() > 0);
+}
+
 auto oldestResume(const DecisionContext& context) -> std::optional<RequestId>
 {
     std::array<RequestId, maxTriedResumes> resumes {};
--- a/src/Identifiers.h
+++ b/src/Identifiers.h
@@ -26,4 +26,8 @@
 /// attempt from an outcome of the current one.
 using Attempt = std::uint32_t;
 
+/// Number of a reservation for the replacement of a silent attempt, starting from 1 and never reused by a shard. It
+/// distinguishes a late outcome of an earlier reservation from that of the current one.
+using ReplacementNumber = std::uint64_t;
+
 }
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -130,6 +130,7 @@
         m_service->handleEvent(RequestCancelled { m_id });
     releasePrefillResult();
     releaseSlot();
+    releaseReplacement();
     m_service->close(m_id);
     if (thrown)
         std::rethrow_exception(thrown);
@@ -204,6 +205,11 @@
             record(LogLevel::Info, "attempt_cancelled", { { "phase", m_tasks->isPrefill ? "prefill" : "decode" }, { "tokens", m_relay.tokens() }, { "silent", m_tasks->isSilenceLogged }, { "left_ms", remainingMs() } });
         if (cancelled->replica == m_tasks->replica)
             interruptTask();
+    } else if (const auto* reservation = std::get_if<ReserveReplacement>(&action)) {
+        beginReservation(*reservation);
+    } else if (const auto* release = std::get_if<ReleaseReplacement>(&action)) {
+        if (m_replacement && m_replacement->number == release->number)
+            releaseReplacement();
     }
 }
 
@@ -216,7 +222,7 @@
         m_service->metrics().queueWait.record(monotonicNow() - m_info.arrivedAt);
     m_attempt = action.attempt;
     releasePrefillResult();
-    releaseSlot();
+    takeSlot(action.replacement);
     m_prefillReplica = action.prefill;
     const auto replica = m_service->replica(action.prefill);
     if (!replica) {
@@ -268,6 +274,8 @@
     if (!m_machine.apply(RequestTransition::DecodeStarted))
         co_return;
     m_attempt = action.attempt;
+    if (action.replacement)
+        takeSlot(action.replacement);
     const auto replica = m_service->replica(action.decode);
     if (!replica) {
         enqueue(DecodeEnded { ++m_tasks->lastTask, { EngineError { FailureKind::NotConnected, "the backend server was removed" } } });
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -50,6 +50,11 @@
         ReplicaId replica;
         std::string name;
     };
+    /// A slot for the attempt that would replace a silent one; not granted yet while it has no handle.
+    struct ReplacementSlot {
+        ReplacementNumber number;
+        std::optional<SlotHandle> slot;
+    };
     struct DecodeEnded {
         std::uint64_t task;
         RelayResult outcome;
@@ -98,6 +103,19 @@
     static auto pausedError() -> EngineError;
     auto recordSlotRefusal(const EngineError& error) -> void;
     auto releaseSlot() -> void;
+    auto releaseSlotAt(HttpClient& client, const SlotHandle& slot) -> void;
+    /// Reserves a slot for the attempt that would replace the running one, which goes on meanwhile.
+    auto beginReservation(const ReserveReplacement& action) -> void;
+    /// @param client used instead of the exchange's, because the request may end before the engine answers.
+    auto runReservation(HttpClient& client, ReserveReplacement action, ReplicaStatus decode) -> boost::asio::awaitable<void>;
+    /// Asks a decode engine for a slot.
+    auto requestSlot(HttpClient& client, ReplicaStatus decode, std::uint32_t tokens) -> boost::asio::awaitable<EngineResult<SlotHandle>>;
+    /// Reports that a slot for a replacement was refused; the running attempt goes on.
+    auto refuseReplacement(ReplacementNumber number, const EngineError& error) -> void;
+    /// Gives up the slot of a replacement, or its reservation if it is still asked for.
+    auto releaseReplacement() -> void;
+    /// Releases the slot of the former attempt, and takes the slot that is reserved for the new one, if one is.
+    auto takeSlot(ReplacementNumber number) -> void;
     /// Releases a reservation or result at an engine in the background, and logs a failure.
     /// @param what name of the resource, for the log.
     auto releaseInBackground(std::string_view what, const BackendServer& server, boost::asio::awaitable<bool> call) -> void;
@@ -158,6 +176,7 @@
     std::optional<PrefillResult> m_prefill;
     bool m_isPrefillFetched = false;
     std::optional<SlotHandle> m_slot;
+    std::optional<ReplacementSlot> m_replacement;
     std::uint32_t m_decodeTokens = 0;
     std::uint32_t m_slotRefusals = 0;
     /// The response of the engine that failed last, if the engine itself reported the failure; null
--- a/src/ModelRequestReservations.cpp
+++ b/src/ModelRequestReservations.cpp
@@ -1,5 +1,7 @@
 #include "ModelRequestTasks.h"
 
+#include "ExceptionText.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -23,17 +25,25 @@
 
 }
 
-auto ModelRequest::reserveSlot(const std::optional<ReplicaStatus>& decode) -> asio::awaitable<std::optional<EngineError>>
+auto ModelRequest::requestSlot(HttpClient& client, ReplicaStatus decode, std::uint32_t tokens) -> asio::awaitable<EngineResult<SlotHandle>>
 {
-    const auto time = m_service->slotReservationTime();
-    if (!m_context.backendProtocol.reserveSlot || time <= Duration::zero() || !decode)
-        co_return std::nullopt;
-    if (m_service->isPaused(decode->id))
+    if (m_service->isPaused(decode.id))
         co_return pausedError();
-    auto reservation = co_await m_context.backendProtocol.reserveSlot(m_exchange.client(), decode->backend, m_decodeTokens, time, m_timeouts.slotReservation, m_context.handleNotice);
+    const auto time = m_service->slotReservationTime();
+    auto reservation = co_await m_context.backendProtocol.reserveSlot(client, decode.backend, tokens, time, m_timeouts.slotReservation, m_context.handleNotice);
     if (reservation.has_error())
         co_return reservation.error();
-    m_slot = SlotHandle { decode->backend, decode->id, std::move(*reservation) };
+    co_return SlotHandle { decode.backend, decode.id, std::move(*reservation) };
+}
+
+auto ModelRequest::reserveSlot(const std::optional<ReplicaStatus>& decode) -> asio::awaitable<std::optional<EngineError>>
+{
+    if (!m_context.backendProtocol.reserveSlot || m_service->slotReservationTime() <= Duration::zero() || !decode || m_slot)
+        co_return std::nullopt;
+    auto slot = co_await requestSlot(m_exchange.client(), *decode, m_decodeTokens);
+    if (slot.has_error())
+        co_return slot.error();
+    m_slot = std::move(*slot);
     co_return std::nullopt;
 }
 
@@ -71,14 +81,81 @@
     m_isPrefillFetched = false;
 }
 
-auto ModelRequest::releaseSlot() -> void
+auto ModelRequest::releaseSlotAt(HttpClient& client, const SlotHandle& slot) -> void
 {
     const auto releaseOnEngine = m_context.backendProtocol.releaseSlot;
-    if (m_slot && releaseOnEngine && !m_service->isPaused(m_slot->replica))
-        releaseInBackground("seat", m_slot->server, releaseOnEngine(m_exchange.client(), m_slot->server, m_slot->name, releaseTimeout, m_context.handleNotice));
+    if (releaseOnEngine && !m_service->isPaused(slot.replica))
+        releaseInBackground("seat", slot.server, releaseOnEngine(client, slot.server, slot.name, releaseTimeout, m_context.handleNotice));
+}
+
+auto ModelRequest::releaseSlot() -> void
+{
+    if (m_slot)
+        releaseSlotAt(m_exchange.client(), *m_slot);
     m_slot.reset();
 }
 
+auto ModelRequest::releaseReplacement() -> void
+{
+    if (m_replacement && m_replacement->slot)
+        releaseSlotAt(m_exchange.client(), *m_replacement->slot);
+    if (m_replacement)
+        record(LogLevel::Info, "replacement_released", { { "replacement", m_replacement->slot ? m_replacement->slot->server.id : "" }, { "tokens", m_relay.tokens() } });
+    m_replacement.reset();
+}
+
+auto ModelRequest::takeSlot(ReplacementNumber number) -> void
+{
+    releaseSlot();
+    if (m_replacement && m_replacement->number == number)
+        m_slot = std::move(std::exchange(m_replacement, std::nullopt)->slot);
+}
+
+auto ModelRequest::beginReservation(const ReserveReplacement& action) -> void
+{
+    m_replacement = ReplacementSlot { action.number, std::nullopt };
+    const auto decode = m_service->replica(action.decode);
+    record(LogLevel::Info, "replacement_requested", { { "replacement", decode ? decode->backend.id : "" }, { "decode_tokens", action.decodeTokens }, { "tokens", m_relay.tokens() }, { "left_ms", remainingMs() } });
+    if (!decode) {
+        refuseReplacement(action.number, { FailureKind::NotConnected, "the backend server was removed" });
+        return;
+    }
+    auto onEnd = [self = shared_from_this(), number = action.number](const std::exception_ptr& thrown) {
+        if (!thrown)
+            return;
+        const EngineError error { FailureKind::ServerError, exceptionText(thrown) };
+        self->record(LogLevel::Error, "task_failed", { { "task", "reservation" }, { "detail", error.detail } });
+        self->refuseReplacement(number, error);
+    };
+    asio::co_spawn(m_tasks->executor, runReservation(m_exchange.client(), action, *decode), std::move(onEnd));
+}
+
+auto ModelRequest::runReservation(HttpClient& client, ReserveReplacement action, ReplicaStatus decode) -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    auto slot = co_await requestSlot(client, decode, action.decodeTokens);
+    if (slot.has_error()) {
+        refuseReplacement(action.number, slot.error());
+        co_return;
+    }
+    if (!m_replacement || m_replacement->number != action.number) {
+        releaseSlotAt(client, *slot);
+        co_return;
+    }
+    m_replacement->slot = std::move(*slot);
+    record(LogLevel::Info, "replacement_reserved", { { "replacement", decode.backend.id }, { "tokens", m_relay.tokens() }, { "left_ms", remainingMs() } });
+    m_service->handleEvent(ReplacementReserved { m_id, action.number, tokensSent() });
+}
+
+auto ModelRequest::refuseReplacement(ReplacementNumber number, const EngineError& error) -> void
+{
+    if (!m_replacement || m_replacement->number != number)
+        return;
+    m_replacement.reset();
+    record(LogLevel::Info, "replacement_refused", { { "failure", name(error.failure) }, { "detail", error.detail }, { "tokens", m_relay.tokens() }, { "left_ms", remainingMs() } });
+    m_service->handleEvent(ReplacementRefused { m_id, number, error.failure });
+}
+
 auto ModelRequest::releaseInBackground(std::string_view what, const BackendServer& server, asio::awaitable<bool> call) -> void
 {
     asio::co_spawn(m_tasks->executor, runRelease(m_context.log, callerRequestId(), std::string(what), server.id, std::move(call)), asio::detached);
--- a/src/ModelService.cpp
+++ b/src/ModelService.cpp
@@ -247,6 +247,10 @@
     } else if (const auto* cancel = std::get_if<CancelOnReplica>(&action)) {
         cancelLocked(cancel->request, cancel->replica, outbox);
         deliver(cancel->request);
+    } else if (const auto* reservation = std::get_if<ReserveReplacement>(&action)) {
+        deliver(reservation->request);
+    } else if (const auto* release = std::get_if<ReleaseReplacement>(&action)) {
+        deliver(release->request);
     } else if (const auto* report = std::get_if<ReportCrashSignature>(&action)) {
         outbox.signatures.push_back(report->signature);
     } else if (const auto* crash = std::get_if<ReportCrash>(&action)) {
--- a/src/Placement.h
+++ b/src/Placement.h
@@ -15,6 +15,8 @@
     /// Whether the slot is free now. Otherwise it is expected to be free when the prefill result is
     /// ready.
     bool slotFree;
+    /// What is reserved on the decode replica already; null if nothing is.
+    const Replacement* replacement = nullptr;
 };
 
 /// @param slotHeadroom decode slots that must also stay free.
--- a/src/ReplicaHealth.cpp
+++ b/src/ReplicaHealth.cpp
@@ -54,7 +54,7 @@
     const auto requests = replica.requests;
     for (const auto requestId : requests) {
         auto& request = *findRequest(context.state, requestId);
-        if (request.phase != RequestPhase::Prefilling)
+        if (request.phase != RequestPhase::Prefilling || request.decode != replica.description.replica)
             continue;
         releaseDecode(context, request);
         context.state.prefillsWithoutSlot.emplace(request.phaseStartedAt, requestId);
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -66,6 +66,7 @@
     auto* request = findCurrent(context.state, event.request, event.attempt, { RequestPhase::Prefilling });
     if (!request)
         return;
+    request->silentAttempt = 0;
     recordSuccess(context, *request->prefill, event.request);
     clearSuspectsIfAlive(context, *request, *request->prefill);
     completePrefill(context, *request, event.expiresAt, event.cachedTokens);
@@ -100,6 +101,7 @@
     auto* request = findCurrent(context.state, event.request, event.attempt, { RequestPhase::Starting });
     if (!request)
         return;
+    request->silentAttempt = 0;
     recordSuccess(context, *request->decode, event.request);
     enterDecoding(context, *request);
 }
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -15,16 +15,6 @@
 
 namespace {
 
-/// An attempt without progress for this long is cancelled. The time is long because engines report
-/// progress in batches.
-constexpr Duration stallTimeout = std::chrono::seconds(10);
-
-/// Interval of checks that refuse overdue requests when the remaining capacity is too small for them.
-constexpr Duration overdueCheckInterval = std::chrono::seconds(1);
-/// A request that is overdue on arrival may start at once where there is room, and is refused with a
-/// retry delay after this time.
-constexpr Duration overdueRefusalDelay = std::chrono::milliseconds(100);
-
 auto enterPhase(DecisionContext& context, ActiveRequest& request, RequestPhase phase) -> void
 {
     auto& prefilling = context.state.prefilling;
@@ -44,6 +34,11 @@
     context.state.totals.wastedPrefillTokens += request.arrival.promptTokens;
 }
 
+auto mayBeRunning(RequestPhase phase) -> bool
+{
+    return phase == RequestPhase::Starting || phase == RequestPhase::Decoding || phase == RequestPhase::Stopping;
+}
+
 /// Leaves the current phase and releases everything that the request holds.
 auto leavePhase(DecisionContext& context, ActiveRequest& request) -> void
 {
@@ -57,6 +52,7 @@
         countWastedPrefill(context, request);
     state.prefillsWithoutSlot.erase({ request.phaseStartedAt, request.arrival.request });
     state.awaitingSlotReply.erase(request.arrival.request);
+    dropReplacement(context, request);
     clearExpectedEnd(context, request);
     releasePrefill(context, request);
     releaseDecode(context, request);
@@ -72,9 +68,21 @@
     context.state.requests.erase(id);
 }
 
-auto mayBeRunning(RequestPhase phase) -> bool
+/// Counts the failure of the current attempt for the rules on retries.
+auto countFailedAttempt(DecisionContext& context, ActiveRequest& request, FailureKind failure) -> void
 {
-    return phase == RequestPhase::Starting || phase == RequestPhase::Decoding || phase == RequestPhase::Stopping;
+    const auto notRun = request.phase == RequestPhase::Starting && provablyNotRun(failure);
+    const auto ran = mayBeRunning(request.phase) && !notRun;
+    request.mayHaveRun = request.mayHaveRun || ran;
+    if (provablyNotRun(failure))
+        ++request.attemptsNotRun;
+    else
+        ++request.failures;
+    request.failedDecodes += ran;
+    // The call of a prefill that has ended is already counted.
+    request.engineCalls += request.phase != RequestPhase::Prefilled && isCountedCall(context.state.settings.retry, failure);
+    request.kvFetchFailures += request.phase == RequestPhase::Starting && request.prefill && provablyNotRun(failure);
+    request.avoidedReplica = mayBeRunning(request.phase) ? request.decode : request.prefill;
 }
 
 /// Retries only the decode: it did not run, and the prefill result is still available.
@@ -122,32 +130,6 @@
     };
 }
 
-/// A waiting request is checked when it becomes overdue or can no longer meet its deadline. An overdue
-/// request is also checked in between.
-auto nextCheck(const DecisionContext& context, const ActiveRequest& request) -> TimePoint
-{
-    if (request.subQueue == SubQueue::Resume)
-        return TimePoint::max();
-    const auto last = pausesEndAfterLatestStart(context, request) ? context.now : latestStart(context.state, request);
-    if (request.subQueue == SubQueue::Fair)
-        return std::max(std::min(last, latestOnTimeStart(context.state, request)), context.now);
-    return std::min(last, context.now + (shouldRetryLater(context, request) ? overdueRefusalDelay : overdueCheckInterval));
-}
-
-auto setTimer(DecisionContext& context, ActiveRequest& request) -> void
-{
-    auto time = latestRefusal(context.state, request);
-    if (request.phase == RequestPhase::Queued)
-        time = std::min(time, nextCheck(context, request));
-    if (request.phase == RequestPhase::Prefilled)
-        time = std::min(time, pausesEndAfterLatestStart(context, request) ? context.now : request.kvExpiresAt);
-    else if (request.phase == RequestPhase::Stopping)
-        time = std::min(time, request.phaseStartedAt + tokenCountTimeout);
-    else if (request.phase != RequestPhase::Queued)
-        time = std::min(time, request.lastProgressAt + stallTimeout);
-    context.state.timers.move(request.arrival.request, request.timerAt, time);
-}
-
 auto enqueue(DecisionContext& context, ActiveRequest& request) -> void
 {
     request.prefill.reset();
@@ -160,39 +142,36 @@
     context.state.queue.push(queueEntry(request), customerWeight(context.state, request));
 }
 
-auto checkWaiting(DecisionContext& context, ActiveRequest& request) -> void
+namespace {
+
+auto numberOf(const Placement& placement) -> ReplacementNumber
 {
-    auto& queue = context.state.queue;
-    if (shouldRetryLater(context, request) && latestOnTimeStart(context.state, request) <= context.now) {
-        refuse(context, request, RefusalReason::Overloaded);
-        return;
-    }
-    if (request.subQueue == SubQueue::Fair && latestOnTimeStart(context.state, request) <= context.now) {
-        queue.remove(queueEntry(request));
-        moveToOverdue(context, request);
-        queue.push(queueEntry(request), customerWeight(context.state, request));
-    }
-    if (cannotMeetDeadline(context, request))
-        refuse(context, request, endsBeforeDeadline(context.state, request) ? RefusalReason::Draining : RefusalReason::Overloaded);
-    else
-        setTimer(context, request);
+    return placement.replacement ? placement.replacement->number : 0;
 }
 
-namespace {
+/// Gives the request the slot of its placement, which may be reserved already.
+auto takeDecode(DecisionContext& context, ActiveRequest& request, const Placement& placement) -> void
+{
+    request.decode = placement.decode->description.replica;
+    if (placement.replacement)
+        request.decodeReserved = placement.replacement->reserved;
+    else
+        reserve(context, request, *placement.decode, decodeReservation(context, request, *placement.decode));
+}
 
 /// Starts a decode on a replica that prefills itself.
-auto startWithoutPrefill(DecisionContext& context, ActiveRequest& request, Replica& decode) -> void
+auto startWithoutPrefill(DecisionContext& context, ActiveRequest& request, const Placement& placement) -> void
 {
+    auto& decode = *placement.decode;
     request.prefill.reset();
-    request.decode = decode.description.replica;
-    reserve(context, request, decode, decodeReservation(context, request, decode));
+    takeDecode(context, request, placement);
     enterPhase(context, request, RequestPhase::Starting);
     std::uint32_t slotTokens = 0;
-    if (context.state.settings.reservesSlots) {
+    if (context.state.settings.reservesSlots && !placement.replacement) {
         context.state.awaitingSlotReply.insert(request.arrival.request);
         slotTokens = slotMemoryTokens(context, request, decode);
     }
-    context.actions.emplace_back(StartDecode { request.arrival.request, request.attempt, request.prefill, *request.decode, request.emitted, slotTokens });
+    context.actions.emplace_back(StartDecode { request.arrival.request, request.attempt, request.prefill, *request.decode, request.emitted, slotTokens, numberOf(placement) });
 }
 
 }
@@ -205,7 +184,7 @@
     ++request.attempt;
     request.emittedAtStart = request.emitted;
     if (!placement.prefill) {
-        startWithoutPrefill(context, request, *placement.decode);
+        startWithoutPrefill(context, request, placement);
         return;
     }
     auto& prefill = *placement.prefill;
@@ -214,16 +193,16 @@
     request.decode = decode.description.replica;
     reserve(context, request, prefill, prefillReservation(context, request, prefill));
     if (placement.slotFree)
-        reserve(context, request, decode, decodeReservation(context, request, decode));
+        takeDecode(context, request, placement);
     else
         state.prefillsWithoutSlot.emplace(context.now, request.arrival.request);
-    if (state.settings.reservesSlots)
+    if (state.settings.reservesSlots && !placement.replacement)
         state.awaitingSlotReply.insert(request.arrival.request);
     request.prefillBacklogTokens = prefill.reserved.prefillTokens;
     recordPrefillZone(context, prefill);
     state.totals.prefillTokens += request.arrival.promptTokens;
     enterPhase(context, request, RequestPhase::Prefilling);
-    context.actions.emplace_back(StartPrefill { request.arrival.request, request.attempt, *request.prefill, *request.decode, slotMemoryTokens(context, request, decode) });
+    context.actions.emplace_back(StartPrefill { request.arrival.request, request.attempt, *request.prefill, *request.decode, slotMemoryTokens(context, request, decode), numberOf(placement) });
 }
 
 auto completePrefill(DecisionContext& context, ActiveRequest& request, TimePoint expiresAt, std::uint32_t cachedTokens) -> void
@@ -307,18 +286,7 @@
 
 auto retryOrRefuse(DecisionContext& context, ActiveRequest& request, FailureKind failure) -> void
 {
-    const auto notRun = request.phase == RequestPhase::Starting && provablyNotRun(failure);
-    const auto ran = mayBeRunning(request.phase) && !notRun;
-    request.mayHaveRun = request.mayHaveRun || ran;
-    if (provablyNotRun(failure))
-        ++request.attemptsNotRun;
-    else
-        ++request.failures;
-    request.failedDecodes += ran;
-    // The call of a prefill that has ended is already counted.
-    request.engineCalls += request.phase != RequestPhase::Prefilled && isCountedCall(context.state.settings.retry, failure);
-    request.kvFetchFailures += request.phase == RequestPhase::Starting && request.prefill && provablyNotRun(failure);
-    request.avoidedReplica = mayBeRunning(request.phase) ? request.decode : request.prefill;
+    countFailedAttempt(context, request, failure);
     if (failure == FailureKind::ConnectionLost)
         recordLostConnection(context, request);
     if (request.crashSuspicion == CrashSuspicion::Confirmed) {
@@ -338,6 +306,27 @@
         refuse(context, request, RefusalReason::RetriesExhausted);
 }
 
+auto endForReplacement(DecisionContext& context, ActiveRequest& request) -> void
+{
+    cancelAttempt(context, request);
+    countFailedAttempt(context, request, FailureKind::TimedOut);
+    leavePhase(context, request);
+    // An interrupted request waits there if the new attempt is refused.
+    request.subQueue = SubQueue::Resume;
+    enqueue(context, request);
+    ++context.state.totals.retries;
+}
+
+auto dropReplacement(DecisionContext& context, const ActiveRequest& request) -> void
+{
+    const auto found = context.state.replacements.find(request.arrival.request);
+    if (found == context.state.replacements.end())
+        return;
+    if (context.state.settings.reservesSlots)
+        context.actions.emplace_back(ReleaseReplacement { request.arrival.request, found->second.number });
+    releaseReplacement(context, request);
+}
+
 auto requeueAfterSlotRefusal(DecisionContext& context, ActiveRequest& request) -> void
 {
     request.avoidedReplica = request.decode;
--- a/src/RequestLifecycle.h
+++ b/src/RequestLifecycle.h
@@ -8,13 +8,11 @@
 #include "FailureKind.h"
 #include "Placement.h"
 #include "RefusalReason.h"
+#include "RequestTimers.h"
 
 namespace jayhold {
 
 auto enqueue(DecisionContext& context, ActiveRequest& request) -> void;
-/// Moves a waiting request to the Overdue sub-queue, or refuses it, once it misses its target or
-/// deadline.
-auto checkWaiting(DecisionContext& context, ActiveRequest& request) -> void;
 /// Starts the prefill, or the decode if no prefill is needed, on the chosen replicas.
 auto start(DecisionContext& context, ActiveRequest& request, const Placement& placement) -> void;
 auto completePrefill(DecisionContext& context, ActiveRequest& request, TimePoint expiresAt, std::uint32_t cachedTokens) -> void;
@@ -33,6 +31,11 @@
 /// again.
 auto retryOrRefuse(DecisionContext& context, ActiveRequest& request, FailureKind failure) -> void;
 
+/// Ends the current attempt, whose engine is silent, and queues the request for the start of its replacement.
+auto endForReplacement(DecisionContext& context, ActiveRequest& request) -> void;
+/// Gives up what is reserved for the replacement of the current attempt, if anything is.
+auto dropReplacement(DecisionContext& context, const ActiveRequest& request) -> void;
+
 /// Queues a request again whose decode replica has no capacity after all. The prefill replica has not
 /// been sent anything yet.
 auto requeueAfterSlotRefusal(DecisionContext& context, ActiveRequest& request) -> void;
@@ -48,7 +51,5 @@
 auto customerWeight(const ShardState& state, const ActiveRequest& request) -> double;
 /// Cancels the current attempt on the replicas that may hold something for it.
 auto cancelAttempt(DecisionContext& context, const ActiveRequest& request) -> void;
-/// Sets the timer to the next time at which the request needs attention.
-auto setTimer(DecisionContext& context, ActiveRequest& request) -> void;
 
 }
--- a/src/ReservationAccounting.cpp
+++ b/src/ReservationAccounting.cpp
@@ -21,31 +21,42 @@
     return request.phase == RequestPhase::Starting || request.phase == RequestPhase::Decoding;
 }
 
-auto releasePart(DecisionContext& context, ActiveRequest& request, ReplicaId id, Reservation& requestReserved, Reservation part) -> void
+auto releasePart(DecisionContext& context, const ActiveRequest& request, ReplicaId id, Reservation& requestReserved, Reservation part, bool ranOnEngine) -> void
 {
     subtract(requestReserved, part);
     auto* replica = findReplica(context.state, id);
     if (!replica)
         return;
     subtract(replica->reserved, part);
-    if (requestReserved.empty())
-        std::erase(replica->requests, request.arrival.request);
+    // A request may also hold a reservation for its replacement here.
+    auto& requests = replica->requests;
+    if (const auto entry = std::ranges::find(requests, request.arrival.request); requestReserved.empty() && entry != requests.end())
+        requests.erase(entry);
     if (part.slots && replica->isolatedSuspect == request.arrival.request)
         replica->isolatedSuspect.reset();
     if (part.slots)
         forgetFirstAfterPause(*replica, request.arrival.request, context.now);
     if (part.slots && replica->slotAllowance)
         *replica->slotAllowance += part.slots;
-    if (part.slots && runsOnEngine(request, replica->role()))
+    if (part.slots && ranOnEngine)
         replica->recentUsages.add({ request.phaseStartedAt, context.now, part.memoryBlocks });
     updateIndex(context, *replica);
 }
 
+auto releasePrefillPart(DecisionContext& context, ActiveRequest& request, Reservation part) -> void
+{
+    if (request.prefill && !part.empty())
+        releasePart(context, request, *request.prefill, request.prefillReserved, part, runsOnEngine(request, PoolRole::Prefill));
 }
 
-auto reserve(DecisionContext& context, ActiveRequest& request, Replica& replica, const Reservation& amount) -> void
+auto releaseDecodePart(DecisionContext& context, ActiveRequest& request, Reservation part) -> void
+{
+    if (request.decode && !part.empty())
+        releasePart(context, request, *request.decode, request.decodeReserved, part, runsOnEngine(request, PoolRole::Decode));
+}
+
+auto takePart(DecisionContext& context, const ActiveRequest& request, Replica& replica, Reservation& requestReserved, const Reservation& amount) -> void
 {
-    auto& requestReserved = replica.role() == PoolRole::Prefill ? request.prefillReserved : request.decodeReserved;
     if (requestReserved.empty())
         replica.requests.push_back(request.arrival.request);
     add(requestReserved, amount);
@@ -64,6 +75,36 @@
     updateIndex(context, replica);
 }
 
+}
+
+auto reserve(DecisionContext& context, ActiveRequest& request, Replica& replica, const Reservation& amount) -> void
+{
+    takePart(context, request, replica, replica.role() == PoolRole::Prefill ? request.prefillReserved : request.decodeReserved, amount);
+}
+
+auto reserveReplacement(DecisionContext& context, const ActiveRequest& request, Replica& replica, const Reservation& amount) -> Replacement&
+{
+    auto& replacement = context.state.replacements[request.arrival.request];
+    replacement.number = ++context.state.lastReplacement;
+    replacement.decode = replica.description.replica;
+    replacement.emitted = request.emitted;
+    takePart(context, request, replica, replacement.reserved, amount);
+    return replacement;
+}
+
+auto releaseReplacement(DecisionContext& context, const ActiveRequest& request) -> void
+{
+    const auto entry = context.state.replacements.extract(request.arrival.request);
+    if (!entry)
+        return;
+    auto& replacement = entry.mapped();
+    auto* replica = findReplica(context.state, replacement.decode);
+    // No call was sent.
+    if (replica && replica->allowance)
+        replica->allowance->putBack(context.now);
+    releasePart(context, request, replacement.decode, replacement.reserved, replacement.reserved, false);
+}
+
 auto isLimitedCall(const ActiveRequest& request, const Replica& replica) -> bool
 {
     return replica.role() == PoolRole::Decode || request.engineCalls > 0;
@@ -81,8 +122,7 @@
 
 auto releasePrefill(DecisionContext& context, ActiveRequest& request) -> void
 {
-    if (request.prefill && !request.prefillReserved.empty())
-        releasePart(context, request, *request.prefill, request.prefillReserved, request.prefillReserved);
+    releasePrefillPart(context, request, request.prefillReserved);
 }
 
 auto releasePrefillSlot(DecisionContext& context, ActiveRequest& request) -> void
@@ -90,21 +130,17 @@
     auto part = request.prefillReserved;
     part.memoryBlocks = 0;
     part.linkBytes = 0;
-    if (request.prefill && !part.empty())
-        releasePart(context, request, *request.prefill, request.prefillReserved, part);
+    releasePrefillPart(context, request, part);
 }
 
 auto releaseDecode(DecisionContext& context, ActiveRequest& request) -> void
 {
-    if (request.decode && !request.decodeReserved.empty())
-        releasePart(context, request, *request.decode, request.decodeReserved, request.decodeReserved);
+    releaseDecodePart(context, request, request.decodeReserved);
 }
 
 auto releaseDecodeLink(DecisionContext& context, ActiveRequest& request) -> void
 {
-    const Reservation part { .linkBytes = request.decodeReserved.linkBytes };
-    if (request.decode && !part.empty())
-        releasePart(context, request, *request.decode, request.decodeReserved, part);
+    releaseDecodePart(context, request, { .linkBytes = request.decodeReserved.linkBytes });
 }
 
 auto growDecode(DecisionContext& context, ActiveRequest& request) -> void
--- a/src/ReservationAccounting.h
+++ b/src/ReservationAccounting.h
@@ -8,6 +8,10 @@
 namespace jayhold {
 
 auto reserve(DecisionContext& context, ActiveRequest& request, Replica& replica, const Reservation& amount) -> void;
+/// Reserves what the attempt that replaces a silent one would take on a decode replica.
+auto reserveReplacement(DecisionContext& context, const ActiveRequest& request, Replica& replica, const Reservation& amount) -> Replacement&;
+/// Releases what is reserved for the replacement of the running attempt, if anything is. No call was sent.
+auto releaseReplacement(DecisionContext& context, const ActiveRequest& request) -> void;
 /// @return whether the next call of the request to the replica counts against a limit that the replica names.
 /// The first prefill of a request does not.
 auto isLimitedCall(const ActiveRequest& request, const Replica& replica) -> bool;
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -12,6 +12,7 @@
 #include "RequestLifecycle.h"
 #include "ReservationAccounting.h"
 #include "ShardSummary.h"
+#include "SilentAttempts.h"
 
 #include <algorithm>
 
@@ -116,7 +117,8 @@
 
 using ReservationByReplica = std::unordered_map<ReplicaId, Reservation>;
 
-/// @return the reservations of requests whose decode replica has not answered yet, by replica.
+/// @return the reservations of requests, and of replacements of their attempts, whose decode replica has not answered
+/// yet, by replica.
 auto reservedByWaiting(const ShardState& state) -> ReservationByReplica
 {
     ReservationByReplica sums;
@@ -127,6 +129,8 @@
         if (request.decode)
             add(sums[*request.decode], request.decodeReserved);
     }
+    for (const auto& [id, replacement] : state.replacements)
+        add(sums[replacement.decode], replacement.reserved);
     return sums;
 }
 
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -12,6 +12,7 @@
 #include "PlacementIndex.h"
 #include "PrefixCacheView.h"
 #include "PromptPartCrashes.h"
+#include "Replacement.h"
 #include "Replica.h"
 #include "RequestQueue.h"
 #include "RetryBudget.h"
@@ -50,6 +51,9 @@
     /// Requests whose decode replica has been asked for a slot and has not answered. Their prefill has
     /// not begun, and a full replica rejects most of them.
     std::set<RequestId> awaitingSlotReply;
+    /// Reservations for the replacement of silent attempts, at most one for each request.
+    std::unordered_map<RequestId, Replacement> replacements;
+    ReplacementNumber lastReplacement = 0;
     /// Prefills that started because a slot was expected to become free, ordered by their start.
     std::set<std::pair<TimePoint, RequestId>> prefillsWithoutSlot;
     PrefixCacheView cache;
--- a/src/SilentAttempts.h
+++ b/src/SilentAttempts.h
@@ -1,14 +1,22 @@
 #pragma once
 
-/// Replaces attempts whose engine is silent. Silence alone never ends a request.
+/// Replaces attempts whose engine is silent. Silence alone never ends a request: the silent attempt goes on until a
+/// slot is reserved for the next one.
 
 #include "DecisionContext.h"
+#include "ReplacementRefused.h"
+#include "ReplacementReserved.h"
 
 namespace jayhold {
 
-/// Ends the attempt of a request whose engine is silent and starts another one, if the retry rules and the
-/// budget allow it and another engine has room now. Otherwise the attempt goes on.
-/// @return whether the attempt was replaced.
-auto replaceSilentAttempt(DecisionContext& context, ActiveRequest& request) -> bool;
+/// Reserves a slot for the replacement of an attempt whose engine is silent, if the retry rules and the budget allow
+/// another attempt and another engine seems to have room. The attempt goes on meanwhile. If engines take no
+/// reservations, it is replaced at once. Does nothing while an earlier reservation is still asked for.
+auto replaceSilentAttempt(DecisionContext& context, ActiveRequest& request) -> void;
+
+/// Replaces the attempt with the reserved slot, unless its engine has gone on or the rules or the budget forbid it by
+/// now. The slot is released then.
+auto handle(DecisionContext& context, const ReplacementReserved& event) -> void;
+auto handle(DecisionContext& context, const ReplacementRefused& event) -> void;
 
 }
--- a/src/StartDecode.h
+++ b/src/StartDecode.h
@@ -21,6 +21,8 @@
     std::uint32_t resumeFrom;
     /// Memory in tokens for which the engine is first asked to reserve a slot; 0 if that has been done.
     std::uint32_t slotTokens = 0;
+    /// The reservation whose slot the attempt takes; 0 if it takes none.
+    ReplacementNumber replacement = 0;
 };
 
 }
--- a/src/StartPrefill.h
+++ b/src/StartPrefill.h
@@ -17,6 +17,8 @@
     ReplicaId decode;
     /// Tokens for which the decode needs memory.
     std::uint32_t decodeTokens = 0;
+    /// The reservation whose slot the attempt takes; 0 if it takes none.
+    ReplacementNumber replacement = 0;
 };
 
 }
--- a/test/FakeObjectStore.cpp
+++ b/test/FakeObjectStore.cpp
@@ -314,7 +314,12 @@
     const auto isReservation = exchange.request().target == "/-/hold-take";
     if (isReservation && m_reservationTime.load() > Duration::zero())
         co_await pause(m_reservationTime);
+    m_releasedReservations += exchange.request().target.starts_with("/-/hold-drop/");
     auto response = jsonResponse(200, isReservation ? R"({"hold":"seat"})" : "{}");
+    if (isReservation && m_refusesReservations) {
+        ++m_refusedReservations;
+        response = jsonResponse(409, "{}");
+    }
     if (const auto delay = retryDelay(); !delay.empty())
         response = { 503, { { "Not-Executed", "1" }, { "Retry-After", delay } }, {} };
     co_await respond(exchange, std::move(response));
--- a/test/FakeObjectStore.h
+++ b/test/FakeObjectStore.h
@@ -120,6 +120,11 @@
     }
     /// @param time time that a slot reservation takes.
     auto setReservationTime(Duration time) -> void { m_reservationTime = time; }
+    /// @param refuses whether the server refuses all slot reservations.
+    auto setRefusesReservations(bool refuses) -> void { m_refusesReservations = refuses; }
+    /// @return how many slot reservations the server has refused, and how many slots were released.
+    auto refusedReservations() const -> int { return m_refusedReservations; }
+    auto releasedReservations() const -> int { return m_releasedReservations; }
     /// @param perSecond limit that the server names in its responses; 0 if it names none.
     auto setLimit(double perSecond) -> void { m_limit = perSecond; }
     /// @param isLeaving whether all answers say that the server is leaving.
@@ -155,6 +160,9 @@
     std::atomic<Duration> m_gap { Duration::zero() };
     std::atomic<double> m_limit { 0 };
     std::atomic<Duration> m_reservationTime { Duration::zero() };
+    std::atomic<bool> m_refusesReservations { false };
+    std::atomic<int> m_refusedReservations { 0 };
+    std::atomic<int> m_releasedReservations { 0 };
     std::function<void(const std::string&, const std::string&)> m_onRun = [](const std::string&, const std::string&) {};
     std::function<void(const std::string&, const std::string&, const std::string&)> m_onRejection = [](const std::string&, const std::string&, const std::string&) {};
     std::atomic<int> m_runs { 0 };
--- a/test/correctness/ShardModel.cpp
+++ b/test/correctness/ShardModel.cpp
@@ -1,5 +1,6 @@
 #include "ShardModel.h"
 
+#include "ShardModelSteps.h"
 #include "ShardState.h"
 
 #include <rapidcheck.h>
@@ -31,14 +32,6 @@
         || failure == FailureKind::KvExpired || failure == FailureKind::Leaving;
 }
 
-/// Picks a recent entry in most cases, and any earlier one otherwise.
-template <typename Starts>
-auto pick(const Starts& starts, const ModelStep& step)
-{
-    const std::size_t back = step.second < 200 ? step.second % 4U : step.third * 7U;
-    return starts[starts.size() - 1 - back % starts.size()];
-}
-
 auto testReplica(std::uint32_t id) -> ReplicaChanged
 {
     return {
@@ -53,26 +46,20 @@
     };
 }
 
-auto modelSettings(std::uint32_t instanceCount) -> ShardSettings
+auto modelSettings(std::uint32_t instanceCount, bool reservesSlots) -> ShardSettings
 {
     auto settings = testSettings();
+    settings.reservesSlots = reservesSlots;
     settings.instanceCount = instanceCount;
     settings.kinds[1].repeatable = false;
     return settings;
 }
 
-auto sameCounts(const ShardSummary& left, const ShardSummary& right) -> bool
-{
-    return left.queued == right.queued && left.prefilling == right.prefilling && left.decoding == right.decoding
-        && left.reservedSlots == right.reservedSlots && left.reservedMemoryBlocks == right.reservedMemoryBlocks
-        && left.finished == right.finished && left.refused == right.refused && left.retries == right.retries
-        && left.wastedPrefillTokens == right.wastedPrefillTokens;
 }
 
-}
-
-ShardModel::ShardModel(std::uint32_t instanceCount)
-    : m_harness(modelSettings(instanceCount))
+ShardModel::ShardModel(std::uint32_t instanceCount, bool reservesSlots)
+    : m_reservesSlots(reservesSlots)
+    , m_harness(modelSettings(instanceCount, reservesSlots))
 {
     for (std::uint32_t id = 0; id < prefillReplicas + decodeReplicas; ++id) {
         m_replicas[ReplicaId { id }] = testReplica(id);
@@ -98,6 +85,10 @@
         changeReplica(step);
     else if (what == 13)
         reportLoad(step);
+    else if (what == 14 && step.first % 2)
+        beSilent(step);
+    else if (what == 14)
+        replacementEvent(step);
     else
         deliver(Tick {});
 }
@@ -282,6 +273,10 @@
             check(*decode);
         else if (const auto* refusal = std::get_if<Refuse>(&action))
             check(*refusal);
+        else if (const auto* reservation = std::get_if<ReserveReplacement>(&action))
+            check(*reservation);
+        else if (const auto* release = std::get_if<ReleaseReplacement>(&action))
+            check(*release);
     }
 }
 
@@ -292,6 +287,7 @@
     RC_ASSERT(action.attempt > request.attempt);
     checkLive(action.prefill, PoolRole::Prefill);
     checkLive(action.decode, PoolRole::Decode);
+    checkSlot(request, action.replacement, action.decode);
     if (request.streaming)
         request.sentReported = false;
     request.attempt = action.attempt;
@@ -305,6 +301,8 @@
     RC_ASSERT_FALSE(request.answered);
     RC_ASSERT(action.attempt >= request.attempt);
     checkLive(action.decode, PoolRole::Decode);
+    if (action.attempt > request.attempt && !action.prefill)
+        checkSlot(request, action.replacement, action.decode);
     RC_ASSERT(action.resumeFrom <= request.sent);
     if (request.sentReported)
         RC_ASSERT(action.resumeFrom == request.sent);
@@ -321,6 +319,7 @@
 {
     auto& request = m_requests.at(action.request);
     RC_ASSERT_FALSE(request.answered);
+    RC_ASSERT_FALSE(request.reserving);
     request.answered = true;
     if (action.outcome == ExecutionOutcome::NotRun)
         RC_ASSERT(request.mayHaveRun.empty());
@@ -346,6 +345,11 @@
         if (!request.prefillReserved.empty())
             reservations[*request.prefill].memoryBlocks += request.prefillReserved.memoryBlocks;
     }
+    for (const auto& [id, replacement] : state.replacements) {
+        RC_ASSERT(state.requests.contains(id));
+        reservations[replacement.decode].slots += replacement.reserved.slots;
+        reservations[replacement.decode].memoryBlocks += replacement.reserved.memoryBlocks;
+    }
     for (const auto& [id, replica] : state.replicas) {
         RC_ASSERT(replica.reserved.slots == reservations[id].slots);
         RC_ASSERT(replica.reserved.memoryBlocks == reservations[id].memoryBlocks);
--- a/test/correctness/ShardModel.h
+++ b/test/correctness/ShardModel.h
@@ -21,7 +21,8 @@
 class ShardModel {
 public:
     /// @param instanceCount number of instances that place on the same replicas.
-    explicit ShardModel(std::uint32_t instanceCount);
+    /// @param reservesSlots whether decode engines are asked to reserve slots.
+    ShardModel(std::uint32_t instanceCount, bool reservesSlots);
     auto play(const ModelStep& step) -> void;
     /// Lets all deadlines pass and checks that every request has its final result.
     auto finish() -> void;
@@ -42,6 +43,9 @@
         std::set<Attempt> running;
         /// The decode attempt whose tokens reach the caller.
         Attempt streaming = 0;
+        /// The reservation for a replacement that is asked for, and the tokens sent when the shard asked for it.
+        std::optional<ReserveReplacement> reserving;
+        std::uint32_t sentWhenReserving = 0;
     };
 
     using Requests = std::map<RequestId, KnownRequest>;
@@ -55,6 +59,9 @@
     auto emitTokens(const StartDecode& start, std::uint8_t count, bool lost) -> void;
     auto finishDecode(const StartDecode& start) -> void;
     auto failDecode(const StartDecode& start, FailureKind failure) -> void;
+    auto beSilent(const ModelStep& step) -> void;
+    /// Reports the outcome of a reservation for a replacement, which may be outdated.
+    auto replacementEvent(const ModelStep& step) -> void;
     auto cancel(const ModelStep& step) -> void;
     auto changeReplica(const ModelStep& step) -> void;
     auto reportLoad(const ModelStep& step) -> void;
@@ -63,15 +70,23 @@
     auto check(const StartPrefill& action) -> void;
     auto check(const StartDecode& action) -> void;
     auto check(const Refuse& action) -> void;
+    auto check(const ReserveReplacement& action) -> void;
+    auto check(const ReleaseReplacement& action) -> void;
+    /// Checks that a new attempt takes the slot that was reserved for it, if it names one, and leaves none behind.
+    auto checkSlot(KnownRequest& request, ReplacementNumber number, ReplicaId decode) -> void;
     auto checkLive(ReplicaId id, PoolRole role) -> void;
     auto checkReservations() -> void;
     auto unanswered() const -> std::size_t;
 
+    const bool m_reservesSlots;
     ShardHarness m_harness;
     Requests m_requests;
     std::map<ReplicaId, ReplicaChanged> m_replicas;
     std::vector<StartPrefill> m_prefills;
     std::vector<StartDecode> m_decodes;
+    std::vector<ReserveReplacement> m_reservations;
+    /// The reservation whose slot is granted in the current step.
+    ReplacementNumber m_granted = 0;
     std::uint64_t m_sequence = 0;
 };
 
--- a/test/correctness/SilentAttemptsTest.cpp
+++ b/test/correctness/SilentAttemptsTest.cpp
@@ -66,6 +66,21 @@
     CHECK(summarize(decoding.harness.shard).finished == 1);
 }
 
+// Guards against a silent attempt that ends before its replacement holds a slot.
+TEST_CASE("a silent attempt goes on until its replacement holds a slot")
+{
+    auto settings = settingsFor(3);
+    settings.reservesSlots = true;
+    Decoding decoding(std::move(settings));
+    decoding.harness.send(SlotReserved { decoding.attempt.request, decoding.attempt.attempt });
+    decoding.harness.replica(3, PoolRole::Decode, 1);
+    decoding.start();
+    for (int check = 0; check < 10; ++check)
+        decoding.beSilent(1s);
+    CHECK(decoding.isRunning());
+    CHECK(decoding.harness.count<StartPrefill>() == 0);
+}
+
 // Guards against a request that waits for a hung engine although another one could answer.
 TEST_CASE("a silent engine is replaced when another one has room")
 {
--- a/test/correctness/SilentBackendTest.cpp
+++ b/test/correctness/SilentBackendTest.cpp
@@ -35,6 +35,65 @@
     CHECK(fixture.decode1.runs() == 1);
 }
 
+// Guards against a silent attempt that ends before its replacement holds a slot.
+TEST_CASE("a silent engine goes on with its stream if the other one refuses a slot")
+{
+    ImpatientRouter fixture;
+    fixture.decode1.setTiming(Duration::zero(), 250ms);
+    fixture.decode2.setRefusesReservations(true);
+    fixture.startAndWait();
+    const auto response = fixture.streamCall("/resumed/x");
+    REQUIRE(response.has_value());
+    CHECK(response->status == 200);
+    CHECK(response->body == streamText(1, 5));
+    CHECK(fixture.decode1.runs() == 1);
+    CHECK(fixture.prefill.prefills() == 1);
+    CHECK(fixture.decode2.runs() == 0);
+    CHECK(fixture.decode2.refusedReservations() > 1);
+}
+
+// Guards against a stream that is moved away from an engine that has gone on while a slot was reserved elsewhere, and
+// against a slot that stays reserved for it.
+TEST_CASE("an engine that goes on while a slot is reserved elsewhere keeps its stream")
+{
+    ImpatientRouter fixture;
+    fixture.platform.remove("servers", "decode-2");
+    fixture.decode1.setTiming(Duration::zero(), 250ms);
+    fixture.decode2.setReservationTime(100ms);
+    fixture.startAndWait();
+    std::thread second([&] {
+        fixture.waitUntil([&] { return fixture.decode1.runs() == 1; });
+        fixture.registerServer(fixture.decode2, "llm", "decode");
+    });
+    const auto response = fixture.streamCall("/resumed/x");
+    second.join();
+    REQUIRE(response.has_value());
+    CHECK(response->body == streamText(1, 5));
+    CHECK(fixture.decode1.runs() == 1);
+    CHECK(fixture.decode2.runs() == 0);
+    CHECK(fixture.waitUntil([&] { return fixture.decode2.releasedReservations() > 0; }));
+}
+
+// Guards against a caller that waits for a hung engine, and against tokens that are lost or repeated when its stream
+// moves.
+TEST_CASE("a stream moves from a silent engine to one that has reserved a slot")
+{
+    ImpatientRouter fixture;
+    fixture.platform.remove("servers", "decode-2");
+    fixture.decode1.setTiming(Duration::zero(), 700ms);
+    fixture.startAndWait();
+    std::thread second([&] {
+        fixture.waitUntil([&] { return fixture.decode1.runs() == 1; });
+        fixture.registerServer(fixture.decode2, "llm", "decode");
+    });
+    const auto response = fixture.streamCall("/resumed/x");
+    second.join();
+    REQUIRE(response.has_value());
+    CHECK(response->body == streamText(1, 5));
+    CHECK(fixture.decode1.runs() == 1);
+    CHECK(fixture.decode2.runs() == 1);
+}
+
 // Guards against a prefill that is sent again and again to an engine that needs longer than expected.
 TEST_CASE("a prefill that takes long is not sent again if no other engine has room")
 {
