Let an interrupted request wait for the retry budget

A stream was aborted as retries_exhausted with seconds left, because the budget lacked a retry at the moment of its next start: the failure had taken one, and a second prefill needs another. The budget earns one with every fifth new request, so a wait of less than a second may suffice.

Such a request now waits in the Resume sub-queue until the budget allows its start, or it is refused at its deadline or before its caller's idle timeout, then still as retries_exhausted. The retries that the budget has go to the oldest that needs some; requests that need none start beside it, its former flow is not held up, and its wait does not count as a slow start of waiting work, which would refuse others. If only the retry for the prefill is missing, a decode engine that may prefill itself takes the request as soon as it has a slot.

An interrupted request that an engine rejects as not run waits in the same way: busy engines without slot reservations do not use up its attempts. What an engine has failed is refused at once if the budget lacks the retry, as before, and so is a request that has never run.

RetryBudgetTest expected the refusal of a request that needs two calls and has one retry left. It still checks that the request makes no further call, now until its deadline, and that it is refused then; a failed decode without a retry is still refused at once.

--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -27,19 +27,37 @@
 /// execution.
 constexpr int agedDeadlineDivisor = 8;
 
-/// @return whether the request has left the queue.
-auto tryStart(DecisionContext& context, RequestId id, bool aged = false) -> bool
+enum class StartResult {
+    /// The request has left its sub-queue: it has started, was refused, or waits for a retry in another one.
+    Left,
+    NoRoom,
+    /// The request waits in the Resume sub-queue until the budget allows a retry.
+    NoRetry,
+};
+
+auto tryStartOne(DecisionContext& context, RequestId id, bool aged) -> StartResult
 {
-    auto* request = findRequest(context.state, id);
-    auto placement = choosePlacement(context, *request, aged ? 0 : requiredSlotHeadroom(context, *request));
+    auto& request = *findRequest(context.state, id);
+    auto placement = choosePlacement(context, request, aged ? 0 : requiredSlotHeadroom(context, request));
     if (!placement)
-        return false;
-    if (!consumeRetriesFor(context, *request, *placement)) {
-        refuse(context, *request, RefusalReason::RetriesExhausted);
-        return true;
+        return StartResult::NoRoom;
+    if (consumeRetriesFor(context, request, *placement)) {
+        startPlaced(context, request, *placement);
+        return StartResult::Left;
     }
-    startPlaced(context, *request, *placement);
-    return true;
+    if (request.subQueue == SubQueue::Resume)
+        return StartResult::NoRetry;
+    if (isInterrupted(request))
+        awaitRetry(context, request);
+    else
+        refuse(context, request, RefusalReason::RetriesExhausted);
+    return StartResult::Left;
+}
+
+/// @return whether the request has left its sub-queue.
+auto tryStart(DecisionContext& context, RequestId id, bool aged = false) -> bool
+{
+    return tryStartOne(context, id, aged) == StartResult::Left;
 }
 
 auto tryStart(DecisionContext& context, const std::optional<RequestId>& id) -> bool
@@ -76,10 +94,53 @@
     return std::any_of(heads.begin(), heads.begin() + count, [&](RequestId id) { return tryStart(context, id); });
 }
 
+/// @return the oldest requests of the Resume sub-queue.
+auto oldestResumes(const ShardState& state) -> std::vector<RequestId>
+{
+    std::array<RequestId, maxTriedResumes> resumes {};
+    const auto count = state.queue.resumes(resumes);
+    return { resumes.begin(), resumes.begin() + count };
+}
+
+/// Starts the oldest interrupted request that waits for nothing but capacity. The retries that the budget has go to the
+/// oldest request that needs some, and hold up none that needs no more.
+auto startResume(DecisionContext& context) -> bool
+{
+    auto isBudgetUsed = false;
+    for (const auto id : oldestResumes(context.state)) {
+        const auto& request = *findRequest(context.state, id);
+        if (awaitsCrashReports(context, request))
+            continue;
+        if (lacksRetry(context, request)) {
+            isBudgetUsed = true;
+            continue;
+        }
+        if (isBudgetUsed && needsRetry(context, request))
+            continue;
+        const auto result = tryStartOne(context, id, false);
+        if (result != StartResult::NoRetry)
+            return result == StartResult::Left;
+        isBudgetUsed = true;
+    }
+    return false;
+}
+
+/// @return whether requests wait for capacity. A wait for the retry budget says nothing about the speed at which
+/// waiting work starts.
+auto hasBacklog(const DecisionContext& context) -> bool
+{
+    auto& state = context.state;
+    if (state.queue.size() > maxTriedResumes)
+        return true;
+    const auto resumes = oldestResumes(state);
+    const auto waiting = std::ranges::count_if(resumes, [&](RequestId id) { return lacksRetry(context, *findRequest(state, id)); });
+    return state.queue.size() > static_cast<std::size_t>(waiting);
+}
+
 auto startOne(DecisionContext& context) -> bool
 {
     auto& state = context.state;
-    if (tryStart(context, oldestResume(context)))
+    if (startResume(context))
         return true;
     const auto dueAged = agedRequest(context);
     if (dueAged && tryStart(context, *dueAged, true)) {
@@ -140,17 +201,14 @@
     start(context, request, placement);
     recordCopyStart(context, request);
     state.tokensSinceAgedStart += expectedTokens(state, request);
-    state.startInterval.started(context.now, state.queue.size() > 0);
+    state.startInterval.started(context.now, hasBacklog(context));
     if (isOverdue)
         state.overdueStartInterval.started(context.now, state.queue.overdueCount() > 0);
 }
 
-auto oldestResume(const DecisionContext& context) -> std::optional<RequestId>
+auto hasWaitingResume(const DecisionContext& context) -> bool
 {
-    std::array<RequestId, maxTriedResumes> resumes {};
-    const auto end = resumes.begin() + context.state.queue.resumes(resumes);
-    const auto found = std::find_if(resumes.begin(), end, [&](RequestId id) { return !awaitsCrashReports(context, *findRequest(context.state, id)); });
-    return found == end ? std::nullopt : std::optional(*found);
+    return std::ranges::any_of(oldestResumes(context.state), [&](RequestId id) { return !awaitsCrashReports(context, *findRequest(context.state, id)); });
 }
 
 auto dispatch(DecisionContext& context) -> void
@@ -161,7 +219,7 @@
     while (state.queue.size() && startOne(context)) { }
     // The time in which all replicas are paused says nothing about the speed at which waiting work starts.
     const auto isPaused = pausesEndAt(state, context.now) > context.now;
-    if (state.queue.size() && !isPaused)
+    if (hasBacklog(context) && !isPaused)
         state.startInterval.backlogStarted(context.now);
     else
         state.startInterval.backlogEnded();
--- a/src/Dispatch.h
+++ b/src/Dispatch.h
@@ -5,8 +5,6 @@
 #include "DecisionContext.h"
 #include "Placement.h"
 
-#include <optional>
-
 namespace jayhold {
 
 auto dispatch(DecisionContext& context) -> void;
@@ -16,7 +14,7 @@
 auto consumeRetriesFor(DecisionContext& context, ActiveRequest& request, Placement& placement) -> bool;
 /// Starts a waiting request on the replicas of its placement.
 auto startPlaced(DecisionContext& context, ActiveRequest& request, const Placement& placement) -> void;
-/// @return the oldest interrupted request that does not wait for what a crash shows.
-auto oldestResume(const DecisionContext& context) -> std::optional<RequestId>;
+/// @return whether an interrupted request waits for something else than what a crash shows.
+auto hasWaitingResume(const DecisionContext& context) -> bool;
 
 }
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -8,6 +8,7 @@
 #include "ReplicaHealth.h"
 #include "RequestLifecycle.h"
 #include "ReservationAccounting.h"
+#include "RetryRules.h"
 #include "SilentAttempts.h"
 #include "SlotHeadroom.h"
 
@@ -192,7 +193,9 @@
     request->timerAt = TimePoint::max();
     if (latestRefusal(context.state, *request) <= context.now) {
         const auto isDraining = endsBeforeDeadline(context.state, *request) && endOfTime(context.state, *request) <= context.now;
-        refuse(context, *request, isDraining ? RefusalReason::Draining : RefusalReason::DeadlineExceeded);
+        const auto lacksRetryNow = request->phase == RequestPhase::Queued && lacksRetry(context, *request);
+        const auto reason = lacksRetryNow ? RefusalReason::RetriesExhausted : RefusalReason::DeadlineExceeded;
+        refuse(context, *request, isDraining ? RefusalReason::Draining : reason);
         return;
     }
     if (request->phase == RequestPhase::Queued) {
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -74,8 +74,9 @@
     const auto notRun = request.phase == RequestPhase::Starting && provablyNotRun(failure);
     const auto ran = mayBeRunning(request.phase) && !notRun;
     request.mayHaveRun = request.mayHaveRun || ran;
+    // Engines without room are asked again at intervals, so an interrupted request waits for one of them.
     if (provablyNotRun(failure))
-        ++request.attemptsNotRun;
+        request.attemptsNotRun += failure != FailureKind::Busy || !isInterrupted(request);
     else
         ++request.failures;
     request.failedDecodes += ran;
@@ -302,7 +303,7 @@
     enqueue(context, request);
     if (retry)
         ++context.state.totals.retries;
-    else
+    else if (!waitsAfterRejection(context.state, request, failure))
         refuse(context, request, RefusalReason::RetriesExhausted);
 }
 
@@ -327,6 +328,14 @@
     releaseReplacement(context, request);
 }
 
+auto awaitRetry(DecisionContext& context, ActiveRequest& request) -> void
+{
+    context.state.queue.remove(queueEntry(request));
+    request.subQueue = SubQueue::Resume;
+    context.state.queue.push(queueEntry(request), customerWeight(context.state, request));
+    setTimer(context, request);
+}
+
 auto requeueAfterSlotRefusal(DecisionContext& context, ActiveRequest& request) -> void
 {
     request.avoidedReplica = request.decode;
--- a/src/RequestLifecycle.h
+++ b/src/RequestLifecycle.h
@@ -36,6 +36,9 @@
 /// Gives up what is reserved for the replacement of the current attempt, if anything is.
 auto dropReplacement(DecisionContext& context, const ActiveRequest& request) -> void;
 
+/// Moves a waiting request to the Resume sub-queue, where it waits for the retry budget without holding up its flow.
+auto awaitRetry(DecisionContext& context, ActiveRequest& request) -> void;
+
 /// Queues a request again whose decode replica has no capacity after all. The prefill replica has not
 /// been sent anything yet.
 auto requeueAfterSlotRefusal(DecisionContext& context, ActiveRequest& request) -> void;
--- a/src/RetryRules.cpp
+++ b/src/RetryRules.cpp
@@ -36,6 +36,30 @@
     return calls > firstCalls ? calls - firstCalls : 0;
 }
 
+struct NeededRetries {
+    /// All that the calls of the request need, and those of them that it has not taken yet.
+    std::uint32_t needed;
+    std::uint32_t missing;
+};
+
+/// @param calls calls of the next attempt.
+auto retriesFor(const DecisionContext& context, const ActiveRequest& request, std::uint32_t calls) -> NeededRetries
+{
+    // Only a prefill of its own adds a second call to an attempt.
+    const auto hasPrefillResult = request.hadPrefillResult || calls > 1;
+    const auto needed = repeatedCalls(request.engineCalls + calls, hasPrefillResult);
+    const auto used = repeatedCalls(request.engineCalls, request.hadPrefillResult);
+    const auto isExpired = context.now - request.retryConsumedAt > consumedRetryLifetime;
+    const auto consumed = isExpired ? std::min<std::uint32_t>(request.consumedRetries, used) : request.consumedRetries;
+    return { needed, needed > consumed ? needed - consumed : 0 };
+}
+
+/// @return the fewest calls that an attempt makes.
+auto minCalls(const ShardState& state) -> std::uint32_t
+{
+    return state.settings.decodeMayPrefill ? 1 : 2;
+}
+
 }
 
 /// A rejected attempt costs the engines nothing, unless the policy counts rejections. An attempt that did
@@ -82,20 +106,36 @@
     return true;
 }
 
+auto isInterrupted(const ActiveRequest& request) -> bool
+{
+    return request.mayHaveRun || request.subQueue == SubQueue::Resume;
+}
+
+auto lacksRetry(const DecisionContext& context, const ActiveRequest& request) -> bool
+{
+    return isInterrupted(request) && context.state.retryBudget.remaining() < retriesFor(context, request, minCalls(context.state)).missing;
+}
+
+auto needsRetry(const DecisionContext& context, const ActiveRequest& request) -> bool
+{
+    return retriesFor(context, request, minCalls(context.state)).missing > 0;
+}
+
+auto waitsAfterRejection(const ShardState& state, const ActiveRequest& request, FailureKind failure) -> bool
+{
+    return provablyNotRun(failure) && isInterrupted(request)
+        && allowsRetry(kindOf(state, request), { request.mayHaveRun, request.attemptsNotRun, request.failures, request.failedDecodes });
+}
+
 auto tryConsumeRetries(DecisionContext& context, ActiveRequest& request, std::uint32_t calls) -> bool
 {
-    // Only a prefill of its own adds a second call to an attempt.
-    const auto hasPrefillResult = request.hadPrefillResult || calls > 1;
-    const auto needed = repeatedCalls(request.engineCalls + calls, hasPrefillResult);
-    const auto used = repeatedCalls(request.engineCalls, request.hadPrefillResult);
-    const auto isExpired = context.now - request.retryConsumedAt > consumedRetryLifetime;
-    const auto consumed = isExpired ? std::min<std::uint32_t>(request.consumedRetries, used) : request.consumedRetries;
-    if (needed > consumed) {
-        if (!context.state.retryBudget.tryConsume(needed - consumed))
-            return false;
-        request.retryConsumedAt = context.now;
-        request.consumedRetries = static_cast<std::uint8_t>(needed);
-    }
+    const auto retries = retriesFor(context, request, calls);
+    if (!retries.missing)
+        return true;
+    if (!context.state.retryBudget.tryConsume(retries.missing))
+        return false;
+    request.retryConsumedAt = context.now;
+    request.consumedRetries = static_cast<std::uint8_t>(retries.needed);
     return true;
 }
 
--- a/src/RetryRules.h
+++ b/src/RetryRules.h
@@ -23,6 +23,15 @@
 /// Takes a retry from the retry budget where one is needed.
 /// @return whether the request may be retried after the failure, which has already been counted.
 auto mayRetry(DecisionContext& context, ActiveRequest& request, FailureKind failure) -> bool;
+/// @return whether an attempt of the request was given up after it had begun to run, or the request waits with those.
+auto isInterrupted(const ActiveRequest& request) -> bool;
+/// @return whether the request is interrupted and the retry budget does not allow its next attempt now.
+auto lacksRetry(const DecisionContext& context, const ActiveRequest& request) -> bool;
+/// @return whether the next attempt of the request takes a retry from the budget.
+auto needsRetry(const DecisionContext& context, const ActiveRequest& request) -> bool;
+/// @return whether a request for which the budget lacks a retry after the failure waits for one. An interrupted
+/// request does after a rejection, which shows only that the engine had no room.
+auto waitsAfterRejection(const ShardState& state, const ActiveRequest& request, FailureKind failure) -> bool;
 /// Takes from the retry budget what the next calls of a request need beyond the retries that it has
 /// taken. The first decode, and the first prefill that ends with a result, need none.
 /// @param calls calls of the next attempt: 2 with a prefill of its own, otherwise 1.
--- a/src/SilentAttempts.cpp
+++ b/src/SilentAttempts.cpp
@@ -115,7 +115,7 @@
     if (state.replacements.contains(id) || state.awaitingSlotReply.contains(id))
         return;
     // Other interrupted requests that wait for capacity start first.
-    if (!allowsReplacement(context, request) || oldestResume(context))
+    if (!allowsReplacement(context, request) || hasWaitingResume(context))
         return;
     const auto placement = otherPlacement(context, request);
     if (!placement)
--- a/test/correctness/RetryBudgetTest.cpp
+++ b/test/correctness/RetryBudgetTest.cpp
@@ -97,6 +97,12 @@
         }
     }
     CHECK(calls <= 3);
+    // The next failed decode is refused at once, and an attempt that needs two calls waits for its second retry.
+    CHECK(harness.lastEver<Refuse>().has_value() == settings.decodeMayPrefill);
+    harness.advance(59s);
+    CHECK_FALSE(harness.last<StartPrefill>());
+    CHECK_FALSE(harness.last<StartDecode>());
+    harness.advance(1s);
     CHECK(harness.lastEver<Refuse>());
 }
 
