Keep a new attempt when the end of the replaced one is reported late

If a silent attempt failed in the moment in which the shard replaced it, its failure was reported after the start of the new attempt. The service then cancelled all attempts of the request, the new one included, and forgot it, so that the memory which its engine holds counted as orphaned and could be reclaimed while it ran. Only the failed attempt and earlier ones are cancelled now. This concerns engines with a cancel call; the platform's have none. Found by reading, and shown by the test alone.

EndedAttemptsTest fails without the change: isActiveAttempt() of the second attempt was false after the late failure of the first.

--- a/src/ModelService.cpp
+++ b/src/ModelService.cpp
@@ -278,13 +278,13 @@
 
 /// Each attempt is cancelled by its own request id, so that a late cancel cannot affect a newer attempt of
 /// the same request on the same engine.
-auto ModelService::cancelLocked(RequestId request, std::optional<ReplicaId> replica, Outbox& outbox) -> void
+auto ModelService::cancelLocked(RequestId request, std::optional<ReplicaId> replica, Outbox& outbox, Attempt last) -> void
 {
     const auto open = m_requests.find(request);
     if (open == m_requests.end())
         return;
     std::erase_if(open->second.attempts, [&](const RunningAttempt& running) {
-        if (replica && running.replica != *replica)
+        if ((replica && running.replica != *replica) || running.attempt > last)
             return false;
         if (const auto known = m_replicas.find(running.replica); known != m_replicas.end())
             outbox.cancels.push_back({ known->second.backend.endpoint, engineRequestId(request, running.attempt) });
@@ -293,7 +293,7 @@
 }
 
 /// Called before the shard processes the event, so that the attempts that a failure ends are cancelled
-/// before the shard can start another one.
+/// before the shard can start another one. One that it has started already goes on.
 auto ModelService::cancelEndedLocked(const DecisionEvent& event, Outbox& outbox) -> void
 {
     const auto mayHoldMemory = [](FailureKind failure) {
@@ -302,9 +302,9 @@
     if (const auto* cancelled = std::get_if<RequestCancelled>(&event))
         cancelLocked(cancelled->request, std::nullopt, outbox);
     else if (const auto* prefill = std::get_if<PrefillFailed>(&event); prefill && mayHoldMemory(prefill->failure))
-        cancelLocked(prefill->request, std::nullopt, outbox);
+        cancelLocked(prefill->request, std::nullopt, outbox, prefill->attempt);
     else if (const auto* decode = std::get_if<DecodeFailed>(&event); decode && mayHoldMemory(decode->failure))
-        cancelLocked(decode->request, std::nullopt, outbox);
+        cancelLocked(decode->request, std::nullopt, outbox, decode->attempt);
 }
 
 auto ModelService::send(Outbox outbox) -> void
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -18,6 +18,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -161,7 +162,8 @@
     auto dispatchActionLocked(const DecisionAction& action, Outbox& outbox) -> void;
     auto addAttemptLocked(RequestId request, ReplicaId replica, Attempt attempt) -> void;
     /// Cancels attempts of a request at the engines: all, or those on one replica.
-    auto cancelLocked(RequestId request, std::optional<ReplicaId> replica, Outbox& outbox) -> void;
+    /// @param last later attempts go on.
+    auto cancelLocked(RequestId request, std::optional<ReplicaId> replica, Outbox& outbox, Attempt last = std::numeric_limits<Attempt>::max()) -> void;
     /// Cancels the attempts that an event ends and for which the shard issues no cancel action.
     auto cancelEndedLocked(const DecisionEvent& event, Outbox& outbox) -> void;
     /// @return the request and the attempt of an engine request id, if this service created the id in this
