--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -8,6 +8,7 @@
 #include "ReplicaHealth.h"
 #include "RequestLifecycle.h"
 #include "ReservationAccounting.h"
+#include "RetryRules.h"
 #include "SilentAttempts.h"
 #include "SlotHeadroom.h"
 
@@ -66,6 +67,7 @@
     auto* request = findCurrent(context.state, event.request, event.attempt, { RequestPhase::Prefilling });
     if (!request)
         return;
+    request->silentAttempt = 0;
     recordSuccess(context, *request->prefill, event.request);
     clearSuspectsIfAlive(context, *request, *request->prefill);
     completePrefill(context, *request, event.expiresAt, event.cachedTokens);
@@ -100,6 +102,7 @@
     auto* request = findCurrent(context.state, event.request, event.attempt, { RequestPhase::Starting });
     if (!request)
         return;
+    request->silentAttempt = 0;
     recordSuccess(context, *request->decode, event.request);
     enterDecoding(context, *request);
 }
@@ -190,7 +193,9 @@
     request->timerAt = TimePoint::max();
     if (latestRefusal(context.state, *request) <= context.now) {
         const auto isDraining = endsBeforeDeadline(context.state, *request) && endOfTime(context.state, *request) <= context.now;
-        refuse(context, *request, isDraining ? RefusalReason::Draining : RefusalReason::DeadlineExceeded);
+        const auto lacksRetryNow = request->phase == RequestPhase::Queued && lacksRetry(context, *request);
+        const auto reason = lacksRetryNow ? RefusalReason::RetriesExhausted : RefusalReason::DeadlineExceeded;
+        refuse(context, *request, isDraining ? RefusalReason::Draining : reason);
         return;
     }
     if (request->phase == RequestPhase::Queued) {
