Guard against answers that break off in their head

Another operator reported that a backend server stopped in the middle of the head of its answer and closed, and that callers got a 200 with an empty or short body, framed as whole.

Ruled out: a cut value that counts as a shorter one (Beast parses a head only when its empty line has arrived), put_eof in the head (partial_message), and a reset that counts as the end of a body without a length.

RawBackend can reset a connection. It closes the socket explicitly, because Asio's destructor clears SO_LINGER and closes it in the usual way.

--- a/test/RawBackend.h
+++ b/test/RawBackend.h
@@ -48,6 +48,8 @@
     bool closes = false;
     /// Sent after a delay, without a request.
     std::string lateBytes = {};
+    /// Whether the connection is reset instead of closed, if it is closed.
+    bool resets = false;
 };
 
 class RawBackend {
@@ -137,6 +139,11 @@
                 co_await pause(std::chrono::milliseconds(20));
                 co_await boost::asio::async_write(socket, boost::asio::buffer(reply->lateBytes), awaitInto(code));
             }
+            if (reply->closes && reply->resets) {
+                // The destructor of the socket would ignore the option.
+                socket.set_option(boost::asio::socket_base::linger(true, 0), code);
+                socket.close(code);
+            }
             if (code || reply->closes)
                 co_return;
         }
