Refuse requests that a drain would cut when they arrive

Callers saw: requests that came late in the grace period of a planned stop were taken and passed on, and at its end they got an unknown outcome or a cut stream, among them calls that may not be repeated.

Cause: a plain call was started whatever time was left; its deadline was only cut to the end of the drain. A model request was checked with half of its expected length, with nothing until lengths were known, and not at all while nothing else ran.

DrainTest, "a request that arrives during a drain starts only if its answer is expected to end in time", fails with the former Deadlines.cpp: a request of 5 s starts with 4 s left.

The check is repeated before each further server while the call has not run. A model request starts only if the length that 90% of its kind don't exceed fits.

Ruled out: calls without an estimate can't be started in the hope that they are short, because nothing ends them in time once they have been sent.

--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -3,13 +3,13 @@
     CompletionRequest CompletionWriter ConfigurationIndex ConnectionLog DecodeRelay EngineClient EngineError EngineMessages
     EngineMonitor EntryDaemon EntryDaemonDrain EntrySettings ForwardApi ForwardChecks OrphanDetector LatencyHistogram LostOwners
     Metrics ModelRequest ModelRequestLog ModelRequestReservations ModelRequestTasks RequestTimeouts ModelService ModelServiceReplicas ModelServiceTimer NativeProtocols PassThroughReader PassThroughWriter PlainBalancer PlainRoute
-    PlainService PlainServiceAttempts PlainServiceLog PromptDigest RequestStateMachine RoleBalancer RouteTable RouterDaemon ServiceTable ServiceTablePauses StatusReport TokenEventReader
+    PlainService PlainServiceAttempts PlainServiceLog PromptDigest RecentDurations RequestStateMachine RoleBalancer RouteTable RouterDaemon ServiceTable ServiceTablePauses StatusReport TokenEventReader
     TokenSequence
   LINK jayhold_cluster jayhold_decision jayhold_operator jayhold_http)
 
 jayhold_test(entry_rules_test
   SOURCES test/error/EntrySettingsTest.cpp test/error/CallerChecksTest.cpp
-    test/correctness/EngineMessagesTest.cpp test/correctness/RouteTableTest.cpp test/correctness/TokenRelayTest.cpp
+    test/correctness/EngineMessagesTest.cpp test/correctness/RecentDurationsTest.cpp test/correctness/RouteTableTest.cpp test/correctness/TokenRelayTest.cpp
   LINK jayhold_entry)
 
 jayhold_test(entry_request_test
--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -73,9 +73,13 @@
 
 auto latestStart(const ShardState& state, const ActiveRequest& request) -> TimePoint
 {
-    const auto useEstimates = canRelyOnEstimates(state);
+    // A request that the end of a drain would cut is better served by another instance, so it starts only if it will
+    // probably have ended by then.
+    const auto isEndedByDrain = endsBeforeDeadline(state, request);
+    const auto useEstimates = isEndedByDrain || canRelyOnEstimates(state);
     const auto firstToken = useEstimates ? timeToFirstToken(state, request) : Duration::zero();
-    const auto decode = useEstimates ? Duration(static_cast<Duration::rep>(minRemainingTokens(state, request) * 1e6 / state.rates.tokensPerSecond.value())) : Duration::zero();
+    const auto tokens = isEndedByDrain ? maxRemainingTokens(state, request) : minRemainingTokens(state, request);
+    const auto decode = useEstimates ? Duration(static_cast<Duration::rep>(tokens * 1e6 / state.rates.tokensPerSecond.value())) : Duration::zero();
     const auto beforeDeadline = endOfTime(state, request) - firstToken - decode;
     const auto callerIdleTimeout = std::chrono::duration_cast<Duration>(kindOf(state, request).callerIdleTimeout);
     if (callerIdleTimeout <= Duration::zero() || request.subQueue == SubQueue::Resume)
--- a/src/Estimates.cpp
+++ b/src/Estimates.cpp
@@ -11,6 +11,8 @@
 /// safer quantile.
 constexpr double minLengthQuantile = 0.5;
 constexpr double lengthQuantileRange = 0.4;
+/// Few answers are longer than the length at this quantile.
+constexpr double maxLengthQuantile = 0.9;
 /// Fraction of a prefill result's time to live that may be spent on waiting for a slot.
 constexpr double slotWaitTtlFraction = 0.5;
 /// The end is estimated again after this many more tokens, or after an eighth of those emitted if that
@@ -69,6 +71,12 @@
     return answerTokens(state, request, quantile);
 }
 
+auto maxRemainingTokens(const ShardState& state, const ActiveRequest& request) -> std::uint32_t
+{
+    const auto total = answerTokens(state, request, maxLengthQuantile);
+    return total - std::min(request.emitted, total);
+}
+
 auto minRemainingTokens(const ShardState& state, const ActiveRequest& request) -> std::uint32_t
 {
     if (!lengthModel(state, request).hasEnoughAnswers())
--- a/src/Estimates.h
+++ b/src/Estimates.h
@@ -12,6 +12,9 @@
 /// @return expected length of the whole answer in tokens, at a quantile that depends on the weight of
 /// wasted prefill.
 auto expectedTokens(const ShardState& state, const ActiveRequest& request) -> std::uint32_t;
+/// @return an upper bound of the tokens that the answer still takes, which few answers exceed: the caller's limit until
+/// the kind's lengths are known.
+auto maxRemainingTokens(const ShardState& state, const ActiveRequest& request) -> std::uint32_t;
 /// @return a lower bound of the tokens that the answer still takes: half of the expected remainder,
 /// because the answer may be short, and zero until the kind's lengths are known. An estimate from the
 /// caller's limit would refuse every request of the kind, and its lengths would never become known.
--- a/src/PlainAttempt.h
+++ b/src/PlainAttempt.h
@@ -18,6 +18,8 @@
     bool isNotRun = false;
     /// Whether the backend server received the call, even if it rejected it.
     bool reachedBackend = true;
+    /// Whether the call was not sent because it could not have ended before the instance exits.
+    bool isRefusedByDrain = false;
     /// Whether the attempt exceeded its timeout.
     bool hasTimedOut = false;
     /// For logs.
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -18,6 +18,11 @@
     return sha256Hex(request.method + "\n" + request.target + "\n" + request.body);
 }
 
+auto drainRefusal() -> ApiError
+{
+    return refusalError(RefusalReason::Draining, ExecutionOutcome::NotRun, jitteredDelay(retryDelay));
+}
+
 /// A policy that instances do not share is replaced by the limits for plain calls.
 auto plainPolicy(const RetryPolicy& policy) -> RetryPolicy
 {
@@ -113,10 +118,14 @@
     call.onSkippedResponse = [this, &call](const BackendServer& server, unsigned status) { record(LogLevel::Info, call, "response_skipped", { { "backend", server.id }, { "status", status } }); };
     const auto endsAt = requestsEndAt(m_context);
     if (monotonicNow() >= endsAt) {
-        co_await refuse(exchange, call, refusalError(RefusalReason::Draining, ExecutionOutcome::NotRun, jitteredDelay(retryDelay)));
+        co_await refuse(exchange, call, drainRefusal());
         co_return;
     }
     call.deadline = std::min(call.deadline, endsAt);
+    if (!canEndBeforeExit(call)) {
+        co_await refuse(exchange, call, drainRefusal());
+        co_return;
+    }
     call.mayResend = [this, &call](const BackendServer& server) { return tryConsumeResend(call, server); };
     if (call.kind.repeatable || !call.kind.recorded)
         co_await serveUnrecorded(exchange, call);
@@ -206,6 +215,8 @@
 
 auto PlainService::noResponseError(const PlainCallInfo& call, const PlainAttempt& attempt) const -> ApiError
 {
+    if (attempt.isRefusedByDrain)
+        return drainRefusal();
     const auto outcome = attempt.isNotRun ? ExecutionOutcome::NotRun : ExecutionOutcome::Unknown;
     if (attempt.hasTimedOut && monotonicNow() >= call.deadline)
         return { 504, std::string(jayhold::name(RefusalReason::DeadlineExceeded)), "no backend server answered in time: " + attempt.detail, outcome };
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -10,12 +10,14 @@
 #include "PlainAttempt.h"
 #include "PlainBalancer.h"
 #include "PlainCallInfo.h"
+#include "RecentDurations.h"
 #include "RetryBudget.h"
 #include "Service.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/cancellation_signal.hpp>
 
+#include <map>
 #include <memory>
 #include <mutex>
 #include <span>
@@ -62,6 +64,11 @@
         std::optional<BackendServer> replacement;
     };
 
+    /// @return whether a call that starts now can be expected to have its answer when a draining instance ends its
+    /// requests.
+    auto canEndBeforeExit(const PlainCallInfo& call) const -> bool;
+    /// Records the duration of a call that was executed, for the estimate of later ones.
+    auto recordDuration(const PlainCallInfo& call, Duration duration) -> void;
     /// Sends a call to backend servers until one returns a final response or no further attempt is allowed.
     /// @param isRepeatable whether a call that may have been executed can be sent again.
     auto runCall(HttpClient& client, const PlainCallInfo& call, bool isRepeatable, CallState& state) -> boost::asio::awaitable<PlainAttempt>;
@@ -118,6 +125,8 @@
     std::uint32_t m_instanceCount;
     PlainBalancer m_balancer;
     RetryBudget m_budget;
+    /// By name of the kind.
+    std::map<std::string, RecentDurations> m_durations;
 };
 
 }
--- a/src/PlainServiceAttempts.cpp
+++ b/src/PlainServiceAttempts.cpp
@@ -25,6 +25,11 @@
 constexpr Duration silenceCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration minAttemptTimeout = std::chrono::milliseconds(1);
 
+/// An estimate of a call's duration for the decision whether it may start during a drain. A call that may not be
+/// repeated must not run at the end, so its estimate is the more careful one.
+constexpr double repeatableQuantile = 0.95;
+constexpr int unrepeatableSafetyFactor = 2;
+
 auto remainingTime(const PlainCallInfo& call) -> Duration
 {
     return std::max<Duration>(call.deadline - monotonicNow(), minAttemptTimeout);
@@ -32,10 +37,36 @@
 
 }
 
+auto PlainService::canEndBeforeExit(const PlainCallInfo& call) const -> bool
+{
+    const auto endsAt = requestsEndAt(m_context);
+    // A caller that allows less time gets its answer before the end in any case.
+    if (endsAt == TimePoint::max() || call.deadline < endsAt)
+        return true;
+    const std::lock_guard guard(m_lock);
+    const auto durations = m_durations.find(call.kind.name);
+    const auto quantile = call.kind.repeatable ? repeatableQuantile : 1.0;
+    const auto expected = durations == m_durations.end() ? std::nullopt : durations->second.quantile(quantile);
+    if (!expected)
+        return false;
+    return monotonicNow() + *expected * (call.kind.repeatable ? 1 : unrepeatableSafetyFactor) <= endsAt;
+}
+
+auto PlainService::recordDuration(const PlainCallInfo& call, Duration duration) -> void
+{
+    const std::lock_guard guard(m_lock);
+    m_durations[call.kind.name].record(duration);
+}
+
 auto PlainService::runCall(HttpClient& client, const PlainCallInfo& call, bool isRepeatable, CallState& state) -> asio::awaitable<PlainAttempt>
 {
+    const auto startedAt = monotonicNow();
     PlainAttempt last { .isNotRun = true, .reachedBackend = false, .detail = "no backend server is available" };
     while (true) {
+        if (state.executions == 0 && !state.replacement && !canEndBeforeExit(call)) {
+            last.isRefusedByDrain = true;
+            break;
+        }
         const auto backend = state.replacement ? std::exchange(state.replacement, std::nullopt) : acquire(state.triedBackends);
         if (!backend)
             break;
@@ -56,6 +87,8 @@
             break;
     }
     last.isNotRun = state.executions == 0;
+    if (!last.isNotRun && !state.isCallerDisconnected)
+        recordDuration(call, monotonicNow() - startedAt);
     co_return last;
 }
 
--- a/test/RouterFixture.h
+++ b/test/RouterFixture.h
@@ -104,7 +104,7 @@
     {
         auto settings = routerSettings("entry-1", platform.endpoint());
         settings.entry.drainTimeout = drainTimeout;
-        settings.entry.deregistrationDelay = 200ms;
+        settings.entry.deregistrationDelay = deregistrationDelay;
         settings.entry.maxPropagationDelay = 600ms;
         // A budget of this instance alone starts full, so that the first call of a test may be retried.
         settings.retry.isShared = sharesRetries;
@@ -162,6 +162,7 @@
     int requests = 0;
     bool sharesRetries = false;
     std::chrono::milliseconds drainTimeout = 3s;
+    std::chrono::milliseconds deregistrationDelay = 200ms;
 };
 
 }
--- a/test/correctness/DrainTest.cpp
+++ b/test/correctness/DrainTest.cpp
@@ -123,3 +123,29 @@
     REQUIRE(shard.refusalOf(2));
     CHECK(shard.refusalOf(2)->reason == RefusalReason::DeadlineExceeded);
 }
+
+// Guards against a request that starts during a drain although it can't be expected to end with it, also when nothing
+// else runs: its prefill is wasted, or its answer is cut.
+TEST_CASE("a request that arrives during a drain starts only if its answer is expected to end in time")
+{
+    constexpr auto answers = 20U;
+    // The caller's limit of 200 tokens takes 5 s at the initial rate.
+    const bool isShort = GENERATE(false, true);
+    const auto time = GENERATE(Duration(4s), Duration(6s));
+    CAPTURE(isShort, time.count());
+    BusyShard shard;
+    const auto finish = [&](const StartDecode& decode) { shard.send(DecodeFinished { decode.request, decode.attempt, 10 }); };
+    finish(*shard.lastEver<StartDecode>());
+    for (std::uint64_t id = 2; isShort && id <= answers; ++id)
+        finish(shard.startDecode(id));
+    shard.startDraining(time);
+    constexpr std::uint64_t late = 100;
+    shard.arrive(late);
+    if (isShort || time > 5s) {
+        CHECK(shard.last<StartPrefill>());
+        CHECK_FALSE(shard.refusalOf(late));
+    } else {
+        CHECK_FALSE(shard.last<StartPrefill>());
+        shard.checkRefused(late, ExecutionOutcome::NotRun);
+    }
+}
