Answer the connections in the listen queue when a drain begins

Callers saw a reset, without an answer, on connections that had been opened, and whose request had arrived, before the instance stopped accepting; and on new connections whose first request was on its way.

Cause: the close of the acceptor resets the listen queue, and a connection that had not carried a request was closed as idle at once.

The server accepts the queue before it closes the acceptor, and gives a new connection 0.5 s for its first request. Both count as open until then, so the process waits for them.

The test of the reason of each close used a connection without a request as an idle one. It now closes one that has served a request, as its name says, and checks one without a request as well.

Not covered: a connection whose handshake ends between the last accept and the close. The system has no call that does both.

--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -34,13 +34,42 @@
 
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
+/// Serves an accepted connection on the I/O thread of its socket.
+template <typename State>
+auto startConnection(State& state, std::size_t index, asio::ip::tcp::socket socket) -> void
+{
+    auto& shared = state.shared;
+    auto onEnd = [shared](const std::exception_ptr& thrown) {
+        if (thrown)
+            shared->onConnectionClosed({ CloseReason::Exception, nullptr, false, exceptionText(thrown) });
+    };
+    auto waiting = std::make_unique<ActiveExchange>(shared->waitingConnections);
+    asio::co_spawn(state.threads.context(index), serveConnection(shared, std::move(socket), state.threads.client(index), std::move(waiting)), std::move(onEnd));
+}
+
+/// Accepts the connections in the listen queue, which the close of the acceptor would reset.
+template <typename State>
+auto acceptQueued(State& state) -> void
+{
+    boost::system::error_code code;
+    state.acceptor.non_blocking(true, code);
+    while (!code) {
+        const auto index = state.threads.nextIndex();
+        asio::ip::tcp::socket socket(state.threads.context(index));
+        state.acceptor.accept(socket, code);
+        if (code == asio::error::connection_aborted)
+            code = {};
+        else if (!code)
+            startConnection(state, index, std::move(socket));
+    }
+}
+
 template <typename State>
 auto acceptLoop(std::shared_ptr<State> state) -> asio::awaitable<void>
 {
     while (state->acceptor.is_open()) {
         const auto index = state->threads.nextIndex();
-        auto& context = state->threads.context(index);
-        asio::ip::tcp::socket socket(context);
+        asio::ip::tcp::socket socket(state->threads.context(index));
         boost::system::error_code code;
         co_await state->acceptor.async_accept(socket, awaitInto(code));
         if (code == asio::error::operation_aborted || code == asio::error::bad_descriptor)
@@ -52,11 +81,7 @@
             co_await timer.async_wait(awaitInto(code));
             continue;
         }
-        auto onEnd = [shared = state->shared](const std::exception_ptr& thrown) {
-            if (thrown)
-                shared->onConnectionClosed({ CloseReason::Exception, nullptr, false, exceptionText(thrown) });
-        };
-        asio::co_spawn(context, serveConnection(state->shared, std::move(socket), state->threads.client(index)), std::move(onEnd));
+        startConnection(*state, index, std::move(socket));
     }
 }
 
@@ -93,9 +118,13 @@
 auto HttpServer::stopAccepting() -> void
 {
     m_state->shared->isDraining = true;
+    // The listen queue counts as a waiting connection until it has been emptied.
+    ++m_state->shared->waitingConnections;
     asio::post(m_state->threads.context(0), [state = m_state] {
         boost::system::error_code ignored;
+        acceptQueued(*state);
         state->acceptor.close(ignored);
+        --state->shared->waitingConnections;
     });
 }
 
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -58,12 +58,13 @@
     /// functions are ignored.
     auto updateLimits(const HttpServerSettings& settings) -> void;
 
-    /// Stops accepting connections. Open exchanges are completed, and responses that start from now on
-    /// carry `Connection: close`.
+    /// Stops accepting connections, except for those that wait in the listen queue. Open exchanges are completed, and
+    /// responses that start from now on carry `Connection: close`.
     auto stopAccepting() -> void;
 
     /// Closes idle connections now and all other connections when their request ends. A request that was
-    /// just sent on an idle connection has not been read, so its caller may send it again.
+    /// just sent on an idle connection has not been read, so its caller may send it again. A connection that has not
+    /// carried a request is closed 0.5 s after it was accepted.
     auto closeIdleConnections() -> void;
 
     /// Closes each connection after its next response; new connections are still accepted.
@@ -76,7 +77,7 @@
 
     /// @return number of exchanges that are not answered yet, including requests of which only a part has
     /// arrived. After closeIdleConnections(), a connection counts until it has found out whether a request has
-    /// arrived.
+    /// arrived, and so does the listen queue.
     auto activeExchanges() const -> std::size_t;
 
     /// @return number of exchanges that endOpenExchanges() has ended.
--- a/src/HttpServerConnection.cpp
+++ b/src/HttpServerConnection.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace jayhold {
@@ -106,6 +107,18 @@
     return connection.stream.socket().available(code) > 0 && !code;
 }
 
+/// A caller that has just connected needs this time to send its request.
+constexpr Duration firstRequestTime = std::chrono::milliseconds(500);
+
+/// @return how long the connection may wait for the first byte of a request.
+auto maxIdleTime(const HttpServerSharedState& shared, const HttpServerConnectionState& connection) -> Duration
+{
+    const auto idleTimeout = shared.settings.load()->idleTimeout;
+    if (!shared.closesIdleConnections)
+        return idleTimeout;
+    return connection.hasCarriedRequest ? Duration::zero() : std::min(idleTimeout, firstRequestTime);
+}
+
 /// Waits for the first byte of a request. When the idle timeout ends, its current value is checked
 /// again: it may have been raised, and callers that know the new value still use the connection. A request may
 /// have arrived by then, while the process was paused or busy; it is read also after the timeout or during a drain.
@@ -114,11 +127,10 @@
     constexpr std::size_t firstReadBytes = 4'096;
     const auto startedAt = monotonicNow();
     while (true) {
-        const auto isDraining = shared.closesIdleConnections.load();
-        const auto remaining = startedAt + shared.settings.load()->idleTimeout - monotonicNow();
-        const auto isEnding = isDraining || remaining <= Duration::zero();
+        const auto remaining = startedAt + maxIdleTime(shared, *connection) - monotonicNow();
+        const auto isEnding = remaining <= Duration::zero();
         if (isEnding && !hasUnreadBytes(*connection))
-            co_return ReadEnd { isDraining ? CloseReason::Drain : CloseReason::IdleTimeout, {} };
+            co_return ReadEnd { shared.closesIdleConnections ? CloseReason::Drain : CloseReason::IdleTimeout, {} };
         std::optional<ReadTimer> timer;
         if (!isEnding)
             timer.emplace(connection, remaining);
@@ -143,6 +155,7 @@
     connection->stream.expires_never();
     {
         const ActiveExchange waiting(shared.waitingConnections);
+        connection->accepted.reset();
         if (connection->buffer.size() == 0) {
             const auto end = co_await waitForFirstByte(shared, connection);
             if (end)
@@ -150,6 +163,7 @@
         }
         // A request of which a part has arrived is read and answered even if the server is draining.
         connection->active.emplace(shared.activeExchanges);
+        connection->hasCarriedRequest = true;
     }
     const auto settings = shared.settings.load();
     parser.header_limit(static_cast<std::uint32_t>(settings->maxHeaderBytes));
@@ -281,10 +295,11 @@
 
 }
 
-auto serveConnection(std::shared_ptr<HttpServerSharedState> shared, asio::ip::tcp::socket socket, HttpClient& client) -> asio::awaitable<void>
+auto serveConnection(std::shared_ptr<HttpServerSharedState> shared, asio::ip::tcp::socket socket, HttpClient& client, std::unique_ptr<ActiveExchange> waiting) -> asio::awaitable<void>
 {
     setSocketOptions(socket, shared->settings.load()->tcpUserTimeout);
     const auto connection = std::make_shared<HttpServerConnectionState>(std::move(socket));
+    connection->accepted = std::move(waiting);
     {
         const RegisteredConnection registered(*shared, connection);
         co_await serveRequests(*shared, connection, client);
--- a/src/HttpServerConnection.h
+++ b/src/HttpServerConnection.h
@@ -3,6 +3,7 @@
 /// One connection of an HttpServer: reads requests, passes them to the handler and rejects those
 /// that are malformed, oversized or slow.
 
+#include "ActiveExchange.h"
 #include "ConnectionRegistry.h"
 #include "HttpServer.h"
 
@@ -29,7 +30,8 @@
     const std::function<void(const ConnectionClose&)> onConnectionClosed;
     const std::function<HttpResponse()> unknownOutcomeResponse;
     std::atomic<std::size_t> activeExchanges { 0 };
-    /// Connections that wait for the first byte of a request.
+    /// Connections that wait for the first byte of a request, including those in the listen queue as one while the
+    /// server stops accepting.
     std::atomic<std::size_t> waitingConnections { 0 };
     std::atomic<std::size_t> endedExchanges { 0 };
     std::atomic<bool> isDraining { false };
@@ -41,6 +43,7 @@
 };
 
 /// Serves a connection until it closes.
-auto serveConnection(std::shared_ptr<HttpServerSharedState> shared, boost::asio::ip::tcp::socket socket, HttpClient& client) -> boost::asio::awaitable<void>;
+/// @param waiting counts the accepted connection as waiting until it does so itself.
+auto serveConnection(std::shared_ptr<HttpServerSharedState> shared, boost::asio::ip::tcp::socket socket, HttpClient& client, std::unique_ptr<ActiveExchange> waiting) -> boost::asio::awaitable<void>;
 
 }
--- a/src/HttpServerConnectionState.h
+++ b/src/HttpServerConnectionState.h
@@ -9,6 +9,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <functional>
+#include <memory>
 #include <optional>
 
 namespace jayhold {
@@ -29,6 +30,10 @@
     bool isWaitingForClose = false;
     /// Whether the caller closed the connection during an exchange.
     bool isClosedByCaller = false;
+    /// Counts the connection as waiting from its acceptance until it waits for its first request.
+    std::unique_ptr<ActiveExchange> accepted;
+    /// Whether a part of a request has arrived since the connection was accepted.
+    bool hasCarriedRequest = false;
     /// Counts the connection as active from the first byte of a request until it is answered.
     std::optional<ActiveExchange> active;
     /// The exchange whose handler is running; null if there is none.
--- a/test/correctness/ConnectionCloseTest.cpp
+++ b/test/correctness/ConnectionCloseTest.cpp
@@ -133,8 +133,18 @@
     {
         expected = CloseReason::Drain;
         auto socket = fixture.connect();
+        asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
         std::this_thread::sleep_for(50ms);
         fixture.server.closeIdleConnections();
+        CHECK_THAT(test::readUntilClosed(socket), Catch::StartsWith("HTTP/1.1 200"));
+    }
+    SECTION("drain of a connection without a request")
+    {
+        expected = CloseReason::Drain;
+        auto socket = fixture.connect();
+        std::this_thread::sleep_for(50ms);
+        fixture.server.closeIdleConnections();
+        CHECK(test::readUntilClosed(socket).empty());
     }
     SECTION("drain after a response")
     {
--- a/test/correctness/HttpServerDrainTest.cpp
+++ b/test/correctness/HttpServerDrainTest.cpp
@@ -10,6 +10,8 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <string>
+#include <vector>
 
 using namespace jayhold;
 using namespace std::chrono_literals;
@@ -64,8 +66,24 @@
         return true;
     }
 
+    /// Blocks the I/O thread in place of a process that is paused or busy.
+    auto block() -> void
+    {
+        isBlocking = true;
+        asio::post(threads.context(0), [this] {
+            isBlocked = true;
+            while (isBlocking)
+                std::this_thread::sleep_for(1ms);
+            isBlocked = false;
+        });
+        while (!isBlocked)
+            std::this_thread::sleep_for(1ms);
+    }
+
     asio::io_context context;
     const HttpServerSettings settings;
+    std::atomic<bool> isBlocked { false };
+    std::atomic<bool> isBlocking { false };
     IoThreads threads { 1 };
     HttpServer server { threads, settings, answer };
 };
@@ -125,15 +143,7 @@
     // Answered requests leave a wait for the close of the connection behind, which changes the order of events.
     auto socket = fixture.connect("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
     std::this_thread::sleep_for(50ms);
-    std::atomic<bool> isBlocked { false };
-    std::atomic<bool> isBlocking { true };
-    asio::post(fixture.threads.context(0), [&] {
-        isBlocked = true;
-        while (isBlocking)
-            std::this_thread::sleep_for(1ms);
-    });
-    while (!isBlocked)
-        std::this_thread::sleep_for(1ms);
+    fixture.block();
     if (isDraining) {
         fixture.server.closeIdleConnections();
         // Otherwise the process could exit before it has found the request.
@@ -141,7 +151,7 @@
     }
     asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")));
     std::this_thread::sleep_for(300ms);
-    isBlocking = false;
+    fixture.isBlocking = false;
     boost::system::error_code code;
     const auto received = test::readUntilClosed(socket, code);
     CHECK(code == asio::error::eof);
@@ -149,3 +159,49 @@
     CHECK(second != std::string::npos);
     CHECK(fixture.waitForActive(0));
 }
+
+// Guards against a connection that is reset because it waited in the listen queue when the server stopped accepting,
+// although its request had arrived.
+TEST_CASE("connections in the listen queue are accepted and answered when the server stops accepting")
+{
+    Fixture fixture;
+    fixture.block();
+    constexpr std::size_t connections = 3;
+    std::vector<asio::ip::tcp::socket> sockets;
+    for (std::size_t index = 0; index < connections; ++index)
+        sockets.push_back(fixture.connect("GET / HTTP/1.1\r\nHost: a\r\n\r\n"));
+    fixture.server.stopAccepting();
+    fixture.server.closeIdleConnections();
+    // Otherwise the process could exit before it has found the connections.
+    CHECK(fixture.server.activeExchanges() > 0);
+    fixture.isBlocking = false;
+    for (auto& socket : sockets) {
+        boost::system::error_code code;
+        const auto response = test::readUntilClosed(socket, code);
+        CHECK(code == asio::error::eof);
+        CHECK_THAT(response, Catch::StartsWith("HTTP/1.1 200") && Catch::Contains("Connection: close"));
+    }
+    CHECK(fixture.waitForActive(0));
+}
+
+// Guards against a new connection that is closed while its first request is on the way, so that a caller that the load
+// balancer has just sent gets no answer.
+TEST_CASE("a new connection is not closed before its first request has had time to arrive")
+{
+    Fixture fixture;
+    auto socket = fixture.connect("");
+    auto unused = fixture.connect("");
+    std::this_thread::sleep_for(20ms);
+    fixture.server.stopAccepting();
+    fixture.server.closeIdleConnections();
+    std::this_thread::sleep_for(100ms);
+    CHECK(fixture.server.activeExchanges() == 2);
+    boost::system::error_code code;
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")), code);
+    CHECK_THAT(test::readUntilClosed(socket, code), Catch::StartsWith("HTTP/1.1 200"));
+    CHECK(code == asio::error::eof);
+    // A connection on which nothing arrives does not delay the end of the process for long.
+    std::this_thread::sleep_for(500ms);
+    CHECK(fixture.server.activeExchanges() == 0);
+    CHECK(test::readUntilClosed(unused).empty());
+}
