Log the end of the process after a drain

Ruled out by reading: locks that a suspended coroutine holds, blocking writes of the log (at most PIPE_BUF to a pipe that poll reports as writable), SO_LINGER, a resolver, threads other than the I/O threads, and output pipes of the soak that another child inherits (one thread forks, and the ends are closed at exec).

"stopped" is the last line of a process and says where the time went, so the next occurrence can be placed: before main is woken, in the join of the I/O threads, or, if the line is missing or early, elsewhere.

--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -9,6 +9,7 @@
 #include "LoadExchange.h"
 #include "Pause.h"
 #include "RoleBalancer.h"
+#include "RunId.h"
 #include "ServiceTable.h"
 #include "Tasks.h"
 
@@ -16,7 +17,7 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <random>
+#include <optional>
 
 namespace jayhold {
 
@@ -98,14 +99,6 @@
         samples.push_back({ "jayhold_store_calls_total", "Calls to the store, by result; those held back or over budget were not sent.", static_cast<double>(count), true, "result", std::string(result) });
 }
 
-/// @return an identifier of this run of the instance. It includes a random number, because the system
-/// clock may be set back.
-auto uniqueRunId() -> std::string
-{
-    std::random_device random;
-    return std::to_string(random()) + "-" + std::to_string(std::chrono::system_clock::now().time_since_epoch().count());
-}
-
 }
 
 struct RouterDaemon::State {
@@ -129,9 +122,12 @@
 
     ~State()
     {
+        const auto startedAt = monotonicNow();
         // Coroutines use all other components until their I/O thread has ended.
         services.stop();
         threads.stop();
+        if (drainedAt)
+            log.record(LogLevel::Info, "stopped", { { "since_drained_ms", (monotonicNow() - *drainedAt).count() / 1'000 }, { "threads_ms", (monotonicNow() - startedAt).count() / 1'000 } });
     }
     State(const State&) = delete;
     auto operator=(const State&) -> State& = delete;
@@ -338,6 +334,7 @@
         const auto ended = callerServer->endedExchanges();
         const auto isComplete = remaining == 0 && ended == 0;
         log.record(LogLevel::Info, "drained", { { "complete", isComplete }, { "open_requests", remaining }, { "ended_requests", ended } });
+        drainedAt = monotonicNow();
         onDrainedCallback(isComplete);
     }
 
@@ -357,6 +354,8 @@
     std::unique_ptr<HttpServer> readinessServer;
     std::unique_ptr<HttpServer> metricsServer;
     std::function<void(bool)> onDrainedCallback = [](bool) {};
+    /// Written by the I/O thread of the drain, and read after that thread has ended.
+    std::optional<TimePoint> drainedAt;
     bool wasReady = false;
 };
 
