Send no body in the response to HEAD

A caller that sent HEAD and got an error of the instance took the body for the beginning of the next response on its connection.

Evidence: HttpServerErrorTest, "the response to HEAD has no body", before: the 503 ends with {"busy":1} where the next response should begin. The response now states the length of the body and has none, also for an unknown outcome.

A successful response to HEAD of a backend server still has Content-Length: 0, because the field is dropped as one that concerns the connection. Its framing is right.

--- a/src/HttpServerExchange.cpp
+++ b/src/HttpServerExchange.cpp
@@ -73,14 +73,23 @@
     message.keep_alive(m_keepAlive);
 }
 
+template <typename Message>
+auto HttpServerExchange::fillBody(Message& message, std::string body) -> void
+{
+    message.body() = std::move(body);
+    message.prepare_payload();
+    // The response to HEAD states the length of the body that GET would get, and has none.
+    if (m_request.method == "HEAD")
+        message.body().clear();
+}
+
 auto HttpServerExchange::respond(HttpResponse response) -> asio::awaitable<bool>
 {
     if (m_failure)
         co_return false;
     http::response<http::string_body> message;
     fillHeader(message, response.status, response.headers);
-    message.body() = std::move(response.body);
-    message.prepare_payload();
+    fillBody(message, std::move(response.body));
     m_hasStarted = true;
     m_isFinishing = true;
     boost::system::error_code code;
@@ -177,8 +186,7 @@
     auto response = m_shared.unknownOutcomeResponse();
     const auto message = std::make_shared<http::response<http::string_body>>();
     fillHeader(*message, response.status, response.headers);
-    message->body() = std::move(response.body);
-    message->prepare_payload();
+    fillBody(*message, std::move(response.body));
     m_hasStarted = true;
     m_unknownOutcomeWritten.emplace(executor(), asio::steady_timer::time_point::max());
     startWriteTimeout();
--- a/src/HttpServerExchange.h
+++ b/src/HttpServerExchange.h
@@ -52,6 +52,9 @@
 private:
     template <typename Message>
     auto fillHeader(Message& message, unsigned status, const std::vector<HttpHeader>& headers) -> void;
+    /// Sets the body of a complete response and the fields for its length.
+    template <typename Message>
+    auto fillBody(Message& message, std::string body) -> void;
     auto startWriteTimeout() -> void;
     auto recordResult(const boost::system::error_code& code) -> bool;
 
--- a/test/error/HttpServerErrorTest.cpp
+++ b/test/error/HttpServerErrorTest.cpp
@@ -153,3 +153,24 @@
     CHECK_THAT(response, Catch::StartsWith("HTTP/1.1 500"));
     threads.stop();
 }
+
+// Guards against the body of an error in the response to HEAD, which its caller reads as the beginning of the next
+// response on the connection.
+TEST_CASE("the response to HEAD has no body")
+{
+    IoThreads threads(1);
+    HttpServer server(threads, strictSettings(), [](HttpExchange& exchange) -> asio::awaitable<void> {
+        if (exchange.request().target == "/fault")
+            throw std::runtime_error("a fault of the handler");
+        co_await exchange.respond(jsonResponse(503, "{\"busy\":1}"));
+    });
+    const auto received = sendRaw(server.endpoint(), "HEAD / HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", false);
+    const auto second = received.find("HTTP/1.1 503", 1);
+    REQUIRE(second != std::string::npos);
+    const auto first = received.substr(0, second);
+    CHECK_THAT(first, Catch::StartsWith("HTTP/1.1 503") && Catch::Contains("Content-Length: 10") && Catch::EndsWith("\r\n\r\n"));
+    CHECK_THAT(received, Catch::EndsWith("{\"busy\":1}"));
+    const auto failed = sendRaw(server.endpoint(), "HEAD /fault HTTP/1.1\r\nHost: a\r\n\r\n", false);
+    CHECK_THAT(failed, Catch::StartsWith("HTTP/1.1 500") && Catch::EndsWith("\r\n\r\n"));
+    threads.stop();
+}
