Answer Expect: 100-continue

A caller that waits for the permission to send its body got 408 after the read timeout, or gave up before.

The server now sends the interim response once the head has arrived, if the body is expected, none of it has arrived, the limits allow it and the caller speaks HTTP/1.1. A body that is too large is rejected without it.

--- a/src/HttpServerConnection.cpp
+++ b/src/HttpServerConnection.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -148,6 +149,27 @@
     }
 }
 
+/// @return whether the caller waits for an interim response before it sends the body.
+auto awaitsContinue(const HttpServerConnectionState& connection, const RequestParser& parser) -> bool
+{
+    constexpr unsigned firstVersionWithExpect = 11;
+    const auto& message = parser.get();
+    return !parser.is_done() && connection.buffer.size() == 0 && message.version() >= firstVersionWithExpect && beast::iequals(message[http::field::expect], "100-continue");
+}
+
+/// Reads a request, and asks its caller for the body if it waits for that.
+auto readMessage(const std::shared_ptr<HttpServerConnectionState>& connection, RequestParser& parser) -> asio::awaitable<boost::system::error_code>
+{
+    constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+    boost::system::error_code code;
+    co_await http::async_read_header(connection->stream, connection->buffer, parser, awaitInto(code));
+    if (!code && awaitsContinue(*connection, parser))
+        co_await asio::async_write(connection->stream, asio::buffer(continueResponse), awaitInto(code));
+    if (!code && !parser.is_done())
+        co_await http::async_read(connection->stream, connection->buffer, parser, awaitInto(code));
+    co_return code;
+}
+
 /// Waits for a request: up to the idle timeout for its first byte, then up to the read timeout
 /// for the rest.
 auto readRequest(HttpServerSharedState& shared, const std::shared_ptr<HttpServerConnectionState>& connection, RequestParser& parser) -> asio::awaitable<std::optional<ReadEnd>>
@@ -169,8 +191,7 @@
     parser.header_limit(static_cast<std::uint32_t>(settings->maxHeaderBytes));
     parser.body_limit(settings->maxBodyBytes);
     const ReadTimer timer(connection, settings->readTimeout);
-    boost::system::error_code code;
-    co_await http::async_read(connection->stream, connection->buffer, parser, awaitInto(code));
+    auto code = co_await readMessage(connection, parser);
     if (!code)
         co_return std::nullopt;
     if (timer.hasTimedOut())
--- a/test/error/HttpServerErrorTest.cpp
+++ b/test/error/HttpServerErrorTest.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -174,3 +175,34 @@
     CHECK_THAT(failed, Catch::StartsWith("HTTP/1.1 500") && Catch::EndsWith("\r\n\r\n"));
     threads.stop();
 }
+
+// Guards against a caller that waits for the permission to send its body until its request times out.
+TEST_CASE("a caller that expects 100-continue gets it before it sends its body")
+{
+    IoThreads threads(1);
+    HttpServer server(threads, strictSettings(), answerOk);
+    asio::io_context context;
+    auto socket = test::connectTo(context, server.endpoint());
+    asio::write(socket, asio::buffer(std::string("POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-Continue\r\nConnection: close\r\nContent-Length: 4\r\n\r\n")));
+    std::string head;
+    asio::read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n");
+    CHECK(head == "HTTP/1.1 100 Continue\r\n\r\n");
+    boost::system::error_code code;
+    asio::write(socket, asio::buffer("body", 4), code);
+    CHECK_THAT(test::readUntilClosed(socket), Catch::StartsWith("HTTP/1.1 200"));
+    threads.stop();
+}
+
+// Guards against an interim response to callers that don't expect one, and against a body that is asked for although
+// the request is rejected.
+TEST_CASE("100-continue is only sent where a body is expected and missing")
+{
+    IoThreads threads(1);
+    HttpServer server(threads, strictSettings(), answerOk);
+    const auto send = [&](const std::string& start, const std::string& body) { return sendRaw(server.endpoint(), start + "Host: a\r\nConnection: close\r\n\r\n" + body, false); };
+    CHECK_THAT(send("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 101\r\n", ""), Catch::StartsWith("HTTP/1.1 413"));
+    CHECK_THAT(send("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n", "body"), Catch::StartsWith("HTTP/1.1 200"));
+    CHECK_THAT(send("GET / HTTP/1.1\r\nExpect: 100-continue\r\n", ""), Catch::StartsWith("HTTP/1.1 200"));
+    CHECK_THAT(send("POST / HTTP/1.0\r\nExpect: 100-continue\r\nContent-Length: 4\r\n", ""), Catch::StartsWith("HTTP/1.1 408"));
+    threads.stop();
+}
