Read the software version of a backend server

What callers saw: streams with events of two software versions of an engine.

Cause: neither BackendServer nor the adapter had a version, so no placement could respect it.

The adapter reads the field `version` of a server's entry. An entry whose version is not a text is ignored, as one whose service, address, zone or state is not. An entry without one has the empty version, which equals only itself.

The version belongs to the process, so it is part of the incarnation: an entry with another version under the same id and start time is another process, for the connections, pauses, limits and crash reports as well. hasSameIncarnation() also compares the version of entries without a start time. The start times in incarnations are still ordered; with the old comparison the older copy of a restored store would bring back an earlier process (BackendDirectoryTest fails at `replaceAll(...) == { "a" }` with it).

Directory updates forward entries as the store has them, so they carry the version. The native instance list has `software_version`.

ModelRequestInfo has the version at which a stream that is taken up must go on. Nothing sets or uses it yet.

--- a/src/BackendDirectory.cpp
+++ b/src/BackendDirectory.cpp
@@ -25,11 +25,16 @@
     return entry.removedAt ? entry.hasReportedLeaving : entry.server.state == ReplicaState::Leaving;
 }
 
-/// Incarnations are start times as decimal numbers. Others have no order.
+/// @return the start time in an incarnation. Incarnations without one have no order.
+auto startTimeOf(std::string_view incarnation) -> std::optional<std::int64_t>
+{
+    return parseNumber<std::int64_t>(incarnation.substr(0, incarnation.find('/')));
+}
+
 auto isEarlier(std::string_view incarnation, std::string_view other) -> bool
 {
-    const auto start = parseNumber<std::int64_t>(incarnation);
-    const auto otherStart = parseNumber<std::int64_t>(other);
+    const auto start = startTimeOf(incarnation);
+    const auto otherStart = startTimeOf(other);
     return start && otherStart && *start < *otherStart;
 }
 
@@ -44,12 +49,12 @@
 auto showsEarlierState(const BackendDirectory::Entry& known, const BackendServer& server) -> bool
 {
     const auto isKnownGone = known.server.state == ReplicaState::Leaving && !known.isPresumedGone;
-    return isKnownGone && server.state == ReplicaState::Live && server.incarnation == known.server.incarnation;
+    return isKnownGone && server.state == ReplicaState::Live && hasSameIncarnation(known.server, server);
 }
 
 auto mayReturn(const BackendDirectory::Entry& known, const BackendServer& server) -> bool
 {
-    return server.incarnation == known.server.incarnation && !hasReportedLeaving(known);
+    return hasSameIncarnation(known.server, server) && !hasReportedLeaving(known);
 }
 
 auto isOutdated(const BackendDirectory& directory, const BackendDirectory::Entry& known, const BackendServer& server, EntrySource source) -> bool
@@ -69,9 +74,9 @@
 auto isSameProcess(const BackendDirectory::Entry& known, const BackendServer& server) -> bool
 {
     if (!known.server.incarnation.empty() || !server.incarnation.empty())
-        return known.server.incarnation == server.incarnation;
+        return hasSameIncarnation(known.server, server);
     const auto wasRemoved = known.removedAt && !known.isPresumedGone;
-    return known.server.endpoint == server.endpoint && !wasRemoved;
+    return known.server.endpoint == server.endpoint && hasSameIncarnation(known.server, server) && !wasRemoved;
 }
 
 /// Keeps what processes with the server's id have said about leaving when its entry replaces the known one.
--- a/src/InstanceList.cpp
+++ b/src/InstanceList.cpp
@@ -27,16 +27,16 @@
     const auto isLeaving = text(item, "state") == "leaving";
     if (pool != entryPool) {
         const auto state = isLeaving ? ReplicaState::Leaving : ReplicaState::Live;
-        list.backends.push_back({ std::move(id), *endpoint, std::move(zone), std::move(pool), state });
+        list.backends.push_back({ .id = std::move(id), .endpoint = *endpoint, .availabilityZone = std::move(zone), .pool = std::move(pool), .state = state, .softwareVersion = text(item, "software_version") });
         return;
     }
     if (!isLeaving)
         list.entries.push_back({ .id = std::move(id), .peerEndpoint = *endpoint, .availabilityZone = std::move(zone) });
 }
 
-auto instanceJson(std::string_view id, const HttpEndpoint& endpoint, std::string_view zone, std::string_view pool, bool isLeaving) -> json::value
+auto instanceJson(std::string_view id, const HttpEndpoint& endpoint, std::string_view zone, std::string_view pool, bool isLeaving) -> json::object
 {
-    return json::object { { "id", id }, { "address", toString(endpoint) }, { "availability_zone", zone }, { "pool", pool },
+    return { { "id", id }, { "address", toString(endpoint) }, { "availability_zone", zone }, { "pool", pool },
         { "state", isLeaving ? "leaving" : "live" } };
 }
 
@@ -62,8 +62,12 @@
     json::array instances;
     for (const auto& entry : list.entries)
         instances.push_back(instanceJson(entry.id, entry.peerEndpoint, entry.availabilityZone, entryPool, false));
-    for (const auto& backend : list.backends)
-        instances.push_back(instanceJson(backend.id, backend.endpoint, backend.availabilityZone, backend.pool, backend.state != ReplicaState::Live));
+    for (const auto& backend : list.backends) {
+        auto instance = instanceJson(backend.id, backend.endpoint, backend.availabilityZone, backend.pool, backend.state != ReplicaState::Live);
+        if (!backend.softwareVersion.empty())
+            instance["software_version"] = backend.softwareVersion;
+        instances.push_back(std::move(instance));
+    }
     return json::object { { "version", list.version }, { "instances", std::move(instances) } };
 }
 
--- a/src/ModelRequestInfo.h
+++ b/src/ModelRequestInfo.h
@@ -10,6 +10,7 @@
 #include "Time.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace jayhold {
@@ -27,6 +28,9 @@
     TimePoint deadline {};
     /// The caller's request, if it is forwarded to the engines unchanged; null otherwise.
     std::shared_ptr<const ForwardedCall> forwarded;
+    /// Software version of the engines at which a stream that the caller takes up must go on; nothing for a request that
+    /// may begin at any version. An empty text is the version of engines whose version is unknown.
+    std::optional<std::string> boundVersion {};
 };
 
 }
--- a/src/ModelServiceReplicas.cpp
+++ b/src/ModelServiceReplicas.cpp
@@ -16,7 +16,7 @@
 auto isListed(std::span<const BackendServer> backends, const BackendServer& server) -> bool
 {
     return std::ranges::any_of(backends, [&](const BackendServer& backend) {
-        return backend.id == server.id && backend.incarnation == server.incarnation && backend.state != ReplicaState::Gone;
+        return hasSameIncarnation(backend, server) && backend.state != ReplicaState::Gone;
     });
 }
 
@@ -55,7 +55,7 @@
     {
         const std::lock_guard guard(m_lock);
         const auto known = m_replicaIds.find(server.id);
-        if (known == m_replicaIds.end() || m_replicas.at(known->second).backend.incarnation != server.incarnation)
+        if (known == m_replicaIds.end() || !hasSameIncarnation(m_replicas.at(known->second).backend, server))
             return;
         decideLocked(ReplicaPaused { known->second, pause.until, pause.askedUntil }, outbox);
     }
@@ -91,7 +91,7 @@
     const auto known = m_replicaIds.find(backend.id);
     // A process that restarted under the same id has lost the state of the earlier one, so it becomes a new
     // replica.
-    if (known != m_replicaIds.end() && m_replicas.at(known->second).backend.incarnation != backend.incarnation) {
+    if (known != m_replicaIds.end() && !hasSameIncarnation(m_replicas.at(known->second).backend, backend)) {
         const auto former = known->second;
         removeReplicaLocked(m_replicas.at(former), outbox);
         m_replicas.erase(former);
@@ -266,7 +266,7 @@
 {
     const std::lock_guard guard(m_lock);
     const auto known = m_replicaIds.find(server.id);
-    return known != m_replicaIds.end() && isLiveLocked(known->second) && m_replicas.at(known->second).backend.incarnation == server.incarnation;
+    return known != m_replicaIds.end() && isLiveLocked(known->second) && hasSameIncarnation(m_replicas.at(known->second).backend, server);
 }
 
 auto ModelService::replicas() const -> std::vector<ReplicaStatus>
--- a/test/correctness/BackendDirectoryTest.cpp
+++ b/test/correctness/BackendDirectoryTest.cpp
@@ -43,6 +43,19 @@
     CHECK(stateOf(directory, "gone") == ReplicaState::Leaving);
 }
 
+// Guards against the order of start times being lost when incarnations have a software version, so that the older copy of a
+// restored store brings back an earlier process, and against a changed version under the same start time that is ignored.
+TEST_CASE("processes with a software version are ordered by their start times")
+{
+    BackendDirectory directory;
+    beginHistory(directory, start, 1);
+    replaceAll(directory, start, { server("a", "1000/v2"), server("b", "1000/v1"), server("c", "1000/v1", ReplicaState::Leaving) });
+    beginHistory(directory, start + 2s, 2);
+    CHECK(replaceAll(directory, start + 2s, { server("a", "900/v1"), server("b", "1000/v2"), server("c", "1000/v2") }) == std::vector<std::string> { "a" });
+    CHECK(stateOf(directory, "b") == ReplicaState::Live);
+    CHECK(stateOf(directory, "c") == ReplicaState::Live);
+}
+
 // Guards against a leaving server that stays live because a connection to the store failed for a moment.
 TEST_CASE("missing entries are removed after a short failure of the store")
 {
--- a/test/error/PlatformFormatsTest.cpp
+++ b/test/error/PlatformFormatsTest.cpp
@@ -106,6 +106,26 @@
         CHECK_FALSE(platform::readBackend(item(text)));
 }
 
+// Guards against streams that go on at another software version because an entry's version is not read, is taken from a
+// value of another type, or changes without a new process.
+TEST_CASE("the software version of an entry is part of its process")
+{
+    const auto read = [](const std::string& fields) {
+        return platform::readBackend(item(R"({"service":"s","address":"10.0.0.1:80","zone":"alpine","state":"ready","phase":"decode")" + fields + "}"));
+    };
+    const auto first = read(R"(,"born":17,"version":"v1.2")");
+    REQUIRE(first);
+    CHECK(first->softwareVersion == "v1.2");
+    const auto second = read(R"(,"born":17,"version":"v1.10")");
+    REQUIRE(second);
+    CHECK(first->incarnation != second->incarnation);
+    CHECK_FALSE(hasSameIncarnation(*first, *second));
+    CHECK_FALSE(hasSameIncarnation(*read(R"(,"version":"v1.2")"), *read("")));
+    CHECK(read(R"(,"born":17)")->softwareVersion.empty());
+    for (const auto* version : { "1.2", "null", "[]", R"({"version":"v1.2"})", "true" })
+        CHECK_FALSE(read(R"(,"born":17,"version":)" + std::string(version)));
+}
+
 // Guards against calls to an address at which nothing can listen, which entries of other writers may name.
 TEST_CASE("entries whose address can't be connected to are ignored")
 {
