Keep a stream at the software version that began it

What callers saw: streams whose first events came from one software version of an engine and the rest from another.

Cause: placement knew no versions, so each way by which a stream goes on at another engine could change the version: a lost engine, a silent attempt, a removed engine, a changed role, a copy of a crash suspect, a refused slot, a prefill result that another decode engine fetches.

The shard binds a request to the version of the engine whose first token has reached the caller, also if the count arrives after the end of the attempt, or to that with which a stream that is taken up arrives. mayDecodeAt() asks for the version wherever a decode replica is chosen; an index by version finds the few replicas of a version among many. Tokens that the caller had before the request bind nothing.

A bound request waits in a sub-queue of its version, so that it holds up no requests of others. If live decode replicas have one version only, the order in which requests get room is as before.

While a decode replica of the version is live, however busy, the request waits. If none is left it is refused as version_gone: at once if the last one left, after 2 s if it went without leaving, because its process may be replaced in the same moment or start again. A stream that is taken up and was sent nowhere is refused as not run.

The driver remembers the version by itself: a token may reach the caller while the shard's decision for another attempt is under way. It does not send an attempt at another version, tells the shard the version (StreamBound) and reports the attempt as not run. The attempt counts as no failure of the engine and takes no retry.

The last live decode engine of a version is not ordered to change its role.

Logs: software_version, bound and bound_version at request_placed and transfer_started, attempt_not_sent. Metrics: jayhold_refusals_total{reason= "version_gone"}, jayhold_other_version_attempts_total.

Tests that failed before: with the types alone (versions in the events, ignored by the shard) StreamVersionTest and VersionGoneTest had 21 of 29 cases failed (47 of 195 assertions).

Ran: decision_test (149 cases, max_success=300), version_router_test 5 times, entry_request_test (35 cases): all passed.

--- a/cmake/decision.cmake
+++ b/cmake/decision.cmake
@@ -1,10 +1,10 @@
 jayhold_library(jayhold_decision
   UNITS Admission AnsweredRequests CrashHistory CrashAttribution CrashCopies Deadlines Dispatch DecodeEndHistogram Estimates ReservationAccounting LengthModel LoadReports Placement PrefillChoice PrefixCacheView PromptPartBlocking PromptPartCrashes ReplicaEvents ReplicaHealth ReplicaIndex RequestEvents ReplicaPauses
-    RequestLifecycle RequestQueue RetryDelay RetryRules RoleBalance SilentAttempts SlotHeadroom Shard TimerQueue
+    RequestLifecycle RequestQueue RetryDelay RetryRules RoleBalance SilentAttempts SlotHeadroom Shard TimerQueue VersionBinding
   LINK jayhold_operator)
 
 jayhold_test(decision_test
-  SOURCES test/correctness/CrashTest.cpp test/correctness/CrashCopyPropertyTest.cpp test/correctness/CrashCopyTest.cpp test/correctness/DrainTest.cpp test/correctness/FairnessTest.cpp test/correctness/ForwardShardTest.cpp test/correctness/LoadReportTest.cpp test/correctness/HeadroomTest.cpp test/correctness/LimitedReplicaTest.cpp test/correctness/OverloadTest.cpp test/correctness/PlacementTest.cpp test/correctness/PromptPartCrashesTest.cpp test/correctness/PromptPartBlockingTest.cpp test/correctness/RetryTest.cpp test/correctness/RoleBalanceTest.cpp test/correctness/SilentAttemptsTest.cpp test/correctness/SlotEstimateTest.cpp test/correctness/ShardModel.cpp test/correctness/ShardPropertyTest.cpp test/correctness/ReplicaRemovalTest.cpp
+  SOURCES test/correctness/CrashTest.cpp test/correctness/CrashCopyPropertyTest.cpp test/correctness/CrashCopyTest.cpp test/correctness/DrainTest.cpp test/correctness/FairnessTest.cpp test/correctness/ForwardShardTest.cpp test/correctness/LoadReportTest.cpp test/correctness/HeadroomTest.cpp test/correctness/LimitedReplicaTest.cpp test/correctness/OverloadTest.cpp test/correctness/PlacementTest.cpp test/correctness/PromptPartCrashesTest.cpp test/correctness/PromptPartBlockingTest.cpp test/correctness/RetryTest.cpp test/correctness/RoleBalanceTest.cpp test/correctness/SilentAttemptsTest.cpp test/correctness/SlotEstimateTest.cpp test/correctness/StreamVersionTest.cpp test/correctness/VersionGoneTest.cpp test/correctness/ShardModel.cpp test/correctness/ShardPropertyTest.cpp test/correctness/ReplicaRemovalTest.cpp
     test/correctness/ShardTest.cpp
   LINK jayhold_decision)
 if(JAYHOLD_TESTS)
--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -44,3 +44,7 @@
 jayhold_test(pause_router_test
   SOURCES test/correctness/PauseNoticeTest.cpp test/correctness/PauseRouterTest.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
+
+jayhold_test(version_router_test
+  SOURCES test/correctness/VersionRouterTest.cpp test/FakeObjectStore.cpp
+  LINK jayhold_platform)
--- a/src/ActiveRequest.h
+++ b/src/ActiveRequest.h
@@ -13,6 +13,7 @@
 #include "Time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace jayhold {
 
@@ -39,6 +40,12 @@
     /// Replica of the last failed attempt. The next attempt avoids it if there is another.
     OptionalReplica avoidedReplica;
 
+    /// The version of the engine whose first event reached the caller, or of the one that began the stream which the caller
+    /// takes up. The request decodes only at replicas of this version.
+    std::optional<SoftwareVersionId> boundVersion;
+    /// Version of the decode replica of the current attempt. The replica may be gone before its tokens are reported.
+    SoftwareVersionId attemptVersion {};
+
     Attempt attempt = 0;
     /// The attempt whose silence was last counted as a failure of its replica.
     Attempt silentAttempt = 0;
@@ -79,4 +86,17 @@
     auto flow() const -> FlowKey { return { arrival.kind, arrival.customer }; }
 };
 
+/// @return the queue entry of the request.
+inline auto queueEntry(const ActiveRequest& request) -> QueueEntry
+{
+    return {
+        .request = request.arrival.request,
+        .order = static_cast<std::uint64_t>(request.arrivedAt.time_since_epoch().count()),
+        .flow = request.flow(),
+        .latencyClass = request.latencyClass,
+        .subQueue = request.subQueue,
+        .version = request.subQueue == SubQueue::Resume ? request.boundVersion : std::nullopt,
+    };
+}
+
 }
--- a/src/Admission.cpp
+++ b/src/Admission.cpp
@@ -5,6 +5,7 @@
 #include "Estimates.h"
 #include "PromptPartBlocking.h"
 #include "ReservationAccounting.h"
+#include "VersionBinding.h"
 
 #include <algorithm>
 
@@ -49,6 +50,8 @@
     const auto canPrefill = state.settings.decodeMayPrefill || !state.prefillCapacities.empty();
     if (!canPrefill || state.decodeCapacities.empty())
         return RefusalReason::NoBackend;
+    if (!isVersionServed(context, request))
+        return RefusalReason::VersionGone;
     if (request.arrival.deadline <= context.now)
         return RefusalReason::DeadlineExceeded;
     if (state.endsAt <= context.now)
--- a/src/ApiError.cpp
+++ b/src/ApiError.cpp
@@ -39,6 +39,8 @@
         return "the attempts to run the request failed";
     case RefusalReason::CrashSuspect:
         return "backend servers crashed while they ran this request";
+    case RefusalReason::VersionGone:
+        return "no backend server of the software version that began the stream is left";
     case RefusalReason::Draining:
         return "the instance is shutting down";
     }
@@ -69,6 +71,8 @@
         return "retries_exhausted";
     case RefusalReason::CrashSuspect:
         return "crash_suspect";
+    case RefusalReason::VersionGone:
+        return "version_gone";
     case RefusalReason::Draining:
         return "draining";
     }
--- a/src/DecisionEvent.h
+++ b/src/DecisionEvent.h
@@ -25,6 +25,7 @@
 #include "RequestCancelled.h"
 #include "SlotRefused.h"
 #include "SlotReserved.h"
+#include "StreamBound.h"
 #include "Tick.h"
 #include "TokensEmitted.h"
 
@@ -41,6 +42,7 @@
     DecodeFinished,
     DecodeFailed,
     AttemptSilent,
+    StreamBound,
     RequestCancelled,
     SlotReserved,
     SlotRefused,
--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -8,6 +8,7 @@
 #include "RequestLifecycle.h"
 #include "RetryRules.h"
 #include "SlotHeadroom.h"
+#include "VersionBinding.h"
 
 #include <algorithm>
 
@@ -98,10 +99,22 @@
     return std::any_of(heads.begin(), heads.begin() + count, [&](RequestId id) { return tryStart(context, id); });
 }
 
+auto startResume(DecisionContext& context) -> bool
+{
+    for (const auto id : oldestResumes(context)) {
+        if (tryStart(context, id))
+            return true;
+        // Requests of one version get room in the order of their arrival.
+        if (!hasSeveralVersions(context.state))
+            return false;
+    }
+    return false;
+}
+
 auto startOne(DecisionContext& context) -> bool
 {
     auto& state = context.state;
-    if (tryStart(context, oldestResume(context)))
+    if (startResume(context))
         return true;
     const auto dueAged = agedRequest(context);
     if (dueAged && tryStart(context, *dueAged, true)) {
@@ -120,13 +133,34 @@
         || tryStart(context, state.queue.oldestOverdueBatch());
 }
 
+/// Software versions whose replicas have no room for the next request. It holds up only requests of its version.
+class FullVersions {
+public:
+    auto contains(const ActiveRequest& request) const -> bool { return request.boundVersion && std::ranges::find(m_versions, *request.boundVersion) != m_versions.end(); }
+    /// @param request a request that finds no room.
+    /// @return whether requests of other versions may find room.
+    auto add(const ShardState& state, const ActiveRequest& request) -> bool
+    {
+        if (!request.boundVersion || !hasSeveralVersions(state))
+            return false;
+        m_versions.push_back(*request.boundVersion);
+        return true;
+    }
+
+private:
+    std::vector<SoftwareVersionId> m_versions;
+};
+
 auto startPrefilled(DecisionContext& context) -> void
 {
     auto& prefilled = context.state.prefilled;
+    FullVersions full;
     for (auto entry = prefilled.begin(); entry != prefilled.end();) {
         // A request that starts is removed.
         auto& request = *findRequest(context.state, (entry++)->second);
-        if (!awaitsCrashReports(context, request) && !startDecode(context, request))
+        if (full.contains(request) || awaitsCrashReports(context, request) || startDecode(context, request))
+            continue;
+        if (!full.add(context.state, request))
             return;
     }
 }
@@ -135,20 +169,32 @@
 auto assignFreedSlots(DecisionContext& context) -> void
 {
     auto& prefillsWithoutSlot = context.state.prefillsWithoutSlot;
-    while (!prefillsWithoutSlot.empty()) {
-        if (!reserveDecode(context, *findRequest(context.state, prefillsWithoutSlot.begin()->second)))
+    FullVersions full;
+    for (auto entry = prefillsWithoutSlot.begin(); entry != prefillsWithoutSlot.end();) {
+        // A request that gets a slot is removed.
+        auto& request = *findRequest(context.state, (entry++)->second);
+        if (full.contains(request) || reserveDecode(context, request))
+            continue;
+        if (!full.add(context.state, request))
             return;
     }
 }
 
 }
 
-auto oldestResume(const DecisionContext& context) -> std::optional<RequestId>
+auto oldestResumes(const DecisionContext& context) -> std::vector<RequestId>
 {
-    std::array<RequestId, maxTriedResumes> resumes {};
-    const auto end = resumes.begin() + context.state.queue.resumes(resumes);
-    const auto found = std::find_if(resumes.begin(), end, [&](RequestId id) { return !awaitsCrashReports(context, *findRequest(context.state, id)); });
-    return found == end ? std::nullopt : std::optional(*found);
+    RequestQueue::Waiting oldest;
+    for (const auto& [version, waiting] : context.state.queue.resumes()) {
+        std::size_t tried = 0;
+        const auto found = std::ranges::find_if(waiting, [&](const auto& entry) { return ++tried > maxTriedResumes || !awaitsCrashReports(context, *findRequest(context.state, entry.second)); });
+        if (found != waiting.end() && tried <= maxTriedResumes)
+            oldest.insert(*found);
+    }
+    std::vector<RequestId> ids;
+    for (const auto& [order, id] : oldest)
+        ids.push_back(id);
+    return ids;
 }
 
 auto dispatch(DecisionContext& context) -> void
--- a/src/Dispatch.h
+++ b/src/Dispatch.h
@@ -4,12 +4,13 @@
 
 #include "DecisionContext.h"
 
-#include <optional>
+#include <vector>
 
 namespace jayhold {
 
 auto dispatch(DecisionContext& context) -> void;
-/// @return the oldest interrupted request that does not wait for what a crash shows.
-auto oldestResume(const DecisionContext& context) -> std::optional<RequestId>;
+/// @return the oldest interrupted request of each software version, and of those that may run at any version, that does not
+/// wait for what a crash shows; the oldest first.
+auto oldestResumes(const DecisionContext& context) -> std::vector<RequestId>;
 
 }
--- a/src/EngineError.cpp
+++ b/src/EngineError.cpp
@@ -21,6 +21,8 @@
         return "leaving";
     case FailureKind::Paused:
         return "paused";
+    case FailureKind::OtherVersion:
+        return "other_version";
     }
     return "invalid";
 }
--- a/src/Estimates.cpp
+++ b/src/Estimates.cpp
@@ -100,12 +100,16 @@
     request.emittedAtEstimate = 0;
 }
 
+auto expectedSlotTime(const ShardState& state, Duration prefill) -> Duration
+{
+    return prefill + seconds(state.rates.resultTtlSeconds.value() * slotWaitTtlFraction * (1 - state.settings.wastedPrefillWeight));
+}
+
 auto slotExpected(const DecisionContext& context, Duration prefill, std::int64_t slotHeadroom) -> bool
 {
     const auto& state = context.state;
     const auto weight = state.settings.wastedPrefillWeight;
-    const auto maxSlotWait = seconds(state.rates.resultTtlSeconds.value() * slotWaitTtlFraction * (1 - weight));
-    const auto decodeEnds = static_cast<double>(state.decodeEnds.count(context.now, context.now + prefill + maxSlotWait));
+    const auto decodeEnds = static_cast<double>(state.decodeEnds.count(context.now, context.now + expectedSlotTime(state, prefill)));
     // The number of ends is about Poisson distributed. The weight sets how many standard deviations are
     // subtracted.
     const auto safeEnds = decodeEnds - weight * std::sqrt(decodeEnds);
--- a/src/Estimates.h
+++ b/src/Estimates.h
@@ -25,6 +25,8 @@
 auto updateExpectedEnd(DecisionContext& context, ActiveRequest& request) -> void;
 auto clearExpectedEnd(DecisionContext& context, ActiveRequest& request) -> void;
 
+/// @return the time from now within which a slot must become free for a prefill that takes the given time and starts now.
+auto expectedSlotTime(const ShardState& state, Duration prefill) -> Duration;
 /// @return whether a slot that is in use now is expected to become free in time for one more request
 /// whose prefill takes the given time, while `slotHeadroom` other slots stay free.
 auto slotExpected(const DecisionContext& context, Duration prefill, std::int64_t slotHeadroom) -> bool;
--- a/src/FailureKind.h
+++ b/src/FailureKind.h
@@ -21,6 +21,8 @@
     Leaving,
     /// The call was not sent, because the backend server has asked for a pause.
     Paused,
+    /// The call was not sent, because the backend server has another software version than the one that began the stream.
+    OtherVersion,
 };
 
 }
--- a/src/Identifiers.h
+++ b/src/Identifiers.h
@@ -22,6 +22,9 @@
 /// An availability zone, as an index into the configuration's list.
 enum class ZoneId : std::uint16_t {};
 
+/// A software version of backend servers. Versions have no order.
+enum class SoftwareVersionId : std::uint32_t {};
+
 /// Number of an attempt of one request, starting from 1. It distinguishes a late outcome of an earlier
 /// attempt from an outcome of the current one.
 using Attempt = std::uint32_t;
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -88,6 +88,7 @@
     , m_silenceTimeouts(silenceTimeoutsOf(m_info, context))
     , m_tokensPerEvent(m_service->tokensPerEvent())
     , m_relay(*m_writer, m_machine, m_service->metrics(), m_timeouts, m_info.arrivedAt, sequenceOf(m_info, context), m_tokensPerEvent)
+    , m_boundVersion(m_info.boundVersion)
     , m_promptTokens(m_info.digest.tokens)
 {
 }
@@ -104,6 +105,9 @@
     m_service->metrics().arrived.fetch_add(1, std::memory_order_relaxed);
     auto arrival = arrivalOf(m_info);
     arrival.kind = m_service->kindId(m_info.kindSettings.name);
+    arrival.resumedTokens = tokensSent();
+    if (m_boundVersion)
+        arrival.boundVersion = m_service->versionId(*m_boundVersion);
     m_id = m_service->open(std::move(arrival), self);
     record(LogLevel::Debug, "request_arrived");
     std::exception_ptr thrown;
@@ -221,11 +225,16 @@
         enqueue(PrefillEnded { ++m_tasks->lastTask, EngineError { FailureKind::NotConnected, "the backend server was removed" } });
         co_return;
     }
+    reportBinding();
+    const auto decode = m_service->replica(action.decode);
+    if (auto error = decode ? checkVersion(*decode) : std::nullopt) {
+        enqueue(PrefillEnded { ++m_tasks->lastTask, std::move(*error), true });
+        co_return;
+    }
     m_hasStartedAttempt = true;
     m_backend = replica->backend.id;
-    const auto decode = m_service->replica(action.decode);
     const auto queueTime = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - m_info.arrivedAt);
-    recordDecision(m_slotRefusals == 0 ? LogLevel::Info : LogLevel::Debug, "request_placed", { { "decode_backend", decode ? decode->backend.id : "" }, { "decode_tokens", action.decodeTokens }, { "prompt_tokens", m_info.digest.tokens }, { "waited_ms", queueTime.count() } });
+    recordDecision(m_slotRefusals == 0 ? LogLevel::Info : LogLevel::Debug, "request_placed", { { "decode_backend", decode ? decode->backend.id : "" }, { "software_version", decode ? decode->backend.softwareVersion : "" }, { "bound", m_boundVersion.has_value() }, { "bound_version", boundVersionText() }, { "decode_tokens", action.decodeTokens }, { "prompt_tokens", m_info.digest.tokens }, { "waited_ms", queueTime.count() } });
     record(LogLevel::Debug, "prefill_started");
     auto call = engineCall();
     call.mayResend = [this] { return tryConsumeResend(); };
@@ -271,6 +280,12 @@
         enqueue(DecodeEnded { ++m_tasks->lastTask, { EngineError { FailureKind::NotConnected, "the backend server was removed" } } });
         co_return;
     }
+    reportBinding();
+    if (auto error = checkVersion(*replica)) {
+        // The result of a prefill can be used at another decode engine.
+        enqueue(DecodeEnded { ++m_tasks->lastTask, { std::move(*error) }, !action.prefill });
+        co_return;
+    }
     m_hasStartedAttempt = true;
     m_backend = replica->backend.id;
     auto call = engineCall();
@@ -292,7 +307,7 @@
     const auto needsSlot = action.slotTokens > 0 && !call.slot;
     if (needsSlot)
         m_decodeTokens = action.slotTokens;
-    record(LogLevel::Info, "transfer_started", { { "split", call.kv.has_value() }, { "resume_from", call.resumeFrom }, { "seat_refusals", m_slotRefusals } });
+    record(LogLevel::Info, "transfer_started", { { "software_version", replica->backend.softwareVersion }, { "bound", m_boundVersion.has_value() }, { "bound_version", boundVersionText() }, { "split", call.kv.has_value() }, { "resume_from", call.resumeFrom }, { "seat_refusals", m_slotRefusals } });
     const auto task = ++m_tasks->lastTask;
     m_tasks->replica = action.decode;
     spawnTask(runDecode(task, *replica, std::move(call), needsSlot), false);
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -96,6 +96,15 @@
     auto checkAccepting(ReplicaId replica) const -> std::optional<EngineError>;
     /// @return the error of a call that is not sent because its engine has asked for a pause.
     static auto pausedError() -> EngineError;
+    /// Keeps the request at the version of the engine whose first event goes to the caller.
+    auto bindToVersion(const std::string& version) -> void;
+    /// Tells the shard of the version if the request is bound. The shard has not learned of it if it ended the attempt before
+    /// the first event arrived.
+    auto reportBinding() -> void;
+    /// @return the error if the request is bound to another version than the replica's, so that the call must not be sent.
+    auto checkVersion(const ReplicaStatus& replica) -> std::optional<EngineError>;
+    /// @return the version to which the request is bound, or nothing, for the log.
+    auto boundVersionText() const -> std::string;
     auto recordSlotRefusal(const EngineError& error) -> void;
     auto releaseSlot() -> void;
     /// Releases a reservation or result at an engine in the background, and logs a failure.
@@ -103,7 +112,8 @@
     auto releaseInBackground(std::string_view what, const BackendServer& server, boost::asio::awaitable<bool> call) -> void;
     /// @param needsSlot whether a slot has to be reserved first.
     auto runDecode(std::uint64_t task, ReplicaStatus replica, EngineCall call, bool needsSlot) -> boost::asio::awaitable<void>;
-    auto relay(HttpStream& stream) -> boost::asio::awaitable<RelayResult>;
+    /// @param version software version of the engine.
+    auto relay(HttpStream& stream, std::string version) -> boost::asio::awaitable<RelayResult>;
 
     /// @param resumedFrom number of tokens that the caller had before this attempt.
     auto recordFirstToken(std::uint32_t resumedFrom) -> void;
@@ -154,6 +164,9 @@
     Attempt m_attempt = 0;
     /// Backend server of the current attempt, for the event log.
     std::string m_backend;
+    /// The software version at which the stream must go on: that of the engine whose first event has gone to the caller, or of
+    /// the one that began the stream which the caller takes up.
+    std::optional<std::string> m_boundVersion;
     ReplicaId m_prefillReplica {};
     std::optional<PrefillResult> m_prefill;
     bool m_isPrefillFetched = false;
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -211,7 +211,7 @@
     m_isPrefillFetched = m_isPrefillFetched || usesPrefill;
     m_writer->begin((*stream)->headers());
     m_tasks->stream = *stream;
-    auto outcome = co_await relay(**stream);
+    auto outcome = co_await relay(**stream, replica.backend.softwareVersion);
     if (outcome.error || outcome.isCallerDisconnected)
         (*stream)->close();
     else
@@ -219,10 +219,11 @@
     enqueue(DecodeEnded { task, std::move(outcome) });
 }
 
-auto ModelRequest::relay(HttpStream& stream) -> asio::awaitable<RelayResult>
+auto ModelRequest::relay(HttpStream& stream, std::string version) -> asio::awaitable<RelayResult>
 {
     DecodeRelay::Observer observer {
-        [this, resumedFrom = m_relay.tokens()] {
+        [this, resumedFrom = m_relay.tokens(), version = std::move(version)] {
+            bindToVersion(version);
             recordFirstToken(resumedFrom);
             m_service->handleEvent(DecodeStarted { m_id, m_attempt });
         },
--- /dev/null
+++ b/src/ModelRequestVersion.cpp
@@ -0,0 +1,34 @@
+#include "ModelRequest.h"
+
+#include <utility>
+
+namespace jayhold {
+
+auto ModelRequest::bindToVersion(const std::string& version) -> void
+{
+    if (!m_boundVersion)
+        m_boundVersion = version;
+}
+
+auto ModelRequest::reportBinding() -> void
+{
+    // The shard knows the version of a stream that is taken up from its arrival.
+    if (m_boundVersion && !m_info.boundVersion)
+        m_service->handleEvent(StreamBound { m_id, m_service->versionId(*m_boundVersion), tokensSent() });
+}
+
+auto ModelRequest::checkVersion(const ReplicaStatus& replica) -> std::optional<EngineError>
+{
+    if (!m_boundVersion || *m_boundVersion == replica.backend.softwareVersion)
+        return std::nullopt;
+    m_service->metrics().otherVersionAttempts.fetch_add(1, std::memory_order_relaxed);
+    record(LogLevel::Warning, "attempt_not_sent", { { "decode_backend", replica.backend.id }, { "software_version", replica.backend.softwareVersion }, { "bound_version", boundVersionText() }, { "tokens", m_relay.tokens() } });
+    return EngineError { FailureKind::OtherVersion, "the engine has another software version than the one that began the stream", nullptr };
+}
+
+auto ModelRequest::boundVersionText() const -> std::string
+{
+    return m_boundVersion.value_or("");
+}
+
+}
--- a/src/ModelService.cpp
+++ b/src/ModelService.cpp
@@ -127,6 +127,20 @@
     return static_cast<KindId>(std::ranges::find(kinds, kind, &RequestKind::name) - kinds.begin());
 }
 
+auto ModelService::versionId(std::string_view version) -> SoftwareVersionId
+{
+    const std::lock_guard guard(m_lock);
+    return versionIdLocked(version);
+}
+
+auto ModelService::versionIdLocked(std::string_view version) -> SoftwareVersionId
+{
+    const auto known = m_versions.find(version);
+    if (known != m_versions.end())
+        return known->second;
+    return m_versions.emplace(version, static_cast<SoftwareVersionId>(m_versions.size())).first->second;
+}
+
 auto ModelService::prefillResultTtl() const -> Duration
 {
     const std::lock_guard guard(m_lock);
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -18,6 +18,8 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -65,6 +67,9 @@
     /// @return the index of a kind among all kinds that the service has had; it stays the same when a new
     /// configuration reorders the kinds.
     auto kindId(std::string_view kind) const -> KindId;
+    /// @return the identifier of a software version in the events of this service. The empty text is a version as well, that
+    /// of servers whose version is unknown.
+    auto versionId(std::string_view version) -> SoftwareVersionId;
     /// @return how long prefill engines keep their results.
     auto prefillResultTtl() const -> Duration;
     /// @return how long a slot may be reserved at a decode engine; zero if engines take no reservations.
@@ -174,6 +179,7 @@
     auto removeReplicaLocked(ReplicaStatus& status, Outbox& outbox) -> void;
     auto isLiveLocked(ReplicaId replica) const -> bool;
     auto findPool(std::string_view name) const -> const Pool*;
+    auto versionIdLocked(std::string_view version) -> SoftwareVersionId;
 
     auto send(Outbox outbox) -> void;
     /// Reports prompts and blocked parts to the peers.
@@ -199,6 +205,7 @@
     std::vector<DecisionAction> m_actions;
     std::uint64_t m_lastRequest = 0;
     std::uint32_t m_lastReplica = 0;
+    std::map<std::string, SoftwareVersionId, std::less<>> m_versions;
     std::mt19937_64 m_reportIds { std::random_device {}() };
     std::unordered_map<RequestId, OpenRequest> m_requests;
     std::unordered_map<ReplicaId, ReplicaStatus> m_replicas;
--- a/src/ModelServiceReplicas.cpp
+++ b/src/ModelServiceReplicas.cpp
@@ -132,6 +132,7 @@
     const auto zone = std::ranges::find(m_zones, status.backend.availabilityZone) - m_zones.begin();
     ReplicaChanged change { .replica = status.id, .role = status.role, .zone = static_cast<ZoneId>(zone), .state = status.backend.state };
     change.process = stableHash(status.backend.id + "/" + status.backend.incarnation);
+    change.version = versionIdLocked(status.backend.softwareVersion);
     if (m_roleChanges.contains(status.id) && change.state == ReplicaState::Live)
         change.state = ReplicaState::Leaving;
     if (pool) {
@@ -162,11 +163,17 @@
     const std::lock_guard guard(m_lock);
     const auto now = monotonicNow();
     std::vector<BackendServer> servers;
+    std::map<std::string_view, std::size_t> versions;
     for (const auto& [id, status] : m_replicas) {
-        const auto isFree = status.backend.state == ReplicaState::Live && !m_roleChanges.contains(id) && !jayhold::isPaused(m_shard, now, id);
-        if (status.role == role && isFree)
+        const auto isAvailable = status.role == role && status.backend.state == ReplicaState::Live && !m_roleChanges.contains(id);
+        if (isAvailable)
+            ++versions[status.backend.softwareVersion];
+        if (isAvailable && !jayhold::isPaused(m_shard, now, id))
             servers.push_back(status.backend);
     }
+    // Streams of a version can't go on without a decode engine of that version.
+    if (role == PoolRole::Decode)
+        std::erase_if(servers, [&](const BackendServer& server) { return versions[server.softwareVersion] < 2; });
     return rankForRoleChange(std::move(servers));
 }
 
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -87,9 +87,22 @@
     return hasFreeMemoryBlocks(replica, memoryBlocksFor(replica, request.arrival.promptTokens)) && linkHasCapacity(replica, transferBytes(context.state, request));
 }
 
+namespace {
+
+/// @return whether the replica has the software version at which the request must run. Each choice of a decode replica
+/// asks this.
+auto mayDecodeAt(const ActiveRequest& request, const Replica& replica) -> bool
+{
+    return !request.boundVersion || *request.boundVersion == replica.description.version;
+}
+
+}
+
 auto chooseDecode(DecisionContext& context, const ActiveRequest& request, ZoneId prefillZone) -> Replica*
 {
     const auto fits = [&](const Replica& replica) {
+        if (!mayDecodeAt(request, replica))
+            return false;
         const auto amount = decodeReservation(context, request, replica);
         const auto needed = amount.memoryBlocks + requiredMemoryHeadroom(context, request, replica, amount.memoryBlocks);
         return hasFreeMemoryBlocks(replica, needed) && linkHasCapacity(replica, amount.linkBytes);
@@ -117,15 +130,17 @@
 namespace {
 
 /// @return a live decode replica where a slot is expected to become free soon.
-auto findReplicaWithExpectedSlot(DecisionContext& context, const ActiveRequest& request) -> Replica*
+auto findReplicaWithExpectedSlot(DecisionContext& context, const ActiveRequest& request, Duration prefill) -> Replica*
 {
+    // The first ends may be at other versions.
+    const auto latestEnd = request.boundVersion ? context.now + expectedSlotTime(context.state, prefill) : TimePoint::max();
     Replica* replica = nullptr;
     const auto found = context.state.decodeEnds.firstAfter(context.now, [&](RequestId id) {
         const auto* ending = findRequest(context.state, id);
-        if (!ending || ending->phase != RequestPhase::Decoding)
+        if (!ending || ending->phase != RequestPhase::Decoding || ending->expectedEnd > latestEnd)
             return false;
         replica = findReplica(context.state, *ending->decode);
-        if (!replica || replica->description.state != ReplicaState::Live || isPausedOrReturning(*replica, context.now))
+        if (!replica || !mayDecodeAt(request, *replica) || replica->description.state != ReplicaState::Live || isPausedOrReturning(*replica, context.now))
             return false;
         // Its limit may not allow for the decode when the slot is free, and the prefill would be wasted.
         if (replica->allowance)
@@ -156,9 +171,10 @@
     return !prefill || request.kvFetchFailures >= maxKvFetchFailures || isSlowerThanDecodePrefill(state, request, *prefill);
 }
 
-auto hasFreeDecode(const ShardState& state) -> bool
+auto hasFreeDecode(const ShardState& state, const ActiveRequest& request) -> bool
 {
-    return std::any_of(state.index.decode.begin(), state.index.decode.end(), [](const auto& zone) { return !zone.second.empty(); });
+    const auto& zones = candidatesOf(state, PoolRole::Decode, request);
+    return std::any_of(zones.begin(), zones.end(), [](const auto& zone) { return !zone.second.empty(); });
 }
 
 }
@@ -168,7 +184,7 @@
     if (awaitsCrashReports(context, request))
         return std::nullopt;
     // Without a free or expected slot, the more expensive choice of a prefill replica is skipped.
-    const auto slotIsFree = hasFreeDecode(context.state) && context.state.freeDecodeSlots > slotHeadroom;
+    const auto slotIsFree = hasFreeDecode(context.state, request) && context.state.freeDecodeSlots > slotHeadroom;
     if (!slotIsFree && !slotExpected(context, prefillTime(context.state, request.arrival.promptTokens), slotHeadroom))
         return std::nullopt;
     auto* prefill = choosePrefill(context, request);
@@ -189,9 +205,10 @@
     if (request.crashSuspicion == CrashSuspicion::Suspect)
         return std::nullopt;
     const auto tokens = prefill->reserved.prefillTokens + request.arrival.promptTokens;
-    if (!slotExpected(context, prefillTime(context.state, tokens), slotHeadroom))
+    const auto time = prefillTime(context.state, tokens);
+    if (!slotExpected(context, time, slotHeadroom))
         return std::nullopt;
-    if (auto* decode = findReplicaWithExpectedSlot(context, request))
+    if (auto* decode = findReplicaWithExpectedSlot(context, request, time))
         return Placement { prefill, decode, false };
     return std::nullopt;
 }
--- a/src/PlacementIndex.h
+++ b/src/PlacementIndex.h
@@ -19,6 +19,8 @@
 struct PlacementIndex {
     std::map<ZoneId, ZoneIndex> prefill;
     std::map<ZoneId, ZoneIndex> decode;
+    /// The same decode replicas by software version, so that few replicas of a version are found among many others.
+    std::map<SoftwareVersionId, std::map<ZoneId, ZoneIndex>> decodeByVersion;
 
     auto ofRole(PoolRole role) -> std::map<ZoneId, ZoneIndex>& { return role == PoolRole::Prefill ? prefill : decode; }
 };
--- a/src/QueueEntry.h
+++ b/src/QueueEntry.h
@@ -7,6 +7,7 @@
 #include "LatencyClass.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace jayhold {
 
@@ -27,6 +28,8 @@
     FlowKey flow;
     LatencyClass latencyClass = LatencyClass::Standard;
     SubQueue subQueue = SubQueue::Fair;
+    /// Software version at which a request of the Resume sub-queue must run; nothing if any will do.
+    std::optional<SoftwareVersionId> version {};
 };
 
 }
--- a/src/RefusalReason.h
+++ b/src/RefusalReason.h
@@ -19,6 +19,8 @@
     RetriesExhausted,
     /// It crashed backend servers that ran it, or its crash signature is blocked.
     CrashSuspect,
+    /// No live backend server has the software version that began the stream, and none is expected back.
+    VersionGone,
     /// The instance is shutting down and accepts no new work.
     Draining,
 };
--- a/src/Replica.h
+++ b/src/Replica.h
@@ -79,6 +79,8 @@
     TimePoint lastRejectedAt = TimePoint::min();
     /// The replica's entry among the capacities of the live replicas.
     std::optional<std::uint64_t> countedCapacity;
+    /// The version under which the replica is counted as a live decode replica.
+    std::optional<SoftwareVersionId> countedVersion;
     /// Whether the replica is in the placement index, and its key there.
     bool indexed = false;
     std::uint64_t indexKey = 0;
--- a/src/ReplicaChanged.h
+++ b/src/ReplicaChanged.h
@@ -21,6 +21,8 @@
     std::uint64_t linkBytesPerSecond;
     /// Identifies the process of the backend server at all instances.
     std::uint64_t process = 0;
+    /// Software version of the process, the same in all events of a replica.
+    SoftwareVersionId version {};
 };
 
 }
--- a/src/ReplicaHealth.cpp
+++ b/src/ReplicaHealth.cpp
@@ -3,6 +3,7 @@
 #include "ReplicaIndex.h"
 #include "ReplicaPauses.h"
 #include "ReservationAccounting.h"
+#include "VersionBinding.h"
 
 #include <algorithm>
 
@@ -42,6 +43,7 @@
     if (state == ReplicaState::Live)
         replica.countedCapacity = *capacities.insert(tokenCapacity(replica));
     replica.description.state = state;
+    countVersion(context, replica);
     updateIndex(context, replica);
     if (state != ReplicaState::Live)
         releaseSlotsOfPrefills(context, replica);
@@ -94,6 +96,7 @@
         break;
     case FailureKind::KvExpired:
     case FailureKind::Paused:
+    case FailureKind::OtherVersion:
         break;
     case FailureKind::NotConnected:
         // A process that accepts no connection fails every request within microseconds. A request that
--- a/src/ReplicaIndex.cpp
+++ b/src/ReplicaIndex.cpp
@@ -108,11 +108,36 @@
         && freeSlots(replica) > 0;
 }
 
-auto removeFromIndex(DecisionContext& context, Replica& replica) -> void
+namespace {
+
+auto eraseEntry(PlacementIndex& index, const Replica& replica) -> void
 {
     const auto& description = replica.description;
+    const PlacementEntry entry { replica.indexKey, description.replica };
+    index.ofRole(description.role)[description.zone].erase(entry);
+    const auto version = index.decodeByVersion.find(description.version);
+    if (description.role != PoolRole::Decode || version == index.decodeByVersion.end())
+        return;
+    auto& zones = version->second;
+    if (const auto zone = zones.find(description.zone); zone != zones.end() && zone->second.erase(entry) && zone->second.empty())
+        zones.erase(zone);
+    if (zones.empty())
+        index.decodeByVersion.erase(version);
+}
+
+auto insertEntry(PlacementIndex& index, const ReplicaChanged& description, std::uint64_t key) -> void
+{
+    index.ofRole(description.role)[description.zone].emplace(key, description.replica);
+    if (description.role == PoolRole::Decode)
+        index.decodeByVersion[description.version][description.zone].emplace(key, description.replica);
+}
+
+}
+
+auto removeFromIndex(DecisionContext& context, Replica& replica) -> void
+{
     if (replica.indexed)
-        context.state.index.ofRole(description.role)[description.zone].erase({ replica.indexKey, description.replica });
+        eraseEntry(context.state.index, replica);
     replica.indexed = false;
 }
 
@@ -120,17 +145,15 @@
 {
     countPause(context.state, replica, context.now);
     countFreeSlots(context.state, replica);
-    const auto& description = replica.description;
-    auto& zone = context.state.index.ofRole(description.role)[description.zone];
     const auto accepts = acceptsWork(replica, context.now);
     const auto key = indexKey(context.state, replica);
     if (replica.indexed && (!accepts || key != replica.indexKey))
-        zone.erase({ replica.indexKey, description.replica });
+        eraseEntry(context.state.index, replica);
     if (accepts && (!replica.indexed || key != replica.indexKey))
-        zone.emplace(key, description.replica);
+        insertEntry(context.state.index, replica.description, key);
     replica.indexed = accepts;
     replica.indexKey = key;
-    context.state.timers.move(description.replica, replica.timerAt, nextTimer(replica, context.now));
+    context.state.timers.move(replica.description.replica, replica.timerAt, nextTimer(replica, context.now));
 }
 
 }
--- a/src/RequestArrived.h
+++ b/src/RequestArrived.h
@@ -6,6 +6,7 @@
 #include "Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace jayhold {
@@ -28,6 +29,10 @@
     std::uint64_t signature;
     /// Parts of the prompt that other requests may share, in order.
     std::vector<std::uint64_t> promptParts {};
+    /// Number of tokens that the caller has from an earlier response, which this one continues.
+    std::uint32_t resumedTokens = 0;
+    /// Software version that began the stream which the caller takes up, if it is known.
+    std::optional<SoftwareVersionId> boundVersion {};
 };
 
 }
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -10,6 +10,7 @@
 #include "ReservationAccounting.h"
 #include "SilentAttempts.h"
 #include "SlotHeadroom.h"
+#include "VersionBinding.h"
 
 #include <algorithm>
 #include <utility>
@@ -32,13 +33,13 @@
 auto recordLateTokenCount(DecisionContext& context, RequestId id, Attempt attempt, std::uint32_t total) -> void
 {
     if (auto* request = findCurrent(context.state, id, attempt, { RequestPhase::Queued }))
-        request->emitted = std::max(request->emitted, total);
+        recordTokens(context, *request, total);
 }
 
 auto raiseEmitted(DecisionContext& context, ActiveRequest& request, std::uint32_t total) -> void
 {
     updateTokenRate(context, request, total);
-    request.emitted = std::max(request.emitted, total);
+    recordTokens(context, request, total);
     request.lastProgressAt = context.now;
 }
 
@@ -54,6 +55,10 @@
     request.arrival = event;
     request.arrivedAt = context.now;
     request.latencyClass = kindOf(state, request).latencyClass;
+    request.boundVersion = event.boundVersion;
+    // A stream that is taken up was interrupted. In the queue of its flow it would hold up requests of other versions.
+    if (request.boundVersion)
+        request.subQueue = SubQueue::Resume;
     recordOfferedLoad(context, request);
     const auto refusal = admissionRefusal(context, request);
     enqueue(context, request);
@@ -147,11 +152,15 @@
         recordLateTokenCount(context, event.request, event.attempt, event.emittedTokens);
         return;
     }
-    if (request->phase == RequestPhase::Starting && event.emittedTokens > request->emitted)
+    // An attempt that was not sent reports the tokens of an earlier one.
+    if (request->phase == RequestPhase::Starting && event.failure != FailureKind::OtherVersion && hasNewTokens(*request, event.emittedTokens))
         enterDecoding(context, *request);
     // The time until the failure was detected says nothing about the speed of engines, so the token
     // rate is not updated.
-    request->emitted = std::max(request->emitted, event.emittedTokens);
+    if (event.failure == FailureKind::OtherVersion)
+        request->emitted = std::max(request->emitted, event.emittedTokens);
+    else
+        recordTokens(context, *request, event.emittedTokens);
     if (request->phase != RequestPhase::Stopping)
         recordFailure(context, *request->decode, event.failure);
     retryOrRefuse(context, *request, event.failure);
@@ -167,12 +176,21 @@
         request->silentAttempt = event.attempt;
         recordFailure(context, request->phase == RequestPhase::Prefilling ? *request->prefill : *request->decode, FailureKind::TimedOut);
     }
-    if (request->phase == RequestPhase::Starting && event.emittedTokens > request->emitted)
+    if (request->phase == RequestPhase::Starting && hasNewTokens(*request, event.emittedTokens))
         enterDecoding(context, *request);
-    request->emitted = std::max(request->emitted, event.emittedTokens);
+    recordTokens(context, *request, event.emittedTokens);
     replaceSilentAttempt(context, *request);
 }
 
+auto handle(DecisionContext& context, const StreamBound& event) -> void
+{
+    auto* request = findRequest(context.state, event.request);
+    if (!request)
+        return;
+    bindToVersion(context, *request, event.version);
+    request->emitted = std::max(request->emitted, event.emittedTokens);
+}
+
 auto handle(DecisionContext& context, const RequestCancelled& event) -> void
 {
     if (auto* request = findRequest(context.state, event.request))
--- a/src/RequestEvents.h
+++ b/src/RequestEvents.h
@@ -17,6 +17,7 @@
 auto handle(DecisionContext& context, const DecodeFinished& event) -> void;
 auto handle(DecisionContext& context, const DecodeFailed& event) -> void;
 auto handle(DecisionContext& context, const AttemptSilent& event) -> void;
+auto handle(DecisionContext& context, const StreamBound& event) -> void;
 auto handle(DecisionContext& context, const RequestCancelled& event) -> void;
 /// Handles the expiry of the request's timer.
 auto handleRequestTimer(DecisionContext& context, RequestId id) -> void;
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -8,6 +8,7 @@
 #include "ReservationAccounting.h"
 #include "RetryDelay.h"
 #include "RetryRules.h"
+#include "VersionBinding.h"
 
 #include <algorithm>
 
@@ -111,17 +112,6 @@
     return customer < weights.size() ? weights[customer] : 1.0;
 }
 
-auto queueEntry(const ActiveRequest& request) -> QueueEntry
-{
-    return {
-        .request = request.arrival.request,
-        .order = static_cast<std::uint64_t>(request.arrivedAt.time_since_epoch().count()),
-        .flow = request.flow(),
-        .latencyClass = request.latencyClass,
-        .subQueue = request.subQueue,
-    };
-}
-
 /// A waiting request is checked when it becomes overdue or can no longer meet its deadline. An overdue
 /// request is also checked in between.
 auto nextCheck(const DecisionContext& context, const ActiveRequest& request) -> TimePoint
@@ -154,7 +144,7 @@
     request.decode.reset();
     // A request that waits for crash reports must not hold up its flow. Dispatch skips it in the Resume
     // sub-queue.
-    if (request.emitted || awaitsCrashReports(context, request))
+    if (request.emitted || request.boundVersion || awaitsCrashReports(context, request))
         request.subQueue = SubQueue::Resume;
     enterPhase(context, request, RequestPhase::Queued);
     context.state.queue.push(queueEntry(request), customerWeight(context.state, request));
@@ -264,6 +254,7 @@
 
 auto enterDecoding(DecisionContext& context, ActiveRequest& request) -> void
 {
+    bindToVersion(context, request, request.attemptVersion);
     if (request.prefill)
         updateTransferRate(context, request);
     updateFirstTokenMargin(context, request);
--- a/src/RequestLifecycle.h
+++ b/src/RequestLifecycle.h
@@ -42,8 +42,6 @@
 auto refuse(DecisionContext& context, ActiveRequest& request, RefusalReason reason) -> void;
 auto cancel(DecisionContext& context, ActiveRequest& request) -> void;
 
-/// @return the queue entry of the request.
-auto queueEntry(const ActiveRequest& request) -> QueueEntry;
 auto kindOf(const ShardState& state, const ActiveRequest& request) -> const RequestKind&;
 auto customerWeight(const ShardState& state, const ActiveRequest& request) -> double;
 /// Cancels the current attempt on the replicas that may hold something for it.
--- a/src/RequestQueue.cpp
+++ b/src/RequestQueue.cpp
@@ -24,7 +24,7 @@
     ++m_customers[entry.flow.customer];
     switch (entry.subQueue) {
     case SubQueue::Resume:
-        m_resume.emplace(entry.order, entry.request);
+        m_resumes[entry.version].emplace(entry.order, entry.request);
         break;
     case SubQueue::Overdue:
         overdueOf(entry).emplace(entry.order, entry.request);
@@ -41,7 +41,7 @@
     std::size_t removed = 0;
     switch (entry.subQueue) {
     case SubQueue::Resume:
-        removed = m_resume.erase(position);
+        removed = removeResume(entry);
         break;
     case SubQueue::Overdue:
         removed = overdueOf(entry).erase(position);
@@ -85,6 +85,17 @@
     return removed;
 }
 
+auto RequestQueue::removeResume(const QueueEntry& entry) -> std::size_t
+{
+    const auto found = m_resumes.find(entry.version);
+    if (found == m_resumes.end())
+        return 0;
+    const auto removed = found->second.erase({ entry.order, entry.request });
+    if (found->second.empty())
+        m_resumes.erase(found);
+    return removed;
+}
+
 auto RequestQueue::charge(const QueueEntry& entry, double cost) -> void
 {
     if (entry.subQueue != SubQueue::Fair)
--- a/src/RequestQueue.h
+++ b/src/RequestQueue.h
@@ -45,19 +45,11 @@
     /// @return the oldest overdue batch request. Batch work is still answered after its first-token
     /// target.
     auto oldestOverdueBatch() const -> std::optional<RequestId>;
-    /// Fills `resumes` with the oldest requests of the Resume sub-queue, as many as fit.
-    /// @return how many there are.
-    template <std::size_t Count>
-    auto resumes(std::array<RequestId, Count>& resumes) const -> std::size_t
-    {
-        std::size_t count = 0;
-        for (const auto& [order, request] : m_resume) {
-            if (count == Count)
-                break;
-            resumes[count++] = request;
-        }
-        return count;
-    }
+    /// Requests by their order, the oldest first.
+    using Waiting = std::set<std::pair<std::uint64_t, RequestId>>;
+    /// @return the Resume sub-queue, by the software version at which the requests must run. Requests of a version whose
+    /// replicas are full hold up no others.
+    auto resumes() const -> const std::map<std::optional<SoftwareVersionId>, Waiting>& { return m_resumes; }
 
     auto size() const -> std::size_t { return m_size; }
     auto overdueCount() const -> std::size_t { return m_overdue.size(); }
@@ -70,7 +62,6 @@
     auto share(const FlowKey& flow, LatencyClass latencyClass, double weight) const -> double;
 
 private:
-    using Waiting = std::set<std::pair<std::uint64_t, RequestId>>;
     struct Flow {
         Waiting waiting;
         double weight = 1;
@@ -89,6 +80,7 @@
     auto classOf(LatencyClass latencyClass) -> ClassQueue& { return m_classes.at(static_cast<std::size_t>(latencyClass)); }
     auto pushFair(const QueueEntry& entry, double weight) -> void;
     auto removeFair(const QueueEntry& entry) -> std::size_t;
+    auto removeResume(const QueueEntry& entry) -> std::size_t;
 
     std::map<FlowKey, Flow> m_flows;
     std::array<ClassQueue, 3> m_classes;
@@ -96,7 +88,7 @@
 
     Waiting m_overdue;
     Waiting m_overdueBatch;
-    Waiting m_resume;
+    std::map<std::optional<SoftwareVersionId>, Waiting> m_resumes;
     std::map<CustomerId, std::size_t> m_customers;
     std::size_t m_size = 0;
 };
--- a/src/ReservationAccounting.cpp
+++ b/src/ReservationAccounting.cpp
@@ -46,6 +46,8 @@
 auto reserve(DecisionContext& context, ActiveRequest& request, Replica& replica, const Reservation& amount) -> void
 {
     auto& requestReserved = replica.role() == PoolRole::Prefill ? request.prefillReserved : request.decodeReserved;
+    if (replica.role() == PoolRole::Decode)
+        request.attemptVersion = replica.description.version;
     if (requestReserved.empty())
         replica.requests.push_back(request.arrival.request);
     add(requestReserved, amount);
--- a/src/RetryRules.cpp
+++ b/src/RetryRules.cpp
@@ -43,7 +43,7 @@
 auto isCountedCall(const RetryPolicy& policy, FailureKind failure) -> bool
 {
     if (policy.countsRejections)
-        return failure != FailureKind::NotConnected && failure != FailureKind::Paused;
+        return failure != FailureKind::NotConnected && failure != FailureKind::Paused && failure != FailureKind::OtherVersion;
     return !provablyNotRun(failure) || failure == FailureKind::KvExpired;
 }
 
@@ -55,6 +55,7 @@
     case FailureKind::KvExpired:
     case FailureKind::Leaving:
     case FailureKind::Paused:
+    case FailureKind::OtherVersion:
         return true;
     case FailureKind::ConnectionLost:
     case FailureKind::TimedOut:
--- a/src/ServiceMetrics.h
+++ b/src/ServiceMetrics.h
@@ -26,6 +26,8 @@
     std::atomic<std::uint64_t> blockedSignatures { 0 };
     /// Prompt parts that this instance has found to crash backend servers.
     std::atomic<std::uint64_t> blockedParts { 0 };
+    /// Attempts that were not sent, because the engine had another software version than the stream.
+    std::atomic<std::uint64_t> otherVersionAttempts { 0 };
     std::atomic<std::uint64_t> resumed { 0 };
     std::atomic<std::uint64_t> replayed { 0 };
     std::atomic<std::uint64_t> tokens { 0 };
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -12,6 +12,7 @@
 #include "RequestLifecycle.h"
 #include "ReservationAccounting.h"
 #include "ShardSummary.h"
+#include "VersionBinding.h"
 
 #include <algorithm>
 
@@ -68,7 +69,7 @@
 auto scheduleWake(DecisionContext& context) -> void
 {
     auto& state = context.state;
-    const auto next = std::min({ state.timers.next(), nextStartDelayEnd(state.crashHistory, context.now), state.partCrashes.decideAt });
+    const auto next = std::min({ state.timers.next(), nextStartDelayEnd(state.crashHistory, context.now), state.partCrashes.decideAt, nextVersionCheck(context) });
     // An early wake-up does no harm, so a new one is requested only if none is due in time.
     const auto pending = state.scheduledWake > context.now ? state.scheduledWake : TimePoint::max();
     if (next >= pending)
@@ -101,6 +102,7 @@
     blockBlamedSignatures(context);
     refuseCrashingParts(context);
     removeEndedReplicas(context);
+    refuseUnserved(context);
     dispatch(context);
     scheduleWake(context);
 }
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -20,6 +20,7 @@
 #include "ShardSummary.h"
 #include "StartInterval.h"
 #include "TimerQueue.h"
+#include "VersionEngines.h"
 
 #include <map>
 #include <optional>
@@ -85,6 +86,8 @@
     std::uint64_t tokensSinceAgedStart = 0;
     std::minstd_rand random;
     ShardSummary totals;
+    /// The software versions that decode replicas have had.
+    std::unordered_map<SoftwareVersionId, VersionEngines> versions;
     /// Memory of the live replicas in tokens.
     std::multiset<std::uint64_t> prefillCapacities;
     std::multiset<std::uint64_t> decodeCapacities;
--- a/src/SilentAttempts.cpp
+++ b/src/SilentAttempts.cpp
@@ -5,7 +5,9 @@
 #include "ReplicaHealth.h"
 #include "RequestLifecycle.h"
 #include "RetryRules.h"
+#include "VersionBinding.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jayhold {
@@ -17,10 +19,14 @@
     return request.phase == RequestPhase::Prefilling ? request.prefill : request.decode;
 }
 
-/// @return whether other interrupted requests wait for capacity; they start first.
-auto hasWaitingResumes(const DecisionContext& context) -> bool
+/// @return whether other interrupted requests wait for capacity that the request could take; they start first. Those that
+/// must run at another software version wait for other engines.
+auto hasWaitingResumes(const DecisionContext& context, const ActiveRequest& request) -> bool
 {
-    return oldestResume(context).has_value();
+    return std::ranges::any_of(oldestResumes(context), [&](RequestId id) {
+        const auto& version = findRequest(context.state, id)->boundVersion;
+        return !version || version == request.boundVersion || !hasSeveralVersions(context.state);
+    });
 }
 
 /// @return whether another attempt would start now, on engines other than the silent one.
@@ -47,7 +53,7 @@
 auto replaceSilentAttempt(DecisionContext& context, ActiveRequest& request) -> bool
 {
     const auto isPrefilling = request.phase == RequestPhase::Prefilling;
-    if (!allowsRetryOfRunning(context.state, request, !isPrefilling) || hasWaitingResumes(context) || !hasOtherPlacement(context, request))
+    if (!allowsRetryOfRunning(context.state, request, !isPrefilling) || hasWaitingResumes(context, request) || !hasOtherPlacement(context, request))
         return false;
     // Dispatch starts interrupted requests first, so no waiting request takes the room.
     request.subQueue = SubQueue::Resume;
--- a/src/ZoneSearch.h
+++ b/src/ZoneSearch.h
@@ -12,15 +12,30 @@
 
 /// Number of replicas examined in each zone. Bounds the cost of a decision.
 constexpr std::size_t examinedPerZone = 8;
+/// The same for a request that may run at one software version only. It has no other replicas if none of these fits.
+constexpr std::size_t examinedPerZoneOfVersion = 64;
+
+/// @return the replicas at which the request may be placed, by zone.
+inline auto candidatesOf(const ShardState& state, PoolRole role, const ActiveRequest& request) -> const std::map<ZoneId, ZoneIndex>&
+{
+    static const std::map<ZoneId, ZoneIndex> none;
+    if (role == PoolRole::Prefill)
+        return state.index.prefill;
+    if (!request.boundVersion)
+        return state.index.decode;
+    const auto found = state.index.decodeByVersion.find(*request.boundVersion);
+    return found == state.index.decodeByVersion.end() ? none : found->second;
+}
 
 /// @return the least loaded replica of the zone that fits, except the one that the request avoids; null
 /// if there is none.
 template <typename Fits>
 auto leastLoadedInZone(DecisionContext& context, const ZoneIndex& zone, const ActiveRequest& request, Fits fits) -> Replica*
 {
+    const auto limit = request.boundVersion ? examinedPerZoneOfVersion : examinedPerZone;
     std::size_t examined = 0;
     for (const auto& [load, id] : zone) {
-        if (++examined > examinedPerZone)
+        if (++examined > limit)
             break;
         auto* replica = findReplica(context.state, id);
         if (request.avoidedReplica != id && fits(*replica))
@@ -32,7 +47,7 @@
 template <typename Fits>
 auto leastLoadedInZone(DecisionContext& context, PoolRole role, ZoneId zone, const ActiveRequest& request, Fits fits) -> Replica*
 {
-    const auto& zones = context.state.index.ofRole(role);
+    const auto& zones = candidatesOf(context.state, role, request);
     const auto found = zones.find(zone);
     return found == zones.end() ? nullptr : leastLoadedInZone(context, found->second, request, fits);
 }
@@ -42,7 +57,7 @@
 auto leastLoadedElsewhere(DecisionContext& context, PoolRole role, std::initializer_list<ZoneId> excludedZones, const ActiveRequest& request, Fits fits) -> Replica*
 {
     Replica* best = nullptr;
-    for (const auto& [id, zone] : context.state.index.ofRole(role)) {
+    for (const auto& [id, zone] : candidatesOf(context.state, role, request)) {
         if (zone.empty() || std::find(excludedZones.begin(), excludedZones.end(), id) != excludedZones.end())
             continue;
         if (best && zone.begin()->first >= best->indexKey)
--- a/test/correctness/ShardHarness.h
+++ b/test/correctness/ShardHarness.h
@@ -80,7 +80,7 @@
         return count;
     }
 
-    auto replica(std::uint32_t id, PoolRole role, std::uint32_t slots, ReplicaState state = ReplicaState::Live, std::uint16_t zone = 0) -> void
+    auto replica(std::uint32_t id, PoolRole role, std::uint32_t slots, ReplicaState state = ReplicaState::Live, std::uint16_t zone = 0, std::uint32_t version = 0) -> void
     {
         send(ReplicaChanged {
             .replica = ReplicaId { id },
@@ -91,6 +91,7 @@
             .memoryBlocks = 1'000,
             .memoryBlockTokens = 2'000,
             .linkBytesPerSecond = 100'000'000'000,
+            .version = SoftwareVersionId { version },
         });
     }
 
