--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -13,7 +13,7 @@
   LINK jayhold_entry)
 
 jayhold_test(entry_request_test
-  SOURCES test/correctness/ModelRequestTest.cpp test/correctness/OutcomeLogTest.cpp test/correctness/PlainBalancerTest.cpp
+  SOURCES test/correctness/ModelRequestTest.cpp test/correctness/OutcomeLogTest.cpp test/correctness/VersionGuardTest.cpp test/correctness/PlainBalancerTest.cpp
     test/correctness/PlainServiceTest.cpp test/correctness/RoleBalancerTest.cpp
   LINK jayhold_entry)
 
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -32,7 +32,7 @@
 /// next attempt still needs the number of tokens that the caller has.
 auto recordLateTokenCount(DecisionContext& context, RequestId id, Attempt attempt, std::uint32_t total) -> void
 {
-    if (auto* request = findCurrent(context.state, id, attempt, { RequestPhase::Queued }))
+    if (auto* request = findCurrent(context.state, id, attempt, { RequestPhase::Queued, RequestPhase::Stopping }))
         recordTokens(context, *request, total);
 }
 
@@ -169,8 +169,10 @@
 auto handle(DecisionContext& context, const AttemptSilent& event) -> void
 {
     auto* request = findCurrent(context.state, event.request, event.attempt, { RequestPhase::Prefilling, RequestPhase::Starting, RequestPhase::Decoding });
-    if (!request)
+    if (!request) {
+        recordLateTokenCount(context, event.request, event.attempt, event.emittedTokens);
         return;
+    }
     // A long silence counts as one failure of the replica.
     if (request->silentAttempt != event.attempt) {
         request->silentAttempt = event.attempt;
--- a/test/correctness/SlotEstimateTest.cpp
+++ b/test/correctness/SlotEstimateTest.cpp
@@ -69,6 +69,40 @@
     CHECK(harness.last<StartDecode>());
 }
 
+// Guards against a stream that goes on at another software version because a slot there is about to become free, and
+// against a prefill whose result expires because only a slot of another version is.
+TEST_CASE("a prefill of an interrupted stream starts before its slot is free only if that is at its version")
+{
+    auto harness = withObservedAnswers(0);
+    const auto running = startDecodeOf(harness, 50);
+    // Request 51 begins at version 1, whose last engine then has no free slot.
+    // The two answers are expected to end at different times.
+    harness.now += 100ms;
+    harness.replica(3, PoolRole::Decode, 1, ReplicaState::Live, 0, 1);
+    const auto stream = startDecodeOf(harness, 51);
+    REQUIRE(stream.decode == ReplicaId { 3 });
+    harness.send(TokensEmitted { stream.request, stream.attempt, 5 });
+    const auto sameVersion = GENERATE(true, false);
+    if (!sameVersion)
+        harness.replica(4, PoolRole::Decode, 0, ReplicaState::Live, 0, 1);
+    else
+        harness.replica(2, PoolRole::Decode, 1, ReplicaState::Leaving);
+    StartDecode other = running;
+    if (sameVersion) {
+        harness.replica(5, PoolRole::Decode, 1, ReplicaState::Live, 0, 1);
+        other = startDecodeOf(harness, 52);
+        REQUIRE(other.decode == ReplicaId { 5 });
+    }
+    harness.replica(3, PoolRole::Decode, 1, ReplicaState::Leaving, 0, 1);
+    harness.send(DecodeFailed { stream.request, stream.attempt, FailureKind::ServerError, 5 });
+    CHECK_FALSE(harness.last<StartPrefill>());
+    harness.now += 2'200ms;
+    harness.send(TokensEmitted { other.request, other.attempt, 88 });
+    CHECK(harness.last<StartPrefill>().has_value() == sameVersion);
+    if (sameVersion)
+        CHECK(harness.last<StartPrefill>()->decode == ReplicaId { 5 });
+}
+
 // Guards against batch work that takes the next slot from interactive work that arrives before the slot
 // is free.
 TEST_CASE("batch work does not start before its slot is free")
