Merge the software versions of streams

Joins the placement by software version with the replacement of silent attempts: the Resume sub-queue is kept by version and by the retries that requests need, a reserved replacement is dropped if the stream is bound to another version meanwhile, and the version of an attempt is that of the engine it is sent to, not of the engine where its replacement is reserved.

--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -48,3 +48,7 @@
 jayhold_test(late_request_test
   SOURCES test/correctness/LateRequestTest.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
+
+jayhold_test(version_router_test
+  SOURCES test/correctness/VersionRouterTest.cpp test/FakeObjectStore.cpp
+  LINK jayhold_platform)
--- a/src/DecisionEvent.h
+++ b/src/DecisionEvent.h
@@ -27,6 +27,7 @@
 #include "RequestCancelled.h"
 #include "SlotRefused.h"
 #include "SlotReserved.h"
+#include "StreamBound.h"
 #include "Tick.h"
 #include "TokensEmitted.h"
 
@@ -43,6 +44,7 @@
     DecodeFinished,
     DecodeFailed,
     AttemptSilent,
+    StreamBound,
     RequestCancelled,
     SlotReserved,
     SlotRefused,
--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -8,8 +8,11 @@
 #include "RequestLifecycle.h"
 #include "RetryRules.h"
 #include "SlotHeadroom.h"
+#include "VersionBinding.h"
 
 #include <algorithm>
+#include <ranges>
+#include <vector>
 
 namespace jayhold {
 
@@ -94,12 +97,37 @@
     return std::any_of(heads.begin(), heads.begin() + count, [&](RequestId id) { return tryStart(context, id); });
 }
 
-/// @return the oldest requests of the Resume sub-queue.
+/// Software versions whose replicas have no room for the next request. It holds up only requests of its version.
+class FullVersions {
+public:
+    auto contains(const ActiveRequest& request) const -> bool { return request.boundVersion && std::ranges::find(m_versions, *request.boundVersion) != m_versions.end(); }
+    /// @param request a request that finds no room.
+    /// @return whether requests of other versions may find room.
+    auto add(const ShardState& state, const ActiveRequest& request) -> bool
+    {
+        if (!request.boundVersion || !hasSeveralVersions(state))
+            return false;
+        m_versions.push_back(*request.boundVersion);
+        return true;
+    }
+
+private:
+    std::vector<SoftwareVersionId> m_versions;
+};
+
+/// @return the oldest requests of the Resume sub-queue, as many of each software version as dispatch tries.
 auto oldestResumes(const ShardState& state) -> std::vector<RequestId>
 {
-    std::array<RequestId, maxTriedResumes> resumes {};
-    const auto count = state.queue.resumes(resumes);
-    return { resumes.begin(), resumes.begin() + count };
+    RequestQueue::Waiting oldest;
+    for (const auto& [version, waiting] : state.queue.resumes()) {
+        for (const auto& entry : waiting | std::views::take(maxTriedResumes))
+            oldest.insert(entry);
+    }
+    std::vector<RequestId> ids;
+    ids.reserve(oldest.size());
+    for (const auto& [order, id] : oldest)
+        ids.push_back(id);
+    return ids;
 }
 
 /// Starts the oldest interrupted request that waits for nothing but capacity. The retries that the budget has go to the
@@ -107,9 +135,10 @@
 auto startResume(DecisionContext& context) -> bool
 {
     auto isBudgetUsed = false;
+    FullVersions full;
     for (const auto id : oldestResumes(context.state)) {
         const auto& request = *findRequest(context.state, id);
-        if (awaitsCrashReports(context, request))
+        if (full.contains(request) || awaitsCrashReports(context, request))
             continue;
         if (lacksRetry(context, request)) {
             isBudgetUsed = true;
@@ -117,10 +146,17 @@
         }
         if (isBudgetUsed && needsRetry(context, request))
             continue;
-        const auto result = tryStartOne(context, id, false);
-        if (result != StartResult::NoRetry)
-            return result == StartResult::Left;
-        isBudgetUsed = true;
+        switch (tryStartOne(context, id, false)) {
+        case StartResult::Left:
+            return true;
+        case StartResult::NoRetry:
+            isBudgetUsed = true;
+            break;
+        case StartResult::NoRoom:
+            if (!full.add(context.state, request))
+                return false;
+            break;
+        }
     }
     return false;
 }
@@ -162,10 +198,13 @@
 auto startPrefilled(DecisionContext& context) -> void
 {
     auto& prefilled = context.state.prefilled;
+    FullVersions full;
     for (auto entry = prefilled.begin(); entry != prefilled.end();) {
         // A request that starts is removed.
         auto& request = *findRequest(context.state, (entry++)->second);
-        if (!awaitsCrashReports(context, request) && !startDecode(context, request))
+        if (full.contains(request) || awaitsCrashReports(context, request) || startDecode(context, request))
+            continue;
+        if (!full.add(context.state, request))
             return;
     }
 }
@@ -174,8 +213,13 @@
 auto assignFreedSlots(DecisionContext& context) -> void
 {
     auto& prefillsWithoutSlot = context.state.prefillsWithoutSlot;
-    while (!prefillsWithoutSlot.empty()) {
-        if (!reserveDecode(context, *findRequest(context.state, prefillsWithoutSlot.begin()->second)))
+    FullVersions full;
+    for (auto entry = prefillsWithoutSlot.begin(); entry != prefillsWithoutSlot.end();) {
+        // A request that gets a slot is removed.
+        auto& request = *findRequest(context.state, (entry++)->second);
+        if (full.contains(request) || reserveDecode(context, request))
+            continue;
+        if (!full.add(context.state, request))
             return;
     }
 }
@@ -206,9 +250,13 @@
         state.overdueStartInterval.started(context.now, state.queue.overdueCount() > 0);
 }
 
-auto hasWaitingResume(const DecisionContext& context) -> bool
+auto hasWaitingResume(const DecisionContext& context, const ActiveRequest& request) -> bool
 {
-    return std::ranges::any_of(oldestResumes(context.state), [&](RequestId id) { return !awaitsCrashReports(context, *findRequest(context.state, id)); });
+    return std::ranges::any_of(oldestResumes(context.state), [&](RequestId id) {
+        const auto& waiting = *findRequest(context.state, id);
+        const auto takesSameRoom = !waiting.boundVersion || waiting.boundVersion == request.boundVersion || !hasSeveralVersions(context.state);
+        return takesSameRoom && !awaitsCrashReports(context, waiting);
+    });
 }
 
 auto dispatch(DecisionContext& context) -> void
--- a/src/Dispatch.h
+++ b/src/Dispatch.h
@@ -14,7 +14,8 @@
 auto consumeRetriesFor(DecisionContext& context, ActiveRequest& request, Placement& placement) -> bool;
 /// Starts a waiting request on the replicas of its placement.
 auto startPlaced(DecisionContext& context, ActiveRequest& request, const Placement& placement) -> void;
-/// @return whether an interrupted request waits for something else than what a crash shows.
-auto hasWaitingResume(const DecisionContext& context) -> bool;
+/// @return whether an interrupted request that could take the same room waits for something else than what a crash shows.
+/// Those that must run at another software version wait for other replicas.
+auto hasWaitingResume(const DecisionContext& context, const ActiveRequest& request) -> bool;
 
 }
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -8,6 +8,7 @@
 #include "ReservationAccounting.h"
 #include "RetryDelay.h"
 #include "RetryRules.h"
+#include "VersionBinding.h"
 
 #include <algorithm>
 
@@ -120,24 +121,13 @@
     return customer < weights.size() ? weights[customer] : 1.0;
 }
 
-auto queueEntry(const ActiveRequest& request) -> QueueEntry
-{
-    return {
-        .request = request.arrival.request,
-        .order = static_cast<std::uint64_t>(request.arrivedAt.time_since_epoch().count()),
-        .flow = request.flow(),
-        .latencyClass = request.latencyClass,
-        .subQueue = request.subQueue,
-    };
-}
-
 auto enqueue(DecisionContext& context, ActiveRequest& request) -> void
 {
     request.prefill.reset();
     request.decode.reset();
     // A request that waits for crash reports must not hold up its flow. Dispatch skips it in the Resume
     // sub-queue.
-    if (request.emitted || awaitsCrashReports(context, request))
+    if (request.emitted || request.boundVersion || awaitsCrashReports(context, request))
         request.subQueue = SubQueue::Resume;
     enterPhase(context, request, RequestPhase::Queued);
     context.state.queue.push(queueEntry(request), customerWeight(context.state, request));
@@ -154,6 +144,7 @@
 auto takeDecode(DecisionContext& context, ActiveRequest& request, const Placement& placement) -> void
 {
     request.decode = placement.decode->description.replica;
+    request.attemptVersion = placement.decode->description.version;
     if (placement.replacement)
         request.decodeReserved = placement.replacement->reserved;
     else
@@ -244,6 +235,7 @@
 
 auto enterDecoding(DecisionContext& context, ActiveRequest& request) -> void
 {
+    bindToVersion(context, request, request.attemptVersion);
     if (request.prefill)
         updateTransferRate(context, request);
     updateFirstTokenMargin(context, request);
@@ -394,5 +386,4 @@
     if (mayBeRunning(request.phase) && request.decode)
         context.actions.emplace_back(CancelOnReplica { id, *request.decode });
 }
-
 }
--- a/src/ReservationAccounting.cpp
+++ b/src/ReservationAccounting.cpp
@@ -79,6 +79,8 @@
 
 auto reserve(DecisionContext& context, ActiveRequest& request, Replica& replica, const Reservation& amount) -> void
 {
+    if (replica.role() == PoolRole::Decode)
+        request.attemptVersion = replica.description.version;
     takePart(context, request, replica, replica.role() == PoolRole::Prefill ? request.prefillReserved : request.decodeReserved, amount);
 }
 
--- a/src/SilentAttempts.cpp
+++ b/src/SilentAttempts.cpp
@@ -8,7 +8,9 @@
 #include "RequestLifecycle.h"
 #include "ReservationAccounting.h"
 #include "RetryRules.h"
+#include "VersionBinding.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jayhold {
@@ -59,7 +61,7 @@
 auto reservedPlacement(DecisionContext& context, ActiveRequest& request, const Replacement& replacement) -> std::optional<Placement>
 {
     auto* decode = findReplica(context.state, replacement.decode);
-    if (!decode || decode->description.state != ReplicaState::Live || decode->pausedUntil > context.now)
+    if (!decode || decode->description.state != ReplicaState::Live || decode->pausedUntil > context.now || !mayDecodeAt(request, *decode))
         return std::nullopt;
     Placement placement { nullptr, decode, true, &replacement };
     if (replacement.hasPrefill)
@@ -115,7 +117,7 @@
     if (state.replacements.contains(id) || state.awaitingSlotReply.contains(id))
         return;
     // Other interrupted requests that wait for capacity start first.
-    if (!allowsReplacement(context, request) || hasWaitingResume(context))
+    if (!allowsReplacement(context, request) || hasWaitingResume(context, request))
         return;
     const auto placement = otherPlacement(context, request);
     if (!placement)
@@ -134,7 +136,7 @@
     auto* request = findReserving(context, event.request, event.number);
     if (!request)
         return;
-    request->emitted = std::max(request->emitted, event.emittedTokens);
+    recordTokens(context, *request, event.emittedTokens);
     startReplacement(context, *request);
 }
 
