Keep a plain call at its silent server until another one has answered

A call that may be repeated was interrupted after half of its time and sent to another server that seemed free. If that server rejected it, the caller got 502 with time left, although its first server might have answered: the same shape as a stream whose attempt ends before its replacement has a slot. A plain server can't be asked to reserve one.

The silent call now goes on while the other server works on it, and the first final response ends the other call. The number of calls is as before: the second one takes a retry from the budget and counts against the maximum attempts of the kind. What is new is that a silent server keeps its call until the other one has answered.

SilentBackendTest, "a plain call stays at its silent server if another one rejects it", failed before: status 502 instead of 200.

--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -1,6 +1,7 @@
 #include "PlainService.h"
 
 #include "JitteredDelay.h"
+#include "PlainReplacement.h"
 #include "Sha256.h"
 
 #include <algorithm>
@@ -133,6 +134,8 @@
         exchange.onClose([&] {
             state.isCallerDisconnected = true;
             state.interrupt.emit(asio::cancellation_type::terminal);
+            if (state.replacement)
+                state.replacement->interrupt.emit(asio::cancellation_type::terminal);
         });
     }
     auto attempt = co_await runCall(exchange.client(), call, call.kind.repeatable, state);
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -13,6 +13,7 @@
 #include "RetryBudget.h"
 #include "Service.h"
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/cancellation_signal.hpp>
 
@@ -23,6 +24,8 @@
 
 namespace jayhold {
 
+struct PlainReplacement;
+
 class PlainService : public std::enable_shared_from_this<PlainService> {
 public:
     /// @param instanceCount number of entry instances that use the same backend servers, including this one,
@@ -58,23 +61,35 @@
         std::vector<std::string> triedBackends;
         /// Interrupts the running attempt.
         boost::asio::cancellation_signal interrupt;
-        /// The server that takes the call over after the running attempt was interrupted for its silence.
-        std::optional<BackendServer> replacement;
+        /// The attempt on another server while the running one is silent; null if there is none.
+        std::shared_ptr<PlainReplacement> replacement;
+        /// Whether the running attempt has the final response, so that its replacement is not needed.
+        bool isAnswered = false;
     };
 
     /// Sends a call to backend servers until one returns a final response or no further attempt is allowed.
     /// @param isRepeatable whether a call that may have been executed can be sent again.
     auto runCall(HttpClient& client, const PlainCallInfo& call, bool isRepeatable, CallState& state) -> boost::asio::awaitable<PlainAttempt>;
     auto attemptOn(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call, bool isRepeatable, CallState& state) -> boost::asio::awaitable<PlainAttempt>;
-    /// Sends the call; ends when the server has answered or the call state's signal interrupts it.
+    /// Sends the call; ends when the server has answered or the signal of its attempt interrupts it.
     auto sendCall(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call) -> boost::asio::awaitable<HttpResult<HttpResponse>>;
-    /// Interrupts an attempt whose server is silent if another server can take the call now.
+    /// Sends the call to one server.
+    /// @param interrupt ends the attempt.
+    auto callServer(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call, const CallState& state, boost::asio::cancellation_signal& interrupt) -> boost::asio::awaitable<PlainAttempt>;
+    /// Sends a call whose server is silent to another server too, if one can take it now. The silent attempt goes on
+    /// until the other one has the final response.
     /// @return whether the silence has to be checked again.
-    auto replaceSilentAttempt(const PlainCallInfo& call, CallState& state) -> bool;
+    auto replaceSilentAttempt(HttpClient& client, const boost::asio::any_io_executor& executor, const BackendServer& silent, const PlainCallInfo& call, CallState& state) -> bool;
+    auto runReplacement(HttpClient& client, const PlainCallInfo& call, CallState& state, std::shared_ptr<PlainReplacement> replacement) -> boost::asio::awaitable<void>;
+    auto recordFailedAttempt(const PlainCallInfo& call, const CallState& state, const std::string& backend, const PlainAttempt& attempt) -> void;
     /// Reports an attempt that ended with an exception as failed with an unknown outcome, and releases its slot.
     auto failAttempt(const BackendServer& backend, const PlainCallInfo& call, const std::exception_ptr& thrown) -> PlainAttempt;
+    /// Classifies the error of a call and releases its slot.
+    auto attemptFromError(const BackendServer& backend, const HttpError& error, const CallState& state) -> PlainAttempt;
     /// Classifies a backend server's response and releases its slot.
     auto attemptFromResponse(const BackendServer& backend, const PlainCallInfo& call, HttpResponse response) -> PlainAttempt;
+    /// @return whether the attempt has the response that the caller gets.
+    static auto isFinal(const PlainAttempt& attempt) -> bool { return attempt.response && attempt.isFinal; }
     /// @return whether another attempt may follow.
     auto mayTryAgain(const PlainCallInfo& call, const CallState& state, const PlainAttempt& last, bool isRepeatable) -> bool;
     /// Takes a retry from the budget for a call that would be sent again because a reused connection had
--- a/src/PlainServiceAttempts.cpp
+++ b/src/PlainServiceAttempts.cpp
@@ -1,10 +1,13 @@
 #include "PlainService.h"
 
+#include "AwaitToken.h"
 #include "ExceptionText.h"
+#include "PlainReplacement.h"
 #include "RepeatedCheck.h"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -35,30 +38,28 @@
 auto PlainService::runCall(HttpClient& client, const PlainCallInfo& call, bool isRepeatable, CallState& state) -> asio::awaitable<PlainAttempt>
 {
     PlainAttempt last { .isNotRun = true, .reachedBackend = false, .detail = "no backend server is available" };
-    while (true) {
-        const auto backend = state.replacement ? std::exchange(state.replacement, std::nullopt) : acquire(state.triedBackends);
-        if (!backend)
-            break;
+    while (const auto backend = acquire(state.triedBackends)) {
         state.triedBackends.push_back(backend->id);
         recordDecision(call, "request_placed", { { "backend", backend->id }, { "attempt", state.triedBackends.size() }, { "timeout_ms", remainingTime(call).count() / 1'000 } });
         last = co_await attemptOn(client, *backend, call, isRepeatable, state);
         state.executions += !last.isNotRun;
-        m_metrics->backendCalls.fetch_add(last.reachedBackend, std::memory_order_relaxed);
-        const auto isEnded = (last.response && last.isFinal) || state.isCallerDisconnected;
-        if (isEnded && state.replacement)
-            releaseCancelled(std::exchange(state.replacement, std::nullopt)->id);
-        if (isEnded)
+        if (isFinal(last) || state.isCallerDisconnected)
             break;
-        m_metrics->failedAttempts.fetch_add(1, std::memory_order_relaxed);
-        const auto budget = retryBudget();
-        record(LogLevel::Info, call, "attempt_failed", { { "backend", backend->id }, { "attempt", state.triedBackends.size() }, { "detail", last.detail }, { "ran", last.isNotRun ? "no" : "unknown" }, { "retries_left", budget.remaining() }, { "retry_capacity", budget.capacity() } });
-        if (!state.replacement && !mayTryAgain(call, state, last, isRepeatable))
+        recordFailedAttempt(call, state, backend->id, last);
+        if (!mayTryAgain(call, state, last, isRepeatable))
             break;
     }
     last.isNotRun = state.executions == 0;
     co_return last;
 }
 
+auto PlainService::recordFailedAttempt(const PlainCallInfo& call, const CallState& state, const std::string& backend, const PlainAttempt& attempt) -> void
+{
+    m_metrics->failedAttempts.fetch_add(1, std::memory_order_relaxed);
+    const auto budget = retryBudget();
+    record(LogLevel::Info, call, "attempt_failed", { { "backend", backend }, { "attempt", state.triedBackends.size() }, { "detail", attempt.detail }, { "ran", attempt.isNotRun ? "no" : "unknown" }, { "retries_left", budget.remaining() }, { "retry_capacity", budget.capacity() } });
+}
+
 auto PlainService::mayTryAgain(const PlainCallInfo& call, const CallState& state, const PlainAttempt& last, bool isRepeatable) -> bool
 {
     if (state.isCallerDisconnected || monotonicNow() >= call.deadline || state.triedBackends.size() >= maxBackendsPerCall)
@@ -76,22 +77,45 @@
     co_return result;
 }
 
-auto PlainService::replaceSilentAttempt(const PlainCallInfo& call, CallState& state) -> bool
+auto PlainService::replaceSilentAttempt(HttpClient& client, const asio::any_io_executor& executor, const BackendServer& silent, const PlainCallInfo& call, CallState& state) -> bool
 {
     if (state.isCallerDisconnected || state.triedBackends.size() >= maxBackendsPerCall || state.executions + 1 >= call.kind.maxAttempts)
         return false;
+    if (state.replacement && !state.replacement->result)
+        return true;
+    std::optional<BackendServer> server;
     {
         const std::lock_guard guard(m_lock);
         if (m_budget.remaining() < 1)
             return true;
-        state.replacement = m_balancer.acquire(monotonicNow(), state.triedBackends);
-        if (!state.replacement)
+        server = m_balancer.acquire(monotonicNow(), state.triedBackends);
+        if (!server)
             return true;
         m_budget.tryConsume();
     }
-    record(LogLevel::Info, call, "attempt_silent", { { "backend", state.triedBackends.back() }, { "replacement", state.replacement->id }, { "left_ms", remainingTime(call).count() / 1'000 } });
-    state.interrupt.emit(asio::cancellation_type::terminal);
-    return false;
+    record(LogLevel::Info, call, "attempt_silent", { { "backend", silent.id }, { "replacement", server->id }, { "left_ms", remainingTime(call).count() / 1'000 } });
+    state.triedBackends.push_back(server->id);
+    recordDecision(call, "request_placed", { { "backend", server->id }, { "attempt", state.triedBackends.size() }, { "timeout_ms", remainingTime(call).count() / 1'000 } });
+    state.replacement = std::make_shared<PlainReplacement>(executor, std::move(*server));
+    asio::co_spawn(executor, runReplacement(client, call, state, state.replacement), asio::detached);
+    return true;
+}
+
+auto PlainService::runReplacement(HttpClient& client, const PlainCallInfo& call, CallState& state, std::shared_ptr<PlainReplacement> replacement) -> asio::awaitable<void>
+{
+    PlainAttempt attempt { .isNotRun = true, .reachedBackend = false, .detail = "not needed any more" };
+    // The signal reaches only a call that has begun.
+    if (state.isAnswered || state.isCallerDisconnected)
+        releaseCancelled(replacement->server.id);
+    else
+        attempt = co_await callServer(client, replacement->server, call, state, replacement->interrupt);
+    state.executions += !attempt.isNotRun;
+    if (isFinal(attempt))
+        state.interrupt.emit(asio::cancellation_type::terminal);
+    else if (!state.isAnswered && !state.isCallerDisconnected)
+        recordFailedAttempt(call, state, replacement->server.id, attempt);
+    replacement->result = std::move(attempt);
+    replacement->ended.cancel();
 }
 
 auto PlainService::attemptOn(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call, bool isRepeatable, CallState& state) -> asio::awaitable<PlainAttempt>
@@ -99,26 +123,56 @@
     const auto executor = co_await asio::this_coro::executor;
     std::optional<RepeatedCheck> silenceCheck;
     if (isRepeatable)
-        silenceCheck.emplace(executor, remainingTime(call) / silenceTimeoutDivisor, silenceCheckInterval, [this, &call, &state] { return replaceSilentAttempt(call, state); });
+        silenceCheck.emplace(executor, remainingTime(call) / silenceTimeoutDivisor, silenceCheckInterval, [&] { return replaceSilentAttempt(client, executor, backend, call, state); });
+    auto attempt = co_await callServer(client, backend, call, state, state.interrupt);
+    silenceCheck.reset();
+    const auto replacement = state.replacement;
+    if (!replacement)
+        co_return attempt;
+    state.isAnswered = isFinal(attempt);
+    if (state.isAnswered)
+        replacement->interrupt.emit(asio::cancellation_type::terminal);
+    while (!replacement->result) {
+        replacement->ended.expires_at(asio::steady_timer::time_point::max());
+        boost::system::error_code code;
+        co_await replacement->ended.async_wait(awaitInto(code));
+    }
+    state.replacement = nullptr;
+    if (state.isAnswered || !isFinal(*replacement->result))
+        co_return attempt;
+    recordFailedAttempt(call, state, backend.id, attempt);
+    co_return std::move(*replacement->result);
+}
+
+auto PlainService::callServer(HttpClient& client, const BackendServer& backend, const PlainCallInfo& call, const CallState& state, asio::cancellation_signal& interrupt) -> asio::awaitable<PlainAttempt>
+{
+    const auto executor = co_await asio::this_coro::executor;
     HttpResult<HttpResponse> result = HttpError { HttpErrorKind::ConnectionLost, {} };
     std::exception_ptr thrown;
     try {
-        result = co_await asio::co_spawn(executor, sendCall(client, backend, call), asio::bind_cancellation_slot(state.interrupt.slot(), asio::use_awaitable));
+        result = co_await asio::co_spawn(executor, sendCall(client, backend, call), asio::bind_cancellation_slot(interrupt.slot(), asio::use_awaitable));
     } catch (...) {
         thrown = std::current_exception();
     }
-    silenceCheck.reset();
+    PlainAttempt attempt;
     if (thrown)
-        co_return failAttempt(backend, call, thrown);
-    if (result.has_value())
-        co_return attemptFromResponse(backend, call, std::move(*result));
-    const auto& error = result.error();
-    if (error.kind == HttpErrorKind::Cancelled && state.isCallerDisconnected)
+        attempt = failAttempt(backend, call, thrown);
+    else if (result.has_value())
+        attempt = attemptFromResponse(backend, call, std::move(*result));
+    else
+        attempt = attemptFromError(backend, result.error(), state);
+    m_metrics->backendCalls.fetch_add(attempt.reachedBackend, std::memory_order_relaxed);
+    co_return attempt;
+}
+
+auto PlainService::attemptFromError(const BackendServer& backend, const HttpError& error, const CallState& state) -> PlainAttempt
+{
+    if (error.kind == HttpErrorKind::Cancelled && (state.isCallerDisconnected || state.isAnswered))
         releaseCancelled(backend.id);
     else
         release(backend, false);
     const auto isNotSent = error.kind == HttpErrorKind::NotConnected;
-    co_return PlainAttempt { .isNotRun = isNotSent, .reachedBackend = !isNotSent, .hasTimedOut = error.kind == HttpErrorKind::TimedOut, .detail = std::string(jayhold::name(error.kind)) + ": " + error.detail };
+    return { .isNotRun = isNotSent, .reachedBackend = !isNotSent, .hasTimedOut = error.kind == HttpErrorKind::TimedOut, .detail = std::string(jayhold::name(error.kind)) + ": " + error.detail };
 }
 
 auto PlainService::failAttempt(const BackendServer& backend, const PlainCallInfo& call, const std::exception_ptr& thrown) -> PlainAttempt
--- a/test/correctness/SilentBackendTest.cpp
+++ b/test/correctness/SilentBackendTest.cpp
@@ -142,6 +142,21 @@
     CHECK(fixture.plain2.runs() == 3);
 }
 
+// Guards against a call that fails with time left, because its silent server was given up for one that rejects it.
+TEST_CASE("a plain call stays at its silent server if another one rejects it")
+{
+    RouterFixture fixture;
+    fixture.plain1.setTiming(1s, Duration::zero());
+    fixture.plain2.setBehaviour(Behaviour::Reject);
+    fixture.startAndWait();
+    for (auto call = 0; call < 3; ++call) {
+        const auto response = fixture.call("GET", "/read/x");
+        REQUIRE(response.has_value());
+        CHECK(response->status == 200);
+    }
+    CHECK(fixture.plain1.runs() == 3);
+}
+
 // Guards against a second run of a call that must not be repeated.
 TEST_CASE("a plain call that may run only once stays at its silent server")
 {
