Forget the durations of kinds that the configuration no longer has

Changes of the configuration that rename kinds would let them accumulate. Found by reading; no test shows it, because the durations are not visible from outside.

--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -54,6 +54,7 @@
     const std::lock_guard guard(m_lock);
     m_pools = service.pools;
     m_retry = service.retry;
+    std::erase_if(m_durations, [&](const auto& entry) { return std::ranges::find(service.kinds, entry.first, &RequestKind::name) == service.kinds.end(); });
     updateBudgetLocked();
 }
 
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -125,7 +125,7 @@
     std::uint32_t m_instanceCount;
     PlainBalancer m_balancer;
     RetryBudget m_budget;
-    /// By name of the kind.
+    /// By name of the kind, for the kinds of the configuration.
     std::map<std::string, RecentDurations> m_durations;
 };
 
