--- a/src/HttpServerExchange.cpp
+++ b/src/HttpServerExchange.cpp
@@ -74,7 +74,7 @@
 }
 
 template <typename Message>
-auto HttpServerExchange::fillBody(Message& message, std::string body) -> void
+auto HttpServerExchange::setBody(Message& message, std::string&& body) -> void
 {
     message.body() = std::move(body);
     message.prepare_payload();
@@ -89,7 +89,7 @@
         co_return false;
     http::response<http::string_body> message;
     fillHeader(message, response.status, response.headers);
-    fillBody(message, std::move(response.body));
+    setBody(message, std::move(response.body));
     m_hasStarted = true;
     m_isFinishing = true;
     boost::system::error_code code;
@@ -186,7 +186,7 @@
     auto response = m_shared.unknownOutcomeResponse();
     const auto message = std::make_shared<http::response<http::string_body>>();
     fillHeader(*message, response.status, response.headers);
-    fillBody(*message, std::move(response.body));
+    setBody(*message, std::move(response.body));
     m_hasStarted = true;
     m_unknownOutcomeWritten.emplace(executor(), asio::steady_timer::time_point::max());
     startWriteTimeout();
--- a/src/HttpServerExchange.h
+++ b/src/HttpServerExchange.h
@@ -54,7 +54,7 @@
     auto fillHeader(Message& message, unsigned status, const std::vector<HttpHeader>& headers) -> void;
     /// Sets the body of a complete response and the fields for its length.
     template <typename Message>
-    auto fillBody(Message& message, std::string body) -> void;
+    auto setBody(Message& message, std::string&& body) -> void;
     auto startWriteTimeout() -> void;
     auto recordResult(const boost::system::error_code& code) -> bool;
 
