--- a/test/correctness/HttpServerDrainTest.cpp
+++ b/test/correctness/HttpServerDrainTest.cpp
@@ -205,3 +205,19 @@
     CHECK(fixture.server.activeExchanges() == 0);
     CHECK(test::readUntilClosed(unused).empty());
 }
+
+// Guards against a response that its caller loses, because the next request was in the receive buffer when the server
+// closed the connection, and so reset it.
+TEST_CASE("a connection is closed without a reset although a further request has arrived")
+{
+    Fixture fixture;
+    auto socket = fixture.connect("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(fixture.waitForActive(1));
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    fixture.server.closeAfterResponses();
+    boost::system::error_code code;
+    const auto response = test::readUntilClosed(socket, code);
+    CHECK(code == asio::error::eof);
+    CHECK_THAT(response, Catch::StartsWith("HTTP/1.1 200") && Catch::Contains("Connection: close"));
+    CHECK(response.find("HTTP/1.1 200", 1) == std::string::npos);
+}
