Keep bound streams away from a server that may have started again

What callers could see: a server starts again under its id and address with another software version, and this instance still knows the older entry. A stream whose connection was lost was placed there again at once, and the new process continued it.

The store's heartbeats change no entry, so no watch shows that a process is still the same, and reading the list for each lost connection would cost a call each. Instead a bound stream is not placed at a replica that lost or refused a connection until one of these: a request that was given to it before goes on, so the process is the same; 250 ms have passed since it was first reached again, by when the entry that its process wrote at its start has arrived; or, if nothing has reached it, 500 ms have passed. Requests without tokens are placed there as before, and so are streams of the unknown version, whose processes can't be told apart. The decode of a bound stream is not sent again on a new connection when a reused one has closed.

What remains: a stream that is the first to reach the new process, within the time in which its entry is under way (the last of the three cases), and an entry that takes longer than 250 ms.

--- a/src/Identifiers.h
+++ b/src/Identifiers.h
@@ -25,6 +25,9 @@
 /// A software version of backend servers. Versions have no order.
 enum class SoftwareVersionId : std::uint32_t {};
 
+/// The version of all servers whose entries name none.
+constexpr SoftwareVersionId unknownVersion { 0 };
+
 /// Number of an attempt of one request, starting from 1. It distinguishes a late outcome of an earlier
 /// attempt from an outcome of the current one.
 using Attempt = std::uint32_t;
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -290,7 +290,8 @@
     m_backend = replica->backend.id;
     auto call = engineCall();
     call.maxTokens = m_info.request.maxTokens;
-    if (m_info.kindSettings.repeatable)
+    // The connection may have closed because another process with another version has taken the engine's place.
+    if (m_info.kindSettings.repeatable && !m_boundVersion)
         call.mayResend = [this] { return tryConsumeResend(); };
     if (m_prefill && action.prefill == m_prefillReplica) {
         if (const auto source = m_service->replica(m_prefillReplica))
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -205,7 +205,7 @@
     std::vector<DecisionAction> m_actions;
     std::uint64_t m_lastRequest = 0;
     std::uint32_t m_lastReplica = 0;
-    std::map<std::string, SoftwareVersionId, std::less<>> m_versions;
+    std::map<std::string, SoftwareVersionId, std::less<>> m_versions { { "", unknownVersion } };
     std::mt19937_64 m_reportIds { std::random_device {}() };
     std::unordered_map<RequestId, OpenRequest> m_requests;
     std::unordered_map<ReplicaId, ReplicaStatus> m_replicas;
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -3,6 +3,7 @@
 #include "CrashAttribution.h"
 #include "Estimates.h"
 #include "PrefillChoice.h"
+#include "ReplicaHealth.h"
 #include "ReplicaIndex.h"
 #include "ReplicaPauses.h"
 #include "ReservationAccounting.h"
@@ -89,11 +90,13 @@
 
 namespace {
 
-/// @return whether the replica has the software version at which the request must run. Each choice of a decode replica
-/// asks this.
-auto mayDecodeAt(const ActiveRequest& request, const Replica& replica) -> bool
+/// @return whether the replica has the software version at which the request must run, and its process is known. Processes of
+/// the unknown version can't be told apart. Each choice of a decode replica asks this.
+auto mayDecodeAt(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> bool
 {
-    return !request.boundVersion || *request.boundVersion == replica.description.version;
+    if (!request.boundVersion)
+        return true;
+    return *request.boundVersion == replica.description.version && (*request.boundVersion == unknownVersion || processKnownAt(replica) <= context.now);
 }
 
 }
@@ -101,7 +104,7 @@
 auto chooseDecode(DecisionContext& context, const ActiveRequest& request, ZoneId prefillZone) -> Replica*
 {
     const auto fits = [&](const Replica& replica) {
-        if (!mayDecodeAt(request, replica))
+        if (!mayDecodeAt(context, request, replica))
             return false;
         const auto amount = decodeReservation(context, request, replica);
         const auto needed = amount.memoryBlocks + requiredMemoryHeadroom(context, request, replica, amount.memoryBlocks);
@@ -140,7 +143,7 @@
         if (!ending || ending->phase != RequestPhase::Decoding || ending->expectedEnd > latestEnd)
             return false;
         replica = findReplica(context.state, *ending->decode);
-        if (!replica || !mayDecodeAt(request, *replica) || replica->description.state != ReplicaState::Live || isPausedOrReturning(*replica, context.now))
+        if (!replica || !mayDecodeAt(context, request, *replica) || replica->description.state != ReplicaState::Live || isPausedOrReturning(*replica, context.now))
             return false;
         // Its limit may not allow for the decode when the slot is free, and the prefill would be wasted.
         if (replica->allowance)
--- a/src/Replica.h
+++ b/src/Replica.h
@@ -81,6 +81,11 @@
     std::optional<std::uint64_t> countedCapacity;
     /// The version under which the replica is counted as a live decode replica.
     std::optional<SoftwareVersionId> countedVersion;
+    /// When a connection to the replica was last lost or refused. Its process may have been replaced since by one of another
+    /// software version.
+    std::optional<TimePoint> disconnectedAt;
+    /// When it was first reached after that.
+    std::optional<TimePoint> reachedAt;
     /// Whether the replica is in the placement index, and its key there.
     bool indexed = false;
     std::uint64_t indexKey = 0;
--- a/src/ReplicaHealth.cpp
+++ b/src/ReplicaHealth.cpp
@@ -19,6 +19,14 @@
 constexpr Duration unreachableBackOff = std::chrono::milliseconds(50);
 constexpr Duration firstEjection = std::chrono::seconds(1);
 constexpr std::uint32_t maxEjectionDoublings = 5;
+/// Time in which the entry of a server that starts arrives, also from a slow store. It is written at the start, so it arrives
+/// this long after the first response of its process at the latest.
+constexpr Duration entryArrivalTime = std::chrono::milliseconds(250);
+/// Time for which an interrupted stream stays away from a replica that nothing else has reached since it lost a connection.
+/// Callers give up a stream after a gap of two seconds or more.
+constexpr Duration unreachedTime = std::chrono::milliseconds(500);
+/// Events that were sent before a connection was lost may arrive up to this long after it.
+constexpr Duration maxEventDelay = std::chrono::milliseconds(20);
 
 auto countFailure(DecisionContext& context, Replica& replica) -> void
 {
@@ -31,6 +39,39 @@
     replica.ejectedUntil = context.now + firstEjection * (1U << doublings);
 }
 
+auto recordDisconnected(Replica& replica, TimePoint now) -> void
+{
+    replica.disconnectedAt = now;
+    replica.reachedAt.reset();
+}
+
+}
+
+auto processKnownAt(const Replica& replica) -> TimePoint
+{
+    if (!replica.disconnectedAt)
+        return TimePoint::min();
+    const auto unreachedEnd = *replica.disconnectedAt + unreachedTime;
+    return replica.reachedAt ? *replica.reachedAt + entryArrivalTime : unreachedEnd;
+}
+
+auto recordReached(DecisionContext& context, ReplicaId id) -> void
+{
+    auto* replica = findReplica(context.state, id);
+    if (!replica || !replica->disconnectedAt || replica->reachedAt)
+        return;
+    replica->reachedAt = context.now;
+    updateIndex(context, *replica);
+}
+
+auto recordSameProcess(DecisionContext& context, ReplicaId id, TimePoint givenAt) -> void
+{
+    auto* replica = findReplica(context.state, id);
+    if (!replica || !replica->disconnectedAt || givenAt >= *replica->disconnectedAt || context.now - *replica->disconnectedAt < maxEventDelay)
+        return;
+    replica->disconnectedAt.reset();
+    replica->reachedAt.reset();
+    updateIndex(context, *replica);
 }
 
 auto changeState(DecisionContext& context, Replica& replica, ReplicaState state) -> void
@@ -69,6 +110,7 @@
     if (!replica)
         return;
     recordReturn(context, *replica, request);
+    recordReached(context, id);
     replica->consecutiveRejections = 0;
     if (!replica->consecutiveFailures)
         return;
@@ -102,9 +144,13 @@
         // A process that accepts no connection fails every request within microseconds. A request that
         // alternates between two such replicas would use up its attempts at once.
         replica->busyUntil = context.now + unreachableBackOff;
+        recordDisconnected(*replica, context.now);
         countFailure(context, *replica);
         break;
     case FailureKind::ConnectionLost:
+        recordDisconnected(*replica, context.now);
+        countFailure(context, *replica);
+        break;
     case FailureKind::TimedOut:
     case FailureKind::ServerError:
         countFailure(context, *replica);
--- a/src/ReplicaHealth.h
+++ b/src/ReplicaHealth.h
@@ -16,4 +16,12 @@
 auto recordSuccess(DecisionContext& context, ReplicaId id, RequestId request) -> void;
 auto recordFailure(DecisionContext& context, ReplicaId id, FailureKind failure) -> void;
 
+/// Records that the replica has responded, which does not show by which process.
+auto recordReached(DecisionContext& context, ReplicaId id) -> void;
+/// Records progress of a request that was given to the replica at a time. Its process is the same since.
+auto recordSameProcess(DecisionContext& context, ReplicaId id, TimePoint givenAt) -> void;
+/// @return when the replica's process counts as known: at once, unless a connection to it was lost or refused. The entry of
+/// another process under the same id would have arrived then.
+auto processKnownAt(const Replica& replica) -> TimePoint;
+
 }
--- a/src/ReplicaIndex.cpp
+++ b/src/ReplicaIndex.cpp
@@ -1,5 +1,6 @@
 #include "ReplicaIndex.h"
 
+#include "ReplicaHealth.h"
 #include "ReplicaPauses.h"
 #include "ReservationAccounting.h"
 
@@ -71,7 +72,7 @@
 auto nextTimer(const Replica& replica, TimePoint now) -> TimePoint
 {
     auto next = TimePoint::max();
-    for (const auto time : { replica.busyUntil, replica.ejectedUntil, replica.pausedUntil, replica.crashReportWaitUntil }) {
+    for (const auto time : { replica.busyUntil, replica.ejectedUntil, replica.pausedUntil, replica.crashReportWaitUntil, processKnownAt(replica) }) {
         if (time > now)
             next = std::min(next, time);
     }
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -87,8 +87,12 @@
 
 auto handle(DecisionContext& context, const SlotReserved& event) -> void
 {
-    if (findCurrent(context.state, event.request, event.attempt, { RequestPhase::Prefilling, RequestPhase::Starting }))
-        context.state.awaitingSlotReply.erase(event.request);
+    const auto* request = findCurrent(context.state, event.request, event.attempt, { RequestPhase::Prefilling, RequestPhase::Starting });
+    if (!request)
+        return;
+    context.state.awaitingSlotReply.erase(event.request);
+    if (request->decode && context.state.settings.reservesSlots)
+        recordReached(context, *request->decode);
 }
 
 auto handle(DecisionContext& context, const SlotRefused& event) -> void
@@ -125,6 +129,7 @@
     // An engine that goes on after a pause must not stay ejected.
     if (std::exchange(request->silentAttempt, Attempt {}) == event.attempt)
         recordSuccess(context, *request->decode, event.request);
+    recordSameProcess(context, *request->decode, request->phaseStartedAt);
     clearSuspectsIfAlive(context, *request, *request->decode);
     clearSuspectAfterProgress(context, *request, false);
     recordPromptProgress(context, *request, false);
