--- a/src/SilentAttempts.cpp
+++ b/src/SilentAttempts.cpp
@@ -61,7 +61,7 @@
 auto reservedPlacement(DecisionContext& context, ActiveRequest& request, const Replacement& replacement) -> std::optional<Placement>
 {
     auto* decode = findReplica(context.state, replacement.decode);
-    if (!decode || decode->description.state != ReplicaState::Live || decode->pausedUntil > context.now || !mayDecodeAt(request, *decode))
+    if (!decode || decode->description.state != ReplicaState::Live || decode->pausedUntil > context.now || !mayDecodeAt(context, request, *decode))
         return std::nullopt;
     Placement placement { nullptr, decode, true, &replacement };
     if (replacement.hasPrefill)
