--- a/src/RequestHistory.cpp
+++ b/src/RequestHistory.cpp
@@ -24,12 +24,13 @@
     std::string_view text;
 };
 
-constexpr std::array<RefusalCause, 14> refusalCauses { {
+constexpr std::array<RefusalCause, 15> refusalCauses { {
     { "overloaded", "it could not have been served by its deadline, given the work before it" },
     { "queue_full", "its customer had too many requests waiting" },
     { "no_backend", "no backend server could be reached, or all were busy" },
     { "too_large", "it needs more memory than any backend server has" },
     { "deadline_exceeded", "its deadline passed" },
+    { "version_gone", "no decode engine of the software version that began the stream is left" },
     { "retries_exhausted", "its attempts failed, and no more are allowed" },
     { "crash_suspect", "backend servers that ran it crashed, at this or another instance" },
     { "draining", "the instance was shutting down" },
