Add the state machine of the software versions of streams

A caller that takes a stream up at an instance which did not begin it can be given events of another software version. The instances have to find the version in the store, and a write for each stream would be too expensive.

StreamVersionState is the state of a service in the store: the version of all streams without a record, if there is one. StreamVersionView decides when it changes and which new streams need a record. StreamRecordTable holds the records of an instance, StreamTakeUp finds the version of a stream. All are pure; no driver uses them yet.

Evidence: StreamVersionPropertyTest draws sequences of streams, kills, outages, lost answers, restores and releases for three instances.

Known limit: an instance that is cut off from the store, but not from servers, for longer than a whole release may begin streams of the old default without a record.

--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -2,6 +2,7 @@
   UNITS BackendDirectory BackendLimits BackendPauses BackOff BlockedParts BlockedPartsWriter CallRateLimiter CallLimitFormat ClusterCore ClusterDocuments ClusterGossip ClusterNode ConfigurationApply CrashSuspect
     DirectoryUpdate GossipMessage InstanceCount InstanceList Lease LeaseManager LoadExchange LoadMessage Membership MembershipOwners MembershipTargets OrderFence PeerLoads PlatformStore PromptReport
     RecordDriver RecordMessages RecordPartition RecordRules RecordService RecordTable Rendezvous JitteredDelay StoreConnection StoreDirectory StoreDirectoryBlockedParts StoreDirectoryHistory StoreDirectoryUpdates
+    StreamRecordTable StreamTakeUp StreamVersionList StreamVersionState StreamVersionView
     VersionedCopy WatcherElection
   LINK jayhold_http jayhold_operator)
 
@@ -23,6 +24,15 @@
   set_tests_properties(restored_store_test PROPERTIES ENVIRONMENT "RC_PARAMS=${JAYHOLD_RC_PARAMS} max_success=30")
 endif()
 
+jayhold_test(stream_version_test
+  SOURCES test/correctness/StreamVersionTest.cpp test/correctness/StreamVersionPropertyTest.cpp test/StreamVersionModel.cpp
+  LINK jayhold_cluster)
+
+if(JAYHOLD_TESTS)
+  # Streams are joined only after rare sequences.
+  set_tests_properties(stream_version_test PROPERTIES ENVIRONMENT "RC_PARAMS=${JAYHOLD_RC_PARAMS} max_success=2000")
+endif()
+
 jayhold_test(cluster_record_test
   SOURCES test/correctness/RecordPartitionTest.cpp test/RecordSimulation.cpp
   LINK jayhold_cluster)
--- /dev/null
+++ b/src/StreamRecordTable.h
@@ -0,0 +1,70 @@
+#pragma once
+
+/// The records of streams that began at one instance, with their software versions. They are written together as one
+/// object of the store; several new ones share a write.
+
+#include "StreamRecord.h"
+#include "Time.h"
+
+#include <boost/json/value.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jayhold {
+
+struct StreamRecordTable {
+    struct Entry {
+        StreamRecord record;
+        TimePoint expiresAt {};
+        /// Number of the change that added or corrected the record.
+        std::uint64_t change = 0;
+    };
+
+    /// By id of the caller's request.
+    std::map<std::string, Entry> entries;
+    /// Number of the last change.
+    std::uint64_t lastChange = 0;
+    /// The store contains the changes up to this one.
+    std::uint64_t storedChange = 0;
+    /// Revision of the stored object, 0 if there is none.
+    std::int64_t revision = 0;
+};
+
+/// Adds a record, or corrects the version of a known one.
+/// @return the number of the change that has to be stored; that of the earlier one if nothing has changed.
+auto addRecord(StreamRecordTable& table, const std::string& request, StreamRecord record, TimePoint expiresAt) -> std::uint64_t;
+
+/// @return the record of a request, or null.
+auto findRecord(const StreamRecordTable& table, const std::string& request) -> const StreamRecord*;
+
+/// @return whether the store contains a change.
+auto isStored(const StreamRecordTable& table, std::uint64_t change) -> bool;
+
+/// @return whether the store lacks a change.
+auto needsWrite(const StreamRecordTable& table) -> bool;
+
+/// Records that the store contains the changes up to one.
+/// @param revision revision of the written object.
+auto confirmWrite(StreamRecordTable& table, std::uint64_t change, std::int64_t revision) -> void;
+
+/// Records the object in the store. Unknown records of it, of an earlier run of the instance, are kept and have to be
+/// written again with the next change.
+auto mergeStored(StreamRecordTable& table, const std::map<std::string, StreamRecord>& stored, std::int64_t revision, TimePoint expiresAt) -> void;
+
+/// Records that a restore of the store may have lost records.
+auto loseStored(StreamRecordTable& table) -> void;
+
+/// Removes records of streams that have ended.
+auto removeExpired(StreamRecordTable& table, TimePoint now) -> void;
+
+/// @return the value of the object in the store.
+auto streamRecordsToJson(const StreamRecordTable& table) -> boost::json::value;
+
+/// @return the records by id of the request, or nothing if the value is not a list of records.
+auto streamRecordsFromJson(const boost::json::value& value) -> std::optional<std::map<std::string, StreamRecord>>;
+
+}
--- /dev/null
+++ b/test/StreamVersionModel.cpp
@@ -0,0 +1,266 @@
+#include "StreamVersionModel.h"
+
+#include <algorithm>
+
+namespace jayhold {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t servers = 4;
+/// Servers write their entries at least this often.
+constexpr auto heartbeat = 3s;
+constexpr int percent = 100;
+/// Chances in percent, for each tick and instance.
+constexpr int listChance = 80;
+constexpr int stateChance = 60;
+constexpr int recordChance = 80;
+constexpr int lowestWriteChance = 80;
+constexpr int otherWriteChance = 15;
+constexpr int lostAnswerChance = 10;
+constexpr int otherServerChance = 15;
+
+}
+
+StreamVersionModel::StreamVersionModel(std::size_t instances, std::function<int(int)> random, const std::string& version)
+    : m_random(std::move(random))
+    , m_servers(servers, Server { version })
+    , m_instances(instances)
+{
+    registerServers();
+    m_copy = m_store;
+    for (std::size_t index = 0; index < instances; ++index) {
+        m_instances[index].name = "entry-" + std::to_string(index);
+        load(m_instances[index]);
+    }
+}
+
+auto StreamVersionModel::registerServers() -> void
+{
+    for (std::size_t index = 0; index < m_servers.size(); ++index) {
+        auto& server = m_servers[index];
+        if (m_isDown || m_now < server.nextWrite)
+            continue;
+        server.nextWrite = m_now + std::chrono::milliseconds(m_random(std::chrono::milliseconds(heartbeat).count()));
+        server.isRegistered = true;
+        auto& entry = m_store.servers[index];
+        if (entry != server.version)
+            ++m_store.revision;
+        entry = server.version;
+    }
+}
+
+auto StreamVersionModel::list() const -> StreamVersionList
+{
+    StreamVersionList list { .revision = m_store.revision };
+    if (m_store.state.epoch > 0)
+        list.states["llm"] = m_store.state;
+    for (const auto& [instance, records] : m_store.records)
+        list.records.insert(records.begin(), records.end());
+    return list;
+}
+
+auto StreamVersionModel::load(Instance& instance) -> void
+{
+    if (!reaches(instance))
+        return;
+    updateHistory(instance.view, m_now, m_history);
+    updateState(instance.view, m_now, m_store.state);
+    mergeStored(instance.table, m_store.records[instance.name], 1, m_now + instance.view.times.streamLifetime);
+    instance.view.availableSince = m_now;
+    instance.servers = m_store.servers;
+    instance.serversRevision = m_store.revision;
+    std::set<std::string> versions;
+    for (const auto& [index, version] : instance.servers)
+        versions.insert(version);
+    updateListedVersions(instance.view, m_now, versions);
+    instance.isLoaded = true;
+}
+
+auto StreamVersionModel::work(Instance& instance, bool isFirst) -> void
+{
+    if (!instance.isLoaded) {
+        load(instance);
+        return;
+    }
+    removeExpired(instance.table, m_now);
+    if (m_random(percent) >= listChance)
+        return;
+    updateAvailability(instance.view, m_now, reaches(instance));
+    if (!reaches(instance))
+        return;
+    if (m_history > instance.view.history) {
+        updateHistory(instance.view, m_now, m_history);
+        loseStored(instance.table);
+    }
+    instance.servers = m_store.servers;
+    instance.serversRevision = m_store.revision;
+    std::set<std::string> versions;
+    for (const auto& [index, version] : instance.servers)
+        versions.insert(version);
+    updateListedVersions(instance.view, m_now, versions);
+    if (m_random(percent) < stateChance)
+        updateState(instance.view, m_now, m_store.state);
+    if (dueState(instance.view, m_now) && m_random(percent) < (isFirst ? lowestWriteChance : otherWriteChance))
+        writeState(instance);
+    if (needsWrite(instance.table) && m_random(percent) < recordChance)
+        writeRecords(instance);
+}
+
+auto StreamVersionModel::writeState(Instance& instance) -> void
+{
+    updateState(instance.view, m_now, m_store.state);
+    const auto due = dueState(instance.view, m_now);
+    if (!due)
+        return;
+    m_store.state = *due;
+    ++m_store.revision;
+    ++m_stateWrites;
+    if (m_random(percent) >= lostAnswerChance)
+        updateState(instance.view, m_now, *due);
+}
+
+auto StreamVersionModel::writeRecords(Instance& instance) -> void
+{
+    const auto change = instance.table.lastChange;
+    m_store.records[instance.name] = *streamRecordsFromJson(streamRecordsToJson(instance.table));
+    ++m_writes;
+    if (m_random(percent) >= lostAnswerChance)
+        confirmWrite(instance.table, change, 1);
+}
+
+auto StreamVersionModel::tick() -> void
+{
+    m_now += tickTime;
+    registerServers();
+    for (std::size_t index = 0; index < m_instances.size(); ++index)
+        work(m_instances[index], index == 0);
+    sendFirstEvents();
+    std::erase_if(m_streams, [&](const Stream& stream) { return stream.endsAt <= m_now; });
+}
+
+auto StreamVersionModel::run(Duration time) -> void
+{
+    for (auto end = m_now + time; m_now < end;)
+        tick();
+}
+
+auto StreamVersionModel::begin() -> void
+{
+    const auto index = static_cast<std::size_t>(m_random(static_cast<int>(m_instances.size())));
+    auto& instance = m_instances[index];
+    // A request to a server that has another version than this instance knows is rejected.
+    std::vector<std::string> usable;
+    for (const auto& [server, version] : instance.servers) {
+        if (m_servers[server].version == version)
+            usable.push_back(version);
+    }
+    if (!instance.isLoaded || usable.empty())
+        return;
+    const auto anyVersion = [&] { return usable[static_cast<std::size_t>(m_random(static_cast<int>(usable.size())))]; };
+    const auto request = "request-" + std::to_string(++m_requests);
+    auto version = anyVersion();
+    const auto record = [&]() -> std::uint64_t {
+        if (recordNeed(instance.view, instance.table, m_now, request, version) == RecordNeed::None)
+            return 0;
+        return addRecord(instance.table, request, { "llm", version }, m_now + instance.view.times.streamLifetime);
+    };
+    auto change = record();
+    if (m_random(percent) < otherServerChance) {
+        version = anyVersion();
+        change = record();
+    }
+    m_waiting.push_back({ request, index, version, change, m_now + callerTime });
+    sendFirstEvents();
+}
+
+auto StreamVersionModel::sendFirstEvents() -> void
+{
+    std::erase_if(m_waiting, [&](Waiting& waiting) {
+        if (m_now >= waiting.endsAt)
+            return true;
+        auto& instance = m_instances[waiting.instance];
+        const auto need = recordNeed(instance.view, instance.table, m_now, waiting.request, waiting.version);
+        const auto isWritten = waiting.change > 0 && isStored(instance.table, waiting.change);
+        // A request whose record was not needed when it began is recorded when that has changed.
+        if (need != RecordNeed::None && waiting.change == 0)
+            waiting.change = addRecord(instance.table, waiting.request, { "llm", waiting.version }, m_now + instance.view.times.streamLifetime);
+        const auto maySend = need == RecordNeed::None || isWritten || (need == RecordNeed::Bounded && waiting.hasWaited);
+        waiting.hasWaited = true;
+        if (!maySend)
+            return false;
+        m_streams.push_back({ waiting.request, waiting.version, waiting.endsAt });
+        instance.memory[waiting.request] = waiting.version;
+        return true;
+    });
+}
+
+auto StreamVersionModel::isBehind(const Instance& instance) const -> bool
+{
+    return std::ranges::any_of(m_instances, [&](const Instance& peer) { return peer.serversRevision > instance.serversRevision; });
+}
+
+auto StreamVersionModel::takeUp() -> void
+{
+    auto& instance = m_instances[static_cast<std::size_t>(m_random(static_cast<int>(m_instances.size())))];
+    if (m_streams.empty() || !instance.isLoaded)
+        return;
+    const auto& stream = m_streams[static_cast<std::size_t>(m_random(static_cast<int>(m_streams.size())))];
+    std::optional<std::string> version;
+    if (const auto known = instance.memory.find(stream.request); known != instance.memory.end()) {
+        version = known->second;
+    } else if (reaches(instance)) {
+        if (m_history > instance.view.history) {
+            updateHistory(instance.view, m_now, m_history);
+            loseStored(instance.table);
+        }
+        updateState(instance.view, m_now, m_store.state);
+        version = findStreamVersion(instance.view, list(), "llm", stream.request).version;
+    } else {
+        version = findStreamVersionWithoutStore(instance.view, m_now, isBehind(instance)).version;
+    }
+    ++m_takeUps;
+    if (!version)
+        return;
+    ++m_found;
+    m_joined += *version != stream.version;
+    instance.memory[stream.request] = *version;
+}
+
+auto StreamVersionModel::kill(std::size_t instance) -> void
+{
+    std::erase_if(m_waiting, [&](const Waiting& waiting) { return waiting.instance == instance; });
+    auto& killed = m_instances[instance];
+    Instance next;
+    next.name = killed.name;
+    next.isCutOff = killed.isCutOff;
+    killed = std::move(next);
+    load(killed);
+}
+
+auto StreamVersionModel::killAll() -> void
+{
+    for (std::size_t index = 0; index < m_instances.size(); ++index)
+        kill(index);
+}
+
+auto StreamVersionModel::restartServer(std::size_t server, const std::string& version) -> void
+{
+    // A server writes its entry before it takes requests. While the store is away none can start.
+    if (m_isDown)
+        return;
+    m_servers[server] = { version, m_now };
+    registerServers();
+}
+
+auto StreamVersionModel::restore() -> void
+{
+    const auto revision = m_store.revision;
+    m_store = m_copy;
+    // Revisions of a later history are greater.
+    m_store.revision = revision + 1;
+    ++m_history;
+}
+
+}
