Add the driver that records the software versions of streams

StreamVersions runs the state machine of stream versions over the platform's store: it reads the objects once before the instance is ready, writes the records of new streams with one call in flight, changes the states of services, and looks up streams that callers take up, with one list for all that wait. It is not used by the router yet.

A stream at a default that is being given up waits for its record for a limited time only: without one it is attributed to that version, and later to none. The last expired record is removed from the store, so that the next process does not keep it.

--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -2,7 +2,7 @@
   UNITS BackendDirectory BackendLimits BackendPauses BackOff BlockedParts BlockedPartsWriter CallRateLimiter CallLimitFormat ClusterCore ClusterDocuments ClusterGossip ClusterNode ConfigurationApply CrashSuspect
     DirectoryUpdate GossipMessage InstanceCount InstanceList Lease LeaseManager LoadExchange LoadMessage Membership MembershipOwners MembershipTargets OrderFence PeerLoads PlatformStore PromptReport
     RecordDriver RecordMessages RecordPartition RecordRules RecordService RecordTable Rendezvous JitteredDelay StoreConnection StoreDirectory StoreDirectoryBlockedParts StoreDirectoryHistory StoreDirectoryUpdates
-    StreamRecordTable StreamTakeUp StreamVersionList StreamVersionState StreamVersionView
+    StreamRecordTable StreamTakeUp StreamVersionList StreamVersions StreamVersionsStore StreamVersionState StreamVersionView
     VersionedCopy WatcherElection
   LINK jayhold_http jayhold_operator)
 
@@ -25,7 +25,11 @@
 endif()
 
 jayhold_test(stream_version_test
-  SOURCES test/correctness/StreamVersionTest.cpp test/correctness/StreamVersionPropertyTest.cpp test/StreamVersionModel.cpp
+  SOURCES test/correctness/StreamVersionViewTest.cpp test/correctness/StreamVersionPropertyTest.cpp test/StreamVersionModel.cpp
+  LINK jayhold_cluster)
+
+jayhold_test(stream_versions_test
+  SOURCES test/correctness/StreamVersionsTest.cpp
   LINK jayhold_cluster)
 
 if(JAYHOLD_TESTS)
--- a/src/StreamRecordTable.cpp
+++ b/src/StreamRecordTable.cpp
@@ -62,7 +62,10 @@
 
 auto removeExpired(StreamRecordTable& table, TimePoint now) -> void
 {
-    std::erase_if(table.entries, [&](const auto& entry) { return entry.second.expiresAt <= now; });
+    const auto removed = std::erase_if(table.entries, [&](const auto& entry) { return entry.second.expiresAt <= now; });
+    // The next run of the instance would keep the records that the store still contains.
+    if (removed > 0 && table.entries.empty())
+        ++table.lastChange;
 }
 
 auto streamRecordsToJson(const StreamRecordTable& table) -> json::value
--- a/src/StreamRecordTable.h
+++ b/src/StreamRecordTable.h
@@ -58,7 +58,7 @@
 /// Records that a restore of the store may have lost records.
 auto loseStored(StreamRecordTable& table) -> void;
 
-/// Removes records of streams that have ended.
+/// Removes records of streams that have ended. The store is told when the last one has.
 auto removeExpired(StreamRecordTable& table, TimePoint now) -> void;
 
 /// @return the value of the object in the store.
--- a/src/StreamVersionView.cpp
+++ b/src/StreamVersionView.cpp
@@ -108,8 +108,12 @@
 {
     if (!view.isRead || view.state.epoch == 0)
         return RecordNeed::Strict;
-    if (const auto known = versionWithoutRecord(view))
-        return *known == version && !view.state.isClosing ? RecordNeed::None : RecordNeed::Strict;
+    const auto known = versionWithoutRecord(view);
+    if (known && *known != version)
+        return RecordNeed::Strict;
+    // A stream of a default that is given up has its version as long as the default counts, and none afterwards.
+    if (known)
+        return view.state.isClosing ? RecordNeed::Bounded : RecordNeed::None;
     // Another instance may have made another version the default until it knows of this one.
     const auto listed = view.listed.find(std::string(version));
     const auto isKnownToAll = listed != view.listed.end() && now - listed->second >= view.times.spreadTime;
