Take up streams only at the software version that began them

What callers saw: a stream that broke off and was taken up at another instance, or at one that had started again, went on with the events of another software version.

Cause: a request with Last-Event-Id was a new request to the instance that got it. Nothing read Resumes, and what began a stream was known only to the instance that had served it.

The router now uses StreamVersions. ForwardApi looks up the version of a stream that is taken up and binds the request to it; if it is unknown, the request is refused as not run (version_unknown) before it reaches the shard. ModelRequest starts to record the version when the decode engine is chosen, and waits for the store before it reads the first event, in a part of the task that an interruption ends; the wait does not count as the engine's silence. While the store is away, new streams are bound to the version that needs no record if it has live decode engines and others are listed. An instance is ready when it has read the versions.

Evidence: StreamVersionRouterTest, two versions, the router ends after the first event and starts again.

Ruled out: a wait within DecodeRelay. It would have to be interrupted there as well, and no event is read before the record is in the store either way.

--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -3,7 +3,7 @@
     CompletionRequest CompletionWriter ConfigurationIndex ConnectionLog DecodeRelay EngineClient EngineError EngineMessages
     EngineMonitor EntryDaemon EntryDaemonDrain EntrySettings ForwardApi ForwardChecks OrphanDetector LatencyHistogram LostOwners
     Metrics ModelRequest ModelRequestLog ModelRequestReservations ModelRequestTasks ModelRequestVersion RequestTimeouts ModelService ModelServiceReplicas ModelServiceTimer NativeProtocols PassThroughReader PassThroughWriter PlainBalancer PlainRoute
-    PlainService PlainServiceAttempts PlainServiceLog PromptDigest RequestStateMachine RoleBalancer RouteTable RouterDaemon ServiceTable ServiceTablePauses StatusReport TokenEventReader
+    PlainService PlainServiceAttempts PlainServiceLog PromptDigest RequestStateMachine RoleBalancer RouterHttpSettings RouterSamples RouteTable RouterDaemon ServiceTable ServiceTablePauses StatusReport TokenEventReader
     TokenSequence
   LINK jayhold_cluster jayhold_decision jayhold_operator jayhold_http)
 
--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -12,6 +12,10 @@
     test/correctness/StoreHistoryTest.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
+jayhold_test(stream_version_router_test
+  SOURCES test/correctness/StreamVersionRouterTest.cpp test/FakeObjectStore.cpp
+  LINK jayhold_platform)
+
 jayhold_test(retry_budget_test
   SOURCES test/correctness/FleetRetryTest.cpp test/correctness/ResendTest.cpp test/correctness/RetryBudgetTest.cpp
   LINK jayhold_platform)
--- a/src/EntryContext.h
+++ b/src/EntryContext.h
@@ -16,11 +16,14 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
 namespace jayhold {
 
+class StreamVersions;
+
 struct EntryContext {
     const EntrySettings& settings;
     IoThreads& threads;
@@ -53,6 +56,8 @@
     std::function<void(const BackendServer&)> reportReturned = [](const BackendServer&) {};
     /// Reports a backend server that announced that it is leaving to the peers.
     std::function<void(std::string_view)> reportLeaving = [](std::string_view) {};
+    /// Knows the software versions of streams; null if a stream may go on at any version.
+    std::shared_ptr<StreamVersions> streamVersions;
     const CallerProtocol& callerProtocol = nativeCallerProtocol();
     const BackendProtocol& backendProtocol = nativeBackendProtocol();
 };
--- a/src/ForwardApi.cpp
+++ b/src/ForwardApi.cpp
@@ -3,6 +3,7 @@
 #include "JitteredDelay.h"
 #include "ModelRequest.h"
 #include "OpenRequestGuard.h"
+#include "StreamVersions.h"
 
 namespace jayhold {
 
@@ -56,6 +57,10 @@
             co_await refuse(exchange, completion->info.forwarded->requestId, removed);
             co_return;
         }
+        if (const auto unknown = co_await bindToVersion(completion->service, completion->info)) {
+            co_await refuse(exchange, completion->info.forwarded->requestId, *unknown);
+            co_return;
+        }
         const auto request = std::make_shared<ModelRequest>(m_context, std::move(service), exchange, std::move(completion->info));
         co_await request->run();
         co_return;
@@ -68,6 +73,25 @@
         co_await refuse(exchange, call.info.requestId, removed);
 }
 
+auto ForwardApi::bindToVersion(const std::string& service, ModelRequestInfo& info) -> asio::awaitable<std::optional<ApiError>>
+{
+    const auto versions = m_context.streamVersions;
+    if (!versions || !info.kindSettings.repeatable)
+        co_return std::nullopt;
+    if (!info.forwarded->lastToken) {
+        info.boundVersion = versions->versionWithoutStore(service);
+        co_return std::nullopt;
+    }
+    const auto answer = co_await versions->find(service, info.forwarded->resumedRequest);
+    if (!answer)
+        co_return std::nullopt;
+    info.boundVersion = answer->version;
+    if (info.boundVersion)
+        co_return std::nullopt;
+    const auto retryDelay = answer->isStoreAway ? jitteredDelay(refusalRetryDelay) : Duration::zero();
+    co_return ApiError(503, "version_unknown", "the software version that began the stream is not known", ExecutionOutcome::NotRun, retryDelay);
+}
+
 auto ForwardApi::refuse(HttpExchange& exchange, std::string_view requestId, const ApiError& error) -> asio::awaitable<void>
 {
     m_context.metrics.countRefusal(error.type);
--- a/src/ForwardApi.h
+++ b/src/ForwardApi.h
@@ -19,6 +19,10 @@
 
 private:
     auto serve(HttpExchange& exchange, CheckedForward checked) -> boost::asio::awaitable<void>;
+    /// Finds the software version at which the request has to run: that of the stream that it takes up, or that of streams
+    /// without a record while they can't be recorded.
+    /// @return the refusal if the version of the stream is unknown.
+    auto bindToVersion(const std::string& service, ModelRequestInfo& info) -> boost::asio::awaitable<std::optional<ApiError>>;
     auto refuse(HttpExchange& exchange, std::string_view requestId, const ApiError& error) -> boost::asio::awaitable<void>;
 
     EntryContext& m_context;
--- a/src/ForwardedCall.h
+++ b/src/ForwardedCall.h
@@ -34,6 +34,9 @@
     /// Index of the last token that the caller received of an interrupted response, which this request
     /// resumes.
     std::optional<std::uint32_t> lastToken;
+    /// Id of the request that brought the first event of the response that this request resumes; empty if the caller does
+    /// not name it.
+    std::string resumedRequest;
     /// The request for the backend server, without the header fields that concern one connection or one
     /// hop.
     HttpRequest request;
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -236,6 +236,7 @@
     const auto queueTime = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - m_info.arrivedAt);
     recordDecision(m_slotRefusals == 0 ? LogLevel::Info : LogLevel::Debug, "request_placed", { { "decode_backend", decode ? decode->backend.id : "" }, { "software_version", decode ? decode->backend.softwareVersion : "" }, { "bound", m_boundVersion.has_value() }, { "bound_version", boundVersionText() }, { "decode_tokens", action.decodeTokens }, { "prompt_tokens", m_info.digest.tokens }, { "waited_ms", queueTime.count() } });
     record(LogLevel::Debug, "prefill_started");
+    announceVersion(decode);
     auto call = engineCall();
     call.mayResend = [this] { return tryConsumeResend(); };
     const auto task = ++m_tasks->lastTask;
@@ -288,6 +289,7 @@
     }
     m_hasStartedAttempt = true;
     m_backend = replica->backend.id;
+    announceVersion(replica);
     auto call = engineCall();
     call.maxTokens = m_info.request.maxTokens;
     if (m_info.kindSettings.repeatable)
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -103,6 +103,13 @@
     auto reportBinding() -> void;
     /// @return the error if the request is bound to another version than the replica's, so that the call must not be sent.
     auto checkVersion(const ReplicaStatus& replica) -> std::optional<EngineError>;
+    /// Starts to record the version of a new stream that is to begin at the replica, if that is needed.
+    auto announceVersion(const std::optional<ReplicaStatus>& replica) -> void;
+    /// Waits until the first event of a new stream may be sent to the caller.
+    /// @return whether it may be sent; false if the attempt was interrupted.
+    auto waitForRecord(std::string version) -> boost::asio::awaitable<bool>;
+    /// @return whether the caller may take the response up later.
+    auto canBeTakenUp() const -> bool;
     /// @return the version to which the request is bound, or nothing, for the log.
     auto boundVersionText() const -> std::string;
     auto recordSlotRefusal(const EngineError& error) -> void;
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -26,6 +26,7 @@
     m_tasks->calledAt = monotonicNow();
     m_tasks->tokensAtCall = m_relay.tokens();
     m_tasks->isSilenceLogged = false;
+    m_tasks->isWaitingForRecord = false;
     watchSilence(silenceEnd());
     auto onEnd = [self = shared_from_this(), task = m_tasks->lastTask, isPrefill](const std::exception_ptr& thrown) {
         self->m_tasks->isRunning = false;
@@ -64,6 +65,10 @@
     if (!m_tasks->isRunning)
         return;
     const auto now = monotonicNow();
+    if (m_tasks->isWaitingForRecord) {
+        watchSilence(now + silenceCheckInterval);
+        return;
+    }
     if (now < silenceEnd()) {
         watchSilence(silenceEnd());
         // Tokens are reported in batches; an engine that goes on after a pause is reported at once.
@@ -209,6 +214,14 @@
     if (task != m_tasks->lastTask)
         co_return;
     m_isPrefillFetched = m_isPrefillFetched || usesPrefill;
+    // Another process that takes the stream up must find its version. An interruption ends the wait as long as the task
+    // has no stream.
+    const auto maySend = co_await waitForRecord(replica.backend.softwareVersion);
+    if (!maySend || task != m_tasks->lastTask) {
+        (*stream)->close();
+        enqueue(DecodeEnded { task, { EngineError { FailureKind::ConnectionLost, "the attempt was interrupted" } } });
+        co_return;
+    }
     m_writer->begin((*stream)->headers());
     m_tasks->stream = *stream;
     auto outcome = co_await relay(**stream, replica.backend.softwareVersion);
--- a/src/ModelRequestTasks.h
+++ b/src/ModelRequestTasks.h
@@ -39,6 +39,8 @@
     /// When the running task called its engine, and how many tokens the caller had then.
     TimePoint calledAt {};
     std::uint32_t tokensAtCall = 0;
+    /// Whether the running task waits for the store before it reads events; that is not the engine's silence.
+    bool isWaitingForRecord = false;
     /// Whether the silence of the running task is logged.
     bool isSilenceLogged = false;
     /// Interrupts a task that waits for an engine to start its response.
--- a/src/ModelRequestVersion.cpp
+++ b/src/ModelRequestVersion.cpp
@@ -1,4 +1,5 @@
-#include "ModelRequest.h"
+#include "ModelRequestTasks.h"
+#include "StreamVersions.h"
 
 #include <utility>
 
@@ -26,6 +27,29 @@
     return EngineError { FailureKind::OtherVersion, "the engine has another software version than the one that began the stream", nullptr };
 }
 
+auto ModelRequest::canBeTakenUp() const -> bool
+{
+    // A response that takes up another one is not taken up itself: the caller names the first one.
+    return m_context.streamVersions && m_info.kindSettings.repeatable && m_info.forwarded && !m_info.forwarded->lastToken;
+}
+
+auto ModelRequest::announceVersion(const std::optional<ReplicaStatus>& replica) -> void
+{
+    if (replica && canBeTakenUp() && !m_relay.hasSentTokens())
+        m_context.streamVersions->announce(m_service->name(), callerRequestId(), replica->backend.softwareVersion);
+}
+
+auto ModelRequest::waitForRecord(std::string version) -> boost::asio::awaitable<bool>
+{
+    if (!canBeTakenUp() || m_relay.hasSentTokens())
+        co_return true;
+    m_tasks->isWaitingForRecord = true;
+    const auto maySend = co_await m_context.streamVersions->waitForRecord(std::string(m_service->name()), callerRequestId(), std::move(version));
+    m_tasks->isWaitingForRecord = false;
+    m_tasks->calledAt = monotonicNow();
+    co_return maySend;
+}
+
 auto ModelRequest::boundVersionText() const -> std::string
 {
     return m_boundVersion.value_or("");
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -9,7 +9,10 @@
 #include "LoadExchange.h"
 #include "Pause.h"
 #include "RoleBalancer.h"
+#include "RouterHttpSettings.h"
+#include "RouterSamples.h"
 #include "ServiceTable.h"
+#include "StreamVersions.h"
 #include "Tasks.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -24,22 +27,6 @@
 
 namespace {
 
-/// Long enough to connect across zones when one packet is lost, and short enough to try another backend
-/// server within the first-token target.
-constexpr Duration connectTimeout = std::chrono::milliseconds(400);
-/// Detects an unresponsive backend server within the time after which a leaving backend server must get
-/// no more work.
-constexpr Duration backendTcpUserTimeout = std::chrono::seconds(2);
-/// Callers connect over links that lose packets, and they abandon a stream after a few seconds.
-constexpr Duration callerTcpUserTimeout = std::chrono::seconds(5);
-/// Upper bound on the idle timeout that backend servers announce for their connections.
-constexpr Duration backendIdleTimeout = std::chrono::seconds(20);
-/// All instances share the connection limit of a backend server: 450 connections for 65 instances on
-/// the largest site.
-constexpr std::size_t maxIdleConnectionsPerBackend = 4;
-/// Responses to plain calls and pages of the store's lists are held in memory. The smallest instances have
-/// 88 MB, and objects of the store at most 1 MB.
-constexpr std::size_t maxBufferedBodyBytes = 4U << 20U;
 /// Time for which a role change reported by a peer is assumed to be in progress. The peer that ordered
 /// the change repeats it in each load message while it lasts.
 constexpr Duration roleChangeTtl = std::chrono::seconds(2);
@@ -51,29 +38,6 @@
 /// Operators read the log lines on standard output, and no timeline is served from the ring buffer here.
 constexpr std::size_t eventLogCapacity = 256;
 
-auto clientSettings() -> HttpClientSettings
-{
-    HttpClientSettings settings;
-    settings.connectTimeout = connectTimeout;
-    settings.tcpUserTimeout = backendTcpUserTimeout;
-    settings.idleConnectionTimeout = backendIdleTimeout;
-    settings.maxIdlePerEndpoint = maxIdleConnectionsPerBackend;
-    settings.maxBodyBytes = maxBufferedBodyBytes;
-    return settings;
-}
-
-auto serverSettings(const HttpEndpoint& endpoint, const CallerLimits& limits) -> HttpServerSettings
-{
-    HttpServerSettings settings;
-    settings.endpoint = endpoint;
-    settings.maxHeaderBytes = static_cast<std::size_t>(limits.headerBytes);
-    settings.maxBodyBytes = static_cast<std::size_t>(limits.bodyBytes);
-    settings.readTimeout = limits.readTimeout;
-    settings.idleTimeout = limits.idleTimeout;
-    settings.tcpUserTimeout = callerTcpUserTimeout;
-    return settings;
-}
-
 /// Sets the service options that the platform's configuration doesn't contain.
 auto applyForwardingPolicy(Configuration& configuration) -> void
 {
@@ -85,19 +49,6 @@
     }
 }
 
-auto addStoreCalls(const StoreCallCounts& counts, std::vector<Metrics::Sample>& samples) -> void
-{
-    const std::pair<std::string_view, std::uint64_t> results[] = {
-        { "answered", counts.answered },
-        { "failed", counts.failed },
-        { "given_up", counts.cancelledByCaller },
-        { "held_back", counts.suppressedByBackOff },
-        { "over_budget", counts.overBudget },
-    };
-    for (const auto& [result, count] : results)
-        samples.push_back({ "jayhold_store_calls_total", "Calls to the store, by result; those held back or over budget were not sent.", static_cast<double>(count), true, "result", std::string(result) });
-}
-
 /// @return an identifier of this run of the instance. It includes a random number, because the system
 /// clock may be set back.
 auto uniqueRunId() -> std::string
@@ -152,10 +103,13 @@
                 callerServer->updateLimits(serverSettings(settings.listen, configuration.limits));
                 applyForwardingPolicy(configuration);
                 context.configurationVersion = configuration.version;
-                services.updateConfiguration(std::make_shared<const Configuration>(std::move(configuration))); },
+                services.updateConfiguration(std::make_shared<const Configuration>(std::move(configuration)));
+                updateListedVersions(); },
             .backends = [this](std::vector<BackendServer> backends) {
                 context.hasBackendList = !backends.empty();
-                services.updateBackends(std::move(backends)); },
+                listedServers = backends;
+                services.updateBackends(std::move(backends));
+                updateListedVersions(); },
             .instanceCount = [this](std::uint32_t count) { services.updateInstanceCount(count); },
             .instances = [this](const std::vector<std::string>& names) { services.updateInstances(names); },
             .peers = [this](const std::vector<PeerAddress>& peers) {
@@ -165,8 +119,13 @@
                 blockedPartsWriter->handleList(service, parts);
                 services.updateBlockedParts(service, std::move(parts)); },
             .lostBlockedParts = [this](const std::string& service, std::vector<ListedPart> parts) { blockedPartsWriter->restore(service, std::move(parts)); },
-            .onStoreAvailability = [this](std::optional<TimePoint> since) { context.storeUnavailableSince = since.value_or(TimePoint {}).time_since_epoch().count(); },
+            .onStoreAvailability = [this](std::optional<TimePoint> since) { 
+                context.storeUnavailableSince = since.value_or(TimePoint {}).time_since_epoch().count();
+                if (context.streamVersions)
+                    context.streamVersions->updateAvailability(!since); },
             .changed = [this](const std::string& kind, std::int64_t revision) {
+                if (context.streamVersions)
+                    context.streamVersions->handleApplied(kind == adapter.directory.backendKind, revision);
                 if (loadExchange)
                     loadExchange->advanceRevision(kind, revision); },
             .revisionRefuted = [this](const std::string& kind) {
@@ -178,6 +137,7 @@
             callbacks.publishToZone = [this](const DirectoryUpdate& update) { loadExchange->sendDirectoryUpdate(update); };
         }
         startBlockedPartsWriter();
+        startStreamVersions();
         DirectorySettings directorySettings { .instance = settings.instance, .availabilityZone = settings.availabilityZone, .maxPropagationDelay = settings.maxPropagationDelay };
         if (loadExchange)
             directorySettings.peerEndpoint = loadExchange->endpoint();
@@ -207,6 +167,8 @@
             .onPeerUsage = [this](const std::vector<BackendUsage>& usages) { services.updatePeerUsage(usages); },
             .backendsChangingRole = [this] { return roleBalancer ? roleBalancer->backendsChangingRole() : std::vector<std::string>(); },
             .onRevision = [this](const std::string& kind, std::int64_t revision) {
+                if (context.streamVersions)
+                    context.streamVersions->handlePeerRevision(kind, kind == adapter.directory.backendKind, revision);
                 if (directory)
                     directory->handlePeerRevision(kind, revision); },
             .onCrashSignature = [this](std::uint64_t signature) { services.handleCrashSignature(signature); },
@@ -240,6 +202,30 @@
         context.updateBlockedPart = [this](const std::string& service, const UpdateBlockedPart& change) { blockedPartsWriter->update(service, change); };
     }
 
+    auto startStreamVersions() -> void
+    {
+        const auto& kind = adapter.directory.streamVersionsKind;
+        if (kind.empty())
+            return;
+        StreamVersionsCallbacks callbacks {
+            .written = [this, kind](std::int64_t revision) {
+                if (loadExchange)
+                    loadExchange->advanceRevision(kind, revision); },
+            .isFirst = [this] { return !loadExchange || loadExchange->hasLowestName(); },
+        };
+        context.streamVersions = std::make_shared<StreamVersions>(threads, *adapter.store, kind, settings.instance, log, std::move(callbacks));
+        context.streamVersions->start();
+    }
+
+    auto updateListedVersions() -> void
+    {
+        const auto index = services.configurationIndex();
+        if (!index || !context.streamVersions)
+            return;
+        context.streamVersions->updateLifetimes(streamLifetimes(index->configuration()));
+        context.streamVersions->updateListed(listedVersions(index->configuration(), listedServers));
+    }
+
     auto startRoleBalancer() -> void
     {
         RoleBalancerSettings balancerSettings { .leaseKind = adapter.directory.leaseKind, .minOrderInterval = settings.minOrderInterval };
@@ -260,7 +246,7 @@
         }
     }
 
-    auto isReady() const -> bool { return !context.isDraining && context.hasBackendList && services.configurationIndex(); }
+    auto isReady() const -> bool { return !context.isDraining && context.hasBackendList && services.configurationIndex() && (!context.streamVersions || context.streamVersions->isReady()); }
 
     auto handleReadiness(HttpExchange& exchange) -> asio::awaitable<void>
     {
@@ -294,6 +280,8 @@
             { "jayhold_log_lines_left_out_total", "Log lines left out for their rate or because the output was not read.", static_cast<double>(log.droppedLines() + droppedLogLines()), true },
         };
         addStoreCalls(adapter.store->counts(), samples);
+        if (context.streamVersions)
+            addStreamVersions(context.streamVersions->counts(), samples);
         services.addSamples(samples);
         HttpResponse response { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, context.metrics.print(context.openRequests, samples) };
         co_await exchange.respond(std::move(response));
@@ -353,6 +341,8 @@
     std::shared_ptr<StoreDirectory> directory;
     std::shared_ptr<BlockedPartsWriter> blockedPartsWriter;
     std::shared_ptr<RoleBalancer> roleBalancer;
+    /// The last list of backend servers, used on the first I/O thread.
+    std::vector<BackendServer> listedServers;
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> readinessServer;
     std::unique_ptr<HttpServer> metricsServer;
--- /dev/null
+++ b/src/RouterHttpSettings.cpp
@@ -0,0 +1,49 @@
+#include "RouterHttpSettings.h"
+
+namespace jayhold {
+
+namespace {
+
+/// Long enough to connect across zones when one packet is lost, and short enough to try another backend
+/// server within the first-token target.
+constexpr Duration connectTimeout = std::chrono::milliseconds(400);
+/// Detects an unresponsive backend server within the time after which a leaving backend server must get
+/// no more work.
+constexpr Duration backendTcpUserTimeout = std::chrono::seconds(2);
+/// Callers connect over links that lose packets, and they abandon a stream after a few seconds.
+constexpr Duration callerTcpUserTimeout = std::chrono::seconds(5);
+/// Upper bound on the idle timeout that backend servers announce for their connections.
+constexpr Duration backendIdleTimeout = std::chrono::seconds(20);
+/// All instances share the connection limit of a backend server: 450 connections for 65 instances on
+/// the largest site.
+constexpr std::size_t maxIdleConnectionsPerBackend = 4;
+/// Responses to plain calls and pages of the store's lists are held in memory. The smallest instances have
+/// 88 MB, and objects of the store at most 1 MB.
+constexpr std::size_t maxBufferedBodyBytes = 4U << 20U;
+
+}
+
+auto clientSettings() -> HttpClientSettings
+{
+    HttpClientSettings settings;
+    settings.connectTimeout = connectTimeout;
+    settings.tcpUserTimeout = backendTcpUserTimeout;
+    settings.idleConnectionTimeout = backendIdleTimeout;
+    settings.maxIdlePerEndpoint = maxIdleConnectionsPerBackend;
+    settings.maxBodyBytes = maxBufferedBodyBytes;
+    return settings;
+}
+
+auto serverSettings(const HttpEndpoint& endpoint, const CallerLimits& limits) -> HttpServerSettings
+{
+    HttpServerSettings settings;
+    settings.endpoint = endpoint;
+    settings.maxHeaderBytes = static_cast<std::size_t>(limits.headerBytes);
+    settings.maxBodyBytes = static_cast<std::size_t>(limits.bodyBytes);
+    settings.readTimeout = limits.readTimeout;
+    settings.idleTimeout = limits.idleTimeout;
+    settings.tcpUserTimeout = callerTcpUserTimeout;
+    return settings;
+}
+
+}
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -36,6 +36,9 @@
     std::string leaseKind;
     /// Kind of the lists of blocked prompt parts, one object for each service; empty if there are none.
     std::string blockedPartsKind;
+    /// Kind of the software versions of streams, one object for each service and instance; empty if servers have none.
+    /// The directory does not read it.
+    std::string streamVersionsKind {};
     /// @return the configuration, or nothing if the object is not a configuration.
     std::function<std::optional<Configuration>(const StoredItem&)> readConfiguration;
     /// @return the backend server, or nothing if the object does not describe one.
--- a/src/StreamVersions.cpp
+++ b/src/StreamVersions.cpp
@@ -3,6 +3,9 @@
 #include "Pause.h"
 #include "StoreRevision.h"
 
+#include <boost/asio/cancellation_type.hpp>
+#include <boost/asio/this_coro.hpp>
+
 #include <algorithm>
 
 namespace jayhold {
@@ -91,18 +94,19 @@
     }
 }
 
-auto StreamVersions::updateListed(const std::map<std::string, std::set<std::string>>& versions) -> void
+auto StreamVersions::updateListed(const std::map<std::string, ListedVersions>& versions) -> void
 {
     const auto now = monotonicNow();
     {
         const std::lock_guard guard(m_lock);
         for (const auto& [service, listed] : versions) {
-            const auto namesVersion = std::ranges::any_of(listed, [](const std::string& version) { return !version.empty(); });
+            const auto namesVersion = std::ranges::any_of(listed.all, [](const std::string& version) { return !version.empty(); });
             if (!namesVersion && !m_views.contains(service))
                 continue;
             auto& view = viewOfLocked(service);
             const auto before = view.listedSince;
-            updateListedVersions(view, now, listed);
+            updateListedVersions(view, now, listed.all);
+            m_serving[service] = listed.serving;
             // Another instance may have changed the state for the same reason.
             if (view.listedSince != before && m_isReady)
                 m_listsWanted = std::max(m_listsWanted, m_listsStarted + 1);
@@ -198,7 +202,7 @@
     return maySend;
 }
 
-auto StreamVersions::waitForRecord(std::string service, std::string request, std::string version) -> asio::awaitable<void>
+auto StreamVersions::waitForRecord(std::string service, std::string request, std::string version) -> asio::awaitable<bool>
 {
     const auto self = shared_from_this();
     const auto begin = monotonicNow();
@@ -221,9 +225,12 @@
             m_log.record(LogLevel::Warning, "stream_record_late", { { "request", request }, { "service", service }, { "version", version }, { "sent_without", maySend && !isRecorded } });
         }
         if (maySend)
-            co_return;
+            co_return true;
         wake();
         co_await pause(nextPoll(waitedFor));
+        const auto cancellation = co_await asio::this_coro::cancellation_state;
+        if (cancellation.cancelled() != asio::cancellation_type::none)
+            co_return false;
     }
 }
 
@@ -293,8 +300,12 @@
 {
     const std::lock_guard guard(m_lock);
     const auto view = m_views.find(service);
-    const auto isAway = !m_isAvailable || m_hasWriteFailed;
-    return isAway && view != m_views.end() ? versionWithoutRecord(view->second) : std::nullopt;
+    if (view == m_views.end() || (m_isAvailable && !m_hasWriteFailed))
+        return std::nullopt;
+    const auto version = versionWithoutRecord(view->second);
+    const auto serving = m_serving.find(service);
+    const auto isServing = version && serving != m_serving.end() && serving->second.contains(*version);
+    return isServing && !isOnlyListed(view->second, *version) ? version : std::nullopt;
 }
 
 auto StreamVersions::counts() const -> StreamVersionCounts
--- a/src/StreamVersions.h
+++ b/src/StreamVersions.h
@@ -6,6 +6,7 @@
 
 #include "EventLog.h"
 #include "IoThreads.h"
+#include "ListedVersions.h"
 #include "ObjectStore.h"
 #include "StreamTakeUp.h"
 #include "StreamVersionCounts.h"
@@ -46,7 +47,7 @@
     auto updateLifetimes(const std::map<std::string, Duration>& lifetimes) -> void;
     /// Replaces the versions of the listed servers, by name of the service. A service has no versions as long as its
     /// servers name none. Thread-safe.
-    auto updateListed(const std::map<std::string, std::set<std::string>>& versions) -> void;
+    auto updateListed(const std::map<std::string, ListedVersions>& versions) -> void;
     auto updateAvailability(bool isAvailable) -> void;
     /// Records that changes of a kind of the store's objects have been applied here. Thread-safe.
     /// @param isServers whether the objects are the entries of the backend servers.
@@ -56,17 +57,19 @@
 
     /// Starts to record a new stream that will probably begin at a version, if it needs a record. Thread-safe.
     auto announce(const std::string& service, const std::string& request, const std::string& version) -> void;
-    /// Waits until the first event of a new stream may be sent to the caller. May run on any executor.
+    /// Waits until the first event of a new stream may be sent to the caller. May run on any executor, and can be
+    /// cancelled.
     /// @param version version of the server that has sent the event.
-    auto waitForRecord(std::string service, std::string request, std::string version) -> boost::asio::awaitable<void>;
+    /// @return whether it may be sent; false if the wait was cancelled.
+    auto waitForRecord(std::string service, std::string request, std::string version) -> boost::asio::awaitable<bool>;
 
     /// Finds the version of a stream that a caller takes up. May run on any executor.
     /// @param resumed id of the request that brought the first event; empty if the caller does not name it.
     /// @return nothing if the service has no versions, so that the stream may go on anywhere.
     auto find(std::string service, std::string resumed) -> boost::asio::awaitable<std::optional<StreamVersionAnswer>>;
 
-    /// @return the version at which new streams need no record, if the store is away and they can't be recorded.
-    /// Thread-safe.
+    /// @return the version at which new streams have to be placed, because the store is away and those at other listed
+    /// versions can't be recorded. Thread-safe.
     auto versionWithoutStore(const std::string& service) const -> std::optional<std::string>;
 
     auto counts() const -> StreamVersionCounts;
@@ -141,6 +144,8 @@
     mutable std::mutex m_lock;
     std::map<std::string, StreamVersionView> m_views;
     std::map<std::string, Duration> m_lifetimes;
+    /// Versions at which new streams of a service can begin.
+    std::map<std::string, std::set<std::string>> m_serving;
     StreamRecordTable m_table;
     /// Whether the revision of the stored records has to be read before they are written.
     bool m_mustReadRecords = false;
--- a/test/correctness/StreamVersionsTest.cpp
+++ b/test/correctness/StreamVersionsTest.cpp
@@ -71,20 +71,23 @@
     {
         log.setMinimumLevel(LogLevel::Error);
         versions->updateLifetimes({ { "llm", 2s } });
-        versions->updateListed({ { "llm", listed } });
+        list(listed);
         versions->start();
     }
     ~Process() { threads.stop(); }
     Process(const Process&) = delete;
     auto operator=(const Process&) -> Process& = delete;
 
+    /// Sets the versions of the listed servers, all of which are decode engines.
+    auto list(const std::set<std::string>& listed) -> void { versions->updateListed({ { "llm", { listed, listed } } }); }
+
     /// Waits until the first event of a stream may be sent.
     auto begin(const std::string& request, const std::string& version) -> void
     {
         versions->announce("llm", request, version);
         asio::co_spawn(threads.context(0), versions->waitForRecord("llm", request, version), asio::use_future).get();
     }
-    auto beginInBackground(const std::string& request, const std::string& version) -> std::future<void>
+    auto beginInBackground(const std::string& request, const std::string& version) -> std::future<bool>
     {
         return asio::co_spawn(threads.context(0), versions->waitForRecord("llm", request, version), asio::use_future);
     }
@@ -181,7 +184,7 @@
     REQUIRE(waitForEpoch(store, 1));
     REQUIRE(waitUntil([&] { return process.written == 1; }));
     process.store.isDown = true;
-    process.versions->updateListed({ { "llm", { "v1", "v2" } } });
+    process.list({ "v1", "v2" });
     process.begin("a", "v1");
     auto other = process.beginInBackground("b", "v2");
     CHECK(other.wait_for(600ms) == std::future_status::timeout);
