Know the versions of servers before streams can begin at them

What callers could see: an event of another version than the default that is sent without a record, in the time between the list of servers reaching the services and the versions; and a stream taken up anywhere while its service has no servers and no state.

Cause: the versions were updated after the services, and a service without versions counted as one whose servers have none.

The versions are updated first. Only a service that has servers, none of which has ever named a version, has none; otherwise the version is unknown, and a server with a version that is not listed yet makes the stream wait for its record. New records within 50 ms after a write share the next one, instead of 10 ms, which bounds the writes of an instance to 20 a second.

Evidence: by reading; StreamVersionsTest has a case for a service without servers and without a state.

--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -103,13 +103,14 @@
                 callerServer->updateLimits(serverSettings(settings.listen, configuration.limits));
                 applyForwardingPolicy(configuration);
                 context.configurationVersion = configuration.version;
-                services.updateConfiguration(std::make_shared<const Configuration>(std::move(configuration)));
-                updateListedVersions(); },
+                listedConfiguration = std::make_shared<const Configuration>(std::move(configuration));
+                updateListedVersions();
+                services.updateConfiguration(listedConfiguration); },
             .backends = [this](std::vector<BackendServer> backends) {
                 context.hasBackendList = !backends.empty();
                 listedServers = backends;
-                services.updateBackends(std::move(backends));
-                updateListedVersions(); },
+                updateListedVersions();
+                services.updateBackends(std::move(backends)); },
             .instanceCount = [this](std::uint32_t count) { services.updateInstanceCount(count); },
             .instances = [this](const std::vector<std::string>& names) { services.updateInstances(names); },
             .peers = [this](const std::vector<PeerAddress>& peers) {
@@ -219,11 +220,10 @@
 
     auto updateListedVersions() -> void
     {
-        const auto index = services.configurationIndex();
-        if (!index || !context.streamVersions)
+        if (!listedConfiguration || !context.streamVersions)
             return;
-        context.streamVersions->updateLifetimes(streamLifetimes(index->configuration()));
-        context.streamVersions->updateListed(listedVersions(index->configuration(), listedServers));
+        context.streamVersions->updateLifetimes(streamLifetimes(*listedConfiguration));
+        context.streamVersions->updateListed(listedVersions(*listedConfiguration, listedServers));
     }
 
     auto startRoleBalancer() -> void
@@ -341,7 +341,8 @@
     std::shared_ptr<StoreDirectory> directory;
     std::shared_ptr<BlockedPartsWriter> blockedPartsWriter;
     std::shared_ptr<RoleBalancer> roleBalancer;
-    /// The last list of backend servers, used on the first I/O thread.
+    /// The last configuration and list of backend servers, used on the first I/O thread.
+    std::shared_ptr<const Configuration> listedConfiguration;
     std::vector<BackendServer> listedServers;
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> readinessServer;
--- a/src/StreamVersions.cpp
+++ b/src/StreamVersions.cpp
@@ -80,6 +80,13 @@
     return view->second;
 }
 
+auto StreamVersions::viewOfVersionLocked(const std::string& service, const std::string& version) -> StreamVersionView*
+{
+    if (const auto view = m_views.find(service); view != m_views.end())
+        return &view->second;
+    return version.empty() ? nullptr : &viewOfLocked(service);
+}
+
 auto StreamVersions::updateLifetimes(const std::map<std::string, Duration>& lifetimes) -> void
 {
     const std::lock_guard guard(m_lock);
@@ -101,8 +108,12 @@
         const std::lock_guard guard(m_lock);
         for (const auto& [service, listed] : versions) {
             const auto namesVersion = std::ranges::any_of(listed.all, [](const std::string& version) { return !version.empty(); });
-            if (!namesVersion && !m_views.contains(service))
+            if (!namesVersion && !m_views.contains(service)) {
+                if (!listed.all.empty())
+                    m_unversioned.insert(service);
                 continue;
+            }
+            m_unversioned.erase(service);
             auto& view = viewOfLocked(service);
             const auto before = view.listedSince;
             updateListedVersions(view, now, listed.all);
@@ -180,21 +191,21 @@
 {
     {
         const std::lock_guard guard(m_lock);
-        const auto view = m_views.find(service);
-        if (view == m_views.end() || recordNeed(view->second, m_table, monotonicNow(), request, version) == RecordNeed::None)
+        const auto* view = viewOfVersionLocked(service, version);
+        if (!view || recordNeed(*view, m_table, monotonicNow(), request, version) == RecordNeed::None)
             return;
-        addRecordLocked(view->second, service, request, version);
+        addRecordLocked(*view, service, request, version);
     }
     wake();
 }
 
 auto StreamVersions::maySendLocked(const std::string& service, const std::string& request, const std::string& version, Duration waitedFor) -> bool
 {
-    const auto view = m_views.find(service);
-    if (view == m_views.end())
+    const auto* view = viewOfVersionLocked(service, version);
+    if (!view)
         return true;
-    const auto need = recordNeed(view->second, m_table, monotonicNow(), request, version);
-    const auto change = need == RecordNeed::None ? 0 : addRecordLocked(view->second, service, request, version);
+    const auto need = recordNeed(*view, m_table, monotonicNow(), request, version);
+    const auto change = need == RecordNeed::None ? 0 : addRecordLocked(*view, service, request, version);
     const auto isAway = !m_isAvailable || m_hasWriteFailed;
     const auto maySend = need == RecordNeed::None || isStored(m_table, change) || (need == RecordNeed::Bounded && (isAway || waitedFor >= boundedWait));
     if (maySend)
@@ -255,8 +266,9 @@
     std::uint64_t wanted = 0;
     {
         const std::lock_guard guard(m_lock);
-        if (!m_views.contains(service))
+        if (m_unversioned.contains(service))
             co_return std::nullopt;
+        viewOfLocked(service);
         answer = knownLocked(service, resumed);
         // A list that has already started may lack a record that was written since.
         wanted = m_listsStarted + 1;
--- a/src/StreamVersions.h
+++ b/src/StreamVersions.h
@@ -46,7 +46,7 @@
     /// Replaces the time within which the streams of each service may be taken up, by name of the service. Thread-safe.
     auto updateLifetimes(const std::map<std::string, Duration>& lifetimes) -> void;
     /// Replaces the versions of the listed servers, by name of the service. A service has no versions as long as its
-    /// servers name none. Thread-safe.
+    /// servers name none. Must be called before a stream can begin at a server that is new. Thread-safe.
     auto updateListed(const std::map<std::string, ListedVersions>& versions) -> void;
     auto updateAvailability(bool isAvailable) -> void;
     /// Records that changes of a kind of the store's objects have been applied here. Thread-safe.
@@ -89,6 +89,8 @@
     };
 
     // Members with the suffix Locked require the lock.
+    /// @return what is known of the service, or null if its servers have no versions.
+    auto viewOfVersionLocked(const std::string& service, const std::string& version) -> StreamVersionView*;
     auto viewOfLocked(const std::string& service) -> StreamVersionView&;
     auto updateHistoryLocked(std::int64_t revision) -> void;
     auto rememberLocked(const std::string& service, const std::string& request, const StreamVersionAnswer& answer) -> void;
@@ -144,6 +146,8 @@
     mutable std::mutex m_lock;
     std::map<std::string, StreamVersionView> m_views;
     std::map<std::string, Duration> m_lifetimes;
+    /// Services that have servers, none of which has ever named a version.
+    std::set<std::string> m_unversioned;
     /// Versions at which new streams of a service can begin.
     std::map<std::string, std::set<std::string>> m_serving;
     StreamRecordTable m_table;
--- a/src/StreamVersionsStore.cpp
+++ b/src/StreamVersionsStore.cpp
@@ -23,8 +23,8 @@
 constexpr Duration listInterval = std::chrono::milliseconds(50);
 /// Interval of the lists that are read because peers know a change.
 constexpr Duration peerReadInterval = std::chrono::seconds(1);
-/// New streams within this time share a write.
-constexpr Duration batchTime = std::chrono::milliseconds(10);
+/// New streams within this time after a write share the next one. Less than a prefill takes.
+constexpr Duration batchTime = std::chrono::milliseconds(50);
 constexpr Duration minRetryDelay = std::chrono::milliseconds(50);
 /// Limits the wait after the store has become available again. Streams wait for the write.
 constexpr Duration maxRetryDelay = std::chrono::milliseconds(300);
--- a/test/correctness/StreamVersionRouterTest.cpp
+++ b/test/correctness/StreamVersionRouterTest.cpp
@@ -4,12 +4,17 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+#include <future>
+#include <vector>
+
 using namespace jayhold;
 using namespace jayhold::test;
 namespace asio = boost::asio;
 
 namespace {
 
+constexpr int streamsTogether = 6;
 constexpr std::string_view firstAttempt = "first-attempt";
 
 /// A router whose engines have two software versions: decode-1 and prefill-1 the first, decode-2 and prefill-2 the other.
@@ -59,6 +64,21 @@
         return streamCall("/resumed/x", { { "Last-Event-Id", "1" }, { "Resumes", std::string(resumed) } });
     }
 
+    /// Begins streams at the same time, so that they are placed on several engines.
+    /// @return the number of complete responses.
+    auto beginTogether(int streams) -> int
+    {
+        std::vector<std::future<HttpResult<HttpResponse>>> responses;
+        for (int stream = 0; stream < streams; ++stream) {
+            HttpRequest request { "POST", "/resumed/x", { { "Host", "a.example" }, { "Request-Id", "new-" + std::to_string(++requests) }, { "Deadline-Ms", "1500" }, { "Model", "m" }, { "Token-Counts", "100,200" } }, "prompt" };
+            responses.push_back(asio::co_spawn(threads.context(0), threads.client(0).request(router->endpoint(), std::move(request), 5s), asio::use_future));
+        }
+        return static_cast<int>(std::ranges::count_if(responses, [](auto& response) {
+            const auto result = response.get();
+            return result.has_value() && result->status == 200;
+        }));
+    }
+
     /// @return whether a response is a refusal of a request that was sent to no engine.
     auto isRefused(const HttpResult<HttpResponse>& response, bool hasRetryDelay) const -> bool
     {
@@ -68,6 +88,22 @@
     FakeBackendServer prefill2 { threads, "prefill-2" };
 };
 
+/// A router in whose default version v1 streams begin without a record, and engines of version v2 that have just started.
+struct ReleaseFixture : VersionsFixture {
+    ReleaseFixture()
+    {
+        decode1.setTiming(0ms, 20ms);
+        decode2.setTiming(0ms, 20ms);
+        platform.remove("servers", "decode-2");
+        platform.remove("servers", "prefill-2");
+        startAndWait();
+        // The state of the service is created.
+        std::this_thread::sleep_for(500ms);
+        registerVersion(prefill2, "prefill", "v2");
+        registerVersion(decode2, "decode", "v2");
+    }
+};
+
 }
 
 // Guards against events of two software versions in one stream after all instances have lost their memory.
@@ -126,6 +162,40 @@
     CHECK(fixture.decode2.runs() == 0);
 }
 
+// Guards against streams that can't begin while the store is away although an engine of the default version has room.
+TEST_CASE("while the store is away streams begin at the default version")
+{
+    ReleaseFixture fixture;
+    REQUIRE(fixture.waitUntil([&] {
+        fixture.beginTogether(streamsTogether);
+        return fixture.decode2.runs() > 0;
+    }));
+    fixture.platform.setDown(true);
+    // Longer than the time until this instance notices.
+    std::this_thread::sleep_for(1s);
+    const auto runs = fixture.decode2.runs();
+    CHECK(fixture.beginTogether(streamsTogether) == streamsTogether);
+    CHECK(fixture.decode2.runs() == runs);
+}
+
+// Guards against events of a version that no other instance could find out, and against requests that outlast their
+// deadline.
+TEST_CASE("a stream of another version than the default that can't be recorded ends by its deadline")
+{
+    ReleaseFixture fixture;
+    fixture.platform.remove("servers", "decode-1");
+    REQUIRE(fixture.waitUntil([&] { return fixture.beginTogether(1) == 1 && fixture.decode2.runs() > 0; }));
+    fixture.platform.setDown(true);
+    std::this_thread::sleep_for(1s);
+    const auto sentAt = monotonicNow();
+    const auto response = fixture.streamCall("/resumed/x");
+    CHECK(response->status >= 500);
+    CHECK(response->body.find("data: ") == std::string::npos);
+    CHECK(monotonicNow() - sentAt < 3s);
+    fixture.platform.setDown(false);
+    CHECK(fixture.waitUntil([&] { return fixture.beginTogether(1) == 1; }));
+}
+
 // Guards against a guess at the version of a stream that nobody knows.
 TEST_CASE("a stream of unknown version is refused at once and sent to no engine")
 {
--- a/test/correctness/StreamVersionsTest.cpp
+++ b/test/correctness/StreamVersionsTest.cpp
@@ -280,6 +280,7 @@
     const auto lists = process.store.lists.load();
     std::vector<std::future<std::optional<StreamVersionAnswer>>> finds;
     constexpr int streams = 200;
+    finds.reserve(streams);
     for (int stream = 0; stream < streams; ++stream)
         finds.push_back(asio::co_spawn(process.threads.context(0), process.versions->find("llm", "request-" + std::to_string(stream)), asio::use_future));
     for (auto& find : finds)
@@ -298,3 +299,62 @@
     std::this_thread::sleep_for(300ms);
     CHECK(process.store.updates == 0);
 }
+
+// Guards against a stream of a service that has no servers just now and goes on at the next version that appears, and
+// against an event of a server whose version was not listed yet.
+TEST_CASE("a service without servers and without a state has no known version")
+{
+    RestorableStore store;
+    Process process(store, "entry-1", {});
+    REQUIRE(waitUntil([&] { return process.versions->isReady(); }));
+    CHECK_FALSE(process.find("a").version);
+    process.begin("b", "v1");
+    const auto records = streamRecordsFromJson(store.read(kind, streamRecordsName("entry-1")).value);
+    REQUIRE(records);
+    CHECK(records->contains("b"));
+}
+
+// Guards against an instance that goes by an old state although a peer has reported the change.
+TEST_CASE("a state that a peer has reported is read")
+{
+    RestorableStore store;
+    Process first(store, "entry-1", { "v1" });
+    REQUIRE(waitForEpoch(store, 1));
+    Process second(store, "entry-2", { "v1" });
+    REQUIRE(waitUntil([&] { return second.versions->isReady(); }));
+    first.list({ "v1", "v2" });
+    REQUIRE(waitForEpoch(store, 2));
+    const auto updates = second.store.updates.load();
+    second.versions->handlePeerRevision(kind, false, store.snapshot(kind).revision);
+    const auto lists = second.store.lists.load();
+    CHECK(waitUntil([&] { return second.store.lists > lists; }));
+    std::this_thread::sleep_for(50ms);
+    // The old version is recorded too now.
+    second.begin("a", "v1");
+    CHECK(second.store.updates == updates + 1);
+}
+
+// Guards against servers that do not count although streams may have begun at them.
+TEST_CASE("leaving servers and prefill engines count as listed, and live decode engines can begin streams")
+{
+    Configuration configuration;
+    Service service;
+    service.name = "llm";
+    service.type = ServiceType::Model;
+    service.pools = { { .name = "p", .role = PoolRole::Prefill }, { .name = "d", .role = PoolRole::Decode } };
+    RequestKind kindSettings;
+    kindSettings.repeatable = true;
+    kindSettings.deadline = 9s;
+    service.kinds = { kindSettings };
+    configuration.services = { service };
+    const std::vector<BackendServer> servers {
+        { .id = "1", .pool = "p", .softwareVersion = "v1" },
+        { .id = "2", .pool = "d", .state = ReplicaState::Leaving, .softwareVersion = "v2" },
+        { .id = "3", .pool = "d", .softwareVersion = "v3" },
+        { .id = "4", .pool = "other", .softwareVersion = "v4" },
+    };
+    const auto versions = listedVersions(configuration, servers);
+    CHECK(versions.at("llm").all == std::set<std::string> { "v1", "v2", "v3" });
+    CHECK(versions.at("llm").serving == std::set<std::string> { "v3" });
+    CHECK(streamLifetimes(configuration).at("llm") == 14s);
+}
