--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -25,7 +25,7 @@
 endif()
 
 jayhold_test(stream_version_test
-  SOURCES test/correctness/StreamVersionViewTest.cpp test/correctness/StreamVersionPropertyTest.cpp test/StreamVersionModel.cpp
+  SOURCES test/correctness/StreamVersionViewTest.cpp test/correctness/StreamTakeUpPropertyTest.cpp test/StreamVersionModel.cpp
   LINK jayhold_cluster)
 
 jayhold_test(stream_versions_test
