--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -32,7 +32,7 @@
 /// next attempt still needs the number of tokens that the caller has.
 auto recordLateTokenCount(DecisionContext& context, RequestId id, Attempt attempt, std::uint32_t total) -> void
 {
-    if (auto* request = findCurrent(context.state, id, attempt, { RequestPhase::Queued }))
+    if (auto* request = findCurrent(context.state, id, attempt, { RequestPhase::Queued, RequestPhase::Stopping }))
         recordTokens(context, *request, total);
 }
 
@@ -87,8 +87,12 @@
 
 auto handle(DecisionContext& context, const SlotReserved& event) -> void
 {
-    if (findCurrent(context.state, event.request, event.attempt, { RequestPhase::Prefilling, RequestPhase::Starting }))
-        context.state.awaitingSlotReply.erase(event.request);
+    const auto* request = findCurrent(context.state, event.request, event.attempt, { RequestPhase::Prefilling, RequestPhase::Starting });
+    if (!request)
+        return;
+    context.state.awaitingSlotReply.erase(event.request);
+    if (request->decode && context.state.settings.reservesSlots)
+        recordReached(context, *request->decode);
 }
 
 auto handle(DecisionContext& context, const SlotRefused& event) -> void
@@ -125,6 +129,7 @@
     // An engine that goes on after a pause must not stay ejected.
     if (std::exchange(request->silentAttempt, Attempt {}) == event.attempt)
         recordSuccess(context, *request->decode, event.request);
+    recordSameProcess(context, *request->decode, request->phaseStartedAt);
     clearSuspectsIfAlive(context, *request, *request->decode);
     clearSuspectAfterProgress(context, *request, false);
     recordPromptProgress(context, *request, false);
@@ -169,8 +174,10 @@
 auto handle(DecisionContext& context, const AttemptSilent& event) -> void
 {
     auto* request = findCurrent(context.state, event.request, event.attempt, { RequestPhase::Prefilling, RequestPhase::Starting, RequestPhase::Decoding });
-    if (!request)
+    if (!request) {
+        recordLateTokenCount(context, event.request, event.attempt, event.emittedTokens);
         return;
+    }
     // A long silence counts as one failure of the replica.
     if (request->silentAttempt != event.attempt) {
         request->silentAttempt = event.attempt;
