Record all streams at an instance that can't read a newer state

What callers could see: a stream that begins without a record at an instance that is cut off from the store while a release ends, and that is then attributed to the new default.

Cause: an instance went by the state that it had read, although its peers had reported a newer one.

The revisions in load messages show that the known state is old. The instance then treats all streams strictly: at once if it knows no default or a closing one, after half the life of a stream otherwise, because the next state of a default keeps it for that life. A report that a later list does not reach is refuted, once for each reported revision.

--- a/src/StreamVersionView.cpp
+++ b/src/StreamVersionView.cpp
@@ -21,6 +21,16 @@
     return view.state.history < view.history;
 }
 
+/// @return whether the default may be another version by now than the known state allows.
+auto mayHaveOtherDefault(const StreamVersionView& view, TimePoint now) -> bool
+{
+    if (!view.behindSince)
+        return false;
+    // The next state of a default keeps it for the life of a stream. Half of that is for the way of the report.
+    const auto isFirstOfTwo = view.state.defaultVersion && !view.state.isClosing && !isOutdated(view);
+    return !isFirstOfTwo || now - *view.behindSince >= view.times.streamLifetime / 2;
+}
+
 auto next(const StreamVersionView& view, std::optional<std::string> defaultVersion, bool isClosing = false) -> StreamVersionState
 {
     return { view.state.epoch + 1, std::move(defaultVersion), isClosing, view.history };
@@ -77,6 +87,14 @@
     }
 }
 
+auto updateBehind(StreamVersionView& view, TimePoint now, bool isBehind) -> void
+{
+    if (isBehind)
+        view.behindSince = view.behindSince.value_or(now);
+    else
+        view.behindSince.reset();
+}
+
 auto updateState(StreamVersionView& view, TimePoint now, const StreamVersionState& stored) -> bool
 {
     view.isRead = true;
@@ -106,7 +124,7 @@
 
 auto recordNeed(const StreamVersionView& view, TimePoint now, std::string_view version) -> RecordNeed
 {
-    if (!view.isRead || view.state.epoch == 0)
+    if (!view.isRead || view.state.epoch == 0 || mayHaveOtherDefault(view, now))
         return RecordNeed::Strict;
     const auto known = versionWithoutRecord(view);
     if (known && *known != version)
--- a/src/StreamVersionView.h
+++ b/src/StreamVersionView.h
@@ -41,6 +41,8 @@
     TimePoint availableSince {};
     /// Since when the store has been away.
     std::optional<TimePoint> awaySince;
+    /// Since when peers have known a newer state.
+    std::optional<TimePoint> behindSince;
 };
 
 /// Records the versions of the servers that are live or leaving.
@@ -51,6 +53,9 @@
 
 auto updateAvailability(StreamVersionView& view, TimePoint now, bool isAvailable) -> void;
 
+/// Records whether peers know a newer state than this instance.
+auto updateBehind(StreamVersionView& view, TimePoint now, bool isBehind) -> void;
+
 /// Records what the store contains.
 /// @param stored the state in the store, with epoch 0 if there is none.
 /// @return whether the known state has changed.
--- a/src/StreamVersions.cpp
+++ b/src/StreamVersions.cpp
@@ -172,8 +172,16 @@
     const std::lock_guard guard(m_lock);
     if (isServers)
         m_serversReported = std::max(m_serversReported, revision);
-    if (kind == m_kind)
-        m_reportedRevision = std::max(m_reportedRevision, revision);
+    if (kind != m_kind || revision == m_refutedRevision)
+        return;
+    m_reportedRevision = std::max(m_reportedRevision, revision);
+    updateBehindLocked();
+}
+
+auto StreamVersions::updateBehindLocked() -> void
+{
+    for (auto& [service, view] : m_views)
+        updateBehind(view, monotonicNow(), m_reportedRevision > m_revision);
 }
 
 auto StreamVersions::rememberLocked(const std::string& service, const std::string& request, const StreamVersionAnswer& answer) -> void
--- a/src/StreamVersions.h
+++ b/src/StreamVersions.h
@@ -99,7 +99,10 @@
     /// @return whether the first event may be sent.
     auto maySendLocked(const std::string& service, const std::string& request, const std::string& version, Duration waitedFor) -> bool;
     auto knownLocked(const std::string& service, const std::string& resumed) const -> std::optional<StreamVersionAnswer>;
-    auto applyListLocked(const StreamVersionList& list) -> void;
+    /// Compares the known revision with those that peers have reported.
+    auto updateBehindLocked() -> void;
+    /// @param reported revision that peers had reported before the list was requested.
+    auto applyListLocked(const StreamVersionList& list, std::int64_t reported) -> void;
     auto logAnswer(const std::string& service, const std::string& resumed, const StreamVersionAnswer& answer) -> void;
 
     auto load() -> boost::asio::awaitable<void>;
@@ -164,6 +167,8 @@
     /// Revision of the newest list or own write, and the greatest one that peers have reported.
     std::int64_t m_revision = 0;
     std::int64_t m_reportedRevision = 0;
+    /// A reported revision that a later list has not reached, so that the report was wrong.
+    std::int64_t m_refutedRevision = 0;
     std::uint64_t m_listsStarted = 0;
     std::uint64_t m_listsWanted = 0;
     ListResult m_listResult;
--- a/src/StreamVersionsStore.cpp
+++ b/src/StreamVersionsStore.cpp
@@ -104,9 +104,11 @@
 {
     m_lastListAt = monotonicNow();
     std::uint64_t number = 0;
+    std::int64_t reported = 0;
     {
         const std::lock_guard guard(m_lock);
         number = ++m_listsStarted;
+        reported = m_reportedRevision;
     }
     const auto items = co_await m_store.list(m_threads.client(0), m_kind, ReadMode::Current);
     const std::lock_guard guard(m_lock);
@@ -119,7 +121,7 @@
     }
     auto list = std::make_shared<const StreamVersionList>(readStreamVersions(*items));
     updateHistoryLocked(list->revision);
-    applyListLocked(*list);
+    applyListLocked(*list, reported);
     if (!m_isReady) {
         const auto own = std::ranges::find(items->items, streamRecordsName(m_instance), &StoredItem::name);
         const auto records = own == items->items.end() ? std::nullopt : streamRecordsFromJson(own->value);
@@ -135,9 +137,15 @@
     co_return std::nullopt;
 }
 
-auto StreamVersions::applyListLocked(const StreamVersionList& list) -> void
+auto StreamVersions::applyListLocked(const StreamVersionList& list, std::int64_t reported) -> void
 {
     m_revision = std::max(m_revision, list.revision);
+    if (reported > m_revision) {
+        m_log.record(LogLevel::Warning, "report_refuted", { { "kind", m_kind }, { "revision", numberOf(reported) }, { "history", historyOf(reported) }, { "own_revision", numberOf(m_revision) }, { "own_history", historyOf(m_revision) } });
+        m_refutedRevision = reported;
+        m_reportedRevision = 0;
+    }
+    updateBehindLocked();
     for (const auto& [service, state] : list.states)
         viewOfLocked(service);
     for (auto& [service, view] : m_views) {
@@ -159,7 +167,6 @@
             std::erase_if(m_known, [&](const auto& known) { return known.second.expiresAt <= now; });
             if (m_reportedRevision > m_revision && now >= m_nextPeerRead) {
                 m_nextPeerRead = now + jitteredDelay(peerReadInterval);
-                m_reportedRevision = 0;
                 m_listsWanted = std::max(m_listsWanted, m_listsStarted + 1);
             }
         }
@@ -224,6 +231,7 @@
         updateHistoryLocked(applied->revision);
         updateState(viewOfLocked(service), monotonicNow(), *due);
         m_revision = std::max(m_revision, applied->revision);
+        updateBehindLocked();
         ++m_counts.stateWrites;
     }
     // The next change has a delay of its own.
--- a/test/StreamVersionModel.cpp
+++ b/test/StreamVersionModel.cpp
@@ -16,6 +16,7 @@
 constexpr int listChance = 80;
 constexpr int stateChance = 60;
 constexpr int recordChance = 80;
+constexpr int reportChance = 80;
 constexpr int lowestWriteChance = 80;
 constexpr int otherWriteChance = 15;
 constexpr int lostAnswerChance = 10;
@@ -25,7 +26,7 @@
 
 StreamVersionModel::StreamVersionModel(std::size_t instances, std::function<int(int)> random, const std::string& version)
     : m_random(std::move(random))
-    , m_servers(servers, Server { version })
+    , m_servers(servers, Server { { version } })
     , m_instances(instances)
 {
     registerServers();
@@ -43,11 +44,10 @@
         if (m_isDown || m_now < server.nextWrite)
             continue;
         server.nextWrite = m_now + std::chrono::milliseconds(m_random(std::chrono::milliseconds(heartbeat).count()));
-        server.isRegistered = true;
         auto& entry = m_store.servers[index];
-        if (entry != server.version)
+        if (entry != server.entry)
             ++m_store.revision;
-        entry = server.version;
+        entry = server.entry;
     }
 }
 
@@ -66,15 +66,10 @@
     if (!reaches(instance))
         return;
     updateHistory(instance.view, m_now, m_history);
-    updateState(instance.view, m_now, m_store.state);
+    readState(instance);
     mergeStored(instance.table, m_store.records[instance.name], 1, m_now + instance.view.times.streamLifetime);
     instance.view.availableSince = m_now;
-    instance.servers = m_store.servers;
-    instance.serversRevision = m_store.revision;
-    std::set<std::string> versions;
-    for (const auto& [index, version] : instance.servers)
-        versions.insert(version);
-    updateListedVersions(instance.view, m_now, versions);
+    readServers(instance);
     instance.isLoaded = true;
 }
 
@@ -85,6 +80,8 @@
         return;
     }
     removeExpired(instance.table, m_now);
+    if (m_random(percent) < reportChance)
+        hearPeers(instance);
     if (m_random(percent) >= listChance)
         return;
     updateAvailability(instance.view, m_now, reaches(instance));
@@ -94,31 +91,43 @@
         updateHistory(instance.view, m_now, m_history);
         loseStored(instance.table);
     }
-    instance.servers = m_store.servers;
-    instance.serversRevision = m_store.revision;
-    std::set<std::string> versions;
-    for (const auto& [index, version] : instance.servers)
-        versions.insert(version);
-    updateListedVersions(instance.view, m_now, versions);
+    readServers(instance);
     if (m_random(percent) < stateChance)
-        updateState(instance.view, m_now, m_store.state);
+        readState(instance);
     if (dueState(instance.view, m_now) && m_random(percent) < (isFirst ? lowestWriteChance : otherWriteChance))
         writeState(instance);
     if (needsWrite(instance.table) && m_random(percent) < recordChance)
         writeRecords(instance);
 }
 
-auto StreamVersionModel::writeState(Instance& instance) -> void
+auto StreamVersionModel::readServers(Instance& instance) -> void
+{
+    instance.servers = m_store.servers;
+    instance.serversRevision = m_store.revision;
+    std::set<std::string> versions;
+    for (const auto& [index, entry] : instance.servers)
+        versions.insert(entry.version);
+    updateListedVersions(instance.view, m_now, versions);
+}
+
+auto StreamVersionModel::readState(Instance& instance) -> void
 {
     updateState(instance.view, m_now, m_store.state);
+    instance.stateRevision = m_store.stateRevision;
+}
+
+auto StreamVersionModel::writeState(Instance& instance) -> void
+{
+    readState(instance);
     const auto due = dueState(instance.view, m_now);
     if (!due)
         return;
     m_store.state = *due;
     ++m_store.revision;
+    ++m_store.stateRevision;
     ++m_stateWrites;
     if (m_random(percent) >= lostAnswerChance)
-        updateState(instance.view, m_now, *due);
+        readState(instance);
 }
 
 auto StreamVersionModel::writeRecords(Instance& instance) -> void
@@ -150,11 +159,11 @@
 {
     const auto index = static_cast<std::size_t>(m_random(static_cast<int>(m_instances.size())));
     auto& instance = m_instances[index];
-    // A request to a server that has another version than this instance knows is rejected.
+    // A server that has been replaced is not reached with its old entry.
     std::vector<std::string> usable;
-    for (const auto& [server, version] : instance.servers) {
-        if (m_servers[server].version == version)
-            usable.push_back(version);
+    for (const auto& [server, entry] : instance.servers) {
+        if (m_servers[server].entry == entry)
+            usable.push_back(entry.version);
     }
     if (!instance.isLoaded || usable.empty())
         return;
@@ -196,9 +205,13 @@
     });
 }
 
-auto StreamVersionModel::isBehind(const Instance& instance) const -> bool
+auto StreamVersionModel::hearPeers(Instance& instance) const -> void
 {
-    return std::ranges::any_of(m_instances, [&](const Instance& peer) { return peer.serversRevision > instance.serversRevision; });
+    for (const auto& peer : m_instances) {
+        instance.reportedServers = std::max(instance.reportedServers, peer.serversRevision);
+        instance.reportedState = std::max(instance.reportedState, peer.stateRevision);
+    }
+    updateBehind(instance.view, m_now, instance.reportedState > instance.stateRevision);
 }
 
 auto StreamVersionModel::takeUp() -> void
@@ -215,10 +228,10 @@
             updateHistory(instance.view, m_now, m_history);
             loseStored(instance.table);
         }
-        updateState(instance.view, m_now, m_store.state);
+        readState(instance);
         version = findStreamVersion(instance.view, list(), "llm", stream.request).version;
     } else {
-        version = findStreamVersionWithoutStore(instance.view, m_now, isBehind(instance)).version;
+        version = findStreamVersionWithoutStore(instance.view, m_now, instance.reportedServers > instance.serversRevision).version;
     }
     ++m_takeUps;
     if (!version)
@@ -250,16 +263,18 @@
     // A server writes its entry before it takes requests. While the store is away none can start.
     if (m_isDown)
         return;
-    m_servers[server] = { version, m_now };
+    m_servers[server] = { { version, ++m_processes }, m_now };
     registerServers();
 }
 
 auto StreamVersionModel::restore() -> void
 {
     const auto revision = m_store.revision;
+    const auto stateRevision = m_store.stateRevision;
     m_store = m_copy;
     // Revisions of a later history are greater.
     m_store.revision = revision + 1;
+    m_store.stateRevision = stateRevision + 1;
     ++m_history;
 }
 
--- a/test/StreamVersionModel.h
+++ b/test/StreamVersionModel.h
@@ -52,25 +52,37 @@
     auto waiting() const -> std::size_t { return m_waiting.size(); }
 
 private:
-    struct Server {
+    struct Entry {
         std::string version;
+        /// Number of the process; another one with the same id is not used with the entry.
+        int process = 0;
+
+        auto operator==(const Entry&) const -> bool = default;
+    };
+    struct Server {
+        Entry entry;
         TimePoint nextWrite {};
-        bool isRegistered = true;
     };
     struct Store {
         std::int64_t revision = 1;
         StreamVersionState state;
+        /// Rises with each state, also over restores.
+        std::int64_t stateRevision = 0;
         std::map<std::string, std::map<std::string, StreamRecord>> records;
-        /// Versions of the registered servers, by index.
-        std::map<std::size_t, std::string> servers;
+        /// Entries of the registered servers, by index.
+        std::map<std::size_t, Entry> servers;
     };
     struct Instance {
         std::string name;
         StreamVersionView view;
         StreamRecordTable table;
         std::map<std::string, std::string> memory;
-        std::map<std::size_t, std::string> servers;
+        std::map<std::size_t, Entry> servers;
         std::int64_t serversRevision = 0;
+        std::int64_t stateRevision = 0;
+        /// Greatest revisions that peers have reported.
+        std::int64_t reportedServers = 0;
+        std::int64_t reportedState = 0;
         bool isCutOff = false;
         bool isLoaded = false;
     };
@@ -94,8 +106,11 @@
     auto writeState(Instance& instance) -> void;
     auto writeRecords(Instance& instance) -> void;
     auto sendFirstEvents() -> void;
+    auto readState(Instance& instance) -> void;
+    auto readServers(Instance& instance) -> void;
     auto list() const -> StreamVersionList;
-    auto isBehind(const Instance& instance) const -> bool;
+    /// Receives the reports of the peers.
+    auto hearPeers(Instance& instance) const -> void;
     auto registerServers() -> void;
 
     std::function<int(int)> m_random;
@@ -108,6 +123,7 @@
     std::vector<Instance> m_instances;
     std::vector<Waiting> m_waiting;
     std::vector<Stream> m_streams;
+    int m_processes = 0;
     int m_requests = 0;
     int m_joined = 0;
     int m_takeUps = 0;
--- a/test/correctness/StreamTakeUpPropertyTest.cpp
+++ b/test/correctness/StreamTakeUpPropertyTest.cpp
@@ -14,6 +14,9 @@
 
 constexpr std::size_t instances = 3;
 constexpr int steps = 400;
+/// 20 s and 300 s; a release may end within the second.
+constexpr int shortCutTicks = 80;
+constexpr int longCutTicks = 1'200;
 
 /// The steps are drawn from one generated seed, because a sequence draws thousands of numbers.
 auto randomFrom(std::uint32_t seed) -> std::function<int(int)>
@@ -43,7 +46,7 @@
             model.setStoreDown(anyBelow(3) == 0);
             break;
         case 3:
-            cutTicks[instance] = anyBelow(80);
+            cutTicks[instance] = anyBelow(anyBelow(4) == 0 ? longCutTicks : shortCutTicks);
             break;
         case 4:
             model.saveCopy();
--- a/test/correctness/StreamVersionViewTest.cpp
+++ b/test/correctness/StreamVersionViewTest.cpp
@@ -93,6 +93,25 @@
     CHECK(dueState(viewOf({ "v1" }, closingV1, 2), start) == StreamVersionState { 3, std::nullopt, false, 2 });
 }
 
+// Guards against streams without a record at an instance that is cut off from the store while another version becomes the
+// default.
+TEST_CASE("an instance that knows of a newer state records all streams before that can have another default")
+{
+    auto view = viewOf({ "v1" }, defaultV1);
+    updateBehind(view, start + 30s, true);
+    updateBehind(view, start + 31s, true);
+    CHECK(recordNeed(view, start + 31s, "v1") == RecordNeed::None);
+    CHECK(recordNeed(view, start + 30s + view.times.streamLifetime, "v1") == RecordNeed::Strict);
+    updateBehind(view, start + 60s, false);
+    CHECK(recordNeed(view, start + 60s, "v1") == RecordNeed::None);
+    for (const auto& state : { closingV1, noDefault }) {
+        auto later = viewOf({ "v1", "v2" }, state);
+        CHECK(recordNeed(later, start + 30s, "v1") == RecordNeed::Bounded);
+        updateBehind(later, start + 30s, true);
+        CHECK(recordNeed(later, start + 30s, "v1") == RecordNeed::Strict);
+    }
+}
+
 // Guards against an older copy that replaces what is known.
 TEST_CASE("an older state of the store is not adopted and is written again")
 {
--- a/test/correctness/StreamVersionsTest.cpp
+++ b/test/correctness/StreamVersionsTest.cpp
@@ -324,11 +324,16 @@
     REQUIRE(waitUntil([&] { return second.versions->isReady(); }));
     first.list({ "v1", "v2" });
     REQUIRE(waitForEpoch(store, 2));
+    // Without the store nothing shows the new state, and the old one may not count any more after some time.
+    second.store.isDown = true;
+    second.versions->handlePeerRevision(kind, false, store.snapshot(kind).revision);
+    std::this_thread::sleep_for(1100ms);
+    auto waiting = second.beginInBackground("waiting", "v1");
+    CHECK(waiting.wait_for(500ms) == std::future_status::timeout);
+    second.store.isDown = false;
+    CHECK(waiting.wait_for(2s) == std::future_status::ready);
     const auto updates = second.store.updates.load();
     second.versions->handlePeerRevision(kind, false, store.snapshot(kind).revision);
-    const auto lists = second.store.lists.load();
-    CHECK(waitUntil([&] { return second.store.lists > lists; }));
-    std::this_thread::sleep_for(50ms);
     // The old version is recorded too now.
     second.begin("a", "v1");
     CHECK(second.store.updates == updates + 1);
