Confirm the default version soon after a restore where its servers were known before

Cause: the time for which one version was the only one began again with the restore, also at instances that had known the servers for long. What a restore can hide from them is a server that began less than the delay of the list before it; such a server writes its entry again within about two seconds.

An instance that has listed only the default version for the life of a stream, over the restore and for three seconds since, now writes the state again; one that has started meanwhile still waits. The new case of StreamVersionViewTest fails without the rule, because no state is due at that time.

--- a/src/StreamVersionView.cpp
+++ b/src/StreamVersionView.cpp
@@ -47,11 +47,19 @@
     return std::nullopt;
 }
 
+/// @return whether all streams of versions that are not listed have ended since a restore of the store, or had before it.
+auto hasOutlivedOthers(const StreamVersionView& view, TimePoint now) -> bool
+{
+    const auto confirmed = confirmedTime(view, now);
+    // A server that this instance did not know before the restore has written its entry again by then.
+    const auto knowsOthers = confirmed >= view.times.settleTime && now - view.unchangedSince >= view.times.streamLifetime;
+    return knowsOthers || confirmed >= view.times.streamLifetime;
+}
+
 auto stateAfterRestore(const StreamVersionView& view, TimePoint now, const std::optional<std::string>& sole) -> std::optional<StreamVersionState>
 {
-    // All streams of other versions have ended after their lifetime.
     if (sole && !view.state.isClosing && view.state.defaultVersion == sole)
-        return confirmedTime(view, now) >= view.times.streamLifetime ? std::optional(next(view, sole)) : std::nullopt;
+        return hasOutlivedOthers(view, now) ? std::optional(next(view, sole)) : std::nullopt;
     return next(view, std::nullopt);
 }
 
@@ -66,6 +74,7 @@
     for (const auto& version : versions)
         view.listed.emplace(version, now);
     view.listedSince = now;
+    view.unchangedSince = now;
 }
 
 auto updateHistory(StreamVersionView& view, TimePoint now, std::int64_t history) -> void
--- a/src/StreamVersionView.h
+++ b/src/StreamVersionView.h
@@ -22,6 +22,8 @@
     Duration soleTime = std::chrono::seconds(60);
     /// Time after which all instances know of a change that one of them knows.
     Duration spreadTime = std::chrono::seconds(5);
+    /// Time after a restore of the store within which living servers have written their entries again.
+    Duration settleTime = std::chrono::seconds(3);
 };
 
 struct StreamVersionView {
@@ -37,6 +39,8 @@
     std::map<std::string, TimePoint> listed;
     /// Since when the same versions have been listed, in one history of the store.
     TimePoint listedSince {};
+    /// Since when the same versions have been listed, also over restores of the store.
+    TimePoint unchangedSince {};
     /// Since when the store has been available, without interruption until it failed if it is away.
     TimePoint availableSince {};
     /// Since when the store has been away.
--- a/test/correctness/StreamVersionViewTest.cpp
+++ b/test/correctness/StreamVersionViewTest.cpp
@@ -112,6 +112,21 @@
     }
 }
 
+// Guards against take-ups that are refused for seconds after a restore although one version alone has been in service.
+TEST_CASE("an instance that knew the servers long before a restore confirms the default soon after it")
+{
+    auto view = viewOf({ "v1" }, defaultV1);
+    const auto restoredAt = start + view.times.streamLifetime;
+    updateHistory(view, restoredAt, 2);
+    CHECK_FALSE(dueState(view, restoredAt + 2s));
+    CHECK(dueState(view, restoredAt + 3s) == StreamVersionState { 2, "v1", false, 2 });
+    // Servers of another version may have been in service before this instance knew of any.
+    auto started = viewOf({ "v1" }, defaultV1);
+    updateHistory(started, start + 5s, 2);
+    CHECK_FALSE(dueState(started, start + 8s));
+    CHECK_FALSE(dueState(started, start + 18s));
+}
+
 // Guards against an older copy that replaces what is known.
 TEST_CASE("an older state of the store is not adopted and is written again")
 {
