Read the records of streams again when a list fails, before a take-up is refused

A list that fails is now read again for one second before the take-up is answered without the store. The back-off of the connection to the store bounds the calls. The new case of StreamVersionsTest fails without the change (no version), and passes three times with it.

--- a/src/StreamVersions.cpp
+++ b/src/StreamVersions.cpp
@@ -18,6 +18,8 @@
 constexpr Duration boundedWait = std::chrono::milliseconds(300);
 /// Time after which a take-up no longer waits for the store. Callers take up within seconds.
 constexpr Duration maxLookUpTime = std::chrono::seconds(2);
+/// Time within which a list that failed is read again. A connection to the store that was reset fails only one call.
+constexpr Duration listRetryTime = std::chrono::seconds(1);
 /// A call to the store takes a few milliseconds.
 constexpr Duration pollInterval = std::chrono::milliseconds(2);
 /// Long waits are polled less often, because many streams may wait while the store is away.
@@ -291,15 +293,23 @@
             const std::lock_guard guard(m_lock);
             const auto& view = viewOfLocked(service);
             const auto isRead = m_listResult.number >= wanted;
-            if (isRead && m_listResult.list)
+            if (isRead && m_listResult.list) {
                 answer = findStreamVersion(view, *m_listResult.list, service, resumed);
-            else if (isRead || waitedFor >= maxLookUpTime)
+            } else if (isRead || waitedFor >= maxLookUpTime) {
                 answer = findStreamVersionWithoutStore(view, monotonicNow(), m_serversReported > m_serversApplied);
+                if (!answer->version && waitedFor < listRetryTime) {
+                    answer.reset();
+                    wanted = m_listsStarted + 1;
+                    m_listsWanted = std::max(m_listsWanted, wanted);
+                }
+            }
             if (answer && answer->version)
                 rememberLocked(service, resumed, *answer);
         }
-        if (!answer)
+        if (!answer) {
+            wake();
             co_await pause(nextPoll(waitedFor));
+        }
     }
     logAnswer(service, resumed, *answer);
     co_return answer;
--- a/test/correctness/StreamVersionsTest.cpp
+++ b/test/correctness/StreamVersionsTest.cpp
@@ -27,7 +27,7 @@
     auto list(HttpClient& client, std::string listed, ReadMode mode) -> asio::awaitable<StoreResult<ItemList>> override
     {
         ++lists;
-        if (isDown)
+        if (isDown || failedLists-- > 0)
             co_return StoreError { StoreErrorKind::Unavailable, "down", Duration::zero() };
         co_return co_await m_client.list(client, std::move(listed), mode);
     }
@@ -55,6 +55,8 @@
 
     std::atomic<bool> isDown { false };
     std::atomic<int> lostReplies { 0 };
+    /// Calls for a list that fail from now on.
+    std::atomic<int> failedLists { 0 };
     std::atomic<int> lists { 0 };
     std::atomic<int> updates { 0 };
 
@@ -288,6 +290,20 @@
     CHECK(process.store.lists - lists <= 3);
 }
 
+// Guards against take-ups that are refused because the connection to the store was reset together with those of callers.
+TEST_CASE("a take-up waits for another list if one fails")
+{
+    RestorableStore store;
+    Process process(store, "entry-1", { "v1" });
+    REQUIRE(waitForEpoch(store, 1));
+    process.store.failedLists = 2;
+    CHECK(process.find("a").version == "v1");
+    process.store.isDown = true;
+    const auto answer = process.find("b");
+    CHECK_FALSE(answer.version);
+    CHECK(answer.isStoreAway);
+}
+
 // Guards against services without versions whose streams are refused or recorded.
 TEST_CASE("a service whose servers name no version is left alone")
 {
