Give the soak software versions, releases and callers that take streams up

Users saw streams with events of two software versions (docs/incidents/streams-of-two-versions.md). The soak knew one version, and its callers gave a broken stream up, so no run could show this.

Decode engines of the soak carry a version in their entry and in the text of each event. Releases replace engines one after the other by processes with a new version at a new address, with a new id or with the same id and a later start time. Callers lose connections on which streams arrive, and take a broken stream up at any instance, at once or after up to 1.5 s, with a new Request-Id, Last-Event-Id and Resumes. A replaced engine is removed from a restored store.

New checks: a stream has each piece once, and events of one version, over all tries of its caller; of 12 or more streams taken up in calm times, while two engines of their version serve, the share that goes on is at least half the share of new streams that begin. For the second, the engines get the same version while the fleet settles, and one of them is released while callers lose connections.

--- a/cmake/soak.cmake
+++ b/cmake/soak.cmake
@@ -2,10 +2,14 @@
 target_include_directories(standin-replica PRIVATE test)
 target_link_libraries(standin-replica PRIVATE jayhold_standins)
 
-add_executable(jayhold-soak test/soak/jayhold-soak.cpp test/soak/FaultPlan.cpp test/soak/NoticeChecks.cpp test/soak/PlannedMaintenance.cpp test/soak/SoakCallers.cpp
-  test/soak/SoakChecks.cpp test/soak/SoakFleet.cpp test/soak/SoakFleetFaults.cpp test/soak/StallMeter.cpp test/FakeObjectStore.cpp)
-target_include_directories(jayhold-soak PRIVATE test test/soak)
-target_link_libraries(jayhold-soak PRIVATE jayhold_scenario)
+# What the soak shares with the test of its checks.
+add_library(jayhold_soak_parts STATIC test/soak/FaultPeriod.cpp test/soak/FaultPlan.cpp test/soak/NoticeChecks.cpp test/soak/SoakCallers.cpp test/soak/SoakChecks.cpp
+  test/soak/SoakFleet.cpp test/soak/SoakFleetFaults.cpp test/soak/StreamChecks.cpp test/FakeObjectStore.cpp)
+target_include_directories(jayhold_soak_parts PUBLIC test test/soak)
+target_link_libraries(jayhold_soak_parts PUBLIC jayhold_scenario)
+
+add_executable(jayhold-soak test/soak/jayhold-soak.cpp test/soak/PlannedMaintenance.cpp test/soak/StallMeter.cpp)
+target_link_libraries(jayhold-soak PRIVATE jayhold_soak_parts)
 add_dependencies(jayhold-soak jayhold-entry standin-link standin-replica)
 
 # A short run, and each seed that has ever failed, with the duration of its fault injection in
@@ -18,6 +22,5 @@
 endforeach()
 
 jayhold_test(soak_checks_test
-  SOURCES test/correctness/SoakChecksTest.cpp test/soak/FaultPlan.cpp test/soak/NoticeChecks.cpp test/soak/SoakCallers.cpp test/soak/SoakChecks.cpp test/soak/SoakFleet.cpp test/soak/SoakFleetFaults.cpp test/FakeObjectStore.cpp
-  LINK jayhold_scenario)
-target_include_directories(soak_checks_test PRIVATE test test/soak)
+  SOURCES test/correctness/SoakChecksTest.cpp test/correctness/StreamChecksTest.cpp
+  LINK jayhold_soak_parts)
--- a/test/FakeObjectStore.cpp
+++ b/test/FakeObjectStore.cpp
@@ -276,6 +276,11 @@
     co_await respond(exchange, status, std::move(response));
 }
 
+auto streamEventText(int index, const std::string& version) -> std::string
+{
+    return "id: " + std::to_string(index) + "\ndata: token " + std::to_string(index) + (version.empty() ? "" : " of " + version) + "\n\n";
+}
+
 FakeBackendServer::FakeBackendServer(IoThreads& threads, std::string id, Behaviour behaviour, const HttpEndpoint& listen)
     : m_id(std::move(id))
     , m_behaviour(behaviour)
@@ -393,7 +398,7 @@
         }
         if (m_gap.load() > Duration::zero())
             co_await pause(m_gap);
-        co_await exchange.write("id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + "\n\n");
+        co_await exchange.write(streamEventText(event, m_version));
     }
     co_await exchange.finishStream();
 }
--- a/test/FakeObjectStore.h
+++ b/test/FakeObjectStore.h
@@ -86,6 +86,10 @@
     HttpServer m_server;
 };
 
+/// @param version software version of the server that writes the event; the event does not show an empty one.
+/// @return an event of the streams that FakeBackendServer sends.
+auto streamEventText(int index, const std::string& version) -> std::string;
+
 /// A fake backend server of the platform whose behaviour a test sets.
 class FakeBackendServer {
 public:
@@ -118,6 +122,8 @@
         m_work = work;
         m_gap = gap;
     }
+    /// @param version software version that the events of streams show; must be set before the first request.
+    auto setVersion(std::string version) -> void { m_version = std::move(version); }
     /// @param time time that a slot reservation takes.
     auto setReservationTime(Duration time) -> void { m_reservationTime = time; }
     /// @param perSecond limit that the server names in its responses; 0 if it names none.
@@ -150,6 +156,7 @@
     auto stream(HttpExchange& exchange, std::vector<HttpHeader> headers) -> boost::asio::awaitable<void>;
 
     const std::string m_id;
+    std::string m_version;
     std::atomic<Behaviour> m_behaviour;
     std::atomic<Duration> m_work { Duration::zero() };
     std::atomic<Duration> m_gap { Duration::zero() };
--- /dev/null
+++ b/test/soak/FaultPeriod.cpp
@@ -0,0 +1,38 @@
+#include "FaultPeriod.h"
+
+namespace jayhold::soak {
+
+namespace {
+
+auto isLinkFault(FaultKind kind) -> bool
+{
+    return kind >= FaultKind::CutLink && kind <= FaultKind::SlowLink;
+}
+
+}
+
+auto isActive(const FaultPeriod& fault, TimePoint from, TimePoint until) -> bool
+{
+    // A fault that has not ended has the latest time as its end.
+    return fault.from - faultTolerance <= until && fault.until >= from - faultTolerance;
+}
+
+auto concernsEntry(const PlannedFault& fault, std::size_t entry) -> bool
+{
+    return fault.kind == FaultKind::KillAllEntries || (fault.kind <= FaultKind::KillAllEntries && fault.target == entry);
+}
+
+auto concernsBackend(const PlannedFault& fault, std::size_t backend) -> bool
+{
+    const auto kind = fault.kind;
+    const auto isProcessFault = (kind >= FaultKind::FreezeBackend && kind <= FaultKind::BackendLeaves) || kind == FaultKind::BackendSaysLeaving || kind == FaultKind::BackendRejects || isRelease(kind);
+    return (isProcessFault || isLinkFault(kind)) && fault.target == backend;
+}
+
+auto concernsStoreOrEntries(const PlannedFault& fault, const FleetSize& size) -> bool
+{
+    const auto isStoreFault = (fault.kind >= FaultKind::StoreDown && fault.kind <= FaultKind::StoreHistoryCompacted) || fault.kind == FaultKind::StoreRestored;
+    return fault.kind <= FaultKind::KillAllEntries || isStoreFault || (isLinkFault(fault.kind) && fault.target >= size.backends);
+}
+
+}
--- a/test/soak/FaultPlan.cpp
+++ b/test/soak/FaultPlan.cpp
@@ -1,10 +1,8 @@
 #include "FaultPlan.h"
 
 #include <algorithm>
-#include <iterator>
 #include <map>
 #include <random>
-#include <span>
 
 namespace jayhold::soak {
 
@@ -45,6 +43,9 @@
     { "store restored", milliseconds(200), milliseconds(4'000), nullptr },
     { "backend says it leaves", milliseconds(2'500), milliseconds(4'000), &FleetSize::backends },
     { "backend rejects", milliseconds(500), milliseconds(3'000), &FleetSize::backends },
+    { "release engine", milliseconds(500), milliseconds(1'500), &FleetSize::backends },
+    { "release engine with the same id", milliseconds(500), milliseconds(1'500), &FleetSize::backends },
+    { "reset callers", milliseconds(0), milliseconds(0), nullptr },
 };
 static_assert(std::size(faultProperties) == static_cast<std::size_t>(FaultKind::Count));
 
@@ -53,6 +54,9 @@
 constexpr auto sharedKinds = static_cast<std::uint64_t>(FaultKind::StoreRestored);
 constexpr std::uint64_t maxRestores = 2;
 constexpr std::uint64_t maxNotices = 3;
+constexpr std::uint64_t maxReleases = 2;
+constexpr std::uint64_t maxCallerResets = 12;
+constexpr int linkResource = 2;
 
 auto propertiesOf(FaultKind kind) -> const FaultProperties&
 {
@@ -65,53 +69,98 @@
 {
     if (kind <= FaultKind::KillAllEntries)
         return 0;
-    if (kind <= FaultKind::BackendLeaves || kind == FaultKind::BackendSaysLeaving || kind == FaultKind::BackendRejects)
+    if (kind <= FaultKind::BackendLeaves || kind == FaultKind::BackendSaysLeaving || kind == FaultKind::BackendRejects || isRelease(kind))
         return 1;
     if (kind <= FaultKind::SlowLink)
-        return 2;
+        return linkResource;
     return 3 + static_cast<int>(kind);
 }
 
-/// @return the faults that restore the store; a restore ends before the next one begins.
-auto planRestores(std::uint64_t seed, Duration duration) -> std::vector<PlannedFault>
+/// @return whether the faults have the same target and overlap. The link of an engine is replaced with it.
+auto isConflict(const PlannedFault& fault, const PlannedFault& other) -> bool
 {
-    std::seed_seq sequence { seed, static_cast<std::uint64_t>(FaultKind::StoreRestored) };
-    std::mt19937_64 random(sequence);
+    const auto isSameResource = resourceOf(other.kind) == resourceOf(fault.kind) || (isRelease(fault.kind) && resourceOf(other.kind) == linkResource);
+    return isSameResource && other.target == fault.target && other.start <= fault.start + fault.length && fault.start <= other.start + other.length;
+}
+
+/// Adds a fault to the plan unless it conflicts with another one.
+auto addIfFree(std::vector<PlannedFault>& plan, const PlannedFault& fault) -> void
+{
+    if (std::ranges::none_of(plan, [&](const PlannedFault& other) { return isConflict(fault, other); }))
+        plan.push_back(fault);
+}
+
+/// Draws the numbers of the faults of one kind, so that they move no other fault of the plan.
+class FaultRandom {
+public:
+    FaultRandom(std::uint64_t seed, FaultKind kind)
+    {
+        std::seed_seq sequence { seed, static_cast<std::uint64_t>(kind) };
+        m_random.seed(sequence);
+    }
+
+    /// @return a number from 0 to `most`.
+    auto upTo(std::uint64_t most) -> std::uint64_t { return m_random() % (most + 1); }
+    auto upTo(Duration most) -> Duration { return Duration(static_cast<Duration::rep>(upTo(static_cast<std::uint64_t>(most.count())))); }
+
+    /// @return a length of a fault of this kind.
+    auto lengthOf(FaultKind kind) -> Duration
+    {
+        const auto& properties = propertiesOf(kind);
+        return Duration(properties.minLength) + upTo(Duration(properties.maxLength - properties.minLength));
+    }
+
+private:
+    std::mt19937_64 m_random;
+};
+
+/// Adds the faults that restore the store; a restore ends before the next one begins.
+auto planRestores(std::vector<PlannedFault>& plan, std::uint64_t seed, Duration duration) -> void
+{
+    FaultRandom random(seed, FaultKind::StoreRestored);
     const auto& properties = propertiesOf(FaultKind::StoreRestored);
-    const auto count = static_cast<Duration::rep>(random() % (maxRestores + 1));
-    std::vector<PlannedFault> plan;
+    const auto count = static_cast<Duration::rep>(random.upTo(maxRestores));
     for (Duration::rep index = 0; index < count; ++index) {
         const auto slot = duration / count;
-        const auto start = slot * index + Duration(static_cast<Duration::rep>(random() % static_cast<std::uint64_t>(slot.count() / 2)));
-        const auto range = Duration(properties.maxLength - properties.minLength).count();
-        const auto length = Duration(properties.minLength) + Duration(static_cast<Duration::rep>(random() % static_cast<std::uint64_t>(range)));
+        const auto start = slot * index + random.upTo(slot / 2 - Duration(1));
+        const auto length = Duration(properties.minLength) + random.upTo(Duration(properties.maxLength - properties.minLength) - Duration(1));
         plan.push_back({ FaultKind::StoreRestored, 0, start, std::min(length, slot * (index + 1) - start) });
     }
-    return plan;
 }
 
-/// @param others faults that these must not overlap, if they have the same target.
-/// @return the faults in which backend servers say in their answers that they are leaving or reject requests.
-auto planNotices(std::uint64_t seed, Duration duration, const FleetSize& size, std::span<const PlannedFault> others) -> std::vector<PlannedFault>
+/// Adds faults in which backend servers say in their answers that they are leaving or reject requests.
+auto planNotices(std::vector<PlannedFault>& plan, std::uint64_t seed, Duration duration, const FleetSize& size) -> void
 {
-    std::seed_seq sequence { seed, static_cast<std::uint64_t>(FaultKind::BackendSaysLeaving) };
-    std::mt19937_64 random(sequence);
-    const auto randomBelow = [&](Duration bound) { return Duration(static_cast<Duration::rep>(random() % static_cast<std::uint64_t>(bound.count() + 1))); };
-    std::vector<PlannedFault> plan;
-    const auto isFree = [&](const PlannedFault& fault) {
-        const auto overlaps = [&](const PlannedFault& other) { return resourceOf(other.kind) == resourceOf(fault.kind) && other.target == fault.target && other.start <= fault.start + fault.length && fault.start <= other.start + other.length; };
-        return std::ranges::none_of(others, overlaps) && std::ranges::none_of(plan, overlaps);
-    };
-    const auto count = 1 + random() % maxNotices;
+    FaultRandom random(seed, FaultKind::BackendSaysLeaving);
+    const auto count = 1 + random.upTo(maxNotices - 1);
     for (std::uint64_t index = 0; index < count; ++index) {
-        PlannedFault fault { .kind = random() % 2 == 0 ? FaultKind::BackendSaysLeaving : FaultKind::BackendRejects, .target = random() % size.backends };
-        const auto& properties = propertiesOf(fault.kind);
-        fault.length = std::min(Duration(properties.minLength) + randomBelow(properties.maxLength - properties.minLength), duration);
-        fault.start = randomBelow(duration - fault.length);
-        if (isFree(fault))
-            plan.push_back(fault);
+        PlannedFault fault { .kind = random.upTo(1) == 0 ? FaultKind::BackendSaysLeaving : FaultKind::BackendRejects, .target = random.upTo(size.backends - 1) };
+        fault.length = std::min(random.lengthOf(fault.kind), duration);
+        fault.start = random.upTo(duration - fault.length);
+        addIfFree(plan, fault);
     }
-    return plan;
+}
+
+/// Adds releases, which replace all engines one after the other, and resets of the callers' connections.
+auto planReleases(std::vector<PlannedFault>& plan, std::uint64_t seed, Duration duration, const FleetSize& size) -> void
+{
+    FaultRandom random(seed, FaultKind::ReleaseEngine);
+    const auto releases = static_cast<Duration::rep>(random.upTo(maxReleases));
+    for (Duration::rep release = 0; release < releases; ++release) {
+        const auto slot = duration / releases;
+        const auto engines = size.backends - firstEngine(size);
+        const auto interval = random.upTo(slot / static_cast<Duration::rep>(engines));
+        const auto first = slot * release + random.upTo(slot - interval * static_cast<Duration::rep>(engines));
+        for (std::size_t engine = 0; engine < engines; ++engine) {
+            PlannedFault fault { .kind = random.upTo(2) == 0 ? FaultKind::ReleaseEngineWithSameId : FaultKind::ReleaseEngine, .target = firstEngine(size) + engine };
+            fault.start = first + interval * static_cast<Duration::rep>(engine);
+            fault.length = std::min(random.lengthOf(fault.kind), duration - fault.start);
+            addIfFree(plan, fault);
+        }
+    }
+    const auto resets = random.upTo(maxCallerResets);
+    for (std::uint64_t reset = 0; reset < resets; ++reset)
+        plan.push_back({ .kind = FaultKind::ResetCallers, .start = random.upTo(duration) });
 }
 
 }
@@ -156,12 +205,36 @@
             busyUntil[{ resourceOf(fault.kind), target }] = start + fault.length;
         plan.push_back(fault);
     }
-    std::ranges::move(planRestores(seed, duration), std::back_inserter(plan));
-    std::ranges::move(planNotices(seed, duration, size, plan), std::back_inserter(plan));
+    planRestores(plan, seed, duration);
+    planNotices(plan, seed, duration, size);
+    planReleases(plan, seed, duration, size);
     std::ranges::stable_sort(plan, {}, &PlannedFault::start);
     return plan;
 }
 
+auto planCalmRelease(const FleetSize& size) -> std::vector<PlannedFault>
+{
+    constexpr milliseconds drainTime(500);
+    constexpr milliseconds firstReset(1'600);
+    constexpr milliseconds resetInterval(100);
+    constexpr int resets = 12;
+    // The first decode engine; with few engines, two of the old version remain.
+    std::vector<PlannedFault> plan { { .kind = FaultKind::ReleaseEngine, .target = firstEngine(size) + 1, .length = drainTime } };
+    for (auto reset = 0; reset < resets; ++reset)
+        plan.push_back({ .kind = FaultKind::ResetCallers, .start = firstReset + reset * resetInterval });
+    return plan;
+}
+
+auto firstEngine(const FleetSize& size) -> std::size_t
+{
+    return size.backends / 2;
+}
+
+auto isRelease(FaultKind kind) -> bool
+{
+    return kind == FaultKind::ReleaseEngine || kind == FaultKind::ReleaseEngineWithSameId;
+}
+
 auto name(FaultKind kind) -> std::string_view
 {
     return propertiesOf(kind).name;
--- a/test/soak/FaultPlan.h
+++ b/test/soak/FaultPlan.h
@@ -43,6 +43,12 @@
     BackendSaysLeaving,
     /// The backend server turns all requests away and names a retry delay.
     BackendRejects,
+    /// An engine leaves and is replaced by one with the next software version and another id.
+    ReleaseEngine,
+    /// The same, but the new engine has the id of the old one and a later start time.
+    ReleaseEngineWithSameId,
+    /// Callers lose the connections on which streams arrive.
+    ResetCallers,
     Count,
 };
 
@@ -63,6 +69,9 @@
     std::size_t links = 10;
 };
 
+/// @return index of the first backend server that is an engine: the prefill engine, which decode engines follow.
+auto firstEngine(const FleetSize& size) -> std::size_t;
+
 /// @param entries number of entry instances; if 0, the seed determines it. The fleets of half of the seeds have more
 /// than the three instances of a zone that watch the store.
 /// @param backends number of backend servers.
@@ -72,6 +81,12 @@
 /// @return the faults, ordered by start time.
 auto planFaults(std::uint64_t seed, Duration duration, const FleetSize& size) -> std::vector<PlannedFault>;
 
+/// @return whether the fault gives the software version of its target to another process.
+auto isRelease(FaultKind kind) -> bool;
+
+/// @return the release of a part of the engines, and then resets of the callers' connections while two versions serve.
+auto planCalmRelease(const FleetSize& size) -> std::vector<PlannedFault>;
+
 auto name(FaultKind kind) -> std::string_view;
 
 /// @return a line of the report.
--- a/test/soak/NoticeChecks.cpp
+++ b/test/soak/NoticeChecks.cpp
@@ -11,8 +11,6 @@
 constexpr Duration leavingNoticeDelay = std::chrono::seconds(2);
 constexpr Duration retryNoticeDelay = std::chrono::milliseconds(500);
 constexpr std::size_t maxTrialRequests = 2;
-/// Time before and after a fault in which its effect on connections may be seen.
-constexpr Duration faultTolerance = std::chrono::milliseconds(200);
 
 /// A process of a backend server, and the entry instance whose requests it got.
 struct Pair {
@@ -47,16 +45,6 @@
     return kind == FaultKind::KillEntry || kind == FaultKind::ReplaceEntry || kind == FaultKind::KillAllEntries;
 }
 
-auto concernsEntry(const PlannedFault& fault, std::size_t entry) -> bool
-{
-    return fault.kind == FaultKind::KillAllEntries || (fault.kind <= FaultKind::KillAllEntries && fault.target == entry);
-}
-
-auto isActive(const FaultPeriod& fault, TimePoint from, TimePoint until) -> bool
-{
-    return fault.from <= until + faultTolerance && (fault.until == TimePoint::max() || fault.until + faultTolerance >= from);
-}
-
 auto wasRestarted(std::span<const FaultPeriod> faults, std::size_t entry, TimePoint from, TimePoint until) -> bool
 {
     return std::ranges::any_of(faults, [&](const FaultPeriod& fault) { return isRestart(fault.fault.kind) && concernsEntry(fault.fault, entry) && isActive(fault, from, until); });
--- a/test/soak/SoakCallers.cpp
+++ b/test/soak/SoakCallers.cpp
@@ -1,5 +1,7 @@
 #include "SoakCallers.h"
 
+#include "FakeObjectStore.h"
+#include "ParseNumber.h"
 #include "Pause.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -19,6 +21,9 @@
 constexpr auto maxPause = milliseconds(40);
 constexpr auto callTimeout = std::chrono::seconds(5);
 constexpr int streamEventCount = 5;
+/// Requests with which a caller tries to take up a stream, and the longest time before one of them.
+constexpr int maxTakeUps = 10;
+constexpr auto maxTakeUpPause = milliseconds(1'500);
 /// Precedes the name of a backend server in its signature.
 constexpr std::string_view sealPrefix = "seal-";
 
@@ -42,21 +47,41 @@
     return kind == CallKind::ResumableStream || kind == CallKind::NonResumableStream;
 }
 
-auto expectedBody(CallKind kind, const HttpRequest& request) -> std::string
+/// @return the body of a correct response; the versions of the events are those that have arrived.
+auto expectedBody(const CallRecord& record, const HttpRequest& request) -> std::string
 {
-    if (!isStream(kind))
+    if (!isStream(record.kind))
         return request.method + " " + request.target + " " + request.body;
     std::string text;
-    for (int event = 1; event <= streamEventCount; ++event)
-        text += "id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + "\n\n";
+    auto event = record.events.begin();
+    for (auto index = record.lastEvent + 1; index <= streamEventCount; ++index)
+        text += streamEventText(index, event == record.events.end() ? std::string() : (event++)->version);
     return text;
 }
 
-auto makeRequest(CallKind kind, const std::string& id) -> HttpRequest
+auto lastEventOf(const CallRecord& record) -> int
 {
-    HttpRequest request { kind == CallKind::IdempotentGet ? "GET" : "POST", targetOf(kind), { { "Host", "a.example" }, { "Request-Id", id }, { "Deadline-Ms", std::to_string(callerTimeout.count()) } }, {} };
+    return record.events.empty() ? record.lastEvent : record.events.back().index;
+}
+
+/// @return whether the caller has a part of a stream and may take it up.
+auto mayTakeUp(const CallRecord& record) -> bool
+{
+    const auto last = lastEventOf(record);
+    return record.kind == CallKind::ResumableStream && record.status / 100 != 2 && last > 0 && last < streamEventCount;
+}
+
+auto makeRequest(const CallRecord& record) -> HttpRequest
+{
+    const auto kind = record.kind;
+    HttpRequest request { kind == CallKind::IdempotentGet ? "GET" : "POST", targetOf(kind), { { "Host", "a.example" }, { "Request-Id", record.request }, { "Deadline-Ms", std::to_string(callerTimeout.count()) } }, {} };
+    const auto isNew = record.resumes.empty();
     if (kind != CallKind::IdempotentGet)
-        request.body = "body of " + id;
+        request.body = "body of " + (isNew ? record.request : record.resumes);
+    if (!isNew) {
+        request.headers.push_back({ "Last-Event-Id", std::to_string(record.lastEvent) });
+        request.headers.push_back({ "Resumes", record.resumes });
+    }
     if (isStream(kind)) {
         request.headers.push_back({ "Model", "m" });
         request.headers.push_back({ "Token-Counts", "100,200" });
@@ -65,22 +90,40 @@
 }
 
 /// @return the error in a successful response; empty if the response is correct or not a success.
-auto checkResponse(CallKind kind, const HttpRequest& request, const std::string& id, const HttpResponse& response) -> std::string
+auto checkResponse(const CallRecord& record, const HttpRequest& request, const HttpResponse& response) -> std::string
 {
     if (response.status / 100 != 2)
         return {};
     const auto seal = findHeader(response.headers, "Server-Seal");
     if (!seal || !seal->starts_with(sealPrefix))
         return "a success without the Server-Seal header of a backend server";
-    if (const auto echoed = findHeader(response.headers, "Request-Id"); echoed && *echoed != id)
+    if (const auto echoed = findHeader(response.headers, "Request-Id"); echoed && *echoed != record.request)
         return "the response belongs to request " + std::string(*echoed);
-    if (response.body != expectedBody(kind, request))
+    if (response.body != expectedBody(record, request))
         return "unexpected body: " + response.body;
     return {};
 }
 
 }
 
+auto parseStreamEvents(std::string_view body) -> std::vector<StreamEvent>
+{
+    constexpr std::string_view indexPrefix = "id: ";
+    constexpr std::string_view versionPrefix = " of ";
+    std::vector<StreamEvent> events;
+    for (auto end = body.find("\n\n"); end != std::string_view::npos; end = body.find("\n\n")) {
+        const auto text = body.substr(0, end);
+        body.remove_prefix(end + 2);
+        StreamEvent event;
+        if (text.starts_with(indexPrefix))
+            event.index = parseNumber<int>(text.substr(indexPrefix.size(), text.find('\n') - indexPrefix.size())).value_or(0);
+        if (const auto version = text.rfind(versionPrefix); version != std::string_view::npos)
+            event.version = text.substr(version + versionPrefix.size());
+        events.push_back(std::move(event));
+    }
+    return events;
+}
+
 SoakCallers::SoakCallers(std::vector<HttpEndpoint> endpoints, std::uint64_t seed)
     : m_endpoints(std::move(endpoints))
     , m_seed(seed)
@@ -120,39 +163,82 @@
     while (!m_isStopping) {
         const auto kind = static_cast<CallKind>(random() % 4);
         const auto entry = random() % m_endpoints.size();
-        auto record = co_await callOnce(m_threads.client(caller % m_threads.size()), kind, entry);
-        {
-            const std::lock_guard guard(m_lock);
-            m_records.push_back(std::move(record));
+        auto& client = m_threads.client(caller % m_threads.size());
+        auto record = co_await callOnce(client, kind, entry, nullptr);
+        for (auto takeUps = 0; takeUps < maxTakeUps && mayTakeUp(record) && !m_isStopping; ++takeUps) {
+            // Most callers return at once; the others may find that all instances have been restarted meanwhile.
+            const auto longest = random() % 4 == 0 ? maxTakeUpPause : maxPause;
+            co_await pause(milliseconds(random() % longest.count()));
+            auto next = co_await callOnce(client, kind, random() % m_endpoints.size(), &record);
+            store(std::exchange(record, std::move(next)));
         }
+        store(std::move(record));
         co_await pause(milliseconds(random() % maxPause.count()));
     }
     --m_runningCallers;
 }
 
-auto SoakCallers::callOnce(HttpClient& client, CallKind kind, std::size_t entry) -> asio::awaitable<CallRecord>
+auto SoakCallers::store(CallRecord record) -> void
+{
+    const std::lock_guard guard(m_lock);
+    m_records.push_back(std::move(record));
+}
+
+auto SoakCallers::readBody(HttpStream& stream, std::string& body, CallRecord& record) -> asio::awaitable<bool>
+{
+    const auto resets = m_streamResets.load();
+    while (true) {
+        const auto chunk = co_await stream.readSome(callTimeout);
+        if (chunk.has_error())
+            co_return false;
+        if (chunk->empty())
+            co_return true;
+        body += *chunk;
+        record.wasReset = isStream(record.kind) && m_streamResets != resets;
+        if (record.wasReset)
+            co_return false;
+    }
+}
+
+auto SoakCallers::callOnce(HttpClient& client, CallKind kind, std::size_t entry, const CallRecord* previous) -> asio::awaitable<CallRecord>
 {
     CallRecord record;
     record.request = "r" + std::to_string(++m_lastRequest);
     record.kind = kind;
     record.entry = entry;
+    if (previous) {
+        record.lastEvent = lastEventOf(*previous);
+        record.resumes = previous->resumes.empty() ? previous->request : previous->resumes;
+    }
     record.sentAt = monotonicNow();
-    const auto request = makeRequest(kind, record.request);
+    const auto request = makeRequest(record);
     HttpCallOptions options;
     options.timeout = callTimeout;
     // A reused connection can be closed while the request arrives. The client doesn't retry, so the
     // number of runs depends on the entry instance alone.
     options.mayReuse = true;
-    const auto response = co_await client.request(m_endpoints[entry], request, options);
-    record.endedAt = monotonicNow();
-    if (response.has_error()) {
-        record.wasConnected = response.error().kind != HttpErrorKind::NotConnected;
-    } else {
-        record.status = response->status;
-        if (const auto seal = findHeader(response->headers, "Server-Seal"); seal && seal->starts_with(sealPrefix))
-            record.answeredBy = seal->substr(sealPrefix.size());
-        record.responseError = checkResponse(kind, request, record.request, *response);
+    const auto opened = co_await client.open(m_endpoints[entry], request, options);
+    if (opened.has_error()) {
+        record.endedAt = monotonicNow();
+        record.wasConnected = opened.error().kind != HttpErrorKind::NotConnected;
+        co_return record;
     }
+    auto& stream = **opened;
+    HttpResponse response { stream.status(), stream.headers(), {} };
+    const auto isWhole = co_await readBody(stream, response.body, record);
+    record.endedAt = monotonicNow();
+    if (isWhole)
+        stream.release();
+    else
+        stream.close();
+    if (isStream(kind) && response.status / 100 == 2)
+        record.events = parseStreamEvents(response.body);
+    if (!isWhole)
+        co_return record;
+    record.status = response.status;
+    if (const auto seal = findHeader(response.headers, "Server-Seal"); seal && seal->starts_with(sealPrefix))
+        record.answeredBy = seal->substr(sealPrefix.size());
+    record.responseError = checkResponse(record, request, response);
     co_return record;
 }
 
--- a/test/soak/SoakCallers.h
+++ b/test/soak/SoakCallers.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /// Callers that send requests of all kinds to all entry instances, reuse their connections as long
-/// as these stay open, and record the outcome of each request.
+/// as these stay open, and record the outcome of each request. A caller whose resumable stream broke off takes it up
+/// again at any instance.
 
 #include "IoThreads.h"
 
@@ -29,6 +30,13 @@
     NonResumableStream,
 };
 
+struct StreamEvent {
+    int index = 0;
+    /// Software version of the engine that wrote the event.
+    std::string version;
+    auto operator==(const StreamEvent&) const -> bool = default;
+};
+
 struct CallRecord {
     std::string request;
     CallKind kind {};
@@ -44,8 +52,19 @@
     std::string answeredBy;
     /// Error in a complete response; empty if the response is correct.
     std::string responseError;
+    /// The request that brought the first event of the stream that this request takes up; empty for a new request.
+    std::string resumes;
+    /// Index of the last event of that stream that the caller already had.
+    int lastEvent = 0;
+    /// The events of a stream that arrived, in order.
+    std::vector<StreamEvent> events;
+    /// Whether the caller closed the connection before the end of the response.
+    bool wasReset = false;
 };
 
+/// @return the whole events of the body of a stream; the rest is ignored.
+auto parseStreamEvents(std::string_view body) -> std::vector<StreamEvent>;
+
 class SoakCallers {
 public:
     /// @param endpoints the addresses of the entry instances.
@@ -58,11 +77,18 @@
     auto start() -> void;
     /// Sends no further requests and waits for those in progress.
     auto stop() -> void;
+    /// Closes the connections on which a part of a stream has arrived.
+    auto resetStreams() -> void { ++m_streamResets; }
     auto records() const -> std::vector<CallRecord>;
 
 private:
     auto runCaller(std::size_t caller) -> boost::asio::awaitable<void>;
-    auto callOnce(HttpClient& client, CallKind kind, std::size_t entry) -> boost::asio::awaitable<CallRecord>;
+    /// @param previous record of the last request for the stream to take up; null for a new request.
+    auto callOnce(HttpClient& client, CallKind kind, std::size_t entry, const CallRecord* previous) -> boost::asio::awaitable<CallRecord>;
+    /// Reads the body of a response until its end, an error or a reset.
+    /// @return whether the response is complete.
+    auto readBody(HttpStream& stream, std::string& body, CallRecord& record) -> boost::asio::awaitable<bool>;
+    auto store(CallRecord record) -> void;
 
     const std::vector<HttpEndpoint> m_endpoints;
     const std::uint64_t m_seed;
@@ -71,6 +97,7 @@
     std::size_t m_startedCallers = 0;
     std::atomic<std::size_t> m_runningCallers { 0 };
     std::atomic<std::uint64_t> m_lastRequest { 0 };
+    std::atomic<int> m_streamResets { 0 };
     mutable std::mutex m_lock;
     std::vector<CallRecord> m_records;
 };
--- a/test/soak/SoakChecks.cpp
+++ b/test/soak/SoakChecks.cpp
@@ -52,7 +52,7 @@
     // A stream may be truncated at the deadline of its request. No caller may be left waiting after it.
     const auto time = call.endedAt - call.sentAt;
     const auto isAtDeadline = time >= callerTimeout && time < callerTimeout + deadlineTolerance;
-    if (isFaultFree && !isAtDeadline && call.status == 0 && call.wasConnected && count > 0)
+    if (isFaultFree && !isAtDeadline && !call.wasReset && call.status == 0 && call.wasConnected && count > 0)
         violations.push_back({ "planned work and short pauses of servers cut no request", call.request, runs });
 }
 
@@ -132,7 +132,7 @@
         const auto isAffected = call.sentAt <= pause.until && call.endedAt >= pause.from;
         const auto hasTime = call.sentAt + callerTimeout >= pause.until + answerTime;
         const auto isRefused = guaranteesNotRun(call.status) && !counts.contains(call.request);
-        if (isAffected && hasTime && call.wasConnected && !isRefused && call.status / 100 != 2)
+        if (isAffected && hasTime && call.wasConnected && !call.wasReset && !isRefused && call.status / 100 != 2)
             violations.push_back({ "a request whose backend server pauses gets its whole answer", call.request, "status " + std::to_string(call.status) });
     }
     return violations;
--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -95,8 +95,8 @@
     // engines.
     for (std::size_t index = 0; index < size.backends; ++index) {
         Backend backend;
-        const auto isPlain = index < size.backends / 2;
-        const auto isPrefill = index == size.backends / 2;
+        const auto isPlain = index < firstEngine(size);
+        const auto isPrefill = index == firstEngine(size);
         backend.service = isPlain ? "ledger" : "llm";
         if (!isPlain)
             backend.phase = isPrefill ? "prefill" : "decode";
@@ -105,6 +105,7 @@
         m_links.push_back(startLink(backend.endpoint));
         m_backends.push_back(std::move(backend));
         registerBackend(index);
+        beginVersion(index);
     }
     for (std::size_t index = 0; index < size.entries; ++index) {
         m_links.push_back(startLink(m_store.endpoint()));
@@ -186,9 +187,14 @@
     return link;
 }
 
+auto SoakFleet::versionName(int version) -> std::string
+{
+    return "v" + std::to_string(version);
+}
+
 auto SoakFleet::startBackend(Backend& backend, std::uint16_t port) -> void
 {
-    const std::vector<std::string> arguments { "--id", backend.name, "--listen", "127.0.0.1:" + std::to_string(port) };
+    const std::vector<std::string> arguments { "--id", backend.name, "--listen", "127.0.0.1:" + std::to_string(port), "--software", versionName(backend.version) };
     backend.process = std::make_unique<ChildProcess>(m_programs + "/standin-replica", arguments, "");
     backend.endpoint = requireEndpoint(requireListening(*backend.process, backend.name), "address");
     backend.born = firstBackendStart + ++m_backendStartCount;
@@ -212,8 +218,11 @@
 {
     const auto& backend = m_backends[index];
     json::object entry { { "service", backend.service }, { "address", toString(m_links[index].endpoint) }, { "zone", "alpine" }, { "state", backend.isLeaving ? "draining" : "ready" }, { "slots", 6 }, { "born", backend.born } };
-    if (!backend.phase.empty())
+    if (!backend.phase.empty()) {
         entry["phase"] = backend.phase;
+        entry["version"] = versionName(backend.version);
+    }
+    m_backendIndexes[backend.name] = index;
     m_store.put("servers", backend.name, std::move(entry));
 }
 
@@ -290,10 +299,10 @@
         if (!line || line->event != event)
             continue;
         const auto at = parseNumber<TimePoint::rep>(line->field("at")).value_or(0);
-        const auto backend = std::ranges::find(m_backends, line->field("replica"), &Backend::name);
+        const auto backend = m_backendIndexes.find(line->field("replica"));
         const std::chrono::seconds retryDelay(parseNumber<int>(line->field("retry_after")).value_or(0));
         runs.push_back({ std::string(line->field("request")), std::string(line->field("replica")), line->field("stage") == "prefill", TimePoint(TimePoint::duration(at)),
-            std::string(line->field("process")), static_cast<std::size_t>(backend - m_backends.begin()), line->field("leaving") == "1", retryDelay });
+            std::string(line->field("process")), backend == m_backendIndexes.end() ? 0 : backend->second, line->field("leaving") == "1", retryDelay });
     }
     return runs;
 }
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -5,9 +5,10 @@
 
 #include "ChildProcess.h"
 #include "FakeObjectStore.h"
-#include "FaultPlan.h"
+#include "FaultPeriod.h"
 #include "ScenarioClient.h"
 
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -38,9 +39,10 @@
     Duration retryDelay {};
 };
 
-/// A fault with the time at which it was active.
-struct FaultPeriod {
-    PlannedFault fault;
+/// The time for which a process of an engine was listed as ready with a software version.
+struct VersionPeriod {
+    std::size_t backendIndex = 0;
+    std::string version;
     TimePoint from {};
     TimePoint until = TimePoint::max();
 };
@@ -81,6 +83,8 @@
     auto activeVersions() -> std::vector<int>;
     /// @return the entry instances on which the newest configuration is not active, or its newest route is unknown.
     auto findOutdatedEntries() -> std::vector<std::string>;
+    /// @return the releases after which all engines have the same software version.
+    auto planRestOfRelease() const -> std::vector<PlannedFault>;
     auto setStoreDown(bool isDown) -> void { m_store.setDown(isDown); }
     auto saveStoreCopy() -> void { m_store.saveCopy(); }
     /// Restores the store; its other writers then write their objects again.
@@ -91,6 +95,8 @@
     auto runs() const -> std::vector<BackendRun>;
     /// @return the requests that backend servers rejected with a retry delay.
     auto rejections() const -> std::vector<BackendRun>;
+    /// @return the periods of all decode engines, ordered by start time.
+    auto versionPeriods() const -> const std::vector<VersionPeriod>& { return m_versionPeriods; }
     auto faultPeriods() const -> const std::vector<FaultPeriod>& { return m_faultPeriods; }
     /// @return the log lines of all entry instances.
     auto entryLogs() const -> std::vector<std::string>;
@@ -114,6 +120,8 @@
         std::string name;
         std::string service;
         std::string phase;
+        /// Number of the software version.
+        int version = 1;
         std::unique_ptr<ChildProcess> process;
         HttpEndpoint endpoint;
         bool isLeaving = false;
@@ -132,6 +140,7 @@
     /// @param event the event of the log lines.
     auto backendRuns(std::string_view event) const -> std::vector<BackendRun>;
     auto startLink(const HttpEndpoint& target) -> Link;
+    static auto versionName(int version) -> std::string;
     auto startBackend(Backend& backend, std::uint16_t port) -> void;
     auto startEntry(Entry& entry) -> void;
     /// Keeps the output of a process that has exited.
@@ -143,6 +152,12 @@
     auto endEntryFault(const PlannedFault& fault) -> void;
     auto beginBackendFault(const PlannedFault& fault) -> void;
     auto endBackendFault(const PlannedFault& fault) -> void;
+    auto newestVersion() const -> int;
+    /// Replaces an engine by one with the newest software version, or the next one if it has that, at another address.
+    auto replaceEngine(std::size_t index, bool keepsId) -> void;
+    /// Records the beginning and the end of the period of a version.
+    auto beginVersion(std::size_t index) -> void;
+    auto endVersion(std::size_t index) -> void;
 
     const std::string m_programs;
     IoThreads m_threads { 1 };
@@ -155,6 +170,9 @@
     std::vector<std::string> m_endedEntryOutput;
     std::vector<std::string> m_unexpectedExits;
     std::vector<FaultPeriod> m_faultPeriods;
+    std::vector<VersionPeriod> m_versionPeriods;
+    /// The backend servers by identifier, including former ones.
+    std::map<std::string, std::size_t, std::less<>> m_backendIndexes;
     int m_configurationVersion = 0;
     std::int64_t m_backendStartCount = 0;
 };
--- a/test/soak/SoakFleetFaults.cpp
+++ b/test/soak/SoakFleetFaults.cpp
@@ -7,12 +7,19 @@
 
 namespace jayhold::soak {
 
+using std::chrono::milliseconds;
+
 auto SoakFleet::restoreStore() -> void
 {
     m_store.restore();
     writeConfiguration();
     for (std::size_t index = 0; index < m_backends.size(); ++index)
         registerBackend(index);
+    // The copy may list engines that have been replaced since.
+    for (const auto& [id, index] : m_backendIndexes) {
+        if (id != m_backends[index].name)
+            m_store.remove("servers", id);
+    }
 }
 
 auto SoakFleet::pauseBackendsBesideChange(Duration pauseTime) -> PausePeriod
@@ -81,6 +88,57 @@
     }
 }
 
+auto SoakFleet::beginVersion(std::size_t index) -> void
+{
+    const auto& backend = m_backends[index];
+    if (backend.phase == "decode")
+        m_versionPeriods.push_back({ index, versionName(backend.version), monotonicNow() });
+}
+
+auto SoakFleet::endVersion(std::size_t index) -> void
+{
+    for (auto& period : m_versionPeriods) {
+        if (period.backendIndex == index)
+            period.until = std::min(period.until, monotonicNow());
+    }
+}
+
+auto SoakFleet::newestVersion() const -> int
+{
+    return std::ranges::max_element(m_backends, {}, &Backend::version)->version;
+}
+
+auto SoakFleet::planRestOfRelease() const -> std::vector<PlannedFault>
+{
+    constexpr milliseconds drainTime(300);
+    const auto newest = newestVersion();
+    std::vector<PlannedFault> plan;
+    for (std::size_t index = 0; index < m_backends.size(); ++index) {
+        if (!m_backends[index].phase.empty() && m_backends[index].version < newest)
+            plan.push_back({ .kind = FaultKind::ReleaseEngine, .target = index, .length = drainTime });
+    }
+    return plan;
+}
+
+auto SoakFleet::replaceEngine(std::size_t index, bool keepsId) -> void
+{
+    auto& backend = m_backends[index];
+    backend.process->signal(SIGKILL);
+    backend.process->waitForExit(startTimeout);
+    keepOutput(std::move(backend.process), false);
+    backend.version = std::max(newestVersion(), backend.version + 1);
+    if (!keepsId) {
+        m_store.remove("servers", backend.name);
+        backend.name = backend.phase + "-" + std::to_string(index) + "-" + versionName(backend.version);
+    }
+    backend.isLeaving = false;
+    // At another address, so that an instance that knows only the old process cannot reach the new one.
+    startBackend(backend, 0);
+    m_links[index] = startLink(backend.endpoint);
+    registerBackend(index);
+    beginVersion(index);
+}
+
 auto SoakFleet::beginBackendFault(const PlannedFault& fault) -> void
 {
     auto& backend = m_backends[fault.target];
@@ -94,10 +152,16 @@
         backend.process->signal(SIGUSR2);
     else
         markLeaving(fault.target, true);
+    if (isRelease(fault.kind))
+        endVersion(fault.target);
 }
 
 auto SoakFleet::endBackendFault(const PlannedFault& fault) -> void
 {
+    if (isRelease(fault.kind)) {
+        replaceEngine(fault.target, fault.kind == FaultKind::ReleaseEngineWithSameId);
+        return;
+    }
     auto& backend = m_backends[fault.target];
     if (fault.kind == FaultKind::FreezeBackend)
         backend.process->signal(SIGCONT);
--- a/test/soak/jayhold-soak.cpp
+++ b/test/soak/jayhold-soak.cpp
@@ -7,6 +7,7 @@
 #include "PlannedMaintenance.h"
 #include "RequestHistory.h"
 #include "StallMeter.h"
+#include "StreamChecks.h"
 
 #include <algorithm>
 #include <filesystem>
@@ -51,11 +52,13 @@
     return timeline;
 }
 
-auto injectFaults(SoakFleet& fleet, const std::vector<PlannedFault>& plan, TimePoint start) -> void
+auto injectFaults(SoakFleet& fleet, SoakCallers& callers, const std::vector<PlannedFault>& plan, TimePoint start) -> void
 {
     for (const auto& faultEvent : faultEvents(plan)) {
         std::this_thread::sleep_until(start + faultEvent.at);
-        if (faultEvent.isStart)
+        if (faultEvent.fault.kind == FaultKind::ResetCallers)
+            callers.resetStreams();
+        else if (faultEvent.isStart)
             fleet.begin(faultEvent.fault);
         else
             fleet.end(faultEvent.fault);
@@ -76,13 +79,13 @@
 }
 
 /// @return a violation if the fleet does not serve requests again after its faults.
-auto checkRecovery(const std::vector<CallRecord>& calls, TimePoint from) -> std::vector<Violation>
+auto checkRecovery(const std::vector<CallRecord>& calls, TimePoint from, TimePoint until) -> std::vector<Violation>
 {
     constexpr double minServedRatio = 0.95;
     double sent = 0;
     double served = 0;
     for (const auto& call : calls) {
-        if (call.sentAt < from || call.sentAt > from + settlingTime)
+        if (call.sentAt < from || call.sentAt > until || call.wasReset || !call.resumes.empty())
             continue;
         sent += 1;
         served += call.status / 100 == 2;
@@ -104,13 +107,16 @@
         endpoints.push_back(fleet.entryEndpoint(index));
     SoakCallers callers(endpoints, seed);
     callers.start();
-    injectFaults(fleet, plan, monotonicNow());
+    injectFaults(fleet, callers, plan, monotonicNow());
     if (!fleet.waitUntilReady(recoveryTime))
         result.violations.push_back({ "the fleet becomes ready again after its faults", "", "" });
+    const auto settledAt = monotonicNow() + settlingTime;
+    injectFaults(fleet, callers, fleet.planRestOfRelease(), monotonicNow());
     // Entry instances probe failed backend servers again only after some seconds.
-    std::this_thread::sleep_for(settlingTime);
+    std::this_thread::sleep_until(settledAt);
     const auto recoveredAt = monotonicNow();
-    std::this_thread::sleep_for(settlingTime);
+    // A release and lost connections of callers are no disruption for the other requests.
+    injectFaults(fleet, callers, planCalmRelease(size), recoveredAt);
     // So that pauses of the backend servers concern more requests than the retry budgets allow to repeat.
     callers.start();
     const auto maintenance = performPlannedMaintenance(fleet, size, seed);
@@ -119,8 +125,10 @@
     const auto calls = callers.records();
     const auto runs = fleet.runs();
     append(result.violations, maintenance.violations);
-    append(result.violations, checkRecovery(calls, recoveredAt));
+    append(result.violations, checkRecovery(calls, recoveredAt, maintenance.faultFreePeriod.from));
     append(result.violations, checkCalls(calls, runs, faultFreePeriod));
+    append(result.violations, checkStreamOrder(calls));
+    append(result.violations, checkTakeUps(calls, fleet.versionPeriods(), fleet.faultPeriods(), size));
     auto arrivals = fleet.rejections();
     arrivals.insert(arrivals.end(), runs.begin(), runs.end());
     append(result.violations, checkLeavingNotices(calls, arrivals, fleet.faultPeriods()));
--- a/test/soak/standin-replica.cpp
+++ b/test/soak/standin-replica.cpp
@@ -57,9 +57,11 @@
 auto main(int argc, char** argv) -> int
 {
     std::string id;
+    std::string version;
     HttpEndpoint listen { "127.0.0.1", 0 };
     const std::vector<CommandOption> options {
         textOption("id", "identifier of the backend server (required)", id),
+        textOption("software", "software version that the events of streams show", version),
         endpointOption("listen", "address to listen on", listen),
     };
     const std::span arguments(argv, static_cast<std::size_t>(argc));
@@ -74,6 +76,7 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     IoThreads threads(1);
     FakeBackendServer replica(threads, id, FakeBackendServer::Behaviour::Answer, listen);
+    replica.setVersion(version);
     replica.setTiming(std::chrono::milliseconds(10), std::chrono::milliseconds(20));
     replica.onRun([&](const std::string& request, const std::string& stage) { print("run", replica, request, stage, "0"); });
     replica.onRejection([&](const std::string& request, const std::string& stage, const std::string& delay) { print("rejected", replica, request, stage, delay); });
