Let engines of the soak fall silent beside full engines, and check all answers

In the soak, engines were silent only as stopped processes, no engine refused a slot reservation, and answers were checked only in calm times.

Now the streams of a decode engine fall silent after their first event for 1.0 to 1.4 s, the other decode engines refuse slot reservations from shortly before instances look for another engine, and the configuration changes meanwhile. These faults have a random sequence of their own. The target gap of the routes is 200 ms instead of 300, so that an engine counts as silent after 0.8 s, within such a silence.

New check, in the whole run: a request that was read gets an answer or a refusal, and a stream that has begun is not broken off before the caller's deadline. Excused are faults that kill or freeze the instance, and those that kill an engine of the request or break connections to it. A graceful shutdown excuses only requests that no server got, as they may never have been read.

--- a/cmake/soak.cmake
+++ b/cmake/soak.cmake
@@ -1,5 +1,5 @@
 add_executable(standin-replica test/soak/standin-replica.cpp test/FakeObjectStore.cpp)
-target_include_directories(standin-replica PRIVATE test)
+target_include_directories(standin-replica PRIVATE test test/soak)
 target_link_libraries(standin-replica PRIVATE jayhold_standins)
 
 # What the soak shares with the test of its checks.
--- a/test/FakeObjectStore.cpp
+++ b/test/FakeObjectStore.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t pageSize = 2;
 constexpr std::string_view objectsPath = "/-/objects/";
 constexpr int streamEvents = 5;
+/// Interval at which a silent stream looks whether it may go on.
+constexpr Duration silenceStep = std::chrono::milliseconds(5);
 const HttpHeader leavingField { "Server-Leaving", "1" };
 
 auto unescape(std::string_view text) -> std::string
@@ -320,6 +322,8 @@
     if (isReservation && m_reservationTime.load() > Duration::zero())
         co_await pause(m_reservationTime);
     auto response = jsonResponse(200, isReservation ? R"({"hold":"seat"})" : "{}");
+    if (isReservation && m_isFull)
+        response = jsonResponse(409, "{}");
     if (const auto delay = retryDelay(); !delay.empty())
         response = { 503, { { "Not-Executed", "1" }, { "Retry-After", delay } }, {} };
     co_await respond(exchange, std::move(response));
@@ -344,7 +348,8 @@
     }
     const auto behaviour = m_behaviour.load();
     const auto delay = retryDelay();
-    if (behaviour == Behaviour::Reject || !delay.empty()) {
+    const auto lacksSlot = m_isFull && headerValue(request, "Stage") != "prefill" && headerValue(request, "Cache-Hold").empty();
+    if (behaviour == Behaviour::Reject || !delay.empty() || lacksSlot) {
         HttpResponse rejection { 503, { { "Not-Executed", "1" }, { "Request-Id", headerValue(request, "Request-Id") } }, {} };
         if (!delay.empty()) {
             rejection.headers.push_back({ "Retry-After", delay });
@@ -398,6 +403,8 @@
         }
         if (m_gap.load() > Duration::zero())
             co_await pause(m_gap);
+        while (m_isSilent && event > first)
+            co_await pause(silenceStep);
         co_await exchange.write(streamEventText(event, m_version));
     }
     co_await exchange.finishStream();
--- a/test/FakeObjectStore.h
+++ b/test/FakeObjectStore.h
@@ -124,6 +124,10 @@
     }
     /// @param version software version that the events of streams show; must be set before the first request.
     auto setVersion(std::string version) -> void { m_version = std::move(version); }
+    /// @param isSilent whether the streams wait with all events after their first.
+    auto setSilent(bool isSilent) -> void { m_isSilent = isSilent; }
+    /// @param isFull whether the server refuses slot reservations and decodes without one.
+    auto setFull(bool isFull) -> void { m_isFull = isFull; }
     /// @param time time that a slot reservation takes.
     auto setReservationTime(Duration time) -> void { m_reservationTime = time; }
     /// @param perSecond limit that the server names in its responses; 0 if it names none.
@@ -169,6 +173,8 @@
     std::atomic<int> m_requests { 0 };
     std::atomic<int> m_controlCalls { 0 };
     std::atomic<bool> m_isLeaving { false };
+    std::atomic<bool> m_isSilent { false };
+    std::atomic<bool> m_isFull { false };
     mutable std::mutex m_lock;
     HttpRequest m_last;
     std::string m_retryDelay;
--- a/test/correctness/SoakChecksTest.cpp
+++ b/test/correctness/SoakChecksTest.cpp
@@ -201,6 +201,52 @@
     CHECK(checkRetryDelays(calls, runs, {}).empty());
 }
 
+// Guards against a soak that misses requests without an answer and streams that an instance breaks off, or that fails for
+// those whose instance, engine or caller ended them.
+TEST_CASE("requests without an answer and streams that are broken off are found without false positives")
+{
+    auto stream = call("a", CallKind::ResumableStream, 0);
+    stream.hasBegun = true;
+    const std::vector<BackendRun> runs { { "a", "decode-4", false, start, "1", 4 } };
+    const auto guarantee = [&](const CallRecord& record, std::vector<FaultPeriod> faults = {}, bool hasRun = true) {
+        const auto violations = checkAnswers(std::span(&record, 1), std::span(runs).first(hasRun ? 1 : 0), faults);
+        return violations.empty() ? std::string() : violations.front().guarantee;
+    };
+    const auto fault = [](FaultKind kind, std::size_t target, Duration from = 500ms, Duration until = 600ms) { return std::vector<FaultPeriod> { { { .kind = kind, .target = target }, start + from, start + until } }; };
+    const std::string broken = "a stream is not broken off while its engine works on it";
+    const std::string unanswered = "a request that was read gets an answer or a refusal";
+    CHECK(guarantee(stream) == broken);
+    CHECK(guarantee(stream, fault(FaultKind::SilentEngine, 4)) == broken);
+    CHECK(guarantee(stream, fault(FaultKind::FreezeBackend, 4)) == broken);
+    CHECK(guarantee(stream, fault(FaultKind::ReplaceEntry, 0)) == broken);
+    CHECK(guarantee(stream, fault(FaultKind::KillBackend, 5)) == broken);
+    CHECK(guarantee(stream, fault(FaultKind::KillBackend, 4)).empty());
+    CHECK(guarantee(stream, fault(FaultKind::ResetLink, 4)).empty());
+    CHECK(guarantee(stream, fault(FaultKind::ReleaseEngine, 4, 500ms, 900ms)).empty());
+    CHECK(guarantee(stream, fault(FaultKind::ReleaseEngine, 4, 500ms, 9s)) == broken);
+    CHECK(guarantee(stream, fault(FaultKind::KillEntry, 0)).empty());
+    CHECK(guarantee(stream, fault(FaultKind::KillEntry, 1)) == broken);
+    CHECK(guarantee(stream, fault(FaultKind::KillAllEntries, 0)).empty());
+    auto ended = stream;
+    ended.endedAt = ended.sentAt + callerTimeout;
+    CHECK(guarantee(ended).empty());
+    ended = stream;
+    ended.wasReset = true;
+    CHECK(guarantee(ended).empty());
+    auto request = call("a", CallKind::NonIdempotentPost, 0);
+    CHECK(guarantee(request) == unanswered);
+    CHECK(guarantee(request, {}, false) == unanswered);
+    CHECK(guarantee(request, fault(FaultKind::KillBackend, 4)) == unanswered);
+    CHECK(guarantee(request, fault(FaultKind::FreezeEntry, 0)).empty());
+    CHECK(guarantee(request, fault(FaultKind::ReplaceEntry, 0)) == unanswered);
+    CHECK(guarantee(request, fault(FaultKind::ReplaceEntry, 0), false).empty());
+    request.status = 503;
+    CHECK(guarantee(request).empty());
+    request.status = 0;
+    request.wasConnected = false;
+    CHECK(guarantee(request).empty());
+}
+
 // Guards against faults that last beyond the end of the run, have a target that does not exist, or
 // differ between runs with the same seed.
 TEST_CASE("a fault plan is determined by its seed and stays within its duration")
--- a/test/soak/FaultPeriod.cpp
+++ b/test/soak/FaultPeriod.cpp
@@ -25,10 +25,21 @@
 auto concernsBackend(const PlannedFault& fault, std::size_t backend) -> bool
 {
     const auto kind = fault.kind;
-    const auto isProcessFault = (kind >= FaultKind::FreezeBackend && kind <= FaultKind::BackendLeaves) || kind == FaultKind::BackendSaysLeaving || kind == FaultKind::BackendRejects || isRelease(kind);
+    const auto isProcessFault = (kind >= FaultKind::FreezeBackend && kind <= FaultKind::BackendLeaves) || kind >= FaultKind::BackendSaysLeaving;
     return (isProcessFault || isLinkFault(kind)) && fault.target == backend;
 }
 
+auto breaksConnections(const FaultPeriod& fault, std::size_t backend, TimePoint from, TimePoint until) -> bool
+{
+    if (fault.fault.target != backend)
+        return false;
+    const auto kind = fault.fault.kind;
+    // The process is killed when the fault ends.
+    if (kind == FaultKind::BackendSaysLeaving || isRelease(kind))
+        return fault.until >= from - faultTolerance && fault.until <= until + faultTolerance;
+    return (kind == FaultKind::KillBackend || kind == FaultKind::CutLink || kind == FaultKind::ResetLink) && isActive(fault, from, until);
+}
+
 auto concernsStoreOrEntries(const PlannedFault& fault, const FleetSize& size) -> bool
 {
     const auto isStoreFault = (fault.kind >= FaultKind::StoreDown && fault.kind <= FaultKind::StoreHistoryCompacted) || fault.kind == FaultKind::StoreRestored;
--- a/test/soak/FaultPeriod.h
+++ b/test/soak/FaultPeriod.h
@@ -24,6 +24,9 @@
 /// @return whether the fault concerns the process of a backend server or the connections to it.
 auto concernsBackend(const PlannedFault& fault, std::size_t backend) -> bool;
 
+/// @return whether the fault closes connections to the backend server between two times.
+auto breaksConnections(const FaultPeriod& fault, std::size_t backend, TimePoint from, TimePoint until) -> bool;
+
 /// @return whether the fault concerns the store, the connection of an entry instance to it, or the process of an
 /// entry instance.
 auto concernsStoreOrEntries(const PlannedFault& fault, const FleetSize& size) -> bool;
--- a/test/soak/FaultPlan.cpp
+++ b/test/soak/FaultPlan.cpp
@@ -45,6 +45,8 @@
     { "backend rejects", milliseconds(500), milliseconds(3'000), &FleetSize::backends },
     { "release engine", milliseconds(500), milliseconds(1'500), &FleetSize::backends },
     { "release engine with the same id", milliseconds(500), milliseconds(1'500), &FleetSize::backends },
+    { "silent engine", milliseconds(1'000), milliseconds(1'400), &FleetSize::backends },
+    { "full engine", milliseconds(500), milliseconds(1'000), &FleetSize::backends },
     { "reset callers", milliseconds(0), milliseconds(0), nullptr },
 };
 static_assert(std::size(faultProperties) == static_cast<std::size_t>(FaultKind::Count));
@@ -56,6 +58,9 @@
 constexpr std::uint64_t maxNotices = 3;
 constexpr std::uint64_t maxReleases = 2;
 constexpr std::uint64_t maxCallerResets = 12;
+constexpr std::uint64_t maxSilences = 4;
+constexpr std::uint64_t maxChangesPerSilence = 3;
+constexpr Duration maxFullBeforeSilenceEnds = milliseconds(500);
 constexpr int linkResource = 2;
 
 auto propertiesOf(FaultKind kind) -> const FaultProperties&
@@ -163,6 +168,29 @@
         plan.push_back({ .kind = FaultKind::ResetCallers, .start = random.upTo(duration) });
 }
 
+/// Adds silences of decode engines while the others have no free slot and the configuration changes.
+auto planSilences(std::vector<PlannedFault>& plan, std::uint64_t seed, Duration duration, const FleetSize& size) -> void
+{
+    FaultRandom random(seed, FaultKind::SilentEngine);
+    const auto firstDecode = firstEngine(size) + 1;
+    const auto silences = 1 + random.upTo(maxSilences - 1);
+    for (std::uint64_t silence = 0; silence < silences; ++silence) {
+        const auto silent = firstDecode + random.upTo(size.backends - firstDecode - 1);
+        const auto length = std::min(random.lengthOf(FaultKind::SilentEngine), duration);
+        const auto start = random.upTo(duration - length);
+        addIfFree(plan, { FaultKind::SilentEngine, silent, start, length });
+        for (auto engine = firstDecode; engine < size.backends; ++engine) {
+            // Shortly before instances look for another engine, so that they may not know yet that it is full.
+            const auto fullFrom = start + length - random.upTo(maxFullBeforeSilenceEnds);
+            const auto fullLength = random.lengthOf(FaultKind::FullEngine);
+            if (engine != silent)
+                addIfFree(plan, { FaultKind::FullEngine, engine, fullFrom, std::min(fullLength, duration - fullFrom) });
+        }
+        for (auto changes = random.upTo(maxChangesPerSilence); changes > 0; --changes)
+            plan.push_back({ .kind = FaultKind::NewConfiguration, .start = start + random.upTo(length) });
+    }
+}
+
 }
 
 auto fleetSize(std::uint64_t seed, std::size_t entries, std::size_t backends) -> FleetSize
@@ -208,6 +236,7 @@
     planRestores(plan, seed, duration);
     planNotices(plan, seed, duration, size);
     planReleases(plan, seed, duration, size);
+    planSilences(plan, seed, duration, size);
     std::ranges::stable_sort(plan, {}, &PlannedFault::start);
     return plan;
 }
--- a/test/soak/FaultPlan.h
+++ b/test/soak/FaultPlan.h
@@ -47,6 +47,10 @@
     ReleaseEngine,
     /// The same, but the new engine has the id of the old one and a later start time.
     ReleaseEngineWithSameId,
+    /// The streams of an engine pause, and go on.
+    SilentEngine,
+    /// An engine refuses all slot reservations.
+    FullEngine,
     /// Callers lose the connections on which streams arrive.
     ResetCallers,
     Count,
--- /dev/null
+++ b/test/soak/ReplicaSignals.h
@@ -0,0 +1,26 @@
+#pragma once
+
+/// The signals with which the soak changes the behaviour of standin-replica.
+
+#include <csignal>
+
+namespace jayhold::soak {
+
+/// The server says in all answers that it is leaving.
+inline constexpr int leaveSignal = SIGUSR1;
+/// Begins or ends a time in which the server rejects all requests.
+inline constexpr int rejectSignal = SIGUSR2;
+
+/// @return the signal that begins or ends a time in which the streams of the server are silent.
+inline auto silenceSignal(bool begins) -> int
+{
+    return SIGRTMIN + (begins ? 0 : 1);
+}
+
+/// @return the signal that begins or ends a time in which the server has no free slot.
+inline auto fullSignal(bool begins) -> int
+{
+    return SIGRTMIN + (begins ? 2 : 3);
+}
+
+}
--- a/test/soak/SoakCallers.cpp
+++ b/test/soak/SoakCallers.cpp
@@ -225,6 +225,7 @@
     }
     auto& stream = **opened;
     HttpResponse response { stream.status(), stream.headers(), {} };
+    record.hasBegun = response.status / 100 == 2;
     const auto isWhole = co_await readBody(stream, response.body, record);
     record.endedAt = monotonicNow();
     if (isWhole)
--- a/test/soak/SoakCallers.h
+++ b/test/soak/SoakCallers.h
@@ -58,6 +58,8 @@
     int lastEvent = 0;
     /// The events of a stream that arrived, in order.
     std::vector<StreamEvent> events;
+    /// Whether the header of a successful response arrived.
+    bool hasBegun = false;
     /// Whether the caller closed the connection before the end of the response.
     bool wasReset = false;
 };
--- a/test/soak/SoakChecks.cpp
+++ b/test/soak/SoakChecks.cpp
@@ -56,6 +56,16 @@
         violations.push_back({ "planned work and short pauses of servers cut no request", call.request, runs });
 }
 
+/// @return whether the instance was killed or frozen, or shut down before it had read the request.
+auto wasEntryDisturbed(const CallRecord& call, bool hasNoRun, std::span<const FaultPeriod> faults) -> bool
+{
+    return std::ranges::any_of(faults, [&](const FaultPeriod& fault) {
+        const auto kind = fault.fault.kind;
+        const auto isExcuse = kind != FaultKind::ReloadSettings && (kind != FaultKind::ReplaceEntry || (hasNoRun && !call.hasBegun));
+        return isExcuse && concernsEntry(fault.fault, call.entry) && isActive(fault, call.sentAt, call.endedAt);
+    });
+}
+
 auto isModelCall(CallKind kind) -> bool
 {
     return kind >= CallKind::ResumableStream;
@@ -138,6 +148,29 @@
     return violations;
 }
 
+auto checkAnswers(std::span<const CallRecord> calls, std::span<const BackendRun> runs, std::span<const FaultPeriod> faults) -> std::vector<Violation>
+{
+    std::multimap<std::string_view, const BackendRun*> runsByRequest;
+    for (const auto& run : runs)
+        runsByRequest.emplace(run.request, &run);
+    std::vector<Violation> violations;
+    for (const auto& call : calls) {
+        const auto [firstRun, lastRun] = runsByRequest.equal_range(call.request);
+        const auto isIncomplete = call.status == 0 && call.wasConnected && !call.wasReset;
+        if (!isIncomplete || wasEntryDisturbed(call, firstRun == lastRun, faults))
+            continue;
+        const auto isBroken = [&](const auto& run) {
+            return std::ranges::any_of(faults, [&](const FaultPeriod& fault) { return breaksConnections(fault, run.second->backendIndex, run.second->at, call.endedAt); });
+        };
+        const auto detail = "ended after " + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(call.endedAt - call.sentAt).count()) + " ms at edge-" + std::to_string(call.entry);
+        if (!call.hasBegun)
+            violations.push_back({ "a request that was read gets an answer or a refusal", call.request, detail });
+        else if (call.endedAt - call.sentAt < callerTimeout && std::none_of(firstRun, lastRun, isBroken))
+            violations.push_back({ "a stream is not broken off while its engine works on it", call.request, detail });
+    }
+    return violations;
+}
+
 auto checkLeaving(std::span<const BackendRun> runs, const std::string& backend, TimePoint allowedUntil, TimePoint until) -> std::vector<Violation>
 {
     for (const auto& run : runs) {
--- a/test/soak/SoakChecks.h
+++ b/test/soak/SoakChecks.h
@@ -43,6 +43,11 @@
 /// deadlines left enough time for one. Those that were refused and never ran are allowed.
 auto checkPause(std::span<const CallRecord> calls, std::span<const BackendRun> runs, const PausePeriod& pause) -> std::vector<Violation>;
 
+/// @param faults all faults of the run.
+/// @return the requests that an undisturbed instance left without an answer or a refusal, and the streams that it broke
+/// off before their deadline although their engines kept the connections open.
+auto checkAnswers(std::span<const CallRecord> calls, std::span<const BackendRun> runs, std::span<const FaultPeriod> faults) -> std::vector<Violation>;
+
 /// @return a violation if the backend server started work after `allowedUntil`, while it was
 /// leaving.
 /// @param until the end of the checked period.
--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -36,7 +36,7 @@
 auto makeRoute(const std::string& name, const std::string& service, const std::string& kind, int attempts) -> json::object
 {
     return { { "name", name }, { "host", "a.example" }, { "pathPrefix", "/" + name + "/" }, { "service", service }, { "kind", kind }, { "timeoutMs", 3'000 },
-        { "targetLatencyMs", 500 }, { "targetGapMs", 300 }, { "maxAttempts", attempts }, { "priority", 1 }, { "canResume", name == "resumed" }, { "sticky", kind == "streaming" } };
+        { "targetLatencyMs", 500 }, { "targetGapMs", 200 }, { "maxAttempts", attempts }, { "priority", 1 }, { "canResume", name == "resumed" }, { "sticky", kind == "streaming" } };
 }
 
 /// @return a loopback address that only this run uses, because all entry instances serve their
@@ -262,13 +262,16 @@
         entry.isExitExpected = true;
         entry.process->signal(SIGTERM);
     }
-    const auto end = monotonicNow() + shutdownGracePeriod + std::chrono::seconds(1);
+    const auto beginsAt = monotonicNow();
+    const auto end = beginsAt + shutdownGracePeriod + std::chrono::seconds(1);
     std::vector<std::string> errors;
     for (std::size_t index = first; index < first + count; ++index) {
         const auto code = m_entries[index].process->waitForExit(std::max(end - monotonicNow(), Duration::zero()));
         if (!code || *code != 0)
             errors.push_back("edge-" + std::to_string(index) + (code ? " exited with code " + std::to_string(*code) : " did not exit in time") + " after SIGTERM without other faults");
     }
+    for (std::size_t index = first; index < first + count; ++index)
+        m_faultPeriods.push_back({ { .kind = FaultKind::ReplaceEntry, .target = index }, beginsAt, monotonicNow() });
     for (auto& entry : entries) {
         keepOutput(std::move(entry.process), true);
         startEntry(entry);
--- a/test/soak/SoakFleetFaults.cpp
+++ b/test/soak/SoakFleetFaults.cpp
@@ -1,3 +1,4 @@
+#include "ReplicaSignals.h"
 #include "SoakFleet.h"
 
 #include <algorithm>
@@ -147,9 +148,13 @@
     else if (fault.kind == FaultKind::KillBackend)
         backend.process->signal(SIGKILL);
     else if (fault.kind == FaultKind::BackendSaysLeaving)
-        backend.process->signal(SIGUSR1);
+        backend.process->signal(leaveSignal);
     else if (fault.kind == FaultKind::BackendRejects)
-        backend.process->signal(SIGUSR2);
+        backend.process->signal(rejectSignal);
+    else if (fault.kind == FaultKind::SilentEngine)
+        backend.process->signal(silenceSignal(true));
+    else if (fault.kind == FaultKind::FullEngine)
+        backend.process->signal(fullSignal(true));
     else
         markLeaving(fault.target, true);
     if (isRelease(fault.kind))
@@ -168,7 +173,11 @@
     if (fault.kind == FaultKind::BackendLeaves)
         markLeaving(fault.target, false);
     if (fault.kind == FaultKind::BackendRejects)
-        backend.process->signal(SIGUSR2);
+        backend.process->signal(rejectSignal);
+    if (fault.kind == FaultKind::SilentEngine)
+        backend.process->signal(silenceSignal(false));
+    if (fault.kind == FaultKind::FullEngine)
+        backend.process->signal(fullSignal(false));
     if (fault.kind == FaultKind::BackendSaysLeaving)
         backend.process->signal(SIGKILL);
     else if (fault.kind != FaultKind::KillBackend)
--- a/test/soak/jayhold-soak.cpp
+++ b/test/soak/jayhold-soak.cpp
@@ -127,6 +127,7 @@
     append(result.violations, maintenance.violations);
     append(result.violations, checkRecovery(calls, recoveredAt, maintenance.faultFreePeriod.from));
     append(result.violations, checkCalls(calls, runs, faultFreePeriod));
+    append(result.violations, checkAnswers(calls, runs, fleet.faultPeriods()));
     append(result.violations, checkStreamOrder(calls));
     append(result.violations, checkTakeUps(calls, fleet.versionPeriods(), fleet.faultPeriods(), size));
     auto arrivals = fleet.rejections();
--- a/test/soak/standin-replica.cpp
+++ b/test/soak/standin-replica.cpp
@@ -1,14 +1,12 @@
 // Stand-in for a backend server of the platform. It prints a line for each request that it starts
-// to run or rejects, before it responds. SIGUSR1 makes it say that it is leaving; SIGUSR2 begins and ends a time in
-// which it rejects all requests.
+// to run or rejects, before it responds. Signals change its behaviour.
 #include "CommandLine.h"
 #include "FakeObjectStore.h"
+#include "ReplicaSignals.h"
 #include "StandinMain.h"
 
 #include <iostream>
 
-#include <csignal>
-
 #include <unistd.h>
 
 using namespace jayhold;
@@ -32,7 +30,7 @@
 {
     sigset_t set;
     sigemptyset(&set);
-    for (const auto signal : { SIGTERM, SIGINT, SIGUSR1, SIGUSR2 })
+    for (const auto signal : { SIGTERM, SIGINT, soak::leaveSignal, soak::rejectSignal, soak::silenceSignal(true), soak::silenceSignal(false), soak::fullSignal(true), soak::fullSignal(false) })
         sigaddset(&set, signal);
     return set;
 }
@@ -42,13 +40,17 @@
 {
     const auto set = controlSignals();
     auto isRejecting = false;
-    for (int signal = 0; sigwait(&set, &signal) == 0 && (signal == SIGUSR1 || signal == SIGUSR2);) {
-        if (signal == SIGUSR1) {
+    for (int signal = 0; sigwait(&set, &signal) == 0 && signal != SIGTERM && signal != SIGINT;) {
+        if (signal == soak::leaveSignal) {
             replica.setLeaving(true);
-            continue;
+        } else if (signal == soak::rejectSignal) {
+            isRejecting = !isRejecting;
+            replica.setRetryDelay(isRejecting ? retryDelay : "");
+        } else if (signal == soak::silenceSignal(true) || signal == soak::silenceSignal(false)) {
+            replica.setSilent(signal == soak::silenceSignal(true));
+        } else {
+            replica.setFull(signal == soak::fullSignal(true));
         }
-        isRejecting = !isRejecting;
-        replica.setRetryDelay(isRejecting ? retryDelay : "");
     }
 }
 
