Compare harmless requests after crashes with those before in FleetCrashTest

The test of harmless requests counted only those after the fifth crash. The fleet usually crashes fewer engines, so this check had nothing to compare. Now crashing requests begin after 8 s, and harmless requests with the same first part must begin at least half as often from 6 s after the fifth crash, or the last if there are fewer, as before the first crash, where there are 20 of each. Each prompt ends with a part of its own, so that the crashing part is never the last one. The former checks stay.

fleet_crash_test passes, as the code blocks the part after two crashes of different requests.

--- a/test/correctness/CrashFleet.cpp
+++ b/test/correctness/CrashFleet.cpp
@@ -20,11 +20,17 @@
 /// The same first part is in all crashing requests and in some harmless ones.
 constexpr std::uint64_t firstPart = 7;
 constexpr std::uint64_t crashingPart = 13;
+constexpr std::uint64_t firstOwnPart = 1'000'000;
 constexpr double harmlessShareOfFirstPart = 0.1;
 constexpr Duration messageDelay = 5ms;
 /// Delay of a write to the shared list, and interval at which an instance that gets no messages reads it.
 constexpr Duration writeDelay = 200ms;
 constexpr Duration readInterval = 2s;
+/// Time after a crash from which harmless requests must be served again.
+constexpr Duration recoveryTime = 6s;
+/// Requests that arrive later than this before the end of the run may not have begun yet.
+constexpr Duration maxFirstTokenTime = 2s;
+constexpr std::size_t minCompared = 20;
 
 }
 
@@ -79,6 +85,27 @@
     });
 }
 
+auto CrashFleet::servesHarmlessRequests() const -> bool
+{
+    if (m_crashTimes.empty())
+        return true;
+    const auto recoveredAt = m_crashTimes[std::min(m_settings.boundCrashes, m_crashTimes.size()) - 1] + recoveryTime;
+    std::size_t before = 0;
+    std::size_t begunBefore = 0;
+    std::size_t after = 0;
+    std::size_t begunAfter = 0;
+    for (const auto& request : m_harmless) {
+        if (request.arrivedAt < m_crashTimes.front() - maxFirstTokenTime) {
+            ++before;
+            begunBefore += request.hasBegun;
+        } else if (request.arrivedAt >= recoveredAt && request.arrivedAt < m_now - maxFirstTokenTime) {
+            ++after;
+            begunAfter += request.hasBegun;
+        }
+    }
+    return before < minCompared || after < minCompared || 2 * begunAfter * before >= begunBefore * after;
+}
+
 auto CrashFleet::at(Duration time, std::function<void()> action) -> void
 {
     m_scheduled.emplace(start + time, std::move(action));
@@ -129,13 +156,19 @@
     const auto index = std::uniform_int_distribution<std::size_t>(0, m_instances.size() - 1)(m_random);
     const RequestId id { ++m_lastRequest };
     Request request;
-    request.isCrashing = chance(m_settings.crashingShare);
+    request.isCrashing = m_now >= start + m_settings.calmTime && chance(m_settings.crashingShare);
     const auto hasFirstPart = request.isCrashing || chance(harmlessShareOfFirstPart);
     request.parts = { hasFirstPart ? firstPart : 1'000 + m_lastRequest };
     if (request.isCrashing)
         request.parts.push_back(crashingPart);
+    // The last part is of this request alone.
+    request.parts.push_back(firstOwnPart + m_lastRequest);
     request.isCounted = !request.isCrashing && hasFirstPart && isPastBound(stableTime);
     harmlessArrived += request.isCounted;
+    if (hasFirstPart && !request.isCrashing) {
+        request.harmless = m_harmless.size();
+        m_harmless.push_back({ m_now });
+    }
     m_instances[index]->requests[id] = request;
     send(index, RequestArrived {
                     .request = id,
@@ -168,6 +201,8 @@
             continue;
         instance.decodes.at(id).next = m_now + tokenInterval;
         ++request.tokens;
+        if (request.harmless)
+            m_harmless[*request.harmless].hasBegun = true;
         send(index, TokensEmitted { id, decode.start.attempt, request.tokens });
         if (request.tokens < answerTokens)
             continue;
@@ -200,6 +235,7 @@
 
 auto CrashFleet::crash(std::uint32_t engine) -> void
 {
+    m_crashTimes.push_back(m_now);
     if (++crashes == m_settings.boundCrashes)
         m_boundAt = m_now + stableTime;
     m_engines[engine].isDown = true;
--- a/test/correctness/CrashFleet.h
+++ b/test/correctness/CrashFleet.h
@@ -27,7 +27,15 @@
     double messageLoss = 0;
     /// Crashes after which the limit holds.
     std::size_t boundCrashes = 5;
-    Duration length = std::chrono::seconds(40);
+    /// Time before the first request with the part.
+    Duration calmTime = std::chrono::seconds(8);
+    Duration length = std::chrono::seconds(48);
+};
+
+/// A harmless request with the same first part as the crashing ones.
+struct HarmlessRequest {
+    TimePoint arrivedAt {};
+    bool hasBegun = false;
 };
 
 class CrashFleet {
@@ -55,6 +63,9 @@
     /// Harmless requests with the same first part as the crashing ones: arrived and finished after the bound.
     std::size_t harmlessArrived = 0;
     std::size_t harmlessFinished = 0;
+    /// @return whether harmless requests begin at least half as often as before the first crash, from 6 s after the fifth
+    /// crash on, or after the last if there are fewer. There must be 20 of each for a comparison.
+    auto servesHarmlessRequests() const -> bool;
 
 private:
     static constexpr Duration step = std::chrono::milliseconds(5);
@@ -64,6 +75,8 @@
         bool isCrashing = false;
         std::uint32_t tokens = 0;
         bool isCounted = false;
+        /// Index of its entry in m_harmless.
+        std::optional<std::size_t> harmless;
     };
     struct Decode {
         StartDecode start;
@@ -123,6 +136,8 @@
     std::uint64_t m_lastProcess = 0;
     /// When the limit begins to hold.
     std::optional<TimePoint> m_boundAt;
+    std::vector<TimePoint> m_crashTimes;
+    std::vector<HarmlessRequest> m_harmless;
 };
 
 }
--- a/test/correctness/FleetCrashTest.cpp
+++ b/test/correctness/FleetCrashTest.cpp
@@ -23,6 +23,7 @@
     CHECK(fleet.crashes <= CrashFleetSettings().boundCrashes);
     CHECK(fleet.callsAfterBound <= maxCallsAfterBound);
     CHECK(fleet.harmlessFinished * 2 >= fleet.harmlessArrived);
+    CHECK(fleet.servesHarmlessRequests());
 }
 
 // Guards against instances that do not know of a blocked part because they started later, were cut off or
@@ -30,12 +31,12 @@
 TEST_CASE("restarted and cut off instances do not run requests with a blocked part")
 {
     rc::prop("in any order of restarts and cuts", [](std::uint32_t seed) {
-        CrashFleet fleet({ .seed = seed, .crashingShare = 0.3, .messageLoss = 0.3, .length = std::chrono::seconds(24) });
+        CrashFleet fleet({ .seed = seed, .crashingShare = 0.3, .messageLoss = 0.3, .length = std::chrono::seconds(32) });
         std::minstd_rand random(seed + 1);
         const auto number = [&](int most) { return std::uniform_int_distribution<int>(0, most)(random); };
         for (auto count = number(6); count > 0; --count) {
             const auto instance = static_cast<std::size_t>(number(5));
-            const auto time = std::chrono::milliseconds(number(20'000));
+            const auto time = CrashFleetSettings().calmTime + std::chrono::milliseconds(number(20'000));
             const auto length = std::chrono::milliseconds(number(10'000));
             const auto what = number(2);
             fleet.at(time, [&fleet, instance, length, what] {
@@ -50,6 +51,7 @@
         fleet.run();
         RC_ASSERT(fleet.callsAfterBound <= maxCallsAfterBound);
         RC_ASSERT(fleet.harmlessFinished * 2 >= fleet.harmlessArrived);
+        RC_ASSERT(fleet.servesHarmlessRequests());
     });
 }
 
@@ -67,4 +69,5 @@
     REQUIRE(fleet.crashes > 0);
     CHECK(fleet.callsAfterBound <= maxCallsAfterBound);
     CHECK(fleet.harmlessFinished * 2 >= fleet.harmlessArrived);
+    CHECK(fleet.servesHarmlessRequests());
 }
