Let requests of the soak crash engines by a part of their prompt

The soak knew no parts of prompts, so the limits on crashing parts were tested only in virtual time (docs/incidents/crashing-prompt-parts.md).

All model requests of the soak name the parts of their prompt. In a third of the seeds, until the planned maintenance, one of 30 new streams has a part that crashes each engine that begins to answer it; half of the other streams share its first part. Crashed engines start again after 2 s with a new start time.

New checks: from 3 s after the fifth crash, at most three requests with the part, first or repeated ones, reach engines from instances in touch with the store; and from 6 s after the fifth crash, or the last if there are fewer, streams with the same first part begin at least half as often as when undisturbed, in calm times, where there are 20 of each.

--- a/test/FakeObjectStore.cpp
+++ b/test/FakeObjectStore.cpp
@@ -405,6 +405,8 @@
             co_await pause(m_gap);
         while (m_isSilent && event > first)
             co_await pause(silenceStep);
+        if (event == first)
+            m_onFirstEvent(exchange.request());
         co_await exchange.write(streamEventText(event, m_version));
     }
     co_await exchange.finishStream();
--- a/test/FakeObjectStore.h
+++ b/test/FakeObjectStore.h
@@ -146,6 +146,9 @@
     /// Sets a callback that receives the identifier, stage and retry delay of each request that is rejected with a
     /// retry delay; must be called before the first request.
     auto onRejection(std::function<void(const std::string&, const std::string&, const std::string&)> callback) -> void { m_onRejection = std::move(callback); }
+    /// Sets a callback that receives each request before the first event of its stream; must be called before the
+    /// first request.
+    auto onFirstEvent(std::function<void(const HttpRequest&)> callback) -> void { m_onFirstEvent = std::move(callback); }
     auto isLeaving() const -> bool { return m_isLeaving; }
     auto setBehaviour(Behaviour behaviour) -> void { m_behaviour = behaviour; }
     /// @return the last received request.
@@ -168,6 +171,7 @@
     std::atomic<Duration> m_reservationTime { Duration::zero() };
     std::function<void(const std::string&, const std::string&)> m_onRun = [](const std::string&, const std::string&) {};
     std::function<void(const std::string&, const std::string&, const std::string&)> m_onRejection = [](const std::string&, const std::string&, const std::string&) {};
+    std::function<void(const HttpRequest&)> m_onFirstEvent = [](const HttpRequest&) {};
     std::atomic<int> m_runs { 0 };
     std::atomic<int> m_prefills { 0 };
     std::atomic<int> m_requests { 0 };
--- a/test/soak/FaultPeriod.cpp
+++ b/test/soak/FaultPeriod.cpp
@@ -40,10 +40,19 @@
     return (kind == FaultKind::KillBackend || kind == FaultKind::CutLink || kind == FaultKind::ResetLink) && isActive(fault, from, until);
 }
 
+auto isStoreFault(FaultKind kind) -> bool
+{
+    return (kind >= FaultKind::StoreDown && kind <= FaultKind::StoreHistoryCompacted) || kind == FaultKind::StoreRestored;
+}
+
+auto concernsStoreOrEntry(const PlannedFault& fault, std::size_t entry, const FleetSize& size) -> bool
+{
+    return isStoreFault(fault.kind) || concernsEntry(fault, entry) || (isLinkFault(fault.kind) && fault.target == size.backends + entry);
+}
+
 auto concernsStoreOrEntries(const PlannedFault& fault, const FleetSize& size) -> bool
 {
-    const auto isStoreFault = (fault.kind >= FaultKind::StoreDown && fault.kind <= FaultKind::StoreHistoryCompacted) || fault.kind == FaultKind::StoreRestored;
-    return fault.kind <= FaultKind::KillAllEntries || isStoreFault || (isLinkFault(fault.kind) && fault.target >= size.backends);
+    return fault.kind <= FaultKind::KillAllEntries || isStoreFault(fault.kind) || (isLinkFault(fault.kind) && fault.target >= size.backends);
 }
 
 }
--- a/test/soak/FaultPeriod.h
+++ b/test/soak/FaultPeriod.h
@@ -27,6 +27,12 @@
 /// @return whether the fault closes connections to the backend server between two times.
 auto breaksConnections(const FaultPeriod& fault, std::size_t backend, TimePoint from, TimePoint until) -> bool;
 
+/// @return whether the fault concerns the store itself.
+auto isStoreFault(FaultKind kind) -> bool;
+
+/// @return whether the fault concerns the store, the connection of the entry instance to it, or its process.
+auto concernsStoreOrEntry(const PlannedFault& fault, std::size_t entry, const FleetSize& size) -> bool;
+
 /// @return whether the fault concerns the store, the connection of an entry instance to it, or the process of an
 /// entry instance.
 auto concernsStoreOrEntries(const PlannedFault& fault, const FleetSize& size) -> bool;
--- a/test/soak/FaultPlan.cpp
+++ b/test/soak/FaultPlan.cpp
@@ -211,6 +211,11 @@
     return size;
 }
 
+auto hasCrashingRequests(std::uint64_t seed) -> bool
+{
+    return FaultRandom(seed, FaultKind::Count).upTo(2) == 0;
+}
+
 auto planFaults(std::uint64_t seed, Duration duration, const FleetSize& size) -> std::vector<PlannedFault>
 {
     std::mt19937_64 random(seed);
--- a/test/soak/FaultPlan.h
+++ b/test/soak/FaultPlan.h
@@ -81,6 +81,9 @@
 /// @param backends number of backend servers.
 auto fleetSize(std::uint64_t seed, std::size_t entries, std::size_t backends) -> FleetSize;
 
+/// @return whether the callers send requests that crash engines; so in a third of the seeds.
+auto hasCrashingRequests(std::uint64_t seed) -> bool;
+
 /// @param duration time within which all faults start and end.
 /// @return the faults, ordered by start time.
 auto planFaults(std::uint64_t seed, Duration duration, const FleetSize& size) -> std::vector<PlannedFault>;
--- a/test/soak/ReplicaSignals.h
+++ b/test/soak/ReplicaControl.h
@@ -1,11 +1,16 @@
 #pragma once
 
-/// The signals with which the soak changes the behaviour of standin-replica.
+/// The signals and the prompt part with which the soak changes the behaviour of standin-replica.
 
 #include <csignal>
+#include <string_view>
 
 namespace jayhold::soak {
 
+/// A server crashes when it begins an answer to a prompt with this part.
+inline constexpr std::string_view crashingPart = "dead";
+inline constexpr int crashExitCode = 70;
+
 /// The server says in all answers that it is leaving.
 inline constexpr int leaveSignal = SIGUSR1;
 /// Begins or ends a time in which the server rejects all requests.
--- a/test/soak/SoakCallers.cpp
+++ b/test/soak/SoakCallers.cpp
@@ -3,6 +3,7 @@
 #include "FakeObjectStore.h"
 #include "ParseNumber.h"
 #include "Pause.h"
+#include "ReplicaControl.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -22,6 +23,8 @@
 constexpr auto callTimeout = std::chrono::seconds(5);
 constexpr int streamEventCount = 5;
 /// Requests with which a caller tries to take up a stream, and the longest time before one of them.
+/// First part of the prompts with the crashing part and of many others, with its number of tokens.
+constexpr std::string_view firstPart = "7:40,";
 constexpr int maxTakeUps = 10;
 constexpr auto maxTakeUpPause = milliseconds(1'500);
 /// Precedes the name of a backend server in its signature.
@@ -85,6 +88,7 @@
     if (isStream(kind)) {
         request.headers.push_back({ "Model", "m" });
         request.headers.push_back({ "Token-Counts", "100,200" });
+        request.headers.push_back({ "Prompt-Prefix", record.promptParts });
     }
     return request;
 }
@@ -106,6 +110,16 @@
 
 }
 
+auto hasCrashingPart(const CallRecord& call) -> bool
+{
+    return call.promptParts.find(crashingPart) != std::string::npos;
+}
+
+auto sharesFirstPart(const CallRecord& call) -> bool
+{
+    return isStream(call.kind) && call.promptParts.starts_with(firstPart) && !hasCrashingPart(call);
+}
+
 auto parseStreamEvents(std::string_view body) -> std::vector<StreamEvent>
 {
     constexpr std::string_view indexPrefix = "id: ";
@@ -164,12 +178,12 @@
         const auto kind = static_cast<CallKind>(random() % 4);
         const auto entry = random() % m_endpoints.size();
         auto& client = m_threads.client(caller % m_threads.size());
-        auto record = co_await callOnce(client, kind, entry, nullptr);
+        auto record = co_await callOnce(client, kind, entry, makePromptParts(static_cast<std::uint32_t>(random())), nullptr);
         for (auto takeUps = 0; takeUps < maxTakeUps && mayTakeUp(record) && !m_isStopping; ++takeUps) {
             // Most callers return at once; the others may find that all instances have been restarted meanwhile.
             const auto longest = random() % 4 == 0 ? maxTakeUpPause : maxPause;
             co_await pause(milliseconds(random() % longest.count()));
-            auto next = co_await callOnce(client, kind, random() % m_endpoints.size(), &record);
+            auto next = co_await callOnce(client, kind, random() % m_endpoints.size(), record.promptParts, &record);
             store(std::exchange(record, std::move(next)));
         }
         store(std::move(record));
@@ -200,12 +214,23 @@
     }
 }
 
-auto SoakCallers::callOnce(HttpClient& client, CallKind kind, std::size_t entry, const CallRecord* previous) -> asio::awaitable<CallRecord>
+auto SoakCallers::makePromptParts(std::uint32_t random) -> std::string
+{
+    constexpr std::uint32_t crashingInterval = 30;
+    const auto isCrashing = m_isSendingCrashingParts && random % crashingInterval == 0;
+    const auto hasFirstPart = isCrashing || random % 2 == 0;
+    // Only decimal digits, so that no other part contains the crashing one.
+    const auto ownPart = std::to_string(++m_lastPart) + ":40";
+    return (hasFirstPart ? std::string(firstPart) : "") + (isCrashing ? std::string(crashingPart) + ":20," : "") + ownPart;
+}
+
+auto SoakCallers::callOnce(HttpClient& client, CallKind kind, std::size_t entry, std::string promptParts, const CallRecord* previous) -> asio::awaitable<CallRecord>
 {
     CallRecord record;
     record.request = "r" + std::to_string(++m_lastRequest);
     record.kind = kind;
     record.entry = entry;
+    record.promptParts = std::move(promptParts);
     if (previous) {
         record.lastEvent = lastEventOf(*previous);
         record.resumes = previous->resumes.empty() ? previous->request : previous->resumes;
--- a/test/soak/SoakCallers.h
+++ b/test/soak/SoakCallers.h
@@ -56,6 +56,8 @@
     std::string resumes;
     /// Index of the last event of that stream that the caller already had.
     int lastEvent = 0;
+    /// The parts of the prompt; the same for all requests of a stream.
+    std::string promptParts;
     /// The events of a stream that arrived, in order.
     std::vector<StreamEvent> events;
     /// Whether the header of a successful response arrived.
@@ -64,6 +66,12 @@
     bool wasReset = false;
 };
 
+/// @return whether the prompt has the part that crashes engines.
+auto hasCrashingPart(const CallRecord& call) -> bool;
+
+/// @return whether the prompt is harmless and begins like those with the crashing part.
+auto sharesFirstPart(const CallRecord& call) -> bool;
+
 /// @return the whole events of the body of a stream; the rest is ignored.
 auto parseStreamEvents(std::string_view body) -> std::vector<StreamEvent>;
 
@@ -81,15 +89,19 @@
     auto stop() -> void;
     /// Closes the connections on which a part of a stream has arrived.
     auto resetStreams() -> void { ++m_streamResets; }
+    /// @param isSending whether some of the new streams have a part in their prompt that crashes engines.
+    auto sendCrashingParts(bool isSending) -> void { m_isSendingCrashingParts = isSending; }
     auto records() const -> std::vector<CallRecord>;
 
 private:
     auto runCaller(std::size_t caller) -> boost::asio::awaitable<void>;
+    /// @param promptParts the parts of the prompt; those of the stream for one that is taken up.
     /// @param previous record of the last request for the stream to take up; null for a new request.
-    auto callOnce(HttpClient& client, CallKind kind, std::size_t entry, const CallRecord* previous) -> boost::asio::awaitable<CallRecord>;
+    auto callOnce(HttpClient& client, CallKind kind, std::size_t entry, std::string promptParts, const CallRecord* previous) -> boost::asio::awaitable<CallRecord>;
     /// Reads the body of a response until its end, an error or a reset.
     /// @return whether the response is complete.
     auto readBody(HttpStream& stream, std::string& body, CallRecord& record) -> boost::asio::awaitable<bool>;
+    auto makePromptParts(std::uint32_t random) -> std::string;
     auto store(CallRecord record) -> void;
 
     const std::vector<HttpEndpoint> m_endpoints;
@@ -99,7 +111,10 @@
     std::size_t m_startedCallers = 0;
     std::atomic<std::size_t> m_runningCallers { 0 };
     std::atomic<std::uint64_t> m_lastRequest { 0 };
+    /// So that no part is the first part.
+    std::atomic<std::uint64_t> m_lastPart { 1'000 };
     std::atomic<int> m_streamResets { 0 };
+    std::atomic<bool> m_isSendingCrashingParts { false };
     mutable std::mutex m_lock;
     std::vector<CallRecord> m_records;
 };
--- a/test/soak/SoakChecks.cpp
+++ b/test/soak/SoakChecks.cpp
@@ -109,6 +109,17 @@
 
 }
 
+auto StreamShare::count(const CallRecord& call) -> void
+{
+    ++all;
+    begun += !call.events.empty();
+}
+
+auto isCalm(const CallRecord& call, std::span<const FaultPeriod> faults, const FleetSize& size) -> bool
+{
+    return std::ranges::none_of(faults, [&](const FaultPeriod& fault) { return concernsStoreOrEntries(fault.fault, size) && isActive(fault, call.sentAt - calmTime, call.endedAt); });
+}
+
 auto checkCalls(std::span<const CallRecord> calls, std::span<const BackendRun> runs, const FaultFreePeriod& faultFreePeriod) -> std::vector<Violation>
 {
     std::vector<Violation> violations;
--- a/test/soak/SoakChecks.h
+++ b/test/soak/SoakChecks.h
@@ -19,6 +19,24 @@
     std::string detail;
 };
 
+/// How many of some streams brought events.
+struct StreamShare {
+    std::size_t all = 0;
+    std::size_t begun = 0;
+
+    auto count(const CallRecord& call) -> void;
+    /// @return 0 if there are no streams.
+    auto value() const -> double { return all == 0 ? 0 : static_cast<double>(begun) / static_cast<double>(all); }
+    auto text() const -> std::string { return std::to_string(begun) + " of " + std::to_string(all); }
+};
+
+/// Time without disturbance after which instances and engines are expected to know each other, the streams and the parts
+/// of prompts that crash engines.
+inline constexpr Duration calmTime = std::chrono::seconds(3);
+
+/// @return whether the store and all instances are undisturbed during the request and for some time before.
+auto isCalm(const CallRecord& call, std::span<const FaultPeriod> faults, const FleetSize& size) -> bool;
+
 /// Period without faults in which the entry instances are restarted one after the other.
 struct FaultFreePeriod {
     TimePoint from {};
--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -207,11 +207,17 @@
     requireListening(*entry.process, "an entry instance");
 }
 
-auto SoakFleet::keepOutput(std::unique_ptr<ChildProcess> process, bool isEntry) -> void
+auto SoakFleet::keepOutput(std::vector<std::string>& lines, std::unique_ptr<ChildProcess> process) -> void
 {
-    auto& keptOutput = isEntry ? m_endedEntryOutput : m_endedBackendOutput;
     const auto output = process->output();
-    keptOutput.insert(keptOutput.end(), output.begin(), output.end());
+    lines.insert(lines.end(), output.begin(), output.end());
+}
+
+auto SoakFleet::keepBackendOutput(Backend& backend) -> void
+{
+    for (const auto& crash : parseRuns(backend.process->output(), "crashed"))
+        m_faultPeriods.push_back({ { .kind = FaultKind::KillBackend, .target = crash.backendIndex }, crash.at, monotonicNow() });
+    keepOutput(m_endedBackendOutput, std::move(backend.process));
 }
 
 auto SoakFleet::registerBackend(std::size_t index) -> void
@@ -273,7 +279,7 @@
     for (std::size_t index = first; index < first + count; ++index)
         m_faultPeriods.push_back({ { .kind = FaultKind::ReplaceEntry, .target = index }, beginsAt, monotonicNow() });
     for (auto& entry : entries) {
-        keepOutput(std::move(entry.process), true);
+        keepOutput(m_endedEntryOutput, std::move(entry.process));
         startEntry(entry);
     }
     return errors;
@@ -289,6 +295,13 @@
     return backendRuns("rejected");
 }
 
+auto SoakFleet::crashes() const -> std::vector<BackendRun>
+{
+    auto crashes = backendRuns("crashed");
+    std::ranges::sort(crashes, {}, &BackendRun::at);
+    return crashes;
+}
+
 auto SoakFleet::backendRuns(std::string_view event) const -> std::vector<BackendRun>
 {
     auto lines = m_endedBackendOutput;
@@ -296,6 +309,11 @@
         const auto output = backend.process->output();
         lines.insert(lines.end(), output.begin(), output.end());
     }
+    return parseRuns(lines, event);
+}
+
+auto SoakFleet::parseRuns(std::span<const std::string> lines, std::string_view event) const -> std::vector<BackendRun>
+{
     std::vector<BackendRun> runs;
     for (const auto& text : lines) {
         const auto line = parseLogLine(text);
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -86,6 +87,9 @@
     /// @return the releases after which all engines have the same software version.
     auto planRestOfRelease() const -> std::vector<PlannedFault>;
     auto setStoreDown(bool isDown) -> void { m_store.setDown(isDown); }
+    /// Starts the backend servers again that a request has crashed.
+    /// @param downTime time that they stay down at least.
+    auto restartCrashed(Duration downTime) -> void;
     auto saveStoreCopy() -> void { m_store.saveCopy(); }
     /// Restores the store; its other writers then write their objects again.
     auto restoreStore() -> void;
@@ -97,6 +101,8 @@
     auto rejections() const -> std::vector<BackendRun>;
     /// @return the periods of all decode engines, ordered by start time.
     auto versionPeriods() const -> const std::vector<VersionPeriod>& { return m_versionPeriods; }
+    /// @return the crashes that requests caused.
+    auto crashes() const -> std::vector<BackendRun>;
     auto faultPeriods() const -> const std::vector<FaultPeriod>& { return m_faultPeriods; }
     /// @return the log lines of all entry instances.
     auto entryLogs() const -> std::vector<std::string>;
@@ -144,7 +150,11 @@
     auto startBackend(Backend& backend, std::uint16_t port) -> void;
     auto startEntry(Entry& entry) -> void;
     /// Keeps the output of a process that has exited.
-    auto keepOutput(std::unique_ptr<ChildProcess> process, bool isEntry) -> void;
+    static auto keepOutput(std::vector<std::string>& lines, std::unique_ptr<ChildProcess> process) -> void;
+    /// Keeps the output of a backend server that has exited, and records the time for which it was down if a request
+    /// has crashed it.
+    auto keepBackendOutput(Backend& backend) -> void;
+    auto parseRuns(std::span<const std::string> lines, std::string_view event) const -> std::vector<BackendRun>;
     auto registerBackend(std::size_t index) -> void;
     auto writeConfiguration() -> void;
     auto setLinkFaults(std::size_t index, const std::string& faults) -> void;
--- a/test/soak/SoakFleetFaults.cpp
+++ b/test/soak/SoakFleetFaults.cpp
@@ -1,4 +1,4 @@
-#include "ReplicaSignals.h"
+#include "ReplicaControl.h"
 #include "SoakFleet.h"
 
 #include <algorithm>
@@ -84,11 +84,26 @@
         // A shutdown during other faults may interrupt requests; the exit code is then 1.
         if (fault.kind == FaultKind::ReplaceEntry && (!code || *code < 0 || *code > 1))
             m_unexpectedExits.push_back("edge-" + std::to_string(index) + (code ? " exited with code " + std::to_string(*code) : " did not exit in time") + " after SIGTERM");
-        keepOutput(std::move(entry.process), true);
+        keepOutput(m_endedEntryOutput, std::move(entry.process));
         startEntry(entry);
     }
 }
 
+auto SoakFleet::restartCrashed(Duration downTime) -> void
+{
+    for (std::size_t index = 0; index < m_backends.size(); ++index) {
+        auto& backend = m_backends[index];
+        if (backend.process->waitForExit(Duration::zero()) != crashExitCode)
+            continue;
+        const auto crash = parseRuns(backend.process->output(), "crashed");
+        if (!crash.empty() && monotonicNow() < crash.back().at + downTime)
+            continue;
+        keepBackendOutput(backend);
+        startBackend(backend, backend.endpoint.port);
+        registerBackend(index);
+    }
+}
+
 auto SoakFleet::beginVersion(std::size_t index) -> void
 {
     const auto& backend = m_backends[index];
@@ -126,7 +141,7 @@
     auto& backend = m_backends[index];
     backend.process->signal(SIGKILL);
     backend.process->waitForExit(startTimeout);
-    keepOutput(std::move(backend.process), false);
+    keepBackendOutput(backend);
     backend.version = std::max(newestVersion(), backend.version + 1);
     if (!keepsId) {
         m_store.remove("servers", backend.name);
@@ -183,7 +198,7 @@
     else if (fault.kind != FaultKind::KillBackend)
         return;
     backend.process->waitForExit(startTimeout);
-    keepOutput(std::move(backend.process), false);
+    keepBackendOutput(backend);
     startBackend(backend, backend.endpoint.port);
     registerBackend(fault.target);
 }
--- a/test/soak/StreamChecks.cpp
+++ b/test/soak/StreamChecks.cpp
@@ -30,11 +30,6 @@
     const FleetSize& size;
 };
 
-auto isCalm(const CallRecord& call, const Disturbances& disturbances) -> bool
-{
-    return std::ranges::none_of(disturbances.faults, [&](const FaultPeriod& fault) { return concernsStoreOrEntries(fault.fault, disturbances.size) && isActive(fault, call.sentAt - calmTime, call.endedAt); });
-}
-
 /// @return whether enough undisturbed engines of the version serve during the request.
 auto hasEngines(const CallRecord& call, const std::string& version, const Disturbances& disturbances) -> bool
 {
@@ -57,18 +52,6 @@
     return versions;
 }
 
-struct Share {
-    std::size_t all = 0;
-    std::size_t withEvents = 0;
-
-    auto count(const CallRecord& call) -> void
-    {
-        ++all;
-        withEvents += !call.events.empty();
-    }
-    auto value() const -> double { return all == 0 ? 0 : static_cast<double>(withEvents) / static_cast<double>(all); }
-};
-
 }
 
 auto checkStreamOrder(std::span<const CallRecord> calls) -> std::vector<Violation>
@@ -96,11 +79,11 @@
 {
     const Disturbances disturbances { versions, faults, size };
     const auto streamVersions = versionsOfStreams(calls);
-    Share goneOn;
-    Share begun;
+    StreamShare goneOn;
+    StreamShare begun;
     std::set<std::pair<std::string, int>> counted;
     for (const auto& call : calls) {
-        if (call.kind != CallKind::ResumableStream || !isCalm(call, disturbances))
+        if (call.kind != CallKind::ResumableStream || !isCalm(call, faults, size))
             continue;
         if (call.resumes.empty())
             begun.count(call);
@@ -109,7 +92,7 @@
     }
     if (goneOn.all < minTakeUps || goneOn.value() >= minShareOfNewStreams * begun.value())
         return {};
-    return { { "streams that are taken up go on", "", std::to_string(goneOn.withEvents) + " of " + std::to_string(goneOn.all) + ", while " + std::to_string(begun.withEvents) + " of " + std::to_string(begun.all) + " new streams begin" } };
+    return { { "streams that are taken up go on", "", goneOn.text() + ", while " + begun.text() + " new streams begin" } };
 }
 
 }
--- a/test/soak/StreamChecks.h
+++ b/test/soak/StreamChecks.h
@@ -7,9 +7,6 @@
 
 namespace jayhold::soak {
 
-/// Time without disturbance after which instances and engines are expected to know each other and the streams.
-inline constexpr Duration calmTime = std::chrono::seconds(3);
-
 /// @param calls the requests of each caller in the order in which they were sent.
 /// @return the streams in which a piece is missing or double, or which have events of two versions.
 auto checkStreamOrder(std::span<const CallRecord> calls) -> std::vector<Violation>;
--- a/test/soak/jayhold-soak.cpp
+++ b/test/soak/jayhold-soak.cpp
@@ -4,6 +4,7 @@
 #include "LogLine.h"
 #include "LogParser.h"
 #include "NoticeChecks.h"
+#include "PartChecks.h"
 #include "PlannedMaintenance.h"
 #include "RequestHistory.h"
 #include "StallMeter.h"
@@ -52,10 +53,21 @@
     return timeline;
 }
 
+/// Waits while engines that crash are started again.
+auto waitUntil(SoakFleet& fleet, TimePoint time) -> void
+{
+    constexpr Duration interval = std::chrono::milliseconds(20);
+    constexpr Duration downTime = std::chrono::seconds(2);
+    while (monotonicNow() < time) {
+        fleet.restartCrashed(downTime);
+        std::this_thread::sleep_until(std::min(time, monotonicNow() + interval));
+    }
+}
+
 auto injectFaults(SoakFleet& fleet, SoakCallers& callers, const std::vector<PlannedFault>& plan, TimePoint start) -> void
 {
     for (const auto& faultEvent : faultEvents(plan)) {
-        std::this_thread::sleep_until(start + faultEvent.at);
+        waitUntil(fleet, start + faultEvent.at);
         if (faultEvent.fault.kind == FaultKind::ResetCallers)
             callers.resetStreams();
         else if (faultEvent.isStart)
@@ -85,7 +97,7 @@
     double sent = 0;
     double served = 0;
     for (const auto& call : calls) {
-        if (call.sentAt < from || call.sentAt > until || call.wasReset || !call.resumes.empty())
+        if (call.sentAt < from || call.sentAt > until || call.wasReset || !call.resumes.empty() || hasCrashingPart(call))
             continue;
         sent += 1;
         served += call.status / 100 == 2;
@@ -107,16 +119,20 @@
         endpoints.push_back(fleet.entryEndpoint(index));
     SoakCallers callers(endpoints, seed);
     callers.start();
+    callers.sendCrashingParts(hasCrashingRequests(seed));
     injectFaults(fleet, callers, plan, monotonicNow());
     if (!fleet.waitUntilReady(recoveryTime))
         result.violations.push_back({ "the fleet becomes ready again after its faults", "", "" });
     const auto settledAt = monotonicNow() + settlingTime;
     injectFaults(fleet, callers, fleet.planRestOfRelease(), monotonicNow());
     // Entry instances probe failed backend servers again only after some seconds.
-    std::this_thread::sleep_until(settledAt);
+    waitUntil(fleet, settledAt);
     const auto recoveredAt = monotonicNow();
     // A release and lost connections of callers are no disruption for the other requests.
     injectFaults(fleet, callers, planCalmRelease(size), recoveredAt);
+    callers.sendCrashingParts(false);
+    const auto crashingUntil = monotonicNow();
+    fleet.restartCrashed(Duration::zero());
     // So that pauses of the backend servers concern more requests than the retry budgets allow to repeat.
     callers.start();
     const auto maintenance = performPlannedMaintenance(fleet, size, seed);
@@ -130,6 +146,7 @@
     append(result.violations, checkAnswers(calls, runs, fleet.faultPeriods()));
     append(result.violations, checkStreamOrder(calls));
     append(result.violations, checkTakeUps(calls, fleet.versionPeriods(), fleet.faultPeriods(), size));
+    append(result.violations, checkCrashingParts(calls, runs, fleet.crashes(), crashingUntil, fleet.faultPeriods(), size));
     auto arrivals = fleet.rejections();
     arrivals.insert(arrivals.end(), runs.begin(), runs.end());
     append(result.violations, checkLeavingNotices(calls, arrivals, fleet.faultPeriods()));
@@ -213,7 +230,7 @@
         const auto size = fleetSize(seed, static_cast<std::size_t>(options.entries), static_cast<std::size_t>(options.backends));
         const auto plan = planFaults(seed, std::chrono::seconds(options.seconds), size);
         const auto result = runOnce(options, seed, plan, size);
-        std::cout << "seed " << seed << ": " << (result.violations.empty() ? "passed" : "FAILED") << ", " << size.entries << " instances, " << plan.size() << " faults, " << result.calls << " calls, " << result.successes << " served, the machine stalled for up to " << std::chrono::duration_cast<std::chrono::milliseconds>(result.longestStall).count() << " ms" << std::endl;
+        std::cout << "seed " << seed << ": " << (result.violations.empty() ? "passed" : "FAILED") << ", " << size.entries << " instances, " << (hasCrashingRequests(seed) ? "crashing requests, " : "") << plan.size() << " faults, " << result.calls << " calls, " << result.successes << " served, the machine stalled for up to " << std::chrono::duration_cast<std::chrono::milliseconds>(result.longestStall).count() << " ms" << std::endl;
         if (result.violations.empty())
             continue;
         ++failed;
--- a/test/soak/standin-replica.cpp
+++ b/test/soak/standin-replica.cpp
@@ -2,7 +2,7 @@
 // to run or rejects, before it responds. Signals change its behaviour.
 #include "CommandLine.h"
 #include "FakeObjectStore.h"
-#include "ReplicaSignals.h"
+#include "ReplicaControl.h"
 #include "StandinMain.h"
 
 #include <iostream>
@@ -81,6 +81,12 @@
     replica.setVersion(version);
     replica.setTiming(std::chrono::milliseconds(10), std::chrono::milliseconds(20));
     replica.onRun([&](const std::string& request, const std::string& stage) { print("run", replica, request, stage, "0"); });
+    replica.onFirstEvent([&](const HttpRequest& request) {
+        if (findHeader(request.headers, "Prompt-Prefix").value_or(std::string_view()).find(soak::crashingPart) == std::string_view::npos)
+            return;
+        print("crashed", replica, std::string(findHeader(request.headers, "Request-Id").value_or(std::string_view())), "", "0");
+        _exit(soak::crashExitCode);
+    });
     replica.onRejection([&](const std::string& request, const std::string& stage, const std::string& delay) { print("rejected", replica, request, stage, delay); });
     printListening(replica.endpoint());
     handleSignals(replica);
