--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -30,7 +30,7 @@
   LINK jayhold_platform)
 
 jayhold_test(backend_answer_test
-  SOURCES test/correctness/RepeatedRefusalTest.cpp test/correctness/StreamErrorTest.cpp test/FakeObjectStore.cpp
+  SOURCES test/correctness/RepeatedRefusalTest.cpp test/correctness/StreamErrorTest.cpp test/error/TruncatedBackendAnswerTest.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
 jayhold_test(server_notice_test
@@ -44,3 +44,11 @@
 jayhold_test(pause_router_test
   SOURCES test/correctness/PauseNoticeTest.cpp test/correctness/PauseRouterTest.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
+
+jayhold_test(late_request_test
+  SOURCES test/correctness/LateRequestTest.cpp test/FakeObjectStore.cpp
+  LINK jayhold_platform)
+
+jayhold_test(version_router_test
+  SOURCES test/correctness/VersionRouterTest.cpp test/FakeObjectStore.cpp
+  LINK jayhold_platform)
--- a/src/DecisionEvent.h
+++ b/src/DecisionEvent.h
@@ -17,6 +17,8 @@
 #include "PeerUsage.h"
 #include "PrefillDone.h"
 #include "PrefillFailed.h"
+#include "ReplacementRefused.h"
+#include "ReplacementReserved.h"
 #include "ReplicaChanged.h"
 #include "ReplicaLimited.h"
 #include "ReplicaLoad.h"
@@ -25,6 +27,7 @@
 #include "RequestCancelled.h"
 #include "SlotRefused.h"
 #include "SlotReserved.h"
+#include "StreamBound.h"
 #include "Tick.h"
 #include "TokensEmitted.h"
 
@@ -41,9 +44,12 @@
     DecodeFinished,
     DecodeFailed,
     AttemptSilent,
+    StreamBound,
     RequestCancelled,
     SlotReserved,
     SlotRefused,
+    ReplacementReserved,
+    ReplacementRefused,
     ReplicaChanged,
     ReplicaLimited,
     ReplicaPaused,
--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -8,8 +8,11 @@
 #include "RequestLifecycle.h"
 #include "RetryRules.h"
 #include "SlotHeadroom.h"
+#include "VersionBinding.h"
 
 #include <algorithm>
+#include <ranges>
+#include <vector>
 
 namespace jayhold {
 
@@ -27,41 +30,37 @@
 /// execution.
 constexpr int agedDeadlineDivisor = 8;
 
-/// Takes the retries that the calls of the placement need from the budget. If it does not allow for a
-/// prefill call, the decode replica prefills itself.
-/// @return false if the budget does not allow for the attempt.
-auto consumeRetriesFor(DecisionContext& context, ActiveRequest& request, Placement& placement) -> bool
+enum class StartResult {
+    /// The request has left its sub-queue: it has started, was refused, or waits for a retry in another one.
+    Left,
+    NoRoom,
+    /// The request waits in the Resume sub-queue until the budget allows a retry.
+    NoRetry,
+};
+
+auto tryStartOne(DecisionContext& context, RequestId id, bool aged) -> StartResult
 {
-    constexpr std::uint32_t decodeCalls = 1;
-    constexpr std::uint32_t prefillAndDecodeCalls = 2;
-    if (tryConsumeRetries(context, request, placement.prefill ? prefillAndDecodeCalls : decodeCalls))
-        return true;
-    if (!placement.prefill || !placement.slotFree || !context.state.settings.decodeMayPrefill)
-        return false;
-    placement.prefill = nullptr;
-    return tryConsumeRetries(context, request, decodeCalls);
+    auto& request = *findRequest(context.state, id);
+    auto placement = choosePlacement(context, request, aged ? 0 : requiredSlotHeadroom(context, request));
+    if (!placement)
+        return StartResult::NoRoom;
+    if (consumeRetriesFor(context, request, *placement)) {
+        startPlaced(context, request, *placement);
+        return StartResult::Left;
+    }
+    if (request.subQueue == SubQueue::Resume)
+        return StartResult::NoRetry;
+    if (isInterrupted(request))
+        awaitRetry(context, request);
+    else
+        refuse(context, request, RefusalReason::RetriesExhausted);
+    return StartResult::Left;
 }
 
-/// @return whether the request has left the queue.
+/// @return whether the request has left its sub-queue.
 auto tryStart(DecisionContext& context, RequestId id, bool aged = false) -> bool
 {
-    auto* request = findRequest(context.state, id);
-    auto placement = choosePlacement(context, *request, aged ? 0 : requiredSlotHeadroom(context, *request));
-    if (!placement)
-        return false;
-    if (!consumeRetriesFor(context, *request, *placement)) {
-        refuse(context, *request, RefusalReason::RetriesExhausted);
-        return true;
-    }
-    auto& state = context.state;
-    const auto isOverdue = request->subQueue == SubQueue::Overdue && request->latencyClass != LatencyClass::Batch;
-    start(context, *request, *placement);
-    recordCopyStart(context, *request);
-    state.tokensSinceAgedStart += expectedTokens(state, *request);
-    state.startInterval.started(context.now, state.queue.size() > 0);
-    if (isOverdue)
-        state.overdueStartInterval.started(context.now, state.queue.overdueCount() > 0);
-    return true;
+    return tryStartOne(context, id, aged) == StartResult::Left;
 }
 
 auto tryStart(DecisionContext& context, const std::optional<RequestId>& id) -> bool
@@ -98,10 +97,86 @@
     return std::any_of(heads.begin(), heads.begin() + count, [&](RequestId id) { return tryStart(context, id); });
 }
 
+/// Software versions whose replicas have no room for the next request. It holds up only requests of its version.
+class FullVersions {
+public:
+    auto contains(const ActiveRequest& request) const -> bool { return request.boundVersion && std::ranges::find(m_versions, *request.boundVersion) != m_versions.end(); }
+    /// @param request a request that finds no room.
+    /// @return whether requests of other versions may find room.
+    auto add(const ShardState& state, const ActiveRequest& request) -> bool
+    {
+        if (!request.boundVersion || !hasSeveralVersions(state))
+            return false;
+        m_versions.push_back(*request.boundVersion);
+        return true;
+    }
+
+private:
+    std::vector<SoftwareVersionId> m_versions;
+};
+
+/// @return the oldest requests of the Resume sub-queue, as many of each software version as dispatch tries.
+auto oldestResumes(const ShardState& state) -> std::vector<RequestId>
+{
+    RequestQueue::Waiting oldest;
+    for (const auto& [version, waiting] : state.queue.resumes()) {
+        for (const auto& entry : waiting | std::views::take(maxTriedResumes))
+            oldest.insert(entry);
+    }
+    std::vector<RequestId> ids;
+    ids.reserve(oldest.size());
+    for (const auto& [order, id] : oldest)
+        ids.push_back(id);
+    return ids;
+}
+
+/// Starts the oldest interrupted request that waits for nothing but capacity. The retries that the budget has go to the
+/// oldest request that needs some, and hold up none that needs no more.
+auto startResume(DecisionContext& context) -> bool
+{
+    auto isBudgetUsed = false;
+    FullVersions full;
+    for (const auto id : oldestResumes(context.state)) {
+        const auto& request = *findRequest(context.state, id);
+        if (full.contains(request) || awaitsCrashReports(context, request))
+            continue;
+        if (lacksRetry(context, request)) {
+            isBudgetUsed = true;
+            continue;
+        }
+        if (isBudgetUsed && needsRetry(context, request))
+            continue;
+        switch (tryStartOne(context, id, false)) {
+        case StartResult::Left:
+            return true;
+        case StartResult::NoRetry:
+            isBudgetUsed = true;
+            break;
+        case StartResult::NoRoom:
+            if (!full.add(context.state, request))
+                return false;
+            break;
+        }
+    }
+    return false;
+}
+
+/// @return whether requests wait for capacity. A wait for the retry budget says nothing about the speed at which
+/// waiting work starts.
+auto hasBacklog(const DecisionContext& context) -> bool
+{
+    auto& state = context.state;
+    if (state.queue.size() > maxTriedResumes)
+        return true;
+    const auto resumes = oldestResumes(state);
+    const auto waiting = std::ranges::count_if(resumes, [&](RequestId id) { return lacksRetry(context, *findRequest(state, id)); });
+    return state.queue.size() > static_cast<std::size_t>(waiting);
+}
+
 auto startOne(DecisionContext& context) -> bool
 {
     auto& state = context.state;
-    if (tryStart(context, oldestResume(context)))
+    if (startResume(context))
         return true;
     const auto dueAged = agedRequest(context);
     if (dueAged && tryStart(context, *dueAged, true)) {
@@ -123,10 +198,13 @@
 auto startPrefilled(DecisionContext& context) -> void
 {
     auto& prefilled = context.state.prefilled;
+    FullVersions full;
     for (auto entry = prefilled.begin(); entry != prefilled.end();) {
         // A request that starts is removed.
         auto& request = *findRequest(context.state, (entry++)->second);
-        if (!awaitsCrashReports(context, request) && !startDecode(context, request))
+        if (full.contains(request) || awaitsCrashReports(context, request) || startDecode(context, request))
+            continue;
+        if (!full.add(context.state, request))
             return;
     }
 }
@@ -135,20 +213,50 @@
 auto assignFreedSlots(DecisionContext& context) -> void
 {
     auto& prefillsWithoutSlot = context.state.prefillsWithoutSlot;
-    while (!prefillsWithoutSlot.empty()) {
-        if (!reserveDecode(context, *findRequest(context.state, prefillsWithoutSlot.begin()->second)))
+    FullVersions full;
+    for (auto entry = prefillsWithoutSlot.begin(); entry != prefillsWithoutSlot.end();) {
+        // A request that gets a slot is removed.
+        auto& request = *findRequest(context.state, (entry++)->second);
+        if (full.contains(request) || reserveDecode(context, request))
+            continue;
+        if (!full.add(context.state, request))
             return;
     }
 }
 
 }
 
-auto oldestResume(const DecisionContext& context) -> std::optional<RequestId>
+auto consumeRetriesFor(DecisionContext& context, ActiveRequest& request, Placement& placement) -> bool
 {
-    std::array<RequestId, maxTriedResumes> resumes {};
-    const auto end = resumes.begin() + context.state.queue.resumes(resumes);
-    const auto found = std::find_if(resumes.begin(), end, [&](RequestId id) { return !awaitsCrashReports(context, *findRequest(context.state, id)); });
-    return found == end ? std::nullopt : std::optional(*found);
+    constexpr std::uint32_t decodeCalls = 1;
+    constexpr std::uint32_t prefillAndDecodeCalls = 2;
+    if (tryConsumeRetries(context, request, placement.prefill ? prefillAndDecodeCalls : decodeCalls))
+        return true;
+    if (!placement.prefill || !placement.slotFree || !context.state.settings.decodeMayPrefill)
+        return false;
+    placement.prefill = nullptr;
+    return tryConsumeRetries(context, request, decodeCalls);
+}
+
+auto startPlaced(DecisionContext& context, ActiveRequest& request, const Placement& placement) -> void
+{
+    auto& state = context.state;
+    const auto isOverdue = request.subQueue == SubQueue::Overdue && request.latencyClass != LatencyClass::Batch;
+    start(context, request, placement);
+    recordCopyStart(context, request);
+    state.tokensSinceAgedStart += expectedTokens(state, request);
+    state.startInterval.started(context.now, hasBacklog(context));
+    if (isOverdue)
+        state.overdueStartInterval.started(context.now, state.queue.overdueCount() > 0);
+}
+
+auto hasWaitingResume(const DecisionContext& context, const ActiveRequest& request) -> bool
+{
+    return std::ranges::any_of(oldestResumes(context.state), [&](RequestId id) {
+        const auto& waiting = *findRequest(context.state, id);
+        const auto takesSameRoom = !waiting.boundVersion || waiting.boundVersion == request.boundVersion || !hasSeveralVersions(context.state);
+        return takesSameRoom && !awaitsCrashReports(context, waiting);
+    });
 }
 
 auto dispatch(DecisionContext& context) -> void
@@ -157,9 +265,11 @@
     assignFreedSlots(context);
     auto& state = context.state;
     while (state.queue.size() && startOne(context)) { }
+    // A prefill that was started for an expected slot takes a free one at once, not at the next event.
+    assignFreedSlots(context);
     // The time in which all replicas are paused says nothing about the speed at which waiting work starts.
     const auto isPaused = pausesEndAt(state, context.now) > context.now;
-    if (state.queue.size() && !isPaused)
+    if (hasBacklog(context) && !isPaused)
         state.startInterval.backlogStarted(context.now);
     else
         state.startInterval.backlogEnded();
--- a/src/Estimates.h
+++ b/src/Estimates.h
@@ -12,6 +12,9 @@
 /// @return expected length of the whole answer in tokens, at a quantile that depends on the weight of
 /// wasted prefill.
 auto expectedTokens(const ShardState& state, const ActiveRequest& request) -> std::uint32_t;
+/// @return an upper bound of the tokens that the answer still takes, which few answers exceed: the caller's limit until
+/// the kind's lengths are known.
+auto maxRemainingTokens(const ShardState& state, const ActiveRequest& request) -> std::uint32_t;
 /// @return a lower bound of the tokens that the answer still takes: half of the expected remainder,
 /// because the answer may be short, and zero until the kind's lengths are known. An estimate from the
 /// caller's limit would refuse every request of the kind, and its lengths would never become known.
@@ -25,6 +28,8 @@
 auto updateExpectedEnd(DecisionContext& context, ActiveRequest& request) -> void;
 auto clearExpectedEnd(DecisionContext& context, ActiveRequest& request) -> void;
 
+/// @return the time from now within which a slot must become free for a prefill that takes the given time and starts now.
+auto expectedSlotTime(const ShardState& state, Duration prefill) -> Duration;
 /// @return whether a slot that is in use now is expected to become free in time for one more request
 /// whose prefill takes the given time, while `slotHeadroom` other slots stay free.
 auto slotExpected(const DecisionContext& context, Duration prefill, std::int64_t slotHeadroom) -> bool;
--- a/src/Identifiers.h
+++ b/src/Identifiers.h
@@ -22,8 +22,18 @@
 /// An availability zone, as an index into the configuration's list.
 enum class ZoneId : std::uint16_t {};
 
+/// A software version of backend servers. Versions have no order.
+enum class SoftwareVersionId : std::uint32_t {};
+
+/// The version of all servers whose entries name none.
+constexpr SoftwareVersionId unknownVersion { 0 };
+
 /// Number of an attempt of one request, starting from 1. It distinguishes a late outcome of an earlier
 /// attempt from an outcome of the current one.
 using Attempt = std::uint32_t;
 
+/// Number of a reservation for the replacement of a silent attempt, starting from 1 and never reused by a shard. It
+/// distinguishes a late outcome of an earlier reservation from that of the current one.
+using ReplacementNumber = std::uint64_t;
+
 }
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -88,6 +88,7 @@
     , m_silenceTimeouts(silenceTimeoutsOf(m_info, context))
     , m_tokensPerEvent(m_service->tokensPerEvent())
     , m_relay(*m_writer, m_machine, m_service->metrics(), m_timeouts, m_info.arrivedAt, sequenceOf(m_info, context), m_tokensPerEvent)
+    , m_boundVersion(m_info.boundVersion)
     , m_promptTokens(m_info.digest.tokens)
 {
 }
@@ -104,6 +105,9 @@
     m_service->metrics().arrived.fetch_add(1, std::memory_order_relaxed);
     auto arrival = arrivalOf(m_info);
     arrival.kind = m_service->kindId(m_info.kindSettings.name);
+    arrival.resumedTokens = tokensSent();
+    if (m_boundVersion)
+        arrival.boundVersion = m_service->versionId(*m_boundVersion);
     m_id = m_service->open(std::move(arrival), self);
     record(LogLevel::Debug, "request_arrived");
     std::exception_ptr thrown;
@@ -130,6 +134,7 @@
         m_service->handleEvent(RequestCancelled { m_id });
     releasePrefillResult();
     releaseSlot();
+    releaseReplacement();
     m_service->close(m_id);
     if (thrown)
         std::rethrow_exception(thrown);
@@ -200,8 +205,15 @@
         co_await refuse(std::move(error));
     } else if (const auto* cancelled = std::get_if<CancelOnReplica>(&action)) {
         // The task then fails, which reports to the shard how many tokens were sent.
+        if (m_tasks->isRunning && cancelled->replica == m_tasks->replica)
+            record(LogLevel::Info, "attempt_cancelled", { { "phase", m_tasks->isPrefill ? "prefill" : "decode" }, { "tokens", m_relay.tokens() }, { "silent", m_tasks->isSilenceLogged }, { "left_ms", remainingMs() } });
         if (cancelled->replica == m_tasks->replica)
             interruptTask();
+    } else if (const auto* reservation = std::get_if<ReserveReplacement>(&action)) {
+        beginReservation(*reservation);
+    } else if (const auto* release = std::get_if<ReleaseReplacement>(&action)) {
+        if (m_replacement && m_replacement->number == release->number)
+            releaseReplacement();
     }
 }
 
@@ -214,18 +226,23 @@
         m_service->metrics().queueWait.record(monotonicNow() - m_info.arrivedAt);
     m_attempt = action.attempt;
     releasePrefillResult();
-    releaseSlot();
+    takeSlot(action.replacement);
     m_prefillReplica = action.prefill;
     const auto replica = m_service->replica(action.prefill);
     if (!replica) {
         enqueue(PrefillEnded { ++m_tasks->lastTask, EngineError { FailureKind::NotConnected, "the backend server was removed" } });
         co_return;
     }
+    reportBinding();
+    const auto decode = m_service->replica(action.decode);
+    if (auto error = decode ? checkVersion(*decode) : std::nullopt) {
+        enqueue(PrefillEnded { ++m_tasks->lastTask, std::move(*error), true });
+        co_return;
+    }
     m_hasStartedAttempt = true;
     m_backend = replica->backend.id;
-    const auto decode = m_service->replica(action.decode);
     const auto queueTime = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - m_info.arrivedAt);
-    recordDecision(m_slotRefusals == 0 ? LogLevel::Info : LogLevel::Debug, "request_placed", { { "decode_backend", decode ? decode->backend.id : "" }, { "decode_tokens", action.decodeTokens }, { "prompt_tokens", m_info.digest.tokens }, { "waited_ms", queueTime.count() } });
+    recordDecision(m_slotRefusals == 0 ? LogLevel::Info : LogLevel::Debug, "request_placed", { { "decode_backend", decode ? decode->backend.id : "" }, { "software_version", decode ? decode->backend.softwareVersion : "" }, { "bound", m_boundVersion.has_value() }, { "bound_version", boundVersionText() }, { "decode_tokens", action.decodeTokens }, { "prompt_tokens", m_info.digest.tokens }, { "waited_ms", queueTime.count() } });
     record(LogLevel::Debug, "prefill_started");
     auto call = engineCall();
     call.mayResend = [this] { return tryConsumeResend(); };
@@ -266,16 +283,25 @@
     if (!m_machine.apply(RequestTransition::DecodeStarted))
         co_return;
     m_attempt = action.attempt;
+    if (action.replacement)
+        takeSlot(action.replacement);
     const auto replica = m_service->replica(action.decode);
     if (!replica) {
         enqueue(DecodeEnded { ++m_tasks->lastTask, { EngineError { FailureKind::NotConnected, "the backend server was removed" } } });
         co_return;
     }
+    reportBinding();
+    if (auto error = checkVersion(*replica)) {
+        // The result of a prefill can be used at another decode engine.
+        enqueue(DecodeEnded { ++m_tasks->lastTask, { std::move(*error) }, !action.prefill });
+        co_return;
+    }
     m_hasStartedAttempt = true;
     m_backend = replica->backend.id;
     auto call = engineCall();
     call.maxTokens = m_info.request.maxTokens;
-    if (m_info.kindSettings.repeatable)
+    // The connection may have closed because another process with another version has taken the engine's place.
+    if (m_info.kindSettings.repeatable && !m_boundVersion)
         call.mayResend = [this] { return tryConsumeResend(); };
     if (m_prefill && action.prefill == m_prefillReplica) {
         if (const auto source = m_service->replica(m_prefillReplica))
@@ -292,7 +318,7 @@
     const auto needsSlot = action.slotTokens > 0 && !call.slot;
     if (needsSlot)
         m_decodeTokens = action.slotTokens;
-    record(LogLevel::Info, "transfer_started", { { "split", call.kv.has_value() }, { "resume_from", call.resumeFrom }, { "seat_refusals", m_slotRefusals } });
+    record(LogLevel::Info, "transfer_started", { { "software_version", replica->backend.softwareVersion }, { "bound", m_boundVersion.has_value() }, { "bound_version", boundVersionText() }, { "split", call.kv.has_value() }, { "resume_from", call.resumeFrom }, { "seat_refusals", m_slotRefusals } });
     const auto task = ++m_tasks->lastTask;
     m_tasks->replica = action.decode;
     spawnTask(runDecode(task, *replica, std::move(call), needsSlot), false);
@@ -345,7 +371,7 @@
     counter.fetch_add(1, std::memory_order_relaxed);
     m_context.metrics.countRefusal(error.type);
     const auto remainingTime = std::chrono::duration_cast<std::chrono::milliseconds>(m_info.deadline - monotonicNow());
-    recordDecision(LogLevel::Info, "request_refused", { { "reason", error.type }, { "ran", error.outcome == ExecutionOutcome::NotRun ? "no" : "unknown" }, { "left_ms", remainingTime.count() }, { "seat_refusals", m_slotRefusals }, { "queued", m_refusalInputs.queued }, { "wait_ms", m_refusalInputs.wait.count() / 1'000 }, { "needed_ms", m_refusalInputs.needed.count() / 1'000 }, { "retry_after_ms", error.retryAfter.count() / 1'000 } });
+    recordDecision(LogLevel::Info, "request_refused", { { "reason", error.type }, { "ran", error.outcome == ExecutionOutcome::NotRun ? "no" : "unknown" }, { "left_ms", remainingTime.count() }, { "seat_refusals", m_slotRefusals }, { "queued", m_refusalInputs.queued }, { "wait_ms", m_refusalInputs.wait.count() / 1'000 }, { "needed_ms", m_refusalInputs.needed.count() / 1'000 }, { "failures", m_refusalInputs.failures }, { "attempts_not_run", m_refusalInputs.attemptsNotRun }, { "retries_taken", m_refusalInputs.consumedRetries }, { "retries_left", m_refusalInputs.remainingRetries }, { "retry_after_ms", error.retryAfter.count() / 1'000 } });
     if (error.outcome == ExecutionOutcome::Unknown)
         error.response = m_failedResponse;
     co_await m_writer->fail(std::move(error));
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -50,6 +50,11 @@
         ReplicaId replica;
         std::string name;
     };
+    /// A slot for the attempt that would replace a silent one; not granted yet while it has no handle.
+    struct ReplacementSlot {
+        ReplacementNumber number;
+        std::optional<SlotHandle> slot;
+    };
     struct DecodeEnded {
         std::uint64_t task;
         RelayResult outcome;
@@ -96,14 +101,37 @@
     auto checkAccepting(ReplicaId replica) const -> std::optional<EngineError>;
     /// @return the error of a call that is not sent because its engine has asked for a pause.
     static auto pausedError() -> EngineError;
+    /// Keeps the request at the version of the engine whose first event goes to the caller.
+    auto bindToVersion(const std::string& version) -> void;
+    /// Tells the shard of the version if the request is bound. The shard has not learned of it if it ended the attempt before
+    /// the first event arrived.
+    auto reportBinding() -> void;
+    /// @return the error if the request is bound to another version than the replica's, so that the call must not be sent.
+    auto checkVersion(const ReplicaStatus& replica) -> std::optional<EngineError>;
+    /// @return the version to which the request is bound, or nothing, for the log.
+    auto boundVersionText() const -> std::string;
     auto recordSlotRefusal(const EngineError& error) -> void;
     auto releaseSlot() -> void;
+    auto releaseSlotAt(HttpClient& client, const SlotHandle& slot) -> void;
+    /// Reserves a slot for the attempt that would replace the running one, which goes on meanwhile.
+    auto beginReservation(const ReserveReplacement& action) -> void;
+    /// @param client used instead of the exchange's, because the request may end before the engine answers.
+    auto runReservation(HttpClient& client, ReserveReplacement action, ReplicaStatus decode) -> boost::asio::awaitable<void>;
+    /// Asks a decode engine for a slot.
+    auto requestSlot(HttpClient& client, ReplicaStatus decode, std::uint32_t tokens) -> boost::asio::awaitable<EngineResult<SlotHandle>>;
+    /// Reports that a slot for a replacement was refused; the running attempt goes on.
+    auto refuseReplacement(ReplacementNumber number, const EngineError& error) -> void;
+    /// Gives up the slot of a replacement, or its reservation if it is still asked for.
+    auto releaseReplacement() -> void;
+    /// Releases the slot of the former attempt, and takes the slot that is reserved for the new one, if one is.
+    auto takeSlot(ReplacementNumber number) -> void;
     /// Releases a reservation or result at an engine in the background, and logs a failure.
     /// @param what name of the resource, for the log.
     auto releaseInBackground(std::string_view what, const BackendServer& server, boost::asio::awaitable<bool> call) -> void;
     /// @param needsSlot whether a slot has to be reserved first.
     auto runDecode(std::uint64_t task, ReplicaStatus replica, EngineCall call, bool needsSlot) -> boost::asio::awaitable<void>;
-    auto relay(HttpStream& stream) -> boost::asio::awaitable<RelayResult>;
+    /// @param version software version of the engine.
+    auto relay(HttpStream& stream, std::string version) -> boost::asio::awaitable<RelayResult>;
 
     /// @param resumedFrom number of tokens that the caller had before this attempt.
     auto recordFirstToken(std::uint32_t resumedFrom) -> void;
@@ -154,10 +182,14 @@
     Attempt m_attempt = 0;
     /// Backend server of the current attempt, for the event log.
     std::string m_backend;
+    /// The software version at which the stream must go on: that of the engine whose first event has gone to the caller, or of
+    /// the one that began the stream which the caller takes up.
+    std::optional<std::string> m_boundVersion;
     ReplicaId m_prefillReplica {};
     std::optional<PrefillResult> m_prefill;
     bool m_isPrefillFetched = false;
     std::optional<SlotHandle> m_slot;
+    std::optional<ReplacementSlot> m_replacement;
     std::uint32_t m_decodeTokens = 0;
     std::uint32_t m_slotRefusals = 0;
     /// The response of the engine that failed last, if the engine itself reported the failure; null
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -18,6 +18,9 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
+#include <limits>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -65,6 +68,9 @@
     /// @return the index of a kind among all kinds that the service has had; it stays the same when a new
     /// configuration reorders the kinds.
     auto kindId(std::string_view kind) const -> KindId;
+    /// @return the identifier of a software version in the events of this service. The empty text is a version as well, that
+    /// of servers whose version is unknown.
+    auto versionId(std::string_view version) -> SoftwareVersionId;
     /// @return how long prefill engines keep their results.
     auto prefillResultTtl() const -> Duration;
     /// @return how long a slot may be reserved at a decode engine; zero if engines take no reservations.
@@ -161,7 +167,8 @@
     auto dispatchActionLocked(const DecisionAction& action, Outbox& outbox) -> void;
     auto addAttemptLocked(RequestId request, ReplicaId replica, Attempt attempt) -> void;
     /// Cancels attempts of a request at the engines: all, or those on one replica.
-    auto cancelLocked(RequestId request, std::optional<ReplicaId> replica, Outbox& outbox) -> void;
+    /// @param last later attempts go on.
+    auto cancelLocked(RequestId request, std::optional<ReplicaId> replica, Outbox& outbox, Attempt last = std::numeric_limits<Attempt>::max()) -> void;
     /// Cancels the attempts that an event ends and for which the shard issues no cancel action.
     auto cancelEndedLocked(const DecisionEvent& event, Outbox& outbox) -> void;
     /// @return the request and the attempt of an engine request id, if this service created the id in this
@@ -174,6 +181,7 @@
     auto removeReplicaLocked(ReplicaStatus& status, Outbox& outbox) -> void;
     auto isLiveLocked(ReplicaId replica) const -> bool;
     auto findPool(std::string_view name) const -> const Pool*;
+    auto versionIdLocked(std::string_view version) -> SoftwareVersionId;
 
     auto send(Outbox outbox) -> void;
     /// Reports prompts and blocked parts to the peers.
@@ -199,6 +207,7 @@
     std::vector<DecisionAction> m_actions;
     std::uint64_t m_lastRequest = 0;
     std::uint32_t m_lastReplica = 0;
+    std::map<std::string, SoftwareVersionId, std::less<>> m_versions { { "", unknownVersion } };
     std::mt19937_64 m_reportIds { std::random_device {}() };
     std::unordered_map<RequestId, OpenRequest> m_requests;
     std::unordered_map<ReplicaId, ReplicaStatus> m_replicas;
--- a/src/ModelServiceReplicas.cpp
+++ b/src/ModelServiceReplicas.cpp
@@ -16,7 +16,7 @@
 auto isListed(std::span<const BackendServer> backends, const BackendServer& server) -> bool
 {
     return std::ranges::any_of(backends, [&](const BackendServer& backend) {
-        return backend.id == server.id && backend.incarnation == server.incarnation && backend.state != ReplicaState::Gone;
+        return hasSameIncarnation(backend, server) && backend.state != ReplicaState::Gone;
     });
 }
 
@@ -55,7 +55,7 @@
     {
         const std::lock_guard guard(m_lock);
         const auto known = m_replicaIds.find(server.id);
-        if (known == m_replicaIds.end() || m_replicas.at(known->second).backend.incarnation != server.incarnation)
+        if (known == m_replicaIds.end() || !hasSameIncarnation(m_replicas.at(known->second).backend, server))
             return;
         decideLocked(ReplicaPaused { known->second, pause.until, pause.askedUntil }, outbox);
     }
@@ -91,7 +91,7 @@
     const auto known = m_replicaIds.find(backend.id);
     // A process that restarted under the same id has lost the state of the earlier one, so it becomes a new
     // replica.
-    if (known != m_replicaIds.end() && m_replicas.at(known->second).backend.incarnation != backend.incarnation) {
+    if (known != m_replicaIds.end() && !hasSameIncarnation(m_replicas.at(known->second).backend, backend)) {
         const auto former = known->second;
         removeReplicaLocked(m_replicas.at(former), outbox);
         m_replicas.erase(former);
@@ -132,6 +132,7 @@
     const auto zone = std::ranges::find(m_zones, status.backend.availabilityZone) - m_zones.begin();
     ReplicaChanged change { .replica = status.id, .role = status.role, .zone = static_cast<ZoneId>(zone), .state = status.backend.state };
     change.process = stableHash(status.backend.id + "/" + status.backend.incarnation);
+    change.version = versionIdLocked(status.backend.softwareVersion);
     if (m_roleChanges.contains(status.id) && change.state == ReplicaState::Live)
         change.state = ReplicaState::Leaving;
     if (pool) {
@@ -162,11 +163,17 @@
     const std::lock_guard guard(m_lock);
     const auto now = monotonicNow();
     std::vector<BackendServer> servers;
+    std::map<std::string_view, std::size_t> versions;
     for (const auto& [id, status] : m_replicas) {
-        const auto isFree = status.backend.state == ReplicaState::Live && !m_roleChanges.contains(id) && !jayhold::isPaused(m_shard, now, id);
-        if (status.role == role && isFree)
+        const auto isAvailable = status.role == role && status.backend.state == ReplicaState::Live && !m_roleChanges.contains(id);
+        if (isAvailable)
+            ++versions[status.backend.softwareVersion];
+        if (isAvailable && !jayhold::isPaused(m_shard, now, id))
             servers.push_back(status.backend);
     }
+    // Streams of a version can't go on without a decode engine of that version.
+    if (role == PoolRole::Decode)
+        std::erase_if(servers, [&](const BackendServer& server) { return versions[server.softwareVersion] < 2; });
     return rankForRoleChange(std::move(servers));
 }
 
@@ -266,7 +273,7 @@
 {
     const std::lock_guard guard(m_lock);
     const auto known = m_replicaIds.find(server.id);
-    return known != m_replicaIds.end() && isLiveLocked(known->second) && m_replicas.at(known->second).backend.incarnation == server.incarnation;
+    return known != m_replicaIds.end() && isLiveLocked(known->second) && hasSameIncarnation(m_replicas.at(known->second).backend, server);
 }
 
 auto ModelService::replicas() const -> std::vector<ReplicaStatus>
--- a/src/Placement.h
+++ b/src/Placement.h
@@ -15,6 +15,8 @@
     /// Whether the slot is free now. Otherwise it is expected to be free when the prefill result is
     /// ready.
     bool slotFree;
+    /// What is reserved on the decode replica already; null if nothing is.
+    const Replacement* replacement = nullptr;
 };
 
 /// @param slotHeadroom decode slots that must also stay free.
@@ -24,6 +26,9 @@
 /// @param prefillZone zone of the prefill result; a decode there is preferred.
 /// @return a decode replica with a free slot and memory for the request, or null.
 auto chooseDecode(DecisionContext& context, const ActiveRequest& request, ZoneId prefillZone) -> Replica*;
+/// @return whether the replica has the software version at which the request must run, and its process is known. Processes of
+/// the unknown version can't be told apart. Each choice of a decode replica asks this.
+auto mayDecodeAt(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> bool;
 /// @return whether the replica has the memory and the link capacity for the request.
 auto prefillFits(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> bool;
 
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -1,6 +1,7 @@
 #include "PlainService.h"
 
 #include "JitteredDelay.h"
+#include "PlainReplacement.h"
 #include "Sha256.h"
 
 #include <algorithm>
@@ -18,6 +19,11 @@
     return sha256Hex(request.method + "\n" + request.target + "\n" + request.body);
 }
 
+auto drainRefusal() -> ApiError
+{
+    return refusalError(RefusalReason::Draining, ExecutionOutcome::NotRun, jitteredDelay(retryDelay));
+}
+
 /// A policy that instances do not share is replaced by the limits for plain calls.
 auto plainPolicy(const RetryPolicy& policy) -> RetryPolicy
 {
@@ -49,6 +55,7 @@
     const std::lock_guard guard(m_lock);
     m_pools = service.pools;
     m_retry = service.retry;
+    std::erase_if(m_durations, [&](const auto& entry) { return std::ranges::find(service.kinds, entry.first, &RequestKind::name) == service.kinds.end(); });
     updateBudgetLocked();
 }
 
@@ -113,10 +120,14 @@
     call.onSkippedResponse = [this, &call](const BackendServer& server, unsigned status) { record(LogLevel::Info, call, "response_skipped", { { "backend", server.id }, { "status", status } }); };
     const auto endsAt = requestsEndAt(m_context);
     if (monotonicNow() >= endsAt) {
-        co_await refuse(exchange, call, refusalError(RefusalReason::Draining, ExecutionOutcome::NotRun, jitteredDelay(retryDelay)));
+        co_await refuse(exchange, call, drainRefusal());
         co_return;
     }
     call.deadline = std::min(call.deadline, endsAt);
+    if (!canEndBeforeExit(call)) {
+        co_await refuse(exchange, call, drainRefusal());
+        co_return;
+    }
     call.mayResend = [this, &call](const BackendServer& server) { return tryConsumeResend(call, server); };
     if (call.kind.repeatable || !call.kind.recorded)
         co_await serveUnrecorded(exchange, call);
@@ -133,6 +144,8 @@
         exchange.onClose([&] {
             state.isCallerDisconnected = true;
             state.interrupt.emit(asio::cancellation_type::terminal);
+            if (state.replacement)
+                state.replacement->interrupt.emit(asio::cancellation_type::terminal);
         });
     }
     auto attempt = co_await runCall(exchange.client(), call, call.kind.repeatable, state);
@@ -206,6 +219,8 @@
 
 auto PlainService::noResponseError(const PlainCallInfo& call, const PlainAttempt& attempt) const -> ApiError
 {
+    if (attempt.isRefusedByDrain)
+        return drainRefusal();
     const auto outcome = attempt.isNotRun ? ExecutionOutcome::NotRun : ExecutionOutcome::Unknown;
     if (attempt.hasTimedOut && monotonicNow() >= call.deadline)
         return { 504, std::string(jayhold::name(RefusalReason::DeadlineExceeded)), "no backend server answered in time: " + attempt.detail, outcome };
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -8,8 +8,10 @@
 #include "ReplicaHealth.h"
 #include "RequestLifecycle.h"
 #include "ReservationAccounting.h"
+#include "RetryRules.h"
 #include "SilentAttempts.h"
 #include "SlotHeadroom.h"
+#include "VersionBinding.h"
 
 #include <algorithm>
 #include <utility>
@@ -31,14 +33,14 @@
 /// next attempt still needs the number of tokens that the caller has.
 auto recordLateTokenCount(DecisionContext& context, RequestId id, Attempt attempt, std::uint32_t total) -> void
 {
-    if (auto* request = findCurrent(context.state, id, attempt, { RequestPhase::Queued }))
-        request->emitted = std::max(request->emitted, total);
+    if (auto* request = findCurrent(context.state, id, attempt, { RequestPhase::Queued, RequestPhase::Stopping }))
+        recordTokens(context, *request, total);
 }
 
 auto raiseEmitted(DecisionContext& context, ActiveRequest& request, std::uint32_t total) -> void
 {
     updateTokenRate(context, request, total);
-    request.emitted = std::max(request.emitted, total);
+    recordTokens(context, request, total);
     request.lastProgressAt = context.now;
 }
 
@@ -54,6 +56,10 @@
     request.arrival = event;
     request.arrivedAt = context.now;
     request.latencyClass = kindOf(state, request).latencyClass;
+    request.boundVersion = event.boundVersion;
+    // A stream that is taken up was interrupted. In the queue of its flow it would hold up requests of other versions.
+    if (request.boundVersion)
+        request.subQueue = SubQueue::Resume;
     recordOfferedLoad(context, request);
     const auto refusal = admissionRefusal(context, request);
     enqueue(context, request);
@@ -66,6 +72,7 @@
     auto* request = findCurrent(context.state, event.request, event.attempt, { RequestPhase::Prefilling });
     if (!request)
         return;
+    request->silentAttempt = 0;
     recordSuccess(context, *request->prefill, event.request);
     clearSuspectsIfAlive(context, *request, *request->prefill);
     completePrefill(context, *request, event.expiresAt, event.cachedTokens);
@@ -82,8 +89,12 @@
 
 auto handle(DecisionContext& context, const SlotReserved& event) -> void
 {
-    if (findCurrent(context.state, event.request, event.attempt, { RequestPhase::Prefilling, RequestPhase::Starting }))
-        context.state.awaitingSlotReply.erase(event.request);
+    const auto* request = findCurrent(context.state, event.request, event.attempt, { RequestPhase::Prefilling, RequestPhase::Starting });
+    if (!request)
+        return;
+    context.state.awaitingSlotReply.erase(event.request);
+    if (request->decode && context.state.settings.reservesSlots)
+        recordReached(context, *request->decode);
 }
 
 auto handle(DecisionContext& context, const SlotRefused& event) -> void
@@ -100,6 +111,7 @@
     auto* request = findCurrent(context.state, event.request, event.attempt, { RequestPhase::Starting });
     if (!request)
         return;
+    request->silentAttempt = 0;
     recordSuccess(context, *request->decode, event.request);
     enterDecoding(context, *request);
 }
@@ -120,6 +132,7 @@
     // An engine that goes on after a pause must not stay ejected.
     if (std::exchange(request->silentAttempt, Attempt {}) == event.attempt)
         recordSuccess(context, *request->decode, event.request);
+    recordSameProcess(context, *request->decode, request->phaseStartedAt);
     clearSuspectsIfAlive(context, *request, *request->decode);
     clearSuspectAfterProgress(context, *request, false);
     recordPromptProgress(context, *request, false);
@@ -147,11 +160,15 @@
         recordLateTokenCount(context, event.request, event.attempt, event.emittedTokens);
         return;
     }
-    if (request->phase == RequestPhase::Starting && event.emittedTokens > request->emitted)
+    // An attempt that was not sent reports the tokens of an earlier one.
+    if (request->phase == RequestPhase::Starting && event.failure != FailureKind::OtherVersion && hasNewTokens(*request, event.emittedTokens))
         enterDecoding(context, *request);
     // The time until the failure was detected says nothing about the speed of engines, so the token
     // rate is not updated.
-    request->emitted = std::max(request->emitted, event.emittedTokens);
+    if (event.failure == FailureKind::OtherVersion)
+        request->emitted = std::max(request->emitted, event.emittedTokens);
+    else
+        recordTokens(context, *request, event.emittedTokens);
     if (request->phase != RequestPhase::Stopping)
         recordFailure(context, *request->decode, event.failure);
     retryOrRefuse(context, *request, event.failure);
@@ -160,19 +177,30 @@
 auto handle(DecisionContext& context, const AttemptSilent& event) -> void
 {
     auto* request = findCurrent(context.state, event.request, event.attempt, { RequestPhase::Prefilling, RequestPhase::Starting, RequestPhase::Decoding });
-    if (!request)
+    if (!request) {
+        recordLateTokenCount(context, event.request, event.attempt, event.emittedTokens);
         return;
+    }
     // A long silence counts as one failure of the replica.
     if (request->silentAttempt != event.attempt) {
         request->silentAttempt = event.attempt;
         recordFailure(context, request->phase == RequestPhase::Prefilling ? *request->prefill : *request->decode, FailureKind::TimedOut);
     }
-    if (request->phase == RequestPhase::Starting && event.emittedTokens > request->emitted)
+    if (request->phase == RequestPhase::Starting && hasNewTokens(*request, event.emittedTokens))
         enterDecoding(context, *request);
-    request->emitted = std::max(request->emitted, event.emittedTokens);
+    recordTokens(context, *request, event.emittedTokens);
     replaceSilentAttempt(context, *request);
 }
 
+auto handle(DecisionContext& context, const StreamBound& event) -> void
+{
+    auto* request = findRequest(context.state, event.request);
+    if (!request)
+        return;
+    bindToVersion(context, *request, event.version);
+    request->emitted = std::max(request->emitted, event.emittedTokens);
+}
+
 auto handle(DecisionContext& context, const RequestCancelled& event) -> void
 {
     if (auto* request = findRequest(context.state, event.request))
@@ -190,7 +218,9 @@
     request->timerAt = TimePoint::max();
     if (latestRefusal(context.state, *request) <= context.now) {
         const auto isDraining = endsBeforeDeadline(context.state, *request) && endOfTime(context.state, *request) <= context.now;
-        refuse(context, *request, isDraining ? RefusalReason::Draining : RefusalReason::DeadlineExceeded);
+        const auto lacksRetryNow = request->phase == RequestPhase::Queued && lacksRetry(context, *request);
+        const auto reason = lacksRetryNow ? RefusalReason::RetriesExhausted : RefusalReason::DeadlineExceeded;
+        refuse(context, *request, isDraining ? RefusalReason::Draining : reason);
         return;
     }
     if (request->phase == RequestPhase::Queued) {
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -12,6 +12,8 @@
 #include "RequestLifecycle.h"
 #include "ReservationAccounting.h"
 #include "ShardSummary.h"
+#include "SilentAttempts.h"
+#include "VersionBinding.h"
 
 #include <algorithm>
 
@@ -68,7 +70,7 @@
 auto scheduleWake(DecisionContext& context) -> void
 {
     auto& state = context.state;
-    const auto next = std::min({ state.timers.next(), nextStartDelayEnd(state.crashHistory, context.now), state.partCrashes.decideAt });
+    const auto next = std::min({ state.timers.next(), nextStartDelayEnd(state.crashHistory, context.now), state.partCrashes.decideAt, nextVersionCheck(context) });
     // An early wake-up does no harm, so a new one is requested only if none is due in time.
     const auto pending = state.scheduledWake > context.now ? state.scheduledWake : TimePoint::max();
     if (next >= pending)
@@ -101,6 +103,7 @@
     blockBlamedSignatures(context);
     refuseCrashingParts(context);
     removeEndedReplicas(context);
+    refuseUnserved(context);
     dispatch(context);
     scheduleWake(context);
 }
@@ -116,7 +119,8 @@
 
 using ReservationByReplica = std::unordered_map<ReplicaId, Reservation>;
 
-/// @return the reservations of requests whose decode replica has not answered yet, by replica.
+/// @return the reservations of requests, and of replacements of their attempts, whose decode replica has not answered
+/// yet, by replica.
 auto reservedByWaiting(const ShardState& state) -> ReservationByReplica
 {
     ReservationByReplica sums;
@@ -127,6 +131,8 @@
         if (request.decode)
             add(sums[*request.decode], request.decodeReserved);
     }
+    for (const auto& [id, replacement] : state.replacements)
+        add(sums[replacement.decode], replacement.reserved);
     return sums;
 }
 
