--- a/test/FakeObjectStore.cpp
+++ b/test/FakeObjectStore.cpp
@@ -323,7 +323,7 @@
         co_await pause(m_reservationTime);
     m_releasedReservations += exchange.request().target.starts_with("/-/hold-drop/");
     auto response = jsonResponse(200, isReservation ? R"({"hold":"seat"})" : "{}");
-if (isReservation && (m_isFull || m_refusesReservations)) {
+    if (isReservation && (m_isFull || m_refusesReservations)) {
         ++m_refusedReservations;
         response = jsonResponse(409, "{}");
     }
