Count forgotten crashes in the soak only if the store could not list the part

The check of crashing parts ignored all crashes before a kill of all instances if the store was disturbed within 3 s before the kill, even if the store listed the part or had long had the time to. Now a crash is ignored only if the store did not list the part when all instances were down, was disturbed since the crash, and was not undisturbed for 3 s between the crash and the kill. The soak looks into its store at the end of the kill. A compacted history is no longer an excuse, because it hinders no write.

On the old check the new test fails for a restore whose copy was made after 4 s of calm, for an outage long after the crash, and where the store lists the part.

--- a/cmake/soak.cmake
+++ b/cmake/soak.cmake
@@ -8,7 +8,7 @@
 target_include_directories(jayhold_soak_parts PUBLIC test test/soak)
 target_link_libraries(jayhold_soak_parts PUBLIC jayhold_scenario)
 
-add_executable(jayhold-soak test/soak/jayhold-soak.cpp test/soak/PlannedMaintenance.cpp test/soak/StallMeter.cpp)
+add_executable(jayhold-soak test/soak/jayhold-soak.cpp test/soak/PlannedMaintenance.cpp test/soak/RunLog.cpp test/soak/StallMeter.cpp)
 target_link_libraries(jayhold-soak PRIVATE jayhold_soak_parts)
 add_dependencies(jayhold-soak jayhold-entry standin-link standin-replica)
 
--- a/test/FakeObjectStore.cpp
+++ b/test/FakeObjectStore.cpp
@@ -102,6 +102,12 @@
     m_changes.push_back(std::move(object));
 }
 
+auto FakeObjectStore::contains(const std::string& kind, std::string_view text) const -> bool
+{
+    const std::lock_guard guard(m_lock);
+    return std::ranges::any_of(m_objects, [&](const auto& object) { return object.first.first == kind && toText(object.second).find(text) != std::string::npos; });
+}
+
 auto FakeObjectStore::compact() -> void
 {
     const std::lock_guard guard(m_lock);
--- a/test/FakeObjectStore.h
+++ b/test/FakeObjectStore.h
@@ -30,6 +30,8 @@
     /// @param item text of the object with its metadata.
     auto putItemText(const std::string& kind, const std::string& name, std::string item) -> void;
     auto remove(const std::string& kind, const std::string& name) -> void;
+    /// @return whether the JSON text of an object of the kind contains the text.
+    auto contains(const std::string& kind, std::string_view text) const -> bool;
     /// Discards the log of changes without notifying pending watches.
     auto compact() -> void;
     /// Remembers the current state for restore().
--- a/test/correctness/PartChecksTest.cpp
+++ b/test/correctness/PartChecksTest.cpp
@@ -53,16 +53,36 @@
     CHECK(violations(5, fault(FaultKind::KillEntry, 1)) == 1);
     CHECK(violations(5, fault(FaultKind::CutLink, FleetSize().backends)) == 0);
     CHECK(violations(5, fault(FaultKind::StoreDown, 0)) == 0);
-    auto loss = fault(FaultKind::KillAllEntries, 0);
-    loss.front().until = start + 100ms;
-    loss.front().from = start - 100ms;
-    CHECK(violations(5, loss) == 1);
-    loss.push_back({ { .kind = FaultKind::StoreRestored }, start - 5s, start - 1s });
-    CHECK(violations(5, loss) == 0);
     calls.back().promptParts = harmless;
     CHECK(violations(5) == 0);
 }
 
+// Guards against a soak that passes although the fleet forgets a part that the store lists or could list.
+TEST_CASE("crashes before a kill of all instances count if the store could know the part")
+{
+    std::vector<CallRecord> calls;
+    std::vector<BackendRun> runs;
+    for (auto request = 0; request < 4; ++request) {
+        calls.push_back(call("r" + std::to_string(request), crashing, start + 12s, false));
+        runs.push_back({ calls.back().request, "prefill-3", true, start + 12s, "1", 3 });
+    }
+    const auto violations = [&](std::vector<FaultPeriod> faults) { return checkCrashingParts(calls, runs, crashesAt(5), start + 20s, faults, {}).size(); };
+    const auto period = [](FaultKind kind, Duration from, Duration until) { return FaultPeriod { { .kind = kind }, start + from, start + until }; };
+    auto kill = period(FaultKind::KillAllEntries, 5s, 6s);
+    CHECK(violations({ kill }) == 1);
+    CHECK(violations({ kill, period(FaultKind::StoreDown, 1s, 5s) }) == 0);
+    CHECK(violations({ kill, period(FaultKind::StoreRestored, -1s, 5s) }) == 0);
+    // The store had time before or after the disturbance.
+    CHECK(violations({ kill, period(FaultKind::StoreRestored, 4s, 5s) }) == 1);
+    CHECK(violations({ kill, period(FaultKind::StoreDown, 1s, 1500ms) }) == 1);
+    CHECK(violations({ kill, period(FaultKind::StoreDown, 1s, 2s) }) == 0);
+    CHECK(violations({ kill, period(FaultKind::StoreDown, -2s, -1s) }) == 1);
+    CHECK(violations({ kill, period(FaultKind::StoreHistoryCompacted, 1s, 1s) }) == 1);
+    CHECK(violations({ period(FaultKind::KillEntry, 5s, 6s), period(FaultKind::StoreDown, 1s, 5s) }) == 1);
+    kill.isPartListed = true;
+    CHECK(violations({ kill, period(FaultKind::StoreDown, 1s, 5s) }) == 1);
+}
+
 // Guards against a soak that passes although harmless requests are refused for the parts that they share with others.
 TEST_CASE("harmless requests that are not served after crashes are found without false positives")
 {
--- a/test/soak/FaultPeriod.h
+++ b/test/soak/FaultPeriod.h
@@ -10,6 +10,8 @@
     PlannedFault fault;
     TimePoint from {};
     TimePoint until = TimePoint::max();
+    /// Whether the store listed the part that crashes engines as blocked at the end of a kill of all instances.
+    bool isPartListed = false;
 };
 
 /// Time before and after a fault in which its effect on connections may be seen.
--- a/test/soak/PartChecks.cpp
+++ b/test/soak/PartChecks.cpp
@@ -1,6 +1,7 @@
 #include "PartChecks.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 
 namespace jayhold::soak {
@@ -15,17 +16,32 @@
 constexpr std::size_t minCompared = 20;
 constexpr double minShareOfUndisturbed = 0.5;
 
-/// @return when all instances last lost what they knew while the store was disturbed. The store then may not have had it:
-/// a restore undoes writes, and an outage delays them.
-auto lastLossOfKnowledge(std::span<const FaultPeriod> faults) -> TimePoint
+/// @return whether the fault delays or undoes writes to the store at some time between two times.
+auto disturbsWrites(const FaultPeriod& fault, TimePoint from, TimePoint until) -> bool
 {
-    auto last = TimePoint::min();
-    for (const auto& kill : faults) {
-        const auto isStoreDisturbed = std::ranges::any_of(faults, [&](const FaultPeriod& fault) { return isStoreFault(fault.fault.kind) && isActive(fault, kill.from - calmTime, kill.until); });
-        if (kill.fault.kind == FaultKind::KillAllEntries && isStoreDisturbed)
-            last = std::max(last, kill.until);
-    }
-    return last;
+    return isStoreFault(fault.fault.kind) && fault.fault.kind != FaultKind::StoreHistoryCompacted && isActive(fault, from, until);
+}
+
+/// @return whether an entry about a crash could be written to the store, and stay there, before the instances were killed.
+auto hadTimeToStore(TimePoint crashedAt, TimePoint killedAt, std::span<const FaultPeriod> faults) -> bool
+{
+    const auto isCalmFrom = [&](TimePoint from) {
+        return from >= crashedAt && from + calmTime <= killedAt && std::ranges::none_of(faults, [&](const FaultPeriod& fault) { return disturbsWrites(fault, from, from + calmTime); });
+    };
+    const auto isCalmAfter = [&](const FaultPeriod& fault) { return fault.until < killedAt && isCalmFrom(fault.until + faultTolerance + Duration(1)); };
+    return isCalmFrom(crashedAt) || std::ranges::any_of(faults, isCalmAfter);
+}
+
+/// @return whether all instances were killed after the crash, while the store did not list the part and, because of its
+/// disturbances since the crash, could not list it.
+auto isForgotten(const BackendRun& crash, std::span<const FaultPeriod> faults) -> bool
+{
+    return std::ranges::any_of(faults, [&](const FaultPeriod& kill) {
+        if (kill.fault.kind != FaultKind::KillAllEntries || kill.isPartListed || crash.at > kill.until)
+            return false;
+        const auto isDisturbed = std::ranges::any_of(faults, [&](const FaultPeriod& fault) { return disturbsWrites(fault, crash.at, kill.until); });
+        return isDisturbed && !hadTimeToStore(crash.at, kill.from, faults);
+    });
 }
 
 /// @return how often requests with the part, first or repeated ones, reached engines after a time.
@@ -62,7 +78,8 @@
 
 auto checkCrashingParts(std::span<const CallRecord> calls, std::span<const BackendRun> runs, std::span<const BackendRun> allCrashes, TimePoint crashingUntil, std::span<const FaultPeriod> faults, const FleetSize& size) -> std::vector<Violation>
 {
-    const auto crashes = allCrashes.subspan(static_cast<std::size_t>(std::ranges::upper_bound(allCrashes, lastLossOfKnowledge(faults), {}, &BackendRun::at) - allCrashes.begin()));
+    std::vector<BackendRun> crashes;
+    std::ranges::copy_if(allCrashes, std::back_inserter(crashes), [&](const BackendRun& crash) { return !isForgotten(crash, faults); });
     if (crashes.empty())
         return {};
     std::vector<Violation> violations;
--- a/test/soak/PartChecks.h
+++ b/test/soak/PartChecks.h
@@ -10,8 +10,8 @@
 /// @param crashes the crashes that requests caused, ordered by time.
 /// @param crashingUntil when callers sent the last request with the part.
 /// @return the violations after the fifth crash, or after the last if there are fewer. For the first check, only requests
-/// of instances count that were in touch with the store for some time; for the second, only calm times. Crashes before all
-/// instances were killed beside a disturbance of the store do not count.
+/// of instances count that were in touch with the store for some time; for the second, only calm times. Crashes do
+/// not count that all instances forgot, because they were killed while the disturbed store could not list the part.
 auto checkCrashingParts(std::span<const CallRecord> calls, std::span<const BackendRun> runs, std::span<const BackendRun> crashes, TimePoint crashingUntil, std::span<const FaultPeriod> faults, const FleetSize& size) -> std::vector<Violation>;
 
 }
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -162,6 +162,8 @@
     auto endEntryFault(const PlannedFault& fault) -> void;
     auto beginBackendFault(const PlannedFault& fault) -> void;
     auto endBackendFault(const PlannedFault& fault) -> void;
+    /// @return the period of a fault that has begun and not ended.
+    auto findActivePeriod(const PlannedFault& fault) -> FaultPeriod&;
     auto newestVersion() const -> int;
     /// Replaces an engine by one with the newest software version, or the next one if it has that, at another address.
     auto replaceEngine(std::size_t index, bool keepsId) -> void;
--- a/test/soak/SoakFleetFaults.cpp
+++ b/test/soak/SoakFleetFaults.cpp
@@ -76,6 +76,8 @@
         m_entries[fault.target].process->signal(SIGCONT);
     if (fault.kind == FaultKind::FreezeEntry || fault.kind == FaultKind::ReloadSettings)
         return;
+    if (fault.kind == FaultKind::KillAllEntries)
+        findActivePeriod(fault).isPartListed = m_store.contains("entry-blocked-parts", std::string(crashingPart) + '"');
     for (std::size_t index = 0; index < m_entries.size(); ++index) {
         auto& entry = m_entries[index];
         if (fault.kind != FaultKind::KillAllEntries && index != fault.target)
@@ -259,8 +261,13 @@
         m_store.setMalformed(false);
     else if (fault.kind == FaultKind::StoreRestored)
         restoreStore();
-    const auto isEnded = [&](const FaultPeriod& period) { return period.fault.kind == fault.kind && period.fault.target == fault.target && period.until == TimePoint::max(); };
-    std::ranges::find_if(m_faultPeriods, isEnded)->until = monotonicNow();
+    findActivePeriod(fault).until = monotonicNow();
+}
+
+auto SoakFleet::findActivePeriod(const PlannedFault& fault) -> FaultPeriod&
+{
+    const auto isSame = [&](const FaultPeriod& period) { return period.fault.kind == fault.kind && period.fault.target == fault.target && period.until == TimePoint::max(); };
+    return *std::ranges::find_if(m_faultPeriods, isSame);
 }
 
 }
--- a/test/soak/jayhold-soak.cpp
+++ b/test/soak/jayhold-soak.cpp
@@ -7,6 +7,7 @@
 #include "PartChecks.h"
 #include "PlannedMaintenance.h"
 #include "RequestHistory.h"
+#include "RunLog.h"
 #include "StallMeter.h"
 #include "StreamChecks.h"
 
@@ -82,7 +83,9 @@
     std::size_t calls = 0;
     std::size_t successes = 0;
     Duration longestStall {};
+    /// Lines of the entry instances.
     std::vector<std::string> logs;
+    std::vector<std::string> runLog;
 };
 
 auto append(std::vector<Violation>& violations, const std::vector<Violation>& more) -> void
@@ -160,6 +163,11 @@
     result.successes = static_cast<std::size_t>(std::ranges::count_if(calls, [](const CallRecord& call) { return call.status / 100 == 2; }));
     result.longestStall = stallMeter.longest();
     result.logs = fleet.entryLogs();
+    if (!options.logs.empty()) {
+        const auto crashes = fleet.crashes();
+        arrivals.insert(arrivals.end(), crashes.begin(), crashes.end());
+        result.runLog = describeRun(calls, arrivals, fleet.faultPeriods());
+    }
     return result;
 }
 
@@ -196,8 +204,10 @@
         return;
     std::filesystem::create_directories(options.logs);
     std::ofstream file(options.logs + "/seed-" + std::to_string(seed) + ".log");
-    for (const auto& line : result.logs)
-        file << line << '\n';
+    for (const auto* lines : { &result.logs, &result.runLog }) {
+        for (const auto& line : *lines)
+            file << line << '\n';
+    }
 }
 
 }
