Let graceful shutdowns in the soak end streams in the last sixth of the grace period

The platform tolerates that a planned shutdown ends a request in the last sixth of its grace period if the request was sent no later than 3 s after SIGTERM. The soak counted such streams as broken off.

Streams that end before 5/6 of the grace period (3.33 s), were sent later than 3 s after SIGTERM, or end after the exit of the process still fail, as do requests without any answer.

--- a/test/correctness/SoakChecksTest.cpp
+++ b/test/correctness/SoakChecksTest.cpp
@@ -227,6 +227,14 @@
     CHECK(guarantee(stream, fault(FaultKind::KillEntry, 0)).empty());
     CHECK(guarantee(stream, fault(FaultKind::KillEntry, 1)) == broken);
     CHECK(guarantee(stream, fault(FaultKind::KillAllEntries, 0)).empty());
+    // The stream ends 1 s after it was sent. The last sixth of the grace period begins 3.33 s after SIGTERM.
+    CHECK(guarantee(stream, fault(FaultKind::ReplaceEntry, 0, -2'400ms, 1'100ms)).empty());
+    CHECK(guarantee(stream, fault(FaultKind::ReplaceEntry, 0, -2'300ms, 1'100ms)) == broken);
+    CHECK(guarantee(stream, fault(FaultKind::ReplaceEntry, 0, -2'900ms, 1'100ms)).empty());
+    CHECK(guarantee(stream, fault(FaultKind::ReplaceEntry, 0, -3'100ms, 1'100ms)) == broken);
+    CHECK(guarantee(stream, fault(FaultKind::ReplaceEntry, 0, -2'400ms, 900ms)) == broken);
+    CHECK(guarantee(stream, fault(FaultKind::ReplaceEntry, 1, -2'400ms, 1'100ms)) == broken);
+    CHECK(guarantee(stream, fault(FaultKind::KillBackend, 0, -2'400ms, 1'100ms)) == broken);
     auto ended = stream;
     ended.endedAt = ended.sentAt + callerTimeout;
     CHECK(guarantee(ended).empty());
--- a/test/soak/SoakChecks.h
+++ b/test/soak/SoakChecks.h
@@ -63,7 +63,8 @@
 
 /// @param faults all faults of the run.
 /// @return the requests that an undisturbed instance left without an answer or a refusal, and the streams that it broke
-/// off before their deadline although their engines kept the connections open.
+/// off before their deadline although their engines kept the connections open. A graceful shutdown may end streams in
+/// the last sixth of its grace period.
 auto checkAnswers(std::span<const CallRecord> calls, std::span<const BackendRun> runs, std::span<const FaultPeriod> faults) -> std::vector<Violation>;
 
 /// @return a violation if the backend server started work after `allowedUntil`, while it was
