--- a/test/FakeObjectStore.cpp
+++ b/test/FakeObjectStore.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t pageSize = 2;
 constexpr std::string_view objectsPath = "/-/objects/";
 constexpr int streamEvents = 5;
+/// Interval at which a silent stream looks whether it may go on.
+constexpr Duration silenceStep = std::chrono::milliseconds(5);
 const HttpHeader leavingField { "Server-Leaving", "1" };
 
 auto unescape(std::string_view text) -> std::string
@@ -100,6 +102,12 @@
     m_changes.push_back(std::move(object));
 }
 
+auto FakeObjectStore::contains(const std::string& kind, std::string_view text) const -> bool
+{
+    const std::lock_guard guard(m_lock);
+    return std::ranges::any_of(m_objects, [&](const auto& object) { return object.first.first == kind && toText(object.second).find(text) != std::string::npos; });
+}
+
 auto FakeObjectStore::compact() -> void
 {
     const std::lock_guard guard(m_lock);
@@ -276,6 +284,11 @@
     co_await respond(exchange, status, std::move(response));
 }
 
+auto streamEventText(int index, const std::string& version) -> std::string
+{
+    return "id: " + std::to_string(index) + "\ndata: token " + std::to_string(index) + (version.empty() ? "" : " of " + version) + "\n\n";
+}
+
 FakeBackendServer::FakeBackendServer(IoThreads& threads, std::string id, Behaviour behaviour, const HttpEndpoint& listen)
     : m_id(std::move(id))
     , m_behaviour(behaviour)
@@ -316,7 +329,7 @@
         co_await pause(m_reservationTime);
     m_releasedReservations += exchange.request().target.starts_with("/-/hold-drop/");
     auto response = jsonResponse(200, isReservation ? R"({"hold":"seat"})" : "{}");
-    if (isReservation && m_refusesReservations) {
+    if (isReservation && (m_isFull || m_refusesReservations)) {
         ++m_refusedReservations;
         response = jsonResponse(409, "{}");
     }
@@ -344,7 +357,8 @@
     }
     const auto behaviour = m_behaviour.load();
     const auto delay = retryDelay();
-    if (behaviour == Behaviour::Reject || !delay.empty()) {
+    const auto lacksSlot = m_isFull && headerValue(request, "Stage") != "prefill" && headerValue(request, "Cache-Hold").empty();
+    if (behaviour == Behaviour::Reject || !delay.empty() || lacksSlot) {
         HttpResponse rejection { 503, { { "Not-Executed", "1" }, { "Request-Id", headerValue(request, "Request-Id") } }, {} };
         if (!delay.empty()) {
             rejection.headers.push_back({ "Retry-After", delay });
@@ -398,7 +412,11 @@
         }
         if (m_gap.load() > Duration::zero())
             co_await pause(m_gap);
-        co_await exchange.write("id: " + std::to_string(event) + "\ndata: token " + std::to_string(event) + "\n\n");
+        while (m_isSilent && event > first)
+            co_await pause(silenceStep);
+        if (event == first)
+            m_onFirstEvent(exchange.request());
+        co_await exchange.write(streamEventText(event, m_version));
     }
     co_await exchange.finishStream();
 }
--- a/test/FakeObjectStore.h
+++ b/test/FakeObjectStore.h
@@ -30,6 +30,8 @@
     /// @param item text of the object with its metadata.
     auto putItemText(const std::string& kind, const std::string& name, std::string item) -> void;
     auto remove(const std::string& kind, const std::string& name) -> void;
+    /// @return whether the JSON text of an object of the kind contains the text.
+    auto contains(const std::string& kind, std::string_view text) const -> bool;
     /// Discards the log of changes without notifying pending watches.
     auto compact() -> void;
     /// Remembers the current state for restore().
@@ -86,6 +88,10 @@
     HttpServer m_server;
 };
 
+/// @param version software version of the server that writes the event; the event does not show an empty one.
+/// @return an event of the streams that FakeBackendServer sends.
+auto streamEventText(int index, const std::string& version) -> std::string;
+
 /// A fake backend server of the platform whose behaviour a test sets.
 class FakeBackendServer {
 public:
@@ -118,6 +124,12 @@
         m_work = work;
         m_gap = gap;
     }
+    /// @param version software version that the events of streams show; must be set before the first request.
+    auto setVersion(std::string version) -> void { m_version = std::move(version); }
+    /// @param isSilent whether the streams wait with all events after their first.
+    auto setSilent(bool isSilent) -> void { m_isSilent = isSilent; }
+    /// @param isFull whether the server refuses slot reservations and decodes without one.
+    auto setFull(bool isFull) -> void { m_isFull = isFull; }
     /// @param time time that a slot reservation takes.
     auto setReservationTime(Duration time) -> void { m_reservationTime = time; }
     /// @param refuses whether the server refuses all slot reservations.
@@ -141,6 +153,9 @@
     /// Sets a callback that receives the identifier, stage and retry delay of each request that is rejected with a
     /// retry delay; must be called before the first request.
     auto onRejection(std::function<void(const std::string&, const std::string&, const std::string&)> callback) -> void { m_onRejection = std::move(callback); }
+    /// Sets a callback that receives each request before the first event of its stream; must be called before the
+    /// first request.
+    auto onFirstEvent(std::function<void(const HttpRequest&)> callback) -> void { m_onFirstEvent = std::move(callback); }
     auto isLeaving() const -> bool { return m_isLeaving; }
     auto setBehaviour(Behaviour behaviour) -> void { m_behaviour = behaviour; }
     /// @return the last received request.
@@ -155,6 +170,7 @@
     auto stream(HttpExchange& exchange, std::vector<HttpHeader> headers) -> boost::asio::awaitable<void>;
 
     const std::string m_id;
+    std::string m_version;
     std::atomic<Behaviour> m_behaviour;
     std::atomic<Duration> m_work { Duration::zero() };
     std::atomic<Duration> m_gap { Duration::zero() };
@@ -165,11 +181,14 @@
     std::atomic<int> m_releasedReservations { 0 };
     std::function<void(const std::string&, const std::string&)> m_onRun = [](const std::string&, const std::string&) {};
     std::function<void(const std::string&, const std::string&, const std::string&)> m_onRejection = [](const std::string&, const std::string&, const std::string&) {};
+    std::function<void(const HttpRequest&)> m_onFirstEvent = [](const HttpRequest&) {};
     std::atomic<int> m_runs { 0 };
     std::atomic<int> m_prefills { 0 };
     std::atomic<int> m_requests { 0 };
     std::atomic<int> m_controlCalls { 0 };
     std::atomic<bool> m_isLeaving { false };
+    std::atomic<bool> m_isSilent { false };
+    std::atomic<bool> m_isFull { false };
     mutable std::mutex m_lock;
     HttpRequest m_last;
     std::string m_retryDelay;
--- a/test/soak/SoakCallers.h
+++ b/test/soak/SoakCallers.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /// Callers that send requests of all kinds to all entry instances, reuse their connections as long
-/// as these stay open, and record the outcome of each request.
+/// as these stay open, and record the outcome of each request. A caller whose resumable stream broke off takes it up
+/// again at any instance.
 
 #include "IoThreads.h"
 
@@ -29,6 +30,13 @@
     NonResumableStream,
 };
 
+struct StreamEvent {
+    int index = 0;
+    /// Software version of the engine that wrote the event.
+    std::string version;
+    auto operator==(const StreamEvent&) const -> bool = default;
+};
+
 struct CallRecord {
     std::string request;
     CallKind kind {};
@@ -44,8 +52,29 @@
     std::string answeredBy;
     /// Error in a complete response; empty if the response is correct.
     std::string responseError;
+    /// The request that brought the first event of the stream that this request takes up; empty for a new request.
+    std::string resumes;
+    /// Index of the last event of that stream that the caller already had.
+    int lastEvent = 0;
+    /// The parts of the prompt; the same for all requests of a stream.
+    std::string promptParts;
+    /// The events of a stream that arrived, in order.
+    std::vector<StreamEvent> events;
+    /// Whether the header of a successful response arrived.
+    bool hasBegun = false;
+    /// Whether the caller closed the connection before the end of the response.
+    bool wasReset = false;
 };
 
+/// @return whether the prompt has the part that crashes engines.
+auto hasCrashingPart(const CallRecord& call) -> bool;
+
+/// @return whether the prompt is harmless and begins like those with the crashing part.
+auto sharesFirstPart(const CallRecord& call) -> bool;
+
+/// @return the whole events of the body of a stream; the rest is ignored.
+auto parseStreamEvents(std::string_view body) -> std::vector<StreamEvent>;
+
 class SoakCallers {
 public:
     /// @param endpoints the addresses of the entry instances.
@@ -58,11 +87,22 @@
     auto start() -> void;
     /// Sends no further requests and waits for those in progress.
     auto stop() -> void;
+    /// Closes the connections on which a part of a stream has arrived.
+    auto resetStreams() -> void { ++m_streamResets; }
+    /// @param isSending whether some of the new streams have a part in their prompt that crashes engines.
+    auto sendCrashingParts(bool isSending) -> void { m_isSendingCrashingParts = isSending; }
     auto records() const -> std::vector<CallRecord>;
 
 private:
     auto runCaller(std::size_t caller) -> boost::asio::awaitable<void>;
-    auto callOnce(HttpClient& client, CallKind kind, std::size_t entry) -> boost::asio::awaitable<CallRecord>;
+    /// @param promptParts the parts of the prompt; those of the stream for one that is taken up.
+    /// @param previous record of the last request for the stream to take up; null for a new request.
+    auto callOnce(HttpClient& client, CallKind kind, std::size_t entry, std::string promptParts, const CallRecord* previous) -> boost::asio::awaitable<CallRecord>;
+    /// Reads the body of a response until its end, an error or a reset.
+    /// @return whether the response is complete.
+    auto readBody(HttpStream& stream, std::string& body, CallRecord& record) -> boost::asio::awaitable<bool>;
+    auto makePromptParts(std::uint32_t random) -> std::string;
+    auto store(CallRecord record) -> void;
 
     const std::vector<HttpEndpoint> m_endpoints;
     const std::uint64_t m_seed;
@@ -71,6 +111,10 @@
     std::size_t m_startedCallers = 0;
     std::atomic<std::size_t> m_runningCallers { 0 };
     std::atomic<std::uint64_t> m_lastRequest { 0 };
+    /// So that no part is the first part.
+    std::atomic<std::uint64_t> m_lastPart { 1'000 };
+    std::atomic<int> m_streamResets { 0 };
+    std::atomic<bool> m_isSendingCrashingParts { false };
     mutable std::mutex m_lock;
     std::vector<CallRecord> m_records;
 };
--- a/test/soak/SoakChecks.cpp
+++ b/test/soak/SoakChecks.cpp
@@ -52,10 +52,32 @@
     // A stream may be truncated at the deadline of its request. No caller may be left waiting after it.
     const auto time = call.endedAt - call.sentAt;
     const auto isAtDeadline = time >= callerTimeout && time < callerTimeout + deadlineTolerance;
-    if (isFaultFree && !isAtDeadline && call.status == 0 && call.wasConnected && count > 0)
+    if (isFaultFree && !isAtDeadline && !call.wasReset && call.status == 0 && call.wasConnected && count > 0)
         violations.push_back({ "planned work and short pauses of servers cut no request", call.request, runs });
 }
 
+/// @return whether the instance was killed or frozen, or shut down before it had read the request.
+auto wasEntryDisturbed(const CallRecord& call, bool hasNoRun, std::span<const FaultPeriod> faults) -> bool
+{
+    return std::ranges::any_of(faults, [&](const FaultPeriod& fault) {
+        const auto kind = fault.fault.kind;
+        const auto isExcuse = kind != FaultKind::ReloadSettings && (kind != FaultKind::ReplaceEntry || (hasNoRun && !call.hasBegun));
+        return isExcuse && concernsEntry(fault.fault, call.entry) && isActive(fault, call.sentAt, call.endedAt);
+    });
+}
+
+/// @return whether the instance, in a graceful shutdown, ended a stream in the last sixth of the grace period, which
+/// the platform tolerates for requests that were sent early enough.
+auto wasEndedByShutdown(const CallRecord& call, std::span<const FaultPeriod> faults) -> bool
+{
+    constexpr Duration latestSending = std::chrono::seconds(3);
+    constexpr Duration earliestEnd = SoakFleet::shutdownGracePeriod * 5 / 6;
+    return std::ranges::any_of(faults, [&](const FaultPeriod& fault) {
+        const auto isShutdown = fault.fault.kind == FaultKind::ReplaceEntry && fault.fault.target == call.entry;
+        return isShutdown && call.sentAt <= fault.from + latestSending && call.endedAt >= fault.from + earliestEnd && call.endedAt <= fault.until;
+    });
+}
+
 auto isModelCall(CallKind kind) -> bool
 {
     return kind >= CallKind::ResumableStream;
@@ -99,6 +121,17 @@
 
 }
 
+auto StreamShare::count(const CallRecord& call) -> void
+{
+    ++all;
+    begun += !call.events.empty();
+}
+
+auto isCalm(const CallRecord& call, std::span<const FaultPeriod> faults, const FleetSize& size) -> bool
+{
+    return std::ranges::none_of(faults, [&](const FaultPeriod& fault) { return concernsStoreOrEntries(fault.fault, size) && isActive(fault, call.sentAt - calmTime, call.endedAt); });
+}
+
 auto checkCalls(std::span<const CallRecord> calls, std::span<const BackendRun> runs, const FaultFreePeriod& faultFreePeriod) -> std::vector<Violation>
 {
     std::vector<Violation> violations;
@@ -132,12 +165,35 @@
         const auto isAffected = call.sentAt <= pause.until && call.endedAt >= pause.from;
         const auto hasTime = call.sentAt + callerTimeout >= pause.until + answerTime;
         const auto isRefused = guaranteesNotRun(call.status) && !counts.contains(call.request);
-        if (isAffected && hasTime && call.wasConnected && !isRefused && call.status / 100 != 2)
+        if (isAffected && hasTime && call.wasConnected && !call.wasReset && !isRefused && call.status / 100 != 2)
             violations.push_back({ "a request whose backend server pauses gets its whole answer", call.request, "status " + std::to_string(call.status) });
     }
     return violations;
 }
 
+auto checkAnswers(std::span<const CallRecord> calls, std::span<const BackendRun> runs, std::span<const FaultPeriod> faults) -> std::vector<Violation>
+{
+    std::multimap<std::string_view, const BackendRun*> runsByRequest;
+    for (const auto& run : runs)
+        runsByRequest.emplace(run.request, &run);
+    std::vector<Violation> violations;
+    for (const auto& call : calls) {
+        const auto [firstRun, lastRun] = runsByRequest.equal_range(call.request);
+        const auto isIncomplete = call.status == 0 && call.wasConnected && !call.wasReset;
+        if (!isIncomplete || wasEntryDisturbed(call, firstRun == lastRun, faults))
+            continue;
+        const auto isBroken = [&](const auto& run) {
+            return std::ranges::any_of(faults, [&](const FaultPeriod& fault) { return breaksConnections(fault, run.second->backendIndex, run.second->at, call.endedAt); });
+        };
+        const auto detail = "ended after " + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(call.endedAt - call.sentAt).count()) + " ms at edge-" + std::to_string(call.entry);
+        if (!call.hasBegun)
+            violations.push_back({ "a request that was read gets an answer or a refusal", call.request, detail });
+        else if (call.endedAt - call.sentAt < callerTimeout && std::none_of(firstRun, lastRun, isBroken) && !wasEndedByShutdown(call, faults))
+            violations.push_back({ "a stream is not broken off while its engine works on it", call.request, detail });
+    }
+    return violations;
+}
+
 auto checkLeaving(std::span<const BackendRun> runs, const std::string& backend, TimePoint allowedUntil, TimePoint until) -> std::vector<Violation>
 {
     for (const auto& run : runs) {
--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -36,7 +36,7 @@
 auto makeRoute(const std::string& name, const std::string& service, const std::string& kind, int attempts) -> json::object
 {
     return { { "name", name }, { "host", "a.example" }, { "pathPrefix", "/" + name + "/" }, { "service", service }, { "kind", kind }, { "timeoutMs", 3'000 },
-        { "targetLatencyMs", 500 }, { "targetGapMs", 300 }, { "maxAttempts", attempts }, { "priority", 1 }, { "canResume", name == "resumed" }, { "sticky", kind == "streaming" } };
+        { "targetLatencyMs", 500 }, { "targetGapMs", 200 }, { "maxAttempts", attempts }, { "priority", 1 }, { "canResume", name == "resumed" }, { "sticky", kind == "streaming" } };
 }
 
 /// @return a loopback address that only this run uses, because all entry instances serve their
@@ -95,8 +95,8 @@
     // engines.
     for (std::size_t index = 0; index < size.backends; ++index) {
         Backend backend;
-        const auto isPlain = index < size.backends / 2;
-        const auto isPrefill = index == size.backends / 2;
+        const auto isPlain = index < firstEngine(size);
+        const auto isPrefill = index == firstEngine(size);
         backend.service = isPlain ? "ledger" : "llm";
         if (!isPlain)
             backend.phase = isPrefill ? "prefill" : "decode";
@@ -105,6 +105,7 @@
         m_links.push_back(startLink(backend.endpoint));
         m_backends.push_back(std::move(backend));
         registerBackend(index);
+        beginVersion(index);
     }
     for (std::size_t index = 0; index < size.entries; ++index) {
         m_links.push_back(startLink(m_store.endpoint()));
@@ -186,9 +187,14 @@
     return link;
 }
 
+auto SoakFleet::versionName(int version) -> std::string
+{
+    return "v" + std::to_string(version);
+}
+
 auto SoakFleet::startBackend(Backend& backend, std::uint16_t port) -> void
 {
-    const std::vector<std::string> arguments { "--id", backend.name, "--listen", "127.0.0.1:" + std::to_string(port) };
+    const std::vector<std::string> arguments { "--id", backend.name, "--listen", "127.0.0.1:" + std::to_string(port), "--software", versionName(backend.version) };
     backend.process = std::make_unique<ChildProcess>(m_programs + "/standin-replica", arguments, "");
     backend.endpoint = requireEndpoint(requireListening(*backend.process, backend.name), "address");
     backend.born = firstBackendStart + ++m_backendStartCount;
@@ -201,19 +207,28 @@
     requireListening(*entry.process, "an entry instance");
 }
 
-auto SoakFleet::keepOutput(std::unique_ptr<ChildProcess> process, bool isEntry) -> void
+auto SoakFleet::keepOutput(std::vector<std::string>& lines, std::unique_ptr<ChildProcess> process) -> void
 {
-    auto& keptOutput = isEntry ? m_endedEntryOutput : m_endedBackendOutput;
     const auto output = process->output();
-    keptOutput.insert(keptOutput.end(), output.begin(), output.end());
+    lines.insert(lines.end(), output.begin(), output.end());
+}
+
+auto SoakFleet::keepBackendOutput(Backend& backend) -> void
+{
+    for (const auto& crash : parseRuns(backend.process->output(), "crashed"))
+        m_faultPeriods.push_back({ { .kind = FaultKind::KillBackend, .target = crash.backendIndex }, crash.at, monotonicNow() });
+    keepOutput(m_endedBackendOutput, std::move(backend.process));
 }
 
 auto SoakFleet::registerBackend(std::size_t index) -> void
 {
     const auto& backend = m_backends[index];
     json::object entry { { "service", backend.service }, { "address", toString(m_links[index].endpoint) }, { "zone", "alpine" }, { "state", backend.isLeaving ? "draining" : "ready" }, { "slots", 6 }, { "born", backend.born } };
-    if (!backend.phase.empty())
+    if (!backend.phase.empty()) {
         entry["phase"] = backend.phase;
+        entry["version"] = versionName(backend.version);
+    }
+    m_backendIndexes[backend.name] = index;
     m_store.put("servers", backend.name, std::move(entry));
 }
 
@@ -253,15 +268,18 @@
         entry.isExitExpected = true;
         entry.process->signal(SIGTERM);
     }
-    const auto end = monotonicNow() + shutdownGracePeriod + std::chrono::seconds(1);
+    const auto beginsAt = monotonicNow();
+    const auto end = beginsAt + shutdownGracePeriod + std::chrono::seconds(1);
     std::vector<std::string> errors;
     for (std::size_t index = first; index < first + count; ++index) {
         const auto code = m_entries[index].process->waitForExit(std::max(end - monotonicNow(), Duration::zero()));
         if (!code || *code != 0)
             errors.push_back("edge-" + std::to_string(index) + (code ? " exited with code " + std::to_string(*code) : " did not exit in time") + " after SIGTERM without other faults");
     }
+    for (std::size_t index = first; index < first + count; ++index)
+        m_faultPeriods.push_back({ { .kind = FaultKind::ReplaceEntry, .target = index }, beginsAt, monotonicNow() });
     for (auto& entry : entries) {
-        keepOutput(std::move(entry.process), true);
+        keepOutput(m_endedEntryOutput, std::move(entry.process));
         startEntry(entry);
     }
     return errors;
@@ -277,6 +295,13 @@
     return backendRuns("rejected");
 }
 
+auto SoakFleet::crashes() const -> std::vector<BackendRun>
+{
+    auto crashes = backendRuns("crashed");
+    std::ranges::sort(crashes, {}, &BackendRun::at);
+    return crashes;
+}
+
 auto SoakFleet::backendRuns(std::string_view event) const -> std::vector<BackendRun>
 {
     auto lines = m_endedBackendOutput;
@@ -284,16 +309,21 @@
         const auto output = backend.process->output();
         lines.insert(lines.end(), output.begin(), output.end());
     }
+    return parseRuns(lines, event);
+}
+
+auto SoakFleet::parseRuns(std::span<const std::string> lines, std::string_view event) const -> std::vector<BackendRun>
+{
     std::vector<BackendRun> runs;
     for (const auto& text : lines) {
         const auto line = parseLogLine(text);
         if (!line || line->event != event)
             continue;
         const auto at = parseNumber<TimePoint::rep>(line->field("at")).value_or(0);
-        const auto backend = std::ranges::find(m_backends, line->field("replica"), &Backend::name);
+        const auto backend = m_backendIndexes.find(line->field("replica"));
         const std::chrono::seconds retryDelay(parseNumber<int>(line->field("retry_after")).value_or(0));
         runs.push_back({ std::string(line->field("request")), std::string(line->field("replica")), line->field("stage") == "prefill", TimePoint(TimePoint::duration(at)),
-            std::string(line->field("process")), static_cast<std::size_t>(backend - m_backends.begin()), line->field("leaving") == "1", retryDelay });
+            std::string(line->field("process")), backend == m_backendIndexes.end() ? 0 : backend->second, line->field("leaving") == "1", retryDelay });
     }
     return runs;
 }
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -5,11 +5,13 @@
 
 #include "ChildProcess.h"
 #include "FakeObjectStore.h"
-#include "FaultPlan.h"
+#include "FaultPeriod.h"
 #include "ScenarioClient.h"
 
+#include <map>
 #include <memory>
 #include <mutex>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -38,9 +40,10 @@
     Duration retryDelay {};
 };
 
-/// A fault with the time at which it was active.
-struct FaultPeriod {
-    PlannedFault fault;
+/// The time for which a process of an engine was listed as ready with a software version.
+struct VersionPeriod {
+    std::size_t backendIndex = 0;
+    std::string version;
     TimePoint from {};
     TimePoint until = TimePoint::max();
 };
@@ -81,7 +84,12 @@
     auto activeVersions() -> std::vector<int>;
     /// @return the entry instances on which the newest configuration is not active, or its newest route is unknown.
     auto findOutdatedEntries() -> std::vector<std::string>;
+    /// @return the releases after which all engines have the same software version.
+    auto planRestOfRelease() const -> std::vector<PlannedFault>;
     auto setStoreDown(bool isDown) -> void { m_store.setDown(isDown); }
+    /// Starts the backend servers again that a request has crashed.
+    /// @param downTime time that they stay down at least.
+    auto restartCrashed(Duration downTime) -> void;
     auto saveStoreCopy() -> void { m_store.saveCopy(); }
     /// Restores the store; its other writers then write their objects again.
     auto restoreStore() -> void;
@@ -91,6 +99,10 @@
     auto runs() const -> std::vector<BackendRun>;
     /// @return the requests that backend servers rejected with a retry delay.
     auto rejections() const -> std::vector<BackendRun>;
+    /// @return the periods of all decode engines, ordered by start time.
+    auto versionPeriods() const -> const std::vector<VersionPeriod>& { return m_versionPeriods; }
+    /// @return the crashes that requests caused.
+    auto crashes() const -> std::vector<BackendRun>;
     auto faultPeriods() const -> const std::vector<FaultPeriod>& { return m_faultPeriods; }
     /// @return the log lines of all entry instances.
     auto entryLogs() const -> std::vector<std::string>;
@@ -114,6 +126,8 @@
         std::string name;
         std::string service;
         std::string phase;
+        /// Number of the software version.
+        int version = 1;
         std::unique_ptr<ChildProcess> process;
         HttpEndpoint endpoint;
         bool isLeaving = false;
@@ -132,10 +146,15 @@
     /// @param event the event of the log lines.
     auto backendRuns(std::string_view event) const -> std::vector<BackendRun>;
     auto startLink(const HttpEndpoint& target) -> Link;
+    static auto versionName(int version) -> std::string;
     auto startBackend(Backend& backend, std::uint16_t port) -> void;
     auto startEntry(Entry& entry) -> void;
     /// Keeps the output of a process that has exited.
-    auto keepOutput(std::unique_ptr<ChildProcess> process, bool isEntry) -> void;
+    static auto keepOutput(std::vector<std::string>& lines, std::unique_ptr<ChildProcess> process) -> void;
+    /// Keeps the output of a backend server that has exited, and records the time for which it was down if a request
+    /// has crashed it.
+    auto keepBackendOutput(Backend& backend) -> void;
+    auto parseRuns(std::span<const std::string> lines, std::string_view event) const -> std::vector<BackendRun>;
     auto registerBackend(std::size_t index) -> void;
     auto writeConfiguration() -> void;
     auto setLinkFaults(std::size_t index, const std::string& faults) -> void;
@@ -143,6 +162,14 @@
     auto endEntryFault(const PlannedFault& fault) -> void;
     auto beginBackendFault(const PlannedFault& fault) -> void;
     auto endBackendFault(const PlannedFault& fault) -> void;
+    /// @return the period of a fault that has begun and not ended.
+    auto findActivePeriod(const PlannedFault& fault) -> FaultPeriod&;
+    auto newestVersion() const -> int;
+    /// Replaces an engine by one with the newest software version, or the next one if it has that, at another address.
+    auto replaceEngine(std::size_t index, bool keepsId) -> void;
+    /// Records the beginning and the end of the period of a version.
+    auto beginVersion(std::size_t index) -> void;
+    auto endVersion(std::size_t index) -> void;
 
     const std::string m_programs;
     IoThreads m_threads { 1 };
@@ -155,6 +182,9 @@
     std::vector<std::string> m_endedEntryOutput;
     std::vector<std::string> m_unexpectedExits;
     std::vector<FaultPeriod> m_faultPeriods;
+    std::vector<VersionPeriod> m_versionPeriods;
+    /// The backend servers by identifier, including former ones.
+    std::map<std::string, std::size_t, std::less<>> m_backendIndexes;
     int m_configurationVersion = 0;
     std::int64_t m_backendStartCount = 0;
 };
--- a/test/soak/SoakFleetFaults.cpp
+++ b/test/soak/SoakFleetFaults.cpp
@@ -1,3 +1,4 @@
+#include "ReplicaControl.h"
 #include "SoakFleet.h"
 
 #include <algorithm>
@@ -7,12 +8,19 @@
 
 namespace jayhold::soak {
 
+using std::chrono::milliseconds;
+
 auto SoakFleet::restoreStore() -> void
 {
     m_store.restore();
     writeConfiguration();
     for (std::size_t index = 0; index < m_backends.size(); ++index)
         registerBackend(index);
+    // The copy may list engines that have been replaced since.
+    for (const auto& [id, index] : m_backendIndexes) {
+        if (id != m_backends[index].name)
+            m_store.remove("servers", id);
+    }
 }
 
 auto SoakFleet::pauseBackendsBesideChange(Duration pauseTime) -> PausePeriod
@@ -68,6 +76,8 @@
         m_entries[fault.target].process->signal(SIGCONT);
     if (fault.kind == FaultKind::FreezeEntry || fault.kind == FaultKind::ReloadSettings)
         return;
+    if (fault.kind == FaultKind::KillAllEntries)
+        findActivePeriod(fault).isPartListed = m_store.contains("entry-blocked-parts", std::string(crashingPart) + '"');
     for (std::size_t index = 0; index < m_entries.size(); ++index) {
         auto& entry = m_entries[index];
         if (fault.kind != FaultKind::KillAllEntries && index != fault.target)
@@ -76,11 +86,77 @@
         // A shutdown during other faults may interrupt requests; the exit code is then 1.
         if (fault.kind == FaultKind::ReplaceEntry && (!code || *code < 0 || *code > 1))
             m_unexpectedExits.push_back("edge-" + std::to_string(index) + (code ? " exited with code " + std::to_string(*code) : " did not exit in time") + " after SIGTERM");
-        keepOutput(std::move(entry.process), true);
+        keepOutput(m_endedEntryOutput, std::move(entry.process));
         startEntry(entry);
     }
 }
 
+auto SoakFleet::restartCrashed(Duration downTime) -> void
+{
+    for (std::size_t index = 0; index < m_backends.size(); ++index) {
+        auto& backend = m_backends[index];
+        if (backend.process->waitForExit(Duration::zero()) != crashExitCode)
+            continue;
+        const auto crash = parseRuns(backend.process->output(), "crashed");
+        if (!crash.empty() && monotonicNow() < crash.back().at + downTime)
+            continue;
+        keepBackendOutput(backend);
+        startBackend(backend, backend.endpoint.port);
+        registerBackend(index);
+    }
+}
+
+auto SoakFleet::beginVersion(std::size_t index) -> void
+{
+    const auto& backend = m_backends[index];
+    if (backend.phase == "decode")
+        m_versionPeriods.push_back({ index, versionName(backend.version), monotonicNow() });
+}
+
+auto SoakFleet::endVersion(std::size_t index) -> void
+{
+    for (auto& period : m_versionPeriods) {
+        if (period.backendIndex == index)
+            period.until = std::min(period.until, monotonicNow());
+    }
+}
+
+auto SoakFleet::newestVersion() const -> int
+{
+    return std::ranges::max_element(m_backends, {}, &Backend::version)->version;
+}
+
+auto SoakFleet::planRestOfRelease() const -> std::vector<PlannedFault>
+{
+    constexpr milliseconds drainTime(300);
+    const auto newest = newestVersion();
+    std::vector<PlannedFault> plan;
+    for (std::size_t index = 0; index < m_backends.size(); ++index) {
+        if (!m_backends[index].phase.empty() && m_backends[index].version < newest)
+            plan.push_back({ .kind = FaultKind::ReleaseEngine, .target = index, .length = drainTime });
+    }
+    return plan;
+}
+
+auto SoakFleet::replaceEngine(std::size_t index, bool keepsId) -> void
+{
+    auto& backend = m_backends[index];
+    backend.process->signal(SIGKILL);
+    backend.process->waitForExit(startTimeout);
+    keepBackendOutput(backend);
+    backend.version = std::max(newestVersion(), backend.version + 1);
+    if (!keepsId) {
+        m_store.remove("servers", backend.name);
+        backend.name = backend.phase + "-" + std::to_string(index) + "-" + versionName(backend.version);
+    }
+    backend.isLeaving = false;
+    // At another address, so that an instance that knows only the old process cannot reach the new one.
+    startBackend(backend, 0);
+    m_links[index] = startLink(backend.endpoint);
+    registerBackend(index);
+    beginVersion(index);
+}
+
 auto SoakFleet::beginBackendFault(const PlannedFault& fault) -> void
 {
     auto& backend = m_backends[fault.target];
@@ -89,28 +165,42 @@
     else if (fault.kind == FaultKind::KillBackend)
         backend.process->signal(SIGKILL);
     else if (fault.kind == FaultKind::BackendSaysLeaving)
-        backend.process->signal(SIGUSR1);
+        backend.process->signal(leaveSignal);
     else if (fault.kind == FaultKind::BackendRejects)
-        backend.process->signal(SIGUSR2);
+        backend.process->signal(rejectSignal);
+    else if (fault.kind == FaultKind::SilentEngine)
+        backend.process->signal(silenceSignal(true));
+    else if (fault.kind == FaultKind::FullEngine)
+        backend.process->signal(fullSignal(true));
     else
         markLeaving(fault.target, true);
+    if (isRelease(fault.kind))
+        endVersion(fault.target);
 }
 
 auto SoakFleet::endBackendFault(const PlannedFault& fault) -> void
 {
+    if (isRelease(fault.kind)) {
+        replaceEngine(fault.target, fault.kind == FaultKind::ReleaseEngineWithSameId);
+        return;
+    }
     auto& backend = m_backends[fault.target];
     if (fault.kind == FaultKind::FreezeBackend)
         backend.process->signal(SIGCONT);
     if (fault.kind == FaultKind::BackendLeaves)
         markLeaving(fault.target, false);
     if (fault.kind == FaultKind::BackendRejects)
-        backend.process->signal(SIGUSR2);
+        backend.process->signal(rejectSignal);
+    if (fault.kind == FaultKind::SilentEngine)
+        backend.process->signal(silenceSignal(false));
+    if (fault.kind == FaultKind::FullEngine)
+        backend.process->signal(fullSignal(false));
     if (fault.kind == FaultKind::BackendSaysLeaving)
         backend.process->signal(SIGKILL);
     else if (fault.kind != FaultKind::KillBackend)
         return;
     backend.process->waitForExit(startTimeout);
-    keepOutput(std::move(backend.process), false);
+    keepBackendOutput(backend);
     startBackend(backend, backend.endpoint.port);
     registerBackend(fault.target);
 }
@@ -171,8 +261,13 @@
         m_store.setMalformed(false);
     else if (fault.kind == FaultKind::StoreRestored)
         restoreStore();
-    const auto isEnded = [&](const FaultPeriod& period) { return period.fault.kind == fault.kind && period.fault.target == fault.target && period.until == TimePoint::max(); };
-    std::ranges::find_if(m_faultPeriods, isEnded)->until = monotonicNow();
+    findActivePeriod(fault).until = monotonicNow();
+}
+
+auto SoakFleet::findActivePeriod(const PlannedFault& fault) -> FaultPeriod&
+{
+    const auto isSame = [&](const FaultPeriod& period) { return period.fault.kind == fault.kind && period.fault.target == fault.target && period.until == TimePoint::max(); };
+    return *std::ranges::find_if(m_faultPeriods, isSame);
 }
 
 }
--- a/test/soak/jayhold-soak.cpp
+++ b/test/soak/jayhold-soak.cpp
@@ -4,9 +4,12 @@
 #include "LogLine.h"
 #include "LogParser.h"
 #include "NoticeChecks.h"
+#include "PartChecks.h"
 #include "PlannedMaintenance.h"
 #include "RequestHistory.h"
+#include "RunLog.h"
 #include "StallMeter.h"
+#include "StreamChecks.h"
 
 #include <algorithm>
 #include <filesystem>
@@ -51,11 +54,24 @@
     return timeline;
 }
 
-auto injectFaults(SoakFleet& fleet, const std::vector<PlannedFault>& plan, TimePoint start) -> void
+/// Waits while engines that crash are started again.
+auto waitUntil(SoakFleet& fleet, TimePoint time) -> void
+{
+    constexpr Duration interval = std::chrono::milliseconds(20);
+    constexpr Duration downTime = std::chrono::seconds(2);
+    while (monotonicNow() < time) {
+        fleet.restartCrashed(downTime);
+        std::this_thread::sleep_until(std::min(time, monotonicNow() + interval));
+    }
+}
+
+auto injectFaults(SoakFleet& fleet, SoakCallers& callers, const std::vector<PlannedFault>& plan, TimePoint start) -> void
 {
     for (const auto& faultEvent : faultEvents(plan)) {
-        std::this_thread::sleep_until(start + faultEvent.at);
-        if (faultEvent.isStart)
+        waitUntil(fleet, start + faultEvent.at);
+        if (faultEvent.fault.kind == FaultKind::ResetCallers)
+            callers.resetStreams();
+        else if (faultEvent.isStart)
             fleet.begin(faultEvent.fault);
         else
             fleet.end(faultEvent.fault);
@@ -67,7 +83,9 @@
     std::size_t calls = 0;
     std::size_t successes = 0;
     Duration longestStall {};
+    /// Lines of the entry instances.
     std::vector<std::string> logs;
+    std::vector<std::string> runLog;
 };
 
 auto append(std::vector<Violation>& violations, const std::vector<Violation>& more) -> void
@@ -76,13 +94,13 @@
 }
 
 /// @return a violation if the fleet does not serve requests again after its faults.
-auto checkRecovery(const std::vector<CallRecord>& calls, TimePoint from) -> std::vector<Violation>
+auto checkRecovery(const std::vector<CallRecord>& calls, TimePoint from, TimePoint until) -> std::vector<Violation>
 {
     constexpr double minServedRatio = 0.95;
     double sent = 0;
     double served = 0;
     for (const auto& call : calls) {
-        if (call.sentAt < from || call.sentAt > from + settlingTime)
+        if (call.sentAt < from || call.sentAt > until || call.wasReset || !call.resumes.empty() || hasCrashingPart(call))
             continue;
         sent += 1;
         served += call.status / 100 == 2;
@@ -104,13 +122,20 @@
         endpoints.push_back(fleet.entryEndpoint(index));
     SoakCallers callers(endpoints, seed);
     callers.start();
-    injectFaults(fleet, plan, monotonicNow());
+    callers.sendCrashingParts(hasCrashingRequests(seed));
+    injectFaults(fleet, callers, plan, monotonicNow());
     if (!fleet.waitUntilReady(recoveryTime))
         result.violations.push_back({ "the fleet becomes ready again after its faults", "", "" });
+    const auto settledAt = monotonicNow() + settlingTime;
+    injectFaults(fleet, callers, fleet.planRestOfRelease(), monotonicNow());
     // Entry instances probe failed backend servers again only after some seconds.
-    std::this_thread::sleep_for(settlingTime);
+    waitUntil(fleet, settledAt);
     const auto recoveredAt = monotonicNow();
-    std::this_thread::sleep_for(settlingTime);
+    // A release and lost connections of callers are no disruption for the other requests.
+    injectFaults(fleet, callers, planCalmRelease(size), recoveredAt);
+    callers.sendCrashingParts(false);
+    const auto crashingUntil = monotonicNow();
+    fleet.restartCrashed(Duration::zero());
     // So that pauses of the backend servers concern more requests than the retry budgets allow to repeat.
     callers.start();
     const auto maintenance = performPlannedMaintenance(fleet, size, seed);
@@ -119,8 +144,12 @@
     const auto calls = callers.records();
     const auto runs = fleet.runs();
     append(result.violations, maintenance.violations);
-    append(result.violations, checkRecovery(calls, recoveredAt));
+    append(result.violations, checkRecovery(calls, recoveredAt, maintenance.faultFreePeriod.from));
     append(result.violations, checkCalls(calls, runs, faultFreePeriod));
+    append(result.violations, checkAnswers(calls, runs, fleet.faultPeriods()));
+    append(result.violations, checkStreamOrder(calls));
+    append(result.violations, checkTakeUps(calls, fleet.versionPeriods(), fleet.faultPeriods(), size));
+    append(result.violations, checkCrashingParts(calls, runs, fleet.crashes(), crashingUntil, fleet.faultPeriods(), size));
     auto arrivals = fleet.rejections();
     arrivals.insert(arrivals.end(), runs.begin(), runs.end());
     append(result.violations, checkLeavingNotices(calls, arrivals, fleet.faultPeriods()));
@@ -134,6 +163,11 @@
     result.successes = static_cast<std::size_t>(std::ranges::count_if(calls, [](const CallRecord& call) { return call.status / 100 == 2; }));
     result.longestStall = stallMeter.longest();
     result.logs = fleet.entryLogs();
+    if (!options.logs.empty()) {
+        const auto crashes = fleet.crashes();
+        arrivals.insert(arrivals.end(), crashes.begin(), crashes.end());
+        result.runLog = describeRun(calls, arrivals, fleet.faultPeriods());
+    }
     return result;
 }
 
@@ -170,8 +204,10 @@
         return;
     std::filesystem::create_directories(options.logs);
     std::ofstream file(options.logs + "/seed-" + std::to_string(seed) + ".log");
-    for (const auto& line : result.logs)
-        file << line << '\n';
+    for (const auto* lines : { &result.logs, &result.runLog }) {
+        for (const auto& line : *lines)
+            file << line << '\n';
+    }
 }
 
 }
@@ -204,7 +240,7 @@
         const auto size = fleetSize(seed, static_cast<std::size_t>(options.entries), static_cast<std::size_t>(options.backends));
         const auto plan = planFaults(seed, std::chrono::seconds(options.seconds), size);
         const auto result = runOnce(options, seed, plan, size);
-        std::cout << "seed " << seed << ": " << (result.violations.empty() ? "passed" : "FAILED") << ", " << size.entries << " instances, " << plan.size() << " faults, " << result.calls << " calls, " << result.successes << " served, the machine stalled for up to " << std::chrono::duration_cast<std::chrono::milliseconds>(result.longestStall).count() << " ms" << std::endl;
+        std::cout << "seed " << seed << ": " << (result.violations.empty() ? "passed" : "FAILED") << ", " << size.entries << " instances, " << (hasCrashingRequests(seed) ? "crashing requests, " : "") << plan.size() << " faults, " << result.calls << " calls, " << result.successes << " served, the machine stalled for up to " << std::chrono::duration_cast<std::chrono::milliseconds>(result.longestStall).count() << " ms" << std::endl;
         if (result.violations.empty())
             continue;
         ++failed;
