Limit the rejections of an interrupted request where they take retries

With a policy that counts rejections, an interrupted request that engines rejected called them without a limit: the oldest one took every retry that the budget earned, and the 8-bit counters of calls and retries wrapped, after which calls needed no retry. A free rejection could wrap the counter too, since each prefill whose result it wastes is counted.

Cause: rejections of an interrupted request had been exempted from the limit of 16 attempts that did not run, whatever they cost.

- Only rejections that take no retry are exempt; those that take one count against the limit again.
- The counters of a request stay at their largest value.
From there on each call needs a retry.

--- a/src/ActiveRequest.h
+++ b/src/ActiveRequest.h
@@ -13,6 +13,7 @@
 #include "Time.h"
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 
 namespace jayhold {
@@ -68,7 +69,7 @@
     std::uint8_t kvFetchFailures = 0;
     /// Failed attempts that provably did not run.
     std::uint8_t attemptsNotRun = 0;
-    /// Prefills and failed decodes that count as calls to an engine.
+    /// Prefills and failed decodes that count as calls to an engine, up to maxCount.
     std::uint8_t engineCalls = 0;
     /// Retries that were taken from the budget.
     std::uint8_t consumedRetries = 0;
@@ -86,6 +87,15 @@
     auto flow() const -> FlowKey { return { arrival.kind, arrival.customer }; }
 };
 
+/// Largest value of the counters of a request, which don't wrap.
+inline constexpr std::uint8_t maxCount = std::numeric_limits<std::uint8_t>::max();
+
+/// Adds one to a counter that stays at its largest value.
+inline auto incrementSaturating(std::uint8_t& counter) -> void
+{
+    counter += counter < maxCount;
+}
+
 /// @return the queue entry of the request.
 inline auto queueEntry(const ActiveRequest& request) -> QueueEntry
 {
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -75,15 +75,21 @@
     const auto notRun = request.phase == RequestPhase::Starting && provablyNotRun(failure);
     const auto ran = mayBeRunning(request.phase) && !notRun;
     request.mayHaveRun = request.mayHaveRun || ran;
-    // Engines without room are asked again at intervals, so an interrupted request waits for one of them.
-    if (provablyNotRun(failure))
-        request.attemptsNotRun += failure != FailureKind::Busy || !isInterrupted(request);
-    else
-        ++request.failures;
-    request.failedDecodes += ran;
+    const auto isCounted = isCountedCall(context.state.settings.retry, failure);
+    // Engines without room are asked again at intervals, so an interrupted request waits for one of them. Where a
+    // rejection takes a retry, the limit keeps one request from taking every retry that the budget earns.
+    const auto isFreeRejection = failure == FailureKind::Busy && !isCounted && isInterrupted(request);
+    if (!provablyNotRun(failure))
+        incrementSaturating(request.failures);
+    else if (!isFreeRejection)
+        incrementSaturating(request.attemptsNotRun);
+    if (ran)
+        incrementSaturating(request.failedDecodes);
     // The call of a prefill that has ended is already counted.
-    request.engineCalls += request.phase != RequestPhase::Prefilled && isCountedCall(context.state.settings.retry, failure);
-    request.kvFetchFailures += request.phase == RequestPhase::Starting && request.prefill && provablyNotRun(failure);
+    if (request.phase != RequestPhase::Prefilled && isCounted)
+        incrementSaturating(request.engineCalls);
+    if (request.phase == RequestPhase::Starting && request.prefill && provablyNotRun(failure))
+        incrementSaturating(request.kvFetchFailures);
     request.avoidedReplica = mayBeRunning(request.phase) ? request.decode : request.prefill;
 }
 
@@ -205,7 +211,7 @@
     releasePrefillSlot(context, request);
     request.kvExpiresAt = expiresAt;
     request.hadPrefillResult = true;
-    ++request.engineCalls;
+    incrementSaturating(request.engineCalls);
     context.state.prefilled.emplace(expiresAt, request.arrival.request);
     enterPhase(context, request, RequestPhase::Prefilled);
     startDecode(context, request);
--- a/src/RetryRules.cpp
+++ b/src/RetryRules.cpp
@@ -45,6 +45,9 @@
 /// @param calls calls of the next attempt.
 auto retriesFor(const DecisionContext& context, const ActiveRequest& request, std::uint32_t calls) -> NeededRetries
 {
+    // Further calls are not counted, so that each needs a retry.
+    if (request.engineCalls == maxCount)
+        return { maxCount, calls };
     // Only a prefill of its own adds a second call to an attempt.
     const auto hasPrefillResult = request.hadPrefillResult || calls > 1;
     const auto needed = repeatedCalls(request.engineCalls + calls, hasPrefillResult);
@@ -102,7 +105,7 @@
         return true;
     if (!context.state.retryBudget.tryConsume())
         return false;
-    ++request.consumedRetries;
+    incrementSaturating(request.consumedRetries);
     request.retryConsumedAt = context.now;
     return true;
 }
@@ -136,7 +139,7 @@
     if (!context.state.retryBudget.tryConsume(retries.missing))
         return false;
     request.retryConsumedAt = context.now;
-    request.consumedRetries = static_cast<std::uint8_t>(retries.needed);
+    request.consumedRetries = static_cast<std::uint8_t>(std::min<std::uint32_t>(retries.needed, maxCount));
     return true;
 }
 
--- a/src/SilentAttempts.cpp
+++ b/src/SilentAttempts.cpp
@@ -76,7 +76,7 @@
 auto consumeReplacementRetries(DecisionContext& context, ActiveRequest& request, Placement& placement) -> bool
 {
     const auto calls = request.engineCalls;
-    ++request.engineCalls;
+    incrementSaturating(request.engineCalls);
     const auto isConsumed = consumeRetriesFor(context, request, placement);
     request.engineCalls = calls;
     return isConsumed;
