Let a request that left a silent engine wait for the retry budget

A stream that was moved away from a silent engine was refused at once (retries_exhausted) if its new engine failed and the budget was empty. The silent engine could have gone on, so the move itself had cut the stream.

Cause: retryOrRefuse() let a request wait only after a rejection. What its engine had failed was refused if the budget lacked the retry, however much time was left.

endForReplacement() now notes that the request has left a silent engine. After any later failure such a request waits in the Resume sub-queue like other interrupted ones, until its deadline or its caller's idle timeout. The limits of its kind stay.

Evidence: on the code before, RetryWaitLimitsTest fails with "CHECK_FALSE( harness.lastEver<Refuse>() ) with expansion: !{?}" directly after the failure, with 59 s left. decision_test passes.

Ruled out: exempting such a request from the attempts of its route. A route whose last attempt was the move still ends it, as its limit says.

--- a/src/ActiveRequest.h
+++ b/src/ActiveRequest.h
@@ -83,6 +83,8 @@
     bool hadPrefillResult = false;
     /// Whether an earlier decode attempt may have run.
     bool mayHaveRun = false;
+    /// Whether the shard has ended an attempt because its engine was silent.
+    bool leftSilentEngine = false;
 
     auto flow() const -> FlowKey { return { arrival.kind, arrival.customer }; }
 };
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -301,7 +301,7 @@
     enqueue(context, request);
     if (retry)
         ++context.state.totals.retries;
-    else if (!waitsAfterRejection(context.state, request, failure))
+    else if (!waitsForRetry(context.state, request, failure))
         refuse(context, request, RefusalReason::RetriesExhausted);
 }
 
@@ -310,6 +310,7 @@
     cancelAttempt(context, request);
     countFailedAttempt(context, request, FailureKind::TimedOut);
     leavePhase(context, request);
+    request.leftSilentEngine = true;
     // An interrupted request waits there if the new attempt is refused.
     request.subQueue = SubQueue::Resume;
     enqueue(context, request);
--- a/src/RetryRules.cpp
+++ b/src/RetryRules.cpp
@@ -125,9 +125,10 @@
     return retriesFor(context, request, minCalls(context.state)).missing > 0;
 }
 
-auto waitsAfterRejection(const ShardState& state, const ActiveRequest& request, FailureKind failure) -> bool
+auto waitsForRetry(const ShardState& state, const ActiveRequest& request, FailureKind failure) -> bool
 {
-    return provablyNotRun(failure) && isInterrupted(request)
+    const auto mayWait = request.leftSilentEngine || (provablyNotRun(failure) && isInterrupted(request));
+    return mayWait
         && allowsRetry(kindOf(state, request), { request.mayHaveRun, request.attemptsNotRun, request.failures, request.failedDecodes });
 }
 
--- a/src/RetryRules.h
+++ b/src/RetryRules.h
@@ -30,8 +30,9 @@
 /// @return whether the next attempt of the request takes a retry from the budget.
 auto needsRetry(const DecisionContext& context, const ActiveRequest& request) -> bool;
 /// @return whether a request for which the budget lacks a retry after the failure waits for one. An interrupted
-/// request does after a rejection, which shows only that the engine had no room.
-auto waitsAfterRejection(const ShardState& state, const ActiveRequest& request, FailureKind failure) -> bool;
+/// request does after a rejection, which shows only that the engine had no room. A request that has left a silent engine
+/// does after any failure, because the silent engine might have gone on.
+auto waitsForRetry(const ShardState& state, const ActiveRequest& request, FailureKind failure) -> bool;
 /// Takes from the retry budget what the next calls of a request need beyond the retries that it has
 /// taken. The first decode, and the first prefill that ends with a result, need none.
 /// @param calls calls of the next attempt: 2 with a prefill of its own, otherwise 1.
--- a/test/correctness/RetryWaitLimitsTest.cpp
+++ b/test/correctness/RetryWaitLimitsTest.cpp
@@ -84,3 +84,77 @@
     CHECK(prefills > 250);
     CHECK(prefills <= burst + firstPrefills);
 }
+
+// Guards against a stream that is cut because its engine was silent: the silent attempt is ended for a replacement that
+// fails, although it could have gone on.
+TEST_CASE("a stream that was moved from a silent engine is not cut when its new engine fails")
+{
+    auto settings = repeatableSettings();
+    settings.reservesSlots = true;
+    settings.decodeMayPrefill = true;
+    settings.retry = { .ratio = 0.2, .burst = 1, .isShared = false, .countsRejections = true };
+    ShardHarness harness(std::move(settings));
+    harness.replica(2, PoolRole::Decode, 1);
+    harness.arrive(1);
+    const auto first = harness.last<StartDecode>().value();
+    harness.send(SlotReserved { first.request, first.attempt });
+    harness.started(first);
+    harness.replica(3, PoolRole::Decode, 1);
+    harness.advance(1s);
+    harness.send(AttemptSilent { first.request, first.attempt, 7 });
+    const auto reservation = harness.last<ReserveReplacement>().value();
+    harness.send(ReplacementReserved { first.request, reservation.number, 7 });
+    const auto second = harness.last<StartDecode>().value();
+    harness.advance(10ms);
+    harness.send(DecodeFailed { second.request, second.attempt, FailureKind::ServerError, 7 });
+    // 59 s are left.
+    CHECK_FALSE(harness.lastEver<Refuse>());
+    CHECK_FALSE(harness.last<StartDecode>());
+    SECTION("the budget earns a retry")
+    {
+        harness.replica(4, PoolRole::Decode, 20);
+        for (std::uint64_t request = 2; request <= 6; ++request) {
+            CHECK(harness.last<StartDecode>().value_or(StartDecode {}).request != first.request);
+            harness.arrive(request);
+        }
+        const auto starts = harness.count<StartDecode>();
+        CHECK(starts == 2);
+        const auto isInterrupted = [&](const DecisionAction& action) {
+            const auto* start = std::get_if<StartDecode>(&action);
+            return start && start->request == first.request;
+        };
+        const auto found = std::ranges::find_if(harness.actions, isInterrupted);
+        REQUIRE(found != harness.actions.end());
+        const auto& third = std::get<StartDecode>(*found);
+        CHECK(third.attempt == 3);
+        CHECK(third.resumeFrom == 7);
+    }
+    SECTION("the budget earns none until the deadline")
+    {
+        harness.advance(58s);
+        CHECK_FALSE(harness.lastEver<Refuse>());
+        harness.advance(2s);
+        REQUIRE(harness.last<Refuse>());
+        CHECK(harness.last<Refuse>()->reason == RefusalReason::RetriesExhausted);
+    }
+}
+
+// Guards against attempts beyond the limit of the kind.
+TEST_CASE("a stream that was moved from a silent engine has no more attempts than its kind allows")
+{
+    auto settings = repeatableSettings();
+    settings.kinds[0].maxAttempts = 2;
+    settings.decodeMayPrefill = true;
+    ShardHarness harness(std::move(settings));
+    harness.replica(2, PoolRole::Decode, 1);
+    harness.arrive(1);
+    const auto first = harness.last<StartDecode>().value();
+    harness.started(first);
+    harness.replica(3, PoolRole::Decode, 1);
+    harness.advance(1s);
+    harness.send(AttemptSilent { first.request, first.attempt, 7 });
+    const auto second = harness.last<StartDecode>().value();
+    harness.send(DecodeFailed { second.request, second.attempt, FailureKind::ServerError, 7 });
+    REQUIRE(harness.last<Refuse>());
+    CHECK(harness.last<Refuse>()->reason == RefusalReason::RetriesExhausted);
+}
