End the waits for the retry budget that cannot succeed

An interrupted request could wait for the retry budget until its deadline although new requests earned retries: the retry that its failure had taken expired after 2 s, after which a prefill and a decode needed two at once. A budget of capacity 1 never has two. A request that had taken none at its failure needed two from the start. With a shared budget and many instances the capacity is below one retry, so that the wait could not end at all.

- An expired retry is taken again only as far as the budget's capacity allows.
What is missing beyond that was never taken.
- A request that needs more than the capacity takes all of a full budget and keeps it while it waits for the rest.
The oldest request does so first.
- With a capacity below one retry, a request that still lacks one is refused at once, also when the capacity shrinks while it waits.
One that has taken its retries goes on.
A shared budget whose instances are not counted yet is not taken for one of capacity zero.

Ruled out: retries that never expire. The budget limits the calls within a period, so a request that has waited for capacity takes its retry again where the budget can have it.

--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -50,7 +50,7 @@
     }
     if (request.subQueue == SubQueue::Resume)
         return StartResult::NoRetry;
-    if (isInterrupted(request))
+    if (isInterrupted(request) && !neverGetsRetry(context, request))
         awaitRetry(context, request);
     else
         refuse(context, request, RefusalReason::RetriesExhausted);
@@ -137,9 +137,15 @@
     auto isBudgetUsed = false;
     FullVersions full;
     for (const auto id : oldestResumes(context.state)) {
-        const auto& request = *findRequest(context.state, id);
+        auto& request = *findRequest(context.state, id);
         if (full.contains(request) || awaitsCrashReports(context, request))
             continue;
+        if (lacksRetry(context, request) && neverGetsRetry(context, request)) {
+            refuse(context, request, RefusalReason::RetriesExhausted);
+            return true;
+        }
+        if (!isBudgetUsed)
+            collectRetries(context, request);
         if (lacksRetry(context, request)) {
             isBudgetUsed = true;
             continue;
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -301,7 +301,7 @@
     enqueue(context, request);
     if (retry)
         ++context.state.totals.retries;
-    else if (!waitsForRetry(context.state, request, failure))
+    else if (!waitsForRetry(context, request, failure))
         refuse(context, request, RefusalReason::RetriesExhausted);
 }
 
--- a/src/RetryRules.cpp
+++ b/src/RetryRules.cpp
@@ -36,6 +36,17 @@
     return calls > firstCalls ? calls - firstCalls : 0;
 }
 
+auto missingRetries(std::uint32_t needed, std::uint32_t consumed) -> std::uint32_t
+{
+    return needed > consumed ? needed - consumed : 0;
+}
+
+/// @return the largest number of retries that the budget can have.
+auto retryCapacity(const ShardState& state) -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(std::clamp(state.retryBudget.capacity(), 0.0, static_cast<double>(maxCount)));
+}
+
 struct NeededRetries {
     /// All that the calls of the request need, and those of them that it has not taken yet.
     std::uint32_t needed;
@@ -51,10 +62,13 @@
     // Only a prefill of its own adds a second call to an attempt.
     const auto hasPrefillResult = request.hadPrefillResult || calls > 1;
     const auto needed = repeatedCalls(request.engineCalls + calls, hasPrefillResult);
+    const auto missing = missingRetries(needed, request.consumedRetries);
+    if (context.now - request.retryConsumedAt <= consumedRetryLifetime)
+        return { needed, missing };
     const auto used = repeatedCalls(request.engineCalls, request.hadPrefillResult);
-    const auto isExpired = context.now - request.retryConsumedAt > consumedRetryLifetime;
-    const auto consumed = isExpired ? std::min<std::uint32_t>(request.consumedRetries, used) : request.consumedRetries;
-    return { needed, needed > consumed ? needed - consumed : 0 };
+    const auto missingAgain = missingRetries(needed, std::min<std::uint32_t>(request.consumedRetries, used));
+    // The budget can never have more than its capacity at once.
+    return { needed, std::max(missing, std::min(missingAgain, retryCapacity(context.state))) };
 }
 
 /// @return the fewest calls that an attempt makes.
@@ -125,11 +139,32 @@
     return retriesFor(context, request, minCalls(context.state)).missing > 0;
 }
 
-auto waitsForRetry(const ShardState& state, const ActiveRequest& request, FailureKind failure) -> bool
+auto collectRetries(DecisionContext& context, ActiveRequest& request) -> void
+{
+    auto& budget = context.state.retryBudget;
+    const auto capacity = retryCapacity(context.state);
+    const auto missing = retriesFor(context, request, minCalls(context.state)).missing;
+    if (!capacity || missing <= capacity || budget.remaining() < capacity || !budget.tryConsume(capacity))
+        return;
+    request.consumedRetries = static_cast<std::uint8_t>(std::min<std::uint32_t>(request.consumedRetries + capacity, maxCount));
+    request.retryConsumedAt = context.now;
+}
+
+auto neverGetsRetry(const DecisionContext& context, const ActiveRequest& request) -> bool
+{
+    const auto& settings = context.state.settings;
+    // The capacity of a shared budget is not known yet.
+    if (settings.retry.isShared && !settings.instanceCount)
+        return false;
+    const auto capacity = retryCapacity(context.state);
+    return (!capacity || request.engineCalls == maxCount) && retriesFor(context, request, minCalls(context.state)).missing > capacity;
+}
+
+auto waitsForRetry(const DecisionContext& context, const ActiveRequest& request, FailureKind failure) -> bool
 {
     const auto mayWait = request.leftSilentEngine || (provablyNotRun(failure) && isInterrupted(request));
-    return mayWait
-        && allowsRetry(kindOf(state, request), { request.mayHaveRun, request.attemptsNotRun, request.failures, request.failedDecodes });
+    return mayWait && !neverGetsRetry(context, request)
+        && allowsRetry(kindOf(context.state, request), { request.mayHaveRun, request.attemptsNotRun, request.failures, request.failedDecodes });
 }
 
 auto tryConsumeRetries(DecisionContext& context, ActiveRequest& request, std::uint32_t calls) -> bool
--- a/src/RetryRules.h
+++ b/src/RetryRules.h
@@ -29,10 +29,16 @@
 auto lacksRetry(const DecisionContext& context, const ActiveRequest& request) -> bool;
 /// @return whether the next attempt of the request takes a retry from the budget.
 auto needsRetry(const DecisionContext& context, const ActiveRequest& request) -> bool;
+/// Takes all retries of a full budget for an interrupted request that needs more than the budget can hold. The request
+/// keeps them while it waits for the rest.
+auto collectRetries(DecisionContext& context, ActiveRequest& request) -> void;
+/// @return whether the next attempt of the request takes a retry that the budget can never have, because its capacity is
+/// below one retry, or the calls of the request are no longer counted.
+auto neverGetsRetry(const DecisionContext& context, const ActiveRequest& request) -> bool;
 /// @return whether a request for which the budget lacks a retry after the failure waits for one. An interrupted
 /// request does after a rejection, which shows only that the engine had no room. A request that has left a silent engine
 /// does after any failure, because the silent engine might have gone on.
-auto waitsForRetry(const ShardState& state, const ActiveRequest& request, FailureKind failure) -> bool;
+auto waitsForRetry(const DecisionContext& context, const ActiveRequest& request, FailureKind failure) -> bool;
 /// Takes from the retry budget what the next calls of a request need beyond the retries that it has
 /// taken. The first decode, and the first prefill that ends with a result, need none.
 /// @param calls calls of the next attempt: 2 with a prefill of its own, otherwise 1.
--- a/test/correctness/RetryWaitLimitsTest.cpp
+++ b/test/correctness/RetryWaitLimitsTest.cpp
@@ -158,3 +158,112 @@
     REQUIRE(harness.last<Refuse>());
     CHECK(harness.last<Refuse>()->reason == RefusalReason::RetriesExhausted);
 }
+
+// Guards against a wait that cannot end: the retry that the failure has taken expires after 2 s, and two are more than
+// the budget can hold.
+TEST_CASE("an interrupted request that has waited for 2 s still starts when the budget earns a retry")
+{
+    auto settings = repeatableSettings();
+    settings.retry = { .ratio = 0.2, .burst = 1 };
+    ShardHarness harness(std::move(settings));
+    harness.replica(1, PoolRole::Prefill, 100);
+    harness.replica(2, PoolRole::Decode, 1);
+    harness.arrive(1);
+    harness.prefilled(*harness.last<StartPrefill>());
+    const auto attempt = *harness.last<StartDecode>();
+    harness.replica(3, PoolRole::Decode, 100);
+    harness.advance(500ms);
+    harness.send(DecodeFailed { attempt.request, attempt.attempt, FailureKind::ServerError, 5 });
+    CHECK_FALSE(harness.lastEver<Refuse>());
+    for (std::uint64_t request = 2; request <= 52; ++request) {
+        harness.advance(500ms);
+        harness.arrive(request);
+    }
+    const auto isResumed = std::ranges::any_of(harness.all, [](const DecisionAction& action) {
+        const auto* start = std::get_if<StartPrefill>(&action);
+        return start && start->request == RequestId { 1 } && start->attempt > 1;
+    });
+    CHECK(isResumed);
+}
+
+// Guards against a wait that cannot end: a request that has taken no retry at its failure needs two at once, which the
+// budget never has.
+TEST_CASE("a request that needs more retries than the budget can hold takes them one by one")
+{
+    auto settings = repeatableSettings();
+    settings.retry = { .ratio = 0.2, .burst = 1 };
+    ShardHarness harness(std::move(settings));
+    harness.replica(1, PoolRole::Prefill, 100);
+    harness.replica(2, PoolRole::Decode, 1);
+    const auto first = harness.startDecode(1);
+    harness.replica(3, PoolRole::Decode, 1);
+    harness.advance(1s);
+    // Only a decode replica that may prefill itself can replace the attempt with one retry.
+    updateSettings(harness.shard, [&] {
+        auto changed = repeatableSettings();
+        changed.decodeMayPrefill = true;
+        changed.retry = { .ratio = 0.2, .burst = 1 };
+        return changed;
+    }());
+    harness.send(AttemptSilent { first.request, first.attempt, 7 });
+    const auto second = harness.last<StartDecode>().value();
+    auto settingsAfter = repeatableSettings();
+    settingsAfter.retry = { .ratio = 0.2, .burst = 1 };
+    updateSettings(harness.shard, std::move(settingsAfter));
+    harness.replica(4, PoolRole::Decode, 100);
+    harness.send(DecodeFailed { second.request, second.attempt, FailureKind::ServerError, 7 });
+    CHECK_FALSE(harness.lastEver<Refuse>());
+    for (std::uint64_t request = 2; request <= 40; ++request) {
+        harness.advance(500ms);
+        harness.arrive(request);
+    }
+    const auto isResumed = std::ranges::any_of(harness.all, [](const DecisionAction& action) {
+        const auto* start = std::get_if<StartPrefill>(&action);
+        return start && start->request == RequestId { 1 } && start->attempt > 2;
+    });
+    CHECK(isResumed);
+}
+
+// Guards against a request that waits until its deadline for a retry that its instance never gets, because so many
+// instances share the budget that its part is below one retry.
+TEST_CASE("an interrupted request whose instance gets no retries does not wait for one")
+{
+    auto settings = repeatableSettings();
+    settings.retry = { .ratio = 0.2, .burst = 4, .isShared = true };
+    settings.instanceCount = 1;
+    ShardHarness harness(settings);
+    harness.replica(1, PoolRole::Prefill, 100);
+    harness.replica(2, PoolRole::Decode, 1);
+    const auto attempt = harness.startDecode(1);
+    // Another replica of the version is full.
+    harness.replica(5, PoolRole::Decode, 1);
+    harness.startDecode(50);
+    for (std::uint64_t request = 51; request < 60; ++request)
+        harness.arrive(request);
+    harness.replica(2, PoolRole::Decode, 1, ReplicaState::Leaving);
+    settings.instanceCount = 60;
+    SECTION("it has taken the retries that it needs")
+    {
+        harness.send(DecodeFailed { attempt.request, attempt.attempt, FailureKind::ServerError, 5 });
+        settings.decodeMayPrefill = true;
+        updateSettings(harness.shard, settings);
+        harness.advance(3s);
+        CHECK_FALSE(harness.lastEver<Refuse>());
+        harness.replica(3, PoolRole::Decode, 100);
+        const auto isResumed = std::ranges::any_of(harness.actions, [](const DecisionAction& action) {
+            const auto* start = std::get_if<StartDecode>(&action);
+            return start && start->request == RequestId { 1 };
+        });
+        CHECK(isResumed);
+    }
+    SECTION("it lacks one")
+    {
+        harness.send(DecodeFailed { attempt.request, attempt.attempt, FailureKind::ServerError, 5 });
+        CHECK_FALSE(harness.lastEver<Refuse>());
+        updateSettings(harness.shard, settings);
+        harness.replica(3, PoolRole::Decode, 100);
+        REQUIRE(harness.lastEver<Refuse>());
+        CHECK(harness.lastEver<Refuse>()->request == RequestId { 1 });
+        CHECK(harness.lastEver<Refuse>()->reason == RefusalReason::RetriesExhausted);
+    }
+}
