Let an answer go on when the entry of its engine shows a later start

Cause: an engine has started again under its id. An instance whose store is disturbed learns of it late, and has sent the new process requests meanwhile. When the entry arrives, ModelService removes the replica of the earlier process as one that has crashed, and the shard ends what it runs, although the connection is alive.

What runs on a connection goes on until the connection ends. The replica of the earlier process leaves and is removed when its last request has ended, as one does whose pool a configuration drops. Connections to a process that has really ended break by themselves; if they don't, the attempt is silent and is replaced.

The new case of RunningAnswerTest failed before (the answer was cut, and the request failed), and passes now, with the other cases of silent_backend_test, entry_request_test and router_daemon_test. What remains: if the new process has another software version at the same address, the stream counts as one of the version in the late entry.

--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -11,7 +11,6 @@
 #include "VersionBinding.h"
 
 #include <algorithm>
-#include <ranges>
 #include <vector>
 
 namespace jayhold {
@@ -120,8 +119,9 @@
 {
     RequestQueue::Waiting oldest;
     for (const auto& [version, waiting] : state.queue.resumes()) {
-        for (const auto& entry : waiting | std::views::take(maxTriedResumes))
-            oldest.insert(entry);
+        std::size_t tried = 0;
+        for (auto entry = waiting.begin(); entry != waiting.end() && tried < maxTriedResumes; ++entry, ++tried)
+            oldest.insert(*entry);
     }
     std::vector<RequestId> ids;
     ids.reserve(oldest.size());
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -178,6 +178,9 @@
     auto upsertReplicaLocked(const BackendServer& backend, const Pool& pool, const BackendPauses& pauses, Outbox& outbox) -> ReplicaId;
     /// Removes role changes that took too long, so that their engines get new work again.
     auto expireRoleChangesLocked(TimePoint now, Outbox& outbox) -> void;
+    /// Removes a replica as soon as the requests that it runs have ended.
+    auto endReplicaLocked(ReplicaStatus& status, Outbox& outbox) -> void;
+    /// Removes a replica. One that is live has crashed, and what it runs is lost.
     auto removeReplicaLocked(ReplicaStatus& status, Outbox& outbox) -> void;
     auto isLiveLocked(ReplicaId replica) const -> bool;
     auto findPool(std::string_view name) const -> const Pool*;
--- a/src/ModelServiceReplicas.cpp
+++ b/src/ModelServiceReplicas.cpp
@@ -38,11 +38,10 @@
                 ++replica;
                 continue;
             }
-            if (isListed(backends, replica->second.backend)) {
-                replica->second.backend.state = ReplicaState::Leaving;
-                reportReplicaLocked(replica->second, outbox);
-            }
-            removeReplicaLocked(replica->second, outbox);
+            if (isListed(backends, replica->second.backend))
+                endReplicaLocked(replica->second, outbox);
+            else
+                removeReplicaLocked(replica->second, outbox);
             replica = m_replicas.erase(replica);
         }
     }
@@ -90,10 +89,11 @@
 {
     const auto known = m_replicaIds.find(backend.id);
     // A process that restarted under the same id has lost the state of the earlier one, so it becomes a new
-    // replica.
+    // replica. The entry may be older than the connections to it, which break by themselves if the earlier process
+    // has ended.
     if (known != m_replicaIds.end() && !hasSameIncarnation(m_replicas.at(known->second).backend, backend)) {
         const auto former = known->second;
-        removeReplicaLocked(m_replicas.at(former), outbox);
+        endReplicaLocked(m_replicas.at(former), outbox);
         m_replicas.erase(former);
     }
     auto [entry, isNew] = m_replicaIds.try_emplace(backend.id, static_cast<ReplicaId>(m_lastReplica + 1));
@@ -118,6 +118,13 @@
     return status.id;
 }
 
+auto ModelService::endReplicaLocked(ReplicaStatus& status, Outbox& outbox) -> void
+{
+    status.backend.state = ReplicaState::Leaving;
+    reportReplicaLocked(status, outbox);
+    removeReplicaLocked(status, outbox);
+}
+
 auto ModelService::removeReplicaLocked(ReplicaStatus& status, Outbox& outbox) -> void
 {
     status.backend.state = ReplicaState::Gone;
--- a/test/correctness/RunningAnswerTest.cpp
+++ b/test/correctness/RunningAnswerTest.cpp
@@ -39,3 +39,20 @@
     CHECK(response->body == streamText(1, 5));
     CHECK(fixture.decode1.runs() == 1);
 }
+
+// Guards against an answer that is cut because the entry of its engine is late: the engine has started again under its id
+// and already runs the request when this instance learns of the new process.
+TEST_CASE("an answer goes on when the entry of its engine shows a later start")
+{
+    SlowRouter fixture;
+    auto running = fixture.beginStream();
+    auto entry = serverEntry(fixture.decode1.endpoint(), "llm", "decode", "ready");
+    entry["born"] = 1'700'000'005'000;
+    fixture.platform.put("servers", fixture.decode1.id(), entry);
+    const auto response = running.get();
+    REQUIRE(response.has_value());
+    CHECK(response->status == 200);
+    CHECK(response->body == streamText(1, 5));
+    CHECK(fixture.decode1.runs() == 1);
+    CHECK(fixture.streamCall("/once/y").value().status == 200);
+}
