Count the waits for the retry budget exactly, and not as demand

Requests that wait for the retry budget were reported to the role balancer as demand for decode engines, once for each instance, although no further engine helps them. And with more than 64 queued requests all of them counted as waiting for capacity: 70 waits for the budget looked like a start interval of 33 s, for which new requests are refused.

Cause: roleDemand() counted the whole queue, and hasBacklog() searched the oldest 64 interrupted requests of each version and gave up beyond that.

RetryWaits now counts the requests of the Resume sub-queue by the retries that they miss. A request is counted when it enters the queue, moved when the retries that it has taken expire, and removed when it leaves. A question costs a step for each different number of missing retries, not for each request. All pushes to and removals from the queue go through QueuedRequests, so the count cannot differ from the queue; a change of the settings counts again.

--- a/cmake/decision.cmake
+++ b/cmake/decision.cmake
@@ -1,5 +1,5 @@
 jayhold_library(jayhold_decision
-  UNITS Admission AnsweredRequests CrashHistory CrashAttribution CrashCopies Deadlines Dispatch DecodeEndHistogram Estimates ReservationAccounting LengthModel LoadReports Placement PrefillChoice PrefixCacheView PromptPartBlocking PromptPartCrashes ReplicaEvents ReplicaHealth ReplicaIndex RequestEvents ReplicaPauses
+  UNITS Admission AnsweredRequests CrashHistory CrashAttribution CrashCopies Deadlines Dispatch DecodeEndHistogram Estimates ReservationAccounting LengthModel LoadReports Placement PrefillChoice PrefixCacheView PromptPartBlocking PromptPartCrashes QueuedRequests ReplicaEvents ReplicaHealth ReplicaIndex RequestEvents ReplicaPauses
     RequestLifecycle RequestQueue RequestTimers RetryDelay RetryRules RoleBalance SilentAttempts SlotHeadroom Shard TimerQueue VersionBinding
   LINK jayhold_operator)
 
--- a/src/CrashCopies.cpp
+++ b/src/CrashCopies.cpp
@@ -1,5 +1,6 @@
 #include "CrashCopies.h"
 
+#include "QueuedRequests.h"
 #include "RequestLifecycle.h"
 
 #include <algorithm>
@@ -71,9 +72,9 @@
     for (auto& [id, request] : context.state.requests) {
         if (request.arrival.signature != signature || request.phase != RequestPhase::Queued)
             continue;
-        context.state.queue.remove(queueEntry(request));
+        removeFromQueue(context.state, request);
         request.subQueue = SubQueue::Resume;
-        context.state.queue.push(queueEntry(request), customerWeight(context.state, request));
+        pushToQueue(context.state, request);
         setTimer(context, request);
     }
 }
--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -4,6 +4,7 @@
 #include "CrashCopies.h"
 #include "Estimates.h"
 #include "Placement.h"
+#include "QueuedRequests.h"
 #include "ReplicaPauses.h"
 #include "RequestLifecycle.h"
 #include "RetryRules.h"
@@ -171,12 +172,7 @@
 /// waiting work starts.
 auto hasBacklog(const DecisionContext& context) -> bool
 {
-    auto& state = context.state;
-    if (state.queue.size() > maxTriedResumes)
-        return true;
-    const auto resumes = oldestResumes(state);
-    const auto waiting = std::ranges::count_if(resumes, [&](RequestId id) { return lacksRetry(context, *findRequest(state, id)); });
-    return state.queue.size() > static_cast<std::size_t>(waiting);
+    return waitingForCapacity(context.state) > 0;
 }
 
 auto startOne(DecisionContext& context) -> bool
@@ -267,9 +263,10 @@
 
 auto dispatch(DecisionContext& context) -> void
 {
+    auto& state = context.state;
+    state.retryWaits.advance(context.now);
     startPrefilled(context);
     assignFreedSlots(context);
-    auto& state = context.state;
     while (state.queue.size() && startOne(context)) { }
     // A prefill that was started for an expected slot takes a free one at once, not at the next event.
     assignFreedSlots(context);
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -5,6 +5,7 @@
 #include "Estimates.h"
 #include "Placement.h"
 #include "PrefillChoice.h"
+#include "QueuedRequests.h"
 #include "ReservationAccounting.h"
 #include "RetryDelay.h"
 #include "RetryRules.h"
@@ -45,7 +46,7 @@
 {
     auto& state = context.state;
     if (request.phase == RequestPhase::Queued)
-        state.queue.remove(queueEntry(request));
+        removeFromQueue(state, request);
     if (request.phase == RequestPhase::Prefilled)
         state.prefilled.erase({ request.kvExpiresAt, request.arrival.request });
     const auto hasResult = request.phase == RequestPhase::Prefilling || request.phase == RequestPhase::Prefilled || request.phase == RequestPhase::Starting;
@@ -136,7 +137,7 @@
     if (request.emitted || request.boundVersion || awaitsCrashReports(context, request))
         request.subQueue = SubQueue::Resume;
     enterPhase(context, request, RequestPhase::Queued);
-    context.state.queue.push(queueEntry(request), customerWeight(context.state, request));
+    pushToQueue(context.state, request);
 }
 
 namespace {
@@ -177,7 +178,7 @@
 auto start(DecisionContext& context, ActiveRequest& request, const Placement& placement) -> void
 {
     auto& state = context.state;
-    state.queue.remove(queueEntry(request));
+    removeFromQueue(state, request);
     state.queue.charge(queueEntry(request), request.arrival.promptTokens + expectedTokens(state, request));
     ++request.attempt;
     request.emittedAtStart = request.emitted;
@@ -329,9 +330,9 @@
 
 auto awaitRetry(DecisionContext& context, ActiveRequest& request) -> void
 {
-    context.state.queue.remove(queueEntry(request));
+    removeFromQueue(context.state, request);
     request.subQueue = SubQueue::Resume;
-    context.state.queue.push(queueEntry(request), customerWeight(context.state, request));
+    pushToQueue(context.state, request);
     setTimer(context, request);
 }
 
--- a/src/RequestTimers.cpp
+++ b/src/RequestTimers.cpp
@@ -1,6 +1,7 @@
 #include "RequestTimers.h"
 
 #include "Deadlines.h"
+#include "QueuedRequests.h"
 #include "RequestLifecycle.h"
 #include "RetryRules.h"
 
@@ -50,15 +51,14 @@
 
 auto checkWaiting(DecisionContext& context, ActiveRequest& request) -> void
 {
-    auto& queue = context.state.queue;
     if (shouldRetryLater(context, request) && latestOnTimeStart(context.state, request) <= context.now) {
         refuse(context, request, RefusalReason::Overloaded);
         return;
     }
     if (request.subQueue == SubQueue::Fair && latestOnTimeStart(context.state, request) <= context.now) {
-        queue.remove(queueEntry(request));
+        removeFromQueue(context.state, request);
         moveToOverdue(context, request);
-        queue.push(queueEntry(request), customerWeight(context.state, request));
+        pushToQueue(context.state, request);
     }
     if (cannotMeetDeadline(context, request))
         refuse(context, request, endsBeforeDeadline(context.state, request) ? RefusalReason::Draining : RefusalReason::Overloaded);
--- a/src/RetryRules.cpp
+++ b/src/RetryRules.cpp
@@ -48,27 +48,36 @@
 }
 
 struct NeededRetries {
-    /// All that the calls of the request need, and those of them that it has not taken yet.
+    /// All that the calls of the request need.
     std::uint32_t needed;
+    /// Those that it has not taken yet.
     std::uint32_t missing;
+    /// The same when the retries that it has taken have expired.
+    std::uint32_t missingAfterwards;
 };
 
 /// @param calls calls of the next attempt.
-auto retriesFor(const DecisionContext& context, const ActiveRequest& request, std::uint32_t calls) -> NeededRetries
+auto retriesFor(const ShardState& state, const ActiveRequest& request, std::uint32_t calls) -> NeededRetries
 {
     // Further calls are not counted, so that each needs a retry.
     if (request.engineCalls == maxCount)
-        return { maxCount, calls };
+        return { maxCount, calls, calls };
     // Only a prefill of its own adds a second call to an attempt.
     const auto hasPrefillResult = request.hadPrefillResult || calls > 1;
     const auto needed = repeatedCalls(request.engineCalls + calls, hasPrefillResult);
     const auto missing = missingRetries(needed, request.consumedRetries);
-    if (context.now - request.retryConsumedAt <= consumedRetryLifetime)
-        return { needed, missing };
     const auto used = repeatedCalls(request.engineCalls, request.hadPrefillResult);
     const auto missingAgain = missingRetries(needed, std::min<std::uint32_t>(request.consumedRetries, used));
     // The budget can never have more than its capacity at once.
-    return { needed, std::max(missing, std::min(missingAgain, retryCapacity(context.state))) };
+    return { needed, missing, std::max(missing, std::min(missingAgain, retryCapacity(state))) };
+}
+
+/// @param calls calls of the next attempt.
+/// @return the retries that it takes from the budget now.
+auto missingNow(const DecisionContext& context, const ActiveRequest& request, std::uint32_t calls) -> std::uint32_t
+{
+    const auto retries = retriesFor(context.state, request, calls);
+    return context.now - request.retryConsumedAt > consumedRetryLifetime ? retries.missingAfterwards : retries.missing;
 }
 
 /// @return the fewest calls that an attempt makes.
@@ -131,23 +140,31 @@
 
 auto lacksRetry(const DecisionContext& context, const ActiveRequest& request) -> bool
 {
-    return isInterrupted(request) && context.state.retryBudget.remaining() < retriesFor(context, request, minCalls(context.state)).missing;
+    return isInterrupted(request) && context.state.retryBudget.remaining() < missingNow(context, request, minCalls(context.state));
 }
 
 auto needsRetry(const DecisionContext& context, const ActiveRequest& request) -> bool
 {
-    return retriesFor(context, request, minCalls(context.state)).missing > 0;
+    return missingNow(context, request, minCalls(context.state)) > 0;
+}
+
+auto retryWaitOf(const ShardState& state, const ActiveRequest& request) -> RetryWait
+{
+    const auto retries = retriesFor(state, request, minCalls(state));
+    return { retries.missing, request.retryConsumedAt + consumedRetryLifetime, retries.missingAfterwards };
 }
 
 auto collectRetries(DecisionContext& context, ActiveRequest& request) -> void
 {
     auto& budget = context.state.retryBudget;
     const auto capacity = retryCapacity(context.state);
-    const auto missing = retriesFor(context, request, minCalls(context.state)).missing;
+    const auto missing = missingNow(context, request, minCalls(context.state));
     if (!capacity || missing <= capacity || budget.remaining() < capacity || !budget.tryConsume(capacity))
         return;
     request.consumedRetries = static_cast<std::uint8_t>(std::min<std::uint32_t>(request.consumedRetries + capacity, maxCount));
     request.retryConsumedAt = context.now;
+    context.state.retryWaits.remove(request.arrival.request);
+    context.state.retryWaits.add(request.arrival.request, retryWaitOf(context.state, request));
 }
 
 auto neverGetsRetry(const DecisionContext& context, const ActiveRequest& request) -> bool
@@ -157,7 +174,7 @@
     if (settings.retry.isShared && !settings.instanceCount)
         return false;
     const auto capacity = retryCapacity(context.state);
-    return (!capacity || request.engineCalls == maxCount) && retriesFor(context, request, minCalls(context.state)).missing > capacity;
+    return (!capacity || request.engineCalls == maxCount) && missingNow(context, request, minCalls(context.state)) > capacity;
 }
 
 auto waitsForRetry(const DecisionContext& context, const ActiveRequest& request, FailureKind failure) -> bool
@@ -169,13 +186,13 @@
 
 auto tryConsumeRetries(DecisionContext& context, ActiveRequest& request, std::uint32_t calls) -> bool
 {
-    const auto retries = retriesFor(context, request, calls);
-    if (!retries.missing)
+    const auto missing = missingNow(context, request, calls);
+    if (!missing)
         return true;
-    if (!context.state.retryBudget.tryConsume(retries.missing))
+    if (!context.state.retryBudget.tryConsume(missing))
         return false;
     request.retryConsumedAt = context.now;
-    request.consumedRetries = static_cast<std::uint8_t>(std::min<std::uint32_t>(retries.needed, maxCount));
+    request.consumedRetries = static_cast<std::uint8_t>(std::min<std::uint32_t>(retriesFor(context.state, request, calls).needed, maxCount));
     return true;
 }
 
--- a/src/RetryRules.h
+++ b/src/RetryRules.h
@@ -4,6 +4,7 @@
 
 #include "DecisionContext.h"
 #include "FailureKind.h"
+#include "RetryWaits.h"
 
 namespace jayhold {
 
@@ -29,6 +30,8 @@
 auto lacksRetry(const DecisionContext& context, const ActiveRequest& request) -> bool;
 /// @return whether the next attempt of the request takes a retry from the budget.
 auto needsRetry(const DecisionContext& context, const ActiveRequest& request) -> bool;
+/// @return the retries that the next attempt of an interrupted request takes from the budget, for the count of waits.
+auto retryWaitOf(const ShardState& state, const ActiveRequest& request) -> RetryWait;
 /// Takes all retries of a full budget for an interrupted request that needs more than the budget can hold. The request
 /// keeps them while it waits for the rest.
 auto collectRetries(DecisionContext& context, ActiveRequest& request) -> void;
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -5,6 +5,7 @@
 #include "Dispatch.h"
 #include "LoadReports.h"
 #include "PromptPartBlocking.h"
+#include "QueuedRequests.h"
 #include "ReplicaEvents.h"
 #include "ReplicaIndex.h"
 #include "ReplicaPauses.h"
@@ -113,6 +114,7 @@
     shard.state->lengthModels.resize(settings.kinds.size());
     shard.state->retryBudget.updateLimits(budgetLimits(settings.retry, settings.instanceCount));
     shard.state->settings = std::move(settings);
+    recountRetryWaits(*shard.state);
 }
 
 namespace {
@@ -178,7 +180,7 @@
         demand.decodeWork += static_cast<double>(decodeLoad(replica, committedReservation(replica, waitingReservations))) / static_cast<double>(loadScale);
     }
     // Peers are assumed to have as many requests waiting for memory as this instance.
-    const auto waiting = static_cast<double>(state.queue.size() + state.awaitingSlotReply.size()) * assumedInstances(state.settings);
+    const auto waiting = static_cast<double>(waitingForCapacity(state) + state.awaitingSlotReply.size()) * assumedInstances(state.settings);
     if (memoryBlocks > 0)
         demand.decodeWork += waiting * state.meanDecodeMemoryBlocks * demand.decodeReplicas / memoryBlocks;
     return demand;
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -16,6 +16,7 @@
 #include "Replica.h"
 #include "RequestQueue.h"
 #include "RetryBudget.h"
+#include "RetryWaits.h"
 #include "ServiceRates.h"
 #include "ShardSettings.h"
 #include "ShardSummary.h"
@@ -46,6 +47,8 @@
     std::map<ReplicaId, std::optional<ReplicaChanged>> endingReplicas;
     PlacementIndex index;
     RequestQueue queue;
+    /// The requests of the Resume sub-queue of the queue.
+    RetryWaits retryWaits;
     TimerQueue timers;
     /// Requests whose prefill result waits for a decode slot, ordered by its expiry.
     std::set<std::pair<TimePoint, RequestId>> prefilled;
--- a/src/VersionBinding.cpp
+++ b/src/VersionBinding.cpp
@@ -1,5 +1,6 @@
 #include "VersionBinding.h"
 
+#include "QueuedRequests.h"
 #include "RequestLifecycle.h"
 
 #include <algorithm>
@@ -37,12 +38,12 @@
         return;
     const auto isQueued = request.phase == RequestPhase::Queued;
     if (isQueued)
-        context.state.queue.remove(queueEntry(request));
+        removeFromQueue(context.state, request);
     request.boundVersion = version;
     if (!isQueued)
         return;
     request.subQueue = SubQueue::Resume;
-    context.state.queue.push(queueEntry(request), customerWeight(context.state, request));
+    pushToQueue(context.state, request);
     setTimer(context, request);
 }
 
--- a/test/correctness/RetryWaitLimitsTest.cpp
+++ b/test/correctness/RetryWaitLimitsTest.cpp
@@ -267,3 +267,61 @@
         CHECK(harness.lastEver<Refuse>()->reason == RefusalReason::RetriesExhausted);
     }
 }
+
+// Guards against a wait for the retry budget that counts as a slow start if more than 64 requests wait.
+TEST_CASE("a wait of many requests for the retry budget does not count as a slow start")
+{
+    constexpr std::uint64_t requests = 70;
+    auto settings = repeatableSettings();
+    settings.decodeMayPrefill = true;
+    settings.retry = { .ratio = 0, .burst = requests };
+    ShardHarness harness(std::move(settings));
+    harness.replica(2, PoolRole::Decode, requests);
+    std::vector<StartDecode> running;
+    for (std::uint64_t id = 1; id <= requests; ++id) {
+        harness.arrive(id);
+        running.push_back(harness.last<StartDecode>().value());
+        harness.started(running.back());
+    }
+    harness.replica(3, PoolRole::Decode, 1);
+    harness.arrive(200);
+    harness.replica(2, PoolRole::Decode, requests, ReplicaState::Leaving);
+    for (const auto& decode : running)
+        harness.send(DecodeFailed { decode.request, decode.attempt, FailureKind::ServerError, 5 });
+    CHECK_FALSE(harness.lastEver<Refuse>());
+    harness.advance(3s);
+    harness.replica(4, PoolRole::Decode, 200);
+    CHECK(summarize(harness.shard).queued == requests);
+    harness.advance(30s);
+    harness.arrive(201);
+    REQUIRE(harness.last<StartDecode>());
+    CHECK(harness.shard.state->startInterval.interval(harness.now) == Duration::zero());
+}
+
+// Guards against a wait for the retry budget that is reported as demand for decode engines, once for each instance.
+TEST_CASE("a wait for the retry budget is no demand for decode engines")
+{
+    auto settings = repeatableSettings();
+    settings.decodeMayPrefill = true;
+    settings.instanceCount = 61;
+    settings.retry = { .ratio = 0, .burst = 1 };
+    ShardHarness harness(std::move(settings));
+    harness.replica(2, PoolRole::Decode, 1);
+    harness.arrive(1);
+    const auto decode = harness.last<StartDecode>().value();
+    harness.started(decode);
+    // Another replica of the version is full.
+    harness.replica(5, PoolRole::Decode, 1);
+    harness.arrive(50);
+    harness.started(harness.last<StartDecode>().value());
+    harness.replica(2, PoolRole::Decode, 1, ReplicaState::Leaving);
+    const auto running = roleDemand(harness.shard).decodeWork;
+    harness.send(DecodeFailed { decode.request, decode.attempt, FailureKind::ServerError, 5 });
+    // Until its retry has expired the request waits for capacity.
+    CHECK(roleDemand(harness.shard).decodeWork > running);
+    harness.advance(3s);
+    harness.replica(3, PoolRole::Decode, 20);
+    REQUIRE_FALSE(harness.last<StartDecode>());
+    REQUIRE(summarize(harness.shard).queued == 1);
+    CHECK(roleDemand(harness.shard).decodeWork == running);
+}
