Test the order of interrupted requests and the calls of limited engines

Three rules of the replacement of silent attempts could be taken out without a test that failed. Each of the new tests fails with its rule taken out:

- hasWaitingResume() in replaceSilentAttempt(): "no silent attempt is replaced while an interrupted request waits for capacity" fails with "CHECK_FALSE( harness.lastEver<ReserveReplacement>() )".
- The retries of the budget go to the oldest request that needs some: the test of this name fails with "CHECK( hasStarted(older.request) ) with expansion: false".
- putBack() in releaseReplacement(): "a slot that is given up does not use up the limit of its engine" fails with "CHECK( harness.last<ReserveReplacement>() )".

--- a/test/correctness/ReplacementTest.cpp
+++ b/test/correctness/ReplacementTest.cpp
@@ -290,3 +290,49 @@
     CHECK(start.resumeFrom == 7);
     CHECK_FALSE(start.prefill);
 }
+
+// Guards against a limited engine that gets no calls because slots that were given up count as calls to it.
+TEST_CASE("a slot that is given up does not use up the limit of its engine")
+{
+    Silent silent;
+    auto& harness = silent.harness;
+    harness.send(ReplicaLimited { ReplicaId { 3 }, CallRate { .perSecond = 0, .capacity = 1, .initial = 1 } });
+    silent.beSilent(7);
+    REQUIRE(harness.last<ReserveReplacement>());
+    silent.grant(8);
+    REQUIRE(harness.last<ReleaseReplacement>());
+    silent.beSilent(8);
+    CHECK(harness.last<ReserveReplacement>());
+}
+
+// Guards against silent attempts that take the room for which an interrupted request waits.
+TEST_CASE("no silent attempt is replaced while an interrupted request waits for capacity")
+{
+    constexpr std::uint32_t largePrompt = 1'500'000;
+    Silent silent;
+    auto& harness = silent.harness;
+    harness.replica(3, PoolRole::Decode, 1, ReplicaState::Leaving);
+    harness.replica(4, PoolRole::Decode, 1);
+    harness.arrive(2, 0, 0, largePrompt);
+    const auto prefill = harness.last<StartPrefill>().value();
+    harness.send(SlotReserved { prefill.request, prefill.attempt });
+    harness.prefilled(prefill);
+    const auto large = harness.last<StartDecode>().value();
+    harness.started(large);
+    // There is room for the silent request, and not for the large one.
+    harness.replica(5, PoolRole::Decode, 4);
+    harness.arrive(3, 0, 0, largePrompt / 2);
+    const auto other = harness.last<StartPrefill>().value();
+    REQUIRE(other.decode == ReplicaId { 5 });
+    harness.send(SlotReserved { other.request, other.attempt });
+    harness.prefilled(other);
+    harness.started(harness.last<StartDecode>().value());
+    harness.replica(4, PoolRole::Decode, 1, ReplicaState::Leaving);
+    harness.send(DecodeFailed { large.request, large.attempt, FailureKind::ServerError, 5 });
+    REQUIRE(summarize(harness.shard).queued == 1);
+    silent.beSilent(7);
+    CHECK_FALSE(harness.lastEver<ReserveReplacement>());
+    harness.send(RequestCancelled { large.request });
+    silent.beSilent(7);
+    CHECK(harness.lastEver<ReserveReplacement>());
+}
--- a/test/correctness/RetryWaitTest.cpp
+++ b/test/correctness/RetryWaitTest.cpp
@@ -171,3 +171,43 @@
     REQUIRE(harness.last<Refuse>());
     CHECK(harness.last<Refuse>()->outcome == ExecutionOutcome::Unknown);
 }
+
+// Guards against an interrupted request that waits until its deadline because later ones, which need fewer retries, take
+// each retry that the budget earns.
+TEST_CASE("the retries of the budget go to the oldest interrupted request that needs some")
+{
+    auto settings = oneRetry(0.25);
+    settings.retry.burst = 3;
+    ShardHarness harness(std::move(settings));
+    harness.replica(1, PoolRole::Prefill, 100);
+    harness.replica(2, PoolRole::Decode, 1);
+    const auto older = harness.startDecode(1);
+    harness.replica(5, PoolRole::Decode, 1);
+    const auto newer = harness.startDecode(2);
+    // Another replica of the version is full.
+    harness.replica(6, PoolRole::Decode, 1);
+    harness.startDecode(50);
+    harness.replica(2, PoolRole::Decode, 1, ReplicaState::Leaving);
+    harness.replica(5, PoolRole::Decode, 1, ReplicaState::Leaving);
+    harness.send(DecodeFailed { older.request, older.attempt, FailureKind::ServerError, 5 });
+    // The retry of the older one expires, so that it needs two.
+    harness.advance(3s);
+    harness.send(DecodeFailed { newer.request, newer.attempt, FailureKind::ServerError, 5 });
+    REQUIRE(summarize(harness.shard).remainingRetries == 1);
+    harness.replica(3, PoolRole::Decode, 100);
+    CHECK_FALSE(harness.last<StartPrefill>());
+    const auto hasStarted = [&](RequestId id) {
+        return std::ranges::any_of(harness.all, [&](const DecisionAction& action) {
+            const auto* start = std::get_if<StartPrefill>(&action);
+            return start && start->request == id && start->attempt > 1;
+        });
+    };
+    for (std::uint64_t request = 100; request < 104; ++request)
+        harness.arrive(request);
+    CHECK(hasStarted(older.request));
+    CHECK_FALSE(hasStarted(newer.request));
+    for (std::uint64_t request = 104; request < 108; ++request)
+        harness.arrive(request);
+    CHECK(hasStarted(newer.request));
+    CHECK_FALSE(harness.lastEver<Refuse>());
+}
