Show the signatures of plain calls in the log, and the retry budgets first on the metrics page

Two reports of the users can't be told apart from other causes with what the instances show today.

The lines of a plain call now have the signature that model requests have had, and the retry budgets, with the number of requests that they have counted (jayhold_retry_requests_total), come first on the page. No decision changes.

--- a/src/ForwardChecks.cpp
+++ b/src/ForwardChecks.cpp
@@ -46,6 +46,7 @@
     PlainCallInfo info;
     info.kind = kind;
     info.requestId = call.requestId;
+    info.signature = signatureOf(call);
     info.arrivedAt = now;
     info.deadline = deadlineOf(call, kind, now);
     info.request = std::move(call.request);
--- a/src/PlainCallInfo.h
+++ b/src/PlainCallInfo.h
@@ -8,6 +8,7 @@
 #include "RequestKind.h"
 #include "Time.h"
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -22,6 +23,8 @@
     std::string idempotencyKey;
     /// The caller's id for this attempt of its request; empty if it sent none.
     std::string requestId;
+    /// Crash signature: equal for requests that the service can't tell apart. 0 if it is not known.
+    std::uint64_t signature = 0;
     TimePoint arrivedAt {};
     TimePoint deadline {};
     /// Asked before the call is sent again because a reused connection had closed. A call that is sent
--- a/src/RetryBudget.h
+++ b/src/RetryBudget.h
@@ -15,8 +15,9 @@
     double capacity;
 };
 
-/// Number of retries since the start.
+/// Numbers of requests and retries since the start.
 struct RetryTotals {
+    std::uint64_t requests = 0;
     std::uint64_t consumed = 0;
     std::uint64_t denied = 0;
 };
@@ -37,7 +38,11 @@
         m_tokens = std::min(m_tokens, m_limits.capacity);
     }
 
-    auto recordRequest() -> void { m_tokens = std::min(m_tokens + m_limits.ratio, m_limits.capacity); }
+    auto recordRequest() -> void
+    {
+        m_tokens = std::min(m_tokens + m_limits.ratio, m_limits.capacity);
+        ++m_requests;
+    }
 
     /// Takes retries from the budget, either all or none.
     /// @return false if the budget has fewer.
@@ -55,11 +60,12 @@
     auto remaining() const -> double { return m_tokens; }
     auto capacity() const -> double { return m_limits.capacity; }
     /// @return the totals since the start, for metrics.
-    auto totals() const -> RetryTotals { return { m_consumed, m_denied }; }
+    auto totals() const -> RetryTotals { return { m_requests, m_consumed, m_denied }; }
 
 private:
     RetryBudgetLimits m_limits;
     double m_tokens;
+    std::uint64_t m_requests = 0;
     std::uint64_t m_consumed = 0;
     std::uint64_t m_denied = 0;
 };
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -265,7 +265,10 @@
         double reservedMemoryBlocks = 0;
         for (const auto& usage : services.usage())
             reservedMemoryBlocks += usage.memoryBlocks;
-        std::vector<Metrics::Sample> samples {
+        std::vector<Metrics::Sample> samples;
+        // Collectors may keep only the beginning of the page. The sum of the retries over all instances has a limit.
+        services.addRetrySamples(samples);
+        const Metrics::Sample own[] = {
             { "jayhold_ready", "Whether the instance tells the balancer that it is ready.", isReady() ? 1.0 : 0.0 },
             { "jayhold_configuration_version", "Version of the configuration in force.", static_cast<double>(summary.configurationVersion) },
             { "jayhold_backends", "Backend servers that are live or leaving.", static_cast<double>(summary.backends) },
@@ -276,6 +279,7 @@
             { "jayhold_memory_pieces_reserved", "Engine memory that this instance has reserved, in pieces.", reservedMemoryBlocks },
             { "jayhold_log_lines_left_out_total", "Log lines left out for their rate or because the output was not read.", static_cast<double>(log.droppedLines() + droppedLogLines()), true },
         };
+        samples.insert(samples.end(), std::begin(own), std::end(own));
         addStoreCalls(adapter.store->counts(), samples);
         if (context.streamVersions)
             addStreamVersions(context.streamVersions->counts(), samples);
--- a/src/ServiceTable.cpp
+++ b/src/ServiceTable.cpp
@@ -326,7 +326,6 @@
     }
     for (const auto& service : plainServices())
         samples.push_back({ "jayhold_plain_retries_left", "Retries of plain calls that the budget allows now.", service->retryBudget().remaining(), false, "service", service->name() });
-    addRetrySamples(samples);
     const std::lock_guard guard(m_lock);
     addPauseSamplesLocked(samples);
     for (const auto& [backend, observation] : m_limits.observations) {
@@ -345,6 +344,7 @@
     };
     const Value values[] = {
         { "jayhold_retry_capacity", "Retries that the budget can hold.", [](const RetryBudget& budget) { return budget.capacity(); } },
+        { "jayhold_retry_requests_total", "Requests that the retry budget has counted.", [](const RetryBudget& budget) { return static_cast<double>(budget.totals().requests); }, true },
         { "jayhold_retries_budgeted_total", "Retries taken from the budget.", [](const RetryBudget& budget) { return static_cast<double>(budget.totals().consumed); }, true },
         { "jayhold_retries_denied_total", "Retries that the budget denied.", [](const RetryBudget& budget) { return static_cast<double>(budget.totals().denied); }, true },
     };
--- a/src/ServiceTable.h
+++ b/src/ServiceTable.h
@@ -58,6 +58,8 @@
     auto plainService(std::string_view name) const -> std::shared_ptr<PlainService>;
     /// Appends the current gauges and counters of the services.
     auto addSamples(std::vector<Metrics::Sample>& samples) const -> void;
+    /// Appends the state of the retry budgets of all services.
+    auto addRetrySamples(std::vector<Metrics::Sample>& samples) const -> void;
     auto modelServices() const -> std::vector<std::shared_ptr<ModelService>>;
     auto plainServices() const -> std::vector<std::shared_ptr<PlainService>>;
 
@@ -85,8 +87,6 @@
     auto addPauseSamplesLocked(std::vector<Metrics::Sample>& samples) const -> void;
     /// Passes this instance's shares of the limits to the services.
     auto applyLimitsLocked() -> void;
-    /// Appends the state of the retry budgets of all services.
-    auto addRetrySamples(std::vector<Metrics::Sample>& samples) const -> void;
 
     EntryContext& m_context;
     AtMostOnceRecords& m_records;
