Test plain calls that crash server after server

Callers saw one request end 17 servers of a plain service. The test plays it with real daemons on a fake platform: sequential calls at two instances, an instance that starts later, copies beside harmless calls, and connections that break although the servers go on, which must not be taken for crashes.

--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -29,6 +29,10 @@
   SOURCES test/correctness/NamedLimitTest.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
+jayhold_test(crashing_call_test
+  SOURCES test/correctness/CrashingCallTest.cpp test/FakeObjectStore.cpp
+  LINK jayhold_platform)
+
 jayhold_test(silent_backend_test
   SOURCES test/correctness/RunningAnswerTest.cpp test/correctness/SilentBackendTest.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
--- a/test/FakeObjectStore.cpp
+++ b/test/FakeObjectStore.cpp
@@ -345,6 +345,10 @@
         co_await handleControl(exchange);
         co_return;
     }
+    if (m_hasCrashed) {
+        exchange.abort();
+        co_return;
+    }
     ++m_requests;
     {
         const std::lock_guard guard(m_lock);
@@ -380,6 +384,12 @@
         co_return;
     }
     ++m_runs;
+    if (behaviour == Behaviour::Crash && request.target.find("crash") != std::string::npos && !m_hasCrashed.exchange(true))
+        m_server.stopAccepting();
+    if (m_hasCrashed) {
+        exchange.abort();
+        co_return;
+    }
     if (behaviour == Behaviour::Stall)
         co_await pause(std::chrono::milliseconds(500));
     if (behaviour == Behaviour::DropConnection) {
--- a/test/FakeObjectStore.h
+++ b/test/FakeObjectStore.h
@@ -101,6 +101,8 @@
         Reject,
         /// Runs the request and closes the connection without a response.
         DropConnection,
+        /// Ends with the first run of a target that contains `crash`: all its connections break, new ones are refused.
+        Crash,
         /// Responds with the identifier of another request.
         WrongRequestId,
         /// Responds to the request with status 500.
@@ -147,6 +149,7 @@
     /// @return how many requests of clients have reached the server, including those that it rejected.
     auto requests() const -> int { return m_requests; }
     auto controlCalls() const -> int { return m_controlCalls; }
+    auto hasCrashed() const -> bool { return m_hasCrashed; }
     /// Sets a callback that receives the identifier and stage of each request when it starts to run;
     /// must be called before the first request.
     auto onRun(std::function<void(const std::string&, const std::string&)> callback) -> void { m_onRun = std::move(callback); }
@@ -186,6 +189,7 @@
     std::atomic<int> m_prefills { 0 };
     std::atomic<int> m_requests { 0 };
     std::atomic<int> m_controlCalls { 0 };
+    std::atomic<bool> m_hasCrashed { false };
     std::atomic<bool> m_isLeaving { false };
     std::atomic<bool> m_isSilent { false };
     std::atomic<bool> m_isFull { false };
--- /dev/null
+++ b/test/correctness/CrashingCallTest.cpp
@@ -0,0 +1,156 @@
+#include "../RouterFixture.h"
+
+#include <algorithm>
+#include <list>
+
+using namespace jayhold;
+using namespace jayhold::test;
+
+namespace {
+
+/// A call may reach few servers after it has crashed three.
+constexpr std::ptrdiff_t maxCrashes = 3;
+/// Exceeds the time in which instances exchange what they know of a crash, and write it to the store.
+constexpr Duration exchangeTime = 600ms;
+
+/// Several instances before plain servers that end when they run a call to `crash`.
+struct CrashingServers {
+    explicit CrashingServers(std::size_t instances, std::size_t serverCount = 6)
+    {
+        store.put("config", "main", configurationOf(1));
+        for (std::size_t index = 0; index < serverCount; ++index) {
+            auto& server = servers.emplace_back(threads, "plain-" + std::to_string(index), Behaviour::Crash);
+            server.setTiming(20ms, Duration::zero());
+            store.put("servers", server.id(), serverEntry(server.endpoint(), "ledger", {}));
+        }
+        for (std::size_t index = 0; index < instances; ++index)
+            addInstance();
+    }
+    ~CrashingServers()
+    {
+        routers.clear();
+        threads.stop();
+    }
+    CrashingServers(const CrashingServers&) = delete;
+    auto operator=(const CrashingServers&) -> CrashingServers& = delete;
+
+    /// Starts an instance and waits until it serves calls.
+    auto addInstance() -> RouterDaemon&
+    {
+        const auto settings = routerSettings("entry-" + std::to_string(routers.size() + 1), store.endpoint());
+        auto& router = routers.emplace_back(settings.entry, platform::makePlatformAdapter(settings));
+        const auto end = monotonicNow() + 5s;
+        while (call(router, "GET", "/read/harmless") != 200 && monotonicNow() < end)
+            std::this_thread::sleep_for(10ms);
+        return router;
+    }
+
+    /// @return the status of the answer, or 0 if there is none.
+    auto call(RouterDaemon& router, const std::string& method, const std::string& target) -> unsigned
+    {
+        const auto number = ++requests;
+        const auto thread = static_cast<std::size_t>(number % 4);
+        HttpRequest request { method, target, { { "Host", "a.example" }, { "Request-Id", "request-" + std::to_string(number) }, { "Deadline-Ms", "1500" } }, {} };
+        const auto response = runOn(threads, thread, threads.client(thread).request(router.endpoint(), std::move(request), 3s));
+        return response.has_value() ? response->status : 0;
+    }
+
+    auto crashes() const -> std::ptrdiff_t
+    {
+        return std::ranges::count_if(servers, [](const FakeBackendServer& server) { return server.hasCrashed(); });
+    }
+
+    IoThreads threads { 4 };
+    FakeObjectStore store { threads };
+    std::list<FakeBackendServer> servers;
+    std::list<RouterDaemon> routers;
+    std::atomic<int> requests { 0 };
+};
+
+}
+
+// Guards against a call that ends server after server because it is sent again, at any instance.
+TEST_CASE("a call that crashes its server reaches few servers")
+{
+    const auto target = GENERATE(std::pair { "GET", "/read/crash" }, std::pair { "POST", "/post/crash" });
+    CrashingServers fleet(2);
+    for (auto round = 0; round < 4; ++round) {
+        for (auto& router : fleet.routers) {
+            CHECK(fleet.call(router, target.first, target.second) >= 500);
+            std::this_thread::sleep_for(100ms);
+        }
+    }
+    CHECK(fleet.crashes() > 0);
+    CHECK(fleet.crashes() <= maxCrashes);
+    for (auto& router : fleet.routers)
+        CHECK(fleet.call(router, "GET", "/read/other") == 200);
+}
+
+// Guards against an instance that runs a call that crashes servers because it started after the crashes.
+TEST_CASE("an instance that starts later does not run a call that has crashed servers")
+{
+    CrashingServers fleet(1);
+    for (auto round = 0; round < 3; ++round)
+        fleet.call(fleet.routers.front(), "GET", "/read/crash");
+    std::this_thread::sleep_for(exchangeTime);
+    const auto crashes = fleet.crashes();
+    CHECK(crashes <= maxCrashes);
+    fleet.routers.clear();
+    CHECK(fleet.call(fleet.addInstance(), "GET", "/read/crash") == 503);
+    CHECK(fleet.crashes() == crashes);
+}
+
+// Guards against copies of a call that arrive together and crash a server each, and against harmless calls that are
+// refused because they were in flight on these servers.
+TEST_CASE("copies of a crashing call beside harmless calls crash few servers")
+{
+    CrashingServers fleet(3, 8);
+    std::atomic<bool> isDone { false };
+    std::vector<std::jthread> callers;
+    std::mutex lock;
+    std::vector<std::string> lost;
+    for (auto& router : fleet.routers) {
+        callers.emplace_back([&, &instance = router] {
+            for (auto number = 0; !isDone; ++number) {
+                const auto target = "/read/harmless-" + std::to_string(number % 7);
+                if (fleet.call(instance, "GET", target) == 200)
+                    continue;
+                const std::lock_guard guard(lock);
+                lost.push_back(target);
+            }
+        });
+        callers.emplace_back([&, &instance = router] {
+            while (!isDone) {
+                fleet.call(instance, "GET", "/read/crash");
+                std::this_thread::sleep_for(50ms);
+            }
+        });
+    }
+    std::this_thread::sleep_for(2s);
+    isDone = true;
+    callers.clear();
+    // Copies that are in flight before the first crash reach a server each.
+    CHECK(fleet.crashes() <= maxCrashes + 1);
+    for (const auto& target : lost) {
+        for (auto& router : fleet.routers)
+            CHECK(fleet.call(router, "GET", target) == 200);
+    }
+}
+
+// Guards against a harmless call that is refused because its connections broke while the servers went on.
+TEST_CASE("a call whose connections break on running servers is not taken for a crashing one")
+{
+    CrashingServers fleet(2, 3);
+    for (auto& server : fleet.servers)
+        server.setBehaviour(Behaviour::DropConnection);
+    for (auto round = 0; round < 4; ++round) {
+        for (auto& router : fleet.routers)
+            CHECK(fleet.call(router, "GET", "/read/x") >= 500);
+    }
+    for (auto& server : fleet.servers)
+        server.setBehaviour(Behaviour::Answer);
+    // Servers that have failed several times are used again after a second.
+    std::this_thread::sleep_for(3s);
+    for (auto& router : fleet.routers)
+        CHECK(fleet.call(router, "GET", "/read/x") == 200);
+}
