Attribute crashes of plain servers to calls, and refuse the calls that cause them

Callers saw one plain call end 17 and 16 servers of a service, 9 and 10 of these sends beyond the bound of three. A plain service had no crash attribution: each attempt of the caller cost up to maxAttempts servers, for as long as it was sent.

A call whose connection breaks before its answer now leads to a connection to the same server. If that is refused, the server has crashed: resets by a running server and network cuts don't count. A process that restarts before that shows in the list of servers. Crashes and their calls go to all peers at once, and are compared as those of engines are, with the call's signature as its only part. A signature that was at two crashes, and in no answer since, is blocked and written to the shared list, which instances read when they start. If another one was at the same crashes, the next answer or crash decides. Until then such a call runs on a server without another one, and all instances choose the same server for it, so that copies crash one server and not several. The signature is the same in all builds now (std::hash was not).

Ruled out: that known calls were sent by instances that lacked the knowledge; there was none to lack.

--- a/src/CallerChecks.cpp
+++ b/src/CallerChecks.cpp
@@ -1,5 +1,6 @@
 #include "CallerChecks.h"
 
+#include "CallSignature.h"
 #include "ParseNumber.h"
 #include "PlainRoute.h"
 #include "ShardSettings.h"
@@ -106,6 +107,7 @@
             info.request.headers.push_back({ std::string(field), std::string(*value) });
     }
     info.request.headers.push_back({ "X-Jayhold-Customer", info.customer });
+    info.signature = callSignature({}, info.customer, info.request);
     return CheckedPlainCall { service->name, std::move(info) };
 }
 
--- a/src/ForwardChecks.cpp
+++ b/src/ForwardChecks.cpp
@@ -1,9 +1,9 @@
 #include "ForwardChecks.h"
 
+#include "CallSignature.h"
 #include "JitteredDelay.h"
 
 #include <algorithm>
-#include <functional>
 
 namespace jayhold {
 
@@ -18,21 +18,13 @@
     return now + std::min(limit, call.callerTimeout.value_or(limit));
 }
 
-/// Hashes the host, target and body, so that a request that crashes engines is recognised when it is
-/// sent again.
-auto signatureOf(const ForwardedCall& call) -> std::uint64_t
-{
-    const std::hash<std::string> hash;
-    return hash(call.host + call.request.target + "\n" + call.request.body);
-}
-
 auto modelInfo(ForwardedCall call, const RequestKind& kind, TimePoint now) -> ModelRequestInfo
 {
     ModelRequestInfo info;
     info.request.maxTokens = call.maxTokens;
     info.request.isStream = true;
     info.digest.tokens = call.promptTokens;
-    info.digest.signature = signatureOf(call);
+    info.digest.signature = callSignature(call.host, {}, call.request);
     info.kindSettings = kind;
     info.model = call.model;
     info.arrivedAt = now;
@@ -46,7 +38,7 @@
     PlainCallInfo info;
     info.kind = kind;
     info.requestId = call.requestId;
-    info.signature = signatureOf(call);
+    info.signature = callSignature(call.host, {}, call.request);
     info.arrivedAt = now;
     info.deadline = deadlineOf(call, kind, now);
     info.request = std::move(call.request);
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -173,6 +173,20 @@
 
 HttpClient::~HttpClient() = default;
 
+auto HttpClient::listenState(HttpEndpoint endpoint) -> asio::awaitable<ListenState>
+{
+    boost::system::error_code code;
+    const auto address = asio::ip::make_address(endpoint.address, code);
+    if (code)
+        co_return ListenState::Unknown;
+    beast::tcp_stream stream(m_context);
+    stream.expires_after(m_settings.connectTimeout);
+    co_await stream.async_connect(asio::ip::tcp::endpoint(address, endpoint.port), awaitInto(code));
+    if (!code)
+        co_return ListenState::Listening;
+    co_return code == asio::error::connection_refused ? ListenState::Refused : ListenState::Unknown;
+}
+
 auto HttpClient::request(HttpEndpoint endpoint, HttpRequest request, Duration timeout) -> asio::awaitable<HttpResult<HttpResponse>>
 {
     HttpCallOptions options;
--- a/src/HttpClient.h
+++ b/src/HttpClient.h
@@ -14,6 +14,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <memory>
 
 namespace jayhold {
@@ -34,6 +35,14 @@
     std::size_t maxBodyBytes = 16U << 20U;
 };
 
+enum class ListenState : std::uint8_t {
+    Listening,
+    /// The address refuses connections: no process listens there.
+    Refused,
+    /// The address did not answer.
+    Unknown,
+};
+
 class HttpClient {
 public:
     HttpClient(boost::asio::io_context& context, HttpClientSettings settings);
@@ -60,6 +69,9 @@
     /// Same, with options, which may allow the use of an idle connection.
     auto open(HttpEndpoint endpoint, HttpRequest request, HttpCallOptions options) -> boost::asio::awaitable<HttpResult<std::shared_ptr<HttpStream>>>;
 
+    /// Opens a connection and closes it again, to learn whether a process listens at the address.
+    auto listenState(HttpEndpoint endpoint) -> boost::asio::awaitable<ListenState>;
+
 private:
     boost::asio::io_context& m_context;
     const HttpClientSettings m_settings;
--- a/src/PlainAttempt.h
+++ b/src/PlainAttempt.h
@@ -20,6 +20,10 @@
     bool reachedBackend = true;
     /// Whether the call was not sent because it could not have ended before the instance exits.
     bool isRefusedByDrain = false;
+    /// Whether the call was not sent because it crashes backend servers.
+    bool isRefusedAsCrashing = false;
+    /// Whether the backend server crashed while it had the call.
+    bool hasCrashed = false;
     /// Whether the attempt exceeded its timeout.
     bool hasTimedOut = false;
     /// For logs.
--- a/src/PlainBackend.h
+++ b/src/PlainBackend.h
@@ -16,6 +16,8 @@
     bool isLocal = false;
     std::uint32_t slots = 1;
     std::uint32_t inFlight = 0;
+    /// Calls in flight that may crash the server.
+    std::uint32_t suspects = 0;
     /// The calls that this instance may send, if the server has named a limit.
     std::optional<CallAllowance> allowance {};
     std::uint32_t consecutiveFailures = 0;
--- a/src/PlainBalancer.cpp
+++ b/src/PlainBalancer.cpp
@@ -1,5 +1,8 @@
 #include "PlainBalancer.h"
 
+#include "Hexadecimal.h"
+#include "Rendezvous.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -33,6 +36,9 @@
 /// Whether the first of two usable servers is the better choice.
 auto isBetter(const PlainBackend& left, const PlainBackend& right) -> bool
 {
+    // A call beside one that may crash the server can be lost with it.
+    if ((left.suspects == 0) != (right.suspects == 0))
+        return left.suspects == 0;
     if (left.isLocal != right.isLocal)
         return left.isLocal;
     return left.inFlight < right.inFlight;
@@ -63,6 +69,7 @@
         if (!known)
             continue;
         backend.inFlight = known->inFlight;
+        backend.suspects = known->suspects;
         // A server at another address is another process, whose health is unknown.
         if (known->server.endpoint != backend.server.endpoint)
             continue;
@@ -145,13 +152,48 @@
         if (!best || isBetter(candidate, *best))
             best = &candidate;
     }
+    return best ? std::optional(take(*best, now)) : std::nullopt;
+}
+
+auto PlainBalancer::take(PlainBackend& backend, TimePoint now) -> BackendServer
+{
+    if (backend.allowance)
+        backend.allowance->tryTake(now);
+    ++backend.inFlight;
+    backend.hasFirstCall = backend.isReturning;
+    return backend.server;
+}
+
+auto PlainBalancer::acquireForSuspect(TimePoint now, std::span<const std::string> excluded, std::uint64_t signature) -> std::optional<BackendServer>
+{
+    PlainBackend* best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (auto& candidate : m_backends) {
+        if (!isAvailable(candidate, now) || candidate.suspects > 0 || std::ranges::find(excluded, candidate.server.id) != excluded.end())
+            continue;
+        const auto weight = stableHash(candidate.server.id + "/" + toHexadecimal(signature));
+        if (best && weight <= bestWeight)
+            continue;
+        best = &candidate;
+        bestWeight = weight;
+    }
     if (!best)
         return std::nullopt;
-    if (best->allowance)
-        best->allowance->tryTake(now);
-    ++best->inFlight;
-    best->hasFirstCall = best->isReturning;
-    return best->server;
+    ++best->suspects;
+    return take(*best, now);
+}
+
+auto PlainBalancer::releaseSuspect(std::string_view id) -> void
+{
+    if (auto* backend = find(id); backend && backend->suspects > 0)
+        --backend->suspects;
+}
+
+auto PlainBalancer::awaitsSuspect(TimePoint now, std::span<const std::string> excluded) const -> bool
+{
+    return std::ranges::any_of(m_backends, [&](const PlainBackend& backend) {
+        return backend.suspects > 0 && isAvailable(backend, now) && std::ranges::find(excluded, backend.server.id) == excluded.end();
+    });
 }
 
 auto PlainBalancer::release(TimePoint now, std::string_view id, bool isHealthy) -> bool
--- a/src/PlainBalancer.h
+++ b/src/PlainBalancer.h
@@ -47,6 +47,16 @@
     /// @return the server, or std::nullopt if none is available.
     auto acquire(TimePoint now, std::span<const std::string> excluded) -> std::optional<BackendServer>;
 
+    /// Chooses a backend server for a call that may crash it. No server gets a second such call at the same time, and all
+    /// instances choose the same server for a signature, so that copies of a call crash one server and not several.
+    /// releaseSuspect() must follow before the slot is released.
+    /// @param signature crash signature of the call.
+    auto acquireForSuspect(TimePoint now, std::span<const std::string> excluded, std::uint64_t signature) -> std::optional<BackendServer>;
+    auto releaseSuspect(std::string_view id) -> void;
+
+    /// @return whether a server would be available if it had no call in flight that may crash it.
+    auto awaitsSuspect(TimePoint now, std::span<const std::string> excluded) const -> bool;
+
     /// Releases the slot.
     /// @param isHealthy whether the result of the call shows that the server is healthy.
     /// @return whether the server gets calls again as before its pause.
@@ -64,6 +74,8 @@
 
 private:
     auto find(std::string_view id) -> PlainBackend*;
+    /// Takes a slot of an available server.
+    static auto take(PlainBackend& backend, TimePoint now) -> BackendServer;
 
     std::vector<PlainBackend> m_backends;
     std::size_t m_searchStart = 0;
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -72,8 +72,16 @@
 }
 
 auto PlainService::updateBackends(std::span<const BackendServer> backends, const BackendPauses& pauses) -> void
+{
+    CrashUpdates updates;
+    applyBackends(backends, pauses, updates);
+    publish(updates);
+}
+
+auto PlainService::applyBackends(std::span<const BackendServer> backends, const BackendPauses& pauses, CrashUpdates& updates) -> void
 {
     const std::lock_guard guard(m_lock);
+    findReplacedServersLocked(backends, updates);
     std::vector<PlainBackend> list;
     for (const auto& backend : backends) {
         const auto pool = std::ranges::find(m_pools, backend.pool, &Pool::name);
@@ -222,6 +230,8 @@
     if (attempt.isRefusedByDrain)
         return drainRefusal();
     const auto outcome = attempt.isNotRun ? ExecutionOutcome::NotRun : ExecutionOutcome::Unknown;
+    if (attempt.isRefusedAsCrashing)
+        return refusalError(RefusalReason::CrashSuspect, outcome, Duration::zero());
     if (attempt.hasTimedOut && monotonicNow() >= call.deadline)
         return { 504, std::string(jayhold::name(RefusalReason::DeadlineExceeded)), "no backend server answered in time: " + attempt.detail, outcome };
     return { 503, "no_backend", "no backend server answered: " + attempt.detail, outcome, retryDelayOfCall() };
@@ -263,12 +273,6 @@
     co_await exchange.respond(m_context.callerProtocol.refusal(error));
 }
 
-auto PlainService::acquire(std::span<const std::string> excluded) -> std::optional<BackendServer>
-{
-    const std::lock_guard guard(m_lock);
-    return m_balancer.acquire(monotonicNow(), excluded);
-}
-
 auto PlainService::release(const BackendServer& backend, bool isHealthy) -> void
 {
     auto hasReturned = false;
@@ -280,6 +284,12 @@
         m_context.reportReturned(backend);
 }
 
+auto PlainService::releaseSuspect(const std::string& id) -> void
+{
+    const std::lock_guard guard(m_lock);
+    m_balancer.releaseSuspect(id);
+}
+
 auto PlainService::releaseRejected(const std::string& id) -> void
 {
     const std::lock_guard guard(m_lock);
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -10,17 +10,22 @@
 #include "PlainAttempt.h"
 #include "PlainBalancer.h"
 #include "PlainCallInfo.h"
+#include "PromptPartCrashes.h"
+#include "PromptReport.h"
 #include "RecentDurations.h"
 #include "RetryBudget.h"
 #include "Service.h"
+#include "UpdateBlockedPart.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/cancellation_signal.hpp>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <span>
 #include <string>
 
@@ -50,6 +55,13 @@
     auto updateInstanceCount(std::uint32_t instanceCount) -> void;
     auto backends() const -> std::vector<PlainBackend>;
 
+    /// Processes a peer's report of a call that was in flight on a server that crashed, or has got an answer since.
+    auto handleCrashReport(const PromptReport& report) -> void;
+    /// Applies the list of blocked crash signatures that all instances share.
+    auto updateBlockedCalls(std::span<const ListedPart> listed) -> void;
+    /// Allows this instance to run one call with a blocked crash signature.
+    auto allowTrial(std::uint64_t signature) -> void;
+
     /// Executes a call and responds to the caller.
     auto serve(HttpExchange& exchange, PlainCallInfo call) -> boost::asio::awaitable<void>;
 
@@ -67,8 +79,46 @@
         std::shared_ptr<PlainReplacement> replacement;
         /// Whether the running attempt has the final response, so that its replacement is not needed.
         bool isAnswered = false;
+        /// Whether the running attempt may crash its server.
+        bool isSuspect = false;
+        /// Whether the call has the permission to run although its crash signature is blocked.
+        bool isTrial = false;
+    };
+
+    /// What other instances have to be told; sent without the lock.
+    struct CrashUpdates {
+        std::vector<PromptReport> reports;
+        std::vector<UpdateBlockedPart> blocked;
     };
 
+    /// A call whose connection broke before its answer, on a server that is not known to have crashed.
+    struct LostCall {
+        BackendServer server;
+        std::uint64_t signature = 0;
+        TimePoint time {};
+    };
+
+    /// Chooses the server of the next attempt. One that may crash its server waits for a short time until a server has no
+    /// other such call.
+    /// @return nothing if no server is available or the call is blocked.
+    auto acquireFor(const PlainCallInfo& call, CallState& state, PlainAttempt& last) -> boost::asio::awaitable<std::optional<BackendServer>>;
+    /// @return whether the call has to be refused because it crashes servers; requires the lock.
+    auto isBlockedLocked(const PlainCallInfo& call, CallState& state, CrashUpdates& updates) -> bool;
+    /// Finds out whether a server has crashed after the connection of a call broke before its answer.
+    auto hasCrashed(HttpClient& client, const BackendServer& server, const PlainCallInfo& call) -> boost::asio::awaitable<bool>;
+    auto recordCrashLocked(const BackendServer& server, std::uint64_t signature, CrashUpdates& updates) -> void;
+    /// Records that the server has run the call without a crash.
+    auto recordAnswer(const BackendServer& server, const PlainCallInfo& call) -> void;
+    /// Replaces the list of backend servers; takes the lock.
+    auto applyBackends(std::span<const BackendServer> backends, const BackendPauses& pauses, CrashUpdates& updates) -> void;
+    /// Finds the calls on servers whose process has been replaced since their connection broke; requires the lock.
+    auto findReplacedServersLocked(std::span<const BackendServer> backends, CrashUpdates& updates) -> void;
+    /// Blocks the calls that the crashes show to be their cause; requires the lock.
+    auto decideCrashesLocked(CrashUpdates& updates) -> void;
+    /// Decides again when the peers' reports of a crash have arrived.
+    auto scheduleCrashDecision() -> void;
+    auto publish(const CrashUpdates& updates) -> void;
+
     /// @return whether a call that starts now can be expected to have its answer when a draining instance ends its
     /// requests.
     auto canEndBeforeExit(const PlainCallInfo& call) const -> bool;
@@ -116,8 +166,8 @@
 
     /// @return whether the server is in the list and not leaving; requires the lock.
     auto isLiveLocked(const BackendServer& server) const -> bool;
-    auto acquire(std::span<const std::string> excluded) -> std::optional<BackendServer>;
     auto release(const BackendServer& backend, bool isHealthy) -> void;
+    auto releaseSuspect(const std::string& id) -> void;
     auto releaseRejected(const std::string& id) -> void;
     auto releaseCancelled(const std::string& id) -> void;
     auto tryConsumeRetry() -> bool;
@@ -142,6 +192,12 @@
     RetryBudget m_budget;
     /// By name of the kind, for the kinds of the configuration.
     std::map<std::string, RecentDurations> m_durations;
+    /// Crashes of servers by the signatures of the calls that had no answer. Each signature is its prompt's only part.
+    PromptPartCrashes m_crashes { .rules = callCrashRules };
+    /// Oldest first.
+    std::deque<LostCall> m_lostCalls;
+    std::mt19937_64 m_reportIds { std::random_device {}() };
+    bool m_isCrashDecisionDue = false;
 };
 
 }
--- a/src/PlainServiceAttempts.cpp
+++ b/src/PlainServiceAttempts.cpp
@@ -1,7 +1,9 @@
 #include "PlainService.h"
 
 #include "AwaitToken.h"
+#include "CrashHistory.h"
 #include "ExceptionText.h"
+#include "Pause.h"
 #include "PlainReplacement.h"
 #include "RepeatedCheck.h"
 
@@ -70,18 +72,23 @@
             last.isRefusedByDrain = true;
             break;
         }
-        const auto backend = acquire(state.triedBackends);
+        const auto backend = co_await acquireFor(call, state, last);
         if (!backend)
             break;
         state.triedBackends.push_back(backend->id);
         recordDecision(call, "request_placed", { { "backend", backend->id }, { "attempt", state.triedBackends.size() }, { "timeout_ms", remainingTime(call).count() / 1'000 } });
         last = co_await attemptOn(client, *backend, call, isRepeatable, state);
+        if (state.isSuspect)
+            releaseSuspect(backend->id);
         state.executions += !last.isNotRun;
         if (isFinal(last) || state.isCallerDisconnected)
             break;
         recordFailedAttempt(call, state, backend->id, last);
         if (!mayTryAgain(call, state, last, isRepeatable))
             break;
+        // The peers' reports of the crash may show that the call is its cause.
+        if (last.hasCrashed)
+            co_await pause(crashReportWait);
     }
     last.isNotRun = state.executions == 0;
     if (!last.isNotRun && !state.isCallerDisconnected)
@@ -117,6 +124,9 @@
 {
     if (state.isCallerDisconnected || state.triedBackends.size() >= maxBackendsPerCall || state.executions + 1 >= call.kind.maxAttempts)
         return false;
+    // A second server would be at risk too.
+    if (state.isSuspect)
+        return false;
     if (state.replacement && !state.replacement->result)
         return true;
     std::optional<BackendServer> server;
@@ -197,6 +207,9 @@
         attempt = attemptFromResponse(backend, call, std::move(*result));
     else
         attempt = attemptFromError(backend, result.error(), state);
+    const auto isLost = !thrown && result.has_error() && result.error().kind == HttpErrorKind::ConnectionLost;
+    if (isLost && !state.isCallerDisconnected)
+        attempt.hasCrashed = co_await hasCrashed(client, backend, call);
     m_metrics->backendCalls.fetch_add(attempt.reachedBackend, std::memory_order_relaxed);
     co_return attempt;
 }
@@ -246,6 +259,8 @@
         releaseRejected(backend.id);
     else
         release(backend, responseClass == ResponseClass::Final);
+    if (responseClass == ResponseClass::Final || responseClass == ResponseClass::Failed)
+        recordAnswer(backend, call);
     PlainAttempt attempt { .detail = "status " + std::to_string(status) };
     switch (responseClass) {
     case ResponseClass::Final:
--- /dev/null
+++ b/src/PlainServiceCrashes.cpp
@@ -0,0 +1,242 @@
+#include "PlainService.h"
+
+#include "CrashHistory.h"
+#include "Hexadecimal.h"
+#include "Pause.h"
+#include "Rendezvous.h"
+#include "Tasks.h"
+
+#include <boost/asio/co_spawn.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace jayhold {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// A call runs for a fraction of this time, so a server that has one that may crash it is free again by then.
+constexpr Duration maxSuspectWait = std::chrono::milliseconds(300);
+constexpr Duration suspectCheckInterval = std::chrono::milliseconds(10);
+/// A process that restarts after a crash has its new entry in the list by this time.
+constexpr Duration replacementWindow = std::chrono::seconds(5);
+constexpr std::size_t maxLostCalls = 64;
+
+/// @return the identity of a server's process, as for engines.
+auto processOf(const BackendServer& server) -> std::uint64_t
+{
+    return stableHash(server.id + "/" + server.incarnation);
+}
+
+auto eventName(BlockedPartChange change) -> std::string_view
+{
+    switch (change) {
+    case BlockedPartChange::Add:
+        return "crash_signature_blocked";
+    case BlockedPartChange::Remove:
+        return "crash_signature_unblocked";
+    case BlockedPartChange::BeginTrial:
+        return "crash_signature_trial_due";
+    }
+    return "crash_signature_changed";
+}
+
+/// @return whether the entry shows that another process has taken the server's place.
+auto hasReplaced(const BackendServer& entry, const BackendServer& server) -> bool
+{
+    if (entry.id == server.id)
+        return entry.incarnation != server.incarnation;
+    return entry.endpoint == server.endpoint;
+}
+
+}
+
+auto PlainService::acquireFor(const PlainCallInfo& call, CallState& state, PlainAttempt& last) -> asio::awaitable<std::optional<BackendServer>>
+{
+    const auto waitUntil = std::min(call.deadline, monotonicNow() + maxSuspectWait);
+    while (!state.isCallerDisconnected) {
+        std::optional<BackendServer> server;
+        CrashUpdates updates;
+        auto mustWait = false;
+        {
+            const std::lock_guard guard(m_lock);
+            const auto now = monotonicNow();
+            last.isRefusedAsCrashing = isBlockedLocked(call, state, updates);
+            state.isSuspect = state.isTrial || (call.signature && isSuspicious(m_crashes, now, call.signature));
+            if (last.isRefusedAsCrashing)
+                state.isSuspect = false;
+            else if (!state.isSuspect)
+                server = m_balancer.acquire(now, state.triedBackends);
+            else
+                server = m_balancer.acquireForSuspect(now, state.triedBackends, call.signature);
+            mustWait = state.isSuspect && !server && now < waitUntil && m_balancer.awaitsSuspect(now, state.triedBackends);
+        }
+        publish(updates);
+        if (!mustWait)
+            co_return server;
+        co_await pause(suspectCheckInterval);
+    }
+    co_return std::nullopt;
+}
+
+auto PlainService::isBlockedLocked(const PlainCallInfo& call, CallState& state, CrashUpdates& updates) -> bool
+{
+    if (!call.signature)
+        return false;
+    decideCrashesLocked(updates);
+    const auto now = monotonicNow();
+    const std::span parts(&call.signature, 1);
+    if (!hasBlockedPart(m_crashes, parts))
+        return false;
+    if (!std::exchange(state.isTrial, false) && tryBeginTrial(m_crashes, now, parts)) {
+        state.isTrial = true;
+        return false;
+    }
+    if (const auto due = dueTrial(m_crashes, now, parts))
+        updates.blocked.push_back({ due->part, BlockedPartChange::BeginTrial, due->trials });
+    return true;
+}
+
+auto PlainService::hasCrashed(HttpClient& client, const BackendServer& server, const PlainCallInfo& call) -> asio::awaitable<bool>
+{
+    if (!call.signature)
+        co_return false;
+    {
+        // The connections to a server that is leaving break when it ends.
+        const std::lock_guard guard(m_lock);
+        if (!isLiveLocked(server))
+            co_return false;
+    }
+    const auto listens = co_await client.listenState(server.endpoint);
+    CrashUpdates updates;
+    {
+        const std::lock_guard guard(m_lock);
+        if (listens == ListenState::Refused) {
+            recordCrashLocked(server, call.signature, updates);
+        } else {
+            if (m_lostCalls.size() == maxLostCalls)
+                m_lostCalls.pop_front();
+            m_lostCalls.push_back({ server, call.signature, monotonicNow() });
+        }
+    }
+    publish(updates);
+    co_return listens == ListenState::Refused;
+}
+
+auto PlainService::recordCrashLocked(const BackendServer& server, std::uint64_t signature, CrashUpdates& updates) -> void
+{
+    CrashedPrompt crashed { processOf(server), signature, { signature } };
+    addCrashedPrompt(m_crashes, monotonicNow(), crashed);
+    updates.reports.push_back({ m_name, m_context.settings.instance, m_reportIds(), false, std::move(crashed) });
+    m_metrics->crashSuspects.fetch_add(1, std::memory_order_relaxed);
+    m_context.log.record(LogLevel::Info, "crash_suspect", { { "service", m_name }, { "signature", toHexadecimal(signature) }, { "backend", server.id }, { "incarnation", server.incarnation } });
+}
+
+auto PlainService::recordAnswer(const BackendServer& server, const PlainCallInfo& call) -> void
+{
+    if (!call.signature)
+        return;
+    CrashUpdates updates;
+    {
+        const std::lock_guard guard(m_lock);
+        std::erase_if(m_lostCalls, [&](const LostCall& lost) { return hasSameIncarnation(lost.server, server); });
+        const auto now = monotonicNow();
+        const std::span parts(&call.signature, 1);
+        if (!isSuspicious(m_crashes, now, call.signature) && !hasBlockedPart(m_crashes, parts))
+            return;
+        for (const auto part : recordHarmlessParts(m_crashes, now, parts, true))
+            updates.blocked.push_back({ part, BlockedPartChange::Remove });
+        updates.reports.push_back({ m_name, m_context.settings.instance, m_reportIds(), true, { .parts = { call.signature } } });
+        decideCrashesLocked(updates);
+    }
+    record(LogLevel::Info, call, "crash_suspect_cleared", { { "backend", server.id } });
+    publish(updates);
+}
+
+auto PlainService::findReplacedServersLocked(std::span<const BackendServer> backends, CrashUpdates& updates) -> void
+{
+    const auto now = monotonicNow();
+    std::erase_if(m_lostCalls, [&](const LostCall& lost) {
+        if (now - lost.time >= replacementWindow)
+            return true;
+        if (std::ranges::none_of(backends, [&](const BackendServer& entry) { return hasReplaced(entry, lost.server); }))
+            return false;
+        recordCrashLocked(lost.server, lost.signature, updates);
+        return true;
+    });
+}
+
+auto PlainService::handleCrashReport(const PromptReport& report) -> void
+{
+    m_context.log.record(LogLevel::Info, "crash_suspect_heard", { { "service", m_name }, { "harmless", report.isHarmless }, { "signature", toHexadecimal(report.prompt.parts) }, { "process", report.prompt.process }, { "from", report.instance } });
+    CrashUpdates updates;
+    {
+        const std::lock_guard guard(m_lock);
+        if (report.isHarmless) {
+            for (const auto part : recordHarmlessParts(m_crashes, monotonicNow(), report.prompt.parts, false))
+                updates.blocked.push_back({ part, BlockedPartChange::Remove });
+            decideCrashesLocked(updates);
+        } else {
+            addCrashedPrompt(m_crashes, monotonicNow(), report.prompt);
+        }
+    }
+    publish(updates);
+    if (!report.isHarmless)
+        scheduleCrashDecision();
+}
+
+auto PlainService::updateBlockedCalls(std::span<const ListedPart> listed) -> void
+{
+    const std::lock_guard guard(m_lock);
+    applyListedParts(m_crashes, monotonicNow(), listed);
+}
+
+auto PlainService::allowTrial(std::uint64_t signature) -> void
+{
+    const std::lock_guard guard(m_lock);
+    jayhold::allowTrial(m_crashes, monotonicNow(), signature);
+}
+
+auto PlainService::decideCrashesLocked(CrashUpdates& updates) -> void
+{
+    for (const auto part : blockCrashingParts(m_crashes, monotonicNow()))
+        updates.blocked.push_back({ part, BlockedPartChange::Add });
+}
+
+auto PlainService::scheduleCrashDecision() -> void
+{
+    {
+        const std::lock_guard guard(m_lock);
+        if (std::exchange(m_isCrashDecisionDue, true))
+            return;
+    }
+    auto decide = [self = shared_from_this()]() -> asio::awaitable<void> {
+        const auto service = self;
+        co_await pause(crashReportWait);
+        CrashUpdates updates;
+        {
+            const std::lock_guard guard(service->m_lock);
+            service->m_isCrashDecisionDue = false;
+            service->decideCrashesLocked(updates);
+        }
+        service->publish(updates);
+    };
+    asio::co_spawn(m_context.threads.context(0), std::move(decide), logTaskFailure(m_context.log, "decide on crashing calls"));
+}
+
+auto PlainService::publish(const CrashUpdates& updates) -> void
+{
+    for (const auto& report : updates.reports)
+        m_context.reportPrompt(report);
+    if (std::ranges::any_of(updates.reports, [](const PromptReport& report) { return !report.isHarmless; }))
+        scheduleCrashDecision();
+    for (const auto& update : updates.blocked) {
+        m_metrics->blockedSignatures.fetch_add(update.change == BlockedPartChange::Add ? 1 : 0, std::memory_order_relaxed);
+        m_context.log.record(LogLevel::Warning, eventName(update.change), { { "service", m_name }, { "signature", toHexadecimal(update.part) }, { "trials", update.trials } });
+        m_context.updateBlockedPart(m_name, update);
+    }
+}
+
+}
--- a/src/PromptPartCrashes.cpp
+++ b/src/PromptPartCrashes.cpp
@@ -17,13 +17,9 @@
 constexpr std::size_t maxPromptsPerCrash = 32;
 /// Reports of one crash arrive within this time. A later one of the same process id is another crash.
 constexpr Duration crashReportWindow = std::chrono::seconds(2);
-/// A part that is harmless can begin to crash engines, for example with new weights, so this counts
-/// for a limited time.
-constexpr Duration harmlessPartTtl = std::chrono::seconds(30);
 constexpr std::size_t maxHarmlessParts = 2'048;
 constexpr std::size_t maxBlockedParts = 256;
 constexpr std::size_t minCrashes = 2;
-constexpr std::size_t minRequests = 2;
 
 /// A part that is not in the shared list, because there is none or it can't be written, is blocked for this
 /// time.
@@ -47,19 +43,19 @@
 auto wasHarmlessAt(const PromptPartCrashes& state, std::uint64_t part, TimePoint time) -> bool
 {
     const auto* harmless = findHarmless(state, part);
-    const auto covers = [&](const std::optional<TimePoint>& at) { return at && *at + harmlessPartTtl >= time; };
+    const auto covers = [&](const std::optional<TimePoint>& at) { return at && *at + state.rules.harmlessTtl >= time; };
     return harmless && (covers(harmless->ownAt) || covers(harmless->reportedAt));
 }
 
 auto isOwnHarmless(const PromptPartCrashes& state, std::uint64_t part, TimePoint now) -> bool
 {
     const auto* harmless = findHarmless(state, part);
-    return harmless && harmless->ownAt && now - *harmless->ownAt < harmlessPartTtl;
+    return harmless && harmless->ownAt && now - *harmless->ownAt < state.rules.harmlessTtl;
 }
 
 /// The crashes and requests that a part was in.
 struct PartEvidence {
-    std::size_t crashes = 0;
+    std::set<const PromptPartCrashes::Crash*> crashes;
     std::set<std::uint64_t> requests;
     /// Deepest position in a prompt.
     std::size_t depth = 0;
@@ -69,38 +65,49 @@
 
 auto addEvidence(EvidenceTable& table, const PromptPartCrashes& state, const PromptPartCrashes::Crash& crash) -> void
 {
-    std::set<std::uint64_t> counted;
     for (const auto& prompt : crash.prompts) {
         for (std::size_t index = 0; index < prompt.parts.size(); ++index) {
             const auto part = prompt.parts[index];
             if (wasHarmlessAt(state, part, crash.time))
                 continue;
             auto& evidence = table[part];
-            evidence.crashes += counted.insert(part).second;
+            evidence.crashes.insert(&crash);
             evidence.requests.insert(prompt.signature);
             evidence.depth = std::max(evidence.depth, index);
         }
     }
 }
 
+/// @return whether a blocked part explains the crash, so that it says nothing about other parts.
+auto isExplained(const PromptPartCrashes& state, const PromptPartCrashes::Crash& crash) -> bool
+{
+    return std::ranges::any_of(crash.prompts, [&](const auto& prompt) { return hasBlockedPart(state, prompt.parts); });
+}
+
+/// @return whether another part was at all crashes of this one, so that either may be the cause.
+auto hasTie(const EvidenceTable& table, std::uint64_t part, const PartEvidence& evidence) -> bool
+{
+    return std::ranges::any_of(table, [&](const auto& other) { return other.first != part && std::ranges::includes(other.second.crashes, evidence.crashes); });
+}
+
 /// @return the deepest part that was in several crashes. Requests share the parts before the cause more often
 /// than the parts after it.
 auto mostLikelyCause(const PromptPartCrashes& state, TimePoint now) -> std::optional<std::uint64_t>
 {
     EvidenceTable table;
     for (const auto& crash : state.crashes) {
-        // A crash with a blocked part is explained and says nothing about other parts.
-        const auto isExplained = std::ranges::any_of(crash.prompts, [&](const auto& prompt) { return hasBlockedPart(state, prompt.parts); });
-        if (!isExplained && now - crash.time >= crashReportWait)
+        if (!isExplained(state, crash) && now - crash.time >= crashReportWait)
             addEvidence(table, state, crash);
     }
     std::optional<std::uint64_t> cause;
     const PartEvidence* best = nullptr;
     for (const auto& [part, evidence] : table) {
-        if (evidence.crashes < minCrashes || evidence.requests.size() < minRequests)
+        if (evidence.crashes.size() < minCrashes || evidence.requests.size() < state.rules.minRequests)
+            continue;
+        if (evidence.crashes.size() < state.rules.crashesDespiteTie && hasTie(table, part, evidence))
             continue;
         // The last criterion makes all instances choose the same part.
-        if (best && std::tuple(evidence.depth, evidence.crashes, part) < std::tuple(best->depth, best->crashes, *cause))
+        if (best && std::tuple(evidence.depth, evidence.crashes.size(), part) < std::tuple(best->depth, best->crashes.size(), *cause))
             continue;
         best = &evidence;
         cause = part;
@@ -141,6 +148,9 @@
         if (state.blocked.erase(part) > 0)
             unblocked.push_back(part);
     }
+    // A part that was at the same crashes as these may be the only one left.
+    if (state.rules.crashesDespiteTie > minCrashes && !state.crashes.empty())
+        state.decideAt = std::min(state.decideAt, now);
     return unblocked;
 }
 
@@ -177,6 +187,14 @@
     return parts;
 }
 
+auto isSuspicious(const PromptPartCrashes& state, TimePoint now, std::uint64_t part) -> bool
+{
+    return std::ranges::any_of(state.crashes, [&](const auto& crash) {
+        const auto isThere = std::ranges::any_of(crash.prompts, [&](const auto& prompt) { return std::ranges::find(prompt.parts, part) != prompt.parts.end(); });
+        return isThere && now - crash.time < crashTtl && !isExplained(state, crash) && !wasHarmlessAt(state, part, crash.time);
+    });
+}
+
 auto hasBlockedPart(const PromptPartCrashes& state, std::span<const std::uint64_t> parts) -> bool
 {
     return !state.blocked.empty() && std::ranges::any_of(parts, [&](std::uint64_t part) { return state.blocked.contains(part); });
--- a/src/PromptPartCrashes.h
+++ b/src/PromptPartCrashes.h
@@ -3,7 +3,8 @@
 /// Finds parts of prompts that crash every engine that begins an answer to them, as a pure state machine.
 /// It compares the prompts of requests that had no answer yet when engines crashed, at this instance and
 /// at its peers. A part is blocked if different requests with it were at the crashes of two engines while
-/// no request with it got past that point. Private to the decision library.
+/// no request with it got past that point. Calls of plain services, which have no parts, are compared in the
+/// same way: the signature of a call stands for its only part.
 
 #include "CrashedPrompt.h"
 #include "ListedPart.h"
@@ -18,6 +19,21 @@
 
 namespace jayhold {
 
+/// What has to be known of a part before it is blocked.
+struct CrashRules {
+    /// Number of different requests with the part that were at crashes.
+    std::size_t minRequests = 2;
+    /// Number of crashes from which on a part is blocked although another part was at all of them too.
+    std::size_t crashesDespiteTie = 2;
+    /// Time for which an answer shows that a part is harmless. A part that is harmless can begin to crash engines, for
+    /// example with new weights.
+    Duration harmlessTtl = std::chrono::seconds(30);
+};
+
+/// Rules for calls. The servers of plain services answer within a fraction of a second, so an answer before a crash says
+/// little. Servers run many calls at once, so the calls that are retried together may be at the next crash together too.
+inline constexpr CrashRules callCrashRules { .minRequests = 1, .crashesDespiteTie = 3, .harmlessTtl = Duration::zero() };
+
 struct PromptPartCrashes {
     struct Crash {
         std::uint64_t process = 0;
@@ -44,6 +60,7 @@
         std::optional<TimePoint> trialAllowedUntil;
     };
 
+    CrashRules rules {};
     /// Most recent crash last.
     std::deque<Crash> crashes;
     /// When the reports of a crash will have arrived that have not been compared yet.
@@ -69,6 +86,8 @@
 /// Blocks the parts that the crashes show to be the cause.
 /// @return the parts that were not blocked before.
 auto blockCrashingParts(PromptPartCrashes& state, TimePoint now) -> std::vector<std::uint64_t>;
+/// @return whether the part was at a crash that no blocked part explains, and in no answer since.
+auto isSuspicious(const PromptPartCrashes& state, TimePoint now, std::uint64_t part) -> bool;
 auto hasBlockedPart(const PromptPartCrashes& state, std::span<const std::uint64_t> parts) -> bool;
 
 /// Applies the shared list. Parts that are no longer listed are not blocked any more.
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -192,9 +192,7 @@
                 directory->handlePeerRevision(adapter.directory.blockedPartsKind, revision);
                 if (loadExchange)
                     loadExchange->advanceRevision(adapter.directory.blockedPartsKind, revision); },
-            .trialAllowed = [this](const std::string& service, std::uint64_t part) {
-                if (const auto model = services.modelService(service))
-                    model->handleEvent(PartTrialAllowed { part }); },
+            .trialAllowed = [this](const std::string& service, std::uint64_t part) { services.allowTrial(service, part); },
         };
         blockedPartsWriter = std::make_shared<BlockedPartsWriter>(threads, *adapter.store, adapter.directory.blockedPartsKind, log, std::move(callbacks));
         context.updateBlockedPart = [this](const std::string& service, const UpdateBlockedPart& change) { blockedPartsWriter->update(service, change); };
--- a/src/ServiceTable.cpp
+++ b/src/ServiceTable.cpp
@@ -56,10 +56,14 @@
 auto ServiceTable::addPlainLocked(const Service& service) -> void
 {
     const auto known = m_plainServices.find(service.name);
-    if (known != m_plainServices.end())
+    if (known != m_plainServices.end()) {
         known->second->updateConfiguration(service);
-    else
-        m_plainServices.emplace(service.name, std::make_shared<PlainService>(m_context, service, m_records, m_instanceCount));
+        return;
+    }
+    const auto added = std::make_shared<PlainService>(m_context, service, m_records, m_instanceCount);
+    if (const auto blocked = m_blockedParts.find(service.name); blocked != m_blockedParts.end())
+        added->updateBlockedCalls(blocked->second);
+    m_plainServices.emplace(service.name, added);
 }
 
 auto ServiceTable::removeMissingLocked(const ConfigurationIndex& index) -> void
@@ -149,6 +153,16 @@
 {
     if (const auto service = modelService(report.service))
         service->handlePromptReport(report);
+    else if (const auto plain = plainService(report.service))
+        plain->handleCrashReport(report);
+}
+
+auto ServiceTable::allowTrial(const std::string& service, std::uint64_t part) -> void
+{
+    if (const auto model = modelService(service))
+        model->handleEvent(PartTrialAllowed { part });
+    else if (const auto plain = plainService(service))
+        plain->allowTrial(part);
 }
 
 auto ServiceTable::updateBlockedParts(const std::string& service, std::vector<ListedPart> parts) -> void
@@ -156,6 +170,8 @@
     const std::lock_guard guard(m_lock);
     if (const auto found = m_modelServices.find(service); found != m_modelServices.end())
         found->second.service->handleEvent(BlockedPartsListed { parts });
+    if (const auto found = m_plainServices.find(service); found != m_plainServices.end())
+        found->second->updateBlockedCalls(parts);
     m_blockedParts[service] = std::move(parts);
 }
 
--- a/src/ServiceTable.h
+++ b/src/ServiceTable.h
@@ -35,7 +35,10 @@
     auto handleCrashSignature(std::uint64_t signature) -> void;
     auto handleCrashSuspect(const CrashSuspect& suspect) -> void;
     auto handlePromptReport(const PromptReport& report) -> void;
-    /// Replaces the list of blocked prompt parts of a service, which may not be known yet.
+    /// Allows this instance to run one request with a blocked prompt part or crash signature.
+    auto allowTrial(const std::string& service, std::uint64_t part) -> void;
+    /// Replaces the list of blocked prompt parts of a model service, or crash signatures of a plain one. The service may
+    /// not be known yet.
     auto updateBlockedParts(const std::string& service, std::vector<ListedPart> parts) -> void;
     /// Processes what a response of a backend server says about the server. One that is leaving gets no new work from
     /// then on, until the next list of backend servers shows its state.
