Take up a stream without the store only if all peers confirm what this instance knows

Without a list from the store, a take-up was given the only version that the instance had listed for the life of a stream, unless a peer had reported a later change of the servers. An instance that is cut off from its peers too hears no such report, and one that has just come back has messages from before.

Cause: that nothing was heard was taken for a proof that nothing had happened. Now the instance asks all others after the request has arrived, and gives the version only if each answers that it knows the list of servers, and no later change. A failed list is read again within a second as before; otherwise the take-up is refused as not run, with a retry delay.

StreamVersionsTest checks the questions and answers, LoadExchangeTest the datagrams.

--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -277,11 +277,11 @@
         const auto isKnown = std::ranges::find(state.zonePeers, sender) != state.zonePeers.end() || std::ranges::find(state.remotePeers, sender) != state.remotePeers.end();
         if (!isKnown)
             state.remotePeers.push_back(sender);
-        handleDatagram({ state.buffer.data(), size });
+        handleDatagram({ state.buffer.data(), size }, sender);
     }
 }
 
-auto LoadExchange::handleDatagram(std::string_view text) -> void
+auto LoadExchange::handleDatagram(std::string_view text, const asio::ip::udp::endpoint& sender) -> void
 {
     if (auto message = parseLoadMessage(text)) {
         handleMessage(std::move(*message));
@@ -291,10 +291,32 @@
         m_state->callbacks.onDirectoryUpdate(*update);
         return;
     }
+    if (handleQuestion(text, sender))
+        return;
     ++m_state->unreadableDatagrams;
     m_state->log.record(LogLevel::Warning, "load_message_unreadable", { { "bytes", text.size() }, { "total", m_state->unreadableDatagrams } });
 }
 
+auto LoadExchange::askPeers(std::uint64_t number) -> void
+{
+    const auto text = serializeQuestion({ number, m_state->settings.incarnation });
+    m_state->sendToEach(m_state->zonePeers, text);
+    m_state->sendToEach(m_state->remotePeers, text);
+}
+
+auto LoadExchange::handleQuestion(std::string_view text, const asio::ip::udp::endpoint& sender) -> bool
+{
+    auto& state = *m_state;
+    if (const auto question = parseQuestion(text)) {
+        state.sendToEach(std::span(&sender, 1), serializeReply({ *question, state.settings.instance, state.revisions }));
+        return true;
+    }
+    const auto reply = parseReply(text);
+    if (reply && reply->question.run == state.settings.incarnation)
+        state.callbacks.onReply(*reply);
+    return reply.has_value();
+}
+
 auto LoadExchange::handleCrashReports(const LoadMessage& message) -> void
 {
     for (const auto signature : message.signatures) {
--- a/src/LoadExchange.h
+++ b/src/LoadExchange.h
@@ -10,8 +10,10 @@
 #include "IoThreads.h"
 #include "PeerAddress.h"
 #include "PeerLoads.h"
+#include "PeerQuestion.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/udp.hpp>
 
 #include <functional>
 #include <memory>
@@ -43,6 +45,8 @@
     std::function<void(const PromptReport&)> onPromptReport = [](const PromptReport&) {};
     /// A peer has ordered backend servers to change their role.
     std::function<void(const std::vector<std::string>&)> onBackendsChangingRole;
+    /// A peer has answered a question of askPeers().
+    std::function<void(const PeerReply&)> onReply = [](const PeerReply&) {};
     /// A watcher of the zone has sent a directory update.
     std::function<void(const DirectoryUpdate&)> onDirectoryUpdate = [](const DirectoryUpdate&) {};
 };
@@ -91,6 +95,10 @@
     /// Reports the prompt of a request on a crashed engine, or harmless parts, to the peers without delay.
     auto reportPrompt(const PromptReport& report) -> void;
 
+    /// Asks all peers which changes of the store's objects they have applied. Must be called on the first I/O thread.
+    /// @param number number that the answers repeat.
+    auto askPeers(std::uint64_t number) -> void;
+
     /// Must be called on the first I/O thread.
     /// @return whether this instance's name sorts before those of all peers with recent messages.
     auto hasLowestName() const -> bool;
@@ -106,7 +114,9 @@
     /// Sends a message to the instances of this zone, and to a rotating part of those in other zones.
     /// @param isForAllZones whether all instances in other zones get the message.
     auto sendToPeers(const std::string& text, bool isForAllZones) -> void;
-    auto handleDatagram(std::string_view text) -> void;
+    auto handleDatagram(std::string_view text, const boost::asio::ip::udp::endpoint& sender) -> void;
+    /// @return whether the datagram was a question of a peer, which is answered, or an answer of one.
+    auto handleQuestion(std::string_view text, const boost::asio::ip::udp::endpoint& sender) -> bool;
     auto handleMessage(LoadMessage message) -> void;
     /// Sends a load message if something has changed or the last message is older than maxSilence.
     auto sendIfDue(TimePoint now) -> void;
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -109,7 +109,10 @@
                 updateListedVersions();
                 services.updateBackends(std::move(backends)); },
             .instanceCount = [this](std::uint32_t count) { services.updateInstanceCount(count); },
-            .instances = [this](const std::vector<std::string>& names) { services.updateInstances(names); },
+            .instances = [this](const std::vector<std::string>& names) {
+                if (context.streamVersions)
+                    context.streamVersions->updateInstances(names);
+                services.updateInstances(names); },
             .peers = [this](const std::vector<PeerAddress>& peers) {
                 if (loadExchange)
                     loadExchange->updatePeers(peers); },
@@ -173,6 +176,10 @@
             .onCrashSuspect = [this](const CrashSuspect& suspect) { services.handleCrashSuspect(suspect); },
             .onPromptReport = [this](const PromptReport& report) { services.handlePromptReport(report); },
             .onBackendsChangingRole = [this](const std::vector<std::string>& backends) { excludeChangingBackends(backends); },
+            .onReply = [this](const PeerReply& reply) {
+                const auto servers = reply.revisions.find(adapter.directory.backendKind);
+                if (context.streamVersions)
+                    context.streamVersions->handleReply(reply.question.number, reply.instance, servers == reply.revisions.end() ? 0 : servers->second); },
             .onDirectoryUpdate = [this](const DirectoryUpdate& update) {
                 if (directory)
                     directory->handleDirectoryUpdate(update); },
@@ -208,6 +215,9 @@
                 if (loadExchange)
                     loadExchange->advanceRevision(kind, revision); },
             .isFirst = [this] { return !loadExchange || loadExchange->hasLowestName(); },
+            .askPeers = [this](std::uint64_t number) {
+                if (loadExchange)
+                    loadExchange->askPeers(number); },
         };
         context.streamVersions = std::make_shared<StreamVersions>(threads, *adapter.store, kind, settings.instance, log, std::move(callbacks));
         context.streamVersions->start();
--- a/src/StreamVersions.cpp
+++ b/src/StreamVersions.cpp
@@ -18,8 +18,11 @@
 constexpr Duration boundedWait = std::chrono::milliseconds(300);
 /// Time after which a take-up no longer waits for the store. Callers take up within seconds.
 constexpr Duration maxLookUpTime = std::chrono::seconds(2);
-/// Time within which a list that failed is read again. A connection to the store that was reset fails only one call.
+/// Time within which a list that failed is read again. A connection to the store that was reset fails only one call, and
+/// an instance that was cut off or stood still reaches the store and its peers again.
 constexpr Duration listRetryTime = std::chrono::seconds(1);
+/// Time after which the peers are asked again, because a datagram can be lost. Take-ups within it share the answers.
+constexpr Duration inquiryInterval = std::chrono::milliseconds(100);
 /// A call to the store takes a few milliseconds.
 constexpr Duration pollInterval = std::chrono::milliseconds(2);
 /// Long waits are polled less often, because many streams may wait while the store is away.
@@ -274,6 +277,7 @@
     const auto begin = monotonicNow();
     std::optional<StreamVersionAnswer> answer;
     std::uint64_t wanted = 0;
+    std::uint64_t inquiry = 0;
     {
         const std::lock_guard guard(m_lock);
         if (m_unversioned.contains(service))
@@ -296,7 +300,7 @@
             if (isRead && m_listResult.list) {
                 answer = findStreamVersion(view, *m_listResult.list, service, resumed);
             } else if (isRead || waitedFor >= maxLookUpTime) {
-                answer = findStreamVersionWithoutStore(view, monotonicNow(), m_serversReported > m_serversApplied);
+                answer = findWithoutStoreLocked(view, inquiry);
                 if (!answer->version && waitedFor < listRetryTime) {
                     answer.reset();
                     wanted = m_listsStarted + 1;
@@ -315,6 +319,48 @@
     co_return answer;
 }
 
+auto StreamVersions::updateInstances(std::vector<std::string> instances) -> void
+{
+    const std::lock_guard guard(m_lock);
+    std::erase(instances, m_instance);
+    m_peers = std::move(instances);
+    m_knowsPeers = true;
+}
+
+auto StreamVersions::handleReply(std::uint64_t number, const std::string& instance, std::int64_t serversRevision) -> void
+{
+    const std::lock_guard guard(m_lock);
+    recordReply(m_inquiry, number, instance, serversRevision);
+}
+
+auto StreamVersions::findWithoutStoreLocked(const StreamVersionView& view, std::uint64_t& inquiry) -> StreamVersionAnswer
+{
+    // An inquiry that has already begun may have been answered before a stream began.
+    if (inquiry == 0)
+        inquiry = m_inquiry.number + 1;
+    const auto isAsked = m_knowsPeers && (m_peers.empty() || isConfirmed(m_inquiry, inquiry, m_serversApplied));
+    if (!isAsked)
+        m_inquiriesWanted = std::max(m_inquiriesWanted, inquiry);
+    return findStreamVersionWithoutStore(view, monotonicNow(), !isAsked || m_serversReported > m_serversApplied);
+}
+
+auto StreamVersions::askPeers() -> void
+{
+    std::uint64_t number = 0;
+    {
+        const std::lock_guard guard(m_lock);
+        const auto now = monotonicNow();
+        if (m_inquiriesWanted == 0 || now - m_askedAt < inquiryInterval)
+            return;
+        if (m_inquiry.number < m_inquiriesWanted)
+            beginInquiry(m_inquiry, m_peers);
+        m_inquiriesWanted = 0;
+        m_askedAt = now;
+        number = m_inquiry.number;
+    }
+    m_callbacks.askPeers(number);
+}
+
 auto StreamVersions::logAnswer(const std::string& service, const std::string& resumed, const StreamVersionAnswer& answer) -> void
 {
     {
--- a/src/StreamVersions.h
+++ b/src/StreamVersions.h
@@ -8,6 +8,8 @@
 #include "IoThreads.h"
 #include "ListedVersions.h"
 #include "ObjectStore.h"
+#include "PeerInquiry.h"
+#include "PeerQuestion.h"
 #include "StreamTakeUp.h"
 #include "StreamVersionCounts.h"
 
@@ -21,6 +23,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace jayhold {
 
@@ -29,6 +32,8 @@
     std::function<void(std::int64_t revision)> written = [](std::int64_t) {};
     /// @return whether this instance changes states first. Called on the first I/O thread.
     std::function<bool()> isFirst = [] { return true; };
+    /// Asks all peers which changes they know. Called on the first I/O thread.
+    std::function<void(std::uint64_t number)> askPeers = [](std::uint64_t) {};
 };
 
 class StreamVersions : public std::enable_shared_from_this<StreamVersions> {
@@ -55,6 +60,12 @@
     /// Handles the report that a peer has applied changes of a kind. Thread-safe.
     auto handlePeerRevision(const std::string& kind, bool isServers, std::int64_t revision) -> void;
 
+    /// Replaces the names of the live instances, including this one. Thread-safe.
+    auto updateInstances(std::vector<std::string> instances) -> void;
+    /// Handles a peer's answer to askPeers().
+    /// @param serversRevision revision up to which the peer has applied changes of the backend servers. Thread-safe.
+    auto handleReply(std::uint64_t number, const std::string& instance, std::int64_t serversRevision) -> void;
+
     /// Starts to record a new stream that will probably begin at a version, if it needs a record. Thread-safe.
     auto announce(const std::string& service, const std::string& request, const std::string& version) -> void;
     /// Waits until the first event of a new stream may be sent to the caller. May run on any executor, and can be
@@ -110,6 +121,11 @@
     /// Reads lists until none is wanted any more. Only one runs at a time.
     auto readLists() -> boost::asio::awaitable<void>;
     auto readListOnce() -> boost::asio::awaitable<std::optional<StoreError>>;
+    /// Asks the peers, if a take-up waits for that and they were not asked just before.
+    auto askPeers() -> void;
+    /// @param inquiry number of the first inquiry that counts for the take-up; 0 if it has not been chosen yet.
+    /// @return what is known of a stream without a list from the store.
+    auto findWithoutStoreLocked(const StreamVersionView& view, std::uint64_t& inquiry) -> StreamVersionAnswer;
     /// Starts readLists() and writeRecords() if they have to run. Thread-safe.
     auto wake() -> void;
     auto runWork() -> void;
@@ -172,6 +188,12 @@
     std::uint64_t m_listsStarted = 0;
     std::uint64_t m_listsWanted = 0;
     ListResult m_listResult;
+    /// Names of the other instances, and whether they are known.
+    std::vector<std::string> m_peers;
+    bool m_knowsPeers = false;
+    PeerInquiry m_inquiry;
+    std::uint64_t m_inquiriesWanted = 0;
+    TimePoint m_askedAt {};
     StreamVersionCounts m_counts;
 };
 
--- a/src/StreamVersionsStore.cpp
+++ b/src/StreamVersionsStore.cpp
@@ -51,7 +51,7 @@
 {
     {
         const std::lock_guard guard(m_lock);
-        if (!m_isReady || (m_listsWanted <= m_listsStarted && !needsWrite(m_table)))
+        if (!m_isReady || (m_listsWanted <= m_listsStarted && m_inquiriesWanted == 0 && !needsWrite(m_table)))
             return;
     }
     asio::post(m_threads.context(0), [self = shared_from_this()] { self->runWork(); });
@@ -66,6 +66,7 @@
         wantsList = m_listsWanted > m_listsStarted;
         wantsWrite = needsWrite(m_table);
     }
+    askPeers();
     if (wantsList && !std::exchange(m_isReadingLists, true))
         asio::co_spawn(m_threads.context(0), readLists(), logTaskFailure(m_log, "read stream versions"));
     if (wantsWrite && !std::exchange(m_isWritingRecords, true))
--- a/test/StreamVersionModel.cpp
+++ b/test/StreamVersionModel.cpp
@@ -208,12 +208,30 @@
 auto StreamVersionModel::hearPeers(Instance& instance) const -> void
 {
     for (const auto& peer : m_instances) {
+        if (peer.name != instance.name && (peer.isIsolated || instance.isIsolated))
+            continue;
         instance.reportedServers = std::max(instance.reportedServers, peer.serversRevision);
         instance.reportedState = std::max(instance.reportedState, peer.stateRevision);
     }
     updateBehind(instance.view, m_now, instance.reportedState > instance.stateRevision);
 }
 
+auto StreamVersionModel::isConfirmedByPeers(const Instance& instance) const -> bool
+{
+    PeerInquiry inquiry;
+    std::vector<std::string> names;
+    for (const auto& peer : m_instances) {
+        if (peer.name != instance.name)
+            names.push_back(peer.name);
+    }
+    beginInquiry(inquiry, names);
+    for (const auto& peer : m_instances) {
+        if (!instance.isIsolated && !peer.isIsolated)
+            recordReply(inquiry, inquiry.number, peer.name, peer.serversRevision);
+    }
+    return isConfirmed(inquiry, inquiry.number, instance.serversRevision);
+}
+
 auto StreamVersionModel::takeUp() -> void
 {
     auto& instance = m_instances[static_cast<std::size_t>(m_random(static_cast<int>(m_instances.size())))];
@@ -231,7 +249,7 @@
         readState(instance);
         version = findStreamVersion(instance.view, list(), "llm", stream.request).version;
     } else {
-        version = findStreamVersionWithoutStore(instance.view, m_now, instance.reportedServers > instance.serversRevision).version;
+        version = findStreamVersionWithoutStore(instance.view, m_now, !isConfirmedByPeers(instance) || instance.reportedServers > instance.serversRevision).version;
     }
     ++m_takeUps;
     if (!version)
--- a/test/StreamVersionModel.h
+++ b/test/StreamVersionModel.h
@@ -3,6 +3,7 @@
 /// A model in virtual time of instances that share the versions of streams through a store. It runs the pure code of the
 /// instances, with kills, outages, lost answers and restores of the store, releases of servers, and take-ups.
 
+#include "PeerInquiry.h"
 #include "StreamTakeUp.h"
 
 #include <functional>
@@ -36,6 +37,8 @@
     auto serverCount() const -> std::size_t { return m_servers.size(); }
     auto setStoreDown(bool isDown) -> void { m_isDown = isDown; }
     /// Cuts an instance off from the store, but not from its peers.
+    /// Cuts an instance off from the store and from its peers, but not from callers and engines.
+    auto isolate(std::size_t instance, bool isIsolated) -> void { m_instances[instance].isIsolated = isIsolated; }
     auto cutOff(std::size_t instance, bool isCutOff) -> void { m_instances[instance].isCutOff = isCutOff; }
     auto saveCopy() -> void { m_copy = m_store; }
     auto restore() -> void;
@@ -84,6 +87,8 @@
         std::int64_t reportedServers = 0;
         std::int64_t reportedState = 0;
         bool isCutOff = false;
+        /// Whether it reaches no peer either.
+        bool isIsolated = false;
         bool isLoaded = false;
     };
     struct Waiting {
@@ -100,7 +105,7 @@
         TimePoint endsAt;
     };
 
-    auto reaches(const Instance& instance) const -> bool { return !m_isDown && !instance.isCutOff; }
+    auto reaches(const Instance& instance) const -> bool { return !m_isDown && !instance.isCutOff && !instance.isIsolated; }
     auto load(Instance& instance) -> void;
     auto work(Instance& instance, bool isFirst) -> void;
     auto writeState(Instance& instance) -> void;
@@ -111,6 +116,8 @@
     auto list() const -> StreamVersionList;
     /// Receives the reports of the peers.
     auto hearPeers(Instance& instance) const -> void;
+    /// @return whether all peers confirm that the instance knows the last change of the servers.
+    auto isConfirmedByPeers(const Instance& instance) const -> bool;
     auto registerServers() -> void;
 
     std::function<int(int)> m_random;
--- a/test/correctness/LoadExchangeTest.cpp
+++ b/test/correctness/LoadExchangeTest.cpp
@@ -34,6 +34,7 @@
             .onCrashSuspect = [this](const CrashSuspect& suspect) { suspects += suspect == CrashSuspect { 55, "engine-3", "run-2", "edge-1" } ? 1 : 100; },
             .onPromptReport = [this](const PromptReport& report) { promptReports += report == crashedPrompt ? 1 : 100; },
             .onBackendsChangingRole = [](const std::vector<std::string>&) {},
+            .onReply = [this](const PeerReply& reply) { replies += reply.question.number == ~0ULL && reply.instance == "edge-2" && reply.revisions == std::map<std::string, std::int64_t> { { "servers", 7 } } ? 1 : 100; },
         };
         exchange = std::make_shared<LoadExchange>(threads, LoadExchangeSettings { { "127.0.0.1", 0 }, name, "run", "alpine" }, log, std::move(callbacks));
         exchange->start();
@@ -50,6 +51,7 @@
     std::vector<LimitReport> ownLimits;
     std::atomic<int> limits { 0 };
     std::atomic<int> promptReports { 0 };
+    std::atomic<int> replies { 0 };
     std::shared_ptr<LoadExchange> exchange;
 };
 
@@ -149,3 +151,18 @@
     CHECK(limitsOf("1e400") == 0);
     CHECK(limitsOf("-1") == 0);
 }
+
+// Guards against a peer that does not say what it knows when it is asked.
+TEST_CASE("a peer answers a question with the revisions that it has applied")
+{
+    Instance first("edge-1");
+    Instance second("edge-2");
+    asio::post(second.threads.context(0), [&second] { second.exchange->advanceRevision("servers", 7); });
+    addPeer(first, second);
+    asio::post(first.threads.context(0), [&first] { first.exchange->askPeers(~0ULL); });
+    const auto end = monotonicNow() + 2s;
+    while (first.replies == 0 && monotonicNow() < end)
+        std::this_thread::sleep_for(5ms);
+    CHECK(first.replies == 1);
+    CHECK(second.replies == 0);
+}
--- a/test/correctness/StreamTakeUpPropertyTest.cpp
+++ b/test/correctness/StreamTakeUpPropertyTest.cpp
@@ -17,6 +17,9 @@
 /// 20 s and 300 s; a release may end within the second.
 constexpr int shortCutTicks = 80;
 constexpr int longCutTicks = 1'200;
+/// 10 s, half of a stream's life. An instance that reaches nobody for a whole release may begin streams of the old version
+/// without a record.
+constexpr int isolationTicks = 40;
 
 /// The steps are drawn from one generated seed, because a sequence draws thousands of numbers.
 auto randomFrom(std::uint32_t seed) -> std::function<int(int)>
@@ -46,7 +49,10 @@
             model.setStoreDown(anyBelow(3) == 0);
             break;
         case 3:
-            cutTicks[instance] = anyBelow(anyBelow(4) == 0 ? longCutTicks : shortCutTicks);
+            if (anyBelow(3) == 0)
+                isolatedTicks[instance] = anyBelow(isolationTicks);
+            else
+                cutTicks[instance] = anyBelow(anyBelow(4) == 0 ? longCutTicks : shortCutTicks);
             break;
         case 4:
             model.saveCopy();
@@ -85,8 +91,10 @@
     auto pass(int ticks) -> void
     {
         for (int tick = 0; tick < ticks; ++tick) {
-            for (std::size_t index = 0; index < instances; ++index)
+            for (std::size_t index = 0; index < instances; ++index) {
                 model.cutOff(index, cutTicks[index]-- > 0);
+                model.isolate(index, isolatedTicks[index]-- > 0);
+            }
             model.tick();
         }
     }
@@ -95,6 +103,7 @@
     std::string version = "v0";
     StreamVersionModel model;
     std::array<int, instances> cutTicks {};
+    std::array<int, instances> isolatedTicks {};
 };
 
 /// Begins and takes up streams for some time.
@@ -152,3 +161,24 @@
     serve(model, 60s);
     CHECK(model.writes() == writes);
 }
+
+// Guards against a stream of a release that is taken up at an instance which was cut off from the store and from its peers
+// meanwhile, and goes on at the only version that this instance knows.
+TEST_CASE("an instance that is cut off during a release takes up no stream of the new version at the old one")
+{
+    const auto seed = GENERATE(range(1U, 21U));
+    CAPTURE(seed);
+    StreamVersionModel model(instances, randomFrom(seed), "v0");
+    model.run(5s);
+    serve(model, 30s);
+    model.isolate(0, true);
+    for (std::size_t server = 0; server + 1 < model.serverCount(); ++server) {
+        model.restartServer(server, "v1");
+        serve(model, 2s);
+        model.kill(1 + server % 2);
+    }
+    CHECK(model.joined() == 0);
+    model.isolate(0, false);
+    serve(model, 30s);
+    CHECK(model.joined() == 0);
+}
--- a/test/correctness/StreamVersionsTest.cpp
+++ b/test/correctness/StreamVersionsTest.cpp
@@ -69,7 +69,7 @@
     Process(RestorableStore& restorable, const std::string& name, const std::set<std::string>& listed)
         : store(restorable)
         , log(name, 16)
-        , versions(std::make_shared<StreamVersions>(threads, store, kind, name, log, StreamVersionsCallbacks { .written = [this](std::int64_t) { ++written; } }))
+        , versions(std::make_shared<StreamVersions>(threads, store, kind, name, log, StreamVersionsCallbacks { .written = [this](std::int64_t) { ++written; }, .askPeers = [this](std::uint64_t number) { asked = number; } }))
     {
         log.setMinimumLevel(LogLevel::Error);
         versions->updateLifetimes({ { "llm", 2s } });
@@ -104,6 +104,8 @@
     EventLog log;
     IoThreads threads { 1 };
     std::atomic<int> written { 0 };
+    /// Number of the last question to the peers.
+    std::atomic<std::uint64_t> asked { 0 };
     std::shared_ptr<StreamVersions> versions;
 };
 
@@ -379,3 +381,35 @@
     CHECK(versions.at("llm").serving == std::set<std::string> { "v3" });
     CHECK(streamLifetimes(configuration).at("llm") == 14s);
 }
+
+// Guards against a stream that goes on at the only version that an instance knows because it was cut off from the store and
+// from its peers, or stood still, while servers of another version joined.
+TEST_CASE("without the store a stream is taken up only if all peers know of no later change of the servers")
+{
+    RestorableStore store;
+    Process process(store, "edge-1", { "v1" });
+    REQUIRE(waitUntil([&] { return process.versions->isReady(); }));
+    process.versions->handleApplied(true, 7);
+    // Longer than the life of a stream.
+    std::this_thread::sleep_for(2'100ms);
+    process.store.isDown = true;
+    // As long as the other instances are not known, nobody can be asked.
+    CHECK_FALSE(process.find("begun-elsewhere-1").version);
+    process.versions->updateInstances({ "edge-1", "edge-2", "edge-3" });
+    CHECK_FALSE(process.find("begun-elsewhere-2").version);
+    CHECK(process.find("begun-elsewhere-2").isStoreAway);
+    const auto findWithReplies = [&](const std::string& resumed, std::int64_t revision) {
+        const auto before = process.asked.load();
+        auto answer = asio::co_spawn(process.threads.context(0), process.versions->find("llm", resumed), asio::use_future);
+        REQUIRE(waitUntil([&] { return process.asked > before; }));
+        // An answer to an earlier question says nothing of what has begun since.
+        process.versions->handleReply(before, "edge-2", 7);
+        process.versions->handleReply(process.asked, "edge-3", revision);
+        CHECK(answer.wait_for(200ms) == std::future_status::timeout);
+        process.versions->handleReply(process.asked, "edge-2", 7);
+        return answer.get()->version;
+    };
+    CHECK(findWithReplies("begun-elsewhere-3", 7) == "v1");
+    CHECK_FALSE(findWithReplies("begun-elsewhere-4", 8));
+    CHECK_FALSE(findWithReplies("begun-elsewhere-5", 0));
+}
