Keep the signatures of model requests that crash engines in the shared list

A model request that crashes each engine that runs it was known by its signature in memory and in datagrams only.

The signature is now added to the service's list of blocked prompt parts, which every instance reads and watches, with its trials.

--- a/src/CrashAttribution.cpp
+++ b/src/CrashAttribution.cpp
@@ -144,6 +144,13 @@
     endIsolation(context, request, request.decode);
 }
 
+auto reportCrashSignature(DecisionContext& context, std::uint64_t signature) -> void
+{
+    context.actions.emplace_back(ReportCrashSignature { signature });
+    if (signature)
+        context.actions.emplace_back(UpdateBlockedPart { signature, BlockedPartChange::Add });
+}
+
 auto blockSignature(DecisionContext& context, std::uint64_t signature) -> void
 {
     // Zero stands for a request without a signature.
@@ -181,7 +188,7 @@
 auto blockBlamedSignatures(DecisionContext& context) -> void
 {
     for (const auto signature : takeBlamedSignatures(context.state.crashHistory, context.now)) {
-        context.actions.emplace_back(ReportCrashSignature { signature });
+        reportCrashSignature(context, signature);
         blockSignature(context, signature);
     }
 }
--- a/src/CrashAttribution.h
+++ b/src/CrashAttribution.h
@@ -21,6 +21,9 @@
 /// @return whether the request must wait until peers can have reported their crashes, or until a copy of it
 /// that was in flight at a crash has run again.
 auto awaitsCrashReports(const DecisionContext& context, const ActiveRequest& request) -> bool;
+/// Reports a signature to the peers, and adds it to the list of blocked prompt parts, which also reaches instances that
+/// start later or were cut off.
+auto reportCrashSignature(DecisionContext& context, std::uint64_t signature) -> void;
 /// Refuses all requests with the signature, now and for a limited time.
 auto blockSignature(DecisionContext& context, std::uint64_t signature) -> void;
 /// Records that a peer had a request with the signature in flight on a replica that crashed.
--- a/src/PromptPartBlocking.cpp
+++ b/src/PromptPartBlocking.cpp
@@ -17,6 +17,21 @@
     return request.emitted >= request.emittedAtStart + progressTokens;
 }
 
+/// @return what may block the request: the parts of its prompt and its crash signature.
+auto blockableParts(const ActiveRequest& request) -> std::vector<std::uint64_t>
+{
+    auto parts = request.arrival.promptParts;
+    if (request.arrival.signature)
+        parts.push_back(request.arrival.signature);
+    return parts;
+}
+
+auto isBlockedByList(const DecisionContext& context, const ActiveRequest& request) -> bool
+{
+    const auto& state = context.state.partCrashes;
+    return hasBlockedPart(state, request.arrival.promptParts) || hasBlockedPart(state, std::span(&request.arrival.signature, 1));
+}
+
 auto reportUnblocked(DecisionContext& context, std::span<const std::uint64_t> parts) -> void
 {
     for (const auto part : parts)
@@ -27,7 +42,7 @@
 {
     std::vector<RequestId> matching;
     for (const auto& [id, request] : context.state.requests) {
-        if (!request.triesBlockedPart && hasBlockedPart(context.state.partCrashes, request.arrival.promptParts))
+        if (!request.triesBlockedPart && isBlockedByList(context, request))
             matching.push_back(id);
     }
     for (const auto id : matching)
@@ -48,8 +63,13 @@
 auto recordPromptProgress(DecisionContext& context, ActiveRequest& request, bool isFinished) -> void
 {
     auto& parts = request.arrival.promptParts;
-    if (parts.empty() || (!isFinished && !hasProgressed(request)))
+    const auto isSignatureBlocked = hasBlockedPart(context.state.partCrashes, std::span(&request.arrival.signature, 1));
+    if ((parts.empty() && !isSignatureBlocked) || (!isFinished && !hasProgressed(request)))
         return;
+    if (isSignatureBlocked) {
+        parts.push_back(request.arrival.signature);
+        context.state.blockedSignatures.erase(request.arrival.signature);
+    }
     const auto unblocked = recordHarmlessParts(context.state.partCrashes, context.now, parts, true);
     if (!unblocked.empty()) {
         reportUnblocked(context, unblocked);
@@ -72,9 +92,9 @@
 auto isRefusedForPart(DecisionContext& context, ActiveRequest& request) -> bool
 {
     auto& state = context.state.partCrashes;
-    const auto& parts = request.arrival.promptParts;
-    if (!hasBlockedPart(state, parts))
+    if (!isBlockedByList(context, request))
         return false;
+    const auto parts = blockableParts(request);
     if (tryBeginTrial(state, context.now, parts)) {
         request.triesBlockedPart = true;
         request.crashSuspicion = CrashSuspicion::Suspect;
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -269,7 +269,7 @@
     const auto signature = request.arrival.signature;
     // A prefill that crashes its engine also counts as a run.
     request.mayHaveRun = true;
-    context.actions.emplace_back(ReportCrashSignature { signature });
+    reportCrashSignature(context, signature);
     refuse(context, request, RefusalReason::CrashSuspect);
     blockSignature(context, signature);
 }
--- a/test/correctness/BlockedPartsRouterTest.cpp
+++ b/test/correctness/BlockedPartsRouterTest.cpp
@@ -3,6 +3,28 @@
 using namespace jayhold;
 using namespace jayhold::test;
 
+// Guards against an instance that runs a request that crashes engines because it started after the crashes.
+TEST_CASE("a request that crashes engines is refused, also by a new process")
+{
+    RouterFixture fixture;
+    fixture.decode1.setBehaviour(Behaviour::DropConnection);
+    fixture.decode2.setBehaviour(Behaviour::DropConnection);
+    fixture.startAndWait();
+    const auto call = [&](const std::string& body) { return fixture.call("POST", "/once/x", body, { { "Model", "m" }, { "Token-Counts", "100,200" } })->status; };
+    // Connections that break on one engine within two seconds count as one crash.
+    REQUIRE(fixture.waitUntil([&] { return call("crashing") == 503; }));
+    fixture.decode1.setBehaviour(Behaviour::Answer);
+    fixture.decode2.setBehaviour(Behaviour::Answer);
+    // Longer than the delay of the write to the store.
+    std::this_thread::sleep_for(600ms);
+    fixture.router.reset();
+    fixture.startAndWait();
+    CHECK(fixture.waitUntil([&] { return call("other") == 200; }));
+    const auto runs = fixture.decode1.runs() + fixture.decode2.runs();
+    CHECK(call("crashing") == 503);
+    CHECK(fixture.decode1.runs() + fixture.decode2.runs() == runs);
+}
+
 // Guards against an instance that runs requests with a blocked part of the prompt because it started after
 // the part was found, and against harmless requests that are refused for the other parts that they share.
 TEST_CASE("a prompt part that crashes engines is refused, also by a new process")
