Don't blame a plain call that has just been answered for a crash

The call is in flight at nearly every crash. Only an answer after the crash spoke for it, and there is none while all servers are down; where a crash is known only when the server's next process is listed, its time was taken to be that of the report.

Now an answer of the last 2 s before the crash counts too, here and at peers, which say so when they hear of the crash; reports carry the age of the crash; late reports are added to it; and a blocked call is tried after a minute for the first time, so that a mistake ends. A crashing call never gets an answer.

--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -106,7 +106,10 @@
     auto isBlockedLocked(const PlainCallInfo& call, CallState& state, CrashUpdates& updates) -> bool;
     /// Finds out whether a server has crashed after the connection of a call broke before its answer.
     auto hasCrashed(HttpClient& client, const BackendServer& server, const PlainCallInfo& call) -> boost::asio::awaitable<bool>;
-    auto recordCrashLocked(const BackendServer& server, std::uint64_t signature, CrashUpdates& updates) -> void;
+    /// @param time when the connection of the call broke.
+    auto recordCrashLocked(const BackendServer& server, std::uint64_t signature, TimePoint time, CrashUpdates& updates) -> void;
+    /// Tells the peers that calls with these signatures have got an answer here.
+    auto addHarmlessReportLocked(std::vector<std::uint64_t> signatures, CrashUpdates& updates) -> void;
     /// Records that the server has run the call without a crash.
     auto recordAnswer(const BackendServer& server, const PlainCallInfo& call) -> void;
     /// Replaces the list of backend servers; takes the lock.
--- a/src/PlainServiceCrashes.cpp
+++ b/src/PlainServiceCrashes.cpp
@@ -109,27 +109,30 @@
         if (!isLiveLocked(server))
             co_return false;
     }
+    const auto lostAt = monotonicNow();
     const auto listens = co_await client.listenState(server.endpoint);
     CrashUpdates updates;
     {
         const std::lock_guard guard(m_lock);
         if (listens == ListenState::Refused) {
-            recordCrashLocked(server, call.signature, updates);
+            recordCrashLocked(server, call.signature, lostAt, updates);
         } else {
             if (m_lostCalls.size() == maxLostCalls)
                 m_lostCalls.pop_front();
-            m_lostCalls.push_back({ server, call.signature, monotonicNow() });
+            m_lostCalls.push_back({ server, call.signature, lostAt });
         }
     }
     publish(updates);
     co_return listens == ListenState::Refused;
 }
 
-auto PlainService::recordCrashLocked(const BackendServer& server, std::uint64_t signature, CrashUpdates& updates) -> void
+auto PlainService::recordCrashLocked(const BackendServer& server, std::uint64_t signature, TimePoint time, CrashUpdates& updates) -> void
 {
     CrashedPrompt crashed { processOf(server), signature, { signature } };
-    addCrashedPrompt(m_crashes, monotonicNow(), crashed);
-    updates.reports.push_back({ m_name, m_context.settings.instance, m_reportIds(), false, std::move(crashed) });
+    const auto now = monotonicNow();
+    addCrashedPrompt(m_crashes, now, crashed, now - time);
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - time);
+    updates.reports.push_back({ m_name, m_context.settings.instance, m_reportIds(), false, std::move(crashed), age });
     m_metrics->crashSuspects.fetch_add(1, std::memory_order_relaxed);
     m_context.log.record(LogLevel::Info, "crash_suspect", { { "service", m_name }, { "signature", toHexadecimal(signature) }, { "backend", server.id }, { "incarnation", server.incarnation } });
 }
@@ -144,17 +147,24 @@
         std::erase_if(m_lostCalls, [&](const LostCall& lost) { return hasSameIncarnation(lost.server, server); });
         const auto now = monotonicNow();
         const std::span parts(&call.signature, 1);
-        if (!isSuspicious(m_crashes, now, call.signature) && !hasBlockedPart(m_crashes, parts))
-            return;
+        const auto isInQuestion = isSuspicious(m_crashes, now, call.signature) || hasBlockedPart(m_crashes, parts);
         for (const auto part : recordHarmlessParts(m_crashes, now, parts, true))
             updates.blocked.push_back({ part, BlockedPartChange::Remove });
-        updates.reports.push_back({ m_name, m_context.settings.instance, m_reportIds(), true, { .parts = { call.signature } } });
-        decideCrashesLocked(updates);
+        if (!isInQuestion)
+            return;
+        addHarmlessReportLocked({ call.signature }, updates);
     }
     record(LogLevel::Info, call, "crash_suspect_cleared", { { "backend", server.id } });
     publish(updates);
 }
 
+auto PlainService::addHarmlessReportLocked(std::vector<std::uint64_t> signatures, CrashUpdates& updates) -> void
+{
+    updates.reports.push_back({ m_name, m_context.settings.instance, m_reportIds(), true, { .parts = std::move(signatures) } });
+    reconsiderCrashes(m_crashes, monotonicNow());
+    decideCrashesLocked(updates);
+}
+
 auto PlainService::findReplacedServersLocked(std::span<const BackendServer> backends, CrashUpdates& updates) -> void
 {
     const auto now = monotonicNow();
@@ -163,7 +173,7 @@
             return true;
         if (std::ranges::none_of(backends, [&](const BackendServer& entry) { return hasReplaced(entry, lost.server); }))
             return false;
-        recordCrashLocked(lost.server, lost.signature, updates);
+        recordCrashLocked(lost.server, lost.signature, lost.time, updates);
         return true;
     });
 }
@@ -177,9 +187,14 @@
         if (report.isHarmless) {
             for (const auto part : recordHarmlessParts(m_crashes, monotonicNow(), report.prompt.parts, false))
                 updates.blocked.push_back({ part, BlockedPartChange::Remove });
+            reconsiderCrashes(m_crashes, monotonicNow());
             decideCrashesLocked(updates);
         } else {
-            addCrashedPrompt(m_crashes, monotonicNow(), report.prompt);
+            const auto now = monotonicNow();
+            addCrashedPrompt(m_crashes, now, report.prompt, report.age);
+            auto harmless = ownHarmlessParts(m_crashes, now - report.age, report.prompt.parts);
+            if (!harmless.empty())
+                addHarmlessReportLocked(std::move(harmless), updates);
         }
     }
     publish(updates);
@@ -189,8 +204,13 @@
 
 auto PlainService::updateBlockedCalls(std::span<const ListedPart> listed) -> void
 {
-    const std::lock_guard guard(m_lock);
-    applyListedParts(m_crashes, monotonicNow(), listed);
+    CrashUpdates updates;
+    {
+        const std::lock_guard guard(m_lock);
+        for (const auto signature : applyListedParts(m_crashes, monotonicNow(), listed))
+            updates.blocked.push_back({ signature, BlockedPartChange::Remove });
+    }
+    publish(updates);
 }
 
 auto PlainService::allowTrial(std::uint64_t signature) -> void
--- a/src/PromptPartCrashes.cpp
+++ b/src/PromptPartCrashes.cpp
@@ -15,8 +15,6 @@
 constexpr Duration crashTtl = std::chrono::minutes(10);
 constexpr std::size_t maxCrashes = 64;
 constexpr std::size_t maxPromptsPerCrash = 32;
-/// Reports of one crash arrive within this time. A later one of the same process id is another crash.
-constexpr Duration crashReportWindow = std::chrono::seconds(2);
 constexpr std::size_t maxHarmlessParts = 2'048;
 constexpr std::size_t maxBlockedParts = 256;
 constexpr std::size_t minCrashes = 2;
@@ -96,7 +94,7 @@
 {
     EvidenceTable table;
     for (const auto& crash : state.crashes) {
-        if (!isExplained(state, crash) && now - crash.time >= crashReportWait)
+        if (!isExplained(state, crash) && now - crash.knownAt >= crashReportWait)
             addEvidence(table, state, crash);
     }
     std::optional<std::uint64_t> cause;
@@ -117,17 +115,22 @@
 
 }
 
-auto addCrashedPrompt(PromptPartCrashes& state, TimePoint now, const CrashedPrompt& prompt) -> void
+auto addCrashedPrompt(PromptPartCrashes& state, TimePoint now, const CrashedPrompt& prompt, Duration age) -> void
 {
-    auto crash = std::ranges::find_if(state.crashes, [&](const auto& known) { return known.process == prompt.process && now - known.time < crashReportWindow; });
+    auto crash = std::ranges::find_if(state.crashes, [&](const auto& known) { return known.process == prompt.process && now - known.knownAt < state.rules.reportWindow; });
     if (crash == state.crashes.end()) {
         if (state.crashes.size() == maxCrashes)
             state.crashes.pop_front();
-        crash = state.crashes.insert(state.crashes.end(), { .process = prompt.process, .time = now, .prompts = {} });
+        crash = state.crashes.insert(state.crashes.end(), { .process = prompt.process, .time = now - age, .knownAt = now, .prompts = {} });
     }
     if (crash->prompts.size() < maxPromptsPerCrash && std::ranges::find(crash->prompts, prompt) == crash->prompts.end())
         crash->prompts.push_back(prompt);
-    state.decideAt = std::min(state.decideAt, crash->time + crashReportWait);
+    state.decideAt = std::min(state.decideAt, crash->knownAt + crashReportWait);
+}
+
+auto reconsiderCrashes(PromptPartCrashes& state, TimePoint now) -> void
+{
+    state.decideAt = std::min(state.decideAt, now);
 }
 
 auto removePromptCrash(PromptPartCrashes& state, std::uint64_t process) -> void
@@ -148,9 +151,6 @@
         if (state.blocked.erase(part) > 0)
             unblocked.push_back(part);
     }
-    // A part that was at the same crashes as these may be the only one left.
-    if (state.rules.crashesDespiteTie > minCrashes && !state.crashes.empty())
-        state.decideAt = std::min(state.decideAt, now);
     return unblocked;
 }
 
@@ -174,8 +174,8 @@
         state.crashes.pop_front();
     state.decideAt = TimePoint::max();
     for (const auto& crash : state.crashes) {
-        if (now - crash.time < crashReportWait)
-            state.decideAt = std::min(state.decideAt, crash.time + crashReportWait);
+        if (now - crash.knownAt < crashReportWait)
+            state.decideAt = std::min(state.decideAt, crash.knownAt + crashReportWait);
     }
     while (state.crashes.size() >= minCrashes && state.blocked.size() < maxBlockedParts) {
         const auto cause = mostLikelyCause(state, now);
@@ -229,7 +229,8 @@
             continue;
         auto& blocked = found->second;
         const auto wasRequested = blocked.trialRequestedAt && now - *blocked.trialRequestedAt < trialInterval;
-        if (!blocked.isListed || blocked.trials >= maxTrials || wasRequested || now - blocked.since < trialInterval)
+        const auto delay = blocked.trials == 0 ? state.rules.firstTrialDelay : trialInterval;
+        if (!blocked.isListed || blocked.trials >= maxTrials || wasRequested || now - blocked.since < delay)
             continue;
         blocked.trialRequestedAt = now;
         return ListedPart { part, blocked.trials };
--- a/src/PromptPartCrashes.h
+++ b/src/PromptPartCrashes.h
@@ -28,16 +28,23 @@
     /// Time for which an answer shows that a part is harmless. A part that is harmless can begin to crash engines, for
     /// example with new weights.
     Duration harmlessTtl = std::chrono::seconds(30);
+    /// Time after which a blocked part is tried for the first time.
+    Duration firstTrialDelay = std::chrono::minutes(10);
+    /// Reports of one crash arrive within this time. A later one of the same process id is another crash.
+    Duration reportWindow = std::chrono::seconds(2);
 };
 
-/// Rules for calls. The servers of plain services answer within a fraction of a second, so an answer before a crash says
-/// little. Servers run many calls at once, so the calls that are retried together may be at the next crash together too.
-inline constexpr CrashRules callCrashRules { .minRequests = 1, .crashesDespiteTie = 3, .harmlessTtl = Duration::zero() };
+/// Rules for calls. Servers run many calls at once, so the calls that are retried together may be at the next crash
+/// together too. A call that many callers send is at most crashes, but its last answer is recent. The first trial is
+/// early, because a harmless call that is blocked by mistake gets no answers.
+inline constexpr CrashRules callCrashRules { .minRequests = 1, .crashesDespiteTie = 3, .harmlessTtl = std::chrono::seconds(2), .firstTrialDelay = std::chrono::minutes(1), .reportWindow = std::chrono::seconds(10) };
 
 struct PromptPartCrashes {
     struct Crash {
         std::uint64_t process = 0;
         TimePoint time {};
+        /// When the crash became known here.
+        TimePoint knownAt {};
         std::vector<CrashedPrompt> prompts;
     };
     struct HarmlessPart {
@@ -73,7 +80,10 @@
 };
 
 /// Adds a request to the crash of its engine.
-auto addCrashedPrompt(PromptPartCrashes& state, TimePoint now, const CrashedPrompt& prompt) -> void;
+/// @param age time from the crash until it became known.
+auto addCrashedPrompt(PromptPartCrashes& state, TimePoint now, const CrashedPrompt& prompt, Duration age = Duration::zero()) -> void;
+/// Lets blockCrashingParts() compare the crashes again, because a part that was at some of them is harmless.
+auto reconsiderCrashes(PromptPartCrashes& state, TimePoint now) -> void;
 /// Removes the crash of an engine process that turned out not to have crashed.
 auto removePromptCrash(PromptPartCrashes& state, std::uint64_t process) -> void;
 /// Records that a request with the parts got past the point at which its engine could have crashed.
--- a/src/PromptReport.cpp
+++ b/src/PromptReport.cpp
@@ -2,10 +2,19 @@
 
 #include "JsonFields.h"
 
+#include <algorithm>
+
 namespace jayhold {
 
 namespace json = boost::json;
 
+namespace {
+
+/// Older crashes are not reported.
+constexpr std::chrono::milliseconds maxReportAge = std::chrono::minutes(1);
+
+}
+
 auto toJson(const PromptReport& report) -> json::value
 {
     return json::object {
@@ -15,6 +24,7 @@
         { "harmless", report.isHarmless },
         { "process", report.prompt.process },
         { "signature", report.prompt.signature },
+        { "age_ms", report.age.count() },
         { "parts", json::array(report.prompt.parts.begin(), report.prompt.parts.end()) },
     };
 }
@@ -28,6 +38,10 @@
         return std::nullopt;
     if (!readBoolean(*object, "harmless", report.isHarmless) || !readNumber(*object, "process", prompt.process) || !readNumber(*object, "signature", prompt.signature))
         return std::nullopt;
+    // Earlier versions name no age.
+    std::int64_t ageMs = 0;
+    if (readNumber(*object, "age_ms", ageMs))
+        report.age = std::clamp(std::chrono::milliseconds(ageMs), std::chrono::milliseconds(0), maxReportAge);
     const auto* parts = arrayField(*object, "parts");
     if (!parts || parts->size() > maxComparedParts)
         return std::nullopt;
--- a/src/PromptReport.h
+++ b/src/PromptReport.h
@@ -7,6 +7,7 @@
 
 #include <boost/json/value.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -22,6 +23,8 @@
     /// Whether the parts are harmless. Otherwise the prompt was on an engine that crashed.
     bool isHarmless = false;
     CrashedPrompt prompt;
+    /// Time from the crash to the report.
+    std::chrono::milliseconds age { 0 };
 
     auto operator<=>(const PromptReport&) const = default;
 };
--- a/test/correctness/PromptPartCrashesTest.cpp
+++ b/test/correctness/PromptPartCrashesTest.cpp
@@ -170,3 +170,61 @@
     for (const auto& crash : state.crashes)
         CHECK(crash.prompts.size() <= 32);
 }
+
+namespace {
+
+auto callState() -> PromptPartCrashes
+{
+    return { .rules = callCrashRules };
+}
+
+/// Lets a server process crash with these calls in flight.
+auto crashWith(PromptPartCrashes& state, TimePoint now, std::uint64_t process, const Parts& signatures, Duration age = 0s) -> void
+{
+    for (const auto signature : signatures)
+        addCrashedPrompt(state, now, { .process = process, .signature = signature, .parts = { signature } }, age);
+}
+
+}
+
+// Guards against blocking a harmless call that was retried beside a crashing one, and against waiting for ever when the two
+// can't be told apart.
+TEST_CASE("of the calls at two crashes one is blocked when the other has got an answer, or at the third crash")
+{
+    auto state = callState();
+    crashWith(state, start, 1, { 7, 8 });
+    crashWith(state, start + 3s, 2, { 7, 8, 9 });
+    CHECK(blockCrashingParts(state, start + 4s).empty());
+    CHECK(isSuspicious(state, start + 4s, 7));
+    auto answered = state;
+    recordHarmlessParts(answered, start + 5s, Parts { 8 }, true);
+    reconsiderCrashes(answered, start + 5s);
+    CHECK(blockCrashingParts(answered, start + 5s) == Parts { 7 });
+    CHECK_FALSE(isSuspicious(answered, start + 5s, 8));
+    crashWith(state, start + 6s, 3, { 7 });
+    CHECK(blockCrashingParts(state, start + 7s) == Parts { 7 });
+    CHECK_FALSE(hasBlockedPart(state, Parts { 8 }));
+}
+
+// Guards against blocking a call that many callers send, which is at most crashes.
+TEST_CASE("a call that has just been answered is not blamed for a crash, also if the crash is known late")
+{
+    auto state = callState();
+    for (std::uint64_t process = 1; process <= 3; ++process) {
+        const auto crashedAt = start + process * 10s;
+        recordHarmlessParts(state, crashedAt - 100ms, Parts { 7 }, process < 3);
+        // The servers start again, and are known to have crashed, after longer than an answer counts.
+        crashWith(state, crashedAt + 3s, process, { 7, 8 }, 3s);
+        CHECK(blockCrashingParts(state, crashedAt + 3s + settled) == (process == 2 ? Parts { 8 } : Parts {}));
+    }
+    CHECK_FALSE(hasBlockedPart(state, Parts { 7 }));
+}
+
+// Guards against one crash that counts twice because instances find it out at different times.
+TEST_CASE("late reports of one crash are added to it")
+{
+    auto state = callState();
+    crashWith(state, start, 1, { 7 });
+    crashWith(state, start + 4s, 1, { 7 }, 4s);
+    CHECK(blockCrashingParts(state, start + 5s).empty());
+}
