Let the soak send a plain call that crashes servers

The soak checks that at most three more reach servers of instances in touch after the third crash.

Plain calls no longer count among the requests with a crashing prompt part: they have such a prompt in their record only, and are never sent with it.

--- a/cmake/soak.cmake
+++ b/cmake/soak.cmake
@@ -6,7 +6,7 @@
 add_library(jayhold_soak_parts STATIC test/soak/FaultPeriod.cpp test/soak/FaultPlan.cpp test/soak/NoticeChecks.cpp test/soak/PartChecks.cpp test/soak/SoakCallers.cpp test/soak/SoakChecks.cpp
   test/soak/SoakFleet.cpp test/soak/SoakFleetFaults.cpp test/soak/StreamChecks.cpp test/FakeObjectStore.cpp)
 target_include_directories(jayhold_soak_parts PUBLIC test test/soak)
-target_link_libraries(jayhold_soak_parts PUBLIC jayhold_scenario)
+target_link_libraries(jayhold_soak_parts PUBLIC jayhold_entry jayhold_scenario)
 
 add_executable(jayhold-soak test/soak/jayhold-soak.cpp test/soak/PlannedMaintenance.cpp test/soak/RunLog.cpp test/soak/StallMeter.cpp)
 target_link_libraries(jayhold-soak PRIVATE jayhold_soak_parts)
--- a/test/FakeObjectStore.cpp
+++ b/test/FakeObjectStore.cpp
@@ -402,6 +402,7 @@
         co_await stream(exchange, std::move(headers));
         co_return;
     }
+    m_onFirstEvent(request);
     HttpResponse response { behaviour == Behaviour::Fail ? 500U : 200U, std::move(headers), request.method + " " + request.target + " " + request.body };
     co_await respond(exchange, std::move(response));
 }
--- a/test/FakeObjectStore.h
+++ b/test/FakeObjectStore.h
@@ -156,8 +156,8 @@
     /// Sets a callback that receives the identifier, stage and retry delay of each request that is rejected with a
     /// retry delay; must be called before the first request.
     auto onRejection(std::function<void(const std::string&, const std::string&, const std::string&)> callback) -> void { m_onRejection = std::move(callback); }
-    /// Sets a callback that receives each request before the first event of its stream; must be called before the
-    /// first request.
+    /// Sets a callback that receives each request before the first event of its stream or its answer; must be called
+    /// before the first request.
     auto onFirstEvent(std::function<void(const HttpRequest&)> callback) -> void { m_onFirstEvent = std::move(callback); }
     auto isLeaving() const -> bool { return m_isLeaving; }
     auto setBehaviour(Behaviour behaviour) -> void { m_behaviour = behaviour; }
--- a/test/correctness/PartChecksTest.cpp
+++ b/test/correctness/PartChecksTest.cpp
@@ -108,3 +108,32 @@
     calls[28].events = { { 1, "v1" } };
     CHECK(violations(1, 20s) == 0);
 }
+
+// Guards against a soak that passes although a plain call goes on crashing servers after its third crash.
+TEST_CASE("plain calls that crash servers after the bound are found without false positives")
+{
+    std::vector<CallRecord> calls;
+    std::vector<BackendRun> runs;
+    const auto arrive = [&](TimePoint at) {
+        CallRecord record { .request = "r" + std::to_string(calls.size()), .kind = CallKind::IdempotentGet, .sentAt = at, .endedAt = at + 100ms };
+        record.promptParts = crashing;
+        calls.push_back(record);
+        runs.push_back({ record.request, "plain-0", false, at, "1", 0 });
+    };
+    const auto violations = [&](std::size_t crashes, std::vector<FaultPeriod> faults = {}) {
+        return checkCrashingCalls(calls, runs, std::vector<BackendRun>(crashes, { "c", "plain-0", false, start, "1", 0 }), faults, {}).size();
+    };
+    arrive(start + 2s);
+    for (auto request = 0; request < 3; ++request)
+        arrive(start + 4s);
+    CHECK(violations(3) == 0);
+    arrive(start + 5s);
+    CHECK(violations(3) == 1);
+    CHECK(violations(2) == 0);
+    // An instance that does not reach the store can't know the call.
+    CHECK(violations(3, { { { .kind = FaultKind::StoreDown }, start + 2s, start + 6s } }) == 0);
+    // Crashes of engines don't count.
+    CHECK(checkCrashingCalls(calls, runs, crashesAt(5), {}, {}).empty());
+    // The calls don't count for the engines.
+    CHECK(checkCrashingParts(calls, runs, crashesAt(5), start + 20s, {}, {}).empty());
+}
--- a/test/soak/FaultPeriod.h
+++ b/test/soak/FaultPeriod.h
@@ -12,6 +12,8 @@
     TimePoint until = TimePoint::max();
     /// Whether the store listed the part that crashes engines as blocked at the end of a kill of all instances.
     bool isPartListed = false;
+    /// The same for the plain call that crashes servers.
+    bool isCallListed = false;
 };
 
 /// Time before and after a fault in which its effect on connections may be seen.
--- a/test/soak/PartChecks.cpp
+++ b/test/soak/PartChecks.cpp
@@ -11,6 +11,8 @@
 /// Number of crashes after which the part must be known.
 constexpr std::size_t boundCrashes = 5;
 constexpr std::size_t maxRequestsAfterBound = 3;
+/// The same for a plain call.
+constexpr std::size_t boundCallCrashes = 3;
 /// Time after the bound from which requests without the part must be served again.
 constexpr Duration recoveryTime = std::chrono::seconds(6);
 constexpr std::size_t minCompared = 20;
@@ -32,24 +34,25 @@
     return isCalmFrom(crashedAt) || std::ranges::any_of(faults, isCalmAfter);
 }
 
-/// @return whether all instances were killed after the crash, while the store did not list the part and, because of its
+/// @param isListed the member that says whether the store listed the cause of the crash.
+/// @return whether all instances were killed after the crash, while the store did not list the cause and, because of its
 /// disturbances since the crash, could not list it.
-auto isForgotten(const BackendRun& crash, std::span<const FaultPeriod> faults) -> bool
+auto isForgotten(const BackendRun& crash, std::span<const FaultPeriod> faults, bool FaultPeriod::*isListed) -> bool
 {
     return std::ranges::any_of(faults, [&](const FaultPeriod& kill) {
-        if (kill.fault.kind != FaultKind::KillAllEntries || kill.isPartListed || crash.at > kill.until)
+        if (kill.fault.kind != FaultKind::KillAllEntries || kill.*isListed || crash.at > kill.until)
             return false;
         const auto isDisturbed = std::ranges::any_of(faults, [&](const FaultPeriod& fault) { return disturbsWrites(fault, crash.at, kill.until); });
         return isDisturbed && !hadTimeToStore(crash.at, kill.from, faults);
     });
 }
 
-/// @return how often requests with the part, first or repeated ones, reached engines after a time.
-auto countRequestsAfter(TimePoint bound, std::span<const CallRecord> calls, std::span<const BackendRun> runs, std::span<const FaultPeriod> faults, const FleetSize& size) -> std::size_t
+/// @return how often the crashing requests, first or repeated ones, reached backend servers after a time.
+auto countRequestsAfter(TimePoint bound, bool (*isCrashing)(const CallRecord&), std::span<const CallRecord> calls, std::span<const BackendRun> runs, std::span<const FaultPeriod> faults, const FleetSize& size) -> std::size_t
 {
     std::map<std::string_view, std::size_t> entriesOfRequests;
     for (const auto& call : calls) {
-        if (hasCrashingPart(call))
+        if (isCrashing(call))
             entriesOfRequests.emplace(call.request, call.entry);
     }
     // The prefill and the decode of one attempt are one request.
@@ -79,13 +82,13 @@
 auto checkCrashingParts(std::span<const CallRecord> calls, std::span<const BackendRun> runs, std::span<const BackendRun> allCrashes, TimePoint crashingUntil, std::span<const FaultPeriod> faults, const FleetSize& size) -> std::vector<Violation>
 {
     std::vector<BackendRun> crashes;
-    std::ranges::copy_if(allCrashes, std::back_inserter(crashes), [&](const BackendRun& crash) { return !isForgotten(crash, faults); });
+    std::ranges::copy_if(allCrashes, std::back_inserter(crashes), [&](const BackendRun& crash) { return crash.backendIndex >= firstEngine(size) && !isForgotten(crash, faults, &FaultPeriod::isPartListed); });
     if (crashes.empty())
         return {};
     std::vector<Violation> violations;
     const auto lastCrash = crashes[std::min(boundCrashes, crashes.size()) - 1].at;
     if (crashes.size() >= boundCrashes) {
-        const auto count = countRequestsAfter(lastCrash + calmTime, calls, runs, faults, size);
+        const auto count = countRequestsAfter(lastCrash + calmTime, hasCrashingPart, calls, runs, faults, size);
         if (count > maxRequestsAfterBound)
             violations.push_back({ "few requests with a part that crashes engines reach engines", "", std::to_string(count) + " after " + std::to_string(crashes.size()) + " crashes" });
     }
@@ -104,4 +107,16 @@
     return violations;
 }
 
+auto checkCrashingCalls(std::span<const CallRecord> calls, std::span<const BackendRun> runs, std::span<const BackendRun> allCrashes, std::span<const FaultPeriod> faults, const FleetSize& size) -> std::vector<Violation>
+{
+    std::vector<BackendRun> crashes;
+    std::ranges::copy_if(allCrashes, std::back_inserter(crashes), [&](const BackendRun& crash) { return crash.backendIndex < firstEngine(size) && !isForgotten(crash, faults, &FaultPeriod::isCallListed); });
+    if (crashes.size() < boundCallCrashes)
+        return {};
+    const auto count = countRequestsAfter(crashes[boundCallCrashes - 1].at + calmTime, isCrashingCall, calls, runs, faults, size);
+    if (count <= maxRequestsAfterBound)
+        return {};
+    return { { "a plain call that crashes servers reaches few of them", "", std::to_string(count) + " after " + std::to_string(crashes.size()) + " crashes" } };
+}
+
 }
--- a/test/soak/PartChecks.h
+++ b/test/soak/PartChecks.h
@@ -1,7 +1,7 @@
 #pragma once
 
-/// Checks of prompt parts that crash engines: that few requests with such a part reach engines, and that other requests
-/// are still served.
+/// Checks of requests that crash backend servers, by a part of their prompt or as plain calls: that few of them reach
+/// servers, and that other requests are still served.
 
 #include "SoakChecks.h"
 
@@ -14,4 +14,9 @@
 /// not count that all instances forgot, because they were killed while the disturbed store could not list the part.
 auto checkCrashingParts(std::span<const CallRecord> calls, std::span<const BackendRun> runs, std::span<const BackendRun> crashes, TimePoint crashingUntil, std::span<const FaultPeriod> faults, const FleetSize& size) -> std::vector<Violation>;
 
+/// @param crashes as for checkCrashingParts().
+/// @return a violation if the plain call that crashes servers reaches many of them after the third crash. Only calls of
+/// instances count that were in touch with the store for some time.
+auto checkCrashingCalls(std::span<const CallRecord> calls, std::span<const BackendRun> runs, std::span<const BackendRun> crashes, std::span<const FaultPeriod> faults, const FleetSize& size) -> std::vector<Violation>;
+
 }
--- a/test/soak/ReplicaControl.h
+++ b/test/soak/ReplicaControl.h
@@ -9,6 +9,8 @@
 
 /// A server crashes when it begins an answer to a prompt with this part.
 inline constexpr std::string_view crashingPart = "dead";
+/// Target of the plain call that crashes each server that runs it.
+inline constexpr std::string_view crashingTarget = "/read/crash";
 inline constexpr int crashExitCode = 70;
 
 /// The server says in all answers that it is leaving.
--- a/test/soak/SoakCallers.cpp
+++ b/test/soak/SoakCallers.cpp
@@ -77,7 +77,8 @@
 auto makeRequest(const CallRecord& record) -> HttpRequest
 {
     const auto kind = record.kind;
-    HttpRequest request { kind == CallKind::IdempotentGet ? "GET" : "POST", targetOf(kind), { { "Host", "a.example" }, { "Request-Id", record.request }, { "Deadline-Ms", std::to_string(callerTimeout.count()) } }, {} };
+    const auto target = isCrashingCall(record) ? std::string(crashingTarget) : targetOf(kind);
+    HttpRequest request { kind == CallKind::IdempotentGet ? "GET" : "POST", target, { { "Host", "a.example" }, { "Request-Id", record.request }, { "Deadline-Ms", std::to_string(callerTimeout.count()) } }, {} };
     const auto isNew = record.resumes.empty();
     if (kind != CallKind::IdempotentGet)
         request.body = "body of " + (isNew ? record.request : record.resumes);
@@ -112,7 +113,12 @@
 
 auto hasCrashingPart(const CallRecord& call) -> bool
 {
-    return call.promptParts.find(crashingPart) != std::string::npos;
+    return isStream(call.kind) && call.promptParts.find(crashingPart) != std::string::npos;
+}
+
+auto isCrashingCall(const CallRecord& call) -> bool
+{
+    return call.kind == CallKind::IdempotentGet && call.promptParts.find(crashingPart) != std::string::npos;
 }
 
 auto sharesFirstPart(const CallRecord& call) -> bool
@@ -178,7 +184,7 @@
         const auto kind = static_cast<CallKind>(random() % 4);
         const auto entry = random() % m_endpoints.size();
         auto& client = m_threads.client(caller % m_threads.size());
-        auto record = co_await callOnce(client, kind, entry, makePromptParts(static_cast<std::uint32_t>(random())), nullptr);
+        auto record = co_await callOnce(client, kind, entry, makePromptParts(kind, static_cast<std::uint32_t>(random())), nullptr);
         for (auto takeUps = 0; takeUps < maxTakeUps && mayTakeUp(record) && !m_isStopping; ++takeUps) {
             // Most callers return at once; the others may find that all instances have been restarted meanwhile.
             const auto longest = random() % 4 == 0 ? maxTakeUpPause : maxPause;
@@ -214,10 +220,10 @@
     }
 }
 
-auto SoakCallers::makePromptParts(std::uint32_t random) -> std::string
+auto SoakCallers::makePromptParts(CallKind kind, std::uint32_t random) -> std::string
 {
     constexpr std::uint32_t crashingInterval = 30;
-    const auto isCrashing = m_isSendingCrashingParts && random % crashingInterval == 0;
+    const auto isCrashing = (isStream(kind) ? m_isSendingCrashingParts : m_isSendingCrashingCalls) && random % crashingInterval == 0;
     const auto hasFirstPart = isCrashing || random % 2 == 0;
     // Only decimal digits, so that no other part contains the crashing one.
     const auto ownPart = std::to_string(++m_lastPart) + ":40";
--- a/test/soak/SoakCallers.h
+++ b/test/soak/SoakCallers.h
@@ -66,6 +66,9 @@
     bool wasReset = false;
 };
 
+/// @return whether the request is the plain call that crashes its server. Its prompt, which is not sent, has the part too.
+auto isCrashingCall(const CallRecord& call) -> bool;
+
 /// @return whether the prompt has the part that crashes engines.
 auto hasCrashingPart(const CallRecord& call) -> bool;
 
@@ -91,6 +94,8 @@
     auto resetStreams() -> void { ++m_streamResets; }
     /// @param isSending whether some of the new streams have a part in their prompt that crashes engines.
     auto sendCrashingParts(bool isSending) -> void { m_isSendingCrashingParts = isSending; }
+    /// @param isSending whether some of the new plain calls crash their server.
+    auto sendCrashingCalls(bool isSending) -> void { m_isSendingCrashingCalls = isSending; }
     auto records() const -> std::vector<CallRecord>;
 
 private:
@@ -101,7 +106,7 @@
     /// Reads the body of a response until its end, an error or a reset.
     /// @return whether the response is complete.
     auto readBody(HttpStream& stream, std::string& body, CallRecord& record) -> boost::asio::awaitable<bool>;
-    auto makePromptParts(std::uint32_t random) -> std::string;
+    auto makePromptParts(CallKind kind, std::uint32_t random) -> std::string;
     auto store(CallRecord record) -> void;
 
     const std::vector<HttpEndpoint> m_endpoints;
@@ -115,6 +120,7 @@
     std::atomic<std::uint64_t> m_lastPart { 1'000 };
     std::atomic<int> m_streamResets { 0 };
     std::atomic<bool> m_isSendingCrashingParts { false };
+    std::atomic<bool> m_isSendingCrashingCalls { false };
     mutable std::mutex m_lock;
     std::vector<CallRecord> m_records;
 };
--- a/test/soak/SoakFleetFaults.cpp
+++ b/test/soak/SoakFleetFaults.cpp
@@ -1,3 +1,5 @@
+#include "CallSignature.h"
+#include "Hexadecimal.h"
 #include "ReplicaControl.h"
 #include "SoakFleet.h"
 
@@ -76,8 +78,12 @@
         m_entries[fault.target].process->signal(SIGCONT);
     if (fault.kind == FaultKind::FreezeEntry || fault.kind == FaultKind::ReloadSettings)
         return;
-    if (fault.kind == FaultKind::KillAllEntries)
-        findActivePeriod(fault).isPartListed = m_store.contains("entry-blocked-parts", std::string(crashingPart) + '"');
+    if (fault.kind == FaultKind::KillAllEntries) {
+        const auto signature = callSignature("a.example", {}, { .method = "GET", .target = std::string(crashingTarget) });
+        auto& period = findActivePeriod(fault);
+        period.isPartListed = m_store.contains("entry-blocked-parts", std::string(crashingPart) + '"');
+        period.isCallListed = m_store.contains("entry-blocked-parts", toHexadecimal(signature) + '"');
+    }
     for (std::size_t index = 0; index < m_entries.size(); ++index) {
         auto& entry = m_entries[index];
         if (fault.kind != FaultKind::KillAllEntries && index != fault.target)
--- a/test/soak/jayhold-soak.cpp
+++ b/test/soak/jayhold-soak.cpp
@@ -23,6 +23,8 @@
 namespace {
 
 constexpr auto settlingTime = std::chrono::seconds(2);
+/// Time without other faults in which callers go on sending calls that crash plain servers.
+constexpr auto crashingCallsTime = std::chrono::seconds(6);
 /// So that a run has at most some hundred processes: each instance and each server has a link of its own.
 constexpr std::int64_t maxFleet = 120;
 constexpr std::size_t maxViolationsShown = 40;
@@ -100,7 +102,7 @@
     double sent = 0;
     double served = 0;
     for (const auto& call : calls) {
-        if (call.sentAt < from || call.sentAt > until || call.wasReset || !call.resumes.empty() || hasCrashingPart(call))
+        if (call.sentAt < from || call.sentAt > until || call.wasReset || !call.resumes.empty() || hasCrashingPart(call) || isCrashingCall(call))
             continue;
         sent += 1;
         served += call.status / 100 == 2;
@@ -123,9 +125,14 @@
     SoakCallers callers(endpoints, seed);
     callers.start();
     callers.sendCrashingParts(hasCrashingRequests(seed));
+    callers.sendCrashingCalls(hasCrashingRequests(seed));
     injectFaults(fleet, callers, plan, monotonicNow());
     if (!fleet.waitUntilReady(recoveryTime))
         result.violations.push_back({ "the fleet becomes ready again after its faults", "", "" });
+    // Instances that have been in touch for some time must know the calls that have crashed servers.
+    if (hasCrashingRequests(seed))
+        waitUntil(fleet, monotonicNow() + crashingCallsTime);
+    callers.sendCrashingCalls(false);
     const auto settledAt = monotonicNow() + settlingTime;
     injectFaults(fleet, callers, fleet.planRestOfRelease(), monotonicNow());
     // Entry instances probe failed backend servers again only after some seconds.
@@ -150,6 +157,7 @@
     append(result.violations, checkStreamOrder(calls));
     append(result.violations, checkTakeUps(calls, fleet.versionPeriods(), fleet.faultPeriods(), size));
     append(result.violations, checkCrashingParts(calls, runs, fleet.crashes(), crashingUntil, fleet.faultPeriods(), size));
+    append(result.violations, checkCrashingCalls(calls, runs, fleet.crashes(), fleet.faultPeriods(), size));
     auto arrivals = fleet.rejections();
     arrivals.insert(arrivals.end(), runs.begin(), runs.end());
     append(result.violations, checkLeavingNotices(calls, arrivals, fleet.faultPeriods()));
--- a/test/soak/standin-replica.cpp
+++ b/test/soak/standin-replica.cpp
@@ -82,7 +82,8 @@
     replica.setTiming(std::chrono::milliseconds(10), std::chrono::milliseconds(20));
     replica.onRun([&](const std::string& request, const std::string& stage) { print("run", replica, request, stage, "0"); });
     replica.onFirstEvent([&](const HttpRequest& request) {
-        if (findHeader(request.headers, "Prompt-Prefix").value_or(std::string_view()).find(soak::crashingPart) == std::string_view::npos)
+        const auto hasPart = findHeader(request.headers, "Prompt-Prefix").value_or(std::string_view()).find(soak::crashingPart) != std::string_view::npos;
+        if (!hasPart && request.target != soak::crashingTarget)
             return;
         print("crashed", replica, std::string(findHeader(request.headers, "Request-Id").value_or(std::string_view())), "", "0");
         _exit(soak::crashExitCode);
