--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -120,6 +120,7 @@
     auto decideCrashesLocked(CrashUpdates& updates) -> void;
     /// Decides again when the peers' reports of a crash have arrived.
     auto scheduleCrashDecision() -> void;
+    auto decideAfterReports() -> boost::asio::awaitable<void>;
     auto publish(const CrashUpdates& updates) -> void;
 
     /// @return whether a call that starts now can be expected to have its answer when a draining instance ends its
--- a/src/PlainServiceCrashes.cpp
+++ b/src/PlainServiceCrashes.cpp
@@ -232,18 +232,20 @@
         if (std::exchange(m_isCrashDecisionDue, true))
             return;
     }
-    auto decide = [self = shared_from_this()]() -> asio::awaitable<void> {
-        const auto service = self;
-        co_await pause(crashReportWait);
-        CrashUpdates updates;
-        {
-            const std::lock_guard guard(service->m_lock);
-            service->m_isCrashDecisionDue = false;
-            service->decideCrashesLocked(updates);
-        }
-        service->publish(updates);
-    };
-    asio::co_spawn(m_context.threads.context(0), std::move(decide), logTaskFailure(m_context.log, "decide on crashing calls"));
+    asio::co_spawn(m_context.threads.context(0), decideAfterReports(), logTaskFailure(m_context.log, "decide on crashing calls"));
+}
+
+auto PlainService::decideAfterReports() -> asio::awaitable<void>
+{
+    const auto self = shared_from_this();
+    co_await pause(crashReportWait);
+    CrashUpdates updates;
+    {
+        const std::lock_guard guard(m_lock);
+        m_isCrashDecisionDue = false;
+        decideCrashesLocked(updates);
+    }
+    publish(updates);
 }
 
 auto PlainService::publish(const CrashUpdates& updates) -> void
