--- a/test/correctness/PlainBalancerTest.cpp
+++ b/test/correctness/PlainBalancerTest.cpp
@@ -119,3 +119,27 @@
     CHECK(acquiredId(balancer, now) == "near");
     CHECK(balancer.nextCallAt(now) == TimePoint::max());
 }
+
+// Guards against two calls on one server that may both crash it, against copies of one call that crash several servers, and
+// against harmless calls that are placed beside them.
+TEST_CASE("a call that may crash its server has no other such call beside it")
+{
+    constexpr std::uint64_t signature = 7;
+    const TimePoint now {};
+    PlainBalancer balancer;
+    PlainBalancer otherInstance;
+    balancer.update({ backend("a"), backend("b") });
+    otherInstance.update({ backend("b", false), backend("a", false) });
+    const auto first = balancer.acquireForSuspect(now, {}, signature);
+    REQUIRE(first);
+    CHECK(otherInstance.acquireForSuspect(now, {}, signature)->id == first->id);
+    const std::string other = first->id == "a" ? "b" : "a";
+    CHECK(acquiredId(balancer, now) == other);
+    CHECK(balancer.acquireForSuspect(now, {}, signature)->id == other);
+    CHECK_FALSE(balancer.acquireForSuspect(now, {}, signature));
+    CHECK(balancer.awaitsSuspect(now, {}));
+    CHECK_FALSE(balancer.awaitsSuspect(now, std::vector<std::string> { "a", "b" }));
+    balancer.releaseSuspect(first->id);
+    balancer.release(now, first->id, false);
+    CHECK(balancer.acquireForSuspect(now, {}, signature)->id == first->id);
+}
