Print when the events of a broken request happened in the soak

The events now show their milliseconds after the first one, and a request that broke beside a pause when it was sent and ended relative to the end of the pause.

--- a/test/soak/SoakChecks.cpp
+++ b/test/soak/SoakChecks.cpp
@@ -20,6 +20,11 @@
     return kind == CallKind::IdempotentGet || kind == CallKind::ResumableStream;
 }
 
+auto millisecondsAfter(TimePoint at, TimePoint event) -> std::string
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(at - event).count()) + " ms";
+}
+
 /// @return whether the status guarantees that the request has not run and never will.
 auto guaranteesNotRun(unsigned status) -> bool
 {
@@ -166,7 +171,7 @@
         const auto hasTime = call.sentAt + callerTimeout >= pause.until + answerTime;
         const auto isRefused = guaranteesNotRun(call.status) && !counts.contains(call.request);
         if (isAffected && hasTime && call.wasConnected && !call.wasReset && !isRefused && call.status / 100 != 2)
-            violations.push_back({ "a request whose backend server pauses gets its whole answer", call.request, "status " + std::to_string(call.status) });
+            violations.push_back({ "a request whose backend server pauses gets its whole answer", call.request, "status " + std::to_string(call.status) + ", sent at " + millisecondsAfter(call.sentAt, pause.until) + " and ended at " + millisecondsAfter(call.endedAt, pause.until) + " after the pause" });
     }
     return violations;
 }
--- a/test/soak/jayhold-soak.cpp
+++ b/test/soak/jayhold-soak.cpp
@@ -188,8 +188,14 @@
     }
     const auto history = explainRequest(lines, request);
     std::cout << "    " << history.outcome << "; " << history.cause << '\n';
+    std::optional<std::int64_t> firstTime;
     for (const auto& event : history.events) {
-        std::cout << "    " << event.line.instance << ' ' << event.line.event;
+        std::cout << "    ";
+        if (event.line.time) {
+            firstTime = firstTime.value_or(event.line.time->wallMicroseconds);
+            std::cout << (event.line.time->wallMicroseconds - *firstTime) / 1'000 << " ms ";
+        }
+        std::cout << event.line.instance << ' ' << event.line.event;
         for (const auto& field : event.line.fields)
             std::cout << ' ' << field.key << '=' << field.value;
         std::cout << '\n';
