Keep the trial of a blocked call until the call has run

Callers of a blocked call that is harmless stayed refused for longer than needed: the one call that was let through to find out was refused with 422 crash_suspect, and the next trial is due only minutes later.

Cause: PlainService::isBlockedLocked() took the permission back whenever it was asked again for the same call. That was meant for a second run after a crash, but it is also asked again while the call waits for a server without another suspect, and after a server that rejected the call without running it.

The trial now lasts until its call has run.

--- a/src/PlainServiceCrashes.cpp
+++ b/src/PlainServiceCrashes.cpp
@@ -90,7 +90,10 @@
     const std::span parts(&call.signature, 1);
     if (!hasBlockedPart(m_crashes, parts))
         return false;
-    if (!std::exchange(state.isTrial, false) && tryBeginTrial(m_crashes, now, parts)) {
+    // A trial lasts until its call has run, also while the call waits for a server.
+    if (state.isTrial && state.executions == 0)
+        return false;
+    if (!state.isTrial && tryBeginTrial(m_crashes, now, parts)) {
         state.isTrial = true;
         return false;
     }
--- a/test/correctness/PlainServiceTest.cpp
+++ b/test/correctness/PlainServiceTest.cpp
@@ -1,10 +1,15 @@
 #include "../EntryHarness.h"
 #include "../FakeRecords.h"
 
+#include "CallSignature.h"
+#include "Pause.h"
+
 #include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
 #include <catch2/catch.hpp>
 
+#include <future>
+
 using namespace jayhold;
 using namespace std::chrono_literals;
 namespace json = boost::json;
@@ -17,6 +22,8 @@
     DropConnection,
     /// Responds that it is leaving and did not execute the call.
     Leaving,
+    /// Answers after some time.
+    Slow,
 };
 
 /// A plain backend server that counts the calls that it executes.
@@ -38,6 +45,8 @@
             co_await exchange.respond(jsonResponse(503, R"({"error":{"ran":"no"}})"));
             co_return;
         }
+        if (m_behaviour == Behaviour::Slow)
+            co_await pause(100ms);
         const auto number = ++m_runs;
         if (m_behaviour == Behaviour::DropConnection) {
             exchange.abort();
@@ -62,6 +71,22 @@
         return *harness.call({ "POST", "/services/coop-ledger/deposits", std::move(headers), std::move(body) });
     }
 
+    /// Blocks some lookups as the cause of crashes, and allows a trial of each.
+    auto blockForTrial(std::span<const std::string> items) -> void
+    {
+        std::vector<ListedPart> blocked;
+        for (const auto& item : items)
+            blocked.push_back({ callSignature({}, "members", { "GET", item, {}, {} }) });
+        harness.services().updateBlockedParts("coop-ledger", blocked);
+        for (const auto& part : blocked)
+            harness.services().allowTrial("coop-ledger", part.part);
+    }
+
+    auto lookUp(const std::string& item) -> unsigned
+    {
+        return harness.call({ "GET", "/services/coop-ledger" + item, {}, {} })->status;
+    }
+
     FakeRecords records;
     IoThreads threads { 1 };
     EntryHarness harness { records };
@@ -169,6 +194,38 @@
     }
 }
 
+// Guards against a trial that is used up without a run because it waited for a server, so that a harmless call stays
+// blocked until the next trial.
+TEST_CASE("the trial of a blocked call waits until a server is free")
+{
+    Fixture fixture;
+    FakeService slow(fixture.threads, Behaviour::Slow);
+    fixture.harness.addBackend("ledger-1", "ledger", slow.endpoint());
+    const std::vector<std::string> items { "/items?q=1", "/items?q=2" };
+    fixture.blockForTrial(items);
+    auto first = std::async(std::launch::async, [&] { return fixture.lookUp(items.front()); });
+    const auto second = fixture.lookUp(items.back());
+    CHECK(first.get() == 201);
+    CHECK(second == 201);
+    CHECK(slow.runs() == 2);
+}
+
+// Guards against a trial that is used up by a server that rejected the call without running it.
+TEST_CASE("the trial of a blocked call goes on after a server that did not run it")
+{
+    Fixture fixture;
+    FakeService leaving(fixture.threads, Behaviour::Leaving);
+    fixture.harness.addBackend("ledger-1", "ledger", leaving.endpoint());
+    fixture.harness.addBackend("ledger-2", "ledger", leaving.endpoint());
+    FakeService ledger(fixture.threads);
+    fixture.harness.addBackend("ledger-3", "ledger", ledger.endpoint());
+    for (auto number = 0; number < 8; ++number) {
+        const std::vector<std::string> items { "/items?q=" + std::to_string(number) };
+        fixture.blockForTrial(items);
+        CHECK(fixture.lookUp(items.front()) == 201);
+    }
+}
+
 // Guards against requests that are accepted without a key, and against an instance that reports itself as
 // ready while it knows no backend servers or is draining.
 TEST_CASE("requests are refused without a key and while draining")
