Do not send a silent plain call to a second server once it is a suspect

Cause: PlainService::replaceSilentAttempt() looked only at what was known when the running attempt began. A call that peers or the store list have named as the cause of crashes since then was still sent to another server, and could end it, later than the time allowed after the third crash.

The replacement now asks the current state under the lock, as each new attempt does. Model requests are not affected in the same way for whole-request signatures: blockSignature() refuses the running ones. The new case of PlainServiceTest fails on the parent (the second server runs the call once) and passes now; entry_request_test (523 assertions) and crashing_call_test (41) pass.

--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -104,6 +104,8 @@
     auto acquireFor(const PlainCallInfo& call, CallState& state, PlainAttempt& last) -> boost::asio::awaitable<std::optional<BackendServer>>;
     /// @return whether the call has to be refused because it crashes servers; requires the lock.
     auto isBlockedLocked(const PlainCallInfo& call, CallState& state, CrashUpdates& updates) -> bool;
+    /// @return whether the call may crash its server; requires the lock.
+    auto isSuspectLocked(const PlainCallInfo& call) -> bool;
     /// Finds out whether a server has crashed after the connection of a call broke before its answer.
     auto hasCrashed(HttpClient& client, const BackendServer& server, const PlainCallInfo& call) -> boost::asio::awaitable<bool>;
     /// @param time when the connection of the call broke.
--- a/src/PlainServiceAttempts.cpp
+++ b/src/PlainServiceAttempts.cpp
@@ -132,6 +132,9 @@
     std::optional<BackendServer> server;
     {
         const std::lock_guard guard(m_lock);
+        // The call may have become a suspect while its server was silent.
+        if (isSuspectLocked(call))
+            return false;
         if (m_budget.remaining() < 1)
             return true;
         server = m_balancer.acquire(monotonicNow(), state.triedBackends);
--- a/src/PlainServiceCrashes.cpp
+++ b/src/PlainServiceCrashes.cpp
@@ -64,13 +64,9 @@
             const std::lock_guard guard(m_lock);
             const auto now = monotonicNow();
             last.isRefusedAsCrashing = isBlockedLocked(call, state, updates);
-            state.isSuspect = state.isTrial || (call.signature && isSuspicious(m_crashes, now, call.signature));
-            if (last.isRefusedAsCrashing)
-                state.isSuspect = false;
-            else if (!state.isSuspect)
-                server = m_balancer.acquire(now, state.triedBackends);
-            else
-                server = m_balancer.acquireForSuspect(now, state.triedBackends, call.signature);
+            state.isSuspect = !last.isRefusedAsCrashing && isSuspectLocked(call);
+            if (!last.isRefusedAsCrashing)
+                server = state.isSuspect ? m_balancer.acquireForSuspect(now, state.triedBackends, call.signature) : m_balancer.acquire(now, state.triedBackends);
             mustWait = state.isSuspect && !server && now < waitUntil && m_balancer.awaitsSuspect(now, state.triedBackends);
         }
         publish(updates);
@@ -102,6 +98,12 @@
     return true;
 }
 
+auto PlainService::isSuspectLocked(const PlainCallInfo& call) -> bool
+{
+    const std::span parts(&call.signature, 1);
+    return call.signature && (isSuspicious(m_crashes, monotonicNow(), call.signature) || hasBlockedPart(m_crashes, parts));
+}
+
 auto PlainService::hasCrashed(HttpClient& client, const BackendServer& server, const PlainCallInfo& call) -> asio::awaitable<bool>
 {
     if (!call.signature)
--- a/test/correctness/PlainServiceTest.cpp
+++ b/test/correctness/PlainServiceTest.cpp
@@ -24,6 +24,8 @@
     Leaving,
     /// Answers after some time.
     Slow,
+    /// Answers shortly before the deadline of the call.
+    Silent,
 };
 
 /// A plain backend server that counts the calls that it executes.
@@ -47,6 +49,8 @@
         }
         if (m_behaviour == Behaviour::Slow)
             co_await pause(100ms);
+        if (m_behaviour == Behaviour::Silent)
+            co_await pause(1500ms);
         const auto number = ++m_runs;
         if (m_behaviour == Behaviour::DropConnection) {
             exchange.abort();
@@ -226,6 +230,22 @@
     }
 }
 
+// Guards against a second server that runs a call that was found to crash servers while its first server was silent.
+TEST_CASE("a silent call that has been blocked meanwhile is not sent to another server")
+{
+    Fixture fixture;
+    FakeService silent(fixture.threads, Behaviour::Silent);
+    fixture.harness.addBackend("ledger-1", "ledger", silent.endpoint());
+    auto call = std::async(std::launch::async, [&] { return fixture.lookUp("/items?q=1"); });
+    std::this_thread::sleep_for(100ms);
+    FakeService other(fixture.threads);
+    fixture.harness.addBackend("ledger-2", "ledger", other.endpoint());
+    fixture.harness.services().updateBlockedParts("coop-ledger", { { callSignature({}, "members", { "GET", "/items?q=1", {}, {} }) } });
+    CHECK(call.get() == 201);
+    CHECK(other.runs() == 0);
+    CHECK(silent.runs() == 1);
+}
+
 // Guards against requests that are accepted without a key, and against an instance that reports itself as
 // ready while it knows no backend servers or is draining.
 TEST_CASE("requests are refused without a key and while draining")
