Add a failing test of a prompt part that crashes a zone's engines at once

Three engines of a zone that lose their connections within 100 ms are taken for a network failure, and clearIfZoneDisconnected() drops what the crashes show of prompt parts and signatures. When other processes have taken the places of the engines, so that they must have crashed, the part is sent to them again: the test fails with 4 or more runs instead of 3.

RouterFixture counts its requests atomically, because the test calls from several threads.

--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -12,6 +12,11 @@
     test/correctness/StoreHistoryTest.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
+# A test of its own, because KNOWN-RED.txt lists whole tests.
+jayhold_test(simultaneous_crashes_router_test
+  SOURCES test/correctness/SimultaneousCrashesRouterTest.cpp test/FakeObjectStore.cpp
+  LINK jayhold_platform)
+
 jayhold_test(stream_version_router_test
   SOURCES test/correctness/StreamVersionRouterTest.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
--- a/test/RouterFixture.h
+++ b/test/RouterFixture.h
@@ -11,6 +11,7 @@
 #include <boost/json/array.hpp>
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <optional>
 #include <thread>
 
@@ -159,7 +160,7 @@
     FakeBackendServer decode1 { threads, "decode-1" };
     FakeBackendServer decode2 { threads, "decode-2" };
     std::optional<RouterDaemon> router;
-    int requests = 0;
+    std::atomic<int> requests = 0;
     bool sharesRetries = false;
     std::chrono::milliseconds drainTimeout = 3s;
     std::chrono::milliseconds deregistrationDelay = 200ms;
