Read what is blocked before the servers when an instance starts

An instance that has just started could send a call or prompt part that crashes servers: the lists of servers and of blocked parts were read side by side, and calls were served as soon as the servers were known. After a power failure of all instances each of them could end a server that way.

The servers are now read when the blocked parts are known, or after the longest propagation delay, so that a list that can't be read keeps no instance from serving. The new test (cluster_directory_test) holds the list of blocked parts back for 200 ms: 0 parts known at the first server before, 1 now.

--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -40,6 +40,8 @@
 /// Interval at which instance records are counted while their number changes, and written after a failure.
 constexpr Duration joinInterval = std::chrono::seconds(2);
 constexpr Duration expiryInterval = std::chrono::milliseconds(100);
+/// Interval at which an instance that starts checks whether it knows what is blocked.
+constexpr Duration blockedPartsCheckInterval = std::chrono::milliseconds(2);
 /// Interval at which an instance that relies on watchers checks whether it has to watch the store itself.
 constexpr Duration watcherCheckInterval = std::chrono::milliseconds(50);
 
@@ -122,6 +124,7 @@
         };
         m_kindWatches.push_back(blockedParts);
     }
+    m_startedAt = monotonicNow();
     const auto executor = m_threads.context(0).get_executor();
     for (const auto& kindWatch : m_kindWatches)
         spawnSupervised(
@@ -141,6 +144,8 @@
 auto StoreDirectory::runKindWatch(KindWatchPointer kindWatch) -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
+    if (kindWatch == m_backendWatch)
+        co_await awaitBlockedParts();
     // A restart of this coroutine reads the list again, because the state that the earlier run left may be
     // incomplete.
     kindWatch->revision = 0;
@@ -162,6 +167,13 @@
     }
 }
 
+auto StoreDirectory::awaitBlockedParts() -> asio::awaitable<void>
+{
+    // A list that can't be read must not keep the instance from serving.
+    while (!m_format.blockedPartsKind.empty() && !m_hasBlockedParts && monotonicNow() < m_startedAt + m_settings.maxPropagationDelay)
+        co_await pause(blockedPartsCheckInterval);
+}
+
 auto StoreDirectory::readList(KindWatch& kindWatch, bool isPeerTriggered) -> asio::awaitable<std::optional<StoreError>>
 {
     const auto list = co_await m_store.list(m_threads.client(0), kindWatch.kind, ReadMode::Current);
--- a/src/StoreDirectory.h
+++ b/src/StoreDirectory.h
@@ -211,6 +211,9 @@
     auto replaceBackends(const ItemList& list) -> void;
     auto updateBackend(const ItemChange& change) -> void;
     auto replaceBlockedParts(const ItemList& list) -> void;
+    /// Waits until the blocked prompt parts have been read, or for a limited time after the start, so that an instance
+    /// that starts sends nothing that is blocked.
+    auto awaitBlockedParts() -> boost::asio::awaitable<void>;
     /// @param value null if the service has no list any more.
     auto updateBlockedParts(const std::string& service, const boost::json::value& value) -> void;
     /// Keeps the known blocked parts over a restore of the store, until its lists contain them again.
@@ -242,6 +245,9 @@
     TimePoint m_nextConfirmation {};
     std::vector<BackendServer> m_published;
     std::uint64_t m_leavingByAnswer = 0;
+    TimePoint m_startedAt {};
+    /// Whether the blocked prompt parts have been read since the start.
+    bool m_hasBlockedParts = false;
     /// Services with a list of blocked prompt parts.
     std::set<std::string> m_blockedPartsServices;
     /// Blocked prompt parts that apply, by service.
--- a/src/StoreDirectoryBlockedParts.cpp
+++ b/src/StoreDirectoryBlockedParts.cpp
@@ -27,6 +27,7 @@
     }
     for (const auto& service : removed)
         updateBlockedParts(service, nullptr);
+    m_hasBlockedParts = true;
 }
 
 auto StoreDirectory::updateBlockedParts(const std::string& service, const boost::json::value& value) -> void
--- a/test/correctness/StoreDirectoryTest.cpp
+++ b/test/correctness/StoreDirectoryTest.cpp
@@ -22,7 +22,9 @@
         ++lists;
         if (throws.exchange(false))
             throw std::runtime_error("injected failure of the adapter");
-        co_await pause(1ms);
+        co_await pause(kind == "blocked" ? blockedPartsDelay.load() : Duration(1ms));
+        if (kind == "blocked" && !answersBlockedParts)
+            co_return StoreError { StoreErrorKind::Unavailable, "status 503" };
         ItemList result;
         result.items.push_back({ "main", 1, nullptr });
         result.items.push_back({ "newest", itemRevision, nullptr });
@@ -60,6 +62,10 @@
     std::atomic<bool> listsServer { true };
     /// Whether lists contain blocked prompt parts.
     std::atomic<bool> listsBlockedParts { true };
+    /// Whether lists of the blocked prompt parts succeed.
+    std::atomic<bool> answersBlockedParts { true };
+    /// Time that a list of the blocked prompt parts takes.
+    std::atomic<Duration> blockedPartsDelay { 1ms };
     /// Revision of the newest object in a list.
     std::atomic<std::int64_t> itemRevision { 2 };
 
@@ -68,14 +74,18 @@
 };
 
 struct Fixture {
-    Fixture()
+    explicit Fixture(Duration blockedPartsDelay = 1ms, bool answersBlockedParts = true)
     {
+        store.blockedPartsDelay = blockedPartsDelay;
+        store.answersBlockedParts = answersBlockedParts;
         DirectoryFormat format { .configurationKind = "config", .configurationName = "main", .backendKind = "servers", .instanceKind = "instances", .leaseKind = "leases", .blockedPartsKind = "blocked" };
         format.readConfiguration = [](const StoredItem&) { return std::nullopt; };
         format.readBackend = [](const StoredItem& item) { return item.name == "server" ? std::optional(BackendServer { .id = "server" }) : std::nullopt; };
         DirectoryCallbacks callbacks {
             .configuration = [](const Configuration&) {},
-            .backends = [](const std::vector<BackendServer>&) {},
+            .backends = [this](const std::vector<BackendServer>& servers) {
+                if (!servers.empty())
+                    partsAtFirstServer = std::min(partsAtFirstServer.load(), blockedParts.load()); },
             .instanceCount = [](std::uint32_t) {},
             .peers = [](const std::vector<PeerAddress>&) {},
             .blockedParts = [this](const std::string& service, const std::vector<ListedPart>& parts) {
@@ -83,7 +93,7 @@
                     blockedParts = parts.size(); },
             .changed = [this](const std::string&, std::int64_t revision) { reportedRevision = std::max(reportedRevision.load(), revision); },
         };
-        directory = std::make_shared<StoreDirectory>(threads, store, std::move(format), DirectorySettings { .instance = "edge-1", .availabilityZone = "alpine" }, log, std::move(callbacks));
+        directory = std::make_shared<StoreDirectory>(threads, store, std::move(format), DirectorySettings { .instance = "edge-1", .availabilityZone = "alpine", .maxPropagationDelay = maxPropagationDelay }, log, std::move(callbacks));
         directory->start();
     }
     ~Fixture() { threads.stop(); }
@@ -99,11 +109,16 @@
         return store.lists + store.watches > lists + watches + 20;
     }
 
+    static constexpr Duration maxPropagationDelay = 1s;
+    static constexpr std::size_t none = 1'000;
+
     SteppingStore store;
     /// Highest revision that was reported to the peers.
     std::atomic<std::int64_t> reportedRevision { 0 };
     /// Number of blocked parts in the last list of the service.
     std::atomic<std::size_t> blockedParts { 0 };
+    /// Number of blocked parts that were known when the first server was; `none` before that.
+    std::atomic<std::size_t> partsAtFirstServer { none };
     EventLog log { "edge-1", 16 };
     IoThreads threads { 1 };
     std::shared_ptr<StoreDirectory> directory;
@@ -174,3 +189,20 @@
     std::this_thread::sleep_for(100ms);
     CHECK(fixture.blockedParts == 0);
 }
+
+// Guards against an instance that has just started and sends a request that crashes servers, because it knows the
+// servers before the list of what is blocked.
+TEST_CASE("the servers are known only when the blocked parts are")
+{
+    Fixture fixture(200ms);
+    std::this_thread::sleep_for(600ms);
+    CHECK(fixture.partsAtFirstServer == 1);
+}
+
+// Guards against an instance that never serves because the list of what is blocked can't be read.
+TEST_CASE("the servers are known in time although the blocked parts can't be read")
+{
+    Fixture fixture(1ms, false);
+    std::this_thread::sleep_for(2 * Fixture::maxPropagationDelay);
+    CHECK(fixture.partsAtFirstServer == 0);
+}
