--- a/test/correctness/CrashingCallTest.cpp
+++ b/test/correctness/CrashingCallTest.cpp
@@ -60,6 +60,19 @@
         return std::ranges::count_if(servers, [](const FakeBackendServer& server) { return server.hasCrashed(); });
     }
 
+    /// Waits, and records when servers crash.
+    /// @return the milliseconds from the start of the wait to each crash.
+    auto crashTimesWithin(Duration time) const -> std::vector<std::int64_t>
+    {
+        std::vector<std::int64_t> times;
+        const auto begin = monotonicNow();
+        while (monotonicNow() - begin < time) {
+            times.resize(static_cast<std::size_t>(crashes()), std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - begin).count());
+            std::this_thread::sleep_for(2ms);
+        }
+        return times;
+    }
+
     IoThreads threads { 4 };
     FakeObjectStore store { threads };
     std::list<FakeBackendServer> servers;
@@ -126,9 +139,10 @@
             }
         });
     }
-    std::this_thread::sleep_for(2s);
+    const auto crashTimes = fleet.crashTimesWithin(2s);
     isDone = true;
     callers.clear();
+    CAPTURE(crashTimes);
     // Copies that are in flight before the first crash reach a server each.
     CHECK(fleet.crashes() <= maxCrashes + 1);
     for (const auto& target : lost) {
