--- a/test/FakeObjectStore.cpp
+++ b/test/FakeObjectStore.cpp
@@ -4,7 +4,6 @@
 #include "Pause.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -415,8 +414,7 @@
     if (!m_isCrashing.exchange(true)) {
         m_server.stopAccepting();
         // The server stops there. When a process ends, it accepts no connection after the open ones have broken.
-        co_await asio::post(m_threads.context(0), asio::use_awaitable);
-        m_hasCrashed = true;
+        asio::post(m_threads.context(0), [this] { m_hasCrashed = true; });
     }
     while (!m_hasCrashed)
         co_await pause(std::chrono::milliseconds(1));
