--- a/test/FakeObjectStore.cpp
+++ b/test/FakeObjectStore.cpp
@@ -3,7 +3,6 @@
 #include "JsonFields.h"
 #include "Pause.h"
 
-#include <boost/asio/post.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -291,8 +290,7 @@
 }
 
 FakeBackendServer::FakeBackendServer(IoThreads& threads, std::string id, Behaviour behaviour, const HttpEndpoint& listen)
-    : m_threads(threads)
-    , m_id(std::move(id))
+    : m_id(std::move(id))
     , m_behaviour(behaviour)
     , m_server(threads, serverSettings(listen), [this](HttpExchange& exchange) { return handle(exchange); })
 {
@@ -386,8 +384,12 @@
         co_return;
     }
     ++m_runs;
-    if (behaviour == Behaviour::Crash && request.target.find("crash") != std::string::npos)
-        co_await crash();
+    if (behaviour == Behaviour::Crash && request.target.find("crash") != std::string::npos) {
+        // When a process ends, it accepts no connection after the open ones have broken.
+        m_server.stopAccepting();
+        co_await pause(std::chrono::milliseconds(10));
+        m_hasCrashed = true;
+    }
     if (m_hasCrashed) {
         exchange.abort();
         co_return;
@@ -409,17 +411,6 @@
     co_await respond(exchange, std::move(response));
 }
 
-auto FakeBackendServer::crash() -> asio::awaitable<void>
-{
-    if (!m_isCrashing.exchange(true)) {
-        m_server.stopAccepting();
-        // The server stops there. When a process ends, it accepts no connection after the open ones have broken.
-        asio::post(m_threads.context(0), [this] { m_hasCrashed = true; });
-    }
-    while (!m_hasCrashed)
-        co_await pause(std::chrono::milliseconds(1));
-}
-
 auto FakeBackendServer::stream(HttpExchange& exchange, std::vector<HttpHeader> headers) -> asio::awaitable<void>
 {
     const auto last = headerValue(exchange.request(), "Last-Event-Id");
--- a/test/FakeObjectStore.h
+++ b/test/FakeObjectStore.h
@@ -170,11 +170,8 @@
     /// Adds the fields that all answers have.
     auto respond(HttpExchange& exchange, HttpResponse response) -> boost::asio::awaitable<void>;
     auto retryDelay() const -> std::string;
-    /// Ends the acceptance of connections.
-    auto crash() -> boost::asio::awaitable<void>;
     auto stream(HttpExchange& exchange, std::vector<HttpHeader> headers) -> boost::asio::awaitable<void>;
 
-    IoThreads& m_threads;
     const std::string m_id;
     std::string m_version;
     std::atomic<Behaviour> m_behaviour;
@@ -192,7 +189,6 @@
     std::atomic<int> m_prefills { 0 };
     std::atomic<int> m_requests { 0 };
     std::atomic<int> m_controlCalls { 0 };
-    std::atomic<bool> m_isCrashing { false };
     std::atomic<bool> m_hasCrashed { false };
     std::atomic<bool> m_isLeaving { false };
     std::atomic<bool> m_isSilent { false };
