--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -9,16 +9,16 @@
 
 jayhold_test(router_daemon_test
   SOURCES test/correctness/ObjectCallsTest.cpp test/correctness/BlockedPartsRouterTest.cpp test/correctness/RouterDaemonTest.cpp
-    test/correctness/StoreHistoryTest.cpp test/FakeObjectStore.cpp
+    test/correctness/StoreHistoryTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
 # A test of its own, because KNOWN-RED.txt lists whole tests.
 jayhold_test(simultaneous_crashes_router_test
-  SOURCES test/correctness/SimultaneousCrashesRouterTest.cpp test/FakeObjectStore.cpp
+  SOURCES test/correctness/SimultaneousCrashesRouterTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
 jayhold_test(stream_version_router_test
-  SOURCES test/correctness/StreamVersionRouterTest.cpp test/FakeObjectStore.cpp
+  SOURCES test/correctness/StreamVersionRouterTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
 jayhold_test(retry_budget_test
@@ -26,42 +26,42 @@
   LINK jayhold_platform)
 
 jayhold_test(odd_entries_test
-  SOURCES test/error/OddEntriesTest.cpp test/error/OddEntriesRouterTest.cpp test/FakeObjectStore.cpp
+  SOURCES test/error/OddEntriesTest.cpp test/error/OddEntriesRouterTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
 # A test of its own, because KNOWN-RED.txt lists whole tests.
 jayhold_test(named_limit_test
-  SOURCES test/correctness/NamedLimitTest.cpp test/FakeObjectStore.cpp
+  SOURCES test/correctness/NamedLimitTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
 jayhold_test(crashing_call_test
-  SOURCES test/correctness/CrashingCallTest.cpp test/FakeObjectStore.cpp
+  SOURCES test/correctness/CrashingCallTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
 jayhold_test(silent_backend_test
-  SOURCES test/correctness/RunningAnswerTest.cpp test/correctness/SilentBackendTest.cpp test/FakeObjectStore.cpp
+  SOURCES test/correctness/RunningAnswerTest.cpp test/correctness/SilentBackendTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
 jayhold_test(backend_answer_test
-  SOURCES test/correctness/RepeatedRefusalTest.cpp test/correctness/StreamErrorTest.cpp test/error/TruncatedBackendAnswerTest.cpp test/FakeObjectStore.cpp
+  SOURCES test/correctness/RepeatedRefusalTest.cpp test/correctness/StreamErrorTest.cpp test/error/TruncatedBackendAnswerTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
 jayhold_test(server_notice_test
-  SOURCES test/correctness/ServerNoticeTest.cpp test/FakeObjectStore.cpp
+  SOURCES test/correctness/ServerNoticeTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
 jayhold_test(leaving_server_test
-  SOURCES test/correctness/LeavingPropertyTest.cpp test/correctness/LeavingServerTest.cpp test/FakeObjectStore.cpp
+  SOURCES test/correctness/LeavingPropertyTest.cpp test/correctness/LeavingServerTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
 jayhold_test(pause_router_test
-  SOURCES test/correctness/PauseNoticeTest.cpp test/correctness/PauseRouterTest.cpp test/FakeObjectStore.cpp
+  SOURCES test/correctness/PauseNoticeTest.cpp test/correctness/PauseRouterTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
 jayhold_test(late_request_test
-  SOURCES test/correctness/LateRequestTest.cpp test/FakeObjectStore.cpp
+  SOURCES test/correctness/LateRequestTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
 jayhold_test(version_router_test
-  SOURCES test/correctness/VersionRouterTest.cpp test/FakeObjectStore.cpp
+  SOURCES test/correctness/VersionRouterTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
--- a/cmake/soak.cmake
+++ b/cmake/soak.cmake
@@ -1,10 +1,10 @@
-add_executable(standin-replica test/soak/standin-replica.cpp test/FakeObjectStore.cpp)
+add_executable(standin-replica test/soak/standin-replica.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp)
 target_include_directories(standin-replica PRIVATE test test/soak)
 target_link_libraries(standin-replica PRIVATE jayhold_standins)
 
 # What the soak shares with the test of its checks.
 add_library(jayhold_soak_parts STATIC test/soak/FaultPeriod.cpp test/soak/FaultPlan.cpp test/soak/NoticeChecks.cpp test/soak/PartChecks.cpp test/soak/SoakCallers.cpp test/soak/SoakChecks.cpp
-  test/soak/SoakFleet.cpp test/soak/SoakFleetFaults.cpp test/soak/StreamChecks.cpp test/FakeObjectStore.cpp)
+  test/soak/SoakFleet.cpp test/soak/SoakFleetFaults.cpp test/soak/StreamChecks.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp)
 target_include_directories(jayhold_soak_parts PUBLIC test test/soak)
 target_link_libraries(jayhold_soak_parts PUBLIC jayhold_entry jayhold_scenario)
 
--- a/src/LoadExchange.h
+++ b/src/LoadExchange.h
@@ -45,7 +45,7 @@
     std::function<void(const PromptReport&)> onPromptReport = [](const PromptReport&) {};
     /// A peer has ordered backend servers to change their role.
     std::function<void(const std::vector<std::string>&)> onBackendsChangingRole;
-    /// A peer has answered a question of askPeers().
+    /// A peer has replied to a question of askPeers().
     std::function<void(const PeerReply&)> onReply = [](const PeerReply&) {};
     /// A watcher of the zone has sent a directory update.
     std::function<void(const DirectoryUpdate&)> onDirectoryUpdate = [](const DirectoryUpdate&) {};
@@ -96,7 +96,7 @@
     auto reportPrompt(const PromptReport& report) -> void;
 
     /// Asks all peers which changes of the store's objects they have applied. Must be called on the first I/O thread.
-    /// @param number number that the answers repeat.
+    /// @param number number that the replies repeat.
     auto askPeers(std::uint64_t number) -> void;
 
     /// Must be called on the first I/O thread.
@@ -115,7 +115,7 @@
     /// @param isForAllZones whether all instances in other zones get the message.
     auto sendToPeers(const std::string& text, bool isForAllZones) -> void;
     auto handleDatagram(std::string_view text, const boost::asio::ip::udp::endpoint& sender) -> void;
-    /// @return whether the datagram was a question of a peer, which is answered, or an answer of one.
+    /// @return whether the datagram was a question of a peer, which gets a reply, or a reply of one.
     auto handleQuestion(std::string_view text, const boost::asio::ip::udp::endpoint& sender) -> bool;
     auto handleMessage(LoadMessage message) -> void;
     /// Sends a load message if something has changed or the last message is older than maxSilence.
--- a/src/PeerQuestion.h
+++ b/src/PeerQuestion.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// The datagrams of an inquiry: the question, and the answer of a peer.
+/// The datagrams of an inquiry: the question, and the reply of a peer.
 
 #include <cstdint>
 #include <map>
@@ -13,13 +13,13 @@
 struct PeerQuestion {
     /// Number of the inquiry at the instance that asks.
     std::uint64_t number = 0;
-    /// The run of the process that asks; answers to an earlier process are ignored.
+    /// The run of the process that asks; replies to an earlier process are ignored.
     std::string run;
 };
 
 struct PeerReply {
     PeerQuestion question;
-    /// The instance that answers.
+    /// The instance that replies.
     std::string instance;
     /// Revision of the last change that it has applied, by kind of the store's objects.
     std::map<std::string, std::int64_t> revisions;
@@ -30,7 +30,7 @@
 
 /// @return nothing if the text is no question.
 auto parseQuestion(std::string_view text) -> std::optional<PeerQuestion>;
-/// @return nothing if the text is no answer.
+/// @return nothing if the text is no reply.
 auto parseReply(std::string_view text) -> std::optional<PeerReply>;
 
 }
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -40,8 +40,6 @@
 /// Interval at which instance records are counted while their number changes, and written after a failure.
 constexpr Duration joinInterval = std::chrono::seconds(2);
 constexpr Duration expiryInterval = std::chrono::milliseconds(100);
-/// Interval at which an instance that starts checks whether it knows what is blocked.
-constexpr Duration blockedPartsCheckInterval = std::chrono::milliseconds(2);
 /// Interval at which an instance that relies on watchers checks whether it has to watch the store itself.
 constexpr Duration watcherCheckInterval = std::chrono::milliseconds(50);
 
@@ -167,13 +165,6 @@
     }
 }
 
-auto StoreDirectory::awaitBlockedParts() -> asio::awaitable<void>
-{
-    // A list that can't be read must not keep the instance from serving.
-    while (!m_format.blockedPartsKind.empty() && !m_hasBlockedParts && monotonicNow() < m_startedAt + m_settings.maxPropagationDelay)
-        co_await pause(blockedPartsCheckInterval);
-}
-
 auto StoreDirectory::readList(KindWatch& kindWatch, bool isPeerTriggered) -> asio::awaitable<std::optional<StoreError>>
 {
     const auto list = co_await m_store.list(m_threads.client(0), kindWatch.kind, ReadMode::Current);
--- a/src/StoreDirectoryBlockedParts.cpp
+++ b/src/StoreDirectoryBlockedParts.cpp
@@ -1,17 +1,30 @@
 #include "StoreDirectory.h"
 
+#include "Pause.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace jayhold {
 
+namespace asio = boost::asio;
+
 namespace {
 
 /// Limits the time for which parts stay blocked that the store does not list, if they can't be written again.
 constexpr Duration maxKeptPartsTime = std::chrono::seconds(30);
+/// Interval at which an instance that starts checks whether it knows what is blocked.
+constexpr Duration blockedPartsCheckInterval = std::chrono::milliseconds(2);
 
 }
 
+auto StoreDirectory::awaitBlockedParts() -> asio::awaitable<void>
+{
+    // A list that can't be read must not keep the instance from serving.
+    while (!m_format.blockedPartsKind.empty() && !m_hasBlockedParts && monotonicNow() < m_startedAt + m_settings.maxPropagationDelay)
+        co_await pause(blockedPartsCheckInterval);
+}
+
 auto StoreDirectory::replaceBlockedParts(const ItemList& list) -> void
 {
     auto removed = std::exchange(m_blockedPartsServices, {});
--- a/src/StreamVersions.cpp
+++ b/src/StreamVersions.cpp
@@ -21,7 +21,7 @@
 /// Time within which a list that failed is read again. A connection to the store that was reset fails only one call, and
 /// an instance that was cut off or stood still reaches the store and its peers again.
 constexpr Duration listRetryTime = std::chrono::seconds(1);
-/// Time after which the peers are asked again, because a datagram can be lost. Take-ups within it share the answers.
+/// Time after which the peers are asked again, because a datagram can be lost. Take-ups within it share the replies.
 constexpr Duration inquiryInterval = std::chrono::milliseconds(100);
 /// A call to the store takes a few milliseconds.
 constexpr Duration pollInterval = std::chrono::milliseconds(2);
@@ -335,7 +335,7 @@
 
 auto StreamVersions::findWithoutStoreLocked(const StreamVersionView& view, std::uint64_t& inquiry) -> StreamVersionAnswer
 {
-    // An inquiry that has already begun may have been answered before a stream began.
+    // An inquiry that has already begun may have got its replies before a stream began.
     if (inquiry == 0)
         inquiry = m_inquiry.number + 1;
     const auto isAsked = m_knowsPeers && (m_peers.empty() || isConfirmed(m_inquiry, inquiry, m_serversApplied));
--- a/src/StreamVersions.h
+++ b/src/StreamVersions.h
@@ -62,7 +62,7 @@
 
     /// Replaces the names of the live instances, including this one. Thread-safe.
     auto updateInstances(std::vector<std::string> instances) -> void;
-    /// Handles a peer's answer to askPeers().
+    /// Handles a peer's reply to askPeers().
     /// @param serversRevision revision up to which the peer has applied changes of the backend servers. Thread-safe.
     auto handleReply(std::uint64_t number, const std::string& instance, std::int64_t serversRevision) -> void;
 
--- a/test/RouterFixture.h
+++ b/test/RouterFixture.h
@@ -2,6 +2,7 @@
 
 /// A router daemon with the platform's adapter on a fake platform.
 
+#include "FakeBackendServer.h"
 #include "FakeObjectStore.h"
 #include "HttpTestServer.h"
 
--- a/test/correctness/ServerNoticeTest.cpp
+++ b/test/correctness/ServerNoticeTest.cpp
@@ -1,4 +1,4 @@
-#include "../FakeObjectStore.h"
+#include "../FakeBackendServer.h"
 #include "../HttpTestServer.h"
 
 #include "Protocols.h"
--- a/test/correctness/StreamChecksTest.cpp
+++ b/test/correctness/StreamChecksTest.cpp
@@ -1,5 +1,5 @@
 #include "StreamChecks.h"
-#include "FakeObjectStore.h"
+#include "FakeBackendServer.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/soak/SoakCallers.cpp
+++ b/test/soak/SoakCallers.cpp
@@ -1,6 +1,6 @@
 #include "SoakCallers.h"
 
-#include "FakeObjectStore.h"
+#include "FakeBackendServer.h"
 #include "ParseNumber.h"
 #include "Pause.h"
 #include "ReplicaControl.h"
--- a/test/soak/standin-replica.cpp
+++ b/test/soak/standin-replica.cpp
@@ -1,7 +1,7 @@
 // Stand-in for a backend server of the platform. It prints a line for each request that it starts
 // to run or rejects, before it responds. Signals change its behaviour.
 #include "CommandLine.h"
-#include "FakeObjectStore.h"
+#include "FakeBackendServer.h"
 #include "ReplicaControl.h"
 #include "StandinMain.h"
 
