Keep one function for the identity of a backend server's process

Model and plain services hashed it in two places, and peers compare the results of both in reports of crashes.

--- a/src/ModelServiceReplicas.cpp
+++ b/src/ModelServiceReplicas.cpp
@@ -1,7 +1,7 @@
 #include "ModelService.h"
 
 #include "Hexadecimal.h"
-#include "Rendezvous.h"
+#include "ProcessIdentity.h"
 #include "RoleBalance.h"
 
 #include <algorithm>
@@ -138,7 +138,7 @@
     const auto* pool = findPool(status.backend.pool);
     const auto zone = std::ranges::find(m_zones, status.backend.availabilityZone) - m_zones.begin();
     ReplicaChanged change { .replica = status.id, .role = status.role, .zone = static_cast<ZoneId>(zone), .state = status.backend.state };
-    change.process = stableHash(status.backend.id + "/" + status.backend.incarnation);
+    change.process = processIdentity(status.backend);
     change.version = versionIdLocked(status.backend.softwareVersion);
     if (m_roleChanges.contains(status.id) && change.state == ReplicaState::Live)
         change.state = ReplicaState::Leaving;
--- a/src/PlainServiceCrashes.cpp
+++ b/src/PlainServiceCrashes.cpp
@@ -3,7 +3,7 @@
 #include "CrashHistory.h"
 #include "Hexadecimal.h"
 #include "Pause.h"
-#include "Rendezvous.h"
+#include "ProcessIdentity.h"
 #include "Tasks.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -24,12 +24,6 @@
 constexpr Duration replacementWindow = std::chrono::seconds(5);
 constexpr std::size_t maxLostCalls = 64;
 
-/// @return the identity of a server's process, as for engines.
-auto processOf(const BackendServer& server) -> std::uint64_t
-{
-    return stableHash(server.id + "/" + server.incarnation);
-}
-
 auto eventName(BlockedPartChange change) -> std::string_view
 {
     switch (change) {
@@ -133,7 +127,7 @@
 
 auto PlainService::recordCrashLocked(const BackendServer& server, std::uint64_t signature, TimePoint time, CrashUpdates& updates) -> void
 {
-    CrashedPrompt crashed { processOf(server), signature, { signature } };
+    CrashedPrompt crashed { processIdentity(server), signature, { signature } };
     const auto now = monotonicNow();
     addCrashedPrompt(m_crashes, now, crashed, now - time);
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - time);
--- a/test/correctness/SimultaneousCrashesRouterTest.cpp
+++ b/test/correctness/SimultaneousCrashesRouterTest.cpp
@@ -24,7 +24,8 @@
         return fixture.call("POST", "/once/x", "prompt " + std::to_string(number), { { "Model", "m" }, { "Token-Counts", "100,200" }, { "Prompt-Prefix", "a1:30,b2:20,ff" + std::to_string(number) + ":50" } })->status;
     };
     std::vector<std::future<unsigned>> calls;
-    for (auto number = 0; number < 3; ++number)
+    calls.reserve(engines.size());
+    for (auto number = 0; number < static_cast<int>(engines.size()); ++number)
         calls.push_back(std::async(std::launch::async, call, number));
     for (auto& result : calls)
         CHECK(result.get() >= 500);
