Log how long an I/O thread of an instance stood still

Nothing in an instance's log tells a thread that got no processor from one that a handler occupied or from a drain that waits.

The drain is measured from the time at which its coroutine runs, not from SIGTERM; a thread that stands still in between, or between "drained" and the exit, makes the exit late without a wait in the code. 2. After "drained" the process joins its I/O threads, destroys the pending coroutines and its components, and flushes the log. A join waits for a handler that blocks in a call. By reading: src/ has no resolver, future, condition variable or sleep, writes to the output only when poll() says that it is writable, and sets no linger; so no blocking call was found. 3. Exit code 1 comes from ended or remaining exchanges at the end of the drain, a second signal, or an exception. Between the end of requests and the end of exchanges a grace period of 4 s leaves 117 ms: a thread that stands still that long there makes the server end exchanges itself. 4. Ends that can drop a request which was read whole: the end of exchanges (unknown outcome, or an abort once the answer has begun), an exception of a handler, the exit while bytes of an answer's caller are unread.

LoopMonitor sets a timer on each I/O thread and reports when it is late by more than 250 ms: the log line loop_stalled with the lateness, the time that the thread ran and the time that it waited for a processor, and two metrics.

--- a/src/EntryDaemonState.h
+++ b/src/EntryDaemonState.h
@@ -7,6 +7,7 @@
 #include "ClusterRecords.h"
 #include "EntryDaemon.h"
 #include "HttpServer.h"
+#include "LoopMonitor.h"
 #include "LostOwners.h"
 #include "ServiceTable.h"
 
@@ -32,6 +33,7 @@
     const EntrySettings settings;
     EventLog log;
     std::unique_ptr<IoThreads> threads;
+    const LoopMonitor loopMonitor { *threads, [this](const LoopStall& stall) { log.record(LogLevel::Warning, "loop_stalled", describe(stall)); } };
     EntryContext context;
     std::unique_ptr<HttpServer> peerServer;
     std::unique_ptr<HttpServer> callerServer;
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -7,6 +7,7 @@
 #include "ForwardApi.h"
 #include "HttpServer.h"
 #include "LoadExchange.h"
+#include "LoopMonitor.h"
 #include "Pause.h"
 #include "RoleBalancer.h"
 #include "RouterHttpSettings.h"
@@ -285,6 +286,8 @@
             { "jayhold_store_history", "History of the store; each restore from an older copy increases it. 0 if the store names none.", static_cast<double>(summary.storeHistory) },
             { "jayhold_backends_said_leaving_total", "Processes of backend servers that have said in an answer that they are leaving.", static_cast<double>(summary.leavingByAnswer), true },
             { "jayhold_memory_pieces_reserved", "Engine memory that this instance has reserved, in pieces.", reservedMemoryBlocks },
+            { "jayhold_loop_stalls_total", "How often an I/O thread ran no handler for more than 250 ms.", static_cast<double>(loopMonitor.stalls()), true },
+            { "jayhold_loop_stalled_seconds_total", "The sum of these times.", std::chrono::duration<double>(loopMonitor.stalledTime()).count(), true },
             { "jayhold_log_lines_left_out_total", "Log lines left out for their rate or because the output was not read.", static_cast<double>(log.droppedLines() + droppedLogLines()), true },
         };
         samples.insert(samples.end(), std::begin(own), std::end(own));
@@ -343,6 +346,7 @@
     PlatformAdapter adapter;
     EventLog log;
     IoThreads threads;
+    const LoopMonitor loopMonitor { threads, [this](const LoopStall& stall) { log.record(LogLevel::Warning, "loop_stalled", describe(stall)); } };
     EntryContext context;
     DisabledAtMostOnceRecords records;
     ServiceTable services;
