Say for each failure of the soak which process stood still

The soak printed one number for a run, the longest stall of one of its threads.

Each violation that concerns a time now has a line "stood still": the stalls of the soak's main meter (from 50 ms), of the threads of its store and its callers, and of instances, backend servers and links (loop_stalled, from 250 ms, with the time that the thread ran and waited for a processor), and for how long each instance wrote no line. A process that has not exited in time is described with the state of its threads, where they wait in the kernel, and how much later than the bound the soak looked. No bound changes.

--- a/cmake/soak.cmake
+++ b/cmake/soak.cmake
@@ -4,7 +4,7 @@
 
 # What the soak shares with the test of its checks.
 add_library(jayhold_soak_parts STATIC test/soak/FaultPeriod.cpp test/soak/FaultPlan.cpp test/soak/NoticeChecks.cpp test/soak/PartChecks.cpp test/soak/SoakCallers.cpp test/soak/SoakChecks.cpp
-  test/soak/SoakFleet.cpp test/soak/SoakFleetFaults.cpp test/soak/StreamChecks.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp)
+  test/soak/SoakFleet.cpp test/soak/SoakFleetFaults.cpp test/soak/Stalls.cpp test/soak/StreamChecks.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp)
 target_include_directories(jayhold_soak_parts PUBLIC test test/soak)
 target_link_libraries(jayhold_soak_parts PUBLIC jayhold_entry jayhold_scenario)
 
@@ -22,5 +22,5 @@
 endforeach()
 
 jayhold_test(soak_checks_test
-  SOURCES test/correctness/SoakChecksTest.cpp test/correctness/PartChecksTest.cpp test/correctness/StreamChecksTest.cpp
+  SOURCES test/correctness/SoakChecksTest.cpp test/correctness/PartChecksTest.cpp test/correctness/StallsTest.cpp test/correctness/StreamChecksTest.cpp
   LINK jayhold_soak_parts)
--- a/standins/StandinMain.cpp
+++ b/standins/StandinMain.cpp
@@ -1,5 +1,6 @@
 #include "StandinMain.h"
 
+#include <chrono>
 #include <csignal>
 #include <iostream>
 
@@ -32,6 +33,15 @@
     std::cout << std::endl;
 }
 
+auto printStall(const LoopStall& stall) -> void
+{
+    std::string line = "event=loop_stalled at=" + std::to_string(monotonicNow().time_since_epoch().count());
+    for (const auto& field : describe(stall))
+        line += " " + field.key + "=" + field.value;
+    std::cout << line + "\n"
+              << std::flush;
+}
+
 auto waitForStop() -> void
 {
     const auto set = stopSignals();
--- a/standins/StandinMain.h
+++ b/standins/StandinMain.h
@@ -3,6 +3,7 @@
 /// Functions shared by the main programs of the stand-ins.
 
 #include "HttpEndpoint.h"
+#include "LoopMonitor.h"
 
 #include <string_view>
 
@@ -16,6 +17,9 @@
 /// @param extra additional key=value pairs, or empty.
 auto printListening(const HttpEndpoint& endpoint, std::string_view extra = {}) -> void;
 
+/// Prints a line about a time in which an I/O thread stood still; `at` is its end on the steady clock.
+auto printStall(const LoopStall& stall) -> void;
+
 /// Waits for SIGTERM or SIGINT.
 auto waitForStop() -> void;
 
--- a/standins/link-main.cpp
+++ b/standins/link-main.cpp
@@ -1,5 +1,6 @@
 #include "CommandLine.h"
 #include "Link.h"
+#include "LoopMonitor.h"
 #include "StandinMain.h"
 
 #include <iostream>
@@ -24,6 +25,7 @@
     blockStopSignals();
     IoThreads threads(1);
     const Link link(threads, settings);
+    const LoopMonitor loopMonitor(threads, printStall);
     printListening(link.endpoint(), "admin=" + toString(link.adminEndpoint()));
     waitForStop();
     threads.stop();
--- a/test/soak/PlannedMaintenance.cpp
+++ b/test/soak/PlannedMaintenance.cpp
@@ -55,7 +55,7 @@
     fleet.putConfiguration();
     monitorVersions(history, fleet, maxPropagationTime);
     for (const auto& entry : fleet.findOutdatedEntries())
-        history.violations.push_back({ "a configuration is active everywhere in time after a restore of the store", "", entry });
+        history.violations.push_back({ "a configuration is active everywhere in time after a restore of the store", "", entry, monotonicNow() - maxPropagationTime, monotonicNow() });
     return std::move(history.violations);
 }
 
@@ -73,7 +73,7 @@
         record.pauses.push_back(fleet.pauseBackendsBesideChange(backendPause));
         std::this_thread::sleep_for(maxPropagationTime - backendPause);
         for (const auto& entry : fleet.findOutdatedEntries())
-            record.violations.push_back({ "a configuration is active everywhere in time", "", entry });
+            record.violations.push_back({ "a configuration is active everywhere in time", "", entry, monotonicNow() - maxPropagationTime, monotonicNow() });
     }
     fleet.markLeaving(0, true);
     record.leavingSince = monotonicNow();
@@ -81,9 +81,9 @@
     for (std::size_t first = 0; first < size.entries; first += groupSize) {
         const auto count = std::min(groupSize, size.entries - first);
         for (const auto& problem : fleet.restartGracefully(first, count))
-            record.violations.push_back({ "an entry instance shuts down gracefully", "", problem });
+            record.violations.push_back({ "an entry instance shuts down gracefully", "", problem.text, problem.from, problem.until });
         if (!fleet.waitUntilReady(recoveryTime))
-            record.violations.push_back({ "a restarted entry instance becomes ready", "", "edge-" + std::to_string(first) + " and " + std::to_string(count - 1) + " others" });
+            record.violations.push_back({ "a restarted entry instance becomes ready", "", "edge-" + std::to_string(first) + " and " + std::to_string(count - 1) + " others", monotonicNow() - recoveryTime, monotonicNow() });
     }
     std::this_thread::sleep_for(SoakFleet::maxDeregistrationDelay);
     record.faultFreePeriod.until = monotonicNow();
--- a/test/soak/SoakCallers.h
+++ b/test/soak/SoakCallers.h
@@ -97,6 +97,7 @@
     /// @param isSending whether some of the new plain calls crash their server.
     auto sendCrashingCalls(bool isSending) -> void { m_isSendingCrashingCalls = isSending; }
     auto records() const -> std::vector<CallRecord>;
+    auto threads() -> IoThreads& { return m_threads; }
 
 private:
     auto runCaller(std::size_t caller) -> boost::asio::awaitable<void>;
--- a/test/soak/SoakChecks.h
+++ b/test/soak/SoakChecks.h
@@ -17,6 +17,9 @@
     /// The affected request; empty if the violation concerns no single request.
     std::string request;
     std::string detail;
+    /// The time that the check concerns; that of the request if there is one.
+    TimePoint from {};
+    TimePoint until {};
 };
 
 /// How many of some streams brought events.
--- a/test/soak/SoakFleet.cpp
+++ b/test/soak/SoakFleet.cpp
@@ -2,6 +2,7 @@
 
 #include "LogParser.h"
 #include "ParseNumber.h"
+#include "Stalls.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -261,7 +262,15 @@
     return true;
 }
 
-auto SoakFleet::restartGracefully(std::size_t first, std::size_t count) -> std::vector<std::string>
+auto SoakFleet::waitForShutdown(Entry& entry, TimePoint end) -> std::pair<std::optional<int>, std::string>
+{
+    const auto code = entry.process->waitForExit(std::max(end - monotonicNow(), Duration::zero()));
+    if (code)
+        return { code, "exited with code " + std::to_string(*code) };
+    return { code, "did not exit in time, looked for " + std::to_string((monotonicNow() - end).count() / 1'000) + " ms after the end, threads" + describeThreads(entry.process->id()) };
+}
+
+auto SoakFleet::restartGracefully(std::size_t first, std::size_t count) -> std::vector<EntryFailure>
 {
     const auto entries = std::span(m_entries).subspan(first, count);
     for (auto& entry : entries) {
@@ -270,11 +279,11 @@
     }
     const auto beginsAt = monotonicNow();
     const auto end = beginsAt + shutdownGracePeriod + std::chrono::seconds(1);
-    std::vector<std::string> errors;
+    std::vector<EntryFailure> errors;
     for (std::size_t index = first; index < first + count; ++index) {
-        const auto code = m_entries[index].process->waitForExit(std::max(end - monotonicNow(), Duration::zero()));
-        if (!code || *code != 0)
-            errors.push_back("edge-" + std::to_string(index) + (code ? " exited with code " + std::to_string(*code) : " did not exit in time") + " after SIGTERM without other faults");
+        const auto [code, text] = waitForShutdown(m_entries[index], end);
+        if (code != 0)
+            errors.push_back({ "edge-" + std::to_string(index) + " " + text + " after SIGTERM without other faults", beginsAt, monotonicNow() });
     }
     for (std::size_t index = first; index < first + count; ++index)
         m_faultPeriods.push_back({ { .kind = FaultKind::ReplaceEntry, .target = index }, beginsAt, monotonicNow() });
@@ -338,18 +347,28 @@
     return lines;
 }
 
-auto SoakFleet::findEntryFailures() -> std::vector<std::string>
+auto SoakFleet::standinOutput() const -> std::vector<std::pair<std::string, std::vector<std::string>>>
+{
+    std::vector<std::pair<std::string, std::vector<std::string>>> output { { "a former backend server", m_endedBackendOutput } };
+    for (const auto& backend : m_backends)
+        output.emplace_back(backend.name, backend.process->output());
+    for (std::size_t index = 0; index < m_links.size(); ++index)
+        output.emplace_back("link " + std::to_string(index), m_links[index].process->output());
+    return output;
+}
+
+auto SoakFleet::findEntryFailures() -> std::vector<EntryFailure>
 {
     auto faults = m_unexpectedExits;
     for (std::size_t index = 0; index < m_entries.size(); ++index) {
         const auto& entry = m_entries[index];
         const auto instance = "edge-" + std::to_string(index);
         if (const auto code = entry.process->waitForExit(Duration::zero()))
-            faults.push_back(instance + " exited unexpectedly with code " + std::to_string(*code));
+            faults.push_back({ instance + " exited unexpectedly with code " + std::to_string(*code) });
         if (const auto memory = peakMemoryKb(entry.process->id()); memory > maxMemoryKb)
-            faults.push_back(instance + " used " + std::to_string(memory) + " kB of memory");
+            faults.push_back({ instance + " used " + std::to_string(memory) + " kB of memory" });
         if (const auto descriptors = openDescriptorCount(entry.process->id()); descriptors > maxDescriptors)
-            faults.push_back(instance + " has " + std::to_string(descriptors) + " open descriptors");
+            faults.push_back({ instance + " has " + std::to_string(descriptors) + " open descriptors" });
     }
     return faults;
 }
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -48,6 +48,13 @@
     TimePoint until = TimePoint::max();
 };
 
+/// An unexpected exit of an entry instance, or a limit that it exceeded, and when.
+struct EntryFailure {
+    std::string text;
+    TimePoint from {};
+    TimePoint until {};
+};
+
 /// Period in which all backend servers were stopped.
 struct PausePeriod {
     TimePoint from {};
@@ -73,7 +80,7 @@
     auto waitUntilReady(Duration timeout) -> bool;
     /// Stops some entry instances with SIGTERM at the same time and starts them again.
     /// @return the errors of the shutdowns, one for each process that did not exit with code 0 in time.
-    auto restartGracefully(std::size_t first, std::size_t count) -> std::vector<std::string>;
+    auto restartGracefully(std::size_t first, std::size_t count) -> std::vector<EntryFailure>;
     auto markLeaving(std::size_t backend, bool isLeaving) -> void;
     /// Writes a new configuration and stops all backend servers for a moment while it takes effect.
     auto pauseBackendsBesideChange(Duration pauseTime) -> PausePeriod;
@@ -106,9 +113,12 @@
     auto faultPeriods() const -> const std::vector<FaultPeriod>& { return m_faultPeriods; }
     /// @return the log lines of all entry instances.
     auto entryLogs() const -> std::vector<std::string>;
+    /// @return the lines of each backend server and link that is running, after its name.
+    auto standinOutput() const -> std::vector<std::pair<std::string, std::vector<std::string>>>;
+    auto threads() -> IoThreads& { return m_threads; }
     /// @return the unexpected exits of entry instances and their exceeded limits on memory and
     /// descriptors.
-    auto findEntryFailures() -> std::vector<std::string>;
+    auto findEntryFailures() -> std::vector<EntryFailure>;
 
     /// Time after a SIGTERM within which an entry instance must exit.
     static constexpr Duration shutdownGracePeriod = std::chrono::seconds(4);
@@ -150,6 +160,9 @@
     auto startBackend(Backend& backend, std::uint16_t port) -> void;
     auto startEntry(Entry& entry) -> void;
     /// Keeps the output of a process that has exited.
+    /// Waits until an instance exits that has got SIGTERM.
+    /// @return its exit code, or the state of its threads if it does not exit in time.
+    static auto waitForShutdown(Entry& entry, TimePoint end) -> std::pair<std::optional<int>, std::string>;
     static auto keepOutput(std::vector<std::string>& lines, std::unique_ptr<ChildProcess> process) -> void;
     /// Keeps the output of a backend server that has exited, and records the time for which it was down if a request
     /// has crashed it.
@@ -180,7 +193,7 @@
     std::vector<Entry> m_entries;
     std::vector<std::string> m_endedBackendOutput;
     std::vector<std::string> m_endedEntryOutput;
-    std::vector<std::string> m_unexpectedExits;
+    std::vector<EntryFailure> m_unexpectedExits;
     std::vector<FaultPeriod> m_faultPeriods;
     std::vector<VersionPeriod> m_versionPeriods;
     /// The backend servers by identifier, including former ones.
--- a/test/soak/SoakFleetFaults.cpp
+++ b/test/soak/SoakFleetFaults.cpp
@@ -88,10 +88,11 @@
         auto& entry = m_entries[index];
         if (fault.kind != FaultKind::KillAllEntries && index != fault.target)
             continue;
-        const auto code = entry.process->waitForExit(shutdownGracePeriod + std::chrono::seconds(1));
+        const auto beginsAt = monotonicNow();
+        const auto [code, text] = waitForShutdown(entry, beginsAt + shutdownGracePeriod + std::chrono::seconds(1));
         // A shutdown during other faults may interrupt requests; the exit code is then 1.
         if (fault.kind == FaultKind::ReplaceEntry && (!code || *code < 0 || *code > 1))
-            m_unexpectedExits.push_back("edge-" + std::to_string(index) + (code ? " exited with code " + std::to_string(*code) : " did not exit in time") + " after SIGTERM");
+            m_unexpectedExits.push_back({ "edge-" + std::to_string(index) + " " + text + " after SIGTERM", beginsAt, monotonicNow() });
         keepOutput(m_endedEntryOutput, std::move(entry.process));
         startEntry(entry);
     }
--- a/test/soak/jayhold-soak.cpp
+++ b/test/soak/jayhold-soak.cpp
@@ -9,6 +9,7 @@
 #include "RequestHistory.h"
 #include "RunLog.h"
 #include "StallMeter.h"
+#include "Stalls.h"
 #include "StreamChecks.h"
 
 #include <algorithm>
@@ -88,6 +89,8 @@
     /// Lines of the entry instances.
     std::vector<std::string> logs;
     std::vector<std::string> runLog;
+    /// For each violation of a time which processes stood still in it; empty for the others.
+    std::vector<std::string> stalls;
 };
 
 auto append(std::vector<Violation>& violations, const std::vector<Violation>& more) -> void
@@ -112,17 +115,37 @@
     return { { "the fleet serves again after its faults", "", std::to_string(served) + " of " + std::to_string(sent) + " requests served" } };
 }
 
+auto describeStallsOf(const RunResult& result, const SoakFleet& fleet, const StallMeter& stallMeter, const std::vector<CallRecord>& calls) -> std::vector<std::string>
+{
+    auto stalls = stallMeter.stalls();
+    std::ranges::move(entryStalls(result.logs), std::back_inserter(stalls));
+    for (const auto& [process, lines] : fleet.standinOutput())
+        std::ranges::move(standinStalls(process, lines), std::back_inserter(stalls));
+    const auto lines = lineTimes(result.logs);
+    std::vector<std::string> descriptions;
+    for (const auto& violation : result.violations) {
+        const auto call = std::ranges::find(calls, violation.request, &CallRecord::request);
+        const auto isOfCall = !violation.request.empty() && call != calls.end();
+        const auto from = isOfCall ? call->sentAt : violation.from;
+        const auto until = isOfCall ? call->endedAt : violation.until;
+        descriptions.push_back(from == TimePoint {} ? "" : describeStalls(stalls, lines, from, until));
+    }
+    return descriptions;
+}
+
 auto runOnce(const Options& options, std::uint64_t seed, const std::vector<PlannedFault>& plan, const FleetSize& size) -> RunResult
 {
     RunResult result;
-    const StallMeter stallMeter;
+    StallMeter stallMeter;
     SoakFleet fleet(options.programs, size);
+    const LoopMonitor storeMonitor(fleet.threads(), stallMeter.recorder("store"));
     if (!fleet.waitUntilReady(recoveryTime))
         result.violations.push_back({ "the fleet becomes ready", "", "before the first fault" });
     std::vector<HttpEndpoint> endpoints;
     for (std::size_t index = 0; index < size.entries; ++index)
         endpoints.push_back(fleet.entryEndpoint(index));
     SoakCallers callers(endpoints, seed);
+    const LoopMonitor callerMonitor(callers.threads(), stallMeter.recorder("callers"));
     callers.start();
     callers.sendCrashingParts(hasCrashingRequests(seed));
     callers.sendCrashingCalls(hasCrashingRequests(seed));
@@ -165,11 +188,12 @@
     append(result.violations, checkPauses(calls, runs, maintenance.pauses));
     append(result.violations, checkLeaving(runs, fleet.backendName(0), maintenance.leavingSince + SoakFleet::maxDeregistrationDelay, faultFreePeriod.until));
     for (const auto& fault : fleet.findEntryFailures())
-        result.violations.push_back({ "entry instances stay alive and within their resource limits", "", fault });
+        result.violations.push_back({ "entry instances stay alive and within their resource limits", "", fault.text, fault.from, fault.until });
     result.calls = calls.size();
     result.successes = static_cast<std::size_t>(std::ranges::count_if(calls, [](const CallRecord& call) { return call.status / 100 == 2; }));
     result.longestStall = stallMeter.longest();
     result.logs = fleet.entryLogs();
+    result.stalls = describeStallsOf(result, fleet, stallMeter, calls);
     if (!options.logs.empty()) {
         const auto crashes = fleet.crashes();
         arrivals.insert(arrivals.end(), crashes.begin(), crashes.end());
@@ -207,9 +231,12 @@
         std::cout << "  " << describe(fault) << '\n';
     std::size_t shown = 0;
     for (const auto& violation : result.violations) {
-        if (++shown > maxViolationsShown)
+        if (shown >= maxViolationsShown)
             break;
+        const auto& stalls = result.stalls[shown++];
         std::cout << "  BROKEN: " << violation.guarantee << (violation.request.empty() ? "" : ": " + violation.request) << (violation.detail.empty() ? "" : ": " + violation.detail) << '\n';
+        if (!stalls.empty())
+            std::cout << "    stood still: " << stalls << '\n';
         if (!violation.request.empty())
             printHistory(result.logs, violation.request);
     }
--- a/test/soak/standin-replica.cpp
+++ b/test/soak/standin-replica.cpp
@@ -78,6 +78,7 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     IoThreads threads(1);
     FakeBackendServer replica(threads, id, FakeBackendServer::Behaviour::Answer, listen);
+    const LoopMonitor loopMonitor(threads, printStall);
     replica.setVersion(version);
     replica.setTiming(std::chrono::milliseconds(10), std::chrono::milliseconds(20));
     replica.onRun([&](const std::string& request, const std::string& stage) { print("run", replica, request, stage, "0"); });
