Let the soak record when the end of a fault kills a backend server

The trace: decode-6 was killed by the release that replaces it at 25.42 s, its replacement and its link needed 0.6 s to start, and the soak recorded the end of the fault only then, so the check found no fault at the time of the break. The time of the kill is now recorded. The check becomes more exact in both directions: breaks at the time at which only the replacement became ready are not excused any more.

The end of the fault now kills the process that runs then.

--- a/test/correctness/SoakChecksTest.cpp
+++ b/test/correctness/SoakChecksTest.cpp
@@ -246,6 +246,13 @@
     CHECK(guarantee(stream, fault(FaultKind::ResetLink, 4)).empty());
     CHECK(guarantee(stream, fault(FaultKind::ReleaseEngine, 4, 500ms, 900ms)).empty());
     CHECK(guarantee(stream, fault(FaultKind::ReleaseEngine, 4, 500ms, 9s)) == broken);
+    // The replacement of a killed engine may take long to start.
+    auto released = fault(FaultKind::ReleaseEngine, 4, 500ms, 9s);
+    released.front().killedAt = start + 900ms;
+    CHECK(guarantee(stream, released).empty());
+    released.front().killedAt = start + 5s;
+    released.front().until = start + 1s;
+    CHECK(guarantee(stream, released) == broken);
     CHECK(guarantee(stream, fault(FaultKind::KillEntry, 0)).empty());
     CHECK(guarantee(stream, fault(FaultKind::KillEntry, 1)) == broken);
     CHECK(guarantee(stream, fault(FaultKind::KillAllEntries, 0)).empty());
--- a/test/soak/FaultPeriod.cpp
+++ b/test/soak/FaultPeriod.cpp
@@ -34,9 +34,10 @@
     if (fault.fault.target != backend)
         return false;
     const auto kind = fault.fault.kind;
-    // The process is killed when the fault ends.
+    // The process is killed when the fault ends, before its replacement starts.
+    const auto killedAt = fault.killedAt.value_or(fault.until);
     if (kind == FaultKind::BackendSaysLeaving || isRelease(kind))
-        return fault.until >= from - faultTolerance && fault.until <= until + faultTolerance;
+        return killedAt >= from - faultTolerance && killedAt <= until + faultTolerance;
     return (kind == FaultKind::KillBackend || kind == FaultKind::CutLink || kind == FaultKind::ResetLink) && isActive(fault, from, until);
 }
 
--- a/test/soak/FaultPeriod.h
+++ b/test/soak/FaultPeriod.h
@@ -4,6 +4,8 @@
 
 #include "FaultPlan.h"
 
+#include <optional>
+
 namespace jayhold::soak {
 
 struct FaultPeriod {
@@ -14,6 +16,8 @@
     bool isPartListed = false;
     /// The same for the plain call that crashes servers.
     bool isCallListed = false;
+    /// When the end of the fault killed its backend server; its replacement is ready at `until`.
+    std::optional<TimePoint> killedAt {};
 };
 
 /// Time before and after a fault in which its effect on connections may be seen.
--- a/test/soak/SoakFleetFaults.cpp
+++ b/test/soak/SoakFleetFaults.cpp
@@ -188,6 +188,7 @@
 auto SoakFleet::endBackendFault(const PlannedFault& fault) -> void
 {
     if (isRelease(fault.kind)) {
+        findActivePeriod(fault).killedAt = monotonicNow();
         replaceEngine(fault.target, fault.kind == FaultKind::ReleaseEngineWithSameId);
         return;
     }
@@ -202,10 +203,11 @@
         backend.process->signal(silenceSignal(false));
     if (fault.kind == FaultKind::FullEngine)
         backend.process->signal(fullSignal(false));
-    if (fault.kind == FaultKind::BackendSaysLeaving)
-        backend.process->signal(SIGKILL);
-    else if (fault.kind != FaultKind::KillBackend)
+    if (fault.kind != FaultKind::BackendSaysLeaving && fault.kind != FaultKind::KillBackend)
         return;
+    // A server that a request had crashed when it was to be killed has been started again.
+    findActivePeriod(fault).killedAt = monotonicNow();
+    backend.process->signal(SIGKILL);
     backend.process->waitForExit(startTimeout);
     keepBackendOutput(backend);
     startBackend(backend, backend.endpoint.port);
