Let servers of the soak send without end, and values fall while all servers pause

New, in each run:

- Three servers whose answers never end (in a head, in a body with a stated length, in an event of a stream) are listed for 4 s.
Checked: each of them gets requests, no instance uses more than its 64 MB (VmRSS every 50 ms), and 95 in 100 of the calls that did not reach them are served.
A stream whose last run was at such a server may be broken off; one that moved on may not.
- All servers pause for 1 to 1.6 s; at some time in it a configuration takes effect whose route time limit falls from 3 s to 1.8 s and whose header and body limits and header time fall.
The checks for answers hold throughout: requests that were sent before keep the time of their caller, later ones must not end before 1.8 s. idleTimeoutMs does not fall, because a request that crosses the close of an idle connection cannot be told from one that was read by what a caller sees.

The window of the check for recovery ends at the begin of the first of these times, where the planned work began before; it has the same length.

--- a/cmake/soak.cmake
+++ b/cmake/soak.cmake
@@ -2,15 +2,18 @@
 target_include_directories(standin-replica PRIVATE test test/soak)
 target_link_libraries(standin-replica PRIVATE jayhold_standins)
 
+add_executable(standin-endless test/soak/standin-endless.cpp)
+target_link_libraries(standin-endless PRIVATE jayhold_standins)
+
 # What the soak shares with the test of its checks.
-add_library(jayhold_soak_parts STATIC test/soak/FaultPeriod.cpp test/soak/FaultPlan.cpp test/soak/NoticeChecks.cpp test/soak/PartChecks.cpp test/soak/SoakCallers.cpp test/soak/SoakChecks.cpp
+add_library(jayhold_soak_parts STATIC test/soak/EndlessChecks.cpp test/soak/FaultPeriod.cpp test/soak/FaultPlan.cpp test/soak/NoticeChecks.cpp test/soak/PartChecks.cpp test/soak/SoakCallers.cpp test/soak/SoakChecks.cpp
   test/soak/SoakFleet.cpp test/soak/SoakFleetFaults.cpp test/soak/Stalls.cpp test/soak/StreamChecks.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp)
 target_include_directories(jayhold_soak_parts PUBLIC test test/soak)
 target_link_libraries(jayhold_soak_parts PUBLIC jayhold_entry jayhold_scenario)
 
 add_executable(jayhold-soak test/soak/jayhold-soak.cpp test/soak/PlannedMaintenance.cpp test/soak/RunLog.cpp test/soak/StallMeter.cpp)
 target_link_libraries(jayhold-soak PRIVATE jayhold_soak_parts)
-add_dependencies(jayhold-soak jayhold-entry standin-link standin-replica)
+add_dependencies(jayhold-soak jayhold-entry standin-endless standin-link standin-replica)
 
 # A short run, and each seed that has ever failed, with the duration of its fault injection in
 # seconds and the number of its entry instances.
--- a/test/correctness/SoakChecksTest.cpp
+++ b/test/correctness/SoakChecksTest.cpp
@@ -1,3 +1,4 @@
+#include "EndlessChecks.h"
 #include "NoticeChecks.h"
 
 #include <catch2/catch.hpp>
@@ -48,6 +49,12 @@
     auto expired = call("a", CallKind::IdempotentGet, 0);
     expired.endedAt = expired.sentAt + callerTimeout;
     CHECK(violatedGuarantees(expired, 1, faultFreePeriod).empty());
+    // The route's time limit may be lower than that of the caller.
+    auto limited = call("a", CallKind::ResumableStream, 0);
+    limited.timeLimit = 1'100ms;
+    CHECK(violatedGuarantees(limited, 1, faultFreePeriod) == std::set<std::string> { "planned work and short pauses of servers cut no request" });
+    limited.endedAt = limited.sentAt + limited.timeLimit;
+    CHECK(violatedGuarantees(limited, 1, faultFreePeriod).empty());
     // A request that nobody answers ends only when its caller gives up.
     expired.endedAt = expired.sentAt + 5s;
     CHECK(violatedGuarantees(expired, 1, faultFreePeriod) == std::set<std::string> { "planned work and short pauses of servers cut no request" });
@@ -264,6 +271,15 @@
     CHECK(guarantee(stream, fault(FaultKind::ReplaceEntry, 0, -2'400ms, 900ms)) == broken);
     CHECK(guarantee(stream, fault(FaultKind::ReplaceEntry, 1, -2'400ms, 1'100ms)) == broken);
     CHECK(guarantee(stream, fault(FaultKind::KillBackend, 0, -2'400ms, 1'100ms)) == broken);
+    auto limited = stream;
+    limited.timeLimit = 1'100ms;
+    CHECK(guarantee(limited) == broken);
+    limited.timeLimit = 900ms;
+    CHECK(guarantee(limited).empty());
+    // A stream that another engine took up after one without end must not be broken off there.
+    const std::vector<BackendRun> moved { { "a", "decode-4", false, start + 200ms, "1", 4 }, { "a", "endless-event", false, start, "2", 7 } };
+    CHECK(checkAnswers(std::span(&stream, 1), moved, {}).size() == 1);
+    CHECK(checkAnswers(std::span(&stream, 1), std::span(moved).last(1), {}).empty());
     auto ended = stream;
     ended.endedAt = ended.sentAt + callerTimeout;
     CHECK(guarantee(ended).empty());
@@ -306,3 +322,26 @@
     CHECK(kinds.size() == static_cast<std::size_t>(FaultKind::Count));
     CHECK(overlapping > 100);
 }
+
+// Guards against a soak that passes although bytes without end fill the memory of an instance, keep it from serving other
+// callers, or reach no instance at all.
+TEST_CASE("the effects of bytes without end are found")
+{
+    const auto guarantees = [](std::span<const CallRecord> calls, std::span<const BackendRun> runs, std::int64_t memory) {
+        std::set<std::string> found;
+        for (const auto& violation : checkEndless(calls, runs, { start, start + 2s, { 1'000, memory } }))
+            found.insert(violation.guarantee);
+        return found;
+    };
+    std::vector<CallRecord> calls(20, call("a", CallKind::IdempotentGet, 200));
+    calls.push_back(call("cut", CallKind::NonIdempotentPost, 504));
+    std::vector<BackendRun> runs { { "cut", "endless-head", false, start }, { "cut", "endless-body", false, start }, { "cut", "endless-event", false, start } };
+    CHECK(guarantees(calls, runs, maxMemoryKb).empty());
+    CHECK(guarantees(calls, runs, maxMemoryKb + 1) == std::set<std::string> { "bytes without end take a bounded part of the memory" });
+    CHECK(guarantees(calls, std::span(runs).first(2), 0) == std::set<std::string> { "each server that sends without end gets requests" });
+    calls[0].status = 503;
+    CHECK(guarantees(calls, runs, 0).empty());
+    calls[1].status = 0;
+    CHECK(guarantees(calls, runs, 0) == std::set<std::string> { "other callers are served beside bytes without end" });
+    CHECK(guarantees({}, runs, 0) == std::set<std::string> { "other callers are served beside bytes without end" });
+}
--- a/test/soak/PlannedMaintenance.cpp
+++ b/test/soak/PlannedMaintenance.cpp
@@ -59,6 +59,25 @@
     return std::move(history.violations);
 }
 
+/// Lets all backend servers pause beside a configuration with lower values, which ends no request that was read without
+/// an answer, and raises the values again.
+auto lowerValues(SoakFleet& fleet, MaintenanceRecord& record, std::mt19937_64& random) -> void
+{
+    constexpr Duration minPause = milliseconds(1'000);
+    constexpr std::uint64_t pauseVariants = 600;
+    // The requests that an earlier pause has delayed must end first, because their check knows no lower limits.
+    std::this_thread::sleep_for(callerTimeout);
+    const auto pauseTime = minPause + milliseconds(random() % pauseVariants);
+    const auto changeTime = milliseconds(random() % std::chrono::duration_cast<milliseconds>(pauseTime).count());
+    record.lowValues.from = fleet.pauseBackendsBesideLowerValues(pauseTime, changeTime).from;
+    std::this_thread::sleep_for(maxPropagationTime);
+    for (const auto& entry : fleet.findOutdatedEntries())
+        record.violations.push_back({ "a configuration is active everywhere in time", "", entry, monotonicNow() - maxPropagationTime, monotonicNow() });
+    fleet.raiseValues();
+    std::this_thread::sleep_for(maxPropagationTime);
+    record.lowValues.until = monotonicNow();
+}
+
 }
 
 auto performPlannedMaintenance(SoakFleet& fleet, const FleetSize& size, std::uint64_t seed) -> MaintenanceRecord
@@ -75,6 +94,7 @@
         for (const auto& entry : fleet.findOutdatedEntries())
             record.violations.push_back({ "a configuration is active everywhere in time", "", entry, monotonicNow() - maxPropagationTime, monotonicNow() });
     }
+    lowerValues(fleet, record, random);
     fleet.markLeaving(0, true);
     record.leavingSince = monotonicNow();
     const auto groupSize = std::max<std::size_t>(1, size.entries / restartGroups);
--- a/test/soak/PlannedMaintenance.h
+++ b/test/soak/PlannedMaintenance.h
@@ -16,6 +16,8 @@
 struct MaintenanceRecord {
     FaultFreePeriod faultFreePeriod;
     std::vector<PausePeriod> pauses;
+    /// Time in which requests may be sent that the low values of a configuration concern.
+    PausePeriod lowValues;
     /// Since when the first backend server is leaving.
     TimePoint leavingSince {};
     std::vector<Violation> violations;
--- a/test/soak/SoakCallers.h
+++ b/test/soak/SoakCallers.h
@@ -62,6 +62,8 @@
     std::vector<StreamEvent> events;
     /// Whether the header of a successful response arrived.
     bool hasBegun = false;
+    /// The request may be ended this long after it was sent: the time of its caller, or that of its route if that is less.
+    Duration timeLimit = callerTimeout;
     /// Whether the caller closed the connection before the end of the response.
     bool wasReset = false;
 };
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -8,6 +8,7 @@
 #include "FaultPeriod.h"
 #include "ScenarioClient.h"
 
+#include <array>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -48,6 +49,18 @@
     TimePoint until = TimePoint::max();
 };
 
+/// The time limit of the routes while the values of the configuration are low. More than the longest pause of all
+/// servers and less than callerTimeout, so that it ends requests that the pause delays.
+inline constexpr std::chrono::milliseconds lowRouteTimeout { 1'800 };
+
+/// The smallest machine has 88 MB. An instance may use 64 MB, as docs/CAPACITY.md says.
+inline constexpr std::int64_t maxMemoryKb = 65'536;
+
+/// Begins the names of the backend servers whose answers never end.
+inline constexpr std::string_view endlessPrefix = "endless-";
+/// The parts of an answer that never end; one server for each.
+inline constexpr std::array<std::string_view, 3> endlessParts { "head", "body", "event" };
+
 /// An unexpected exit of an entry instance, or a limit that it exceeded, and when.
 struct EntryFailure {
     std::string text;
@@ -84,6 +97,11 @@
     auto markLeaving(std::size_t backend, bool isLeaving) -> void;
     /// Writes a new configuration and stops all backend servers for a moment while it takes effect.
     auto pauseBackendsBesideChange(Duration pauseTime) -> PausePeriod;
+    /// Stops all backend servers, writes a configuration with lower time limits and sizes, and lets them go on.
+    /// @param changeTime time from the beginning of the pause until the change.
+    auto pauseBackendsBesideLowerValues(Duration pauseTime, Duration changeTime) -> PausePeriod;
+    /// Writes a configuration with the usual values.
+    auto raiseValues() -> void;
     /// Writes a configuration with a higher version and one more route.
     auto putConfiguration() -> void;
     /// @return for each entry instance the version of its active configuration, or the version of the last call if
@@ -100,6 +118,12 @@
     auto saveStoreCopy() -> void { m_store.saveCopy(); }
     /// Restores the store; its other writers then write their objects again.
     auto restoreStore() -> void;
+    /// Starts backend servers whose answers never end, in a head, in a body and in an event of a stream, and lists them.
+    auto startEndlessBackends() -> void;
+    /// Removes them from the list; their processes go on until the end of the run, so that nothing takes it for a crash.
+    auto removeEndlessBackends() -> void;
+    /// @return the memory in kB that each entry instance uses now; 0 if its process has exited.
+    auto memoryOfEntries() -> std::vector<std::int64_t>;
     auto backendName(std::size_t index) const -> const std::string& { return m_backends[index].name; }
 
     /// @return the runs of all backend servers, including killed ones.
@@ -169,6 +193,7 @@
     auto keepBackendOutput(Backend& backend) -> void;
     auto parseRuns(std::span<const std::string> lines, std::string_view event) const -> std::vector<BackendRun>;
     auto registerBackend(std::size_t index) -> void;
+    auto putServer(const Backend& backend, const HttpEndpoint& address) -> void;
     auto writeConfiguration() -> void;
     auto setLinkFaults(std::size_t index, const std::string& faults) -> void;
     auto beginEntryFault(const PlannedFault& fault) -> void;
@@ -189,6 +214,7 @@
     FakeObjectStore m_store { m_threads };
     ScenarioClient m_client;
     std::vector<Backend> m_backends;
+    std::vector<Backend> m_endlessBackends;
     std::vector<Link> m_links;
     std::vector<Entry> m_entries;
     std::vector<std::string> m_endedBackendOutput;
@@ -199,6 +225,7 @@
     /// The backend servers by identifier, including former ones.
     std::map<std::string, std::size_t, std::less<>> m_backendIndexes;
     int m_configurationVersion = 0;
+    bool m_hasLowValues = false;
     std::int64_t m_backendStartCount = 0;
 };
 
--- a/test/soak/SoakFleetFaults.cpp
+++ b/test/soak/SoakFleetFaults.cpp
@@ -38,6 +38,27 @@
     return pause;
 }
 
+auto SoakFleet::pauseBackendsBesideLowerValues(Duration pauseTime, Duration changeTime) -> PausePeriod
+{
+    PausePeriod pause { monotonicNow(), {} };
+    for (const auto& backend : m_backends)
+        backend.process->signal(SIGSTOP);
+    std::this_thread::sleep_for(changeTime);
+    m_hasLowValues = true;
+    putConfiguration();
+    std::this_thread::sleep_for(pauseTime - changeTime);
+    for (const auto& backend : m_backends)
+        backend.process->signal(SIGCONT);
+    pause.until = monotonicNow();
+    return pause;
+}
+
+auto SoakFleet::raiseValues() -> void
+{
+    m_hasLowValues = false;
+    putConfiguration();
+}
+
 auto SoakFleet::setLinkFaults(std::size_t index, const std::string& faults) -> void
 {
     const auto response = m_client.call(m_links[index].admin, "PUT", "/admin/faults", faults);
