Answer the requests that were read before a drain that stood still exits

Cause: the drain compares the time with the end of exchanges and of the process before it has looked whether answers have arrived. A process that got no processor until after these times woke up, ended all exchanges, found that their time was over too, logged "drained" with complete=false and exited in the same millisecond. Answers that had arrived meanwhile were lost, and so were the ones for an unknown outcome.

Evidence: PausedDrainTest stops a process with a grace period of 1 s 20 ms after SIGTERM and lets it go on 0.98 s later.

Fix: each of the two waits of a drain lasts at least 50 ms after the process stood still, in both deployments. A drain on time ends as before; one that was late ends at most 100 ms after the process ran again.

Ruled out by the same test: "stopped" follows "drained" within 1 ms, so neither the join of the threads nor the destructors delay the exit.

--- a/cmake/soak.cmake
+++ b/cmake/soak.cmake
@@ -27,3 +27,9 @@
 jayhold_test(soak_checks_test
   SOURCES test/correctness/SoakChecksTest.cpp test/correctness/PartChecksTest.cpp test/correctness/StallsTest.cpp test/correctness/StreamChecksTest.cpp
   LINK jayhold_soak_parts)
+
+jayhold_test(paused_drain_test
+  SOURCES test/error/PausedDrainTest.cpp
+  LINK jayhold_soak_parts)
+target_compile_definitions(paused_drain_test PRIVATE JAYHOLD_ENTRY="$<TARGET_FILE:jayhold-entry>")
+add_dependencies(paused_drain_test jayhold-entry)
--- a/src/EntryDaemonDrain.cpp
+++ b/src/EntryDaemonDrain.cpp
@@ -2,6 +2,7 @@
 
 #include "AwaitToken.h"
 #include "DrainTimes.h"
+#include "DrainWait.h"
 #include "Tasks.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -13,7 +14,6 @@
 
 namespace {
 
-constexpr auto drainCheckInterval = std::chrono::milliseconds(20);
 /// Time for two rounds of gossip, within which the peers learn that this instance is leaving and take over
 /// its partitions.
 constexpr auto handoverTime = std::chrono::milliseconds(1'200);
@@ -60,12 +60,9 @@
 auto EntryDaemon::State::awaitOpenRequests() -> asio::awaitable<bool>
 {
     const auto times = drainTimes(monotonicNow(), settings.drainTimeout);
-    asio::steady_timer timer(threads->context(0));
-    while (callerServer->activeExchanges() > 0 && monotonicNow() < times.exchangesEndAt)
-        co_await pause(timer, drainCheckInterval);
+    co_await awaitExchanges(*callerServer, times.exchangesEndAt);
     callerServer->endOpenExchanges();
-    while (callerServer->activeExchanges() > 0 && monotonicNow() < times.exitAt)
-        co_await pause(timer, drainCheckInterval);
+    co_await awaitExchanges(*callerServer, times.exitAt);
     co_return callerServer->activeExchanges() == 0 && callerServer->endedExchanges() == 0;
 }
 
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -4,6 +4,7 @@
 #include "ConnectionLog.h"
 #include "DisabledAtMostOnceRecords.h"
 #include "DrainTimes.h"
+#include "DrainWait.h"
 #include "ForwardApi.h"
 #include "HttpServer.h"
 #include "LoadExchange.h"
@@ -34,7 +35,6 @@
 /// the change repeats it in each load message while it lasts.
 constexpr Duration roleChangeTtl = std::chrono::seconds(2);
 constexpr Duration logFlushInterval = std::chrono::milliseconds(200);
-constexpr auto drainCheckInterval = std::chrono::milliseconds(20);
 /// This fraction (1/16) of the drain time is reserved for the exit of the process itself. It is small, because the
 /// platform tolerates ended requests only in the last sixth of that time.
 constexpr int drainReserveDivisor = 16;
@@ -329,11 +329,9 @@
         // read.
         callerServer->stopAccepting();
         callerServer->closeIdleConnections();
-        while (callerServer->activeExchanges() > 0 && monotonicNow() < times.exchangesEndAt)
-            co_await pause(drainCheckInterval);
+        co_await awaitExchanges(*callerServer, times.exchangesEndAt);
         callerServer->endOpenExchanges();
-        while (callerServer->activeExchanges() > 0 && monotonicNow() < times.exitAt)
-            co_await pause(drainCheckInterval);
+        co_await awaitExchanges(*callerServer, times.exitAt);
         const auto remaining = callerServer->activeExchanges();
         const auto ended = callerServer->endedExchanges();
         const auto isComplete = remaining == 0 && ended == 0;
