--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -4,9 +4,11 @@
 #include "ConnectionLog.h"
 #include "DisabledAtMostOnceRecords.h"
 #include "DrainTimes.h"
+#include "DrainWait.h"
 #include "ForwardApi.h"
 #include "HttpServer.h"
 #include "LoadExchange.h"
+#include "LoopMonitor.h"
 #include "Pause.h"
 #include "RoleBalancer.h"
 #include "RouterHttpSettings.h"
@@ -33,7 +35,6 @@
 /// the change repeats it in each load message while it lasts.
 constexpr Duration roleChangeTtl = std::chrono::seconds(2);
 constexpr Duration logFlushInterval = std::chrono::milliseconds(200);
-constexpr auto drainCheckInterval = std::chrono::milliseconds(20);
 /// This fraction (1/16) of the drain time is reserved for the exit of the process itself. It is small, because the
 /// platform tolerates ended requests only in the last sixth of that time.
 constexpr int drainReserveDivisor = 16;
@@ -285,6 +286,8 @@
             { "jayhold_store_history", "History of the store; each restore from an older copy increases it. 0 if the store names none.", static_cast<double>(summary.storeHistory) },
             { "jayhold_backends_said_leaving_total", "Processes of backend servers that have said in an answer that they are leaving.", static_cast<double>(summary.leavingByAnswer), true },
             { "jayhold_memory_pieces_reserved", "Engine memory that this instance has reserved, in pieces.", reservedMemoryBlocks },
+            { "jayhold_loop_stalls_total", "How often an I/O thread ran no handler for more than 250 ms.", static_cast<double>(loopMonitor.stalls()), true },
+            { "jayhold_loop_stalled_seconds_total", "The sum of these times.", std::chrono::duration<double>(loopMonitor.stalledTime()).count(), true },
             { "jayhold_log_lines_left_out_total", "Log lines left out for their rate or because the output was not read.", static_cast<double>(log.droppedLines() + droppedLogLines()), true },
         };
         samples.insert(samples.end(), std::begin(own), std::end(own));
@@ -326,11 +329,9 @@
         // read.
         callerServer->stopAccepting();
         callerServer->closeIdleConnections();
-        while (callerServer->activeExchanges() > 0 && monotonicNow() < times.exchangesEndAt)
-            co_await pause(drainCheckInterval);
+        co_await awaitExchanges(*callerServer, times.exchangesEndAt);
         callerServer->endOpenExchanges();
-        while (callerServer->activeExchanges() > 0 && monotonicNow() < times.exitAt)
-            co_await pause(drainCheckInterval);
+        co_await awaitExchanges(*callerServer, times.exitAt);
         const auto remaining = callerServer->activeExchanges();
         const auto ended = callerServer->endedExchanges();
         const auto isComplete = remaining == 0 && ended == 0;
@@ -343,6 +344,7 @@
     PlatformAdapter adapter;
     EventLog log;
     IoThreads threads;
+    const LoopMonitor loopMonitor { threads, [this](const LoopStall& stall) { log.record(LogLevel::Warning, "loop_stalled", describe(stall)); } };
     EntryContext context;
     DisabledAtMostOnceRecords records;
     ServiceTable services;
--- a/test/soak/PlannedMaintenance.cpp
+++ b/test/soak/PlannedMaintenance.cpp
@@ -55,10 +55,29 @@
     fleet.putConfiguration();
     monitorVersions(history, fleet, maxPropagationTime);
     for (const auto& entry : fleet.findOutdatedEntries())
-        history.violations.push_back({ "a configuration is active everywhere in time after a restore of the store", "", entry });
+        history.violations.push_back({ "a configuration is active everywhere in time after a restore of the store", "", entry, monotonicNow() - maxPropagationTime, monotonicNow() });
     return std::move(history.violations);
 }
 
+/// Lets all backend servers pause beside a configuration with lower values, which ends no request that was read without
+/// an answer, and raises the values again.
+auto lowerValues(SoakFleet& fleet, MaintenanceRecord& record, std::mt19937_64& random) -> void
+{
+    constexpr Duration minPause = milliseconds(1'000);
+    constexpr std::uint64_t pauseVariants = 600;
+    // The requests that an earlier pause has delayed must end first, because their check knows no lower limits.
+    std::this_thread::sleep_for(callerTimeout);
+    const auto pauseTime = minPause + milliseconds(random() % pauseVariants);
+    const auto changeTime = milliseconds(random() % std::chrono::duration_cast<milliseconds>(pauseTime).count());
+    record.lowValues.from = fleet.pauseBackendsBesideLowerValues(pauseTime, changeTime).from;
+    std::this_thread::sleep_for(maxPropagationTime);
+    for (const auto& entry : fleet.findOutdatedEntries())
+        record.violations.push_back({ "a configuration is active everywhere in time", "", entry, monotonicNow() - maxPropagationTime, monotonicNow() });
+    fleet.raiseValues();
+    std::this_thread::sleep_for(maxPropagationTime);
+    record.lowValues.until = monotonicNow();
+}
+
 }
 
 auto performPlannedMaintenance(SoakFleet& fleet, const FleetSize& size, std::uint64_t seed) -> MaintenanceRecord
@@ -73,17 +92,18 @@
         record.pauses.push_back(fleet.pauseBackendsBesideChange(backendPause));
         std::this_thread::sleep_for(maxPropagationTime - backendPause);
         for (const auto& entry : fleet.findOutdatedEntries())
-            record.violations.push_back({ "a configuration is active everywhere in time", "", entry });
+            record.violations.push_back({ "a configuration is active everywhere in time", "", entry, monotonicNow() - maxPropagationTime, monotonicNow() });
     }
+    lowerValues(fleet, record, random);
     fleet.markLeaving(0, true);
     record.leavingSince = monotonicNow();
     const auto groupSize = std::max<std::size_t>(1, size.entries / restartGroups);
     for (std::size_t first = 0; first < size.entries; first += groupSize) {
         const auto count = std::min(groupSize, size.entries - first);
         for (const auto& problem : fleet.restartGracefully(first, count))
-            record.violations.push_back({ "an entry instance shuts down gracefully", "", problem });
+            record.violations.push_back({ "an entry instance shuts down gracefully", "", problem.text, problem.from, problem.until });
         if (!fleet.waitUntilReady(recoveryTime))
-            record.violations.push_back({ "a restarted entry instance becomes ready", "", "edge-" + std::to_string(first) + " and " + std::to_string(count - 1) + " others" });
+            record.violations.push_back({ "a restarted entry instance becomes ready", "", "edge-" + std::to_string(first) + " and " + std::to_string(count - 1) + " others", monotonicNow() - recoveryTime, monotonicNow() });
     }
     std::this_thread::sleep_for(SoakFleet::maxDeregistrationDelay);
     record.faultFreePeriod.until = monotonicNow();
--- a/test/soak/SoakFleet.h
+++ b/test/soak/SoakFleet.h
@@ -8,6 +8,7 @@
 #include "FaultPeriod.h"
 #include "ScenarioClient.h"
 
+#include <array>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -48,6 +49,25 @@
     TimePoint until = TimePoint::max();
 };
 
+/// The time limit of the routes while the values of the configuration are low. More than the longest pause of all
+/// servers and less than callerTimeout, so that it ends requests that the pause delays.
+inline constexpr std::chrono::milliseconds lowRouteTimeout { 1'800 };
+
+/// The smallest machine has 88 MB. An instance may use 64 MB, as docs/CAPACITY.md says.
+inline constexpr std::int64_t maxMemoryKb = 65'536;
+
+/// Begins the names of the backend servers whose answers never end.
+inline constexpr std::string_view endlessPrefix = "endless-";
+/// The parts of an answer that never end; one server for each.
+inline constexpr std::array<std::string_view, 3> endlessParts { "head", "body", "event" };
+
+/// An unexpected exit of an entry instance, or a limit that it exceeded, and when.
+struct EntryFailure {
+    std::string text;
+    TimePoint from {};
+    TimePoint until {};
+};
+
 /// Period in which all backend servers were stopped.
 struct PausePeriod {
     TimePoint from {};
@@ -73,10 +93,15 @@
     auto waitUntilReady(Duration timeout) -> bool;
     /// Stops some entry instances with SIGTERM at the same time and starts them again.
     /// @return the errors of the shutdowns, one for each process that did not exit with code 0 in time.
-    auto restartGracefully(std::size_t first, std::size_t count) -> std::vector<std::string>;
+    auto restartGracefully(std::size_t first, std::size_t count) -> std::vector<EntryFailure>;
     auto markLeaving(std::size_t backend, bool isLeaving) -> void;
     /// Writes a new configuration and stops all backend servers for a moment while it takes effect.
     auto pauseBackendsBesideChange(Duration pauseTime) -> PausePeriod;
+    /// Stops all backend servers, writes a configuration with lower time limits and sizes, and lets them go on.
+    /// @param changeTime time from the beginning of the pause until the change.
+    auto pauseBackendsBesideLowerValues(Duration pauseTime, Duration changeTime) -> PausePeriod;
+    /// Writes a configuration with the usual values.
+    auto raiseValues() -> void;
     /// Writes a configuration with a higher version and one more route.
     auto putConfiguration() -> void;
     /// @return for each entry instance the version of its active configuration, or the version of the last call if
@@ -93,6 +118,12 @@
     auto saveStoreCopy() -> void { m_store.saveCopy(); }
     /// Restores the store; its other writers then write their objects again.
     auto restoreStore() -> void;
+    /// Starts backend servers whose answers never end, in a head, in a body and in an event of a stream, and lists them.
+    auto startEndlessBackends() -> void;
+    /// Removes them from the list; their processes go on until the end of the run, so that nothing takes it for a crash.
+    auto removeEndlessBackends() -> void;
+    /// @return the memory in kB that each entry instance uses now; 0 if its process has exited.
+    auto memoryOfEntries() -> std::vector<std::int64_t>;
     auto backendName(std::size_t index) const -> const std::string& { return m_backends[index].name; }
 
     /// @return the runs of all backend servers, including killed ones.
@@ -106,9 +137,12 @@
     auto faultPeriods() const -> const std::vector<FaultPeriod>& { return m_faultPeriods; }
     /// @return the log lines of all entry instances.
     auto entryLogs() const -> std::vector<std::string>;
+    /// @return the lines of each backend server and link that is running, after its name.
+    auto standinOutput() const -> std::vector<std::pair<std::string, std::vector<std::string>>>;
+    auto threads() -> IoThreads& { return m_threads; }
     /// @return the unexpected exits of entry instances and their exceeded limits on memory and
     /// descriptors.
-    auto findEntryFailures() -> std::vector<std::string>;
+    auto findEntryFailures() -> std::vector<EntryFailure>;
 
     /// Time after a SIGTERM within which an entry instance must exit.
     static constexpr Duration shutdownGracePeriod = std::chrono::seconds(4);
@@ -150,12 +184,16 @@
     auto startBackend(Backend& backend, std::uint16_t port) -> void;
     auto startEntry(Entry& entry) -> void;
     /// Keeps the output of a process that has exited.
+    /// Waits until an instance exits that has got SIGTERM.
+    /// @return its exit code, or the state of its threads if it does not exit in time.
+    static auto waitForShutdown(Entry& entry, TimePoint end) -> std::pair<std::optional<int>, std::string>;
     static auto keepOutput(std::vector<std::string>& lines, std::unique_ptr<ChildProcess> process) -> void;
     /// Keeps the output of a backend server that has exited, and records the time for which it was down if a request
     /// has crashed it.
     auto keepBackendOutput(Backend& backend) -> void;
     auto parseRuns(std::span<const std::string> lines, std::string_view event) const -> std::vector<BackendRun>;
     auto registerBackend(std::size_t index) -> void;
+    auto putServer(const Backend& backend, const HttpEndpoint& address) -> void;
     auto writeConfiguration() -> void;
     auto setLinkFaults(std::size_t index, const std::string& faults) -> void;
     auto beginEntryFault(const PlannedFault& fault) -> void;
@@ -176,16 +214,18 @@
     FakeObjectStore m_store { m_threads };
     ScenarioClient m_client;
     std::vector<Backend> m_backends;
+    std::vector<Backend> m_endlessBackends;
     std::vector<Link> m_links;
     std::vector<Entry> m_entries;
     std::vector<std::string> m_endedBackendOutput;
     std::vector<std::string> m_endedEntryOutput;
-    std::vector<std::string> m_unexpectedExits;
+    std::vector<EntryFailure> m_unexpectedExits;
     std::vector<FaultPeriod> m_faultPeriods;
     std::vector<VersionPeriod> m_versionPeriods;
     /// The backend servers by identifier, including former ones.
     std::map<std::string, std::size_t, std::less<>> m_backendIndexes;
     int m_configurationVersion = 0;
+    bool m_hasLowValues = false;
     std::int64_t m_backendStartCount = 0;
 };
 
--- a/test/soak/SoakFleetFaults.cpp
+++ b/test/soak/SoakFleetFaults.cpp
@@ -38,6 +38,27 @@
     return pause;
 }
 
+auto SoakFleet::pauseBackendsBesideLowerValues(Duration pauseTime, Duration changeTime) -> PausePeriod
+{
+    PausePeriod pause { monotonicNow(), {} };
+    for (const auto& backend : m_backends)
+        backend.process->signal(SIGSTOP);
+    std::this_thread::sleep_for(changeTime);
+    m_hasLowValues = true;
+    putConfiguration();
+    std::this_thread::sleep_for(pauseTime - changeTime);
+    for (const auto& backend : m_backends)
+        backend.process->signal(SIGCONT);
+    pause.until = monotonicNow();
+    return pause;
+}
+
+auto SoakFleet::raiseValues() -> void
+{
+    m_hasLowValues = false;
+    putConfiguration();
+}
+
 auto SoakFleet::setLinkFaults(std::size_t index, const std::string& faults) -> void
 {
     const auto response = m_client.call(m_links[index].admin, "PUT", "/admin/faults", faults);
@@ -88,10 +109,11 @@
         auto& entry = m_entries[index];
         if (fault.kind != FaultKind::KillAllEntries && index != fault.target)
             continue;
-        const auto code = entry.process->waitForExit(shutdownGracePeriod + std::chrono::seconds(1));
+        const auto beginsAt = monotonicNow();
+        const auto [code, text] = waitForShutdown(entry, beginsAt + shutdownGracePeriod + std::chrono::seconds(1));
         // A shutdown during other faults may interrupt requests; the exit code is then 1.
         if (fault.kind == FaultKind::ReplaceEntry && (!code || *code < 0 || *code > 1))
-            m_unexpectedExits.push_back("edge-" + std::to_string(index) + (code ? " exited with code " + std::to_string(*code) : " did not exit in time") + " after SIGTERM");
+            m_unexpectedExits.push_back({ "edge-" + std::to_string(index) + " " + text + " after SIGTERM", beginsAt, monotonicNow() });
         keepOutput(m_endedEntryOutput, std::move(entry.process));
         startEntry(entry);
     }
@@ -187,6 +209,7 @@
 auto SoakFleet::endBackendFault(const PlannedFault& fault) -> void
 {
     if (isRelease(fault.kind)) {
+        findActivePeriod(fault).killedAt = monotonicNow();
         replaceEngine(fault.target, fault.kind == FaultKind::ReleaseEngineWithSameId);
         return;
     }
@@ -201,10 +224,11 @@
         backend.process->signal(silenceSignal(false));
     if (fault.kind == FaultKind::FullEngine)
         backend.process->signal(fullSignal(false));
-    if (fault.kind == FaultKind::BackendSaysLeaving)
-        backend.process->signal(SIGKILL);
-    else if (fault.kind != FaultKind::KillBackend)
+    if (fault.kind != FaultKind::BackendSaysLeaving && fault.kind != FaultKind::KillBackend)
         return;
+    // A server that a request had crashed when it was to be killed has been started again.
+    findActivePeriod(fault).killedAt = monotonicNow();
+    backend.process->signal(SIGKILL);
     backend.process->waitForExit(startTimeout);
     keepBackendOutput(backend);
     startBackend(backend, backend.endpoint.port);
--- a/test/soak/jayhold-soak.cpp
+++ b/test/soak/jayhold-soak.cpp
@@ -1,6 +1,7 @@
 // Runs the real programs on one machine under random faults and checks the guarantees of the
 // platform deployment during and after the faults.
 #include "CommandLine.h"
+#include "EndlessChecks.h"
 #include "LogLine.h"
 #include "LogParser.h"
 #include "NoticeChecks.h"
@@ -9,6 +10,7 @@
 #include "RequestHistory.h"
 #include "RunLog.h"
 #include "StallMeter.h"
+#include "Stalls.h"
 #include "StreamChecks.h"
 
 #include <algorithm>
@@ -85,9 +87,13 @@
     std::size_t calls = 0;
     std::size_t successes = 0;
     Duration longestStall {};
+    /// The most memory in kB that an instance used beside bytes without end.
+    std::int64_t peakMemory = 0;
     /// Lines of the entry instances.
     std::vector<std::string> logs;
     std::vector<std::string> runLog;
+    /// For each violation of a time which processes stood still in it; empty for the others.
+    std::vector<std::string> stalls;
 };
 
 auto append(std::vector<Violation>& violations, const std::vector<Violation>& more) -> void
@@ -112,17 +118,37 @@
     return { { "the fleet serves again after its faults", "", std::to_string(served) + " of " + std::to_string(sent) + " requests served" } };
 }
 
+auto describeStallsOf(const RunResult& result, const SoakFleet& fleet, const StallMeter& stallMeter, const std::vector<CallRecord>& calls) -> std::vector<std::string>
+{
+    auto stalls = stallMeter.stalls();
+    std::ranges::move(entryStalls(result.logs), std::back_inserter(stalls));
+    for (const auto& [process, lines] : fleet.standinOutput())
+        std::ranges::move(standinStalls(process, lines), std::back_inserter(stalls));
+    const auto lines = lineTimes(result.logs);
+    std::vector<std::string> descriptions;
+    for (const auto& violation : result.violations) {
+        const auto call = std::ranges::find(calls, violation.request, &CallRecord::request);
+        const auto isOfCall = !violation.request.empty() && call != calls.end();
+        const auto from = isOfCall ? call->sentAt : violation.from;
+        const auto until = isOfCall ? call->endedAt : violation.until;
+        descriptions.push_back(from == TimePoint {} ? "" : describeStalls(stalls, lines, from, until));
+    }
+    return descriptions;
+}
+
 auto runOnce(const Options& options, std::uint64_t seed, const std::vector<PlannedFault>& plan, const FleetSize& size) -> RunResult
 {
     RunResult result;
-    const StallMeter stallMeter;
+    StallMeter stallMeter;
     SoakFleet fleet(options.programs, size);
+    const LoopMonitor storeMonitor(fleet.threads(), stallMeter.recorder("store"));
     if (!fleet.waitUntilReady(recoveryTime))
         result.violations.push_back({ "the fleet becomes ready", "", "before the first fault" });
     std::vector<HttpEndpoint> endpoints;
     for (std::size_t index = 0; index < size.entries; ++index)
         endpoints.push_back(fleet.entryEndpoint(index));
     SoakCallers callers(endpoints, seed);
+    const LoopMonitor callerMonitor(callers.threads(), stallMeter.recorder("callers"));
     callers.start();
     callers.sendCrashingParts(hasCrashingRequests(seed));
     callers.sendCrashingCalls(hasCrashingRequests(seed));
@@ -143,15 +169,22 @@
     callers.sendCrashingParts(false);
     const auto crashingUntil = monotonicNow();
     fleet.restartCrashed(Duration::zero());
+    const auto endless = sendWithoutEnd(fleet);
     // So that pauses of the backend servers concern more requests than the retry budgets allow to repeat.
     callers.start();
     const auto maintenance = performPlannedMaintenance(fleet, size, seed);
     const auto& faultFreePeriod = maintenance.faultFreePeriod;
     callers.stop();
-    const auto calls = callers.records();
+    auto calls = callers.records();
+    for (auto& call : calls) {
+        if (call.sentAt >= maintenance.lowValues.from && call.sentAt <= maintenance.lowValues.until)
+            call.timeLimit = lowRouteTimeout;
+    }
     const auto runs = fleet.runs();
     append(result.violations, maintenance.violations);
-    append(result.violations, checkRecovery(calls, recoveredAt, maintenance.faultFreePeriod.from));
+    append(result.violations, checkRecovery(calls, recoveredAt, endless.from));
+    append(result.violations, checkEndless(calls, runs, endless));
+    result.peakMemory = peakMemory(endless);
     append(result.violations, checkCalls(calls, runs, faultFreePeriod));
     append(result.violations, checkAnswers(calls, runs, fleet.faultPeriods()));
     append(result.violations, checkStreamOrder(calls));
@@ -165,11 +198,12 @@
     append(result.violations, checkPauses(calls, runs, maintenance.pauses));
     append(result.violations, checkLeaving(runs, fleet.backendName(0), maintenance.leavingSince + SoakFleet::maxDeregistrationDelay, faultFreePeriod.until));
     for (const auto& fault : fleet.findEntryFailures())
-        result.violations.push_back({ "entry instances stay alive and within their resource limits", "", fault });
+        result.violations.push_back({ "entry instances stay alive and within their resource limits", "", fault.text, fault.from, fault.until });
     result.calls = calls.size();
     result.successes = static_cast<std::size_t>(std::ranges::count_if(calls, [](const CallRecord& call) { return call.status / 100 == 2; }));
     result.longestStall = stallMeter.longest();
     result.logs = fleet.entryLogs();
+    result.stalls = describeStallsOf(result, fleet, stallMeter, calls);
     if (!options.logs.empty()) {
         const auto crashes = fleet.crashes();
         arrivals.insert(arrivals.end(), crashes.begin(), crashes.end());
@@ -207,9 +241,12 @@
         std::cout << "  " << describe(fault) << '\n';
     std::size_t shown = 0;
     for (const auto& violation : result.violations) {
-        if (++shown > maxViolationsShown)
+        if (shown >= maxViolationsShown)
             break;
+        const auto& stalls = result.stalls[shown++];
         std::cout << "  BROKEN: " << violation.guarantee << (violation.request.empty() ? "" : ": " + violation.request) << (violation.detail.empty() ? "" : ": " + violation.detail) << '\n';
+        if (!stalls.empty())
+            std::cout << "    stood still: " << stalls << '\n';
         if (!violation.request.empty())
             printHistory(result.logs, violation.request);
     }
@@ -253,7 +290,7 @@
         const auto size = fleetSize(seed, static_cast<std::size_t>(options.entries), static_cast<std::size_t>(options.backends));
         const auto plan = planFaults(seed, std::chrono::seconds(options.seconds), size);
         const auto result = runOnce(options, seed, plan, size);
-        std::cout << "seed " << seed << ": " << (result.violations.empty() ? "passed" : "FAILED") << ", " << size.entries << " instances, " << (hasCrashingRequests(seed) ? "crashing requests, " : "") << plan.size() << " faults, " << result.calls << " calls, " << result.successes << " served, the machine stalled for up to " << std::chrono::duration_cast<std::chrono::milliseconds>(result.longestStall).count() << " ms" << std::endl;
+        std::cout << "seed " << seed << ": " << (result.violations.empty() ? "passed" : "FAILED") << ", " << size.entries << " instances, " << (hasCrashingRequests(seed) ? "crashing requests, " : "") << plan.size() << " faults, " << result.calls << " calls, " << result.successes << " served, the machine stalled for up to " << std::chrono::duration_cast<std::chrono::milliseconds>(result.longestStall).count() << " ms, up to " << result.peakMemory << " kB beside bytes without end" << std::endl;
         if (result.violations.empty())
             continue;
         ++failed;
