Keep what crashes of a lost zone show until their processes are known to have ended

Callers saw that requests with a prompt part that had crashed three engines of a zone within 100 ms ran again and crashed the next engines, and so did copies of such a request.

Cause: three replicas of a zone that are lost together were taken for a failure of the network, and what the crashes show was removed. That the servers refuse connections, or that other processes have taken their places, was not used on the model path.

The evidence is now set aside by process. It counts when the process is known to have ended by what plain calls use too: the server refuses a connection, or the list shows another process in its place within 5 s (ServerReplacement, one copy of what PlainServiceCrashes had). It is dropped when the same process answers: it goes on with earlier work, or it answers and no other has been listed 250 ms later. Reports of peers on such a process are set aside as well; before, they counted if they arrived after the failure was recognised. A signature that was answered completely in the last 30 s is not blamed, so that a zone without power doesn't block a frequent request. A process that is lost twice counts once.

CrashFleet carries out the new action, and gives requests signatures that do not coincide with its parts: signature 13 was the crashing part too, so that an answer to request 13 spoke for the part and all three cases of fleet_crash_test failed. Its limits are unchanged.

--- a/bench/EntryInstance.h
+++ b/bench/EntryInstance.h
@@ -84,6 +84,8 @@
     auto execute(const ReleaseReplacement&) -> void { }
     auto execute(const ReportCrashSignature& action) -> void;
     auto execute(const ReportCrash& action) -> void;
+    // Engines of the bench do not crash together.
+    auto execute(const CheckProcess&) -> void { }
     // Prompts of the bench have no parts.
     auto execute(const ReportCrashedPrompt&) -> void { }
     auto execute(const ReportHarmlessParts&) -> void { }
--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -12,7 +12,6 @@
     test/correctness/StoreHistoryTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
-# A test of its own, because KNOWN-RED.txt lists whole tests.
 jayhold_test(simultaneous_crashes_router_test
   SOURCES test/correctness/SimultaneousCrashesRouterTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
--- a/src/CrashAttribution.cpp
+++ b/src/CrashAttribution.cpp
@@ -4,6 +4,7 @@
 #include "PromptPartBlocking.h"
 #include "ReplicaIndex.h"
 #include "RequestLifecycle.h"
+#include "UndecidedCrashes.h"
 
 #include <algorithm>
 #include <utility>
@@ -70,7 +71,8 @@
     }
 }
 
-/// Connections to several replicas of a zone that break at the same time indicate a network failure.
+/// Connections to several replicas of a zone that break at the same time indicate a network failure, unless their
+/// processes turn out to have ended.
 auto clearIfZoneDisconnected(DecisionContext& context, const Replica& replica) -> void
 {
     auto& disconnected = context.state.disconnectedReplicas;
@@ -84,8 +86,11 @@
     if (std::count_if(disconnected.begin(), disconnected.end(), sameZone) < zoneFailureReplicas)
         return;
     for (const auto& entry : disconnected) {
-        if (sameZone(entry))
-            clearSuspects(context, *findReplica(context.state, entry.first));
+        if (!sameZone(entry))
+            continue;
+        auto& lost = *findReplica(context.state, entry.first);
+        setCrashAside(context, lost);
+        clearSuspects(context, lost);
     }
 }
 
@@ -128,7 +133,10 @@
 auto clearSuspectsIfAlive(DecisionContext& context, const ActiveRequest& request, ReplicaId id) -> void
 {
     auto* replica = findReplica(context.state, id);
-    if (!replica || replica->recentSuspects.empty())
+    if (!replica)
+        return;
+    dropUndecidedCrashIfAlive(context, *replica, request.phaseStartedAt);
+    if (replica->recentSuspects.empty())
         return;
     if (request.phaseStartedAt >= replica->connectionLostAt || context.now - replica->connectionLostAt < maxEventDelay)
         return;
--- a/src/CrashHistory.cpp
+++ b/src/CrashHistory.cpp
@@ -37,6 +37,19 @@
     }
 }
 
+auto takeCrashes(CrashHistoryTable& table, ReplicaId replica) -> std::vector<std::pair<std::uint64_t, TimePoint>>
+{
+    std::vector<std::pair<std::uint64_t, TimePoint>> taken;
+    for (const auto& [signature, history] : table) {
+        for (const auto& crash : history.crashes) {
+            if (crash.first == replica)
+                taken.emplace_back(signature, crash.second);
+        }
+    }
+    removeCrash(table, replica);
+    return taken;
+}
+
 auto isStartDelayed(const CrashHistoryTable& table, std::uint64_t signature, TimePoint now) -> bool
 {
     const auto history = table.find(signature);
--- a/src/CrashHistory.h
+++ b/src/CrashHistory.h
@@ -41,6 +41,10 @@
 /// Removes all records of crashes of the replica, which turned out not to have crashed.
 auto removeCrash(CrashHistoryTable& table, ReplicaId replica) -> void;
 
+/// Removes all records of crashes of the replica, which has possibly not crashed.
+/// @return the signatures and the times of the crashes.
+auto takeCrashes(CrashHistoryTable& table, ReplicaId replica) -> std::vector<std::pair<std::uint64_t, TimePoint>>;
+
 /// @return whether requests with the signature must wait.
 auto isStartDelayed(const CrashHistoryTable& table, std::uint64_t signature, TimePoint now) -> bool;
 
--- a/src/DecisionAction.h
+++ b/src/DecisionAction.h
@@ -3,6 +3,7 @@
 /// All actions that the decision code can request.
 
 #include "CancelOnReplica.h"
+#include "CheckProcess.h"
 #include "Refuse.h"
 #include "ReleaseReplacement.h"
 #include "ReplicaReturned.h"
@@ -29,6 +30,7 @@
     ReleaseReplacement,
     ReportCrashSignature,
     ReportCrash,
+    CheckProcess,
     ReportCrashedPrompt,
     ReportHarmlessParts,
     ReplicaReturned,
--- a/src/DecisionEvent.h
+++ b/src/DecisionEvent.h
@@ -17,6 +17,7 @@
 #include "PeerUsage.h"
 #include "PrefillDone.h"
 #include "PrefillFailed.h"
+#include "ProcessEnded.h"
 #include "ReplacementRefused.h"
 #include "ReplacementReserved.h"
 #include "ReplicaChanged.h"
@@ -58,6 +59,7 @@
     CacheEvents,
     CrashSignatureReported,
     CrashReported,
+    ProcessEnded,
     CrashedPromptReported,
     HarmlessPartsReported,
     BlockedPartsListed,
--- a/src/ModelService.cpp
+++ b/src/ModelService.cpp
@@ -1,6 +1,7 @@
 #include "ModelService.h"
 
 #include "Hexadecimal.h"
+#include "Tasks.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -279,6 +280,11 @@
     } else if (const auto* returned = std::get_if<ReplicaReturned>(&action)) {
         if (const auto known = m_replicas.find(returned->replica); known != m_replicas.end())
             outbox.returned.push_back(known->second.backend);
+    } else if (const auto* check = std::get_if<CheckProcess>(&action)) {
+        if (const auto known = m_replicas.find(check->replica); known != m_replicas.end()) {
+            addLostServer(m_lostServers, known->second.backend, monotonicNow());
+            outbox.checks.push_back(known->second.backend);
+        }
     } else if (const auto* wake = std::get_if<WakeAt>(&action)) {
         m_wakeAt = wake->time;
     }
@@ -338,6 +344,10 @@
     sendPromptReports(outbox);
     for (const auto& server : outbox.returned)
         m_context.reportReturned(server);
+    for (auto& server : outbox.checks) {
+        const auto thread = m_context.threads.nextIndex();
+        asio::co_spawn(m_context.threads.context(thread), checkProcess(shared_from_this(), thread, std::move(server)), logTaskFailure(m_context.log, "check the process of a backend server"));
+    }
     if (!outbox.cancels.empty())
         sendCancels(std::move(outbox.cancels));
     rearmTimer();
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -13,6 +13,7 @@
 #include "DecisionEvent.h"
 #include "EntryContext.h"
 #include "ReplicaStatus.h"
+#include "ServerReplacement.h"
 #include "Shard.h"
 #include "ShardSummary.h"
 
@@ -159,6 +160,8 @@
         std::vector<UpdateBlockedPart> blockedParts;
         /// Backend servers that have served the first request after their pause.
         std::vector<BackendServer> returned;
+        /// Backend servers whose processes have possibly ended.
+        std::vector<BackendServer> checks;
     };
     struct Timer;
 
@@ -190,6 +193,9 @@
     /// Reports prompts and blocked parts to the peers.
     auto sendPromptReports(const Outbox& outbox) -> void;
     auto sendCancels(std::vector<EngineCancel> cancels) -> void;
+    /// Reports to the shard that the process of a backend server has ended, if the server refuses connections.
+    static auto checkProcess(std::shared_ptr<ModelService> service, std::size_t thread, BackendServer server) -> boost::asio::awaitable<void>;
+    auto reportEndedLocked(const BackendServer& server, std::string_view evidence, Outbox& outbox) -> void;
     auto runTimer(std::shared_ptr<Timer> timer) -> boost::asio::awaitable<void>;
     auto rearmTimer() -> void;
 
@@ -215,6 +221,7 @@
     std::unordered_map<RequestId, OpenRequest> m_requests;
     std::unordered_map<ReplicaId, ReplicaStatus> m_replicas;
     std::unordered_map<std::string, ReplicaId> m_replicaIds;
+    LostServers m_lostServers;
     /// Engines that are changing their role, and the time until which that is assumed.
     std::unordered_map<ReplicaId, TimePoint> m_roleChanges;
     std::optional<TimePoint> m_wakeAt;
--- a/src/ModelServiceReplicas.cpp
+++ b/src/ModelServiceReplicas.cpp
@@ -27,6 +27,8 @@
     Outbox outbox;
     {
         const std::lock_guard guard(m_lock);
+        for (const auto& server : takeReplacedServers(m_lostServers, backends, monotonicNow()))
+            reportEndedLocked(server, "replaced", outbox);
         std::set<ReplicaId> present;
         for (const auto& backend : backends) {
             const auto* pool = findPool(backend.pool);
@@ -215,6 +217,24 @@
     send(std::move(outbox));
 }
 
+auto ModelService::checkProcess(std::shared_ptr<ModelService> service, std::size_t thread, BackendServer server) -> boost::asio::awaitable<void>
+{
+    if (co_await service->m_context.threads.client(thread).listenState(server.endpoint) != ListenState::Refused)
+        co_return;
+    Outbox outbox;
+    {
+        const std::lock_guard guard(service->m_lock);
+        service->reportEndedLocked(server, "refuses_connections", outbox);
+    }
+    service->send(std::move(outbox));
+}
+
+auto ModelService::reportEndedLocked(const BackendServer& server, std::string_view evidence, Outbox& outbox) -> void
+{
+    m_context.log.record(LogLevel::Info, "crash_confirmed", { { "service", m_name }, { "backend", server.id }, { "incarnation", server.incarnation }, { "evidence", evidence } });
+    decideLocked(ProcessEnded { processIdentity(server) }, outbox);
+}
+
 auto ModelService::handlePromptReport(const PromptReport& report) -> void
 {
     m_context.log.record(LogLevel::Info, "prompt_report_heard", { { "service", m_name }, { "harmless", report.isHarmless }, { "process", report.prompt.process }, { "signature", report.prompt.signature }, { "prompt_parts", toHexadecimal(report.prompt.parts) }, { "from", report.instance } });
--- a/src/PlainServiceCrashes.cpp
+++ b/src/PlainServiceCrashes.cpp
@@ -4,6 +4,7 @@
 #include "Hexadecimal.h"
 #include "Pause.h"
 #include "ProcessIdentity.h"
+#include "ServerReplacement.h"
 #include "Tasks.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -20,8 +21,6 @@
 /// A call runs for a fraction of this time, so a server that has one that may crash it is free again by then.
 constexpr Duration maxSuspectWait = std::chrono::milliseconds(300);
 constexpr Duration suspectCheckInterval = std::chrono::milliseconds(10);
-/// A process that restarts after a crash has its new entry in the list by this time.
-constexpr Duration replacementWindow = std::chrono::seconds(5);
 constexpr std::size_t maxLostCalls = 64;
 
 auto eventName(BlockedPartChange change) -> std::string_view
@@ -37,14 +36,6 @@
     return "crash_signature_changed";
 }
 
-/// @return whether the entry shows that another process has taken the server's place.
-auto hasReplaced(const BackendServer& entry, const BackendServer& server) -> bool
-{
-    if (entry.id == server.id)
-        return entry.incarnation != server.incarnation;
-    return entry.endpoint == server.endpoint;
-}
-
 }
 
 auto PlainService::acquireFor(const PlainCallInfo& call, CallState& state, PlainAttempt& last) -> asio::awaitable<std::optional<BackendServer>>
--- a/src/PromptPartBlocking.cpp
+++ b/src/PromptPartBlocking.cpp
@@ -1,6 +1,7 @@
 #include "PromptPartBlocking.h"
 
 #include "RequestLifecycle.h"
+#include "UndecidedCrashes.h"
 
 #include <algorithm>
 
@@ -56,7 +57,8 @@
     if (request.arrival.promptParts.empty() || hasProgressed(request))
         return;
     CrashedPrompt prompt { replica.description.process, request.arrival.signature, request.arrival.promptParts };
-    addCrashedPrompt(context.state.partCrashes, context.now, prompt);
+    if (!addUndecidedPrompt(context, prompt))
+        addCrashedPrompt(context.state.partCrashes, context.now, prompt);
     context.actions.emplace_back(ReportCrashedPrompt { std::move(prompt) });
 }
 
@@ -64,12 +66,15 @@
 {
     auto& parts = request.arrival.promptParts;
     const auto isSignatureBlocked = hasBlockedPart(context.state.partCrashes, std::span(&request.arrival.signature, 1));
-    if ((parts.empty() && !isSignatureBlocked) || (!isFinished && !hasProgressed(request)))
+    const auto hasSignature = request.arrival.signature != 0;
+    if ((parts.empty() && !isSignatureBlocked && !(isFinished && hasSignature)) || (!isFinished && !hasProgressed(request)))
         return;
-    if (isSignatureBlocked) {
+    // An engine may crash late in an answer, so only a complete one shows that the signature is harmless. A trial
+    // ends sooner.
+    if (isSignatureBlocked || (isFinished && hasSignature))
         parts.push_back(request.arrival.signature);
+    if (isSignatureBlocked)
         context.state.blockedSignatures.erase(request.arrival.signature);
-    }
     const auto unblocked = recordHarmlessParts(context.state.partCrashes, context.now, parts, true);
     if (!unblocked.empty()) {
         reportUnblocked(context, unblocked);
@@ -108,7 +113,8 @@
 auto handle(DecisionContext& context, const CrashedPromptReported& event) -> void
 {
     auto& state = context.state.partCrashes;
-    addCrashedPrompt(state, context.now, event.prompt);
+    if (!addUndecidedPrompt(context, event.prompt))
+        addCrashedPrompt(state, context.now, event.prompt);
     auto harmless = ownHarmlessParts(state, context.now, event.prompt.parts);
     if (!harmless.empty())
         context.actions.emplace_back(ReportHarmlessParts { std::move(harmless) });
--- a/src/PromptPartCrashes.cpp
+++ b/src/PromptPartCrashes.cpp
@@ -115,6 +115,14 @@
 
 }
 
+auto addPrompts(PromptPartCrashes::Crash& crash, std::span<const CrashedPrompt> prompts) -> void
+{
+    for (const auto& prompt : prompts) {
+        if (crash.prompts.size() < maxPromptsPerCrash && std::ranges::find(crash.prompts, prompt) == crash.prompts.end())
+            crash.prompts.push_back(prompt);
+    }
+}
+
 auto addCrashedPrompt(PromptPartCrashes& state, TimePoint now, const CrashedPrompt& prompt, Duration age) -> void
 {
     auto crash = std::ranges::find_if(state.crashes, [&](const auto& known) { return known.process == prompt.process && now - known.knownAt < state.rules.reportWindow; });
@@ -123,8 +131,7 @@
             state.crashes.pop_front();
         crash = state.crashes.insert(state.crashes.end(), { .process = prompt.process, .time = now - age, .knownAt = now, .prompts = {} });
     }
-    if (crash->prompts.size() < maxPromptsPerCrash && std::ranges::find(crash->prompts, prompt) == crash->prompts.end())
-        crash->prompts.push_back(prompt);
+    addPrompts(*crash, std::span(&prompt, 1));
     state.decideAt = std::min(state.decideAt, crash->knownAt + crashReportWait);
 }
 
@@ -138,6 +145,30 @@
     std::erase_if(state.crashes, [&](const auto& crash) { return crash.process == process; });
 }
 
+auto takePromptCrash(PromptPartCrashes& state, std::uint64_t process) -> std::optional<PromptPartCrashes::Crash>
+{
+    const auto last = std::ranges::find(state.crashes.rbegin(), state.crashes.rend(), process, &PromptPartCrashes::Crash::process);
+    if (last == state.crashes.rend())
+        return std::nullopt;
+    auto crash = std::move(*last);
+    removePromptCrash(state, process);
+    return crash;
+}
+
+auto restorePromptCrash(PromptPartCrashes& state, TimePoint now, PromptPartCrashes::Crash crash) -> void
+{
+    state.decideAt = std::min(state.decideAt, std::max(now, crash.knownAt + crashReportWait));
+    // A process ends once. If it was lost again meanwhile, both losses are one crash.
+    const auto known = std::ranges::find(state.crashes, crash.process, &PromptPartCrashes::Crash::process);
+    if (known != state.crashes.end()) {
+        addPrompts(*known, crash.prompts);
+        return;
+    }
+    if (state.crashes.size() == maxCrashes)
+        state.crashes.pop_front();
+    state.crashes.push_back(std::move(crash));
+}
+
 auto recordHarmlessParts(PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts, bool isOwn) -> std::vector<std::uint64_t>
 {
     std::vector<std::uint64_t> unblocked;
--- a/src/PromptPartCrashes.h
+++ b/src/PromptPartCrashes.h
@@ -84,8 +84,15 @@
 auto addCrashedPrompt(PromptPartCrashes& state, TimePoint now, const CrashedPrompt& prompt, Duration age = Duration::zero()) -> void;
 /// Lets blockCrashingParts() compare the crashes again, because a part that was at some of them is harmless.
 auto reconsiderCrashes(PromptPartCrashes& state, TimePoint now) -> void;
+/// Adds requests to a crash, up to a limit.
+auto addPrompts(PromptPartCrashes::Crash& crash, std::span<const CrashedPrompt> prompts) -> void;
 /// Removes the crash of an engine process that turned out not to have crashed.
 auto removePromptCrash(PromptPartCrashes& state, std::uint64_t process) -> void;
+/// Removes the crash of an engine process that has possibly not crashed.
+/// @return the crash, or nothing if none is known.
+auto takePromptCrash(PromptPartCrashes& state, std::uint64_t process) -> std::optional<PromptPartCrashes::Crash>;
+/// Adds a crash again that takePromptCrash() has removed.
+auto restorePromptCrash(PromptPartCrashes& state, TimePoint now, PromptPartCrashes::Crash crash) -> void;
 /// Records that a request with the parts got past the point at which its engine could have crashed.
 /// @param isOwn whether it was a request of this instance.
 /// @return the parts that were blocked until now.
--- a/src/ReplicaHealth.cpp
+++ b/src/ReplicaHealth.cpp
@@ -3,6 +3,7 @@
 #include "ReplicaIndex.h"
 #include "ReplicaPauses.h"
 #include "ReservationAccounting.h"
+#include "UndecidedCrashes.h"
 #include "VersionBinding.h"
 
 #include <algorithm>
@@ -19,9 +20,6 @@
 constexpr Duration unreachableBackOff = std::chrono::milliseconds(50);
 constexpr Duration firstEjection = std::chrono::seconds(1);
 constexpr std::uint32_t maxEjectionDoublings = 5;
-/// Time in which the entry of a server that starts arrives, also from a slow store. It is written at the start, so it arrives
-/// this long after the first response of its process at the latest.
-constexpr Duration entryArrivalTime = std::chrono::milliseconds(250);
 /// Time for which an interrupted stream stays away from a replica that nothing else has reached since it lost a connection.
 /// Callers give up a stream after a gap of two seconds or more.
 constexpr Duration unreachedTime = std::chrono::milliseconds(500);
@@ -58,7 +56,10 @@
 auto recordReached(DecisionContext& context, ReplicaId id) -> void
 {
     auto* replica = findReplica(context.state, id);
-    if (!replica || !replica->disconnectedAt || replica->reachedAt)
+    if (!replica)
+        return;
+    recordAnswerAfterLoss(context, *replica);
+    if (!replica->disconnectedAt || replica->reachedAt)
         return;
     replica->reachedAt = context.now;
     updateIndex(context, *replica);
--- a/src/ReplicaHealth.h
+++ b/src/ReplicaHealth.h
@@ -7,6 +7,10 @@
 
 namespace jayhold {
 
+/// Time in which the entry of a server that starts arrives, also from a slow store. It is written at the start, so it arrives
+/// this long after the first response of its process at the latest.
+inline constexpr Duration entryArrivalTime = std::chrono::milliseconds(250);
+
 /// Sets the state of the replica. When a decode replica is no longer live, the slots reserved on it for
 /// prefills in progress are released. The prefills continue and get other slots.
 auto changeState(DecisionContext& context, Replica& replica, ReplicaState state) -> void;
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -14,6 +14,7 @@
 #include "ReservationAccounting.h"
 #include "ShardSummary.h"
 #include "SilentAttempts.h"
+#include "UndecidedCrashes.h"
 #include "VersionBinding.h"
 
 #include <algorithm>
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -22,6 +22,7 @@
 #include "ShardSummary.h"
 #include "StartInterval.h"
 #include "TimerQueue.h"
+#include "UndecidedCrash.h"
 #include "VersionEngines.h"
 
 #include <map>
@@ -72,6 +73,8 @@
     std::unordered_map<std::uint64_t, TimePoint> blockedSignatures;
     CrashHistoryTable crashHistory;
     PromptPartCrashes partCrashes;
+    /// Oldest first, one of a process.
+    std::vector<UndecidedCrash> undecidedCrashes;
     /// Replicas that recently lost connections, and when.
     std::vector<std::pair<ReplicaId, TimePoint>> disconnectedReplicas;
     RetryBudget retryBudget { modelRetryLimits, modelRetryLimits.capacity };
--- a/test/correctness/CrashFleet.cpp
+++ b/test/correctness/CrashFleet.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint64_t firstPart = 7;
 constexpr std::uint64_t crashingPart = 13;
 constexpr std::uint64_t firstOwnPart = 1'000'000;
+/// Signatures and parts are hashes, which do not coincide.
+constexpr std::uint64_t firstSignature = 1'000'000'000;
 constexpr double harmlessShareOfFirstPart = 0.1;
 constexpr Duration messageDelay = 5ms;
 /// Delay of a write to the shared list, and interval at which an instance that gets no messages reads it.
@@ -178,7 +180,7 @@
                     .maxTokens = 200,
                     .deadline = m_now + 14s,
                     .prefixBlocks = {},
-                    .signature = m_lastRequest,
+                    .signature = firstSignature + m_lastRequest,
                     .promptParts = request.parts,
                 });
 }
@@ -285,6 +287,11 @@
             broadcast(index, CrashSignatureReported { signature->signature });
         } else if (const auto* crashed = std::get_if<ReportCrash>(&action)) {
             broadcast(index, CrashReported { crashed->signature, crashed->replica, index % 2 == 0 });
+        } else if (const auto* check = std::get_if<CheckProcess>(&action)) {
+            // An engine that has crashed refuses the connection.
+            const auto& engine = m_engines[static_cast<std::uint32_t>(check->replica) - firstDecodeEngine];
+            if (engine.isDown)
+                m_messages.push_back({ m_now + messageDelay, index, ProcessEnded { engine.process } });
         } else if (const auto* prompt = std::get_if<ReportCrashedPrompt>(&action)) {
             broadcast(index, CrashedPromptReported { prompt->prompt });
         } else if (const auto* harmless = std::get_if<ReportHarmlessParts>(&action)) {
