Keep a running call to a backend server on a connection that is silent for a while

What callers saw: a call whose server, or its link, was silent for a little more than a second ended as connection_lost after 2 s: 502, or a stream that broke off, although the server still worked on it.

Cause: connections to servers have a TCP user timeout of 2 s with one keep-alive probe. The system ends a connection at 2 s if a probe or a packet of that time was lost, whether or not the peer is back; and it also ends one whose peer acknowledges window probes but does not read for 2 s.

Fix: while a call to a backend server runs, its connection has no user timeout and ends after five lost keep-alive probes (6 s). The timeout of the attempt, AttemptSilent and the deadline decide about silence. Idle connections, and connections to the store and to peers, keep the 2 s.

Cost: two more system calls for a call on a new connection, three for one on a reused one. A server that vanishes without a reset is noticed by its running calls after 6 s instead of 2 s; new connections to it still fail after 400 ms. While data is unacknowledged, only the timeout of the call ends it.

--- a/src/EngineClient.cpp
+++ b/src/EngineClient.cpp
@@ -32,6 +32,14 @@
     co_return EngineError { FailureKind::ServerError, "the prefill response is too large" };
 }
 
+auto engineCallOptions(Duration timeout) -> HttpCallOptions
+{
+    HttpCallOptions options;
+    options.timeout = timeout;
+    options.outlastsSilence = true;
+    return options;
+}
+
 }
 
 // Prefill and decode use open() rather than request(), because closing a connection of their own cancels
@@ -39,8 +47,9 @@
 auto prefillOnEngine(HttpClient& client, BackendServer server, EngineCall call, Duration timeout) -> asio::awaitable<EngineResult<PrefillResult>>
 {
     auto request = postRequest("/v1/prefill", serializePrefillCall(call));
+    auto options = engineCallOptions(timeout);
     const auto sentAt = monotonicNow();
-    const auto stream = co_await client.open(server.endpoint, std::move(request), timeout);
+    const auto stream = co_await client.open(server.endpoint, std::move(request), std::move(options));
     if (stream.has_error())
         co_return engineErrorOf(stream.error());
     call.onNotice(server, sentAt, nativeBackendProtocol().readNotice((*stream)->status(), (*stream)->headers()));
@@ -58,8 +67,9 @@
 auto decodeOnEngine(HttpClient& client, BackendServer server, EngineCall call, Duration timeout) -> asio::awaitable<EngineResult<std::shared_ptr<HttpStream>>>
 {
     auto request = postRequest("/v1/decode", serializeDecodeCall(call));
+    auto options = engineCallOptions(timeout);
     const auto sentAt = monotonicNow();
-    const auto stream = co_await client.open(server.endpoint, std::move(request), timeout);
+    const auto stream = co_await client.open(server.endpoint, std::move(request), std::move(options));
     if (stream.has_error())
         co_return engineErrorOf(stream.error());
     call.onNotice(server, sentAt, nativeBackendProtocol().readNotice((*stream)->status(), (*stream)->headers()));
--- a/src/HttpCallOptions.h
+++ b/src/HttpCallOptions.h
@@ -21,6 +21,9 @@
     /// Asked before the call is sent again on a new connection because the reused idle connection turned
     /// out to be closed. The server may have executed the call in spite of that.
     std::function<bool()> mayResend = [] { return false; };
+    /// Whether the connection stays open while the call runs, although the peer is silent for a few seconds or does not read.
+    /// A peer that stays silent is still detected, and the timeout ends the call in any case.
+    bool outlastsSilence = false;
     /// Identifies the process behind the endpoint. Only calls with the same value share idle connections,
     /// because an address can be reassigned to another process.
     std::string peer;
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -124,9 +124,13 @@
 }
 
 /// Sends the request and reads the header of its response.
-auto exchangeHeaders(Connection& connection, const BeastRequest& message, const HttpCallOptions& options) -> asio::awaitable<boost::system::error_code>
+auto exchangeHeaders(Connection& connection, const BeastRequest& message, const HttpCallOptions& options, Duration tcpUserTimeout) -> asio::awaitable<boost::system::error_code>
 {
     boost::system::error_code code;
+    if (options.outlastsSilence) {
+        connection.suspendedUserTimeout = tcpUserTimeout;
+        tolerateSilence(connection.stream.socket());
+    }
     connection.stream.expires_after(options.timeout);
     if (const auto call = callHash(options))
         connection.carriedCalls.insert(*call);
@@ -240,7 +244,7 @@
     const auto isReused = connection != nullptr;
     if (isReused) {
         const auto sentAt = monotonicNow();
-        const auto code = co_await exchangeHeaders(*connection, message, options);
+        const auto code = co_await exchangeHeaders(*connection, message, options, m_settings.tcpUserTimeout);
         if (!code)
             co_return std::make_shared<HttpStream>(std::move(connection));
         if (!wasStale(*connection, code, monotonicNow() - sentAt) || !options.mayResend())
@@ -255,7 +259,7 @@
             error->kind = HttpErrorKind::ConnectionLost;
         co_return std::move(*error);
     }
-    const auto code = co_await exchangeHeaders(*connection, message, options);
+    const auto code = co_await exchangeHeaders(*connection, message, options, m_settings.tcpUserTimeout);
     if (code)
         co_return httpErrorOf(code);
     co_return std::make_shared<HttpStream>(std::move(connection));
--- a/src/HttpClient.h
+++ b/src/HttpClient.h
@@ -28,8 +28,8 @@
     /// Maximum time for which an idle connection is kept; a shorter Keep-Alive timeout that the server
     /// announces takes precedence.
     Duration idleConnectionTimeout = std::chrono::seconds(30);
-    /// A connection on which nothing is acknowledged for this long is closed; zero keeps the system's
-    /// defaults.
+    /// A connection on which nothing is acknowledged for this long is closed, except while a call runs on it that
+    /// outlasts silence; zero keeps the system's defaults.
     Duration tcpUserTimeout {};
     /// Maximum size of a response body that request() accepts.
     std::size_t maxBodyBytes = 16U << 20U;
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -68,6 +68,8 @@
     bool hasAnswered = false;
     /// Hashes of the correlation values of the calls that were sent on the connection.
     std::unordered_set<std::size_t> carriedCalls;
+    /// Restored when the connection becomes idle, if the call has suspended it; zero otherwise.
+    Duration suspendedUserTimeout {};
     ConnectionKey key;
     /// The pool to which the connection returns after its response has been read completely.
     std::weak_ptr<ConnectionPool> pool;
--- a/src/HttpStream.cpp
+++ b/src/HttpStream.cpp
@@ -3,6 +3,7 @@
 #include "AwaitToken.h"
 #include "ConnectionPool.h"
 #include "HttpConnection.h"
+#include "SocketOptions.h"
 
 #include <boost/beast/http/error.hpp>
 
@@ -129,8 +130,10 @@
     auto connection = std::move(m_connection);
     const auto pool = connection->pool.lock();
     const auto isComplete = !connection->isClosed && connection->parser->is_done() && connection->buffer.size() == 0 && connection->isReusable;
-    if (pool && isComplete && connection->parser->keep_alive())
-        pool->returnIdle(std::move(connection), monotonicNow());
+    if (!pool || !isComplete || !connection->parser->keep_alive())
+        return;
+    restoreUserTimeout(connection->stream.socket(), std::exchange(connection->suspendedUserTimeout, {}));
+    pool->returnIdle(std::move(connection), monotonicNow());
 }
 
 auto HttpStream::close() -> void
--- a/src/NativeProtocols.cpp
+++ b/src/NativeProtocols.cpp
@@ -37,6 +37,7 @@
     auto request = call.request;
     HttpCallOptions options;
     options.timeout = timeout;
+    options.outlastsSilence = true;
     // Only calls that may be executed more than once use idle connections, which the server may close
     // while a call is sent.
     options.mayReuse = call.kind.repeatable;
--- a/src/RouterHttpSettings.cpp
+++ b/src/RouterHttpSettings.cpp
@@ -7,8 +7,8 @@
 /// Long enough to connect across zones when one packet is lost, and short enough to try another backend
 /// server within the first-token target.
 constexpr Duration connectTimeout = std::chrono::milliseconds(400);
-/// Detects an unresponsive backend server within the time after which a leaving backend server must get
-/// no more work.
+/// Detects an unresponsive backend server, on an idle connection, within the time after which a leaving backend server
+/// must get no more work. Calls to it are not ended so early.
 constexpr Duration backendTcpUserTimeout = std::chrono::seconds(2);
 /// Callers connect over links that lose packets, and they abandon a stream after a few seconds.
 constexpr Duration callerTcpUserTimeout = std::chrono::seconds(5);
--- a/src/SocketOptions.cpp
+++ b/src/SocketOptions.cpp
@@ -13,12 +13,21 @@
 /// for that many. With one probe per second, the last one times out when the user timeout ends.
 constexpr int keepAliveProbes = 3;
 
+/// Unanswered keep-alive probes after which a connection that tolerates silence is closed. A sound server may be silent
+/// for about a second, in which up to two probes are lost.
+constexpr int toleratedProbes = 5;
+
 auto setOption(int descriptor, int option, int value) -> void
 {
     // A system without the option keeps its default, which only detects a dead peer later.
     ::setsockopt(descriptor, IPPROTO_TCP, option, &value, sizeof(value));
 }
 
+auto setUserTimeout(int descriptor, Duration timeout) -> void
+{
+    setOption(descriptor, TCP_USER_TIMEOUT, static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count()));
+}
+
 }
 
 auto setSocketOptions(boost::asio::ip::tcp::socket& socket, Duration tcpUserTimeout) -> void
@@ -34,7 +43,21 @@
     setOption(descriptor, TCP_KEEPIDLE, std::max(1, static_cast<int>(seconds) - probes));
     setOption(descriptor, TCP_KEEPINTVL, 1);
     setOption(descriptor, TCP_KEEPCNT, probes);
-    setOption(descriptor, TCP_USER_TIMEOUT, static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(tcpUserTimeout).count()));
+    setUserTimeout(descriptor, tcpUserTimeout);
+}
+
+auto tolerateSilence(boost::asio::ip::tcp::socket& socket) -> void
+{
+    // With a user timeout the system ignores the number of probes, and closes a connection whose peer acknowledges probes
+    // but does not read.
+    setOption(socket.native_handle(), TCP_KEEPCNT, toleratedProbes);
+    setUserTimeout(socket.native_handle(), Duration::zero());
+}
+
+auto restoreUserTimeout(boost::asio::ip::tcp::socket& socket, Duration tcpUserTimeout) -> void
+{
+    if (tcpUserTimeout > Duration::zero())
+        setUserTimeout(socket.native_handle(), tcpUserTimeout);
 }
 
 }
--- a/src/SocketOptions.h
+++ b/src/SocketOptions.h
@@ -13,4 +13,12 @@
 /// while it is idle; zero keeps the system's defaults.
 auto setSocketOptions(boost::asio::ip::tcp::socket& socket, Duration tcpUserTimeout) -> void;
 
+/// Keeps the connection open while the peer acknowledges nothing for a few seconds, or acknowledges probes but does not
+/// read. A peer that stays silent while nothing is sent to it is still detected.
+auto tolerateSilence(boost::asio::ip::tcp::socket& socket) -> void;
+
+/// Restores the user timeout after tolerateSilence().
+/// @param tcpUserTimeout as for setSocketOptions(); zero changes nothing.
+auto restoreUserTimeout(boost::asio::ip::tcp::socket& socket, Duration tcpUserTimeout) -> void;
+
 }
