Do not reset the connection of a caller that pauses while it reads its answer

What callers saw: an answer whose caller stopped reading for longer than the user timeout (5 s in the daemon) ended with a reset, although the whole answer was ready and the caller's system acknowledged the probes.

Cause: Linux applies TCP_USER_TIMEOUT also to a connection whose peer has a closed window and acknowledges probes.

Evidence: the first test of SlowCallerTest failed before the change, with a user timeout of 1 s, a pause of 2.5 s and an answer of 16 MB: connection reset after 49,152 bytes. It passes now.

Fix: between a request and its response there is no user timeout; the write timeout (10 s) ends the connection of a caller that takes nothing, and five lost keep-alive probes that of one that has vanished while nothing is sent.

Cost: three more system calls for each request. The work for a caller that vanished without a close goes on until the write timeout or the deadline instead of 5 s.

Ruled out, by the two other tests, which passed before the change: limits that fall while the bytes of a request arrive do not end it, and a request whose rest arrives during a pause of the process is not answered with 408.

--- a/src/HttpServerConnection.cpp
+++ b/src/HttpServerConnection.cpp
@@ -282,6 +282,8 @@
 auto serveRequest(HttpServerSharedState& shared, const std::shared_ptr<HttpServerConnectionState>& connection, HttpClient& client, RequestParser& parser) -> asio::awaitable<bool>
 {
     const auto keepAlive = parser.get().keep_alive();
+    // A caller that does not read for a while still waits for its answer; the write timeout bounds that.
+    tolerateSilence(connection->stream.socket());
     HttpServerExchange exchange(shared, connection, client, toRequest(parser.get()), keepAlive);
     const auto thrown = co_await runHandler(shared, *connection, exchange);
     const auto reason = thrown ? CloseReason::Exception : exchange.closeReason();
@@ -291,8 +293,10 @@
         exchange.respondUnknownOutcome();
     co_await exchange.awaitUnknownOutcome();
     connection->active.reset();
-    if (!reason)
+    if (!reason) {
+        restoreUserTimeout(connection->stream.socket(), shared.settings.load()->tcpUserTimeout);
         co_return true;
+    }
     shared.onConnectionClosed({ *reason, isHandlerAnswer ? nullptr : &exchange.request(), hasStarted, thrown ? exceptionText(thrown) : exchange.errorText() });
     co_return false;
 }
