Let a stream go on that its caller has a part of when the shard gives up

What callers saw: a stream that is cut although its engine is sending it.

Cause: the shard refuses a stream without a token some time before its caller gives up (here 1.875 s after its arrival), or at the end of requests in a drain. Its decision and the first token can cross: the request takes the cancellation and the refusal from its queue after it has sent a part of the answer, and cuts it.

Fix: if a refusal follows the cancellation and the caller has a part of the answer, the request waits for the end of the attempt: until its deadline if that was the reason, otherwise 20 ms, for what has arrived already. An attempt that ends in this time ends the request as usual.

Evidence: the case /once/x of PausedDrainTest, in which all events of the streams have arrived while the process stood still.

--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -204,6 +204,8 @@
         auto error = refusalError(refusal->reason, outcome, refusal->retryAfter);
         co_await refuse(std::move(error));
     } else if (const auto* cancelled = std::get_if<CancelOnReplica>(&action)) {
+        if (cancelled->replica == m_tasks->replica)
+            co_await awaitBegunAnswer();
         // The task then fails, which reports to the shard how many tokens were sent.
         if (m_tasks->isRunning && cancelled->replica == m_tasks->replica)
             record(LogLevel::Info, "attempt_cancelled", { { "phase", m_tasks->isPrefill ? "prefill" : "decode" }, { "tokens", m_relay.tokens() }, { "silent", m_tasks->isSilenceLogged }, { "left_ms", remainingMs() } });
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -90,6 +90,9 @@
     auto silenceEnd() const -> TimePoint;
     /// Makes the running task fail immediately and closes its connection to the engine.
     auto interruptTask() -> void;
+    /// If the shard cancels the attempt because it refuses the request, but its caller has a part of the answer, waits
+    /// until the attempt has ended: up to the deadline if that was the reason, otherwise until what has arrived was sent.
+    auto awaitBegunAnswer() -> boost::asio::awaitable<void>;
     /// Interrupts the running task and waits until it has ended.
     auto stopTask() -> boost::asio::awaitable<void>;
     auto runPrefill(std::uint64_t task, ReplicaStatus replica, std::optional<ReplicaStatus> decode, EngineCall call) -> boost::asio::awaitable<void>;
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -2,6 +2,7 @@
 
 #include "AwaitToken.h"
 #include "ExceptionText.h"
+#include "Pause.h"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -102,6 +103,27 @@
         m_tasks->interrupt.emit(asio::cancellation_type::terminal);
 }
 
+auto ModelRequest::awaitBegunAnswer() -> asio::awaitable<void>
+{
+    // Less than the time between the end of requests and the end of exchanges in a drain.
+    constexpr Duration arrivedAnswerTime = std::chrono::milliseconds(20);
+    constexpr Duration checkInterval = std::chrono::milliseconds(2);
+    const auto refusalOf = [](const RequestEvent& queued) {
+        const auto* action = std::get_if<DecisionAction>(&queued);
+        return action ? std::get_if<Refuse>(action) : nullptr;
+    };
+    const auto isDisconnected = [](const RequestEvent& queued) { return std::holds_alternative<CallerDisconnected>(queued); };
+    const auto& events = m_tasks->events;
+    const auto refused = std::ranges::find_if(events, refusalOf);
+    if (refused == events.end() || !m_relay.hasSentTokens())
+        co_return;
+    auto until = monotonicNow() + arrivedAnswerTime;
+    if (refusalOf(*refused)->reason == RefusalReason::DeadlineExceeded)
+        until = std::max(until, m_info.deadline);
+    while (m_tasks->isRunning && monotonicNow() < until && std::ranges::none_of(events, isDisconnected))
+        co_await pause(checkInterval);
+}
+
 auto ModelRequest::stopTask() -> asio::awaitable<void>
 {
     if (!m_tasks->isRunning)
--- a/test/error/PausedDrainTest.cpp
+++ b/test/error/PausedDrainTest.cpp
@@ -99,7 +99,7 @@
 // must give the answers that have arrived meanwhile to their callers before it exits.
 TEST_CASE("a drain that stood still past its end answers the requests that were read")
 {
-    const auto target = GENERATE("/post/x");
+    const auto target = GENERATE("/post/x", "/once/x");
     RouterProcess router;
     router.plain.setTiming(300ms, Duration::zero());
     router.decode.setTiming(300ms, 10ms);
