--- a/test/error/PausedDrainTest.cpp
+++ b/test/error/PausedDrainTest.cpp
@@ -108,6 +108,7 @@
     std::atomic<int> unanswered { 0 };
     {
         std::vector<std::jthread> callers;
+        callers.reserve(callerCount);
         for (auto caller = 0; caller < callerCount; ++caller) {
             callers.emplace_back([&] {
                 const auto status = router.call("POST", target);
--- a/test/soak/Stalls.cpp
+++ b/test/soak/Stalls.cpp
@@ -120,7 +120,9 @@
         std::int64_t running = 0;
         std::int64_t waiting = 0;
         std::ifstream(thread.path() / "schedstat") >> running >> waiting;
-        text += " [" + id + " " + state + " " + readWord(thread.path() / "wchan") + " ran " + std::to_string(running / nanosecondsPerMillisecond) + " waited " + std::to_string(waiting / nanosecondsPerMillisecond) + "]";
+        const auto times = " ran " + std::to_string(running / nanosecondsPerMillisecond) + " waited " + std::to_string(waiting / nanosecondsPerMillisecond);
+        for (const auto& part : { " [" + id, " " + state, " " + readWord(thread.path() / "wchan"), times + "]" })
+            text += part;
     }
     return text;
 }
