Bound the bytes held of all backend responses together

Callers saw, by the report of other operators: one server that sends bytes without end takes the memory of the instance, and the requests of all its callers end with it.

Cause: each response was bounded (4 MB), their sum was not. Bodies were read to 4 MB even where the stated length was larger, event readers kept up to 1 MB each, and the kernel let receive buffers grow.

The limit is an eighth of the instance's memory limit. Sockets to backend servers get a receive buffer of 64 KB. A body whose stated length is too large ends the call at once. Bytes stay counted while a slow caller reads its response. StoreConnection moved its response by copying it.

--- a/src/DecodeRelay.cpp
+++ b/src/DecodeRelay.cpp
@@ -57,6 +57,8 @@
             co_return RelayResult { EngineError { FailureKind::ServerError, m_errorDetail } };
         if (result == ParseResult::Complete)
             co_return RelayResult {};
+        if (const auto error = stream.hold(reader.bufferBytes()))
+            co_return RelayResult { engineErrorOf(*error) };
         if (tokens() - reportedTokens >= m_reportIntervalEvents) {
             reportedTokens = tokens();
             observer.onTokens(reportedTokens);
--- a/src/EntryLimits.h
+++ b/src/EntryLimits.h
@@ -11,6 +11,8 @@
     std::size_t bodyBytes = 4U << 20U;
     /// Maximum number of requests in progress; further requests are refused as not run.
     std::size_t openRequests = 8'000;
+    /// Memory limit of the process, in bytes; 0 if it is not known.
+    std::size_t memoryBytes = 0;
 };
 
 }
--- a/src/EventReader.h
+++ b/src/EventReader.h
@@ -33,6 +33,9 @@
     /// @param event set to the last event, if the end of the body is the end of the stream.
     /// @return Event in that case, otherwise NeedMore.
     virtual auto endOfBody(TokenEvent& event) -> Status = 0;
+
+    /// @return size of the buffer for events that have not been read completely.
+    virtual auto bufferBytes() const -> std::size_t = 0;
 };
 
 }
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -50,8 +50,18 @@
     const auto address = asio::ip::make_address(endpoint.address, code);
     if (code)
         co_return HttpError { HttpErrorKind::NotConnected, code.message() };
+    const asio::ip::tcp::endpoint remote(address, endpoint.port);
+    if (settings.receiveBufferBytes > 0) {
+        // The size must be set before connecting, because the window scale is negotiated then.
+        boost::system::error_code ignored;
+        stream.socket().open(remote.protocol(), code);
+        if (code)
+            co_return HttpError { HttpErrorKind::NotConnected, code.message() };
+        // A system without the option keeps its default, which only buffers more.
+        stream.socket().set_option(asio::socket_base::receive_buffer_size(settings.receiveBufferBytes), ignored);
+    }
     stream.expires_after(settings.connectTimeout);
-    co_await stream.async_connect(asio::ip::tcp::endpoint(address, endpoint.port), awaitInto(code));
+    co_await stream.async_connect(remote, awaitInto(code));
     if (code)
         co_return HttpError { HttpErrorKind::NotConnected, code.message() };
     setSocketOptions(stream.socket(), settings.tcpUserTimeout);
@@ -208,19 +218,9 @@
     if (opened.has_error())
         co_return opened.error();
     auto& stream = **opened;
-    HttpResponse response { stream.status(), stream.headers(), {} };
-    while (true) {
-        const auto remaining = std::max(deadline - monotonicNow(), Duration(1));
-        const auto chunk = co_await stream.readSome(remaining);
-        if (chunk.has_error())
-            co_return chunk.error();
-        if (chunk->empty())
-            break;
-        if (response.body.size() + chunk->size() > m_settings.maxBodyBytes)
-            co_return HttpError { HttpErrorKind::MalformedAnswer, "the body is larger than allowed" };
-        response.body += *chunk;
-    }
-    stream.release();
+    auto response = co_await stream.readAll(m_settings.maxBodyBytes, deadline);
+    if (response.has_value())
+        stream.release();
     co_return response;
 }
 
@@ -249,6 +249,7 @@
     connection = std::make_unique<Connection>(m_context);
     connection->key = key;
     connection->pool = m_pool;
+    connection->responseBudget = m_settings.responseBudget;
     if (auto error = co_await connect(connection->stream, endpoint, m_settings)) {
         // The server may have executed the call that was sent on the reused connection.
         if (isReused)
--- a/src/HttpClient.h
+++ b/src/HttpClient.h
@@ -9,6 +9,7 @@
 #include "HttpRequest.h"
 #include "HttpResponse.h"
 #include "HttpStream.h"
+#include "ResponseBudget.h"
 #include "Time.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -33,6 +34,11 @@
     Duration tcpUserTimeout {};
     /// Maximum size of a response body that request() accepts.
     std::size_t maxBodyBytes = 16U << 20U;
+    /// Size of a connection's receive buffer in the kernel, which would otherwise grow to several MB while the
+    /// process does not read; zero keeps the system's default.
+    int receiveBufferBytes = 0;
+    /// Limits the bytes held of all responses. Clients with copies of the settings share it.
+    std::shared_ptr<ResponseBudget> responseBudget = std::make_shared<ResponseBudget>(ResponseBudget::defaultLimitBytes);
 };
 
 enum class ListenState : std::uint8_t {
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -4,6 +4,7 @@
 
 #include "ConnectionKey.h"
 #include "HttpStream.h"
+#include "ResponseShare.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -35,6 +36,8 @@
         TimePoint deadline = TimePoint::max();
         TimePoint armedDeadline = TimePoint::max();
         bool hasTimedOut = false;
+        /// Whether the response was ended because the response budget was used up.
+        bool isOverBudget = false;
     };
 
     explicit Connection(boost::asio::io_context& context)
@@ -71,6 +74,9 @@
     ConnectionKey key;
     /// The pool to which the connection returns after its response has been read completely.
     std::weak_ptr<ConnectionPool> pool;
+    std::shared_ptr<ResponseBudget> responseBudget;
+    /// Counts the bytes held of the response; null while they are few.
+    std::shared_ptr<ResponseShare> share;
     const std::shared_ptr<ReadTimer> readTimer;
 };
 
--- a/src/HttpResponse.h
+++ b/src/HttpResponse.h
@@ -3,7 +3,9 @@
 /// An HTTP response as plain data.
 
 #include "HttpHeader.h"
+#include "ResponseShare.h"
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -13,6 +15,8 @@
     unsigned status = 200;
     std::vector<HttpHeader> headers;
     std::string body;
+    /// Counts the body of a received response while it is held; null for a small body and for other responses.
+    std::shared_ptr<const ResponseShare> share {};
 };
 
 /// @return a response with a JSON body and its content type.
--- a/src/HttpStream.cpp
+++ b/src/HttpStream.cpp
@@ -4,8 +4,11 @@
 #include "ConnectionPool.h"
 #include "HttpConnection.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
+
 namespace jayhold {
 
 namespace asio = boost::asio;
@@ -45,6 +48,28 @@
         armTimer(readTimer);
 }
 
+auto overBudgetError() -> HttpError
+{
+    return { HttpErrorKind::MalformedAnswer, "ended because the responses together are larger than allowed" };
+}
+
+/// Ends the read of a response for which the budget has no room. Its connection may be gone by then.
+auto endRead(const ReadTimerPointer& readTimer) -> void
+{
+    if (!readTimer->connection || readTimer->connection->isClosed)
+        return;
+    readTimer->isOverBudget = true;
+    readTimer->connection->stream.socket().cancel();
+}
+
+/// @return the capacity for a body of the given size. Growth is exponential, within the limits that are known.
+auto bodyCapacity(const HttpStream::Connection& connection, const std::string& body, std::size_t size, std::size_t maxBodyBytes) -> std::size_t
+{
+    const auto stated = connection.parser->content_length();
+    const auto most = stated ? std::min<std::size_t>(*stated, maxBodyBytes) : maxBodyBytes;
+    return std::max(size, std::min(2 * body.capacity(), most));
+}
+
 /// Parses the received bytes.
 /// @return number of body bytes in the chunk.
 auto parseBuffered(HttpStream::Connection& connection, boost::system::error_code& code) -> std::size_t
@@ -113,6 +138,8 @@
         const auto received = co_await connection.stream.socket().async_read_some(space, awaitInto(code));
         if (connection.isClosed)
             break;
+        if (connection.readTimer->isOverBudget)
+            co_return overBudgetError();
         if (connection.readTimer->hasTimedOut)
             co_return httpErrorOf(beast::error::timeout);
         connection.buffer.commit(received);
@@ -124,9 +151,57 @@
     co_return HttpError { HttpErrorKind::Cancelled, "the stream was closed" };
 }
 
+auto HttpStream::readAll(std::size_t maxBodyBytes, TimePoint deadline) -> asio::awaitable<HttpResult<HttpResponse>>
+{
+    const HttpError tooLarge { HttpErrorKind::MalformedAnswer, "the body is larger than allowed" };
+    const auto& parser = *m_connection->parser;
+    if (!parser.is_done() && parser.content_length() > maxBodyBytes)
+        co_return tooLarge;
+    HttpResponse response { status(), headers(), {} };
+    auto& body = response.body;
+    while (true) {
+        const auto chunk = co_await readSome(std::max(deadline - monotonicNow(), Duration(1)));
+        if (chunk.has_error())
+            co_return chunk.error();
+        if (chunk->empty())
+            break;
+        const auto size = body.size() + chunk->size();
+        if (size > maxBodyBytes)
+            co_return tooLarge;
+        if (size > body.capacity()) {
+            const auto capacity = bodyCapacity(*m_connection, body, size, maxBodyBytes);
+            if (auto error = hold(capacity))
+                co_return std::move(*error);
+            body.reserve(capacity);
+        }
+        body += *chunk;
+    }
+    // The bytes stay counted until the response has been used, because its caller may read slowly.
+    if (m_connection->share && m_connection->share->complete())
+        response.share = std::move(m_connection->share);
+    co_return response;
+}
+
+auto HttpStream::hold(std::size_t bytes) -> std::optional<HttpError>
+{
+    auto& connection = *m_connection;
+    if (!connection.share) {
+        if (bytes <= ResponseBudget::uncountedBytes)
+            return std::nullopt;
+        connection.share = std::make_shared<ResponseShare>(connection.responseBudget, toString(connection.key.endpoint), [executor = connection.stream.get_executor(), readTimer = connection.readTimer] {
+            asio::post(executor, [readTimer] { endRead(readTimer); });
+        });
+    }
+    return connection.share->resize(bytes) ? std::nullopt : std::optional(overBudgetError());
+}
+
 auto HttpStream::release() -> void
 {
     auto connection = std::move(m_connection);
+    // A share that is still here was ended, and the connection's next read would be.
+    if (connection->share && !connection->share->complete())
+        return;
+    connection->share.reset();
     const auto pool = connection->pool.lock();
     const auto isComplete = !connection->isClosed && connection->parser->is_done() && connection->buffer.size() == 0 && connection->isReusable;
     if (pool && isComplete && connection->parser->keep_alive())
--- a/src/PassThroughReader.h
+++ b/src/PassThroughReader.h
@@ -14,6 +14,7 @@
     auto feed(std::string_view chunk) -> void override;
     auto next(TokenEvent& event) -> Status override;
     auto endOfBody(TokenEvent& event) -> Status override;
+    auto bufferBytes() const -> std::size_t override { return m_buffer.capacity(); }
 
 private:
     /// Maximum size of an event; a longer body without an event end is not an event stream.
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -58,7 +58,8 @@
         : settings(std::move(entrySettings))
         , adapter(std::move(platformAdapter))
         , log(settings.instance, eventLogCapacity)
-        , threads(settings.threads, clientSettings())
+        , httpSettings(clientSettings(settings.limits, log))
+        , threads(settings.threads, httpSettings)
         , context { .settings = settings, .threads = threads, .log = log, .callerProtocol = adapter.callerProtocol, .backendProtocol = adapter.backendProtocol }
         , services(context, records, [](std::string_view, std::string_view) { return false; })
         , api(context, services)
@@ -285,6 +286,8 @@
             { "jayhold_store_history", "History of the store; each restore from an older copy increases it. 0 if the store names none.", static_cast<double>(summary.storeHistory) },
             { "jayhold_backends_said_leaving_total", "Processes of backend servers that have said in an answer that they are leaving.", static_cast<double>(summary.leavingByAnswer), true },
             { "jayhold_memory_pieces_reserved", "Engine memory that this instance has reserved, in pieces.", reservedMemoryBlocks },
+            { "jayhold_response_bytes_held", "Bytes held of responses of backend servers and the store that are larger than 32 KB.", static_cast<double>(httpSettings.responseBudget->heldBytes()) },
+            { "jayhold_responses_over_budget_total", "Responses that were ended because the bytes held of all responses reached their limit.", static_cast<double>(httpSettings.responseBudget->endedResponses()), true },
             { "jayhold_log_lines_left_out_total", "Log lines left out for their rate or because the output was not read.", static_cast<double>(log.droppedLines() + droppedLogLines()), true },
         };
         samples.insert(samples.end(), std::begin(own), std::end(own));
@@ -342,6 +345,7 @@
     const EntrySettings settings;
     PlatformAdapter adapter;
     EventLog log;
+    const HttpClientSettings httpSettings;
     IoThreads threads;
     EntryContext context;
     DisabledAtMostOnceRecords records;
--- a/src/RouterHttpSettings.cpp
+++ b/src/RouterHttpSettings.cpp
@@ -20,12 +20,27 @@
 /// Responses to plain calls and pages of the store's lists are held in memory. The smallest instances have
 /// 88 MB, and objects of the store at most 1 MB.
 constexpr std::size_t maxBufferedBodyBytes = 4U << 20U;
+/// The part of an instance's memory for the responses of backend servers and the store. Twice as many bytes
+/// can be held for a moment.
+constexpr std::size_t responseMemoryDivisor = 8;
+/// A connection with a round trip of 10 ms carries 6 MB/s with it. The kernel takes up to twice as much memory.
+constexpr int backendReceiveBufferBytes = 65'536;
 
 }
 
-auto clientSettings() -> HttpClientSettings
+auto responseBudgetBytes(std::size_t memoryBytes) -> std::size_t
+{
+    return memoryBytes == 0 ? ResponseBudget::defaultLimitBytes : memoryBytes / responseMemoryDivisor;
+}
+
+auto clientSettings(const EntryLimits& limits, EventLog& log) -> HttpClientSettings
 {
     HttpClientSettings settings;
+    settings.receiveBufferBytes = backendReceiveBufferBytes;
+    settings.responseBudget = std::make_shared<ResponseBudget>(responseBudgetBytes(limits.memoryBytes));
+    settings.responseBudget->onEnded([&log, limit = settings.responseBudget->limitBytes()](const EndedResponse& response) {
+        log.record(LogLevel::Warning, "response_over_budget", { { "address", response.server }, { "bytes", response.bytes }, { "held_bytes", response.totalBytes }, { "limit_bytes", limit } });
+    });
     settings.connectTimeout = connectTimeout;
     settings.tcpUserTimeout = backendTcpUserTimeout;
     settings.idleConnectionTimeout = backendIdleTimeout;
--- a/src/RouterHttpSettings.h
+++ b/src/RouterHttpSettings.h
@@ -3,12 +3,20 @@
 /// Settings of the HTTP client and servers of a RouterDaemon.
 
 #include "Configuration.h"
+#include "EntryLimits.h"
+#include "EventLog.h"
 #include "HttpClient.h"
 #include "HttpServer.h"
 
 namespace jayhold {
 
-auto clientSettings() -> HttpClientSettings;
+/// @param memoryBytes memory limit of the instance; 0 if it is not known.
+/// @return the bytes of backend responses that the instance may hold at the same time.
+auto responseBudgetBytes(std::size_t memoryBytes) -> std::size_t;
+
+/// @param log receives a line for each response that is ended because the response budget is used up; must outlive all
+/// clients with the settings.
+auto clientSettings(const EntryLimits& limits, EventLog& log) -> HttpClientSettings;
 
 /// @param limits limits of the configuration in force for requests of callers.
 auto serverSettings(const HttpEndpoint& endpoint, const CallerLimits& limits) -> HttpServerSettings;
--- a/src/StoreConnection.cpp
+++ b/src/StoreConnection.cpp
@@ -149,7 +149,7 @@
         boost::system::error_code ignored;
         co_await timer.async_wait(awaitInto(ignored));
     }
-    const auto response = co_await client.request(m_state->endpoint(), std::move(request), m_state->settings.timeout + wait);
+    auto response = co_await client.request(m_state->endpoint(), std::move(request), m_state->settings.timeout + wait);
     // A cancelled call says nothing about the state of the store.
     if (response.has_error() && response.error().kind == HttpErrorKind::Cancelled) {
         m_state->handleCancelled();
@@ -163,7 +163,7 @@
         co_return StoreError { kind, "status " + std::to_string(response->status), m_state->handleFailure() };
     }
     m_state->handleSuccess();
-    co_return *response;
+    co_return std::move(*response);
 }
 
 }
--- a/src/TokenEventReader.h
+++ b/src/TokenEventReader.h
@@ -19,6 +19,7 @@
     auto next(TokenEvent& event) -> Status override;
     /// These streams have an explicit end event, so a body that ends without it is truncated.
     auto endOfBody(TokenEvent&) -> Status override { return Status::NeedMore; }
+    auto bufferBytes() const -> std::size_t override { return m_partial.capacity(); }
 
 private:
     auto parse(std::string_view data, TokenEvent& event) -> Status;
--- a/test/error/PlatformFormatsTest.cpp
+++ b/test/error/PlatformFormatsTest.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 const std::string goodSettings = "node=edge-1\nzone=alpine\nregion=big-bend\nip=10.1.0.35\nzones.alpine=big-bend\nzones.marfa=big-bend\n"
-                                 "listen.front=10.1.0.35:8144\nlisten.ready=10.1.0.35:8140\nportRange=7660,7675\nbounds.graceS=8\nbounds.applyMs=2000\n"
+                                 "listen.front=10.1.0.35:8144\nlisten.ready=10.1.0.35:8140\nportRange=7660,7675\nlimits.memoryMb=110\nbounds.graceS=8\nbounds.applyMs=2000\n"
                                  "bounds.drainMs=1500\nbounds.budgetRatio=0.2\nbounds.budgetExtra=52\nplatform.address=10.200.1.7:8142\nplatform.readsPerS=2000\nnewer.field=x\n";
 
 /// @return the settings, or the path of the invalid value.
@@ -59,6 +59,7 @@
     CHECK(settings.entry.maxPropagationDelay == std::chrono::milliseconds(1'500));
     CHECK(settings.availabilityZones.size() == 2);
     CHECK(settings.retry.burst == 52);
+    CHECK(settings.entry.limits.memoryBytes == 110U << 20U);
 }
 
 // Guards against a process that starts with unusable settings.
