--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -59,7 +59,8 @@
         : settings(std::move(entrySettings))
         , adapter(std::move(platformAdapter))
         , log(settings.instance, eventLogCapacity)
-        , threads(settings.threads, clientSettings())
+        , httpSettings(clientSettings(settings.limits, log))
+        , threads(settings.threads, httpSettings)
         , context { .settings = settings, .threads = threads, .log = log, .callerProtocol = adapter.callerProtocol, .backendProtocol = adapter.backendProtocol }
         , services(context, records, [](std::string_view, std::string_view) { return false; })
         , api(context, services)
@@ -288,6 +289,8 @@
             { "jayhold_memory_pieces_reserved", "Engine memory that this instance has reserved, in pieces.", reservedMemoryBlocks },
             { "jayhold_loop_stalls_total", "How often an I/O thread ran no handler for more than 250 ms.", static_cast<double>(loopMonitor.stalls()), true },
             { "jayhold_loop_stalled_seconds_total", "The sum of these times.", std::chrono::duration<double>(loopMonitor.stalledTime()).count(), true },
+            { "jayhold_response_bytes_held", "Bytes held of responses of backend servers and the store that are larger than 32 KB.", static_cast<double>(httpSettings.responseBudget->heldBytes()) },
+            { "jayhold_responses_over_budget_total", "Responses that were ended because the bytes held of all responses reached their limit.", static_cast<double>(httpSettings.responseBudget->endedResponses()), true },
             { "jayhold_log_lines_left_out_total", "Log lines left out for their rate or because the output was not read.", static_cast<double>(log.droppedLines() + droppedLogLines()), true },
         };
         samples.insert(samples.end(), std::begin(own), std::end(own));
@@ -343,6 +346,7 @@
     const EntrySettings settings;
     PlatformAdapter adapter;
     EventLog log;
+    const HttpClientSettings httpSettings;
     IoThreads threads;
     const LoopMonitor loopMonitor { threads, [this](const LoopStall& stall) { log.record(LogLevel::Warning, "loop_stalled", describe(stall)); } };
     EntryContext context;
