End a control call whose response trickles by its timeout

A server that sends a byte within each timeout kept a slot reservation, a release, a report or an order open for as long as it sent, up to 1 MB: the timeout was applied to each chunk of the body. The same holds for responses that report an error of a decode, and for prefills at the native engine.

The native engine's reader is changed in the same way and has no test of its own.

--- a/src/EngineClient.cpp
+++ b/src/EngineClient.cpp
@@ -20,16 +20,10 @@
 
 auto readBody(HttpStream& stream, Duration timeout) -> asio::awaitable<EngineResult<std::string>>
 {
-    std::string body;
-    while (body.size() < maxPrefillResponseBytes) {
-        const auto chunk = co_await stream.readSome(timeout);
-        if (chunk.has_error())
-            co_return engineErrorOf(chunk.error());
-        if (chunk->empty())
-            co_return body;
-        body += *chunk;
-    }
-    co_return EngineError { FailureKind::ServerError, "the prefill response is too large" };
+    auto response = co_await stream.readAll(maxPrefillResponseBytes, monotonicNow() + timeout);
+    if (response.has_error())
+        co_return engineErrorOf(response.error());
+    co_return std::move(response->body);
 }
 
 }
--- a/test/EndlessServer.h
+++ b/test/EndlessServer.h
@@ -24,8 +24,9 @@
 /// caller closes.
 class EndlessServer {
 public:
-    EndlessServer(IoThreads& threads, std::string prefix)
-        : m_state(std::make_shared<State>(threads, std::move(prefix)))
+    /// @param filler bytes that are sent every 10 ms.
+    EndlessServer(IoThreads& threads, std::string prefix, std::string filler = std::string(16'384, 'x'))
+        : m_state(std::make_shared<State>(threads, std::move(prefix), std::move(filler)))
     {
         boost::asio::co_spawn(threads.context(0), accept(m_state), boost::asio::detached);
     }
@@ -37,16 +38,17 @@
 
 private:
     struct State {
-        State(IoThreads& threads, std::string text)
+        State(IoThreads& threads, std::string start, std::string rest)
             : acceptor(threads.context(0), { boost::asio::ip::make_address("127.0.0.1"), 0 })
-            , prefix(std::move(text))
+            , prefix(std::move(start))
+            , filler(std::move(rest))
         {
         }
 
         boost::asio::ip::tcp::acceptor acceptor;
         const std::string prefix;
         std::atomic<int> calls { 0 };
-        const std::string filler = std::string(16'384, 'x');
+        const std::string filler;
         std::size_t bytes = 0;
         std::atomic<std::size_t> peakBytes { 0 };
     };
--- a/test/error/EndlessBackendTest.cpp
+++ b/test/error/EndlessBackendTest.cpp
@@ -1,6 +1,10 @@
 #include "../EndlessServer.h"
 #include "../RouterFixture.h"
 
+#include "Protocols.h"
+
+#include <future>
+
 using namespace jayhold;
 using namespace jayhold::test;
 
@@ -34,3 +38,17 @@
     CHECK(endless.calls() >= 1);
     CHECK(endless.calls() <= calls / 4);
 }
+
+// Guards against a control call that lasts for as long as its server sends a byte within each timeout.
+TEST_CASE("a control call whose response trickles ends by its timeout")
+{
+    IoThreads threads { 2 };
+    const EndlessServer endless(threads, "HTTP/1.1 200 OK\r\n\r\n", "x");
+    const BackendServer server { .id = "slow", .endpoint = endless.endpoint() };
+    auto result = boost::asio::co_spawn(threads.context(1), platform::backendProtocol().orderState(threads.client(1), server, 300ms, ignoreNotices()), boost::asio::use_future);
+    const auto hasEnded = result.wait_for(2s) == std::future_status::ready;
+    CHECK(hasEnded);
+    if (hasEnded)
+        CHECK(result.get().error().failure == FailureKind::TimedOut);
+    threads.stop();
+}
