Pass the settings of the HTTP client without copies

clang-tidy reports the copies, because the settings now hold the response budget. http_test passes, and so does lint of the two source files.

--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -176,8 +176,8 @@
 
 HttpClient::HttpClient(asio::io_context& context, HttpClientSettings settings)
     : m_context(context)
-    , m_settings(settings)
-    , m_pool(std::make_shared<ConnectionPool>(settings.maxIdlePerEndpoint, settings.idleConnectionTimeout))
+    , m_settings(std::move(settings))
+    , m_pool(std::make_shared<ConnectionPool>(m_settings.maxIdlePerEndpoint, m_settings.idleConnectionTimeout))
 {
 }
 
--- a/src/IoThreads.cpp
+++ b/src/IoThreads.cpp
@@ -4,7 +4,7 @@
 
 namespace jayhold {
 
-IoThreads::IoThreads(std::size_t count, HttpClientSettings clientSettings)
+IoThreads::IoThreads(std::size_t count, const HttpClientSettings& clientSettings)
 {
     for (std::size_t index = 0; index < std::max<std::size_t>(count, 1); ++index)
         m_workers.push_back(std::make_unique<Worker>(clientSettings));
--- a/src/IoThreads.h
+++ b/src/IoThreads.h
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <memory>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace jayhold {
@@ -27,7 +28,7 @@
 class IoThreads {
 public:
     /// @param count number of threads, at least 1.
-    explicit IoThreads(std::size_t count, HttpClientSettings clientSettings = {});
+    explicit IoThreads(std::size_t count, const HttpClientSettings& clientSettings = {});
     ~IoThreads();
     IoThreads(const IoThreads&) = delete;
     auto operator=(const IoThreads&) -> IoThreads& = delete;
@@ -45,7 +46,7 @@
 private:
     struct Worker {
         explicit Worker(HttpClientSettings settings)
-            : client(context, settings)
+            : client(context, std::move(settings))
         {
         }
 
