Don't block a plain call for the time in which nobody could answer

Cause: an answer spoke for a call for 2 s of wall time, also while no server could answer, so two kills right after an outage convicted the call that is always in flight. A block on weak evidence was as final as any other, and a trial that found no server was used up.

The age of answers is now time in which the service answers calls (ServingTime), limited by three successive crashes without an answer and by a minute. Objections of peers carry the age of their answer. A signature that was answered before, or whose crashes were shared or simultaneous, is tried after 1 s, 5 s and a minute; three trials in all, as before, bound the retries. Of several candidates the never answered one goes first.

--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -110,8 +110,9 @@
     auto hasCrashed(HttpClient& client, const BackendServer& server, const PlainCallInfo& call) -> boost::asio::awaitable<bool>;
     /// @param time when the connection of the call broke.
     auto recordCrashLocked(const BackendServer& server, std::uint64_t signature, TimePoint time, CrashUpdates& updates) -> void;
-    /// Tells the peers that calls with these signatures have got an answer here.
-    auto addHarmlessReportLocked(std::vector<std::uint64_t> signatures, CrashUpdates& updates) -> void;
+    /// Tells the peers that a call with the signature has got an answer here; requires the lock.
+    /// @param age time since the answer.
+    auto addHarmlessReportLocked(std::uint64_t signature, Duration age, CrashUpdates& updates) -> void;
     /// Records that the server has run the call without a crash.
     auto recordAnswer(const BackendServer& server, const PlainCallInfo& call) -> void;
     /// Replaces the list of backend servers; takes the lock.
--- a/src/PlainServiceAttempts.cpp
+++ b/src/PlainServiceAttempts.cpp
@@ -91,6 +91,9 @@
             co_await pause(crashReportWait);
     }
     last.isNotRun = state.executions == 0;
+    // No server took the call, so the trial is still to be made.
+    if (state.isTrial && last.isNotRun)
+        allowTrial(call.signature);
     if (!last.isNotRun && !state.isCallerDisconnected)
         recordDuration(call, monotonicNow() - startedAt);
     co_return last;
--- a/src/PlainServiceCrashes.cpp
+++ b/src/PlainServiceCrashes.cpp
@@ -151,15 +151,15 @@
             updates.blocked.push_back({ part, BlockedPartChange::Remove });
         if (!isInQuestion)
             return;
-        addHarmlessReportLocked({ call.signature }, updates);
+        addHarmlessReportLocked(call.signature, Duration::zero(), updates);
     }
     record(LogLevel::Info, call, "crash_suspect_cleared", { { "backend", server.id } });
     publish(updates);
 }
 
-auto PlainService::addHarmlessReportLocked(std::vector<std::uint64_t> signatures, CrashUpdates& updates) -> void
+auto PlainService::addHarmlessReportLocked(std::uint64_t signature, Duration age, CrashUpdates& updates) -> void
 {
-    updates.reports.push_back({ m_name, m_context.settings.instance, m_reportIds(), true, { .parts = std::move(signatures) } });
+    updates.reports.push_back({ m_name, m_context.settings.instance, m_reportIds(), true, { .parts = { signature } }, std::chrono::ceil<std::chrono::milliseconds>(age) });
     reconsiderCrashes(m_crashes, monotonicNow());
     decideCrashesLocked(updates);
 }
@@ -184,16 +184,16 @@
     {
         const std::lock_guard guard(m_lock);
         if (report.isHarmless) {
-            for (const auto part : recordHarmlessParts(m_crashes, monotonicNow(), report.prompt.parts, false))
+            for (const auto part : recordHarmlessParts(m_crashes, monotonicNow() - report.age, report.prompt.parts, false))
                 updates.blocked.push_back({ part, BlockedPartChange::Remove });
             reconsiderCrashes(m_crashes, monotonicNow());
             decideCrashesLocked(updates);
         } else {
             const auto now = monotonicNow();
             addCrashedPrompt(m_crashes, now, report.prompt, report.age);
-            auto harmless = ownHarmlessParts(m_crashes, now - report.age, report.prompt.parts);
-            if (!harmless.empty())
-                addHarmlessReportLocked(std::move(harmless), updates);
+            // The peers decide themselves whether the answer speaks for the call.
+            if (const auto answeredAt = lastOwnAnswer(m_crashes, now, report.prompt.signature))
+                addHarmlessReportLocked(report.prompt.signature, now - *answeredAt, updates);
         }
     }
     publish(updates);
--- a/src/PromptPartCrashes.cpp
+++ b/src/PromptPartCrashes.cpp
@@ -3,6 +3,7 @@
 #include "CrashHistory.h"
 
 #include <algorithm>
+#include <array>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -27,6 +28,11 @@
 /// an engine.
 constexpr Duration trialInterval = std::chrono::minutes(10);
 constexpr std::uint32_t maxTrials = 3;
+/// Delays of the trials of a part that may well be harmless, by the number of trials so far.
+constexpr std::array<Duration, maxTrials> earlyTrialDelays { std::chrono::seconds(1), std::chrono::seconds(5), std::chrono::minutes(1) };
+/// Servers that are killed together are seen to crash within this time. A call that crashes one after the other takes longer,
+/// because it is sent again only after the peers' reports.
+constexpr Duration simultaneousWindow = crashReportWait;
 /// Time in which the request of a trial has to arrive.
 constexpr Duration trialPermitTime = std::chrono::minutes(1);
 
@@ -51,14 +57,40 @@
     return harmless && harmless->ownAt && now - *harmless->ownAt < state.rules.harmlessTtl;
 }
 
+/// @return when a request with the part showed last that it is harmless.
+auto lastAnswer(const PromptPartCrashes& state, std::uint64_t part) -> std::optional<TimePoint>
+{
+    const auto* harmless = findHarmless(state, part);
+    return harmless ? std::max(harmless->ownAt, harmless->reportedAt) : std::nullopt;
+}
+
+/// @return whether the part's last answer was before the crash, so long ago that the service has hardly answered any call
+/// since.
+auto wasAnsweredBeforeSilence(const PromptPartCrashes& state, std::uint64_t part, TimePoint crashedAt) -> bool
+{
+    const auto answeredAt = lastAnswer(state, part);
+    return answeredAt && crashedAt - *answeredAt <= maxAnswerAge && servingTimeBetween(state.serving, *answeredAt, crashedAt) <= state.rules.harmlessTtl;
+}
+
 /// The crashes and requests that a part was in.
 struct PartEvidence {
+    /// Without those for which an answer speaks.
     std::set<const PromptPartCrashes::Crash*> crashes;
+    /// All crashes after the last answer.
+    std::vector<TimePoint> unansweredCrashes;
+    /// Whether one of these was longer than the harmlessTtl after the last answer.
+    bool isAnswerOld = false;
     std::set<std::uint64_t> requests;
     /// Deepest position in a prompt.
     std::size_t depth = 0;
 };
 
+/// A part that is to be blocked.
+struct PossibleCause {
+    std::uint64_t part = 0;
+    bool isAmbiguous = false;
+};
+
 using EvidenceTable = std::unordered_map<std::uint64_t, PartEvidence>;
 
 auto addEvidence(EvidenceTable& table, const PromptPartCrashes& state, const PromptPartCrashes::Crash& crash) -> void
@@ -66,9 +98,15 @@
     for (const auto& prompt : crash.prompts) {
         for (std::size_t index = 0; index < prompt.parts.size(); ++index) {
             const auto part = prompt.parts[index];
-            if (wasHarmlessAt(state, part, crash.time))
+            if (lastAnswer(state, part) >= crash.time)
                 continue;
             auto& evidence = table[part];
+            evidence.unansweredCrashes.push_back(crash.time);
+            if (wasHarmlessAt(state, part, crash.time))
+                continue;
+            evidence.isAnswerOld = true;
+            if (wasAnsweredBeforeSilence(state, part, crash.time))
+                continue;
             evidence.crashes.insert(&crash);
             evidence.requests.insert(prompt.signature);
             evidence.depth = std::max(evidence.depth, index);
@@ -76,6 +114,21 @@
     }
 }
 
+/// @return the number of crashes that were one after the other.
+auto countSuccessive(std::vector<TimePoint> crashes) -> std::size_t
+{
+    std::ranges::sort(crashes);
+    std::size_t count = 0;
+    std::optional<TimePoint> last;
+    for (const auto time : crashes) {
+        if (last && time - *last < simultaneousWindow)
+            continue;
+        last = time;
+        ++count;
+    }
+    return count;
+}
+
 /// @return whether a blocked part explains the crash, so that it says nothing about other parts.
 auto isExplained(const PromptPartCrashes& state, const PromptPartCrashes::Crash& crash) -> bool
 {
@@ -88,29 +141,47 @@
     return std::ranges::any_of(table, [&](const auto& other) { return other.first != part && std::ranges::includes(other.second.crashes, evidence.crashes); });
 }
 
+/// @return whether the crashes show that the part is a cause, unless another one is more likely.
+auto isPossibleCause(const PromptPartCrashes& state, const EvidenceTable& table, std::uint64_t part, const PartEvidence& evidence) -> bool
+{
+    if (evidence.isAnswerOld && countSuccessive(evidence.unansweredCrashes) >= state.rules.crashesDespiteAnswer)
+        return true;
+    if (evidence.crashes.size() < minCrashes || evidence.requests.size() < state.rules.minRequests)
+        return false;
+    return evidence.crashes.size() >= state.rules.crashesDespiteTie || !hasTie(table, part, evidence);
+}
+
 /// @return the deepest part that was in several crashes. Requests share the parts before the cause more often
-/// than the parts after it.
-auto mostLikelyCause(const PromptPartCrashes& state, TimePoint now) -> std::optional<std::uint64_t>
+/// than the parts after it. Of equally deep parts, one that has never been answered.
+auto mostLikelyCause(const PromptPartCrashes& state, TimePoint now) -> std::optional<PossibleCause>
 {
     EvidenceTable table;
     for (const auto& crash : state.crashes) {
         if (!isExplained(state, crash) && now - crash.knownAt >= crashReportWait)
             addEvidence(table, state, crash);
     }
-    std::optional<std::uint64_t> cause;
-    const PartEvidence* best = nullptr;
-    for (const auto& [part, evidence] : table) {
-        if (evidence.crashes.size() < minCrashes || evidence.requests.size() < state.rules.minRequests)
-            continue;
-        if (evidence.crashes.size() < state.rules.crashesDespiteTie && hasTie(table, part, evidence))
-            continue;
+    const auto rank = [&](std::uint64_t part, const PartEvidence& evidence) {
         // The last criterion makes all instances choose the same part.
-        if (best && std::tuple(evidence.depth, evidence.crashes.size(), part) < std::tuple(best->depth, best->crashes.size(), *cause))
-            continue;
-        best = &evidence;
-        cause = part;
+        return std::tuple(evidence.depth, !lastAnswer(state, part), evidence.crashes.size(), part);
+    };
+    const EvidenceTable::value_type* best = nullptr;
+    for (const auto& entry : table) {
+        const auto& [part, evidence] = entry;
+        if (isPossibleCause(state, table, part, evidence) && (!best || rank(part, evidence) > rank(best->first, best->second)))
+            best = &entry;
     }
-    return cause;
+    if (!best)
+        return std::nullopt;
+    const auto isAmbiguous = hasTie(table, best->first, best->second) || countSuccessive(best->second.unansweredCrashes) < minCrashes;
+    return PossibleCause { best->first, isAmbiguous };
+}
+
+/// @return the time after which the part is tried again.
+auto trialDelay(const PromptPartCrashes& state, std::uint64_t part, const PromptPartCrashes::BlockedPart& blocked) -> Duration
+{
+    if (state.rules.hasEarlyTrials && (blocked.isAmbiguous || findHarmless(state, part)))
+        return earlyTrialDelays.at(blocked.trials);
+    return blocked.trials == 0 ? state.rules.firstTrialDelay : trialInterval;
 }
 
 }
@@ -138,18 +209,23 @@
     std::erase_if(state.crashes, [&](const auto& crash) { return crash.process == process; });
 }
 
-auto recordHarmlessParts(PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts, bool isOwn) -> std::vector<std::uint64_t>
+auto recordHarmlessParts(PromptPartCrashes& state, TimePoint time, std::span<const std::uint64_t> parts, bool isOwn) -> std::vector<std::uint64_t>
 {
+    recordAnswer(state.serving, time);
     std::vector<std::uint64_t> unblocked;
     for (const auto part : parts) {
         if (state.harmlessParts.size() >= maxHarmlessParts)
             state.olderHarmlessParts = std::exchange(state.harmlessParts, {});
         const auto* known = findHarmless(state, part);
         auto harmless = known ? *known : PromptPartCrashes::HarmlessPart {};
-        (isOwn ? harmless.ownAt : harmless.reportedAt) = now;
+        auto& answeredAt = isOwn ? harmless.ownAt : harmless.reportedAt;
+        answeredAt = std::max(answeredAt, std::optional(time));
         state.harmlessParts[part] = harmless;
-        if (state.blocked.erase(part) > 0)
-            unblocked.push_back(part);
+        const auto blocked = state.blocked.find(part);
+        if (blocked == state.blocked.end() || time + state.rules.harmlessTtl < blocked->second.since)
+            continue;
+        state.blocked.erase(blocked);
+        unblocked.push_back(part);
     }
     return unblocked;
 }
@@ -164,6 +240,13 @@
     return harmless;
 }
 
+auto lastOwnAnswer(const PromptPartCrashes& state, TimePoint now, std::uint64_t part) -> std::optional<TimePoint>
+{
+    const auto* harmless = findHarmless(state, part);
+    const auto isRecent = harmless && harmless->ownAt && now - *harmless->ownAt <= maxAnswerAge;
+    return isRecent ? harmless->ownAt : std::nullopt;
+}
+
 auto blockCrashingParts(PromptPartCrashes& state, TimePoint now) -> std::vector<std::uint64_t>
 {
     std::erase_if(state.blocked, [&](const auto& blocked) { return !blocked.second.isListed && now - blocked.second.since >= unlistedBlockTtl; });
@@ -181,8 +264,10 @@
         const auto cause = mostLikelyCause(state, now);
         if (!cause)
             break;
-        state.blocked[*cause].since = now;
-        parts.push_back(*cause);
+        auto& blocked = state.blocked[cause->part];
+        blocked.since = now;
+        blocked.isAmbiguous = cause->isAmbiguous;
+        parts.push_back(cause->part);
     }
     return parts;
 }
@@ -228,9 +313,9 @@
         if (found == state.blocked.end())
             continue;
         auto& blocked = found->second;
-        const auto wasRequested = blocked.trialRequestedAt && now - *blocked.trialRequestedAt < trialInterval;
-        const auto delay = blocked.trials == 0 ? state.rules.firstTrialDelay : trialInterval;
-        if (!blocked.isListed || blocked.trials >= maxTrials || wasRequested || now - blocked.since < delay)
+        // Another instance may have begun the trial that was requested; the time since then counts for the next one.
+        const auto wasRequested = blocked.trialRequestedAt >= blocked.since && now - *blocked.trialRequestedAt < trialInterval;
+        if (!blocked.isListed || blocked.trials >= maxTrials || wasRequested || now - blocked.since < trialDelay(state, part, blocked))
             continue;
         blocked.trialRequestedAt = now;
         return ListedPart { part, blocked.trials };
--- a/src/PromptPartCrashes.h
+++ b/src/PromptPartCrashes.h
@@ -8,10 +8,12 @@
 
 #include "CrashedPrompt.h"
 #include "ListedPart.h"
+#include "ServingTime.h"
 #include "Time.h"
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <optional>
 #include <span>
 #include <unordered_map>
@@ -25,6 +27,9 @@
     std::size_t minRequests = 2;
     /// Number of crashes from which on a part is blocked although another part was at all of them too.
     std::size_t crashesDespiteTie = 2;
+    /// Number of crashes in a row, one after the other, from which on a part is blocked although no other part had an answer
+    /// in the time since its own last one.
+    std::size_t crashesDespiteAnswer = std::numeric_limits<std::size_t>::max();
     /// Time for which an answer shows that a part is harmless. A part that is harmless can begin to crash engines, for
     /// example with new weights.
     Duration harmlessTtl = std::chrono::seconds(30);
@@ -32,12 +37,30 @@
     Duration firstTrialDelay = std::chrono::minutes(10);
     /// Reports of one crash arrive within this time. A later one of the same process id is another crash.
     Duration reportWindow = std::chrono::seconds(2);
+    /// Time without any answer that counts towards the age of an answer. The rest of it doesn't, because no server could
+    /// answer then.
+    Duration maxAnswerGap = Duration::max();
+    /// Whether a part is tried early if it has been answered before, or if the crashes don't tell it from
+    /// another one.
+    bool hasEarlyTrials = false;
 };
 
 /// Rules for calls. Servers run many calls at once, so the calls that are retried together may be at the next crash
-/// together too. A call that many callers send is at most crashes, but its last answer is recent. The first trial is
-/// early, because a harmless call that is blocked by mistake gets no answers.
-inline constexpr CrashRules callCrashRules { .minRequests = 1, .crashesDespiteTie = 3, .harmlessTtl = std::chrono::seconds(2), .firstTrialDelay = std::chrono::minutes(1), .reportWindow = std::chrono::seconds(10) };
+/// together too. A call that many callers send is at most crashes, but its last answer is recent, or no call of the service
+/// has got an answer since. The first trial is early, because a harmless call that is blocked by mistake gets no answers.
+inline constexpr CrashRules callCrashRules {
+    .minRequests = 1,
+    .crashesDespiteTie = 3,
+    .crashesDespiteAnswer = 3,
+    .harmlessTtl = std::chrono::seconds(2),
+    .firstTrialDelay = std::chrono::minutes(1),
+    .reportWindow = std::chrono::seconds(10),
+    .maxAnswerGap = std::chrono::milliseconds(250),
+    .hasEarlyTrials = true,
+};
+
+/// An older answer does not speak for a call, whatever the service answered since, and peers are not told of it.
+inline constexpr Duration maxAnswerAge = std::chrono::minutes(1);
 
 struct PromptPartCrashes {
     struct Crash {
@@ -57,6 +80,8 @@
     struct BlockedPart {
         /// Whether the list that all instances share contains the part.
         bool isListed = false;
+        /// Whether another part was at all of its crashes, or they were all at the same time, so that it may be harmless.
+        bool isAmbiguous = false;
         /// Requests with the part that ran since it was blocked, to see whether it still crashes engines.
         std::uint32_t trials = 0;
         /// When this instance first saw the part with this number of trials.
@@ -76,6 +101,7 @@
     /// table is full, it replaces the second one.
     HarmlessParts harmlessParts;
     HarmlessParts olderHarmlessParts;
+    ServingTime serving { .maxAnswerGap = rules.maxAnswerGap };
     std::unordered_map<std::uint64_t, BlockedPart> blocked;
 };
 
@@ -87,11 +113,14 @@
 /// Removes the crash of an engine process that turned out not to have crashed.
 auto removePromptCrash(PromptPartCrashes& state, std::uint64_t process) -> void;
 /// Records that a request with the parts got past the point at which its engine could have crashed.
+/// @param time when it did. An answer from long before a part was blocked does not end the block.
 /// @param isOwn whether it was a request of this instance.
 /// @return the parts that were blocked until now.
-auto recordHarmlessParts(PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts, bool isOwn) -> std::vector<std::uint64_t>;
+auto recordHarmlessParts(PromptPartCrashes& state, TimePoint time, std::span<const std::uint64_t> parts, bool isOwn) -> std::vector<std::uint64_t>;
 /// @return those of the parts that this instance has recently found to be harmless.
 auto ownHarmlessParts(const PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts) -> std::vector<std::uint64_t>;
+/// @return when a request of this instance showed last that the part is harmless, if it is known and not long ago.
+auto lastOwnAnswer(const PromptPartCrashes& state, TimePoint now, std::uint64_t part) -> std::optional<TimePoint>;
 
 /// Blocks the parts that the crashes show to be the cause.
 /// @return the parts that were not blocked before.
--- a/test/correctness/PlainServiceTest.cpp
+++ b/test/correctness/PlainServiceTest.cpp
@@ -230,6 +230,19 @@
     }
 }
 
+// Guards against a trial that is used up while no server can take it, so that a harmless call stays blocked for minutes after
+// the servers are back.
+TEST_CASE("the trial of a blocked call is kept while there is no server")
+{
+    Fixture fixture;
+    const std::vector<std::string> items { "/items?q=1" };
+    fixture.blockForTrial(items);
+    CHECK(fixture.lookUp(items.front()) == 503);
+    FakeService ledger(fixture.threads);
+    fixture.harness.addBackend("ledger-1", "ledger", ledger.endpoint());
+    CHECK(fixture.lookUp(items.front()) == 201);
+}
+
 // Guards against a second server that runs a call that was found to crash servers while its first server was silent.
 TEST_CASE("a silent call that has been blocked meanwhile is not sent to another server")
 {
