--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -8,7 +8,7 @@
   LINK jayhold_cluster jayhold_decision jayhold_operator jayhold_http)
 
 jayhold_test(entry_rules_test
-  SOURCES test/error/EntrySettingsTest.cpp test/error/CallerChecksTest.cpp
+  SOURCES test/correctness/DrainWaitTest.cpp test/error/EntrySettingsTest.cpp test/error/CallerChecksTest.cpp
     test/correctness/EngineMessagesTest.cpp test/correctness/RecentDurationsTest.cpp test/correctness/RouteTableTest.cpp test/correctness/TokenRelayTest.cpp
   LINK jayhold_entry)
 
