Do not restore the user timeout of a caller's connection

Fix: the timeout stays off after the first request. Idle connections end by the idle timeout or after five lost probes.

--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -28,8 +28,8 @@
     Duration idleTimeout = std::chrono::seconds(60);
     /// Maximum time for the caller to accept one chunk of a response.
     Duration writeTimeout = std::chrono::seconds(10);
-    /// A connection on which nothing is acknowledged for this long is closed, except between a request and its response;
-    /// zero keeps the system's defaults.
+    /// A connection on which nothing is acknowledged for this long before its first request is closed; zero keeps the
+    /// system's defaults.
     Duration tcpUserTimeout {};
     /// Called for each closed connection on its I/O thread.
     std::function<void(const ConnectionClose&)> onConnectionClosed = [](const ConnectionClose&) {};
--- a/src/HttpServerConnection.cpp
+++ b/src/HttpServerConnection.cpp
@@ -293,10 +293,10 @@
         exchange.respondUnknownOutcome();
     co_await exchange.awaitUnknownOutcome();
     connection->active.reset();
-    if (!reason) {
-        restoreUserTimeout(connection->stream.socket(), shared.settings.load()->tcpUserTimeout);
+    // The user timeout is not restored, because the end of the answer may still be in the send buffer. An idle connection
+    // ends by its idle timeout or by lost probes.
+    if (!reason)
         co_return true;
-    }
     shared.onConnectionClosed({ *reason, isHandlerAnswer ? nullptr : &exchange.request(), hasStarted, thrown ? exceptionText(thrown) : exchange.errorText() });
     co_return false;
 }
--- a/test/correctness/SlowCallerTest.cpp
+++ b/test/correctness/SlowCallerTest.cpp
@@ -2,6 +2,8 @@
 #include "../RawConnection.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
@@ -37,6 +39,35 @@
     threads.stop();
 }
 
+// Guards against an answer that is cut because its caller pauses when the server has written all of it to the kernel, and
+// the connection waits for the next request.
+TEST_CASE("the end of an answer on a kept connection outlasts a pause of its caller")
+{
+    constexpr std::size_t bodyBytes = 512U << 10U;
+    IoThreads threads { 1 };
+    HttpServerSettings settings;
+    settings.tcpUserTimeout = 1s;
+    HttpServer server(threads, settings, [](HttpExchange& exchange) -> asio::awaitable<void> {
+        HttpResponse response { 200, {}, std::string(bodyBytes, 'x') };
+        co_await exchange.respond(std::move(response));
+    });
+    asio::io_context context;
+    asio::ip::tcp::socket caller(context, asio::ip::tcp::v4());
+    constexpr int receiveBufferBytes = 32'768;
+    caller.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes));
+    caller.connect({ asio::ip::make_address("127.0.0.1"), server.endpoint().port });
+    asio::write(caller, asio::buffer(std::string_view("GET / HTTP/1.1\r\n\r\n")));
+    std::this_thread::sleep_for(2'500ms);
+    std::string received;
+    boost::system::error_code code;
+    const auto headerBytes = asio::read_until(caller, asio::dynamic_buffer(received), "\r\n\r\n", code);
+    REQUIRE(!code);
+    asio::read(caller, asio::dynamic_buffer(received), asio::transfer_exactly(headerBytes + bodyBytes - received.size()), code);
+    CHECK(!code);
+    CHECK(received.size() == headerBytes + bodyBytes);
+    threads.stop();
+}
+
 // Guards against a request that is closed or refused because the limits fall while its bytes arrive.
 TEST_CASE("a request is read under the limits that held when it began")
 {
