Keep the signatures of answered requests apart from harmless prompt parts

What callers see: requests with a harmless prompt part are refused, because the part is blamed for engines that ended together.

Cause: since each answered request adds its signature to the table of harmless parts, which forgets the older half above 2,048 entries. Each request has another signature, so a few thousand answers displace what the table knows of parts within harmlessTtl (30 s).

Evidence: a part that an engine had answered, 5,000 answers without parts, then a zone whose processes ended: the part was blocked. With a table of its own for signatures it is not.

--- a/src/PromptPartBlocking.cpp
+++ b/src/PromptPartBlocking.cpp
@@ -71,10 +71,12 @@
         return;
     // An engine may crash late in an answer, so only a complete one shows that the signature is harmless. A trial
     // ends sooner.
-    if (isSignatureBlocked || (isFinished && hasSignature))
+    if (isFinished && hasSignature)
+        recordHarmlessParts(context.state.answeredSignatures, context.now, std::span(&request.arrival.signature, 1), true);
+    if (isSignatureBlocked) {
         parts.push_back(request.arrival.signature);
-    if (isSignatureBlocked)
         context.state.blockedSignatures.erase(request.arrival.signature);
+    }
     const auto unblocked = recordHarmlessParts(context.state.partCrashes, context.now, parts, true);
     if (!unblocked.empty()) {
         reportUnblocked(context, unblocked);
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -73,6 +73,9 @@
     std::unordered_map<std::uint64_t, TimePoint> blockedSignatures;
     CrashHistoryTable crashHistory;
     PromptPartCrashes partCrashes;
+    /// The signatures of answered requests, as harmless parts. Each request has another one, so in one table with the
+    /// parts of prompts they would displace these.
+    PromptPartCrashes answeredSignatures;
     /// Oldest first, one of a process.
     std::vector<UndecidedCrash> undecidedCrashes;
     /// Replicas that recently lost connections, and when.
--- a/src/UndecidedCrashes.cpp
+++ b/src/UndecidedCrashes.cpp
@@ -36,7 +36,7 @@
 /// A request whose copies are answered does not crash the engines that run it.
 auto wasAnswered(const DecisionContext& context, std::uint64_t signature, TimePoint time) -> bool
 {
-    return !ownHarmlessParts(context.state.partCrashes, time, std::span(&signature, 1)).empty();
+    return !ownHarmlessParts(context.state.answeredSignatures, time, std::span(&signature, 1)).empty();
 }
 
 }
--- a/test/correctness/SimultaneousCrashesTest.cpp
+++ b/test/correctness/SimultaneousCrashesTest.cpp
@@ -87,9 +87,9 @@
     }
 
     /// Has an engine answer a request completely.
-    auto answer(std::uint64_t id, std::uint64_t signature) -> void
+    auto answer(std::uint64_t id, std::uint64_t signature, std::vector<std::uint64_t> parts = {}) -> void
     {
-        arriveWith(id, signature, {});
+        arriveWith(id, signature, std::move(parts));
         prefilled(last<StartPrefill>().value());
         const auto decode = last<StartDecode>().value();
         started(decode);
@@ -222,6 +222,23 @@
     CHECK_FALSE(harness.refuses(signature, {}));
 }
 
+// Guards against harmless parts that are forgotten, and blamed for engines that ended together, because many requests
+// without parts have been answered since.
+TEST_CASE("answers to requests without parts do not displace what is known about harmless parts")
+{
+    constexpr std::uint64_t firstAnswered = 10'000;
+    constexpr std::uint64_t answers = 5'000;
+    ZoneHarness harness;
+    harness.answer(firstAnswered, firstAnswered, { sharedPart });
+    for (auto id = firstAnswered + 1; id <= firstAnswered + answers; ++id)
+        harness.answer(id, id);
+    harness.fill(std::nullopt, { sharedPart });
+    harness.loseZone();
+    harness.endProcesses();
+    CHECK_FALSE(harness.lastEver<UpdateBlockedPart>());
+    CHECK_FALSE(harness.refuses(nextRequest, { sharedPart, nextRequest }));
+}
+
 // Guards against an instance that blocks harmless parts because peers' reports of a network failure arrive after it has
 // recognised the failure.
 TEST_CASE("reports about the prompts of a lost zone do not count before its processes have ended")
