Reserve memory for the prompt of a stream, where answers have room to grow

Cause: a slot was reserved for the prompt and half of the answer, some 0.2 to 0.7 s before the decode starts. The engine keeps reserved memory free, so running answers that grow into it are preempted.

Change: SlotMemory. An engine is asked for the memory of the prompt and of three long answers (at most half of the memory beside the prompt); if it has that, the slot is replaced by one for the prompt alone. The decision code gives both values, the driver makes the calls.

Tests that named the previous amounts now name the new ones. The one on repeated answers to reservations expects the second reservation of each stream, because the first is replaced.

--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -244,14 +244,14 @@
     m_hasStartedAttempt = true;
     m_backend = replica->backend.id;
     const auto queueTime = std::chrono::duration_cast<std::chrono::milliseconds>(monotonicNow() - m_info.arrivedAt);
-    recordDecision(m_slotRefusals == 0 ? LogLevel::Info : LogLevel::Debug, "request_placed", { { "decode_backend", decode ? decode->backend.id : "" }, { "software_version", decode ? decode->backend.softwareVersion : "" }, { "bound", m_boundVersion.has_value() }, { "bound_version", boundVersionText() }, { "decode_tokens", action.decodeTokens }, { "prompt_tokens", m_info.digest.tokens }, { "waited_ms", queueTime.count() } });
+    recordDecision(m_slotRefusals == 0 ? LogLevel::Info : LogLevel::Debug, "request_placed", { { "decode_backend", decode ? decode->backend.id : "" }, { "software_version", decode ? decode->backend.softwareVersion : "" }, { "bound", m_boundVersion.has_value() }, { "bound_version", boundVersionText() }, { "decode_tokens", action.slot.reservedTokens }, { "free_tokens", action.slot.freeTokens }, { "prompt_tokens", m_info.digest.tokens }, { "waited_ms", queueTime.count() } });
     record(LogLevel::Debug, "prefill_started");
     announceVersion(decode);
     auto call = engineCall();
     call.mayResend = [this] { return tryConsumeResend(); };
     const auto task = ++m_tasks->lastTask;
     m_tasks->replica = action.prefill;
-    m_decodeTokens = action.decodeTokens;
+    m_slotMemory = action.slot;
     spawnTask(runPrefill(task, *replica, decode, std::move(call)), true);
 }
 
@@ -319,9 +319,9 @@
     } else {
         releaseSlot();
     }
-    const auto needsSlot = action.slotTokens > 0 && !call.slot;
+    const auto needsSlot = action.slot && !call.slot;
     if (needsSlot)
-        m_decodeTokens = action.slotTokens;
+        m_slotMemory = *action.slot;
     record(LogLevel::Info, "transfer_started", { { "software_version", replica->backend.softwareVersion }, { "bound", m_boundVersion.has_value() }, { "bound_version", boundVersionText() }, { "split", call.kv.has_value() }, { "resume_from", call.resumeFrom }, { "seat_refusals", m_slotRefusals } });
     const auto task = ++m_tasks->lastTask;
     m_tasks->replica = action.decode;
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -128,7 +128,9 @@
     /// @param client used instead of the exchange's, because the request may end before the engine answers.
     auto runReservation(HttpClient& client, ReserveReplacement action, ReplicaStatus decode) -> boost::asio::awaitable<void>;
     /// Asks a decode engine for a slot.
-    auto requestSlot(HttpClient& client, ReplicaStatus decode, std::uint32_t tokens) -> boost::asio::awaitable<EngineResult<SlotHandle>>;
+    /// @return the slot with the memory that the request takes at its start, or FailureKind::Busy if the engine lacks
+    /// the free memory.
+    auto requestSlot(HttpClient& client, ReplicaStatus decode, SlotMemory memory) -> boost::asio::awaitable<EngineResult<SlotHandle>>;
     /// Reports that a slot for a replacement was refused; the running attempt goes on.
     auto refuseReplacement(ReplacementNumber number, const EngineError& error) -> void;
     /// Gives up the slot of a replacement, or its reservation if it is still asked for.
@@ -200,7 +202,7 @@
     bool m_isPrefillFetched = false;
     std::optional<SlotHandle> m_slot;
     std::optional<ReplacementSlot> m_replacement;
-    std::uint32_t m_decodeTokens = 0;
+    SlotMemory m_slotMemory;
     std::uint32_t m_slotRefusals = 0;
     /// The response of the engine that failed last, if the engine itself reported the failure; null
     /// otherwise.
--- a/src/ModelRequestReservations.cpp
+++ b/src/ModelRequestReservations.cpp
@@ -25,22 +25,37 @@
 
 }
 
-auto ModelRequest::requestSlot(HttpClient& client, ReplicaStatus decode, std::uint32_t tokens) -> asio::awaitable<EngineResult<SlotHandle>>
+auto ModelRequest::requestSlot(HttpClient& client, ReplicaStatus decode, SlotMemory memory) -> asio::awaitable<EngineResult<SlotHandle>>
 {
     if (m_service->isPaused(decode.id))
         co_return pausedError();
+    const auto& protocol = m_context.backendProtocol;
     const auto time = m_service->slotReservationTime();
-    auto reservation = co_await m_context.backendProtocol.reserveSlot(client, decode.backend, tokens, time, m_timeouts.slotReservation, m_context.handleNotice);
+    auto reservation = co_await protocol.reserveSlot(client, decode.backend, memory.freeTokens, time, m_timeouts.slotReservation, m_context.handleNotice);
     if (reservation.has_error())
         co_return reservation.error();
-    co_return SlotHandle { decode.backend, decode.id, std::move(*reservation) };
+    SlotHandle slot { decode.backend, decode.id, std::move(*reservation) };
+    // The engine had the room for growth, which stays free for the answers that run there. A reservation that can't be
+    // replaced by a smaller one now is used as it is.
+    if (memory.reservedTokens >= memory.freeTokens || m_service->isPaused(decode.id))
+        co_return slot;
+    const auto isReleased = co_await protocol.releaseSlot(client, decode.backend, slot.name, m_timeouts.slotReservation, m_context.handleNotice);
+    if (!isReleased)
+        co_return slot;
+    if (m_service->isPaused(decode.id))
+        co_return pausedError();
+    reservation = co_await protocol.reserveSlot(client, decode.backend, memory.reservedTokens, time, m_timeouts.slotReservation, m_context.handleNotice);
+    if (reservation.has_error())
+        co_return reservation.error();
+    slot.name = std::move(*reservation);
+    co_return slot;
 }
 
 auto ModelRequest::reserveSlot(const std::optional<ReplicaStatus>& decode) -> asio::awaitable<std::optional<EngineError>>
 {
     if (!m_context.backendProtocol.reserveSlot || m_service->slotReservationTime() <= Duration::zero() || !decode || m_slot)
         co_return std::nullopt;
-    auto slot = co_await requestSlot(m_exchange.client(), *decode, m_decodeTokens);
+    auto slot = co_await requestSlot(m_exchange.client(), *decode, m_slotMemory);
     if (slot.has_error())
         co_return slot.error();
     m_slot = std::move(*slot);
@@ -66,7 +81,7 @@
     // A slot can be refused many times in a burst, so only the first refusal is logged at level Info; the
     // later events of the request carry the number of refusals.
     const auto level = ++m_slotRefusals == 1 ? LogLevel::Info : LogLevel::Debug;
-    record(level, "seat_refused", { { "failure", name(error.failure) }, { "detail", error.detail }, { "tokens", m_decodeTokens } });
+    record(level, "seat_refused", { { "failure", name(error.failure) }, { "detail", error.detail }, { "tokens", m_slotMemory.freeTokens } });
     m_service->handleEvent(SlotRefused { m_id, m_attempt, error.failure });
 }
 
@@ -115,7 +130,7 @@
 {
     m_replacement = ReplacementSlot { action.number, std::nullopt };
     const auto decode = m_service->replica(action.decode);
-    record(LogLevel::Info, "replacement_requested", { { "replacement", decode ? decode->backend.id : "" }, { "decode_tokens", action.decodeTokens }, { "tokens", m_relay.tokens() }, { "left_ms", remainingMs() } });
+    record(LogLevel::Info, "replacement_requested", { { "replacement", decode ? decode->backend.id : "" }, { "decode_tokens", action.slot.reservedTokens }, { "free_tokens", action.slot.freeTokens }, { "tokens", m_relay.tokens() }, { "left_ms", remainingMs() } });
     if (!decode) {
         refuseReplacement(action.number, { FailureKind::NotConnected, "the backend server was removed" });
         return;
@@ -133,7 +148,7 @@
 auto ModelRequest::runReservation(HttpClient& client, ReserveReplacement action, ReplicaStatus decode) -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
-    auto slot = co_await requestSlot(client, decode, action.decodeTokens);
+    auto slot = co_await requestSlot(client, decode, action.slot);
     if (slot.has_error()) {
         refuseReplacement(action.number, slot.error());
         co_return;
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -35,12 +35,6 @@
 /// still meet their target, and would take their memory for seconds.
 constexpr double overdueHeadroomFraction = 0.25;
 
-/// A request asks for memory for this fraction of its answer at the start. The answer grows into the
-/// rest over seconds, in which other answers on the engine end. Asking for the whole answer, or
-/// additionally for the growth of the other answers, left memory unused and refused more requests than
-/// the preemptions that it avoided.
-constexpr std::uint64_t answerSlotDivisor = 2;
-
 /// Memory blocks that the request leaves free. Peers take memory that no report shows yet, and the
 /// prefill of a long prompt is wasted if its decode is refused for lack of memory. Batch work can wait
 /// until there is room for two requests of its size.
@@ -117,11 +111,11 @@
     return avoidedIfFits(context, PoolRole::Decode, request, fits);
 }
 
-auto slotMemoryTokens(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> std::uint32_t
+auto slotMemory(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> SlotMemory
 {
-    const std::uint64_t prompt = request.arrival.promptTokens;
-    const auto answer = reservedTokens(context.state, request) - prompt;
-    return static_cast<std::uint32_t>(std::min(prompt + answer / answerSlotDivisor, tokenCapacity(replica)));
+    const auto start = std::uint64_t { request.arrival.promptTokens } + request.emitted;
+    const auto end = reservedTokens(context.state, request);
+    return slotMemory(start, end - std::min(start, end), tokenCapacity(replica));
 }
 
 namespace {
--- a/src/Placement.h
+++ b/src/Placement.h
@@ -3,6 +3,7 @@
 /// Chooses the replicas of a request.
 
 #include "DecisionContext.h"
+#include "SlotMemory.h"
 
 #include <optional>
 
@@ -34,9 +35,8 @@
 
 /// @return what the request takes on a decode replica.
 auto decodeReservation(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> Reservation;
-/// @return memory for which the decode replica is asked to reserve a slot, in tokens. It is less than
-/// the request may take in the end, and at most what the replica has.
-auto slotMemoryTokens(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> std::uint32_t;
+/// @return the memory for which the decode replica is asked when it reserves a slot for the request.
+auto slotMemory(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> SlotMemory;
 /// @return what the request takes on a prefill replica.
 auto prefillReservation(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> Reservation;
 
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -165,12 +165,12 @@
     request.prefill.reset();
     takeDecode(context, request, placement);
     enterPhase(context, request, RequestPhase::Starting);
-    std::uint32_t slotTokens = 0;
+    std::optional<SlotMemory> slot;
     if (context.state.settings.reservesSlots && !placement.replacement) {
         context.state.awaitingSlotReply.insert(request.arrival.request);
-        slotTokens = slotMemoryTokens(context, request, decode);
+        slot = slotMemory(context, request, decode);
     }
-    context.actions.emplace_back(StartDecode { request.arrival.request, request.attempt, request.prefill, *request.decode, request.emitted, slotTokens, numberOf(placement) });
+    context.actions.emplace_back(StartDecode { request.arrival.request, request.attempt, request.prefill, *request.decode, request.emitted, slot, numberOf(placement) });
 }
 
 }
@@ -201,7 +201,7 @@
     recordPrefillZone(context, prefill);
     state.totals.prefillTokens += request.arrival.promptTokens;
     enterPhase(context, request, RequestPhase::Prefilling);
-    context.actions.emplace_back(StartPrefill { request.arrival.request, request.attempt, *request.prefill, *request.decode, slotMemoryTokens(context, request, decode), numberOf(placement) });
+    context.actions.emplace_back(StartPrefill { request.arrival.request, request.attempt, *request.prefill, *request.decode, slotMemory(context, request, decode), numberOf(placement) });
 }
 
 auto completePrefill(DecisionContext& context, ActiveRequest& request, TimePoint expiresAt, std::uint32_t cachedTokens) -> void
--- a/src/ReserveReplacement.h
+++ b/src/ReserveReplacement.h
@@ -4,8 +4,7 @@
 /// silent. The running attempt goes on meanwhile. The driver reports ReplacementReserved or ReplacementRefused.
 
 #include "Identifiers.h"
-
-#include <cstdint>
+#include "SlotMemory.h"
 
 namespace jayhold {
 
@@ -13,8 +12,7 @@
     RequestId request;
     ReplacementNumber number;
     ReplicaId decode;
-    /// Tokens for which the decode needs memory.
-    std::uint32_t decodeTokens = 0;
+    SlotMemory slot;
 };
 
 }
--- a/src/SilentAttempts.cpp
+++ b/src/SilentAttempts.cpp
@@ -126,7 +126,7 @@
     auto& replacement = reserveReplacement(context, request, replica, decodeReservation(context, request, replica));
     replacement.hasPrefill = placement->prefill != nullptr;
     if (state.settings.reservesSlots)
-        context.actions.emplace_back(ReserveReplacement { id, replacement.number, replacement.decode, slotMemoryTokens(context, request, replica) });
+        context.actions.emplace_back(ReserveReplacement { id, replacement.number, replacement.decode, slotMemory(context, request, replica) });
     else
         startReplacement(context, request);
 }
--- a/src/StartDecode.h
+++ b/src/StartDecode.h
@@ -5,8 +5,10 @@
 
 #include "Identifiers.h"
 #include "OptionalReplica.h"
+#include "SlotMemory.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace jayhold {
 
@@ -19,8 +21,8 @@
     /// the stream here and drops the tokens it has already sent. The stream never starts after what the
     /// driver has sent.
     std::uint32_t resumeFrom;
-    /// Memory in tokens for which the engine is first asked to reserve a slot; 0 if that has been done.
-    std::uint32_t slotTokens = 0;
+    /// Memory for which the engine is asked to reserve a slot first; absent if it is not asked, or has been.
+    std::optional<SlotMemory> slot;
     /// The reservation whose slot the attempt takes; 0 if it takes none.
     ReplacementNumber replacement = 0;
 };
--- a/src/StartPrefill.h
+++ b/src/StartPrefill.h
@@ -5,8 +5,7 @@
 /// gets the result, which may be another.
 
 #include "Identifiers.h"
-
-#include <cstdint>
+#include "SlotMemory.h"
 
 namespace jayhold {
 
@@ -15,8 +14,8 @@
     Attempt attempt;
     ReplicaId prefill;
     ReplicaId decode;
-    /// Tokens for which the decode needs memory.
-    std::uint32_t decodeTokens = 0;
+    /// Memory for which the decode replica is asked before the prefill, where slots are reserved.
+    SlotMemory slot;
     /// The reservation whose slot the attempt takes; 0 if it takes none.
     ReplacementNumber replacement = 0;
 };
--- a/test/RawBackend.h
+++ b/test/RawBackend.h
@@ -40,6 +40,7 @@
     /// Number of the connection and of the request on it, from 1.
     int connection = 0;
     int call = 0;
+    std::string body = {};
 };
 
 struct RawReply {
@@ -129,7 +130,7 @@
             co_await boost::beast::http::async_read(socket, buffer, message, awaitInto(code));
             if (code)
                 co_return;
-            const RawRequest request { std::string(message.method_string()), std::string(message.target()), std::string(message["Request-Id"]), std::string(message["Stage"]), std::string(message["Last-Event-Id"]), std::string(message["Cache-Source"]), std::string(message["Cache-Hold"]), connection, call };
+            const RawRequest request { std::string(message.method_string()), std::string(message.target()), std::string(message["Request-Id"]), std::string(message["Stage"]), std::string(message["Last-Event-Id"]), std::string(message["Cache-Source"]), std::string(message["Cache-Hold"]), connection, call, message.body() };
             state->calls += !request.target.starts_with("/-/");
             const auto reply = state->reply(request);
             if (!reply)
--- a/test/correctness/ForwardShardTest.cpp
+++ b/test/correctness/ForwardShardTest.cpp
@@ -189,7 +189,7 @@
     harness.arrive(1);
     const auto start = *harness.last<StartPrefill>();
     CHECK(start.decode == ReplicaId { 3 });
-    CHECK(start.decodeTokens >= 1'000);
+    CHECK(start.slot.freeTokens >= 1'000);
     harness.send(SlotRefused { start.request, start.attempt, FailureKind::Busy });
     CHECK_FALSE(harness.last<StartPrefill>());
     CHECK_FALSE(harness.last<Refuse>());
@@ -257,8 +257,8 @@
     addEngine(harness, 1, PoolRole::Prefill);
     addEngine(harness, 2, PoolRole::Decode);
     harness.send(estimatedArrival(harness, 1'000));
-    // The prompt of 1,000 tokens and half of the answer of 300.
-    CHECK(harness.last<StartPrefill>()->decodeTokens == 1'150);
+    // The prompt of 1,000 tokens and three answers of 300.
+    CHECK(harness.last<StartPrefill>()->slot == SlotMemory { 1'000, 1'900 });
 }
 
 // Load pattern: in a burst, decode engines are full and waiting requests ask them for a slot one after
@@ -297,7 +297,8 @@
     addEngine(harness, 2, PoolRole::Decode);
     harness.arrive(1);
     const auto first = *harness.last<StartDecode>();
-    CHECK(first.slotTokens > 100);
+    REQUIRE(first.slot);
+    CHECK(first.slot->freeTokens > 100);
     CHECK(ownUsage(harness.shard).empty());
     harness.send(SlotRefused { first.request, first.attempt, FailureKind::Busy });
     const auto second = harness.last<StartDecode>();
@@ -322,18 +323,18 @@
     const auto start = *harness.last<StartPrefill>();
     harness.send(SlotReserved { start.request, start.attempt });
     harness.prefilled(start);
-    CHECK(harness.last<StartDecode>()->slotTokens == 0);
+    CHECK_FALSE(harness.last<StartDecode>()->slot);
 }
 
-// Load pattern: decode engines are nearly full in a burst. Guards against slots for whole answers. They
-// leave memory unused that running answers release before the new answer has grown.
-TEST_CASE("a slot is requested for the prompt and half of the answer")
+// Load pattern: decode engines are nearly full in a burst. Guards against slots that hold memory for answers which
+// have not grown yet: the engine preempts running answers for it.
+TEST_CASE("a slot is requested for the prompt, where the engine has room for the growth of answers")
 {
     ShardHarness harness(slotSettings());
     addEngine(harness, 1, PoolRole::Decode);
     harness.send(estimatedArrival(harness, 1'000));
     REQUIRE(harness.last<StartDecode>());
-    CHECK(harness.last<StartDecode>()->slotTokens == 1'150);
+    CHECK(harness.last<StartDecode>()->slot == SlotMemory { 1'000, 1'900 });
 }
 
 // Guards against a request that never starts because its slot would need more memory than any engine
@@ -344,7 +345,8 @@
     addEngine(harness, 1, PoolRole::Decode);
     harness.send(estimatedArrival(harness, 11'900));
     REQUIRE(harness.last<StartDecode>());
-    CHECK(harness.last<StartDecode>()->slotTokens == 12'000);
+    // Half of the 100 tokens beside the prompt is left to other answers.
+    CHECK(harness.last<StartDecode>()->slot == SlotMemory { 11'900, 11'950 });
 }
 
 namespace {
--- a/test/correctness/RepeatedRefusalTest.cpp
+++ b/test/correctness/RepeatedRefusalTest.cpp
@@ -170,7 +170,8 @@
     });
     for (auto call = 0; call < 3; ++call)
         CHECK(fixture.streamCall("/once/x")->body == streamText(1, 2));
-    CHECK(used == std::vector<std::string> { "seat-0", "seat-1", "seat-2" });
+    // The second reservation of each stream replaces its first one.
+    CHECK(used == std::vector<std::string> { "seat-1", "seat-3", "seat-5" });
 }
 
 // Guards against a caller that is told "not run" because of an answer to an earlier call, which the server sends
--- a/test/correctness/ReplacementTest.cpp
+++ b/test/correctness/ReplacementTest.cpp
@@ -286,7 +286,7 @@
     const auto start = *silent.harness.last<StartDecode>();
     CHECK(start.decode == ReplicaId { 3 });
     CHECK(start.replacement == silent.reservation().number);
-    CHECK(start.slotTokens == 0);
+    CHECK_FALSE(start.slot);
     CHECK(start.resumeFrom == 7);
     CHECK_FALSE(start.prefill);
 }
