--- a/test/correctness/SlotMemoryTest.cpp
+++ b/test/correctness/SlotMemoryTest.cpp
@@ -19,7 +19,7 @@
     std::uint64_t longAnswer;
 };
 
-/// From 7 answers of a fifth of the prompt to 20 answers that are longer than the prompt.
+/// The engine sizes of the known deployments. At the last two, long answers are twice as long as the prompts.
 constexpr EngineSize engineSizes[] = {
     { 26'082, 3'200, 6'900, 1'870 },
     { 29'250, 3'200, 6'900, 1'870 },
@@ -28,8 +28,8 @@
     { 114'005, 5'200, 11'300, 11'180 },
 };
 
-/// An engine in which each running answer grows by one token in a step. Its requests come from instances that know nothing
-/// of each other: each asks for a slot until it gets one, and starts when its prefill has ended.
+/// An engine in which each running answer grows by one token in a step. Its requests come from instances that know
+/// nothing of each other: the oldest asks for a slot until it gets one, and starts when its prefill has ended.
 class EngineModel {
 public:
     EngineModel(const EngineSize& size, unsigned seed)
@@ -163,6 +163,7 @@
     }
 }
 
+// Guards against a request that never starts because no engine has the free memory that it asks for.
 TEST_CASE("an empty engine takes any request that fits")
 {
     rc::prop("the memory is within the engine's", [](std::uint32_t start, std::uint32_t growth, std::uint32_t capacity) {
