Don't ask a leaving or paused engine for a second reservation

Seen: leaving_server_test, "a decode engine gets no request after a control call in whose answer it says that it is leaving", failed in the first whole test run of: 4 control calls where 2 are allowed (the reservation and its release).

Between the two calls only a pause was checked, not whether the engine had said in the first answer that it is leaving.

Change: both are checked before the release and before the second reservation. Before the fix the test failed in its only run, after it it passed in 3 of 3.

--- a/src/ModelRequestReservations.cpp
+++ b/src/ModelRequestReservations.cpp
@@ -36,14 +36,14 @@
         co_return reservation.error();
     SlotHandle slot { decode.backend, decode.id, std::move(*reservation) };
     // The engine had the room for growth, which stays free for the answers that run there. A reservation that can't be
-    // replaced by a smaller one now is used as it is.
-    if (memory.reservedTokens >= memory.freeTokens || m_service->isPaused(decode.id))
+    // replaced by a smaller one now is used, or released, as it is.
+    if (memory.reservedTokens >= memory.freeTokens || checkAccepting(decode.id))
         co_return slot;
     const auto isReleased = co_await protocol.releaseSlot(client, decode.backend, slot.name, m_timeouts.slotReservation, m_context.handleNotice);
     if (!isReleased)
         co_return slot;
-    if (m_service->isPaused(decode.id))
-        co_return pausedError();
+    if (auto refusal = checkAccepting(decode.id))
+        co_return std::move(*refusal);
     reservation = co_await protocol.reserveSlot(client, decode.backend, memory.reservedTokens, time, m_timeouts.slotReservation, m_context.handleNotice);
     if (reservation.has_error())
         co_return reservation.error();
