--- /dev/null
+++ b/review/standin/Engine.h
@@ -0,0 +1,67 @@
+#pragma once
+
+/// A replica of a model service, as PROTOCOL.md describes it: slots, reservations, prefills with handles, streams that
+/// may be resumed at Last-Event-Id, and orders. It can end and start again under its id, as another process.
+
+#include "Fleet.h"
+#include "Http.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+
+namespace review {
+
+struct EngineSettings {
+    std::string id;
+    std::string service;
+    std::string zone;
+    std::string phase;
+    Address address;
+    int slots = 16;
+    /// Events of a whole answer, and the time between two.
+    int events = 72;
+    int eventMs = 35;
+    int prefillMs = 60;
+    /// Whether a run ends when its connection closes. PROTOCOL.md says so of most replicas.
+    bool dropsClosed = true;
+};
+
+class Engine {
+public:
+    Engine(EngineSettings settings, Record& record);
+
+    /// Ends the process: open connections end, and new ones are refused.
+    auto end() -> void;
+    /// Starts another process under the same id, with a software version.
+    auto start(const std::string& version) -> void;
+    /// Lets all streams fall silent, or go on.
+    auto setSilent(bool isSilent) -> void { m_isSilent = isSilent; }
+    /// @return the entry in the store, as JSON.
+    auto entry() const -> std::string;
+    auto settings() const -> const EngineSettings& { return m_settings; }
+
+private:
+    auto serve(Connection& connection) -> void;
+    auto answer(Connection& connection, const Message& message, int process) -> bool;
+    auto control(const Message& message) -> std::string;
+    auto stream(Connection& connection, const Message& message, int process) -> bool;
+    auto version() const -> std::string;
+
+    EngineSettings m_settings;
+    Record& m_record;
+    mutable std::mutex m_lock;
+    std::string m_version;
+    std::int64_t m_born = 0;
+    /// Number of the process; 0 while none runs.
+    std::atomic<int> m_process { 0 };
+    std::atomic<int> m_lastProcess { 0 };
+    std::atomic<int> m_running { 0 };
+    std::atomic<std::int64_t> m_lastName { 0 };
+    std::atomic<bool> m_isSilent { false };
+    std::unique_ptr<Server> m_server;
+};
+
+}
