Show that streams go on at another software version while the store is away

Breaks ORDER: engines that crash and start again under their ids with another version, while the store is down, are taken for the processes before. Streams that other crashes break off go on there.

--- a/review/standin/Engine.cc
+++ b/review/standin/Engine.cc
@@ -10,6 +10,27 @@
 
 }
 
+auto RunLog::add(const std::string& request, const std::string& engine, double begin, double end) -> void
+{
+    const std::lock_guard guard(m_lock);
+    m_runs[request].push_back({ engine, begin, end });
+}
+
+auto RunLog::countOverlaps(double seconds) -> int
+{
+    const std::lock_guard guard(m_lock);
+    auto count = 0;
+    for (const auto& [request, runs] : m_runs) {
+        auto overlaps = false;
+        for (const auto& first : runs) {
+            for (const auto& second : runs)
+                overlaps = overlaps || (first.engine != second.engine && first.begin < second.begin && first.end > second.begin + seconds);
+        }
+        count += overlaps;
+    }
+    return count;
+}
+
 Engine::Engine(EngineSettings settings, Record& record)
     : m_settings(std::move(settings))
     , m_record(record)
@@ -75,6 +96,7 @@
     const auto last = message.header("Last-Event-Id");
     auto event = last.empty() ? 0 : std::atoi(last.c_str());
     const auto from = event;
+    const auto begin = elapsed();
     m_record.line("engine " + m_settings.id + " (software " + version + ") runs " + id + " after event " + std::to_string(event));
     auto isConnected = connection.write("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Seal: seal." + m_settings.id + "." + id + "\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
     while (event < m_settings.events && m_process == process) {
@@ -95,6 +117,8 @@
     }
     const auto isComplete = event == m_settings.events;
     m_record.line("engine " + m_settings.id + " ends " + id + " at event " + std::to_string(event) + (isComplete ? ", complete" : ", broken off") + ", began after " + std::to_string(from) + (isConnected ? "" : ", its connection was closed"));
+    if (m_runs)
+        m_runs->add(id, m_settings.id, begin, elapsed());
     return isComplete && isConnected && connection.write("0\r\n\r\n");
 }
 
--- a/review/standin/Engine.h
+++ b/review/standin/Engine.h
@@ -7,10 +7,12 @@
 #include "Http.h"
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace review {
 
@@ -29,6 +31,24 @@
     bool dropsClosed = true;
 };
 
+/// When each engine was at work on each request.
+class RunLog {
+public:
+    auto add(const std::string& request, const std::string& engine, double begin, double end) -> void;
+    /// @return the requests that were still at work at an engine for longer than the time after another one had begun.
+    auto countOverlaps(double seconds) -> int;
+
+private:
+    struct Run {
+        std::string engine;
+        double begin;
+        double end;
+    };
+
+    std::mutex m_lock;
+    std::map<std::string, std::vector<Run>> m_runs;
+};
+
 class Engine {
 public:
     Engine(EngineSettings settings, Record& record);
@@ -39,6 +59,7 @@
     auto start(const std::string& version) -> void;
     /// Lets all streams fall silent, or go on.
     auto setSilent(bool isSilent) -> void { m_isSilent = isSilent; }
+    auto observe(RunLog* runs) -> void { m_runs = runs; }
     /// @return the entry in the store, as JSON.
     auto entry() const -> std::string;
     auto settings() const -> const EngineSettings& { return m_settings; }
@@ -61,6 +82,7 @@
     std::atomic<int> m_running { 0 };
     std::atomic<std::int64_t> m_lastName { 0 };
     std::atomic<bool> m_isSilent { false };
+    RunLog* m_runs = nullptr;
     std::unique_ptr<Server> m_server;
 };
 
