--- a/review/standin/Fleet.cc
+++ b/review/standin/Fleet.cc
@@ -206,4 +206,28 @@
     return kilobytes << 10U;
 }
 
+auto keepRunning(Instance& instance, MemoryWatch& watch, Record& record, const std::atomic<bool>& isEnding) -> void
+{
+    const auto limitMb = static_cast<std::size_t>(instance.settings().memoryMb);
+    auto isKilled = false;
+    while (!isEnding) {
+        const auto bytes = instance.anonymousBytes();
+        auto most = watch.mostBytes.load();
+        while (bytes > most && !watch.mostBytes.compare_exchange_weak(most, bytes)) {
+        }
+        if (!isKilled && bytes > limitMb << 20U) {
+            isKilled = true;
+            ++watch.kills;
+            record.line("instance " + instance.name() + " holds " + std::to_string(bytes >> 20U) + " MB, over its limit of " + std::to_string(limitMb) + " MB");
+            instance.signal(SIGKILL);
+        }
+        if (instance.hasEnded()) {
+            sleepMs(500);
+            instance.start();
+            isKilled = false;
+        }
+        sleepMs(2);
+    }
+}
+
 }
--- a/review/standin/Fleet.h
+++ b/review/standin/Fleet.h
@@ -6,6 +6,7 @@
 
 #include <sys/types.h>
 
+#include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <map>
@@ -78,4 +79,13 @@
     pid_t m_process = -1;
 };
 
+struct MemoryWatch {
+    std::atomic<int> kills { 0 };
+    std::atomic<std::size_t> mostBytes { 0 };
+};
+
+/// Acts as the platform until the end: kills the process if it exceeds its memory, and starts it again 0.5 s after it
+/// has ended.
+auto keepRunning(Instance& instance, MemoryWatch& watch, Record& record, const std::atomic<bool>& isEnding) -> void;
+
 }
--- a/review/standin/Store.cc
+++ b/review/standin/Store.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::string_view objectsPath = "/-/objects/";
+constexpr std::size_t maxPageItems = 500;
+constexpr std::size_t maxPageBytes = 1U << 20U;
 constexpr int idleTimeoutMs = 60'000;
 constexpr auto answerTime = std::chrono::milliseconds(4);
 
@@ -98,13 +100,22 @@
     }
 }
 
-auto Store::list(const std::string& kind) -> std::string
+auto Store::list(const std::string& kind, const std::string& after) -> std::string
 {
     const std::lock_guard guard(m_lock);
     std::string items;
-    for (const auto& [name, object] : m_objects[kind])
-        items += (items.empty() ? "" : ",") + objectText(name, object);
-    return jsonResponse(200, R"({"items":[)" + items + R"(],"truncated":false,"storeRevision":)" + std::to_string(m_revision) + "}");
+    std::size_t count = 0;
+    auto isTruncated = false;
+    for (const auto& [name, object] : m_objects[kind]) {
+        if (!after.empty() && name <= after)
+            continue;
+        const auto text = objectText(name, object);
+        isTruncated = count == maxPageItems || (count > 0 && items.size() + text.size() > maxPageBytes);
+        if (isTruncated)
+            break;
+        items += (count++ == 0 ? "" : ",") + text;
+    }
+    return jsonResponse(200, R"({"items":[)" + items + R"(],"truncated":)" + (isTruncated ? "true" : "false") + R"(,"storeRevision":)" + std::to_string(m_revision) + "}");
 }
 
 auto Store::watch(const std::string& kind, std::int64_t after, int waitMs) -> std::string
@@ -171,7 +182,7 @@
     }
     if (const auto after = queryValue(query, "watch"); !after.empty())
         return watch(kind, std::atoll(after.c_str()), std::atoi(queryValue(query, "waitMs").c_str()));
-    return list(kind);
+    return list(kind, queryValue(query, "after"));
 }
 
 }
--- a/review/standin/Store.h
+++ b/review/standin/Store.h
@@ -42,7 +42,7 @@
 
     auto serve(Connection& connection) -> void;
     auto answer(const Message& message) -> std::string;
-    auto list(const std::string& kind) -> std::string;
+    auto list(const std::string& kind, const std::string& after) -> std::string;
     auto watch(const std::string& kind, std::int64_t after, int waitMs) -> std::string;
     auto write(const Message& message, const std::string& kind, const std::string& name) -> std::string;
     auto putLocked(const std::string& kind, const std::string& name, const std::string& spec) -> void;
