Show that a stream is cut when its engine is silent before the end

A stream with all events moves to another engine after 1.2 s of silence, whose empty answer counts as a failure.

--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,12 +1,14 @@
-// Another writer leaves entries of kind servers that can't be used, each within valueBytes. Exit code 1 if the processes
-// of all instances end by themselves three times.
+// An instance shuts down gracefully. Meanwhile engines fall silent for a second or so when a stream has made its last
+// event and not yet ended. Exit code 1 if the rule LOST was broken.
 
 #include "../standin/Config.h"
+#include "../standin/Engine.h"
 #include "../standin/Fleet.h"
-#include "../standin/PlainReplica.h"
 #include "../standin/Store.h"
+#include "../standin/StreamClient.h"
 
 #include <atomic>
+#include <csignal>
 #include <cstdlib>
 #include <thread>
 
@@ -14,31 +16,18 @@
 
 namespace {
 
-constexpr int memoryMb = 110;
-constexpr double requestsPerSecond = 20;
-constexpr double firstAt = 3;
-constexpr double entriesAt = 8;
-constexpr double lastAt = 28;
-constexpr int entries = 20;
-/// Within valueBytes, 1,048,576.
-constexpr std::size_t entryBytes = 1'000'000;
-constexpr int deadlineMs = 1'500;
-/// "processes end by themselves three times in the day".
-constexpr int allowedEnds = 2;
+constexpr double streamsPerSecond = 5;
+constexpr double firstAt = 4;
+constexpr double termAt = 24;
+constexpr double graceSeconds = 8;
+constexpr int silentMs = 1'400;
+constexpr int eventMs = 60;
+constexpr int deadlineMs = 14'000;
 
 auto sleepUntil(double time) -> void
 {
     while (elapsed() < time)
-        sleepMs(1);
-}
-
-/// An object without the fields of an entry: a list of counts.
-auto otherWritersObject() -> std::string
-{
-    std::string object = R"({"host":"rack-7","counts":[0)";
-    while (object.size() < entryBytes)
-        object += ",1";
-    return object + "]}";
+        sleepMs(2);
 }
 
 }
@@ -50,74 +39,62 @@
     const std::string temporary = arguments[2];
     Record record(arguments[1]);
     Store store({ loopbackIp(1), 8'142 });
-    store.put("config", "main", plainConfiguration());
+    store.put("config", "main", modelConfiguration());
     const std::vector<std::string> zones { "alpine", "terlingua", "marfa" };
-    std::vector<std::unique_ptr<PlainReplica>> replicas;
-    for (auto number = 0; number < 3; ++number) {
-        const auto id = "i-ledger" + std::to_string(number);
-        replicas.push_back(std::make_unique<PlainReplica>(PlainReplicaSettings { .id = id, .service = plainService, .zone = zones[static_cast<std::size_t>(number)], .address = { loopbackIp(20 + number), 8'080 } }, record, [](const std::string&) {}));
-        store.put("servers", id, replicas.back()->entry());
+    std::vector<std::unique_ptr<Engine>> engines;
+    for (auto number = 0; number < 6; ++number) {
+        const auto& zone = zones[static_cast<std::size_t>(number % 3)];
+        EngineSettings settings { .id = "i-eng" + std::to_string(number), .service = modelService, .zone = zone, .phase = number < 2 ? "prefill" : "decode", .address = { loopbackIp(20 + number), 8'080 }, .slots = 48, .eventMs = eventMs };
+        engines.push_back(std::make_unique<Engine>(std::move(settings), record));
+        engines.back()->start("v1");
+        store.put("servers", engines.back()->settings().id, engines.back()->entry());
     }
+    // The second instance serves what comes after the shutdown of the first.
     std::vector<std::unique_ptr<Instance>> instances;
     for (auto number = 0; number < 2; ++number) {
         const auto& zone = zones[static_cast<std::size_t>(number)];
-        instances.push_back(std::make_unique<Instance>(InstanceSettings { .name = "edge-" + zone + "-1", .zone = zone, .ip = loopbackIp(10 + number), .store = store.address(), .memoryMb = memoryMb }, temporary, record));
+        instances.push_back(std::make_unique<Instance>(InstanceSettings { .name = "edge-" + zone + "-1", .zone = zone, .ip = loopbackIp(10 + number), .store = store.address() }, temporary, record));
         instances.back()->start();
     }
     for (const auto& instance : instances) {
         if (!instance->waitUntilReady(4'000))
             return 2;
     }
-    std::atomic<bool> isEnding { false };
-    std::vector<MemoryWatch> watches(instances.size());
-    std::vector<std::thread> platform;
-    for (std::size_t number = 0; number < instances.size(); ++number)
-        platform.emplace_back(keepRunning, std::ref(*instances[number]), std::ref(watches[number]), std::ref(record), std::cref(isEnding));
-    std::thread otherWriter([&] {
-        if (!isTroubled())
-            return;
-        sleepUntil(entriesAt);
-        const auto object = otherWritersObject();
-        for (auto number = 0; number < entries; ++number) {
-            store.put("servers", "rack-7-" + std::to_string(100 + number), object);
-            sleepMs(25);
-        }
-        record.line("another writer wrote " + std::to_string(entries) + " objects of " + std::to_string(object.size()) + " bytes");
-    });
-    std::atomic<int> answered { 0 };
-    std::atomic<int> answeredLate { 0 };
-    std::atomic<int> sentLate { 0 };
+    std::atomic<int> complete { 0 };
+    std::atomic<int> lost { 0 };
     std::vector<std::thread> clients;
-    for (auto number = 0; firstAt + number / requestsPerSecond < lastAt; ++number) {
+    // All requests reach the first instance, whole, before its SIGTERM.
+    for (auto number = 0; firstAt + number / streamsPerSecond < termAt - 0.2; ++number) {
         clients.emplace_back([&, number] {
-            const auto sentAt = firstAt + number / requestsPerSecond;
-            sleepUntil(sentAt);
-            const auto& instance = *instances[static_cast<std::size_t>(number % 2)];
+            sleepUntil(firstAt + number / streamsPerSecond);
             const auto id = "r" + std::to_string(number);
-            Connection connection(connectTo(instance.front(), 1'000));
-            Message answer;
-            const auto isAnswered = connection.write(request("POST", "/deposit/" + std::to_string(number), { { "Host", callerHost }, { "Request-Id", id }, { "Deadline-Ms", std::to_string(deadlineMs) } }, "amount=20")) && connection.readMessage(answer, 3'000) && answer.status() == 200;
-            answered += isAnswered;
-            const auto isLate = sentAt > entriesAt + 4;
-            sentLate += isLate;
-            answeredLate += isLate && isAnswered;
-            record.line("request " + id + " by way of " + instance.name() + (isAnswered ? " answered 200" : " not answered with 200"));
+            const auto sentAt = elapsed();
+            record.line("request " + id + " sent to " + instances[0]->name());
+            const auto result = runStream(instances[0]->front(), id, "/blurb/" + std::to_string(number), deadlineMs);
+            const auto endedAt = elapsed();
+            // Planned work: from SIGTERM until 1 s after graceS. The deadline was not reached.
+            const auto isLost = !result.isComplete && result.status != 503 && endedAt > termAt && endedAt < termAt + graceSeconds + 1 && endedAt - sentAt < deadlineMs / 1'000.0;
+            complete += result.isComplete;
+            lost += isLost;
+            record.line("request " + id + " ended: " + describe(result) + (isLost ? ", CUT" : ""));
         });
     }
+    sleepUntil(termAt);
+    instances[0]->signal(SIGTERM);
+    if (isTroubled()) {
+        // One after the other, so that each time the other engines have room.
+        for (auto number = 2; number < 5; ++number) {
+            engines[static_cast<std::size_t>(number)]->fallSilentAtEnd(silentMs);
+            sleepMs(silentMs + 100);
+        }
+    }
     for (auto& client : clients)
         client.join();
-    otherWriter.join();
-    isEnding = true;
-    for (auto& thread : platform)
-        thread.join();
-    auto isBroken = true;
-    std::string ends;
-    for (std::size_t number = 0; number < instances.size(); ++number) {
-        isBroken = isBroken && watches[number].kills > allowedEnds;
-        ends += ", " + instances[number]->name() + " ended " + std::to_string(watches[number].kills) + " times, most memory " + std::to_string(watches[number].mostBytes >> 20U) + " MB";
-    }
-    record.line("requests " + std::to_string(clients.size()) + ", answered 200 " + std::to_string(answered) + ", of " + std::to_string(sentLate) + " sent 4 s after the entries " + std::to_string(answeredLate) + ends);
-    record.line(isBroken ? "Fault: broken" : "Fault: held");
+    while (!instances[0]->hasEnded() && elapsed() < termAt + graceSeconds)
+        sleepMs(10);
+    const auto isBroken = lost > 0;
+    record.line("streams " + std::to_string(clients.size()) + ", complete " + std::to_string(complete) + ", cut around the shutdown " + std::to_string(lost));
+    record.line(isBroken ? "LOST: broken" : "LOST: held");
     instances.clear();
     std::fflush(nullptr);
     std::_Exit(isBroken ? 1 : 0);
--- a/review/standin/Engine.cc
+++ b/review/standin/Engine.cc
@@ -115,6 +115,14 @@
         if (isConnected)
             isConnected = connection.write(size + data + "\r\n");
     }
+    if (const auto silentMs = event == m_settings.events && event > from ? m_silentAtEndMs.exchange(0) : 0; silentMs > 0) {
+        m_record.line("engine " + m_settings.id + " falls silent for " + std::to_string(silentMs) + " ms after the last event of " + id);
+        m_isSilent = true;
+        sleepMs(silentMs);
+        m_isSilent = false;
+        m_record.line("engine " + m_settings.id + " goes on");
+        isConnected = isConnected && !connection.isClosedByPeer();
+    }
     const auto isComplete = event == m_settings.events;
     m_record.line("engine " + m_settings.id + " ends " + id + " at event " + std::to_string(event) + (isComplete ? ", complete" : ", broken off") + ", began after " + std::to_string(from) + (isConnected ? "" : ", its connection was closed"));
     if (m_runs)
--- a/review/standin/Engine.h
+++ b/review/standin/Engine.h
@@ -59,6 +59,9 @@
     auto start(const std::string& version) -> void;
     /// Lets all streams fall silent, or go on.
     auto setSilent(bool isSilent) -> void { m_isSilent = isSilent; }
+    /// Lets the engine fall silent, once, when a stream has made its last event. The end of the stream comes one step
+    /// after that event.
+    auto fallSilentAtEnd(int silentMs) -> void { m_silentAtEndMs = silentMs; }
     auto observe(RunLog* runs) -> void { m_runs = runs; }
     /// @return the entry in the store, as JSON.
     auto entry() const -> std::string;
@@ -82,6 +85,7 @@
     std::atomic<int> m_running { 0 };
     std::atomic<std::int64_t> m_lastName { 0 };
     std::atomic<bool> m_isSilent { false };
+    std::atomic<int> m_silentAtEndMs { 0 };
     RunLog* m_runs = nullptr;
     std::unique_ptr<Server> m_server;
 };
--- a/review/standin/StreamClient.h
+++ b/review/standin/StreamClient.h
@@ -13,6 +13,7 @@
 struct StreamResult {
     int status = 0;
     int events = 0;
+    int lastEvent = 0;
     bool isComplete = false;
     /// Software versions and engines named in the events.
     std::set<std::string> versions;
@@ -22,6 +23,9 @@
 /// Sends a request and reads its stream to the end.
 auto runStream(const Address& front, const std::string& id, const std::string& path, int deadlineMs) -> StreamResult;
 
+/// The same, and takes a stream that was broken off up once, at another instance.
+auto runStreamWithTakeUp(const Address& front, const Address& otherFront, const std::string& id, const std::string& path, int deadlineMs) -> StreamResult;
+
 auto describe(const StreamResult& result) -> std::string;
 
 }
