--- a/bench/EntryInstance.cpp
+++ b/bench/EntryInstance.cpp
@@ -162,6 +162,18 @@
 auto EntryInstance::execute(const CancelOnReplica& action) -> void
 {
     m_environment.engines.cancel(m_index, action.request, action.replica);
+    // The simulated engines don't pause, so no fallback is kept.
+    if (action.becomesFallback)
+        m_environment.events.after(Duration::zero(), [this, id = action.request] { handleEvent(FallbackEnded { id, 0 }); });
+}
+
+auto EntryInstance::execute(const ReturnToFallback& action) -> void
+{
+    auto* active = find(action.request);
+    if (!active)
+        return;
+    active->attempt = action.attempt;
+    m_environment.events.after(Duration::zero(), [this, job = jobFor(action.request, *active)] { decodeFailed(job, FailureKind::NotConnected); });
 }
 
 auto EntryInstance::execute(const ReportCrashSignature& action) -> void
--- a/bench/EntryInstance.h
+++ b/bench/EntryInstance.h
@@ -79,6 +79,7 @@
     auto execute(const StartDecode& action) -> void;
     auto execute(const Refuse& action) -> void;
     auto execute(const CancelOnReplica& action) -> void;
+    auto execute(const ReturnToFallback& action) -> void;
     /// The engines of the bench take no reservations.
     auto execute(const ReserveReplacement&) -> void { }
     auto execute(const ReleaseReplacement&) -> void { }
--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -38,7 +38,7 @@
   LINK jayhold_platform)
 
 jayhold_test(silent_backend_test
-  SOURCES test/correctness/RunningAnswerTest.cpp test/correctness/SilentBackendTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
+  SOURCES test/correctness/RunningAnswerTest.cpp test/correctness/SilentBackendTest.cpp test/correctness/SilentEndTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
 jayhold_test(backend_answer_test
--- a/src/ActiveRequest.h
+++ b/src/ActiveRequest.h
@@ -40,6 +40,9 @@
     OptionalReplica decode;
     /// Replica of the last failed attempt. The next attempt avoids it if there is another.
     OptionalReplica avoidedReplica;
+    /// Replica of the silent attempt that the current one has replaced. It is the fallback until the current one has brought
+    /// a token.
+    OptionalReplica fallback;
 
     /// The version of the engine whose first event reached the caller, or of the one that began the stream which the caller
     /// takes up. The request decodes only at replicas of this version.
--- a/src/CancelOnReplica.h
+++ b/src/CancelOnReplica.h
@@ -10,6 +10,8 @@
 struct CancelOnReplica {
     RequestId request;
     ReplicaId replica;
+    /// Whether the attempt there goes on as the fallback of the one that replaces it.
+    bool becomesFallback = false;
 };
 
 }
--- a/src/DecisionAction.h
+++ b/src/DecisionAction.h
@@ -12,6 +12,7 @@
 #include "ReportCrashedPrompt.h"
 #include "ReportHarmlessParts.h"
 #include "ReserveReplacement.h"
+#include "ReturnToFallback.h"
 #include "StartDecode.h"
 #include "StartPrefill.h"
 #include "UpdateBlockedPart.h"
@@ -28,6 +29,7 @@
     CancelOnReplica,
     ReserveReplacement,
     ReleaseReplacement,
+    ReturnToFallback,
     ReportCrashSignature,
     ReportCrash,
     CheckProcess,
--- a/src/DecisionEvent.h
+++ b/src/DecisionEvent.h
@@ -12,12 +12,15 @@
 #include "DecodeFinished.h"
 #include "DecodeStarted.h"
 #include "DrainStarted.h"
+#include "FallbackEnded.h"
+#include "FallbackFinished.h"
 #include "HarmlessPartsReported.h"
 #include "PartTrialAllowed.h"
 #include "PeerUsage.h"
 #include "PrefillDone.h"
 #include "PrefillFailed.h"
 #include "ProcessEnded.h"
+#include "ReplacementFailed.h"
 #include "ReplacementRefused.h"
 #include "ReplacementReserved.h"
 #include "ReplicaChanged.h"
@@ -51,6 +54,9 @@
     SlotRefused,
     ReplacementReserved,
     ReplacementRefused,
+    ReplacementFailed,
+    FallbackEnded,
+    FallbackFinished,
     ReplicaChanged,
     ReplicaLimited,
     ReplicaPaused,
--- a/src/DecodeRelay.cpp
+++ b/src/DecodeRelay.cpp
@@ -12,6 +12,8 @@
 /// from them and does not need every token.
 constexpr std::uint32_t reportIntervalTokens = 32;
 
+constexpr std::string_view truncatedStream = "the stream ended before the response was complete";
+
 }
 
 DecodeRelay::DecodeRelay(ResponseWriter& writer, RequestStateMachine& machine, ServiceMetrics& metrics, EntryTimeouts timeouts, TimePoint arrivedAt, TokenSequence sequence, std::uint32_t tokensPerEvent)
@@ -30,18 +32,21 @@
 {
     auto hasStarted = false;
     auto reportedTokens = tokens();
-    m_isResumed = m_hasSentTokens;
-    m_hasReceivedEvent = false;
-    m_hasContinued = false;
+    AttemptState attempt { .reader = reader, .isResumed = m_hasSentTokens };
     while (true) {
         const auto timeout = hasStarted ? m_timeouts.stall : m_timeouts.firstToken;
         const auto chunk = co_await stream.readSome(timeout);
         if (chunk.has_error())
             co_return RelayResult { engineErrorOf(chunk.error()) };
+        if (observer.isReplaced()) {
+            if (processReplaced(*chunk, attempt) == ParseResult::Complete)
+                co_return RelayResult {};
+            co_return RelayResult { EngineError { FailureKind::ConnectionLost, chunk->empty() ? std::string(truncatedStream) : "the engine went on after its attempt had been replaced" } };
+        }
         const auto tokensBefore = tokens();
-        const auto result = chunk->empty() ? processEndOfBody(reader) : processChunk(*chunk, reader);
+        const auto result = chunk->empty() ? processEndOfBody(attempt) : processChunk(*chunk, attempt);
         if (chunk->empty() && result == ParseResult::NeedMore)
-            co_return RelayResult { EngineError { FailureKind::ConnectionLost, "the stream ended before the response was complete" } };
+            co_return RelayResult { EngineError { FailureKind::ConnectionLost, std::string(truncatedStream) } };
         if (!hasStarted && tokens() > tokensBefore) {
             hasStarted = true;
             observer.onStarted();
@@ -54,7 +59,7 @@
         if (!isFlushed)
             co_return RelayResult { .isCallerDisconnected = true };
         if (result == ParseResult::Invalid)
-            co_return RelayResult { EngineError { FailureKind::ServerError, m_errorDetail } };
+            co_return RelayResult { EngineError { FailureKind::ServerError, attempt.errorDetail } };
         if (result == ParseResult::Complete)
             co_return RelayResult {};
         if (const auto error = stream.hold(reader.bufferBytes()))
@@ -66,43 +71,53 @@
     }
 }
 
-auto DecodeRelay::processEndOfBody(EventReader& reader) -> ParseResult
+auto DecodeRelay::processEndOfBody(AttemptState& attempt) -> ParseResult
 {
     TokenEvent event;
-    if (reader.endOfBody(event) != EventReader::Status::Event)
+    if (attempt.reader.endOfBody(event) != EventReader::Status::Event)
         return ParseResult::NeedMore;
     // An empty body doesn't show that the tokens which the caller has are all.
-    if (m_isResumed && !m_hasReceivedEvent) {
-        m_errorDetail = "the resumed response is empty";
+    if (attempt.isResumed && !attempt.hasReceivedEvent) {
+        attempt.errorDetail = "the resumed response is empty";
         return ParseResult::Invalid;
     }
-    return acceptEnd(event);
+    return acceptEnd(event, attempt);
+}
+
+auto DecodeRelay::processReplaced(std::string_view chunk, AttemptState& attempt) -> ParseResult
+{
+    if (chunk.empty())
+        return processEndOfBody(attempt);
+    attempt.reader.feed(chunk);
+    TokenEvent event;
+    const auto isEnd = attempt.reader.next(event) == EventReader::Status::Event && event.isDone;
+    return isEnd ? acceptEnd(event, attempt) : ParseResult::Invalid;
 }
 
-auto DecodeRelay::acceptEnd(const TokenEvent& event) -> ParseResult
+auto DecodeRelay::acceptEnd(const TokenEvent& event, AttemptState& attempt) -> ParseResult
 {
     if (m_sequence.acceptEnd(event.index) == TokenCheckResult::Next)
         return ParseResult::Complete;
-    m_errorDetail = "the end event counts " + std::to_string(event.index) + " tokens, but " + std::to_string(tokens()) + " were received";
+    attempt.errorDetail = "the end event counts " + std::to_string(event.index) + " tokens, but " + std::to_string(tokens()) + " were received";
     return ParseResult::Invalid;
 }
 
-auto DecodeRelay::processChunk(std::string_view chunk, EventReader& reader) -> ParseResult
+auto DecodeRelay::processChunk(std::string_view chunk, AttemptState& attempt) -> ParseResult
 {
-    reader.feed(chunk);
+    attempt.reader.feed(chunk);
     m_now = monotonicNow();
     TokenEvent event;
     while (true) {
-        const auto status = reader.next(event);
+        const auto status = attempt.reader.next(event);
         if (status == EventReader::Status::NeedMore)
             return ParseResult::NeedMore;
         if (status == EventReader::Status::Malformed) {
-            m_errorDetail = "malformed token event";
+            attempt.errorDetail = "malformed token event";
             return ParseResult::Invalid;
         }
         if (event.isDone)
-            return acceptEnd(event);
-        if (!acceptToken(event))
+            return acceptEnd(event, attempt);
+        if (!acceptToken(event, attempt))
             return ParseResult::Invalid;
     }
 }
@@ -120,20 +135,20 @@
     m_largestStep = std::max(m_largestStep, step);
 }
 
-auto DecodeRelay::acceptToken(const TokenEvent& event) -> bool
+auto DecodeRelay::acceptToken(const TokenEvent& event, AttemptState& attempt) -> bool
 {
-    m_hasReceivedEvent = true;
+    attempt.hasReceivedEvent = true;
     const auto expected = tokens();
-    if (m_isResumed && !m_hasContinued && !continuesResponse(event.index)) {
-        m_errorDetail = "the resumed response continues with token " + std::to_string(event.index) + " after token " + std::to_string(expected - 1);
+    if (attempt.isResumed && !attempt.hasContinued && !continuesResponse(event.index)) {
+        attempt.errorDetail = "the resumed response continues with token " + std::to_string(event.index) + " after token " + std::to_string(expected - 1);
         return false;
     }
     const auto check = m_sequence.acceptToken(event.index);
     if (check == TokenCheckResult::Duplicate)
         return true;
-    m_hasContinued = true;
+    attempt.hasContinued = true;
     if (check != TokenCheckResult::Next || !m_machine.apply(RequestTransition::TokenSent)) {
-        m_errorDetail = "received token " + std::to_string(event.index) + " instead of token " + std::to_string(tokens());
+        attempt.errorDetail = "received token " + std::to_string(event.index) + " instead of token " + std::to_string(tokens());
         return false;
     }
     if (m_hasSentTokens)
--- a/src/DecodeRelay.h
+++ b/src/DecodeRelay.h
@@ -27,13 +27,17 @@
         std::function<void()> onStarted;
         /// Called after a batch of tokens, with the number of tokens that the caller has been sent so far.
         std::function<void(std::uint32_t)> onTokens;
+        /// @return whether another attempt has replaced this one. Its tokens are not relayed any more, but its end still
+        /// completes the response.
+        std::function<bool()> isReplaced;
     };
 
     /// @param arrivedAt arrival time of the request, for the metrics.
     /// @param sequence the tokens that the caller already has.
     DecodeRelay(ResponseWriter& writer, RequestStateMachine& machine, ServiceMetrics& metrics, EntryTimeouts timeouts, TimePoint arrivedAt, TokenSequence sequence = TokenSequence(), std::uint32_t tokensPerEvent = 1);
 
-    /// Relays the stream of one attempt until it ends.
+    /// Relays the stream of one attempt until it ends. An attempt that is replaced may wait here while the next one is
+    /// relayed, as long as the next one has brought no token.
     auto run(HttpStream& stream, EventReader& reader, Observer observer) -> boost::asio::awaitable<RelayResult>;
 
     /// @return the number of tokens that the caller has, including those of an earlier response that this
@@ -44,6 +48,8 @@
     /// @return the time from the arrival of the request to the first token of this response; zero before
     /// the first token.
     auto timeToFirstToken() const -> Duration { return m_timeToFirstToken; }
+    /// @return whether an attempt is sending tokens to the caller, so that no other one may.
+    auto isSending() const -> bool { return m_isSending; }
     /// @return since when the relay has waited for the engine's next token; now if it is sending tokens to the
     /// caller, whose slow reading is not the engine's silence.
     auto waitingSince() const -> TimePoint { return m_isSending ? monotonicNow() : std::max(m_lastTokenAt, m_sentAt); }
@@ -60,10 +66,23 @@
         Invalid,
     };
 
-    auto processChunk(std::string_view chunk, EventReader& reader) -> ParseResult;
-    auto processEndOfBody(EventReader& reader) -> ParseResult;
-    auto acceptEnd(const TokenEvent& event) -> ParseResult;
-    auto acceptToken(const TokenEvent& event) -> bool;
+    /// What the check of one attempt's events needs.
+    struct AttemptState {
+        EventReader& reader;
+        /// Whether the caller had tokens of this response before the attempt.
+        bool isResumed = false;
+        /// Whether the attempt has sent an event, and whether one of them was new.
+        bool hasReceivedEvent = false;
+        bool hasContinued = false;
+        std::string errorDetail = {};
+    };
+
+    auto processChunk(std::string_view chunk, AttemptState& attempt) -> ParseResult;
+    auto processEndOfBody(AttemptState& attempt) -> ParseResult;
+    /// Looks for nothing but the end of the response.
+    auto processReplaced(std::string_view chunk, AttemptState& attempt) -> ParseResult;
+    auto acceptEnd(const TokenEvent& event, AttemptState& attempt) -> ParseResult;
+    auto acceptToken(const TokenEvent& event, AttemptState& attempt) -> bool;
     /// @return whether a resumed response continues after the last token. Indices that only increase don't show a
     /// gap by themselves, but the steps between the earlier ones do.
     auto continuesResponse(std::uint32_t index) const -> bool;
@@ -77,11 +96,6 @@
     const std::uint32_t m_reportIntervalEvents;
     TokenSequence m_sequence;
     bool m_hasSentTokens = false;
-    /// Whether the caller had tokens of this response before the running attempt.
-    bool m_isResumed = false;
-    /// Whether the running attempt has sent an event, and whether one of them was new.
-    bool m_hasReceivedEvent = false;
-    bool m_hasContinued = false;
     /// Largest step between two indices until one is known.
     const std::uint32_t m_assumedStep = 1;
     /// Differences between consecutive indices of this response; 0 before the second token.
@@ -95,7 +109,6 @@
     TimePoint m_sentAt {};
     Duration m_timeToFirstToken {};
     Duration m_longestTokenGap {};
-    std::string m_errorDetail;
 };
 
 }
--- a/src/LoadReports.cpp
+++ b/src/LoadReports.cpp
@@ -100,7 +100,8 @@
     const auto* request = findRequest(state, id);
     if (!request)
         return true;
-    return request->prefill != event.replica && request->decode != event.replica && request->phaseStartedAt <= event.asOf;
+    const auto runsThere = request->prefill == event.replica || request->decode == event.replica || request->fallback == event.replica;
+    return !runsThere && request->phaseStartedAt <= event.asOf;
 }
 
 /// The sequence numbers of a restarted engine start again from the beginning, so its reports are
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -124,11 +124,11 @@
         m_hasEnded = true;
         m_service->handleEvent(RequestCancelled { m_id });
     }
-    co_await stopTask();
+    co_await stopTasks();
     // The shard does not know of the end if it has started another attempt meanwhile.
     const auto isStart = [](const RequestEvent& queued) {
         const auto* action = std::get_if<DecisionAction>(&queued);
-        return action && (std::holds_alternative<StartPrefill>(*action) || std::holds_alternative<StartDecode>(*action));
+        return action && (std::holds_alternative<StartPrefill>(*action) || std::holds_alternative<StartDecode>(*action) || std::holds_alternative<ReturnToFallback>(*action));
     };
     if (std::ranges::any_of(m_tasks->events, isStart))
         m_service->handleEvent(RequestCancelled { m_id });
@@ -186,7 +186,7 @@
 auto ModelRequest::handleAction(DecisionAction action) -> asio::awaitable<void>
 {
     if (!std::holds_alternative<CancelOnReplica>(action)) {
-        co_await handleEndedTask();
+        co_await handleEndedTasks();
         if (m_hasEnded) {
             // The shard does not know of the end if it has started another attempt meanwhile.
             m_service->handleEvent(RequestCancelled { m_id });
@@ -204,13 +204,12 @@
         auto error = refusalError(refusal->reason, outcome, refusal->retryAfter);
         co_await refuse(std::move(error));
     } else if (const auto* cancelled = std::get_if<CancelOnReplica>(&action)) {
-        if (cancelled->replica == m_tasks->replica)
-            co_await awaitBegunAnswer();
-        // The task then fails, which reports to the shard how many tokens were sent.
-        if (m_tasks->isRunning && cancelled->replica == m_tasks->replica)
-            record(LogLevel::Info, "attempt_cancelled", { { "phase", m_tasks->isPrefill ? "prefill" : "decode" }, { "tokens", m_relay.tokens() }, { "silent", m_tasks->isSilenceLogged }, { "left_ms", remainingMs() } });
-        if (cancelled->replica == m_tasks->replica)
-            interruptTask();
+        if (cancelled->becomesFallback)
+            keepAsFallback();
+        else if (cancelled->replica == m_tasks->replica)
+            co_await cancelTask();
+    } else if (const auto* fallback = std::get_if<ReturnToFallback>(&action)) {
+        co_await continueFallback(*fallback);
     } else if (const auto* reservation = std::get_if<ReserveReplacement>(&action)) {
         beginReservation(*reservation);
     } else if (const auto* release = std::get_if<ReleaseReplacement>(&action)) {
@@ -232,13 +231,13 @@
     m_prefillReplica = action.prefill;
     const auto replica = m_service->replica(action.prefill);
     if (!replica) {
-        enqueue(PrefillEnded { ++m_tasks->lastTask, EngineError { FailureKind::NotConnected, "the backend server was removed" } });
+        enqueue(PrefillEnded { addTask(action.prefill, true)->number, EngineError { FailureKind::NotConnected, "the backend server was removed" } });
         co_return;
     }
     reportBinding();
     const auto decode = m_service->replica(action.decode);
     if (auto error = decode ? checkVersion(*decode) : std::nullopt) {
-        enqueue(PrefillEnded { ++m_tasks->lastTask, std::move(*error), true });
+        enqueue(PrefillEnded { addTask(action.prefill, true)->number, std::move(*error), true });
         co_return;
     }
     m_hasStartedAttempt = true;
@@ -249,26 +248,18 @@
     announceVersion(decode);
     auto call = engineCall();
     call.mayResend = [this] { return tryConsumeResend(); };
-    const auto task = ++m_tasks->lastTask;
-    m_tasks->replica = action.prefill;
     m_slotMemory = action.slot;
-    spawnTask(runPrefill(task, *replica, decode, std::move(call)), true);
+    const auto task = addTask(action.prefill, true);
+    spawnTask(task, runPrefill(task, *replica, decode, std::move(call)));
 }
 
 auto ModelRequest::endPrefill(PrefillEnded ended) -> void
 {
-    if (ended.task != m_tasks->lastTask)
+    if (!m_tasks->current || ended.task != m_tasks->current->number)
         return;
     if (ended.result.has_error()) {
-        if (!m_machine.apply(RequestTransition::PrefillFailed))
-            return;
-        const auto failure = ended.result.error().failure;
-        if (ended.isSlotRefused) {
-            recordSlotRefusal(ended.result.error());
-            return;
-        }
-        recordAttemptFailure("prefill", ended.result.error());
-        m_service->handleEvent(PrefillFailed { m_id, m_attempt, failure });
+        if (m_machine.apply(RequestTransition::PrefillFailed))
+            reportFailure(true, ended.result.error(), ended.isSlotRefused);
         return;
     }
     if (!m_machine.apply(RequestTransition::PrefillDone))
@@ -290,13 +281,13 @@
         takeSlot(action.replacement);
     const auto replica = m_service->replica(action.decode);
     if (!replica) {
-        enqueue(DecodeEnded { ++m_tasks->lastTask, { EngineError { FailureKind::NotConnected, "the backend server was removed" } } });
+        enqueue(DecodeEnded { addTask(action.decode, false)->number, { EngineError { FailureKind::NotConnected, "the backend server was removed" } } });
         co_return;
     }
     reportBinding();
     if (auto error = checkVersion(*replica)) {
         // The result of a prefill can be used at another decode engine.
-        enqueue(DecodeEnded { ++m_tasks->lastTask, { std::move(*error) }, !action.prefill });
+        enqueue(DecodeEnded { addTask(action.decode, false)->number, { std::move(*error) }, !action.prefill });
         co_return;
     }
     m_hasStartedAttempt = true;
@@ -323,40 +314,38 @@
     if (needsSlot)
         m_slotMemory = *action.slot;
     record(LogLevel::Info, "transfer_started", { { "software_version", replica->backend.softwareVersion }, { "bound", m_boundVersion.has_value() }, { "bound_version", boundVersionText() }, { "split", call.kv.has_value() }, { "resume_from", call.resumeFrom }, { "seat_refusals", m_slotRefusals } });
-    const auto task = ++m_tasks->lastTask;
-    m_tasks->replica = action.decode;
-    spawnTask(runDecode(task, *replica, std::move(call), needsSlot), false);
+    const auto task = addTask(action.decode, false);
+    spawnTask(task, runDecode(task, *replica, std::move(call), needsSlot));
 }
 
 auto ModelRequest::endDecode(DecodeEnded ended) -> asio::awaitable<void>
 {
-    if (ended.task != m_tasks->lastTask)
+    if (m_tasks->fallback && ended.task == m_tasks->fallback->number) {
+        co_await endFallback(std::move(ended));
+        co_return;
+    }
+    if (!m_tasks->current || ended.task != m_tasks->current->number)
         co_return;
     if (ended.outcome.isCallerDisconnected) {
         co_await cancel();
         co_return;
     }
     if (!ended.outcome.error) {
-        co_await finish();
+        co_await finish(DecodeFinished { m_id, m_attempt, tokensSent() });
         co_return;
     }
-    if (!m_machine.apply(RequestTransition::DecodeFailed))
-        co_return;
-    if (ended.isSlotRefused) {
-        recordSlotRefusal(*ended.outcome.error);
-        co_return;
-    }
-    recordAttemptFailure("decode", *ended.outcome.error);
-    m_service->handleEvent(DecodeFailed { m_id, m_attempt, ended.outcome.error->failure, tokensSent() });
+    if (m_machine.apply(RequestTransition::DecodeFailed))
+        reportFailure(false, *ended.outcome.error, ended.isSlotRefused);
 }
 
-auto ModelRequest::finish() -> asio::awaitable<void>
+auto ModelRequest::finish(DecisionEvent completion) -> asio::awaitable<void>
 {
     if (!m_machine.apply(RequestTransition::Finished))
         co_return;
     m_hasEnded = true;
+    dropFallback("finished");
     // The engine has finished the request, so its slot is free whether or not the caller receives the rest.
-    m_service->handleEvent(DecodeFinished { m_id, m_attempt, tokensSent() });
+    m_service->handleEvent(completion);
     const auto* reason = m_relay.tokens() >= m_info.request.maxTokens ? "length" : "stop";
     const auto isSent = co_await m_writer->finish(reason, usage());
     m_service->metrics().finished.fetch_add(1, std::memory_order_relaxed);
@@ -366,7 +355,7 @@
 
 auto ModelRequest::refuse(ApiError error) -> asio::awaitable<void>
 {
-    co_await stopTask();
+    co_await stopTasks();
     if (!m_machine.apply(RequestTransition::Refused))
         co_return;
     m_hasEnded = true;
@@ -389,7 +378,7 @@
     m_service->handleEvent(RequestCancelled { m_id });
     m_service->metrics().cancelled.fetch_add(1, std::memory_order_relaxed);
     record(LogLevel::Info, "request_cancelled", { { "tokens", m_relay.tokens() } });
-    co_await stopTask();
+    co_await stopTasks();
 }
 
 auto ModelRequest::remainingMs() const -> std::int64_t
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -62,40 +62,60 @@
         bool isSlotRefused = false;
     };
     using RequestEvent = std::variant<DecisionAction, CallerDisconnected, DeadlineExpired, PrefillEnded, DecodeEnded>;
+    struct Task;
     struct Tasks;
 
     auto enqueue(RequestEvent requestEvent) -> void;
     auto nextEvent() -> boost::asio::awaitable<RequestEvent>;
     auto handle(RequestEvent requestEvent) -> boost::asio::awaitable<void>;
     auto handleAction(DecisionAction action) -> boost::asio::awaitable<void>;
-    /// Handles the result of a task that has ended, if it waits behind other events. The state machine knows the
+    /// Handles the results of tasks that have ended, if they wait behind other events. The state machine knows the
     /// end of an attempt only then, and rejects the start of another one before.
-    auto handleEndedTask() -> boost::asio::awaitable<void>;
+    auto handleEndedTasks() -> boost::asio::awaitable<void>;
     auto beginPrefill(StartPrefill action) -> boost::asio::awaitable<void>;
     auto beginDecode(StartDecode action) -> boost::asio::awaitable<void>;
     auto endPrefill(PrefillEnded ended) -> void;
     auto endDecode(DecodeEnded ended) -> boost::asio::awaitable<void>;
-    auto finish() -> boost::asio::awaitable<void>;
+    /// Handles the result of the fallback.
+    auto endFallback(DecodeEnded ended) -> boost::asio::awaitable<void>;
+    /// @param completion reports to the shard that the response is complete.
+    auto finish(DecisionEvent completion) -> boost::asio::awaitable<void>;
     auto refuse(ApiError error) -> boost::asio::awaitable<void>;
     auto cancel() -> boost::asio::awaitable<void>;
 
-    /// Starts the task of an attempt; at most one runs at a time.
-    auto spawnTask(boost::asio::awaitable<void> task, bool isPrefill) -> void;
+    /// @return a task that takes the place of the current one, and has not started.
+    auto addTask(ReplicaId replica, bool isPrefill) -> std::shared_ptr<Task>;
+    /// Starts the task of the current attempt.
+    auto spawnTask(std::shared_ptr<Task> task, boost::asio::awaitable<void> call) -> void;
+    auto isCurrent(const Task& task) const -> bool;
     /// Reports a task that ended with an exception as a failed attempt whose outcome is unknown.
-    auto failTask(std::uint64_t task, bool isPrefill, const std::exception_ptr& thrown) -> void;
+    auto failTask(const Task& task, const std::exception_ptr& thrown) -> void;
     /// Reports to the shard when the engine of the running attempt sends nothing for longer than its timeout.
     auto watchSilence(TimePoint checkAt) -> void;
     auto checkSilence() -> void;
     /// @return when the engine will have been silent for too long.
-    auto silenceEnd() const -> TimePoint;
-    /// Makes the running task fail immediately and closes its connection to the engine.
-    auto interruptTask() -> void;
+    auto silenceEnd(const Task& task) const -> TimePoint;
+    /// Ends the task of the current attempt because the shard has cancelled it.
+    auto cancelTask() -> boost::asio::awaitable<void>;
+    /// Makes a task fail immediately and closes its connection to the engine.
+    static auto interrupt(Task& task) -> void;
     /// If the shard cancels the attempt because it refuses the request, but its caller has a part of the answer, waits
     /// until the attempt has ended: up to the deadline if that was the reason, otherwise until what has arrived was sent.
     auto awaitBegunAnswer() -> boost::asio::awaitable<void>;
-    /// Interrupts the running task and waits until it has ended.
+    /// Interrupts the task of the current attempt and waits until it has ended. The fallback goes on.
     auto stopTask() -> boost::asio::awaitable<void>;
-    auto runPrefill(std::uint64_t task, ReplicaStatus replica, std::optional<ReplicaStatus> decode, EngineCall call) -> boost::asio::awaitable<void>;
+    /// Interrupts all tasks and waits until they have ended.
+    auto stopTasks() -> boost::asio::awaitable<void>;
+    auto awaitTaskEnd() -> boost::asio::awaitable<void>;
+    /// Notes in the state machine that the current attempt, if one runs, does not go on.
+    auto recordInterruption() -> void;
+    /// Keeps the current attempt, whose engine is silent, as the fallback of the one that replaces it.
+    auto keepAsFallback() -> void;
+    /// Makes the fallback the current attempt again.
+    auto continueFallback(ReturnToFallback action) -> boost::asio::awaitable<void>;
+    /// Gives the fallback up, if there is one.
+    auto dropFallback(std::string_view reason) -> void;
+    auto runPrefill(std::shared_ptr<Task> task, ReplicaStatus replica, std::optional<ReplicaStatus> decode, EngineCall call) -> boost::asio::awaitable<void>;
     /// Reserves a slot at the decode engine, if engines support reservations.
     /// @return the error if the reservation failed.
     auto reserveSlot(const std::optional<ReplicaStatus>& decode) -> boost::asio::awaitable<std::optional<EngineError>>;
@@ -115,7 +135,7 @@
     auto announceVersion(const std::optional<ReplicaStatus>& replica) -> void;
     /// Waits until the first event of a new stream may be sent to the caller.
     /// @return whether it may be sent; false if the attempt was interrupted.
-    auto waitForRecord(std::string version) -> boost::asio::awaitable<bool>;
+    auto waitForRecord(Task& task, std::string version) -> boost::asio::awaitable<bool>;
     /// @return whether the caller may take the response up later.
     auto canBeTakenUp() const -> bool;
     /// @return the version to which the request is bound, or nothing, for the log.
@@ -141,9 +161,9 @@
     /// @param what name of the resource, for the log.
     auto releaseInBackground(std::string_view what, const BackendServer& server, boost::asio::awaitable<bool> call) -> void;
     /// @param needsSlot whether a slot has to be reserved first.
-    auto runDecode(std::uint64_t task, ReplicaStatus replica, EngineCall call, bool needsSlot) -> boost::asio::awaitable<void>;
+    auto runDecode(std::shared_ptr<Task> task, ReplicaStatus replica, EngineCall call, bool needsSlot) -> boost::asio::awaitable<void>;
     /// @param version software version of the engine.
-    auto relay(HttpStream& stream, std::string version) -> boost::asio::awaitable<RelayResult>;
+    auto relay(std::shared_ptr<Task> task, std::string version) -> boost::asio::awaitable<RelayResult>;
 
     /// @param resumedFrom number of tokens that the caller had before this attempt.
     auto recordFirstToken(std::uint32_t resumedFrom) -> void;
@@ -165,6 +185,9 @@
             m_service->metrics().backendCalls.fetch_add(1, std::memory_order_relaxed);
     }
     auto recordAttemptFailure(std::string_view phase, const EngineError& error) -> void;
+    /// Logs a failed attempt and reports it to the shard.
+    /// @param isSlotRefused whether the decode engine refused a slot, so that the engine was not called.
+    auto reportFailure(bool isPrefill, const EngineError& error, bool isSlotRefused) -> void;
     /// @return the request id for the log.
     auto callerRequestId() const -> std::string;
     auto record(LogLevel level, std::string_view event, std::initializer_list<LogField> details = {}) -> void;
--- a/src/ModelRequestLog.cpp
+++ b/src/ModelRequestLog.cpp
@@ -15,6 +15,21 @@
     record(LogLevel::Info, std::string(phase) + "_failed", { { "failure", name(error.failure) }, { "detail", error.detail }, { "tokens", m_relay.tokens() }, { "retries_left", budget.remaining() }, { "retry_capacity", budget.capacity() }, { "prompt_parts", m_info.forwarded ? toHexadecimal(m_info.forwarded->promptParts) : "" } });
 }
 
+auto ModelRequest::reportFailure(bool isPrefill, const EngineError& error, bool isSlotRefused) -> void
+{
+    if (isSlotRefused && !m_tasks->fallback) {
+        recordSlotRefusal(error);
+        return;
+    }
+    recordAttemptFailure(isPrefill ? "prefill" : "decode", error);
+    if (m_tasks->fallback)
+        m_service->handleEvent(ReplacementFailed { m_id, m_attempt, error.failure, tokensSent() });
+    else if (isPrefill)
+        m_service->handleEvent(PrefillFailed { m_id, m_attempt, error.failure });
+    else
+        m_service->handleEvent(DecodeFailed { m_id, m_attempt, error.failure, tokensSent() });
+}
+
 auto ModelRequest::tryConsumeResend() -> bool
 {
     if (!m_service->tryConsumeRetry(m_tasks->replica))
--- a/src/ModelRequestVersion.cpp
+++ b/src/ModelRequestVersion.cpp
@@ -39,14 +39,14 @@
         m_context.streamVersions->announce(m_service->name(), callerRequestId(), replica->backend.softwareVersion);
 }
 
-auto ModelRequest::waitForRecord(std::string version) -> boost::asio::awaitable<bool>
+auto ModelRequest::waitForRecord(Task& task, std::string version) -> boost::asio::awaitable<bool>
 {
     if (!canBeTakenUp() || m_relay.hasSentTokens())
         co_return true;
-    m_tasks->isWaitingForRecord = true;
+    task.isWaitingForRecord = true;
     const auto maySend = co_await m_context.streamVersions->waitForRecord(std::string(m_service->name()), callerRequestId(), std::move(version));
-    m_tasks->isWaitingForRecord = false;
-    m_tasks->calledAt = monotonicNow();
+    task.isWaitingForRecord = false;
+    task.calledAt = monotonicNow();
     co_return maySend;
 }
 
--- a/src/ModelService.cpp
+++ b/src/ModelService.cpp
@@ -260,12 +260,15 @@
         cancelLocked(refuse->request, std::nullopt, outbox);
         deliver(refuse->request);
     } else if (const auto* cancel = std::get_if<CancelOnReplica>(&action)) {
-        cancelLocked(cancel->request, cancel->replica, outbox);
+        if (!cancel->becomesFallback)
+            cancelLocked(cancel->request, cancel->replica, outbox);
         deliver(cancel->request);
     } else if (const auto* reservation = std::get_if<ReserveReplacement>(&action)) {
         deliver(reservation->request);
     } else if (const auto* release = std::get_if<ReleaseReplacement>(&action)) {
         deliver(release->request);
+    } else if (const auto* fallback = std::get_if<ReturnToFallback>(&action)) {
+        deliver(fallback->request);
     } else if (const auto* report = std::get_if<ReportCrashSignature>(&action)) {
         outbox.signatures.push_back(report->signature);
     } else if (const auto* crash = std::get_if<ReportCrash>(&action)) {
@@ -298,13 +301,13 @@
 
 /// Each attempt is cancelled by its own request id, so that a late cancel cannot affect a newer attempt of
 /// the same request on the same engine.
-auto ModelService::cancelLocked(RequestId request, std::optional<ReplicaId> replica, Outbox& outbox, Attempt last) -> void
+auto ModelService::cancelLocked(RequestId request, std::optional<ReplicaId> replica, Outbox& outbox, AttemptRange attempts) -> void
 {
     const auto open = m_requests.find(request);
     if (open == m_requests.end())
         return;
     std::erase_if(open->second.attempts, [&](const RunningAttempt& running) {
-        if ((replica && running.replica != *replica) || running.attempt > last)
+        if ((replica && running.replica != *replica) || running.attempt < attempts.first || running.attempt > attempts.last)
             return false;
         if (const auto known = m_replicas.find(running.replica); known != m_replicas.end())
             outbox.cancels.push_back({ known->second.backend.endpoint, engineRequestId(request, running.attempt) });
@@ -322,9 +325,13 @@
     if (const auto* cancelled = std::get_if<RequestCancelled>(&event))
         cancelLocked(cancelled->request, std::nullopt, outbox);
     else if (const auto* prefill = std::get_if<PrefillFailed>(&event); prefill && mayHoldMemory(prefill->failure))
-        cancelLocked(prefill->request, std::nullopt, outbox, prefill->attempt);
+        cancelLocked(prefill->request, std::nullopt, outbox, { 0, prefill->attempt });
     else if (const auto* decode = std::get_if<DecodeFailed>(&event); decode && mayHoldMemory(decode->failure))
-        cancelLocked(decode->request, std::nullopt, outbox, decode->attempt);
+        cancelLocked(decode->request, std::nullopt, outbox, { 0, decode->attempt });
+    else if (const auto* replacement = std::get_if<ReplacementFailed>(&event); replacement && mayHoldMemory(replacement->failure))
+        cancelLocked(replacement->request, std::nullopt, outbox, { replacement->attempt, replacement->attempt });
+    else if (const auto* fallback = std::get_if<FallbackEnded>(&event))
+        cancelLocked(fallback->request, std::nullopt, outbox, { fallback->attempt, fallback->attempt });
 }
 
 auto ModelService::send(Outbox outbox) -> void
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -137,6 +137,12 @@
         ReplicaId replica;
         Attempt attempt;
     };
+    /// The first and the last of consecutive attempts.
+    struct AttemptRange {
+        Attempt first;
+        Attempt last;
+    };
+    static constexpr AttemptRange allAttempts { 0, std::numeric_limits<Attempt>::max() };
     struct OpenRequest {
         /// Not owned, because the request's timers must not outlive its I/O thread, while the service does.
         std::weak_ptr<ActionReceiver> receiver;
@@ -170,8 +176,8 @@
     auto dispatchActionLocked(const DecisionAction& action, Outbox& outbox) -> void;
     auto addAttemptLocked(RequestId request, ReplicaId replica, Attempt attempt) -> void;
     /// Cancels attempts of a request at the engines: all, or those on one replica.
-    /// @param last later attempts go on.
-    auto cancelLocked(RequestId request, std::optional<ReplicaId> replica, Outbox& outbox, Attempt last = std::numeric_limits<Attempt>::max()) -> void;
+    /// @param attempts the others go on.
+    auto cancelLocked(RequestId request, std::optional<ReplicaId> replica, Outbox& outbox, AttemptRange attempts = allAttempts) -> void;
     /// Cancels the attempts that an event ends and for which the shard issues no cancel action.
     auto cancelEndedLocked(const DecisionEvent& event, Outbox& outbox) -> void;
     /// @return the request and the attempt of an engine request id, if this service created the id in this
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -83,6 +83,7 @@
     auto* request = findCurrent(context.state, event.request, event.attempt, { RequestPhase::Prefilling, RequestPhase::Prefilled });
     if (!request)
         return;
+    request->fallback.reset();
     recordFailure(context, *request->prefill, event.failure);
     retryOrRefuse(context, *request, event.failure);
 }
@@ -102,6 +103,7 @@
     auto* request = findCurrent(context.state, event.request, event.attempt, { RequestPhase::Prefilling, RequestPhase::Starting });
     if (!request || !request->decode)
         return;
+    request->fallback.reset();
     recordFailure(context, *request->decode, event.failure);
     requeueAfterSlotRefusal(context, *request);
 }
@@ -171,6 +173,7 @@
         recordTokens(context, *request, event.emittedTokens);
     if (request->phase != RequestPhase::Stopping)
         recordFailure(context, *request->decode, event.failure);
+    request->fallback.reset();
     retryOrRefuse(context, *request, event.failure);
 }
 
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -12,6 +12,7 @@
 #include "VersionBinding.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jayhold {
 
@@ -243,6 +244,7 @@
 auto enterDecoding(DecisionContext& context, ActiveRequest& request) -> void
 {
     bindToVersion(context, request, request.attemptVersion);
+    request.fallback.reset();
     if (request.prefill)
         updateTransferRate(context, request);
     updateFirstTokenMargin(context, request);
@@ -264,6 +266,36 @@
         recordCrash(context, request, *replica);
 }
 
+/// Makes the fallback the current attempt again.
+/// @return false if there is none, or its replica is not known any more.
+auto returnToFallback(DecisionContext& context, ActiveRequest& request) -> bool
+{
+    const auto fallback = std::exchange(request.fallback, OptionalReplica());
+    auto* replica = fallback ? findReplica(context.state, *fallback) : nullptr;
+    if (!replica || replica->role() != PoolRole::Decode)
+        return false;
+    leavePhase(context, request);
+    request.prefill.reset();
+    request.decode = *fallback;
+    ++request.attempt;
+    request.emittedAtStart = request.emitted;
+    // The silence has already counted as a failure of the replica.
+    request.silentAttempt = request.attempt;
+    // Other requests may have taken the room meanwhile. The reservation then falls short of what the attempt uses.
+    const auto amount = decodeReservation(context, request, *replica);
+    if (freeSlots(*replica) >= amount.slots && hasFreeMemoryBlocks(*replica, amount.memoryBlocks)) {
+        reserve(context, request, *replica, amount);
+        // No call is sent.
+        if (replica->allowance)
+            replica->allowance->putBack(context.now);
+    }
+    request.phaseStartedAt = context.now;
+    enterPhase(context, request, RequestPhase::Decoding);
+    updateExpectedEnd(context, request);
+    context.actions.emplace_back(ReturnToFallback { request.arrival.request, request.attempt, *fallback });
+    return true;
+}
+
 auto refuseConfirmed(DecisionContext& context, ActiveRequest& request) -> void
 {
     const auto signature = request.arrival.signature;
@@ -293,6 +325,8 @@
         refuseConfirmed(context, request);
         return;
     }
+    if (returnToFallback(context, request))
+        return;
     const auto retry = mayRetry(context, request, failure);
     if (retry && isResultAvailable(context, request, failure)) {
         retryDecode(context, request);
@@ -308,7 +342,12 @@
 
 auto endForReplacement(DecisionContext& context, ActiveRequest& request) -> void
 {
-    cancelAttempt(context, request);
+    if (request.phase == RequestPhase::Decoding) {
+        request.fallback = request.decode;
+        context.actions.emplace_back(CancelOnReplica { request.arrival.request, *request.decode, true });
+    } else {
+        cancelAttempt(context, request);
+    }
     countFailedAttempt(context, request, FailureKind::TimedOut);
     leavePhase(context, request);
     request.leftSilentEngine = true;
@@ -361,6 +400,14 @@
     erase(context, request);
 }
 
+auto finishAtFallback(DecisionContext& context, ActiveRequest& request) -> void
+{
+    cancelAttempt(context, request);
+    leavePhase(context, request);
+    ++context.state.totals.finished;
+    erase(context, request);
+}
+
 auto refuse(DecisionContext& context, ActiveRequest& request, RefusalReason reason) -> void
 {
     const auto unknown = request.mayHaveRun || mayBeRunning(request.phase);
--- a/src/RequestLifecycle.h
+++ b/src/RequestLifecycle.h
@@ -27,11 +27,12 @@
 /// Handles the loss of the request's decode engine: releases the slot and waits for the exact token
 /// count.
 auto stopDecode(DecisionContext& context, ActiveRequest& request) -> void;
-/// Handles the failure of the current attempt: retries the request, or refuses it if it may not run
-/// again.
+/// Handles the failure of the current attempt: returns to its fallback if it has one, retries the request otherwise, or
+/// refuses it if it may not run again.
 auto retryOrRefuse(DecisionContext& context, ActiveRequest& request, FailureKind failure) -> void;
 
-/// Ends the current attempt, whose engine is silent, and queues the request for the start of its replacement.
+/// Ends the current attempt, whose engine is silent, and queues the request for the start of its replacement. An attempt
+/// that has brought tokens goes on as the fallback of the next one, because its engine may have all that is missing.
 auto endForReplacement(DecisionContext& context, ActiveRequest& request) -> void;
 /// Gives up what is reserved for the replacement of the current attempt, if anything is.
 auto dropReplacement(DecisionContext& context, const ActiveRequest& request) -> void;
@@ -45,6 +46,8 @@
 
 /// These functions end the request. The reference is invalid afterwards.
 auto finish(DecisionContext& context, ActiveRequest& request) -> void;
+/// The fallback has completed the response; the current attempt is cancelled.
+auto finishAtFallback(DecisionContext& context, ActiveRequest& request) -> void;
 auto refuse(DecisionContext& context, ActiveRequest& request, RefusalReason reason) -> void;
 auto cancel(DecisionContext& context, ActiveRequest& request) -> void;
 
--- a/src/ServiceMetrics.h
+++ b/src/ServiceMetrics.h
@@ -28,6 +28,10 @@
     std::atomic<std::uint64_t> blockedParts { 0 };
     /// Attempts that were not sent, because the engine had another software version than the stream.
     std::atomic<std::uint64_t> otherVersionAttempts { 0 };
+    /// Requests that went on at their silent engine because the attempt that had replaced it failed.
+    std::atomic<std::uint64_t> fallbackReturns { 0 };
+    /// Responses that a silent engine completed after its attempt had been replaced.
+    std::atomic<std::uint64_t> fallbackCompletions { 0 };
     std::atomic<std::uint64_t> resumed { 0 };
     std::atomic<std::uint64_t> replayed { 0 };
     std::atomic<std::uint64_t> tokens { 0 };
--- a/src/SilentAttempts.cpp
+++ b/src/SilentAttempts.cpp
@@ -2,6 +2,7 @@
 
 #include "CrashAttribution.h"
 #include "Dispatch.h"
+#include "Estimates.h"
 #include "Placement.h"
 #include "PrefillChoice.h"
 #include "ReplicaHealth.h"
@@ -150,4 +151,37 @@
     recordFailure(context, decode, event.failure);
 }
 
+auto handle(DecisionContext& context, const ReplacementFailed& event) -> void
+{
+    auto* request = findRequest(context.state, event.request);
+    const auto isCurrent = request && request->attempt == event.attempt && request->phase != RequestPhase::Queued && request->phase != RequestPhase::Decoding;
+    if (!isCurrent)
+        return;
+    // The stream is bound to the version of its first token by now, so these tokens say nothing about the failed attempt.
+    request->emitted = std::max(request->emitted, event.emittedTokens);
+    const auto isPrefill = request->phase == RequestPhase::Prefilling || request->phase == RequestPhase::Prefilled;
+    if (request->phase != RequestPhase::Stopping)
+        recordFailure(context, isPrefill ? *request->prefill : *request->decode, event.failure);
+    retryOrRefuse(context, *request, event.failure);
+}
+
+auto handle(DecisionContext& context, const FallbackEnded& event) -> void
+{
+    if (auto* request = findRequest(context.state, event.request))
+        request->fallback.reset();
+}
+
+auto handle(DecisionContext& context, const FallbackFinished& event) -> void
+{
+    auto* request = findRequest(context.state, event.request);
+    if (!request)
+        return;
+    // The shard may have returned to the fallback meanwhile.
+    const auto replica = request->fallback ? request->fallback : request->decode;
+    if (replica)
+        recordSuccess(context, *replica, event.request);
+    updateLengthModel(context, *request, event.totalTokens);
+    finishAtFallback(context, *request);
+}
+
 }
--- a/src/SilentAttempts.h
+++ b/src/SilentAttempts.h
@@ -1,9 +1,12 @@
 #pragma once
 
 /// Replaces attempts whose engine is silent. Silence alone never ends a request: the silent attempt goes on until a
-/// slot is reserved for the next one.
+/// slot is reserved for the next one, and afterwards as its fallback until the next one has brought a token.
 
 #include "DecisionContext.h"
+#include "FallbackEnded.h"
+#include "FallbackFinished.h"
+#include "ReplacementFailed.h"
 #include "ReplacementRefused.h"
 #include "ReplacementReserved.h"
 
@@ -19,4 +22,9 @@
 auto handle(DecisionContext& context, const ReplacementReserved& event) -> void;
 auto handle(DecisionContext& context, const ReplacementRefused& event) -> void;
 
+/// Returns to the fallback.
+auto handle(DecisionContext& context, const ReplacementFailed& event) -> void;
+auto handle(DecisionContext& context, const FallbackEnded& event) -> void;
+auto handle(DecisionContext& context, const FallbackFinished& event) -> void;
+
 }
--- a/test/FakeBackendServer.cpp
+++ b/test/FakeBackendServer.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr int streamEvents = 5;
 /// Interval at which a silent stream looks whether it may go on.
 constexpr Duration silenceStep = std::chrono::milliseconds(5);
 const HttpHeader leavingField { "Server-Leaving", "1" };
@@ -163,8 +162,9 @@
     headers.push_back({ "Content-Type", "text/event-stream" });
     if (m_isLeaving)
         headers.push_back(leavingField);
+    exchange.onClose([this] { ++m_closedRuns; });
     co_await exchange.startStream(200, std::move(headers));
-    for (auto event = first; event <= streamEvents; ++event) {
+    for (auto event = first; event <= m_events; ++event) {
         if (m_behaviour == Behaviour::TruncateStream && event == 3) {
             co_await exchange.write("id: 3\nda");
             exchange.abort();
@@ -178,6 +178,8 @@
             m_onFirstEvent(exchange.request());
         co_await exchange.write(streamEventText(event, m_version));
     }
+    if (m_endDelay.load() > Duration::zero() && first <= m_events)
+        co_await pause(m_endDelay);
     co_await exchange.finishStream();
 }
 
--- a/test/FakeBackendServer.h
+++ b/test/FakeBackendServer.h
@@ -43,6 +43,8 @@
     auto id() const -> const std::string& { return m_id; }
     auto runs() const -> int { return m_runs; }
     auto prefills() const -> int { return m_prefills; }
+    /// @return how many streams have lost their connection before their end.
+    auto closedRuns() const -> int { return m_closedRuns; }
     /// @param work time that a plain call or a prefill takes.
     /// @param gap time between two events of a stream.
     auto setTiming(Duration work, Duration gap) -> void
@@ -52,6 +54,10 @@
     }
     /// @param version software version that the events of streams show; must be set before the first request.
     auto setVersion(std::string version) -> void { m_version = std::move(version); }
+    /// @param events number of events of a whole stream.
+    auto setEvents(int events) -> void { m_events = events; }
+    /// @param delay time between the last event of a stream and its end.
+    auto setEndDelay(Duration delay) -> void { m_endDelay = delay; }
     /// @param isSilent whether the streams wait with all events after their first.
     auto setSilent(bool isSilent) -> void { m_isSilent = isSilent; }
     /// @param isFull whether the server refuses slot reservations and decodes without one.
@@ -101,6 +107,8 @@
     std::atomic<Behaviour> m_behaviour;
     std::atomic<Duration> m_work { Duration::zero() };
     std::atomic<Duration> m_gap { Duration::zero() };
+    std::atomic<int> m_events { 5 };
+    std::atomic<Duration> m_endDelay { Duration::zero() };
     std::atomic<double> m_limit { 0 };
     std::atomic<Duration> m_reservationTime { Duration::zero() };
     std::atomic<bool> m_refusesReservations { false };
@@ -111,6 +119,7 @@
     std::function<void(const HttpRequest&)> m_onFirstEvent = [](const HttpRequest&) {};
     std::atomic<int> m_runs { 0 };
     std::atomic<int> m_prefills { 0 };
+    std::atomic<int> m_closedRuns { 0 };
     std::atomic<int> m_requests { 0 };
     std::atomic<int> m_controlCalls { 0 };
     std::atomic<bool> m_hasCrashed { false };
--- a/test/RawBackend.h
+++ b/test/RawBackend.h
@@ -51,6 +51,8 @@
     std::string lateBytes = {};
     /// Whether the connection is reset instead of closed, if it is closed.
     bool resets = false;
+    /// Time before the connection is closed, if it is closed.
+    std::chrono::milliseconds closeDelay {};
 };
 
 class RawBackend {
@@ -140,6 +142,8 @@
                 co_await pause(std::chrono::milliseconds(20));
                 co_await boost::asio::async_write(socket, boost::asio::buffer(reply->lateBytes), awaitInto(code));
             }
+            if (reply->closes && reply->closeDelay > std::chrono::milliseconds::zero())
+                co_await pause(reply->closeDelay);
             if (reply->closes && reply->resets) {
                 // The destructor of the socket would ignore the option.
                 socket.set_option(boost::asio::socket_base::linger(true, 0), code);
--- a/test/correctness/ShardModel.cpp
+++ b/test/correctness/ShardModel.cpp
@@ -87,8 +87,10 @@
         reportLoad(step);
     else if (what == 14 && step.first % 2)
         beSilent(step);
-    else if (what == 14)
+    else if (what == 14 && step.first % 4)
         replacementEvent(step);
+    else if (what == 14)
+        fallbackEvent(step);
     else
         deliver(Tick {});
 }
@@ -167,6 +169,10 @@
     if (m_prefills.empty())
         return;
     const auto start = pick(m_prefills, step);
+    const auto& request = m_requests.at(start.request);
+    const auto hasFallback = request.fallback && !request.answered && request.attempt == start.attempt;
+    if (step.first % 4 == 0 && hasFallback)
+        return;
     if (step.first % 4 == 0)
         deliverToRequest(start.request, start.attempt, PrefillFailed { start.request, start.attempt, failures.at(step.third % failures.size()) });
     else
@@ -188,6 +194,7 @@
     case 2:
     case 3:
         m_requests.at(start.request).running.insert(start.attempt);
+        dropFallback(start);
         deliverToRequest(start.request, start.attempt, DecodeStarted { start.request, start.attempt });
         break;
     default:
@@ -203,6 +210,7 @@
         deliverToRequest(start.request, start.attempt, TokensEmitted { start.request, start.attempt, request.sent - std::min<std::uint32_t>(request.sent, count) });
         return;
     }
+    dropFallback(start);
     request.sent += count;
     if (lost)
         return;
@@ -228,6 +236,9 @@
 {
     auto& request = m_requests.at(start.request);
     const auto isCurrent = !request.answered && request.streaming == start.attempt && request.attempt == start.attempt;
+    // With a fallback the failure is another event.
+    if (isCurrent && request.fallback)
+        return;
     if (isCurrent) {
         request.streaming = 0;
         request.sentReported = true;
@@ -286,6 +297,10 @@
             check(*reservation);
         else if (const auto* release = std::get_if<ReleaseReplacement>(&action))
             check(*release);
+        else if (const auto* cancelled = std::get_if<CancelOnReplica>(&action))
+            check(*cancelled);
+        else if (const auto* fallback = std::get_if<ReturnToFallback>(&action))
+            check(*fallback);
     }
 }
 
--- a/test/correctness/ShardModel.h
+++ b/test/correctness/ShardModel.h
@@ -47,6 +47,8 @@
         /// The reservation for a replacement that is asked for, and the tokens sent when the shard asked for it.
         std::optional<ReserveReplacement> reserving;
         std::uint32_t sentWhenReserving = 0;
+        /// The replica of the attempt that the driver keeps as the fallback.
+        std::optional<ReplicaId> fallback;
     };
 
     using Requests = std::map<RequestId, KnownRequest>;
@@ -57,12 +59,17 @@
     auto arrive(const ModelStep& step) -> void;
     auto prefillEvent(const ModelStep& step) -> void;
     auto decodeEvent(const ModelStep& step) -> void;
+    /// The driver gives the fallback up before it reports a token of the current attempt.
+    auto dropFallback(const StartDecode& start) -> void;
     auto emitTokens(const StartDecode& start, std::uint8_t count, bool lost) -> void;
     auto finishDecode(const StartDecode& start) -> void;
     auto failDecode(const StartDecode& start, FailureKind failure) -> void;
     auto beSilent(const ModelStep& step) -> void;
     /// Reports the outcome of a reservation for a replacement, which may be outdated.
     auto replacementEvent(const ModelStep& step) -> void;
+    /// Reports that an attempt has failed for which the driver has a fallback, or that the fallback has ended.
+    auto fallbackEvent(const ModelStep& step) -> void;
+    auto finishFallback(RequestId id) -> void;
     auto cancel(const ModelStep& step) -> void;
     auto changeReplica(const ModelStep& step) -> void;
     auto reportLoad(const ModelStep& step) -> void;
@@ -73,6 +80,8 @@
     auto check(const Refuse& action) -> void;
     auto check(const ReserveReplacement& action) -> void;
     auto check(const ReleaseReplacement& action) -> void;
+    auto check(const CancelOnReplica& action) -> void;
+    auto check(const ReturnToFallback& action) -> void;
     /// Checks that a new attempt takes the slot that was reserved for it, if it names one, and leaves none behind.
     auto checkSlot(KnownRequest& request, ReplacementNumber number, ReplicaId decode) -> void;
     auto checkLive(ReplicaId id, PoolRole role) -> void;
--- a/test/correctness/ShardModelReplacements.cpp
+++ b/test/correctness/ShardModelReplacements.cpp
@@ -65,6 +65,81 @@
     }
 }
 
+auto ShardModel::dropFallback(const StartDecode& start) -> void
+{
+    auto& request = m_requests.at(start.request);
+    if (request.answered || request.attempt != start.attempt || !std::exchange(request.fallback, std::nullopt))
+        return;
+    deliver(FallbackEnded { start.request, start.attempt });
+}
+
+auto ShardModel::fallbackEvent(const ModelStep& step) -> void
+{
+    const auto found = std::ranges::find_if(m_requests, [](const auto& entry) { return entry.second.fallback && !entry.second.answered; });
+    if (found == m_requests.end())
+        return;
+    auto& [id, request] = *found;
+    deliver(Tick {});
+    if (!request.fallback || request.answered)
+        return;
+    if (step.third % 4 == 0) {
+        request.fallback.reset();
+        deliver(FallbackEnded { id, request.attempt });
+        return;
+    }
+    if (step.third % 4 == 1) {
+        finishFallback(id);
+        return;
+    }
+    const auto* active = findRequest(*m_harness.shard.state, id);
+    const auto isRunning = active->phase != RequestPhase::Queued && active->phase != RequestPhase::Decoding;
+    const auto* replica = findReplica(*m_harness.shard.state, *request.fallback);
+    const auto attempt = request.attempt;
+    request.streaming = 0;
+    request.sentReported = true;
+    const auto canReturn = isRunning && replica && replica->role() == PoolRole::Decode;
+    deliver(ReplacementFailed { id, attempt, FailureKind::ServerError, request.sent });
+    if (canReturn)
+        RC_ASSERT(request.attempt == attempt + 1);
+}
+
+auto ShardModel::finishFallback(RequestId id) -> void
+{
+    auto& request = m_requests.at(id);
+    const auto before = summarize(m_harness.shard).finished;
+    m_harness.send(FallbackFinished { id, request.sent });
+    RC_ASSERT(summarize(m_harness.shard).finished == before + 1);
+    request.answered = true;
+    request.fallback.reset();
+    checkActions();
+    checkReservations();
+}
+
+auto ShardModel::check(const CancelOnReplica& action) -> void
+{
+    // Orphans of unknown requests are cancelled, too.
+    if (!action.becomesFallback)
+        return;
+    auto& request = m_requests.at(action.request);
+    RC_ASSERT_FALSE(request.answered);
+    request.fallback = action.replica;
+}
+
+auto ShardModel::check(const ReturnToFallback& action) -> void
+{
+    auto& request = m_requests.at(action.request);
+    RC_ASSERT_FALSE(request.answered);
+    RC_ASSERT(action.attempt == request.attempt + 1);
+    RC_ASSERT(request.fallback == action.replica);
+    request.fallback.reset();
+    request.attempt = action.attempt;
+    request.streaming = action.attempt;
+    request.sentReported = true;
+    request.mayHaveRun.insert(action.attempt);
+    request.running.insert(action.attempt);
+    m_decodes.push_back(StartDecode { action.request, action.attempt, {}, action.replica, request.sent, {}, 0 });
+}
+
 auto ShardModel::check(const ReserveReplacement& action) -> void
 {
     auto& request = m_requests.at(action.request);
