Confirm the end of a resumed stream by its last event

What callers saw: a stream with all of its events was cut, because its engine had ended the connection after the last event and before the end, and the engine that resumed it answered without an event ("the resumed response is empty").

Cause: the end of the body is the platform's only end of a stream, so an answer without an event can't be told from that of a broken engine with much left, and was an error for that reason. Ruled out as evidence: the maximum number of tokens (answers are shorter, events carry several tokens), and another empty answer.

Change: such an engine is asked once more for the caller's last event. It is complete only if the engine repeats that event and then ends. The call goes to the same engine, so that the attempts of the route are unchanged, and takes a retry from the budget. An answer that ends after an earlier event is an error.

Tests: LostEndTest. On the code before, the seven checks of whole streams failed; those of incomplete streams passed and still do. StreamErrorTest is unchanged.

--- a/src/DecodeRelay.cpp
+++ b/src/DecodeRelay.cpp
@@ -59,7 +59,7 @@
         if (!isFlushed)
             co_return RelayResult { .isCallerDisconnected = true };
         if (result == ParseResult::Invalid)
-            co_return RelayResult { EngineError { FailureKind::ServerError, attempt.errorDetail } };
+            co_return RelayResult { .error = EngineError { FailureKind::ServerError, attempt.errorDetail }, .isEmpty = attempt.isEmpty };
         if (result == ParseResult::Complete)
             co_return RelayResult {};
         if (const auto error = stream.hold(reader.bufferBytes()))
@@ -77,10 +77,15 @@
     if (attempt.reader.endOfBody(event) != EventReader::Status::Event)
         return ParseResult::NeedMore;
     // An empty body doesn't show that the tokens which the caller has are all.
-    if (attempt.isResumed && !attempt.hasReceivedEvent) {
+    attempt.isEmpty = attempt.isResumed && attempt.receivedTokens == 0;
+    if (attempt.isEmpty) {
         attempt.errorDetail = "the resumed response is empty";
         return ParseResult::Invalid;
     }
+    if (attempt.isResumed && attempt.receivedTokens < tokens()) {
+        attempt.errorDetail = "the resumed response ends after token " + std::to_string(attempt.receivedTokens - 1) + ", before token " + std::to_string(tokens() - 1);
+        return ParseResult::Invalid;
+    }
     return acceptEnd(event, attempt);
 }
 
@@ -137,7 +142,7 @@
 
 auto DecodeRelay::acceptToken(const TokenEvent& event, AttemptState& attempt) -> bool
 {
-    attempt.hasReceivedEvent = true;
+    attempt.receivedTokens = std::max(attempt.receivedTokens, event.index + 1);
     const auto expected = tokens();
     if (attempt.isResumed && !attempt.hasContinued && !continuesResponse(event.index)) {
         attempt.errorDetail = "the resumed response continues with token " + std::to_string(event.index) + " after token " + std::to_string(expected - 1);
@@ -153,6 +158,7 @@
     }
     if (m_hasSentTokens)
         recordStep(tokens() - expected);
+    m_tokensBeforeLast = expected;
     m_writer.addToken(event.text);
     m_metrics.tokens.fetch_add(1, std::memory_order_relaxed);
     const auto gap = m_now - m_lastTokenAt;
--- a/src/DecodeRelay.h
+++ b/src/DecodeRelay.h
@@ -43,6 +43,8 @@
     /// @return the number of tokens that the caller has, including those of an earlier response that this
     /// one resumes. An event that carries several tokens counts as one.
     auto tokens() const -> std::uint32_t { return m_sequence.count(); }
+    /// @return the number of tokens that the caller had before the last one of this response.
+    auto tokensBeforeLast() const -> std::uint32_t { return m_tokensBeforeLast; }
     /// @return whether a token of this response was sent to the caller.
     auto hasSentTokens() const -> bool { return m_hasSentTokens; }
     /// @return the time from the arrival of the request to the first token of this response; zero before
@@ -71,9 +73,12 @@
         EventReader& reader;
         /// Whether the caller had tokens of this response before the attempt.
         bool isResumed = false;
-        /// Whether the attempt has sent an event, and whether one of them was new.
-        bool hasReceivedEvent = false;
+        /// Number of tokens up to the last one that the attempt has sent; 0 before the first.
+        std::uint32_t receivedTokens = 0;
+        /// Whether one of its events was new.
         bool hasContinued = false;
+        /// Whether the body has ended without an event, although the attempt resumes a response.
+        bool isEmpty = false;
         std::string errorDetail = {};
     };
 
@@ -95,6 +100,7 @@
     /// Number of events between two progress reports to the decision code.
     const std::uint32_t m_reportIntervalEvents;
     TokenSequence m_sequence;
+    std::uint32_t m_tokensBeforeLast = 0;
     bool m_hasSentTokens = false;
     /// Largest step between two indices until one is known.
     const std::uint32_t m_assumedStep = 1;
--- a/src/Metrics.cpp
+++ b/src/Metrics.cpp
@@ -33,6 +33,7 @@
     { "jayhold_other_version_attempts_total", "Attempts not sent because the engine had another software version than the stream.", &ServiceMetrics::otherVersionAttempts },
     { "jayhold_fallback_returns_total", "Streams that went on at their silent engine because the attempt that had replaced it failed.", &ServiceMetrics::fallbackReturns },
     { "jayhold_fallback_completions_total", "Streams that their silent engine completed after its attempt had been replaced.", &ServiceMetrics::fallbackCompletions },
+    { "jayhold_empty_resumptions_total", "Resumed responses that ended without an event.", &ServiceMetrics::emptyResumptions },
     { "jayhold_streams_resumed_total", "Streams resumed on another engine.", &ServiceMetrics::resumed },
     { "jayhold_answers_replayed_total", "Stored answers sent for a repeated call.", &ServiceMetrics::replayed },
     { "jayhold_tokens_relayed_total", "Tokens relayed to callers.", &ServiceMetrics::tokens },
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -246,7 +246,7 @@
     recordDecision(m_slotRefusals == 0 ? LogLevel::Info : LogLevel::Debug, "request_placed", { { "decode_backend", decode ? decode->backend.id : "" }, { "software_version", decode ? decode->backend.softwareVersion : "" }, { "bound", m_boundVersion.has_value() }, { "bound_version", boundVersionText() }, { "decode_tokens", action.slot.reservedTokens }, { "free_tokens", action.slot.freeTokens }, { "prompt_tokens", m_info.digest.tokens }, { "waited_ms", queueTime.count() } });
     record(LogLevel::Debug, "prefill_started");
     announceVersion(decode);
-    auto call = engineCall();
+    auto call = engineCall(m_relay.tokens());
     call.mayResend = [this] { return tryConsumeResend(); };
     m_slotMemory = action.slot;
     const auto task = addTask(action.prefill, true);
@@ -293,8 +293,8 @@
     m_hasStartedAttempt = true;
     m_backend = replica->backend.id;
     announceVersion(replica);
-    auto call = engineCall();
-    call.maxTokens = m_info.request.maxTokens;
+    // The relay counts the events that the caller has. The shard's count may lag behind.
+    auto call = engineCall(m_relay.tokens());
     // The connection may have closed because another process with another version has taken the engine's place.
     if (m_info.kindSettings.repeatable && !m_boundVersion)
         call.mayResend = [this] { return tryConsumeResend(); };
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -162,13 +162,18 @@
     auto releaseInBackground(std::string_view what, const BackendServer& server, boost::asio::awaitable<bool> call) -> void;
     /// @param needsSlot whether a slot has to be reserved first.
     auto runDecode(std::shared_ptr<Task> task, ReplicaStatus replica, EngineCall call, bool needsSlot) -> boost::asio::awaitable<void>;
+    /// Asks an engine that had nothing to add for the last token once more. Only an engine that repeats it shows that nothing
+    /// follows; a broken one may answer any request without an event.
+    /// @return the outcome of that call; nothing if the engine was not called, or gave no stream.
+    auto confirmEnd(std::shared_ptr<Task> task, ReplicaStatus replica) -> boost::asio::awaitable<std::optional<RelayResult>>;
     /// @param version software version of the engine.
     auto relay(std::shared_ptr<Task> task, std::string version) -> boost::asio::awaitable<RelayResult>;
 
     /// @param resumedFrom number of tokens that the caller had before this attempt.
     auto recordFirstToken(std::uint32_t resumedFrom) -> void;
+    /// @param resumeFrom number of tokens that the engine need not send.
     /// @return the parameters of a call, except for its deadline, which depends on when it is sent.
-    auto engineCall() const -> EngineCall;
+    auto engineCall(std::uint32_t resumeFrom) const -> EngineCall;
     /// Sets the functions that receive the responses to the call.
     auto observeResponses(EngineCall& call) -> void;
     /// @return the time until the caller's deadline.
--- a/src/ModelRequestTasks.cpp
+++ b/src/ModelRequestTasks.cpp
@@ -13,6 +13,18 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+auto endStream(HttpStream& stream, const RelayResult& outcome) -> void
+{
+    if (outcome.error || outcome.isCallerDisconnected)
+        stream.close();
+    else
+        stream.release();
+}
+
+}
+
 auto ModelRequest::addTask(ReplicaId replica, bool isPrefill) -> std::shared_ptr<Task>
 {
     auto task = std::make_shared<Task>();
@@ -200,7 +212,7 @@
     }
 }
 
-auto ModelRequest::engineCall() const -> EngineCall
+auto ModelRequest::engineCall(std::uint32_t resumeFrom) const -> EngineCall
 {
     EngineCall call;
     call.requestId = m_service->engineRequestId(m_id, m_attempt);
@@ -208,8 +220,8 @@
     call.model = m_info.model;
     call.prompt = m_info.request.prompt;
     call.priority = static_cast<int>(m_info.kindSettings.latencyClass);
-    // The relay counts the events that the caller has. The shard's count may lag behind.
-    call.resumeFrom = m_relay.tokens();
+    call.maxTokens = m_info.request.maxTokens;
+    call.resumeFrom = resumeFrom;
     call.forwarded = m_info.forwarded;
     call.prefillResultTtl = m_service->prefillResultTtl();
     return call;
@@ -295,13 +307,61 @@
     m_writer->begin((*stream)->headers());
     task->stream = *stream;
     auto outcome = co_await relay(task, replica.backend.softwareVersion);
-    if (outcome.error || outcome.isCallerDisconnected)
-        (*stream)->close();
-    else
+    if (outcome.isEmpty && isCurrent(*task)) {
+        m_service->metrics().emptyResumptions.fetch_add(1, std::memory_order_relaxed);
         (*stream)->release();
+        if (auto confirmed = co_await confirmEnd(task, replica))
+            outcome = std::move(*confirmed);
+    } else {
+        endStream(**stream, outcome);
+    }
     enqueue(DecodeEnded { task->number, std::move(outcome) });
 }
 
+auto ModelRequest::confirmEnd(std::shared_ptr<Task> task, ReplicaStatus replica) -> asio::awaitable<std::optional<RelayResult>>
+{
+    task->stream.reset();
+    const auto recordUnconfirmed = [this](const EngineError& error) {
+        record(LogLevel::Info, "end_not_confirmed", { { "failure", name(error.failure) }, { "detail", error.detail }, { "tokens", m_relay.tokens() }, { "left_ms", remainingMs() } });
+    };
+    if (const auto refusal = checkAccepting(replica.id)) {
+        recordUnconfirmed(*refusal);
+        co_return std::nullopt;
+    }
+    if (!m_service->tryConsumeRetry(replica.id)) {
+        recordUnconfirmed({ FailureKind::Busy, "no retry is left for the engine" });
+        co_return std::nullopt;
+    }
+    if (const auto refusal = co_await reserveSlot(replica)) {
+        recordUnconfirmed(*refusal);
+        co_return std::nullopt;
+    }
+    if (!isCurrent(*task))
+        co_return std::nullopt;
+    auto call = engineCall(m_relay.tokensBeforeLast());
+    if (m_slot)
+        call.slot = std::exchange(m_slot, std::nullopt)->name;
+    call.deadlineMs = remainingMs();
+    task->calledAt = monotonicNow();
+    observeResponses(call);
+    const auto stream = co_await m_context.backendProtocol.decode(m_exchange.client(), replica.backend, std::move(call), m_timeouts.firstToken);
+    countBackendCall(stream);
+    if (stream.has_error()) {
+        recordUnconfirmed(stream.error());
+        co_return std::nullopt;
+    }
+    if (!isCurrent(*task))
+        co_return std::nullopt;
+    task->stream = *stream;
+    auto outcome = co_await relay(task, replica.backend.softwareVersion);
+    endStream(**stream, outcome);
+    if (outcome.error)
+        recordUnconfirmed(*outcome.error);
+    else
+        record(LogLevel::Info, "end_confirmed", { { "tokens", m_relay.tokens() }, { "left_ms", remainingMs() } });
+    co_return outcome;
+}
+
 auto ModelRequest::relay(std::shared_ptr<Task> task, std::string version) -> asio::awaitable<RelayResult>
 {
     const auto stream = task->stream;
--- a/src/ServiceMetrics.h
+++ b/src/ServiceMetrics.h
@@ -32,6 +32,8 @@
     std::atomic<std::uint64_t> fallbackReturns { 0 };
     /// Responses that a silent engine completed after its attempt had been replaced.
     std::atomic<std::uint64_t> fallbackCompletions { 0 };
+    /// Resumed responses that ended without an event.
+    std::atomic<std::uint64_t> emptyResumptions { 0 };
     std::atomic<std::uint64_t> resumed { 0 };
     std::atomic<std::uint64_t> replayed { 0 };
     std::atomic<std::uint64_t> tokens { 0 };
