--- a/src/BackendDirectory.cpp
+++ b/src/BackendDirectory.cpp
@@ -79,6 +79,18 @@
     return known.server.endpoint == server.endpoint && hasSameIncarnation(known.server, server) && !wasRemoved;
 }
 
+/// A process writes the same fields each time, and every later one states its start.
+/// @return whether the entry lacks what the known process has stated, so that another writer must have left it.
+auto isIncomplete(const BackendServer& known, const BackendServer& server) -> bool
+{
+    if (known.incarnation.empty())
+        return false;
+    if (server.incarnation.empty())
+        return true;
+    const auto isSameStart = startTimeOf(known.incarnation) == startTimeOf(server.incarnation);
+    return isSameStart && ((server.softwareVersion.empty() && !known.softwareVersion.empty()) || (server.slots == 0 && known.slots > 0));
+}
+
 /// Keeps what processes with the server's id have said about leaving when its entry replaces the known one.
 auto carryOverLeaving(BackendDirectory::Entry& entry, BackendDirectory::Entry known, const BackendServer& server) -> void
 {
@@ -144,6 +156,8 @@
             relisting = {};
         return false;
     }
+    if (known != directory.entries.end() && isIncomplete(known->second.server, server))
+        return false;
     BackendDirectory::Entry entry { .history = directory.history.value_or(0) };
     if (known != directory.entries.end())
         carryOverLeaving(entry, std::move(known->second), server);
--- a/src/BackendDirectory.h
+++ b/src/BackendDirectory.h
@@ -97,7 +97,8 @@
 
 /// Adds or updates a server, unless the store was restored and the entry is outdated: it may be one of the older copy and
 /// its incarnation is earlier than the known one, or it shows an incarnation as it was before it reported that it leaves,
-/// or was removed. A process that has said that it is leaving stays so.
+/// or was removed. An entry that lacks what the known process has stated comes from another writer, and is ignored as well.
+/// A process that has said that it is leaving stays so.
 /// @return whether the entry was applied.
 auto upsert(BackendDirectory& directory, BackendServer server, EntrySource source = EntrySource::List) -> bool;
 auto remove(BackendDirectory& directory, TimePoint now, std::string_view id) -> void;
--- a/test/correctness/BackendDirectoryTest.cpp
+++ b/test/correctness/BackendDirectoryTest.cpp
@@ -224,6 +224,36 @@
     CHECK(markLeaving(directory, server("a", "1000")) == ReplicaState::Live);
 }
 
+// Guards against calls to a server under a service that an entry of another writer names, which lacks fields.
+TEST_CASE("an entry that lacks what the known process has stated is ignored")
+{
+    const auto complete = [](const std::string& start) {
+        auto full = server("a", start + "/v1");
+        full.softwareVersion = "v1";
+        full.slots = 6;
+        return full;
+    };
+    const auto source = GENERATE(EntrySource::List, EntrySource::Change);
+    BackendDirectory directory;
+    REQUIRE(upsert(directory, complete("100"), source));
+    auto entry = complete("100");
+    entry.pool = "another";
+    SECTION("its start") { entry.incarnation.clear(); }
+    SECTION("its software version")
+    {
+        entry.incarnation = "100";
+        entry.softwareVersion.clear();
+    }
+    SECTION("its slots") { entry.slots = 0; }
+    CHECK_FALSE(upsert(directory, entry, source));
+    REQUIRE(servers(directory).size() == 1);
+    CHECK(servers(directory)[0] == complete("100"));
+    // Another process may write fewer fields.
+    auto later = server("a", "200");
+    CHECK(upsert(directory, later, source));
+    CHECK(servers(directory)[0] == later);
+}
+
 // Guards against an id that is never used again, because entries without an incarnation all look the same.
 TEST_CASE("without an incarnation a server is another process after its removal or at another address")
 {
--- a/test/error/PlatformFormatsTest.cpp
+++ b/test/error/PlatformFormatsTest.cpp
@@ -107,6 +107,51 @@
         CHECK_FALSE(platform::readBackend(item(text)));
 }
 
+// Guards against calls that run at a server of another service, which an entry of another writer names with some fields of
+// another type.
+TEST_CASE("entries with a field of another type are ignored")
+{
+    const std::vector<std::pair<std::string, std::string>> fields { { "service", R"("s")" }, { "address", R"("10.0.0.1:80")" }, { "zone", R"("alpine")" }, { "version", R"("v1")" }, { "slots", "6" },
+        { "state", R"("ready")" }, { "coldLeftMs", "0" }, { "phase", R"("decode")" }, { "models", "[]" }, { "sequence", "4" }, { "born", "1700000000000" } };
+    const auto read = [&](std::string_view changed, const std::string& value) {
+        std::string text;
+        for (const auto& [name, good] : fields)
+            text += (text.empty() ? "{\"" : ",\"") + name + "\":" + (name == changed ? value : good);
+        return platform::readBackend(item(text + "}"));
+    };
+    REQUIRE(read("", ""));
+    for (const auto& [name, good] : fields) {
+        for (const std::string value : { R"("0")", R"("")", "null", "true", "{}", "[]", "7", "-1", "1e300" }) {
+            const auto isText = good.starts_with('"');
+            const auto isNumber = !isText && good != "[]";
+            const auto isGood = (isText && value.starts_with('"')) || (isNumber && value == "7") || value == good;
+            CAPTURE(name, value);
+            // A text of the right type may be one that is not named.
+            if (!isGood)
+                CHECK_FALSE(read(name, value));
+            else if (!isText)
+                CHECK(read(name, value));
+        }
+    }
+    CHECK_FALSE(read("born", "17.5"));
+    CHECK_FALSE(read("born", R"("2026-12-06")"));
+}
+
+// Guards against a configuration that is applied in part because its numbers have another type.
+TEST_CASE("configurations with numbers of another type are ignored")
+{
+    const auto isAccepted = [](const std::string& timeout, const std::string& slots) {
+        const auto text = R"({"version":1,"routes":[{"name":"a","host":"h","pathPrefix":"/a/","timeoutMs":)" + timeout + R"(}],"services":[{"name":"llm","engine":{"slots":)" + slots + "}}]}";
+        return platform::readConfiguration(item(text), zones, {}).has_value();
+    };
+    CHECK(isAccepted("800", "6"));
+    CHECK(isAccepted("null", "null"));
+    for (const std::string value : { R"("800")", "true", "[]", "{}" }) {
+        CHECK_FALSE(isAccepted(value, "6"));
+        CHECK_FALSE(isAccepted("800", value));
+    }
+}
+
 // Guards against streams that go on at another software version because an entry's version is not read, is taken from a
 // value of another type, or changes without a new process.
 TEST_CASE("the software version of an entry is part of its process")
