Bound the memory of request bodies

What callers saw: a burst of 19 requests of 4.19 MB took an instance over its memory limit.

Cause: each body was bounded, but not their sum, and a request held three to four copies of its body (server, forwarded call, message of each attempt, text of the crash signature).

Ruled out: memory that is not given back after a burst; at the mean rate the same bodies take 29 MB at most.

Change: RequestBudget. Bodies of more than 32 KB together hold at most three eighths of the memory limit. A body is read when there is room for it, in the order of arrival; after 0.3 s its request is refused as not run, unread. The body exists once and is shared by all attempts.

--- a/src/CallSignature.cpp
+++ b/src/CallSignature.cpp
@@ -12,7 +12,7 @@
     std::string text;
     for (const auto field : { host, caller, std::string_view(request.method), std::string_view(request.target) })
         text.append(field).append(1, '\n');
-    return std::max<std::uint64_t>(stableHash(text + request.body), 1);
+    return std::max<std::uint64_t>(stableHash(text, request.content()), 1);
 }
 
 }
--- a/src/ForwardApi.cpp
+++ b/src/ForwardApi.cpp
@@ -29,6 +29,8 @@
         co_await refuse(exchange, "", call.error());
         co_return;
     }
+    // The attempts share the body, which no other part of the exchange needs any more.
+    call->request.sharedBody = exchange.takeBody();
     const auto requestId = call->requestId;
     const auto index = m_services.configurationIndex();
     if (!index) {
@@ -92,13 +94,25 @@
     co_return ApiError(503, "version_unknown", "the software version that began the stream is not known", ExecutionOutcome::NotRun, retryDelay);
 }
 
+auto ForwardApi::refuseUnread(const HttpRequest& request) -> HttpResponse
+{
+    const auto call = m_context.callerProtocol.decode(request);
+    const ApiError error(503, std::string(name(RefusalReason::Overloaded)), "there is no room for the body of the request", ExecutionOutcome::NotRun, jitteredDelay(refusalRetryDelay));
+    return recordRefusal(call.has_value() ? call->requestId : std::string(), error);
+}
+
 auto ForwardApi::refuse(HttpExchange& exchange, std::string_view requestId, const ApiError& error) -> asio::awaitable<void>
+{
+    co_await exchange.respond(recordRefusal(requestId, error));
+}
+
+auto ForwardApi::recordRefusal(std::string_view requestId, const ApiError& error) -> HttpResponse
 {
     m_context.metrics.countRefusal(error.type);
     std::vector<LogField> fields { { "request", requestId }, { "reason", error.type }, { "detail", error.message }, { "ran", "no" }, { "retry_after_ms", error.retryAfter.count() / 1'000 } };
     addFreshnessFields(m_context, fields);
     m_context.log.record(LogLevel::Info, "request_refused", fields);
-    co_await exchange.respond(m_context.callerProtocol.refusal(error));
+    return m_context.callerProtocol.refusal(error);
 }
 
 }
--- a/src/ForwardApi.h
+++ b/src/ForwardApi.h
@@ -17,6 +17,10 @@
 
     auto handle(HttpExchange& exchange) -> boost::asio::awaitable<void>;
 
+    /// Logs and counts the refusal of a request whose body was not read because there is no room for it.
+    /// @param request without its body.
+    auto refuseUnread(const HttpRequest& request) -> HttpResponse;
+
 private:
     auto serve(HttpExchange& exchange, CheckedForward checked) -> boost::asio::awaitable<void>;
     /// Finds the software version at which the request has to run: that of the stream that it takes up, or that of streams
@@ -24,6 +28,8 @@
     /// @return the refusal if the version of the stream is unknown.
     auto bindToVersion(const std::string& service, ModelRequestInfo& info) -> boost::asio::awaitable<std::optional<ApiError>>;
     auto refuse(HttpExchange& exchange, std::string_view requestId, const ApiError& error) -> boost::asio::awaitable<void>;
+    /// @return the response to a request that is refused before its service has got it.
+    auto recordRefusal(std::string_view requestId, const ApiError& error) -> HttpResponse;
 
     EntryContext& m_context;
     ServiceTable& m_services;
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -7,7 +7,7 @@
 #include "SocketOptions.h"
 
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 namespace jayhold {
@@ -26,10 +26,11 @@
 /// probably read the call.
 constexpr Duration maxStaleDetectionTime = std::chrono::milliseconds(100);
 
-using BeastRequest = http::request<http::string_body>;
+using BeastRequest = http::request<http::span_body<const char>>;
 using Connection = HttpStream::Connection;
 
-auto toBeast(const HttpEndpoint& endpoint, HttpRequest&& request) -> BeastRequest
+/// @param request must outlive the message, which refers to its body.
+auto toBeast(const HttpEndpoint& endpoint, const HttpRequest& request) -> BeastRequest
 {
     BeastRequest message;
     message.version(11);
@@ -39,7 +40,8 @@
         message.set(http::field::host, toString(endpoint));
     for (const auto& header : request.headers)
         message.insert(header.name, header.value);
-    message.body() = std::move(request.body);
+    const auto content = request.content();
+    message.body() = { content.data(), content.size() };
     message.prepare_payload();
     return message;
 }
@@ -238,7 +240,7 @@
 
 auto HttpClient::open(HttpEndpoint endpoint, HttpRequest request, HttpCallOptions options) -> asio::awaitable<HttpResult<std::shared_ptr<HttpStream>>>
 {
-    const auto message = toBeast(endpoint, std::move(request));
+    const auto message = toBeast(endpoint, request);
     const ConnectionKey key { endpoint, options.peer };
     auto connection = options.mayReuse ? m_pool->acquire(key, monotonicNow(), callHash(options)) : nullptr;
     const auto isReused = connection != nullptr;
--- a/src/HttpExchange.h
+++ b/src/HttpExchange.h
@@ -10,6 +10,8 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <functional>
+#include <memory>
+#include <string>
 #include <string_view>
 
 namespace jayhold {
@@ -20,6 +22,10 @@
 
     virtual auto request() const -> const HttpRequest& = 0;
 
+    /// Moves the body out of the request, whose body is empty afterwards. It counts in the request budget of the server as long
+    /// as anything refers to it.
+    virtual auto takeBody() -> std::shared_ptr<const std::string> = 0;
+
     /// Sends a complete response.
     /// @return whether it was handed to the operating system; false if the caller has disconnected.
     virtual auto respond(HttpResponse response) -> boost::asio::awaitable<bool> = 0;
--- a/src/HttpRequest.h
+++ b/src/HttpRequest.h
@@ -4,7 +4,9 @@
 
 #include "HttpHeader.h"
 
+#include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jayhold {
@@ -18,6 +20,11 @@
     /// Whether a request with a method other than GET is idempotent. Only then may the client send it
     /// on a pooled connection, and again on a new one if that connection was closed.
     bool isIdempotent = false;
+    /// The body if several requests share one; `body` is empty then.
+    std::shared_ptr<const std::string> sharedBody = nullptr;
+
+    /// @return the body, wherever it is.
+    auto content() const -> std::string_view { return sharedBody ? std::string_view(*sharedBody) : std::string_view(body); }
 };
 
 }
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -8,6 +8,7 @@
 #include "HttpEndpoint.h"
 #include "HttpExchange.h"
 #include "IoThreads.h"
+#include "RequestBudget.h"
 #include "Time.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -31,6 +32,13 @@
     /// A connection on which nothing is acknowledged for this long before its first request is closed; zero keeps the
     /// system's defaults.
     Duration tcpUserTimeout {};
+    /// Limits the bytes of request bodies that are held at the same time; null if they are not limited.
+    std::shared_ptr<RequestBudget> requestBudget;
+    /// Creates the response to a request that has not been read because there is no room for its body. Gets the request
+    /// without its body.
+    std::function<HttpResponse(const HttpRequest&)> noRoomResponse = [](const HttpRequest&) {
+        return jsonResponse(503, R"({"error":{"type":"overloaded","message":"there is no room for the body of the request","ran":"no"}})");
+    };
     /// Called for each closed connection on its I/O thread.
     std::function<void(const ConnectionClose&)> onConnectionClosed = [](const ConnectionClose&) {};
     /// Creates the response to a request whose handler fails or is ended before it responds, so that the
@@ -54,8 +62,8 @@
     /// @return the bound endpoint, with the port that the system chose if port 0 was requested.
     auto endpoint() const -> HttpEndpoint;
 
-    /// Replaces the limits and timeouts for requests that arrive from now on; the endpoint and the
-    /// functions are ignored.
+    /// Replaces the limits and timeouts for requests that arrive from now on; the endpoint, the request budget
+    /// and the functions are ignored.
     auto updateLimits(const HttpServerSettings& settings) -> void;
 
     /// Stops accepting connections, except for those that wait in the listen queue. Open exchanges are completed, and
--- a/src/HttpServerConnection.cpp
+++ b/src/HttpServerConnection.cpp
@@ -4,6 +4,8 @@
 #include "ExceptionText.h"
 #include "HttpConnection.h"
 #include "HttpServerExchange.h"
+#include "Pause.h"
+#include "RequestShare.h"
 #include "SocketOptions.h"
 
 #include <boost/asio/post.hpp>
@@ -99,6 +101,20 @@
     CloseReason reason;
     /// Empty if the server has closed an idle connection.
     boost::system::error_code code;
+    /// Whether the body of the request was not read because there was no room for it.
+    bool lacksRoom = false;
+};
+
+/// The body of a request while it is read.
+struct BodyReading {
+    HttpServerSharedState& shared;
+    std::shared_ptr<HttpServerConnectionState> connection;
+    RequestParser& parser;
+    const ReadTimer& timer;
+    std::size_t maxBytes;
+    /// Null while the body takes no part of the request budget.
+    std::shared_ptr<RequestShare> share = nullptr;
+    bool lacksRoom = false;
 };
 
 /// @return whether bytes have arrived that were not read yet.
@@ -157,16 +173,69 @@
     return !parser.is_done() && connection.buffer.size() == 0 && message.version() >= firstVersionWithExpect && beast::iequals(message[http::field::expect], "100-continue");
 }
 
+/// @return the bytes that the rest of the body may take in memory: as stated, or, while its length is not known, what its
+/// growth to the largest allowed one can take.
+auto neededBytes(const BodyReading& body) -> std::size_t
+{
+    const auto stated = body.parser.content_length();
+    return stated ? std::min<std::size_t>(*stated, body.maxBytes) : 2 * body.maxBytes;
+}
+
+/// Waits until the request budget has room for the body. The caller's data stays unread meanwhile, so that it stops sending.
+/// @return false if there is none in time.
+auto takeRoom(BodyReading& body) -> asio::awaitable<bool>
+{
+    // Callers allow a few seconds at most, and need most of them for the answer.
+    constexpr Duration maxWait = std::chrono::milliseconds(300);
+    constexpr Duration checkInterval = std::chrono::milliseconds(10);
+    const auto until = monotonicNow() + maxWait;
+    body.share = std::make_shared<RequestShare>(body.shared.requestBudget, neededBytes(body));
+    while (!body.share->tryTake()) {
+        if (monotonicNow() >= until) {
+            body.share.reset();
+            body.shared.requestBudget->countRefusal();
+            co_return false;
+        }
+        co_await pause(checkInterval);
+    }
+    co_return true;
+}
+
+/// @return whether what is known of the body has to be counted, and is not yet.
+auto needsRoom(const BodyReading& body) -> bool
+{
+    if (!body.shared.requestBudget || body.share || body.parser.is_done())
+        return false;
+    const auto stated = body.parser.content_length();
+    return (stated ? *stated : body.parser.get().body().size()) > RequestBudget::uncountedBytes;
+}
+
 /// Reads a request, and asks its caller for the body if it waits for that.
-auto readMessage(const std::shared_ptr<HttpServerConnectionState>& connection, RequestParser& parser) -> asio::awaitable<boost::system::error_code>
+auto readMessage(BodyReading& body) -> asio::awaitable<boost::system::error_code>
 {
     constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+    auto& connection = *body.connection;
+    auto& parser = body.parser;
     boost::system::error_code code;
-    co_await http::async_read_header(connection->stream, connection->buffer, parser, awaitInto(code));
-    if (!code && awaitsContinue(*connection, parser))
-        co_await asio::async_write(connection->stream, asio::buffer(continueResponse), awaitInto(code));
-    if (!code && !parser.is_done())
-        co_await http::async_read(connection->stream, connection->buffer, parser, awaitInto(code));
+    co_await http::async_read_header(connection.stream, connection.buffer, parser, awaitInto(code));
+    const auto awaitsInterim = !code && awaitsContinue(connection, parser);
+    for (auto isFirst = true; !code && !parser.is_done(); isFirst = false) {
+        if (needsRoom(body)) {
+            const auto hasRoom = co_await takeRoom(body);
+            body.lacksRoom = !hasRoom;
+        }
+        if (body.lacksRoom)
+            co_return code;
+        // What has arrived while the process was paused is still read.
+        if (body.timer.hasTimedOut() && !hasUnreadBytes(connection))
+            co_return beast::error::timeout;
+        if (awaitsInterim && isFirst)
+            co_await asio::async_write(connection.stream, asio::buffer(continueResponse), awaitInto(code));
+        if (!code)
+            co_await http::async_read_some(connection.stream, connection.buffer, parser, awaitInto(code));
+    }
+    if (body.share)
+        body.share->shrink(parser.get().body().capacity());
     co_return code;
 }
 
@@ -191,7 +260,11 @@
     parser.header_limit(static_cast<std::uint32_t>(settings->maxHeaderBytes));
     parser.body_limit(settings->maxBodyBytes);
     const ReadTimer timer(connection, settings->readTimeout);
-    auto code = co_await readMessage(connection, parser);
+    BodyReading body { shared, connection, parser, timer, settings->maxBodyBytes };
+    auto code = co_await readMessage(body);
+    if (body.lacksRoom)
+        co_return ReadEnd { CloseReason::RequestError, {}, true };
+    connection->bodyShare = std::move(body.share);
     if (!code)
         co_return std::nullopt;
     if (timer.hasTimedOut())
@@ -252,10 +325,10 @@
         co_await connection->stream.async_read_some(asio::buffer(discarded), awaitInto(code));
 }
 
-auto rejectRequest(HttpServerSharedState& shared, const std::shared_ptr<HttpServerConnectionState>& connection, HttpClient& client, const RequestError& requestError) -> asio::awaitable<void>
+auto rejectRequest(HttpServerSharedState& shared, const std::shared_ptr<HttpServerConnectionState>& connection, HttpClient& client, HttpResponse response) -> asio::awaitable<void>
 {
     HttpServerExchange exchange(shared, connection, client, {}, false);
-    co_await exchange.respond(errorResponse(requestError));
+    co_await exchange.respond(std::move(response));
     connection->active.reset();
     co_await discardRest(connection);
 }
@@ -284,7 +357,7 @@
     const auto keepAlive = parser.get().keep_alive();
     // A caller that does not read for a while still waits for its answer; the write timeout bounds that.
     tolerateSilence(connection->stream.socket());
-    HttpServerExchange exchange(shared, connection, client, toRequest(parser.get()), keepAlive);
+    HttpServerExchange exchange(shared, connection, client, toRequest(parser.get()), keepAlive, std::move(connection->bodyShare));
     const auto thrown = co_await runHandler(shared, *connection, exchange);
     const auto reason = thrown ? CloseReason::Exception : exchange.closeReason();
     const auto isHandlerAnswer = exchange.isAnswered();
@@ -301,6 +374,15 @@
     co_return false;
 }
 
+/// @return the response to a request that was not read; nothing if there is none.
+auto rejectionOf(HttpServerSharedState& shared, const ReadEnd& end, RequestParser& parser) -> std::optional<HttpResponse>
+{
+    if (end.lacksRoom)
+        return shared.noRoomResponse(toRequest(parser.get()));
+    const auto requestError = requestErrorOf(end.code);
+    return requestError ? std::optional(errorResponse(*requestError)) : std::nullopt;
+}
+
 /// Serves requests until the connection has to be closed.
 auto serveRequests(HttpServerSharedState& shared, const std::shared_ptr<HttpServerConnectionState>& connection, HttpClient& client) -> asio::awaitable<void>
 {
@@ -308,8 +390,9 @@
         RequestParser parser;
         const auto end = co_await readRequest(shared, connection, parser);
         if (end) {
-            if (const auto requestError = requestErrorOf(end->code))
-                co_await rejectRequest(shared, connection, client, *requestError);
+            auto rejection = rejectionOf(shared, *end, parser);
+            if (rejection)
+                co_await rejectRequest(shared, connection, client, std::move(*rejection));
             connection->active.reset();
             shared.onConnectionClosed({ end->reason, nullptr, false, end->code ? end->code.message() : std::string() });
             co_return;
--- a/src/HttpServerConnection.h
+++ b/src/HttpServerConnection.h
@@ -23,6 +23,8 @@
         , handler(std::move(serverHandler))
         , onConnectionClosed(serverSettings.onConnectionClosed)
         , unknownOutcomeResponse(serverSettings.unknownOutcomeResponse)
+        , requestBudget(serverSettings.requestBudget)
+        , noRoomResponse(serverSettings.noRoomResponse)
     {
     }
 
@@ -30,6 +32,8 @@
     const HttpHandler handler;
     const std::function<void(const ConnectionClose&)> onConnectionClosed;
     const std::function<HttpResponse()> unknownOutcomeResponse;
+    const std::shared_ptr<RequestBudget> requestBudget;
+    const std::function<HttpResponse(const HttpRequest&)> noRoomResponse;
     std::atomic<std::size_t> activeExchanges { 0 };
     /// Connections that wait for the first byte of a request, including those in the listen queue as one while the
     /// server stops accepting.
--- a/src/HttpServerConnectionState.h
+++ b/src/HttpServerConnectionState.h
@@ -3,6 +3,7 @@
 /// The socket of one connection of an HttpServer. Private to the HTTP library.
 
 #include "ActiveExchange.h"
+#include "RequestShare.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -34,6 +35,8 @@
     std::unique_ptr<ActiveExchange> accepted;
     /// Whether a part of a request has arrived since the connection was accepted.
     bool hasCarriedRequest = false;
+    /// Part of the request budget that the body of the request takes which was read last; null if it takes none.
+    std::shared_ptr<RequestShare> bodyShare;
     /// Counts the connection as active from the first byte of a request until it is answered.
     std::optional<ActiveExchange> active;
     /// The exchange whose handler is running; null if there is none.
--- a/src/HttpServerExchange.cpp
+++ b/src/HttpServerExchange.cpp
@@ -50,11 +50,12 @@
 
 }
 
-HttpServerExchange::HttpServerExchange(HttpServerSharedState& shared, std::shared_ptr<HttpServerConnectionState> connection, HttpClient& client, HttpRequest request, bool keepAlive)
+HttpServerExchange::HttpServerExchange(HttpServerSharedState& shared, std::shared_ptr<HttpServerConnectionState> connection, HttpClient& client, HttpRequest request, bool keepAlive, std::shared_ptr<RequestShare> bodyShare)
     : m_shared(shared)
     , m_connection(std::move(connection))
     , m_client(client)
     , m_request(std::move(request))
+    , m_bodyShare(std::move(bodyShare))
     , m_keepAlive(keepAlive)
 {
 }
@@ -83,6 +84,16 @@
         message.body().clear();
 }
 
+auto HttpServerExchange::takeBody() -> std::shared_ptr<const std::string>
+{
+    struct CountedBody {
+        std::string text;
+        std::shared_ptr<RequestShare> share;
+    };
+    const auto body = std::make_shared<CountedBody>(std::exchange(m_request.body, {}), std::move(m_bodyShare));
+    return { body, &body->text };
+}
+
 auto HttpServerExchange::respond(HttpResponse response) -> asio::awaitable<bool>
 {
     if (m_failure)
--- a/src/HttpServerExchange.h
+++ b/src/HttpServerExchange.h
@@ -6,6 +6,7 @@
 #include "HttpExchange.h"
 #include "HttpServerConnection.h"
 #include "HttpServerConnectionState.h"
+#include "RequestShare.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -16,12 +17,14 @@
 
 class HttpServerExchange final : public HttpExchange {
 public:
-    HttpServerExchange(HttpServerSharedState& shared, std::shared_ptr<HttpServerConnectionState> connection, HttpClient& client, HttpRequest request, bool keepAlive);
+    /// @param bodyShare part of the request budget that the body takes; null if it takes none.
+    HttpServerExchange(HttpServerSharedState& shared, std::shared_ptr<HttpServerConnectionState> connection, HttpClient& client, HttpRequest request, bool keepAlive, std::shared_ptr<RequestShare> bodyShare = nullptr);
 
     auto request() const -> const HttpRequest& override { return m_request; }
     auto hasStarted() const -> bool override { return m_hasStarted; }
     auto executor() -> boost::asio::any_io_executor override { return m_connection->stream.get_executor(); }
     auto client() -> HttpClient& override { return m_client; }
+    auto takeBody() -> std::shared_ptr<const std::string> override;
     auto respond(HttpResponse response) -> boost::asio::awaitable<bool> override;
     auto startStream(unsigned status, std::vector<HttpHeader> headers) -> boost::asio::awaitable<bool> override;
     auto write(std::string_view bodyPart) -> boost::asio::awaitable<bool> override;
@@ -61,7 +64,8 @@
     HttpServerSharedState& m_shared;
     std::shared_ptr<HttpServerConnectionState> m_connection;
     HttpClient& m_client;
-    const HttpRequest m_request;
+    HttpRequest m_request;
+    std::shared_ptr<RequestShare> m_bodyShare;
     bool m_keepAlive;
     bool m_isClosedForDrain = false;
     bool m_hasStarted = false;
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -16,7 +16,7 @@
 
 auto digestOf(const HttpRequest& request) -> std::string
 {
-    return sha256Hex(request.method + "\n" + request.target + "\n" + request.body);
+    return sha256Hex(request.method + "\n" + request.target + "\n" + std::string(request.content()));
 }
 
 auto drainRefusal() -> ApiError
--- a/src/Rendezvous.cpp
+++ b/src/Rendezvous.cpp
@@ -29,12 +29,19 @@
 }
 
 auto stableHash(std::string_view text) -> std::uint64_t
+{
+    return stableHash(text, {});
+}
+
+auto stableHash(std::string_view first, std::string_view second) -> std::uint64_t
 {
     // FNV-1a alone distributes similar names poorly over the high bits, so its result is mixed.
     std::uint64_t hash = 0xcbf29ce484222325ULL;
-    for (const auto character : text) {
-        hash ^= static_cast<unsigned char>(character);
-        hash *= 0x100000001b3ULL;
+    for (const auto text : { first, second }) {
+        for (const auto character : text) {
+            hash ^= static_cast<unsigned char>(character);
+            hash *= 0x100000001b3ULL;
+        }
     }
     return mix(hash);
 }
--- a/src/Rendezvous.h
+++ b/src/Rendezvous.h
@@ -13,6 +13,8 @@
 
 /// @return a hash that is the same in every process and build.
 auto stableHash(std::string_view text) -> std::uint64_t;
+/// @return the hash of the two texts, one after the other.
+auto stableHash(std::string_view first, std::string_view second) -> std::uint64_t;
 
 /// @return the owner of the name among the candidates, or an empty string if there are none.
 auto rendezvousOwner(std::string_view name, std::span<const std::string> candidates) -> std::string;
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -60,6 +60,7 @@
         , adapter(std::move(platformAdapter))
         , log(settings.instance, eventLogCapacity)
         , httpSettings(clientSettings(settings.limits, log))
+        , requestBudget(std::make_shared<RequestBudget>(requestBudgetBytes(settings.limits.memoryBytes)))
         , threads(settings.threads, httpSettings)
         , context { .settings = settings, .threads = threads, .log = log, .callerProtocol = adapter.callerProtocol, .backendProtocol = adapter.backendProtocol }
         , services(context, records, [](std::string_view, std::string_view) { return false; })
@@ -92,6 +93,8 @@
         const auto& metrics = settings.metricsListen;
         auto callerSettings = serverSettings(settings.listen, {});
         callerSettings.unknownOutcomeResponse = [this] { return context.callerProtocol.refusal(ApiError(500, "internal_error", "the request ended without a result", ExecutionOutcome::Unknown)); };
+        callerSettings.requestBudget = requestBudget;
+        callerSettings.noRoomResponse = [this](const HttpRequest& request) { return api.refuseUnread(request); };
         callerSettings.onConnectionClosed = [this](const ConnectionClose& close) { recordCallerClose(context, close); };
         callerServer = std::make_unique<HttpServer>(threads, callerSettings, [this](HttpExchange& exchange) { return api.handle(exchange); });
         readinessServer = std::make_unique<HttpServer>(threads, probeServerSettings(readiness), [this](HttpExchange& exchange) { return handleReadiness(exchange); });
@@ -289,6 +292,8 @@
             { "jayhold_memory_pieces_reserved", "Engine memory that this instance has reserved, in pieces.", reservedMemoryBlocks },
             { "jayhold_loop_stalls_total", "How often an I/O thread ran no handler for more than 250 ms.", static_cast<double>(loopMonitor.stalls()), true },
             { "jayhold_loop_stalled_seconds_total", "The sum of these times.", std::chrono::duration<double>(loopMonitor.stalledTime()).count(), true },
+            { "jayhold_request_bytes_held", "Bytes held of request bodies that are larger than 32 KB.", static_cast<double>(requestBudget->heldBytes()) },
+            { "jayhold_requests_without_room_total", "Requests that were refused because the bytes held of all request bodies had reached their limit.", static_cast<double>(requestBudget->refusals()), true },
             { "jayhold_response_bytes_held", "Bytes held of responses of backend servers and the store that are larger than 32 KB.", static_cast<double>(httpSettings.responseBudget->heldBytes()) },
             { "jayhold_responses_over_budget_total", "Responses that were ended because the bytes held of all responses reached their limit.", static_cast<double>(httpSettings.responseBudget->endedResponses()), true },
             { "jayhold_log_lines_left_out_total", "Log lines left out for their rate or because the output was not read.", static_cast<double>(log.droppedLines() + droppedLogLines()), true },
@@ -347,6 +352,7 @@
     PlatformAdapter adapter;
     EventLog log;
     const HttpClientSettings httpSettings;
+    const std::shared_ptr<RequestBudget> requestBudget;
     IoThreads threads;
     const LoopMonitor loopMonitor { threads, [this](const LoopStall& stall) { log.record(LogLevel::Warning, "loop_stalled", describe(stall)); } };
     EntryContext context;
--- a/src/RouterHttpSettings.cpp
+++ b/src/RouterHttpSettings.cpp
@@ -23,6 +23,9 @@
 /// The part of an instance's memory for the responses of backend servers and the store. Twice as many bytes
 /// can be held for a moment.
 constexpr std::size_t responseMemoryDivisor = 8;
+/// The part of an instance's memory for the bodies of requests, in eighths. Responses may take a quarter for a moment, and
+/// the rest of the process a quarter.
+constexpr std::size_t requestMemoryEighths = 3;
 /// A connection with a round trip of 10 ms carries 6 MB/s with it. The kernel takes up to twice as much memory.
 constexpr int backendReceiveBufferBytes = 65'536;
 
@@ -33,6 +36,12 @@
     return memoryBytes == 0 ? ResponseBudget::defaultLimitBytes : memoryBytes / responseMemoryDivisor;
 }
 
+auto requestBudgetBytes(std::size_t memoryBytes) -> std::size_t
+{
+    constexpr std::size_t eighths = 8;
+    return memoryBytes == 0 ? RequestBudget::defaultLimitBytes : memoryBytes / eighths * requestMemoryEighths;
+}
+
 auto clientSettings(const EntryLimits& limits, EventLog& log) -> HttpClientSettings
 {
     HttpClientSettings settings;
--- a/src/RouterHttpSettings.h
+++ b/src/RouterHttpSettings.h
@@ -14,6 +14,10 @@
 /// @return the bytes of backend responses that the instance may hold at the same time.
 auto responseBudgetBytes(std::size_t memoryBytes) -> std::size_t;
 
+/// @param memoryBytes memory limit of the instance; 0 if it is not known.
+/// @return the bytes of request bodies that the instance may hold at the same time.
+auto requestBudgetBytes(std::size_t memoryBytes) -> std::size_t;
+
 /// @param log receives a line for each response that is ended because the response budget is used up; must outlive all
 /// clients with the settings.
 auto clientSettings(const EntryLimits& limits, EventLog& log) -> HttpClientSettings;
