--- a/src/HttpServerExchange.cpp
+++ b/src/HttpServerExchange.cpp
@@ -90,7 +90,7 @@
         std::string text;
         std::shared_ptr<RequestShare> share;
     };
-    const auto body = std::make_shared<CountedBody>(std::exchange(m_request.body, {}), std::move(m_bodyShare));
+    const auto body = std::make_shared<CountedBody>(CountedBody { std::exchange(m_request.body, {}), std::move(m_bodyShare) });
     return { body, &body->text };
 }
 
--- a/test/correctness/RequestBudgetTest.cpp
+++ b/test/correctness/RequestBudgetTest.cpp
@@ -144,7 +144,7 @@
     CHECK(fixture.post(bodyBytes).get()->status == 503);
     large.send("0\r\n\r\n");
     REQUIRE(BudgetServer::waitUntil([&] { return fixture.running == 1; }));
-    CHECK(fixture.budget->heldBytes() < 4 * 0x10000);
+    CHECK(fixture.budget->heldBytes() < 4UL * 0x10000);
     RawCaller small(fixture.server.endpoint());
     small.send(head + "5\r\nhello\r\n0\r\n\r\n");
     CHECK(BudgetServer::waitUntil([&] { return fixture.running == 2; }));
--- a/test/correctness/SilentEndTest.cpp
+++ b/test/correctness/SilentEndTest.cpp
@@ -27,7 +27,7 @@
     ~SilentEndRouter() { stop(); }
 
     /// Starts a stream at the first engine, and registers the second one when it runs.
-    auto beginStream(std::vector<HttpHeader> headers = {}) -> std::future<HttpResult<HttpResponse>>
+    auto beginStream(const std::vector<HttpHeader>& headers = {}) -> std::future<HttpResult<HttpResponse>>
     {
         auto response = std::async(std::launch::async, [this, headers] { return streamCall("/resumed/x", headers); });
         REQUIRE(waitUntil([&] { return decode1.runs() == 1; }));
