Reset calls that are given up

Cause: the client closed the connection of a call that it gave up. Connections with a call whose response is not complete are now reset on close.

Ruled out: late sends by the product.

--- a/src/ConnectionPool.cpp
+++ b/src/ConnectionPool.cpp
@@ -80,6 +80,7 @@
         return;
     connection->parser.reset();
     connection->hasAnswered = false;
+    connection->hasCall = false;
     connection->headers.clear();
     idle.push_back({ std::move(connection), now + idleTime });
 }
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -67,6 +67,8 @@
     if (code)
         co_return HttpError { HttpErrorKind::NotConnected, code.message() };
     setSocketOptions(stream.socket(), settings.tcpUserTimeout);
+    // A call that times out closes the socket without Connection::close().
+    setResetsOnClose(stream.socket(), true);
     co_return std::nullopt;
 }
 
@@ -146,6 +148,7 @@
     connection.stream.expires_after(options.timeout);
     if (const auto call = callHash(options))
         connection.carriedCalls.insert(*call);
+    connection.hasCall = true;
     co_await http::async_write(connection.stream, message, awaitInto(code));
     if (code)
         co_return code;
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -50,10 +50,15 @@
     {
         readTimer->connection = nullptr;
         readTimer->timer.cancel();
+        close();
     }
     Connection(const Connection&) = delete;
     auto operator=(const Connection&) -> Connection& = delete;
 
+    /// Closes the socket. A call without its complete response is reset, so that it does not reach the server later than
+    /// its caller has given it up.
+    auto close() -> void;
+
     static constexpr std::size_t readBufferBytes = 16'384;
     /// Limits received bytes that can't be parsed yet, such as a chunk extension or a trailer without end.
     static constexpr std::size_t maxUnparsedBytes = 65'536;
@@ -64,6 +69,8 @@
     std::vector<HttpHeader> headers;
     std::array<char, readBufferBytes> chunk {};
     bool isClosed = false;
+    /// Whether a call has been sent since the connection was opened or taken from the pool.
+    bool hasCall = false;
     /// False once a response has arrived that no call expected; another one may follow.
     bool isReusable = true;
     /// Whether the server has sent a response, even if it was skipped, since the connection was opened or taken from
--- a/src/HttpStream.cpp
+++ b/src/HttpStream.cpp
@@ -93,6 +93,16 @@
 
 }
 
+auto HttpStream::Connection::close() -> void
+{
+    if (isClosed)
+        return;
+    isClosed = true;
+    if (!hasCall || (parser && parser->is_done()))
+        setResetsOnClose(stream.socket(), false);
+    stream.close();
+}
+
 HttpStream::HttpStream(std::unique_ptr<Connection> connection)
     : m_connection(std::move(connection))
 {
@@ -215,8 +225,7 @@
 {
     if (!m_connection)
         return;
-    m_connection->isClosed = true;
-    m_connection->stream.close();
+    m_connection->close();
 }
 
 auto httpErrorOf(const boost::system::error_code& code) -> HttpError
--- a/src/SocketOptions.cpp
+++ b/src/SocketOptions.cpp
@@ -46,6 +46,13 @@
     setUserTimeout(descriptor, tcpUserTimeout);
 }
 
+auto setResetsOnClose(boost::asio::ip::tcp::socket& socket, bool resets) -> void
+{
+    // A socket that is not open any more has nothing left to send.
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::socket_base::linger(resets, 0), ignored);
+}
+
 auto tolerateSilence(boost::asio::ip::tcp::socket& socket) -> void
 {
     // With a user timeout the system ignores the number of probes, and closes a connection whose peer acknowledges probes
--- a/src/SocketOptions.h
+++ b/src/SocketOptions.h
@@ -13,6 +13,11 @@
 /// while it is idle; zero keeps the system's defaults.
 auto setSocketOptions(boost::asio::ip::tcp::socket& socket, Duration tcpUserTimeout) -> void;
 
+/// Chooses how closing the socket ends the connection.
+/// @param resets whether the connection is reset, and bytes that have not been sent or acknowledged are discarded.
+/// Otherwise the system goes on sending them after the close, for as long as the peer can't be reached.
+auto setResetsOnClose(boost::asio::ip::tcp::socket& socket, bool resets) -> void;
+
 /// Keeps the connection open while the peer acknowledges nothing for a few seconds, or acknowledges probes but does not
 /// read. A peer that stays silent while nothing is sent to it is still detected.
 auto tolerateSilence(boost::asio::ip::tcp::socket& socket) -> void;
