Drop unused parts of servers' entries when they are read

Entries of more than 64 KB now count as unreadable, and of smaller ones only the fields that are read are kept.

Ruled out: the text of the pages, which has 1 MB at most and is released page by page.

OddEntriesTest: the new case fails on the code before.

--- a/test/error/OddEntriesTest.cpp
+++ b/test/error/OddEntriesTest.cpp
@@ -48,6 +48,48 @@
     CHECK(list->unreadableNames == std::vector<std::string> { "b" });
 }
 
+// Guards against instances that exceed their memory when other writers store large values.
+TEST_CASE("large values of other writers are not kept")
+{
+    Fixture fixture;
+    std::string counts = "[1";
+    while (counts.size() < 30'000)
+        counts += ",1";
+    counts += "]";
+    fixture.fake.putText("servers", "a", "{\"counts\":" + counts + ",\"zone\":" + counts + ",\"service\":\"x\"}");
+    fixture.fake.putText("servers", "b", counts);
+    fixture.fake.putText("servers", "c", "{\"service\":\"" + std::string(100'000, 'x') + "\"}");
+    fixture.fake.put("servers", "d", { { "service", "y" } });
+    const auto check = [](const auto& value, const char* service) {
+        CHECK(value == boost::json::value { { "service", service }, { "zone", nullptr } });
+    };
+    const auto list = fixture.list("servers");
+    REQUIRE(list.has_value());
+    REQUIRE(namesOf(*list) == std::vector<std::string> { "a", "b", "d" });
+    check(list->items[0].value, "x");
+    CHECK(list->items[1].value.is_null());
+    CHECK(list->items[2].value == boost::json::value { { "service", "y" } });
+    CHECK(list->unreadableNames == std::vector<std::string> { "c" });
+    const auto changes = fixture.run(fixture.store.watch(fixture.client, "servers", makeRevision(fixture.fake.history(), 1), 100ms));
+    REQUIRE(changes.has_value());
+    REQUIRE(changes->changes.size() == 3);
+    check(changes->changes[0].item.value, "x");
+    CHECK(changes->changes[1].item.value.is_null());
+    CHECK(changes->unreadableNames == std::vector<std::string> { "c" });
+}
+
+// Guards against a configuration that is ignored because of a limit that is meant for entries of servers.
+TEST_CASE("a large configuration is read")
+{
+    Fixture fixture;
+    const std::string large(900'000, 'x');
+    fixture.fake.put("config", "main", { { "comment", large } });
+    const auto list = fixture.list("config");
+    REQUIRE(list.has_value());
+    REQUIRE(namesOf(*list) == std::vector<std::string> { "main" });
+    CHECK(list->items[0].value.at("comment").as_string() == large);
+}
+
 // Guards against a list that can't be read, or lacks objects, because of one whose name can't be read.
 TEST_CASE("an item without a readable name costs only itself in a list")
 {
