--- a/test/correctness/AbandonedCallTest.cpp
+++ b/test/correctness/AbandonedCallTest.cpp
@@ -62,21 +62,21 @@
 // Guards against a call that reaches its server after its caller has given it up, because the system goes on sending it.
 TEST_CASE("a call that times out while the link is silent does not arrive later")
 {
-    std::promise<std::size_t> late;
+    std::promise<std::size_t> lateBytes;
     std::promise<void> silent;
-    std::promise<void> given;
+    std::promise<void> givenUp;
     BlockingServer server(1, [&](asio::ip::tcp::socket& socket) {
         readHeader(socket);
         asio::write(socket, asio::buffer(completeResponse));
         {
             const SilentLink silence(socket);
             silent.set_value();
-            given.get_future().wait();
+            givenUp.get_future().wait();
         }
         // The system sends a lost packet again after 0.2 s, 0.4 s and 0.8 s.
         std::this_thread::sleep_for(1'500ms);
         boost::system::error_code code;
-        late.set_value(socket.available(code));
+        lateBytes.set_value(socket.available(code));
     });
     IoThreads threads(1);
     const auto call = [&](Duration timeout) {
@@ -90,12 +90,12 @@
     const auto response = call(200ms);
     REQUIRE(response.has_error());
     CHECK(response.error().kind == HttpErrorKind::TimedOut);
-    given.set_value();
-    CHECK(late.get_future().get() == 0);
+    givenUp.set_value();
+    CHECK(lateBytes.get_future().get() == 0);
     threads.stop();
 }
 
-// Guards against a server that works on because it can't tell a call given up from one whose request is complete.
+// Guards against a close after which the system goes on sending a call that its caller has given up.
 TEST_CASE("the connection of a call without a complete response is reset")
 {
     SECTION("timed out")
