Withdraw the early trial of a call that goes on crashing servers

Cause: whether all crashes of a call were simultaneous, which lets it be tried after 1 s, was decided once, when the call was blocked. The report of a later crash, of attempts that had begun before, did not count.

decision_test, "a call that was at a later crash than the simultaneous ones is not tried early", failed before; the second new case passes on both versions and bounds the fix: a report of a simultaneous crash that arrives late, or a crash in a trial, changes nothing.

--- a/src/PromptPartCrashes.cpp
+++ b/src/PromptPartCrashes.cpp
@@ -88,7 +88,8 @@
 /// A part that is to be blocked.
 struct PossibleCause {
     std::uint64_t part = 0;
-    bool isAmbiguous = false;
+    bool isTied = false;
+    bool isSimultaneous = false;
 };
 
 using EvidenceTable = std::unordered_map<std::uint64_t, PartEvidence>;
@@ -172,14 +173,40 @@
     }
     if (!best)
         return std::nullopt;
-    const auto isAmbiguous = hasTie(table, best->first, best->second) || countSuccessive(best->second.unansweredCrashes) < minCrashes;
-    return PossibleCause { best->first, isAmbiguous };
+    return PossibleCause { best->first, hasTie(table, best->first, best->second), countSuccessive(best->second.unansweredCrashes) < minCrashes };
+}
+
+/// @return the times of the crashes with the part after its last answer that no other blocked part explains.
+auto unansweredCrashes(const PromptPartCrashes& state, std::uint64_t part) -> std::vector<TimePoint>
+{
+    const auto hasPart = [&](const CrashedPrompt& prompt) { return std::ranges::find(prompt.parts, part) != prompt.parts.end(); };
+    const auto hasOtherCause = [&](const CrashedPrompt& prompt) {
+        return std::ranges::any_of(prompt.parts, [&](std::uint64_t other) { return other != part && state.blocked.contains(other); });
+    };
+    std::vector<TimePoint> times;
+    for (const auto& crash : state.crashes) {
+        if (crash.time > lastAnswer(state, part) && std::ranges::any_of(crash.prompts, hasPart) && std::ranges::none_of(crash.prompts, hasOtherCause))
+            times.push_back(crash.time);
+    }
+    return times;
+}
+
+/// Withdraws the early first trial of blocked parts that were at a later crash than the simultaneous ones for which they are
+/// blocked. A crash in a trial doesn't count, because its server may have been killed.
+auto noteLaterCrash(PromptPartCrashes& state, std::span<const std::uint64_t> parts) -> void
+{
+    for (const auto part : parts) {
+        const auto found = state.blocked.find(part);
+        if (found == state.blocked.end() || !found->second.isSimultaneous || found->second.trials > 0)
+            continue;
+        found->second.isSimultaneous = countSuccessive(unansweredCrashes(state, part)) < minCrashes;
+    }
 }
 
 /// @return the time after which the part is tried again.
 auto trialDelay(const PromptPartCrashes& state, std::uint64_t part, const PromptPartCrashes::BlockedPart& blocked) -> Duration
 {
-    if (state.rules.hasEarlyTrials && (blocked.isAmbiguous || findHarmless(state, part)))
+    if (state.rules.hasEarlyTrials && (blocked.isTied || blocked.isSimultaneous || findHarmless(state, part)))
         return earlyTrialDelays.at(blocked.trials);
     return blocked.trials == 0 ? state.rules.firstTrialDelay : trialInterval;
 }
@@ -204,6 +231,7 @@
     }
     addPrompts(*crash, std::span(&prompt, 1));
     state.decideAt = std::min(state.decideAt, crash->knownAt + crashReportWait);
+    noteLaterCrash(state, prompt.parts);
 }
 
 auto reconsiderCrashes(PromptPartCrashes& state, TimePoint now) -> void
@@ -297,7 +325,8 @@
             break;
         auto& blocked = state.blocked[cause->part];
         blocked.since = now;
-        blocked.isAmbiguous = cause->isAmbiguous;
+        blocked.isTied = cause->isTied;
+        blocked.isSimultaneous = cause->isSimultaneous;
         parts.push_back(cause->part);
     }
     return parts;
--- a/src/PromptPartCrashes.h
+++ b/src/PromptPartCrashes.h
@@ -80,8 +80,11 @@
     struct BlockedPart {
         /// Whether the list that all instances share contains the part.
         bool isListed = false;
-        /// Whether another part was at all of its crashes, or they were all at the same time, so that it may be harmless.
-        bool isAmbiguous = false;
+        /// Whether another part was at all of its crashes, so that it may be harmless.
+        bool isTied = false;
+        /// Whether all its crashes were at the same time, so that it may be harmless. A later crash before its first trial
+        /// shows otherwise.
+        bool isSimultaneous = false;
         /// Requests with the part that ran since it was blocked, to see whether it still crashes engines.
         std::uint32_t trials = 0;
         /// When this instance first saw the part with this number of trials.
--- a/test/correctness/CallCrashesTest.cpp
+++ b/test/correctness/CallCrashesTest.cpp
@@ -135,3 +135,32 @@
     applyListedParts(state, start + 300ms, std::vector<ListedPart> { { common } });
     CHECK(dueTrial(state, start + 2s, Parts { common }));
 }
+
+// Guards against an early trial, and one more crash, of a call that went on crashing servers after the simultaneous crashes
+// for which it was blocked.
+TEST_CASE("a call that was at a later crash than the simultaneous ones is not tried early")
+{
+    auto state = callState();
+    CHECK(crashWith(state, start, 1, { common }).empty());
+    CHECK(crashWith(state, start + 5ms, 2, { common }) == Parts { common });
+    // The attempt began before the call was blocked.
+    CHECK(crashWith(state, start + 65ms, 3, { common }).empty());
+    applyListedParts(state, start + 300ms, std::vector<ListedPart> { { common } });
+    CHECK_FALSE(dueTrial(state, start + 10s, Parts { common }));
+    CHECK(dueTrial(state, start + 2min, Parts { common }));
+}
+
+// Guards against a harmless call that stays blocked for a minute because a crash became known late that was simultaneous
+// with the others, or because the server of its trial was killed.
+TEST_CASE("a late report and a crash in a trial leave the trials of a call early")
+{
+    auto state = callState();
+    crashWith(state, start, 1, { common });
+    REQUIRE(crashWith(state, start + 5ms, 2, { common }) == Parts { common });
+    addCrashedPrompt(state, start + 200ms, { .process = 3, .signature = common, .parts = { common } }, 190ms);
+    applyListedParts(state, start + 300ms, std::vector<ListedPart> { { common } });
+    REQUIRE(dueTrial(state, start + 2s, Parts { common }));
+    applyListedParts(state, start + 2050ms, std::vector<ListedPart> { { common, 1 } });
+    CHECK(crashWith(state, start + 2100ms, 4, { common }).empty());
+    CHECK(dueTrial(state, start + 8s, Parts { common }));
+}
