Send pending crash reports to a peer when it becomes known

Callers saw a call that crashes servers reach one more server at an instance that had just started. In crashing_call_test beside soaks, the logs of a run with crashes at 31, 31, 94, 114 and 1328 ms show that entry-3 heard of entry-1's crash 61 ms after entry-2 did, and ran the call once more in between.

Cause: the report was sent when entry-3 was neither in the list of instances that entry-1 had read nor had sent it a datagram. It became known by its own report 1 ms later, but got the reports only with the next regular message.

--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -183,8 +183,8 @@
     auto usages = state.callbacks.ownUsage();
     std::ranges::sort(usages, {}, &BackendUsage::backend);
     auto backendsChangingRole = state.callbacks.backendsChangingRole();
-    const auto hasCrashReports = !state.signatures.pending.empty() || !state.suspects.pending.empty() || !state.promptReports.pending.empty();
-    if (usages == state.sentUsages && backendsChangingRole.empty() && !state.hasNewRevisions && !hasCrashReports && !hasNewLimits && now - state.sentAt < maxSilence)
+    const auto sendsCrashReports = hasCrashReports(state);
+    if (usages == state.sentUsages && backendsChangingRole.empty() && !state.hasNewRevisions && !sendsCrashReports && !hasNewLimits && now - state.sentAt < maxSilence)
         return;
     state.sentUsages = usages;
     state.sentLimits = limits;
@@ -202,7 +202,12 @@
         .promptReports = takeRumors(state.promptReports, maxPromptReportsPerMessage),
         .revisions = state.revisions,
     };
-    sendToPeers(serializeLoadMessage(message), hasCrashReports);
+    sendToPeers(serializeLoadMessage(message), sendsCrashReports);
+}
+
+auto LoadExchange::hasCrashReports(const State& state) -> bool
+{
+    return !state.signatures.pending.empty() || !state.suspects.pending.empty() || !state.promptReports.pending.empty();
 }
 
 auto LoadExchange::reportCrashSignature(std::uint64_t signature) -> void
@@ -275,8 +280,12 @@
         }
         // A new instance may send before the store's list of instances shows it here.
         const auto isKnown = std::ranges::find(state.zonePeers, sender) != state.zonePeers.end() || std::ranges::find(state.remotePeers, sender) != state.remotePeers.end();
-        if (!isKnown)
+        if (!isKnown) {
             state.remotePeers.push_back(sender);
+            // It has missed the messages that carried the pending crash reports.
+            if (hasCrashReports(state))
+                asio::co_spawn(state.context, sendCrashReports(), logTaskFailure(state.log, "send crash reports"));
+        }
         handleDatagram({ state.buffer.data(), size }, sender);
     }
 }
--- a/src/LoadExchange.h
+++ b/src/LoadExchange.h
@@ -124,6 +124,8 @@
     /// @param addReport stores the report and returns whether it is new.
     auto reportCrash(std::function<bool(State&)> addReport) -> void;
     auto sendCrashReports() -> boost::asio::awaitable<void>;
+    /// @return whether crash reports are to be sent, for the first time or again.
+    static auto hasCrashReports(const State& state) -> bool;
     auto handleCrashReports(const LoadMessage& message) -> void;
 
     const std::unique_ptr<State> m_state;
--- a/test/correctness/LoadExchangeTest.cpp
+++ b/test/correctness/LoadExchangeTest.cpp
@@ -5,8 +5,10 @@
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <atomic>
 #include <future>
+#include <optional>
 #include <thread>
 
 using namespace jayhold;
@@ -60,6 +62,23 @@
     asio::post(instance.threads.context(0), [&instance, address = PeerAddress { peer.exchange->endpoint(), "alpine" }] { instance.exchange->updatePeers({ address }); });
 }
 
+/// @return the next message that arrives; nothing if none does in time.
+auto receiveWithin(asio::io_context& context, asio::ip::udp::socket& socket, Duration time) -> std::optional<LoadMessage>
+{
+    std::array<char, 4'096> buffer {};
+    std::optional<LoadMessage> message;
+    socket.async_receive(asio::buffer(buffer), [&](boost::system::error_code code, std::size_t size) {
+        if (!code)
+            message = parseLoadMessage({ buffer.data(), size });
+    });
+    context.restart();
+    context.run_for(time);
+    socket.cancel();
+    context.restart();
+    context.run();
+    return message;
+}
+
 }
 
 // Guards against crash reports that wait for the next regular message, get lost, or are counted twice
@@ -99,6 +118,28 @@
     CHECK(second.limits < 100);
 }
 
+// Guards against an instance that runs a call that crashes servers because it had started a moment before, and its peers
+// sent it their reports only with their next regular message.
+TEST_CASE("a peer that becomes known by its first datagram gets the crash reports at once")
+{
+    Instance first("edge-1");
+    asio::io_context context;
+    const asio::ip::udp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+    const asio::ip::udp::endpoint target(any.address(), first.exchange->endpoint().port);
+    asio::ip::udp::socket known(context, any);
+    asio::ip::udp::socket added(context, any);
+    const PeerAddress address { { "127.0.0.1", known.local_endpoint().port() }, "alpine" };
+    asio::post(first.threads.context(0), [&first, address] { first.exchange->updatePeers({ address }); });
+    first.exchange->reportCrashSignature(~0ULL);
+    // The second message is a regular one, so the next one is 100 ms away.
+    REQUIRE(receiveWithin(context, known, 1s));
+    REQUIRE(receiveWithin(context, known, 1s));
+    added.send_to(asio::buffer(std::string("{}")), target);
+    const auto message = receiveWithin(context, added, 50ms);
+    REQUIRE(message);
+    CHECK(message->signatures == std::vector<std::uint64_t> { ~0ULL });
+}
+
 // Guards against the loss of all peers because the address of one of them is not valid.
 TEST_CASE("an invalid address of a peer costs only this peer")
 {
