Don't count calls to ended servers as crashes

Callers saw a harmless call refused as crash_suspect: the one that all callers send.

Cause: a call whose connection breaks is taken for a candidate when another process is listed at the server's place within 5 s. That held also for calls sent after the process had ended, when its address accepted and reset connections and its entry was old. In a kept log the calls were sent 1.5 s after the end of three servers, by instances that had just started, and all instances blocked the common call.

Ruled out there: answers that had aged (the instances had none yet) and the crashing call itself (blocked under its own signature).

A call now counts for a replaced process only if that process's last contact with the instance was an answer when the call was sent.

crashing_call_test, "a call that was sent to servers after their end is not taken for the cause", failed before; its counterpart for servers that did answer passes on both versions.

--- a/src/PlainBackend.h
+++ b/src/PlainBackend.h
@@ -21,6 +21,8 @@
     /// The calls that this instance may send, if the server has named a limit.
     std::optional<CallAllowance> allowance {};
     std::uint32_t consecutiveFailures = 0;
+    /// Whether the last contact of this instance with the process was an answer.
+    bool isAnswering = false;
     /// End of the ejection. Until then the server gets no calls; afterwards a single call probes it.
     TimePoint ejectedUntil {};
     /// The server has asked for a pause and gets no calls before this time.
--- a/src/PlainBalancer.cpp
+++ b/src/PlainBalancer.cpp
@@ -79,6 +79,7 @@
             backend.pauseAskedUntil = known->pauseAskedUntil;
             backend.isReturning = known->isReturning;
             backend.hasFirstCall = known->hasFirstCall;
+            backend.isAnswering = known->isAnswering;
         }
         backend.consecutiveFailures = known->consecutiveFailures;
         backend.ejectedUntil = known->ejectedUntil;
@@ -228,6 +229,17 @@
         removeCall(*backend, now, false);
 }
 
+auto PlainBalancer::recordContact(const BackendServer& server, bool hasAnswered) -> void
+{
+    if (auto* backend = find(server.id); backend && hasSameIncarnation(backend->server, server))
+        backend->isAnswering = hasAnswered;
+}
+
+auto PlainBalancer::isAnswering(const BackendServer& server) const -> bool
+{
+    return std::ranges::any_of(m_backends, [&](const PlainBackend& backend) { return backend.isAnswering && hasSameIncarnation(backend.server, server); });
+}
+
 auto PlainBalancer::hasLiveBackend() const -> bool
 {
     return std::ranges::any_of(m_backends, [](const PlainBackend& backend) { return backend.server.state == ReplicaState::Live; });
--- a/src/PlainBalancer.h
+++ b/src/PlainBalancer.h
@@ -68,6 +68,11 @@
     /// Releases the slot of a call that its caller cancelled, which says nothing about the server's health.
     auto releaseCancelled(TimePoint now, std::string_view id) -> void;
 
+    /// Records that a process of a server has answered a call, or that the connection of one has broken without an answer.
+    auto recordContact(const BackendServer& server, bool hasAnswered) -> void;
+    /// @return whether the last contact with the process was an answer; false if there was none.
+    auto isAnswering(const BackendServer& server) const -> bool;
+
     /// @return whether the list has a server that is not leaving.
     auto hasLiveBackend() const -> bool;
     auto backends() const -> const std::vector<PlainBackend>& { return m_backends; }
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -91,7 +91,7 @@
         std::vector<UpdateBlockedPart> blocked;
     };
 
-    /// A call whose connection broke before its answer, on a server that is not known to have crashed.
+    /// A call whose connection broke before its answer, on a server that was answering and is not known to have crashed.
     struct LostCall {
         BackendServer server;
         std::uint64_t signature = 0;
@@ -106,8 +106,12 @@
     auto isBlockedLocked(const PlainCallInfo& call, CallState& state, CrashUpdates& updates) -> bool;
     /// @return whether the call may crash its server; requires the lock.
     auto isSuspectLocked(const PlainCallInfo& call) -> bool;
+    /// @return whether the last contact with the server process was an answer.
+    auto isAnswering(const BackendServer& server) const -> bool;
     /// Finds out whether a server has crashed after the connection of a call broke before its answer.
-    auto hasCrashed(HttpClient& client, const BackendServer& server, const PlainCallInfo& call) -> boost::asio::awaitable<bool>;
+    /// @param wasAnswering whether the process was answering when the call was sent. Otherwise it may have ended before: its
+    /// address may accept and break connections, and its entry may be old.
+    auto hasCrashed(HttpClient& client, const BackendServer& server, const PlainCallInfo& call, bool wasAnswering) -> boost::asio::awaitable<bool>;
     /// @param time when the connection of the call broke.
     auto recordCrashLocked(const BackendServer& server, std::uint64_t signature, TimePoint time, CrashUpdates& updates) -> void;
     /// Tells the peers that a call with the signature has got an answer here; requires the lock.
--- a/src/PlainServiceAttempts.cpp
+++ b/src/PlainServiceAttempts.cpp
@@ -201,6 +201,7 @@
     const auto executor = co_await asio::this_coro::executor;
     HttpResult<HttpResponse> result = HttpError { HttpErrorKind::ConnectionLost, {} };
     std::exception_ptr thrown;
+    const auto wasAnswering = isAnswering(backend);
     try {
         result = co_await asio::co_spawn(executor, sendCall(client, backend, call), asio::bind_cancellation_slot(interrupt.slot(), asio::use_awaitable));
     } catch (...) {
@@ -215,7 +216,7 @@
         attempt = attemptFromError(backend, result.error(), state);
     const auto isLost = !thrown && result.has_error() && result.error().kind == HttpErrorKind::ConnectionLost;
     if (isLost && !state.isCallerDisconnected)
-        attempt.hasCrashed = co_await hasCrashed(client, backend, call);
+        attempt.hasCrashed = co_await hasCrashed(client, backend, call, wasAnswering);
     m_metrics->backendCalls.fetch_add(attempt.reachedBackend, std::memory_order_relaxed);
     co_return attempt;
 }
--- a/src/PlainServiceCrashes.cpp
+++ b/src/PlainServiceCrashes.cpp
@@ -89,14 +89,19 @@
     return call.signature && (isSuspicious(m_crashes, monotonicNow(), call.signature) || hasBlockedPart(m_crashes, parts));
 }
 
-auto PlainService::hasCrashed(HttpClient& client, const BackendServer& server, const PlainCallInfo& call) -> asio::awaitable<bool>
+auto PlainService::isAnswering(const BackendServer& server) const -> bool
+{
+    const std::lock_guard guard(m_lock);
+    return m_balancer.isAnswering(server);
+}
+
+auto PlainService::hasCrashed(HttpClient& client, const BackendServer& server, const PlainCallInfo& call, bool wasAnswering) -> asio::awaitable<bool>
 {
-    if (!call.signature)
-        co_return false;
     {
-        // The connections to a server that is leaving break when it ends.
         const std::lock_guard guard(m_lock);
-        if (!isLiveLocked(server))
+        m_balancer.recordContact(server, false);
+        // The connections to a server that is leaving break when it ends.
+        if (!call.signature || !isLiveLocked(server))
             co_return false;
     }
     const auto lostAt = monotonicNow();
@@ -106,7 +111,7 @@
         const std::lock_guard guard(m_lock);
         if (listens == ListenState::Refused) {
             recordCrashLocked(server, call.signature, lostAt, updates);
-        } else {
+        } else if (wasAnswering) {
             if (m_lostCalls.size() == maxLostCalls)
                 m_lostCalls.pop_front();
             m_lostCalls.push_back({ server, call.signature, lostAt });
@@ -129,11 +134,12 @@
 
 auto PlainService::recordAnswer(const BackendServer& server, const PlainCallInfo& call) -> void
 {
-    if (!call.signature)
-        return;
     CrashUpdates updates;
     {
         const std::lock_guard guard(m_lock);
+        m_balancer.recordContact(server, true);
+        if (!call.signature)
+            return;
         std::erase_if(m_lostCalls, [&](const LostCall& lost) { return hasSameIncarnation(lost.server, server); });
         const auto now = monotonicNow();
         const std::span parts(&call.signature, 1);
--- a/test/correctness/CrashingCallTest.cpp
+++ b/test/correctness/CrashingCallTest.cpp
@@ -55,6 +55,24 @@
         return response.has_value() ? response->status : 0;
     }
 
+    /// Lists the servers as other processes at the same addresses, and waits until the instances have read the list.
+    auto replaceServers() -> void
+    {
+        ++replacements;
+        for (const auto& server : servers) {
+            auto entry = serverEntry(server.endpoint(), "ledger", {});
+            entry["born"] = entry.at("born").as_int64() + replacements;
+            store.put("servers", server.id(), std::move(entry));
+        }
+        std::this_thread::sleep_for(exchangeTime);
+    }
+
+    auto setBehaviour(Behaviour behaviour) -> void
+    {
+        for (auto& server : servers)
+            server.setBehaviour(behaviour);
+    }
+
     auto crashes() const -> std::ptrdiff_t
     {
         return std::ranges::count_if(servers, [](const FakeBackendServer& server) { return server.hasCrashed(); });
@@ -78,6 +96,7 @@
     std::list<FakeBackendServer> servers;
     std::list<RouterDaemon> routers;
     std::atomic<int> requests { 0 };
+    std::int64_t replacements = 0;
 };
 
 }
@@ -168,3 +187,35 @@
     for (auto& router : fleet.routers)
         CHECK(fleet.call(router, "GET", "/read/x") == 200);
 }
+
+// Guards against a harmless call that is blocked because it was sent to servers that had already ended, whose addresses
+// accept connections and break them.
+TEST_CASE("a call that was sent to servers after their end is not taken for the cause")
+{
+    CrashingServers fleet(1, 3);
+    // The instance has never had an answer of these processes.
+    fleet.setBehaviour(Behaviour::DropConnection);
+    fleet.replaceServers();
+    CHECK(fleet.call(fleet.routers.front(), "GET", "/read/x") >= 500);
+    CHECK(fleet.call(fleet.routers.front(), "GET", "/read/x") >= 500);
+    fleet.setBehaviour(Behaviour::Answer);
+    fleet.replaceServers();
+    CHECK_FALSE(fleet.store.contains("entry-blocked-parts", "trials"));
+    // Servers that have failed several times are used again after a second.
+    std::this_thread::sleep_for(2s);
+    CHECK(fleet.call(fleet.routers.front(), "GET", "/read/x") == 200);
+}
+
+// Guards against a call that goes on crashing servers because their addresses accept connections after the crash.
+TEST_CASE("a call that was at servers that answered until then is blocked when they have been replaced")
+{
+    CrashingServers fleet(1, 3);
+    for (auto round = 0; round < 6; ++round)
+        CHECK(fleet.call(fleet.routers.front(), "GET", "/read/harmless") == 200);
+    fleet.setBehaviour(Behaviour::DropConnection);
+    CHECK(fleet.call(fleet.routers.front(), "GET", "/read/x") >= 500);
+    CHECK(fleet.call(fleet.routers.front(), "GET", "/read/x") >= 500);
+    fleet.setBehaviour(Behaviour::Answer);
+    fleet.replaceServers();
+    CHECK(fleet.store.contains("entry-blocked-parts", "trials"));
+}
