Keep in the store that a blocked call may be harmless

Callers saw a harmless call refused for a minute: it had been blocked by mistake, and the instances that knew it had been answered before had been started again since.

Cause: the list of blocked parts in the store held the part and its trials, but not the doubt that lets it be tried after a second.

The entry has a field for it now. Entries of earlier versions lack the field and are read as before.

--- a/src/BlockedParts.cpp
+++ b/src/BlockedParts.cpp
@@ -24,6 +24,9 @@
     const auto part = parseHexadecimal(text);
     if (!part)
         return std::nullopt;
+    // Lists of earlier versions lack the field.
+    if (entry->contains("doubtful") && !readBoolean(*entry, "doubtful", listed.isDoubtful))
+        return std::nullopt;
     listed.part = *part;
     return listed;
 }
@@ -35,7 +38,7 @@
     json::array entries;
     for (const auto& part : parts) {
         // As in the log. JSON readers may not keep integers of 64 bits exactly.
-        entries.push_back(json::object { { "part", toHexadecimal(part.part) }, { "trials", part.trials } });
+        entries.push_back(json::object { { "part", toHexadecimal(part.part) }, { "trials", part.trials }, { "doubtful", part.isDoubtful } });
     }
     return json::object { { "parts", std::move(entries) } };
 }
@@ -60,17 +63,22 @@
     return stored;
 }
 
-auto changeBlockedParts(std::vector<ListedPart> parts, std::uint64_t part, BlockedPartChange change, std::uint32_t trials) -> std::optional<std::vector<ListedPart>>
+auto changeBlockedParts(std::vector<ListedPart> parts, const UpdateBlockedPart& change) -> std::optional<std::vector<ListedPart>>
 {
-    const auto known = std::ranges::find(parts, part, &ListedPart::part);
+    const auto known = std::ranges::find(parts, change.part, &ListedPart::part);
     const auto isKnown = known != parts.end();
-    switch (change) {
+    switch (change.change) {
     case BlockedPartChange::Add:
-        if (isKnown)
+        // Instances that have seen no answer of the part may have listed it without a doubt.
+        if (isKnown && (known->isDoubtful || !change.isDoubtful))
             return std::nullopt;
+        if (isKnown) {
+            known->isDoubtful = true;
+            break;
+        }
         if (parts.size() >= maxParts)
             parts.erase(parts.begin());
-        parts.push_back({ part });
+        parts.push_back({ .part = change.part, .isDoubtful = change.isDoubtful });
         break;
     case BlockedPartChange::Remove:
         if (!isKnown)
@@ -78,7 +86,7 @@
         parts.erase(known);
         break;
     case BlockedPartChange::BeginTrial:
-        if (!isKnown || known->trials != trials)
+        if (!isKnown || known->trials != change.trials)
             return std::nullopt;
         ++known->trials;
         break;
@@ -90,10 +98,12 @@
 {
     for (const auto& other : others) {
         const auto known = std::ranges::find(parts, other.part, &ListedPart::part);
-        if (known != parts.end())
+        if (known != parts.end()) {
             known->trials = std::max(known->trials, other.trials);
-        else if (parts.size() < maxParts)
+            known->isDoubtful = known->isDoubtful || other.isDoubtful;
+        } else if (parts.size() < maxParts) {
             parts.push_back(other);
+        }
     }
     return parts;
 }
--- a/src/BlockedParts.h
+++ b/src/BlockedParts.h
@@ -2,8 +2,8 @@
 
 /// The list of blocked prompt parts of a model service that all instances share, and its JSON form.
 
-#include "BlockedPartChange.h"
 #include "ListedPart.h"
+#include "UpdateBlockedPart.h"
 
 #include <boost/json/value.hpp>
 
@@ -26,11 +26,10 @@
 /// @param value null if there is no list.
 auto blockedPartsFromJson(const boost::json::value& value) -> StoredBlockedParts;
 
-/// @param trials number of trials on which a BeginTrial change is based.
 /// @return the changed list, or nothing if the change has no effect on it.
-auto changeBlockedParts(std::vector<ListedPart> parts, std::uint64_t part, BlockedPartChange change, std::uint32_t trials) -> std::optional<std::vector<ListedPart>>;
+auto changeBlockedParts(std::vector<ListedPart> parts, const UpdateBlockedPart& change) -> std::optional<std::vector<ListedPart>>;
 
-/// @return the list with the parts that it lacks, and the higher number of trials of each part.
+/// @return the list with the parts that it lacks, and the higher number of trials of each part. A doubt of either list is kept.
 auto mergeBlockedParts(std::vector<ListedPart> parts, std::span<const ListedPart> others) -> std::vector<ListedPart>;
 
 }
--- a/src/BlockedPartsWriter.cpp
+++ b/src/BlockedPartsWriter.cpp
@@ -69,12 +69,12 @@
     const auto& service = key.first;
     const auto part = key.second;
     // The list that was read last may lack a recent entry, so it saves only the calls of additions.
-    if (change.change == BlockedPartChange::Add && !changeBlockedParts(m_listed[service], part, change.change, change.trials))
+    if (change.change == BlockedPartChange::Add && !changeBlockedParts(m_listed[service], change))
         co_return std::nullopt;
     const auto current = co_await m_store.read(m_threads.client(0), m_kind, service);
     if (current.has_error())
         co_return logFailure(service, current.error());
-    const auto changed = changeBlockedParts(blockedPartsFromJson(current->value).parts, part, change.change, change.trials);
+    const auto changed = changeBlockedParts(blockedPartsFromJson(current->value).parts, change);
     if (!changed)
         co_return std::nullopt;
     const auto outcome = co_await m_store.update(m_threads.client(0), m_kind, service, blockedPartsToJson(*changed), current->revision);
--- a/src/PlainServiceCrashes.cpp
+++ b/src/PlainServiceCrashes.cpp
@@ -218,7 +218,7 @@
 auto PlainService::decideCrashesLocked(CrashUpdates& updates) -> void
 {
     for (const auto part : blockCrashingParts(m_crashes, monotonicNow()))
-        updates.blocked.push_back({ part, BlockedPartChange::Add });
+        updates.blocked.push_back({ .part = part, .change = BlockedPartChange::Add, .isDoubtful = isDoubtful(m_crashes, part) });
 }
 
 auto PlainService::scheduleCrashDecision() -> void
--- a/src/PromptPartCrashes.cpp
+++ b/src/PromptPartCrashes.cpp
@@ -206,7 +206,7 @@
 /// @return the time after which the part is tried again.
 auto trialDelay(const PromptPartCrashes& state, std::uint64_t part, const PromptPartCrashes::BlockedPart& blocked) -> Duration
 {
-    if (state.rules.hasEarlyTrials && (blocked.isTied || blocked.isSimultaneous || findHarmless(state, part)))
+    if (state.rules.hasEarlyTrials && (blocked.isSimultaneous || isDoubtful(state, part)))
         return earlyTrialDelays.at(blocked.trials);
     return blocked.trials == 0 ? state.rules.firstTrialDelay : trialInterval;
 }
@@ -325,13 +325,19 @@
             break;
         auto& blocked = state.blocked[cause->part];
         blocked.since = now;
-        blocked.isTied = cause->isTied;
+        blocked.isDoubtful = cause->isTied;
         blocked.isSimultaneous = cause->isSimultaneous;
         parts.push_back(cause->part);
     }
     return parts;
 }
 
+auto isDoubtful(const PromptPartCrashes& state, std::uint64_t part) -> bool
+{
+    const auto blocked = state.blocked.find(part);
+    return blocked != state.blocked.end() && (blocked->second.isDoubtful || findHarmless(state, part));
+}
+
 auto isSuspicious(const PromptPartCrashes& state, TimePoint now, std::uint64_t part) -> bool
 {
     return std::ranges::any_of(state.crashes, [&](const auto& crash) {
@@ -361,6 +367,7 @@
         if (isNew || blocked.trials != entry.trials)
             blocked.since = now;
         blocked.trials = entry.trials;
+        blocked.isDoubtful = blocked.isDoubtful || entry.isDoubtful;
         blocked.isListed = true;
     }
     return harmless;
--- a/src/PromptPartCrashes.h
+++ b/src/PromptPartCrashes.h
@@ -80,8 +80,8 @@
     struct BlockedPart {
         /// Whether the list that all instances share contains the part.
         bool isListed = false;
-        /// Whether another part was at all of its crashes, so that it may be harmless.
-        bool isTied = false;
+        /// Whether the part may well be harmless, see ListedPart.
+        bool isDoubtful = false;
         /// Whether all its crashes were at the same time, so that it may be harmless. A later crash before its first trial
         /// shows otherwise.
         bool isSimultaneous = false;
@@ -135,6 +135,8 @@
 /// Blocks the parts that the crashes show to be the cause.
 /// @return the parts that were not blocked before.
 auto blockCrashingParts(PromptPartCrashes& state, TimePoint now) -> std::vector<std::uint64_t>;
+/// @return whether a blocked part may well be harmless, see ListedPart.
+auto isDoubtful(const PromptPartCrashes& state, std::uint64_t part) -> bool;
 /// @return whether the part was at a crash that no blocked part explains, and in no answer since.
 auto isSuspicious(const PromptPartCrashes& state, TimePoint now, std::uint64_t part) -> bool;
 auto hasBlockedPart(const PromptPartCrashes& state, std::span<const std::uint64_t> parts) -> bool;
--- a/src/UpdateBlockedPart.h
+++ b/src/UpdateBlockedPart.h
@@ -13,6 +13,8 @@
     BlockedPartChange change;
     /// Number of trials on which a BeginTrial change is based.
     std::uint32_t trials = 0;
+    /// Whether a part that is added may well be harmless, see ListedPart.
+    bool isDoubtful = false;
 };
 
 }
--- a/test/correctness/BlockedPartsTest.cpp
+++ b/test/correctness/BlockedPartsTest.cpp
@@ -96,7 +96,7 @@
 // Guards against lists that lose an entry in their JSON form or are spoilt by an entry of another writer.
 TEST_CASE("lists of blocked parts survive their conversion to JSON")
 {
-    const std::vector<ListedPart> parts { { 0xffffffffffffffff, 2 }, { 7, 0 } };
+    const std::vector<ListedPart> parts { { 0xffffffffffffffff, 2, true }, { 7, 0 } };
     CHECK(blockedPartsFromJson(blockedPartsToJson(parts)).parts == parts);
     CHECK(blockedPartsFromJson(blockedPartsToJson(parts)).unreadable == 0);
     const auto damaged = blockedPartsFromJson(json::parse(R"({"parts":[5,{"part":"x","trials":0},{"part":"9","trials":-1},{"part":"a8","trials":1}]})"));
@@ -139,6 +139,22 @@
     CHECK(writers.store.parts("service-0") == std::vector<ListedPart> { { 7 } });
 }
 
+// Guards against a doubt about a part that is lost because an instance without it has written the part first.
+TEST_CASE("a part that an instance doubts is listed as doubtful")
+{
+    Writers writers(2);
+    writers.writers.front()->update("service", { 7, BlockedPartChange::Add });
+    std::this_thread::sleep_for(settleTime);
+    CHECK(writers.store.parts() == std::vector<ListedPart> { { 7 } });
+    writers.writers.back()->update("service", { .part = 7, .change = BlockedPartChange::Add, .isDoubtful = true });
+    std::this_thread::sleep_for(settleTime);
+    CHECK(writers.store.parts() == std::vector<ListedPart> { { 7, 0, true } });
+    writers.writers.front()->update("service", { 7, BlockedPartChange::Add });
+    std::this_thread::sleep_for(settleTime);
+    CHECK(writers.store.parts() == std::vector<ListedPart> { { 7, 0, true } });
+    CHECK(writers.written == 2);
+}
+
 // Guards against several instances that try a blocked part, which each can cost an engine.
 TEST_CASE("one instance gets the permission for a trial")
 {
--- a/test/correctness/CrashingCallTest.cpp
+++ b/test/correctness/CrashingCallTest.cpp
@@ -170,6 +170,33 @@
     }
 }
 
+// Guards against a harmless call that stays blocked for a minute because the instances that had seen its answers have been
+// started again.
+TEST_CASE("instances that start later try a blocked call early that was answered before")
+{
+    CrashingServers fleet(2, 8);
+    fleet.setBehaviour(Behaviour::Answer);
+    for (auto& router : fleet.routers)
+        CHECK(fleet.call(router, "GET", "/read/crash") == 200);
+    // The answers of the last two seconds speak for a call.
+    std::this_thread::sleep_for(2200ms);
+    fleet.setBehaviour(Behaviour::Crash);
+    for (auto round = 0; round < 20 && !fleet.store.contains("entry-blocked-parts", "trials"); ++round) {
+        for (auto& router : fleet.routers)
+            fleet.call(router, "GET", "/read/crash");
+        std::this_thread::sleep_for(100ms);
+    }
+    REQUIRE(fleet.store.contains("entry-blocked-parts", "trials"));
+    fleet.setBehaviour(Behaviour::Answer);
+    fleet.routers.clear();
+    auto& router = fleet.addInstance();
+    CHECK(fleet.call(router, "GET", "/read/crash") == 503);
+    auto status = 0U;
+    for (const auto end = monotonicNow() + 5s; status != 200 && monotonicNow() < end; std::this_thread::sleep_for(50ms))
+        status = fleet.call(router, "GET", "/read/crash");
+    CHECK(status == 200);
+}
+
 // Guards against a harmless call that is refused because its connections broke while the servers went on.
 TEST_CASE("a call whose connections break on running servers is not taken for a crashing one")
 {
