Print what instances blocked when a soak run fails

The report of a failed run now ends with the starts of the instances and their crash_signature_* lines, 60 at most.

--- a/test/soak/jayhold-soak.cpp
+++ b/test/soak/jayhold-soak.cpp
@@ -17,6 +17,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <thread>
 
 using namespace jayhold;
@@ -212,27 +213,51 @@
     return result;
 }
 
-auto printHistory(const std::vector<std::string>& logs, const std::string& request) -> void
+auto parseLogLines(const std::vector<std::string>& logs) -> std::vector<ParsedLogLine>
 {
     std::vector<ParsedLogLine> lines;
     for (const auto& text : logs) {
         if (auto line = parseLogLine(text))
             lines.push_back(std::move(*line));
     }
-    const auto history = explainRequest(lines, request);
+    return lines;
+}
+
+/// @param firstTime time to which the line's is relative; set from the first line that has one.
+auto printLine(const ParsedLogLine& line, std::optional<std::int64_t>& firstTime) -> void
+{
+    std::cout << "    ";
+    if (line.time) {
+        firstTime = firstTime.value_or(line.time->wallMicroseconds);
+        std::cout << (line.time->wallMicroseconds - *firstTime) / 1'000 << " ms ";
+    }
+    std::cout << line.instance << ' ' << line.event;
+    for (const auto& field : line.fields)
+        std::cout << ' ' << field.key << '=' << field.value;
+    std::cout << '\n';
+}
+
+auto printHistory(const std::vector<std::string>& logs, const std::string& request) -> void
+{
+    const auto history = explainRequest(parseLogLines(logs), request);
     std::cout << "    " << history.outcome << "; " << history.cause << '\n';
     std::optional<std::int64_t> firstTime;
-    for (const auto& event : history.events) {
-        std::cout << "    ";
-        if (event.line.time) {
-            firstTime = firstTime.value_or(event.line.time->wallMicroseconds);
-            std::cout << (event.line.time->wallMicroseconds - *firstTime) / 1'000 << " ms ";
-        }
-        std::cout << event.line.instance << ' ' << event.line.event;
-        for (const auto& field : event.line.fields)
-            std::cout << ' ' << field.key << '=' << field.value;
-        std::cout << '\n';
-    }
+    for (const auto& event : history.events)
+        printLine(event.line, firstTime);
+}
+
+/// Prints when instances started and what they blocked as the cause of crashes, which explains requests that are refused
+/// long after the faults. CI keeps no logs of the instances.
+auto printBlockedSignatures(const std::vector<std::string>& logs) -> void
+{
+    constexpr std::size_t maxLines = 60;
+    auto lines = parseLogLines(logs);
+    std::erase_if(lines, [](const ParsedLogLine& line) { return !line.time || (line.event != "listening" && !line.event.starts_with("crash_signature_")); });
+    std::ranges::sort(lines, {}, [](const ParsedLogLine& line) { return line.time->wallMicroseconds; });
+    lines.resize(std::min(lines.size(), maxLines));
+    std::optional<std::int64_t> firstTime;
+    for (const auto& line : lines)
+        printLine(line, firstTime);
 }
 
 auto printReport(const Options& options, std::uint64_t seed, const std::vector<PlannedFault>& plan, const RunResult& result) -> void
@@ -250,6 +275,7 @@
         if (!violation.request.empty())
             printHistory(result.logs, violation.request);
     }
+    printBlockedSignatures(result.logs);
     if (options.logs.empty())
         return;
     std::filesystem::create_directories(options.logs);
