--- a/bench/RelayBench.cpp
+++ b/bench/RelayBench.cpp
@@ -82,7 +82,7 @@
 {
     Configuration configuration;
     configuration.availabilityZones = { { "zone", "region" } };
-    configuration.customers = { { .name = "bench", .keySha256 = sha256Hex("bench-key"), .maxQueued = 100'000 } };
+    configuration.customers = { { .name = "bench", .keysSha256 = { sha256Hex("bench-key") }, .maxQueued = 100'000 } };
     Service service { .name = "llm", .model = "model" };
     service.pools.push_back({ .name = "prefill", .availabilityZone = "zone", .role = PoolRole::Prefill, .slots = 4'000, .memoryBlocks = 60'000, .linkBytesPerSecond = 1'000'000'000'000 });
     service.pools.push_back({ .name = "decode", .availabilityZone = "zone", .role = PoolRole::Decode, .slots = 4'000 / engines, .memoryBlocks = 60'000, .linkBytesPerSecond = 1'000'000'000'000 });
--- a/examples/babamen.cpp
+++ b/examples/babamen.cpp
@@ -42,8 +42,8 @@
         .operators = { { "dispatcher", sha256Hex("babamen-operator-key") } },
         .availabilityZones = { { "ariana", "tunis-north" }, { "bizerte", "tunis-north" }, { "ben-arous", "tunis-north" } },
         .customers = {
-            { .name = "technicians", .keySha256 = sha256Hex("babamen-technicians-key"), .weight = 2 },
-            { .name = "office", .keySha256 = sha256Hex("babamen-office-key") },
+            { .name = "technicians", .keysSha256 = { sha256Hex("babamen-technicians-key") }, .weight = 2 },
+            { .name = "office", .keysSha256 = { sha256Hex("babamen-office-key") } },
         },
         .services = { diagnosis(), dispatch() },
     };
--- a/examples/caprock.cpp
+++ b/examples/caprock.cpp
@@ -44,9 +44,9 @@
         .operators = { { "treasurer", sha256Hex("caprock-operator-key") } },
         .availabilityZones = { { "alpine", "big-bend" }, { "terlingua", "big-bend" }, { "marfa", "big-bend" } },
         .customers = {
-            { .name = "members", .keySha256 = sha256Hex("caprock-members-key"), .weight = 2 },
-            { .name = "buyers", .keySha256 = sha256Hex("caprock-buyers-key") },
-            { .name = "appraisers", .keySha256 = sha256Hex("caprock-appraisers-key") },
+            { .name = "members", .keysSha256 = { sha256Hex("caprock-members-key") }, .weight = 2 },
+            { .name = "buyers", .keysSha256 = { sha256Hex("caprock-buyers-key") } },
+            { .name = "appraisers", .keysSha256 = { sha256Hex("caprock-appraisers-key") } },
         },
         .services = { appraiser(), ledger() },
     };
--- a/src/Configuration.cpp
+++ b/src/Configuration.cpp
@@ -25,7 +25,7 @@
 {
     return json::object {
         { "name", customer.name },
-        { "key_sha256", customer.keySha256 },
+        { "key_sha256", customer.keysSha256.front() },
         { "weight", customer.weight },
         { "max_queued", customer.maxQueued },
     };
--- a/src/ConfigurationIndex.cpp
+++ b/src/ConfigurationIndex.cpp
@@ -23,8 +23,10 @@
     : m_configuration(std::move(configuration))
     , m_routes(m_configuration->routes)
 {
-    for (std::size_t index = 0; index < m_configuration->customers.size(); ++index)
-        m_customers.emplace(m_configuration->customers[index].keySha256, static_cast<CustomerId>(index));
+    for (std::size_t index = 0; index < m_configuration->customers.size(); ++index) {
+        for (const auto& digest : m_configuration->customers[index].keysSha256)
+            m_customers.emplace(digest, static_cast<CustomerId>(index));
+    }
     for (const auto& key : m_configuration->operators)
         m_operators.emplace(key.keySha256, key.name);
     for (const auto& digest : operatorDigests)
--- a/src/ConfigurationParser.cpp
+++ b/src/ConfigurationParser.cpp
@@ -78,7 +78,8 @@
 {
     Customer customer;
     BOOST_LEAF_ASSIGN(customer.name, reader.string("name"));
-    BOOST_LEAF_ASSIGN(customer.keySha256, readDigest(reader));
+    BOOST_LEAF_AUTO(digest, readDigest(reader));
+    customer.keysSha256.push_back(std::move(digest));
     BOOST_LEAF_ASSIGN(customer.weight, reader.number("weight", weightRange, customer.weight));
     BOOST_LEAF_ASSIGN(customer.maxQueued, reader.integer("max_queued", positiveRange, customer.maxQueued));
     return customer;
--- a/src/ConfigurationRules.cpp
+++ b/src/ConfigurationRules.cpp
@@ -111,11 +111,23 @@
     return {};
 }
 
+auto digestsOf(const OperatorKey& key) -> std::vector<std::string>
+{
+    return { key.keySha256 };
+}
+
+auto digestsOf(const Customer& customer) -> const std::vector<std::string>&
+{
+    return customer.keysSha256;
+}
+
 template <typename Item>
 auto checkUniqueKeys(const std::vector<Item>& items, std::string_view listPath, std::set<std::string>& digests) -> leaf::result<void>
 {
     for (std::size_t index = 0; index < items.size(); ++index) {
-        if (!digests.insert(items[index].keySha256).second) {
+        for (const auto& digest : digestsOf(items[index])) {
+            if (digests.insert(digest).second)
+                continue;
             return leaf::new_error(ConfigError { ConfigErrorCode::DuplicateName, elementPath(listPath, index) + ".key_sha256",
                 "the key is used by another entry" });
         }
--- a/src/RequestKind.h
+++ b/src/RequestKind.h
@@ -14,6 +14,8 @@
 struct RequestKind {
     std::string name;
     LatencyClass latencyClass = LatencyClass::Standard;
+    /// Orders requests whose customers have the same priority; 0 is the most urgent.
+    std::int64_t priority = 1;
     /// Target for the time to first token (TTFT).
     std::chrono::milliseconds firstToken { 500 };
     /// Target for the time between tokens (TBT).
--- a/src/Route.h
+++ b/src/Route.h
@@ -26,6 +26,8 @@
     /// Name of the request kind, which each target service must declare.
     std::string kind;
     std::vector<RouteTarget> targets;
+    /// Whether requests need no customer's key.
+    bool isPublic = false;
 
     auto operator==(const Route&) const -> bool = default;
 };
--- a/test/EntryConfiguration.h
+++ b/test/EntryConfiguration.h
@@ -16,7 +16,7 @@
     auto configuration = std::make_shared<Configuration>();
     configuration->operators = { { "treasurer", sha256Hex("operator-key") } };
     configuration->availabilityZones = { { "alpine", "big-bend" } };
-    configuration->customers = { { .name = "members", .keySha256 = sha256Hex("members-key") } };
+    configuration->customers = { { .name = "members", .keysSha256 = { sha256Hex("members-key") } } };
     Service model { .name = "appraiser-llm", .model = "appraiser-8b", .maxPromptTokens = 20, .maxOutputTokens = 100 };
     model.pools.push_back({ .name = "prefill", .availabilityZone = "alpine", .role = PoolRole::Prefill, .slots = 4 });
     model.pools.push_back({ .name = "decode", .availabilityZone = "alpine", .role = PoolRole::Decode, .slots = 20 });
