Authenticate customers by their keys

Cause: the key of a caller was passed on to backend servers, no customer was named, and requests with an unknown key ran. A configuration with customers now needs a known key on each route that is not public: 401 otherwise, 503 where the customer's entry can't be used. Servers get the customer's name in place of the key. Only digests of keys are kept. Deployments without customers are forwarded as before, with a test.

The tests fail to compile before.

--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -1,6 +1,6 @@
 jayhold_library(jayhold_entry
   UNITS AdminApi BackendCallOptions ApiError CallSignature CallerApi CallerChecks ClusterRecords CompletionFormat
-    CompletionRequest CompletionWriter ConfigurationIndex ConnectionLog DecodeRelay EngineClient EngineError EngineMessages
+    CompletionRequest CompletionWriter ConfigurationIndex ConnectionLog CustomerIdentity DecodeRelay EngineClient EngineError EngineMessages
     EngineMonitor EntryDaemon DrainWait EntryDaemonDrain EntrySettings ForwardApi ForwardChecks OrphanDetector LatencyHistogram LostOwners
     Metrics ModelRequest ModelRequestFallback ModelRequestLog ModelRequestReservations ModelRequestTasks ModelRequestVersion RequestTimeouts ModelService ModelServiceReplicas ModelServiceTimer NativeProtocols PassThroughReader PassThroughWriter PlainBalancer PlainRoute
     PlainService PlainServiceAttempts PlainServiceCrashes PlainServiceLog PromptDigest RecentDurations RequestStateMachine RoleBalancer RouterHttpSettings RouterSamples RouteTable RouterDaemon RunId ServiceTable ServiceTablePauses StatusReport TokenEventReader
--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -64,3 +64,7 @@
 jayhold_test(version_router_test
   SOURCES test/correctness/VersionRouterTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
+
+jayhold_test(customer_key_test
+  SOURCES test/correctness/CustomerKeyTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
+  LINK jayhold_platform)
--- a/src/CallerProtocol.h
+++ b/src/CallerProtocol.h
@@ -9,6 +9,7 @@
 #include "HttpRequest.h"
 #include "HttpResponse.h"
 
+#include <string_view>
 #include <vector>
 
 namespace jayhold {
@@ -21,6 +22,9 @@
     /// Parses a request that is forwarded to a backend server unchanged; null if requests use jayhold's
     /// own format.
     auto(*decode)(const HttpRequest& request) -> ApiResult<ForwardedCall>;
+    /// Names the customer to the backend server: removes the caller's key and whatever the caller says about the customer,
+    /// and adds the name unless it is empty. Null if requests use jayhold's own format.
+    auto(*setCustomer)(HttpRequest& request, std::string_view customer) -> void;
     /// Whether responses carry the hybrid time of the instance.
     bool showsHybridTime;
 };
--- a/src/Configuration.h
+++ b/src/Configuration.h
@@ -27,6 +27,9 @@
     std::vector<OperatorKey> operators;
     std::vector<AvailabilityZone> availabilityZones;
     std::vector<Customer> customers;
+    /// Whether requests that are forwarded unchanged need a customer's key, except on public routes. Without it they are
+    /// forwarded with their credentials.
+    bool requiresCustomerKey = false;
     std::vector<Service> services;
     std::vector<Route> routes;
     CallerLimits limits;
--- a/src/ConfigurationIndex.cpp
+++ b/src/ConfigurationIndex.cpp
@@ -1,5 +1,6 @@
 #include "ConfigurationIndex.h"
 
+#include "LowerCase.h"
 #include "Sha256.h"
 
 #include <algorithm>
@@ -8,13 +9,18 @@
 
 namespace {
 
-constexpr std::string_view bearerPrefix = "Bearer ";
+/// In lower case; the names of authentication schemes are compared without case.
+constexpr std::string_view bearerPrefix = "bearer ";
 
 auto digestOf(std::optional<std::string_view> authorization) -> std::optional<std::string>
 {
-    if (!authorization || !authorization->starts_with(bearerPrefix))
+    if (!authorization || lowerCase(authorization->substr(0, bearerPrefix.size())) != bearerPrefix)
         return std::nullopt;
-    return sha256Hex(authorization->substr(bearerPrefix.size()));
+    auto key = authorization->substr(bearerPrefix.size());
+    key.remove_prefix(std::min(key.find_first_not_of(' '), key.size()));
+    if (key.empty())
+        return std::nullopt;
+    return sha256Hex(key);
 }
 
 }
@@ -24,8 +30,12 @@
     , m_routes(m_configuration->routes)
 {
     for (std::size_t index = 0; index < m_configuration->customers.size(); ++index) {
-        for (const auto& digest : m_configuration->customers[index].keysSha256)
-            m_customers.emplace(digest, static_cast<CustomerId>(index));
+        for (const auto& digest : m_configuration->customers[index].keysSha256) {
+            const auto customer = static_cast<CustomerId>(index);
+            const auto [known, isNew] = m_customers.emplace(digest, customer);
+            if (!isNew && known->second != customer)
+                known->second = std::nullopt;
+        }
     }
     for (const auto& key : m_configuration->operators)
         m_operators.emplace(key.keySha256, key.name);
@@ -39,7 +49,7 @@
 {
     const auto digest = digestOf(authorization);
     const auto found = digest ? m_customers.find(*digest) : m_customers.end();
-    return found == m_customers.end() ? std::nullopt : std::optional(found->second);
+    return found == m_customers.end() ? std::nullopt : found->second;
 }
 
 auto ConfigurationIndex::operatorOf(std::optional<std::string_view> authorization) const -> std::optional<std::string>
@@ -49,9 +59,14 @@
     return found == m_operators.end() ? std::nullopt : std::optional(found->second);
 }
 
+auto ConfigurationIndex::customer(CustomerId customer) const -> const Customer&
+{
+    return m_configuration->customers.at(static_cast<std::size_t>(customer));
+}
+
 auto ConfigurationIndex::customerName(CustomerId customer) const -> const std::string&
 {
-    return m_configuration->customers.at(static_cast<std::size_t>(customer)).name;
+    return this->customer(customer).name;
 }
 
 auto ConfigurationIndex::service(std::string_view name) const -> const Service*
--- a/src/ConfigurationIndex.h
+++ b/src/ConfigurationIndex.h
@@ -25,11 +25,13 @@
     auto configuration() const -> const Configuration& { return *m_configuration; }
 
     /// @param authorization value of the Authorization header.
-    /// @return the customer whose key the header carries, or nothing for an unknown key.
+    /// @return the customer whose key the header carries, or nothing for an unknown key and for one that several customers
+    /// claim.
     auto customerOf(std::optional<std::string_view> authorization) const -> std::optional<CustomerId>;
     /// @return the name of the operator whose key the header carries, or nothing for an unknown key.
     auto operatorOf(std::optional<std::string_view> authorization) const -> std::optional<std::string>;
 
+    auto customer(CustomerId customer) const -> const Customer&;
     auto customerName(CustomerId customer) const -> const std::string&;
 
     /// @return the service with this name, or null.
@@ -48,7 +50,8 @@
 
 private:
     const std::shared_ptr<const Configuration> m_configuration;
-    std::unordered_map<std::string, CustomerId> m_customers;
+    /// By digest; nothing for a key that several customers claim.
+    std::unordered_map<std::string, std::optional<CustomerId>> m_customers;
     std::unordered_map<std::string, std::string> m_operators;
     RouteTable m_routes;
 };
--- a/src/ForwardApi.cpp
+++ b/src/ForwardApi.cpp
@@ -43,7 +43,7 @@
         co_await refuse(exchange, requestId, error);
         co_return;
     }
-    auto checked = checkForward(*index, std::move(*call), monotonicNow());
+    auto checked = checkForward(*index, m_context.callerProtocol, std::move(*call), monotonicNow());
     if (checked.has_error())
         co_await refuse(exchange, requestId, checked.error());
     else
--- a/src/ForwardChecks.cpp
+++ b/src/ForwardChecks.cpp
@@ -1,6 +1,7 @@
 #include "ForwardChecks.h"
 
 #include "CallSignature.h"
+#include "CustomerIdentity.h"
 #include "JitteredDelay.h"
 
 #include <algorithm>
@@ -47,20 +48,34 @@
 
 }
 
-auto checkForward(const ConfigurationIndex& index, ForwardedCall call, TimePoint now) -> ApiResult<CheckedForward>
+auto checkForward(const ConfigurationIndex& index, const CallerProtocol& protocol, ForwardedCall call, TimePoint now) -> ApiResult<CheckedForward>
 {
     const auto* route = index.route(call.host, call.path);
     if (!route)
         return ApiError(404, "unknown_route", "no route has this host and path");
+    const auto customer = identifyCustomer(index, *route, call);
+    if (customer.has_error())
+        return customer.error();
+    const auto customerName = *customer ? index.customerName(**customer) : std::string();
+    if (index.configuration().requiresCustomerKey)
+        protocol.setCustomer(call.request, customerName);
+    // The key is not needed any more.
+    call.credentials.clear();
     const auto target = chooseTarget(*route, call.requestId);
     const auto* service = index.service(target);
     const auto kind = service ? std::ranges::find(service->kinds, route->kind, &RequestKind::name) : decltype(service->kinds.begin()) {};
     if (!service || kind == service->kinds.end()) {
         return ApiError(503, "unknown_service", "route " + route->name + " names a service or kind that does not exist", ExecutionOutcome::NotRun, jitteredDelay(missingServiceRetryDelay));
     }
-    if (service->type == ServiceType::Model)
-        return CheckedForward(CheckedCompletion { service->name, modelInfo(std::move(call), *kind, now) });
-    return CheckedForward(CheckedPlainCall { service->name, plainInfo(std::move(call), *kind, now) });
+    if (service->type == ServiceType::Model) {
+        auto info = modelInfo(std::move(call), *kind, now);
+        info.customer = customer->value_or(noCustomer);
+        info.customerName = customerName;
+        return CheckedForward(CheckedCompletion { service->name, std::move(info) });
+    }
+    auto info = plainInfo(std::move(call), *kind, now);
+    info.customer = customerName;
+    return CheckedForward(CheckedPlainCall { service->name, std::move(info) });
 }
 
 }
--- a/src/ForwardChecks.h
+++ b/src/ForwardChecks.h
@@ -3,6 +3,7 @@
 /// Validates and routes callers' requests that are forwarded unchanged, without any I/O.
 
 #include "CallerChecks.h"
+#include "CallerProtocol.h"
 #include "ForwardedCall.h"
 
 #include <variant>
@@ -11,8 +12,8 @@
 
 using CheckedForward = std::variant<CheckedCompletion, CheckedPlainCall>;
 
-/// Finds the route, the service and the kind of a request.
+/// Finds the route, the customer, the service and the kind of a request, and names the customer to the backend server.
 /// @param now arrival time of the request.
-auto checkForward(const ConfigurationIndex& index, ForwardedCall call, TimePoint now) -> ApiResult<CheckedForward>;
+auto checkForward(const ConfigurationIndex& index, const CallerProtocol& protocol, ForwardedCall call, TimePoint now) -> ApiResult<CheckedForward>;
 
 }
--- a/src/ForwardedCall.h
+++ b/src/ForwardedCall.h
@@ -34,6 +34,8 @@
     /// Index of the last token that the caller received of an interrupted response, which this request
     /// resumes.
     std::optional<std::uint32_t> lastToken;
+    /// Values of the fields in which the caller has sent a customer's key. Must not be logged.
+    std::vector<std::string> credentials;
     /// Id of the request that brought the first event of the response that this request resumes; empty if the caller does
     /// not name it.
     std::string resumedRequest;
--- a/src/Identifiers.h
+++ b/src/Identifiers.h
@@ -16,6 +16,9 @@
 /// A customer, as an index into the configuration's list.
 enum class CustomerId : std::uint32_t {};
 
+/// Stands for the callers of requests that come on behalf of no customer.
+constexpr CustomerId noCustomer { UINT32_MAX };
+
 /// A request kind, as an index into the service's list.
 enum class KindId : std::uint16_t {};
 
--- a/src/NativeProtocols.cpp
+++ b/src/NativeProtocols.cpp
@@ -64,6 +64,7 @@
         .responseHeaders = responseHeaders,
         .refusal = toResponse,
         .decode = nullptr,
+        .setCustomer = nullptr,
         .showsHybridTime = true,
     };
     return protocol;
