Place prompts and decodes by the speed of each engine

Cause: placement compares reserved tokens and slots, so an engine that runs at half the speed of the others gets as many requests and holds them for longer.

The shard observes prefills and tokens. The placement index is ordered by estimated completion, the choice between zones by the time for the load, and RoleBalance counts engines by speed.

--- a/src/ActiveRequest.h
+++ b/src/ActiveRequest.h
@@ -63,6 +63,8 @@
     std::uint32_t emittedAtCrash = 0;
     /// Prompt tokens on the prefill replica when the prefill started, those of this request included.
     std::uint32_t prefillBacklogTokens = 0;
+    /// Prompt tokens of peers there at that time.
+    std::uint32_t prefillPeerTokens = 0;
     LatencyClass latencyClass = LatencyClass::Standard;
     /// Failed attempts that may have run.
     std::uint8_t failures = 0;
--- a/src/DecisionEvent.h
+++ b/src/DecisionEvent.h
@@ -27,6 +27,7 @@
 #include "ReplicaLimited.h"
 #include "ReplicaLoad.h"
 #include "ReplicaPaused.h"
+#include "ReplicaSpeedReported.h"
 #include "RequestArrived.h"
 #include "RequestCancelled.h"
 #include "SlotRefused.h"
@@ -61,6 +62,7 @@
     ReplicaLimited,
     ReplicaPaused,
     ReplicaLoad,
+    ReplicaSpeedReported,
     PeerUsage,
     CacheEvents,
     CrashSignatureReported,
--- a/src/Estimates.cpp
+++ b/src/Estimates.cpp
@@ -1,5 +1,7 @@
 #include "Estimates.h"
 
+#include "SpeedEstimates.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -55,6 +57,11 @@
     return seconds(static_cast<double>(tokens) / state.rates.prefillTokensPerSecond.value());
 }
 
+auto prefillTime(const ShardState& state, const Replica& replica, std::uint64_t tokens) -> Duration
+{
+    return seconds(static_cast<double>(tokens) / (state.rates.prefillTokensPerSecond.value() * replica.expectedSpeed));
+}
+
 auto transferBytes(const ShardState& state, const ActiveRequest& request) -> std::uint64_t
 {
     return state.settings.kvBytesPerToken * request.arrival.promptTokens;
@@ -97,7 +104,9 @@
         return;
     const auto total = expectedTokens(context.state, request);
     const auto remaining = total > request.emitted ? total - request.emitted : 1;
-    const auto end = context.now + seconds(remaining / context.state.rates.tokensPerSecond.value());
+    const auto* replica = request.decode ? findReplica(context.state, *request.decode) : nullptr;
+    const auto speed = replica ? replica->expectedSpeed : 1;
+    const auto end = context.now + seconds(remaining / (context.state.rates.tokensPerSecond.value() * speed));
     context.state.decodeEnds.move(request.arrival.request, request.expectedEnd, end);
     request.emittedAtEstimate = request.emitted;
 }
@@ -133,6 +142,8 @@
     const double computed = request.prefillBacklogTokens - own + request.arrival.promptTokens - std::min(cachedTokens, request.arrival.promptTokens);
     rates.prefillTokensPerSecond.observe(computed, toSeconds(context.now - request.phaseStartedAt));
     rates.resultTtlSeconds.observe(toSeconds(expiresAt - context.now), 1);
+    if (auto* replica = request.prefill ? findReplica(context.state, *request.prefill) : nullptr)
+        observeReplicaSpeed(context, *replica, computed + request.prefillPeerTokens, toSeconds(context.now - request.phaseStartedAt));
 }
 
 auto updateTransferRate(DecisionContext& context, const ActiveRequest& request) -> void
@@ -143,8 +154,13 @@
 
 auto updateTokenRate(DecisionContext& context, const ActiveRequest& request, std::uint32_t total) -> void
 {
-    if (request.phase == RequestPhase::Decoding && total > request.emitted)
-        context.state.rates.tokensPerSecond.observe(total - request.emitted, toSeconds(context.now - request.lastProgressAt));
+    if (request.phase != RequestPhase::Decoding || total <= request.emitted)
+        return;
+    const auto tokens = total - request.emitted;
+    const auto time = toSeconds(context.now - request.lastProgressAt);
+    context.state.rates.tokensPerSecond.observe(tokens, time);
+    if (auto* replica = request.decode ? findReplica(context.state, *request.decode) : nullptr)
+        observeReplicaSpeed(context, *replica, tokens, time);
 }
 
 auto updateLengthModel(DecisionContext& context, const ActiveRequest& request, std::uint32_t total) -> void
--- a/src/Estimates.h
+++ b/src/Estimates.h
@@ -8,6 +8,8 @@
 
 /// @param tokens prompt tokens on one prefill replica, those of the request and of the work before it.
 auto prefillTime(const ShardState& state, std::uint64_t tokens) -> Duration;
+/// The same on a replica of known speed.
+auto prefillTime(const ShardState& state, const Replica& replica, std::uint64_t tokens) -> Duration;
 auto transferTime(const ShardState& state, const ActiveRequest& request) -> Duration;
 /// @return expected length of the whole answer in tokens, at a quantile that depends on the weight of
 /// wasted prefill.
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -105,7 +105,7 @@
         near = leastLoadedInZone(context, PoolRole::Decode, local, request, fits);
     auto* far = leastLoadedElsewhere(context, PoolRole::Decode, { prefillZone, local }, request, fits);
     if (near && far)
-        return decodeLoad(*near) > decodeLoad(*far) + otherZoneLoadPenalty ? far : near;
+        return atSpeed(decodeLoad(*near), *near) > atSpeed(decodeLoad(*far), *far) + otherZoneLoadPenalty ? far : near;
     if (near || far)
         return near ? near : far;
     return avoidedIfFits(context, PoolRole::Decode, request, fits);
@@ -152,7 +152,7 @@
 auto isSlowerThanDecodePrefill(const ShardState& state, const ActiveRequest& request, const Replica& prefill) -> bool
 {
     const std::uint64_t own = request.arrival.promptTokens;
-    return prefillTime(state, std::uint64_t { prefill.reserved.prefillTokens } + prefill.peerPrefillTokens + own) > prefillTime(state, own) * (decodePrefillSlowdown + 1);
+    return prefillTime(state, prefill, std::uint64_t { prefill.reserved.prefillTokens } + prefill.peerPrefillTokens + own) > prefillTime(state, own) * (decodePrefillSlowdown + 1);
 }
 
 auto prefersDecodePrefill(const ShardState& state, const ActiveRequest& request, const Replica* prefill) -> bool
@@ -196,7 +196,7 @@
     if (request.crashSuspicion == CrashSuspicion::Suspect)
         return std::nullopt;
     const auto tokens = prefill->reserved.prefillTokens + request.arrival.promptTokens;
-    const auto time = prefillTime(context.state, tokens);
+    const auto time = prefillTime(context.state, *prefill, tokens);
     if (!slotExpected(context, time, slotHeadroom))
         return std::nullopt;
     if (auto* decode = findReplicaWithExpectedSlot(context, request, time))
--- a/src/PrefillChoice.cpp
+++ b/src/PrefillChoice.cpp
@@ -2,7 +2,7 @@
 
 #include "Estimates.h"
 #include "Placement.h"
-
+#include "ReplicaIndex.h"
 #include "ZoneSearch.h"
 
 #include <algorithm>
@@ -68,7 +68,7 @@
         const auto id = replica.description.replica;
         const std::uint64_t own = m_request.arrival.promptTokens - expectedCachedTokens(state, m_request, id);
         const auto avoided = m_request.avoidedReplica == id ? avoidedReplicaCost : Duration::zero();
-        return prefillTime(state, std::uint64_t { replica.reserved.prefillTokens } + replica.peerPrefillTokens + own) + zoneCost(state, replica.description.zone) + avoided;
+        return prefillTime(state, replica, std::uint64_t { replica.reserved.prefillTokens } + replica.peerPrefillTokens + own) + zoneCost(state, replica.description.zone) + avoided;
     }
 
     DecisionContext& m_context;
@@ -83,7 +83,8 @@
     const auto fits = [&](const Replica& replica) { return prefillFits(context, request, replica); };
     const auto local = context.state.settings.localZone;
     Chooser chooser(context, request);
-    chooser.consider(leastLoadedInZone(context, PoolRole::Prefill, local, request, fits));
+    const auto completion = [&](const Replica& replica) { return atSpeed(prefillLoad(replica) + request.arrival.promptTokens, replica); };
+    chooser.consider(soonestInZone(context, PoolRole::Prefill, local, request, fits, completion));
     chooser.consider(leastLoadedElsewhere(context, PoolRole::Prefill, { local }, request, fits));
     chooser.consider(avoidedIfFits(context, PoolRole::Prefill, request, fits));
     const auto matchedBlocks = context.state.cache.matchedBlocks(request.arrival.prefixBlocks);
--- a/src/Replica.h
+++ b/src/Replica.h
@@ -8,6 +8,7 @@
 #include "Identifiers.h"
 #include "ReplicaChanged.h"
 #include "Reservation.h"
+#include "ServerSpeed.h"
 #include "Time.h"
 
 #include <cstdint>
@@ -86,6 +87,12 @@
     std::optional<TimePoint> disconnectedAt;
     /// When it was first reached after that.
     std::optional<TimePoint> reachedAt;
+    /// Speed at the work of its role.
+    ServerSpeed speed;
+    /// The speed that placement expects, as last computed. It is 1 if the difference from the mean is small.
+    double expectedSpeed = 1;
+    /// The expected speed is not computed again before this time.
+    TimePoint speedValidUntil = TimePoint::min();
     /// Whether the replica is in the placement index, and its key there.
     bool indexed = false;
     std::uint64_t indexKey = 0;
--- a/src/ReplicaEvents.cpp
+++ b/src/ReplicaEvents.cpp
@@ -5,6 +5,7 @@
 #include "ReplicaIndex.h"
 #include "RequestLifecycle.h"
 #include "ReservationAccounting.h"
+#include "SpeedEstimates.h"
 
 #include <algorithm>
 
@@ -75,6 +76,9 @@
         // The index is keyed by zone, so the replica is removed before its zone may change.
         removeFromIndex(context, replica);
     const auto previousState = replica.description.state;
+    // Another process under the same id may be of another speed.
+    if (!isNew && replica.description.process != event.process)
+        forgetSpeed(replica);
     replica.description = event;
     replica.description.state = previousState;
     changeState(context, replica, event.state);
@@ -147,6 +151,14 @@
     updateIndex(context, *replica);
 }
 
+auto handle(DecisionContext& context, const ReplicaSpeedReported& event) -> void
+{
+    auto* replica = findReplica(context.state, event.replica);
+    if (!replica || event.work != workOf(*replica))
+        return;
+    addHeardReplicaSpeed(context, *replica, event.speed);
+}
+
 auto handle(DecisionContext& context, const CacheEvents& event) -> void
 {
     if (findReplica(context.state, event.replica))
--- a/src/ReplicaEvents.h
+++ b/src/ReplicaEvents.h
@@ -6,6 +6,7 @@
 #include "DecisionContext.h"
 #include "ReplicaChanged.h"
 #include "ReplicaLimited.h"
+#include "ReplicaSpeedReported.h"
 
 namespace jayhold {
 
@@ -14,6 +15,7 @@
 /// requests runs on them.
 auto removeEndedReplicas(DecisionContext& context) -> void;
 auto handle(DecisionContext& context, const ReplicaLimited& event) -> void;
+auto handle(DecisionContext& context, const ReplicaSpeedReported& event) -> void;
 auto handle(DecisionContext& context, const CacheEvents& event) -> void;
 /// Handles the expiry of the replica's timer.
 auto handleReplicaTimer(DecisionContext& context, ReplicaId id) -> void;
--- a/src/ReplicaIndex.cpp
+++ b/src/ReplicaIndex.cpp
@@ -3,6 +3,7 @@
 #include "ReplicaHealth.h"
 #include "ReplicaPauses.h"
 #include "ReservationAccounting.h"
+#include "SpeedEstimates.h"
 
 #include <algorithm>
 
@@ -11,20 +12,18 @@
 namespace {
 
 constexpr int tieBreakBits = 16;
-/// Assumed for each prefill of a peer if only the number of prefills is known.
-constexpr std::uint64_t assumedPeerPromptTokens = 2'000;
+/// Assumed for each prefill of a peer if only the number of prefills is known, and for the next request.
+constexpr std::uint64_t assumedPromptTokens = 2'000;
+/// Time for one token on an idle decode replica, in units of what is added until the replica is full. With less, slow
+/// replicas get so much work that its tokens are late; with more, the fast ones run out of memory before the slow ones get
+/// work.
+constexpr std::uint64_t idleDecodeLoad = loadScale / 2;
 
 auto usedFraction(std::uint64_t used, std::uint64_t total) -> std::uint64_t
 {
     return total ? used * loadScale / total : 0;
 }
 
-auto prefillLoad(const Replica& replica) -> std::uint64_t
-{
-    const auto peers = replica.peerPrefillTokens ? std::uint64_t { replica.peerPrefillTokens } : std::uint64_t { replica.peerSlots } * assumedPeerPromptTokens;
-    return replica.reserved.prefillTokens + peers;
-}
-
 /// Orders replicas of equal load differently on each instance, so that instances with the same reports
 /// do not all choose the same replica.
 auto tieBreak(std::uint64_t seed, ReplicaId id) -> std::uint64_t
@@ -35,8 +34,9 @@
 
 auto indexKey(const ShardState& state, const Replica& replica) -> std::uint64_t
 {
-    const auto load = replica.role() == PoolRole::Prefill ? prefillLoad(replica) : decodeLoad(replica);
-    return load << tieBreakBits | tieBreak(state.settings.seed, replica.description.replica);
+    // In proportion to the time in which the next request would be completed. At equal speeds the order is that of the load.
+    const auto load = replica.role() == PoolRole::Prefill ? prefillLoad(replica) + assumedPromptTokens : decodeLoad(replica) + idleDecodeLoad;
+    return atSpeed(load, replica) << tieBreakBits | tieBreak(state.settings.seed, replica.description.replica);
 }
 
 /// After an ejection the replica gets one request at a time until one succeeds.
@@ -72,7 +72,7 @@
 auto nextTimer(const Replica& replica, TimePoint now) -> TimePoint
 {
     auto next = TimePoint::max();
-    for (const auto time : { replica.busyUntil, replica.ejectedUntil, replica.pausedUntil, replica.crashReportWaitUntil, processKnownAt(replica) }) {
+    for (const auto time : { replica.busyUntil, replica.ejectedUntil, replica.pausedUntil, replica.crashReportWaitUntil, processKnownAt(replica), nextSpeedCheck(replica) }) {
         if (time > now)
             next = std::min(next, time);
     }
@@ -83,6 +83,17 @@
 
 }
 
+auto prefillLoad(const Replica& replica) -> std::uint64_t
+{
+    const auto peers = replica.peerPrefillTokens ? std::uint64_t { replica.peerPrefillTokens } : std::uint64_t { replica.peerSlots } * assumedPromptTokens;
+    return replica.reserved.prefillTokens + peers;
+}
+
+auto atSpeed(std::uint64_t load, const Replica& replica) -> std::uint64_t
+{
+    return static_cast<std::uint64_t>(static_cast<double>(load) / replica.expectedSpeed);
+}
+
 auto decodeLoad(const Replica& replica) -> std::uint64_t
 {
     return decodeLoad(replica, replica.reserved);
@@ -144,6 +155,7 @@
 
 auto updateIndex(DecisionContext& context, Replica& replica) -> void
 {
+    refreshExpectedSpeed(replica, context.now);
     countPause(context.state, replica, context.now);
     countFreeSlots(context.state, replica);
     const auto accepts = acceptsWork(replica, context.now);
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -199,6 +199,7 @@
     if (state.settings.reservesSlots && !placement.replacement)
         state.awaitingSlotReply.insert(request.arrival.request);
     request.prefillBacklogTokens = prefill.reserved.prefillTokens;
+    request.prefillPeerTokens = prefill.peerPrefillTokens;
     recordPrefillZone(context, prefill);
     state.totals.prefillTokens += request.arrival.promptTokens;
     enterPhase(context, request, RequestPhase::Prefilling);
--- a/src/RoleBalance.cpp
+++ b/src/RoleBalance.cpp
@@ -60,8 +60,10 @@
     const auto work = balance.decodeWork + weighted;
     if (work < minWork)
         return 0;
-    const auto wanted = std::clamp(total * balance.decodeWork / work, 1.0, static_cast<double>(total - 1));
-    const auto difference = wanted - demand.decodeReplicas;
+    // In replicas of mean speed.
+    const auto capacity = total + demand.prefillSurplus + demand.decodeSurplus;
+    const auto wanted = std::clamp(capacity * balance.decodeWork / work, 1.0, static_cast<double>(total - 1));
+    const auto difference = wanted - (demand.decodeReplicas + demand.decodeSurplus);
     if (difference < hysteresisToDecode && difference > -hysteresisToPrefill)
         return 0;
     const auto maxChange = std::max(1.0, std::floor(total * maxChangeFraction));
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -14,6 +14,7 @@
 #include "ReservationAccounting.h"
 #include "ShardSummary.h"
 #include "SilentAttempts.h"
+#include "SpeedEstimates.h"
 #include "UndecidedCrashes.h"
 #include "VersionBinding.h"
 
@@ -173,12 +174,14 @@
             continue;
         if (replica.role() == PoolRole::Prefill) {
             ++demand.prefillReplicas;
-            demand.prefillWork += committedReservation(replica, waitingReservations).slots + replica.peerSlots;
+            demand.prefillSurplus += replica.expectedSpeed - 1;
+            demand.prefillWork += (committedReservation(replica, waitingReservations).slots + replica.peerSlots) * replica.expectedSpeed;
             continue;
         }
         ++demand.decodeReplicas;
+        demand.decodeSurplus += replica.expectedSpeed - 1;
         memoryBlocks += replica.description.memoryBlocks;
-        demand.decodeWork += static_cast<double>(decodeLoad(replica, committedReservation(replica, waitingReservations))) / static_cast<double>(loadScale);
+        demand.decodeWork += static_cast<double>(decodeLoad(replica, committedReservation(replica, waitingReservations))) / static_cast<double>(loadScale) * replica.expectedSpeed;
     }
     // Peers are assumed to have as many requests waiting for memory as this instance.
     const auto waiting = static_cast<double>(waitingForCapacity(state) + state.awaitingSlotReply.size()) * assumedInstances(state.settings);
@@ -187,6 +190,26 @@
     return demand;
 }
 
+auto observedSpeeds(const Shard& shard, TimePoint now) -> std::vector<ReplicaSpeed>
+{
+    std::vector<ReplicaSpeed> speeds;
+    for (const auto& [id, replica] : shard.state->replicas) {
+        if (const auto observed = observedSpeed(replica.speed, now); isReportable(observed) && replica.description.state != ReplicaState::Gone)
+            speeds.push_back({ id, workOf(replica), observed });
+    }
+    return speeds;
+}
+
+auto summarizeSpeeds(const Shard& shard) -> SpeedSummary
+{
+    SpeedSummary summary;
+    for (const auto& [id, replica] : shard.state->replicas) {
+        if (replica.description.state == ReplicaState::Live)
+            addSpeed(summary, replica.expectedSpeed);
+    }
+    return summary;
+}
+
 auto tryConsumeRetry(Shard& shard, TimePoint now, ReplicaId id) -> bool
 {
     auto* replica = findReplica(*shard.state, id);
--- a/src/Shard.h
+++ b/src/Shard.h
@@ -6,10 +6,12 @@
 
 #include "DecisionAction.h"
 #include "DecisionEvent.h"
+#include "ReplicaSpeed.h"
 #include "ReplicaUsage.h"
 #include "RetryBudget.h"
 #include "RoleDemand.h"
 #include "ShardSettings.h"
+#include "SpeedSummary.h"
 #include "Time.h"
 
 #include <memory>
@@ -39,6 +41,10 @@
 
 /// @return the work for the two roles, as far as this instance knows it.
 auto roleDemand(const Shard& shard) -> RoleDemand;
+/// @return the speeds that this shard has observed itself, of the replicas that it has used recently.
+auto observedSpeeds(const Shard& shard, TimePoint now) -> std::vector<ReplicaSpeed>;
+/// @return how the expected speeds of the replicas differ.
+auto summarizeSpeeds(const Shard& shard) -> SpeedSummary;
 
 /// Takes a retry from the budget for a call to the replica that the shard has not started.
 /// @return false if the budget is exhausted, or the replica takes no further call now.
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -20,6 +20,7 @@
 #include "ServiceRates.h"
 #include "ShardSettings.h"
 #include "ShardSummary.h"
+#include "SpeedReference.h"
 #include "StartInterval.h"
 #include "TimerQueue.h"
 #include "UndecidedCrash.h"
@@ -67,6 +68,8 @@
     std::optional<ZoneId> remotePrefillZone;
     DecodeEndHistogram decodeEnds;
     ServiceRates rates;
+    SpeedReference prefillReference;
+    SpeedReference decodeReference;
     /// Indexed by request kind.
     std::vector<LengthModel> lengthModels;
     /// Signatures of requests that crash engines, with the times until which they are refused.
--- a/src/ZoneSearch.h
+++ b/src/ZoneSearch.h
@@ -52,6 +52,30 @@
     return found == zones.end() ? nullptr : leastLoadedInZone(context, found->second, request, fits);
 }
 
+/// @param completion time until a replica has completed the request, in any unit.
+/// @return the replica of the zone that fits and completes the request first, the least loaded of several; null if there is
+/// none. The order of the index is that of a typical request, which another one can change at unequal speeds only.
+template <typename Fits, typename Completion>
+auto soonestInZone(DecisionContext& context, PoolRole role, ZoneId zone, const ActiveRequest& request, Fits fits, Completion completion) -> Replica*
+{
+    const auto& zones = candidatesOf(context.state, role, request);
+    const auto found = zones.find(zone);
+    if (found == zones.end())
+        return nullptr;
+    Replica* best = nullptr;
+    std::size_t examined = 0;
+    for (const auto& [load, id] : found->second) {
+        if (++examined > examinedPerZone)
+            break;
+        auto* replica = findReplica(context.state, id);
+        if (best && completion(*replica) >= completion(*best))
+            continue;
+        if (request.avoidedReplica != id && fits(*replica))
+            best = replica;
+    }
+    return best;
+}
+
 /// @return the least loaded of the best replicas of all zones, except the excluded ones.
 template <typename Fits>
 auto leastLoadedElsewhere(DecisionContext& context, PoolRole role, std::initializer_list<ZoneId> excludedZones, const ActiveRequest& request, Fits fits) -> Replica*
