Report speeds of backend servers and place plain calls by them

Cause: an instance sees each of 48 engines about once a minute, so it learns too late which of them are slow. Plain calls went to the server of the zone with the fewest calls in flight, also while that server was slow.

Plain calls go to the server that completes them first, and to another zone if that saves 10 ms.

--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -2,8 +2,8 @@
   UNITS AdminApi BackendCallOptions ApiError CallSignature CallerApi CallerChecks ClusterRecords CompletionFormat
     CompletionRequest CompletionWriter ConfigurationIndex ConnectionLog CustomerIdentity DecodeRelay EngineClient EngineError EngineMessages
     EngineMonitor EntryDaemon DrainWait EntryDaemonDrain EntrySettings ForwardApi ForwardChecks OrphanDetector LatencyHistogram LostOwners
-    Metrics ModelRequest ModelRequestFallback ModelRequestLog ModelRequestReservations ModelRequestTasks ModelRequestVersion RequestTimeouts ModelService ModelServiceReplicas ModelServiceTimer NativeProtocols PassThroughReader PassThroughWriter PlainBalancer PlainRoute
-    PlainService PlainServiceAttempts PlainServiceCrashes PlainServiceLog PromptDigest RecentDurations RequestStateMachine RoleBalancer RouterHttpSettings RouterSamples RouteTable RouterDaemon RunId ServiceTable ServiceTablePauses StatusReport TokenEventReader
+    Metrics ModelRequest ModelRequestFallback ModelRequestLog ModelRequestReservations ModelRequestTasks ModelRequestVersion RequestTimeouts ModelService ModelServiceReplicas ModelServiceSpeeds ModelServiceTimer NativeProtocols PassThroughReader PassThroughWriter PlainBalancer PlainRoute
+    PlainService PlainServiceAttempts PlainServiceCrashes PlainServiceLog PlainServiceSpeeds PromptDigest RecentDurations RequestStateMachine RoleBalancer RouterHttpSettings RouterSamples RouteTable RouterDaemon RunId ServiceTable ServiceTablePauses ServiceTableSpeeds SpeedReporter StatusReport TokenEventReader
     TokenSequence
   LINK jayhold_cluster jayhold_decision jayhold_operator jayhold_http)
 
@@ -25,3 +25,7 @@
   SOURCES test/correctness/BackendPausesTest.cpp test/correctness/PausedBackendTest.cpp test/correctness/PausedReplicaTest.cpp
     test/correctness/PausePropertyTest.cpp test/correctness/PausedShardPropertyTest.cpp
   LINK jayhold_entry)
+
+jayhold_test(speed_report_test
+  SOURCES test/correctness/SpeedMessageTest.cpp test/correctness/UnevenPlainServersTest.cpp
+  LINK jayhold_entry)
--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -197,6 +197,7 @@
         .usages = std::move(usages),
         .backendsChangingRole = std::move(backendsChangingRole),
         .limits = std::move(limits),
+        .speeds = state.callbacks.speedReports(),
         .signatures = takeRumors(state.signatures, maxCrashReportsPerMessage),
         .suspects = takeRumors(state.suspects, maxCrashReportsPerMessage),
         .promptReports = takeRumors(state.promptReports, maxPromptReportsPerMessage),
@@ -350,12 +351,16 @@
     const auto backendsChangingRole = message.backendsChangingRole;
     const auto revisions = message.revisions;
     const auto limits = message.limits;
+    const auto speeds = message.speeds;
+    const auto instance = message.instance;
     if (!applyMessage(state.loads, monotonicNow(), std::move(message)))
         return;
     for (const auto& [kind, revision] : revisions)
         state.callbacks.onRevision(kind, revision);
     if (!limits.empty())
         state.callbacks.onLimitReports(limits);
+    if (!speeds.empty())
+        state.callbacks.onSpeedReports(instance, speeds);
     if (!backendsChangingRole.empty())
         state.callbacks.onBackendsChangingRole(backendsChangingRole);
     state.callbacks.onPeerUsage(totalUsage(state.loads));
--- a/src/LoadExchange.h
+++ b/src/LoadExchange.h
@@ -31,6 +31,10 @@
     std::function<std::vector<LimitReport>()> limitReports = [] { return std::vector<LimitReport>(); };
     /// Receives the limits that a peer has observed.
     std::function<void(const std::vector<LimitReport>&)> onLimitReports = [](const std::vector<LimitReport>&) {};
+    /// @return the observed speeds of backend servers that the next message reports.
+    std::function<std::vector<SpeedReport>()> speedReports = [] { return std::vector<SpeedReport>(); };
+    /// Receives the speeds that a peer has observed.
+    std::function<void(const std::string& instance, const std::vector<SpeedReport>&)> onSpeedReports = [](const std::string&, const std::vector<SpeedReport>&) {};
     /// Receives the sum of the peers' reservations.
     std::function<void(const std::vector<BackendUsage>&)> onPeerUsage;
     /// @return backend servers that this instance has recently ordered to change their role.
--- a/src/LoadMessage.cpp
+++ b/src/LoadMessage.cpp
@@ -55,6 +55,29 @@
     return code ? std::nullopt : std::optional(std::move(report));
 }
 
+auto toJson(const SpeedReport& report) -> json::value
+{
+    constexpr double steps = 1'000;
+    const auto milliseconds = [](Duration duration) { return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(); };
+    return json::array { report.backend, report.incarnation, name(report.work), std::round(report.speed * steps) / steps, milliseconds(report.observed), milliseconds(report.age) };
+}
+
+auto readSpeed(const json::value& value) -> std::optional<SpeedReport>
+{
+    constexpr std::size_t fieldCount = 6;
+    const auto* fields = value.if_array();
+    if (!fields || fields->size() != fieldCount || !(*fields)[0].is_string() || !(*fields)[1].is_string() || !(*fields)[2].is_string())
+        return std::nullopt;
+    const auto work = workTypeOf(std::string_view((*fields)[2].get_string()));
+    boost::system::error_code speedCode;
+    const auto speed = (*fields)[3].to_number<double>(speedCode);
+    std::uint32_t observedMs = 0;
+    std::uint32_t ageMs = 0;
+    if (!work || speedCode || !std::isfinite(speed) || speed <= 0 || !readCount((*fields)[4], observedMs) || !readCount((*fields)[5], ageMs))
+        return std::nullopt;
+    return SpeedReport { std::string((*fields)[0].get_string()), std::string((*fields)[1].get_string()), *work, speed, std::chrono::milliseconds(observedMs), std::chrono::milliseconds(ageMs) };
+}
+
 auto readUsage(const json::value& value) -> std::optional<BackendUsage>
 {
     const auto* fields = value.if_array();
@@ -104,6 +127,12 @@
             limits.push_back(toJson(report));
         object["limits"] = std::move(limits);
     }
+    if (!message.speeds.empty()) {
+        json::array speeds;
+        for (const auto& report : message.speeds)
+            speeds.push_back(toJson(report));
+        object["speeds"] = std::move(speeds);
+    }
     if (!message.signatures.empty())
         object["signatures"] = json::array(message.signatures.begin(), message.signatures.end());
     if (!message.suspects.empty()) {
@@ -146,6 +175,11 @@
         if (auto report = readLimit(element))
             message.limits.push_back(std::move(*report));
     }
+    const auto* speeds = arrayField(*object, "speeds");
+    for (const auto& element : speeds ? *speeds : json::array()) {
+        if (auto report = readSpeed(element); report && message.speeds.size() < maxSpeedReportsPerMessage)
+            message.speeds.push_back(std::move(*report));
+    }
     const auto* signatures = arrayField(*object, "signatures");
     for (const auto& element : signatures ? *signatures : json::array()) {
         boost::system::error_code code;
--- a/src/LoadMessage.h
+++ b/src/LoadMessage.h
@@ -6,6 +6,7 @@
 #include "BackendUsage.h"
 #include "CrashSuspect.h"
 #include "PromptReport.h"
+#include "SpeedReport.h"
 
 #include <cstdint>
 #include <map>
@@ -27,6 +28,8 @@
     std::vector<std::string> backendsChangingRole;
     /// Limits of backend servers that the instance has recently observed.
     std::vector<LimitReport> limits;
+    /// Observed speeds of backend servers, at most maxSpeedReportsPerMessage.
+    std::vector<SpeedReport> speeds;
     /// Signatures of requests that crash backend servers.
     std::vector<std::uint64_t> signatures;
     /// Requests that were in flight on backend servers that crashed.
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -16,6 +16,7 @@
 #include "ServerReplacement.h"
 #include "Shard.h"
 #include "ShardSummary.h"
+#include "SpeedReport.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -126,6 +127,14 @@
     /// Replaces the capacity that all peers have reserved; backend servers of other services are ignored.
     auto updatePeerUsage(std::span<const BackendUsage> usages) -> void;
 
+    /// @return the speeds of backend servers that this instance has observed recently.
+    auto observedSpeeds() const -> std::vector<SpeedReport>;
+    /// Processes the speeds that another instance has observed; backend servers of other services are ignored.
+    /// @param sender identifies the instance.
+    auto handleSpeedReports(std::uint64_t sender, std::span<const SpeedReport> reports) -> void;
+    /// @return how the expected speeds of the live engines differ.
+    auto speedSummary() const -> SpeedSummary;
+
     /// @return the request id that identifies an attempt at the engines.
     auto engineRequestId(RequestId request, Attempt attempt) const -> std::string;
     /// @return whether the id names an attempt of an open request on this replica, for which the engine may
--- a/src/PlainBackend.h
+++ b/src/PlainBackend.h
@@ -4,6 +4,7 @@
 
 #include "BackendServer.h"
 #include "CallAllowance.h"
+#include "ServerSpeed.h"
 #include "Time.h"
 
 #include <cstdint>
@@ -20,6 +21,8 @@
     std::uint32_t suspects = 0;
     /// The calls that this instance may send, if the server has named a limit.
     std::optional<CallAllowance> allowance {};
+    /// Speed of the process at the calls of its service.
+    ServerSpeed speed {};
     std::uint32_t consecutiveFailures = 0;
     /// Whether the last contact of this instance with the process was an answer.
     bool isAnswering = false;
--- a/src/PlainBalancer.cpp
+++ b/src/PlainBalancer.cpp
@@ -33,15 +33,33 @@
     return !isEjected(backend) || (now >= backend.ejectedUntil && backend.inFlight == 0);
 }
 
-/// Whether the first of two usable servers is the better choice.
-auto isBetter(const PlainBackend& left, const PlainBackend& right) -> bool
+/// A call in another zone must be this much shorter, because traffic between zones has a cost.
+constexpr Duration otherZoneCallCost = std::chrono::milliseconds(10);
+
+/// @return the time until the server would have completed one more call, in calls at the mean speed.
+auto completionTime(const PlainBackend& backend, TimePoint now) -> double
+{
+    return (backend.inFlight + 1.0) / expectedSpeed(backend.speed, now, Duration::zero());
+}
+
+/// Whether the first of two usable servers of the own zone, or of two in other zones, is the better choice.
+auto isBetter(const PlainBackend& left, const PlainBackend& right, TimePoint now) -> bool
 {
     // A call beside one that may crash the server can be lost with it.
     if ((left.suspects == 0) != (right.suspects == 0))
         return left.suspects == 0;
-    if (left.isLocal != right.isLocal)
-        return left.isLocal;
-    return left.inFlight < right.inFlight;
+    return completionTime(left, now) < completionTime(right, now);
+}
+
+/// Whether a server of another zone is the better choice than one of the own zone.
+auto isWorthMove(const PlainBackend& local, const PlainBackend& remote, TimePoint now, Duration callTime) -> bool
+{
+    if ((local.suspects == 0) != (remote.suspects == 0))
+        return remote.suspects == 0;
+    const auto localSpeed = expectedSpeed(local.speed, now, Duration::zero());
+    const auto remoteSpeed = expectedSpeed(remote.speed, now, Duration::zero());
+    const auto time = static_cast<double>(callTime.count());
+    return time / localSpeed > time / remoteSpeed + static_cast<double>(otherZoneCallCost.count());
 }
 
 auto removeCall(PlainBackend& backend, TimePoint now, bool isServed) -> void
@@ -80,6 +98,7 @@
             backend.isReturning = known->isReturning;
             backend.hasFirstCall = known->hasFirstCall;
             backend.isAnswering = known->isAnswering;
+            backend.speed = known->speed;
         }
         backend.consecutiveFailures = known->consecutiveFailures;
         backend.ejectedUntil = known->ejectedUntil;
@@ -141,21 +160,36 @@
     return next;
 }
 
-auto PlainBalancer::acquire(TimePoint now, std::span<const std::string> excluded) -> std::optional<BackendServer>
+auto PlainBalancer::acquire(TimePoint now, std::span<const std::string> excluded, Duration callTime) -> std::optional<BackendServer>
 {
-    PlainBackend* best = nullptr;
+    PlainBackend* local = nullptr;
+    PlainBackend* remote = nullptr;
     // The start of the search rotates, so that equally loaded servers are chosen in turn.
     ++m_searchStart;
     for (std::size_t offset = 0; offset < m_backends.size(); ++offset) {
         auto& candidate = m_backends[(m_searchStart + offset) % m_backends.size()];
         if (!isAvailable(candidate, now) || std::ranges::find(excluded, candidate.server.id) != excluded.end())
             continue;
-        if (!best || isBetter(candidate, *best))
+        auto& best = candidate.isLocal ? local : remote;
+        if (!best || isBetter(candidate, *best, now))
             best = &candidate;
     }
+    auto* best = local && (!remote || !isWorthMove(*local, *remote, now, callTime)) ? local : remote;
     return best ? std::optional(take(*best, now)) : std::nullopt;
 }
 
+auto PlainBalancer::recordSpeed(TimePoint now, const BackendServer& server, double expectedSeconds, double seconds) -> void
+{
+    if (auto* backend = find(server.id); backend && hasSameIncarnation(backend->server, server))
+        observeSpeed(backend->speed, now, expectedSeconds, seconds);
+}
+
+auto PlainBalancer::addReportedSpeed(TimePoint now, std::string_view id, std::string_view incarnation, const HeardSpeed& heard) -> void
+{
+    if (auto* backend = find(id); backend && backend->server.incarnation == incarnation)
+        addHeardSpeed(backend->speed, now, heard);
+}
+
 auto PlainBalancer::take(PlainBackend& backend, TimePoint now) -> BackendServer
 {
     if (backend.allowance)
--- a/src/PlainBalancer.h
+++ b/src/PlainBalancer.h
@@ -1,7 +1,7 @@
 #pragma once
 
-/// The load balancer of a plain service. It chooses the backend server with the fewest calls in flight,
-/// preferably in the instance's own availability zone. Servers that fail repeatedly are ejected for a
+/// The load balancer of a plain service. It chooses the backend server that is expected to complete a call first: at equal
+/// speeds the one with the fewest calls in flight, preferably in the instance's own availability zone. Servers that fail repeatedly are ejected for a
 /// limited time and readmitted after a single successful probe. It uses no clock, socket or lock.
 
 #include "BackendPauses.h"
@@ -44,8 +44,16 @@
 
     /// Chooses a backend server and takes one of its slots.
     /// @param excluded ids of the servers that this call has tried.
+    /// @param callTime duration of such a call at the mean speed of the service; zero if it is not known. A call goes to a
+    /// faster server of another zone only if that saves enough of it.
     /// @return the server, or std::nullopt if none is available.
-    auto acquire(TimePoint now, std::span<const std::string> excluded) -> std::optional<BackendServer>;
+    auto acquire(TimePoint now, std::span<const std::string> excluded, Duration callTime = Duration::zero()) -> std::optional<BackendServer>;
+
+    /// Adds the duration of a call to the estimated speed of the server; ignored if its process is another one.
+    /// @param expectedSeconds duration at the mean speed of the service.
+    auto recordSpeed(TimePoint now, const BackendServer& server, double expectedSeconds, double seconds) -> void;
+    /// Adds another instance's estimate of the speed of a server; ignored if its process is another one.
+    auto addReportedSpeed(TimePoint now, std::string_view id, std::string_view incarnation, const HeardSpeed& heard) -> void;
 
     /// Chooses a backend server for a call that may crash it. No server gets a second such call at the same time, and all
     /// instances choose the same server for a signature, so that copies of a call crash one server and not several.
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -56,6 +56,7 @@
     m_pools = service.pools;
     m_retry = service.retry;
     std::erase_if(m_durations, [&](const auto& entry) { return std::ranges::find(service.kinds, entry.first, &RequestKind::name) == service.kinds.end(); });
+    std::erase_if(m_callReferences, [&](const auto& entry) { return std::ranges::find(service.kinds, entry.first, &RequestKind::name) == service.kinds.end(); });
     updateBudgetLocked();
 }
 
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -15,6 +15,9 @@
 #include "RecentDurations.h"
 #include "RetryBudget.h"
 #include "Service.h"
+#include "SpeedReference.h"
+#include "SpeedReport.h"
+#include "SpeedSummary.h"
 #include "UpdateBlockedPart.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -55,6 +58,14 @@
     auto updateInstanceCount(std::uint32_t instanceCount) -> void;
     auto backends() const -> std::vector<PlainBackend>;
 
+    /// @return the speeds of backend servers that this instance has observed recently.
+    auto observedSpeeds() const -> std::vector<SpeedReport>;
+    /// Processes the speeds that another instance has observed; backend servers of other services are ignored.
+    /// @param sender identifies the instance.
+    auto handleSpeedReports(std::uint64_t sender, std::span<const SpeedReport> reports) -> void;
+    /// @return how the expected speeds of the live backend servers differ.
+    auto speedSummary() const -> SpeedSummary;
+
     /// Processes a peer's report of a call that was in flight on a server that crashed, or has got an answer since.
     auto handleCrashReport(const PromptReport& report) -> void;
     /// Applies the list of blocked crash signatures that all instances share.
@@ -135,6 +146,10 @@
     auto canEndBeforeExit(const PlainCallInfo& call) const -> bool;
     /// Records the duration of a call that was executed, for the estimate of later ones.
     auto recordDuration(const PlainCallInfo& call, Duration duration) -> void;
+    /// Records how long a server took for a call. An attempt that was given up took at least that long.
+    auto recordSpeed(const PlainCallInfo& call, const BackendServer& server, Duration duration, const PlainAttempt& attempt, bool wasGivenUp) -> void;
+    /// @return the duration of such a call at the mean speed of the servers, or zero if it is not known; requires the lock.
+    auto meanCallTimeLocked(const PlainCallInfo& call) const -> Duration;
     /// Sends a call to backend servers until one returns a final response or no further attempt is allowed.
     /// @param isRepeatable whether a call that may have been executed can be sent again.
     auto runCall(HttpClient& client, const PlainCallInfo& call, bool isRepeatable, CallState& state) -> boost::asio::awaitable<PlainAttempt>;
@@ -203,6 +218,7 @@
     RetryBudget m_budget;
     /// By name of the kind, for the kinds of the configuration.
     std::map<std::string, RecentDurations> m_durations;
+    std::map<std::string, SpeedReference> m_callReferences;
     /// Crashes of servers by the signatures of the calls that had no answer. Each signature is its prompt's only part.
     PromptPartCrashes m_crashes { .rules = callCrashRules };
     /// Oldest first.
--- a/src/PlainServiceAttempts.cpp
+++ b/src/PlainServiceAttempts.cpp
@@ -140,7 +140,7 @@
             return false;
         if (m_budget.remaining() < 1)
             return true;
-        server = m_balancer.acquire(monotonicNow(), state.triedBackends);
+        server = m_balancer.acquire(monotonicNow(), state.triedBackends, meanCallTimeLocked(call));
         if (!server)
             return true;
         m_budget.tryConsume();
@@ -202,6 +202,7 @@
     HttpResult<HttpResponse> result = HttpError { HttpErrorKind::ConnectionLost, {} };
     std::exception_ptr thrown;
     const auto wasAnswering = isAnswering(backend);
+    const auto sentAt = monotonicNow();
     try {
         result = co_await asio::co_spawn(executor, sendCall(client, backend, call), asio::bind_cancellation_slot(interrupt.slot(), asio::use_awaitable));
     } catch (...) {
@@ -214,6 +215,8 @@
         attempt = attemptFromResponse(backend, call, std::move(*result));
     else
         attempt = attemptFromError(backend, result.error(), state);
+    const auto wasReplaced = !thrown && result.has_error() && result.error().kind == HttpErrorKind::Cancelled && !state.isCallerDisconnected;
+    recordSpeed(call, backend, monotonicNow() - sentAt, attempt, attempt.hasTimedOut || wasReplaced);
     const auto isLost = !thrown && result.has_error() && result.error().kind == HttpErrorKind::ConnectionLost;
     if (isLost && !state.isCallerDisconnected)
         attempt.hasCrashed = co_await hasCrashed(client, backend, call, wasAnswering);
--- a/src/PlainServiceCrashes.cpp
+++ b/src/PlainServiceCrashes.cpp
@@ -51,7 +51,7 @@
             last.isRefusedAsCrashing = isBlockedLocked(call, state, updates);
             state.isSuspect = !last.isRefusedAsCrashing && isSuspectLocked(call);
             if (!last.isRefusedAsCrashing)
-                server = state.isSuspect ? m_balancer.acquireForSuspect(now, state.triedBackends, call.signature) : m_balancer.acquire(now, state.triedBackends);
+                server = state.isSuspect ? m_balancer.acquireForSuspect(now, state.triedBackends, call.signature) : m_balancer.acquire(now, state.triedBackends, meanCallTimeLocked(call));
             mustWait = state.isSuspect && !server && now < waitUntil && m_balancer.awaitsSuspect(now, state.triedBackends);
         }
         publish(updates);
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -170,6 +170,8 @@
                     directory->handlePeerMessage(instance); },
             .limitReports = [this] { return services.limitReports(); },
             .onLimitReports = [this](const std::vector<LimitReport>& reports) { services.handleLimitReports(reports); },
+            .speedReports = [this] { return services.speedReports(); },
+            .onSpeedReports = [this](const std::string& instance, const std::vector<SpeedReport>& reports) { services.handleSpeedReports(instance, reports); },
             .onPeerUsage = [this](const std::vector<BackendUsage>& usages) { services.updatePeerUsage(usages); },
             .backendsChangingRole = [this] { return roleBalancer ? roleBalancer->backendsChangingRole() : std::vector<std::string>(); },
             .onRevision = [this](const std::string& kind, std::int64_t revision) {
--- a/src/ServerSpeed.h
+++ b/src/ServerSpeed.h
@@ -4,11 +4,11 @@
 /// average holds the lasting speed, to which the reports of other instances are added; a fast one recognises a phase of
 /// less than a second in which the server is slower. Without observations the estimate returns to the mean.
 
+#include "HeardSpeed.h"
+#include "ObservedSpeed.h"
 #include "WorkAverage.h"
 
 #include <array>
-#include <cstddef>
-#include <cstdint>
 
 namespace jayhold {
 
@@ -20,16 +20,6 @@
 /// A report of another instance is used for this time after its last observation.
 inline constexpr Duration speedReportTtl = std::chrono::seconds(10);
 
-/// An estimate of another instance.
-struct HeardSpeed {
-    /// Identifies the instance; its next report replaces this one.
-    std::uint64_t sender = 0;
-    double speed = 1;
-    /// Time that the observed work took, which is the weight of the report. An entry without weight is unused.
-    double seconds = 0;
-    TimePoint observedAt {};
-};
-
 struct ServerSpeed {
     /// In seconds at mean speed and seconds taken.
     WorkAverage fast;
@@ -56,15 +46,6 @@
 /// @return the speed to expect for work that starts now; exactly 1 if the difference from the mean is small.
 auto expectedSpeed(const ServerSpeed& speed, TimePoint now, Duration workTime) -> double;
 
-/// What this instance has observed itself, which it may report to others.
-struct ObservedSpeed {
-    double speed = 1;
-    /// Time that the work took, with the weight that is left of it.
-    Duration observed {};
-    /// Time since the last observation.
-    Duration age {};
-};
-
 /// @return the own observations, without the reports of others, which would otherwise return to their senders.
 auto observedSpeed(const ServerSpeed& speed, TimePoint now) -> ObservedSpeed;
 
--- a/src/ServiceTable.cpp
+++ b/src/ServiceTable.cpp
@@ -342,6 +342,7 @@
     }
     for (const auto& service : plainServices())
         samples.push_back({ "jayhold_plain_retries_left", "Retries of plain calls that the budget allows now.", service->retryBudget().remaining(), false, "service", service->name() });
+    addSpeedSamples(samples);
     const std::lock_guard guard(m_lock);
     addPauseSamplesLocked(samples);
     for (const auto& [backend, observation] : m_limits.observations) {
--- a/src/ServiceTable.h
+++ b/src/ServiceTable.h
@@ -9,6 +9,7 @@
 #include "EngineMonitor.h"
 #include "ModelService.h"
 #include "PlainService.h"
+#include "SpeedReporter.h"
 
 #include <map>
 #include <memory>
@@ -51,6 +52,10 @@
     auto limitReports() const -> std::vector<LimitReport>;
     /// Processes the limits that a peer has observed.
     auto handleLimitReports(std::span<const LimitReport> reports) -> void;
+    /// @return the observed speeds of backend servers that the next load message reports.
+    auto speedReports() -> std::vector<SpeedReport>;
+    /// Processes the speeds that another instance has observed.
+    auto handleSpeedReports(std::string_view instance, std::span<const SpeedReport> reports) -> void;
     /// Tells all shards that the instance is draining, also those of services that are added later.
     auto startDraining(const DrainStarted& drain) -> void;
     auto stop() -> void;
@@ -86,6 +91,8 @@
     auto recordPauseLocked(const BackendServer& server, Duration delay) -> void;
     /// Updates the known pauses before the list of servers is passed to the services.
     auto updatePausesLocked() -> void;
+    /// Appends how the speeds of the backend servers of each service differ.
+    auto addSpeedSamples(std::vector<Metrics::Sample>& samples) const -> void;
     /// Appends the remaining times of the pauses.
     auto addPauseSamplesLocked(std::vector<Metrics::Sample>& samples) const -> void;
     /// Passes this instance's shares of the limits to the services.
@@ -105,6 +112,7 @@
     std::vector<BackendServer> m_backends;
     BackendLimits m_limits;
     BackendPauses m_pauses;
+    SpeedReporter m_speedReporter;
     /// Number of pauses that servers have asked for since the start.
     std::uint64_t m_pauseCount = 0;
     /// Empty until the instances are known.
--- a/test/correctness/UnevenEnginesTest.cpp
+++ b/test/correctness/UnevenEnginesTest.cpp
@@ -1,3 +1,4 @@
+#include "RoleBalance.h"
 #include "ShardHarness.h"
 
 #include <catch2/catch.hpp>
@@ -229,3 +230,34 @@
     CHECK(harness.startDecode(2).decode == ReplicaId { 100 });
     CHECK(harness.startDecode(3).decode == ReplicaId { 101 });
 }
+
+// Load pattern: decodes fill engines of which some are slow.
+// Guards against a balance of roles that counts slow engines as whole ones.
+TEST_CASE("the balance of roles counts engines by their speed")
+{
+    const auto changeFor = [](double decodeSurplus) {
+        RoleBalance balance;
+        const RoleDemand demand { .prefillReplicas = 4, .decodeReplicas = 6, .prefillSurplus = 0, .decodeSurplus = decodeSurplus, .prefillWork = 3.2, .decodeWork = 2.4 };
+        for (auto now = TimePoint(1s); now < TimePoint(20s); now += 250ms)
+            observeDemand(balance, now, demand);
+        return desiredRoleChange(balance, TimePoint(20s), demand);
+    };
+    CHECK(changeFor(0) == 0);
+    CHECK(changeFor(-1.8) == 1);
+}
+
+// Guards against work at a slow engine that counts like the same at a fast one.
+TEST_CASE("the demand of a role is in engines of mean speed")
+{
+    ShardHarness harness;
+    harness.replica(1, PoolRole::Prefill, 100);
+    harness.replica(100, PoolRole::Decode, 10);
+    harness.startDecode(1);
+    const auto before = roleDemand(harness.shard);
+    CHECK(before.decodeSurplus == 0);
+    harness.send(ReplicaSpeedReported { ReplicaId { 100 }, WorkType::Decode, { 1, 0.5, 2, harness.now } });
+    const auto after = roleDemand(harness.shard);
+    CHECK(after.decodeSurplus == Approx(-0.4));
+    CHECK(after.decodeWork == Approx(before.decodeWork * 0.6));
+    CHECK(after.decodeReplicas == before.decodeReplicas);
+}
