Apply customers' quotas over all instances

Cause: customers had quotas in the configuration, and nothing limited their requests. Change: one owner per zone and customer grants amounts by datagrams over the load socket; owners of different zones lend to each other.

--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -1,7 +1,7 @@
 jayhold_library(jayhold_cluster
   UNITS BackendDirectory BackendLimits BackendPauses BackOff BlockedParts BlockedPartsWriter CallRateLimiter CallLimitFormat ClusterCore ClusterDocuments ClusterGossip ClusterNode ConfigurationApply CrashSuspect
     DirectoryUpdate GossipMessage InstanceCount InstanceList Lease LeaseManager ListedVersions LoadExchange LoadMessage Membership MembershipOwners MembershipTargets OrderFence PeerLoads PlatformStore ProcessIdentity PromptReport
-    RecordDriver RecordMessages RecordPartition RecordRules RecordService RecordTable Rendezvous JitteredDelay PeerInquiry PeerQuestion StoreConnection StoreDirectory StoreDirectoryBlockedParts StoreDirectoryHistory StoreDirectoryUpdates
+    RecordDriver RecordMessages RecordPartition RecordRules RecordService RecordTable Rendezvous JitteredDelay PeerInquiry PeerQuestion QuotaAsks QuotaBucket QuotaExchange QuotaGrants QuotaMessage QuotaOwner QuotaView StoreConnection StoreDirectory StoreDirectoryBlockedParts StoreDirectoryHistory StoreDirectoryUpdates
     StreamRecordTable StreamTakeUp StreamVersionList StreamVersions StreamVersionsStore StreamVersionState StreamVersionView
     VersionedCopy WatcherElection
   LINK jayhold_http jayhold_operator)
@@ -52,3 +52,7 @@
   # Faults in the treatment of restores appeared only after some hundred random sequences.
   set_tests_properties(cluster_lease_test PROPERTIES ENVIRONMENT "RC_PARAMS=${JAYHOLD_RC_PARAMS} max_success=2000")
 endif()
+
+jayhold_test(quota_test
+  SOURCES test/correctness/QuotaBucketTest.cpp test/correctness/QuotaOwnerTest.cpp test/correctness/QuotaPropertyTest.cpp test/QuotaFleet.cpp
+  LINK jayhold_cluster)
--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -68,3 +68,7 @@
 jayhold_test(customer_key_test
   SOURCES test/correctness/CustomerKeyTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
+
+jayhold_test(quota_router_test
+  SOURCES test/correctness/QuotaRouterTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
+  LINK jayhold_platform)
--- a/src/ApiError.cpp
+++ b/src/ApiError.cpp
@@ -99,6 +99,7 @@
 auto toResponse(const ApiError& error) -> HttpResponse
 {
     auto response = jsonResponse(error.status, json::serialize(toJson(error)));
+    response.isNotRun = error.outcome == ExecutionOutcome::NotRun;
     // The header counts whole seconds; retry_after_ms carries the exact time.
     if (error.retryAfter > Duration::zero())
         response.headers.push_back({ "Retry-After", std::to_string(std::chrono::ceil<std::chrono::seconds>(error.retryAfter).count()) });
--- a/src/CallerChecks.h
+++ b/src/CallerChecks.h
@@ -7,7 +7,9 @@
 #include "HttpRequest.h"
 #include "ModelRequestInfo.h"
 #include "PlainCallInfo.h"
+#include "QuotaDemand.h"
 
+#include <optional>
 #include <string>
 
 namespace jayhold {
@@ -16,12 +18,16 @@
 struct CheckedCompletion {
     std::string service;
     ModelRequestInfo info;
+    /// Nothing if the request has no customer or the customer no quota.
+    std::optional<QuotaDemand> quota {};
 };
 
 /// A validated call to a plain service and the name of that service.
 struct CheckedPlainCall {
     std::string service;
     PlainCallInfo info;
+    /// Nothing if the request has no customer or the customer no quota.
+    std::optional<QuotaDemand> quota {};
 };
 
 /// Validates a completion request against the configuration.
--- a/src/EntryContext.h
+++ b/src/EntryContext.h
@@ -22,6 +22,7 @@
 
 namespace jayhold {
 
+class QuotaLimiter;
 class StreamVersions;
 
 struct EntryContext {
@@ -58,6 +59,8 @@
     std::function<void(std::string_view)> reportLeaving = [](std::string_view) {};
     /// Knows the software versions of streams; null if a stream may go on at any version.
     std::shared_ptr<StreamVersions> streamVersions;
+    /// Applies the quotas of customers; null if nothing does.
+    std::shared_ptr<QuotaLimiter> quotas;
     const CallerProtocol& callerProtocol = nativeCallerProtocol();
     const BackendProtocol& backendProtocol = nativeBackendProtocol();
 };
--- a/src/EntrySettings.h
+++ b/src/EntrySettings.h
@@ -8,6 +8,7 @@
 #include "EntryTimeouts.h"
 #include "HttpEndpoint.h"
 #include "LogLine.h"
+#include "QuotaLimits.h"
 
 #include <boost/leaf/result.hpp>
 
@@ -54,6 +55,8 @@
     std::optional<HttpEndpoint> loadListen;
     /// Listen address for metrics, if they have their own.
     std::optional<HttpEndpoint> metricsListen;
+    /// By how much all instances together may exceed the quotas of customers.
+    QuotaLimits quota;
     std::uint64_t seed = 1;
     LogLevel logLevel = LogLevel::Info;
 };
--- a/src/ForwardApi.cpp
+++ b/src/ForwardApi.cpp
@@ -3,6 +3,8 @@
 #include "JitteredDelay.h"
 #include "ModelRequest.h"
 #include "OpenRequestGuard.h"
+#include "QuotaLimiter.h"
+#include "RefundingExchange.h"
 #include "StreamVersions.h"
 
 namespace jayhold {
@@ -44,12 +46,32 @@
         co_return;
     }
     auto checked = checkForward(*index, m_context.callerProtocol, std::move(*call), monotonicNow());
-    if (checked.has_error())
+    if (checked.has_error()) {
         co_await refuse(exchange, requestId, checked.error());
+        co_return;
+    }
+    auto quota = std::visit([](auto& request) { return std::move(request.quota); }, *checked);
+    if (quota && m_context.quotas)
+        co_await serveWithinQuota(exchange, requestId, std::move(*checked), std::move(*quota));
     else
         co_await serve(exchange, std::move(*checked));
 }
 
+auto ForwardApi::serveWithinQuota(HttpExchange& exchange, const std::string& requestId, CheckedForward checked, QuotaDemand demand) -> asio::awaitable<void>
+{
+    const auto quotas = m_context.quotas;
+    auto decision = co_await quotas->take(std::move(demand.customer), demand.amount);
+    if (!decision.isGranted) {
+        const ApiError error(429, "quota_exceeded", "the customer's quota is used up", ExecutionOutcome::NotRun, decision.retryAfter);
+        co_await refuse(exchange, requestId, error);
+        co_return;
+    }
+    RefundingExchange refunding(exchange);
+    co_await serve(refunding, std::move(checked));
+    if (refunding.isRefusedNotRun())
+        quotas->giveBack(std::move(decision.grant));
+}
+
 auto ForwardApi::serve(HttpExchange& exchange, CheckedForward checked) -> asio::awaitable<void>
 {
     const ApiError removed(503, "unknown_service", "the service was removed", ExecutionOutcome::NotRun, jitteredDelay(refusalRetryDelay));
--- a/src/ForwardApi.h
+++ b/src/ForwardApi.h
@@ -22,6 +22,8 @@
     auto refuseUnread(const HttpRequest& request) -> HttpResponse;
 
 private:
+    /// Serves a request if the quota of its customer allows it, and returns its amount if it does not run.
+    auto serveWithinQuota(HttpExchange& exchange, const std::string& requestId, CheckedForward checked, QuotaDemand demand) -> boost::asio::awaitable<void>;
     auto serve(HttpExchange& exchange, CheckedForward checked) -> boost::asio::awaitable<void>;
     /// Finds the software version at which the request has to run: that of the stream that it takes up, or that of streams
     /// without a record while they can't be recorded.
--- a/src/ForwardChecks.cpp
+++ b/src/ForwardChecks.cpp
@@ -19,6 +19,20 @@
     return now + std::min(limit, call.callerTimeout.value_or(limit));
 }
 
+/// @return what the request counts in its customer's quota; nothing if there is no limit.
+auto quotaDemand(const ConfigurationIndex& index, std::optional<CustomerId> customerId, const ForwardedCall& call) -> std::optional<QuotaDemand>
+{
+    if (!customerId)
+        return std::nullopt;
+    const auto& customer = index.customer(*customerId);
+    if (!isLimited(customer.quota))
+        return std::nullopt;
+    if (customer.quota.unit == QuotaUnit::Requests)
+        return QuotaDemand { customer.name, 1 };
+    const auto stated = std::int64_t { call.promptTokens } + call.maxTokens;
+    return QuotaDemand { customer.name, call.hasTokenCounts ? stated : std::max<std::int64_t>(0, customer.quota.defaultTokens) };
+}
+
 auto modelInfo(ForwardedCall call, const RequestKind& kind, TimePoint now) -> ModelRequestInfo
 {
     ModelRequestInfo info;
@@ -67,15 +81,16 @@
     if (!service || kind == service->kinds.end()) {
         return ApiError(503, "unknown_service", "route " + route->name + " names a service or kind that does not exist", ExecutionOutcome::NotRun, jitteredDelay(missingServiceRetryDelay));
     }
+    auto quota = quotaDemand(index, *customer, call);
     if (service->type == ServiceType::Model) {
         auto info = modelInfo(std::move(call), *kind, now);
         info.customer = customer->value_or(noCustomer);
         info.customerName = customerName;
-        return CheckedForward(CheckedCompletion { service->name, std::move(info) });
+        return CheckedForward(CheckedCompletion { service->name, std::move(info), std::move(quota) });
     }
     auto info = plainInfo(std::move(call), *kind, now);
     info.customer = customerName;
-    return CheckedForward(CheckedPlainCall { service->name, std::move(info) });
+    return CheckedForward(CheckedPlainCall { service->name, std::move(info), std::move(quota) });
 }
 
 }
--- a/src/ForwardedCall.h
+++ b/src/ForwardedCall.h
@@ -21,6 +21,8 @@
     std::string path;
     /// How long the caller waits; absent if it does not state a timeout.
     std::optional<Duration> callerTimeout;
+    /// Whether the caller has stated the two numbers of tokens below.
+    bool hasTokenCounts = false;
     /// Set for model requests only.
     std::uint32_t promptTokens = 0;
     /// Maximum number of output tokens that the caller accepts.
--- a/src/HttpResponse.h
+++ b/src/HttpResponse.h
@@ -17,6 +17,8 @@
     std::string body;
     /// Counts the body of a received response while it is held; null for a small body and for other responses.
     std::shared_ptr<const ResponseShare> share {};
+    /// Whether it is a refusal by this instance of a request that has not run and never will.
+    bool isNotRun = false;
 };
 
 /// @return a response with a JSON body and its content type.
--- a/src/InstanceCount.cpp
+++ b/src/InstanceCount.cpp
@@ -77,7 +77,7 @@
     std::vector<PeerAddress> peers;
     for (const auto& [name, observation] : count.instances) {
         if (isLive(count, name, now) && observation.endpoint)
-            peers.push_back({ *observation.endpoint, observation.availabilityZone });
+            peers.push_back({ *observation.endpoint, observation.availabilityZone, name });
     }
     return peers;
 }
--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "AwaitToken.h"
 #include "Pause.h"
+#include "QuotaMessage.h"
 #include "RumorBuffer.h"
 #include "Tasks.h"
 
@@ -12,6 +13,7 @@
 #include <algorithm>
 #include <array>
 #include <span>
+#include <utility>
 
 namespace jayhold {
 
@@ -92,6 +94,9 @@
     RumorBuffer<std::uint64_t> signatures { .sendsPerRumor = sendsPerCrashReport };
     RumorBuffer<CrashSuspect> suspects { .sendsPerRumor = sendsPerCrashReport };
     RumorBuffer<PromptReport> promptReports { .sendsPerRumor = sendsPerCrashReport };
+    bool isDraining = false;
+    /// Whether the next message has to say so to all peers.
+    bool hasNewDraining = false;
     /// Whether a message with crash reports is scheduled.
     bool crashMessageDue = false;
     std::uint64_t sequence = 0;
@@ -184,16 +189,19 @@
     std::ranges::sort(usages, {}, &BackendUsage::backend);
     auto backendsChangingRole = state.callbacks.backendsChangingRole();
     const auto sendsCrashReports = hasCrashReports(state);
-    if (usages == state.sentUsages && backendsChangingRole.empty() && !state.hasNewRevisions && !sendsCrashReports && !hasNewLimits && now - state.sentAt < maxSilence)
+    if (usages == state.sentUsages && backendsChangingRole.empty() && !state.hasNewRevisions && !state.hasNewDraining && !sendsCrashReports && !hasNewLimits && now - state.sentAt < maxSilence)
         return;
     state.sentUsages = usages;
     state.sentLimits = limits;
     state.sentAt = now;
     state.hasNewRevisions = false;
+    const auto isForAllZones = std::exchange(state.hasNewDraining, false) || sendsCrashReports;
     const LoadMessage message {
         .instance = state.settings.instance,
         .incarnation = state.settings.incarnation,
         .sequence = ++state.sequence,
+        .availabilityZone = state.settings.availabilityZone,
+        .isDraining = state.isDraining,
         .usages = std::move(usages),
         .backendsChangingRole = std::move(backendsChangingRole),
         .limits = std::move(limits),
@@ -202,7 +210,7 @@
         .promptReports = takeRumors(state.promptReports, maxPromptReportsPerMessage),
         .revisions = state.revisions,
     };
-    sendToPeers(serializeLoadMessage(message), sendsCrashReports);
+    sendToPeers(serializeLoadMessage(message), isForAllZones);
 }
 
 auto LoadExchange::hasCrashReports(const State& state) -> bool
@@ -255,6 +263,18 @@
     state.sendToEach(selected, text);
 }
 
+auto LoadExchange::sendTo(const asio::ip::udp::endpoint& target, const std::string& text) -> void
+{
+    m_state->sendToEach(std::span(&target, 1), text);
+}
+
+auto LoadExchange::announceDraining() -> void
+{
+    m_state->isDraining = true;
+    m_state->hasNewDraining = true;
+    sendIfDue(monotonicNow());
+}
+
 auto LoadExchange::sendDirectoryUpdate(const DirectoryUpdate& update) -> void
 {
     const auto text = serializeDirectoryUpdate(update);
@@ -292,8 +312,12 @@
 
 auto LoadExchange::handleDatagram(std::string_view text, const asio::ip::udp::endpoint& sender) -> void
 {
+    if (isQuotaMessage(text)) {
+        m_state->callbacks.onQuotaMessage(text, sender);
+        return;
+    }
     if (auto message = parseLoadMessage(text)) {
-        handleMessage(std::move(*message));
+        handleMessage(std::move(*message), sender);
         return;
     }
     if (const auto update = parseDirectoryUpdate(text)) {
@@ -342,7 +366,7 @@
     }
 }
 
-auto LoadExchange::handleMessage(LoadMessage message) -> void
+auto LoadExchange::handleMessage(LoadMessage message, const asio::ip::udp::endpoint& sender) -> void
 {
     auto& state = *m_state;
     state.callbacks.onMessage(message.instance);
@@ -350,8 +374,10 @@
     const auto backendsChangingRole = message.backendsChangingRole;
     const auto revisions = message.revisions;
     const auto limits = message.limits;
+    const PeerPresence presence { message.instance, message.availabilityZone, message.isDraining };
     if (!applyMessage(state.loads, monotonicNow(), std::move(message)))
         return;
+    state.callbacks.onPresence(presence, sender);
     for (const auto& [kind, revision] : revisions)
         state.callbacks.onRevision(kind, revision);
     if (!limits.empty())
--- a/src/LoadExchange.h
+++ b/src/LoadExchange.h
@@ -10,6 +10,7 @@
 #include "IoThreads.h"
 #include "PeerAddress.h"
 #include "PeerLoads.h"
+#include "PeerPresence.h"
 #include "PeerQuestion.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -27,6 +28,10 @@
     std::function<std::vector<BackendUsage>()> ownUsage;
     /// An instance has sent a load message.
     std::function<void(const std::string& instance)> onMessage = [](const std::string&) {};
+    /// Receives what a new load message says about its sender, and the address that it came from.
+    std::function<void(const PeerPresence&, const boost::asio::ip::udp::endpoint& sender)> onPresence = [](const PeerPresence&, const boost::asio::ip::udp::endpoint&) {};
+    /// Receives datagrams about quotas.
+    std::function<void(std::string_view text, const boost::asio::ip::udp::endpoint& sender)> onQuotaMessage = [](std::string_view, const boost::asio::ip::udp::endpoint&) {};
     /// @return the limits of backend servers that this instance has recently observed.
     std::function<std::vector<LimitReport>()> limitReports = [] { return std::vector<LimitReport>(); };
     /// Receives the limits that a peer has observed.
@@ -99,6 +104,13 @@
     /// @param number number that the replies repeat.
     auto askPeers(std::uint64_t number) -> void;
 
+    /// Sends a datagram to one instance. Must be called on the first I/O thread.
+    auto sendTo(const boost::asio::ip::udp::endpoint& target, const std::string& text) -> void;
+
+    /// Tells all peers at once, and from then on in each message, that this instance is draining. Must be called on the
+    /// first I/O thread.
+    auto announceDraining() -> void;
+
     /// Must be called on the first I/O thread.
     /// @return whether this instance's name sorts before those of all peers with recent messages.
     auto hasLowestName() const -> bool;
@@ -117,7 +129,7 @@
     auto handleDatagram(std::string_view text, const boost::asio::ip::udp::endpoint& sender) -> void;
     /// @return whether the datagram was a question of a peer, which gets a reply, or a reply of one.
     auto handleQuestion(std::string_view text, const boost::asio::ip::udp::endpoint& sender) -> bool;
-    auto handleMessage(LoadMessage message) -> void;
+    auto handleMessage(LoadMessage message, const boost::asio::ip::udp::endpoint& sender) -> void;
     /// Sends a load message if something has changed or the last message is older than maxSilence.
     auto sendIfDue(TimePoint now) -> void;
     /// Sends a crash report to the peers without delay if it is new to this instance.
--- a/src/LoadMessage.cpp
+++ b/src/LoadMessage.cpp
@@ -98,6 +98,10 @@
         { plainRevisionsField, std::move(plainRevisions) },
         { revisionsField, std::move(revisions) },
     };
+    if (!message.availabilityZone.empty())
+        object["zone"] = message.availabilityZone;
+    if (message.isDraining)
+        object["draining"] = true;
     if (!message.limits.empty()) {
         json::array limits;
         for (const auto& report : message.limits)
@@ -127,6 +131,8 @@
     LoadMessage message;
     if (!object || !readText(*object, "instance", message.instance) || !readText(*object, "run", message.incarnation) || !readNumber(*object, "sequence", message.sequence))
         return std::nullopt;
+    readText(*object, "zone", message.availabilityZone);
+    readBoolean(*object, "draining", message.isDraining);
     const auto* usages = arrayField(*object, "uses");
     if (!usages)
         return std::nullopt;
--- a/src/LoadMessage.h
+++ b/src/LoadMessage.h
@@ -22,6 +22,9 @@
     std::string incarnation;
     /// Increases with each message of a process.
     std::uint64_t sequence = 0;
+    /// Zone of the instance; empty in messages of earlier versions.
+    std::string availabilityZone {};
+    bool isDraining = false;
     std::vector<BackendUsage> usages;
     /// Backend servers that the instance has recently ordered to change their role.
     std::vector<std::string> backendsChangingRole;
--- a/src/PeerAddress.h
+++ b/src/PeerAddress.h
@@ -11,6 +11,8 @@
 struct PeerAddress {
     HttpEndpoint endpoint;
     std::string availabilityZone;
+    /// Name of the instance; empty if it is not known.
+    std::string instance {};
 };
 
 }
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -10,6 +10,7 @@
 #include "LoadExchange.h"
 #include "LoopMonitor.h"
 #include "Pause.h"
+#include "QuotaExchange.h"
 #include "RoleBalancer.h"
 #include "RouterHttpSettings.h"
 #include "RouterSamples.h"
@@ -105,6 +106,8 @@
                 callerServer->updateLimits(serverSettings(settings.listen, configuration.limits));
                 applyForwardingPolicy(configuration);
                 context.configurationVersion = configuration.version;
+                if (quotas)
+                    quotas->updateCustomers(configuration.customers);
                 listedConfiguration = std::make_shared<const Configuration>(std::move(configuration));
                 updateListedVersions();
                 services.updateConfiguration(listedConfiguration); },
@@ -119,6 +122,8 @@
                     context.streamVersions->updateInstances(names);
                 services.updateInstances(names); },
             .peers = [this](const std::vector<PeerAddress>& peers) {
+                if (quotas)
+                    quotas->updateInstances(peers);
                 if (loadExchange)
                     loadExchange->updatePeers(peers); },
             .blockedParts = [this](const std::string& service, std::vector<ListedPart> parts) {
@@ -168,6 +173,8 @@
             .onMessage = [this](const std::string& instance) {
                 if (directory)
                     directory->handlePeerMessage(instance); },
+            .onPresence = [this](const PeerPresence& presence, const QuotaExchange::Endpoint& sender) { quotas->handlePresence(presence, sender); },
+            .onQuotaMessage = [this](std::string_view text, const QuotaExchange::Endpoint& sender) { quotas->handleDatagram(text, sender); },
             .limitReports = [this] { return services.limitReports(); },
             .onLimitReports = [this](const std::vector<LimitReport>& reports) { services.handleLimitReports(reports); },
             .onPeerUsage = [this](const std::vector<BackendUsage>& usages) { services.updatePeerUsage(usages); },
@@ -189,6 +196,9 @@
                 if (directory)
                     directory->handleDirectoryUpdate(update); },
         };
+        QuotaExchangeSettings quotaSettings { settings.instance, settings.availabilityZone, context.runId, settings.quota };
+        quotas = std::make_shared<QuotaExchange>(threads, std::move(quotaSettings), log, [this](const QuotaExchange::Endpoint& target, const std::string& text) { loadExchange->sendTo(target, text); });
+        context.quotas = quotas;
         LoadExchangeSettings exchangeSettings { endpoint, settings.instance, context.runId, settings.availabilityZone };
         loadExchange = std::make_shared<LoadExchange>(threads, std::move(exchangeSettings), log, std::move(callbacks));
         context.reportCrashSignature = [this](std::uint64_t signature) { loadExchange->reportCrashSignature(signature); };
@@ -272,8 +282,8 @@
     auto handleMetrics(HttpExchange& exchange) -> asio::awaitable<void>
     {
         // The directory runs on the first thread, and this exchange may run on another.
-        auto readSummary = [this]() -> asio::awaitable<StoreDirectory::Summary> { co_return directory->summary(); };
-        const auto summary = co_await asio::co_spawn(threads.context(0), readSummary, asio::use_awaitable);
+        auto readSummary = [this]() -> asio::awaitable<std::pair<StoreDirectory::Summary, QuotaExchange::Counts>> { co_return std::pair(directory->summary(), quotas ? quotas->counts() : QuotaExchange::Counts {}); };
+        const auto [summary, quotaCounts] = co_await asio::co_spawn(threads.context(0), readSummary, asio::use_awaitable);
         const auto storeUnavailableSeconds = std::chrono::duration<double>(listAge(context)).count();
         double reservedMemoryBlocks = 0;
         for (const auto& usage : services.usage())
@@ -299,6 +309,7 @@
             { "jayhold_log_lines_left_out_total", "Log lines left out for their rate or because the output was not read.", static_cast<double>(log.droppedLines() + droppedLogLines()), true },
         };
         samples.insert(samples.end(), std::begin(own), std::end(own));
+        addQuotas(quotaCounts, samples);
         addStoreCalls(adapter.store->counts(), samples);
         if (context.streamVersions)
             addStreamVersions(context.streamVersions->counts(), samples);
@@ -330,6 +341,10 @@
     {
         const auto times = drainTimes(monotonicNow(), settings.drainTimeout - settings.drainTimeout / drainReserveDivisor);
         context.requestsEndAt = times.requestsEndAt.time_since_epoch().count();
+        if (loadExchange) {
+            quotas->startDraining();
+            loadExchange->announceDraining();
+        }
         services.startDraining({ .endsAt = times.requestsEndAt, .refusesNewRequests = false });
         callerServer->closeAfterResponses();
         co_await pause(std::min<Duration>(settings.deregistrationDelay, times.requestsEndAt - monotonicNow()));
@@ -360,6 +375,8 @@
     ServiceTable services;
     ForwardApi api;
     std::shared_ptr<LoadExchange> loadExchange;
+    /// Exists if there is a load exchange.
+    std::shared_ptr<QuotaExchange> quotas;
     std::shared_ptr<StoreDirectory> directory;
     std::shared_ptr<BlockedPartsWriter> blockedPartsWriter;
     std::shared_ptr<RoleBalancer> roleBalancer;
--- a/src/RouterSamples.cpp
+++ b/src/RouterSamples.cpp
@@ -17,6 +17,30 @@
         samples.push_back({ "jayhold_store_calls_total", "Calls to the store, by result; those held back or over budget were not sent.", static_cast<double>(count), true, "result", std::string(result) });
 }
 
+auto addQuotas(const QuotaExchange::Counts& counts, std::vector<Metrics::Sample>& samples) -> void
+{
+    if (counts.customers.empty())
+        return;
+    struct Series {
+        std::string_view name;
+        std::string_view help;
+        std::uint64_t QuotaCounts::*value;
+    };
+    constexpr Series list[] = {
+        { "jayhold_quota_granted_total", "Amounts that this instance has granted, by customer, in the unit of the quota.", &QuotaCounts::granted },
+        { "jayhold_quota_refused_total", "Amounts that this instance has refused.", &QuotaCounts::refused },
+        { "jayhold_quota_lent_total", "Amounts that this instance has lent to owners in other zones.", &QuotaCounts::lent },
+        { "jayhold_quota_borrowed_total", "Amounts that this instance has borrowed from owners in other zones.", &QuotaCounts::borrowed },
+        { "jayhold_quota_returned_total", "Amounts that were returned because their requests did not run.", &QuotaCounts::returned },
+    };
+    for (const auto& series : list) {
+        for (const auto& [customer, amounts] : counts.customers)
+            samples.push_back({ series.name, series.help, static_cast<double>(amounts.*series.value), true, "customer", customer });
+    }
+    samples.push_back({ "jayhold_quota_asks_unanswered_total", "Questions to owners of quotas that got no reply.", static_cast<double>(counts.unansweredAsks), true });
+    samples.push_back({ "jayhold_quota_isolated", "Whether the instance hears from no other instance of its zone.", counts.isIsolated ? 1.0 : 0.0 });
+}
+
 auto addStreamVersions(const StreamVersionCounts& counts, std::vector<Metrics::Sample>& samples) -> void
 {
     const std::pair<std::string_view, std::uint64_t> sources[] = {
--- a/test/error/PlatformFormatsTest.cpp
+++ b/test/error/PlatformFormatsTest.cpp
@@ -62,6 +62,20 @@
     CHECK(settings.entry.limits.memoryBytes == 110U << 20U);
 }
 
+// Guards against bounds of quotas that are misread, that a deployment without quotas needs, or that overflow.
+TEST_CASE("the bounds of quotas are optional")
+{
+    const auto limitsOf = [](const std::string& lines) { return std::get<platform::Settings>(parse(goodSettings + lines)).entry.quota; };
+    CHECK(limitsOf("").window == std::chrono::seconds(0));
+    CHECK(limitsOf("").slack == 0);
+    const auto limits = limitsOf("bounds.quotaWindowS=8\nbounds.quotaOver=0.1\nbounds.quotaSlack=190000\n");
+    CHECK(limits.window == std::chrono::seconds(8));
+    CHECK(limits.over == 0.1);
+    CHECK(limits.slack == 190'000);
+    CHECK(limitsOf("bounds.quotaWindowS=1e300\nbounds.quotaSlack=inf\n").slack == 1e12);
+    CHECK(std::get<std::string>(parse(goodSettings + "bounds.quotaOver=nan\n")) == "bounds.quotaOver");
+}
+
 // Guards against a process that starts with unusable settings.
 TEST_CASE("errors of missing and invalid settings name the key")
 {
