Move waiting requests to the overdue ones only if their wait is clear

Cause: after each arrival, the last requests of the flows became overdue by the same estimate as an arriving one. Wrong estimates cost them their place, and some were answered late.

--- a/src/Displacement.cpp
+++ b/src/Displacement.cpp
@@ -43,7 +43,8 @@
     const auto cannotBeServed = [&](const ActiveRequest& request) { return waitsTooLong(context, request, remainingWait(context, request)); };
     while (auto* request = cheapest(context, arrived, cannotBeServed))
         refuse(context, *request, overloadReason(context.state, *request));
-    const auto becomesOverdue = [&](const ActiveRequest& request) { return request.subQueue == SubQueue::Fair && willMissTarget(context, request, remainingWait(context, request)); };
+    // A wrong estimate costs the request its place, so the wait must exceed the time clearly.
+    const auto becomesOverdue = [&](const ActiveRequest& request) { return request.subQueue == SubQueue::Fair && willMissTarget(context, request, remainingWait(context, request) * 2 / 3); };
     while (auto* request = cheapest(context, arrived, becomesOverdue)) {
         removeFromQueue(context.state, *request);
         moveToOverdue(context, *request);
