Let plain calls wait for a slot in the order of their costs

Cause: a plain call that found all slots of its servers used was refused with a delay of about a second, longer than the deadline of most callers, although calls last some ten milliseconds and a slot was free soon.

Change: its first attempt waits if the median duration of its kind and the calls before it show that a slot is expected in time for its target, in the order of the cost of a refusal. It is refused as overloaded, with the expected wait as delay, as soon as that does not hold. Without durations of earlier calls, and for retries, nothing changes. Durations no longer include the wait.

--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -3,7 +3,7 @@
     CompletionRequest CompletionWriter ConfigurationIndex ConnectionLog CustomerIdentity DecodeRelay EngineClient EngineError EngineMessages
     EngineMonitor EntryDaemon DrainWait EntryDaemonDrain EntrySettings ForwardApi ForwardChecks OrphanDetector LatencyHistogram LostOwners
     Metrics ModelRequest ModelRequestFallback ModelRequestLog ModelRequestReservations ModelRequestTasks ModelRequestVersion RequestTimeouts ModelService ModelServiceReplicas ModelServiceTimer NativeProtocols PassThroughReader PassThroughWriter PlainBalancer PlainRoute
-    PlainService PlainServiceAttempts PlainServiceCrashes PlainServiceLog PromptDigest RecentDurations RequestStateMachine RoleBalancer RouterHttpSettings RouterSamples RouteTable RouterDaemon RunId ServiceTable ServiceTablePauses StatusReport TokenEventReader
+    PlainService PlainServiceAttempts PlainServiceCrashes PlainServiceLog PlainServiceWaiting PlainWaiting PromptDigest RecentDurations RequestStateMachine RoleBalancer RouterHttpSettings RouterSamples RouteTable RouterDaemon RunId ServiceTable ServiceTablePauses StatusReport TokenEventReader
     TokenSequence
   LINK jayhold_cluster jayhold_decision jayhold_operator jayhold_http)
 
@@ -14,7 +14,7 @@
 
 jayhold_test(entry_request_test
   SOURCES test/correctness/EndedAttemptsTest.cpp test/correctness/ModelRequestTest.cpp test/correctness/OutcomeLogTest.cpp test/correctness/VersionGuardTest.cpp test/correctness/PlainBalancerTest.cpp
-    test/correctness/PlainServiceTest.cpp test/correctness/RoleBalancerTest.cpp
+    test/correctness/PlainServiceTest.cpp test/correctness/PlainWaitingTest.cpp test/correctness/PlainSlotWaitTest.cpp test/correctness/RoleBalancerTest.cpp
   LINK jayhold_entry)
 
 jayhold_test(entry_daemon_test
--- a/src/CallerChecks.cpp
+++ b/src/CallerChecks.cpp
@@ -91,6 +91,7 @@
     PlainCallInfo info;
     info.kind = service->kinds[static_cast<std::size_t>(*kind)];
     info.customer = index.customerName(customer);
+    info.customerPriority = index.customerPriority(customer);
     info.idempotencyKey = headerText(request, "Idempotency-Key");
     if (info.idempotencyKey.size() > maxIdempotencyKeyLength)
         return ApiError(400, "invalid_idempotency_key", "Idempotency-Key has more than 255 characters");
--- a/src/ConfigurationIndex.cpp
+++ b/src/ConfigurationIndex.cpp
@@ -1,6 +1,7 @@
 #include "ConfigurationIndex.h"
 
 #include "LowerCase.h"
+#include "RequestRank.h"
 #include "Sha256.h"
 
 #include <algorithm>
@@ -69,6 +70,13 @@
     return this->customer(customer).name;
 }
 
+auto ConfigurationIndex::customerPriority(CustomerId customer) const -> std::int64_t
+{
+    const auto& customers = m_configuration->customers;
+    const auto index = static_cast<std::size_t>(customer);
+    return index < customers.size() ? customers[index].priority.value_or(defaultPriority) : defaultPriority;
+}
+
 auto ConfigurationIndex::service(std::string_view name) const -> const Service*
 {
     const auto found = std::ranges::find(m_configuration->services, name, &Service::name);
--- a/src/ConfigurationIndex.h
+++ b/src/ConfigurationIndex.h
@@ -33,6 +33,8 @@
 
     auto customer(CustomerId customer) const -> const Customer&;
     auto customerName(CustomerId customer) const -> const std::string&;
+    /// @return the priority of the customer; the default if it has none or there is no such customer.
+    auto customerPriority(CustomerId customer) const -> std::int64_t;
 
     /// @return the service with this name, or null.
     auto service(std::string_view name) const -> const Service*;
--- a/src/ForwardChecks.cpp
+++ b/src/ForwardChecks.cpp
@@ -75,6 +75,7 @@
     }
     auto info = plainInfo(std::move(call), *kind, now);
     info.customer = customerName;
+    info.customerPriority = index.customerPriority(customer->value_or(noCustomer));
     return CheckedForward(CheckedPlainCall { service->name, std::move(info) });
 }
 
--- a/src/PlainAttempt.h
+++ b/src/PlainAttempt.h
@@ -3,6 +3,7 @@
 /// The result of one attempt to execute a call on a backend server.
 
 #include "HttpResponse.h"
+#include "Time.h"
 
 #include <optional>
 #include <string>
@@ -26,6 +27,8 @@
     bool hasCrashed = false;
     /// Whether the attempt exceeded its timeout.
     bool hasTimedOut = false;
+    /// Expected time until a slot is free, if the call was not sent for lack of one.
+    std::optional<Duration> slotWait {};
     /// For logs.
     std::string detail;
 };
--- a/src/PlainBalancer.cpp
+++ b/src/PlainBalancer.cpp
@@ -22,9 +22,10 @@
     return backend.isReturning && (backend.hasFirstCall || (now < backend.pauseAskedUntil && backend.inFlight > 0));
 }
 
-auto isAvailable(const PlainBackend& backend, TimePoint now) -> bool
+/// @return whether only the lack of a free slot can keep the server from being chosen.
+auto takesCalls(const PlainBackend& backend, TimePoint now) -> bool
 {
-    if (backend.server.state != ReplicaState::Live || backend.inFlight >= backend.slots)
+    if (backend.server.state != ReplicaState::Live)
         return false;
     if (backend.allowance && !backend.allowance->hasCall(now))
         return false;
@@ -33,6 +34,11 @@
     return !isEjected(backend) || (now >= backend.ejectedUntil && backend.inFlight == 0);
 }
 
+auto isAvailable(const PlainBackend& backend, TimePoint now) -> bool
+{
+    return backend.inFlight < backend.slots && takesCalls(backend, now);
+}
+
 /// Whether the first of two usable servers is the better choice.
 auto isBetter(const PlainBackend& left, const PlainBackend& right) -> bool
 {
@@ -141,6 +147,22 @@
     return next;
 }
 
+auto PlainBalancer::slots(TimePoint now, std::span<const std::string> excluded) const -> std::uint32_t
+{
+    std::uint32_t slots = 0;
+    for (const auto& backend : m_backends)
+        slots += takesCalls(backend, now) && std::ranges::find(excluded, backend.server.id) == excluded.end() ? backend.slots : 0;
+    return slots;
+}
+
+auto PlainBalancer::freeSlots(TimePoint now, std::span<const std::string> excluded) const -> std::uint32_t
+{
+    std::uint32_t free = 0;
+    for (const auto& backend : m_backends)
+        free += isAvailable(backend, now) && std::ranges::find(excluded, backend.server.id) == excluded.end() ? backend.slots - backend.inFlight : 0;
+    return free;
+}
+
 auto PlainBalancer::acquire(TimePoint now, std::span<const std::string> excluded) -> std::optional<BackendServer>
 {
     PlainBackend* best = nullptr;
--- a/src/PlainBalancer.h
+++ b/src/PlainBalancer.h
@@ -42,6 +42,12 @@
     /// TimePoint::max() if there is none.
     auto nextCallAt(TimePoint now) const -> TimePoint;
 
+    /// @param excluded ids of the servers that the call has tried.
+    /// @return slots of the servers that take calls or would if they had a free slot.
+    auto slots(TimePoint now, std::span<const std::string> excluded) const -> std::uint32_t;
+    /// @return those of the slots that are free.
+    auto freeSlots(TimePoint now, std::span<const std::string> excluded) const -> std::uint32_t;
+
     /// Chooses a backend server and takes one of its slots.
     /// @param excluded ids of the servers that this call has tried.
     /// @return the server, or std::nullopt if none is available.
--- a/src/PlainCallInfo.h
+++ b/src/PlainCallInfo.h
@@ -6,6 +6,7 @@
 #include "BackendServer.h"
 #include "HttpRequest.h"
 #include "RequestKind.h"
+#include "RequestRank.h"
 #include "Time.h"
 
 #include <cstdint>
@@ -19,6 +20,8 @@
     HttpRequest request;
     RequestKind kind;
     std::string customer;
+    /// Priority of the customer, the default if it has none.
+    std::int64_t customerPriority = defaultPriority;
     /// Empty if the caller sent none.
     std::string idempotencyKey;
     /// The caller's id for this attempt of its request; empty if it sent none.
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr Duration retryDelay = std::chrono::seconds(1);
+/// Calls last some ten milliseconds, so a caller that returns earlier finds the same calls.
+constexpr Duration minSlotRetryDelay = std::chrono::milliseconds(50);
 
 auto digestOf(const HttpRequest& request) -> std::string
 {
@@ -234,6 +236,8 @@
         return refusalError(RefusalReason::CrashSuspect, outcome, Duration::zero());
     if (attempt.hasTimedOut && monotonicNow() >= call.deadline)
         return { 504, std::string(jayhold::name(RefusalReason::DeadlineExceeded)), "no backend server answered in time: " + attempt.detail, outcome };
+    if (attempt.isNotRun && attempt.slotWait)
+        return refusalError(RefusalReason::Overloaded, outcome, jitteredDelay(std::max<Duration>(*attempt.slotWait, minSlotRetryDelay)));
     return { 503, "no_backend", "no backend server answered: " + attempt.detail, outcome, retryDelayOfCall() };
 }
 
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -10,6 +10,7 @@
 #include "PlainAttempt.h"
 #include "PlainBalancer.h"
 #include "PlainCallInfo.h"
+#include "PlainWaiting.h"
 #include "PromptPartCrashes.h"
 #include "PromptReport.h"
 #include "RecentDurations.h"
@@ -102,6 +103,11 @@
     /// other such call.
     /// @return nothing if no server is available or the call is blocked.
     auto acquireFor(const PlainCallInfo& call, CallState& state, PlainAttempt& last) -> boost::asio::awaitable<std::optional<BackendServer>>;
+    /// Waits for a slot as long as the call can still meet its target, in the order of the costs of the calls that wait.
+    /// @return the server; nothing if the call can't be served any more, and at once if no slot is expected in time.
+    auto awaitSlot(const PlainCallInfo& call, const CallState& state, PlainAttempt& last) -> boost::asio::awaitable<std::optional<BackendServer>>;
+    /// @return what the place of the call among those that wait is computed from; requires the lock.
+    auto workOfLocked(const PlainCallInfo& call, Duration duration, std::uint64_t id) const -> RequestWork;
     /// @return whether the call has to be refused because it crashes servers; requires the lock.
     auto isBlockedLocked(const PlainCallInfo& call, CallState& state, CrashUpdates& updates) -> bool;
     /// @return whether the call may crash its server; requires the lock.
@@ -201,6 +207,8 @@
     std::uint32_t m_instanceCount;
     PlainBalancer m_balancer;
     RetryBudget m_budget;
+    PlainWaiting m_waiting;
+    std::uint64_t m_lastWaiting = 0;
     /// By name of the kind, for the kinds of the configuration.
     std::map<std::string, RecentDurations> m_durations;
     /// Crashes of servers by the signatures of the calls that had no answer. Each signature is its prompt's only part.
--- a/src/PlainServiceAttempts.cpp
+++ b/src/PlainServiceAttempts.cpp
@@ -65,7 +65,7 @@
 
 auto PlainService::runCall(HttpClient& client, const PlainCallInfo& call, bool isRepeatable, CallState& state) -> asio::awaitable<PlainAttempt>
 {
-    const auto startedAt = monotonicNow();
+    auto startedAt = monotonicNow();
     PlainAttempt last { .isNotRun = true, .reachedBackend = false, .detail = "no backend server is available" };
     while (true) {
         if (state.executions == 0 && !canEndBeforeExit(call)) {
@@ -75,6 +75,9 @@
         const auto backend = co_await acquireFor(call, state, last);
         if (!backend)
             break;
+        // The wait for a slot says nothing about the duration of a call.
+        if (state.triedBackends.empty())
+            startedAt = monotonicNow();
         state.triedBackends.push_back(backend->id);
         recordDecision(call, "request_placed", { { "backend", backend->id }, { "attempt", state.triedBackends.size() }, { "timeout_ms", remainingTime(call).count() / 1'000 } });
         last = co_await attemptOn(client, *backend, call, isRepeatable, state);
--- a/src/PlainServiceCrashes.cpp
+++ b/src/PlainServiceCrashes.cpp
@@ -41,20 +41,26 @@
 auto PlainService::acquireFor(const PlainCallInfo& call, CallState& state, PlainAttempt& last) -> asio::awaitable<std::optional<BackendServer>>
 {
     const auto waitUntil = std::min(call.deadline, monotonicNow() + maxSuspectWait);
+    last.slotWait.reset();
     while (!state.isCallerDisconnected) {
         std::optional<BackendServer> server;
         CrashUpdates updates;
         auto mustWait = false;
+        auto mayAwaitSlot = false;
         {
             const std::lock_guard guard(m_lock);
             const auto now = monotonicNow();
             last.isRefusedAsCrashing = isBlockedLocked(call, state, updates);
             state.isSuspect = !last.isRefusedAsCrashing && isSuspectLocked(call);
-            if (!last.isRefusedAsCrashing)
+            // A retry goes to another server or nowhere.
+            mayAwaitSlot = !last.isRefusedAsCrashing && !state.isSuspect && state.triedBackends.empty();
+            if (!last.isRefusedAsCrashing && !(mayAwaitSlot && m_waiting.size()))
                 server = state.isSuspect ? m_balancer.acquireForSuspect(now, state.triedBackends, call.signature) : m_balancer.acquire(now, state.triedBackends);
             mustWait = state.isSuspect && !server && now < waitUntil && m_balancer.awaitsSuspect(now, state.triedBackends);
         }
         publish(updates);
+        if (mayAwaitSlot && !server)
+            co_return co_await awaitSlot(call, state, last);
         if (!mustWait)
             co_return server;
         co_await pause(suspectCheckInterval);
