Reject responses whose status is not between 100 and 599

Beast accepts any three digits. A status below 100 counted as interim, so the call waited for another response: until its deadline, or until bytes of the body that look like a response were taken for it. Statuses from 600 on were passed on to the caller.

The client now treats such a response as malformed, for all its users: calls to backend servers, to the store and between instances.

--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -22,6 +22,9 @@
 constexpr int maxSkippedResponses = 2;
 /// A response is preceded by few interim ones; more would keep a call waiting for a faulty server.
 constexpr int maxInterimResponses = 8;
+/// The valid statuses. Beast accepts any three digits.
+constexpr unsigned firstStatus = 100;
+constexpr unsigned lastStatus = 599;
 /// A connection that closed while it was idle fails within a round trip. If it fails later, the server has
 /// probably read the call.
 constexpr Duration maxStaleDetectionTime = std::chrono::milliseconds(100);
@@ -89,7 +92,12 @@
 {
     for (auto interim = 0; interim <= maxInterimResponses; ++interim) {
         const auto code = co_await readHeader(connection, hasNoBody);
-        if (code || connection.parser->get().result_int() >= statusOk)
+        if (code)
+            co_return code;
+        const auto status = connection.parser->get().result_int();
+        if (status < firstStatus || status > lastStatus)
+            co_return http::error::bad_status;
+        if (status >= statusOk)
             co_return code;
         if (connection.parser->get().result() == http::status::switching_protocols)
             co_return http::error::bad_status;
