Read the response to a call whose rest can't be sent

A server may answer a long upload early and reset the connection while the body is still sent. The client took the failed write as the result and never read the response. On a reused connection such a call counted as one that the server had not read, and was sent again: a call that may be repeated ran up to four times with two attempts. A complete response, such as a 413, was lost.

The client now reads after a failed write. The system reports a reset once, to the write, and the next read finds the end of the stream; so after a failed write that end completes no response without a length.

--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -158,11 +158,19 @@
         connection.carriedCalls.insert(*call);
     connection.hasCall = true;
     co_await http::async_write(connection.stream, message, awaitInto(code));
-    if (code)
+    if (code == beast::error::timeout || code == asio::error::operation_aborted)
         co_return code;
+    // The server may have answered before it stopped reading.
+    const auto writeError = code;
+    if (writeError) {
+        connection.hasFailedWrite = true;
+        connection.isReusable = false;
+    }
     const auto hasNoBody = message.method() == http::verb::head;
     for (auto skipped = 0; skipped <= maxSkippedResponses; ++skipped) {
         code = co_await readFinalHeader(connection, hasNoBody);
+        if (writeError && code == http::error::end_of_stream)
+            co_return writeError;
         if (code)
             co_return code;
         options.onHeader(connection.parser->get().result_int(), connection.headers);
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -76,6 +76,9 @@
     /// Whether the server has sent a response, even if it was skipped, since the connection was opened or taken from
     /// the pool.
     bool hasAnswered = false;
+    /// Whether a part of the call could not be sent. The error of a reset is reported once, to the write, so the end of the
+    /// stream shows no longer whether the server closed the connection or reset it.
+    bool hasFailedWrite = false;
     /// Hashes of the correlation values of the calls that were sent on the connection.
     std::unordered_set<std::size_t> carriedCalls;
     /// Restored when the connection becomes idle, if the call has suspended it; zero otherwise.
--- a/src/HttpStream.cpp
+++ b/src/HttpStream.cpp
@@ -154,6 +154,8 @@
         if (connection.readTimer->hasTimedOut)
             co_return httpErrorOf(beast::error::timeout);
         connection.buffer.commit(received);
+        if (code == asio::error::eof && connection.hasFailedWrite)
+            code = asio::error::connection_reset;
         if (code == asio::error::eof)
             parser.put_eof(code);
         if (code)
--- a/test/error/BrokenAnswerRouterTest.cpp
+++ b/test/error/BrokenAnswerRouterTest.cpp
@@ -49,7 +49,8 @@
         const std::lock_guard guard(lock);
         const auto isDecode = request.target.ends_with("/m") && request.stage.empty();
         const auto isPlain = request.target.starts_with("/post/") || request.target == "/read/x";
-        const auto sort = isDecode ? "decode" : isPlain ? "plain" : request.stage;
+        const auto sort = isDecode ? "decode" : isPlain ? "plain"
+                                                        : request.stage;
         if (sort == brokenCalls) {
             ++seen;
             return { brokenBytes(request), brokenEnding, 20ms };
@@ -77,6 +78,61 @@
     EarlyServer server { threads, [this](const RawRequest& request) { return reply(request); } };
 };
 
+auto openHead(const RawRequest& request, const std::string& type) -> std::string
+{
+    return "HTTP/1.1 200 OK\r\n" + idField(request) + "Server-Seal: s\r\nContent-Type: " + type + "\r\n\r\n";
+}
+
+/// @return whether a caller can't take the result for a complete answer of a server.
+auto isError(const HttpResult<HttpResponse>& result) -> bool
+{
+    return result.has_error() || result->status == 502;
+}
+
+}
+
+// Guards against a caller that receives a part of a body as a complete response, and against a call that runs again
+// although it must not.
+TEST_CASE("a plain call whose server resets an early response without a length ends with an error")
+{
+    BrokenAnswerRouter fixture;
+    for (const auto bytes : { smallUpload, largeUpload }) {
+        for (const std::string target : { "/post/x", "/read/x" }) {
+            CAPTURE(bytes, target);
+            fixture.breakAnswers(
+                "plain", [](const RawRequest& request) { return openHead(request, "text/plain") + "part"; }, EarlyEnding::Reset);
+            const auto response = fixture.send(target, bytes);
+            REQUIRE(response.has_value());
+            CHECK(response->status == 502);
+            CHECK_THAT(response->body, Catch::Contains(R"("ran":"unknown")"));
+            CHECK(fixture.seen == (target == "/read/x" ? 2 : 1));
+            // Successes end the ejection of the servers.
+            fixture.breakAnswers("none", {}, {});
+            CHECK(fixture.waitUntil([&] { return fixture.call("GET", "/read/x")->status == 200 && fixture.call("GET", "/read/x")->status == 200; }));
+        }
+        fixture.breakAnswers(
+            "plain", [](const RawRequest& request) { return openHead(request, "text/plain") + "all"; }, EarlyEnding::Close);
+        const auto response = fixture.send("/post/x", bytes);
+        REQUIRE(response.has_value());
+        CHECK(response->status == 200);
+        CHECK(response->body == "all");
+    }
+}
+
+// Guards against a stream without a length that counts as complete after a reset.
+TEST_CASE("a stream whose engine resets an early response without a length does not appear complete")
+{
+    BrokenAnswerRouter fixture;
+    const auto bytes = GENERATE(smallUpload, largeUpload);
+    const auto ending = GENERATE(EarlyEnding::Reset, EarlyEnding::Close);
+    CAPTURE(bytes, static_cast<int>(ending));
+    fixture.breakAnswers(
+        "decode", [](const RawRequest& request) { return openHead(request, "text/event-stream") + streamText(1, 2); }, ending);
+    const auto response = fixture.send("/once/m", bytes);
+    CHECK(isError(response) == (ending == EarlyEnding::Reset));
+    if (ending == EarlyEnding::Close)
+        CHECK(response->body == streamText(1, 2));
+    CHECK(fixture.seen == 1);
 }
 
 // Guards against a caller that receives a status that is none, or a response that a server hid in the body of such a
