Decide on a crash that becomes known while a decision is pending

A decision about crashing calls waits 30 ms for the reports of the crash. A crash that became known during this wait scheduled no decision of its own and was too recent for the pending one, so its call was blocked only when it was sent again: the shared list and the peers that had seen no crash waited for that call. The task now goes on until nothing is left to decide.

--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -34,7 +34,7 @@
   LINK jayhold_platform)
 
 jayhold_test(crashing_call_test
-  SOURCES test/correctness/CrashingCallTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
+  SOURCES test/correctness/CrashDecisionTest.cpp test/correctness/CrashingCallTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
 jayhold_test(silent_backend_test
--- a/src/PlainServiceCrashes.cpp
+++ b/src/PlainServiceCrashes.cpp
@@ -22,6 +22,7 @@
 constexpr Duration maxSuspectWait = std::chrono::milliseconds(300);
 constexpr Duration suspectCheckInterval = std::chrono::milliseconds(10);
 constexpr std::size_t maxLostCalls = 64;
+constexpr Duration minDecisionWait = std::chrono::milliseconds(1);
 
 auto eventName(BlockedPartChange change) -> std::string_view
 {
@@ -234,14 +235,19 @@
 auto PlainService::decideAfterReports() -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
-    co_await pause(crashReportWait);
-    CrashUpdates updates;
-    {
-        const std::lock_guard guard(m_lock);
-        m_isCrashDecisionDue = false;
-        decideCrashesLocked(updates);
+    auto wait = crashReportWait;
+    while (wait > Duration::zero()) {
+        co_await pause(wait);
+        CrashUpdates updates;
+        {
+            const std::lock_guard guard(m_lock);
+            decideCrashesLocked(updates);
+            // Crashes that became known during the wait are decided on once their own reports have arrived.
+            m_isCrashDecisionDue = m_crashes.decideAt != TimePoint::max();
+            wait = m_isCrashDecisionDue ? std::max<Duration>(m_crashes.decideAt - monotonicNow(), minDecisionWait) : Duration::zero();
+        }
+        publish(updates);
     }
-    publish(updates);
 }
 
 auto PlainService::publish(const CrashUpdates& updates) -> void
