Test truncated and invalid responses of the store

A list or a watch without a length that is cut after any byte, by a close or a reset, is an error: the adapter already did right.

--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -42,7 +42,7 @@
   LINK jayhold_platform)
 
 jayhold_test(backend_answer_test
-  SOURCES test/correctness/LargeBodyTest.cpp test/correctness/LostEndTest.cpp test/correctness/RepeatedRefusalTest.cpp test/correctness/SlotReservationTest.cpp test/correctness/StreamErrorTest.cpp test/error/BrokenAnswerRouterTest.cpp test/error/EndlessBackendTest.cpp test/error/TruncatedBackendAnswerTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
+  SOURCES test/correctness/LargeBodyTest.cpp test/correctness/LostEndTest.cpp test/correctness/RepeatedRefusalTest.cpp test/correctness/SlotReservationTest.cpp test/correctness/StreamErrorTest.cpp test/error/BrokenAnswerRouterTest.cpp test/error/BrokenStoreAnswerTest.cpp test/error/EndlessBackendTest.cpp test/error/TruncatedBackendAnswerTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
 jayhold_test(server_notice_test
