--- a/test/error/EarlyResponseTest.cpp
+++ b/test/error/EarlyResponseTest.cpp
@@ -18,7 +18,7 @@
     auto send(const std::string& target, std::size_t bodyBytes) -> HttpResult<HttpResponse>
     {
         HttpCallOptions options;
-        options.timeout = 2s;
+        options.timeout = timeout;
         options.mayReuse = true;
         options.mayResend = [this] {
             ++resends;
@@ -39,6 +39,7 @@
     }
 
     EarlyServer::Reply early;
+    Duration timeout = 2s;
     std::atomic<int> earlyCalls { 0 };
     std::atomic<int> resends { 0 };
     IoThreads threads { 2 };
@@ -112,3 +113,16 @@
     REQUIRE(result.has_error());
     CHECK(result.error().kind == HttpErrorKind::ConnectionLost);
 }
+
+// Guards against a call that never ends, or a part that counts as complete, because the server neither reads nor closes.
+TEST_CASE("an early response without a length on a connection that stays open ends with the timeout")
+{
+    const auto bodyBytes = GENERATE(smallBody, largeBody);
+    EarlyFixture fixture;
+    fixture.timeout = 300ms;
+    fixture.early = { openHead + "part", EarlyEnding::Open };
+    const auto result = fixture.sendEarly(bodyBytes, false);
+    REQUIRE(result.has_error());
+    CHECK(result.error().kind == HttpErrorKind::TimedOut);
+    CHECK(fixture.earlyCalls == 1);
+}
