--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -200,8 +200,6 @@
         .instance = state.settings.instance,
         .incarnation = state.settings.incarnation,
         .sequence = ++state.sequence,
-        .availabilityZone = state.settings.availabilityZone,
-        .isDraining = state.isDraining,
         .usages = std::move(usages),
         .backendsChangingRole = std::move(backendsChangingRole),
         .limits = std::move(limits),
@@ -209,6 +207,8 @@
         .suspects = takeRumors(state.suspects, maxCrashReportsPerMessage),
         .promptReports = takeRumors(state.promptReports, maxPromptReportsPerMessage),
         .revisions = state.revisions,
+        .availabilityZone = state.settings.availabilityZone,
+        .isDraining = state.isDraining,
     };
     sendToPeers(serializeLoadMessage(message), isForAllZones);
 }
--- a/src/LoadMessage.h
+++ b/src/LoadMessage.h
@@ -22,9 +22,6 @@
     std::string incarnation;
     /// Increases with each message of a process.
     std::uint64_t sequence = 0;
-    /// Zone of the instance; empty in messages of earlier versions.
-    std::string availabilityZone {};
-    bool isDraining = false;
     std::vector<BackendUsage> usages;
     /// Backend servers that the instance has recently ordered to change their role.
     std::vector<std::string> backendsChangingRole;
@@ -37,6 +34,9 @@
     std::vector<PromptReport> promptReports;
     /// Revision of the last change that the instance has applied, by kind of the store's objects.
     std::map<std::string, std::int64_t> revisions;
+    /// Zone of the instance; empty in messages of earlier versions.
+    std::string availabilityZone {};
+    bool isDraining = false;
 };
 
 /// @return the message as JSON text.
--- a/src/QuotaGrants.cpp
+++ b/src/QuotaGrants.cpp
@@ -136,7 +136,7 @@
 {
     auto zones = otherZones(state.view, now);
     if (!zones.empty())
-        std::ranges::rotate(zones, zones.begin() + static_cast<std::ptrdiff_t>(state.nextId % zones.size()));
+        std::rotate(zones.begin(), zones.begin() + static_cast<std::ptrdiff_t>(state.nextId % zones.size()), zones.end());
     return zones;
 }
 
--- a/test/correctness/QuotaRouterTest.cpp
+++ b/test/correctness/QuotaRouterTest.cpp
@@ -104,7 +104,7 @@
     QuotaFixture fixture;
     fixture.waitUntilGranted("key-1");
     for (const auto* server : { &fixture.plain1, &fixture.plain2 })
-        fixture.registerServer(*server, "ledger", {}, "leaving");
+        fixture.registerServer(*server, "ledger", {}, "draining");
     REQUIRE(fixture.waitUntil([&] { return fixture.read("key-3").status == 503; }));
     std::this_thread::sleep_for(1100ms);
     for (int count = 0; count < 5; ++count)
