--- a/test/QuotaFleet.cpp
+++ b/test/QuotaFleet.cpp
@@ -77,7 +77,7 @@
                 QuotaOutput output;
                 const std::vector<Customer> customers { customerWith(quota) };
                 updateQuotas(instance.owner, m_now, customers, output);
-                process(index, std::move(output));
+                process(index, output);
             });
         });
     }
@@ -110,7 +110,7 @@
                 continue;
             QuotaOutput output;
             advance(instance.owner, m_now, output);
-            process(index, std::move(output));
+            process(index, output);
         }
         nextTick += tickInterval;
     }
@@ -125,13 +125,13 @@
     QuotaOutput output;
     const auto request = askQuota(instance.owner, m_now, "customer", amount, output);
     m_open[request] = amount;
-    process(index, std::move(output));
+    process(index, output);
 }
 
-auto QuotaFleet::process(std::size_t index, QuotaOutput output) -> void
+auto QuotaFleet::process(std::size_t index, const QuotaOutput& output) -> void
 {
     const auto& sender = m_instances[index];
-    for (auto& outgoing : output.messages) {
+    for (const auto& outgoing : output.messages) {
         const auto to = std::stoul(outgoing.instance.substr(outgoing.instance.find('-') + 1));
         if (!isConnected(sender, m_instances[to]) || isLost())
             continue;
@@ -140,11 +140,11 @@
             deliver(to, run, [this, to, text](Instance& receiver) {
                 QuotaOutput reply;
                 handleQuotaMessage(receiver.owner, m_now, parseQuotaMessage(text).value(), reply);
-                process(to, std::move(reply));
+                process(to, reply);
             });
         });
     }
-    for (auto& outcome : output.outcomes) {
+    for (const auto& outcome : output.outcomes) {
         const auto open = m_open.extract(outcome.request);
         if (!open)
             continue;
@@ -158,7 +158,7 @@
                 QuotaOutput returned;
                 m_requests[number].isGranted = false;
                 giveBack(instance.owner, m_now, grant, returned);
-                process(index, std::move(returned));
+                process(index, returned);
             });
         });
     }
--- a/test/QuotaFleet.h
+++ b/test/QuotaFleet.h
@@ -72,7 +72,7 @@
     auto startInstance(std::size_t index) -> void;
     auto sendPresence(std::size_t index) -> void;
     auto deliver(std::size_t index, std::uint64_t run, std::function<void(Instance&)> handle) -> void;
-    auto process(std::size_t index, QuotaOutput output) -> void;
+    auto process(std::size_t index, const QuotaOutput& output) -> void;
     auto isConnected(const Instance& left, const Instance& right) const -> bool;
     auto isLost() -> bool;
     auto delayBetween(const Instance& left, const Instance& right) -> Duration;
--- a/test/correctness/QuotaRouterTest.cpp
+++ b/test/correctness/QuotaRouterTest.cpp
@@ -5,9 +5,9 @@
 
 namespace {
 
-auto customerEntry(std::string name, std::string key, json::object quota) -> json::object
+auto customerEntry(std::string name, const std::string& key, json::object quota) -> json::object
 {
-    json::object entry { { "name", std::move(name) }, { "apiKeys", json::array { std::move(key) } } };
+    json::object entry { { "name", std::move(name) }, { "apiKeys", json::array { key } } };
     for (auto& field : quota)
         entry[field.key()] = std::move(field.value());
     return entry;
