Let plain calls wait for slots only where calls have an order

Deployments without customers, whose kinds have one priority, are served as before: there is no order in which waiting calls could get slots.

--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -32,6 +32,11 @@
     return policy.isShared ? policy : RetryPolicy { .ratio = plainRetryLimits.ratio, .burst = plainRetryLimits.capacity };
 }
 
+auto hasSeveralPriorities(const Service& service) -> bool
+{
+    return std::ranges::any_of(service.kinds, [&](const RequestKind& kind) { return kind.priority != service.kinds.front().priority; });
+}
+
 auto nextAttemptId(const EntryContext& context) -> std::string
 {
     static std::atomic<std::uint64_t> lastAttempt { 0 };
@@ -46,6 +51,7 @@
     , m_name(service.name)
     , m_metrics(context.metrics.service(service.name))
     , m_pools(service.pools)
+    , m_hasSeveralPriorities(hasSeveralPriorities(service))
     , m_retry(service.retry)
     , m_instanceCount(instanceCount)
     , m_budget(makeRetryBudget(plainPolicy(service.retry), instanceCount))
@@ -56,6 +62,7 @@
 {
     const std::lock_guard guard(m_lock);
     m_pools = service.pools;
+    m_hasSeveralPriorities = hasSeveralPriorities(service);
     m_retry = service.retry;
     std::erase_if(m_durations, [&](const auto& entry) { return std::ranges::find(service.kinds, entry.first, &RequestKind::name) == service.kinds.end(); });
     std::erase_if(m_callReferences, [&](const auto& entry) { return std::ranges::find(service.kinds, entry.first, &RequestKind::name) == service.kinds.end(); });
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -118,6 +118,8 @@
     /// @return the server; nothing if the call can't be served any more, and at once if no slot is expected in time.
     auto awaitSlot(const PlainCallInfo& call, const CallState& state, PlainAttempt& last) -> boost::asio::awaitable<std::optional<BackendServer>>;
     /// @return what the place of the call among those that wait is computed from; requires the lock.
+    /// @return whether calls wait for slots in the order of their costs. Without customers and priorities there is no order.
+    auto ordersCallsLocked(const PlainCallInfo& call) const -> bool;
     auto workOfLocked(const PlainCallInfo& call, Duration duration, std::uint64_t id) const -> RequestWork;
     /// @return whether the call has to be refused because it crashes servers; requires the lock.
     auto isBlockedLocked(const PlainCallInfo& call, CallState& state, CrashUpdates& updates) -> bool;
@@ -218,6 +220,7 @@
 
     mutable std::mutex m_lock;
     std::vector<Pool> m_pools;
+    bool m_hasSeveralPriorities;
     RetryPolicy m_retry;
     std::uint32_t m_instanceCount;
     PlainBalancer m_balancer;
--- a/src/PlainServiceCrashes.cpp
+++ b/src/PlainServiceCrashes.cpp
@@ -54,7 +54,7 @@
             last.isRefusedAsCrashing = isBlockedLocked(call, state, updates);
             state.isSuspect = !last.isRefusedAsCrashing && isSuspectLocked(call);
             // A retry goes to another server or nowhere.
-            mayAwaitSlot = !last.isRefusedAsCrashing && !state.isSuspect && state.triedBackends.empty();
+            mayAwaitSlot = ordersCallsLocked(call) && !last.isRefusedAsCrashing && !state.isSuspect && state.triedBackends.empty();
             if (!last.isRefusedAsCrashing && !(mayAwaitSlot && m_waiting.size()))
                 server = state.isSuspect ? m_balancer.acquireForSuspect(now, state.triedBackends, call.signature) : m_balancer.acquire(now, state.triedBackends, meanCallTimeLocked(call));
             mustWait = state.isSuspect && !server && now < waitUntil && m_balancer.awaitsSuspect(now, state.triedBackends);
--- a/src/PlainServiceWaiting.cpp
+++ b/src/PlainServiceWaiting.cpp
@@ -17,6 +17,11 @@
 
 }
 
+auto PlainService::ordersCallsLocked(const PlainCallInfo& call) const -> bool
+{
+    return m_hasSeveralPriorities || !call.customer.empty();
+}
+
 auto PlainService::workOfLocked(const PlainCallInfo& call, Duration duration, std::uint64_t id) const -> RequestWork
 {
     return {
