--- a/src/RequestRanks.cpp
+++ b/src/RequestRanks.cpp
@@ -24,14 +24,14 @@
     auto customers = settings.customerPriorities;
     customers.push_back(defaultPriority);
     std::ranges::sort(customers);
-    customers.erase(std::ranges::unique(customers).begin(), customers.end());
+    customers.erase(std::unique(customers.begin(), customers.end()), customers.end());
     std::vector<RequestRank> ranks;
     for (const auto customer : customers) {
         for (const auto& kind : settings.kinds)
             ranks.push_back({ customer, kind.priority });
     }
     std::ranges::sort(ranks);
-    ranks.erase(std::ranges::unique(ranks).begin(), ranks.end());
+    ranks.erase(std::unique(ranks.begin(), ranks.end()), ranks.end());
     return ranks;
 }
 
--- a/test/correctness/CallerCostTest.cpp
+++ b/test/correctness/CallerCostTest.cpp
@@ -67,8 +67,8 @@
             costs.push_back(callerCost(next, now));
         }
         const auto first = costs[cheapestRefusal(costs)].id;
-        std::ranges::rotate(costs, costs.begin() + *rc::gen::inRange(0, 12));
-        std::ranges::reverse(costs.begin(), costs.begin() + *rc::gen::inRange(0, 12));
+        std::rotate(costs.begin(), costs.begin() + *rc::gen::inRange(0, 12), costs.end());
+        std::reverse(costs.begin(), costs.begin() + *rc::gen::inRange(0, 12));
         RC_ASSERT(costs[cheapestRefusal(costs)].id == first);
     });
 }
