Bound the weight of a stall in the estimated speed

Cause: one gap of 2 s between two tokens counted as 2 s of work at a fifth of the speed, so an engine was taken for slow for some 20 s after a stall.

Change: work counts for at most five times its expected duration.

--- a/src/ServerSpeed.cpp
+++ b/src/ServerSpeed.cpp
@@ -64,7 +64,8 @@
     if (!(expectedSeconds > 0) || !(seconds > 0) || !std::isfinite(expectedSeconds) || !std::isfinite(seconds))
         return;
     const auto relative = clampSpeed(expectedSeconds / seconds);
-    const auto counted = std::min(seconds, maxSampleSeconds);
+    // A server that stood still is not slow in proportion to that time.
+    const auto counted = std::min({ seconds, expectedSeconds / minRelativeSpeed, maxSampleSeconds });
     addWork(speed.fast, now, fastDecayTime, relative * counted, counted);
     addWork(speed.slow, now, slowDecayTime, relative * counted, counted);
     speed.updatedAt = std::max(speed.updatedAt, now);
--- a/test/correctness/UnevenPlainServersTest.cpp
+++ b/test/correctness/UnevenPlainServersTest.cpp
@@ -85,6 +85,7 @@
 {
     SpeedReporter reporter;
     std::vector<SpeedReport> observed;
+    observed.reserve(20);
     for (int id = 0; id < 20; ++id)
         observed.push_back({ "engine-" + std::to_string(id), "1", WorkType::Decode, 0.5, 1s, 0ms });
     std::map<std::string, int> reports;
