Test the memory and descriptors that abusive callers take

Cause: in a trial, callers that sent many header lines, endless trailers or endless heads ended a process for lack of memory.

Change: abusive_callers_test starts jayhold-entry with lowered limits (limits.memoryMb=40, limits.maxFds=360, of which 200 are for files) and lets 64 to 256 clients misuse the protocol for 5 s. It checks that the process lives, its peak resident memory (VmHWM, at most limits.memoryMb), its descriptors (at most 160) and one ordinary request afterwards. The crowd stops early at eight times the memory limit, so larger peaks are possible.

--- a/cmake/scenario.cmake
+++ b/cmake/scenario.cmake
@@ -29,3 +29,13 @@
   LINK jayhold_scenario)
 target_compile_definitions(entry_process_test PRIVATE JAYHOLD_ENTRY="$<TARGET_FILE:jayhold-entry>")
 add_dependencies(entry_process_test jayhold-entry)
+
+# Measures the memory of the process, so nothing else runs beside it.
+jayhold_test(abusive_callers_test
+  SOURCES test/error/AbusiveCallersTest.cpp test/AbusiveCallers.cpp test/scenario/ChildProcess.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
+  LINK jayhold_platform)
+if(JAYHOLD_TESTS)
+  target_compile_definitions(abusive_callers_test PRIVATE JAYHOLD_ENTRY="$<TARGET_FILE:jayhold-entry>")
+  add_dependencies(abusive_callers_test jayhold-entry)
+  set_tests_properties(abusive_callers_test PROPERTIES RUN_SERIAL TRUE TIMEOUT 600)
+endif()
