Count the memory of a request's head against the request budget

Cause: a request of 16 KB with 4,000 short header lines held 1.4 MB (the parser, the handler's copy, the forwarded request and the message to the server), and only bodies of more than 32 KB were counted. The parser's header limit does not cover bytes that it has already consumed.

Change: HttpRequestReader reads the head part by part and counts lines and bytes against the limits of one request (maxHeaderBytes in all, limits.maxHeaderLines) and, with its connection, buffer and small body, against the budget of the bodies (HeadShare): 512 bytes a line and four copies of its bytes. A third of the budget, an eighth of the memory, is kept beside it for small heads. What has no room gets the existing 503. The parser's copy is released before the handler runs, what was read of a rejected request before its response is sent, and a large buffer when the connection becomes idle. A reached limit is counted by reason (jayhold_caller_limits_reached_total) and logged (caller_limit_reached).

--- a/cmake/http.cmake
+++ b/cmake/http.cmake
@@ -1,5 +1,5 @@
 jayhold_library(jayhold_http
-  UNITS ConnectionClose ConnectionPool HttpClient HttpMessages HttpServer HttpServerConnection HttpServerExchange HttpStream IoThreads LoopMonitor Pause RepeatedCheck RequestBudget ResponseBudget SocketOptions Tasks
+  UNITS ConnectionClose ConnectionPool HttpClient HttpMessages HttpRequestReader HttpServer HttpServerConnection HttpServerExchange HttpStream IoThreads LoopMonitor Pause RepeatedCheck RequestBudget ResponseBudget SocketOptions Tasks
   LINK jayhold_base)
 
 jayhold_test(http_test
--- /dev/null
+++ b/src/ConnectionLimits.h
@@ -0,0 +1,15 @@
+#pragma once
+
+/// Limits on what callers, probes and unlisted peers may take of an instance. No client within the limits of the
+/// configuration reaches the defaults.
+
+#include <cstddef>
+
+namespace jayhold {
+
+struct ConnectionLimits {
+    /// Maximum number of header lines of a request. A head of 16 KB can't have more.
+    std::size_t headerLines = 4'096;
+};
+
+}
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -22,6 +22,9 @@
 struct HttpServerSettings {
     HttpEndpoint endpoint { "127.0.0.1", 0 };
     std::size_t maxHeaderBytes = 16U << 10U;
+    /// Maximum number of header lines of a request. A head of the maximum size has at most a quarter as many lines as
+    /// bytes.
+    std::size_t maxHeaderLines = 4'096;
     std::size_t maxBodyBytes = 4U << 20U;
     /// Maximum time from the first byte of a request until its header and body have arrived.
     Duration readTimeout = std::chrono::seconds(10);
@@ -32,13 +35,16 @@
     /// A connection on which nothing is acknowledged for this long before its first request is closed; zero keeps the
     /// system's defaults.
     Duration tcpUserTimeout {};
-    /// Limits the bytes of request bodies that are held at the same time; null if they are not limited.
+    /// Limits the bytes of requests that are held at the same time; null if they are not limited.
     std::shared_ptr<RequestBudget> requestBudget;
     /// Creates the response to a request that has not been read because there is no room for its body. Gets the request
     /// without its body.
     std::function<HttpResponse(const HttpRequest&)> noRoomResponse = [](const HttpRequest&) {
         return jsonResponse(503, R"({"error":{"type":"overloaded","message":"there is no room for the body of the request","ran":"no"}})");
     };
+    /// Called on an I/O thread when a limit is reached, with the name of the limit: `header_bytes`, `header_lines` or
+    /// `memory`.
+    std::function<void(std::string_view)> onLimitReached = [](std::string_view) {};
     /// Called for each closed connection on its I/O thread.
     std::function<void(const ConnectionClose&)> onConnectionClosed = [](const ConnectionClose&) {};
     /// Creates the response to a request whose handler fails or is ended before it responds, so that the
--- a/src/HttpServerConnection.cpp
+++ b/src/HttpServerConnection.cpp
@@ -3,15 +3,12 @@
 #include "AwaitToken.h"
 #include "ExceptionText.h"
 #include "HttpConnection.h"
+#include "HttpRequestReader.h"
 #include "HttpServerExchange.h"
-#include "Pause.h"
-#include "RequestShare.h"
+#include "ReadTimer.h"
 #include "SocketOptions.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
@@ -57,83 +54,26 @@
     return { std::string(message.method_string()), std::string(message.target()), copyHeaders(message), std::move(message.body()), false };
 }
 
-using RequestParser = http::request_parser<http::string_body>;
-
-/// Cancels a read after a timeout but leaves the socket open, so that an error response can still be
-/// sent; the timeout of the stream would close the socket.
-class ReadTimer {
-public:
-    ReadTimer(std::shared_ptr<HttpServerConnectionState> connection, Duration timeout)
-        : m_state(std::make_shared<State>(std::move(connection)))
-        , m_timer(m_state->connection->stream.get_executor(), timeout)
-    {
-        m_timer.async_wait([state = m_state](boost::system::error_code code) {
-            if (code || state->isFinished)
-                return;
-            state->hasTimedOut = true;
-            state->connection->stream.cancel();
-        });
-    }
-    ~ReadTimer() { m_state->isFinished = true; }
-    ReadTimer(const ReadTimer&) = delete;
-    auto operator=(const ReadTimer&) -> ReadTimer& = delete;
-
-    auto hasTimedOut() const -> bool { return m_state->hasTimedOut; }
-
-private:
-    struct State {
-        explicit State(std::shared_ptr<HttpServerConnectionState> connectionState)
-            : connection(std::move(connectionState))
-        {
-        }
-
-        const std::shared_ptr<HttpServerConnectionState> connection;
-        bool isFinished = false;
-        bool hasTimedOut = false;
-    };
-
-    const std::shared_ptr<State> m_state;
-    asio::steady_timer m_timer;
-};
-
 /// The end of a connection on which no further request was read.
 struct ReadEnd {
     CloseReason reason;
     /// Empty if the server has closed an idle connection.
     boost::system::error_code code;
-    /// Whether the body of the request was not read because there was no room for it.
+    /// Whether the rest of the request was not read because there was no room for it.
     bool lacksRoom = false;
 };
 
-/// The body of a request while it is read.
-struct BodyReading {
-    HttpServerSharedState& shared;
-    std::shared_ptr<HttpServerConnectionState> connection;
-    RequestParser& parser;
-    const ReadTimer& timer;
-    std::size_t maxBytes;
-    /// Null while the body takes no part of the request budget.
-    std::shared_ptr<RequestShare> share = nullptr;
-    bool lacksRoom = false;
-};
-
-/// @return whether bytes have arrived that were not read yet.
-auto hasUnreadBytes(HttpServerConnectionState& connection) -> bool
-{
-    boost::system::error_code code;
-    return connection.stream.socket().available(code) > 0 && !code;
-}
-
 /// A caller that has just connected needs this time to send its request.
 constexpr Duration firstRequestTime = std::chrono::milliseconds(500);
 
 /// @return how long the connection may wait for the first byte of a request.
 auto maxIdleTime(const HttpServerSharedState& shared, const HttpServerConnectionState& connection) -> Duration
 {
-    const auto idleTimeout = shared.settings.load()->idleTimeout;
-    if (!shared.closesIdleConnections)
-        return idleTimeout;
-    return connection.hasCarriedRequest ? Duration::zero() : std::min(idleTimeout, firstRequestTime);
+    const auto settings = shared.settings.load();
+    const auto idleTimeout = settings->idleTimeout;
+    if (shared.closesIdleConnections)
+        return connection.hasCarriedRequest ? Duration::zero() : std::min(idleTimeout, firstRequestTime);
+    return idleTimeout;
 }
 
 /// Waits for the first byte of a request. When the idle timeout ends, its current value is checked
@@ -141,7 +81,6 @@
 /// have arrived by then, while the process was paused or busy; it is read also after the timeout or during a drain.
 auto waitForFirstByte(HttpServerSharedState& shared, const std::shared_ptr<HttpServerConnectionState>& connection) -> asio::awaitable<std::optional<ReadEnd>>
 {
-    constexpr std::size_t firstReadBytes = 4'096;
     const auto startedAt = monotonicNow();
     while (true) {
         const auto remaining = startedAt + maxIdleTime(shared, *connection) - monotonicNow();
@@ -165,78 +104,11 @@
     }
 }
 
-/// @return whether the caller waits for an interim response before it sends the body.
-auto awaitsContinue(const HttpServerConnectionState& connection, const RequestParser& parser) -> bool
-{
-    constexpr unsigned firstVersionWithExpect = 11;
-    const auto& message = parser.get();
-    return !parser.is_done() && connection.buffer.size() == 0 && message.version() >= firstVersionWithExpect && beast::iequals(message[http::field::expect], "100-continue");
-}
-
-/// @return the bytes that the rest of the body may take in memory: as stated, or, while its length is not known, what its
-/// growth to the largest allowed one can take.
-auto neededBytes(const BodyReading& body) -> std::size_t
-{
-    const auto stated = body.parser.content_length();
-    return stated ? std::min<std::size_t>(*stated, body.maxBytes) : 2 * body.maxBytes;
-}
-
-/// Waits until the request budget has room for the body. The caller's data stays unread meanwhile, so that it stops sending.
-/// @return false if there is none in time.
-auto takeRoom(BodyReading& body) -> asio::awaitable<bool>
-{
-    // Callers allow a few seconds at most, and need most of them for the answer.
-    constexpr Duration maxWait = std::chrono::milliseconds(300);
-    constexpr Duration checkInterval = std::chrono::milliseconds(10);
-    const auto until = monotonicNow() + maxWait;
-    body.share = std::make_shared<RequestShare>(body.shared.requestBudget, neededBytes(body));
-    while (!body.share->tryTake()) {
-        if (monotonicNow() >= until) {
-            body.share.reset();
-            body.shared.requestBudget->countRefusal();
-            co_return false;
-        }
-        co_await pause(checkInterval);
-    }
-    co_return true;
-}
-
-/// @return whether what is known of the body has to be counted, and is not yet.
-auto needsRoom(const BodyReading& body) -> bool
+/// Reports a limit that the request has exceeded.
+auto reportLimit(const HttpServerSharedState& shared, const boost::system::error_code& code, const RequestReading& body) -> void
 {
-    if (!body.shared.requestBudget || body.share || body.parser.is_done())
-        return false;
-    const auto stated = body.parser.content_length();
-    return (stated ? *stated : body.parser.get().body().size()) > RequestBudget::uncountedBytes;
-}
-
-/// Reads a request, and asks its caller for the body if it waits for that.
-auto readMessage(BodyReading& body) -> asio::awaitable<boost::system::error_code>
-{
-    constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
-    auto& connection = *body.connection;
-    auto& parser = body.parser;
-    boost::system::error_code code;
-    co_await http::async_read_header(connection.stream, connection.buffer, parser, awaitInto(code));
-    const auto awaitsInterim = !code && awaitsContinue(connection, parser);
-    for (auto isFirst = true; !code && !parser.is_done(); isFirst = false) {
-        if (needsRoom(body)) {
-            const auto hasRoom = co_await takeRoom(body);
-            body.lacksRoom = !hasRoom;
-        }
-        if (body.lacksRoom)
-            co_return code;
-        // What has arrived while the process was paused is still read.
-        if (body.timer.hasTimedOut() && !hasUnreadBytes(connection))
-            co_return beast::error::timeout;
-        if (awaitsInterim && isFirst)
-            co_await asio::async_write(connection.stream, asio::buffer(continueResponse), awaitInto(code));
-        if (!code)
-            co_await http::async_read_some(connection.stream, connection.buffer, parser, awaitInto(code));
-    }
-    if (body.share)
-        body.share->shrink(parser.get().body().capacity());
-    co_return code;
+    if (code == http::error::header_limit)
+        shared.onLimitReached(body.head.lines > body.settings.maxHeaderLines ? "header_lines" : "header_bytes");
 }
 
 /// Waits for a request: up to the idle timeout for its first byte, then up to the read timeout
@@ -248,6 +120,10 @@
         const ActiveExchange waiting(shared.waitingConnections);
         connection->accepted.reset();
         if (connection->buffer.size() == 0) {
+            if (connection->buffer.capacity() > firstReadBytes)
+                connection->buffer.shrink_to_fit();
+            // There was room when the connection was accepted.
+            connection->headShare.resize(connectionBytes);
             const auto end = co_await waitForFirstByte(shared, connection);
             if (end)
                 co_return end;
@@ -260,10 +136,14 @@
     parser.header_limit(static_cast<std::uint32_t>(settings->maxHeaderBytes));
     parser.body_limit(settings->maxBodyBytes);
     const ReadTimer timer(connection, settings->readTimeout);
-    BodyReading body { shared, connection, parser, timer, settings->maxBodyBytes };
+    RequestReading body { shared, connection, parser, timer, *settings };
     auto code = co_await readMessage(body);
-    if (body.lacksRoom)
+    if (body.lacksRoom) {
+        shared.requestBudget->countRefusal();
+        shared.onLimitReached("memory");
         co_return ReadEnd { CloseReason::RequestError, {}, true };
+    }
+    reportLimit(shared, code, body);
     connection->bodyShare = std::move(body.share);
     if (!code)
         co_return std::nullopt;
@@ -357,7 +237,9 @@
     const auto keepAlive = parser.get().keep_alive();
     // A caller that does not read for a while still waits for its answer; the write timeout bounds that.
     tolerateSilence(connection->stream.socket());
-    HttpServerExchange exchange(shared, connection, client, toRequest(parser.get()), keepAlive, std::move(connection->bodyShare));
+    auto request = toRequest(parser.get());
+    parser.get().clear();
+    HttpServerExchange exchange(shared, connection, client, std::move(request), keepAlive, std::move(connection->bodyShare));
     const auto thrown = co_await runHandler(shared, *connection, exchange);
     const auto reason = thrown ? CloseReason::Exception : exchange.closeReason();
     const auto isHandlerAnswer = exchange.isAnswered();
@@ -383,6 +265,16 @@
     return requestError ? std::optional(errorResponse(*requestError)) : std::nullopt;
 }
 
+/// Releases what was read of a request that is rejected. Its caller may take a while to receive the response.
+auto releaseRequest(HttpServerConnectionState& connection, RequestParser& parser) -> void
+{
+    parser.get().clear();
+    parser.get().body() = std::string();
+    connection.buffer.clear();
+    connection.buffer.shrink_to_fit();
+    connection.headShare.resize(connectionBytes);
+}
+
 /// Serves requests until the connection has to be closed.
 auto serveRequests(HttpServerSharedState& shared, const std::shared_ptr<HttpServerConnectionState>& connection, HttpClient& client) -> asio::awaitable<void>
 {
@@ -391,6 +283,7 @@
         const auto end = co_await readRequest(shared, connection, parser);
         if (end) {
             auto rejection = rejectionOf(shared, *end, parser);
+            releaseRequest(*connection, parser);
             if (rejection)
                 co_await rejectRequest(shared, connection, client, std::move(*rejection));
             connection->active.reset();
@@ -406,7 +299,7 @@
 auto serveConnection(std::shared_ptr<HttpServerSharedState> shared, asio::ip::tcp::socket socket, HttpClient& client, std::unique_ptr<ActiveExchange> waiting) -> asio::awaitable<void>
 {
     setSocketOptions(socket, shared->settings.load()->tcpUserTimeout);
-    const auto connection = std::make_shared<HttpServerConnectionState>(std::move(socket));
+    const auto connection = std::make_shared<HttpServerConnectionState>(std::move(socket), shared->requestBudget);
     connection->accepted = std::move(waiting);
     {
         const RegisteredConnection registered(*shared, connection);
--- a/src/HttpServerConnection.h
+++ b/src/HttpServerConnection.h
@@ -22,6 +22,7 @@
         : settings(std::make_shared<const HttpServerSettings>(serverSettings))
         , handler(std::move(serverHandler))
         , onConnectionClosed(serverSettings.onConnectionClosed)
+        , onLimitReached(serverSettings.onLimitReached)
         , unknownOutcomeResponse(serverSettings.unknownOutcomeResponse)
         , requestBudget(serverSettings.requestBudget)
         , noRoomResponse(serverSettings.noRoomResponse)
@@ -31,6 +32,7 @@
     SharedValue<HttpServerSettings> settings;
     const HttpHandler handler;
     const std::function<void(const ConnectionClose&)> onConnectionClosed;
+    const std::function<void(std::string_view)> onLimitReached;
     const std::function<HttpResponse()> unknownOutcomeResponse;
     const std::shared_ptr<RequestBudget> requestBudget;
     const std::function<HttpResponse(const HttpRequest&)> noRoomResponse;
@@ -47,6 +49,9 @@
     ConnectionRegistry exchanges;
 };
 
+/// Memory of a connection without a request: its socket, buffers and coroutines.
+inline constexpr std::size_t connectionBytes = 12'288;
+
 /// Serves a connection until it closes.
 /// @param waiting counts the accepted connection as waiting until it does so itself.
 auto serveConnection(std::shared_ptr<HttpServerSharedState> shared, boost::asio::ip::tcp::socket socket, HttpClient& client, std::unique_ptr<ActiveExchange> waiting) -> boost::asio::awaitable<void>;
--- a/src/HttpServerConnectionState.h
+++ b/src/HttpServerConnectionState.h
@@ -3,6 +3,7 @@
 /// The socket of one connection of an HttpServer. Private to the HTTP library.
 
 #include "ActiveExchange.h"
+#include "HeadShare.h"
 #include "RequestShare.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -19,8 +20,10 @@
 
 /// Socket state, which outlives the exchange while a wait for the close of the connection is pending.
 struct HttpServerConnectionState {
-    explicit HttpServerConnectionState(boost::asio::ip::tcp::socket socket)
+    /// @param budget null if the memory of requests is not limited.
+    HttpServerConnectionState(boost::asio::ip::tcp::socket socket, std::shared_ptr<RequestBudget> budget)
         : stream(std::move(socket))
+        , headShare(std::move(budget))
     {
     }
 
@@ -35,6 +38,8 @@
     std::unique_ptr<ActiveExchange> accepted;
     /// Whether a part of a request has arrived since the connection was accepted.
     bool hasCarriedRequest = false;
+    /// What the connection and the head of its request take of the request budget.
+    HeadShare headShare;
     /// Part of the request budget that the body of the request takes which was read last; null if it takes none.
     std::shared_ptr<RequestShare> bodyShare;
     /// Counts the connection as active from the first byte of a request until it is answered.
--- a/src/RequestBudget.h
+++ b/src/RequestBudget.h
@@ -1,7 +1,8 @@
 #pragma once
 
-/// Limits the bytes of request bodies that a process holds at the same time. The limit of one body does not bound their
-/// sum: many callers may send a large one at once. Bodies wait in the order of their arrival until there is room.
+/// Limits the bytes of requests that a process holds at the same time: bodies, heads and connections. The limit of one
+/// request does not bound their sum: many callers may send a large one at once. Bodies wait in the order of their arrival
+/// until there is room. A part is reserved for small requests, so that large ones leave room for them.
 /// Contains no network code; all members are thread-safe.
 
 #include <atomic>
@@ -18,11 +19,14 @@
 
     /// Bodies up to this size are not counted, so that small requests are served while the budget is used up.
     static constexpr std::size_t uncountedBytes = 32'768;
+    /// A connection with a head up to this size may use the reserve.
+    static constexpr std::size_t maxSmallHeadBytes = 65'536;
     /// For processes whose memory is not known.
     static constexpr std::size_t defaultLimitBytes = 128U << 20U;
 
     explicit RequestBudget(std::size_t limitBytes)
         : m_limitBytes(limitBytes)
+        , m_reserveBytes(limitBytes / reserveDivisor)
     {
     }
 
@@ -36,21 +40,37 @@
     auto shrink(BodyId id, std::size_t bytes) -> void;
     /// Releases the bytes of a body, or its place in the line.
     auto remove(BodyId id) -> void;
-    /// Counts a request that is refused because there was no room for its body.
+    /// Changes the bytes that a connection and the head of its request take.
+    /// @return false if there is no room for more bytes.
+    auto resizeHead(std::size_t from, std::size_t to) -> bool;
+    /// Counts a request that is refused because there was no room for it.
     auto countRefusal() -> void { ++m_refusals; }
 
     auto heldBytes() const -> std::size_t { return m_heldBytes; }
+    /// @return bytes that connections and heads take.
+    auto heldHeadBytes() const -> std::size_t { return m_headBytes; }
     auto limitBytes() const -> std::size_t { return m_limitBytes; }
     auto refusals() const -> std::uint64_t { return m_refusals; }
 
 private:
+    /// An eighth of the memory of a process whose limit is three eighths.
+    static constexpr std::size_t reserveDivisor = 3;
+
+    auto fitsLocked(std::size_t from, std::size_t to) const -> bool;
+    /// @return bytes of connections and heads beyond the reserve.
+    auto excessHeadBytesLocked() const -> std::size_t;
+
     const std::size_t m_limitBytes;
+    const std::size_t m_reserveBytes;
     mutable std::mutex m_lock;
     /// Bytes of the bodies that wait, in the order of their arrival, and of those that are taken.
     std::map<BodyId, std::size_t> m_waiting;
     std::map<BodyId, std::size_t> m_taken;
     BodyId m_lastId = 0;
     std::atomic<std::size_t> m_heldBytes { 0 };
+    std::atomic<std::size_t> m_headBytes { 0 };
+    /// Those of them that take a part of the reserve.
+    std::size_t m_smallHeadBytes = 0;
     std::atomic<std::uint64_t> m_refusals { 0 };
 };
 
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -10,6 +10,7 @@
 #include "LoadExchange.h"
 #include "LoopMonitor.h"
 #include "Pause.h"
+#include "ReachedLimits.h"
 #include "RoleBalancer.h"
 #include "RouterHttpSettings.h"
 #include "RouterSamples.h"
@@ -91,10 +92,11 @@
     {
         const auto& readiness = settings.readinessListen.value_or(settings.peerListen);
         const auto& metrics = settings.metricsListen;
-        auto callerSettings = serverSettings(settings.listen, {});
+        auto callerSettings = serverSettings(settings.listen, {}, adapter.limits);
         callerSettings.unknownOutcomeResponse = [this] { return context.callerProtocol.refusal(ApiError(500, "internal_error", "the request ended without a result", ExecutionOutcome::Unknown)); };
         callerSettings.requestBudget = requestBudget;
         callerSettings.noRoomResponse = [this](const HttpRequest& request) { return api.refuseUnread(request); };
+        callerSettings.onLimitReached = [this](std::string_view limit) { recordLimit("callers", limit); };
         callerSettings.onConnectionClosed = [this](const ConnectionClose& close) { recordCallerClose(context, close); };
         callerServer = std::make_unique<HttpServer>(threads, callerSettings, [this](HttpExchange& exchange) { return api.handle(exchange); });
         readinessServer = std::make_unique<HttpServer>(threads, probeServerSettings(readiness), [this](HttpExchange& exchange) { return handleReadiness(exchange); });
@@ -102,7 +104,7 @@
             metricsServer = std::make_unique<HttpServer>(threads, probeServerSettings(*metrics), [this](HttpExchange& exchange) { return handleMetrics(exchange); });
         DirectoryCallbacks callbacks {
             .configuration = [this](Configuration configuration) {
-                callerServer->updateLimits(serverSettings(settings.listen, configuration.limits));
+                callerServer->updateLimits(serverSettings(settings.listen, configuration.limits, adapter.limits));
                 applyForwardingPolicy(configuration);
                 context.configurationVersion = configuration.version;
                 listedConfiguration = std::make_shared<const Configuration>(std::move(configuration));
@@ -156,11 +158,19 @@
 
     auto probeServerSettings(const HttpEndpoint& endpoint) -> HttpServerSettings
     {
-        auto server = serverSettings(endpoint, {});
+        auto server = serverSettings(endpoint, {}, adapter.limits);
+        server.onLimitReached = [this](std::string_view limit) { recordLimit("probes", limit); };
         server.onConnectionClosed = [this](const ConnectionClose& close) { logConnectionClose(context, close); };
         return server;
     }
 
+    /// @param address which address of the instance: `callers` or `probes`.
+    auto recordLimit(std::string_view address, std::string_view limit) -> void
+    {
+        reachedLimits.count(limit);
+        log.record(LogLevel::Info, "caller_limit_reached", { { "address", address }, { "limit", limit }, { "held_bytes", requestBudget->heldBytes() }, { "held_head_bytes", requestBudget->heldHeadBytes() } });
+    }
+
     auto startLoadExchange(const HttpEndpoint& endpoint) -> void
     {
         LoadExchangeCallbacks callbacks {
@@ -293,12 +303,14 @@
             { "jayhold_loop_stalls_total", "How often an I/O thread ran no handler for more than 250 ms.", static_cast<double>(loopMonitor.stalls()), true },
             { "jayhold_loop_stalled_seconds_total", "The sum of these times.", std::chrono::duration<double>(loopMonitor.stalledTime()).count(), true },
             { "jayhold_request_bytes_held", "Bytes held of request bodies that are larger than 32 KB.", static_cast<double>(requestBudget->heldBytes()) },
-            { "jayhold_requests_without_room_total", "Requests that were refused because the bytes held of all request bodies had reached their limit.", static_cast<double>(requestBudget->refusals()), true },
+            { "jayhold_request_head_bytes_held", "Bytes held of callers' connections and the heads of their requests.", static_cast<double>(requestBudget->heldHeadBytes()) },
+            { "jayhold_requests_without_room_total", "Requests that were refused because the bytes held of all requests had reached their limit.", static_cast<double>(requestBudget->refusals()), true },
             { "jayhold_response_bytes_held", "Bytes held of responses of backend servers and the store that are larger than 32 KB.", static_cast<double>(httpSettings.responseBudget->heldBytes()) },
             { "jayhold_responses_over_budget_total", "Responses that were ended because the bytes held of all responses reached their limit.", static_cast<double>(httpSettings.responseBudget->endedResponses()), true },
             { "jayhold_log_lines_left_out_total", "Log lines left out for their rate or because the output was not read.", static_cast<double>(log.droppedLines() + droppedLogLines()), true },
         };
         samples.insert(samples.end(), std::begin(own), std::end(own));
+        reachedLimits.addSamples(samples);
         addStoreCalls(adapter.store->counts(), samples);
         if (context.streamVersions)
             addStreamVersions(context.streamVersions->counts(), samples);
@@ -353,6 +365,7 @@
     EventLog log;
     const HttpClientSettings httpSettings;
     const std::shared_ptr<RequestBudget> requestBudget;
+    ReachedLimits reachedLimits;
     IoThreads threads;
     const LoopMonitor loopMonitor { threads, [this](const LoopStall& stall) { log.record(LogLevel::Warning, "loop_stalled", describe(stall)); } };
     EntryContext context;
--- a/src/RouterDaemon.h
+++ b/src/RouterDaemon.h
@@ -6,6 +6,7 @@
 
 #include "BackendProtocol.h"
 #include "CallerProtocol.h"
+#include "ConnectionLimits.h"
 #include "EntrySettings.h"
 #include "EventLog.h"
 #include "ObjectStore.h"
@@ -22,6 +23,7 @@
     const BackendProtocol& backendProtocol;
     std::unique_ptr<ObjectStore> store;
     DirectoryFormat directory;
+    ConnectionLimits limits {};
 };
 
 class RouterDaemon {
--- a/src/RouterHttpSettings.cpp
+++ b/src/RouterHttpSettings.cpp
@@ -58,7 +58,7 @@
     return settings;
 }
 
-auto serverSettings(const HttpEndpoint& endpoint, const CallerLimits& limits) -> HttpServerSettings
+auto serverSettings(const HttpEndpoint& endpoint, const CallerLimits& limits, const ConnectionLimits& connections) -> HttpServerSettings
 {
     HttpServerSettings settings;
     settings.endpoint = endpoint;
@@ -67,6 +67,7 @@
     settings.readTimeout = limits.readTimeout;
     settings.idleTimeout = limits.idleTimeout;
     settings.tcpUserTimeout = callerTcpUserTimeout;
+    settings.maxHeaderLines = connections.headerLines;
     return settings;
 }
 
--- a/src/RouterHttpSettings.h
+++ b/src/RouterHttpSettings.h
@@ -3,6 +3,7 @@
 /// Settings of the HTTP client and servers of a RouterDaemon.
 
 #include "Configuration.h"
+#include "ConnectionLimits.h"
 #include "EntryLimits.h"
 #include "EventLog.h"
 #include "HttpClient.h"
@@ -23,6 +24,7 @@
 auto clientSettings(const EntryLimits& limits, EventLog& log) -> HttpClientSettings;
 
 /// @param limits limits of the configuration in force for requests of callers.
-auto serverSettings(const HttpEndpoint& endpoint, const CallerLimits& limits) -> HttpServerSettings;
+/// @return the settings of the callers' address without the request budget and the functions.
+auto serverSettings(const HttpEndpoint& endpoint, const CallerLimits& limits, const ConnectionLimits& connections) -> HttpServerSettings;
 
 }
--- a/test/correctness/RequestBudgetTest.cpp
+++ b/test/correctness/RequestBudgetTest.cpp
@@ -1,6 +1,7 @@
 #include "../HttpTestServer.h"
 #include "../RawConnection.h"
 
+#include "HeadShare.h"
 #include "HttpClient.h"
 #include "Pause.h"
 #include "RequestShare.h"
@@ -210,3 +211,47 @@
         RC_ASSERT(budget->heldBytes() == 0U);
     }));
 }
+
+// Guards against large heads that leave no room for small requests, against bodies that do, and against one request that
+// is refused although nothing else is held.
+TEST_CASE("small heads have a reserve that large requests leave")
+{
+    constexpr std::size_t limit = 3 * bodyBytes;
+    constexpr std::size_t large = RequestBudget::maxSmallHeadBytes + 1;
+    const auto budget = std::make_shared<RequestBudget>(limit);
+    HeadShare alone(budget);
+    REQUIRE(alone.resize(2 * limit));
+    CHECK(alone.resize(0));
+    RequestShare body(budget, limit);
+    REQUIRE(body.tryTake());
+    CHECK_FALSE(alone.resize(large));
+    std::vector<std::unique_ptr<HeadShare>> small;
+    for (auto isTaken = true; isTaken;) {
+        small.push_back(std::make_unique<HeadShare>(budget));
+        isTaken = small.back()->resize(RequestBudget::maxSmallHeadBytes);
+    }
+    CHECK(small.size() == bodyBytes / RequestBudget::maxSmallHeadBytes + 1);
+    small.clear();
+    CHECK(budget->heldHeadBytes() == 0);
+}
+
+// Guards against heads that are not counted: many short lines take many times their bytes.
+TEST_CASE("a head with many lines beyond the budget is refused as not run")
+{
+    BudgetServer fixture(bodyBytes);
+    std::string head = "GET / HTTP/1.1\r\nHost: a\r\n";
+    while (head.size() < 16'000)
+        head += "a:\r\n";
+    RawCaller first(fixture.server.endpoint());
+    first.send(head + "\r\n");
+    REQUIRE(BudgetServer::waitUntil([&] { return fixture.running == 1; }));
+    CHECK(fixture.budget->heldHeadBytes() > 1U << 20U);
+    RawCaller second(fixture.server.endpoint());
+    second.send(head + "\r\n");
+    CHECK_THAT(test::readUntilClosed(second.socket), Catch::StartsWith("HTTP/1.1 503"));
+    CHECK(fixture.budget->refusals() == 1);
+    auto small = fixture.post(1'000);
+    CHECK(BudgetServer::waitUntil([&] { return fixture.running == 2; }));
+    fixture.isOpen = true;
+    CHECK(small.get()->status == 200);
+}
--- a/test/error/HttpServerErrorTest.cpp
+++ b/test/error/HttpServerErrorTest.cpp
@@ -206,3 +206,35 @@
     CHECK_THAT(send("POST / HTTP/1.0\r\nExpect: 100-continue\r\nContent-Length: 4\r\n", ""), Catch::StartsWith("HTTP/1.1 408"));
     threads.stop();
 }
+
+// Guards against a part of a request that escapes the limits: a head that arrives line by line, and more header lines
+// than allowed.
+TEST_CASE("each part of a request has a limit that is reported when it is reached")
+{
+    std::vector<std::string> reached;
+    auto settings = strictSettings();
+    settings.readTimeout = 5s;
+    settings.maxHeaderLines = 50;
+    settings.onLimitReached = [&](std::string_view limit) { reached.emplace_back(limit); };
+    IoThreads threads(1);
+    HttpServer server(threads, settings, answerOk);
+    const auto repeat = [](std::string_view text, int count) {
+        std::string result;
+        for (auto index = 0; index < count; ++index)
+            result += text;
+        return result;
+    };
+    CHECK_THAT(sendRaw(server.endpoint(), "GET / HTTP/1.1\r\n" + repeat("a:\r\n", 50) + "\r\n", false), Catch::StartsWith("HTTP/1.1 431"));
+    asio::io_context context;
+    auto socket = test::connectTo(context, server.endpoint());
+    boost::system::error_code code;
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\n")), code);
+    for (auto line = 0; line < 40 && !code; ++line) {
+        asio::write(socket, asio::buffer("abc: " + std::string(33, 'x') + "\r\n"), code);
+        std::this_thread::sleep_for(2ms);
+    }
+    CHECK_THAT(test::readUntilClosed(socket), Catch::StartsWith("HTTP/1.1 431"));
+    CHECK(isOk(threads, server));
+    threads.stop();
+    CHECK(reached == std::vector<std::string> { "header_lines", "header_bytes" });
+}
