Bound the trailers and chunk extensions of a request

Cause: the parser keeps a line of a chunk, with its extension, and the trailers in the read buffer until they are complete, and the buffer had no limit.

Change: while a body is read, the buffer holds at most maxHeaderBytes and one read. More gets 431 and counts as reason "trailers". The lines of trailers, which the parser adds to the header, count as header lines.

--- a/src/HttpRequestReader.cpp
+++ b/src/HttpRequestReader.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace jayhold {
 
@@ -87,9 +88,22 @@
     auto& connection = *body.connection;
     const HeadSize limits { body.settings.maxHeaderBytes, body.settings.maxHeaderLines };
     const auto code = co_await readHead(connection.stream, connection.buffer, body.parser, body.head, limits, [&body] { return holdHead(body); });
+    // Trailers and chunk extensions stay in the buffer until they are complete.
+    connection.buffer.max_size(std::max(connection.buffer.size(), body.settings.maxHeaderBytes + firstReadBytes));
     co_return code;
 }
 
+/// Counts the trailers, which the parser adds to the header.
+/// @return as holdHead().
+auto holdTrailers(RequestReading& body) -> bool
+{
+    const auto& fields = body.parser.get();
+    constexpr std::size_t linesBesideFields = 2;
+    const auto lines = static_cast<std::size_t>(std::distance(fields.begin(), fields.end())) + linesBesideFields;
+    body.head.lines = std::max(body.head.lines, lines);
+    return holdHead(body);
+}
+
 }
 
 auto readMessage(RequestReading& body) -> asio::awaitable<boost::system::error_code>
@@ -116,6 +130,8 @@
     }
     if (body.share)
         body.share->shrink(parser.get().body().capacity());
+    if (!code && !body.lacksRoom)
+        holdTrailers(body);
     co_return code;
 }
 
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -42,8 +42,8 @@
     std::function<HttpResponse(const HttpRequest&)> noRoomResponse = [](const HttpRequest&) {
         return jsonResponse(503, R"({"error":{"type":"overloaded","message":"there is no room for the body of the request","ran":"no"}})");
     };
-    /// Called on an I/O thread when a limit is reached, with the name of the limit: `header_bytes`, `header_lines` or
-    /// `memory`.
+    /// Called on an I/O thread when a limit is reached, with the name of the limit: `header_bytes`, `header_lines`,
+    /// `trailers` (also for chunk extensions), `memory` or `connections`.
     std::function<void(std::string_view)> onLimitReached = [](std::string_view) {};
     /// Called for each closed connection on its I/O thread.
     std::function<void(const ConnectionClose&)> onConnectionClosed = [](const ConnectionClose&) {};
--- a/src/HttpServerConnection.cpp
+++ b/src/HttpServerConnection.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 namespace jayhold {
 
@@ -36,6 +37,8 @@
         return RequestError { 413, "body_too_large", "the body is larger than allowed" };
     if (code == http::error::header_limit)
         return RequestError { 431, "header_too_large", "the header is larger than allowed" };
+    if (code == http::error::buffer_overflow)
+        return RequestError { 431, "header_too_large", "the trailers or a chunk extension are larger than allowed" };
     if (code == http::error::end_of_stream || code == http::error::partial_message)
         return std::nullopt;
     if (code.category() == http::make_error_code(http::error::bad_version).category())
@@ -107,7 +110,9 @@
 /// Reports a limit that the request has exceeded.
 auto reportLimit(const HttpServerSharedState& shared, const boost::system::error_code& code, const RequestReading& body) -> void
 {
-    if (code == http::error::header_limit)
+    if (code == http::error::buffer_overflow)
+        shared.onLimitReached("trailers");
+    else if (code == http::error::header_limit)
         shared.onLimitReached(body.head.lines > body.settings.maxHeaderLines ? "header_lines" : "header_bytes");
 }
 
@@ -116,6 +121,7 @@
 auto readRequest(HttpServerSharedState& shared, const std::shared_ptr<HttpServerConnectionState>& connection, RequestParser& parser) -> asio::awaitable<std::optional<ReadEnd>>
 {
     connection->stream.expires_never();
+    connection->buffer.max_size(std::numeric_limits<std::size_t>::max());
     {
         const ActiveExchange waiting(shared.waitingConnections);
         connection->accepted.reset();
--- a/test/error/HttpServerErrorTest.cpp
+++ b/test/error/HttpServerErrorTest.cpp
@@ -207,8 +207,8 @@
     threads.stop();
 }
 
-// Guards against a part of a request that escapes the limits: a head that arrives line by line, and more header lines
-// than allowed.
+// Guards against a part of a request that escapes the limits: a head that arrives line by line, more header lines than
+// allowed, and trailers or chunk extensions, which the parser keeps until they end.
 TEST_CASE("each part of a request has a limit that is reported when it is reached")
 {
     std::vector<std::string> reached;
@@ -224,7 +224,10 @@
             result += text;
         return result;
     };
+    const std::string chunked = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
     CHECK_THAT(sendRaw(server.endpoint(), "GET / HTTP/1.1\r\n" + repeat("a:\r\n", 50) + "\r\n", false), Catch::StartsWith("HTTP/1.1 431"));
+    CHECK_THAT(sendRaw(server.endpoint(), chunked + "0\r\n" + repeat("a: b\r\n", 2'000), false), Catch::StartsWith("HTTP/1.1 431"));
+    CHECK_THAT(sendRaw(server.endpoint(), chunked + "5;" + std::string(12'000, 'x'), false), Catch::StartsWith("HTTP/1.1 431"));
     asio::io_context context;
     auto socket = test::connectTo(context, server.endpoint());
     boost::system::error_code code;
@@ -236,5 +239,5 @@
     CHECK_THAT(test::readUntilClosed(socket), Catch::StartsWith("HTTP/1.1 431"));
     CHECK(isOk(threads, server));
     threads.stop();
-    CHECK(reached == std::vector<std::string> { "header_lines", "header_bytes" });
+    CHECK(reached == std::vector<std::string> { "header_lines", "trailers", "trailers", "header_bytes" });
 }
