Stop accepting before descriptors and memory run out

Cause: connections were accepted without a limit, so silent ones and those of rejected requests took descriptors that files, the store, backend servers and probes need.

Further connections, also those without room in the request budget, wait in the listen queue. A connection that has carried no request is then closed after the header timeout. The readiness and metrics addresses have 32 connections and a small request budget each of their own.

--- a/src/ConnectionLimits.h
+++ b/src/ConnectionLimits.h
@@ -10,6 +10,10 @@
 struct ConnectionLimits {
     /// Maximum number of header lines of a request. A head of 16 KB can't have more.
     std::size_t headerLines = 4'096;
+    /// Descriptors that the process may use for sockets; 0 if the number is not known.
+    std::size_t sockets = 0;
+    /// Maximum number of callers' connections; 0 for a part of the sockets.
+    std::size_t callerConnections = 0;
 };
 
 }
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -33,6 +33,14 @@
 namespace {
 
 constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
+constexpr auto roomCheckInterval = std::chrono::milliseconds(10);
+
+/// @return whether another connection may be accepted.
+auto hasRoom(const HttpServerSharedState& shared) -> bool
+{
+    const auto most = shared.settings.load()->maxConnections;
+    return (most == 0 || shared.openConnections < most) && (!shared.requestBudget || shared.requestBudget->hasRoomForHead(connectionBytes));
+}
 
 /// Serves an accepted connection on the I/O thread of its socket.
 template <typename State>
@@ -44,7 +52,8 @@
             shared->onConnectionClosed({ CloseReason::Exception, nullptr, false, exceptionText(thrown) });
     };
     auto waiting = std::make_unique<ActiveExchange>(shared->waitingConnections);
-    asio::co_spawn(state.threads.context(index), serveConnection(shared, std::move(socket), state.threads.client(index), std::move(waiting)), std::move(onEnd));
+    auto open = std::make_unique<ActiveExchange>(shared->openConnections);
+    asio::co_spawn(state.threads.context(index), serveConnection(shared, std::move(socket), state.threads.client(index), std::move(waiting), std::move(open)), std::move(onEnd));
 }
 
 /// Accepts the connections in the listen queue, which the close of the acceptor would reset.
@@ -53,7 +62,7 @@
 {
     boost::system::error_code code;
     state.acceptor.non_blocking(true, code);
-    while (!code) {
+    while (!code && hasRoom(*state.shared)) {
         const auto index = state.threads.nextIndex();
         asio::ip::tcp::socket socket(state.threads.context(index));
         state.acceptor.accept(socket, code);
@@ -64,10 +73,33 @@
     }
 }
 
+/// Further connections wait in the listen queue until others have closed. Unused connections then get less time.
+template <typename State>
+auto awaitRoom(std::shared_ptr<State> state) -> asio::awaitable<void>
+{
+    auto& shared = *state->shared;
+    const auto most = shared.settings.load()->maxConnections;
+    constexpr std::size_t crowdedDivisor = 8;
+    if (most == 0 || shared.openConnections < most - most / crowdedDivisor)
+        shared.isCrowded = false;
+    if (hasRoom(shared))
+        co_return;
+    shared.onLimitReached("connections");
+    if (!shared.isCrowded.exchange(true))
+        shared.connections.wakeAll();
+    asio::steady_timer timer(state->threads.context(0));
+    while (!hasRoom(shared) && state->acceptor.is_open()) {
+        boost::system::error_code code;
+        timer.expires_after(roomCheckInterval);
+        co_await timer.async_wait(awaitInto(code));
+    }
+}
+
 template <typename State>
 auto acceptLoop(std::shared_ptr<State> state) -> asio::awaitable<void>
 {
     while (state->acceptor.is_open()) {
+        co_await awaitRoom(state);
         const auto index = state->threads.nextIndex();
         asio::ip::tcp::socket socket(state->threads.context(index));
         boost::system::error_code code;
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -25,6 +25,8 @@
     /// Maximum number of header lines of a request. A head of the maximum size has at most a quarter as many lines as
     /// bytes.
     std::size_t maxHeaderLines = 4'096;
+    /// Connections beyond this number wait in the listen queue; 0 if they are not limited.
+    std::size_t maxConnections = 0;
     std::size_t maxBodyBytes = 4U << 20U;
     /// Maximum time from the first byte of a request until its header and body have arrived.
     Duration readTimeout = std::chrono::seconds(10);
--- a/src/HttpServerConnection.cpp
+++ b/src/HttpServerConnection.cpp
@@ -76,7 +76,9 @@
     const auto idleTimeout = settings->idleTimeout;
     if (shared.closesIdleConnections)
         return connection.hasCarriedRequest ? Duration::zero() : std::min(idleTimeout, firstRequestTime);
-    return idleTimeout;
+    // Callers keep connections for their next request, but open one to send a request.
+    const auto isUnusedInCrowd = shared.isCrowded && !connection.hasCarriedRequest;
+    return isUnusedInCrowd ? std::min(idleTimeout, settings->readTimeout) : idleTimeout;
 }
 
 /// Waits for the first byte of a request. When the idle timeout ends, its current value is checked
@@ -302,7 +304,7 @@
 
 }
 
-auto serveConnection(std::shared_ptr<HttpServerSharedState> shared, asio::ip::tcp::socket socket, HttpClient& client, std::unique_ptr<ActiveExchange> waiting) -> asio::awaitable<void>
+auto serveConnection(std::shared_ptr<HttpServerSharedState> shared, asio::ip::tcp::socket socket, HttpClient& client, std::unique_ptr<ActiveExchange> waiting, std::unique_ptr<ActiveExchange> open) -> asio::awaitable<void>
 {
     setSocketOptions(socket, shared->settings.load()->tcpUserTimeout);
     const auto connection = std::make_shared<HttpServerConnectionState>(std::move(socket), shared->requestBudget);
@@ -314,6 +316,7 @@
     boost::system::error_code code;
     connection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, code);
     connection->stream.close();
+    open.reset();
 }
 
 }
--- a/src/HttpServerConnection.h
+++ b/src/HttpServerConnection.h
@@ -41,6 +41,10 @@
     /// server stops accepting.
     std::atomic<std::size_t> waitingConnections { 0 };
     std::atomic<std::size_t> endedExchanges { 0 };
+    /// All connections, from their acceptance until they are closed.
+    std::atomic<std::size_t> openConnections { 0 };
+    /// Whether connections have reached their limit. Those that carry no request then have less time for their first one.
+    std::atomic<bool> isCrowded { false };
     std::atomic<bool> isDraining { false };
     std::atomic<bool> closesIdleConnections { false };
     /// Wakes the connections that wait for a request.
@@ -54,6 +58,7 @@
 
 /// Serves a connection until it closes.
 /// @param waiting counts the accepted connection as waiting until it does so itself.
-auto serveConnection(std::shared_ptr<HttpServerSharedState> shared, boost::asio::ip::tcp::socket socket, HttpClient& client, std::unique_ptr<ActiveExchange> waiting) -> boost::asio::awaitable<void>;
+/// @param open counts the connection as open.
+auto serveConnection(std::shared_ptr<HttpServerSharedState> shared, boost::asio::ip::tcp::socket socket, HttpClient& client, std::unique_ptr<ActiveExchange> waiting, std::unique_ptr<ActiveExchange> open) -> boost::asio::awaitable<void>;
 
 }
--- a/src/RequestBudget.cpp
+++ b/src/RequestBudget.cpp
@@ -44,6 +44,12 @@
     return true;
 }
 
+auto RequestBudget::hasRoomForHead(std::size_t bytes) const -> bool
+{
+    const std::lock_guard guard(m_lock);
+    return fitsLocked(0, bytes);
+}
+
 auto RequestBudget::fitsLocked(std::size_t from, std::size_t to) const -> bool
 {
     const auto heads = m_headBytes - from + to;
--- a/src/RequestBudget.h
+++ b/src/RequestBudget.h
@@ -43,6 +43,8 @@
     /// Changes the bytes that a connection and the head of its request take.
     /// @return false if there is no room for more bytes.
     auto resizeHead(std::size_t from, std::size_t to) -> bool;
+    /// @return whether a small connection would be let in now.
+    auto hasRoomForHead(std::size_t bytes) const -> bool;
     /// Counts a request that is refused because there was no room for it.
     auto countRefusal() -> void { ++m_refusals; }
 
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -158,7 +158,7 @@
 
     auto probeServerSettings(const HttpEndpoint& endpoint) -> HttpServerSettings
     {
-        auto server = serverSettings(endpoint, {}, adapter.limits);
+        auto server = probeSettings(endpoint, adapter.limits, settings.limits.memoryBytes);
         server.onLimitReached = [this](std::string_view limit) { recordLimit("probes", limit); };
         server.onConnectionClosed = [this](const ConnectionClose& close) { logConnectionClose(context, close); };
         return server;
--- a/src/RouterHttpSettings.cpp
+++ b/src/RouterHttpSettings.cpp
@@ -1,5 +1,7 @@
 #include "RouterHttpSettings.h"
 
+#include <algorithm>
+
 namespace jayhold {
 
 namespace {
@@ -26,9 +28,26 @@
 /// The part of an instance's memory for the bodies of requests, in eighths. Responses may take a quarter for a moment, and
 /// the rest of the process a quarter.
 constexpr std::size_t requestMemoryEighths = 3;
+/// Connections of each address for probes and metrics. The balancer and a collector use a few.
+constexpr std::size_t maxProbeConnections = 32;
+/// The part of the memory for requests that each of these addresses has beside it: about 1 MB of 88 MB.
+constexpr std::size_t probeMemoryDivisor = 32;
+/// A request takes a connection of its caller and one to a backend server. Half of the sockets are left for the latter, the
+/// store and the peers.
+constexpr std::size_t socketsPerCaller = 2;
+constexpr std::size_t minCallerConnections = 8;
 /// A connection with a round trip of 10 ms carries 6 MB/s with it. The kernel takes up to twice as much memory.
 constexpr int backendReceiveBufferBytes = 65'536;
 
+/// @return maximum number of callers' connections; 0 if they are not limited.
+auto callerConnections(const ConnectionLimits& limits) -> std::size_t
+{
+    if (limits.callerConnections > 0 || limits.sockets == 0)
+        return limits.callerConnections;
+    const auto reserved = 2 * maxProbeConnections;
+    return std::max(minCallerConnections, (limits.sockets - std::min(limits.sockets, reserved)) / socketsPerCaller);
+}
+
 }
 
 auto responseBudgetBytes(std::size_t memoryBytes) -> std::size_t
@@ -68,6 +87,15 @@
     settings.idleTimeout = limits.idleTimeout;
     settings.tcpUserTimeout = callerTcpUserTimeout;
     settings.maxHeaderLines = connections.headerLines;
+    settings.maxConnections = callerConnections(connections);
+    return settings;
+}
+
+auto probeSettings(const HttpEndpoint& endpoint, const ConnectionLimits& connections, std::size_t memoryBytes) -> HttpServerSettings
+{
+    auto settings = serverSettings(endpoint, {}, connections);
+    settings.maxConnections = maxProbeConnections;
+    settings.requestBudget = std::make_shared<RequestBudget>(requestBudgetBytes(memoryBytes) / probeMemoryDivisor);
     return settings;
 }
 
--- a/src/RouterHttpSettings.h
+++ b/src/RouterHttpSettings.h
@@ -27,4 +27,8 @@
 /// @return the settings of the callers' address without the request budget and the functions.
 auto serverSettings(const HttpEndpoint& endpoint, const CallerLimits& limits, const ConnectionLimits& connections) -> HttpServerSettings;
 
+/// @return the settings of an address for probes and metrics, whose connections and memory are its own, so that those of
+/// callers leave room for them.
+auto probeSettings(const HttpEndpoint& endpoint, const ConnectionLimits& connections, std::size_t memoryBytes) -> HttpServerSettings;
+
 }
--- a/test/correctness/RequestBudgetTest.cpp
+++ b/test/correctness/RequestBudgetTest.cpp
@@ -231,6 +231,7 @@
         isTaken = small.back()->resize(RequestBudget::maxSmallHeadBytes);
     }
     CHECK(small.size() == bodyBytes / RequestBudget::maxSmallHeadBytes + 1);
+    CHECK_FALSE(budget->hasRoomForHead(1));
     small.clear();
     CHECK(budget->heldHeadBytes() == 0);
 }
--- a/test/error/HttpServerErrorTest.cpp
+++ b/test/error/HttpServerErrorTest.cpp
@@ -241,3 +241,22 @@
     threads.stop();
     CHECK(reached == std::vector<std::string> { "header_lines", "trailers", "trailers", "header_bytes" });
 }
+
+// Guards against descriptors that run out, and against unused connections that keep ordinary callers out.
+TEST_CASE("connections beyond the limit wait until unused ones are closed")
+{
+    auto settings = strictSettings();
+    settings.idleTimeout = 30s;
+    settings.maxConnections = 4;
+    IoThreads threads(1);
+    HttpServer server(threads, settings, answerOk);
+    CHECK(isOk(threads, server));
+    asio::io_context context;
+    std::vector<asio::ip::tcp::socket> unused;
+    for (auto index = 0; index < 8; ++index)
+        unused.push_back(test::connectTo(context, server.endpoint()));
+    CHECK_THAT(sendRaw(server.endpoint(), "GET / HTTP/1.1\r\nConnection: close\r\n\r\n", false), Catch::StartsWith("HTTP/1.1 200"));
+    // The first connection has carried a request and stays open.
+    CHECK(isOk(threads, server));
+    threads.stop();
+}
