Bound the peers that the list of instances does not show

Cause: each sender of a datagram that no list shows was added to the peers, and each instance name in a load message to the reports, without a limit. Every peer gets load messages.

Change: at most limits.maxUnlistedPeers (1,024) such senders are added until the next list, and at most 4,096 instances have reports. Further senders are counted (jayhold_unlisted_peers_ignored_total) and logged (unlisted_peer_ignored); their messages are still handled.

--- a/src/ConnectionLimits.h
+++ b/src/ConnectionLimits.h
@@ -14,6 +14,8 @@
     std::size_t sockets = 0;
     /// Maximum number of callers' connections; 0 for a part of the sockets.
     std::size_t callerConnections = 0;
+    /// Maximum number of peers that are not in the list of instances; more than the instances of the largest fleet.
+    std::size_t unlistedPeers = 1'024;
 };
 
 }
--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <span>
 
 namespace jayhold {
@@ -85,6 +86,9 @@
     std::vector<asio::ip::udp::endpoint> zonePeers;
     /// Peers in other zones.
     std::vector<asio::ip::udp::endpoint> remotePeers;
+    /// Peers among them that the list of instances did not show.
+    std::size_t unlistedPeers = 0;
+    std::atomic<std::uint64_t> ignoredPeers { 0 };
     PeerLoads loads;
     std::map<std::string, std::int64_t> revisions;
     /// Whether revisions have advanced since the last message.
@@ -123,6 +127,7 @@
     auto& state = *m_state;
     state.zonePeers.clear();
     state.remotePeers.clear();
+    state.unlistedPeers = 0;
     const auto ownEndpoint = state.socket.local_endpoint();
     for (const auto& peer : peers) {
         boost::system::error_code code;
@@ -162,6 +167,11 @@
     return { local.address().to_string(), local.port() };
 }
 
+auto LoadExchange::ignoredPeers() const -> std::uint64_t
+{
+    return m_state->ignoredPeers;
+}
+
 auto LoadExchange::send() -> asio::awaitable<void>
 {
     const auto self = shared_from_this();
@@ -280,16 +290,27 @@
         }
         // A new instance may send before the store's list of instances shows it here.
         const auto isKnown = std::ranges::find(state.zonePeers, sender) != state.zonePeers.end() || std::ranges::find(state.remotePeers, sender) != state.remotePeers.end();
-        if (!isKnown) {
-            state.remotePeers.push_back(sender);
-            // It has missed the messages that carried the pending crash reports.
-            if (hasCrashReports(state))
-                asio::co_spawn(state.context, sendCrashReports(), logTaskFailure(state.log, "send crash reports"));
-        }
+        if (!isKnown)
+            addUnlistedPeer(sender);
         handleDatagram({ state.buffer.data(), size }, sender);
     }
 }
 
+auto LoadExchange::addUnlistedPeer(const asio::ip::udp::endpoint& sender) -> void
+{
+    auto& state = *m_state;
+    if (state.unlistedPeers >= state.settings.maxUnlistedPeers) {
+        ++state.ignoredPeers;
+        state.log.record(LogLevel::Warning, "unlisted_peer_ignored", { { "limit", state.settings.maxUnlistedPeers }, { "total", state.ignoredPeers.load() } });
+        return;
+    }
+    ++state.unlistedPeers;
+    state.remotePeers.push_back(sender);
+    // It has missed the messages that carried the pending crash reports.
+    if (hasCrashReports(state))
+        asio::co_spawn(state.context, sendCrashReports(), logTaskFailure(state.log, "send crash reports"));
+}
+
 auto LoadExchange::handleDatagram(std::string_view text, const asio::ip::udp::endpoint& sender) -> void
 {
     if (auto message = parseLoadMessage(text)) {
--- a/src/LoadExchange.h
+++ b/src/LoadExchange.h
@@ -4,6 +4,7 @@
 /// engines' own load reports arrive late and each of them has a cost. A lost datagram is made up for by
 /// the next one.
 
+#include "ConnectionLimits.h"
 #include "DirectoryUpdate.h"
 #include "EventLog.h"
 #include "HttpEndpoint.h"
@@ -58,6 +59,8 @@
     /// Distinguishes successive processes of the instance.
     std::string incarnation;
     std::string availabilityZone;
+    /// Maximum number of senders that get messages although the list of instances does not show them.
+    std::size_t maxUnlistedPeers = ConnectionLimits().unlistedPeers;
 };
 
 class LoadExchange : public std::enable_shared_from_this<LoadExchange> {
@@ -106,6 +109,10 @@
     /// @return the local address that receives datagrams.
     auto endpoint() const -> HttpEndpoint;
 
+    /// @return number of datagrams whose sender was not added to the peers because there were too many. May be called
+    /// on any thread.
+    auto ignoredPeers() const -> std::uint64_t;
+
 private:
     struct State;
 
@@ -114,6 +121,8 @@
     /// Sends a message to the instances of this zone, and to a rotating part of those in other zones.
     /// @param isForAllZones whether all instances in other zones get the message.
     auto sendToPeers(const std::string& text, bool isForAllZones) -> void;
+    /// Sends later messages also to a peer that the list of instances does not show, unless there are too many of them.
+    auto addUnlistedPeer(const boost::asio::ip::udp::endpoint& sender) -> void;
     auto handleDatagram(std::string_view text, const boost::asio::ip::udp::endpoint& sender) -> void;
     /// @return whether the datagram was a question of a peer, which gets a reply, or a reply of one.
     auto handleQuestion(std::string_view text, const boost::asio::ip::udp::endpoint& sender) -> bool;
--- a/src/PeerLoads.cpp
+++ b/src/PeerLoads.cpp
@@ -4,6 +4,8 @@
 
 auto applyMessage(PeerLoads& loads, TimePoint now, LoadMessage message) -> bool
 {
+    if (loads.instances.size() >= loads.maxInstances && !loads.instances.contains(message.instance))
+        return false;
     auto& report = loads.instances[message.instance];
     if (report.incarnation == message.incarnation && report.sequence >= message.sequence)
         return false;
--- a/src/PeerLoads.h
+++ b/src/PeerLoads.h
@@ -22,6 +22,8 @@
 
     /// Time for which a report counts: twice the maximum interval between messages of a live instance.
     Duration lifetime = std::chrono::seconds(2);
+    /// Several times the instances of the largest fleet. Further names are not taken from messages.
+    std::size_t maxInstances = 4'096;
     std::map<std::string, PeerReport> instances;
 };
 
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -199,7 +199,7 @@
                 if (directory)
                     directory->handleDirectoryUpdate(update); },
         };
-        LoadExchangeSettings exchangeSettings { endpoint, settings.instance, context.runId, settings.availabilityZone };
+        LoadExchangeSettings exchangeSettings { endpoint, settings.instance, context.runId, settings.availabilityZone, adapter.limits.unlistedPeers };
         loadExchange = std::make_shared<LoadExchange>(threads, std::move(exchangeSettings), log, std::move(callbacks));
         context.reportCrashSignature = [this](std::uint64_t signature) { loadExchange->reportCrashSignature(signature); };
         context.reportPrompt = [this](const PromptReport& report) { loadExchange->reportPrompt(report); };
@@ -307,6 +307,7 @@
             { "jayhold_requests_without_room_total", "Requests that were refused because the bytes held of all requests had reached their limit.", static_cast<double>(requestBudget->refusals()), true },
             { "jayhold_response_bytes_held", "Bytes held of responses of backend servers and the store that are larger than 32 KB.", static_cast<double>(httpSettings.responseBudget->heldBytes()) },
             { "jayhold_responses_over_budget_total", "Responses that were ended because the bytes held of all responses reached their limit.", static_cast<double>(httpSettings.responseBudget->endedResponses()), true },
+            { "jayhold_unlisted_peers_ignored_total", "Messages from senders that the list of instances does not show, beyond the limit of such senders.", static_cast<double>(loadExchange ? loadExchange->ignoredPeers() : 0), true },
             { "jayhold_log_lines_left_out_total", "Log lines left out for their rate or because the output was not read.", static_cast<double>(log.droppedLines() + droppedLogLines()), true },
         };
         samples.insert(samples.end(), std::begin(own), std::end(own));
--- a/test/correctness/LoadExchangeTest.cpp
+++ b/test/correctness/LoadExchangeTest.cpp
@@ -22,7 +22,7 @@
 const std::vector<LimitReport> reportedLimits { { "server-1", "run", 1.5, 20ms }, { "server-2", "run", std::nullopt, 0ms } };
 
 struct Instance {
-    explicit Instance(const std::string& name)
+    explicit Instance(const std::string& name, std::size_t maxUnlistedPeers = 1'024)
         : log(name, 16)
     {
         LoadExchangeCallbacks callbacks {
@@ -38,7 +38,7 @@
             .onBackendsChangingRole = [](const std::vector<std::string>&) {},
             .onReply = [this](const PeerReply& reply) { replies += reply.question.number == ~0ULL && reply.instance == "edge-2" && reply.revisions == std::map<std::string, std::int64_t> { { "servers", 7 } } ? 1 : 100; },
         };
-        exchange = std::make_shared<LoadExchange>(threads, LoadExchangeSettings { { "127.0.0.1", 0 }, name, "run", "alpine" }, log, std::move(callbacks));
+        exchange = std::make_shared<LoadExchange>(threads, LoadExchangeSettings { { "127.0.0.1", 0 }, name, "run", "alpine", maxUnlistedPeers }, log, std::move(callbacks));
         exchange->start();
     }
     ~Instance() { threads.stop(); }
@@ -207,3 +207,25 @@
     CHECK(first.replies == 1);
     CHECK(second.replies == 0);
 }
+
+// Guards against memory and datagrams without a bound because senders that no list shows are added as peers.
+TEST_CASE("the number of peers that are not in the list of instances is limited")
+{
+    Instance first("edge-1", 2);
+    asio::io_context context;
+    const asio::ip::udp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+    const asio::ip::udp::endpoint target(any.address(), first.exchange->endpoint().port);
+    std::vector<asio::ip::udp::socket> senders;
+    for (auto index = 0; index < 4; ++index)
+        senders.emplace_back(context, any).send_to(asio::buffer(std::string("{}")), target);
+    const auto end = monotonicNow() + 2s;
+    while (first.exchange->ignoredPeers() < 2 && monotonicNow() < end)
+        std::this_thread::sleep_for(5ms);
+    CHECK(first.exchange->ignoredPeers() == 2);
+    // A list of instances makes room.
+    asio::post(first.threads.context(0), [&first] { first.exchange->updatePeers({}); });
+    std::this_thread::sleep_for(50ms);
+    senders.back().send_to(asio::buffer(std::string("{}")), target);
+    std::this_thread::sleep_for(50ms);
+    CHECK(first.exchange->ignoredPeers() == 2);
+}
--- a/test/error/PlatformFormatsTest.cpp
+++ b/test/error/PlatformFormatsTest.cpp
@@ -46,6 +46,20 @@
 
 }
 
+// Guards against limits on callers that the settings can't change, and against descriptors for files that sockets take.
+TEST_CASE("the platform's settings state limits on connections")
+{
+    const auto connections = [](const std::string& fields) { return std::get<platform::Settings>(parse(goodSettings + fields)).connections; };
+    CHECK(connections("").sockets == 0);
+    CHECK(connections("").headerLines == 4'096);
+    CHECK(connections("limits.maxFds=4100\n").sockets == 3'900);
+    CHECK(connections("limits.maxFds=100\n").sockets == 1);
+    const auto set = connections("limits.maxHeaderLines=100\nlimits.maxCallerConnections=50\nlimits.maxUnlistedPeers=7\n");
+    CHECK(set.headerLines == 100);
+    CHECK(set.callerConnections == 50);
+    CHECK(set.unlistedPeers == 7);
+}
+
 // Guards against settings that are misread, or rejected because of an unknown field.
 TEST_CASE("the platform's settings are parsed")
 {
