--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -11,6 +11,7 @@
 #include "LoopMonitor.h"
 #include "Pause.h"
 #include "QuotaExchange.h"
+#include "ReachedLimits.h"
 #include "RoleBalancer.h"
 #include "RouterHttpSettings.h"
 #include "RouterSamples.h"
@@ -92,10 +93,11 @@
     {
         const auto& readiness = settings.readinessListen.value_or(settings.peerListen);
         const auto& metrics = settings.metricsListen;
-        auto callerSettings = serverSettings(settings.listen, {});
+        auto callerSettings = serverSettings(settings.listen, {}, adapter.limits);
         callerSettings.unknownOutcomeResponse = [this] { return context.callerProtocol.refusal(ApiError(500, "internal_error", "the request ended without a result", ExecutionOutcome::Unknown)); };
         callerSettings.requestBudget = requestBudget;
         callerSettings.noRoomResponse = [this](const HttpRequest& request) { return api.refuseUnread(request); };
+        callerSettings.onLimitReached = [this](std::string_view limit) { recordLimit("callers", limit); };
         callerSettings.onConnectionClosed = [this](const ConnectionClose& close) { recordCallerClose(context, close); };
         callerServer = std::make_unique<HttpServer>(threads, callerSettings, [this](HttpExchange& exchange) { return api.handle(exchange); });
         readinessServer = std::make_unique<HttpServer>(threads, probeServerSettings(readiness), [this](HttpExchange& exchange) { return handleReadiness(exchange); });
@@ -103,7 +105,7 @@
             metricsServer = std::make_unique<HttpServer>(threads, probeServerSettings(*metrics), [this](HttpExchange& exchange) { return handleMetrics(exchange); });
         DirectoryCallbacks callbacks {
             .configuration = [this](Configuration configuration) {
-                callerServer->updateLimits(serverSettings(settings.listen, configuration.limits));
+                callerServer->updateLimits(serverSettings(settings.listen, configuration.limits, adapter.limits));
                 applyForwardingPolicy(configuration);
                 context.configurationVersion = configuration.version;
                 if (quotas)
@@ -161,11 +163,19 @@
 
     auto probeServerSettings(const HttpEndpoint& endpoint) -> HttpServerSettings
     {
-        auto server = serverSettings(endpoint, {});
+        auto server = probeSettings(endpoint, adapter.limits, settings.limits.memoryBytes);
+        server.onLimitReached = [this](std::string_view limit) { recordLimit("probes", limit); };
         server.onConnectionClosed = [this](const ConnectionClose& close) { logConnectionClose(context, close); };
         return server;
     }
 
+    /// @param address which address of the instance: `callers` or `probes`.
+    auto recordLimit(std::string_view address, std::string_view limit) -> void
+    {
+        reachedLimits.count(limit);
+        log.record(LogLevel::Info, "caller_limit_reached", { { "address", address }, { "limit", limit }, { "held_bytes", requestBudget->heldBytes() }, { "held_head_bytes", requestBudget->heldHeadBytes() } });
+    }
+
     auto startLoadExchange(const HttpEndpoint& endpoint) -> void
     {
         LoadExchangeCallbacks callbacks {
@@ -201,7 +211,7 @@
         QuotaExchangeSettings quotaSettings { settings.instance, settings.availabilityZone, context.runId, settings.quota };
         quotas = std::make_shared<QuotaExchange>(threads, std::move(quotaSettings), log, [this](const QuotaExchange::Endpoint& target, const std::string& text) { loadExchange->sendTo(target, text); });
         context.quotas = quotas;
-        LoadExchangeSettings exchangeSettings { endpoint, settings.instance, context.runId, settings.availabilityZone };
+        LoadExchangeSettings exchangeSettings { endpoint, settings.instance, context.runId, settings.availabilityZone, adapter.limits.unlistedPeers };
         loadExchange = std::make_shared<LoadExchange>(threads, std::move(exchangeSettings), log, std::move(callbacks));
         context.reportCrashSignature = [this](std::uint64_t signature) { loadExchange->reportCrashSignature(signature); };
         context.reportPrompt = [this](const PromptReport& report) { loadExchange->reportPrompt(report); };
@@ -305,13 +315,16 @@
             { "jayhold_loop_stalls_total", "How often an I/O thread ran no handler for more than 250 ms.", static_cast<double>(loopMonitor.stalls()), true },
             { "jayhold_loop_stalled_seconds_total", "The sum of these times.", std::chrono::duration<double>(loopMonitor.stalledTime()).count(), true },
             { "jayhold_request_bytes_held", "Bytes held of request bodies that are larger than 32 KB.", static_cast<double>(requestBudget->heldBytes()) },
-            { "jayhold_requests_without_room_total", "Requests that were refused because the bytes held of all request bodies had reached their limit.", static_cast<double>(requestBudget->refusals()), true },
+            { "jayhold_request_head_bytes_held", "Bytes held of callers' connections and the heads of their requests.", static_cast<double>(requestBudget->heldHeadBytes()) },
+            { "jayhold_requests_without_room_total", "Requests that were refused because the bytes held of all requests had reached their limit.", static_cast<double>(requestBudget->refusals()), true },
             { "jayhold_response_bytes_held", "Bytes held of responses of backend servers and the store that are larger than 32 KB.", static_cast<double>(httpSettings.responseBudget->heldBytes()) },
             { "jayhold_responses_over_budget_total", "Responses that were ended because the bytes held of all responses reached their limit.", static_cast<double>(httpSettings.responseBudget->endedResponses()), true },
+            { "jayhold_unlisted_peers_ignored_total", "Messages from senders that the list of instances does not show, beyond the limit of such senders.", static_cast<double>(loadExchange ? loadExchange->ignoredPeers() : 0), true },
             { "jayhold_log_lines_left_out_total", "Log lines left out for their rate or because the output was not read.", static_cast<double>(log.droppedLines() + droppedLogLines()), true },
         };
         samples.insert(samples.end(), std::begin(own), std::end(own));
         addQuotas(quotaCounts, samples);
+        reachedLimits.addSamples(samples);
         addStoreCalls(adapter.store->counts(), samples);
         if (context.streamVersions)
             addStreamVersions(context.streamVersions->counts(), samples);
@@ -370,6 +383,7 @@
     EventLog log;
     const HttpClientSettings httpSettings;
     const std::shared_ptr<RequestBudget> requestBudget;
+    ReachedLimits reachedLimits;
     IoThreads threads;
     const LoopMonitor loopMonitor { threads, [this](const LoopStall& stall) { log.record(LogLevel::Warning, "loop_stalled", describe(stall)); } };
     EntryContext context;
--- a/src/RouterHttpSettings.h
+++ b/src/RouterHttpSettings.h
@@ -3,6 +3,7 @@
 /// Settings of the HTTP client and servers of a RouterDaemon.
 
 #include "Configuration.h"
+#include "ConnectionLimits.h"
 #include "EntryLimits.h"
 #include "EventLog.h"
 #include "HttpClient.h"
@@ -23,6 +24,11 @@
 auto clientSettings(const EntryLimits& limits, EventLog& log) -> HttpClientSettings;
 
 /// @param limits limits of the configuration in force for requests of callers.
-auto serverSettings(const HttpEndpoint& endpoint, const CallerLimits& limits) -> HttpServerSettings;
+/// @return the settings of the callers' address without the request budget and the functions.
+auto serverSettings(const HttpEndpoint& endpoint, const CallerLimits& limits, const ConnectionLimits& connections) -> HttpServerSettings;
+
+/// @return the settings of an address for probes and metrics, whose connections and memory are its own, so that those of
+/// callers leave room for them.
+auto probeSettings(const HttpEndpoint& endpoint, const ConnectionLimits& connections, std::size_t memoryBytes) -> HttpServerSettings;
 
 }
--- a/test/error/HttpServerErrorTest.cpp
+++ b/test/error/HttpServerErrorTest.cpp
@@ -206,3 +206,57 @@
     CHECK_THAT(send("POST / HTTP/1.0\r\nExpect: 100-continue\r\nContent-Length: 4\r\n", ""), Catch::StartsWith("HTTP/1.1 408"));
     threads.stop();
 }
+
+// Guards against a part of a request that escapes the limits: a head that arrives line by line, more header lines than
+// allowed, and trailers or chunk extensions, which the parser keeps until they end.
+TEST_CASE("each part of a request has a limit that is reported when it is reached")
+{
+    std::vector<std::string> reached;
+    auto settings = strictSettings();
+    settings.readTimeout = 5s;
+    settings.maxHeaderLines = 50;
+    settings.onLimitReached = [&](std::string_view limit) { reached.emplace_back(limit); };
+    IoThreads threads(1);
+    HttpServer server(threads, settings, answerOk);
+    const auto repeat = [](std::string_view text, int count) {
+        std::string result;
+        for (auto index = 0; index < count; ++index)
+            result += text;
+        return result;
+    };
+    const std::string chunked = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    CHECK_THAT(sendRaw(server.endpoint(), "GET / HTTP/1.1\r\n" + repeat("a:\r\n", 50) + "\r\n", false), Catch::StartsWith("HTTP/1.1 431"));
+    CHECK_THAT(sendRaw(server.endpoint(), chunked + "0\r\n" + repeat("a: b\r\n", 2'000), false), Catch::StartsWith("HTTP/1.1 431"));
+    CHECK_THAT(sendRaw(server.endpoint(), chunked + "5;" + std::string(12'000, 'x'), false), Catch::StartsWith("HTTP/1.1 431"));
+    asio::io_context context;
+    auto socket = test::connectTo(context, server.endpoint());
+    boost::system::error_code code;
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\n")), code);
+    for (auto line = 0; line < 40 && !code; ++line) {
+        asio::write(socket, asio::buffer("abc: " + std::string(33, 'x') + "\r\n"), code);
+        std::this_thread::sleep_for(2ms);
+    }
+    CHECK_THAT(test::readUntilClosed(socket), Catch::StartsWith("HTTP/1.1 431"));
+    CHECK(isOk(threads, server));
+    threads.stop();
+    CHECK(reached == std::vector<std::string> { "header_lines", "trailers", "trailers", "header_bytes" });
+}
+
+// Guards against descriptors that run out, and against unused connections that keep ordinary callers out.
+TEST_CASE("connections beyond the limit wait until unused ones are closed")
+{
+    auto settings = strictSettings();
+    settings.idleTimeout = 30s;
+    settings.maxConnections = 4;
+    IoThreads threads(1);
+    HttpServer server(threads, settings, answerOk);
+    CHECK(isOk(threads, server));
+    asio::io_context context;
+    std::vector<asio::ip::tcp::socket> unused;
+    for (auto index = 0; index < 8; ++index)
+        unused.push_back(test::connectTo(context, server.endpoint()));
+    CHECK_THAT(sendRaw(server.endpoint(), "GET / HTTP/1.1\r\nConnection: close\r\n\r\n", false), Catch::StartsWith("HTTP/1.1 200"));
+    // The first connection has carried a request and stays open.
+    CHECK(isOk(threads, server));
+    threads.stop();
+}
