--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -206,7 +206,7 @@
     state.sentAt = now;
     state.hasNewRevisions = false;
     const auto isForAllZones = std::exchange(state.hasNewDraining, false) || sendsCrashReports;
-    const LoadMessage message {
+    LoadMessage message {
         .instance = state.settings.instance,
         .incarnation = state.settings.incarnation,
         .sequence = ++state.sequence,
@@ -221,7 +221,10 @@
         .availabilityZone = state.settings.availabilityZone,
         .isDraining = state.isDraining,
     };
-    sendToPeers(serializeLoadMessage(message), isForAllZones);
+    state.sendToEach(state.zonePeers, serializeLoadMessage(message));
+    // Most requests stay in their zone, and bytes between zones have a cost.
+    message.speeds.clear();
+    sendToRemotePeers(serializeLoadMessage(message), isForAllZones);
 }
 
 auto LoadExchange::hasCrashReports(const State& state) -> bool
@@ -262,10 +265,9 @@
     sendIfDue(monotonicNow());
 }
 
-auto LoadExchange::sendToPeers(const std::string& text, bool isForAllZones) -> void
+auto LoadExchange::sendToRemotePeers(const std::string& text, bool isForAllZones) -> void
 {
     auto& state = *m_state;
-    state.sendToEach(state.zonePeers, text);
     // Successive messages go to different parts of the remote peers.
     const auto stride = isForAllZones ? 1 : remotePeerDivisor;
     std::vector<asio::ip::udp::endpoint> selected;
--- a/src/LoadExchange.h
+++ b/src/LoadExchange.h
@@ -134,9 +134,9 @@
 
     auto send() -> boost::asio::awaitable<void>;
     auto receive() -> boost::asio::awaitable<void>;
-    /// Sends a message to the instances of this zone, and to a rotating part of those in other zones.
-    /// @param isForAllZones whether all instances in other zones get the message.
-    auto sendToPeers(const std::string& text, bool isForAllZones) -> void;
+    /// Sends a message to a rotating part of the instances in other zones.
+    /// @param isForAllZones whether all of them get the message.
+    auto sendToRemotePeers(const std::string& text, bool isForAllZones) -> void;
     /// Sends later messages also to a peer that the list of instances does not show, unless there are too many of them.
     auto addUnlistedPeer(const boost::asio::ip::udp::endpoint& sender) -> void;
     auto handleDatagram(std::string_view text, const boost::asio::ip::udp::endpoint& sender) -> void;
