Compare the wait of overdue requests with the starts of overdue ones

Cause: requests of the least urgent rank that had become overdue were held until their latest start, because their wait was estimated as if they were served in turn. New ones of the rank go first.

--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -118,10 +118,13 @@
 auto expectedOverdueWait(const DecisionContext& context, const ActiveRequest& request) -> Duration
 {
     const auto& state = context.state;
+    const auto behindNew = state.overdueStartInterval.interval(context.now) * static_cast<Duration::rep>(state.queue.overdueCount());
     if (!hasSeveralRanks(state))
-        return state.overdueStartInterval.interval(context.now) * static_cast<Duration::rep>(state.queue.overdueCount());
+        return behindNew;
     const auto ahead = state.queue.sizeBefore(request.rank) + state.queue.rankSize(request.rank);
-    return state.startInterval.interval(context.now) * static_cast<Duration::rep>(ahead);
+    const auto wait = state.startInterval.interval(context.now) * static_cast<Duration::rep>(ahead);
+    // New requests of the least urgent rank go before its overdue ones, also those that arrive later.
+    return hasLessUrgentRank(state, request) ? wait : std::max(wait, behindNew);
 }
 
 auto pausesEndAfterLatestStart(const DecisionContext& context, const ActiveRequest& request) -> bool
