--- a/test/correctness/PlainSlotWaitTest.cpp
+++ b/test/correctness/PlainSlotWaitTest.cpp
@@ -39,8 +39,10 @@
         // Without durations of earlier calls, no slot is expected.
         for (int call = 0; call < 8; ++call)
             CHECK(lookUp(harness) == 201);
+        constexpr std::size_t callCount = 12;
         std::vector<std::future<unsigned>> calls;
-        for (int call = 0; call < 12; ++call)
+        calls.reserve(callCount);
+        for (std::size_t call = 0; call < callCount; ++call)
             calls.push_back(std::async(std::launch::async, [&] { return lookUp(harness); }));
         const auto served = std::ranges::count_if(calls, [](auto& call) { return call.get() == 201; });
         // A busy machine may let some pass their target.
