--- a/test/error/HttpServerErrorTest.cpp
+++ b/test/error/HttpServerErrorTest.cpp
@@ -252,8 +252,10 @@
     HttpServer server(threads, settings, answerOk);
     CHECK(isOk(threads, server));
     asio::io_context context;
+    constexpr std::size_t unusedCount = 8;
     std::vector<asio::ip::tcp::socket> unused;
-    for (auto index = 0; index < 8; ++index)
+    unused.reserve(unusedCount);
+    for (std::size_t index = 0; index < unusedCount; ++index)
         unused.push_back(test::connectTo(context, server.endpoint()));
     CHECK_THAT(sendRaw(server.endpoint(), "GET / HTTP/1.1\r\nConnection: close\r\n\r\n", false), Catch::StartsWith("HTTP/1.1 200"));
     // The first connection has carried a request and stays open.
