Send calls to new plain servers while faster ones are idle

The speed of a server is relative to the mean of the service, which includes slow phases, so most servers are faster than it. A server without observations counts as the mean and got no calls as long as a faster one was idle.

Ruled out: a pause or an ejection of the new server (it had no call), and a machine that stood still (none in the record).

Plain calls are now ordered by a speed of at most the mean.

--- a/src/PlainBalancer.cpp
+++ b/src/PlainBalancer.cpp
@@ -42,10 +42,18 @@
 /// A call in another zone must be this much shorter, because traffic between zones has a cost.
 constexpr Duration otherZoneCallCost = std::chrono::milliseconds(10);
 
+/// @return the expected speed for a call, at most the mean. The mean includes slow phases, so most servers are faster than
+/// it. If they went before a server of unknown speed, which counts as the mean, a new server would get no calls while one
+/// of them is idle, and its speed would remain unknown.
+auto callSpeed(const PlainBackend& backend, TimePoint now) -> double
+{
+    return std::min(expectedSpeed(backend.speed, now, Duration::zero()), 1.0);
+}
+
 /// @return the time until the server would have completed one more call, in calls at the mean speed.
 auto completionTime(const PlainBackend& backend, TimePoint now) -> double
 {
-    return (backend.inFlight + 1.0) / expectedSpeed(backend.speed, now, Duration::zero());
+    return (backend.inFlight + 1.0) / callSpeed(backend, now);
 }
 
 /// Whether the first of two usable servers of the own zone, or of two in other zones, is the better choice.
@@ -62,10 +70,8 @@
 {
     if ((local.suspects == 0) != (remote.suspects == 0))
         return remote.suspects == 0;
-    const auto localSpeed = expectedSpeed(local.speed, now, Duration::zero());
-    const auto remoteSpeed = expectedSpeed(remote.speed, now, Duration::zero());
     const auto time = static_cast<double>(callTime.count());
-    return time / localSpeed > time / remoteSpeed + static_cast<double>(otherZoneCallCost.count());
+    return time / callSpeed(local, now) > time / callSpeed(remote, now) + static_cast<double>(otherZoneCallCost.count());
 }
 
 auto removeCall(PlainBackend& backend, TimePoint now, bool isServed) -> void
--- a/test/correctness/UnevenPlainServersTest.cpp
+++ b/test/correctness/UnevenPlainServersTest.cpp
@@ -80,6 +80,21 @@
     CHECK(expectedSpeed(balancer.backends().front().speed, start, 0ms) == 1);
 }
 
+// Load pattern: few calls, and servers faster than the mean, which has slow phases. Guards against a server that joins and
+// gets no calls, so that its speed remains unknown.
+TEST_CASE("a new plain server gets calls beside idle servers that are faster than the mean")
+{
+    PlainBalancer balancer;
+    balancer.update({ server("a", true), server("b", true) });
+    auto now = start;
+    callFor(balancer, now, 3s, { { "a", 1.3 }, { "b", 1.3 } });
+    balancer.update({ server("a", true), server("b", true), server("new", true) });
+    CHECK(callFor(balancer, now, 3s, { { "a", 1.3 }, { "b", 1.3 }, { "new", 1.3 } })["new"] > 25);
+    // Once its speed is known, a slow server is left alone.
+    balancer.update({ server("a", true), server("b", true), server("slow", true) });
+    CHECK(callFor(balancer, now, 3s, { { "a", 1.3 }, { "b", 1.3 }, { "slow", 0.6 } })["slow"] < 10);
+}
+
 // Guards against load messages that grow with the number of servers, and servers that are never reported.
 TEST_CASE("each message reports a few speeds in turn")
 {
