--- a/test/soak/EndlessChecks.cpp
+++ b/test/soak/EndlessChecks.cpp
@@ -1,6 +1,7 @@
 #include "EndlessChecks.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <thread>
 
@@ -51,15 +52,19 @@
             violations.push_back({ "bytes without end take a bounded part of the memory", "", "edge-" + std::to_string(index) + " used " + std::to_string(endless.peakMemory[index]) + " kB", endless.from, endless.until });
     }
     std::set<std::string_view> concerned;
-    std::set<std::string_view> servers;
+    std::map<std::string_view, int> servers;
     for (const auto& run : runs) {
         if (!run.backend.starts_with(endlessPrefix))
             continue;
         concerned.insert(run.request);
-        servers.insert(run.backend);
+        ++servers[run.backend];
+    }
+    if (servers.size() < endlessParts.size()) {
+        std::string counts;
+        for (const auto& [server, count] : servers)
+            counts += (counts.empty() ? "" : ", ") + std::to_string(count) + " at " + std::string(server);
+        violations.push_back({ "each server that sends without end gets requests", "", "only " + std::to_string(servers.size()) + " of them did (" + counts + ")", endless.from, endless.until });
     }
-    if (servers.size() < endlessParts.size())
-        violations.push_back({ "each server that sends without end gets requests", "", "only " + std::to_string(servers.size()) + " of them did", endless.from, endless.until });
     double sent = 0;
     double served = 0;
     for (const auto& call : calls) {
