--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -1,5 +1,5 @@
-add_library(jayhold_platform STATIC platform/BackendCalls.cpp platform/CallerMessages.cpp platform/Formats.cpp
-  platform/Headers.cpp platform/HttpObjectStore.cpp platform/Parts.cpp platform/RetryDelayFormat.cpp platform/SettingsFile.cpp platform/StoredItemText.cpp)
+add_library(jayhold_platform STATIC platform/BackendCalls.cpp platform/CallerMessages.cpp platform/CustomerFormats.cpp platform/Formats.cpp
+  platform/Headers.cpp platform/HttpObjectStore.cpp platform/NumberField.cpp platform/Parts.cpp platform/RetryDelayFormat.cpp platform/SettingsFile.cpp platform/StoredItemText.cpp)
 target_include_directories(jayhold_platform PUBLIC ${PROJECT_SOURCE_DIR}/platform)
 target_link_libraries(jayhold_platform PUBLIC jayhold_entry)
 
