Send nothing to a server once another one has started at its address

Engines crashed and started again 2 s later at the same addresses under new ids. The entries of the new processes arrived 0.1 to 0.2 s later, those of the old ones stayed live for another 0.9 to 1.3 s until they lapsed. In that time every instance sent requests for the old ids, the new processes rejected 331 of them, and each rejection that is repeated takes a retry of the shared budget.

Ruled out: changes of role (the entries kept theirs) and versions (one version only).

Two processes cannot have one address, so of two entries with the same address only the one with the later start is used; the other one is listed as leaving. Entries without a start time, or with equal ones, are used as before. The events backend_changed name the successor.

--- a/src/BackendDirectory.cpp
+++ b/src/BackendDirectory.cpp
@@ -38,6 +38,19 @@
     return start && otherStart && *start < *otherStart;
 }
 
+/// @return for each address the server there that started last. Servers without a start time come first.
+auto latestByAddress(const BackendDirectory& directory) -> std::map<HttpEndpoint, const BackendServer*>
+{
+    std::map<HttpEndpoint, const BackendServer*> latest;
+    for (const auto& [id, entry] : directory.entries) {
+        const auto& server = entry.server;
+        const auto [found, isFirst] = latest.emplace(server.endpoint, &server);
+        if (!isFirst && (isEarlier(found->second->incarnation, server.incarnation) || !startTimeOf(found->second->incarnation)))
+            found->second = &server;
+    }
+    return latest;
+}
+
 /// @return whether the store was restored since it showed the known state. In one history, its later entry is the newer
 /// one.
 auto isRestored(const BackendDirectory& directory, const BackendDirectory::Entry& known) -> bool
@@ -228,12 +241,25 @@
 
 auto servers(const BackendDirectory& directory) -> std::vector<BackendServer>
 {
+    const auto latest = latestByAddress(directory);
     std::vector<BackendServer> list;
     for (const auto& [id, entry] : directory.entries) {
-        if (!entry.isUnlisted)
-            list.push_back(entry.server);
+        if (entry.isUnlisted)
+            continue;
+        list.push_back(entry.server);
+        if (isEarlier(entry.server.incarnation, latest.at(entry.server.endpoint)->incarnation))
+            list.back().state = ReplicaState::Leaving;
     }
     return list;
 }
 
+auto successorOf(const BackendDirectory& directory, const BackendServer& server) -> std::optional<std::string>
+{
+    const auto latest = latestByAddress(directory);
+    const auto found = latest.find(server.endpoint);
+    if (found == latest.end() || found->second->id == server.id || !isEarlier(server.incarnation, found->second->incarnation))
+        return std::nullopt;
+    return found->second->id;
+}
+
 }
--- a/src/BackendDirectory.h
+++ b/src/BackendDirectory.h
@@ -117,7 +117,12 @@
 /// contains its entry, upsert() applies it.
 auto hasUnlapsedEntry(const BackendDirectory& directory) -> bool;
 
+/// A server is listed as leaving once another one has started at its address: its process has ended, which its own entry
+/// shows only when it lapses. Requests for it would be rejected, and these rejections would use up the retries.
 /// @return all servers that are live or leaving, without those that left longer than the linger time ago.
 auto servers(const BackendDirectory& directory) -> std::vector<BackendServer>;
 
+/// @return the id of the server that has started at the address of this one since, if there is one.
+auto successorOf(const BackendDirectory& directory, const BackendServer& server) -> std::optional<std::string>;
+
 }
--- a/src/StoreDirectory.cpp
+++ b/src/StoreDirectory.cpp
@@ -389,7 +389,7 @@
         const auto before = std::ranges::find(m_published, server.id, &BackendServer::id);
         if (before != m_published.end() && before->state == server.state && hasSameIncarnation(*before, server))
             continue;
-        m_log.record(LogLevel::Info, "backend_changed", { { "backend", server.id }, { "state", stateName(server.state) }, { "pool", server.pool }, { "address", toString(server.endpoint) }, { "incarnation", server.incarnation }, { "software_version", server.softwareVersion } });
+        m_log.record(LogLevel::Info, "backend_changed", { { "backend", server.id }, { "state", stateName(server.state) }, { "pool", server.pool }, { "address", toString(server.endpoint) }, { "incarnation", server.incarnation }, { "software_version", server.softwareVersion }, { "successor", successorOf(m_directory, server).value_or("") } });
     }
     for (const auto& server : m_published) {
         if (std::ranges::find(next, server.id, &BackendServer::id) == next.end())
--- a/test/correctness/BackendDirectoryTest.cpp
+++ b/test/correctness/BackendDirectoryTest.cpp
@@ -274,6 +274,48 @@
     CHECK_FALSE(markLeaving(directory, server("a")));
 }
 
+// Load pattern: servers crash and start again at their addresses under other ids, seconds before their old entries lapse.
+// Guards against requests for a process that has ended, which the new one rejects until the retries are used up.
+TEST_CASE("a server gets no new work once another one has started at its address")
+{
+    BackendDirectory directory;
+    auto later = server("b", "2000/v1");
+    later.endpoint = server("a").endpoint;
+    upsert(directory, server("a", "1000/v1"));
+    upsert(directory, server("other", "900/v1"));
+    CHECK(stateOf(directory, "a") == ReplicaState::Live);
+    upsert(directory, later);
+    CHECK(stateOf(directory, "a") == ReplicaState::Leaving);
+    CHECK(stateOf(directory, "b") == ReplicaState::Live);
+    CHECK(stateOf(directory, "other") == ReplicaState::Live);
+    CHECK(successorOf(directory, server("a", "1000/v1")) == "b");
+    CHECK(successorOf(directory, later) == std::nullopt);
+    // The old entry may still be in the store when the later server has left.
+    remove(directory, start, "b");
+    CHECK(stateOf(directory, "a") == ReplicaState::Leaving);
+    // The id is used again by a process that starts after both.
+    auto again = server("a", "3000/v1");
+    upsert(directory, again);
+    CHECK(stateOf(directory, "a") == ReplicaState::Live);
+}
+
+// Guards against healthy servers without work where entries don't tell which process is later.
+TEST_CASE("servers at one address stay live if their start times are unknown or equal")
+{
+    BackendDirectory directory;
+    for (const auto* incarnation : { "", "1000/v1", "no number" }) {
+        for (const auto* other : { "", "1000/v2", "no number" }) {
+            directory = {};
+            auto second = server("b", std::string(other));
+            second.endpoint = server("a").endpoint;
+            upsert(directory, server("a", std::string(incarnation)));
+            upsert(directory, second);
+            CHECK(stateOf(directory, "a") == ReplicaState::Live);
+            CHECK(stateOf(directory, "b") == ReplicaState::Live);
+        }
+    }
+}
+
 // Guards against crashed instances that are counted forever, which would reduce the retry budget.
 TEST_CASE("an instance that stops writing its record is not counted")
 {
