Say why a replica can't take a request, and name the compared costs

They are now functions that return the obstacle or the cost, which the search calls. Tests: decision_test, caller_cost_test, server_speed_test.

--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -21,11 +21,6 @@
 /// expire.
 constexpr double maxLinkSeconds = 0.4;
 
-/// A decode replica in another zone must have this much less load, as a fraction of its slots or
-/// memory. A full replica decodes slowly and rejects work, while a transfer between zones costs little
-/// more time.
-constexpr std::uint64_t otherZoneLoadPenalty = loadScale / 4;
-
 auto linkHasCapacity(const Replica& replica, std::uint64_t bytes) -> bool
 {
     const auto rate = static_cast<double>(replica.description.linkBytesPerSecond);
@@ -94,11 +89,15 @@
     };
 }
 
-auto prefillFits(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> bool
+auto prefillObstacle(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> std::optional<PlacementObstacle>
 {
     if (replica.allowance && isLimitedCall(request, replica) && !replica.allowance->hasCall(context.now))
-        return false;
-    return hasFreeMemoryBlocks(replica, memoryBlocksFor(replica, request.arrival.promptTokens)) && linkHasCapacity(replica, transferBytes(context.state, request));
+        return PlacementObstacle::CallLimit;
+    if (!hasFreeMemoryBlocks(replica, memoryBlocksFor(replica, request.arrival.promptTokens)))
+        return PlacementObstacle::Memory;
+    if (!linkHasCapacity(replica, transferBytes(context.state, request)))
+        return PlacementObstacle::Link;
+    return std::nullopt;
 }
 
 auto mayDecodeAt(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> bool
@@ -108,15 +107,31 @@
     return *request.boundVersion == replica.description.version && (*request.boundVersion == unknownVersion || processKnownAt(replica) <= context.now);
 }
 
+auto decodeMemoryNeed(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> std::uint32_t
+{
+    const auto memoryBlocks = decodeReservation(context, request, replica).memoryBlocks;
+    return memoryBlocks + requiredMemoryHeadroom(context, request, replica, memoryBlocks);
+}
+
+auto decodeObstacle(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> std::optional<PlacementObstacle>
+{
+    if (!mayDecodeAt(context, request, replica))
+        return PlacementObstacle::Version;
+    if (!hasFreeMemoryBlocks(replica, decodeMemoryNeed(context, request, replica)))
+        return PlacementObstacle::Memory;
+    if (!linkHasCapacity(replica, transferBytes(context.state, request)))
+        return PlacementObstacle::Link;
+    return std::nullopt;
+}
+
+auto decodeCost(const Replica& replica) -> std::uint64_t
+{
+    return atSpeed(decodeLoad(replica), replica);
+}
+
 auto chooseDecode(DecisionContext& context, const ActiveRequest& request, ZoneId prefillZone) -> Replica*
 {
-    const auto fits = [&](const Replica& replica) {
-        if (!mayDecodeAt(context, request, replica))
-            return false;
-        const auto amount = decodeReservation(context, request, replica);
-        const auto needed = amount.memoryBlocks + requiredMemoryHeadroom(context, request, replica, amount.memoryBlocks);
-        return hasFreeMemoryBlocks(replica, needed) && linkHasCapacity(replica, amount.linkBytes);
-    };
+    const auto fits = [&](const Replica& replica) { return !decodeObstacle(context, request, replica); };
     const auto local = context.state.settings.localZone;
     // A transfer within a zone is preferred.
     auto* near = leastLoadedInZone(context, PoolRole::Decode, prefillZone, request, fits);
@@ -124,7 +139,7 @@
         near = leastLoadedInZone(context, PoolRole::Decode, local, request, fits);
     auto* far = leastLoadedElsewhere(context, PoolRole::Decode, { prefillZone, local }, request, fits);
     if (near && far)
-        return atSpeed(decodeLoad(*near), *near) > atSpeed(decodeLoad(*far), *far) + otherZoneLoadPenalty ? far : near;
+        return decodeCost(*near) > decodeCost(*far) + otherZoneLoadPenalty ? far : near;
     if (near || far)
         return near ? near : far;
     return avoidedIfFits(context, PoolRole::Decode, request, fits);
--- a/src/Placement.h
+++ b/src/Placement.h
@@ -3,12 +3,19 @@
 /// Chooses the replicas of a request.
 
 #include "DecisionContext.h"
+#include "PlacementObstacle.h"
+#include "ReplicaIndex.h"
 #include "SlotMemory.h"
 
 #include <optional>
 
 namespace jayhold {
 
+/// A decode replica in another zone must have this much less load, as a fraction of its slots or
+/// memory. A full replica decodes slowly and rejects work, while a transfer between zones costs little
+/// more time.
+inline constexpr std::uint64_t otherZoneLoadPenalty = loadScale / 4;
+
 struct Placement {
     /// Null if the decode replica prefills itself.
     Replica* prefill;
@@ -30,8 +37,14 @@
 /// @return whether the replica has the software version at which the request must run, and its process is known. Processes of
 /// the unknown version can't be told apart. Each choice of a decode replica asks this.
 auto mayDecodeAt(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> bool;
-/// @return whether the replica has the memory and the link capacity for the request.
-auto prefillFits(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> bool;
+/// @return what keeps a prefill replica that accepts work from taking the request; nothing if it fits.
+auto prefillObstacle(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> std::optional<PlacementObstacle>;
+/// @return what keeps a decode replica that accepts work from taking the request; nothing if it fits.
+auto decodeObstacle(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> std::optional<PlacementObstacle>;
+/// @return memory blocks that must be free on the decode replica: those of the request and those that stay free beside it.
+auto decodeMemoryNeed(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> std::uint32_t;
+/// @return the load of the decode replica at its speed, by which zones are compared, in units of 1/loadScale.
+auto decodeCost(const Replica& replica) -> std::uint64_t;
 
 /// @return what the request takes on a decode replica.
 auto decodeReservation(const DecisionContext& context, const ActiveRequest& request, const Replica& replica) -> Reservation;
--- a/src/PrefillChoice.cpp
+++ b/src/PrefillChoice.cpp
@@ -43,7 +43,7 @@
     {
         if (!replica || replica == m_best.replica)
             return;
-        const auto cost = costOf(*replica);
+        const auto cost = prefillCost(m_context.state, m_request, *replica);
         if (cost < m_best.cost)
             m_best = { replica, cost };
     }
@@ -54,7 +54,7 @@
         const auto count = m_context.state.cache.replicasWithBlock(m_request.arrival.prefixBlocks.at(matchedBlocks - 1), holders);
         for (std::size_t index = 0; index < count; ++index) {
             auto* replica = findReplica(m_context.state, holders.at(index));
-            if (replica && replica->indexed && prefillFits(m_context, m_request, *replica))
+            if (replica && replica->indexed && !prefillObstacle(m_context, m_request, *replica))
                 consider(replica);
         }
     }
@@ -62,15 +62,6 @@
     auto best() const -> Replica* { return m_best.replica; }
 
 private:
-    auto costOf(const Replica& replica) const -> Duration
-    {
-        const auto& state = m_context.state;
-        const auto id = replica.description.replica;
-        const std::uint64_t own = m_request.arrival.promptTokens - expectedCachedTokens(state, m_request, id);
-        const auto avoided = m_request.avoidedReplica == id ? avoidedReplicaCost : Duration::zero();
-        return prefillTime(state, replica, std::uint64_t { replica.reserved.prefillTokens } + replica.peerPrefillTokens + own) + zoneCost(state, replica.description.zone) + avoided;
-    }
-
     DecisionContext& m_context;
     const ActiveRequest& m_request;
     Choice m_best;
@@ -78,9 +69,17 @@
 
 }
 
+auto prefillCost(const ShardState& state, const ActiveRequest& request, const Replica& replica) -> Duration
+{
+    const auto id = replica.description.replica;
+    const std::uint64_t own = request.arrival.promptTokens - expectedCachedTokens(state, request, id);
+    const auto avoided = request.avoidedReplica == id ? avoidedReplicaCost : Duration::zero();
+    return prefillTime(state, replica, std::uint64_t { replica.reserved.prefillTokens } + replica.peerPrefillTokens + own) + zoneCost(state, replica.description.zone) + avoided;
+}
+
 auto choosePrefill(DecisionContext& context, const ActiveRequest& request) -> Replica*
 {
-    const auto fits = [&](const Replica& replica) { return prefillFits(context, request, replica); };
+    const auto fits = [&](const Replica& replica) { return !prefillObstacle(context, request, replica); };
     const auto local = context.state.settings.localZone;
     Chooser chooser(context, request);
     const auto completion = [&](const Replica& replica) { return atSpeed(prefillLoad(replica) + request.arrival.promptTokens, replica); };
--- a/src/ReplicaIndex.cpp
+++ b/src/ReplicaIndex.cpp
@@ -107,17 +107,27 @@
     return std::max(slots, memoryBlocks);
 }
 
-auto acceptsWork(const Replica& replica, TimePoint now) -> bool
-{
-    return replica.description.state == ReplicaState::Live
-        && replica.busyUntil <= now
-        && replica.ejectedUntil <= now
-        && replica.crashReportWaitUntil <= now
-        && !isPausedOrReturning(replica, now)
-        && !replica.isolatedSuspect
-        && (!replica.allowance || replica.role() == PoolRole::Prefill || replica.allowance->hasCall(now))
-        && probeAllowed(replica)
-        && freeSlots(replica) > 0;
+auto workObstacle(const Replica& replica, TimePoint now) -> std::optional<PlacementObstacle>
+{
+    if (replica.description.state != ReplicaState::Live)
+        return PlacementObstacle::NotLive;
+    if (replica.busyUntil > now)
+        return PlacementObstacle::Rejecting;
+    if (replica.ejectedUntil > now)
+        return PlacementObstacle::Ejected;
+    if (replica.crashReportWaitUntil > now)
+        return PlacementObstacle::CrashReports;
+    if (isPausedOrReturning(replica, now))
+        return PlacementObstacle::Paused;
+    if (replica.isolatedSuspect)
+        return PlacementObstacle::IsolatedSuspect;
+    if (replica.allowance && replica.role() != PoolRole::Prefill && !replica.allowance->hasCall(now))
+        return PlacementObstacle::CallLimit;
+    if (!probeAllowed(replica))
+        return PlacementObstacle::Probe;
+    if (!freeSlots(replica))
+        return PlacementObstacle::Slots;
+    return std::nullopt;
 }
 
 namespace {
@@ -158,7 +168,7 @@
     refreshExpectedSpeed(replica, context.now);
     countPause(context.state, replica, context.now);
     countFreeSlots(context.state, replica);
-    const auto accepts = acceptsWork(replica, context.now);
+    const auto accepts = !workObstacle(replica, context.now);
     const auto key = indexKey(context.state, replica);
     if (replica.indexed && (!accepts || key != replica.indexKey))
         eraseEntry(context.state.index, replica);
--- a/src/ReplicaIndex.h
+++ b/src/ReplicaIndex.h
@@ -3,6 +3,9 @@
 /// Keeps the placement index consistent with the replicas.
 
 #include "DecisionContext.h"
+#include "PlacementObstacle.h"
+
+#include <optional>
 
 namespace jayhold {
 
@@ -23,7 +26,7 @@
 /// Adds, moves or removes the replica after a change of its state or load, and sets its timer.
 auto updateIndex(DecisionContext& context, Replica& replica) -> void;
 auto removeFromIndex(DecisionContext& context, Replica& replica) -> void;
-/// @return whether the replica may get new work now.
-auto acceptsWork(const Replica& replica, TimePoint now) -> bool;
+/// @return why the replica gets no new work now; nothing if it may get some.
+auto workObstacle(const Replica& replica, TimePoint now) -> std::optional<PlacementObstacle>;
 
 }
