Explain the decision on a request that arrives next

There was no way to ask a shard where a request would go. A copy of the shard handles the arrival by the code of decide(), and a trace keeps the candidates of the last attempt to place it. placement_explanation_test compares each explanation with the decision that follows, and the asked shard with an equal one that was not asked, over 3,000 random steps with and without ranks.

--- a/cmake/decision.cmake
+++ b/cmake/decision.cmake
@@ -1,5 +1,5 @@
 jayhold_library(jayhold_decision
-  UNITS Admission PlacementObstacle AnsweredRequests CrashHistory CrashAttribution CrashCopies Deadlines Dispatch DecodeEndHistogram Estimates ReservationAccounting SlotMemory LengthModel LoadReports Placement PrefillChoice PrefixCacheView PromptPartBlocking PromptPartCrashes QueuedRequests ReplicaEvents ReplicaHealth ReplicaIndex RequestEvents ReplicaPauses
+  UNITS Admission PlacementExplanation PlacementObstacle PlacementTrace AnsweredRequests CrashHistory CrashAttribution CrashCopies Deadlines Dispatch DecodeEndHistogram Estimates ReservationAccounting SlotMemory LengthModel LoadReports Placement PrefillChoice PrefixCacheView PromptPartBlocking PromptPartCrashes QueuedRequests ReplicaEvents ReplicaHealth ReplicaIndex RequestEvents ReplicaPauses
     RequestLifecycle RequestQueue RequestTimers RetryDelay RetryRules RoleBalance ServingTime SilentAttempts ServerReplacement ServerSpeed SlotHeadroom SpeedEstimates SpeedReference Shard TimerQueue UndecidedCrashes VersionBinding WorkAverage CallerCost Displacement RequestRanks
   LINK jayhold_operator)
 
@@ -26,3 +26,6 @@
 jayhold_test(caller_cost_test
   SOURCES test/correctness/CallerCostTest.cpp test/correctness/RankTest.cpp
   LINK jayhold_decision)
+jayhold_test(placement_explanation_test
+  SOURCES test/correctness/PlacementExplanationTest.cpp
+  LINK jayhold_decision)
--- a/src/Dispatch.cpp
+++ b/src/Dispatch.cpp
@@ -4,6 +4,7 @@
 #include "CrashCopies.h"
 #include "Estimates.h"
 #include "Placement.h"
+#include "PlacementTrace.h"
 #include "QueuedRequests.h"
 #include "ReplicaPauses.h"
 #include "RequestLifecycle.h"
@@ -43,7 +44,10 @@
 {
     auto& request = *findRequest(context.state, id);
     request.isDue = aged;
-    auto placement = choosePlacement(context, request, aged ? 0 : requiredSlotHeadroom(context, request));
+    const auto slotHeadroom = aged ? 0 : requiredSlotHeadroom(context, request);
+    auto placement = choosePlacement(context, request, slotHeadroom);
+    if (context.trace)
+        recordAttempt(context, request, slotHeadroom, placement);
     if (!placement)
         return StartResult::NoRoom;
     if (consumeRetriesFor(context, request, *placement)) {
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -5,6 +5,7 @@
 #include "Deadlines.h"
 #include "Displacement.h"
 #include "Estimates.h"
+#include "PlacementTrace.h"
 #include "PromptPartBlocking.h"
 #include "ReplicaHealth.h"
 #include "RequestLifecycle.h"
@@ -64,6 +65,8 @@
     if (request.boundVersion)
         request.subQueue = SubQueue::Resume;
     recordOfferedLoad(context, request);
+    if (context.trace)
+        recordCandidates(context, request);
     const auto refusal = admissionRefusal(context, request);
     enqueue(context, request);
     const auto rank = request.rank;
--- a/src/Shard.cpp
+++ b/src/Shard.cpp
@@ -99,9 +99,8 @@
     return shard;
 }
 
-auto decide(Shard& shard, TimePoint now, const DecisionEvent& event, std::vector<DecisionAction>& actions) -> void
+auto handleEvent(DecisionContext& context, const DecisionEvent& event) -> void
 {
-    DecisionContext context { *shard.state, now, actions };
     std::visit([&](const auto& message) { handle(context, message); }, event);
     runTimers(context);
     blockBlamedSignatures(context);
@@ -112,6 +111,17 @@
     scheduleWake(context);
 }
 
+auto decide(Shard& shard, TimePoint now, const DecisionEvent& event, std::vector<DecisionAction>& actions) -> void
+{
+    DecisionContext context { *shard.state, now, actions };
+    handleEvent(context, event);
+}
+
+auto copyOf(const Shard& shard) -> Shard
+{
+    return { std::unique_ptr<ShardState, ShardStateDeleter>(new ShardState(std::as_const(*shard.state))) };
+}
+
 auto updateSettings(Shard& shard, ShardSettings settings) -> void
 {
     shard.state->lengthModels.resize(settings.kinds.size());
--- a/src/Shard.h
+++ b/src/Shard.h
@@ -36,6 +36,9 @@
 /// @param now never decreases between calls.
 auto decide(Shard& shard, TimePoint now, const DecisionEvent& event, std::vector<DecisionAction>& actions) -> void;
 
+/// @return an independent copy, for a decision that must not change the shard.
+auto copyOf(const Shard& shard) -> Shard;
+
 /// @return what the shard has reserved on each replica that it uses.
 auto ownUsage(const Shard& shard) -> std::vector<ReplicaUsage>;
 
