Separate the choice of a plain server from taking its slot

acquire(), acquireFor() and awaitSlot() chose and reserved in one step, so where a call would be sent could not be found out without an effect. The sequence of choices is the same, including the rotation.

--- a/src/PlainBalancer.cpp
+++ b/src/PlainBalancer.cpp
@@ -22,16 +22,25 @@
     return backend.isReturning && (backend.hasFirstCall || (now < backend.pauseAskedUntil && backend.inFlight > 0));
 }
 
-/// @return whether only the lack of a free slot can keep the server from being chosen.
-auto takesCalls(const PlainBackend& backend, TimePoint now) -> bool
+/// @return what keeps the server from being chosen, apart from the lack of a free slot.
+auto callObstacle(const PlainBackend& backend, TimePoint now) -> std::optional<PlacementObstacle>
 {
     if (backend.server.state != ReplicaState::Live)
-        return false;
+        return PlacementObstacle::NotLive;
     if (backend.allowance && !backend.allowance->hasCall(now))
-        return false;
+        return PlacementObstacle::CallLimit;
     if (backend.pausedUntil > now || awaitsFirstCall(backend, now))
-        return false;
-    return !isEjected(backend) || (now >= backend.ejectedUntil && backend.inFlight == 0);
+        return PlacementObstacle::Paused;
+    if (isEjected(backend) && now < backend.ejectedUntil)
+        return PlacementObstacle::Ejected;
+    if (isEjected(backend) && backend.inFlight > 0)
+        return PlacementObstacle::Probe;
+    return std::nullopt;
+}
+
+auto takesCalls(const PlainBackend& backend, TimePoint now) -> bool
+{
+    return !callObstacle(backend, now);
 }
 
 auto isAvailable(const PlainBackend& backend, TimePoint now) -> bool
@@ -39,9 +48,6 @@
     return backend.inFlight < backend.slots && takesCalls(backend, now);
 }
 
-/// A call in another zone must be this much shorter, because traffic between zones has a cost.
-constexpr Duration otherZoneCallCost = std::chrono::milliseconds(10);
-
 /// @return the expected speed for a call, at most the mean. The mean includes slow phases, so most servers are faster than
 /// it. If they went before a server of unknown speed, which counts as the mean, a new server would get no calls while one
 /// of them is idle, and its speed would remain unknown.
@@ -71,7 +77,7 @@
     if ((local.suspects == 0) != (remote.suspects == 0))
         return remote.suspects == 0;
     const auto time = static_cast<double>(callTime.count());
-    return time / callSpeed(local, now) > time / callSpeed(remote, now) + static_cast<double>(otherZoneCallCost.count());
+    return time / callSpeed(local, now) > time / callSpeed(remote, now) + static_cast<double>(PlainBalancer::otherZoneCallCost.count());
 }
 
 auto removeCall(PlainBackend& backend, TimePoint now, bool isServed) -> void
@@ -190,20 +196,42 @@
 
 auto PlainBalancer::acquire(TimePoint now, std::span<const std::string> excluded, Duration callTime) -> std::optional<BackendServer>
 {
-    PlainBackend* local = nullptr;
-    PlainBackend* remote = nullptr;
-    // The start of the search rotates, so that equally loaded servers are chosen in turn.
+    const auto* chosen = choose(now, excluded, callTime);
     ++m_searchStart;
+    return chosen ? std::optional(take(m_backends[static_cast<std::size_t>(chosen - m_backends.data())], now)) : std::nullopt;
+}
+
+auto PlainBalancer::choose(TimePoint now, std::span<const std::string> excluded, Duration callTime) const -> const PlainBackend*
+{
+    const PlainBackend* local = nullptr;
+    const PlainBackend* remote = nullptr;
+    // The start of the search rotates, so that equally loaded servers are chosen in turn.
+    const auto searchStart = m_searchStart + 1;
     for (std::size_t offset = 0; offset < m_backends.size(); ++offset) {
-        auto& candidate = m_backends[(m_searchStart + offset) % m_backends.size()];
+        const auto& candidate = m_backends[(searchStart + offset) % m_backends.size()];
         if (!isAvailable(candidate, now) || std::ranges::find(excluded, candidate.server.id) != excluded.end())
             continue;
         auto& best = candidate.isLocal ? local : remote;
         if (!best || isBetter(candidate, *best, now))
             best = &candidate;
     }
-    auto* best = local && (!remote || !isWorthMove(*local, *remote, now, callTime)) ? local : remote;
-    return best ? std::optional(take(*best, now)) : std::nullopt;
+    return local && (!remote || !isWorthMove(*local, *remote, now, callTime)) ? local : remote;
+}
+
+auto PlainBalancer::candidates(TimePoint now) const -> std::vector<PlainCandidate>
+{
+    std::vector<PlainCandidate> candidates;
+    for (const auto& backend : m_backends) {
+        PlainCandidate candidate { .backend = backend, .speed = callSpeed(backend, now), .cost = completionTime(backend, now), .obstacle = callObstacle(backend, now) };
+        if (!candidate.obstacle && backend.inFlight >= backend.slots)
+            candidate.obstacle = PlacementObstacle::Slots;
+        if (backend.pausedUntil > now)
+            candidate.pauseLeft = std::chrono::duration_cast<Duration>(backend.pausedUntil - now);
+        if (backend.speed.updatedAt != TimePoint::min())
+            candidate.speedAge = std::chrono::duration_cast<Duration>(now - backend.speed.updatedAt);
+        candidates.push_back(std::move(candidate));
+    }
+    return candidates;
 }
 
 auto PlainBalancer::recordSpeed(TimePoint now, const BackendServer& server, double expectedSeconds, double seconds) -> void
--- a/src/PlainBalancer.h
+++ b/src/PlainBalancer.h
@@ -6,6 +6,7 @@
 
 #include "BackendPauses.h"
 #include "CallRates.h"
+#include "PlacementObstacle.h"
 #include "PlainBackend.h"
 
 #include <optional>
@@ -15,8 +16,25 @@
 
 namespace jayhold {
 
+/// A backend server as it compares with the others for the next call.
+struct PlainCandidate {
+    PlainBackend backend;
+    /// Speed with which servers are compared: the expected one relative to the mean of the service, at most 1.
+    double speed = 1;
+    /// Time until one more call would be completed, in calls at the mean speed.
+    double cost = 0;
+    /// What keeps the server from being chosen.
+    std::optional<PlacementObstacle> obstacle;
+    /// Remaining time of the pause that the server has asked for; zero if it is not paused.
+    Duration pauseLeft {};
+    /// Age of the last observation or report of the speed; absent without one.
+    std::optional<Duration> speedAge {};
+};
+
 class PlainBalancer {
 public:
+    /// A call in another zone must be this much shorter, because traffic between zones has a cost.
+    static constexpr Duration otherZoneCallCost = std::chrono::milliseconds(10);
     static constexpr std::uint32_t ejectionThreshold = 3;
     static constexpr Duration baseEjectionTime = std::chrono::seconds(1);
     static constexpr Duration maxEjectionTime = std::chrono::seconds(30);
@@ -55,6 +73,12 @@
     /// @return the server, or std::nullopt if none is available.
     auto acquire(TimePoint now, std::span<const std::string> excluded, Duration callTime = Duration::zero()) -> std::optional<BackendServer>;
 
+    /// @return the server that acquire() would choose, or null if none is available.
+    auto choose(TimePoint now, std::span<const std::string> excluded, Duration callTime = Duration::zero()) const -> const PlainBackend*;
+
+    /// @return all servers in the order of the list.
+    auto candidates(TimePoint now) const -> std::vector<PlainCandidate>;
+
     /// Adds the duration of a call to the estimated speed of the server; ignored if its process is another one.
     /// @param expectedSeconds duration at the mean speed of the service.
     auto recordSpeed(TimePoint now, const BackendServer& server, double expectedSeconds, double seconds) -> void;
--- a/src/PlainService.cpp
+++ b/src/PlainService.cpp
@@ -12,10 +12,6 @@
 
 namespace {
 
-constexpr Duration retryDelay = std::chrono::seconds(1);
-/// Calls last some ten milliseconds, so a caller that returns earlier finds the same calls.
-constexpr Duration minSlotRetryDelay = std::chrono::milliseconds(50);
-
 auto digestOf(const HttpRequest& request) -> std::string
 {
     return sha256Hex(request.method + "\n" + request.target + "\n" + std::string(request.content()));
@@ -23,7 +19,7 @@
 
 auto drainRefusal() -> ApiError
 {
-    return refusalError(RefusalReason::Draining, ExecutionOutcome::NotRun, jitteredDelay(retryDelay));
+    return refusalError(RefusalReason::Draining, ExecutionOutcome::NotRun, jitteredDelay(plainRetryDelay));
 }
 
 /// A policy that instances do not share is replaced by the limits for plain calls.
@@ -198,7 +194,7 @@
     } else if (std::holds_alternative<RecordMismatch>(decision)) {
         co_await refuse(exchange, call, ApiError(422, "idempotency_key_reused", "the key was used for another request", ExecutionOutcome::NotRun));
     } else if (const auto* unavailable = std::get_if<RecordUnavailable>(&decision)) {
-        const auto delay = unavailable->retryAfter > Duration::zero() ? unavailable->retryAfter : jitteredDelay(retryDelay);
+        const auto delay = unavailable->retryAfter > Duration::zero() ? unavailable->retryAfter : jitteredDelay(plainRetryDelay);
         co_await refuse(exchange, call, ApiError(503, "records_unavailable", "the call can't be recorded now and was not run", ExecutionOutcome::NotRun, delay));
     } else {
         co_await runRecorded(exchange, call, key, attemptId);
@@ -246,14 +242,13 @@
         return { 504, std::string(jayhold::name(RefusalReason::DeadlineExceeded)), "no backend server answered in time: " + attempt.detail, outcome };
     if (attempt.isNotRun && attempt.slotWait)
         return refusalError(RefusalReason::Overloaded, outcome, jitteredDelay(std::max<Duration>(*attempt.slotWait, minSlotRetryDelay)));
-    return { 503, "no_backend", "no backend server answered: " + attempt.detail, outcome, retryDelayOfCall() };
+    const auto delay = jitteredDelay(plainRetryDelay);
+    const std::lock_guard guard(m_lock);
+    return { 503, "no_backend", "no backend server answered: " + attempt.detail, outcome, retryDelayOfCallLocked(monotonicNow(), delay) };
 }
 
-auto PlainService::retryDelayOfCall() const -> Duration
+auto PlainService::retryDelayOfCallLocked(TimePoint now, Duration delay) const -> Duration
 {
-    const auto delay = jitteredDelay(retryDelay);
-    const std::lock_guard guard(m_lock);
-    const auto now = monotonicNow();
     // A caller that returns before the end of all pauses would be refused again.
     if (const auto pausesEnd = m_balancer.pausesEndAt(now); pausesEnd > now)
         return pausesEnd - now + delay;
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -10,6 +10,7 @@
 #include "PlainAttempt.h"
 #include "PlainBalancer.h"
 #include "PlainCallInfo.h"
+#include "PlainPlacement.h"
 #include "PlainWaiting.h"
 #include "PromptPartCrashes.h"
 #include "PromptReport.h"
@@ -74,6 +75,9 @@
     /// Allows this instance to run one call with a blocked crash signature.
     auto allowTrial(std::uint64_t signature) -> void;
 
+    /// Explains where a call that arrives now would be sent. Nothing changes.
+    auto explainPlacement(PlainCallInfo call) const -> PlainPlacement;
+
     /// Executes a call and responds to the caller.
     auto serve(HttpExchange& exchange, PlainCallInfo call) -> boost::asio::awaitable<void>;
 
@@ -121,10 +125,36 @@
     /// @return whether calls wait for slots in the order of their costs. Without customers and priorities there is no order.
     auto ordersCallsLocked(const PlainCallInfo& call) const -> bool;
     auto workOfLocked(const PlainCallInfo& call, Duration duration, std::uint64_t id) const -> RequestWork;
+    /// How the first server of a call is chosen.
+    struct FirstStep {
+        /// Whether the call may crash its server.
+        bool isSuspect = false;
+        /// Whether the call waits for a slot in the order of the costs if it gets no server at once.
+        bool mayAwaitSlot = false;
+        /// Whether it gets a server at once if one is available.
+        bool takesServer = false;
+    };
+    /// What a call does that waits for a slot, or begins to.
+    struct SlotStep {
+        CallerCost cost;
+        /// Number of calls that get a slot earlier.
+        std::size_t before = 0;
+        bool takesServer = false;
+        /// Expected wait; absent if nothing is known about the next slot or none is needed.
+        std::optional<Duration> wait {};
+        bool mayWait = false;
+    };
+    /// @param tried ids of the servers that the call has tried.
+    /// @param isBlocked whether the call is refused because it crashes servers.
+    auto firstStepLocked(const PlainCallInfo& call, std::span<const std::string> tried, bool isBlocked) const -> FirstStep;
+    /// @param id identifies the call among those that wait.
+    auto slotStepLocked(const PlainCallInfo& call, std::span<const std::string> tried, std::uint64_t id, TimePoint now) const -> SlotStep;
+    /// @return the decision on a call without a crash signature; requires the lock.
+    auto decisionLocked(const PlainCallInfo& call, TimePoint now) const -> decltype(PlainPlacement::decision);
     /// @return whether the call has to be refused because it crashes servers; requires the lock.
     auto isBlockedLocked(const PlainCallInfo& call, CallState& state, CrashUpdates& updates) -> bool;
     /// @return whether the call may crash its server; requires the lock.
-    auto isSuspectLocked(const PlainCallInfo& call) -> bool;
+    auto isSuspectLocked(const PlainCallInfo& call) const -> bool;
     /// @return whether the last contact with the server process was an answer.
     auto isAnswering(const BackendServer& server) const -> bool;
     /// Finds out whether a server has crashed after the connection of a call broke before its answer.
@@ -195,7 +225,8 @@
     auto respond(HttpExchange& exchange, const PlainCallInfo& call, HttpResponse response) -> boost::asio::awaitable<void>;
     auto refuse(HttpExchange& exchange, const PlainCallInfo& call, ApiError error) -> boost::asio::awaitable<void>;
     /// @return the time after which a call that no server takes now can be sent again.
-    auto retryDelayOfCall() const -> Duration;
+    /// @param delay the delay if nothing is known about the servers' next calls; it is added to the end of pauses.
+    auto retryDelayOfCallLocked(TimePoint now, Duration delay) const -> Duration;
     auto noResponseError(const PlainCallInfo& call, const PlainAttempt& attempt) const -> ApiError;
 
     /// @return whether the server is in the list and not leaving; requires the lock.
--- a/src/PlainServiceCrashes.cpp
+++ b/src/PlainServiceCrashes.cpp
@@ -52,10 +52,10 @@
             const std::lock_guard guard(m_lock);
             const auto now = monotonicNow();
             last.isRefusedAsCrashing = isBlockedLocked(call, state, updates);
-            state.isSuspect = !last.isRefusedAsCrashing && isSuspectLocked(call);
-            // A retry goes to another server or nowhere.
-            mayAwaitSlot = ordersCallsLocked(call) && !last.isRefusedAsCrashing && !state.isSuspect && state.triedBackends.empty();
-            if (!last.isRefusedAsCrashing && !(mayAwaitSlot && m_waiting.size()))
+            const auto step = firstStepLocked(call, state.triedBackends, last.isRefusedAsCrashing);
+            state.isSuspect = step.isSuspect;
+            mayAwaitSlot = step.mayAwaitSlot;
+            if (step.takesServer)
                 server = state.isSuspect ? m_balancer.acquireForSuspect(now, state.triedBackends, call.signature) : m_balancer.acquire(now, state.triedBackends, meanCallTimeLocked(call));
             mustWait = state.isSuspect && !server && now < waitUntil && m_balancer.awaitsSuspect(now, state.triedBackends);
         }
@@ -69,6 +69,14 @@
     co_return std::nullopt;
 }
 
+auto PlainService::firstStepLocked(const PlainCallInfo& call, std::span<const std::string> tried, bool isBlocked) const -> FirstStep
+{
+    const auto isSuspect = !isBlocked && isSuspectLocked(call);
+    // A retry goes to another server or nowhere.
+    const auto mayAwaitSlot = ordersCallsLocked(call) && !isBlocked && !isSuspect && tried.empty();
+    return { isSuspect, mayAwaitSlot, !isBlocked && !(mayAwaitSlot && m_waiting.size()) };
+}
+
 auto PlainService::isBlockedLocked(const PlainCallInfo& call, CallState& state, CrashUpdates& updates) -> bool
 {
     if (!call.signature)
@@ -90,7 +98,7 @@
     return true;
 }
 
-auto PlainService::isSuspectLocked(const PlainCallInfo& call) -> bool
+auto PlainService::isSuspectLocked(const PlainCallInfo& call) const -> bool
 {
     const std::span parts(&call.signature, 1);
     return call.signature && (isSuspicious(m_crashes, monotonicNow(), call.signature) || hasBlockedPart(m_crashes, parts));
--- a/src/PlainServiceWaiting.cpp
+++ b/src/PlainServiceWaiting.cpp
@@ -37,6 +37,23 @@
     };
 }
 
+auto PlainService::slotStepLocked(const PlainCallInfo& call, std::span<const std::string> tried, std::uint64_t id, TimePoint now) const -> SlotStep
+{
+    const auto durations = m_durations.find(call.kind.name);
+    const auto duration = durations == m_durations.end() ? std::nullopt : durations->second.quantile(medianQuantile);
+    const auto work = workOfLocked(call, duration.value_or(Duration::zero()), id);
+    SlotStep step { .cost = callerCost(work, now) };
+    step.before = m_waiting.countBefore(step.cost);
+    step.takesServer = m_balancer.freeSlots(now, tried) > step.before && m_balancer.choose(now, tried, meanCallTimeLocked(call));
+    const PlainSlots slots { m_balancer.slots(now, tried), duration.value_or(Duration::zero()) };
+    // Without servers that take calls, or without an estimate, nothing is known about the next slot.
+    if (step.takesServer || !slots.slots || !duration)
+        return step;
+    step.wait = expectedSlotWait(slots, step.before);
+    step.mayWait = canWaitForSlot(work, now, *step.wait, *duration);
+    return step;
+}
+
 auto PlainService::awaitSlot(const PlainCallInfo& call, const CallState& state, PlainAttempt& last) -> asio::awaitable<std::optional<BackendServer>>
 {
     std::uint64_t id = 0;
@@ -55,25 +72,18 @@
         {
             const std::lock_guard guard(m_lock);
             const auto now = monotonicNow();
-            const auto durations = m_durations.find(call.kind.name);
-            const auto duration = durations == m_durations.end() ? std::nullopt : durations->second.quantile(medianQuantile);
-            const auto work = workOfLocked(call, duration.value_or(Duration::zero()), id);
-            const auto cost = callerCost(work, now);
-            before = m_waiting.countBefore(cost);
-            if (m_balancer.freeSlots(now, state.triedBackends) > before) {
-                if (auto server = m_balancer.acquire(now, state.triedBackends, meanCallTimeLocked(call)))
-                    co_return server;
-            }
-            const PlainSlots slots { m_balancer.slots(now, state.triedBackends), duration.value_or(Duration::zero()) };
-            // Without servers that take calls, or without an estimate, nothing is known about the next slot.
-            if (!slots.slots || !duration)
+            const auto step = slotStepLocked(call, state.triedBackends, id, now);
+            before = step.before;
+            if (step.takesServer)
+                co_return m_balancer.acquire(now, state.triedBackends, meanCallTimeLocked(call));
+            if (!step.wait)
                 co_return std::nullopt;
-            last.slotWait = expectedSlotWait(slots, before);
-            if (!canWaitForSlot(work, now, *last.slotWait, *duration)) {
+            last.slotWait = step.wait;
+            if (!step.mayWait) {
                 last.detail = "no slot is expected in time";
                 co_return std::nullopt;
             }
-            m_waiting.enter(cost);
+            m_waiting.enter(step.cost);
         }
         if (!hasWaited)
             record(LogLevel::Info, call, "slot_awaited", { { "before", before }, { "wait_ms", last.slotWait->count() / 1'000 } });
--- a/test/correctness/PlacementExplanationTest.cpp
+++ b/test/correctness/PlacementExplanationTest.cpp
@@ -92,7 +92,7 @@
         if (open.empty())
             return Tick {};
         const auto chosen = open.begin() + static_cast<std::ptrdiff_t>(random() % open.size());
-        const auto event = *chosen;
+        auto event = *chosen;
         open.erase(chosen);
         return event;
     }
