Answer queries of placements in the administration interface

POST /admin/v1/placement describes a request; the response has the decision, the candidates with what is known of them and its age, and the compared costs. The translation of a request for its service is shared with the request path (forwardTo(), arrivalOf(), checkSize(), promptPartId()). Tests: PlacementApiTest (the explained plain server gets the next call, errors), EntryDaemonTest (operator's key, decision, unchanged state).

--- a/cmake/entry.cmake
+++ b/cmake/entry.cmake
@@ -2,7 +2,7 @@
   UNITS AdminApi BackendCallOptions ApiError CallSignature CallerApi CallerChecks ClusterRecords CompletionFormat
     CompletionRequest CompletionWriter ConfigurationIndex ConnectionLog CustomerIdentity DecodeRelay EngineClient EngineError EngineMessages
     EngineMonitor EntryDaemon DrainWait EntryDaemonDrain EntrySettings ForwardApi ForwardChecks OrphanDetector LatencyHistogram LostOwners
-    Metrics ModelRequest ModelRequestFallback ModelRequestLog ModelRequestReservations ModelRequestTasks ModelRequestVersion RequestTimeouts ModelService ModelServiceReplicas ModelServiceSpeeds ModelServiceTimer NativeProtocols PassThroughReader PassThroughWriter PlainBalancer PlainRoute
+    Metrics ModelArrival ModelRequest ModelRequestFallback ModelRequestLog ModelRequestReservations ModelRequestTasks ModelRequestVersion RequestTimeouts ModelService ModelServicePlacement ModelServiceReplicas ModelServiceSpeeds ModelServiceTimer NativeProtocols PassThroughReader PassThroughWriter PlacementApi PlacementQuery PlacementReport PlainBalancer PlainRoute
     PlainService PlainServiceAttempts PlainServiceCrashes PlainServiceLog PlainServicePlacement PlainServiceSpeeds PromptDigest RecentDurations RequestStateMachine RoleBalancer RouterHttpSettings RouterSamples RouteTable RouterDaemon RunId ServiceTable ServiceTablePauses ServiceTableSpeeds SpeedReporter StatusReport TokenEventReader PlainServiceWaiting PlainWaiting
     TokenSequence
   LINK jayhold_cluster jayhold_decision jayhold_operator jayhold_http)
@@ -13,7 +13,7 @@
   LINK jayhold_entry)
 
 jayhold_test(entry_request_test
-  SOURCES test/correctness/EndedAttemptsTest.cpp test/correctness/ModelRequestTest.cpp test/correctness/OutcomeLogTest.cpp test/correctness/VersionGuardTest.cpp test/correctness/PlainBalancerTest.cpp
+  SOURCES test/correctness/EndedAttemptsTest.cpp test/correctness/ModelRequestTest.cpp test/correctness/OutcomeLogTest.cpp test/correctness/PlacementApiTest.cpp test/correctness/VersionGuardTest.cpp test/correctness/PlainBalancerTest.cpp
     test/correctness/PlainServiceTest.cpp test/correctness/PlainWaitingTest.cpp test/correctness/PlainSlotWaitTest.cpp test/correctness/RoleBalancerTest.cpp
   LINK jayhold_entry)
 
--- a/src/AdminApi.cpp
+++ b/src/AdminApi.cpp
@@ -2,6 +2,7 @@
 
 #include "ConfigurationChange.h"
 #include "JitteredDelay.h"
+#include "PlacementApi.h"
 #include "Sha256.h"
 #include "StatusReport.h"
 
@@ -151,6 +152,8 @@
         co_await respond(exchange, jsonResponse(200, json::serialize(statusReport(m_context, m_services, m_node))));
     } else if (path == "/admin/v1/events" && isGet) {
         co_await respond(exchange, jsonResponse(200, json::serialize(eventPage(m_context.log, parseAfterParameter(request.target)))));
+    } else if (path == placementPath && request.method == "POST") {
+        co_await respond(exchange, explainPlacement(m_context, m_services, request.content()));
     } else if (path == "/admin/v1/drain" && request.method == "POST") {
         m_context.log.record(LogLevel::Info, "drain_requested", { { "operator", name } });
         m_startDraining();
--- a/src/CallerChecks.cpp
+++ b/src/CallerChecks.cpp
@@ -32,6 +32,8 @@
     return now + std::min(std::chrono::milliseconds(*milliseconds), kind.deadline);
 }
 
+}
+
 auto checkSize(const Service& service, const ModelRequestInfo& info) -> std::optional<ApiError>
 {
     if (info.digest.tokens > service.maxPromptTokens) {
@@ -42,8 +44,6 @@
     return std::nullopt;
 }
 
-}
-
 auto checkCompletion(const ConfigurationIndex& index, CustomerId customer, CompletionApi api, const HttpRequest& request, TimePoint now) -> ApiResult<CheckedCompletion>
 {
     auto parsed = parseCompletionRequest(api, request.body);
--- a/src/CallerChecks.h
+++ b/src/CallerChecks.h
@@ -34,6 +34,9 @@
 /// @param now arrival time of the request.
 auto checkCompletion(const ConfigurationIndex& index, CustomerId customer, CompletionApi api, const HttpRequest& request, TimePoint now) -> ApiResult<CheckedCompletion>;
 
+/// @return why the service takes no request of this size; nothing if it does.
+auto checkSize(const Service& service, const ModelRequestInfo& info) -> std::optional<ApiError>;
+
 /// Validates a call to a plain service against the configuration.
 /// @param now arrival time of the request.
 auto checkPlainCall(const ConfigurationIndex& index, CustomerId customer, const HttpRequest& request, TimePoint now) -> ApiResult<CheckedPlainCall>;
--- a/src/ForwardChecks.cpp
+++ b/src/ForwardChecks.cpp
@@ -70,9 +70,8 @@
     const auto customer = identifyCustomer(index, *route, call);
     if (customer.has_error())
         return customer.error();
-    const auto customerName = *customer ? index.customerName(**customer) : std::string();
     if (index.configuration().requiresCustomerKey)
-        protocol.setCustomer(call.request, customerName);
+        protocol.setCustomer(call.request, *customer ? index.customerName(**customer) : std::string());
     // The key is not needed any more.
     call.credentials.clear();
     const auto target = chooseTarget(*route, call.requestId);
@@ -81,17 +80,23 @@
     if (!service || kind == service->kinds.end()) {
         return ApiError(503, "unknown_service", "route " + route->name + " names a service or kind that does not exist", ExecutionOutcome::NotRun, jitteredDelay(missingServiceRetryDelay));
     }
-    auto quota = quotaDemand(index, *customer, call);
-    if (service->type == ServiceType::Model) {
-        auto info = modelInfo(std::move(call), *kind, now);
-        info.customer = customer->value_or(noCustomer);
+    return forwardTo(index, *service, *kind, *customer, std::move(call), now);
+}
+
+auto forwardTo(const ConfigurationIndex& index, const Service& service, const RequestKind& kind, std::optional<CustomerId> customer, ForwardedCall call, TimePoint now) -> CheckedForward
+{
+    const auto customerName = customer ? index.customerName(*customer) : std::string();
+    auto quota = quotaDemand(index, customer, call);
+    if (service.type == ServiceType::Model) {
+        auto info = modelInfo(std::move(call), kind, now);
+        info.customer = customer.value_or(noCustomer);
         info.customerName = customerName;
-        return CheckedForward(CheckedCompletion { service->name, std::move(info), std::move(quota) });
+        return CheckedCompletion { service.name, std::move(info), std::move(quota) };
     }
-    auto info = plainInfo(std::move(call), *kind, now);
+    auto info = plainInfo(std::move(call), kind, now);
     info.customer = customerName;
-    info.customerPriority = index.customerPriority(customer->value_or(noCustomer));
-    return CheckedForward(CheckedPlainCall { service->name, std::move(info), std::move(quota) });
+    info.customerPriority = index.customerPriority(customer.value_or(noCustomer));
+    return CheckedPlainCall { service.name, std::move(info), std::move(quota) };
 }
 
 }
--- a/src/ForwardChecks.h
+++ b/src/ForwardChecks.h
@@ -16,4 +16,9 @@
 /// @param now arrival time of the request.
 auto checkForward(const ConfigurationIndex& index, const CallerProtocol& protocol, ForwardedCall call, TimePoint now) -> ApiResult<CheckedForward>;
 
+/// @param customer the customer that the request's key names; nothing without one.
+/// @param now arrival time of the request.
+/// @return the request as the service gets it.
+auto forwardTo(const ConfigurationIndex& index, const Service& service, const RequestKind& kind, std::optional<CustomerId> customer, ForwardedCall call, TimePoint now) -> CheckedForward;
+
 }
--- a/src/ModelService.h
+++ b/src/ModelService.h
@@ -12,6 +12,7 @@
 #include "CrashSuspect.h"
 #include "DecisionEvent.h"
 #include "EntryContext.h"
+#include "ModelPlacement.h"
 #include "ReplicaStatus.h"
 #include "ServerReplacement.h"
 #include "Shard.h"
@@ -116,6 +117,12 @@
     /// @return whether this process of the backend server is known and not leaving.
     auto isLive(const BackendServer& server) const -> bool;
     auto summary() const -> ShardSummary;
+
+    /// Explains where a request that arrives now would be placed. Nothing changes, except that the shard is copied.
+    /// @param arrived its identifier and the version to which it is bound are assigned here.
+    /// @param boundVersion software version to which the request is bound; nothing if it may begin at any.
+    /// @return nothing while another explanation is in progress, or if the shard has too many open requests to be copied.
+    auto explainPlacement(RequestArrived arrived, const std::optional<std::string>& boundVersion) const -> std::optional<ModelPlacement>;
     /// Takes a retry from the budget for a call to the replica that the shard has not started.
     /// @return false if the budget is exhausted, or the replica takes no further call now or is leaving.
     auto tryConsumeRetry(ReplicaId replica) -> bool;
@@ -219,6 +226,8 @@
     const std::string m_idPrefix;
     const std::shared_ptr<ServiceMetrics> m_metrics;
 
+    /// Held while a copy of the shard exists, so that there is one at a time. Taken before the lock.
+    mutable std::mutex m_explanationLock;
     mutable std::mutex m_lock;
     std::vector<Pool> m_pools;
     std::vector<std::string> m_zones;
--- a/test/correctness/EntryDaemonTest.cpp
+++ b/test/correctness/EntryDaemonTest.cpp
@@ -215,6 +215,24 @@
     CHECK(waitFor([&] { return json::parse(deployment.admin({ "GET", "/admin/v1/configuration", {}, {} }).body).at("version") == 2; }));
 }
 
+// Guards against a placement that is explained to others than operators, that differs from where the request goes, or that
+// leaves a trace in the state.
+TEST_CASE("the administration API explains a placement without sending the request")
+{
+    Deployment deployment;
+    const HttpRequest query { "POST", "/admin/v1/placement", {}, R"({"service":"appraiser-llm","kind":"lookup","customer":"members","prompt_tokens":3})" };
+    CHECK(deployment.admin(query).body.find("no_configuration") != std::string::npos);
+    deployment.start();
+    CHECK(deployment.send(deployment.entry().peerEndpoint(), query, "members-key")->status == 401);
+    const auto status = [&] { return json::parse(deployment.admin({ "GET", "/admin/v1/status", {}, {} }).body).at("services").at(0).at("shard"); };
+    const auto before = status();
+    const auto report = json::parse(deployment.admin(query).body);
+    CHECK(report.at("decision") == json::value { { "action", "prefill_and_decode" }, { "prefill", "prefill-1" }, { "decode", "decode-1" }, { "decode_slot", "free" } });
+    CHECK(report.at("decode_candidates").at(0).at("free_slots") == 20);
+    CHECK(report.at("configuration_version") == 1);
+    CHECK(status() == before);
+}
+
 // Guards against a shutdown that interrupts a stream, or that accepts requests without finishing them.
 TEST_CASE("a graceful shutdown finishes open streams and refuses new work")
 {
