--- a/cmake/ctl.cmake
+++ b/cmake/ctl.cmake
@@ -1,5 +1,5 @@
 jayhold_library(jayhold_ctl
-  UNITS AdminClient CtlCommands CtlConfiguration CtlExplain CtlOptions CtlStatus CtlTimeline TextTable
+  UNITS AdminClient CtlCommands CtlConfiguration CtlExplain CtlOptions CtlPlacement CtlStatus CtlTimeline JsonTables TextTable
   LINK jayhold_operator jayhold_http)
 
 add_executable(jayholdctl apps/jayholdctl.cpp)
--- a/src/CtlCommands.cpp
+++ b/src/CtlCommands.cpp
@@ -57,6 +57,8 @@
         return runDiff(options, client, output);
     if (options.command == "status")
         return runStatus(options, client, output);
+    if (options.command == "placement")
+        return runPlacement(options, client, output);
     if (options.command == "drain")
         return runDrain(options, client, output);
     return runTimeline(options, client, output);
--- a/src/CtlCommands.h
+++ b/src/CtlCommands.h
@@ -25,6 +25,8 @@
 auto runShow(const CtlOptions& options, AdminClient& client, const CtlOutput& output) -> ExitCode;
 auto runDiff(const CtlOptions& options, AdminClient& client, const CtlOutput& output) -> ExitCode;
 auto runStatus(const CtlOptions& options, AdminClient& client, const CtlOutput& output) -> ExitCode;
+/// Prints where a request would be placed now, and why.
+auto runPlacement(const CtlOptions& options, AdminClient& client, const CtlOutput& output) -> ExitCode;
 auto runDrain(const CtlOptions& options, AdminClient& client, const CtlOutput& output) -> ExitCode;
 auto runTimeline(const CtlOptions& options, AdminClient& client, const CtlOutput& output) -> ExitCode;
 /// Prints the history of one request from log files.
--- a/src/CtlOptions.cpp
+++ b/src/CtlOptions.cpp
@@ -7,6 +7,7 @@
 
 #include <getopt.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstdlib>
@@ -25,6 +26,7 @@
   show             print the active configuration
   diff FILE        compare a configuration with the active one
   status           instances, active versions and backend servers
+  placement [FILE] show where a request would be placed now, and why; it is not sent
   drain            shut the addressed instance down gracefully
   timeline         merge the event logs of all addressed instances in causal order
   explain ID       print the history of a request from the logs of all instances, and its cause
@@ -39,6 +41,13 @@
   -r, --request ID        timeline: only this request
   -c, --config VERSION    timeline: only this configuration version
   -j, --json              print JSON
+placement: the request, also as a JSON object in FILE, whose fields the options replace
+  --host, --path          route of the request, or
+  --service, --kind       service, and kind if it is not that of the route or the first one
+  --customer              name of the customer
+  --prompt-tokens, --max-output-tokens, --expected-output-tokens
+  --part ID=TOKENS        part of the prompt; repeat for several, in order
+  --deadline-ms, --request-id
   -h, --help              print this text
   -V, --version           print the version
 
@@ -46,7 +55,23 @@
 Exit codes: 0 success, 1 failed, 2 usage, 3 conflict with another change, 4 unreachable.
 )";
 
-constexpr std::array<option, 10> longOptions { {
+/// Options without a letter.
+constexpr int textOption = 256;
+constexpr int numberOption = 257;
+constexpr int partOption = 258;
+
+constexpr std::array<option, 21> longOptions { {
+    { "host", required_argument, nullptr, textOption },
+    { "path", required_argument, nullptr, textOption },
+    { "service", required_argument, nullptr, textOption },
+    { "kind", required_argument, nullptr, textOption },
+    { "customer", required_argument, nullptr, textOption },
+    { "request-id", required_argument, nullptr, textOption },
+    { "prompt-tokens", required_argument, nullptr, numberOption },
+    { "max-output-tokens", required_argument, nullptr, numberOption },
+    { "expected-output-tokens", required_argument, nullptr, numberOption },
+    { "deadline-ms", required_argument, nullptr, numberOption },
+    { "part", required_argument, nullptr, partOption },
     { "entry", required_argument, nullptr, 'e' },
     { "key-file", required_argument, nullptr, 'k' },
     { "base", required_argument, nullptr, 'b' },
@@ -64,14 +89,16 @@
     std::size_t argumentCount;
     bool needsEntry;
     bool acceptsMoreFiles = false;
+    bool isFileOptional = false;
 };
 
-constexpr std::array<CommandSpec, 9> commands { {
+constexpr std::array<CommandSpec, 10> commands { {
     { "check", 1, false },
     { "apply", 1, true },
     { "show", 0, true },
     { "diff", 1, true },
     { "status", 0, true },
+    { "placement", 1, true, false, true },
     { "drain", 0, true },
     { "timeline", 0, true },
     { "explain", 1, false, true },
@@ -96,7 +123,7 @@
     return true;
 }
 
-auto parseVersion(std::string_view text) -> std::optional<std::int64_t>
+auto parseWholeNumber(std::string_view text) -> std::optional<std::int64_t>
 {
     std::int64_t number = 0;
     const auto [rest, code] = std::from_chars(text.data(), text.data() + text.size(), number);
@@ -140,7 +167,8 @@
         if (spec.name != options.command)
             continue;
         const auto isTooMany = options.arguments.size() > spec.argumentCount && !spec.acceptsMoreFiles;
-        if (options.arguments.size() < spec.argumentCount || isTooMany)
+        const auto isTooFew = options.arguments.size() < spec.argumentCount && !spec.isFileOptional;
+        if (isTooFew || isTooMany)
             return usageError(options.command + std::string(argumentError(spec)));
         if (spec.needsEntry && options.entries.empty())
             return usageError("no entry instance given; use --entry or JAYHOLD_ENTRY");
@@ -149,6 +177,32 @@
     return usageError(options.command.empty() ? "no command given" : "unknown command " + options.command);
 }
 
+/// @return the key of a long option in a query.
+auto queryKey(std::string_view name) -> std::string
+{
+    std::string key(name);
+    std::ranges::replace(key, '-', '_');
+    return key;
+}
+
+/// @param name name of the long option.
+auto applyPlacementOption(PlacementOptions& placement, int option, std::string_view name, std::string_view argument) -> std::optional<CtlUsageError>
+{
+    if (option == textOption) {
+        placement.texts.emplace_back(queryKey(name), argument);
+        return std::nullopt;
+    }
+    const auto separator = option == partOption ? argument.rfind('=') : 0;
+    const auto number = separator == std::string_view::npos ? std::nullopt : parseWholeNumber(option == partOption ? argument.substr(separator + 1) : argument);
+    if (!number)
+        return usageError("--" + std::string(name) + (option == partOption ? " takes ID=TOKENS: " : " takes a whole number: ") + std::string(argument));
+    if (option == partOption)
+        placement.parts.emplace_back(argument.substr(0, separator), *number);
+    else
+        placement.numbers.emplace_back(queryKey(name), *number);
+    return std::nullopt;
+}
+
 auto applyOption(CtlOptions& options, int option, const char* argument) -> std::optional<CtlUsageError>
 {
     switch (option) {
@@ -163,7 +217,7 @@
             return usageError("the key file can't be read: " + std::string(argument));
         return std::nullopt;
     case 'b':
-        options.baseVersion = parseVersion(argument);
+        options.baseVersion = parseWholeNumber(argument);
         if (!options.baseVersion)
             return usageError("not a version: " + std::string(argument));
         return std::nullopt;
@@ -193,14 +247,16 @@
     opterr = 0;
     const auto count = static_cast<int>(arguments.size());
     while (true) {
-        const auto option = getopt_long(count, arguments.data(), "e:k:b:l:r:c:jhV", longOptions.data(), nullptr);
+        int index = 0;
+        const auto option = getopt_long(count, arguments.data(), "e:k:b:l:r:c:jhV", longOptions.data(), &index);
         if (option == -1)
             break;
         if (option == 'h')
             return CtlInformation { std::string(helpText) };
         if (option == 'V')
             return CtlInformation { "jayholdctl " + std::string(version()) + "\n" };
-        if (auto error = applyOption(options, option, optarg))
+        const auto isPlacement = option >= textOption && option <= partOption;
+        if (auto error = isPlacement ? applyPlacementOption(options.placement, option, longOptions.at(static_cast<std::size_t>(index)).name, optarg) : applyOption(options, option, optarg))
             return *error;
     }
     const auto rest = arguments.subspan(static_cast<std::size_t>(optind));
--- a/src/CtlOptions.h
+++ b/src/CtlOptions.h
@@ -8,11 +8,20 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
 namespace jayhold {
 
+/// The description of a request, as the options give it; keys as in the query.
+struct PlacementOptions {
+    std::vector<std::pair<std::string, std::string>> texts;
+    std::vector<std::pair<std::string, std::int64_t>> numbers;
+    /// Identifiers and sizes in tokens of the parts of the prompt.
+    std::vector<std::pair<std::string, std::int64_t>> parts;
+};
+
 struct CtlOptions {
     std::string command;
     std::vector<std::string> arguments;
@@ -26,6 +35,7 @@
     std::vector<std::string> logFiles;
     std::optional<std::string> request;
     std::optional<std::string> configurationVersion;
+    PlacementOptions placement {};
 };
 
 /// Result for a command line that requests help or the version; the text goes to standard output.
--- a/test/correctness/CtlCommandsTest.cpp
+++ b/test/correctness/CtlCommandsTest.cpp
@@ -70,6 +70,32 @@
     threads.stop();
 }
 
+// Guards against a query that lacks what the options and the file say, and against output that hides the decision or changes
+// the instance's response where a program reads it.
+TEST_CASE("placement prints the decision and the candidates")
+{
+    IoThreads threads(1);
+    std::string query;
+    const std::string report = R"({"decision":{"action":"wait","waits_for":"decode_slot","expected_wait_ms":12.5},"decode_candidates":[{"id":"d1","obstacle":"slots"}]})";
+    HttpServer server(threads, {}, [&](HttpExchange& exchange) -> asio::awaitable<void> {
+        query = exchange.request().body;
+        co_await exchange.respond(jsonResponse(query.find("none") == std::string::npos ? 200 : 404, report));
+    });
+    CtlOptions options { .command = "placement", .entries = { server.endpoint() }, .placement = { .texts = { { "service", "llm" } }, .numbers = { { "prompt_tokens", 9 } }, .parts = { { "1f", 9 } } } };
+    const auto shown = run(options);
+    CHECK(shown.code == ExitCode::Success);
+    CHECK(query == R"({"service":"llm","prompt_tokens":9,"prompt_parts":[{"id":"1f","tokens":9}]})");
+    CHECK_THAT(shown.result, Catch::StartsWith("wait for decode_slot, about 12 ms\n"));
+    CHECK_THAT(shown.result, Catch::Contains("\ndecode_candidates\nid  obstacle\nd1  slots\n"));
+    options.printJson = true;
+    CHECK(run(options).result == report + "\n");
+    options.placement.texts = { { "service", "none" } };
+    CHECK(run(options).code == ExitCode::Failed);
+    options.arguments = { "/nonexistent/file" };
+    CHECK(run(options).code == ExitCode::Failed);
+    threads.stop();
+}
+
 // Guards against an unreachable instance that is reported as success or as an invalid file.
 TEST_CASE("an unreachable instance and a missing file have different exit codes")
 {
