Split latestStart() into its estimates and its two limits

One function decided which estimates count, how far they are reduced and which of two limits applies, so a reader had to take three conditions apart. The time that a request needs and the limit of the caller's idle timeout are functions of their own now, and each comment says why a condition is there.

--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -75,23 +75,53 @@
     return request.arrivedAt + target - timeToFirstToken(state, request) - margin;
 }
 
-auto latestStart(const ShardState& state, const ActiveRequest& request) -> TimePoint
+namespace {
+
+/// Estimated time that a request takes from its start.
+struct NeededTime {
+    /// Until the caller has the first token.
+    Duration firstToken {};
+    /// From the first token to the last.
+    Duration decode {};
+};
+
+/// @return the time that the request takes from its start, as far as an estimate may refuse it; zero if none may.
+auto neededTime(const ShardState& state, const ActiveRequest& request) -> NeededTime
 {
-    // A request that the end of a drain would cut is better served by another instance, so it starts only if it will
-    // probably have ended by then.
+    // A request that the end of a drain would cut is better served by another instance. It starts only if it will probably
+    // have ended by then, so the full estimates of the longest response count.
     const auto isEndedByDrain = endsBeforeDeadline(state, request);
-    const auto useEstimates = isEndedByDrain || canRelyOnEstimates(state);
-    // A long request needs more by a rough estimate. Where ranks differ, only an estimate that exceeds the time by the same
-    // factor as that of a wait refuses it.
+    if (!isEndedByDrain && !canRelyOnEstimates(state))
+        return {};
+    // The estimates are rough, and those of long requests are the largest. Where ranks differ, they are reduced by the same
+    // factor as waits, so that long requests are not refused more often than short ones.
     const auto divisor = hasSeveralRanks(state) && !isEndedByDrain ? waitExcessFactor : 1.0;
-    const auto firstToken = useEstimates ? scaled(timeToFirstToken(state, request), 1 / divisor) : Duration::zero();
     const auto tokens = isEndedByDrain ? maxRemainingTokens(state, request) : minRemainingTokens(state, request);
-    const auto decode = useEstimates ? Duration(static_cast<Duration::rep>(tokens * 1e6 / state.rates.tokensPerSecond.value() / divisor)) : Duration::zero();
-    const auto beforeDeadline = endOfTime(state, request) - firstToken - decode;
-    const auto callerIdleTimeout = std::chrono::duration_cast<Duration>(kindOf(state, request).callerIdleTimeout);
-    if (callerIdleTimeout <= Duration::zero() || request.subQueue == SubQueue::Resume)
-        return beforeDeadline;
-    return std::min(beforeDeadline, request.arrivedAt + callerIdleTimeout - callerIdleTimeout / idleTimeoutMarginDivisor - firstToken);
+    return {
+        .firstToken = scaled(timeToFirstToken(state, request), 1 / divisor),
+        .decode = Duration(static_cast<Duration::rep>(tokens * 1e6 / state.rates.tokensPerSecond.value() / divisor)),
+    };
+}
+
+/// @param firstToken time from the start to the first token.
+/// @return the latest start with which the first token arrives before the caller disconnects; TimePoint::max() if the caller
+/// has tokens or no idle timeout.
+auto latestStartForIdleTimeout(const ShardState& state, const ActiveRequest& request, Duration firstToken) -> TimePoint
+{
+    const auto idleTimeout = std::chrono::duration_cast<Duration>(kindOf(state, request).callerIdleTimeout);
+    if (idleTimeout <= Duration::zero() || request.subQueue == SubQueue::Resume)
+        return TimePoint::max();
+    const auto margin = idleTimeout / idleTimeoutMarginDivisor;
+    return request.arrivedAt + idleTimeout - margin - firstToken;
+}
+
+}
+
+auto latestStart(const ShardState& state, const ActiveRequest& request) -> TimePoint
+{
+    const auto needed = neededTime(state, request);
+    const auto forDeadline = endOfTime(state, request) - needed.firstToken - needed.decode;
+    return std::min(forDeadline, latestStartForIdleTimeout(state, request, needed.firstToken));
 }
 
 auto latestRefusal(const ShardState& state, const ActiveRequest& request) -> TimePoint
