Name refused callers the time for what is before them

Where requests differ in rank, the retry delay of a model request covered the whole backlog: an urgent caller was told to stay away for the time that less urgent requests need, and less urgent callers were told to return before there was room, many of them at once. The delay is now the time for the starts before the request: interrupted streams, waiting requests of its rank and of more urgent ones, and the returns promised to callers of these ranks that were refused earlier. A promise ends with its delay or when a request with the same digest arrives, and none is made to a caller whose deadline is earlier.

Tests: ReturnDelayTest; RankTest (digest as before).

--- a/cmake/decision.cmake
+++ b/cmake/decision.cmake
@@ -1,6 +1,6 @@
 jayhold_library(jayhold_decision
   UNITS Admission PlacementExplanation PlacementObstacle PlacementTrace AnsweredRequests CrashHistory CrashAttribution CrashCopies Deadlines Dispatch DecodeEndHistogram Estimates ReservationAccounting SlotMemory LengthModel LoadReports Placement PrefillChoice PrefixCacheView PromptPartBlocking PromptPartCrashes QueuedRequests ReplicaEvents ReplicaHealth ReplicaIndex RequestEvents ReplicaPauses
-    RequestLifecycle RequestQueue RequestTimers RetryDelay RetryRules RoleBalance ServingTime SilentAttempts ServerReplacement ServerSpeed SlotHeadroom SpeedEstimates SpeedReference Shard TimerQueue UndecidedCrashes VersionBinding WorkAverage CallerCost Displacement RequestRanks
+    RequestLifecycle RequestQueue RequestTimers RetryDelay RetryRules RoleBalance ServingTime SilentAttempts ServerReplacement ServerSpeed SlotHeadroom SpeedEstimates SpeedReference Shard TimerQueue UndecidedCrashes VersionBinding WorkAverage CallerCost Displacement RequestRanks ReturnPromises
   LINK jayhold_operator)
 
 jayhold_test(decision_test
@@ -24,7 +24,7 @@
   SOURCES test/correctness/ServerSpeedTest.cpp test/correctness/UnevenEnginesTest.cpp
   LINK jayhold_decision)
 jayhold_test(caller_cost_test
-  SOURCES test/correctness/CallerCostTest.cpp test/correctness/RankTest.cpp
+  SOURCES test/correctness/CallerCostTest.cpp test/correctness/RankTest.cpp test/correctness/ReturnDelayTest.cpp
   LINK jayhold_decision)
 jayhold_test(placement_explanation_test
   SOURCES test/correctness/PlacementExplanationTest.cpp
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -60,6 +60,7 @@
     request.arrivedAt = context.now;
     request.latencyClass = kindOf(state, request).latencyClass;
     request.rank = rankOf(state.settings, event.kind, event.customer);
+    state.returnPromises.arrived(event.signature);
     request.boundVersion = event.boundVersion;
     // A stream that is taken up was interrupted. In the queue of its flow it would hold up requests of other versions.
     if (request.boundVersion)
--- a/src/RequestQueue.cpp
+++ b/src/RequestQueue.cpp
@@ -181,6 +181,11 @@
     return std::accumulate(m_ranks.begin(), m_ranks.lower_bound(rank), std::size_t { 0 }, [](std::size_t sum, const auto& entry) { return sum + entry.second.size(); });
 }
 
+auto RequestQueue::resumeCount() const -> std::size_t
+{
+    return std::accumulate(m_resumes.begin(), m_resumes.end(), std::size_t { 0 }, [](std::size_t sum, const auto& entry) { return sum + entry.second.size(); });
+}
+
 auto RequestQueue::flowSize(RequestRank rank, const FlowKey& flow) const -> std::size_t
 {
     const auto found = m_flows.find({ rank, flow });
--- a/src/RequestQueue.h
+++ b/src/RequestQueue.h
@@ -63,6 +63,8 @@
     auto rankSize(RequestRank rank) const -> std::size_t;
     /// @return the same for all more urgent ranks.
     auto sizeBefore(RequestRank rank) const -> std::size_t;
+    /// @return number of requests of the Resume sub-queue.
+    auto resumeCount() const -> std::size_t;
     auto classSize(RequestRank rank, LatencyClass latencyClass) const -> std::size_t { return classOf(rank, latencyClass).byAge.size(); }
     auto flowSize(RequestRank rank, const FlowKey& flow) const -> std::size_t;
     /// @return number of the customer's requests in all sub-queues.
--- a/src/ShardState.h
+++ b/src/ShardState.h
@@ -17,6 +17,7 @@
 #include "RequestQueue.h"
 #include "RetryBudget.h"
 #include "RetryWaits.h"
+#include "ReturnPromises.h"
 #include "ServiceRates.h"
 #include "ShardSettings.h"
 #include "ShardSummary.h"
@@ -99,6 +100,7 @@
     /// Average number of memory blocks that a request takes on a decode replica.
     double meanDecodeMemoryBlocks = 0;
     StartInterval startInterval;
+    ReturnPromises returnPromises;
     StartInterval overdueStartInterval;
     /// Expected output tokens of the requests that started since the last aged request.
     std::uint64_t tokensSinceAgedStart = 0;
