Refuse the cheapest request of a customer whose queue is full

Where requests differ in rank, an arrival at a full queue of its customer was refused although less urgent requests of the customer waited. The waiting request of the customer whose refusal costs its caller least is refused instead, which can be the new one. Interrupted streams are not refused for others, and each arrival refuses one request, so a lower limit does not empty a queue. A refusal says in whose favour it was made. With one rank, the arrival is refused as before.

Tests: FullQueueTest, with a property for any order of arrival; RankTest.

--- a/cmake/decision.cmake
+++ b/cmake/decision.cmake
@@ -24,7 +24,7 @@
   SOURCES test/correctness/ServerSpeedTest.cpp test/correctness/UnevenEnginesTest.cpp
   LINK jayhold_decision)
 jayhold_test(caller_cost_test
-  SOURCES test/correctness/CallerCostTest.cpp test/correctness/RankTest.cpp test/correctness/ReturnDelayTest.cpp
+  SOURCES test/correctness/CallerCostTest.cpp test/correctness/RankTest.cpp test/correctness/ReturnDelayTest.cpp test/correctness/FullQueueTest.cpp
   LINK jayhold_decision)
 jayhold_test(placement_explanation_test
   SOURCES test/correctness/PlacementExplanationTest.cpp
--- a/src/Admission.cpp
+++ b/src/Admission.cpp
@@ -14,13 +14,6 @@
 
 namespace {
 
-auto queueIsFull(const ShardState& state, const ActiveRequest& request) -> bool
-{
-    const auto& limits = state.settings.customerQueueLimits;
-    const auto customer = static_cast<std::size_t>(request.arrival.customer);
-    return customer < limits.size() && state.queue.customerSize(request.arrival.customer) >= limits[customer];
-}
-
 /// Whether the request exceeds the capacity of the replica with the most memory.
 auto isTooLarge(const ShardState& state, const ActiveRequest& request) -> bool
 {
@@ -31,6 +24,13 @@
 
 }
 
+auto isQueueOverLimit(const ShardState& state, CustomerId customer, std::size_t waiting) -> bool
+{
+    const auto& limits = state.settings.customerQueueLimits;
+    const auto index = static_cast<std::size_t>(customer);
+    return index < limits.size() && waiting > limits[index];
+}
+
 auto admissionRefusal(DecisionContext& context, ActiveRequest& request) -> std::optional<RefusalReason>
 {
     const auto& state = context.state;
@@ -51,11 +51,11 @@
         return RefusalReason::Draining;
     if (isTooLarge(state, request))
         return RefusalReason::TooLarge;
-    if (queueIsFull(state, request))
-        return RefusalReason::QueueFull;
     // Where ranks differ, the request is compared with those that wait when it is among them.
     if (hasSeveralRanks(state))
         return cannotStartInTime(context, request) ? std::optional(overloadReason(state, request)) : std::nullopt;
+    if (isQueueOverLimit(state, request.arrival.customer, state.queue.customerSize(request.arrival.customer) + 1))
+        return RefusalReason::QueueFull;
     if (willMissTarget(context, request, expectedWait(context, request)))
         moveToOverdue(context, request);
     if (cannotMeetDeadline(context, request))
--- a/src/Admission.h
+++ b/src/Admission.h
@@ -14,4 +14,8 @@
 /// @return why the request is refused, or nothing if it may wait.
 auto admissionRefusal(DecisionContext& context, ActiveRequest& request) -> std::optional<RefusalReason>;
 
+/// @param waiting number of waiting requests of the customer.
+/// @return whether the customer has more of them than its limit.
+auto isQueueOverLimit(const ShardState& state, CustomerId customer, std::size_t waiting) -> bool;
+
 }
--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -208,6 +208,7 @@
         .attemptsNotRun = request.attemptsNotRun,
         .consumedRetries = request.consumedRetries,
         .remainingRetries = context.state.retryBudget.remaining(),
+        .rank = request.rank,
     };
 }
 
--- a/src/Refuse.h
+++ b/src/Refuse.h
@@ -5,9 +5,11 @@
 #include "ExecutionOutcome.h"
 #include "Identifiers.h"
 #include "RefusalReason.h"
+#include "RequestRank.h"
 #include "Time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace jayhold {
 
@@ -25,6 +27,9 @@
     /// Retries that the request has taken from the budget, and those that the budget has left.
     std::uint32_t consumedRetries = 0;
     double remainingRetries = 0;
+    RequestRank rank {};
+    /// Rank of the more costly request in whose favour this one was refused while it waited.
+    std::optional<RequestRank> displacedBy {};
 };
 
 struct Refuse {
--- a/src/RequestEvents.cpp
+++ b/src/RequestEvents.cpp
@@ -70,11 +70,10 @@
         recordCandidates(context, request);
     const auto refusal = admissionRefusal(context, request);
     enqueue(context, request);
-    const auto rank = request.rank;
     if (refusal)
         refuse(context, request, *refusal);
     else if (hasSeveralRanks(state))
-        displaceWaiting(context, rank);
+        displaceWaiting(context, request);
 }
 
 auto handle(DecisionContext& context, const PrefillDone& event) -> void
--- a/src/RequestLifecycle.cpp
+++ b/src/RequestLifecycle.cpp
@@ -409,10 +409,11 @@
     erase(context, request);
 }
 
-auto refuse(DecisionContext& context, ActiveRequest& request, RefusalReason reason) -> void
+auto refuse(DecisionContext& context, ActiveRequest& request, RefusalReason reason, std::optional<RequestRank> displacedBy) -> void
 {
     const auto unknown = request.mayHaveRun || mayBeRunning(request.phase);
-    const auto inputs = refusalInputs(context, request);
+    auto inputs = refusalInputs(context, request);
+    inputs.displacedBy = displacedBy;
     cancelAttempt(context, request);
     leavePhase(context, request);
     ++context.state.totals.refused;
--- a/src/RequestLifecycle.h
+++ b/src/RequestLifecycle.h
@@ -48,7 +48,8 @@
 auto finish(DecisionContext& context, ActiveRequest& request) -> void;
 /// The fallback has completed the response; the current attempt is cancelled.
 auto finishAtFallback(DecisionContext& context, ActiveRequest& request) -> void;
-auto refuse(DecisionContext& context, ActiveRequest& request, RefusalReason reason) -> void;
+/// @param displacedBy rank of the request in whose favour this one is refused, if there is one.
+auto refuse(DecisionContext& context, ActiveRequest& request, RefusalReason reason, std::optional<RequestRank> displacedBy = std::nullopt) -> void;
 auto cancel(DecisionContext& context, ActiveRequest& request) -> void;
 
 auto kindOf(const ShardState& state, const ActiveRequest& request) -> const RequestKind&;
--- a/src/RequestQueue.cpp
+++ b/src/RequestQueue.cpp
@@ -22,7 +22,7 @@
 auto RequestQueue::push(const QueueEntry& entry, double weight) -> void
 {
     ++m_size;
-    ++m_customers[entry.flow.customer];
+    m_customers[entry.flow.customer].emplace(entry.order, entry.request);
     switch (entry.subQueue) {
     case SubQueue::Resume:
         m_resumes[entry.version].emplace(entry.order, entry.request);
@@ -54,8 +54,9 @@
     }
     m_size -= removed;
     const auto customer = m_customers.find(entry.flow.customer);
-    customer->second -= removed;
-    if (!customer->second)
+    if (removed)
+        customer->second.erase(position);
+    if (customer->second.empty())
         m_customers.erase(customer);
 }
 
@@ -192,10 +193,11 @@
     return found == m_flows.end() ? 0 : found->second.waiting.size();
 }
 
-auto RequestQueue::customerSize(CustomerId customer) const -> std::size_t
+auto RequestQueue::customerRequests(CustomerId customer) const -> const Waiting&
 {
+    static const Waiting none;
     const auto found = m_customers.find(customer);
-    return found == m_customers.end() ? 0 : found->second;
+    return found == m_customers.end() ? none : found->second;
 }
 
 auto RequestQueue::share(RequestRank rank, const FlowKey& flow, LatencyClass latencyClass, double weight) const -> double
--- a/src/RequestQueue.h
+++ b/src/RequestQueue.h
@@ -67,8 +67,10 @@
     auto resumeCount() const -> std::size_t;
     auto classSize(RequestRank rank, LatencyClass latencyClass) const -> std::size_t { return classOf(rank, latencyClass).byAge.size(); }
     auto flowSize(RequestRank rank, const FlowKey& flow) const -> std::size_t;
-    /// @return number of the customer's requests in all sub-queues.
-    auto customerSize(CustomerId customer) const -> std::size_t;
+    /// @return the customer's requests in all sub-queues.
+    auto customerRequests(CustomerId customer) const -> const Waiting&;
+    /// @return their number.
+    auto customerSize(CustomerId customer) const -> std::size_t { return customerRequests(customer).size(); }
     /// @return the fraction of its class's service that the flow gets as long as all waiting flows
     /// stay.
     auto share(RequestRank rank, const FlowKey& flow, LatencyClass latencyClass, double weight) const -> double;
@@ -110,7 +112,7 @@
     /// Overdue requests of all ranks that are not batch work.
     std::size_t m_overdueCount = 0;
     std::map<std::optional<SoftwareVersionId>, Waiting> m_resumes;
-    std::map<CustomerId, std::size_t> m_customers;
+    std::map<CustomerId, Waiting> m_customers;
     std::size_t m_size = 0;
 };
 
