Count and log displaced requests by kind and rank

An operator could not tell a request that was refused in favour of a more costly one from other refusals. jayhold_requests_displaced_total counts them by service, kind and rank (at most 64 series, the rest as other), and request_displaced has the two ranks and the wait. The log of refusals moves to ModelRequestLog.cpp, where the other lines of a request are.

Test: OutcomeLogTest.

--- a/src/Metrics.cpp
+++ b/src/Metrics.cpp
@@ -106,6 +106,15 @@
     ++m_closedConnections[std::string(reason)];
 }
 
+auto Metrics::countDisplaced(std::string_view service, std::string_view kind, std::string_view rank) -> void
+{
+    auto labels = "service=\"" + escapeLabel(service) + "\",kind=\"" + escapeLabel(kind) + "\",rank=\"" + escapeLabel(rank) + '"';
+    const std::lock_guard guard(m_lock);
+    if (m_displaced.size() >= maxDisplacedSeries && !m_displaced.contains(labels))
+        labels = R"(service="other",kind="other",rank="other")";
+    ++m_displaced[labels];
+}
+
 auto Metrics::print(std::size_t openRequests, std::span<const Sample> samples) const -> std::string
 {
     std::ostringstream output;
@@ -124,6 +133,9 @@
     }
     printByReason(output, "jayhold_refusals_total", "Requests refused, by reason.", m_refusals);
     printByReason(output, "jayhold_connections_closed_total", "Connections of callers that were closed, by reason.", m_closedConnections);
+    printHeader(output, "jayhold_requests_displaced_total", "Waiting requests refused in favour of more costly ones, by kind and rank (priority of the customer, then of the kind).", "counter");
+    for (const auto& [labels, count] : m_displaced)
+        output << "jayhold_requests_displaced_total{" << labels << "} " << count << '\n';
     for (const auto& counter : counters) {
         printHeader(output, counter.name, counter.help, "counter");
         for (const auto& [service, metrics] : m_services)
--- a/src/Metrics.h
+++ b/src/Metrics.h
@@ -37,6 +37,12 @@
     auto countRefusal(std::string_view reason) -> void;
     auto countClosedConnection(std::string_view reason) -> void;
 
+    /// Counts a waiting request that was refused in favour of a more costly one.
+    /// @param rank its rank; series beyond the first maxDisplacedSeries are counted together as `other`.
+    auto countDisplaced(std::string_view service, std::string_view kind, std::string_view rank) -> void;
+
+    static constexpr std::size_t maxDisplacedSeries = 64;
+
 private:
     using Counts = std::map<std::string, std::uint64_t, std::less<>>;
 
@@ -44,6 +50,8 @@
     std::map<std::string, std::shared_ptr<ServiceMetrics>, std::less<>> m_services;
     Counts m_refusals;
     Counts m_closedConnections;
+    /// By labels.
+    Counts m_displaced;
 };
 
 }
--- a/src/ModelRequest.cpp
+++ b/src/ModelRequest.cpp
@@ -337,12 +337,7 @@
     if (!m_machine.apply(RequestTransition::Refused))
         co_return;
     m_hasEnded = true;
-    auto& metrics = m_service->metrics();
-    auto& counter = error.outcome == ExecutionOutcome::NotRun ? metrics.refusedNotRun : metrics.refusedUnknown;
-    counter.fetch_add(1, std::memory_order_relaxed);
-    m_context.metrics.countRefusal(error.type);
-    const auto remainingTime = std::chrono::duration_cast<std::chrono::milliseconds>(m_info.deadline - monotonicNow());
-    recordDecision(LogLevel::Info, "request_refused", { { "reason", error.type }, { "ran", error.outcome == ExecutionOutcome::NotRun ? "no" : "unknown" }, { "left_ms", remainingTime.count() }, { "seat_refusals", m_slotRefusals }, { "queued", m_refusalInputs.queued }, { "wait_ms", m_refusalInputs.wait.count() / 1'000 }, { "needed_ms", m_refusalInputs.needed.count() / 1'000 }, { "failures", m_refusalInputs.failures }, { "attempts_not_run", m_refusalInputs.attemptsNotRun }, { "retries_taken", m_refusalInputs.consumedRetries }, { "retries_left", m_refusalInputs.remainingRetries }, { "retry_after_ms", error.retryAfter.count() / 1'000 } });
+    recordRefusal(error);
     if (error.outcome == ExecutionOutcome::Unknown)
         error.response = m_failedResponse;
     co_await m_writer->fail(std::move(error));
--- a/src/ModelRequest.h
+++ b/src/ModelRequest.h
@@ -189,6 +189,8 @@
         if (result.has_value() || result.error().failure != FailureKind::NotConnected)
             m_service->metrics().backendCalls.fetch_add(1, std::memory_order_relaxed);
     }
+    /// Counts and logs the refusal, and whether the request was refused in favour of a more costly one.
+    auto recordRefusal(const ApiError& error) -> void;
     auto recordAttemptFailure(std::string_view phase, const EngineError& error) -> void;
     /// Logs a failed attempt and reports it to the shard.
     /// @param isSlotRefused whether the decode engine refused a slot, so that the engine was not called.
--- a/src/ModelRequestLog.cpp
+++ b/src/ModelRequestLog.cpp
@@ -44,6 +44,22 @@
     return m_info.forwarded ? m_info.forwarded->requestId : m_service->engineRequestId(m_id, m_attempt);
 }
 
+auto ModelRequest::recordRefusal(const ApiError& error) -> void
+{
+    if (const auto by = m_refusalInputs.displacedBy) {
+        const auto rank = toString(m_refusalInputs.rank);
+        m_context.metrics.countDisplaced(m_service->name(), m_info.kindSettings.name, rank);
+        const auto waited = monotonicNow() - m_info.arrivedAt;
+        record(LogLevel::Info, "request_displaced", { { "rank", rank }, { "by_rank", toString(*by) }, { "queued", m_refusalInputs.queued }, { "waited_ms", waited.count() / 1'000 } });
+    }
+    auto& metrics = m_service->metrics();
+    auto& counter = error.outcome == ExecutionOutcome::NotRun ? metrics.refusedNotRun : metrics.refusedUnknown;
+    counter.fetch_add(1, std::memory_order_relaxed);
+    m_context.metrics.countRefusal(error.type);
+    const auto remainingTime = std::chrono::duration_cast<std::chrono::milliseconds>(m_info.deadline - monotonicNow());
+    recordDecision(LogLevel::Info, "request_refused", { { "reason", error.type }, { "ran", error.outcome == ExecutionOutcome::NotRun ? "no" : "unknown" }, { "left_ms", remainingTime.count() }, { "seat_refusals", m_slotRefusals }, { "queued", m_refusalInputs.queued }, { "wait_ms", m_refusalInputs.wait.count() / 1'000 }, { "needed_ms", m_refusalInputs.needed.count() / 1'000 }, { "failures", m_refusalInputs.failures }, { "attempts_not_run", m_refusalInputs.attemptsNotRun }, { "retries_taken", m_refusalInputs.consumedRetries }, { "retries_left", m_refusalInputs.remainingRetries }, { "retry_after_ms", error.retryAfter.count() / 1'000 } });
+}
+
 auto ModelRequest::record(LogLevel level, std::string_view event, std::initializer_list<LogField> details) -> void
 {
     m_context.log.record(level, event, fieldsOf(details));
--- a/src/RequestRank.h
+++ b/src/RequestRank.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <string>
 
 namespace jayhold {
 
@@ -17,4 +18,10 @@
     auto operator<=>(const RequestRank&) const = default;
 };
 
+/// @return the two priorities, such as "1/2", for logs and metrics.
+inline auto toString(const RequestRank& rank) -> std::string
+{
+    return std::to_string(rank.customerPriority) + '/' + std::to_string(rank.kindPriority);
+}
+
 }
--- a/test/correctness/OutcomeLogTest.cpp
+++ b/test/correctness/OutcomeLogTest.cpp
@@ -125,6 +125,23 @@
     CHECK(names.size() >= 8);
 }
 
+// Load: requests of several ranks beyond saturation. Guards against displaced requests that an operator can't tell from others,
+// and against a number of series that grows with the configuration.
+TEST_CASE("displaced requests are logged and counted by kind and rank")
+{
+    Instance instance;
+    instance.refusal = Refuse { RequestId { 1 }, RefusalReason::QueueFull, ExecutionOutcome::NotRun, 1'500ms, { .rank = { 1, 2 }, .displacedBy = RequestRank { 1, 0 } } };
+    REQUIRE(instance.call().has_value());
+    const auto line = instance.lastEvent("request_displaced");
+    CHECK(fieldValue(line, "rank") == "1/2");
+    CHECK(fieldValue(line, "by_rank") == "1/0");
+    auto& metrics = instance.context.metrics;
+    CHECK_THAT(metrics.print(0), Catch::Contains("jayhold_requests_displaced_total{service=\"appraiser-llm\",kind=\"lookup\",rank=\"1/2\"} 1"));
+    for (std::size_t kind = 0; kind < Metrics::maxDisplacedSeries + 10; ++kind)
+        metrics.countDisplaced("appraiser-llm", std::to_string(kind), "1/2");
+    CHECK_THAT(metrics.print(0), Catch::Contains("rank=\"other\"} 11"));
+}
+
 // Guards against an attempt that fails without a log event.
 TEST_CASE("every failure of an attempt is logged with its kind and backend server")
 {
