Let the fake backend server report whole requests

onRun() passes on the identifier and the stage only, so a test process can't record the customer's name or credentials that a request or a control call arrives with. onArrival() receives all requests and control calls, onStart() those that begin to run.

--- a/test/FakeBackendServer.cpp
+++ b/test/FakeBackendServer.cpp
@@ -85,6 +85,7 @@
 auto FakeBackendServer::handle(HttpExchange& exchange) -> asio::awaitable<void>
 {
     const auto& request = exchange.request();
+    m_onArrival(request);
     if (request.target.starts_with("/-/")) {
         co_await handleControl(exchange);
         co_return;
@@ -115,6 +116,7 @@
         co_await respond(exchange, std::move(rejection));
         co_return;
     }
+    m_onStart(request);
     m_onRun(headerValue(request, "Request-Id"), headerValue(request, "Stage"));
     if (m_work.load() > Duration::zero())
         co_await pause(m_work);
--- a/test/FakeBackendServer.h
+++ b/test/FakeBackendServer.h
@@ -80,6 +80,11 @@
     auto requests() const -> int { return m_requests; }
     auto controlCalls() const -> int { return m_controlCalls; }
     auto hasCrashed() const -> bool { return m_hasCrashed; }
+    /// Sets a callback that receives each request and each control call when it arrives; must be called before the first
+    /// request.
+    auto onArrival(std::function<void(const HttpRequest&)> callback) -> void { m_onArrival = std::move(callback); }
+    /// Sets a callback that receives each request when it starts to run; must be called before the first request.
+    auto onStart(std::function<void(const HttpRequest&)> callback) -> void { m_onStart = std::move(callback); }
     /// Sets a callback that receives the identifier and stage of each request when it starts to run;
     /// must be called before the first request.
     auto onRun(std::function<void(const std::string&, const std::string&)> callback) -> void { m_onRun = std::move(callback); }
@@ -114,6 +119,8 @@
     std::atomic<bool> m_refusesReservations { false };
     std::atomic<int> m_refusedReservations { 0 };
     std::atomic<int> m_releasedReservations { 0 };
+    std::function<void(const HttpRequest&)> m_onArrival = [](const HttpRequest&) {};
+    std::function<void(const HttpRequest&)> m_onStart = [](const HttpRequest&) {};
     std::function<void(const std::string&, const std::string&)> m_onRun = [](const std::string&, const std::string&) {};
     std::function<void(const std::string&, const std::string&, const std::string&)> m_onRejection = [](const std::string&, const std::string&, const std::string&) {};
     std::function<void(const HttpRequest&)> m_onFirstEvent = [](const HttpRequest&) {};
