Teach the soak customers, quotas and servers of different speeds

The soak knew no customers, so that keys, quotas and speeds were tested in parts only and never beside faults of real processes.

Some requests have a false Tenant header, two keys, an unknown key or none, also on a public route. Every fourth engine and one plain server run at 0.55 of the nominal speed, the others at 1.2.

Checks: no server and no log line gets a key; requests without a known key run nowhere but on the public route and get 401; servers get the name of the customer whose key was sent; keys change within 3 s; the requests of a customer stay within the bound of its quota in every window of 8 s; customers below their quotas get no 429 and 95% of their requests are served beside the one beyond it; slow servers get less work than fast ones. Calls that are refused for their key, or beyond the quota of the bursty customer, are left out of the checks that expect requests to be served.

Tests: SoakCustomersTest has records that violate each check.

--- a/cmake/soak.cmake
+++ b/cmake/soak.cmake
@@ -6,12 +6,12 @@
 target_link_libraries(standin-endless PRIVATE jayhold_standins)
 
 # What the soak shares with the test of its checks.
-add_library(jayhold_soak_parts STATIC test/soak/EndlessChecks.cpp test/soak/FaultPeriod.cpp test/soak/FaultPlan.cpp test/soak/NoticeChecks.cpp test/soak/PartChecks.cpp test/soak/SoakCallers.cpp test/soak/SoakChecks.cpp
-  test/soak/SoakFleet.cpp test/soak/SoakFleetFaults.cpp test/soak/Stalls.cpp test/soak/StreamChecks.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp)
+add_library(jayhold_soak_parts STATIC test/soak/CustomerChecks.cpp test/soak/EndlessChecks.cpp test/soak/FaultPeriod.cpp test/soak/FaultPlan.cpp test/soak/NoticeChecks.cpp test/soak/PartChecks.cpp test/soak/SoakCallers.cpp test/soak/SoakChecks.cpp
+  test/soak/SoakCustomers.cpp test/soak/SoakFleet.cpp test/soak/SoakFleetFaults.cpp test/soak/SoakFleetRecords.cpp test/soak/SpeedChecks.cpp test/soak/Stalls.cpp test/soak/StreamChecks.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp)
 target_include_directories(jayhold_soak_parts PUBLIC test test/soak)
 target_link_libraries(jayhold_soak_parts PUBLIC jayhold_entry jayhold_scenario)
 
-add_executable(jayhold-soak test/soak/jayhold-soak.cpp test/soak/PlannedMaintenance.cpp test/soak/RunLog.cpp test/soak/StallMeter.cpp)
+add_executable(jayhold-soak test/soak/jayhold-soak.cpp test/soak/CustomerSchedule.cpp test/soak/PlannedMaintenance.cpp test/soak/RunLog.cpp test/soak/StallMeter.cpp)
 target_link_libraries(jayhold-soak PRIVATE jayhold_soak_parts)
 add_dependencies(jayhold-soak jayhold-entry standin-endless standin-link standin-replica)
 
@@ -25,7 +25,7 @@
 endforeach()
 
 jayhold_test(soak_checks_test
-  SOURCES test/correctness/SoakChecksTest.cpp test/correctness/PartChecksTest.cpp test/correctness/StallsTest.cpp test/correctness/StreamChecksTest.cpp
+  SOURCES test/correctness/SoakChecksTest.cpp test/correctness/SoakCustomersTest.cpp test/correctness/PartChecksTest.cpp test/correctness/StallsTest.cpp test/correctness/StreamChecksTest.cpp
   LINK jayhold_soak_parts)
 
 jayhold_test(paused_drain_test
--- a/test/soak/ReplicaControl.h
+++ b/test/soak/ReplicaControl.h
@@ -13,6 +13,9 @@
 inline constexpr std::string_view crashingTarget = "/read/crash";
 inline constexpr int crashExitCode = 70;
 
+/// Begins the keys of all customers, by which a key is found wherever it appears.
+inline constexpr std::string_view keyMark = "soak-key-";
+
 /// The server says in all answers that it is leaving.
 inline constexpr int leaveSignal = SIGUSR1;
 /// Begins or ends a time in which the server rejects all requests.
