Test what abusive servers, stores and peers take of an instance

The limits on callers were tested at the callers' and the readiness address only. The same input may come from backend servers, the store, datagrams of other instances, and at the metrics address: heads, empty lines, trailers and chunk extensions without end, very many header lines, and datagrams that name ever new instances and servers.

The tests use 40 MB and 360 descriptors, 64 connections or senders, 5 s. They check that the process lives, its peak memory and its descriptors, and one ordinary request afterwards.

The process and the requests of abusive_callers_test move to headers that the tests share; the store's call rate in it is higher, so that the store is called often.

--- a/cmake/scenario.cmake
+++ b/cmake/scenario.cmake
@@ -32,7 +32,7 @@
 
 # Measures the memory of the process, so nothing else runs beside it.
 jayhold_test(abusive_callers_test
-  SOURCES test/error/AbusiveCallersTest.cpp test/AbusiveCallers.cpp test/scenario/ChildProcess.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
+  SOURCES test/error/AbusiveCallersTest.cpp test/error/AbusivePeersTest.cpp test/error/AbusiveServersTest.cpp test/AbusiveCallers.cpp test/scenario/ChildProcess.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 if(JAYHOLD_TESTS)
   target_compile_definitions(abusive_callers_test PRIVATE JAYHOLD_ENTRY="$<TARGET_FILE:jayhold-entry>")
