--- a/test/error/AbusivePeersTest.cpp
+++ b/test/error/AbusivePeersTest.cpp
@@ -213,11 +213,11 @@
 // Guards against names and reports that are kept for each datagram.
 TEST_CASE("datagrams of ever new instances stay within the memory")
 {
-    const auto& [name, text] = messages[GENERATE(range(0, messageCount))];
+    const auto& message = messages[GENERATE(range(0, messageCount))];
     AbusedRouter router;
     DatagramCrowd crowd(router.address);
-    const auto descriptors = router.run([&] { crowd.send(text(crowd.sent())); });
-    router.checkProcess("datagrams: " + std::string(name), descriptors, crowdSize);
+    const auto descriptors = router.run([&] { crowd.send(message.text(crowd.sent())); });
+    router.checkProcess("datagrams: " + std::string(message.name), descriptors, crowdSize);
 }
 
 // Guards against bounds that hold for each sort of message alone, and not for their sum.
