Count response heads as they are held, with the limits of requests

Each header line of a response takes many times its bytes, and only the parser's limit of 8 KB for what it has not consumed bounded a head: 64 calls to a server that sent very many lines and no body took 52 MB. Heads of responses of the store and of backend servers are now read like those of requests: at most 16,384 bytes and limits.maxHeaderLines lines, and what they take counts in the response budget by the same estimate, unless it is small. So do trailers and chunk extensions that wait in the buffer; trailers are dropped once they are parsed. A response that exceeds a limit is logged (response_limit_reached) and counted (jayhold_response_limits_reached_total{reason}).

--- a/src/ConnectionLimits.h
+++ b/src/ConnectionLimits.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// Limits on what callers, probes and unlisted peers may take of an instance. No client within the limits of the
+/// Limits on what callers, probes, servers and unlisted peers may take of an instance. No client within the limits of the
 /// configuration reaches the defaults.
 
 #include <cstddef>
@@ -8,7 +8,7 @@
 namespace jayhold {
 
 struct ConnectionLimits {
-    /// Maximum number of header lines of a request. A head of 16 KB can't have more.
+    /// Maximum number of header lines of a request or a response. A head of 16 KB can't have more.
     std::size_t headerLines = 4'096;
     /// Descriptors that the process may use for sockets; 0 if the number is not known.
     std::size_t sockets = 0;
--- a/src/HttpClient.cpp
+++ b/src/HttpClient.cpp
@@ -75,13 +75,37 @@
     co_return std::nullopt;
 }
 
+/// Counts the header lines of a response as far as they were read. Small heads are not counted, as small bodies are not.
+/// @return false if there is no room for them.
+auto holdHead(Connection& connection, const HeadSize& head) -> bool
+{
+    const auto bytes = heldBytes(head);
+    connection.headBytes = bytes > ResponseBudget::uncountedBytes ? bytes : 0;
+    if (connection.hold())
+        return true;
+    connection.readTimer->isOverBudget = true;
+    return false;
+}
+
+/// @return the error of a call that ended before the header of its response had arrived.
+auto callError(const Connection& connection, const boost::system::error_code& code) -> HttpError
+{
+    return connection.readTimer->isOverBudget ? overBudgetError() : httpErrorOf(code);
+}
+
 auto readHeader(Connection& connection, bool hasNoBody) -> asio::awaitable<boost::system::error_code>
 {
     boost::system::error_code code;
     auto& parser = connection.parser.emplace();
     parser.body_limit(boost::none);
     parser.skip(hasNoBody);
-    co_await http::async_read_header(connection.stream, connection.buffer, parser, awaitInto(code));
+    parser.header_limit(static_cast<std::uint32_t>(connection.headLimits.bytes));
+    HeadSize head;
+    code = co_await readHead(connection.stream, connection.buffer, parser, head, connection.headLimits, [&] { return holdHead(connection, head); });
+    if (code == http::error::header_limit)
+        connection.onLimitReached(connection.key.endpoint, exceededLimit(head, connection.headLimits));
+    if (!code && connection.readTimer->isOverBudget)
+        code = asio::error::operation_aborted;
     if (!code)
         connection.headers = copyHeaders(parser.get());
     co_return code;
@@ -269,12 +293,14 @@
         if (!code)
             co_return std::make_shared<HttpStream>(std::move(connection));
         if (!wasStale(*connection, code, monotonicNow() - sentAt) || !options.mayResend())
-            co_return httpErrorOf(code);
+            co_return callError(*connection, code);
     }
     connection = std::make_unique<Connection>(m_context);
     connection->key = key;
     connection->pool = m_pool;
     connection->responseBudget = m_settings.responseBudget;
+    connection->headLimits = { m_settings.maxHeaderBytes, m_settings.maxHeaderLines };
+    connection->onLimitReached = m_settings.onLimitReached;
     if (auto error = co_await connect(connection->stream, endpoint, m_settings)) {
         // The server may have executed the call that was sent on the reused connection.
         if (isReused)
@@ -283,7 +309,7 @@
     }
     const auto code = co_await exchangeHeaders(*connection, message, options, m_settings.tcpUserTimeout);
     if (code)
-        co_return httpErrorOf(code);
+        co_return callError(*connection, code);
     co_return std::make_shared<HttpStream>(std::move(connection));
 }
 
--- a/src/HttpClient.h
+++ b/src/HttpClient.h
@@ -16,7 +16,9 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <string_view>
 
 namespace jayhold {
 
@@ -34,6 +36,13 @@
     Duration tcpUserTimeout {};
     /// Maximum size of a response body that request() accepts.
     std::size_t maxBodyBytes = 16U << 20U;
+    /// Maximum bytes and lines of the head of a response, as for requests. Heads within them that are not small count in the
+    /// response budget.
+    std::size_t maxHeaderBytes = 16U << 10U;
+    std::size_t maxHeaderLines = 4'096;
+    /// Called on the client's I/O thread when a response exceeds a limit, with the server's address and the name of the
+    /// limit: `header_bytes`, `header_lines` or `trailers` (also for chunk extensions).
+    std::function<void(const HttpEndpoint&, std::string_view)> onLimitReached = [](const HttpEndpoint&, std::string_view) {};
     /// Size of a connection's receive buffer in the kernel, which would otherwise grow to several MB while the
     /// process does not read; zero keeps the system's default.
     int receiveBufferBytes = 0;
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -3,6 +3,7 @@
 /// The socket and buffers of a client connection. Private to the HTTP library.
 
 #include "ConnectionKey.h"
+#include "HttpHead.h"
 #include "HttpStream.h"
 #include "ResponseShare.h"
 
@@ -13,6 +14,7 @@
 #include <boost/beast/http/parser.hpp>
 
 #include <array>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <unordered_set>
@@ -59,6 +61,10 @@
     /// its caller has given it up.
     auto close() -> void;
 
+    /// Counts the bytes held of the response in the response budget.
+    /// @return false if there is no room for them, so that the call has to end.
+    auto hold() -> bool;
+
     static constexpr std::size_t readBufferBytes = 16'384;
     /// Limits received bytes that can't be parsed yet, such as a chunk extension or a trailer without end.
     static constexpr std::size_t maxUnparsedBytes = 65'536;
@@ -67,6 +73,13 @@
     boost::beast::flat_buffer buffer { maxUnparsedBytes };
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> parser;
     std::vector<HttpHeader> headers;
+    /// Limits of the head of a response.
+    HeadSize headLimits;
+    std::function<void(const HttpEndpoint&, std::string_view)> onLimitReached;
+    /// Estimated bytes held of the header lines; 0 while they are few.
+    std::size_t headBytes = 0;
+    /// Bytes held of the body, as HttpStream::hold() was told.
+    std::size_t bodyBytes = 0;
     std::array<char, readBufferBytes> chunk {};
     bool isClosed = false;
     /// Whether a call has been sent since the connection was opened or taken from the pool.
@@ -92,6 +105,9 @@
     const std::shared_ptr<ReadTimer> readTimer;
 };
 
+/// @return the error of a response that was ended because the response budget was used up.
+auto overBudgetError() -> HttpError;
+
 /// @return the typed error for a failure after the request was, or may have been, sent.
 auto httpErrorOf(const boost::system::error_code& code) -> HttpError;
 
--- a/src/HttpHead.h
+++ b/src/HttpHead.h
@@ -22,6 +22,21 @@
     std::size_t lines = 0;
 };
 
+/// @return what a head of this size takes while it is held, in bytes. Each header line is kept by the parser, in a copy for
+/// the handler, in the forwarded message and in the message that is sent, each with its own strings.
+inline auto heldBytes(const HeadSize& head) -> std::size_t
+{
+    constexpr std::size_t bytesPerLine = 512;
+    constexpr std::size_t copies = 4;
+    return head.lines * bytesPerLine + head.bytes * copies;
+}
+
+/// @return the name of the limit that a head exceeds, for logs and metrics.
+inline auto exceededLimit(const HeadSize& head, const HeadSize& limits) -> std::string_view
+{
+    return head.lines > limits.lines ? "header_lines" : "header_bytes";
+}
+
 /// Parses the received bytes of a head that is not complete.
 /// @param head increased by what is consumed.
 /// @return error::need_more if the head goes on, and error::header_limit if it exceeds the limits.
--- a/src/HttpRequestReader.cpp
+++ b/src/HttpRequestReader.cpp
@@ -71,14 +71,9 @@
 /// @return false if there is no room for it.
 auto holdHead(RequestReading& body) -> bool
 {
-    // A header line is kept by the parser, in the copy for the handler, in the forwarded request and in the message to the
-    // backend server, each with its own strings.
-    constexpr std::size_t bytesPerLine = 512;
-    constexpr std::size_t copies = 4;
     const auto& content = body.parser.get().body();
     const auto bodyBytes = body.share ? 0 : content.capacity();
-    const auto headBytes = body.head.lines * bytesPerLine + body.head.bytes * copies;
-    body.lacksRoom = !body.connection->headShare.resize(connectionBytes + body.connection->buffer.capacity() + headBytes + bodyBytes);
+    body.lacksRoom = !body.connection->headShare.resize(connectionBytes + body.connection->buffer.capacity() + heldBytes(body.head) + bodyBytes);
     return !body.lacksRoom;
 }
 
--- a/src/HttpServerConnection.cpp
+++ b/src/HttpServerConnection.cpp
@@ -115,7 +115,7 @@
     if (code == http::error::buffer_overflow)
         shared.onLimitReached("trailers");
     else if (code == http::error::header_limit)
-        shared.onLimitReached(body.head.lines > body.settings.maxHeaderLines ? "header_lines" : "header_bytes");
+        shared.onLimitReached(exceededLimit(body.head, { body.settings.maxHeaderBytes, body.settings.maxHeaderLines }));
 }
 
 /// Waits for a request: up to the idle timeout for its first byte, then up to the read timeout
--- a/src/HttpStream.cpp
+++ b/src/HttpStream.cpp
@@ -49,11 +49,6 @@
         armTimer(readTimer);
 }
 
-auto overBudgetError() -> HttpError
-{
-    return { HttpErrorKind::MalformedAnswer, "ended because the responses together are larger than allowed" };
-}
-
 /// Ends the read of a response for which the budget has no room. Its connection may be gone by then.
 auto endRead(const ReadTimerPointer& readTimer) -> void
 {
@@ -103,6 +98,21 @@
     stream.close();
 }
 
+auto HttpStream::Connection::hold() -> bool
+{
+    // Few received bytes wait to be parsed, except within a trailer or a chunk extension.
+    const auto unparsedBytes = buffer.size() > readBufferBytes ? buffer.capacity() : 0;
+    const auto bytes = headBytes + bodyBytes + unparsedBytes;
+    if (!share) {
+        if (bytes <= ResponseBudget::uncountedBytes)
+            return true;
+        share = std::make_shared<ResponseShare>(responseBudget, toString(key.endpoint), [executor = stream.get_executor(), timer = readTimer] {
+            asio::post(executor, [timer] { endRead(timer); });
+        });
+    }
+    return share->resize(bytes);
+}
+
 HttpStream::HttpStream(std::unique_ptr<Connection> connection)
     : m_connection(std::move(connection))
 {
@@ -140,11 +150,18 @@
         if (code)
             co_return httpErrorOf(code);
         if (size > 0 || parser.is_done()) {
+            // Trailers are not used.
+            if (parser.is_done())
+                parser.get().clear();
             connection.readTimer->deadline = TimePoint::max();
             co_return std::string_view(connection.chunk.data(), size);
         }
-        if (connection.buffer.size() + Connection::readBufferBytes > connection.buffer.max_size())
+        if (connection.buffer.size() + Connection::readBufferBytes > connection.buffer.max_size()) {
+            connection.onLimitReached(connection.key.endpoint, "trailers");
             co_return HttpError { HttpErrorKind::MalformedAnswer, "a part of the response is larger than allowed" };
+        }
+        if (connection.buffer.size() > Connection::readBufferBytes && !connection.hold())
+            co_return overBudgetError();
         const auto space = connection.buffer.prepare(Connection::readBufferBytes);
         const auto received = co_await connection.stream.socket().async_read_some(space, awaitInto(code));
         if (connection.isClosed)
@@ -197,15 +214,8 @@
 
 auto HttpStream::hold(std::size_t bytes) -> std::optional<HttpError>
 {
-    auto& connection = *m_connection;
-    if (!connection.share) {
-        if (bytes <= ResponseBudget::uncountedBytes)
-            return std::nullopt;
-        connection.share = std::make_shared<ResponseShare>(connection.responseBudget, toString(connection.key.endpoint), [executor = connection.stream.get_executor(), readTimer = connection.readTimer] {
-            asio::post(executor, [readTimer] { endRead(readTimer); });
-        });
-    }
-    return connection.share->resize(bytes) ? std::nullopt : std::optional(overBudgetError());
+    m_connection->bodyBytes = bytes;
+    return m_connection->hold() ? std::nullopt : std::optional(overBudgetError());
 }
 
 auto HttpStream::release() -> void
@@ -215,6 +225,10 @@
     if (connection->share && !connection->share->complete())
         return;
     connection->share.reset();
+    connection->headBytes = 0;
+    connection->bodyBytes = 0;
+    if (connection->buffer.capacity() > 2 * Connection::readBufferBytes)
+        connection->buffer.shrink_to_fit();
     const auto pool = connection->pool.lock();
     const auto isComplete = !connection->isClosed && connection->parser->is_done() && connection->buffer.size() == 0 && connection->isReusable;
     if (!pool || !isComplete || !connection->parser->keep_alive())
@@ -230,6 +244,11 @@
     m_connection->close();
 }
 
+auto overBudgetError() -> HttpError
+{
+    return { HttpErrorKind::MalformedAnswer, "ended because the responses together are larger than allowed" };
+}
+
 auto httpErrorOf(const boost::system::error_code& code) -> HttpError
 {
     if (code == beast::error::timeout)
--- a/src/ReachedLimits.h
+++ b/src/ReachedLimits.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// Counts how often callers have reached a limit, by its name. Thread-safe.
+/// Counts how often a limit was reached, by its name. Thread-safe.
 
 #include "Metrics.h"
 
@@ -21,11 +21,12 @@
         ++m_counts[std::string(limit)];
     }
 
-    auto addSamples(std::vector<Metrics::Sample>& samples) const -> void
+    /// @param name name of the metric.
+    auto addSamples(std::vector<Metrics::Sample>& samples, std::string_view name, std::string_view help) const -> void
     {
         const std::lock_guard guard(m_lock);
         for (const auto& [limit, count] : m_counts)
-            samples.push_back({ "jayhold_caller_limits_reached_total", "Requests refused, and pauses in accepting connections, because of a limit.", static_cast<double>(count), true, "reason", limit });
+            samples.push_back({ name, help, static_cast<double>(count), true, "reason", limit });
     }
 
 private:
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -61,7 +61,7 @@
         : settings(std::move(entrySettings))
         , adapter(std::move(platformAdapter))
         , log(settings.instance, eventLogCapacity)
-        , httpSettings(clientSettings(settings.limits, log))
+        , httpSettings(clientSettings(settings.limits, adapter.limits, log, responseLimits))
         , requestBudget(std::make_shared<RequestBudget>(requestBudgetBytes(settings.limits.memoryBytes)))
         , threads(settings.threads, httpSettings)
         , context { .settings = settings, .threads = threads, .log = log, .callerProtocol = adapter.callerProtocol, .backendProtocol = adapter.backendProtocol }
@@ -172,7 +172,7 @@
     /// @param address which address of the instance: `callers` or `probes`.
     auto recordLimit(std::string_view address, std::string_view limit) -> void
     {
-        reachedLimits.count(limit);
+        callerLimits.count(limit);
         log.record(LogLevel::Info, "caller_limit_reached", { { "address", address }, { "limit", limit }, { "held_bytes", requestBudget->heldBytes() }, { "held_head_bytes", requestBudget->heldHeadBytes() } });
     }
 
@@ -324,7 +324,8 @@
         };
         samples.insert(samples.end(), std::begin(own), std::end(own));
         addQuotas(quotaCounts, samples);
-        reachedLimits.addSamples(samples);
+        callerLimits.addSamples(samples, "jayhold_caller_limits_reached_total", "Requests refused, and pauses in accepting connections, because of a limit.");
+        responseLimits.addSamples(samples, "jayhold_response_limits_reached_total", "Responses of backend servers and the store that were ended because of a limit.");
         addStoreCalls(adapter.store->counts(), samples);
         if (context.streamVersions)
             addStreamVersions(context.streamVersions->counts(), samples);
@@ -381,9 +382,10 @@
     const EntrySettings settings;
     PlatformAdapter adapter;
     EventLog log;
+    ReachedLimits responseLimits;
     const HttpClientSettings httpSettings;
     const std::shared_ptr<RequestBudget> requestBudget;
-    ReachedLimits reachedLimits;
+    ReachedLimits callerLimits;
     IoThreads threads;
     const LoopMonitor loopMonitor { threads, [this](const LoopStall& stall) { log.record(LogLevel::Warning, "loop_stalled", describe(stall)); } };
     EntryContext context;
--- a/src/RouterHttpSettings.cpp
+++ b/src/RouterHttpSettings.cpp
@@ -61,7 +61,7 @@
     return memoryBytes == 0 ? RequestBudget::defaultLimitBytes : memoryBytes / eighths * requestMemoryEighths;
 }
 
-auto clientSettings(const EntryLimits& limits, EventLog& log) -> HttpClientSettings
+auto clientSettings(const EntryLimits& limits, const ConnectionLimits& connections, EventLog& log, ReachedLimits& reached) -> HttpClientSettings
 {
     HttpClientSettings settings;
     settings.receiveBufferBytes = backendReceiveBufferBytes;
@@ -69,6 +69,11 @@
     settings.responseBudget->onEnded([&log, limit = settings.responseBudget->limitBytes()](const EndedResponse& response) {
         log.record(LogLevel::Warning, "response_over_budget", { { "address", response.server }, { "bytes", response.bytes }, { "held_bytes", response.totalBytes }, { "limit_bytes", limit } });
     });
+    settings.onLimitReached = [&log, &reached](const HttpEndpoint& server, std::string_view limit) {
+        reached.count(limit);
+        log.record(LogLevel::Info, "response_limit_reached", { { "address", toString(server) }, { "limit", limit } });
+    };
+    settings.maxHeaderLines = connections.headerLines;
     settings.connectTimeout = connectTimeout;
     settings.tcpUserTimeout = backendTcpUserTimeout;
     settings.idleConnectionTimeout = backendIdleTimeout;
--- a/src/RouterHttpSettings.h
+++ b/src/RouterHttpSettings.h
@@ -8,6 +8,7 @@
 #include "EventLog.h"
 #include "HttpClient.h"
 #include "HttpServer.h"
+#include "ReachedLimits.h"
 
 namespace jayhold {
 
@@ -19,9 +20,10 @@
 /// @return the bytes of request bodies that the instance may hold at the same time.
 auto requestBudgetBytes(std::size_t memoryBytes) -> std::size_t;
 
-/// @param log receives a line for each response that is ended because the response budget is used up; must outlive all
-/// clients with the settings.
-auto clientSettings(const EntryLimits& limits, EventLog& log) -> HttpClientSettings;
+/// @param log receives a line for each response that is ended because the response budget is used up, or because it exceeds
+/// a limit of its own.
+/// @param reached counts the latter. Both must outlive all clients with the settings.
+auto clientSettings(const EntryLimits& limits, const ConnectionLimits& connections, EventLog& log, ReachedLimits& reached) -> HttpClientSettings;
 
 /// @param limits limits of the configuration in force for requests of callers.
 /// @return the settings of the callers' address without the request budget and the functions.
