--- a/test/error/PlatformFormatsTest.cpp
+++ b/test/error/PlatformFormatsTest.cpp
@@ -60,6 +60,17 @@
     CHECK(set.unlistedPeers == 7);
 }
 
+// Guards against an instance that starts and serves nobody, or with a limit that overflows.
+TEST_CASE("unusable limits on connections are rejected")
+{
+    for (const std::string key : { "limits.maxHeaderLines", "limits.maxCallerConnections", "limits.maxUnlistedPeers" }) {
+        for (const std::string value : { "-1", "1.5", "1e30", "nan", "many", "2000000", "99999999999999999999" })
+            CHECK(std::get<std::string>(parse(goodSettings + key + "=" + value + "\n")) == key);
+    }
+    CHECK(std::get<std::string>(parse(goodSettings + "limits.maxHeaderLines=0\n")) == "limits.maxHeaderLines");
+    CHECK(std::get<std::string>(parse(goodSettings + "limits.maxCallerConnections=0\n")) == "limits.maxCallerConnections");
+}
+
 // Guards against settings that are misread, or rejected because of an unknown field.
 TEST_CASE("the platform's settings are parsed")
 {
