Bound the names that datagrams leave in memory

A datagram may hold names of 64 KB, and ever new names of instances, zones and servers were kept: 64 senders made an instance of 40 MB take more than 320 MB within 5 s. Names of more than 256 bytes make a message unreadable. The reservations of all peers, the limits of servers, and the instances beyond the store's list that quotas remember have a maximum number; instances of the list are always remembered. Lines about such datagrams are no warnings any more, because warnings have no rate limit and the senders are unbounded.

--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -54,5 +54,5 @@
 endif()
 
 jayhold_test(quota_test
-  SOURCES test/correctness/QuotaBucketTest.cpp test/correctness/QuotaExchangeTest.cpp test/correctness/QuotaOwnerTest.cpp test/correctness/QuotaPropertyTest.cpp test/QuotaFleet.cpp
+  SOURCES test/error/RememberedNamesTest.cpp test/correctness/QuotaBucketTest.cpp test/correctness/QuotaExchangeTest.cpp test/correctness/QuotaOwnerTest.cpp test/correctness/QuotaPropertyTest.cpp test/QuotaFleet.cpp
   LINK jayhold_cluster)
--- a/src/BackendLimits.cpp
+++ b/src/BackendLimits.cpp
@@ -31,7 +31,7 @@
 {
     const auto known = limits.observations.find(observation.backend);
     if (known == limits.observations.end()) {
-        if (!observation.perSecond)
+        if (!observation.perSecond || limits.observations.size() >= limits.maxObservations)
             return false;
         auto name = observation.backend;
         limits.observations.emplace(std::move(name), std::move(observation));
--- a/src/BackendLimits.h
+++ b/src/BackendLimits.h
@@ -29,6 +29,8 @@
 };
 
 struct BackendLimits {
+    /// Several times the servers of the largest fleet today. Limits of further servers, which peers may name, are ignored.
+    std::size_t maxObservations = 4'096;
     /// By id of the backend server. Servers that have never named a limit have no entry.
     std::map<std::string, LimitObservation> observations;
 };
--- a/src/CrashSuspect.cpp
+++ b/src/CrashSuspect.cpp
@@ -1,5 +1,7 @@
 #include "CrashSuspect.h"
 
+#include "JsonFields.h"
+
 namespace jayhold {
 
 namespace json = boost::json;
@@ -21,7 +23,7 @@
         return std::nullopt;
     std::string* const texts[] = { &suspect.backend, &suspect.incarnation, &suspect.instance };
     for (std::size_t index = 0; index < std::size(texts); ++index) {
-        const auto* text = (*fields)[index + 1].if_string();
+        const auto* text = ifName((*fields)[index + 1]);
         if (!text)
             return std::nullopt;
         *texts[index] = *text;
--- a/src/DirectoryUpdate.cpp
+++ b/src/DirectoryUpdate.cpp
@@ -65,7 +65,7 @@
 {
     const auto object = parseObject(text);
     DirectoryUpdate update;
-    if (!object || !readText(*object, "instance", update.instance) || !readBoolean(*object, "watching", update.isWatching))
+    if (!object || !readName(*object, "instance", update.instance) || !readBoolean(*object, "watching", update.isWatching))
         return std::nullopt;
     readNumber(*object, "history", update.history);
     if (object->contains("changes")) {
--- a/src/JsonFields.h
+++ b/src/JsonFields.h
@@ -6,8 +6,10 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
+#include <boost/json/string.hpp>
 #include <boost/json/value.hpp>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -50,6 +52,28 @@
     return found != nullptr;
 }
 
+/// Maximum bytes of a name in a message of another instance. Names of instances, zones, servers and customers are shorter;
+/// a datagram could hold one of 64 KB, and names are kept.
+inline constexpr std::size_t maxNameBytes = 256;
+
+/// @return the name, or null if the value is not a string of at most maxNameBytes.
+inline auto ifName(const boost::json::value& value) -> const boost::json::string*
+{
+    const auto* text = value.if_string();
+    return text && text->size() <= maxNameBytes ? text : nullptr;
+}
+
+/// @param name set if the field is a name.
+/// @return whether it was set.
+inline auto readName(const boost::json::object& object, std::string_view key, std::string& name) -> bool
+{
+    const auto* value = object.if_contains(key);
+    const auto* found = value ? ifName(*value) : nullptr;
+    if (found)
+        name = *found;
+    return found != nullptr;
+}
+
 /// @param result set if the field is a boolean.
 /// @return whether it was set.
 inline auto readBoolean(const boost::json::object& object, std::string_view key, bool& result) -> bool
--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -324,7 +324,7 @@
     auto& state = *m_state;
     if (state.unlistedPeers >= state.settings.maxUnlistedPeers) {
         ++state.ignoredPeers;
-        state.log.record(LogLevel::Warning, "unlisted_peer_ignored", { { "limit", state.settings.maxUnlistedPeers }, { "total", state.ignoredPeers.load() } });
+        state.log.record(LogLevel::Info, "unlisted_peer_ignored", { { "limit", state.settings.maxUnlistedPeers }, { "total", state.ignoredPeers.load() } });
         return;
     }
     ++state.unlistedPeers;
@@ -351,7 +351,7 @@
     if (handleQuestion(text, sender))
         return;
     ++m_state->unreadableDatagrams;
-    m_state->log.record(LogLevel::Warning, "load_message_unreadable", { { "bytes", text.size() }, { "total", m_state->unreadableDatagrams } });
+    m_state->log.record(LogLevel::Info, "load_message_unreadable", { { "bytes", text.size() }, { "total", m_state->unreadableDatagrams } });
 }
 
 auto LoadExchange::askPeers(std::uint64_t number) -> void
--- a/src/LoadMessage.cpp
+++ b/src/LoadMessage.cpp
@@ -40,7 +40,7 @@
 {
     constexpr std::size_t fieldCount = 4;
     const auto* fields = value.if_array();
-    if (!fields || fields->size() != fieldCount || !(*fields)[0].is_string() || !(*fields)[1].is_string())
+    if (!fields || fields->size() != fieldCount || !ifName((*fields)[0]) || !ifName((*fields)[1]))
         return std::nullopt;
     LimitReport report;
     report.backend = (*fields)[0].get_string();
@@ -66,7 +66,7 @@
 {
     constexpr std::size_t fieldCount = 6;
     const auto* fields = value.if_array();
-    if (!fields || fields->size() != fieldCount || !(*fields)[0].is_string() || !(*fields)[1].is_string() || !(*fields)[2].is_string())
+    if (!fields || fields->size() != fieldCount || !ifName((*fields)[0]) || !ifName((*fields)[1]) || !(*fields)[2].is_string())
         return std::nullopt;
     const auto work = workTypeOf(std::string_view((*fields)[2].get_string()));
     boost::system::error_code speedCode;
@@ -81,7 +81,7 @@
 auto readUsage(const json::value& value) -> std::optional<BackendUsage>
 {
     const auto* fields = value.if_array();
-    if (!fields || fields->size() != usageFieldCount || !(*fields)[0].is_string())
+    if (!fields || fields->size() != usageFieldCount || !ifName((*fields)[0]))
         return std::nullopt;
     BackendUsage usage;
     usage.backend = (*fields)[0].get_string();
@@ -158,9 +158,9 @@
 {
     const auto object = parseObject(text);
     LoadMessage message;
-    if (!object || !readText(*object, "instance", message.instance) || !readText(*object, "run", message.incarnation) || !readNumber(*object, "sequence", message.sequence))
+    if (!object || !readName(*object, "instance", message.instance) || !readName(*object, "run", message.incarnation) || !readNumber(*object, "sequence", message.sequence))
         return std::nullopt;
-    readText(*object, "zone", message.availabilityZone);
+    readName(*object, "zone", message.availabilityZone);
     readBoolean(*object, "draining", message.isDraining);
     const auto* usages = arrayField(*object, "uses");
     if (!usages)
@@ -173,8 +173,8 @@
     }
     const auto* backendsChangingRole = arrayField(*object, "changing");
     for (const auto& element : backendsChangingRole ? *backendsChangingRole : json::array()) {
-        if (element.is_string())
-            message.backendsChangingRole.emplace_back(element.get_string());
+        if (const auto* backend = ifName(element))
+            message.backendsChangingRole.emplace_back(*backend);
     }
     const auto* limits = arrayField(*object, "limits");
     for (const auto& element : limits ? *limits : json::array()) {
--- a/src/PeerLoads.cpp
+++ b/src/PeerLoads.cpp
@@ -6,16 +6,26 @@
 {
     if (loads.instances.size() >= loads.maxInstances && !loads.instances.contains(message.instance))
         return false;
-    auto& report = loads.instances[message.instance];
-    if (report.incarnation == message.incarnation && report.sequence >= message.sequence)
+    const auto known = loads.instances.find(message.instance);
+    const auto isKnown = known != loads.instances.end();
+    if (isKnown && known->second.incarnation == message.incarnation && known->second.sequence >= message.sequence)
         return false;
+    const auto usages = loads.usages - (isKnown ? known->second.usages.size() : 0) + message.usages.size();
+    if (usages > loads.maxUsages)
+        return false;
+    loads.usages = usages;
+    auto& report = isKnown ? known->second : loads.instances[message.instance];
     report = { std::move(message.incarnation), message.sequence, now, std::move(message.usages) };
     return true;
 }
 
 auto removeSilentInstances(PeerLoads& loads, TimePoint now) -> bool
 {
-    return std::erase_if(loads.instances, [&](const auto& entry) { return now - entry.second.receivedAt >= loads.lifetime; }) > 0;
+    return std::erase_if(loads.instances, [&](const auto& entry) {
+        const auto isSilent = now - entry.second.receivedAt >= loads.lifetime;
+        loads.usages -= isSilent ? entry.second.usages.size() : 0;
+        return isSilent;
+    }) > 0;
 }
 
 auto totalUsage(const PeerLoads& loads) -> std::vector<BackendUsage>
--- a/src/PeerLoads.h
+++ b/src/PeerLoads.h
@@ -24,7 +24,12 @@
     Duration lifetime = std::chrono::seconds(2);
     /// Several times the instances of the largest fleet. Further names are not taken from messages.
     std::size_t maxInstances = 4'096;
+    /// Maximum number of reservations of all instances together; messages beyond it are ignored. 65,536 with names of 60
+    /// bytes took 27 MB with their sum. 87 instances that all use 89 engines have 7,743.
+    std::size_t maxUsages = 32'768;
     std::map<std::string, PeerReport> instances;
+    /// Reservations in the reports of all instances.
+    std::size_t usages = 0;
 };
 
 /// Applies a message if it is newer than the last report of its sender.
--- a/src/PeerQuestion.cpp
+++ b/src/PeerQuestion.cpp
@@ -17,7 +17,7 @@
 auto readQuestion(const json::object& object, std::string_view field) -> std::optional<PeerQuestion>
 {
     PeerQuestion question;
-    if (!readNumber(object, field, question.number) || !readText(object, "run", question.run))
+    if (!readNumber(object, field, question.number) || !readName(object, "run", question.run))
         return std::nullopt;
     return question;
 }
@@ -48,7 +48,7 @@
     const auto object = parseObject(text);
     auto question = object ? readQuestion(*object, replyField) : std::nullopt;
     PeerReply reply;
-    if (!question || !readText(*object, "from", reply.instance))
+    if (!question || !readName(*object, "from", reply.instance))
         return std::nullopt;
     reply.question = std::move(*question);
     const auto* revisions = objectField(*object, "revisions");
--- a/src/PromptReport.cpp
+++ b/src/PromptReport.cpp
@@ -34,7 +34,7 @@
     const auto* object = value.if_object();
     PromptReport report;
     auto& prompt = report.prompt;
-    if (!object || !readText(*object, "service", report.service) || !readText(*object, "instance", report.instance) || !readNumber(*object, "id", report.id))
+    if (!object || !readName(*object, "service", report.service) || !readName(*object, "instance", report.instance) || !readNumber(*object, "id", report.id))
         return std::nullopt;
     if (!readBoolean(*object, "harmless", report.isHarmless) || !readNumber(*object, "process", prompt.process) || !readNumber(*object, "signature", prompt.signature))
         return std::nullopt;
--- a/src/QuotaExchange.cpp
+++ b/src/QuotaExchange.cpp
@@ -51,6 +51,7 @@
     {
         owner.limits = settings.limits;
         owner.nextId = firstId(settings) + 1;
+        owner.view.maxUnlisted = settings.maxUnlistedPeers;
         owner.view.instance = std::move(settings.instance);
         owner.view.zone = std::move(settings.availabilityZone);
     }
@@ -137,9 +138,16 @@
     std::erase_if(m_state->endpoints, [&](const auto& entry) { return !view.peers.contains(entry.first) && !view.known.contains(entry.first); });
 }
 
+auto QuotaExchange::rememberEndpoint(const std::string& instance, const Endpoint& sender) -> void
+{
+    auto& endpoints = m_state->endpoints;
+    if (endpoints.contains(instance) || mayRemember(m_state->owner.view, instance, endpoints.size()))
+        endpoints[instance] = sender;
+}
+
 auto QuotaExchange::handlePresence(const PeerPresence& presence, const Endpoint& sender) -> void
 {
-    m_state->endpoints[presence.instance] = sender;
+    rememberEndpoint(presence.instance, sender);
     jayhold::handlePresence(m_state->owner, bootTimeNow(), presence.instance, presence.availabilityZone, presence.isDraining);
 }
 
@@ -147,10 +155,10 @@
 {
     const auto message = parseQuotaMessage(text);
     if (!message) {
-        m_state->log.record(LogLevel::Warning, "quota_message_unreadable", { { "bytes", text.size() } });
+        m_state->log.record(LogLevel::Info, "quota_message_unreadable", { { "bytes", text.size() } });
         return;
     }
-    m_state->endpoints[message->instance] = sender;
+    rememberEndpoint(message->instance, sender);
     QuotaOutput output;
     handleQuotaMessage(m_state->owner, bootTimeNow(), *message, output);
     process(std::move(output));
--- a/src/QuotaExchange.h
+++ b/src/QuotaExchange.h
@@ -28,6 +28,8 @@
     /// Distinguishes successive processes of the instance.
     std::string incarnation;
     QuotaLimits limits;
+    /// Maximum number of instances beyond the list of instances that are remembered.
+    std::size_t maxUnlistedPeers = ConnectionLimits().unlistedPeers;
 };
 
 class QuotaExchange final : public QuotaLimiter, public std::enable_shared_from_this<QuotaExchange> {
@@ -63,6 +65,8 @@
     struct State;
 
     auto takeHere(std::string customer, std::int64_t amount) -> boost::asio::awaitable<QuotaDecision>;
+    /// Remembers the address of an instance, unless there are too many.
+    auto rememberEndpoint(const std::string& instance, const Endpoint& sender) -> void;
     /// Sends messages, completes requests and sets the timer for what is due next.
     auto process(QuotaOutput output) -> void;
     auto schedule() -> void;
--- a/src/QuotaMessage.cpp
+++ b/src/QuotaMessage.cpp
@@ -52,15 +52,15 @@
     const auto object = parseObject(text);
     std::string typeName;
     QuotaMessage message;
-    if (!object || !readText(*object, typeField, typeName) || !readText(*object, "from", message.instance) || !readNumber(*object, "id", message.id))
+    if (!object || !readText(*object, typeField, typeName) || !readName(*object, "from", message.instance) || !readNumber(*object, "id", message.id))
         return std::nullopt;
     const auto type = std::ranges::find(typeNames, typeName);
     if (type == std::end(typeNames))
         return std::nullopt;
     message.type = static_cast<QuotaMessageType>(type - std::begin(typeNames));
-    readText(*object, "zone", message.zone);
-    readText(*object, "customer", message.customer);
-    readText(*object, "owner", message.owner);
+    readName(*object, "zone", message.zone);
+    readName(*object, "customer", message.customer);
+    readName(*object, "owner", message.owner);
     readBoolean(*object, "draining", message.isDraining);
     readNumber(*object, "available", message.available);
     readNumber(*object, "promised", message.promised);
--- a/src/QuotaView.cpp
+++ b/src/QuotaView.cpp
@@ -46,10 +46,17 @@
 
 }
 
+auto mayRemember(const QuotaView& view, std::string_view instance, std::size_t count) -> bool
+{
+    return count < view.known.size() + view.maxUnlisted || view.known.contains(instance);
+}
+
 auto recordPresence(QuotaView& view, TimePoint now, const std::string& instance, const std::string& zone, bool isDraining) -> bool
 {
     if (instance.empty() || instance == view.instance)
         return false;
+    if (!view.peers.contains(instance) && !mayRemember(view, instance, view.peers.size()))
+        return false;
     const auto listed = view.known.find(instance);
     const auto& actualZone = !zone.empty() || listed == view.known.end() ? zone : listed->second;
     auto& peer = view.peers[instance];
--- a/src/QuotaView.h
+++ b/src/QuotaView.h
@@ -3,6 +3,7 @@
 /// Which instance owns the quota of a customer in each zone, as this instance sees it: the first of the zone's live
 /// instances by rendezvous hashing. A pure state machine.
 
+#include "ConnectionLimits.h"
 #include "PeerAddress.h"
 #include "Time.h"
 
@@ -43,13 +44,19 @@
     Duration silentAfter = std::chrono::milliseconds(2'500);
     /// Instances of other zones get every third message.
     Duration remoteSilentAfter = std::chrono::milliseconds(7'500);
+    /// Maximum number of instances beyond those of the store's list.
+    std::size_t maxUnlisted = ConnectionLimits().unlistedPeers;
     /// By instance; without this one.
     std::map<std::string, Peer, std::less<>> peers;
     /// Zones of the instances in the store's list; empty until it has been read.
     std::map<std::string, std::string, std::less<>> known;
 };
 
-/// Handles a load message of another instance.
+/// @param count number of instances that are remembered.
+/// @return whether one more may be: one of the store's list, or one beyond it if there are few of those.
+auto mayRemember(const QuotaView& view, std::string_view instance, std::size_t count) -> bool;
+
+/// Handles a load message of another instance. One that may not be remembered is ignored.
 /// @param zone zone that the message states; empty if it states none, so that the store's list decides.
 /// @return whether the instance was not live before, or has changed.
 auto recordPresence(QuotaView& view, TimePoint now, const std::string& instance, const std::string& zone, bool isDraining) -> bool;
--- a/src/RouterDaemon.cpp
+++ b/src/RouterDaemon.cpp
@@ -208,7 +208,7 @@
                 if (directory)
                     directory->handleDirectoryUpdate(update); },
         };
-        QuotaExchangeSettings quotaSettings { settings.instance, settings.availabilityZone, context.runId, settings.quota };
+        QuotaExchangeSettings quotaSettings { settings.instance, settings.availabilityZone, context.runId, settings.quota, adapter.limits.unlistedPeers };
         quotas = std::make_shared<QuotaExchange>(threads, std::move(quotaSettings), log, [this](const QuotaExchange::Endpoint& target, const std::string& text) { loadExchange->sendTo(target, text); });
         context.quotas = quotas;
         LoadExchangeSettings exchangeSettings { endpoint, settings.instance, context.runId, settings.availabilityZone, adapter.limits.unlistedPeers };
