Let plain calls wait that every server has rejected

Where calls have an order, a call that every server had rejected without running it was refused at once, although a slot was expected long before its target. It now waits once in the order of the calls that found no slot, for at least half of the median duration of its kind, because this instance does not see the calls of others that fill the servers. It takes a retry from the budget when it is sent again, and is refused at once without an estimate, without a retry in the budget, or if it may have run. The decision is the pure function decideSlot(). Waits are counted by their outcome, and a call that later ones have overtaken counts as displaced.

--- a/src/PlainAttempt.h
+++ b/src/PlainAttempt.h
@@ -17,6 +17,8 @@
     bool isFinal = false;
     /// Whether the call was certainly not executed.
     bool isNotRun = false;
+    /// Whether a server has rejected the call for lack of capacity.
+    bool isRejected = false;
     /// Whether the backend server received the call, even if it rejected it.
     bool reachedBackend = true;
     /// Whether the call was not sent because it could not have ended before the instance exits.
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -82,6 +82,9 @@
     auto serve(HttpExchange& exchange, PlainCallInfo call) -> boost::asio::awaitable<void>;
 
 private:
+    /// Includes the backend servers that reject the call. A call that has waited after it was rejected may try as many again.
+    static constexpr std::size_t maxBackendsPerCall = 3;
+
     /// The state that the coroutines of one call share.
     struct CallState {
         bool isCallerDisconnected = false;
@@ -89,6 +92,12 @@
         std::int64_t executions = 0;
         /// Ids of the backend servers that were tried.
         std::vector<std::string> triedBackends;
+        /// Number of the first of them that may be tried again, because the call waits for a slot after every server has
+        /// rejected it. This happens once for each call.
+        std::size_t retriableBackends = 0;
+        /// Whether the next attempt waits for a slot because of that, and not before this time.
+        bool isRejectedByAll = false;
+        TimePoint retryAt {};
         /// Interrupts the running attempt.
         boost::asio::cancellation_signal interrupt;
         /// The attempt on another server while the running one is silent; null if there is none.
@@ -99,6 +108,33 @@
         bool isSuspect = false;
         /// Whether the call has the permission to run although its crash signature is blocked.
         bool isTrial = false;
+
+        /// @return ids of the servers that the next attempt avoids.
+        auto excludedBackends() const -> std::span<const std::string> { return std::span(triedBackends).subspan(retriableBackends); }
+    };
+
+    /// What a call does that needs a slot.
+    struct SlotCheck {
+        SlotDecision decision;
+        CallerCost cost {};
+        /// Number of calls that get a slot earlier.
+        std::size_t before = 0;
+    };
+
+    struct SlotAttempt {
+        SlotCheck check;
+        /// The server whose slot the call has taken.
+        std::optional<BackendServer> server {};
+    };
+
+    /// How the next server of a call is chosen.
+    struct FirstStep {
+        /// Whether the call may crash its server.
+        bool isSuspect = false;
+        /// Whether the call waits for a slot in the order of the costs if it gets no server at once.
+        bool mayAwaitSlot = false;
+        /// Whether it gets a server at once if one is available.
+        bool takesServer = false;
     };
 
     /// What other instances have to be told; sent without the lock.
@@ -121,34 +157,27 @@
     /// Waits for a slot as long as the call can still meet its target, in the order of the costs of the calls that wait.
     /// @return the server; nothing if the call can't be served any more, and at once if no slot is expected in time.
     auto awaitSlot(const PlainCallInfo& call, const CallState& state, PlainAttempt& last) -> boost::asio::awaitable<std::optional<BackendServer>>;
-    /// @return what the place of the call among those that wait is computed from; requires the lock.
-    /// @return whether calls wait for slots in the order of their costs. Without customers and priorities there is no order.
+    /// Takes a slot for the call if it is the next one, or lets it wait if one is expected in time.
+    /// @param id identifies the call among those that wait.
+    auto tryTakeSlot(const PlainCallInfo& call, const CallState& state, std::uint64_t id) -> SlotAttempt;
+    /// Lets the next attempt wait for a slot, also of a server that has been tried, if every server that could take the call
+    /// now has rejected it.
+    /// @return false if the call doesn't wait: it may have run, has waited for this reason before, has no order among other
+    /// calls, or there is no estimate of its duration or no retry in the budget.
+    auto awaitsSlotAgain(const PlainCallInfo& call, CallState& state, const PlainAttempt& last) -> bool;
+    auto recordSlotRefusal(const PlainCallInfo& call, const SlotCheck& check) -> void;
+    /// @return the median duration of such a call; nothing after too few calls. Requires the lock.
+    auto medianDurationLocked(const PlainCallInfo& call) const -> std::optional<Duration>;
+    /// @return whether calls wait for slots in the order of their costs; requires the lock. Without customers and priorities
+    /// there is no order.
     auto ordersCallsLocked(const PlainCallInfo& call) const -> bool;
+    /// @return what the place of the call among those that wait is computed from; requires the lock.
     auto workOfLocked(const PlainCallInfo& call, Duration duration, std::uint64_t id) const -> RequestWork;
-    /// How the first server of a call is chosen.
-    struct FirstStep {
-        /// Whether the call may crash its server.
-        bool isSuspect = false;
-        /// Whether the call waits for a slot in the order of the costs if it gets no server at once.
-        bool mayAwaitSlot = false;
-        /// Whether it gets a server at once if one is available.
-        bool takesServer = false;
-    };
-    /// What a call does that waits for a slot, or begins to.
-    struct SlotStep {
-        CallerCost cost;
-        /// Number of calls that get a slot earlier.
-        std::size_t before = 0;
-        bool takesServer = false;
-        /// Expected wait; absent if nothing is known about the next slot or none is needed.
-        std::optional<Duration> wait {};
-        bool mayWait = false;
-    };
-    /// @param tried ids of the servers that the call has tried.
     /// @param isBlocked whether the call is refused because it crashes servers.
-    auto firstStepLocked(const PlainCallInfo& call, std::span<const std::string> tried, bool isBlocked) const -> FirstStep;
+    auto firstStepLocked(const PlainCallInfo& call, const CallState& state, bool isBlocked) const -> FirstStep;
+    /// Decides by decideSlot() what a call does that waits for a slot, or begins to; requires the lock.
     /// @param id identifies the call among those that wait.
-    auto slotStepLocked(const PlainCallInfo& call, std::span<const std::string> tried, std::uint64_t id, TimePoint now) const -> SlotStep;
+    auto checkSlotLocked(const PlainCallInfo& call, const CallState& state, std::uint64_t id, TimePoint now) const -> SlotCheck;
     /// @return the decision on a call without a crash signature; requires the lock.
     auto decisionLocked(const PlainCallInfo& call, TimePoint now) const -> decltype(PlainPlacement::decision);
     /// @return whether the call has to be refused because it crashes servers; requires the lock.
--- a/src/PlainServiceAttempts.cpp
+++ b/src/PlainServiceAttempts.cpp
@@ -22,8 +22,6 @@
 
 namespace {
 
-/// Includes the backend servers that reject the call.
-constexpr std::size_t maxBackendsPerCall = 3;
 /// A server that has not answered within the remaining time divided by this number is replaced if another
 /// one can take the call.
 constexpr int silenceTimeoutDivisor = 2;
@@ -76,8 +74,9 @@
         if (!backend)
             break;
         // The wait for a slot says nothing about the duration of a call.
-        if (state.triedBackends.empty())
+        if (state.triedBackends.empty() || state.isRejectedByAll)
             startedAt = monotonicNow();
+        state.isRejectedByAll = false;
         state.triedBackends.push_back(backend->id);
         recordDecision(call, "request_placed", { { "backend", backend->id }, { "attempt", state.triedBackends.size() }, { "timeout_ms", remainingTime(call).count() / 1'000 } });
         last = co_await attemptOn(client, *backend, call, isRepeatable, state);
@@ -87,7 +86,7 @@
         if (isFinal(last) || state.isCallerDisconnected)
             break;
         recordFailedAttempt(call, state, backend->id, last);
-        if (!mayTryAgain(call, state, last, isRepeatable))
+        if (!awaitsSlotAgain(call, state, last) && !mayTryAgain(call, state, last, isRepeatable))
             break;
         // The peers' reports of the crash may show that the call is its cause.
         if (last.hasCrashed)
@@ -111,7 +110,7 @@
 
 auto PlainService::mayTryAgain(const PlainCallInfo& call, const CallState& state, const PlainAttempt& last, bool isRepeatable) -> bool
 {
-    if (state.isCallerDisconnected || monotonicNow() >= call.deadline || state.triedBackends.size() >= maxBackendsPerCall)
+    if (state.isCallerDisconnected || monotonicNow() >= call.deadline || state.excludedBackends().size() >= maxBackendsPerCall)
         return false;
     if (state.executions > 0 && (!isRepeatable || state.executions >= call.kind.maxAttempts))
         return false;
@@ -288,6 +287,9 @@
         attempt.isNotRun = true;
         break;
     case ResponseClass::Busy:
+        attempt.isRejected = true;
+        attempt.isNotRun = true;
+        break;
     case ResponseClass::Misdirected:
         attempt.isNotRun = true;
         break;
--- a/src/PlainServiceCrashes.cpp
+++ b/src/PlainServiceCrashes.cpp
@@ -52,12 +52,13 @@
             const std::lock_guard guard(m_lock);
             const auto now = monotonicNow();
             last.isRefusedAsCrashing = isBlockedLocked(call, state, updates);
-            const auto step = firstStepLocked(call, state.triedBackends, last.isRefusedAsCrashing);
+            const auto step = firstStepLocked(call, state, last.isRefusedAsCrashing);
             state.isSuspect = step.isSuspect;
             mayAwaitSlot = step.mayAwaitSlot;
+            const auto excluded = state.excludedBackends();
             if (step.takesServer)
-                server = state.isSuspect ? m_balancer.acquireForSuspect(now, state.triedBackends, call.signature) : m_balancer.acquire(now, state.triedBackends, meanCallTimeLocked(call));
-            mustWait = state.isSuspect && !server && now < waitUntil && m_balancer.awaitsSuspect(now, state.triedBackends);
+                server = state.isSuspect ? m_balancer.acquireForSuspect(now, excluded, call.signature) : m_balancer.acquire(now, excluded, meanCallTimeLocked(call));
+            mustWait = state.isSuspect && step.takesServer && !server && now < waitUntil && m_balancer.awaitsSuspect(now, excluded);
         }
         publish(updates);
         if (mayAwaitSlot && !server)
@@ -69,12 +70,13 @@
     co_return std::nullopt;
 }
 
-auto PlainService::firstStepLocked(const PlainCallInfo& call, std::span<const std::string> tried, bool isBlocked) const -> FirstStep
+auto PlainService::firstStepLocked(const PlainCallInfo& call, const CallState& state, bool isBlocked) const -> FirstStep
 {
     const auto isSuspect = !isBlocked && isSuspectLocked(call);
-    // A retry goes to another server or nowhere.
-    const auto mayAwaitSlot = ordersCallsLocked(call) && !isBlocked && !isSuspect && tried.empty();
-    return { isSuspect, mayAwaitSlot, !isBlocked && !(mayAwaitSlot && m_waiting.size()) };
+    // A retry goes to another server or nowhere, unless every server has rejected the call.
+    const auto isFirst = state.triedBackends.empty() || state.isRejectedByAll;
+    const auto mayAwaitSlot = ordersCallsLocked(call) && !isBlocked && !isSuspect && isFirst;
+    return { isSuspect, mayAwaitSlot, !isBlocked && !state.isRejectedByAll && !(mayAwaitSlot && m_waiting.size()) };
 }
 
 auto PlainService::isBlockedLocked(const PlainCallInfo& call, CallState& state, CrashUpdates& updates) -> bool
--- a/src/PlainServicePlacement.cpp
+++ b/src/PlainServicePlacement.cpp
@@ -24,7 +24,7 @@
     PlainPlacement placement { .decision = decisionLocked(call, now), .candidates = m_balancer.candidates(now), .waiting = m_waiting.size(), .callTime = meanCallTimeLocked(call) };
     if (isRefusedByDrain)
         placement.decision = refusal(jayhold::name(RefusalReason::Draining), plainRetryDelay);
-    placement.waitingBefore = slotStepLocked(call, {}, m_lastWaiting + 1, now).before;
+    placement.waitingBefore = checkSlotLocked(call, CallState {}, m_lastWaiting + 1, now).before;
     std::ranges::sort(placement.candidates, {}, [](const PlainCandidate& candidate) { return std::tuple(candidate.obstacle.has_value(), !candidate.backend.isLocal, candidate.cost); });
     if (placement.candidates.size() > maxListedPlainServers)
         placement.candidates.resize(maxListedPlainServers);
@@ -34,14 +34,15 @@
 auto PlainService::decisionLocked(const PlainCallInfo& call, TimePoint now) const -> decltype(PlainPlacement::decision)
 {
     // A call without a signature is neither blocked nor suspected.
-    const auto first = firstStepLocked(call, {}, false);
+    const CallState arriving {};
+    const auto first = firstStepLocked(call, arriving, false);
     const auto callTime = meanCallTimeLocked(call);
     if (const auto* server = first.takesServer ? m_balancer.choose(now, {}, callTime) : nullptr)
         return PlainPlacement::Send { server->server.id };
-    const auto slot = first.mayAwaitSlot ? slotStepLocked(call, {}, m_lastWaiting + 1, now) : SlotStep {};
-    if (slot.takesServer)
+    const auto slot = first.mayAwaitSlot ? checkSlotLocked(call, arriving, m_lastWaiting + 1, now).decision : SlotDecision {};
+    if (slot.step == SlotStep::Take)
         return PlainPlacement::Send { m_balancer.choose(now, {}, callTime)->server.id };
-    if (slot.wait && slot.mayWait)
+    if (slot.step == SlotStep::Wait)
         return PlainPlacement::Wait { *slot.wait };
     if (slot.wait)
         return refusal(jayhold::name(RefusalReason::Overloaded), std::max(*slot.wait, minSlotRetryDelay));
--- a/src/PlainWaiting.cpp
+++ b/src/PlainWaiting.cpp
@@ -20,6 +20,11 @@
     return static_cast<std::size_t>(std::ranges::count_if(m_waiting, [&](const CallerCost& other) { return other.id != cost.id && other > cost; }));
 }
 
+auto PlainWaiting::countOvertaking(const CallerCost& cost) const -> std::size_t
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_waiting, [&](const CallerCost& other) { return other.id != cost.id && other > cost && other.arrivedAt > cost.arrivedAt; }));
+}
+
 auto expectedSlotWait(const PlainSlots& slots, std::size_t before) -> Duration
 {
     if (!slots.slots)
@@ -34,4 +39,25 @@
     return now + wait <= work.latestOnTimeStart && now + wait + duration <= work.deadline;
 }
 
+auto waitAfterRejection(Duration duration) -> Duration
+{
+    return duration / 2;
+}
+
+auto decideSlot(const SlotInputs& inputs, TimePoint now) -> SlotDecision
+{
+    if (inputs.isRejected && (!inputs.duration || !inputs.hasRetry))
+        return {};
+    if (inputs.freeSlots > inputs.before && inputs.retryAt <= now)
+        return { SlotStep::Take };
+    // Without servers that take calls, or without an estimate, nothing is known about the next slot.
+    if (!inputs.slots || !inputs.duration)
+        return {};
+    const auto waitBehind = [&](std::size_t before) { return std::max(expectedSlotWait({ inputs.slots, *inputs.duration }, before), inputs.retryAt - now); };
+    const auto canWaitBehind = [&](std::size_t before) { return canWaitForSlot(inputs.work, now, waitBehind(before), *inputs.duration); };
+    if (canWaitBehind(inputs.before))
+        return { SlotStep::Wait, waitBehind(inputs.before) };
+    return { SlotStep::Refuse, waitBehind(inputs.before), inputs.overtaking > 0 && canWaitBehind(inputs.before - inputs.overtaking) };
+}
+
 }
--- a/src/ServiceMetrics.h
+++ b/src/ServiceMetrics.h
@@ -20,6 +20,11 @@
     std::atomic<std::uint64_t> backendCalls { 0 };
     /// Calls that were sent a second time because a reused connection had closed.
     std::atomic<std::uint64_t> resentCalls { 0 };
+    /// Plain calls that waited for a slot, and how their waits ended.
+    std::atomic<std::uint64_t> slotWaits { 0 };
+    std::atomic<std::uint64_t> slotWaitsServed { 0 };
+    std::atomic<std::uint64_t> slotWaitsRefused { 0 };
+    std::atomic<std::uint64_t> slotWaitsCancelled { 0 };
     /// Requests that were in flight on a backend server that crashed.
     std::atomic<std::uint64_t> crashSuspects { 0 };
     /// Crash signatures that this instance has identified.
