Test the explanation of a plain call that waits for a slot

The explanation and the request path share decideSlot() since calls wait after a rejection, but no test showed an explained wait. The new one compares it with a call that then waits, and checks that queries take no place among the waiting calls.

Tests: entry_request_test (PlacementApiTest).

--- a/test/correctness/PlacementApiTest.cpp
+++ b/test/correctness/PlacementApiTest.cpp
@@ -114,6 +114,38 @@
         call.get();
 }
 
+// Guards against an explanation that differs from the request path where a call waits for a slot, and against a query that
+// takes a place among the calls that wait or counts as one.
+TEST_CASE("a call that waits for a slot is explained as waiting")
+{
+    FakeRecords records;
+    PlainServers servers;
+    EntryHarness harness { records };
+    harness.addBackend("ledger-1", "ledger", servers.first.endpoint());
+    constexpr std::size_t slots = 8;
+    // Without durations of earlier calls, no slot is expected.
+    for (std::size_t call = 0; call < slots; ++call)
+        CHECK(lookUp(harness).status == 200);
+    servers.holdsCalls = true;
+    std::vector<std::future<HttpResponse>> calls;
+    calls.reserve(slots + 1);
+    for (std::size_t call = 0; call < slots; ++call)
+        calls.push_back(std::async(std::launch::async, [&] { return lookUp(harness); }));
+    REQUIRE(waitFor([&] { return callsInFlight(harness) == slots; }));
+    const auto& slotWaits = harness.context().metrics.service("coop-ledger")->slotWaits;
+    for (int query = 0; query < 2; ++query) {
+        const auto report = json::parse(explain(harness, callQuery).body);
+        CHECK(report.at("decision").at("action") == "wait");
+        CHECK(report.at("state").at("waiting") == 0);
+    }
+    CHECK(slotWaits == 0);
+    calls.push_back(std::async(std::launch::async, [&] { return lookUp(harness); }));
+    CHECK(waitFor([&] { return slotWaits == 1; }));
+    servers.holdsCalls = false;
+    for (auto& call : calls)
+        call.get();
+}
+
 // Guards against a query that is answered from wrong or missing data instead of with an error.
 TEST_CASE("a query that can't be answered gets a typed error")
 {
