Count the target of callers that come back from their first attempt

The time that a request has left shows that its caller has come back. Where ranks differ, such a request is now overdue on arrival: it starts after new requests of its rank and before those of less urgent ranks.

--- a/src/Deadlines.cpp
+++ b/src/Deadlines.cpp
@@ -49,6 +49,16 @@
     return factor == 1 ? duration : Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
 }
 
+/// A caller that was refused and has returned counts its target from its first attempt. Where ranks differ, its request is
+/// therefore overdue on arrival, so that it does not make requests late that can still be on time.
+/// @return when the time to the target began.
+auto targetBeginsAt(const ShardState& state, const ActiveRequest& request) -> TimePoint
+{
+    if (!hasSeveralRanks(state) || !hasReturned(state, request))
+        return request.arrivedAt;
+    return request.arrival.deadline - std::chrono::duration_cast<Duration>(kindOf(state, request).deadline);
+}
+
 auto timeToFirstToken(const ShardState& state, const ActiveRequest& request) -> Duration
 {
     return prefillTime(state, request.arrival.promptTokens) + transferTime(state, request);
@@ -72,7 +82,7 @@
         return TimePoint::max();
     const auto target = std::chrono::duration_cast<Duration>(kindOf(state, request).firstToken);
     const auto margin = std::min(state.rates.firstTokenMargin, target / targetMarginDivisor);
-    return request.arrivedAt + target - timeToFirstToken(state, request) - margin;
+    return targetBeginsAt(state, request) + target - timeToFirstToken(state, request) - margin;
 }
 
 namespace {
@@ -226,7 +236,7 @@
 auto moveToOverdue(DecisionContext& context, ActiveRequest& request) -> void
 {
     request.subQueue = SubQueue::Overdue;
-    if (isMostUrgent(context.state, request))
+    if (isMostUrgent(context.state, request) && !(hasSeveralRanks(context.state) && hasReturned(context.state, request)))
         context.state.headroomScale.observe(true);
 }
 
--- a/src/RequestRanks.cpp
+++ b/src/RequestRanks.cpp
@@ -55,6 +55,13 @@
     return hasSeveralRanks(state) ? !hasMoreUrgentRank(state, request) : request.latencyClass == LatencyClass::Interactive;
 }
 
+auto hasReturned(const ShardState& state, const ActiveRequest& request) -> bool
+{
+    constexpr int wholePercent = 100;
+    const auto allowedTime = std::chrono::duration_cast<Duration>(kindOf(state, request).deadline);
+    return request.arrival.deadline - request.arrivedAt < allowedTime * returnedTimePercent / wholePercent;
+}
+
 auto callerCost(const DecisionContext& context, const ActiveRequest& request) -> CallerCost
 {
     const auto& state = context.state;
--- a/src/RequestRanks.h
+++ b/src/RequestRanks.h
@@ -24,4 +24,7 @@
 /// @return what it costs the caller if the request is refused now.
 auto callerCost(const DecisionContext& context, const ActiveRequest& request) -> CallerCost;
 
+/// @return whether the caller was probably refused before: it has clearly less time than callers of the kind have at first.
+auto hasReturned(const ShardState& state, const ActiveRequest& request) -> bool;
+
 }
--- a/test/correctness/RankTest.cpp
+++ b/test/correctness/RankTest.cpp
@@ -204,6 +204,30 @@
     CHECK(started == std::vector<std::uint64_t> { 1, 5, 4, 3, 6, 2 });
 }
 
+// Load: more requests than capacity, and callers that were refused come back while it lasts. Guards against requests whose
+// target has passed and that make new ones of their rank late.
+TEST_CASE("a new request starts before that of a caller that has come back, which is served too")
+{
+    ShardHarness harness(LoadRun::settings());
+    harness.replica(1, PoolRole::Prefill, 1);
+    harness.replica(2, PoolRole::Decode, 1);
+    harness.arrive(1, 1, 1);
+    constexpr Duration timeLeft = 9s;
+    harness.send(RequestArrived { .request = RequestId { 2 }, .kind = KindId { 1 }, .customer = CustomerId { 1 }, .promptTokens = 100, .maxTokens = 200, .expectedTokens = 5, .deadline = harness.now + timeLeft, .prefixBlocks = {} });
+    harness.arrive(3, 1, 1);
+    harness.advance(100ms);
+    std::vector<std::uint64_t> started;
+    for (int step = 0; step < 3; ++step) {
+        const auto prefill = *harness.lastEver<StartPrefill>();
+        started.push_back(static_cast<std::uint64_t>(prefill.request));
+        harness.prefilled(prefill);
+        const auto decode = *harness.lastEver<StartDecode>();
+        harness.started(decode);
+        harness.send(DecodeFinished { decode.request, decode.attempt, 5 });
+    }
+    CHECK(started == std::vector<std::uint64_t> { 1, 3, 2 });
+}
+
 // Load: many requests of one instant with full memory. Guards against a set of served requests that depends on the order of
 // arrival.
 TEST_CASE("requests of one instant are served alike in any order of arrival")
