Limit what a freeze adds to the mean speed of a service

All servers were observed at 1.3 to 3.9 times the mean, because the requests that the freeze had delayed counted with up to 2.4 s in the mean of 60 s, and what is faster than the mean counts as the mean.

Work counts as five times the mean at most, the bound of relative speeds.

--- a/src/SpeedReference.cpp
+++ b/src/SpeedReference.cpp
@@ -1,5 +1,9 @@
 #include "SpeedReference.h"
 
+#include "ServerSpeed.h"
+
+#include <algorithm>
+
 namespace jayhold {
 
 namespace {
@@ -13,7 +17,11 @@
 {
     if (!(amount > 0) || !(seconds > 0))
         return 0;
-    addWork(reference.average, now, referenceDecayTime, amount, seconds);
+    // Work at a server that stands still takes many times the mean. Counted in full, it would make all servers look fast for a
+    // minute, so that slow ones could not be told apart.
+    const auto expected = secondsAtMeanSpeed(reference, amount);
+    const auto counted = expected > 0 ? std::min(seconds, expected / minRelativeSpeed) : seconds;
+    addWork(reference.average, now, referenceDecayTime, amount, counted);
     return secondsAtMeanSpeed(reference, amount);
 }
 
--- a/src/SpeedReference.h
+++ b/src/SpeedReference.h
@@ -11,7 +11,7 @@
     WorkAverage average;
 };
 
-/// Adds work to the mean.
+/// Adds work to the mean. Work that takes longer than at the lowest relative speed counts as at that speed.
 /// @param amount tokens or calls.
 /// @return the seconds that the work would have taken at the mean speed, itself included; zero if the work is not usable.
 auto addToReference(SpeedReference& reference, TimePoint now, double amount, double seconds) -> double;
--- a/test/correctness/ServerSpeedTest.cpp
+++ b/test/correctness/ServerSpeedTest.cpp
@@ -56,6 +56,23 @@
     CHECK(lastingSpeed(speed, now) < 0.75);
 }
 
+// Load pattern: a server freezes while it has requests. Guards against a mean that follows the freeze, with which all servers
+// look fast and slow ones can't be told apart.
+TEST_CASE("requests that a freeze delays change the mean speed little")
+{
+    SpeedReference reference;
+    auto now = start;
+    for (int request = 0; request < 100; ++request)
+        addToReference(reference, now += 30ms, 1, 0.03);
+    for (int request = 0; request < 10; ++request)
+        addToReference(reference, now, 1, 2.4);
+    CHECK(secondsAtMeanSpeed(reference, 1) < 0.03 / 0.55);
+    // A mean that rises for good is followed.
+    for (int request = 0; request < 400; ++request)
+        addToReference(reference, now += 300ms, 1, 0.3);
+    CHECK(secondsAtMeanSpeed(reference, 1) > 0.2);
+}
+
 // Load pattern: a quarter of the engines run at 0.55 of the nominal speed and the others at 1.2.
 // Guards against estimates that are not relative to the service, or stay when an engine is not used any more.
 TEST_CASE("a lasting difference is estimated relative to the service and ages")
