--- a/cmake/scenario.cmake
+++ b/cmake/scenario.cmake
@@ -30,12 +30,15 @@
 target_compile_definitions(entry_process_test PRIVATE JAYHOLD_ENTRY="$<TARGET_FILE:jayhold-entry>")
 add_dependencies(entry_process_test jayhold-entry)
 
-# Measures the memory of the process, so nothing else runs beside it.
-jayhold_test(abusive_callers_test
-  SOURCES test/error/AbusiveCallersTest.cpp test/error/AbusivePeersTest.cpp test/error/AbusiveServersTest.cpp test/AbusiveCallers.cpp test/scenario/ChildProcess.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
-  LINK jayhold_platform)
-if(JAYHOLD_TESTS)
-  target_compile_definitions(abusive_callers_test PRIVATE JAYHOLD_ENTRY="$<TARGET_FILE:jayhold-entry>")
-  add_dependencies(abusive_callers_test jayhold-entry)
-  set_tests_properties(abusive_callers_test PROPERTIES RUN_SERIAL TRUE TIMEOUT 600)
-endif()
+# Each measures the memory of a process, so nothing else runs beside it.
+foreach(name Callers Peers Servers)
+  string(TOLOWER ${name} sender)
+  jayhold_test(abusive_${sender}_test
+    SOURCES test/error/Abusive${name}Test.cpp test/AbusiveCallers.cpp test/scenario/ChildProcess.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
+    LINK jayhold_platform)
+  if(JAYHOLD_TESTS)
+    target_compile_definitions(abusive_${sender}_test PRIVATE JAYHOLD_ENTRY="$<TARGET_FILE:jayhold-entry>")
+    add_dependencies(abusive_${sender}_test jayhold-entry)
+    set_tests_properties(abusive_${sender}_test PROPERTIES RUN_SERIAL TRUE TIMEOUT 600)
+  endif()
+endforeach()
