--- a/test/DirectoryEntries.h
+++ b/test/DirectoryEntries.h
@@ -13,14 +13,14 @@
 inline constexpr TimePoint start { std::chrono::seconds(1'000) };
 
 /// Each server has an address of its own, as servers that run at the same time do.
-inline auto server(std::string id, ReplicaState state = ReplicaState::Live) -> BackendServer
+inline auto server(const std::string& id, ReplicaState state = ReplicaState::Live) -> BackendServer
 {
     return { .id = id, .endpoint = { "server-" + id, 1 }, .availabilityZone = "alpine", .pool = "pool", .state = state };
 }
 
-inline auto server(std::string id, std::string incarnation, ReplicaState state = ReplicaState::Live) -> BackendServer
+inline auto server(const std::string& id, std::string incarnation, ReplicaState state = ReplicaState::Live) -> BackendServer
 {
-    auto result = server(std::move(id), state);
+    auto result = server(id, state);
     result.incarnation = std::move(incarnation);
     return result;
 }
--- a/test/error/PlatformFormatsTest.cpp
+++ b/test/error/PlatformFormatsTest.cpp
@@ -64,8 +64,11 @@
 TEST_CASE("unusable limits on connections are rejected")
 {
     for (const std::string key : { "limits.maxHeaderLines", "limits.maxCallerConnections", "limits.maxUnlistedPeers" }) {
-        for (const std::string value : { "-1", "1.5", "1e30", "nan", "many", "2000000", "99999999999999999999" })
-            CHECK(std::get<std::string>(parse(goodSettings + key + "=" + value + "\n")) == key);
+        for (const std::string value : { "-1", "1.5", "1e30", "nan", "many", "2000000", "99999999999999999999" }) {
+            std::string settings = goodSettings;
+            settings.append(key).append("=").append(value).append("\n");
+            CHECK(std::get<std::string>(parse(settings)) == key);
+        }
     }
     CHECK(std::get<std::string>(parse(goodSettings + "limits.maxHeaderLines=0\n")) == "limits.maxHeaderLines");
     CHECK(std::get<std::string>(parse(goodSettings + "limits.maxCallerConnections=0\n")) == "limits.maxCallerConnections");
