--- a/test/correctness/RankTest.cpp
+++ b/test/correctness/RankTest.cpp
@@ -26,6 +26,22 @@
     return request.kind == 1;
 }
 
+/// Finishes the requests at one engine, one after the other.
+/// @return their ids in the order in which they start.
+auto finishOneByOne(ShardHarness& harness, int count) -> std::vector<std::uint64_t>
+{
+    std::vector<std::uint64_t> started;
+    for (int step = 0; step < count; ++step) {
+        const auto prefill = *harness.lastEver<StartPrefill>();
+        started.push_back(static_cast<std::uint64_t>(prefill.request));
+        harness.prefilled(prefill);
+        const auto decode = *harness.lastEver<StartDecode>();
+        harness.started(decode);
+        harness.send(DecodeFinished { decode.request, decode.attempt, 5 });
+    }
+    return started;
+}
+
 /// @return a digest of what a shard does in a random sequence of events of 4,000 steps.
 auto digestOfDecisions(ShardSettings settings) -> std::uint64_t
 {
@@ -192,16 +208,7 @@
     harness.arrive(5, 1, 1);
     harness.advance(900ms);
     harness.arrive(6, 1, 2);
-    std::vector<std::uint64_t> started;
-    for (int step = 0; step < 6; ++step) {
-        const auto prefill = *harness.lastEver<StartPrefill>();
-        started.push_back(static_cast<std::uint64_t>(prefill.request));
-        harness.prefilled(prefill);
-        const auto decode = *harness.lastEver<StartDecode>();
-        harness.started(decode);
-        harness.send(DecodeFinished { decode.request, decode.attempt, 5 });
-    }
-    CHECK(started == std::vector<std::uint64_t> { 1, 5, 4, 3, 6, 2 });
+    CHECK(finishOneByOne(harness, 6) == std::vector<std::uint64_t> { 1, 5, 4, 3, 6, 2 });
 }
 
 // Load: more requests than capacity, and callers that were refused come back while it lasts. Guards against requests whose
@@ -216,16 +223,7 @@
     harness.send(RequestArrived { .request = RequestId { 2 }, .kind = KindId { 1 }, .customer = CustomerId { 1 }, .promptTokens = 100, .maxTokens = 200, .expectedTokens = 5, .deadline = harness.now + timeLeft, .prefixBlocks = {} });
     harness.arrive(3, 1, 1);
     harness.advance(100ms);
-    std::vector<std::uint64_t> started;
-    for (int step = 0; step < 3; ++step) {
-        const auto prefill = *harness.lastEver<StartPrefill>();
-        started.push_back(static_cast<std::uint64_t>(prefill.request));
-        harness.prefilled(prefill);
-        const auto decode = *harness.lastEver<StartDecode>();
-        harness.started(decode);
-        harness.send(DecodeFinished { decode.request, decode.attempt, 5 });
-    }
-    CHECK(started == std::vector<std::uint64_t> { 1, 3, 2 });
+    CHECK(finishOneByOne(harness, 3) == std::vector<std::uint64_t> { 1, 3, 2 });
 }
 
 // Load: many requests of one instant with full memory. Guards against a set of served requests that depends on the order of
