Show that a silent engine that keeps its work shares it with another one

A stream that moves away from a silent engine goes on there as well, because nothing but the close of the connection ends its run.

--- a/review/standin-2/Lab.hh
+++ b/review/standin-2/Lab.hh
@@ -584,6 +584,8 @@
         /// Time from a request to its first event, beside the gap.
         long firstMs = 0;
         long workMs = 15;
+        /// Whether it drops a request when its connection closes, as most replicas do.
+        bool dropsClosed = true;
     };
 
     Replica(Store& store, Settings settings, std::function<void(const Run&)> onRun)
@@ -619,6 +621,8 @@
             m_heart.join();
         m_listener->stop();
     }
+    /// Its streams get no event until a time of nowMs().
+    auto setSilentUntil(long time) -> void { m_silentUntil = time; }
     auto settings() const -> const Settings& { return m_settings; }
     /// Called with each request before it is handled; returns a whole response to send instead, or nothing.
     std::function<std::optional<std::string>(const Request&)> intercept;
@@ -738,17 +742,18 @@
         const auto counts = request.headers.value("Token-Counts");
         const auto events = std::atoi(counts.substr(std::min(counts.find(','), counts.size() - 1) + 1).c_str());
         for (auto index = first; index < events; ++index) {
-            sleepMs(m_settings.gapMs);
-            if (m_isEnded || socket.hasClosed())
+            sleepMs(std::max(m_settings.gapMs, m_silentUntil - nowMs()));
+            if (m_isEnded || (m_settings.dropsClosed && socket.hasClosed()))
                 return false;
             const auto event = "id: " + std::to_string(index) + "\ndata: " + m_settings.id + " " + m_settings.version + "\n\n";
             char size[16];
             std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
             text += size + event + "\r\n";
-            if (!socket.write(text))
+            if (!socket.write(text) && m_settings.dropsClosed)
                 return false;
             text.clear();
         }
+        note(request, "run ends");
         return socket.write(text + "0\r\n\r\n");
     }
 
@@ -758,6 +763,7 @@
     const std::int64_t m_born;
     std::atomic<int> m_sequence { 0 };
     std::atomic<int> m_handles { 0 };
+    std::atomic<long> m_silentUntil { 0 };
     std::atomic<bool> m_isEnded { false };
     std::thread m_heart;
     std::unique_ptr<Listener> m_listener;
