--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -64,14 +64,23 @@
                 return std::nullopt;
             {
                 const std::lock_guard guard(lock);
+                // The process has ended already.
+                if (crashed.contains(index))
+                    return std::string();
                 arrivals.push_back(nowMs());
             }
             // The time to read the prompt.
             sleepMs(30);
-            const std::lock_guard guard(lock);
-            run.line("replica " + settings[index].id + " begins an answer to " + request.headers.value("Request-Id") + " and crashes");
-            crashes.push_back(nowMs());
-            crashed[index] = nowMs();
+            {
+                const std::lock_guard guard(lock);
+                if (crashed.contains(index))
+                    return std::string();
+                run.line("replica " + settings[index].id + " begins an answer to " + request.headers.value("Request-Id") + " and crashes");
+                crashes.push_back(nowMs());
+                crashed[index] = nowMs();
+            }
+            // The connection breaks when the process no longer listens, and one process crashes once.
+            sleepMs(30);
             return std::string();
         };
         replica->registerEntry();
--- a/review/standin-2/Lab.hh
+++ b/review/standin-2/Lab.hh
@@ -617,9 +617,10 @@
     auto kill() -> void
     {
         m_isEnded = true;
+        // From here on nothing is accepted.
+        m_listener->stop();
         if (m_heart.joinable())
             m_heart.join();
-        m_listener->stop();
     }
     /// Its streams get no event until a time of nowMs().
     auto setSilentUntil(long time) -> void { m_silentUntil = time; }
