Hold a first event back while the store may have its record with another version

Cause: announce() corrected the record in memory, and recordNeed() compared the version of the first event with that record. It found no difference, so the first event did not wait for the correction. Ruled out: a later write of an older table, and a list from before the correction; the six streams that were sent without a stored record are exactly those whose record is found with the other version, and the instance wrote nothing in between.

StreamRecordTable now remembers with which versions each record has been in the store or in a write that was sent. The first event waits strictly as long as the store may contain another one; this covers lost answers, a stream that moves away and back, conflicts, restores, and a move to the default version, which needed no record at all.

Before the fix: "a stream that moves to another version while the store is away waits until its record is corrected" failed (the event was sent at once, the store had v2), and "a correction needs to be stored as long as the store may contain the record with another version" failed.

--- a/src/StreamRecordTable.cpp
+++ b/src/StreamRecordTable.cpp
@@ -35,20 +35,51 @@
     return table.lastChange > table.storedChange;
 }
 
+auto mayBeStoredOtherwise(const StreamRecordTable& table, const std::string& request, std::string_view version) -> bool
+{
+    const auto found = table.entries.find(request);
+    if (found == table.entries.end())
+        return false;
+    const auto& sent = found->second.sentVersions;
+    if (found->second.isConfirmed)
+        return sent.back() != version;
+    return std::ranges::any_of(sent, [&](const std::string& other) { return other != version; });
+}
+
+auto beginWrite(StreamRecordTable& table) -> std::uint64_t
+{
+    for (auto& [request, entry] : table.entries) {
+        auto& sent = entry.sentVersions;
+        const auto& version = entry.record.version;
+        if (!sent.empty() && sent.back() == version)
+            continue;
+        std::erase(sent, version);
+        sent.push_back(version);
+        entry.isConfirmed = false;
+    }
+    return table.lastChange;
+}
+
 auto confirmWrite(StreamRecordTable& table, std::uint64_t change, std::int64_t revision) -> void
 {
     table.storedChange = std::max(table.storedChange, change);
     table.revision = revision;
+    for (auto& [request, entry] : table.entries)
+        entry.isConfirmed = !entry.sentVersions.empty();
 }
 
 auto mergeStored(StreamRecordTable& table, const std::map<std::string, StreamRecord>& stored, std::int64_t revision, TimePoint expiresAt) -> void
 {
     table.revision = revision;
     for (const auto& [request, record] : stored) {
-        const auto [entry, isNew] = table.entries.try_emplace(request);
+        const auto [found, isNew] = table.entries.try_emplace(request);
+        auto& entry = found->second;
         // Records are only complete together, so the next write contains this one as well.
         if (isNew)
-            entry->second = { record, expiresAt, ++table.lastChange };
+            entry = { record, expiresAt, ++table.lastChange };
+        if (std::ranges::find(entry.sentVersions, record.version) == entry.sentVersions.end())
+            entry.sentVersions.insert(entry.sentVersions.begin(), record.version);
+        entry.isConfirmed = false;
     }
 }
 
@@ -58,6 +89,9 @@
         return;
     ++table.lastChange;
     table.storedChange = 0;
+    // The older copy may contain each version with which a record was ever stored.
+    for (auto& [request, entry] : table.entries)
+        entry.isConfirmed = false;
 }
 
 auto removeExpired(StreamRecordTable& table, TimePoint now) -> void
--- a/src/StreamRecordTable.h
+++ b/src/StreamRecordTable.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jayhold {
@@ -22,6 +23,10 @@
         TimePoint expiresAt {};
         /// Number of the change that added or corrected the record.
         std::uint64_t change = 0;
+        /// Versions with which the record has been in the store or in a write to it, that of the last write at the end.
+        std::vector<std::string> sentVersions {};
+        /// Whether the store is known to contain the record with the version of the last write, and no other one.
+        bool isConfirmed = false;
     };
 
     /// By id of the caller's request.
@@ -47,7 +52,16 @@
 /// @return whether the store lacks a change.
 auto needsWrite(const StreamRecordTable& table) -> bool;
 
-/// Records that the store contains the changes up to one.
+/// @return whether the store may contain the record of a request with another version than the given one, as long as a
+/// correction of the record is not known to be stored.
+auto mayBeStoredOtherwise(const StreamRecordTable& table, const std::string& request, std::string_view version) -> bool;
+
+/// Records that a write of all records is sent. It counts as possibly applied until confirmWrite().
+/// @return the number of the last change that the write contains.
+auto beginWrite(StreamRecordTable& table) -> std::uint64_t;
+
+/// Records that the store contains the last write that was begun.
+/// @param change the result of beginWrite().
 /// @param revision revision of the written object.
 auto confirmWrite(StreamRecordTable& table, std::uint64_t change, std::int64_t revision) -> void;
 
--- a/src/StreamTakeUp.cpp
+++ b/src/StreamTakeUp.cpp
@@ -62,7 +62,8 @@
 auto recordNeed(const StreamVersionView& view, const StreamRecordTable& table, TimePoint now, const std::string& request, std::string_view version) -> RecordNeed
 {
     const auto* record = findRecord(table, request);
-    return record && record->version != version ? RecordNeed::Strict : recordNeed(view, now, version);
+    const auto isRecordedOtherwise = record && record->version != version;
+    return isRecordedOtherwise || mayBeStoredOtherwise(table, request, version) ? RecordNeed::Strict : recordNeed(view, now, version);
 }
 
 }
--- a/src/StreamTakeUp.h
+++ b/src/StreamTakeUp.h
@@ -47,7 +47,8 @@
 auto findStreamVersionWithoutStore(const StreamVersionView& view, TimePoint now, bool isBehind) -> StreamVersionAnswer;
 
 /// @return whether a new stream has to be recorded if its first event comes from a version. A record of another version
-/// has to be corrected, also if the version needs none.
+/// has to be corrected, also if the version needs none. The correction counts only when the store is known to contain it,
+/// because another instance goes by the record in the store.
 auto recordNeed(const StreamVersionView& view, const StreamRecordTable& table, TimePoint now, const std::string& request, std::string_view version) -> RecordNeed;
 
 }
--- a/src/StreamVersions.cpp
+++ b/src/StreamVersions.cpp
@@ -202,13 +202,17 @@
 
 auto StreamVersions::announce(const std::string& service, const std::string& request, const std::string& version) -> void
 {
+    auto mayBeStored = false;
     {
         const std::lock_guard guard(m_lock);
         const auto* view = viewOfVersionLocked(service, version);
         if (!view || recordNeed(*view, m_table, monotonicNow(), request, version) == RecordNeed::None)
             return;
         addRecordLocked(*view, service, request, version);
+        mayBeStored = mayBeStoredOtherwise(m_table, request, version);
     }
+    if (mayBeStored)
+        m_log.record(LogLevel::Info, "stream_record_corrected", { { "request", request }, { "service", service }, { "version", version } });
     wake();
 }
 
--- a/src/StreamVersionsStore.cpp
+++ b/src/StreamVersionsStore.cpp
@@ -301,7 +301,7 @@
     boost::json::value value;
     {
         const std::lock_guard guard(m_lock);
-        change = m_table.lastChange;
+        change = beginWrite(m_table);
         revision = m_table.revision;
         value = streamRecordsToJson(m_table);
     }
--- a/test/StreamVersionModel.cpp
+++ b/test/StreamVersionModel.cpp
@@ -132,7 +132,7 @@
 
 auto StreamVersionModel::writeRecords(Instance& instance) -> void
 {
-    const auto change = instance.table.lastChange;
+    const auto change = beginWrite(instance.table);
     m_store.records[instance.name] = *streamRecordsFromJson(streamRecordsToJson(instance.table));
     ++m_writes;
     if (m_random(percent) >= lostAnswerChance)
--- a/test/correctness/StreamVersionViewTest.cpp
+++ b/test/correctness/StreamVersionViewTest.cpp
@@ -203,6 +203,42 @@
     CHECK(recordNeed(view, table, start, "b", "v1") == RecordNeed::None);
 }
 
+// Guards against a first event that is sent while the store has, or may get, the record of its stream with another version.
+TEST_CASE("a correction needs to be stored as long as the store may contain the record with another version")
+{
+    StreamRecordTable table;
+    const auto view = viewOf({ "v1", "v2" }, noDefault);
+    const auto needs = [&](std::string_view version) { return recordNeed(view, table, start + 24h, "a", version); };
+    const auto record = [&](const std::string& version) { return addRecord(table, "a", { "llm", version, 7 }, start + 48h); };
+    record("v2");
+    record("v1");
+    CHECK(needs("v1") != RecordNeed::Strict);
+    // The answer to the first write is lost, and the correction is not sent.
+    record("v2");
+    beginWrite(table);
+    record("v1");
+    CHECK(needs("v1") == RecordNeed::Strict);
+    // The correction is sent and not confirmed.
+    const auto corrected = beginWrite(table);
+    CHECK(needs("v1") == RecordNeed::Strict);
+    confirmWrite(table, corrected, 5);
+    CHECK(needs("v1") != RecordNeed::Strict);
+    // Moved away and back: the write with the other version may have been applied.
+    record("v2");
+    beginWrite(table);
+    record("v1");
+    CHECK(needs("v1") == RecordNeed::Strict);
+    confirmWrite(table, beginWrite(table), 6);
+    CHECK(needs("v1") != RecordNeed::Strict);
+    // An older copy of the store may contain a record that was corrected since.
+    loseStored(table);
+    CHECK(needs("v1") == RecordNeed::Strict);
+    confirmWrite(table, beginWrite(table), 7);
+    CHECK(needs("v1") != RecordNeed::Strict);
+    mergeStored(table, { { "a", { "llm", "v2", 1 } } }, 9, start + 48h);
+    CHECK(needs("v1") == RecordNeed::Strict);
+}
+
 // Guards against records that an earlier run or a restore of the store takes away.
 TEST_CASE("stored records of an earlier run are kept, and lost ones are written again")
 {
--- a/test/correctness/StreamVersionsTest.cpp
+++ b/test/correctness/StreamVersionsTest.cpp
@@ -218,6 +218,32 @@
     CHECK(unknown.isStoreAway);
 }
 
+// Guards against a first event that is sent before the record of its stream is corrected in the store, where another
+// instance finds the version of the server that was chosen first.
+TEST_CASE("a stream that moves to another version while the store is away waits until its record is corrected")
+{
+    RestorableStore store;
+    Process process(store, "entry-1", { "v1", "v2" });
+    REQUIRE(waitForEpoch(store, 1));
+    // All instances know the versions then.
+    std::this_thread::sleep_for(StreamVersionTimes {}.spreadTime + 200ms);
+    const auto recordedVersion = [&]() -> std::string {
+        const auto records = streamRecordsFromJson(store.read(kind, streamRecordsName("entry-1")).value);
+        return records && records->contains("a") ? records->at("a").version : "";
+    };
+    process.versions->announce("llm", "a", "v2");
+    REQUIRE(waitUntil([&] { return recordedVersion() == "v2"; }));
+    process.store.isDown = true;
+    process.versions->announce("llm", "a", "v1");
+    auto moved = process.beginInBackground("a", "v1");
+    CHECK(moved.wait_for(600ms) == std::future_status::timeout);
+    CHECK(recordedVersion() == "v2");
+    process.store.isDown = false;
+    REQUIRE(moved.wait_for(1s) == std::future_status::ready);
+    CHECK(moved.get());
+    CHECK(recordedVersion() == "v1");
+}
+
 // Guards against streams that wait forever, or records that are lost, after an answer of the store was lost.
 TEST_CASE("lost answers of the store delay a record but do not lose it")
 {
