Do not use records of a restored store that may have been corrected since

A stream could be taken up at another version than the one that began it (ORDER) when the store came back from a copy made before the record of the stream was corrected, and the instance that corrected it ended before it wrote its records again. Found by the model of a fleet, not reported.

Cause: a record in the store was trusted whatever the history in which it was written. Ruled out: a first event that was sent before the correction was stored; the model shows the write, and the restore after it.

Objects with records now name their history and the streams that have begun. Records of an earlier history count only for streams that had begun, because only those can't have been corrected later. Objects without a history, of earlier versions, are used as before.

The model lets streams move to another server while they wait for their first event.

--- a/src/ModelRequestVersion.cpp
+++ b/src/ModelRequestVersion.cpp
@@ -9,6 +9,8 @@
 {
     if (!m_boundVersion)
         m_boundVersion = version;
+    if (canBeTakenUp())
+        m_context.streamVersions->handleFirstEvent(callerRequestId());
 }
 
 auto ModelRequest::reportBinding() -> void
--- a/src/StreamRecord.h
+++ b/src/StreamRecord.h
@@ -12,6 +12,8 @@
     std::string version;
     /// Unix time, for the log only.
     std::int64_t begunAtMs = 0;
+    /// Whether the caller has an event of the stream, so that the record is not corrected any more.
+    bool hasBegun = false;
 
     auto operator==(const StreamRecord&) const -> bool = default;
 };
--- a/src/StreamRecordTable.cpp
+++ b/src/StreamRecordTable.cpp
@@ -19,6 +19,12 @@
     return entry.change;
 }
 
+auto markBegun(StreamRecordTable& table, const std::string& request) -> void
+{
+    if (const auto found = table.entries.find(request); found != table.entries.end())
+        found->second.record.hasBegun = true;
+}
+
 auto findRecord(const StreamRecordTable& table, const std::string& request) -> const StreamRecord*
 {
     const auto found = table.entries.find(request);
@@ -106,8 +112,8 @@
 {
     json::array streams;
     for (const auto& [request, entry] : table.entries)
-        streams.push_back(json::object { { "request", request }, { "service", entry.record.service }, { "version", entry.record.version }, { "begun", entry.record.begunAtMs } });
-    return json::object { { "streams", std::move(streams) } };
+        streams.push_back(json::object { { "request", request }, { "service", entry.record.service }, { "version", entry.record.version }, { "begun", entry.record.begunAtMs }, { "has_begun", entry.record.hasBegun } });
+    return json::object { { "history", table.history }, { "streams", std::move(streams) } };
 }
 
 auto streamRecordsFromJson(const json::value& value) -> std::optional<std::map<std::string, StreamRecord>>
@@ -124,9 +130,25 @@
         if (!entry || !readText(*entry, "request", request) || !readText(*entry, "service", record.service) || !readText(*entry, "version", record.version))
             return std::nullopt;
         readNumber(*entry, "begun", record.begunAtMs);
+        readBoolean(*entry, "has_begun", record.hasBegun);
         records.insert_or_assign(std::move(request), std::move(record));
     }
     return records;
 }
 
+auto isFromEarlierHistory(const json::value& value, std::int64_t history) -> bool
+{
+    const auto* object = value.if_object();
+    std::int64_t written = 0;
+    return object && readNumber(*object, "history", written) && written > 0 && written < history;
+}
+
+auto reliableStreamRecords(const json::value& value, std::int64_t history) -> std::optional<std::map<std::string, StreamRecord>>
+{
+    auto records = streamRecordsFromJson(value);
+    if (records && isFromEarlierHistory(value, history))
+        std::erase_if(*records, [](const auto& entry) { return !entry.second.hasBegun; });
+    return records;
+}
+
 }
--- a/src/StreamRecordTable.h
+++ b/src/StreamRecordTable.h
@@ -37,12 +37,17 @@
     std::uint64_t storedChange = 0;
     /// Revision of the stored object, 0 if there is none.
     std::int64_t revision = 0;
+    /// Greatest known history of the store.
+    std::int64_t history = 0;
 };
 
 /// Adds a record, or corrects the version of a known one.
 /// @return the number of the change that has to be stored; that of the earlier one if nothing has changed.
 auto addRecord(StreamRecordTable& table, const std::string& request, StreamRecord record, TimePoint expiresAt) -> std::uint64_t;
 
+/// Records that the caller has an event of the stream.
+auto markBegun(StreamRecordTable& table, const std::string& request) -> void;
+
 /// @return the record of a request, or null.
 auto findRecord(const StreamRecordTable& table, const std::string& request) -> const StreamRecord*;
 
@@ -81,4 +86,14 @@
 /// @return the records by id of the request, or nothing if the value is not a list of records.
 auto streamRecordsFromJson(const boost::json::value& value) -> std::optional<std::map<std::string, StreamRecord>>;
 
+/// @param value an object in the store.
+/// @param history history of the store that contains it.
+/// @return whether the object is from an earlier history, so that records of streams that had not begun may have been
+/// corrected since. False for objects of earlier versions, which name no history.
+auto isFromEarlierHistory(const boost::json::value& value, std::int64_t history) -> bool;
+
+/// @return the records of an object without those that may have been corrected since, or nothing if the value is not a
+/// list of records.
+auto reliableStreamRecords(const boost::json::value& value, std::int64_t history) -> std::optional<std::map<std::string, StreamRecord>>;
+
 }
--- a/src/StreamVersionList.cpp
+++ b/src/StreamVersionList.cpp
@@ -1,5 +1,6 @@
 #include "StreamVersionList.h"
 
+#include "StoreRevision.h"
 #include "StreamRecordTable.h"
 
 #include <string_view>
@@ -12,11 +13,13 @@
 constexpr std::string_view instancePrefix = "instance-";
 constexpr std::string_view servicePrefix = "service-";
 
-auto addRecords(StreamVersionList& versions, const std::map<std::string, StreamRecord>& records) -> void
+/// @param isEarlier whether the records are from an earlier history of the store.
+auto addRecords(StreamVersionList& versions, const std::map<std::string, StreamRecord>& records, bool isEarlier) -> void
 {
     for (const auto& [request, record] : records) {
         const auto [known, isNew] = versions.records.try_emplace(request, record);
-        if (!isNew && (known->second.service != record.service || known->second.version != record.version))
+        const auto differs = !isNew && (known->second.service != record.service || known->second.version != record.version);
+        if (differs || (isEarlier && !record.hasBegun))
             versions.contradictory.insert(request);
     }
 }
@@ -46,7 +49,7 @@
         }
         auto records = item.name.starts_with(instancePrefix) ? streamRecordsFromJson(item.value) : std::nullopt;
         if (records)
-            addRecords(versions, *records);
+            addRecords(versions, *records, isFromEarlierHistory(item.value, historyOf(list.revision)));
         else
             ++versions.unreadable;
     }
--- a/src/StreamVersionList.h
+++ b/src/StreamVersionList.h
@@ -19,7 +19,8 @@
     std::map<std::string, StreamVersionState> states;
     /// By id of the caller's request.
     std::map<std::string, StreamRecord> records;
-    /// Requests with records of different versions, which are not used.
+    /// Requests with records of different versions, or with one of an earlier history of the store that may have been
+    /// corrected since. They are not used.
     std::set<std::string> contradictory;
     /// Number of objects that can't be read, so that records may be missing.
     std::size_t unreadable = 0;
--- a/src/StreamVersions.cpp
+++ b/src/StreamVersions.cpp
@@ -153,6 +153,7 @@
         return;
     const auto isRestored = m_history > 0;
     m_history = history;
+    m_table.history = history;
     for (auto& [service, view] : m_views)
         updateHistory(view, monotonicNow(), history);
     if (!isRestored)
@@ -262,6 +263,12 @@
     }
 }
 
+auto StreamVersions::handleFirstEvent(const std::string& request) -> void
+{
+    const std::lock_guard guard(m_lock);
+    markBegun(m_table, request);
+}
+
 auto StreamVersions::knownLocked(const std::string& service, const std::string& resumed) const -> std::optional<StreamVersionAnswer>
 {
     if (const auto known = m_known.find(resumed); known != m_known.end() && known->second.service == service) {
--- a/src/StreamVersions.h
+++ b/src/StreamVersions.h
@@ -74,6 +74,9 @@
     /// @return whether it may be sent; false if the wait was cancelled.
     auto waitForRecord(std::string service, std::string request, std::string version) -> boost::asio::awaitable<bool>;
 
+    /// Records that the caller has the first event of a new stream. Thread-safe.
+    auto handleFirstEvent(const std::string& request) -> void;
+
     /// Finds the version of a stream that a caller takes up. May run on any executor.
     /// @param resumed id of the request that brought the first event; empty if the caller does not name it.
     /// @return nothing if the service has no versions, so that the stream may go on anywhere.
--- a/src/StreamVersionsStore.cpp
+++ b/src/StreamVersionsStore.cpp
@@ -125,7 +125,7 @@
     applyListLocked(*list, reported);
     if (!m_isReady) {
         const auto own = std::ranges::find(items->items, streamRecordsName(m_instance), &StoredItem::name);
-        const auto records = own == items->items.end() ? std::nullopt : streamRecordsFromJson(own->value);
+        const auto records = own == items->items.end() ? std::nullopt : reliableStreamRecords(own->value, m_history);
         if (records) {
             for (const auto& [request, record] : *records)
                 mergeStored(m_table, { { request, record } }, own->revision, monotonicNow() + viewOfLocked(record.service).times.streamLifetime);
@@ -273,7 +273,8 @@
     if (current.has_error())
         co_return current.error();
     const std::lock_guard guard(m_lock);
-    const auto records = streamRecordsFromJson(current->value).value_or(std::map<std::string, StreamRecord>());
+    updateHistoryLocked(makeRevision(current->history, 0));
+    const auto records = reliableStreamRecords(current->value, m_history).value_or(std::map<std::string, StreamRecord>());
     for (const auto& [request, record] : records)
         mergeStored(m_table, { { request, record } }, current->revision, monotonicNow() + viewOfLocked(record.service).times.streamLifetime);
     m_table.revision = current->revision;
--- a/test/StreamVersionModel.cpp
+++ b/test/StreamVersionModel.cpp
@@ -1,5 +1,8 @@
 #include "StreamVersionModel.h"
 
+#include "StoreRevision.h"
+#include "StreamVersionList.h"
+
 #include <algorithm>
 
 namespace jayhold {
@@ -21,6 +24,9 @@
 constexpr int otherWriteChance = 15;
 constexpr int lostAnswerChance = 10;
 constexpr int otherServerChance = 15;
+constexpr int moveChance = 20;
+/// A first event arrives after up to so many ticks.
+constexpr int prefillTicks = 6;
 
 }
 
@@ -56,8 +62,12 @@
     StreamVersionList list { .revision = m_store.revision };
     if (m_store.state.epoch > 0)
         list.states["llm"] = m_store.state;
-    for (const auto& [instance, records] : m_store.records)
-        list.records.insert(records.begin(), records.end());
+    ItemList items { .revision = makeRevision(m_history, m_store.revision) };
+    for (const auto& [instance, value] : m_store.records)
+        items.items.push_back({ streamRecordsName(instance), items.revision, value });
+    auto records = readStreamVersions(items);
+    list.records = std::move(records.records);
+    list.contradictory = std::move(records.contradictory);
     return list;
 }
 
@@ -67,7 +77,9 @@
         return;
     updateHistory(instance.view, m_now, m_history);
     readState(instance);
-    mergeStored(instance.table, m_store.records[instance.name], 1, m_now + instance.view.times.streamLifetime);
+    instance.table.history = m_history;
+    if (const auto stored = m_store.records.find(instance.name); stored != m_store.records.end())
+        mergeStored(instance.table, *reliableStreamRecords(stored->second, m_history), 1, m_now + instance.view.times.streamLifetime);
     instance.view.availableSince = m_now;
     readServers(instance);
     instance.isLoaded = true;
@@ -87,10 +99,7 @@
     updateAvailability(instance.view, m_now, reaches(instance));
     if (!reaches(instance))
         return;
-    if (m_history > instance.view.history) {
-        updateHistory(instance.view, m_now, m_history);
-        loseStored(instance.table);
-    }
+    learnHistory(instance);
     readServers(instance);
     if (m_random(percent) < stateChance)
         readState(instance);
@@ -100,6 +109,15 @@
         writeRecords(instance);
 }
 
+auto StreamVersionModel::learnHistory(Instance& instance) -> void
+{
+    if (m_history <= instance.view.history)
+        return;
+    updateHistory(instance.view, m_now, m_history);
+    instance.table.history = m_history;
+    loseStored(instance.table);
+}
+
 auto StreamVersionModel::readServers(Instance& instance) -> void
 {
     instance.servers = m_store.servers;
@@ -133,7 +151,7 @@
 auto StreamVersionModel::writeRecords(Instance& instance) -> void
 {
     const auto change = beginWrite(instance.table);
-    m_store.records[instance.name] = *streamRecordsFromJson(streamRecordsToJson(instance.table));
+    m_store.records[instance.name] = streamRecordsToJson(instance.table);
     ++m_writes;
     if (m_random(percent) >= lostAnswerChance)
         confirmWrite(instance.table, change, 1);
@@ -145,6 +163,10 @@
     registerServers();
     for (std::size_t index = 0; index < m_instances.size(); ++index)
         work(m_instances[index], index == 0);
+    for (auto& waiting : m_waiting) {
+        if (m_random(percent) < moveChance)
+            move(waiting);
+    }
     sendFirstEvents();
     std::erase_if(m_streams, [&](const Stream& stream) { return stream.endsAt <= m_now; });
 }
@@ -159,29 +181,46 @@
 {
     const auto index = static_cast<std::size_t>(m_random(static_cast<int>(m_instances.size())));
     auto& instance = m_instances[index];
+    const auto version = anyVersion(instance);
+    if (!instance.isLoaded || !version)
+        return;
+    Waiting waiting { .request = "request-" + std::to_string(++m_requests), .instance = index, .version = *version, .arrivesAt = m_now + tickTime * m_random(prefillTicks), .endsAt = m_now + callerTime };
+    announce(waiting);
+    if (m_random(percent) < otherServerChance)
+        move(waiting);
+    m_waiting.push_back(std::move(waiting));
+    sendFirstEvents();
+}
+
+auto StreamVersionModel::anyVersion(const Instance& instance) -> std::optional<std::string>
+{
     // A server that has been replaced is not reached with its old entry.
     std::vector<std::string> usable;
     for (const auto& [server, entry] : instance.servers) {
         if (m_servers[server].entry == entry)
             usable.push_back(entry.version);
     }
-    if (!instance.isLoaded || usable.empty())
+    if (usable.empty())
+        return std::nullopt;
+    return usable[static_cast<std::size_t>(m_random(static_cast<int>(usable.size())))];
+}
+
+auto StreamVersionModel::announce(Waiting& waiting) -> void
+{
+    auto& instance = m_instances[waiting.instance];
+    waiting.change = 0;
+    if (recordNeed(instance.view, instance.table, m_now, waiting.request, waiting.version) != RecordNeed::None)
+        waiting.change = addRecord(instance.table, waiting.request, { "llm", waiting.version }, m_now + instance.view.times.streamLifetime);
+}
+
+auto StreamVersionModel::move(Waiting& waiting) -> void
+{
+    const auto version = anyVersion(m_instances[waiting.instance]);
+    if (!version)
         return;
-    const auto anyVersion = [&] { return usable[static_cast<std::size_t>(m_random(static_cast<int>(usable.size())))]; };
-    const auto request = "request-" + std::to_string(++m_requests);
-    auto version = anyVersion();
-    const auto record = [&]() -> std::uint64_t {
-        if (recordNeed(instance.view, instance.table, m_now, request, version) == RecordNeed::None)
-            return 0;
-        return addRecord(instance.table, request, { "llm", version }, m_now + instance.view.times.streamLifetime);
-    };
-    auto change = record();
-    if (m_random(percent) < otherServerChance) {
-        version = anyVersion();
-        change = record();
-    }
-    m_waiting.push_back({ request, index, version, change, m_now + callerTime });
-    sendFirstEvents();
+    waiting.version = *version;
+    waiting.hasWaited = false;
+    announce(waiting);
 }
 
 auto StreamVersionModel::sendFirstEvents() -> void
@@ -189,6 +228,8 @@
     std::erase_if(m_waiting, [&](Waiting& waiting) {
         if (m_now >= waiting.endsAt)
             return true;
+        if (m_now < waiting.arrivesAt)
+            return false;
         auto& instance = m_instances[waiting.instance];
         const auto need = recordNeed(instance.view, instance.table, m_now, waiting.request, waiting.version);
         const auto isWritten = waiting.change > 0 && isStored(instance.table, waiting.change);
@@ -201,6 +242,7 @@
             return false;
         m_streams.push_back({ waiting.request, waiting.version, waiting.endsAt });
         instance.memory[waiting.request] = waiting.version;
+        markBegun(instance.table, waiting.request);
         return true;
     });
 }
@@ -242,10 +284,7 @@
     if (const auto known = instance.memory.find(stream.request); known != instance.memory.end()) {
         version = known->second;
     } else if (reaches(instance)) {
-        if (m_history > instance.view.history) {
-            updateHistory(instance.view, m_now, m_history);
-            loseStored(instance.table);
-        }
+        learnHistory(instance);
         readState(instance);
         version = findStreamVersion(instance.view, list(), "llm", stream.request).version;
     } else {
--- a/test/StreamVersionModel.h
+++ b/test/StreamVersionModel.h
@@ -71,7 +71,8 @@
         StreamVersionState state;
         /// Rises with each state, also over restores.
         std::int64_t stateRevision = 0;
-        std::map<std::string, std::map<std::string, StreamRecord>> records;
+        /// The objects with the records, by name of the instance.
+        std::map<std::string, boost::json::value> records;
         /// Entries of the registered servers, by index.
         std::map<std::size_t, Entry> servers;
     };
@@ -95,7 +96,9 @@
         std::string request;
         std::size_t instance;
         std::string version;
-        std::uint64_t change;
+        std::uint64_t change = 0;
+        /// When the server sends the first event.
+        TimePoint arrivesAt;
         TimePoint endsAt;
         bool hasWaited = false;
     };
@@ -111,7 +114,15 @@
     auto writeState(Instance& instance) -> void;
     auto writeRecords(Instance& instance) -> void;
     auto sendFirstEvents() -> void;
+    /// @return the version of a server that the instance may use, or nothing.
+    auto anyVersion(const Instance& instance) -> std::optional<std::string>;
+    /// Records the stream, if it needs that.
+    auto announce(Waiting& waiting) -> void;
+    /// Places the stream at another server.
+    auto move(Waiting& waiting) -> void;
     auto readState(Instance& instance) -> void;
+    /// Lets the instance know of restores of the store.
+    auto learnHistory(Instance& instance) -> void;
     auto readServers(Instance& instance) -> void;
     auto list() const -> StreamVersionList;
     /// Receives the reports of the peers.
--- a/test/correctness/StreamVersionsTest.cpp
+++ b/test/correctness/StreamVersionsTest.cpp
@@ -279,6 +279,37 @@
     }));
 }
 
+// Guards against a record of an older copy of the store that was corrected after the copy, if the instance that corrected it
+// has ended before it could do so again.
+TEST_CASE("a record that may have been corrected after the copy of a restored store is not used")
+{
+    RestorableStore store;
+    {
+        Process first(store, "entry-1", { "v1", "v2" });
+        REQUIRE(waitForEpoch(store, 1));
+        first.begin("begun", "v1");
+        first.versions->handleFirstEvent("begun");
+        first.versions->announce("llm", "moved", "v1");
+        REQUIRE(waitUntil([&] {
+            const auto records = streamRecordsFromJson(store.read(kind, streamRecordsName("entry-1")).value);
+            return records && records->contains("moved");
+        }));
+        store.saveCopy();
+        first.begin("moved", "v2");
+    }
+    store.restore();
+    Process second(store, "entry-2", { "v1", "v2" });
+    REQUIRE(waitUntil([&] { return second.versions->isReady(); }));
+    CHECK(second.find("begun").version == "v1");
+    CHECK_FALSE(second.find("moved").version);
+    // The next process of the instance does not confirm what may be outdated.
+    Process next(store, "entry-1", { "v1", "v2" });
+    REQUIRE(waitUntil([&] { return next.versions->isReady(); }));
+    next.begin("other", "v2");
+    CHECK(second.find("other").version == "v2");
+    CHECK_FALSE(second.find("moved").version);
+}
+
 // Guards against a new process that overwrites the records of the one before.
 TEST_CASE("a new process of an instance keeps the records of the one before")
 {
