Compare all parts of the prompts at crashes

Cause: sharedParts() cut each prompt to its first 32 parts so that a report fits in a message, and so nothing behind them was compared at all. Ruled out: a part that is compared and not blamed; prompt_at_crash lists the compared parts and ends with the 32nd.

All shared parts are compared now. Long prompts are kept and reported in pieces of 32 parts with their position, without pieces whose parts were all answered within 30 s, so that a report stays as short as before and instances of an earlier version accept it. Other bounds on the path that dropped evidence in silence: the prompts kept of one crash (a suspicious one now replaces a harmless one), the harmless parts remembered (at least 64 answers of any length), and reports of more than 32 harmless parts, which receivers refused. The bounds that remain are on memory; crash_evidence_dropped shows when they are reached.

--- a/src/DecisionAction.h
+++ b/src/DecisionAction.h
@@ -4,6 +4,7 @@
 
 #include "CancelOnReplica.h"
 #include "CheckProcess.h"
+#include "CrashEvidenceDropped.h"
 #include "Refuse.h"
 #include "ReleaseReplacement.h"
 #include "ReplicaReturned.h"
@@ -35,6 +36,7 @@
     CheckProcess,
     ReportCrashedPrompt,
     ReportHarmlessParts,
+    CrashEvidenceDropped,
     ReplicaReturned,
     UpdateBlockedPart,
     WakeAt>;
--- a/src/LoadExchange.cpp
+++ b/src/LoadExchange.cpp
@@ -36,7 +36,7 @@
 constexpr Duration crashReportDelay = std::chrono::milliseconds(2);
 /// Limits the size of a message.
 constexpr std::size_t maxCrashReportsPerMessage = 64;
-/// With maxComparedParts in each report, these take half of a datagram.
+/// With maxReportedParts in each report, these take half of a datagram.
 constexpr std::size_t maxPromptReportsPerMessage = 32;
 constexpr std::size_t maxDatagramBytes = 65'536;
 /// Every instance of a zone gets its own copy, and the smallest machines have links of 10 Mbit/s.
--- a/src/ModelArrival.cpp
+++ b/src/ModelArrival.cpp
@@ -2,18 +2,29 @@
 
 #include "CrashedPrompt.h"
 
-#include <algorithm>
+#include <span>
+#include <unordered_set>
 
 namespace jayhold {
 
 namespace {
 
-/// @return the parts of the prompt that other requests may share. The last part belongs to the request.
+/// @return the parts of the prompt that other requests may share, each once. The last part belongs to the request. Their
+/// number is bounded by the different ids that the head of a request can contain.
 auto sharedParts(const ModelRequestInfo& info) -> std::vector<std::uint64_t>
 {
     const auto& parts = info.forwarded ? info.forwarded->promptParts : info.digest.prefixBlocks;
-    const auto shared = info.forwarded && !parts.empty() ? parts.size() - 1 : parts.size();
-    return { parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(std::min(shared, maxComparedParts)) };
+    const auto shared = std::span(parts).first(info.forwarded && !parts.empty() ? parts.size() - 1 : parts.size());
+    if (shared.size() <= maxReportedParts)
+        return { shared.begin(), shared.end() };
+    std::vector<std::uint64_t> distinct;
+    std::unordered_set<std::uint64_t> known;
+    for (const auto part : shared) {
+        if (known.insert(part).second)
+            distinct.push_back(part);
+    }
+    distinct.shrink_to_fit();
+    return distinct;
 }
 
 }
--- a/src/ModelService.cpp
+++ b/src/ModelService.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <span>
 
 namespace jayhold {
 
@@ -278,7 +279,13 @@
     } else if (const auto* crashed = std::get_if<ReportCrashedPrompt>(&action)) {
         outbox.promptReports.push_back({ m_name, m_context.settings.instance, m_reportIds(), false, crashed->prompt });
     } else if (const auto* harmless = std::get_if<ReportHarmlessParts>(&action)) {
-        outbox.promptReports.push_back({ m_name, m_context.settings.instance, m_reportIds(), true, { .parts = harmless->parts } });
+        for (std::span<const std::uint64_t> parts = harmless->parts; !parts.empty();) {
+            const auto reported = parts.first(std::min(maxReportedParts, parts.size()));
+            parts = parts.subspan(reported.size());
+            outbox.promptReports.push_back({ m_name, m_context.settings.instance, m_reportIds(), true, { .parts = { reported.begin(), reported.end() } } });
+        }
+    } else if (const auto* dropped = std::get_if<CrashEvidenceDropped>(&action)) {
+        m_context.log.record(LogLevel::Warning, "crash_evidence_dropped", { { "service", m_name }, { "process", dropped->process }, { "parts", dropped->parts } });
     } else if (const auto* update = std::get_if<UpdateBlockedPart>(&action)) {
         outbox.blockedParts.push_back(*update);
     } else if (const auto* returned = std::get_if<ReplicaReturned>(&action)) {
@@ -364,7 +371,7 @@
 auto ModelService::sendPromptReports(const Outbox& outbox) -> void
 {
     for (const auto& report : outbox.promptReports) {
-        m_context.log.record(LogLevel::Info, report.isHarmless ? "prompt_parts_harmless" : "prompt_at_crash", { { "service", m_name }, { "process", report.prompt.process }, { "signature", report.prompt.signature }, { "prompt_parts", toHexadecimal(report.prompt.parts) } });
+        m_context.log.record(LogLevel::Info, report.isHarmless ? "prompt_parts_harmless" : "prompt_at_crash", { { "service", m_name }, { "process", report.prompt.process }, { "signature", report.prompt.signature }, { "first_position", report.prompt.firstPosition }, { "prompt_parts", toHexadecimal(report.prompt.parts) } });
         m_context.reportPrompt(report);
     }
     for (const auto& update : outbox.blockedParts) {
--- a/src/PromptPartBlocking.cpp
+++ b/src/PromptPartBlocking.cpp
@@ -1,5 +1,6 @@
 #include "PromptPartBlocking.h"
 
+#include "CrashEvidence.h"
 #include "RequestLifecycle.h"
 #include "UndecidedCrashes.h"
 
@@ -33,6 +34,20 @@
     return hasBlockedPart(state, request.arrival.promptParts) || hasBlockedPart(state, std::span(&request.arrival.signature, 1));
 }
 
+/// Compares the prompts with those of other crashes.
+/// @param prompts pieces of the prompt of one request.
+auto comparePrompts(DecisionContext& context, std::span<const CrashedPrompt> prompts) -> void
+{
+    auto& state = context.state.partCrashes;
+    const auto droppedBefore = state.droppedParts;
+    for (const auto& prompt : prompts) {
+        if (!addUndecidedPrompt(context, prompt))
+            addCrashedPrompt(state, context.now, prompt);
+    }
+    if (state.droppedParts > droppedBefore)
+        context.actions.emplace_back(CrashEvidenceDropped { prompts.front().process, state.droppedParts - droppedBefore });
+}
+
 auto reportUnblocked(DecisionContext& context, std::span<const std::uint64_t> parts) -> void
 {
     for (const auto part : parts)
@@ -56,10 +71,10 @@
 {
     if (request.arrival.promptParts.empty() || hasProgressed(request))
         return;
-    CrashedPrompt prompt { replica.description.process, request.arrival.signature, request.arrival.promptParts };
-    if (!addUndecidedPrompt(context, prompt))
-        addCrashedPrompt(context.state.partCrashes, context.now, prompt);
-    context.actions.emplace_back(ReportCrashedPrompt { std::move(prompt) });
+    auto prompts = divideCrashedPrompt(context.state.partCrashes, context.now, replica.description.process, request.arrival.signature, request.arrival.promptParts);
+    comparePrompts(context, prompts);
+    for (auto& prompt : prompts)
+        context.actions.emplace_back(ReportCrashedPrompt { std::move(prompt) });
 }
 
 auto recordPromptProgress(DecisionContext& context, ActiveRequest& request, bool isFinished) -> void
@@ -114,10 +129,8 @@
 
 auto handle(DecisionContext& context, const CrashedPromptReported& event) -> void
 {
-    auto& state = context.state.partCrashes;
-    if (!addUndecidedPrompt(context, event.prompt))
-        addCrashedPrompt(state, context.now, event.prompt);
-    auto harmless = ownHarmlessParts(state, context.now, event.prompt.parts);
+    comparePrompts(context, std::span(&event.prompt, 1));
+    auto harmless = ownHarmlessParts(context.state.partCrashes, context.now, event.prompt.parts);
     if (!harmless.empty())
         context.actions.emplace_back(ReportHarmlessParts { std::move(harmless) });
 }
--- a/src/PromptPartCrashes.cpp
+++ b/src/PromptPartCrashes.cpp
@@ -1,5 +1,6 @@
 #include "PromptPartCrashes.h"
 
+#include "CrashEvidence.h"
 #include "CrashHistory.h"
 
 #include <algorithm>
@@ -15,10 +16,12 @@
 /// Crashes that are compared. Requests with the part may be rare, so crashes count for minutes.
 constexpr Duration crashTtl = std::chrono::minutes(10);
 constexpr std::size_t maxCrashes = 64;
-constexpr std::size_t maxPromptsPerCrash = 32;
+/// A table of harmless parts is full when it has so many parts, but not before it has this many answers, because a long
+/// prompt alone has thousands of parts. The last bound holds in any case.
 constexpr std::size_t maxHarmlessParts = 2'048;
+constexpr std::size_t minHarmlessAnswers = 64;
+constexpr std::size_t maxHarmlessPartsOfLongPrompts = 32'768;
 constexpr std::size_t maxBlockedParts = 256;
-constexpr std::size_t minCrashes = 2;
 
 /// A part that is not in the shared list, because there is none or it can't be written, is blocked for this
 /// time.
@@ -94,12 +97,13 @@
 
 using EvidenceTable = std::unordered_map<std::uint64_t, PartEvidence>;
 
-auto addEvidence(EvidenceTable& table, const PromptPartCrashes& state, const PromptPartCrashes::Crash& crash) -> void
+/// @param compared the parts that are compared, in ascending order.
+auto addEvidence(EvidenceTable& table, const PromptPartCrashes& state, const PromptPartCrashes::Crash& crash, std::span<const std::uint64_t> compared) -> void
 {
     for (const auto& prompt : crash.prompts) {
         for (std::size_t index = 0; index < prompt.parts.size(); ++index) {
             const auto part = prompt.parts[index];
-            if (lastAnswer(state, part) >= crash.time)
+            if (!std::ranges::binary_search(compared, part) || lastAnswer(state, part) >= crash.time)
                 continue;
             auto& evidence = table[part];
             evidence.unansweredCrashes.push_back(crash.time);
@@ -110,7 +114,7 @@
                 continue;
             evidence.crashes.insert(&crash);
             evidence.requests.insert(prompt.signature);
-            evidence.depth = std::max(evidence.depth, index);
+            evidence.depth = std::max(evidence.depth, prompt.firstPosition + index);
         }
     }
 }
@@ -156,11 +160,15 @@
 /// than the parts after it. Of equally deep parts, one that has never been answered.
 auto mostLikelyCause(const PromptPartCrashes& state, TimePoint now) -> std::optional<PossibleCause>
 {
-    EvidenceTable table;
+    std::vector<const PromptPartCrashes::Crash*> crashes;
     for (const auto& crash : state.crashes) {
         if (!isExplained(state, crash) && now - crash.knownAt >= crashReportWait)
-            addEvidence(table, state, crash);
+            crashes.push_back(&crash);
     }
+    EvidenceTable table;
+    const auto compared = recurringParts(state, crashes);
+    for (const auto* crash : crashes)
+        addEvidence(table, state, *crash, compared);
     const auto rank = [&](std::uint64_t part, const PartEvidence& evidence) {
         // The last criterion makes all instances choose the same part.
         return std::tuple(evidence.depth, !lastAnswer(state, part), evidence.crashes.size(), part);
@@ -213,14 +221,6 @@
 
 }
 
-auto addPrompts(PromptPartCrashes::Crash& crash, std::span<const CrashedPrompt> prompts) -> void
-{
-    for (const auto& prompt : prompts) {
-        if (crash.prompts.size() < maxPromptsPerCrash && std::ranges::find(crash.prompts, prompt) == crash.prompts.end())
-            crash.prompts.push_back(prompt);
-    }
-}
-
 auto addCrashedPrompt(PromptPartCrashes& state, TimePoint now, const CrashedPrompt& prompt, Duration age) -> void
 {
     auto crash = std::ranges::find_if(state.crashes, [&](const auto& known) { return known.process == prompt.process && now - known.knownAt < state.rules.reportWindow; });
@@ -229,9 +229,10 @@
             state.crashes.pop_front();
         crash = state.crashes.insert(state.crashes.end(), { .process = prompt.process, .time = now - age, .knownAt = now, .prompts = {} });
     }
-    addPrompts(*crash, std::span(&prompt, 1));
+    addPrompts(state, *crash, std::span(&prompt, 1));
     state.decideAt = std::min(state.decideAt, crash->knownAt + crashReportWait);
     noteLaterCrash(state, prompt.parts);
+    removeOldestBeyondBound(state);
 }
 
 auto reconsiderCrashes(PromptPartCrashes& state, TimePoint now) -> void
@@ -260,21 +261,26 @@
     // A process ends once. If it was lost again meanwhile, both losses are one crash.
     const auto known = std::ranges::find(state.crashes, crash.process, &PromptPartCrashes::Crash::process);
     if (known != state.crashes.end()) {
-        addPrompts(*known, crash.prompts);
-        return;
+        addPrompts(state, *known, crash.prompts);
+    } else {
+        if (state.crashes.size() == maxCrashes)
+            state.crashes.pop_front();
+        state.crashes.push_back(std::move(crash));
     }
-    if (state.crashes.size() == maxCrashes)
-        state.crashes.pop_front();
-    state.crashes.push_back(std::move(crash));
+    removeOldestBeyondBound(state);
 }
 
 auto recordHarmlessParts(PromptPartCrashes& state, TimePoint time, std::span<const std::uint64_t> parts, bool isOwn) -> std::vector<std::uint64_t>
 {
     recordAnswer(state.serving, time);
     std::vector<std::uint64_t> unblocked;
+    const auto size = state.harmlessParts.size();
+    if ((size >= maxHarmlessParts && state.harmlessAnswers >= minHarmlessAnswers) || size >= maxHarmlessPartsOfLongPrompts) {
+        state.olderHarmlessParts = std::exchange(state.harmlessParts, {});
+        state.harmlessAnswers = 0;
+    }
+    ++state.harmlessAnswers;
     for (const auto part : parts) {
-        if (state.harmlessParts.size() >= maxHarmlessParts)
-            state.olderHarmlessParts = std::exchange(state.harmlessParts, {});
         const auto* known = findHarmless(state, part);
         auto harmless = known ? *known : PromptPartCrashes::HarmlessPart {};
         auto& answeredAt = isOwn ? harmless.ownAt : harmless.reportedAt;
@@ -289,6 +295,11 @@
     return unblocked;
 }
 
+auto areHarmless(const PromptPartCrashes& state, TimePoint time, std::span<const std::uint64_t> parts) -> bool
+{
+    return std::ranges::all_of(parts, [&](std::uint64_t part) { return wasHarmlessAt(state, part, time); });
+}
+
 auto ownHarmlessParts(const PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts) -> std::vector<std::uint64_t>
 {
     std::vector<std::uint64_t> harmless;
--- a/src/PromptPartCrashes.h
+++ b/src/PromptPartCrashes.h
@@ -69,6 +69,8 @@
         /// When the crash became known here.
         TimePoint knownAt {};
         std::vector<CrashedPrompt> prompts;
+        /// Number of parts in all prompts.
+        std::size_t partCount = 0;
     };
     struct HarmlessPart {
         /// When a request of this instance showed last that the part is harmless.
@@ -104,17 +106,22 @@
     /// table is full, it replaces the second one.
     HarmlessParts harmlessParts;
     HarmlessParts olderHarmlessParts;
+    /// Answers that the first table contains.
+    std::size_t harmlessAnswers = 0;
     ServingTime serving { .maxAnswerGap = rules.maxAnswerGap };
     std::unordered_map<std::uint64_t, BlockedPart> blocked;
+    /// Parts at crashes that are not compared, because the memory for them was used up.
+    std::uint64_t droppedParts = 0;
 };
 
+/// Crashes with a part that have to be known before it is blocked.
+inline constexpr std::size_t minCrashes = 2;
+
 /// Adds a request to the crash of its engine.
 /// @param age time from the crash until it became known.
 auto addCrashedPrompt(PromptPartCrashes& state, TimePoint now, const CrashedPrompt& prompt, Duration age = Duration::zero()) -> void;
 /// Lets blockCrashingParts() compare the crashes again, because a part that was at some of them is harmless.
 auto reconsiderCrashes(PromptPartCrashes& state, TimePoint now) -> void;
-/// Adds requests to a crash, up to a limit.
-auto addPrompts(PromptPartCrashes::Crash& crash, std::span<const CrashedPrompt> prompts) -> void;
 /// Removes the crash of an engine process that turned out not to have crashed.
 auto removePromptCrash(PromptPartCrashes& state, std::uint64_t process) -> void;
 /// Removes the crash of an engine process that has possibly not crashed.
@@ -127,6 +134,8 @@
 /// @param isOwn whether it was a request of this instance.
 /// @return the parts that were blocked until now.
 auto recordHarmlessParts(PromptPartCrashes& state, TimePoint time, std::span<const std::uint64_t> parts, bool isOwn) -> std::vector<std::uint64_t>;
+/// @return whether all of the parts were known to be harmless at a time.
+auto areHarmless(const PromptPartCrashes& state, TimePoint time, std::span<const std::uint64_t> parts) -> bool;
 /// @return those of the parts that this instance has recently found to be harmless.
 auto ownHarmlessParts(const PromptPartCrashes& state, TimePoint now, std::span<const std::uint64_t> parts) -> std::vector<std::uint64_t>;
 /// @return when a request of this instance showed last that the part is harmless, if it is known and not long ago.
--- a/src/PromptReport.cpp
+++ b/src/PromptReport.cpp
@@ -17,7 +17,7 @@
 
 auto toJson(const PromptReport& report) -> json::value
 {
-    return json::object {
+    json::object object {
         { "service", report.service },
         { "instance", report.instance },
         { "id", report.id },
@@ -27,6 +27,9 @@
         { "age_ms", report.age.count() },
         { "parts", json::array(report.prompt.parts.begin(), report.prompt.parts.end()) },
     };
+    if (report.prompt.firstPosition > 0)
+        object["first_position"] = report.prompt.firstPosition;
+    return object;
 }
 
 auto promptReportFromJson(const json::value& value) -> std::optional<PromptReport>
@@ -38,12 +41,13 @@
         return std::nullopt;
     if (!readBoolean(*object, "harmless", report.isHarmless) || !readNumber(*object, "process", prompt.process) || !readNumber(*object, "signature", prompt.signature))
         return std::nullopt;
-    // Earlier versions name no age.
+    // Earlier versions name no position and no age.
+    readNumber(*object, "first_position", prompt.firstPosition);
     std::int64_t ageMs = 0;
     if (readNumber(*object, "age_ms", ageMs))
         report.age = std::clamp(std::chrono::milliseconds(ageMs), std::chrono::milliseconds(0), maxReportAge);
     const auto* parts = arrayField(*object, "parts");
-    if (!parts || parts->size() > maxComparedParts)
+    if (!parts || parts->size() > maxReportedParts)
         return std::nullopt;
     for (const auto& element : *parts) {
         boost::system::error_code code;
--- a/src/UndecidedCrashes.cpp
+++ b/src/UndecidedCrashes.cpp
@@ -1,5 +1,6 @@
 #include "UndecidedCrashes.h"
 
+#include "CrashEvidence.h"
 #include "ReplicaHealth.h"
 #include "ServerReplacement.h"
 
@@ -58,7 +59,7 @@
         if (!crash->prompts)
             crash->prompts = std::move(prompts);
         else
-            addPrompts(*crash->prompts, prompts->prompts);
+            addPrompts(state.partCrashes, *crash->prompts, prompts->prompts);
     }
 }
 
@@ -70,7 +71,7 @@
         return false;
     if (!crash->prompts)
         crash->prompts = { .process = prompt.process, .time = context.now, .knownAt = context.now, .prompts = {} };
-    addPrompts(*crash->prompts, std::span(&prompt, 1));
+    addPrompts(context.state.partCrashes, *crash->prompts, std::span(&prompt, 1));
     return true;
 }
 
--- a/test/correctness/BlockedPartsRouterTest.cpp
+++ b/test/correctness/BlockedPartsRouterTest.cpp
@@ -54,3 +54,29 @@
     CHECK(callWith("a1:30,b2:20") == 503);
     CHECK(fixture.decode1.runs() + fixture.decode2.runs() == runs);
 }
+
+// Guards against a crashing part deep in a long prompt that is not compared, so that requests with it crash one engine after
+// the other, and against harmless requests that are refused for the parts around it.
+TEST_CASE("a crashing part deep in a long prompt is refused, and harmless requests with its other parts are not")
+{
+    RouterFixture fixture;
+    fixture.startAndWait();
+    const auto callWith = [&](const std::string& deepPart) {
+        std::string parts;
+        for (int part = 0; part < 60; ++part)
+            parts += (part == 50 ? deepPart : "5c1e0" + std::to_string(part)) + ":1,";
+        const auto body = "prompt " + std::to_string(fixture.requests);
+        return fixture.call("POST", "/once/x", body, { { "Model", "m" }, { "Token-Counts", "100,200" }, { "Prompt-Prefix", parts + "ff" + std::to_string(fixture.requests) + ":40" } })->status;
+    };
+    REQUIRE(fixture.waitUntil([&] { return callWith("a1") == 200; }));
+    fixture.decode1.setBehaviour(Behaviour::DropConnection);
+    fixture.decode2.setBehaviour(Behaviour::DropConnection);
+    // Connections that break on one engine within two seconds count as one crash.
+    CHECK(fixture.waitUntil([&] { return callWith("b2") == 503; }));
+    const auto crashes = fixture.decode1.runs() + fixture.decode2.runs();
+    CHECK(callWith("b2") == 503);
+    CHECK(fixture.decode1.runs() + fixture.decode2.runs() == crashes);
+    fixture.decode1.setBehaviour(Behaviour::Answer);
+    fixture.decode2.setBehaviour(Behaviour::Answer);
+    CHECK(fixture.waitUntil([&] { return callWith("a1") == 200; }));
+}
--- a/test/correctness/MembershipTest.cpp
+++ b/test/correctness/MembershipTest.cpp
@@ -238,7 +238,7 @@
 TEST_CASE("a gossip message survives its conversion to JSON")
 {
     GossipMessage message;
-    message.promptReports = { { "service", "edge-1", 5, false, { 6, 7, { 8, 9 } } }, { "service", "edge-1", 6, true, { .parts = { 8 } } } };
+    message.promptReports = { { "service", "edge-1", 5, false, { 6, 7, { 8, 9 } } }, { "service", "edge-1", 6, true, { .parts = { 8 } } }, { "service", "edge-1", 8, false, { 6, 7, { 9 }, 64 } } };
     message.sender = { { .id = "alpine-1", .peerEndpoint = { "10.0.0.1", 7443 }, .availabilityZone = "alpine", .incarnation = 7, .configurationVersion = 3, .isDraining = true }, 9 };
     message.introductions.push_back({ { .id = "alpine-2", .peerEndpoint = { "10.0.0.2", 7443 }, .availabilityZone = "alpine", .incarnation = 8 }, 10 });
     message.heartbeats = { { 5, 6 }, { 99'999'999, 170'000 } };
--- a/test/correctness/PromptPartBlockingTest.cpp
+++ b/test/correctness/PromptPartBlockingTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <numeric>
+
 using namespace jayhold;
 using namespace jayhold::test;
 
@@ -103,6 +105,71 @@
     CHECK(harness.last<ReportHarmlessParts>()->parts == std::vector<std::uint64_t> { 7 });
 }
 
+// Guards against a crashing part deep in a long prompt that no instance compares, so that its requests crash one engine after
+// the other, and against sound requests that are refused because they share the parts around it.
+TEST_CASE("a crashing part is blocked wherever it is in a long prompt")
+{
+    constexpr std::size_t longPrompt = 1'000;
+    const auto position = GENERATE(as<std::size_t> {}, 5, 31, 32, 36, 700, longPrompt - 1);
+    CAPTURE(position);
+    PartHarness harness;
+    std::vector<std::uint64_t> sound(longPrompt);
+    std::iota(sound.begin(), sound.end(), 1'000);
+    auto crashing = sound;
+    crashing[position] = crashingPart;
+    const auto answered = harness.decodeOf(1, sound);
+    harness.started(answered);
+    harness.send(DecodeFinished { answered.request, answered.attempt, 3 });
+    harness.decodeOf(2, crashing);
+    const auto own = *harness.last<StartDecode>();
+    harness.send(DecodeFailed { own.request, own.attempt, FailureKind::ConnectionLost, 0 });
+    std::vector<CrashedPrompt> reported;
+    for (const auto& action : harness.actions) {
+        if (const auto* report = std::get_if<ReportCrashedPrompt>(&action))
+            reported.push_back(report->prompt);
+    }
+    // The parts that were answered are known to be harmless, so that a report is not longer than that of a short prompt.
+    REQUIRE(reported.size() == 1);
+    CHECK(reported[0].parts.size() <= maxReportedParts);
+    REQUIRE(position - reported[0].firstPosition < reported[0].parts.size());
+    CHECK(reported[0].parts[position - reported[0].firstPosition] == crashingPart);
+    // A peer reports the other crash.
+    auto other = reported[0];
+    other.process = 77;
+    other.signature = 9;
+    harness.send(CrashedPromptReported { other });
+    harness.advance(1s);
+    harness.send(Tick {});
+    REQUIRE(harness.lastEver<UpdateBlockedPart>());
+    CHECK(harness.lastEver<UpdateBlockedPart>()->part == crashingPart);
+    harness.arriveWith(3, crashing);
+    CHECK(harness.last<Refuse>());
+    harness.arriveWith(4, sound);
+    CHECK_FALSE(harness.last<Refuse>());
+}
+
+// Guards against reports of peers that don't fit in a message, and against evidence that is left out without a trace.
+TEST_CASE("a long prompt that was never answered is reported in pieces, within bounds")
+{
+    PartHarness harness;
+    std::vector<std::uint64_t> parts(20'000);
+    std::iota(parts.begin(), parts.end(), 1'000);
+    const auto decode = harness.decodeOf(1, parts);
+    harness.send(DecodeFailed { decode.request, decode.attempt, FailureKind::ConnectionLost, 0 });
+    std::size_t next = 0;
+    for (const auto& action : harness.actions) {
+        const auto* report = std::get_if<ReportCrashedPrompt>(&action);
+        if (!report)
+            continue;
+        CHECK(report->prompt.firstPosition == next);
+        CHECK(report->prompt.parts.size() <= maxReportedParts);
+        next += report->prompt.parts.size();
+    }
+    CHECK(next == parts.size());
+    REQUIRE(harness.last<CrashEvidenceDropped>());
+    CHECK(harness.last<CrashEvidenceDropped>()->parts == 20'000 - 16'384);
+}
+
 // Guards against a trial of a blocked part that takes other requests with it or is repeated.
 TEST_CASE("the trial of a blocked part runs one request in isolation")
 {
--- a/test/correctness/PromptPartCrashesTest.cpp
+++ b/test/correctness/PromptPartCrashesTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <numeric>
+
 using namespace jayhold;
 using namespace std::chrono_literals;
 
@@ -171,6 +173,61 @@
         CHECK(crash.prompts.size() <= 32);
 }
 
+// Guards against memory that grows with the length of prompts.
+TEST_CASE("the parts of long prompts are bounded")
+{
+    PromptPartCrashes state;
+    for (std::uint64_t number = 0; number < 2'000; ++number) {
+        Parts parts(1'000);
+        std::iota(parts.begin(), parts.end(), number * parts.size());
+        recordHarmlessParts(state, start, parts, true);
+        // Each crash has a hundred pieces of prompts.
+        for (std::uint32_t piece = 0; piece < parts.size(); piece += maxReportedParts)
+            addCrashedPrompt(state, start + 1min, { .process = number / 4, .signature = number, .parts = Parts(parts.begin() + piece, parts.begin() + std::min<std::ptrdiff_t>(piece + maxReportedParts, 1'000)), .firstPosition = piece });
+    }
+    CHECK(state.harmlessParts.size() + state.olderHarmlessParts.size() <= 70'000);
+    std::size_t parts = 0;
+    for (const auto& crash : state.crashes) {
+        for (const auto& prompt : crash.prompts)
+            parts += prompt.parts.size();
+    }
+    CHECK(parts <= 65'536);
+    CHECK(parts > 32'768);
+    CHECK(state.droppedParts == 2'000'000 - parts);
+}
+
+// Guards against sound parts of long prompts that are blocked, because the answers that show them to be harmless are forgotten
+// after a few other prompts.
+TEST_CASE("answers to long prompts are remembered as long as those to short ones")
+{
+    PromptPartCrashes state;
+    Parts sound(1'000);
+    std::iota(sound.begin(), sound.end(), 1);
+    recordHarmlessParts(state, start, sound, true);
+    for (std::uint64_t number = 1; number <= 30; ++number) {
+        Parts other(1'000);
+        std::iota(other.begin(), other.end(), number * 10'000);
+        recordHarmlessParts(state, start + 1s, other, true);
+    }
+    CHECK(areHarmless(state, start + 2s, sound));
+}
+
+// Guards against a cause that is not compared because the engine had more requests than are kept of one crash.
+TEST_CASE("a prompt with a suspicious part replaces one that is known to be harmless")
+{
+    PromptPartCrashes state;
+    recordHarmlessParts(state, start, Parts { 1 }, true);
+    for (std::uint64_t crashed = 1; crashed <= 2; ++crashed) {
+        const auto now = start + crashed * 1s;
+        for (std::uint64_t request = 0; request < 47; ++request)
+            addCrashedPrompt(state, now, { .process = crashed, .signature = crashed * 100 + request, .parts = { 1 } });
+        addCrashedPrompt(state, now, { .process = crashed, .signature = crashed, .parts = { 1, 7 } });
+        CHECK(state.crashes.back().prompts.size() == 32);
+    }
+    CHECK(blockCrashingParts(state, start + 2s + settled) == Parts { 7 });
+    CHECK(state.droppedParts > 0);
+}
+
 namespace {
 
 auto callState() -> PromptPartCrashes
