Record streams under names that any store object can hold

Cause: the caller's id was the key of the stream's record, and all records of an instance are one JSON object. An id that is no valid text made the object invalid, so that the store refused each write until the record expired; 64 ids of 16 KB exceed the size of an object in the same way. Ruled out: refusals for another reason; streams before the odd request are recorded.

streamRecordKey() names a record by the id if that is short printable ASCII, otherwise by a digest, for records and take-ups alike.

"ids of requests that are long or no valid text are recorded like others" failed before (invalid JSON; 1,126,448 of 1,048,576 bytes) and passes.

--- a/cmake/cluster.cmake
+++ b/cmake/cluster.cmake
@@ -2,7 +2,7 @@
   UNITS BackendDirectory BackendLimits BackendPauses BackOff BlockedParts BlockedPartsWriter CallRateLimiter CallLimitFormat ClusterCore ClusterDocuments ClusterGossip ClusterNode ConfigurationApply CrashSuspect
     DirectoryUpdate GossipMessage InstanceCount InstanceList Lease LeaseManager ListedVersions LoadExchange LoadMessage Membership MembershipOwners MembershipTargets OrderFence PeerLoads PlatformStore ProcessIdentity PromptReport
     RecordDriver RecordMessages RecordPartition RecordRules RecordService RecordTable Rendezvous JitteredDelay PeerInquiry PeerQuestion QuotaAsks QuotaBucket QuotaExchange QuotaGrants QuotaMessage QuotaOwner QuotaView StoreConnection StoreDirectory StoreDirectoryBlockedParts StoreDirectoryHistory StoreDirectoryUpdates
-    StreamRecordTable StreamTakeUp StreamVersionList StreamVersions StreamVersionsStore StreamVersionState StreamVersionView
+    StreamRecordKey StreamRecordTable StreamTakeUp StreamVersionList StreamVersions StreamVersionsStore StreamVersionState StreamVersionView
     VersionedCopy WatcherElection
   LINK jayhold_http jayhold_operator)
 
--- a/src/StreamRecordTable.h
+++ b/src/StreamRecordTable.h
@@ -29,7 +29,7 @@
         bool isConfirmed = false;
     };
 
-    /// By id of the caller's request.
+    /// By streamRecordKey() of the caller's request.
     std::map<std::string, Entry> entries;
     /// Number of the last change.
     std::uint64_t lastChange = 0;
--- a/src/StreamVersions.cpp
+++ b/src/StreamVersions.cpp
@@ -2,6 +2,7 @@
 
 #include "Pause.h"
 #include "StoreRevision.h"
+#include "StreamRecordKey.h"
 
 #include <boost/asio/cancellation_type.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -190,50 +191,52 @@
         updateBehind(view, monotonicNow(), m_reportedRevision > m_revision);
 }
 
-auto StreamVersions::rememberLocked(const std::string& service, const std::string& request, const StreamVersionAnswer& answer) -> void
+auto StreamVersions::rememberLocked(const std::string& service, const std::string& key, const StreamVersionAnswer& answer) -> void
 {
-    if (!request.empty())
-        m_known[request] = { service, answer, monotonicNow() + viewOfLocked(service).times.streamLifetime };
+    if (!key.empty())
+        m_known[key] = { service, answer, monotonicNow() + viewOfLocked(service).times.streamLifetime };
 }
 
-auto StreamVersions::addRecordLocked(const StreamVersionView& view, const std::string& service, const std::string& request, const std::string& version) -> std::uint64_t
+auto StreamVersions::addRecordLocked(const StreamVersionView& view, const std::string& service, const std::string& key, const std::string& version) -> std::uint64_t
 {
-    return addRecord(m_table, request, { service, version, unixMilliseconds() }, monotonicNow() + view.times.streamLifetime);
+    return addRecord(m_table, key, { service, version, unixMilliseconds() }, monotonicNow() + view.times.streamLifetime);
 }
 
 auto StreamVersions::announce(const std::string& service, const std::string& request, const std::string& version) -> void
 {
+    const auto key = streamRecordKey(request);
     auto mayBeStored = false;
     {
         const std::lock_guard guard(m_lock);
         const auto* view = viewOfVersionLocked(service, version);
-        if (!view || recordNeed(*view, m_table, monotonicNow(), request, version) == RecordNeed::None)
+        if (!view || recordNeed(*view, m_table, monotonicNow(), key, version) == RecordNeed::None)
             return;
-        addRecordLocked(*view, service, request, version);
-        mayBeStored = mayBeStoredOtherwise(m_table, request, version);
+        addRecordLocked(*view, service, key, version);
+        mayBeStored = mayBeStoredOtherwise(m_table, key, version);
     }
     if (mayBeStored)
         m_log.record(LogLevel::Info, "stream_record_corrected", { { "request", request }, { "service", service }, { "version", version } });
     wake();
 }
 
-auto StreamVersions::maySendLocked(const std::string& service, const std::string& request, const std::string& version, Duration waitedFor) -> bool
+auto StreamVersions::maySendLocked(const std::string& service, const std::string& key, const std::string& version, Duration waitedFor) -> bool
 {
     const auto* view = viewOfVersionLocked(service, version);
     if (!view)
         return true;
-    const auto need = recordNeed(*view, m_table, monotonicNow(), request, version);
-    const auto change = need == RecordNeed::None ? 0 : addRecordLocked(*view, service, request, version);
+    const auto need = recordNeed(*view, m_table, monotonicNow(), key, version);
+    const auto change = need == RecordNeed::None ? 0 : addRecordLocked(*view, service, key, version);
     const auto isAway = !m_isAvailable || m_hasWriteFailed;
     const auto maySend = need == RecordNeed::None || isStored(m_table, change) || (need == RecordNeed::Bounded && (isAway || waitedFor >= boundedWait));
     if (maySend)
-        rememberLocked(service, request, { version, StreamVersionSource::Memory, unixMilliseconds() });
+        rememberLocked(service, key, { version, StreamVersionSource::Memory, unixMilliseconds() });
     return maySend;
 }
 
 auto StreamVersions::waitForRecord(std::string service, std::string request, std::string version) -> asio::awaitable<bool>
 {
     const auto self = shared_from_this();
+    const auto key = streamRecordKey(request);
     const auto begin = monotonicNow();
     auto isLate = false;
     while (true) {
@@ -242,9 +245,9 @@
         auto isRecorded = false;
         {
             const std::lock_guard guard(m_lock);
-            maySend = maySendLocked(service, request, version, waitedFor);
-            const auto* record = findRecord(m_table, request);
-            isRecorded = !record || isStored(m_table, m_table.entries.at(request).change);
+            maySend = maySendLocked(service, key, version, waitedFor);
+            const auto* record = findRecord(m_table, key);
+            isRecorded = !record || isStored(m_table, m_table.entries.at(key).change);
         }
         if ((waitedFor >= boundedWait || (maySend && !isRecorded)) && !std::exchange(isLate, true)) {
             {
@@ -265,18 +268,19 @@
 
 auto StreamVersions::handleFirstEvent(const std::string& request) -> void
 {
+    const auto key = streamRecordKey(request);
     const std::lock_guard guard(m_lock);
-    markBegun(m_table, request);
+    markBegun(m_table, key);
 }
 
-auto StreamVersions::knownLocked(const std::string& service, const std::string& resumed) const -> std::optional<StreamVersionAnswer>
+auto StreamVersions::knownLocked(const std::string& service, const std::string& key) const -> std::optional<StreamVersionAnswer>
 {
-    if (const auto known = m_known.find(resumed); known != m_known.end() && known->second.service == service) {
+    if (const auto known = m_known.find(key); known != m_known.end() && known->second.service == service) {
         auto answer = known->second.answer;
         answer.source = StreamVersionSource::Memory;
         return answer;
     }
-    const auto* record = findRecord(m_table, resumed);
+    const auto* record = findRecord(m_table, key);
     if (record && record->service == service)
         return StreamVersionAnswer { record->version, StreamVersionSource::Memory, record->begunAtMs };
     return std::nullopt;
@@ -285,6 +289,7 @@
 auto StreamVersions::find(std::string service, std::string resumed) -> asio::awaitable<std::optional<StreamVersionAnswer>>
 {
     const auto self = shared_from_this();
+    const auto key = streamRecordKey(resumed);
     const auto begin = monotonicNow();
     std::optional<StreamVersionAnswer> answer;
     std::uint64_t wanted = 0;
@@ -294,7 +299,7 @@
         if (m_unversioned.contains(service))
             co_return std::nullopt;
         viewOfLocked(service);
-        answer = knownLocked(service, resumed);
+        answer = knownLocked(service, key);
         // A list that has already started may lack a record that was written since.
         wanted = m_listsStarted + 1;
         if (!answer)
@@ -309,7 +314,7 @@
             const auto& view = viewOfLocked(service);
             const auto isRead = m_listResult.number >= wanted;
             if (isRead && m_listResult.list) {
-                answer = findStreamVersion(view, *m_listResult.list, service, resumed);
+                answer = findStreamVersion(view, *m_listResult.list, service, key);
             } else if (isRead || waitedFor >= maxLookUpTime) {
                 answer = findWithoutStoreLocked(view, inquiry);
                 if (!answer->version && waitedFor < listRetryTime) {
@@ -319,7 +324,7 @@
                 }
             }
             if (answer && answer->version)
-                rememberLocked(service, resumed, *answer);
+                rememberLocked(service, key, *answer);
         }
         if (!answer) {
             wake();
--- a/src/StreamVersions.h
+++ b/src/StreamVersions.h
@@ -102,17 +102,17 @@
         std::shared_ptr<const StreamVersionList> list;
     };
 
-    // Members with the suffix Locked require the lock.
+    // Members with the suffix Locked require the lock. A key is the result of streamRecordKey().
     /// @return what is known of the service, or null if its servers have no versions.
     auto viewOfVersionLocked(const std::string& service, const std::string& version) -> StreamVersionView*;
     auto viewOfLocked(const std::string& service) -> StreamVersionView&;
     auto updateHistoryLocked(std::int64_t revision) -> void;
-    auto rememberLocked(const std::string& service, const std::string& request, const StreamVersionAnswer& answer) -> void;
-    auto addRecordLocked(const StreamVersionView& view, const std::string& service, const std::string& request, const std::string& version) -> std::uint64_t;
+    auto rememberLocked(const std::string& service, const std::string& key, const StreamVersionAnswer& answer) -> void;
+    auto addRecordLocked(const StreamVersionView& view, const std::string& service, const std::string& key, const std::string& version) -> std::uint64_t;
     /// @param waitedFor time since the event arrived.
     /// @return whether the first event may be sent.
-    auto maySendLocked(const std::string& service, const std::string& request, const std::string& version, Duration waitedFor) -> bool;
-    auto knownLocked(const std::string& service, const std::string& resumed) const -> std::optional<StreamVersionAnswer>;
+    auto maySendLocked(const std::string& service, const std::string& key, const std::string& version, Duration waitedFor) -> bool;
+    auto knownLocked(const std::string& service, const std::string& key) const -> std::optional<StreamVersionAnswer>;
     /// Compares the known revision with those that peers have reported.
     auto updateBehindLocked() -> void;
     /// @param reported revision that peers had reported before the list was requested.
@@ -175,6 +175,7 @@
     StreamRecordTable m_table;
     /// Whether the revision of the stored records has to be read before they are written.
     bool m_mustReadRecords = false;
+    /// By the key of the stream.
     std::map<std::string, Known> m_known;
     std::int64_t m_history = 0;
     bool m_isAvailable = true;
--- a/test/correctness/StreamVersionsTest.cpp
+++ b/test/correctness/StreamVersionsTest.cpp
@@ -3,6 +3,8 @@
 
 #include "StreamVersions.h"
 
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
 
 #include <future>
@@ -310,6 +312,32 @@
     CHECK_FALSE(second.find("moved").version);
 }
 
+// Guards against an id of a request that makes the object of all records of its instance one that the store refuses, so that
+// none of its streams can be taken up elsewhere.
+TEST_CASE("ids of requests that are long or no valid text are recorded like others")
+{
+    constexpr std::size_t maxObjectBytes = 1'048'576;
+    RestorableStore store;
+    Process first(store, "entry-1", { "v1", "v2" });
+    Process second(store, "entry-2", { "v1", "v2" });
+    REQUIRE(waitForEpoch(store, 1));
+    first.begin("odd-\xff", "v1");
+    first.begin("odd-\xfe", "v2");
+    for (int request = 0; request < 70; ++request)
+        first.versions->announce("llm", std::string(16'000, 'x') + std::to_string(request), "v1");
+    first.begin("plain", "v2");
+    const auto text = boost::json::serialize(store.read(kind, streamRecordsName("entry-1")).value);
+    boost::system::error_code code;
+    boost::json::parse(text, code);
+    CHECK_FALSE(code);
+    CHECK(text.size() < maxObjectBytes);
+    CHECK(second.find("odd-\xff").version == "v1");
+    CHECK(second.find("odd-\xfe").version == "v2");
+    CHECK(second.find(std::string(16'000, 'x') + "7").version == "v1");
+    CHECK(second.find("plain").version == "v2");
+    CHECK_FALSE(second.find("odd-").version);
+}
+
 // Guards against a new process that overwrites the records of the one before.
 TEST_CASE("a new process of an instance keeps the records of the one before")
 {
