--- a/test/error/PlatformFormatsTest.cpp
+++ b/test/error/PlatformFormatsTest.cpp
@@ -6,6 +6,9 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <chrono>
+#include <ctime>
 #include <set>
 
 using namespace jayhold;
@@ -310,6 +313,52 @@
     CHECK(rc::check("arbitrary headers", [&](const std::string& text) { RC_ASSERT(partsOf(text).size() <= text.size()); }));
 }
 
+namespace {
+
+/// @return the processor time of this thread that the fastest of several calls takes.
+template <typename Call>
+auto processorTime(Call call) -> std::chrono::nanoseconds
+{
+    auto shortest = std::chrono::nanoseconds::max();
+    for (int run = 0; run < 5; ++run) {
+        timespec begin {};
+        timespec end {};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &begin);
+        call();
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &end);
+        shortest = std::min(shortest, std::chrono::seconds(end.tv_sec - begin.tv_sec) + std::chrono::nanoseconds(end.tv_nsec - begin.tv_nsec));
+    }
+    return shortest;
+}
+
+}
+
+// Guards against requests of legal size whose work is the product of the number of their lines and of the names in their
+// Connection field, so that a few of them keep an instance from answering others.
+TEST_CASE("the work for a head grows with its size only")
+{
+    HttpRequest lines { "GET", "/x", std::vector<HttpHeader>(2'000, HttpHeader { "a", "" }), {} };
+    HttpRequest names { "GET", "/x", { HttpHeader { "Connection", "b" } }, {} };
+    for (int name = 1; name < 4'000; ++name)
+        names.headers[0].value += ",b";
+    auto both = lines;
+    both.headers.insert(both.headers.begin(), names.headers[0]);
+    const auto decode = [](const HttpRequest& request) { return processorTime([&] { (void)platform::callerProtocol().decode(request); }); };
+    // Twice the size of the larger half, with room for noise.
+    CHECK(decode(both) < 4 * (decode(lines) + decode(names)));
+    const auto filter = [](const HttpRequest& request) { return processorTime([&] { (void)platform::callerProtocol().responseHeaders(request.headers); }); };
+    CHECK(filter(both) < 4 * (filter(lines) + filter(names)));
+}
+
+// Guards against hop-by-hop fields that are forwarded because the list that names them is read differently.
+TEST_CASE("fields that Connection names are not forwarded, whatever their case")
+{
+    const std::vector<HttpHeader> headers { { "X-First", "1" }, { "connection", "close, x-FIRST ,X-Last,," }, { "x-last", "2" }, { "X-Lasting", "3" }, { "Upgrade", "4" } };
+    const auto kept = platform::callerProtocol().responseHeaders(headers);
+    REQUIRE(kept.size() == 1);
+    CHECK(kept[0].name == "X-Lasting");
+}
+
 // Guards against a limit that is misread, or a header of a faulty server that is taken for one.
 TEST_CASE("the limit that a server names is a decimal number")
 {
