--- a/test/error/PlatformFormatsTest.cpp
+++ b/test/error/PlatformFormatsTest.cpp
@@ -359,6 +359,17 @@
     CHECK(kept[0].name == "X-Lasting");
 }
 
+// Guards against a timeout that overflows and counts as one that has passed.
+TEST_CASE("the timeout of a caller may be any number")
+{
+    const auto timeout = [](const std::string& text) { return platform::callerProtocol().decode({ "GET", "/x", { HttpHeader { "Deadline-Ms", text } }, {} })->callerTimeout; };
+    CHECK(timeout("250") == std::chrono::milliseconds(250));
+    CHECK(timeout("9223372036854775807") >= std::chrono::hours(1));
+    CHECK(timeout("9223372036854776") >= std::chrono::hours(1));
+    CHECK(timeout("-9223372036854775808") <= Duration::zero());
+    CHECK_FALSE(timeout("soon"));
+}
+
 // Guards against a limit that is misread, or a header of a faulty server that is taken for one.
 TEST_CASE("the limit that a server names is a decimal number")
 {
