Do not eject servers for calls that had no time to be answered

Cause: a call that ended at the deadline of its own caller counted as a failure of its server, and three in a row eject it. Ruled out: rejections by the servers and lost connections; the servers get the calls and answer others.

A timeout counts now only if the call had the time within which nine in ten recent calls of its kind have ended, or if too few have ended to tell.

"calls that end at short deadlines of their callers do not eject servers" failed before (503 for ordinary calls) and passes. "servers at which calls with enough time end at their callers' deadlines are ejected" passed before and passes.

--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -8,7 +8,7 @@
   LINK jayhold_platform)
 
 jayhold_test(router_daemon_test
-  SOURCES test/correctness/ObjectCallsTest.cpp test/correctness/BlockedPartsRouterTest.cpp test/correctness/RouterDaemonTest.cpp
+  SOURCES test/correctness/ObjectCallsTest.cpp test/correctness/BlockedPartsRouterTest.cpp test/correctness/RouterDaemonTest.cpp test/correctness/ShortDeadlineTest.cpp
     test/correctness/StoreHistoryTest.cpp test/FakeBackendServer.cpp test/FakeObjectStore.cpp
   LINK jayhold_platform)
 
--- a/src/PlainService.h
+++ b/src/PlainService.h
@@ -235,7 +235,10 @@
     /// Reports an attempt that ended with an exception as failed with an unknown outcome, and releases its slot.
     auto failAttempt(const BackendServer& backend, const PlainCallInfo& call, const std::exception_ptr& thrown) -> PlainAttempt;
     /// Classifies the error of a call and releases its slot.
-    auto attemptFromError(const BackendServer& backend, const HttpError& error, const CallState& state) -> PlainAttempt;
+    /// @return whether most calls of the kind end within the duration; true if too few have ended.
+    auto hadEnoughTime(const PlainCallInfo& call, Duration duration) const -> bool;
+    /// @param duration time from the begin of the attempt to the error.
+    auto attemptFromError(const BackendServer& backend, const PlainCallInfo& call, const HttpError& error, Duration duration, const CallState& state) -> PlainAttempt;
     /// Classifies a backend server's response and releases its slot.
     auto attemptFromResponse(const BackendServer& backend, const PlainCallInfo& call, HttpResponse response) -> PlainAttempt;
     /// @return whether the attempt has the response that the caller gets.
--- a/src/PlainServiceAttempts.cpp
+++ b/src/PlainServiceAttempts.cpp
@@ -32,6 +32,8 @@
 /// repeated must not run at the end, so its estimate is the more careful one.
 constexpr double repeatableQuantile = 0.95;
 constexpr int unrepeatableSafetyFactor = 2;
+/// A call that had as much time as this share of recent calls took should have ended at a healthy server.
+constexpr double usualQuantile = 0.9;
 
 auto remainingTime(const PlainCallInfo& call) -> Duration
 {
@@ -216,7 +218,7 @@
     else if (result.has_value())
         attempt = attemptFromResponse(backend, call, std::move(*result));
     else
-        attempt = attemptFromError(backend, result.error(), state);
+        attempt = attemptFromError(backend, call, result.error(), monotonicNow() - sentAt, state);
     const auto wasReplaced = !thrown && result.has_error() && result.error().kind == HttpErrorKind::Cancelled && !state.isCallerDisconnected;
     recordSpeed(call, backend, monotonicNow() - sentAt, attempt, attempt.hasTimedOut || wasReplaced);
     const auto isLost = !thrown && result.has_error() && result.error().kind == HttpErrorKind::ConnectionLost;
@@ -226,9 +228,19 @@
     co_return attempt;
 }
 
-auto PlainService::attemptFromError(const BackendServer& backend, const HttpError& error, const CallState& state) -> PlainAttempt
+auto PlainService::hadEnoughTime(const PlainCallInfo& call, Duration duration) const -> bool
 {
-    if (error.kind == HttpErrorKind::Cancelled && (state.isCallerDisconnected || state.isAnswered))
+    const std::lock_guard guard(m_lock);
+    const auto durations = m_durations.find(call.kind.name);
+    const auto usual = durations == m_durations.end() ? std::nullopt : durations->second.quantile(usualQuantile);
+    return !usual || duration >= *usual;
+}
+
+auto PlainService::attemptFromError(const BackendServer& backend, const PlainCallInfo& call, const HttpError& error, Duration duration, const CallState& state) -> PlainAttempt
+{
+    const auto isCancelled = error.kind == HttpErrorKind::Cancelled && (state.isCallerDisconnected || state.isAnswered);
+    // A deadline that healthy servers can't meet either says nothing about this one.
+    if (isCancelled || (error.kind == HttpErrorKind::TimedOut && !hadEnoughTime(call, duration)))
         releaseCancelled(backend.id);
     else
         release(backend, false);
