--- a/bench/EntryInstance.h
+++ b/bench/EntryInstance.h
@@ -90,6 +90,7 @@
     // Prompts of the bench have no parts.
     auto execute(const ReportCrashedPrompt&) -> void { }
     auto execute(const ReportHarmlessParts&) -> void { }
+    auto execute(const CrashEvidenceDropped&) -> void { }
     auto execute(const UpdateBlockedPart&) -> void { }
     /// The engines of the bench ask for no pauses.
     auto execute(const ReplicaReturned&) -> void { }
