Count the parts of crashes that no longer fit

A crash beyond the 64 that are kept was removed without a count, so crash_evidence_dropped did not show it. All bounds on the crashes that are kept are in one function now, and count what they remove.

--- a/src/CrashEvidence.cpp
+++ b/src/CrashEvidence.cpp
@@ -8,10 +8,11 @@
 namespace {
 
 constexpr std::size_t maxPromptsPerCrash = 32;
-/// Parts in pieces of long prompts. Four prompts with as many different parts as a head can contain.
+/// Room for four prompts with as many different parts as the head of a request can contain.
 constexpr std::size_t maxPartsPerCrash = 16'384;
-/// Of all crashes together.
+/// Bounds the parts of all crashes together.
 constexpr std::size_t maxParts = 65'536;
+constexpr std::size_t maxCrashes = 64;
 
 auto isHarmless(const PromptPartCrashes& state, const PromptPartCrashes::Crash& crash, const CrashedPrompt& prompt) -> bool
 {
@@ -67,12 +68,12 @@
     }
 }
 
-auto removeOldestBeyondBound(PromptPartCrashes& state) -> void
+auto removeOldestBeyondBounds(PromptPartCrashes& state) -> void
 {
     std::size_t count = 0;
     for (const auto& crash : state.crashes)
         count += crash.partCount;
-    while (count > maxParts && state.crashes.size() > 1) {
+    while (state.crashes.size() > maxCrashes || (count > maxParts && state.crashes.size() > 1)) {
         count -= state.crashes.front().partCount;
         state.droppedParts += state.crashes.front().partCount;
         state.crashes.pop_front();
--- a/src/CrashEvidence.h
+++ b/src/CrashEvidence.h
@@ -20,8 +20,9 @@
 /// harmless. What finds no room is counted in droppedParts.
 auto addPrompts(PromptPartCrashes& state, PromptPartCrashes::Crash& crash, std::span<const CrashedPrompt> prompts) -> void;
 
-/// Removes the oldest crashes until the parts of all are within their bound.
-auto removeOldestBeyondBound(PromptPartCrashes& state) -> void;
+/// Removes the oldest crashes until their number and that of the parts of all are within their bounds. Their parts are counted
+/// in droppedParts.
+auto removeOldestBeyondBounds(PromptPartCrashes& state) -> void;
 
 /// @return the parts that are worth comparing: those that were at enough of the crashes to be the cause of some.
 /// @param crashes the crashes that are compared.
--- a/src/ModelArrival.cpp
+++ b/src/ModelArrival.cpp
@@ -15,6 +15,7 @@
 {
     const auto& parts = info.forwarded ? info.forwarded->promptParts : info.digest.prefixBlocks;
     const auto shared = std::span(parts).first(info.forwarded && !parts.empty() ? parts.size() - 1 : parts.size());
+    // The few parts of an ordinary prompt are not worth a search.
     if (shared.size() <= maxReportedParts)
         return { shared.begin(), shared.end() };
     std::vector<std::uint64_t> distinct;
--- a/src/PromptPartCrashes.cpp
+++ b/src/PromptPartCrashes.cpp
@@ -15,7 +15,6 @@
 
 /// Crashes that are compared. Requests with the part may be rare, so crashes count for minutes.
 constexpr Duration crashTtl = std::chrono::minutes(10);
-constexpr std::size_t maxCrashes = 64;
 /// A table of harmless parts is full when it has so many parts, but not before it has this many answers, because a long
 /// prompt alone has thousands of parts. The last bound holds in any case.
 constexpr std::size_t maxHarmlessParts = 2'048;
@@ -224,15 +223,12 @@
 auto addCrashedPrompt(PromptPartCrashes& state, TimePoint now, const CrashedPrompt& prompt, Duration age) -> void
 {
     auto crash = std::ranges::find_if(state.crashes, [&](const auto& known) { return known.process == prompt.process && now - known.knownAt < state.rules.reportWindow; });
-    if (crash == state.crashes.end()) {
-        if (state.crashes.size() == maxCrashes)
-            state.crashes.pop_front();
+    if (crash == state.crashes.end())
         crash = state.crashes.insert(state.crashes.end(), { .process = prompt.process, .time = now - age, .knownAt = now, .prompts = {} });
-    }
     addPrompts(state, *crash, std::span(&prompt, 1));
     state.decideAt = std::min(state.decideAt, crash->knownAt + crashReportWait);
     noteLaterCrash(state, prompt.parts);
-    removeOldestBeyondBound(state);
+    removeOldestBeyondBounds(state);
 }
 
 auto reconsiderCrashes(PromptPartCrashes& state, TimePoint now) -> void
@@ -260,14 +256,11 @@
     state.decideAt = std::min(state.decideAt, std::max(now, crash.knownAt + crashReportWait));
     // A process ends once. If it was lost again meanwhile, both losses are one crash.
     const auto known = std::ranges::find(state.crashes, crash.process, &PromptPartCrashes::Crash::process);
-    if (known != state.crashes.end()) {
+    if (known != state.crashes.end())
         addPrompts(state, *known, crash.prompts);
-    } else {
-        if (state.crashes.size() == maxCrashes)
-            state.crashes.pop_front();
+    else
         state.crashes.push_back(std::move(crash));
-    }
-    removeOldestBeyondBound(state);
+    removeOldestBeyondBounds(state);
 }
 
 auto recordHarmlessParts(PromptPartCrashes& state, TimePoint time, std::span<const std::uint64_t> parts, bool isOwn) -> std::vector<std::uint64_t>
--- a/test/correctness/PromptPartCrashesTest.cpp
+++ b/test/correctness/PromptPartCrashesTest.cpp
@@ -196,6 +196,16 @@
     CHECK(state.droppedParts == 2'000'000 - parts);
 }
 
+// Guards against crashes that are forgotten without a trace.
+TEST_CASE("parts of crashes beyond the number that is kept are counted")
+{
+    PromptPartCrashes state;
+    for (std::uint64_t process = 1; process <= 70; ++process)
+        addCrashedPrompt(state, start, { .process = process, .signature = process, .parts = { 1, process } });
+    CHECK(state.crashes.size() == 64);
+    CHECK(state.droppedParts == 2 * (70 - 64));
+}
+
 // Guards against sound parts of long prompts that are blocked, because the answers that show them to be harmless are forgotten
 // after a few other prompts.
 TEST_CASE("answers to long prompts are remembered as long as those to short ones")
