--- a/src/CrashEvidence.cpp
+++ b/src/CrashEvidence.cpp
@@ -84,13 +84,11 @@
 {
     std::vector<std::uint64_t> all;
     for (const auto* crash : crashes) {
-        const auto begin = all.size();
+        const auto begin = static_cast<std::ptrdiff_t>(all.size());
         for (const auto& prompt : crash->prompts)
             all.insert(all.end(), prompt.parts.begin(), prompt.parts.end());
-        const auto own = std::ranges::subrange(all.begin() + static_cast<std::ptrdiff_t>(begin), all.end());
-        std::ranges::sort(own);
-        const auto repeated = std::ranges::unique(own);
-        all.erase(repeated.begin(), repeated.end());
+        std::sort(all.begin() + begin, all.end());
+        all.erase(std::unique(all.begin() + begin, all.end()), all.end());
     }
     std::ranges::sort(all);
     // Where answers do not decide, a part that was at one crash can be as likely a cause as one that was at several.
--- a/test/correctness/PromptPartCrashesTest.cpp
+++ b/test/correctness/PromptPartCrashesTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <numeric>
+#include <span>
 
 using namespace jayhold;
 using namespace std::chrono_literals;
@@ -182,8 +183,10 @@
         std::iota(parts.begin(), parts.end(), number * parts.size());
         recordHarmlessParts(state, start, parts, true);
         // Each crash has a hundred pieces of prompts.
-        for (std::uint32_t piece = 0; piece < parts.size(); piece += maxReportedParts)
-            addCrashedPrompt(state, start + 1min, { .process = number / 4, .signature = number, .parts = Parts(parts.begin() + piece, parts.begin() + std::min<std::ptrdiff_t>(piece + maxReportedParts, 1'000)), .firstPosition = piece });
+        for (std::uint32_t first = 0; first < parts.size(); first += maxReportedParts) {
+            const auto piece = std::span(parts).subspan(first, std::min(maxReportedParts, parts.size() - first));
+            addCrashedPrompt(state, start + 1min, { .process = number / 4, .signature = number, .parts = { piece.begin(), piece.end() }, .firstPosition = first });
+        }
     }
     CHECK(state.harmlessParts.size() + state.olderHarmlessParts.size() <= 70'000);
     std::size_t parts = 0;
@@ -199,11 +202,13 @@
 // Guards against crashes that are forgotten without a trace.
 TEST_CASE("parts of crashes beyond the number that is kept are counted")
 {
+    constexpr std::uint64_t crashes = 70;
+    constexpr std::uint64_t kept = 64;
     PromptPartCrashes state;
-    for (std::uint64_t process = 1; process <= 70; ++process)
+    for (std::uint64_t process = 1; process <= crashes; ++process)
         addCrashedPrompt(state, start, { .process = process, .signature = process, .parts = { 1, process } });
-    CHECK(state.crashes.size() == 64);
-    CHECK(state.droppedParts == 2 * (70 - 64));
+    CHECK(state.crashes.size() == kept);
+    CHECK(state.droppedParts == 2 * (crashes - kept));
 }
 
 // Guards against sound parts of long prompts that are blocked, because the answers that show them to be harmless are forgotten
